--- /dev/null
+++ b/cmake/LagoonModule.cmake
@@ -0,0 +1,23 @@
+# lagoon_module(<name> SOURCES … DEPENDS …) declares the static library lagoon_<name>.
+# lagoon_test(<name> SOURCES … DEPENDS …) declares a Boost.Test program and registers it with ctest.
+
+function(lagoon_module name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_library(lagoon_${name} STATIC ${ARG_SOURCES})
+    target_include_directories(lagoon_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+    target_compile_options(lagoon_${name} PRIVATE -Wall -Wextra -Werror)
+    target_link_libraries(lagoon_${name} PUBLIC ${ARG_DEPENDS} Threads::Threads)
+endfunction()
+
+function(lagoon_test name)
+    cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
+    if(NOT ARG_TIMEOUT)
+        set(ARG_TIMEOUT 120)
+    endif()
+    add_executable(${name} ${ARG_SOURCES})
+    target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
+    target_compile_options(${name} PRIVATE -Wall -Wextra -Werror)
+    target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} Boost::unit_test_framework)
+    add_test(NAME ${name} COMMAND ${name})
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+endfunction()
--- /dev/null
+++ b/src/app/icommand.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoon::app {
+
+/// Exit codes of the program.
+enum ExitCode : int {
+    ExitSuccess = 0,
+    ExitFailure = 1, ///< it was tried and didn't work
+    ExitUsage = 2, ///< bad words, settings or bundle; nothing was started
+};
+
+/// One subcommand of the program.
+class ICommand {
+public:
+    virtual ~ICommand() = default;
+    virtual std::string name() const = 0;
+    /// One line for the program's help.
+    virtual std::string summary() const = 0;
+    /// `words` are those after the command's name. Returns the exit code.
+    virtual int run(const std::vector<std::string>& words) = 0;
+};
+
+using Commands = std::vector<std::unique_ptr<ICommand>>;
+
+} // namespace lagoon::app
--- /dev/null
+++ b/src/bundle/internal/bundle.cpp
@@ -0,0 +1,32 @@
+#include "bundle/types/bundle.h"
+
+namespace lagoon::bundle {
+
+namespace {
+
+template <typename Map> const typename Map::mapped_type* find(const Map& map, const typename Map::key_type& key)
+{
+    const auto found = map.find(key);
+    return found == map.end() ? nullptr : &found->second;
+}
+
+} // namespace
+
+const Model* Bundle::model(const framework::ModelName& name) const { return find(models, name); }
+
+const Adapter* Bundle::adapter(const framework::ModelName& model, const framework::AdapterName& name) const
+{
+    const auto* ofModel = find(adapters, model);
+    return ofModel ? find(*ofModel, name) : nullptr;
+}
+
+const Service* Bundle::service(const framework::ServiceName& name) const { return find(services, name); }
+
+std::uint32_t Bundle::decidedReplicas(const framework::ModelName& name, const framework::SiteName& site) const
+{
+    const Model* found = model(name);
+    const std::uint32_t* count = found ? find(found->replicas, site) : nullptr;
+    return count ? *count : 0;
+}
+
+} // namespace lagoon::bundle
--- /dev/null
+++ b/src/framework/internal/checkedjson.cpp
@@ -0,0 +1,248 @@
+#include "framework/checkedjson.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace lagoon::framework {
+
+namespace {
+
+/// cpprest's parser recurses with the text, so depth is limited before it sees the text.
+std::size_t deepestNesting(const std::string& text)
+{
+    std::size_t depth = 0;
+    std::size_t deepest = 0;
+    bool isInString = false;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const char character = text[at];
+        if (isInString) {
+            if (character == '\\')
+                ++at;
+            else if (character == '"')
+                isInString = false;
+            continue;
+        }
+        if (character == '"')
+            isInString = true;
+        else if (character == '{' || character == '[')
+            deepest = std::max(deepest, ++depth);
+        else if ((character == '}' || character == ']') && depth > 0)
+            --depth;
+    }
+    return deepest;
+}
+
+} // namespace
+
+struct CheckedObject::Fault {
+    ErrorCode code = ErrorCode::Internal;
+    std::optional<std::string> text;
+};
+
+Result<web::json::value> parseJson(
+    const std::string& text, const std::string& source, ErrorCode code, JsonLimits limits)
+{
+    const auto fault = [&](std::string detail) { return Error { code, "read JSON", source, std::move(detail) }; };
+    if (text.size() > limits.bytes)
+        return fault("larger than " + std::to_string(limits.bytes) + " bytes");
+    if (deepestNesting(text) > limits.depth)
+        return fault("nested deeper than " + std::to_string(limits.depth));
+    std::error_code parseError;
+    web::json::value value = web::json::value::parse(text, parseError);
+    if (parseError)
+        return fault("not JSON: " + parseError.message());
+    return value;
+}
+
+CheckedObject::CheckedObject(const web::json::value& object, std::string source, std::string path, ErrorCode code)
+    : CheckedObject(object, std::move(source), std::move(path), std::make_shared<Fault>(Fault { code, std::nullopt }))
+{
+}
+
+CheckedObject::CheckedObject(
+    const web::json::value& object, std::string source, std::string path, std::shared_ptr<Fault> fault)
+    : object_(object)
+    , source_(std::move(source))
+    , path_(std::move(path))
+    , fault_(std::move(fault))
+{
+    if (!object_.is_object())
+        fail("", "an object");
+}
+
+std::string CheckedObject::pathOf(const std::string& key) const
+{
+    if (path_.empty())
+        return key;
+    return key.empty() ? path_ : path_ + "." + key;
+}
+
+void CheckedObject::fail(const std::string& key, const std::string& expected)
+{
+    if (!fault_->text)
+        fault_->text = "key \"" + pathOf(key) + "\": expected " + expected;
+}
+
+const web::json::value* CheckedObject::find(const std::string& key, bool isRequired)
+{
+    seen_.push_back(key);
+    if (!has(key)) {
+        if (isRequired)
+            fail(key, "a value, there is none");
+        return nullptr;
+    }
+    return &object_.as_object().at(key);
+}
+
+bool CheckedObject::has(const std::string& key) const { return object_.is_object() && object_.has_field(key); }
+
+std::string CheckedObject::text(const std::string& key)
+{
+    const web::json::value* value = find(key, true);
+    if (!value)
+        return {};
+    if (!value->is_string() || value->as_string().empty()) {
+        fail(key, "a text that isn't empty");
+        return {};
+    }
+    return value->as_string();
+}
+
+std::string CheckedObject::textOr(const std::string& key, std::string fallback)
+{
+    if (has(key))
+        return text(key);
+    return fallback;
+}
+
+std::uint64_t CheckedObject::number(const std::string& key, std::uint64_t least, std::uint64_t most)
+{
+    const web::json::value* value = find(key, true);
+    if (!value)
+        return least;
+    const std::string range = "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
+    if (!value->is_number() || !value->as_number().is_uint64()) {
+        fail(key, range);
+        return least;
+    }
+    const std::uint64_t number = value->as_number().to_uint64();
+    if (number < least || number > most) {
+        fail(key, range);
+        return least;
+    }
+    return number;
+}
+
+std::uint64_t CheckedObject::numberOr(
+    const std::string& key, std::uint64_t fallback, std::uint64_t least, std::uint64_t most)
+{
+    return has(key) ? number(key, least, most) : fallback;
+}
+
+double CheckedObject::fractionOr(const std::string& key, double fallback, double least, double most)
+{
+    if (!has(key))
+        return fallback;
+    const web::json::value* value = find(key, true);
+    if (!value->is_number() || value->as_double() < least || value->as_double() > most) {
+        fail(key, "a number from " + std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+    return value->as_double();
+}
+
+bool CheckedObject::flagOr(const std::string& key, bool fallback)
+{
+    const web::json::value* value = find(key, false);
+    if (!value)
+        return fallback;
+    if (!value->is_boolean()) {
+        fail(key, "true or false");
+        return fallback;
+    }
+    return value->as_bool();
+}
+
+std::string CheckedObject::wordOr(const std::string& key, std::string fallback, const std::vector<std::string>& words)
+{
+    if (!has(key))
+        return fallback;
+    std::string word = text(key);
+    if (std::find(words.begin(), words.end(), word) != words.end())
+        return word;
+    std::string expected = "one of";
+    for (const std::string& allowed : words)
+        expected += " \"" + allowed + "\"";
+    fail(key, expected);
+    return fallback;
+}
+
+CheckedObject CheckedObject::object(const std::string& key)
+{
+    const web::json::value* value = find(key, true);
+    return CheckedObject(value ? *value : web::json::value::object(), source_, pathOf(key), fault_);
+}
+
+std::vector<CheckedObject> CheckedObject::objects(const std::string& key)
+{
+    std::vector<CheckedObject> parts;
+    const web::json::value* value = find(key, false);
+    if (!value)
+        return parts;
+    if (!value->is_array()) {
+        fail(key, "an array");
+        return parts;
+    }
+    for (const web::json::value& part : value->as_array())
+        parts.push_back(CheckedObject(part, source_, pathOf(key) + "[" + std::to_string(parts.size()) + "]", fault_));
+    return parts;
+}
+
+std::vector<std::string> CheckedObject::texts(const std::string& key)
+{
+    std::vector<std::string> texts;
+    const web::json::value* value = find(key, false);
+    if (!value)
+        return texts;
+    if (!value->is_array()) {
+        fail(key, "an array");
+        return texts;
+    }
+    for (const web::json::value& part : value->as_array()) {
+        if (!part.is_string()) {
+            fail(key, "an array of texts");
+            continue;
+        }
+        texts.push_back(part.as_string());
+    }
+    return texts;
+}
+
+std::vector<std::pair<std::string, CheckedObject>> CheckedObject::entries()
+{
+    std::vector<std::pair<std::string, CheckedObject>> parts;
+    if (!object_.is_object())
+        return parts;
+    for (const auto& [name, value] : object_.as_object()) {
+        seen_.push_back(name);
+        parts.emplace_back(name, CheckedObject(value, source_, pathOf(name), fault_));
+    }
+    return parts;
+}
+
+Result<void> CheckedObject::finish()
+{
+    if (!fault_->text && object_.is_object()) {
+        for (const auto& [name, value] : object_.as_object()) {
+            if (std::find(seen_.begin(), seen_.end(), name) != seen_.end())
+                continue;
+            fault_->text = "key \"" + pathOf(name) + "\": unknown key";
+            break;
+        }
+    }
+    if (fault_->text)
+        return Error { fault_->code, "check JSON", source_, *fault_->text };
+    return success();
+}
+
+} // namespace lagoon::framework
--- /dev/null
+++ b/src/framework/tests/checkedjson_test.cpp
@@ -0,0 +1,48 @@
+#include "framework/checkedjson.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon::framework;
+
+namespace {
+
+CheckedObject checked(const std::string& text)
+{
+    return CheckedObject(
+        parseJson(text, "file.json", ErrorCode::BadSettings).value(), "file.json", "", ErrorCode::BadSettings);
+}
+
+std::string faultOf(CheckedObject& object)
+{
+    const Result<void> result = object.finish();
+    return result.has_error() ? describe(result.error()) : "";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CheckedJson)
+
+BOOST_AUTO_TEST_CASE(anUnknownKeyIsNamed)
+{
+    CheckedObject object = checked(R"({"vm": "a", "tpyo": 1})");
+    BOOST_TEST(object.text("vm") == "a");
+    BOOST_TEST(faultOf(object) == "check JSON at file.json: bad_settings: key \"tpyo\": unknown key");
+}
+
+BOOST_AUTO_TEST_CASE(aWrongTypeAndRangeSayWhatWasExpected)
+{
+    CheckedObject object = checked(R"({"limits": {"waiting": -3}})");
+    object.object("limits").number("waiting", 1, 9);
+    BOOST_TEST(
+        faultOf(object).find("key \"limits.waiting\": expected a whole number from 1 to 9") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(deepAndLargeTextsAreRefusedBeforeParsing)
+{
+    const std::string deep(100000, '[');
+    BOOST_TEST(parseJson(deep, "x", ErrorCode::BadBundle).has_error());
+    const std::string large(2 * 1024 * 1024, ' ');
+    BOOST_TEST(parseJson(large, "x", ErrorCode::BadBundle).error().detail.find("larger") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/platform/ivmlist.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "framework/types/error.h"
+#include "framework/types/time.h"
+#include "platform/types/vmentry.h"
+
+#include <cstdint>
+
+namespace lagoon::platform {
+
+/// A state of the list, with the number that `waitForChange` compares.
+struct VmListSnapshot {
+    std::uint64_t version = 0;
+    VmEntries vms;
+};
+
+/// The platform's lagging list of VMs. Calls block. Thread-safe.
+class IVmList {
+public:
+    virtual ~IVmList() = default;
+    /// Returns once the list's version isn't `known`, or the same list when the deadline has passed. `known` 0 returns
+    /// at once.
+    virtual framework::Result<VmListSnapshot> waitForChange(std::uint64_t known, framework::Deadline) = 0;
+};
+
+} // namespace lagoon::platform
--- /dev/null
+++ b/src/platform/objectupdate.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "framework/types/error.h"
+#include "platform/iplatformstore.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace lagoon::platform {
+
+/// What an update wants of the object as it is now: a new value, or nothing to write.
+struct ObjectChange {
+    std::optional<std::string> newValue;
+};
+
+/// How to change one object by read and conditional write.
+struct ObjectUpdate {
+    /// Given the present value, or nothing when the object doesn't exist. An error ends the update and is returned.
+    std::function<framework::Result<ObjectChange>(const std::optional<std::string>&)> change;
+    /// Whether a value read after a lost answer shows that this update's own write had taken effect; by its nonce.
+    std::function<bool(const std::string&)> isOwnWrite;
+};
+
+struct UpdatedObject {
+    /// As it stands after the update; empty if it doesn't exist and nothing was to be written.
+    std::string value;
+    framework::ObjectVersion version;
+};
+
+/// Reads, changes and writes until the write took effect, the change refused, or the deadline passed. A conflict is
+/// tried again after a jittered wait. A lost answer is settled by reading again: without that, a replica could be
+/// claimed and nobody know it. If even the reads fail, the error says `Execution::Unknown`.
+framework::Result<UpdatedObject> updateObject(
+    IPlatformStore&, const ObjectKey&, const ObjectUpdate&, framework::Deadline);
+
+} // namespace lagoon::platform
--- /dev/null
+++ b/src/platform/types/storedobject.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+#include <string>
+
+namespace lagoon::platform {
+
+/// A key of the object API: words of letters, digits, `.`, `_` and `-`, joined by `/`.
+using ObjectKey = framework::StrongType<struct ObjectKeyTag, std::string>;
+
+struct StoredObject {
+    std::string value;
+    framework::ObjectVersion version;
+};
+
+struct ListedObject {
+    ObjectKey key;
+    framework::ObjectVersion version;
+};
+
+} // namespace lagoon::platform
--- /dev/null
+++ b/src/policy/ikeepwarm.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace lagoon::policy {
+
+/// A loaded replica as its agent sees it. Adapters are replicas too.
+struct LoadedReplica {
+    framework::ModelName model;
+    /// Empty for the model itself.
+    framework::AdapterName adapter;
+    framework::MebiBytes memory;
+    framework::SteadyTime lastUsed {};
+    /// What its load took when last measured.
+    framework::Milliseconds loadTime { 0 };
+    std::uint32_t running = 0;
+    /// Uses within memory, newest last, a few of them.
+    std::vector<framework::SteadyTime> recentUses;
+};
+
+/// How long an idle replica stays loaded, and which go first when memory is short.
+class IKeepWarm {
+public:
+    virtual ~IKeepWarm() = default;
+    /// When the idle replica should be unloaded unless used before.
+    virtual framework::Deadline keepUntil(const LoadedReplica&) const = 0;
+    /// Indexes of replicas that together free at least `needed`, in the order of unloading; empty if the idle ones
+    /// don't suffice. Running ones are never chosen, nor a model without the adapters on it.
+    virtual std::vector<std::size_t> victims(
+        const std::vector<LoadedReplica>&, framework::MebiBytes needed, framework::SteadyTime now) const = 0;
+};
+
+} // namespace lagoon::policy
--- /dev/null
+++ b/src/policy/policysetup.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "bundle/types/bundle.h"
+#include "policy/ikeepwarm.h"
+#include "policy/iloadorder.h"
+#include "policy/iloadplacement.h"
+#include "policy/ireplicachoice.h"
+
+#include <memory>
+
+namespace lagoon::policy {
+
+/// Makes the policies that the bundle's numbers call for.
+std::unique_ptr<ILoadPlacement> makeLoadPlacement(const bundle::PolicyNumbers&);
+std::unique_ptr<IReplicaChoice> makeReplicaChoice(const bundle::PolicyNumbers&);
+std::unique_ptr<IKeepWarm> makeKeepWarm(const bundle::PolicyNumbers&);
+std::unique_ptr<ILoadOrder> makeLoadOrder(const bundle::PolicyNumbers&);
+
+} // namespace lagoon::policy
--- /dev/null
+++ b/src/wire/internal/message.cpp
@@ -0,0 +1,102 @@
+#include "wire/types/message.h"
+
+#include <algorithm>
+#include <flatbuffers/flatbuffers.h>
+
+namespace lagoon::wire {
+
+namespace {
+
+using framework::Error;
+using framework::ErrorCode;
+
+constexpr unsigned maximumDepth = 8;
+constexpr unsigned maximumTables = 100000;
+
+Error badFrame(std::string detail) { return Error { ErrorCode::BadFrame, "decode frame", "", std::move(detail) }; }
+
+bool isTargetWellFormed(const std::unique_ptr<fb::TargetT>& target)
+{
+    return target && target->model.empty() != target->service.empty();
+}
+
+template <typename Table> bool hasId(const Table* table) { return table && table->id; }
+
+/// Handlers dereference ids and targets without asking, so a frame that lacks them ends here.
+bool isComplete(const fb::BodyUnion& body)
+{
+    switch (body.type) {
+    case fb::Body::Dispatch:
+        return hasId(body.AsDispatch()) && isTargetWellFormed(body.AsDispatch()->target);
+    case fb::Body::Cancel:
+        return hasId(body.AsCancel());
+    case fb::Body::Resolve:
+        return hasId(body.AsResolve());
+    case fb::Body::Refused:
+        return hasId(body.AsRefused()) && body.AsRefused()->code < framework::errorCodeCount
+            && body.AsRefused()->execution <= 1;
+    case fb::Body::AnswerHead:
+        return hasId(body.AsAnswerHead());
+    case fb::Body::AnswerChunk:
+        return hasId(body.AsAnswerChunk());
+    case fb::Body::AnswerEnd:
+        return hasId(body.AsAnswerEnd());
+    case fb::Body::BidRequest:
+        return isTargetWellFormed(body.AsBidRequest()->target);
+    case fb::Body::Bid:
+        return body.AsBid()->refusal < framework::errorCodeCount;
+    case fb::Body::Load:
+        return isTargetWellFormed(body.AsLoad()->target);
+    case fb::Body::LoadResult:
+        return body.AsLoadResult()->code < framework::errorCodeCount;
+    case fb::Body::Wake:
+        return isTargetWellFormed(body.AsWake()->target);
+    case fb::Body::WakeResult:
+        return isTargetWellFormed(body.AsWakeResult()->target) && body.AsWakeResult()->code < framework::errorCodeCount;
+    case fb::Body::Hello:
+    case fb::Body::HelloAck:
+    case fb::Body::Ping:
+    case fb::Body::Pong:
+    case fb::Body::Settle:
+        return true;
+    case fb::Body::NONE:
+        return false;
+    }
+    return false;
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encode(const Message& message)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(fb::Frame::Pack(builder, &message));
+    // Not FlatBuffers' own size prefix: it aligns the content for a buffer that includes the prefix, while the reader
+    // has the content alone.
+    std::vector<std::uint8_t> bytes(lengthPrefixBytes + builder.GetSize());
+    for (std::size_t index = 0; index < lengthPrefixBytes; ++index)
+        bytes[index] = static_cast<std::uint8_t>(builder.GetSize() >> (8 * index));
+    std::copy_n(builder.GetBufferPointer(), builder.GetSize(), bytes.begin() + lengthPrefixBytes);
+    return bytes;
+}
+
+framework::Result<Message> decode(const std::uint8_t* bytes, std::size_t size)
+{
+    flatbuffers::Verifier verifier(bytes, size, maximumDepth, maximumTables);
+    if (!fb::VerifyFrameBuffer(verifier))
+        return badFrame("not a well-formed FlatBuffer");
+    Message message;
+    fb::GetFrame(bytes)->UnPackTo(&message);
+    if (!isComplete(message.body))
+        return badFrame("unknown type or missing part, type " + std::to_string(static_cast<int>(message.body.type)));
+    return message;
+}
+
+std::string targetText(const fb::TargetT& target)
+{
+    if (!target.service.empty())
+        return "service:" + target.service;
+    return target.adapter.empty() ? target.model : target.model + "/" + target.adapter;
+}
+
+} // namespace lagoon::wire
--- /dev/null
+++ b/src/wire/internal/tcplink.cpp
@@ -0,0 +1,164 @@
+#include "wire/internal/tcplink.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace lagoon::wire {
+
+using framework::Error;
+using framework::ErrorCode;
+
+TcpLink::TcpLink(const Strand& strand, framework::Endpoint peer, const LinkSettings& settings, LinkHandlers handlers,
+    std::shared_ptr<framework::Metrics> metrics)
+    : strand_(strand)
+    , socket_(strand)
+    , connectTimer_(strand)
+    , peer_(std::move(peer))
+    , settings_(settings)
+    , handlers_(std::move(handlers))
+    , metrics_(std::move(metrics))
+{
+}
+
+void TcpLink::start()
+{
+    isConnected_ = true;
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    readLength();
+    write();
+}
+
+void TcpLink::startConnecting(const boost::asio::ip::tcp::endpoint& endpoint)
+{
+    connectTimer_.expires_after(settings_.connectWithin);
+    connectTimer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error && !self->isConnected_)
+            self->fail(Error { ErrorCode::LinkLost, "connect", self->peer_.value(), "no answer in time" });
+    });
+    socket_.async_connect(endpoint, [self = shared_from_this()](const boost::system::error_code& error) {
+        if (self->isClosed_)
+            return;
+        self->connectTimer_.cancel();
+        if (error)
+            return self->fail(Error { ErrorCode::LinkLost, "connect", self->peer_.value(), error.message() });
+        self->start();
+    });
+}
+
+void TcpLink::failLater(Error error)
+{
+    boost::asio::post(strand_, [self = shared_from_this(), error = std::move(error)] { self->fail(error); });
+}
+
+void TcpLink::send(const Message& message)
+{
+    boost::asio::post(strand_, [self = shared_from_this(), bytes = encode(message)]() mutable {
+        if (self->isClosed_)
+            return;
+        self->queuedBytes_ += bytes.size();
+        self->queue_.push_back(std::move(bytes));
+        if (self->queuedBytes_ > self->settings_.queuedBytes) {
+            self->metrics_->count("lagoon_links_closed_total", { { "reason", "slow_peer" } });
+            self->fail(Error { ErrorCode::LinkLost, "send", self->peer_.value(), "the peer reads too slowly" });
+            return;
+        }
+        self->write();
+    });
+}
+
+void TcpLink::close()
+{
+    boost::asio::post(strand_, [self = shared_from_this()] { self->closeSocket(); });
+}
+
+void TcpLink::readLength()
+{
+    boost::asio::async_read(socket_, boost::asio::buffer(lengthBytes_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+            if (self->isClosed_)
+                return;
+            if (error)
+                return self->fail(Error { ErrorCode::LinkLost, "read", self->peer_.value(), error.message() });
+            std::size_t length = 0;
+            for (std::size_t index = 0; index < self->lengthBytes_.size(); ++index)
+                length |= static_cast<std::size_t>(self->lengthBytes_[index]) << (8 * index);
+            if (length == 0 || length > self->settings_.frameBytes) {
+                self->metrics_->count("lagoon_bad_frames_total", { { "reason", "length" } });
+                return self->fail(Error { ErrorCode::BadFrame, "read", self->peer_.value(),
+                    "frame of " + std::to_string(length) + " bytes" });
+            }
+            self->readBody(length);
+        });
+}
+
+void TcpLink::readBody(std::size_t length)
+{
+    bodyBytes_.resize(length);
+    boost::asio::async_read(socket_, boost::asio::buffer(bodyBytes_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+            if (self->isClosed_)
+                return;
+            if (error)
+                return self->fail(Error { ErrorCode::LinkLost, "read", self->peer_.value(), error.message() });
+            self->deliver();
+        });
+}
+
+void TcpLink::deliver()
+{
+    framework::Result<Message> message = decode(bodyBytes_.data(), bodyBytes_.size());
+    if (message.has_error()) {
+        metrics_->count("lagoon_bad_frames_total", { { "reason", "content" } });
+        Error error = message.error();
+        error.peer = peer_.value();
+        return fail(std::move(error));
+    }
+    handlers_.onMessage(shared_from_this(), std::move(message.value()));
+    if (!isClosed_)
+        readLength();
+}
+
+void TcpLink::write()
+{
+    if (!isConnected_ || isWriting_ || isClosed_ || queue_.empty())
+        return;
+    isWriting_ = true;
+    boost::asio::async_write(socket_, boost::asio::buffer(queue_.front()),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+            self->isWriting_ = false;
+            if (self->isClosed_)
+                return;
+            if (error)
+                return self->fail(Error { ErrorCode::LinkLost, "write", self->peer_.value(), error.message() });
+            self->queuedBytes_ -= self->queue_.front().size();
+            self->queue_.pop_front();
+            self->write();
+        });
+}
+
+void TcpLink::fail(Error error)
+{
+    if (isClosed_)
+        return;
+    // The handlers go with the socket: they hold their owner, which holds this link.
+    auto onClosed = handlers_.onClosed;
+    closeSocket();
+    if (onClosed)
+        onClosed(shared_from_this(), error);
+}
+
+void TcpLink::closeSocket()
+{
+    if (isClosed_)
+        return;
+    isClosed_ = true;
+    boost::system::error_code ignored;
+    connectTimer_.cancel(ignored);
+    socket_.close(ignored);
+    queue_.clear();
+}
+
+} // namespace lagoon::wire
--- /dev/null
+++ b/src/wire/internal/tcplink.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "framework/metrics.h"
+#include "wire/ilink.h"
+#include "wire/linktransport.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <deque>
+#include <memory>
+#include <vector>
+
+namespace lagoon::wire {
+
+/// One TCP connection; all its state belongs to its strand.
+class TcpLink final : public ILink, public std::enable_shared_from_this<TcpLink> {
+public:
+    using Strand = boost::asio::strand<boost::asio::any_io_executor>;
+
+    TcpLink(const Strand&, framework::Endpoint peer, const LinkSettings&, LinkHandlers,
+        std::shared_ptr<framework::Metrics>);
+
+    boost::asio::ip::tcp::socket& socket() { return socket_; }
+    /// Starts reading and writing on a connected socket.
+    void start();
+    void startConnecting(const boost::asio::ip::tcp::endpoint&);
+    /// For an endpoint that isn't an address: fails as a connection would, later, on the strand.
+    void failLater(framework::Error);
+
+    void send(const Message&) override;
+    void close() override;
+    const framework::Endpoint& peer() const override { return peer_; }
+
+private:
+    void readLength();
+    void readBody(std::size_t length);
+    void deliver();
+    void write();
+    void fail(framework::Error);
+    void closeSocket();
+
+    Strand strand_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer connectTimer_;
+    framework::Endpoint peer_;
+    LinkSettings settings_;
+    LinkHandlers handlers_;
+    std::shared_ptr<framework::Metrics> metrics_;
+    bool isConnected_ = false;
+    bool isClosed_ = false;
+    bool isWriting_ = false;
+    std::size_t queuedBytes_ = 0;
+    std::deque<std::vector<std::uint8_t>> queue_;
+    std::array<std::uint8_t, lengthPrefixBytes> lengthBytes_ {};
+    std::vector<std::uint8_t> bodyBytes_;
+};
+
+} // namespace lagoon::wire
--- /dev/null
+++ b/src/wire/internal/tcplinktransport.cpp
@@ -0,0 +1,154 @@
+#include "framework/logging.h"
+#include "wire/internal/tcplink.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <optional>
+#include <thread>
+
+namespace lagoon::wire {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using framework::Endpoint;
+using framework::Error;
+using framework::ErrorCode;
+
+framework::Result<tcp::endpoint> parseEndpoint(const Endpoint& endpoint)
+{
+    const std::string& text = endpoint.value();
+    const std::size_t colon = text.rfind(':');
+    const auto fault = [&] {
+        return Error { ErrorCode::BadSettings, "parse endpoint", text, "expected address:port with a numeric address" };
+    };
+    if (colon == std::string::npos || colon + 1 == text.size())
+        return fault();
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
+    unsigned long port = 0;
+    for (const char digit : text.substr(colon + 1)) {
+        if (digit < '0' || digit > '9' || port > 65535)
+            return fault();
+        port = port * 10 + static_cast<unsigned long>(digit - '0');
+    }
+    if (error || port > 65535)
+        return fault();
+    return tcp::endpoint(address, static_cast<unsigned short>(port));
+}
+
+std::string endpointText(const tcp::endpoint& endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+class TcpLinkTransport final : public ILinkTransport {
+public:
+    TcpLinkTransport(const LinkSettings& settings, std::shared_ptr<framework::Metrics> metrics)
+        : settings_(settings)
+        , metrics_(std::move(metrics))
+        , work_(boost::asio::make_work_guard(context_))
+    {
+        for (std::size_t index = 0; index < settings_.threads; ++index)
+            threads_.emplace_back([this] { context_.run(); });
+    }
+
+    ~TcpLinkTransport() override { stop(); }
+
+    std::shared_ptr<ILink> connect(const Endpoint& endpoint, LinkHandlers handlers) override
+    {
+        auto link = std::make_shared<TcpLink>(newStrand(), endpoint, settings_, std::move(handlers), metrics_);
+        auto address = parseEndpoint(endpoint);
+        if (address.has_error())
+            link->failLater(address.error());
+        else
+            boost::asio::post(
+                link->socket().get_executor(), [link, to = address.value()] { link->startConnecting(to); });
+        return link;
+    }
+
+    framework::Result<Endpoint> listen(const Endpoint& endpoint, LinkHandlers handlers) override
+    {
+        BOOST_OUTCOME_TRY(address, parseEndpoint(endpoint));
+        boost::system::error_code error;
+        acceptor_.emplace(context_);
+        acceptor_->open(address.protocol(), error);
+        if (!error)
+            acceptor_->set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            acceptor_->bind(address, error);
+        if (!error)
+            acceptor_->listen(boost::asio::socket_base::max_listen_connections, error);
+        if (error)
+            return Error { ErrorCode::BadSettings, "listen", endpoint.value(), error.message() };
+        handlers_ = std::move(handlers);
+        const Endpoint bound(endpointText(acceptor_->local_endpoint()));
+        accept();
+        return bound;
+    }
+
+    void stopListening() override
+    {
+        boost::asio::post(context_, [this] {
+            boost::system::error_code ignored;
+            if (acceptor_)
+                acceptor_->close(ignored);
+        });
+    }
+
+    void stop() override
+    {
+        context_.stop();
+        for (std::thread& thread : threads_) {
+            if (thread.joinable())
+                thread.join();
+        }
+    }
+
+private:
+    TcpLink::Strand newStrand() { return TcpLink::Strand(context_.get_executor()); }
+
+    void accept()
+    {
+        auto strand = newStrand();
+        acceptor_->async_accept(strand, [this, strand](const boost::system::error_code& error, tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted || !acceptor_->is_open())
+                return;
+            if (error)
+                framework::logWarning("wire", "accept: " + error.message());
+            else
+                adopt(strand, std::move(socket));
+            accept();
+        });
+    }
+
+    void adopt(const TcpLink::Strand& strand, tcp::socket socket)
+    {
+        boost::system::error_code error;
+        const tcp::endpoint remote = socket.remote_endpoint(error);
+        if (error)
+            return;
+        auto link = std::make_shared<TcpLink>(strand, Endpoint(endpointText(remote)), settings_, handlers_, metrics_);
+        link->socket() = std::move(socket);
+        boost::asio::post(strand, [link] { link->start(); });
+    }
+
+    LinkSettings settings_;
+    std::shared_ptr<framework::Metrics> metrics_;
+    boost::asio::io_context context_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::optional<tcp::acceptor> acceptor_;
+    LinkHandlers handlers_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace
+
+std::shared_ptr<ILinkTransport> makeTcpLinkTransport(
+    const LinkSettings& settings, std::shared_ptr<framework::Metrics> metrics)
+{
+    return std::make_shared<TcpLinkTransport>(settings, std::move(metrics));
+}
+
+} // namespace lagoon::wire
--- /dev/null
+++ b/src/wire/tests/link_test.cpp
@@ -0,0 +1,87 @@
+#include "wire/linktransport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+using namespace lagoon::wire;
+using namespace lagoon::framework;
+
+namespace {
+
+const Endpoint anyPort("127.0.0.1:0");
+
+LinkHandlers handlers(std::function<void(const std::shared_ptr<ILink>&, Message)> onMessage,
+    std::function<void(const std::shared_ptr<ILink>&, const Error&)> onClosed = nullptr)
+{
+    return LinkHandlers { std::move(onMessage), std::move(onClosed) };
+}
+
+/// Writes bytes to an endpoint as a stranger would.
+boost::asio::ip::tcp::socket rawConnection(boost::asio::io_context& context, const Endpoint& to)
+{
+    boost::asio::ip::tcp::socket socket(context);
+    const auto port = static_cast<unsigned short>(std::stoi(to.value().substr(to.value().rfind(':') + 1)));
+    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+    return socket;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Links)
+
+BOOST_AUTO_TEST_CASE(aPingIsAnswered)
+{
+    auto transport = makeTcpLinkTransport({}, std::make_shared<Metrics>());
+    const auto endpoint = transport->listen(anyPort, handlers([](const std::shared_ptr<ILink>& link, Message received) {
+        fb::PongT pong;
+        pong.nonce = received.body.AsPing()->nonce;
+        link->send(message(std::move(pong)));
+    }));
+    BOOST_REQUIRE(endpoint.has_value());
+    std::promise<std::uint64_t> answered;
+    auto link = transport->connect(endpoint.value(), handlers([&](const std::shared_ptr<ILink>&, Message received) {
+        answered.set_value(received.body.AsPong()->nonce);
+    }));
+    fb::PingT ping;
+    ping.nonce = 42;
+    link->send(message(std::move(ping)));
+    BOOST_TEST(answered.get_future().get() == 42u);
+    transport->stop();
+}
+
+BOOST_AUTO_TEST_CASE(aRefusedConnectionIsSaid)
+{
+    auto transport = makeTcpLinkTransport({}, std::make_shared<Metrics>());
+    std::promise<Error> closed;
+    auto link = transport->connect(Endpoint("127.0.0.1:1"),
+        handlers([](const std::shared_ptr<ILink>&, Message) {},
+            [&](const std::shared_ptr<ILink>&, const Error& error) { closed.set_value(error); }));
+    const Error error = closed.get_future().get();
+    BOOST_TEST(error.step == "connect");
+    BOOST_TEST(error.peer == "127.0.0.1:1");
+    transport->stop();
+}
+
+// A stranger, or a defect, sends a frame that claims 4 GB. The link must be closed at once without taking the memory,
+// be counted, and the process must go on serving others.
+BOOST_AUTO_TEST_CASE(aFrameThatIsTooLongClosesOnlyItsLink)
+{
+    auto metrics = std::make_shared<Metrics>();
+    auto transport = makeTcpLinkTransport({}, metrics);
+    std::promise<Error> closed;
+    const auto endpoint = transport->listen(anyPort,
+        handlers([](const std::shared_ptr<ILink>&, Message) {},
+            [&](const std::shared_ptr<ILink>&, const Error& error) { closed.set_value(error); }));
+    boost::asio::io_context context;
+    auto stranger = rawConnection(context, endpoint.value());
+    const std::array<std::uint8_t, 4> length { 0xff, 0xff, 0xff, 0xff };
+    boost::asio::write(stranger, boost::asio::buffer(length));
+    BOOST_CHECK(closed.get_future().get().code == ErrorCode::BadFrame);
+    BOOST_TEST(metrics->text().find("lagoon_bad_frames_total{reason=\"length\"} 1") != std::string::npos);
+    transport->stop();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
