Stand-ins for platform, engine, service and weight store; fault proxy; deployment for tests

Cause: the integration tests need the outside systems as separate processes that speak docs/OUTSIDE.md, and a harness that starts and ends them by id.

Change: tests/standins/ (one program each, faults by POST /standin/faults, record by GET /standin/record), tests/support/ (child processes, HTTP calls on fresh connections, the Deployment).

Ruled out: cpprest's listener for the stand-ins. It offers no way to close a connection before its answer, which the case 'executed, then closed' needs, and doesn't show that a caller has gone. Boost.Beast does both; the product isn't touched by this.

--- /dev/null
+++ b/tests/standins/engine/enginestandin.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "standins/common/callfaults.h"
+#include "standins/common/standinprogram.h"
+#include "standins/engine/completionwork.h"
+#include "standins/engine/replicatable.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <set>
+
+namespace lagoon::standins {
+
+struct EngineOptions {
+    std::uint64_t memoryMib = 0;
+    bool checksFencing = true;
+    /// Of the weight store; empty: fetching takes no time.
+    std::string weightsUrl;
+    /// From disk or memory into the accelerator.
+    framework::Milliseconds load { 0 };
+    framework::Milliseconds unload { 0 };
+    framework::Milliseconds token { 0 };
+    /// Completions that run at once; others wait.
+    std::uint64_t slots = 64;
+};
+
+/// A model engine. Faults:
+/// - `checks_fencing`: whether old fencing numbers are refused
+/// - `loads` `{"do": "fail"|"die", "count"}`: so many loads end in their middle, alone or with the process
+/// - `late_loads` `{"count", "delay_ms"}`: so many load orders get no answer and start later, as if they had lain in a
+///   receive buffer
+/// - `ignored_unloads`: so many unload orders are accepted and not carried out
+/// - `slow_load_ms`, `slow_token_ms`: added to each
+/// - `calls`: see CallFaults
+class EngineStandin final : public IStandin, public std::enable_shared_from_this<EngineStandin> {
+public:
+    explicit EngineStandin(const EngineOptions&);
+
+    void answer(Exchange&) override;
+    framework::Result<void> setFaults(const web::json::value&) override;
+    web::json::value record() override;
+
+private:
+    enum class LoadFault : std::uint8_t { None, Fail, Die };
+    struct Execution {
+        std::string requestId;
+        std::string model;
+        std::string prompt;
+        std::string state;
+    };
+
+    void replyState(Exchange&);
+    void order(Exchange&);
+    void load(Exchange&, const ReplicaKey&, std::uint64_t memoryMib, std::uint64_t fence);
+    void unload(Exchange&, const ReplicaKey&, std::uint64_t fence);
+    void replyOrder(Exchange&, const ReplicaKey&, OrderOutcome);
+    OrderOutcome startLoad(const ReplicaKey&, std::uint64_t memoryMib, std::uint64_t fence);
+    void runLoad(const ReplicaKey&);
+    bool fetchCheckpoint(const ReplicaKey&);
+    LoadFault takeLoadFault();
+
+    void complete(Exchange&);
+    void runCompletion(Exchange&, const CompletionRequest&, const CallFaults::Fault&);
+    /// How it ended: `done`, `cancelled` when the caller closed, or `dropped` by a fault.
+    std::string generate(Exchange&, const CompletionRequest&, const CallFaults::Fault&);
+    void takeSlot();
+    void freeSlot();
+    std::size_t beginExecution(const Exchange&, const CompletionRequest&);
+    void endExecution(std::size_t index, const std::string& state);
+
+    const EngineOptions options_;
+    const std::uint64_t incarnation_;
+    std::mutex mutex_;
+    std::condition_variable slotFreed_;
+    ReplicaTable replicas_;
+    std::set<ReplicaKey> checkpoints_;
+    std::uint64_t running_ = 0;
+    std::uint64_t waiting_ = 0;
+    std::vector<Execution> executions_;
+
+    CallFaults callFaults_;
+    LoadFault loadFault_ = LoadFault::None;
+    std::uint64_t loadFaultsLeft_ = 0;
+    std::uint64_t lateLoadsLeft_ = 0;
+    framework::Milliseconds lateLoadDelay_ { 0 };
+    std::uint64_t ignoredUnloadsLeft_ = 0;
+    framework::Milliseconds slowLoad_ { 0 };
+    framework::Milliseconds slowToken_ { 0 };
+};
+
+} // namespace lagoon::standins
--- /dev/null
+++ b/tests/standins/proxy/directedstream.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "standins/proxy/piecereader.h"
+#include "standins/proxy/streamfaults.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace lagoon::standins {
+
+struct StreamCounts {
+    std::uint64_t delivered = 0;
+    std::uint64_t held = 0;
+    std::uint64_t swallowed = 0;
+};
+
+/// One direction of a proxied connection: a thread takes pieces in, another delivers them when they are due.
+class DirectedStream {
+public:
+    /// `cutBoth` ends the whole connection.
+    DirectedStream(Direction, std::shared_ptr<Socket> from, std::shared_ptr<Socket> to, Framing, StreamFaults&,
+        std::function<void()> cutBoth);
+
+    /// Blocks until the sender has ended.
+    void takeIn();
+    /// Blocks until the end has been delivered.
+    void deliver();
+
+    /// Keeps everything from now on, also the sender's end, until `release`.
+    void hold();
+    void release();
+    /// Swallows everything from now on, also the sender's end: both ends find the connection open and silent.
+    void silence();
+    /// Delivers nothing more.
+    void stop();
+    StreamCounts counts() const;
+
+private:
+    struct Piece {
+        std::string bytes;
+        framework::SteadyTime due;
+        bool isEnd = false;
+    };
+    void queue(std::string bytes, bool isEnd);
+    void swapOrQueue(std::string bytes);
+    /// The next due piece, or nothing when stopped.
+    std::optional<Piece> next();
+    /// What of the bytes goes on; ends the connection when the answer is lost.
+    bool send(const std::string& bytes);
+
+    const Direction direction_;
+    const std::shared_ptr<Socket> from_;
+    const std::shared_ptr<Socket> to_;
+    const Framing framing_;
+    StreamFaults& faults_;
+    const std::function<void()> cutBoth_;
+
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::deque<Piece> pieces_;
+    std::optional<std::string> swapped_;
+    std::optional<std::uint64_t> bytesUntilLoss_;
+    bool isHeld_ = false;
+    bool isSilent_ = false;
+    bool isStopped_ = false;
+    StreamCounts counts_;
+};
+
+} // namespace lagoon::standins
--- /dev/null
+++ b/tests/standins/proxy/main.cpp
@@ -0,0 +1,31 @@
+#include "standins/proxy/faultproxy.h"
+
+using namespace lagoon::standins;
+using lagoon::framework::Endpoint;
+namespace options = boost::program_options;
+
+namespace {
+
+/// The proxy's own endpoint goes into the ready line as `proxy`.
+std::shared_ptr<IStandin> makeProxy(const options::variables_map& values, ReadyLine& ready)
+{
+    const Framing framing = values["frames"].as<bool>() ? Framing::Length : Framing::None;
+    auto proxy = std::make_shared<FaultProxy>(Endpoint(values["to"].as<std::string>()), framing);
+    const auto endpoint = proxy->start(Endpoint(values["proxy"].as<std::string>()));
+    if (!endpoint.has_value())
+        throw options::error(lagoon::framework::describe(endpoint.error()));
+    ready["proxy"] = endpoint.value().value();
+    return proxy;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options::options_description own("proxy");
+    own.add_options()("proxy", options::value<std::string>()->default_value("127.0.0.1:0"),
+        "address:port of the connections to carry; --listen is that of the switches")(
+        "to", options::value<std::string>()->required(), "address:port where they are carried to")(
+        "frames", options::bool_switch(), "a piece is a frame with four bytes of length before it");
+    return runStandin("faultproxy", argc, argv, own, makeProxy);
+}
--- /dev/null
+++ b/tests/standins/proxy/piecereader.cpp
@@ -0,0 +1,51 @@
+#include "standins/proxy/piecereader.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+
+namespace lagoon::standins {
+
+namespace {
+
+constexpr std::size_t chunkBytes = 65536;
+constexpr std::size_t lengthBytes = 4;
+/// Far above any frame of ours; more is no frame.
+constexpr std::size_t largestFrame = 64 * 1024 * 1024;
+
+std::size_t lengthOf(const std::string& bytes)
+{
+    std::size_t length = 0;
+    for (std::size_t at = 0; at < lengthBytes; ++at)
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[at])) << (8 * at);
+    return std::min(length, largestFrame);
+}
+
+/// Reads until `size` bytes have been added or the stream ends.
+std::size_t append(Socket& socket, std::string& bytes, std::size_t size)
+{
+    const std::size_t before = bytes.size();
+    bytes.resize(before + size);
+    boost::system::error_code error;
+    const std::size_t count = boost::asio::read(socket, boost::asio::buffer(bytes.data() + before, size), error);
+    bytes.resize(before + count);
+    return count;
+}
+
+} // namespace
+
+std::string readPiece(Socket& socket, Framing framing)
+{
+    std::string bytes;
+    if (framing == Framing::Length) {
+        if (append(socket, bytes, lengthBytes) == lengthBytes)
+            append(socket, bytes, lengthOf(bytes));
+        return bytes;
+    }
+    bytes.resize(chunkBytes);
+    boost::system::error_code error;
+    bytes.resize(socket.read_some(boost::asio::buffer(bytes), error));
+    return bytes;
+}
+
+} // namespace lagoon::standins
--- /dev/null
+++ b/tests/standins/proxy/proxiedconnection.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "standins/proxy/directedstream.h"
+
+#include <atomic>
+#include <memory>
+
+namespace lagoon::standins {
+
+/// A client's connection and the one opened for it to the server.
+class ProxiedConnection : public std::enable_shared_from_this<ProxiedConnection> {
+public:
+    ProxiedConnection(
+        std::shared_ptr<Socket> client, std::shared_ptr<Socket> server, Framing framing, StreamFaults& faults);
+
+    /// Starts the threads that move bytes; they keep the connection alive.
+    void start();
+    /// Closes both sides.
+    void cut();
+    DirectedStream& stream(Direction direction) { return direction == Direction::ToServer ? toServer_ : toClient_; }
+    /// Whether both directions have ended or it was cut.
+    bool isOver() const { return isCut_ || endedStreams_ == 2; }
+
+private:
+    void move(DirectedStream&);
+
+    std::shared_ptr<Socket> client_;
+    std::shared_ptr<Socket> server_;
+    DirectedStream toServer_;
+    DirectedStream toClient_;
+    std::atomic<bool> isCut_ = false;
+    std::atomic<int> endedStreams_ = 0;
+};
+
+} // namespace lagoon::standins
--- /dev/null
+++ b/tests/standins/service/servicestandin.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "standins/common/callfaults.h"
+#include "standins/common/standinprogram.h"
+
+#include <mutex>
+#include <vector>
+
+namespace lagoon::standins {
+
+/// A plain service: executes any request by echoing it as JSON. The body's `token`, if it is JSON, names the execution
+/// in the record. Faults: `work_ms` for each call; `calls`, see CallFaults.
+class ServiceStandin final : public IStandin {
+public:
+    explicit ServiceStandin(framework::Milliseconds work);
+
+    void answer(Exchange&) override;
+    framework::Result<void> setFaults(const web::json::value&) override;
+    web::json::value record() override;
+
+private:
+    struct Execution {
+        std::string requestId;
+        std::string method;
+        std::string path;
+        std::string token;
+        std::string state;
+    };
+    std::size_t begin(const HttpRequest&);
+    void end(std::size_t index, const std::string& state);
+
+    std::mutex mutex_;
+    framework::Milliseconds work_;
+    std::vector<Execution> executions_;
+    CallFaults callFaults_;
+};
+
+} // namespace lagoon::standins
--- /dev/null
+++ b/tests/support/childprocess.cpp
@@ -0,0 +1,117 @@
+#include "support/childprocess.h"
+
+#include "support/waitfor.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace lagoon::testsupport {
+
+namespace {
+
+constexpr int exitWithoutProgram = 127;
+
+/// In the child: only calls that are safe between fork and exec.
+[[noreturn]] void execute(char* const* words, int output, int log)
+{
+    // Without this a test that is killed at its time limit would leave its processes behind.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(output, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
+    execv(words[0], words);
+    _exit(exitWithoutProgram);
+}
+
+int openOutput(const std::string& file)
+{
+    return ::open(file.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(
+    std::string name, const std::string& program, const std::vector<std::string>& words, const TemporaryFolder& folder)
+    : name_(std::move(name))
+    , outputFile_(folder.file(name_ + ".out"))
+    , logFile_(folder.file(name_ + ".log"))
+{
+    std::vector<std::string> all { program };
+    all.insert(all.end(), words.begin(), words.end());
+    std::vector<char*> pointers;
+    for (std::string& word : all)
+        pointers.push_back(word.data());
+    pointers.push_back(nullptr);
+    const int output = openOutput(outputFile_);
+    const int log = openOutput(logFile_);
+    pid_ = fork();
+    if (pid_ == 0)
+        execute(pointers.data(), output, log);
+    ::close(output);
+    ::close(log);
+    if (pid_ < 0)
+        throw std::runtime_error("no process can be started for " + name_);
+}
+
+ChildProcess::~ChildProcess() { kill(); }
+
+void ChildProcess::waitUntilReady()
+{
+    const bool isOver = isReached([this] { return output().find('\n') != std::string::npos || !isRunning(); });
+    std::error_code error;
+    ready_ = web::json::value::parse(output(), error);
+    if (!isOver || error)
+        throw std::runtime_error(name_ + " didn't become ready; its log:\n" + log());
+}
+
+std::string ChildProcess::readyText(const std::string& key) const
+{
+    if (!ready_.has_string_field(key))
+        throw std::runtime_error(name_ + " didn't say its " + key);
+    return ready_.at(key).as_string();
+}
+
+void ChildProcess::reap(bool waits)
+{
+    int status = 0;
+    if (exit_ || waitpid(pid_, &status, waits ? 0 : WNOHANG) != pid_)
+        return;
+    exit_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+bool ChildProcess::isRunning()
+{
+    reap(false);
+    return !exit_;
+}
+
+void ChildProcess::sendSignal(int signal)
+{
+    if (isRunning())
+        ::kill(pid_, signal);
+}
+
+void ChildProcess::kill()
+{
+    sendSignal(SIGKILL);
+    reap(true);
+}
+
+int ChildProcess::waitForExit()
+{
+    if (!isReached([this] { return !isRunning(); }))
+        throw std::runtime_error(name_ + " didn't end; its log:\n" + log());
+    return *exit_;
+}
+
+std::string ChildProcess::output() const { return readFile(outputFile_); }
+
+std::string ChildProcess::log() const { return readFile(logFile_); }
+
+} // namespace lagoon::testsupport
--- /dev/null
+++ b/tests/support/deployment.cpp
@@ -0,0 +1,239 @@
+#include "support/deployment.h"
+
+#include <boost/test/results_collector.hpp>
+#include <boost/test/unit_test.hpp>
+#include <iostream>
+
+namespace lagoon::testsupport {
+
+using web::json::value;
+
+namespace {
+
+const std::string anyPort = "127.0.0.1:0";
+
+value text(const std::string& words) { return value::string(words); }
+
+void addAll(value& json, const value& more)
+{
+    for (const auto& [key, part] : more.as_object()) {
+        if (part.is_object() && json.has_object_field(key))
+            addAll(json[key], part);
+        else
+            json[key] = part;
+    }
+}
+
+value vmJson(const std::string& vm, const std::string& role, const std::string& state, const Place& place)
+{
+    value json;
+    json["vm"] = text(vm);
+    json["role"] = text(role);
+    json["state"] = text(state);
+    json["site"] = text(place.site);
+    json["failure_domain"] = text(place.failureDomain);
+    return json;
+}
+
+bool hasTestFailed()
+{
+    namespace unittest = boost::unit_test;
+    const auto& test = unittest::framework::current_test_case();
+    return std::uncaught_exceptions() > 0 || !unittest::results_collector.results(test.p_id).passed();
+}
+
+void printLog(const ChildProcess* process)
+{
+    if (process)
+        std::cerr << "--- " << process->name() << "\n" << process->log();
+}
+
+} // namespace
+
+Deployment::Deployment(const std::vector<std::string>& weightWords)
+    : platform_(start("platform", STANDIN_PLATFORM_PROGRAM, {}))
+    , weights_(start("weights", STANDIN_WEIGHTS_PROGRAM, weightWords))
+{
+}
+
+Deployment::~Deployment()
+{
+    if (!hasTestFailed())
+        return;
+    for (const auto& [vm, router] : routers_)
+        printLog(router.process.get());
+    for (const auto& [vm, upstream] : upstreams_) {
+        printLog(upstream.standin.get());
+        printLog(upstream.agent.get());
+    }
+}
+
+std::unique_ptr<ChildProcess> Deployment::start(
+    const std::string& name, const std::string& program, const std::vector<std::string>& words)
+{
+    auto process = std::make_unique<ChildProcess>(name + "." + std::to_string(++started_), program, words, folder_);
+    process->waitUntilReady();
+    return process;
+}
+
+std::unique_ptr<ChildProcess> Deployment::startProxy(const std::string& name, const std::string& to, bool hasFrames)
+{
+    std::vector<std::string> words { "--to", to };
+    if (hasFrames)
+        words.push_back("--frames");
+    return start(name, FAULT_PROXY_PROGRAM, words);
+}
+
+std::unique_ptr<ChildProcess> Deployment::startWithSettings(const std::string& command, const value& settings)
+{
+    const std::string name = settings.at("vm").as_string() + "-" + command;
+    const std::string file = folder_.file(name + ".json");
+    writeFile(file, settings.serialize());
+    return start(name, LAGOONROUTER_PROGRAM, { command, "--settings", file });
+}
+
+value Deployment::commonSettings(const std::string& role, const std::string& vm, const Place& place) const
+{
+    value settings;
+    settings["role"] = text(role);
+    settings["vm"] = text(vm);
+    settings["site"] = text(place.site);
+    settings["failure_domain"] = text(place.failureDomain);
+    settings["link"] = text(anyPort);
+    settings["ops"] = text(anyPort);
+    settings["platform"]["url"] = text(urlOf(platform(), ""));
+    return settings;
+}
+
+std::unique_ptr<ChildProcess> Deployment::startAgent(const std::string& vm, const UpstreamVm& upstream)
+{
+    const UpstreamOptions& options = upstream.options;
+    const bool isEngine = options.kind == UpstreamKind::Engine;
+    value settings = commonSettings("agent", vm, options.place);
+    settings["pool"] = text(options.pool);
+    settings["upstream"]["kind"] = text(isEngine ? "engine" : "service");
+    const std::string endpoint
+        = upstream.upstreamProxy ? upstream.upstreamProxy->readyText("proxy") : upstream.upstream();
+    settings["upstream"]["url"] = text(urlOf(endpoint, ""));
+    if (isEngine) {
+        settings["upstream"]["checks_fencing"] = value::boolean(options.checksFencing);
+        settings["upstream"]["settling_ms"] = value::number(options.settlingMs);
+    }
+    addAll(settings, options.moreSettings);
+    return startWithSettings("agent", settings);
+}
+
+std::unique_ptr<ChildProcess> Deployment::startRouter(const std::string& vm, const RouterVm& router)
+{
+    value settings = commonSettings("router", vm, router.options.place);
+    settings["callers"] = text(anyPort);
+    addAll(settings, router.options.moreSettings);
+    return startWithSettings("router", settings);
+}
+
+UpstreamVm& Deployment::addUpstream(const std::string& vm, const UpstreamOptions& options)
+{
+    UpstreamVm& upstream = upstreams_[vm];
+    upstream.options = options;
+    std::vector<std::string> words = options.standinWords;
+    const bool isEngine = options.kind == UpstreamKind::Engine;
+    if (isEngine) {
+        words.insert(words.end(), { "--weights", urlOf(weights(), "") });
+        words.insert(words.end(), { "--checks-fencing", options.checksFencing ? "1" : "0" });
+    }
+    upstream.standin = start(vm + "-upstream", isEngine ? STANDIN_ENGINE_PROGRAM : STANDIN_SERVICE_PROGRAM, words);
+    if (options.hasUpstreamProxy)
+        upstream.upstreamProxy = startProxy(vm + "-upstreamproxy", upstream.upstream(), false);
+    upstream.agent = startAgent(vm, upstream);
+    if (options.hasLinkProxy)
+        upstream.linkProxy = startProxy(vm + "-linkproxy", upstream.agent->readyText("link"), true);
+    publishVms();
+    return upstream;
+}
+
+RouterVm& Deployment::addRouter(const std::string& vm, const RouterOptions& options)
+{
+    RouterVm& router = routers_[vm];
+    router.options = options;
+    router.process = startRouter(vm, router);
+    publishVms();
+    return router;
+}
+
+void Deployment::restartAgent(const std::string& vm)
+{
+    UpstreamVm& upstream = upstreams_.at(vm);
+    upstream.agent = startAgent(vm, upstream);
+    if (upstream.linkProxy)
+        setFaults(upstream.linkProxy->readyText("http"), R"({"to":")" + upstream.agent->readyText("link") + "\"}");
+    publishVms();
+}
+
+void Deployment::restartRouter(const std::string& vm)
+{
+    RouterVm& router = routers_.at(vm);
+    router.process = startRouter(vm, router);
+    publishVms();
+}
+
+void Deployment::setVmState(const std::string& vm, const std::string& state)
+{
+    if (routers_.count(vm) > 0)
+        routers_.at(vm).state = state;
+    else
+        upstreams_.at(vm).state = state;
+    publishVms();
+}
+
+void Deployment::publishVms()
+{
+    value vms = value::array();
+    for (const auto& [vm, router] : routers_) {
+        if (!router.process)
+            continue;
+        value json = vmJson(vm, "router", router.state, router.options.place);
+        json["pool"] = text("");
+        json["endpoint"] = text(router.process->readyText("link"));
+        vms[vms.size()] = json;
+    }
+    for (const auto& [vm, upstream] : upstreams_) {
+        if (!upstream.agent)
+            continue;
+        value json = vmJson(vm, "upstream", upstream.state, upstream.options.place);
+        json["pool"] = text(upstream.options.pool);
+        json["endpoint"] = text(upstream.link());
+        vms[vms.size()] = json;
+    }
+    value body;
+    body["vms"] = vms;
+    sendJson("PUT", platform(), "/standin/vms", body);
+}
+
+void Deployment::waitUntilReady()
+{
+    for (const auto& entry : routers_) {
+        const std::string ops = entry.second.ops();
+        waitFor(entry.first + " is ready", [&ops] { return getFrom(ops, "/readyz").status == 200; });
+    }
+}
+
+std::vector<std::string> Deployment::upstreams(UpstreamKind kind) const
+{
+    std::vector<std::string> endpoints;
+    for (const auto& [vm, upstream] : upstreams_) {
+        if (upstream.options.kind == kind)
+            endpoints.push_back(upstream.upstream());
+    }
+    return endpoints;
+}
+
+int Deployment::runCommand(const std::vector<std::string>& words, std::string* output)
+{
+    ChildProcess process("command." + std::to_string(++started_), LAGOONROUTER_PROGRAM, words, folder_);
+    const int exitCode = process.waitForExit();
+    if (output)
+        *output = process.output() + process.log();
+    return exitCode;
+}
+
+} // namespace lagoon::testsupport
--- /dev/null
+++ b/tests/support/waitfor.cpp
@@ -0,0 +1,31 @@
+#include "support/waitfor.h"
+
+#include <stdexcept>
+#include <thread>
+
+namespace lagoon::testsupport {
+
+namespace {
+
+constexpr framework::Milliseconds lookInterval { 10 };
+
+} // namespace
+
+bool isReached(const std::function<bool()>& condition, framework::Milliseconds limit)
+{
+    const auto deadline = framework::Deadline::after(std::chrono::steady_clock::now(), limit);
+    while (!condition()) {
+        if (deadline.hasPassed(std::chrono::steady_clock::now()))
+            return false;
+        std::this_thread::sleep_for(lookInterval);
+    }
+    return true;
+}
+
+void waitFor(const std::string& what, const std::function<bool()>& condition)
+{
+    if (!isReached(condition))
+        throw std::runtime_error("it never came true: " + what);
+}
+
+} // namespace lagoon::testsupport
