--- a/src/bundle/internal/bundle.cpp
+++ b/src/bundle/internal/bundle.cpp
@@ -22,10 +22,14 @@
 
 const Service* Bundle::service(const framework::ServiceName& name) const { return find(services, name); }
 
-std::uint32_t Bundle::decidedReplicas(const framework::ModelName& name, const framework::SiteName& site) const
+std::uint32_t Bundle::decidedReplicas(
+    const framework::ModelName& modelName, const framework::AdapterName& adapterName, const framework::SiteName& site) const
 {
-    const Model* found = model(name);
-    const std::uint32_t* count = found ? find(found->replicas, site) : nullptr;
+    const std::uint32_t* count = nullptr;
+    if (const Adapter* found = adapter(modelName, adapterName))
+        count = find(found->replicas, site);
+    else if (const Model* found = model(modelName); found && adapterName.value().empty())
+        count = find(found->replicas, site);
     return count ? *count : 0;
 }
 
--- a/src/bundle/types/bundle.h
+++ b/src/bundle/types/bundle.h
@@ -77,7 +77,9 @@
     const Model* model(const framework::ModelName&) const;
     const Adapter* adapter(const framework::ModelName&, const framework::AdapterName&) const;
     const Service* service(const framework::ServiceName&) const;
-    std::uint32_t decidedReplicas(const framework::ModelName&, const framework::SiteName&) const;
+    /// Of the model, or of the adapter if one is named; 0 for what the bundle doesn't have.
+    std::uint32_t decidedReplicas(
+        const framework::ModelName&, const framework::AdapterName&, const framework::SiteName&) const;
 };
 
 using BundlePointer = std::shared_ptr<const Bundle>;
--- a/src/router/icaller.h
+++ b/src/callers/icaller.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 /// Between the callers' HTTP and the dispatch of requests.
-namespace lagoon::router {
+namespace lagoon::callers {
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
@@ -69,4 +69,4 @@
     virtual void accept(CallerRequest, std::shared_ptr<ICallerAnswer>) = 0;
 };
 
-} // namespace lagoon::router
+} // namespace lagoon::callers
--- /dev/null
+++ b/src/router/internal/agentsession.cpp
@@ -0,0 +1,451 @@
+#include "router/internal/agentsession.h"
+
+#include "framework/logging.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoon::router {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::Milliseconds;
+using framework::SequenceNumber;
+using framework::SteadyTime;
+using wire::Message;
+
+namespace {
+
+    constexpr Milliseconds tickInterval { 100 };
+    constexpr Milliseconds shortestReconnect { 100 };
+    constexpr Milliseconds longestReconnect { 1000 };
+    /// Settled ids after which the agent is told the floor without waiting for the next dispatch or ping.
+    constexpr std::uint32_t settleBatch = 16;
+    constexpr std::uint32_t connectTriesForUnsent = 2;
+    constexpr double firstByteSmoothing = 0.2;
+
+    callers::HttpHeaders headersOf(const wire::fb::AnswerHeadT& head)
+    {
+        callers::HttpHeaders headers;
+        for (const auto& header : head.headers) {
+            if (header)
+                headers.emplace_back(header->name, header->value);
+        }
+        return headers;
+    }
+
+    Error errorOf(const wire::fb::RefusedT& refused)
+    {
+        Error error { static_cast<ErrorCode>(refused.code), refused.step, refused.peer, refused.detail,
+            refused.execution == 0 ? Execution::NotRun : Execution::Unknown };
+        if (refused.retry_after_ms > 0)
+            error.retryAfter = Milliseconds(refused.retry_after_ms);
+        return error;
+    }
+
+} // namespace
+
+AgentSession::AgentSession(const SessionContext& context, framework::VmName agent, framework::Endpoint endpoint)
+    : context_(context)
+    , agent_(std::move(agent))
+    , endpoint_(std::move(endpoint))
+{
+}
+
+SequenceNumber AgentSession::dispatch(wire::fb::DispatchT order, Deadline deadline,
+    std::shared_ptr<AnswerStream> stream, OutcomeHandler onOutcome)
+{
+    const std::uint64_t sequence = nextSequence_++;
+    const SteadyTime now = context_.clock.now();
+    {
+        const std::lock_guard lock(streamsMutex_);
+        streams_.emplace(sequence, stream);
+    }
+    const auto entry = inFlight_.emplace(
+        sequence, InFlight { std::move(order), std::move(stream), std::move(onOutcome), false, now, deadline });
+    entry.first->second.order.id = std::make_unique<wire::fb::DispatchIdT>();
+    entry.first->second.order.id->sequence = sequence;
+    connect();
+    if (isOpen_)
+        send(entry.first->second);
+    armTick();
+    return SequenceNumber(sequence);
+}
+
+void AgentSession::cancel(SequenceNumber sequence)
+{
+    const auto entry = inFlight_.find(sequence.value());
+    if (entry == inFlight_.end())
+        return;
+    sendCancel(entry->second);
+    entry->second.onOutcome = nullptr;
+    settle(sequence, framework::success());
+}
+
+void AgentSession::sendCancel(const InFlight& entry)
+{
+    if (!entry.wasSent || !isOpen_)
+        return;
+    wire::fb::CancelT cancel;
+    cancel.id = std::make_unique<wire::fb::DispatchIdT>(*entry.order.id);
+    link_->send(wire::message(std::move(cancel)));
+}
+
+void AgentSession::askBid(const wire::fb::TargetT& target, AnswerHandler<wire::fb::BidT> onAnswer)
+{
+    wire::fb::BidRequestT request;
+    request.correlation = nextCorrelation_++;
+    request.target = std::make_unique<wire::fb::TargetT>(target);
+    const std::uint64_t correlation = request.correlation;
+    ask(correlation, wire::message(std::move(request)),
+        Question { [onAnswer = std::move(onAnswer)](const framework::Result<const Message*>& answer) {
+            if (answer.has_error())
+                onAnswer(answer.error());
+            else if (const wire::fb::BidT* bid = answer.value()->body.AsBid())
+                onAnswer(wire::fb::BidT(*bid));
+        } });
+}
+
+void AgentSession::load(wire::fb::LoadT load, AnswerHandler<wire::fb::LoadResultT> onAnswer)
+{
+    load.correlation = nextCorrelation_++;
+    const std::uint64_t correlation = load.correlation;
+    ask(correlation, wire::message(std::move(load)),
+        Question { [onAnswer = std::move(onAnswer)](const framework::Result<const Message*>& answer) {
+            if (answer.has_error())
+                onAnswer(answer.error());
+            else if (const wire::fb::LoadResultT* result = answer.value()->body.AsLoadResult())
+                onAnswer(wire::fb::LoadResultT(*result));
+        } });
+}
+
+void AgentSession::ask(std::uint64_t correlation, Message question, Question handler)
+{
+    questions_.emplace(correlation, std::move(handler));
+    connect();
+    if (isOpen_)
+        link_->send(question);
+    else
+        questionsToSend_.push_back(std::move(question));
+    armTick();
+}
+
+void AgentSession::setGone()
+{
+    const Error gone = error(ErrorCode::AgentRestarted, "dispatch", "the VM is gone", Execution::Unknown);
+    dropLink();
+    failQuestions(gone);
+    failUnsent(error(ErrorCode::LinkLost, "dispatch", "the VM is gone", Execution::NotRun));
+    failSent(gone);
+}
+
+void AgentSession::close()
+{
+    tickTimer_.reset();
+    dropLink();
+}
+
+void AgentSession::connect()
+{
+    const SteadyTime now = context_.clock.now();
+    if (link_ || !connectAt_.hasPassed(now))
+        return;
+    lastHeard_ = now.time_since_epoch().count();
+    const std::weak_ptr<AgentSession> weak = weak_from_this();
+    wire::LinkHandlers handlers;
+    handlers.onMessage = [weak](const std::shared_ptr<wire::ILink>& link, Message message) {
+        if (const auto self = weak.lock())
+            self->receive(link, std::move(message));
+    };
+    handlers.onClosed = [weak](const std::shared_ptr<wire::ILink>& link, const Error& why) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->context_.control.post([self, link, why] {
+            if (link == self->link_)
+                self->linkLost(why);
+        });
+    };
+    link_ = context_.transport.connect(endpoint_, std::move(handlers));
+    wire::fb::HelloT hello;
+    hello.sender_vm = context_.ownVm.value();
+    hello.sender_incarnation = context_.ownIncarnation.value();
+    hello.bundle_version = context_.bundleVersion().value();
+    link_->send(wire::message(std::move(hello)));
+}
+
+void AgentSession::receive(const std::shared_ptr<wire::ILink>& link, Message message)
+{
+    lastHeard_ = context_.clock.now().time_since_epoch().count();
+    if (const wire::fb::AnswerHeadT* head = message.body.AsAnswerHead()) {
+        if (const auto stream = isOwnId(*head->id) ? streamOf(head->id->sequence) : nullptr)
+            stream->head(head->status, headersOf(*head), context_.clock.now());
+        return;
+    }
+    if (const wire::fb::AnswerChunkT* chunk = message.body.AsAnswerChunk()) {
+        const auto stream = isOwnId(*chunk->id) ? streamOf(chunk->id->sequence) : nullptr;
+        if (stream && !stream->chunk(chunk->offset, chunk->bytes))
+            context_.metrics.count("lagoon_answer_gaps_total");
+        return;
+    }
+    context_.control.post([self = shared_from_this(), link, message = std::make_shared<Message>(std::move(message))] {
+        if (link == self->link_)
+            self->handle(link, *message);
+    });
+}
+
+void AgentSession::handle(const std::shared_ptr<wire::ILink>&, const Message& message)
+{
+    switch (message.body.type) {
+    case wire::fb::Body::HelloAck:
+        return handleHello(*message.body.AsHelloAck());
+    case wire::fb::Body::AnswerEnd:
+        return handleEnd(*message.body.AsAnswerEnd());
+    case wire::fb::Body::Refused:
+        return handleRefused(*message.body.AsRefused());
+    case wire::fb::Body::Pong:
+        load_ = { message.body.AsPong()->running, message.body.AsPong()->waiting };
+        context_.hearOf(framework::BundleVersion(message.body.AsPong()->bundle_version));
+        return;
+    case wire::fb::Body::Bid:
+        return answerQuestion(message.body.AsBid()->correlation, message);
+    case wire::fb::Body::LoadResult:
+        return answerQuestion(message.body.AsLoadResult()->correlation, message);
+    default:
+        context_.metrics.count("lagoon_bad_frames_total", { { "reason", "unexpected" } });
+    }
+}
+
+void AgentSession::handleHello(const wire::fb::HelloAckT& hello)
+{
+    context_.hearOf(framework::BundleVersion(hello.bundle_version));
+    isOpen_ = true;
+    isSuspect_ = false;
+    failedConnects_ = 0;
+    if (agentIncarnation_ != 0 && agentIncarnation_ != hello.receiver_incarnation)
+        failSent(error(ErrorCode::AgentRestarted, "resolve", "the agent was started anew", Execution::Unknown));
+    else if (session_ != 0 && session_ != hello.session)
+        failSent(error(ErrorCode::StaleSession, "resolve", "the agent forgot the session", Execution::Unknown));
+    agentIncarnation_ = hello.receiver_incarnation;
+    session_ = hello.session;
+    for (auto& [sequence, entry] : inFlight_) {
+        if (entry.wasSent)
+            resolve(entry);
+        else
+            send(entry);
+    }
+    for (const Message& question : std::exchange(questionsToSend_, {}))
+        link_->send(question);
+    nextPing_ = Deadline::after(context_.clock.now(), context_.settings.pingInterval);
+}
+
+void AgentSession::send(InFlight& entry)
+{
+    entry.wasSent = true;
+    const SteadyTime now = context_.clock.now();
+    // A copy goes out: what stays is needed for `Resolve` only, and that doesn't need the body.
+    entry.order.id->router_incarnation = context_.ownIncarnation.value();
+    entry.order.id->session = session_;
+    entry.order.agent_incarnation = agentIncarnation_;
+    entry.order.floor = floor();
+    entry.order.remaining_ms = static_cast<std::uint32_t>(entry.deadline.remaining(now).count());
+    wire::fb::DispatchT order(std::move(entry.order));
+    entry.order = wire::fb::DispatchT();
+    entry.order.id = std::make_unique<wire::fb::DispatchIdT>(*order.id);
+    link_->send(wire::message(std::move(order)));
+}
+
+void AgentSession::resolve(const InFlight& entry)
+{
+    context_.metrics.count("lagoon_resolves_total");
+    wire::fb::ResolveT question;
+    question.id = std::make_unique<wire::fb::DispatchIdT>(*entry.order.id);
+    question.agent_incarnation = agentIncarnation_;
+    question.received_bytes = entry.stream->receivedBytes();
+    question.floor = floor();
+    link_->send(wire::message(std::move(question)));
+}
+
+void AgentSession::handleEnd(const wire::fb::AnswerEndT& end)
+{
+    load_ = { end.running, end.waiting };
+    const auto entry = isOwnId(*end.id) ? inFlight_.find(end.id->sequence) : inFlight_.end();
+    if (entry == inFlight_.end())
+        return;
+    const SteadyTime begunAt = entry->second.stream->begunAt().value_or(context_.clock.now());
+    const double seconds = std::chrono::duration<double>(begunAt - entry->second.dispatchedAt).count();
+    firstByteSeconds_ += firstByteSmoothing * (seconds - firstByteSeconds_);
+    const SequenceNumber sequence(end.id->sequence);
+    if (entry->second.stream->isWhole(end.length, end.checksum))
+        return settle(sequence, framework::success());
+    settle(sequence,
+        error(ErrorCode::UpstreamBroken, "receive answer", "length or checksum disagree", Execution::Unknown));
+}
+
+void AgentSession::handleRefused(const wire::fb::RefusedT& refused)
+{
+    if (!isOwnId(*refused.id))
+        return;
+    Error why = errorOf(refused);
+    if (why.peer.empty())
+        why.peer = agent_.value();
+    settle(SequenceNumber(refused.id->sequence), why);
+}
+
+void AgentSession::answerQuestion(std::uint64_t correlation, const Message& message)
+{
+    auto question = questions_.extract(correlation);
+    if (!question.empty())
+        question.mapped().onAnswer(&message);
+}
+
+void AgentSession::settle(SequenceNumber sequence, const DispatchOutcome& outcome)
+{
+    auto entry = inFlight_.extract(sequence.value());
+    if (entry.empty())
+        return;
+    {
+        const std::lock_guard lock(streamsMutex_);
+        streams_.erase(sequence.value());
+    }
+    ++settledSinceFloor_;
+    if (isOpen_ && (inFlight_.empty() || settledSinceFloor_ >= settleBatch)) {
+        settledSinceFloor_ = 0;
+        wire::fb::SettleT settled;
+        settled.session = session_;
+        settled.floor = floor();
+        link_->send(wire::message(std::move(settled)));
+    }
+    if (entry.mapped().onOutcome)
+        entry.mapped().onOutcome(outcome);
+}
+
+void AgentSession::linkLost(const Error& why)
+{
+    ++failedConnects_;
+    isSuspect_ = true;
+    // The first try is at once: a silent link may be the only thing that is wrong.
+    const Milliseconds wait = std::min(longestReconnect, shortestReconnect * (failedConnects_ - 1));
+    connectAt_ = Deadline::after(context_.clock.now(), wait);
+    context_.metrics.count("lagoon_links_lost_total", { { "step", why.step } });
+    dropLink();
+    failQuestions(why);
+    // Nothing of these has left the process, so another agent may run them.
+    if (failedConnects_ >= connectTriesForUnsent || why.step == "connect")
+        failUnsent(error(ErrorCode::LinkLost, "connect", why.detail, Execution::NotRun));
+    armTick();
+}
+
+void AgentSession::dropLink()
+{
+    if (link_)
+        link_->close();
+    link_.reset();
+    isOpen_ = false;
+}
+
+void AgentSession::failQuestions(const Error& why)
+{
+    questionsToSend_.clear();
+    for (auto& [correlation, question] : std::exchange(questions_, {}))
+        question.onAnswer(why);
+}
+
+void AgentSession::failUnsent(const Error& why)
+{
+    std::vector<std::uint64_t> unsent;
+    for (const auto& [sequence, entry] : inFlight_) {
+        if (!entry.wasSent)
+            unsent.push_back(sequence);
+    }
+    for (const std::uint64_t sequence : unsent)
+        settle(SequenceNumber(sequence), why);
+}
+
+void AgentSession::failSent(const Error& why)
+{
+    std::vector<std::uint64_t> sent;
+    for (const auto& [sequence, entry] : inFlight_) {
+        if (entry.wasSent)
+            sent.push_back(sequence);
+    }
+    for (const std::uint64_t sequence : sent)
+        settle(SequenceNumber(sequence), why);
+}
+
+void AgentSession::armTick()
+{
+    if (tickTimer_)
+        return;
+    tickTimer_ = context_.control.runAt(
+        Deadline::after(context_.clock.now(), tickInterval), [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->tick();
+        });
+}
+
+/// Guards against links that fall silent for good while new ones work: nothing heard for the silence limit although
+/// pings were sent means that the link is given up, and everything on it is resolved over a new one.
+void AgentSession::tick()
+{
+    tickTimer_.reset();
+    const SteadyTime now = context_.clock.now();
+    const bool isBusy = !inFlight_.empty() || !questions_.empty();
+    if (!isBusy) {
+        if (!link_)
+            return;
+        if (idleUntil_ == Deadline())
+            idleUntil_ = Deadline::after(now, context_.settings.idleLimit);
+        if (idleUntil_.hasPassed(now))
+            return dropLink();
+        return armTick();
+    }
+    idleUntil_ = Deadline();
+    connect();
+    const SteadyTime heard { SteadyTime::duration(lastHeard_.load()) };
+    if (now - heard > context_.settings.silenceLimit) {
+        framework::logWarning("router", "link to " + agent_.value() + " is silent, opening another");
+        linkLost(Error { ErrorCode::LinkLost, "await answer", agent_.value(), "silent" });
+        connect();
+    } else if (isOpen_ && nextPing_.hasPassed(now)) {
+        nextPing_ = Deadline::after(now, context_.settings.pingInterval);
+        wire::fb::PingT ping;
+        ping.nonce = nextCorrelation_++;
+        ping.floor = floor();
+        ping.bundle_version = context_.bundleVersion().value();
+        link_->send(wire::message(ping));
+    }
+    armTick();
+}
+
+bool AgentSession::wasSent(SequenceNumber sequence) const
+{
+    const auto entry = inFlight_.find(sequence.value());
+    return entry == inFlight_.end() || entry->second.wasSent;
+}
+
+std::uint64_t AgentSession::floor() const
+{
+    return inFlight_.empty() ? nextSequence_ : inFlight_.begin()->first;
+}
+
+std::shared_ptr<AnswerStream> AgentSession::streamOf(std::uint64_t sequence) const
+{
+    const std::lock_guard lock(streamsMutex_);
+    const auto found = streams_.find(sequence);
+    return found == streams_.end() ? nullptr : found->second;
+}
+
+bool AgentSession::isOwnId(const wire::fb::DispatchIdT& id) const
+{
+    return id.router_incarnation == context_.ownIncarnation.value();
+}
+
+Error AgentSession::error(ErrorCode code, std::string step, std::string detail, Execution execution) const
+{
+    return Error { code, std::move(step), agent_.value(), std::move(detail), execution };
+}
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/agentsessions.cpp
@@ -0,0 +1,51 @@
+#include "router/internal/agentsessions.h"
+
+#include <vector>
+
+namespace lagoon::router {
+
+AgentSessions::AgentSessions(const SessionContext& context, const VmDirectory& directory)
+    : context_(context)
+    , directory_(directory)
+{
+}
+
+std::shared_ptr<AgentSession> AgentSessions::session(const framework::VmName& vm)
+{
+    const platform::VmEntry* entry = directory_.find(vm);
+    if (!entry)
+        return existing(vm);
+    std::shared_ptr<AgentSession>& session = sessions_[vm];
+    // An agent that was started anew may listen elsewhere. What the old session still has in flight keeps it alive
+    // until it is settled or its deadline has passed.
+    if (!session || session->endpoint() != entry->endpoint)
+        session = std::make_shared<AgentSession>(context_, vm, entry->endpoint);
+    return session;
+}
+
+std::shared_ptr<AgentSession> AgentSessions::existing(const framework::VmName& vm) const
+{
+    const auto found = sessions_.find(vm);
+    return found == sessions_.end() ? nullptr : found->second;
+}
+
+void AgentSessions::endGone()
+{
+    std::vector<std::shared_ptr<AgentSession>> gone;
+    for (const auto& [vm, session] : sessions_) {
+        if (directory_.isGone(vm))
+            gone.push_back(session);
+    }
+    for (const auto& session : gone) {
+        sessions_.erase(session->agent());
+        session->setGone();
+    }
+}
+
+void AgentSessions::closeAll()
+{
+    for (const auto& [vm, session] : sessions_)
+        session->close();
+}
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/dispatcher.cpp
@@ -0,0 +1,372 @@
+#include "router/internal/dispatcher.h"
+
+#include "framework/types/error.h"
+#include "router/internal/targets.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoon::router {
+
+using callers::CallerRequest;
+using callers::ICallerAnswer;
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::Milliseconds;
+using framework::VmName;
+
+namespace {
+
+    constexpr Milliseconds retryAfterNoReplica { 2000 };
+    constexpr Milliseconds retryAfterBusy { 1000 };
+    /// The refusal is to reach the caller before its deadline.
+    constexpr Milliseconds answerMargin { 20 };
+
+    const char* reasonText(const Error& error)
+    {
+        return framework::errorCodeText(error.code).data();
+    }
+
+} // namespace
+
+Dispatcher::Dispatcher(const Context& context)
+    : context_(context)
+    , retryBudget_(context.settings.retryShare, context.settings.retryReserve)
+{
+}
+
+void Dispatcher::setWakes(Wakes& wakes)
+{
+    wakes_ = &wakes;
+}
+
+void Dispatcher::setReplicaChoice(std::unique_ptr<policy::IReplicaChoice> choice)
+{
+    replicaChoice_ = std::move(choice);
+}
+
+void Dispatcher::accept(CallerRequest request, std::shared_ptr<ICallerAnswer> answer)
+{
+    auto shared = std::make_shared<CallerRequest>(std::move(request));
+    context_.control.post([this, shared, answer = std::move(answer)] { admit(std::move(*shared), answer); });
+}
+
+void Dispatcher::admit(CallerRequest request, std::shared_ptr<ICallerAnswer> answer)
+{
+    const RequestNumber number(nextNumber_++);
+    Request& entry = requests_[number];
+    entry.request = std::move(request);
+    entry.answer = std::move(answer);
+    entry.answer->onCallerGone([this, number] { context_.control.post([this, number] { callerGone(number); }); });
+    entry.deadlineTimer = context_.control.runAt(
+        Deadline(entry.request.deadline.at() - answerMargin), [this, number] { deadlinePassed(number); });
+    retryBudget_.earn();
+    route(number);
+}
+
+void Dispatcher::route(RequestNumber number)
+{
+    Request& entry = requests_.at(number);
+    if (entry.request.deadline.hasPassed(context_.clock.now()))
+        return refuse(number, Error { ErrorCode::DeadlinePassed, "route", "", "" });
+    const std::vector<VmName> vms = candidates(entry);
+    if (!vms.empty())
+        return dispatch(number, entry, choose(entry, vms));
+    if (entry.request.target.isService()) {
+        const Error none { ErrorCode::NoCapacity, "route", entry.request.target.service.value(), "no live upstream",
+            Execution::NotRun, retryAfterNoReplica };
+        return refuse(number, entry.lastError.value_or(none));
+    }
+    waitForReplica(number, entry);
+}
+
+std::vector<VmName> Dispatcher::candidates(const Request& entry) const
+{
+    std::vector<VmName> vms;
+    const callers::RequestTarget& target = entry.request.target;
+    if (target.isService()) {
+        const bundle::BundlePointer bundle = context_.bundle();
+        const bundle::Service* service = bundle ? bundle->service(target.service) : nullptr;
+        if (!service)
+            return vms;
+        vms = context_.directory.upstreams(service->pools, context_.site);
+        // The other site carries the traffic as well, when this one has no upstream for it.
+        for (const framework::SiteName& site : context_.directory.sites()) {
+            if (vms.empty())
+                vms = context_.directory.upstreams(service->pools, site);
+        }
+    } else {
+        vms = context_.placements.vms(target);
+    }
+    std::erase_if(vms, [&](const VmName& vm) { return entry.failed.contains(vm) || !context_.directory.isUsable(vm); });
+    return vms;
+}
+
+VmName Dispatcher::choose(const Request& entry, const std::vector<VmName>& vms)
+{
+    std::vector<policy::ReplicaView> replicas;
+    for (const VmName& vm : vms) {
+        policy::ReplicaView view;
+        view.vm = vm;
+        if (const auto session = context_.sessions.existing(vm)) {
+            view.ownInFlight = static_cast<std::uint32_t>(session->inFlight());
+            view.reportedRunning = session->agentLoad().running;
+            view.reportedWaiting = session->agentLoad().waiting;
+            view.firstByteSeconds = session->firstByteSeconds();
+            view.isSuspect = session->isSuspect();
+        }
+        replicas.push_back(view);
+    }
+    const auto chosen = replicaChoice_->choose(replicas, entry.request.target.model, entry.request.prefixHash);
+    return vms[chosen.value_or(0)];
+}
+
+void Dispatcher::waitForReplica(RequestNumber number, Request& entry)
+{
+    if (wakes_->waiting() >= context_.settings.waitingRequests) {
+        return refuse(number,
+            Error { ErrorCode::TooManyWaiting, "wait for replica", "", "", Execution::NotRun, retryAfterBusy });
+    }
+    const std::optional<SiteTarget> where = nextSite(entry);
+    if (!where) {
+        const Error none { ErrorCode::NoCapacity, "wait for replica", "", "the bundle decides none at any site",
+            Execution::NotRun, retryAfterNoReplica };
+        return refuse(number, entry.lastError.value_or(none));
+    }
+    entry.waitsFor = *where;
+    const auto wanted = static_cast<std::uint32_t>(context_.placements.vms(where->target).size() + 1);
+    wakes_->wait(*where, number, entry.request.deadline, std::min(wanted, std::max(1U, decided(*where))));
+}
+
+/// The own site first, then the others where the bundle decides replicas: during a move, both carry the traffic.
+std::optional<SiteTarget> Dispatcher::nextSite(const Request& entry) const
+{
+    const SiteTarget own { entry.request.target, context_.site };
+    if (!entry.refusedSites.contains(own.site) && decided(own) > 0)
+        return own;
+    for (const framework::SiteName& site : context_.directory.sites()) {
+        const SiteTarget other { entry.request.target, site };
+        if (!entry.refusedSites.contains(site) && decided(other) > 0)
+            return other;
+    }
+    return std::nullopt;
+}
+
+std::uint32_t Dispatcher::decided(const SiteTarget& where) const
+{
+    const bundle::BundlePointer bundle = context_.bundle();
+    if (!bundle)
+        return 0;
+    return bundle->decidedReplicas(where.target.model, where.target.adapter, where.site);
+}
+
+void Dispatcher::dispatch(RequestNumber number, Request& entry, const VmName& vm)
+{
+    const auto session = context_.sessions.session(vm);
+    entry.waitsFor.reset();
+    ++entry.attempts;
+    entry.agent = vm;
+    entry.session = session;
+    entry.stream = std::make_shared<AnswerStream>(entry.answer, entry.attempts);
+    context_.metrics.count("lagoon_dispatches_total");
+    entry.sequence = session->dispatch(makeOrder(entry), entry.request.deadline, entry.stream,
+        [this, number, vm](const DispatchOutcome& outcome) { takeOutcome(number, vm, outcome); });
+    askForMoreIfBusy(entry, static_cast<std::uint32_t>(session->inFlight()));
+}
+
+wire::fb::DispatchT Dispatcher::makeOrder(const Request& entry) const
+{
+    const CallerRequest& request = entry.request;
+    wire::fb::DispatchT order;
+    order.target = std::make_unique<wire::fb::TargetT>(toWire(request.target));
+    order.request_name = request.name.value();
+    order.attempt = entry.attempts;
+    order.method = request.method;
+    order.path = request.path;
+    for (const auto& [name, value] : request.headers) {
+        auto header = std::make_unique<wire::fb::HeaderT>();
+        header->name = name;
+        header->value = value;
+        order.headers.push_back(std::move(header));
+    }
+    order.body.assign(request.body.begin(), request.body.end());
+    order.is_repeatable = request.isRepeatable;
+    order.priority = request.priority;
+    const bundle::BundlePointer bundle = context_.bundle();
+    order.bundle_version = bundle ? bundle->version.value() : 0;
+    return order;
+}
+
+void Dispatcher::askForMoreIfBusy(const Request& entry, std::uint32_t inFlight)
+{
+    const callers::RequestTarget& target = entry.request.target;
+    if (target.isService() || inFlight < context_.settings.scaleUpInFlight)
+        return;
+    const SiteTarget own { target, context_.site };
+    const auto known = static_cast<std::uint32_t>(context_.placements.vms(target).size());
+    if (known < decided(own))
+        wakes_->wantMore(own, known + 1, entry.request.deadline);
+}
+
+void Dispatcher::takePlacements(
+    const SiteTarget& where, const std::vector<VmName>& vms, const std::set<RequestNumber>& requests)
+{
+    for (const VmName& vm : vms)
+        context_.placements.add(where.target, vm);
+    for (const RequestNumber number : requests) {
+        const auto entry = requests_.find(number);
+        if (entry == requests_.end() || !entry->second.waitsFor || candidates(entry->second).empty())
+            continue;
+        wakes_->stopWaiting(where, number);
+        route(number);
+    }
+}
+
+void Dispatcher::takeRefusal(const Error& error, const std::set<RequestNumber>& requests)
+{
+    for (const RequestNumber number : requests) {
+        const auto found = requests_.find(number);
+        if (found == requests_.end() || !found->second.waitsFor)
+            continue;
+        Request& entry = found->second;
+        const SiteTarget where = *entry.waitsFor;
+        entry.waitsFor.reset();
+        wakes_->stopWaiting(where, number);
+        entry.refusedSites.insert(where.site);
+        entry.lastError = error;
+        route(number);
+    }
+}
+
+void Dispatcher::takeExpectation(Deadline expectedAt, const std::set<RequestNumber>& requests)
+{
+    const auto now = context_.clock.now();
+    for (const RequestNumber number : requests) {
+        const auto entry = requests_.find(number);
+        if (entry == requests_.end() || !entry->second.waitsFor || expectedAt <= entry->second.request.deadline)
+            continue;
+        refuse(number, Error { ErrorCode::DeadlineHopeless, "wait for replica", entry->second.waitsFor->site.value(),
+                           "the load will take longer", Execution::NotRun, expectedAt.remaining(now) });
+    }
+}
+
+void Dispatcher::takeOutcome(RequestNumber number, const VmName& vm, const DispatchOutcome& outcome)
+{
+    const auto found = requests_.find(number);
+    if (found == requests_.end())
+        return;
+    Request& entry = found->second;
+    entry.session.reset();
+    const bool hasBegun = entry.stream->detach();
+    if (outcome.has_value()) {
+        entry.answer->finish();
+        return forget(number);
+    }
+    const Error& error = outcome.error();
+    entry.lastError = error;
+    if (hasBegun) {
+        context_.metrics.count("lagoon_broken_answers_total", { { "reason", reasonText(error) } });
+        entry.answer->breakOff(error);
+        return forget(number);
+    }
+    if (error.execution == Execution::NotRun)
+        return takeNotRun(number, entry, vm, error);
+    // It may have run: only a call that may be repeated is sent again.
+    if (!entry.request.isRepeatable || error.code == ErrorCode::DeadlinePassed)
+        return refuse(number, error);
+    entry.failed.insert(vm);
+    retry(number, entry, error);
+}
+
+void Dispatcher::takeNotRun(RequestNumber number, Request& entry, const VmName& vm, const Error& error)
+{
+    switch (error.code) {
+    case ErrorCode::DeadlinePassed:
+    case ErrorCode::CallerGone:
+    case ErrorCode::BadRequest:
+    case ErrorCode::TooLarge:
+        return refuse(number, error);
+    case ErrorCode::NotLoaded:
+        context_.placements.remove(entry.request.target, vm);
+        break;
+    case ErrorCode::Draining:
+    case ErrorCode::ShuttingDown:
+        context_.directory.setDraining(vm);
+        context_.placements.removeVm(vm);
+        break;
+    default:
+        entry.failed.insert(vm);
+        break;
+    }
+    retry(number, entry, error);
+}
+
+void Dispatcher::retry(RequestNumber number, Request& entry, const Error& error)
+{
+    if (entry.attempts >= context_.settings.attempts)
+        return refuse(number, error);
+    if (!retryBudget_.spend()) {
+        Error spent = error;
+        spent.detail = "retry budget spent after " + std::string(framework::errorCodeText(error.code));
+        spent.code = ErrorCode::RetryBudgetSpent;
+        spent.retryAfter = retryAfterBusy;
+        return refuse(number, spent);
+    }
+    context_.metrics.count("lagoon_retries_total", { { "reason", reasonText(error) } });
+    route(number);
+}
+
+void Dispatcher::deadlinePassed(RequestNumber number)
+{
+    const auto found = requests_.find(number);
+    if (found == requests_.end())
+        return;
+    Request& entry = found->second;
+    Error late { ErrorCode::DeadlinePassed, "wait for replica", "", "no replica in time", Execution::NotRun,
+        retryAfterNoReplica };
+    if (entry.session) {
+        const bool wasSent = entry.session->wasSent(entry.sequence);
+        late = Error { ErrorCode::DeadlinePassed, "await answer", entry.agent.value(), "no whole answer in time",
+            wasSent ? Execution::Unknown : Execution::NotRun, retryAfterNoReplica };
+        entry.session->cancel(entry.sequence);
+        if (entry.stream->detach()) {
+            entry.answer->breakOff(late);
+            return forget(number);
+        }
+    }
+    refuse(number, late);
+}
+
+void Dispatcher::callerGone(RequestNumber number)
+{
+    const auto entry = requests_.find(number);
+    if (entry == requests_.end())
+        return;
+    context_.metrics.count("lagoon_callers_gone_total");
+    if (entry->second.session) {
+        entry->second.stream->detach();
+        entry->second.session->cancel(entry->second.sequence);
+    }
+    forget(number);
+}
+
+void Dispatcher::refuse(RequestNumber number, Error error)
+{
+    Request& entry = requests_.at(number);
+    if (entry.stream)
+        entry.stream->detach();
+    entry.answer->refuse(error, entry.attempts);
+    forget(number);
+}
+
+void Dispatcher::forget(RequestNumber number)
+{
+    const auto entry = requests_.find(number);
+    if (entry->second.waitsFor)
+        wakes_->stopWaiting(*entry->second.waitsFor, number);
+    requests_.erase(entry);
+}
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/dispatcher.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "bundle/types/bundle.h"
+#include "callers/icaller.h"
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/metrics.h"
+#include "policy/ireplicachoice.h"
+#include "policy/retrybudget.h"
+#include "router/internal/agentsessions.h"
+#include "router/internal/placementcache.h"
+#include "router/internal/vmdirectory.h"
+#include "router/internal/wakes.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace lagoon::router {
+
+/// Keeps each accepted request until its one final outcome: routes it to a replica, lets it wait for one, tries another
+/// where that is safe, and refuses it as soon as it is hopeless. All but `accept` on the control thread.
+class Dispatcher final : public callers::IRequestDispatcher {
+public:
+    struct Context {
+        framework::SiteName site;
+        framework::IControlExecutor& control;
+        const framework::IClock& clock;
+        framework::Metrics& metrics;
+        const DispatchSettings& settings;
+        VmDirectory& directory;
+        PlacementCache& placements;
+        AgentSessions& sessions;
+        std::function<bundle::BundlePointer()> bundle;
+    };
+
+    explicit Dispatcher(const Context&);
+
+    void accept(callers::CallerRequest, std::shared_ptr<callers::ICallerAnswer>) override;
+
+    void setWakes(Wakes&);
+    void setReplicaChoice(std::unique_ptr<policy::IReplicaChoice>);
+    void takePlacements(const SiteTarget&, const std::vector<framework::VmName>&, const std::set<RequestNumber>&);
+    void takeRefusal(const framework::Error&, const std::set<RequestNumber>&);
+    void takeExpectation(framework::Deadline, const std::set<RequestNumber>&);
+    std::size_t requests() const { return requests_.size(); }
+
+private:
+    struct Request {
+        callers::CallerRequest request;
+        std::shared_ptr<callers::ICallerAnswer> answer;
+        std::uint32_t attempts = 0;
+        /// Agents that failed this request.
+        std::set<framework::VmName> failed;
+        /// Sites whose home said that there is no replica to be had.
+        std::set<framework::SiteName> refusedSites;
+        std::optional<framework::Error> lastError;
+        /// While waiting.
+        std::optional<SiteTarget> waitsFor;
+        std::unique_ptr<framework::Timer> deadlineTimer;
+        /// While dispatched.
+        framework::VmName agent;
+        std::shared_ptr<AgentSession> session;
+        framework::SequenceNumber sequence;
+        std::shared_ptr<AnswerStream> stream;
+    };
+
+    void admit(callers::CallerRequest, std::shared_ptr<callers::ICallerAnswer>);
+    void route(RequestNumber);
+    std::vector<framework::VmName> candidates(const Request&) const;
+    framework::VmName choose(const Request&, const std::vector<framework::VmName>&);
+    void waitForReplica(RequestNumber, Request&);
+    std::optional<SiteTarget> nextSite(const Request&) const;
+    void dispatch(RequestNumber, Request&, const framework::VmName&);
+    wire::fb::DispatchT makeOrder(const Request&) const;
+    void askForMoreIfBusy(const Request&, std::uint32_t inFlight);
+    void takeOutcome(RequestNumber, const framework::VmName&, const DispatchOutcome&);
+    void takeNotRun(RequestNumber, Request&, const framework::VmName&, const framework::Error&);
+    void retry(RequestNumber, Request&, const framework::Error&);
+    void deadlinePassed(RequestNumber);
+    void callerGone(RequestNumber);
+    void refuse(RequestNumber, framework::Error);
+    void forget(RequestNumber);
+    std::uint32_t decided(const SiteTarget&) const;
+
+    Context context_;
+    Wakes* wakes_ = nullptr;
+    std::unique_ptr<policy::IReplicaChoice> replicaChoice_;
+    policy::RetryBudget retryBudget_;
+    std::map<RequestNumber, Request> requests_;
+    std::uint64_t nextNumber_ = 1;
+};
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/home.cpp
@@ -0,0 +1,345 @@
+#include "router/internal/home.h"
+
+#include "policy/rendezvous.h"
+#include "router/internal/targets.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoon::router {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Milliseconds;
+using framework::VmName;
+
+namespace {
+
+    constexpr std::uint32_t loadTries = 3;
+    constexpr Milliseconds retryAfterNoCapacity { 2000 };
+
+    policy::LoadBid toPolicy(const VmName& vm, const wire::fb::BidT& bid)
+    {
+        policy::LoadBid converted;
+        converted.vm = vm;
+        converted.canLoad = bid.can_load;
+        converted.refusal = static_cast<ErrorCode>(bid.refusal);
+        converted.freeMemory = framework::MebiBytes(bid.free_mib);
+        converted.evictedMemory = framework::MebiBytes(bid.evict_mib);
+        converted.victimIdle = Milliseconds(bid.victim_idle_ms);
+        converted.checkpoint = static_cast<policy::CheckpointPlace>(std::min<std::uint8_t>(bid.checkpoint, 2));
+        converted.expectedLoad = Milliseconds(bid.expected_load_ms);
+        converted.running = bid.running;
+        return converted;
+    }
+
+    std::string rendezvousKey(const SiteTarget& where)
+    {
+        return wire::targetText(toWire(where.target));
+    }
+
+} // namespace
+
+Home::Home(const Context& context)
+    : context_(context)
+{
+}
+
+void Home::setLoadPlacement(std::unique_ptr<policy::ILoadPlacement> placement)
+{
+    placement_ = std::move(placement);
+}
+
+void Home::wake(const VmName& sender, const WakeOrder& order, WakeReplyHandler reply)
+{
+    context_.metrics.count("lagoon_wakes_total");
+    const auto running = searches_.find(order.where);
+    if (running != searches_.end()) {
+        Search& search = running->second;
+        search.order.latest = std::max(search.order.latest, order.latest);
+        search.order.earliest = std::min(search.order.earliest, order.earliest);
+        search.order.wantedReplicas = std::max(search.order.wantedReplicas, order.wantedReplicas);
+        search.order.waiters = std::max(search.order.waiters, order.waiters);
+        if (search.expectedAt)
+            reply(WakeReply { false, {}, std::nullopt, search.expectedAt });
+        search.replies[sender] = std::move(reply);
+        return;
+    }
+    Search search;
+    search.number = nextNumber_++;
+    search.order = order;
+    search.replies.emplace(sender, std::move(reply));
+    begin(searches_.emplace(order.where, std::move(search)).first->second);
+}
+
+void Home::begin(Search& search)
+{
+    const SiteTarget where = search.order.where;
+    if (decided(where) == 0) {
+        fail(where, Error { ErrorCode::NoCapacity, "find replica", where.site.value(), "the bundle decides none here" });
+        return;
+    }
+    const std::vector<VmName> first = nextToAsk(search);
+    if (first.empty()) {
+        fail(where, Error { ErrorCode::NoCapacity, "find replica", where.site.value(), "no live upstream",
+                        framework::Execution::NotRun, retryAfterNoCapacity });
+        return;
+    }
+    ask(where, first);
+}
+
+/// Those that this router knows to have the target, then the next in rendezvous order.
+std::vector<VmName> Home::nextToAsk(const Search& search) const
+{
+    const SiteTarget& where = search.order.where;
+    std::vector<VmName> next;
+    const bundle::BundlePointer bundle = context_.bundle();
+    const bundle::Model* model = bundle ? bundle->model(where.target.model) : nullptr;
+    if (!model)
+        return next;
+    const std::vector<VmName> live = context_.directory.upstreams(model->pools, where.site);
+    for (const VmName& vm : context_.placements.vms(where.target)) {
+        const bool isHere = std::find(live.begin(), live.end(), vm) != live.end();
+        if (isHere && !search.asked.contains(vm))
+            next.push_back(vm);
+    }
+    std::size_t fresh = 0;
+    // Adapters go where their model's replicas are, so both use the model's order.
+    for (const VmName& vm : policy::rendezvousOrder(where.target.model.value(), live)) {
+        if (fresh >= context_.settings.bids)
+            break;
+        if (search.asked.contains(vm) || std::find(next.begin(), next.end(), vm) != next.end())
+            continue;
+        next.push_back(vm);
+        ++fresh;
+    }
+    return next;
+}
+
+void Home::ask(const SiteTarget& where, const std::vector<VmName>& vms)
+{
+    Search& search = searches_.at(where);
+    const std::uint64_t number = search.number;
+    search.awaited += vms.size();
+    for (const VmName& vm : vms) {
+        search.asked.insert(vm);
+        search.candidates.push_back(Candidate { vm, false, false, false, {} });
+    }
+    search.bidTimer
+        = context_.control.runAt(Deadline::after(context_.clock.now(), context_.settings.bidTimeout), [this, where, number] {
+              if (find(where, number))
+                  endBidding(where);
+          });
+    for (const VmName& vm : vms) {
+        const auto session = context_.sessions.session(vm);
+        if (!session) {
+            takeBid(where, number, vm, Error { ErrorCode::NotFound, "ask for bid", vm.value() });
+            continue;
+        }
+        session->askBid(toWire(where.target),
+            [this, where, number, vm](const framework::Result<wire::fb::BidT>& bid) { takeBid(where, number, vm, bid); });
+    }
+}
+
+void Home::takeBid(
+    const SiteTarget& where, std::uint64_t number, const VmName& vm, const framework::Result<wire::fb::BidT>& bid)
+{
+    Search* search = find(where, number);
+    if (!search)
+        return;
+    for (Candidate& candidate : search->candidates) {
+        if (candidate.vm != vm || candidate.isAnswered)
+            continue;
+        candidate.isAnswered = true;
+        if (bid.has_value()) {
+            candidate.isLoaded = bid.value().is_loaded;
+            candidate.isLoading = bid.value().is_loading;
+            candidate.bid = toPolicy(vm, bid.value());
+        }
+        if (search->awaited > 0)
+            --search->awaited;
+    }
+    if (search->awaited == 0)
+        endBidding(where);
+}
+
+void Home::endBidding(const SiteTarget& where)
+{
+    Search& search = searches_.at(where);
+    search.bidTimer.reset();
+    search.awaited = 0;
+    // Late bids of this round must not end the next round early.
+    for (Candidate& candidate : search.candidates)
+        candidate.isAnswered = true;
+    evaluate(where);
+}
+
+void Home::evaluate(const SiteTarget& where)
+{
+    Search& search = searches_.at(where);
+    if (search.isLoading)
+        return;
+    const std::vector<VmName> loaded = loadedVms(search);
+    const std::uint32_t enough = std::min(std::max(1U, search.order.wantedReplicas), decided(where));
+    if (loaded.size() >= enough)
+        return finish(where, WakeReply { true, loaded, std::nullopt, std::nullopt });
+    // Someone is loading it already, for another home or for one that died: wait with them.
+    for (Candidate& candidate : search.candidates) {
+        if (candidate.isLoading)
+            return load(where, candidate);
+    }
+    std::vector<policy::LoadBid> bids;
+    std::vector<Candidate*> bidders;
+    for (Candidate& candidate : search.candidates) {
+        if (candidate.isLoaded || !candidate.bid.canLoad)
+            continue;
+        bids.push_back(candidate.bid);
+        bidders.push_back(&candidate);
+    }
+    const auto chosen = placement_->choose(bids);
+    if (chosen && search.loadsTried < loadTries)
+        return load(where, *bidders[*chosen]);
+    const std::vector<VmName> more = nextToAsk(search);
+    if (!more.empty() && search.loadsTried < loadTries)
+        return ask(where, more);
+    if (!loaded.empty())
+        return finish(where, WakeReply { true, loaded, std::nullopt, std::nullopt });
+    if (search.lastError)
+        return fail(where, *search.lastError);
+    ErrorCode code = ErrorCode::NoCapacity;
+    for (const Candidate& candidate : search.candidates) {
+        if (candidate.bid.refusal != ErrorCode::NoCapacity)
+            code = candidate.bid.refusal;
+    }
+    fail(where, Error { code, "find replica", where.site.value(), "no upstream can load it now",
+                    framework::Execution::NotRun, retryAfterNoCapacity });
+}
+
+void Home::load(const SiteTarget& where, Candidate& candidate)
+{
+    Search& search = searches_.at(where);
+    search.isLoading = true;
+    ++search.loadsTried;
+    candidate.bid.canLoad = false;
+    candidate.isLoading = false;
+    const std::uint64_t number = search.number;
+    const VmName vm = candidate.vm;
+    const auto now = context_.clock.now();
+    search.expectedAt = Deadline::after(now, candidate.bid.expectedLoad);
+    replyAll(search, WakeReply { false, loadedVms(search), std::nullopt, search.expectedAt });
+    const auto session = context_.sessions.session(vm);
+    if (!session)
+        return takeLoadResult(where, number, vm, Error { ErrorCode::NotFound, "load", vm.value() });
+    wire::fb::LoadT order;
+    order.target = std::make_unique<wire::fb::TargetT>(toWire(where.target));
+    order.waiters = search.order.waiters;
+    order.remaining_ms = static_cast<std::uint32_t>(search.order.latest.remaining(now).count());
+    const bundle::BundlePointer bundle = context_.bundle();
+    order.bundle_version = bundle ? bundle->version.value() : 0;
+    session->load(std::move(order), [this, where, number, vm](const framework::Result<wire::fb::LoadResultT>& result) {
+        takeLoadResult(where, number, vm, result);
+    });
+}
+
+void Home::takeLoadResult(const SiteTarget& where, std::uint64_t number, const VmName& vm,
+    const framework::Result<wire::fb::LoadResultT>& result)
+{
+    Search* search = find(where, number);
+    if (!search)
+        return;
+    search->isLoading = false;
+    search->expectedAt.reset();
+    if (result.has_value() && result.value().is_loaded) {
+        for (Candidate& candidate : search->candidates)
+            candidate.isLoaded = candidate.isLoaded || candidate.vm == vm;
+        return evaluate(where);
+    }
+    Error why { ErrorCode::LinkLost, "load", vm.value() };
+    if (result.has_error()) {
+        why = result.error();
+        why.execution = framework::Execution::NotRun;
+    } else {
+        const wire::fb::LoadResultT& refused = result.value();
+        why = Error { static_cast<ErrorCode>(refused.code), refused.step, refused.peer, refused.detail };
+        if (refused.retry_after_ms > 0)
+            why.retryAfter = Milliseconds(refused.retry_after_ms);
+    }
+    context_.metrics.count("lagoon_load_failures_total", { { "code", std::string(framework::errorCodeText(why.code)) } });
+    if (!why.retryAfter)
+        why.retryAfter = retryAfterNoCapacity;
+    search->lastError = why;
+    if (why.code == ErrorCode::ReplicaCapReached && !search->hasAskedHolders)
+        return askHolders(where);
+    evaluate(where);
+}
+
+/// The cap is reached by replicas that none of the asked agents has: the platform's object says who holds them.
+void Home::askHolders(const SiteTarget& where)
+{
+    Search& search = searches_.at(where);
+    search.hasAskedHolders = true;
+    const std::uint64_t number = search.number;
+    context_.findHolders(where, [this, where, number](const framework::Result<std::vector<VmName>>& holders) {
+        Search* search = find(where, number);
+        if (!search)
+            return;
+        std::vector<VmName> unasked;
+        if (holders.has_value()) {
+            for (const VmName& vm : holders.value()) {
+                if (!context_.directory.isUsable(vm))
+                    continue;
+                // Asked again as well: it may have begun to load since its bid.
+                std::erase_if(search->candidates, [&](const Candidate& candidate) { return candidate.vm == vm; });
+                unasked.push_back(vm);
+            }
+        }
+        if (unasked.empty())
+            return evaluate(where);
+        ask(where, unasked);
+    });
+}
+
+void Home::replyAll(Search& search, const WakeReply& reply)
+{
+    for (const auto& [sender, handler] : search.replies)
+        handler(reply);
+}
+
+void Home::finish(const SiteTarget& where, const WakeReply& reply)
+{
+    // Taken out first: a handler may wake the same target again.
+    auto search = searches_.extract(where);
+    replyAll(search.mapped(), reply);
+}
+
+void Home::fail(const SiteTarget& where, const Error& error)
+{
+    finish(where, WakeReply { true, {}, error, std::nullopt });
+}
+
+std::vector<VmName> Home::loadedVms(const Search& search) const
+{
+    std::vector<VmName> vms;
+    for (const Candidate& candidate : search.candidates) {
+        if (candidate.isLoaded)
+            vms.push_back(candidate.vm);
+    }
+    return vms;
+}
+
+std::uint32_t Home::decided(const SiteTarget& where) const
+{
+    const bundle::BundlePointer bundle = context_.bundle();
+    if (!bundle)
+        return 0;
+    return bundle->decidedReplicas(where.target.model, where.target.adapter, where.site);
+}
+
+Home::Search* Home::find(const SiteTarget& where, std::uint64_t number)
+{
+    const auto found = searches_.find(where);
+    return found != searches_.end() && found->second.number == number ? &found->second : nullptr;
+}
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/home.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "bundle/types/bundle.h"
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/metrics.h"
+#include "policy/iloadplacement.h"
+#include "router/internal/agentsessions.h"
+#include "router/internal/placementcache.h"
+#include "router/internal/vmdirectory.h"
+#include "router/types/wake.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lagoon::router {
+
+/// Who holds the claims of a target, from the platform's object; the handler is called on the control thread.
+using HoldersHandler = std::function<void(const framework::Result<std::vector<framework::VmName>>&)>;
+using FindHolders = std::function<void(const SiteTarget&, HoldersHandler)>;
+
+/// The duty of the router that rendezvous hashing names for a target: gathers all routers' wakes, finds who has the
+/// target or chooses who loads it, and answers. Keeps nothing that must last: two homes at once cost a second round of
+/// bids, and the claims in the platform keep the replicas within the decided count. Control thread only.
+class Home {
+public:
+    struct Context {
+        framework::SiteName site;
+        framework::IControlExecutor& control;
+        const framework::IClock& clock;
+        framework::Metrics& metrics;
+        const DispatchSettings& settings;
+        AgentSessions& sessions;
+        const VmDirectory& directory;
+        const PlacementCache& placements;
+        std::function<bundle::BundlePointer()> bundle;
+        FindHolders findHolders;
+    };
+
+    explicit Home(const Context&);
+
+    /// `sender` is the router that asks; its newer wake replaces an older one's reply handler.
+    void wake(const framework::VmName& sender, const WakeOrder&, WakeReplyHandler);
+    void setLoadPlacement(std::unique_ptr<policy::ILoadPlacement>);
+
+private:
+    struct Candidate {
+        framework::VmName vm;
+        bool isAnswered = false;
+        bool isLoaded = false;
+        bool isLoading = false;
+        policy::LoadBid bid;
+    };
+    /// The search for one target's replicas, from its first wake to its final reply.
+    struct Search {
+        std::uint64_t number = 0;
+        WakeOrder order;
+        std::map<framework::VmName, WakeReplyHandler> replies;
+        /// In rendezvous order, those asked so far.
+        std::vector<Candidate> candidates;
+        std::set<framework::VmName> asked;
+        std::size_t awaited = 0;
+        std::unique_ptr<framework::Timer> bidTimer;
+        bool isLoading = false;
+        bool hasAskedHolders = false;
+        std::uint32_t loadsTried = 0;
+        std::optional<framework::Error> lastError;
+        std::optional<framework::Deadline> expectedAt;
+    };
+    using Searches = std::map<SiteTarget, Search>;
+
+    void begin(Search&);
+    std::vector<framework::VmName> nextToAsk(const Search&) const;
+    void ask(const SiteTarget&, const std::vector<framework::VmName>&);
+    void takeBid(const SiteTarget&, std::uint64_t number, const framework::VmName&,
+        const framework::Result<wire::fb::BidT>&);
+    void endBidding(const SiteTarget&);
+    void evaluate(const SiteTarget&);
+    void load(const SiteTarget&, Candidate&);
+    void takeLoadResult(const SiteTarget&, std::uint64_t number, const framework::VmName&,
+        const framework::Result<wire::fb::LoadResultT>&);
+    void askHolders(const SiteTarget&);
+    void replyAll(Search&, const WakeReply&);
+    void finish(const SiteTarget&, const WakeReply&);
+    void fail(const SiteTarget&, const framework::Error&);
+    std::vector<framework::VmName> loadedVms(const Search&) const;
+    std::uint32_t decided(const SiteTarget&) const;
+    Search* find(const SiteTarget&, std::uint64_t number);
+
+    Context context_;
+    std::unique_ptr<policy::ILoadPlacement> placement_;
+    Searches searches_;
+    std::uint64_t nextNumber_ = 1;
+};
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/linkserver.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/metrics.h"
+#include "framework/types/ids.h"
+#include "router/internal/home.h"
+#include "wire/ilink.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace lagoon::router {
+
+/// Answers the other routers' wakes.
+class LinkServer {
+public:
+    struct Context {
+        framework::VmName ownVm;
+        framework::Incarnation ownIncarnation;
+        framework::IControlExecutor& control;
+        const framework::IClock& clock;
+        framework::Metrics& metrics;
+        Home& home;
+        std::function<framework::BundleVersion()> bundleVersion;
+        std::function<void(framework::BundleVersion)> hearOf;
+    };
+
+    explicit LinkServer(const Context&);
+    framework::Result<framework::Endpoint> start(wire::ILinkTransport&, const framework::Endpoint&);
+
+private:
+    using LinkPointer = std::shared_ptr<wire::ILink>;
+
+    void handle(const LinkPointer&, const wire::Message&);
+    void greet(const LinkPointer&, const wire::fb::HelloT&);
+    void wake(const LinkPointer&, const wire::fb::WakeT&);
+
+    Context context_;
+    /// Who said hello on which link.
+    std::map<LinkPointer, framework::VmName> senders_;
+};
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/router.cpp
@@ -0,0 +1,268 @@
+#include "router/router.h"
+
+#include "bundle/bundlewatch.h"
+#include "bundle/replicaobject.h"
+#include "callers/callerserver.h"
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/logging.h"
+#include "framework/randomid.h"
+#include "framework/workerpool.h"
+#include "http/opsserver.h"
+#include "platform/platformclient.h"
+#include "policy/policysetup.h"
+#include "router/internal/agentsessions.h"
+#include "router/internal/dispatcher.h"
+#include "router/internal/home.h"
+#include "router/internal/linkserver.h"
+#include "router/internal/peerlinks.h"
+#include "router/internal/placementcache.h"
+#include "router/internal/targets.h"
+#include "router/internal/vmdirectory.h"
+#include "router/internal/vmlistwatcher.h"
+#include "router/internal/wakes.h"
+#include "wire/linktransport.h"
+
+#include <cpprest/json.h>
+#include <future>
+
+namespace lagoon::router {
+
+using framework::BundleVersion;
+using framework::Deadline;
+using framework::Milliseconds;
+using framework::VmName;
+
+namespace {
+
+    constexpr std::size_t platformThreads = 2;
+    constexpr Milliseconds holdersTimeout { 1000 };
+
+} // namespace
+
+class Router::Implementation {
+public:
+    explicit Implementation(const RouterSettings& settings);
+    ~Implementation() { shutDown(); }
+    Implementation(const Implementation&) = delete;
+    Implementation& operator=(const Implementation&) = delete;
+
+    framework::Result<RouterEndpoints> start();
+    void shutDown();
+
+private:
+    SessionContext sessionContext();
+    Home::Context homeContext();
+    Wakes::Context wakesContext();
+    Dispatcher::Context dispatcherContext();
+    LinkServer::Context linkServerContext();
+    http::OpsViews opsViews();
+    BundleVersion bundleVersion() const;
+    void setPolicies(const bundle::PolicyNumbers&);
+    void takeVms(const platform::VmEntries&);
+    void findHolders(const SiteTarget&, HoldersHandler);
+    std::string status();
+
+    RouterSettings settings_;
+    framework::Incarnation incarnation_ = framework::newIncarnation();
+    framework::SystemClock clock_;
+    std::shared_ptr<framework::Metrics> metrics_ = std::make_shared<framework::Metrics>();
+    framework::ControlThread control_;
+    framework::WorkerPool platformCalls_ { platformThreads };
+    platform::PlatformClient platform_;
+    std::shared_ptr<wire::ILinkTransport> transport_;
+    std::shared_ptr<bundle::IBundleWatch> bundles_;
+    VmDirectory directory_;
+    PlacementCache placements_;
+    AgentSessions sessions_;
+    std::shared_ptr<PeerLinks> peers_;
+    Dispatcher dispatcher_;
+    Home home_;
+    Wakes wakes_;
+    LinkServer linkServer_;
+    VmListWatcher vmWatcher_;
+    callers::CallerServer callerServer_;
+    http::OpsServer opsServer_;
+    std::atomic<bool> hasVms_ { false };
+    std::atomic<bool> isShuttingDown_ { false };
+    bool isStarted_ = false;
+};
+
+Router::Implementation::Implementation(const RouterSettings& settings)
+    : settings_(settings)
+    , platform_(platform::makePlatformClient(settings_.platform, metrics_))
+    , transport_(wire::makeTcpLinkTransport({}, metrics_))
+    , bundles_(bundle::makeBundleWatch(bundle::HeadMode::Watch, platform_.store, control_, metrics_))
+    , sessions_(sessionContext(), directory_)
+    , peers_(std::make_shared<PeerLinks>(sessionContext(), directory_))
+    , dispatcher_(dispatcherContext())
+    , home_(homeContext())
+    , wakes_(wakesContext())
+    , linkServer_(linkServerContext())
+    , vmWatcher_(platform_.vmList, control_, clock_, metrics_, [this](const auto& vms) { takeVms(vms); })
+    , callerServer_(settings_.limits, dispatcher_, [this] { return bundles_->current(); }, incarnation_, metrics_)
+    , opsServer_(opsViews(), metrics_)
+{
+    dispatcher_.setWakes(wakes_);
+    setPolicies({});
+    bundles_->changed().subscribe([this](const bundle::BundlePointer& bundle) { setPolicies(bundle->policy); });
+}
+
+SessionContext Router::Implementation::sessionContext()
+{
+    return SessionContext { settings_.identity.vm, incarnation_, *transport_, control_, clock_, *metrics_,
+        settings_.dispatch, [this] { return bundleVersion(); },
+        [this](BundleVersion version) { bundles_->hearOf(version); } };
+}
+
+Home::Context Router::Implementation::homeContext()
+{
+    return Home::Context { settings_.identity.site, control_, clock_, *metrics_, settings_.dispatch, sessions_,
+        directory_, placements_, [this] { return bundles_->current(); },
+        [this](const SiteTarget& where, HoldersHandler handler) { findHolders(where, std::move(handler)); } };
+}
+
+Wakes::Context Router::Implementation::wakesContext()
+{
+    return Wakes::Context { settings_.identity.vm, control_, clock_, *metrics_, directory_, home_, *peers_,
+        [this](const auto& where, const auto& vms, const auto& requests) {
+            dispatcher_.takePlacements(where, vms, requests);
+        },
+        [this](const auto& error, const auto& requests) { dispatcher_.takeRefusal(error, requests); },
+        [this](Deadline expectedAt, const auto& requests) { dispatcher_.takeExpectation(expectedAt, requests); } };
+}
+
+Dispatcher::Context Router::Implementation::dispatcherContext()
+{
+    return Dispatcher::Context { settings_.identity.site, control_, clock_, *metrics_, settings_.dispatch, directory_,
+        placements_, sessions_, [this] { return bundles_->current(); } };
+}
+
+LinkServer::Context Router::Implementation::linkServerContext()
+{
+    return LinkServer::Context { settings_.identity.vm, incarnation_, control_, clock_, *metrics_, home_,
+        [this] { return bundleVersion(); }, [this](BundleVersion version) { bundles_->hearOf(version); } };
+}
+
+http::OpsViews Router::Implementation::opsViews()
+{
+    return http::OpsViews { [this] { return hasVms_ && bundles_->current() && !isShuttingDown_; },
+        [this] { return status(); } };
+}
+
+BundleVersion Router::Implementation::bundleVersion() const
+{
+    const bundle::BundlePointer bundle = bundles_->current();
+    return bundle ? bundle->version : BundleVersion();
+}
+
+void Router::Implementation::setPolicies(const bundle::PolicyNumbers& numbers)
+{
+    home_.setLoadPlacement(policy::makeLoadPlacement(numbers));
+    dispatcher_.setReplicaChoice(policy::makeReplicaChoice(numbers));
+}
+
+void Router::Implementation::takeVms(const platform::VmEntries& vms)
+{
+    directory_.setEntries(vms);
+    sessions_.endGone();
+    hasVms_ = true;
+}
+
+void Router::Implementation::findHolders(const SiteTarget& where, HoldersHandler handler)
+{
+    platformCalls_.run([this, where, handler = std::move(handler)] {
+        const auto key = bundle::replicaKey(where.site, where.target.model, where.target.adapter);
+        const auto stored = platform_.store->get(key, Deadline::after(clock_.now(), holdersTimeout));
+        framework::Result<std::vector<VmName>> holders = std::vector<VmName>();
+        if (stored.has_error()) {
+            holders = stored.error();
+        } else if (stored.value()) {
+            const auto object = bundle::parseReplicaObject(stored.value()->value, key.value());
+            if (object.has_error())
+                holders = object.error();
+            else
+                for (const auto& holder : object.value().holders)
+                    holders.value().push_back(holder.vm);
+        }
+        control_.post([handler, holders] { handler(holders); });
+    });
+}
+
+std::string Router::Implementation::status()
+{
+    std::promise<web::json::value> gathered;
+    control_.post([this, &gathered] {
+        web::json::value state;
+        state["requests"] = web::json::value::number(static_cast<std::uint64_t>(dispatcher_.requests()));
+        state["waiting"] = web::json::value::number(static_cast<std::uint64_t>(wakes_.waiting()));
+        gathered.set_value(state);
+    });
+    web::json::value state = gathered.get_future().get();
+    state["role"] = web::json::value::string("router");
+    state["vm"] = web::json::value::string(settings_.identity.vm.value());
+    state["site"] = web::json::value::string(settings_.identity.site.value());
+    state["bundle_version"] = web::json::value::number(bundleVersion().value());
+    state["ready"] = web::json::value::boolean(hasVms_ && bundles_->current() && !isShuttingDown_);
+    return state.serialize();
+}
+
+framework::Result<RouterEndpoints> Router::Implementation::start()
+{
+    isStarted_ = true;
+    RouterEndpoints endpoints;
+    BOOST_OUTCOME_TRY(link, linkServer_.start(*transport_, settings_.link));
+    endpoints.link = link;
+    BOOST_OUTCOME_TRY(callers, callerServer_.start(settings_.callers));
+    endpoints.callers = callers;
+    BOOST_OUTCOME_TRY(ops, opsServer_.start(settings_.ops));
+    endpoints.ops = ops;
+    bundles_->start();
+    vmWatcher_.start();
+    return endpoints;
+}
+
+/// Guards against cutting requests in flight: the balancer sees "not ready", new requests are refused as not run, and
+/// nothing is closed before the last reply has left.
+void Router::Implementation::shutDown()
+{
+    if (!std::exchange(isStarted_, false))
+        return;
+    isShuttingDown_ = true;
+    framework::logInfo("router", "shutting down, refusing new requests");
+    callerServer_.refuseNew();
+    callerServer_.waitUntilIdle();
+    callerServer_.stop();
+    vmWatcher_.stop();
+    bundles_->stop();
+    opsServer_.stop();
+    platformCalls_.stop();
+    std::promise<void> closed;
+    control_.post([this, &closed] {
+        sessions_.closeAll();
+        peers_->closeAll();
+        closed.set_value();
+    });
+    closed.get_future().get();
+    transport_->stop();
+    control_.stop();
+}
+
+Router::Router(const RouterSettings& settings)
+    : implementation_(std::make_unique<Implementation>(settings))
+{
+}
+
+Router::~Router() = default;
+
+framework::Result<RouterEndpoints> Router::start()
+{
+    return implementation_->start();
+}
+
+void Router::shutDown()
+{
+    implementation_->shutDown();
+}
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/vmdirectory.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "platform/types/vmentry.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace lagoon::router {
+
+/// Who is there, by the platform's lagging list, corrected by what this process saw itself since.
+class VmDirectory {
+public:
+    void setEntries(const platform::VmEntries&);
+    /// The agent said that it is draining: no more work for it, whatever the list says. VM names are never used again,
+    /// but an agent may be started anew on its VM, so `clearDraining` takes it back on the agent's next hello.
+    void setDraining(const framework::VmName&);
+    void clearDraining(const framework::VmName&);
+
+    const platform::VmEntry* find(const framework::VmName&) const;
+    bool isUsable(const framework::VmName&) const;
+    bool isGone(const framework::VmName&) const;
+    /// Live upstreams of the pools at the site that take work.
+    std::vector<framework::VmName> upstreams(
+        const std::vector<framework::PoolName>&, const framework::SiteName&) const;
+    std::vector<framework::VmName> routers(const framework::SiteName&) const;
+    std::set<framework::SiteName> sites() const;
+    bool isEmpty() const { return entries_.empty(); }
+
+private:
+    std::map<framework::VmName, platform::VmEntry> entries_;
+    std::set<framework::VmName> draining_;
+};
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/vmlistwatcher.cpp
@@ -0,0 +1,84 @@
+#include "router/internal/vmlistwatcher.h"
+
+#include "framework/logging.h"
+
+#include <algorithm>
+
+namespace lagoon::router {
+
+using framework::Deadline;
+using framework::Milliseconds;
+
+namespace {
+
+    /// A waiting call counts as one at the platform, so longer is cheaper; stopping a router waits for it at most.
+    constexpr Milliseconds waitLimit { 2000 };
+    constexpr Milliseconds shortestPause { 200 };
+    constexpr Milliseconds longestPause { 3000 };
+
+} // namespace
+
+VmListWatcher::VmListWatcher(std::shared_ptr<platform::IVmList> list, framework::IControlExecutor& control,
+    const framework::IClock& clock, std::shared_ptr<framework::Metrics> metrics,
+    std::function<void(const platform::VmEntries&)> onChange)
+    : list_(std::move(list))
+    , control_(control)
+    , clock_(clock)
+    , metrics_(std::move(metrics))
+    , onChange_(std::move(onChange))
+{
+}
+
+VmListWatcher::~VmListWatcher()
+{
+    stop();
+}
+
+void VmListWatcher::start()
+{
+    thread_ = std::thread([this] { follow(); });
+}
+
+void VmListWatcher::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        isStopping_ = true;
+    }
+    stopped_.notify_all();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void VmListWatcher::follow()
+{
+    std::uint64_t known = 0;
+    Milliseconds wait = shortestPause;
+    bool isReachable = true;
+    while (!isStopping_) {
+        const auto snapshot = list_->waitForChange(known, Deadline::after(clock_.now(), waitLimit));
+        if (snapshot.has_error()) {
+            metrics_->count("lagoon_vm_list_failures_total");
+            if (std::exchange(isReachable, false))
+                framework::logWarning("router", "the list of VMs can't be read: " + describe(snapshot.error()));
+            pause(wait);
+            wait = std::min(longestPause, wait * 2);
+            continue;
+        }
+        if (!std::exchange(isReachable, true))
+            framework::logInfo("router", "the list of VMs can be read again");
+        wait = shortestPause;
+        if (snapshot.value().version == known)
+            continue;
+        known = snapshot.value().version;
+        control_.post([this, vms = snapshot.value().vms] { onChange_(vms); });
+    }
+}
+
+void VmListWatcher::pause(Milliseconds duration)
+{
+    std::unique_lock lock(mutex_);
+    stopped_.wait_for(lock, duration, [this] { return isStopping_.load(); });
+}
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/vmlistwatcher.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/metrics.h"
+#include "platform/ivmlist.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace lagoon::router {
+
+/// Follows the platform's list of VMs on a thread of its own. While the platform is down the last list stays.
+class VmListWatcher {
+public:
+    VmListWatcher(std::shared_ptr<platform::IVmList>, framework::IControlExecutor&, const framework::IClock&,
+        std::shared_ptr<framework::Metrics>, std::function<void(const platform::VmEntries&)> onChange);
+    ~VmListWatcher();
+    VmListWatcher(const VmListWatcher&) = delete;
+    VmListWatcher& operator=(const VmListWatcher&) = delete;
+
+    void start();
+    void stop();
+
+private:
+    void follow();
+    void pause(framework::Milliseconds);
+
+    std::shared_ptr<platform::IVmList> list_;
+    framework::IControlExecutor& control_;
+    const framework::IClock& clock_;
+    std::shared_ptr<framework::Metrics> metrics_;
+    std::function<void(const platform::VmEntries&)> onChange_;
+    std::atomic<bool> isStopping_ { false };
+    std::mutex mutex_;
+    std::condition_variable stopped_;
+    std::thread thread_;
+};
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/wakes.cpp
@@ -0,0 +1,128 @@
+#include "router/internal/wakes.h"
+
+#include "policy/rendezvous.h"
+#include "router/internal/targets.h"
+
+#include <utility>
+
+namespace lagoon::router {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Milliseconds;
+using framework::VmName;
+
+namespace {
+
+    constexpr Milliseconds wakeInterval { 1000 };
+
+} // namespace
+
+Wakes::Wakes(const Context& context)
+    : context_(context)
+{
+}
+
+void Wakes::wait(const SiteTarget& where, RequestNumber request, Deadline deadline, std::uint32_t wantedReplicas)
+{
+    Waiting& waiting = targets_[where];
+    if (waiting.requests.emplace(request, deadline).second)
+        ++waiting_;
+    waiting.wantedReplicas = std::max(waiting.wantedReplicas, wantedReplicas);
+    if (!waiting.timer)
+        send(where);
+}
+
+void Wakes::stopWaiting(const SiteTarget& where, RequestNumber request)
+{
+    const auto waiting = targets_.find(where);
+    if (waiting != targets_.end() && waiting->second.requests.erase(request) > 0)
+        --waiting_;
+}
+
+void Wakes::wantMore(const SiteTarget& where, std::uint32_t wantedReplicas, Deadline usefulUntil)
+{
+    Waiting& waiting = targets_[where];
+    waiting.wantedReplicas = std::max(waiting.wantedReplicas, wantedReplicas);
+    waiting.usefulUntil = std::max(waiting.usefulUntil, usefulUntil);
+    if (!waiting.timer)
+        send(where);
+}
+
+void Wakes::send(const SiteTarget& where)
+{
+    Waiting& waiting = targets_.at(where);
+    waiting.timer = context_.control.runAt(Deadline::after(context_.clock.now(), wakeInterval), [this, where] {
+        Waiting& due = targets_.at(where);
+        due.timer.reset();
+        due.failedHomes.clear();
+        if (due.requests.empty())
+            targets_.erase(where);
+        else
+            send(where);
+    });
+    WakeOrder order { where, static_cast<std::uint32_t>(waiting.requests.size()), waiting.usefulUntil,
+        waiting.usefulUntil, waiting.wantedReplicas };
+    if (!waiting.requests.empty())
+        order.earliest = waiting.requests.begin()->second;
+    for (const auto& [request, deadline] : waiting.requests) {
+        order.earliest = std::min(order.earliest, deadline);
+        order.latest = std::max(order.latest, deadline);
+    }
+    const VmName home = homeFor(where, waiting.failedHomes);
+    const auto reply = [this, where, home](const WakeReply& reply) { take(where, home, reply); };
+    if (home == context_.ownVm)
+        context_.home.wake(home, order, reply);
+    else
+        context_.peers.wake(home, order, reply);
+}
+
+void Wakes::take(const SiteTarget& where, const VmName& home, const WakeReply& reply)
+{
+    const auto found = targets_.find(where);
+    if (found == targets_.end())
+        return;
+    Waiting& waiting = found->second;
+    const std::set<RequestNumber> requests = numbers(waiting);
+    if (!reply.placements.empty()) {
+        if (reply.isFinal)
+            waiting.wantedReplicas = 1;
+        return context_.onPlaced(where, reply.placements, requests);
+    }
+    if (!reply.isFinal) {
+        if (reply.expectedAt)
+            context_.onExpected(*reply.expectedAt, requests);
+        return;
+    }
+    // The home itself is the trouble, not the target: the next router in the order takes over at once, and in the end
+    // this one does, so that a wake never depends on another router's life.
+    if (reply.error && reply.error->code == ErrorCode::LinkLost && reply.error->step == "wake") {
+        context_.metrics.count("lagoon_home_failovers_total");
+        waiting.failedHomes.insert(home);
+        if (!requests.empty())
+            send(where);
+        return;
+    }
+    context_.onRefused(reply.error.value_or(Error { ErrorCode::NoCapacity, "wake", home.value() }), requests);
+}
+
+VmName Wakes::homeFor(const SiteTarget& where, const std::set<VmName>& failed) const
+{
+    const std::string key = wire::targetText(toWire(where.target));
+    for (const VmName& vm : policy::rendezvousOrder(key, context_.directory.routers(where.site))) {
+        if (!failed.contains(vm))
+            return vm;
+    }
+    return context_.ownVm;
+}
+
+std::set<RequestNumber> Wakes::numbers(const Waiting& waiting) const
+{
+    std::set<RequestNumber> numbers;
+    for (const auto& [request, deadline] : waiting.requests)
+        numbers.insert(request);
+    return numbers;
+}
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/internal/wakes.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/types/ids.h"
+#include "router/internal/home.h"
+#include "router/internal/peerlinks.h"
+#include "router/types/wake.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace lagoon::router {
+
+/// Names a request within this process.
+using RequestNumber = framework::StrongType<struct RequestNumberTag, std::uint64_t>;
+
+/// The requests that wait for a target, and the wakes sent for them: one each second per target, to the first router in
+/// rendezvous order that answers. Control thread only.
+class Wakes {
+public:
+    struct Context {
+        framework::VmName ownVm;
+        framework::IControlExecutor& control;
+        const framework::IClock& clock;
+        framework::Metrics& metrics;
+        const VmDirectory& directory;
+        Home& home;
+        PeerLinks& peers;
+        /// The target is served at these agents; its waiting requests may go.
+        std::function<void(const SiteTarget&, const std::vector<framework::VmName>&, const std::set<RequestNumber>&)> onPlaced;
+        /// No replica to be had now.
+        std::function<void(const framework::Error&, const std::set<RequestNumber>&)> onRefused;
+        /// The load is expected to end then; for requests that can't wait as long.
+        std::function<void(framework::Deadline, const std::set<RequestNumber>&)> onExpected;
+    };
+
+    explicit Wakes(const Context&);
+
+    void wait(const SiteTarget&, RequestNumber, framework::Deadline, std::uint32_t wantedReplicas);
+    void stopWaiting(const SiteTarget&, RequestNumber);
+    /// Asks for another replica although nothing waits; at most once a second per target.
+    void wantMore(const SiteTarget&, std::uint32_t wantedReplicas, framework::Deadline usefulUntil);
+    std::size_t waiting() const { return waiting_; }
+
+private:
+    struct Waiting {
+        std::map<RequestNumber, framework::Deadline> requests;
+        std::uint32_t wantedReplicas = 1;
+        framework::Deadline usefulUntil;
+        /// Homes that didn't answer since the last final reply.
+        std::set<framework::VmName> failedHomes;
+        std::unique_ptr<framework::Timer> timer;
+    };
+
+    void send(const SiteTarget&);
+    void take(const SiteTarget&, const framework::VmName& home, const WakeReply&);
+    framework::VmName homeFor(const SiteTarget&, const std::set<framework::VmName>& failed) const;
+    std::set<RequestNumber> numbers(const Waiting&) const;
+
+    Context context_;
+    std::map<SiteTarget, Waiting> targets_;
+    std::size_t waiting_ = 0;
+};
+
+} // namespace lagoon::router
