First versions of the four policies behind their interfaces

Cause: router and agent need something to link with. Change: cheapest load placement (rendezvous order among near equals), bounded-load replica choice by prefix, ski-rental keep-warm, load order by urgency. IKeepWarm::keepUntil takes the accelerator's memory: a replica idles only its share of it. makeReplicaChoice takes a seed (random by default). Not measured yet; the numbers in the classes are guesses until then.

--- a/src/policy/ikeepwarm.h
+++ b/src/policy/ikeepwarm.h
@@ -4,6 +4,7 @@
 #include "framework/types/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace lagoon::policy {
@@ -26,10 +27,12 @@
 class IKeepWarm {
 public:
     virtual ~IKeepWarm() = default;
-    /// When the idle replica should be unloaded unless used before.
-    virtual framework::Deadline keepUntil(const LoadedReplica&) const = 0;
+    /// When the idle replica should be unloaded unless used before. `accelerator` is the upstream's whole memory: a
+    /// replica idles as much of an accelerator as it takes of that.
+    virtual framework::Deadline keepUntil(const LoadedReplica&, framework::MebiBytes accelerator) const = 0;
     /// Indexes of replicas that together free at least `needed`, in the order of unloading; empty if the idle ones
-    /// don't suffice. Running ones are never chosen, nor a model without the adapters on it.
+    /// don't suffice. Running ones are never chosen, nor a model without the adapters on it; one that is being loaded
+    /// or unloaded has to be given as running.
     virtual std::vector<std::size_t> victims(
         const std::vector<LoadedReplica>&, framework::MebiBytes needed, framework::SteadyTime now) const = 0;
 };
--- a/src/policy/internal/rendezvous.cpp
+++ b/src/policy/internal/rendezvous.cpp
@@ -9,14 +9,6 @@
 
 constexpr std::uint64_t fnvPrime = 1099511628211ULL;
 
-/// FNV's high bits mix badly over short keys that differ in the end; this spreads them (splitmix64's finaliser).
-std::uint64_t spread(std::uint64_t hash)
-{
-    hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebULL;
-    return hash ^ (hash >> 31);
-}
-
 } // namespace
 
 std::uint64_t fnv1a(const char* bytes, std::size_t size, std::uint64_t hash)
@@ -28,13 +20,21 @@
     return hash;
 }
 
+std::uint64_t mixed(std::uint64_t hash)
+{
+    hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebULL;
+    return hash ^ (hash >> 31);
+}
+
 std::vector<framework::VmName> rendezvousOrder(const std::string& key, std::vector<framework::VmName> vms)
 {
     std::vector<std::pair<std::uint64_t, framework::VmName>> weighed;
     weighed.reserve(vms.size());
     for (framework::VmName& vm : vms) {
         const std::string text = key + '\n' + vm.value();
-        weighed.emplace_back(spread(fnv1a(text.data(), text.size())), std::move(vm));
+        // FNV's high bits mix badly over short keys that differ in the end.
+        weighed.emplace_back(mixed(fnv1a(text.data(), text.size())), std::move(vm));
     }
     std::sort(weighed.begin(), weighed.end(), std::greater<>());
     std::vector<framework::VmName> order;
--- a/src/policy/policysetup.h
+++ b/src/policy/policysetup.h
@@ -1,18 +1,21 @@
 #pragma once
 
 #include "bundle/types/bundle.h"
+#include "framework/randomid.h"
 #include "policy/ikeepwarm.h"
 #include "policy/iloadorder.h"
 #include "policy/iloadplacement.h"
 #include "policy/ireplicachoice.h"
 
+#include <cstdint>
 #include <memory>
 
 namespace lagoon::policy {
 
-/// Makes the policies that the bundle's numbers call for.
+/// Makes the policies that the bundle's numbers call for. Routers need different seeds, lest they all choose alike.
 std::unique_ptr<ILoadPlacement> makeLoadPlacement(const bundle::PolicyNumbers&);
-std::unique_ptr<IReplicaChoice> makeReplicaChoice(const bundle::PolicyNumbers&);
+std::unique_ptr<IReplicaChoice> makeReplicaChoice(
+    const bundle::PolicyNumbers&, std::uint64_t seed = framework::randomNumber());
 std::unique_ptr<IKeepWarm> makeKeepWarm(const bundle::PolicyNumbers&);
 std::unique_ptr<ILoadOrder> makeLoadOrder(const bundle::PolicyNumbers&);
 
--- a/src/policy/rendezvous.h
+++ b/src/policy/rendezvous.h
@@ -2,6 +2,8 @@
 
 #include "framework/types/ids.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -16,4 +18,7 @@
 /// FNV-1a over bytes, continued from `hash`.
 std::uint64_t fnv1a(const char* bytes, std::size_t size, std::uint64_t hash = 14695981039346656037ULL);
 
+/// Spreads a hash over all its bits (splitmix64's finaliser).
+std::uint64_t mixed(std::uint64_t hash);
+
 } // namespace lagoon::policy
--- /dev/null
+++ b/src/policy/tests/keepwarm_test.cpp
@@ -0,0 +1,100 @@
+#include "policy/policysetup.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace std::chrono_literals;
+using framework::MebiBytes;
+using policy::LoadedReplica;
+
+namespace {
+
+const framework::SteadyTime start = framework::SteadyTime() + 100h;
+const MebiBytes accelerator(80000);
+
+LoadedReplica replica(const std::string& model, std::uint64_t memory, framework::Milliseconds idle)
+{
+    LoadedReplica made;
+    made.model = framework::ModelName(model);
+    made.memory = MebiBytes(memory);
+    made.lastUsed = start - idle;
+    made.loadTime = 30s;
+    return made;
+}
+
+LoadedReplica adapterOf(const std::string& model, const std::string& adapter, framework::Milliseconds idle)
+{
+    LoadedReplica made = replica(model, 500, idle);
+    made.adapter = framework::AdapterName(adapter);
+    made.loadTime = 2s;
+    return made;
+}
+
+std::unique_ptr<policy::IKeepWarm> keepWarm(double weight = 10)
+{
+    bundle::PolicyNumbers numbers;
+    numbers.coldStartWeight = weight;
+    return policy::makeKeepWarm(numbers);
+}
+
+std::vector<std::size_t> victims(const std::vector<LoadedReplica>& replicas, std::uint64_t needed)
+{
+    return keepWarm()->victims(replicas, MebiBytes(needed), start);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(KeepWarm)
+
+BOOST_AUTO_TEST_CASE(aReplicaOnTheWholeAcceleratorStaysForLoadTimeTimesWeight)
+{
+    const LoadedReplica idle = replica("drafts", 80000, 0s);
+    BOOST_CHECK(keepWarm()->keepUntil(idle, accelerator).at() == start + 300s);
+}
+
+BOOST_AUTO_TEST_CASE(aSmallReplicaStaysLonger)
+{
+    const LoadedReplica idle = replica("drafts", 8000, 0s);
+    BOOST_CHECK(keepWarm()->keepUntil(idle, accelerator).at() == start + 3000s);
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsTakenThatDoesNotSuffice)
+{
+    BOOST_CHECK(victims({ replica("a", 1000, 1h), replica("b", 1000, 1h) }, 3000).empty());
+    BOOST_CHECK(victims({ replica("a", 1000, 1h) }, 0).empty());
+}
+
+BOOST_AUTO_TEST_CASE(theLongestIdleGoesFirst)
+{
+    BOOST_CHECK(victims({ replica("a", 1000, 1min), replica("b", 1000, 2h) }, 500) == std::vector<std::size_t> { 1 });
+}
+
+BOOST_AUTO_TEST_CASE(aRunningReplicaStays)
+{
+    LoadedReplica running = replica("a", 1000, 2h);
+    running.running = 1;
+    BOOST_CHECK(victims({ running, replica("b", 1000, 1min) }, 500) == std::vector<std::size_t> { 1 });
+    BOOST_CHECK(victims({ running }, 500).empty());
+}
+
+BOOST_AUTO_TEST_CASE(aModelWithARunningAdapterStays)
+{
+    LoadedReplica adapter = adapterOf("a", "x", 2h);
+    adapter.running = 1;
+    BOOST_CHECK(victims({ replica("a", 1000, 2h), adapter }, 1000).empty());
+}
+
+BOOST_AUTO_TEST_CASE(aModelGoesAfterItsAdapters)
+{
+    const std::vector<LoadedReplica> replicas { replica("a", 1000, 2h), adapterOf("a", "x", 2h) };
+    const std::vector<std::size_t> expected { 1, 0 };
+    BOOST_CHECK(victims(replicas, 900) == expected);
+}
+
+BOOST_AUTO_TEST_CASE(noMoreGoesThanIsNeeded)
+{
+    const std::vector<LoadedReplica> replicas { replica("a", 1000, 3h), replica("b", 5000, 2h) };
+    BOOST_TEST(victims(replicas, 4000).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/policy/tests/loadorder_test.cpp
@@ -0,0 +1,52 @@
+#include "policy/policysetup.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace std::chrono_literals;
+using policy::PendingLoad;
+
+namespace {
+
+const framework::SteadyTime start = framework::SteadyTime() + 1h;
+
+PendingLoad pending(framework::Milliseconds untilDeadline, std::uint32_t waiters = 1, std::uint8_t priority = 4)
+{
+    PendingLoad load;
+    load.earliestDeadline = framework::Deadline::after(start, untilDeadline);
+    load.waiters = waiters;
+    load.since = start;
+    load.expectedLoad = 10s;
+    load.priority = priority;
+    return load;
+}
+
+std::optional<std::size_t> next(const std::vector<PendingLoad>& loads)
+{
+    return policy::makeLoadOrder({})->next(loads, start);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LoadOrder)
+
+BOOST_AUTO_TEST_CASE(nothingOfNothing) { BOOST_CHECK(!next({})); }
+
+BOOST_AUTO_TEST_CASE(theEarlierDeadlineGoesFirst) { BOOST_CHECK(next({ pending(60s), pending(30s) }) == 1U); }
+
+BOOST_AUTO_TEST_CASE(moreWaitersGoFirst) { BOOST_CHECK(next({ pending(60s), pending(60s, 8) }) == 1U); }
+
+BOOST_AUTO_TEST_CASE(higherPriorityGoesFirst) { BOOST_CHECK(next({ pending(60s), pending(60s, 1, 9) }) == 1U); }
+
+BOOST_AUTO_TEST_CASE(aLoadThatCanNotBeInTimeGoesBehind) { BOOST_CHECK(next({ pending(5s), pending(60s) }) == 1U); }
+
+// Busy models keep bringing urgent loads. The one that waits would never start, and its caller would be refused each
+// time that it comes back. What has waited long goes first whatever comes.
+BOOST_AUTO_TEST_CASE(nothingStarves)
+{
+    PendingLoad patient = pending(60s, 1, 0);
+    patient.since = start - 10min;
+    BOOST_CHECK(next({ pending(11s, 50, 9), patient }) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/policy/tests/loadplacement_test.cpp
@@ -0,0 +1,64 @@
+#include "policy/policysetup.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace std::chrono_literals;
+using policy::CheckpointPlace;
+using policy::LoadBid;
+
+namespace {
+
+LoadBid bid(CheckpointPlace place, framework::Milliseconds expected)
+{
+    LoadBid made;
+    made.canLoad = true;
+    made.checkpoint = place;
+    made.expectedLoad = expected;
+    return made;
+}
+
+std::optional<std::size_t> choose(const std::vector<LoadBid>& bids)
+{
+    return policy::makeLoadPlacement({})->choose(bids);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LoadPlacement)
+
+BOOST_AUTO_TEST_CASE(nothingIfNoneCanLoad)
+{
+    LoadBid refused = bid(CheckpointPlace::Memory, 1s);
+    refused.canLoad = false;
+    BOOST_CHECK(!choose({}));
+    BOOST_CHECK(!choose({ refused }));
+}
+
+BOOST_AUTO_TEST_CASE(aCachedCheckpointGoesBeforeTheOrder)
+{
+    BOOST_CHECK(choose({ bid(CheckpointPlace::Remote, 40s), bid(CheckpointPlace::Disk, 10s) }) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(equalBidsGoByTheOrder)
+{
+    BOOST_CHECK(choose({ bid(CheckpointPlace::Disk, 10300ms), bid(CheckpointPlace::Disk, 10s) }) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(freeMemoryGoesBeforeTheEvictionOfAFreshReplica)
+{
+    LoadBid evicting = bid(CheckpointPlace::Disk, 10s);
+    evicting.evictedMemory = framework::MebiBytes(1000);
+    evicting.victimIdle = 5s;
+    BOOST_CHECK(choose({ evicting, bid(CheckpointPlace::Disk, 10s) }) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(evictingAReplicaIdleForHoursBeatsARemoteLoad)
+{
+    LoadBid evicting = bid(CheckpointPlace::Disk, 10s);
+    evicting.evictedMemory = framework::MebiBytes(1000);
+    evicting.victimIdle = 3h;
+    BOOST_CHECK(choose({ bid(CheckpointPlace::Remote, 40s), evicting }) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
