--- a/src/framework/types/error.h
+++ b/src/framework/types/error.h
@@ -75,11 +75,11 @@
 struct Error {
     ErrorCode code = ErrorCode::Internal;
     /// What was being done, such as `claim replica`.
-    std::string step;
+    std::string step = {};
     /// The other side: an endpoint, a VM or a key. Empty when there is none.
-    std::string peer;
+    std::string peer = {};
     /// For people; its text is not stable.
-    std::string detail;
+    std::string detail = {};
     Execution execution = Execution::NotRun;
     /// When asking again makes sense, from now; empty when it never does.
     std::optional<Milliseconds> retryAfter = std::nullopt;
