Load times, forecasts, the weight store's shares, and backoff with jitter

Cause: hopeless requests have to be refused at once and only then, and the weight store's limits hold over routers that have nobody to hand out parts. Change: LoadTimeEstimator (place's factor fades, target's stays), forecastWaiting, forecastRunning, isHopeless, timeToComeBack, WeightStoreShare (limit / live routers, borrowing), RetryBackoff; tests of the existing RetryBudget. Not measured yet.

--- /dev/null
+++ b/src/policy/internal/loadforecast.cpp
@@ -0,0 +1,58 @@
+#include "policy/loadforecast.h"
+
+#include <algorithm>
+
+namespace lagoon::policy {
+
+namespace {
+
+constexpr double comeBackSpread = 0.2;
+constexpr framework::Milliseconds leastComeBack { 1000 };
+
+/// Until a place is free. The loads ahead pass through the places in rounds; on the whole, those running are half
+/// done. `runningLeft` is the share of a load that those running need at this estimate.
+framework::Milliseconds untilStart(const LoadQueue& queue, framework::Milliseconds each, double runningLeft)
+{
+    const double places = std::max<std::uint32_t>(1, queue.places);
+    const double before = queue.ahead + runningLeft * queue.running;
+    const double rounds = std::max(0.0, (before - (places - 1) * runningLeft) / places);
+    const double byPlaces = queue.ahead + queue.running < places ? 0 : rounds * static_cast<double>(each.count());
+    const double byRate = queue.loadsPerSecond > 0 ? 1000.0 * queue.ahead / queue.loadsPerSecond : 0;
+    return framework::Milliseconds(static_cast<std::int64_t>(std::max(byPlaces, byRate)));
+}
+
+framework::Milliseconds left(framework::Milliseconds estimate, framework::Milliseconds elapsed)
+{
+    return elapsed < estimate ? estimate - elapsed : elapsed - estimate;
+}
+
+} // namespace
+
+LoadForecast forecastWaiting(const LoadTimeEstimate& own, const LoadQueue& queue)
+{
+    return { untilStart(queue, queue.each.low, 0) + own.low, untilStart(queue, queue.each.typical, 0.5) + own.typical,
+        untilStart(queue, queue.each.high, 1) + own.high };
+}
+
+LoadForecast forecastRunning(const LoadTimeEstimate& own, framework::Milliseconds elapsed)
+{
+    const framework::Milliseconds none { 0 };
+    const framework::Milliseconds soonest = std::max(none, own.low - elapsed);
+    const framework::Milliseconds expected = std::max(soonest, left(own.typical, elapsed));
+    return { soonest, expected, std::max(expected, left(own.high, elapsed)) };
+}
+
+bool isHopeless(const LoadForecast& forecast, framework::Deadline deadline, framework::Milliseconds answer,
+    framework::SteadyTime now)
+{
+    return now + forecast.soonest + answer > deadline.at();
+}
+
+framework::Milliseconds timeToComeBack(const LoadForecast& forecast, double random)
+{
+    const double spread = 1 + comeBackSpread * random;
+    const auto wait = static_cast<std::int64_t>(static_cast<double>(forecast.expected.count()) * spread);
+    return std::max(leastComeBack, framework::Milliseconds(wait));
+}
+
+} // namespace lagoon::policy
--- /dev/null
+++ b/src/policy/tests/loadtimeestimator_test.cpp
@@ -0,0 +1,78 @@
+#include "policy/loadtimeestimator.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace std::chrono_literals;
+using framework::MebiBytes;
+using policy::CheckpointPlace;
+using policy::LoadTimeEstimator;
+
+namespace {
+
+const framework::SteadyTime start = framework::SteadyTime() + 1h;
+const MebiBytes memory(30000);
+
+bool isNear(framework::Milliseconds value, framework::Milliseconds expected, double share)
+{
+    const double ratio = static_cast<double>(value.count()) / static_cast<double>(expected.count());
+    return ratio > 1 - share && ratio < 1 + share;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LoadTimes)
+
+BOOST_AUTO_TEST_CASE(beforeAnyMeasurementFartherIsLongerAndTheBoundsAreWide)
+{
+    const LoadTimeEstimator estimator;
+    const auto inMemory = estimator.estimate("m", CheckpointPlace::Memory, memory, start);
+    const auto onDisk = estimator.estimate("m", CheckpointPlace::Disk, memory, start);
+    const auto remote = estimator.estimate("m", CheckpointPlace::Remote, memory, start);
+    BOOST_CHECK(inMemory.typical < onDisk.typical && onDisk.typical < remote.typical);
+    BOOST_CHECK(remote.low < remote.typical / 2 && remote.high > remote.typical * 2);
+}
+
+BOOST_AUTO_TEST_CASE(aTargetsOwnTimesAreLearnedAndKept)
+{
+    LoadTimeEstimator estimator;
+    for (int load = 0; load < 8; ++load)
+        estimator.record("m", CheckpointPlace::Disk, memory, 60s, start + load * 20min);
+    const auto nextDay = estimator.estimate("m", CheckpointPlace::Disk, memory, start + 24h);
+    BOOST_TEST(isNear(nextDay.typical, 60s, 0.15), nextDay.typical.count());
+    BOOST_CHECK(nextDay.high < nextDay.typical * 2);
+}
+
+BOOST_AUTO_TEST_CASE(oneTargetsSlownessIsNotAnothersForLong)
+{
+    LoadTimeEstimator estimator;
+    const auto before = estimator.estimate("other", CheckpointPlace::Disk, memory, start);
+    for (int load = 0; load < 8; ++load)
+        estimator.record("m", CheckpointPlace::Disk, memory, 60s, start + load * 20min);
+    const auto after = estimator.estimate("other", CheckpointPlace::Disk, memory, start + 3h);
+    BOOST_TEST(isNear(after.typical, before.typical, 0.1));
+}
+
+BOOST_AUTO_TEST_CASE(aSlowStoreShowsInTargetsThatWereNotLoadedSince)
+{
+    LoadTimeEstimator estimator;
+    for (int load = 0; load < 6; ++load)
+        estimator.record("m" + std::to_string(load), CheckpointPlace::Remote, memory, 330s, start + load * 10s);
+    const auto other = estimator.estimate("other", CheckpointPlace::Remote, memory, start + 70s);
+    BOOST_CHECK(other.typical > 100s);
+}
+
+// The weight store was ten times slower for a while. Requests were refused as hopeless, so nothing was loaded and
+// nothing measured: with an estimate that never changes by itself, callers would be refused long after the store
+// had recovered, until an operator came.
+BOOST_AUTO_TEST_CASE(aSlowStoreIsForgottenWithoutNewMeasurements)
+{
+    LoadTimeEstimator estimator;
+    const auto before = estimator.estimate("other", CheckpointPlace::Remote, memory, start);
+    for (int load = 0; load < 10; ++load)
+        estimator.record("m" + std::to_string(load), CheckpointPlace::Remote, memory, 330s, start);
+    const auto later = estimator.estimate("other", CheckpointPlace::Remote, memory, start + 30min);
+    BOOST_TEST(isNear(later.typical, before.typical, 0.1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/policy/tests/retries_test.cpp
@@ -0,0 +1,46 @@
+#include "policy/retrybackoff.h"
+#include "policy/retrybudget.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+using lagoon::policy::RetryBackoff;
+using lagoon::policy::RetryBudget;
+
+BOOST_AUTO_TEST_SUITE(Retries)
+
+// All upstreams fail. Without a budget each request would be tried again to its limit and the load multiplied just
+// when there is least room for it.
+BOOST_AUTO_TEST_CASE(retriesStayWithinTheirShareOfRequests)
+{
+    RetryBudget budget(0.1, 10);
+    int retries = 0;
+    for (int request = 0; request < 1000; ++request) {
+        budget.earn();
+        while (budget.spend())
+            ++retries;
+    }
+    BOOST_TEST((retries >= 100 && retries <= 110), retries);
+}
+
+BOOST_AUTO_TEST_CASE(quietTimesSaveNoMoreThanTheMost)
+{
+    RetryBudget budget(0.1, 3);
+    for (int request = 0; request < 1000; ++request)
+        budget.earn();
+    int retries = 0;
+    while (budget.spend())
+        ++retries;
+    BOOST_TEST(retries == 3);
+}
+
+BOOST_AUTO_TEST_CASE(backoffDoublesUpToItsMostWithFullJitter)
+{
+    const RetryBackoff backoff { 100ms, 1000ms };
+    BOOST_CHECK(backoff.wait(1, 0) == 0ms);
+    BOOST_CHECK(backoff.wait(1, 0.5) == 50ms);
+    BOOST_CHECK(backoff.wait(3, 0.5) == 200ms);
+    BOOST_CHECK(backoff.wait(60, 0.5) == 500ms);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/policy/tests/weightstoreshare_test.cpp
@@ -0,0 +1,83 @@
+#include "policy/weightstoreshare.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace std::chrono_literals;
+using policy::WeightStoreShare;
+
+namespace {
+
+const framework::SteadyTime start = framework::SteadyTime() + 1h;
+
+bundle::PolicyNumbers numbers(double rate, std::uint32_t places)
+{
+    bundle::PolicyNumbers made;
+    made.weightLoadsPerSecond = rate;
+    made.weightLoadsAtFullSpeed = places;
+    return made;
+}
+
+/// Loads started by one home that always has some waiting and ends none, in steps of 100 ms.
+int startedWithin(WeightStoreShare& share, framework::Milliseconds duration, bool areEnded)
+{
+    int started = 0;
+    for (framework::Milliseconds passed { 0 }; passed < duration; passed += 100ms) {
+        if (!share.mayStart(start, start + passed))
+            continue;
+        share.start(start + passed);
+        ++started;
+        if (areEnded)
+            share.end();
+    }
+    return started;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WeightStoreShares)
+
+BOOST_AUTO_TEST_CASE(strictHomesTogetherKeepTheRate)
+{
+    int started = 0;
+    for (int router = 0; router < 3; ++router) {
+        WeightStoreShare share(numbers(1.5, 4), false);
+        share.setLiveRouters(3);
+        started += startedWithin(share, 60s, true);
+    }
+    BOOST_TEST((started >= 88 && started <= 94), started);
+}
+
+BOOST_AUTO_TEST_CASE(strictHomesTogetherKeepThePlaces)
+{
+    WeightStoreShare share(numbers(100, 4), false);
+    share.setLiveRouters(2);
+    BOOST_TEST(startedWithin(share, 10s, false) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(aHomeAloneUsesThePlacesThatOthersDoNot)
+{
+    WeightStoreShare share(numbers(4, 4));
+    share.setLiveRouters(3);
+    BOOST_TEST(startedWithin(share, 10s, false) == 4);
+}
+
+// Several homes borrow at once and the store refuses loads for its rate. If they went on borrowing, each refused load
+// would come again and the refusals never end.
+BOOST_AUTO_TEST_CASE(afterARefusalNothingIsBorrowed)
+{
+    WeightStoreShare share(numbers(4, 4));
+    share.setLiveRouters(4);
+    share.noteRefusal(start);
+    BOOST_TEST(startedWithin(share, 9s, false) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aRouterAmongHundredsCanStillLoad)
+{
+    WeightStoreShare share(numbers(4, 4));
+    share.setLiveRouters(370);
+    BOOST_CHECK(share.mayStart(start, start));
+    BOOST_TEST(share.places() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
