--- /dev/null
+++ b/src/platform/internal/httpplatformstore.cpp
@@ -0,0 +1,202 @@
+#include "platform/internal/httpplatformstore.h"
+
+#include "framework/checkedjson.h"
+#include "framework/iclock.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace lagoon::platform {
+
+namespace {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::Milliseconds;
+using framework::ObjectVersion;
+using framework::Result;
+using web::http::http_request;
+using web::http::status_codes;
+
+constexpr std::size_t largestValue = 1024 * 1024;
+constexpr std::size_t largestList = 64 * 1024 * 1024;
+/// A longer watch is cut into several: a connection that went silent is found out after one of them.
+constexpr Milliseconds longestWatch { 30000 };
+
+std::string quoted(ObjectVersion version) { return "\"" + std::to_string(version.value()) + "\""; }
+
+/// The version in an entity tag; nothing if it isn't one of ours.
+std::optional<ObjectVersion> versionOf(const std::string& entityTag)
+{
+    if (entityTag.size() < 3 || entityTag.front() != '"' || entityTag.back() != '"')
+        return std::nullopt;
+    const char* const end = entityTag.data() + entityTag.size() - 1;
+    std::uint64_t version = 0;
+    const auto [stop, fault] = std::from_chars(entityTag.data() + 1, end, version);
+    if (fault != std::errc() || stop != end || version == 0)
+        return std::nullopt;
+    return ObjectVersion(version);
+}
+
+HttpCall objectCall(const std::string& kind, const std::string& method, const ObjectKey& key, CallEffect effect)
+{
+    HttpCall call { kind, key.value(), effect, http_request(method) };
+    call.request.set_request_uri("/v1/objects/" + key.value());
+    return call;
+}
+
+void expectVersion(HttpCall& call, ObjectVersion expected)
+{
+    if (expected == ObjectVersion())
+        call.request.headers().add("If-None-Match", "*");
+    else
+        call.request.headers().add("If-Match", quoted(expected));
+}
+
+Result<std::vector<ListedObject>> listedObjects(const std::string& body, const std::string& prefix)
+{
+    const framework::JsonLimits limits { .bytes = largestList };
+    BOOST_OUTCOME_TRY(json, framework::parseJson(body, prefix, ErrorCode::BadObject, limits));
+    framework::CheckedObject answer(json, prefix, "", ErrorCode::BadObject);
+    std::vector<ListedObject> result;
+    for (framework::CheckedObject& entry : answer.objects("objects")) {
+        const ObjectKey key(entry.text("key"));
+        result.push_back({ key, ObjectVersion(entry.number("version", 1, UINT64_MAX)) });
+    }
+    BOOST_OUTCOME_TRYV(answer.finish());
+    return result;
+}
+
+} // namespace
+
+HttpPlatformStore::HttpPlatformStore(std::shared_ptr<HttpCalls> calls)
+    : calls_(std::move(calls))
+{
+}
+
+Result<StoredObject> HttpPlatformStore::storedObject(const HttpCall& call, HttpAnswer answer)
+{
+    const auto version = versionOf(answer.entityTag);
+    if (!version) {
+        calls_->countResult(call, "malformed");
+        return calls_->error(call, ErrorCode::PlatformUnavailable, "answer without a version");
+    }
+    calls_->countResult(call, "ok");
+    return StoredObject { std::move(answer.body), *version };
+}
+
+Result<std::optional<StoredObject>> HttpPlatformStore::get(const ObjectKey& key, Deadline deadline)
+{
+    const HttpCall call = objectCall("get", "GET", key, CallEffect::Read);
+    if (!isObjectKey(key))
+        return calls_->error(call, ErrorCode::BadObject, "not a key");
+    BOOST_OUTCOME_TRY(answer, calls_->send(call, deadline));
+    if (answer.status == status_codes::NotFound) {
+        calls_->countResult(call, "absent");
+        return std::optional<StoredObject>();
+    }
+    if (answer.status != status_codes::OK) {
+        calls_->countResult(call, "refused");
+        return calls_->error(call, ErrorCode::PlatformUnavailable, "status " + std::to_string(answer.status));
+    }
+    BOOST_OUTCOME_TRY(object, storedObject(call, std::move(answer)));
+    return std::optional<StoredObject>(std::move(object));
+}
+
+Result<std::vector<ListedObject>> HttpPlatformStore::list(const std::string& prefix, Deadline deadline)
+{
+    HttpCall call { "list", prefix, CallEffect::Read, http_request("GET") };
+    web::uri_builder uri("/v1/objects");
+    uri.append_query("prefix", prefix);
+    call.request.set_request_uri(uri.to_uri());
+    BOOST_OUTCOME_TRY(answer, calls_->send(call, deadline));
+    if (answer.status != status_codes::OK) {
+        calls_->countResult(call, "refused");
+        return calls_->error(call, ErrorCode::PlatformUnavailable, "status " + std::to_string(answer.status));
+    }
+    auto listed = listedObjects(answer.body, prefix);
+    calls_->countResult(call, listed ? "ok" : "malformed");
+    return listed;
+}
+
+Result<std::optional<StoredObject>> HttpPlatformStore::watch(
+    const ObjectKey& key, ObjectVersion known, Deadline deadline)
+{
+    const Milliseconds wait = std::min(deadline.remaining(framework::SystemClock().now()), longestWatch);
+    HttpCall call = objectCall("watch", "GET", key, CallEffect::Read);
+    if (!isObjectKey(key))
+        return calls_->error(call, ErrorCode::BadObject, "not a key");
+    call.wait = wait;
+    web::uri_builder uri("/v1/objects/" + key.value());
+    uri.append_query("watch", known.value()).append_query("timeout_ms", wait.count());
+    call.request.set_request_uri(uri.to_uri());
+    // The server answers at the end of its wait, so the answer may come a call's time after the caller's deadline.
+    BOOST_OUTCOME_TRY(answer, calls_->send(call, Deadline(framework::SteadyTime::max())));
+    if (answer.status == status_codes::NotModified) {
+        calls_->countResult(call, "unchanged");
+        return std::optional<StoredObject>();
+    }
+    if (answer.status == status_codes::NotFound) {
+        calls_->countResult(call, "absent");
+        return calls_->error(call, ErrorCode::NotFound, "the object is gone");
+    }
+    if (answer.status != status_codes::OK) {
+        calls_->countResult(call, "refused");
+        return calls_->error(call, ErrorCode::PlatformUnavailable, "status " + std::to_string(answer.status));
+    }
+    BOOST_OUTCOME_TRY(object, storedObject(call, std::move(answer)));
+    return std::optional<StoredObject>(std::move(object));
+}
+
+Result<ObjectVersion> HttpPlatformStore::put(
+    const ObjectKey& key, const std::string& value, ObjectVersion expected, Deadline deadline)
+{
+    HttpCall call = objectCall("put", "PUT", key, CallEffect::Write);
+    if (!isObjectKey(key))
+        return calls_->error(call, ErrorCode::BadObject, "not a key");
+    if (value.size() > largestValue)
+        return calls_->error(call, ErrorCode::TooLarge, "a value holds at most 1 MiB");
+    expectVersion(call, expected);
+    call.request.set_body(value, "application/json");
+    BOOST_OUTCOME_TRY(answer, calls_->send(call, deadline));
+    if (answer.status == status_codes::PreconditionFailed) {
+        calls_->countResult(call, "conflict");
+        return calls_->error(call, ErrorCode::PlatformConflict, "the object has another version");
+    }
+    if (answer.status != status_codes::OK) {
+        calls_->countResult(call, "refused");
+        const bool isTooLarge = answer.status == status_codes::RequestEntityTooLarge;
+        return calls_->error(
+            call, isTooLarge ? ErrorCode::TooLarge : ErrorCode::BadObject, "status " + std::to_string(answer.status));
+    }
+    const auto version = versionOf(answer.entityTag);
+    calls_->countResult(call, version ? "ok" : "malformed");
+    if (version)
+        return *version;
+    Error lost = calls_->error(call, ErrorCode::PlatformUnavailable, "answer without a version");
+    lost.execution = Execution::Unknown;
+    return lost;
+}
+
+Result<void> HttpPlatformStore::remove(const ObjectKey& key, ObjectVersion expected, Deadline deadline)
+{
+    HttpCall call = objectCall("remove", "DELETE", key, CallEffect::Write);
+    if (!isObjectKey(key))
+        return calls_->error(call, ErrorCode::BadObject, "not a key");
+    call.request.headers().add("If-Match", quoted(expected));
+    BOOST_OUTCOME_TRY(answer, calls_->send(call, deadline));
+    if (answer.status == status_codes::PreconditionFailed) {
+        calls_->countResult(call, "conflict");
+        return calls_->error(call, ErrorCode::PlatformConflict, "the object has another version");
+    }
+    // Absent is as wanted: cpprest may have sent the request twice, and the second one finds nothing.
+    const bool isGone = answer.status == status_codes::OK || answer.status == status_codes::NotFound;
+    calls_->countResult(call, isGone ? "ok" : "refused");
+    if (isGone)
+        return framework::success();
+    return calls_->error(call, ErrorCode::BadObject, "status " + std::to_string(answer.status));
+}
+
+} // namespace lagoon::platform
--- /dev/null
+++ b/src/platform/internal/httpplatformstore.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "platform/internal/httpcalls.h"
+#include "platform/iplatformstore.h"
+
+#include <memory>
+
+namespace lagoon::platform {
+
+/// The object API as docs/OUTSIDE.md describes it.
+class HttpPlatformStore final : public IPlatformStore {
+public:
+    explicit HttpPlatformStore(std::shared_ptr<HttpCalls>);
+
+    framework::Result<std::optional<StoredObject>> get(const ObjectKey&, framework::Deadline) override;
+    framework::Result<std::vector<ListedObject>> list(const std::string& prefix, framework::Deadline) override;
+    framework::Result<std::optional<StoredObject>> watch(
+        const ObjectKey&, framework::ObjectVersion known, framework::Deadline) override;
+    framework::Result<framework::ObjectVersion> put(
+        const ObjectKey&, const std::string& value, framework::ObjectVersion expected, framework::Deadline) override;
+    framework::Result<void> remove(const ObjectKey&, framework::ObjectVersion expected, framework::Deadline) override;
+
+private:
+    framework::Result<StoredObject> storedObject(const HttpCall&, HttpAnswer);
+
+    std::shared_ptr<HttpCalls> calls_;
+};
+
+} // namespace lagoon::platform
--- /dev/null
+++ b/src/platform/internal/httpvmlist.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "platform/internal/httpcalls.h"
+#include "platform/ivmlist.h"
+
+#include <memory>
+
+namespace lagoon::platform {
+
+/// The VM list as docs/OUTSIDE.md describes it.
+class HttpVmList final : public IVmList {
+public:
+    explicit HttpVmList(std::shared_ptr<HttpCalls>);
+    framework::Result<VmListSnapshot> waitForChange(std::uint64_t known, framework::Deadline) override;
+
+private:
+    std::shared_ptr<HttpCalls> calls_;
+};
+
+} // namespace lagoon::platform
--- /dev/null
+++ b/src/platform/internal/objectupdate.cpp
@@ -0,0 +1,124 @@
+#include "platform/objectupdate.h"
+
+#include "framework/iclock.h"
+#include "framework/randomid.h"
+#include "platform/backoff.h"
+
+#include <thread>
+
+namespace lagoon::platform {
+
+namespace {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::Milliseconds;
+using framework::ObjectVersion;
+using framework::Result;
+
+constexpr Milliseconds firstWait { 10 };
+constexpr Milliseconds longestWait { 1000 };
+
+/// One run of `updateObject`.
+class UpdateRun {
+public:
+    UpdateRun(IPlatformStore& store, const ObjectKey& key, const ObjectUpdate& update, Deadline deadline)
+        : store_(store)
+        , key_(key)
+        , update_(update)
+        , deadline_(deadline)
+        , backoff_(firstWait, longestWait, framework::randomNumber())
+    {
+    }
+
+    Result<UpdatedObject> run()
+    {
+        for (;;) {
+            Result<UpdatedObject> result = tryOnce();
+            if (result || !isWorthRetrying(result.error()))
+                return settled(std::move(result));
+            const Milliseconds wait = backoff_.next(result.error().retryAfter);
+            if (wait >= deadline_.remaining(framework::SystemClock().now()))
+                return settled(std::move(result));
+            std::this_thread::sleep_for(wait);
+        }
+    }
+
+private:
+    Result<UpdatedObject> tryOnce()
+    {
+        BOOST_OUTCOME_TRY(read, store_.get(key_, deadline_));
+        const ObjectVersion version = read ? read->version : ObjectVersion();
+        // Guards against a write that took effect without our knowing: its answer was lost, or cpprest sent it twice
+        // and the second one met a conflict with the first. Either way our nonce is in the object.
+        if (hasWritten_ && read && update_.isOwnWrite(read->value)) {
+            openWrite_.reset();
+            return UpdatedObject { std::move(read->value), version };
+        }
+        // A write on its way can only land on the version that it expects: once the object has moved on, it never will.
+        // (A creation could land after a removal; objects that are updated in this way are never removed.)
+        if (openWrite_ && *openWrite_ != version)
+            openWrite_.reset();
+        std::optional<std::string> present;
+        if (read)
+            present = std::move(read->value);
+        BOOST_OUTCOME_TRY(wanted, update_.change(present));
+        if (!wanted.newValue)
+            return UpdatedObject { present.value_or(""), version };
+        return write(*wanted.newValue, version);
+    }
+
+    Result<UpdatedObject> write(const std::string& value, ObjectVersion expected)
+    {
+        hasWritten_ = true;
+        const Result<ObjectVersion> written = store_.put(key_, value, expected, deadline_);
+        if (written) {
+            openWrite_.reset();
+            return UpdatedObject { value, written.value() };
+        }
+        if (written.error().execution == Execution::Unknown)
+            openWrite_ = expected;
+        // A conflict may be with our own write's first sending, so the outcome is open until the object was read.
+        if (written.error().code == ErrorCode::PlatformConflict)
+            openWrite_ = expected;
+        return written.error();
+    }
+
+    static bool isWorthRetrying(const Error& error)
+    {
+        return error.code == ErrorCode::PlatformConflict || error.code == ErrorCode::PlatformUnavailable;
+    }
+
+    /// While a write of ours may still land, no failure is "not run".
+    Result<UpdatedObject> settled(Result<UpdatedObject> result) const
+    {
+        if (!openWrite_)
+            return result;
+        Error error = result ? Error { ErrorCode::PlatformUnavailable, "update object", key_.value(),
+            "an earlier write of this update may still take effect" }
+                             : result.error();
+        error.execution = Execution::Unknown;
+        return error;
+    }
+
+    IPlatformStore& store_;
+    const ObjectKey& key_;
+    const ObjectUpdate& update_;
+    const Deadline deadline_;
+    Backoff backoff_;
+    bool hasWritten_ = false;
+    /// The version that a write of unknown outcome expected.
+    std::optional<ObjectVersion> openWrite_;
+};
+
+} // namespace
+
+Result<UpdatedObject> updateObject(
+    IPlatformStore& store, const ObjectKey& key, const ObjectUpdate& update, Deadline deadline)
+{
+    return UpdateRun(store, key, update, deadline).run();
+}
+
+} // namespace lagoon::platform
--- /dev/null
+++ b/src/platform/internal/platformsettings.cpp
@@ -0,0 +1,40 @@
+#include "platform/platformsettings.h"
+
+#include <cpprest/base_uri.h>
+
+namespace lagoon::platform {
+
+namespace {
+
+constexpr std::uint64_t longestCallTimeoutMs = 60000;
+constexpr double mostCalls = 100000;
+constexpr double fewestCallsPerSecond = 0.1;
+
+} // namespace
+
+bool isPlatformUrl(const std::string& text)
+{
+    if (!web::uri::validate(text))
+        return false;
+    const web::uri uri(text);
+    return uri.scheme() == "http" && !uri.host().empty() && uri.is_path_empty() && uri.query().empty();
+}
+
+PlatformSettings readPlatformSettings(framework::CheckedObject& settings)
+{
+    PlatformSettings result;
+    framework::CheckedObject platform = settings.object("platform");
+    result.url = platform.text("url");
+    if (!isPlatformUrl(result.url))
+        platform.fail("url", "http://address:port without a path");
+    result.callTimeout = framework::Milliseconds(platform.numberOr(
+        "call_timeout_ms", static_cast<std::uint64_t>(result.callTimeout.count()), 1, longestCallTimeoutMs));
+    result.callsPerSecond
+        = platform.fractionOr("calls_per_second", result.callsPerSecond, fewestCallsPerSecond, mostCalls);
+    result.callBurst = platform.fractionOr("call_burst", result.callBurst, 1, mostCalls);
+    // Parts share the whole's fault, so the caller's `finish` shows what was wrong here.
+    (void)platform.finish();
+    return result;
+}
+
+} // namespace lagoon::platform
--- a/src/platform/iplatformstore.h
+++ b/src/platform/iplatformstore.h
@@ -22,7 +22,8 @@
     virtual framework::Result<std::optional<StoredObject>> get(const ObjectKey&, framework::Deadline) = 0;
     /// All keys that begin with `prefix`.
     virtual framework::Result<std::vector<ListedObject>> list(const std::string& prefix, framework::Deadline) = 0;
-    /// Waits until the object's version isn't `known` and returns it, or nothing once the deadline has passed.
+    /// Waits until the object's version isn't `known` (0: until it exists) and returns it, or nothing once the deadline
+    /// or the longest wait of one call has passed. `NotFound` if the object that was known is gone.
     virtual framework::Result<std::optional<StoredObject>> watch(
         const ObjectKey&, framework::ObjectVersion known, framework::Deadline)
         = 0;
@@ -31,6 +32,7 @@
     virtual framework::Result<framework::ObjectVersion> put(
         const ObjectKey&, const std::string& value, framework::ObjectVersion expected, framework::Deadline)
         = 0;
+    /// Removes the object if it has the expected version; one that is already absent is a success.
     virtual framework::Result<void> remove(const ObjectKey&, framework::ObjectVersion expected, framework::Deadline)
         = 0;
 };
--- a/src/platform/objectupdate.h
+++ b/src/platform/objectupdate.h
@@ -18,7 +18,8 @@
 struct ObjectUpdate {
     /// Given the present value, or nothing when the object doesn't exist. An error ends the update and is returned.
     std::function<framework::Result<ObjectChange>(const std::optional<std::string>&)> change;
-    /// Whether a value read after a lost answer shows that this update's own write had taken effect; by its nonce.
+    /// Whether a value read after this update wrote, without knowing how that ended, shows that the write took effect:
+    /// it holds this update's nonce and whatever else the write changed.
     std::function<bool(const std::string&)> isOwnWrite;
 };
 
--- /dev/null
+++ b/src/platform/tests/objectupdate_test.cpp
@@ -0,0 +1,118 @@
+#include "platform/objectupdate.h"
+
+#include "framework/iclock.h"
+#include "platform/tests/memoryplatformstore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace lagoon::platform;
+
+namespace {
+
+const ObjectKey key("counters/a");
+
+framework::Deadline soon(int milliseconds = 5000)
+{
+    return framework::Deadline::after(framework::SystemClock().now(), framework::Milliseconds(milliseconds));
+}
+
+/// Appends `word`, which also serves as its nonce, unless the object holds `limit` characters already.
+ObjectUpdate append(const std::string& word, std::size_t limit = 100)
+{
+    return { [=](const std::optional<std::string>& present) -> framework::Result<ObjectChange> {
+                if (present && present->size() >= limit)
+                    return framework::Error { framework::ErrorCode::ReplicaCapReached, "append", "", "full" };
+                return ObjectChange { present.value_or("") + word };
+            },
+        [=](const std::string& value) { return value.find(word) != std::string::npos; } };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ObjectUpdates)
+
+BOOST_AUTO_TEST_CASE(createsAndChanges)
+{
+    MemoryPlatformStore store;
+    BOOST_TEST(updateObject(store, key, append("a"), soon()).value().value == "a");
+    BOOST_TEST(updateObject(store, key, append("b"), soon()).value().value == "ab");
+}
+
+// A model shows two replicas where one was decided. The claim's write took effect, but its answer was lost on the way
+// or was that of cpprest's second sending, a conflict; the agent claimed again and the object held it twice.
+BOOST_AUTO_TEST_CASE(aWriteWithoutItsOwnAnswerTakesEffectOnce)
+{
+    for (const WriteFault fault : { WriteFault::LoseAnswer, WriteFault::SendTwice }) {
+        MemoryPlatformStore store;
+        store.failNextWrites({ fault });
+        BOOST_TEST(updateObject(store, key, append("a"), soon()).value().value == "a");
+        BOOST_TEST(store.valueOf(key).value() == "a");
+        BOOST_TEST(store.writes() == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aWriteThatVanishedOrMetAnotherIsTriedAgain)
+{
+    MemoryPlatformStore store;
+    store.set(key, "x");
+    store.failNextWrites({ WriteFault::LoseRequest, WriteFault::Conflict });
+    BOOST_TEST(updateObject(store, key, append("a"), soon()).value().value == "xa");
+    BOOST_TEST(store.writes() == 3U);
+}
+
+// An operator is told that a claim failed, "not run", and minutes later the object holds it. The write was still on
+// its way when the deadline passed.
+BOOST_AUTO_TEST_CASE(aWriteThatMayStillLandIsUnknown)
+{
+    MemoryPlatformStore store;
+    store.failNextWrites(std::vector<WriteFault>(1000, WriteFault::Hold));
+    const auto result = updateObject(store, key, append("a"), soon(60));
+    BOOST_REQUIRE(result.has_error());
+    BOOST_TEST((result.error().execution == framework::Execution::Unknown));
+    store.landHeldWrites();
+    BOOST_TEST(store.valueOf(key).value() == "a");
+}
+
+// As above, but the change itself refuses at the second try, with the object unchanged since the first.
+BOOST_AUTO_TEST_CASE(aRefusalBehindAnOpenWriteIsUnknown)
+{
+    MemoryPlatformStore store;
+    store.failNextWrites({ WriteFault::Hold });
+    unsigned calls = 0;
+    const ObjectUpdate update { [&](const std::optional<std::string>&) -> framework::Result<ObjectChange> {
+                                   if (++calls > 1)
+                                       return framework::Error { framework::ErrorCode::Draining, "claim", "", "" };
+                                   return ObjectChange { "a" };
+                               },
+        [](const std::string& value) { return value == "a"; } };
+    const auto result = updateObject(store, key, update, soon());
+    BOOST_REQUIRE(result.has_error());
+    BOOST_TEST((result.error().code == framework::ErrorCode::Draining));
+    BOOST_TEST((result.error().execution == framework::Execution::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(aRefusalAfterTheObjectMovedOnIsNotRun)
+{
+    MemoryPlatformStore store;
+    store.failNextWrites({ WriteFault::Hold });
+    store.beforeNextPut([&] { store.set(key, "full"); });
+    const auto result = updateObject(store, key, append("a", 4), soon());
+    BOOST_REQUIRE(result.has_error());
+    BOOST_TEST((result.error().code == framework::ErrorCode::ReplicaCapReached));
+    BOOST_TEST((result.error().execution == framework::Execution::NotRun));
+    store.landHeldWrites();
+    BOOST_TEST(store.valueOf(key).value() == "full");
+}
+
+BOOST_AUTO_TEST_CASE(anOutageBeforeAnyWriteIsNotRun)
+{
+    MemoryPlatformStore store;
+    store.setAvailable(false);
+    const auto result = updateObject(store, key, append("a"), soon(30));
+    BOOST_REQUIRE(result.has_error());
+    BOOST_TEST((result.error().code == framework::ErrorCode::PlatformUnavailable));
+    BOOST_TEST((result.error().execution == framework::Execution::NotRun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
