--- a/src/framework/internal/randomid.cpp
+++ b/src/framework/internal/randomid.cpp
@@ -14,6 +14,12 @@
     return number;
 }
 
+double randomFraction()
+{
+    constexpr int mantissaBits = 53;
+    return static_cast<double>(randomNumber() >> (64 - mantissaBits)) / static_cast<double>(1ULL << mantissaBits);
+}
+
 Incarnation newIncarnation() { return Incarnation(randomNumber()); }
 
 std::string newNonce()
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -113,7 +113,7 @@
         }
         replicas.push_back(view);
     }
-    const auto chosen = replicaChoice_->choose(replicas, entry.request.prefixHash);
+    const auto chosen = replicaChoice_->choose(replicas, entry.request.prefixHash, context_.clock.now());
     return vms[chosen.value_or(0)];
 }
 
@@ -234,16 +234,17 @@
     }
 }
 
-void Dispatcher::takeExpectation(Deadline expectedAt, const std::set<RequestNumber>& requests)
+void Dispatcher::takeExpectation(const WakeReply& progress, const std::set<RequestNumber>& requests)
 {
-    const auto now = context_.clock.now();
     for (const RequestNumber number : requests) {
         const auto entry = requests_.find(number);
-        if (entry == requests_.end() || !entry->second.waitsFor || expectedAt <= entry->second.request.deadline)
+        if (entry == requests_.end() || !entry->second.waitsFor)
+            continue;
+        if (*progress.soonestAt <= entry->second.request.deadline)
             continue;
         refuse(number,
             Error { ErrorCode::DeadlineHopeless, "wait for replica", entry->second.waitsFor->site.value(),
-                "the load will take longer", Execution::NotRun, expectedAt.remaining(now) });
+                "the load will take longer", Execution::NotRun, progress.retryAfter });
     }
 }
 
--- a/src/router/internal/dispatcher.h
+++ b/src/router/internal/dispatcher.h
@@ -43,7 +43,7 @@
     void setReplicaChoice(std::unique_ptr<policy::IReplicaChoice>);
     void takePlacements(const SiteTarget&, const std::vector<framework::VmName>&, const std::set<RequestNumber>&);
     void takeRefusal(const framework::Error&, const std::set<RequestNumber>&);
-    void takeExpectation(framework::Deadline, const std::set<RequestNumber>&);
+    void takeExpectation(const WakeReply&, const std::set<RequestNumber>&);
     std::size_t requests() const { return requests_.size(); }
 
 private:
--- a/src/router/internal/home.cpp
+++ b/src/router/internal/home.cpp
@@ -1,5 +1,6 @@
 #include "router/internal/home.h"
 
+#include "framework/randomid.h"
 #include "policy/rendezvous.h"
 #include "router/internal/targets.h"
 
@@ -53,8 +54,8 @@
         search.order.earliest = std::min(search.order.earliest, order.earliest);
         search.order.wantedReplicas = std::max(search.order.wantedReplicas, order.wantedReplicas);
         search.order.waiters = std::max(search.order.waiters, order.waiters);
-        if (search.expectedAt)
-            reply(WakeReply { false, {}, std::nullopt, search.expectedAt });
+        if (search.isLoading)
+            reply(progress(search));
         search.replies[sender] = std::move(reply);
         return;
     }
@@ -178,7 +179,7 @@
     const std::vector<VmName> loaded = loadedVms(search);
     const std::uint32_t enough = std::min(std::max(1U, search.order.wantedReplicas), decided(where));
     if (loaded.size() >= enough)
-        return finish(where, WakeReply { true, loaded, std::nullopt, std::nullopt });
+        return finish(where, WakeReply { true, loaded, std::nullopt, std::nullopt, std::nullopt });
     // Someone is loading it already, for another home or for one that died: wait with them.
     for (Candidate& candidate : search.candidates) {
         if (candidate.isLoading)
@@ -199,7 +200,7 @@
     if (!more.empty() && search.loadsTried < loadTries)
         return ask(where, more);
     if (!loaded.empty())
-        return finish(where, WakeReply { true, loaded, std::nullopt, std::nullopt });
+        return finish(where, WakeReply { true, loaded, std::nullopt, std::nullopt, std::nullopt });
     if (search.lastError)
         return fail(where, *search.lastError);
     ErrorCode code = ErrorCode::NoCapacity;
@@ -219,18 +220,25 @@
     ++search.loadsTried;
     candidate.bid.canLoad = false;
     candidate.isLoading = false;
-    const std::uint64_t number = search.number;
-    const VmName vm = candidate.vm;
-    const auto now = context_.clock.now();
-    search.expectedAt = Deadline::after(now, candidate.bid.expectedLoad);
-    replyAll(search, WakeReply { false, loadedVms(search), std::nullopt, search.expectedAt });
+    GatedLoad load { where, candidate.bid.checkpoint, {}, search.order.earliest, search.order.waiters };
+    const bundle::BundlePointer bundle = context_.bundle();
+    if (const bundle::Model* model = bundle ? bundle->model(where.target.model) : nullptr)
+        load.memory = model->memory;
+    context_.gate.enqueue(
+        load, [this, where, number = search.number, vm = candidate.vm] { sendLoad(where, number, vm); });
+    replyAll(search, progress(search));
+}
+
+void Home::sendLoad(const SiteTarget& where, std::uint64_t number, const VmName& vm)
+{
+    const Search* search = find(where, number);
     const auto session = context_.sessions.session(vm);
-    if (!session)
+    if (!search || !session)
         return takeLoadResult(where, number, vm, Error { ErrorCode::NotFound, "load", vm.value() });
     wire::fb::LoadT order;
     order.target = std::make_unique<wire::fb::TargetT>(toWire(where.target));
-    order.waiters = search.order.waiters;
-    order.remaining_ms = static_cast<std::uint32_t>(search.order.latest.remaining(now).count());
+    order.waiters = search->order.waiters;
+    order.remaining_ms = static_cast<std::uint32_t>(search->order.latest.remaining(context_.clock.now()).count());
     const bundle::BundlePointer bundle = context_.bundle();
     order.bundle_version = bundle ? bundle->version.value() : 0;
     session->load(std::move(order), [this, where, number, vm](const framework::Result<wire::fb::LoadResultT>& result) {
@@ -238,6 +246,16 @@
     });
 }
 
+WakeReply Home::progress(const Search& search) const
+{
+    const policy::LoadForecast forecast = context_.gate.forecast(search.order.where);
+    WakeReply reply;
+    reply.placements = loadedVms(search);
+    reply.soonestAt = Deadline::after(context_.clock.now(), forecast.soonest);
+    reply.retryAfter = policy::timeToComeBack(forecast, framework::randomFraction());
+    return reply;
+}
+
 void Home::takeLoadResult(const SiteTarget& where, std::uint64_t number, const VmName& vm,
     const framework::Result<wire::fb::LoadResultT>& result)
 {
@@ -245,7 +263,7 @@
     if (!search)
         return;
     search->isLoading = false;
-    search->expectedAt.reset();
+    context_.gate.ended(where, result.has_value() && result.value().is_loaded);
     if (result.has_value() && result.value().is_loaded) {
         for (Candidate& candidate : search->candidates)
             candidate.isLoaded = candidate.isLoaded || candidate.vm == vm;
@@ -312,7 +330,7 @@
 
 void Home::fail(const SiteTarget& where, const Error& error)
 {
-    finish(where, WakeReply { true, {}, error, std::nullopt });
+    finish(where, WakeReply { true, {}, error, std::nullopt, std::nullopt });
 }
 
 std::vector<VmName> Home::loadedVms(const Search& search) const
--- a/src/router/internal/home.h
+++ b/src/router/internal/home.h
@@ -6,6 +6,7 @@
 #include "framework/metrics.h"
 #include "policy/iloadplacement.h"
 #include "router/internal/agentsessions.h"
+#include "router/internal/loadgate.h"
 #include "router/internal/placementcache.h"
 #include "router/internal/vmdirectory.h"
 #include "router/types/wake.h"
@@ -37,6 +38,7 @@
         AgentSessions& sessions;
         const VmDirectory& directory;
         const PlacementCache& placements;
+        LoadGate& gate;
         std::function<bundle::BundlePointer()> bundle;
         FindHolders findHolders;
     };
@@ -69,7 +71,6 @@
         bool hasAskedHolders = false;
         std::uint32_t loadsTried = 0;
         std::optional<framework::Error> lastError;
-        std::optional<framework::Deadline> expectedAt;
     };
     using Searches = std::map<SiteTarget, Search>;
 
@@ -81,6 +82,8 @@
     void endBidding(const SiteTarget&);
     void evaluate(const SiteTarget&);
     void load(const SiteTarget&, Candidate&);
+    void sendLoad(const SiteTarget&, std::uint64_t number, const framework::VmName&);
+    WakeReply progress(const Search&) const;
     void takeLoadResult(const SiteTarget&, std::uint64_t number, const framework::VmName&,
         const framework::Result<wire::fb::LoadResultT>&);
     void askHolders(const SiteTarget&);
--- /dev/null
+++ b/src/router/internal/loadgate.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/metrics.h"
+#include "policy/iloadorder.h"
+#include "policy/loadforecast.h"
+#include "policy/loadtimeestimator.h"
+#include "policy/weightstoreshare.h"
+#include "router/types/wake.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace lagoon::router {
+
+/// A load that a home has decided on.
+struct GatedLoad {
+    SiteTarget where;
+    policy::CheckpointPlace checkpoint = policy::CheckpointPlace::Remote;
+    framework::MebiBytes memory;
+    framework::Deadline earliest;
+    std::uint32_t waiters = 0;
+};
+
+/// Starts this home's loads in the policy's order, no faster than its share of the weight store, and knows how long
+/// they take. Loads of checkpoints that the upstream already has start at once. Control thread only.
+class LoadGate {
+public:
+    LoadGate(framework::IControlExecutor&, const framework::IClock&, framework::Metrics&);
+
+    /// Calls `start` at once or when the load's turn has come.
+    void enqueue(const GatedLoad&, std::function<void()> start);
+    /// A started load has ended.
+    void ended(const SiteTarget&, bool isLoaded);
+    /// Of a load that waits or runs here.
+    policy::LoadForecast forecast(const SiteTarget&) const;
+
+    void setPolicy(const bundle::PolicyNumbers&, std::unique_ptr<policy::ILoadOrder>);
+    void setLiveRouters(std::uint32_t);
+
+private:
+    struct Entry {
+        GatedLoad load;
+        std::function<void()> start;
+        framework::SteadyTime since {};
+        bool isRunning = false;
+        framework::SteadyTime startedAt {};
+    };
+
+    void startDue();
+    void start(Entry&);
+    policy::PendingLoad pendingLoad(const Entry&) const;
+    policy::LoadTimeEstimate estimate(const GatedLoad&) const;
+    static bool usesStore(const GatedLoad&);
+
+    framework::IControlExecutor& control_;
+    const framework::IClock& clock_;
+    framework::Metrics& metrics_;
+    policy::LoadTimeEstimator estimator_;
+    policy::WeightStoreShare share_;
+    std::unique_ptr<policy::ILoadOrder> order_;
+    std::map<SiteTarget, Entry> entries_;
+    std::unique_ptr<framework::Timer> timer_;
+};
+
+} // namespace lagoon::router
--- a/src/router/internal/peerlinks.cpp
+++ b/src/router/internal/peerlinks.cpp
@@ -23,7 +23,9 @@
             reply.placements.emplace_back(placement->vm);
     }
     if (result.expected_ms > 0)
-        reply.expectedAt = Deadline::after(now, Milliseconds(result.expected_ms));
+        reply.soonestAt = Deadline::after(now, Milliseconds(result.expected_ms));
+        if (result.retry_after_ms > 0)
+            reply.retryAfter = Milliseconds(result.retry_after_ms);
     if (result.is_final && reply.placements.empty()) {
         reply.error = Error { static_cast<ErrorCode>(result.code), result.step, result.peer, result.detail };
         if (result.retry_after_ms > 0)
@@ -32,6 +34,14 @@
     return reply;
 }
 
+WakeReply homeLost(const VmName& home, const std::string& detail)
+{
+    WakeReply reply;
+    reply.isFinal = true;
+    reply.error = Error { ErrorCode::LinkLost, "wake", home.value(), detail };
+    return reply;
+}
+
 } // namespace
 
 PeerLinks::PeerLinks(const SessionContext& context, const VmDirectory& directory)
@@ -121,7 +131,7 @@
     Peer& peer = peers_[home];
     peer.link.reset();
     for (const auto& [correlation, handler] : std::exchange(peer.asked, {}))
-        handler(WakeReply { true, {}, Error { ErrorCode::LinkLost, "wake", home.value(), why.detail }, std::nullopt });
+        handler(homeLost(home, why.detail));
 }
 
 void PeerLinks::closeAll()
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -77,6 +77,7 @@
     AgentSessions sessions_;
     std::shared_ptr<PeerLinks> peers_;
     Dispatcher dispatcher_;
+    LoadGate gate_;
     Home home_;
     Wakes wakes_;
     LinkServer linkServer_;
@@ -96,6 +97,7 @@
     , sessions_(sessionContext(), directory_)
     , peers_(std::make_shared<PeerLinks>(sessionContext(), directory_))
     , dispatcher_(dispatcherContext())
+    , gate_(control_, clock_, *metrics_)
     , home_(homeContext())
     , wakes_(wakesContext())
     , linkServer_(linkServerContext())
@@ -119,7 +121,7 @@
 Home::Context Router::Implementation::homeContext()
 {
     return Home::Context { settings_.identity.site, control_, clock_, *metrics_, settings_.dispatch, sessions_,
-        directory_, placements_, [this] { return bundles_->current(); },
+        directory_, placements_, gate_, [this] { return bundles_->current(); },
         [this](const SiteTarget& where, HoldersHandler handler) { findHolders(where, std::move(handler)); } };
 }
 
@@ -130,7 +132,7 @@
             dispatcher_.takePlacements(where, vms, requests);
         },
         [this](const auto& error, const auto& requests) { dispatcher_.takeRefusal(error, requests); },
-        [this](Deadline expectedAt, const auto& requests) { dispatcher_.takeExpectation(expectedAt, requests); } };
+        [this](const WakeReply& progress, const auto& requests) { dispatcher_.takeExpectation(progress, requests); } };
 }
 
 Dispatcher::Context Router::Implementation::dispatcherContext()
@@ -159,6 +161,7 @@
 
 void Router::Implementation::setPolicies(const bundle::PolicyNumbers& numbers)
 {
+    gate_.setPolicy(numbers, policy::makeLoadOrder(numbers));
     home_.setLoadPlacement(policy::makeLoadPlacement(numbers));
     dispatcher_.setReplicaChoice(policy::makeReplicaChoice(numbers));
 }
@@ -167,6 +170,7 @@
 {
     directory_.setEntries(vms);
     sessions_.endGone();
+    gate_.setLiveRouters(directory_.liveRouters());
     hasVms_ = true;
 }
 
--- a/src/router/internal/vmdirectory.cpp
+++ b/src/router/internal/vmdirectory.cpp
@@ -63,6 +63,14 @@
     return found;
 }
 
+std::uint32_t VmDirectory::liveRouters() const
+{
+    std::uint32_t count = 0;
+    for (const auto& [vm, entry] : entries_)
+        count += entry.role == VmRole::Router && entry.state == VmState::Live;
+    return std::max(1U, count);
+}
+
 std::set<SiteName> VmDirectory::sites() const
 {
     std::set<SiteName> sites;
--- a/src/router/internal/wakes.cpp
+++ b/src/router/internal/wakes.cpp
@@ -91,8 +91,8 @@
         return context_.onPlaced(where, reply.placements, requests);
     }
     if (!reply.isFinal) {
-        if (reply.expectedAt)
-            context_.onExpected(*reply.expectedAt, requests);
+        if (reply.soonestAt)
+            context_.onExpected(reply, requests);
         return;
     }
     // The home itself is the trouble, not the target: the next router in the order takes over at once, and in the end
--- a/src/router/internal/wakes.h
+++ b/src/router/internal/wakes.h
@@ -34,8 +34,8 @@
             onPlaced;
         /// No replica to be had now.
         std::function<void(const framework::Error&, const std::set<RequestNumber>&)> onRefused;
-        /// The load is expected to end then; for requests that can't wait as long.
-        std::function<void(framework::Deadline, const std::set<RequestNumber>&)> onExpected;
+        /// The load won't end before `soonestAt`.
+        std::function<void(const WakeReply&, const std::set<RequestNumber>&)> onExpected;
     };
 
     explicit Wakes(const Context&);
--- a/src/router/types/wake.h
+++ b/src/router/types/wake.h
@@ -36,8 +36,10 @@
     std::vector<framework::VmName> placements;
     /// Set in a final reply without placements.
     std::optional<framework::Error> error;
-    /// Not final: when the load is expected to end.
-    std::optional<framework::Deadline> expectedAt;
+    /// Not final: the soonest that the load may end; who can't wait as long is refused.
+    std::optional<framework::Deadline> soonestAt;
+    /// Not final: when to come back for who is refused.
+    std::optional<framework::Milliseconds> retryAfter;
 };
 
 using WakeReplyHandler = std::function<void(const WakeReply&)>;
