Callers' HTTP API: requests checked, answers streamed, refusals in JSON

The callers' side is a module of its own, so that the router only sees CallerRequest, ICallerAnswer and IRequestDispatcher (moved here from router). cpprest has no limit on bodies, so a body is read piece by piece with a bound in bytes and time. An answer that isn't whole closes its buffer with an exception: a clean close would end the chunked body as if it were whole. Tests: a stream chunk by chunk, a service call, one refusal to the letter.

--- a/src/router/icaller.h
+++ b/src/callers/icaller.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 /// Between the callers' HTTP and the dispatch of requests.
-namespace lagoon::router {
+namespace lagoon::callers {
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
@@ -48,7 +48,7 @@
 class ICallerAnswer {
 public:
     virtual ~ICallerAnswer() = default;
-    /// Status, headers, and which attempt this is (from 1).
+    /// Status, headers, and which attempt this is (from 1; 0 is said to nobody).
     virtual void begin(unsigned short status, const HttpHeaders&, std::uint32_t attempt) = 0;
     virtual void write(std::string bytes) = 0;
     /// The answer is whole.
@@ -69,4 +69,4 @@
     virtual void accept(CallerRequest, std::shared_ptr<ICallerAnswer>) = 0;
 };
 
-} // namespace lagoon::router
+} // namespace lagoon::callers
--- /dev/null
+++ b/src/callers/internal/callersettings.cpp
@@ -0,0 +1,32 @@
+#include "callers/callersettings.h"
+
+namespace lagoon::callers {
+
+namespace {
+
+constexpr std::uint64_t mebibyte = 1024 * 1024;
+constexpr std::uint64_t mostRequests = 100000;
+constexpr std::uint64_t mostJsonDepth = 200;
+constexpr std::uint64_t dayInMilliseconds = 24 * 60 * 60 * 1000;
+
+} // namespace
+
+CallerLimits readCallerLimits(framework::CheckedObject& settings)
+{
+    CallerLimits limits;
+    if (!settings.has("limits"))
+        return limits;
+    framework::CheckedObject section = settings.object("limits");
+    limits.headerBytes = section.numberOr("header_bytes", limits.headerBytes, 256, mebibyte);
+    limits.bodyBytes = section.numberOr("body_bytes", limits.bodyBytes, 1, 256 * mebibyte);
+    limits.jsonDepth = section.numberOr("json_depth", limits.jsonDepth, 1, mostJsonDepth);
+    limits.waitingRequests = section.numberOr("waiting_requests", limits.waitingRequests, 1, mostRequests);
+    limits.requestsInProgress = section.numberOr("requests_in_progress", limits.requestsInProgress, 1, mostRequests);
+    limits.answerBacklogBytes
+        = section.numberOr("answer_backlog_bytes", limits.answerBacklogBytes, 1024, 256 * mebibyte);
+    limits.longestTimeout = framework::Milliseconds(
+        section.numberOr("longest_timeout_ms", limits.longestTimeout.count(), 1, dayInMilliseconds));
+    return limits;
+}
+
+} // namespace lagoon::callers
--- /dev/null
+++ b/src/callers/internal/occupancy.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "callers/internal/calleranswer.h"
+#include "callers/types/callerlimits.h"
+#include "framework/metrics.h"
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+
+/// Include in .cpp files only.
+namespace lagoon::callers {
+
+/// How many requests wait for their answer, and how many have an answer that hasn't left yet. Thread-safe.
+class Occupancy final : public IAnswerObserver {
+public:
+    Occupancy(const CallerLimits&, std::shared_ptr<framework::Metrics>);
+
+    /// Takes a request in; false if one of the limits is passed by it, and it has to be refused at once.
+    bool enter();
+    void waitingEnded() override;
+    void replyEnded() override;
+    void waitUntilEmpty();
+
+private:
+    void showLocked();
+
+    const std::size_t mostWaiting_;
+    const std::size_t mostInProgress_;
+    const std::shared_ptr<framework::Metrics> metrics_;
+    std::mutex mutex_;
+    std::condition_variable isEmpty_;
+    std::size_t waiting_ = 0;
+    std::size_t inProgress_ = 0;
+};
+
+} // namespace lagoon::callers
--- /dev/null
+++ b/src/callers/internal/refusal.cpp
@@ -0,0 +1,103 @@
+#include "callers/internal/refusal.h"
+
+#include <cpprest/json.h>
+#include <string>
+
+namespace lagoon::callers {
+
+using framework::Error;
+using framework::ErrorCode;
+using web::json::value;
+
+namespace {
+
+using Fields = std::vector<std::pair<std::string, value>>;
+
+std::string messageOf(const Error& error)
+{
+    return error.detail.empty() ? std::string(framework::errorCodeText(error.code)) : error.detail;
+}
+
+value retryAfterOf(const Error& error)
+{
+    return error.retryAfter ? value::number(static_cast<std::int64_t>(error.retryAfter->count())) : value::null();
+}
+
+value jsonOf(const Error& error, const framework::RequestName& request, std::uint32_t attempt)
+{
+    Fields fields;
+    fields.emplace_back("code", value::string(std::string(framework::errorCodeText(error.code))));
+    fields.emplace_back("message", value::string(messageOf(error)));
+    fields.emplace_back("execution", value::string(std::string(framework::executionText(error.execution))));
+    fields.emplace_back("step", value::string(error.step));
+    fields.emplace_back("peer", value::string(error.peer));
+    fields.emplace_back("request", value::string(request.value()));
+    fields.emplace_back("attempt", value::number(attempt));
+    fields.emplace_back("retry_after_ms", retryAfterOf(error));
+    return value::object({ { "error", value::object(std::move(fields), true) } }, true);
+}
+
+} // namespace
+
+unsigned short statusOf(ErrorCode code)
+{
+    switch (code) {
+    case ErrorCode::BadRequest:
+        return web::http::status_codes::BadRequest;
+    case ErrorCode::UnknownModel:
+    case ErrorCode::UnknownAdapter:
+    case ErrorCode::UnknownService:
+    case ErrorCode::NotFound:
+        return web::http::status_codes::NotFound;
+    case ErrorCode::DuplicateKey:
+        return web::http::status_codes::Conflict;
+    case ErrorCode::TooLarge:
+        return web::http::status_codes::RequestEntityTooLarge;
+    case ErrorCode::TooManyWaiting:
+        return 429;
+    case ErrorCode::LinkLost:
+    case ErrorCode::AgentRestarted:
+    case ErrorCode::UpstreamFailed:
+    case ErrorCode::UpstreamBroken:
+    case ErrorCode::StaleIncarnation:
+    case ErrorCode::StaleSession:
+    case ErrorCode::BelowFloor:
+    case ErrorCode::Fenced:
+        return web::http::status_codes::BadGateway;
+    case ErrorCode::DeadlinePassed:
+        return web::http::status_codes::GatewayTimeout;
+    case ErrorCode::DeadlineHopeless:
+    case ErrorCode::NoCapacity:
+    case ErrorCode::ReplicaCapReached:
+    case ErrorCode::MemoryShort:
+    case ErrorCode::NotLoaded:
+    case ErrorCode::LoadFailed:
+    case ErrorCode::RetryBudgetSpent:
+    case ErrorCode::ShuttingDown:
+    case ErrorCode::Draining:
+    case ErrorCode::NotReady:
+    case ErrorCode::PlatformUnavailable:
+    case ErrorCode::PlatformConflict:
+        return web::http::status_codes::ServiceUnavailable;
+    case ErrorCode::CallerGone:
+    case ErrorCode::BadFrame:
+    case ErrorCode::BadSettings:
+    case ErrorCode::BadBundle:
+    case ErrorCode::BadObject:
+    case ErrorCode::Internal:
+        break;
+    }
+    return web::http::status_codes::InternalError;
+}
+
+web::http::http_response refusalResponse(const Error& error, const framework::RequestName& request,
+    std::uint32_t attempt, std::optional<unsigned short> status)
+{
+    web::http::http_response response(status.value_or(statusOf(error.code)));
+    response.set_body(jsonOf(error, request, attempt));
+    if (error.retryAfter)
+        response.headers().add("Retry-After", std::chrono::ceil<std::chrono::seconds>(*error.retryAfter).count());
+    return response;
+}
+
+} // namespace lagoon::callers
--- /dev/null
+++ b/src/callers/internal/requestheaders.cpp
@@ -0,0 +1,125 @@
+#include "callers/internal/requestheaders.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+#include <charconv>
+#include <string_view>
+
+namespace lagoon::callers {
+
+using framework::Error;
+using framework::ErrorCode;
+using framework::Result;
+
+namespace {
+
+constexpr const char* timeoutHeader = "X-Lagoon-Timeout-Ms";
+constexpr const char* repeatableHeader = "X-Lagoon-Repeatable";
+constexpr const char* priorityHeader = "X-Lagoon-Priority";
+constexpr const char* idempotencyHeader = "Idempotency-Key";
+constexpr std::uint64_t highestPriority = 9;
+constexpr std::uint64_t mostMilliseconds = 1000ULL * 60 * 60 * 24 * 365;
+constexpr std::size_t longestIdempotencyKey = 255;
+
+/// Of one connection (RFC 9110, 7.6.1), or set anew by each hop.
+constexpr std::array<std::string_view, 11> connectionHeaders { "Connection", "Keep-Alive", "Proxy-Connection",
+    "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+    "Expect" };
+/// Set by the agent; a caller's own would pretend to be another request.
+constexpr std::array<std::string_view, 3> agentHeaders { "Host", "X-Request-Id", "X-Priority" };
+constexpr std::string_view ownPrefix = "X-Lagoon-";
+
+template <std::size_t size> bool contains(const std::array<std::string_view, size>& names, const std::string& name)
+{
+    return std::any_of(
+        names.begin(), names.end(), [&](std::string_view listed) { return boost::iequals(listed, name); });
+}
+
+Error badHeader(const std::string& name, const std::string& expected)
+{
+    return { ErrorCode::BadRequest, "check headers", "", name + ": expected " + expected };
+}
+
+/// `unset` if the header isn't there.
+Result<std::optional<std::uint64_t>> readNumber(
+    const web::http::http_headers& headers, const std::string& name, std::uint64_t least, std::uint64_t most)
+{
+    const auto found = headers.find(name);
+    if (found == headers.end())
+        return std::optional<std::uint64_t>();
+    const std::string& text = found->second;
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size() || number < least || number > most)
+        return badHeader(name, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return std::optional<std::uint64_t>(number);
+}
+
+Result<std::optional<bool>> readFlag(const web::http::http_headers& headers, const std::string& name)
+{
+    const auto found = headers.find(name);
+    if (found == headers.end())
+        return std::optional<bool>();
+    if (found->second != "true" && found->second != "false")
+        return badHeader(name, "true or false");
+    return std::optional<bool>(found->second == "true");
+}
+
+Result<std::optional<std::string>> readIdempotencyKey(const web::http::http_headers& headers)
+{
+    const auto found = headers.find(idempotencyHeader);
+    if (found == headers.end())
+        return std::optional<std::string>();
+    const std::string& key = found->second;
+    const bool isPrintable
+        = std::all_of(key.begin(), key.end(), [](char character) { return character >= ' ' && character <= '~'; });
+    if (key.empty() || key.size() > longestIdempotencyKey || !isPrintable)
+        return badHeader(
+            idempotencyHeader, "1 to " + std::to_string(longestIdempotencyKey) + " printable ASCII characters");
+    return std::optional<std::string>(key);
+}
+
+} // namespace
+
+Result<CallerStatements> readCallerStatements(const web::http::http_headers& headers)
+{
+    CallerStatements statements;
+    BOOST_OUTCOME_TRY(timeout, readNumber(headers, timeoutHeader, 1, mostMilliseconds));
+    BOOST_OUTCOME_TRY(priority, readNumber(headers, priorityHeader, 0, highestPriority));
+    BOOST_OUTCOME_TRY(isRepeatable, readFlag(headers, repeatableHeader));
+    BOOST_OUTCOME_TRY(idempotencyKey, readIdempotencyKey(headers));
+    if (timeout)
+        statements.timeout = framework::Milliseconds(*timeout);
+    if (priority)
+        statements.priority = static_cast<std::uint8_t>(*priority);
+    statements.isRepeatable = isRepeatable;
+    statements.idempotencyKey = std::move(idempotencyKey);
+    return statements;
+}
+
+bool isEndToEndHeader(const std::string& name)
+{
+    return !contains(connectionHeaders, name) && !boost::istarts_with(name, ownPrefix);
+}
+
+HttpHeaders upstreamHeaders(const web::http::http_headers& headers)
+{
+    HttpHeaders passed;
+    for (const auto& [name, value] : headers) {
+        if (!isEndToEndHeader(name) || contains(agentHeaders, name))
+            continue;
+        passed.emplace_back(name, value);
+    }
+    return passed;
+}
+
+std::size_t headerBytes(const web::http::http_headers& headers)
+{
+    std::size_t bytes = 0;
+    for (const auto& [name, value] : headers)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
+} // namespace lagoon::callers
--- /dev/null
+++ b/src/callers/tests/callerfixture.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "callers/callerserver.h"
+#include "fakedispatcher.h"
+#include "rawcaller.h"
+
+#include <string>
+
+namespace lagoon::callers::testing {
+
+/// A bundle with model `m` (adapter `a`) and service `s`.
+inline bundle::BundlePointer smallBundle()
+{
+    auto bundle = std::make_shared<bundle::Bundle>();
+    bundle->version = framework::BundleVersion(7);
+    bundle::Model model;
+    model.name = framework::ModelName("m");
+    model.defaults.priority = 6;
+    model.defaults.isRepeatable = true;
+    bundle->models[model.name] = model;
+    bundle::Adapter adapter;
+    adapter.name = framework::AdapterName("a");
+    adapter.model = model.name;
+    bundle->adapters[model.name][adapter.name] = adapter;
+    bundle::Service service;
+    service.name = framework::ServiceName("s");
+    bundle->services[service.name] = service;
+    return bundle;
+}
+
+inline std::string requestText(const std::string& line, const std::string& body = "", const std::string& headers = "")
+{
+    return line + " HTTP/1.1\r\nHost: x\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+inline std::string completionText(const std::string& body, const std::string& headers = "")
+{
+    return requestText("POST /v1/completions", body, headers);
+}
+
+/// A server on loopback before a fake dispatcher.
+struct CallerFixture {
+    explicit CallerFixture(CallerLimits limits = {})
+        : server(
+            limits, dispatcher, [this] { return bundle; }, framework::Incarnation(9), metrics)
+    {
+        endpoint = server.start(framework::Endpoint("127.0.0.1:0")).value();
+    }
+
+    /// One request over a connection of its own, answered before it is taken by the dispatcher.
+    std::string exchange(const std::string& text) const
+    {
+        RawCaller caller(endpoint);
+        caller.send(text);
+        caller.readUntil("}}");
+        return caller.received();
+    }
+
+    /// A counter's value, as `/metrics` shows it; 0 if it isn't there.
+    double counted(const std::string& series) const
+    {
+        const std::string text = "\n" + metrics->text();
+        const std::size_t at = text.find("\n" + series + " ");
+        return at == std::string::npos ? 0 : std::stod(text.substr(at + series.size() + 2));
+    }
+
+    std::shared_ptr<framework::Metrics> metrics = std::make_shared<framework::Metrics>();
+    bundle::BundlePointer bundle = smallBundle();
+    FakeDispatcher dispatcher;
+    CallerServer server;
+    framework::Endpoint endpoint;
+};
+
+} // namespace lagoon::callers::testing
--- /dev/null
+++ b/src/callers/tests/fakedispatcher.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "callers/icaller.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+namespace lagoon::callers::testing {
+
+/// A request as the server handed it over, with its answer.
+struct Accepted {
+    CallerRequest request;
+    std::shared_ptr<ICallerAnswer> answer;
+};
+
+/// Keeps what it is given until a test takes it.
+class FakeDispatcher final : public IRequestDispatcher {
+public:
+    void accept(CallerRequest request, std::shared_ptr<ICallerAnswer> answer) override
+    {
+        const std::lock_guard lock(mutex_);
+        accepted_.push_back({ std::move(request), std::move(answer) });
+        ++count_;
+        hasSome_.notify_all();
+    }
+
+    /// Waits for the next one.
+    Accepted take()
+    {
+        std::unique_lock lock(mutex_);
+        hasSome_.wait(lock, [this] { return !accepted_.empty(); });
+        Accepted first = std::move(accepted_.front());
+        accepted_.pop_front();
+        return first;
+    }
+
+    std::size_t count() const
+    {
+        const std::lock_guard lock(mutex_);
+        return count_;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::condition_variable hasSome_;
+    std::deque<Accepted> accepted_;
+    std::size_t count_ = 0;
+};
+
+} // namespace lagoon::callers::testing
