--- /dev/null
+++ b/tests/standins/tests/enginestandin_test.cpp
@@ -0,0 +1,189 @@
+#include "support/httpcall.h"
+#include "support/programs.h"
+#include "support/record.h"
+#include "support/waitfor.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon::testsupport;
+using web::json::value;
+
+namespace {
+
+struct EngineFixture {
+    int order(const std::string& what, const std::string& model, std::uint64_t memoryMib = 10, std::uint64_t fence = 1,
+        const std::string& adapter = "")
+    {
+        value body;
+        body["order"] = value::string(what);
+        body["model"] = value::string(model);
+        body["adapter"] = value::string(adapter);
+        body["version"] = value::string("v1");
+        body["memory_mib"] = value::number(memoryMib);
+        body["fence"] = value::number(fence);
+        return call({ .method = "POST", .url = urlOf(endpoint, "/v1/orders"), .body = body.serialize() }).status;
+    }
+    std::string stateOf(const std::string& model)
+    {
+        const value state = getJson(endpoint, "/v1/state");
+        for (const value& replica : state.at("replicas").as_array()) {
+            if (replica.at("model").as_string() == model)
+                return replica.at("state").as_string();
+        }
+        return "";
+    }
+    void load(const std::string& model)
+    {
+        BOOST_REQUIRE(order("load", model) == 202);
+        waitFor(model + " is loaded", [&] { return stateOf(model) == "loaded"; });
+    }
+    HttpCall completion(const std::string& model, const std::string& prompt, bool isStream)
+    {
+        value body;
+        body["model"] = value::string(model);
+        body["prompt"] = value::string(prompt);
+        body["stream"] = value::boolean(isStream);
+        return { .method = "POST",
+            .url = urlOf(endpoint, "/v1/completions"),
+            .body = body.serialize(),
+            .headers = { { "X-Request-Id", "r-1" } } };
+    }
+    std::string executionState()
+    {
+        const auto executions = executionsAt({ endpoint });
+        return executions.empty() ? "none" : executions.back().state;
+    }
+
+    TemporaryFolder folder;
+    std::unique_ptr<ChildProcess> process
+        = startProgram(Program::EngineStandin, "engine", { "--memory-mib", "25", "--load-ms", "20" }, folder);
+    std::string endpoint = process->readyText("http");
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EngineStandin, EngineFixture)
+
+BOOST_AUTO_TEST_CASE(answersEchoTheirOwnPrompt)
+{
+    BOOST_TEST(call(completion("m", "x", false)).status == 404);
+    load("m");
+    const HttpAnswer whole = call(completion("m", "alpha beta", false));
+    BOOST_TEST(whole.json().at("choices").at(0).at("text").as_string() == "alpha beta");
+    const HttpAnswer stream = call(completion("m", "gamma delta", true));
+    BOOST_TEST(stream.headers.at("content-type") == "text/event-stream");
+    BOOST_TEST(stream.body.find("\"text\":\"gamma\"") != std::string::npos);
+    BOOST_TEST(stream.body.find("\"text\":\" delta\"") != std::string::npos);
+    BOOST_TEST(stream.body.ends_with("data: [DONE]\n\n"));
+    BOOST_TEST(executionsOf({ endpoint }, "gamma delta") == 1);
+    BOOST_TEST(executionsAt({ endpoint }).front().requestId == "r-1");
+}
+
+BOOST_AUTO_TEST_CASE(countsOvercommitAsAViolation)
+{
+    load("m");
+    load("n");
+    BOOST_TEST(violationsAt({ endpoint }).empty());
+    BOOST_TEST(order("load", "o") == 507);
+    BOOST_TEST(violationsAt({ endpoint }).size() == 1);
+    BOOST_TEST(order("unload", "m") == 202);
+    waitFor("m is unloaded", [&] { return stateOf("m").empty(); });
+    load("o");
+    BOOST_TEST(violationsAt({ endpoint }).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(repeatedOrdersAreHarmless)
+{
+    load("m");
+    BOOST_TEST(order("load", "m") == 202);
+    BOOST_TEST(loadsOf({ endpoint }, "m") == 1);
+    BOOST_TEST(order("unload", "x") == 409);
+    BOOST_TEST(order("load", "y", 1, 1, "adapter") == 409);
+    BOOST_TEST(order("load", "m", 1, 1, "adapter") == 202);
+    BOOST_TEST(order("unload", "m") == 409);
+}
+
+BOOST_AUTO_TEST_CASE(checksFencingNumbersOrIgnoresThem)
+{
+    BOOST_TEST(order("load", "m", 10, 5) == 202);
+    waitFor("m is loaded", [&] { return stateOf("m") == "loaded"; });
+    BOOST_TEST(order("unload", "m", 10, 4) == 409);
+    BOOST_TEST(stateOf("m") == "loaded");
+    setFaults(endpoint, R"({"checks_fencing": false})");
+    BOOST_TEST(order("unload", "m", 10, 4) == 202);
+}
+
+BOOST_AUTO_TEST_CASE(loadsMayFailOrTakeTheProcessWithThem)
+{
+    setFaults(endpoint, R"({"loads": {"do": "fail", "count": 1}})");
+    BOOST_TEST(order("load", "m") == 202);
+    waitFor("the load has failed", [&] { return stateOf("m").empty(); });
+    load("m");
+    setFaults(endpoint, R"({"loads": {"do": "die", "count": 1}})");
+    BOOST_TEST(order("load", "n") == 202);
+    BOOST_TEST(process->waitForExit() == 9);
+}
+
+// An order to load lies unread in the engine's receive buffer while its sender dies. Nobody has an answer, the state
+// shows nothing, and then the load begins.
+BOOST_AUTO_TEST_CASE(aLoadMayBeginLate)
+{
+    setFaults(endpoint, R"({"late_loads": {"count": 1, "delay_ms": 300}})");
+    PendingCall late({ .method = "POST",
+        .url = urlOf(endpoint, "/v1/orders"),
+        .body = R"({"order":"load","model":"m","adapter":"","version":"v1","memory_mib":10,"fence":1})" });
+    BOOST_TEST(order("unload", "m") == 409);
+    late.hangUp();
+    waitFor("it is loaded all the same", [&] { return stateOf("m") == "loaded"; });
+}
+
+BOOST_AUTO_TEST_CASE(ignoresAnUnload)
+{
+    load("m");
+    setFaults(endpoint, R"({"ignored_unloads": 1})");
+    BOOST_TEST(order("unload", "m") == 202);
+    BOOST_TEST(stateOf("m") == "loaded");
+}
+
+// The engine has done the work and dies, or its connection does, before the answer.
+BOOST_AUTO_TEST_CASE(closesAfterItExecuted)
+{
+    load("m");
+    setFaults(endpoint, R"({"calls": {"at": "after", "do": "close", "count": 1}})");
+    const HttpAnswer answer = call(completion("m", "once", false));
+    BOOST_TEST(!answer.isWhole());
+    BOOST_TEST(answer.status == 0);
+    BOOST_TEST(executionsOf({ endpoint }, "once") == 1);
+    BOOST_TEST(executionState() == "done");
+}
+
+BOOST_AUTO_TEST_CASE(hangsBeforeDuringAndAfterTheWork)
+{
+    load("m");
+    setFaults(endpoint, R"({"calls": {"at": "before", "do": "hang"}})");
+    PendingCall before(completion("m", "before it", true));
+    waitFor("it has come", [&] { return getJson(endpoint, "/v1/state").at("running").as_integer() == 1; });
+    BOOST_TEST(executionsOf({ endpoint }, "before it") == 0);
+    setFaults(endpoint, R"({"calls": {"at": "during", "do": "hang"}})");
+    BOOST_TEST(!before.answer().isWhole());
+    PendingCall during(completion("m", "during it", true));
+    waitFor("a part has come", [&] { return during.bodySoFar().find("during") != std::string::npos; });
+    BOOST_TEST(executionState() == "running");
+    setFaults(endpoint, R"({"calls": {"at": "after", "do": "hang"}})");
+    BOOST_TEST(!during.answer().isWhole());
+    PendingCall after(completion("m", "after it", true));
+    waitFor("it is done", [&] { return executionState() == "done"; });
+    BOOST_TEST(!after.isOver());
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatHangsUpCancelsTheWork)
+{
+    load("m");
+    setFaults(endpoint, R"({"slow_token_ms": 600000})");
+    PendingCall pending(completion("m", "never", true));
+    waitFor("it runs", [&] { return executionState() == "running"; });
+    pending.hangUp();
+    waitFor("it is cancelled", [&] { return executionState() == "cancelled"; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -51,8 +51,8 @@
 } // namespace
 
 Deployment::Deployment(const std::vector<std::string>& weightWords)
-    : platform_(start("platform", STANDIN_PLATFORM_PROGRAM, {}))
-    , weights_(start("weights", STANDIN_WEIGHTS_PROGRAM, weightWords))
+    : platform_(start("platform", Program::PlatformStandin, {}))
+    , weights_(start("weights", Program::WeightStandin, weightWords))
 {
 }
 
@@ -69,11 +69,9 @@
 }
 
 std::unique_ptr<ChildProcess> Deployment::start(
-    const std::string& name, const std::string& program, const std::vector<std::string>& words)
+    const std::string& name, Program program, const std::vector<std::string>& words)
 {
-    auto process = std::make_unique<ChildProcess>(name + "." + std::to_string(++started_), program, words, folder_);
-    process->waitUntilReady();
-    return process;
+    return startProgram(program, name + "." + std::to_string(++started_), words, folder_);
 }
 
 std::unique_ptr<ChildProcess> Deployment::startProxy(const std::string& name, const std::string& to, bool hasFrames)
@@ -81,7 +79,7 @@
     std::vector<std::string> words { "--to", to };
     if (hasFrames)
         words.push_back("--frames");
-    return start(name, FAULT_PROXY_PROGRAM, words);
+    return start(name, Program::FaultProxy, words);
 }
 
 std::unique_ptr<ChildProcess> Deployment::startWithSettings(const std::string& command, const value& settings)
@@ -89,7 +87,7 @@
     const std::string name = settings.at("vm").as_string() + "-" + command;
     const std::string file = folder_.file(name + ".json");
     writeFile(file, settings.serialize());
-    return start(name, LAGOONROUTER_PROGRAM, { command, "--settings", file });
+    return start(name, Program::Lagoonrouter, { command, "--settings", file });
 }
 
 value Deployment::commonSettings(const std::string& role, const std::string& vm, const Place& place) const
@@ -141,7 +139,7 @@
         words.insert(words.end(), { "--weights", urlOf(weights(), "") });
         words.insert(words.end(), { "--checks-fencing", options.checksFencing ? "1" : "0" });
     }
-    upstream.standin = start(vm + "-upstream", isEngine ? STANDIN_ENGINE_PROGRAM : STANDIN_SERVICE_PROGRAM, words);
+    upstream.standin = start(vm + "-upstream", isEngine ? Program::EngineStandin : Program::ServiceStandin, words);
     if (options.hasUpstreamProxy)
         upstream.upstreamProxy = startProxy(vm + "-upstreamproxy", upstream.upstream(), false);
     upstream.agent = startAgent(vm, upstream);
@@ -229,7 +227,7 @@
 
 int Deployment::runCommand(const std::vector<std::string>& words, std::string* output)
 {
-    ChildProcess process("command." + std::to_string(++started_), LAGOONROUTER_PROGRAM, words, folder_);
+    ChildProcess process("command." + std::to_string(++started_), pathOf(Program::Lagoonrouter), words, folder_);
     const int exitCode = process.waitForExit();
     if (output)
         *output = process.output() + process.log();
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -2,6 +2,7 @@
 
 #include "support/childprocess.h"
 #include "support/httpcall.h"
+#include "support/programs.h"
 #include "support/record.h"
 #include "support/waitfor.h"
 
@@ -103,8 +104,7 @@
     int runCommand(const std::vector<std::string>& words, std::string* output = nullptr);
 
 private:
-    std::unique_ptr<ChildProcess> start(
-        const std::string& name, const std::string& program, const std::vector<std::string>& words);
+    std::unique_ptr<ChildProcess> start(const std::string& name, Program, const std::vector<std::string>& words);
     std::unique_ptr<ChildProcess> startProxy(const std::string& name, const std::string& to, bool hasFrames);
     std::unique_ptr<ChildProcess> startAgent(const std::string& vm, const UpstreamVm&);
     std::unique_ptr<ChildProcess> startRouter(const std::string& vm, const RouterVm&);
--- /dev/null
+++ b/tests/support/programs.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "support/childprocess.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoon::testsupport {
+
+/// The programs that the build made.
+enum class Program : std::uint8_t {
+    Lagoonrouter,
+    PlatformStandin,
+    EngineStandin,
+    ServiceStandin,
+    WeightStandin,
+    FaultProxy
+};
+
+std::string pathOf(Program);
+/// Starts it and waits for its ready line. `name` is unique in the folder.
+std::unique_ptr<ChildProcess> startProgram(
+    Program, const std::string& name, const std::vector<std::string>& words, const TemporaryFolder&);
+
+} // namespace lagoon::testsupport
