Router: unit tests of sessions, dispatch and settings, with a manual clock and fake links

Each failure is brought about at the frame level: silent link, fence, attach, restarted agent, forgotten session, refused connection, crossed and changed answers, spent retry budget, deadline while waiting and while sent.

--- a/src/router/internal/linkserver.cpp
+++ b/src/router/internal/linkserver.cpp
@@ -25,8 +25,9 @@
     }
     // 0 means unknown on the wire.
     if (reply.soonestAt)
-            result.expected_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, reply.soonestAt->remaining(now).count()));
-        result.retry_after_ms = static_cast<std::uint32_t>(reply.retryAfter.value_or(Milliseconds(0)).count());
+        result.expected_ms
+            = static_cast<std::uint32_t>(std::max<std::int64_t>(1, reply.soonestAt->remaining(now).count()));
+    result.retry_after_ms = static_cast<std::uint32_t>(reply.retryAfter.value_or(Milliseconds(0)).count());
     if (reply.error) {
         result.code = static_cast<std::uint8_t>(reply.error->code);
         result.step = reply.error->step;
--- a/src/router/internal/peerlinks.cpp
+++ b/src/router/internal/peerlinks.cpp
@@ -24,8 +24,8 @@
     }
     if (result.expected_ms > 0)
         reply.soonestAt = Deadline::after(now, Milliseconds(result.expected_ms));
-        if (result.retry_after_ms > 0)
-            reply.retryAfter = Milliseconds(result.retry_after_ms);
+    if (result.retry_after_ms > 0)
+        reply.retryAfter = Milliseconds(result.retry_after_ms);
     if (result.is_final && reply.placements.empty()) {
         reply.error = Error { static_cast<ErrorCode>(result.code), result.step, result.peer, result.detail };
         if (result.retry_after_ms > 0)
@@ -54,8 +54,7 @@
 {
     Peer* peer = connected(home);
     if (!peer) {
-        handler(WakeReply {
-            true, {}, Error { ErrorCode::LinkLost, "wake", home.value(), "not in the list" }, std::nullopt });
+        handler(homeLost(home, "not in the list"));
         return;
     }
     const auto now = context_.clock.now();
--- /dev/null
+++ b/src/router/tests/agentsession_test.cpp
@@ -0,0 +1,173 @@
+#include "router/tests/fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace lagoon::router;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::Milliseconds;
+using wire::fb::Body;
+
+namespace {
+
+constexpr Milliseconds longTimeout { 60000 };
+
+/// One dispatch to `draft-1`, with its outcome.
+class SessionFixture : public RouterFixture {
+public:
+    SessionFixture() { dispatch(); }
+
+    void dispatch()
+    {
+        wire::fb::DispatchT order;
+        order.target = std::make_unique<wire::fb::TargetT>();
+        order.target->service = "holds";
+        order.body = { 'x' };
+        stream_ = std::make_shared<AnswerStream>(answer_, 1);
+        session()->dispatch(std::move(order), framework::Deadline::after(control_.now(), longTimeout), stream_,
+            [this](const DispatchOutcome& outcome) { outcomes_.push_back(outcome); });
+        settle();
+    }
+
+    std::shared_ptr<AgentSession> session() { return sessions_.session(framework::VmName("draft-1")); }
+
+    wire::fb::DispatchIdT sentId(wire::FakeLink& link) { return *link.takeSent(Body::Dispatch).body.AsDispatch()->id; }
+
+    /// Lets the link fall silent until the session gives it up, and greets on the next one.
+    std::shared_ptr<wire::FakeLink> silence(std::uint64_t incarnation = 1, std::uint64_t session = 7)
+    {
+        const std::size_t before = transport_.connections();
+        for (int step = 0; step < 50 && transport_.connections() == before; ++step)
+            control_.advance(Milliseconds(100));
+        BOOST_REQUIRE(transport_.connections() == before + 1);
+        return greet("draft-1", incarnation, session);
+    }
+
+    std::shared_ptr<FakeAnswer> answer_ = std::make_shared<FakeAnswer>();
+    std::shared_ptr<AnswerStream> stream_;
+    std::vector<DispatchOutcome> outcomes_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AgentSessions, SessionFixture)
+
+BOOST_AUTO_TEST_CASE(anAnswerIsPassedOnAndSettled)
+{
+    const auto link = greet("draft-1");
+    answer(*link, sentId(*link), "done");
+    BOOST_REQUIRE(outcomes_.size() == 1u);
+    BOOST_TEST(outcomes_[0].has_value());
+    BOOST_TEST(answer_->body_ == "done");
+    BOOST_TEST(link->takeSent(Body::Settle).body.AsSettle()->floor == 2u);
+}
+
+// The link to an agent goes silent for good after a slot hold was sent; the frame never arrived. The router opens
+// another link and asks; the agent fences the id. Only then the caller may be told "not run", and nothing is sent
+// twice.
+BOOST_AUTO_TEST_CASE(onlyTheAgentsWordMakesItNotRun)
+{
+    const auto silent = greet("draft-1");
+    const auto id = sentId(*silent);
+    const auto fresh = silence();
+    BOOST_TEST(outcomes_.empty());
+    BOOST_TEST(silent->isClosed());
+    BOOST_CHECK_THROW(fresh->takeSent(Body::Dispatch), std::runtime_error);
+    BOOST_TEST(fresh->takeSent(Body::Resolve).body.AsResolve()->id->sequence == id.sequence);
+    refuse(*fresh, id, ErrorCode::Fenced, Execution::NotRun);
+    BOOST_REQUIRE(outcomes_.size() == 1u);
+    BOOST_CHECK(outcomes_[0].error().execution == Execution::NotRun);
+}
+
+// As before, but the agent had run it: the answer comes over the new link, from the byte where the old one ended.
+BOOST_AUTO_TEST_CASE(aRunningRequestIsAttachedToTheNewLink)
+{
+    const auto silent = greet("draft-1");
+    const auto id = sentId(*silent);
+    const auto fresh = silence();
+    BOOST_TEST(fresh->takeSent(Body::Resolve).body.AsResolve()->received_bytes == 0u);
+    answer(*fresh, id, "held");
+    BOOST_REQUIRE(outcomes_.size() == 1u);
+    BOOST_TEST(outcomes_[0].has_value());
+    BOOST_TEST(answer_->body_ == "held");
+}
+
+// The agent is killed after a slot hold was sent and a new one is started on the VM. The new one's ledger is empty, so
+// nobody can know whether the hold was made: the outcome must be "unknown", never "not run".
+BOOST_AUTO_TEST_CASE(aRestartedAgentLeavesItUnknown)
+{
+    const auto old = greet("draft-1", 1);
+    sentId(*old);
+    old->cut();
+    settle();
+    control_.advance(Milliseconds(100));
+    greet("draft-1", 2);
+    BOOST_REQUIRE(outcomes_.size() == 1u);
+    BOOST_CHECK(outcomes_[0].error().code == ErrorCode::AgentRestarted);
+    BOOST_CHECK(outcomes_[0].error().execution == Execution::Unknown);
+}
+
+// The agent answers, but it has dropped the session meanwhile, and with it the ledger of what it ran.
+BOOST_AUTO_TEST_CASE(aForgottenSessionLeavesItUnknown)
+{
+    const auto silent = greet("draft-1", 1, 7);
+    sentId(*silent);
+    silence(1, 8);
+    BOOST_REQUIRE(outcomes_.size() == 1u);
+    BOOST_CHECK(outcomes_[0].error().execution == Execution::Unknown);
+}
+
+// Nothing listens at the agent's endpoint: nothing left this process, so it is "not run" at once.
+BOOST_AUTO_TEST_CASE(aRefusedConnectionIsNotRun)
+{
+    link("draft-1")->cut("connect");
+    settle();
+    BOOST_REQUIRE(outcomes_.size() == 1u);
+    BOOST_CHECK(outcomes_[0].error().execution == Execution::NotRun);
+}
+
+// An answer's bytes were changed or lost on the way: the agent's checksum shows it, and the caller must not take the
+// answer for whole.
+BOOST_AUTO_TEST_CASE(aWrongChecksumIsNotWhole)
+{
+    const auto link = greet("draft-1");
+    const auto id = sentId(*link);
+    wire::fb::AnswerHeadT head;
+    head.id = std::make_unique<wire::fb::DispatchIdT>(id);
+    link->deliver(wire::message(std::move(head)));
+    wire::fb::AnswerEndT end;
+    end.id = std::make_unique<wire::fb::DispatchIdT>(id);
+    end.length = 3;
+    link->deliver(wire::message(std::move(end)));
+    settle();
+    BOOST_REQUIRE(outcomes_.size() == 1u);
+    BOOST_CHECK(outcomes_[0].error().execution == Execution::Unknown);
+}
+
+// Two callers' answers cross on one link: an answer with another router's or another request's id must not reach ours.
+BOOST_AUTO_TEST_CASE(anAnswerOfAnotherRequestIsNotTaken)
+{
+    const auto link = greet("draft-1");
+    wire::fb::DispatchIdT other = sentId(*link);
+    other.router_incarnation += 1;
+    answer(*link, other, "someone else's");
+    other = wire::fb::DispatchIdT(other);
+    other.router_incarnation -= 1;
+    other.sequence += 5;
+    answer(*link, other, "someone else's");
+    BOOST_TEST(answer_->body_.empty());
+    BOOST_TEST(outcomes_.empty());
+}
+
+// The platform says that the VM is gone while a hold is in flight: nobody is left to ask.
+BOOST_AUTO_TEST_CASE(aGoneVmLeavesSentWorkUnknown)
+{
+    const auto link = greet("draft-1");
+    sentId(*link);
+    session()->setGone();
+    BOOST_REQUIRE(outcomes_.size() == 1u);
+    BOOST_CHECK(outcomes_[0].error().execution == Execution::Unknown);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/router/tests/answerstream_test.cpp
@@ -0,0 +1,63 @@
+#include "policy/rendezvous.h"
+#include "router/internal/answerstream.h"
+#include "router/tests/fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace lagoon::router;
+
+namespace {
+
+std::vector<std::uint8_t> bytes(const std::string& text) { return { text.begin(), text.end() }; }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AnswerStreams)
+
+// A link is replaced in mid-answer and the agent sends again what had already come. The caller must see each byte once.
+BOOST_AUTO_TEST_CASE(bytesSentAgainReachTheCallerOnce)
+{
+    auto answer = std::make_shared<FakeAnswer>();
+    AnswerStream stream(answer, 1);
+    stream.head(200, {}, {});
+    BOOST_TEST(stream.chunk(0, bytes("hello ")));
+    BOOST_TEST(stream.chunk(3, bytes("lo world")));
+    BOOST_TEST(stream.chunk(0, bytes("hel")));
+    BOOST_TEST(answer->body_ == "hello world");
+    BOOST_TEST(stream.isWhole(11, policy::fnv1a("hello world", 11)));
+}
+
+// A chunk is lost on the way. What follows it must not be glued to what came before.
+BOOST_AUTO_TEST_CASE(aGapIsNeverClosedUp)
+{
+    auto answer = std::make_shared<FakeAnswer>();
+    AnswerStream stream(answer, 1);
+    stream.head(200, {}, {});
+    BOOST_TEST(stream.chunk(0, bytes("hello ")));
+    BOOST_TEST(!stream.chunk(8, bytes("rld")));
+    BOOST_TEST(answer->body_ == "hello ");
+    BOOST_TEST(!stream.isWhole(11, policy::fnv1a("hello world", 11)));
+}
+
+BOOST_AUTO_TEST_CASE(aChangedByteIsNotWhole)
+{
+    AnswerStream stream(std::make_shared<FakeAnswer>(), 1);
+    stream.head(200, {}, {});
+    BOOST_TEST(stream.chunk(0, bytes("hallo")));
+    BOOST_TEST(!stream.isWhole(5, policy::fnv1a("hello", 5)));
+}
+
+// A first attempt was given up and a second began; the first one's answer comes late. The caller must not see it.
+BOOST_AUTO_TEST_CASE(aDetachedAttemptReachesNobody)
+{
+    auto answer = std::make_shared<FakeAnswer>();
+    AnswerStream stream(answer, 1);
+    BOOST_TEST(!stream.detach());
+    stream.head(200, {}, {});
+    BOOST_TEST(stream.chunk(0, bytes("late")));
+    BOOST_TEST(answer->body_.empty());
+    BOOST_TEST(answer->attempt_ == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/router/tests/dispatcher_test.cpp
@@ -0,0 +1,258 @@
+#include "router/tests/fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace lagoon::router;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::Milliseconds;
+using wire::fb::Body;
+
+namespace {
+
+constexpr Milliseconds longTimeout { 60000 };
+
+class DispatchFixture : public RouterFixture {
+public:
+    /// The agents that were asked to bid answer: the first can load, or none can.
+    void bid(const std::string& vm, bool canLoad, bool isLoaded = false)
+    {
+        const auto to = link(vm);
+        wire::fb::BidT bid;
+        bid.correlation = to->takeSent(Body::BidRequest).body.AsBidRequest()->correlation;
+        bid.can_load = canLoad;
+        bid.is_loaded = isLoaded;
+        bid.refusal = static_cast<std::uint8_t>(ErrorCode::MemoryShort);
+        to->deliver(wire::message(bid));
+        settle();
+    }
+
+    void bidBoth(bool canLoad)
+    {
+        greet("draft-1");
+        greet("draft-2");
+        bid("draft-1", canLoad);
+        bid("draft-2", canLoad);
+    }
+
+    /// The agent that was told to load, and its order.
+    std::string loader()
+    {
+        for (const std::string vm : { "draft-1", "draft-2" }) {
+            for (const wire::Message& sent : link(vm)->takeSent()) {
+                if (sent.body.type != Body::Load)
+                    continue;
+                correlation_ = sent.body.AsLoad()->correlation;
+                ++loads_;
+                return vm;
+            }
+        }
+        return "";
+    }
+
+    void endLoad(const std::string& vm, bool isLoaded, ErrorCode code = ErrorCode::LoadFailed)
+    {
+        wire::fb::LoadResultT result;
+        result.correlation = correlation_;
+        result.is_loaded = isLoaded;
+        result.code = static_cast<std::uint8_t>(code);
+        link(vm)->deliver(wire::message(std::move(result)));
+        settle();
+    }
+
+    wire::fb::DispatchIdT sentId(const std::string& vm)
+    {
+        return *link(vm)->takeSent(Body::Dispatch).body.AsDispatch()->id;
+    }
+
+    /// The agent that the request went to first, and its dispatch.
+    std::pair<std::string, wire::fb::DispatchIdT> firstDispatch()
+    {
+        for (const std::string vm : { "draft-1", "draft-2" }) {
+            if (!link(vm))
+                continue;
+            greet(vm);
+            return { vm, sentId(vm) };
+        }
+        throw std::runtime_error("nothing was dispatched");
+    }
+
+    static std::string other(const std::string& vm) { return vm == "draft-1" ? "draft-2" : "draft-1"; }
+
+    std::uint64_t correlation_ = 0;
+    int loads_ = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Dispatchers, DispatchFixture)
+
+BOOST_AUTO_TEST_CASE(aColdModelIsLoadedOnceForAllWhoWait)
+{
+    std::vector<std::shared_ptr<FakeAnswer>> answers;
+    for (int caller = 0; caller < 3; ++caller)
+        answers.push_back(ask(notes(), longTimeout, false));
+    bidBoth(true);
+    const std::string vm = loader();
+    BOOST_REQUIRE(!vm.empty());
+    BOOST_TEST(loader() == "");
+    endLoad(vm, true);
+    for (int caller = 0; caller < 3; ++caller)
+        answer(*link(vm), sentId(vm), "note");
+    for (const auto& each : answers) {
+        BOOST_TEST(each->isWhole_);
+        BOOST_TEST(each->finals_ == 1);
+    }
+    BOOST_TEST(dispatcher_.requests() == 0u);
+}
+
+// No upstream can make room. The caller must hear so at once, as not run and with a time to come back, not at its
+// deadline.
+BOOST_AUTO_TEST_CASE(withoutRoomTheRefusalComesAtOnce)
+{
+    const auto caller = ask(notes(), longTimeout, false);
+    bidBoth(false);
+    BOOST_REQUIRE(caller->refused_);
+    BOOST_CHECK(caller->refused_->code == ErrorCode::MemoryShort);
+    BOOST_CHECK(caller->refused_->execution == Execution::NotRun);
+    BOOST_TEST(caller->refused_->retryAfter.has_value());
+}
+
+// A load fails at the first upstream: the second is tried before anyone is refused.
+BOOST_AUTO_TEST_CASE(aFailedLoadIsTriedElsewhere)
+{
+    const auto caller = ask(notes(), longTimeout, false);
+    bidBoth(true);
+    const std::string first = loader();
+    endLoad(first, false);
+    const std::string second = loader();
+    BOOST_TEST(second == other(first));
+    endLoad(second, true);
+    answer(*link(second), sentId(second), "note");
+    BOOST_TEST(caller->isWhole_);
+}
+
+// The weight store crawls and the load doesn't end. The waiting request is refused as not run before its deadline.
+BOOST_AUTO_TEST_CASE(aWaitingRequestIsRefusedBeforeItsDeadline)
+{
+    const auto caller = ask(notes(), Milliseconds(100), false);
+    bidBoth(true);
+    control_.advance(Milliseconds(99));
+    BOOST_REQUIRE(caller->refused_);
+    BOOST_CHECK(caller->refused_->execution == Execution::NotRun);
+    BOOST_TEST(caller->finals_ == 1);
+    BOOST_TEST(dispatcher_.requests() == 0u);
+}
+
+// A hold was sent and its agent never answers: at the deadline the caller hears "unknown", since it may have been made.
+BOOST_AUTO_TEST_CASE(aSentRequestIsUnknownAtItsDeadline)
+{
+    const auto caller = ask(holds(), Milliseconds(1000), false);
+    firstDispatch();
+    control_.advance(Milliseconds(1000));
+    BOOST_REQUIRE(caller->refused_);
+    BOOST_CHECK(caller->refused_->code == ErrorCode::DeadlinePassed);
+    BOOST_CHECK(caller->refused_->execution == Execution::Unknown);
+}
+
+BOOST_AUTO_TEST_CASE(whatDidNotRunGoesElsewhere)
+{
+    const auto caller = ask(holds(), longTimeout, false);
+    const auto [vm, id] = firstDispatch();
+    refuse(*link(vm), id, ErrorCode::Draining, Execution::NotRun);
+    greet(other(vm));
+    answer(*link(other(vm)), sentId(other(vm)), "held");
+    BOOST_TEST(caller->isWhole_);
+    BOOST_TEST(caller->attempt_ == 2u);
+}
+
+// An agent dies after a hold was sent. A second attempt could hold two slots: the caller hears "unknown" instead.
+BOOST_AUTO_TEST_CASE(whatMayHaveRunIsNotRepeated)
+{
+    const auto caller = ask(holds(), longTimeout, false);
+    const auto [vm, id] = firstDispatch();
+    refuse(*link(vm), id, ErrorCode::UpstreamBroken, Execution::Unknown);
+    BOOST_REQUIRE(caller->refused_);
+    BOOST_CHECK(caller->refused_->execution == Execution::Unknown);
+    BOOST_TEST(!link(other(vm)));
+}
+
+BOOST_AUTO_TEST_CASE(whatMayBeRepeatedIs)
+{
+    const auto caller = ask(holds(), longTimeout, true);
+    const auto [vm, id] = firstDispatch();
+    refuse(*link(vm), id, ErrorCode::UpstreamBroken, Execution::Unknown);
+    greet(other(vm));
+    answer(*link(other(vm)), sentId(other(vm)), "found");
+    BOOST_TEST(caller->isWhole_);
+}
+
+// Every upstream fails every request. Retries must stop when their budget is spent, or they multiply the overload.
+BOOST_AUTO_TEST_CASE(retriesStayInTheirBudget)
+{
+    settings_.retryShare = 0;
+    dispatcher_.setReplicaChoice(policy::makeReplicaChoice({}, 1));
+    int refusedForBudget = 0;
+    for (int caller = 0; caller < 60; ++caller) {
+        const auto answer = ask(holds(), longTimeout, true);
+        for (int attempt = 0; attempt < 4 && !answer->refused_; ++attempt) {
+            for (const std::string vm : { "draft-1", "draft-2" }) {
+                if (!link(vm))
+                    continue;
+                greet(vm);
+                for (const wire::Message& sent : link(vm)->takeSent()) {
+                    if (sent.body.type == Body::Dispatch)
+                        refuse(*link(vm), *sent.body.AsDispatch()->id, ErrorCode::UpstreamBroken, Execution::Unknown);
+                }
+            }
+        }
+        BOOST_REQUIRE(answer->refused_);
+        refusedForBudget += answer->refused_->code == ErrorCode::RetryBudgetSpent;
+    }
+    BOOST_TEST(refusedForBudget > 0);
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatHangsUpFreesItsPlaceAndItsWork)
+{
+    const auto caller = ask(holds(), longTimeout, false);
+    const auto [vm, id] = firstDispatch();
+    caller->hangUp_();
+    settle();
+    BOOST_TEST(link(vm)->takeSent(Body::Cancel).body.AsCancel()->id->sequence == id.sequence);
+    BOOST_TEST(dispatcher_.requests() == 0u);
+    BOOST_TEST(caller->finals_ == 0);
+}
+
+// A stream is cut in the middle: the caller must see its connection break, not a refusal glued to half an answer.
+BOOST_AUTO_TEST_CASE(aBegunAnswerIsBrokenOff)
+{
+    const auto caller = ask(holds(), longTimeout, true);
+    const auto [vm, id] = firstDispatch();
+    wire::fb::AnswerHeadT head;
+    head.id = std::make_unique<wire::fb::DispatchIdT>(id);
+    link(vm)->deliver(wire::message(std::move(head)));
+    refuse(*link(vm), id, ErrorCode::UpstreamBroken, Execution::Unknown);
+    BOOST_TEST(caller->brokenOff_.has_value());
+    BOOST_TEST(!caller->refused_);
+    BOOST_TEST(caller->finals_ == 1);
+}
+
+// The placement cache says that an agent has the model, but it was unloaded: the request is not run there, and waits
+// for a new load instead of being refused.
+BOOST_AUTO_TEST_CASE(aStalePlacementLeadsToANewLoad)
+{
+    placements_.add(notes(), framework::VmName("draft-1"));
+    const auto caller = ask(notes(), longTimeout, false);
+    greet("draft-1");
+    refuse(*link("draft-1"), sentId("draft-1"), ErrorCode::NotLoaded, Execution::NotRun);
+    greet("draft-2");
+    bid("draft-1", true);
+    bid("draft-2", false);
+    BOOST_TEST(loader() == "draft-1");
+    endLoad("draft-1", true);
+    answer(*link("draft-1"), sentId("draft-1"), "note");
+    BOOST_TEST(caller->isWhole_);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/router/tests/fixture.cpp
@@ -0,0 +1,144 @@
+#include "router/tests/fixture.h"
+
+#include "policy/rendezvous.h"
+
+namespace lagoon::router {
+
+using framework::Deadline;
+using framework::VmName;
+
+namespace {
+
+const framework::SiteName site("nz-south");
+const framework::PoolName pool("drafting");
+const VmName ownVm("entry-1");
+const framework::Incarnation ownIncarnation(99);
+
+bundle::BundlePointer makeBundle()
+{
+    auto bundle = std::make_shared<bundle::Bundle>();
+    bundle->version = framework::BundleVersion(3);
+    bundle->pools[pool] = bundle::Pool { pool, site, bundle::PoolKind::Engine, framework::MebiBytes(100) };
+    bundle::Model model;
+    model.name = framework::ModelName("notes");
+    model.memory = framework::MebiBytes(60);
+    model.pools = { pool };
+    model.replicas[site] = 1;
+    bundle->models[model.name] = model;
+    bundle::Service service;
+    service.name = framework::ServiceName("holds");
+    service.pools = { pool };
+    bundle->services[service.name] = service;
+    return bundle;
+}
+
+platform::VmEntry entry(const std::string& vm, platform::VmRole role)
+{
+    platform::VmEntry entry;
+    entry.vm = VmName(vm);
+    entry.role = role;
+    entry.site = site;
+    if (role == platform::VmRole::Upstream)
+        entry.pool = pool;
+    entry.endpoint = RouterFixture::endpoint(vm);
+    return entry;
+}
+
+} // namespace
+
+callers::RequestTarget notes() { return callers::RequestTarget { framework::ModelName("notes"), {}, {} }; }
+
+callers::RequestTarget holds() { return callers::RequestTarget { {}, {}, framework::ServiceName("holds") }; }
+
+RouterFixture::RouterFixture()
+    : bundle_(makeBundle())
+    , sessionContext_ { ownVm, ownIncarnation, transport_, control_, control_, metrics_, settings_,
+        [this] { return bundle_->version; }, [](framework::BundleVersion) {} }
+    , sessions_(sessionContext_, directory_)
+    , peers_(std::make_shared<PeerLinks>(sessionContext_, directory_))
+    , dispatcher_({ site, control_, control_, metrics_, settings_, directory_, placements_, sessions_,
+          [this] { return bundle_; } })
+    , gate_(control_, control_, metrics_)
+    , home_({ site, control_, control_, metrics_, settings_, sessions_, directory_, placements_, gate_,
+          [this] { return bundle_; },
+          [](const SiteTarget&, const HoldersHandler& handler) { handler(std::vector<VmName>()); } })
+    , wakes_({ ownVm, control_, control_, metrics_, directory_, home_, *peers_,
+          [this](const auto& where, const auto& vms, const auto& requests) {
+              dispatcher_.takePlacements(where, vms, requests);
+          },
+          [this](const auto& error, const auto& requests) { dispatcher_.takeRefusal(error, requests); },
+          [this](const auto& progress, const auto& requests) { dispatcher_.takeExpectation(progress, requests); } })
+{
+    dispatcher_.setWakes(wakes_);
+    dispatcher_.setReplicaChoice(policy::makeReplicaChoice({}, 1));
+    home_.setLoadPlacement(policy::makeLoadPlacement({}));
+    gate_.setPolicy({}, policy::makeLoadOrder({}));
+    directory_.setEntries({ entry("entry-1", platform::VmRole::Router), entry("draft-1", platform::VmRole::Upstream),
+        entry("draft-2", platform::VmRole::Upstream) });
+}
+
+std::shared_ptr<wire::FakeLink> RouterFixture::link(const std::string& vm) const
+{
+    return transport_.newest(endpoint(vm));
+}
+
+std::shared_ptr<wire::FakeLink> RouterFixture::greet(
+    const std::string& vm, std::uint64_t incarnation, std::uint64_t session)
+{
+    const auto found = link(vm);
+    wire::fb::HelloAckT hello;
+    hello.receiver_vm = vm;
+    hello.receiver_incarnation = incarnation;
+    hello.session = session;
+    found->deliver(wire::message(std::move(hello)));
+    settle();
+    return found;
+}
+
+std::shared_ptr<FakeAnswer> RouterFixture::ask(
+    const callers::RequestTarget& target, framework::Milliseconds timeout, bool isRepeatable)
+{
+    callers::CallerRequest request;
+    request.name = framework::RequestName("99-1");
+    request.target = target;
+    request.method = "POST";
+    request.path = "/";
+    request.body = "question";
+    request.deadline = Deadline::after(control_.now(), timeout);
+    request.isRepeatable = isRepeatable;
+    auto answer = std::make_shared<FakeAnswer>();
+    dispatcher_.accept(std::move(request), answer);
+    settle();
+    return answer;
+}
+
+void RouterFixture::answer(wire::FakeLink& link, const wire::fb::DispatchIdT& id, const std::string& body)
+{
+    wire::fb::AnswerHeadT head;
+    head.id = std::make_unique<wire::fb::DispatchIdT>(id);
+    head.status = 200;
+    link.deliver(wire::message(std::move(head)));
+    wire::fb::AnswerChunkT chunk;
+    chunk.id = std::make_unique<wire::fb::DispatchIdT>(id);
+    chunk.bytes.assign(body.begin(), body.end());
+    link.deliver(wire::message(std::move(chunk)));
+    wire::fb::AnswerEndT end;
+    end.id = std::make_unique<wire::fb::DispatchIdT>(id);
+    end.length = body.size();
+    end.checksum = policy::fnv1a(body.data(), body.size());
+    link.deliver(wire::message(std::move(end)));
+    settle();
+}
+
+void RouterFixture::refuse(
+    wire::FakeLink& link, const wire::fb::DispatchIdT& id, framework::ErrorCode code, framework::Execution execution)
+{
+    wire::fb::RefusedT refused;
+    refused.id = std::make_unique<wire::fb::DispatchIdT>(id);
+    refused.code = static_cast<std::uint8_t>(code);
+    refused.execution = execution == framework::Execution::NotRun ? 0 : 1;
+    link.deliver(wire::message(std::move(refused)));
+    settle();
+}
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/router/tests/fixture.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "framework/testing/manualcontrol.h"
+#include "policy/policysetup.h"
+#include "router/internal/agentsessions.h"
+#include "router/internal/dispatcher.h"
+#include "router/internal/home.h"
+#include "router/internal/loadgate.h"
+#include "router/internal/peerlinks.h"
+#include "router/internal/wakes.h"
+#include "wire/testing/faketransport.h"
+
+#include <memory>
+#include <string>
+
+namespace lagoon::router {
+
+/// A caller that remembers what it was given.
+class FakeAnswer final : public callers::ICallerAnswer {
+public:
+    void begin(unsigned short, const callers::HttpHeaders&, std::uint32_t attempt) override { attempt_ = attempt; }
+    void write(std::string bytes) override { body_ += bytes; }
+    void finish() override { ++finals_, isWhole_ = true; }
+    void breakOff(const framework::Error& error) override { ++finals_, brokenOff_ = error; }
+    void refuse(const framework::Error& error, std::uint32_t) override { ++finals_, refused_ = error; }
+    void onCallerGone(std::function<void()> action) override { hangUp_ = std::move(action); }
+
+    std::string body_;
+    std::uint32_t attempt_ = 0;
+    int finals_ = 0;
+    bool isWhole_ = false;
+    std::optional<framework::Error> brokenOff_;
+    std::optional<framework::Error> refused_;
+    std::function<void()> hangUp_;
+};
+
+/// The router's control side with a manual clock, whose agents are the test itself.
+/// One site, one pool; `draft-1` and `draft-2` may load `notes` (one replica) and run the service `holds`.
+class RouterFixture {
+public:
+    RouterFixture();
+
+    /// The newest link to the agent; the agent says hello on it.
+    std::shared_ptr<wire::FakeLink> greet(
+        const std::string& vm, std::uint64_t incarnation = 1, std::uint64_t session = 7);
+    std::shared_ptr<wire::FakeLink> link(const std::string& vm) const;
+    std::shared_ptr<FakeAnswer> ask(const callers::RequestTarget&, framework::Milliseconds timeout, bool isRepeatable);
+    /// An answer of one chunk, whole.
+    void answer(wire::FakeLink&, const wire::fb::DispatchIdT&, const std::string& body);
+    void refuse(wire::FakeLink&, const wire::fb::DispatchIdT&, framework::ErrorCode, framework::Execution);
+    void settle() { control_.runPosted(); }
+
+    static framework::Endpoint endpoint(const std::string& vm) { return framework::Endpoint(vm + ":1"); }
+
+    framework::ManualControl control_;
+    framework::Metrics metrics_;
+    DispatchSettings settings_;
+    wire::FakeTransport transport_;
+    bundle::BundlePointer bundle_;
+    VmDirectory directory_;
+    PlacementCache placements_;
+    SessionContext sessionContext_;
+    AgentSessions sessions_;
+    std::shared_ptr<PeerLinks> peers_;
+    Dispatcher dispatcher_;
+    LoadGate gate_;
+    Home home_;
+    Wakes wakes_;
+};
+
+/// The model and the service of the fixture.
+callers::RequestTarget notes();
+callers::RequestTarget holds();
+
+} // namespace lagoon::router
--- /dev/null
+++ b/src/wire/testing/faketransport.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "wire/ilink.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+/// For the unit tests of all modules; never part of the program.
+namespace lagoon::wire {
+
+/// A link whose other end is the test.
+class FakeLink final : public ILink, public std::enable_shared_from_this<FakeLink> {
+public:
+    FakeLink(framework::Endpoint peer, LinkHandlers handlers)
+        : peer_(std::move(peer))
+        , handlers_(std::move(handlers))
+    {
+    }
+
+    void send(const Message&) override;
+    void close() override { isClosed_ = true; }
+    const framework::Endpoint& peer() const override { return peer_; }
+
+    /// The other end sends.
+    void deliver(Message);
+    /// The connection breaks.
+    void cut(const std::string& step = "read");
+    bool isClosed() const { return isClosed_; }
+    /// What was sent and not taken yet.
+    std::vector<Message> takeSent();
+    /// The last message of that type among what was sent and not taken; ends the test's case if there is none.
+    Message takeSent(fb::Body);
+
+private:
+    framework::Endpoint peer_;
+    LinkHandlers handlers_;
+    bool isClosed_ = false;
+    std::vector<Message> sent_;
+};
+
+/// Makes fake links and remembers them.
+class FakeTransport final : public ILinkTransport {
+public:
+    std::shared_ptr<ILink> connect(const framework::Endpoint&, LinkHandlers) override;
+    framework::Result<framework::Endpoint> listen(const framework::Endpoint&, LinkHandlers) override;
+    void stopListening() override { }
+    void stop() override { }
+
+    /// The newest link to the endpoint; null if there is none.
+    std::shared_ptr<FakeLink> newest(const framework::Endpoint&) const;
+    std::size_t connections() const { return links_.size(); }
+
+private:
+    std::vector<std::shared_ptr<FakeLink>> links_;
+};
+
+} // namespace lagoon::wire
