Router: one run per idempotency key across routers, swept by age without reading

Create-only object per keyed call that may not be repeated; lost answers settled by nonce. Removal by time stamps was ruled out: clocks of VMs that come and go aren't comparable.

--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -57,7 +57,27 @@
     entry.deadlineTimer = context_.control.runAt(
         Deadline(entry.request.deadline.at() - answerMargin), [this, number] { deadlinePassed(number); });
     retryBudget_.earn();
-    route(number);
+    if (context_.keys && entry.request.idempotencyKey && !entry.request.isRepeatable)
+        claimKey(number, entry);
+    else
+        route(number);
+}
+
+void Dispatcher::claimKey(RequestNumber number, const Request& entry)
+{
+    context_.keys->claim(entry.request, [this, number](const framework::Result<ClaimedKey>& key) {
+        const auto found = requests_.find(number);
+        if (found == requests_.end()) {
+            // Its deadline passed or its caller left meanwhile, so it will never run.
+            if (key.has_value())
+                context_.keys->release(key.value());
+            return;
+        }
+        if (key.has_error())
+            return refuse(number, key.error());
+        found->second.key = key.value();
+        route(number);
+    });
 }
 
 void Dispatcher::route(RequestNumber number)
@@ -353,6 +373,8 @@
     Request& entry = requests_.at(number);
     if (entry.stream)
         entry.stream->detach();
+    if (entry.key && error.execution == Execution::NotRun)
+        context_.keys->release(*entry.key);
     entry.answer->refuse(error, entry.attempts);
     forget(number);
 }
--- a/src/router/internal/dispatcher.h
+++ b/src/router/internal/dispatcher.h
@@ -8,6 +8,7 @@
 #include "policy/ireplicachoice.h"
 #include "policy/retrybudget.h"
 #include "router/internal/agentsessions.h"
+#include "router/internal/idempotencykeys.h"
 #include "router/internal/placementcache.h"
 #include "router/internal/vmdirectory.h"
 #include "router/internal/wakes.h"
@@ -33,6 +34,8 @@
         PlacementCache& placements;
         AgentSessions& sessions;
         std::function<bundle::BundlePointer()> bundle;
+        /// Null: idempotency keys are taken, but not held to one run.
+        IdempotencyKeys* keys = nullptr;
     };
 
     explicit Dispatcher(const Context&);
@@ -59,6 +62,8 @@
         /// While waiting.
         std::optional<SiteTarget> waitsFor;
         std::unique_ptr<framework::Timer> deadlineTimer;
+        /// Set once the key is ours.
+        std::optional<ClaimedKey> key;
         /// While dispatched.
         framework::VmName agent;
         std::shared_ptr<AgentSession> session;
@@ -67,6 +72,7 @@
     };
 
     void admit(callers::CallerRequest, std::shared_ptr<callers::ICallerAnswer>);
+    void claimKey(RequestNumber, const Request&);
     void route(RequestNumber);
     std::vector<framework::VmName> candidates(const Request&) const;
     framework::VmName choose(const Request&, const std::vector<framework::VmName>&);
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -11,6 +11,7 @@
 #include "http/opsserver.h"
 #include "platform/platformclient.h"
 #include "policy/policysetup.h"
+#include "policy/rendezvous.h"
 #include "router/internal/agentsessions.h"
 #include "router/internal/dispatcher.h"
 #include "router/internal/home.h"
@@ -61,6 +62,7 @@
     void setPolicies(const bundle::PolicyNumbers&);
     void takeVms(const platform::VmEntries&);
     void findHolders(const SiteTarget&, HoldersHandler);
+    bool isKeySweeper() const;
     std::string status();
 
     RouterSettings settings_;
@@ -76,6 +78,7 @@
     PlacementCache placements_;
     AgentSessions sessions_;
     std::shared_ptr<PeerLinks> peers_;
+    IdempotencyKeys keys_;
     Dispatcher dispatcher_;
     LoadGate gate_;
     Home home_;
@@ -96,6 +99,7 @@
     , bundles_(bundle::makeBundleWatch(bundle::HeadMode::Watch, platform_.store, control_, metrics_))
     , sessions_(sessionContext(), directory_)
     , peers_(std::make_shared<PeerLinks>(sessionContext(), directory_))
+    , keys_(platform_.store, platformCalls_, control_, clock_, metrics_, settings_.dispatch.keyRetention)
     , dispatcher_(dispatcherContext())
     , gate_(control_, clock_, *metrics_)
     , home_(homeContext())
@@ -138,7 +142,7 @@
 Dispatcher::Context Router::Implementation::dispatcherContext()
 {
     return Dispatcher::Context { settings_.identity.site, control_, clock_, *metrics_, settings_.dispatch, directory_,
-        placements_, sessions_, [this] { return bundles_->current(); } };
+        placements_, sessions_, [this] { return bundles_->current(); }, &keys_ };
 }
 
 LinkServer::Context Router::Implementation::linkServerContext()
@@ -194,6 +198,18 @@
     });
 }
 
+/// One router of all sites; two for a moment do no harm.
+bool Router::Implementation::isKeySweeper() const
+{
+    std::vector<VmName> routers;
+    for (const framework::SiteName& site : directory_.sites()) {
+        for (const VmName& vm : directory_.routers(site))
+            routers.push_back(vm);
+    }
+    const std::vector<VmName> order = policy::rendezvousOrder("keys", routers);
+    return !order.empty() && order.front() == settings_.identity.vm;
+}
+
 std::string Router::Implementation::status()
 {
     std::promise<web::json::value> gathered;
@@ -224,6 +240,7 @@
     endpoints.ops = ops;
     bundles_->start();
     vmWatcher_.start();
+    control_.post([this] { keys_.startSweeping([this] { return isKeySweeper(); }); });
     return endpoints;
 }
 
--- /dev/null
+++ b/src/router/tests/idempotencykeys_test.cpp
@@ -0,0 +1,122 @@
+#include "framework/testing/manualcontrol.h"
+#include "platform/tests/memoryplatformstore.h"
+#include "router/internal/idempotencykeys.h"
+#include "router/tests/fixture.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+using namespace lagoon;
+using namespace lagoon::router;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::Milliseconds;
+
+namespace {
+
+constexpr Milliseconds retention { 1000 };
+
+class KeysFixture {
+public:
+    KeysFixture()
+        : keys_(store_, workers_, control_, control_, metrics_, retention)
+    {
+    }
+
+    framework::Result<ClaimedKey> claim(const std::string& key)
+    {
+        callers::CallerRequest request;
+        request.name = framework::RequestName("1-1");
+        request.target = holds();
+        request.idempotencyKey = key;
+        request.deadline = framework::Deadline::after(control_.now(), Milliseconds(10000));
+        std::optional<framework::Result<ClaimedKey>> claimed;
+        keys_.claim(request, [&](const auto& result) { claimed = result; });
+        BOOST_REQUIRE(control_.waitAndRunPosted());
+        BOOST_REQUIRE(claimed);
+        return *claimed;
+    }
+
+    std::size_t storedKeys()
+    {
+        return store_->list("keys/", framework::Deadline::after(control_.now(), Milliseconds(1000))).value().size();
+    }
+
+    /// One sweep, waited for through the worker's queue.
+    void sweep()
+    {
+        control_.advance(retention);
+        std::promise<void> swept;
+        workers_.run([&] { swept.set_value(); });
+        swept.get_future().get();
+    }
+
+    framework::ManualControl control_;
+    framework::WorkerPool workers_ { 1 };
+    std::shared_ptr<framework::Metrics> metrics_ = std::make_shared<framework::Metrics>();
+    std::shared_ptr<platform::MemoryPlatformStore> store_ = std::make_shared<platform::MemoryPlatformStore>();
+    IdempotencyKeys keys_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(IdempotencyKeysOfRouters, KeysFixture)
+
+// A kiosk sends a slot hold, loses its connection and sends it again through another router with the same key. The
+// second must not run: the first may have.
+BOOST_AUTO_TEST_CASE(theSecondBringerIsRefusedAsUnknown)
+{
+    BOOST_TEST(claim("slot-5").has_value());
+    const auto second = claim("slot-5");
+    BOOST_REQUIRE(second.has_error());
+    BOOST_CHECK(second.error().code == ErrorCode::DuplicateKey);
+    BOOST_CHECK(second.error().execution == Execution::Unknown);
+    BOOST_TEST(claim("slot-6").has_value());
+}
+
+// The platform's answer to the create is lost: the key is ours all the same, and the call must run.
+BOOST_AUTO_TEST_CASE(aLostAnswerIsSettled)
+{
+    store_->failNextWrites({ platform::WriteFault::LoseAnswer });
+    BOOST_TEST(claim("slot-5").has_value());
+    BOOST_TEST(storedKeys() == 1u);
+}
+
+// The platform is down: nobody can say whether the key is new, so the call isn't run, and the caller is told so.
+BOOST_AUTO_TEST_CASE(withoutThePlatformItIsNotRun)
+{
+    store_->setAvailable(false);
+    callers::CallerRequest request;
+    request.target = holds();
+    request.idempotencyKey = "slot-5";
+    request.deadline = framework::Deadline::after(framework::SystemClock().now(), Milliseconds(300));
+    framework::ControlThread control;
+    framework::SystemClock clock;
+    IdempotencyKeys keys(store_, workers_, control, clock, metrics_, retention);
+    std::promise<framework::Result<ClaimedKey>> claimed;
+    keys.claim(request, [&](const auto& result) { claimed.set_value(result); });
+    const auto result = claimed.get_future().get();
+    BOOST_REQUIRE(result.has_error());
+    BOOST_CHECK(result.error().execution == Execution::NotRun);
+    BOOST_TEST(result.error().retryAfter.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aReleasedKeyMayBeBroughtAgain)
+{
+    const auto first = claim("slot-5");
+    keys_.release(first.value());
+    BOOST_TEST(claim("slot-5").has_value());
+}
+
+// A router dies and leaves its keys. They must not stay for ever, nor go before the retention is over.
+BOOST_AUTO_TEST_CASE(keysAreSweptAfterTheRetention)
+{
+    BOOST_TEST(claim("slot-5").has_value());
+    keys_.startSweeping([] { return true; });
+    sweep();
+    BOOST_TEST(storedKeys() == 1u);
+    sweep();
+    BOOST_TEST(storedKeys() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/router/types/routersettings.h
+++ b/src/router/types/routersettings.h
@@ -28,6 +28,8 @@
     /// Agents asked for a bid per load, beside those known to have the target.
     std::size_t bids = 8;
     framework::Milliseconds bidTimeout { 500 };
+    /// How long an idempotency key is kept at least.
+    framework::Milliseconds keyRetention { 3600000 };
 };
 
 } // namespace lagoon::router
