--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -39,7 +39,7 @@
     /// The agent that was told to load, and its order.
     std::string loader()
     {
-        for (const std::string vm : { "draft-1", "draft-2" }) {
+        for (std::string vm : { "draft-1", "draft-2" }) {
             for (const wire::Message& sent : link(vm)->takeSent()) {
                 if (sent.body.type != Body::Load)
                     continue;
--- a/src/router/tests/fixture.cpp
+++ b/src/router/tests/fixture.cpp
@@ -85,7 +85,7 @@
 std::shared_ptr<wire::FakeLink> RouterFixture::greet(
     const std::string& vm, std::uint64_t incarnation, std::uint64_t session)
 {
-    const auto found = link(vm);
+    auto found = link(vm);
     wire::fb::HelloAckT hello;
     hello.receiver_vm = vm;
     hello.receiver_incarnation = incarnation;
--- a/src/wire/testing/faketransport.cpp
+++ b/src/wire/testing/faketransport.cpp
@@ -51,11 +51,12 @@
 
 std::shared_ptr<FakeLink> FakeTransport::newest(const framework::Endpoint& endpoint) const
 {
-    for (auto link = links_.rbegin(); link != links_.rend(); ++link) {
-        if ((*link)->peer() == endpoint)
-            return *link;
+    std::shared_ptr<FakeLink> newest;
+    for (const auto& link : links_) {
+        if (link->peer() == endpoint)
+            newest = link;
     }
-    return nullptr;
+    return newest;
 }
 
 } // namespace lagoon::wire
--- /dev/null
+++ b/tests/benchmarks/pathbenchmark.cpp
@@ -0,0 +1,160 @@
+// What the path through a router and an agent costs beside a direct call of the same upstream, in one run, and what
+// idle processes take. Prints a table; judges nothing.
+//
+// usage: lagoonbench_path [--calls N] [--callers N] [--throughput-calls N]
+
+#include "support/deployment.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <chrono>
+#include <cpprest/http_client.h>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <thread>
+
+using namespace lagoon::testsupport;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using web::http::client::http_client;
+
+struct Options {
+    std::size_t calls = 2000;
+    std::size_t callers = 16;
+    std::size_t throughputCalls = 16000;
+};
+
+/// One way to the upstream.
+struct Way {
+    std::string name;
+    std::string endpoint;
+    std::string path;
+    std::vector<double> milliseconds;
+};
+
+double callOnce(http_client& client, const std::string& path)
+{
+    const auto start = Clock::now();
+    const auto response = client.request("GET", path).get();
+    response.extract_vector().get();
+    if (response.status_code() != web::http::status_codes::OK)
+        throw std::runtime_error("status " + std::to_string(response.status_code()) + " from " + path);
+    return std::chrono::duration<double, std::milli>(Clock::now() - start).count();
+}
+
+/// In turns of a few calls each, so that both ways meet the same noise of the machine.
+void measureLatency(std::vector<Way>& ways, std::size_t calls)
+{
+    constexpr std::size_t turn = 50;
+    std::vector<http_client> clients;
+    for (const Way& way : ways)
+        clients.emplace_back(web::uri("http://" + way.endpoint));
+    for (std::size_t done = 0; done < calls; done += turn) {
+        for (std::size_t index = 0; index < ways.size(); ++index) {
+            for (std::size_t call = 0; call < turn; ++call)
+                ways[index].milliseconds.push_back(callOnce(clients[index], ways[index].path));
+        }
+    }
+}
+
+double measureThroughput(const Way& way, const Options& options)
+{
+    std::atomic<std::size_t> left { options.throughputCalls };
+    std::vector<std::thread> callers;
+    const auto start = Clock::now();
+    for (std::size_t index = 0; index < options.callers; ++index) {
+        callers.emplace_back([&] {
+            http_client client(web::uri("http://" + way.endpoint));
+            for (std::size_t before = left.fetch_sub(1); before > 0 && before <= options.throughputCalls;
+                 before = left.fetch_sub(1))
+                callOnce(client, way.path);
+        });
+    }
+    for (std::thread& caller : callers)
+        caller.join();
+    const double seconds = std::chrono::duration<double>(Clock::now() - start).count();
+    return static_cast<double>(options.throughputCalls) / seconds;
+}
+
+double percentile(std::vector<double> values, double share)
+{
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+/// Resident memory of a process in MiB.
+double residentMemory(pid_t pid)
+{
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.rfind("VmRSS:", 0) == 0)
+            return std::stod(line.substr(6)) / 1024;
+    }
+    return 0;
+}
+
+double secondsUntilReady(const std::function<void()>& start)
+{
+    const auto begin = Clock::now();
+    start();
+    return std::chrono::duration<double>(Clock::now() - begin).count();
+}
+
+void publishBundle(const Deployment& deployment)
+{
+    const auto bundle = web::json::value::parse(R"({"format": 1, "version": 1,
+        "pools": [{"name": "lookups", "site": "old", "kind": "service", "memory_mib": 0}],
+        "models": [], "adapters": [],
+        "services": [{"name": "lookup", "pools": ["lookups"], "repeatable": true}]})");
+    publishBundleDirectly(deployment, bundle);
+}
+
+Options parse(int argc, char** argv)
+{
+    namespace po = boost::program_options;
+    Options options;
+    po::options_description description;
+    description.add_options()("calls", po::value(&options.calls), "for latency, each way")(
+        "callers", po::value(&options.callers), "at once, for throughput")(
+        "throughput-calls", po::value(&options.throughputCalls), "for throughput, each way");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, description), values);
+    po::notify(values);
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const Options options = parse(argc, argv);
+    Deployment deployment;
+    UpstreamOptions service;
+    service.kind = UpstreamKind::Service;
+    service.pool = "lookups";
+    const double agentStart = secondsUntilReady([&] { deployment.addUpstream("lookup-1", service); });
+    const double routerStart = secondsUntilReady([&] { deployment.addRouter("entry-1"); });
+    publishBundle(deployment);
+    deployment.waitUntilReady();
+    const double routerIdle = residentMemory(deployment.router("entry-1").process->pid());
+    const double agentIdle = residentMemory(deployment.upstream("lookup-1").agent->pid());
+
+    std::vector<Way> ways { { "direct", deployment.upstream("lookup-1").upstream(), "/prefix", {} },
+        { "routed", deployment.router("entry-1").callers(), "/services/lookup/prefix", {} } };
+    measureLatency(ways, options.calls);
+    std::cout << std::fixed << std::setprecision(2);
+    std::cout << "way     p50_ms  p95_ms  p99_ms  requests/s (" << options.callers << " callers)\n";
+    for (const Way& way : ways) {
+        std::cout << std::left << std::setw(8) << way.name << std::setw(8) << percentile(way.milliseconds, 0.5)
+                  << std::setw(8) << percentile(way.milliseconds, 0.95) << std::setw(8)
+                  << percentile(way.milliseconds, 0.99) << measureThroughput(way, options) << "\n";
+    }
+    std::cout << "idle resident memory: router " << routerIdle << " MiB, agent " << agentIdle << " MiB\n";
+    std::cout << "after the load:       router " << residentMemory(deployment.router("entry-1").process->pid())
+              << " MiB, agent " << residentMemory(deployment.upstream("lookup-1").agent->pid()) << " MiB\n";
+    std::cout << "start to ready line:  router " << routerStart << " s, agent with its stand-in " << agentStart << " s\n";
+}
