--- /dev/null
+++ b/src/agent/internal/admission.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "agent/internal/requestledger.h"
+
+#include <cstdint>
+#include <set>
+#include <vector>
+
+namespace lagoon::agent {
+
+/// A dispatch that waits for its turn.
+struct WaitingDispatch {
+    DispatchKey key;
+    std::uint8_t priority = 0;
+    framework::Deadline deadline;
+};
+
+/// How many dispatches are at the upstream, and which goes next: the highest priority, then the earliest deadline.
+/// Pure.
+class Admission {
+public:
+    Admission(std::uint32_t mostRunning, std::uint32_t mostWaiting);
+
+    /// False when too many wait already.
+    [[nodiscard]] bool enqueue(const WaitingDispatch&);
+    /// Drops one that no longer waits, such as a cancelled one.
+    void remove(const DispatchKey&);
+    /// Takes those whose turn it is; each counts as running until `ended`.
+    std::vector<WaitingDispatch> takeStartable();
+    /// Takes those whose deadline has passed.
+    std::vector<WaitingDispatch> takeExpired(framework::SteadyTime now);
+    void ended();
+
+    bool isWaiting(const DispatchKey&) const;
+    std::uint32_t running() const { return running_; }
+    std::uint32_t waiting() const { return static_cast<std::uint32_t>(queue_.size()); }
+
+private:
+    struct TurnOrder {
+        bool operator()(const WaitingDispatch&, const WaitingDispatch&) const;
+    };
+
+    std::uint32_t mostRunning_;
+    std::uint32_t mostWaiting_;
+    std::uint32_t running_ = 0;
+    std::set<WaitingDispatch, TurnOrder> queue_;
+};
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/agent.cpp
@@ -0,0 +1,217 @@
+#include "agent/agent.h"
+
+#include "agent/internal/agentstatus.h"
+#include "agent/internal/httpmodelengine.h"
+#include "agent/internal/httpupstream.h"
+#include "agent/internal/replicaclaims.h"
+#include "agent/internal/replicacontroller.h"
+#include "agent/internal/requestgate.h"
+#include "agent/internal/routerlinks.h"
+#include "agent/internal/serviceuse.h"
+#include "bundle/bundlewatch.h"
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/logging.h"
+#include "framework/randomid.h"
+#include "framework/workerpool.h"
+#include "http/opsserver.h"
+#include "platform/platformclient.h"
+#include "wire/linktransport.h"
+
+#include <atomic>
+#include <future>
+
+namespace lagoon::agent {
+
+namespace {
+
+using framework::Deadline;
+using framework::Milliseconds;
+
+constexpr std::size_t platformThreads = 4;
+/// One reads the state while others give orders; orders wait for the engine's answer only.
+constexpr std::size_t engineThreads = 3;
+constexpr Milliseconds housekeepingEach { 5000 };
+constexpr Milliseconds drainCheckEach { 20 };
+constexpr Milliseconds statusTimeout { 1000 };
+
+} // namespace
+
+class Agent::Implementation {
+public:
+    explicit Implementation(const AgentSettings& settings);
+    ~Implementation() { shutDown(); }
+    Implementation(const Implementation&) = delete;
+    Implementation& operator=(const Implementation&) = delete;
+
+    framework::Result<AgentEndpoints> start();
+    void shutDown();
+
+private:
+    ITargetUse& targets();
+    ReplicaPorts replicaPorts();
+    void startControl();
+    void keepHouse();
+    void checkDrained(std::promise<void>&);
+    std::string status();
+    StatusView statusView() const;
+    bool isEngine() const { return settings_.upstream.kind == UpstreamKind::Engine; }
+
+    AgentSettings settings_;
+    framework::Incarnation incarnation_ = framework::newIncarnation();
+    framework::SystemClock clock_;
+    std::shared_ptr<framework::Metrics> metrics_ = std::make_shared<framework::Metrics>();
+    framework::ControlThread control_;
+    // Pools of their own, so that a platform that hangs doesn't keep the engine's state from being read.
+    framework::WorkerPool platformCalls_ { platformThreads };
+    framework::WorkerPool engineCalls_ { engineThreads };
+    platform::PlatformClient platform_;
+    std::shared_ptr<wire::ILinkTransport> transport_;
+    std::shared_ptr<bundle::IBundleWatch> bundles_;
+    ServiceUse service_;
+    std::unique_ptr<ReplicaController> replicas_;
+    std::unique_ptr<RequestGate> gate_;
+    std::unique_ptr<RouterLinks> links_;
+    std::unique_ptr<http::OpsServer> ops_;
+    std::unique_ptr<framework::Timer> housekeeping_;
+    std::unique_ptr<framework::Timer> drainCheck_;
+    std::atomic<bool> isDraining_ { false };
+    bool isStopped_ = false;
+};
+
+Agent::Implementation::Implementation(const AgentSettings& settings)
+    : settings_(settings)
+    , platform_(platform::makePlatformClient(settings.platform, metrics_))
+    , transport_(wire::makeTcpLinkTransport({}, metrics_))
+    , bundles_(bundle::makeBundleWatch(bundle::HeadMode::Listen, platform_.store, control_, metrics_))
+    , service_(settings.pool)
+{
+    if (isEngine()) {
+        const UpstreamSettings& upstream = settings_.upstream;
+        replicas_ = std::make_unique<ReplicaController>(replicaPorts(),
+            ReplicaSettings { settings_.identity.site, settings_.pool, upstream.checksFencing, upstream.settling });
+    }
+    gate_ = std::make_unique<RequestGate>(
+        GatePorts { control_, clock_, targets(), makeHttpUpstream(settings_.upstream.url), metrics_ }, incarnation_,
+        settings_.limits);
+    links_ = std::make_unique<RouterLinks>(RouterLinks::Context {
+        control_, clock_, settings_.identity.vm, incarnation_, *gate_, replicas_.get(), *bundles_, metrics_ });
+}
+
+ITargetUse& Agent::Implementation::targets()
+{
+    if (isEngine())
+        return *replicas_;
+    return service_;
+}
+
+ReplicaPorts Agent::Implementation::replicaPorts()
+{
+    auto claims = std::make_shared<ReplicaClaims>(
+        platform_.store, platform_.vmList, settings_.identity, incarnation_, metrics_);
+    return ReplicaPorts { control_, clock_, [this](std::function<void()> work) { platformCalls_.run(std::move(work)); },
+        [this](std::function<void()> work) { engineCalls_.run(std::move(work)); }, std::move(claims),
+        makeHttpModelEngine(settings_.upstream.url), metrics_ };
+}
+
+framework::Result<AgentEndpoints> Agent::Implementation::start()
+{
+    BOOST_OUTCOME_TRY(link, transport_->listen(settings_.link, links_->handlers()));
+    http::OpsViews views;
+    views.isReady = [this] { return !isDraining_; };
+    views.status = [this] { return status(); };
+    ops_ = std::make_unique<http::OpsServer>(std::move(views), metrics_);
+    BOOST_OUTCOME_TRY(ops, ops_->start(settings_.ops));
+    bundles_->changed().subscribe([this](const bundle::BundlePointer& bundle) {
+        service_.setBundle(bundle);
+        if (replicas_)
+            replicas_->setBundle(bundle);
+    });
+    bundles_->start();
+    control_.post([this] { startControl(); });
+    return AgentEndpoints { link, ops };
+}
+
+void Agent::Implementation::startControl()
+{
+    if (replicas_)
+        replicas_->start();
+    keepHouse();
+}
+
+void Agent::Implementation::keepHouse()
+{
+    gate_->forgetGoneRouters();
+    links_->closeSilent();
+    housekeeping_ = control_.runAt(Deadline::after(clock_.now(), housekeepingEach), [this] { keepHouse(); });
+}
+
+void Agent::Implementation::shutDown()
+{
+    if (isStopped_)
+        return;
+    isStopped_ = true;
+    isDraining_ = true;
+    framework::logInfo("agent", "draining");
+    // Claims are kept: the VM lives on and its engine still has the models, so a free claim would let another VM load
+    // one replica too many. The next agent here adopts both; if the VM goes, the platform's list frees them.
+    std::promise<void> drained;
+    control_.post([this, &drained] {
+        gate_->beginDraining();
+        if (replicas_)
+            replicas_->beginDraining();
+        checkDrained(drained);
+    });
+    drained.get_future().wait();
+    framework::logInfo("agent", "drained");
+    transport_->stopListening();
+    bundles_->stop();
+    if (ops_)
+        ops_->stop();
+    transport_->stop();
+    platformCalls_.stop();
+    engineCalls_.stop();
+    control_.stop();
+}
+
+void Agent::Implementation::checkDrained(std::promise<void>& drained)
+{
+    if (gate_->isIdle()) {
+        drained.set_value();
+        return;
+    }
+    drainCheck_
+        = control_.runAt(Deadline::after(clock_.now(), drainCheckEach), [this, &drained] { checkDrained(drained); });
+}
+
+StatusView Agent::Implementation::statusView() const
+{
+    const bundle::BundlePointer bundle = bundles_->current();
+    StatusView view { settings_.identity, settings_.pool, incarnation_, bundle ? bundle->version.value() : 0,
+        isDraining_, *gate_, replicas_.get(), clock_.now() };
+    return view;
+}
+
+std::string Agent::Implementation::status()
+{
+    // The state belongs to the control thread; when that is stopped meanwhile, there is nothing left to show.
+    auto text = std::make_shared<std::promise<std::string>>();
+    auto future = text->get_future();
+    control_.post([this, text] { text->set_value(statusText(statusView())); });
+    if (future.wait_for(statusTimeout) != std::future_status::ready)
+        return "{}";
+    return future.get();
+}
+
+Agent::Agent(const AgentSettings& settings)
+    : implementation_(std::make_unique<Implementation>(settings))
+{
+}
+
+Agent::~Agent() = default;
+
+framework::Result<AgentEndpoints> Agent::start() { return implementation_->start(); }
+
+void Agent::shutDown() { implementation_->shutDown(); }
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/httpupstream.cpp
@@ -0,0 +1,173 @@
+#include "agent/internal/httpupstream.h"
+
+#include "agent/internal/httpheaders.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cpprest/http_client.h>
+#include <system_error>
+
+namespace lagoon::agent {
+
+namespace {
+
+using framework::Error;
+using framework::ErrorCode;
+using framework::Execution;
+using web::http::client::http_client;
+using web::http::client::http_client_config;
+
+/// cpprest's own timeout only bounds idleness; each call's deadline is kept by whoever runs it.
+constexpr std::chrono::hours idleLimit { 24 };
+constexpr std::size_t largestRead = 64 * 1024;
+
+std::shared_ptr<http_client> newClient(const std::string& url)
+{
+    http_client_config config;
+    config.set_timeout(idleLimit);
+    return std::make_shared<http_client>(web::uri(url), config);
+}
+
+/// cpprest gives this code for a connection that was refused, and for a header that couldn't be written; the text
+/// tells them apart. Only the first is certain: nothing was sent.
+bool isConnectFailure(const web::http::http_exception& exception)
+{
+    return exception.error_code().value() == static_cast<int>(std::errc::host_unreachable)
+        && std::string(exception.what()).rfind("Failed to connect", 0) == 0;
+}
+
+class HttpUpstreamCall final : public IUpstreamCall, public std::enable_shared_from_this<HttpUpstreamCall> {
+public:
+    HttpUpstreamCall(std::shared_ptr<http_client> client, std::string peer, UpstreamEvents events)
+        : client_(std::move(client))
+        , peer_(std::move(peer))
+        , events_(std::move(events))
+    {
+    }
+
+    void start(const web::http::http_request& request)
+    {
+        client_->request(request, cancellation_.get_token())
+            .then([self = shared_from_this()](const pplx::task<web::http::http_response>& answered) {
+                self->guarded("call upstream", [&] { self->takeHead(answered.get()); });
+            });
+    }
+
+    void cancel() override { cancellation_.cancel(); }
+
+private:
+    void takeHead(const web::http::http_response& response)
+    {
+        response_ = response;
+        HttpHeaders headers;
+        for (const auto& [name, value] : response_.headers())
+            headers.emplace_back(name, value);
+        events_.onHead(response_.status_code(), endToEndHeaders(headers));
+        readOn();
+    }
+
+    /// `body().read` would wait for the whole stream; a peek and then what is there gives each chunk as it comes.
+    void readOn()
+    {
+        response_.body().streambuf().getc().then([self = shared_from_this()](const pplx::task<int>& peeked) {
+            self->guarded("read answer", [&] {
+                if (peeked.get() == concurrency::streams::char_traits<std::uint8_t>::eof())
+                    self->events_.onEnd();
+                else
+                    self->takeAvailable();
+            });
+        });
+    }
+
+    void takeAvailable()
+    {
+        auto buffer = response_.body().streambuf();
+        const std::size_t size = std::clamp<std::size_t>(buffer.in_avail(), 1, largestRead);
+        auto bytes = std::make_shared<std::string>(size, '\0');
+        buffer.getn(reinterpret_cast<std::uint8_t*>(bytes->data()), size)
+            .then([self = shared_from_this(), bytes](const pplx::task<std::size_t>& read) {
+                self->guarded("read answer", [&] {
+                    bytes->resize(read.get());
+                    self->events_.onBytes(std::move(*bytes));
+                    self->readOn();
+                });
+            });
+    }
+
+    /// cpprest reports failures by exceptions; none may leave this file.
+    template <typename Step> void guarded(const char* step, Step&& run)
+    {
+        try {
+            run();
+        } catch (const web::http::http_exception& exception) {
+            const bool isNotRun = isConnectFailure(exception);
+            fail(step, exception.what(), isNotRun ? Execution::NotRun : Execution::Unknown);
+        } catch (const std::exception& exception) {
+            fail(step, exception.what(), Execution::Unknown);
+        }
+    }
+
+    void fail(const char* step, const char* detail, Execution execution)
+    {
+        const ErrorCode code
+            = step == std::string("read answer") ? ErrorCode::UpstreamBroken : ErrorCode::UpstreamFailed;
+        events_.onFailed(Error { code, step, peer_, detail, execution });
+    }
+
+    std::shared_ptr<http_client> client_;
+    std::string peer_;
+    UpstreamEvents events_;
+    web::http::http_response response_;
+    pplx::cancellation_token_source cancellation_;
+};
+
+web::http::http_request httpRequest(const UpstreamRequest& request)
+{
+    web::http::http_request made(request.method);
+    made.set_request_uri(web::uri(request.path));
+    if (!request.body.empty())
+        made.set_body(std::vector<unsigned char>(request.body.begin(), request.body.end()));
+    for (const auto& [name, value] : endToEndHeaders(request.headers)) {
+        made.headers().remove(name);
+        made.headers().add(name, value);
+    }
+    made.headers().remove("X-Request-Id");
+    made.headers().add("X-Request-Id", request.name.value());
+    made.headers().remove("X-Priority");
+    made.headers().add("X-Priority", std::to_string(request.priority));
+    return made;
+}
+
+class HttpUpstream final : public IUpstream {
+public:
+    explicit HttpUpstream(const std::string& url)
+        : url_(url)
+        , pooled_(newClient(url))
+    {
+    }
+
+    std::shared_ptr<IUpstreamCall> run(UpstreamRequest request, UpstreamEvents events) override
+    {
+        // cpprest sends a request again by itself when a pooled connection turns out to be closed, though the upstream
+        // may have run it; the caller sees one answer, the upstream two calls. A new client has no pooled connection.
+        auto client = request.isRepeatable ? pooled_ : newClient(url_);
+        auto call = std::make_shared<HttpUpstreamCall>(std::move(client), url_, events);
+        try {
+            call->start(httpRequest(request));
+        } catch (const std::exception& exception) {
+            // Only what is wrong with the request itself throws here, before anything is sent.
+            events.onFailed(Error { ErrorCode::BadRequest, "call upstream", url_, exception.what() });
+        }
+        return call;
+    }
+
+private:
+    std::string url_;
+    std::shared_ptr<http_client> pooled_;
+};
+
+} // namespace
+
+std::shared_ptr<IUpstream> makeHttpUpstream(const std::string& url) { return std::make_shared<HttpUpstream>(url); }
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/replicaclaims.cpp
@@ -0,0 +1,207 @@
+#include "agent/internal/replicaclaims.h"
+
+#include "platform/objectupdate.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace lagoon::agent {
+
+namespace {
+
+using bundle::DecidedCount;
+using bundle::HolderState;
+using bundle::ReplicaHolder;
+using bundle::ReplicaObject;
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::FencingNumber;
+using framework::Result;
+using framework::VmName;
+using platform::ObjectChange;
+using platform::ObjectKey;
+using platform::ObjectUpdate;
+
+using StoredText = std::optional<std::string>;
+
+constexpr framework::Milliseconds retryWhenCapReached { 2000 };
+
+Result<ReplicaObject> parse(const StoredText& text, const ObjectKey& key)
+{
+    if (!text)
+        return ReplicaObject {};
+    return bundle::parseReplicaObject(*text, key);
+}
+
+ObjectChange written(const ReplicaObject& object) { return ObjectChange { bundle::replicaObjectText(object) }; }
+
+auto holderOf(ReplicaObject& object, const VmName& vm)
+{
+    return std::find_if(
+        object.holders.begin(), object.holders.end(), [&](const ReplicaHolder& holder) { return holder.vm == vm; });
+}
+
+/// Whether the object shows this claim in this state.
+bool shows(const std::string& text, const ObjectKey& key, const VmName& vm, const std::string& nonce, HolderState state)
+{
+    const auto object = bundle::parseReplicaObject(text, key);
+    if (object.has_error())
+        return false;
+    const ReplicaHolder* holder = object.value().holder(vm);
+    return holder && holder->nonce == nonce && holder->state == state;
+}
+
+} // namespace
+
+ReplicaClaims::ReplicaClaims(std::shared_ptr<platform::IPlatformStore> store, std::shared_ptr<platform::IVmList> vmList,
+    framework::ProcessIdentity identity, framework::Incarnation incarnation,
+    std::shared_ptr<framework::Metrics> metrics)
+    : store_(std::move(store))
+    , vmList_(std::move(vmList))
+    , identity_(std::move(identity))
+    , incarnation_(incarnation)
+    , metrics_(std::move(metrics))
+{
+}
+
+ObjectKey ReplicaClaims::key(const ReplicaId& id) const
+{
+    return bundle::replicaKey(identity_.site, id.model, id.adapter);
+}
+
+Result<FencingNumber> ReplicaClaims::claim(
+    const ReplicaId& id, const std::string& nonce, ClaimKind kind, const DecidedCount& decided, Deadline deadline)
+{
+    auto claimed = tryClaim(id, nonce, kind, decided, {}, deadline);
+    if (claimed.has_value() || claimed.error().code != ErrorCode::ReplicaCapReached)
+        return claimed;
+    // A VM that was reclaimed can't free its claims, and the model would stay short of a replica for good. The list's
+    // "gone" says that neither its process nor its accelerators' content exist, so nothing can come back.
+    BOOST_OUTCOME_TRY(gone, goneVms(deadline));
+    if (gone.empty())
+        return claimed;
+    return tryClaim(id, nonce, kind, decided, gone, deadline);
+}
+
+Result<FencingNumber> ReplicaClaims::tryClaim(const ReplicaId& id, const std::string& nonce, ClaimKind kind,
+    const DecidedCount& decided, const VmNames& gone, Deadline deadline)
+{
+    const ObjectKey objectKey = key(id);
+    ObjectUpdate update;
+    update.change = [&](const StoredText& text) -> Result<ObjectChange> {
+        BOOST_OUTCOME_TRY(object, parse(text, objectKey));
+        const std::uint32_t allowed = bundle::applyDecision(object, decided);
+        const auto dropped = std::erase_if(object.holders,
+            [&](const ReplicaHolder& holder) { return holder.vm != identity_.vm && gone.count(holder.vm) > 0; });
+        metrics_->count("lagoon_claims_of_gone_vms_dropped_total", {}, static_cast<double>(dropped));
+        const ReplicaHolder own { identity_.vm, incarnation_, nonce, HolderState::Loading };
+        const auto former = holderOf(object, identity_.vm);
+        if (former != object.holders.end()) {
+            // Not freed, but taken over: the former process's load may still reach the engine, so the place is taken.
+            *former = own;
+            return written(object);
+        }
+        if (kind == ClaimKind::New && object.holders.size() >= allowed) {
+            Error full { ErrorCode::ReplicaCapReached, "claim replica", objectKey.value(),
+                std::to_string(object.holders.size()) + " held, " + std::to_string(allowed) + " decided" };
+            full.retryAfter = retryWhenCapReached;
+            return full;
+        }
+        object.holders.push_back(own);
+        return written(object);
+    };
+    update.isOwnWrite
+        = [&](const std::string& text) { return shows(text, objectKey, identity_.vm, nonce, HolderState::Loading); };
+    BOOST_OUTCOME_TRY(updated, platform::updateObject(*store_, objectKey, update, deadline));
+    return FencingNumber(updated.version.value());
+}
+
+Result<void> ReplicaClaims::confirm(const ReplicaId& id, const std::string& nonce, Deadline deadline)
+{
+    const ObjectKey objectKey = key(id);
+    ObjectUpdate update;
+    update.change = [&](const StoredText& text) -> Result<ObjectChange> {
+        BOOST_OUTCOME_TRY(object, parse(text, objectKey));
+        const auto own = holderOf(object, identity_.vm);
+        if (own == object.holders.end() || own->nonce != nonce)
+            return Error { ErrorCode::PlatformConflict, "confirm claim", objectKey.value(), "the claim was released" };
+        if (own->state == HolderState::Loaded)
+            return ObjectChange {};
+        own->state = HolderState::Loaded;
+        return written(object);
+    };
+    update.isOwnWrite
+        = [&](const std::string& text) { return shows(text, objectKey, identity_.vm, nonce, HolderState::Loaded); };
+    BOOST_OUTCOME_TRYV(platform::updateObject(*store_, objectKey, update, deadline));
+    return framework::success();
+}
+
+Result<void> ReplicaClaims::release(const ReplicaId& id, const std::string& nonce, Deadline deadline)
+{
+    const ObjectKey objectKey = key(id);
+    ObjectUpdate update;
+    update.change = [&](const StoredText& text) -> Result<ObjectChange> {
+        BOOST_OUTCOME_TRY(object, parse(text, objectKey));
+        const auto own = holderOf(object, identity_.vm);
+        // Without it there is a write all the same: a claim whose answer was lost may still be on its way, and lands
+        // only on the version that it expects. Else it would take a place that nobody knows of.
+        if (own != object.holders.end() && own->nonce == nonce)
+            object.holders.erase(own);
+        return written(object);
+    };
+    // After a lost answer the object is read again; without this claim in it there is nothing left to do, whoever
+    // wrote it.
+    update.isOwnWrite = [&](const std::string& text) {
+        const auto object = bundle::parseReplicaObject(text, objectKey);
+        const ReplicaHolder* own = object.has_value() ? object.value().holder(identity_.vm) : nullptr;
+        return object.has_value() && (!own || own->nonce != nonce);
+    };
+    BOOST_OUTCOME_TRYV(platform::updateObject(*store_, objectKey, update, deadline));
+    return framework::success();
+}
+
+Result<bool> ReplicaClaims::isOverCount(const ReplicaId& id, const DecidedCount& decided, Deadline deadline)
+{
+    const ObjectKey objectKey = key(id);
+    BOOST_OUTCOME_TRY(stored, store_->get(objectKey, deadline));
+    if (!stored)
+        return false;
+    BOOST_OUTCOME_TRY(object, bundle::parseReplicaObject(stored->value, objectKey));
+    const std::uint32_t allowed = bundle::applyDecision(object, decided);
+    const auto own = holderOf(object, identity_.vm);
+    return own != object.holders.end() && own - object.holders.begin() >= static_cast<std::ptrdiff_t>(allowed);
+}
+
+Result<std::vector<ReplicaId>> ReplicaClaims::held(Deadline deadline)
+{
+    const std::string prefix = "replicas/" + identity_.site.value() + "/";
+    BOOST_OUTCOME_TRY(listed, store_->list(prefix, deadline));
+    std::vector<ReplicaId> own;
+    for (const platform::ListedObject& entry : listed) {
+        BOOST_OUTCOME_TRY(stored, store_->get(entry.key, deadline));
+        if (!stored)
+            continue;
+        BOOST_OUTCOME_TRY(object, bundle::parseReplicaObject(stored->value, entry.key));
+        if (!object.holder(identity_.vm))
+            continue;
+        const std::string name = entry.key.value().substr(prefix.size());
+        const std::size_t slash = name.find('/');
+        const std::string adapter = slash == std::string::npos ? "" : name.substr(slash + 1);
+        own.push_back({ framework::ModelName(name.substr(0, slash)), framework::AdapterName(adapter) });
+    }
+    return own;
+}
+
+Result<ReplicaClaims::VmNames> ReplicaClaims::goneVms(Deadline deadline)
+{
+    BOOST_OUTCOME_TRY(list, vmList_->waitForChange(0, deadline));
+    VmNames gone;
+    for (const platform::VmEntry& entry : list.vms) {
+        if (entry.state == platform::VmState::Gone)
+            gone.insert(entry.vm);
+    }
+    return gone;
+}
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/replicaclaims.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "agent/ireplicaclaims.h"
+#include "framework/metrics.h"
+#include "framework/types/processidentity.h"
+#include "platform/iplatformstore.h"
+#include "platform/ivmlist.h"
+
+#include <memory>
+#include <set>
+
+namespace lagoon::agent {
+
+/// Claims by conditional updates of `replicas/<site>/<model>[/<adapter>]`: the count and all holders are in the one
+/// object, so two agents can't both take the last place. A claim never lapses by time: an agent that is paused can't
+/// renew it, while its engine goes on holding the model.
+class ReplicaClaims final : public IReplicaClaims {
+public:
+    ReplicaClaims(std::shared_ptr<platform::IPlatformStore>, std::shared_ptr<platform::IVmList>,
+        framework::ProcessIdentity, framework::Incarnation, std::shared_ptr<framework::Metrics>);
+
+    framework::Result<framework::FencingNumber> claim(const ReplicaId&, const std::string& nonce, ClaimKind,
+        const bundle::DecidedCount&, framework::Deadline) override;
+    framework::Result<void> confirm(const ReplicaId&, const std::string& nonce, framework::Deadline) override;
+    framework::Result<void> release(const ReplicaId&, const std::string& nonce, framework::Deadline) override;
+    framework::Result<bool> isOverCount(const ReplicaId&, const bundle::DecidedCount&, framework::Deadline) override;
+    framework::Result<std::vector<ReplicaId>> held(framework::Deadline) override;
+
+private:
+    using VmNames = std::set<framework::VmName>;
+
+    framework::Result<framework::FencingNumber> tryClaim(const ReplicaId&, const std::string& nonce, ClaimKind,
+        const bundle::DecidedCount&, const VmNames& gone, framework::Deadline);
+    framework::Result<VmNames> goneVms(framework::Deadline);
+    platform::ObjectKey key(const ReplicaId&) const;
+
+    std::shared_ptr<platform::IPlatformStore> store_;
+    std::shared_ptr<platform::IVmList> vmList_;
+    framework::ProcessIdentity identity_;
+    framework::Incarnation incarnation_;
+    std::shared_ptr<framework::Metrics> metrics_;
+};
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/replicacontroller.cpp
@@ -0,0 +1,662 @@
+#include "agent/internal/replicacontroller.h"
+
+#include "framework/logging.h"
+#include "framework/randomid.h"
+#include "policy/policysetup.h"
+
+#include <algorithm>
+
+namespace lagoon::agent {
+
+namespace {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::MebiBytes;
+using framework::Milliseconds;
+using framework::Result;
+using framework::SteadyTime;
+
+constexpr std::size_t recentUsesKept = 8;
+constexpr Milliseconds retryWhenBusy { 1000 };
+constexpr Milliseconds retryWhenFull { 2000 };
+
+Error refusal(ErrorCode code, const ReplicaId& id, std::string detail, Milliseconds retryAfter)
+{
+    Error error { code, "load", replicaText(id), std::move(detail) };
+    if (retryAfter.count() > 0)
+        error.retryAfter = retryAfter;
+    return error;
+}
+
+Error unknown(ErrorCode code, const ReplicaId& id, std::string detail)
+{
+    return refusal(code, id, std::move(detail), Milliseconds(0));
+}
+
+} // namespace
+
+std::string stageText(ReplicaStage stage)
+{
+    switch (stage) {
+    case ReplicaStage::WaitingForModel:
+        return "waiting_for_model";
+    case ReplicaStage::Claiming:
+        return "claiming";
+    case ReplicaStage::WaitingForMemory:
+        return "waiting_for_memory";
+    case ReplicaStage::Loading:
+        return "loading";
+    case ReplicaStage::Loaded:
+        return "loaded";
+    case ReplicaStage::Draining:
+        return "draining";
+    case ReplicaStage::Unloading:
+        return "unloading";
+    case ReplicaStage::Settling:
+        return "settling";
+    case ReplicaStage::Releasing:
+        return "releasing";
+    }
+    return "";
+}
+
+ReplicaController::ReplicaController(ReplicaPorts ports, ReplicaSettings settings)
+    : ports_(std::move(ports))
+    , settings_(std::move(settings))
+    , keepWarm_(policy::makeKeepWarm(bundle::PolicyNumbers {}))
+{
+}
+
+void ReplicaController::start()
+{
+    publishedAt_ = ports_.clock.now();
+    pollEngine();
+    readClaims();
+}
+
+void ReplicaController::setBundle(bundle::BundlePointer bundle)
+{
+    const bundle::BundlePointer former = bundle_;
+    std::map<ReplicaId, std::uint32_t> formerCounts;
+    for (const auto& [id, replica] : replicas_)
+        formerCounts[id] = decidedOf(id).decided;
+    bundle_ = std::move(bundle);
+    keepWarm_ = policy::makeKeepWarm(bundle_->policy);
+    for (auto& [id, replica] : replicas_) {
+        if (!former || decidedOf(id).decided < formerCounts[id])
+            replica.needsCountCheck = true;
+        review(replica);
+        const auto weights = weightsOf(id);
+        // What may still arrive must fit as well; a model that the bundle doesn't know may be of any size.
+        if (replica.stage == ReplicaStage::Settling)
+            account_.enter(id, weights ? weights->memory : account_.total());
+    }
+    advance();
+}
+
+void ReplicaController::beginDraining() { isDraining_ = true; }
+
+void ReplicaController::load(const ReplicaId& id, Deadline deadline, LoadDone done)
+{
+    if (const auto refused = refusalOf(id, deadline)) {
+        ports_.metrics->count(
+            "lagoon_loads_refused_total", { { "code", std::string(framework::errorCodeText(refused->code)) } });
+        done(*refused);
+        return;
+    }
+    Replica* replica = find(id);
+    if (replica && replica->stage == ReplicaStage::Loaded) {
+        done(std::nullopt);
+        return;
+    }
+    if (!replica)
+        replica = &add(id, *weightsOf(id), ReplicaStage::Claiming);
+    if (id.isAdapter() && replica->stage == ReplicaStage::Claiming && !replica->isBusy)
+        addPendingModel(id);
+    if (replica->stage == ReplicaStage::Unloading || replica->stage == ReplicaStage::Draining)
+        replica->reloadsAfterUnload = true;
+    replica->waiters.push_back({ deadline, std::move(done) });
+    advance();
+}
+
+/// An adapter is loaded beside its model, so the model comes first.
+void ReplicaController::addPendingModel(const ReplicaId& id)
+{
+    setStage(*find(id), ReplicaStage::WaitingForModel);
+    if (!find(id.ofModel()))
+        add(id.ofModel(), *weightsOf(id.ofModel()), ReplicaStage::Claiming);
+}
+
+std::optional<Error> ReplicaController::refusalOf(const ReplicaId& id, Deadline deadline) const
+{
+    if (isDraining_)
+        return refusal(ErrorCode::Draining, id, "the agent shuts down", Milliseconds(0));
+    if (!isOpen() || !bundle_)
+        return refusal(ErrorCode::NotReady, id, "engine, claims or bundle not read yet", retryWhenBusy);
+    const bundle::Model* model = bundle_->model(id.model);
+    if (!model)
+        return unknown(ErrorCode::UnknownModel, id, "not in the bundle");
+    if (std::find(model->pools.begin(), model->pools.end(), settings_.pool) == model->pools.end())
+        return unknown(ErrorCode::NoCapacity, id, "not decided for pool " + settings_.pool.value());
+    if (id.isAdapter() && !bundle_->adapter(id.model, id.adapter))
+        return unknown(ErrorCode::UnknownAdapter, id, "not in the bundle");
+    if (decidedOf(id).decided == 0 || decidedOf(id.ofModel()).decided == 0)
+        return unknown(ErrorCode::ReplicaCapReached, id, "no replica decided at this site");
+    const Replica* replica = find(id);
+    if (replica && replica->stage == ReplicaStage::Draining && !replica->reloadsAfterUnload)
+        return refusal(ErrorCode::NoCapacity, id, "it is being unloaded", retryWhenBusy);
+    if (replica)
+        return std::nullopt;
+    const policy::LoadTimeEstimate expected = expectedLoad(id);
+    if (expected.low > deadline.remaining(ports_.clock.now()))
+        return refusal(ErrorCode::DeadlineHopeless, id,
+            "loads take about " + std::to_string(expected.typical.count()) + " ms", expected.typical);
+    return roomRefusal(id);
+}
+
+std::optional<Error> ReplicaController::roomRefusal(const ReplicaId& id) const
+{
+    const std::uint64_t needed = memoryNeeded(id);
+    const std::uint64_t free = account_.available().value() + memoryComing();
+    if (needed <= free || !victims(MebiBytes(needed - free), id).empty())
+        return std::nullopt;
+    return refusal(ErrorCode::MemoryShort, id,
+        std::to_string(needed) + " MiB needed, " + std::to_string(free) + " free, the rest is in use", retryWhenFull);
+}
+
+LoadOffer ReplicaController::offer(const ReplicaId& id) const
+{
+    LoadOffer offer;
+    const SteadyTime now = ports_.clock.now();
+    const Replica* replica = find(id);
+    offer.isLoaded = replica && replica->stage == ReplicaStage::Loaded;
+    offer.isLoading = replica && replica->isBeingLoaded();
+    offer.available = account_.available();
+    offer.refusal = refusalOf(id, Deadline(SteadyTime::max()));
+    if (!bundle_ || !weightsOf(id))
+        return offer;
+    offer.checkpoint = placeOf(id);
+    offer.expectedLoad = expectedLoad(id).typical;
+    const std::uint64_t needed = replica ? 0 : memoryNeeded(id);
+    if (needed <= offer.available.value())
+        return offer;
+    std::uint64_t evicted = 0;
+    SteadyTime youngest {};
+    for (const ReplicaId& victim : victims(MebiBytes(needed - offer.available.value()), id)) {
+        evicted += find(victim)->memory.value();
+        youngest = std::max(youngest, find(victim)->lastUsed);
+    }
+    offer.evicted = MebiBytes(evicted);
+    if (evicted > 0)
+        offer.victimIdle = std::chrono::duration_cast<Milliseconds>(now - youngest);
+    return offer;
+}
+
+Result<void> ReplicaController::beginUse(const Target& target, SteadyTime now)
+{
+    Replica* replica = find(target.replica);
+    Replica* model = find(target.replica.ofModel());
+    const auto isServed = [](const Replica* one) { return one && one->stage == ReplicaStage::Loaded; };
+    if (!isServed(replica) || !isServed(model)) {
+        const std::string stage = replica ? stageText(replica->stage) : "not here";
+        return refusal(ErrorCode::NotLoaded, target.replica, stage, retryWhenBusy);
+    }
+    ++replica->uses;
+    if (model != replica)
+        ++model->uses;
+    for (Replica* used : { replica, model }) {
+        used->lastUsed = now;
+        if (used == model && model == replica && !used->recentUses.empty() && used->recentUses.back() == now)
+            continue;
+        used->recentUses.push_back(now);
+        if (used->recentUses.size() > recentUsesKept)
+            used->recentUses.erase(used->recentUses.begin());
+    }
+    return framework::success();
+}
+
+void ReplicaController::endUse(const Target& target, SteadyTime now)
+{
+    // A replica may have vanished from its engine under its requests.
+    const auto end = [&](Replica* replica) {
+        if (!replica || replica->uses == 0)
+            return;
+        --replica->uses;
+        replica->lastUsed = now;
+    };
+    end(find(target.replica));
+    if (target.replica.isAdapter())
+        end(find(target.replica.ofModel()));
+    const Replica* replica = find(target.replica);
+    if (replica && replica->stage != ReplicaStage::Loaded)
+        advance();
+}
+
+void ReplicaController::advance()
+{
+    const SteadyTime now = ports_.clock.now();
+    expireWaiters(now);
+    if (!isDraining_)
+        unloadIdle(now);
+    std::vector<ReplicaId> ids;
+    for (const auto& [id, replica] : replicas_)
+        ids.push_back(id);
+    for (const ReplicaId& id : ids) {
+        if (Replica* replica = find(id))
+            step(*replica, now);
+    }
+    makeRoom(now);
+    publish(now);
+    if (isInTransition() && !isPollingFast_)
+        pollEngine();
+}
+
+void ReplicaController::step(Replica& replica, SteadyTime now)
+{
+    if (replica.isBusy || !replica.retryAt.hasPassed(now) || !isOpen() || !bundle_)
+        return;
+    switch (replica.stage) {
+    case ReplicaStage::WaitingForModel: {
+        const Replica* model = find(replica.id.ofModel());
+        if (!model || model->stage > ReplicaStage::Loaded)
+            return failLoad(
+                replica, refusal(ErrorCode::LoadFailed, replica.id, "its model isn't loaded", retryWhenBusy));
+        if (model->stage == ReplicaStage::Loaded) {
+            setStage(replica, ReplicaStage::Claiming);
+            startClaim(replica, ClaimKind::New);
+        }
+        return;
+    }
+    case ReplicaStage::Claiming:
+        return startClaim(replica, ClaimKind::New);
+    case ReplicaStage::WaitingForMemory:
+        return;
+    case ReplicaStage::Loading:
+        if (!replica.isClaimed)
+            return startClaim(replica, ClaimKind::Adopted);
+        if (!replica.isOrdered)
+            startLoadOrder(replica);
+        return;
+    case ReplicaStage::Loaded:
+        return stepLoaded(replica);
+    case ReplicaStage::Draining:
+        if (replica.uses > 0 || (!replica.id.isAdapter() && hasAdapters(replica.id.model)))
+            return;
+        return setStage(replica, ReplicaStage::Unloading);
+    case ReplicaStage::Unloading:
+    case ReplicaStage::Settling:
+        if (!replica.isClaimed)
+            return startClaim(replica, ClaimKind::Adopted);
+        if (!replica.isOrdered)
+            startUnloadOrder(replica);
+        return;
+    case ReplicaStage::Releasing:
+        return startRelease(replica);
+    }
+}
+
+void ReplicaController::stepLoaded(Replica& replica)
+{
+    if (!replica.isClaimed)
+        return startClaim(replica, ClaimKind::Adopted);
+    if (replica.needsConfirm)
+        return startConfirm(replica);
+    if (replica.needsCountCheck)
+        startCountCheck(replica);
+}
+
+void ReplicaController::makeRoom(SteadyTime now)
+{
+    std::vector<Replica*> waiting;
+    for (auto& [id, replica] : replicas_) {
+        if (replica.stage == ReplicaStage::WaitingForMemory && !replica.isBusy)
+            waiting.push_back(&replica);
+    }
+    std::sort(waiting.begin(), waiting.end(),
+        [](const Replica* one, const Replica* other) { return one->since < other->since; });
+    for (Replica* replica : waiting) {
+        // In their order, or small loads would keep a large one waiting for good.
+        if (!tryMakeRoom(*replica, now))
+            return;
+    }
+}
+
+/// False if this load has to wait for others' unloads.
+bool ReplicaController::tryMakeRoom(Replica& replica, SteadyTime now)
+{
+    if (!isWanted(replica)) {
+        failLoad(replica, refusal(ErrorCode::DeadlinePassed, replica.id, "nobody waits any more", retryWhenBusy));
+        return true;
+    }
+    if (account_.reserve(replica.id, replica.memory)) {
+        setStage(replica, ReplicaStage::Loading);
+        step(replica, now);
+        return true;
+    }
+    const std::uint64_t coming = memoryComing();
+    const std::uint64_t free = account_.available().value() + coming;
+    if (free >= replica.memory.value())
+        return false;
+    const auto chosen = victims(MebiBytes(replica.memory.value() - free), replica.id);
+    if (chosen.empty() && coming == 0) {
+        failLoad(replica, refusal(ErrorCode::MemoryShort, replica.id, "all memory is in use", retryWhenFull));
+        return true;
+    }
+    for (const ReplicaId& id : chosen) {
+        drain(*find(id), "memory");
+        step(*find(id), now);
+    }
+    return false;
+}
+
+void ReplicaController::unloadIdle(SteadyTime now)
+{
+    for (auto& [id, replica] : replicas_) {
+        if (replica.stage != ReplicaStage::Loaded || replica.uses > 0 || !replica.isClaimed || replica.isBusy)
+            continue;
+        if (!id.isAdapter() && hasAdapters(id.model))
+            continue;
+        if (keepWarm_->keepUntil(viewOf(replica), account_.total()).hasPassed(now))
+            drain(replica, "idle");
+    }
+}
+
+void ReplicaController::expireWaiters(SteadyTime now)
+{
+    for (auto& [id, replica] : replicas_) {
+        std::vector<LoadWaiter> expired;
+        auto& waiters = replica.waiters;
+        const auto firstExpired = std::stable_partition(
+            waiters.begin(), waiters.end(), [&](const LoadWaiter& waiter) { return !waiter.deadline.hasPassed(now); });
+        std::move(firstExpired, waiters.end(), std::back_inserter(expired));
+        waiters.erase(firstExpired, waiters.end());
+        for (const LoadWaiter& waiter : expired)
+            waiter.done(refusal(ErrorCode::DeadlinePassed, id, stageText(replica.stage), retryWhenBusy));
+    }
+}
+
+/// Whether a loaded replica is still what the bundle decided.
+void ReplicaController::review(Replica& replica)
+{
+    if (!bundle_ || replica.stage != ReplicaStage::Loaded)
+        return;
+    const bundle::Model* model = bundle_->model(replica.id.model);
+    const auto weights = weightsOf(replica.id);
+    const bool isServedHere
+        = model && weights && std::find(model->pools.begin(), model->pools.end(), settings_.pool) != model->pools.end();
+    if (!isServedHere)
+        return drain(replica, "not_decided");
+    if (weights->version == replica.version)
+        return;
+    // The place under the cap is kept: the new version is loaded into it once the old one is gone.
+    replica.reloadsAfterUnload = true;
+    drain(replica, "new_version");
+}
+
+void ReplicaController::drain(Replica& replica, const std::string& reason)
+{
+    if (replica.stage != ReplicaStage::Loaded)
+        return;
+    ports_.metrics->count("lagoon_unloads_total", { { "reason", reason } });
+    framework::logInfo("agent", "unloading " + replicaText(replica.id) + ": " + reason);
+    setStage(replica, ReplicaStage::Draining);
+    if (replica.id.isAdapter())
+        return;
+    for (auto& [id, other] : replicas_) {
+        if (id.isAdapter() && id.model == replica.id.model)
+            drain(other, reason);
+    }
+}
+
+void ReplicaController::failLoad(Replica& replica, const Error& error)
+{
+    ports_.metrics->count(
+        "lagoon_loads_failed_total", { { "code", std::string(framework::errorCodeText(error.code)) } });
+    framework::logWarning("agent", "load of " + replicaText(replica.id) + " failed: " + framework::describe(error));
+    const std::vector<LoadWaiter> waiters = std::exchange(replica.waiters, {});
+    replica.reloadsAfterUnload = false;
+    if (replica.mayArriveLate)
+        setStage(replica, ReplicaStage::Settling);
+    else
+        startReleasing(replica);
+    for (const LoadWaiter& waiter : waiters)
+        waiter.done(error);
+    if (replica.id.isAdapter())
+        return;
+    for (auto& [id, other] : replicas_) {
+        if (id.model == replica.id.model && other.stage == ReplicaStage::WaitingForModel)
+            failLoad(other, error);
+    }
+}
+
+/// Whether anyone still has use for a load that isn't ordered yet.
+bool ReplicaController::isWanted(const Replica& replica) const
+{
+    if (!replica.waiters.empty() || replica.reloadsAfterUnload)
+        return true;
+    return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+        return entry.second.stage == ReplicaStage::WaitingForModel && entry.first.model == replica.id.model;
+    });
+}
+
+void ReplicaController::startReleasing(Replica& replica)
+{
+    account_.free(replica.id);
+    setStage(replica, ReplicaStage::Releasing);
+}
+
+void ReplicaController::takeLoaded(Replica& replica, SteadyTime now)
+{
+    if (replica.isOrdered) {
+        replica.loadTime = std::chrono::duration_cast<Milliseconds>(now - replica.orderedAt);
+        loadTimes_.record(replicaText(replica.id), placeOf(replica.id), replica.memory, replica.loadTime, now);
+        ports_.metrics->observeSeconds(
+            "lagoon_load_seconds", std::chrono::duration<double>(now - replica.orderedAt).count());
+        ports_.metrics->count("lagoon_loads_total");
+    }
+    framework::logInfo("agent", "loaded " + replicaText(replica.id));
+    setStage(replica, ReplicaStage::Loaded);
+    replica.lastUsed = now;
+    replica.needsConfirm = true;
+    replica.mayArriveLate = false;
+    replica.reloadsAfterUnload = false;
+    const std::vector<LoadWaiter> waiters = std::exchange(replica.waiters, {});
+    for (const LoadWaiter& waiter : waiters)
+        waiter.done(std::nullopt);
+    review(replica);
+}
+
+void ReplicaController::takeUnloaded(Replica& replica)
+{
+    if (replica.mayArriveLate) {
+        setStage(replica, ReplicaStage::Settling);
+        return;
+    }
+    const auto weights = weightsOf(replica.id);
+    const bool isLoadedAgain
+        = weights && replica.isClaimed && !isDraining_ && (replica.reloadsAfterUnload || !replica.waiters.empty());
+    if (!isLoadedAgain) {
+        startReleasing(replica);
+        return;
+    }
+    account_.free(replica.id);
+    replica.version = weights->version;
+    replica.memory = weights->memory;
+    setStage(replica, ReplicaStage::WaitingForMemory);
+}
+
+void ReplicaController::setStage(Replica& replica, ReplicaStage stage)
+{
+    replica.stage = stage;
+    replica.since = ports_.clock.now();
+    replica.isOrdered = false;
+    replica.absences = 0;
+    replica.failedTries = 0;
+    replica.retryAt = Deadline();
+}
+
+Replica& ReplicaController::add(const ReplicaId& id, const Weights& weights, ReplicaStage stage)
+{
+    Replica& replica = replicas_[id];
+    replica.id = id;
+    replica.version = weights.version;
+    replica.memory = weights.memory;
+    replica.nonce = framework::newNonce();
+    replica.lastUsed = ports_.clock.now();
+    setStage(replica, stage);
+    return replica;
+}
+
+Replica* ReplicaController::find(const ReplicaId& id)
+{
+    const auto found = replicas_.find(id);
+    return found == replicas_.end() ? nullptr : &found->second;
+}
+
+const Replica* ReplicaController::find(const ReplicaId& id) const
+{
+    const auto found = replicas_.find(id);
+    return found == replicas_.end() ? nullptr : &found->second;
+}
+
+std::optional<ReplicaController::Weights> ReplicaController::weightsOf(const ReplicaId& id) const
+{
+    if (!bundle_)
+        return std::nullopt;
+    if (const bundle::Adapter* adapter = bundle_->adapter(id.model, id.adapter))
+        return Weights { adapter->version, adapter->memory };
+    const bundle::Model* model = id.isAdapter() ? nullptr : bundle_->model(id.model);
+    if (!model)
+        return std::nullopt;
+    return Weights { model->version, model->memory };
+}
+
+bundle::DecidedCount ReplicaController::decidedOf(const ReplicaId& id) const
+{
+    if (!bundle_)
+        return {};
+    return { bundle_->decidedReplicas(id.model, id.adapter, settings_.site), bundle_->version };
+}
+
+std::uint64_t ReplicaController::memoryNeeded(const ReplicaId& id) const
+{
+    std::uint64_t needed = weightsOf(id)->memory.value();
+    if (id.isAdapter() && !find(id.ofModel()))
+        needed += weightsOf(id.ofModel())->memory.value();
+    return needed;
+}
+
+/// Memory of replicas on their way out, less what loads that wait for memory already count on.
+std::uint64_t ReplicaController::memoryComing() const
+{
+    std::uint64_t coming = 0;
+    for (const auto& [id, replica] : replicas_) {
+        if (replica.stage == ReplicaStage::Draining || replica.stage == ReplicaStage::Unloading)
+            coming += replica.memory.value();
+    }
+    return coming;
+}
+
+std::vector<ReplicaId> ReplicaController::victims(MebiBytes needed, const ReplicaId& spared) const
+{
+    std::vector<policy::LoadedReplica> views;
+    for (const auto& [id, replica] : replicas_) {
+        if (replica.stage != ReplicaStage::Loaded)
+            continue;
+        policy::LoadedReplica view = viewOf(replica);
+        const bool isAwaited = id == spared.ofModel() || !replica.isClaimed || replica.isBusy;
+        if (isAwaited)
+            view.running = std::max<std::uint32_t>(1, view.running);
+        views.push_back(std::move(view));
+    }
+    std::vector<ReplicaId> chosen;
+    for (const std::size_t index : keepWarm_->victims(views, needed, ports_.clock.now()))
+        chosen.push_back({ views[index].model, views[index].adapter });
+    return chosen;
+}
+
+policy::LoadedReplica ReplicaController::viewOf(const Replica& replica) const
+{
+    policy::LoadedReplica view;
+    view.model = replica.id.model;
+    view.adapter = replica.id.adapter;
+    view.memory = replica.memory;
+    view.lastUsed = replica.lastUsed;
+    view.loadTime = replica.loadTime;
+    view.running = replica.uses;
+    view.recentUses = replica.recentUses;
+    // A model whose adapter is on its way in is in use.
+    for (const auto& [id, other] : replicas_) {
+        if (id.isAdapter() && id.model == replica.id.model && !replica.id.isAdapter() && other.isBeingLoaded())
+            ++view.running;
+    }
+    return view;
+}
+
+bool ReplicaController::hasAdapters(const framework::ModelName& model) const
+{
+    return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+        return entry.first.isAdapter() && entry.first.model == model && entry.second.stage != ReplicaStage::Releasing;
+    });
+}
+
+policy::CheckpointPlace ReplicaController::placeOf(const ReplicaId& id) const
+{
+    const auto weights = weightsOf(id);
+    for (const CachedCheckpoint& cached : engineState_.checkpoints) {
+        if (weights && cached.checkpoint == Checkpoint { id, weights->version })
+            return cached.place;
+    }
+    return policy::CheckpointPlace::Remote;
+}
+
+policy::LoadTimeEstimate ReplicaController::expectedLoad(const ReplicaId& id) const
+{
+    policy::LoadTimeEstimate expected
+        = loadTimes_.estimate(replicaText(id), placeOf(id), weightsOf(id)->memory, ports_.clock.now());
+    if (!id.isAdapter() || find(id.ofModel()))
+        return expected;
+    const policy::LoadTimeEstimate ofModel = expectedLoad(id.ofModel());
+    expected.low += ofModel.low;
+    expected.typical += ofModel.typical;
+    expected.high += ofModel.high;
+    return expected;
+}
+
+bool ReplicaController::isInTransition() const
+{
+    return !isOpen() || std::any_of(replicas_.begin(), replicas_.end(), [](const auto& entry) {
+        return entry.second.stage != ReplicaStage::Loaded && entry.second.stage != ReplicaStage::Releasing;
+    });
+}
+
+EngineOrder ReplicaController::orderFor(const Replica& replica) const
+{
+    return EngineOrder { Checkpoint { replica.id, replica.version }, replica.memory, replica.fence };
+}
+
+void ReplicaController::publish(SteadyTime now)
+{
+    const double seconds = std::chrono::duration<double>(now - publishedAt_).count();
+    publishedAt_ = now;
+    std::uint64_t idle = 0;
+    std::size_t loaded = 0;
+    for (const auto& [id, replica] : replicas_) {
+        if (replica.stage != ReplicaStage::Loaded)
+            continue;
+        ++loaded;
+        if (replica.uses == 0)
+            idle += replica.memory.value();
+    }
+    const auto total = static_cast<double>(std::max<std::uint64_t>(1, account_.total().value()));
+    ports_.metrics->count(
+        "lagoon_idle_accelerator_seconds_total", {}, std::max(0.0, seconds) * static_cast<double>(idle) / total);
+    ports_.metrics->setGauge("lagoon_replicas_loaded", static_cast<double>(loaded));
+    ports_.metrics->setGauge("lagoon_accelerator_memory_used_mebibytes", static_cast<double>(account_.used().value()));
+    ports_.metrics->setGauge(
+        "lagoon_accelerator_memory_free_mebibytes", static_cast<double>(account_.available().value()));
+}
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/replicacontroller.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "agent/imodelengine.h"
+#include "agent/internal/memoryaccount.h"
+#include "agent/internal/replica.h"
+#include "agent/ireplicaclaims.h"
+#include "agent/itargetuse.h"
+#include "bundle/types/bundle.h"
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/metrics.h"
+#include "policy/ikeepwarm.h"
+#include "policy/loadtimeestimator.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoon::agent {
+
+/// Runs blocking work elsewhere.
+using WorkRunner = std::function<void(std::function<void()>)>;
+
+struct ReplicaSettings {
+    framework::SiteName site;
+    framework::PoolName pool;
+    bool checksFencing = false;
+    framework::Milliseconds settling { 10000 };
+};
+
+/// What the controller works with.
+struct ReplicaPorts {
+    framework::IControlExecutor& control;
+    const framework::IClock& clock;
+    WorkRunner platformWork;
+    WorkRunner engineWork;
+    std::shared_ptr<IReplicaClaims> claims;
+    std::shared_ptr<IModelEngine> engine;
+    std::shared_ptr<framework::Metrics> metrics;
+};
+
+/// What a load here would cost.
+struct LoadOffer {
+    bool isLoaded = false;
+    bool isLoading = false;
+    /// Why it can't be loaded; nothing if it can.
+    std::optional<framework::Error> refusal;
+    framework::MebiBytes available;
+    framework::MebiBytes evicted;
+    framework::Milliseconds victimIdle { 0 };
+    policy::CheckpointPlace checkpoint = policy::CheckpointPlace::Remote;
+    framework::Milliseconds expectedLoad { 0 };
+};
+
+/// Decides on all replicas of one engine: which are loaded and unloaded, and when their claims and memory are taken
+/// and freed. Control thread only; each event leads to one pass over the replicas (`advance`).
+///
+/// The order that keeps the promises: claim, then memory, then the load order; and back: the engine's confirmation,
+/// then memory, then the claim. Nothing is ordered before both the engine's state and the platform's claims were read.
+class ReplicaController final : public ITargetUse {
+public:
+    ReplicaController(ReplicaPorts, ReplicaSettings);
+
+    /// Begins to read what the engine has and what is claimed.
+    void start();
+    void setBundle(bundle::BundlePointer);
+    /// From now on nothing more is loaded or unloaded. Claims stay: the engine still has the models, and the next
+    /// agent on this VM adopts them.
+    void beginDraining();
+
+    void load(const ReplicaId&, framework::Deadline, LoadDone);
+    LoadOffer offer(const ReplicaId&) const;
+
+    framework::Result<void> beginUse(const Target&, framework::SteadyTime now) override;
+    void endUse(const Target&, framework::SteadyTime now) override;
+
+    /// Both the engine's state and the platform's claims have been read.
+    bool isOpen() const { return hasEngineState_ && hasReadClaims_; }
+    const std::map<ReplicaId, Replica>& replicas() const { return replicas_; }
+    const MemoryAccount& memory() const { return account_; }
+
+private:
+    struct Weights {
+        framework::WeightsVersion version;
+        framework::MebiBytes memory;
+    };
+
+    // Decisions (replicacontroller.cpp).
+    void advance();
+    void step(Replica&, framework::SteadyTime now);
+    void stepLoaded(Replica&);
+    void makeRoom(framework::SteadyTime now);
+    bool tryMakeRoom(Replica&, framework::SteadyTime now);
+    void unloadIdle(framework::SteadyTime now);
+    void expireWaiters(framework::SteadyTime now);
+    void review(Replica&);
+    void drain(Replica&, const std::string& reason);
+    void failLoad(Replica&, const framework::Error&);
+    void startReleasing(Replica&);
+    void takeLoaded(Replica&, framework::SteadyTime now);
+    void takeUnloaded(Replica&);
+    void setStage(Replica&, ReplicaStage);
+    Replica& add(const ReplicaId&, const Weights&, ReplicaStage);
+    void addPendingModel(const ReplicaId&);
+
+    // The engine's state (replicaobservation.cpp).
+    void pollEngine();
+    void observe(const EngineState&, framework::SteadyTime askedAt);
+    void observePresent(const EngineReplica&);
+    void observeAbsent(Replica&, framework::SteadyTime askedAt);
+
+    // Calls to the platform and the engine (replicaoperations.cpp).
+    void readClaims();
+    void takeClaims(const std::vector<ReplicaId>&);
+    void startClaim(Replica&, ClaimKind);
+    void startConfirm(Replica&);
+    void startCountCheck(Replica&);
+    void startRelease(Replica&);
+    void startLoadOrder(Replica&);
+    void startUnloadOrder(Replica&);
+    void takeLoadAnswer(Replica&, const framework::Result<void>&, framework::SteadyTime sentAt);
+    void takeUnloadAnswer(Replica&, const framework::Result<void>&);
+    void retryLater(Replica&, const std::string& reason);
+    template <typename Value>
+    void onPlatform(Replica&, std::function<framework::Result<Value>()>,
+        std::function<void(Replica&, const framework::Result<Value>&)>);
+    void onEngine(Replica&, std::function<framework::Result<void>()>,
+        std::function<void(Replica&, const framework::Result<void>&)>);
+    void finishCall(const ReplicaId&, const std::function<void(Replica&)>&);
+
+    // Queries.
+    Replica* find(const ReplicaId&);
+    const Replica* find(const ReplicaId&) const;
+    std::optional<Weights> weightsOf(const ReplicaId&) const;
+    bundle::DecidedCount decidedOf(const ReplicaId&) const;
+    std::optional<framework::Error> refusalOf(const ReplicaId&, framework::Deadline) const;
+    std::optional<framework::Error> roomRefusal(const ReplicaId&) const;
+    std::uint64_t memoryNeeded(const ReplicaId&) const;
+    std::uint64_t memoryComing() const;
+    std::vector<ReplicaId> victims(framework::MebiBytes needed, const ReplicaId& spared) const;
+    policy::LoadedReplica viewOf(const Replica&) const;
+    bool hasAdapters(const framework::ModelName&) const;
+    policy::CheckpointPlace placeOf(const ReplicaId&) const;
+    policy::LoadTimeEstimate expectedLoad(const ReplicaId&) const;
+    bool isInTransition() const;
+    bool isWanted(const Replica&) const;
+    EngineOrder orderFor(const Replica&) const;
+
+    void publish(framework::SteadyTime now);
+
+    ReplicaPorts ports_;
+    ReplicaSettings settings_;
+    bundle::BundlePointer bundle_;
+    std::unique_ptr<policy::IKeepWarm> keepWarm_;
+    std::map<ReplicaId, Replica> replicas_;
+    MemoryAccount account_;
+    policy::LoadTimeEstimator loadTimes_;
+    EngineState engineState_;
+    bool hasEngineState_ = false;
+    bool hasReadClaims_ = false;
+    bool isPolling_ = false;
+    bool isPollingFast_ = false;
+    bool isDraining_ = false;
+    framework::SteadyTime publishedAt_ {};
+    std::unique_ptr<framework::Timer> pollTimer_;
+    std::unique_ptr<framework::Timer> claimsTimer_;
+};
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/replicaobservation.cpp
@@ -0,0 +1,143 @@
+#include "agent/internal/replicacontroller.h"
+
+#include "framework/logging.h"
+
+#include <algorithm>
+#include <set>
+
+/// How the engine's state, read again and again, moves the replicas on.
+namespace lagoon::agent {
+
+namespace {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Milliseconds;
+using framework::SteadyTime;
+
+constexpr Milliseconds pollInTransition { 50 };
+constexpr Milliseconds pollAtRest { 1000 };
+constexpr Milliseconds longestStateCall { 2000 };
+/// One state may be older than an order that was accepted while it was made.
+constexpr std::uint32_t absencesBelieved = 2;
+/// An unload that was accepted and doesn't show is ordered again.
+constexpr Milliseconds unloadRepeatedAfter { 2000 };
+
+} // namespace
+
+void ReplicaController::pollEngine()
+{
+    pollTimer_.reset();
+    if (isPolling_)
+        return;
+    isPolling_ = true;
+    const SteadyTime askedAt = ports_.clock.now();
+    ports_.engineWork([this, engine = ports_.engine, askedAt] {
+        auto state = engine->state(Deadline::after(askedAt, longestStateCall));
+        ports_.control.post([this, state = std::move(state), askedAt] {
+            isPolling_ = false;
+            if (state.has_value())
+                observe(state.value(), askedAt);
+            else
+                ports_.metrics->count("lagoon_engine_state_failures_total");
+            isPollingFast_ = true;
+            advance();
+            isPollingFast_ = isInTransition();
+            const Milliseconds wait = isPollingFast_ ? pollInTransition : pollAtRest;
+            pollTimer_ = ports_.control.runAt(Deadline::after(ports_.clock.now(), wait), [this] { pollEngine(); });
+        });
+    });
+}
+
+void ReplicaController::observe(const EngineState& state, SteadyTime askedAt)
+{
+    if (hasEngineState_ && state.incarnation != engineState_.incarnation)
+        framework::logWarning("agent", "the engine has restarted");
+    account_.open(state.memory);
+    engineState_ = state;
+    hasEngineState_ = true;
+    std::set<ReplicaId> present;
+    for (const EngineReplica& replica : state.replicas) {
+        present.insert(replica.checkpoint.replica);
+        observePresent(replica);
+    }
+    for (auto& [id, replica] : replicas_) {
+        if (present.count(id) == 0)
+            observeAbsent(replica, askedAt);
+    }
+}
+
+void ReplicaController::observePresent(const EngineReplica& seen)
+{
+    const SteadyTime now = ports_.clock.now();
+    const ReplicaId& id = seen.checkpoint.replica;
+    const bool isLoaded = seen.state == EngineReplicaState::Loaded;
+    Replica* replica = find(id);
+    if (replica && replica->stage == ReplicaStage::Releasing) {
+        // A load that came later than the settling time allowed for: the truth goes before the plan.
+        ports_.metrics->count("lagoon_late_loads_total");
+        replica->isClaimed = false;
+    }
+    const bool isFound
+        = !replica || replica->stage == ReplicaStage::Settling || replica->stage == ReplicaStage::Releasing;
+    if (isFound && !(replica && replica->isBusy)) {
+        if (!replica)
+            replica = &add(id, { seen.checkpoint.version, seen.memory }, ReplicaStage::Loading);
+        setStage(*replica, ReplicaStage::Loading);
+        replica->version = seen.checkpoint.version;
+        replica->memory = seen.memory;
+        // It needs no order of ours; how long it has been loading isn't known either.
+        replica->isOrdered = true;
+        replica->orderedAt = now;
+        if (isLoaded) {
+            replica->isOrdered = false;
+            takeLoaded(*replica, now);
+        } else if (seen.state == EngineReplicaState::Unloading) {
+            setStage(*replica, ReplicaStage::Unloading);
+        }
+    }
+    if (!replica)
+        return;
+    account_.enter(id, seen.memory);
+    replica->absences = 0;
+    if (replica->stage == ReplicaStage::Loading && isLoaded && (replica->isOrdered || replica->isClaimed))
+        takeLoaded(*replica, now);
+    if (replica->stage == ReplicaStage::Unloading && isLoaded && replica->isOrdered
+        && now - replica->orderedAt > unloadRepeatedAfter)
+        replica->isOrdered = false;
+}
+
+void ReplicaController::observeAbsent(Replica& replica, SteadyTime askedAt)
+{
+    switch (replica.stage) {
+    case ReplicaStage::Loading:
+    case ReplicaStage::Unloading:
+        // Only a state that was asked for after the order was accepted says what became of it.
+        if (!replica.isOrdered || askedAt <= replica.orderedAt || ++replica.absences < absencesBelieved)
+            return;
+        if (replica.stage == ReplicaStage::Unloading)
+            return takeUnloaded(replica);
+        return failLoad(
+            replica, Error { ErrorCode::LoadFailed, "load", replicaText(replica.id), "the engine gave it up" });
+    case ReplicaStage::Loaded:
+    case ReplicaStage::Draining:
+        if (replica.isBusy || ++replica.absences < absencesBelieved)
+            return;
+        ports_.metrics->count("lagoon_replicas_vanished_total");
+        framework::logWarning("agent", replicaText(replica.id) + " is gone from the engine");
+        return startReleasing(replica);
+    case ReplicaStage::Settling:
+        if (!replica.isOrdered || askedAt <= replica.settledAt.at())
+            return;
+        replica.mayArriveLate = false;
+        return takeUnloaded(replica);
+    case ReplicaStage::WaitingForModel:
+    case ReplicaStage::Claiming:
+    case ReplicaStage::WaitingForMemory:
+    case ReplicaStage::Releasing:
+        return;
+    }
+}
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/replicaoperations.cpp
@@ -0,0 +1,285 @@
+#include "agent/internal/replicacontroller.h"
+
+#include "framework/logging.h"
+#include "framework/randomid.h"
+
+#include <algorithm>
+
+/// The controller's calls to the platform and the engine. They block, so they run elsewhere; a replica has at most one
+/// under way, and its result is taken on the control thread.
+namespace lagoon::agent {
+
+namespace {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::FencingNumber;
+using framework::Milliseconds;
+using framework::Result;
+using framework::SteadyTime;
+
+constexpr Milliseconds longestPlatformUpdate { 5000 };
+constexpr Milliseconds longestClaimsRead { 60000 };
+constexpr Milliseconds longestOrderCall { 5000 };
+constexpr Milliseconds firstRetry { 100 };
+constexpr Milliseconds longestRetry { 5000 };
+constexpr std::uint32_t mostDoublings = 6;
+constexpr std::uint32_t mostLoadOrders = 20;
+
+/// Doubles with each failure, with up to half again of jitter, so that agents don't ask a recovering platform in step.
+Milliseconds retryWait(std::uint32_t failedTries)
+{
+    const std::uint32_t doublings = std::min(failedTries, mostDoublings);
+    const Milliseconds wait = std::min(longestRetry, firstRetry * (1U << doublings));
+    return wait + Milliseconds(static_cast<long>(static_cast<double>(wait.count()) / 2 * framework::randomFraction()));
+}
+
+} // namespace
+
+void ReplicaController::finishCall(const ReplicaId& id, const std::function<void(Replica&)>& take)
+{
+    Replica* replica = find(id);
+    if (!replica)
+        return;
+    replica->isBusy = false;
+    take(*replica);
+    advance();
+}
+
+template <typename Value>
+void ReplicaController::onPlatform(
+    Replica& replica, std::function<Result<Value>()> call, std::function<void(Replica&, const Result<Value>&)> take)
+{
+    replica.isBusy = true;
+    ports_.platformWork([this, id = replica.id, call = std::move(call), take = std::move(take)] {
+        Result<Value> result = call();
+        ports_.control.post([this, id, take, result = std::move(result)] {
+            finishCall(id, [&](Replica& found) { take(found, result); });
+        });
+    });
+}
+
+void ReplicaController::onEngine(
+    Replica& replica, std::function<Result<void>()> call, std::function<void(Replica&, const Result<void>&)> take)
+{
+    replica.isBusy = true;
+    ports_.engineWork([this, id = replica.id, call = std::move(call), take = std::move(take)] {
+        Result<void> result = call();
+        ports_.control.post([this, id, take, result = std::move(result)] {
+            finishCall(id, [&](Replica& found) { take(found, result); });
+        });
+    });
+}
+
+void ReplicaController::retryLater(Replica& replica, const std::string& reason)
+{
+    ports_.metrics->count("lagoon_retries_total", { { "reason", reason } });
+    replica.retryAt = Deadline::after(ports_.clock.now(), retryWait(replica.failedTries));
+    ++replica.failedTries;
+}
+
+void ReplicaController::readClaims()
+{
+    claimsTimer_.reset();
+    const Deadline deadline = Deadline::after(ports_.clock.now(), longestClaimsRead);
+    ports_.platformWork([this, claims = ports_.claims, deadline] {
+        auto held = claims->held(deadline);
+        ports_.control.post([this, held = std::move(held)] {
+            if (held.has_value()) {
+                takeClaims(held.value());
+                return;
+            }
+            ports_.metrics->count("lagoon_retries_total", { { "reason", "read_claims" } });
+            const Deadline again = Deadline::after(ports_.clock.now(), retryWait(mostDoublings / 2));
+            claimsTimer_ = ports_.control.runAt(again, [this] { readClaims(); });
+        });
+    });
+}
+
+void ReplicaController::takeClaims(const std::vector<ReplicaId>& held)
+{
+    if (!hasEngineState_) {
+        // What the engine has comes first, else each of its replicas would look as if it were yet to arrive.
+        const Deadline again = Deadline::after(ports_.clock.now(), firstRetry);
+        claimsTimer_ = ports_.control.runAt(again, [this, held] { takeClaims(held); });
+        return;
+    }
+    hasReadClaims_ = true;
+    for (const ReplicaId& id : held) {
+        if (find(id))
+            continue;
+        const auto weights = weightsOf(id);
+        // Of an unknown size it may be as large as all there is; nothing else is loaded until it is settled.
+        const Weights reserved
+            = weights ? *weights : Weights { framework::WeightsVersion("unknown"), account_.total() };
+        add(id, reserved, ReplicaStage::Settling).mayArriveLate = true;
+        account_.enter(id, reserved.memory);
+    }
+    framework::logInfo("agent", "adopted " + std::to_string(held.size()) + " claims of a former process");
+    advance();
+}
+
+void ReplicaController::startClaim(Replica& replica, ClaimKind kind)
+{
+    Deadline deadline = Deadline::after(ports_.clock.now(), longestPlatformUpdate);
+    for (const LoadWaiter& waiter : replica.waiters)
+        deadline = std::max(deadline, waiter.deadline);
+    onPlatform<FencingNumber>(
+        replica,
+        [claims = ports_.claims, id = replica.id, nonce = replica.nonce, kind, decided = decidedOf(replica.id),
+            deadline] { return claims->claim(id, nonce, kind, decided, deadline); },
+        [this, kind](Replica& claimed, const Result<FencingNumber>& fence) {
+            if (fence.has_value()) {
+                claimed.isClaimed = true;
+                claimed.fence = fence.value();
+                claimed.failedTries = 0;
+                if (kind == ClaimKind::Adopted)
+                    claimed.needsCountCheck = true;
+                else
+                    setStage(claimed, ReplicaStage::WaitingForMemory);
+                return;
+            }
+            if (kind == ClaimKind::Adopted)
+                return retryLater(claimed, "adopt_claim");
+            // An update without an answer may have taken effect, so there may be something to give up.
+            claimed.isClaimed = fence.error().execution == Execution::Unknown;
+            failLoad(claimed, fence.error());
+        });
+}
+
+void ReplicaController::startConfirm(Replica& replica)
+{
+    const Deadline deadline = Deadline::after(ports_.clock.now(), longestPlatformUpdate);
+    onPlatform<void>(
+        replica,
+        [claims = ports_.claims, id = replica.id, nonce = replica.nonce, deadline] {
+            return claims->confirm(id, nonce, deadline);
+        },
+        [this](Replica& confirmed, const Result<void>& result) {
+            if (result.has_value()) {
+                confirmed.needsConfirm = false;
+                return;
+            }
+            if (result.error().code != ErrorCode::PlatformConflict)
+                return retryLater(confirmed, "confirm_claim");
+            // An operator's forced release took the claim away: whoever gets the place relies on it being free.
+            ports_.metrics->count("lagoon_claims_lost_total");
+            confirmed.needsConfirm = false;
+            drain(confirmed, "claim_lost");
+        });
+}
+
+void ReplicaController::startCountCheck(Replica& replica)
+{
+    const Deadline deadline = Deadline::after(ports_.clock.now(), longestPlatformUpdate);
+    onPlatform<bool>(
+        replica,
+        [claims = ports_.claims, id = replica.id, decided = decidedOf(replica.id), deadline] {
+            return claims->isOverCount(id, decided, deadline);
+        },
+        [this](Replica& checked, const Result<bool>& isOver) {
+            if (isOver.has_error())
+                return retryLater(checked, "check_count");
+            checked.needsCountCheck = false;
+            if (isOver.value())
+                drain(checked, "count_lowered");
+        });
+}
+
+void ReplicaController::startRelease(Replica& replica)
+{
+    if (!replica.isClaimed) {
+        replicas_.erase(replica.id);
+        return;
+    }
+    const Deadline deadline = Deadline::after(ports_.clock.now(), longestPlatformUpdate);
+    onPlatform<void>(
+        replica,
+        [claims = ports_.claims, id = replica.id, nonce = replica.nonce, deadline] {
+            return claims->release(id, nonce, deadline);
+        },
+        [this](Replica& released, const Result<void>& result) {
+            // The platform may be down for long; the claim is ours to free and stays on the list until it is freed.
+            if (result.has_error())
+                return retryLater(released, "release_claim");
+            released.isClaimed = false;
+            released.nonce = framework::newNonce();
+            if (released.waiters.empty() || !weightsOf(released.id)) {
+                replicas_.erase(ReplicaId(released.id));
+                return;
+            }
+            released.version = weightsOf(released.id)->version;
+            released.memory = weightsOf(released.id)->memory;
+            setStage(released, ReplicaStage::Claiming);
+        });
+}
+
+void ReplicaController::startLoadOrder(Replica& replica)
+{
+    const SteadyTime now = ports_.clock.now();
+    onEngine(
+        replica,
+        [engine = ports_.engine, order = orderFor(replica), deadline = Deadline::after(now, longestOrderCall)] {
+            return engine->load(order, deadline);
+        },
+        [this, now](Replica& ordered, const Result<void>& result) { takeLoadAnswer(ordered, result, now); });
+}
+
+void ReplicaController::takeLoadAnswer(Replica& replica, const Result<void>& result, SteadyTime sentAt)
+{
+    if (replica.stage != ReplicaStage::Loading)
+        return;
+    if (result.has_value()) {
+        replica.isOrdered = true;
+        replica.orderedAt = sentAt;
+        return;
+    }
+    const Error& error = result.error();
+    if (error.code == ErrorCode::Fenced) {
+        // Another claim of this replica was written since ours; a new one has a newer number.
+        setStage(replica, ReplicaStage::Claiming);
+        return retryLater(replica, "stale_fence");
+    }
+    const bool isLost = error.execution == Execution::Unknown;
+    replica.mayArriveLate = replica.mayArriveLate || isLost;
+    const bool isUnanswered = error.code == ErrorCode::UpstreamFailed;
+    if (!isUnanswered || replica.failedTries >= mostLoadOrders)
+        return failLoad(replica, error);
+    // The same order again is harmless, whether or not the first was taken.
+    retryLater(replica, "load_order");
+}
+
+void ReplicaController::startUnloadOrder(Replica& replica)
+{
+    const SteadyTime now = ports_.clock.now();
+    onEngine(
+        replica,
+        [engine = ports_.engine, order = orderFor(replica), deadline = Deadline::after(now, longestOrderCall)] {
+            return engine->unload(order, deadline);
+        },
+        [this](Replica& ordered, const Result<void>& result) { takeUnloadAnswer(ordered, result); });
+}
+
+/// While settling, an order of a former process, or one whose answer was lost, may be read by the engine only after
+/// this one: were memory or claim freed at once, the late load would overcommit the accelerator or pass the cap.
+/// An engine that checks fencing numbers refuses it, since it has now seen the newer number of the claim taken over.
+/// For one that ignores them, this answered unload and a settling time must do. That rests on the engine's machine
+/// not keeping unread bytes of a closed connection for longer than the settling time.
+void ReplicaController::takeUnloadAnswer(Replica& replica, const Result<void>& result)
+{
+    if (result.has_error() && result.error().code == ErrorCode::Fenced)
+        replica.isClaimed = false;
+    // "Not loaded" is also said of a replica in use; the state tells, and the order is repeated then.
+    const bool isAnswered = result.has_value() || result.error().code == ErrorCode::NotLoaded;
+    if (!isAnswered)
+        return retryLater(replica, "unload_order");
+    const SteadyTime answeredAt = ports_.clock.now();
+    replica.isOrdered = true;
+    replica.orderedAt = answeredAt;
+    const Milliseconds settling = settings_.checksFencing ? Milliseconds(0) : settings_.settling;
+    replica.settledAt = Deadline::after(answeredAt, settling);
+}
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/requestgate.cpp
@@ -0,0 +1,386 @@
+#include "agent/internal/requestgate.h"
+
+#include "wire/types/message.h"
+
+#include <algorithm>
+
+namespace lagoon::agent {
+
+namespace {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::Incarnation;
+using framework::Milliseconds;
+using framework::SequenceNumber;
+using wire::ILink;
+namespace fb = wire::fb;
+
+constexpr std::size_t largestChunk = std::size_t(256) * 1024;
+constexpr std::uint8_t highestPriority = 9;
+constexpr Milliseconds retryWhenFull { 500 };
+constexpr unsigned short notFound = 404;
+
+DispatchKey keyOf(const fb::DispatchIdT& id)
+{
+    return { Incarnation(id.router_incarnation), id.session, SequenceNumber(id.sequence) };
+}
+
+std::unique_ptr<fb::DispatchIdT> idOf(const DispatchKey& key)
+{
+    auto id = std::make_unique<fb::DispatchIdT>();
+    id->router_incarnation = key.router.value();
+    id->session = key.session;
+    id->sequence = key.sequence.value();
+    return id;
+}
+
+Target targetOf(const fb::TargetT& target)
+{
+    return { { framework::ModelName(target.model), framework::AdapterName(target.adapter) },
+        framework::ServiceName(target.service) };
+}
+
+HttpHeaders headersOf(const std::vector<std::unique_ptr<fb::HeaderT>>& headers)
+{
+    HttpHeaders read;
+    for (const auto& header : headers) {
+        if (header)
+            read.emplace_back(header->name, header->value);
+    }
+    return read;
+}
+
+UpstreamRequest requestOf(fb::DispatchT& dispatch, framework::SteadyTime now)
+{
+    UpstreamRequest request;
+    request.name = framework::RequestName(dispatch.request_name);
+    request.method = std::move(dispatch.method);
+    request.path = std::move(dispatch.path);
+    request.headers = headersOf(dispatch.headers);
+    request.body.assign(dispatch.body.begin(), dispatch.body.end());
+    request.priority = std::min(dispatch.priority, highestPriority);
+    request.isRepeatable = dispatch.is_repeatable;
+    request.deadline = Deadline::after(now, Milliseconds(dispatch.remaining_ms));
+    return request;
+}
+
+void sendChunk(ILink& link, const DispatchKey& key, std::uint64_t offset, const char* bytes, std::size_t size)
+{
+    fb::AnswerChunkT chunk;
+    chunk.id = idOf(key);
+    chunk.offset = offset;
+    chunk.bytes.assign(bytes, bytes + size);
+    link.send(wire::message(std::move(chunk)));
+}
+
+Error refusal(ErrorCode code, std::string detail, Execution execution)
+{
+    return Error { code, "admit", "", std::move(detail), execution };
+}
+
+} // namespace
+
+RequestGate::RequestGate(GatePorts ports, Incarnation own, const AgentLimits& limits)
+    : ports_(std::move(ports))
+    , limits_(limits)
+    , ledger_(RequestLedger::restart(own, { limits.ledgerEntries, limits.ledgerBytes, limits.forgetRouterAfter }))
+    , admission_(limits.running, limits.waiting)
+{
+}
+
+void RequestGate::dispatch(const std::shared_ptr<ILink>& link, fb::DispatchT dispatch)
+{
+    const framework::SteadyTime now = ports_.clock.now();
+    const DispatchKey key = keyOf(*dispatch.id);
+    const auto verdict = ledger_.dispatch(key, Incarnation(dispatch.agent_incarnation), SequenceNumber(dispatch.floor));
+    stopAbandoned();
+    if (verdict.has_error()) {
+        refuse(link, key, verdict.error());
+        return;
+    }
+    if (verdict.value() == DispatchVerdict::AlreadyKnown) {
+        ports_.metrics->count("lagoon_dispatches_repeated_total");
+        return;
+    }
+    ports_.metrics->count("lagoon_dispatches_total");
+    Call call;
+    call.target = targetOf(*dispatch.target);
+    call.request = requestOf(dispatch, now);
+    call.link = link;
+    call.receivedAt = now;
+    admit(key, std::move(call));
+}
+
+std::optional<Error> RequestGate::admissionRefusal(const Call& call) const
+{
+    if (isDraining_)
+        return refusal(ErrorCode::Draining, "the agent shuts down", Execution::NotRun);
+    if (call.request.deadline.hasPassed(ports_.clock.now()))
+        return refusal(ErrorCode::DeadlinePassed, "on receipt", Execution::NotRun);
+    return std::nullopt;
+}
+
+void RequestGate::admit(const DispatchKey& key, Call call)
+{
+    const Target target = call.target;
+    const auto link = call.link;
+    std::optional<Error> refused = admissionRefusal(call);
+    if (!refused) {
+        const auto use = ports_.targets.beginUse(target, ports_.clock.now());
+        if (use.has_error())
+            refused = use.error();
+    }
+    if (!refused && !admission_.enqueue({ key, call.request.priority, call.request.deadline })) {
+        ports_.targets.endUse(target, ports_.clock.now());
+        refused = refusal(ErrorCode::TooManyWaiting, "the agent's queue is full", Execution::NotRun);
+        refused->retryAfter = retryWhenFull;
+    }
+    if (refused) {
+        ledger_.complete(key, refused);
+        refuse(link, key, *refused);
+        return;
+    }
+    call.deadlineTimer = ports_.control.runAt(
+        call.request.deadline, [this, key] { stop(key, refusal(ErrorCode::DeadlinePassed, "", Execution::Unknown)); });
+    calls_.emplace(key, std::move(call));
+    startWaiting();
+}
+
+void RequestGate::startWaiting()
+{
+    for (const WaitingDispatch& next : admission_.takeStartable())
+        run(next.key);
+    publish();
+}
+
+void RequestGate::run(const DispatchKey& key)
+{
+    Call& call = calls_.at(key);
+    const auto waited = ports_.clock.now() - call.receivedAt;
+    ports_.metrics->observeSeconds("lagoon_agent_wait_seconds", std::chrono::duration<double>(waited).count());
+    // Events come on other threads and in order, and so they are posted; a call that has ended is no longer found.
+    UpstreamEvents events;
+    events.onHead = [this, key](unsigned short status, HttpHeaders headers) {
+        ports_.control.post([this, key, status, headers = std::move(headers)] { takeHead(key, status, headers); });
+    };
+    events.onBytes = [this, key](std::string bytes) {
+        ports_.control.post([this, key, bytes = std::move(bytes)] { takeBytes(key, bytes); });
+    };
+    events.onEnd = [this, key] { ports_.control.post([this, key] { takeEnd(key); }); };
+    events.onFailed
+        = [this, key](const Error& error) { ports_.control.post([this, key, error] { takeFailure(key, error); }); };
+    call.upstream = ports_.upstream->run(std::move(call.request), std::move(events));
+}
+
+void RequestGate::cancel(const fb::CancelT& cancel)
+{
+    const DispatchKey key = keyOf(*cancel.id);
+    if (find(key))
+        stop(key, refusal(ErrorCode::CallerGone, "cancelled by the router", Execution::Unknown));
+    else
+        ledger_.fence(key);
+}
+
+/// Ends a call before its time. One that hasn't gone to the upstream ends at once as not run; else the upstream's
+/// connection is closed, and its failure ends the call.
+void RequestGate::stop(const DispatchKey& key, Error reason)
+{
+    Call* call = find(key);
+    if (!call || call->stopReason)
+        return;
+    if (call->upstream) {
+        call->stopReason = std::move(reason);
+        call->upstream->cancel();
+        return;
+    }
+    admission_.remove(key);
+    reason.execution = Execution::NotRun;
+    end(key, std::move(reason));
+}
+
+void RequestGate::takeHead(const DispatchKey& key, unsigned short status, HttpHeaders headers)
+{
+    Call* call = find(key);
+    if (!call || call->stopReason)
+        return;
+    // An engine says 404 before it runs anything: it has lost the replica since its state was last read.
+    if (status == notFound && !call->target.isService())
+        return stop(key, refusal(ErrorCode::NotLoaded, "the engine doesn't have it", Execution::NotRun));
+    ledger_.storeHead(key, status, std::move(headers));
+    sendHead(*call->link, key, *ledger_.answer(key));
+}
+
+void RequestGate::takeBytes(const DispatchKey& key, std::string bytes)
+{
+    Call* call = find(key);
+    if (!call || call->stopReason)
+        return;
+    const std::uint64_t offset = ledger_.answer(key)->bytes.size();
+    if (offset + bytes.size() > limits_.answerBytes)
+        return stop(key, refusal(ErrorCode::TooLarge, "the answer is too long", Execution::Unknown));
+    ledger_.storeBytes(key, bytes);
+    sendChunk(*call->link, key, offset, bytes.data(), bytes.size());
+}
+
+void RequestGate::takeEnd(const DispatchKey& key)
+{
+    const Call* call = find(key);
+    if (call)
+        end(key, call->stopReason);
+}
+
+void RequestGate::takeFailure(const DispatchKey& key, const Error& error)
+{
+    const Call* call = find(key);
+    if (!call)
+        return;
+    Error said = call->stopReason.value_or(error);
+    // Nothing can have been run over a connection that was never made, whatever stopped the call.
+    if (error.execution == Execution::NotRun)
+        said.execution = Execution::NotRun;
+    end(key, std::move(said));
+}
+
+void RequestGate::end(const DispatchKey& key, std::optional<Error> refused)
+{
+    auto ended = calls_.extract(key);
+    Call& call = ended.mapped();
+    if (call.upstream)
+        admission_.ended();
+    ports_.targets.endUse(call.target, ports_.clock.now());
+    if (refused) {
+        refuse(call.link, key, *refused);
+    } else {
+        ports_.metrics->count("lagoon_answers_total");
+        sendEnd(*call.link, key, *ledger_.answer(key));
+    }
+    ledger_.complete(key, std::move(refused));
+    startWaiting();
+}
+
+void RequestGate::resolve(const std::shared_ptr<ILink>& link, const fb::ResolveT& resolve)
+{
+    const DispatchKey key = keyOf(*resolve.id);
+    const auto verdict = ledger_.resolve(key, Incarnation(resolve.agent_incarnation), SequenceNumber(resolve.floor));
+    stopAbandoned();
+    if (verdict.has_error()) {
+        refuse(link, key, verdict.error());
+        return;
+    }
+    switch (verdict.value()) {
+    case ResolveVerdict::Fenced:
+        refuse(link, key, refusal(ErrorCode::Fenced, "not seen before", Execution::NotRun));
+        return;
+    case ResolveVerdict::Running:
+        ports_.metrics->count("lagoon_dispatches_attached_total");
+        if (Call* call = find(key))
+            call->link = link;
+        break;
+    case ResolveVerdict::Done:
+        ports_.metrics->count("lagoon_answers_sent_again_total");
+        break;
+    }
+    sendStored(link, key, resolve.received_bytes);
+}
+
+void RequestGate::sendStored(const std::shared_ptr<ILink>& link, const DispatchKey& key, std::uint64_t from)
+{
+    const StoredAnswer& answer = *ledger_.answer(key);
+    if (answer.hasHead)
+        sendHead(*link, key, answer);
+    for (std::size_t offset = from; offset < answer.bytes.size(); offset += largestChunk) {
+        const std::size_t size = std::min(largestChunk, answer.bytes.size() - offset);
+        sendChunk(*link, key, offset, answer.bytes.data() + offset, size);
+    }
+    if (ledger_.isRunning(key))
+        return;
+    if (answer.refusal)
+        refuse(link, key, *answer.refusal);
+    else
+        sendEnd(*link, key, answer);
+}
+
+void RequestGate::sendHead(ILink& link, const DispatchKey& key, const StoredAnswer& answer)
+{
+    fb::AnswerHeadT head;
+    head.id = idOf(key);
+    head.status = answer.status;
+    for (const auto& [name, value] : answer.headers) {
+        auto header = std::make_unique<fb::HeaderT>();
+        header->name = name;
+        header->value = value;
+        head.headers.push_back(std::move(header));
+    }
+    link.send(wire::message(std::move(head)));
+}
+
+void RequestGate::sendEnd(ILink& link, const DispatchKey& key, const StoredAnswer& answer)
+{
+    fb::AnswerEndT end;
+    end.id = idOf(key);
+    end.length = answer.bytes.size();
+    end.checksum = answer.checksum;
+    end.running = running();
+    end.waiting = waiting();
+    link.send(wire::message(std::move(end)));
+}
+
+void RequestGate::refuse(const std::shared_ptr<ILink>& link, const DispatchKey& key, const Error& error)
+{
+    ports_.metrics->count("lagoon_refusals_total",
+        { { "code", std::string(framework::errorCodeText(error.code)) },
+            { "execution", std::string(framework::executionText(error.execution)) } });
+    fb::RefusedT refused;
+    refused.id = idOf(key);
+    refused.code = static_cast<std::uint8_t>(error.code);
+    refused.execution = static_cast<std::uint8_t>(error.execution);
+    refused.step = error.step;
+    refused.peer = error.peer;
+    refused.detail = error.detail;
+    refused.retry_after_ms = static_cast<std::uint32_t>(error.retryAfter.value_or(Milliseconds(0)).count());
+    link->send(wire::message(std::move(refused)));
+}
+
+void RequestGate::settle(Incarnation router, std::uint64_t session, SequenceNumber floor)
+{
+    ledger_.settle(router, session, floor);
+    stopAbandoned();
+}
+
+/// Nobody waits for these: their caller was told something else meanwhile, or their router is gone.
+void RequestGate::stopAbandoned()
+{
+    for (const DispatchKey& key : ledger_.takeAbandoned())
+        stop(key, refusal(ErrorCode::CallerGone, "nobody waits any more", Execution::Unknown));
+}
+
+std::uint64_t RequestGate::openSession(Incarnation router) { return ledger_.openSession(router, ports_.clock.now()); }
+
+void RequestGate::linkOpened(Incarnation router) { ledger_.linkOpened(router); }
+
+void RequestGate::linkClosed(Incarnation router) { ledger_.linkClosed(router, ports_.clock.now()); }
+
+void RequestGate::forgetGoneRouters()
+{
+    ledger_.forgetGoneRouters(ports_.clock.now());
+    stopAbandoned();
+}
+
+void RequestGate::beginDraining() { isDraining_ = true; }
+
+void RequestGate::publish()
+{
+    ports_.metrics->setGauge("lagoon_agent_running", running());
+    ports_.metrics->setGauge("lagoon_agent_waiting", waiting());
+}
+
+RequestGate::Call* RequestGate::find(const DispatchKey& key)
+{
+    const auto found = calls_.find(key);
+    return found == calls_.end() ? nullptr : &found->second;
+}
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/requestgate.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "agent/agentsettings.h"
+#include "agent/internal/admission.h"
+#include "agent/internal/requestledger.h"
+#include "agent/itargetuse.h"
+#include "agent/iupstream.h"
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/metrics.h"
+#include "wire/ilink.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace lagoon::agent {
+
+/// What the gate works with.
+struct GatePorts {
+    framework::IControlExecutor& control;
+    const framework::IClock& clock;
+    ITargetUse& targets;
+    std::shared_ptr<IUpstream> upstream;
+    std::shared_ptr<framework::Metrics> metrics;
+};
+
+/// Takes each dispatch from a router through ledger, admission and upstream to its one answer or refusal. The work
+/// doesn't depend on the link it came by: when that falls silent, it goes on and its answer is kept for `resolve`.
+/// Control thread only.
+class RequestGate {
+public:
+    RequestGate(GatePorts, framework::Incarnation own, const AgentLimits&);
+
+    void dispatch(const std::shared_ptr<wire::ILink>&, wire::fb::DispatchT);
+    void cancel(const wire::fb::CancelT&);
+    void resolve(const std::shared_ptr<wire::ILink>&, const wire::fb::ResolveT&);
+    void settle(framework::Incarnation router, std::uint64_t session, framework::SequenceNumber floor);
+    std::uint64_t openSession(framework::Incarnation router);
+    void linkOpened(framework::Incarnation router);
+    void linkClosed(framework::Incarnation router);
+    /// Drops what routers that are gone have left.
+    void forgetGoneRouters();
+    /// From now on everything new is refused as not run.
+    void beginDraining();
+
+    std::uint32_t running() const { return admission_.running(); }
+    std::uint32_t waiting() const { return admission_.waiting(); }
+    bool isIdle() const { return calls_.empty(); }
+    const RequestLedger& ledger() const { return ledger_; }
+
+private:
+    /// A dispatch that hasn't ended.
+    struct Call {
+        Target target;
+        UpstreamRequest request;
+        std::shared_ptr<wire::ILink> link;
+        std::unique_ptr<framework::Timer> deadlineTimer;
+        std::shared_ptr<IUpstreamCall> upstream;
+        /// Why it was stopped; in place of what the upstream says then.
+        std::optional<framework::Error> stopReason;
+        framework::SteadyTime receivedAt {};
+    };
+
+    void admit(const DispatchKey&, Call);
+    void startWaiting();
+    void run(const DispatchKey&);
+    void stop(const DispatchKey&, framework::Error);
+    void takeHead(const DispatchKey&, unsigned short status, HttpHeaders);
+    void takeBytes(const DispatchKey&, std::string);
+    void takeEnd(const DispatchKey&);
+    void takeFailure(const DispatchKey&, const framework::Error&);
+    void end(const DispatchKey&, std::optional<framework::Error>);
+    void stopAbandoned();
+    void refuse(const std::shared_ptr<wire::ILink>&, const DispatchKey&, const framework::Error&);
+    void sendStored(const std::shared_ptr<wire::ILink>&, const DispatchKey&, std::uint64_t from);
+    void sendHead(wire::ILink&, const DispatchKey&, const StoredAnswer&);
+    void sendEnd(wire::ILink&, const DispatchKey&, const StoredAnswer&);
+    void publish();
+    std::optional<framework::Error> admissionRefusal(const Call&) const;
+    Call* find(const DispatchKey&);
+
+    GatePorts ports_;
+    AgentLimits limits_;
+    RequestLedger ledger_;
+    Admission admission_;
+    std::map<DispatchKey, Call> calls_;
+    bool isDraining_ = false;
+};
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/serviceuse.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "agent/itargetuse.h"
+#include "bundle/types/bundle.h"
+
+namespace lagoon::agent {
+
+/// For an upstream that is a plain service: it serves what the bundle names for its pool.
+class ServiceUse final : public ITargetUse {
+public:
+    explicit ServiceUse(framework::PoolName);
+    void setBundle(bundle::BundlePointer);
+
+    framework::Result<void> beginUse(const Target&, framework::SteadyTime now) override;
+    void endUse(const Target&, framework::SteadyTime now) override;
+
+private:
+    framework::PoolName pool_;
+    bundle::BundlePointer bundle_;
+};
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/itargetuse.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "agent/types/target.h"
+#include "framework/types/error.h"
+#include "framework/types/time.h"
+
+namespace lagoon::agent {
+
+/// Who knows whether a target is served here now, and for which requests it must stay. Control thread only.
+class ITargetUse {
+public:
+    virtual ~ITargetUse() = default;
+    /// Keeps the target served until `endUse`, or says why it isn't served; nothing was run then.
+    virtual framework::Result<void> beginUse(const Target&, framework::SteadyTime now) = 0;
+    virtual void endUse(const Target&, framework::SteadyTime now) = 0;
+};
+
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/types/target.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "agent/types/replicaid.h"
+
+namespace lagoon::agent {
+
+/// What a dispatch is for: a replica or a plain service.
+struct Target {
+    ReplicaId replica;
+    framework::ServiceName service;
+
+    bool isService() const { return !service.value().empty(); }
+};
+
+} // namespace lagoon::agent
