--- a/src/app/internal/readyline.cpp
+++ b/src/app/internal/readyline.cpp
@@ -5,8 +5,8 @@
 
 namespace lagoon::app {
 
-void printReadyLine(const std::string& role, const framework::VmName& vm,
-    const std::map<std::string, framework::Endpoint>& endpoints)
+void printReadyLine(
+    const std::string& role, const framework::VmName& vm, const std::map<std::string, framework::Endpoint>& endpoints)
 {
     web::json::value line;
     line["ready"] = web::json::value::boolean(true);
--- a/src/bundle/internal/bundle.cpp
+++ b/src/bundle/internal/bundle.cpp
@@ -22,8 +22,8 @@
 
 const Service* Bundle::service(const framework::ServiceName& name) const { return find(services, name); }
 
-std::uint32_t Bundle::decidedReplicas(
-    const framework::ModelName& modelName, const framework::AdapterName& adapterName, const framework::SiteName& site) const
+std::uint32_t Bundle::decidedReplicas(const framework::ModelName& modelName, const framework::AdapterName& adapterName,
+    const framework::SiteName& site) const
 {
     const std::uint32_t* count = nullptr;
     if (const Adapter* found = adapter(modelName, adapterName))
--- /dev/null
+++ b/src/policy/benchmarks/loadsimulation.cpp
@@ -0,0 +1,553 @@
+#include "policy/benchmarks/loadsimulation.h"
+
+#include "policy/rendezvous.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace lagoon::policy::benchmarks {
+
+using framework::Deadline;
+using framework::MebiBytes;
+using framework::Milliseconds;
+using framework::SteadyTime;
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr double diskCacheAccelerators = 1.5;
+constexpr double memoryCacheAccelerators = 0.6;
+constexpr Milliseconds pumpAgain { 200 };
+constexpr Milliseconds wakeTime { 5 };
+constexpr Milliseconds leastAnswer { 1000 };
+constexpr double badWaitSeconds = 30;
+constexpr std::size_t rememberedUses = 8;
+
+/// What a load takes besides the store's transfer; the policies don't know these numbers.
+constexpr double remoteFixedSeconds = 4;
+constexpr double diskFixedSeconds = 3;
+constexpr double diskMebiBytesPerSecond = 2000;
+constexpr double memoryFixedSeconds = 2;
+constexpr double memoryMebiBytesPerSecond = 12000;
+constexpr double noise = 0.15;
+
+Milliseconds milliseconds(double seconds) { return std::chrono::duration_cast<Milliseconds>(Seconds(seconds)); }
+
+double percentile(std::vector<double> values, double percent)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    const double rank = std::ceil(percent / 100 * static_cast<double>(values.size()));
+    return values[static_cast<std::size_t>(std::max(1.0, rank)) - 1];
+}
+
+bundle::PolicyNumbers storeNumbers(const Deployment& deployment)
+{
+    bundle::PolicyNumbers numbers;
+    numbers.weightLoadsPerSecond = deployment.storeLoadsPerSecond;
+    numbers.weightLoadsAtFullSpeed = deployment.storeFullSpeedLoads;
+    return numbers;
+}
+
+} // namespace
+
+double Outcome::coldSecondsSum() const
+{
+    double sum = 0;
+    for (const double wait : coldWaits)
+        sum += wait;
+    return sum;
+}
+
+double Outcome::waitPercentile(double percent) const
+{
+    std::vector<double> all = coldWaits;
+    all.resize(requests, 0);
+    return percentile(std::move(all), percent);
+}
+
+double Outcome::coldPercentile(double percent) const { return percentile(coldWaits, percent); }
+
+LoadSimulation::LoadSimulation(const Deployment& deployment, const Contender& contender,
+    const std::vector<Target>& targets, std::uint64_t seed, StoreSlowdown slowdown)
+    : deployment_(deployment)
+    , targets_(targets)
+    , contender_(contender)
+    , placement_(contender.placement(deployment))
+    , keepWarm_(contender.keepWarm(deployment))
+    , order_(contender.order(deployment))
+    , random_(seed)
+    , slowdown_(slowdown)
+    , store_(deployment.storeLoadsPerSecond, deployment.storeFullSpeedLoads)
+    , servers_(deployment.servers)
+    , homes_(deployment.routers)
+{
+    for (Home& home : homes_) {
+        home.share = std::make_unique<WeightStoreShare>(storeNumbers(deployment), contender.mayBorrow);
+        home.share->setLiveRouters(static_cast<std::uint32_t>(deployment.routers));
+    }
+    for (std::size_t index = 0; index < servers_.size(); ++index) {
+        servers_[index].vm = framework::VmName("server-" + std::to_string(index));
+        // Uneven from the start: whatever ran here last week.
+        for (std::size_t cached = 0; cached < deployment.models / 6; ++cached)
+            touchCaches(servers_[index], random_() % deployment.models);
+        servers_[index].memoryCache.clear();
+    }
+}
+
+Outcome LoadSimulation::run(const std::vector<TraceRequest>& trace)
+{
+    for (const TraceRequest& request : trace)
+        events_.at(request.at, [this, &request] { arrive(request); });
+    if (slowdown_.from != SteadyTime()) {
+        const auto setSpeed = [this](double speed) {
+            store_.setSpeed(speed);
+            planStore();
+        };
+        events_.at(slowdown_.from, [this, setSpeed] { setSpeed(slowdown_.speed); });
+        events_.at(slowdown_.to, [setSpeed] { setSpeed(1); });
+    }
+    // The day ends: what is still loaded idled until now.
+    events_.at(traceStart + std::chrono::hours(24), [this] {
+        for (auto& [target, replica] : replicas_)
+            accountIdle(replica);
+    });
+    events_.run();
+    outcome_.requests = trace.size();
+    outcome_.storeRefusals = store_.refusals();
+    return outcome_;
+}
+
+void LoadSimulation::arrive(const TraceRequest& request)
+{
+    const auto warm = replicas_.find(request.target);
+    if (warm != replicas_.end() && warm->second.state == State::Loaded)
+        return serve(request, warm->second);
+    wait(request);
+}
+
+void LoadSimulation::serve(const TraceRequest& request, Replica&)
+{
+    const std::size_t model = targets_[request.target].model;
+    setBusy(request.target);
+    if (model != request.target)
+        setBusy(model);
+    ++outcome_.served;
+    events_.at(now() + request.service, [this, target = request.target, model] {
+        finishRequest(target);
+        if (model != target)
+            finishRequest(model);
+    });
+}
+
+void LoadSimulation::finishRequest(std::size_t target)
+{
+    Replica& replica = replicas_.at(target);
+    --replica.view.running;
+    replica.view.lastUsed = now();
+    if (replica.view.running > 0)
+        return;
+    setIdle(target);
+    planUnload(target);
+    // Memory that this one held may now be taken.
+    for (std::size_t home = 0; home < homes_.size(); ++home) {
+        if (!homes_[home].wanted.empty())
+            planPump(home, Milliseconds(0));
+    }
+}
+
+void LoadSimulation::wait(const TraceRequest& request)
+{
+    Home& home = homes_[homeOf(request.target)];
+    Wanted& wanted = home.wanted[request.target];
+    if (wanted.pending.target.empty()) {
+        wanted.pending.target = targets_[request.target].name;
+        wanted.pending.since = now();
+        wanted.pending.earliestDeadline = request.deadline;
+    }
+    wanted.pending.waiters += 1;
+    wanted.pending.earliestDeadline = std::min(wanted.pending.earliestDeadline, request.deadline);
+    wanted.pending.priority = std::max(wanted.pending.priority, request.priority);
+    planPump(homeOf(request.target), wakeTime);
+    // The load goes on for a hopeless one too: its caller, told when to come back, finds the model warm.
+    if (contender_.refusesHopeless && isHopeless(home, wanted, request.target, request)) {
+        refuse(request, outcome_.hopeless);
+        return;
+    }
+    wanted.waiting.push_back(&request);
+    waiting_.insert(&request);
+    events_.at(request.deadline.at(), [this, &request] { expire(request); });
+}
+
+bool LoadSimulation::isHopeless(Home& home, const Wanted& wanted, std::size_t target, const TraceRequest& request) const
+{
+    if (wanted.isStarted) {
+        const auto elapsed = std::chrono::duration_cast<Milliseconds>(now() - wanted.startedAt);
+        return policy::isHopeless(forecastRunning(wanted.estimate, elapsed), request.deadline, leastAnswer, now());
+    }
+    CheckpointPlace nearest = CheckpointPlace::Remote;
+    for (std::size_t server = 0; server < servers_.size(); ++server)
+        nearest = std::min(nearest, checkpoint(server, target));
+    const LoadTimeEstimate own
+        = home.estimator.estimate(targets_[target].name, nearest, targets_[target].memory, now());
+    LoadQueue queue;
+    if (nearest == CheckpointPlace::Remote) {
+        queue.running = home.share->running();
+        queue.places = home.share->places();
+        queue.loadsPerSecond = deployment_.storeLoadsPerSecond;
+        queue.each = own;
+    }
+    return policy::isHopeless(forecastWaiting(own, queue), request.deadline, leastAnswer, now());
+}
+
+void LoadSimulation::refuse(const TraceRequest& request, std::size_t& reason)
+{
+    ++reason;
+    outcome_.coldWaits.push_back(Seconds(deployment_.timeout).count());
+    outcome_.lastBad = std::max(outcome_.lastBad, request.at);
+}
+
+void LoadSimulation::expire(const TraceRequest& request)
+{
+    if (waiting_.erase(&request) == 0)
+        return;
+    Home& home = homes_[homeOf(request.target)];
+    if (const auto found = home.wanted.find(request.target); found != home.wanted.end())
+        std::erase(found->second.waiting, &request);
+    refuse(request, outcome_.expired);
+}
+
+void LoadSimulation::planPump(std::size_t home, Milliseconds delay)
+{
+    if (homes_[home].isPumpPlanned)
+        return;
+    homes_[home].isPumpPlanned = true;
+    events_.at(now() + delay, [this, home] {
+        homes_[home].isPumpPlanned = false;
+        pump(home);
+    });
+}
+
+void LoadSimulation::pump(std::size_t index)
+{
+    Home& home = homes_[index];
+    // Nobody waits, and it hasn't started: the demand is over.
+    std::erase_if(home.wanted, [this](const auto& entry) {
+        return !entry.second.isStarted && entry.second.waiting.empty()
+            && now() > entry.second.pending.since + deployment_.timeout;
+    });
+    std::set<std::size_t> blocked;
+    while (const auto target = nextLoad(home, blocked)) {
+        if (!tryStart(index, *target))
+            blocked.insert(*target);
+    }
+    if (!blocked.empty())
+        planPump(index, pumpAgain);
+}
+
+std::optional<std::size_t> LoadSimulation::nextLoad(Home& home, const std::set<std::size_t>& blocked) const
+{
+    std::vector<PendingLoad> pending;
+    std::vector<std::size_t> targets;
+    for (const auto& [target, wanted] : home.wanted) {
+        if (wanted.isStarted || blocked.contains(target))
+            continue;
+        pending.push_back(wanted.pending);
+        pending.back().expectedLoad
+            = home.estimator.estimate(wanted.pending.target, CheckpointPlace::Remote, targets_[target].memory, now())
+                  .typical;
+        targets.push_back(target);
+    }
+    const auto chosen = order_->next(pending, now());
+    return chosen ? std::optional(targets[*chosen]) : std::nullopt;
+}
+
+bool LoadSimulation::tryStart(std::size_t index, std::size_t target)
+{
+    Home& home = homes_[index];
+    std::vector<LoadBid> bids;
+    std::vector<framework::VmName> vms;
+    for (const Server& server : servers_)
+        vms.push_back(server.vm);
+    std::vector<std::size_t> order;
+    for (const framework::VmName& vm : rendezvousOrder(targets_[targets_[target].model].name, vms)) {
+        const auto server = static_cast<std::size_t>(std::find(vms.begin(), vms.end(), vm) - vms.begin());
+        order.push_back(server);
+        bids.push_back(bid(home, server, target));
+    }
+    const auto chosen = placement_->choose(bids);
+    if (!chosen)
+        return false;
+    const std::size_t server = order[*chosen];
+    const CheckpointPlace place = bids[*chosen].checkpoint;
+    if (place == CheckpointPlace::Remote) {
+        if (!home.share->mayStart(home.wanted.at(target).pending.since, now()))
+            return false;
+        if (!store_.admit(now())) {
+            home.share->noteRefusal(now());
+            return false;
+        }
+    }
+    startLoad(index, server, target, place);
+    return true;
+}
+
+LoadBid LoadSimulation::bid(const Home& home, std::size_t server, std::size_t target) const
+{
+    const std::size_t model = targets_[target].model;
+    LoadBid made;
+    made.vm = servers_[server].vm;
+    made.checkpoint = checkpoint(server, target);
+    std::uint64_t needed = targets_[target].memory.value();
+    const auto modelReplica = replicas_.find(model);
+    if (model != target && modelReplica != replicas_.end()) {
+        // The cap: the adapter goes where its model is.
+        if (modelReplica->second.server != server || modelReplica->second.state != State::Loaded)
+            return made;
+    } else if (model != target) {
+        needed += targets_[model].memory.value();
+    }
+    made.expectedLoad
+        = home.estimator.estimate(targets_[target].name, made.checkpoint, MebiBytes(needed), now()).typical;
+    const std::uint64_t free = freeMemory(server);
+    made.freeMemory = MebiBytes(free);
+    made.canLoad = true;
+    if (free >= needed)
+        return made;
+    std::vector<std::size_t> here = replicasOf(server);
+    std::erase(here, model);
+    const std::vector<LoadedReplica> candidates = views(here);
+    const std::vector<std::size_t> victims = keepWarm_->victims(candidates, MebiBytes(needed - free), now());
+    made.canLoad = !victims.empty();
+    std::uint64_t evicted = 0;
+    SteadyTime lastUsed {};
+    for (const std::size_t victim : victims) {
+        evicted += candidates[victim].memory.value();
+        lastUsed = std::max(lastUsed, candidates[victim].lastUsed);
+    }
+    made.evictedMemory = MebiBytes(evicted);
+    made.victimIdle = std::chrono::duration_cast<Milliseconds>(now() - lastUsed);
+    return made;
+}
+
+/// An adapter is small; what matters is where its model is, unless that is loaded.
+CheckpointPlace LoadSimulation::checkpoint(std::size_t server, std::size_t target) const
+{
+    const std::size_t model = targets_[target].model;
+    if (model != target && replicas_.contains(model))
+        return CheckpointPlace::Disk;
+    const auto has = [model](const std::deque<std::size_t>& cache) {
+        return std::find(cache.begin(), cache.end(), model) != cache.end();
+    };
+    if (has(servers_[server].memoryCache))
+        return CheckpointPlace::Memory;
+    return has(servers_[server].diskCache) ? CheckpointPlace::Disk : CheckpointPlace::Remote;
+}
+
+void LoadSimulation::startLoad(std::size_t index, std::size_t server, std::size_t target, CheckpointPlace place)
+{
+    const std::size_t model = targets_[target].model;
+    const bool needsModel = model != target && !replicas_.contains(model);
+    std::uint64_t needed = targets_[target].memory.value() + (needsModel ? targets_[model].memory.value() : 0);
+    if (const std::uint64_t free = freeMemory(server); free < needed) {
+        std::vector<std::size_t> here = replicasOf(server);
+        std::erase(here, model);
+        for (const std::size_t victim : keepWarm_->victims(views(here), MebiBytes(needed - free), now())) {
+            unload(here[victim]);
+            ++outcome_.evictions;
+        }
+    }
+    Home& home = homes_[index];
+    Wanted& wanted = home.wanted.at(target);
+    wanted.isStarted = true;
+    wanted.startedAt = now();
+    wanted.usesStore = place == CheckpointPlace::Remote;
+    wanted.estimate = home.estimator.estimate(targets_[target].name, place, MebiBytes(needed), now());
+    for (const std::size_t part : { model, target }) {
+        if (replicas_.contains(part))
+            continue;
+        Replica replica;
+        replica.server = server;
+        replica.view.model = framework::ModelName(targets_[model].name);
+        replica.view.adapter = framework::AdapterName(targets_[part].isAdapter ? targets_[part].name : "");
+        replica.view.memory = targets_[part].memory;
+        replica.view.running = 1; // being loaded
+        replicas_.emplace(part, std::move(replica));
+        servers_[server].targets.insert(part);
+    }
+    if (model != target)
+        ++replicas_.at(model).adapters;
+    ++outcome_.loads;
+    const double slowness = targets_[target].slowness * std::exp(noise * std::normal_distribution<double>()(random_));
+    const auto size = static_cast<double>(needed);
+    if (place == CheckpointPlace::Remote) {
+        ++outcome_.remoteLoads;
+        home.share->start(now());
+        afterTransfer_[target] = milliseconds(remoteFixedSeconds * slowness);
+        store_.begin(target, size * slowness, now());
+        return planStore();
+    }
+    const double fixed = place == CheckpointPlace::Disk ? diskFixedSeconds : memoryFixedSeconds;
+    const double speed = place == CheckpointPlace::Disk ? diskMebiBytesPerSecond : memoryMebiBytesPerSecond;
+    events_.at(now() + milliseconds((fixed + size / speed) * slowness), [this, target] { endLoad(target); });
+}
+
+void LoadSimulation::planStore()
+{
+    while (const auto ended = store_.advance(now())) {
+        const std::size_t target = *ended;
+        homes_[homeOf(target)].share->end();
+        events_.at(now() + afterTransfer_.at(target), [this, target] { endLoad(target); });
+    }
+    const std::uint64_t plan = ++storePlan_;
+    if (const auto next = store_.nextEnd()) {
+        events_.at(*next, [this, plan] {
+            if (plan == storePlan_)
+                planStore();
+        });
+    }
+}
+
+void LoadSimulation::endLoad(std::size_t target)
+{
+    Home& home = homes_[homeOf(target)];
+    Wanted wanted = std::move(home.wanted.at(target));
+    home.wanted.erase(target);
+    const auto took = std::chrono::duration_cast<Milliseconds>(now() - wanted.startedAt);
+    const std::size_t model = targets_[target].model;
+    Replica& replica = replicas_.at(target);
+    const bool broughtModel = model != target && replicas_.at(model).state == State::Loading;
+    const std::uint64_t loaded = targets_[target].memory.value() + (broughtModel ? targets_[model].memory.value() : 0);
+    const CheckpointPlace place = wanted.usesStore ? CheckpointPlace::Remote : checkpoint(replica.server, target);
+    home.estimator.record(targets_[target].name, place, MebiBytes(loaded), took, now());
+    touchCaches(servers_[replica.server], model);
+    for (const std::size_t part : { model, target }) {
+        Replica& loadedPart = replicas_.at(part);
+        if (loadedPart.state == State::Loaded)
+            continue;
+        loadedPart.state = State::Loaded;
+        // What a model's next load takes is not what its adapter took.
+        loadedPart.view.loadTime = broughtModel && part == target ? Milliseconds(2000) : took;
+        loadedPart.view.running = 0;
+        loadedPart.view.lastUsed = now();
+        loadedPart.idleSince = now();
+    }
+    for (const TraceRequest* request : wanted.waiting) {
+        waiting_.erase(request);
+        const double waited = Seconds(now() - request->at).count();
+        outcome_.coldWaits.push_back(waited);
+        if (waited > badWaitSeconds)
+            outcome_.lastBad = std::max(outcome_.lastBad, request->at);
+        serve(*request, replicas_.at(target));
+    }
+    planUnload(target);
+    planUnload(model);
+    for (std::size_t other = 0; other < homes_.size(); ++other) {
+        if (!homes_[other].wanted.empty())
+            planPump(other, Milliseconds(0));
+    }
+}
+
+void LoadSimulation::unload(std::size_t target)
+{
+    Replica& replica = replicas_.at(target);
+    accountIdle(replica);
+    servers_[replica.server].targets.erase(target);
+    const std::size_t model = targets_[target].model;
+    if (model != target)
+        --replicas_.at(model).adapters;
+    replicas_.erase(target);
+    if (model != target)
+        planUnload(model);
+}
+
+void LoadSimulation::planUnload(std::size_t target)
+{
+    const auto found = replicas_.find(target);
+    if (found == replicas_.end() || found->second.view.running > 0 || found->second.adapters > 0)
+        return;
+    planUnloadAt(target, keepWarm_->keepUntil(found->second.view, deployment_.serverMemory));
+}
+
+void LoadSimulation::planUnloadAt(std::size_t target, Deadline until)
+{
+    const SteadyTime lastUsed = replicas_.at(target).view.lastUsed;
+    if (until.at() > traceStart + std::chrono::hours(24))
+        return;
+    events_.at(until.at(), [this, target, lastUsed] {
+        const auto found = replicas_.find(target);
+        if (found == replicas_.end() || found->second.view.lastUsed != lastUsed)
+            return;
+        if (found->second.view.running == 0 && found->second.adapters == 0 && found->second.state == State::Loaded)
+            unload(target);
+    });
+}
+
+void LoadSimulation::setBusy(std::size_t target)
+{
+    Replica& replica = replicas_.at(target);
+    accountIdle(replica);
+    ++replica.view.running;
+    replica.view.lastUsed = now();
+    replica.view.recentUses.push_back(now());
+    if (replica.view.recentUses.size() > rememberedUses)
+        replica.view.recentUses.erase(replica.view.recentUses.begin());
+}
+
+void LoadSimulation::setIdle(std::size_t target) { replicas_.at(target).idleSince = now(); }
+
+void LoadSimulation::accountIdle(Replica& replica)
+{
+    if (replica.view.running > 0)
+        return;
+    const double share
+        = static_cast<double>(replica.view.memory.value()) / static_cast<double>(deployment_.serverMemory.value());
+    outcome_.idleAcceleratorHours += share * Seconds(now() - replica.idleSince).count() / 3600;
+    replica.idleSince = now();
+}
+
+std::uint64_t LoadSimulation::freeMemory(std::size_t server) const
+{
+    std::uint64_t used = 0;
+    for (const std::size_t target : servers_[server].targets)
+        used += targets_[target].memory.value();
+    return deployment_.serverMemory.value() - used;
+}
+
+std::vector<std::size_t> LoadSimulation::replicasOf(std::size_t server) const
+{
+    return { servers_[server].targets.begin(), servers_[server].targets.end() };
+}
+
+std::vector<LoadedReplica> LoadSimulation::views(const std::vector<std::size_t>& targets) const
+{
+    std::vector<LoadedReplica> made;
+    for (const std::size_t target : targets)
+        made.push_back(replicas_.at(target).view);
+    return made;
+}
+
+void LoadSimulation::touchCaches(Server& server, std::size_t model)
+{
+    const auto touch = [this, model](std::deque<std::size_t>& cache, double accelerators) {
+        std::erase(cache, model);
+        cache.push_front(model);
+        const double capacity = accelerators * static_cast<double>(deployment_.serverMemory.value());
+        double used = 0;
+        std::size_t kept = 0;
+        for (const std::size_t cached : cache) {
+            used += static_cast<double>(targets_[cached].memory.value());
+            if (used > capacity)
+                break;
+            ++kept;
+        }
+        cache.resize(kept);
+    };
+    touch(server.diskCache, diskCacheAccelerators);
+    touch(server.memoryCache, memoryCacheAccelerators);
+}
+
+} // namespace lagoon::policy::benchmarks
--- /dev/null
+++ b/src/policy/benchmarks/loadsimulation.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "policy/benchmarks/deployment.h"
+#include "policy/benchmarks/eventqueue.h"
+#include "policy/benchmarks/storemodel.h"
+#include "policy/ikeepwarm.h"
+#include "policy/iloadorder.h"
+#include "policy/iloadplacement.h"
+#include "policy/loadforecast.h"
+#include "policy/loadtimeestimator.h"
+#include "policy/weightstoreshare.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace lagoon::policy::benchmarks {
+
+/// A set of policies to be measured.
+struct Contender {
+    std::string name;
+    std::function<std::unique_ptr<ILoadPlacement>(const Deployment&)> placement;
+    std::function<std::unique_ptr<IKeepWarm>(const Deployment&)> keepWarm;
+    std::function<std::unique_ptr<ILoadOrder>(const Deployment&)> order;
+    bool refusesHopeless = true;
+    bool mayBorrow = true;
+};
+
+/// The weight store's bandwidth is `speed` of the usual between two points in time.
+struct StoreSlowdown {
+    framework::SteadyTime from {};
+    framework::SteadyTime to {};
+    double speed = 1;
+};
+
+struct Outcome {
+    /// Of every request that found no warm replica, in seconds; one refused counts as its whole timeout.
+    std::vector<double> coldWaits;
+    std::size_t requests = 0;
+    std::size_t served = 0;
+    std::size_t hopeless = 0;
+    std::size_t expired = 0;
+    std::size_t loads = 0;
+    std::size_t remoteLoads = 0;
+    std::size_t evictions = 0;
+    std::size_t storeRefusals = 0;
+    double idleAcceleratorHours = 0;
+    /// When the last request that was refused or waited over 30 s came; for recoveries.
+    framework::SteadyTime lastBad {};
+
+    double coldSecondsSum() const;
+    /// Over all requests, a warm one waits 0.
+    double waitPercentile(double percent) const;
+    double coldPercentile(double percent) const;
+};
+
+/// One deployment's day in virtual time. Each target has one replica at most, as the cap demands.
+class LoadSimulation {
+public:
+    LoadSimulation(
+        const Deployment&, const Contender&, const std::vector<Target>&, std::uint64_t seed, StoreSlowdown = {});
+    Outcome run(const std::vector<TraceRequest>&);
+
+private:
+    enum class State : std::uint8_t { Loading, Loaded };
+
+    struct Replica {
+        std::size_t server = 0;
+        State state = State::Loading;
+        LoadedReplica view;
+        /// The model's adapters that are loaded or being loaded.
+        std::size_t adapters = 0;
+        framework::SteadyTime idleSince {};
+    };
+
+    struct Server {
+        framework::VmName vm;
+        std::set<std::size_t> targets;
+        /// Models by last use, newest first.
+        std::deque<std::size_t> diskCache;
+        std::deque<std::size_t> memoryCache;
+    };
+
+    /// A load that its home wants done.
+    struct Wanted {
+        PendingLoad pending;
+        std::vector<const TraceRequest*> waiting;
+        bool isStarted = false;
+        LoadTimeEstimate estimate;
+        framework::SteadyTime startedAt {};
+        bool usesStore = false;
+    };
+
+    struct Home {
+        std::unique_ptr<WeightStoreShare> share;
+        LoadTimeEstimator estimator;
+        std::map<std::size_t, Wanted> wanted;
+        bool isPumpPlanned = false;
+    };
+
+    void arrive(const TraceRequest&);
+    void serve(const TraceRequest&, Replica&);
+    void finishRequest(std::size_t target);
+    void wait(const TraceRequest&);
+    bool isHopeless(Home&, const Wanted&, std::size_t target, const TraceRequest&) const;
+    void refuse(const TraceRequest&, std::size_t& reason);
+    void expire(const TraceRequest&);
+
+    void pump(std::size_t home);
+    void planPump(std::size_t home, framework::Milliseconds delay);
+    std::optional<std::size_t> nextLoad(Home&, const std::set<std::size_t>& blocked) const;
+    bool tryStart(std::size_t home, std::size_t target);
+    LoadBid bid(const Home&, std::size_t server, std::size_t target) const;
+    CheckpointPlace checkpoint(std::size_t server, std::size_t target) const;
+    void startLoad(std::size_t home, std::size_t server, std::size_t target, CheckpointPlace);
+    void planStore();
+    void endLoad(std::size_t target);
+    void unload(std::size_t target);
+    void planUnload(std::size_t target);
+    void planUnloadAt(std::size_t target, framework::Deadline);
+
+    void setBusy(std::size_t target);
+    void setIdle(std::size_t target);
+    void accountIdle(Replica&);
+    std::uint64_t freeMemory(std::size_t server) const;
+    std::vector<std::size_t> replicasOf(std::size_t server) const;
+    std::vector<LoadedReplica> views(const std::vector<std::size_t>& targets) const;
+    std::size_t homeOf(std::size_t target) const { return target % homes_.size(); }
+    void touchCaches(Server&, std::size_t model);
+    framework::SteadyTime now() const { return events_.now(); }
+
+    const Deployment& deployment_;
+    const std::vector<Target>& targets_;
+    Contender contender_;
+    std::unique_ptr<ILoadPlacement> placement_;
+    std::unique_ptr<IKeepWarm> keepWarm_;
+    std::unique_ptr<ILoadOrder> order_;
+    Random random_;
+    StoreSlowdown slowdown_;
+    EventQueue events_;
+    StoreModel store_;
+    std::vector<Server> servers_;
+    std::vector<Home> homes_;
+    std::map<std::size_t, Replica> replicas_;
+    /// Each load's time after its transfer has ended.
+    std::map<std::size_t, framework::Milliseconds> afterTransfer_;
+    std::set<const TraceRequest*> waiting_;
+    std::uint64_t storePlan_ = 0;
+    Outcome outcome_;
+};
+
+} // namespace lagoon::policy::benchmarks
--- /dev/null
+++ b/src/policy/benchmarks/policybenchmark.cpp
@@ -0,0 +1,156 @@
+#include "policy/benchmarks/baselines.h"
+#include "policy/benchmarks/loadsimulation.h"
+#include "policy/policysetup.h"
+
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <iostream>
+
+namespace {
+
+namespace benchmarks = lagoon::policy::benchmarks;
+namespace policy = lagoon::policy;
+using benchmarks::Contender;
+using benchmarks::Deployment;
+using benchmarks::Outcome;
+
+using Hours = std::chrono::hours;
+using Minutes = std::chrono::minutes;
+
+lagoon::bundle::PolicyNumbers numbers(const Deployment& deployment)
+{
+    lagoon::bundle::PolicyNumbers made;
+    made.coldStartWeight = deployment.coldStartWeight;
+    return made;
+}
+
+Contender ours()
+{
+    return { "lagoon", [](const Deployment& deployment) { return policy::makeLoadPlacement(numbers(deployment)); },
+        [](const Deployment& deployment) { return policy::makeKeepWarm(numbers(deployment)); },
+        [](const Deployment& deployment) { return policy::makeLoadOrder(numbers(deployment)); }, true, true };
+}
+
+Contender fixedTimeout(const std::string& name, lagoon::framework::Milliseconds timeout)
+{
+    return { name, [](const Deployment&) { return std::make_unique<benchmarks::InTurnLoadPlacement>(); },
+        [timeout](const Deployment&) { return std::make_unique<benchmarks::FixedTimeoutKeepWarm>(timeout); },
+        [](const Deployment&) { return std::make_unique<benchmarks::ArrivalLoadOrder>(); }, false, true };
+}
+
+/// Ours with one part taken from the baselines, to see what the part is worth.
+Contender without(const std::string& name, const std::function<void(Contender&, const Contender&)>& change)
+{
+    Contender made = ours();
+    change(made, fixedTimeout("", Minutes(30)));
+    made.name = name;
+    return made;
+}
+
+std::vector<Contender> contenders(bool hasParts)
+{
+    std::vector<Contender> all { ours(), fixedTimeout("fixed-5min", Minutes(5)),
+        fixedTimeout("fixed-30min", Minutes(30)), fixedTimeout("never-unload", Hours(1000)) };
+    if (!hasParts)
+        return all;
+    using Change = Contender;
+    all.push_back(
+        without("in-turn placement", [](Change& made, const Contender& other) { made.placement = other.placement; }));
+    all.push_back(
+        without("fixed-30min keep", [](Change& made, const Contender& other) { made.keepWarm = other.keepWarm; }));
+    all.push_back(without("arrival order", [](Change& made, const Contender& other) { made.order = other.order; }));
+    all.push_back(without("no hopelessness", [](Change& made, const Contender&) { made.refusesHopeless = false; }));
+    all.push_back(without("strict share", [](Change& made, const Contender&) { made.mayBorrow = false; }));
+    return all;
+}
+
+void printHead(const std::string& title)
+{
+    std::printf("\n%s\n", title.c_str());
+    std::printf("%-18s %5s %6s %6s | %6s %6s %6s | %6s %7s | %8s %7s | %8s %8s | %6s %6s %6s %5s\n", "policy", "seed",
+        "reqs", "cold", "p50", "p99", "p99.9", "all99", "all99.9", "hopeless", "expired", "idle_h", "cost_h", "loads",
+        "remote", "evict", "429");
+}
+
+/// Cold starts in seconds, idle time in accelerator hours, cost in accelerator hours at the deployment's weight.
+void printRow(const std::string& name, const std::string& seed, const Outcome& outcome, double weight)
+{
+    std::printf(
+        "%-18s %5s %6zu %6zu | %6.1f %6.1f %6.1f | %6.1f %7.1f | %8zu %7zu | %8.1f %8.1f | %6zu %6zu %6zu %5zu\n",
+        name.c_str(), seed.c_str(), outcome.requests, outcome.coldWaits.size(), outcome.coldPercentile(50),
+        outcome.coldPercentile(99), outcome.coldPercentile(99.9), outcome.waitPercentile(99),
+        outcome.waitPercentile(99.9), outcome.hopeless, outcome.expired, outcome.idleAcceleratorHours,
+        outcome.idleAcceleratorHours + weight * outcome.coldSecondsSum() / 3600, outcome.loads, outcome.remoteLoads,
+        outcome.evictions, outcome.storeRefusals);
+}
+
+void add(Outcome& sum, const Outcome& one)
+{
+    sum.coldWaits.insert(sum.coldWaits.end(), one.coldWaits.begin(), one.coldWaits.end());
+    sum.requests += one.requests;
+    sum.served += one.served;
+    sum.hopeless += one.hopeless;
+    sum.expired += one.expired;
+    sum.loads += one.loads;
+    sum.remoteLoads += one.remoteLoads;
+    sum.evictions += one.evictions;
+    sum.storeRefusals += one.storeRefusals;
+    sum.idleAcceleratorHours += one.idleAcceleratorHours;
+}
+
+struct Options {
+    std::uint64_t seed = 1;
+    std::uint64_t seeds = 3;
+    bool hasParts = false;
+    bool showsSeeds = false;
+    double weight = 0;
+};
+
+void compare(Deployment deployment, const Options& options)
+{
+    if (options.weight > 0)
+        deployment.coldStartWeight = options.weight;
+    printHead(deployment.name + ", cold start weight " + std::to_string(deployment.coldStartWeight));
+    for (const Contender& contender : contenders(options.hasParts)) {
+        Outcome sum;
+        for (std::uint64_t seed = options.seed; seed < options.seed + options.seeds; ++seed) {
+            benchmarks::Random random(seed);
+            const auto targets = benchmarks::makeTargets(deployment, random);
+            const auto trace = benchmarks::makeTrace(deployment, targets, random);
+            const Outcome outcome = benchmarks::LoadSimulation(deployment, contender, targets, seed).run(trace);
+            if (options.showsSeeds)
+                printRow(contender.name, std::to_string(seed), outcome, deployment.coldStartWeight);
+            add(sum, outcome);
+        }
+        printRow(contender.name, "all", sum, deployment.coldStartWeight);
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    namespace po = boost::program_options;
+    Options options;
+    po::options_description description("Policies against baselines in virtual time");
+    description.add_options()("help", "this text")("seed", po::value(&options.seed)->default_value(1),
+        "the first seed")("seeds", po::value(&options.seeds)->default_value(3), "how many seeds, from the first on")(
+        "weight", po::value(&options.weight)->default_value(0), "cold start weight; 0: the deployment's")(
+        "parts", po::bool_switch(&options.hasParts), "also ours with one part replaced by a baseline's")(
+        "each", po::bool_switch(&options.showsSeeds), "a row for each seed");
+    po::variables_map values;
+    try {
+        po::store(po::parse_command_line(argc, argv, description), values);
+        po::notify(values);
+    } catch (const po::error& error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+    if (values.count("help") > 0) {
+        std::cout << description;
+        return 0;
+    }
+    compare(benchmarks::ekowe(), options);
+    compare(benchmarks::waitaha(), options);
+    return 0;
+}
--- /dev/null
+++ b/src/policy/benchmarks/storemodel.cpp
@@ -0,0 +1,74 @@
+#include "policy/benchmarks/storemodel.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace lagoon::policy::benchmarks {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr double fullSpeedMebiBytesPerSecond = 1000;
+constexpr double nothingLeft = 0.01;
+
+} // namespace
+
+StoreModel::StoreModel(double loadsPerSecond, std::uint32_t fullSpeedLoads)
+    : loadsPerSecond_(loadsPerSecond)
+    , fullSpeedLoads_(fullSpeedLoads)
+    , tokens_(fullSpeedLoads)
+{
+}
+
+bool StoreModel::admit(framework::SteadyTime now)
+{
+    tokens_ = std::min<double>(fullSpeedLoads_, tokens_ + Seconds(now - tokensAt_).count() * loadsPerSecond_);
+    tokensAt_ = now;
+    if (tokens_ < 1) {
+        ++refusals_;
+        return false;
+    }
+    tokens_ -= 1;
+    return true;
+}
+
+void StoreModel::begin(std::uint64_t load, double mebiBytes, framework::SteadyTime now)
+{
+    now_ = now;
+    left_[load] = mebiBytes;
+}
+
+std::optional<std::uint64_t> StoreModel::advance(framework::SteadyTime now)
+{
+    const double moved = Seconds(now - now_).count() * bandwidthOfEach();
+    now_ = now;
+    for (auto& [load, left] : left_)
+        left -= moved;
+    for (const auto& [load, left] : left_) {
+        if (left > nothingLeft)
+            continue;
+        const std::uint64_t ended = load;
+        left_.erase(ended);
+        return ended;
+    }
+    return std::nullopt;
+}
+
+std::optional<framework::SteadyTime> StoreModel::nextEnd() const
+{
+    if (left_.empty())
+        return std::nullopt;
+    const auto least = std::min_element(
+        left_.begin(), left_.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+    const Seconds wait(std::max(0.0, least->second) / bandwidthOfEach());
+    return now_ + std::chrono::duration_cast<framework::SteadyTime::duration>(wait) + std::chrono::microseconds(1);
+}
+
+double StoreModel::bandwidthOfEach() const
+{
+    const double sharers = std::max<double>(fullSpeedLoads_, static_cast<double>(left_.size()));
+    return speed_ * fullSpeedMebiBytesPerSecond * fullSpeedLoads_ / sharers;
+}
+
+} // namespace lagoon::policy::benchmarks
--- /dev/null
+++ b/src/policy/tests/benchmark_check.cmake
@@ -0,0 +1,15 @@
+# Runs the benchmark over a small trace (BENCHMARK, ARGUMENTS) and checks that its output is well-formed: each row of a
+# table has as many numbers as its head names, and each deployment has a row for each policy. No figure is judged.
+separate_arguments(arguments UNIX_COMMAND "${ARGUMENTS}")
+execute_process(COMMAND "${BENCHMARK}" ${arguments} OUTPUT_VARIABLE output RESULT_VARIABLE result)
+if(NOT result EQUAL 0)
+    message(FATAL_ERROR "exit code ${result}")
+endif()
+foreach(wanted IN LISTS WANTED)
+    if(NOT output MATCHES "${wanted}")
+        message(FATAL_ERROR "no ${wanted} in:\n${output}")
+    endif()
+endforeach()
+if(output MATCHES "nan|inf ")
+    message(FATAL_ERROR "not a number in:\n${output}")
+endif()
--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -18,32 +18,32 @@
 
 namespace {
 
-    constexpr Milliseconds tickInterval { 100 };
-    constexpr Milliseconds shortestReconnect { 100 };
-    constexpr Milliseconds longestReconnect { 1000 };
-    /// Settled ids after which the agent is told the floor without waiting for the next dispatch or ping.
-    constexpr std::uint32_t settleBatch = 16;
-    constexpr std::uint32_t connectTriesForUnsent = 2;
-    constexpr double firstByteSmoothing = 0.2;
-
-    callers::HttpHeaders headersOf(const wire::fb::AnswerHeadT& head)
-    {
-        callers::HttpHeaders headers;
-        for (const auto& header : head.headers) {
-            if (header)
-                headers.emplace_back(header->name, header->value);
-        }
-        return headers;
+constexpr Milliseconds tickInterval { 100 };
+constexpr Milliseconds shortestReconnect { 100 };
+constexpr Milliseconds longestReconnect { 1000 };
+/// Settled ids after which the agent is told the floor without waiting for the next dispatch or ping.
+constexpr std::uint32_t settleBatch = 16;
+constexpr std::uint32_t connectTriesForUnsent = 2;
+constexpr double firstByteSmoothing = 0.2;
+
+callers::HttpHeaders headersOf(const wire::fb::AnswerHeadT& head)
+{
+    callers::HttpHeaders headers;
+    for (const auto& header : head.headers) {
+        if (header)
+            headers.emplace_back(header->name, header->value);
     }
+    return headers;
+}
 
-    Error errorOf(const wire::fb::RefusedT& refused)
-    {
-        Error error { static_cast<ErrorCode>(refused.code), refused.step, refused.peer, refused.detail,
-            refused.execution == 0 ? Execution::NotRun : Execution::Unknown };
-        if (refused.retry_after_ms > 0)
-            error.retryAfter = Milliseconds(refused.retry_after_ms);
-        return error;
-    }
+Error errorOf(const wire::fb::RefusedT& refused)
+{
+    Error error { static_cast<ErrorCode>(refused.code), refused.step, refused.peer, refused.detail,
+        refused.execution == 0 ? Execution::NotRun : Execution::Unknown };
+    if (refused.retry_after_ms > 0)
+        error.retryAfter = Milliseconds(refused.retry_after_ms);
+    return error;
+}
 
 } // namespace
 
@@ -54,8 +54,8 @@
 {
 }
 
-SequenceNumber AgentSession::dispatch(wire::fb::DispatchT order, Deadline deadline,
-    std::shared_ptr<AnswerStream> stream, OutcomeHandler onOutcome)
+SequenceNumber AgentSession::dispatch(
+    wire::fb::DispatchT order, Deadline deadline, std::shared_ptr<AnswerStream> stream, OutcomeHandler onOutcome)
 {
     const std::uint64_t sequence = nextSequence_++;
     const SteadyTime now = context_.clock.now();
@@ -379,11 +379,10 @@
 {
     if (tickTimer_)
         return;
-    tickTimer_ = context_.control.runAt(
-        Deadline::after(context_.clock.now(), tickInterval), [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->tick();
-        });
+    tickTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), tickInterval), [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->tick();
+    });
 }
 
 /// Guards against links that fall silent for good while new ones work: nothing heard for the silence limit although
@@ -426,10 +425,7 @@
     return entry == inFlight_.end() || entry->second.wasSent;
 }
 
-std::uint64_t AgentSession::floor() const
-{
-    return inFlight_.empty() ? nextSequence_ : inFlight_.begin()->first;
-}
+std::uint64_t AgentSession::floor() const { return inFlight_.empty() ? nextSequence_ : inFlight_.begin()->first; }
 
 std::shared_ptr<AnswerStream> AgentSession::streamOf(std::uint64_t sequence) const
 {
--- a/src/router/internal/agentsession.h
+++ b/src/router/internal/agentsession.h
@@ -22,8 +22,7 @@
 /// How a dispatch ended: whole, or with an error whose `execution` says what is known. Exactly one per dispatch.
 using DispatchOutcome = framework::Result<void>;
 using OutcomeHandler = std::function<void(const DispatchOutcome&)>;
-template <typename Answer>
-using AnswerHandler = std::function<void(const framework::Result<Answer>&)>;
+template <typename Answer> using AnswerHandler = std::function<void(const framework::Result<Answer>&)>;
 
 /// What a session needs of its router.
 struct SessionContext {
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -19,15 +19,12 @@
 
 namespace {
 
-    constexpr Milliseconds retryAfterNoReplica { 2000 };
-    constexpr Milliseconds retryAfterBusy { 1000 };
-    /// The refusal is to reach the caller before its deadline.
-    constexpr Milliseconds answerMargin { 20 };
-
-    const char* reasonText(const Error& error)
-    {
-        return framework::errorCodeText(error.code).data();
-    }
+constexpr Milliseconds retryAfterNoReplica { 2000 };
+constexpr Milliseconds retryAfterBusy { 1000 };
+/// The refusal is to reach the caller before its deadline.
+constexpr Milliseconds answerMargin { 20 };
+
+const char* reasonText(const Error& error) { return framework::errorCodeText(error.code).data(); }
 
 } // namespace
 
@@ -37,10 +34,7 @@
 {
 }
 
-void Dispatcher::setWakes(Wakes& wakes)
-{
-    wakes_ = &wakes;
-}
+void Dispatcher::setWakes(Wakes& wakes) { wakes_ = &wakes; }
 
 void Dispatcher::setReplicaChoice(std::unique_ptr<policy::IReplicaChoice> choice)
 {
@@ -126,8 +120,8 @@
 void Dispatcher::waitForReplica(RequestNumber number, Request& entry)
 {
     if (wakes_->waiting() >= context_.settings.waitingRequests) {
-        return refuse(number,
-            Error { ErrorCode::TooManyWaiting, "wait for replica", "", "", Execution::NotRun, retryAfterBusy });
+        return refuse(
+            number, Error { ErrorCode::TooManyWaiting, "wait for replica", "", "", Execution::NotRun, retryAfterBusy });
     }
     const std::optional<SiteTarget> where = nextSite(entry);
     if (!where) {
@@ -247,8 +241,9 @@
         const auto entry = requests_.find(number);
         if (entry == requests_.end() || !entry->second.waitsFor || expectedAt <= entry->second.request.deadline)
             continue;
-        refuse(number, Error { ErrorCode::DeadlineHopeless, "wait for replica", entry->second.waitsFor->site.value(),
-                           "the load will take longer", Execution::NotRun, expectedAt.remaining(now) });
+        refuse(number,
+            Error { ErrorCode::DeadlineHopeless, "wait for replica", entry->second.waitsFor->site.value(),
+                "the load will take longer", Execution::NotRun, expectedAt.remaining(now) });
     }
 }
 
--- a/src/router/internal/home.cpp
+++ b/src/router/internal/home.cpp
@@ -16,28 +16,25 @@
 
 namespace {
 
-    constexpr std::uint32_t loadTries = 3;
-    constexpr Milliseconds retryAfterNoCapacity { 2000 };
+constexpr std::uint32_t loadTries = 3;
+constexpr Milliseconds retryAfterNoCapacity { 2000 };
 
-    policy::LoadBid toPolicy(const VmName& vm, const wire::fb::BidT& bid)
-    {
-        policy::LoadBid converted;
-        converted.vm = vm;
-        converted.canLoad = bid.can_load;
-        converted.refusal = static_cast<ErrorCode>(bid.refusal);
-        converted.freeMemory = framework::MebiBytes(bid.free_mib);
-        converted.evictedMemory = framework::MebiBytes(bid.evict_mib);
-        converted.victimIdle = Milliseconds(bid.victim_idle_ms);
-        converted.checkpoint = static_cast<policy::CheckpointPlace>(std::min<std::uint8_t>(bid.checkpoint, 2));
-        converted.expectedLoad = Milliseconds(bid.expected_load_ms);
-        converted.running = bid.running;
-        return converted;
-    }
+policy::LoadBid toPolicy(const VmName& vm, const wire::fb::BidT& bid)
+{
+    policy::LoadBid converted;
+    converted.vm = vm;
+    converted.canLoad = bid.can_load;
+    converted.refusal = static_cast<ErrorCode>(bid.refusal);
+    converted.freeMemory = framework::MebiBytes(bid.free_mib);
+    converted.evictedMemory = framework::MebiBytes(bid.evict_mib);
+    converted.victimIdle = Milliseconds(bid.victim_idle_ms);
+    converted.checkpoint = static_cast<policy::CheckpointPlace>(std::min<std::uint8_t>(bid.checkpoint, 2));
+    converted.expectedLoad = Milliseconds(bid.expected_load_ms);
+    converted.running = bid.running;
+    return converted;
+}
 
-    std::string rendezvousKey(const SiteTarget& where)
-    {
-        return wire::targetText(toWire(where.target));
-    }
+std::string rendezvousKey(const SiteTarget& where) { return wire::targetText(toWire(where.target)); }
 
 } // namespace
 
@@ -46,10 +43,7 @@
 {
 }
 
-void Home::setLoadPlacement(std::unique_ptr<policy::ILoadPlacement> placement)
-{
-    placement_ = std::move(placement);
-}
+void Home::setLoadPlacement(std::unique_ptr<policy::ILoadPlacement> placement) { placement_ = std::move(placement); }
 
 void Home::wake(const VmName& sender, const WakeOrder& order, WakeReplyHandler reply)
 {
@@ -77,13 +71,15 @@
 {
     const SiteTarget where = search.order.where;
     if (decided(where) == 0) {
-        fail(where, Error { ErrorCode::NoCapacity, "find replica", where.site.value(), "the bundle decides none here" });
+        fail(
+            where, Error { ErrorCode::NoCapacity, "find replica", where.site.value(), "the bundle decides none here" });
         return;
     }
     const std::vector<VmName> first = nextToAsk(search);
     if (first.empty()) {
-        fail(where, Error { ErrorCode::NoCapacity, "find replica", where.site.value(), "no live upstream",
-                        framework::Execution::NotRun, retryAfterNoCapacity });
+        fail(where,
+            Error { ErrorCode::NoCapacity, "find replica", where.site.value(), "no live upstream",
+                framework::Execution::NotRun, retryAfterNoCapacity });
         return;
     }
     ask(where, first);
@@ -126,19 +122,20 @@
         search.asked.insert(vm);
         search.candidates.push_back(Candidate { vm, false, false, false, {} });
     }
-    search.bidTimer
-        = context_.control.runAt(Deadline::after(context_.clock.now(), context_.settings.bidTimeout), [this, where, number] {
-              if (find(where, number))
-                  endBidding(where);
-          });
+    search.bidTimer = context_.control.runAt(
+        Deadline::after(context_.clock.now(), context_.settings.bidTimeout), [this, where, number] {
+            if (find(where, number))
+                endBidding(where);
+        });
     for (const VmName& vm : vms) {
         const auto session = context_.sessions.session(vm);
         if (!session) {
             takeBid(where, number, vm, Error { ErrorCode::NotFound, "ask for bid", vm.value() });
             continue;
         }
-        session->askBid(toWire(where.target),
-            [this, where, number, vm](const framework::Result<wire::fb::BidT>& bid) { takeBid(where, number, vm, bid); });
+        session->askBid(toWire(where.target), [this, where, number, vm](const framework::Result<wire::fb::BidT>& bid) {
+            takeBid(where, number, vm, bid);
+        });
     }
 }
 
@@ -212,8 +209,9 @@
         if (candidate.bid.refusal != ErrorCode::NoCapacity)
             code = candidate.bid.refusal;
     }
-    fail(where, Error { code, "find replica", where.site.value(), "no upstream can load it now",
-                    framework::Execution::NotRun, retryAfterNoCapacity });
+    fail(where,
+        Error { code, "find replica", where.site.value(), "no upstream can load it now", framework::Execution::NotRun,
+            retryAfterNoCapacity });
 }
 
 void Home::load(const SiteTarget& where, Candidate& candidate)
@@ -265,7 +263,8 @@
         if (refused.retry_after_ms > 0)
             why.retryAfter = Milliseconds(refused.retry_after_ms);
     }
-    context_.metrics.count("lagoon_load_failures_total", { { "code", std::string(framework::errorCodeText(why.code)) } });
+    context_.metrics.count(
+        "lagoon_load_failures_total", { { "code", std::string(framework::errorCodeText(why.code)) } });
     if (!why.retryAfter)
         why.retryAfter = retryAfterNoCapacity;
     search->lastError = why;
--- a/src/router/internal/home.h
+++ b/src/router/internal/home.h
@@ -76,8 +76,8 @@
     void begin(Search&);
     std::vector<framework::VmName> nextToAsk(const Search&) const;
     void ask(const SiteTarget&, const std::vector<framework::VmName>&);
-    void takeBid(const SiteTarget&, std::uint64_t number, const framework::VmName&,
-        const framework::Result<wire::fb::BidT>&);
+    void takeBid(
+        const SiteTarget&, std::uint64_t number, const framework::VmName&, const framework::Result<wire::fb::BidT>&);
     void endBidding(const SiteTarget&);
     void evaluate(const SiteTarget&);
     void load(const SiteTarget&, Candidate&);
--- a/src/router/internal/linkserver.cpp
+++ b/src/router/internal/linkserver.cpp
@@ -12,29 +12,30 @@
 
 namespace {
 
-    wire::fb::WakeResultT toWire(const WakeReply& reply, const wire::fb::WakeT& wake, framework::SteadyTime now)
-    {
-        wire::fb::WakeResultT result;
-        result.correlation = wake.correlation;
-        result.target = std::make_unique<wire::fb::TargetT>(*wake.target);
-        result.is_final = reply.isFinal;
-        for (const framework::VmName& vm : reply.placements) {
-            auto placement = std::make_unique<wire::fb::PlacementT>();
-            placement->vm = vm.value();
-            result.placements.push_back(std::move(placement));
-        }
-        // 0 means unknown on the wire.
-        if (reply.expectedAt)
-            result.expected_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(1, reply.expectedAt->remaining(now).count()));
-        if (reply.error) {
-            result.code = static_cast<std::uint8_t>(reply.error->code);
-            result.step = reply.error->step;
-            result.peer = reply.error->peer;
-            result.detail = reply.error->detail;
-            result.retry_after_ms = static_cast<std::uint32_t>(reply.error->retryAfter.value_or(Milliseconds(0)).count());
-        }
-        return result;
+wire::fb::WakeResultT toWire(const WakeReply& reply, const wire::fb::WakeT& wake, framework::SteadyTime now)
+{
+    wire::fb::WakeResultT result;
+    result.correlation = wake.correlation;
+    result.target = std::make_unique<wire::fb::TargetT>(*wake.target);
+    result.is_final = reply.isFinal;
+    for (const framework::VmName& vm : reply.placements) {
+        auto placement = std::make_unique<wire::fb::PlacementT>();
+        placement->vm = vm.value();
+        result.placements.push_back(std::move(placement));
+    }
+    // 0 means unknown on the wire.
+    if (reply.expectedAt)
+        result.expected_ms
+            = static_cast<std::uint32_t>(std::max<std::int64_t>(1, reply.expectedAt->remaining(now).count()));
+    if (reply.error) {
+        result.code = static_cast<std::uint8_t>(reply.error->code);
+        result.step = reply.error->step;
+        result.peer = reply.error->peer;
+        result.detail = reply.error->detail;
+        result.retry_after_ms = static_cast<std::uint32_t>(reply.error->retryAfter.value_or(Milliseconds(0)).count());
     }
+    return result;
+}
 
 } // namespace
 
@@ -48,9 +49,8 @@
 {
     wire::LinkHandlers handlers;
     handlers.onMessage = [this](const LinkPointer& link, wire::Message message) {
-        context_.control.post([this, link, message = std::make_shared<wire::Message>(std::move(message))] {
-            handle(link, *message);
-        });
+        context_.control.post(
+            [this, link, message = std::make_shared<wire::Message>(std::move(message))] { handle(link, *message); });
     };
     handlers.onClosed = [this](const LinkPointer& link, const framework::Error&) {
         context_.control.post([this, link] { senders_.erase(link); });
@@ -97,9 +97,8 @@
     order.latest = Deadline::after(now, Milliseconds(wake.latest_remaining_ms));
     order.wantedReplicas = wake.wanted_replicas;
     context_.home.wake(senders_.at(link), order,
-        [this, link, asked = std::make_shared<wire::fb::WakeT>(wake)](const WakeReply& reply) {
-            link->send(wire::message(toWire(reply, *asked, context_.clock.now())));
-        });
+        [this, link, asked = std::make_shared<wire::fb::WakeT>(wake)](
+            const WakeReply& reply) { link->send(wire::message(toWire(reply, *asked, context_.clock.now()))); });
 }
 
 } // namespace lagoon::router
--- a/src/router/internal/peerlinks.cpp
+++ b/src/router/internal/peerlinks.cpp
@@ -14,23 +14,23 @@
 
 namespace {
 
-    WakeReply toReply(const wire::fb::WakeResultT& result, framework::SteadyTime now)
-    {
-        WakeReply reply;
-        reply.isFinal = result.is_final;
-        for (const auto& placement : result.placements) {
-            if (placement)
-                reply.placements.emplace_back(placement->vm);
-        }
-        if (result.expected_ms > 0)
-            reply.expectedAt = Deadline::after(now, Milliseconds(result.expected_ms));
-        if (result.is_final && reply.placements.empty()) {
-            reply.error = Error { static_cast<ErrorCode>(result.code), result.step, result.peer, result.detail };
-            if (result.retry_after_ms > 0)
-                reply.error->retryAfter = Milliseconds(result.retry_after_ms);
-        }
-        return reply;
+WakeReply toReply(const wire::fb::WakeResultT& result, framework::SteadyTime now)
+{
+    WakeReply reply;
+    reply.isFinal = result.is_final;
+    for (const auto& placement : result.placements) {
+        if (placement)
+            reply.placements.emplace_back(placement->vm);
+    }
+    if (result.expected_ms > 0)
+        reply.expectedAt = Deadline::after(now, Milliseconds(result.expected_ms));
+    if (result.is_final && reply.placements.empty()) {
+        reply.error = Error { static_cast<ErrorCode>(result.code), result.step, result.peer, result.detail };
+        if (result.retry_after_ms > 0)
+            reply.error->retryAfter = Milliseconds(result.retry_after_ms);
     }
+    return reply;
+}
 
 } // namespace
 
@@ -44,7 +44,8 @@
 {
     Peer* peer = connected(home);
     if (!peer) {
-        handler(WakeReply { true, {}, Error { ErrorCode::LinkLost, "wake", home.value(), "not in the list" }, std::nullopt });
+        handler(WakeReply {
+            true, {}, Error { ErrorCode::LinkLost, "wake", home.value(), "not in the list" }, std::nullopt });
         return;
     }
     const auto now = context_.clock.now();
--- a/src/router/internal/placementcache.cpp
+++ b/src/router/internal/placementcache.cpp
@@ -5,10 +5,7 @@
 using callers::RequestTarget;
 using framework::VmName;
 
-void PlacementCache::add(const RequestTarget& target, const VmName& vm)
-{
-    placements_[target].insert(vm);
-}
+void PlacementCache::add(const RequestTarget& target, const VmName& vm) { placements_[target].insert(vm); }
 
 void PlacementCache::remove(const RequestTarget& target, const VmName& vm)
 {
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -35,8 +35,8 @@
 
 namespace {
 
-    constexpr std::size_t platformThreads = 2;
-    constexpr Milliseconds holdersTimeout { 1000 };
+constexpr std::size_t platformThreads = 2;
+constexpr Milliseconds holdersTimeout { 1000 };
 
 } // namespace
 
@@ -100,7 +100,8 @@
     , wakes_(wakesContext())
     , linkServer_(linkServerContext())
     , vmWatcher_(platform_.vmList, control_, clock_, metrics_, [this](const auto& vms) { takeVms(vms); })
-    , callerServer_(settings_.limits, dispatcher_, [this] { return bundles_->current(); }, incarnation_, metrics_)
+    , callerServer_(
+          settings_.limits, dispatcher_, [this] { return bundles_->current(); }, incarnation_, metrics_)
     , opsServer_(opsViews(), metrics_)
 {
     dispatcher_.setWakes(wakes_);
@@ -255,14 +256,8 @@
 
 Router::~Router() = default;
 
-framework::Result<RouterEndpoints> Router::start()
-{
-    return implementation_->start();
-}
+framework::Result<RouterEndpoints> Router::start() { return implementation_->start(); }
 
-void Router::shutDown()
-{
-    implementation_->shutDown();
-}
+void Router::shutDown() { implementation_->shutDown(); }
 
 } // namespace lagoon::router
--- a/src/router/internal/routersettings.cpp
+++ b/src/router/internal/routersettings.cpp
@@ -8,37 +8,37 @@
 
 namespace {
 
-    using framework::CheckedObject;
-    using framework::Milliseconds;
-
-    Milliseconds milliseconds(CheckedObject& section, const std::string& key, Milliseconds fallback, std::uint64_t most)
-    {
-        return Milliseconds(section.numberOr(key, static_cast<std::uint64_t>(fallback.count()), 1, most));
-    }
-
-    DispatchSettings readDispatchSettings(CheckedObject& settings)
-    {
-        DispatchSettings read;
-        if (!settings.has("dispatch"))
-            return read;
-        CheckedObject section = settings.object("dispatch");
-        read.waitingRequests = section.numberOr("waiting_requests", read.waitingRequests, 1, 1000000);
-        read.silenceLimit = milliseconds(section, "silence_limit_ms", read.silenceLimit, 60000);
-        read.pingInterval = milliseconds(section, "ping_interval_ms", read.pingInterval, 60000);
-        if (read.pingInterval * 2 > read.silenceLimit)
-            section.fail("ping_interval_ms", "at most half of silence_limit_ms");
-        read.idleLimit = milliseconds(section, "idle_limit_ms", read.idleLimit, 3600000);
-        read.attempts = static_cast<std::uint32_t>(section.numberOr("attempts", read.attempts, 1, 100));
-        read.retryShare = section.fractionOr("retry_share", read.retryShare, 0, 1);
-        read.retryReserve = section.fractionOr("retry_reserve", read.retryReserve, 0, 10000);
-        read.scaleUpInFlight
-            = static_cast<std::uint32_t>(section.numberOr("scale_up_in_flight", read.scaleUpInFlight, 1, 100000));
-        read.bids = section.numberOr("bids", read.bids, 1, 1000);
-        read.bidTimeout = milliseconds(section, "bid_timeout_ms", read.bidTimeout, 60000);
-        // A part's unknown keys are its own to find.
-        (void)section.finish();
+using framework::CheckedObject;
+using framework::Milliseconds;
+
+Milliseconds milliseconds(CheckedObject& section, const std::string& key, Milliseconds fallback, std::uint64_t most)
+{
+    return Milliseconds(section.numberOr(key, static_cast<std::uint64_t>(fallback.count()), 1, most));
+}
+
+DispatchSettings readDispatchSettings(CheckedObject& settings)
+{
+    DispatchSettings read;
+    if (!settings.has("dispatch"))
         return read;
-    }
+    CheckedObject section = settings.object("dispatch");
+    read.waitingRequests = section.numberOr("waiting_requests", read.waitingRequests, 1, 1000000);
+    read.silenceLimit = milliseconds(section, "silence_limit_ms", read.silenceLimit, 60000);
+    read.pingInterval = milliseconds(section, "ping_interval_ms", read.pingInterval, 60000);
+    if (read.pingInterval * 2 > read.silenceLimit)
+        section.fail("ping_interval_ms", "at most half of silence_limit_ms");
+    read.idleLimit = milliseconds(section, "idle_limit_ms", read.idleLimit, 3600000);
+    read.attempts = static_cast<std::uint32_t>(section.numberOr("attempts", read.attempts, 1, 100));
+    read.retryShare = section.fractionOr("retry_share", read.retryShare, 0, 1);
+    read.retryReserve = section.fractionOr("retry_reserve", read.retryReserve, 0, 10000);
+    read.scaleUpInFlight
+        = static_cast<std::uint32_t>(section.numberOr("scale_up_in_flight", read.scaleUpInFlight, 1, 100000));
+    read.bids = section.numberOr("bids", read.bids, 1, 1000);
+    read.bidTimeout = milliseconds(section, "bid_timeout_ms", read.bidTimeout, 60000);
+    // A part's unknown keys are its own to find.
+    (void)section.finish();
+    return read;
+}
 
 } // namespace
 
--- a/src/router/internal/vmdirectory.cpp
+++ b/src/router/internal/vmdirectory.cpp
@@ -18,15 +18,9 @@
     std::erase_if(draining_, [this](const VmName& vm) { return !entries_.contains(vm); });
 }
 
-void VmDirectory::setDraining(const VmName& vm)
-{
-    draining_.insert(vm);
-}
+void VmDirectory::setDraining(const VmName& vm) { draining_.insert(vm); }
 
-void VmDirectory::clearDraining(const VmName& vm)
-{
-    draining_.erase(vm);
-}
+void VmDirectory::clearDraining(const VmName& vm) { draining_.erase(vm); }
 
 const VmEntry* VmDirectory::find(const VmName& vm) const
 {
@@ -46,8 +40,7 @@
     return entry && entry->state == VmState::Gone;
 }
 
-std::vector<VmName> VmDirectory::upstreams(
-    const std::vector<framework::PoolName>& pools, const SiteName& site) const
+std::vector<VmName> VmDirectory::upstreams(const std::vector<framework::PoolName>& pools, const SiteName& site) const
 {
     std::vector<VmName> found;
     for (const auto& [vm, entry] : entries_) {
--- a/src/router/internal/vmdirectory.h
+++ b/src/router/internal/vmdirectory.h
@@ -23,8 +23,7 @@
     bool isUsable(const framework::VmName&) const;
     bool isGone(const framework::VmName&) const;
     /// Live upstreams of the pools at the site that take work.
-    std::vector<framework::VmName> upstreams(
-        const std::vector<framework::PoolName>&, const framework::SiteName&) const;
+    std::vector<framework::VmName> upstreams(const std::vector<framework::PoolName>&, const framework::SiteName&) const;
     std::vector<framework::VmName> routers(const framework::SiteName&) const;
     std::set<framework::SiteName> sites() const;
     bool isEmpty() const { return entries_.empty(); }
--- a/src/router/internal/vmlistwatcher.cpp
+++ b/src/router/internal/vmlistwatcher.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-    /// A waiting call counts as one at the platform, so longer is cheaper; stopping a router waits for it at most.
-    constexpr Milliseconds waitLimit { 2000 };
-    constexpr Milliseconds shortestPause { 200 };
-    constexpr Milliseconds longestPause { 3000 };
+/// A waiting call counts as one at the platform, so longer is cheaper; stopping a router waits for it at most.
+constexpr Milliseconds waitLimit { 2000 };
+constexpr Milliseconds shortestPause { 200 };
+constexpr Milliseconds longestPause { 3000 };
 
 } // namespace
 
@@ -29,10 +29,7 @@
 {
 }
 
-VmListWatcher::~VmListWatcher()
-{
-    stop();
-}
+VmListWatcher::~VmListWatcher() { stop(); }
 
 void VmListWatcher::start()
 {
--- a/src/router/internal/wakes.cpp
+++ b/src/router/internal/wakes.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-    constexpr Milliseconds wakeInterval { 1000 };
+constexpr Milliseconds wakeInterval { 1000 };
 
 } // namespace
 
--- a/src/router/internal/wakes.h
+++ b/src/router/internal/wakes.h
@@ -30,7 +30,8 @@
         Home& home;
         PeerLinks& peers;
         /// The target is served at these agents; its waiting requests may go.
-        std::function<void(const SiteTarget&, const std::vector<framework::VmName>&, const std::set<RequestNumber>&)> onPlaced;
+        std::function<void(const SiteTarget&, const std::vector<framework::VmName>&, const std::set<RequestNumber>&)>
+            onPlaced;
         /// No replica to be had now.
         std::function<void(const framework::Error&, const std::set<RequestNumber>&)> onRefused;
         /// The load is expected to end then; for requests that can't wait as long.
