--- a/src/policy/benchmarks/loadsimulation.cpp
+++ b/src/policy/benchmarks/loadsimulation.cpp
@@ -1,5 +1,6 @@
 #include "policy/benchmarks/loadsimulation.h"
 
+#include "policy/expiredreplicas.h"
 #include "policy/rendezvous.h"
 
 #include <algorithm>
@@ -378,8 +379,6 @@
         replicas_.emplace(part, std::move(replica));
         servers_[server].targets.insert(part);
     }
-    if (model != target)
-        ++replicas_.at(model).adapters;
     ++outcome_.loads;
     const double slowness = targets_[target].slowness * std::exp(noise * std::normal_distribution<double>()(random_));
     const auto size = static_cast<double>(needed);
@@ -456,34 +455,25 @@
     Replica& replica = replicas_.at(target);
     accountIdle(replica);
     servers_[replica.server].targets.erase(target);
-    const std::size_t model = targets_[target].model;
-    if (model != target)
-        --replicas_.at(model).adapters;
     replicas_.erase(target);
-    if (model != target)
-        planUnload(model);
 }
 
 void LoadSimulation::planUnload(std::size_t target)
 {
     const auto found = replicas_.find(target);
-    if (found == replicas_.end() || found->second.view.running > 0 || found->second.adapters > 0)
+    if (found == replicas_.end() || found->second.view.running > 0)
+        return;
+    const Deadline until = keepWarm_->keepUntil(found->second.view, deployment_.serverMemory);
+    if (until.at() > traceStart + std::chrono::hours(24))
         return;
-    planUnloadAt(target, keepWarm_->keepUntil(found->second.view, deployment_.serverMemory));
+    events_.at(until.at(), [this, server = found->second.server] { unloadExpired(server); });
 }
 
-void LoadSimulation::planUnloadAt(std::size_t target, Deadline until)
+void LoadSimulation::unloadExpired(std::size_t server)
 {
-    const SteadyTime lastUsed = replicas_.at(target).view.lastUsed;
-    if (until.at() > traceStart + std::chrono::hours(24))
-        return;
-    events_.at(until.at(), [this, target, lastUsed] {
-        const auto found = replicas_.find(target);
-        if (found == replicas_.end() || found->second.view.lastUsed != lastUsed)
-            return;
-        if (found->second.view.running == 0 && found->second.adapters == 0 && found->second.state == State::Loaded)
-            unload(target);
-    });
+    const std::vector<std::size_t> here = replicasOf(server);
+    for (const std::size_t index : expiredReplicas(*keepWarm_, views(here), deployment_.serverMemory, now()))
+        unload(here[index]);
 }
 
 void LoadSimulation::setBusy(std::size_t target)
--- a/src/policy/benchmarks/loadsimulation.h
+++ b/src/policy/benchmarks/loadsimulation.h
@@ -71,8 +71,6 @@
         std::size_t server = 0;
         State state = State::Loading;
         LoadedReplica view;
-        /// The model's adapters that are loaded or being loaded.
-        std::size_t adapters = 0;
         framework::SteadyTime idleSince {};
     };
 
@@ -120,7 +118,7 @@
     void endLoad(std::size_t target);
     void unload(std::size_t target);
     void planUnload(std::size_t target);
-    void planUnloadAt(std::size_t target, framework::Deadline);
+    void unloadExpired(std::size_t server);
 
     void setBusy(std::size_t target);
     void setIdle(std::size_t target);
--- a/src/policy/ikeepwarm.h
+++ b/src/policy/ikeepwarm.h
@@ -27,8 +27,8 @@
 class IKeepWarm {
 public:
     virtual ~IKeepWarm() = default;
-    /// When the idle replica should be unloaded unless used before. `accelerator` is the upstream's whole memory: a
-    /// replica idles as much of an accelerator as it takes of that.
+    /// When the idle replica should be unloaded unless used before; see `expiredReplicas` for adapters. `accelerator`
+    /// is the upstream's whole memory: a replica idles as much of an accelerator as it takes of that.
     virtual framework::Deadline keepUntil(const LoadedReplica&, framework::MebiBytes accelerator) const = 0;
     /// Indexes of replicas that together free at least `needed`, in the order of unloading; empty if the idle ones
     /// don't suffice. Running ones are never chosen, nor a model without the adapters on it; one that is being loaded
--- a/src/policy/tests/keepwarm_test.cpp
+++ b/src/policy/tests/keepwarm_test.cpp
@@ -1,3 +1,4 @@
+#include "policy/expiredreplicas.h"
 #include "policy/policysetup.h"
 
 #include <boost/test/unit_test.hpp>
@@ -97,4 +98,26 @@
     BOOST_TEST(victims(replicas, 4000).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(aModelsEndIsItsAdaptersToo)
+{
+    const auto keeping = keepWarm(1);
+    const std::vector<LoadedReplica> replicas { replica("a", 40000, 5min), adapterOf("a", "x", 5min) };
+    BOOST_CHECK(!keeping->keepUntil(replicas[1], accelerator).hasPassed(start));
+    const std::vector<std::size_t> expected { 1, 0 };
+    BOOST_CHECK(policy::expiredReplicas(*keeping, replicas, accelerator, start) == expected);
+}
+
+BOOST_AUTO_TEST_CASE(aModelWithARunningAdapterDoesNotEnd)
+{
+    std::vector<LoadedReplica> replicas { replica("a", 40000, 5min), adapterOf("a", "x", 5min) };
+    replicas[1].running = 1;
+    BOOST_CHECK(policy::expiredReplicas(*keepWarm(1), replicas, accelerator, start).empty());
+}
+
+BOOST_AUTO_TEST_CASE(anAdapterMayEndBeforeItsModel)
+{
+    const std::vector<LoadedReplica> replicas { replica("a", 40000, 0s), adapterOf("a", "x", 10h) };
+    BOOST_CHECK(policy::expiredReplicas(*keepWarm(1), replicas, accelerator, start) == std::vector<std::size_t> { 1 });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
