--- a/src/policy/benchmarks/loadsimulation.cpp
+++ b/src/policy/benchmarks/loadsimulation.cpp
@@ -463,12 +463,23 @@
     const auto found = replicas_.find(target);
     if (found == replicas_.end() || found->second.view.running > 0)
         return;
+    found->second.view.loadTime = nextLoadTime(target, found->second);
     const Deadline until = keepWarm_->keepUntil(found->second.view, deployment_.serverMemory);
     if (until.at() > traceStart + std::chrono::hours(24))
         return;
     events_.at(until.at(), [this, server = found->second.server] { unloadExpired(server); });
 }
 
+/// From where its checkpoint is now, which after a load is nearer than it was before.
+Milliseconds LoadSimulation::nextLoadTime(std::size_t target, const Replica& replica) const
+{
+    const Home& home = homes_[homeOf(target)];
+    return home.estimator
+        .estimate(
+            targets_[target].name, checkpoint(replica.server, targets_[target].model), targets_[target].memory, now())
+        .typical;
+}
+
 void LoadSimulation::unloadExpired(std::size_t server)
 {
     const std::vector<std::size_t> here = replicasOf(server);
--- a/src/policy/benchmarks/loadsimulation.h
+++ b/src/policy/benchmarks/loadsimulation.h
@@ -118,6 +118,7 @@
     void endLoad(std::size_t target);
     void unload(std::size_t target);
     void planUnload(std::size_t target);
+    framework::Milliseconds nextLoadTime(std::size_t target, const Replica&) const;
     void unloadExpired(std::size_t server);
 
     void setBusy(std::size_t target);
--- a/src/policy/ikeepwarm.h
+++ b/src/policy/ikeepwarm.h
@@ -16,7 +16,7 @@
     framework::AdapterName adapter;
     framework::MebiBytes memory;
     framework::SteadyTime lastUsed {};
-    /// What its load took when last measured.
+    /// What its next load is expected to take, from where its checkpoint is now: after a load from afar that is nearer.
     framework::Milliseconds loadTime { 0 };
     std::uint32_t running = 0;
     /// Uses within memory, newest last, a few of them.
