--- a/src/policy/benchmarks/deployment.cpp
+++ b/src/policy/benchmarks/deployment.cpp
@@ -48,13 +48,13 @@
     return shares;
 }
 
-void addSessions(const Deployment& deployment, std::size_t target, double sessionsPerHour, Random& random,
-    std::vector<TraceRequest>& trace)
+void addSessions(const Deployment& deployment, std::size_t target, double sessionsPerHour, double dayStart,
+    Random& random, std::vector<TraceRequest>& trace)
 {
     constexpr double meanSessionSeconds = 900;
     constexpr double meanPauseSeconds = 60;
-    const double end = (workdayStartHour + workdayHours) * 3600;
-    double session = workdayStartHour * 3600 + exponential(random, 3600 / sessionsPerHour);
+    const double end = dayStart + (workdayStartHour + workdayHours) * 3600;
+    double session = dayStart + workdayStartHour * 3600 + exponential(random, 3600 / sessionsPerHour);
     while (session < end) {
         const double sessionEnd = session + exponential(random, meanSessionSeconds);
         for (double at = session; at < sessionEnd; at += exponential(random, meanPauseSeconds))
@@ -63,13 +63,13 @@
     }
 }
 
-void addAppointments(const Deployment& deployment, std::size_t target, double chancePerSlot, Random& random,
-    std::vector<TraceRequest>& trace)
+void addAppointments(const Deployment& deployment, std::size_t target, double chancePerSlot, double dayStart,
+    Random& random, std::vector<TraceRequest>& trace)
 {
     constexpr double slotSeconds = 1800;
     constexpr double burstSeconds = 60;
-    const double end = (workdayStartHour + workdayHours) * 3600;
-    for (double slot = (workdayStartHour + 1) * 3600; slot <= end; slot += slotSeconds) {
+    const double end = dayStart + (workdayStartHour + workdayHours) * 3600;
+    for (double slot = dayStart + (workdayStartHour + 1) * 3600; slot <= end; slot += slotSeconds) {
         if (uniform(random, 0, 1) > chancePerSlot)
             continue;
         const double burst = slot - uniform(random, 120, 600);
@@ -140,11 +140,14 @@
     std::vector<TraceRequest> trace;
     const std::vector<double> shares = popularity(targets.size(), random);
     for (std::size_t target = 0; target < targets.size(); ++target) {
-        if (deployment.traffic == Traffic::Sessions) {
-            const double perHour = std::max(leastSessionsPerHour, sessionsPerHourOfMostUsed * shares[target]);
-            addSessions(deployment, target, perHour, random, trace);
-        } else {
-            addAppointments(deployment, target, std::max(leastChancePerSlot, shares[target]), random, trace);
+        const double perHour = std::max(leastSessionsPerHour, sessionsPerHourOfMostUsed * shares[target]);
+        const double chance = std::max(leastChancePerSlot, shares[target]);
+        for (int day = 0; day < traceDays; ++day) {
+            const double dayStart = day * 24 * 3600.0;
+            if (deployment.traffic == Traffic::Sessions)
+                addSessions(deployment, target, perHour, dayStart, random, trace);
+            else
+                addAppointments(deployment, target, chance, dayStart, random, trace);
         }
     }
     std::stable_sort(trace.begin(), trace.end(),
--- a/src/policy/benchmarks/deployment.h
+++ b/src/policy/benchmarks/deployment.h
@@ -18,6 +18,9 @@
 /// Where the virtual clock starts; the policies treat 0 as "never".
 inline const framework::SteadyTime traceStart { std::chrono::hours(1000) };
 
+inline constexpr int traceDays = 3;
+inline const framework::SteadyTime traceEnd = traceStart + std::chrono::hours(24 * traceDays);
+
 /// How requests come.
 enum class Traffic : std::uint8_t {
     Sessions, ///< someone works with a model for a while, at any time of the working day
@@ -66,7 +69,7 @@
     std::uint8_t priority = 4;
 };
 
-/// A day's requests in the order of time.
+/// Requests of `traceDays` alike days in the order of time.
 std::vector<TraceRequest> makeTrace(const Deployment&, const std::vector<Target>&, Random&);
 
 } // namespace lagoon::policy::benchmarks
--- a/src/policy/benchmarks/loadsimulation.cpp
+++ b/src/policy/benchmarks/loadsimulation.cpp
@@ -111,8 +111,8 @@
         events_.at(slowdown_.from, [this, setSpeed] { setSpeed(slowdown_.speed); });
         events_.at(slowdown_.to, [setSpeed] { setSpeed(1); });
     }
-    // The day ends: what is still loaded idled until now.
-    events_.at(traceStart + std::chrono::hours(24), [this] {
+    // The trace ends: what is still loaded idled until now.
+    events_.at(traceEnd, [this] {
         for (auto& [target, replica] : replicas_)
             accountIdle(replica);
     });
@@ -126,11 +126,11 @@
 {
     const auto warm = replicas_.find(request.target);
     if (warm != replicas_.end() && warm->second.state == State::Loaded)
-        return serve(request, warm->second);
+        return serve(request);
     wait(request);
 }
 
-void LoadSimulation::serve(const TraceRequest& request, Replica&)
+void LoadSimulation::serve(const TraceRequest& request)
 {
     const std::size_t model = targets_[request.target].model;
     setBusy(request.target);
@@ -268,6 +268,8 @@
 
 bool LoadSimulation::tryStart(std::size_t index, std::size_t target)
 {
+    if (replicas_.contains(target))
+        return false; // on its way in, beneath one of its adapters
     Home& home = homes_[index];
     std::vector<LoadBid> bids;
     std::vector<framework::VmName> vms;
@@ -434,19 +436,26 @@
         loadedPart.view.lastUsed = now();
         loadedPart.idleSince = now();
     }
+    serveWaiting(wanted);
+    if (auto& ofModel = homes_[homeOf(model)].wanted; model != target && ofModel.contains(model))
+        serveWaiting(ofModel.extract(model).mapped());
+    planUnload(target);
+    planUnload(model);
+    for (std::size_t other = 0; other < homes_.size(); ++other) {
+        if (!homes_[other].wanted.empty())
+            planPump(other, Milliseconds(0));
+    }
+}
+
+void LoadSimulation::serveWaiting(const Wanted& wanted)
+{
     for (const TraceRequest* request : wanted.waiting) {
         waiting_.erase(request);
         const double waited = Seconds(now() - request->at).count();
         outcome_.coldWaits.push_back(waited);
         if (waited > badWaitSeconds)
             outcome_.lastBad = std::max(outcome_.lastBad, request->at);
-        serve(*request, replicas_.at(target));
-    }
-    planUnload(target);
-    planUnload(model);
-    for (std::size_t other = 0; other < homes_.size(); ++other) {
-        if (!homes_[other].wanted.empty())
-            planPump(other, Milliseconds(0));
+        serve(*request);
     }
 }
 
@@ -465,7 +474,7 @@
         return;
     found->second.view.loadTime = nextLoadTime(target, found->second);
     const Deadline until = keepWarm_->keepUntil(found->second.view, deployment_.serverMemory);
-    if (until.at() > traceStart + std::chrono::hours(24))
+    if (until.at() > traceEnd)
         return;
     events_.at(until.at(), [this, server = found->second.server] { unloadExpired(server); });
 }
--- a/src/policy/benchmarks/loadsimulation.h
+++ b/src/policy/benchmarks/loadsimulation.h
@@ -57,7 +57,7 @@
     double coldPercentile(double percent) const;
 };
 
-/// One deployment's day in virtual time. Each target has one replica at most, as the cap demands.
+/// One deployment's days in virtual time. Each target has one replica at most, as the cap demands.
 class LoadSimulation {
 public:
     LoadSimulation(
@@ -100,7 +100,7 @@
     };
 
     void arrive(const TraceRequest&);
-    void serve(const TraceRequest&, Replica&);
+    void serve(const TraceRequest&);
     void finishRequest(std::size_t target);
     void wait(const TraceRequest&);
     bool isHopeless(Home&, const Wanted&, std::size_t target, const TraceRequest&) const;
@@ -116,6 +116,7 @@
     void startLoad(std::size_t home, std::size_t server, std::size_t target, CheckpointPlace);
     void planStore();
     void endLoad(std::size_t target);
+    void serveWaiting(const Wanted&);
     void unload(std::size_t target);
     void planUnload(std::size_t target);
     framework::Milliseconds nextLoadTime(std::size_t target, const Replica&) const;
