Bundles: text, manifest with parts, head, watch, sign-off, roll-out, release

A bundle lies in the platform as a manifest and parts named by their digest; models are spread over parts by the hash of their name, so a change of one model leaves the other parts, and what processes have read of them, alone. The head names the manifest by digest.

The watch never goes below what is in force or, at a start, below what a peer has named.

Roll-out writes lowered counts before it moves the head. Two at once merge to the lower of both; the loser leaves the mark that the winner's bundle calls for, rather than none, since its own mark may have replaced the winner's.

watch and waitForChange take a stop token, so that a process that shuts down doesn't wait for the platform's answer. A refusal by the change of an update is final also if its code is that of a conflict.

Not tested yet: roll-out under races, the HTTP client.

--- /dev/null
+++ b/src/bundle/bundlehead.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "bundle/types/bundlehead.h"
+#include "framework/types/error.h"
+#include "platform/types/storedobject.h"
+
+#include <string>
+
+namespace lagoon::bundle {
+
+platform::ObjectKey bundleHeadKey();
+framework::Result<BundleHead> parseBundleHead(const std::string& text);
+std::string bundleHeadText(const BundleHead&);
+
+} // namespace lagoon::bundle
--- a/src/bundle/bundlewatch.h
+++ b/src/bundle/bundlewatch.h
@@ -3,6 +3,7 @@
 #include "bundle/ibundlewatch.h"
 #include "framework/controlthread.h"
 #include "framework/metrics.h"
+#include "framework/types/time.h"
 #include "platform/iplatformstore.h"
 
 #include <cstdint>
@@ -13,8 +14,22 @@
 /// Routers watch the head with one waiting call each; agents hear of new versions from routers, and poll rarely.
 enum class HeadMode : std::uint8_t { Watch, Listen };
 
+/// Waiting times; the defaults are the product's, tests use shorter ones.
+struct BundleWatchTimes {
+    /// One waiting call. A watch whose connection went silent is found out after it, so it bounds how late a router is.
+    framework::Milliseconds watch { 10000 };
+    /// Between a listener's reads of the head while nobody tells it of a newer version; each is drawn from two thirds
+    /// to four thirds of it.
+    framework::Milliseconds poll { 30000 };
+    /// Before the bundle of a newer head is read; drawn anew each time, so that the fleet doesn't read in one moment.
+    framework::Milliseconds longestSpread { 500 };
+    /// Between tries that failed.
+    framework::Milliseconds firstRetry { 100 };
+    framework::Milliseconds longestRetry { 5000 };
+};
+
 /// Reads the head and the bundles it names on a thread of its own.
 std::shared_ptr<IBundleWatch> makeBundleWatch(HeadMode, std::shared_ptr<platform::IPlatformStore>,
-    framework::IControlExecutor&, std::shared_ptr<framework::Metrics>);
+    framework::IControlExecutor&, std::shared_ptr<framework::Metrics>, BundleWatchTimes = {});
 
 } // namespace lagoon::bundle
--- /dev/null
+++ b/src/bundle/internal/bundletext.cpp
@@ -0,0 +1,27 @@
+#include "bundle/bundletext.h"
+
+#include "bundle/internal/bundlereader.h"
+
+namespace lagoon::bundle {
+
+namespace {
+
+constexpr std::uint64_t knownFormat = 1;
+
+} // namespace
+
+framework::Result<Bundle> parseBundle(const std::string& text, const std::string& source)
+{
+    const framework::JsonLimits limits { .bytes = largestBundleText };
+    BOOST_OUTCOME_TRY(json, framework::parseJson(text, source, framework::ErrorCode::BadBundle, limits));
+    framework::CheckedObject object(json, source, "", framework::ErrorCode::BadBundle);
+    Bundle bundle;
+    object.number("format", knownFormat, knownFormat);
+    bundle.version = framework::BundleVersion(object.number("version", 1, highestBundleVersion));
+    readCommon(object, bundle);
+    readEntries(object, bundle);
+    BOOST_OUTCOME_TRYV(object.finish());
+    return bundle;
+}
+
+} // namespace lagoon::bundle
--- /dev/null
+++ b/src/bundle/internal/bundlewatch.cpp
@@ -0,0 +1,240 @@
+#include "bundle/bundlewatch.h"
+
+#include "bundle/bundlehead.h"
+#include "bundle/storedbundle.h"
+#include "framework/iclock.h"
+#include "framework/logging.h"
+#include "framework/randomid.h"
+#include "platform/backoff.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace lagoon::bundle {
+
+namespace {
+
+using framework::BundleVersion;
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Milliseconds;
+using framework::ObjectVersion;
+using framework::Result;
+using platform::StoredObject;
+
+constexpr Milliseconds headTimeout { 5000 };
+constexpr Milliseconds loadTimeout { 20000 };
+
+class BundleWatch final : public IBundleWatch, public std::enable_shared_from_this<BundleWatch> {
+public:
+    BundleWatch(HeadMode mode, std::shared_ptr<platform::IPlatformStore> store, framework::IControlExecutor& control,
+        std::shared_ptr<framework::Metrics> metrics, BundleWatchTimes times)
+        : mode_(mode)
+        , store_(std::move(store))
+        , control_(control)
+        , metrics_(std::move(metrics))
+        , times_(times)
+        , backoff_(times.firstRetry, times.longestRetry, framework::randomNumber())
+        , random_(framework::randomNumber())
+    {
+    }
+
+    ~BundleWatch() override { stop(); }
+
+    BundlePointer current() const override { return current_; }
+    framework::Channel<BundlePointer>& changed() override { return changed_; }
+
+    void hearOf(BundleVersion version) override
+    {
+        const std::lock_guard lock(mutex_);
+        if (version <= heard_)
+            return;
+        heard_ = version;
+        wake_.notify_all();
+    }
+
+    void start() override
+    {
+        thread_ = std::jthread([this](const std::stop_token& stop) { follow(stop); });
+    }
+
+    void stop() override
+    {
+        thread_.request_stop();
+        if (thread_.joinable())
+            thread_.join();
+    }
+
+private:
+    void follow(const std::stop_token& stop)
+    {
+        while (!stop.stop_requested()) {
+            const Result<void> result = followOnce(stop);
+            if (stop.stop_requested())
+                return;
+            if (result) {
+                noteReachable();
+                backoff_.reset();
+                continue;
+            }
+            noteFailure(result.error());
+            pause(backoff_.next(result.error().retryAfter), stop);
+        }
+    }
+
+    Result<void> followOnce(const std::stop_token& stop)
+    {
+        if (isBehind())
+            return readHead(stop);
+        if (mode_ == HeadMode::Watch)
+            return watchHead(stop);
+        waitToBeTold(stop);
+        if (stop.stop_requested())
+            return framework::success();
+        return readHead(stop);
+    }
+
+    Result<void> readHead(const std::stop_token& stop)
+    {
+        BOOST_OUTCOME_TRY(object, store_->get(bundleHeadKey(), after(headTimeout)));
+        if (object)
+            return takeHead(*object, stop);
+        if (mode_ == HeadMode::Watch && heard() == BundleVersion())
+            return watchHead(stop);
+        return Error { ErrorCode::NotFound, "read bundle head", bundleHeadKey().value(), "nothing was rolled out yet" };
+    }
+
+    Result<void> watchHead(const std::stop_token& stop)
+    {
+        BOOST_OUTCOME_TRY(object, store_->watch(bundleHeadKey(), headObject_, after(times_.watch), stop));
+        if (!object)
+            return framework::success();
+        return takeHead(*object, stop);
+    }
+
+    Result<void> takeHead(const StoredObject& object, const std::stop_token& stop)
+    {
+        BOOST_OUTCOME_TRY(head, parseBundleHead(object.value));
+        // Guards against a platform that shows an older head, from a copy that lags or after a restore: a process
+        // would go back to models and counts that operators had replaced. The floor is what this process has in force
+        // and, for one that has nothing yet, the highest version that any peer has named.
+        if (head.version < floorVersion()) {
+            metrics_->count("lagoon_bundle_older_heads_total");
+            return olderHead(head);
+        }
+        if (!loaded_ || head.version != loaded_->bundle->version) {
+            BOOST_OUTCOME_TRYV(takeBundle(head, stop));
+        }
+        if (head.digest != loaded_->digest)
+            return Error { ErrorCode::BadBundle, "read bundle head", bundleHeadKey().value(),
+                "another digest for the version in force" };
+        headObject_ = object.version;
+        if (isBehind())
+            return olderHead(head);
+        return framework::success();
+    }
+
+    static Error olderHead(const BundleHead& head)
+    {
+        return Error { ErrorCode::PlatformUnavailable, "read bundle head", bundleHeadKey().value(),
+            "it shows version " + std::to_string(head.version.value()) + ", a newer one is known" };
+    }
+
+    Result<void> takeBundle(const BundleHead& head, const std::stop_token& stop)
+    {
+        if (loaded_)
+            pause(drawn(Milliseconds(0), times_.longestSpread), stop);
+        BOOST_OUTCOME_TRY(loaded, loadBundle(*store_, head, loaded_ ? &*loaded_ : nullptr, after(loadTimeout), stop));
+        loaded_ = std::move(loaded);
+        current_ = loaded_->bundle;
+        metrics_->setGauge("lagoon_bundle_version", static_cast<double>(head.version.value()));
+        metrics_->count("lagoon_bundle_changes_total");
+        framework::logInfo("bundle", "version " + std::to_string(head.version.value()) + " is in force");
+        control_.post([weak = weak_from_this(), bundle = loaded_->bundle] {
+            if (const auto self = weak.lock())
+                self->changed_.send(bundle);
+        });
+        return framework::success();
+    }
+
+    BundleVersion inForce() const { return loaded_ ? loaded_->bundle->version : BundleVersion(); }
+    BundleVersion floorVersion() const { return loaded_ ? inForce() : heard(); }
+    bool isBehind() const { return !loaded_ || heard() > inForce(); }
+
+    BundleVersion heard() const
+    {
+        const std::lock_guard lock(mutex_);
+        return heard_;
+    }
+
+    static Deadline after(Milliseconds duration) { return Deadline::after(framework::SystemClock().now(), duration); }
+
+    Milliseconds drawn(Milliseconds least, Milliseconds most)
+    {
+        std::uniform_int_distribution<std::int64_t> draw(least.count(), most.count());
+        return Milliseconds(draw(random_));
+    }
+
+    void waitToBeTold(const std::stop_token& stop)
+    {
+        const Milliseconds wait = drawn(times_.poll * 2 / 3, times_.poll * 4 / 3);
+        std::unique_lock lock(mutex_);
+        wake_.wait_for(lock, stop, wait, [this] { return heard_ > inForce(); });
+    }
+
+    void pause(Milliseconds wait, const std::stop_token& stop)
+    {
+        std::unique_lock lock(mutex_);
+        wake_.wait_for(lock, stop, wait, [] { return false; });
+    }
+
+    void noteFailure(const Error& error)
+    {
+        const std::string code(framework::errorCodeText(error.code));
+        metrics_->count("lagoon_bundle_read_failures_total", { { "code", code } });
+        if (std::exchange(isReachable_, false))
+            framework::logWarning("bundle", "the bundle can't be read: " + describe(error));
+    }
+
+    void noteReachable()
+    {
+        if (!std::exchange(isReachable_, true))
+            framework::logInfo("bundle", "the bundle can be read again");
+    }
+
+    const HeadMode mode_;
+    std::shared_ptr<platform::IPlatformStore> store_;
+    framework::IControlExecutor& control_;
+    std::shared_ptr<framework::Metrics> metrics_;
+    const BundleWatchTimes times_;
+    framework::Channel<BundlePointer> changed_;
+    std::atomic<BundlePointer> current_;
+
+    mutable std::mutex mutex_;
+    std::condition_variable_any wake_;
+    /// The highest version that any peer has named.
+    BundleVersion heard_;
+
+    // Of the thread that follows.
+    platform::Backoff backoff_;
+    std::mt19937_64 random_;
+    std::optional<LoadedBundle> loaded_;
+    /// The head object's version that `loaded_` was read from.
+    ObjectVersion headObject_;
+    bool isReachable_ = true;
+    std::jthread thread_;
+};
+
+} // namespace
+
+std::shared_ptr<IBundleWatch> makeBundleWatch(HeadMode mode, std::shared_ptr<platform::IPlatformStore> store,
+    framework::IControlExecutor& control, std::shared_ptr<framework::Metrics> metrics, BundleWatchTimes times)
+{
+    return std::make_shared<BundleWatch>(mode, std::move(store), control, std::move(metrics), times);
+}
+
+} // namespace lagoon::bundle
--- /dev/null
+++ b/src/bundle/internal/claimrelease.cpp
@@ -0,0 +1,45 @@
+#include "bundle/claimrelease.h"
+
+#include "framework/randomid.h"
+#include "platform/objectupdate.h"
+
+#include <algorithm>
+
+namespace lagoon::bundle {
+
+using framework::Error;
+using framework::ErrorCode;
+using framework::Result;
+using platform::ObjectChange;
+
+Result<ReplicaObject> releaseClaim(
+    platform::IPlatformStore& store, const ClaimRelease& claim, const OperatorAct& act, framework::Deadline deadline)
+{
+    const ReplicaRelease release { claim.vm, act.operatorName, claim.reason, act.at, framework::newNonce() };
+    const auto noClaim = [&] {
+        return Error { ErrorCode::NotFound, "release claim", claim.key.value(),
+            "VM \"" + claim.vm.value() + "\" holds no claim" };
+    };
+    const auto change = [&](const std::optional<std::string>& present) -> Result<ObjectChange> {
+        if (!present)
+            return noClaim();
+        BOOST_OUTCOME_TRY(object, parseReplicaObject(*present, claim.key));
+        if (!object.holder(claim.vm))
+            return noClaim();
+        std::erase_if(object.holders, [&](const ReplicaHolder& holder) { return holder.vm == claim.vm; });
+        object.addRelease(release);
+        return ObjectChange { replicaObjectText(object) };
+    };
+    const auto isOwnWrite = [&](const std::string& value) {
+        const auto object = parseReplicaObject(value, claim.key);
+        if (!object)
+            return false;
+        const auto& releases = object.value().releases;
+        return std::find(releases.begin(), releases.end(), release) != releases.end();
+    };
+    BOOST_OUTCOME_TRY(
+        updated, platform::updateObject(store, claim.key, platform::ObjectUpdate { change, isOwnWrite }, deadline));
+    return parseReplicaObject(updated.value, claim.key);
+}
+
+} // namespace lagoon::bundle
--- /dev/null
+++ b/src/bundle/internal/rollout.cpp
@@ -0,0 +1,219 @@
+#include "bundle/rollout.h"
+
+#include "bundle/bundlehead.h"
+#include "bundle/decidedcounts.h"
+#include "bundle/replicaobject.h"
+#include "framework/randomid.h"
+#include "platform/objectread.h"
+#include "platform/objectupdate.h"
+
+#include <algorithm>
+
+namespace lagoon::bundle {
+
+namespace {
+
+using framework::BundleVersion;
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Result;
+using platform::ObjectChange;
+using platform::ObjectKey;
+using platform::ObjectUpdate;
+
+const std::string step = "roll out bundle";
+
+/// One run of `rollOut`.
+class RollOut {
+public:
+    RollOut(platform::IPlatformStore& store, BundleVersion version, const OperatorAct& act, Deadline deadline)
+        : store_(store)
+        , version_(version)
+        , act_(act)
+        , deadline_(deadline)
+    {
+    }
+
+    Result<RollOutResult> run()
+    {
+        BOOST_OUTCOME_TRYV(readBase());
+        BOOST_OUTCOME_TRYV(readCandidate());
+        BOOST_OUTCOME_TRYV(lowerCounts());
+        const Result<void> moved = moveHead();
+        if (moved)
+            return RollOutResult { head_, baseVersion(), lowered_.size() };
+        // While the head may still move to this version its lowered counts must stay.
+        if (moved.error().execution == framework::Execution::NotRun)
+            takeBackCounts();
+        return moved.error();
+    }
+
+private:
+    BundleVersion baseVersion() const { return base_ ? base_->version : BundleVersion(); }
+
+    Error notAbove(const BundleHead& present) const
+    {
+        return Error { ErrorCode::PlatformConflict, step, bundleHeadKey().value(),
+            "version " + std::to_string(present.version.value()) + " is in force, rolled out by " + present.operatorName
+                + " at " + present.rolledOutAt + "; version " + std::to_string(version_.value()) + " isn't" };
+    }
+
+    Result<void> readBase()
+    {
+        BOOST_OUTCOME_TRY(object, platform::readObject(store_, bundleHeadKey(), deadline_));
+        if (!object)
+            return framework::success();
+        BOOST_OUTCOME_TRY(head, parseBundleHead(object->value));
+        if (head.version >= version_)
+            return notAbove(head);
+        base_ = head;
+        BOOST_OUTCOME_TRY(loaded, loadBundle(store_, head, nullptr, deadline_));
+        present_ = loaded.bundle;
+        return framework::success();
+    }
+
+    /// Also checks that all parts are there: a head that names an unreadable bundle would stop every process that
+    /// starts.
+    Result<void> readCandidate()
+    {
+        const ObjectKey key = manifestKey(version_);
+        BOOST_OUTCOME_TRY(object, platform::readObject(store_, key, deadline_));
+        if (!object)
+            return Error { ErrorCode::NotFound, step, key.value(), "no such version was signed off" };
+        head_ = BundleHead { version_, bundleDigest(object->value), framework::newNonce(), act_.operatorName, act_.at };
+        BOOST_OUTCOME_TRY(loaded, loadBundle(store_, head_, nullptr, deadline_));
+        candidate_ = loaded.bundle;
+        return framework::success();
+    }
+
+    Result<void> lowerCounts()
+    {
+        if (!present_)
+            return framework::success();
+        lowered_ = loweredCounts(*present_, *candidate_);
+        for (const auto& [key, count] : lowered_) {
+            Result<void> lowered = lowerCount(key, count);
+            if (lowered)
+                continue;
+            takeBackCounts();
+            return lowered;
+        }
+        return framework::success();
+    }
+
+    Result<void> lowerCount(const ObjectKey& key, std::uint32_t count)
+    {
+        const auto change = [&](const std::optional<std::string>& present) -> Result<ObjectChange> {
+            ReplicaObject object;
+            if (present) {
+                BOOST_OUTCOME_TRY(parsed, parseReplicaObject(*present, key));
+                object = parsed;
+            }
+            const LoweredCount wanted = mergedMark(object, count);
+            if (object.lowered == wanted)
+                return ObjectChange {};
+            object.lowered = wanted;
+            return ObjectChange { replicaObjectText(object) };
+        };
+        const auto isOwnWrite = [&](const std::string& value) {
+            const auto object = parseReplicaObject(value, key);
+            return object && object.value().lowered == mergedMark(object.value(), count);
+        };
+        BOOST_OUTCOME_TRYV(platform::updateObject(store_, key, ObjectUpdate { change, isOwnWrite }, deadline_));
+        return framework::success();
+    }
+
+    /// Another roll-out may be under way whose count is lower still. Whichever wins, the lower of both is safe.
+    LoweredCount mergedMark(const ReplicaObject& object, std::uint32_t count) const
+    {
+        if (!object.lowered || object.lowered->bundleVersion <= baseVersion())
+            return { count, version_ };
+        return { std::min(object.lowered->decided, count), std::max(object.lowered->bundleVersion, version_) };
+    }
+
+    Result<void> moveHead()
+    {
+        // Guards against racing operators: only one of those that started from the same head can move it.
+        const auto change = [this](const std::optional<std::string>& present) -> Result<ObjectChange> {
+            if (!present && !base_)
+                return ObjectChange { bundleHeadText(head_) };
+            if (!present)
+                return Error { ErrorCode::NotFound, step, bundleHeadKey().value(), "the head is gone" };
+            BOOST_OUTCOME_TRY(found, parseBundleHead(*present));
+            if (base_ && found == *base_)
+                return ObjectChange { bundleHeadText(head_) };
+            return notAbove(found);
+        };
+        const auto isOwnWrite = [this](const std::string& value) {
+            const auto found = parseBundleHead(value);
+            return found && found.value().nonce == head_.nonce;
+        };
+        BOOST_OUTCOME_TRYV(
+            platform::updateObject(store_, bundleHeadKey(), ObjectUpdate { change, isOwnWrite }, deadline_));
+        return framework::success();
+    }
+
+    /// After a lost race. Marks that can't be taken back hold counts lower than decided until the next bundle: fewer
+    /// replicas than decided, never more.
+    void takeBackCounts()
+    {
+        const auto object = platform::readObject(store_, bundleHeadKey(), deadline_);
+        if (!object || !object.value())
+            return;
+        const auto head = parseBundleHead(object.value()->value);
+        if (!head)
+            return;
+        const auto winner = loadBundle(store_, head.value(), nullptr, deadline_);
+        if (!winner)
+            return;
+        const DecidedCounts counts = decidedCounts(*winner.value().bundle);
+        for (const auto& [key, count] : lowered_) {
+            const auto found = counts.find(key);
+            takeBackCount(key, { found == counts.end() ? 0 : found->second, head.value().version });
+        }
+    }
+
+    /// Leaves the mark that the winner's own roll-out wants there, since ours may have been merged into it.
+    void takeBackCount(const ObjectKey& key, const LoweredCount& winner)
+    {
+        const auto change = [&](const std::optional<std::string>& present) -> Result<ObjectChange> {
+            if (!present)
+                return ObjectChange {};
+            BOOST_OUTCOME_TRY(object, parseReplicaObject(*present, key));
+            if (!object.lowered || object.lowered->bundleVersion != version_)
+                return ObjectChange {};
+            object.lowered.reset();
+            if (winner.bundleVersion > object.bundleVersion)
+                object.lowered = winner;
+            return ObjectChange { replicaObjectText(object) };
+        };
+        const auto isOwnWrite = [&](const std::string& value) {
+            const auto object = parseReplicaObject(value, key);
+            return object && (!object.value().lowered || object.value().lowered->bundleVersion != version_);
+        };
+        (void)platform::updateObject(store_, key, ObjectUpdate { change, isOwnWrite }, deadline_);
+    }
+
+    platform::IPlatformStore& store_;
+    const BundleVersion version_;
+    const OperatorAct& act_;
+    const Deadline deadline_;
+    /// The head that this roll-out started from; none before the first.
+    std::optional<BundleHead> base_;
+    BundlePointer present_;
+    BundlePointer candidate_;
+    /// As this roll-out wants it.
+    BundleHead head_;
+    DecidedCounts lowered_;
+};
+
+} // namespace
+
+Result<RollOutResult> rollOut(
+    platform::IPlatformStore& store, BundleVersion version, const OperatorAct& act, Deadline deadline)
+{
+    return RollOut(store, version, act, deadline).run();
+}
+
+} // namespace lagoon::bundle
--- /dev/null
+++ b/src/bundle/internal/storedbundle.cpp
@@ -0,0 +1,237 @@
+#include "bundle/storedbundle.h"
+
+#include "bundle/internal/bundlereader.h"
+#include "bundle/internal/bundlewriter.h"
+#include "bundle/internal/digest.h"
+#include "platform/objectread.h"
+
+#include <algorithm>
+
+namespace lagoon::bundle {
+
+namespace {
+
+using framework::CheckedObject;
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::ModelName;
+using framework::Result;
+
+constexpr std::uint64_t manifestFormat = 1;
+/// Weighs the bytes of a one-model change, which grow with the part's size, against the calls of a process that starts;
+/// see docs/MEASUREMENTS.md.
+constexpr std::size_t entriesPerPart = 320;
+constexpr std::size_t mostParts = 1024;
+/// Hexadecimal digits of a digest that choose the part.
+constexpr std::size_t partDigits = 8;
+
+bool isPowerOfTwo(std::size_t number) { return number > 0 && (number & (number - 1)) == 0; }
+
+std::size_t partCount(const Bundle& bundle)
+{
+    std::size_t entries = bundle.models.size();
+    for (const auto& [model, adapters] : bundle.adapters)
+        entries += adapters.size();
+    std::size_t parts = 1;
+    while (parts < mostParts && parts * entriesPerPart < entries)
+        parts *= 2;
+    return parts;
+}
+
+/// Depends on the name only, so a model stays in its part whatever happens to others.
+std::size_t partOf(const ModelName& model, std::size_t parts)
+{
+    return std::stoul(sha256(model.value()).substr(0, partDigits), nullptr, 16) & (parts - 1);
+}
+
+/// The models of one part, with their adapters.
+Bundle entriesOf(const Bundle& bundle, const std::vector<ModelName>& models)
+{
+    Bundle part;
+    for (const ModelName& name : models) {
+        part.models.emplace(name, bundle.models.at(name));
+        const auto adapters = bundle.adapters.find(name);
+        if (adapters != bundle.adapters.end())
+            part.adapters.emplace(name, adapters->second);
+    }
+    return part;
+}
+
+std::vector<std::vector<ModelName>> modelsByPart(const Bundle& bundle, std::size_t parts)
+{
+    std::vector<std::vector<ModelName>> models(parts);
+    for (const auto& [name, model] : bundle.models)
+        models[partOf(name, parts)].push_back(name);
+    return models;
+}
+
+Error badBundle(const platform::ObjectKey& key, std::string detail)
+{
+    return Error { ErrorCode::BadBundle, "load bundle", key.value(), std::move(detail) };
+}
+
+/// One run of `loadBundle`.
+class BundleLoad {
+public:
+    BundleLoad(
+        platform::IPlatformStore& store, const LoadedBundle* previous, Deadline deadline, const std::stop_token& stop)
+        : store_(store)
+        , previous_(previous)
+        , deadline_(deadline)
+        , stop_(stop)
+    {
+    }
+
+    Result<LoadedBundle> run(const BundleHead& head)
+    {
+        const platform::ObjectKey key = manifestKey(head.version);
+        BOOST_OUTCOME_TRY(text, readChecked(key, head.digest));
+        BOOST_OUTCOME_TRY(manifest, parseBundleManifest(text, key));
+        if (manifest.version != head.version)
+            return badBundle(key, "it is of version " + std::to_string(manifest.version.value()));
+        bundle_.version = manifest.version;
+        BOOST_OUTCOME_TRYV(readPart(manifest.common, readCommon));
+        BOOST_OUTCOME_TRYV(addEntries(manifest));
+        return LoadedBundle { std::make_shared<const Bundle>(std::move(bundle_)), manifest, head.digest };
+    }
+
+private:
+    Result<std::string> readChecked(const platform::ObjectKey& key, const std::string& digest)
+    {
+        BOOST_OUTCOME_TRY(object, platform::readObject(store_, key, deadline_, stop_));
+        if (!object)
+            return Error { ErrorCode::NotFound, "load bundle", key.value(), "the object doesn't exist" };
+        // Guards against a head and a bundle of different sign-offs, and against a value cut or changed on its way.
+        if (sha256(object->value) != digest)
+            return badBundle(key, "its digest isn't " + digest);
+        return std::move(object->value);
+    }
+
+    Result<void> readPart(const std::string& digest, void (*read)(CheckedObject&, Bundle&))
+    {
+        const platform::ObjectKey key = partKey(digest);
+        BOOST_OUTCOME_TRY(text, readChecked(key, digest));
+        BOOST_OUTCOME_TRY(json, framework::parseJson(text, key.value(), ErrorCode::BadBundle));
+        CheckedObject object(json, key.value(), "", ErrorCode::BadBundle);
+        read(object, bundle_);
+        return object.finish();
+    }
+
+    Result<void> addEntries(const BundleManifest& manifest)
+    {
+        const std::size_t parts = manifest.parts.size();
+        const bool isSameSplit = previous_ && previous_->manifest.parts.size() == parts;
+        std::vector<std::vector<ModelName>> known;
+        if (isSameSplit)
+            known = modelsByPart(*previous_->bundle, parts);
+        for (std::size_t part = 0; part < parts; ++part) {
+            if (!isSameSplit || previous_->manifest.parts[part] != manifest.parts[part]) {
+                BOOST_OUTCOME_TRYV(readPart(manifest.parts[part], readEntries));
+                continue;
+            }
+            BOOST_OUTCOME_TRYV(copyEntries(known[part]));
+        }
+        return framework::success();
+    }
+
+    /// The pools may have changed, so what is copied is checked as if it had been read.
+    Result<void> copyEntries(const std::vector<ModelName>& models)
+    {
+        Bundle part = entriesOf(*previous_->bundle, models);
+        bundle_.models.merge(part.models);
+        bundle_.adapters.merge(part.adapters);
+        for (const ModelName& name : models) {
+            BOOST_OUTCOME_TRYV(checkEntry(bundle_.models.at(name)));
+            const auto adapters = bundle_.adapters.find(name);
+            if (adapters == bundle_.adapters.end())
+                continue;
+            for (const auto& [adapterName, adapter] : adapters->second) {
+                BOOST_OUTCOME_TRYV(checkEntry(adapter));
+            }
+        }
+        return framework::success();
+    }
+
+    template <typename Entry> Result<void> checkEntry(const Entry& entry)
+    {
+        if (const auto fault = faultOf(entry, bundle_))
+            return badBundle(manifestKey(bundle_.version),
+                "\"" + entry.name.value() + "\": key \"" + fault->key + "\": expected " + fault->expected);
+        return framework::success();
+    }
+
+    platform::IPlatformStore& store_;
+    const LoadedBundle* previous_;
+    const Deadline deadline_;
+    const std::stop_token& stop_;
+    Bundle bundle_;
+};
+
+} // namespace
+
+platform::ObjectKey manifestKey(framework::BundleVersion version)
+{
+    return platform::ObjectKey("bundles/" + std::to_string(version.value()));
+}
+
+platform::ObjectKey partKey(const std::string& digest) { return platform::ObjectKey("bundle-parts/" + digest); }
+
+Result<BundleManifest> parseBundleManifest(const std::string& text, const platform::ObjectKey& key)
+{
+    BOOST_OUTCOME_TRY(json, framework::parseJson(text, key.value(), ErrorCode::BadBundle));
+    CheckedObject object(json, key.value(), "", ErrorCode::BadBundle);
+    BundleManifest manifest;
+    object.number("manifest_format", manifestFormat, manifestFormat);
+    manifest.version = framework::BundleVersion(object.number("version", 1, highestBundleVersion));
+    manifest.common = object.text("common");
+    manifest.parts = object.texts("parts");
+    manifest.signedOffBy = object.text("signed_off_by");
+    manifest.signedOffAt = object.text("signed_off_at");
+    if (!isPowerOfTwo(manifest.parts.size()) || manifest.parts.size() > mostParts)
+        object.fail("parts", "a power of two of digests, at most " + std::to_string(mostParts));
+    BOOST_OUTCOME_TRYV(object.finish());
+    return manifest;
+}
+
+std::string bundleManifestText(const BundleManifest& manifest)
+{
+    web::json::value json = web::json::value::object(true);
+    json["manifest_format"] = web::json::value::number(manifestFormat);
+    json["version"] = web::json::value::number(manifest.version.value());
+    json["common"] = web::json::value::string(manifest.common);
+    std::vector<web::json::value> parts;
+    for (const std::string& digest : manifest.parts)
+        parts.push_back(web::json::value::string(digest));
+    json["parts"] = web::json::value::array(std::move(parts));
+    json["signed_off_by"] = web::json::value::string(manifest.signedOffBy);
+    json["signed_off_at"] = web::json::value::string(manifest.signedOffAt);
+    return json.serialize();
+}
+
+std::string bundleDigest(const std::string& manifestText) { return sha256(manifestText); }
+
+SplitBundle splitBundle(const Bundle& bundle) { return splitBundle(bundle, partCount(bundle)); }
+
+SplitBundle splitBundle(const Bundle& bundle, std::size_t parts)
+{
+    SplitBundle split;
+    split.manifest.version = bundle.version;
+    const auto add = [&split](std::string text) {
+        std::string digest = sha256(text);
+        split.parts.push_back({ digest, std::move(text) });
+        return digest;
+    };
+    split.manifest.common = add(commonText(bundle));
+    for (const auto& models : modelsByPart(bundle, parts))
+        split.manifest.parts.push_back(add(entriesText(entriesOf(bundle, models))));
+    return split;
+}
+
+Result<LoadedBundle> loadBundle(platform::IPlatformStore& store, const BundleHead& head, const LoadedBundle* previous,
+    Deadline deadline, const std::stop_token& stop)
+{
+    return BundleLoad(store, previous, deadline, stop).run(head);
+}
+
+} // namespace lagoon::bundle
--- a/src/framework/checkedjson.h
+++ b/src/framework/checkedjson.h
@@ -44,6 +44,8 @@
     std::vector<std::string> texts(const std::string& key);
     /// Names and objects of a JSON object used as a map.
     std::vector<std::pair<std::string, CheckedObject>> entries();
+    /// Names and numbers of a JSON object used as a map.
+    std::vector<std::pair<std::string, std::uint64_t>> numberEntries(std::uint64_t least, std::uint64_t most);
 
     /// Records a fault of the caller's own checks, such as two keys that don't go together.
     void fail(const std::string& key, const std::string& expected);
--- a/src/framework/internal/checkedjson.cpp
+++ b/src/framework/internal/checkedjson.cpp
@@ -230,6 +230,16 @@
     return parts;
 }
 
+std::vector<std::pair<std::string, std::uint64_t>> CheckedObject::numberEntries(std::uint64_t least, std::uint64_t most)
+{
+    std::vector<std::pair<std::string, std::uint64_t>> numbers;
+    if (!object_.is_object())
+        return numbers;
+    for (const auto& [name, value] : object_.as_object())
+        numbers.emplace_back(name, number(name, least, most));
+    return numbers;
+}
+
 Result<void> CheckedObject::finish()
 {
     if (!fault_->text && object_.is_object()) {
--- a/src/platform/internal/httpcalls.cpp
+++ b/src/platform/internal/httpcalls.cpp
@@ -102,7 +102,7 @@
     metrics_->count("lagoon_platform_calls_total", { { "call", call.kind }, { "result", result } });
 }
 
-Result<HttpAnswer> HttpCalls::send(const HttpCall& call, Deadline deadline)
+Result<HttpAnswer> HttpCalls::send(const HttpCall& call, Deadline deadline, const std::stop_token& stop)
 {
     const framework::SystemClock clock;
     const auto startedAt = clock.now();
@@ -113,7 +113,7 @@
         return refusal;
     }
     const Deadline limit = std::min(deadline, Deadline::after(startedAt, callTimeout_ + call.wait));
-    BOOST_OUTCOME_TRY(answer, waitForAnswer(call, limit));
+    BOOST_OUTCOME_TRY(answer, waitForAnswer(call, limit, stop));
     if (call.wait == Milliseconds(0))
         metrics_->observeSeconds("lagoon_platform_call_seconds",
             std::chrono::duration<double>(clock.now() - startedAt).count(), { { "call", call.kind } });
@@ -123,12 +123,13 @@
     return unavailable(call, answer);
 }
 
-Result<HttpAnswer> HttpCalls::waitForAnswer(const HttpCall& call, Deadline limit)
+Result<HttpAnswer> HttpCalls::waitForAnswer(const HttpCall& call, Deadline limit, const std::stop_token& stop)
 {
     auto promise = std::make_shared<std::promise<Outcome>>();
     std::future<Outcome> future = promise->get_future();
     pplx::cancellation_token_source cancellation;
     startCall(call.wait == Milliseconds(0) ? calls_ : watches_, call.request, cancellation.get_token(), promise);
+    const std::stop_callback whenStopped(stop, [&cancellation] { cancellation.cancel(); });
     const bool isAnswered = future.wait_until(limit.at()) == std::future_status::ready;
     std::string failure = "no answer in time";
     if (isAnswered) {
--- a/src/platform/internal/httpcalls.h
+++ b/src/platform/internal/httpcalls.h
@@ -9,6 +9,7 @@
 #include <cpprest/http_client.h>
 #include <memory>
 #include <optional>
+#include <stop_token>
 #include <string>
 
 namespace lagoon::platform {
@@ -44,15 +45,16 @@
 public:
     HttpCalls(const PlatformSettings&, std::shared_ptr<framework::Metrics>);
 
-    /// An answer of any status, or `PlatformUnavailable`: no answer in time, over budget, 429 or 5xx.
-    framework::Result<HttpAnswer> send(const HttpCall&, framework::Deadline);
+    /// An answer of any other status, or `PlatformUnavailable`: no answer in time or before the stop, over
+    /// budget, 429 or 5xx.
+    framework::Result<HttpAnswer> send(const HttpCall&, framework::Deadline, const std::stop_token& = {});
     /// Counts how an answered call ended.
     void countResult(const HttpCall&, const std::string& result);
     /// An error of this call with the platform as peer.
     framework::Error error(const HttpCall&, framework::ErrorCode, std::string detail) const;
 
 private:
-    framework::Result<HttpAnswer> waitForAnswer(const HttpCall&, framework::Deadline);
+    framework::Result<HttpAnswer> waitForAnswer(const HttpCall&, framework::Deadline, const std::stop_token&);
     framework::Error unavailable(const HttpCall&, const HttpAnswer&) const;
 
     const std::string url_;
--- a/src/platform/internal/httpplatformstore.cpp
+++ b/src/platform/internal/httpplatformstore.cpp
@@ -122,7 +122,7 @@
 }
 
 Result<std::optional<StoredObject>> HttpPlatformStore::watch(
-    const ObjectKey& key, ObjectVersion known, Deadline deadline)
+    const ObjectKey& key, ObjectVersion known, Deadline deadline, std::stop_token stop)
 {
     const Milliseconds wait = std::min(deadline.remaining(framework::SystemClock().now()), longestWatch);
     HttpCall call = objectCall("watch", "GET", key, CallEffect::Read);
@@ -133,7 +133,7 @@
     uri.append_query("watch", known.value()).append_query("timeout_ms", wait.count());
     call.request.set_request_uri(uri.to_uri());
     // The server answers at the end of its wait, so the answer may come a call's time after the caller's deadline.
-    BOOST_OUTCOME_TRY(answer, calls_->send(call, Deadline(framework::SteadyTime::max())));
+    BOOST_OUTCOME_TRY(answer, calls_->send(call, Deadline(framework::SteadyTime::max()), stop));
     if (answer.status == status_codes::NotModified) {
         calls_->countResult(call, "unchanged");
         return std::optional<StoredObject>();
--- a/src/platform/internal/httpplatformstore.h
+++ b/src/platform/internal/httpplatformstore.h
@@ -15,7 +15,7 @@
     framework::Result<std::optional<StoredObject>> get(const ObjectKey&, framework::Deadline) override;
     framework::Result<std::vector<ListedObject>> list(const std::string& prefix, framework::Deadline) override;
     framework::Result<std::optional<StoredObject>> watch(
-        const ObjectKey&, framework::ObjectVersion known, framework::Deadline) override;
+        const ObjectKey&, framework::ObjectVersion known, framework::Deadline, std::stop_token) override;
     framework::Result<framework::ObjectVersion> put(
         const ObjectKey&, const std::string& value, framework::ObjectVersion expected, framework::Deadline) override;
     framework::Result<void> remove(const ObjectKey&, framework::ObjectVersion expected, framework::Deadline) override;
--- a/src/platform/internal/httpvmlist.cpp
+++ b/src/platform/internal/httpvmlist.cpp
@@ -76,7 +76,7 @@
 {
 }
 
-Result<VmListSnapshot> HttpVmList::waitForChange(std::uint64_t known, Deadline deadline)
+Result<VmListSnapshot> HttpVmList::waitForChange(std::uint64_t known, Deadline deadline, std::stop_token stop)
 {
     const Milliseconds wait = std::min(deadline.remaining(framework::SystemClock().now()), longestWatch);
     HttpCall call { "vms", "VM list", CallEffect::Read, web::http::http_request("GET") };
@@ -85,7 +85,7 @@
     uri.append_query("known", known).append_query("timeout_ms", call.wait.count());
     call.request.set_request_uri(uri.to_uri());
     // As with a watch, the answer may come a call's time after the server's wait.
-    BOOST_OUTCOME_TRY(answer, calls_->send(call, Deadline(framework::SteadyTime::max())));
+    BOOST_OUTCOME_TRY(answer, calls_->send(call, Deadline(framework::SteadyTime::max()), stop));
     if (answer.status != status_codes::OK) {
         calls_->countResult(call, "refused");
         return calls_->error(call, ErrorCode::PlatformUnavailable, "status " + std::to_string(answer.status));
--- a/src/platform/internal/httpvmlist.h
+++ b/src/platform/internal/httpvmlist.h
@@ -11,7 +11,7 @@
 class HttpVmList final : public IVmList {
 public:
     explicit HttpVmList(std::shared_ptr<HttpCalls>);
-    framework::Result<VmListSnapshot> waitForChange(std::uint64_t known, framework::Deadline) override;
+    framework::Result<VmListSnapshot> waitForChange(std::uint64_t known, framework::Deadline, std::stop_token) override;
 
 private:
     std::shared_ptr<HttpCalls> calls_;
--- /dev/null
+++ b/src/platform/internal/objectread.cpp
@@ -0,0 +1,43 @@
+#include "platform/objectread.h"
+
+#include "framework/iclock.h"
+#include "framework/randomid.h"
+#include "platform/backoff.h"
+
+#include <condition_variable>
+#include <mutex>
+
+namespace lagoon::platform {
+
+namespace {
+
+constexpr framework::Milliseconds firstWait { 20 };
+constexpr framework::Milliseconds longestWait { 1000 };
+
+} // namespace
+
+bool waitBeforeRetry(framework::Milliseconds wait, framework::Deadline deadline, const std::stop_token& stop)
+{
+    if (wait >= deadline.remaining(framework::SystemClock().now()))
+        return false;
+    std::mutex mutex;
+    std::condition_variable_any stopped;
+    std::unique_lock lock(mutex);
+    stopped.wait_for(lock, stop, wait, [] { return false; });
+    return !stop.stop_requested();
+}
+
+framework::Result<std::optional<StoredObject>> readObject(
+    IPlatformStore& store, const ObjectKey& key, framework::Deadline deadline, const std::stop_token& stop)
+{
+    Backoff backoff(firstWait, longestWait, framework::randomNumber());
+    for (;;) {
+        auto read = store.get(key, deadline);
+        if (read || read.error().code != framework::ErrorCode::PlatformUnavailable)
+            return read;
+        if (!waitBeforeRetry(backoff.next(read.error().retryAfter), deadline, stop))
+            return read;
+    }
+}
+
+} // namespace lagoon::platform
--- a/src/platform/internal/objectupdate.cpp
+++ b/src/platform/internal/objectupdate.cpp
@@ -1,10 +1,8 @@
 #include "platform/objectupdate.h"
 
-#include "framework/iclock.h"
 #include "framework/randomid.h"
 #include "platform/backoff.h"
-
-#include <thread>
+#include "platform/objectread.h"
 
 namespace lagoon::platform {
 
@@ -37,12 +35,11 @@
     {
         for (;;) {
             Result<UpdatedObject> result = tryOnce();
-            if (result || !isWorthRetrying(result.error()))
+            if (result || isRefused_ || !isWorthRetrying(result.error()))
                 return settled(std::move(result));
             const Milliseconds wait = backoff_.next(result.error().retryAfter);
-            if (wait >= deadline_.remaining(framework::SystemClock().now()))
+            if (!waitBeforeRetry(wait, deadline_))
                 return settled(std::move(result));
-            std::this_thread::sleep_for(wait);
         }
     }
 
@@ -64,10 +61,13 @@
         std::optional<std::string> present;
         if (read)
             present = std::move(read->value);
-        BOOST_OUTCOME_TRY(wanted, update_.change(present));
-        if (!wanted.newValue)
+        const Result<ObjectChange> wanted = update_.change(present);
+        isRefused_ = wanted.has_error();
+        if (isRefused_)
+            return wanted.error();
+        if (!wanted.value().newValue)
             return UpdatedObject { present.value_or(""), version };
-        return write(*wanted.newValue, version);
+        return write(*wanted.value().newValue, version);
     }
 
     Result<UpdatedObject> write(const std::string& value, ObjectVersion expected)
@@ -109,6 +109,8 @@
     const Deadline deadline_;
     Backoff backoff_;
     bool hasWritten_ = false;
+    /// By the change itself, which is final whatever its error's code.
+    bool isRefused_ = false;
     /// The version that a write of unknown outcome expected.
     std::optional<ObjectVersion> openWrite_;
 };
--- a/src/platform/iplatformstore.h
+++ b/src/platform/iplatformstore.h
@@ -5,6 +5,7 @@
 #include "platform/types/storedobject.h"
 
 #include <optional>
+#include <stop_token>
 #include <string>
 #include <vector>
 
@@ -23,9 +24,10 @@
     /// All keys that begin with `prefix`.
     virtual framework::Result<std::vector<ListedObject>> list(const std::string& prefix, framework::Deadline) = 0;
     /// Waits until the object's version isn't `known` (0: until it exists) and returns it, or nothing once the deadline
-    /// or the longest wait of one call has passed. `NotFound` if the object that was known is gone.
+    /// or the longest wait of one call has passed. `NotFound` if the object that was known is gone. A stop request ends
+    /// the wait at once, as if the platform hadn't answered.
     virtual framework::Result<std::optional<StoredObject>> watch(
-        const ObjectKey&, framework::ObjectVersion known, framework::Deadline)
+        const ObjectKey&, framework::ObjectVersion known, framework::Deadline, std::stop_token = {})
         = 0;
 
     /// Writes if the object has the expected version; version 0 creates it.
--- a/src/platform/ivmlist.h
+++ b/src/platform/ivmlist.h
@@ -5,6 +5,7 @@
 #include "platform/types/vmentry.h"
 
 #include <cstdint>
+#include <stop_token>
 
 namespace lagoon::platform {
 
@@ -19,8 +20,10 @@
 public:
     virtual ~IVmList() = default;
     /// Returns once the list's version isn't `known`, or the same list when the deadline has passed. `known` 0 returns
-    /// at once.
-    virtual framework::Result<VmListSnapshot> waitForChange(std::uint64_t known, framework::Deadline) = 0;
+    /// at once. A stop request ends the wait at once, as if the platform hadn't answered.
+    virtual framework::Result<VmListSnapshot> waitForChange(
+        std::uint64_t known, framework::Deadline, std::stop_token = {})
+        = 0;
 };
 
 } // namespace lagoon::platform
--- a/src/platform/tests/memoryplatformstore.cpp
+++ b/src/platform/tests/memoryplatformstore.cpp
@@ -82,7 +82,7 @@
 }
 
 Result<std::optional<StoredObject>> MemoryPlatformStore::watch(
-    const ObjectKey& key, ObjectVersion known, Deadline deadline)
+    const ObjectKey& key, ObjectVersion known, Deadline deadline, std::stop_token stop)
 {
     std::unique_lock lock(mutex_);
     ++reads_;
@@ -90,8 +90,8 @@
         const auto object = shown(key);
         return !isAvailable_ || (object ? object->version : ObjectVersion()) != known;
     };
-    const bool isEarly = changed_.wait_until(lock, deadline.at(), isOver);
-    if (!isAvailable_)
+    const bool isEarly = changed_.wait_until(lock, stop, deadline.at(), isOver);
+    if (!isAvailable_ || stop.stop_requested())
         return unavailable("watch", Execution::NotRun);
     if (!isEarly)
         return std::optional<StoredObject>();
--- a/src/platform/tests/memoryplatformstore.h
+++ b/src/platform/tests/memoryplatformstore.h
@@ -27,7 +27,7 @@
     framework::Result<std::optional<StoredObject>> get(const ObjectKey&, framework::Deadline) override;
     framework::Result<std::vector<ListedObject>> list(const std::string& prefix, framework::Deadline) override;
     framework::Result<std::optional<StoredObject>> watch(
-        const ObjectKey&, framework::ObjectVersion known, framework::Deadline) override;
+        const ObjectKey&, framework::ObjectVersion known, framework::Deadline, std::stop_token) override;
     framework::Result<framework::ObjectVersion> put(
         const ObjectKey&, const std::string& value, framework::ObjectVersion expected, framework::Deadline) override;
     framework::Result<void> remove(const ObjectKey&, framework::ObjectVersion expected, framework::Deadline) override;
@@ -63,7 +63,7 @@
     std::optional<WriteFault> nextFault();
 
     mutable std::mutex mutex_;
-    std::condition_variable changed_;
+    std::condition_variable_any changed_;
     std::map<ObjectKey, StoredObject> objects_;
     std::map<ObjectKey, StoredObject> shownInstead_;
     /// Grows with each write of any key, so versions also grow across a removal.
