--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,3 +1,5 @@
+#include "app/internal/agentcommand.h"
+#include "app/internal/routercommand.h"
 #include "app/internal/versioncommand.h"
 
 #include <iostream>
@@ -9,6 +11,8 @@
 Commands allCommands()
 {
     Commands commands;
+    commands.push_back(makeRouterCommand());
+    commands.push_back(makeAgentCommand());
     commands.push_back(makeVersionCommand());
     return commands;
 }
--- a/src/router/internal/vmlistwatcher.cpp
+++ b/src/router/internal/vmlistwatcher.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// A waiting call counts as one at the platform, so longer is cheaper; stopping a router waits for it at most.
-constexpr Milliseconds waitLimit { 2000 };
+/// A waiting call counts as one at the platform, so longer is cheaper.
+constexpr Milliseconds waitLimit { 20000 };
 constexpr Milliseconds shortestPause { 200 };
 constexpr Milliseconds longestPause { 3000 };
 
@@ -40,7 +40,7 @@
 {
     {
         const std::lock_guard lock(mutex_);
-        isStopping_ = true;
+        stop_.request_stop();
     }
     stopped_.notify_all();
     if (thread_.joinable())
@@ -52,8 +52,10 @@
     std::uint64_t known = 0;
     Milliseconds wait = shortestPause;
     bool isReachable = true;
-    while (!isStopping_) {
-        const auto snapshot = list_->waitForChange(known, Deadline::after(clock_.now(), waitLimit));
+    while (!stop_.stop_requested()) {
+        const auto snapshot = list_->waitForChange(known, Deadline::after(clock_.now(), waitLimit), stop_.get_token());
+        if (stop_.stop_requested())
+            return;
         if (snapshot.has_error()) {
             metrics_->count("lagoon_vm_list_failures_total");
             if (std::exchange(isReachable, false))
@@ -75,7 +77,7 @@
 void VmListWatcher::pause(Milliseconds duration)
 {
     std::unique_lock lock(mutex_);
-    stopped_.wait_for(lock, duration, [this] { return isStopping_.load(); });
+    stopped_.wait_for(lock, duration, [this] { return stop_.stop_requested(); });
 }
 
 } // namespace lagoon::router
--- a/src/router/internal/vmlistwatcher.h
+++ b/src/router/internal/vmlistwatcher.h
@@ -5,11 +5,11 @@
 #include "framework/metrics.h"
 #include "platform/ivmlist.h"
 
-#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <stop_token>
 #include <thread>
 
 namespace lagoon::router {
@@ -35,7 +35,7 @@
     const framework::IClock& clock_;
     std::shared_ptr<framework::Metrics> metrics_;
     std::function<void(const platform::VmEntries&)> onChange_;
-    std::atomic<bool> isStopping_ { false };
+    std::stop_source stop_;
     std::mutex mutex_;
     std::condition_variable stopped_;
     std::thread thread_;
