--- /dev/null
+++ b/src/app/internal/claimcommand.cpp
@@ -0,0 +1,92 @@
+#include "app/internal/claimcommand.h"
+
+#include "app/internal/commandgroup.h"
+#include "app/internal/platformoptions.h"
+#include "bundle/claimrelease.h"
+
+#include <iostream>
+
+namespace lagoon::app {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr std::size_t shortestReason = 8;
+constexpr std::size_t longestReason = 500;
+
+struct ReleaseWords {
+    std::string site;
+    std::string model;
+    std::string adapter;
+    std::string vm;
+    std::string reason;
+};
+
+class ReleaseCommand final : public ICommand {
+public:
+    std::string name() const override { return "release"; }
+    std::string summary() const override { return "free the claim of a VM that will never free it itself"; }
+
+    int run(const std::vector<std::string>& words) override
+    {
+        CommandLine line("claim release",
+            "--site SITE --model MODEL [--adapter ADAPTER] --vm VM --reason TEXT --operator NAME --platform URL");
+        ReleaseWords parsed;
+        PlatformOptions platform;
+        addReleaseOptions(line, parsed);
+        addPlatformOptions(line, platform, OperatorOption::Required);
+        if (const auto exitCode = line.parse(words))
+            return *exitCode;
+        if (const auto fault = faultOf(platform, OperatorOption::Required))
+            return line.refuse(*fault);
+        const bundle::ClaimRelease claim = claimOf(parsed);
+        if (!platform::isObjectKey(claim.key))
+            return line.refuse("--site, --model, --adapter: expected names as in the bundle");
+        if (claim.reason.size() < shortestReason || claim.reason.size() > longestReason)
+            return line.refuse("--reason: expected " + std::to_string(shortestReason) + " to "
+                + std::to_string(longestReason) + " characters");
+        return release(claim, platform);
+    }
+
+private:
+    static void addReleaseOptions(CommandLine& line, ReleaseWords& parsed)
+    {
+        auto add = line.options();
+        add("site", options::value(&parsed.site)->required(), "site of the claim");
+        add("model", options::value(&parsed.model)->required(), "model that is claimed");
+        add("adapter", options::value(&parsed.adapter), "adapter, if the claim is one's");
+        add("vm", options::value(&parsed.vm)->required(), "VM that holds the claim");
+        add("reason", options::value(&parsed.reason)->required(),
+            "why the model is certainly gone from the VM: its engine isn't asked, and another VM may load it at once");
+    }
+
+    static bundle::ClaimRelease claimOf(const ReleaseWords& parsed)
+    {
+        const auto key = bundle::replicaKey(framework::SiteName(parsed.site), framework::ModelName(parsed.model),
+            framework::AdapterName(parsed.adapter));
+        return { key, framework::VmName(parsed.vm), parsed.reason };
+    }
+
+    static int release(const bundle::ClaimRelease& claim, const PlatformOptions& platform)
+    {
+        const auto object
+            = bundle::releaseClaim(*connect(platform).store, claim, actOf(platform), deadlineOf(platform));
+        if (!object)
+            return reportFailure(object.error());
+        std::cout << claim.key << ": " << claim.vm << " released, " << object.value().holders.size()
+                  << " claims left\n";
+        return ExitSuccess;
+    }
+};
+
+} // namespace
+
+std::unique_ptr<ICommand> makeClaimCommand()
+{
+    Commands commands;
+    commands.push_back(std::make_unique<ReleaseCommand>());
+    return makeCommandGroup("claim", "free claims that nobody else can free", std::move(commands));
+}
+
+} // namespace lagoon::app
--- /dev/null
+++ b/src/app/internal/claimcommand.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "app/icommand.h"
+
+namespace lagoon::app {
+
+/// `claim release`.
+std::unique_ptr<ICommand> makeClaimCommand();
+
+} // namespace lagoon::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,3 +1,7 @@
+#include "app/internal/bundlecommands.h"
+#include "app/internal/claimcommand.h"
+#include "app/internal/commandgroup.h"
+#include "app/internal/settingscommand.h"
 #include "app/internal/versioncommand.h"
 
 #include <iostream>
@@ -9,6 +13,9 @@
 Commands allCommands()
 {
     Commands commands;
+    commands.push_back(makeBundleCommand());
+    commands.push_back(makeClaimCommand());
+    commands.push_back(makeSettingsCommand());
     commands.push_back(makeVersionCommand());
     return commands;
 }
@@ -16,9 +23,7 @@
 void printHelp(const Commands& commands, std::ostream& stream)
 {
     stream << "usage: lagoonrouter COMMAND [OPTION]...\n\nCommands (each takes --help):\n";
-    for (const auto& command : commands)
-        stream << "  " << command->name() << std::string(12 - std::min<std::size_t>(11, command->name().size()), ' ')
-               << command->summary() << "\n";
+    printCommands(commands, stream);
 }
 
 } // namespace
@@ -35,10 +40,9 @@
         printHelp(commands, std::cout);
         return ExitSuccess;
     }
-    for (const auto& command : commands) {
-        if (command->name() == words.front())
-            return command->run({ words.begin() + 1, words.end() });
-    }
+    ICommand* const command = findCommand(commands, words.front());
+    if (command)
+        return command->run({ words.begin() + 1, words.end() });
     std::cerr << "lagoonrouter: no command \"" << words.front() << "\"\n";
     printHelp(commands, std::cerr);
     return ExitUsage;
--- a/tests/benchmarks/pathbenchmark.cpp
+++ b/tests/benchmarks/pathbenchmark.cpp
@@ -118,9 +118,9 @@
     namespace po = boost::program_options;
     Options options;
     po::options_description description;
-    description.add_options()("calls", po::value(&options.calls), "for latency, each way")(
-        "callers", po::value(&options.callers), "at once, for throughput")(
-        "throughput-calls", po::value(&options.throughputCalls), "for throughput, each way");
+    description.add_options()("calls", po::value(&options.calls), "for latency, each way")("callers",
+        po::value(&options.callers),
+        "at once, for throughput")("throughput-calls", po::value(&options.throughputCalls), "for throughput, each way");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, description), values);
     po::notify(values);
@@ -156,5 +156,6 @@
     std::cout << "idle resident memory: router " << routerIdle << " MiB, agent " << agentIdle << " MiB\n";
     std::cout << "after the load:       router " << residentMemory(deployment.router("entry-1").process->pid())
               << " MiB, agent " << residentMemory(deployment.upstream("lookup-1").agent->pid()) << " MiB\n";
-    std::cout << "start to ready line:  router " << routerStart << " s, agent with its stand-in " << agentStart << " s\n";
+    std::cout << "start to ready line:  router " << routerStart << " s, agent with its stand-in " << agentStart
+              << " s\n";
 }
