--- a/src/policy/benchmarks/loadsimulation.cpp
+++ b/src/policy/benchmarks/loadsimulation.cpp
@@ -378,6 +378,7 @@
         replica.view.adapter = framework::AdapterName(targets_[part].isAdapter ? targets_[part].name : "");
         replica.view.memory = targets_[part].memory;
         replica.view.running = 1; // being loaded
+        replica.idleSince = now();
         replicas_.emplace(part, std::move(replica));
         servers_[server].targets.insert(part);
     }
@@ -434,7 +435,8 @@
         loadedPart.view.loadTime = broughtModel && part == target ? Milliseconds(2000) : took;
         loadedPart.view.running = 0;
         loadedPart.view.lastUsed = now();
-        loadedPart.idleSince = now();
+        // While it was being loaded it served nobody either.
+        accountIdle(loadedPart);
     }
     serveWaiting(wanted);
     if (auto& ofModel = homes_[homeOf(model)].wanted; model != target && ofModel.contains(model))
@@ -500,6 +502,10 @@
 {
     Replica& replica = replicas_.at(target);
     accountIdle(replica);
+    UseRecord& uses = servers_[replica.server].uses[target];
+    if (replica.view.running == 0 && uses.lastEnd != SteadyTime())
+        uses.gaps.record(std::chrono::duration_cast<Milliseconds>(now() - uses.lastEnd));
+    replica.view.gaps = uses.gaps;
     ++replica.view.running;
     replica.view.lastUsed = now();
     replica.view.recentUses.push_back(now());
@@ -507,7 +513,12 @@
         replica.view.recentUses.erase(replica.view.recentUses.begin());
 }
 
-void LoadSimulation::setIdle(std::size_t target) { replicas_.at(target).idleSince = now(); }
+void LoadSimulation::setIdle(std::size_t target)
+{
+    Replica& replica = replicas_.at(target);
+    replica.idleSince = now();
+    servers_[replica.server].uses[target].lastEnd = now();
+}
 
 void LoadSimulation::accountIdle(Replica& replica)
 {
--- a/src/policy/benchmarks/loadsimulation.h
+++ b/src/policy/benchmarks/loadsimulation.h
@@ -74,9 +74,17 @@
         framework::SteadyTime idleSince {};
     };
 
+    /// What an agent remembers of a target.
+    struct UseRecord {
+        IdleGaps gaps;
+        framework::SteadyTime lastEnd {};
+    };
+
     struct Server {
         framework::VmName vm;
         std::set<std::size_t> targets;
+        /// By target, also of those that aren't loaded now.
+        std::map<std::size_t, UseRecord> uses;
         /// Models by last use, newest first.
         std::deque<std::size_t> diskCache;
         std::deque<std::size_t> memoryCache;
--- a/src/policy/ikeepwarm.h
+++ b/src/policy/ikeepwarm.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
+#include "policy/idlegaps.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,6 +22,8 @@
     std::uint32_t running = 0;
     /// Uses within memory, newest last, a few of them.
     std::vector<framework::SteadyTime> recentUses;
+    /// From the end of a use to the beginning of the next one, here.
+    IdleGaps gaps;
 };
 
 /// How long an idle replica stays loaded, and which go first when memory is short.
--- a/src/policy/internal/keepwarm.cpp
+++ b/src/policy/internal/keepwarm.cpp
@@ -12,14 +12,63 @@
 
 /// Assumed until a load was measured.
 constexpr double assumedLoadSeconds = 20;
-/// Keeps an effect of a wrong measurement in bounds.
-constexpr double longestKeepSeconds = 24 * 3600.0;
+/// A bucket's gaps are about this part of its longest one.
+constexpr double meanShareOfBucket = 0.75;
 
 double loadSeconds(const LoadedReplica& replica)
 {
     return replica.loadTime.count() > 0 ? Seconds(replica.loadTime).count() : assumedLoadSeconds;
 }
 
+/// Gaps of any length are thought alike likely before any was seen; together they count as this many.
+constexpr double priorGaps = 2;
+
+double gapWeight(const IdleGaps& gaps, std::size_t bucket)
+{
+    return gaps.weight(bucket) + priorGaps / IdleGaps::buckets;
+}
+
+/// How many callers a cold start makes wait, each counted by the part of the load that it waits: uses that followed
+/// each other within a load's time would all have waited for it.
+double callersOfColdStart(const IdleGaps& gaps, double load)
+{
+    constexpr double meanShareOfWait = 0.5;
+    constexpr double most = 10;
+    double together = 0;
+    double all = 0;
+    for (std::size_t bucket = 0; bucket < IdleGaps::buckets; ++bucket) {
+        const double weight = gapWeight(gaps, bucket);
+        all += weight;
+        if (IdleGaps::endSeconds(bucket) <= load)
+            together += weight;
+    }
+    return std::min(most, 1 + meanShareOfWait * together / std::max(all - together, 1 / most));
+}
+
+/// Of all times to keep, the one that would have cost least over the gaps so far: each gap that is shorter costs
+/// itself, each that is longer the time kept and a cold start. `coldStart` is in seconds of this replica's idling.
+double cheapestKeep(const IdleGaps& gaps, double coldStart)
+{
+    double longer = 0;
+    for (std::size_t bucket = 0; bucket < IdleGaps::buckets; ++bucket)
+        longer += gapWeight(gaps, bucket);
+    double best = 0;
+    double least = longer * coldStart;
+    double shorterSeconds = 0;
+    for (std::size_t bucket = 0; bucket < IdleGaps::buckets; ++bucket) {
+        const double end = IdleGaps::endSeconds(bucket);
+        const double weight = gapWeight(gaps, bucket);
+        longer -= weight;
+        shorterSeconds += weight * end * meanShareOfBucket;
+        const double cost = shorterSeconds + longer * (end + coldStart);
+        if (cost >= least)
+            continue;
+        least = cost;
+        best = end;
+    }
+    return best;
+}
+
 double usesPerSecond(const LoadedReplica& replica, framework::SteadyTime now)
 {
     const framework::SteadyTime first
@@ -137,7 +186,9 @@
 {
     const double whole = static_cast<double>(std::max<std::uint64_t>(1, accelerator.value()));
     const double share = std::clamp(static_cast<double>(replica.memory.value()) / whole, 0.001, 1.0);
-    const double keep = std::min(longestKeepSeconds, loadSeconds(replica) * coldStartWeight_ / share);
+    const double load = loadSeconds(replica);
+    const double coldStart = load * (1 + coldStartWeight_ * callersOfColdStart(replica.gaps, load) / share);
+    const double keep = cheapestKeep(replica.gaps, coldStart);
     return framework::Deadline(
         replica.lastUsed + std::chrono::duration_cast<framework::SteadyTime::duration>(Seconds(keep)));
 }
--- a/src/policy/internal/keepwarm.h
+++ b/src/policy/internal/keepwarm.h
@@ -4,8 +4,9 @@
 
 namespace lagoon::policy {
 
-/// Ski rental: an idle replica stays until its idling has cost as much as the cold start that it spares, so that the
-/// sum is at most twice that of knowing the next use. Both are counted in seconds of an idle accelerator.
+/// Ski rental over what is known of the replica's use: of all times to keep it, the one that would have cost least over
+/// its idle gaps so far. Without any it stays no longer than its idling costs as much as the cold start it spares. Both
+/// are counted in seconds of an idle accelerator.
 class SkiRentalKeepWarm final : public IKeepWarm {
 public:
     /// What a second of cold start is worth in seconds of an idle accelerator.
