--- a/tests/support/callers.cpp
+++ b/tests/support/callers.cpp
@@ -1,5 +1,6 @@
 #include "support/callers.h"
 
+#include <optional>
 #include <sstream>
 
 namespace lagoon::testsupport {
@@ -19,8 +20,13 @@
     return choice.has_string_field("text") ? choice.at("text").as_string() : "";
 }
 
-/// Empty unless the stream has its last event: a cut one is no answer.
-std::string textOfStream(const std::string& body)
+std::string describeFailure(const HttpAnswer& answer)
+{
+    return "(no completion: " + std::to_string(answer.status) + " " + answer.failure + " " + answer.body + ")";
+}
+
+/// Nothing unless the stream has its last event: a cut one is no answer.
+std::optional<std::string> textOfStream(const std::string& body)
 {
     std::string text;
     std::istringstream lines(body);
@@ -35,13 +41,13 @@
         if (!error)
             text += textOfChoice(json);
     }
-    return "";
+    return std::nullopt;
 }
 
 } // namespace
 
-HttpCall completionCall(const std::string& callers, const std::string& model, const std::string& prompt,
-    const CompletionOptions& options)
+HttpCall completionCall(
+    const std::string& callers, const std::string& model, const std::string& prompt, const CompletionOptions& options)
 {
     value body;
     body["model"] = value::string(model);
@@ -49,8 +55,9 @@
     body["stream"] = value::boolean(options.isStream);
     if (options.maxTokens > 0)
         body["max_tokens"] = value::number(options.maxTokens);
-    HttpCall call { .method = "POST", .url = urlOf(callers, "/v1/completions"), .body = body.serialize(),
-        .headers = options.headers };
+    HttpCall call {
+        .method = "POST", .url = urlOf(callers, "/v1/completions"), .body = body.serialize(), .headers = options.headers
+    };
     call.headers["X-Lagoon-Timeout-Ms"] = std::to_string(options.timeoutMs);
     return call;
 }
@@ -60,16 +67,20 @@
 {
     value body;
     body["token"] = value::string(token);
-    return { .method = "POST", .url = urlOf(callers, "/services/" + service + "/holds?day=2"),
-        .body = body.serialize(), .headers = headers };
+    return { .method = "POST",
+        .url = urlOf(callers, "/services/" + service + "/holds?day=2"),
+        .body = body.serialize(),
+        .headers = headers };
 }
 
 std::string completionText(const HttpAnswer& answer)
 {
     if (!answer.isWhole() || answer.status != 200)
-        return "";
+        return describeFailure(answer);
     const value json = answer.json();
-    return json.is_null() ? textOfStream(answer.body) : textOfChoice(json);
+    if (!json.is_null())
+        return textOfChoice(json);
+    return textOfStream(answer.body).value_or(describeFailure(answer));
 }
 
 std::string refusalField(const HttpAnswer& answer, const std::string& field)
--- a/tests/support/callers.h
+++ b/tests/support/callers.h
@@ -17,13 +17,13 @@
 };
 
 /// A completion at a router's `callers` endpoint.
-HttpCall completionCall(const std::string& callers, const std::string& model, const std::string& prompt,
-    const CompletionOptions& = {});
+HttpCall completionCall(
+    const std::string& callers, const std::string& model, const std::string& prompt, const CompletionOptions& = {});
 /// A call of a plain service; the body's `token` names it in the service's record.
 HttpCall serviceCall(const std::string& callers, const std::string& service, const std::string& token,
     const std::map<std::string, std::string>& headers = {});
 
-/// The text of a whole completion, streamed or not; empty if the answer is none.
+/// The text of a whole completion, streamed or not; a description in brackets of any other answer.
 std::string completionText(const HttpAnswer&);
 /// A refusal's `code`, `execution` and so on; empty if the answer is no refusal.
 std::string refusalField(const HttpAnswer&, const std::string& field);
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -1,5 +1,9 @@
 #include "support/deployment.h"
 
+#include "bundle/bundletext.h"
+#include "bundle/rollout.h"
+#include "platform/platformclient.h"
+
 #include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <iostream>
@@ -42,6 +46,12 @@
     return std::uncaught_exceptions() > 0 || !unittest::results_collector.results(test.p_id).passed();
 }
 
+template <typename Value> void throwIfFailed(const framework::Result<Value>& result)
+{
+    if (result.has_error())
+        throw std::runtime_error(framework::describe(result.error()));
+}
+
 void printLog(const ChildProcess* process)
 {
     if (process)
@@ -207,6 +217,19 @@
     sendJson("PUT", platform(), "/standin/vms", body);
 }
 
+void Deployment::rollOut(const std::string& bundleText)
+{
+    const bundle::OperatorAct act { "tester", "2026-12-02T20:00:00Z" };
+    const auto deadline = framework::Deadline::after(std::chrono::steady_clock::now(), generousLimit);
+    platform::PlatformSettings settings;
+    settings.url = urlOf(platform(), "");
+    const auto client = platform::makePlatformClient(settings, std::make_shared<framework::Metrics>());
+    const auto bundle = bundle::parseBundle(bundleText, "test");
+    throwIfFailed(bundle);
+    throwIfFailed(bundle::signOff(*client.store, bundle.value(), act, deadline));
+    throwIfFailed(bundle::rollOut(*client.store, bundle.value().version, act, deadline));
+}
+
 void Deployment::waitUntilReady()
 {
     for (const auto& entry : routers_) {
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -89,6 +89,8 @@
     /// `live`, `leaving` or `gone`, for the platform's list.
     void setVmState(const std::string& vm, const std::string& state);
 
+    /// Signs a bundle off and rolls it out, as an operator does.
+    void rollOut(const std::string& bundleText);
     /// Waits until every router is ready.
     void waitUntilReady();
 
