Loads are kept for those who wait; upstreams that aren't ready are asked again

A replica that wasn't used yet now stays 5 s. (2) The router was ready a moment before the agent had read the bundle, and refused the first request for that. The home now asks upstreams that say not_ready again each 100 ms, for at most 3 s: an agent stays not ready for as long as the platform is down, and nobody is to wait for that.

--- a/src/agent/internal/replica.h
+++ b/src/agent/internal/replica.h
@@ -67,6 +67,8 @@
 
     framework::SteadyTime since {};
     std::uint32_t uses = 0;
+    /// Since it was loaded.
+    bool wasUsed = false;
     framework::SteadyTime lastUsed {};
     std::vector<framework::SteadyTime> recentUses;
     framework::Milliseconds loadTime { 0 };
--- a/src/agent/internal/replicacontroller.cpp
+++ b/src/agent/internal/replicacontroller.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::size_t recentUsesKept = 8;
 constexpr Milliseconds retryWhenBusy { 1000 };
+/// Longer than a request takes from its router to here once the load was reported.
+constexpr Milliseconds firstUseGrace { 5000 };
 constexpr Milliseconds retryWhenFull { 2000 };
 
 Error refusal(ErrorCode code, const ReplicaId& id, std::string detail, Milliseconds retryAfter)
@@ -146,7 +148,7 @@
         return unknown(ErrorCode::ReplicaCapReached, id, "no replica decided at this site");
     const Replica* replica = find(id);
     if (replica && replica->stage == ReplicaStage::Draining && !replica->reloadsAfterUnload)
-        return refusal(ErrorCode::NoCapacity, id, "it is being unloaded", retryWhenBusy);
+        return refusal(ErrorCode::NotReady, id, "it is being unloaded", retryWhenBusy);
     if (replica)
         return std::nullopt;
     const policy::LoadTimeEstimate expected = expectedLoad(id);
@@ -208,6 +210,7 @@
         ++model->uses;
     for (Replica* used : { replica, model }) {
         used->lastUsed = now;
+        used->wasUsed = true;
         if (used == model && model == replica && !used->recentUses.empty() && used->recentUses.back() == now)
             continue;
         used->recentUses.push_back(now);
@@ -358,6 +361,10 @@
             continue;
         if (!id.isAdapter() && hasAdapters(id.model))
             continue;
+        // Guards against loading for nobody, again and again: those for whom it was loaded hear of it only now, and
+        // where loads are short the policy would have it gone before their requests arrive.
+        if (!replica.wasUsed && !Deadline::after(replica.since, firstUseGrace).hasPassed(now))
+            continue;
         if (keepWarm_->keepUntil(viewOf(replica), account_.total()).hasPassed(now))
             drain(replica, "idle");
     }
@@ -459,6 +466,7 @@
     framework::logInfo("agent", "loaded " + replicaText(replica.id));
     setStage(replica, ReplicaStage::Loaded);
     replica.lastUsed = now;
+    replica.wasUsed = false;
     replica.needsConfirm = true;
     replica.mayArriveLate = false;
     replica.reloadsAfterUnload = false;
--- a/src/router/internal/home.cpp
+++ b/src/router/internal/home.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::uint32_t loadTries = 3;
 constexpr Milliseconds retryAfterNoCapacity { 2000 };
+constexpr Milliseconds askAgainAfter { 100 };
+constexpr Milliseconds notReadyPatience { 3000 };
 
 policy::LoadBid toPolicy(const VmName& vm, const wire::fb::BidT& bid)
 {
@@ -201,6 +203,8 @@
         return ask(where, more);
     if (!loaded.empty())
         return finish(where, WakeReply { true, loaded, std::nullopt, std::nullopt, std::nullopt });
+    if (askAgainSoon(where))
+        return;
     if (search.lastError)
         return fail(where, *search.lastError);
     ErrorCode code = ErrorCode::NoCapacity;
@@ -213,6 +217,34 @@
             retryAfterNoCapacity });
 }
 
+/// An upstream that has just started, or still unloads the model, can load it in a moment: its callers wait for that
+/// instead of being refused. Bounded, since a platform outage keeps agents from being ready for long.
+bool Home::askAgainSoon(const SiteTarget& where)
+{
+    Search& search = searches_.at(where);
+    const auto now = context_.clock.now();
+    std::vector<VmName> unready;
+    for (const Candidate& candidate : search.candidates) {
+        if (!candidate.bid.canLoad && candidate.bid.refusal == ErrorCode::NotReady)
+            unready.push_back(candidate.vm);
+    }
+    if (!search.patienceEnds)
+        search.patienceEnds = Deadline::after(now, notReadyPatience);
+    if (unready.empty() || search.loadsTried >= loadTries || search.patienceEnds->hasPassed(now))
+        return false;
+    const std::uint64_t number = search.number;
+    search.bidTimer = context_.control.runAt(Deadline::after(now, askAgainAfter), [this, where, number, unready] {
+        Search* due = find(where, number);
+        if (!due)
+            return;
+        std::erase_if(due->candidates, [&](const Candidate& candidate) {
+            return std::find(unready.begin(), unready.end(), candidate.vm) != unready.end();
+        });
+        ask(where, unready);
+    });
+    return true;
+}
+
 void Home::load(const SiteTarget& where, Candidate& candidate)
 {
     Search& search = searches_.at(where);
--- a/src/router/internal/home.h
+++ b/src/router/internal/home.h
@@ -67,6 +67,8 @@
         std::set<framework::VmName> asked;
         std::size_t awaited = 0;
         std::unique_ptr<framework::Timer> bidTimer;
+        /// Until when upstreams that aren't ready are asked again; set when the first says so.
+        std::optional<framework::Deadline> patienceEnds;
         bool isLoading = false;
         bool hasAskedHolders = false;
         std::uint32_t loadsTried = 0;
@@ -77,6 +79,7 @@
     void begin(Search&);
     std::vector<framework::VmName> nextToAsk(const Search&) const;
     void ask(const SiteTarget&, const std::vector<framework::VmName>&);
+    bool askAgainSoon(const SiteTarget&);
     void takeBid(
         const SiteTarget&, std::uint64_t number, const framework::VmName&, const framework::Result<wire::fb::BidT>&);
     void endBidding(const SiteTarget&);
