--- a/src/agent/tests/replicacontroller_test.cpp
+++ b/src/agent/tests/replicacontroller_test.cpp
@@ -64,7 +64,7 @@
 
 class FakeVmList final : public platform::IVmList {
 public:
-    framework::Result<platform::VmListSnapshot> waitForChange(std::uint64_t, Deadline) override
+    framework::Result<platform::VmListSnapshot> waitForChange(std::uint64_t, Deadline, std::stop_token) override
     {
         platform::VmListSnapshot snapshot;
         for (const auto& vm : gone) {
--- /dev/null
+++ b/src/agent/tests/requestgate_test.cpp
@@ -0,0 +1,338 @@
+#include "agent/internal/requestgate.h"
+#include "agent/tests/fakelink.h"
+#include "agent/tests/manualcontrol.h"
+#include "policy/rendezvous.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace lagoon::agent;
+using namespace lagoon::agent::testing;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::Incarnation;
+using framework::Milliseconds;
+using framework::SequenceNumber;
+namespace fb = wire::fb;
+
+namespace {
+
+const Incarnation own { 100 };
+const Incarnation router { 7 };
+
+/// Calls that the test answers; cancelling one fails it, as closing its connection does.
+class FakeUpstream final : public IUpstream {
+public:
+    class Call final : public IUpstreamCall {
+    public:
+        void cancel() override
+        {
+            isCancelled = true;
+            events.onFailed(Error { ErrorCode::UpstreamFailed, "call upstream", "", "cancelled", Execution::Unknown });
+        }
+
+        UpstreamRequest request;
+        UpstreamEvents events;
+        bool isCancelled = false;
+    };
+
+    std::shared_ptr<IUpstreamCall> run(UpstreamRequest request, UpstreamEvents events) override
+    {
+        auto call = std::make_shared<Call>();
+        call->request = std::move(request);
+        call->events = std::move(events);
+        calls.push_back(call);
+        return call;
+    }
+
+    std::vector<std::shared_ptr<Call>> calls;
+};
+
+/// Serves everything, unless the test says otherwise.
+class FakeUse final : public ITargetUse {
+public:
+    framework::Result<void> beginUse(const Target&, framework::SteadyTime) override
+    {
+        if (refusal)
+            return *refusal;
+        ++uses;
+        return framework::success();
+    }
+    void endUse(const Target&, framework::SteadyTime) override { --uses; }
+
+    std::optional<Error> refusal;
+    int uses = 0;
+};
+
+struct OpenGate {
+    ManualControl control;
+    FakeUse use;
+    std::shared_ptr<FakeUpstream> upstream = std::make_shared<FakeUpstream>();
+    std::shared_ptr<framework::Metrics> metrics = std::make_shared<framework::Metrics>();
+    std::shared_ptr<FakeLink> link = std::make_shared<FakeLink>();
+    AgentLimits limits { 1, 1, 100, 1000, 100, Milliseconds(10000) };
+    std::unique_ptr<RequestGate> gate = makeGate();
+    std::uint64_t session = gate->openSession(router);
+
+    std::unique_ptr<RequestGate> makeGate()
+    {
+        return std::make_unique<RequestGate>(GatePorts { control, control, use, upstream, metrics }, own, limits);
+    }
+
+    std::unique_ptr<fb::DispatchIdT> id(std::uint64_t sequence) const
+    {
+        auto made = std::make_unique<fb::DispatchIdT>();
+        made->router_incarnation = router.value();
+        made->session = session;
+        made->sequence = sequence;
+        return made;
+    }
+
+    void dispatch(std::uint64_t sequence, std::uint32_t remainingMs = 1000, std::uint64_t floor = 1)
+    {
+        fb::DispatchT dispatch;
+        dispatch.id = id(sequence);
+        dispatch.agent_incarnation = own.value();
+        dispatch.floor = floor;
+        dispatch.target = std::make_unique<fb::TargetT>();
+        dispatch.target->model = "a";
+        dispatch.request_name = "7-" + std::to_string(sequence);
+        dispatch.method = "POST";
+        dispatch.path = "/v1/completions";
+        dispatch.remaining_ms = remainingMs;
+        gate->dispatch(link, std::move(dispatch));
+        control.settle();
+    }
+
+    void resolve(const std::shared_ptr<FakeLink>& over, std::uint64_t sequence, std::uint64_t receivedBytes)
+    {
+        fb::ResolveT resolve;
+        resolve.id = id(sequence);
+        resolve.agent_incarnation = own.value();
+        resolve.received_bytes = receivedBytes;
+        resolve.floor = 1;
+        gate->resolve(over, resolve);
+    }
+
+    void cancel(std::uint64_t sequence)
+    {
+        fb::CancelT cancel;
+        cancel.id = id(sequence);
+        gate->cancel(cancel);
+        control.settle();
+    }
+
+    void answerHead(std::size_t call, unsigned short status = 200)
+    {
+        upstream->calls.at(call)->events.onHead(status, { { "Content-Type", "text/plain" } });
+        control.settle();
+    }
+
+    void answerBytes(std::size_t call, const std::string& bytes)
+    {
+        upstream->calls.at(call)->events.onBytes(bytes);
+        control.settle();
+    }
+
+    void answerEnd(std::size_t call)
+    {
+        upstream->calls.at(call)->events.onEnd();
+        control.settle();
+    }
+
+    void checkRefused(const FakeLink& over, ErrorCode code, Execution execution) const
+    {
+        const auto refused = over.all<fb::RefusedT>();
+        BOOST_REQUIRE(refused.size() == 1u);
+        BOOST_CHECK(refused.front().code == static_cast<std::uint8_t>(code));
+        BOOST_CHECK(refused.front().execution == static_cast<std::uint8_t>(execution));
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RequestGates, OpenGate)
+
+BOOST_AUTO_TEST_CASE(anAnswerComesWholeWithItsChecksum)
+{
+    dispatch(1);
+    BOOST_REQUIRE(upstream->calls.size() == 1u);
+    BOOST_TEST(upstream->calls[0]->request.name.value() == "7-1");
+    answerHead(0);
+    answerBytes(0, "one ");
+    answerBytes(0, "two");
+    answerEnd(0);
+    BOOST_TEST(link->bytes() == "one two");
+    const auto ends = link->all<fb::AnswerEndT>();
+    BOOST_REQUIRE(ends.size() == 1u);
+    BOOST_TEST(ends[0].length == 7u);
+    BOOST_TEST(ends[0].checksum == policy::fnv1a("one two", 7));
+    BOOST_TEST(gate->isIdle());
+    BOOST_TEST(use.uses == 0);
+}
+
+// The link to the router falls silent in the middle of an answer, and the router asks again over a new one. The caller
+// must get the rest of this answer, not a second run.
+BOOST_AUTO_TEST_CASE(aRunningAnswerGoesOnOverANewLink)
+{
+    dispatch(1);
+    answerHead(0);
+    answerBytes(0, "one ");
+    answerBytes(0, "two ");
+    auto second = std::make_shared<FakeLink>();
+    resolve(second, 1, 4);
+    answerBytes(0, "three");
+    answerEnd(0);
+    BOOST_TEST(second->all<fb::AnswerHeadT>().size() == 1u);
+    BOOST_TEST(second->all<fb::AnswerChunkT>().front().offset == 4u);
+    BOOST_TEST(second->bytes().substr(4) == "two three");
+    BOOST_TEST(second->all<fb::AnswerEndT>().size() == 1u);
+    BOOST_TEST(link->all<fb::AnswerEndT>().empty());
+    BOOST_TEST(upstream->calls.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(aWholeAnswerIsSentAgain)
+{
+    dispatch(1);
+    answerHead(0);
+    answerBytes(0, "one two");
+    answerEnd(0);
+    auto second = std::make_shared<FakeLink>();
+    resolve(second, 1, 0);
+    BOOST_TEST(second->bytes() == "one two");
+    BOOST_TEST(second->all<fb::AnswerEndT>().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(anUnseenIdIsFencedByTheQuestion)
+{
+    resolve(link, 1, 0);
+    checkRefused(*link, ErrorCode::Fenced, Execution::NotRun);
+    dispatch(1);
+    BOOST_TEST(upstream->calls.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aQueuedOneThatIsCancelledNeverRuns)
+{
+    dispatch(1);
+    dispatch(2);
+    BOOST_TEST(gate->waiting() == 1u);
+    cancel(2);
+    checkRefused(*link, ErrorCode::CallerGone, Execution::NotRun);
+    answerHead(0);
+    answerEnd(0);
+    BOOST_TEST(upstream->calls.size() == 1u);
+}
+
+// A caller hangs up while its draft is generated. The engine's work has to be freed for others.
+BOOST_AUTO_TEST_CASE(aRunningOneThatIsCancelledIsStoppedAtTheUpstream)
+{
+    dispatch(1);
+    dispatch(2);
+    cancel(1);
+    BOOST_TEST(upstream->calls[0]->isCancelled);
+    checkRefused(*link, ErrorCode::CallerGone, Execution::Unknown);
+    BOOST_TEST(upstream->calls.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(aFullQueueRefusesAtOnce)
+{
+    dispatch(1);
+    dispatch(2);
+    dispatch(3);
+    checkRefused(*link, ErrorCode::TooManyWaiting, Execution::NotRun);
+    BOOST_TEST(use.uses == 2);
+}
+
+BOOST_AUTO_TEST_CASE(aDeadlineThatPassesInTheQueueIsNotRun)
+{
+    dispatch(1, 5000);
+    dispatch(2, 100);
+    control.pass(Milliseconds(100));
+    checkRefused(*link, ErrorCode::DeadlinePassed, Execution::NotRun);
+    BOOST_TEST(upstream->calls.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(aDeadlineThatPassesAtTheUpstreamIsUnknown)
+{
+    dispatch(1, 100);
+    control.pass(Milliseconds(100));
+    BOOST_TEST(upstream->calls[0]->isCancelled);
+    checkRefused(*link, ErrorCode::DeadlinePassed, Execution::Unknown);
+}
+
+BOOST_AUTO_TEST_CASE(whatIsNotLoadedIsNotRun)
+{
+    use.refusal = Error { ErrorCode::NotLoaded, "load", "a" };
+    dispatch(1);
+    checkRefused(*link, ErrorCode::NotLoaded, Execution::NotRun);
+    BOOST_TEST(upstream->calls.empty());
+    auto second = std::make_shared<FakeLink>();
+    resolve(second, 1, 0);
+    checkRefused(*second, ErrorCode::NotLoaded, Execution::NotRun);
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatLostTheModelSaysNotLoaded)
+{
+    dispatch(1);
+    answerHead(0, 404);
+    checkRefused(*link, ErrorCode::NotLoaded, Execution::NotRun);
+    BOOST_TEST(link->all<fb::AnswerHeadT>().empty());
+}
+
+// The upstream closes its connection after it got the request: it may have run it, so nobody may say "not run".
+BOOST_AUTO_TEST_CASE(aBrokenUpstreamIsUnknown)
+{
+    dispatch(1);
+    answerHead(0);
+    answerBytes(0, "half");
+    upstream->calls[0]->events.onFailed(Error { ErrorCode::UpstreamBroken, "read answer", "", "", Execution::Unknown });
+    control.settle();
+    checkRefused(*link, ErrorCode::UpstreamBroken, Execution::Unknown);
+    BOOST_TEST(link->all<fb::AnswerEndT>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerTooLongIsBrokenOff)
+{
+    dispatch(1);
+    answerHead(0);
+    answerBytes(0, std::string(60, 'x'));
+    answerBytes(0, std::string(60, 'x'));
+    checkRefused(*link, ErrorCode::TooLarge, Execution::Unknown);
+    BOOST_TEST(upstream->calls[0]->isCancelled);
+}
+
+BOOST_AUTO_TEST_CASE(drainingRefusesTheNewAndEndsTheRest)
+{
+    dispatch(1);
+    dispatch(2);
+    gate->beginDraining();
+    dispatch(3);
+    checkRefused(*link, ErrorCode::Draining, Execution::NotRun);
+    for (const std::size_t call : { 0, 1 }) {
+        answerHead(call);
+        answerBytes(call, "whole");
+        answerEnd(call);
+    }
+    BOOST_TEST(link->all<fb::AnswerEndT>().size() == 2u);
+    BOOST_TEST(gate->isIdle());
+}
+
+// A router dies and never comes back. Its request goes on for a while, for the router might ask over a new link, and is
+// then stopped; nothing of it is kept.
+BOOST_AUTO_TEST_CASE(aGoneRoutersWorkIsStoppedInTheEnd)
+{
+    gate->linkOpened(router);
+    dispatch(1, 60000);
+    gate->linkClosed(router);
+    gate->forgetGoneRouters();
+    BOOST_TEST(!upstream->calls[0]->isCancelled);
+    control.pass(limits.forgetRouterAfter);
+    gate->forgetGoneRouters();
+    control.settle();
+    BOOST_TEST(upstream->calls[0]->isCancelled);
+    gate->forgetGoneRouters();
+    BOOST_TEST(gate->ledger().sessions() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
