--- a/src/policy/benchmarks/loadsimulation.cpp
+++ b/src/policy/benchmarks/loadsimulation.cpp
@@ -481,14 +481,15 @@
     events_.at(until.at(), [this, server = found->second.server] { unloadExpired(server); });
 }
 
-/// From where its checkpoint is now, which after a load is nearer than it was before.
+/// Between that from where its checkpoint is now and that from disk: by then others may have taken its place in memory.
 Milliseconds LoadSimulation::nextLoadTime(std::size_t target, const Replica& replica) const
 {
-    const Home& home = homes_[homeOf(target)];
-    return home.estimator
-        .estimate(
-            targets_[target].name, checkpoint(replica.server, targets_[target].model), targets_[target].memory, now())
-        .typical;
+    const LoadTimeEstimator& estimator = homes_[homeOf(target)].estimator;
+    const auto from = [&](CheckpointPlace place) {
+        return estimator.estimate(targets_[target].name, place, targets_[target].memory, now()).typical;
+    };
+    const CheckpointPlace present = checkpoint(replica.server, targets_[target].model);
+    return (from(present) + from(std::max(present, CheckpointPlace::Disk))) / 2;
 }
 
 void LoadSimulation::unloadExpired(std::size_t server)
@@ -504,8 +505,8 @@
     accountIdle(replica);
     UseRecord& uses = servers_[replica.server].uses[target];
     if (replica.view.running == 0 && uses.lastEnd != SteadyTime())
-        uses.gaps.record(std::chrono::duration_cast<Milliseconds>(now() - uses.lastEnd));
-    replica.view.gaps = uses.gaps;
+        recordGap(servers_[replica.server], uses);
+    replica.view.gaps = uses.gaps.withPrior(servers_[replica.server].allGaps);
     ++replica.view.running;
     replica.view.lastUsed = now();
     replica.view.recentUses.push_back(now());
@@ -513,6 +514,13 @@
         replica.view.recentUses.erase(replica.view.recentUses.begin());
 }
 
+void LoadSimulation::recordGap(Server& server, UseRecord& uses)
+{
+    const auto gap = std::chrono::duration_cast<Milliseconds>(now() - uses.lastEnd);
+    uses.gaps.record(gap);
+    server.allGaps.record(gap);
+}
+
 void LoadSimulation::setIdle(std::size_t target)
 {
     Replica& replica = replicas_.at(target);
--- a/src/policy/benchmarks/loadsimulation.h
+++ b/src/policy/benchmarks/loadsimulation.h
@@ -85,6 +85,7 @@
         std::set<std::size_t> targets;
         /// By target, also of those that aren't loaded now.
         std::map<std::size_t, UseRecord> uses;
+        IdleGaps allGaps;
         /// Models by last use, newest first.
         std::deque<std::size_t> diskCache;
         std::deque<std::size_t> memoryCache;
@@ -130,6 +131,7 @@
     framework::Milliseconds nextLoadTime(std::size_t target, const Replica&) const;
     void unloadExpired(std::size_t server);
 
+    void recordGap(Server&, UseRecord&);
     void setBusy(std::size_t target);
     void setIdle(std::size_t target);
     void accountIdle(Replica&);
--- a/src/policy/idlegaps.h
+++ b/src/policy/idlegaps.h
@@ -15,6 +15,9 @@
     static constexpr std::size_t buckets = 18;
 
     void record(framework::Milliseconds gap);
+    /// These gaps and a few that are spread like `others`: those of all targets of an upstream say more about one that
+    /// was hardly used yet than no assumption would.
+    IdleGaps withPrior(const IdleGaps& others) const;
     /// Gaps counted in a bucket, faded.
     double weight(std::size_t bucket) const { return weights_[bucket]; }
     /// The longest gap of a bucket.
--- a/src/policy/ikeepwarm.h
+++ b/src/policy/ikeepwarm.h
@@ -17,12 +17,13 @@
     framework::AdapterName adapter;
     framework::MebiBytes memory;
     framework::SteadyTime lastUsed {};
-    /// What its next load is expected to take, from where its checkpoint is now: after a load from afar that is nearer.
+    /// What its next load is expected to take. Best measured: half way between a load from where its checkpoint is now
+    /// and one from disk, since by then others may have taken its place in memory.
     framework::Milliseconds loadTime { 0 };
     std::uint32_t running = 0;
     /// Uses within memory, newest last, a few of them.
     std::vector<framework::SteadyTime> recentUses;
-    /// From the end of a use to the beginning of the next one, here.
+    /// From the end of a use to the beginning of the next one, here; `withPrior` of all targets' gaps here.
     IdleGaps gaps;
 };
 
--- a/src/policy/internal/idlegaps.cpp
+++ b/src/policy/internal/idlegaps.cpp
@@ -22,6 +22,18 @@
     weights_[std::min(bucket, buckets - 1)] += 1;
 }
 
+IdleGaps IdleGaps::withPrior(const IdleGaps& others) const
+{
+    constexpr float priorGaps = 5;
+    float sum = 0;
+    for (const float weight : others.weights_)
+        sum += weight;
+    IdleGaps both = *this;
+    for (std::size_t bucket = 0; bucket < buckets && sum > 0; ++bucket)
+        both.weights_[bucket] += priorGaps * others.weights_[bucket] / std::max(priorGaps, sum);
+    return both;
+}
+
 double IdleGaps::endSeconds(std::size_t bucket) { return std::exp2(static_cast<double>(bucket) + 1); }
 
 } // namespace lagoon::policy
--- a/src/policy/tests/keepwarm_test.cpp
+++ b/src/policy/tests/keepwarm_test.cpp
@@ -86,6 +86,21 @@
     BOOST_CHECK(kept(rarely) < 10s);
 }
 
+BOOST_AUTO_TEST_CASE(othersGapsCountUntilThereAreOwnOnes)
+{
+    policy::IdleGaps others;
+    for (int use = 0; use < 30; ++use)
+        others.record(200s);
+    LoadedReplica fresh = replica("drafts", 80000, 0s);
+    fresh.gaps = fresh.gaps.withPrior(others);
+    BOOST_CHECK(kept(fresh) >= 200s);
+    LoadedReplica known = replica("drafts", 80000, 0s);
+    for (int use = 0; use < 30; ++use)
+        known.gaps.record(5h);
+    known.gaps = known.gaps.withPrior(others);
+    BOOST_CHECK(kept(known) < 10s);
+}
+
 BOOST_AUTO_TEST_CASE(oldGapsFade)
 {
     LoadedReplica changed = replica("drafts", 80000, 0s);
@@ -140,6 +155,8 @@
     const auto keeping = keepWarm(1);
     std::vector<LoadedReplica> replicas { replica("a", 40000, 5min), adapterOf("a", "x", 5min) };
     replicas[1].memory = MebiBytes(50);
+    for (int use = 0; use < 30; ++use)
+        replicas[1].gaps.record(10min);
     BOOST_CHECK(!keeping->keepUntil(replicas[1], accelerator).hasPassed(start));
     const std::vector<std::size_t> expected { 1, 0 };
     BOOST_CHECK(policy::expiredReplicas(*keeping, replicas, accelerator, start) == expected);
