--- a/src/callers/icaller.h
+++ b/src/callers/icaller.h
@@ -48,7 +48,7 @@
 class ICallerAnswer {
 public:
     virtual ~ICallerAnswer() = default;
-    /// Status, headers, and which attempt this is (from 1).
+    /// Status, headers, and which attempt this is (from 1; 0 is said to nobody).
     virtual void begin(unsigned short status, const HttpHeaders&, std::uint32_t attempt) = 0;
     virtual void write(std::string bytes) = 0;
     /// The answer is whole.
--- a/src/platform/iplatformstore.h
+++ b/src/platform/iplatformstore.h
@@ -5,6 +5,7 @@
 #include "platform/types/storedobject.h"
 
 #include <optional>
+#include <stop_token>
 #include <string>
 #include <vector>
 
@@ -22,15 +23,18 @@
     virtual framework::Result<std::optional<StoredObject>> get(const ObjectKey&, framework::Deadline) = 0;
     /// All keys that begin with `prefix`.
     virtual framework::Result<std::vector<ListedObject>> list(const std::string& prefix, framework::Deadline) = 0;
-    /// Waits until the object's version isn't `known` and returns it, or nothing once the deadline has passed.
+    /// Waits until the object's version isn't `known` (0: until it exists) and returns it, or nothing once the deadline
+    /// or the longest wait of one call has passed. `NotFound` if the object that was known is gone. A stop request ends
+    /// the wait at once, as if the platform hadn't answered.
     virtual framework::Result<std::optional<StoredObject>> watch(
-        const ObjectKey&, framework::ObjectVersion known, framework::Deadline)
+        const ObjectKey&, framework::ObjectVersion known, framework::Deadline, std::stop_token = {})
         = 0;
 
     /// Writes if the object has the expected version; version 0 creates it.
     virtual framework::Result<framework::ObjectVersion> put(
         const ObjectKey&, const std::string& value, framework::ObjectVersion expected, framework::Deadline)
         = 0;
+    /// Removes the object if it has the expected version; one that is already absent is a success.
     virtual framework::Result<void> remove(const ObjectKey&, framework::ObjectVersion expected, framework::Deadline)
         = 0;
 };
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -57,7 +57,27 @@
     entry.deadlineTimer = context_.control.runAt(
         Deadline(entry.request.deadline.at() - answerMargin), [this, number] { deadlinePassed(number); });
     retryBudget_.earn();
-    route(number);
+    if (context_.keys && entry.request.idempotencyKey && !entry.request.isRepeatable)
+        claimKey(number, entry);
+    else
+        route(number);
+}
+
+void Dispatcher::claimKey(RequestNumber number, const Request& entry)
+{
+    context_.keys->claim(entry.request, [this, number](const framework::Result<ClaimedKey>& key) {
+        const auto found = requests_.find(number);
+        if (found == requests_.end()) {
+            // Its deadline passed or its caller left meanwhile, so it will never run.
+            if (key.has_value())
+                context_.keys->release(key.value());
+            return;
+        }
+        if (key.has_error())
+            return refuse(number, key.error());
+        found->second.key = key.value();
+        route(number);
+    });
 }
 
 void Dispatcher::route(RequestNumber number)
@@ -113,7 +133,7 @@
         }
         replicas.push_back(view);
     }
-    const auto chosen = replicaChoice_->choose(replicas, entry.request.target.model, entry.request.prefixHash);
+    const auto chosen = replicaChoice_->choose(replicas, entry.request.prefixHash, context_.clock.now());
     return vms[chosen.value_or(0)];
 }
 
@@ -234,16 +254,17 @@
     }
 }
 
-void Dispatcher::takeExpectation(Deadline expectedAt, const std::set<RequestNumber>& requests)
+void Dispatcher::takeExpectation(const WakeReply& progress, const std::set<RequestNumber>& requests)
 {
-    const auto now = context_.clock.now();
     for (const RequestNumber number : requests) {
         const auto entry = requests_.find(number);
-        if (entry == requests_.end() || !entry->second.waitsFor || expectedAt <= entry->second.request.deadline)
+        if (entry == requests_.end() || !entry->second.waitsFor)
+            continue;
+        if (*progress.soonestAt <= entry->second.request.deadline)
             continue;
         refuse(number,
             Error { ErrorCode::DeadlineHopeless, "wait for replica", entry->second.waitsFor->site.value(),
-                "the load will take longer", Execution::NotRun, expectedAt.remaining(now) });
+                "the load will take longer", Execution::NotRun, progress.retryAfter });
     }
 }
 
@@ -352,6 +373,8 @@
     Request& entry = requests_.at(number);
     if (entry.stream)
         entry.stream->detach();
+    if (entry.key && error.execution == Execution::NotRun)
+        context_.keys->release(*entry.key);
     entry.answer->refuse(error, entry.attempts);
     forget(number);
 }
