Failures through real processes: not run, at most once, whole answers, shutdown, waiting

Cause: the home's forecast was passed on when it came and then forgotten. Wakes now keeps it while the load goes on; after: refused as deadline_hopeless while the patient one waits. The case of an upstream that closes after executing expected the code of a begun answer (upstream_broken); no answer had begun, upstream_failed is right.

--- a/src/router/internal/wakes.cpp
+++ b/src/router/internal/wakes.cpp
@@ -31,7 +31,10 @@
         ++waiting_;
     waiting.wantedReplicas = std::max(waiting.wantedReplicas, wantedReplicas);
     if (!waiting.timer)
-        send(where);
+        return send(where);
+    // The next wake may be a second away; what is hopeless already is to hear so now.
+    if (const std::optional<WakeReply> progress = waiting.progress)
+        context_.onExpected(*progress, { request });
 }
 
 void Wakes::stopWaiting(const SiteTarget& where, RequestNumber request)
@@ -85,14 +88,17 @@
         return;
     Waiting& waiting = found->second;
     const std::set<RequestNumber> requests = numbers(waiting);
+    waiting.progress.reset();
     if (!reply.placements.empty()) {
         if (reply.isFinal)
             waiting.wantedReplicas = 1;
         return context_.onPlaced(where, reply.placements, requests);
     }
     if (!reply.isFinal) {
-        if (reply.soonestAt)
-            context_.onExpected(reply, requests);
+        if (!reply.soonestAt)
+            return;
+        waiting.progress = reply;
+        context_.onExpected(reply, requests);
         return;
     }
     // The home itself is the trouble, not the target: the next router in the order takes over at once, and in the end
--- a/src/router/internal/wakes.h
+++ b/src/router/internal/wakes.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace lagoon::router {
@@ -51,6 +52,8 @@
         std::map<RequestNumber, framework::Deadline> requests;
         std::uint32_t wantedReplicas = 1;
         framework::Deadline usefulUntil;
+        /// What the home last said, while the load goes on.
+        std::optional<WakeReply> progress;
         /// Homes that didn't answer since the last final reply.
         std::set<framework::VmName> failedHomes;
         std::unique_ptr<framework::Timer> timer;
--- /dev/null
+++ b/tests/integration/answers_test.cpp
@@ -0,0 +1,138 @@
+#include "support/bundlebuilder.h"
+#include "support/callers.h"
+#include "support/deployment.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon::testsupport;
+
+namespace {
+
+constexpr int callers = 12;
+
+/// Words that only this caller's answer can have.
+std::string promptOf(int caller)
+{
+    std::string prompt;
+    for (int word = 0; word < 20; ++word)
+        prompt += "c" + std::to_string(caller) + "w" + std::to_string(word) + " ";
+    prompt.pop_back();
+    return prompt;
+}
+
+/// One model on one engine behind a fault proxy, asked by many callers at once.
+struct Drafts {
+    Drafts()
+    {
+        deployment.addUpstream("gpu-1",
+            { .standinWords = { "--memory-mib", "1000", "--token-ms", "20" },
+                .hasLinkProxy = true,
+                .hasUpstreamProxy = true });
+        deployment.addRouter("entry-1");
+        deployment.rollOut(BundleBuilder(1)
+                               .enginePool("engines", "old", 1000)
+                               .model("notes", 600, { "engines" }, { { "old", 1 } })
+                               .text());
+        deployment.waitUntilReady();
+        if (completionText(ask(0, false).answer()) != promptOf(0))
+            throw std::runtime_error("the path doesn't work without faults");
+    }
+
+    PendingCall ask(int caller, bool isStream)
+    {
+        return PendingCall(completionCall(
+            deployment.router("entry-1").callers(), "notes", promptOf(caller), { .isStream = isStream }));
+    }
+
+    std::vector<PendingCall> askAll()
+    {
+        std::vector<PendingCall> calls;
+        for (int caller = 0; caller < callers; ++caller)
+            calls.push_back(ask(caller, true));
+        return calls;
+    }
+
+    /// Waits until each stream has begun.
+    void waitForBeginnings(const std::vector<PendingCall>& calls)
+    {
+        waitFor("all streams have begun", [&] {
+            return std::all_of(
+                calls.begin(), calls.end(), [](const PendingCall& call) { return !call.bodySoFar().empty(); });
+        });
+    }
+
+    std::string linkProxy() { return deployment.upstream("gpu-1").linkProxy->readyText("http"); }
+    std::string upstreamProxy() { return deployment.upstream("gpu-1").upstreamProxy->readyText("http"); }
+
+    Deployment deployment;
+};
+
+/// Whether one caller's words are in what another was given.
+bool hasOthersWords(const HttpAnswer& answer, int caller)
+{
+    for (int other = 0; other < callers; ++other) {
+        if (other != caller && answer.body.find("c" + std::to_string(other) + "w") != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EachCallerGetsItsOwnWholeAnswer, Drafts)
+
+BOOST_AUTO_TEST_CASE(manyStreamsAtOnceDoNotMix)
+{
+    std::vector<PendingCall> calls = askAll();
+    for (int caller = 0; caller < callers; ++caller)
+        BOOST_TEST(completionText(calls[caller].answer()) == promptOf(caller));
+}
+
+// Frames of the agent's answers cross on their way to the router. A caller may see its answer break off, but never
+// another's words, nor its own in another order as if whole.
+BOOST_AUTO_TEST_CASE(crossedFramesNeverReachTheWrongCaller)
+{
+    std::vector<PendingCall> calls = askAll();
+    waitForBeginnings(calls);
+    setFaults(linkProxy(), R"({"swap": {"to_client": 40}})");
+    for (int caller = 0; caller < callers; ++caller) {
+        const HttpAnswer& answer = calls[caller].answer();
+        BOOST_TEST(!hasOthersWords(answer, caller));
+        if (answer.isWhole() && answer.status == 200)
+            BOOST_TEST(completionText(answer) == promptOf(caller));
+    }
+    BOOST_TEST(getJson(linkProxy(), "/standin/record").at("swapped").as_integer() > 0);
+}
+
+// The link is cut in the middle of all streams. The router opens another and goes on where each had stopped.
+BOOST_AUTO_TEST_CASE(aCutLinkIsMendedInMidStream)
+{
+    std::vector<PendingCall> calls = askAll();
+    waitForBeginnings(calls);
+    setFaults(linkProxy(), R"({"cut": true})");
+    for (int caller = 0; caller < callers; ++caller)
+        BOOST_TEST(completionText(calls[caller].answer()) == promptOf(caller));
+}
+
+// The link goes silent for good in the middle of all streams; new connections work.
+BOOST_AUTO_TEST_CASE(aSilentLinkIsReplacedInMidStream)
+{
+    std::vector<PendingCall> calls = askAll();
+    waitForBeginnings(calls);
+    setFaults(linkProxy(), R"({"silent": "both"})");
+    for (int caller = 0; caller < callers; ++caller)
+        BOOST_TEST(completionText(calls[caller].answer()) == promptOf(caller));
+}
+
+// The engine's connection breaks in the middle of a stream. The caller must see an error, not a short answer that
+// looks whole.
+BOOST_AUTO_TEST_CASE(aCutUpstreamStreamEndsAsAnError)
+{
+    PendingCall call = ask(3, true);
+    waitFor("the stream has begun", [&] { return !call.bodySoFar().empty(); });
+    setFaults(upstreamProxy(), R"({"cut": true})");
+    BOOST_TEST(!call.answer().isWhole());
+    BOOST_TEST(completionText(call.answer()) != promptOf(3));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/integration/notrun_test.cpp
@@ -0,0 +1,194 @@
+#include "support/bundlebuilder.h"
+#include "support/callers.h"
+#include "support/deployment.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace lagoon::testsupport;
+
+namespace {
+
+const std::string token = "slot-17";
+
+/// One booking service behind two fault proxies: one between router and agent, one between agent and service. Its
+/// calls may not be repeated. The service's own record says what was executed.
+struct Booking {
+    Booking()
+    {
+        deployment.addUpstream("booking-1",
+            { .kind = UpstreamKind::Service, .pool = "booking", .hasLinkProxy = true, .hasUpstreamProxy = true });
+        deployment.addRouter("entry-1");
+        deployment.addRouter("entry-2");
+        deployment.rollOut(BundleBuilder(1).servicePool("booking", "old").service("slots", { "booking" }).text());
+        deployment.waitUntilReady();
+        // Opens the links that the faults then hit.
+        for (const std::string entry : { "entry-1", "entry-2" }) {
+            if (hold(entry, "warm-up").answer().status != 200)
+                throw std::runtime_error("the path doesn't work without faults");
+        }
+    }
+
+    PendingCall hold(const std::string& entry, const std::string& slot = token, const std::string& key = "")
+    {
+        std::map<std::string, std::string> headers { { "X-Lagoon-Timeout-Ms", "15000" } };
+        if (!key.empty())
+            headers["Idempotency-Key"] = key;
+        return PendingCall(serviceCall(deployment.router(entry).callers(), "slots", slot, headers));
+    }
+
+    UpstreamVm& booking() { return deployment.upstream("booking-1"); }
+    std::string linkProxy() { return booking().linkProxy->readyText("http"); }
+    std::string upstreamProxy() { return booking().upstreamProxy->readyText("http"); }
+    std::size_t executions(const std::string& slot = token)
+    {
+        return executionsOf(deployment.upstreams(UpstreamKind::Service), slot);
+    }
+    void waitUntilExecuted()
+    {
+        waitFor("the service has the call", [&] { return executions() > 0; });
+    }
+    /// The number of a counter's line in the agent's metrics; 0 if there is none.
+    double agentCounter(const std::string& line)
+    {
+        const std::string text = getFrom(booking().ops(), "/metrics").body;
+        const std::size_t at = text.find(line + " ");
+        return at == std::string::npos ? 0 : std::stod(text.substr(at + line.size()));
+    }
+
+    Deployment deployment;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(NotRunIsTrueAndNothingRunsTwice, Booking)
+
+// The link to the agent goes silent for good just before a slot hold is sent; new connections work. The caller hears
+// "not run". Minutes later the network delivers the old frame after all: the hold must not be made even then.
+BOOST_AUTO_TEST_CASE(aFrameThatComesAfterItsFenceNeverRuns)
+{
+    setFaults(linkProxy(), R"({"hold": "to_server"})");
+    PendingCall call = hold("entry-1");
+    const HttpAnswer& answer = call.answer();
+    BOOST_TEST(answer.status != 200);
+    BOOST_TEST(refusalField(answer, "execution") == "not_run");
+    BOOST_TEST(executions() == 0u);
+    const std::string refusals = R"(lagoon_refusals_total{code="fenced",execution="not_run"})";
+    const double before = agentCounter(refusals);
+    setFaults(linkProxy(), R"({"release": true})");
+    // The held connection was closed by the router; its bytes still reach the agent.
+    waitFor("the agent has refused the late frame", [&] {
+        return agentCounter(refusals) + agentCounter(R"(lagoon_refusals_total{code="below_floor",execution="not_run"})")
+            > before;
+    });
+    BOOST_TEST(executions() == 0u);
+}
+
+// The link goes silent while the service works. The hold is made; the caller must get its answer over a new link, and
+// the hold must be made once.
+BOOST_AUTO_TEST_CASE(aLinkSilentDuringTheWorkLosesNothing)
+{
+    setFaults(booking().upstream(), R"({"work_ms": 4000})");
+    PendingCall call = hold("entry-1");
+    waitUntilExecuted();
+    setFaults(linkProxy(), R"({"silent": "both"})");
+    const HttpAnswer& answer = call.answer();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.failure == "");
+    BOOST_TEST(answer.json().at("body").as_string().find(token) != std::string::npos);
+    BOOST_TEST(executions() == 1u);
+}
+
+// The service has made the hold and the agent's answer is swallowed by the link. The agent kept it: the caller gets it
+// over a new link, and nothing runs again.
+BOOST_AUTO_TEST_CASE(anAnswerLostOnTheLinkIsSentAgain)
+{
+    setFaults(linkProxy(), R"({"silent": "to_client"})");
+    PendingCall call = hold("entry-1");
+    const HttpAnswer& answer = call.answer();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(executions() == 1u);
+}
+
+// The agent is killed while the service makes the hold, and started anew. Its ledger is gone, so the caller must hear
+// "unknown", and neither router nor agent may send the hold again.
+BOOST_AUTO_TEST_CASE(anAgentKilledDuringTheWorkLeavesItUnknown)
+{
+    setFaults(booking().upstream(), R"({"work_ms": 1000})");
+    PendingCall call = hold("entry-1");
+    waitUntilExecuted();
+    booking().agent->kill();
+    deployment.restartAgent("booking-1");
+    const HttpAnswer& answer = call.answer();
+    BOOST_TEST(refusalField(answer, "execution") == "unknown");
+    BOOST_TEST(executions() == 1u);
+}
+
+// The agent is killed and nothing was sent to it yet: that is "not run", and true.
+BOOST_AUTO_TEST_CASE(anAgentThatIsDeadBeforeIsNotRun)
+{
+    booking().agent->kill();
+    setFaults(linkProxy(), R"({"cut": true, "refuse": true})");
+    PendingCall call = hold("entry-1");
+    const HttpAnswer& answer = call.answer();
+    BOOST_TEST(refusalField(answer, "execution") == "not_run");
+    BOOST_TEST(executions() == 0u);
+}
+
+// The service makes the hold and closes the connection instead of answering. A pooled HTTP client would send the POST
+// again by itself: two holds, and the caller sees one success.
+BOOST_AUTO_TEST_CASE(anUpstreamThatClosesAfterExecutingIsCalledOnce)
+{
+    setFaults(booking().upstream(), R"({"calls": {"at": "after", "do": "close", "count": 1}})");
+    PendingCall call = hold("entry-1");
+    const HttpAnswer& answer = call.answer();
+    BOOST_TEST(refusalField(answer, "execution") == "unknown");
+    BOOST_TEST(refusalField(answer, "code") == "upstream_failed");
+    BOOST_TEST(executions() == 1u);
+}
+
+// The service's answer gets lost between it and the agent, and the platform is down at the same time.
+BOOST_AUTO_TEST_CASE(aLostUpstreamAnswerDuringAnOutageIsUnknown)
+{
+    setFaults(deployment.platform(), R"({"mode": "refuse"})");
+    setFaults(upstreamProxy(), R"({"lose_answer": {"count": 1}})");
+    PendingCall call = hold("entry-1");
+    const HttpAnswer& answer = call.answer();
+    BOOST_TEST(refusalField(answer, "execution") == "unknown");
+    BOOST_TEST(executions() == 1u);
+}
+
+// A kiosk's connection breaks and it sends the same hold with the same key through two routers at once. One may run.
+BOOST_AUTO_TEST_CASE(oneKeyAtTwoRoutersAtOnceRunsOnce)
+{
+    setFaults(booking().upstream(), R"({"work_ms": 300})");
+    PendingCall first = hold("entry-1", token, "kiosk-9");
+    PendingCall second = hold("entry-2", token, "kiosk-9");
+    const int successes = (first.answer().status == 200) + (second.answer().status == 200);
+    BOOST_TEST(successes == 1);
+    const HttpAnswer& refused = first.answer().status == 200 ? second.answer() : first.answer();
+    BOOST_TEST(refusalField(refused, "code") == "duplicate_key");
+    BOOST_TEST(refusalField(refused, "execution") == "unknown");
+    BOOST_TEST(executions() == 1u);
+}
+
+// As before, one after the other, and the platform's answer to the first key's write is lost.
+BOOST_AUTO_TEST_CASE(oneKeyAtTwoRoutersInTurnRunsOnce)
+{
+    setFaults(deployment.platform(), R"({"lose_answers": {"count": 1, "prefix": "keys/"}})");
+    BOOST_TEST(hold("entry-1", token, "kiosk-9").answer().status == 200);
+    BOOST_TEST(refusalField(hold("entry-2", token, "kiosk-9").answer(), "code") == "duplicate_key");
+    BOOST_TEST(executions() == 1u);
+    BOOST_TEST(getJson(deployment.platform(), "/standin/record").at("lost_answers").as_integer() == 1);
+}
+
+// The platform is down and a keyed hold comes: nobody can tell whether its key is new, so it isn't run, and says so.
+BOOST_AUTO_TEST_CASE(aKeyDuringAnOutageIsNotRun)
+{
+    setFaults(deployment.platform(), R"({"mode": "refuse"})");
+    PendingCall call = hold("entry-1", token, "kiosk-9");
+    BOOST_TEST(refusalField(call.answer(), "execution") == "not_run");
+    BOOST_TEST(executions() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/integration/shutdown_test.cpp
@@ -0,0 +1,121 @@
+#include "support/bundlebuilder.h"
+#include "support/callers.h"
+#include "support/deployment.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace lagoon::testsupport;
+
+namespace {
+
+constexpr int streams = 8;
+
+std::string promptOf(int caller)
+{
+    std::string prompt;
+    for (int word = 0; word < 40; ++word)
+        prompt += "c" + std::to_string(caller) + "w" + std::to_string(word) + " ";
+    prompt.pop_back();
+    return prompt;
+}
+
+/// Two engines with a replica of the model each, and two routers.
+struct TwoOfEach {
+    TwoOfEach()
+    {
+        for (const std::string vm : { "gpu-1", "gpu-2" })
+            deployment.addUpstream(vm, { .standinWords = { "--memory-mib", "1000", "--token-ms", "50" } });
+        deployment.addRouter("entry-1");
+        deployment.addRouter("entry-2");
+        deployment.rollOut(BundleBuilder(1)
+                               .enginePool("engines", "old", 1000)
+                               .model("notes", 600, { "engines" }, { { "old", 2 } })
+                               .text());
+        deployment.waitUntilReady();
+        if (completionText(ask("entry-1", 0).answer()) != promptOf(0))
+            throw std::runtime_error("the path doesn't work before");
+    }
+
+    PendingCall ask(const std::string& entry, int caller)
+    {
+        return PendingCall(
+            completionCall(deployment.router(entry).callers(), "notes", promptOf(caller), { .isStream = true }));
+    }
+
+    std::vector<PendingCall> begunStreams()
+    {
+        std::vector<PendingCall> calls;
+        for (int caller = 0; caller < streams; ++caller)
+            calls.push_back(ask("entry-1", caller));
+        waitFor("all streams have begun", [&] {
+            return std::all_of(
+                calls.begin(), calls.end(), [](const PendingCall& call) { return !call.bodySoFar().empty(); });
+        });
+        return calls;
+    }
+
+    /// The VM whose engine has the model.
+    std::string loadedVm()
+    {
+        for (const std::string vm : { "gpu-1", "gpu-2" }) {
+            if (loadsOf({ deployment.upstream(vm).upstream() }, "notes") > 0)
+                return vm;
+        }
+        return "";
+    }
+
+    Deployment deployment;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AGracefulShutdownCutsNothing, TwoOfEach)
+
+// A router is told to end while streams run through it. Each must come out whole; a new request is refused as not run
+// with a time to come back, or finds the port closed; the process ends by itself.
+BOOST_AUTO_TEST_CASE(aRoutersStreamsFinishWhole)
+{
+    std::vector<PendingCall> calls = begunStreams();
+    deployment.router("entry-1").process->sendSignal(SIGTERM);
+    waitFor("the router isn't ready any more",
+        [&] { return getFrom(deployment.router("entry-1").ops(), "/readyz").status != 200; });
+    PendingCall late = ask("entry-1", 99);
+    BOOST_TEST(refusalField(late.answer(), "code") == "shutting_down");
+    BOOST_TEST(refusalField(late.answer(), "execution") == "not_run");
+    for (int caller = 0; caller < streams; ++caller)
+        BOOST_TEST(completionText(calls[caller].answer()) == promptOf(caller));
+    BOOST_TEST(deployment.router("entry-1").process->waitForExit() == 0);
+}
+
+// An agent is told to end while streams run through it. Each must come out whole, also in pair with an outage of the
+// platform; new requests go to the other upstream.
+BOOST_AUTO_TEST_CASE(anAgentsStreamsFinishWhole)
+{
+    const std::string vm = loadedVm();
+    std::vector<PendingCall> calls = begunStreams();
+    const std::string other = vm == "gpu-1" ? "gpu-2" : "gpu-1";
+    const auto before = executionsAt({ deployment.upstream(vm).upstream() }).size();
+    deployment.upstream(vm).agent->sendSignal(SIGTERM);
+    PendingCall late = ask("entry-2", 99);
+    BOOST_TEST(completionText(late.answer()) == promptOf(99));
+    BOOST_TEST(executionsOf({ deployment.upstream(other).upstream() }, promptOf(99)) == 1u);
+    for (int caller = 0; caller < streams; ++caller)
+        BOOST_TEST(completionText(calls[caller].answer()) == promptOf(caller));
+    BOOST_TEST(deployment.upstream(vm).agent->waitForExit() == 0);
+    BOOST_TEST(executionsAt({ deployment.upstream(vm).upstream() }).size() == before);
+}
+
+// As before while the platform is down: the streams need nothing from it.
+BOOST_AUTO_TEST_CASE(anAgentsStreamsFinishWholeDuringAnOutage)
+{
+    std::vector<PendingCall> calls = begunStreams();
+    setFaults(deployment.platform(), R"({"mode": "refuse"})");
+    const std::string vm = loadedVm();
+    deployment.upstream(vm).agent->sendSignal(SIGTERM);
+    for (int caller = 0; caller < streams; ++caller)
+        BOOST_TEST(completionText(calls[caller].answer()) == promptOf(caller));
+    BOOST_TEST(deployment.upstream(vm).agent->waitForExit() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/integration/waiting_test.cpp
@@ -0,0 +1,159 @@
+#include "support/bundlebuilder.h"
+#include "support/callers.h"
+#include "support/deployment.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace lagoon::testsupport;
+
+namespace {
+
+constexpr int models = 6;
+
+std::string modelName(int number) { return "m" + std::to_string(number); }
+
+/// Two routers, two engines that each have room for all models, one replica decided of each.
+struct SlowLoads {
+    SlowLoads()
+    {
+        for (const std::string vm : { "gpu-1", "gpu-2" })
+            deployment.addUpstream(vm, { .standinWords = { "--memory-mib", "10000" } });
+        deployment.addRouter("entry-1");
+        deployment.addRouter("entry-2");
+        BundleBuilder bundle(1);
+        bundle.enginePool("engines", "old", 10000).policy("weight_loads_per_second", 100);
+        bundle.policy("weight_loads_at_full_speed", 100);
+        for (int number = 0; number < models; ++number)
+            bundle.model(modelName(number), 100, { "engines" }, { { "old", 1 } });
+        deployment.rollOut(bundle.text());
+        deployment.waitUntilReady();
+    }
+
+    void setLoadTime(int milliseconds)
+    {
+        for (const std::string& engine : deployment.upstreams(UpstreamKind::Engine))
+            setFaults(engine, R"({"slow_load_ms": )" + std::to_string(milliseconds) + "}");
+    }
+
+    PendingCall ask(const std::string& entry, int model, std::uint64_t timeoutMs = 20000)
+    {
+        return PendingCall(completionCall(deployment.router(entry).callers(), modelName(model),
+            "prompt of " + modelName(model), { .timeoutMs = timeoutMs }));
+    }
+
+    bool isLoading(const std::string& vm)
+    {
+        const auto state = getJson(deployment.upstream(vm).upstream(), "/v1/state");
+        for (const auto& replica : state.at("replicas").as_array()) {
+            if (replica.at("state").as_string() == "loading")
+                return true;
+        }
+        return false;
+    }
+
+    double routerCounter(const std::string& entry, const std::string& name)
+    {
+        const std::string text = getFrom(deployment.router(entry).ops(), "/metrics").body;
+        std::istringstream lines(text);
+        double sum = 0;
+        for (std::string line; std::getline(lines, line);) {
+            if (line.rfind(name + "{", 0) == 0 || line.rfind(name + " ", 0) == 0)
+                sum += std::stod(line.substr(line.rfind(' ')));
+        }
+        return sum;
+    }
+
+    Deployment deployment;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WaitingRequestsAreServedOrRefusedInTime, SlowLoads)
+
+// Requests for several cold models wait at one router while the other, which is home for some of them, is killed in
+// the middle of their loads. Each must be served all the same.
+BOOST_AUTO_TEST_CASE(aDeadHomeLosesNoWaitingRequest)
+{
+    setLoadTime(1500);
+    std::vector<PendingCall> calls;
+    for (int model = 0; model < models; ++model)
+        calls.push_back(ask("entry-1", model));
+    waitFor("loads are under way", [&] { return isLoading("gpu-1") || isLoading("gpu-2"); });
+    deployment.router("entry-2").process->kill();
+    for (int model = 0; model < models; ++model)
+        BOOST_TEST(completionText(calls[model].answer()) == "prompt of " + modelName(model));
+    for (int model = 0; model < models; ++model)
+        BOOST_TEST(mostReplicasAtOnce(deployment.upstreams(UpstreamKind::Engine), modelName(model)) == 1u);
+}
+
+// The agent that loads for waiting requests is killed and doesn't come back. Its claim stays, so nobody else may load:
+// the callers hear "not run" long before their deadline, with a time to come back.
+BOOST_AUTO_TEST_CASE(aDeadLoaderEndsInAnEarlyRefusal)
+{
+    setLoadTime(60000);
+    PendingCall call = ask("entry-1", 0, 25000);
+    waitFor("the load is under way", [&] { return isLoading("gpu-1") || isLoading("gpu-2"); });
+    const std::string vm = isLoading("gpu-1") ? "gpu-1" : "gpu-2";
+    deployment.upstream(vm).agent->kill();
+    const HttpAnswer& answer = call.answer();
+    BOOST_TEST(refusalField(answer, "code") == "replica_cap_reached");
+    BOOST_TEST(refusalField(answer, "execution") == "not_run");
+    BOOST_TEST(answer.headers.count("retry-after") == 1u);
+    BOOST_TEST(mostReplicasAtOnce(deployment.upstreams(UpstreamKind::Engine), modelName(0)) == 1u);
+}
+
+// The weight store crawls. A request whose deadline comes before the load can end is refused for that at once, while a
+// patient one still waits; what waits in vain is refused as not run at its deadline.
+BOOST_AUTO_TEST_CASE(hopelessRequestsAreRefusedWhileOthersWait)
+{
+    setLoadTime(3000);
+    // Teaches the home what a load takes.
+    BOOST_TEST(completionText(ask("entry-1", 0).answer()) == "prompt of m0");
+    BOOST_TEST(completionText(ask("entry-2", 1).answer()) == "prompt of m1");
+    setLoadTime(60000);
+    PendingCall patient = ask("entry-1", 2, 6000);
+    waitFor("the load is under way", [&] { return isLoading("gpu-1") || isLoading("gpu-2"); });
+    PendingCall hasty = ask("entry-1", 2, 700);
+    const HttpAnswer& refused = hasty.answer();
+    BOOST_TEST(refusalField(refused, "execution") == "not_run");
+    BOOST_TEST(refusalField(refused, "code") == "deadline_hopeless");
+    BOOST_TEST(!patient.isOver());
+    BOOST_TEST(refusalField(patient.answer(), "execution") == "not_run");
+}
+
+// A burst of all kinds of requests meets a router's death, an agent's death and an outage of the platform. Each call
+// that a living router accepted has exactly one end.
+BOOST_AUTO_TEST_CASE(eachAcceptedRequestHasOneEnd)
+{
+    setLoadTime(200);
+    std::vector<PendingCall> calls;
+    const auto askAll = [&] {
+        for (int model = 0; model < models; ++model)
+            calls.push_back(ask("entry-1", model, 5000));
+    };
+    askAll();
+    deployment.upstream("gpu-2").agent->kill();
+    askAll();
+    setFaults(deployment.platform(), R"({"mode": "refuse"})");
+    askAll();
+    deployment.router("entry-2").process->kill();
+    askAll();
+    setFaults(deployment.platform(), R"({"mode": "up"})");
+    deployment.restartAgent("gpu-2");
+    askAll();
+    int served = 0;
+    int refused = 0;
+    for (PendingCall& call : calls) {
+        const HttpAnswer& answer = call.answer();
+        served += answer.status == 200 && answer.isWhole();
+        refused += answer.status != 200 && !refusalField(answer, "code").empty();
+    }
+    BOOST_TEST(served + refused == static_cast<int>(calls.size()));
+    BOOST_TEST(served > 0);
+    BOOST_TEST(routerCounter("entry-1", "lagoon_requests_total") == static_cast<double>(calls.size()));
+    BOOST_TEST(routerCounter("entry-1", "lagoon_answers_total") + routerCounter("entry-1", "lagoon_refusals_total")
+        == static_cast<double>(calls.size()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
