Agent: tests of claims, upstream calls and settings; a shutdown waits until routers confirmed the last answers

Closing the links when the last answer was queued could cut it on its way; the links now stay until the routers' floor has passed all entries, two seconds at most (routers that are gone never confirm). The read of the claims at start waits for its turn at each object: with more objects than the call budget's burst it would have begun anew for ever. An engine state that lacks its parts is refused: half a state passing for an empty engine would free all claims.

--- a/src/agent/internal/agent.cpp
+++ b/src/agent/internal/agent.cpp
@@ -20,6 +20,7 @@
 
 #include <atomic>
 #include <future>
+#include <optional>
 
 namespace lagoon::agent {
 
@@ -34,6 +35,8 @@
 constexpr Milliseconds housekeepingEach { 5000 };
 constexpr Milliseconds drainCheckEach { 20 };
 constexpr Milliseconds statusTimeout { 1000 };
+/// For routers to confirm the last answers; those that are gone never will.
+constexpr Milliseconds settleTimeout { 2000 };
 
 } // namespace
 
@@ -52,7 +55,7 @@
     ReplicaPorts replicaPorts();
     void startControl();
     void keepHouse();
-    void checkDrained(std::promise<void>&);
+    void checkDrained(std::promise<void>&, std::optional<Deadline> settleBy);
     std::string status();
     StatusView statusView() const;
     bool isEngine() const { return settings_.upstream.kind == UpstreamKind::Engine; }
@@ -160,7 +163,7 @@
         gate_->beginDraining();
         if (replicas_)
             replicas_->beginDraining();
-        checkDrained(drained);
+        checkDrained(drained, std::nullopt);
     });
     drained.get_future().wait();
     framework::logInfo("agent", "drained");
@@ -174,14 +177,18 @@
     control_.stop();
 }
 
-void Agent::Implementation::checkDrained(std::promise<void>& drained)
+/// Closing the links when the last answer was sent could cut it on its way: a sent answer may still be in a queue.
+/// Routers say when they have one, so the links stay open until then.
+void Agent::Implementation::checkDrained(std::promise<void>& drained, std::optional<Deadline> settleBy)
 {
-    if (gate_->isIdle()) {
+    if (gate_->isIdle() && !settleBy)
+        settleBy = Deadline::after(clock_.now(), settleTimeout);
+    if (gate_->isSettled() || (settleBy && settleBy->hasPassed(clock_.now()))) {
         drained.set_value();
         return;
     }
-    drainCheck_
-        = control_.runAt(Deadline::after(clock_.now(), drainCheckEach), [this, &drained] { checkDrained(drained); });
+    drainCheck_ = control_.runAt(
+        Deadline::after(clock_.now(), drainCheckEach), [this, &drained, settleBy] { checkDrained(drained, settleBy); });
 }
 
 StatusView Agent::Implementation::statusView() const
--- a/src/agent/internal/agentsettings.cpp
+++ b/src/agent/internal/agentsettings.cpp
@@ -4,6 +4,8 @@
 #include "framework/processsettings.h"
 #include "platform/platformsettings.h"
 
+#include <cpprest/base_uri.h>
+
 namespace lagoon::agent {
 
 namespace {
@@ -25,6 +27,8 @@
     const bool isService = object.wordOr("kind", "engine", { "engine", "service" }) == "service";
     upstream.kind = isService ? UpstreamKind::Service : UpstreamKind::Engine;
     upstream.url = object.text("url");
+    if (upstream.url.rfind("http://", 0) != 0 || !web::uri::validate(upstream.url))
+        object.fail("url", "http://address:port");
     upstream.checksFencing = object.flagOr("checks_fencing", upstream.checksFencing);
     upstream.settling = milliseconds(object, "settling_ms", upstream.settling);
     static_cast<void>(object.finish());
--- a/src/agent/internal/httpmodelengine.cpp
+++ b/src/agent/internal/httpmodelengine.cpp
@@ -150,12 +150,17 @@
 {
     constexpr auto code = ErrorCode::UpstreamFailed;
     BOOST_OUTCOME_TRY(value, framework::parseJson(text, source, code, stateLimits));
+    // Half a state must not pass for an empty engine: claims would be freed while it still holds the models.
     if (!value.is_object() || numberIn(value, "memory_mib") == 0 || !value.has_array_field("replicas"))
         return Error { code, "read engine state", source, "expected memory_mib above 0 and replicas" };
+    if (objectsIn(value, "replicas").size() != value.at("replicas").size())
+        return Error { code, "read engine state", source, "a replica that isn't an object" };
     EngineState state;
     state.incarnation = numberIn(value, "incarnation");
     state.memory = framework::MebiBytes(numberIn(value, "memory_mib"));
     for (const web::json::value& part : objectsIn(value, "replicas")) {
+        if (textIn(part, "model").empty())
+            return Error { code, "read engine state", source, "a replica without its model" };
         const framework::MebiBytes memory(numberIn(part, "memory_mib"));
         state.replicas.push_back({ checkpointIn(part), memory, replicaState(textIn(part, "state")) });
     }
--- a/src/agent/internal/replicaclaims.cpp
+++ b/src/agent/internal/replicaclaims.cpp
@@ -1,9 +1,11 @@
 #include "agent/internal/replicaclaims.h"
 
+#include "framework/iclock.h"
 #include "platform/objectupdate.h"
 
 #include <algorithm>
 #include <optional>
+#include <thread>
 
 namespace lagoon::agent {
 
@@ -17,6 +19,7 @@
 using framework::Error;
 using framework::ErrorCode;
 using framework::FencingNumber;
+using framework::Milliseconds;
 using framework::Result;
 using framework::VmName;
 using platform::ObjectChange;
@@ -25,7 +28,8 @@
 
 using StoredText = std::optional<std::string>;
 
-constexpr framework::Milliseconds retryWhenCapReached { 2000 };
+constexpr Milliseconds retryWhenCapReached { 2000 };
+constexpr Milliseconds waitForRead { 100 };
 
 Result<ReplicaObject> parse(const StoredText& text, const ObjectKey& key)
 {
@@ -179,7 +183,7 @@
     BOOST_OUTCOME_TRY(listed, store_->list(prefix, deadline));
     std::vector<ReplicaId> own;
     for (const platform::ListedObject& entry : listed) {
-        BOOST_OUTCOME_TRY(stored, store_->get(entry.key, deadline));
+        BOOST_OUTCOME_TRY(stored, getPatiently(entry.key, deadline));
         if (!stored)
             continue;
         BOOST_OUTCOME_TRY(object, bundle::parseReplicaObject(stored->value, entry.key));
@@ -193,6 +197,22 @@
     return own;
 }
 
+/// A site has more objects than this process may read in one burst, so each refused read waits for its turn; to begin
+/// the whole list anew instead would never come to its end.
+Result<std::optional<platform::StoredObject>> ReplicaClaims::getPatiently(const ObjectKey& key, Deadline deadline)
+{
+    for (;;) {
+        auto stored = store_->get(key, deadline);
+        if (stored.has_value() || stored.error().code != ErrorCode::PlatformUnavailable)
+            return stored;
+        const Milliseconds wait = stored.error().retryAfter.value_or(waitForRead);
+        if (wait >= deadline.remaining(framework::SystemClock().now()))
+            return stored;
+        metrics_->count("lagoon_retries_total", { { "reason", "read_claim" } });
+        std::this_thread::sleep_for(wait);
+    }
+}
+
 Result<ReplicaClaims::VmNames> ReplicaClaims::goneVms(Deadline deadline)
 {
     BOOST_OUTCOME_TRY(list, vmList_->waitForChange(0, deadline));
--- a/src/agent/internal/replicaclaims.h
+++ b/src/agent/internal/replicaclaims.h
@@ -7,6 +7,7 @@
 #include "platform/ivmlist.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace lagoon::agent {
@@ -31,6 +32,8 @@
 
     framework::Result<framework::FencingNumber> tryClaim(const ReplicaId&, const std::string& nonce, ClaimKind,
         const bundle::DecidedCount&, const VmNames& gone, framework::Deadline);
+    framework::Result<std::optional<platform::StoredObject>> getPatiently(
+        const platform::ObjectKey&, framework::Deadline);
     framework::Result<VmNames> goneVms(framework::Deadline);
     platform::ObjectKey key(const ReplicaId&) const;
 
--- a/src/agent/internal/replicaoperations.cpp
+++ b/src/agent/internal/replicaoperations.cpp
@@ -21,7 +21,8 @@
 using framework::SteadyTime;
 
 constexpr Milliseconds longestPlatformUpdate { 5000 };
-constexpr Milliseconds longestClaimsRead { 60000 };
+/// A site has thousands of objects, and a process may read some tens a second.
+constexpr Milliseconds longestClaimsRead { 300000 };
 constexpr Milliseconds longestOrderCall { 5000 };
 constexpr Milliseconds firstRetry { 100 };
 constexpr Milliseconds longestRetry { 5000 };
--- a/src/agent/internal/requestgate.h
+++ b/src/agent/internal/requestgate.h
@@ -47,6 +47,8 @@
     std::uint32_t running() const { return admission_.running(); }
     std::uint32_t waiting() const { return admission_.waiting(); }
     bool isIdle() const { return calls_.empty(); }
+    /// Routers have confirmed all answers.
+    bool isSettled() const { return isIdle() && ledger_.entries() == 0; }
     const RequestLedger& ledger() const { return ledger_; }
 
 private:
--- /dev/null
+++ b/src/agent/tests/replicaclaims_test.cpp
@@ -0,0 +1,186 @@
+#include "agent/internal/replicaclaims.h"
+#include "agent/tests/fakevmlist.h"
+#include "platform/tests/memoryplatformstore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace lagoon::agent;
+using namespace lagoon::agent::testing;
+using bundle::DecidedCount;
+using bundle::HolderState;
+using framework::AdapterName;
+using framework::BundleVersion;
+using framework::Deadline;
+using framework::ErrorCode;
+using framework::FailureDomainName;
+using framework::Incarnation;
+using framework::Milliseconds;
+using framework::ModelName;
+using framework::SiteName;
+using framework::VmName;
+using platform::MemoryPlatformStore;
+using platform::VmState;
+using platform::WriteFault;
+
+namespace {
+
+const SiteName site { "lagos" };
+const ReplicaId drafts { ModelName("drafts"), AdapterName() };
+const ReplicaId fine { ModelName("drafts"), AdapterName("fine") };
+
+struct Site {
+    std::shared_ptr<MemoryPlatformStore> store = std::make_shared<MemoryPlatformStore>();
+    std::shared_ptr<FakeVmList> vmList = std::make_shared<FakeVmList>();
+    std::shared_ptr<framework::Metrics> metrics = std::make_shared<framework::Metrics>();
+
+    ReplicaClaims agentOn(const std::string& vm, std::uint64_t incarnation = 1) const
+    {
+        return ReplicaClaims(
+            store, vmList, { VmName(vm), site, FailureDomainName("ikeja") }, Incarnation(incarnation), metrics);
+    }
+
+    static Deadline soon() { return Deadline::after(std::chrono::steady_clock::now(), Milliseconds(10000)); }
+    static DecidedCount decided(std::uint32_t count, std::uint64_t version = 1)
+    {
+        return { count, BundleVersion(version) };
+    }
+
+    auto claim(ReplicaClaims claims, const std::string& nonce, const DecidedCount& count,
+        ClaimKind kind = ClaimKind::New) const
+    {
+        return claims.claim(drafts, nonce, kind, count, soon());
+    }
+
+    bundle::ReplicaObject object() const
+    {
+        const auto key = bundle::replicaKey(site, drafts.model);
+        return bundle::parseReplicaObject(store->valueOf(key).value(), key).value();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ReplicaClaimsOfAVm, Site)
+
+BOOST_AUTO_TEST_CASE(claimsStopAtTheDecidedCount)
+{
+    BOOST_TEST(claim(agentOn("one"), "n1", decided(2)).has_value());
+    BOOST_TEST(claim(agentOn("two"), "n2", decided(2)).has_value());
+    const auto third = claim(agentOn("three"), "n3", decided(2));
+    BOOST_REQUIRE(third.has_error());
+    BOOST_CHECK(third.error().code == ErrorCode::ReplicaCapReached);
+    BOOST_TEST(object().holders.size() == 2u);
+}
+
+// Two agents see the last place free and claim it at the same moment. The platform's condition lets one of them write;
+// the other must look again instead of writing over it.
+BOOST_AUTO_TEST_CASE(twoAgentsCannotTakeTheLastPlace)
+{
+    store->beforeNextPut([this] { BOOST_TEST(claim(agentOn("two"), "n2", decided(1)).has_value()); });
+    const auto loser = claim(agentOn("one"), "n1", decided(1));
+    BOOST_REQUIRE(loser.has_error());
+    BOOST_CHECK(loser.error().code == ErrorCode::ReplicaCapReached);
+    BOOST_TEST(object().holders.size() == 1u);
+}
+
+// The write took effect and its answer was lost. Read again, the object shows the nonce: the claim is one, not two.
+BOOST_AUTO_TEST_CASE(aLostAnswerIsSettledByItsNonce)
+{
+    store->failNextWrites({ WriteFault::LoseAnswer });
+    BOOST_TEST(claim(agentOn("one"), "n1", decided(1)).has_value());
+    BOOST_TEST(object().holders.size() == 1u);
+    BOOST_TEST(object().holders.front().nonce == "n1");
+}
+
+BOOST_AUTO_TEST_CASE(fencingNumbersGrow)
+{
+    const auto first = claim(agentOn("one"), "n1", decided(1));
+    const auto taken = claim(agentOn("one", 2), "n2", decided(1));
+    BOOST_REQUIRE(first.has_value());
+    BOOST_REQUIRE(taken.has_value());
+    BOOST_TEST(taken.value() > first.value());
+    BOOST_TEST(object().holders.size() == 1u);
+    BOOST_TEST(object().holders.front().incarnation.value() == 2u);
+}
+
+// A process is paused while another takes over its claim on the same VM. When it goes on it must not free what is no
+// longer its own.
+BOOST_AUTO_TEST_CASE(aFormerProcessCannotFreeTheClaim)
+{
+    ReplicaClaims former = agentOn("one", 1);
+    BOOST_REQUIRE(claim(former, "n1", decided(1)).has_value());
+    BOOST_REQUIRE(claim(agentOn("one", 2), "n2", decided(1)).has_value());
+    BOOST_TEST(former.release(drafts, "n1", soon()).has_value());
+    BOOST_TEST(object().holders.size() == 1u);
+    const auto confirmed = former.confirm(drafts, "n1", soon());
+    BOOST_REQUIRE(confirmed.has_error());
+    BOOST_CHECK(confirmed.error().code == ErrorCode::PlatformConflict);
+}
+
+BOOST_AUTO_TEST_CASE(aReleasedPlaceCanBeClaimed)
+{
+    ReplicaClaims one = agentOn("one");
+    BOOST_REQUIRE(claim(one, "n1", decided(1)).has_value());
+    BOOST_TEST(one.confirm(drafts, "n1", soon()).has_value());
+    BOOST_CHECK(object().holders.front().state == HolderState::Loaded);
+    BOOST_TEST(one.release(drafts, "n1", soon()).has_value());
+    BOOST_TEST(claim(agentOn("two"), "n2", decided(1)).has_value());
+}
+
+// A VM that the platform calls leaving, or doesn't list at all, may still have the model in its accelerator. Only
+// "gone" frees its place.
+BOOST_AUTO_TEST_CASE(onlyGoneVmsLoseTheirPlaces)
+{
+    BOOST_REQUIRE(claim(agentOn("unlisted"), "n1", decided(2)).has_value());
+    BOOST_REQUIRE(claim(agentOn("leaving"), "n2", decided(2)).has_value());
+    vmList->add("leaving", VmState::Leaving);
+    BOOST_TEST(claim(agentOn("three"), "n3", decided(2)).has_error());
+    vmList->add("unlisted", VmState::Gone);
+    BOOST_TEST(claim(agentOn("three"), "n3", decided(2)).has_value());
+    BOOST_TEST(object().holders.size() == 2u);
+    BOOST_TEST(object().holder(VmName("unlisted")) == nullptr);
+}
+
+// An agent that hasn't heard of the newer bundle claims by the old, higher count. The object knows the newer one.
+BOOST_AUTO_TEST_CASE(anOlderBundlesCountDoesNotComeBack)
+{
+    BOOST_REQUIRE(claim(agentOn("one"), "n1", decided(1, 5)).has_value());
+    BOOST_TEST(claim(agentOn("two"), "n2", decided(3, 4)).has_error());
+    BOOST_TEST(object().decided == 1u);
+    BOOST_TEST(claim(agentOn("two"), "n2", decided(2, 6)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(theLastHoldersAreOverALoweredCount)
+{
+    ReplicaClaims one = agentOn("one");
+    ReplicaClaims two = agentOn("two");
+    BOOST_REQUIRE(claim(one, "n1", decided(2)).has_value());
+    BOOST_REQUIRE(claim(two, "n2", decided(2)).has_value());
+    BOOST_TEST(!one.isOverCount(drafts, decided(1, 2), soon()).value());
+    BOOST_TEST(two.isOverCount(drafts, decided(1, 2), soon()).value());
+}
+
+BOOST_AUTO_TEST_CASE(whatTheEngineHasIsEnteredWhateverTheCount)
+{
+    BOOST_REQUIRE(claim(agentOn("one"), "n1", decided(1)).has_value());
+    BOOST_TEST(claim(agentOn("two"), "n2", decided(1), ClaimKind::Adopted).has_value());
+    BOOST_TEST(object().holders.size() == 2u);
+    BOOST_TEST(claim(agentOn("three"), "n3", decided(2, 2)).has_error());
+}
+
+BOOST_AUTO_TEST_CASE(heldNamesModelsAndAdapters)
+{
+    ReplicaClaims one = agentOn("one");
+    BOOST_REQUIRE(claim(one, "n1", decided(2)).has_value());
+    BOOST_REQUIRE(claim(agentOn("two"), "n2", decided(2)).has_value());
+    BOOST_REQUIRE(one.claim(fine, "n3", ClaimKind::New, decided(1), soon()).has_value());
+    const auto held = agentOn("one", 2).held(soon());
+    BOOST_REQUIRE(held.has_value());
+    BOOST_REQUIRE(held.value().size() == 2u);
+    BOOST_CHECK(held.value()[0] == drafts);
+    BOOST_CHECK(held.value()[1] == fine);
+    BOOST_TEST(agentOn("three").held(soon()).value().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/agent/tests/replicacontroller_test.cpp
+++ b/src/agent/tests/replicacontroller_test.cpp
@@ -1,6 +1,7 @@
 #include "agent/internal/replicaclaims.h"
 #include "agent/internal/replicacontroller.h"
 #include "agent/tests/fakeengine.h"
+#include "agent/tests/fakevmlist.h"
 #include "agent/tests/manualcontrol.h"
 #include "platform/tests/memoryplatformstore.h"
 
@@ -62,23 +63,6 @@
     return made;
 }
 
-class FakeVmList final : public platform::IVmList {
-public:
-    framework::Result<platform::VmListSnapshot> waitForChange(std::uint64_t, Deadline, std::stop_token) override
-    {
-        platform::VmListSnapshot snapshot;
-        for (const auto& vm : gone) {
-            platform::VmEntry entry;
-            entry.vm = VmName(vm);
-            entry.state = platform::VmState::Gone;
-            snapshot.vms.push_back(entry);
-        }
-        return snapshot;
-    }
-
-    std::vector<std::string> gone;
-};
-
 /// What became of a load.
 struct LoadWatch {
     bool isDone = false;
@@ -208,7 +192,7 @@
 BOOST_AUTO_TEST_CASE(aGoneVmsPlaceIsTaken)
 {
     setHolders(model("a"), { "engine-2" });
-    vmList->gone = { "engine-2" };
+    vmList->add("engine-2", platform::VmState::Gone);
     startAgent();
     loadWhole(model("a"));
     BOOST_TEST(holders(model("a")) == 1u);
