--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,9 @@
 #include "app/internal/agentcommand.h"
+#include "app/internal/bundlecommands.h"
+#include "app/internal/claimcommand.h"
+#include "app/internal/commandgroup.h"
 #include "app/internal/routercommand.h"
+#include "app/internal/settingscommand.h"
 #include "app/internal/versioncommand.h"
 
 #include <iostream>
@@ -13,6 +17,9 @@
     Commands commands;
     commands.push_back(makeRouterCommand());
     commands.push_back(makeAgentCommand());
+    commands.push_back(makeBundleCommand());
+    commands.push_back(makeClaimCommand());
+    commands.push_back(makeSettingsCommand());
     commands.push_back(makeVersionCommand());
     return commands;
 }
@@ -20,9 +27,7 @@
 void printHelp(const Commands& commands, std::ostream& stream)
 {
     stream << "usage: lagoonrouter COMMAND [OPTION]...\n\nCommands (each takes --help):\n";
-    for (const auto& command : commands)
-        stream << "  " << command->name() << std::string(12 - std::min<std::size_t>(11, command->name().size()), ' ')
-               << command->summary() << "\n";
+    printCommands(commands, stream);
 }
 
 } // namespace
@@ -39,10 +44,9 @@
         printHelp(commands, std::cout);
         return ExitSuccess;
     }
-    for (const auto& command : commands) {
-        if (command->name() == words.front())
-            return command->run({ words.begin() + 1, words.end() });
-    }
+    ICommand* const command = findCommand(commands, words.front());
+    if (command)
+        return command->run({ words.begin() + 1, words.end() });
     std::cerr << "lagoonrouter: no command \"" << words.front() << "\"\n";
     printHelp(commands, std::cerr);
     return ExitUsage;
--- a/src/policy/benchmarks/loadsimulation.cpp
+++ b/src/policy/benchmarks/loadsimulation.cpp
@@ -378,6 +378,7 @@
         replica.view.adapter = framework::AdapterName(targets_[part].isAdapter ? targets_[part].name : "");
         replica.view.memory = targets_[part].memory;
         replica.view.running = 1; // being loaded
+        replica.idleSince = now();
         replicas_.emplace(part, std::move(replica));
         servers_[server].targets.insert(part);
     }
@@ -434,7 +435,8 @@
         loadedPart.view.loadTime = broughtModel && part == target ? Milliseconds(2000) : took;
         loadedPart.view.running = 0;
         loadedPart.view.lastUsed = now();
-        loadedPart.idleSince = now();
+        // While it was being loaded it served nobody either.
+        accountIdle(loadedPart);
     }
     serveWaiting(wanted);
     if (auto& ofModel = homes_[homeOf(model)].wanted; model != target && ofModel.contains(model))
@@ -479,14 +481,15 @@
     events_.at(until.at(), [this, server = found->second.server] { unloadExpired(server); });
 }
 
-/// From where its checkpoint is now, which after a load is nearer than it was before.
+/// Between that from where its checkpoint is now and that from disk: by then others may have taken its place in memory.
 Milliseconds LoadSimulation::nextLoadTime(std::size_t target, const Replica& replica) const
 {
-    const Home& home = homes_[homeOf(target)];
-    return home.estimator
-        .estimate(
-            targets_[target].name, checkpoint(replica.server, targets_[target].model), targets_[target].memory, now())
-        .typical;
+    const LoadTimeEstimator& estimator = homes_[homeOf(target)].estimator;
+    const auto from = [&](CheckpointPlace place) {
+        return estimator.estimate(targets_[target].name, place, targets_[target].memory, now()).typical;
+    };
+    const CheckpointPlace present = checkpoint(replica.server, targets_[target].model);
+    return (from(present) + from(std::max(present, CheckpointPlace::Disk))) / 2;
 }
 
 void LoadSimulation::unloadExpired(std::size_t server)
@@ -500,6 +503,10 @@
 {
     Replica& replica = replicas_.at(target);
     accountIdle(replica);
+    UseRecord& uses = servers_[replica.server].uses[target];
+    if (replica.view.running == 0 && uses.lastEnd != SteadyTime())
+        recordGap(servers_[replica.server], uses);
+    replica.view.gaps = uses.gaps.withPrior(servers_[replica.server].allGaps);
     ++replica.view.running;
     replica.view.lastUsed = now();
     replica.view.recentUses.push_back(now());
@@ -507,7 +514,19 @@
         replica.view.recentUses.erase(replica.view.recentUses.begin());
 }
 
-void LoadSimulation::setIdle(std::size_t target) { replicas_.at(target).idleSince = now(); }
+void LoadSimulation::recordGap(Server& server, UseRecord& uses)
+{
+    const auto gap = std::chrono::duration_cast<Milliseconds>(now() - uses.lastEnd);
+    uses.gaps.record(gap);
+    server.allGaps.record(gap);
+}
+
+void LoadSimulation::setIdle(std::size_t target)
+{
+    Replica& replica = replicas_.at(target);
+    replica.idleSince = now();
+    servers_[replica.server].uses[target].lastEnd = now();
+}
 
 void LoadSimulation::accountIdle(Replica& replica)
 {
