--- a/src/agent/internal/replicacontroller.cpp
+++ b/src/agent/internal/replicacontroller.cpp
@@ -556,12 +556,16 @@
     return needed;
 }
 
-/// Memory of replicas on their way out, less what loads that wait for memory already count on.
+/// Memory of replicas on their way out, and of those that a former process left and nobody waits for: once they have
+/// settled they are gone or can be unloaded.
 std::uint64_t ReplicaController::memoryComing() const
 {
     std::uint64_t coming = 0;
     for (const auto& [id, replica] : replicas_) {
-        if (replica.stage == ReplicaStage::Draining || replica.stage == ReplicaStage::Unloading)
+        const bool isLeaving = replica.stage == ReplicaStage::Draining || replica.stage == ReplicaStage::Unloading;
+        const bool isUnsettled = replica.stage == ReplicaStage::Settling || replica.stage == ReplicaStage::Loading
+            || (replica.stage == ReplicaStage::Loaded && !replica.isClaimed && replica.uses == 0);
+        if (isLeaving || (isUnsettled && !isWanted(replica)))
             coming += replica.memory.value();
     }
     return coming;
@@ -574,7 +578,7 @@
         if (replica.stage != ReplicaStage::Loaded)
             continue;
         policy::LoadedReplica view = viewOf(replica);
-        const bool isAwaited = id == spared.ofModel() || !replica.isClaimed || replica.isBusy;
+        const bool isAwaited = id == spared.ofModel() || !replica.isClaimed;
         if (isAwaited)
             view.running = std::max<std::uint32_t>(1, view.running);
         views.push_back(std::move(view));
