Agent: a dead engine takes no loads, draining tells those who wait, a forcibly released replica goes

Homes were offered loads by an agent whose engine had died; after three failed state calls in a row the offer is now NotReady. beginDraining answers waiting loads at once and orders nothing more; only claims already being given up are still written. An engine's restart is believed at its first state. The count check also finds a claim that an operator released by force, which it took for "not over the count" before.

--- a/src/agent/internal/replicaclaims.cpp
+++ b/src/agent/internal/replicaclaims.cpp
@@ -170,11 +170,12 @@
     const ObjectKey objectKey = key(id);
     BOOST_OUTCOME_TRY(stored, store_->get(objectKey, deadline));
     if (!stored)
-        return false;
+        return true;
     BOOST_OUTCOME_TRY(object, bundle::parseReplicaObject(stored->value, objectKey));
     const std::uint32_t allowed = bundle::applyDecision(object, decided);
+    // Without it, an operator's forced release has given the place away.
     const auto own = holderOf(object, identity_.vm);
-    return own != object.holders.end() && own - object.holders.begin() >= static_cast<std::ptrdiff_t>(allowed);
+    return own - object.holders.begin() >= static_cast<std::ptrdiff_t>(allowed) || own == object.holders.end();
 }
 
 Result<std::vector<ReplicaId>> ReplicaClaims::held(Deadline deadline)
--- a/src/agent/internal/replicacontroller.cpp
+++ b/src/agent/internal/replicacontroller.cpp
@@ -23,6 +23,8 @@
 /// Longer than a request takes from its router to here once the load was reported.
 constexpr Milliseconds firstUseGrace { 5000 };
 constexpr Milliseconds retryWhenFull { 2000 };
+/// Calls for the engine's state that failed in a row before it is taken to be away.
+constexpr std::uint32_t failuresBelieved = 3;
 
 Error refusal(ErrorCode code, const ReplicaId& id, std::string detail, Milliseconds retryAfter)
 {
@@ -98,7 +100,14 @@
     advance();
 }
 
-void ReplicaController::beginDraining() { isDraining_ = true; }
+void ReplicaController::beginDraining()
+{
+    isDraining_ = true;
+    for (auto& [id, replica] : replicas_) {
+        for (const LoadWaiter& waiter : std::exchange(replica.waiters, {}))
+            waiter.done(refusal(ErrorCode::Draining, id, "the agent shuts down", Milliseconds(0)));
+    }
+}
 
 void ReplicaController::load(const ReplicaId& id, Deadline deadline, LoadDone done)
 {
@@ -146,6 +155,8 @@
         return unknown(ErrorCode::UnknownAdapter, id, "not in the bundle");
     if (decidedOf(id).decided == 0 || decidedOf(id.ofModel()).decided == 0)
         return unknown(ErrorCode::ReplicaCapReached, id, "no replica decided at this site");
+    if (engineFailures_ >= failuresBelieved)
+        return refusal(ErrorCode::NotReady, id, "the engine doesn't answer", retryWhenBusy);
     const Replica* replica = find(id);
     if (replica && replica->stage == ReplicaStage::Draining && !replica->reloadsAfterUnload)
         return refusal(ErrorCode::NotReady, id, "it is being unloaded", retryWhenBusy);
@@ -250,7 +261,8 @@
         if (Replica* replica = find(id))
             step(*replica, now);
     }
-    makeRoom(now);
+    if (!isDraining_)
+        makeRoom(now);
     publish(now);
     if (isInTransition() && !isPollingFast_)
         pollEngine();
@@ -260,6 +272,8 @@
 {
     if (replica.isBusy || !replica.retryAt.hasPassed(now) || !isOpen() || !bundle_)
         return;
+    if (isDraining_ && replica.stage != ReplicaStage::Releasing)
+        return;
     switch (replica.stage) {
     case ReplicaStage::WaitingForModel: {
         const Replica* model = find(replica.id.ofModel());
--- a/src/agent/internal/replicacontroller.h
+++ b/src/agent/internal/replicacontroller.h
@@ -66,8 +66,8 @@
     /// Begins to read what the engine has and what is claimed.
     void start();
     void setBundle(bundle::BundlePointer);
-    /// From now on nothing more is loaded or unloaded. Claims stay: the engine still has the models, and the next
-    /// agent on this VM adopts them.
+    /// From now on nothing more is loaded or unloaded, and those who wait for a load are told so. Claims stay: the
+    /// engine still has the models, and the next agent on this VM adopts them.
     void beginDraining();
 
     void load(const ReplicaId&, framework::Deadline, LoadDone);
@@ -108,6 +108,7 @@
     // The engine's state (replicaobservation.cpp).
     void pollEngine();
     void observe(const EngineState&, framework::SteadyTime askedAt);
+    void takeEngineRestart();
     void observePresent(const EngineReplica&);
     void observeAbsent(Replica&, framework::SteadyTime askedAt);
 
@@ -159,6 +160,7 @@
     policy::LoadTimeEstimator loadTimes_;
     EngineState engineState_;
     bool hasEngineState_ = false;
+    std::uint32_t engineFailures_ = 0;
     bool hasReadClaims_ = false;
     bool isPolling_ = false;
     bool isPollingFast_ = false;
--- a/src/agent/internal/replicaobservation.cpp
+++ b/src/agent/internal/replicaobservation.cpp
@@ -37,6 +37,7 @@
         auto state = engine->state(Deadline::after(askedAt, longestStateCall));
         ports_.control.post([this, state = std::move(state), askedAt] {
             isPolling_ = false;
+            engineFailures_ = state.has_value() ? 0 : engineFailures_ + 1;
             if (state.has_value())
                 observe(state.value(), askedAt);
             else
@@ -53,7 +54,7 @@
 void ReplicaController::observe(const EngineState& state, SteadyTime askedAt)
 {
     if (hasEngineState_ && state.incarnation != engineState_.incarnation)
-        framework::logWarning("agent", "the engine has restarted");
+        takeEngineRestart();
     account_.open(state.memory);
     engineState_ = state;
     hasEngineState_ = true;
@@ -68,6 +69,15 @@
     }
 }
 
+/// A new engine is empty, so its first state is believed.
+void ReplicaController::takeEngineRestart()
+{
+    framework::logWarning("agent", "the engine has restarted");
+    ports_.metrics->count("lagoon_engine_restarts_total");
+    for (auto& [id, replica] : replicas_)
+        replica.absences = absencesBelieved;
+}
+
 void ReplicaController::observePresent(const EngineReplica& seen)
 {
     const SteadyTime now = ports_.clock.now();
--- a/src/agent/ireplicaclaims.h
+++ b/src/agent/ireplicaclaims.h
@@ -33,7 +33,8 @@
     virtual framework::Result<void> confirm(const ReplicaId&, const std::string& nonce, framework::Deadline) = 0;
     /// Gives up the claim, if it is this process's. Only after the engine can't have the replica any more.
     virtual framework::Result<void> release(const ReplicaId&, const std::string& nonce, framework::Deadline) = 0;
-    /// Whether this VM's claim is among those that have to go, given the count; the last holders go first.
+    /// Whether this VM's replica has to go: its claim was released by an operator, or is over the count, by which the
+    /// last holders go first.
     virtual framework::Result<bool> isOverCount(const ReplicaId&, const bundle::DecidedCount&, framework::Deadline) = 0;
     /// All replicas that this VM holds claims to, whichever process wrote them.
     virtual framework::Result<std::vector<ReplicaId>> held(framework::Deadline) = 0;
--- a/src/agent/tests/replicacontroller_test.cpp
+++ b/src/agent/tests/replicacontroller_test.cpp
@@ -463,6 +463,68 @@
     loadWhole(model("a"));
 }
 
+// The answer to a load order is lost, the order is given again and that load fails. The first order may still lie
+// unread in the engine, so the memory isn't free yet.
+BOOST_AUTO_TEST_CASE(aLostOrderIsReckonedWithAfterItsLoadFailed)
+{
+    startAgent();
+    engineFake.faults = { FakeEngine::OrderFault::Hold };
+    const auto watch = load(model("a"));
+    control.pass(shortWhile);
+    BOOST_CHECK(engineFake.stateOf(model("a")) == EngineReplicaState::Loading);
+    engineFake.failLoads();
+    control.pass(shortWhile);
+    BOOST_TEST(watch->isRefused(ErrorCode::LoadFailed));
+    BOOST_CHECK(stageOf(model("a")).stage == ReplicaStage::Settling);
+    const auto other = load(model("b"));
+    control.pass(shortWhile);
+    engineFake.landHeld();
+    control.pass(shortWhile);
+    BOOST_TEST(!engineFake.isOvercommitted);
+    engineFake.finishLoads();
+    control.pass(shortWhile);
+    engineFake.finishLoads();
+    control.pass(shortWhile);
+    BOOST_TEST(other->isLoaded());
+}
+
+// An engine dies. Homes must not send loads to its agent, which can't carry them out, while others could.
+BOOST_AUTO_TEST_CASE(anEngineThatDoesNotAnswerTakesNoLoads)
+{
+    startAgent();
+    BOOST_TEST(!replicas->offer(model("a")).refusal.has_value());
+    engineFake.isAvailable = false;
+    control.pass(Milliseconds(5000));
+    BOOST_TEST(replicas->offer(model("a")).refusal.has_value());
+    BOOST_TEST(load(model("a"))->isRefused(ErrorCode::NotReady));
+    engineFake.isAvailable = true;
+    control.pass(Milliseconds(5000));
+    loadWhole(model("a"));
+}
+
+// An operator releases a claim by force while its agent lives. The next agent to claim relies on the place being free,
+// so the replica goes at the latest when the counts are looked at.
+BOOST_AUTO_TEST_CASE(aReplicaWhoseClaimWasReleasedByForceGoes)
+{
+    startAgent(bundleOf(1, 2));
+    loadWhole(model("a"));
+    setHolders(model("a"), { "engine-2" });
+    replicas->setBundle(std::make_shared<bundle::Bundle>(bundleOf(2, 1)));
+    control.pass(shortWhile);
+    BOOST_TEST(!engineFake.stateOf(model("a")).has_value());
+    BOOST_TEST(holders(model("a")) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(aDrainingAgentTellsThoseWhoWaitForLoads)
+{
+    startAgent();
+    const auto watch = load(model("a"));
+    replicas->beginDraining();
+    BOOST_TEST(watch->isRefused(ErrorCode::Draining));
+    control.pass(shortWhile);
+    BOOST_TEST(holders(model("a")) == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(aDrainingAgentLoadsNothingAndKeepsItsClaims)
 {
     startAgent();
