Platform client against a tiny server: time, budget, stop, cpprest's resend

A key that isn't a path made cpprest throw through get; such a key is refused before the request is made (found by keysThatWouldChangeThePathAreNotSent).

--- a/src/platform/internal/httpplatformstore.cpp
+++ b/src/platform/internal/httpplatformstore.cpp
@@ -43,7 +43,9 @@
 HttpCall objectCall(const std::string& kind, const std::string& method, const ObjectKey& key, CallEffect effect)
 {
     HttpCall call { kind, key.value(), effect, http_request(method) };
-    call.request.set_request_uri("/v1/objects/" + key.value());
+    // cpprest throws on what isn't a path; such a call is refused before it is sent.
+    if (isObjectKey(key))
+        call.request.set_request_uri("/v1/objects/" + key.value());
     return call;
 }
 
--- /dev/null
+++ b/src/platform/tests/testserver.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lagoon::platform {
+
+struct SeenRequest {
+    /// Which connection it came over, from 1.
+    unsigned connection = 0;
+    std::string method;
+    /// Path and query.
+    std::string target;
+    /// Names in lower case.
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+/// What the server does with a request.
+struct ServerAnswer {
+    enum class Kind : std::uint8_t { Answer, CloseConnection, StaySilent };
+    Kind kind = Kind::Answer;
+    unsigned status = 200;
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+/// A tiny HTTP/1.1 server whose behaviour below HTTP a test decides: it can close or go silent in place of an answer.
+/// Serves one request at a time and keeps connections open.
+class TestServer {
+public:
+    using Handler = std::function<ServerAnswer(const SeenRequest&)>;
+
+    explicit TestServer(Handler);
+    ~TestServer();
+    TestServer(const TestServer&) = delete;
+    TestServer& operator=(const TestServer&) = delete;
+
+    std::string url() const;
+    std::vector<SeenRequest> seen() const;
+
+private:
+    class Connections;
+
+    Handler handler_;
+    mutable std::mutex mutex_;
+    std::vector<SeenRequest> seen_;
+    std::unique_ptr<Connections> connections_;
+    std::thread thread_;
+};
+
+} // namespace lagoon::platform
