--- a/src/app/internal/settingscommand.cpp
+++ b/src/app/internal/settingscommand.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/settingscommand.h"
 
+#include "agent/agentsettings.h"
 #include "app/internal/commandgroup.h"
 #include "app/internal/platformoptions.h"
 #include "framework/checkedjson.h"
@@ -27,6 +28,10 @@
         BOOST_OUTCOME_TRYV(router::parseRouterSettings(text, file));
         return role;
     }
+    if (role == "agent") {
+        BOOST_OUTCOME_TRYV(agent::parseAgentSettings(text, file));
+        return role;
+    }
     object.fail("role", "\"router\" or \"agent\"");
     BOOST_OUTCOME_TRYV(object.finish());
     return role;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,8 @@
+#include "app/internal/agentcommand.h"
 #include "app/internal/bundlecommands.h"
 #include "app/internal/claimcommand.h"
 #include "app/internal/commandgroup.h"
+#include "app/internal/routercommand.h"
 #include "app/internal/settingscommand.h"
 #include "app/internal/versioncommand.h"
 
@@ -13,6 +15,8 @@
 Commands allCommands()
 {
     Commands commands;
+    commands.push_back(makeRouterCommand());
+    commands.push_back(makeAgentCommand());
     commands.push_back(makeBundleCommand());
     commands.push_back(makeClaimCommand());
     commands.push_back(makeSettingsCommand());
