--- /dev/null
+++ b/src/bundle/tests/rollout_test.cpp
@@ -0,0 +1,191 @@
+#include "bundle/rollout.h"
+
+#include "bundle/bundlehead.h"
+#include "bundle/bundletext.h"
+#include "bundle/claimrelease.h"
+#include "bundle/tests/bundlefixture.h"
+#include "platform/tests/memoryplatformstore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace lagoon::bundle;
+using framework::BundleVersion;
+using framework::ErrorCode;
+using framework::Execution;
+using platform::MemoryPlatformStore;
+using platform::WriteFault;
+using tests::soon;
+
+namespace {
+
+const OperatorAct ada { "ada", "2026-12-02T20:00:00Z" };
+const OperatorAct bob { "bob", "2026-12-02T20:00:01Z" };
+const platform::ObjectKey notes = replicaKey(framework::SiteName("south"), framework::ModelName("notes"));
+
+void signOffBundle(MemoryPlatformStore& store, std::uint64_t version, std::uint32_t replicas)
+{
+    const auto bundle = parseBundle(tests::bundleText(version, replicas), "fixture");
+    BOOST_REQUIRE(signOff(store, bundle.value(), ada, soon()).has_value());
+}
+
+framework::Result<RollOutResult> rollOutAs(MemoryPlatformStore& store, std::uint64_t version, const OperatorAct& act)
+{
+    return rollOut(store, BundleVersion(version), act, soon());
+}
+
+BundleHead headOf(const MemoryPlatformStore& store) { return parseBundleHead(*store.valueOf(bundleHeadKey())).value(); }
+
+ReplicaObject notesOf(const MemoryPlatformStore& store)
+{
+    return parseReplicaObject(store.valueOf(notes).value_or(replicaObjectText({})), notes).value();
+}
+
+/// What an agent that knows this bundle may claim of the model.
+std::uint32_t allowed(const MemoryPlatformStore& store, std::uint32_t decided, std::uint64_t version)
+{
+    ReplicaObject object = notesOf(store);
+    return applyDecision(object, { decided, BundleVersion(version) });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RollOuts)
+
+BOOST_AUTO_TEST_CASE(onlyASignedOffBundleAboveTheHeadIsRolledOut)
+{
+    MemoryPlatformStore store;
+    tests::rollOutBundle(store, 7);
+    BOOST_TEST((rollOutAs(store, 8, bob).error().code == ErrorCode::NotFound));
+    signOffBundle(store, 6, 2);
+    const auto lower = rollOutAs(store, 6, bob);
+    BOOST_TEST((lower.error().code == ErrorCode::PlatformConflict));
+    BOOST_TEST(lower.error().detail.find("version 7 is in force, rolled out by ada") != std::string::npos);
+    BOOST_TEST((rollOutAs(store, 7, bob).error().code == ErrorCode::PlatformConflict));
+    BOOST_TEST(headOf(store).version.value() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(aSignedOffVersionIsNeverChanged)
+{
+    MemoryPlatformStore store;
+    signOffBundle(store, 7, 2);
+    const auto before = store.valueOf(platform::ObjectKey("bundles/7"));
+    const auto again = signOff(store, parseBundle(tests::bundleText(7, 2), "").value(), bob, soon());
+    BOOST_TEST(again.value().signedOffBy == "ada");
+    const auto other = signOff(store, parseBundle(tests::bundleText(7, 1), "").value(), bob, soon());
+    BOOST_TEST((other.error().code == ErrorCode::PlatformConflict));
+    BOOST_TEST(other.error().detail.find("by ada") != std::string::npos);
+    BOOST_TEST((store.valueOf(platform::ObjectKey("bundles/7")) == before));
+}
+
+// Two operators roll out at the same moment and both are told that it worked; one of the bundles is in force nowhere.
+// Each had read the same head before either moved it.
+BOOST_AUTO_TEST_CASE(ofTwoRacingOperatorsOneWinsAndTheOtherIsToldByWhom)
+{
+    MemoryPlatformStore store;
+    tests::rollOutBundle(store, 7);
+    signOffBundle(store, 8, 2);
+    signOffBundle(store, 9, 2);
+    store.beforeNextPut([&] { BOOST_TEST(rollOutAs(store, 8, bob).has_value()); });
+    const auto lost = rollOutAs(store, 9, ada);
+    BOOST_REQUIRE(lost.has_error());
+    BOOST_TEST((lost.error().code == ErrorCode::PlatformConflict));
+    BOOST_TEST((lost.error().execution == Execution::NotRun));
+    BOOST_TEST(lost.error().detail.find("version 8 is in force, rolled out by bob") != std::string::npos);
+    BOOST_TEST(headOf(store).operatorName == "bob");
+}
+
+// An operator is told that a roll-out failed although it is in force, and rolls "back" by hand. The head's write took
+// effect and its answer was lost, or was a conflict with its own first sending.
+BOOST_AUTO_TEST_CASE(aHeadMovedWithoutAnAnswerIsKnownAsMoved)
+{
+    for (const WriteFault fault : { WriteFault::LoseAnswer, WriteFault::SendTwice, WriteFault::LoseRequest }) {
+        MemoryPlatformStore store;
+        tests::rollOutBundle(store, 7);
+        signOffBundle(store, 8, 2);
+        store.failNextWrites({ fault });
+        BOOST_TEST(rollOutAs(store, 8, bob).value().previous.value() == 7U);
+        BOOST_TEST(headOf(store).version.value() == 8U);
+    }
+}
+
+// An operator is told that a roll-out failed, and it takes effect a moment later, without its lowered counts. The
+// head's write was still on its way when the command gave up.
+BOOST_AUTO_TEST_CASE(aHeadThatMayStillMoveIsSaidToBeUnknownAndItsCountsStay)
+{
+    MemoryPlatformStore store;
+    tests::rollOutBundle(store, 7, 2);
+    signOffBundle(store, 8, 1);
+    std::vector<WriteFault> faults(1000, WriteFault::Hold);
+    // The lowered count's write; the others are the head's.
+    faults.front() = WriteFault::LoseAnswer;
+    store.failNextWrites(faults);
+    BOOST_TEST((rollOut(store, BundleVersion(8), bob, soon(50)).error().execution == Execution::Unknown));
+    BOOST_TEST(allowed(store, 2, 7) == 1U);
+    store.landHeldWrites();
+    BOOST_TEST(headOf(store).version.value() == 8U);
+    BOOST_TEST(allowed(store, 2, 7) == 1U);
+}
+
+// Bundle 8 takes `notes` from two replicas to one. An agent that hasn't heard of it claims the second one a moment
+// after the roll-out ended: its own bundle says two.
+BOOST_AUTO_TEST_CASE(countsAreLoweredBeforeTheHeadMoves)
+{
+    MemoryPlatformStore store;
+    tests::rollOutBundle(store, 7, 2);
+    signOffBundle(store, 8, 1);
+    std::optional<std::uint64_t> headAtFirstWrite;
+    store.beforeNextPut([&] { headAtFirstWrite = headOf(store).version.value(); });
+    BOOST_TEST(rollOutAs(store, 8, bob).value().lowered == 1U);
+    BOOST_TEST(headAtFirstWrite.value() == 7U);
+    BOOST_TEST(allowed(store, 2, 7) == 1U);
+    BOOST_TEST(allowed(store, 1, 8) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(theLoserOfARaceTakesItsLoweredCountsBack)
+{
+    MemoryPlatformStore store;
+    tests::rollOutBundle(store, 7, 3);
+    signOffBundle(store, 8, 3);
+    signOffBundle(store, 9, 1);
+    store.beforeNextPut([&] { BOOST_TEST(rollOutAs(store, 8, bob).has_value()); });
+    BOOST_TEST(rollOutAs(store, 9, ada).has_error());
+    BOOST_TEST(allowed(store, 3, 7) == 3U);
+    BOOST_TEST(allowed(store, 3, 8) == 3U);
+}
+
+// Both racing bundles lower the same model, the winner to two, the loser to one. When the loser takes its count back,
+// the winner's must still bind agents that know only bundle 7.
+BOOST_AUTO_TEST_CASE(theLoserLeavesTheWinnersLoweredCount)
+{
+    MemoryPlatformStore store;
+    tests::rollOutBundle(store, 7, 3);
+    signOffBundle(store, 8, 2);
+    signOffBundle(store, 9, 1);
+    store.beforeNextPut([&] { BOOST_TEST(rollOutAs(store, 8, bob).has_value()); });
+    BOOST_TEST(rollOutAs(store, 9, ada).has_error());
+    BOOST_TEST(headOf(store).version.value() == 8U);
+    BOOST_TEST(allowed(store, 3, 7) == 2U);
+    BOOST_TEST(allowed(store, 2, 8) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aForcedReleaseIsRecordedAndTakesEffectOnce)
+{
+    for (const WriteFault fault : { WriteFault::LoseAnswer, WriteFault::SendTwice, WriteFault::Conflict }) {
+        MemoryPlatformStore store;
+        ReplicaObject object;
+        for (const char* vm : { "vm-1", "vm-2" })
+            object.holders.push_back({ framework::VmName(vm), framework::Incarnation(3), "n", HolderState::Loaded });
+        store.set(notes, replicaObjectText(object));
+        store.failNextWrites({ fault });
+        const ClaimRelease claim { notes, framework::VmName("vm-1"), "its host burnt down" };
+        const auto released = releaseClaim(store, claim, ada, soon());
+        BOOST_REQUIRE(released.has_value());
+        BOOST_TEST(notesOf(store).holders.size() == 1U);
+        BOOST_TEST(notesOf(store).releases.size() == 1U);
+        BOOST_TEST(notesOf(store).releases.front().reason == "its host burnt down");
+        BOOST_TEST((releaseClaim(store, claim, ada, soon()).error().code == ErrorCode::NotFound));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
