--- a/src/bundle/bundlewatch.h
+++ b/src/bundle/bundlewatch.h
@@ -17,12 +17,15 @@
 /// Waiting times; the defaults are the product's, tests use shorter ones.
 struct BundleWatchTimes {
     /// One waiting call. A watch whose connection went silent is found out after it, so it bounds how late a router is.
-    framework::Milliseconds watch { 10000 };
+    framework::Milliseconds watch { 8000 };
     /// Between a listener's reads of the head while nobody tells it of a newer version; each is drawn from two thirds
     /// to four thirds of it.
     framework::Milliseconds poll { 30000 };
-    /// Before the bundle of a newer head is read; drawn anew each time, so that the fleet doesn't read in one moment.
-    framework::Milliseconds longestSpread { 500 };
+    /// Before a newer bundle is read each process waits for a time drawn from zero to this per part of its present
+    /// bundle, so that the fleet doesn't read in one moment: large fleets have large bundles.
+    framework::Milliseconds spreadPerPart { 250 };
+    /// At most, since a change is to be in force everywhere within 15 s.
+    framework::Milliseconds longestSpread { 4000 };
     /// Between tries that failed.
     framework::Milliseconds firstRetry { 100 };
     framework::Milliseconds longestRetry { 5000 };
--- a/src/bundle/internal/bundlewatch.cpp
+++ b/src/bundle/internal/bundlewatch.cpp
@@ -7,6 +7,7 @@
 #include "framework/randomid.h"
 #include "platform/backoff.h"
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -93,6 +94,7 @@
         if (mode_ == HeadMode::Watch)
             return watchHead(stop);
         waitToBeTold(stop);
+        spreadReads(stop);
         if (stop.stop_requested())
             return framework::success();
         return readHead(stop);
@@ -113,6 +115,7 @@
         BOOST_OUTCOME_TRY(object, store_->watch(bundleHeadKey(), headObject_, after(times_.watch), stop));
         if (!object)
             return framework::success();
+        spreadReads(stop);
         return takeHead(*object, stop);
     }
 
@@ -146,8 +149,6 @@
 
     Result<void> takeBundle(const BundleHead& head, const std::stop_token& stop)
     {
-        if (loaded_)
-            pause(drawn(Milliseconds(0), times_.longestSpread), stop);
         BOOST_OUTCOME_TRY(loaded, loadBundle(*store_, head, loaded_ ? &*loaded_ : nullptr, after(loadTimeout), stop));
         loaded_ = std::move(loaded);
         current_ = loaded_->bundle;
@@ -179,6 +180,15 @@
         return Milliseconds(draw(random_));
     }
 
+    /// Guards against the whole fleet reading a new bundle in one moment, beyond what the platform serves in a second.
+    void spreadReads(const std::stop_token& stop)
+    {
+        if (!loaded_)
+            return;
+        const auto parts = static_cast<std::int64_t>(loaded_->manifest.parts.size());
+        pause(drawn(Milliseconds(0), std::min(times_.spreadPerPart * parts, times_.longestSpread)), stop);
+    }
+
     void waitToBeTold(const std::stop_token& stop)
     {
         const Milliseconds wait = drawn(times_.poll * 2 / 3, times_.poll * 4 / 3);
--- a/src/bundle/internal/storedbundle.cpp
+++ b/src/bundle/internal/storedbundle.cpp
@@ -91,7 +91,7 @@
         if (manifest.version != head.version)
             return badBundle(key, "it is of version " + std::to_string(manifest.version.value()));
         bundle_.version = manifest.version;
-        BOOST_OUTCOME_TRYV(readPart(manifest.common, readCommon));
+        BOOST_OUTCOME_TRYV(addCommon(manifest));
         BOOST_OUTCOME_TRYV(addEntries(manifest));
         return LoadedBundle { std::make_shared<const Bundle>(std::move(bundle_)), manifest, head.digest };
     }
@@ -118,6 +118,16 @@
         return object.finish();
     }
 
+    Result<void> addCommon(const BundleManifest& manifest)
+    {
+        if (!previous_ || previous_->manifest.common != manifest.common)
+            return readPart(manifest.common, readCommon);
+        bundle_.policy = previous_->bundle->policy;
+        bundle_.pools = previous_->bundle->pools;
+        bundle_.services = previous_->bundle->services;
+        return framework::success();
+    }
+
     Result<void> addEntries(const BundleManifest& manifest)
     {
         const std::size_t parts = manifest.parts.size();
--- a/src/bundle/tests/storedbundle_test.cpp
+++ b/src/bundle/tests/storedbundle_test.cpp
@@ -85,8 +85,8 @@
     const auto second = loadBundle(store, head, &first.value(), soon());
     BOOST_REQUIRE(second.has_value());
     BOOST_TEST(contentOf(*second.value().bundle) == contentOf(bundle));
-    // The manifest, the common part, and at most the parts of two models.
-    BOOST_TEST(store.reads() - readsBefore <= 4U);
+    // The manifest and at most the parts of two models.
+    BOOST_TEST(store.reads() - readsBefore <= 3U);
 }
 
 // A pool shrinks, and a model whose own part didn't change no longer fits. Were the part taken over unchecked, each
