--- a/tests/support/record.cpp
+++ b/tests/support/record.cpp
@@ -88,6 +88,15 @@
     return static_cast<std::uint64_t>(most);
 }
 
+std::uint64_t replicasNow(
+    const std::vector<std::string>& endpoints, const std::string& model, const std::string& adapter)
+{
+    std::int64_t present = 0;
+    for (const Step& step : stepsAt(endpoints, model, adapter))
+        present += step.change;
+    return static_cast<std::uint64_t>(present);
+}
+
 std::uint64_t loadsOf(const std::vector<std::string>& endpoints, const std::string& model)
 {
     const std::vector<Step> steps = stepsAt(endpoints, model, "");
--- a/tests/support/record.h
+++ b/tests/support/record.h
@@ -26,6 +26,9 @@
 /// load to the end of the unload, by the engines' own record.
 std::uint64_t mostReplicasAtOnce(
     const std::vector<std::string>& endpoints, const std::string& model, const std::string& adapter = "");
+/// How many replicas they hold now, in whatever state.
+std::uint64_t replicasNow(
+    const std::vector<std::string>& endpoints, const std::string& model, const std::string& adapter = "");
 /// How many loads of the model began.
 std::uint64_t loadsOf(const std::vector<std::string>& endpoints, const std::string& model);
 
