--- a/src/policy/benchmarks/deployment.h
+++ b/src/policy/benchmarks/deployment.h
@@ -40,6 +40,9 @@
     std::uint32_t storeFullSpeedLoads = 4;
     framework::Milliseconds timeout { 0 };
     double coldStartWeight = 1;
+    /// Checkpoints that fit onto a server's disk and into its host memory, in accelerator memories.
+    double diskCache = 1.5;
+    double memoryCache = 0.6;
     Traffic traffic = Traffic::Sessions;
 };
 
--- a/src/policy/benchmarks/loadsimulation.cpp
+++ b/src/policy/benchmarks/loadsimulation.cpp
@@ -18,12 +18,9 @@
 
 using Seconds = std::chrono::duration<double>;
 
-constexpr double diskCacheAccelerators = 1.5;
-constexpr double memoryCacheAccelerators = 0.6;
 constexpr Milliseconds pumpAgain { 200 };
 constexpr Milliseconds wakeTime { 5 };
 constexpr Milliseconds leastAnswer { 1000 };
-constexpr double badWaitSeconds = 30;
 constexpr std::size_t rememberedUses = 8;
 
 /// What a load takes besides the store's transfer; the policies don't know these numbers.
@@ -208,7 +205,7 @@
 {
     ++reason;
     outcome_.coldWaits.push_back(Seconds(deployment_.timeout).count());
-    outcome_.lastBad = std::max(outcome_.lastBad, request.at);
+    outcome_.refusedAt.push_back(request.at);
 }
 
 void LoadSimulation::expire(const TraceRequest& request)
@@ -455,8 +452,6 @@
         waiting_.erase(request);
         const double waited = Seconds(now() - request->at).count();
         outcome_.coldWaits.push_back(waited);
-        if (waited > badWaitSeconds)
-            outcome_.lastBad = std::max(outcome_.lastBad, request->at);
         serve(*request);
     }
 }
@@ -575,8 +570,8 @@
         }
         cache.resize(kept);
     };
-    touch(server.diskCache, diskCacheAccelerators);
-    touch(server.memoryCache, memoryCacheAccelerators);
+    touch(server.diskCache, deployment_.diskCache);
+    touch(server.memoryCache, deployment_.memoryCache);
 }
 
 } // namespace lagoon::policy::benchmarks
--- a/src/policy/benchmarks/loadsimulation.h
+++ b/src/policy/benchmarks/loadsimulation.h
@@ -48,8 +48,8 @@
     std::size_t evictions = 0;
     std::size_t storeRefusals = 0;
     double idleAcceleratorHours = 0;
-    /// When the last request that was refused or waited over 30 s came; for recoveries.
-    framework::SteadyTime lastBad {};
+    /// When the refused requests came, for recoveries.
+    std::vector<framework::SteadyTime> refusedAt;
 
     double coldSecondsSum() const;
     /// Over all requests, a warm one waits 0.
--- a/src/policy/benchmarks/policybenchmark.cpp
+++ b/src/policy/benchmarks/policybenchmark.cpp
@@ -1,7 +1,9 @@
 #include "policy/benchmarks/baselines.h"
 #include "policy/benchmarks/loadsimulation.h"
+#include "policy/benchmarks/overloadbenchmark.h"
 #include "policy/policysetup.h"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <iostream>
@@ -89,6 +91,7 @@
 void add(Outcome& sum, const Outcome& one)
 {
     sum.coldWaits.insert(sum.coldWaits.end(), one.coldWaits.begin(), one.coldWaits.end());
+    sum.refusedAt.insert(sum.refusedAt.end(), one.refusedAt.begin(), one.refusedAt.end());
     sum.requests += one.requests;
     sum.served += one.served;
     sum.hopeless += one.hopeless;
@@ -128,6 +131,41 @@
     }
 }
 
+std::size_t refusedBetween(const Outcome& outcome, lagoon::framework::SteadyTime from, Minutes length)
+{
+    return static_cast<std::size_t>(std::count_if(outcome.refusedAt.begin(), outcome.refusedAt.end(),
+        [&](lagoon::framework::SteadyTime at) { return at >= from && at < from + length; }));
+}
+
+/// The metastable case: does the backlog clear once the store is as fast as before? Without disk caches, so that
+/// every load needs the store.
+void printStoreSlowdown(const Options& options)
+{
+    Deployment deployment = benchmarks::waitaha();
+    deployment.diskCache = 0;
+    deployment.memoryCache = 0;
+    const benchmarks::StoreSlowdown slowdown { benchmarks::traceStart + Hours(24 + 10),
+        benchmarks::traceStart + Hours(24 + 11), 0.05 };
+    std::printf("\nwaitaha without caches, store at 1/20 speed from 10:00 to 11:00 of the second day\n");
+    std::printf("%-18s %6s %6s %8s %7s | %s\n", "policy", "reqs", "loads", "hopeless", "expired",
+        "refused of those that came in the hour before, of the slowdown, in 15-minute steps after it");
+    for (const Contender& contender : contenders(true)) {
+        Outcome sum;
+        for (std::uint64_t seed = options.seed; seed < options.seed + options.seeds; ++seed) {
+            benchmarks::Random random(seed);
+            const auto targets = benchmarks::makeTargets(deployment, random);
+            const auto trace = benchmarks::makeTrace(deployment, targets, random);
+            add(sum, benchmarks::LoadSimulation(deployment, contender, targets, seed, slowdown).run(trace));
+        }
+        std::printf("%-18s %6zu %6zu %8zu %7zu | %5zu %5zu |", contender.name.c_str(), sum.requests, sum.loads,
+            sum.hopeless, sum.expired, refusedBetween(sum, slowdown.from - Hours(1), Hours(1)),
+            refusedBetween(sum, slowdown.from, Hours(1)));
+        for (int step = 0; step < 8; ++step)
+            std::printf(" %4zu", refusedBetween(sum, slowdown.to + Minutes(15 * step), Minutes(15)));
+        std::printf("\n");
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -154,5 +192,7 @@
     }
     compare(benchmarks::ekowe(), options);
     compare(benchmarks::waitaha(), options);
+    printStoreSlowdown(options);
+    benchmarks::printOverload(options.seed);
     return 0;
 }
--- a/src/policy/internal/loadforecast.cpp
+++ b/src/policy/internal/loadforecast.cpp
@@ -48,6 +48,11 @@
     return now + forecast.soonest + answer > deadline.at();
 }
 
+bool isLikelyTooLate(const LoadForecast& forecast, framework::Deadline deadline, framework::SteadyTime now)
+{
+    return now + forecast.latest > deadline.at();
+}
+
 framework::Milliseconds timeToComeBack(const LoadForecast& forecast, double random)
 {
     const double spread = 1 + comeBackSpread * random;
--- a/src/policy/loadforecast.h
+++ b/src/policy/loadforecast.h
@@ -37,6 +37,10 @@
 /// `answer` is the least time the answer itself takes.
 bool isHopeless(const LoadForecast&, framework::Deadline, framework::Milliseconds answer, framework::SteadyTime now);
 
+/// The same for a place in the queue of a running replica, where it errs the other way: a request that is started and
+/// then ends too late has taken the time of another one, so that past saturation hardly any would be in time.
+bool isLikelyTooLate(const LoadForecast&, framework::Deadline, framework::SteadyTime now);
+
 /// When to come back after a refusal: the load is likely to have ended. `random`, in [0, 1), spreads the callers over
 /// a fifth more, or all who were refused together would come back together.
 framework::Milliseconds timeToComeBack(const LoadForecast&, double random);
