--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -24,6 +24,7 @@
 #include "router/internal/wakes.h"
 #include "wire/linktransport.h"
 
+#include <algorithm>
 #include <cpprest/json.h>
 #include <future>
 
@@ -174,7 +175,10 @@
 {
     directory_.setEntries(vms);
     sessions_.endGone();
-    gate_.setLiveRouters(directory_.liveRouters());
+    const std::vector<VmName> routers = directory_.liveRouters();
+    const auto own = std::find(routers.begin(), routers.end(), settings_.identity.vm);
+    gate_.setLiveRouters(static_cast<std::uint32_t>(std::max<std::size_t>(1, routers.size())),
+        static_cast<std::uint32_t>(own - routers.begin()));
     hasVms_ = true;
 }
 
@@ -201,12 +205,7 @@
 /// One router of all sites; two for a moment do no harm.
 bool Router::Implementation::isKeySweeper() const
 {
-    std::vector<VmName> routers;
-    for (const framework::SiteName& site : directory_.sites()) {
-        for (const VmName& vm : directory_.routers(site))
-            routers.push_back(vm);
-    }
-    const std::vector<VmName> order = policy::rendezvousOrder("keys", routers);
+    const std::vector<VmName> order = policy::rendezvousOrder("keys", directory_.liveRouters());
     return !order.empty() && order.front() == settings_.identity.vm;
 }
 
--- a/src/router/internal/vmdirectory.cpp
+++ b/src/router/internal/vmdirectory.cpp
@@ -63,12 +63,14 @@
     return found;
 }
 
-std::uint32_t VmDirectory::liveRouters() const
+std::vector<VmName> VmDirectory::liveRouters() const
 {
-    std::uint32_t count = 0;
-    for (const auto& [vm, entry] : entries_)
-        count += entry.role == VmRole::Router && entry.state == VmState::Live;
-    return std::max(1U, count);
+    std::vector<VmName> live;
+    for (const auto& [vm, entry] : entries_) {
+        if (entry.role == VmRole::Router && entry.state == VmState::Live)
+            live.push_back(vm);
+    }
+    return live;
 }
 
 std::set<SiteName> VmDirectory::sites() const
--- a/src/router/internal/vmdirectory.h
+++ b/src/router/internal/vmdirectory.h
@@ -3,7 +3,6 @@
 #include "framework/types/ids.h"
 #include "platform/types/vmentry.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,8 +25,8 @@
     /// Live upstreams of the pools at the site that take work.
     std::vector<framework::VmName> upstreams(const std::vector<framework::PoolName>&, const framework::SiteName&) const;
     std::vector<framework::VmName> routers(const framework::SiteName&) const;
-    /// Of all sites; at least 1.
-    std::uint32_t liveRouters() const;
+    /// Of all sites, by name.
+    std::vector<framework::VmName> liveRouters() const;
     std::set<framework::SiteName> sites() const;
     bool isEmpty() const { return entries_.empty(); }
 
