Home asks an agent that vanished during a load again, as one that isn't ready

Cause: agent killed in mid-load and started anew; the waiting request was refused with link_lost the moment the link broke, although the new process carries the load on a second later.

--- a/src/router/internal/home.cpp
+++ b/src/router/internal/home.cpp
@@ -154,6 +154,8 @@
             candidate.isLoaded = bid.value().is_loaded;
             candidate.isLoading = bid.value().is_loading;
             candidate.bid = toPolicy(vm, bid.value());
+        } else {
+            candidate.bid.refusal = ErrorCode::NotReady;
         }
         if (search->awaited > 0)
             --search->awaited;
@@ -303,6 +305,11 @@
     }
     Error why { ErrorCode::LinkLost, "load", vm.value() };
     if (result.has_error()) {
+        // The agent may come back in a moment and go on with the load under its former process's claim.
+        for (Candidate& candidate : search->candidates) {
+            if (candidate.vm == vm)
+                candidate.bid.refusal = ErrorCode::NotReady;
+        }
         why = result.error();
         why.execution = framework::Execution::NotRun;
     } else {
