--- a/tests/integration/agentfailures_test.cpp
+++ b/tests/integration/agentfailures_test.cpp
@@ -42,6 +42,14 @@
         return json.is_object() && json.has_field(key) ? json.at(key).serialize() : "";
     }
 
+    /// Kills the agent and starts it anew at the same endpoint, as a VM's fixed settings do.
+    void restartAgent()
+    {
+        agent().options.moreSettings["link"] = web::json::value::string(agent().agent->readyText("link"));
+        agent().agent->kill();
+        deployment.restartAgent("gpu-1");
+    }
+
     UpstreamVm& agent() { return deployment.upstream("gpu-1"); }
     std::vector<std::string> engines() { return deployment.upstreams(UpstreamKind::Engine); }
 
@@ -59,8 +67,7 @@
     start(true);
     PendingCall waiting(completion("policy", "may this university have a block"));
     waitFor("the load begins", [this] { return loadsOf(engines(), "policy") == 1; });
-    agent().agent->kill();
-    deployment.restartAgent("gpu-1");
+    restartAgent();
     BOOST_TEST(completionText(waiting.answer()) == "may this university have a block");
     BOOST_TEST(loadsOf(engines(), "policy") == 1);
     BOOST_TEST(violationsAt(engines()).empty());
@@ -75,8 +82,7 @@
     setFaults(agent().upstream(), R"({"late_loads":{"count":1,"delay_ms":)" + std::to_string(lateLoadMs) + "}}");
     PendingCall first(completion("policy", "first"));
     waitFor("the order is on its way", [this] { return status("replicas").find("\"loading\"") != std::string::npos; });
-    agent().agent->kill();
-    deployment.restartAgent("gpu-1");
+    restartAgent();
     PendingCall second(completion("notes", "second"));
     BOOST_TEST(completionText(second.answer()) == "second");
     static_cast<void>(first.answer());
@@ -128,8 +134,7 @@
     setFaults(agent().upstream(), R"({"slow_token_ms":20})");
     PendingCall streaming(completion("policy", "draft of a decision", 200));
     waitFor("the answer begins", [&streaming] { return streaming.bodySoFar().find("draft") != std::string::npos; });
-    agent().agent->kill();
-    deployment.restartAgent("gpu-1");
+    restartAgent();
     BOOST_TEST(!streaming.answer().isWhole());
     setFaults(agent().upstream(), R"({"slow_token_ms":0})");
     BOOST_TEST(completionText(call(completion("policy", "the next one"))) == "the next one");
