Operators' commands with real processes; listeners poll each 6 to 12 s

operators_tests showed an agent whose models were idle 26 s late with a new bundle: no router had a link to it, so it found out by its poll of 20 to 40 s. Ruled out: routers that open links only to tell, a full mesh.

--- a/src/bundle/bundlewatch.h
+++ b/src/bundle/bundlewatch.h
@@ -11,7 +11,7 @@
 
 namespace lagoon::bundle {
 
-/// Routers watch the head with one waiting call each; agents hear of new versions from routers, and poll rarely.
+/// Routers watch the head with one waiting call each; agents hear of new versions from routers, or poll.
 enum class HeadMode : std::uint8_t { Watch, Listen };
 
 /// Waiting times; the defaults are the product's, tests use shorter ones.
@@ -19,8 +19,9 @@
     /// One waiting call. A watch whose connection went silent is found out after it, so it bounds how late a router is.
     framework::Milliseconds watch { 8000 };
     /// Between a listener's reads of the head while nobody tells it of a newer version; each is drawn from two thirds
-    /// to four thirds of it.
-    framework::Milliseconds poll { 30000 };
+    /// to four thirds of it. An agent whose models are idle is spoken to by nobody, and has to drain what a new bundle
+    /// lowers all the same, so this bounds how late an agent is.
+    framework::Milliseconds poll { 9000 };
     /// Before a newer bundle is read each process waits for a time drawn from zero to this per part of its present
     /// bundle, so that the fleet doesn't read in one moment: large fleets have large bundles.
     framework::Milliseconds spreadPerPart { 250 };
--- a/src/bundle/internal/bundlewatch.cpp
+++ b/src/bundle/internal/bundlewatch.cpp
@@ -93,8 +93,9 @@
             return readHead(stop);
         if (mode_ == HeadMode::Watch)
             return watchHead(stop);
-        waitToBeTold(stop);
-        spreadReads(stop);
+        // Polls are spread by themselves.
+        if (waitToBeTold(stop))
+            spreadReads(stop);
         if (stop.stop_requested())
             return framework::success();
         return readHead(stop);
@@ -189,11 +190,11 @@
         pause(drawn(Milliseconds(0), std::min(times_.spreadPerPart * parts, times_.longestSpread)), stop);
     }
 
-    void waitToBeTold(const std::stop_token& stop)
+    bool waitToBeTold(const std::stop_token& stop)
     {
         const Milliseconds wait = drawn(times_.poll * 2 / 3, times_.poll * 4 / 3);
         std::unique_lock lock(mutex_);
-        wake_.wait_for(lock, stop, wait, [this] { return heard_ > inForce(); });
+        return wake_.wait_for(lock, stop, wait, [this] { return heard_ > inForce(); });
     }
 
     void pause(Milliseconds wait, const std::stop_token& stop)
--- /dev/null
+++ b/tests/integration/operators_test.cpp
@@ -0,0 +1,184 @@
+#include "support/bundlebuilder.h"
+#include "support/deployment.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon::testsupport;
+
+namespace {
+
+/// Two sites with a router each, an engine at the old one, and an operator's shell.
+struct Operators {
+    Operators()
+    {
+        deployment.addUpstream("gpu-1", { .standinWords = { "--memory-mib", "1000" } });
+        deployment.addRouter("entry-1");
+        deployment.addRouter("entry-2", { .place = { "new", "b" } });
+    }
+
+    static std::string bundleText(std::uint64_t version, std::uint32_t replicas = 1)
+    {
+        return BundleBuilder(version)
+            .enginePool("engines", "old", 1000)
+            .model("policy", 700, { "engines" }, { { "old", replicas } })
+            .text();
+    }
+
+    std::string file(const std::string& name, const std::string& text)
+    {
+        const std::string path = deployment.folder().file(name);
+        writeFile(path, text);
+        return path;
+    }
+
+    /// Runs a command; its words and, if it works at the platform, where that is.
+    int run(std::vector<std::string> words) { return deployment.runCommand(words, &output); }
+    std::vector<std::string> atPlatform(std::vector<std::string> words, const std::string& operatorName = "")
+    {
+        words.insert(words.end(), { "--platform", "http://" + deployment.platform() });
+        if (!operatorName.empty())
+            words.insert(words.end(), { "--operator", operatorName });
+        return words;
+    }
+    int signOff(std::uint64_t version, std::uint32_t replicas = 1)
+    {
+        const std::string path = file(std::to_string(version) + ".json", bundleText(version, replicas));
+        return run(atPlatform({ "bundle", "sign-off", path }, "ada"));
+    }
+    int rollOut(std::uint64_t version, const std::string& operatorName = "ada")
+    {
+        return run(atPlatform({ "bundle", "roll-out", std::to_string(version) }, operatorName));
+    }
+    /// 0 once both routers and the agent have the head's version in force.
+    int status()
+    {
+        return run(atPlatform({ "bundle", "status", "--process", deployment.router("entry-1").ops(), "--process",
+            deployment.router("entry-2").ops(), "--process", deployment.upstream("gpu-1").ops() }));
+    }
+    bool shows(const std::string& text) const { return output.find(text) != std::string::npos; }
+
+    Deployment deployment;
+    /// Of the last command.
+    std::string output;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(OperatorsCommands, Operators)
+
+BOOST_AUTO_TEST_CASE(badWordsAndFilesExitWithTwoAndEachCommandHasHelp)
+{
+    const std::vector<std::vector<std::string>> commands { { "bundle", "check" }, { "bundle", "sign-off" },
+        { "bundle", "roll-out" }, { "bundle", "status" }, { "claim", "release" }, { "settings", "check" }, { "router" },
+        { "agent" }, { "bundle" }, { "claim" }, { "settings" } };
+    for (std::vector<std::string> words : commands) {
+        BOOST_TEST_INFO(words.back());
+        BOOST_TEST(run(words) == 2);
+        words.emplace_back("--help");
+        BOOST_TEST(run(words) == 0);
+        BOOST_TEST(shows("usage: lagoonrouter " + words.front()), output);
+    }
+    const std::string bad = file("bad.json", R"({"format":1,"version":1,"models":[{"name":"a"}]})");
+    BOOST_TEST(run(atPlatform({ "bundle", "sign-off", bad }, "ada")) == 2);
+    BOOST_TEST(shows("bad.json: bad_bundle: key \"models[0].version\""), output);
+    BOOST_TEST(run({ "bundle", "check", "missing.json" }) == 2);
+    BOOST_TEST(run({ "bundle", "roll-out", "1", "--platform", "http://x/y", "--operator", "ada" }) == 2);
+    BOOST_TEST(run({ "settings", "check", file("s.json", R"({"role":"agent","vm":3})") }) == 2);
+    BOOST_TEST(shows("key \"vm\""), output);
+    BOOST_TEST(run(atPlatform({ "bundle", "status" })) == 0);
+    BOOST_TEST(shows("none was rolled out"), output);
+}
+
+BOOST_AUTO_TEST_CASE(aRolledOutBundleIsInForceAtEveryProcess)
+{
+    BOOST_TEST(signOff(1) == 0);
+    BOOST_TEST(rollOut(1) == 0);
+    BOOST_TEST(isReached([&] { return status() == 0; }));
+    BOOST_TEST(signOff(2, 0) == 0);
+    BOOST_TEST(rollOut(2, "bob") == 0);
+    BOOST_TEST(shows("1 replica counts lowered"), output);
+    BOOST_TEST(isReached([&] { return status() == 0; }));
+    BOOST_TEST(shows("bundle: version 2, rolled out by bob"), output);
+    BOOST_TEST(rollOut(1) == 1);
+    BOOST_TEST(shows("version 2 is in force, rolled out by bob"), output);
+}
+
+// Two operators each believe that their bundle is in force. Both rolled out in the same moment.
+BOOST_AUTO_TEST_CASE(ofOperatorsThatRaceOneWinsAndEachOtherIsToldByWhom)
+{
+    constexpr std::uint64_t operators = 4;
+    for (std::uint64_t version = 1; version <= operators; ++version)
+        BOOST_TEST(signOff(version) == 0);
+    std::vector<std::unique_ptr<ChildProcess>> racers;
+    for (std::uint64_t version = 1; version <= operators; ++version) {
+        const std::string name = "operator-" + std::to_string(version);
+        const auto words = atPlatform({ "bundle", "roll-out", std::to_string(version) }, name);
+        racers.push_back(
+            std::make_unique<ChildProcess>(name, pathOf(Program::Lagoonrouter), words, deployment.folder()));
+    }
+    std::uint64_t highestWinner = 0;
+    for (const auto& racer : racers) {
+        const int exitCode = racer->waitForExit();
+        BOOST_TEST((exitCode == 0 || exitCode == 1));
+        if (exitCode == 1)
+            BOOST_TEST(racer->log().find("is in force, rolled out by operator-") != std::string::npos, racer->log());
+        else
+            highestWinner = std::max<std::uint64_t>(highestWinner, std::stoul(racer->name().substr(9)));
+    }
+    BOOST_TEST(isReached([&] { return status() == 0; }));
+    BOOST_TEST(shows("bundle: version " + std::to_string(highestWinner) + ", rolled out by operator-"), output);
+}
+
+// An operator is told that the roll-out failed, and the bundle is in force all the same. The platform wrote, and its
+// answer was lost.
+BOOST_AUTO_TEST_CASE(lostAnswersOfTheHeadAreSettled)
+{
+    BOOST_TEST(signOff(1) == 0);
+    setFaults(deployment.platform(), R"({"lose_answers":{"count":2,"prefix":"bundle"}})");
+    BOOST_TEST(rollOut(1) == 0);
+    setFaults(deployment.platform(), R"({"lose_answers":{"count":1,"prefix":"replicas"}})");
+    BOOST_TEST(signOff(2, 0) == 0);
+    BOOST_TEST(rollOut(2) == 0);
+    BOOST_TEST(isReached([&] { return status() == 0; }));
+}
+
+// A router that starts while the platform is down must become ready once it is back, and never serve an older bundle.
+BOOST_AUTO_TEST_CASE(aRouterThatStartsInAnOutageIsNotReadyAndThenHasTheBundle)
+{
+    BOOST_TEST(signOff(1) == 0);
+    BOOST_TEST(rollOut(1) == 0);
+    BOOST_TEST(isReached([&] { return status() == 0; }));
+    setFaults(deployment.platform(), R"({"mode":"refuse"})");
+    deployment.router("entry-2").process->kill();
+    deployment.restartRouter("entry-2");
+    BOOST_TEST(getFrom(deployment.router("entry-2").ops(), "/readyz").status == 503);
+    BOOST_TEST(getFrom(deployment.router("entry-1").ops(), "/readyz").status == 200);
+    setFaults(deployment.platform(), R"({"mode":"up"})");
+    deployment.waitUntilReady();
+    BOOST_TEST(status() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(aClaimOfALostVmIsReleasedWithItsReason)
+{
+    const std::string object = R"({"decided":1,"bundle_version":1,"holders":[{"vm":"gpu-9","incarnation":5,)"
+                               R"("nonce":"n","state":"loaded"}],"releases":[]})";
+    const HttpAnswer stored = call({ .method = "PUT",
+        .url = urlOf(deployment.platform(), "/v1/objects/replicas/old/policy"),
+        .body = object,
+        .headers = { { "If-None-Match", "*" } } });
+    BOOST_REQUIRE(stored.status == 200);
+    const std::vector<std::string> release { "claim", "release", "--site", "old", "--model", "policy", "--vm", "gpu-9",
+        "--reason", "its host burnt down" };
+    std::vector<std::string> tooShort = release;
+    tooShort.back() = "burnt";
+    BOOST_TEST(run(atPlatform(tooShort, "ada")) == 2);
+    BOOST_TEST(run(atPlatform(release, "ada")) == 0);
+    BOOST_TEST(run(atPlatform(release, "ada")) == 1);
+    BOOST_TEST(run(atPlatform({ "bundle", "status" })) == 0);
+    BOOST_TEST(shows("claimed 0"), output);
+    BOOST_TEST(shows("gpu-9 released by ada"), output);
+    BOOST_TEST(shows("its host burnt down"), output);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
