--- a/tests/integration/operators_test.cpp
+++ b/tests/integration/operators_test.cpp
@@ -27,7 +27,7 @@
 
     std::string file(const std::string& name, const std::string& text)
     {
-        const std::string path = deployment.folder().file(name);
+        std::string path = deployment.folder().file(name);
         writeFile(path, text);
         return path;
     }
