Unknown keys of a router's limits are refused; tests of backoff, budget, settings

settings check called {"limits": {"tpyo": 1}} good settings of a router: the section was never finished, so its unknown keys went unnoticed. The case in operators_tests failed (exit code 0) before the change in callers and passes now.

--- a/src/callers/internal/callersettings.cpp
+++ b/src/callers/internal/callersettings.cpp
@@ -26,6 +26,8 @@
         = section.numberOr("answer_backlog_bytes", limits.answerBacklogBytes, 1024, 256 * mebibyte);
     limits.longestTimeout = framework::Milliseconds(
         section.numberOr("longest_timeout_ms", limits.longestTimeout.count(), 1, dayInMilliseconds));
+    // A part's unknown keys are its own to find.
+    (void)section.finish();
     return limits;
 }
 
--- /dev/null
+++ b/src/platform/tests/limits_test.cpp
@@ -0,0 +1,73 @@
+#include "platform/backoff.h"
+#include "platform/internal/callbudget.h"
+#include "platform/platformsettings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace lagoon::platform;
+using framework::ErrorCode;
+using framework::Milliseconds;
+
+namespace {
+
+constexpr std::uint64_t seed = 7;
+
+std::string faultOf(const std::string& platformJson)
+{
+    const auto json = framework::parseJson("{\"platform\":" + platformJson + "}", "s.json", ErrorCode::BadSettings);
+    framework::CheckedObject settings(json.value(), "s.json", "", ErrorCode::BadSettings);
+    (void)readPlatformSettings(settings);
+    const auto result = settings.finish();
+    return result ? "" : result.error().detail;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformLimits)
+
+BOOST_AUTO_TEST_CASE(waitsDoubleUpToTheLimitAndAreNeverShorterThanAskedFor)
+{
+    Backoff backoff(Milliseconds(100), Milliseconds(400), seed);
+    for (const std::int64_t range : { 100, 200, 400, 400 }) {
+        const std::int64_t wait = backoff.next().count();
+        BOOST_TEST(wait >= range / 2);
+        BOOST_TEST(wait <= range);
+    }
+    BOOST_TEST(backoff.next(Milliseconds(3000)).count() >= 3200);
+    backoff.reset();
+    BOOST_TEST(backoff.next().count() <= 100);
+}
+
+BOOST_AUTO_TEST_CASE(theBudgetAllowsABurstAndThenItsRate)
+{
+    const framework::SteadyTime start {};
+    CallBudget budget(10, 2, start);
+    BOOST_TEST(!budget.take(start).has_value());
+    BOOST_TEST(!budget.take(start).has_value());
+    BOOST_TEST(budget.take(start).value().count() == 100);
+    BOOST_TEST(budget.take(start + Milliseconds(60)).value().count() == 40);
+    BOOST_TEST(!budget.take(start + Milliseconds(101)).has_value());
+    BOOST_TEST(budget.take(start + Milliseconds(101)).has_value());
+    // A long quiet time earns no more than the burst.
+    const framework::SteadyTime later = start + std::chrono::hours(1);
+    BOOST_TEST(!budget.take(later).has_value());
+    BOOST_TEST(!budget.take(later).has_value());
+    BOOST_TEST(budget.take(later).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(settingsAreCheckedByKey)
+{
+    BOOST_TEST(faultOf(R"({"url":"http://127.0.0.1:1"})").empty());
+    BOOST_TEST(faultOf(R"({"url":"http://127.0.0.1:1/x"})").find("platform.url") != std::string::npos);
+    BOOST_TEST(faultOf(R"({"url":"127.0.0.1:1"})").find("platform.url") != std::string::npos);
+    BOOST_TEST(faultOf("{}").find("platform.url") != std::string::npos);
+    BOOST_TEST(faultOf("3").find("platform") != std::string::npos);
+    const std::string withUrl = R"({"url":"http://127.0.0.1:1",)";
+    BOOST_TEST(faultOf(withUrl + R"("call_timeout_ms":0})").find("platform.call_timeout_ms") != std::string::npos);
+    BOOST_TEST(faultOf(withUrl + R"("calls_per_second":-1})").find("platform.calls_per_second") != std::string::npos);
+    BOOST_TEST(faultOf(withUrl + R"("call_burst":0.5})").find("platform.call_burst") != std::string::npos);
+    BOOST_TEST(faultOf(withUrl + R"("tpyo":1})").find("platform.tpyo") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/integration/operators_test.cpp
+++ b/tests/integration/operators_test.cpp
@@ -56,6 +56,14 @@
         return run(atPlatform({ "bundle", "status", "--process", deployment.router("entry-1").ops(), "--process",
             deployment.router("entry-2").ops(), "--process", deployment.upstream("gpu-1").ops() }));
     }
+    /// `settings check` of otherwise good settings of this role refuses them with this fault.
+    void checkSettings(const std::string& role, const std::string& more, const std::string& fault)
+    {
+        const std::string text = R"({"role":")" + role + R"(","vm":"a","site":"old","failure_domain":"a",)"
+            + R"("link":"127.0.0.1:0","ops":"127.0.0.1:0","platform":{"url":"http://127.0.0.1:1"},)" + more + "}";
+        BOOST_TEST(run({ "settings", "check", file("settings.json", text) }) == 2);
+        BOOST_TEST(shows(fault), output);
+    }
     bool shows(const std::string& text) const { return output.find(text) != std::string::npos; }
 
     Deployment deployment;
@@ -86,6 +94,12 @@
     BOOST_TEST(run({ "bundle", "roll-out", "1", "--platform", "http://x/y", "--operator", "ada" }) == 2);
     BOOST_TEST(run({ "settings", "check", file("s.json", R"({"role":"agent","vm":3})") }) == 2);
     BOOST_TEST(shows("key \"vm\""), output);
+    checkSettings("router", R"("callers":"127.0.0.1:0","limits":{"tpyo":1})", "key \"limits.tpyo\": unknown key");
+    checkSettings("router", R"("callers":"127.0.0.1:0","dispatch":{"tpyo":1})", "key \"dispatch.tpyo\": unknown key");
+    checkSettings("agent", R"("pool":"p","upstream":{"url":"http://127.0.0.1:1","tpyo":1})",
+        "key \"upstream.tpyo\": unknown key");
+    checkSettings("agent", R"("pool":"p","upstream":{"url":"http://127.0.0.1:1"},"limits":{"tpyo":1})",
+        "key \"limits.tpyo\": unknown key");
     BOOST_TEST(run(atPlatform({ "bundle", "status" })) == 0);
     BOOST_TEST(shows("none was rolled out"), output);
 }
