--- a/src/policy/benchmarks/deployment.h
+++ b/src/policy/benchmarks/deployment.h
@@ -40,6 +40,9 @@
     std::uint32_t storeFullSpeedLoads = 4;
     framework::Milliseconds timeout { 0 };
     double coldStartWeight = 1;
+    /// Checkpoints that fit onto a server's disk and into its host memory, in accelerator memories.
+    double diskCache = 1.5;
+    double memoryCache = 0.6;
     Traffic traffic = Traffic::Sessions;
 };
 
@@ -72,4 +75,8 @@
 /// Requests of `traceDays` alike days in the order of time.
 std::vector<TraceRequest> makeTrace(const Deployment&, const std::vector<Target>&, Random&);
 
+/// Everything at once, as after the loss of a failure domain: each model gets a few requests within half a minute, with
+/// deadlines of half a minute to three minutes; a fifth is of high priority.
+std::vector<TraceRequest> makeStorm(const Deployment&, Random&);
+
 } // namespace lagoon::policy::benchmarks
