--- a/src/policy/benchmarks/loadsimulation.cpp
+++ b/src/policy/benchmarks/loadsimulation.cpp
@@ -199,8 +199,7 @@
     LoadQueue queue;
     if (nearest == CheckpointPlace::Remote) {
         queue.running = home.share->running();
-        for (const auto& [other, waiting] : home.wanted)
-            queue.ahead += !waiting.isStarted && waiting.pending.since < wanted.pending.since ? 1 : 0;
+        queue.ahead = loadsAhead(home, target);
         queue.places = home.share->places();
         queue.loadsPerSecond = deployment_.storeLoadsPerSecond;
         queue.each = own;
@@ -208,6 +207,17 @@
     return policy::isHopeless(forecastWaiting(own, queue), request.deadline, leastAnswer, now());
 }
 
+std::uint32_t LoadSimulation::loadsAhead(const Home& home, std::size_t target) const
+{
+    std::set<std::size_t> passed;
+    while (const auto next = nextLoad(home, passed)) {
+        if (*next == target)
+            break;
+        passed.insert(*next);
+    }
+    return static_cast<std::uint32_t>(passed.size());
+}
+
 void LoadSimulation::refuse(const TraceRequest& request, std::size_t& reason)
 {
     ++reason;
@@ -280,7 +290,7 @@
     }
 }
 
-std::optional<std::size_t> LoadSimulation::nextLoad(Home& home, const std::set<std::size_t>& blocked) const
+std::optional<std::size_t> LoadSimulation::nextLoad(const Home& home, const std::set<std::size_t>& blocked) const
 {
     std::vector<PendingLoad> pending;
     std::vector<std::size_t> targets;
--- a/src/policy/benchmarks/loadsimulation.h
+++ b/src/policy/benchmarks/loadsimulation.h
@@ -119,13 +119,14 @@
     void finishRequest(std::size_t target);
     void wait(const TraceRequest&);
     bool isHopeless(Home&, const Wanted&, std::size_t target, const TraceRequest&) const;
+    std::uint32_t loadsAhead(const Home&, std::size_t target) const;
     void refuse(const TraceRequest&, std::size_t& reason);
     void expire(const TraceRequest&);
 
     void pump(std::size_t home);
     void reviewWaiting(Home&);
     void planPump(std::size_t home, framework::Milliseconds delay);
-    std::optional<std::size_t> nextLoad(Home&, const std::set<std::size_t>& blocked) const;
+    std::optional<std::size_t> nextLoad(const Home&, const std::set<std::size_t>& blocked) const;
     bool tryStart(std::size_t home, std::size_t target);
     LoadBid bid(const Home&, std::size_t server, std::size_t target) const;
     CheckpointPlace checkpoint(std::size_t server, std::size_t target) const;
--- a/src/policy/internal/loadorder.cpp
+++ b/src/policy/internal/loadorder.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace lagoon::policy {
 
@@ -10,34 +9,37 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// A step of priority is worth this much slack.
-constexpr double secondsPerPriority = 10;
-/// A load that comes too late for its deadline is put back by this much.
-constexpr double hopelessPenaltySeconds = 120;
+constexpr double assumedLoadSeconds = 20;
+/// A load's value grows with the square of its waiting over this, so that nothing waits forever.
+constexpr double agingSeconds = 30;
+/// What is left of the value of a load that ends after its earliest deadline; others may wait for it longer.
+constexpr double lateShare = 0.1;
 
-/// In seconds; the least goes first.
-double rank(const PendingLoad& load, framework::SteadyTime now)
+/// Callers served per second of the store's place, the greatest first.
+double value(const PendingLoad& load, framework::SteadyTime now)
 {
-    const double slack = Seconds(load.earliestDeadline.at() - now - load.expectedLoad).count();
-    const double crowd = 1 + std::log2(std::max<std::uint32_t>(1, load.waiters));
-    const double waited = Seconds(now - load.since).count();
-    const double urgency = slack >= 0 ? slack / crowd : hopelessPenaltySeconds;
-    return urgency - waited - secondsPerPriority * load.priority;
+    const double expected = load.expectedLoad.count() > 0 ? Seconds(load.expectedLoad).count() : assumedLoadSeconds;
+    const double waited = std::max(0.0, Seconds(now - load.since).count());
+    const double crowd = std::sqrt(std::max<std::uint32_t>(1, load.waiters));
+    const double aging = std::pow(1 + waited / agingSeconds, 2);
+    const double slack = Seconds(load.earliestDeadline.at() - now).count() - expected;
+    // The nearer the deadline, up to twice the value.
+    const double urgency = slack < 0 ? lateShare : 1 + expected / (expected + slack);
+    return (1 + load.priority) * crowd / expected * aging * urgency;
 }
 
 } // namespace
 
-std::optional<std::size_t> UrgencyLoadOrder::next(
-    const std::vector<PendingLoad>& loads, framework::SteadyTime now) const
+std::optional<std::size_t> ValueLoadOrder::next(const std::vector<PendingLoad>& loads, framework::SteadyTime now) const
 {
     std::optional<std::size_t> best;
-    double least = std::numeric_limits<double>::infinity();
+    double greatest = 0;
     for (std::size_t index = 0; index < loads.size(); ++index) {
-        const double value = rank(loads[index], now);
-        if (best && value >= least)
+        const double worth = value(loads[index], now);
+        if (best && worth <= greatest)
             continue;
         best = index;
-        least = value;
+        greatest = worth;
     }
     return best;
 }
--- a/src/policy/internal/loadorder.h
+++ b/src/policy/internal/loadorder.h
@@ -4,9 +4,10 @@
 
 namespace lagoon::policy {
 
-/// Least slack first, scaled by those who wait for the load and shifted by their priority. Waiting lowers the
-/// value without bound, so nothing starves. A load that can't end before its deadline goes after those that can.
-class UrgencyLoadOrder final : public ILoadOrder {
+/// Greatest value per second of the store's place first: priority and callers waiting over the expected load time, up
+/// to twice as much for the nearest deadlines, little if the earliest can't be met. Waiting raises the value without
+/// bound, so nothing starves.
+class ValueLoadOrder final : public ILoadOrder {
 public:
     std::optional<std::size_t> next(const std::vector<PendingLoad>&, framework::SteadyTime now) const override;
 };
--- a/src/policy/internal/policysetup.cpp
+++ b/src/policy/internal/policysetup.cpp
@@ -22,6 +22,6 @@
     return std::make_unique<SkiRentalKeepWarm>(numbers.coldStartWeight);
 }
 
-std::unique_ptr<ILoadOrder> makeLoadOrder(const bundle::PolicyNumbers&) { return std::make_unique<UrgencyLoadOrder>(); }
+std::unique_ptr<ILoadOrder> makeLoadOrder(const bundle::PolicyNumbers&) { return std::make_unique<ValueLoadOrder>(); }
 
 } // namespace lagoon::policy
