--- a/src/agent/internal/replicacontroller.cpp
+++ b/src/agent/internal/replicacontroller.cpp
@@ -20,7 +20,11 @@
 
 constexpr std::size_t recentUsesKept = 8;
 constexpr Milliseconds retryWhenBusy { 1000 };
+/// Longer than a request takes from its router to here once the load was reported.
+constexpr Milliseconds firstUseGrace { 5000 };
 constexpr Milliseconds retryWhenFull { 2000 };
+/// Calls for the engine's state that failed in a row before it is taken to be away.
+constexpr std::uint32_t failuresBelieved = 3;
 
 Error refusal(ErrorCode code, const ReplicaId& id, std::string detail, Milliseconds retryAfter)
 {
@@ -96,7 +100,14 @@
     advance();
 }
 
-void ReplicaController::beginDraining() { isDraining_ = true; }
+void ReplicaController::beginDraining()
+{
+    isDraining_ = true;
+    for (auto& [id, replica] : replicas_) {
+        for (const LoadWaiter& waiter : std::exchange(replica.waiters, {}))
+            waiter.done(refusal(ErrorCode::Draining, id, "the agent shuts down", Milliseconds(0)));
+    }
+}
 
 void ReplicaController::load(const ReplicaId& id, Deadline deadline, LoadDone done)
 {
@@ -144,9 +155,11 @@
         return unknown(ErrorCode::UnknownAdapter, id, "not in the bundle");
     if (decidedOf(id).decided == 0 || decidedOf(id.ofModel()).decided == 0)
         return unknown(ErrorCode::ReplicaCapReached, id, "no replica decided at this site");
+    if (engineFailures_ >= failuresBelieved)
+        return refusal(ErrorCode::NotReady, id, "the engine doesn't answer", retryWhenBusy);
     const Replica* replica = find(id);
     if (replica && replica->stage == ReplicaStage::Draining && !replica->reloadsAfterUnload)
-        return refusal(ErrorCode::NoCapacity, id, "it is being unloaded", retryWhenBusy);
+        return refusal(ErrorCode::NotReady, id, "it is being unloaded", retryWhenBusy);
     if (replica)
         return std::nullopt;
     const policy::LoadTimeEstimate expected = expectedLoad(id);
@@ -208,6 +221,7 @@
         ++model->uses;
     for (Replica* used : { replica, model }) {
         used->lastUsed = now;
+        used->wasUsed = true;
         if (used == model && model == replica && !used->recentUses.empty() && used->recentUses.back() == now)
             continue;
         used->recentUses.push_back(now);
@@ -247,7 +261,8 @@
         if (Replica* replica = find(id))
             step(*replica, now);
     }
-    makeRoom(now);
+    if (!isDraining_)
+        makeRoom(now);
     publish(now);
     if (isInTransition() && !isPollingFast_)
         pollEngine();
@@ -257,6 +272,8 @@
 {
     if (replica.isBusy || !replica.retryAt.hasPassed(now) || !isOpen() || !bundle_)
         return;
+    if (isDraining_ && replica.stage != ReplicaStage::Releasing)
+        return;
     switch (replica.stage) {
     case ReplicaStage::WaitingForModel: {
         const Replica* model = find(replica.id.ofModel());
@@ -358,6 +375,10 @@
             continue;
         if (!id.isAdapter() && hasAdapters(id.model))
             continue;
+        // Guards against loading for nobody, again and again: those for whom it was loaded hear of it only now, and
+        // where loads are short the policy would have it gone before their requests arrive.
+        if (!replica.wasUsed && !Deadline::after(replica.since, firstUseGrace).hasPassed(now))
+            continue;
         if (keepWarm_->keepUntil(viewOf(replica), account_.total()).hasPassed(now))
             drain(replica, "idle");
     }
@@ -459,6 +480,7 @@
     framework::logInfo("agent", "loaded " + replicaText(replica.id));
     setStage(replica, ReplicaStage::Loaded);
     replica.lastUsed = now;
+    replica.wasUsed = false;
     replica.needsConfirm = true;
     replica.mayArriveLate = false;
     replica.reloadsAfterUnload = false;
@@ -548,12 +570,16 @@
     return needed;
 }
 
-/// Memory of replicas on their way out, less what loads that wait for memory already count on.
+/// Memory of replicas on their way out, and of those that a former process left and nobody waits for: once they have
+/// settled they are gone or can be unloaded.
 std::uint64_t ReplicaController::memoryComing() const
 {
     std::uint64_t coming = 0;
     for (const auto& [id, replica] : replicas_) {
-        if (replica.stage == ReplicaStage::Draining || replica.stage == ReplicaStage::Unloading)
+        const bool isLeaving = replica.stage == ReplicaStage::Draining || replica.stage == ReplicaStage::Unloading;
+        const bool isUnsettled = replica.stage == ReplicaStage::Settling || replica.stage == ReplicaStage::Loading
+            || (replica.stage == ReplicaStage::Loaded && !replica.isClaimed && replica.uses == 0);
+        if (isLeaving || (isUnsettled && !isWanted(replica)))
             coming += replica.memory.value();
     }
     return coming;
@@ -566,7 +592,7 @@
         if (replica.stage != ReplicaStage::Loaded)
             continue;
         policy::LoadedReplica view = viewOf(replica);
-        const bool isAwaited = id == spared.ofModel() || !replica.isClaimed || replica.isBusy;
+        const bool isAwaited = id == spared.ofModel() || !replica.isClaimed;
         if (isAwaited)
             view.running = std::max<std::uint32_t>(1, view.running);
         views.push_back(std::move(view));
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -1,5 +1,9 @@
 #include "support/deployment.h"
 
+#include "bundle/bundletext.h"
+#include "bundle/rollout.h"
+#include "platform/platformclient.h"
+
 #include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <iostream>
@@ -38,8 +42,19 @@
 bool hasTestFailed()
 {
     namespace unittest = boost::unit_test;
+    if (std::uncaught_exceptions() > 0)
+        return true;
+    // Benchmarks and the demonstration use this too, without a test.
+    if (!unittest::framework::test_in_progress())
+        return false;
     const auto& test = unittest::framework::current_test_case();
-    return std::uncaught_exceptions() > 0 || !unittest::results_collector.results(test.p_id).passed();
+    return !unittest::results_collector.results(test.p_id).passed();
+}
+
+template <typename Value> void throwIfFailed(const framework::Result<Value>& result)
+{
+    if (result.has_error())
+        throw std::runtime_error(framework::describe(result.error()));
 }
 
 void printLog(const ChildProcess* process)
@@ -207,6 +222,19 @@
     sendJson("PUT", platform(), "/standin/vms", body);
 }
 
+void Deployment::rollOut(const std::string& bundleText)
+{
+    const bundle::OperatorAct act { "tester", "2026-12-02T20:00:00Z" };
+    const auto deadline = framework::Deadline::after(std::chrono::steady_clock::now(), generousLimit);
+    platform::PlatformSettings settings;
+    settings.url = urlOf(platform(), "");
+    const auto client = platform::makePlatformClient(settings, std::make_shared<framework::Metrics>());
+    const auto bundle = bundle::parseBundle(bundleText, "test");
+    throwIfFailed(bundle);
+    throwIfFailed(bundle::signOff(*client.store, bundle.value(), act, deadline));
+    throwIfFailed(bundle::rollOut(*client.store, bundle.value().version, act, deadline));
+}
+
 void Deployment::waitUntilReady()
 {
     for (const auto& entry : routers_) {
