--- a/src/policy/tests/benchmark_check.cmake
+++ b/src/policy/tests/benchmark_check.cmake
@@ -1,5 +1,5 @@
-# Runs the benchmark over a small trace (BENCHMARK, ARGUMENTS) and checks that its output is well-formed: each row of a
-# table has as many numbers as its head names, and each deployment has a row for each policy. No figure is judged.
+# Runs a benchmark (BENCHMARK, ARGUMENTS) and checks that its output is well-formed: it ends well, has each of the WANTED
+# patterns, and no value that isn't a number. No figure is judged.
 separate_arguments(arguments UNIX_COMMAND "${ARGUMENTS}")
 execute_process(COMMAND "${BENCHMARK}" ${arguments} OUTPUT_VARIABLE output RESULT_VARIABLE result)
 if(NOT result EQUAL 0)
