Callers: bounds on bodies, early refusals, one outcome for each request

Tried on a scratch copy against cpprest 2.10.18: its listener sends a reply only after the whole body or with the caller's next bytes. Completing the request by the internal _complete sends it at once, but crashed the process (SIGSEGV and SIGTRAP within 2,000 to 4,000 oversized or broken-off bodies from 8 threads), so it was ruled out: the place of such a request is free as soon as it is refused, and only its own connection waits. A Content-Length that cpprest can't read ran the request without its body; refused now. So are HTTP/1.0 (it can't tell a cut answer from a whole one) and headers past the limit, though only after cpprest has read them.

--- a/src/callers/internal/bodyreader.cpp
+++ b/src/callers/internal/bodyreader.cpp
@@ -18,13 +18,14 @@
 constexpr std::size_t largestPiece = 64 * 1024;
 constexpr std::size_t leastPiece = 1024;
 constexpr const char* step = "receive body";
+constexpr framework::Milliseconds comeBackAfter { 1000 };
 
 class BodyReader : public std::enable_shared_from_this<BodyReader> {
 public:
     BodyReader(const web::http::http_request& request, BodyBounds bounds,
         std::function<void(framework::Result<std::string>)> done)
         : request_(request)
-        , bounds_(bounds)
+        , bounds_(std::move(bounds))
         , done_(std::move(done))
         , timer_(crossplat::threadpool::shared_instance().service())
     {
@@ -78,27 +79,38 @@
             conclude(std::move(body_));
             return;
         }
-        if (body_.size() + size > bounds_.bytes) {
+        received_ += size;
+        if (received_ > bounds_.bytes) {
             giveUp(tooLarge());
             return;
         }
-        body_.append(reinterpret_cast<const char*>(piece_.data()), size);
+        if (bounds_.reservation && !bounds_.reservation->grow(size)) {
+            giveUp({ ErrorCode::TooManyWaiting, step, "", "the bodies of all requests take too much memory",
+                framework::Execution::NotRun, comeBackAfter });
+            return;
+        }
+        if (bounds_.reservation)
+            body_.append(reinterpret_cast<const char*>(piece_.data()), size);
         readPiece();
     }
 
-    /// cpprest sends no reply before the whole body has come; closing the body's stream with an error ends its reading.
     void giveUp(Error error)
     {
-        if (isDone_)
+        // Claimed first: stopping makes the pending read fail, which would be told as the caller's going.
+        if (isDone_.exchange(true))
             return;
-        request_.body().streambuf().close(std::ios::out, std::make_exception_ptr(std::runtime_error(error.detail)));
-        conclude(std::move(error));
+        stopReading(request_);
+        report(std::move(error));
     }
 
     void conclude(framework::Result<std::string> result)
     {
-        if (isDone_.exchange(true))
-            return;
+        if (!isDone_.exchange(true))
+            report(std::move(result));
+    }
+
+    void report(framework::Result<std::string> result)
+    {
         done_(std::move(result));
         done_ = nullptr;
         boost::asio::post(timer_.get_executor(), [self = shared_from_this()] { self->timer_.cancel(); });
@@ -110,6 +122,7 @@
     boost::asio::steady_timer timer_;
     std::vector<std::uint8_t> piece_;
     std::string body_;
+    std::size_t received_ = 0;
     std::atomic<bool> isDone_ = false;
 };
 
@@ -118,7 +131,12 @@
 void readBody(
     const web::http::http_request& request, BodyBounds bounds, std::function<void(framework::Result<std::string>)> done)
 {
-    std::make_shared<BodyReader>(request, bounds, std::move(done))->start();
+    std::make_shared<BodyReader>(request, std::move(bounds), std::move(done))->start();
+}
+
+void stopReading(const web::http::http_request& request)
+{
+    request.body().streambuf().close(std::ios::out, std::make_exception_ptr(std::runtime_error("not read to its end")));
 }
 
 } // namespace lagoon::callers
--- a/src/callers/internal/bodyreader.h
+++ b/src/callers/internal/bodyreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callers/internal/bodybudget.h"
 #include "framework/types/error.h"
 #include "framework/types/time.h"
 
@@ -14,11 +15,19 @@
 struct BodyBounds {
     std::size_t bytes = 0;
     framework::Deadline deadline;
+    /// Null for a body that is only read to its end and dropped.
+    std::shared_ptr<BodyReservation> reservation;
 };
 
-/// Reads a request's body as it arrives and calls `done` once, from any thread: with the body, with `TooLarge` as soon
-/// as it is seen to pass the bound, with `DeadlinePassed`, or with `CallerGone`. In place of cpprest's own `extract`,
-/// which has no limit in size or time. After an error the rest of the body isn't read: end the connection.
+/// Reads a request's body as it arrives and calls `done` once, from any thread: with the body, or as soon as it is
+/// known with `TooLarge`, `TooManyWaiting` (the budget of all bodies is spent), `DeadlinePassed` or `CallerGone`. In
+/// place of cpprest's own `extract`, which has no limit in size or time. After an error the rest isn't read: end the
+/// connection.
 void readBody(const web::http::http_request&, BodyBounds, std::function<void(framework::Result<std::string>)> done);
 
+/// Takes no more of a body; end the connection with the reply. cpprest 2.10.18 sends a reply only after the whole body
+/// or with the caller's next bytes after this call, so one that stays silent reads its refusal only then. Completing
+/// the request by its internal `_complete` sends it at once, but crashed the process under load (docs/API.md).
+void stopReading(const web::http::http_request&);
+
 } // namespace lagoon::callers
--- a/src/callers/internal/calleranswer.cpp
+++ b/src/callers/internal/calleranswer.cpp
@@ -54,7 +54,10 @@
         bodyless_ = response;
         return;
     }
-    response.set_body(body_.create_istream(), response.headers().content_type());
+    const std::string contentType = response.headers().content_type();
+    response.set_body(body_.create_istream(), contentType);
+    if (contentType.empty())
+        response.headers().remove(web::http::header_names::content_type);
     send(response);
 }
 
@@ -120,10 +123,10 @@
         refuseLocked(error, 0, status);
 }
 
-void CallerAnswer::closeConnection()
+void CallerAnswer::giveUpConnection()
 {
     const std::lock_guard lock(mutex_);
-    parts_.closesConnection = [] { return true; };
+    isConnectionGivenUp_ = true;
 }
 
 void CallerAnswer::onCallerGone(std::function<void()> action)
@@ -153,6 +156,8 @@
         { { "code", std::string(framework::errorCodeText(error.code)) },
             { "execution", std::string(framework::executionText(error.execution)) } });
     send(refusalResponse(error, parts_.name, attempt, status));
+    if (isConnectionGivenUp_)
+        parts_.observer->replyEnded();
 }
 
 void CallerAnswer::breakOffLocked(const Error& error, const std::string& result)
@@ -179,7 +184,7 @@
     response.headers()[requestHeader] = parts_.name.value();
     if (attempt_ > 0)
         response.headers()[attemptHeader] = std::to_string(attempt_);
-    if (parts_.closesConnection())
+    if (isConnectionGivenUp_ || parts_.closesConnection())
         response.headers()["Connection"] = "close";
     request_.reply(response).then([self = shared_from_this()](const pplx::task<void>& reply) {
         bool didFail = false;
@@ -207,7 +212,8 @@
     }
     if (gone)
         gone();
-    parts_.observer->replyEnded();
+    if (!isConnectionGivenUp_)
+        parts_.observer->replyEnded();
 }
 
 bool CallerAnswer::lacksBody(unsigned short status) const
--- a/src/callers/internal/calleranswer.h
+++ b/src/callers/internal/calleranswer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callers/icaller.h"
+#include "callers/internal/bodybudget.h"
 #include "callers/types/callerlimits.h"
 #include "framework/metrics.h"
 
@@ -20,7 +21,7 @@
     virtual ~IAnswerObserver() = default;
     /// The request doesn't wait any more: its answer began or it was refused.
     virtual void waitingEnded() = 0;
-    /// The reply has left wholly or failed; the last that happens.
+    /// The reply has left wholly or failed, or nobody waits for that; the last that happens.
     virtual void replyEnded() = 0;
 };
 
@@ -31,6 +32,8 @@
     std::size_t backlogBytes = 0;
     /// Asked when the answer leaves: does its connection end with it?
     std::function<bool()> closesConnection;
+    /// Kept as long as the answer.
+    std::shared_ptr<BodyReservation> body;
     std::shared_ptr<IAnswerObserver> observer;
     std::shared_ptr<framework::Metrics> metrics;
 };
@@ -54,8 +57,10 @@
 
     /// `refuse` of a request that wasn't dispatched, with another HTTP status than the code's own.
     void refuseAs(unsigned short status, const framework::Error&);
-    /// The connection ends with this answer.
-    void closeConnection();
+    /// The request's body won't be read to its end: the connection ends with the answer, which leaves with the caller's
+    /// next bytes (see `stopReading`). So its place is free as soon as it is refused; else callers that announce a body
+    /// and never send it would take all places, and a graceful shutdown would wait for them without end.
+    void giveUpConnection();
 
 private:
     /// Waiting -> Streaming -> Settled, or Waiting -> Settled.
@@ -74,6 +79,7 @@
     std::mutex mutex_;
     Phase phase_ = Phase::Waiting;
     bool isCallerGone_ = false;
+    bool isConnectionGivenUp_ = false;
     std::function<void()> onCallerGone_;
     std::uint32_t attempt_ = 0;
     concurrency::streams::producer_consumer_buffer<std::uint8_t> body_;
--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -2,6 +2,7 @@
 
 #include "callers/internal/bodyreader.h"
 #include "callers/internal/calleranswer.h"
+#include "callers/internal/headcheck.h"
 #include "callers/internal/occupancy.h"
 #include "callers/internal/requestheaders.h"
 #include "callers/internal/requesttarget.h"
@@ -17,63 +18,22 @@
 using framework::Error;
 using framework::ErrorCode;
 using web::http::http_request;
-using web::http::methods;
 
 namespace {
 
-constexpr const char* completionsPath = "/v1/completions";
-constexpr const char* chatCompletionsPath = "/v1/chat/completions";
-constexpr const char* modelsPath = "/v1/models";
-constexpr const char* servicesPrefix = "/services/";
-constexpr unsigned short headersTooLarge = 431;
 /// When to come back after a refusal that says nothing about the system's load: another router may serve at once.
 constexpr framework::Milliseconds soon { 1000 };
 
-/// What a request asks for, by its path.
-enum class Kind : std::uint8_t { Completion, ChatCompletion, Service, Models, Other };
-
-Kind kindOf(const std::string& path)
-{
-    if (path == completionsPath)
-        return Kind::Completion;
-    if (path == chatCompletionsPath)
-        return Kind::ChatCompletion;
-    if (path == modelsPath)
-        return Kind::Models;
-    return path.starts_with(servicesPrefix) ? Kind::Service : Kind::Other;
-}
-
-std::string kindText(Kind kind)
-{
-    switch (kind) {
-    case Kind::Completion:
-        return "completion";
-    case Kind::ChatCompletion:
-        return "chat_completion";
-    case Kind::Service:
-        return "service";
-    case Kind::Models:
-        return "models";
-    case Kind::Other:
-        break;
-    }
-    return "other";
-}
-
-/// Empty if any method will do.
-std::string requiredMethod(Kind kind)
-{
-    if (kind == Kind::Completion || kind == Kind::ChatCompletion)
-        return methods::POST;
-    return kind == Kind::Models ? methods::GET : std::string();
-}
+/// How long the body of a refused request is waited for, so that the caller reads its refusal in place of a reset.
+constexpr framework::Milliseconds drainTime { 2000 };
 
 /// One request on its way through the checks.
 struct Intake {
     http_request http;
     std::shared_ptr<CallerAnswer> answer;
+    std::shared_ptr<BodyReservation> body;
     framework::SteadyTime receivedAt;
-    Kind kind = Kind::Other;
+    RequestKind kind = RequestKind::Other;
     CallerStatements statements;
     CallerRequest request;
 };
@@ -101,6 +61,7 @@
         , router_(router)
         , metrics_(std::move(metrics))
         , occupancy_(std::make_shared<Occupancy>(limits, metrics_))
+        , bodyBudget_(std::make_shared<BodyBudget>(limits.heldBodyBytes))
         , isRefusing_(std::make_shared<std::atomic<bool>>(false))
     {
     }
@@ -137,19 +98,62 @@
         const auto intake = std::make_shared<Intake>();
         intake->http = http;
         intake->receivedAt = std::chrono::steady_clock::now();
-        intake->kind = kindOf(http.request_uri().path());
+        intake->kind = kindOf(http);
         intake->request.name = nextName();
+        intake->body = std::make_shared<BodyReservation>(bodyBudget_);
         intake->answer = std::make_shared<CallerAnswer>(http, answerParts(*intake));
         metrics_->count("lagoon_requests_total", { { "kind", kindText(intake->kind) } });
         const bool hasRoom = occupancy_->enter();
-        if (*isRefusing_)
-            refuse(*intake, { ErrorCode::ShuttingDown, "receive request", "", "this router is shutting down" }, soon);
-        else if (!hasRoom)
-            refuse(*intake, { ErrorCode::TooManyWaiting, "receive request", "", "too many requests wait" }, soon);
-        else if (isHeaderAcceptable(*intake))
+        if (const auto refusal = refusalByHead(*intake, hasRoom))
+            refuseEarly(intake, *refusal);
+        else
             receiveBody(intake);
     }
 
+    std::optional<EarlyRefusal> refusalByHead(Intake& intake, bool hasRoom) const
+    {
+        if (auto refusal = checkHead(intake.http, intake.kind, limits_))
+            return refusal;
+        if (*isRefusing_)
+            return EarlyRefusal { comeBackSoon(ErrorCode::ShuttingDown, "this router is shutting down") };
+        if (!hasRoom)
+            return EarlyRefusal { comeBackSoon(ErrorCode::TooManyWaiting, "too many requests wait") };
+        auto statements = readCallerStatements(intake.http.headers());
+        if (statements.has_error())
+            return EarlyRefusal { .error = statements.error() };
+        intake.statements = std::move(statements.value());
+        return std::nullopt;
+    }
+
+    static Error comeBackSoon(ErrorCode code, const std::string& detail)
+    {
+        return { code, "receive request", "", detail, framework::Execution::NotRun, soon };
+    }
+
+    void refuseEarly(const std::shared_ptr<Intake>& intake, const EarlyRefusal& refusal)
+    {
+        if (refusal.endsConnection) {
+            stopReading(intake->http);
+            intake->answer->giveUpConnection();
+            refuseBy(*intake, refusal);
+            return;
+        }
+        const BodyBounds drained { limits_.bodyBytes, Deadline::after(intake->receivedAt, drainTime), nullptr };
+        readBody(intake->http, drained, [intake, refusal](const framework::Result<std::string>& body) {
+            if (body.has_error())
+                intake->answer->giveUpConnection();
+            refuseBy(*intake, refusal);
+        });
+    }
+
+    static void refuseBy(Intake& intake, const EarlyRefusal& refusal)
+    {
+        if (refusal.status)
+            intake.answer->refuseAs(*refusal.status, refusal.error);
+        else
+            intake.answer->refuse(refusal.error, 0);
+    }
+
     framework::RequestName nextName()
     {
         return framework::RequestName(std::to_string(router_.value()) + "-" + std::to_string(++lastRequest_));
@@ -163,48 +167,21 @@
         parts.backlogBytes = limits_.answerBacklogBytes;
         // A caller's pool must not keep a connection to a router that leaves.
         parts.closesConnection = [isRefusing = isRefusing_] { return isRefusing->load(); };
+        parts.body = intake.body;
         parts.observer = occupancy_;
         parts.metrics = metrics_;
         return parts;
     }
 
-    /// Checks all that can be known before the body; refuses the request otherwise.
-    bool isHeaderAcceptable(Intake& intake)
-    {
-        const http_request& http = intake.http;
-        if (headerBytes(http.headers()) + http.request_uri().to_string().size() > limits_.headerBytes) {
-            intake.answer->refuseAs(
-                headersTooLarge, { ErrorCode::TooLarge, "check headers", "", "the headers are too large" });
-            return false;
-        }
-        if (intake.kind == Kind::Other) {
-            refuse(intake, { ErrorCode::NotFound, "check path", "", "no such path" });
-            return false;
-        }
-        const std::string method = requiredMethod(intake.kind);
-        if (!method.empty() && http.method() != method) {
-            intake.answer->refuseAs(web::http::status_codes::MethodNotAllowed,
-                { ErrorCode::BadRequest, "check method", "", "expected " + method });
-            return false;
-        }
-        auto statements = readCallerStatements(http.headers());
-        if (statements.has_error()) {
-            refuse(intake, statements.error());
-            return false;
-        }
-        intake.statements = std::move(statements.value());
-        return true;
-    }
-
     void receiveBody(const std::shared_ptr<Intake>& intake)
     {
         const auto timeout = intake->statements.timeout.value_or(bundle::RequestDefaults().timeout);
         const BodyBounds bounds { limits_.bodyBytes,
-            Deadline::after(intake->receivedAt, std::min(timeout, limits_.longestTimeout)) };
+            Deadline::after(intake->receivedAt, std::min(timeout, limits_.longestTimeout)), intake->body };
         readBody(intake->http, bounds, [self = shared_from_this(), intake](framework::Result<std::string> body) {
             if (body.has_error()) {
-                intake->answer->closeConnection();
-                refuse(*intake, body.error());
+                intake->answer->giveUpConnection();
+                intake->answer->refuse(body.error(), 0);
                 return;
             }
             intake->request.body = std::move(body.value());
@@ -216,10 +193,10 @@
     {
         const bundle::BundlePointer bundle = bundle_();
         if (!bundle) {
-            refuse(intake, { ErrorCode::NotReady, "look up in bundle", "", "this router has no bundle yet" }, soon);
+            intake.answer->refuse(comeBackSoon(ErrorCode::NotReady, "this router has no bundle yet"), 0);
             return;
         }
-        if (intake.kind == Kind::Models) {
+        if (intake.kind == RequestKind::Models) {
             intake.answer->begin(web::http::status_codes::OK, { { "Content-Type", "application/json" } }, 0);
             intake.answer->write(modelList(*bundle));
             intake.answer->finish();
@@ -227,7 +204,7 @@
         }
         const auto filled = fill(intake, *bundle);
         if (filled.has_error())
-            refuse(intake, filled.error());
+            intake.answer->refuse(filled.error(), 0);
         else
             dispatch(intake);
     }
@@ -236,7 +213,7 @@
     {
         CallerRequest& request = intake.request;
         const web::uri& uri = intake.http.request_uri();
-        if (intake.kind == Kind::Service) {
+        if (intake.kind == RequestKind::Service) {
             splitServicePath(uri.path(), uri.query(), request);
         } else {
             BOOST_OUTCOME_TRY(completion, readCompletionBody(request.body, limits_.jsonDepth));
@@ -264,24 +241,18 @@
     {
         const std::shared_lock lock(dispatchMutex_);
         if (isStopped_)
-            refuse(intake, { ErrorCode::ShuttingDown, "dispatch", "", "this router has shut down" }, soon);
+            intake.answer->refuse(comeBackSoon(ErrorCode::ShuttingDown, "this router has shut down"), 0);
         else
             dispatcher_.accept(std::move(intake.request), intake.answer->guarded());
     }
 
-    static void refuse(Intake& intake, Error error, std::optional<framework::Milliseconds> retryAfter = std::nullopt)
-    {
-        if (retryAfter)
-            error.retryAfter = retryAfter;
-        intake.answer->refuse(error, 0);
-    }
-
     const CallerLimits limits_;
     IRequestDispatcher& dispatcher_;
     const BundleSource bundle_;
     const framework::Incarnation router_;
     const std::shared_ptr<framework::Metrics> metrics_;
     const std::shared_ptr<Occupancy> occupancy_;
+    const std::shared_ptr<BodyBudget> bodyBudget_;
     const std::shared_ptr<std::atomic<bool>> isRefusing_;
     std::atomic<std::uint64_t> lastRequest_ = 0;
     std::shared_mutex dispatchMutex_;
--- /dev/null
+++ b/src/callers/internal/headcheck.cpp
@@ -0,0 +1,114 @@
+#include "callers/internal/headcheck.h"
+
+#include "callers/internal/requestheaders.h"
+
+#include <algorithm>
+
+namespace lagoon::callers {
+
+using framework::ErrorCode;
+using web::http::header_names;
+using web::http::http_request;
+using web::http::methods;
+using web::http::status_codes;
+
+namespace {
+
+constexpr const char* completionsPath = "/v1/completions";
+constexpr const char* chatCompletionsPath = "/v1/chat/completions";
+constexpr const char* modelsPath = "/v1/models";
+constexpr unsigned short headersTooLarge = 431;
+constexpr const char* step = "check headers";
+
+/// Empty if any method will do.
+std::string requiredMethod(RequestKind kind)
+{
+    if (kind == RequestKind::Completion || kind == RequestKind::ChatCompletion)
+        return methods::POST;
+    return kind == RequestKind::Models ? methods::GET : std::string();
+}
+
+bool isDecimal(const std::string& text)
+{
+    return !text.empty()
+        && std::all_of(text.begin(), text.end(), [](char digit) { return digit >= '0' && digit <= '9'; });
+}
+
+/// cpprest takes a Content-Length that it can't read for a body of 0 bytes, and one below 0 for a huge one: the request
+/// would run without its body, or wait for ever. Beside a Transfer-Encoding, a proxy before us may have counted by the
+/// other of the two.
+bool isLengthUnclear(const web::http::http_headers& headers)
+{
+    const auto length = headers.find(header_names::content_length);
+    if (length == headers.end())
+        return false;
+    return !isDecimal(length->second) || headers.has(header_names::transfer_encoding);
+}
+
+bool isLengthOver(const web::http::http_headers& headers, std::size_t limit)
+{
+    const auto length = headers.find(header_names::content_length);
+    if (length == headers.end())
+        return false;
+    constexpr std::size_t surelyReadable = 18;
+    return length->second.size() > surelyReadable || std::stoull(length->second) > limit;
+}
+
+} // namespace
+
+RequestKind kindOf(const http_request& request)
+{
+    const std::string path = request.request_uri().path();
+    if (path == completionsPath)
+        return RequestKind::Completion;
+    if (path == chatCompletionsPath)
+        return RequestKind::ChatCompletion;
+    if (path == modelsPath)
+        return RequestKind::Models;
+    return path.starts_with(servicesPrefix) ? RequestKind::Service : RequestKind::Other;
+}
+
+std::string kindText(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Completion:
+        return "completion";
+    case RequestKind::ChatCompletion:
+        return "chat_completion";
+    case RequestKind::Service:
+        return "service";
+    case RequestKind::Models:
+        return "models";
+    case RequestKind::Other:
+        break;
+    }
+    return "other";
+}
+
+std::optional<EarlyRefusal> checkHead(const http_request& request, RequestKind kind, const CallerLimits& limits)
+{
+    const web::http::http_headers& headers = request.headers();
+    if (isLengthUnclear(headers))
+        return EarlyRefusal { { ErrorCode::BadRequest, step, "", "the body's length is unclear" }, std::nullopt, true };
+    if (isLengthOver(headers, limits.bodyBytes))
+        return EarlyRefusal { { ErrorCode::TooLarge, step, "",
+                                  "the body is larger than " + std::to_string(limits.bodyBytes) + " bytes" },
+            std::nullopt, true };
+    if (headerBytes(headers) + request.request_uri().to_string().size() > limits.headerBytes)
+        return EarlyRefusal { { ErrorCode::TooLarge, step, "",
+                                  "the headers are larger than " + std::to_string(limits.headerBytes) + " bytes" },
+            headersTooLarge, true };
+    // Answers are sent in chunks, which HTTP/1.0 doesn't know: it couldn't tell a whole answer from a cut one.
+    if (request.http_version() < web::http::http_versions::HTTP_1_1)
+        return EarlyRefusal { { ErrorCode::BadRequest, step, "", "expected HTTP/1.1" },
+            status_codes::HttpVersionNotSupported, true };
+    if (kind == RequestKind::Other)
+        return EarlyRefusal { { ErrorCode::NotFound, "check path", "", "no such path" }, std::nullopt, false };
+    const std::string method = requiredMethod(kind);
+    if (!method.empty() && request.method() != method)
+        return EarlyRefusal { { ErrorCode::BadRequest, "check method", "", "expected " + method },
+            status_codes::MethodNotAllowed, false };
+    return std::nullopt;
+}
+
+} // namespace lagoon::callers
--- a/src/callers/tests/callerfixture.h
+++ b/src/callers/tests/callerfixture.h
@@ -4,6 +4,7 @@
 #include "fakedispatcher.h"
 #include "rawcaller.h"
 
+#include <sstream>
 #include <string>
 
 namespace lagoon::callers::testing {
@@ -39,6 +40,11 @@
     return requestText("POST /v1/completions", body, headers);
 }
 
+inline bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+/// What ends a chunked body; without it the body was cut.
+inline constexpr const char* lastChunk = "\r\n0\r\n\r\n";
+
 /// A server on loopback before a fake dispatcher.
 struct CallerFixture {
     explicit CallerFixture(CallerLimits limits = {})
@@ -57,12 +63,16 @@
         return caller.received();
     }
 
-    /// A counter's value, as `/metrics` shows it; 0 if it isn't there.
+    /// The sum of all series that begin like this, as `/metrics` shows them.
     double counted(const std::string& series) const
     {
-        const std::string text = "\n" + metrics->text();
-        const std::size_t at = text.find("\n" + series + " ");
-        return at == std::string::npos ? 0 : std::stod(text.substr(at + series.size() + 2));
+        std::istringstream text(metrics->text());
+        double sum = 0;
+        for (std::string line; std::getline(text, line);) {
+            if (line.starts_with(series))
+                sum += std::stod(line.substr(line.rfind(' ')));
+        }
+        return sum;
     }
 
     std::shared_ptr<framework::Metrics> metrics = std::make_shared<framework::Metrics>();
--- a/src/callers/tests/callerserver_test.cpp
+++ b/src/callers/tests/callerserver_test.cpp
@@ -25,13 +25,13 @@
     accepted.answer->begin(200, { { "Content-Type", "text/event-stream" }, { "Connection", "x" } }, 2);
     accepted.answer->write("data: one\n\n");
     BOOST_TEST(caller.readUntil("data: one\n\n"));
-    BOOST_TEST(caller.received().find("X-Lagoon-Request: 9-1\r\n") != std::string::npos);
-    BOOST_TEST(caller.received().find("X-Lagoon-Attempt: 2\r\n") != std::string::npos);
-    BOOST_TEST(caller.received().find("Content-Type: text/event-stream\r\n") != std::string::npos);
-    BOOST_TEST(caller.received().find("Connection") == std::string::npos);
+    BOOST_TEST(contains(caller.received(), "X-Lagoon-Request: 9-1\r\n"));
+    BOOST_TEST(contains(caller.received(), "X-Lagoon-Attempt: 2\r\n"));
+    BOOST_TEST(contains(caller.received(), "Content-Type: text/event-stream\r\n"));
+    BOOST_TEST(!contains(caller.received(), "Connection"));
     accepted.answer->write("data: [DONE]\n\n");
     accepted.answer->finish();
-    BOOST_TEST(caller.readUntil("\r\n0\r\n\r\n"));
+    BOOST_TEST(caller.readUntil(lastChunk));
     BOOST_TEST(counted("lagoon_answers_total{result=\"finished\"}") == 1);
 }
 
@@ -61,4 +61,47 @@
     BOOST_TEST(counted("lagoon_refusals_total{code=\"unknown_model\",execution=\"not_run\"}") == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(aRefusalByTheDispatcherSaysWhenToComeBack, CallerFixture)
+{
+    RawCaller caller(endpoint);
+    caller.send(completionText(R"({"model":"m"})"));
+    dispatcher.take().answer->refuse({ framework::ErrorCode::NoCapacity, "find agent", "gpu-1", "all are busy",
+                                         framework::Execution::Unknown, framework::Milliseconds(1001) },
+        3);
+    BOOST_TEST(caller.readUntil("}}"));
+    BOOST_TEST(caller.received().starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(contains(caller.received(), "Retry-After: 2\r\n"));
+    BOOST_TEST(contains(caller.received(), "X-Lagoon-Attempt: 3\r\n"));
+    BOOST_TEST(contains(caller.received(),
+        R"("execution":"unknown","step":"find agent","peer":"gpu-1","request":"9-1","attempt":3,"retry_after_ms":1001)"));
+}
+
+BOOST_FIXTURE_TEST_CASE(modelsAreListed, CallerFixture)
+{
+    RawCaller caller(endpoint);
+    caller.send(requestText("GET /v1/models"));
+    BOOST_TEST(caller.readUntil(lastChunk));
+    BOOST_TEST(contains(caller.received(), R"({"object":"list","data":[{"id":"m","object":"model"},{"id":"m/a")"));
+}
+
+BOOST_FIXTURE_TEST_CASE(beforeTheFirstBundleNothingIsServed, CallerFixture)
+{
+    bundle = nullptr;
+    BOOST_TEST(contains(exchange(completionText(R"({"model":"m"})")), R"("code":"not_ready")"));
+}
+
+BOOST_FIXTURE_TEST_CASE(requestsWithTheSameBeginningShareThePrefixHash, CallerFixture)
+{
+    const std::string shared(256, 'p');
+    RawCaller first(endpoint);
+    first.send(completionText(R"({"model":"m","prompt":")" + shared + R"(one"})"));
+    const Accepted one = dispatcher.take();
+    RawCaller second(endpoint);
+    second.send(requestText("POST /v1/chat/completions",
+        R"({"model":"m","messages":[{"role":"user","content":")" + shared + R"("},{"content":"two"}]})"));
+    const Accepted two = dispatcher.take();
+    BOOST_TEST(one.request.prefixHash == two.request.prefixHash);
+    BOOST_TEST(two.request.path == "/v1/chat/completions");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/callers/tests/callersettings_test.cpp
@@ -0,0 +1,37 @@
+#include "callers/callersettings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using framework::ErrorCode;
+
+namespace {
+
+framework::CheckedObject settings(const std::string& text)
+{
+    return { framework::parseJson(text, "file.json", ErrorCode::BadSettings).value(), "file.json", "",
+        ErrorCode::BadSettings };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CallerSettings)
+
+BOOST_AUTO_TEST_CASE(limitsAreReadAndOthersKeepTheirDefaults)
+{
+    framework::CheckedObject object = settings(R"({"limits": {"body_bytes": 5, "longest_timeout_ms": 7}})");
+    const callers::CallerLimits limits = callers::readCallerLimits(object);
+    BOOST_TEST(object.finish().has_value());
+    BOOST_TEST(limits.bodyBytes == 5u);
+    BOOST_TEST(limits.longestTimeout.count() == 7);
+    BOOST_TEST(limits.waitingRequests == callers::CallerLimits().waitingRequests);
+}
+
+BOOST_AUTO_TEST_CASE(aFaultNamesItsKey)
+{
+    framework::CheckedObject object = settings(R"({"limits": {"json_depth": 0}})");
+    callers::readCallerLimits(object);
+    BOOST_TEST(object.finish().error().detail == "key \"limits.json_depth\": expected a whole number from 1 to 200");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/callers/types/callerlimits.h
+++ b/src/callers/types/callerlimits.h
@@ -11,6 +11,8 @@
     /// Names and values of a request's headers, with its path and query.
     std::size_t headerBytes = 16 * 1024;
     std::size_t bodyBytes = 8 * 1024 * 1024;
+    /// Bodies of all requests in progress together.
+    std::size_t heldBodyBytes = 256 * 1024 * 1024;
     /// Nesting of a completion's JSON.
     std::size_t jsonDepth = 32;
     /// Requests that have no answer yet.
