--- a/src/agent/internal/agent.cpp
+++ b/src/agent/internal/agent.cpp
@@ -86,7 +86,7 @@
     : settings_(settings)
     , platform_(platform::makePlatformClient(settings.platform, metrics_))
     , transport_(wire::makeTcpLinkTransport({}, metrics_))
-    , bundles_(bundle::makeBundleWatch(bundle::HeadMode::Listen, platform_.store, control_, metrics_))
+    , bundles_(bundle::makeBundleWatch(bundle::HeadMode::Watch, platform_.store, control_, metrics_))
     , service_(settings.pool)
 {
     if (isEngine()) {
