--- /dev/null
+++ b/models/dispatch.pml
@@ -0,0 +1,298 @@
+/* One request that may not be repeated: `dispatch`, `resolve`, `fence`, `settle`, `complete` and `restart` as in
+ * src/agent/internal/requestledger.h, and the router's side of them (src/router). Held: it runs at most once; "not run"
+ * is true for ever; what the caller gets as whole is whole.
+ *
+ * A link may go silent for good: its frames to the agent may still arrive, however late, also at a restarted agent;
+ * those to the router are lost, since the router has closed its end. The agent may crash between any two steps.
+ * A refusal as not run is tried once more under a new id.
+ * Broken on purpose: NO_FENCE, NO_INCARNATION, NO_FLOOR, BLIND_RETRY, CLOSE_IS_END, NO_OFFSET, RETRY_UNKNOWN. */
+
+#define LINKS 4
+#define IDS 2
+#define CHUNKS 2
+#ifndef RESTARTS
+#define RESTARTS 1
+#endif
+
+mtype = { dispatch, resolve, settle, chunk, end, fenced, refusedNotRun, refusedUnknown };
+mtype = { unseen, running, done, fencedEntry };
+mtype = { open, whole, notRun, unknown };
+
+/* type, id, agent incarnation or offset, floor or received chunks */
+typedef Link {
+    chan toAgent = [3] of { mtype, byte, byte, byte };
+    chan toRouter = [3] of { mtype, byte, byte };
+};
+Link links[LINKS];
+byte routerLink = 0;
+
+/* The agent's process, and its ledger. */
+byte incarnation = 1;
+mtype entry[IDS];
+byte floor = 0;
+byte attached[IDS];
+byte sent[IDS];
+byte restarts = 0;
+
+/* Outside: how often the upstream ran it; what the caller was told. */
+byte executed = 0;
+mtype outcome = open;
+
+inline start(id)
+{
+    entry[id] = running; attached[id] = link; sent[id] = 0
+}
+
+inline raiseFloor(to)
+{
+    if
+    :: to > floor -> floor = to; entry[0] = (entry[0] == running -> running : unseen)
+    :: else
+    fi
+}
+
+active proctype agent()
+{
+    byte link;
+    byte id;
+    byte meantFor;
+    byte argument;
+
+    atomic { entry[0] = unseen; entry[1] = unseen };
+loop:
+end_loop:
+    atomic {
+        link = 0; id = 0; meantFor = 0; argument = 0;
+        if
+        :: links[0].toAgent ? dispatch, id, meantFor, argument -> link = 0; goto onDispatch
+        :: links[1].toAgent ? dispatch, id, meantFor, argument -> link = 1; goto onDispatch
+        :: links[2].toAgent ? dispatch, id, meantFor, argument -> link = 2; goto onDispatch
+        :: links[3].toAgent ? dispatch, id, meantFor, argument -> link = 3; goto onDispatch
+        :: links[1].toAgent ? resolve, id, meantFor, argument -> link = 1; goto onResolve
+        :: links[2].toAgent ? resolve, id, meantFor, argument -> link = 2; goto onResolve
+        :: links[3].toAgent ? resolve, id, meantFor, argument -> link = 3; goto onResolve
+        :: links[1].toAgent ? settle, id, meantFor, argument -> goto onSettle
+        :: links[2].toAgent ? settle, id, meantFor, argument -> goto onSettle
+        :: links[3].toAgent ? settle, id, meantFor, argument -> goto onSettle
+        /* The upstream runs it. */
+        :: entry[0] == running && sent[0] == 0 -> id = 0; goto execute
+        :: entry[1] == running && sent[1] == 0 -> id = 1; goto execute
+        /* Answers leave piece by piece on the link that the id is attached to. */
+        :: entry[0] == done && sent[0] <= CHUNKS && nfull(links[attached[0]].toRouter) -> id = 0; goto answer
+        :: entry[1] == done && sent[1] <= CHUNKS && nfull(links[attached[1]].toRouter) -> id = 1; goto answer
+        :: restarts < RESTARTS -> goto restart
+        fi
+    }
+
+onDispatch:
+    atomic {
+        if
+#ifndef NO_INCARNATION
+        :: meantFor != incarnation -> links[link].toRouter ! refusedNotRun, id, 0
+#endif
+#ifdef NO_INCARNATION
+        :: true ->
+#else
+        :: meantFor == incarnation ->
+#endif
+            raiseFloor(argument);
+            if
+#ifdef NO_FLOOR
+            :: false
+#else
+            :: id < floor -> links[link].toRouter ! refusedNotRun, id, 0
+#endif
+#ifdef NO_FLOOR
+            :: entry[id] == unseen -> start(id)
+#else
+            :: id >= floor && entry[id] == unseen -> start(id)
+#endif
+            :: entry[id] == fencedEntry -> links[link].toRouter ! refusedNotRun, id, 0
+            :: entry[id] == running || entry[id] == done -> skip
+            fi
+        fi
+    }
+    goto loop;
+
+onResolve:
+    atomic {
+        if
+#ifndef NO_INCARNATION
+        :: meantFor != incarnation -> links[link].toRouter ! refusedUnknown, id, 0
+        :: meantFor == incarnation && id < floor -> links[link].toRouter ! refusedUnknown, id, 0
+        :: meantFor == incarnation && id >= floor ->
+#else
+        :: true ->
+#endif
+            if
+            :: entry[id] == unseen ->
+#ifndef NO_FENCE
+                entry[id] = fencedEntry;
+#endif
+                links[link].toRouter ! fenced, id, 0
+            :: entry[id] == fencedEntry -> links[link].toRouter ! fenced, id, 0
+            :: entry[id] == running -> attached[id] = link
+            :: entry[id] == done -> attached[id] = link;
+#ifdef NO_OFFSET
+                sent[id] = 0
+#else
+                sent[id] = argument
+#endif
+            fi
+        fi
+    }
+    goto loop;
+
+onSettle:
+    atomic {
+        if
+        :: meantFor == incarnation -> raiseFloor(argument)
+        :: else
+        fi
+    }
+    goto loop;
+
+execute:
+    atomic {
+        executed++;
+        assert(executed <= 1);
+        assert(outcome != notRun)
+    }
+    /* complete */
+    if
+    :: entry[id] = done
+    :: atomic { restarts < RESTARTS -> goto restart }
+    fi;
+    goto loop;
+
+answer:
+    atomic {
+        if
+        :: full(links[attached[id]].toRouter) -> skip
+        :: nfull(links[attached[id]].toRouter) && sent[id] < CHUNKS -> links[attached[id]].toRouter ! chunk, id, sent[id]; sent[id]++
+        :: nfull(links[attached[id]].toRouter) && sent[id] == CHUNKS -> links[attached[id]].toRouter ! end, id, CHUNKS; sent[id]++
+        fi
+    }
+    goto loop;
+
+restart:
+    skip;
+    /* An empty ledger under a new incarnation. Frames for the former one may still be on their way. */
+    d_step {
+        restarts++; incarnation++; floor = 0;
+        entry[0] = unseen; entry[1] = unseen;
+        sent[0] = 0; sent[1] = 0; attached[0] = 0; attached[1] = 0
+    }
+    goto loop
+}
+
+active proctype router()
+{
+    byte id = 0;
+    byte knows;
+    byte received = 0;
+    byte offset = 0;
+
+    /* The HelloAck of the link says whom it reached. */
+    knows = incarnation;
+    links[0].toAgent ! dispatch, id, knows, 0;
+
+await:
+end_await:
+    atomic {
+        offset = 0;
+        if
+        :: links[routerLink].toRouter ? chunk, eval(id), offset ->
+#ifdef NO_OFFSET
+            assert(offset == received);
+#else
+            if
+            :: offset != received -> goto await
+            :: else
+            fi;
+#endif
+            received++;
+            goto await
+        :: links[routerLink].toRouter ? end, eval(id), offset -> goto ended
+        :: links[routerLink].toRouter ? fenced, eval(id), _ -> goto wasNotRun
+        :: links[routerLink].toRouter ? refusedNotRun, eval(id), _ -> goto wasNotRun
+        :: links[routerLink].toRouter ? refusedUnknown, eval(id), _ -> goto isUnknown
+        /* Frames of an earlier id. */
+        :: links[routerLink].toRouter ? chunk, eval(1 - id), _ -> goto await
+        :: links[routerLink].toRouter ? end, eval(1 - id), _ -> goto await
+        :: links[routerLink].toRouter ? refusedNotRun, eval(1 - id), _ -> goto await
+        :: links[routerLink].toRouter ? fenced, eval(1 - id), _ -> goto await
+        :: routerLink + 1 < LINKS -> goto silent
+        :: routerLink + 1 == LINKS -> goto isUnknown /* the deadline */
+        fi
+    }
+
+silent:
+#ifdef CLOSE_IS_END
+    if
+    :: received > 0 -> goto wholeAnswer
+    :: else
+    fi;
+#endif
+    routerLink++;
+#ifdef BLIND_RETRY
+    if
+    :: id == 0 -> id = 1; received = 0; knows = incarnation; links[routerLink].toAgent ! dispatch, id, knows, 0; goto await
+    :: else -> goto isUnknown
+    fi;
+#endif
+#ifndef NO_INCARNATION
+    if
+    :: knows != incarnation -> goto isUnknown
+    :: else
+    fi;
+#endif
+    links[routerLink].toAgent ! resolve, id, knows, received;
+    goto await;
+
+wasNotRun:
+    if
+    :: received > 0 -> goto isUnknown
+    :: else
+    fi;
+    /* Whatever refused it: settled, so that the agent may forget it. Then once more under a new id, or told. */
+    if
+    :: routerLink > 0 && id == 0 -> links[routerLink].toAgent ! settle, 0, knows, 1
+    :: else
+    fi;
+    if
+    :: id == 0 -> id = 1; knows = incarnation; links[routerLink].toAgent ! dispatch, id, knows, 1; goto await
+    :: true ->
+        atomic {
+            outcome = notRun;
+            assert(executed == 0)
+        }
+    fi;
+    goto over;
+
+ended:
+    if
+    :: received == offset -> goto wholeAnswer
+    :: else -> goto isUnknown
+    fi;
+
+wholeAnswer:
+    atomic {
+        outcome = whole;
+        assert(received == CHUNKS && executed == 1)
+    }
+    goto over;
+
+isUnknown:
+#ifdef RETRY_UNKNOWN
+    if
+    :: id == 0 && routerLink + 1 < LINKS ->
+        id = 1; received = 0; routerLink++; knows = incarnation; links[routerLink].toAgent ! dispatch, id, knows, 1; goto await
+    :: else
+    fi;
+#endif
+    outcome = unknown;
+
+over:
+    skip
+}
