Home asks an agent again whose link was lost during a load

Cause: an agent that died in mid-load made link_lost the search's final answer, and the callers were refused with most of their deadline left, while the engine went on loading for nobody (agentfailures_tests/aLoadGoesOnUnderARestartedAgent failed with 502 link_lost).

--- a/src/router/internal/home.cpp
+++ b/src/router/internal/home.cpp
@@ -154,6 +154,8 @@
             candidate.isLoaded = bid.value().is_loaded;
             candidate.isLoading = bid.value().is_loading;
             candidate.bid = toPolicy(vm, bid.value());
+        } else if (search->expectsRestart.contains(vm)) {
+            candidate.bid.refusal = ErrorCode::NotReady;
         }
         if (search->awaited > 0)
             --search->awaited;
@@ -305,6 +307,7 @@
     if (result.has_error()) {
         why = result.error();
         why.execution = framework::Execution::NotRun;
+        expectRestart(*search, vm);
     } else {
         const wire::fb::LoadResultT& refused = result.value();
         why = Error { static_cast<ErrorCode>(refused.code), refused.step, refused.peer, refused.detail };
@@ -321,6 +324,17 @@
     evaluate(where);
 }
 
+/// The agent died, or only its link, while it loaded. Its claim and the engine's load live on, and the next process on
+/// the VM takes both over in a moment; were the callers refused now, the load would end with nobody waiting.
+void Home::expectRestart(Search& search, const VmName& vm)
+{
+    search.expectsRestart.insert(vm);
+    for (Candidate& candidate : search.candidates) {
+        if (candidate.vm == vm)
+            candidate.bid.refusal = ErrorCode::NotReady;
+    }
+}
+
 /// The cap is reached by replicas that none of the asked agents has: the platform's object says who holds them.
 void Home::askHolders(const SiteTarget& where)
 {
--- a/src/router/internal/home.h
+++ b/src/router/internal/home.h
@@ -73,6 +73,8 @@
         bool hasAskedHolders = false;
         std::uint32_t loadsTried = 0;
         std::optional<framework::Error> lastError;
+        /// Agents whose link was lost while they loaded.
+        std::set<framework::VmName> expectsRestart;
     };
     using Searches = std::map<SiteTarget, Search>;
 
@@ -87,6 +89,7 @@
     void load(const SiteTarget&, Candidate&);
     void sendLoad(const SiteTarget&, std::uint64_t number, const framework::VmName&);
     WakeReply progress(const Search&) const;
+    static void expectRestart(Search&, const framework::VmName&);
     void takeLoadResult(const SiteTarget&, std::uint64_t number, const framework::VmName&,
         const framework::Result<wire::fb::LoadResultT>&);
     void askHolders(const SiteTarget&);
