Fewer pings, few homes, and drained agents come back

(1) A link that says something by itself needs no ping: at the target size pings alone were 89 KB/s a router (sum), limit 27. (2) Each router was a home with at least one place at the weight store: 370 places of 4. Now as many routers are homes as there are places. (3) clearDraining was never called: an agent that drained and was started anew got no work from routers that had met it, until the list changed. Seen failing first (anAgentThatDrainedGetsWorkAgain: nothing was dispatched); now avoided for 5 s at a time.

--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -408,7 +408,9 @@
         framework::logWarning("router", "link to " + agent_.value() + " is silent, opening another");
         linkLost(Error { ErrorCode::LinkLost, "await answer", agent_.value(), "silent" });
         connect();
-    } else if (isOpen_ && nextPing_.hasPassed(now)) {
+    } else if (isOpen_ && nextPing_.hasPassed(now) && now - heard >= context_.settings.pingInterval) {
+        // Only a link that says nothing by itself is asked whether it lives: while tokens stream, pings on each link of
+        // a router at the target size would be 89 KB/s of 27 (docs/CAPACITY.md).
         nextPing_ = Deadline::after(now, context_.settings.pingInterval);
         wire::fb::PingT ping;
         ping.nonce = nextCorrelation_++;
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -23,6 +23,7 @@
 constexpr Milliseconds retryAfterBusy { 1000 };
 /// The refusal is to reach the caller before its deadline.
 constexpr Milliseconds answerMargin { 20 };
+constexpr Milliseconds drainingAvoidance { 5000 };
 
 const char* reasonText(const Error& error) { return framework::errorCodeText(error.code).data(); }
 
@@ -309,8 +310,7 @@
         break;
     case ErrorCode::Draining:
     case ErrorCode::ShuttingDown:
-        context_.directory.setDraining(vm);
-        context_.placements.removeVm(vm);
+        avoidDraining(vm);
         break;
     default:
         entry.failed.insert(vm);
@@ -319,6 +319,16 @@
     retry(number, entry, error);
 }
 
+/// No more work for an agent that says it drains, whatever the platform's list says. Only for a while: a new process
+/// may answer there with nothing changed in the list, and one that still drains just says so again.
+void Dispatcher::avoidDraining(const VmName& vm)
+{
+    context_.placements.removeVm(vm);
+    context_.directory.setDraining(vm);
+    drainingTimers_[vm] = context_.control.runAt(
+        Deadline::after(context_.clock.now(), drainingAvoidance), [this, vm] { context_.directory.clearDraining(vm); });
+}
+
 void Dispatcher::retry(RequestNumber number, Request& entry, const Error& error)
 {
     if (entry.attempts >= context_.settings.attempts)
--- a/src/router/internal/dispatcher.h
+++ b/src/router/internal/dispatcher.h
@@ -83,6 +83,7 @@
     void askForMoreIfBusy(const Request&, std::uint32_t inFlight);
     void takeOutcome(RequestNumber, const framework::VmName&, const DispatchOutcome&);
     void takeNotRun(RequestNumber, Request&, const framework::VmName&, const framework::Error&);
+    void avoidDraining(const framework::VmName&);
     void retry(RequestNumber, Request&, const framework::Error&);
     void deadlinePassed(RequestNumber);
     void callerGone(RequestNumber);
@@ -95,6 +96,7 @@
     std::unique_ptr<policy::IReplicaChoice> replicaChoice_;
     policy::RetryBudget retryBudget_;
     std::map<RequestNumber, Request> requests_;
+    std::map<framework::VmName, std::unique_ptr<framework::Timer>> drainingTimers_;
     std::uint64_t nextNumber_ = 1;
 };
 
--- a/src/router/internal/loadgate.cpp
+++ b/src/router/internal/loadgate.cpp
@@ -133,7 +133,7 @@
     order_ = std::move(order);
 }
 
-void LoadGate::setLiveRouters(std::uint32_t count, std::uint32_t rank) { share_.setLiveRouters(count, rank); }
+void LoadGate::setHomes(std::uint32_t count, std::uint32_t rank) { share_.setLiveRouters(count, rank); }
 
 bool LoadGate::usesStore(const GatedLoad& load) { return load.checkpoint == policy::CheckpointPlace::Remote; }
 
--- a/src/router/internal/loadgate.h
+++ b/src/router/internal/loadgate.h
@@ -39,8 +39,8 @@
     policy::LoadForecast forecast(const SiteTarget&) const;
 
     void setPolicy(const bundle::PolicyNumbers&, std::unique_ptr<policy::ILoadOrder>);
-    /// `rank` is this router's position among them by name, from 0.
-    void setLiveRouters(std::uint32_t count, std::uint32_t rank);
+    /// Of all sites; `rank` is this router's position among them by name, from 0, or `count` if it is none of them.
+    void setHomes(std::uint32_t count, std::uint32_t rank);
 
 private:
     struct Entry {
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -62,6 +62,8 @@
     BundleVersion bundleVersion() const;
     void setPolicies(const bundle::PolicyNumbers&);
     void takeVms(const platform::VmEntries&);
+    std::size_t homesPerSite() const;
+    void shareStore();
     void findHolders(const SiteTarget&, HoldersHandler);
     bool isKeySweeper() const;
     std::string status();
@@ -113,7 +115,10 @@
 {
     dispatcher_.setWakes(wakes_);
     setPolicies({});
-    bundles_->changed().subscribe([this](const bundle::BundlePointer& bundle) { setPolicies(bundle->policy); });
+    bundles_->changed().subscribe([this](const bundle::BundlePointer& bundle) {
+        setPolicies(bundle->policy);
+        shareStore();
+    });
 }
 
 SessionContext Router::Implementation::sessionContext()
@@ -133,6 +138,7 @@
 Wakes::Context Router::Implementation::wakesContext()
 {
     return Wakes::Context { settings_.identity.vm, control_, clock_, *metrics_, directory_, home_, *peers_,
+        [this] { return homesPerSite(); },
         [this](const auto& where, const auto& vms, const auto& requests) {
             dispatcher_.takePlacements(where, vms, requests);
         },
@@ -175,13 +181,33 @@
 {
     directory_.setEntries(vms);
     sessions_.endGone();
-    const std::vector<VmName> routers = directory_.liveRouters();
-    const auto own = std::find(routers.begin(), routers.end(), settings_.identity.vm);
-    gate_.setLiveRouters(static_cast<std::uint32_t>(std::max<std::size_t>(1, routers.size())),
-        static_cast<std::uint32_t>(own - routers.begin()));
+    shareStore();
     hasVms_ = true;
 }
 
+/// As many homes as the weight store has full-speed places, shared among the sites: each home then has a place of its
+/// own. With more homes than places, the homes' shares of one place each would add up to more than the store takes.
+std::size_t Router::Implementation::homesPerSite() const
+{
+    const bundle::BundlePointer bundle = bundles_->current();
+    const std::uint32_t places = bundle ? bundle->policy.weightLoadsAtFullSpeed : 1;
+    return std::max<std::size_t>(1, places / std::max<std::size_t>(1, directory_.sites().size()));
+}
+
+/// Tells the gate how many homes there are, and which of them this router is.
+void Router::Implementation::shareStore()
+{
+    std::vector<VmName> homes;
+    for (const framework::SiteName& site : directory_.sites()) {
+        for (VmName& vm : directory_.homes(site, homesPerSite()))
+            homes.push_back(std::move(vm));
+    }
+    std::sort(homes.begin(), homes.end());
+    const auto own = std::find(homes.begin(), homes.end(), settings_.identity.vm);
+    gate_.setHomes(static_cast<std::uint32_t>(std::max<std::size_t>(1, homes.size())),
+        static_cast<std::uint32_t>(own - homes.begin()));
+}
+
 void Router::Implementation::findHolders(const SiteTarget& where, HoldersHandler handler)
 {
     platformCalls_.run([this, where, handler = std::move(handler)] {
--- a/src/router/internal/vmdirectory.cpp
+++ b/src/router/internal/vmdirectory.cpp
@@ -1,5 +1,7 @@
 #include "router/internal/vmdirectory.h"
 
+#include "policy/rendezvous.h"
+
 #include <algorithm>
 
 namespace lagoon::router {
@@ -63,6 +65,14 @@
     return found;
 }
 
+std::vector<VmName> VmDirectory::homes(const SiteName& site, std::size_t most) const
+{
+    std::vector<VmName> order = policy::rendezvousOrder("homes", routers(site));
+    if (order.size() > most)
+        order.resize(most);
+    return order;
+}
+
 std::vector<VmName> VmDirectory::liveRouters() const
 {
     std::vector<VmName> live;
--- a/src/router/internal/vmdirectory.h
+++ b/src/router/internal/vmdirectory.h
@@ -14,8 +14,7 @@
 class VmDirectory {
 public:
     void setEntries(const platform::VmEntries&);
-    /// The agent said that it is draining: no more work for it, whatever the list says. VM names are never used again,
-    /// but an agent may be started anew on its VM, so `clearDraining` takes it back on the agent's next hello.
+    /// The agent said that it is draining: no more work for it, whatever the list says, until `clearDraining`.
     void setDraining(const framework::VmName&);
     void clearDraining(const framework::VmName&);
 
@@ -25,6 +24,8 @@
     /// Live upstreams of the pools at the site that take work.
     std::vector<framework::VmName> upstreams(const std::vector<framework::PoolName>&, const framework::SiteName&) const;
     std::vector<framework::VmName> routers(const framework::SiteName&) const;
+    /// The site's routers that do the home duty: at most `most`, the same at everyone with the same list.
+    std::vector<framework::VmName> homes(const framework::SiteName&, std::size_t most) const;
     /// Of all sites, by name.
     std::vector<framework::VmName> liveRouters() const;
     std::set<framework::SiteName> sites() const;
--- a/src/router/internal/wakes.cpp
+++ b/src/router/internal/wakes.cpp
@@ -116,7 +116,8 @@
 VmName Wakes::homeFor(const SiteTarget& where, const std::set<VmName>& failed) const
 {
     const std::string key = wire::targetText(toWire(where.target));
-    for (const VmName& vm : policy::rendezvousOrder(key, context_.directory.routers(where.site))) {
+    for (const VmName& vm :
+        policy::rendezvousOrder(key, context_.directory.homes(where.site, context_.homesPerSite()))) {
         if (!failed.contains(vm))
             return vm;
     }
--- a/src/router/internal/wakes.h
+++ b/src/router/internal/wakes.h
@@ -30,6 +30,8 @@
         const VmDirectory& directory;
         Home& home;
         PeerLinks& peers;
+        /// Routers of one site that do the home duty, at most.
+        std::function<std::size_t()> homesPerSite;
         /// The target is served at these agents; its waiting requests may go.
         std::function<void(const SiteTarget&, const std::vector<framework::VmName>&, const std::set<RequestNumber>&)>
             onPlaced;
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -66,14 +66,17 @@
         return *link(vm)->takeSent(Body::Dispatch).body.AsDispatch()->id;
     }
 
-    /// The agent that the request went to first, and its dispatch.
+    /// The agent that a request went to, and its dispatch.
     std::pair<std::string, wire::fb::DispatchIdT> firstDispatch()
     {
-        for (const std::string vm : { "draft-1", "draft-2" }) {
+        for (std::string vm : { "draft-1", "draft-2" }) {
             if (!link(vm))
                 continue;
             greet(vm);
-            return { vm, sentId(vm) };
+            for (const wire::Message& sent : link(vm)->takeSent()) {
+                if (sent.body.type == Body::Dispatch)
+                    return { vm, *sent.body.AsDispatch()->id };
+            }
         }
         throw std::runtime_error("nothing was dispatched");
     }
@@ -255,4 +258,22 @@
     BOOST_TEST(caller->isWhole_);
 }
 
+// An agent is restarted for a new program version: it drains, ends, and a new process answers at the same place. It
+// must get work again, though nothing in the platform's list changed.
+BOOST_AUTO_TEST_CASE(anAgentThatDrainedGetsWorkAgain)
+{
+    const auto first = ask(holds(), longTimeout, false);
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const auto [vm, id] = firstDispatch();
+        refuse(*link(vm), id, ErrorCode::Draining, Execution::NotRun);
+    }
+    BOOST_REQUIRE(first->refused_);
+    BOOST_TEST(ask(holds(), longTimeout, false)->refused_.has_value());
+    control_.advance(Milliseconds(6000));
+    const auto later = ask(holds(), longTimeout, false);
+    const auto [vm, id] = firstDispatch();
+    answer(*link(vm), id, "held");
+    BOOST_TEST(later->isWhole_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/router/tests/fixture.cpp
+++ b/src/router/tests/fixture.cpp
@@ -62,7 +62,7 @@
     , home_({ site, control_, control_, metrics_, settings_, sessions_, directory_, placements_, gate_,
           [this] { return bundle_; },
           [](const SiteTarget&, const HoldersHandler& handler) { handler(std::vector<VmName>()); } })
-    , wakes_({ ownVm, control_, control_, metrics_, directory_, home_, *peers_,
+    , wakes_({ ownVm, control_, control_, metrics_, directory_, home_, *peers_, [] { return std::size_t(4); },
           [this](const auto& where, const auto& vms, const auto& requests) {
               dispatcher_.takePlacements(where, vms, requests);
           },
--- /dev/null
+++ b/src/router/tests/vmdirectory_test.cpp
@@ -0,0 +1,66 @@
+#include "router/internal/vmdirectory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace lagoon::router;
+using framework::VmName;
+using platform::VmRole;
+using platform::VmState;
+
+namespace {
+
+const framework::SiteName site("old");
+const framework::PoolName pool("engines");
+
+platform::VmEntry entry(const std::string& vm, VmRole role, VmState state)
+{
+    platform::VmEntry entry;
+    entry.vm = VmName(vm);
+    entry.role = role;
+    entry.state = state;
+    entry.site = site;
+    if (role == VmRole::Upstream)
+        entry.pool = pool;
+    return entry;
+}
+
+VmDirectory directoryOf(const platform::VmEntries& entries)
+{
+    VmDirectory directory;
+    directory.setEntries(entries);
+    return directory;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(VmDirectories)
+
+// A VM is about to be reclaimed, or its agent says that it drains while the list still has it live: neither gets work.
+BOOST_AUTO_TEST_CASE(leavingAndDrainingUpstreamsGetNoWork)
+{
+    VmDirectory directory
+        = directoryOf({ entry("a", VmRole::Upstream, VmState::Live), entry("b", VmRole::Upstream, VmState::Leaving),
+            entry("c", VmRole::Upstream, VmState::Gone), entry("d", VmRole::Upstream, VmState::Live) });
+    directory.setDraining(VmName("d"));
+    BOOST_CHECK(directory.upstreams({ pool }, site) == std::vector<VmName> { VmName("a") });
+    BOOST_TEST(directory.isGone(VmName("c")));
+    directory.clearDraining(VmName("d"));
+    BOOST_TEST(directory.upstreams({ pool }, site).size() == 2u);
+}
+
+// 370 routers, each with one place at a weight store that has four, would start 370 loads at once. Only as many routers
+// as there are places are homes, and all routers name the same ones.
+BOOST_AUTO_TEST_CASE(homesAreFewAndTheSameForAll)
+{
+    platform::VmEntries entries;
+    for (int number = 0; number < 370; ++number)
+        entries.push_back(entry("entry-" + std::to_string(number), VmRole::Router, VmState::Live));
+    const auto homes = directoryOf(entries).homes(site, 4);
+    BOOST_TEST(homes.size() == 4u);
+    std::reverse(entries.begin(), entries.end());
+    BOOST_CHECK(directoryOf(entries).homes(site, 4) == homes);
+    BOOST_TEST(directoryOf(entries).homes(framework::SiteName("new"), 4).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
