--- /dev/null
+++ b/tests/integration/leaving_test.cpp
@@ -0,0 +1,113 @@
+#include "support/bundlebuilder.h"
+#include "support/burst.h"
+#include "support/deployment.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace lagoon::testsupport;
+
+namespace {
+
+const std::string service = "slots";
+
+/// A booking service on two VMs and one router.
+struct LeavingFixture {
+    LeavingFixture()
+    {
+        for (const char* vm : { "booking-1", "booking-2" })
+            deployment.addUpstream(vm, { .kind = UpstreamKind::Service, .pool = "booking" });
+        deployment.addRouter("entry-1");
+        deployment.rollOut(BundleBuilder(1).servicePool("booking", "old").service(service, { "booking" }).text());
+        deployment.waitUntilReady();
+        askUntil("both serve", [&] { return callsAt("booking-1") > 0 && callsAt("booking-2") > 0; });
+    }
+
+    std::size_t callsAt(const std::string& vm) { return executionsAt({ deployment.upstream(vm).upstream() }).size(); }
+    HttpAnswer ask()
+    {
+        const std::string token = "hold-" + std::to_string(asked_++);
+        return call(serviceCall(deployment.router("entry-1").callers(), service, token));
+    }
+    void askUntil(const std::string& what, const std::function<bool()>& condition)
+    {
+        waitFor(what, [&] {
+            BOOST_TEST(ask().status == 200);
+            return condition();
+        });
+    }
+    /// Asks again and again until so many calls in a row went past the VM, far more than chance allows.
+    void askUntilNothingReaches(const std::string& vm)
+    {
+        std::size_t before = callsAt(vm);
+        std::size_t inARow = 0;
+        askUntil("no new work reaches " + vm, [&] {
+            const std::size_t now = callsAt(vm);
+            inARow = now == before ? inARow + 1 : 0;
+            before = now;
+            return inARow >= callsPastLeaving;
+        });
+    }
+
+    static constexpr std::size_t callsPastLeaving = 60;
+    Deployment deployment;
+
+private:
+    std::size_t asked_ = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Leaving, LeavingFixture)
+
+// The platform is about to take a VM back and says so in its list. Work that still went there would die with it.
+BOOST_AUTO_TEST_CASE(byThePlatformsList)
+{
+    deployment.setVmState("booking-1", "leaving");
+    askUntilNothingReaches("booking-1");
+}
+
+// An operator ends the agent while the list still calls its VM live. The agent says itself that it takes no more.
+BOOST_AUTO_TEST_CASE(bySigtermToTheAgentWithAListThatKnowsNothing)
+{
+    setFaults(deployment.platform(), R"({"vms_frozen": true})");
+    deployment.upstream("booking-1").agent->sendSignal(SIGTERM);
+    BOOST_TEST(deployment.upstream("booking-1").agent->waitForExit() == 0);
+    askUntilNothingReaches("booking-1");
+}
+
+// The same while the platform can't be reached at all.
+BOOST_AUTO_TEST_CASE(bySigtermToTheAgentWithThePlatformDown)
+{
+    setFaults(deployment.platform(), R"({"mode": "refuse"})");
+    deployment.upstream("booking-1").agent->sendSignal(SIGTERM);
+    BOOST_TEST(deployment.upstream("booking-1").agent->waitForExit() == 0);
+    askUntilNothingReaches("booking-1");
+}
+
+// The list says "leaving" late. What the VM still gets until then is answered; nothing is lost.
+BOOST_AUTO_TEST_CASE(byAListThatIsLate)
+{
+    setFaults(deployment.platform(), R"({"vms_late_ms": 1500})");
+    deployment.setVmState("booking-1", "leaving");
+    askUntilNothingReaches("booking-1");
+}
+
+// A call is under way at the upstream when its agent is told to go. It is answered before the agent goes.
+BOOST_AUTO_TEST_CASE(workUnderWayIsFinished)
+{
+    setFaults(deployment.upstream("booking-1").upstream(), R"({"work_ms": 2000})");
+    setFaults(deployment.upstream("booking-2").upstream(), R"({"work_ms": 2000})");
+    const std::size_t before = callsAt("booking-1");
+    std::vector<PendingCall> calls;
+    waitFor("a call runs at the leaving VM", [&] {
+        calls.emplace_back(serviceCall(deployment.router("entry-1").callers(), service, "under way"));
+        return callsAt("booking-1") > before;
+    });
+    deployment.upstream("booking-1").agent->sendSignal(SIGTERM);
+    for (PendingCall& call : calls)
+        BOOST_TEST(call.answer().status == 200);
+    BOOST_TEST(deployment.upstream("booking-1").agent->waitForExit() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/engine/enginestandin.cpp
+++ b/tests/standins/engine/enginestandin.cpp
@@ -104,10 +104,14 @@
     std::unique_lock lock(mutex_);
     if (lateLoadsLeft_ > 0) {
         --lateLoadsLeft_;
+        ++heldLoads_;
         const Milliseconds delay = lateLoadDelay_;
         lock.unlock();
         std::this_thread::sleep_for(delay);
         startLoad(key, memoryMib, fence);
+        lock.lock();
+        --heldLoads_;
+        lock.unlock();
         return exchange.dropConnection();
     }
     lock.unlock();
@@ -304,6 +308,7 @@
     const std::lock_guard lock(mutex_);
     value record;
     record["most_used_mib"] = value::number(replicas_.mostUsedMib());
+    record["held_loads"] = value::number(heldLoads_);
     record["events"] = value::array();
     for (const ReplicaEvent& event : replicas_.events())
         record["events"][record["events"].size()] = eventJson(event);
--- a/tests/standins/engine/enginestandin.h
+++ b/tests/standins/engine/enginestandin.h
@@ -84,6 +84,8 @@
     std::uint64_t loadFaultsLeft_ = 0;
     std::uint64_t lateLoadsLeft_ = 0;
     framework::Milliseconds lateLoadDelay_ { 0 };
+    /// Orders that lie unread now.
+    std::uint64_t heldLoads_ = 0;
     std::uint64_t ignoredUnloadsLeft_ = 0;
     framework::Milliseconds slowLoad_ { 0 };
     framework::Milliseconds slowToken_ { 0 };
--- a/tests/support/burst.cpp
+++ b/tests/support/burst.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Of all bursts of the test program, so that no two prompts are the same.
+std::uint64_t lastPrompt = 0;
+
 /// Adds one call's end to the outcome. `executions` is what the engines recorded of its prompt.
 void addEnd(BurstOutcome& outcome, const std::string& prompt, const HttpAnswer& answer, std::size_t executions)
 {
@@ -39,7 +42,7 @@
     CompletionOptions own = options;
     own.headers["X-Lagoon-Repeatable"] = "false";
     for (std::size_t index = 0; index < calls; ++index) {
-        const std::string prompt = model + " question number " + std::to_string(calls_.size());
+        const std::string prompt = model + " question number " + std::to_string(++lastPrompt);
         calls_.push_back({ prompt, PendingCall(completionCall(callers, model, prompt, own)) });
     }
 }
--- a/tests/support/burst.h
+++ b/tests/support/burst.h
@@ -19,7 +19,7 @@
     std::vector<std::string> faults;
 };
 
-/// Many completions at once, each with a prompt of its own.
+/// Many completions at once, each with a prompt of its own among all bursts. Begin them on one thread.
 class Burst {
 public:
     /// Begins so many calls at the router. They may not be repeated.
