--- a/src/policy/tests/loadforecast_test.cpp
+++ b/src/policy/tests/loadforecast_test.cpp
@@ -74,6 +74,15 @@
     BOOST_CHECK(!isHopeless(forecast, 22s));
 }
 
+// Twice as many requests come as can be served. Those that start just in time end just too late: the upstreams are busy
+// and nearly every caller sees a refusal at the deadline.
+BOOST_AUTO_TEST_CASE(aQueuePlaceIsRefusedUnlessEvenTheLatestIsInTime)
+{
+    const LoadForecast forecast = forecastWaiting(usual, {});
+    BOOST_CHECK(policy::isLikelyTooLate(forecast, framework::Deadline::after(start, 44s), start));
+    BOOST_CHECK(!policy::isLikelyTooLate(forecast, framework::Deadline::after(start, 46s), start));
+}
+
 BOOST_AUTO_TEST_CASE(callersComeBackSpreadAfterTheExpectedEnd)
 {
     const LoadForecast forecast = forecastWaiting(usual, {});
--- a/src/policy/tests/loadorder_test.cpp
+++ b/src/policy/tests/loadorder_test.cpp
@@ -40,6 +40,13 @@
 
 BOOST_AUTO_TEST_CASE(aLoadThatCanNotBeInTimeGoesBehind) { BOOST_CHECK(next({ pending(5s), pending(60s) }) == 1U); }
 
+BOOST_AUTO_TEST_CASE(theShorterLoadGoesFirst)
+{
+    PendingLoad brief = pending(60s);
+    brief.expectedLoad = 3s;
+    BOOST_CHECK(next({ pending(60s), brief }) == 1U);
+}
+
 // Busy models keep bringing urgent loads. The one that waits would never start, and its caller would be refused each
 // time that it comes back. What has waited long goes first whatever comes.
 BOOST_AUTO_TEST_CASE(nothingStarves)
