--- /dev/null
+++ b/tests/demo/demo.cpp
@@ -0,0 +1,298 @@
+// The demonstration: two sites on loopback, with stand-ins for engines, booking services, the platform and the weight
+// store. Each step says what it does and checks that it happened. Exits with 0 if all did, else with 1 and what didn't.
+
+#include "demo/narration.h"
+#include "demo/traffic.h"
+#include "support/bundlebuilder.h"
+#include "support/callers.h"
+#include "support/deployment.h"
+
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+#include <set>
+#include <sstream>
+
+using namespace lagoon::testsupport;
+using namespace lagoon::demo;
+
+namespace {
+
+const std::string oldSite = "old";
+const std::string newSite = "new";
+const std::vector<std::string> models { "policy", "notes", "summary" };
+constexpr std::uint64_t acceleratorMib = 1000;
+/// As many as a site's engines hold at once: callers of a third would make them unload and load all the time.
+const std::vector<std::string> movedUnderTraffic { "policy", "notes" };
+/// Two of a site's engines hold one model each, so a third one needs an unload.
+constexpr std::uint64_t modelMib = 600;
+/// High, so that no replica is unloaded for being idle while the demonstration lasts.
+constexpr double coldStartWeight = 100;
+/// Of each caller, before the move, and after it took hold.
+constexpr std::size_t callsOnEitherSide = 20;
+
+std::string inMilliseconds(std::chrono::steady_clock::duration time)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(1) << std::chrono::duration<double, std::milli>(time).count() << " ms";
+    return text.str();
+}
+
+std::string bundleText(std::uint64_t version, const std::string& servingSite)
+{
+    const bool isOldServing = servingSite == oldSite;
+    BundleBuilder bundle(version);
+    bundle.enginePool("engines-old", oldSite, acceleratorMib).enginePool("engines-new", newSite, acceleratorMib);
+    bundle.servicePool("booking-old", oldSite).servicePool("booking-new", newSite);
+    for (const std::string& model : models)
+        bundle.model(model, modelMib, { "engines-old", "engines-new" },
+            { { oldSite, isOldServing ? 1 : 0 }, { newSite, isOldServing ? 0 : 1 } });
+    bundle.policy("cold_start_weight", coldStartWeight);
+    bundle.service("booking", { "booking-old", "booking-new" });
+    return bundle.text();
+}
+
+class Demonstration {
+public:
+    Demonstration()
+        : deployment_({ "--loads-per-second", "10", "--transfer-ms", "200" })
+    {
+    }
+
+    void run()
+    {
+        startProcesses();
+        rollOutTheFirstBundle();
+        callAColdModel();
+        callAService();
+        callAModelThatIsNotInTheBundle();
+        callMoreModelsThanFit();
+        move();
+        showStatus();
+        showCounters();
+    }
+
+private:
+    void startProcesses()
+    {
+        printTitle("Two sites, each with a router, two engines and a booking service, each of these with its agent");
+        for (const std::string& site : { oldSite, newSite }) {
+            const Place place { site, site + "-a" };
+            for (const std::string number : { "1", "2" })
+                deployment_.addUpstream("gpu-" + site + "-" + number,
+                    { .place = place,
+                        .pool = "engines-" + site,
+                        .standinWords = { "--memory-mib", std::to_string(acceleratorMib), "--load-ms", "300" } });
+            deployment_.addUpstream(
+                "booking-" + site, { .kind = UpstreamKind::Service, .place = place, .pool = "booking-" + site });
+            deployment_.addRouter("entry-" + site, { .place = place });
+            printLine("site " + site + ": callers call http://" + callers(site) + ", counters at http://"
+                + deployment_.router("entry-" + site).ops() + "/metrics");
+        }
+    }
+
+    void rollOutTheFirstBundle()
+    {
+        printTitle("Bundle 1 decides one replica of each model at the old site, none at the new one");
+        rollOut(1, oldSite);
+        deployment_.waitUntilReady();
+        waitUntilInForce();
+    }
+
+    void callAColdModel()
+    {
+        printTitle("A request for a cold model: it waits at the router while an agent claims and loads a replica");
+        const auto cold = timeOf("policy", "may this university have a block");
+        const auto warm = timeOf("policy", "and this one");
+        printLine("cold " + inMilliseconds(cold) + ", warm " + inMilliseconds(warm));
+        check(loadsOf(engines(oldSite), "policy") == 1, "the model was loaded once");
+    }
+
+    void callAService()
+    {
+        printTitle("A plain service takes the same path");
+        const HttpAnswer answer = call(serviceCall(callers(newSite), "booking", "desk-4"));
+        printBlock(std::to_string(answer.status) + " " + answer.body);
+        check(answer.status == 200 && answer.isWhole(), "it was answered");
+        check(executionsOf(deployment_.upstreams(UpstreamKind::Service), "desk-4") == 1, "the service ran it once");
+    }
+
+    void callAModelThatIsNotInTheBundle()
+    {
+        printTitle("A model that isn't in the bundle is refused, with the truth about whether it ran");
+        const HttpAnswer answer = call(completionCall(callers(oldSite), "horoscope", "what will be"));
+        printBlock(std::to_string(answer.status) + " " + answer.body);
+        check(answer.status == 404, "the status is 404");
+        check(refusalField(answer, "code") == "unknown_model", "the code is unknown_model");
+        check(refusalField(answer, "execution") == "not_run", "it says that it did not run");
+    }
+
+    void callMoreModelsThanFit()
+    {
+        printTitle("Three models on two accelerators that hold one each: the third needs an unload first");
+        timeOf("notes", "notes of a meeting");
+        printLine("the third, with the unload: " + inMilliseconds(timeOf("summary", "a summary of it")));
+        std::uint64_t loaded = 0;
+        for (const std::string& model : models)
+            loaded += replicasNow(engines(oldSite), model);
+        check(loaded == 2, "two of the three models are loaded now");
+        checkEngines();
+    }
+
+    void move()
+    {
+        printTitle("The move: bundle 2 decides all replicas at the new site, while callers go on at both routers");
+        Traffic atOld("a caller at the old site", callers(oldSite), movedUnderTraffic);
+        Traffic atNew("a caller at the new site", callers(newSite), movedUnderTraffic);
+        waitFor("calls before the move",
+            [&] { return atOld.answered() >= callsOnEitherSide && atNew.answered() >= callsOnEitherSide; });
+        rollOut(2, newSite);
+        waitUntilInForce();
+        for (const std::string& model : models)
+            waitFor("drained at the old site: " + model, [&] { return replicasNow(engines(oldSite), model) == 0; });
+        const std::size_t before = atOld.answered();
+        waitFor("calls after the move", [&] { return atOld.answered() >= before + callsOnEitherSide; });
+        for (Traffic* traffic : { &atOld, &atNew })
+            checkTraffic(traffic->stop());
+        for (const std::string& model : models)
+            check(replicasNow(engines(oldSite), model) == 0, "no replica of " + model + " is left at the old site");
+        checkEngines();
+    }
+
+    void showStatus()
+    {
+        printTitle("What an operator sees");
+        check(status(true) == 0, "each process has bundle 2 in force");
+    }
+
+    void showCounters()
+    {
+        printTitle("What the counters say");
+        printLine("The old site's router");
+        printCounters(deployment_.router("entry-old").ops(),
+            { { "lagoon_requests_total", "requests received" }, { "lagoon_answers_total", "how they ended" },
+                { "lagoon_refusals_total", "refusals by code; unknown_model is step 5" },
+                { "lagoon_retries_total", "dispatches tried again, by reason" },
+                { "lagoon_bundle_version", "the bundle in force" } });
+        printLine("An agent at the new site");
+        printCounters(deployment_.upstream("gpu-new-1").ops(),
+            { { "lagoon_loads_total", "loads since it started" }, { "lagoon_unloads_total", "unloads, by reason" },
+                { "lagoon_accelerator_memory_used_mebibytes", "accelerator memory in use now" },
+                { "lagoon_platform_calls_total", "calls to the platform, by kind and result" } });
+        check(metricAt(deployment_.router("entry-old").ops(), "lagoon_bundle_version") == 2, "bundle 2 is counted");
+    }
+
+    std::string callers(const std::string& site) { return deployment_.router("entry-" + site).callers(); }
+
+    std::vector<std::string> engines(const std::string& site)
+    {
+        return { deployment_.upstream("gpu-" + site + "-1").upstream(),
+            deployment_.upstream("gpu-" + site + "-2").upstream() };
+    }
+
+    std::vector<std::string> processes()
+    {
+        std::vector<std::string> ops;
+        for (const std::string& site : { oldSite, newSite }) {
+            ops.push_back(deployment_.router("entry-" + site).ops());
+            for (const std::string& vm : { "gpu-" + site + "-1", "gpu-" + site + "-2", "booking-" + site })
+                ops.push_back(deployment_.upstream(vm).ops());
+        }
+        return ops;
+    }
+
+    /// Time until the whole answer to a completion at the old site was there.
+    std::chrono::steady_clock::duration timeOf(const std::string& model, const std::string& prompt)
+    {
+        const auto start = std::chrono::steady_clock::now();
+        const HttpAnswer answer = call(completionCall(callers(oldSite), model, prompt, { .isStream = true }));
+        const auto time = std::chrono::steady_clock::now() - start;
+        const std::string text = completionText(answer);
+        check(text == prompt, "the answer to \"" + prompt + "\" is whole: " + text);
+        return time;
+    }
+
+    /// Runs an operator's command and prints it with its output.
+    void runOperators(std::vector<std::string> words)
+    {
+        words.insert(words.end(), { "--platform", "http://" + deployment_.platform(), "--operator", "ada" });
+        std::string line = "$ lagoonrouter";
+        for (const std::string& word : words)
+            line += " " + word;
+        std::string output;
+        const int exitCode = deployment_.runCommand(words, &output);
+        printBlock(line + "\n" + output);
+        if (exitCode != 0)
+            throw std::runtime_error("exit code " + std::to_string(exitCode));
+    }
+
+    void rollOut(std::uint64_t version, const std::string& servingSite)
+    {
+        const std::string file = deployment_.folder().file("bundle-" + std::to_string(version) + ".json");
+        writeFile(file, bundleText(version, servingSite));
+        runOperators({ "bundle", "sign-off", file });
+        runOperators({ "bundle", "roll-out", std::to_string(version) });
+    }
+
+    int status(bool isPrinted)
+    {
+        std::vector<std::string> words { "bundle", "status", "--platform", "http://" + deployment_.platform() };
+        for (const std::string& ops : processes())
+            words.insert(words.end(), { "--process", ops });
+        std::string output;
+        const int exitCode = deployment_.runCommand(words, &output);
+        if (isPrinted)
+            printBlock("$ lagoonrouter bundle status --platform ... --process ...\n" + output);
+        return exitCode;
+    }
+
+    void waitUntilInForce()
+    {
+        const auto start = std::chrono::steady_clock::now();
+        waitFor("in force everywhere", [&] { return status(false) == 0; });
+        printLine("in force at all 8 processes " + inMilliseconds(std::chrono::steady_clock::now() - start)
+            + " after the command, as `bundle status` saw it");
+    }
+
+    void checkTraffic(const TrafficCount& count)
+    {
+        for (const std::string& fault : count.faults)
+            printLine("not answered: " + fault);
+        check(count.answered == count.sent,
+            std::to_string(count.answered) + " of " + std::to_string(count.sent) + " calls were answered whole");
+        std::multiset<std::string> executed;
+        for (const Execution& execution : executionsAt(deployment_.upstreams(UpstreamKind::Engine)))
+            executed.insert(execution.content);
+        std::size_t once = 0;
+        for (const std::string& prompt : count.prompts)
+            once += executed.count(prompt) == 1 ? 1 : 0;
+        check(once == count.sent, "each of them ran exactly once");
+    }
+
+    void checkEngines()
+    {
+        check(violationsAt(deployment_.upstreams(UpstreamKind::Engine)).empty(), "no accelerator was overcommitted");
+        for (const std::string& site : { oldSite, newSite }) {
+            for (const std::string& model : models)
+                check(mostReplicasAtOnce(engines(site), model) <= 1,
+                    "never more than one replica of " + model + " at site " + site);
+        }
+    }
+
+    Deployment deployment_;
+};
+
+} // namespace
+
+int main()
+{
+    try {
+        Demonstration demonstration;
+        demonstration.run();
+    } catch (const std::exception& error) {
+        std::cout << std::flush;
+        std::cerr << "\nThe demonstration failed: " << error.what() << "\n";
+        return 1;
+    }
+    std::cout << "\nAll steps did what they say.\n";
+}
--- /dev/null
+++ b/tests/demo/narration.cpp
@@ -0,0 +1,66 @@
+#include "demo/narration.h"
+
+#include "support/httpcall.h"
+
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+
+namespace lagoon::demo {
+
+namespace {
+
+const std::string indent = "      ";
+
+/// Whether the line is a sample of the metric, with labels or without.
+bool isSampleOf(const std::string& line, const std::string& name)
+{
+    if (line.compare(0, name.size(), name) != 0 || line.size() == name.size())
+        return false;
+    return line[name.size()] == ' ' || line[name.size()] == '{';
+}
+
+} // namespace
+
+void printTitle(const std::string& title)
+{
+    static int number = 0;
+    std::cout << "\n" << ++number << ". " << title << "\n" << std::flush;
+}
+
+void printLine(const std::string& text) { std::cout << "   " << text << "\n" << std::flush; }
+
+void printBlock(const std::string& text)
+{
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);)
+        std::cout << indent << line << "\n";
+    std::cout << std::flush;
+}
+
+void printCounters(const std::string& ops, const std::vector<std::pair<std::string, std::string>>& meanings)
+{
+    const std::string metrics = testsupport::getFrom(ops, "/metrics").body;
+    for (const auto& [name, meaning] : meanings) {
+        printLine(meaning + ":");
+        std::istringstream lines(metrics);
+        bool isShown = false;
+        for (std::string line; std::getline(lines, line);) {
+            if (!isSampleOf(line, name))
+                continue;
+            printBlock(line);
+            isShown = true;
+        }
+        if (!isShown)
+            printBlock(name + ": no sample, so it never happened");
+    }
+}
+
+void check(bool isTrue, const std::string& what)
+{
+    if (!isTrue)
+        throw std::runtime_error("this isn't so: " + what);
+    printLine("checked: " + what);
+}
+
+} // namespace lagoon::demo
