Agents keep and unload by the measured policy whole

Cause: the simulation of docs/MEASUREMENTS.md unloads by expiredReplicas, with idle gaps remembered per target and an expected next load's time; the agent called keepUntil for each replica, without gaps and with the last load's time.

Change: ReplicaController takes the simulation's steps: TargetGaps records, per target and also while it isn't loaded, the gap from the end of the last use to the next; own gaps withPrior of all, taken at each use; loadTime half way between a load from the present place and one from disk, set when a replica falls idle; expiredReplicas over all loaded ones. The guards stay (first-use grace, unclaimed, busy, adapters on their way in or out hold their model): such a replica is given as running. One step differs: gaps are also set when a load ends, since here it may end with nobody there to use it at once. Gaps of targets that a new bundle doesn't have are dropped.

--- a/src/agent/internal/replica.h
+++ b/src/agent/internal/replica.h
@@ -3,6 +3,7 @@
 #include "agent/types/replicaid.h"
 #include "framework/types/error.h"
 #include "framework/types/time.h"
+#include "policy/idlegaps.h"
 
 #include <cstdint>
 #include <functional>
@@ -71,7 +72,10 @@
     bool wasUsed = false;
     framework::SteadyTime lastUsed {};
     std::vector<framework::SteadyTime> recentUses;
+    /// What its next load is expected to take; see `policy::LoadedReplica`.
     framework::Milliseconds loadTime { 0 };
+    /// As of its last use, with the prior.
+    policy::IdleGaps gaps;
     std::vector<LoadWaiter> waiters;
 
     bool isBeingLoaded() const { return stage <= ReplicaStage::Loading; }
--- a/src/agent/internal/replicacontroller.cpp
+++ b/src/agent/internal/replicacontroller.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/logging.h"
 #include "framework/randomid.h"
+#include "policy/expiredreplicas.h"
 #include "policy/policysetup.h"
 
 #include <algorithm>
@@ -88,6 +89,7 @@
         formerCounts[id] = decidedOf(id).decided;
     bundle_ = std::move(bundle);
     keepWarm_ = policy::makeKeepWarm(bundle_->policy);
+    gaps_.keepOnly([this](const ReplicaId& id) { return weightsOf(id).has_value(); });
     for (auto& [id, replica] : replicas_) {
         if (!former || decidedOf(id).decided < formerCounts[id])
             replica.needsCountCheck = true;
@@ -216,9 +218,15 @@
         const std::string stage = replica ? stageText(replica->stage) : "not here";
         return refusal(ErrorCode::NotLoaded, target.replica, stage, retryWhenBusy);
     }
-    ++replica->uses;
+    const auto begin = [&](Replica* used) {
+        if (used->uses == 0)
+            gaps_.beginUse(used->id, now);
+        used->gaps = gaps_.gaps(used->id);
+        ++used->uses;
+    };
+    begin(replica);
     if (model != replica)
-        ++model->uses;
+        begin(model);
     for (Replica* used : { replica, model }) {
         used->lastUsed = now;
         used->wasUsed = true;
@@ -233,16 +241,21 @@
 
 void ReplicaController::endUse(const Target& target, SteadyTime now)
 {
-    // A replica may have vanished from its engine under its requests.
-    const auto end = [&](Replica* replica) {
+    const auto end = [&](const ReplicaId& id) {
+        Replica* replica = find(id);
+        // A replica may have vanished from its engine under its requests.
         if (!replica || replica->uses == 0)
-            return;
+            return gaps_.endUse(id, now);
         --replica->uses;
         replica->lastUsed = now;
+        if (replica->uses > 0)
+            return;
+        gaps_.endUse(id, now);
+        replica->loadTime = nextLoadTime(*replica);
     };
-    end(find(target.replica));
+    end(target.replica);
     if (target.replica.isAdapter())
-        end(find(target.replica.ofModel()));
+        end(target.replica.ofModel());
     const Replica* replica = find(target.replica);
     if (replica && replica->stage != ReplicaStage::Loaded)
         advance();
@@ -370,18 +383,34 @@
 
 void ReplicaController::unloadIdle(SteadyTime now)
 {
-    for (auto& [id, replica] : replicas_) {
-        if (replica.stage != ReplicaStage::Loaded || replica.uses > 0 || !replica.isClaimed || replica.isBusy)
-            continue;
-        if (!id.isAdapter() && hasAdapters(id.model))
-            continue;
-        // Guards against loading for nobody, again and again: those for whom it was loaded hear of it only now, and
-        // where loads are short the policy would have it gone before their requests arrive.
-        if (!replica.wasUsed && !Deadline::after(replica.since, firstUseGrace).hasPassed(now))
+    const std::vector<policy::LoadedReplica> views = idleViews(now);
+    for (const std::size_t index : policy::expiredReplicas(*keepWarm_, views, account_.total(), now))
+        drain(*find({ views[index].model, views[index].adapter }), "idle");
+}
+
+/// All loaded ones; those that can't be unloaded yet are given as running.
+std::vector<policy::LoadedReplica> ReplicaController::idleViews(SteadyTime now) const
+{
+    std::vector<policy::LoadedReplica> views;
+    for (const auto& [id, replica] : replicas_) {
+        if (replica.stage != ReplicaStage::Loaded)
             continue;
-        if (keepWarm_->keepUntil(viewOf(replica), account_.total()).hasPassed(now))
-            drain(replica, "idle");
+        views.push_back(viewOf(replica));
+        if (!mayExpire(replica, now))
+            views.back().running = std::max<std::uint32_t>(1, views.back().running);
     }
+    return views;
+}
+
+bool ReplicaController::mayExpire(const Replica& replica, SteadyTime now) const
+{
+    if (!replica.isClaimed || replica.isBusy)
+        return false;
+    if (!replica.id.isAdapter() && hasAdaptersOnTheWay(replica.id.model))
+        return false;
+    // Guards against loading for nobody, again and again: those for whom it was loaded hear of it only now, and where
+    // loads are short the policy would have it gone before their requests arrive.
+    return replica.wasUsed || Deadline::after(replica.since, firstUseGrace).hasPassed(now);
 }
 
 void ReplicaController::expireWaiters(SteadyTime now)
@@ -471,8 +500,8 @@
 void ReplicaController::takeLoaded(Replica& replica, SteadyTime now)
 {
     if (replica.isOrdered) {
-        replica.loadTime = std::chrono::duration_cast<Milliseconds>(now - replica.orderedAt);
-        loadTimes_.record(replicaText(replica.id), placeOf(replica.id), replica.memory, replica.loadTime, now);
+        const auto took = std::chrono::duration_cast<Milliseconds>(now - replica.orderedAt);
+        loadTimes_.record(replicaText(replica.id), placeOf(replica.id), replica.memory, took, now);
         ports_.metrics->observeSeconds(
             "lagoon_load_seconds", std::chrono::duration<double>(now - replica.orderedAt).count());
         ports_.metrics->count("lagoon_loads_total");
@@ -480,6 +509,8 @@
     framework::logInfo("agent", "loaded " + replicaText(replica.id));
     setStage(replica, ReplicaStage::Loaded);
     replica.lastUsed = now;
+    replica.loadTime = nextLoadTime(replica);
+    replica.gaps = gaps_.gaps(replica.id);
     replica.wasUsed = false;
     replica.needsConfirm = true;
     replica.mayArriveLate = false;
@@ -613,6 +644,7 @@
     view.loadTime = replica.loadTime;
     view.running = replica.uses;
     view.recentUses = replica.recentUses;
+    view.gaps = replica.gaps;
     // A model whose adapter is on its way in is in use.
     for (const auto& [id, other] : replicas_) {
         if (id.isAdapter() && id.model == replica.id.model && !replica.id.isAdapter() && other.isBeingLoaded())
@@ -628,6 +660,25 @@
     });
 }
 
+bool ReplicaController::hasAdaptersOnTheWay(const framework::ModelName& model) const
+{
+    return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+        const ReplicaStage stage = entry.second.stage;
+        return entry.first.isAdapter() && entry.first.model == model && stage != ReplicaStage::Loaded
+            && stage != ReplicaStage::Releasing;
+    });
+}
+
+/// Between that from where its checkpoint is now and that from disk: by then others may have taken its place in memory.
+Milliseconds ReplicaController::nextLoadTime(const Replica& replica) const
+{
+    const auto from = [&](policy::CheckpointPlace place) {
+        return loadTimes_.estimate(replicaText(replica.id), place, replica.memory, ports_.clock.now()).typical;
+    };
+    const policy::CheckpointPlace present = placeOf(replica.id);
+    return (from(present) + from(std::max(present, policy::CheckpointPlace::Disk))) / 2;
+}
+
 policy::CheckpointPlace ReplicaController::placeOf(const ReplicaId& id) const
 {
     const auto weights = weightsOf(id);
--- a/src/agent/internal/replicacontroller.h
+++ b/src/agent/internal/replicacontroller.h
@@ -3,6 +3,7 @@
 #include "agent/imodelengine.h"
 #include "agent/internal/memoryaccount.h"
 #include "agent/internal/replica.h"
+#include "agent/internal/targetgaps.h"
 #include "agent/ireplicaclaims.h"
 #include "agent/itargetuse.h"
 #include "bundle/types/bundle.h"
@@ -142,7 +143,11 @@
     std::uint64_t memoryComing() const;
     std::vector<ReplicaId> victims(framework::MebiBytes needed, const ReplicaId& spared) const;
     policy::LoadedReplica viewOf(const Replica&) const;
+    std::vector<policy::LoadedReplica> idleViews(framework::SteadyTime now) const;
+    bool mayExpire(const Replica&, framework::SteadyTime now) const;
     bool hasAdapters(const framework::ModelName&) const;
+    bool hasAdaptersOnTheWay(const framework::ModelName&) const;
+    framework::Milliseconds nextLoadTime(const Replica&) const;
     policy::CheckpointPlace placeOf(const ReplicaId&) const;
     policy::LoadTimeEstimate expectedLoad(const ReplicaId&) const;
     bool isInTransition() const;
@@ -158,6 +163,7 @@
     std::map<ReplicaId, Replica> replicas_;
     MemoryAccount account_;
     policy::LoadTimeEstimator loadTimes_;
+    TargetGaps gaps_;
     EngineState engineState_;
     bool hasEngineState_ = false;
     std::uint32_t engineFailures_ = 0;
--- /dev/null
+++ b/src/agent/internal/targetgaps.cpp
@@ -0,0 +1,33 @@
+#include "agent/internal/targetgaps.h"
+
+#include <chrono>
+
+namespace lagoon::agent {
+
+using framework::Milliseconds;
+using framework::SteadyTime;
+
+void TargetGaps::beginUse(const ReplicaId& id, SteadyTime now)
+{
+    const auto used = uses_.find(id);
+    if (used == uses_.end())
+        return;
+    const auto gap = std::chrono::duration_cast<Milliseconds>(now - used->second.lastEnd);
+    used->second.gaps.record(gap);
+    allGaps_.record(gap);
+}
+
+void TargetGaps::endUse(const ReplicaId& id, SteadyTime now) { uses_[id].lastEnd = now; }
+
+policy::IdleGaps TargetGaps::gaps(const ReplicaId& id) const
+{
+    const auto used = uses_.find(id);
+    return (used == uses_.end() ? policy::IdleGaps() : used->second.gaps).withPrior(allGaps_);
+}
+
+void TargetGaps::keepOnly(const std::function<bool(const ReplicaId&)>& isKept)
+{
+    std::erase_if(uses_, [&isKept](const auto& use) { return !isKept(use.first); });
+}
+
+} // namespace lagoon::agent
--- a/src/agent/tests/fakeengine.h
+++ b/src/agent/tests/fakeengine.h
@@ -93,6 +93,8 @@
     bool isOvercommitted = false;
     unsigned loadsTaken = 0;
     unsigned unloadOrders = 0;
+    /// In their order.
+    std::vector<ReplicaId> unloaded;
     std::vector<OrderFault> faults;
 
 private:
@@ -148,6 +150,7 @@
             [&](const EngineReplica& one) { return one.checkpoint.replica == order.checkpoint.replica; });
         if (gone == 0)
             return framework::Error { framework::ErrorCode::NotLoaded, "unload", "engine" };
+        unloaded.push_back(order.checkpoint.replica);
         return framework::success();
     }
 
--- a/src/agent/tests/replicacontroller_test.cpp
+++ b/src/agent/tests/replicacontroller_test.cpp
@@ -124,6 +124,42 @@
         BOOST_REQUIRE(watch->isLoaded());
     }
 
+    void use(const ReplicaId& id)
+    {
+        BOOST_REQUIRE(replicas->beginUse({ id, {} }, control.now()).has_value());
+        control.pass(Milliseconds(1000));
+        replicas->endUse({ id, {} }, control.now());
+    }
+
+    /// As long as loads take that are worth avoiding.
+    void loadSlowly(const ReplicaId& id)
+    {
+        const auto watch = load(id);
+        control.pass(Milliseconds(20000));
+        engineFake.finishLoads();
+        control.pass(shortWhile);
+        BOOST_REQUIRE(watch->isLoaded());
+    }
+
+    void useAgainAndAgain(const ReplicaId& id, Milliseconds gap, int times)
+    {
+        for (int time = 0; time < times; ++time) {
+            if (!engineFake.stateOf(id))
+                loadSlowly(id);
+            use(id);
+            control.pass(gap);
+        }
+    }
+
+    /// How long it stays, idle from now on.
+    Milliseconds timeToUnload(const ReplicaId& id)
+    {
+        const framework::SteadyTime from = control.now();
+        while (engineFake.stateOf(id) && control.now() - from < std::chrono::hours(25))
+            control.pass(Milliseconds(1000));
+        return std::chrono::duration_cast<Milliseconds>(control.now() - from);
+    }
+
     std::size_t holders(const ReplicaId& id) const
     {
         const auto key = bundle::replicaKey(site, id.model, id.adapter);
@@ -451,6 +487,55 @@
     BOOST_TEST(holders(model("a")) == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(whatIsUsedAtShortGapsStaysAndAtLongGapsGoes)
+{
+    startAgent();
+    useAgainAndAgain(model("a"), Milliseconds(25000), 20);
+    BOOST_TEST(engineFake.loadsTaken == 1u);
+    BOOST_CHECK(engineFake.stateOf(model("a")) == EngineReplicaState::Loaded);
+    Agents rare;
+    rare.startAgent();
+    rare.useAgainAndAgain(model("a"), std::chrono::hours(1), 10);
+    BOOST_TEST(rare.engineFake.loadsTaken == 10u);
+    rare.loadSlowly(model("a"));
+    rare.use(model("a"));
+    BOOST_TEST(rare.timeToUnload(model("a")).count() < 25000);
+}
+
+// A model is called every half minute until others' loads take its memory. Were its gaps forgotten with it, it would
+// have to be learnt anew each time that it is worth keeping, at its callers' cost.
+BOOST_AUTO_TEST_CASE(gapsSurviveAnUnload)
+{
+    constexpr std::size_t from16To32Seconds = 4;
+    constexpr float allThatThePriorGives = 5;
+    startAgent();
+    useAgainAndAgain(model("a"), Milliseconds(25000), 20);
+    loadWhole(model("b"));
+    BOOST_REQUIRE(!isKnown(model("a")));
+    loadWhole(model("a"));
+    BOOST_TEST(stageOf(model("a")).gaps.weight(from16To32Seconds) > 2 * allThatThePriorGives);
+    // Those of a model that was never used are the prior only.
+    loadWhole(model("small"));
+    BOOST_TEST(stageOf(model("small")).gaps.weight(from16To32Seconds) <= allThatThePriorGives);
+}
+
+// An adapter takes so little memory that by itself it stays for hours, and its model with it, which nobody uses.
+BOOST_AUTO_TEST_CASE(adaptersGoBeforeTheirModelAndDoNotHoldIt)
+{
+    Agents alone;
+    alone.startAgent();
+    alone.loadSlowly(model("a"));
+    alone.use(model("a"));
+    const Milliseconds ofModel = alone.timeToUnload(model("a"));
+    startAgent();
+    loadSlowly(model("a"));
+    loadSlowly(adapter("a", "fine"));
+    use(adapter("a", "fine"));
+    BOOST_TEST(timeToUnload(model("a")).count() <= (ofModel + Milliseconds(10000)).count());
+    const std::vector<ReplicaId> inOrder { adapter("a", "fine"), model("a") };
+    BOOST_CHECK(engineFake.unloaded == inOrder);
+}
+
 BOOST_AUTO_TEST_CASE(aRestartedEngineFreesItsClaims)
 {
     startAgent();
