--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -395,6 +395,8 @@
     if (!isBusy) {
         if (!link_)
             return;
+        // Silence counts from when there is something to answer.
+        lastHeard_ = now.time_since_epoch().count();
         if (idleUntil_ == Deadline())
             idleUntil_ = Deadline::after(now, context_.settings.idleLimit);
         if (idleUntil_.hasPassed(now))
--- a/src/router/internal/home.cpp
+++ b/src/router/internal/home.cpp
@@ -20,7 +20,7 @@
 constexpr std::uint32_t loadTries = 3;
 constexpr Milliseconds retryAfterNoCapacity { 2000 };
 constexpr Milliseconds askAgainAfter { 100 };
-constexpr Milliseconds notReadyPatience { 3000 };
+constexpr Milliseconds patience { 3000 };
 
 policy::LoadBid toPolicy(const VmName& vm, const wire::fb::BidT& bid)
 {
@@ -178,7 +178,7 @@
 void Home::evaluate(const SiteTarget& where)
 {
     Search& search = searches_.at(where);
-    if (search.isLoading)
+    if (search.isLoading || awaitBundle(where))
         return;
     const std::vector<VmName> loaded = loadedVms(search);
     const std::uint32_t enough = std::min(std::max(1U, search.order.wantedReplicas), decided(where));
@@ -220,26 +220,19 @@
 }
 
 /// An upstream that has just started, or still unloads the model, can load it in a moment: its callers wait for that
-/// instead of being refused. Bounded, since a platform outage keeps agents from being ready for long.
+/// instead of being refused.
 bool Home::askAgainSoon(const SiteTarget& where)
 {
     Search& search = searches_.at(where);
-    const auto now = context_.clock.now();
     std::vector<VmName> unready;
     for (const Candidate& candidate : search.candidates) {
         if (!candidate.bid.canLoad && candidate.bid.refusal == ErrorCode::NotReady)
             unready.push_back(candidate.vm);
     }
-    if (!search.patienceEnds)
-        search.patienceEnds = Deadline::after(now, notReadyPatience);
-    if (unready.empty() || search.loadsTried >= loadTries || search.patienceEnds->hasPassed(now))
+    if (unready.empty() || search.loadsTried >= loadTries || !hasPatience(search))
         return false;
-    const std::uint64_t number = search.number;
-    search.bidTimer = context_.control.runAt(Deadline::after(now, askAgainAfter), [this, where, number, unready] {
-        Search* due = find(where, number);
-        if (!due)
-            return;
-        std::erase_if(due->candidates, [&](const Candidate& candidate) {
+    evaluateSoon(where, [this, where, unready] {
+        std::erase_if(searches_.at(where).candidates, [&](const Candidate& candidate) {
             return std::find(unready.begin(), unready.end(), candidate.vm) != unready.end();
         });
         ask(where, unready);
@@ -247,6 +240,48 @@
     return true;
 }
 
+/// A roll-out lowers counts before it moves the head, so a router can meet counts of a bundle that it hasn't read. It
+/// is in force in a moment, perhaps with the target at the other site: until then nobody is refused for want of it.
+bool Home::awaitBundle(const SiteTarget& where)
+{
+    Search& search = searches_.at(where);
+    const bundle::BundlePointer bundle = context_.bundle();
+    if (search.awaitedBundle == framework::BundleVersion())
+        return false;
+    if (bundle && bundle->version >= search.awaitedBundle) {
+        search.awaitedBundle = framework::BundleVersion();
+        search.loadsTried = 0;
+        search.candidates.clear();
+        search.asked.clear();
+        begin(search);
+        return true;
+    }
+    if (!hasPatience(search))
+        return false;
+    evaluateSoon(where, [this, where] { evaluate(where); });
+    return true;
+}
+
+/// Bounded, since a platform outage keeps agents from being ready, and bundles from being read, for long.
+bool Home::hasPatience(Search& search)
+{
+    const auto now = context_.clock.now();
+    if (!search.patienceEnds)
+        search.patienceEnds = Deadline::after(now, patience);
+    return !search.patienceEnds->hasPassed(now);
+}
+
+void Home::evaluateSoon(const SiteTarget& where, std::function<void()> action)
+{
+    Search& search = searches_.at(where);
+    const std::uint64_t number = search.number;
+    search.bidTimer = context_.control.runAt(
+        Deadline::after(context_.clock.now(), askAgainAfter), [this, where, number, action = std::move(action)] {
+            if (find(where, number))
+                action();
+        });
+}
+
 void Home::load(const SiteTarget& where, Candidate& candidate)
 {
     Search& search = searches_.at(where);
@@ -341,19 +376,24 @@
     Search& search = searches_.at(where);
     search.hasAskedHolders = true;
     const std::uint64_t number = search.number;
-    context_.findHolders(where, [this, where, number](const framework::Result<std::vector<VmName>>& holders) {
+    context_.findHolders(where, [this, where, number](const framework::Result<TargetHolders>& holders) {
         Search* search = find(where, number);
         if (!search)
             return;
+        if (holders.has_error())
+            return evaluate(where);
+        const bundle::BundlePointer bundle = context_.bundle();
+        if (!bundle || holders.value().bundleVersion > bundle->version) {
+            search->awaitedBundle = holders.value().bundleVersion;
+            context_.hearOf(search->awaitedBundle);
+        }
         std::vector<VmName> unasked;
-        if (holders.has_value()) {
-            for (const VmName& vm : holders.value()) {
-                if (!context_.directory.isUsable(vm))
-                    continue;
-                // Asked again as well: it may have begun to load since its bid.
-                std::erase_if(search->candidates, [&](const Candidate& candidate) { return candidate.vm == vm; });
-                unasked.push_back(vm);
-            }
+        for (const VmName& vm : holders.value().vms) {
+            if (!context_.directory.isUsable(vm))
+                continue;
+            // Asked again as well: it may have begun to load since its bid.
+            std::erase_if(search->candidates, [&](const Candidate& candidate) { return candidate.vm == vm; });
+            unasked.push_back(vm);
         }
         if (unasked.empty())
             return evaluate(where);
--- a/src/router/internal/home.h
+++ b/src/router/internal/home.h
@@ -20,8 +20,15 @@
 
 namespace lagoon::router {
 
-/// Who holds the claims of a target, from the platform's object; the handler is called on the control thread.
-using HoldersHandler = std::function<void(const framework::Result<std::vector<framework::VmName>>&)>;
+/// What the platform's object of a target says.
+struct TargetHolders {
+    std::vector<framework::VmName> vms;
+    /// The newest bundle that its counts are from.
+    framework::BundleVersion bundleVersion;
+};
+
+/// Called on the control thread.
+using HoldersHandler = std::function<void(const framework::Result<TargetHolders>&)>;
 using FindHolders = std::function<void(const SiteTarget&, HoldersHandler)>;
 
 /// The duty of the router that rendezvous hashing names for a target: gathers all routers' wakes, finds who has the
@@ -40,6 +47,7 @@
         const PlacementCache& placements;
         LoadGate& gate;
         std::function<bundle::BundlePointer()> bundle;
+        std::function<void(framework::BundleVersion)> hearOf;
         FindHolders findHolders;
     };
 
@@ -73,6 +81,8 @@
         bool hasAskedHolders = false;
         std::uint32_t loadsTried = 0;
         std::optional<framework::Error> lastError;
+        /// The target's counts are from this bundle, which this router doesn't have yet.
+        framework::BundleVersion awaitedBundle;
         /// Agents whose link was lost while they loaded.
         std::set<framework::VmName> expectsRestart;
     };
@@ -81,7 +91,10 @@
     void begin(Search&);
     std::vector<framework::VmName> nextToAsk(const Search&) const;
     void ask(const SiteTarget&, const std::vector<framework::VmName>&);
+    bool awaitBundle(const SiteTarget&);
     bool askAgainSoon(const SiteTarget&);
+    void evaluateSoon(const SiteTarget&, std::function<void()>);
+    bool hasPatience(Search&);
     void takeBid(
         const SiteTarget&, std::uint64_t number, const framework::VmName&, const framework::Result<wire::fb::BidT>&);
     void endBidding(const SiteTarget&);
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -40,6 +40,17 @@
 constexpr std::size_t platformThreads = 2;
 constexpr Milliseconds holdersTimeout { 1000 };
 
+framework::Result<TargetHolders> holdersOf(const std::string& text, const platform::ObjectKey& key)
+{
+    BOOST_OUTCOME_TRY(object, bundle::parseReplicaObject(text, key));
+    TargetHolders holders;
+    holders.bundleVersion
+        = object.lowered ? std::max(object.bundleVersion, object.lowered->bundleVersion) : object.bundleVersion;
+    for (const bundle::ReplicaHolder& holder : object.holders)
+        holders.vms.push_back(holder.vm);
+    return holders;
+}
+
 } // namespace
 
 class Router::Implementation {
@@ -132,6 +143,7 @@
 {
     return Home::Context { settings_.identity.site, control_, clock_, *metrics_, settings_.dispatch, sessions_,
         directory_, placements_, gate_, [this] { return bundles_->current(); },
+        [this](BundleVersion version) { bundles_->hearOf(version); },
         [this](const SiteTarget& where, HoldersHandler handler) { findHolders(where, std::move(handler)); } };
 }
 
@@ -213,17 +225,11 @@
     platformCalls_.run([this, where, handler = std::move(handler)] {
         const auto key = bundle::replicaKey(where.site, where.target.model, where.target.adapter);
         const auto stored = platform_.store->get(key, Deadline::after(clock_.now(), holdersTimeout));
-        framework::Result<std::vector<VmName>> holders = std::vector<VmName>();
-        if (stored.has_error()) {
+        framework::Result<TargetHolders> holders = TargetHolders();
+        if (stored.has_error())
             holders = stored.error();
-        } else if (stored.value()) {
-            const auto object = bundle::parseReplicaObject(stored.value()->value, key);
-            if (object.has_error())
-                holders = object.error();
-            else
-                for (const auto& holder : object.value().holders)
-                    holders.value().push_back(holder.vm);
-        }
+        else if (stored.value())
+            holders = holdersOf(stored.value()->value, key);
         control_.post([handler, holders] { handler(holders); });
     });
 }
--- a/src/router/internal/wakes.cpp
+++ b/src/router/internal/wakes.cpp
@@ -49,6 +49,7 @@
     Waiting& waiting = targets_[where];
     waiting.wantedReplicas = std::max(waiting.wantedReplicas, wantedReplicas);
     waiting.usefulUntil = std::max(waiting.usefulUntil, usefulUntil);
+    waiting.isMoreWanted = true;
     if (!waiting.timer)
         send(where);
 }
@@ -60,11 +61,12 @@
         Waiting& due = targets_.at(where);
         due.timer.reset();
         due.failedHomes.clear();
-        if (due.requests.empty())
+        if (due.requests.empty() && !due.isMoreWanted)
             targets_.erase(where);
         else
             send(where);
     });
+    waiting.isMoreWanted = false;
     WakeOrder order { where, static_cast<std::uint32_t>(waiting.requests.size()), waiting.usefulUntil,
         waiting.usefulUntil, waiting.wantedReplicas };
     if (!waiting.requests.empty())
@@ -108,6 +110,8 @@
         waiting.failedHomes.insert(home);
         if (!requests.empty())
             send(where);
+        else
+            waiting.isMoreWanted = true;
         return;
     }
     context_.onRefused(reply.error.value_or(Error { ErrorCode::NoCapacity, "wake", home.value() }), requests);
--- a/src/router/internal/wakes.h
+++ b/src/router/internal/wakes.h
@@ -54,6 +54,8 @@
         std::map<RequestNumber, framework::Deadline> requests;
         std::uint32_t wantedReplicas = 1;
         framework::Deadline usefulUntil;
+        /// Asked for more replicas since the last wake.
+        bool isMoreWanted = false;
         /// What the home last said, while the load goes on.
         std::optional<WakeReply> progress;
         /// Homes that didn't answer since the last final reply.
--- a/src/router/tests/agentsession_test.cpp
+++ b/src/router/tests/agentsession_test.cpp
@@ -118,6 +118,22 @@
     BOOST_CHECK(outcomes_[0].error().execution == Execution::Unknown);
 }
 
+// A link has been idle for longer than the silence limit, as is normal, when the next hold comes. It isn't silent: it
+// must be used, and a load that is asked for then must not be given up in its first moment.
+BOOST_AUTO_TEST_CASE(anIdleLinkIsNotASilentOne)
+{
+    const auto link = greet("draft-1");
+    answer(*link, sentId(*link), "done");
+    control_.advance(Milliseconds(10000));
+    const std::size_t before = transport_.connections();
+    dispatch();
+    control_.advance(Milliseconds(500));
+    BOOST_TEST(transport_.connections() == before);
+    BOOST_TEST(!link->isClosed());
+    answer(*link, sentId(*link), "again");
+    BOOST_TEST(outcomes_.size() == 2u);
+}
+
 // Nothing listens at the agent's endpoint: nothing left this process, so it is "not run" at once.
 BOOST_AUTO_TEST_CASE(aRefusedConnectionIsNotRun)
 {
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -136,6 +136,28 @@
     BOOST_TEST(caller->isWhole_);
 }
 
+// Operators move a model while a cold request for it waits: the count at this site is lowered a moment before this
+// router has the new bundle. The request must wait for that bundle, not be refused for want of a replica.
+BOOST_AUTO_TEST_CASE(aCountOfANewerBundleIsWaitedFor)
+{
+    holders_.bundleVersion = framework::BundleVersion(4);
+    const auto caller = ask(notes(), longTimeout, false);
+    bidBoth(true);
+    endLoad(loader(), false, ErrorCode::ReplicaCapReached);
+    control_.advance(Milliseconds(1000));
+    BOOST_TEST(!caller->refused_);
+    auto newer = std::make_shared<bundle::Bundle>(*bundle_);
+    newer->version = framework::BundleVersion(4);
+    bundle_ = newer;
+    control_.advance(Milliseconds(200));
+    bid("draft-1", true);
+    bid("draft-2", false);
+    BOOST_TEST(loader() == "draft-1");
+    endLoad("draft-1", true);
+    answer(*link("draft-1"), sentId("draft-1"), "note");
+    BOOST_TEST(caller->isWhole_);
+}
+
 // The weight store crawls and the load doesn't end. The waiting request is refused as not run before its deadline.
 BOOST_AUTO_TEST_CASE(aWaitingRequestIsRefusedBeforeItsDeadline)
 {
--- a/src/router/tests/fixture.cpp
+++ b/src/router/tests/fixture.cpp
@@ -60,8 +60,8 @@
           [this] { return bundle_; } })
     , gate_(control_, control_, metrics_)
     , home_({ site, control_, control_, metrics_, settings_, sessions_, directory_, placements_, gate_,
-          [this] { return bundle_; },
-          [](const SiteTarget&, const HoldersHandler& handler) { handler(std::vector<VmName>()); } })
+          [this] { return bundle_; }, [](framework::BundleVersion) {},
+          [this](const SiteTarget&, const HoldersHandler& handler) { handler(holders_); } })
     , wakes_({ ownVm, control_, control_, metrics_, directory_, home_, *peers_, [] { return std::size_t(4); },
           [this](const auto& where, const auto& vms, const auto& requests) {
               dispatcher_.takePlacements(where, vms, requests);
--- a/src/router/tests/fixture.h
+++ b/src/router/tests/fixture.h
@@ -57,6 +57,8 @@
     DispatchSettings settings_;
     wire::FakeTransport transport_;
     bundle::BundlePointer bundle_;
+    /// What the platform's object of each target says.
+    TargetHolders holders_;
     VmDirectory directory_;
     PlacementCache placements_;
     SessionContext sessionContext_;
