Callers: refused bodies are read to their end and dropped; stop waits for replies that leave

Closing a body's stream with an error to refuse it earlier was ruled out: the tests crashed in cpprest (start_op on a connection that was gone).

--- a/src/callers/callerserver.h
+++ b/src/callers/callerserver.h
@@ -32,7 +32,8 @@
     void refuseNew();
     /// Returns once the reply of each request taken so far has left or failed. Call `refuseNew` first.
     void waitUntilIdle();
-    /// Closes the listener, which cuts what is still in flight. No request is dispatched after it returns.
+    /// Closes the listener, which cuts what is still in flight; cpprest 2.10.18 seldom crashes the process then, so
+    /// wait until idle before. No request is dispatched after it returns.
     void stop();
 
 private:
--- a/src/callers/icaller.h
+++ b/src/callers/icaller.h
@@ -57,7 +57,9 @@
     virtual void breakOff(const framework::Error&) = 0;
     /// In place of `begin`: a JSON refusal, at once.
     virtual void refuse(const framework::Error&, std::uint32_t attempt) = 0;
-    /// Called once, from any thread, if the caller hangs up before the answer is whole.
+    /// Called once, from any thread, if the caller hangs up before the answer is whole, or reads it too slowly. A
+    /// caller that hangs up before `begin` is noticed only with the first bytes (docs/API.md): until then the deadline
+    /// bounds what is done for nobody.
     virtual void onCallerGone(std::function<void()>) = 0;
 };
 
--- a/src/callers/internal/bodyreader.cpp
+++ b/src/callers/internal/bodyreader.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
+#include <limits>
 #include <memory>
 #include <pplx/threadpool.h>
-#include <stdexcept>
 #include <vector>
 
 namespace lagoon::callers {
@@ -38,7 +38,6 @@
         const bool isAnnounced = request_.headers().match(web::http::header_names::content_length, announced);
         if (announced > bounds_.bytes) {
             giveUp(tooLarge());
-            return;
         }
         piece_.resize(isAnnounced ? std::clamp<std::size_t>(announced, leastPiece, largestPiece) : largestPiece);
         // A caller that announces a body and never sends it would hold its place for ever: cpprest waits without end.
@@ -73,34 +72,32 @@
 
     void take(std::size_t size)
     {
-        if (isDone_)
-            return;
         if (size == 0) {
             conclude(std::move(body_));
             return;
         }
         received_ += size;
-        if (received_ > bounds_.bytes) {
+        if (!isDone_)
+            keep(size);
+        // What follows a refusal is read all the same, and dropped: unread, it would pile up in cpprest's buffer.
+        readPiece();
+    }
+
+    void keep(std::size_t size)
+    {
+        if (received_ > bounds_.bytes)
             giveUp(tooLarge());
-            return;
-        }
-        if (bounds_.reservation && !bounds_.reservation->grow(size)) {
+        else if (bounds_.reservation && !bounds_.reservation->grow(size))
             giveUp({ ErrorCode::TooManyWaiting, step, "", "the bodies of all requests take too much memory",
                 framework::Execution::NotRun, comeBackAfter });
-            return;
-        }
-        if (bounds_.reservation)
+        else if (bounds_.reservation)
             body_.append(reinterpret_cast<const char*>(piece_.data()), size);
-        readPiece();
     }
 
     void giveUp(Error error)
     {
-        // Claimed first: stopping makes the pending read fail, which would be told as the caller's going.
-        if (isDone_.exchange(true))
-            return;
-        stopReading(request_);
-        report(std::move(error));
+        if (!isDone_.exchange(true))
+            report(std::move(error));
     }
 
     void conclude(framework::Result<std::string> result)
@@ -134,9 +131,11 @@
     std::make_shared<BodyReader>(request, std::move(bounds), std::move(done))->start();
 }
 
-void stopReading(const web::http::http_request& request)
+void discardBody(const web::http::http_request& request)
 {
-    request.body().streambuf().close(std::ios::out, std::make_exception_ptr(std::runtime_error("not read to its end")));
+    constexpr auto noBound = std::numeric_limits<std::size_t>::max();
+    readBody(request, { noBound, framework::Deadline(framework::SteadyTime::max()), nullptr },
+        [](const framework::Result<std::string>&) {});
 }
 
 } // namespace lagoon::callers
--- a/src/callers/internal/bodyreader.h
+++ b/src/callers/internal/bodyreader.h
@@ -21,13 +21,12 @@
 
 /// Reads a request's body as it arrives and calls `done` once, from any thread: with the body, or as soon as it is
 /// known with `TooLarge`, `TooManyWaiting` (the budget of all bodies is spent), `DeadlinePassed` or `CallerGone`. In
-/// place of cpprest's own `extract`, which has no limit in size or time. After an error the rest isn't read: end the
-/// connection.
+/// place of cpprest's own `extract`, which has no limit in size or time. After an error the rest is
+/// read and dropped: end the connection.
 void readBody(const web::http::http_request&, BodyBounds, std::function<void(framework::Result<std::string>)> done);
 
-/// Takes no more of a body; end the connection with the reply. cpprest 2.10.18 sends a reply only after the whole body
-/// or with the caller's next bytes after this call, so one that stays silent reads its refusal only then. Completing
-/// the request by its internal `_complete` sends it at once, but crashed the process under load (docs/API.md).
-void stopReading(const web::http::http_request&);
+/// Reads the body of a refused request and drops it. cpprest 2.10.18 sends a reply only after the whole body. To end
+/// the body early, by closing its stream with an error or by `_complete`, crashed the process now and then.
+void discardBody(const web::http::http_request&);
 
 } // namespace lagoon::callers
--- a/src/callers/internal/calleranswer.h
+++ b/src/callers/internal/calleranswer.h
@@ -57,9 +57,9 @@
 
     /// `refuse` of a request that wasn't dispatched, with another HTTP status than the code's own.
     void refuseAs(unsigned short status, const framework::Error&);
-    /// The request's body won't be read to its end: the connection ends with the answer, which leaves with the caller's
-    /// next bytes (see `stopReading`). So its place is free as soon as it is refused; else callers that announce a body
-    /// and never send it would take all places, and a graceful shutdown would wait for them without end.
+    /// The request's body isn't wanted any more: the connection ends with the answer, which leaves only
+    /// after the body (see `discardBody`). So its place is free as soon as it is refused; else callers that announce a
+    /// body and never send it would take all places, and a graceful shutdown would wait for them without end.
     void giveUpConnection();
 
 private:
--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -26,6 +26,8 @@
 
 /// How long the body of a refused request is waited for, so that the caller reads its refusal in place of a reset.
 constexpr framework::Milliseconds drainTime { 2000 };
+/// How long `stop` waits for replies that are leaving.
+constexpr framework::Milliseconds leavingTime { 2000 };
 
 /// One request on its way through the checks.
 struct Intake {
@@ -88,6 +90,9 @@
         }
         if (!listener_)
             return;
+        // cpprest 2.10.18 now and then crashes the process when it closes a listener while a reply is on its way, so
+        // those that are just leaving are waited for.
+        occupancy_->waitUntilEmpty(Deadline::after(std::chrono::steady_clock::now(), leavingTime));
         listener_->close().wait();
         listener_.reset();
     }
@@ -133,7 +138,7 @@
     void refuseEarly(const std::shared_ptr<Intake>& intake, const EarlyRefusal& refusal)
     {
         if (refusal.endsConnection) {
-            stopReading(intake->http);
+            discardBody(intake->http);
             intake->answer->giveUpConnection();
             refuseBy(*intake, refusal);
             return;
@@ -189,8 +194,14 @@
         });
     }
 
+    /// Dispatcher and bundle source may be gone after `stop`, while a body still arrives.
     void complete(Intake& intake)
     {
+        const std::shared_lock lock(dispatchMutex_);
+        if (isStopped_) {
+            intake.answer->refuse(comeBackSoon(ErrorCode::ShuttingDown, "this router has shut down"), 0);
+            return;
+        }
         const bundle::BundlePointer bundle = bundle_();
         if (!bundle) {
             intake.answer->refuse(comeBackSoon(ErrorCode::NotReady, "this router has no bundle yet"), 0);
@@ -206,7 +217,7 @@
         if (filled.has_error())
             intake.answer->refuse(filled.error(), 0);
         else
-            dispatch(intake);
+            dispatcher_.accept(std::move(intake.request), intake.answer->guarded());
     }
 
     framework::Result<void> fill(Intake& intake, const bundle::Bundle& bundle) const
@@ -236,16 +247,6 @@
         return framework::success();
     }
 
-    /// The dispatcher may be gone after `stop`, while a body still arrives.
-    void dispatch(Intake& intake)
-    {
-        const std::shared_lock lock(dispatchMutex_);
-        if (isStopped_)
-            intake.answer->refuse(comeBackSoon(ErrorCode::ShuttingDown, "this router has shut down"), 0);
-        else
-            dispatcher_.accept(std::move(intake.request), intake.answer->guarded());
-    }
-
     const CallerLimits limits_;
     IRequestDispatcher& dispatcher_;
     const BundleSource bundle_;
--- a/src/callers/internal/occupancy.cpp
+++ b/src/callers/internal/occupancy.cpp
@@ -40,6 +40,12 @@
     isEmpty_.wait(lock, [this] { return inProgress_ == 0; });
 }
 
+void Occupancy::waitUntilEmpty(framework::Deadline deadline)
+{
+    std::unique_lock lock(mutex_);
+    isEmpty_.wait_until(lock, deadline.at(), [this] { return inProgress_ == 0; });
+}
+
 void Occupancy::showLocked()
 {
     metrics_->setGauge("lagoon_requests_waiting", static_cast<double>(waiting_));
--- a/src/callers/internal/occupancy.h
+++ b/src/callers/internal/occupancy.h
@@ -21,6 +21,8 @@
     void waitingEnded() override;
     void replyEnded() override;
     void waitUntilEmpty();
+    /// Gives up at the deadline.
+    void waitUntilEmpty(framework::Deadline);
 
 private:
     void showLocked();
--- a/src/callers/tests/badinput_test.cpp
+++ b/src/callers/tests/badinput_test.cpp
@@ -104,6 +104,7 @@
     servesOthers(fixture);
     caller.send("defghi");
     BOOST_TEST(contains(caller.readToEnd(), R"("code":"deadline_passed")"));
+    fixture.server.waitUntilIdle();
     BOOST_TEST(fixture.counted("lagoon_requests_in_progress") == 0);
 }
 
@@ -118,6 +119,9 @@
     while (counted("lagoon_refusals_total{code=\"bad_request\",execution=\"not_run\"}") < 3)
         std::this_thread::yield();
     server.waitUntilIdle();
+    caller.hangUp();
+    while (counted("lagoon_replies_undelivered_total") == 0)
+        std::this_thread::yield();
     BOOST_TEST(dispatcher.count() == 0u);
     servesOthers(*this);
 }
@@ -138,6 +142,8 @@
     refuses(requestText("POST /services/s/", std::string(900, 'x')), "429", "too_many_waiting");
     accepted.answer->begin(200, {}, 1);
     accepted.answer->finish();
+    BOOST_TEST(first.readUntil("0\r\n\r\n"));
+    server.waitUntilIdle();
 }
 
 BOOST_AUTO_TEST_CASE(pastTheLimitOfWaitingRequestsEachIsRefusedAtOnce)
