--- a/tests/demo/demo.cpp
+++ b/tests/demo/demo.cpp
@@ -1,5 +1,6 @@
 // The demonstration: two sites on loopback, with stand-ins for engines, booking services, the platform and the weight
-// store. Each step says what it does and checks that it happened. Exits with 0 if all did, else with 1 and what didn't.
+// store. Each step says what it does and checks that it happened. Exits with 0 if all did; else with 1, what didn't and
+// the processes' logs.
 
 #include "demo/narration.h"
 #include "demo/traffic.h"
@@ -70,25 +71,37 @@
         move();
         showStatus();
         showCounters();
+        if (!faults_.empty())
+            throw std::runtime_error(
+                std::to_string(faults_.size()) + " of its checks failed, the first: " + faults_.front());
     }
 
 private:
     void startProcesses()
     {
         printTitle("Two sites, each with a router, two engines and a booking service, each of these with its agent");
-        for (const std::string& site : { oldSite, newSite }) {
-            const Place place { site, site + "-a" };
-            for (const std::string number : { "1", "2" })
-                deployment_.addUpstream("gpu-" + site + "-" + number,
-                    { .place = place,
-                        .pool = "engines-" + site,
-                        .standinWords = { "--memory-mib", std::to_string(acceleratorMib), "--load-ms", "300" } });
-            deployment_.addUpstream(
-                "booking-" + site, { .kind = UpstreamKind::Service, .place = place, .pool = "booking-" + site });
-            deployment_.addRouter("entry-" + site, { .place = place });
-            printLine("site " + site + ": callers call http://" + callers(site) + ", counters at http://"
-                + deployment_.router("entry-" + site).ops() + "/metrics");
-        }
+        for (const std::string& site : { oldSite, newSite })
+            startSite(site);
+    }
+
+    void startSite(const std::string& site)
+    {
+        const Place place { site, site + "-a" };
+        UpstreamOptions engine;
+        engine.place = place;
+        engine.pool = "engines-" + site;
+        engine.standinWords = { "--memory-mib", std::to_string(acceleratorMib), "--load-ms", "300" };
+        deployment_.addUpstream("gpu-" + site + "-1", engine);
+        deployment_.addUpstream("gpu-" + site + "-2", engine);
+        UpstreamOptions booking;
+        booking.kind = UpstreamKind::Service;
+        booking.place = place;
+        booking.pool = "booking-" + site;
+        deployment_.addUpstream("booking-" + site, booking);
+        deployment_.addRouter("entry-" + site, { .place = place });
+        const std::string ops = deployment_.router("entry-" + site).ops();
+        printLine(
+            "site " + site + ": callers call " + urlOf(callers(site), "") + ", counters at " + urlOf(ops, "/metrics"));
     }
 
     void rollOutTheFirstBundle()
@@ -182,6 +195,14 @@
         check(metricAt(deployment_.router("entry-old").ops(), "lagoon_bundle_version") == 2, "bundle 2 is counted");
     }
 
+    /// A fault doesn't keep the later steps from being shown; `run` fails in the end.
+    void check(bool isTrue, const std::string& what)
+    {
+        printLine((isTrue ? "checked: " : "NOT SO: ") + what);
+        if (!isTrue)
+            faults_.push_back(what);
+    }
+
     std::string callers(const std::string& site) { return deployment_.router("entry-" + site).callers(); }
 
     std::vector<std::string> engines(const std::string& site)
@@ -272,14 +293,15 @@
     void checkEngines()
     {
         check(violationsAt(deployment_.upstreams(UpstreamKind::Engine)).empty(), "no accelerator was overcommitted");
-        for (const std::string& site : { oldSite, newSite }) {
-            for (const std::string& model : models)
-                check(mostReplicasAtOnce(engines(site), model) <= 1,
-                    "never more than one replica of " + model + " at site " + site);
+        for (const std::string& model : models) {
+            const bool isWithinCap
+                = mostReplicasAtOnce(engines(oldSite), model) <= 1 && mostReplicasAtOnce(engines(newSite), model) <= 1;
+            check(isWithinCap, "never more than one replica of " + model + " at either site");
         }
     }
 
     Deployment deployment_;
+    std::vector<std::string> faults_;
 };
 
 } // namespace
--- a/tests/demo/narration.cpp
+++ b/tests/demo/narration.cpp
@@ -4,7 +4,6 @@
 
 #include <iostream>
 #include <sstream>
-#include <stdexcept>
 
 namespace lagoon::demo {
 
@@ -56,11 +55,4 @@
     }
 }
 
-void check(bool isTrue, const std::string& what)
-{
-    if (!isTrue)
-        throw std::runtime_error("this isn't so: " + what);
-    printLine("checked: " + what);
-}
-
 } // namespace lagoon::demo
--- a/tests/demo/narration.h
+++ b/tests/demo/narration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <utility>
 #include <vector>
 
 /// What the demonstration prints.
@@ -14,7 +15,4 @@
 /// The samples of a process's `/metrics` with these names, summed buckets left out, each with what it says.
 void printCounters(const std::string& ops, const std::vector<std::pair<std::string, std::string>>& meanings);
 
-/// Throws std::runtime_error with `what` unless `isTrue`; prints it otherwise.
-void check(bool isTrue, const std::string& what);
-
 } // namespace lagoon::demo
