--- /dev/null
+++ b/examples/claimreplica/main.cpp
@@ -0,0 +1,90 @@
+// The replica cap without the daemons: three VMs race for the two replicas that were decided, over a store of one's
+// own. Count and holders are one object, so that one conditional update checks the cap.
+
+#include "bundle/replicaobject.h"
+#include "framework/randomid.h"
+#include "platform/objectupdate.h"
+#include "policy/rendezvous.h"
+
+#include <iostream>
+#include <map>
+
+using namespace lagoon;
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::ObjectVersion;
+using framework::Result;
+
+namespace {
+
+/// Any store with versions and conditional writes will do; this one is a map.
+class MapStore final : public platform::IPlatformStore {
+public:
+    Result<std::optional<platform::StoredObject>> get(const platform::ObjectKey& key, Deadline) override
+    {
+        const auto found = objects_.find(key.value());
+        return found == objects_.end() ? std::nullopt : std::optional(found->second);
+    }
+    Result<ObjectVersion> put(
+        const platform::ObjectKey& key, const std::string& value, ObjectVersion expected, Deadline) override
+    {
+        platform::StoredObject& object = objects_[key.value()];
+        if (object.version != expected)
+            return Error { ErrorCode::PlatformConflict, "put", key.value(), "another version" };
+        object = { value, ObjectVersion(expected.value() + 1) };
+        return object.version;
+    }
+    Result<std::vector<platform::ListedObject>> list(const std::string&, Deadline) override { return unused(); }
+    Result<std::optional<platform::StoredObject>> watch(
+        const platform::ObjectKey&, ObjectVersion, Deadline, std::stop_token) override
+    {
+        return unused();
+    }
+    Result<void> remove(const platform::ObjectKey&, ObjectVersion, Deadline) override { return unused(); }
+
+private:
+    static Error unused() { return { ErrorCode::Internal, "example", "store", "not needed here" }; }
+
+    std::map<std::string, platform::StoredObject> objects_;
+};
+
+/// Adds the VM as a holder unless the decided count is reached; sure of the outcome even if the write's answer is lost.
+Result<platform::UpdatedObject> claim(platform::IPlatformStore& store, const framework::VmName& vm)
+{
+    const auto key = bundle::replicaKey(framework::SiteName("south"), framework::ModelName("notes"));
+    const std::string nonce = framework::newNonce();
+    platform::ObjectUpdate update;
+    update.change = [&](const std::optional<std::string>& text) -> Result<platform::ObjectChange> {
+        bundle::ReplicaObject object;
+        if (text) {
+            BOOST_OUTCOME_TRY(stored, bundle::parseReplicaObject(*text, key));
+            object = stored;
+        }
+        const std::uint32_t decided = bundle::applyDecision(object, { 2, framework::BundleVersion(1) });
+        if (object.holders.size() >= decided)
+            return Error { ErrorCode::ReplicaCapReached, "claim", key.value(), "all are held" };
+        object.holders.push_back({ vm, framework::Incarnation(1), nonce, bundle::HolderState::Loading });
+        return platform::ObjectChange { bundle::replicaObjectText(object) };
+    };
+    update.isOwnWrite = [&](const std::string& text) { return text.find(nonce) != std::string::npos; };
+    const auto now = std::chrono::steady_clock::now();
+    return platform::updateObject(store, key, update, Deadline::after(now, framework::Milliseconds(1000)));
+}
+
+} // namespace
+
+int main()
+{
+    MapStore store;
+    std::size_t claimed = 0;
+    // Everyone with the same list gets the same order, so that a model's checkpoints gather on few VMs.
+    const std::vector<framework::VmName> vms { framework::VmName("up-1"), framework::VmName("up-2"),
+        framework::VmName("up-3") };
+    for (const framework::VmName& vm : policy::rendezvousOrder("notes", vms)) {
+        const auto result = claim(store, vm);
+        std::cout << vm << ": " << (result ? "claimed" : framework::describe(result.error())) << "\n";
+        claimed += result ? 1 : 0;
+    }
+    return claimed == 2 ? 0 : 1;
+}
