A load's forecast counts those ahead by the order itself

Cause: LoadGate counted the loads with earlier deadlines as ahead, but loads start by value (waiters, priority, age, expected time), so the forecast, by which hopeless requests are refused, was of another queue.

Change: loadsAhead asks the policy's order again and again, as the simulation does; startDue shares nextLoad with it.

Trial of the new test with the former count put back: it fails. router_tests: no errors with the change.

--- a/src/router/internal/loadgate.cpp
+++ b/src/router/internal/loadgate.cpp
@@ -60,24 +60,42 @@
 {
     timer_.reset();
     const SteadyTime now = clock_.now();
-    while (true) {
-        std::vector<Entry*> waiting;
-        std::vector<policy::PendingLoad> pending;
-        for (auto& [where, entry] : entries_) {
-            if (entry.isRunning)
-                continue;
-            waiting.push_back(&entry);
-            pending.push_back(pendingLoad(entry));
-        }
-        const auto next = order_->next(pending, now);
-        if (!next)
+    while (const auto next = nextLoad({})) {
+        Entry& entry = entries_.at(*next);
+        if (!share_.mayStart(entry.since, now)) {
+            timer_ = control_.runAt(Deadline::after(now, lookInterval), [this] { startDue(); });
             return;
-        if (!share_.mayStart(waiting[*next]->since, now))
-            break;
+        }
         share_.start(now);
-        start(*waiting[*next]);
+        start(entry);
+    }
+}
+
+/// Which waiting load would start next if those of `passed` had.
+std::optional<SiteTarget> LoadGate::nextLoad(const std::set<SiteTarget>& passed) const
+{
+    std::vector<SiteTarget> targets;
+    std::vector<policy::PendingLoad> pending;
+    for (const auto& [where, entry] : entries_) {
+        if (entry.isRunning || passed.contains(where))
+            continue;
+        targets.push_back(where);
+        pending.push_back(pendingLoad(entry));
     }
-    timer_ = control_.runAt(Deadline::after(now, lookInterval), [this] { startDue(); });
+    const auto next = order_->next(pending, clock_.now());
+    return next ? std::optional(targets[*next]) : std::nullopt;
+}
+
+/// Asks the order itself: by deadlines alone, a load that others of more value overtake seemed next.
+std::uint32_t LoadGate::loadsAhead(const SiteTarget& where) const
+{
+    std::set<SiteTarget> passed;
+    while (const auto next = nextLoad(passed)) {
+        if (*next == where)
+            break;
+        passed.insert(*next);
+    }
+    return static_cast<std::uint32_t>(passed.size());
 }
 
 void LoadGate::start(Entry& entry)
@@ -120,10 +138,7 @@
     queue.places = share_.places();
     queue.loadsPerSecond = share_.loadsPerSecond();
     queue.each = ownEstimate;
-    for (const auto& [other, entry] : entries_) {
-        if (!entry.isRunning && entry.load.earliest < own.load.earliest)
-            ++queue.ahead;
-    }
+    queue.ahead = loadsAhead(where);
     return forecastWaiting(ownEstimate, queue);
 }
 
--- a/src/router/internal/loadgate.h
+++ b/src/router/internal/loadgate.h
@@ -12,6 +12,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace lagoon::router {
@@ -53,6 +55,8 @@
 
     void startDue();
     void start(Entry&);
+    std::optional<SiteTarget> nextLoad(const std::set<SiteTarget>& passed) const;
+    std::uint32_t loadsAhead(const SiteTarget&) const;
     policy::PendingLoad pendingLoad(const Entry&) const;
     policy::LoadTimeEstimate estimate(const GatedLoad&) const;
     static bool usesStore(const GatedLoad&);
--- /dev/null
+++ b/src/router/tests/loadgate_test.cpp
@@ -0,0 +1,81 @@
+#include "router/internal/loadgate.h"
+
+#include "framework/testing/manualcontrol.h"
+#include "policy/policysetup.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon;
+using namespace lagoon::router;
+using framework::Deadline;
+using framework::MebiBytes;
+using framework::Milliseconds;
+
+namespace {
+
+const framework::SiteName site("nz-south");
+
+SiteTarget target(const std::string& model) { return { { framework::ModelName(model), {}, {} }, site }; }
+
+/// A gate with one place at the weight store, taken by the load of `running`.
+class GateFixture {
+public:
+    GateFixture()
+    {
+        bundle::PolicyNumbers numbers;
+        numbers.weightLoadsPerSecond = 10;
+        numbers.weightLoadsAtFullSpeed = 1;
+        gate_.setPolicy(numbers, policy::makeLoadOrder(numbers));
+        gate_.setHomes(1, 0);
+        enqueue(load("running"));
+    }
+
+    GatedLoad load(const std::string& model) const
+    {
+        GatedLoad made;
+        made.where = target(model);
+        made.memory = MebiBytes(60);
+        made.earliest = Deadline::after(control_.now(), Milliseconds(60000));
+        made.waiters = 1;
+        return made;
+    }
+
+    void enqueue(const GatedLoad& load)
+    {
+        gate_.enqueue(load, [this, name = load.where.target.model.value()] { started_.push_back(name); });
+    }
+
+    void endRunning()
+    {
+        gate_.ended(target("running"), true);
+        control_.advance(Milliseconds(1000));
+    }
+
+    Milliseconds soonest(const std::string& model) const { return gate_.forecast(target(model)).soonest; }
+
+    framework::ManualControl control_;
+    framework::Metrics metrics_;
+    LoadGate gate_ { control_, control_, metrics_ };
+    std::vector<std::string> started_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LoadGates, GateFixture)
+
+// Fifty wait for one model, one with a nearer deadline for another. The order starts the crowd's load first; told by
+// deadlines that they come second, the fifty were refused as hopeless.
+BOOST_AUTO_TEST_CASE(theForecastCountsWhatTheOrderStartsFirst)
+{
+    enqueue(load("single"));
+    GatedLoad crowd = load("crowd");
+    crowd.earliest = Deadline::after(control_.now(), Milliseconds(90000));
+    crowd.waiters = 50;
+    enqueue(crowd);
+    BOOST_CHECK(soonest("crowd") < soonest("single"));
+    endRunning();
+    const std::vector<std::string> inOrder { "running", "crowd" };
+    BOOST_TEST(started_ == inOrder, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
