The highest waiting priority travels with the wake to the load's order

Cause: policy::PendingLoad has a priority and the measured order weighs by it, but the home never learnt it: every load counted as of priority 0.

A later wake for a load that still waits there updates its demand (deadline, waiters, priority) by LoadGate::setDemand; before, the gate kept those of the first wake. As with waiters, a search's priority only rises: a caller that gives up doesn't lower it.

Not covered: LinkServer's line, which no unit test drives.

--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -152,7 +152,8 @@
     }
     entry.waitsFor = *where;
     const auto wanted = static_cast<std::uint32_t>(context_.placements.vms(where->target).size() + 1);
-    wakes_->wait(*where, number, entry.request.deadline, std::min(wanted, std::max(1U, decided(*where))));
+    const WaitingRequest waiting { entry.request.deadline, entry.request.priority };
+    wakes_->wait(*where, number, waiting, std::min(wanted, std::max(1U, decided(*where))));
 }
 
 /// The own site first, then the others where the bundle decides replicas: during a move, both carry the traffic.
--- a/src/router/internal/home.cpp
+++ b/src/router/internal/home.cpp
@@ -56,6 +56,8 @@
         search.order.earliest = std::min(search.order.earliest, order.earliest);
         search.order.wantedReplicas = std::max(search.order.wantedReplicas, order.wantedReplicas);
         search.order.waiters = std::max(search.order.waiters, order.waiters);
+        search.order.priority = std::max(search.order.priority, order.priority);
+        context_.gate.setDemand(order.where, { search.order.earliest, search.order.waiters, search.order.priority });
         if (search.isLoading)
             reply(progress(search));
         search.replies[sender] = std::move(reply);
@@ -289,7 +291,8 @@
     ++search.loadsTried;
     candidate.bid.canLoad = false;
     candidate.isLoading = false;
-    GatedLoad load { where, candidate.bid.checkpoint, {}, search.order.earliest, search.order.waiters };
+    const LoadDemand demand { search.order.earliest, search.order.waiters, search.order.priority };
+    GatedLoad load { where, candidate.bid.checkpoint, {}, demand };
     const bundle::BundlePointer bundle = context_.bundle();
     if (const bundle::Model* model = bundle ? bundle->model(where.target.model) : nullptr)
         load.memory = model->memory;
--- a/src/router/internal/linkserver.cpp
+++ b/src/router/internal/linkserver.cpp
@@ -97,6 +97,7 @@
     order.earliest = Deadline::after(now, Milliseconds(wake.earliest_remaining_ms));
     order.latest = Deadline::after(now, Milliseconds(wake.latest_remaining_ms));
     order.wantedReplicas = wake.wanted_replicas;
+    order.priority = wake.priority;
     context_.home.wake(senders_.at(link), order,
         [this, link, asked = std::make_shared<wire::fb::WakeT>(wake)](
             const WakeReply& reply) { link->send(wire::message(toWire(reply, *asked, context_.clock.now()))); });
--- a/src/router/internal/loadgate.cpp
+++ b/src/router/internal/loadgate.cpp
@@ -36,6 +36,13 @@
     startDue();
 }
 
+void LoadGate::setDemand(const SiteTarget& where, const LoadDemand& demand)
+{
+    const auto found = entries_.find(where);
+    if (found != entries_.end())
+        found->second.load.demand = demand;
+}
+
 void LoadGate::ended(const SiteTarget& where, bool isLoaded)
 {
     const auto found = entries_.find(where);
@@ -112,8 +119,9 @@
 {
     policy::PendingLoad pending;
     pending.target = keyOf(entry.load.where);
-    pending.earliestDeadline = entry.load.earliest;
-    pending.waiters = entry.load.waiters;
+    pending.earliestDeadline = entry.load.demand.earliest;
+    pending.waiters = entry.load.demand.waiters;
+    pending.priority = entry.load.demand.priority;
     pending.since = entry.since;
     pending.expectedLoad = estimate(entry.load).typical;
     return pending;
--- a/src/router/internal/loadgate.h
+++ b/src/router/internal/loadgate.h
@@ -18,13 +18,20 @@
 
 namespace lagoon::router {
 
+/// Those who wait for a load.
+struct LoadDemand {
+    framework::Deadline earliest;
+    std::uint32_t waiters = 0;
+    /// The highest.
+    std::uint8_t priority = 0;
+};
+
 /// A load that a home has decided on.
 struct GatedLoad {
     SiteTarget where;
     policy::CheckpointPlace checkpoint = policy::CheckpointPlace::Remote;
     framework::MebiBytes memory;
-    framework::Deadline earliest;
-    std::uint32_t waiters = 0;
+    LoadDemand demand;
 };
 
 /// Starts this home's loads in the policy's order, no faster than its share of the weight store, and knows how long
@@ -35,6 +42,8 @@
 
     /// Calls `start` at once or when the load's turn has come.
     void enqueue(const GatedLoad&, std::function<void()> start);
+    /// Others wait for it by now; nothing if it isn't here.
+    void setDemand(const SiteTarget&, const LoadDemand&);
     /// A started load has ended.
     void ended(const SiteTarget&, bool isLoaded);
     /// Of a load that waits or runs here.
--- a/src/router/internal/peerlinks.cpp
+++ b/src/router/internal/peerlinks.cpp
@@ -66,6 +66,7 @@
     wake.earliest_remaining_ms = static_cast<std::uint32_t>(order.earliest.remaining(now).count());
     wake.latest_remaining_ms = static_cast<std::uint32_t>(order.latest.remaining(now).count());
     wake.wanted_replicas = order.wantedReplicas;
+    wake.priority = order.priority;
     wake.bundle_version = context_.bundleVersion().value();
     peer->asked.emplace(wake.correlation, std::move(handler));
     peer->link->send(wire::message(std::move(wake)));
--- a/src/router/internal/wakes.cpp
+++ b/src/router/internal/wakes.cpp
@@ -24,17 +24,18 @@
 {
 }
 
-void Wakes::wait(const SiteTarget& where, RequestNumber request, Deadline deadline, std::uint32_t wantedReplicas)
+void Wakes::wait(
+    const SiteTarget& where, RequestNumber number, const WaitingRequest& request, std::uint32_t wantedReplicas)
 {
     Waiting& waiting = targets_[where];
-    if (waiting.requests.emplace(request, deadline).second)
+    if (waiting.requests.emplace(number, request).second)
         ++waiting_;
     waiting.wantedReplicas = std::max(waiting.wantedReplicas, wantedReplicas);
     if (!waiting.timer)
         return send(where);
     // The next wake may be a second away; what is hopeless already is to hear so now.
     if (const std::optional<WakeReply> progress = waiting.progress)
-        context_.onExpected(*progress, { request });
+        context_.onExpected(*progress, { number });
 }
 
 void Wakes::stopWaiting(const SiteTarget& where, RequestNumber request)
@@ -68,12 +69,13 @@
     });
     waiting.isMoreWanted = false;
     WakeOrder order { where, static_cast<std::uint32_t>(waiting.requests.size()), waiting.usefulUntil,
-        waiting.usefulUntil, waiting.wantedReplicas };
+        waiting.usefulUntil, waiting.wantedReplicas, 0 };
     if (!waiting.requests.empty())
-        order.earliest = waiting.requests.begin()->second;
-    for (const auto& [request, deadline] : waiting.requests) {
-        order.earliest = std::min(order.earliest, deadline);
-        order.latest = std::max(order.latest, deadline);
+        order.earliest = waiting.requests.begin()->second.deadline;
+    for (const auto& [number, request] : waiting.requests) {
+        order.earliest = std::min(order.earliest, request.deadline);
+        order.latest = std::max(order.latest, request.deadline);
+        order.priority = std::max(order.priority, request.priority);
     }
     const VmName home = homeFor(where, waiting.failedHomes);
     const auto reply = [this, where, home](const WakeReply& reply) { take(where, home, reply); };
@@ -131,8 +133,8 @@
 std::set<RequestNumber> Wakes::numbers(const Waiting& waiting) const
 {
     std::set<RequestNumber> numbers;
-    for (const auto& [request, deadline] : waiting.requests)
-        numbers.insert(request);
+    for (const auto& [number, request] : waiting.requests)
+        numbers.insert(number);
     return numbers;
 }
 
--- a/src/router/internal/wakes.h
+++ b/src/router/internal/wakes.h
@@ -18,6 +18,11 @@
 /// Names a request within this process.
 using RequestNumber = framework::StrongType<struct RequestNumberTag, std::uint64_t>;
 
+struct WaitingRequest {
+    framework::Deadline deadline;
+    std::uint8_t priority = 0;
+};
+
 /// The requests that wait for a target, and the wakes sent for them: one each second per target, to the first router in
 /// rendezvous order that answers. Control thread only.
 class Wakes {
@@ -43,7 +48,7 @@
 
     explicit Wakes(const Context&);
 
-    void wait(const SiteTarget&, RequestNumber, framework::Deadline, std::uint32_t wantedReplicas);
+    void wait(const SiteTarget&, RequestNumber, const WaitingRequest&, std::uint32_t wantedReplicas);
     void stopWaiting(const SiteTarget&, RequestNumber);
     /// Asks for another replica although nothing waits; at most once a second per target.
     void wantMore(const SiteTarget&, std::uint32_t wantedReplicas, framework::Deadline usefulUntil);
@@ -51,7 +56,7 @@
 
 private:
     struct Waiting {
-        std::map<RequestNumber, framework::Deadline> requests;
+        std::map<RequestNumber, WaitingRequest> requests;
         std::uint32_t wantedReplicas = 1;
         framework::Deadline usefulUntil;
         /// Asked for more replicas since the last wake.
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -23,6 +23,7 @@
         bid.correlation = to->takeSent(Body::BidRequest).body.AsBidRequest()->correlation;
         bid.can_load = canLoad;
         bid.is_loaded = isLoaded;
+        bid.checkpoint = static_cast<std::uint8_t>(checkpoint_);
         bid.refusal = static_cast<std::uint8_t>(ErrorCode::MemoryShort);
         to->deliver(wire::message(bid));
         settle();
@@ -83,6 +84,7 @@
 
     static std::string other(const std::string& vm) { return vm == "draft-1" ? "draft-2" : "draft-1"; }
 
+    policy::CheckpointPlace checkpoint_ = policy::CheckpointPlace::Memory;
     std::uint64_t correlation_ = 0;
     int loads_ = 0;
 };
@@ -298,4 +300,47 @@
     BOOST_TEST(later->isWhole_);
 }
 
+BOOST_AUTO_TEST_CASE(aWakeCarriesTheHighestPriorityOfThoseWaiting)
+{
+    platform::VmEntry peer;
+    peer.vm = framework::VmName("entry-2");
+    peer.role = platform::VmRole::Router;
+    peer.site = directory_.find(framework::VmName("entry-1"))->site;
+    peer.endpoint = endpoint("entry-2");
+    directory_.setEntries({ peer });
+    const auto low = ask(notes(), longTimeout, false, 2);
+    BOOST_TEST(+link("entry-2")->takeSent(Body::Wake).body.AsWake()->priority == 2);
+    const auto high = ask(notes(), longTimeout, false, 7);
+    const auto middle = ask(notes(), longTimeout, false, 5);
+    control_.advance(Milliseconds(1000));
+    BOOST_TEST(+link("entry-2")->takeSent(Body::Wake).body.AsWake()->priority == 7);
+}
+
+// The store's one place is taken and another load waits for it, when a caller of high priority at some router joins
+// those who wait for a queued load. The load must overtake, and those who wait must be told of the earlier end.
+BOOST_AUTO_TEST_CASE(aHomesQueuedLoadTakesALaterWakesPriority)
+{
+    bundle::PolicyNumbers numbers;
+    numbers.weightLoadsAtFullSpeed = 1;
+    gate_.setPolicy(numbers, policy::makeLoadOrder(numbers));
+    const framework::SiteName site = directory_.find(framework::VmName("entry-1"))->site;
+    const framework::Deadline deadline = framework::Deadline::after(control_.now(), longTimeout);
+    for (const char* name : { "running", "queued" }) {
+        const SiteTarget other { { framework::ModelName(name), {}, {} }, site };
+        gate_.enqueue({ other, policy::CheckpointPlace::Remote, framework::MebiBytes(60), { deadline, 1, 5 } }, [] {});
+    }
+    std::optional<framework::Deadline> soonest;
+    const auto note = [&soonest](const WakeReply& reply) { soonest = reply.soonestAt; };
+    WakeOrder order { { notes(), site }, 1, deadline, deadline, 1, 0 };
+    home_.wake(framework::VmName("entry-1"), order, note);
+    settle();
+    checkpoint_ = policy::CheckpointPlace::Remote;
+    bidBoth(true);
+    BOOST_REQUIRE(soonest.has_value());
+    const framework::Deadline before = *soonest;
+    order.priority = 9;
+    home_.wake(framework::VmName("entry-2"), order, note);
+    BOOST_CHECK(*soonest < before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/router/tests/fixture.cpp
+++ b/src/router/tests/fixture.cpp
@@ -96,7 +96,7 @@
 }
 
 std::shared_ptr<FakeAnswer> RouterFixture::ask(
-    const callers::RequestTarget& target, framework::Milliseconds timeout, bool isRepeatable)
+    const callers::RequestTarget& target, framework::Milliseconds timeout, bool isRepeatable, std::uint8_t priority)
 {
     callers::CallerRequest request;
     request.name = framework::RequestName("99-1");
@@ -106,6 +106,7 @@
     request.body = "question";
     request.deadline = Deadline::after(control_.now(), timeout);
     request.isRepeatable = isRepeatable;
+    request.priority = priority;
     auto answer = std::make_shared<FakeAnswer>();
     dispatcher_.accept(std::move(request), answer);
     settle();
--- a/src/router/tests/fixture.h
+++ b/src/router/tests/fixture.h
@@ -44,7 +44,8 @@
     std::shared_ptr<wire::FakeLink> greet(
         const std::string& vm, std::uint64_t incarnation = 1, std::uint64_t session = 7);
     std::shared_ptr<wire::FakeLink> link(const std::string& vm) const;
-    std::shared_ptr<FakeAnswer> ask(const callers::RequestTarget&, framework::Milliseconds timeout, bool isRepeatable);
+    std::shared_ptr<FakeAnswer> ask(
+        const callers::RequestTarget&, framework::Milliseconds timeout, bool isRepeatable, std::uint8_t priority = 0);
     /// An answer of one chunk, whole.
     void answer(wire::FakeLink&, const wire::fb::DispatchIdT&, const std::string& body);
     void refuse(wire::FakeLink&, const wire::fb::DispatchIdT&, framework::ErrorCode, framework::Execution);
--- a/src/router/tests/loadgate_test.cpp
+++ b/src/router/tests/loadgate_test.cpp
@@ -35,8 +35,8 @@
         GatedLoad made;
         made.where = target(model);
         made.memory = MebiBytes(60);
-        made.earliest = Deadline::after(control_.now(), Milliseconds(60000));
-        made.waiters = 1;
+        made.demand.earliest = Deadline::after(control_.now(), Milliseconds(60000));
+        made.demand.waiters = 1;
         return made;
     }
 
@@ -69,8 +69,8 @@
 {
     enqueue(load("single"));
     GatedLoad crowd = load("crowd");
-    crowd.earliest = Deadline::after(control_.now(), Milliseconds(90000));
-    crowd.waiters = 50;
+    crowd.demand.earliest = Deadline::after(control_.now(), Milliseconds(90000));
+    crowd.demand.waiters = 50;
     enqueue(crowd);
     BOOST_CHECK(soonest("crowd") < soonest("single"));
     endRunning();
@@ -78,4 +78,31 @@
     BOOST_TEST(started_ == inOrder, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(theHigherPriorityStartsFirst)
+{
+    enqueue(load("first"));
+    GatedLoad urgent = load("urgent");
+    urgent.demand.priority = 9;
+    enqueue(urgent);
+    BOOST_CHECK(soonest("urgent") < soonest("first"));
+    endRunning();
+    const std::vector<std::string> inOrder { "running", "urgent" };
+    BOOST_TEST(started_ == inOrder, boost::test_tools::per_element());
+}
+
+// A load waits for its place when a caller of high priority joins those who wait for it.
+BOOST_AUTO_TEST_CASE(aPriorityThatComesLaterCountsToo)
+{
+    enqueue(load("first"));
+    GatedLoad raised = load("raised");
+    enqueue(raised);
+    BOOST_CHECK(soonest("raised") > soonest("first"));
+    raised.demand.priority = 9;
+    gate_.setDemand(raised.where, raised.demand);
+    BOOST_CHECK(soonest("raised") < soonest("first"));
+    endRunning();
+    const std::vector<std::string> inOrder { "running", "raised" };
+    BOOST_TEST(started_ == inOrder, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/router/types/wake.h
+++ b/src/router/types/wake.h
@@ -27,6 +27,8 @@
     framework::Deadline earliest;
     framework::Deadline latest;
     std::uint32_t wantedReplicas = 1;
+    /// Highest among those waiting.
+    std::uint8_t priority = 0;
 };
 
 /// What a home says to a wake: perhaps several times "not yet", then once something final.
