A move loses no request while bundles take hold at different moments

Bids, wakes and their answers now name the bundle they go by; whoever has the older one waits for it, for at most 3 s. Ruled out: putting the head forward only when all have read it, since nobody knows who all are.

--- a/src/agent/internal/routerlinks.cpp
+++ b/src/agent/internal/routerlinks.cpp
@@ -46,6 +46,15 @@
 
 Error notAnEngine() { return Error { ErrorCode::UnknownModel, "load", "", "this upstream is a plain service" }; }
 
+/// The home decides by a bundle that this agent reads in a moment; by its own it would refuse what is decided now.
+Error bundleNotHere()
+{
+    constexpr Milliseconds retryWhenRead { 500 };
+    Error error { ErrorCode::NotReady, "load", "", "a newer bundle isn't read yet" };
+    error.retryAfter = retryWhenRead;
+    return error;
+}
+
 } // namespace
 
 RouterLinks::RouterLinks(const Context& context)
@@ -130,7 +139,10 @@
 {
     LoadOffer offer;
     offer.refusal = notAnEngine();
-    if (context_.replicas)
+    context_.bundles.hearOf(framework::BundleVersion(request.bundle_version));
+    if (request.bundle_version > bundleVersion())
+        offer.refusal = bundleNotHere();
+    else if (context_.replicas)
         offer = context_.replicas->offer(replicaOf(*request.target));
     fb::BidT bid;
     bid.correlation = request.correlation;
@@ -144,6 +156,7 @@
     bid.victim_idle_ms = static_cast<std::uint64_t>(offer.victimIdle.count());
     bid.checkpoint = static_cast<std::uint8_t>(offer.checkpoint);
     bid.expected_load_ms = wireMilliseconds(offer.expectedLoad);
+    bid.bundle_version = bundleVersion();
     bid.running = context_.gate.running();
     bid.waiting = context_.gate.waiting();
     link->send(wire::message(bid));
@@ -158,6 +171,8 @@
     };
     if (!context_.replicas)
         return answer(notAnEngine());
+    if (order.bundle_version > bundleVersion())
+        return answer(bundleNotHere());
     const Deadline deadline = Deadline::after(context_.clock.now(), Milliseconds(order.remaining_ms));
     context_.replicas->load(replicaOf(*order.target), deadline, answer);
 }
--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -93,9 +93,11 @@
     link_->send(wire::message(std::move(cancel)));
 }
 
-void AgentSession::askBid(const wire::fb::TargetT& target, AnswerHandler<wire::fb::BidT> onAnswer)
+void AgentSession::askBid(
+    const wire::fb::TargetT& target, framework::BundleVersion version, AnswerHandler<wire::fb::BidT> onAnswer)
 {
     wire::fb::BidRequestT request;
+    request.bundle_version = version.value();
     request.correlation = nextCorrelation_++;
     request.target = std::make_unique<wire::fb::TargetT>(target);
     const std::uint64_t correlation = request.correlation;
--- a/src/router/internal/agentsession.h
+++ b/src/router/internal/agentsession.h
@@ -62,7 +62,7 @@
     void cancel(framework::SequenceNumber);
     /// Whether the dispatch has left this process; until then nobody can have run it.
     bool wasSent(framework::SequenceNumber) const;
-    void askBid(const wire::fb::TargetT&, AnswerHandler<wire::fb::BidT>);
+    void askBid(const wire::fb::TargetT&, framework::BundleVersion, AnswerHandler<wire::fb::BidT>);
     void load(wire::fb::LoadT, AnswerHandler<wire::fb::LoadResultT>);
     /// The platform says that the VM no longer exists.
     void setGone();
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -24,6 +24,8 @@
 /// The refusal is to reach the caller before its deadline.
 constexpr Milliseconds answerMargin { 20 };
 constexpr Milliseconds drainingAvoidance { 5000 };
+constexpr Milliseconds bundlePatience { 3000 };
+constexpr Milliseconds bundleLookInterval { 100 };
 
 const char* reasonText(const Error& error) { return framework::errorCodeText(error.code).data(); }
 
@@ -239,7 +241,7 @@
     }
 }
 
-void Dispatcher::takeRefusal(const Error& error, const std::set<RequestNumber>& requests)
+void Dispatcher::takeRefusal(const Error& error, framework::BundleVersion home, const std::set<RequestNumber>& requests)
 {
     for (const RequestNumber number : requests) {
         const auto found = requests_.find(number);
@@ -249,12 +251,32 @@
         const SiteTarget where = *entry.waitsFor;
         entry.waitsFor.reset();
         wakes_->stopWaiting(where, number);
+        if (awaitBundle(number, entry, home))
+            continue;
         entry.refusedSites.insert(where.site);
         entry.lastError = error;
         route(number);
     }
 }
 
+/// A home that has a newer bundle refuses by it, maybe because the target has moved to a site that this router's bundle
+/// doesn't name yet. The newer one is in force here in a moment, and the request is routed by it then.
+bool Dispatcher::awaitBundle(RequestNumber number, Request& entry, framework::BundleVersion home)
+{
+    const auto now = context_.clock.now();
+    const bundle::BundlePointer bundle = context_.bundle();
+    if (!bundle || home <= bundle->version)
+        return false;
+    if (!entry.bundlePatienceEnds)
+        entry.bundlePatienceEnds = Deadline::after(now, bundlePatience);
+    if (entry.bundlePatienceEnds->hasPassed(now))
+        return false;
+    context_.metrics.count("lagoon_bundles_awaited_total");
+    entry.bundleTimer
+        = context_.control.runAt(Deadline::after(now, bundleLookInterval), [this, number] { route(number); });
+    return true;
+}
+
 void Dispatcher::takeExpectation(const WakeReply& progress, const std::set<RequestNumber>& requests)
 {
     for (const RequestNumber number : requests) {
--- a/src/router/internal/dispatcher.h
+++ b/src/router/internal/dispatcher.h
@@ -45,7 +45,8 @@
     void setWakes(Wakes&);
     void setReplicaChoice(std::unique_ptr<policy::IReplicaChoice>);
     void takePlacements(const SiteTarget&, const std::vector<framework::VmName>&, const std::set<RequestNumber>&);
-    void takeRefusal(const framework::Error&, const std::set<RequestNumber>&);
+    /// `home` is the bundle by which the home refused.
+    void takeRefusal(const framework::Error&, framework::BundleVersion home, const std::set<RequestNumber>&);
     void takeExpectation(const WakeReply&, const std::set<RequestNumber>&);
     std::size_t requests() const { return requests_.size(); }
 
@@ -62,6 +63,9 @@
         /// While waiting.
         std::optional<SiteTarget> waitsFor;
         std::unique_ptr<framework::Timer> deadlineTimer;
+        /// While the bundle by which it was refused is awaited.
+        std::unique_ptr<framework::Timer> bundleTimer;
+        std::optional<framework::Deadline> bundlePatienceEnds;
         /// Set once the key is ours.
         std::optional<ClaimedKey> key;
         /// While dispatched.
@@ -84,6 +88,7 @@
     void takeOutcome(RequestNumber, const framework::VmName&, const DispatchOutcome&);
     void takeNotRun(RequestNumber, Request&, const framework::VmName&, const framework::Error&);
     void avoidDraining(const framework::VmName&);
+    bool awaitBundle(RequestNumber, Request&, framework::BundleVersion);
     void retry(RequestNumber, Request&, const framework::Error&);
     void deadlinePassed(RequestNumber);
     void callerGone(RequestNumber);
--- a/src/router/internal/home.cpp
+++ b/src/router/internal/home.cpp
@@ -52,6 +52,7 @@
     const auto running = searches_.find(order.where);
     if (running != searches_.end()) {
         Search& search = running->second;
+        search.awaitedBundle = std::max(search.awaitedBundle, newerBundle(order.bundleVersion));
         search.order.latest = std::max(search.order.latest, order.latest);
         search.order.earliest = std::min(search.order.earliest, order.earliest);
         search.order.wantedReplicas = std::max(search.order.wantedReplicas, order.wantedReplicas);
@@ -65,12 +66,27 @@
     search.number = nextNumber_++;
     search.order = order;
     search.replies.emplace(sender, std::move(reply));
+    search.awaitedBundle = newerBundle(order.bundleVersion);
     begin(searches_.emplace(order.where, std::move(search)).first->second);
 }
 
+/// The version if this router doesn't have it yet, or none.
+framework::BundleVersion Home::newerBundle(framework::BundleVersion version) const
+{
+    return version > bundleVersion() ? version : framework::BundleVersion();
+}
+
+framework::BundleVersion Home::bundleVersion() const
+{
+    const bundle::BundlePointer bundle = context_.bundle();
+    return bundle ? bundle->version : framework::BundleVersion();
+}
+
 void Home::begin(Search& search)
 {
     const SiteTarget where = search.order.where;
+    if (awaitBundle(where))
+        return;
     if (decided(where) == 0) {
         fail(
             where, Error { ErrorCode::NoCapacity, "find replica", where.site.value(), "the bundle decides none here" });
@@ -134,9 +150,9 @@
             takeBid(where, number, vm, Error { ErrorCode::NotFound, "ask for bid", vm.value() });
             continue;
         }
-        session->askBid(toWire(where.target), [this, where, number, vm](const framework::Result<wire::fb::BidT>& bid) {
-            takeBid(where, number, vm, bid);
-        });
+        session->askBid(toWire(where.target), bundleVersion(),
+            [this, where, number, vm](
+                const framework::Result<wire::fb::BidT>& bid) { takeBid(where, number, vm, bid); });
     }
 }
 
@@ -154,6 +170,8 @@
             candidate.isLoaded = bid.value().is_loaded;
             candidate.isLoading = bid.value().is_loading;
             candidate.bid = toPolicy(vm, bid.value());
+            search->awaitedBundle
+                = std::max(search->awaitedBundle, newerBundle(framework::BundleVersion(bid.value().bundle_version)));
         } else if (search->expectsRestart.contains(vm)) {
             candidate.bid.refusal = ErrorCode::NotReady;
         }
@@ -183,7 +201,7 @@
     const std::vector<VmName> loaded = loadedVms(search);
     const std::uint32_t enough = std::min(std::max(1U, search.order.wantedReplicas), decided(where));
     if (loaded.size() >= enough)
-        return finish(where, WakeReply { true, loaded, std::nullopt, std::nullopt, std::nullopt });
+        return finish(where, WakeReply { true, loaded });
     // Someone is loading it already, for another home or for one that died: wait with them.
     for (Candidate& candidate : search.candidates) {
         if (candidate.isLoading)
@@ -204,7 +222,7 @@
     if (!more.empty() && search.loadsTried < loadTries)
         return ask(where, more);
     if (!loaded.empty())
-        return finish(where, WakeReply { true, loaded, std::nullopt, std::nullopt, std::nullopt });
+        return finish(where, WakeReply { true, loaded });
     if (askAgainSoon(where))
         return;
     if (search.lastError)
@@ -245,10 +263,9 @@
 bool Home::awaitBundle(const SiteTarget& where)
 {
     Search& search = searches_.at(where);
-    const bundle::BundlePointer bundle = context_.bundle();
     if (search.awaitedBundle == framework::BundleVersion())
         return false;
-    if (bundle && bundle->version >= search.awaitedBundle) {
+    if (bundleVersion() >= search.awaitedBundle) {
         search.awaitedBundle = framework::BundleVersion();
         search.loadsTried = 0;
         search.candidates.clear();
@@ -308,8 +325,7 @@
     order.target = std::make_unique<wire::fb::TargetT>(toWire(where.target));
     order.waiters = search->order.waiters;
     order.remaining_ms = static_cast<std::uint32_t>(search->order.latest.remaining(context_.clock.now()).count());
-    const bundle::BundlePointer bundle = context_.bundle();
-    order.bundle_version = bundle ? bundle->version.value() : 0;
+    order.bundle_version = bundleVersion().value();
     session->load(std::move(order), [this, where, number, vm](const framework::Result<wire::fb::LoadResultT>& result) {
         takeLoadResult(where, number, vm, result);
     });
@@ -354,6 +370,8 @@
     if (!why.retryAfter)
         why.retryAfter = retryAfterNoCapacity;
     search->lastError = why;
+    if (why.code == ErrorCode::NotReady)
+        expectRestart(*search, vm);
     if (why.code == ErrorCode::ReplicaCapReached && !search->hasAskedHolders)
         return askHolders(where);
     evaluate(where);
@@ -382,11 +400,8 @@
             return;
         if (holders.has_error())
             return evaluate(where);
-        const bundle::BundlePointer bundle = context_.bundle();
-        if (!bundle || holders.value().bundleVersion > bundle->version) {
-            search->awaitedBundle = holders.value().bundleVersion;
-            context_.hearOf(search->awaitedBundle);
-        }
+        search->awaitedBundle = newerBundle(holders.value().bundleVersion);
+        context_.hearOf(holders.value().bundleVersion);
         std::vector<VmName> unasked;
         for (const VmName& vm : holders.value().vms) {
             if (!context_.directory.isUsable(vm))
@@ -403,8 +418,10 @@
 
 void Home::replyAll(Search& search, const WakeReply& reply)
 {
+    WakeReply versioned = reply;
+    versioned.bundleVersion = bundleVersion();
     for (const auto& [sender, handler] : search.replies)
-        handler(reply);
+        handler(versioned);
 }
 
 void Home::finish(const SiteTarget& where, const WakeReply& reply)
@@ -414,10 +431,7 @@
     replyAll(search.mapped(), reply);
 }
 
-void Home::fail(const SiteTarget& where, const Error& error)
-{
-    finish(where, WakeReply { true, {}, error, std::nullopt, std::nullopt });
-}
+void Home::fail(const SiteTarget& where, const Error& error) { finish(where, WakeReply { true, {}, error }); }
 
 std::vector<VmName> Home::loadedVms(const Search& search) const
 {
--- a/src/router/internal/home.h
+++ b/src/router/internal/home.h
@@ -92,6 +92,8 @@
     std::vector<framework::VmName> nextToAsk(const Search&) const;
     void ask(const SiteTarget&, const std::vector<framework::VmName>&);
     bool awaitBundle(const SiteTarget&);
+    framework::BundleVersion newerBundle(framework::BundleVersion) const;
+    framework::BundleVersion bundleVersion() const;
     bool askAgainSoon(const SiteTarget&);
     void evaluateSoon(const SiteTarget&, std::function<void()>);
     bool hasPatience(Search&);
--- a/src/router/internal/linkserver.cpp
+++ b/src/router/internal/linkserver.cpp
@@ -18,6 +18,7 @@
     result.correlation = wake.correlation;
     result.target = std::make_unique<wire::fb::TargetT>(*wake.target);
     result.is_final = reply.isFinal;
+    result.bundle_version = reply.bundleVersion.value();
     for (const framework::VmName& vm : reply.placements) {
         auto placement = std::make_unique<wire::fb::PlacementT>();
         placement->vm = vm.value();
@@ -97,6 +98,7 @@
     order.earliest = Deadline::after(now, Milliseconds(wake.earliest_remaining_ms));
     order.latest = Deadline::after(now, Milliseconds(wake.latest_remaining_ms));
     order.wantedReplicas = wake.wanted_replicas;
+    order.bundleVersion = BundleVersion(wake.bundle_version);
     context_.home.wake(senders_.at(link), order,
         [this, link, asked = std::make_shared<wire::fb::WakeT>(wake)](
             const WakeReply& reply) { link->send(wire::message(toWire(reply, *asked, context_.clock.now()))); });
--- a/src/router/internal/peerlinks.cpp
+++ b/src/router/internal/peerlinks.cpp
@@ -18,6 +18,7 @@
 {
     WakeReply reply;
     reply.isFinal = result.is_final;
+    reply.bundleVersion = framework::BundleVersion(result.bundle_version);
     for (const auto& placement : result.placements) {
         if (placement)
             reply.placements.emplace_back(placement->vm);
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -150,11 +150,13 @@
 Wakes::Context Router::Implementation::wakesContext()
 {
     return Wakes::Context { settings_.identity.vm, control_, clock_, *metrics_, directory_, home_, *peers_,
-        [this] { return homesPerSite(); },
+        [this] { return homesPerSite(); }, [this] { return bundleVersion(); },
         [this](const auto& where, const auto& vms, const auto& requests) {
             dispatcher_.takePlacements(where, vms, requests);
         },
-        [this](const auto& error, const auto& requests) { dispatcher_.takeRefusal(error, requests); },
+        [this](const auto& error, BundleVersion home, const auto& requests) {
+            dispatcher_.takeRefusal(error, home, requests);
+        },
         [this](const WakeReply& progress, const auto& requests) { dispatcher_.takeExpectation(progress, requests); } };
 }
 
--- a/src/router/internal/wakes.cpp
+++ b/src/router/internal/wakes.cpp
@@ -69,6 +69,7 @@
     waiting.isMoreWanted = false;
     WakeOrder order { where, static_cast<std::uint32_t>(waiting.requests.size()), waiting.usefulUntil,
         waiting.usefulUntil, waiting.wantedReplicas };
+    order.bundleVersion = context_.bundleVersion();
     if (!waiting.requests.empty())
         order.earliest = waiting.requests.begin()->second;
     for (const auto& [request, deadline] : waiting.requests) {
@@ -114,7 +115,8 @@
             waiting.isMoreWanted = true;
         return;
     }
-    context_.onRefused(reply.error.value_or(Error { ErrorCode::NoCapacity, "wake", home.value() }), requests);
+    context_.onRefused(
+        reply.error.value_or(Error { ErrorCode::NoCapacity, "wake", home.value() }), reply.bundleVersion, requests);
 }
 
 VmName Wakes::homeFor(const SiteTarget& where, const std::set<VmName>& failed) const
--- a/src/router/internal/wakes.h
+++ b/src/router/internal/wakes.h
@@ -32,11 +32,13 @@
         PeerLinks& peers;
         /// Routers of one site that do the home duty, at most.
         std::function<std::size_t()> homesPerSite;
+        std::function<framework::BundleVersion()> bundleVersion;
         /// The target is served at these agents; its waiting requests may go.
         std::function<void(const SiteTarget&, const std::vector<framework::VmName>&, const std::set<RequestNumber>&)>
             onPlaced;
         /// No replica to be had now.
-        std::function<void(const framework::Error&, const std::set<RequestNumber>&)> onRefused;
+        std::function<void(const framework::Error&, framework::BundleVersion home, const std::set<RequestNumber>&)>
+            onRefused;
         /// The load won't end before `soonestAt`.
         std::function<void(const WakeReply&, const std::set<RequestNumber>&)> onExpected;
     };
--- a/src/router/tests/fixture.cpp
+++ b/src/router/tests/fixture.cpp
@@ -63,10 +63,13 @@
           [this] { return bundle_; }, [](framework::BundleVersion) {},
           [this](const SiteTarget&, const HoldersHandler& handler) { handler(holders_); } })
     , wakes_({ ownVm, control_, control_, metrics_, directory_, home_, *peers_, [] { return std::size_t(4); },
+          [this] { return bundle_->version; },
           [this](const auto& where, const auto& vms, const auto& requests) {
               dispatcher_.takePlacements(where, vms, requests);
           },
-          [this](const auto& error, const auto& requests) { dispatcher_.takeRefusal(error, requests); },
+          [this](const auto& error, framework::BundleVersion home, const auto& requests) {
+              dispatcher_.takeRefusal(error, home, requests);
+          },
           [this](const auto& progress, const auto& requests) { dispatcher_.takeExpectation(progress, requests); } })
 {
     dispatcher_.setWakes(wakes_);
--- a/src/router/types/wake.h
+++ b/src/router/types/wake.h
@@ -27,19 +27,23 @@
     framework::Deadline earliest;
     framework::Deadline latest;
     std::uint32_t wantedReplicas = 1;
+    /// That the asking router has in force; a home with an older one waits for it.
+    framework::BundleVersion bundleVersion = {};
 };
 
 /// What a home says to a wake: perhaps several times "not yet", then once something final.
 struct WakeReply {
     bool isFinal = false;
     /// Agents that serve the target now.
-    std::vector<framework::VmName> placements;
+    std::vector<framework::VmName> placements = {};
     /// Set in a final reply without placements.
-    std::optional<framework::Error> error;
+    std::optional<framework::Error> error = std::nullopt;
     /// Not final: the soonest that the load may end; who can't wait as long is refused.
-    std::optional<framework::Deadline> soonestAt;
+    std::optional<framework::Deadline> soonestAt = std::nullopt;
     /// Not final: when to come back for who is refused.
-    std::optional<framework::Milliseconds> retryAfter;
+    std::optional<framework::Milliseconds> retryAfter = std::nullopt;
+    /// That the home decided by.
+    framework::BundleVersion bundleVersion = {};
 };
 
 using WakeReplyHandler = std::function<void(const WakeReply&)>;
