A router that shuts down leaves cpprest's listener to the system

Cause: cpprest's close() of a listener races with its own threads (callers_tests crashed 1 of 45 runs, and once hung for 120 s in a parallel ctest). The process now ends without closing once every reply has left; CallerServer::stop, for those who embed it, waits 50 ms more before it closes.

--- a/src/app/internal/routercommand.cpp
+++ b/src/app/internal/routercommand.cpp
@@ -7,6 +7,7 @@
 #include "framework/terminationsignal.h"
 #include "router/router.h"
 
+#include <cstdlib>
 #include <iostream>
 
 namespace lagoon::app {
@@ -52,8 +53,12 @@
             { { "callers", endpoints.value().callers }, { "link", endpoints.value().link },
                 { "ops", endpoints.value().ops } });
         framework::waitForTerminationSignal();
-        router.shutDown();
-        return ExitSuccess;
+        router.drain();
+        framework::logInfo("router", "drained");
+        // Every reply has left. Closing cpprest's listener while callers keep connections open may crash the process,
+        // and the system closes all of it anyway.
+        std::cout.flush();
+        std::_Exit(ExitSuccess);
     }
 };
 
--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <mutex>
 #include <shared_mutex>
+#include <thread>
 
 namespace lagoon::callers {
 
@@ -28,6 +29,7 @@
 constexpr framework::Milliseconds drainTime { 2000 };
 /// How long `stop` waits for replies that are leaving.
 constexpr framework::Milliseconds leavingTime { 2000 };
+constexpr framework::Milliseconds settlingTime { 50 };
 
 /// One request on its way through the checks.
 struct Intake {
@@ -90,9 +92,12 @@
         }
         if (!listener_)
             return;
-        // cpprest 2.10.18 now and then crashes the process when it closes a listener while a reply is on its way, so
-        // those that are just leaving are waited for.
+        // cpprest 2.10.18 closes its connections' sockets on this thread while its own threads may just begin to read
+        // or write there, and now and then crashes of it. Replies that are just leaving are waited for, and then a
+        // moment more, in which their connections settle into waiting for a next request. A process that ends anyway is
+        // safer without closing (routercommand.cpp).
         occupancy_->waitUntilEmpty(Deadline::after(std::chrono::steady_clock::now(), leavingTime));
+        std::this_thread::sleep_for(settlingTime);
         listener_->close().wait();
         listener_.reset();
     }
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -61,6 +61,7 @@
     Implementation& operator=(const Implementation&) = delete;
 
     framework::Result<RouterEndpoints> start();
+    void drain();
     void shutDown();
 
 private:
@@ -279,14 +280,19 @@
 
 /// Guards against cutting requests in flight: the balancer sees "not ready", new requests are refused as not run, and
 /// nothing is closed before the last reply has left.
-void Router::Implementation::shutDown()
+void Router::Implementation::drain()
 {
-    if (!std::exchange(isStarted_, false))
-        return;
     isShuttingDown_ = true;
     framework::logInfo("router", "shutting down, refusing new requests");
     callerServer_.refuseNew();
     callerServer_.waitUntilIdle();
+}
+
+void Router::Implementation::shutDown()
+{
+    if (!std::exchange(isStarted_, false))
+        return;
+    drain();
     callerServer_.stop();
     vmWatcher_.stop();
     bundles_->stop();
@@ -312,6 +318,8 @@
 
 framework::Result<RouterEndpoints> Router::start() { return implementation_->start(); }
 
+void Router::drain() { implementation_->drain(); }
+
 void Router::shutDown() { implementation_->shutDown(); }
 
 } // namespace lagoon::router
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -26,7 +26,9 @@
 
     /// Listens and begins to read the bundle and the VM list; ready for callers once it has both.
     framework::Result<RouterEndpoints> start();
-    /// Refuses new requests as not run, lets those in flight end, then closes all.
+    /// Refuses new requests as not run and returns once those in flight have ended. Nothing is closed yet.
+    void drain();
+    /// Drains, then closes all.
     void shutDown();
 
 private:
