--- a/tests/support/record.cpp
+++ b/tests/support/record.cpp
@@ -115,4 +115,15 @@
     return 0;
 }
 
+double metricSumAt(const std::string& ops, const std::string& metric)
+{
+    std::istringstream lines(getFrom(ops, "/metrics").body);
+    double sum = 0;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.rfind(metric + "{", 0) == 0 || line.rfind(metric + " ", 0) == 0)
+            sum += std::stod(line.substr(line.rfind(' ')));
+    }
+    return sum;
+}
+
 } // namespace lagoon::testsupport
--- a/tests/support/record.h
+++ b/tests/support/record.h
@@ -34,5 +34,7 @@
 
 /// A sample of `GET /metrics` at a process's ops endpoint, by its name with labels; 0 if there is none.
 double metricAt(const std::string& ops, const std::string& sample);
+/// The sum of a metric's samples over all its labels.
+double metricSumAt(const std::string& ops, const std::string& metric);
 
 } // namespace lagoon::testsupport
