Agents refuse at once what their queue can't serve in time

Cause: past saturation the queue (256) was longer than the deadlines, so each request was started just before its caller gave up, and those that never ran ended as unknown, since the router's timer came first. Change: service times are learned by target; a request with no free place is held against policy::isLikelyTooLate, and one that others overtake is refused as not run while its router can still say so. A free place is always tried. Also: the router hands the time of an agent's last answer to the replica choice; without it a slow agent's average counted as faded from the start. Its first answer now counts whole instead of as a fifth.

--- a/src/agent/internal/admission.cpp
+++ b/src/agent/internal/admission.cpp
@@ -18,8 +18,7 @@
 
 bool Admission::enqueue(const WaitingDispatch& dispatch)
 {
-    const bool startsAtOnce = queue_.empty() && running_ < mostRunning_;
-    if (!startsAtOnce && queue_.size() >= mostWaiting_)
+    if (!hasFreePlace() && queue_.size() >= mostWaiting_)
         return false;
     queue_.insert(dispatch);
     return true;
@@ -61,4 +60,9 @@
         queue_.begin(), queue_.end(), [&](const WaitingDispatch& dispatch) { return dispatch.key == key; });
 }
 
+std::uint32_t Admission::ahead(const WaitingDispatch& dispatch) const
+{
+    return static_cast<std::uint32_t>(std::distance(queue_.begin(), queue_.lower_bound(dispatch)));
+}
+
 } // namespace lagoon::agent
--- a/src/agent/internal/admission.h
+++ b/src/agent/internal/admission.h
@@ -32,6 +32,11 @@
     void ended();
 
     bool isWaiting(const DispatchKey&) const;
+    /// Whether a new one would start now.
+    bool hasFreePlace() const { return queue_.empty() && running_ < mostRunning_; }
+    /// How many of those waiting would go before it.
+    std::uint32_t ahead(const WaitingDispatch&) const;
+    std::uint32_t mostRunning() const { return mostRunning_; }
     std::uint32_t running() const { return running_; }
     std::uint32_t waiting() const { return static_cast<std::uint32_t>(queue_.size()); }
 
--- a/src/agent/internal/requestgate.cpp
+++ b/src/agent/internal/requestgate.cpp
@@ -1,5 +1,6 @@
 #include "agent/internal/requestgate.h"
 
+#include "policy/rendezvous.h"
 #include "wire/types/message.h"
 
 #include <algorithm>
@@ -22,6 +23,9 @@
 constexpr std::uint8_t highestPriority = 9;
 constexpr Milliseconds retryWhenFull { 500 };
 constexpr unsigned short notFound = 404;
+/// An answer or refusal is to reach the router before the deadline: it refuses some time before that itself, and could
+/// then say only "unknown".
+constexpr Milliseconds deliveryMargin { 50 };
 
 DispatchKey keyOf(const fb::DispatchIdT& id)
 {
@@ -81,6 +85,12 @@
     return Error { code, "admit", "", std::move(detail), execution };
 }
 
+/// In [0, 1), by the dispatch, so that those refused together don't come back together.
+double spread(const DispatchKey& key)
+{
+    return static_cast<double>(policy::mixed(key.router.value() + key.sequence.value()) >> 11U) * 0x1p-53;
+}
+
 } // namespace
 
 RequestGate::RequestGate(GatePorts ports, Incarnation own, const AgentLimits& limits)
@@ -133,22 +143,74 @@
         if (use.has_error())
             refused = use.error();
     }
-    if (!refused && !admission_.enqueue({ key, call.request.priority, call.request.deadline })) {
-        ports_.targets.endUse(target, ports_.clock.now());
-        refused = refusal(ErrorCode::TooManyWaiting, "the agent's queue is full", Execution::NotRun);
-        refused->retryAfter = retryWhenFull;
+    if (!refused) {
+        const WaitingDispatch waiting { key, call.request.priority, call.request.deadline };
+        refused = queueRefusal(waiting, target);
+        if (!refused && !admission_.enqueue(waiting)) {
+            refused = refusal(ErrorCode::TooManyWaiting, "the agent's queue is full", Execution::NotRun);
+            refused->retryAfter = retryWhenFull;
+        }
+        if (refused)
+            ports_.targets.endUse(target, ports_.clock.now());
     }
     if (refused) {
         ledger_.complete(key, refused);
         refuse(link, key, *refused);
         return;
     }
-    call.deadlineTimer = ports_.control.runAt(
-        call.request.deadline, [this, key] { stop(key, refusal(ErrorCode::DeadlinePassed, "", Execution::Unknown)); });
+    armWaiting(key, call);
     calls_.emplace(key, std::move(call));
     startWaiting();
 }
 
+/// Guards against a queue that is longer than the deadlines: past saturation each request would be started just before
+/// its caller gives up, so that the upstream is busy and hardly anyone is served. What a place in the queue can't
+/// serve in time is refused at once, as long as service times are known; with a free place it is always tried.
+std::optional<Error> RequestGate::queueRefusal(const WaitingDispatch& waiting, const Target& target) const
+{
+    const auto own = serviceTimes_.of(target);
+    if (!own || admission_.hasFreePlace())
+        return std::nullopt;
+    const policy::LoadQueue queue { admission_.ahead(waiting), admission_.running(), admission_.mostRunning(), 0,
+        serviceTimes_.ofAll() };
+    const policy::LoadForecast forecast = policy::forecastWaiting(*own, queue);
+    if (!policy::isLikelyTooLate(forecast, Deadline(waiting.deadline.at() - deliveryMargin), ports_.clock.now()))
+        return std::nullopt;
+    Error hopeless = refusal(ErrorCode::DeadlineHopeless, "the queue is longer than the deadline", Execution::NotRun);
+    hopeless.retryAfter = policy::timeToComeBack(forecast, spread(waiting.key));
+    return hopeless;
+}
+
+/// One that waits is refused when it would have to run by now: later ones of higher priority may have gone before it.
+void RequestGate::armWaiting(const DispatchKey& key, Call& call)
+{
+    const auto own = serviceTimes_.of(call.target);
+    if (!own || admission_.hasFreePlace())
+        return armRunning(key, call);
+    const Deadline startBy(call.request.deadline.at() - deliveryMargin - own->typical);
+    call.deadlineTimer = ports_.control.runAt(startBy, [this, key] {
+        Error hopeless = refusal(ErrorCode::DeadlineHopeless, "others went before", Execution::NotRun);
+        hopeless.retryAfter = policy::timeToComeBack({}, spread(key));
+        stop(key, std::move(hopeless));
+    });
+}
+
+void RequestGate::armRunning(const DispatchKey& key, Call& call)
+{
+    call.deadlineTimer = ports_.control.runAt(
+        call.request.deadline, [this, key] { stop(key, refusal(ErrorCode::DeadlinePassed, "", Execution::Unknown)); });
+}
+
+/// One that was stopped after longer than usual is a measurement too, or an upstream that has become too slow for every
+/// deadline would never be noticed.
+void RequestGate::recordServiceTime(const Call& call, bool isWhole)
+{
+    const auto took = std::chrono::duration_cast<Milliseconds>(ports_.clock.now() - call.startedAt);
+    const auto known = serviceTimes_.of(call.target);
+    if (isWhole || (known && took > known->typical))
+        serviceTimes_.record(call.target, took);
+}
+
 void RequestGate::startWaiting()
 {
     for (const WaitingDispatch& next : admission_.takeStartable())
@@ -159,7 +221,9 @@
 void RequestGate::run(const DispatchKey& key)
 {
     Call& call = calls_.at(key);
-    const auto waited = ports_.clock.now() - call.receivedAt;
+    call.startedAt = ports_.clock.now();
+    armRunning(key, call);
+    const auto waited = call.startedAt - call.receivedAt;
     ports_.metrics->observeSeconds("lagoon_agent_wait_seconds", std::chrono::duration<double>(waited).count());
     // Events come on other threads and in order, and so they are posted; a call that has ended is no longer found.
     UpstreamEvents events;
@@ -248,8 +312,10 @@
 {
     auto ended = calls_.extract(key);
     Call& call = ended.mapped();
-    if (call.upstream)
+    if (call.upstream) {
         admission_.ended();
+        recordServiceTime(call, !refused);
+    }
     ports_.targets.endUse(call.target, ports_.clock.now());
     if (refused) {
         refuse(call.link, key, *refused);
--- a/src/agent/internal/requestgate.h
+++ b/src/agent/internal/requestgate.h
@@ -3,6 +3,7 @@
 #include "agent/agentsettings.h"
 #include "agent/internal/admission.h"
 #include "agent/internal/requestledger.h"
+#include "agent/internal/servicetimes.h"
 #include "agent/itargetuse.h"
 #include "agent/iupstream.h"
 #include "framework/controlthread.h"
@@ -62,6 +63,7 @@
         /// Why it was stopped; in place of what the upstream says then.
         std::optional<framework::Error> stopReason;
         framework::SteadyTime receivedAt {};
+        framework::SteadyTime startedAt {};
     };
 
     void admit(const DispatchKey&, Call);
@@ -80,12 +82,17 @@
     void sendEnd(wire::ILink&, const DispatchKey&, const StoredAnswer&);
     void publish();
     std::optional<framework::Error> admissionRefusal(const Call&) const;
+    std::optional<framework::Error> queueRefusal(const WaitingDispatch&, const Target&) const;
+    void armWaiting(const DispatchKey&, Call&);
+    void armRunning(const DispatchKey&, Call&);
+    void recordServiceTime(const Call&, bool isWhole);
     Call* find(const DispatchKey&);
 
     GatePorts ports_;
     AgentLimits limits_;
     RequestLedger ledger_;
     Admission admission_;
+    ServiceTimes serviceTimes_;
     std::map<DispatchKey, Call> calls_;
     bool isDraining_ = false;
 };
--- /dev/null
+++ b/src/agent/internal/servicetimes.cpp
@@ -0,0 +1,56 @@
+#include "agent/internal/servicetimes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoon::agent {
+
+using framework::Milliseconds;
+
+namespace {
+
+constexpr double newShare = 0.1;
+/// Mean absolute deviations to the tenth and ninetieth percentile (of a normal distribution).
+constexpr double deviationsToTail = 1.6;
+
+std::string keyOf(const Target& target)
+{
+    return target.service.value() + "\n" + target.replica.model.value() + "\n" + target.replica.adapter.value();
+}
+
+Milliseconds milliseconds(double number) { return Milliseconds(static_cast<std::int64_t>(std::max(0.0, number))); }
+
+} // namespace
+
+void ServiceTimes::record(const Target& target, Milliseconds took)
+{
+    const auto number = static_cast<double>(took.count());
+    take(all_, number);
+    take(byTarget_[keyOf(target)], number);
+}
+
+std::optional<policy::LoadTimeEstimate> ServiceTimes::of(const Target& target) const
+{
+    const auto found = byTarget_.find(keyOf(target));
+    if (found == byTarget_.end())
+        return std::nullopt;
+    return estimate(found->second);
+}
+
+void ServiceTimes::take(Average& average, double milliseconds)
+{
+    if (!average.isKnown) {
+        average = { milliseconds, 0, true };
+        return;
+    }
+    average.deviation += newShare * (std::abs(milliseconds - average.mean) - average.deviation);
+    average.mean += newShare * (milliseconds - average.mean);
+}
+
+policy::LoadTimeEstimate ServiceTimes::estimate(const Average& average)
+{
+    const double tail = deviationsToTail * average.deviation;
+    return { milliseconds(average.mean - tail), milliseconds(average.mean), milliseconds(average.mean + tail) };
+}
+
+} // namespace lagoon::agent
--- a/src/agent/tests/requestgate_test.cpp
+++ b/src/agent/tests/requestgate_test.cpp
@@ -89,7 +89,8 @@
         return made;
     }
 
-    void dispatch(std::uint64_t sequence, std::uint32_t remainingMs = 1000, std::uint64_t floor = 1)
+    void dispatch(
+        std::uint64_t sequence, std::uint32_t remainingMs = 1000, std::uint64_t floor = 1, std::uint8_t priority = 0)
     {
         fb::DispatchT dispatch;
         dispatch.id = id(sequence);
@@ -101,6 +102,7 @@
         dispatch.method = "POST";
         dispatch.path = "/v1/completions";
         dispatch.remaining_ms = remainingMs;
+        dispatch.priority = priority;
         gate->dispatch(link, std::move(dispatch));
         control.settle();
     }
@@ -141,6 +143,18 @@
         control.settle();
     }
 
+    /// One place and a queue; the upstream is known to take 100 ms.
+    void learnServiceTime()
+    {
+        limits.waiting = 100;
+        gate = makeGate();
+        session = gate->openSession(router);
+        dispatch(1);
+        control.pass(Milliseconds(100));
+        answerHead(0);
+        answerEnd(0);
+    }
+
     void checkRefused(const FakeLink& over, ErrorCode code, Execution execution) const
     {
         const auto refused = over.all<fb::RefusedT>();
@@ -244,6 +258,48 @@
     BOOST_TEST(use.uses == 2);
 }
 
+// Requests come faster than the upstream serves. If all wait their turn, each is started just before its caller gives
+// up, and past saturation hardly anyone is served. Those that the queue can't serve in time must hear so at once.
+BOOST_AUTO_TEST_CASE(whatTheQueueCannotServeInTimeIsRefusedAtOnce)
+{
+    learnServiceTime();
+    dispatch(2, 1000);
+    dispatch(3, 1000);
+    dispatch(4, 360);
+    BOOST_TEST(link->all<fb::RefusedT>().empty());
+    BOOST_TEST(gate->waiting() == 2u);
+    dispatch(5, 240);
+    checkRefused(*link, ErrorCode::DeadlineHopeless, Execution::NotRun);
+    BOOST_TEST(link->all<fb::RefusedT>().front().retry_after_ms >= 1000u);
+    BOOST_TEST(use.uses == 3);
+}
+
+// The upstream has grown so slow that its time is longer than every deadline. With a free place it must be tried all
+// the same, or nobody would ever learn that it has recovered.
+BOOST_AUTO_TEST_CASE(aFreePlaceIsAlwaysTried)
+{
+    learnServiceTime();
+    dispatch(2, 80);
+    BOOST_TEST(upstream->calls.size() == 2u);
+    BOOST_TEST(link->all<fb::RefusedT>().empty());
+}
+
+// A request waits, and others of higher priority go before it until it can't be served in time. Its router must hear
+// "not run" while the caller still waits; after the deadline it could only say "unknown".
+BOOST_AUTO_TEST_CASE(oneThatOthersOvertakeIsRefusedBeforeItsDeadline)
+{
+    learnServiceTime();
+    dispatch(2, 1000);
+    dispatch(3, 400);
+    for (std::uint64_t sequence = 4; sequence < 7; ++sequence)
+        dispatch(sequence, 5000, 1, 9);
+    control.pass(Milliseconds(249));
+    BOOST_TEST(link->all<fb::RefusedT>().empty());
+    control.pass(Milliseconds(1));
+    checkRefused(*link, ErrorCode::DeadlineHopeless, Execution::NotRun);
+    BOOST_TEST(gate->waiting() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(aDeadlineThatPassesInTheQueueIsNotRun)
 {
     dispatch(1, 5000);
--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -276,7 +276,10 @@
         return;
     const SteadyTime begunAt = entry->second.stream->begunAt().value_or(context_.clock.now());
     const double seconds = std::chrono::duration<double>(begunAt - entry->second.dispatchedAt).count();
-    firstByteSeconds_ += firstByteSmoothing * (seconds - firstByteSeconds_);
+    // The first answer stands for itself: an average that began at 0 would make a new agent look fast.
+    const bool isFirst = firstByteSeconds_ == 0;
+    firstByteSeconds_ += (isFirst ? 1 : firstByteSmoothing) * (seconds - firstByteSeconds_);
+    lastAnswer_ = context_.clock.now();
     const SequenceNumber sequence(end.id->sequence);
     if (entry->second.stream->isWhole(end.length, end.checksum))
         return settle(sequence, framework::success());
--- a/src/router/internal/agentsession.h
+++ b/src/router/internal/agentsession.h
@@ -74,6 +74,8 @@
     AgentLoad agentLoad() const { return load_; }
     bool isSuspect() const { return isSuspect_; }
     double firstByteSeconds() const { return firstByteSeconds_; }
+    /// When `firstByteSeconds` last changed.
+    framework::SteadyTime lastAnswer() const { return lastAnswer_; }
 
 private:
     /// A dispatch without outcome.
@@ -133,6 +135,7 @@
     AgentLoad load_;
     bool isSuspect_ = false;
     double firstByteSeconds_ = 0;
+    framework::SteadyTime lastAnswer_ {};
 
     std::unique_ptr<framework::Timer> tickTimer_;
     framework::Deadline nextPing_;
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -129,6 +129,7 @@
             view.reportedRunning = session->agentLoad().running;
             view.reportedWaiting = session->agentLoad().waiting;
             view.firstByteSeconds = session->firstByteSeconds();
+            view.lastAnswer = session->lastAnswer();
             view.isSuspect = session->isSuspect();
         }
         replicas.push_back(view);
