What a busy replica refuses isn't waited for; queues of new replicas are thinned

Also a request that all decided replicas had refused as busy waited for a load that couldn't come. Change: with a target's first service time the agent goes through its queue; what waits is always refused before the router's own timer; the router refuses at once when as many replicas are warm as the bundle decides. An estimate has a least spread (a tenth), as for load times.

--- a/src/agent/internal/requestgate.cpp
+++ b/src/agent/internal/requestgate.cpp
@@ -182,19 +182,40 @@
 }
 
 /// One that waits is refused when it would have to run by now: later ones of higher priority may have gone before it.
+/// The agent's word has to come before the router's own timer, which could say only "unknown".
 void RequestGate::armWaiting(const DispatchKey& key, Call& call)
 {
     const auto own = serviceTimes_.of(call.target);
-    if (!own || admission_.hasFreePlace())
-        return armRunning(key, call);
-    const Deadline startBy(call.request.deadline.at() - deliveryMargin - own->typical);
-    call.deadlineTimer = ports_.control.runAt(startBy, [this, key] {
-        Error hopeless = refusal(ErrorCode::DeadlineHopeless, "others went before", Execution::NotRun);
-        hopeless.retryAfter = policy::timeToComeBack({}, spread(key));
-        stop(key, std::move(hopeless));
+    const Deadline startBy(call.request.deadline.at() - deliveryMargin - (own ? own->high : Milliseconds(0)));
+    const ErrorCode code = own ? ErrorCode::DeadlineHopeless : ErrorCode::DeadlinePassed;
+    call.deadlineTimer = ports_.control.runAt(startBy, [this, key, code] {
+        Error late = refusal(code, "its turn didn't come in time", Execution::NotRun);
+        late.retryAfter = policy::timeToComeBack({}, spread(key));
+        stop(key, std::move(late));
     });
 }
 
+/// Guards against a burst on a replica that was just loaded: its queue was filled before anyone knew how long a request
+/// takes. With the first measurement those that can't be served in time are refused.
+void RequestGate::reviewWaiting(const Target& target)
+{
+    std::vector<std::pair<DispatchKey, Error>> hopeless;
+    for (auto& [key, call] : calls_) {
+        if (call.upstream || !(call.target == target))
+            continue;
+        const auto refused = queueRefusal({ key, call.request.priority, call.request.deadline }, target);
+        if (refused)
+            hopeless.emplace_back(key, *refused);
+        else
+            armWaiting(key, call);
+    }
+    for (auto& [key, error] : hopeless) {
+        // An earlier one's end may have started it.
+        if (admission_.isWaiting(key))
+            stop(key, std::move(error));
+    }
+}
+
 void RequestGate::armRunning(const DispatchKey& key, Call& call)
 {
     call.deadlineTimer = ports_.control.runAt(
@@ -207,8 +228,11 @@
 {
     const auto took = std::chrono::duration_cast<Milliseconds>(ports_.clock.now() - call.startedAt);
     const auto known = serviceTimes_.of(call.target);
-    if (isWhole || (known && took > known->typical))
-        serviceTimes_.record(call.target, took);
+    if (!isWhole && (!known || took <= known->typical))
+        return;
+    serviceTimes_.record(call.target, took);
+    if (!known)
+        reviewWaiting(call.target);
 }
 
 void RequestGate::startWaiting()
--- a/src/agent/internal/requestgate.h
+++ b/src/agent/internal/requestgate.h
@@ -84,6 +84,7 @@
     std::optional<framework::Error> admissionRefusal(const Call&) const;
     std::optional<framework::Error> queueRefusal(const WaitingDispatch&, const Target&) const;
     void armWaiting(const DispatchKey&, Call&);
+    void reviewWaiting(const Target&);
     void armRunning(const DispatchKey&, Call&);
     void recordServiceTime(const Call&, bool isWhole);
     Call* find(const DispatchKey&);
--- a/src/agent/internal/servicetimes.cpp
+++ b/src/agent/internal/servicetimes.cpp
@@ -12,6 +12,8 @@
 constexpr double newShare = 0.1;
 /// Mean absolute deviations to the tenth and ninetieth percentile (of a normal distribution).
 constexpr double deviationsToTail = 1.6;
+/// The least deviation that is believed, as a share of the mean, as for load times.
+constexpr double leastDeviation = 0.1;
 
 std::string keyOf(const Target& target)
 {
@@ -49,7 +51,7 @@
 
 policy::LoadTimeEstimate ServiceTimes::estimate(const Average& average)
 {
-    const double tail = deviationsToTail * average.deviation;
+    const double tail = deviationsToTail * std::max(average.deviation, leastDeviation * average.mean);
     return { milliseconds(average.mean - tail), milliseconds(average.mean), milliseconds(average.mean + tail) };
 }
 
--- a/src/agent/types/target.h
+++ b/src/agent/types/target.h
@@ -9,6 +9,7 @@
     ReplicaId replica;
     framework::ServiceName service;
 
+    bool operator==(const Target&) const = default;
     bool isService() const { return !service.value().empty(); }
 };
 
--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -378,11 +378,21 @@
         settle(SequenceNumber(sequence), why);
 }
 
+/// For a session with work.
 void AgentSession::armTick()
 {
-    if (tickTimer_)
+    idleUntil_ = Deadline();
+    armTickAt(Deadline::after(context_.clock.now(), tickInterval));
+}
+
+/// An idle session isn't looked at before its link's end: with hundreds of agents, most of them idle, ticks would cost
+/// more than the work.
+void AgentSession::armTickAt(Deadline at)
+{
+    if (tickTimer_ && tickAt_ <= at)
         return;
-    tickTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), tickInterval), [weak = weak_from_this()] {
+    tickAt_ = at;
+    tickTimer_ = context_.control.runAt(at, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->tick();
     });
@@ -402,9 +412,8 @@
             idleUntil_ = Deadline::after(now, context_.settings.idleLimit);
         if (idleUntil_.hasPassed(now))
             return dropLink();
-        return armTick();
+        return armTickAt(idleUntil_);
     }
-    idleUntil_ = Deadline();
     connect();
     const SteadyTime heard { SteadyTime::duration(lastHeard_.load()) };
     if (now - heard > context_.settings.silenceLimit) {
--- a/src/router/internal/agentsession.h
+++ b/src/router/internal/agentsession.h
@@ -111,6 +111,7 @@
     void settle(framework::SequenceNumber, const DispatchOutcome&);
     void ask(std::uint64_t correlation, wire::Message, Question);
     void armTick();
+    void armTickAt(framework::Deadline);
     void tick();
     std::uint64_t floor() const;
     std::shared_ptr<AnswerStream> streamOf(std::uint64_t sequence) const;
@@ -138,6 +139,7 @@
     framework::SteadyTime lastAnswer_ {};
 
     std::unique_ptr<framework::Timer> tickTimer_;
+    framework::Deadline tickAt_;
     framework::Deadline nextPing_;
     framework::Deadline idleUntil_;
     std::uint32_t failedConnects_ = 0;
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -25,6 +25,12 @@
 constexpr Milliseconds answerMargin { 20 };
 constexpr Milliseconds drainingAvoidance { 5000 };
 
+/// The replica works, but has no place for this request in time.
+bool isBusy(const Error& error)
+{
+    return error.code == ErrorCode::TooManyWaiting || error.code == ErrorCode::DeadlineHopeless;
+}
+
 const char* reasonText(const Error& error) { return framework::errorCodeText(error.code).data(); }
 
 } // namespace
@@ -151,6 +157,12 @@
             Execution::NotRun, retryAfterNoReplica };
         return refuse(number, entry.lastError.value_or(none));
     }
+    // All that the bundle decides are warm and have no place: no load will come, and waiting would end at the deadline.
+    if (entry.lastError && isBusy(*entry.lastError)
+        && context_.placements.vms(where->target).size() >= decided(*where)) {
+        entry.refusedSites.insert(where->site);
+        return waitForReplica(number, entry);
+    }
     entry.waitsFor = *where;
     const auto wanted = static_cast<std::uint32_t>(context_.placements.vms(where->target).size() + 1);
     wakes_->wait(*where, number, entry.request.deadline, std::min(wanted, std::max(1U, decided(*where))));
@@ -338,7 +350,7 @@
         Error spent = error;
         spent.detail = "retry budget spent after " + std::string(framework::errorCodeText(error.code));
         spent.code = ErrorCode::RetryBudgetSpent;
-        spent.retryAfter = retryAfterBusy;
+        spent.retryAfter = std::max(error.retryAfter.value_or(retryAfterBusy), retryAfterBusy);
         return refuse(number, spent);
     }
     context_.metrics.count("lagoon_retries_total", { { "reason", reasonText(error) } });
--- a/src/router/tests/agentsession_test.cpp
+++ b/src/router/tests/agentsession_test.cpp
@@ -170,4 +170,18 @@
     BOOST_CHECK(outcomes_[0].error().execution == Execution::Unknown);
 }
 
+BOOST_AUTO_TEST_CASE(anIdleLinkIsClosedSomeTimeAfterItsLastWork)
+{
+    const auto link = greet("draft-1");
+    answer(*link, sentId(*link), "done");
+    control_.advance(settings_.idleLimit - Milliseconds(1000));
+    dispatch();
+    answer(*link, sentId(*link), "done again");
+    BOOST_TEST(outcomes_.size() == 2u);
+    control_.advance(settings_.idleLimit - Milliseconds(1000));
+    BOOST_TEST(!link->isClosed());
+    control_.advance(Milliseconds(2000));
+    BOOST_TEST(link->isClosed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -276,4 +276,18 @@
     BOOST_TEST(later->isWhole_);
 }
 
+// The one replica that the bundle decides is warm, but its agent can't serve the request in time. No other will be
+// loaded: the caller must hear so at once, not wait for a replica until its deadline.
+BOOST_AUTO_TEST_CASE(aBusyReplicaWithoutAnotherRefusesAtOnce)
+{
+    placements_.add(notes(), framework::VmName("draft-1"));
+    const auto caller = ask(notes(), longTimeout, false);
+    greet("draft-1");
+    refuse(*link("draft-1"), sentId("draft-1"), ErrorCode::DeadlineHopeless, Execution::NotRun);
+    BOOST_REQUIRE(caller->refused_);
+    BOOST_CHECK(caller->refused_->code == ErrorCode::DeadlineHopeless);
+    BOOST_CHECK(caller->refused_->execution == Execution::NotRun);
+    BOOST_TEST(dispatcher_.requests() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
