Stale placements don't use up the retry budget

Cause: each request whose cached placement was unloaded meanwhile (NotLoaded) spent one of the retries, a tenth per request. With more models than room, the usual case here, requests were refused as retry_budget_spent. Change: NotLoaded isn't charged; it costs its agent nothing, and the placement is forgotten with it.

--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -381,8 +381,12 @@
 /// For a session with work.
 void AgentSession::armTick()
 {
+    const SteadyTime now = context_.clock.now();
+    // Silence counts from when there is something to answer.
+    if (idleUntil_ != Deadline())
+        lastHeard_ = now.time_since_epoch().count();
     idleUntil_ = Deadline();
-    armTickAt(Deadline::after(context_.clock.now(), tickInterval));
+    armTickAt(Deadline::after(now, tickInterval));
 }
 
 /// An idle session isn't looked at before its link's end: with hundreds of agents, most of them idle, ticks would cost
@@ -408,8 +412,6 @@
     if (!isBusy) {
         if (!link_)
             return;
-        // Silence counts from when there is something to answer.
-        lastHeard_ = now.time_since_epoch().count();
         if (idleUntil_ == Deadline())
             idleUntil_ = Deadline::after(now, context_.settings.idleLimit);
         if (idleUntil_.hasPassed(now))
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -346,7 +346,10 @@
 {
     if (entry.attempts >= context_.settings.attempts)
         return refuse(number, error);
-    if (!retryBudget_.spend()) {
+    // A stale placement costs its agent nothing and is forgotten with the first refusal, so it can't multiply an
+    // overload. Models that come and go would use the budget up, and requests for them be refused for nothing.
+    const bool isCharged = error.code != ErrorCode::NotLoaded;
+    if (isCharged && !retryBudget_.spend()) {
         Error spent = error;
         spent.detail = "retry budget spent after " + std::string(framework::errorCodeText(error.code));
         spent.code = ErrorCode::RetryBudgetSpent;
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -312,4 +312,19 @@
     BOOST_TEST(dispatcher_.requests() == 0u);
 }
 
+// Models come and go at the agents, so that many placements in the cache are stale. More requests than the retry budget
+// allows meet one; none of them may be refused for that.
+BOOST_AUTO_TEST_CASE(stalePlacementsDontUseTheRetryBudgetUp)
+{
+    const int requests = 2 * static_cast<int>(settings_.retryReserve);
+    for (int turn = 0; turn < requests; ++turn) {
+        placements_.add(notes(), framework::VmName("draft-1"));
+        const auto caller = ask(notes(), longTimeout, false);
+        if (turn == 0)
+            greet("draft-1");
+        refuse(*link("draft-1"), sentId("draft-1"), ErrorCode::NotLoaded, Execution::NotRun);
+        BOOST_TEST(!caller->refused_);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
