--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -27,6 +27,12 @@
 constexpr Milliseconds bundlePatience { 3000 };
 constexpr Milliseconds bundleLookInterval { 100 };
 
+/// The replica works, but has no place for this request in time.
+bool isBusy(const Error& error)
+{
+    return error.code == ErrorCode::TooManyWaiting || error.code == ErrorCode::DeadlineHopeless;
+}
+
 const char* reasonText(const Error& error) { return framework::errorCodeText(error.code).data(); }
 
 } // namespace
@@ -132,6 +138,7 @@
             view.reportedRunning = session->agentLoad().running;
             view.reportedWaiting = session->agentLoad().waiting;
             view.firstByteSeconds = session->firstByteSeconds();
+            view.lastAnswer = session->lastAnswer();
             view.isSuspect = session->isSuspect();
         }
         replicas.push_back(view);
@@ -152,6 +159,12 @@
             Execution::NotRun, retryAfterNoReplica };
         return refuse(number, entry.lastError.value_or(none));
     }
+    // All that the bundle decides are warm and have no place: no load will come, and waiting would end at the deadline.
+    if (entry.lastError && isBusy(*entry.lastError)
+        && context_.placements.vms(where->target).size() >= decided(*where)) {
+        entry.refusedSites.insert(where->site);
+        return waitForReplica(number, entry);
+    }
     entry.waitsFor = *where;
     const auto wanted = static_cast<std::uint32_t>(context_.placements.vms(where->target).size() + 1);
     wakes_->wait(*where, number, entry.request.deadline, std::min(wanted, std::max(1U, decided(*where))));
@@ -355,11 +368,14 @@
 {
     if (entry.attempts >= context_.settings.attempts)
         return refuse(number, error);
-    if (!retryBudget_.spend()) {
+    // A stale placement costs its agent nothing and is forgotten with the first refusal, so it can't multiply an
+    // overload. Models that come and go would use the budget up, and requests for them be refused for nothing.
+    const bool isCharged = error.code != ErrorCode::NotLoaded;
+    if (isCharged && !retryBudget_.spend()) {
         Error spent = error;
         spent.detail = "retry budget spent after " + std::string(framework::errorCodeText(error.code));
         spent.code = ErrorCode::RetryBudgetSpent;
-        spent.retryAfter = retryAfterBusy;
+        spent.retryAfter = std::max(error.retryAfter.value_or(retryAfterBusy), retryAfterBusy);
         return refuse(number, spent);
     }
     context_.metrics.count("lagoon_retries_total", { { "reason", reasonText(error) } });
