--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -93,9 +93,11 @@
     link_->send(wire::message(std::move(cancel)));
 }
 
-void AgentSession::askBid(const wire::fb::TargetT& target, AnswerHandler<wire::fb::BidT> onAnswer)
+void AgentSession::askBid(
+    const wire::fb::TargetT& target, framework::BundleVersion version, AnswerHandler<wire::fb::BidT> onAnswer)
 {
     wire::fb::BidRequestT request;
+    request.bundle_version = version.value();
     request.correlation = nextCorrelation_++;
     request.target = std::make_unique<wire::fb::TargetT>(target);
     const std::uint64_t correlation = request.correlation;
@@ -276,7 +278,10 @@
         return;
     const SteadyTime begunAt = entry->second.stream->begunAt().value_or(context_.clock.now());
     const double seconds = std::chrono::duration<double>(begunAt - entry->second.dispatchedAt).count();
-    firstByteSeconds_ += firstByteSmoothing * (seconds - firstByteSeconds_);
+    // The first answer stands for itself: an average that began at 0 would make a new agent look fast.
+    const bool isFirst = firstByteSeconds_ == 0;
+    firstByteSeconds_ += (isFirst ? 1 : firstByteSmoothing) * (seconds - firstByteSeconds_);
+    lastAnswer_ = context_.clock.now();
     const SequenceNumber sequence(end.id->sequence);
     if (entry->second.stream->isWhole(end.length, end.checksum))
         return settle(sequence, framework::success());
@@ -375,11 +380,25 @@
         settle(SequenceNumber(sequence), why);
 }
 
+/// For a session with work.
 void AgentSession::armTick()
 {
-    if (tickTimer_)
+    const SteadyTime now = context_.clock.now();
+    // Silence counts from when there is something to answer.
+    if (idleUntil_ != Deadline())
+        lastHeard_ = now.time_since_epoch().count();
+    idleUntil_ = Deadline();
+    armTickAt(Deadline::after(now, tickInterval));
+}
+
+/// An idle session isn't looked at before its link's end: with hundreds of agents, most of them idle, ticks would cost
+/// more than the work.
+void AgentSession::armTickAt(Deadline at)
+{
+    if (tickTimer_ && tickAt_ <= at)
         return;
-    tickTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), tickInterval), [weak = weak_from_this()] {
+    tickAt_ = at;
+    tickTimer_ = context_.control.runAt(at, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->tick();
     });
@@ -395,15 +414,12 @@
     if (!isBusy) {
         if (!link_)
             return;
-        // Silence counts from when there is something to answer.
-        lastHeard_ = now.time_since_epoch().count();
         if (idleUntil_ == Deadline())
             idleUntil_ = Deadline::after(now, context_.settings.idleLimit);
         if (idleUntil_.hasPassed(now))
             return dropLink();
-        return armTick();
+        return armTickAt(idleUntil_);
     }
-    idleUntil_ = Deadline();
     connect();
     const SteadyTime heard { SteadyTime::duration(lastHeard_.load()) };
     if (now - heard > context_.settings.silenceLimit) {
--- a/src/router/internal/agentsession.h
+++ b/src/router/internal/agentsession.h
@@ -62,7 +62,7 @@
     void cancel(framework::SequenceNumber);
     /// Whether the dispatch has left this process; until then nobody can have run it.
     bool wasSent(framework::SequenceNumber) const;
-    void askBid(const wire::fb::TargetT&, AnswerHandler<wire::fb::BidT>);
+    void askBid(const wire::fb::TargetT&, framework::BundleVersion, AnswerHandler<wire::fb::BidT>);
     void load(wire::fb::LoadT, AnswerHandler<wire::fb::LoadResultT>);
     /// The platform says that the VM no longer exists.
     void setGone();
@@ -74,6 +74,8 @@
     AgentLoad agentLoad() const { return load_; }
     bool isSuspect() const { return isSuspect_; }
     double firstByteSeconds() const { return firstByteSeconds_; }
+    /// When `firstByteSeconds` last changed.
+    framework::SteadyTime lastAnswer() const { return lastAnswer_; }
 
 private:
     /// A dispatch without outcome.
@@ -109,6 +111,7 @@
     void settle(framework::SequenceNumber, const DispatchOutcome&);
     void ask(std::uint64_t correlation, wire::Message, Question);
     void armTick();
+    void armTickAt(framework::Deadline);
     void tick();
     std::uint64_t floor() const;
     std::shared_ptr<AnswerStream> streamOf(std::uint64_t sequence) const;
@@ -133,8 +136,10 @@
     AgentLoad load_;
     bool isSuspect_ = false;
     double firstByteSeconds_ = 0;
+    framework::SteadyTime lastAnswer_ {};
 
     std::unique_ptr<framework::Timer> tickTimer_;
+    framework::Deadline tickAt_;
     framework::Deadline nextPing_;
     framework::Deadline idleUntil_;
     std::uint32_t failedConnects_ = 0;
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -24,6 +24,14 @@
 /// The refusal is to reach the caller before its deadline.
 constexpr Milliseconds answerMargin { 20 };
 constexpr Milliseconds drainingAvoidance { 5000 };
+constexpr Milliseconds bundlePatience { 3000 };
+constexpr Milliseconds bundleLookInterval { 100 };
+
+/// The replica works, but has no place for this request in time.
+bool isBusy(const Error& error)
+{
+    return error.code == ErrorCode::TooManyWaiting || error.code == ErrorCode::DeadlineHopeless;
+}
 
 const char* reasonText(const Error& error) { return framework::errorCodeText(error.code).data(); }
 
@@ -130,6 +138,7 @@
             view.reportedRunning = session->agentLoad().running;
             view.reportedWaiting = session->agentLoad().waiting;
             view.firstByteSeconds = session->firstByteSeconds();
+            view.lastAnswer = session->lastAnswer();
             view.isSuspect = session->isSuspect();
         }
         replicas.push_back(view);
@@ -150,6 +159,12 @@
             Execution::NotRun, retryAfterNoReplica };
         return refuse(number, entry.lastError.value_or(none));
     }
+    // All that the bundle decides are warm and have no place: no load will come, and waiting would end at the deadline.
+    if (entry.lastError && isBusy(*entry.lastError)
+        && context_.placements.vms(where->target).size() >= decided(*where)) {
+        entry.refusedSites.insert(where->site);
+        return waitForReplica(number, entry);
+    }
     entry.waitsFor = *where;
     const auto wanted = static_cast<std::uint32_t>(context_.placements.vms(where->target).size() + 1);
     const WaitingRequest waiting { entry.request.deadline, entry.request.priority };
@@ -240,7 +255,7 @@
     }
 }
 
-void Dispatcher::takeRefusal(const Error& error, const std::set<RequestNumber>& requests)
+void Dispatcher::takeRefusal(const Error& error, framework::BundleVersion home, const std::set<RequestNumber>& requests)
 {
     for (const RequestNumber number : requests) {
         const auto found = requests_.find(number);
@@ -250,12 +265,32 @@
         const SiteTarget where = *entry.waitsFor;
         entry.waitsFor.reset();
         wakes_->stopWaiting(where, number);
+        if (awaitBundle(number, entry, home))
+            continue;
         entry.refusedSites.insert(where.site);
         entry.lastError = error;
         route(number);
     }
 }
 
+/// A home that has a newer bundle refuses by it, maybe because the target has moved to a site that this router's bundle
+/// doesn't name yet. The newer one is in force here in a moment, and the request is routed by it then.
+bool Dispatcher::awaitBundle(RequestNumber number, Request& entry, framework::BundleVersion home)
+{
+    const auto now = context_.clock.now();
+    const bundle::BundlePointer bundle = context_.bundle();
+    if (!bundle || home <= bundle->version)
+        return false;
+    if (!entry.bundlePatienceEnds)
+        entry.bundlePatienceEnds = Deadline::after(now, bundlePatience);
+    if (entry.bundlePatienceEnds->hasPassed(now))
+        return false;
+    context_.metrics.count("lagoon_bundles_awaited_total");
+    entry.bundleTimer
+        = context_.control.runAt(Deadline::after(now, bundleLookInterval), [this, number] { route(number); });
+    return true;
+}
+
 void Dispatcher::takeExpectation(const WakeReply& progress, const std::set<RequestNumber>& requests)
 {
     for (const RequestNumber number : requests) {
@@ -334,11 +369,14 @@
 {
     if (entry.attempts >= context_.settings.attempts)
         return refuse(number, error);
-    if (!retryBudget_.spend()) {
+    // A stale placement costs its agent nothing and is forgotten with the first refusal, so it can't multiply an
+    // overload. Models that come and go would use the budget up, and requests for them be refused for nothing.
+    const bool isCharged = error.code != ErrorCode::NotLoaded;
+    if (isCharged && !retryBudget_.spend()) {
         Error spent = error;
         spent.detail = "retry budget spent after " + std::string(framework::errorCodeText(error.code));
         spent.code = ErrorCode::RetryBudgetSpent;
-        spent.retryAfter = retryAfterBusy;
+        spent.retryAfter = std::max(error.retryAfter.value_or(retryAfterBusy), retryAfterBusy);
         return refuse(number, spent);
     }
     context_.metrics.count("lagoon_retries_total", { { "reason", reasonText(error) } });
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -61,6 +61,7 @@
     Implementation& operator=(const Implementation&) = delete;
 
     framework::Result<RouterEndpoints> start();
+    void drain();
     void shutDown();
 
 private:
@@ -150,11 +151,13 @@
 Wakes::Context Router::Implementation::wakesContext()
 {
     return Wakes::Context { settings_.identity.vm, control_, clock_, *metrics_, directory_, home_, *peers_,
-        [this] { return homesPerSite(); },
+        [this] { return homesPerSite(); }, [this] { return bundleVersion(); },
         [this](const auto& where, const auto& vms, const auto& requests) {
             dispatcher_.takePlacements(where, vms, requests);
         },
-        [this](const auto& error, const auto& requests) { dispatcher_.takeRefusal(error, requests); },
+        [this](const auto& error, BundleVersion home, const auto& requests) {
+            dispatcher_.takeRefusal(error, home, requests);
+        },
         [this](const WakeReply& progress, const auto& requests) { dispatcher_.takeExpectation(progress, requests); } };
 }
 
@@ -277,14 +280,19 @@
 
 /// Guards against cutting requests in flight: the balancer sees "not ready", new requests are refused as not run, and
 /// nothing is closed before the last reply has left.
-void Router::Implementation::shutDown()
+void Router::Implementation::drain()
 {
-    if (!std::exchange(isStarted_, false))
-        return;
     isShuttingDown_ = true;
     framework::logInfo("router", "shutting down, refusing new requests");
     callerServer_.refuseNew();
     callerServer_.waitUntilIdle();
+}
+
+void Router::Implementation::shutDown()
+{
+    if (!std::exchange(isStarted_, false))
+        return;
+    drain();
     callerServer_.stop();
     vmWatcher_.stop();
     bundles_->stop();
@@ -310,6 +318,8 @@
 
 framework::Result<RouterEndpoints> Router::start() { return implementation_->start(); }
 
+void Router::drain() { implementation_->drain(); }
+
 void Router::shutDown() { implementation_->shutDown(); }
 
 } // namespace lagoon::router
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -343,4 +343,33 @@
     BOOST_CHECK(*soonest < before);
 }
 
+// The one replica that the bundle decides is warm, but its agent can't serve the request in time. No other will be
+// loaded: the caller must hear so at once, not wait for a replica until its deadline.
+BOOST_AUTO_TEST_CASE(aBusyReplicaWithoutAnotherRefusesAtOnce)
+{
+    placements_.add(notes(), framework::VmName("draft-1"));
+    const auto caller = ask(notes(), longTimeout, false);
+    greet("draft-1");
+    refuse(*link("draft-1"), sentId("draft-1"), ErrorCode::DeadlineHopeless, Execution::NotRun);
+    BOOST_REQUIRE(caller->refused_);
+    BOOST_CHECK(caller->refused_->code == ErrorCode::DeadlineHopeless);
+    BOOST_CHECK(caller->refused_->execution == Execution::NotRun);
+    BOOST_TEST(dispatcher_.requests() == 0u);
+}
+
+// Models come and go at the agents, so that many placements in the cache are stale. More requests than the retry budget
+// allows meet one; none of them may be refused for that.
+BOOST_AUTO_TEST_CASE(stalePlacementsDontUseTheRetryBudgetUp)
+{
+    const int requests = 2 * static_cast<int>(settings_.retryReserve);
+    for (int turn = 0; turn < requests; ++turn) {
+        placements_.add(notes(), framework::VmName("draft-1"));
+        const auto caller = ask(notes(), longTimeout, false);
+        if (turn == 0)
+            greet("draft-1");
+        refuse(*link("draft-1"), sentId("draft-1"), ErrorCode::NotLoaded, Execution::NotRun);
+        BOOST_TEST(!caller->refused_);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
