--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -124,9 +124,18 @@
         vms = context_.placements.vms(target);
     }
     std::erase_if(vms, [&](const VmName& vm) { return entry.failed.contains(vm) || !context_.directory.isUsable(vm); });
+    // Another site's warm replica serves until this site has one of its own.
+    if (std::any_of(vms.begin(), vms.end(), [this](const VmName& vm) { return isAtOwnSite(vm); }))
+        std::erase_if(vms, [this](const VmName& vm) { return !isAtOwnSite(vm); });
     return vms;
 }
 
+bool Dispatcher::isAtOwnSite(const VmName& vm) const
+{
+    const platform::VmEntry* entry = context_.directory.find(vm);
+    return entry && entry->site == context_.site;
+}
+
 VmName Dispatcher::choose(const Request& entry, const std::vector<VmName>& vms)
 {
     std::vector<policy::ReplicaView> replicas;
@@ -233,11 +242,15 @@
 void Dispatcher::askForMoreIfBusy(const Request& entry, std::uint32_t inFlight)
 {
     const callers::RequestTarget& target = entry.request.target;
-    if (target.isService() || inFlight < context_.settings.scaleUpInFlight)
+    if (target.isService())
         return;
     const SiteTarget own { target, context_.site };
-    const auto known = static_cast<std::uint32_t>(context_.placements.vms(target).size());
-    if (known < decided(own))
+    const std::vector<VmName> vms = context_.placements.vms(target);
+    const auto known = static_cast<std::uint32_t>(
+        std::count_if(vms.begin(), vms.end(), [this](const VmName& vm) { return isAtOwnSite(vm); }));
+    // Without one here, another site serves what this one should: during a move the new site is warmed by that.
+    const bool isMoreNeeded = known == 0 || inFlight >= context_.settings.scaleUpInFlight;
+    if (isMoreNeeded && known < decided(own))
         wakes_->wantMore(own, known + 1, entry.request.deadline);
 }
 
--- a/src/router/internal/dispatcher.h
+++ b/src/router/internal/dispatcher.h
@@ -79,6 +79,7 @@
     void claimKey(RequestNumber, const Request&);
     void route(RequestNumber);
     std::vector<framework::VmName> candidates(const Request&) const;
+    bool isAtOwnSite(const framework::VmName&) const;
     framework::VmName choose(const Request&, const std::vector<framework::VmName>&);
     void waitForReplica(RequestNumber, Request&);
     std::optional<SiteTarget> nextSite(const Request&) const;
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -160,6 +160,24 @@
     BOOST_TEST(caller->isWhole_);
 }
 
+// Before a move ends both sites decide a replica, and only the other site's is warm. It serves; meanwhile this site
+// gets its own, or it would stay cold until the other is taken away.
+BOOST_AUTO_TEST_CASE(anotherSitesReplicaServesWhileTheOwnIsLoaded)
+{
+    placements_.add(notes(), framework::VmName("far-1"));
+    const auto first = ask(notes(), longTimeout, false);
+    greet("far-1");
+    answer(*link("far-1"), sentId("far-1"), "note");
+    BOOST_TEST(first->isWhole_);
+    bidBoth(true);
+    const std::string own = loader();
+    BOOST_REQUIRE(!own.empty());
+    endLoad(own, true);
+    const auto second = ask(notes(), longTimeout, false);
+    answer(*link(own), sentId(own), "note");
+    BOOST_TEST(second->isWhole_);
+}
+
 // The weight store crawls and the load doesn't end. The waiting request is refused as not run before its deadline.
 BOOST_AUTO_TEST_CASE(aWaitingRequestIsRefusedBeforeItsDeadline)
 {
--- a/src/router/tests/fixture.cpp
+++ b/src/router/tests/fixture.cpp
@@ -76,8 +76,11 @@
     dispatcher_.setReplicaChoice(policy::makeReplicaChoice({}, 1));
     home_.setLoadPlacement(policy::makeLoadPlacement({}));
     gate_.setPolicy({}, policy::makeLoadOrder({}));
+    platform::VmEntry far = entry("far-1", platform::VmRole::Upstream);
+    far.site = framework::SiteName("far");
+    far.pool = framework::PoolName("far-drafting");
     directory_.setEntries({ entry("entry-1", platform::VmRole::Router), entry("draft-1", platform::VmRole::Upstream),
-        entry("draft-2", platform::VmRole::Upstream) });
+        entry("draft-2", platform::VmRole::Upstream), far });
 }
 
 std::shared_ptr<wire::FakeLink> RouterFixture::link(const std::string& vm) const
--- a/src/router/tests/fixture.h
+++ b/src/router/tests/fixture.h
@@ -35,7 +35,8 @@
 };
 
 /// The router's control side with a manual clock, whose agents are the test itself.
-/// One site, one pool; `draft-1` and `draft-2` may load `notes` (one replica) and run the service `holds`.
+/// One pool; `far-1` at another site and no decided replicas there; `draft-1` and `draft-2` may load `notes` (one
+/// replica) and run the service `holds`.
 class RouterFixture {
 public:
     RouterFixture();
