A roll-out whose answer was lost and whose head was replaced isn't said not to have happened

Cause: found by the model's variant MOVED_IS_LOST: updateObject took a head that had moved on for the proof that the own write, whose answer was lost, never took effect. Now the refusal says unknown where others may replace what was written; claims keep the proof, since other writers keep each other's holders. Test fails with the line taken out (seen), passes with it. A previous nonce in the head was weighed: it settles one step only.

--- a/src/bundle/internal/rollout.cpp
+++ b/src/bundle/internal/rollout.cpp
@@ -149,8 +149,10 @@
             const auto found = parseBundleHead(value);
             return found && found.value().nonce == head_.nonce;
         };
-        BOOST_OUTCOME_TRYV(
-            platform::updateObject(store_, bundleHeadKey(), ObjectUpdate { change, isOwnWrite }, deadline_));
+        // A later roll-out replaces the whole head, so an operator whose answer was lost can't always be told whether
+        // the version was in force for a moment.
+        const ObjectUpdate update { change, isOwnWrite, true };
+        BOOST_OUTCOME_TRYV(platform::updateObject(store_, bundleHeadKey(), update, deadline_));
         return framework::success();
     }
 
--- a/src/platform/internal/objectupdate.cpp
+++ b/src/platform/internal/objectupdate.cpp
@@ -56,15 +56,17 @@
         }
         // A write on its way can only land on the version that it expects: once the object has moved on, it never will.
         // (A creation could land after a removal; objects that are updated in this way are never removed.)
-        if (openWrite_ && *openWrite_ != version)
+        if (openWrite_ && *openWrite_ != version) {
+            mayHaveBeenReplaced_ = mayHaveBeenReplaced_ || (update_.canOthersReplaceIt && isAnswerLost_);
             openWrite_.reset();
+        }
         std::optional<std::string> present;
         if (read)
             present = std::move(read->value);
         const Result<ObjectChange> wanted = update_.change(present);
         isRefused_ = wanted.has_error();
         if (isRefused_)
-            return wanted.error();
+            return refusal(wanted.error());
         if (!wanted.value().newValue)
             return UpdatedObject { present.value_or(""), version };
         return write(*wanted.value().newValue, version);
@@ -78,7 +80,8 @@
             openWrite_.reset();
             return UpdatedObject { value, written.value() };
         }
-        if (written.error().execution == Execution::Unknown)
+        isAnswerLost_ = written.error().execution == Execution::Unknown;
+        if (isAnswerLost_)
             openWrite_ = expected;
         // A conflict may be with our own write's first sending, so the outcome is open until the object was read.
         if (written.error().code == ErrorCode::PlatformConflict)
@@ -86,6 +89,13 @@
         return written.error();
     }
 
+    Error refusal(Error error) const
+    {
+        if (mayHaveBeenReplaced_)
+            error.execution = Execution::Unknown;
+        return error;
+    }
+
     static bool isWorthRetrying(const Error& error)
     {
         return error.code == ErrorCode::PlatformConflict || error.code == ErrorCode::PlatformUnavailable;
@@ -109,6 +119,9 @@
     const Deadline deadline_;
     Backoff backoff_;
     bool hasWritten_ = false;
+    /// Of the last write.
+    bool isAnswerLost_ = false;
+    bool mayHaveBeenReplaced_ = false;
     /// By the change itself, which is final whatever its error's code.
     bool isRefused_ = false;
     /// The version that a write of unknown outcome expected.
--- a/src/platform/objectupdate.h
+++ b/src/platform/objectupdate.h
@@ -21,6 +21,9 @@
     /// Whether a value read after this update wrote, without knowing how that ended, shows that the write took effect:
     /// it holds this update's nonce and whatever else the write changed.
     std::function<bool(const std::string&)> isOwnWrite;
+    /// Whether other writers may replace what this write changed. Then its absence, after an answer was lost and others
+    /// have written, doesn't show that it never took effect: a refusal from there on is `Execution::Unknown`.
+    bool canOthersReplaceIt = false;
 };
 
 struct UpdatedObject {
--- a/src/platform/tests/objectupdate_test.cpp
+++ b/src/platform/tests/objectupdate_test.cpp
@@ -28,10 +28,58 @@
         [=](const std::string& value) { return value.find(word) != std::string::npos; } };
 }
 
+/// Somebody else writes right after each put, before the writer can look again.
+class OvertakenStore final : public IPlatformStore {
+public:
+    framework::Result<std::optional<StoredObject>> get(const ObjectKey& object, framework::Deadline deadline) override
+    {
+        return store.get(object, deadline);
+    }
+    framework::Result<std::vector<ListedObject>> list(const std::string& prefix, framework::Deadline deadline) override
+    {
+        return store.list(prefix, deadline);
+    }
+    framework::Result<std::optional<StoredObject>> watch(const ObjectKey& object, framework::ObjectVersion known,
+        framework::Deadline deadline, std::stop_token stop) override
+    {
+        return store.watch(object, known, deadline, stop);
+    }
+    framework::Result<framework::ObjectVersion> put(const ObjectKey& object, const std::string& value,
+        framework::ObjectVersion expected, framework::Deadline deadline) override
+    {
+        auto written = store.put(object, value, expected, deadline);
+        store.set(object, "somebody else's, and long enough to be full");
+        return written;
+    }
+    framework::Result<void> remove(
+        const ObjectKey& object, framework::ObjectVersion expected, framework::Deadline deadline) override
+    {
+        return store.remove(object, expected, deadline);
+    }
+
+    MemoryPlatformStore store;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ObjectUpdates)
 
+// An operator rolls out version 8 and the answer is lost; before the command looks again, another has rolled out 9. To
+// say that 8 wasn't in force would be a guess: for a moment it may have been.
+BOOST_AUTO_TEST_CASE(aWriteThatOthersReplacedIsNotSaidToBeNotRun)
+{
+    for (const bool isLost : { true, false }) {
+        OvertakenStore store;
+        store.store.failNextWrites({ isLost ? WriteFault::LoseAnswer : WriteFault::Conflict });
+        ObjectUpdate update = append("#1", 10);
+        update.canOthersReplaceIt = true;
+        const auto refused = updateObject(store, key, update, soon());
+        BOOST_REQUIRE(refused.has_error());
+        BOOST_CHECK(
+            refused.error().execution == (isLost ? framework::Execution::Unknown : framework::Execution::NotRun));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(createsAndChanges)
 {
     MemoryPlatformStore store;
