--- a/src/agent/internal/replicacontroller.h
+++ b/src/agent/internal/replicacontroller.h
@@ -83,6 +83,9 @@
     const MemoryAccount& memory() const { return account_; }
 
 private:
+    /// Calls for the engine's state that failed in a row before it is taken to be away.
+    static constexpr std::uint32_t failuresBelieved = 3;
+
     struct Weights {
         framework::WeightsVersion version;
         framework::MebiBytes memory;
--- /dev/null
+++ b/src/agent/internal/replicaqueries.cpp
@@ -0,0 +1,217 @@
+// What a ReplicaController knows and would decide; nothing here changes it.
+#include "agent/internal/replicacontroller.h"
+#include "agent/internal/replicarefusal.h"
+
+#include <algorithm>
+
+namespace lagoon::agent {
+
+namespace {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::MebiBytes;
+using framework::Milliseconds;
+using framework::SteadyTime;
+
+} // namespace
+
+LoadOffer ReplicaController::offer(const ReplicaId& id) const
+{
+    LoadOffer offer;
+    const SteadyTime now = ports_.clock.now();
+    const Replica* replica = find(id);
+    offer.isLoaded = replica && replica->stage == ReplicaStage::Loaded;
+    offer.isLoading = replica && replica->isBeingLoaded();
+    offer.available = account_.available();
+    offer.refusal = refusalOf(id, Deadline(SteadyTime::max()));
+    if (!bundle_ || !weightsOf(id))
+        return offer;
+    offer.checkpoint = placeOf(id);
+    offer.expectedLoad = expectedLoad(id).typical;
+    const std::uint64_t needed = replica ? 0 : memoryNeeded(id);
+    if (needed <= offer.available.value())
+        return offer;
+    std::uint64_t evicted = 0;
+    SteadyTime youngest {};
+    for (const ReplicaId& victim : victims(MebiBytes(needed - offer.available.value()), id)) {
+        evicted += find(victim)->memory.value();
+        youngest = std::max(youngest, find(victim)->lastUsed);
+    }
+    offer.evicted = MebiBytes(evicted);
+    if (evicted > 0)
+        offer.victimIdle = std::chrono::duration_cast<Milliseconds>(now - youngest);
+    return offer;
+}
+
+std::optional<Error> ReplicaController::refusalOf(const ReplicaId& id, Deadline deadline) const
+{
+    if (isDraining_)
+        return lastingRefusal(ErrorCode::Draining, id, "the agent shuts down");
+    if (!isOpen() || !bundle_)
+        return refusal(ErrorCode::NotReady, id, "engine, claims or bundle not read yet", retryWhenBusy);
+    const bundle::Model* model = bundle_->model(id.model);
+    if (!model)
+        return lastingRefusal(ErrorCode::UnknownModel, id, "not in the bundle");
+    if (std::find(model->pools.begin(), model->pools.end(), settings_.pool) == model->pools.end())
+        return lastingRefusal(ErrorCode::NoCapacity, id, "not decided for pool " + settings_.pool.value());
+    if (id.isAdapter() && !bundle_->adapter(id.model, id.adapter))
+        return lastingRefusal(ErrorCode::UnknownAdapter, id, "not in the bundle");
+    if (decidedOf(id).decided == 0 || decidedOf(id.ofModel()).decided == 0)
+        return lastingRefusal(ErrorCode::ReplicaCapReached, id, "no replica decided at this site");
+    if (engineFailures_ >= failuresBelieved)
+        return refusal(ErrorCode::NotReady, id, "the engine doesn't answer", retryWhenBusy);
+    const Replica* replica = find(id);
+    if (replica && replica->stage == ReplicaStage::Draining && !replica->reloadsAfterUnload)
+        return refusal(ErrorCode::NotReady, id, "it is being unloaded", retryWhenBusy);
+    if (replica)
+        return std::nullopt;
+    const policy::LoadTimeEstimate expected = expectedLoad(id);
+    if (expected.low > deadline.remaining(ports_.clock.now()))
+        return refusal(ErrorCode::DeadlineHopeless, id,
+            "loads take about " + std::to_string(expected.typical.count()) + " ms", expected.typical);
+    return roomRefusal(id);
+}
+
+std::optional<Error> ReplicaController::roomRefusal(const ReplicaId& id) const
+{
+    const std::uint64_t needed = memoryNeeded(id);
+    const std::uint64_t free = account_.available().value() + memoryComing();
+    if (needed <= free || !victims(MebiBytes(needed - free), id).empty())
+        return std::nullopt;
+    return refusal(ErrorCode::MemoryShort, id,
+        std::to_string(needed) + " MiB needed, " + std::to_string(free) + " free, the rest is in use", retryWhenFull);
+}
+
+std::uint64_t ReplicaController::memoryNeeded(const ReplicaId& id) const
+{
+    std::uint64_t needed = weightsOf(id)->memory.value();
+    if (id.isAdapter() && !find(id.ofModel()))
+        needed += weightsOf(id.ofModel())->memory.value();
+    return needed;
+}
+
+/// Memory of replicas on their way out, and of those that a former process left and nobody waits for: once they have
+/// settled they are gone or can be unloaded.
+std::uint64_t ReplicaController::memoryComing() const
+{
+    std::uint64_t coming = 0;
+    for (const auto& [id, replica] : replicas_) {
+        const bool isLeaving = replica.stage == ReplicaStage::Draining || replica.stage == ReplicaStage::Unloading;
+        const bool isUnsettled = replica.stage == ReplicaStage::Settling || replica.stage == ReplicaStage::Loading
+            || (replica.stage == ReplicaStage::Loaded && !replica.isClaimed && replica.uses == 0);
+        if (isLeaving || (isUnsettled && !isWanted(replica)))
+            coming += replica.memory.value();
+    }
+    return coming;
+}
+
+std::vector<ReplicaId> ReplicaController::victims(MebiBytes needed, const ReplicaId& spared) const
+{
+    std::vector<policy::LoadedReplica> views;
+    for (const auto& [id, replica] : replicas_) {
+        if (replica.stage != ReplicaStage::Loaded)
+            continue;
+        policy::LoadedReplica view = viewOf(replica);
+        const bool isAwaited = id == spared.ofModel() || !replica.isClaimed;
+        if (isAwaited)
+            view.running = std::max<std::uint32_t>(1, view.running);
+        views.push_back(std::move(view));
+    }
+    std::vector<ReplicaId> chosen;
+    for (const std::size_t index : keepWarm_->victims(views, needed, ports_.clock.now()))
+        chosen.push_back({ views[index].model, views[index].adapter });
+    return chosen;
+}
+
+policy::LoadedReplica ReplicaController::viewOf(const Replica& replica) const
+{
+    policy::LoadedReplica view;
+    view.model = replica.id.model;
+    view.adapter = replica.id.adapter;
+    view.memory = replica.memory;
+    view.lastUsed = replica.lastUsed;
+    view.loadTime = replica.loadTime;
+    view.running = replica.uses;
+    view.recentUses = replica.recentUses;
+    view.gaps = replica.gaps;
+    // A model whose adapter is on its way in is in use.
+    for (const auto& [id, other] : replicas_) {
+        if (id.isAdapter() && id.model == replica.id.model && !replica.id.isAdapter() && other.isBeingLoaded())
+            ++view.running;
+    }
+    return view;
+}
+
+policy::LoadTimeEstimate ReplicaController::expectedLoad(const ReplicaId& id) const
+{
+    policy::LoadTimeEstimate expected
+        = loadTimes_.estimate(replicaText(id), placeOf(id), weightsOf(id)->memory, ports_.clock.now());
+    if (!id.isAdapter() || find(id.ofModel()))
+        return expected;
+    const policy::LoadTimeEstimate ofModel = expectedLoad(id.ofModel());
+    expected.low += ofModel.low;
+    expected.typical += ofModel.typical;
+    expected.high += ofModel.high;
+    return expected;
+}
+
+policy::CheckpointPlace ReplicaController::placeOf(const ReplicaId& id) const
+{
+    const auto weights = weightsOf(id);
+    for (const CachedCheckpoint& cached : engineState_.checkpoints) {
+        if (weights && cached.checkpoint == Checkpoint { id, weights->version })
+            return cached.place;
+    }
+    return policy::CheckpointPlace::Remote;
+}
+
+std::optional<ReplicaController::Weights> ReplicaController::weightsOf(const ReplicaId& id) const
+{
+    if (!bundle_)
+        return std::nullopt;
+    if (const bundle::Adapter* adapter = bundle_->adapter(id.model, id.adapter))
+        return Weights { adapter->version, adapter->memory };
+    const bundle::Model* model = id.isAdapter() ? nullptr : bundle_->model(id.model);
+    if (!model)
+        return std::nullopt;
+    return Weights { model->version, model->memory };
+}
+
+bundle::DecidedCount ReplicaController::decidedOf(const ReplicaId& id) const
+{
+    if (!bundle_)
+        return {};
+    return { bundle_->decidedReplicas(id.model, id.adapter, settings_.site), bundle_->version };
+}
+
+bool ReplicaController::hasAdapters(const framework::ModelName& model) const
+{
+    return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+        return entry.first.isAdapter() && entry.first.model == model && entry.second.stage != ReplicaStage::Releasing;
+    });
+}
+
+/// Whether anyone still has use for a load that isn't ordered yet.
+bool ReplicaController::isWanted(const Replica& replica) const
+{
+    if (!replica.waiters.empty() || replica.reloadsAfterUnload)
+        return true;
+    return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+        return entry.second.stage == ReplicaStage::WaitingForModel && entry.first.model == replica.id.model;
+    });
+}
+
+bool ReplicaController::isInTransition() const
+{
+    return !isOpen() || std::any_of(replicas_.begin(), replicas_.end(), [](const auto& entry) {
+        return entry.second.stage != ReplicaStage::Loaded && entry.second.stage != ReplicaStage::Releasing;
+    });
+}
+
+EngineOrder ReplicaController::orderFor(const Replica& replica) const
+{
+    return EngineOrder { Checkpoint { replica.id, replica.version }, replica.memory, replica.fence };
+}
+} // namespace lagoon::agent
--- /dev/null
+++ b/src/agent/internal/replicarefusal.cpp
@@ -0,0 +1,21 @@
+#include "agent/internal/replicarefusal.h"
+
+#include <utility>
+
+namespace lagoon::agent {
+
+using framework::Error;
+
+Error refusal(framework::ErrorCode code, const ReplicaId& id, std::string detail, framework::Milliseconds retryAfter)
+{
+    Error error = lastingRefusal(code, id, std::move(detail));
+    error.retryAfter = retryAfter;
+    return error;
+}
+
+Error lastingRefusal(framework::ErrorCode code, const ReplicaId& id, std::string detail)
+{
+    return Error { code, "load", replicaText(id), std::move(detail) };
+}
+
+} // namespace lagoon::agent
--- a/src/agent/tests/replicacontroller_test.cpp
+++ b/src/agent/tests/replicacontroller_test.cpp
@@ -2,7 +2,7 @@
 #include "agent/internal/replicacontroller.h"
 #include "agent/tests/fakeengine.h"
 #include "agent/tests/fakevmlist.h"
-#include "agent/tests/manualcontrol.h"
+#include "framework/testing/manualcontrol.h"
 #include "platform/tests/memoryplatformstore.h"
 
 #include <boost/test/unit_test.hpp>
@@ -73,7 +73,8 @@
 
 /// One agent's replicas over fakes; `startAgent` again is a new process on the same VM.
 struct Agents {
-    ManualControl control;
+    /// Long past for the real clock: what waits by that (`platform::updateObject`) tries once and gives up.
+    framework::ManualControl control { framework::SteadyTime(std::chrono::milliseconds(1)) };
     FakeEngine engineFake { 100 };
     std::shared_ptr<FakeEngine> engine { &engineFake, [](FakeEngine*) {} };
     std::shared_ptr<MemoryPlatformStore> store = std::make_shared<MemoryPlatformStore>();
@@ -93,7 +94,7 @@
             ReplicaSettings { site, pool, checksFencing, settling });
         replicas->start();
         replicas->setBundle(std::make_shared<bundle::Bundle>(inForce));
-        control.pass(Milliseconds(50));
+        control.advance(Milliseconds(50));
     }
 
     /// The process dies: nothing of it happens any more.
@@ -110,7 +111,7 @@
             watch->isDone = true;
             watch->error = error;
         });
-        control.settle();
+        control.runPosted();
         return watch;
     }
 
@@ -119,7 +120,7 @@
         const auto watch = load(id);
         for (int turn = 0; turn < 40 && !watch->isDone; ++turn) {
             engineFake.finishLoads();
-            control.pass(Milliseconds(100));
+            control.advance(Milliseconds(100));
         }
         BOOST_REQUIRE(watch->isLoaded());
     }
@@ -127,7 +128,7 @@
     void use(const ReplicaId& id)
     {
         BOOST_REQUIRE(replicas->beginUse({ id, {} }, control.now()).has_value());
-        control.pass(Milliseconds(1000));
+        control.advance(Milliseconds(1000));
         replicas->endUse({ id, {} }, control.now());
     }
 
@@ -135,9 +136,9 @@
     void loadSlowly(const ReplicaId& id)
     {
         const auto watch = load(id);
-        control.pass(Milliseconds(20000));
+        control.advance(Milliseconds(20000));
         engineFake.finishLoads();
-        control.pass(shortWhile);
+        control.advance(shortWhile);
         BOOST_REQUIRE(watch->isLoaded());
     }
 
@@ -147,7 +148,7 @@
             if (!engineFake.stateOf(id))
                 loadSlowly(id);
             use(id);
-            control.pass(gap);
+            control.advance(gap);
         }
     }
 
@@ -156,7 +157,7 @@
     {
         const framework::SteadyTime from = control.now();
         while (engineFake.stateOf(id) && control.now() - from < std::chrono::hours(25))
-            control.pass(Milliseconds(1000));
+            control.advance(Milliseconds(1000));
         return std::chrono::duration_cast<Milliseconds>(control.now() - from);
     }
 
@@ -197,7 +198,7 @@
     BOOST_CHECK(engineFake.stateOf(model("a")) == EngineReplicaState::Loading);
     BOOST_TEST(replicas->beginUse({ model("a"), {} }, control.now()).has_error());
     engineFake.finishLoads();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(watch->isLoaded());
     BOOST_TEST(replicas->beginUse({ model("a"), {} }, control.now()).has_value());
 }
@@ -208,7 +209,7 @@
     const auto first = load(model("a"));
     const auto second = load(model("a"));
     engineFake.finishLoads();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(first->isLoaded());
     BOOST_TEST(second->isLoaded());
     BOOST_TEST(engineFake.loadsTaken == 1u);
@@ -239,7 +240,7 @@
     startAgent();
     loadWhole(model("a"));
     loadWhole(model("b"));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(!engineFake.isOvercommitted);
     BOOST_TEST(!isKnown(model("a")));
     BOOST_TEST(holders(model("a")) == 0u);
@@ -283,7 +284,7 @@
     startAgent();
     const auto watch = load(model("a"));
     engineFake.failLoads();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(watch->isRefused(ErrorCode::LoadFailed));
     BOOST_TEST(holders(model("a")) == 0u);
     BOOST_TEST(replicas->memory().used().value() == 0u);
@@ -296,10 +297,10 @@
     load(model("a"));
     store->setAvailable(false);
     engineFake.failLoads();
-    control.pass(Milliseconds(30000));
+    control.advance(Milliseconds(30000));
     BOOST_TEST(holders(model("a")) == 1u);
     store->setAvailable(true);
-    control.pass(Milliseconds(15000));
+    control.advance(Milliseconds(15000));
     BOOST_TEST(holders(model("a")) == 0u);
     BOOST_TEST(!isKnown(model("a")));
 }
@@ -322,7 +323,7 @@
     startAgent();
     store->failNextWrites({ WriteFault::LoseAnswer });
     BOOST_TEST(load(model("a"))->isRefused(ErrorCode::PlatformUnavailable));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(holders(model("a")) == 0u);
     BOOST_TEST(engineFake.loadsTaken == 0u);
     loadWhole(model("a"));
@@ -334,7 +335,7 @@
     startAgent();
     store->failNextWrites({ WriteFault::Hold });
     BOOST_TEST(load(model("a"))->isRefused(ErrorCode::PlatformUnavailable));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     store->landHeldWrites();
     BOOST_TEST(holders(model("a")) == 0u);
 }
@@ -359,7 +360,7 @@
     BOOST_TEST(holders(model("a")) == 1u);
     const auto watch = load(model("a"));
     engineFake.finishLoads();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(watch->isLoaded());
     BOOST_TEST(engineFake.loadsTaken == 1u);
     BOOST_TEST(stageOf(model("a")).isClaimed);
@@ -375,20 +376,20 @@
     load(model("a"));
     killAgent();
     startAgent();
-    control.pass(Milliseconds(1000));
+    control.advance(Milliseconds(1000));
     BOOST_CHECK(stageOf(model("a")).stage == ReplicaStage::Settling);
     const auto other = load(model("b"));
-    control.pass(Milliseconds(1000));
+    control.advance(Milliseconds(1000));
     BOOST_TEST(engineFake.loadsTaken == 0u);
     engineFake.landHeld();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_CHECK(stageOf(model("a")).stage == ReplicaStage::Loading);
     BOOST_TEST(holders(model("a")) == 1u);
     BOOST_TEST(!other->isDone);
     engineFake.finishLoads();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     engineFake.finishLoads();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(other->isLoaded());
     BOOST_TEST(!engineFake.isOvercommitted);
 }
@@ -397,9 +398,9 @@
 {
     setHolders(model("a"), { "engine-1" });
     startAgent();
-    control.pass(settling - Milliseconds(1000));
+    control.advance(settling - Milliseconds(1000));
     BOOST_TEST(holders(model("a")) == 1u);
-    control.pass(Milliseconds(3000));
+    control.advance(Milliseconds(3000));
     BOOST_TEST(holders(model("a")) == 0u);
     BOOST_TEST(replicas->memory().used().value() == 0u);
 }
@@ -415,7 +416,7 @@
     load(model("a"));
     killAgent();
     startAgent();
-    control.pass(Milliseconds(1000));
+    control.advance(Milliseconds(1000));
     BOOST_TEST(holders(model("a")) == 0u);
     loadWhole(model("b"));
     engineFake.landHeld();
@@ -429,7 +430,7 @@
     startAgent();
     BOOST_TEST(load(model("a"))->isRefused(ErrorCode::NotReady));
     store->setAvailable(true);
-    control.pass(Milliseconds(5000));
+    control.advance(Milliseconds(5000));
     loadWhole(model("a"));
 }
 
@@ -448,14 +449,14 @@
     loadWhole(model("a"));
     BOOST_REQUIRE(replicas->beginUse({ model("a"), {} }, control.now()).has_value());
     replicas->setBundle(std::make_shared<bundle::Bundle>(bundleOf(2, 1, "v2")));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(engineFake.versionOf(model("a")) == "v1");
     replicas->endUse({ model("a"), {} }, control.now());
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(engineFake.versionOf(model("a")) == "v2");
     BOOST_TEST(holders(model("a")) == 1u);
     engineFake.finishLoads();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_CHECK(stageOf(model("a")).stage == ReplicaStage::Loaded);
     BOOST_TEST(!engineFake.isOvercommitted);
 }
@@ -469,11 +470,11 @@
     loadWhole(model("a"));
     BOOST_REQUIRE(replicas->beginUse({ model("a"), {} }, control.now()).has_value());
     replicas->setBundle(std::make_shared<bundle::Bundle>(bundleOf(2, 1)));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(replicas->beginUse({ model("a"), {} }, control.now()).has_error());
     BOOST_CHECK(engineFake.stateOf(model("a")) == EngineReplicaState::Loaded);
     replicas->endUse({ model("a"), {} }, control.now());
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(!engineFake.stateOf(model("a")).has_value());
     BOOST_TEST(holders(model("a")) == 1u);
 }
@@ -482,7 +483,7 @@
 {
     startAgent();
     loadWhole(model("a"));
-    control.pass(std::chrono::hours(25));
+    control.advance(std::chrono::hours(25));
     BOOST_TEST(!engineFake.stateOf(model("a")).has_value());
     BOOST_TEST(holders(model("a")) == 0u);
 }
@@ -540,9 +541,9 @@
 {
     startAgent();
     loadWhole(model("a"));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     engineFake.restart();
-    control.pass(Milliseconds(5000));
+    control.advance(Milliseconds(5000));
     BOOST_TEST(holders(model("a")) == 0u);
     BOOST_TEST(replicas->beginUse({ model("a"), {} }, control.now()).has_error());
     loadWhole(model("a"));
@@ -555,21 +556,21 @@
     startAgent();
     engineFake.faults = { FakeEngine::OrderFault::Hold };
     const auto watch = load(model("a"));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_CHECK(engineFake.stateOf(model("a")) == EngineReplicaState::Loading);
     engineFake.failLoads();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(watch->isRefused(ErrorCode::LoadFailed));
     BOOST_CHECK(stageOf(model("a")).stage == ReplicaStage::Settling);
     const auto other = load(model("b"));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     engineFake.landHeld();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(!engineFake.isOvercommitted);
     engineFake.finishLoads();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     engineFake.finishLoads();
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(other->isLoaded());
 }
 
@@ -579,11 +580,11 @@
     startAgent();
     BOOST_TEST(!replicas->offer(model("a")).refusal.has_value());
     engineFake.isAvailable = false;
-    control.pass(Milliseconds(5000));
+    control.advance(Milliseconds(5000));
     BOOST_TEST(replicas->offer(model("a")).refusal.has_value());
     BOOST_TEST(load(model("a"))->isRefused(ErrorCode::NotReady));
     engineFake.isAvailable = true;
-    control.pass(Milliseconds(5000));
+    control.advance(Milliseconds(5000));
     loadWhole(model("a"));
 }
 
@@ -595,7 +596,7 @@
     loadWhole(model("a"));
     setHolders(model("a"), { "engine-2" });
     replicas->setBundle(std::make_shared<bundle::Bundle>(bundleOf(2, 1)));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(!engineFake.stateOf(model("a")).has_value());
     BOOST_TEST(holders(model("a")) == 1u);
 }
@@ -606,7 +607,7 @@
     const auto watch = load(model("a"));
     replicas->beginDraining();
     BOOST_TEST(watch->isRefused(ErrorCode::Draining));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(holders(model("a")) == 1u);
 }
 
@@ -616,7 +617,7 @@
     loadWhole(model("a"));
     replicas->beginDraining();
     BOOST_TEST(load(model("small"))->isRefused(ErrorCode::Draining));
-    control.pass(shortWhile);
+    control.advance(shortWhile);
     BOOST_TEST(holders(model("a")) == 1u);
 }
 
--- a/src/agent/tests/requestgate_test.cpp
+++ b/src/agent/tests/requestgate_test.cpp
@@ -1,6 +1,6 @@
 #include "agent/internal/requestgate.h"
 #include "agent/tests/fakelink.h"
-#include "agent/tests/manualcontrol.h"
+#include "framework/testing/manualcontrol.h"
 #include "policy/rendezvous.h"
 
 #include <boost/test/unit_test.hpp>
@@ -66,7 +66,8 @@
 };
 
 struct OpenGate {
-    ManualControl control;
+    /// Long past for the real clock: what waits by that (`platform::updateObject`) tries once and gives up.
+    framework::ManualControl control { framework::SteadyTime(std::chrono::milliseconds(1)) };
     FakeUse use;
     std::shared_ptr<FakeUpstream> upstream = std::make_shared<FakeUpstream>();
     std::shared_ptr<framework::Metrics> metrics = std::make_shared<framework::Metrics>();
@@ -104,7 +105,7 @@
         dispatch.remaining_ms = remainingMs;
         dispatch.priority = priority;
         gate->dispatch(link, std::move(dispatch));
-        control.settle();
+        control.runPosted();
     }
 
     void resolve(const std::shared_ptr<FakeLink>& over, std::uint64_t sequence, std::uint64_t receivedBytes)
@@ -122,25 +123,25 @@
         fb::CancelT cancel;
         cancel.id = id(sequence);
         gate->cancel(cancel);
-        control.settle();
+        control.runPosted();
     }
 
     void answerHead(std::size_t call, unsigned short status = 200)
     {
         upstream->calls.at(call)->events.onHead(status, { { "Content-Type", "text/plain" } });
-        control.settle();
+        control.runPosted();
     }
 
     void answerBytes(std::size_t call, const std::string& bytes)
     {
         upstream->calls.at(call)->events.onBytes(bytes);
-        control.settle();
+        control.runPosted();
     }
 
     void answerEnd(std::size_t call)
     {
         upstream->calls.at(call)->events.onEnd();
-        control.settle();
+        control.runPosted();
     }
 
     /// One place and a queue; the upstream is known to take 100 ms.
@@ -150,7 +151,7 @@
         gate = makeGate();
         session = gate->openSession(router);
         dispatch(1);
-        control.pass(Milliseconds(100));
+        control.advance(Milliseconds(100));
         answerHead(0);
         answerEnd(0);
     }
@@ -294,9 +295,9 @@
     for (std::uint64_t sequence = 4; sequence < 7; ++sequence)
         dispatch(sequence, 5000, 1, 9);
     // 116 ms, the likely longest time, and 50 ms for the refusal's way before its deadline.
-    control.pass(Milliseconds(233));
+    control.advance(Milliseconds(233));
     BOOST_TEST(link->all<fb::RefusedT>().empty());
-    control.pass(Milliseconds(1));
+    control.advance(Milliseconds(1));
     checkRefused(*link, ErrorCode::DeadlineHopeless, Execution::NotRun);
     BOOST_TEST(gate->waiting() == 3u);
 }
@@ -311,7 +312,7 @@
     dispatch(1, 5000);
     for (std::uint64_t sequence = 2; sequence < 8; ++sequence)
         dispatch(sequence, 500);
-    control.pass(Milliseconds(100));
+    control.advance(Milliseconds(100));
     BOOST_TEST(link->all<fb::RefusedT>().empty());
     answerHead(0);
     answerEnd(0);
@@ -326,7 +327,7 @@
 {
     dispatch(1, 5000);
     dispatch(2, 100);
-    control.pass(Milliseconds(100));
+    control.advance(Milliseconds(100));
     checkRefused(*link, ErrorCode::DeadlinePassed, Execution::NotRun);
     BOOST_TEST(upstream->calls.size() == 1u);
 }
@@ -334,7 +335,7 @@
 BOOST_AUTO_TEST_CASE(aDeadlineThatPassesAtTheUpstreamIsUnknown)
 {
     dispatch(1, 100);
-    control.pass(Milliseconds(100));
+    control.advance(Milliseconds(100));
     BOOST_TEST(upstream->calls[0]->isCancelled);
     checkRefused(*link, ErrorCode::DeadlinePassed, Execution::Unknown);
 }
@@ -365,7 +366,7 @@
     answerHead(0);
     answerBytes(0, "half");
     upstream->calls[0]->events.onFailed(Error { ErrorCode::UpstreamBroken, "read answer", "", "", Execution::Unknown });
-    control.settle();
+    control.runPosted();
     checkRefused(*link, ErrorCode::UpstreamBroken, Execution::Unknown);
     BOOST_TEST(link->all<fb::AnswerEndT>().empty());
 }
@@ -405,9 +406,9 @@
     gate->linkClosed(router);
     gate->forgetGoneRouters();
     BOOST_TEST(!upstream->calls[0]->isCancelled);
-    control.pass(limits.forgetRouterAfter);
+    control.advance(limits.forgetRouterAfter);
     gate->forgetGoneRouters();
-    control.settle();
+    control.runPosted();
     BOOST_TEST(upstream->calls[0]->isCancelled);
     gate->forgetGoneRouters();
     BOOST_TEST(gate->ledger().sessions() == 0u);
--- a/src/framework/testing/manualcontrol.cpp
+++ b/src/framework/testing/manualcontrol.cpp
@@ -74,4 +74,11 @@
     now_ = end;
 }
 
+void ManualControl::dropAll()
+{
+    const std::lock_guard lock(mutex_);
+    posted_.clear();
+    timers_.clear();
+}
+
 } // namespace lagoon::framework
--- a/src/framework/testing/manualcontrol.h
+++ b/src/framework/testing/manualcontrol.h
@@ -17,6 +17,11 @@
 /// A control thread and clock that a test moves by hand.
 class ManualControl final : public IControlExecutor, public IClock {
 public:
+    explicit ManualControl(SteadyTime start = SteadyTime(std::chrono::hours(1)))
+        : now_(start)
+    {
+    }
+
     /// From any thread, as with the real one.
     void post(std::function<void()> action) override;
     std::unique_ptr<Timer> runAt(Deadline, std::function<void()>) override;
@@ -28,6 +33,8 @@
     [[nodiscard]] bool waitAndRunPosted();
     /// Moves the clock to each timer that is due on the way, in order.
     void advance(Milliseconds);
+    /// Forgets all that was posted or armed, as when the process dies.
+    void dropAll();
 
 private:
     class ManualTimer;
@@ -36,7 +43,7 @@
     };
 
     // Read by other threads as well, which is why it is atomic; moved by the test's.
-    std::atomic<SteadyTime> now_ = SteadyTime(std::chrono::hours(1));
+    std::atomic<SteadyTime> now_;
     std::function<void()> takePosted();
 
     std::mutex mutex_;
--- a/src/router/tests/idempotencykeys_test.cpp
+++ b/src/router/tests/idempotencykeys_test.cpp
@@ -51,7 +51,9 @@
         swept.get_future().get();
     }
 
-    framework::ManualControl control_;
+    /// Begins with the real clock, by which `platform::updateObject` waits: a fixed start would be past on a machine
+    /// that has been up for longer.
+    framework::ManualControl control_ { framework::SystemClock().now() };
     framework::WorkerPool workers_ { 1 };
     std::shared_ptr<framework::Metrics> metrics_ = std::make_shared<framework::Metrics>();
     std::shared_ptr<platform::MemoryPlatformStore> store_ = std::make_shared<platform::MemoryPlatformStore>();
