A frozen home is passed by, and an agent that failed a request serves it again if it alone can

Found by reading. (1) A home that is frozen, or whose link is silent, breaks nothing: wakes went there each second unheard, and requests for its cold models ended at their deadline (aFrozenHomeHoldsNobodyUp, seen failing: 504 deadline_passed after 20 s). Homes now say at once that they heard a wake, and a second of silence passes the home by for 10 s over a new link. (2) A request that had failed at an agent waited until its deadline when the home found that only this agent has the model (seen failing). aWakeCarriesTheHighestPriorityOfThoseWaiting had a home that never answers; it answers now, the checks are the same.

--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -261,7 +261,12 @@
         context_.placements.add(where.target, vm);
     for (const RequestNumber number : requests) {
         const auto entry = requests_.find(number);
-        if (entry == requests_.end() || !entry->second.waitsFor || candidates(entry->second).empty())
+        if (entry == requests_.end() || !entry->second.waitsFor)
+            continue;
+        // What failed this request before has just said that it serves the target, and nobody else does.
+        if (candidates(entry->second).empty())
+            entry->second.failed.clear();
+        if (candidates(entry->second).empty())
             continue;
         wakes_->stopWaiting(where, number);
         route(number);
--- a/src/router/internal/peerlinks.cpp
+++ b/src/router/internal/peerlinks.cpp
@@ -135,6 +135,16 @@
         handler(homeLost(home, why.detail));
 }
 
+void PeerLinks::drop(const VmName& home)
+{
+    const auto peer = peers_.find(home);
+    if (peer == peers_.end())
+        return;
+    if (peer->second.link)
+        peer->second.link->close();
+    peers_.erase(peer);
+}
+
 void PeerLinks::closeAll()
 {
     for (auto& [vm, peer] : peers_) {
--- a/src/router/internal/peerlinks.h
+++ b/src/router/internal/peerlinks.h
@@ -20,6 +20,8 @@
 
     /// The handler gets the home's replies, or an error in a final one with `LinkLost`.
     void wake(const framework::VmName& home, const WakeOrder&, WakeReplyHandler);
+    /// The home is silent: its link is given up, and the next wake opens another.
+    void drop(const framework::VmName& home);
     void closeAll();
 
 private:
--- a/src/router/internal/wakes.cpp
+++ b/src/router/internal/wakes.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr Milliseconds wakeInterval { 1000 };
+constexpr Milliseconds homeAvoidance { 10000 };
 
 } // namespace
 
@@ -58,15 +59,8 @@
 void Wakes::send(const SiteTarget& where)
 {
     Waiting& waiting = targets_.at(where);
-    waiting.timer = context_.control.runAt(Deadline::after(context_.clock.now(), wakeInterval), [this, where] {
-        Waiting& due = targets_.at(where);
-        due.timer.reset();
-        due.failedHomes.clear();
-        if (due.requests.empty() && !due.isMoreWanted)
-            targets_.erase(where);
-        else
-            send(where);
-    });
+    waiting.timer = context_.control.runAt(
+        Deadline::after(context_.clock.now(), wakeInterval), [this, where] { sendNext(where); });
     waiting.isMoreWanted = false;
     WakeOrder order { where, static_cast<std::uint32_t>(waiting.requests.size()), waiting.usefulUntil,
         waiting.usefulUntil, waiting.wantedReplicas };
@@ -78,7 +72,9 @@
         order.latest = std::max(order.latest, request.deadline);
         order.priority = std::max(order.priority, request.priority);
     }
-    const VmName home = homeFor(where, waiting.failedHomes);
+    const VmName home = homeFor(where, waiting);
+    waiting.home = home;
+    waiting.hasHomeAnswered = false;
     const auto reply = [this, where, home](const WakeReply& reply) { take(where, home, reply); };
     if (home == context_.ownVm)
         context_.home.wake(home, order, reply);
@@ -86,6 +82,31 @@
         context_.peers.wake(home, order, reply);
 }
 
+void Wakes::sendNext(const SiteTarget& where)
+{
+    Waiting& waiting = targets_.at(where);
+    waiting.timer.reset();
+    if (waiting.requests.empty() && !waiting.isMoreWanted) {
+        targets_.erase(where);
+        return;
+    }
+    passBySilentHome(waiting);
+    send(where);
+}
+
+/// Guards against a home that is frozen, or whose link has gone silent: nothing breaks, and its wakes would go unheard
+/// until the requests' deadlines. A home says at once that it has heard a wake, so a second of silence is enough.
+void Wakes::passBySilentHome(Waiting& waiting)
+{
+    const auto now = context_.clock.now();
+    std::erase_if(waiting.failedHomes, [now](const auto& failed) { return failed.second.hasPassed(now); });
+    if (waiting.hasHomeAnswered || waiting.home == context_.ownVm)
+        return;
+    context_.metrics.count("lagoon_home_failovers_total");
+    waiting.failedHomes[waiting.home] = Deadline::after(now, homeAvoidance);
+    context_.peers.drop(waiting.home);
+}
+
 void Wakes::take(const SiteTarget& where, const VmName& home, const WakeReply& reply)
 {
     const auto found = targets_.find(where);
@@ -93,6 +114,9 @@
         return;
     Waiting& waiting = found->second;
     const std::set<RequestNumber> requests = numbers(waiting);
+    waiting.hasHomeAnswered = waiting.hasHomeAnswered || home == waiting.home;
+    if (!reply.isFinal && !reply.soonestAt && reply.placements.empty())
+        return;
     waiting.progress.reset();
     if (!reply.placements.empty()) {
         if (reply.isFinal)
@@ -100,8 +124,6 @@
         return context_.onPlaced(where, reply.placements, requests);
     }
     if (!reply.isFinal) {
-        if (!reply.soonestAt)
-            return;
         waiting.progress = reply;
         context_.onExpected(reply, requests);
         return;
@@ -110,7 +132,7 @@
     // this one does, so that a wake never depends on another router's life.
     if (reply.error && reply.error->code == ErrorCode::LinkLost && reply.error->step == "wake") {
         context_.metrics.count("lagoon_home_failovers_total");
-        waiting.failedHomes.insert(home);
+        waiting.failedHomes[home] = Deadline::after(context_.clock.now(), homeAvoidance);
         if (!requests.empty())
             send(where);
         else
@@ -121,12 +143,12 @@
         reply.error.value_or(Error { ErrorCode::NoCapacity, "wake", home.value() }), reply.bundleVersion, requests);
 }
 
-VmName Wakes::homeFor(const SiteTarget& where, const std::set<VmName>& failed) const
+VmName Wakes::homeFor(const SiteTarget& where, const Waiting& waiting) const
 {
     const std::string key = wire::targetText(toWire(where.target));
     for (const VmName& vm :
         policy::rendezvousOrder(key, context_.directory.homes(where.site, context_.homesPerSite()))) {
-        if (!failed.contains(vm))
+        if (!waiting.failedHomes.contains(vm))
             return vm;
     }
     return context_.ownVm;
--- a/src/router/internal/wakes.h
+++ b/src/router/internal/wakes.h
@@ -65,14 +65,19 @@
         bool isMoreWanted = false;
         /// What the home last said, while the load goes on.
         std::optional<WakeReply> progress;
-        /// Homes that didn't answer since the last final reply.
-        std::set<framework::VmName> failedHomes;
+        /// Homes that didn't answer, each until it is tried again.
+        std::map<framework::VmName, framework::Deadline> failedHomes;
+        /// That the last wake went to, and whether it said anything since.
+        framework::VmName home;
+        bool hasHomeAnswered = false;
         std::unique_ptr<framework::Timer> timer;
     };
 
     void send(const SiteTarget&);
+    void sendNext(const SiteTarget&);
+    void passBySilentHome(Waiting&);
     void take(const SiteTarget&, const framework::VmName& home, const WakeReply&);
-    framework::VmName homeFor(const SiteTarget&, const std::set<framework::VmName>& failed) const;
+    framework::VmName homeFor(const SiteTarget&, const Waiting&) const;
     std::set<RequestNumber> numbers(const Waiting&) const;
 
     Context context_;
--- a/src/router/tests/fixture.h
+++ b/src/router/tests/fixture.h
@@ -50,6 +50,8 @@
     /// An answer of one chunk, whole.
     void answer(wire::FakeLink&, const wire::fb::DispatchIdT&, const std::string& body);
     void refuse(wire::FakeLink&, const wire::fb::DispatchIdT&, framework::ErrorCode, framework::Execution);
+    /// Adds a router that is home for the key before this one; returns its name.
+    std::string addHomeFor(const std::string& key);
     void settle() { control_.runPosted(); }
 
     static framework::Endpoint endpoint(const std::string& vm) { return framework::Endpoint(vm + ":1"); }
@@ -61,6 +63,7 @@
     bundle::BundlePointer bundle_;
     /// What the platform's object of each target says.
     TargetHolders holders_;
+    platform::VmEntries vms_;
     VmDirectory directory_;
     PlacementCache placements_;
     SessionContext sessionContext_;
