--- a/tests/integration/notrun_test.cpp
+++ b/tests/integration/notrun_test.cpp
@@ -147,6 +147,22 @@
     BOOST_TEST(executions() == 1u);
 }
 
+// As before, with a second booking service that would gladly take the hold as well: it must not get it.
+BOOST_AUTO_TEST_CASE(whatMayHaveRunIsNotSentToAnotherUpstream)
+{
+    deployment.addUpstream("booking-2", { .kind = UpstreamKind::Service, .pool = "booking" });
+    const std::vector<std::string> services = deployment.upstreams(UpstreamKind::Service);
+    waitFor("both services get calls", [&] {
+        hold("entry-1", "warm-up").answer();
+        return executionsOf({ deployment.upstream("booking-2").upstream() }, "warm-up") > 0;
+    });
+    for (const std::string& service : services)
+        setFaults(service, R"({"calls": {"at": "after", "do": "close", "count": 1}})");
+    PendingCall call = hold("entry-1");
+    BOOST_TEST(refusalField(call.answer(), "execution") == "unknown");
+    BOOST_TEST(executions() == 1u);
+}
+
 // The service's answer gets lost between it and the agent, and the platform is down at the same time.
 BOOST_AUTO_TEST_CASE(aLostUpstreamAnswerDuringAnOutageIsUnknown)
 {
