--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -175,6 +175,7 @@
         return waitForReplica(number, entry);
     }
     entry.waitsFor = *where;
+    entry.coldSince = entry.coldSince.value_or(context_.clock.now());
     const auto wanted = static_cast<std::uint32_t>(context_.placements.vms(where->target).size() + 1);
     const WaitingRequest waiting { entry.request.deadline, entry.request.priority };
     wakes_->wait(*where, number, waiting, std::min(wanted, std::max(1U, decided(*where))));
@@ -211,6 +212,11 @@
     entry.session = session;
     entry.stream = std::make_shared<AnswerStream>(entry.answer, entry.attempts);
     context_.metrics.count("lagoon_dispatches_total");
+    if (entry.coldSince) {
+        const std::chrono::duration<double> waited = context_.clock.now() - *entry.coldSince;
+        context_.metrics.observeSeconds("lagoon_cold_start_seconds", waited.count());
+        entry.coldSince.reset();
+    }
     entry.sequence = session->dispatch(makeOrder(entry), entry.request.deadline, entry.stream,
         [this, number, vm](const DispatchOutcome& outcome) { takeOutcome(number, vm, outcome); });
     askForMoreIfBusy(entry, static_cast<std::uint32_t>(session->inFlight()));
--- a/src/router/internal/dispatcher.h
+++ b/src/router/internal/dispatcher.h
@@ -62,6 +62,8 @@
         std::optional<framework::Error> lastError;
         /// While waiting.
         std::optional<SiteTarget> waitsFor;
+        /// Set when it first had to wait for a replica.
+        std::optional<framework::SteadyTime> coldSince;
         std::unique_ptr<framework::Timer> deadlineTimer;
         /// While the bundle by which it was refused is awaited.
         std::unique_ptr<framework::Timer> bundleTimer;
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -109,6 +109,7 @@
         BOOST_TEST(each->isWhole_);
         BOOST_TEST(each->finals_ == 1);
     }
+    BOOST_TEST(metrics_.text().find("lagoon_cold_start_seconds_count 3") != std::string::npos);
     BOOST_TEST(dispatcher_.requests() == 0u);
 }
 
