Reading: adoption and choice of a loader as steps of their own

observePresent and Home::evaluate each did three things in over forty lines; split by step, behaviour unchanged (agent_tests and router_tests pass).

--- a/src/agent/internal/replicacontroller.h
+++ b/src/agent/internal/replicacontroller.h
@@ -114,6 +114,8 @@
     void observe(const EngineState&, framework::SteadyTime askedAt);
     void takeEngineRestart();
     void observePresent(const EngineReplica&);
+    Replica& adopt(Replica* known, const EngineReplica&);
+    void moveOn(Replica&, const EngineReplica&);
     void observeAbsent(Replica&, framework::SteadyTime askedAt);
 
     // Calls to the platform and the engine (replicaoperations.cpp).
--- a/src/agent/internal/replicaobservation.cpp
+++ b/src/agent/internal/replicaobservation.cpp
@@ -80,42 +80,57 @@
 
 void ReplicaController::observePresent(const EngineReplica& seen)
 {
-    const SteadyTime now = ports_.clock.now();
     const ReplicaId& id = seen.checkpoint.replica;
-    const bool isLoaded = seen.state == EngineReplicaState::Loaded;
     Replica* replica = find(id);
     if (replica && replica->stage == ReplicaStage::Releasing) {
         // A load that came later than the settling time allowed for: the truth goes before the plan.
         ports_.metrics->count("lagoon_late_loads_total");
         replica->isClaimed = false;
     }
-    const bool isFound
+    const bool isUnexpected
         = !replica || replica->stage == ReplicaStage::Settling || replica->stage == ReplicaStage::Releasing;
-    if (isFound && !(replica && replica->isBusy)) {
-        if (!replica)
-            replica = &add(id, { seen.checkpoint.version, seen.memory }, ReplicaStage::Loading);
-        setStage(*replica, ReplicaStage::Loading);
-        replica->version = seen.checkpoint.version;
-        replica->memory = seen.memory;
-        // It needs no order of ours; how long it has been loading isn't known either.
-        replica->isOrdered = true;
-        replica->orderedAt = now;
-        if (isLoaded) {
-            replica->isOrdered = false;
-            takeLoaded(*replica, now);
-        } else if (seen.state == EngineReplicaState::Unloading) {
-            setStage(*replica, ReplicaStage::Unloading);
-        }
-    }
+    if (isUnexpected && !(replica && replica->isBusy))
+        replica = &adopt(replica, seen);
     if (!replica)
         return;
     account_.enter(id, seen.memory);
     replica->absences = 0;
-    if (replica->stage == ReplicaStage::Loading && isLoaded && (replica->isOrdered || replica->isClaimed))
-        takeLoaded(*replica, now);
-    if (replica->stage == ReplicaStage::Unloading && isLoaded && replica->isOrdered
-        && now - replica->orderedAt > unloadRepeatedAfter)
-        replica->isOrdered = false;
+    moveOn(*replica, seen);
+}
+
+/// Takes over a replica that the engine has without an order of this process: a former one's, or a late one.
+Replica& ReplicaController::adopt(Replica* known, const EngineReplica& seen)
+{
+    const SteadyTime now = ports_.clock.now();
+    Replica& replica = known
+        ? *known
+        : add(seen.checkpoint.replica, { seen.checkpoint.version, seen.memory }, ReplicaStage::Loading);
+    setStage(replica, ReplicaStage::Loading);
+    replica.version = seen.checkpoint.version;
+    replica.memory = seen.memory;
+    // It needs no order of ours; how long it has been loading isn't known either.
+    replica.isOrdered = true;
+    replica.orderedAt = now;
+    if (seen.state == EngineReplicaState::Loaded) {
+        replica.isOrdered = false;
+        takeLoaded(replica, now);
+    } else if (seen.state == EngineReplicaState::Unloading) {
+        setStage(replica, ReplicaStage::Unloading);
+    }
+    return replica;
+}
+
+/// What the engine's "loaded" means for a replica that this process has orders out for.
+void ReplicaController::moveOn(Replica& replica, const EngineReplica& seen)
+{
+    if (seen.state != EngineReplicaState::Loaded)
+        return;
+    const SteadyTime now = ports_.clock.now();
+    if (replica.stage == ReplicaStage::Loading && (replica.isOrdered || replica.isClaimed))
+        takeLoaded(replica, now);
+    else if (replica.stage == ReplicaStage::Unloading && replica.isOrdered
+        && now - replica.orderedAt > unloadRepeatedAfter)
+        replica.isOrdered = false;
 }
 
 void ReplicaController::observeAbsent(Replica& replica, SteadyTime askedAt)
--- a/src/router/internal/home.cpp
+++ b/src/router/internal/home.cpp
@@ -204,10 +204,24 @@
     const std::uint32_t enough = std::min(std::max(1U, search.order.wantedReplicas), decided(where));
     if (loaded.size() >= enough)
         return finish(where, WakeReply { true, loaded });
+    if (Candidate* loader = chooseLoader(search))
+        return load(where, *loader);
+    const std::vector<VmName> more = nextToAsk(search);
+    if (!more.empty() && search.loadsTried < loadTries)
+        return ask(where, more);
+    if (!loaded.empty())
+        return finish(where, WakeReply { true, loaded });
+    if (!askAgainSoon(where))
+        fail(where, search.lastError.value_or(refusalOfAll(search)));
+}
+
+/// Null if none of those asked can load it, or enough of them have failed to.
+Home::Candidate* Home::chooseLoader(Search& search) const
+{
     // Someone is loading it already, for another home or for one that died: wait with them.
     for (Candidate& candidate : search.candidates) {
         if (candidate.isLoading)
-            return load(where, candidate);
+            return &candidate;
     }
     std::vector<policy::LoadBid> bids;
     std::vector<Candidate*> bidders;
@@ -218,25 +232,19 @@
         bidders.push_back(&candidate);
     }
     const auto chosen = placement_->choose(bids);
-    if (chosen && search.loadsTried < loadTries)
-        return load(where, *bidders[*chosen]);
-    const std::vector<VmName> more = nextToAsk(search);
-    if (!more.empty() && search.loadsTried < loadTries)
-        return ask(where, more);
-    if (!loaded.empty())
-        return finish(where, WakeReply { true, loaded });
-    if (askAgainSoon(where))
-        return;
-    if (search.lastError)
-        return fail(where, *search.lastError);
+    return chosen && search.loadsTried < loadTries ? bidders[*chosen] : nullptr;
+}
+
+/// The most telling reason among those of the agents that were asked.
+Error Home::refusalOfAll(const Search& search) const
+{
     ErrorCode code = ErrorCode::NoCapacity;
     for (const Candidate& candidate : search.candidates) {
         if (candidate.bid.refusal != ErrorCode::NoCapacity)
             code = candidate.bid.refusal;
     }
-    fail(where,
-        Error { code, "find replica", where.site.value(), "no upstream can load it now", framework::Execution::NotRun,
-            retryAfterNoCapacity });
+    return Error { code, "find replica", search.order.where.site.value(), "no upstream can load it now",
+        framework::Execution::NotRun, retryAfterNoCapacity };
 }
 
 /// An upstream that has just started, or still unloads the model, can load it in a moment: its callers wait for that
--- a/src/router/internal/home.h
+++ b/src/router/internal/home.h
@@ -101,6 +101,8 @@
         const SiteTarget&, std::uint64_t number, const framework::VmName&, const framework::Result<wire::fb::BidT>&);
     void endBidding(const SiteTarget&);
     void evaluate(const SiteTarget&);
+    Candidate* chooseLoader(Search&) const;
+    framework::Error refusalOfAll(const Search&) const;
     void load(const SiteTarget&, Candidate&);
     void sendLoad(const SiteTarget&, std::uint64_t number, const framework::VmName&);
     WakeReply progress(const Search&) const;
