--- a/tests/benchmarks/pathbenchmark.cpp
+++ b/tests/benchmarks/pathbenchmark.cpp
@@ -34,16 +34,21 @@
     std::string name;
     std::string endpoint;
     std::string path;
-    std::vector<double> milliseconds;
+    /// A repeatable call goes over the agent's pooled connections, another over a fresh one.
+    bool isRepeatable = false;
+    std::vector<double> milliseconds = {};
 };
 
-double callOnce(http_client& client, const std::string& path)
+double callOnce(http_client& client, const Way& way)
 {
+    web::http::http_request request("GET");
+    request.set_request_uri(way.path);
+    request.headers().add("X-Lagoon-Repeatable", way.isRepeatable ? "true" : "false");
     const auto start = Clock::now();
-    const auto response = client.request("GET", path).get();
+    const auto response = client.request(request).get();
     response.extract_vector().get();
     if (response.status_code() != web::http::status_codes::OK)
-        throw std::runtime_error("status " + std::to_string(response.status_code()) + " from " + path);
+        throw std::runtime_error("status " + std::to_string(response.status_code()) + " from " + way.path);
     return std::chrono::duration<double, std::milli>(Clock::now() - start).count();
 }
 
@@ -57,7 +62,7 @@
     for (std::size_t done = 0; done < calls; done += turn) {
         for (std::size_t index = 0; index < ways.size(); ++index) {
             for (std::size_t call = 0; call < turn; ++call)
-                ways[index].milliseconds.push_back(callOnce(clients[index], ways[index].path));
+                ways[index].milliseconds.push_back(callOnce(clients[index], ways[index]));
         }
     }
 }
@@ -72,7 +77,7 @@
             http_client client(web::uri("http://" + way.endpoint));
             for (std::size_t before = left.fetch_sub(1); before > 0 && before <= options.throughputCalls;
                  before = left.fetch_sub(1))
-                callOnce(client, way.path);
+                callOnce(client, way);
         });
     }
     for (std::thread& caller : callers)
@@ -140,13 +145,15 @@
     const double routerIdle = residentMemory(deployment.router("entry-1").process->pid());
     const double agentIdle = residentMemory(deployment.upstream("lookup-1").agent->pid());
 
-    std::vector<Way> ways { { "direct", deployment.upstream("lookup-1").upstream(), "/prefix", {} },
-        { "routed", deployment.router("entry-1").callers(), "/services/lookup/prefix", {} } };
+    const std::string direct = deployment.upstream("lookup-1").upstream();
+    const std::string routed = deployment.router("entry-1").callers();
+    std::vector<Way> ways { { "direct", direct, "/prefix" }, { "routed", routed, "/services/lookup/prefix" },
+        { "routed, repeatable", routed, "/services/lookup/prefix", true } };
     measureLatency(ways, options.calls);
     std::cout << std::fixed << std::setprecision(2);
-    std::cout << "way     p50_ms  p95_ms  p99_ms  requests/s (" << options.callers << " callers)\n";
+    std::cout << "way                 p50_ms  p95_ms  p99_ms  requests/s (" << options.callers << " callers)\n";
     for (const Way& way : ways) {
-        std::cout << std::left << std::setw(8) << way.name << std::setw(8) << percentile(way.milliseconds, 0.5)
+        std::cout << std::left << std::setw(20) << way.name << std::setw(8) << percentile(way.milliseconds, 0.5)
                   << std::setw(8) << percentile(way.milliseconds, 0.95) << std::setw(8)
                   << percentile(way.milliseconds, 0.99) << measureThroughput(way, options) << "\n";
     }
