One loop fails what was sent and what wasn't

failUnsent and failSent were the same loop but for the flag. Behaviour unchanged: router_tests and notrun_tests pass, format and lint clean.

--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -358,29 +358,22 @@
         question.onAnswer(why);
 }
 
-void AgentSession::failUnsent(const Error& why)
-{
-    std::vector<std::uint64_t> unsent;
-    for (const auto& [sequence, entry] : inFlight_) {
-        if (!entry.wasSent)
-            unsent.push_back(sequence);
-    }
-    for (const std::uint64_t sequence : unsent)
-        settle(SequenceNumber(sequence), why);
-}
+void AgentSession::failUnsent(const Error& why) { failEach(false, why); }
+
+void AgentSession::failSent(const Error& why) { failEach(true, why); }
 
-void AgentSession::failSent(const Error& why)
+void AgentSession::failEach(bool wasSent, const Error& why)
 {
-    std::vector<std::uint64_t> sent;
+    // Gathered first: an outcome's handler may dispatch again.
+    std::vector<std::uint64_t> failed;
     for (const auto& [sequence, entry] : inFlight_) {
-        if (entry.wasSent)
-            sent.push_back(sequence);
+        if (entry.wasSent == wasSent)
+            failed.push_back(sequence);
     }
-    for (const std::uint64_t sequence : sent)
+    for (const std::uint64_t sequence : failed)
         settle(SequenceNumber(sequence), why);
 }
 
-/// For a session with work.
 void AgentSession::armTick()
 {
     const SteadyTime now = context_.clock.now();
--- a/src/router/internal/agentsession.h
+++ b/src/router/internal/agentsession.h
@@ -105,6 +105,7 @@
     void failQuestions(const framework::Error&);
     void failUnsent(const framework::Error&);
     void failSent(const framework::Error&);
+    void failEach(bool wasSent, const framework::Error&);
     void send(InFlight&);
     void resolve(const InFlight&);
     void sendCancel(const InFlight&);
