--- a/tests/benchmarks/overload.cpp
+++ b/tests/benchmarks/overload.cpp
@@ -4,13 +4,13 @@
 //
 // usage: lagoonbench_overload [--seconds N] [--part load|slow|loads]...
 
+#include "benchmarks/benchmarkparts.h"
 #include "support/bundlebuilder.h"
 #include "support/callers.h"
 #include "support/deployment.h"
 #include "support/openloop.h"
 
 #include <algorithm>
-#include <boost/program_options.hpp>
 #include <chrono>
 #include <functional>
 #include <iomanip>
@@ -293,27 +293,12 @@
     std::cout << std::endl;
 }
 
-Options parse(int argc, char** argv)
-{
-    namespace po = boost::program_options;
-    Options options;
-    po::options_description description;
-    description.add_options()("seconds", po::value(&options.seconds), "of each row")(
-        "part", po::value(&options.parts), "which to measure");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, description), values);
-    po::notify(values);
-    return options;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
 {
-    const Options options = parse(argc, argv);
-    const auto has = [&](const char* part) {
-        return std::find(options.parts.begin(), options.parts.end(), part) != options.parts.end();
-    };
+    const auto options = parseBenchmarkOptions<Options>(argc, argv);
+    const auto has = [&](const char* part) { return hasPart(options.parts, part); };
     if (has("load"))
         measureLoads(options.seconds);
     if (has("slow"))
--- a/tests/benchmarks/processslopes.cpp
+++ b/tests/benchmarks/processslopes.cpp
@@ -3,6 +3,7 @@
 //
 // usage: lagoonbench_processes [--seconds N] [--part agents|routers|models|requests|waiting]...
 
+#include "benchmarks/benchmarkparts.h"
 #include "support/bundlebuilder.h"
 #include "support/callers.h"
 #include "support/deployment.h"
@@ -10,7 +11,6 @@
 #include "support/processusage.h"
 
 #include <algorithm>
-#include <boost/program_options.hpp>
 #include <chrono>
 #include <cpprest/http_client.h>
 #include <iomanip>
@@ -284,27 +284,12 @@
               << 1024 * (waiting - before) / requests << " | " << served << " |" << std::endl;
 }
 
-Options parse(int argc, char** argv)
-{
-    namespace po = boost::program_options;
-    Options options;
-    po::options_description description;
-    description.add_options()("seconds", po::value(&options.seconds), "of each row")(
-        "part", po::value(&options.parts), "which to measure");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, description), values);
-    po::notify(values);
-    return options;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
 {
-    const Options options = parse(argc, argv);
-    const auto has = [&](const char* part) {
-        return std::find(options.parts.begin(), options.parts.end(), part) != options.parts.end();
-    };
+    const auto options = parseBenchmarkOptions<Options>(argc, argv);
+    const auto has = [&](const char* part) { return hasPart(options.parts, part); };
     printHeader();
     if (has("agents")) {
         for (const int agents : { 1, 4, 12 })
