--- a/cmake/LagoonLibraries.cmake
+++ b/cmake/LagoonLibraries.cmake
@@ -9,5 +9,5 @@
 # The parts without a process around them: `platform` (conditional updates whose lost answers are settled, backoff),
 # `bundle` (bundle, head, sign-off, roll-out, replica objects) and `policy` (decisions without I/O or clock).
 add_library(lagoon_coordination INTERFACE)
-target_link_libraries(lagoon_coordination INTERFACE lagoon_platform lagoon_bundle lagoon_policy)
+target_link_libraries(lagoon_coordination INTERFACE lagoon_objectstore lagoon_bundle lagoon_policy)
 add_library(lagoonrouter::coordination ALIAS lagoon_coordination)
--- a/cmake/LagoonModule.cmake
+++ b/cmake/LagoonModule.cmake
@@ -1,7 +1,13 @@
+# With LAGOON_TESTS off, only the program is built, and nothing under a `tests` folder is needed.
+option(LAGOON_TESTS "Build tests, stand-ins and benchmarks" ON)
+
 # lagoon_module(<name> SOURCES … DEPENDS …) declares the static library lagoon_<name>.
 # lagoon_test(<name> SOURCES … DEPENDS …) declares a Boost.Test program and registers it with ctest.
 
 function(lagoon_module name)
+    if(NOT LAGOON_TESTS AND name MATCHES "_testing$")
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
     add_library(lagoon_${name} STATIC ${ARG_SOURCES})
     target_include_directories(lagoon_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
@@ -10,6 +16,9 @@
 endfunction()
 
 function(lagoon_test name)
+    if(NOT LAGOON_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
     if(NOT ARG_TIMEOUT)
         set(ARG_TIMEOUT 120)
--- a/examples/claimreplica/main.cpp
+++ b/examples/claimreplica/main.cpp
@@ -3,7 +3,7 @@
 
 #include "bundle/replicaobject.h"
 #include "framework/randomid.h"
-#include "platform/objectupdate.h"
+#include "objectstore/objectupdate.h"
 #include "policy/rendezvous.h"
 
 #include <iostream>
@@ -19,43 +19,43 @@
 namespace {
 
 /// Any store with versions and conditional writes will do; this one is a map.
-class MapStore final : public platform::IPlatformStore {
+class MapStore final : public objectstore::IObjectStore {
 public:
-    Result<std::optional<platform::StoredObject>> get(const platform::ObjectKey& key, Deadline) override
+    Result<std::optional<objectstore::StoredObject>> get(const objectstore::ObjectKey& key, Deadline) override
     {
         const auto found = objects_.find(key.value());
         return found == objects_.end() ? std::nullopt : std::optional(found->second);
     }
     Result<ObjectVersion> put(
-        const platform::ObjectKey& key, const std::string& value, ObjectVersion expected, Deadline) override
+        const objectstore::ObjectKey& key, const std::string& value, ObjectVersion expected, Deadline) override
     {
-        platform::StoredObject& object = objects_[key.value()];
+        objectstore::StoredObject& object = objects_[key.value()];
         if (object.version != expected)
             return Error { ErrorCode::PlatformConflict, "put", key.value(), "another version" };
         object = { value, ObjectVersion(expected.value() + 1) };
         return object.version;
     }
-    Result<std::vector<platform::ListedObject>> list(const std::string&, Deadline) override { return unused(); }
-    Result<std::optional<platform::StoredObject>> watch(
-        const platform::ObjectKey&, ObjectVersion, Deadline, std::stop_token) override
+    Result<std::vector<objectstore::ListedObject>> list(const std::string&, Deadline) override { return unused(); }
+    Result<std::optional<objectstore::StoredObject>> watch(
+        const objectstore::ObjectKey&, ObjectVersion, Deadline, std::stop_token) override
     {
         return unused();
     }
-    Result<void> remove(const platform::ObjectKey&, ObjectVersion, Deadline) override { return unused(); }
+    Result<void> remove(const objectstore::ObjectKey&, ObjectVersion, Deadline) override { return unused(); }
 
 private:
     static Error unused() { return { ErrorCode::Internal, "example", "store", "not needed here" }; }
 
-    std::map<std::string, platform::StoredObject> objects_;
+    std::map<std::string, objectstore::StoredObject> objects_;
 };
 
 /// Adds the VM as a holder unless the decided count is reached; sure of the outcome even if the write's answer is lost.
-Result<platform::UpdatedObject> claim(platform::IPlatformStore& store, const framework::VmName& vm)
+Result<objectstore::UpdatedObject> claim(objectstore::IObjectStore& store, const framework::VmName& vm)
 {
     const auto key = bundle::replicaKey(framework::SiteName("south"), framework::ModelName("notes"));
     const std::string nonce = framework::newNonce();
-    platform::ObjectUpdate update;
-    update.change = [&](const std::optional<std::string>& text) -> Result<platform::ObjectChange> {
+    objectstore::ObjectUpdate update;
+    update.change = [&](const std::optional<std::string>& text) -> Result<objectstore::ObjectChange> {
         bundle::ReplicaObject object;
         if (text) {
             BOOST_OUTCOME_TRY(stored, bundle::parseReplicaObject(*text, key));
@@ -65,11 +65,11 @@
         if (object.holders.size() >= decided)
             return Error { ErrorCode::ReplicaCapReached, "claim", key.value(), "all are held" };
         object.holders.push_back({ vm, framework::Incarnation(1), nonce, bundle::HolderState::Loading });
-        return platform::ObjectChange { bundle::replicaObjectText(object) };
+        return objectstore::ObjectChange { bundle::replicaObjectText(object) };
     };
     update.isOwnWrite = [&](const std::string& text) { return text.find(nonce) != std::string::npos; };
     const auto now = std::chrono::steady_clock::now();
-    return platform::updateObject(store, key, update, Deadline::after(now, framework::Milliseconds(1000)));
+    return objectstore::updateObject(store, key, update, Deadline::after(now, framework::Milliseconds(1000)));
 }
 
 } // namespace
--- a/src/agent/agentsettings.h
+++ b/src/agent/agentsettings.h
@@ -3,7 +3,7 @@
 #include "framework/types/error.h"
 #include "framework/types/processidentity.h"
 #include "framework/types/time.h"
-#include "platform/platformclient.h"
+#include "objectstore/objectstoreclient.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -40,7 +40,7 @@
     framework::PoolName pool;
     framework::Endpoint link;
     framework::Endpoint ops;
-    platform::PlatformSettings platform;
+    objectstore::ObjectStoreSettings platform;
     UpstreamSettings upstream;
     AgentLimits limits;
 };
--- a/src/agent/internal/agent.cpp
+++ b/src/agent/internal/agent.cpp
@@ -15,7 +15,7 @@
 #include "framework/randomid.h"
 #include "framework/workerpool.h"
 #include "http/opsserver.h"
-#include "platform/platformclient.h"
+#include "objectstore/objectstoreclient.h"
 #include "wire/linktransport.h"
 
 #include <atomic>
@@ -68,7 +68,7 @@
     // Pools of their own, so that a platform that hangs doesn't keep the engine's state from being read.
     framework::WorkerPool platformCalls_ { platformThreads };
     framework::WorkerPool engineCalls_ { engineThreads };
-    platform::PlatformClient platform_;
+    objectstore::ObjectStoreClient platform_;
     std::shared_ptr<wire::ILinkTransport> transport_;
     std::shared_ptr<bundle::IBundleWatch> bundles_;
     ServiceUse service_;
@@ -84,7 +84,7 @@
 
 Agent::Implementation::Implementation(const AgentSettings& settings)
     : settings_(settings)
-    , platform_(platform::makePlatformClient(settings.platform, metrics_))
+    , platform_(objectstore::makeObjectStoreClient(settings.platform, metrics_))
     , transport_(wire::makeTcpLinkTransport({}, metrics_))
     , bundles_(bundle::makeBundleWatch(bundle::HeadMode::Watch, platform_.store, control_, metrics_))
     , service_(settings.pool)
--- a/src/agent/internal/agentsettings.cpp
+++ b/src/agent/internal/agentsettings.cpp
@@ -2,7 +2,7 @@
 
 #include "framework/checkedjson.h"
 #include "framework/processsettings.h"
-#include "platform/platformsettings.h"
+#include "objectstore/objectstoresettings.h"
 
 #include <cpprest/base_uri.h>
 
@@ -61,7 +61,7 @@
     settings.pool = framework::PoolName(object.text("pool"));
     settings.link = framework::readEndpoint(object, "link");
     settings.ops = framework::readEndpoint(object, "ops");
-    settings.platform = platform::readPlatformSettings(object);
+    settings.platform = objectstore::readObjectStoreSettings(object);
     settings.upstream = readUpstream(object.object("upstream"));
     if (object.has("limits"))
         settings.limits = readLimits(object.object("limits"));
--- a/src/agent/internal/replicaclaims.cpp
+++ b/src/agent/internal/replicaclaims.cpp
@@ -1,7 +1,7 @@
 #include "agent/internal/replicaclaims.h"
 
 #include "framework/iclock.h"
-#include "platform/objectupdate.h"
+#include "objectstore/objectupdate.h"
 
 #include <algorithm>
 #include <optional>
@@ -22,9 +22,9 @@
 using framework::Milliseconds;
 using framework::Result;
 using framework::VmName;
-using platform::ObjectChange;
-using platform::ObjectKey;
-using platform::ObjectUpdate;
+using objectstore::ObjectChange;
+using objectstore::ObjectKey;
+using objectstore::ObjectUpdate;
 
 using StoredText = std::optional<std::string>;
 
@@ -58,9 +58,9 @@
 
 } // namespace
 
-ReplicaClaims::ReplicaClaims(std::shared_ptr<platform::IPlatformStore> store, std::shared_ptr<platform::IVmList> vmList,
-    framework::ProcessIdentity identity, framework::Incarnation incarnation,
-    std::shared_ptr<framework::Metrics> metrics)
+ReplicaClaims::ReplicaClaims(std::shared_ptr<objectstore::IObjectStore> store,
+    std::shared_ptr<objectstore::IVmList> vmList, framework::ProcessIdentity identity,
+    framework::Incarnation incarnation, std::shared_ptr<framework::Metrics> metrics)
     : store_(std::move(store))
     , vmList_(std::move(vmList))
     , identity_(std::move(identity))
@@ -117,7 +117,7 @@
     };
     update.isOwnWrite
         = [&](const std::string& text) { return shows(text, objectKey, identity_.vm, nonce, HolderState::Loading); };
-    BOOST_OUTCOME_TRY(updated, platform::updateObject(*store_, objectKey, update, deadline));
+    BOOST_OUTCOME_TRY(updated, objectstore::updateObject(*store_, objectKey, update, deadline));
     return FencingNumber(updated.version.value());
 }
 
@@ -137,7 +137,7 @@
     };
     update.isOwnWrite
         = [&](const std::string& text) { return shows(text, objectKey, identity_.vm, nonce, HolderState::Loaded); };
-    BOOST_OUTCOME_TRYV(platform::updateObject(*store_, objectKey, update, deadline));
+    BOOST_OUTCOME_TRYV(objectstore::updateObject(*store_, objectKey, update, deadline));
     return framework::success();
 }
 
@@ -161,7 +161,7 @@
         const ReplicaHolder* own = object.has_value() ? object.value().holder(identity_.vm) : nullptr;
         return object.has_value() && (!own || own->nonce != nonce);
     };
-    BOOST_OUTCOME_TRYV(platform::updateObject(*store_, objectKey, update, deadline));
+    BOOST_OUTCOME_TRYV(objectstore::updateObject(*store_, objectKey, update, deadline));
     return framework::success();
 }
 
@@ -183,7 +183,7 @@
     const std::string prefix = "replicas/" + identity_.site.value() + "/";
     BOOST_OUTCOME_TRY(listed, store_->list(prefix, deadline));
     std::vector<ReplicaId> own;
-    for (const platform::ListedObject& entry : listed) {
+    for (const objectstore::ListedObject& entry : listed) {
         BOOST_OUTCOME_TRY(stored, getPatiently(entry.key, deadline));
         if (!stored)
             continue;
@@ -200,7 +200,7 @@
 
 /// A site has more objects than this process may read in one burst, so each refused read waits for its turn; to begin
 /// the whole list anew instead would never come to its end.
-Result<std::optional<platform::StoredObject>> ReplicaClaims::getPatiently(const ObjectKey& key, Deadline deadline)
+Result<std::optional<objectstore::StoredObject>> ReplicaClaims::getPatiently(const ObjectKey& key, Deadline deadline)
 {
     for (;;) {
         auto stored = store_->get(key, deadline);
@@ -218,8 +218,8 @@
 {
     BOOST_OUTCOME_TRY(list, vmList_->waitForChange(0, deadline));
     VmNames gone;
-    for (const platform::VmEntry& entry : list.vms) {
-        if (entry.state == platform::VmState::Gone)
+    for (const objectstore::VmEntry& entry : list.vms) {
+        if (entry.state == objectstore::VmState::Gone)
             gone.insert(entry.vm);
     }
     return gone;
--- a/src/agent/internal/replicaclaims.h
+++ b/src/agent/internal/replicaclaims.h
@@ -3,8 +3,8 @@
 #include "agent/ireplicaclaims.h"
 #include "framework/metrics.h"
 #include "framework/types/processidentity.h"
-#include "platform/iplatformstore.h"
-#include "platform/ivmlist.h"
+#include "objectstore/iobjectstore.h"
+#include "objectstore/ivmlist.h"
 
 #include <memory>
 #include <optional>
@@ -17,7 +17,7 @@
 /// renew it, while its engine goes on holding the model.
 class ReplicaClaims final : public IReplicaClaims {
 public:
-    ReplicaClaims(std::shared_ptr<platform::IPlatformStore>, std::shared_ptr<platform::IVmList>,
+    ReplicaClaims(std::shared_ptr<objectstore::IObjectStore>, std::shared_ptr<objectstore::IVmList>,
         framework::ProcessIdentity, framework::Incarnation, std::shared_ptr<framework::Metrics>);
 
     framework::Result<framework::FencingNumber> claim(const ReplicaId&, const std::string& nonce, ClaimKind,
@@ -32,13 +32,13 @@
 
     framework::Result<framework::FencingNumber> tryClaim(const ReplicaId&, const std::string& nonce, ClaimKind,
         const bundle::DecidedCount&, const VmNames& gone, framework::Deadline);
-    framework::Result<std::optional<platform::StoredObject>> getPatiently(
-        const platform::ObjectKey&, framework::Deadline);
+    framework::Result<std::optional<objectstore::StoredObject>> getPatiently(
+        const objectstore::ObjectKey&, framework::Deadline);
     framework::Result<VmNames> goneVms(framework::Deadline);
-    platform::ObjectKey key(const ReplicaId&) const;
+    objectstore::ObjectKey key(const ReplicaId&) const;
 
-    std::shared_ptr<platform::IPlatformStore> store_;
-    std::shared_ptr<platform::IVmList> vmList_;
+    std::shared_ptr<objectstore::IObjectStore> store_;
+    std::shared_ptr<objectstore::IVmList> vmList_;
     framework::ProcessIdentity identity_;
     framework::Incarnation incarnation_;
     std::shared_ptr<framework::Metrics> metrics_;
--- a/src/agent/tests/fakevmlist.h
+++ b/src/agent/tests/fakevmlist.h
@@ -1,30 +1,30 @@
 #pragma once
 
-#include "platform/ivmlist.h"
+#include "objectstore/ivmlist.h"
 
 #include <string>
 
 namespace lagoon::agent::testing {
 
 /// The platform's list as the test writes it.
-class FakeVmList final : public platform::IVmList {
+class FakeVmList final : public objectstore::IVmList {
 public:
-    framework::Result<platform::VmListSnapshot> waitForChange(
+    framework::Result<objectstore::VmListSnapshot> waitForChange(
         std::uint64_t, framework::Deadline, std::stop_token) override
     {
-        return platform::VmListSnapshot { 1, entries_ };
+        return objectstore::VmListSnapshot { 1, entries_ };
     }
 
-    void add(const std::string& vm, platform::VmState state)
+    void add(const std::string& vm, objectstore::VmState state)
     {
-        platform::VmEntry entry;
+        objectstore::VmEntry entry;
         entry.vm = framework::VmName(vm);
         entry.state = state;
         entries_.push_back(entry);
     }
 
 private:
-    platform::VmEntries entries_;
+    objectstore::VmEntries entries_;
 };
 
 } // namespace lagoon::agent::testing
--- a/src/agent/tests/replicaclaims_test.cpp
+++ b/src/agent/tests/replicaclaims_test.cpp
@@ -1,6 +1,6 @@
 #include "agent/internal/replicaclaims.h"
 #include "agent/tests/fakevmlist.h"
-#include "platform/tests/memoryplatformstore.h"
+#include "objectstore/tests/memoryobjectstore.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -19,9 +19,9 @@
 using framework::ModelName;
 using framework::SiteName;
 using framework::VmName;
-using platform::MemoryPlatformStore;
-using platform::VmState;
-using platform::WriteFault;
+using objectstore::MemoryObjectStore;
+using objectstore::VmState;
+using objectstore::WriteFault;
 
 namespace {
 
@@ -30,7 +30,7 @@
 const ReplicaId fine { ModelName("drafts"), AdapterName("fine") };
 
 struct Site {
-    std::shared_ptr<MemoryPlatformStore> store = std::make_shared<MemoryPlatformStore>();
+    std::shared_ptr<MemoryObjectStore> store = std::make_shared<MemoryObjectStore>();
     std::shared_ptr<FakeVmList> vmList = std::make_shared<FakeVmList>();
     std::shared_ptr<framework::Metrics> metrics = std::make_shared<framework::Metrics>();
 
--- a/src/agent/tests/replicacontroller_test.cpp
+++ b/src/agent/tests/replicacontroller_test.cpp
@@ -3,7 +3,7 @@
 #include "agent/tests/fakeengine.h"
 #include "agent/tests/fakevmlist.h"
 #include "framework/testing/manualcontrol.h"
-#include "platform/tests/memoryplatformstore.h"
+#include "objectstore/tests/memoryobjectstore.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -24,8 +24,8 @@
 using framework::SiteName;
 using framework::VmName;
 using framework::WeightsVersion;
-using platform::MemoryPlatformStore;
-using platform::WriteFault;
+using objectstore::MemoryObjectStore;
+using objectstore::WriteFault;
 
 namespace {
 
@@ -73,11 +73,11 @@
 
 /// One agent's replicas over fakes; `startAgent` again is a new process on the same VM.
 struct Agents {
-    /// Long past for the real clock: what waits by that (`platform::updateObject`) tries once and gives up.
+    /// Long past for the real clock: what waits by that (`objectstore::updateObject`) tries once and gives up.
     framework::ManualControl control { framework::SteadyTime(std::chrono::milliseconds(1)) };
     FakeEngine engineFake { 100 };
     std::shared_ptr<FakeEngine> engine { &engineFake, [](FakeEngine*) {} };
-    std::shared_ptr<MemoryPlatformStore> store = std::make_shared<MemoryPlatformStore>();
+    std::shared_ptr<MemoryObjectStore> store = std::make_shared<MemoryObjectStore>();
     std::shared_ptr<FakeVmList> vmList = std::make_shared<FakeVmList>();
     std::shared_ptr<framework::Metrics> metrics = std::make_shared<framework::Metrics>();
     std::unique_ptr<ReplicaController> replicas;
@@ -229,7 +229,7 @@
 BOOST_AUTO_TEST_CASE(aGoneVmsPlaceIsTaken)
 {
     setHolders(model("a"), { "engine-2" });
-    vmList->add("engine-2", platform::VmState::Gone);
+    vmList->add("engine-2", objectstore::VmState::Gone);
     startAgent();
     loadWhole(model("a"));
     BOOST_TEST(holders(model("a")) == 1u);
--- a/src/agent/tests/requestgate_test.cpp
+++ b/src/agent/tests/requestgate_test.cpp
@@ -66,7 +66,7 @@
 };
 
 struct OpenGate {
-    /// Long past for the real clock: what waits by that (`platform::updateObject`) tries once and gives up.
+    /// Long past for the real clock: what waits by that (`objectstore::updateObject`) tries once and gives up.
     framework::ManualControl control { framework::SteadyTime(std::chrono::milliseconds(1)) };
     FakeUse use;
     std::shared_ptr<FakeUpstream> upstream = std::make_shared<FakeUpstream>();
--- a/src/app/internal/bundlestatuscommand.cpp
+++ b/src/app/internal/bundlestatuscommand.cpp
@@ -4,7 +4,7 @@
 #include "app/internal/processstatus.h"
 #include "bundle/bundlehead.h"
 #include "bundle/replicaobject.h"
-#include "platform/objectread.h"
+#include "objectstore/objectread.h"
 
 #include <algorithm>
 #include <iostream>
@@ -25,7 +25,7 @@
 /// Prints what the platform and the processes say.
 class StatusReport {
 public:
-    StatusReport(platform::IPlatformStore& store, Deadline deadline)
+    StatusReport(objectstore::IObjectStore& store, Deadline deadline)
         : store_(store)
         , deadline_(deadline)
     {
@@ -33,7 +33,7 @@
 
     Result<void> printHead()
     {
-        BOOST_OUTCOME_TRY(object, platform::readObject(store_, bundle::bundleHeadKey(), deadline_));
+        BOOST_OUTCOME_TRY(object, objectstore::readObject(store_, bundle::bundleHeadKey(), deadline_));
         if (!object) {
             std::cout << "bundle: none was rolled out\n";
             return success();
@@ -48,8 +48,8 @@
     Result<void> printReplicas()
     {
         BOOST_OUTCOME_TRY(listed, store_.list("replicas/", deadline_));
-        for (const platform::ListedObject& entry : listed) {
-            BOOST_OUTCOME_TRY(object, platform::readObject(store_, entry.key, deadline_));
+        for (const objectstore::ListedObject& entry : listed) {
+            BOOST_OUTCOME_TRY(object, objectstore::readObject(store_, entry.key, deadline_));
             if (!object)
                 continue;
             BOOST_OUTCOME_TRY(replicas, bundle::parseReplicaObject(object->value, entry.key));
@@ -87,7 +87,7 @@
         return "loading";
     }
 
-    void printReplicaObject(const platform::ObjectKey& key, const ReplicaObject& object) const
+    void printReplicaObject(const objectstore::ObjectKey& key, const ReplicaObject& object) const
     {
         const auto loaded = std::count_if(object.holders.begin(), object.holders.end(),
             [](const auto& holder) { return holder.state == HolderState::Loaded; });
@@ -103,7 +103,7 @@
                       << ": " << release.reason << "\n";
     }
 
-    platform::IPlatformStore& store_;
+    objectstore::IObjectStore& store_;
     const Deadline deadline_;
     BundleVersion version_;
 };
--- a/src/app/internal/claimcommand.cpp
+++ b/src/app/internal/claimcommand.cpp
@@ -41,7 +41,7 @@
         if (const auto fault = faultOf(platform, OperatorOption::Required))
             return line.refuse(*fault);
         const bundle::ClaimRelease claim = claimOf(parsed);
-        if (!platform::isObjectKey(claim.key))
+        if (!objectstore::isObjectKey(claim.key))
             return line.refuse("--site, --model, --adapter: expected names as in the bundle");
         if (claim.reason.size() < shortestReason || claim.reason.size() > longestReason)
             return line.refuse("--reason: expected " + std::to_string(shortestReason) + " to "
--- /dev/null
+++ b/src/app/internal/directagentcommand.cpp
@@ -0,0 +1,56 @@
+#include "app/internal/directagentcommand.h"
+
+#include "app/internal/directprocess.h"
+#include "app/internal/readyline.h"
+#include "direct/directagent.h"
+#include "platform/agentsources.h"
+#include "platform/enginecalls.h"
+#include "platform/storecalls.h"
+
+#include <cstdlib>
+
+namespace lagoon::app {
+
+namespace {
+
+using Process = DirectProcess<direct::DirectAgentSettings>;
+
+int serve(Process& process, const direct::DirectAgentSettings& settings)
+{
+    framework::SystemClock clock;
+    framework::ControlThread control;
+    framework::EventThread traffic;
+    platform::StoreCalls store(traffic, control, settings.objectStore);
+    platform::StoreFences fences(store, settings.identity.vm);
+    platform::StoreProfiles profiles(store);
+    platform::EngineCalls engine(traffic, control, settings.engine);
+    direct::DirectAgent agent(
+        { control, traffic, clock, std::make_shared<framework::Metrics>(), engine, fences, profiles }, settings);
+    const auto endpoints = agent.start();
+    if (endpoints.has_error())
+        return failProcess("direct-agent", endpoints.error(), ExitFailure);
+    printReadyLine("direct-agent", settings.identity.vm,
+        { { "link", endpoints.value().link }, { "ops", endpoints.value().ops } });
+    // Nothing that it is told changes while it runs.
+    process.waitForEnd([](const direct::DirectAgentSettings&) { logDecision(framework::LogLine("reloaded")); });
+    logDecision(framework::LogLine("stopped"));
+    std::cout.flush();
+    // No request passes through it: what its engine does goes on, and the next agent takes it over.
+    std::_Exit(ExitSuccess);
+}
+
+class DirectAgentCommand final : public ICommand {
+public:
+    std::string name() const override { return "direct-agent"; }
+    std::string summary() const override { return "keep the models of the engine beside it as routers want them"; }
+    int run(const std::vector<std::string>& words) override
+    {
+        return Process(name(), direct::parseDirectAgentSettings).run(words, serve);
+    }
+};
+
+} // namespace
+
+std::unique_ptr<ICommand> makeDirectAgentCommand() { return std::make_unique<DirectAgentCommand>(); }
+
+} // namespace lagoon::app
--- /dev/null
+++ b/src/app/internal/directprocess.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "app/icommand.h"
+#include "app/internal/processcommand.h"
+#include "app/internal/settingsoption.h"
+#include "framework/decisionlog.h"
+#include "framework/processsettings.h"
+#include "framework/processsignal.h"
+#include "framework/types/error.h"
+
+#include <functional>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace lagoon::app {
+
+/// The settings file may change without a signal; reading a few hundred bytes this often costs nothing.
+inline constexpr framework::Milliseconds settingsCheckEach { 2000 };
+
+/// What the commands of direct processes have in common: `--settings FILE`, structured logs, checked settings, which
+/// are taken up anew on SIGHUP and when the file has changed.
+template <typename Settings> class DirectProcess {
+public:
+    using Parse = framework::Result<Settings> (*)(const std::string& text, const std::string& source);
+    using Reload = std::function<void(const Settings&)>;
+
+    DirectProcess(std::string role, Parse parse)
+        : role_(std::move(role))
+        , parse_(parse)
+    {
+    }
+
+    int run(const std::vector<std::string>& words, const std::function<int(DirectProcess&, const Settings&)>& serve)
+    {
+        const SettingsOption option = parseSettingsOption(role_, words);
+        if (option.exitCode)
+            return *option.exitCode;
+        file_ = option.file;
+        framework::startDecisionLog(role_);
+        framework::holdProcessSignals();
+        const auto settings = read();
+        if (settings.has_error())
+            return failProcess(role_, settings.error(), ExitUsage);
+        return serve(*this, settings.value());
+    }
+
+    /// Returns when the process is to end. Settings that can't be read are refused, and those in force stay.
+    void waitForEnd(const Reload& reload)
+    {
+        while (true) {
+            const auto signal = framework::waitForProcessSignal(settingsCheckEach);
+            if (signal == framework::ProcessSignal::Terminate)
+                return;
+            const std::string before = text_;
+            const auto settings = read();
+            if (settings.has_error())
+                logDecision(framework::LogLine("settings_refused").text("cause", describe(settings.error())));
+            else if (signal || text_ != before)
+                reload(settings.value());
+        }
+    }
+
+private:
+    framework::Result<Settings> read()
+    {
+        BOOST_OUTCOME_TRY(text, framework::readSettingsText(file_));
+        text_ = text;
+        return parse_(text_, file_);
+    }
+
+    std::string role_;
+    Parse parse_;
+    std::string file_;
+    std::string text_;
+};
+
+} // namespace lagoon::app
--- /dev/null
+++ b/src/app/internal/directroutercommand.cpp
@@ -0,0 +1,59 @@
+#include "app/internal/directroutercommand.h"
+
+#include "app/internal/directprocess.h"
+#include "app/internal/readyline.h"
+#include "direct/directrouter.h"
+#include "platform/catalogreader.h"
+#include "platform/kindfeed.h"
+#include "platform/requestdialect.h"
+#include "platform/storecalls.h"
+
+#include <cstdlib>
+
+namespace lagoon::app {
+
+namespace {
+
+using Process = DirectProcess<direct::DirectRouterSettings>;
+
+int serve(Process& process, const direct::DirectRouterSettings& settings)
+{
+    framework::SystemClock clock;
+    framework::ControlThread control;
+    framework::EventThread traffic;
+    platform::StoreCalls store(traffic, control, settings.objectStore);
+    platform::KindFeed configurations(store, "config");
+    platform::KindFeed servers(store, "servers");
+    const platform::CatalogDecoder decoder;
+    const platform::RequestDialect dialect;
+    direct::DirectRouter router({ control, traffic, clock, std::make_shared<framework::Metrics>(), configurations,
+                                    servers, decoder, dialect },
+        settings);
+    const auto endpoints = router.start();
+    if (endpoints.has_error())
+        return failProcess("direct-router", endpoints.error(), ExitFailure);
+    printReadyLine("direct-router", settings.identity.vm,
+        { { "callers", endpoints.value().callers }, { "readiness", endpoints.value().readiness },
+            { "ops", endpoints.value().ops } });
+    process.waitForEnd([&](const direct::DirectRouterSettings& changed) { router.reload(changed); });
+    router.drain();
+    std::cout.flush();
+    // All answers have left, or had no time any more; the system closes the rest.
+    std::_Exit(ExitSuccess);
+}
+
+class DirectRouterCommand final : public ICommand {
+public:
+    std::string name() const override { return "direct-router"; }
+    std::string summary() const override { return "serve callers, sending requests straight to servers"; }
+    int run(const std::vector<std::string>& words) override
+    {
+        return Process(name(), direct::parseDirectRouterSettings).run(words, serve);
+    }
+};
+
+} // namespace
+
+std::unique_ptr<ICommand> makeDirectRouterCommand() { return std::make_unique<DirectRouterCommand>(); }
+
+} // namespace lagoon::app
--- /dev/null
+++ b/src/app/internal/directroutercommand.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "app/icommand.h"
+
+namespace lagoon::app {
+
+std::unique_ptr<ICommand> makeDirectRouterCommand();
+
+} // namespace lagoon::app
--- a/src/app/internal/platformoptions.cpp
+++ b/src/app/internal/platformoptions.cpp
@@ -2,7 +2,7 @@
 
 #include "app/icommand.h"
 #include "framework/iclock.h"
-#include "platform/platformsettings.h"
+#include "objectstore/objectstoresettings.h"
 
 #include <algorithm>
 #include <cctype>
@@ -51,7 +51,7 @@
 
 std::optional<std::string> faultOf(const PlatformOptions& parsed, OperatorOption operatorOption)
 {
-    if (!platform::isPlatformUrl(parsed.url))
+    if (!objectstore::isPlatformUrl(parsed.url))
         return "--platform: expected http://address:port without a path";
     if (parsed.timeout == 0 || parsed.timeout > longestTimeout)
         return "--timeout: expected 1 to " + std::to_string(longestTimeout) + " seconds";
@@ -60,9 +60,9 @@
     return std::nullopt;
 }
 
-platform::PlatformClient connect(const PlatformOptions& parsed)
+objectstore::ObjectStoreClient connect(const PlatformOptions& parsed)
 {
-    return platform::makePlatformClient(
+    return objectstore::makeObjectStoreClient(
         { parsed.url, callTimeout, callsPerSecond, callsPerSecond }, std::make_shared<framework::Metrics>());
 }
 
--- a/src/app/internal/platformoptions.h
+++ b/src/app/internal/platformoptions.h
@@ -2,7 +2,7 @@
 
 #include "app/internal/commandline.h"
 #include "bundle/signoff.h"
-#include "platform/platformclient.h"
+#include "objectstore/objectstoreclient.h"
 
 #include <optional>
 #include <string>
@@ -24,7 +24,7 @@
 /// What is wrong with them, if anything.
 std::optional<std::string> faultOf(const PlatformOptions&, OperatorOption);
 
-platform::PlatformClient connect(const PlatformOptions&);
+objectstore::ObjectStoreClient connect(const PlatformOptions&);
 framework::Deadline deadlineOf(const PlatformOptions&);
 /// By the options' operator, now.
 bundle::OperatorAct actOf(const PlatformOptions&);
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -2,6 +2,8 @@
 #include "app/internal/bundlecommands.h"
 #include "app/internal/claimcommand.h"
 #include "app/internal/commandgroup.h"
+#include "app/internal/directagentcommand.h"
+#include "app/internal/directroutercommand.h"
 #include "app/internal/routercommand.h"
 #include "app/internal/settingscommand.h"
 #include "app/internal/versioncommand.h"
@@ -17,6 +19,8 @@
     Commands commands;
     commands.push_back(makeRouterCommand());
     commands.push_back(makeAgentCommand());
+    commands.push_back(makeDirectRouterCommand());
+    commands.push_back(makeDirectAgentCommand());
     commands.push_back(makeBundleCommand());
     commands.push_back(makeClaimCommand());
     commands.push_back(makeSettingsCommand());
--- a/src/bundle/benchmarks/bundlebenchmark.cpp
+++ b/src/bundle/benchmarks/bundlebenchmark.cpp
@@ -2,7 +2,7 @@
 #include "bundle/signoff.h"
 #include "bundle/storedbundle.h"
 #include "framework/iclock.h"
-#include "platform/iplatformstore.h"
+#include "objectstore/iobjectstore.h"
 
 #include <boost/program_options.hpp>
 #include <chrono>
@@ -27,8 +27,8 @@
 using framework::Result;
 using framework::SiteName;
 using framework::WeightsVersion;
-using platform::ObjectKey;
-using platform::StoredObject;
+using objectstore::ObjectKey;
+using objectstore::StoredObject;
 
 constexpr unsigned sites = 2;
 constexpr unsigned poolsPerSite = 10;
@@ -36,7 +36,7 @@
 constexpr unsigned changesMeasured = 20;
 
 /// Objects in a map, with the calls and bytes read from it.
-class CountingStore final : public platform::IPlatformStore {
+class CountingStore final : public objectstore::IObjectStore {
 public:
     Result<std::optional<StoredObject>> get(const ObjectKey& key, Deadline) override
     {
@@ -47,7 +47,7 @@
         bytesRead += found->second.value.size();
         return std::optional<StoredObject>(found->second);
     }
-    Result<std::vector<platform::ListedObject>> list(const std::string&, Deadline) override { return notHere(); }
+    Result<std::vector<objectstore::ListedObject>> list(const std::string&, Deadline) override { return notHere(); }
     Result<std::optional<StoredObject>> watch(const ObjectKey&, ObjectVersion, Deadline, std::stop_token) override
     {
         return notHere();
--- a/src/bundle/bundlehead.h
+++ b/src/bundle/bundlehead.h
@@ -2,13 +2,13 @@
 
 #include "bundle/types/bundlehead.h"
 #include "framework/types/error.h"
-#include "platform/types/storedobject.h"
+#include "objectstore/types/storedobject.h"
 
 #include <string>
 
 namespace lagoon::bundle {
 
-platform::ObjectKey bundleHeadKey();
+objectstore::ObjectKey bundleHeadKey();
 framework::Result<BundleHead> parseBundleHead(const std::string& text);
 std::string bundleHeadText(const BundleHead&);
 
--- a/src/bundle/bundlewatch.h
+++ b/src/bundle/bundlewatch.h
@@ -4,7 +4,7 @@
 #include "framework/controlthread.h"
 #include "framework/metrics.h"
 #include "framework/types/time.h"
-#include "platform/iplatformstore.h"
+#include "objectstore/iobjectstore.h"
 
 #include <cstdint>
 #include <memory>
@@ -33,7 +33,7 @@
 };
 
 /// Reads the head and the bundles it names on a thread of its own.
-std::shared_ptr<IBundleWatch> makeBundleWatch(HeadMode, std::shared_ptr<platform::IPlatformStore>,
+std::shared_ptr<IBundleWatch> makeBundleWatch(HeadMode, std::shared_ptr<objectstore::IObjectStore>,
     framework::IControlExecutor&, std::shared_ptr<framework::Metrics>, BundleWatchTimes = {});
 
 } // namespace lagoon::bundle
--- a/src/bundle/decidedcounts.h
+++ b/src/bundle/decidedcounts.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bundle/types/bundle.h"
-#include "platform/types/storedobject.h"
+#include "objectstore/types/storedobject.h"
 
 #include <cstdint>
 #include <map>
@@ -9,7 +9,7 @@
 namespace lagoon::bundle {
 
 /// Decided replicas by the key of their replica object, of models and adapters at all sites that the bundle names.
-using DecidedCounts = std::map<platform::ObjectKey, std::uint32_t>;
+using DecidedCounts = std::map<objectstore::ObjectKey, std::uint32_t>;
 
 DecidedCounts decidedCounts(const Bundle&);
 
--- a/src/bundle/internal/bundlehead.cpp
+++ b/src/bundle/internal/bundlehead.cpp
@@ -4,7 +4,7 @@
 
 namespace lagoon::bundle {
 
-platform::ObjectKey bundleHeadKey() { return platform::ObjectKey("bundle-head"); }
+objectstore::ObjectKey bundleHeadKey() { return objectstore::ObjectKey("bundle-head"); }
 
 framework::Result<BundleHead> parseBundleHead(const std::string& text)
 {
--- a/src/bundle/internal/bundlewatch.cpp
+++ b/src/bundle/internal/bundlewatch.cpp
@@ -5,7 +5,7 @@
 #include "framework/iclock.h"
 #include "framework/logging.h"
 #include "framework/randomid.h"
-#include "platform/backoff.h"
+#include "objectstore/backoff.h"
 
 #include <algorithm>
 #include <atomic>
@@ -25,14 +25,14 @@
 using framework::Milliseconds;
 using framework::ObjectVersion;
 using framework::Result;
-using platform::StoredObject;
+using objectstore::StoredObject;
 
 constexpr Milliseconds headTimeout { 5000 };
 constexpr Milliseconds loadTimeout { 20000 };
 
 class BundleWatch final : public IBundleWatch, public std::enable_shared_from_this<BundleWatch> {
 public:
-    BundleWatch(HeadMode mode, std::shared_ptr<platform::IPlatformStore> store, framework::IControlExecutor& control,
+    BundleWatch(HeadMode mode, std::shared_ptr<objectstore::IObjectStore> store, framework::IControlExecutor& control,
         std::shared_ptr<framework::Metrics> metrics, BundleWatchTimes times)
         : mode_(mode)
         , store_(std::move(store))
@@ -218,7 +218,7 @@
     }
 
     const HeadMode mode_;
-    std::shared_ptr<platform::IPlatformStore> store_;
+    std::shared_ptr<objectstore::IObjectStore> store_;
     framework::IControlExecutor& control_;
     std::shared_ptr<framework::Metrics> metrics_;
     const BundleWatchTimes times_;
@@ -231,7 +231,7 @@
     BundleVersion heard_;
 
     // Of the thread that follows.
-    platform::Backoff backoff_;
+    objectstore::Backoff backoff_;
     std::mt19937_64 random_;
     std::optional<LoadedBundle> loaded_;
     /// The head object's version that `loaded_` was read from.
@@ -242,7 +242,7 @@
 
 } // namespace
 
-std::shared_ptr<IBundleWatch> makeBundleWatch(HeadMode mode, std::shared_ptr<platform::IPlatformStore> store,
+std::shared_ptr<IBundleWatch> makeBundleWatch(HeadMode mode, std::shared_ptr<objectstore::IObjectStore> store,
     framework::IControlExecutor& control, std::shared_ptr<framework::Metrics> metrics, BundleWatchTimes times)
 {
     return std::make_shared<BundleWatch>(mode, std::move(store), control, std::move(metrics), times);
--- a/src/bundle/internal/claimrelease.cpp
+++ b/src/bundle/internal/claimrelease.cpp
@@ -1,7 +1,7 @@
 #include "bundle/claimrelease.h"
 
 #include "framework/randomid.h"
-#include "platform/objectupdate.h"
+#include "objectstore/objectupdate.h"
 
 #include <algorithm>
 
@@ -10,10 +10,10 @@
 using framework::Error;
 using framework::ErrorCode;
 using framework::Result;
-using platform::ObjectChange;
+using objectstore::ObjectChange;
 
 Result<ReplicaObject> releaseClaim(
-    platform::IPlatformStore& store, const ClaimRelease& claim, const OperatorAct& act, framework::Deadline deadline)
+    objectstore::IObjectStore& store, const ClaimRelease& claim, const OperatorAct& act, framework::Deadline deadline)
 {
     const ReplicaRelease release { claim.vm, act.operatorName, claim.reason, act.at, framework::newNonce() };
     const auto noClaim = [&] {
@@ -37,8 +37,8 @@
         const auto& releases = object.value().releases;
         return std::find(releases.begin(), releases.end(), release) != releases.end();
     };
-    BOOST_OUTCOME_TRY(
-        updated, platform::updateObject(store, claim.key, platform::ObjectUpdate { change, isOwnWrite }, deadline));
+    BOOST_OUTCOME_TRY(updated,
+        objectstore::updateObject(store, claim.key, objectstore::ObjectUpdate { change, isOwnWrite }, deadline));
     return parseReplicaObject(updated.value, claim.key);
 }
 
--- a/src/bundle/internal/replicaobject.cpp
+++ b/src/bundle/internal/replicaobject.cpp
@@ -133,16 +133,16 @@
     return object.lowered ? std::min(object.lowered->decided, object.decided) : object.decided;
 }
 
-platform::ObjectKey replicaKey(
+objectstore::ObjectKey replicaKey(
     const framework::SiteName& site, const framework::ModelName& model, const framework::AdapterName& adapter)
 {
     std::string key = "replicas/" + site.value() + "/" + model.value();
     if (!adapter.value().empty())
         key += "/" + adapter.value();
-    return platform::ObjectKey(key);
+    return objectstore::ObjectKey(key);
 }
 
-framework::Result<ReplicaObject> parseReplicaObject(const std::string& text, const platform::ObjectKey& key)
+framework::Result<ReplicaObject> parseReplicaObject(const std::string& text, const objectstore::ObjectKey& key)
 {
     BOOST_OUTCOME_TRY(json, framework::parseJson(text, key.value(), ErrorCode::BadObject));
     CheckedObject object(json, key.value(), "", ErrorCode::BadObject);
--- a/src/bundle/internal/rollout.cpp
+++ b/src/bundle/internal/rollout.cpp
@@ -4,8 +4,8 @@
 #include "bundle/decidedcounts.h"
 #include "bundle/replicaobject.h"
 #include "framework/randomid.h"
-#include "platform/objectread.h"
-#include "platform/objectupdate.h"
+#include "objectstore/objectread.h"
+#include "objectstore/objectupdate.h"
 
 #include <algorithm>
 
@@ -18,16 +18,16 @@
 using framework::Error;
 using framework::ErrorCode;
 using framework::Result;
-using platform::ObjectChange;
-using platform::ObjectKey;
-using platform::ObjectUpdate;
+using objectstore::ObjectChange;
+using objectstore::ObjectKey;
+using objectstore::ObjectUpdate;
 
 const std::string step = "roll out bundle";
 
 /// One run of `rollOut`.
 class RollOut {
 public:
-    RollOut(platform::IPlatformStore& store, BundleVersion version, const OperatorAct& act, Deadline deadline)
+    RollOut(objectstore::IObjectStore& store, BundleVersion version, const OperatorAct& act, Deadline deadline)
         : store_(store)
         , version_(version)
         , act_(act)
@@ -61,7 +61,7 @@
 
     Result<void> readBase()
     {
-        BOOST_OUTCOME_TRY(object, platform::readObject(store_, bundleHeadKey(), deadline_));
+        BOOST_OUTCOME_TRY(object, objectstore::readObject(store_, bundleHeadKey(), deadline_));
         if (!object)
             return framework::success();
         BOOST_OUTCOME_TRY(head, parseBundleHead(object->value));
@@ -78,7 +78,7 @@
     Result<void> readCandidate()
     {
         const ObjectKey key = manifestKey(version_);
-        BOOST_OUTCOME_TRY(object, platform::readObject(store_, key, deadline_));
+        BOOST_OUTCOME_TRY(object, objectstore::readObject(store_, key, deadline_));
         if (!object)
             return Error { ErrorCode::NotFound, step, key.value(), "no such version was signed off" };
         head_ = BundleHead { version_, bundleDigest(object->value), framework::newNonce(), act_.operatorName, act_.at };
@@ -120,7 +120,7 @@
             const auto object = parseReplicaObject(value, key);
             return object && object.value().lowered == mergedMark(object.value(), count);
         };
-        BOOST_OUTCOME_TRYV(platform::updateObject(store_, key, ObjectUpdate { change, isOwnWrite }, deadline_));
+        BOOST_OUTCOME_TRYV(objectstore::updateObject(store_, key, ObjectUpdate { change, isOwnWrite }, deadline_));
         return framework::success();
     }
 
@@ -152,7 +152,7 @@
         // A later roll-out replaces the whole head, so an operator whose answer was lost can't always be told whether
         // the version was in force for a moment.
         const ObjectUpdate update { change, isOwnWrite, true };
-        BOOST_OUTCOME_TRYV(platform::updateObject(store_, bundleHeadKey(), update, deadline_));
+        BOOST_OUTCOME_TRYV(objectstore::updateObject(store_, bundleHeadKey(), update, deadline_));
         return framework::success();
     }
 
@@ -160,7 +160,7 @@
     /// replicas than decided, never more.
     void takeBackCounts()
     {
-        const auto object = platform::readObject(store_, bundleHeadKey(), deadline_);
+        const auto object = objectstore::readObject(store_, bundleHeadKey(), deadline_);
         if (!object || !object.value())
             return;
         const auto head = parseBundleHead(object.value()->value);
@@ -194,10 +194,10 @@
             const auto object = parseReplicaObject(value, key);
             return object && (!object.value().lowered || object.value().lowered->bundleVersion != version_);
         };
-        (void)platform::updateObject(store_, key, ObjectUpdate { change, isOwnWrite }, deadline_);
+        (void)objectstore::updateObject(store_, key, ObjectUpdate { change, isOwnWrite }, deadline_);
     }
 
-    platform::IPlatformStore& store_;
+    objectstore::IObjectStore& store_;
     const BundleVersion version_;
     const OperatorAct& act_;
     const Deadline deadline_;
@@ -213,7 +213,7 @@
 } // namespace
 
 Result<RollOutResult> rollOut(
-    platform::IPlatformStore& store, BundleVersion version, const OperatorAct& act, Deadline deadline)
+    objectstore::IObjectStore& store, BundleVersion version, const OperatorAct& act, Deadline deadline)
 {
     return RollOut(store, version, act, deadline).run();
 }
--- a/src/bundle/internal/signoff.cpp
+++ b/src/bundle/internal/signoff.cpp
@@ -1,6 +1,6 @@
 #include "bundle/signoff.h"
 
-#include "platform/objectupdate.h"
+#include "objectstore/objectupdate.h"
 
 namespace lagoon::bundle {
 
@@ -10,13 +10,13 @@
 using framework::Error;
 using framework::ErrorCode;
 using framework::Result;
-using platform::ObjectChange;
-using platform::ObjectKey;
-using platform::ObjectUpdate;
+using objectstore::ObjectChange;
+using objectstore::ObjectKey;
+using objectstore::ObjectUpdate;
 
 const std::string step = "sign off bundle";
 
-Result<void> storePart(platform::IPlatformStore& store, const BundlePart& part, Deadline deadline)
+Result<void> storePart(objectstore::IObjectStore& store, const BundlePart& part, Deadline deadline)
 {
     const ObjectKey key = partKey(part.digest);
     const auto change = [&](const std::optional<std::string>& present) -> Result<ObjectChange> {
@@ -27,7 +27,7 @@
         return ObjectChange {};
     };
     const auto isOwnWrite = [&](const std::string& value) { return value == part.text; };
-    BOOST_OUTCOME_TRYV(platform::updateObject(store, key, ObjectUpdate { change, isOwnWrite }, deadline));
+    BOOST_OUTCOME_TRYV(objectstore::updateObject(store, key, ObjectUpdate { change, isOwnWrite }, deadline));
     return framework::success();
 }
 
@@ -47,7 +47,7 @@
 } // namespace
 
 Result<BundleManifest> signOff(
-    platform::IPlatformStore& store, const Bundle& bundle, const OperatorAct& act, Deadline deadline)
+    objectstore::IObjectStore& store, const Bundle& bundle, const OperatorAct& act, Deadline deadline)
 {
     SplitBundle split = splitBundle(bundle);
     split.manifest.signedOffBy = act.operatorName;
@@ -60,7 +60,7 @@
     const std::string text = bundleManifestText(split.manifest);
     const ObjectUpdate update { [&](const auto& present) { return createManifest(present, split.manifest); },
         [&](const std::string& value) { return value == text; } };
-    BOOST_OUTCOME_TRY(stored, platform::updateObject(store, key, update, deadline));
+    BOOST_OUTCOME_TRY(stored, objectstore::updateObject(store, key, update, deadline));
     return parseBundleManifest(stored.value, key);
 }
 
--- a/src/bundle/internal/storedbundle.cpp
+++ b/src/bundle/internal/storedbundle.cpp
@@ -3,7 +3,7 @@
 #include "bundle/internal/bundlereader.h"
 #include "bundle/internal/bundlewriter.h"
 #include "bundle/internal/digest.h"
-#include "platform/objectread.h"
+#include "objectstore/objectread.h"
 
 #include <algorithm>
 
@@ -66,7 +66,7 @@
     return models;
 }
 
-Error badBundle(const platform::ObjectKey& key, std::string detail)
+Error badBundle(const objectstore::ObjectKey& key, std::string detail)
 {
     return Error { ErrorCode::BadBundle, "load bundle", key.value(), std::move(detail) };
 }
@@ -75,7 +75,7 @@
 class BundleLoad {
 public:
     BundleLoad(
-        platform::IPlatformStore& store, const LoadedBundle* previous, Deadline deadline, const std::stop_token& stop)
+        objectstore::IObjectStore& store, const LoadedBundle* previous, Deadline deadline, const std::stop_token& stop)
         : store_(store)
         , previous_(previous)
         , deadline_(deadline)
@@ -85,7 +85,7 @@
 
     Result<LoadedBundle> run(const BundleHead& head)
     {
-        const platform::ObjectKey key = manifestKey(head.version);
+        const objectstore::ObjectKey key = manifestKey(head.version);
         BOOST_OUTCOME_TRY(text, readChecked(key, head.digest));
         BOOST_OUTCOME_TRY(manifest, parseBundleManifest(text, key));
         if (manifest.version != head.version)
@@ -97,9 +97,9 @@
     }
 
 private:
-    Result<std::string> readChecked(const platform::ObjectKey& key, const std::string& digest)
+    Result<std::string> readChecked(const objectstore::ObjectKey& key, const std::string& digest)
     {
-        BOOST_OUTCOME_TRY(object, platform::readObject(store_, key, deadline_, stop_));
+        BOOST_OUTCOME_TRY(object, objectstore::readObject(store_, key, deadline_, stop_));
         if (!object)
             return Error { ErrorCode::NotFound, "load bundle", key.value(), "the object doesn't exist" };
         // Guards against a head and a bundle of different sign-offs, and against a value cut or changed on its way.
@@ -110,7 +110,7 @@
 
     Result<void> readPart(const std::string& digest, void (*read)(CheckedObject&, Bundle&))
     {
-        const platform::ObjectKey key = partKey(digest);
+        const objectstore::ObjectKey key = partKey(digest);
         BOOST_OUTCOME_TRY(text, readChecked(key, digest));
         BOOST_OUTCOME_TRY(json, framework::parseJson(text, key.value(), ErrorCode::BadBundle));
         CheckedObject object(json, key.value(), "", ErrorCode::BadBundle);
@@ -171,7 +171,7 @@
         return framework::success();
     }
 
-    platform::IPlatformStore& store_;
+    objectstore::IObjectStore& store_;
     const LoadedBundle* previous_;
     const Deadline deadline_;
     const std::stop_token& stop_;
@@ -180,14 +180,14 @@
 
 } // namespace
 
-platform::ObjectKey manifestKey(framework::BundleVersion version)
+objectstore::ObjectKey manifestKey(framework::BundleVersion version)
 {
-    return platform::ObjectKey("bundles/" + std::to_string(version.value()));
+    return objectstore::ObjectKey("bundles/" + std::to_string(version.value()));
 }
 
-platform::ObjectKey partKey(const std::string& digest) { return platform::ObjectKey("bundle-parts/" + digest); }
+objectstore::ObjectKey partKey(const std::string& digest) { return objectstore::ObjectKey("bundle-parts/" + digest); }
 
-Result<BundleManifest> parseBundleManifest(const std::string& text, const platform::ObjectKey& key)
+Result<BundleManifest> parseBundleManifest(const std::string& text, const objectstore::ObjectKey& key)
 {
     BOOST_OUTCOME_TRY(json, framework::parseJson(text, key.value(), ErrorCode::BadBundle));
     CheckedObject object(json, key.value(), "", ErrorCode::BadBundle);
@@ -238,7 +238,7 @@
     return split;
 }
 
-Result<LoadedBundle> loadBundle(platform::IPlatformStore& store, const BundleHead& head, const LoadedBundle* previous,
+Result<LoadedBundle> loadBundle(objectstore::IObjectStore& store, const BundleHead& head, const LoadedBundle* previous,
     Deadline deadline, const std::stop_token& stop)
 {
     return BundleLoad(store, previous, deadline, stop).run(head);
--- a/src/bundle/replicaobject.h
+++ b/src/bundle/replicaobject.h
@@ -2,7 +2,7 @@
 
 #include "framework/types/error.h"
 #include "framework/types/ids.h"
-#include "platform/types/storedobject.h"
+#include "objectstore/types/storedobject.h"
 
 #include <cstdint>
 #include <optional>
@@ -76,10 +76,10 @@
 std::uint32_t applyDecision(ReplicaObject&, const DecidedCount& known);
 
 /// `replicas/<site>/<model>`, and `/<adapter>` if there is one.
-platform::ObjectKey replicaKey(
+objectstore::ObjectKey replicaKey(
     const framework::SiteName&, const framework::ModelName&, const framework::AdapterName& adapter = {});
 
-framework::Result<ReplicaObject> parseReplicaObject(const std::string& text, const platform::ObjectKey&);
+framework::Result<ReplicaObject> parseReplicaObject(const std::string& text, const objectstore::ObjectKey&);
 std::string replicaObjectText(const ReplicaObject&);
 
 } // namespace lagoon::bundle
--- a/src/bundle/signoff.h
+++ b/src/bundle/signoff.h
@@ -16,6 +16,6 @@
 /// again succeeds and changes nothing. `PlatformConflict`, with the other operator's name, if the version holds
 /// something else.
 framework::Result<BundleManifest> signOff(
-    platform::IPlatformStore&, const Bundle&, const OperatorAct&, framework::Deadline);
+    objectstore::IObjectStore&, const Bundle&, const OperatorAct&, framework::Deadline);
 
 } // namespace lagoon::bundle
--- a/src/bundle/storedbundle.h
+++ b/src/bundle/storedbundle.h
@@ -3,7 +3,7 @@
 #include "bundle/types/bundle.h"
 #include "bundle/types/bundlehead.h"
 #include "framework/types/error.h"
-#include "platform/iplatformstore.h"
+#include "objectstore/iobjectstore.h"
 
 #include <cstddef>
 #include <stop_token>
@@ -52,9 +52,9 @@
     std::string digest;
 };
 
-platform::ObjectKey manifestKey(framework::BundleVersion);
-platform::ObjectKey partKey(const std::string& digest);
-framework::Result<BundleManifest> parseBundleManifest(const std::string& text, const platform::ObjectKey&);
+objectstore::ObjectKey manifestKey(framework::BundleVersion);
+objectstore::ObjectKey partKey(const std::string& digest);
+framework::Result<BundleManifest> parseBundleManifest(const std::string& text, const objectstore::ObjectKey&);
 std::string bundleManifestText(const BundleManifest&);
 /// What the head names a manifest by.
 std::string bundleDigest(const std::string& manifestText);
@@ -66,7 +66,7 @@
 
 /// Reads the bundle that the head names. Parts that `previous` (may be null) was put together from aren't read again.
 /// `BadBundle` if something isn't what its digest says.
-framework::Result<LoadedBundle> loadBundle(platform::IPlatformStore&, const BundleHead&, const LoadedBundle* previous,
+framework::Result<LoadedBundle> loadBundle(objectstore::IObjectStore&, const BundleHead&, const LoadedBundle* previous,
     framework::Deadline, const std::stop_token& = {});
 
 } // namespace lagoon::bundle
--- a/src/bundle/tests/bundlefixture.cpp
+++ b/src/bundle/tests/bundlefixture.cpp
@@ -26,7 +26,7 @@
     return framework::Deadline::after(framework::SystemClock().now(), framework::Milliseconds(milliseconds));
 }
 
-void rollOutBundle(platform::IPlatformStore& store, std::uint64_t version, std::uint32_t replicas)
+void rollOutBundle(objectstore::IObjectStore& store, std::uint64_t version, std::uint32_t replicas)
 {
     const OperatorAct act { "ada", "2026-12-02T20:00:00Z" };
     const auto bundle = parseBundle(bundleText(version, replicas), "fixture");
--- a/src/bundle/tests/bundlefixture.h
+++ b/src/bundle/tests/bundlefixture.h
@@ -2,7 +2,7 @@
 
 #include "bundle/types/bundle.h"
 #include "framework/types/time.h"
-#include "platform/iplatformstore.h"
+#include "objectstore/iobjectstore.h"
 
 #include <cstdint>
 #include <string>
@@ -12,7 +12,7 @@
 /// A small bundle: model `notes` (replicas at site `south`) with adapter `kiosk`, service `booking`.
 std::string bundleText(std::uint64_t version, std::uint32_t replicas = 2);
 /// Signs off and rolls out such a bundle; fails the test if that doesn't work.
-void rollOutBundle(platform::IPlatformStore&, std::uint64_t version, std::uint32_t replicas = 2);
+void rollOutBundle(objectstore::IObjectStore&, std::uint64_t version, std::uint32_t replicas = 2);
 framework::Deadline soon(int milliseconds = 10000);
 
 } // namespace lagoon::bundle::tests
--- a/src/bundle/tests/bundlewatch_test.cpp
+++ b/src/bundle/tests/bundlewatch_test.cpp
@@ -2,7 +2,7 @@
 
 #include "bundle/bundlehead.h"
 #include "bundle/tests/bundlefixture.h"
-#include "platform/tests/memoryplatformstore.h"
+#include "objectstore/tests/memoryobjectstore.h"
 
 #include <boost/test/unit_test.hpp>
 #include <mutex>
@@ -12,7 +12,7 @@
 using namespace lagoon::bundle;
 using framework::BundleVersion;
 using framework::Milliseconds;
-using platform::MemoryPlatformStore;
+using objectstore::MemoryObjectStore;
 
 namespace {
 
@@ -21,7 +21,7 @@
 /// A process' view of the bundle, and every version that it was ever told of.
 class Follower {
 public:
-    Follower(HeadMode mode, std::shared_ptr<MemoryPlatformStore> store, Milliseconds poll = Milliseconds(60000))
+    Follower(HeadMode mode, std::shared_ptr<MemoryObjectStore> store, Milliseconds poll = Milliseconds(60000))
         : watch_(makeBundleWatch(mode, std::move(store), control_, metrics_,
             { .watch = Milliseconds(200),
                 .poll = poll,
@@ -73,7 +73,10 @@
     std::shared_ptr<IBundleWatch> watch_;
 };
 
-platform::StoredObject headOf(MemoryPlatformStore& store) { return *store.get(bundleHeadKey(), tests::soon()).value(); }
+objectstore::StoredObject headOf(MemoryObjectStore& store)
+{
+    return *store.get(bundleHeadKey(), tests::soon()).value();
+}
 
 } // namespace
 
@@ -81,7 +84,7 @@
 
 BOOST_AUTO_TEST_CASE(aWatcherFollowsTheHead)
 {
-    auto store = std::make_shared<MemoryPlatformStore>();
+    auto store = std::make_shared<MemoryObjectStore>();
     Follower follower(HeadMode::Watch, store);
     tests::rollOutBundle(*store, 7);
     BOOST_TEST(follower.reaches(7));
@@ -93,7 +96,7 @@
 
 BOOST_AUTO_TEST_CASE(aListenerReadsWhenItHearsOfANewerVersion)
 {
-    auto store = std::make_shared<MemoryPlatformStore>();
+    auto store = std::make_shared<MemoryObjectStore>();
     tests::rollOutBundle(*store, 7);
     Follower follower(HeadMode::Listen, store);
     BOOST_TEST(follower.reaches(7));
@@ -104,7 +107,7 @@
 
 BOOST_AUTO_TEST_CASE(aListenerThatNobodySpeaksToPolls)
 {
-    auto store = std::make_shared<MemoryPlatformStore>();
+    auto store = std::make_shared<MemoryObjectStore>();
     tests::rollOutBundle(*store, 7);
     Follower follower(HeadMode::Listen, store, shortWait);
     BOOST_TEST(follower.reaches(7));
@@ -117,9 +120,9 @@
 BOOST_AUTO_TEST_CASE(anOlderHeadIsNeverTaken)
 {
     for (const HeadMode mode : { HeadMode::Watch, HeadMode::Listen }) {
-        auto store = std::make_shared<MemoryPlatformStore>();
+        auto store = std::make_shared<MemoryObjectStore>();
         tests::rollOutBundle(*store, 7);
-        const platform::StoredObject older = headOf(*store);
+        const objectstore::StoredObject older = headOf(*store);
         tests::rollOutBundle(*store, 8);
         Follower follower(mode, store, shortWait);
         BOOST_TEST(follower.reaches(8));
@@ -137,9 +140,9 @@
 // platform showed it 7.
 BOOST_AUTO_TEST_CASE(aProcessThatStartsDoesNotGoBelowWhatPeersSay)
 {
-    auto store = std::make_shared<MemoryPlatformStore>();
+    auto store = std::make_shared<MemoryObjectStore>();
     tests::rollOutBundle(*store, 7);
-    const platform::StoredObject older = headOf(*store);
+    const objectstore::StoredObject older = headOf(*store);
     tests::rollOutBundle(*store, 8);
     store->setAvailable(false);
     store->showInstead(bundleHeadKey(), older);
@@ -157,7 +160,7 @@
 // was down.
 BOOST_AUTO_TEST_CASE(aProcessThatStartsInAnOutageGetsTheBundleAfterIt)
 {
-    auto store = std::make_shared<MemoryPlatformStore>();
+    auto store = std::make_shared<MemoryObjectStore>();
     tests::rollOutBundle(*store, 7);
     store->setAvailable(false);
     Follower follower(HeadMode::Watch, store);
@@ -169,14 +172,14 @@
 
 BOOST_AUTO_TEST_CASE(aBundleThatIsNotWhatItsDigestSaysIsNotTaken)
 {
-    auto store = std::make_shared<MemoryPlatformStore>();
+    auto store = std::make_shared<MemoryObjectStore>();
     tests::rollOutBundle(*store, 7);
     const std::string head = *store->valueOf(bundleHeadKey());
     Follower follower(HeadMode::Watch, store);
     BOOST_TEST(follower.reaches(7));
     BundleHead wrong = parseBundleHead(head).value();
     wrong.version = BundleVersion(8);
-    store->set(platform::ObjectKey("bundles/8"), *store->valueOf(platform::ObjectKey("bundles/7")));
+    store->set(objectstore::ObjectKey("bundles/8"), *store->valueOf(objectstore::ObjectKey("bundles/7")));
     store->set(bundleHeadKey(), bundleHeadText(wrong));
     BOOST_TEST(Follower::waitUntil([&] { return follower.counts("code=\"bad_bundle\""); }));
     BOOST_TEST(follower.version() == 7U);
--- a/src/bundle/tests/parserfuzz_test.cpp
+++ b/src/bundle/tests/parserfuzz_test.cpp
@@ -123,14 +123,14 @@
 BOOST_AUTO_TEST_CASE(manifests)
 {
     fuzz({ manifestText }, [](const std::string& text) -> framework::Result<std::string> {
-        BOOST_OUTCOME_TRY(manifest, parseBundleManifest(text, platform::ObjectKey("bundles/8")));
+        BOOST_OUTCOME_TRY(manifest, parseBundleManifest(text, objectstore::ObjectKey("bundles/8")));
         return bundleManifestText(manifest);
     });
 }
 
 BOOST_AUTO_TEST_CASE(replicaObjects)
 {
-    const platform::ObjectKey key("replicas/south/notes");
+    const objectstore::ObjectKey key("replicas/south/notes");
     fuzz({ replicaText, replicaObjectText({}) }, [&](const std::string& text) -> framework::Result<std::string> {
         BOOST_OUTCOME_TRY(object, parseReplicaObject(text, key));
         return replicaObjectText(object);
--- a/src/bundle/tests/replicaobject_test.cpp
+++ b/src/bundle/tests/replicaobject_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-const platform::ObjectKey key = replicaKey(framework::SiteName("ikeja"), framework::ModelName("policy"));
+const objectstore::ObjectKey key = replicaKey(framework::SiteName("ikeja"), framework::ModelName("policy"));
 
 ReplicaObject decided(std::uint32_t count, std::uint64_t version)
 {
--- a/src/bundle/tests/rollout_test.cpp
+++ b/src/bundle/tests/rollout_test.cpp
@@ -4,7 +4,7 @@
 #include "bundle/bundletext.h"
 #include "bundle/claimrelease.h"
 #include "bundle/tests/bundlefixture.h"
-#include "platform/tests/memoryplatformstore.h"
+#include "objectstore/tests/memoryobjectstore.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,36 +13,36 @@
 using framework::BundleVersion;
 using framework::ErrorCode;
 using framework::Execution;
-using platform::MemoryPlatformStore;
-using platform::WriteFault;
+using objectstore::MemoryObjectStore;
+using objectstore::WriteFault;
 using tests::soon;
 
 namespace {
 
 const OperatorAct ada { "ada", "2026-12-02T20:00:00Z" };
 const OperatorAct bob { "bob", "2026-12-02T20:00:01Z" };
-const platform::ObjectKey notes = replicaKey(framework::SiteName("south"), framework::ModelName("notes"));
+const objectstore::ObjectKey notes = replicaKey(framework::SiteName("south"), framework::ModelName("notes"));
 
-void signOffBundle(MemoryPlatformStore& store, std::uint64_t version, std::uint32_t replicas)
+void signOffBundle(MemoryObjectStore& store, std::uint64_t version, std::uint32_t replicas)
 {
     const auto bundle = parseBundle(tests::bundleText(version, replicas), "fixture");
     BOOST_REQUIRE(signOff(store, bundle.value(), ada, soon()).has_value());
 }
 
-framework::Result<RollOutResult> rollOutAs(MemoryPlatformStore& store, std::uint64_t version, const OperatorAct& act)
+framework::Result<RollOutResult> rollOutAs(MemoryObjectStore& store, std::uint64_t version, const OperatorAct& act)
 {
     return rollOut(store, BundleVersion(version), act, soon());
 }
 
-BundleHead headOf(const MemoryPlatformStore& store) { return parseBundleHead(*store.valueOf(bundleHeadKey())).value(); }
+BundleHead headOf(const MemoryObjectStore& store) { return parseBundleHead(*store.valueOf(bundleHeadKey())).value(); }
 
-ReplicaObject notesOf(const MemoryPlatformStore& store)
+ReplicaObject notesOf(const MemoryObjectStore& store)
 {
     return parseReplicaObject(store.valueOf(notes).value_or(replicaObjectText({})), notes).value();
 }
 
 /// What an agent that knows this bundle may claim of the model.
-std::uint32_t allowed(const MemoryPlatformStore& store, std::uint32_t decided, std::uint64_t version)
+std::uint32_t allowed(const MemoryObjectStore& store, std::uint32_t decided, std::uint64_t version)
 {
     ReplicaObject object = notesOf(store);
     return applyDecision(object, { decided, BundleVersion(version) });
@@ -54,7 +54,7 @@
 
 BOOST_AUTO_TEST_CASE(onlyASignedOffBundleAboveTheHeadIsRolledOut)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     tests::rollOutBundle(store, 7);
     BOOST_TEST((rollOutAs(store, 8, bob).error().code == ErrorCode::NotFound));
     signOffBundle(store, 6, 2);
@@ -67,22 +67,22 @@
 
 BOOST_AUTO_TEST_CASE(aSignedOffVersionIsNeverChanged)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     signOffBundle(store, 7, 2);
-    const auto before = store.valueOf(platform::ObjectKey("bundles/7"));
+    const auto before = store.valueOf(objectstore::ObjectKey("bundles/7"));
     const auto again = signOff(store, parseBundle(tests::bundleText(7, 2), "").value(), bob, soon());
     BOOST_TEST(again.value().signedOffBy == "ada");
     const auto other = signOff(store, parseBundle(tests::bundleText(7, 1), "").value(), bob, soon());
     BOOST_TEST((other.error().code == ErrorCode::PlatformConflict));
     BOOST_TEST(other.error().detail.find("by ada") != std::string::npos);
-    BOOST_TEST((store.valueOf(platform::ObjectKey("bundles/7")) == before));
+    BOOST_TEST((store.valueOf(objectstore::ObjectKey("bundles/7")) == before));
 }
 
 // Two operators roll out at the same moment and both are told that it worked; one of the bundles is in force nowhere.
 // Each had read the same head before either moved it.
 BOOST_AUTO_TEST_CASE(ofTwoRacingOperatorsOneWinsAndTheOtherIsToldByWhom)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     tests::rollOutBundle(store, 7);
     signOffBundle(store, 8, 2);
     signOffBundle(store, 9, 2);
@@ -100,7 +100,7 @@
 BOOST_AUTO_TEST_CASE(aHeadMovedWithoutAnAnswerIsKnownAsMoved)
 {
     for (const WriteFault fault : { WriteFault::LoseAnswer, WriteFault::SendTwice, WriteFault::LoseRequest }) {
-        MemoryPlatformStore store;
+        MemoryObjectStore store;
         tests::rollOutBundle(store, 7);
         signOffBundle(store, 8, 2);
         store.failNextWrites({ fault });
@@ -113,7 +113,7 @@
 // head's write was still on its way when the command gave up.
 BOOST_AUTO_TEST_CASE(aHeadThatMayStillMoveIsSaidToBeUnknownAndItsCountsStay)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     tests::rollOutBundle(store, 7, 2);
     signOffBundle(store, 8, 1);
     std::vector<WriteFault> faults(1000, WriteFault::Hold);
@@ -131,7 +131,7 @@
 // after the roll-out ended: its own bundle says two.
 BOOST_AUTO_TEST_CASE(countsAreLoweredBeforeTheHeadMoves)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     tests::rollOutBundle(store, 7, 2);
     signOffBundle(store, 8, 1);
     std::optional<std::uint64_t> headAtFirstWrite;
@@ -144,7 +144,7 @@
 
 BOOST_AUTO_TEST_CASE(theLoserOfARaceTakesItsLoweredCountsBack)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     tests::rollOutBundle(store, 7, 3);
     signOffBundle(store, 8, 3);
     signOffBundle(store, 9, 1);
@@ -158,7 +158,7 @@
 // the winner's must still bind agents that know only bundle 7.
 BOOST_AUTO_TEST_CASE(theLoserLeavesTheWinnersLoweredCount)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     tests::rollOutBundle(store, 7, 3);
     signOffBundle(store, 8, 2);
     signOffBundle(store, 9, 1);
@@ -172,7 +172,7 @@
 BOOST_AUTO_TEST_CASE(aForcedReleaseIsRecordedAndTakesEffectOnce)
 {
     for (const WriteFault fault : { WriteFault::LoseAnswer, WriteFault::SendTwice, WriteFault::Conflict }) {
-        MemoryPlatformStore store;
+        MemoryObjectStore store;
         ReplicaObject object;
         for (const char* vm : { "vm-1", "vm-2" })
             object.holders.push_back({ framework::VmName(vm), framework::Incarnation(3), "n", HolderState::Loaded });
--- a/src/bundle/tests/storedbundle_test.cpp
+++ b/src/bundle/tests/storedbundle_test.cpp
@@ -2,7 +2,7 @@
 
 #include "bundle/signoff.h"
 #include "bundle/tests/bundlefixture.h"
-#include "platform/tests/memoryplatformstore.h"
+#include "objectstore/tests/memoryobjectstore.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -15,7 +15,7 @@
 using framework::PoolName;
 using framework::SiteName;
 using framework::WeightsVersion;
-using platform::MemoryPlatformStore;
+using objectstore::MemoryObjectStore;
 using tests::soon;
 
 namespace {
@@ -41,7 +41,7 @@
 }
 
 /// Signs the bundle off and returns the head that would name it.
-BundleHead storeBundle(MemoryPlatformStore& store, const Bundle& bundle)
+BundleHead storeBundle(MemoryObjectStore& store, const Bundle& bundle)
 {
     const auto manifest = signOff(store, bundle, { "ada", "2026-12-02T20:00:00Z" }, soon());
     BOOST_REQUIRE(manifest.has_value());
@@ -63,7 +63,7 @@
 
 BOOST_AUTO_TEST_CASE(whatWasStoredIsLoaded)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     const Bundle bundle = bundleOfModels(400);
     BOOST_TEST(splitBundle(bundle).manifest.parts.size() == 4U);
     const auto loaded = loadBundle(store, storeBundle(store, bundle), nullptr, soon());
@@ -73,7 +73,7 @@
 
 BOOST_AUTO_TEST_CASE(onlyPartsThatChangedAreReadAgain)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     Bundle bundle = bundleOfModels(400);
     const auto first = loadBundle(store, storeBundle(store, bundle), nullptr, soon());
     bundle.version = BundleVersion(2);
@@ -93,7 +93,7 @@
 // request for the model would wait out its deadline.
 BOOST_AUTO_TEST_CASE(whatIsTakenOverIsCheckedAgainstTheNewPools)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     Bundle bundle = bundleOfModels(2);
     const auto first = loadBundle(store, storeBundle(store, bundle), nullptr, soon());
     bundle.version = BundleVersion(2);
@@ -105,7 +105,7 @@
 
 BOOST_AUTO_TEST_CASE(aPartThatWasChangedIsRefused)
 {
-    MemoryPlatformStore store;
+    MemoryObjectStore store;
     const Bundle bundle = bundleOfModels(3);
     const BundleHead head = storeBundle(store, bundle);
     const BundlePart part = splitBundle(bundle).parts.back();
--- a/src/platform/tests/main.cpp
+++ b/src/catalog/tests/main.cpp
@@ -1,2 +1,2 @@
-#define BOOST_TEST_MODULE platform
+#define BOOST_TEST_MODULE catalog
 #include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/src/catalog/types/upstream.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "catalog/types/units.h"
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoon::catalog {
+
+/// A model in an engine's accelerator memory, with its adapters.
+struct HeldModel {
+    framework::ModelName model;
+    std::uint32_t version = 0;
+    std::vector<framework::AdapterName> adapters;
+
+    bool has(const framework::AdapterName&) const;
+};
+
+enum class UpstreamState : std::uint8_t {
+    Ready,
+    Leaving, ///< serves what it has and soon ends
+};
+
+/// One server as the platform's list describes it. The list lags.
+struct Upstream {
+    InstanceId instance;
+    framework::ServiceName service;
+    framework::Endpoint endpoint;
+    framework::FailureDomainName failureDomain;
+    std::uint32_t slots = 1;
+    UpstreamState state = UpstreamState::Ready;
+    /// Empty for plain services.
+    std::vector<HeldModel> models;
+};
+
+/// Weights that an engine has at hand without the weight store.
+struct AtHand {
+    std::vector<framework::ModelName> memory;
+    std::vector<framework::ModelName> disk;
+};
+
+/// What an agent says it takes until a model is there when it can't place it now.
+inline constexpr framework::Milliseconds cannotPlace { 3600 * 1000 };
+
+/// An engine's state as its agent tells the routers.
+struct EngineState {
+    framework::Endpoint engine;
+    std::vector<HeldModel> held;
+    /// Held models that are about to be unloaded: they take no new requests.
+    std::vector<framework::ModelName> leaving;
+    AtHand atHand;
+    /// Being loaded now; empty for none.
+    framework::ModelName loading;
+    bool loadsFromStore = false;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    Tokens usedMemory;
+    Tokens memory;
+    /// Routers that this agent hears from.
+    std::uint32_t routers = 0;
+    /// When a model that routers want will be there, from now; `cannotPlace` if nothing can make way for it.
+    struct Expected {
+        framework::ModelName model;
+        framework::Milliseconds within { 0 };
+    };
+    std::vector<Expected> expected;
+
+    const HeldModel* find(const framework::ModelName&) const;
+    bool isLeaving(const framework::ModelName&) const;
+};
+
+} // namespace lagoon::catalog
--- /dev/null
+++ b/src/direct/internal/agentlinks.cpp
@@ -0,0 +1,181 @@
+#include "direct/internal/agentlinks.h"
+
+#include "direct/internal/enginewire.h"
+#include "framework/decisionlog.h"
+#include "framework/randomid.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoon::direct {
+
+namespace {
+
+using framework::Deadline;
+using framework::Endpoint;
+using framework::LogLine;
+using framework::Milliseconds;
+
+constexpr Milliseconds tickEach { 250 };
+/// Agents forget a router that is silent for three and a half seconds.
+constexpr Milliseconds tellEach { 900 };
+/// Agents speak at least each second.
+constexpr Milliseconds longestSilence { 2400 };
+constexpr Milliseconds firstPause { 100 };
+constexpr Milliseconds longestPause { 2000 };
+
+Endpoint agentEndpoint(const Endpoint& engine, std::uint16_t port)
+{
+    const std::string& text = engine.value();
+    return Endpoint(text.substr(0, text.rfind(':') + 1) + std::to_string(port));
+}
+
+/// What an agent decides by, so that it isn't told the same again. Work is compared coarsely, since it fades all the
+/// time; the next regular word brings it up to date.
+std::string digestOf(const catalog::WantedList& wanted)
+{
+    std::string digest;
+    for (const catalog::Wanted& one : wanted) {
+        digest += one.target.model.value() + '/' + one.target.adapter.value() + ':' + std::to_string(one.waiting) + ','
+            + std::to_string(one.inFlight) + ',' + std::to_string(one.holders) + ',' + (one.isPrefetch ? 'p' : '-')
+            + std::to_string(static_cast<int>(one.work * 20)) + ';';
+    }
+    return digest;
+}
+
+} // namespace
+
+AgentLinks::AgentLinks(Context context)
+    : context_(std::move(context))
+{
+}
+
+AgentLinks::~AgentLinks()
+{
+    for (auto& [engine, agent] : agents_) {
+        if (agent.link)
+            agent.link->close();
+    }
+}
+
+void AgentLinks::setEngines(const std::vector<catalog::Upstream>& engines)
+{
+    std::map<Endpoint, catalog::InstanceId> listed;
+    for (const catalog::Upstream& engine : engines)
+        listed[engine.endpoint] = engine.instance;
+    for (auto& [endpoint, agent] : agents_) {
+        if (!listed.contains(endpoint))
+            drop(endpoint, agent, "engine no longer listed");
+    }
+    std::erase_if(agents_, [&](const auto& entry) { return !listed.contains(entry.first); });
+    for (const auto& [endpoint, instance] : listed) {
+        Agent& agent = agents_[endpoint];
+        if (std::exchange(agent.instance, instance) != instance)
+            agent.told.clear();
+    }
+    tick();
+}
+
+void AgentLinks::setWanted(const std::map<Endpoint, catalog::WantedList>& wanted)
+{
+    for (const auto& [engine, list] : wanted) {
+        const auto agent = agents_.find(engine);
+        if (agent == agents_.end())
+            continue;
+        agent->second.wanted = list;
+        if (digestOf(list) != agent->second.told)
+            tell(engine, agent->second);
+    }
+}
+
+void AgentLinks::tick()
+{
+    const framework::SteadyTime now = context_.clock.now();
+    for (auto& [engine, agent] : agents_) {
+        if (agent.link && now - agent.heardAt > longestSilence)
+            drop(engine, agent, "silent");
+        if (!agent.link && agent.connectAt.hasPassed(now))
+            connect(engine, agent);
+        else if (agent.link && now - agent.toldAt > tellEach)
+            tell(engine, agent);
+    }
+    timer_ = context_.control.runAt(Deadline::after(now, tickEach), [this] { tick(); });
+}
+
+void AgentLinks::connect(const Endpoint& engine, Agent& agent)
+{
+    wire::LinkHandlers handlers;
+    const auto toControl = [this, alive = std::weak_ptr<int>(alive_)](auto action) {
+        context_.control.post([alive, action = std::move(action)] {
+            if (!alive.expired())
+                action();
+        });
+    };
+    handlers.onMessage = [this, engine, toControl](const std::shared_ptr<wire::ILink>& link, wire::Message message) {
+        toControl([this, engine, link, message = std::make_shared<wire::Message>(std::move(message))] {
+            didReceive(engine, link, *message);
+        });
+    };
+    handlers.onClosed
+        = [this, engine, toControl](const std::shared_ptr<wire::ILink>& link, const framework::Error& error) {
+              toControl([this, engine, link, error] { didClose(engine, link, error); });
+          };
+    agent.link = context_.transport.connect(agentEndpoint(engine, context_.agentPort), std::move(handlers));
+    agent.isHeard = false;
+    // Counts as heard, so that the new link has its time to stand.
+    agent.heardAt = context_.clock.now();
+    tell(engine, agent);
+}
+
+void AgentLinks::drop(const Endpoint& engine, Agent& agent, const std::string& cause)
+{
+    if (!agent.link)
+        return;
+    std::exchange(agent.link, nullptr)->close();
+    if (std::exchange(agent.isHeard, false)) {
+        logDecision(LogLine("agent_lost").text("engine", engine.value()).text("cause", cause));
+        context_.didLose(engine);
+    }
+    const std::uint32_t doublings = std::min<std::uint32_t>(agent.failures++, 6);
+    const Milliseconds range = std::min(longestPause, firstPause * (1 << doublings));
+    agent.connectAt = Deadline::after(context_.clock.now(),
+        range / 2 + Milliseconds(static_cast<std::int64_t>(framework::randomFraction() * range.count() / 2)));
+}
+
+void AgentLinks::tell(const Endpoint&, Agent& agent)
+{
+    if (!agent.link)
+        return;
+    agent.toldAt = context_.clock.now();
+    agent.told = digestOf(agent.wanted);
+    agent.link->send(toWire(context_.router, agent.instance, agent.wanted, agent.toldAt));
+}
+
+void AgentLinks::didReceive(
+    const Endpoint& engine, const std::shared_ptr<wire::ILink>& link, const wire::Message& message)
+{
+    const auto agent = agents_.find(engine);
+    if (agent == agents_.end() || agent->second.link != link)
+        return;
+    agent->second.heardAt = context_.clock.now();
+    agent->second.failures = 0;
+    if (!std::exchange(agent->second.isHeard, true))
+        logDecision(LogLine("agent_heard").text("engine", engine.value()));
+    const wire::fb::EngineStateT* const state = message.body.AsEngineState();
+    if (!state)
+        return;
+    catalog::EngineState heard = fromWire(*state);
+    // The link's own engine, whatever the frame says.
+    heard.engine = engine;
+    context_.didHear(std::move(heard));
+}
+
+void AgentLinks::didClose(
+    const Endpoint& engine, const std::shared_ptr<wire::ILink>& link, const framework::Error& error)
+{
+    const auto agent = agents_.find(engine);
+    if (agent != agents_.end() && agent->second.link == link)
+        drop(engine, agent->second, describe(error));
+}
+
+} // namespace lagoon::direct
--- /dev/null
+++ b/src/direct/internal/agentlinks.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "catalog/types/upstream.h"
+#include "catalog/types/wanted.h"
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+#include "wire/ilink.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoon::direct {
+
+/// A router's links to the agents beside the engines that it knows of. Belongs to the control thread.
+///
+/// Both ends speak at least each second. A link from which nothing came for longer is taken for silent, however open it
+/// looks, and replaced.
+class AgentLinks {
+public:
+    struct Context {
+        framework::IControlExecutor& control;
+        const framework::IClock& clock;
+        wire::ILinkTransport& transport;
+        framework::VmName router;
+        std::uint16_t agentPort = 0;
+        std::function<void(catalog::EngineState)> didHear;
+        std::function<void(const framework::Endpoint& engine)> didLose;
+    };
+
+    explicit AgentLinks(Context);
+    ~AgentLinks();
+    AgentLinks(const AgentLinks&) = delete;
+    AgentLinks& operator=(const AgentLinks&) = delete;
+
+    /// Links are kept to the agents of these engines, and to no others.
+    void setEngines(const std::vector<catalog::Upstream>&);
+    /// What is wanted of each engine from now on; engines that aren't named are told what they were told before.
+    void setWanted(const std::map<framework::Endpoint, catalog::WantedList>&);
+
+private:
+    struct Agent {
+        catalog::InstanceId instance;
+        std::shared_ptr<wire::ILink> link;
+        bool isHeard = false;
+        framework::SteadyTime heardAt {};
+        framework::SteadyTime toldAt {};
+        framework::Deadline connectAt;
+        std::uint32_t failures = 0;
+        catalog::WantedList wanted;
+        std::string told;
+    };
+
+    void tick();
+    void connect(const framework::Endpoint& engine, Agent&);
+    void drop(const framework::Endpoint& engine, Agent&, const std::string& cause);
+    void tell(const framework::Endpoint& engine, Agent&);
+    void didReceive(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const wire::Message&);
+    void didClose(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const framework::Error&);
+
+    Context context_;
+    std::map<framework::Endpoint, Agent> agents_;
+    std::unique_ptr<framework::Timer> timer_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace lagoon::direct
--- /dev/null
+++ b/src/direct/internal/directagent.cpp
@@ -0,0 +1,101 @@
+#include "direct/directagent.h"
+
+#include "direct/internal/plainviews.h"
+#include "direct/internal/routerlinks.h"
+#include "engines/enginekeeper.h"
+#include "framework/decisionlog.h"
+#include "http/exchangeserver.h"
+#include "wire/linktransport.h"
+
+namespace lagoon::direct {
+
+namespace {
+
+using framework::Deadline;
+using framework::LogLine;
+using framework::Milliseconds;
+
+constexpr Milliseconds housekeepingEach { 1000 };
+
+wire::LinkSettings linkSettings()
+{
+    wire::LinkSettings settings;
+    settings.threads = 1;
+    return settings;
+}
+
+} // namespace
+
+class DirectAgent::Implementation {
+public:
+    Implementation(const DirectAgentPorts& ports, const DirectAgentSettings& settings)
+        : ports_(ports)
+        , settings_(settings)
+        , transport_(wire::makeTcpLinkTransport(linkSettings(), ports.metrics))
+        , keeper_(keeperContext(), engines::KeeperSettings { settings.identity.vm, settings.service, settings.engine })
+        , links_(linksContext())
+        , metricsView_(ports.metrics)
+        , ops_(ports.traffic, metricsView_)
+    {
+    }
+
+    framework::Result<DirectAgentEndpoints> start()
+    {
+        DirectAgentEndpoints endpoints;
+        BOOST_OUTCOME_TRY(link, transport_->listen(settings_.link, links_.handlers()));
+        endpoints.link = link;
+        BOOST_OUTCOME_TRY(ops, ops_.listen(settings_.ops));
+        endpoints.ops = ops;
+        ports_.control.post([this] {
+            keeper_.start();
+            keepHouse();
+        });
+        logDecision(LogLine("started")
+                        .text("vm", settings_.identity.vm.value())
+                        .text("engine", settings_.engine.value())
+                        .text("service", settings_.service.value()));
+        return endpoints;
+    }
+
+private:
+    engines::EngineKeeper::Context keeperContext()
+    {
+        return { ports_.control, ports_.clock, ports_.engine, ports_.fences, ports_.profiles, ports_.metrics,
+            [this](const catalog::EngineState& state) { links_.publish(state); } };
+    }
+
+    RouterLinks::Context linksContext()
+    {
+        return { ports_.control, ports_.clock,
+            [this](const framework::VmName& router, const catalog::InstanceId& instance,
+                catalog::WantedList wanted) { keeper_.setWanted(router, instance, std::move(wanted)); },
+            [this](const framework::VmName& router) { keeper_.forgetRouter(router); } };
+    }
+
+    void keepHouse()
+    {
+        links_.closeSilent();
+        housekeeping_ = ports_.control.runAt(
+            Deadline::after(ports_.clock.now(), housekeepingEach), [this] { keepHouse(); });
+    }
+
+    DirectAgentPorts ports_;
+    DirectAgentSettings settings_;
+    std::shared_ptr<wire::ILinkTransport> transport_;
+    engines::EngineKeeper keeper_;
+    RouterLinks links_;
+    MetricsView metricsView_;
+    http::ExchangeServer ops_;
+    std::unique_ptr<framework::Timer> housekeeping_;
+};
+
+DirectAgent::DirectAgent(const DirectAgentPorts& ports, const DirectAgentSettings& settings)
+    : implementation_(std::make_unique<Implementation>(ports, settings))
+{
+}
+
+DirectAgent::~DirectAgent() = default;
+
+framework::Result<DirectAgentEndpoints> DirectAgent::start() { return implementation_->start(); }
+
+} // namespace lagoon::direct
--- /dev/null
+++ b/src/direct/internal/directrouter.cpp
@@ -0,0 +1,215 @@
+#include "direct/directrouter.h"
+
+#include "direct/internal/agentlinks.h"
+#include "direct/internal/catalogwatch.h"
+#include "direct/internal/plainviews.h"
+#include "forwarding/forwarder.h"
+#include "framework/decisionlog.h"
+#include "http/exchangeserver.h"
+#include "wire/linktransport.h"
+
+#include <future>
+#include <thread>
+
+namespace lagoon::direct {
+
+namespace {
+
+using framework::Deadline;
+using framework::LogLine;
+using framework::Milliseconds;
+using framework::SteadyTime;
+
+/// Balancers ask once a second and take a router out after two answers in a row that aren't 200; until then they send
+/// new connections, which have to be served.
+constexpr Milliseconds untilNoticed { 2500 };
+constexpr Milliseconds drainCheckEach { 30 };
+/// Left of the grace period when the last requests are given up, so that their callers still see the connection end.
+constexpr Milliseconds endBefore { 400 };
+
+wire::LinkSettings linkSettings()
+{
+    wire::LinkSettings settings;
+    settings.threads = 1;
+    return settings;
+}
+
+forwarding::ForwarderSettings forwarderSettings(const DirectRouterSettings& settings)
+{
+    return { settings.identity.failureDomain, settings.repeatShare, settings.repeatReserve };
+}
+
+http::ExchangeLimits exchangeLimits(const catalog::CallerLimits& limits)
+{
+    return { limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout };
+}
+
+} // namespace
+
+class DirectRouter::Implementation {
+public:
+    Implementation(const DirectRouterPorts& ports, const DirectRouterSettings& settings)
+        : ports_(ports)
+        , settings_(settings)
+        , transport_(wire::makeTcpLinkTransport(linkSettings(), ports.metrics))
+        , forwarder_(forwarderContext(), forwarderSettings(settings))
+        , links_(linksContext())
+        , catalog_(catalogContext())
+        , metricsView_(ports.metrics)
+        , callers_(ports.traffic, forwarder_)
+        , readiness_(ports.traffic, readinessView_)
+        , ops_(ports.traffic, metricsView_)
+    {
+    }
+
+    framework::Result<DirectRouterEndpoints> start()
+    {
+        DirectRouterEndpoints endpoints;
+        BOOST_OUTCOME_TRY(callers, callers_.listen(settings_.callers));
+        endpoints.callers = callers;
+        BOOST_OUTCOME_TRY(readiness, readiness_.listen(settings_.readiness));
+        endpoints.readiness = readiness;
+        BOOST_OUTCOME_TRY(ops, ops_.listen(settings_.ops));
+        endpoints.ops = ops;
+        ports_.traffic.post([this] { forwarder_.start(); });
+        ports_.control.post([this] { catalog_.start(); });
+        logDecision(LogLine("started").text("vm", settings_.identity.vm.value()).text("callers", callers.value()));
+        return endpoints;
+    }
+
+    void reload(const DirectRouterSettings& settings)
+    {
+        settings_.grace = settings.grace;
+        ports_.traffic.post([this, changed = forwarderSettings(settings)] { forwarder_.setSettings(changed); });
+        logDecision(LogLine("reloaded")
+                        .number("repeat_share", settings.repeatShare)
+                        .number("repeat_reserve", settings.repeatReserve)
+                        .number("grace_ms", settings.grace.count()));
+    }
+
+    void drain()
+    {
+        const SteadyTime begun = ports_.clock.now();
+        const Deadline unnoticed = Deadline::after(begun, untilNoticed);
+        const Deadline last = Deadline::after(begun, std::max(untilNoticed, settings_.grace - endBefore));
+        isDraining_ = true;
+        readinessView_.setReady(false);
+        logDecision(LogLine("draining").number("requests", onTraffic([this] { return forwarder_.requests(); })));
+        ports_.traffic.post([this] { callers_.beginDraining(); });
+        std::this_thread::sleep_until(unnoticed.at());
+        ports_.traffic.post([this] { callers_.closeIdle(); });
+        while (!last.hasPassed(ports_.clock.now()) && onTraffic([this] { return callers_.busyConnections(); }) > 0)
+            std::this_thread::sleep_for(drainCheckEach);
+        logDecision(LogLine("stopped").number("cut", onTraffic([this] { return forwarder_.requests(); })));
+    }
+
+private:
+    std::size_t onTraffic(const std::function<std::size_t()>& query)
+    {
+        std::promise<std::size_t> answer;
+        ports_.traffic.post([&] { answer.set_value(query()); });
+        return answer.get_future().get();
+    }
+
+    forwarding::Forwarder::Context forwarderContext()
+    {
+        return { ports_.traffic, ports_.clock, ports_.dialect, ports_.metrics,
+            [this](const std::map<framework::Endpoint, catalog::WantedList>& wanted) {
+                ports_.control.post([this, wanted] { links_.setWanted(wanted); });
+            } };
+    }
+
+    AgentLinks::Context linksContext()
+    {
+        return { ports_.control, ports_.clock, *transport_, settings_.identity.vm, settings_.agentPort,
+            [this](const catalog::EngineState& state) {
+                ports_.traffic.post([this, state] { forwarder_.setEngineState(state); });
+            },
+            [this](const framework::Endpoint& engine) {
+                ports_.traffic.post([this, engine] { forwarder_.forgetEngine(engine); });
+            } };
+    }
+
+    CatalogWatch::Context catalogContext()
+    {
+        return { ports_.control, ports_.clock, ports_.configurations, ports_.servers, ports_.decoder,
+            [this](const catalog::ConfigurationPointer& configuration) { didConfigure(configuration); },
+            [this](const std::vector<catalog::Upstream>& servers) { didListServers(servers); } };
+    }
+
+    void didConfigure(const catalog::ConfigurationPointer& configuration)
+    {
+        configuration_ = configuration;
+        ports_.traffic.post([this, configuration] {
+            callers_.setLimits(exchangeLimits(configuration->limits));
+            forwarder_.setConfiguration(configuration);
+        });
+        ports_.metrics->setGauge(
+            "lagoon_configuration_version", static_cast<double>(configuration->version.value()));
+        linkEngines();
+        becomeReady();
+    }
+
+    void didListServers(const std::vector<catalog::Upstream>& servers)
+    {
+        servers_ = servers;
+        ports_.traffic.post([this, servers] { forwarder_.setUpstreams(servers); });
+        linkEngines();
+        becomeReady();
+    }
+
+    /// Agents are beside the servers of the services that have engines.
+    void linkEngines()
+    {
+        if (!configuration_)
+            return;
+        std::vector<catalog::Upstream> engines;
+        for (const catalog::Upstream& server : servers_) {
+            const catalog::Service* const service = configuration_->find(server.service);
+            if (service && service->engine)
+                engines.push_back(server);
+        }
+        links_.setEngines(engines);
+    }
+
+    void becomeReady()
+    {
+        if (isDraining_ || readinessView_.isReady() || !catalog_.isComplete())
+            return;
+        readinessView_.setReady(true);
+        logDecision(LogLine("ready")
+                        .number("configuration", configuration_->version.value())
+                        .number("servers", servers_.size()));
+    }
+
+    DirectRouterPorts ports_;
+    DirectRouterSettings settings_;
+    std::shared_ptr<wire::ILinkTransport> transport_;
+    std::atomic<bool> isDraining_ { false };
+    forwarding::Forwarder forwarder_;
+    // Control thread.
+    catalog::ConfigurationPointer configuration_;
+    std::vector<catalog::Upstream> servers_;
+    AgentLinks links_;
+    CatalogWatch catalog_;
+    ReadinessView readinessView_;
+    MetricsView metricsView_;
+    http::ExchangeServer callers_;
+    http::ExchangeServer readiness_;
+    http::ExchangeServer ops_;
+};
+
+DirectRouter::DirectRouter(const DirectRouterPorts& ports, const DirectRouterSettings& settings)
+    : implementation_(std::make_unique<Implementation>(ports, settings))
+{
+}
+
+DirectRouter::~DirectRouter() = default;
+
+framework::Result<DirectRouterEndpoints> DirectRouter::start() { return implementation_->start(); }
+
+void DirectRouter::reload(const DirectRouterSettings& settings) { implementation_->reload(settings); }
+
+void DirectRouter::drain() { implementation_->drain(); }
+
+} // namespace lagoon::direct
--- /dev/null
+++ b/src/direct/internal/enginewire.cpp
@@ -0,0 +1,127 @@
+#include "direct/internal/enginewire.h"
+
+#include <algorithm>
+
+namespace lagoon::direct {
+
+namespace {
+
+using catalog::EngineState;
+using framework::Milliseconds;
+
+std::uint32_t wireTime(Milliseconds time)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, UINT32_MAX));
+}
+
+template <typename Name> std::vector<std::string> texts(const std::vector<Name>& names)
+{
+    std::vector<std::string> result;
+    for (const Name& name : names)
+        result.push_back(name.value());
+    return result;
+}
+
+template <typename Name> std::vector<Name> names(const std::vector<std::string>& texts)
+{
+    return { texts.begin(), texts.end() };
+}
+
+} // namespace
+
+wire::Message toWire(const EngineState& state)
+{
+    wire::fb::EngineStateT body;
+    body.engine = state.engine.value();
+    for (const catalog::HeldModel& held : state.held) {
+        auto model = std::make_unique<wire::fb::HeldModelT>();
+        model->model = held.model.value();
+        model->version = held.version;
+        model->adapters = texts(held.adapters);
+        model->is_leaving = state.isLeaving(held.model);
+        body.held.push_back(std::move(model));
+    }
+    body.in_memory = texts(state.atHand.memory);
+    body.on_disk = texts(state.atHand.disk);
+    body.loading = state.loading.value();
+    body.loads_from_store = state.loadsFromStore;
+    body.running = state.running;
+    body.queued = state.queued;
+    body.used_tokens = state.usedMemory.value();
+    body.total_tokens = state.memory.value();
+    body.routers = state.routers;
+    for (const EngineState::Expected& expected : state.expected) {
+        auto model = std::make_unique<wire::fb::ExpectedModelT>();
+        model->model = expected.model.value();
+        model->within_ms = wireTime(expected.within);
+        body.expected.push_back(std::move(model));
+    }
+    return wire::message(std::move(body));
+}
+
+EngineState fromWire(const wire::fb::EngineStateT& body)
+{
+    EngineState state;
+    state.engine = framework::Endpoint(body.engine);
+    for (const auto& model : body.held) {
+        const framework::ModelName name(model->model);
+        state.held.push_back({ name, model->version, names<framework::AdapterName>(model->adapters) });
+        if (model->is_leaving)
+            state.leaving.push_back(name);
+    }
+    state.atHand = { names<framework::ModelName>(body.in_memory), names<framework::ModelName>(body.on_disk) };
+    state.loading = framework::ModelName(body.loading);
+    state.loadsFromStore = body.loads_from_store;
+    state.running = body.running;
+    state.queued = body.queued;
+    state.usedMemory = catalog::Tokens(body.used_tokens);
+    state.memory = catalog::Tokens(body.total_tokens);
+    state.routers = body.routers;
+    for (const auto& model : body.expected)
+        state.expected.push_back({ framework::ModelName(model->model), Milliseconds(model->within_ms) });
+    return state;
+}
+
+wire::Message toWire(const framework::VmName& router, const catalog::InstanceId& instance,
+    const catalog::WantedList& wanted, framework::SteadyTime now)
+{
+    wire::fb::WantedT body;
+    body.router = router.value();
+    body.instance = instance.value();
+    for (const catalog::Wanted& one : wanted) {
+        auto model = std::make_unique<wire::fb::WantedModelT>();
+        model->model = one.target.model.value();
+        model->adapter = one.target.adapter.value();
+        model->waiting = one.waiting;
+        model->earliest_remaining_ms = one.waiting > 0 ? wireTime(one.earliest.remaining(now)) : 0;
+        model->in_flight = one.inFlight;
+        model->work = static_cast<float>(one.work);
+        model->rank = one.rank;
+        model->holders = one.holders;
+        model->is_prefetch = one.isPrefetch;
+        model->priority = one.priority;
+        body.models.push_back(std::move(model));
+    }
+    return wire::message(std::move(body));
+}
+
+catalog::WantedList fromWire(const wire::fb::WantedT& body, framework::SteadyTime now)
+{
+    catalog::WantedList wanted;
+    for (const auto& model : body.models) {
+        catalog::Wanted one;
+        one.target = { framework::ModelName(model->model), framework::AdapterName(model->adapter) };
+        one.waiting = model->waiting;
+        one.earliest = framework::Deadline::after(now, Milliseconds(model->earliest_remaining_ms));
+        one.inFlight = model->in_flight;
+        one.work = std::max(0.0F, model->work);
+        one.rank = model->rank;
+        one.holders = model->holders;
+        one.isPrefetch = model->is_prefetch;
+        one.priority = model->priority;
+        wanted.push_back(std::move(one));
+    }
+    return wanted;
+}
+
+} // namespace lagoon::direct
--- /dev/null
+++ b/src/direct/internal/enginewire.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "catalog/types/upstream.h"
+#include "catalog/types/wanted.h"
+#include "framework/types/time.h"
+#include "wire/types/message.h"
+
+/// The frames between direct routers and agents. Times on the wire are from receipt.
+namespace lagoon::direct {
+
+wire::Message toWire(const catalog::EngineState&);
+catalog::EngineState fromWire(const wire::fb::EngineStateT&);
+
+wire::Message toWire(const framework::VmName& router, const catalog::InstanceId& instance,
+    const catalog::WantedList&, framework::SteadyTime now);
+catalog::WantedList fromWire(const wire::fb::WantedT&, framework::SteadyTime now);
+
+} // namespace lagoon::direct
--- /dev/null
+++ b/src/direct/internal/routerlinks.cpp
@@ -0,0 +1,103 @@
+#include "direct/internal/routerlinks.h"
+
+#include "direct/internal/enginewire.h"
+#include "framework/decisionlog.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace lagoon::direct {
+
+namespace {
+
+using framework::LogLine;
+
+/// Routers speak at least each second.
+constexpr framework::Milliseconds longestSilence { 3500 };
+
+} // namespace
+
+RouterLinks::RouterLinks(Context context)
+    : context_(std::move(context))
+{
+}
+
+wire::LinkHandlers RouterLinks::handlers()
+{
+    const auto toControl = [this, alive = std::weak_ptr<int>(alive_)](auto action) {
+        context_.control.post([alive, action = std::move(action)] {
+            if (!alive.expired())
+                action();
+        });
+    };
+    wire::LinkHandlers handlers;
+    handlers.onMessage = [this, toControl](const std::shared_ptr<wire::ILink>& link, wire::Message message) {
+        toControl([this, link, message = std::make_shared<wire::Message>(std::move(message))] {
+            didReceive(link, *message);
+        });
+    };
+    handlers.onClosed = [this, toControl](const std::shared_ptr<wire::ILink>& link, const framework::Error&) {
+        toControl([this, link] { didClose(link); });
+    };
+    return handlers;
+}
+
+void RouterLinks::didReceive(const std::shared_ptr<wire::ILink>& link, const wire::Message& message)
+{
+    const wire::fb::WantedT* const wanted = message.body.AsWanted();
+    if (!wanted)
+        return;
+    const framework::SteadyTime now = context_.clock.now();
+    const auto [router, isNew] = routers_.try_emplace(link);
+    router->second = { framework::VmName(wanted->router), now };
+    if (isNew) {
+        logDecision(LogLine("router_heard").text("router", wanted->router));
+        if (last_)
+            link->send(toWire(*last_));
+    }
+    context_.didWant(router->second.name, catalog::InstanceId(wanted->instance), fromWire(*wanted, now));
+}
+
+bool RouterLinks::hasOtherLink(const framework::VmName& name) const
+{
+    return std::any_of(
+        routers_.begin(), routers_.end(), [&](const auto& entry) { return entry.second.name == name; });
+}
+
+void RouterLinks::didClose(const std::shared_ptr<wire::ILink>& link)
+{
+    const auto router = routers_.find(link);
+    if (router == routers_.end())
+        return;
+    const framework::VmName name = router->second.name;
+    routers_.erase(router);
+    // A router that has already opened another link isn't lost.
+    if (hasOtherLink(name))
+        return;
+    logDecision(LogLine("router_lost").text("router", name.value()));
+    context_.didLose(name);
+}
+
+void RouterLinks::publish(const catalog::EngineState& state)
+{
+    last_ = state;
+    const wire::Message message = toWire(state);
+    for (const auto& [link, router] : routers_)
+        link->send(message);
+}
+
+void RouterLinks::closeSilent()
+{
+    std::vector<std::shared_ptr<wire::ILink>> silent;
+    for (const auto& [link, router] : routers_) {
+        if (context_.clock.now() - router.heardAt > longestSilence)
+            silent.push_back(link);
+    }
+    for (const auto& link : silent) {
+        link->close();
+        didClose(link);
+    }
+}
+
+} // namespace lagoon::direct
--- /dev/null
+++ b/src/direct/internal/routerlinks.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "catalog/types/upstream.h"
+#include "catalog/types/wanted.h"
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "wire/ilink.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace lagoon::direct {
+
+/// An agent's links from the routers. Belongs to the control thread.
+class RouterLinks {
+public:
+    struct Context {
+        framework::IControlExecutor& control;
+        const framework::IClock& clock;
+        std::function<void(const framework::VmName&, const catalog::InstanceId&, catalog::WantedList)> didWant;
+        std::function<void(const framework::VmName&)> didLose;
+    };
+
+    explicit RouterLinks(Context);
+    RouterLinks(const RouterLinks&) = delete;
+    RouterLinks& operator=(const RouterLinks&) = delete;
+
+    /// For the transport; from any thread.
+    wire::LinkHandlers handlers();
+    void publish(const catalog::EngineState&);
+    /// Closes links whose routers have fallen silent.
+    void closeSilent();
+
+private:
+    struct Router {
+        framework::VmName name;
+        framework::SteadyTime heardAt {};
+    };
+
+    void didReceive(const std::shared_ptr<wire::ILink>&, const wire::Message&);
+    void didClose(const std::shared_ptr<wire::ILink>&);
+    bool hasOtherLink(const framework::VmName&) const;
+
+    Context context_;
+    std::map<std::shared_ptr<wire::ILink>, Router> routers_;
+    std::optional<catalog::EngineState> last_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace lagoon::direct
--- /dev/null
+++ b/src/engines/enginekeeper.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "catalog/types/upstream.h"
+#include "engines/iengineport.h"
+#include "engines/ifencesource.h"
+#include "engines/iprofilesource.h"
+#include "engines/placementplan.h"
+#include "engines/wantedbook.h"
+#include "framework/controlthread.h"
+#include "framework/iclock.h"
+#include "framework/metrics.h"
+#include "objectstore/backoff.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lagoon::engines {
+
+struct KeeperSettings {
+    framework::VmName vm;
+    framework::ServiceName service;
+    framework::Endpoint engine;
+};
+
+/// Keeps one engine's models as its routers want them: reads its state, gives one order after the other, and tells the
+/// routers what changes. Belongs to the control thread.
+///
+/// There is one keeper per engine, on its VM, so that orders have one source. What a former process ordered, and what
+/// this one ordered without an answer, may still be carried out: fence, expected count and instance go with each order,
+/// and the engine's own report decides what holds.
+class EngineKeeper {
+public:
+    struct Context {
+        framework::IControlExecutor& control;
+        const framework::IClock& clock;
+        IEnginePort& engine;
+        IFenceSource& fences;
+        IProfileSource& profiles;
+        std::shared_ptr<framework::Metrics> metrics;
+        /// Tells all routers.
+        std::function<void(const catalog::EngineState&)> publish;
+    };
+
+    EngineKeeper(Context, const KeeperSettings&);
+    ~EngineKeeper();
+    EngineKeeper(const EngineKeeper&) = delete;
+    EngineKeeper& operator=(const EngineKeeper&) = delete;
+
+    void start();
+    /// `instance` is the engine's as that router's list names it; empty if the list has none.
+    void setWanted(const framework::VmName& router, const catalog::InstanceId& instance, catalog::WantedList);
+    void forgetRouter(const framework::VmName&);
+
+private:
+    void readProfile();
+    void takeFence();
+    void poll();
+    void pollAfter(framework::Milliseconds);
+    void didReport(framework::Result<EngineReport>);
+    void noteRestart(const EngineReport&);
+    void decide();
+    void give(const Order&, const std::string& reason);
+    void didOrder(const Order&, const OrderAnswer&);
+    bool canOrder() const;
+    framework::Milliseconds pollPause() const;
+    void publish(const PlacementDecision&);
+    PlacementInput input(const std::map<catalog::ModelTarget, catalog::Wanted>&) const;
+
+    Context context_;
+    KeeperSettings settings_;
+    WantedBook wanted_;
+    PlacementPlan plan_;
+    catalog::ConfigurationPointer configuration_;
+    const catalog::EngineProfile* profile_ = nullptr;
+    std::optional<EngineReport> report_;
+    framework::SteadyTime reportedAt_ {};
+    std::optional<framework::FencingNumber> fence_;
+    catalog::InstanceId instance_;
+    /// Orders that the engine has accepted at least; a report with fewer is older than the last answer.
+    OrderCount ordersKnown_;
+    framework::SteadyTime ordersKnownAt_ {};
+    bool isReporting_ = false;
+    bool isOrdering_ = false;
+    bool isTakingFence_ = false;
+    bool isEngineLost_ = false;
+    /// No order before this: the engine was busy with another.
+    framework::Deadline holdOrders_;
+    std::string published_;
+    framework::SteadyTime publishedAt_ {};
+    objectstore::Backoff fenceBackoff_;
+    std::unique_ptr<framework::Timer> pollTimer_;
+    std::unique_ptr<framework::Timer> fenceTimer_;
+    std::unique_ptr<framework::Timer> profileTimer_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace lagoon::engines
--- /dev/null
+++ b/src/engines/iprofilesource.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "catalog/types/configuration.h"
+#include "framework/types/error.h"
+#include "framework/types/time.h"
+
+#include <functional>
+
+namespace lagoon::engines {
+
+/// Where an agent gets the sizes and load times of models.
+class IProfileSource {
+public:
+    virtual ~IProfileSource() = default;
+    using Handler = std::function<void(framework::Result<catalog::ConfigurationPointer>)>;
+    /// A recent configuration, which may be seconds old. The handler runs on the control thread, once.
+    virtual void read(framework::Deadline, Handler) = 0;
+};
+
+} // namespace lagoon::engines
--- /dev/null
+++ b/src/engines/placementplan.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "catalog/types/configuration.h"
+#include "catalog/types/upstream.h"
+#include "catalog/types/wanted.h"
+#include "engines/types/enginereport.h"
+#include "framework/types/time.h"
+#include "policy/iloadorder.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoon::engines {
+
+struct PlacementInput {
+    const catalog::EngineProfile& profile;
+    const EngineReport& report;
+    const std::map<catalog::ModelTarget, catalog::Wanted>& wanted;
+    framework::SteadyTime now {};
+};
+
+struct PlacementDecision {
+    /// The next order, if there is one to give now.
+    std::optional<Order> order;
+    /// Held models that should get no new requests, as they are about to make way.
+    std::vector<framework::ModelName> leaving;
+    std::vector<catalog::EngineState::Expected> expected;
+    /// For the log.
+    std::string reason;
+};
+
+/// Decides which models and adapters one engine holds: what is waited for comes first, by how many wait, how long the
+/// load takes and when the nearest deadline is; then further copies of busy models; then models that no engine has at
+/// hand. What makes way is what is least missed. Without I/O or clock.
+class PlacementPlan {
+public:
+    explicit PlacementPlan(std::unique_ptr<policy::ILoadOrder>);
+
+    PlacementDecision decide(const PlacementInput&);
+    /// The order was accepted.
+    void didOrder(const Order&, const PlacementInput&);
+    /// The engine has started anew: nothing is under way.
+    void reset();
+
+    /// What is being loaded, while the engine is busy.
+    framework::ModelName loading() const { return loading_; }
+    bool loadsFromStore() const { return loadsFromStore_; }
+
+private:
+    struct Use {
+        framework::SteadyTime lastUsed {};
+        framework::SteadyTime since {};
+    };
+
+    void noteUses(const PlacementInput&);
+    std::optional<Order> adapterOrder(const PlacementInput&) const;
+    std::optional<catalog::ModelTarget> idleAdapter(const PlacementInput&) const;
+    /// Models to load, the first first.
+    std::vector<catalog::Wanted> toLoad(const PlacementInput&) const;
+    std::vector<catalog::Wanted> byValue(const PlacementInput&, std::vector<catalog::Wanted>) const;
+    std::optional<std::vector<framework::ModelName>> victimsFor(const PlacementInput&, const catalog::Wanted&) const;
+    bool mayMakeWay(const PlacementInput&, const framework::ModelName&, const catalog::Wanted& loaded) const;
+    double missed(const PlacementInput&, const framework::ModelName&) const;
+    framework::Milliseconds untilFree(const PlacementInput&) const;
+    void planModel(const PlacementInput&, const catalog::Wanted&, PlacementDecision&, framework::Milliseconds& soFar);
+
+    std::unique_ptr<policy::ILoadOrder> loadOrder_;
+    std::map<catalog::ModelTarget, Use> uses_;
+    /// When someone began to wait for it.
+    std::map<framework::ModelName, framework::SteadyTime> waitingSince_;
+    framework::ModelName loading_;
+    bool loadsFromStore_ = false;
+    framework::Deadline loadedBy_;
+};
+
+/// How long a load takes from where the weights are.
+framework::Milliseconds loadTime(const catalog::ModelProfile&, const catalog::AtHand&);
+
+} // namespace lagoon::engines
--- /dev/null
+++ b/src/forwarding/forwardersettings.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+
+namespace lagoon::forwarding {
+
+/// What the operators bound for all routers together.
+struct ForwarderSettings {
+    framework::FailureDomainName failureDomain;
+    /// Repeats that a service may get, as a share of its requests and in all beyond that, over all routers.
+    double repeatShare = 0.2;
+    double repeatReserve = 50;
+};
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/forwarder.cpp
@@ -0,0 +1,328 @@
+#include "forwarding/forwarder.h"
+
+#include "catalog/routetable.h"
+#include "forwarding/internal/requestjob.h"
+#include "forwarding/modeldemand.h"
+#include "forwarding/wantedplanner.h"
+#include "framework/decisionlog.h"
+#include "framework/randomid.h"
+#include "policy/retrybudget.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using catalog::ConfigurationPointer;
+using framework::Deadline;
+using framework::Endpoint;
+using framework::LogLine;
+using framework::Milliseconds;
+using framework::ServiceName;
+
+/// Agents hear of changed demand this soon; what changes meanwhile goes with it.
+constexpr Milliseconds planWithin { 15 };
+/// And without a change, since averages move.
+constexpr Milliseconds planEach { 500 };
+/// To come back while this process knows no configuration yet: it reads one within about a second of its start.
+constexpr Milliseconds untilConfigured { 500 };
+/// A model's request isn't answered faster than this once the model is there.
+constexpr Milliseconds fastestAnswer { 60 };
+/// How long a request waits for an agent to be linked before it is refused: links take a few network delays.
+constexpr Milliseconds agentPatience { 600 };
+/// Part of the operators' reserve of repeats that all routers together plan with: one that has just started has a full
+/// share again, and may not know yet how many others there are.
+constexpr double shareOfReserve = 0.6;
+/// Part of the shared parts of a prompt that an engine reads anew, on average.
+constexpr double readAnew = 0.25;
+constexpr double tokensPerMillisecond = 38.4;
+/// What a running request adds to everyone's time for each of its output tokens.
+constexpr double millisecondsPerOutput = 0.1;
+
+Milliseconds workOf(const RequestFacts& facts)
+{
+    const std::uint64_t own = facts.prompt.empty() ? facts.promptTokens.value() : facts.prompt.back().tokens;
+    const auto shared = static_cast<double>(facts.promptTokens.value() - std::min(own, facts.promptTokens.value()));
+    const double reading = (static_cast<double>(own) + readAnew * shared) / tokensPerMillisecond;
+    return Milliseconds(static_cast<std::int64_t>(
+        reading + millisecondsPerOutput * static_cast<double>(facts.mostOutputTokens.value())));
+}
+
+const catalog::RouteTarget& drawTarget(const catalog::Route& route)
+{
+    double all = 0;
+    for (const catalog::RouteTarget& target : route.targets)
+        all += target.weight;
+    double drawn = framework::randomFraction() * all;
+    for (const catalog::RouteTarget& target : route.targets) {
+        drawn -= target.weight;
+        if (drawn < 0)
+            return target;
+    }
+    return route.targets.back();
+}
+
+} // namespace
+
+class Forwarder::Implementation final : public IJobHost, public std::enable_shared_from_this<Implementation> {
+public:
+    Implementation(Context context, const ForwarderSettings& settings)
+        : context_(std::move(context))
+        , settings_(settings)
+        , upstreams_(context_.traffic.context())
+    {
+    }
+
+    void start() { planSoon(planEach); }
+
+    void handle(const std::shared_ptr<http::IExchange>& exchange)
+    {
+        if (!routes_)
+            return refuse(*exchange, 503, "no configuration yet", untilConfigured);
+        const std::string_view host = exchange->request().headers.find("Host").value_or("");
+        const catalog::Route* const route = routes_->find(host, exchange->request().target);
+        if (!route)
+            return refuse(*exchange, 404, "no route", std::nullopt);
+        auto facts = context_.dialect.read(exchange->request());
+        if (facts.has_error())
+            return refuse(*exchange, 400, facts.error().detail, std::nullopt);
+        begin(exchange, *route, std::move(facts.value()));
+    }
+
+    void setSettings(const ForwarderSettings& settings)
+    {
+        settings_ = settings;
+        budgets_.clear();
+    }
+
+    void setConfiguration(ConfigurationPointer configuration)
+    {
+        routes_ = std::make_unique<catalog::RouteTable>(configuration);
+        upstreams_.setConfiguration(std::move(configuration));
+        retryWaiting();
+    }
+
+    void setUpstreams(const std::vector<catalog::Upstream>& list)
+    {
+        upstreams_.setUpstreams(list);
+        retryWaiting();
+        planSoon(planWithin);
+    }
+
+    void setState(catalog::EngineState state)
+    {
+        upstreams_.setState(std::move(state), now());
+        retryWaiting();
+        planSoon(planWithin);
+    }
+
+    void forgetState(const Endpoint& engine) { upstreams_.forgetState(engine); }
+    std::size_t requests() const { return jobs_.size(); }
+
+    UpstreamTable& upstreams() override { return upstreams_; }
+    const IRequestDialect& dialect() const override { return context_.dialect; }
+    const ForwarderSettings& settings() const override { return settings_; }
+    framework::EventThread& thread() override { return context_.traffic; }
+    framework::Metrics& metrics() override { return *context_.metrics; }
+    framework::SteadyTime now() const override { return context_.clock.now(); }
+    bool spendRepeat(const ServiceName& service) override { return budget(service).spend(); }
+    void demandChanged() override { planSoon(planWithin); }
+
+    void didEnd(const std::shared_ptr<RequestJob>& job) override
+    {
+        jobs_.erase(job);
+        planSoon(planWithin);
+        if (std::exchange(isRetryPosted_, true))
+            return;
+        // Not from here: the request that ended is still on the stack.
+        context_.traffic.post([weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->retryWaiting();
+        });
+    }
+
+private:
+    void refuse(http::IExchange& exchange, unsigned status, const std::string& cause,
+        std::optional<Milliseconds> retryAfter)
+    {
+        logDecision(LogLine("not_routed")
+                        .text("host", exchange.request().headers.find("Host").value_or(""))
+                        .text("target", exchange.request().target)
+                        .number("configuration", routes_ ? routes_->configuration()->version.value() : 0)
+                        .number("status", status)
+                        .text("cause", cause));
+        context_.metrics->count("lagoon_not_routed_total", { { "status", std::to_string(status) } });
+        exchange.answer(context_.dialect.refusal(status, retryAfter), {});
+    }
+
+    void begin(const std::shared_ptr<http::IExchange>& exchange, const catalog::Route& route, RequestFacts facts)
+    {
+        JobTerms terms;
+        terms.configuration = routes_->configuration();
+        terms.route = &route;
+        terms.service = drawTarget(route).service;
+        const Milliseconds patience = std::min(route.timeout, facts.timeLeft.value_or(route.timeout));
+        terms.deadline = Deadline::after(exchange->receivedAt(), patience);
+        if (!facts.model.value().empty())
+            demand_.didArrive(facts.model, workOf(facts), now());
+        terms.facts = std::move(facts);
+        budget(terms.service).earn();
+        const auto job = std::make_shared<RequestJob>(*this, exchange, std::move(terms));
+        jobs_.insert(job);
+        job->start();
+        if (job->isWaiting())
+            planSoon(Milliseconds(0));
+    }
+
+    /// Each router spends by its own requests and its part of the reserve, so that all together keep to the operators'
+    /// bound without talking.
+    policy::RetryBudget& budget(const ServiceName& service)
+    {
+        const auto found = budgets_.find(service);
+        if (found != budgets_.end())
+            return found->second;
+        const double reserve = shareOfReserve * settings_.repeatReserve / upstreams_.routers();
+        return budgets_.try_emplace(service, settings_.repeatShare, std::max(1.0, reserve)).first->second;
+    }
+
+    void retryWaiting()
+    {
+        isRetryPosted_ = false;
+        std::vector<std::shared_ptr<RequestJob>> waiting;
+        for (const auto& job : jobs_) {
+            if (job->isWaiting())
+                waiting.push_back(job);
+        }
+        std::sort(waiting.begin(), waiting.end(), [](const auto& left, const auto& right) {
+            return std::tie(left->terms().route->priority, left->terms().deadline)
+                < std::tie(right->terms().route->priority, right->terms().deadline);
+        });
+        for (const auto& job : waiting)
+            job->advance();
+        for (const auto& job : waiting) {
+            if (job->isWaiting())
+                refuseIfHopeless(*job);
+        }
+    }
+
+    /// A request that waits for a model is refused once even the soonest end of its load is too late, or when there is
+    /// nobody who could load it.
+    void refuseIfHopeless(RequestJob& job)
+    {
+        const auto waitingFor = job.waitingFor();
+        if (!waitingFor)
+            return;
+        const std::vector<EngineFacts> engines = upstreams_.engines(job.terms().service, now());
+        const Milliseconds left = job.terms().deadline.remaining(now());
+        if (engines.empty() && job.waited(now()) > agentPatience)
+            return job.refuseAsHopeless(left);
+        const auto soonest = WantedPlanner::soonest(engines, waitingFor->target.model, now());
+        if (soonest && *soonest + fastestAnswer > left)
+            job.refuseAsHopeless(*soonest);
+    }
+
+    void planSoon(Milliseconds within)
+    {
+        const Deadline at = Deadline::after(now(), within);
+        if (planTimer_ && planAt_ <= at)
+            return;
+        planAt_ = at;
+        planTimer_ = context_.traffic.runAt(at, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->plan();
+        });
+    }
+
+    void plan()
+    {
+        planTimer_.reset();
+        if (routes_) {
+            for (const catalog::Service& service : routes_->configuration()->services) {
+                if (service.engine)
+                    planFor(service);
+            }
+        }
+        retryWaiting();
+        planSoon(planEach);
+    }
+
+    void planFor(const catalog::Service& service)
+    {
+        PlannerInput input { *service.engine, upstreams_.engines(service.name, now()), waitingFor(service.name), {},
+            false, now() };
+        for (const catalog::ModelProfile& model : service.engine->models) {
+            const double work = demand_.work(model.name, now());
+            if (work > 0)
+                input.work.emplace(model.name, work);
+        }
+        const std::size_t ready = upstreams_.ready(service.name).size();
+        input.isComplete = !input.engines.empty() && input.engines.size() * 10 >= ready * 9;
+        context_.tellAgents(planners_[service.name].plan(input));
+    }
+
+    std::vector<WaitingFor> waitingFor(const ServiceName& service) const
+    {
+        std::map<std::pair<catalog::ModelTarget, Endpoint>, WaitingFor> byTarget;
+        for (const auto& job : jobs_) {
+            const auto waiting = job->terms().service == service ? job->waitingFor() : std::nullopt;
+            if (!waiting)
+                continue;
+            const auto [entry, isNew] = byTarget.try_emplace({ waiting->target, waiting->at }, *waiting);
+            if (isNew)
+                continue;
+            ++entry->second.waiting;
+            entry->second.earliest = std::min(entry->second.earliest, waiting->earliest);
+            entry->second.priority = std::max(entry->second.priority, waiting->priority);
+        }
+        std::vector<WaitingFor> all;
+        for (auto& [target, waiting] : byTarget)
+            all.push_back(std::move(waiting));
+        return all;
+    }
+
+    Context context_;
+    ForwarderSettings settings_;
+    UpstreamTable upstreams_;
+    std::unique_ptr<catalog::RouteTable> routes_;
+    std::set<std::shared_ptr<RequestJob>> jobs_;
+    std::map<ServiceName, policy::RetryBudget> budgets_;
+    ModelDemand demand_;
+    std::map<ServiceName, WantedPlanner> planners_;
+    std::unique_ptr<framework::Timer> planTimer_;
+    Deadline planAt_;
+    bool isRetryPosted_ = false;
+};
+
+Forwarder::Forwarder(Context context, const ForwarderSettings& settings)
+    : implementation_(std::make_shared<Implementation>(std::move(context), settings))
+{
+}
+
+Forwarder::~Forwarder() = default;
+
+void Forwarder::handle(const std::shared_ptr<http::IExchange>& exchange) { implementation_->handle(exchange); }
+
+void Forwarder::start() { implementation_->start(); }
+
+void Forwarder::setSettings(const ForwarderSettings& settings) { implementation_->setSettings(settings); }
+
+void Forwarder::setConfiguration(ConfigurationPointer configuration)
+{
+    implementation_->setConfiguration(std::move(configuration));
+}
+
+void Forwarder::setUpstreams(const std::vector<catalog::Upstream>& upstreams)
+{
+    implementation_->setUpstreams(upstreams);
+}
+
+void Forwarder::setEngineState(catalog::EngineState state) { implementation_->setState(std::move(state)); }
+
+void Forwarder::forgetEngine(const Endpoint& engine) { implementation_->forgetState(engine); }
+
+std::size_t Forwarder::requests() const { return implementation_->requests(); }
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/requestjob.cpp
@@ -0,0 +1,338 @@
+#include "forwarding/internal/requestjob.h"
+
+#include "forwarding/internal/upstreamattempt.h"
+#include "framework/decisionlog.h"
+#include "framework/randomid.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using catalog::ModelTarget;
+using catalog::RouteKind;
+using framework::Deadline;
+using framework::LogLine;
+using framework::Milliseconds;
+
+/// Servers that can't be reached before a request is given up: by then it isn't the server.
+constexpr std::uint32_t mostUnreached = 3;
+/// Less time than this isn't worth sending a request once more for.
+constexpr Milliseconds leastTimeToRepeat { 60 };
+/// Bytes that a caller may leave unread before its server is read no further.
+constexpr std::size_t unreadBytes = 256 * 1024;
+/// When to come back after a server had no place, or a connection failed: mostly things are better by then. Drawn from
+/// this to twice of it, so that callers who were refused together don't return together.
+constexpr Milliseconds soonAgain { 250 };
+/// When to come back if no server is known: that takes the platform a second or two.
+constexpr Milliseconds laterAgain { 1000 };
+/// Requests of urgency 0 to 3 as the engines count: 0 first, and 5 for whoever says nothing.
+constexpr std::uint32_t mostUrgent = 3;
+constexpr std::uint32_t leastUrgent = 9;
+
+Milliseconds jittered(Milliseconds least)
+{
+    return least + Milliseconds(static_cast<std::int64_t>(framework::randomFraction() * least.count()));
+}
+
+std::string_view rejectionText(AnswerMeaning meaning)
+{
+    return meaning == AnswerMeaning::Elsewhere ? "server lacks the model or isn't the one meant" : "server has no place";
+}
+
+} // namespace
+
+RequestJob::RequestJob(IJobHost& host, std::shared_ptr<http::IExchange> exchange, JobTerms terms)
+    : host_(host)
+    , exchange_(std::move(exchange))
+    , terms_(std::move(terms))
+    , prompt_(promptChain(terms_.facts))
+    , events_(terms_.facts.lastEvent)
+{
+}
+
+RequestJob::~RequestJob() = default;
+
+void RequestJob::start()
+{
+    exchange_->setGoneHandler([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->didLoseCaller();
+    });
+    deadlineTimer_ = host_.thread().runAt(terms_.deadline, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->didPassDeadline();
+    });
+    advance();
+}
+
+ModelTarget RequestJob::target() const { return { terms_.facts.model, terms_.facts.adapter }; }
+
+bool RequestJob::mayRepeat() const
+{
+    return terms_.route->kind == RouteKind::Idempotent || (isStream() && terms_.route->isResumable);
+}
+
+std::optional<WaitingFor> RequestJob::waitingFor() const
+{
+    if (!isWaiting() || !waitsForLoad_)
+        return std::nullopt;
+    WaitingFor waiting { target(), 1, terms_.deadline, 0, adapterAt_ };
+    if (adapterAt_.value().empty())
+        waiting.target.adapter = framework::AdapterName();
+    waiting.priority = static_cast<std::uint8_t>(leastUrgent - std::min(leastUrgent, terms_.route->priority));
+    return waiting;
+}
+
+void RequestJob::advance()
+{
+    if (!isWaiting())
+        return;
+    const auto keepsItself = shared_from_this();
+    const UpstreamSearch search = findUpstream(host_, terms_, prompt_, { sentTo_, avoided_ });
+    adapterAt_ = search.adapterAt;
+    waitsForLoad_ = search.reason == NoUpstream::NotLoaded || search.reason == NoUpstream::AdapterNotLoaded;
+    if (search.chosen)
+        return send(*search.chosen);
+    if (search.reason == NoUpstream::NoneLeft)
+        return refuse(503, lastCause_, jittered(soonAgain));
+    if (search.reason == NoUpstream::NoneReady)
+        return refuse(503, "no server is ready", jittered(laterAgain));
+}
+
+http::Request RequestJob::forwardedRequest(const UpstreamRecord& upstream) const
+{
+    ForwardingTerms terms;
+    terms.timeLeft = std::max(Milliseconds(1), terms_.deadline.remaining(host_.now()));
+    terms.instance = upstream.facts.instance;
+    if (!terms_.facts.model.value().empty())
+        terms.priority = std::min(leastUrgent, mostUrgent + terms_.route->priority);
+    if (isStream())
+        terms.resumeAfter = events_.last();
+    return host_.dialect().forwarded(exchange_->request(), terms);
+}
+
+void RequestJob::send(const ChosenUpstream& chosen)
+{
+    UpstreamRecord& upstream = *chosen.upstream;
+    ++sends_;
+    sentTo_.insert(upstream.facts.instance);
+    lastServer_ = upstream.facts.instance.value();
+    logSend(chosen);
+    auto use = std::make_unique<UpstreamUse>(chosen.upstream, target(), chosen.newTokens);
+    attempt_ = std::make_shared<UpstreamAttempt>(
+        weak_from_this(), host_.dialect(), std::move(use), chosen.connection);
+    // What the engine has read of a prompt is kept for the next one that begins alike.
+    upstream.prompts.didSend(prompt_);
+    attempt_->send(forwardedRequest(upstream));
+    host_.demandChanged();
+}
+
+void RequestJob::logSend(const ChosenUpstream& chosen) const
+{
+    LogLine line("sent");
+    line.text("id", terms_.facts.attempt)
+        .text("route", terms_.route->name.value())
+        .number("configuration", terms_.configuration->version.value())
+        .number("send", sends_)
+        .text("server", chosen.upstream->facts.instance.value())
+        .text("at", chosen.upstream->facts.endpoint.value())
+        .number("candidates", chosen.candidates)
+        .number("in_flight", chosen.upstream->inFlight)
+        .number("left_ms", terms_.deadline.remaining(host_.now()).count());
+    if (!terms_.facts.model.value().empty())
+        line.text("model", terms_.facts.model.value())
+            .text("adapter", terms_.facts.adapter.value())
+            .number("new_tokens", chosen.newTokens)
+            .number("expected_ms", chosen.expected.count());
+    if (chosen.stateAge)
+        line.number("state_age_ms", chosen.stateAge->count());
+    logDecision(line);
+}
+
+void RequestJob::didBeginStream(const http::ResponseHead& head)
+{
+    // A stream that goes on at another server keeps the head of its first.
+    if (std::exchange(hasStreamBegun_, true))
+        return;
+    exchange_->beginAnswer(head);
+    exchange_->setDrainedHandler([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->attempt_)
+            self->attempt_->resume();
+    });
+}
+
+void RequestJob::didReceiveEvents(std::string_view bytes)
+{
+    const std::string events = events_.take(bytes);
+    if (!events.empty()) {
+        if (!firstByteAt_)
+            firstByteAt_ = host_.now();
+        attempt_->use().didStart();
+        exchange_->sendPiece(events);
+    }
+    if (events_.state() == EventSplitter::State::Broken) {
+        attempt_->abandon();
+        return didBreak("events out of order", true);
+    }
+    if (exchange_->unsentBytes() > unreadBytes)
+        attempt_->pause();
+}
+
+void RequestJob::didEndStream()
+{
+    if (events_.holdsPart())
+        return didBreak("stream ended within an event", true);
+    attempt_.reset();
+    exchange_->endAnswer();
+    end("served", 200, {});
+}
+
+void RequestJob::didAnswer(const http::ResponseHead& head, std::string body)
+{
+    firstByteAt_ = host_.now();
+    passOn(head, std::move(body), "served");
+}
+
+void RequestJob::didFailAtServer(const http::ResponseHead& head, std::string body)
+{
+    if (hasStreamBegun_)
+        return didBreak("server failed the resumed stream", true);
+    passOn(head, std::move(body), "failed_by_server");
+}
+
+void RequestJob::passOn(const http::ResponseHead& head, std::string body, const char* outcome)
+{
+    attempt_.reset();
+    exchange_->answer(head, std::move(body));
+    end(outcome, head.status, {});
+}
+
+void RequestJob::didReject(AnswerMeaning meaning, unsigned status)
+{
+    attempt_->use().upstream().suspicion.didFail(host_.now());
+    sendOnceMore(std::string(rejectionText(meaning)) + " (" + std::to_string(status) + ")", 503);
+}
+
+void RequestJob::didBreak(const std::string& cause, bool mayHaveRun)
+{
+    UpstreamRecord& upstream = attempt_->use().upstream();
+    upstream.suspicion.didFail(host_.now());
+    if (!mayHaveRun) {
+        avoided_.insert(upstream.facts.instance);
+        sentTo_.erase(upstream.facts.instance);
+        attempt_.reset();
+        lastCause_ = cause;
+        if (++unreached_ < mostUnreached && !terms_.deadline.hasPassed(host_.now()))
+            return advance();
+        return refuse(503, cause, jittered(soonAgain));
+    }
+    // A stream that began may only go on where it ended; the part of an event that was held is made anew.
+    events_ = EventSplitter(events_.last());
+    mayHaveRun_ = true;
+    sendOnceMore(cause, 502);
+}
+
+void RequestJob::sendOnceMore(const std::string& cause, unsigned statusIfNot)
+{
+    const auto keepsItself = shared_from_this();
+    attempt_.reset();
+    lastCause_ = cause;
+    const bool mayRun = !mayHaveRun_ || mayRepeat();
+    const bool hasTime = terms_.deadline.remaining(host_.now()) >= leastTimeToRepeat;
+    const bool hasServerLeft = sentTo_.size() < terms_.route->mostServers;
+    const bool isRepeated = mayRun && hasTime && hasServerLeft && host_.spendRepeat(terms_.service);
+    logDecision(LogLine("attempt_failed")
+                    .text("id", terms_.facts.attempt)
+                    .text("server", lastServer_)
+                    .text("cause", cause)
+                    .flag("may_have_run", mayHaveRun_)
+                    .flag("time_left", hasTime)
+                    .flag("server_left", hasServerLeft)
+                    .flag("repeated", isRepeated));
+    if (isRepeated)
+        return advance();
+    refuse(statusIfNot, cause, jittered(soonAgain));
+}
+
+/// Ends it with this system's own answer. Guards against a promise that isn't true: a status that says "not run" is
+/// given only if no server may have run it.
+void RequestJob::refuse(unsigned status, const std::string& cause, std::optional<Milliseconds> retryAfter)
+{
+    if (hasStreamBegun_)
+        return breakOff(cause);
+    const unsigned honest = mayHaveRun_ && status == 503 ? 502 : status;
+    exchange_->answer(host_.dialect().refusal(honest, honest == 503 ? retryAfter : std::nullopt), {});
+    end("refused", honest, cause);
+}
+
+void RequestJob::refuseAsHopeless(Milliseconds soonest)
+{
+    refuse(503, "model not there before the deadline, soonest in " + std::to_string(soonest.count()) + " ms",
+        jittered(std::max(soonAgain, soonest)));
+}
+
+void RequestJob::breakOff(const std::string& cause)
+{
+    exchange_->breakOff();
+    end("broken_off", 0, cause);
+}
+
+void RequestJob::didPassDeadline()
+{
+    const bool isUnderWay = attempt_ != nullptr;
+    if (isUnderWay) {
+        if (terms_.facts.model.value().empty())
+            attempt_->use().upstream().suspicion.didFail(host_.now());
+        attempt_->abandon();
+        attempt_.reset();
+        mayHaveRun_ = true;
+    }
+    refuse(mayHaveRun_ ? 504 : 503, isUnderWay ? "no whole answer in time" : "no server in time", jittered(laterAgain));
+}
+
+void RequestJob::didLoseCaller()
+{
+    if (attempt_) {
+        attempt_->abandon();
+        attempt_.reset();
+    }
+    end("caller_gone", 0, {});
+}
+
+void RequestJob::end(const char* outcome, unsigned status, const std::string& cause)
+{
+    const auto keepsItself = shared_from_this();
+    isEnded_ = true;
+    deadlineTimer_.reset();
+    const auto milliseconds = [this](framework::SteadyTime at) {
+        return std::chrono::duration_cast<Milliseconds>(at - exchange_->receivedAt()).count();
+    };
+    LogLine line("ended");
+    line.text("id", terms_.facts.attempt)
+        .text("route", terms_.route->name.value())
+        .text("service", terms_.service.value())
+        .text("outcome", outcome)
+        .number("status", status)
+        .number("sends", sends_)
+        .text("server", lastServer_)
+        .number("total_ms", milliseconds(host_.now()));
+    if (firstByteAt_)
+        line.number("first_ms", milliseconds(*firstByteAt_));
+    if (!terms_.facts.model.value().empty())
+        line.text("model", terms_.facts.model.value()).text("adapter", terms_.facts.adapter.value());
+    if (!cause.empty())
+        line.text("cause", cause);
+    logDecision(line);
+    host_.metrics().count("lagoon_forwarded_total", { { "service", terms_.service.value() }, { "outcome", outcome } });
+    if (firstByteAt_)
+        host_.metrics().observeSeconds(
+            "lagoon_forwarded_first_byte_seconds", milliseconds(*firstByteAt_) / 1000.0,
+            { { "service", terms_.service.value() } });
+    host_.didEnd(shared_from_this());
+}
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/requestjob.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "catalog/types/configuration.h"
+#include "forwarding/eventsplitter.h"
+#include "forwarding/internal/ijobhost.h"
+#include "forwarding/internal/upstreamchoice.h"
+#include "forwarding/promptcache.h"
+#include "http/iexchange.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace lagoon::forwarding {
+
+class UpstreamAttempt;
+
+/// A request's facts and the operator's decisions on it; fixed when it comes.
+struct JobTerms {
+    /// Keeps `route` alive.
+    catalog::ConfigurationPointer configuration;
+    const catalog::Route* route = nullptr;
+    framework::ServiceName service;
+    RequestFacts facts;
+    /// Of the final answer: the caller's or the route's, whichever comes first.
+    framework::Deadline deadline;
+};
+
+/// One request from its receipt to its one final answer.
+///
+/// It waits until a server can take it, is sent, and its answer is passed on. What surely hasn't run, or may run twice,
+/// is sent once more if the operator's limits allow it.
+class RequestJob final : public std::enable_shared_from_this<RequestJob> {
+public:
+    RequestJob(IJobHost&, std::shared_ptr<http::IExchange>, JobTerms);
+    ~RequestJob();
+    RequestJob(const RequestJob&) = delete;
+    RequestJob& operator=(const RequestJob&) = delete;
+
+    void start();
+    /// Sends it if a server can take it. Called again whenever that may have changed.
+    void advance();
+    bool isWaiting() const { return !isEnded_ && !attempt_; }
+    /// The model or adapter for which it waits; nothing if it waits for something else.
+    std::optional<WaitingFor> waitingFor() const;
+    /// Ends it as not run: it can't be served before its deadline. `soonest` is when it could have been.
+    void refuseAsHopeless(framework::Milliseconds soonest);
+
+    const JobTerms& terms() const { return terms_; }
+    framework::Milliseconds waited(framework::SteadyTime now) const
+    {
+        return std::chrono::duration_cast<framework::Milliseconds>(now - exchange_->receivedAt());
+    }
+    bool mayHaveRun() const { return mayHaveRun_; }
+
+    // From the attempt under way.
+    void didBeginStream(const http::ResponseHead&);
+    void didReceiveEvents(std::string_view bytes);
+    void didEndStream();
+    void didAnswer(const http::ResponseHead&, std::string body);
+    void didFailAtServer(const http::ResponseHead&, std::string body);
+    void didReject(AnswerMeaning, unsigned status);
+    /// Without a whole answer. `mayHaveRun` false: it surely hasn't arrived.
+    void didBreak(const std::string& cause, bool mayHaveRun);
+
+private:
+    bool isStream() const { return terms_.route->kind == catalog::RouteKind::Streaming; }
+    bool mayRepeat() const;
+    catalog::ModelTarget target() const;
+    void send(const ChosenUpstream&);
+    http::Request forwardedRequest(const UpstreamRecord&) const;
+    void sendOnceMore(const std::string& cause, unsigned statusIfNot);
+    void passOn(const http::ResponseHead&, std::string body, const char* outcome);
+    void refuse(unsigned status, const std::string& cause, std::optional<framework::Milliseconds> retryAfter);
+    void breakOff(const std::string& cause);
+    void didPassDeadline();
+    void didLoseCaller();
+    void end(const char* outcome, unsigned status, const std::string& cause);
+    void logSend(const ChosenUpstream&) const;
+
+    IJobHost& host_;
+    std::shared_ptr<http::IExchange> exchange_;
+    JobTerms terms_;
+    PromptChain prompt_;
+    std::unique_ptr<framework::Timer> deadlineTimer_;
+    std::shared_ptr<UpstreamAttempt> attempt_;
+    /// Servers that it was sent to, and may have reached.
+    std::set<catalog::InstanceId> sentTo_;
+    /// Servers that couldn't be reached, or are no use for it.
+    std::set<catalog::InstanceId> avoided_;
+    std::uint32_t sends_ = 0;
+    std::uint32_t unreached_ = 0;
+    bool mayHaveRun_ = false;
+    bool hasStreamBegun_ = false;
+    bool isEnded_ = false;
+    bool waitsForLoad_ = false;
+    /// Where an adapter is to be loaded for it.
+    framework::Endpoint adapterAt_;
+    std::string lastCause_;
+    EventSplitter events_;
+    std::optional<framework::SteadyTime> firstByteAt_;
+    std::string lastServer_;
+};
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/serverchoice.cpp
@@ -0,0 +1,84 @@
+#include "forwarding/serverchoice.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using framework::Milliseconds;
+
+/// Prompt tokens that an engine reads in a millisecond, as the operators' pages state it for both of today's sites.
+/// Only the proportion to the other costs matters for the choice.
+constexpr double tokensPerMillisecond = 38.4;
+/// Mean prompt of a request that another router has queued there: its size isn't told.
+constexpr double assumedQueuedTokens = 3000;
+/// What each running request adds to the time of everyone's next token, over the reading of one prompt.
+constexpr double millisecondsPerRunning = 1.5;
+/// For want of room the engine preempts: the newest of the least urgent is read anew later.
+constexpr double millisecondsWithoutRoom = 3000;
+constexpr double millisecondsWithoutSlot = 1500;
+/// There and back between failure domains, and the bytes' price.
+constexpr double millisecondsToOtherDomain = 6;
+/// Reading shared parts anew at another engine costs everyone there time, beyond what it costs this request.
+constexpr double millisecondsPerAffinityRank = 12;
+
+double expectedMilliseconds(const EngineView& engine)
+{
+    const double waitingTokens
+        = static_cast<double>(engine.ownStartingTokens) + engine.queued * assumedQueuedTokens;
+    double expected = (waitingTokens + static_cast<double>(engine.newTokens)) / tokensPerMillisecond;
+    expected += millisecondsPerRunning * engine.running;
+    expected += millisecondsPerAffinityRank * engine.affinityRank;
+    if (!engine.isInOwnFailureDomain)
+        expected += millisecondsToOtherDomain;
+    if (engine.running + engine.queued + engine.ownStarting >= engine.slots)
+        expected += millisecondsWithoutSlot;
+    if (engine.totalTokens > 0
+        && engine.usedTokens + engine.ownStartingTokens + engine.memoryTokens > engine.totalTokens)
+        expected += millisecondsWithoutRoom;
+    return expected;
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseServer(const std::vector<ServerView>& servers, double random)
+{
+    if (servers.empty())
+        return std::nullopt;
+    // Different routers begin at different servers, lest equals all be sent to the first of the list.
+    const std::size_t offset = std::min(
+        servers.size() - 1, static_cast<std::size_t>(random * static_cast<double>(servers.size())));
+    const auto cost = [&](std::size_t index) {
+        const ServerView& server = servers[index];
+        const double load = static_cast<double>(server.ownInFlight) / std::max<std::uint32_t>(1, server.slots);
+        return std::tuple(server.wasTried, server.isSuspect, load, !server.isInOwnFailureDomain,
+            (index + servers.size() - offset) % servers.size());
+    };
+    std::size_t best = 0;
+    for (std::size_t index = 1; index < servers.size(); ++index) {
+        if (cost(index) < cost(best))
+            best = index;
+    }
+    return best;
+}
+
+std::optional<EngineChoice> chooseEngine(const std::vector<EngineView>& engines)
+{
+    std::optional<std::size_t> best;
+    std::tuple<bool, bool, double> least;
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        const EngineView& engine = engines[index];
+        const std::tuple cost(engine.wasTried, engine.isSuspect, expectedMilliseconds(engine));
+        if (best && least <= cost)
+            continue;
+        best = index;
+        least = cost;
+    }
+    if (!best)
+        return std::nullopt;
+    return EngineChoice { *best, Milliseconds(static_cast<std::int64_t>(std::get<2>(least))) };
+}
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/suspicion.cpp
@@ -0,0 +1,31 @@
+#include "forwarding/suspicion.h"
+
+#include <algorithm>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using framework::Milliseconds;
+
+/// A server that fails once may have had bad luck, and is only passed by for as long as the others take over what it
+/// had; one that goes on failing costs a request each time it is tried.
+constexpr Milliseconds firstPause { 300 };
+constexpr Milliseconds longestPause { 5000 };
+
+} // namespace
+
+void Suspicion::didServe()
+{
+    failures_ = 0;
+    until_ = framework::Deadline();
+}
+
+void Suspicion::didFail(framework::SteadyTime now)
+{
+    const std::uint32_t doublings = std::min<std::uint32_t>(failures_, 5);
+    until_ = framework::Deadline::after(now, std::min(longestPause, firstPause * (1 << doublings)));
+    ++failures_;
+}
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/upstreamattempt.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "forwarding/internal/upstreamuse.h"
+#include "forwarding/irequestdialect.h"
+#include "http/clientconnection.h"
+
+#include <memory>
+#include <string>
+
+namespace lagoon::forwarding {
+
+class RequestJob;
+
+/// One sending of a request to a server: reads the answer, and tells the request what it means.
+class UpstreamAttempt final : public http::IAnswerSink, public std::enable_shared_from_this<UpstreamAttempt> {
+public:
+    UpstreamAttempt(std::weak_ptr<RequestJob>, const IRequestDialect&, std::unique_ptr<UpstreamUse>,
+        std::shared_ptr<http::ClientConnection>);
+
+    void send(const http::Request&);
+    /// Closes the connection, at which the server drops the work; the request hears nothing more.
+    void abandon();
+    void pause() { connection_->pause(); }
+    void resume() { connection_->resume(); }
+    UpstreamUse& use() { return *use_; }
+
+    bool didReceiveHead(const http::ResponseHead&) override;
+    void didReceiveBody(std::string_view) override;
+    void didFinish() override;
+    void didFail(const http::ClientFailure&) override;
+
+private:
+    bool passesEvents(const RequestJob&) const;
+
+    std::weak_ptr<RequestJob> job_;
+    const IRequestDialect& dialect_;
+    std::unique_ptr<UpstreamUse> use_;
+    std::shared_ptr<http::ClientConnection> connection_;
+    AnswerMeaning meaning_ = AnswerMeaning::Foreign;
+    http::ResponseHead head_;
+    std::string body_;
+};
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -0,0 +1,212 @@
+#include "forwarding/internal/upstreamchoice.h"
+
+#include "forwarding/internal/requestjob.h"
+#include "forwarding/serverchoice.h"
+#include "framework/randomid.h"
+#include "policy/rendezvous.h"
+
+#include <algorithm>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using catalog::ModelTarget;
+using framework::Milliseconds;
+
+/// Parts of a prompt by which engines are preferred: the ones behind are a session's or the request's own.
+constexpr std::size_t affinityParts = 2;
+
+std::vector<UpstreamPointer> allowed(
+    const std::vector<UpstreamPointer>& ready, const JobTerms& terms, const SearchPast& past)
+{
+    if (past.sentTo.size() < terms.route->mostServers)
+        return ready;
+    std::vector<UpstreamPointer> found;
+    for (const UpstreamPointer& upstream : ready) {
+        if (past.sentTo.contains(upstream->facts.instance))
+            found.push_back(upstream);
+    }
+    return found;
+}
+
+bool wasTried(const UpstreamRecord& upstream, const SearchPast& past)
+{
+    return past.sentTo.contains(upstream.facts.instance) || past.avoided.contains(upstream.facts.instance);
+}
+
+http::ConnectionPool::Reuse reuseFor(const catalog::Route& route)
+{
+    const bool mayRunTwice = route.kind == catalog::RouteKind::Idempotent || route.isResumable;
+    return mayRunTwice ? http::ConnectionPool::Reuse::Usual : http::ConnectionPool::Reuse::Careful;
+}
+
+/// The engines by the order in which all routers prefer them for prompts that begin like this one: so requests with
+/// shared parts meet where those have been read, without routers telling each other.
+std::vector<framework::VmName> affinityOrder(const std::vector<UpstreamPointer>& engines, const PromptChain& prompt)
+{
+    std::vector<framework::VmName> names;
+    names.reserve(engines.size());
+    for (const UpstreamPointer& engine : engines)
+        names.emplace_back(engine->facts.endpoint.value());
+    const std::size_t parts = std::min(affinityParts, prompt.size());
+    const std::string key = parts == 0 ? std::string() : std::to_string(prompt[parts - 1].hash);
+    return policy::rendezvousOrder(key, std::move(names));
+}
+
+std::uint32_t placeOf(const std::vector<framework::VmName>& order, const UpstreamRecord& engine)
+{
+    const framework::VmName name(engine.facts.endpoint.value());
+    return static_cast<std::uint32_t>(std::find(order.begin(), order.end(), name) - order.begin());
+}
+
+class Search {
+public:
+    Search(IJobHost& host, const JobTerms& terms, const PromptChain& prompt, const SearchPast& past)
+        : host_(host)
+        , terms_(terms)
+        , prompt_(prompt)
+        , past_(past)
+        , now_(host.now())
+    {
+    }
+
+    UpstreamSearch run()
+    {
+        const std::vector<UpstreamPointer> ready = host_.upstreams().ready(terms_.service);
+        if (ready.empty())
+            return failed(NoUpstream::NoneReady);
+        std::vector<UpstreamPointer> candidates = allowed(ready, terms_, past_);
+        if (candidates.empty())
+            return failed(NoUpstream::NoneLeft);
+        return terms_.facts.model.value().empty() ? amongServers(std::move(candidates))
+                                                  : amongEngines(std::move(candidates));
+    }
+
+private:
+    static UpstreamSearch failed(NoUpstream reason) { return { std::nullopt, reason, {} }; }
+
+    UpstreamSearch amongServers(std::vector<UpstreamPointer> candidates)
+    {
+        while (!candidates.empty()) {
+            std::vector<ServerView> views;
+            for (const UpstreamPointer& server : candidates)
+                views.push_back(viewOf(*server));
+            const auto index = *chooseServer(views, framework::randomFraction());
+            if (auto chosen = connect(candidates[index], candidates.size()))
+                return { std::move(chosen), {}, {} };
+            candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+        return failed(NoUpstream::AllConnectionsTaken);
+    }
+
+    ServerView viewOf(const UpstreamRecord& server) const
+    {
+        return { server.facts.slots, server.inFlight, server.suspicion.isSuspect(now_),
+            server.facts.failureDomain == host_.settings().failureDomain, wasTried(server, past_) };
+    }
+
+    UpstreamSearch amongEngines(const std::vector<UpstreamPointer>& candidates)
+    {
+        const ModelTarget target { terms_.facts.model, terms_.facts.adapter };
+        const ModelTarget model { terms_.facts.model, {} };
+        std::vector<UpstreamPointer> holders;
+        std::vector<UpstreamPointer> withoutAdapter;
+        for (const UpstreamPointer& engine : candidates) {
+            if (host_.upstreams().holds(*engine, target, now_))
+                holders.push_back(engine);
+            else if (host_.upstreams().holds(*engine, model, now_))
+                withoutAdapter.push_back(engine);
+        }
+        if (holders.empty())
+            return withoutAdapter.empty() ? failed(NoUpstream::NotLoaded) : adapterWanted(withoutAdapter);
+        return amongHolders(std::move(holders));
+    }
+
+    /// Only an engine that an agent speaks for can be asked to load.
+    UpstreamSearch adapterWanted(const std::vector<UpstreamPointer>& engines) const
+    {
+        UpstreamSearch search = failed(NoUpstream::AdapterNotLoaded);
+        std::vector<framework::VmName> names;
+        for (const UpstreamPointer& engine : engines) {
+            if (host_.upstreams().state(*engine, now_) && !engine->suspicion.isSuspect(now_))
+                names.emplace_back(engine->facts.endpoint.value());
+        }
+        if (names.empty())
+            return failed(NoUpstream::NotLoaded);
+        const std::string key = terms_.facts.model.value() + '/' + terms_.facts.adapter.value();
+        search.adapterAt = framework::Endpoint(policy::rendezvousOrder(key, std::move(names)).front().value());
+        return search;
+    }
+
+    UpstreamSearch amongHolders(std::vector<UpstreamPointer> holders)
+    {
+        const std::size_t candidates = holders.size();
+        while (!holders.empty()) {
+            const std::vector<framework::VmName> order = affinityOrder(holders, prompt_);
+            std::vector<EngineView> views;
+            for (const UpstreamPointer& engine : holders)
+                views.push_back(viewOf(*engine, placeOf(order, *engine)));
+            const auto choice = chooseEngine(views);
+            if (auto chosen = connect(holders[choice->index], candidates)) {
+                chosen->newTokens = views[choice->index].newTokens;
+                chosen->expected = choice->expected;
+                return { std::move(chosen), {}, {} };
+            }
+            holders.erase(holders.begin() + static_cast<std::ptrdiff_t>(choice->index));
+        }
+        return failed(NoUpstream::AllConnectionsTaken);
+    }
+
+    EngineView viewOf(const UpstreamRecord& engine, std::uint32_t affinityRank) const
+    {
+        EngineView view;
+        view.slots = engine.facts.slots;
+        if (const HeardState* const heard = host_.upstreams().state(engine, now_)) {
+            view.running = heard->state.running;
+            view.queued = heard->state.queued;
+            view.usedTokens = heard->state.usedMemory.value();
+            view.totalTokens = heard->state.memory.value();
+        }
+        view.ownStarting = engine.starting;
+        view.ownStartingTokens = engine.startingTokens;
+        const std::uint64_t prompt = terms_.facts.promptTokens.value();
+        view.newTokens = prompt - std::min<std::uint64_t>(prompt, engine.prompts.kept(prompt_));
+        view.memoryTokens = prompt + terms_.facts.mostOutputTokens.value();
+        view.affinityRank = affinityRank;
+        view.isSuspect = engine.suspicion.isSuspect(now_);
+        view.isInOwnFailureDomain = engine.facts.failureDomain == host_.settings().failureDomain;
+        view.wasTried = wasTried(engine, past_);
+        return view;
+    }
+
+    std::optional<ChosenUpstream> connect(const UpstreamPointer& upstream, std::size_t candidates)
+    {
+        auto connection = upstream->connections.take(reuseFor(*terms_.route), now_);
+        if (!connection)
+            return std::nullopt;
+        ChosenUpstream chosen;
+        chosen.upstream = upstream;
+        chosen.connection = std::move(connection);
+        chosen.candidates = candidates;
+        if (const HeardState* const heard = host_.upstreams().state(*upstream, now_))
+            chosen.stateAge = std::chrono::duration_cast<Milliseconds>(now_ - heard->at);
+        return chosen;
+    }
+
+    IJobHost& host_;
+    const JobTerms& terms_;
+    const PromptChain& prompt_;
+    const SearchPast& past_;
+    framework::SteadyTime now_;
+};
+
+} // namespace
+
+UpstreamSearch findUpstream(
+    IJobHost& host, const JobTerms& terms, const PromptChain& prompt, const SearchPast& past)
+{
+    return Search(host, terms, prompt, past).run();
+}
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "forwarding/internal/ijobhost.h"
+#include "forwarding/promptcache.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace lagoon::forwarding {
+
+struct JobTerms;
+
+/// A server for a request, and what decided for it.
+struct ChosenUpstream {
+    UpstreamPointer upstream;
+    std::shared_ptr<http::ClientConnection> connection;
+    std::uint64_t newTokens = 0;
+    framework::Milliseconds expected { 0 };
+    std::size_t candidates = 0;
+    /// Age of what the engine's agent said; nothing if none spoke.
+    std::optional<framework::Milliseconds> stateAge;
+};
+
+/// Why there is none now.
+enum class NoUpstream : std::uint8_t {
+    NoneReady, ///< the list has none for the service
+    NoneLeft, ///< it was sent to as many as it may be
+    NotLoaded, ///< no engine has the model
+    AdapterNotLoaded, ///< an engine has the model, but none the adapter
+    AllConnectionsTaken,
+};
+
+struct UpstreamSearch {
+    std::optional<ChosenUpstream> chosen;
+    NoUpstream reason = NoUpstream::NoneReady;
+    /// For `AdapterNotLoaded`: the engine that should load it.
+    framework::Endpoint adapterAt;
+};
+
+/// What the search has to know of the request's past.
+struct SearchPast {
+    const std::set<catalog::InstanceId>& sentTo;
+    const std::set<catalog::InstanceId>& avoided;
+};
+
+/// Finds a server that can take the request now, and a connection to it.
+UpstreamSearch findUpstream(IJobHost&, const JobTerms&, const PromptChain&, const SearchPast&);
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -0,0 +1,133 @@
+#include "forwarding/internal/upstreamtable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using catalog::Upstream;
+using framework::Endpoint;
+using framework::Milliseconds;
+using framework::SteadyTime;
+
+/// An agent speaks each second; one that has missed two is not to be relied on.
+constexpr Milliseconds stateHolds { 2500 };
+/// Assumed while no agent has said how many there are: today's deployments have 5 to 28.
+constexpr std::uint32_t assumedRouters = 8;
+/// Connections to a server that a router may open in any case.
+constexpr std::size_t fewestConnections = 4;
+/// Part of a server's connections that all routers together use: some are still closing when others open.
+constexpr double shareOfConnections = 0.85;
+/// Prompt tokens of which it is assumed that an engine keeps them, until its agent has told its memory.
+const catalog::Tokens assumedPromptRoom(100000);
+
+} // namespace
+
+UpstreamRecord::UpstreamRecord(boost::asio::io_context& context, const Upstream& upstream)
+    : facts(upstream)
+    , connections(context, upstream.endpoint, http::ClientOptions {}, fewestConnections)
+    , prompts(assumedPromptRoom)
+{
+}
+
+void UpstreamTable::setUpstreams(const std::vector<Upstream>& upstreams)
+{
+    std::set<catalog::InstanceId> listed;
+    for (const Upstream& upstream : upstreams) {
+        listed.insert(upstream.instance);
+        const auto found = records_.find(upstream.instance);
+        if (found == records_.end())
+            records_.emplace(upstream.instance, std::make_shared<UpstreamRecord>(context_, upstream));
+        else
+            found->second->facts = upstream;
+    }
+    std::erase_if(records_, [&](const auto& entry) { return !listed.contains(entry.first); });
+    limitConnections();
+}
+
+void UpstreamTable::setConfiguration(catalog::ConfigurationPointer configuration)
+{
+    configuration_ = std::move(configuration);
+    limitConnections();
+}
+
+/// Guards against resets by a server whose connections are all taken: callers share them without talking.
+void UpstreamTable::limitConnections()
+{
+    if (!configuration_)
+        return;
+    for (const auto& [instance, record] : records_) {
+        const catalog::Service* const service = configuration_->find(record->facts.service);
+        if (!service)
+            continue;
+        const auto share = static_cast<std::size_t>(shareOfConnections * service->mostConnections / routers());
+        record->connections.setMost(std::max(fewestConnections, share));
+    }
+}
+
+void UpstreamTable::setState(catalog::EngineState state, SteadyTime now)
+{
+    const std::uint32_t before = routers();
+    const Endpoint engine = state.engine;
+    states_[engine] = { std::move(state), now };
+    if (routers() != before)
+        limitConnections();
+}
+
+void UpstreamTable::forgetState(const Endpoint& engine) { states_.erase(engine); }
+
+std::vector<UpstreamPointer> UpstreamTable::ready(const framework::ServiceName& service) const
+{
+    std::vector<UpstreamPointer> found;
+    for (const auto& [instance, record] : records_) {
+        if (record->facts.service == service && record->facts.state == catalog::UpstreamState::Ready)
+            found.push_back(record);
+    }
+    return found;
+}
+
+const HeardState* UpstreamTable::state(const UpstreamRecord& record, SteadyTime now) const
+{
+    const auto found = states_.find(record.facts.endpoint);
+    if (found == states_.end() || now - found->second.at > stateHolds)
+        return nullptr;
+    return &found->second;
+}
+
+bool UpstreamTable::holds(const UpstreamRecord& record, const catalog::ModelTarget& target, SteadyTime now) const
+{
+    const auto isThis = [&](const catalog::HeldModel& held) {
+        return held.model == target.model && held.has(target.adapter);
+    };
+    if (const HeardState* const heard = state(record, now)) {
+        const catalog::HeldModel* const held = heard->state.find(target.model);
+        return held && !heard->state.isLeaving(target.model) && isThis(*held);
+    }
+    return std::any_of(record.facts.models.begin(), record.facts.models.end(), isThis);
+}
+
+std::vector<EngineFacts> UpstreamTable::engines(const framework::ServiceName& service, SteadyTime now) const
+{
+    std::vector<EngineFacts> facts;
+    for (const auto& [instance, record] : records_) {
+        if (record->facts.service != service || record->facts.state != catalog::UpstreamState::Ready)
+            continue;
+        const HeardState* const heard = state(*record, now);
+        if (!heard || record->suspicion.isSuspect(now))
+            continue;
+        facts.push_back({ record->facts.endpoint, &heard->state, heard->at, record->inFlightByTarget });
+    }
+    return facts;
+}
+
+std::uint32_t UpstreamTable::routers() const
+{
+    std::uint32_t most = 0;
+    for (const auto& [endpoint, heard] : states_)
+        most = std::max(most, heard.state.routers);
+    return most == 0 ? assumedRouters : most;
+}
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/upstreamtable.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "catalog/types/configuration.h"
+#include "catalog/types/upstream.h"
+#include "forwarding/promptcache.h"
+#include "forwarding/suspicion.h"
+#include "forwarding/wantedplanner.h"
+#include "framework/types/time.h"
+#include "http/connectionpool.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoon::forwarding {
+
+/// One server with what this router has under way there. Kept alive by its requests when the list drops it.
+struct UpstreamRecord {
+    UpstreamRecord(boost::asio::io_context&, const catalog::Upstream&);
+
+    catalog::Upstream facts;
+    http::ConnectionPool connections;
+    Suspicion suspicion;
+    PromptCache prompts;
+    std::uint32_t inFlight = 0;
+    /// By what runs there.
+    std::map<catalog::ModelTarget, std::uint32_t> inFlightByTarget;
+    /// Requests without their first event, and the prompt tokens that they need read.
+    std::uint32_t starting = 0;
+    std::uint64_t startingTokens = 0;
+};
+
+using UpstreamPointer = std::shared_ptr<UpstreamRecord>;
+
+/// What an engine's agent said last.
+struct HeardState {
+    catalog::EngineState state;
+    framework::SteadyTime at {};
+};
+
+/// The servers that this router knows, and what agents say of engines. Belongs to the traffic thread.
+class UpstreamTable {
+public:
+    explicit UpstreamTable(boost::asio::io_context& context)
+        : context_(context)
+    {
+    }
+
+    void setUpstreams(const std::vector<catalog::Upstream>&);
+    void setConfiguration(catalog::ConfigurationPointer);
+    void setState(catalog::EngineState, framework::SteadyTime now);
+    /// The link to the agent is gone: what it said holds no longer.
+    void forgetState(const framework::Endpoint&);
+
+    /// Servers of the service that take new requests.
+    std::vector<UpstreamPointer> ready(const framework::ServiceName&) const;
+    /// What the engine's agent says, if it has lately.
+    const HeardState* state(const UpstreamRecord&, framework::SteadyTime now) const;
+    /// Whether the engine holds the target and goes on holding it, by its agent or, without one, by the list.
+    bool holds(const UpstreamRecord&, const catalog::ModelTarget&, framework::SteadyTime now) const;
+    /// Engines of the service that an agent speaks for.
+    std::vector<EngineFacts> engines(const framework::ServiceName&, framework::SteadyTime now) const;
+    /// The most routers that any agent hears from; a guess without agents.
+    std::uint32_t routers() const;
+    bool isEmpty() const { return records_.empty(); }
+
+private:
+    void limitConnections();
+
+    boost::asio::io_context& context_;
+    catalog::ConfigurationPointer configuration_;
+    std::map<catalog::InstanceId, UpstreamPointer> records_;
+    std::map<framework::Endpoint, HeardState> states_;
+};
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/upstreamuse.cpp
@@ -0,0 +1,36 @@
+#include "forwarding/internal/upstreamuse.h"
+
+#include <utility>
+
+namespace lagoon::forwarding {
+
+UpstreamUse::UpstreamUse(UpstreamPointer upstream, catalog::ModelTarget target, std::uint64_t newTokens)
+    : upstream_(std::move(upstream))
+    , target_(std::move(target))
+    , newTokens_(newTokens)
+{
+    ++upstream_->inFlight;
+    ++upstream_->starting;
+    upstream_->startingTokens += newTokens_;
+    if (!target_.model.value().empty())
+        ++upstream_->inFlightByTarget[target_];
+}
+
+UpstreamUse::~UpstreamUse()
+{
+    didStart();
+    --upstream_->inFlight;
+    const auto target = upstream_->inFlightByTarget.find(target_);
+    if (target != upstream_->inFlightByTarget.end() && --target->second == 0)
+        upstream_->inFlightByTarget.erase(target);
+}
+
+void UpstreamUse::didStart()
+{
+    if (!std::exchange(isStarting_, false))
+        return;
+    --upstream_->starting;
+    upstream_->startingTokens -= newTokens_;
+}
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/modeldemand.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+
+#include <unordered_map>
+
+namespace lagoon::forwarding {
+
+/// How much of an engine's time the requests for each model take, by an average that fades within seconds: demand
+/// moves from model to model during a day.
+class ModelDemand {
+public:
+    /// `work` is the engine's time that the request takes by itself.
+    void didArrive(const framework::ModelName&, framework::Milliseconds work, framework::SteadyTime now);
+    /// Part of one engine's time, 0 for models that nobody asks for.
+    double work(const framework::ModelName&, framework::SteadyTime now) const;
+
+private:
+    struct Average {
+        double perSecond = 0;
+        framework::SteadyTime at {};
+    };
+
+    std::unordered_map<framework::ModelName, Average> averages_;
+};
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/wantedplanner.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "catalog/types/configuration.h"
+#include "catalog/types/upstream.h"
+#include "catalog/types/wanted.h"
+#include "framework/types/time.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace lagoon::forwarding {
+
+/// An engine whose agent can be asked to load.
+struct EngineFacts {
+    framework::Endpoint engine;
+    const catalog::EngineState* state = nullptr;
+    framework::SteadyTime stateAt {};
+    /// This router's requests under way there.
+    std::map<catalog::ModelTarget, std::uint32_t> inFlight;
+};
+
+/// Requests that wait for a model or adapter.
+struct WaitingFor {
+    catalog::ModelTarget target;
+    std::uint32_t waiting = 0;
+    framework::Deadline earliest;
+    std::uint8_t priority = 0;
+    /// For an adapter: the engine that is to load it, which has the model.
+    framework::Endpoint at;
+};
+
+struct PlannerInput {
+    const catalog::EngineProfile& profile;
+    std::vector<EngineFacts> engines;
+    std::vector<WaitingFor> waiting;
+    /// This router's work by model, as parts of an engine's time.
+    std::map<framework::ModelName, double> work;
+    /// Whether the agents of nearly all engines have been heard, so that a model that none has is really missing.
+    bool isComplete = false;
+    framework::SteadyTime now {};
+};
+
+/// Decides which engine's agent this router asks for what. All routers ask by the same order of engines and by states
+/// that they all get, so that they mostly name the same engine without talking to each other; when they differ for a
+/// moment, a model is loaded twice, which costs a load and no promise.
+class WantedPlanner {
+public:
+    /// What to tell each agent; engines that are missing are told nothing wanted.
+    std::map<framework::Endpoint, catalog::WantedList> plan(const PlannerInput&);
+
+    /// When the model will be at an engine, from now, as far as agents have said; nothing if none has.
+    static std::optional<framework::Milliseconds> soonest(
+        const std::vector<EngineFacts>&, const framework::ModelName&, framework::SteadyTime now);
+
+private:
+    struct Choice {
+        framework::Endpoint engine;
+        framework::SteadyTime since {};
+    };
+
+    void forgetOrdersOfOtherEngines(const PlannerInput&);
+    void planHeld(const PlannerInput&);
+    void planWaiting(const PlannerInput&);
+    void planCopies(const PlannerInput&);
+    void planPrefetch(const PlannerInput&);
+    void add(const PlannerInput&, const framework::Endpoint&, catalog::Wanted);
+    const framework::Endpoint* chooseLoader(const PlannerInput&, const WaitingFor&);
+    const std::vector<framework::Endpoint>& orderOf(const PlannerInput&, const framework::ModelName&);
+    std::uint32_t rankOf(const PlannerInput&, const framework::ModelName&, const framework::Endpoint&);
+
+    std::map<framework::Endpoint, catalog::WantedList> lists_;
+    std::map<framework::ModelName, Choice> choices_;
+    std::vector<framework::Endpoint> orderedEngines_;
+    /// By model, `orderedEngines_` in rendezvous order.
+    std::map<framework::ModelName, std::vector<framework::Endpoint>> orders_;
+};
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/framework/internal/decisionlog.cpp
@@ -0,0 +1,92 @@
+#include "framework/decisionlog.h"
+
+#include <array>
+#include <atomic>
+#include <cmath>
+#include <cstdio>
+#include <log4cxx/asyncappender.h>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+namespace lagoon::framework {
+
+namespace {
+
+/// Set once logging is configured; until then lines are dropped, so that unit tests print none.
+std::atomic<bool> isStarted { false };
+
+const log4cxx::LoggerPtr& decisionLogger()
+{
+    static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("decision");
+    return logger;
+}
+
+std::string escaped(std::string_view text)
+{
+    std::string result;
+    result.reserve(text.size());
+    for (const char character : text) {
+        if (character == '"' || character == '\\')
+            result += '\\';
+        if (static_cast<unsigned char>(character) >= ' ') {
+            result += character;
+            continue;
+        }
+        std::array<char, 8> code {};
+        std::snprintf(code.data(), code.size(), "\\u%04x", static_cast<unsigned>(character));
+        result += code.data();
+    }
+    return result;
+}
+
+} // namespace
+
+LogLine::LogLine(std::string_view event)
+    : line_("{\"event\":\"" + escaped(event) + "\"")
+{
+}
+
+LogLine& LogLine::raw(std::string_view key, std::string_view value)
+{
+    line_.append(",\"").append(key).append("\":").append(value);
+    return *this;
+}
+
+LogLine& LogLine::text(std::string_view key, std::string_view value)
+{
+    return raw(key, "\"" + escaped(value) + "\"");
+}
+
+LogLine& LogLine::number(std::string_view key, double value)
+{
+    if (!std::isfinite(value))
+        return raw(key, "null");
+    std::array<char, 32> digits {};
+    std::snprintf(digits.data(), digits.size(), "%.3f", value);
+    return raw(key, digits.data());
+}
+
+LogLine& LogLine::flag(std::string_view key, bool value) { return raw(key, value ? "true" : "false"); }
+
+void startDecisionLog(std::string_view processName)
+{
+    auto layout = std::make_shared<log4cxx::PatternLayout>("%d{HH:mm:ss.SSS} " + std::string(processName) + " %m%n");
+    auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(queuedLogLines);
+    queue->setBlocking(false);
+    queue->addAppender(console);
+    log4cxx::BasicConfigurator::configure(queue);
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
+    isStarted = true;
+}
+
+void logDecision(const LogLine& line)
+{
+    if (isStarted)
+        LOG4CXX_INFO(decisionLogger(), line.json());
+}
+
+} // namespace lagoon::framework
--- a/src/framework/internal/controlthread.cpp
+++ b/src/framework/internal/eventthread.cpp
@@ -1,4 +1,4 @@
-#include "framework/controlthread.h"
+#include "framework/eventthread.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -44,22 +44,22 @@
 
 } // namespace
 
-ControlThread::ControlThread()
+EventThread::EventThread()
     : work_(boost::asio::make_work_guard(context_))
     , thread_([this] { context_.run(); })
 {
 }
 
-ControlThread::~ControlThread() { stop(); }
+EventThread::~EventThread() { stop(); }
 
-void ControlThread::post(std::function<void()> action) { boost::asio::post(context_, std::move(action)); }
+void EventThread::post(std::function<void()> action) { boost::asio::post(context_, std::move(action)); }
 
-std::unique_ptr<Timer> ControlThread::runAt(Deadline at, std::function<void()> action)
+std::unique_ptr<Timer> EventThread::runAt(Deadline at, std::function<void()> action)
 {
     return std::make_unique<AsioTimer>(context_, at, std::move(action));
 }
 
-void ControlThread::stop()
+void EventThread::stop()
 {
     context_.stop();
     if (thread_.joinable())
--- /dev/null
+++ b/src/framework/internal/processsignal.cpp
@@ -0,0 +1,43 @@
+#include "framework/processsignal.h"
+
+#include <csignal>
+#include <pthread.h>
+
+namespace lagoon::framework {
+
+namespace {
+
+sigset_t processSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
+} // namespace
+
+void holdProcessSignals()
+{
+    const sigset_t signals = processSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A peer that closes while we write must show as an error of that write, not end the process.
+    signal(SIGPIPE, SIG_IGN);
+}
+
+std::optional<ProcessSignal> waitForProcessSignal(Milliseconds wait)
+{
+    const sigset_t signals = processSignals();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wait);
+    timespec timeout {};
+    timeout.tv_sec = seconds.count();
+    timeout.tv_nsec = std::chrono::nanoseconds(wait - seconds).count();
+    const int received = sigtimedwait(&signals, nullptr, &timeout);
+    if (received < 0)
+        return std::nullopt;
+    return received == SIGHUP ? ProcessSignal::Reload : ProcessSignal::Terminate;
+}
+
+} // namespace lagoon::framework
--- /dev/null
+++ b/src/framework/processsignal.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "framework/types/time.h"
+
+#include <optional>
+
+namespace lagoon::framework {
+
+enum class ProcessSignal : unsigned char {
+    Terminate, ///< SIGTERM or SIGINT
+    Reload, ///< SIGHUP: the settings have changed
+};
+
+/// Blocks SIGTERM, SIGINT and SIGHUP in this thread and all it starts, and ignores SIGPIPE. Call in `main` before any
+/// thread exists.
+void holdProcessSignals();
+/// Returns once one of them has come, or nothing when `wait` is over.
+std::optional<ProcessSignal> waitForProcessSignal(Milliseconds wait);
+
+} // namespace lagoon::framework
--- /dev/null
+++ b/src/http/internal/callclient.cpp
@@ -0,0 +1,140 @@
+#include "http/callclient.h"
+
+#include "http/connectionpool.h"
+
+#include <utility>
+
+namespace lagoon::http {
+
+namespace {
+
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::Execution;
+using framework::Milliseconds;
+
+/// Calls of one process to one server at a time: a few watches, and what is read or written beside them.
+constexpr std::size_t mostConnections = 16;
+/// A page of the largest list there is.
+constexpr std::size_t mostAnswerBytes = 16 * 1024 * 1024;
+
+/// One call under way.
+class Call final : public IAnswerSink, public std::enable_shared_from_this<Call> {
+public:
+    Call(std::string step, framework::Endpoint peer, CallClient::Handler handler)
+        : step_(std::move(step))
+        , peer_(std::move(peer))
+        , handler_(std::move(handler))
+    {
+    }
+
+    void start(framework::EventThread& thread, std::shared_ptr<ClientConnection> connection, const Request& request,
+        Deadline deadline)
+    {
+        connection_ = std::move(connection);
+        timer_ = thread.runAt(deadline, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->giveUp("no answer in time");
+        });
+        connection_->send(request, shared_from_this());
+    }
+
+    bool didReceiveHead(const ResponseHead& head) override
+    {
+        response_.head = head;
+        return true;
+    }
+
+    void didReceiveBody(std::string_view piece) override
+    {
+        response_.body += piece;
+        if (response_.body.size() > mostAnswerBytes)
+            giveUp("answer of more than 16 MiB");
+    }
+
+    void didFinish() override { end(std::move(response_)); }
+
+    void didFail(const ClientFailure& failure) override
+    {
+        end(error(std::string(clientStepText(failure.step)) + ": " + failure.detail, failure.mayHaveArrived));
+    }
+
+    void giveUp(const std::string& detail)
+    {
+        if (connection_)
+            connection_->abandon();
+        end(error(detail, true));
+    }
+
+    void end(framework::Result<Response> result)
+    {
+        timer_.reset();
+        connection_.reset();
+        if (auto handler = std::exchange(handler_, nullptr))
+            handler(std::move(result));
+    }
+
+    Error error(std::string detail, bool mayHaveArrived) const
+    {
+        return Error { ErrorCode::PlatformUnavailable, step_, peer_.value(), std::move(detail),
+            mayHaveArrived ? Execution::Unknown : Execution::NotRun };
+    }
+
+private:
+    std::string step_;
+    framework::Endpoint peer_;
+    CallClient::Handler handler_;
+    std::shared_ptr<ClientConnection> connection_;
+    std::unique_ptr<framework::Timer> timer_;
+    Response response_;
+};
+
+} // namespace
+
+class CallClient::Implementation : public std::enable_shared_from_this<Implementation> {
+public:
+    Implementation(framework::EventThread& thread, framework::Endpoint endpoint, const ClientOptions& options)
+        : thread_(thread)
+        , endpoint_(std::move(endpoint))
+        , pool_(thread.context(), endpoint_, options, mostConnections)
+    {
+    }
+
+    void call(const Request& request, Deadline deadline, Handler handler)
+    {
+        const auto call
+            = std::make_shared<Call>(request.method + " " + request.target, endpoint_, std::move(handler));
+        const auto reuse = request.method == "GET" ? ConnectionPool::Reuse::Usual : ConnectionPool::Reuse::Careful;
+        auto connection = pool_.take(reuse, std::chrono::steady_clock::now());
+        if (!connection)
+            return call->end(call->error("too many calls at once", false));
+        Request addressed = request;
+        addressed.headers.set("Host", endpoint_.value());
+        call->start(thread_, std::move(connection), addressed, deadline);
+    }
+
+private:
+    framework::EventThread& thread_;
+    framework::Endpoint endpoint_;
+    ConnectionPool pool_;
+};
+
+CallClient::CallClient(
+    framework::EventThread& thread, const framework::Endpoint& endpoint, const ClientOptions& options)
+    : thread_(thread)
+    , implementation_(std::make_shared<Implementation>(thread, endpoint, options))
+{
+}
+
+CallClient::~CallClient() = default;
+
+void CallClient::call(Request request, Deadline deadline, Handler handler)
+{
+    thread_.post([implementation = implementation_, request = std::move(request), deadline,
+                      handler = std::move(handler)]() mutable {
+        implementation->call(request, deadline, std::move(handler));
+    });
+}
+
+} // namespace lagoon::http
--- /dev/null
+++ b/src/http/internal/callerconnection.cpp
@@ -0,0 +1,414 @@
+#include "http/internal/callerconnection.h"
+
+#include "http/internal/messagewriter.h"
+#include "http/internal/socketoptions.h"
+
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace lagoon::http {
+
+namespace {
+
+namespace beast = boost::beast;
+using framework::Milliseconds;
+
+constexpr std::size_t readBytes = 16 * 1024;
+/// What a caller may send ahead of its next request before it isn't read any more.
+constexpr std::size_t earlyBytes = 64 * 1024;
+/// For a caller that is still sending when it is refused: closing at once would reset the connection, and the refusal
+/// could be lost on its way.
+constexpr Milliseconds lingerTime { 1000 };
+/// A caller whose machine has vanished holds its request's work no longer than this.
+constexpr Milliseconds callerSilence { 10000 };
+
+Headers headersOf(const beast::http::fields& fields)
+{
+    Headers headers;
+    for (const auto& field : fields)
+        headers.add(std::string(field.name_string()), std::string(field.value()));
+    return headers;
+}
+
+/// Guards against a request hidden in another one: a peer that reads the other framing than we do would see two
+/// requests where we saw one. Beast refuses a length beside chunks in most spellings, but takes one length twice.
+bool hasOneFraming(const Headers& headers)
+{
+    const std::size_t lengths = headers.count("Content-Length");
+    const std::size_t codings = headers.count("Transfer-Encoding");
+    if (lengths + codings > 1)
+        return false;
+    return codings == 0 || isSameIgnoringCase(*headers.find("Transfer-Encoding"), "chunked");
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<ConnectionContext> context,
+    std::function<void(CallerConnection*)> onClosed)
+    : socket_(std::move(socket))
+    , timer_(socket_.get_executor())
+    , context_(std::move(context))
+    , onClosed_(std::move(onClosed))
+{
+}
+
+void CallerConnection::start()
+{
+    setLivenessOptions(socket_, callerSilence);
+    armTimer(context_->limits.idleTimeout, &CallerConnection::didIdleTooLong);
+    read();
+}
+
+void CallerConnection::read()
+{
+    if (isReading_ || stage_ == Stage::Closed)
+        return;
+    if (stage_ == Stage::Working && buffer_.size() >= earlyBytes)
+        return;
+    isReading_ = true;
+    socket_.async_read_some(buffer_.prepare(readBytes),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t bytes) {
+            self->isReading_ = false;
+            self->didRead(error, bytes);
+        });
+}
+
+void CallerConnection::didRead(const boost::system::error_code& error, std::size_t bytes)
+{
+    if (stage_ == Stage::Closed)
+        return;
+    if (error)
+        return callerLeft();
+    if (stage_ == Stage::Closing)
+        return read();
+    buffer_.commit(bytes);
+    if (stage_ != Stage::Working)
+        parse();
+    read();
+}
+
+void CallerConnection::parse()
+{
+    while (buffer_.size() > 0 && (stage_ == Stage::Idle || stage_ == Stage::Reading)) {
+        if (!parser_)
+            beginRequest();
+        boost::system::error_code error;
+        buffer_.consume(parser_->put(buffer_.data(), error));
+        didParse(error);
+        if (error == beast::http::error::need_more)
+            return;
+    }
+}
+
+void CallerConnection::beginRequest()
+{
+    stage_ = Stage::Reading;
+    hasHeadOfRequest_ = false;
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(context_->limits.headerBytes);
+    parser_->body_limit(context_->limits.bodyBytes);
+    armTimer(context_->limits.headerTimeout, &CallerConnection::didSendHeadersTooSlowly);
+}
+
+void CallerConnection::didParse(const boost::system::error_code& error)
+{
+    if (error && error != beast::http::error::need_more) {
+        if (error == beast::http::error::header_limit)
+            return refuse(431);
+        return refuse(error == beast::http::error::body_limit ? 413 : 400);
+    }
+    if (parser_->is_header_done() && !std::exchange(hasHeadOfRequest_, true) && didRefuseHead())
+        return;
+    if (parser_->is_done())
+        handOver();
+}
+
+/// Whether the head was refused. Tells a caller that waits for it to send its body.
+bool CallerConnection::didRefuseHead()
+{
+    timer_.cancel();
+    const Headers headers = headersOf(parser_->get());
+    if (!hasOneFraming(headers) || (parser_->get().version() >= 11 && headers.count("Host") != 1)) {
+        refuse(400);
+        return true;
+    }
+    if (!parser_->is_done() && headers.hasToken("Expect", "100-continue"))
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    return false;
+}
+
+void CallerConnection::handOver()
+{
+    stage_ = Stage::Working;
+    timer_.cancel();
+    auto message = parser_->release();
+    endsAfterAnswer_ = !message.keep_alive();
+    isChunked_ = message.version() >= 11;
+    parser_.reset();
+    Request request { std::string(message.method_string()), std::string(message.target()), headersOf(message),
+        std::move(message.body()) };
+    auto exchange = std::make_shared<CallerExchange>(
+        shared_from_this(), std::move(request), std::chrono::steady_clock::now());
+    exchange_ = exchange;
+    context_->handler.handle(exchange);
+}
+
+void CallerConnection::refuse(unsigned status)
+{
+    parser_.reset();
+    endsAfterAnswer_ = true;
+    stage_ = Stage::Working;
+    answer(ResponseHead { status, {}, {} }, {});
+}
+
+void CallerConnection::addFraming(ResponseHead& head, std::optional<std::size_t> length)
+{
+    removeConnectionFields(head.headers);
+    if (length)
+        head.headers.add("Content-Length", std::to_string(*length));
+    else if (isChunked_)
+        head.headers.add("Transfer-Encoding", "chunked");
+    else
+        endsAfterAnswer_ = true;
+    if (context_->isDraining)
+        endsAfterAnswer_ = true;
+    if (endsAfterAnswer_)
+        head.headers.add("Connection", "close");
+}
+
+void CallerConnection::answer(ResponseHead head, std::string body)
+{
+    if (stage_ != Stage::Working)
+        return;
+    addFraming(head, body.size());
+    send(headText(head).append(body));
+    finishAnswer();
+}
+
+void CallerConnection::beginAnswer(ResponseHead head)
+{
+    addFraming(head, std::nullopt);
+    heldHead_ = headText(head);
+}
+
+void CallerConnection::sendPiece(std::string_view piece)
+{
+    if (stage_ != Stage::Working)
+        return;
+    std::string text = std::exchange(heldHead_, {});
+    text += isChunked_ ? chunkText(piece) : std::string(piece);
+    send(std::move(text));
+}
+
+void CallerConnection::endAnswer()
+{
+    if (stage_ != Stage::Working)
+        return;
+    std::string text = std::exchange(heldHead_, {});
+    if (isChunked_)
+        text += lastChunk;
+    send(std::move(text));
+    finishAnswer();
+}
+
+void CallerConnection::breakOff()
+{
+    // What was handed over still leaves: the caller has a use for the whole pieces that it has.
+    if (stage_ != Stage::Working)
+        return;
+    heldHead_.clear();
+    if (!isChunked_)
+        return reset();
+    stage_ = Stage::Closing;
+    if (unsent_.empty())
+        close();
+}
+
+/// Without chunks the connection's ordinary end would say that the answer is whole.
+void CallerConnection::reset()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+void CallerConnection::finishAnswer()
+{
+    if (endsAfterAnswer_) {
+        stage_ = Stage::Closing;
+        if (unsent_.empty())
+            linger();
+        return;
+    }
+    stage_ = Stage::Idle;
+    armTimer(context_->limits.idleTimeout, &CallerConnection::didIdleTooLong);
+    // Not from here: the handler that answers may still be on the stack.
+    if (buffer_.size() > 0)
+        boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->parse(); });
+    read();
+}
+
+void CallerConnection::send(std::string bytes)
+{
+    if (bytes.empty())
+        return;
+    unsentBytes_ += bytes.size();
+    unsent_.push_back(std::move(bytes));
+    write();
+}
+
+void CallerConnection::write()
+{
+    if (isWriting_ || unsent_.empty() || stage_ == Stage::Closed)
+        return;
+    isWriting_ = true;
+    boost::asio::async_write(socket_, boost::asio::buffer(unsent_.front()),
+        [self = shared_from_this()](
+            const boost::system::error_code& error, std::size_t) { self->didWrite(error); });
+}
+
+void CallerConnection::didWrite(const boost::system::error_code& error)
+{
+    isWriting_ = false;
+    if (stage_ == Stage::Closed)
+        return;
+    if (error)
+        return callerLeft();
+    unsentBytes_ -= unsent_.front().size();
+    unsent_.pop_front();
+    if (!unsent_.empty())
+        return write();
+    if (stage_ == Stage::Closing)
+        return endsAfterAnswer_ ? linger() : close();
+    if (const auto exchange = exchange_.lock())
+        exchange->didDrain();
+}
+
+void CallerConnection::armTimer(Milliseconds after, void (CallerConnection::*onExpired)())
+{
+    timer_.expires_after(after);
+    timer_.async_wait([weak = weak_from_this(), onExpired](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && self->stage_ != Stage::Closed)
+            (self.get()->*onExpired)();
+    });
+}
+
+void CallerConnection::didIdleTooLong()
+{
+    if (stage_ == Stage::Idle)
+        close();
+}
+
+void CallerConnection::didSendHeadersTooSlowly()
+{
+    if (stage_ == Stage::Reading && !hasHeadOfRequest_)
+        refuse(408);
+}
+
+/// Says that nothing more will come, and takes what the caller still sends for a while.
+void CallerConnection::linger()
+{
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    armTimer(lingerTime, &CallerConnection::close);
+    read();
+}
+
+void CallerConnection::callerLeft()
+{
+    const auto exchange = exchange_.lock();
+    close();
+    if (exchange)
+        exchange->callerLeft();
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (stage_ == Stage::Idle && unsent_.empty())
+        close();
+}
+
+void CallerConnection::close()
+{
+    if (stage_ == Stage::Closed)
+        return;
+    stage_ = Stage::Closed;
+    timer_.cancel();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    onClosed_(this);
+}
+
+CallerExchange::CallerExchange(
+    std::shared_ptr<CallerConnection> connection, Request request, framework::SteadyTime receivedAt)
+    : connection_(std::move(connection))
+    , request_(std::move(request))
+    , receivedAt_(receivedAt)
+{
+}
+
+CallerExchange::~CallerExchange()
+{
+    if (connection_)
+        connection_->breakOff();
+}
+
+std::shared_ptr<CallerConnection> CallerExchange::release()
+{
+    onGone_ = nullptr;
+    onDrained_ = nullptr;
+    return std::exchange(connection_, nullptr);
+}
+
+void CallerExchange::answer(ResponseHead head, std::string body)
+{
+    if (const auto connection = release())
+        connection->answer(std::move(head), std::move(body));
+}
+
+void CallerExchange::beginAnswer(ResponseHead head)
+{
+    if (connection_)
+        connection_->beginAnswer(std::move(head));
+}
+
+void CallerExchange::sendPiece(std::string_view piece)
+{
+    if (connection_)
+        connection_->sendPiece(piece);
+}
+
+void CallerExchange::endAnswer()
+{
+    if (const auto connection = release())
+        connection->endAnswer();
+}
+
+void CallerExchange::breakOff()
+{
+    if (const auto connection = release())
+        connection->breakOff();
+}
+
+void CallerExchange::setGoneHandler(std::function<void()> handler) { onGone_ = std::move(handler); }
+
+void CallerExchange::setDrainedHandler(std::function<void()> handler) { onDrained_ = std::move(handler); }
+
+void CallerExchange::callerLeft()
+{
+    connection_ = nullptr;
+    onDrained_ = nullptr;
+    if (auto handler = std::exchange(onGone_, nullptr))
+        handler();
+}
+
+void CallerExchange::didDrain()
+{
+    // A copy: the handler may end the exchange, and with that drop itself.
+    if (auto handler = onDrained_)
+        handler();
+}
+
+} // namespace lagoon::http
