A connection that drains takes no request behind a stream that began before

Change: an answer that ends while draining ends its connection, unread. Ruled out: waiting longer (the grace period is the platform's). Test: aStreamThatBeganBeforeDrainingEndsItsConnectionToo. Also here: unit tests of the Beast server and client, down to the socket; RawCaller moved to http/testing for both users.

--- a/src/callers/tests/callerfixture.h
+++ b/src/callers/tests/callerfixture.h
@@ -2,13 +2,15 @@
 
 #include "callers/callerserver.h"
 #include "fakedispatcher.h"
-#include "rawcaller.h"
+#include "http/testing/rawcaller.h"
 
 #include <sstream>
 #include <string>
 
 namespace lagoon::callers::testing {
 
+using http::testing::RawCaller;
+
 /// A bundle with model `m` (adapter `a`) and service `s`.
 inline bundle::BundlePointer smallBundle()
 {
--- a/src/http/internal/callclient.cpp
+++ b/src/http/internal/callclient.cpp
@@ -103,8 +103,7 @@
 
     void call(const Request& request, Deadline deadline, Handler handler)
     {
-        const auto call
-            = std::make_shared<Call>(request.method + " " + request.target, endpoint_, std::move(handler));
+        const auto call = std::make_shared<Call>(request.method + " " + request.target, endpoint_, std::move(handler));
         const auto reuse = request.method == "GET" ? ConnectionPool::Reuse::Usual : ConnectionPool::Reuse::Careful;
         auto connection = pool_.take(reuse, std::chrono::steady_clock::now());
         if (!connection)
@@ -131,10 +130,9 @@
 
 void CallClient::call(Request request, Deadline deadline, Handler handler)
 {
-    thread_.post([implementation = implementation_, request = std::move(request), deadline,
-                      handler = std::move(handler)]() mutable {
-        implementation->call(request, deadline, std::move(handler));
-    });
+    thread_.post(
+        [implementation = implementation_, request = std::move(request), deadline,
+            handler = std::move(handler)]() mutable { implementation->call(request, deadline, std::move(handler)); });
 }
 
 } // namespace lagoon::http
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -148,8 +148,8 @@
     parser_.reset();
     Request request { std::string(message.method_string()), std::string(message.target()), headersOf(message),
         std::move(message.body()) };
-    auto exchange = std::make_shared<CallerExchange>(
-        shared_from_this(), std::move(request), std::chrono::steady_clock::now());
+    auto exchange
+        = std::make_shared<CallerExchange>(shared_from_this(), std::move(request), std::chrono::steady_clock::now());
     exchange_ = exchange;
     context_->handler.handle(exchange);
 }
@@ -241,6 +241,14 @@
             linger();
         return;
     }
+    if (context_->isDraining) {
+        // Its answer began before that, so the caller doesn't know; what it sends next is left unread, and it may ask
+        // elsewhere.
+        stage_ = Stage::Closing;
+        if (unsent_.empty())
+            close();
+        return;
+    }
     stage_ = Stage::Idle;
     armTimer(context_->limits.idleTimeout, &CallerConnection::didIdleTooLong);
     // Not from here: the handler that answers may still be on the stack.
@@ -264,8 +272,7 @@
         return;
     isWriting_ = true;
     boost::asio::async_write(socket_, boost::asio::buffer(unsent_.front()),
-        [self = shared_from_this()](
-            const boost::system::error_code& error, std::size_t) { self->didWrite(error); });
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) { self->didWrite(error); });
 }
 
 void CallerConnection::didWrite(const boost::system::error_code& error)
--- a/src/http/internal/connectionpool.cpp
+++ b/src/http/internal/connectionpool.cpp
@@ -28,8 +28,8 @@
 
 class ConnectionPool::Implementation : public std::enable_shared_from_this<Implementation> {
 public:
-    Implementation(boost::asio::io_context& context, framework::Endpoint endpoint, const ClientOptions& options,
-        std::size_t most)
+    Implementation(
+        boost::asio::io_context& context, framework::Endpoint endpoint, const ClientOptions& options, std::size_t most)
         : context_(context)
         , endpoint_(std::move(endpoint))
         , options_(options)
--- a/src/http/internal/socketoptions.cpp
+++ b/src/http/internal/socketoptions.cpp
@@ -14,8 +14,9 @@
 {
     const std::string& text = endpoint.value();
     const std::size_t colon = text.rfind(':');
-    const auto fault
-        = [&] { return Error { ErrorCode::BadSettings, step, text, "expected address:port with a numeric address" }; };
+    const auto fault = [&] {
+        return Error { ErrorCode::BadSettings, step, text, "expected address:port with a numeric address" };
+    };
     if (colon == std::string::npos || colon + 1 == text.size() || text.size() - colon > 6)
         return fault();
     unsigned long port = 0;
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -143,14 +143,13 @@
     hasSentAny_ = true;
     const std::array<boost::asio::const_buffer, 2> buffers { boost::asio::buffer(outgoing_[0]),
         boost::asio::buffer(outgoing_[1]) };
-    boost::asio::async_write(
-        socket_, buffers, [self = self()](const boost::system::error_code& error, std::size_t) {
-            if (self->isClosed_)
-                return;
-            // A server may refuse before it has read all: the answer, if there is one, is still read.
-            if (!error)
-                self->isSent_ = true;
-        });
+    boost::asio::async_write(socket_, buffers, [self = self()](const boost::system::error_code& error, std::size_t) {
+        if (self->isClosed_)
+            return;
+        // A server may refuse before it has read all: the answer, if there is one, is still read.
+        if (!error)
+            self->isSent_ = true;
+    });
     read();
 }
 
@@ -159,8 +158,8 @@
     if (isReading_ || isPaused_ || isClosed_ || !isConnected_)
         return;
     isReading_ = true;
-    socket_.async_read_some(buffer_.prepare(readBytes),
-        [self = self()](const boost::system::error_code& error, std::size_t bytes) {
+    socket_.async_read_some(
+        buffer_.prepare(readBytes), [self = self()](const boost::system::error_code& error, std::size_t bytes) {
             self->isReading_ = false;
             self->didRead(error, bytes);
         });
--- a/src/callers/tests/rawcaller.h
+++ b/src/http/testing/rawcaller.h
@@ -9,7 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <string>
 
-namespace lagoon::callers::testing {
+namespace lagoon::http::testing {
 
 /// A caller down to its socket: sees what an HTTP library would hide, such as a missing last chunk.
 class RawCaller {
@@ -67,4 +67,4 @@
     std::string received_;
 };
 
-} // namespace lagoon::callers::testing
+} // namespace lagoon::http::testing
--- /dev/null
+++ b/src/http/tests/clientconnection_test.cpp
@@ -0,0 +1,285 @@
+#include "framework/eventthread.h"
+#include "http/clientconnection.h"
+#include "http/connectionpool.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+namespace lagoon::http {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+/// The server's end of one connection, down to its socket.
+class RawServer {
+public:
+    RawServer()
+        : acceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+    }
+
+    framework::Endpoint endpoint() const
+    {
+        return framework::Endpoint("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()));
+    }
+    void accept() { socket_.emplace(acceptor_.accept()); }
+    /// The next request's head, and the body as far as it came along.
+    std::string request()
+    {
+        std::string text;
+        boost::asio::read_until(*socket_, boost::asio::dynamic_buffer(text), "\r\n\r\n");
+        return text;
+    }
+    void send(const std::string& text) { boost::asio::write(*socket_, boost::asio::buffer(text)); }
+    void close() { socket_->close(); }
+    void reset()
+    {
+        socket_->set_option(boost::asio::socket_base::linger(true, 0));
+        socket_->close();
+    }
+
+private:
+    boost::asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::optional<tcp::socket> socket_;
+};
+
+/// Keeps what becomes of a request. Takes answers whose `X-Id` is the wanted one, or that have none.
+class KeptAnswer final : public IAnswerSink {
+public:
+    explicit KeptAnswer(std::string wanted = {})
+        : wanted_(std::move(wanted))
+    {
+    }
+
+    bool didReceiveHead(const ResponseHead& head) override
+    {
+        this->head = head;
+        return wanted_.empty() || head.headers.find("X-Id").value_or(wanted_) == wanted_;
+    }
+    void didReceiveBody(std::string_view piece) override { body += piece; }
+    void didFinish() override { ended.set_value(true); }
+    void didFail(const ClientFailure& failed) override
+    {
+        failure = failed;
+        ended.set_value(false);
+    }
+    /// Whether the answer was whole.
+    bool wait() { return ended.get_future().get(); }
+
+    ResponseHead head;
+    std::string body;
+    ClientFailure failure;
+    std::promise<bool> ended;
+
+private:
+    std::string wanted_;
+};
+
+struct Fixture {
+    Fixture()
+        : pool(thread.context(), server.endpoint(), ClientOptions {}, 4)
+    {
+    }
+    ~Fixture() { thread.stop(); }
+
+    std::shared_ptr<KeptAnswer> send(const Request& request, const std::string& wanted = {})
+    {
+        auto answer = std::make_shared<KeptAnswer>(wanted);
+        std::promise<void> sent;
+        thread.post([&] {
+            pool.take(ConnectionPool::Reuse::Usual, std::chrono::steady_clock::now())->send(request, answer);
+            sent.set_value();
+        });
+        sent.get_future().wait();
+        return answer;
+    }
+
+    std::size_t openConnections()
+    {
+        std::promise<std::size_t> open;
+        thread.post([&] { open.set_value(pool.open()); });
+        return open.get_future().get();
+    }
+
+    Request post { "POST", "/x", {}, "body" };
+    RawServer server;
+    framework::EventThread thread;
+    ConnectionPool pool;
+};
+
+const std::string kept = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=30\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ClientConnections, Fixture)
+
+BOOST_AUTO_TEST_CASE(aConnectionIsUsedAgain)
+{
+    const auto first = send(post);
+    server.accept();
+    BOOST_TEST(server.request().find("Content-Length: 4") != std::string::npos);
+    server.send(kept);
+    BOOST_TEST(first->wait());
+    const auto second = send(post);
+    (void)server.request();
+    server.send(kept);
+    BOOST_TEST(second->wait());
+    BOOST_TEST(second->body == "ok");
+    BOOST_TEST(openConnections() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aBodyThatIsShorterThanAnnouncedFails)
+{
+    const auto answer = send(post);
+    server.accept();
+    (void)server.request();
+    server.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    server.close();
+    BOOST_TEST(!answer->wait());
+    BOOST_TEST(answer->failure.mayHaveArrived);
+    BOOST_TEST(clientStepText(answer->failure.step) == "read body");
+}
+
+BOOST_AUTO_TEST_CASE(chunksWithoutTheLastOneFail)
+{
+    const auto answer = send(post);
+    server.accept();
+    (void)server.request();
+    server.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+    server.close();
+    BOOST_TEST(!answer->wait());
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerWithoutFramingIsWholeOnlyIfItsConnectionEndsInOrder)
+{
+    const auto whole = send(post);
+    server.accept();
+    (void)server.request();
+    server.send("HTTP/1.1 200 OK\r\n\r\nall");
+    server.close();
+    BOOST_TEST(whole->wait());
+    BOOST_TEST(whole->body == "all");
+    const auto cut = send(post);
+    server.accept();
+    (void)server.request();
+    server.send("HTTP/1.1 200 OK\r\n\r\npart");
+    while (cut->body.empty())
+        std::this_thread::yield();
+    server.reset();
+    BOOST_TEST(!cut->wait());
+}
+
+// One caller got the answer to another one's request: a server had answered twice, and the second answer was taken for
+// that to the next request on the connection.
+BOOST_AUTO_TEST_CASE(aSecondAnswerIsNotTakenForTheNextOne)
+{
+    const auto first = send(post, "1");
+    server.accept();
+    (void)server.request();
+    server.send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=30\r\nContent-Length: 3\r\n\r\none");
+    BOOST_TEST(first->wait());
+    const auto second = send(post, "2");
+    (void)server.request();
+    server.send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\none");
+    server.send("HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\ntwo");
+    BOOST_TEST(second->wait());
+    BOOST_TEST(second->body == "two");
+}
+
+BOOST_AUTO_TEST_CASE(bytesBehindAnAnswerEndItsConnection)
+{
+    const auto first = send(post);
+    server.accept();
+    (void)server.request();
+    server.send(kept + "surplus");
+    BOOST_TEST(first->wait());
+    const auto second = send(post);
+    server.accept();
+    (void)server.request();
+    server.send(kept);
+    BOOST_TEST(second->wait());
+}
+
+// A server refused a long request before it had read it all, and kept the connection. The next request on it was read
+// as the rest of that body.
+BOOST_AUTO_TEST_CASE(anAnswerBeforeTheRequestHasLeftEndsItsConnection)
+{
+    const auto first = send(Request { "POST", "/long", {}, std::string(64 * 1024 * 1024, 'x') });
+    server.accept();
+    (void)server.request();
+    server.send(kept);
+    BOOST_TEST(first->wait());
+    const auto second = send(post);
+    server.accept();
+    BOOST_TEST(server.request().starts_with("POST /x"));
+    server.send(kept);
+    BOOST_TEST(second->wait());
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatClosesAnIdleConnectionIsConnectedToAnew)
+{
+    const auto first = send(post);
+    server.accept();
+    (void)server.request();
+    server.send(kept);
+    BOOST_TEST(first->wait());
+    server.close();
+    while (openConnections() > 0)
+        std::this_thread::yield();
+    const auto second = send(post);
+    server.accept();
+    (void)server.request();
+    server.send(kept);
+    BOOST_TEST(second->wait());
+}
+
+// A hold was booked twice: the server had run the request and then closed the connection, and the client sent it again
+// by itself.
+BOOST_AUTO_TEST_CASE(aRequestIsSentOnce)
+{
+    const auto first = send(post);
+    server.accept();
+    (void)server.request();
+    server.send(kept);
+    BOOST_TEST(first->wait());
+    const auto second = send(post);
+    (void)server.request();
+    server.close();
+    BOOST_TEST(!second->wait());
+    BOOST_TEST(second->failure.mayHaveArrived);
+    BOOST_TEST(openConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aRefusedConnectionSurelyBroughtNothing)
+{
+    const framework::Endpoint nobody = [] {
+        RawServer gone;
+        return gone.endpoint();
+    }();
+    ConnectionPool other(thread.context(), nobody, ClientOptions {}, 1);
+    auto answer = std::make_shared<KeptAnswer>();
+    thread.post(
+        [&] { other.take(ConnectionPool::Reuse::Usual, std::chrono::steady_clock::now())->send(post, answer); });
+    BOOST_TEST(!answer->wait());
+    BOOST_TEST(!answer->failure.mayHaveArrived);
+    BOOST_TEST(clientStepText(answer->failure.step) == "connect");
+}
+
+BOOST_AUTO_TEST_CASE(interimAnswersArePassedOver)
+{
+    const auto answer = send(post);
+    server.accept();
+    (void)server.request();
+    server.send("HTTP/1.1 100 Continue\r\n\r\n" + kept);
+    BOOST_TEST(answer->wait());
+    BOOST_TEST(answer->head.status == 200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::http
--- /dev/null
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -0,0 +1,217 @@
+#include "http/tests/exchangefixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace lagoon::http {
+
+namespace {
+
+using testing::ExchangeFixture;
+using testing::RawCaller;
+
+std::string statusLine(const std::string& answer) { return answer.substr(0, answer.find("\r\n")); }
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ExchangeServers, ExchangeFixture)
+
+BOOST_AUTO_TEST_CASE(aConnectionServesOneRequestAfterTheOther)
+{
+    RawCaller caller(endpoint);
+    caller.send(get("/one"));
+    BOOST_TEST(caller.readUntil("GET /one "));
+    caller.send("POST /two HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    BOOST_TEST(caller.readUntil("POST /two abcde"));
+    caller.send(get("/three") + get("/four"));
+    BOOST_TEST(caller.readUntil("GET /three "));
+    BOOST_TEST(caller.readUntil("GET /four "));
+}
+
+BOOST_AUTO_TEST_CASE(aBodyMayComeInParts)
+{
+    RawCaller caller(endpoint);
+    caller.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nab");
+    caller.send("cdef");
+    BOOST_TEST(caller.readUntil("POST /x abcdef"));
+}
+
+BOOST_AUTO_TEST_CASE(whatPassesALimitIsRefused)
+{
+    onThread([&] {
+        ExchangeLimits limits;
+        limits.headerBytes = 300;
+        limits.bodyBytes = 10;
+        server.setLimits(limits);
+    });
+    RawCaller longHeader(endpoint);
+    longHeader.send("GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(400, 'x') + "\r\n\r\n");
+    BOOST_TEST(statusLine(longHeader.readToEnd()) == "HTTP/1.1 431 Request Header Fields Too Large");
+    RawCaller announced(endpoint);
+    announced.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n");
+    BOOST_TEST(statusLine(announced.readToEnd()) == "HTTP/1.1 413 Payload Too Large");
+    RawCaller chunked(endpoint);
+    chunked.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nabcdefghijk\r\n0\r\n\r\n");
+    BOOST_TEST(statusLine(chunked.readToEnd()) == "HTTP/1.1 413 Payload Too Large");
+}
+
+BOOST_AUTO_TEST_CASE(headersThatComeTooSlowlyAreRefused)
+{
+    onThread([&] {
+        ExchangeLimits limits;
+        limits.headerTimeout = framework::Milliseconds(50);
+        server.setLimits(limits);
+    });
+    RawCaller caller(endpoint);
+    caller.send("GET / HTTP/1.1\r\nHo");
+    BOOST_TEST(statusLine(caller.readToEnd()) == "HTTP/1.1 408 Request Timeout");
+}
+
+// One member's request for a decision carried another one in its body: the server behind counted the length, the router
+// the chunks, and so a request that nobody had sent was run in the member's name.
+BOOST_AUTO_TEST_CASE(twoFramingsAreRefused)
+{
+    for (const std::string framing :
+        { "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 4\r\nContent-Length: 5\r\n",
+            "Content-Length: 4\r\nContent-Length: 4\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+            "Transfer-Encoding: identity, chunked\r\n", "Transfer-Encoding: xchunked\r\n", "Content-Length : 4\r\n" }) {
+        RawCaller caller(endpoint);
+        caller.send(
+            "POST / HTTP/1.1\r\nHost: a\r\n" + framing + "\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: a\r\n\r\n");
+        BOOST_TEST_CONTEXT(framing)
+        {
+            const std::string& all = caller.readToEnd();
+            BOOST_TEST(statusLine(all) == "HTTP/1.1 400 Bad Request");
+            BOOST_TEST(all.find("/hidden") == std::string::npos);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatIsStillSendingSeesItsRefusal)
+{
+    onThread([&] {
+        ExchangeLimits limits;
+        limits.bodyBytes = 10;
+        server.setLimits(limits);
+    });
+    RawCaller caller(endpoint);
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n");
+    caller.send(std::string(500000, 'x'));
+    BOOST_TEST(caller.readUntil("413"));
+}
+
+// A hostmaster closed the page, and the review went on for its whole ten seconds at a model that others waited for: the
+// caller's end of the connection was only looked at when there was something to write.
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesIsNoticedWhileItsRequestIsWorkedOn)
+{
+    std::promise<void> taken;
+    std::promise<void> gone;
+    std::shared_ptr<IExchange> kept;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        kept = exchange;
+        exchange->setGoneHandler([&] { gone.set_value(); });
+        taken.set_value();
+    };
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    taken.get_future().wait();
+    caller.hangUp();
+    gone.get_future().wait();
+    onThread([&] { kept.reset(); });
+}
+
+BOOST_AUTO_TEST_CASE(aStreamLeavesPieceByPieceAndEndsWithItsLastChunk)
+{
+    std::shared_ptr<IExchange> kept;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        kept = exchange;
+        exchange->beginAnswer(ok());
+        exchange->sendPiece("first");
+    };
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    BOOST_TEST(caller.readUntil("5\r\nfirst\r\n"));
+    onThread([&] {
+        kept->sendPiece("second");
+        kept->endAnswer();
+    });
+    BOOST_TEST(caller.readUntil("6\r\nsecond\r\n0\r\n\r\n"));
+}
+
+// A review broke off when its server crashed, and its caller took the half for the whole.
+BOOST_AUTO_TEST_CASE(aStreamThatIsBrokenOffDoesNotLookWhole)
+{
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        exchange->beginAnswer(ok());
+        exchange->sendPiece("half");
+        exchange->breakOff();
+    };
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    const std::string all = caller.readToEnd();
+    BOOST_TEST(all.find("half") != std::string::npos);
+    BOOST_TEST(all.find("0\r\n\r\n") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(anExchangeThatIsDroppedBreaksItsConnectionOff)
+{
+    onRequest = [](const std::shared_ptr<IExchange>&) {};
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    BOOST_TEST(caller.readToEnd().empty());
+}
+
+BOOST_AUTO_TEST_CASE(whileDrainingAnswersEndTheirConnections)
+{
+    onThread([&] { server.beginDraining(); });
+    RawCaller caller(endpoint);
+    caller.send(get("/one"));
+    const std::string all = caller.readToEnd();
+    BOOST_TEST(all.find("GET /one ") != std::string::npos);
+    BOOST_TEST(all.find("Connection: close") != std::string::npos);
+}
+
+// A router that was being stopped finished a stream on a kept connection and took the next request on it, four seconds
+// into its end; that one was cut when the time was up.
+BOOST_AUTO_TEST_CASE(aStreamThatBeganBeforeDrainingEndsItsConnectionToo)
+{
+    std::shared_ptr<IExchange> kept;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        kept = exchange;
+        exchange->beginAnswer(ok());
+        exchange->sendPiece("first");
+    };
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    BOOST_TEST(caller.readUntil("first"));
+    onThread([&] {
+        server.beginDraining();
+        server.closeIdle();
+        kept->endAnswer();
+    });
+    BOOST_TEST(caller.readToEnd().ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedAndBusyOnesFinish)
+{
+    std::promise<void> taken;
+    std::shared_ptr<IExchange> kept;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        kept = exchange;
+        taken.set_value();
+    };
+    RawCaller idle(endpoint);
+    RawCaller busy(endpoint);
+    busy.send(get("/"));
+    taken.get_future().wait();
+    onThread([&] {
+        server.beginDraining();
+        server.closeIdle();
+    });
+    BOOST_TEST(idle.readToEnd().empty());
+    onThread([&] { kept->answer(ok(), "done"); });
+    BOOST_TEST(busy.readToEnd().find("done") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::http
