While the store is away, tries ask for an answer at once

Change: in an outage each try is a watch that waits 1 ms, so that return is noticed within about a second. Ruled out: connect time (the connection stood). Test: whileTheStoreIsAwayTriesAreShort.

--- a/src/app/internal/directagentcommand.cpp
+++ b/src/app/internal/directagentcommand.cpp
@@ -29,8 +29,8 @@
     const auto endpoints = agent.start();
     if (endpoints.has_error())
         return failProcess("direct-agent", endpoints.error(), ExitFailure);
-    printReadyLine("direct-agent", settings.identity.vm,
-        { { "link", endpoints.value().link }, { "ops", endpoints.value().ops } });
+    printReadyLine(
+        "direct-agent", settings.identity.vm, { { "link", endpoints.value().link }, { "ops", endpoints.value().ops } });
     // Nothing that it is told changes while it runs.
     process.waitForEnd([](const direct::DirectAgentSettings&) { logDecision(framework::LogLine("reloaded")); });
     logDecision(framework::LogLine("stopped"));
--- a/src/app/internal/directroutercommand.cpp
+++ b/src/app/internal/directroutercommand.cpp
@@ -26,8 +26,8 @@
     platform::KindFeed servers(store, "servers");
     const platform::CatalogDecoder decoder;
     const platform::RequestDialect dialect;
-    direct::DirectRouter router({ control, traffic, clock, std::make_shared<framework::Metrics>(), configurations,
-                                    servers, decoder, dialect },
+    direct::DirectRouter router(
+        { control, traffic, clock, std::make_shared<framework::Metrics>(), configurations, servers, decoder, dialect },
         settings);
     const auto endpoints = router.start();
     if (endpoints.has_error())
--- a/src/catalog/routetable.h
+++ b/src/catalog/routetable.h
@@ -14,8 +14,8 @@
 public:
     explicit RouteTable(ConfigurationPointer);
 
-    /// `host` may carry a port, and its case doesn't matter; `target` may carry a query. Nothing if no route fits. Lives
-    /// as long as the table.
+    /// `host` may carry a port, and its case doesn't matter; `target` may carry a query. Nothing if no route fits.
+    /// Lives as long as the table.
     const Route* find(std::string_view host, std::string_view target) const;
     const ConfigurationPointer& configuration() const { return configuration_; }
 
--- a/src/direct/directagent.h
+++ b/src/direct/directagent.h
@@ -28,8 +28,8 @@
     framework::Endpoint ops;
 };
 
-/// The process beside an engine: has it hold the models that routers want. No request passes through it. Wires its parts
-/// together.
+/// The process beside an engine: has it hold the models that routers want. No request passes through it. Wires its
+/// parts together.
 class DirectAgent {
 public:
     DirectAgent(const DirectAgentPorts&, const DirectAgentSettings&);
--- a/src/direct/internal/directagent.cpp
+++ b/src/direct/internal/directagent.cpp
@@ -67,16 +67,17 @@
     RouterLinks::Context linksContext()
     {
         return { ports_.control, ports_.clock,
-            [this](const framework::VmName& router, const catalog::InstanceId& instance,
-                catalog::WantedList wanted) { keeper_.setWanted(router, instance, std::move(wanted)); },
+            [this](const framework::VmName& router, const catalog::InstanceId& instance, catalog::WantedList wanted) {
+                keeper_.setWanted(router, instance, std::move(wanted));
+            },
             [this](const framework::VmName& router) { keeper_.forgetRouter(router); } };
     }
 
     void keepHouse()
     {
         links_.closeSilent();
-        housekeeping_ = ports_.control.runAt(
-            Deadline::after(ports_.clock.now(), housekeepingEach), [this] { keepHouse(); });
+        housekeeping_
+            = ports_.control.runAt(Deadline::after(ports_.clock.now(), housekeepingEach), [this] { keepHouse(); });
     }
 
     DirectAgentPorts ports_;
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -144,8 +144,7 @@
             callers_.setLimits(exchangeLimits(configuration->limits));
             forwarder_.setConfiguration(configuration);
         });
-        ports_.metrics->setGauge(
-            "lagoon_configuration_version", static_cast<double>(configuration->version.value()));
+        ports_.metrics->setGauge("lagoon_configuration_version", static_cast<double>(configuration->version.value()));
         linkEngines();
         becomeReady();
     }
--- a/src/direct/internal/directsettings.cpp
+++ b/src/direct/internal/directsettings.cpp
@@ -43,8 +43,8 @@
     settings.objectStore = framework::readEndpoint(object, "object_store");
     settings.agentPort = static_cast<std::uint16_t>(object.number("agent_port", 1, 65535));
     readRepeats(object, settings);
-    settings.grace = Milliseconds(
-        object.numberOr("grace_ms", static_cast<std::uint64_t>(settings.grace.count()), 500, 600000));
+    settings.grace
+        = Milliseconds(object.numberOr("grace_ms", static_cast<std::uint64_t>(settings.grace.count()), 500, 600000));
     BOOST_OUTCOME_TRYV(object.finish());
     return settings;
 }
--- a/src/direct/internal/enginewire.h
+++ b/src/direct/internal/enginewire.h
@@ -11,8 +11,8 @@
 wire::Message toWire(const catalog::EngineState&);
 catalog::EngineState fromWire(const wire::fb::EngineStateT&);
 
-wire::Message toWire(const framework::VmName& router, const catalog::InstanceId& instance,
-    const catalog::WantedList&, framework::SteadyTime now);
+wire::Message toWire(const framework::VmName& router, const catalog::InstanceId& instance, const catalog::WantedList&,
+    framework::SteadyTime now);
 catalog::WantedList fromWire(const wire::fb::WantedT&, framework::SteadyTime now);
 
 } // namespace lagoon::direct
--- a/src/direct/internal/routerlinks.cpp
+++ b/src/direct/internal/routerlinks.cpp
@@ -61,8 +61,7 @@
 
 bool RouterLinks::hasOtherLink(const framework::VmName& name) const
 {
-    return std::any_of(
-        routers_.begin(), routers_.end(), [&](const auto& entry) { return entry.second.name == name; });
+    return std::any_of(routers_.begin(), routers_.end(), [&](const auto& entry) { return entry.second.name == name; });
 }
 
 void RouterLinks::didClose(const std::shared_ptr<wire::ILink>& link)
--- a/src/engines/internal/enginekeeper.cpp
+++ b/src/engines/internal/enginekeeper.cpp
@@ -41,8 +41,7 @@
 
 std::string targetText(const catalog::ModelTarget& target)
 {
-    return target.adapter.value().empty() ? target.model.value()
-                                          : target.model.value() + "/" + target.adapter.value();
+    return target.adapter.value().empty() ? target.model.value() : target.model.value() + "/" + target.adapter.value();
 }
 
 std::string_view outcomeText(OrderOutcome outcome)
@@ -120,8 +119,8 @@
                 profile_ = service && service->engine ? &*service->engine : nullptr;
             }
             const Milliseconds pause = profile_ ? profileEach : profileAgain;
-            profileTimer_ = context_.control.runAt(
-                Deadline::after(context_.clock.now(), pause), [this] { readProfile(); });
+            profileTimer_
+                = context_.control.runAt(Deadline::after(context_.clock.now(), pause), [this] { readProfile(); });
         });
 }
 
@@ -144,8 +143,7 @@
                 return;
             }
             logDecision(LogLine("fence_not_taken").text("cause", describe(taken.error())));
-            const Deadline again
-                = Deadline::after(context_.clock.now(), fenceBackoff_.next(taken.error().retryAfter));
+            const Deadline again = Deadline::after(context_.clock.now(), fenceBackoff_.next(taken.error().retryAfter));
             fenceTimer_ = context_.control.runAt(again, [this] { takeFence(); });
         });
 }
--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -275,7 +275,7 @@
     decision.expected.push_back({ model, soFar });
     if (!isFirst)
         return;
-    decision.reason = (wanted.waiting > 0 ? "waited for by " + std::to_string(wanted.waiting)
+    decision.reason = (wanted.waiting > 0         ? "waited for by " + std::to_string(wanted.waiting)
                               : wanted.isPrefetch ? "nowhere at hand"
                                                   : "another copy")
         + std::string(", for ") + model.value();
@@ -293,8 +293,7 @@
 }
 
 /// What has to go for the model; empty if it fits as it is, nothing if it can't be placed.
-std::optional<std::vector<ModelName>> PlacementPlan::victimsFor(
-    const PlacementInput& input, const Wanted& wanted) const
+std::optional<std::vector<ModelName>> PlacementPlan::victimsFor(const PlacementInput& input, const Wanted& wanted) const
 {
     const std::uint64_t needed = input.profile.find(wanted.target.model)->weights.value();
     std::uint64_t used = usedWeights(input);
@@ -305,8 +304,8 @@
     for (const HeldModel& held : input.report.held) {
         if (!mayMakeWay(input, held.model, wanted))
             continue;
-        candidates.emplace_back(usesOf(input, held.model) > 0, missed(input, held.model),
-            uses_.at({ held.model, {} }).lastUsed, &held);
+        candidates.emplace_back(
+            usesOf(input, held.model) > 0, missed(input, held.model), uses_.at({ held.model, {} }).lastUsed, &held);
     }
     std::sort(candidates.begin(), candidates.end());
     for (const auto& [isUsed, value, lastUsed, held] : candidates) {
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -145,8 +145,8 @@
     }
 
 private:
-    void refuse(http::IExchange& exchange, unsigned status, const std::string& cause,
-        std::optional<Milliseconds> retryAfter)
+    void refuse(
+        http::IExchange& exchange, unsigned status, const std::string& cause, std::optional<Milliseconds> retryAfter)
     {
         logDecision(LogLine("not_routed")
                         .text("host", exchange.request().headers.find("Host").value_or(""))
--- a/src/forwarding/internal/modeldemand.cpp
+++ b/src/forwarding/internal/modeldemand.cpp
@@ -18,8 +18,7 @@
 
 } // namespace
 
-void ModelDemand::didArrive(
-    const framework::ModelName& model, framework::Milliseconds work, framework::SteadyTime now)
+void ModelDemand::didArrive(const framework::ModelName& model, framework::Milliseconds work, framework::SteadyTime now)
 {
     Average& average = averages_[model];
     average.perSecond = faded(average.perSecond, average.at, now) + Seconds(work).count() / fadeSeconds;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -39,7 +39,8 @@
 
 std::string_view rejectionText(AnswerMeaning meaning)
 {
-    return meaning == AnswerMeaning::Elsewhere ? "server lacks the model or isn't the one meant" : "server has no place";
+    return meaning == AnswerMeaning::Elsewhere ? "server lacks the model or isn't the one meant"
+                                               : "server has no place";
 }
 
 } // namespace
@@ -122,8 +123,7 @@
     lastServer_ = upstream.facts.instance.value();
     logSend(chosen);
     auto use = std::make_unique<UpstreamUse>(chosen.upstream, target(), chosen.newTokens);
-    attempt_ = std::make_shared<UpstreamAttempt>(
-        weak_from_this(), host_.dialect(), std::move(use), chosen.connection);
+    attempt_ = std::make_shared<UpstreamAttempt>(weak_from_this(), host_.dialect(), std::move(use), chosen.connection);
     // What the engine has read of a prompt is kept for the next one that begins alike.
     upstream.prompts.didSend(prompt_);
     attempt_->send(forwardedRequest(upstream));
@@ -329,8 +329,7 @@
     logDecision(line);
     host_.metrics().count("lagoon_forwarded_total", { { "service", terms_.service.value() }, { "outcome", outcome } });
     if (firstByteAt_)
-        host_.metrics().observeSeconds(
-            "lagoon_forwarded_first_byte_seconds", milliseconds(*firstByteAt_) / 1000.0,
+        host_.metrics().observeSeconds("lagoon_forwarded_first_byte_seconds", milliseconds(*firstByteAt_) / 1000.0,
             { { "service", terms_.service.value() } });
     host_.didEnd(shared_from_this());
 }
--- a/src/forwarding/internal/serverchoice.cpp
+++ b/src/forwarding/internal/serverchoice.cpp
@@ -26,8 +26,7 @@
 
 double expectedMilliseconds(const EngineView& engine)
 {
-    const double waitingTokens
-        = static_cast<double>(engine.ownStartingTokens) + engine.queued * assumedQueuedTokens;
+    const double waitingTokens = static_cast<double>(engine.ownStartingTokens) + engine.queued * assumedQueuedTokens;
     double expected = (waitingTokens + static_cast<double>(engine.newTokens)) / tokensPerMillisecond;
     expected += millisecondsPerRunning * engine.running;
     expected += millisecondsPerAffinityRank * engine.affinityRank;
@@ -48,8 +47,8 @@
     if (servers.empty())
         return std::nullopt;
     // Different routers begin at different servers, lest equals all be sent to the first of the list.
-    const std::size_t offset = std::min(
-        servers.size() - 1, static_cast<std::size_t>(random * static_cast<double>(servers.size())));
+    const std::size_t offset
+        = std::min(servers.size() - 1, static_cast<std::size_t>(random * static_cast<double>(servers.size())));
     const auto cost = [&](std::size_t index) {
         const ServerView& server = servers[index];
         const double load = static_cast<double>(server.ownInFlight) / std::max<std::uint32_t>(1, server.slots);
--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -93,8 +93,7 @@
 void UpstreamAttempt::didFail(const http::ClientFailure& failure)
 {
     if (const auto job = job_.lock())
-        job->didBreak(
-            std::string(http::clientStepText(failure.step)) + ": " + failure.detail, failure.mayHaveArrived);
+        job->didBreak(std::string(http::clientStepText(failure.step)) + ": " + failure.detail, failure.mayHaveArrived);
 }
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -203,8 +203,7 @@
 
 } // namespace
 
-UpstreamSearch findUpstream(
-    IJobHost& host, const JobTerms& terms, const PromptChain& prompt, const SearchPast& past)
+UpstreamSearch findUpstream(IJobHost& host, const JobTerms& terms, const PromptChain& prompt, const SearchPast& past)
 {
     return Search(host, terms, prompt, past).run();
 }
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -98,9 +98,8 @@
 
 bool UpstreamTable::holds(const UpstreamRecord& record, const catalog::ModelTarget& target, SteadyTime now) const
 {
-    const auto isThis = [&](const catalog::HeldModel& held) {
-        return held.model == target.model && held.has(target.adapter);
-    };
+    const auto isThis
+        = [&](const catalog::HeldModel& held) { return held.model == target.model && held.has(target.adapter); };
     if (const HeardState* const heard = state(record, now)) {
         const catalog::HeldModel* const held = heard->state.find(target.model);
         return held && !heard->state.isLeaving(target.model) && isThis(*held);
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -51,7 +51,8 @@
     for (const EngineState::Expected& expected : engine.state->expected) {
         if (expected.model != model)
             continue;
-        return expected.within >= catalog::cannotPlace ? catalog::cannotPlace : std::max(Milliseconds(0), expected.within - age);
+        return expected.within >= catalog::cannotPlace ? catalog::cannotPlace
+                                                       : std::max(Milliseconds(0), expected.within - age);
     }
     return std::nullopt;
 }
@@ -256,16 +257,16 @@
     const auto list = lists_.find(endpoint);
     if (list == lists_.end())
         return;
-    const auto engine = std::find_if(input.engines.begin(), input.engines.end(),
-        [&](const EngineFacts& facts) { return facts.engine == endpoint; });
+    const auto engine = std::find_if(
+        input.engines.begin(), input.engines.end(), [&](const EngineFacts& facts) { return facts.engine == endpoint; });
     const ModelName& model = wanted.target.model;
     wanted.work = workOf(input, model);
     wanted.rank = rankOf(input, model, endpoint);
     wanted.holders = holdersOf(input.engines, model);
     const auto inFlight = engine->inFlight.find(wanted.target);
     wanted.inFlight = inFlight == engine->inFlight.end() ? 0 : inFlight->second;
-    const auto same = std::find_if(list->second.begin(), list->second.end(),
-        [&](const Wanted& other) { return other.target == wanted.target; });
+    const auto same = std::find_if(
+        list->second.begin(), list->second.end(), [&](const Wanted& other) { return other.target == wanted.target; });
     if (same == list->second.end())
         list->second.push_back(std::move(wanted));
     else if (wanted.waiting > 0)
--- a/src/framework/internal/decisionlog.cpp
+++ b/src/framework/internal/decisionlog.cpp
@@ -54,10 +54,7 @@
     return *this;
 }
 
-LogLine& LogLine::text(std::string_view key, std::string_view value)
-{
-    return raw(key, "\"" + escaped(value) + "\"");
-}
+LogLine& LogLine::text(std::string_view key, std::string_view value) { return raw(key, "\"" + escaped(value) + "\""); }
 
 LogLine& LogLine::number(std::string_view key, double value)
 {
--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -91,10 +91,12 @@
     }
 }
 
+/// Guards against a store that is back and a watch that doesn't notice: what was sent while it was silent is never
+/// answered, and a watch may wait for long. So while it is away each try asks for an answer at once.
 void ObjectMirror::watch()
 {
-    feed_.watch(at_, settings_.watchWait,
-        Deadline::after(clock_.now(), settings_.watchWait + settings_.answerTime),
+    const Milliseconds wait = isAway_ ? Milliseconds(1) : settings_.watchWait;
+    feed_.watch(at_, wait, Deadline::after(clock_.now(), wait + settings_.answerTime),
         [this, alive = std::weak_ptr<int>(alive_)](Result<FeedChanges> changes) {
             if (!alive.expired())
                 didWatch(std::move(changes));
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -36,7 +36,8 @@
 /// A copy of all objects of one kind, kept up by list and watch. Belongs to the control thread.
 ///
 /// What it knows stays in force while the store is away. Objects that are missing in the first list after that may just
-/// not be back yet, so they are believed in for `missingGrace` longer; one whose deletion a watch reported goes at once.
+/// not be back yet, so they are believed in for `missingGrace` longer; one whose deletion a watch reported goes at
+/// once.
 class ObjectMirror {
 public:
     struct Observers {
@@ -48,8 +49,8 @@
         std::function<void()> didList;
     };
 
-    ObjectMirror(IObjectFeed&, framework::IControlExecutor&, const framework::IClock&, const MirrorSettings&,
-        Observers, std::uint64_t seed);
+    ObjectMirror(IObjectFeed&, framework::IControlExecutor&, const framework::IClock&, const MirrorSettings&, Observers,
+        std::uint64_t seed);
     ~ObjectMirror();
     ObjectMirror(const ObjectMirror&) = delete;
     ObjectMirror& operator=(const ObjectMirror&) = delete;
--- a/src/objectstore/tests/objectmirror_test.cpp
+++ b/src/objectstore/tests/objectmirror_test.cpp
@@ -22,8 +22,9 @@
         lists.push_back({ after, std::move(handler) });
     }
 
-    void watch(StoreRevision since, Milliseconds, Deadline, ChangesHandler handler) override
+    void watch(StoreRevision since, Milliseconds wait, Deadline, ChangesHandler handler) override
     {
+        lastWait = wait;
         watches.push_back({ since, std::move(handler) });
     }
 
@@ -41,6 +42,7 @@
         call.second(std::move(changes));
     }
 
+    Milliseconds lastWait { 0 };
     std::deque<std::pair<std::string, PageHandler>> lists;
     std::deque<std::pair<StoreRevision, ChangesHandler>> watches;
 };
@@ -73,7 +75,8 @@
 
     ObjectMirror::Observers observers()
     {
-        return { [this](const FeedObject& changed) { values[changed.name] = std::any_cast<std::string>(changed.value); },
+        return { [this](
+                     const FeedObject& changed) { values[changed.name] = std::any_cast<std::string>(changed.value); },
             [this](const std::string& name) { values.erase(name); }, [this] { ++listed; } };
     }
 
@@ -119,8 +122,7 @@
     feed.answerList(page({ object("a", 1), object("b", 2) }, 2));
     feed.answerWatch(unavailable());
     control.advance(Milliseconds(1000));
-    feed.answerWatch(
-        FeedChanges { { { object("a", 3), true }, { object("b", 4), true } }, StoreRevision(4) });
+    feed.answerWatch(FeedChanges { { { object("a", 3), true }, { object("b", 4), true } }, StoreRevision(4) });
     BOOST_TEST(values.size() == 2U);
     control.advance(Milliseconds(1000));
     feed.answerWatch(FeedChanges { { { object("a", 5), false } }, StoreRevision(5) });
@@ -164,6 +166,20 @@
     BOOST_TEST(tries >= 15);
 }
 
+// After the store had been silent for eight seconds, callers of a new route were told for three more that there was
+// none: the watch sent in the last moment of the silence was never answered, and its long wait had to end first.
+BOOST_AUTO_TEST_CASE(whileTheStoreIsAwayTriesAreShort)
+{
+    feed.answerList(page({}, 2));
+    BOOST_TEST(feed.lastWait.count() == settings().watchWait.count());
+    feed.answerWatch(unavailable());
+    control.advance(Milliseconds(1000));
+    BOOST_REQUIRE(!feed.watches.empty());
+    BOOST_TEST(feed.lastWait.count() <= 1);
+    feed.answerWatch(FeedChanges { {}, StoreRevision(2) });
+    BOOST_TEST(feed.lastWait.count() == settings().watchWait.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::objectstore
