Copies of busy models follow the work that all routers see

Change: agents publish each held model's work over all routers; copies are asked for by that, all missing ones at once, half an engine's time each; agents that couldn't place a model aren't asked again for 1.5 s; adapters aren't ordered at engines that load a model (they refuse); a line for each load asked for.

--- a/src/catalog/types/upstream.h
+++ b/src/catalog/types/upstream.h
@@ -16,6 +16,9 @@
     framework::ModelName model;
     std::uint32_t version = 0;
     std::vector<framework::AdapterName> adapters;
+    /// Part of one engine's time that all routers' requests for the model take, wherever they run; as far as its agent
+    /// has heard from them.
+    double work = 0;
 
     bool has(const framework::AdapterName&) const;
 };
--- a/src/catalog/types/wanted.h
+++ b/src/catalog/types/wanted.h
@@ -36,8 +36,13 @@
     std::uint32_t holders = 0;
     /// Nobody waits, but no engine has the weights at hand.
     bool isPrefetch = false;
+    /// Nobody waits, but more engines should hold it.
+    bool isCopy = false;
     /// The highest among those that wait: 0 lowest, 9 highest.
     std::uint8_t priority = 0;
+
+    /// Whether the engine is to load it; else this only says what its models are worth.
+    bool isLoad() const { return waiting > 0 || isPrefetch || isCopy; }
 };
 
 using WantedList = std::vector<Wanted>;
--- a/src/direct/internal/enginewire.cpp
+++ b/src/direct/internal/enginewire.cpp
@@ -39,6 +39,7 @@
         model->version = held.version;
         model->adapters = texts(held.adapters);
         model->is_leaving = state.isLeaving(held.model);
+        model->work = static_cast<float>(held.work);
         body.held.push_back(std::move(model));
     }
     body.in_memory = texts(state.atHand.memory);
@@ -65,7 +66,8 @@
     state.engine = framework::Endpoint(body.engine);
     for (const auto& model : body.held) {
         const framework::ModelName name(model->model);
-        state.held.push_back({ name, model->version, names<framework::AdapterName>(model->adapters) });
+        state.held.push_back({ name, model->version, names<framework::AdapterName>(model->adapters),
+            std::max(0.0F, model->work) });
         if (model->is_leaving)
             state.leaving.push_back(name);
     }
@@ -99,6 +101,7 @@
         model->rank = one.rank;
         model->holders = one.holders;
         model->is_prefetch = one.isPrefetch;
+        model->is_copy = one.isCopy;
         model->priority = one.priority;
         body.models.push_back(std::move(model));
     }
@@ -118,6 +121,7 @@
         one.rank = model->rank;
         one.holders = model->holders;
         one.isPrefetch = model->is_prefetch;
+        one.isCopy = model->is_copy;
         one.priority = model->priority;
         wanted.push_back(std::move(one));
     }
--- a/src/engines/enginekeeper.h
+++ b/src/engines/enginekeeper.h
@@ -65,7 +65,7 @@
     void didOrder(const Order&, const OrderAnswer&);
     bool canOrder() const;
     framework::Milliseconds pollPause() const;
-    void publish(const PlacementDecision&);
+    void publish(const PlacementDecision&, const std::map<catalog::ModelTarget, catalog::Wanted>&);
     PlacementInput input(const std::map<catalog::ModelTarget, catalog::Wanted>&) const;
 
     Context context_;
--- a/src/engines/internal/enginekeeper.cpp
+++ b/src/engines/internal/enginekeeper.cpp
@@ -249,7 +249,7 @@
         return;
     const auto wanted = wanted_.merged();
     const PlacementDecision decision = plan_.decide(input(wanted));
-    publish(decision);
+    publish(decision, wanted);
     if (decision.order && canOrder())
         give(*decision.order, decision.reason);
 }
@@ -312,11 +312,16 @@
     poll();
 }
 
-void EngineKeeper::publish(const PlacementDecision& decision)
+void EngineKeeper::publish(
+    const PlacementDecision& decision, const std::map<catalog::ModelTarget, catalog::Wanted>& wanted)
 {
     catalog::EngineState state;
     state.engine = settings_.engine;
     state.held = report_->held;
+    for (catalog::HeldModel& held : state.held) {
+        const auto found = wanted.find({ held.model, {} });
+        held.work = found == wanted.end() ? 0 : found->second.work;
+    }
     state.leaving = decision.leaving;
     state.atHand = report_->atHand;
     state.loading = plan_.loading();
--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -172,6 +172,9 @@
 
 std::optional<Order> PlacementPlan::adapterOrder(const PlacementInput& input) const
 {
+    // While an engine carries out an order of a model it takes none of an adapter either.
+    if (input.report.isBusy)
+        return std::nullopt;
     for (const auto& [target, wanted] : input.wanted) {
         if (target.adapter.value().empty() || wanted.waiting == 0)
             continue;
@@ -221,7 +224,7 @@
             waited.push_back(wanted);
         else if (wanted.isPrefetch)
             prefetched.push_back(wanted);
-        else if (policy::isBusyModel(wanted.work) && wanted.holders < policy::wantedCopies(wanted.work))
+        else if (wanted.isCopy)
             copies.push_back(wanted);
     }
     std::vector<Wanted> all = byValue(input, std::move(waited));
--- a/src/engines/internal/wantedbook.cpp
+++ b/src/engines/internal/wantedbook.cpp
@@ -22,6 +22,7 @@
     into.rank = std::min(into.rank, from.rank);
     into.holders = std::max(into.holders, from.holders);
     into.isPrefetch = into.isPrefetch || from.isPrefetch;
+    into.isCopy = into.isCopy || from.isCopy;
     into.priority = std::max(into.priority, from.priority);
 }
 
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -260,7 +260,36 @@
         }
         const std::size_t ready = upstreams_.ready(service.name).size();
         input.isComplete = !input.engines.empty() && input.engines.size() * 10 >= ready * 9;
-        context_.tellAgents(planners_[service.name].plan(input));
+        const auto plan = planners_[service.name].plan(input);
+        logAsked(service.name, plan, input);
+        context_.tellAgents(plan);
+    }
+
+    /// One line for each load that this router begins to ask for.
+    void logAsked(const ServiceName& service, const std::map<Endpoint, catalog::WantedList>& plan,
+        const PlannerInput& input)
+    {
+        std::set<std::pair<Endpoint, catalog::ModelTarget>> asked;
+        for (const auto& [engine, list] : plan) {
+            for (const catalog::Wanted& wanted : list) {
+                if (!wanted.isLoad())
+                    continue;
+                asked.insert({ engine, wanted.target });
+                if (asked_[service].contains({ engine, wanted.target }))
+                    continue;
+                logDecision(LogLine("asked_to_load")
+                                .text("engine", engine.value())
+                                .text("model", wanted.target.model.value())
+                                .text("adapter", wanted.target.adapter.value())
+                                .number("waiting", wanted.waiting)
+                                .flag("prefetch", wanted.isPrefetch)
+                                .number("holders", wanted.holders)
+                                .number("work", wanted.work)
+                                .number("rank", wanted.rank)
+                                .number("agents", input.engines.size()));
+            }
+        }
+        asked_[service] = std::move(asked);
     }
 
     std::vector<WaitingFor> waitingFor(const ServiceName& service) const
@@ -291,6 +320,8 @@
     std::map<ServiceName, policy::RetryBudget> budgets_;
     ModelDemand demand_;
     std::map<ServiceName, WantedPlanner> planners_;
+    /// The loads that are asked for now.
+    std::map<ServiceName, std::set<std::pair<Endpoint, catalog::ModelTarget>>> asked_;
     std::unique_ptr<framework::Timer> planTimer_;
     Deadline planAt_;
     bool isRetryPosted_ = false;
--- a/src/forwarding/internal/modeldemand.cpp
+++ b/src/forwarding/internal/modeldemand.cpp
@@ -8,8 +8,9 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// Demand for the busy models moves over some five seconds; an average over fewer requests than that would see chance.
-constexpr double fadeSeconds = 6;
+/// Demand moves from model to model within some five seconds, and a further copy takes as long to load: an average that
+/// follows no faster asks for it when the requests are late already. A shorter one would see chance.
+constexpr double fadeSeconds = 3;
 
 double faded(double value, framework::SteadyTime since, framework::SteadyTime now)
 {
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -123,15 +123,22 @@
         return amongHolders(std::move(holders));
     }
 
-    /// Only an engine that an agent speaks for can be asked to load.
+    /// Only an engine that an agent speaks for can be asked to load, and one that is loading a model takes no adapter
+    /// until that has ended, which may be seconds.
     UpstreamSearch adapterWanted(const std::vector<UpstreamPointer>& engines) const
     {
         UpstreamSearch search = failed(NoUpstream::AdapterNotLoaded);
         std::vector<framework::VmName> names;
+        std::vector<framework::VmName> loading;
         for (const UpstreamPointer& engine : engines) {
-            if (host_.upstreams().state(*engine, now_) && !engine->suspicion.isSuspect(now_))
-                names.emplace_back(engine->facts.endpoint.value());
+            const HeardState* const heard = host_.upstreams().state(*engine, now_);
+            if (!heard || engine->suspicion.isSuspect(now_))
+                continue;
+            auto& list = heard->state.loading.value().empty() ? names : loading;
+            list.emplace_back(engine->facts.endpoint.value());
         }
+        if (names.empty())
+            names = std::move(loading);
         if (names.empty())
             return failed(NoUpstream::NotLoaded);
         const std::string key = terms_.facts.model.value() + '/' + terms_.facts.adapter.value();
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -26,6 +26,9 @@
 constexpr Milliseconds changeGain { 1500 };
 /// For an agent to hear and answer before its silence counts as a refusal.
 constexpr Milliseconds answerTime { 400 };
+/// How long an agent that couldn't place a model isn't asked again: what holds its places changes within seconds, and
+/// what it says of a model ends as soon as it isn't asked any more.
+constexpr Milliseconds refusalHolds { 1500 };
 /// Store loads that run at once without slowing each other. A guess between what today's deployments allow.
 constexpr std::size_t storePlaces = 4;
 
@@ -83,12 +86,17 @@
         engines.begin(), engines.end(), [&](const EngineFacts& engine) { return isHeld(engine, model); }));
 }
 
-std::uint32_t routersOf(const std::vector<EngineFacts>& engines)
+std::uint32_t loadersOf(const std::vector<EngineFacts>& engines, const ModelName& model)
 {
-    std::uint32_t routers = 1;
-    for (const EngineFacts& engine : engines)
-        routers = std::max(routers, engine.state->routers);
-    return routers;
+    return static_cast<std::uint32_t>(std::count_if(
+        engines.begin(), engines.end(), [&](const EngineFacts& engine) { return engine.state->loading == model; }));
+}
+
+const EngineFacts* factsOf(const PlannerInput& input, const Endpoint& endpoint)
+{
+    const auto found = std::find_if(input.engines.begin(), input.engines.end(),
+        [&](const EngineFacts& engine) { return engine.engine == endpoint; });
+    return found == input.engines.end() ? nullptr : &*found;
 }
 
 double workOf(const PlannerInput& input, const ModelName& model)
@@ -105,6 +113,7 @@
     for (const EngineFacts& engine : input.engines)
         lists_[engine.engine];
     forgetOrdersOfOtherEngines(input);
+    noteRefusals(input);
     planHeld(input);
     planWaiting(input);
     planCopies(input);
@@ -123,6 +132,24 @@
     orders_.clear();
 }
 
+/// Guards against asking two agents in turn, each of which says no, while a third has room: an agent's answer is only
+/// there for as long as it is asked.
+void WantedPlanner::noteRefusals(const PlannerInput& input)
+{
+    std::erase_if(refusals_, [&](const auto& entry) { return input.now - entry.second > refusalHolds; });
+    for (const EngineFacts& engine : input.engines) {
+        for (const EngineState::Expected& expected : engine.state->expected) {
+            if (expected.within >= catalog::cannotPlace)
+                refusals_[{ expected.model, engine.engine }] = input.now;
+        }
+    }
+}
+
+bool WantedPlanner::hasRefused(const ModelName& model, const Endpoint& engine) const
+{
+    return refusals_.contains({ model, engine });
+}
+
 /// Agents have to know what their engines' models are worth before they unload one.
 void WantedPlanner::planHeld(const PlannerInput& input)
 {
@@ -169,7 +196,9 @@
     if (!model || input.engines.empty())
         return nullptr;
     const auto costAt = [&](const EngineFacts& engine) {
-        return loadCost(engine, *model, input.now) + perRank * rankOf(input, model->name, engine.engine);
+        const Milliseconds cost
+            = hasRefused(model->name, engine.engine) ? catalog::cannotPlace : loadCost(engine, *model, input.now);
+        return cost + perRank * rankOf(input, model->name, engine.engine);
     };
     const EngineFacts* best = nullptr;
     Milliseconds least(0);
@@ -192,23 +221,32 @@
     return &choice.engine;
 }
 
-/// Busy models need more than one engine. The first engines of the model's order take it.
+/// Busy models need more than one engine. The first engines of the model's order take it. How busy a model is comes from
+/// the agents, which hear it from all routers: one router alone sees too few requests to tell.
 void WantedPlanner::planCopies(const PlannerInput& input)
 {
-    const std::uint32_t routers = routersOf(input.engines);
-    for (const auto& [model, work] : input.work) {
-        const std::uint32_t copies = policy::wantedCopies(work * routers);
-        if (!policy::isBusyModel(work * routers) || holdersOf(input.engines, model) >= copies)
+    std::map<ModelName, double> workOfAll;
+    for (const EngineFacts& engine : input.engines) {
+        for (const catalog::HeldModel& held : engine.state->held)
+            workOfAll[held.model] = std::max(workOfAll[held.model], held.work);
+    }
+    for (const auto& [model, work] : workOfAll) {
+        if (!policy::isBusyModel(work))
             continue;
+        std::uint32_t copies = policy::wantedCopies(work);
+        copies -= std::min(copies, holdersOf(input.engines, model) + loadersOf(input.engines, model));
+        // The first of the order that has room, all that are missing at once: a load may take many seconds.
         for (const Endpoint& endpoint : orderOf(input, model)) {
-            const auto engine = std::find_if(input.engines.begin(), input.engines.end(),
-                [&](const EngineFacts& facts) { return facts.engine == endpoint; });
-            if (isHeld(*engine, model) || expectedAt(*engine, model, input.now) == catalog::cannotPlace)
+            if (copies == 0)
+                break;
+            const EngineFacts& engine = *factsOf(input, endpoint);
+            if (isHeld(engine, model) || engine.state->loading == model || hasRefused(model, endpoint))
                 continue;
             Wanted wanted;
             wanted.target.model = model;
+            wanted.isCopy = true;
             add(input, endpoint, wanted);
-            break;
+            --copies;
         }
     }
 }
@@ -236,11 +274,9 @@
         if (loading + taken.size() >= storePlaces)
             return;
         for (const Endpoint& endpoint : orderOf(input, model->name)) {
-            const auto engine = std::find_if(input.engines.begin(), input.engines.end(),
-                [&](const EngineFacts& facts) { return facts.engine == endpoint; });
-            const bool isBusy = !engine->state->loading.value().empty()
+            const bool isBusy = !factsOf(input, endpoint)->state->loading.value().empty()
                 || std::find(taken.begin(), taken.end(), endpoint) != taken.end();
-            if (isBusy || expectedAt(*engine, model->name, input.now) == catalog::cannotPlace)
+            if (isBusy || hasRefused(model->name, endpoint))
                 continue;
             Wanted wanted;
             wanted.target.model = model->name;
@@ -269,7 +305,7 @@
         list->second.begin(), list->second.end(), [&](const Wanted& other) { return other.target == wanted.target; });
     if (same == list->second.end())
         list->second.push_back(std::move(wanted));
-    else if (wanted.waiting > 0)
+    else if (wanted.isLoad() && same->waiting == 0)
         *same = std::move(wanted);
 }
 
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace lagoon::forwarding {
@@ -60,6 +61,8 @@
     };
 
     void forgetOrdersOfOtherEngines(const PlannerInput&);
+    void noteRefusals(const PlannerInput&);
+    bool hasRefused(const framework::ModelName&, const framework::Endpoint& engine) const;
     void planHeld(const PlannerInput&);
     void planWaiting(const PlannerInput&);
     void planCopies(const PlannerInput&);
@@ -71,6 +74,8 @@
 
     std::map<framework::Endpoint, catalog::WantedList> lists_;
     std::map<framework::ModelName, Choice> choices_;
+    /// When an agent last said that it can't place a model.
+    std::map<std::pair<framework::ModelName, framework::Endpoint>, framework::SteadyTime> refusals_;
     std::vector<framework::Endpoint> orderedEngines_;
     /// By model, `orderedEngines_` in rendezvous order.
     std::map<framework::ModelName, std::vector<framework::Endpoint>> orders_;
--- a/src/policy/internal/modelcopies.cpp
+++ b/src/policy/internal/modelcopies.cpp
@@ -9,9 +9,9 @@
 
 /// Part of an engine's time that one copy's requests should take: beyond it, reading a long prompt holds up enough
 /// others that first events come late.
-constexpr double workPerCopy = 0.25;
+constexpr double workPerCopy = 0.5;
 /// A model with this much work has a second copy, so that the loss of one engine doesn't stop it.
-constexpr double workOfBusyModel = 0.08;
+constexpr double workOfBusyModel = 0.2;
 
 } // namespace
 
