Routers ask the engine where room costs least

Cause: copies of busy models went to the first engines of the rendezvous order and pushed out the only copies of models that grew busy seconds later; those then needed six seconds from the store. Change: the planner works out for each engine what making room would cost (surplus copies nothing, busy ones never, rare ones by their requests and by whether another engine has them at hand) and adds the load's time from where the weights are. Overdue loads are forecast by how late they are.

--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -257,7 +257,10 @@
         return Milliseconds(0);
     if (loading_.value().empty())
         return unknownOrder;
-    return std::max(unloadTime, loadedBy_.remaining(input.now));
+    // One that takes longer than it should is thought to need as long again as it has taken too long.
+    if (loadedBy_.hasPassed(input.now))
+        return std::max(unloadTime, std::chrono::duration_cast<Milliseconds>(input.now - loadedBy_.at()));
+    return loadedBy_.remaining(input.now);
 }
 
 void PlacementPlan::planModel(
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -19,6 +19,14 @@
 using framework::Milliseconds;
 using framework::ModelName;
 
+/// What it is worth to keep one rare model where it is, against the time of a load: those who ask for it next wait for
+/// its load instead.
+constexpr Milliseconds perDamage { 400 };
+/// A rare model that no other engine has at hand is missed more: the engine may not have room for it when it is asked for.
+constexpr double damageOfOnlyCopy = 1;
+constexpr double damageOfOtherCopy = 0.5;
+/// And one that is asked for more often: this for each part of an engine's time.
+constexpr double damagePerWork = 20;
 /// Among engines that could load as soon as each other, the same one at all routers.
 constexpr Milliseconds perRank { 60 };
 /// An engine that has been asked is left for another only if that one is so much sooner: a load that has been asked for
@@ -99,6 +107,23 @@
     return found == input.engines.end() ? nullptr : &*found;
 }
 
+std::uint64_t sizeOf(const catalog::EngineProfile& profile, const catalog::HeldModel& held)
+{
+    const ModelProfile* const model = profile.find(held.model);
+    if (!model)
+        return profile.weights.value();
+    return model->weights.value() + held.adapters.size() * model->adapterWeights.value();
+}
+
+std::uint64_t usedWeights(const catalog::EngineProfile& profile, const EngineState& state)
+{
+    std::uint64_t used = 0;
+    for (const catalog::HeldModel& held : state.held)
+        used += sizeOf(profile, held);
+    const ModelProfile* const loading = state.find(state.loading) ? nullptr : profile.find(state.loading);
+    return used + (loading ? loading->weights.value() : 0);
+}
+
 double workOf(const PlannerInput& input, const ModelName& model)
 {
     const auto found = input.work.find(model);
@@ -113,6 +138,7 @@
     for (const EngineFacts& engine : input.engines)
         lists_[engine.engine];
     forgetOrdersOfOtherEngines(input);
+    noteWork(input);
     noteRefusals(input);
     planHeld(input);
     planWaiting(input);
@@ -132,6 +158,70 @@
     orders_.clear();
 }
 
+/// How busy a model is comes from the agents, which hear it from all routers: one router alone sees too few requests.
+void WantedPlanner::noteWork(const PlannerInput& input)
+{
+    workOfAll_.clear();
+    for (const EngineFacts& engine : input.engines) {
+        for (const catalog::HeldModel& held : engine.state->held) {
+            double& work = workOfAll_[held.model];
+            work = std::max(work, held.work);
+        }
+    }
+}
+
+/// What is lost if the held model makes way; nothing if it must not.
+std::optional<double> WantedPlanner::damageOf(
+    const PlannerInput& input, const EngineFacts& engine, const ModelName& held) const
+{
+    const double work = workOfAll_.at(held);
+    if (holdersOf(input.engines, held) > policy::wantedCopies(work))
+        return 0;
+    if (policy::isBusyModel(work))
+        return std::nullopt;
+    const bool isElsewhere = std::any_of(input.engines.begin(), input.engines.end(),
+        [&](const EngineFacts& other) { return other.engine != engine.engine && hasAtHand(other, held); });
+    return (isElsewhere ? damageOfOtherCopy : damageOfOnlyCopy) + damagePerWork * work;
+}
+
+/// Of making room for a model of this size; nothing if there can't be any.
+std::optional<double> WantedPlanner::damageOfRoom(
+    const PlannerInput& input, const EngineFacts& engine, std::uint64_t needed) const
+{
+    std::uint64_t used = usedWeights(input.profile, *engine.state);
+    std::vector<std::pair<double, std::uint64_t>> removable;
+    for (const catalog::HeldModel& held : engine.state->held) {
+        if (const auto damage = damageOf(input, engine, held.model))
+            removable.emplace_back(*damage, sizeOf(input.profile, held));
+    }
+    std::sort(removable.begin(), removable.end());
+    double damage = 0;
+    for (const auto& [lost, size] : removable) {
+        if (used + needed <= input.profile.weights.value())
+            break;
+        used -= std::min(used, size);
+        damage += lost;
+    }
+    if (used + needed > input.profile.weights.value())
+        return std::nullopt;
+    return damage;
+}
+
+/// Time until the model would be there, and what else its load costs in terms of time; `cannotPlace` if there's no room.
+Milliseconds WantedPlanner::placingCost(const PlannerInput& input, const EngineFacts& engine, const ModelProfile& model)
+{
+    const Milliseconds byRank = perRank * rankOf(input, model.name, engine.engine);
+    if (hasRefused(model.name, engine.engine))
+        return catalog::cannotPlace + byRank;
+    if (expectedAt(engine, model.name, input.now))
+        return loadCost(engine, model, input.now) + byRank;
+    const auto damage = damageOfRoom(input, engine, model.weights.value());
+    if (!damage)
+        return catalog::cannotPlace + byRank;
+    return loadCost(engine, model, input.now) + byRank
+        + Milliseconds(static_cast<std::int64_t>(*damage * static_cast<double>(perDamage.count())));
+}
+
 /// Guards against asking two agents in turn, each of which says no, while a third has room: an agent's answer is only
 /// there for as long as it is asked.
 void WantedPlanner::noteRefusals(const PlannerInput& input)
@@ -195,11 +285,7 @@
     const ModelProfile* const model = input.profile.find(waiting.target.model);
     if (!model || input.engines.empty())
         return nullptr;
-    const auto costAt = [&](const EngineFacts& engine) {
-        const Milliseconds cost
-            = hasRefused(model->name, engine.engine) ? catalog::cannotPlace : loadCost(engine, *model, input.now);
-        return cost + perRank * rankOf(input, model->name, engine.engine);
-    };
+    const auto costAt = [&](const EngineFacts& engine) { return placingCost(input, engine, *model); };
     const EngineFacts* best = nullptr;
     Milliseconds least(0);
     for (const EngineFacts& engine : input.engines) {
@@ -221,36 +307,47 @@
     return &choice.engine;
 }
 
-/// Busy models need more than one engine. The first engines of the model's order take it. How busy a model is comes from
-/// the agents, which hear it from all routers: one router alone sees too few requests to tell.
+/// Busy models need more than one engine.
 void WantedPlanner::planCopies(const PlannerInput& input)
 {
-    std::map<ModelName, double> workOfAll;
-    for (const EngineFacts& engine : input.engines) {
-        for (const catalog::HeldModel& held : engine.state->held)
-            workOfAll[held.model] = std::max(workOfAll[held.model], held.work);
-    }
-    for (const auto& [model, work] : workOfAll) {
-        if (!policy::isBusyModel(work))
+    for (const auto& [name, work] : workOfAll_) {
+        const ModelProfile* const model = input.profile.find(name);
+        if (!model || !policy::isBusyModel(work))
             continue;
-        std::uint32_t copies = policy::wantedCopies(work);
-        copies -= std::min(copies, holdersOf(input.engines, model) + loadersOf(input.engines, model));
-        // The first of the order that has room, all that are missing at once: a load may take many seconds.
-        for (const Endpoint& endpoint : orderOf(input, model)) {
-            if (copies == 0)
-                break;
-            const EngineFacts& engine = *factsOf(input, endpoint);
-            if (isHeld(engine, model) || engine.state->loading == model || hasRefused(model, endpoint))
-                continue;
+        std::uint32_t missing = policy::wantedCopies(work);
+        missing -= std::min(missing, holdersOf(input.engines, name) + loadersOf(input.engines, name));
+        // All that are missing at once: a load may take many seconds.
+        for (const Endpoint& engine : cheapestFor(input, *model, missing)) {
             Wanted wanted;
-            wanted.target.model = model;
+            wanted.target.model = name;
             wanted.isCopy = true;
-            add(input, endpoint, wanted);
-            --copies;
+            add(input, engine, wanted);
         }
     }
 }
 
+/// Engines without the model, those first where it costs least to place it.
+std::vector<Endpoint> WantedPlanner::cheapestFor(
+    const PlannerInput& input, const ModelProfile& model, std::size_t most)
+{
+    std::vector<std::pair<Milliseconds, Endpoint>> costs;
+    for (const EngineFacts& engine : input.engines) {
+        if (engine.state->find(model.name) || engine.state->loading == model.name)
+            continue;
+        const Milliseconds cost = placingCost(input, engine, model);
+        if (cost < catalog::cannotPlace)
+            costs.emplace_back(cost, engine.engine);
+    }
+    std::sort(costs.begin(), costs.end());
+    std::vector<Endpoint> cheapest;
+    for (const auto& [cost, engine] : costs) {
+        if (cheapest.size() == most)
+            break;
+        cheapest.push_back(engine);
+    }
+    return cheapest;
+}
+
 /// A model that no engine has at hand costs its first caller a load from the store, mostly longer than callers find
 /// acceptable. So each is fetched once while nobody waits for it, a few at a time.
 void WantedPlanner::planPrefetch(const PlannerInput& input)
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -61,6 +61,11 @@
     };
 
     void forgetOrdersOfOtherEngines(const PlannerInput&);
+    void noteWork(const PlannerInput&);
+    std::optional<double> damageOf(const PlannerInput&, const EngineFacts&, const framework::ModelName& held) const;
+    std::optional<double> damageOfRoom(const PlannerInput&, const EngineFacts&, std::uint64_t needed) const;
+    framework::Milliseconds placingCost(const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&);
+    std::vector<framework::Endpoint> cheapestFor(const PlannerInput&, const catalog::ModelProfile&, std::size_t most);
     void noteRefusals(const PlannerInput&);
     bool hasRefused(const framework::ModelName&, const framework::Endpoint& engine) const;
     void planHeld(const PlannerInput&);
@@ -74,6 +79,8 @@
 
     std::map<framework::Endpoint, catalog::WantedList> lists_;
     std::map<framework::ModelName, Choice> choices_;
+    /// Of held models, over all routers.
+    std::map<framework::ModelName, double> workOfAll_;
     /// When an agent last said that it can't place a model.
     std::map<std::pair<framework::ModelName, framework::Endpoint>, framework::SteadyTime> refusals_;
     std::vector<framework::Endpoint> orderedEngines_;
