Loads from the store only as many at once as it serves at full speed; a successor at an address counts at once

Change: routers learn from finished and overdue loads how many the store serves undisturbed (StorePlaces) and hold further ones back; of two entries at an address the newer counts; an agent doesn't return to an instance that its engine denied, a router passes a server by once another answers at its address.

--- a/src/catalog/types/upstream.h
+++ b/src/catalog/types/upstream.h
@@ -38,6 +38,8 @@
     UpstreamState state = UpstreamState::Ready;
     /// Empty for plain services.
     std::vector<HeldModel> models;
+    /// When it was listed first, in the list's own count: greater is later.
+    std::uint64_t listed = 0;
 };
 
 /// Weights that an engine has at hand without the weight store.
--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -37,7 +37,10 @@
     std::string digest;
     for (const catalog::Wanted& one : wanted) {
         digest += one.target.model.value() + '/' + one.target.adapter.value() + ':' + std::to_string(one.waiting) + ','
-            + std::to_string(one.inFlight) + ',' + std::to_string(one.holders) + ',' + (one.isPrefetch ? 'p' : one.isCopy ? 'c' : '-')
+            + std::to_string(one.inFlight) + ',' + std::to_string(one.holders) + ','
+            + (one.isPrefetch    ? 'p'
+                    : one.isCopy ? 'c'
+                                 : '-')
             + std::to_string(static_cast<int>(one.work * 20)) + ';';
     }
     return digest;
--- a/src/direct/internal/catalogwatch.cpp
+++ b/src/direct/internal/catalogwatch.cpp
@@ -91,6 +91,7 @@
                         .text("state", read.value().state == catalog::UpstreamState::Ready ? "ready" : "leaving")
                         .number("revision", object.revision.value()));
     known->second = std::move(read.value());
+    known->second.listed = object.created;
     tellServersSoon();
 }
 
@@ -114,10 +115,23 @@
     isTelling_ = false;
     if (!servers_.hasListed())
         return;
+    context_.didListServers(newestByEndpoint());
+}
+
+/// Guards against the entry of a server that has ended and whose successor is at its address already: the platform
+/// takes seconds to notice, and until then all that is sent to the old one is refused.
+std::vector<catalog::Upstream> CatalogWatch::newestByEndpoint() const
+{
+    std::map<framework::Endpoint, const catalog::Upstream*> newest;
+    for (const auto& [name, upstream] : upstreams_) {
+        const catalog::Upstream*& known = newest[upstream.endpoint];
+        if (!known || upstream.listed > known->listed)
+            known = &upstream;
+    }
     std::vector<catalog::Upstream> list;
-    for (const auto& [name, upstream] : upstreams_)
-        list.push_back(upstream);
-    context_.didListServers(list);
+    for (const auto& [endpoint, upstream] : newest)
+        list.push_back(*upstream);
+    return list;
 }
 
 } // namespace lagoon::direct
--- a/src/direct/internal/catalogwatch.h
+++ b/src/direct/internal/catalogwatch.h
@@ -40,6 +40,7 @@
     void removeServer(const std::string& name);
     void tellServersSoon();
     void tellServers();
+    std::vector<catalog::Upstream> newestByEndpoint() const;
 
     Context context_;
     catalog::ConfigurationPointer configuration_;
--- a/src/direct/internal/enginewire.cpp
+++ b/src/direct/internal/enginewire.cpp
@@ -66,8 +66,8 @@
     state.engine = framework::Endpoint(body.engine);
     for (const auto& model : body.held) {
         const framework::ModelName name(model->model);
-        state.held.push_back({ name, model->version, names<framework::AdapterName>(model->adapters),
-            std::max(0.0F, model->work) });
+        state.held.push_back(
+            { name, model->version, names<framework::AdapterName>(model->adapters), std::max(0.0F, model->work) });
         if (model->is_leaving)
             state.leaving.push_back(name);
     }
--- a/src/engines/enginekeeper.h
+++ b/src/engines/enginekeeper.h
@@ -78,6 +78,8 @@
     framework::SteadyTime reportedAt_ {};
     std::optional<framework::FencingNumber> fence_;
     catalog::InstanceId instance_;
+    /// The engine said that it isn't this one; routers may go on naming it while their list lags.
+    catalog::InstanceId deniedInstance_;
     /// Orders that the engine has accepted at least; a report with fewer is older than the last answer.
     OrderCount ordersKnown_;
     framework::SteadyTime ordersKnownAt_ {};
--- a/src/engines/internal/enginekeeper.cpp
+++ b/src/engines/internal/enginekeeper.cpp
@@ -151,7 +151,7 @@
 void EngineKeeper::setWanted(
     const framework::VmName& router, const catalog::InstanceId& instance, catalog::WantedList wanted)
 {
-    if (!instance.value().empty() && instance != instance_) {
+    if (!instance.value().empty() && instance != instance_ && instance != deniedInstance_) {
         logDecision(LogLine("engine_instance").text("instance", instance.value()).text("router", router.value()));
         instance_ = instance;
     }
@@ -298,7 +298,7 @@
         takeFence();
         break;
     case OrderOutcome::OtherInstance:
-        instance_ = answer.instance;
+        deniedInstance_ = std::exchange(instance_, answer.instance);
         plan_.reset();
         ordersKnown_ = OrderCount();
         break;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -266,8 +266,8 @@
     }
 
     /// One line for each load that this router begins to ask for.
-    void logAsked(const ServiceName& service, const std::map<Endpoint, catalog::WantedList>& plan,
-        const PlannerInput& input)
+    void logAsked(
+        const ServiceName& service, const std::map<Endpoint, catalog::WantedList>& plan, const PlannerInput& input)
     {
         std::set<std::pair<Endpoint, catalog::ModelTarget>> asked;
         for (const auto& [engine, list] : plan) {
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -39,8 +39,9 @@
 
 std::string_view rejectionText(AnswerMeaning meaning)
 {
-    return meaning == AnswerMeaning::Elsewhere ? "server lacks the model or isn't the one meant"
-                                               : "server has no place";
+    if (meaning == AnswerMeaning::OtherInstance)
+        return "another server has the address";
+    return meaning == AnswerMeaning::NotLoaded ? "server lacks the model" : "server has no place";
 }
 
 } // namespace
@@ -213,7 +214,9 @@
 
 void RequestJob::didReject(AnswerMeaning meaning, unsigned status)
 {
-    attempt_->use().upstream().suspicion.didFail(host_.now());
+    UpstreamRecord& upstream = attempt_->use().upstream();
+    upstream.isGone = upstream.isGone || meaning == AnswerMeaning::OtherInstance;
+    upstream.suspicion.didFail(host_.now());
     sendOnceMore(std::string(rejectionText(meaning)) + " (" + std::to_string(status) + ")", 503);
 }
 
--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -41,7 +41,7 @@
     const auto job = job_.lock();
     if (!job)
         return true;
-    meaning_ = dialect_.meaning(head, job->terms().facts);
+    meaning_ = dialect_.meaning(head, job->terms().facts, use_->upstream().facts.instance);
     if (meaning_ == AnswerMeaning::Foreign) {
         logDecision(framework::LogLine("foreign_answer_dropped")
                         .text("id", job->terms().facts.attempt)
@@ -81,7 +81,8 @@
     case AnswerMeaning::Failed:
         return job->didFailAtServer(head_, std::move(body_));
     case AnswerMeaning::NotRun:
-    case AnswerMeaning::Elsewhere:
+    case AnswerMeaning::NotLoaded:
+    case AnswerMeaning::OtherInstance:
         return job->didReject(meaning_, head_.status);
     case AnswerMeaning::Unproved:
     case AnswerMeaning::Foreign:
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -23,6 +23,11 @@
 /// Prompt tokens of which it is assumed that an engine keeps them, until its agent has told its memory.
 const catalog::Tokens assumedPromptRoom(100000);
 
+bool takesRequests(const UpstreamRecord& record, const framework::ServiceName& service)
+{
+    return record.facts.service == service && record.facts.state == catalog::UpstreamState::Ready && !record.isGone;
+}
+
 } // namespace
 
 UpstreamRecord::UpstreamRecord(boost::asio::io_context& context, const Upstream& upstream)
@@ -82,7 +87,7 @@
 {
     std::vector<UpstreamPointer> found;
     for (const auto& [instance, record] : records_) {
-        if (record->facts.service == service && record->facts.state == catalog::UpstreamState::Ready)
+        if (takesRequests(*record, service))
             found.push_back(record);
     }
     return found;
@@ -111,7 +116,7 @@
 {
     std::vector<EngineFacts> facts;
     for (const auto& [instance, record] : records_) {
-        if (record->facts.service != service || record->facts.state != catalog::UpstreamState::Ready)
+        if (!takesRequests(*record, service))
             continue;
         const HeardState* const heard = state(*record, now);
         if (!heard || record->suspicion.isSuspect(now))
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -22,6 +22,8 @@
     catalog::Upstream facts;
     http::ConnectionPool connections;
     Suspicion suspicion;
+    /// Another server has its address by now, though the list still has it.
+    bool isGone = false;
     PromptCache prompts;
     std::uint32_t inFlight = 0;
     /// By what runs there.
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -22,7 +22,8 @@
 /// What it is worth to keep one rare model where it is, against the time of a load: those who ask for it next wait for
 /// its load instead.
 constexpr Milliseconds perDamage { 400 };
-/// A rare model that no other engine has at hand is missed more: the engine may not have room for it when it is asked for.
+/// A rare model that no other engine has at hand is missed more: the engine may not have room for it when it is asked
+/// for.
 constexpr double damageOfOnlyCopy = 1;
 constexpr double damageOfOtherCopy = 0.5;
 /// And one that is asked for more often: this for each part of an engine's time.
@@ -37,8 +38,6 @@
 /// How long an agent that couldn't place a model isn't asked again: what holds its places changes within seconds, and
 /// what it says of a model ends as soon as it isn't asked any more.
 constexpr Milliseconds refusalHolds { 1500 };
-/// Store loads that run at once without slowing each other. A guess between what today's deployments allow.
-constexpr std::size_t storePlaces = 4;
 
 bool isIn(const std::vector<ModelName>& names, const ModelName& name)
 {
@@ -139,6 +138,7 @@
         lists_[engine.engine];
     forgetOrdersOfOtherEngines(input);
     noteWork(input);
+    noteStoreLoads(input);
     noteRefusals(input);
     planHeld(input);
     planWaiting(input);
@@ -170,6 +170,30 @@
     }
 }
 
+void WantedPlanner::noteStoreLoads(const PlannerInput& input)
+{
+    std::map<std::string, Milliseconds> loads;
+    for (const EngineFacts& engine : input.engines) {
+        const ModelProfile* const model = input.profile.find(engine.state->loading);
+        if (engine.state->loadsFromStore && model)
+            loads.emplace(engine.engine.value() + ' ' + model->name.value(), model->loadFromStore);
+    }
+    storePlaces_.observe(loads, input.now);
+    storeLoadsLeft_ = storePlaces_.places() - std::min(storePlaces_.places(), loads.size());
+}
+
+/// Whether the load may be asked for: from the store only while it serves no more than it can at full speed. Beyond
+/// that all loads slow down together, and each of them comes too late.
+bool WantedPlanner::takeStorePlace(const EngineFacts& engine, const ModelProfile& model)
+{
+    if (engine.state->loading == model.name || loadTime(engine, model) < model.loadFromStore)
+        return true;
+    if (storeLoadsLeft_ == 0)
+        return false;
+    --storeLoadsLeft_;
+    return true;
+}
+
 /// What is lost if the held model makes way; nothing if it must not.
 std::optional<double> WantedPlanner::damageOf(
     const PlannerInput& input, const EngineFacts& engine, const ModelName& held) const
@@ -207,7 +231,8 @@
     return damage;
 }
 
-/// Time until the model would be there, and what else its load costs in terms of time; `cannotPlace` if there's no room.
+/// Time until the model would be there, and what else its load costs in terms of time; `cannotPlace` if there's no
+/// room.
 Milliseconds WantedPlanner::placingCost(const PlannerInput& input, const EngineFacts& engine, const ModelProfile& model)
 {
     const Milliseconds byRank = perRank * rankOf(input, model.name, engine.engine);
@@ -272,10 +297,12 @@
             add(input, waiting.at, wanted);
             continue;
         }
-        if (const Endpoint* const loader = chooseLoader(input, waiting)) {
+        const Endpoint* const loader = chooseLoader(input, waiting);
+        if (!loader)
+            continue;
+        kept[waiting.target.model] = choices_[waiting.target.model];
+        if (takeStorePlace(*factsOf(input, *loader), *input.profile.find(waiting.target.model)))
             add(input, *loader, wanted);
-            kept[waiting.target.model] = choices_[waiting.target.model];
-        }
     }
     choices_ = std::move(kept);
 }
@@ -318,6 +345,8 @@
         missing -= std::min(missing, holdersOf(input.engines, name) + loadersOf(input.engines, name));
         // All that are missing at once: a load may take many seconds.
         for (const Endpoint& engine : cheapestFor(input, *model, missing)) {
+            if (!takeStorePlace(*factsOf(input, engine), *model))
+                break;
             Wanted wanted;
             wanted.target.model = name;
             wanted.isCopy = true;
@@ -327,8 +356,7 @@
 }
 
 /// Engines without the model, those first where it costs least to place it.
-std::vector<Endpoint> WantedPlanner::cheapestFor(
-    const PlannerInput& input, const ModelProfile& model, std::size_t most)
+std::vector<Endpoint> WantedPlanner::cheapestFor(const PlannerInput& input, const ModelProfile& model, std::size_t most)
 {
     std::vector<std::pair<Milliseconds, Endpoint>> costs;
     for (const EngineFacts& engine : input.engines) {
@@ -354,9 +382,6 @@
 {
     if (!input.isComplete)
         return;
-    std::size_t loading = 0;
-    for (const EngineFacts& engine : input.engines)
-        loading += engine.state->loadsFromStore ? 1 : 0;
     std::vector<std::pair<std::uint64_t, const ModelProfile*>> missing;
     for (const ModelProfile& model : input.profile.models) {
         const bool isSomewhere = std::any_of(input.engines.begin(), input.engines.end(),
@@ -368,7 +393,7 @@
     std::sort(missing.begin(), missing.end());
     std::vector<Endpoint> taken;
     for (const auto& [hash, model] : missing) {
-        if (loading + taken.size() >= storePlaces)
+        if (storeLoadsLeft_ <= taken.size())
             return;
         for (const Endpoint& endpoint : orderOf(input, model->name)) {
             const bool isBusy = !factsOf(input, endpoint)->state->loading.value().empty()
--- a/src/forwarding/irequestdialect.h
+++ b/src/forwarding/irequestdialect.h
@@ -26,7 +26,8 @@
     Served, ///< a success of the server for this request
     Failed, ///< the server ran it and says that it failed
     NotRun, ///< the server says that it didn't run it
-    Elsewhere, ///< the same, since it isn't the instance meant or lacks the model
+    NotLoaded, ///< the same, since it lacks the model or adapter
+    OtherInstance, ///< the same, since another server has the address by now
     Foreign, ///< the answer to another request
     Unproved, ///< a success without the server's mark, or without the request's id
 };
@@ -39,7 +40,9 @@
     virtual framework::Result<RequestFacts> read(const http::Request&) const = 0;
     /// The request as the server gets it: without what only this system may state, with the terms.
     virtual http::Request forwarded(const http::Request&, const ForwardingTerms&) const = 0;
-    virtual AnswerMeaning meaning(const http::ResponseHead&, const RequestFacts&) const = 0;
+    /// `instance` is the server that was meant.
+    virtual AnswerMeaning meaning(
+        const http::ResponseHead&, const RequestFacts&, const catalog::InstanceId& instance) const = 0;
     /// The head of this system's own final answer.
     virtual http::ResponseHead refusal(unsigned status, std::optional<framework::Milliseconds> retryAfter) const = 0;
 };
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -4,6 +4,7 @@
 #include "catalog/types/upstream.h"
 #include "catalog/types/wanted.h"
 #include "framework/types/time.h"
+#include "policy/storeplaces.h"
 
 #include <map>
 #include <optional>
@@ -62,6 +63,8 @@
 
     void forgetOrdersOfOtherEngines(const PlannerInput&);
     void noteWork(const PlannerInput&);
+    void noteStoreLoads(const PlannerInput&);
+    bool takeStorePlace(const EngineFacts&, const catalog::ModelProfile&);
     std::optional<double> damageOf(const PlannerInput&, const EngineFacts&, const framework::ModelName& held) const;
     std::optional<double> damageOfRoom(const PlannerInput&, const EngineFacts&, std::uint64_t needed) const;
     framework::Milliseconds placingCost(const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&);
@@ -79,6 +82,9 @@
 
     std::map<framework::Endpoint, catalog::WantedList> lists_;
     std::map<framework::ModelName, Choice> choices_;
+    /// Loads from the store that may still be asked for in this plan.
+    std::size_t storeLoadsLeft_ = 0;
+    policy::StorePlaces storePlaces_;
     /// Of held models, over all routers.
     std::map<framework::ModelName, double> workOfAll_;
     /// When an agent last said that it can't place a model.
--- a/src/objectstore/iobjectfeed.h
+++ b/src/objectstore/iobjectfeed.h
@@ -22,6 +22,8 @@
     std::any value;
     /// Of its last change.
     StoreRevision revision;
+    /// When it was created, in the store's own count: greater is later.
+    std::uint64_t created = 0;
 };
 
 /// A part of a kind's list.
