--- /dev/null
+++ b/src/engines/tests/enginekeeper_test.cpp
@@ -0,0 +1,284 @@
+#include "engines/enginekeeper.h"
+#include "framework/testing/manualcontrol.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+namespace lagoon::engines {
+
+namespace {
+
+using catalog::InstanceId;
+using catalog::MegaBytes;
+using catalog::Wanted;
+using framework::Deadline;
+using framework::Error;
+using framework::ErrorCode;
+using framework::FencingNumber;
+using framework::ManualControl;
+using framework::Milliseconds;
+using framework::ModelName;
+using framework::VmName;
+
+/// An engine whose answers the test gives; reports are answered at once with `state`.
+class FakeEngine final : public IEnginePort {
+public:
+    explicit FakeEngine(ManualControl& control)
+        : control_(control)
+    {
+    }
+
+    void report(Deadline, ReportHandler handler) override
+    {
+        ++reports;
+        control_.post([this, handler = std::move(handler)] {
+            if (isSilent)
+                handler(Error { ErrorCode::PlatformUnavailable, "report", "engine", "silent" });
+            else
+                handler(state);
+        });
+    }
+
+    void order(const Order& order, const OrderTerms& terms, Deadline, OrderHandler handler) override
+    {
+        orders.push_back({ order, terms });
+        handlers.push_back(std::move(handler));
+    }
+
+    void answer(OrderOutcome outcome, const std::string& instance = {})
+    {
+        auto handler = std::move(handlers.front());
+        handlers.pop_front();
+        handler({ outcome, InstanceId(instance), {} });
+    }
+
+    EngineReport state;
+    bool isSilent = false;
+    int reports = 0;
+    std::vector<std::pair<Order, OrderTerms>> orders;
+    std::deque<OrderHandler> handlers;
+
+private:
+    ManualControl& control_;
+};
+
+class FakeFences final : public IFenceSource {
+public:
+    void next(Deadline, Handler handler) override
+    {
+        ++asked;
+        if (isAway)
+            return handler(Error { ErrorCode::PlatformUnavailable, "fence", "store", "away" });
+        handler(FencingNumber(++given));
+    }
+
+    std::uint64_t given = 40;
+    int asked = 0;
+    bool isAway = false;
+};
+
+class FakeProfiles final : public IProfileSource {
+public:
+    void read(Deadline, Handler handler) override
+    {
+        auto configuration = std::make_shared<catalog::Configuration>();
+        configuration->version = catalog::ConfigurationVersion(1);
+        catalog::Service service;
+        service.name = framework::ServiceName("models");
+        service.engine.emplace();
+        service.engine->weights = MegaBytes(100);
+        service.engine->adapters = 4;
+        for (const std::string name : { "a", "b" })
+            service.engine->models.push_back({ ModelName(name), MegaBytes(60), Milliseconds(6000), Milliseconds(800),
+                Milliseconds(600), MegaBytes(1) });
+        configuration->services.push_back(service);
+        handler(std::move(configuration));
+    }
+};
+
+struct Fixture {
+    Fixture()
+        : engine(control)
+        , keeper({ control, control, engine, fences, profiles, std::make_shared<framework::Metrics>(),
+                     [this](const catalog::EngineState& state) { published.push_back(state); } },
+              { VmName("vm"), framework::ServiceName("models"), framework::Endpoint("10.0.0.1:80") })
+    {
+    }
+
+    void start()
+    {
+        keeper.start();
+        control.runPosted();
+    }
+
+    void want(const std::string& model, const std::string& instance = "i-1")
+    {
+        Wanted wanted;
+        wanted.target.model = ModelName(model);
+        wanted.waiting = 1;
+        wanted.earliest = Deadline::after(control.now(), Milliseconds(15000));
+        keeper.setWanted(VmName("router"), InstanceId(instance), { wanted });
+        control.runPosted();
+    }
+
+    void pass(Milliseconds time)
+    {
+        for (Milliseconds passed(0); passed < time; passed += Milliseconds(5)) {
+            control.advance(Milliseconds(5));
+            control.runPosted();
+        }
+    }
+
+    ManualControl control;
+    FakeEngine engine;
+    FakeFences fences;
+    FakeProfiles profiles;
+    std::vector<catalog::EngineState> published;
+    EngineKeeper keeper;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EngineKeepers, Fixture)
+
+BOOST_AUTO_TEST_CASE(whatIsWaitedForIsOrderedWithAllThatGuardsIt)
+{
+    engine.state.orders = OrderCount(7);
+    start();
+    want("a");
+    BOOST_REQUIRE(engine.orders.size() == 1U);
+    const OrderTerms& terms = engine.orders[0].second;
+    BOOST_TEST(terms.fence.value() == 41U);
+    BOOST_TEST(terms.expected.value() == 7U);
+    BOOST_TEST(terms.instance.value() == "i-1");
+    BOOST_TEST(terms.holder.value() == "vm");
+}
+
+BOOST_AUTO_TEST_CASE(withoutAFenceNothingIsOrdered)
+{
+    fences.isAway = true;
+    start();
+    want("a");
+    pass(Milliseconds(3000));
+    BOOST_TEST(engine.orders.empty());
+    BOOST_TEST(fences.asked >= 2);
+    BOOST_TEST(fences.asked <= 20);
+    fences.isAway = false;
+    pass(Milliseconds(2500));
+    want("a");
+    pass(Milliseconds(100));
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(oneOrderAtATime)
+{
+    start();
+    want("a");
+    want("b");
+    pass(Milliseconds(500));
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
+// An order's answer was lost. The same order was given again, the engine carried out both, one of them ten seconds later
+// after newer ones, and crashed for want of room.
+BOOST_AUTO_TEST_CASE(anOrderWithoutAnswerIsGivenAgainOnTheSameCount)
+{
+    engine.state.orders = OrderCount(3);
+    start();
+    want("a");
+    engine.answer(OrderOutcome::Unknown);
+    pass(Milliseconds(200));
+    BOOST_REQUIRE(engine.orders.size() == 2U);
+    BOOST_TEST(engine.orders[1].second.expected.value() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(anOrderWithoutAnswerThatWasCarriedOutIsNotGivenAgain)
+{
+    start();
+    want("a");
+    engine.answer(OrderOutcome::Unknown);
+    engine.state.orders = OrderCount(1);
+    engine.state.isBusy = true;
+    pass(Milliseconds(500));
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
+// Another agent had taken over an engine. This one went on ordering with its old number, and each order was refused.
+BOOST_AUTO_TEST_CASE(aFencedAgentTakesANewNumberBeforeItOrdersAgain)
+{
+    start();
+    want("a");
+    engine.answer(OrderOutcome::Fenced);
+    pass(Milliseconds(100));
+    BOOST_REQUIRE(engine.orders.size() == 2U);
+    BOOST_TEST(engine.orders[1].second.fence.value() == 42U);
+}
+
+// After a power loss the list named the engine's former instance for two seconds more. The agent gave it 100 orders, each
+// refused by the new one.
+BOOST_AUTO_TEST_CASE(anInstanceThatTheEngineDeniedIsNotTriedAgain)
+{
+    start();
+    want("a");
+    engine.answer(OrderOutcome::OtherInstance);
+    want("a");
+    pass(Milliseconds(1000));
+    BOOST_TEST(engine.orders.size() == 1U);
+    want("a", "i-2");
+    pass(Milliseconds(100));
+    BOOST_REQUIRE(engine.orders.size() == 2U);
+    BOOST_TEST(engine.orders[1].second.instance.value() == "i-2");
+}
+
+BOOST_AUTO_TEST_CASE(theDeniedInstancesSuccessorIsTakenFromItsAnswer)
+{
+    start();
+    want("a");
+    engine.answer(OrderOutcome::OtherInstance, "i-9");
+    want("a");
+    pass(Milliseconds(100));
+    BOOST_REQUIRE(engine.orders.size() == 2U);
+    BOOST_TEST(engine.orders[1].second.instance.value() == "i-9");
+}
+
+BOOST_AUTO_TEST_CASE(anOldReportDecidesNothing)
+{
+    start();
+    want("a");
+    engine.answer(OrderOutcome::Accepted);
+    pass(Milliseconds(10));
+    engine.state.orders = OrderCount(1);
+    engine.state.held.push_back({ ModelName("a"), 1, {}, 0 });
+    pass(Milliseconds(100));
+    engine.state.held.clear();
+    engine.state.orders = OrderCount(0);
+    pass(Milliseconds(300));
+    BOOST_TEST(engine.orders.size() <= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(routersHearOfChangesAtOnceAndElseEachSecond)
+{
+    start();
+    pass(Milliseconds(5000));
+    const std::size_t regular = published.size();
+    BOOST_TEST(regular >= 5U);
+    BOOST_TEST(regular <= 8U);
+    engine.state.held.push_back({ ModelName("b"), 1, {}, 0 });
+    pass(Milliseconds(220));
+    BOOST_TEST(published.back().find(ModelName("b")) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(aSilentEngineIsNotSpokenFor)
+{
+    start();
+    pass(Milliseconds(1000));
+    engine.isSilent = true;
+    const std::size_t before = published.size();
+    pass(Milliseconds(5000));
+    BOOST_TEST(published.size() == before);
+    BOOST_TEST(engine.reports < 60);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::engines
--- /dev/null
+++ b/src/engines/tests/placementplan_test.cpp
@@ -0,0 +1,264 @@
+#include "engines/placementplan.h"
+#include "engines/wantedbook.h"
+#include "policy/policysetup.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace lagoon::engines {
+
+namespace {
+
+using catalog::MegaBytes;
+using catalog::ModelTarget;
+using catalog::Wanted;
+using framework::AdapterName;
+using framework::Deadline;
+using framework::Milliseconds;
+using framework::ModelName;
+using framework::SteadyTime;
+
+ModelTarget target(const std::string& model, const std::string& adapter = {})
+{
+    return { ModelName(model), AdapterName(adapter) };
+}
+
+/// An engine of 200 GB for models of 70 GB, of which two fit, and two adapters.
+struct Fixture {
+    Fixture()
+    {
+        profile.weights = MegaBytes(200000);
+        profile.adapters = 2;
+        for (const std::string name : { "a", "b", "c", "d" })
+            profile.models.push_back({ ModelName(name), MegaBytes(70000), Milliseconds(6000), Milliseconds(800),
+                Milliseconds(600), MegaBytes(60) });
+    }
+
+    void hold(const std::string& model, const std::vector<std::string>& adapters = {})
+    {
+        report.held.push_back({ ModelName(model), 1, { adapters.begin(), adapters.end() }, 0 });
+    }
+
+    Wanted& want(const ModelTarget& what)
+    {
+        Wanted& made = wanted[what];
+        made.target = what;
+        made.holders = std::max<std::uint32_t>(made.holders, 1);
+        return made;
+    }
+
+    void wait(const ModelTarget& what, std::uint32_t count = 1, Milliseconds left = Milliseconds(15000))
+    {
+        Wanted& made = want(what);
+        made.waiting = count;
+        made.earliest = Deadline::after(now, left);
+        made.priority = 5;
+    }
+
+    PlacementDecision decide() { return plan.decide({ profile, report, wanted, now }); }
+
+    /// So that models count as held for long.
+    PlacementDecision decideLater()
+    {
+        (void)decide();
+        now += Milliseconds(5000);
+        return decide();
+    }
+
+    catalog::EngineProfile profile;
+    EngineReport report;
+    std::map<ModelTarget, Wanted> wanted;
+    SteadyTime now { std::chrono::hours(1) };
+    PlacementPlan plan { policy::makeLoadOrder({}) };
+};
+
+const Order loadA { OrderKind::Load, target("a") };
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PlacementPlans, Fixture)
+
+BOOST_AUTO_TEST_CASE(whatIsWaitedForIsLoadedWhereThereIsRoom)
+{
+    hold("b");
+    wait(target("a"));
+    const PlacementDecision decision = decide();
+    BOOST_TEST((decision.order == loadA));
+    BOOST_TEST(decision.expected.front().within.count() == 6000);
+}
+
+BOOST_AUTO_TEST_CASE(withoutRoomWhatIsMissedLeastMakesWayFirst)
+{
+    hold("b");
+    hold("c");
+    want(target("b")).work = 0.1;
+    want(target("c")).work = 0.05;
+    wait(target("a"));
+    const PlacementDecision decision = decideLater();
+    BOOST_TEST((decision.order == Order { OrderKind::Unload, target("c") }));
+    BOOST_TEST((decision.leaving == std::vector<ModelName> { ModelName("c") }));
+}
+
+BOOST_AUTO_TEST_CASE(aCopyOfWhichOthersHoldEnoughMakesWayBeforeARareModel)
+{
+    hold("b");
+    hold("c");
+    Wanted& busy = want(target("b"));
+    busy.work = 0.4;
+    busy.holders = 5;
+    want(target("c")).work = 0.01;
+    wait(target("a"));
+    BOOST_TEST((decideLater().order == Order { OrderKind::Unload, target("b") }));
+}
+
+// The one engine that held the busiest model of the hour dropped it for a model that one caller waited for.
+BOOST_AUTO_TEST_CASE(aBusyModelDoesNotMakeWay)
+{
+    hold("b");
+    hold("c");
+    want(target("b")).work = 0.6;
+    want(target("c")).work = 0.6;
+    wait(target("a"));
+    const PlacementDecision decision = decideLater();
+    BOOST_TEST(!decision.order);
+    BOOST_REQUIRE(decision.expected.size() == 1U);
+    BOOST_TEST(decision.expected.front().within.count() == catalog::cannotPlace.count());
+}
+
+// A model was unloaded while a review ran on it: the engine waited for its end, and took no other order for ten seconds.
+BOOST_AUTO_TEST_CASE(aModelInUseIsAnnouncedAsLeavingAndUnloadedWhenItsRequestsHaveEnded)
+{
+    hold("b");
+    hold("c");
+    want(target("b")).inFlight = 1;
+    want(target("c")).inFlight = 2;
+    want(target("c")).work = 0.01;
+    wait(target("a"));
+    PlacementDecision decision = decideLater();
+    BOOST_TEST(!decision.order);
+    BOOST_TEST(decision.leaving.size() == 1U);
+    want(target(decision.leaving.front().value())).inFlight = 0;
+    decision = decide();
+    BOOST_REQUIRE(decision.order);
+    BOOST_TEST((decision.order->kind == OrderKind::Unload));
+}
+
+// Four callers waited for a model. It was loaded and, since they hadn't reached it yet, pushed out by the next one.
+BOOST_AUTO_TEST_CASE(aModelThatWasJustLoadedStaysForThoseWhoWaited)
+{
+    hold("b");
+    hold("c");
+    wait(target("a"));
+    BOOST_TEST(!decide().order);
+    now += Milliseconds(400);
+    BOOST_TEST((decide().order.has_value()));
+}
+
+BOOST_AUTO_TEST_CASE(whatIsWaitedForGoesBeforeCopiesAndWhatIsFetchedAhead)
+{
+    want(target("b")).isCopy = true;
+    want(target("c")).isPrefetch = true;
+    wait(target("a"));
+    BOOST_TEST((decide().order == loadA));
+    wanted.erase(target("a"));
+    BOOST_TEST((decide().order == Order { OrderKind::Load, target("b") }));
+}
+
+BOOST_AUTO_TEST_CASE(nothingInUseMakesWayForACopyOrWhatIsFetchedAhead)
+{
+    hold("b");
+    hold("c");
+    want(target("b")).inFlight = 1;
+    want(target("c")).inFlight = 1;
+    want(target("a")).isCopy = true;
+    BOOST_TEST(!decideLater().order);
+}
+
+BOOST_AUTO_TEST_CASE(whileAnOrderIsUnderWayNoneIsGiven)
+{
+    wait(target("a"));
+    plan.didOrder(loadA, { profile, report, wanted, now });
+    report.isBusy = true;
+    wait(target("b"));
+    now += Milliseconds(1000);
+    const PlacementDecision decision = decide();
+    BOOST_TEST(!decision.order);
+    BOOST_TEST(plan.loading() == ModelName("a"));
+    BOOST_TEST(plan.loadsFromStore());
+    BOOST_TEST(decision.expected.at(0).within.count() == 5000);
+    BOOST_TEST(decision.expected.at(1).within.count() == 11000);
+}
+
+BOOST_AUTO_TEST_CASE(anOverdueLoadIsExpectedToNeedAsLongAgain)
+{
+    wait(target("a"));
+    plan.didOrder(loadA, { profile, report, wanted, now });
+    report.isBusy = true;
+    now += Milliseconds(8000);
+    BOOST_TEST(decide().expected.front().within.count() == 2000);
+}
+
+BOOST_AUTO_TEST_CASE(anAdapterIsLoadedOnItsModelAndTheOneUsedLongestAgoMakesWay)
+{
+    hold("a", { "x" });
+    wait(target("a", "y"));
+    BOOST_TEST((decide().order == Order { OrderKind::Load, target("a", "y") }));
+    report.held.front().adapters.emplace_back("z");
+    want(target("a", "x")).inFlight = 1;
+    BOOST_TEST((decide().order == Order { OrderKind::Unload, target("a", "z") }));
+    want(target("a", "z")).inFlight = 1;
+    BOOST_TEST(!decide().order);
+}
+
+BOOST_AUTO_TEST_CASE(adaptersOnTheirWayTakeUpPlaces)
+{
+    hold("a", { "x" });
+    report.comingAdapters.push_back(target("a", "z"));
+    wait(target("a", "y"));
+    want(target("a", "x")).inFlight = 1;
+    BOOST_TEST(!decide().order);
+}
+
+// An engine was ordered to hold more than fits, and crashed with all that ran on it. The adapters hadn't been counted.
+BOOST_AUTO_TEST_CASE(neverMoreIsOrderedThanFits)
+{
+    profile.weights = MegaBytes(140100);
+    hold("b", { "x" });
+    report.comingAdapters.push_back(target("b", "y"));
+    want(target("b")).work = 0.9;
+    wait(target("a"));
+    BOOST_TEST(!decideLater().order);
+    report.comingAdapters.clear();
+    BOOST_TEST((decide().order == loadA));
+}
+
+BOOST_AUTO_TEST_CASE(whatSeveralRoutersWantIsAddedUp)
+{
+    WantedBook book;
+    Wanted one;
+    one.target = target("a");
+    one.waiting = 2;
+    one.inFlight = 1;
+    one.work = 0.1;
+    one.holders = 2;
+    one.earliest = Deadline::after(now, Milliseconds(3000));
+    Wanted other = one;
+    other.earliest = Deadline::after(now, Milliseconds(1000));
+    other.isPrefetch = true;
+    book.set(framework::VmName("r1"), { one }, now);
+    book.set(framework::VmName("r2"), { other }, now);
+    const Wanted merged = book.merged().at(target("a"));
+    BOOST_TEST(merged.waiting == 4U);
+    BOOST_TEST(merged.inFlight == 2U);
+    BOOST_TEST(merged.work == 0.2, boost::test_tools::tolerance(0.001));
+    BOOST_TEST(merged.holders == 2U);
+    BOOST_TEST((merged.earliest == other.earliest));
+    BOOST_TEST(merged.isPrefetch);
+    book.forgetSilent(now + Milliseconds(3400));
+    BOOST_TEST(book.routers() == 2U);
+    book.forgetSilent(now + Milliseconds(3600));
+    BOOST_TEST(book.routers() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::engines
--- /dev/null
+++ b/src/forwarding/tests/choices_test.cpp
@@ -0,0 +1,136 @@
+#include "forwarding/modeldemand.h"
+#include "forwarding/promptcache.h"
+#include "forwarding/serverchoice.h"
+#include "forwarding/suspicion.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using framework::Milliseconds;
+using framework::ModelName;
+using framework::SteadyTime;
+
+const SteadyTime start { std::chrono::hours(1) };
+
+RequestFacts facts(const std::string& model, std::vector<PromptPart> prompt)
+{
+    RequestFacts made;
+    made.model = ModelName(model);
+    made.prompt = std::move(prompt);
+    return made;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Choices)
+
+BOOST_AUTO_TEST_CASE(theServerWithFewestOwnRequestsForItsSlotsIsTaken)
+{
+    const std::vector<ServerView> servers { { 6, 3, false, true, false }, { 12, 4, false, false, false } };
+    BOOST_TEST(*chooseServer(servers, 0) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(amongEqualsTheOwnFailureDomainIsTakenAndRoutersBeginDifferently)
+{
+    const std::vector<ServerView> servers { { 6, 0, false, false, false }, { 6, 0, false, true, false } };
+    BOOST_TEST(*chooseServer(servers, 0) == 1U);
+    const std::vector<ServerView> equal(4);
+    BOOST_TEST(*chooseServer(equal, 0.6) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(suspectsAndTriedOnesAreTakenOnlyIfThereIsNothingElse)
+{
+    BOOST_TEST(*chooseServer({ { 6, 0, true, true, false }, { 6, 5, false, false, false } }, 0) == 1U);
+    BOOST_TEST(*chooseServer({ { 6, 0, false, true, true }, { 6, 5, true, false, false } }, 0) == 1U);
+    BOOST_TEST(*chooseServer({ { 6, 0, true, true, true } }, 0) == 0U);
+    BOOST_TEST(!chooseServer({}, 0));
+}
+
+// Two reviews in three share 6,300 of their 9,190 tokens: reading those anew takes 164 ms of an engine's time, so the
+// engine that has them is worth a queue of that length, and no longer one.
+BOOST_AUTO_TEST_CASE(keptPromptsAreWeighedAgainstTheQueue)
+{
+    EngineView keeps;
+    keeps.newTokens = 2890;
+    EngineView fresh;
+    fresh.newTokens = 9190;
+    fresh.affinityRank = 1;
+    keeps.ownStartingTokens = 5000;
+    BOOST_TEST(chooseEngine({ fresh, keeps })->index == 1U);
+    keeps.ownStartingTokens = 12000;
+    BOOST_TEST(chooseEngine({ fresh, keeps })->index == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(anEngineWithoutRoomIsTakenLast)
+{
+    EngineView full;
+    full.totalTokens = 260000;
+    full.usedTokens = 255000;
+    full.memoryTokens = 10000;
+    EngineView busy;
+    busy.totalTokens = 260000;
+    busy.ownStartingTokens = 50000;
+    BOOST_TEST(chooseEngine({ full, busy })->index == 1U);
+    BOOST_TEST(!chooseEngine({}));
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatFailsIsPassedByForLongerEachTime)
+{
+    Suspicion suspicion;
+    BOOST_TEST(!suspicion.isSuspect(start));
+    suspicion.didFail(start);
+    BOOST_TEST(suspicion.isSuspect(start + Milliseconds(299)));
+    BOOST_TEST(!suspicion.isSuspect(start + Milliseconds(300)));
+    suspicion.didFail(start);
+    BOOST_TEST(suspicion.isSuspect(start + Milliseconds(599)));
+    for (int failure = 0; failure < 20; ++failure)
+        suspicion.didFail(start);
+    BOOST_TEST(!suspicion.isSuspect(start + Milliseconds(5000)));
+    suspicion.didServe();
+    BOOST_TEST(!suspicion.isSuspect(start));
+}
+
+BOOST_AUTO_TEST_CASE(onlyAPromptsBeginningIsKept)
+{
+    PromptCache cache(catalog::Tokens(10000));
+    cache.didSend(promptChain(facts("m", { { "a", 100 }, { "b", 200 }, { "c", 300 } })));
+    BOOST_TEST(cache.kept(promptChain(facts("m", { { "a", 100 }, { "b", 200 }, { "d", 300 } }))) == 300U);
+    BOOST_TEST(cache.kept(promptChain(facts("m", { { "b", 200 } }))) == 0U);
+    BOOST_TEST(cache.kept(promptChain(facts("other", { { "a", 100 } }))) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(whatWasUsedLongestAgoIsForgotten)
+{
+    PromptCache cache(catalog::Tokens(1000));
+    const auto old = promptChain(facts("m", { { "a", 600 } }));
+    const auto recent = promptChain(facts("m", { { "b", 300 } }));
+    cache.didSend(recent);
+    cache.didSend(old);
+    cache.didSend(recent);
+    cache.didSend(promptChain(facts("m", { { "c", 400 } })));
+    BOOST_TEST(cache.kept(old) == 0U);
+    BOOST_TEST(cache.kept(recent) == 300U);
+}
+
+BOOST_AUTO_TEST_CASE(demandIsTheWorkOfTheLastSeconds)
+{
+    ModelDemand demand;
+    const ModelName model("m");
+    SteadyTime now = start;
+    for (int request = 0; request < 200; ++request) {
+        now += Milliseconds(100);
+        demand.didArrive(model, Milliseconds(20), now);
+    }
+    // Ten requests a second of 20 ms each.
+    BOOST_TEST(demand.work(model, now) > 0.18);
+    BOOST_TEST(demand.work(model, now) < 0.22);
+    BOOST_TEST(demand.work(model, now + std::chrono::seconds(9)) < 0.02);
+    BOOST_TEST(demand.work(ModelName("none"), now) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -0,0 +1,199 @@
+#include "forwarding/wantedplanner.h"
+
+#include <boost/test/unit_test.hpp>
+#include <list>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using catalog::EngineState;
+using catalog::MegaBytes;
+using catalog::ModelTarget;
+using catalog::Wanted;
+using framework::Deadline;
+using framework::Endpoint;
+using framework::Milliseconds;
+using framework::ModelName;
+using framework::SteadyTime;
+
+/// A few engines of 200 GB and models of 70 GB, of which two fit; six seconds from the store, 800 ms from disk.
+struct Fixture {
+    Fixture()
+    {
+        profile.weights = MegaBytes(200000);
+        profile.adapters = 8;
+        for (const std::string name : { "a", "b", "c", "d", "e", "f" })
+            profile.models.push_back({ ModelName(name), MegaBytes(70000), Milliseconds(6000), Milliseconds(800),
+                Milliseconds(600), MegaBytes(60) });
+    }
+
+    EngineState& engine(const std::string& name, const std::vector<std::string>& held)
+    {
+        EngineState state;
+        state.engine = Endpoint(name);
+        for (const std::string& model : held)
+            state.held.push_back({ ModelName(model), 1, {}, 0 });
+        states.push_back(std::move(state));
+        return states.back();
+    }
+
+    PlannerInput input() const
+    {
+        PlannerInput made { profile, {}, waiting, work, true, now };
+        for (const EngineState& state : states)
+            made.engines.push_back({ state.engine, &state, now, {} });
+        return made;
+    }
+
+    void wait(const std::string& model, std::uint32_t count = 1)
+    {
+        waiting.push_back({ { ModelName(model), {} }, count, Deadline::after(now, Milliseconds(15000)), 5, {} });
+    }
+
+    /// The engines that are asked to load the model.
+    std::vector<std::string> asked(const std::string& model)
+    {
+        std::vector<std::string> engines;
+        for (const auto& [engine, list] : planner.plan(input())) {
+            for (const Wanted& wanted : list) {
+                if (wanted.isLoad() && wanted.target.model.value() == model)
+                    engines.push_back(engine.value());
+            }
+        }
+        return engines;
+    }
+
+    catalog::EngineProfile profile;
+    std::list<EngineState> states;
+    std::vector<WaitingFor> waiting;
+    std::map<ModelName, double> work;
+    SteadyTime now { std::chrono::hours(1) };
+    WantedPlanner planner;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WantedPlanners, Fixture)
+
+BOOST_AUTO_TEST_CASE(theEngineWithTheWeightsAtHandIsAsked)
+{
+    engine("1", { "a", "b" });
+    engine("2", { "c", "d" }).atHand.disk.push_back(ModelName("e"));
+    engine("3", { "a", "b" });
+    wait("e");
+    BOOST_TEST(asked("e") == std::vector<std::string> { "2" });
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatHasRoomIsAskedBeforeOneThatHasNone)
+{
+    engine("1", { "a", "b" });
+    engine("2", { "c" });
+    engine("3", { "d", "b" });
+    wait("e");
+    BOOST_TEST(asked("e") == std::vector<std::string> { "2" });
+}
+
+BOOST_AUTO_TEST_CASE(allRoutersAskTheSameEngine)
+{
+    for (const std::string name : { "1", "2", "3", "4", "5" })
+        engine(name, {});
+    wait("e");
+    const auto first = asked("e");
+    WantedPlanner other;
+    std::vector<std::string> second;
+    for (const auto& [endpoint, list] : other.plan(input())) {
+        for (const Wanted& wanted : list) {
+            if (wanted.waiting > 0)
+                second.push_back(endpoint.value());
+        }
+    }
+    BOOST_TEST(first.size() == 1U);
+    BOOST_TEST(first == second);
+}
+
+// A second copy of a model that many asked for pushed out the only copy of another one. When that one was asked for
+// seconds later, it took six seconds from the store, for callers who give up after five.
+BOOST_AUTO_TEST_CASE(aCopyGoesWhereItPushesOutWhatOthersHold)
+{
+    engine("1", { "a" }).held[0].work = 0.6;
+    engine("2", { "b", "c" });
+    engine("3", { "b", "c" });
+    engine("4", { "d", "e" });
+    const auto engines = asked("a");
+    BOOST_TEST(engines.size() == 1U);
+    BOOST_TEST((engines[0] == "2" || engines[0] == "3"));
+}
+
+BOOST_AUTO_TEST_CASE(aBusyModelIsNeverPushedOutForACopy)
+{
+    engine("1", { "a" }).held[0].work = 0.6;
+    EngineState& full = engine("2", { "b", "c" });
+    full.held[0].work = 0.9;
+    full.held[1].work = 0.9;
+    BOOST_TEST(asked("a").empty());
+}
+
+BOOST_AUTO_TEST_CASE(rareModelsHaveOneCopy)
+{
+    engine("1", { "a" }).held[0].work = 0.1;
+    engine("2", {});
+    BOOST_TEST(asked("a").empty());
+}
+
+// After five servers had crashed, eight models were loaded at once. The store serves four at full speed, so each took
+// twelve seconds instead of six, and all came too late.
+BOOST_AUTO_TEST_CASE(noMoreLoadsFromTheStoreThanItServesAtFullSpeed)
+{
+    for (const std::string name : { "1", "2", "3", "4" }) {
+        EngineState& state = engine(name, {});
+        state.loading = ModelName("a");
+        state.loadsFromStore = true;
+    }
+    engine("5", {});
+    EngineState& onDisk = engine("6", {});
+    onDisk.atHand.disk.push_back(ModelName("f"));
+    wait("e");
+    wait("f");
+    BOOST_TEST(asked("e").empty());
+    BOOST_TEST(asked("f") == std::vector<std::string> { "6" });
+}
+
+// Two agents were asked in turn, each said no, and meanwhile a third one had room.
+BOOST_AUTO_TEST_CASE(anAgentThatSaidNoIsPassedByForAWhile)
+{
+    EngineState& first = engine("1", {});
+    first.atHand.disk.push_back(ModelName("e"));
+    engine("2", {});
+    wait("e");
+    BOOST_TEST(asked("e") == std::vector<std::string> { "1" });
+    first.expected.push_back({ ModelName("e"), catalog::cannotPlace });
+    BOOST_TEST(asked("e") == std::vector<std::string> { "2" });
+    first.expected.clear();
+    now += Milliseconds(500);
+    BOOST_TEST(asked("e") == std::vector<std::string> { "2" });
+}
+
+BOOST_AUTO_TEST_CASE(aModelThatNoEngineHasAtHandIsFetchedAhead)
+{
+    engine("1", { "a", "b" });
+    engine("2", { "c", "d" }).atHand.disk.push_back(ModelName("e"));
+    engine("3", {});
+    BOOST_TEST(asked("f") == std::vector<std::string> { "3" });
+    BOOST_TEST(asked("e").empty());
+    states.front().loading = ModelName("f");
+    BOOST_TEST(asked("f").empty());
+}
+
+BOOST_AUTO_TEST_CASE(theSoonestEndIsToldFromThen)
+{
+    engine("1", {}).expected.push_back({ ModelName("e"), Milliseconds(900) });
+    engine("2", {}).expected.push_back({ ModelName("e"), catalog::cannotPlace });
+    PlannerInput made = input();
+    BOOST_TEST(WantedPlanner::soonest(made.engines, ModelName("e"), now + Milliseconds(100))->count() == 800);
+    BOOST_TEST(!WantedPlanner::soonest(made.engines, ModelName("f"), now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::forwarding
