Models with many adapters are at hand on a second engine; a busy model may lose one of several copies

Change: models with eight adapters or more are fetched a second time while the store has places; a model that callers wait for may push out one of several copies of a busy one. Ruled out: a second copy of every model (33 more loads from the store, and each takes a place for six seconds).

--- a/src/catalog/types/configuration.h
+++ b/src/catalog/types/configuration.h
@@ -55,6 +55,8 @@
     framework::Milliseconds loadFromDisk { 0 };
     framework::Milliseconds loadFromMemory { 0 };
     MegaBytes adapterWeights;
+    /// How many adapters there are of it.
+    std::uint32_t adapters = 0;
 };
 
 /// What is common to the engines of one service.
--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -330,8 +330,9 @@
         return false;
     const Wanted wanted = wantedOf(input, { held, {} });
     const bool isSurplus = wanted.holders > policy::wantedCopies(wanted.work);
+    // A busy model may lose one of several copies, never its only one.
     if (loaded.waiting > 0)
-        return isSurplus || !policy::isBusyModel(wanted.work);
+        return isSurplus || !policy::isBusyModel(wanted.work) || wanted.holders > 1;
     if (usesOf(input, held) > 0)
         return false;
     if (loaded.isPrefetch)
--- a/src/engines/tests/placementplan_test.cpp
+++ b/src/engines/tests/placementplan_test.cpp
@@ -30,7 +30,7 @@
         profile.adapters = 2;
         for (const std::string name : { "a", "b", "c", "d" })
             profile.models.push_back({ ModelName(name), MegaBytes(70000), Milliseconds(6000), Milliseconds(800),
-                Milliseconds(600), MegaBytes(60) });
+                Milliseconds(600), MegaBytes(60), 0 });
     }
 
     void hold(const std::string& model, const std::vector<std::string>& adapters = {})
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <tuple>
 
 namespace lagoon::forwarding {
 
@@ -28,6 +29,14 @@
 constexpr double damageOfOtherCopy = 0.5;
 /// And one that is asked for more often: this for each part of an engine's time.
 constexpr double damagePerWork = 20;
+/// A busy model may lose one of several copies to a model that callers wait for, where the other way is a load from the
+/// store: its requests go to the other copies until another is made.
+constexpr double damageOfBusyCopy = 5;
+/// A model with so many adapters serves as many groups of callers, and grows busy more often than one with none. It is
+/// kept at hand on a second engine, since a copy from the store takes longer than its callers wait: in a day on which
+/// demand moved twice to such a model it made first events a second late for six seconds each time.
+constexpr std::uint32_t adaptersOfStandby = 8;
+constexpr std::size_t standbyEngines = 2;
 /// Among engines that could load as soon as each other, the same one at all routers.
 constexpr Milliseconds perRank { 60 };
 /// An engine that has been asked is left for another only if that one is so much sooner: a load that has been asked for
@@ -196,13 +205,13 @@
 
 /// What is lost if the held model makes way; nothing if it must not.
 std::optional<double> WantedPlanner::damageOf(
-    const PlannerInput& input, const EngineFacts& engine, const ModelName& held) const
+    const PlannerInput& input, const EngineFacts& engine, const ModelName& held, bool isWaitedFor) const
 {
     const double work = workOfAll_.at(held);
     if (holdersOf(input.engines, held) > policy::wantedCopies(work))
         return 0;
     if (policy::isBusyModel(work))
-        return std::nullopt;
+        return isWaitedFor && holdersOf(input.engines, held) > 1 ? std::optional(damageOfBusyCopy) : std::nullopt;
     const bool isElsewhere = std::any_of(input.engines.begin(), input.engines.end(),
         [&](const EngineFacts& other) { return other.engine != engine.engine && hasAtHand(other, held); });
     return (isElsewhere ? damageOfOtherCopy : damageOfOnlyCopy) + damagePerWork * work;
@@ -210,12 +219,13 @@
 
 /// Of making room for a model of this size; nothing if there can't be any.
 std::optional<double> WantedPlanner::damageOfRoom(
-    const PlannerInput& input, const EngineFacts& engine, std::uint64_t needed) const
+    const PlannerInput& input, const EngineFacts& engine, const ModelProfile& model, bool isWaitedFor) const
 {
+    const std::uint64_t needed = model.weights.value();
     std::uint64_t used = usedWeights(input.profile, *engine.state);
     std::vector<std::pair<double, std::uint64_t>> removable;
     for (const catalog::HeldModel& held : engine.state->held) {
-        if (const auto damage = damageOf(input, engine, held.model))
+        if (const auto damage = damageOf(input, engine, held.model, isWaitedFor))
             removable.emplace_back(*damage, sizeOf(input.profile, held));
     }
     std::sort(removable.begin(), removable.end());
@@ -233,14 +243,15 @@
 
 /// Time until the model would be there, and what else its load costs in terms of time; `cannotPlace` if there's no
 /// room.
-Milliseconds WantedPlanner::placingCost(const PlannerInput& input, const EngineFacts& engine, const ModelProfile& model)
+Milliseconds WantedPlanner::placingCost(
+    const PlannerInput& input, const EngineFacts& engine, const ModelProfile& model, bool isWaitedFor)
 {
     const Milliseconds byRank = perRank * rankOf(input, model.name, engine.engine);
     if (hasRefused(model.name, engine.engine))
         return catalog::cannotPlace + byRank;
     if (expectedAt(engine, model.name, input.now))
         return loadCost(engine, model, input.now) + byRank;
-    const auto damage = damageOfRoom(input, engine, model.weights.value());
+    const auto damage = damageOfRoom(input, engine, model, isWaitedFor);
     if (!damage)
         return catalog::cannotPlace + byRank;
     return loadCost(engine, model, input.now) + byRank
@@ -312,7 +323,7 @@
     const ModelProfile* const model = input.profile.find(waiting.target.model);
     if (!model || input.engines.empty())
         return nullptr;
-    const auto costAt = [&](const EngineFacts& engine) { return placingCost(input, engine, *model); };
+    const auto costAt = [&](const EngineFacts& engine) { return placingCost(input, engine, *model, true); };
     const EngineFacts* best = nullptr;
     Milliseconds least(0);
     for (const EngineFacts& engine : input.engines) {
@@ -362,7 +373,7 @@
     for (const EngineFacts& engine : input.engines) {
         if (engine.state->find(model.name) || engine.state->loading == model.name)
             continue;
-        const Milliseconds cost = placingCost(input, engine, model);
+        const Milliseconds cost = placingCost(input, engine, model, false);
         if (cost < catalog::cannotPlace)
             costs.emplace_back(cost, engine.engine);
     }
@@ -377,34 +388,34 @@
 }
 
 /// A model that no engine has at hand costs its first caller a load from the store, mostly longer than callers find
-/// acceptable. So each is fetched once while nobody waits for it, a few at a time.
+/// acceptable. So each is fetched once while nobody waits for it, a few at a time, and some a second time.
 void WantedPlanner::planPrefetch(const PlannerInput& input)
 {
     if (!input.isComplete)
         return;
-    std::vector<std::pair<std::uint64_t, const ModelProfile*>> missing;
+    std::vector<std::tuple<std::size_t, std::uint64_t, const ModelProfile*>> missing;
     for (const ModelProfile& model : input.profile.models) {
-        const bool isSomewhere = std::any_of(input.engines.begin(), input.engines.end(),
-            [&](const EngineFacts& engine) { return hasAtHand(engine, model.name); });
+        const auto engines = static_cast<std::size_t>(std::count_if(input.engines.begin(), input.engines.end(),
+            [&](const EngineFacts& engine) { return hasAtHand(engine, model.name); }));
         const std::string& name = model.name.value();
-        if (!isSomewhere)
-            missing.emplace_back(policy::mixed(policy::fnv1a(name.data(), name.size())), &model);
+        if (engines < (model.adapters >= adaptersOfStandby ? standbyEngines : 1))
+            missing.emplace_back(engines, policy::mixed(policy::fnv1a(name.data(), name.size())), &model);
     }
     std::sort(missing.begin(), missing.end());
     std::vector<Endpoint> taken;
-    for (const auto& [hash, model] : missing) {
+    for (const auto& [engines, hash, model] : missing) {
         if (storeLoadsLeft_ <= taken.size())
             return;
-        for (const Endpoint& endpoint : orderOf(input, model->name)) {
-            const bool isBusy = !factsOf(input, endpoint)->state->loading.value().empty()
-                || std::find(taken.begin(), taken.end(), endpoint) != taken.end();
-            if (isBusy || hasRefused(model->name, endpoint))
+        for (const Endpoint& engine : cheapestFor(input, *model, input.engines.size())) {
+            const bool isBusy = !factsOf(input, engine)->state->loading.value().empty()
+                || std::find(taken.begin(), taken.end(), engine) != taken.end();
+            if (isBusy)
                 continue;
             Wanted wanted;
             wanted.target.model = model->name;
             wanted.isPrefetch = true;
-            add(input, endpoint, wanted);
-            taken.push_back(endpoint);
+            add(input, engine, wanted);
+            taken.push_back(engine);
             break;
         }
     }
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -25,7 +25,7 @@
         profile.adapters = 8;
         for (const std::string name : { "a", "b", "c", "d", "e", "f" })
             profile.models.push_back({ ModelName(name), MegaBytes(70000), Milliseconds(6000), Milliseconds(800),
-                Milliseconds(600), MegaBytes(60) });
+                Milliseconds(600), MegaBytes(60), 0 });
     }
 
     EngineState& engine(const std::string& name, const std::vector<std::string>& held)
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -65,9 +65,12 @@
     void noteWork(const PlannerInput&);
     void noteStoreLoads(const PlannerInput&);
     bool takeStorePlace(const EngineFacts&, const catalog::ModelProfile&);
-    std::optional<double> damageOf(const PlannerInput&, const EngineFacts&, const framework::ModelName& held) const;
-    std::optional<double> damageOfRoom(const PlannerInput&, const EngineFacts&, std::uint64_t needed) const;
-    framework::Milliseconds placingCost(const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&);
+    std::optional<double> damageOf(
+        const PlannerInput&, const EngineFacts&, const framework::ModelName& held, bool isWaitedFor) const;
+    std::optional<double> damageOfRoom(
+        const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&, bool isWaitedFor) const;
+    framework::Milliseconds placingCost(
+        const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&, bool isWaitedFor);
     std::vector<framework::Endpoint> cheapestFor(const PlannerInput&, const catalog::ModelProfile&, std::size_t most);
     void noteRefusals(const PlannerInput&);
     bool hasRefused(const framework::ModelName&, const framework::Endpoint& engine) const;
