The direct path through real processes, with stand-ins of the store, engines and plain servers

Change: tests/fleet has stand-ins that speak the store's, engines' and servers' messages; direct_tests starts a real direct-router and two direct-agents between them: warm and cold models, adapters, both kinds of lookup, a caller that leaves, a stream resumed at another engine, lost and refused answers, a configuration change, a leaving server, a store that is away, SIGTERM, SIGHUP. The start's log line carries the endpoints: a second writer to standard output had mixed its line into the log's. Ruled out: stand-ins that end with their fixture (their server's threads don't).

--- a/src/app/internal/directagentcommand.cpp
+++ b/src/app/internal/directagentcommand.cpp
@@ -1,7 +1,6 @@
 #include "app/internal/directagentcommand.h"
 
 #include "app/internal/directprocess.h"
-#include "app/internal/readyline.h"
 #include "direct/directagent.h"
 #include "platform/agentsources.h"
 #include "platform/enginecalls.h"
@@ -29,8 +28,6 @@
     const auto endpoints = agent.start();
     if (endpoints.has_error())
         return failProcess("direct-agent", endpoints.error(), ExitFailure);
-    printReadyLine(
-        "direct-agent", settings.identity.vm, { { "link", endpoints.value().link }, { "ops", endpoints.value().ops } });
     // Nothing that it is told changes while it runs.
     process.waitForEnd([](const direct::DirectAgentSettings&) { logDecision(framework::LogLine("reloaded")); });
     logDecision(framework::LogLine("stopped"));
--- a/src/app/internal/directroutercommand.cpp
+++ b/src/app/internal/directroutercommand.cpp
@@ -1,7 +1,6 @@
 #include "app/internal/directroutercommand.h"
 
 #include "app/internal/directprocess.h"
-#include "app/internal/readyline.h"
 #include "direct/directrouter.h"
 #include "platform/catalogreader.h"
 #include "platform/kindfeed.h"
@@ -32,9 +31,6 @@
     const auto endpoints = router.start();
     if (endpoints.has_error())
         return failProcess("direct-router", endpoints.error(), ExitFailure);
-    printReadyLine("direct-router", settings.identity.vm,
-        { { "callers", endpoints.value().callers }, { "readiness", endpoints.value().readiness },
-            { "ops", endpoints.value().ops } });
     process.waitForEnd([&](const direct::DirectRouterSettings& changed) { router.reload(changed); });
     router.drain();
     std::cout.flush();
--- a/src/direct/internal/directagent.cpp
+++ b/src/direct/internal/directagent.cpp
@@ -52,6 +52,8 @@
         });
         logDecision(LogLine("started")
                         .text("vm", settings_.identity.vm.value())
+                        .text("link", link.value())
+                        .text("ops", ops.value())
                         .text("engine", settings_.engine.value())
                         .text("service", settings_.service.value()));
         return endpoints;
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -73,7 +73,11 @@
         endpoints.ops = ops;
         ports_.traffic.post([this] { forwarder_.start(); });
         ports_.control.post([this] { catalog_.start(); });
-        logDecision(LogLine("started").text("vm", settings_.identity.vm.value()).text("callers", callers.value()));
+        logDecision(LogLine("started")
+                        .text("vm", settings_.identity.vm.value())
+                        .text("callers", callers.value())
+                        .text("readiness", readiness.value())
+                        .text("ops", ops.value()));
         return endpoints;
     }
 
--- a/src/engines/tests/enginekeeper_test.cpp
+++ b/src/engines/tests/enginekeeper_test.cpp
@@ -179,8 +179,8 @@
     BOOST_TEST(engine.orders.size() == 1U);
 }
 
-// An order's answer was lost. The same order was given again, the engine carried out both, one of them ten seconds later
-// after newer ones, and crashed for want of room.
+// An order's answer was lost. The same order was given again, the engine carried out both, one of them ten seconds
+// later after newer ones, and crashed for want of room.
 BOOST_AUTO_TEST_CASE(anOrderWithoutAnswerIsGivenAgainOnTheSameCount)
 {
     engine.state.orders = OrderCount(3);
@@ -214,8 +214,8 @@
     BOOST_TEST(engine.orders[1].second.fence.value() == 42U);
 }
 
-// After a power loss the list named the engine's former instance for two seconds more. The agent gave it 100 orders, each
-// refused by the new one.
+// After a power loss the list named the engine's former instance for two seconds more. The agent gave it 100 orders,
+// each refused by the new one.
 BOOST_AUTO_TEST_CASE(anInstanceThatTheEngineDeniedIsNotTriedAgain)
 {
     start();
--- a/src/engines/tests/placementplan_test.cpp
+++ b/src/engines/tests/placementplan_test.cpp
@@ -124,7 +124,8 @@
     BOOST_TEST(decision.expected.front().within.count() == catalog::cannotPlace.count());
 }
 
-// A model was unloaded while a review ran on it: the engine waited for its end, and took no other order for ten seconds.
+// A model was unloaded while a review ran on it: the engine waited for its end, and took no other order for ten
+// seconds.
 BOOST_AUTO_TEST_CASE(aModelInUseIsAnnouncedAsLeavingAndUnloadedWhenItsRequestsHaveEnded)
 {
     hold("b");
--- a/src/policy/tests/storeplaces_test.cpp
+++ b/src/policy/tests/storeplaces_test.cpp
@@ -36,10 +36,7 @@
 
 BOOST_AUTO_TEST_SUITE(StorePlacesLearned)
 
-BOOST_AUTO_TEST_CASE(aStoreThatServesOneIsKnownAfterItsFirstLoads)
-{
-    BOOST_TEST(learned(1, 4, 1) == 1U);
-}
+BOOST_AUTO_TEST_CASE(aStoreThatServesOneIsKnownAfterItsFirstLoads) { BOOST_TEST(learned(1, 4, 1) == 1U); }
 
 BOOST_AUTO_TEST_CASE(aStoreThatServesFourKeepsItsPlaces)
 {
--- /dev/null
+++ b/tests/fleet/fleet.cpp
@@ -0,0 +1,232 @@
+#include "fleet/fleet.h"
+
+#include "framework/types/ids.h"
+#include "http/testing/rawcaller.h"
+#include "support/programs.h"
+#include "support/waitfor.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace lagoon::fleet {
+
+using web::json::value;
+
+namespace {
+
+const std::string host = "callers.example";
+
+/// Free at both engines' addresses a moment ago.
+int freePort()
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.2"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+CallerAnswer parse(const std::string& text)
+{
+    namespace http = boost::beast::http;
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(1ULL << 40);
+    boost::system::error_code error;
+    parser.put(boost::asio::buffer(text), error);
+    CallerAnswer answer;
+    if (!parser.is_header_done())
+        return answer;
+    answer.status = static_cast<int>(parser.get().result_int());
+    for (const auto& field : parser.get().base())
+        answer.headers[std::string(field.name_string())] = std::string(field.value());
+    answer.body = parser.get().body();
+    answer.isWhole = parser.is_done();
+    return answer;
+}
+
+value model(const std::string& name)
+{
+    value json;
+    json["name"] = value::string(name);
+    json["weights-mb"] = value::number(50.5);
+    json["load-time-s"] = value::number(0.2);
+    json["adapters"] = value::number(2);
+    json["adapter-size-mb"] = value::number(1.5);
+    return json;
+}
+
+value services()
+{
+    value engines;
+    engines["name"] = value::string("engines");
+    engines["max-connections"] = value::number(100);
+    value profile;
+    profile["weights-mb"] = value::number(110);
+    profile["max-adapters"] = value::number(3);
+    profile["models"] = value::array();
+    for (const std::string name : { "warm", "cold", "colder" })
+        profile["models"][profile["models"].size()] = model(name);
+    engines["inference-engine"] = profile;
+    value plain;
+    plain["name"] = value::string("plain");
+    plain["max-connections"] = value::number(100);
+    value both = value::array();
+    both[0] = engines;
+    both[1] = plain;
+    return both;
+}
+
+} // namespace
+
+std::string CallerRequest::text() const
+{
+    std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nConnection: close\r\n";
+    text += "X-Request-Attempt: " + attempt + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
+    if (!model.empty())
+        text += "X-Model: " + model + "\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: " + prompt + "\r\n";
+    for (const auto& [name, content] : headers)
+        text.append(name).append(": ").append(content).append("\r\n");
+    if (method != "GET")
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return text + "\r\n" + (method == "GET" ? "" : body);
+}
+
+Fleet::Fleet()
+    : agentPort_(freePort())
+{
+    engine1.hold("warm");
+    configure(usualRoutes());
+    list(plain1, "plain");
+    list(plain2, "plain");
+    list(engine1, "engines");
+    list(engine2, "engines");
+}
+
+Fleet::~Fleet() = default;
+
+Fleet& Fleet::make()
+{
+    static std::vector<std::unique_ptr<Fleet>> kept;
+    return *kept.emplace_back(std::make_unique<Fleet>());
+}
+
+void Fleet::stop()
+{
+    router_.reset();
+    agent1_.reset();
+    agent2_.reset();
+}
+
+value Fleet::route(const std::string& prefix, const std::string& kind, const std::string& service)
+{
+    value json;
+    json["name"] = value::string("route-" + prefix);
+    json["host"] = value::string(host);
+    json["path-prefix"] = value::string(prefix);
+    json["kind"] = value::string(kind);
+    json["service"] = value::string(service);
+    json["timeout-ms"] = value::number(20000);
+    json["target-latency-ms"] = value::number(500);
+    json["max-attempts"] = value::number(2);
+    return json;
+}
+
+std::vector<value> Fleet::usualRoutes()
+{
+    std::vector<value> routes { route("/model/", "streaming", "engines"), route("/resume/", "streaming", "engines"),
+        route("/get/", "idempotent", "plain"), route("/post/", "non_idempotent", "plain") };
+    routes[1]["resumable"] = value::boolean(true);
+    return routes;
+}
+
+void Fleet::configure(const std::vector<value>& routes)
+{
+    value json;
+    version_ += 3;
+    json["version"] = value::number(version_);
+    json["routes"] = value::array();
+    for (const value& one : routes)
+        json["routes"][json["routes"].size()] = one;
+    json["services"] = services();
+    json["a-field-of-tomorrow"] = value::boolean(true);
+    store.put("config", "main", json);
+}
+
+void Fleet::list(const ServerStandin& server, const std::string& service, const std::string& state)
+{
+    value json;
+    json["service"] = value::string(service);
+    json["address"] = value::string(server.endpoint());
+    json["zone"] = value::string("hall");
+    json["slot-count"] = value::number(8);
+    json["state"] = value::string(state);
+    store.put("servers", server.instance(), json);
+}
+
+std::unique_ptr<testsupport::ChildProcess> Fleet::startAgent(const std::string& name, const EngineStandin& engine)
+{
+    const std::string address = engine.endpoint().substr(0, engine.endpoint().find(':'));
+    value settings;
+    settings["role"] = value::string("direct-agent");
+    settings["vm"] = value::string(name);
+    settings["site"] = value::string("site");
+    settings["failure_domain"] = value::string("hall");
+    settings["link"] = value::string(address + ":" + std::to_string(agentPort_));
+    settings["ops"] = value::string("127.0.0.1:0");
+    settings["object_store"] = value::string(store.endpoint());
+    settings["engine"] = value::string(engine.endpoint());
+    settings["service"] = value::string("engines");
+    const std::string file = folder_.file(name + ".json");
+    testsupport::writeFile(file, settings.serialize());
+    return testsupport::startProgram(
+        testsupport::Program::Lagoonrouter, name, { "direct-agent", "--settings", file }, folder_);
+}
+
+void Fleet::startProcesses()
+{
+    agent1_ = startAgent("agent-1", engine1);
+    agent2_ = startAgent("agent-2", engine2);
+    value settings;
+    settings["role"] = value::string("direct-router");
+    settings["vm"] = value::string("entry-1");
+    settings["site"] = value::string("site");
+    settings["failure_domain"] = value::string("hall");
+    settings["callers"] = value::string("127.0.0.1:0");
+    settings["readiness"] = value::string("127.0.0.1:0");
+    settings["ops"] = value::string("127.0.0.1:0");
+    settings["object_store"] = value::string(store.endpoint());
+    settings["agent_port"] = value::number(agentPort_);
+    const std::string file = folder_.file("router.json");
+    testsupport::writeFile(file, settings.serialize());
+    router_ = testsupport::startProgram(
+        testsupport::Program::Lagoonrouter, "router", { "direct-router", "--settings", file }, folder_);
+}
+
+void Fleet::start()
+{
+    startProcesses();
+    testsupport::waitFor("the router to be ready", [this] { return isReady(); });
+    testsupport::waitFor("both agents to be heard", [this] {
+        const std::string log = router_->output();
+        const std::size_t first = log.find("\"agent_heard\"");
+        return first != std::string::npos && log.find("\"agent_heard\"", first + 1) != std::string::npos;
+    });
+}
+
+bool Fleet::isReady()
+{
+    http::testing::RawCaller caller(framework::Endpoint(router_->readyText("readiness")));
+    caller.send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    return parse(caller.readToEnd()).status == 200;
+}
+
+CallerAnswer Fleet::call(const CallerRequest& request)
+{
+    http::testing::RawCaller caller { framework::Endpoint(callers()) };
+    caller.send(request.text());
+    return parse(caller.readToEnd());
+}
+
+} // namespace lagoon::fleet
--- /dev/null
+++ b/tests/fleet/fleet.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "fleet/serverstandins.h"
+#include "fleet/storestandin.h"
+#include "support/childprocess.h"
+#include "support/temporaryfolder.h"
+
+#include <cpprest/json.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoon::fleet {
+
+/// What a caller sees of its answer.
+struct CallerAnswer {
+    int status = 0;
+    std::map<std::string, std::string> headers;
+    std::string body;
+    /// By its length or its last chunk.
+    bool isWhole = false;
+};
+
+/// How a caller asks.
+struct CallerRequest {
+    std::string method = "POST";
+    std::string target = {};
+    std::string attempt = {};
+    std::string model = {};
+    int deadlineMs = 20000;
+    std::string body = "body";
+    std::string prompt = "a1:60,b2:40";
+    std::map<std::string, std::string> headers = {};
+
+    std::string text() const;
+};
+
+/// A store, two engines, two plain servers, and the product's real processes between: a direct router, and a direct
+/// agent beside each engine. All on loopback; each engine has an address of its own, as its agent is found there.
+class Fleet {
+public:
+    Fleet();
+    ~Fleet();
+    /// The stand-ins' threads end only with the test's process, so what they use is kept until then.
+    static Fleet& make();
+    /// Ends the processes.
+    void stop();
+
+    StoreStandin store;
+    PlainStandin plain1 { "p-1", "127.0.0.1" };
+    PlainStandin plain2 { "p-2", "127.0.0.1" };
+    EngineStandin engine1 { "e-1", "127.0.0.1" };
+    EngineStandin engine2 { "e-2", "127.0.0.2" };
+
+    void startProcesses();
+    /// Starts the processes and waits until the router is ready and has heard both agents.
+    void start();
+    testsupport::ChildProcess& router() { return *router_; }
+    std::string callers() { return router_->readyText("callers"); }
+    /// Whether a `GET` at the router's readiness endpoint is answered 200.
+    bool isReady();
+    CallerAnswer call(const CallerRequest&);
+    /// Writes the next version of the configuration: the routes, and the services of the engines and plain servers.
+    void configure(const std::vector<web::json::value>& routes);
+    void list(const ServerStandin&, const std::string& service, const std::string& state = "ready");
+    /// The routes that each fleet begins with: `/model/` (streams), `/resume/` (streams that may be resumed), `/get/`
+    /// (idempotent) and `/post/`.
+    static std::vector<web::json::value> usualRoutes();
+    static web::json::value route(const std::string& prefix, const std::string& kind, const std::string& service);
+
+private:
+    std::unique_ptr<testsupport::ChildProcess> startAgent(const std::string& name, const EngineStandin&);
+
+    testsupport::TemporaryFolder folder_;
+    std::uint64_t version_ = 0;
+    int agentPort_ = 0;
+    std::unique_ptr<testsupport::ChildProcess> agent1_;
+    std::unique_ptr<testsupport::ChildProcess> agent2_;
+    std::unique_ptr<testsupport::ChildProcess> router_;
+};
+
+} // namespace lagoon::fleet
--- /dev/null
+++ b/tests/fleet/serverstandins.cpp
@@ -0,0 +1,196 @@
+#include "fleet/serverstandins.h"
+
+#include "standins/common/standinprogram.h"
+
+namespace lagoon::fleet {
+
+using framework::Milliseconds;
+using standins::Exchange;
+using standins::HeaderMap;
+using standins::HttpRequest;
+using standins::replyError;
+using standins::replyJson;
+using web::json::value;
+
+ServerStandin::ServerStandin(std::string instance, const std::string& address)
+    : instance_(std::move(instance))
+    , server_([this](Exchange& exchange) { answer(exchange); })
+    , endpoint_(server_.start(framework::Endpoint(address + ":0")).value().value())
+{
+}
+
+int ServerStandin::runs(const std::string& attempt) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = runs_.find(attempt);
+    return found == runs_.end() ? 0 : found->second;
+}
+
+int ServerStandin::allRuns() const
+{
+    const std::lock_guard lock(mutex_);
+    int all = 0;
+    for (const auto& [attempt, count] : runs_)
+        all += count;
+    return all;
+}
+
+std::string ServerStandin::lastHeader(const std::string& name) const
+{
+    const std::lock_guard lock(mutex_);
+    return last_.header(name);
+}
+
+std::string ServerStandin::lastBody() const
+{
+    const std::lock_guard lock(mutex_);
+    return last_.body;
+}
+
+HeaderMap ServerStandin::marks(const HttpRequest& request) const
+{
+    return { { "X-Request-Attempt", request.header("x-request-attempt") }, { "X-Response-Seal", "seal-" + instance_ } };
+}
+
+void ServerStandin::answer(Exchange& exchange)
+{
+    if (answerOwn(exchange))
+        return;
+    const HttpRequest& request = exchange.request();
+    const std::string attempt = request.header("x-request-attempt");
+    const HeaderMap notRun { { "X-Request-Attempt", attempt }, { "X-Not-Executed", "1" } };
+    if (request.header("x-expect-instance") != instance_)
+        return exchange.reply(421, "", { { "X-Request-Attempt", attempt }, { "X-Instance-Id", instance_ } });
+    if (!canRun(request))
+        return exchange.reply(421, "", notRun);
+    if (refusals_ > 0) {
+        --refusals_;
+        return exchange.reply(503, "", notRun);
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        ++runs_[attempt];
+        last_ = request;
+    }
+    if (drops_ > 0) {
+        --drops_;
+        return exchange.dropConnection();
+    }
+    run(exchange);
+}
+
+void PlainStandin::run(Exchange& exchange)
+{
+    const HttpRequest& request = exchange.request();
+    exchange.reply(200, request.method + " " + request.path + " " + request.body, marks(request));
+}
+
+void EngineStandin::hold(const std::string& model)
+{
+    const std::lock_guard lock(mutex_);
+    held_[model];
+}
+
+bool EngineStandin::holds(const std::string& model, const std::string& adapter) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = held_.find(model);
+    return found != held_.end() && (adapter.empty() || found->second.contains(adapter));
+}
+
+void EngineStandin::setStream(int events, int pauseMs)
+{
+    events_ = events;
+    pauseMs_ = pauseMs;
+}
+
+bool EngineStandin::answerOwn(Exchange& exchange)
+{
+    if (exchange.request().path == "/-/report")
+        answerReport(exchange);
+    else if (exchange.request().path == "/-/order")
+        answerOrder(exchange);
+    else
+        return false;
+    return true;
+}
+
+void EngineStandin::answerReport(Exchange& exchange)
+{
+    std::unique_lock lock(mutex_);
+    value report;
+    report["phase"] = value::string("both");
+    report["busy"] = value::boolean(false);
+    report["seq"] = value::number(static_cast<std::uint32_t>(orders_.load()));
+    report["models"] = value::array();
+    for (const auto& [model, adapters] : held_) {
+        value json;
+        json["name"] = value::string(model);
+        json["version"] = value::number(1);
+        json["adapters"] = value::array();
+        for (const std::string& adapter : adapters)
+            json["adapters"][json["adapters"].size()] = value::string(adapter);
+        report["models"][report["models"].size()] = json;
+    }
+    lock.unlock();
+    replyJson(exchange, 200, report);
+}
+
+void EngineStandin::answerOrder(Exchange& exchange)
+{
+    if (exchange.request().header("x-expect-instance") != instance())
+        return exchange.reply(421, "", { { "X-Instance-Id", instance() } });
+    const value order = standins::parseBody(exchange.request().body);
+    const std::string model = standins::textField(order, "model");
+    const std::string adapter = order.has_field("adapter") ? standins::textField(order, "adapter") : std::string();
+    const bool isLoad = standins::textField(order, "operation") == "model_load";
+    std::unique_lock lock(mutex_);
+    const std::uint64_t fence = standins::numberField(order, "fence");
+    if (fence < fence_ || standins::numberField(order, "expected") != static_cast<std::uint64_t>(orders_.load())) {
+        violations_ += fence < fence_ ? 1 : 0;
+        lock.unlock();
+        return replyError(exchange, fence < fence_ ? 412 : 409, "older order");
+    }
+    fence_ = fence;
+    ++orders_;
+    if (!isLoad && adapter.empty())
+        held_.erase(model);
+    else if (!isLoad)
+        held_[model].erase(adapter);
+    else if (!adapter.empty())
+        held_[model].insert(adapter);
+    else
+        held_[model];
+    violations_ += held_.size() > engineRoom ? 1 : 0;
+    lock.unlock();
+    exchange.reply(202, "");
+}
+
+bool EngineStandin::canRun(const HttpRequest& request)
+{
+    const std::string target = request.header("x-model");
+    const std::size_t slash = std::min(target.find('/'), target.size());
+    return holds(target.substr(0, slash), target.substr(std::min(slash + 1, target.size())));
+}
+
+void EngineStandin::run(Exchange& exchange)
+{
+    HeaderMap headers = marks(exchange.request());
+    headers["Content-Type"] = "text/event-stream";
+    exchange.beginStream(200, headers);
+    const std::string last = exchange.request().header("last-event-id");
+    for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= events_; ++event) {
+        if (exchange.waitForCallerGone(Milliseconds(pauseMs_.load())))
+            return noteCancelled();
+        const std::string text = "id: " + std::to_string(event) + "\ndata: word" + std::to_string(event) + "\n\n";
+        if (event == breakAfter_) {
+            breakAfter_ = 0;
+            exchange.sendChunk(text.substr(0, text.size() / 2));
+            return exchange.dropConnection();
+        }
+        exchange.sendChunk(text);
+    }
+    exchange.endStream();
+}
+
+} // namespace lagoon::fleet
--- /dev/null
+++ b/tests/integration/direct_test.cpp
@@ -0,0 +1,250 @@
+#include "fleet/fleet.h"
+#include "http/testing/rawcaller.h"
+#include "support/waitfor.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace lagoon::fleet;
+using lagoon::http::testing::RawCaller;
+using lagoon::testsupport::waitFor;
+
+namespace {
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int event = first; event <= last; ++event)
+        text += "id: " + std::to_string(event) + "\ndata: word" + std::to_string(event) + "\n\n";
+    return text;
+}
+
+struct RunningFleet {
+    RunningFleet() { fleet.start(); }
+    ~RunningFleet() { fleet.stop(); }
+
+    CallerAnswer call(const CallerRequest& request) { return fleet.call(request); }
+
+    Fleet& fleet = Fleet::make();
+    StoreStandin& store = fleet.store;
+    PlainStandin& plain1 = fleet.plain1;
+    PlainStandin& plain2 = fleet.plain2;
+    EngineStandin& engine1 = fleet.engine1;
+    EngineStandin& engine2 = fleet.engine2;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DirectPathThroughSeparateProcesses, RunningFleet)
+
+BOOST_AUTO_TEST_CASE(aWarmModelsStreamIsPassedOnAsItIs)
+{
+    const CallerAnswer answer = call({ .target = "/model/1", .attempt = "a1", .model = "warm" });
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.isWhole);
+    BOOST_TEST(answer.body == events(1, 3));
+    BOOST_TEST(answer.headers.at("X-Response-Seal") == "seal-e-1");
+    BOOST_TEST(engine1.lastHeader("x-request-attempt") == "a1");
+    BOOST_TEST(engine1.lastBody() == "body");
+}
+
+BOOST_AUTO_TEST_CASE(aColdModelIsLoadedForTheOneWhoWaits)
+{
+    const CallerAnswer answer = call({ .target = "/model/1", .attempt = "a1", .model = "cold" });
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == events(1, 3));
+    BOOST_TEST((engine1.holds("cold") || engine2.holds("cold")));
+    BOOST_TEST(engine1.violations() + engine2.violations() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(anAdapterIsLoadedOnItsModel)
+{
+    const CallerAnswer answer = call({ .target = "/model/1", .attempt = "a1", .model = "warm/a2" });
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(engine1.holds("warm", "a2"));
+}
+
+BOOST_AUTO_TEST_CASE(moreModelsThanFitTakeTurns)
+{
+    for (const std::string model : { "cold", "colder", "warm", "cold", "colder" }) {
+        const CallerAnswer answer = call({ .target = "/model/1", .attempt = model + "-x", .model = model });
+        BOOST_TEST(answer.status == 200);
+    }
+    BOOST_TEST(engine1.violations() + engine2.violations() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(bothKindsOfLookupAreServed)
+{
+    const CallerAnswer get = call({ .method = "GET", .target = "/get/1?q=2", .attempt = "g1" });
+    BOOST_TEST(get.status == 200);
+    BOOST_TEST(get.body == "GET /get/1 ");
+    const CallerAnswer post = call({ .target = "/post/1", .attempt = "p1", .body = "hold" });
+    BOOST_TEST(post.body == "POST /post/1 hold");
+    BOOST_TEST(call({ .target = "/nothing/1", .attempt = "n1" }).status == 404);
+}
+
+// What only this system may state came from a caller and reached the engine: it reserved memory that nobody used.
+BOOST_AUTO_TEST_CASE(aCallersReservationsDontPass)
+{
+    call({ .target = "/model/1",
+        .attempt = "a1",
+        .model = "warm",
+        .headers = { { "X-Hold", "h" }, { "X-Pin-Ms", "9" }, { "X-Expect-Instance", "e-9" }, { "Kv-From", "x" } } });
+    BOOST_TEST(engine1.lastHeader("x-hold").empty());
+    BOOST_TEST(engine1.lastHeader("x-pin-ms").empty());
+    BOOST_TEST(engine1.lastHeader("kv-from").empty());
+    BOOST_TEST(engine1.lastHeader("x-expect-instance") == "e-1");
+}
+
+// A member's hold was booked twice: its server had run it and then lost the answer, and the router asked the other one.
+BOOST_AUTO_TEST_CASE(whatMayHaveRunIsNotSentAgain)
+{
+    plain1.dropNext(1);
+    plain2.dropNext(1);
+    const CallerAnswer answer = call({ .target = "/post/1", .attempt = "p1" });
+    BOOST_TEST(answer.status == 502);
+    BOOST_TEST(plain1.runs("p1") + plain2.runs("p1") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(whatMayRunTwiceIsSentToAnotherServer)
+{
+    plain1.dropNext(1);
+    const CallerAnswer first = call({ .method = "GET", .target = "/get/1", .attempt = "g1" });
+    const CallerAnswer second = call({ .method = "GET", .target = "/get/1", .attempt = "g2" });
+    BOOST_TEST(first.status == 200);
+    BOOST_TEST(second.status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(whatWasRefusedAsNotRunIsSentToAnotherServer)
+{
+    plain1.refuseNext(1);
+    plain2.refuseNext(1);
+    const CallerAnswer answer = call({ .target = "/post/1", .attempt = "p1" });
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(!answer.headers.at("Retry-After").empty());
+    BOOST_TEST(plain1.runs("p1") + plain2.runs("p1") == 0);
+    BOOST_TEST(call({ .target = "/post/1", .attempt = "p2" }).status == 200);
+}
+
+// A server crashed in the middle of a review's eighth event. The caller saw the stream go on behind the seventh, from
+// another server, as if nothing had happened.
+BOOST_AUTO_TEST_CASE(aStreamThatMayBeResumedGoesOnAtAnotherServer)
+{
+    engine2.hold("warm");
+    engine1.setStream(12, 1);
+    engine2.setStream(12, 1);
+    // Prompts that begin differently prefer different engines, and the router has to hear that there are two.
+    int resumed = 0;
+    int tries = 0;
+    waitFor("streams to begin at the first engine and end at the other", [&] {
+        const std::string id = "r" + std::to_string(++tries);
+        engine1.breakAfter(8);
+        const CallerAnswer answer
+            = call({ .target = "/resume/1", .attempt = id, .model = "warm", .prompt = id + ":100" });
+        const bool wentOn = engine1.runs(id) == 1 && engine2.runs(id) == 1;
+        BOOST_TEST((!wentOn || answer.body == events(1, 12)));
+        BOOST_TEST((!wentOn || answer.headers.at("X-Response-Seal") == "seal-e-1"));
+        resumed += wentOn ? 1 : 0;
+        return resumed >= 3;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(aStreamThatMustNotRunTwiceIsBrokenOff)
+{
+    engine1.setStream(12, 1);
+    engine1.breakAfter(8);
+    const CallerAnswer answer = call({ .target = "/model/1", .attempt = "a1", .model = "warm" });
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(!answer.isWhole);
+    BOOST_TEST(answer.body == events(1, 7));
+    BOOST_TEST(engine1.runs("a1") == 1);
+}
+
+// A hostmaster closed the page, and the review went on at a model that others waited for.
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesEndsItsServersWork)
+{
+    engine1.setStream(1000, 20);
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    caller.send(CallerRequest { .target = "/model/1", .attempt = "a1", .model = "warm" }.text());
+    BOOST_TEST(caller.readUntil("word1"));
+    caller.hangUp();
+    waitFor("the engine to drop the work", [this] { return engine1.cancelled() == 1; });
+}
+
+BOOST_AUTO_TEST_CASE(aNewConfigurationIsInForceAndNoOlderOneComesBack)
+{
+    auto routes = Fleet::usualRoutes();
+    routes.push_back(Fleet::route("/new/", "idempotent", "plain"));
+    fleet.configure(routes);
+    waitFor("the new route",
+        [this] { return call({ .method = "GET", .target = "/new/1", .attempt = "n1" }).status == 200; });
+    store.forgetHistory();
+    fleet.configure(Fleet::usualRoutes());
+    waitFor("the route to be gone",
+        [this] { return call({ .method = "GET", .target = "/new/1", .attempt = "n2" }).status == 404; });
+}
+
+BOOST_AUTO_TEST_CASE(aLeavingServerGetsNothingMore)
+{
+    fleet.list(plain1, "plain", "draining");
+    waitFor("the router to know",
+        [this] { return fleet.router().output().find("\"state\":\"leaving\"") != std::string::npos; });
+    const int before = plain1.allRuns();
+    for (int request = 0; request < 20; ++request)
+        BOOST_TEST(
+            call({ .method = "GET", .target = "/get/1", .attempt = "g" + std::to_string(request) }).status == 200);
+    BOOST_TEST(plain1.allRuns() == before);
+}
+
+// The store was away for some seconds, and members were told that their pages didn't exist.
+BOOST_AUTO_TEST_CASE(requestsGoOnWhileTheStoreIsAway)
+{
+    store.setAway(true);
+    waitFor("the router to notice", [this] { return fleet.router().output().find("store_lost") != std::string::npos; });
+    BOOST_TEST(call({ .method = "GET", .target = "/get/1", .attempt = "g1" }).status == 200);
+    BOOST_TEST(call({ .target = "/model/1", .attempt = "a1", .model = "warm" }).status == 200);
+    BOOST_TEST(fleet.isReady());
+    store.setAway(false);
+    waitFor("the router to be back",
+        [this] { return fleet.router().output().find("store_regained") != std::string::npos; });
+}
+
+BOOST_AUTO_TEST_CASE(aRouterThatIsEndedFinishesItsStreams)
+{
+    engine1.setStream(40, 20);
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    caller.send(CallerRequest { .target = "/model/1", .attempt = "a1", .model = "warm" }.text());
+    BOOST_TEST(caller.readUntil("word1"));
+    fleet.router().sendSignal(SIGTERM);
+    waitFor("the router to say that it isn't ready", [this] { return !fleet.isReady(); });
+    // Until balancers have noticed, new callers are still served.
+    BOOST_TEST(call({ .method = "GET", .target = "/get/1", .attempt = "g1" }).status == 200);
+    BOOST_TEST(caller.readToEnd().ends_with("0\r\n\r\n"));
+    BOOST_TEST(fleet.router().waitForExit() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(aHangupReloadsTheSettings)
+{
+    fleet.router().sendSignal(SIGHUP);
+    waitFor("the reload", [this] { return fleet.router().output().find("\"reloaded\"") != std::string::npos; });
+    BOOST_TEST(call({ .method = "GET", .target = "/get/1", .attempt = "g1" }).status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// A router was started while the store was down, and answered 404 to all that came.
+BOOST_AUTO_TEST_CASE(aRouterWithoutConfigurationSaysComeBack)
+{
+    Fleet& fleet = Fleet::make();
+    fleet.store.setAway(true);
+    fleet.startProcesses();
+    BOOST_TEST(!fleet.isReady());
+    const CallerAnswer refused = fleet.call({ .method = "GET", .target = "/get/1", .attempt = "g1" });
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(!refused.headers.at("Retry-After").empty());
+    fleet.store.setAway(false);
+    waitFor("the router to be ready", [&] { return fleet.isReady(); });
+    waitFor(
+        "a server", [&] { return fleet.call({ .method = "GET", .target = "/get/1", .attempt = "g2" }).status == 200; });
+    fleet.stop();
+}
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -34,6 +34,21 @@
     return ::open(file.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
 }
 
+/// The JSON of the first whole line that is an object, or that is the structured log's line of the start. Empty if
+/// there is none.
+std::string readyLine(const std::string& output)
+{
+    std::size_t begin = 0;
+    for (std::size_t end = output.find('\n'); end != std::string::npos; end = output.find('\n', begin)) {
+        const std::string line = output.substr(begin, end - begin);
+        const std::size_t object = line.starts_with('{') ? 0 : line.find("{\"event\":\"started\"");
+        if (object != std::string::npos)
+            return line.substr(object);
+        begin = end + 1;
+    }
+    return {};
+}
+
 } // namespace
 
 ChildProcess::ChildProcess(
@@ -63,9 +78,9 @@
 
 void ChildProcess::waitUntilReady()
 {
-    const bool isOver = isReached([this] { return output().find('\n') != std::string::npos || !isRunning(); });
+    const bool isOver = isReached([this] { return !readyLine(output()).empty() || !isRunning(); });
     std::error_code error;
-    ready_ = web::json::value::parse(output(), error);
+    ready_ = web::json::value::parse(readyLine(output()), error);
     if (!isOver || error)
         throw std::runtime_error(name_ + " didn't become ready; its log:\n" + log());
 }
