--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -219,7 +219,7 @@
         const Milliseconds left = job.terms().deadline.remaining(now());
         if (engines.empty() && job.waited(now()) > agentPatience)
             return job.refuseAsHopeless(left);
-        const auto soonest = WantedPlanner::soonest(engines, waitingFor->target.model, now());
+        const auto soonest = WantedPlanner::soonest(engines, *waitingFor, now());
         if (soonest && *soonest + fastestAnswer > left)
             job.refuseAsHopeless(*soonest);
     }
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -462,11 +462,13 @@
 }
 
 std::optional<Milliseconds> WantedPlanner::soonest(
-    const std::vector<EngineFacts>& engines, const ModelName& model, framework::SteadyTime now)
+    const std::vector<EngineFacts>& engines, const WaitingFor& waiting, framework::SteadyTime now)
 {
     std::optional<Milliseconds> least;
+    if (!waiting.target.adapter.value().empty())
+        return least;
     for (const EngineFacts& engine : engines) {
-        const auto expected = expectedAt(engine, model, now);
+        const auto expected = expectedAt(engine, waiting.target.model, now);
         if (expected && *expected < catalog::cannotPlace && (!least || *expected < *least))
             least = expected;
     }
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -190,8 +190,23 @@
     engine("1", {}).expected.push_back({ ModelName("e"), Milliseconds(900) });
     engine("2", {}).expected.push_back({ ModelName("e"), catalog::cannotPlace });
     PlannerInput made = input();
-    BOOST_TEST(WantedPlanner::soonest(made.engines, ModelName("e"), now + Milliseconds(100))->count() == 800);
-    BOOST_TEST(!WantedPlanner::soonest(made.engines, ModelName("f"), now));
+    WaitingFor waitingFor;
+    waitingFor.target.model = ModelName("e");
+    BOOST_TEST(WantedPlanner::soonest(made.engines, waitingFor, now + Milliseconds(100))->count() == 800);
+    waitingFor.target.model = ModelName("f");
+    BOOST_TEST(!WantedPlanner::soonest(made.engines, waitingFor, now));
+}
+
+// A caller was told that a model wouldn't be there for six seconds. It was there; only an adapter was to be loaded,
+// which takes ten milliseconds, and the six seconds were those of a further copy of the model elsewhere.
+BOOST_AUTO_TEST_CASE(aCopysLoadSaysNothingOfAnAdapter)
+{
+    engine("1", { "e" });
+    engine("2", {}).expected.push_back({ ModelName("e"), Milliseconds(6000) });
+    WaitingFor waitingFor;
+    waitingFor.target = { ModelName("e"), framework::AdapterName("a1") };
+    waitingFor.at = Endpoint("1");
+    BOOST_TEST(!WantedPlanner::soonest(input().engines, waitingFor, now));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -51,9 +51,10 @@
     /// What to tell each agent; engines that are missing are told nothing wanted.
     std::map<framework::Endpoint, catalog::WantedList> plan(const PlannerInput&);
 
-    /// When the model will be at an engine, from now, as far as agents have said; nothing if none has.
+    /// When what is waited for will be at an engine, from now, as far as agents have said; nothing if none has, or for
+    /// an adapter: those take milliseconds, and what agents say is of models.
     static std::optional<framework::Milliseconds> soonest(
-        const std::vector<EngineFacts>&, const framework::ModelName&, framework::SteadyTime now);
+        const std::vector<EngineFacts>&, const WaitingFor&, framework::SteadyTime now);
 
 private:
     struct Choice {
