--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -82,7 +82,9 @@
 
 std::string CallerRequest::text() const
 {
-    std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nConnection: close\r\n";
+    std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n";
+    if (!keepsAlive)
+        text += "Connection: close\r\n";
     text += "X-Request-Attempt: " + attempt + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
     if (!model.empty())
         text += "X-Model: " + model + "\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: " + prompt + "\r\n";
@@ -114,9 +116,8 @@
 
 void Fleet::stop()
 {
-    router_.reset();
-    agent1_.reset();
-    agent2_.reset();
+    routers_.clear();
+    agents_.clear();
 }
 
 value Fleet::route(const std::string& prefix, const std::string& kind, const std::string& service)
@@ -155,53 +156,71 @@
 }
 
 void Fleet::list(const ServerStandin& server, const std::string& service, const std::string& state)
+{
+    listAt(server, service, server.endpoint(), state);
+}
+
+void Fleet::listAt(
+    const ServerStandin& server, const std::string& service, const std::string& endpoint, const std::string& state)
 {
     value json;
     json["service"] = value::string(service);
-    json["address"] = value::string(server.endpoint());
+    json["address"] = value::string(endpoint);
     json["zone"] = value::string("hall");
     json["slot-count"] = value::number(8);
     json["state"] = value::string(state);
     store.put("servers", server.instance(), json);
 }
 
-std::unique_ptr<testsupport::ChildProcess> Fleet::startAgent(const std::string& name, const EngineStandin& engine)
+void Fleet::writeSettings(
+    const std::string& file, const std::string& role, const std::string& vm, value settings) const
 {
-    const std::string address = engine.endpoint().substr(0, engine.endpoint().find(':'));
-    value settings;
-    settings["role"] = value::string("direct-agent");
-    settings["vm"] = value::string(name);
+    settings["role"] = value::string(role);
+    settings["vm"] = value::string(vm);
     settings["site"] = value::string("site");
     settings["failure_domain"] = value::string("hall");
-    settings["link"] = value::string(address + ":" + std::to_string(agentPort_));
     settings["ops"] = value::string("127.0.0.1:0");
-    settings["object_store"] = value::string(store.endpoint());
+    settings["object_store"] = value::string(storeEndpoint_.empty() ? store.endpoint() : storeEndpoint_);
+    testsupport::writeFile(file, settings.serialize());
+}
+
+void Fleet::startAgent(std::size_t index)
+{
+    const EngineStandin& engine = index == 0 ? engine1 : engine2;
+    const std::string address = engine.endpoint().substr(0, engine.endpoint().find(':'));
+    const std::string name = "agent-" + std::to_string(index);
+    const std::string file = folder_.file(name + ".json");
+    value settings;
+    settings["link"] = value::string(address + ":" + std::to_string(agentPort_));
     settings["engine"] = value::string(engine.endpoint());
     settings["service"] = value::string("engines");
-    const std::string file = folder_.file(name + ".json");
-    testsupport::writeFile(file, settings.serialize());
-    return testsupport::startProgram(
-        testsupport::Program::Lagoonrouter, name, { "direct-agent", "--settings", file }, folder_);
+    writeSettings(file, "direct-agent", name, settings);
+    agents_.resize(std::max(agents_.size(), index + 1));
+    agents_[index].reset();
+    agents_[index] = testsupport::startProgram(testsupport::Program::Lagoonrouter,
+        name + "-" + std::to_string(++starts_), { "direct-agent", "--settings", file }, folder_);
 }
 
-void Fleet::startProcesses()
+void Fleet::startRouter(std::size_t index)
 {
-    agent1_ = startAgent("agent-1", engine1);
-    agent2_ = startAgent("agent-2", engine2);
+    const std::string name = "router-" + std::to_string(index);
+    const std::string file = folder_.file(name + ".json");
     value settings;
-    settings["role"] = value::string("direct-router");
-    settings["vm"] = value::string("entry-1");
-    settings["site"] = value::string("site");
-    settings["failure_domain"] = value::string("hall");
     settings["callers"] = value::string("127.0.0.1:0");
     settings["readiness"] = value::string("127.0.0.1:0");
-    settings["ops"] = value::string("127.0.0.1:0");
-    settings["object_store"] = value::string(store.endpoint());
     settings["agent_port"] = value::number(agentPort_);
-    const std::string file = folder_.file("router.json");
-    testsupport::writeFile(file, settings.serialize());
-    router_ = testsupport::startProgram(
-        testsupport::Program::Lagoonrouter, "router", { "direct-router", "--settings", file }, folder_);
+    writeSettings(file, "direct-router", name, settings);
+    routers_.resize(std::max(routers_.size(), index + 1));
+    routers_[index].reset();
+    routers_[index] = testsupport::startProgram(testsupport::Program::Lagoonrouter,
+        name + "-" + std::to_string(++starts_), { "direct-router", "--settings", file }, folder_);
+}
+
+void Fleet::startProcesses()
+{
+    startAgent(0);
+    startAgent(1);
+    startRouter(0);
 }
 
 void Fleet::start()
@@ -209,7 +228,7 @@
     startProcesses();
     testsupport::waitFor("the router to be ready", [this] { return isReady(); });
     testsupport::waitFor("both agents to be heard", [this] {
-        const std::string log = router_->output();
+        const std::string log = router().output();
         const std::size_t first = log.find("\"agent_heard\"");
         return first != std::string::npos && log.find("\"agent_heard\"", first + 1) != std::string::npos;
     });
@@ -217,7 +236,7 @@
 
 bool Fleet::isReady()
 {
-    http::testing::RawCaller caller(framework::Endpoint(router_->readyText("readiness")));
+    http::testing::RawCaller caller(framework::Endpoint(router().readyText("readiness")));
     caller.send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
     return parse(caller.readToEnd()).status == 200;
 }
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -31,6 +31,7 @@
     int deadlineMs = 20000;
     std::string body = "body";
     std::string prompt = "a1:60,b2:40";
+    bool keepsAlive = false;
     std::map<std::string, std::string> headers = {};
 
     std::string text() const;
@@ -54,10 +55,18 @@
     EngineStandin engine2 { "e-2", "127.0.0.2" };
 
     void startProcesses();
+    /// Starts one more process, or one that has ended again. Agents are 0 and 1, routers from 0.
+    void startRouter(std::size_t index);
+    void startAgent(std::size_t index);
     /// Starts the processes and waits until the router is ready and has heard both agents.
     void start();
-    testsupport::ChildProcess& router() { return *router_; }
-    std::string callers() { return router_->readyText("callers"); }
+    testsupport::ChildProcess& router(std::size_t index = 0) { return *routers_.at(index); }
+    testsupport::ChildProcess& agent(std::size_t index) { return *agents_.at(index); }
+    std::string callers(std::size_t index = 0) { return router(index).readyText("callers"); }
+    /// Processes reach the store under this endpoint in place of its own, and callers' requests reach a server so.
+    void setStoreEndpoint(const std::string& endpoint) { storeEndpoint_ = endpoint; }
+    void listAt(const ServerStandin&, const std::string& service, const std::string& endpoint,
+        const std::string& state = "ready");
     /// Whether a `GET` at the router's readiness endpoint is answered 200.
     bool isReady();
     CallerAnswer call(const CallerRequest&);
@@ -70,14 +79,16 @@
     static web::json::value route(const std::string& prefix, const std::string& kind, const std::string& service);
 
 private:
-    std::unique_ptr<testsupport::ChildProcess> startAgent(const std::string& name, const EngineStandin&);
+    void writeSettings(const std::string& file, const std::string& role, const std::string& vm,
+        web::json::value settings) const;
 
     testsupport::TemporaryFolder folder_;
     std::uint64_t version_ = 0;
     int agentPort_ = 0;
-    std::unique_ptr<testsupport::ChildProcess> agent1_;
-    std::unique_ptr<testsupport::ChildProcess> agent2_;
-    std::unique_ptr<testsupport::ChildProcess> router_;
+    int starts_ = 0;
+    std::string storeEndpoint_;
+    std::vector<std::unique_ptr<testsupport::ChildProcess>> agents_;
+    std::vector<std::unique_ptr<testsupport::ChildProcess>> routers_;
 };
 
 } // namespace lagoon::fleet
