One module for signals, one reader of endpoints, one constant of the reading speed

Cause: reading the change: terminationsignal and processsignal, the endpoint readers of wire and http, and the engines' reading speed stood twice. Change: one each, in framework and forwarding; the product's own roles now pass SIGHUP over, which ended them. Ruled out: nothing measured. wire, http and forwarding tests pass.

--- a/src/app/internal/agentcommand.cpp
+++ b/src/app/internal/agentcommand.cpp
@@ -16,7 +16,7 @@
         return failProcess("agent", endpoints.error(), ExitFailure);
     printReadyLine(
         "agent", settings.identity.vm, { { "link", endpoints.value().link }, { "ops", endpoints.value().ops } });
-    framework::waitForTerminationSignal();
+    framework::waitForTermination();
     agent.shutDown();
     return ExitSuccess;
 }
--- a/src/app/internal/processcommand.h
+++ b/src/app/internal/processcommand.h
@@ -4,7 +4,7 @@
 #include "app/internal/settingsoption.h"
 #include "framework/logging.h"
 #include "framework/processsettings.h"
-#include "framework/terminationsignal.h"
+#include "framework/processsignal.h"
 
 #include <functional>
 #include <iostream>
@@ -31,7 +31,7 @@
     if (option.exitCode)
         return *option.exitCode;
     framework::startLogging(role);
-    framework::holdTerminationSignals();
+    framework::holdProcessSignals();
     const auto text = framework::readSettingsText(option.file);
     if (text.has_error())
         return failProcess(role, text.error(), ExitUsage);
--- a/src/app/internal/routercommand.cpp
+++ b/src/app/internal/routercommand.cpp
@@ -19,7 +19,7 @@
     printReadyLine("router", settings.identity.vm,
         { { "callers", endpoints.value().callers }, { "link", endpoints.value().link },
             { "ops", endpoints.value().ops } });
-    framework::waitForTerminationSignal();
+    framework::waitForTermination();
     router.drain();
     framework::logInfo("router", "drained");
     // Every reply has left. Closing cpprest's listener while callers keep connections open may crash the process, and
--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -87,7 +87,7 @@
             continue;
         agent->second.wanted = list;
         if (digestOf(list) != agent->second.told)
-            tell(engine, agent->second);
+            tell(agent->second);
     }
 }
 
@@ -100,7 +100,7 @@
         if (!agent.link && agent.connectAt.hasPassed(now))
             connect(engine, agent);
         else if (agent.link && now - agent.toldAt > tellEach)
-            tell(engine, agent);
+            tell(agent);
     }
     timer_ = context_.control.runAt(Deadline::after(now, tickEach), [this] { tick(); });
 }
@@ -127,7 +127,7 @@
     agent.isHeard = false;
     // Counts as heard, so that the new link has its time to stand.
     agent.heardAt = context_.clock.now();
-    tell(engine, agent);
+    tell(agent);
 }
 
 void AgentLinks::drop(const Endpoint& engine, Agent& agent, const std::string& cause)
@@ -145,7 +145,7 @@
         range / 2 + Milliseconds(static_cast<std::int64_t>(framework::randomFraction() * range.count() / 2)));
 }
 
-void AgentLinks::tell(const Endpoint&, Agent& agent)
+void AgentLinks::tell(Agent& agent)
 {
     if (!agent.link)
         return;
--- a/src/direct/internal/agentlinks.h
+++ b/src/direct/internal/agentlinks.h
@@ -58,7 +58,7 @@
     void tick();
     void connect(const framework::Endpoint& engine, Agent&);
     void drop(const framework::Endpoint& engine, Agent&, const std::string& cause);
-    void tell(const framework::Endpoint& engine, Agent&);
+    void tell(Agent&);
     void didReceive(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void didClose(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const framework::Error&);
 
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/forwarder.h"
 
 #include "catalog/routetable.h"
+#include "forwarding/enginespeed.h"
 #include "forwarding/internal/requestjob.h"
 #include "forwarding/modeldemand.h"
 #include "forwarding/wantedplanner.h"
@@ -38,7 +39,6 @@
 constexpr double shareOfReserve = 0.6;
 /// Part of the shared parts of a prompt that an engine reads anew, on average.
 constexpr double readAnew = 0.25;
-constexpr double tokensPerMillisecond = 38.4;
 /// What a running request adds to everyone's time for each of its output tokens.
 constexpr double millisecondsPerOutput = 0.1;
 
@@ -46,7 +46,7 @@
 {
     const std::uint64_t own = facts.prompt.empty() ? facts.promptTokens.value() : facts.prompt.back().tokens;
     const auto shared = static_cast<double>(facts.promptTokens.value() - std::min(own, facts.promptTokens.value()));
-    const double reading = (static_cast<double>(own) + readAnew * shared) / tokensPerMillisecond;
+    const double reading = (static_cast<double>(own) + readAnew * shared) / promptTokensPerMillisecond;
     return Milliseconds(static_cast<std::int64_t>(
         reading + millisecondsPerOutput * static_cast<double>(facts.mostOutputTokens.value())));
 }
--- a/src/forwarding/internal/serverchoice.cpp
+++ b/src/forwarding/internal/serverchoice.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/serverchoice.h"
 
+#include "forwarding/enginespeed.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -9,9 +11,6 @@
 
 using framework::Milliseconds;
 
-/// Prompt tokens that an engine reads in a millisecond, as the operators' pages state it for both of today's sites.
-/// Only the proportion to the other costs matters for the choice.
-constexpr double tokensPerMillisecond = 38.4;
 /// Mean prompt of a request that another router has queued there: its size isn't told.
 constexpr double assumedQueuedTokens = 3000;
 /// What each running request adds to the time of everyone's next token, over the reading of one prompt.
@@ -27,7 +26,7 @@
 double expectedMilliseconds(const EngineView& engine)
 {
     const double waitingTokens = static_cast<double>(engine.ownStartingTokens) + engine.queued * assumedQueuedTokens;
-    double expected = (waitingTokens + static_cast<double>(engine.newTokens)) / tokensPerMillisecond;
+    double expected = (waitingTokens + static_cast<double>(engine.newTokens)) / promptTokensPerMillisecond;
     expected += millisecondsPerRunning * engine.running;
     expected += millisecondsPerAffinityRank * engine.affinityRank;
     if (!engine.isInOwnFailureDomain)
--- a/src/framework/internal/processsignal.cpp
+++ b/src/framework/internal/processsignal.cpp
@@ -40,4 +40,10 @@
     return received == SIGHUP ? ProcessSignal::Reload : ProcessSignal::Terminate;
 }
 
+void waitForTermination()
+{
+    constexpr Milliseconds lookEach { 3600 * 1000 };
+    while (waitForProcessSignal(lookEach) != ProcessSignal::Terminate) { }
+}
+
 } // namespace lagoon::framework
--- a/src/framework/processsignal.h
+++ b/src/framework/processsignal.h
@@ -16,5 +16,8 @@
 void holdProcessSignals();
 /// Returns once one of them has come, or nothing when `wait` is over.
 std::optional<ProcessSignal> waitForProcessSignal(Milliseconds wait);
+/// Returns once the process is to end. For processes that take up their settings only at their start: SIGHUP, which
+/// would end one that doesn't hold it, is passed over.
+void waitForTermination();
 
 } // namespace lagoon::framework
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -1,6 +1,6 @@
 #include "http/exchangeserver.h"
 
-#include "framework/logging.h"
+#include "framework/tcpendpoint.h"
 #include "http/internal/callerconnection.h"
 #include "http/internal/socketoptions.h"
 
@@ -35,7 +35,7 @@
 
     framework::Result<Endpoint> listen(const Endpoint& endpoint)
     {
-        BOOST_OUTCOME_TRY(address, parseEndpoint(endpoint, "listen for callers"));
+        BOOST_OUTCOME_TRY(address, framework::parseTcpEndpoint(endpoint, "listen for callers"));
         boost::system::error_code error;
         acceptor_.open(address.protocol(), error);
         if (!error)
@@ -46,9 +46,8 @@
             acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
         if (error)
             return Error { ErrorCode::BadSettings, "listen for callers", endpoint.value(), error.message() };
-        const tcp::endpoint bound = acceptor_.local_endpoint();
         boost::asio::post(context_, [self = shared_from_this()] { self->accept(); });
-        return Endpoint(bound.address().to_string() + ":" + std::to_string(bound.port()));
+        return framework::endpointOf(acceptor_.local_endpoint());
     }
 
     void setLimits(const ExchangeLimits& limits) { shared_->limits = limits; }
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/tcpclientconnection.h"
 
+#include "framework/tcpendpoint.h"
 #include "http/internal/messagewriter.h"
 #include "http/internal/socketoptions.h"
 
@@ -111,7 +112,7 @@
 
 void TcpClientConnection::connect()
 {
-    const auto address = parseEndpoint(endpoint_, "connect");
+    const auto address = framework::parseTcpEndpoint(endpoint_, "connect");
     if (address.has_error()) {
         boost::asio::post(context_, [self = self()] { self->fail(ClientStep::Connect, "not an address"); });
         return;
--- a/src/wire/internal/tcplinktransport.cpp
+++ b/src/wire/internal/tcplinktransport.cpp
@@ -1,4 +1,5 @@
 #include "framework/logging.h"
+#include "framework/tcpendpoint.h"
 #include "wire/internal/tcplink.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -16,33 +17,6 @@
 using framework::Error;
 using framework::ErrorCode;
 
-framework::Result<tcp::endpoint> parseEndpoint(const Endpoint& endpoint)
-{
-    const std::string& text = endpoint.value();
-    const std::size_t colon = text.rfind(':');
-    const auto fault = [&] {
-        return Error { ErrorCode::BadSettings, "parse endpoint", text, "expected address:port with a numeric address" };
-    };
-    if (colon == std::string::npos || colon + 1 == text.size())
-        return fault();
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
-    unsigned long port = 0;
-    for (const char digit : text.substr(colon + 1)) {
-        if (digit < '0' || digit > '9' || port > 65535)
-            return fault();
-        port = port * 10 + static_cast<unsigned long>(digit - '0');
-    }
-    if (error || port > 65535)
-        return fault();
-    return tcp::endpoint(address, static_cast<unsigned short>(port));
-}
-
-std::string endpointText(const tcp::endpoint& endpoint)
-{
-    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 class TcpLinkTransport final : public ILinkTransport {
 public:
     TcpLinkTransport(const LinkSettings& settings, std::shared_ptr<framework::Metrics> metrics)
@@ -59,7 +33,7 @@
     std::shared_ptr<ILink> connect(const Endpoint& endpoint, LinkHandlers handlers) override
     {
         auto link = std::make_shared<TcpLink>(newStrand(), endpoint, settings_, std::move(handlers), metrics_);
-        auto address = parseEndpoint(endpoint);
+        auto address = framework::parseTcpEndpoint(endpoint, "parse endpoint");
         if (address.has_error())
             link->failLater(address.error());
         else
@@ -70,7 +44,7 @@
 
     framework::Result<Endpoint> listen(const Endpoint& endpoint, LinkHandlers handlers) override
     {
-        BOOST_OUTCOME_TRY(address, parseEndpoint(endpoint));
+        BOOST_OUTCOME_TRY(address, framework::parseTcpEndpoint(endpoint, "parse endpoint"));
         boost::system::error_code error;
         acceptor_.emplace(context_);
         acceptor_->open(address.protocol(), error);
@@ -83,7 +57,7 @@
         if (error)
             return Error { ErrorCode::BadSettings, "listen", endpoint.value(), error.message() };
         handlers_ = std::move(handlers);
-        const Endpoint bound(endpointText(acceptor_->local_endpoint()));
+        const Endpoint bound = framework::endpointOf(acceptor_->local_endpoint());
         accept();
         return bound;
     }
@@ -129,7 +103,7 @@
         const tcp::endpoint remote = socket.remote_endpoint(error);
         if (error)
             return;
-        auto link = std::make_shared<TcpLink>(strand, Endpoint(endpointText(remote)), settings_, handlers_, metrics_);
+        auto link = std::make_shared<TcpLink>(strand, framework::endpointOf(remote), settings_, handlers_, metrics_);
         link->socket() = std::move(socket);
         boost::asio::post(strand, [link] { link->start(); });
     }
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -172,8 +172,7 @@
     store.put("servers", server.instance(), json);
 }
 
-void Fleet::writeSettings(
-    const std::string& file, const std::string& role, const std::string& vm, value settings) const
+void Fleet::writeSettings(const std::string& file, const std::string& role, const std::string& vm, value settings) const
 {
     settings["role"] = value::string(role);
     settings["vm"] = value::string(vm);
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -79,8 +79,8 @@
     static web::json::value route(const std::string& prefix, const std::string& kind, const std::string& service);
 
 private:
-    void writeSettings(const std::string& file, const std::string& role, const std::string& vm,
-        web::json::value settings) const;
+    void writeSettings(
+        const std::string& file, const std::string& role, const std::string& vm, web::json::value settings) const;
 
     testsupport::TemporaryFolder folder_;
     std::uint64_t version_ = 0;
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -24,8 +24,7 @@
 standins::FaultProxy& proxyTo(const std::string& endpoint)
 {
     static std::vector<std::unique_ptr<standins::FaultProxy>> kept;
-    return *kept.emplace_back(
-        std::make_unique<standins::FaultProxy>(Endpoint(endpoint), standins::Framing::None));
+    return *kept.emplace_back(std::make_unique<standins::FaultProxy>(Endpoint(endpoint), standins::Framing::None));
 }
 
 std::string started(standins::FaultProxy& proxy, const std::string& address)
@@ -262,8 +261,8 @@
         (void)proxy->setFaults(fault("delay_ms", none));
         (void)proxy->setFaults(fault("cut", value::boolean(true)));
     }
-    for (fleet::ServerStandin* const server :
-        std::initializer_list<fleet::ServerStandin*> { &fleet_.plain1, &fleet_.plain2, &fleet_.engine1, &fleet_.engine2 }) {
+    for (fleet::ServerStandin* const server : std::initializer_list<fleet::ServerStandin*> {
+             &fleet_.plain1, &fleet_.plain2, &fleet_.engine1, &fleet_.engine2 }) {
         server->refuseNext(0);
         server->dropNext(0);
     }
@@ -301,8 +300,8 @@
 {
     const int runs = runsOf(sent.attempt);
     const Outcome& outcome = sent.outcome;
-    const std::string which = sent.kind + sent.attempt + " (" + std::to_string(outcome.status) + ", "
-        + std::to_string(runs) + " runs)";
+    const std::string which
+        = sent.kind + sent.attempt + " (" + std::to_string(outcome.status) + ", " + std::to_string(runs) + " runs)";
     ++report_.requests;
     report_.served += outcome.status == 200 && outcome.isWhole ? 1 : 0;
     report_.refused += saysNotRun(outcome.status) ? 1 : 0;
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -32,8 +32,8 @@
 };
 
 /// Two routers and two agents as real processes between stand-ins, callers that keep their connections, and faults from
-/// outside the processes that follow from the seed: signals, a store that goes away, lossy and silent connections, servers
-/// that refuse, lose or cut answers, configurations. They overlap.
+/// outside the processes that follow from the seed: signals, a store that goes away, lossy and silent connections,
+/// servers that refuse, lose or cut answers, configurations. They overlap.
 ///
 /// Checked from what callers and servers see: what must not run twice runs once at most; what is refused as not run
 /// hasn't run; what looks whole is whole and the right answer; engines are never ordered beyond what fits; no process
--- a/tests/standins/common/standinprogram.cpp
+++ b/tests/standins/common/standinprogram.cpp
@@ -1,6 +1,6 @@
 #include "standins/common/standinprogram.h"
 
-#include "framework/terminationsignal.h"
+#include "framework/processsignal.h"
 
 #include <iostream>
 #include <unistd.h>
@@ -53,7 +53,7 @@
     }
     ready["http"] = endpoint.value().value();
     printReadyLine(role, ready);
-    framework::waitForTerminationSignal();
+    framework::waitForTermination();
     // Connections' threads may hang by design and use all of this: nothing is destroyed.
     _exit(0);
 }
@@ -63,7 +63,7 @@
 int runStandin(const std::string& role, int argc, char** argv, const options::options_description& own,
     const StandinFactory& makeStandin)
 {
-    framework::holdTerminationSignals();
+    framework::holdProcessSignals();
     options::options_description all("options");
     all.add(own).add_options()("help", "print this")(
         "listen", options::value<std::string>()->default_value("127.0.0.1:0"), "address:port of HTTP");
