--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -13,7 +13,6 @@
 
 using catalog::ModelTarget;
 using catalog::RouteKind;
-using framework::Deadline;
 using framework::LogLine;
 using framework::Milliseconds;
 
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -14,7 +14,6 @@
 
 using catalog::EngineState;
 using catalog::ModelProfile;
-using catalog::ModelTarget;
 using catalog::Wanted;
 using framework::Endpoint;
 using framework::Milliseconds;
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -9,7 +9,6 @@
 
 using catalog::EngineState;
 using catalog::MegaBytes;
-using catalog::ModelTarget;
 using catalog::Wanted;
 using framework::Deadline;
 using framework::Endpoint;
--- a/src/framework/eventthread.h
+++ b/src/framework/eventthread.h
@@ -2,11 +2,13 @@
 
 #include "framework/icontrolexecutor.h"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
-#include <thread>
+
+// Most users post actions and set timers only; Asio's own headers would cost each of them a second of compiling.
+namespace boost::asio {
+class io_context;
+}
 
 namespace lagoon::framework {
 
@@ -23,12 +25,11 @@
     /// Lets the running action end, drops the others and joins. From any other thread; idempotent.
     void stop();
     /// For the sockets that belong to this thread.
-    boost::asio::io_context& context() { return context_; }
+    boost::asio::io_context& context();
 
 private:
-    boost::asio::io_context context_;
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
-    std::thread thread_;
+    class Implementation;
+    std::unique_ptr<Implementation> implementation_;
 };
 
 } // namespace lagoon::framework
--- a/src/framework/internal/eventthread.cpp
+++ b/src/framework/internal/eventthread.cpp
@@ -1,7 +1,10 @@
 #include "framework/eventthread.h"
 
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <thread>
 #include <utility>
 
 namespace lagoon::framework {
@@ -44,26 +47,44 @@
 
 } // namespace
 
+class EventThread::Implementation {
+public:
+    Implementation()
+        : work_(boost::asio::make_work_guard(context))
+        , thread_([this] { context.run(); })
+    {
+    }
+
+    void stop()
+    {
+        context.stop();
+        if (thread_.joinable())
+            thread_.join();
+    }
+
+    boost::asio::io_context context;
+
+private:
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::thread thread_;
+};
+
 EventThread::EventThread()
-    : work_(boost::asio::make_work_guard(context_))
-    , thread_([this] { context_.run(); })
+    : implementation_(std::make_unique<Implementation>())
 {
 }
 
 EventThread::~EventThread() { stop(); }
 
-void EventThread::post(std::function<void()> action) { boost::asio::post(context_, std::move(action)); }
+void EventThread::post(std::function<void()> action) { boost::asio::post(context(), std::move(action)); }
 
 std::unique_ptr<Timer> EventThread::runAt(Deadline at, std::function<void()> action)
 {
-    return std::make_unique<AsioTimer>(context_, at, std::move(action));
+    return std::make_unique<AsioTimer>(context(), at, std::move(action));
 }
 
-void EventThread::stop()
-{
-    context_.stop();
-    if (thread_.joinable())
-        thread_.join();
-}
+void EventThread::stop() { implementation_->stop(); }
+
+boost::asio::io_context& EventThread::context() { return implementation_->context; }
 
 } // namespace lagoon::framework
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -4,7 +4,6 @@
 #include "framework/types/time.h"
 #include "http/types/message.h"
 
-#include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -12,6 +11,10 @@
 #include <string>
 #include <string_view>
 
+namespace boost::asio {
+class io_context;
+}
+
 namespace lagoon::http {
 
 /// Where a call ended without a whole answer.
