--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <random>
+#include <stdexcept>
 
 namespace lagoon::fleet {
 
@@ -18,13 +20,32 @@
 
 const std::string host = "callers.example";
 
-/// Free at both engines' addresses a moment ago.
-int freePort()
+bool isFree(const std::string& address, int port)
 {
     using boost::asio::ip::tcp;
     boost::asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.2"), 0));
-    return acceptor.local_endpoint().port();
+    tcp::acceptor acceptor(context);
+    boost::system::error_code error;
+    const tcp::endpoint endpoint(boost::asio::ip::make_address(address), static_cast<unsigned short>(port));
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    return !error;
+}
+
+/// Free at both engines' addresses, and below the ports that the system hands out by itself: one of those could be
+/// taken by any connection of this machine before an agent listens on it.
+int freePort()
+{
+    constexpr int lowest = 20000;
+    constexpr int ports = 12000;
+    std::random_device random;
+    for (int tries = 0; tries < 100; ++tries) {
+        const int port = lowest + static_cast<int>(random() % ports);
+        if (isFree("127.0.0.1", port) && isFree("127.0.0.2", port))
+            return port;
+    }
+    throw std::runtime_error("no free port for agents");
 }
 
 CallerAnswer parse(const std::string& text)
