A router's part of the repeats follows the number of routers

Cause: reading: the budget of a service was made at its first request, with eight routers assumed if no agent had been heard by then, and never changed: 28 routers that start together could repeat twice of what the operators allow. Change: the part is taken anew at each use, and 32 routers are assumed until an agent tells. Test: aSmallerPartHoldsAtOnce. Ruled out: asking the store for the number.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -178,14 +178,14 @@
     }
 
     /// Each router spends by its own requests and its part of the reserve, so that all together keep to the operators'
-    /// bound without talking.
+    /// bound without talking. Guards against routers that have all just started: how many there are is known only once
+    /// an agent has been heard, and until then each takes a small part.
     policy::RetryBudget& budget(const ServiceName& service)
     {
-        const auto found = budgets_.find(service);
-        if (found != budgets_.end())
-            return found->second;
-        const double reserve = shareOfReserve * settings_.repeatReserve / upstreams_.routers();
-        return budgets_.try_emplace(service, settings_.repeatShare, std::max(1.0, reserve)).first->second;
+        const double reserve = std::max(1.0, shareOfReserve * settings_.repeatReserve / upstreams_.routers());
+        policy::RetryBudget& budget = budgets_.try_emplace(service, settings_.repeatShare, reserve).first->second;
+        budget.setMost(reserve);
+        return budget;
     }
 
     void retryWaiting()
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -14,8 +14,9 @@
 
 /// An agent speaks each second; one that has missed two is not to be relied on.
 constexpr Milliseconds stateHolds { 2500 };
-/// Assumed while no agent has said how many there are: today's deployments have 5 to 28.
-constexpr std::uint32_t assumedRouters = 8;
+/// Assumed while no agent has said how many there are: today's deployments have 5 to 28, and a part that is too small
+/// for a moment does less harm than one that is too large.
+constexpr std::uint32_t assumedRouters = 32;
 /// Connections to a server that a router may open in any case.
 constexpr std::size_t fewestConnections = 4;
 /// Part of a server's connections that all routers together use: some are still closing when others open.
--- a/src/policy/internal/retrybudget.cpp
+++ b/src/policy/internal/retrybudget.cpp
@@ -21,4 +21,10 @@
     return true;
 }
 
+void RetryBudget::setMost(double most)
+{
+    most_ = most;
+    left_ = std::min(left_, most_);
+}
+
 } // namespace lagoon::policy
--- a/src/policy/retrybudget.h
+++ b/src/policy/retrybudget.h
@@ -10,6 +10,8 @@
     void earn();
     /// False: there is no retry left; refuse instead.
     [[nodiscard]] bool spend();
+    /// From now on no more than this may be saved up.
+    void setMost(double most);
     double left() const { return left_; }
 
 private:
--- a/src/policy/tests/retries_test.cpp
+++ b/src/policy/tests/retries_test.cpp
@@ -43,4 +43,18 @@
     BOOST_CHECK(backoff.wait(60, 0.5) == 500ms);
 }
 
+// All routers had been restarted at once. Each took itself for one of a few, and together they repeated more than twice
+// of what the operators allow.
+BOOST_AUTO_TEST_CASE(aSmallerPartHoldsAtOnce)
+{
+    RetryBudget budget(0.2, 10);
+    budget.setMost(2);
+    BOOST_TEST(budget.spend());
+    BOOST_TEST(budget.spend());
+    BOOST_TEST(!budget.spend());
+    for (int request = 0; request < 100; ++request)
+        budget.earn();
+    BOOST_TEST(budget.left() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
