Stand-ins and proxies of the direct path's tests outlive the program's static objects

The stand-ins' and proxies' threads end with the process, but their objects were destroyed as static ones before. Change: they are never destroyed. Ruled out: the product's processes (all runs had ended).

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -131,7 +131,8 @@
 
 Fleet& Fleet::make()
 {
-    static std::vector<std::unique_ptr<Fleet>> kept;
+    // Never destroyed: the stand-ins' threads still run when the program's static objects go.
+    static auto& kept = *new std::vector<std::unique_ptr<Fleet>>;
     return *kept.emplace_back(std::make_unique<Fleet>());
 }
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -23,7 +23,8 @@
 /// The proxies' threads end with the process, like the stand-ins'.
 standins::FaultProxy& proxyTo(const std::string& endpoint)
 {
-    static std::vector<std::unique_ptr<standins::FaultProxy>> kept;
+    // Never destroyed: their threads still run when the program's static objects go.
+    static auto& kept = *new std::vector<std::unique_ptr<standins::FaultProxy>>;
     return *kept.emplace_back(std::make_unique<standins::FaultProxy>(Endpoint(endpoint), standins::Framing::None));
 }
 
