What stood twice in the direct path is one piece of code each

Cause: reading the whole change once more. Seen and left: Wanted::rank goes to the agents, which don't use it (a frame's field isn't taken back lightly); the settings of both direct roles read their common keys alike.

--- a/src/agent/internal/httpheaders.cpp
+++ b/src/agent/internal/httpheaders.cpp
@@ -1,5 +1,7 @@
 #include "agent/internal/httpheaders.h"
 
+#include "http/types/message.h"
+
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
@@ -9,8 +11,8 @@
 
 namespace {
 
-const std::set<std::string> connectionHeaders { "connection", "content-length", "expect", "host", "keep-alive",
-    "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade" };
+/// Set anew for the upstream, or answered by each hop for itself.
+const std::set<std::string> hopHeaders { "expect", "host" };
 
 /// Names that a Connection header declares to belong to its connection.
 std::set<std::string> namedInConnection(const HttpHeaders& headers)
@@ -35,7 +37,7 @@
     HttpHeaders kept;
     for (const auto& header : headers) {
         const std::string name = boost::algorithm::to_lower_copy(header.first);
-        if (connectionHeaders.count(name) > 0 || named.count(name) > 0)
+        if (http::isConnectionField(name) || hopHeaders.count(name) > 0 || named.count(name) > 0)
             continue;
         kept.push_back(header);
     }
--- a/src/callers/internal/requestheaders.cpp
+++ b/src/callers/internal/requestheaders.cpp
@@ -1,5 +1,7 @@
 #include "callers/internal/requestheaders.h"
 
+#include "http/types/message.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
@@ -22,10 +24,8 @@
 constexpr std::uint64_t mostMilliseconds = 1000ULL * 60 * 60 * 24 * 365;
 constexpr std::size_t longestIdempotencyKey = 255;
 
-/// Of one connection (RFC 9110, 7.6.1), or set anew by each hop.
-constexpr std::array<std::string_view, 11> connectionHeaders { "Connection", "Keep-Alive", "Proxy-Connection",
-    "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-    "Expect" };
+/// Answered by each hop for itself.
+constexpr std::string_view expectHeader = "Expect";
 /// Set by the agent; a caller's own would pretend to be another request.
 constexpr std::array<std::string_view, 3> agentHeaders { "Host", "X-Request-Id", "X-Priority" };
 constexpr std::string_view ownPrefix = "X-Lagoon-";
@@ -100,7 +100,8 @@
 
 bool isEndToEndHeader(const std::string& name)
 {
-    return !contains(connectionHeaders, name) && !boost::istarts_with(name, ownPrefix);
+    return !http::isConnectionField(name) && !boost::iequals(name, expectHeader)
+        && !boost::istarts_with(name, ownPrefix);
 }
 
 HttpHeaders upstreamHeaders(const web::http::http_headers& headers)
--- a/src/catalog/internal/lookups.cpp
+++ b/src/catalog/internal/lookups.cpp
@@ -1,10 +1,18 @@
-#include "catalog/types/configuration.h"
-#include "catalog/types/upstream.h"
+#include "catalog/modelweights.h"
 
 #include <algorithm>
 
 namespace lagoon::catalog {
 
+namespace {
+
+bool isIn(const std::vector<framework::ModelName>& names, const framework::ModelName& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
 const ModelProfile* EngineProfile::find(const framework::ModelName& name) const
 {
     const auto found
@@ -24,15 +32,33 @@
     return adapter.value().empty() || std::find(adapters.begin(), adapters.end(), adapter) != adapters.end();
 }
 
-const HeldModel* EngineState::find(const framework::ModelName& name) const
+const HeldModel* findHeld(const std::vector<HeldModel>& held, const framework::ModelName& name)
 {
     const auto found = std::find_if(held.begin(), held.end(), [&](const HeldModel& one) { return one.model == name; });
     return found == held.end() ? nullptr : &*found;
 }
 
-bool EngineState::isLeaving(const framework::ModelName& name) const
+bool AtHand::hasInMemory(const framework::ModelName& name) const { return isIn(memory, name); }
+
+bool AtHand::hasOnDisk(const framework::ModelName& name) const { return isIn(disk, name); }
+
+const HeldModel* EngineState::find(const framework::ModelName& name) const { return findHeld(held, name); }
+
+bool EngineState::isLeaving(const framework::ModelName& name) const { return isIn(leaving, name); }
+
+framework::Milliseconds loadTime(const ModelProfile& model, const AtHand& atHand)
+{
+    if (atHand.hasInMemory(model.name))
+        return model.loadFromMemory;
+    return atHand.hasOnDisk(model.name) ? model.loadFromDisk : model.loadFromStore;
+}
+
+MegaBytes weightsOf(const EngineProfile& profile, const HeldModel& held)
 {
-    return std::find(leaving.begin(), leaving.end(), name) != leaving.end();
+    const ModelProfile* const model = profile.find(held.model);
+    if (!model)
+        return profile.weights;
+    return MegaBytes(model->weights.value() + held.adapters.size() * model->adapterWeights.value());
 }
 
 } // namespace lagoon::catalog
--- a/src/catalog/types/upstream.h
+++ b/src/catalog/types/upstream.h
@@ -23,6 +23,9 @@
     bool has(const framework::AdapterName&) const;
 };
 
+/// Nothing if it isn't held.
+const HeldModel* findHeld(const std::vector<HeldModel>&, const framework::ModelName&);
+
 enum class UpstreamState : std::uint8_t {
     Ready,
     Leaving, ///< serves what it has and soon ends
@@ -46,6 +49,9 @@
 struct AtHand {
     std::vector<framework::ModelName> memory;
     std::vector<framework::ModelName> disk;
+
+    bool hasInMemory(const framework::ModelName&) const;
+    bool hasOnDisk(const framework::ModelName&) const;
 };
 
 /// What an agent says it takes until a model is there when it can't place it now.
--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -1,10 +1,10 @@
 #include "direct/internal/agentlinks.h"
 
 #include "direct/internal/enginewire.h"
+#include "direct/internal/links.h"
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace lagoon::direct {
@@ -21,6 +21,7 @@
 constexpr Milliseconds tellEach { 900 };
 /// Agents speak at least each second.
 constexpr Milliseconds longestSilence { 2400 };
+/// Before a lost link is tried again.
 constexpr Milliseconds firstPause { 100 };
 constexpr Milliseconds longestPause { 2000 };
 
@@ -48,6 +49,11 @@
 
 } // namespace
 
+AgentLinks::Agent::Agent()
+    : pauses(firstPause, longestPause, framework::randomNumber())
+{
+}
+
 AgentLinks::AgentLinks(Context context)
     : context_(std::move(context))
 {
@@ -107,22 +113,12 @@
 
 void AgentLinks::connect(const Endpoint& engine, Agent& agent)
 {
-    wire::LinkHandlers handlers;
-    const auto toControl = [this, alive = std::weak_ptr<int>(alive_)](auto action) {
-        context_.control.post([alive, action = std::move(action)] {
-            if (!alive.expired())
-                action();
-        });
-    };
-    handlers.onMessage = [this, engine, toControl](const std::shared_ptr<wire::ILink>& link, wire::Message message) {
-        toControl([this, engine, link, message = std::make_shared<wire::Message>(std::move(message))] {
-            didReceive(engine, link, *message);
-        });
-    };
-    handlers.onClosed
-        = [this, engine, toControl](const std::shared_ptr<wire::ILink>& link, const framework::Error& error) {
-              toControl([this, engine, link, error] { didClose(engine, link, error); });
-          };
+    LinkEvents events;
+    events.didReceive
+        = [this, engine](const auto& link, const wire::Message& message) { didReceive(engine, link, message); };
+    events.didClose
+        = [this, engine](const auto& link, const framework::Error& error) { didClose(engine, link, error); };
+    auto handlers = onControl(context_.control, alive_, std::move(events));
     agent.link = context_.transport.connect(agentEndpoint(engine, context_.agentPort), std::move(handlers));
     agent.isHeard = false;
     // Counts as heard, so that the new link has its time to stand.
@@ -139,10 +135,7 @@
         logDecision(LogLine("agent_lost").text("engine", engine.value()).text("cause", cause));
         context_.didLose(engine);
     }
-    const std::uint32_t doublings = std::min<std::uint32_t>(agent.failures++, 6);
-    const Milliseconds range = std::min(longestPause, firstPause * (1 << doublings));
-    agent.connectAt = Deadline::after(context_.clock.now(),
-        range / 2 + Milliseconds(static_cast<std::int64_t>(framework::randomFraction() * range.count() / 2)));
+    agent.connectAt = Deadline::after(context_.clock.now(), agent.pauses.next());
 }
 
 void AgentLinks::tell(Agent& agent)
@@ -161,7 +154,7 @@
     if (agent == agents_.end() || agent->second.link != link)
         return;
     agent->second.heardAt = context_.clock.now();
-    agent->second.failures = 0;
+    agent->second.pauses.reset();
     if (!std::exchange(agent->second.isHeard, true))
         logDecision(LogLine("agent_heard").text("engine", engine.value()));
     const wire::fb::EngineStateT* const state = message.body.AsEngineState();
--- a/src/direct/internal/agentlinks.h
+++ b/src/direct/internal/agentlinks.h
@@ -6,6 +6,7 @@
 #include "framework/iclock.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
+#include "objectstore/backoff.h"
 #include "wire/ilink.h"
 
 #include <functional>
@@ -44,13 +45,15 @@
 
 private:
     struct Agent {
+        Agent();
+
         catalog::InstanceId instance;
         std::shared_ptr<wire::ILink> link;
         bool isHeard = false;
         framework::SteadyTime heardAt {};
         framework::SteadyTime toldAt {};
         framework::Deadline connectAt;
-        std::uint32_t failures = 0;
+        objectstore::Backoff pauses;
         catalog::WantedList wanted;
         std::string told;
     };
--- a/src/direct/internal/directagent.cpp
+++ b/src/direct/internal/directagent.cpp
@@ -1,11 +1,11 @@
 #include "direct/directagent.h"
 
+#include "direct/internal/links.h"
 #include "direct/internal/plainviews.h"
 #include "direct/internal/routerlinks.h"
 #include "engines/enginekeeper.h"
 #include "framework/decisionlog.h"
 #include "http/exchangeserver.h"
-#include "wire/linktransport.h"
 
 namespace lagoon::direct {
 
@@ -17,13 +17,6 @@
 
 constexpr Milliseconds housekeepingEach { 1000 };
 
-wire::LinkSettings linkSettings()
-{
-    wire::LinkSettings settings;
-    settings.threads = 1;
-    return settings;
-}
-
 } // namespace
 
 class DirectAgent::Implementation {
@@ -31,7 +24,7 @@
     Implementation(const DirectAgentPorts& ports, const DirectAgentSettings& settings)
         : ports_(ports)
         , settings_(settings)
-        , transport_(wire::makeTcpLinkTransport(linkSettings(), ports.metrics))
+        , transport_(makeLinks(ports.metrics))
         , keeper_(keeperContext(), engines::KeeperSettings { settings.identity.vm, settings.service, settings.engine })
         , links_(linksContext())
         , metricsView_(ports.metrics)
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -2,11 +2,11 @@
 
 #include "direct/internal/agentlinks.h"
 #include "direct/internal/catalogwatch.h"
+#include "direct/internal/links.h"
 #include "direct/internal/plainviews.h"
 #include "forwarding/forwarder.h"
 #include "framework/decisionlog.h"
 #include "http/exchangeserver.h"
-#include "wire/linktransport.h"
 
 #include <future>
 #include <thread>
@@ -27,13 +27,6 @@
 /// Left of the grace period when the last requests are given up, so that their callers still see the connection end.
 constexpr Milliseconds endBefore { 400 };
 
-wire::LinkSettings linkSettings()
-{
-    wire::LinkSettings settings;
-    settings.threads = 1;
-    return settings;
-}
-
 forwarding::ForwarderSettings forwarderSettings(const DirectRouterSettings& settings)
 {
     return { settings.identity.failureDomain, settings.repeatShare, settings.repeatReserve };
@@ -51,7 +44,7 @@
     Implementation(const DirectRouterPorts& ports, const DirectRouterSettings& settings)
         : ports_(ports)
         , settings_(settings)
-        , transport_(wire::makeTcpLinkTransport(linkSettings(), ports.metrics))
+        , transport_(makeLinks(ports.metrics))
         , forwarder_(forwarderContext(), forwarderSettings(settings))
         , links_(linksContext())
         , catalog_(catalogContext())
--- a/src/direct/internal/routerlinks.cpp
+++ b/src/direct/internal/routerlinks.cpp
@@ -1,6 +1,7 @@
 #include "direct/internal/routerlinks.h"
 
 #include "direct/internal/enginewire.h"
+#include "direct/internal/links.h"
 #include "framework/decisionlog.h"
 
 #include <algorithm>
@@ -25,22 +26,10 @@
 
 wire::LinkHandlers RouterLinks::handlers()
 {
-    const auto toControl = [this, alive = std::weak_ptr<int>(alive_)](auto action) {
-        context_.control.post([alive, action = std::move(action)] {
-            if (!alive.expired())
-                action();
-        });
-    };
-    wire::LinkHandlers handlers;
-    handlers.onMessage = [this, toControl](const std::shared_ptr<wire::ILink>& link, wire::Message message) {
-        toControl([this, link, message = std::make_shared<wire::Message>(std::move(message))] {
-            didReceive(link, *message);
-        });
-    };
-    handlers.onClosed = [this, toControl](const std::shared_ptr<wire::ILink>& link, const framework::Error&) {
-        toControl([this, link] { didClose(link); });
-    };
-    return handlers;
+    LinkEvents events;
+    events.didReceive = [this](const auto& link, const wire::Message& message) { didReceive(link, message); };
+    events.didClose = [this](const auto& link, const framework::Error&) { didClose(link); };
+    return onControl(context_.control, alive_, std::move(events));
 }
 
 void RouterLinks::didReceive(const std::shared_ptr<wire::ILink>& link, const wire::Message& message)
--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -1,5 +1,6 @@
 #include "engines/placementplan.h"
 
+#include "catalog/modelweights.h"
 #include "policy/modelcopies.h"
 
 #include <algorithm>
@@ -35,18 +36,6 @@
 /// While an order is under way whose end isn't known, as after this process has started anew.
 constexpr Milliseconds unknownOrder { 1000 };
 
-bool isIn(const std::vector<ModelName>& names, const ModelName& name)
-{
-    return std::find(names.begin(), names.end(), name) != names.end();
-}
-
-const HeldModel* heldModel(const PlacementInput& input, const ModelName& name)
-{
-    const auto& held = input.report.held;
-    const auto found = std::find_if(held.begin(), held.end(), [&](const HeldModel& one) { return one.model == name; });
-    return found == held.end() ? nullptr : &*found;
-}
-
 Wanted wantedOf(const PlacementInput& input, const ModelTarget& target)
 {
     const auto found = input.wanted.find(target);
@@ -74,20 +63,11 @@
     return profile ? profile->adapterWeights : MegaBytes(0);
 }
 
-std::uint64_t sizeOf(const PlacementInput& input, const HeldModel& held)
-{
-    const ModelProfile* const profile = input.profile.find(held.model);
-    // A model that isn't in the profile any more still takes its place; which, nobody says, so nothing fits beside it.
-    if (!profile)
-        return input.profile.weights.value();
-    return profile->weights.value() + held.adapters.size() * profile->adapterWeights.value();
-}
-
 std::uint64_t usedWeights(const PlacementInput& input)
 {
     std::uint64_t used = 0;
     for (const HeldModel& held : input.report.held)
-        used += sizeOf(input, held);
+        used += catalog::weightsOf(input.profile, held).value();
     for (const ModelTarget& coming : input.report.comingAdapters)
         used += adapterSize(input, coming.model).value();
     return used;
@@ -108,13 +88,6 @@
 
 } // namespace
 
-Milliseconds loadTime(const ModelProfile& model, const catalog::AtHand& atHand)
-{
-    if (isIn(atHand.memory, model.name))
-        return model.loadFromMemory;
-    return isIn(atHand.disk, model.name) ? model.loadFromDisk : model.loadFromStore;
-}
-
 PlacementPlan::PlacementPlan(std::unique_ptr<policy::ILoadOrder> loadOrder)
     : loadOrder_(std::move(loadOrder))
 {
@@ -178,7 +151,7 @@
     for (const auto& [target, wanted] : input.wanted) {
         if (target.adapter.value().empty() || wanted.waiting == 0)
             continue;
-        const HeldModel* const model = heldModel(input, target.model);
+        const HeldModel* const model = catalog::findHeld(input.report.held, target.model);
         const auto& coming = input.report.comingAdapters;
         if (!model || model->has(target.adapter) || std::find(coming.begin(), coming.end(), target) != coming.end())
             continue;
@@ -217,7 +190,7 @@
     std::vector<Wanted> copies;
     std::vector<Wanted> prefetched;
     for (const auto& [target, wanted] : input.wanted) {
-        const bool isMissing = !heldModel(input, target.model) && loading_ != target.model;
+        const bool isMissing = !catalog::findHeld(input.report.held, target.model) && loading_ != target.model;
         if (!target.adapter.value().empty() || !isMissing || !input.profile.find(target.model))
             continue;
         if (wanted.waiting > 0)
@@ -241,7 +214,7 @@
         for (const Wanted& wanted : waited) {
             const ModelProfile& model = *input.profile.find(wanted.target.model);
             pending.push_back({ model.name.value(), wanted.earliest, wanted.waiting, waitingSince_.at(model.name),
-                loadTime(model, input.report.atHand), wanted.priority });
+                catalog::loadTime(model, input.report.atHand), wanted.priority });
         }
         const auto next = static_cast<std::ptrdiff_t>(*loadOrder_->next(pending, input.now));
         ordered.push_back(waited[static_cast<std::size_t>(next)]);
@@ -276,7 +249,7 @@
     std::uint32_t running = 0;
     for (const ModelName& victim : *victims)
         running += usesOf(input, victim);
-    soFar += loadTime(*input.profile.find(model), input.report.atHand) + unloadTime * victims->size()
+    soFar += catalog::loadTime(*input.profile.find(model), input.report.atHand) + unloadTime * victims->size()
         + (running > 0 ? runTime : Milliseconds(0));
     decision.expected.push_back({ model, soFar });
     if (!isFirst)
@@ -316,7 +289,7 @@
     std::sort(candidates.begin(), candidates.end());
     for (const auto& [isUsed, value, lastUsed, held] : candidates) {
         victims.push_back(held->model);
-        used -= std::min(used, sizeOf(input, *held));
+        used -= std::min(used, catalog::weightsOf(input.profile, *held).value());
         if (fits(input, used, needed))
             return victims;
     }
@@ -356,7 +329,7 @@
     const ModelProfile* const model = input.profile.find(order.target.model);
     if (!model)
         return;
-    const Milliseconds takes = loadTime(*model, input.report.atHand);
+    const Milliseconds takes = catalog::loadTime(*model, input.report.atHand);
     loading_ = model->name;
     loadsFromStore_ = takes == model->loadFromStore;
     loadedBy_ = Deadline::after(input.now, takes);
--- a/src/engines/placementplan.h
+++ b/src/engines/placementplan.h
@@ -76,7 +76,4 @@
     framework::Deadline loadedBy_;
 };
 
-/// How long a load takes from where the weights are.
-framework::Milliseconds loadTime(const catalog::ModelProfile&, const catalog::AtHand&);
-
 } // namespace lagoon::engines
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -1,10 +1,10 @@
 #include "forwarding/wantedplanner.h"
 
+#include "catalog/modelweights.h"
 #include "policy/modelcopies.h"
 #include "policy/rendezvous.h"
 
 #include <algorithm>
-#include <cmath>
 #include <optional>
 #include <tuple>
 
@@ -47,20 +47,11 @@
 /// what it says of a model ends as soon as it isn't asked any more.
 constexpr Milliseconds refusalHolds { 1500 };
 
-bool isIn(const std::vector<ModelName>& names, const ModelName& name)
-{
-    return std::find(names.begin(), names.end(), name) != names.end();
-}
-
-bool isHeld(const EngineFacts& engine, const ModelName& model)
-{
-    return engine.state->find(model) && !engine.state->isLeaving(model);
-}
-
 bool hasAtHand(const EngineFacts& engine, const ModelName& model)
 {
-    return engine.state->find(model) || engine.state->loading == model || isIn(engine.state->atHand.memory, model)
-        || isIn(engine.state->atHand.disk, model);
+    const EngineState& state = *engine.state;
+    return state.find(model) || state.loading == model || state.atHand.hasInMemory(model)
+        || state.atHand.hasOnDisk(model);
 }
 
 std::optional<Milliseconds> expectedAt(const EngineFacts& engine, const ModelName& model, framework::SteadyTime now)
@@ -75,13 +66,6 @@
     return std::nullopt;
 }
 
-Milliseconds loadTime(const EngineFacts& engine, const ModelProfile& model)
-{
-    if (isIn(engine.state->atHand.memory, model.name))
-        return model.loadFromMemory;
-    return isIn(engine.state->atHand.disk, model.name) ? model.loadFromDisk : model.loadFromStore;
-}
-
 /// Until the engine would have loaded the model, if it were asked now.
 Milliseconds loadCost(const EngineFacts& engine, const ModelProfile& model, framework::SteadyTime now)
 {
@@ -92,13 +76,7 @@
         if (other.within < catalog::cannotPlace)
             queue = std::max(queue, other.within);
     }
-    return queue + loadTime(engine, model);
-}
-
-std::uint32_t holdersOf(const std::vector<EngineFacts>& engines, const ModelName& model)
-{
-    return static_cast<std::uint32_t>(std::count_if(
-        engines.begin(), engines.end(), [&](const EngineFacts& engine) { return isHeld(engine, model); }));
+    return queue + catalog::loadTime(model, engine.state->atHand);
 }
 
 std::uint32_t loadersOf(const std::vector<EngineFacts>& engines, const ModelName& model)
@@ -114,19 +92,11 @@
     return found == input.engines.end() ? nullptr : &*found;
 }
 
-std::uint64_t sizeOf(const catalog::EngineProfile& profile, const catalog::HeldModel& held)
-{
-    const ModelProfile* const model = profile.find(held.model);
-    if (!model)
-        return profile.weights.value();
-    return model->weights.value() + held.adapters.size() * model->adapterWeights.value();
-}
-
 std::uint64_t usedWeights(const catalog::EngineProfile& profile, const EngineState& state)
 {
     std::uint64_t used = 0;
     for (const catalog::HeldModel& held : state.held)
-        used += sizeOf(profile, held);
+        used += catalog::weightsOf(profile, held).value();
     const ModelProfile* const loading = state.find(state.loading) ? nullptr : profile.find(state.loading);
     return used + (loading ? loading->weights.value() : 0);
 }
@@ -145,7 +115,7 @@
     for (const EngineFacts& engine : input.engines)
         lists_[engine.engine];
     forgetOrdersOfOtherEngines(input);
-    noteWork(input);
+    noteHeld(input);
     noteStoreLoads(input);
     noteRefusals(input);
     planHeld(input);
@@ -166,18 +136,27 @@
     orders_.clear();
 }
 
-/// How busy a model is comes from the agents, which hear it from all routers: one router alone sees too few requests.
-void WantedPlanner::noteWork(const PlannerInput& input)
+/// Who holds what, and how busy it is. That comes from the agents, which hear it from all routers: one router alone
+/// sees too few requests.
+void WantedPlanner::noteHeld(const PlannerInput& input)
 {
     workOfAll_.clear();
+    holders_.clear();
     for (const EngineFacts& engine : input.engines) {
         for (const catalog::HeldModel& held : engine.state->held) {
             double& work = workOfAll_[held.model];
             work = std::max(work, held.work);
+            holders_[held.model] += engine.state->isLeaving(held.model) ? 0 : 1;
         }
     }
 }
 
+std::uint32_t WantedPlanner::holdersOf(const ModelName& model) const
+{
+    const auto found = holders_.find(model);
+    return found == holders_.end() ? 0 : found->second;
+}
+
 void WantedPlanner::noteStoreLoads(const PlannerInput& input)
 {
     std::map<std::string, Milliseconds> loads;
@@ -194,7 +173,7 @@
 /// that all loads slow down together, and each of them comes too late.
 bool WantedPlanner::takeStorePlace(const EngineFacts& engine, const ModelProfile& model)
 {
-    if (engine.state->loading == model.name || loadTime(engine, model) < model.loadFromStore)
+    if (engine.state->loading == model.name || catalog::loadTime(model, engine.state->atHand) < model.loadFromStore)
         return true;
     if (storeLoadsLeft_ == 0)
         return false;
@@ -207,10 +186,11 @@
     const PlannerInput& input, const EngineFacts& engine, const ModelName& held, bool isWaitedFor) const
 {
     const double work = workOfAll_.at(held);
-    if (holdersOf(input.engines, held) > policy::wantedCopies(work))
+    const std::uint32_t holders = holdersOf(held);
+    if (holders > policy::wantedCopies(work))
         return 0;
     if (policy::isBusyModel(work))
-        return isWaitedFor && holdersOf(input.engines, held) > 1 ? std::optional(damageOfBusyCopy) : std::nullopt;
+        return isWaitedFor && holders > 1 ? std::optional(damageOfBusyCopy) : std::nullopt;
     const bool isElsewhere = std::any_of(input.engines.begin(), input.engines.end(),
         [&](const EngineFacts& other) { return other.engine != engine.engine && hasAtHand(other, held); });
     return (isElsewhere ? damageOfOtherCopy : damageOfOnlyCopy) + damagePerWork * work;
@@ -225,7 +205,7 @@
     std::vector<std::pair<double, std::uint64_t>> removable;
     for (const catalog::HeldModel& held : engine.state->held) {
         if (const auto damage = damageOf(input, engine, held.model, isWaitedFor))
-            removable.emplace_back(*damage, sizeOf(input.profile, held));
+            removable.emplace_back(*damage, catalog::weightsOf(input.profile, held).value());
     }
     std::sort(removable.begin(), removable.end());
     double damage = 0;
@@ -333,9 +313,7 @@
         least = cost;
     }
     Choice& choice = choices_[model->name];
-    const auto before = std::find_if(input.engines.begin(), input.engines.end(),
-        [&](const EngineFacts& engine) { return engine.engine == choice.engine; });
-    if (before != input.engines.end()) {
+    if (const EngineFacts* const before = factsOf(input, choice.engine)) {
         const bool isSilent = !expectedAt(*before, model->name, input.now) && input.now - choice.since > answerTime;
         if (!isSilent && costAt(*before) <= least + changeGain)
             return &choice.engine;
@@ -352,7 +330,7 @@
         if (!model || !policy::isBusyModel(work))
             continue;
         std::uint32_t missing = policy::wantedCopies(work);
-        missing -= std::min(missing, holdersOf(input.engines, name) + loadersOf(input.engines, name));
+        missing -= std::min(missing, holdersOf(name) + loadersOf(input.engines, name));
         // All that are missing at once: a load may take many seconds.
         for (const Endpoint& engine : cheapestFor(input, *model, missing)) {
             if (!takeStorePlace(*factsOf(input, engine), *model))
@@ -425,12 +403,11 @@
     const auto list = lists_.find(endpoint);
     if (list == lists_.end())
         return;
-    const auto engine = std::find_if(
-        input.engines.begin(), input.engines.end(), [&](const EngineFacts& facts) { return facts.engine == endpoint; });
+    const EngineFacts* const engine = factsOf(input, endpoint);
     const ModelName& model = wanted.target.model;
     wanted.work = workOf(input, model);
     wanted.rank = rankOf(input, model, endpoint);
-    wanted.holders = holdersOf(input.engines, model);
+    wanted.holders = holdersOf(model);
     const auto inFlight = engine->inFlight.find(wanted.target);
     wanted.inFlight = inFlight == engine->inFlight.end() ? 0 : inFlight->second;
     const auto same = std::find_if(
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -63,7 +63,8 @@
     };
 
     void forgetOrdersOfOtherEngines(const PlannerInput&);
-    void noteWork(const PlannerInput&);
+    void noteHeld(const PlannerInput&);
+    std::uint32_t holdersOf(const framework::ModelName&) const;
     void noteStoreLoads(const PlannerInput&);
     bool takeStorePlace(const EngineFacts&, const catalog::ModelProfile&);
     std::optional<double> damageOf(
@@ -91,6 +92,8 @@
     policy::StorePlaces storePlaces_;
     /// Of held models, over all routers.
     std::map<framework::ModelName, double> workOfAll_;
+    /// Engines that hold a model and go on holding it.
+    std::map<framework::ModelName, std::uint32_t> holders_;
     /// When an agent last said that it can't place a model.
     std::map<std::pair<framework::ModelName, framework::Endpoint>, framework::SteadyTime> refusals_;
     std::vector<framework::Endpoint> orderedEngines_;
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/callerconnection.h"
 
+#include "http/internal/messagereader.h"
 #include "http/internal/messagewriter.h"
 #include "http/internal/socketoptions.h"
 
@@ -22,14 +23,6 @@
 /// A caller whose machine has vanished holds its request's work no longer than this.
 constexpr Milliseconds callerSilence { 10000 };
 
-Headers headersOf(const beast::http::fields& fields)
-{
-    Headers headers;
-    for (const auto& field : fields)
-        headers.add(std::string(field.name_string()), std::string(field.value()));
-    return headers;
-}
-
 /// Guards against a request hidden in another one: a peer that reads the other framing than we do would see two
 /// requests where we saw one. Beast refuses a length beside chunks in most spellings, but takes one length twice.
 bool hasOneFraming(const Headers& headers)
--- a/src/http/internal/message.cpp
+++ b/src/http/internal/message.cpp
@@ -88,6 +88,12 @@
     return false;
 }
 
+bool isConnectionField(std::string_view name)
+{
+    return std::any_of(connectionFields.begin(), connectionFields.end(),
+        [name](std::string_view listed) { return isSameIgnoringCase(listed, name); });
+}
+
 void removeConnectionFields(Headers& headers)
 {
     std::vector<std::string> named;
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/tcpclientconnection.h"
 
 #include "framework/tcpendpoint.h"
+#include "http/internal/messagereader.h"
 #include "http/internal/messagewriter.h"
 #include "http/internal/socketoptions.h"
 
@@ -25,14 +26,6 @@
 /// Answers to earlier requests that are dropped before the connection is given up.
 constexpr unsigned mostDropped = 2;
 
-ResponseHead headOf(const beast::http::response_header<>& header)
-{
-    ResponseHead head { header.result_int(), std::string(header.reason()), {} };
-    for (const auto& field : header)
-        head.headers.add(std::string(field.name_string()), std::string(field.value()));
-    return head;
-}
-
 /// Of `timeout=5, max=100`.
 std::optional<Milliseconds> keepAliveTimeout(const Headers& headers)
 {
@@ -216,7 +209,8 @@
 
 void TcpClientConnection::deliverHead()
 {
-    const ResponseHead head = headOf(parser_->get().base());
+    const auto& header = parser_->get().base();
+    const ResponseHead head { header.result_int(), std::string(header.reason()), headersOf(header) };
     if (isInterim(head.status))
         return;
     keptFor_ = keepAliveTimeout(head.headers);
--- a/src/http/types/message.h
+++ b/src/http/types/message.h
@@ -54,7 +54,10 @@
     std::string body;
 };
 
-/// Removes what concerns one connection only (RFC 9110, 7.6.1), the fields that `Connection` names, and the framing,
+/// Whether a field of this name concerns one connection only (RFC 9110, 7.6.1), or frames the message on it.
+bool isConnectionField(std::string_view name);
+
+/// Removes what concerns one connection only, the fields that `Connection` names, and the framing,
 /// which whoever sends the message on sets anew.
 void removeConnectionFields(Headers&);
 
