Requests are refused at once while an engine's queue stays longer than the target

And a member's chat, which engines let in first, was thought to wait behind all reviews (expected 3,731 ms, came after 204). Change: policy::StandingQueue refuses what comes while arrivals have found the queue longer than the route's target latency for as long as that; a burst's queue is still served. What is expected after callers' patience is refused too. The forecast counts only what goes before the request. Retry-After is the time by which the queue is too long. Left: streams that begin in time and crawl, as reading prompts holds up each token.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -8,6 +8,7 @@
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
 #include "policy/retrybudget.h"
+#include "policy/standingqueue.h"
 
 #include <algorithm>
 #include <set>
@@ -129,6 +130,16 @@
     framework::Metrics& metrics() override { return *context_.metrics; }
     framework::SteadyTime now() const override { return context_.clock.now(); }
     bool spendRepeat(const ServiceName& service) override { return budget(service).spend(); }
+    bool isOverloaded(const JobTerms& terms, Milliseconds expected) override
+    {
+        const Milliseconds target = terms.route->targetLatency;
+        if (target.count() <= 0)
+            return false;
+        const bool isTooLate = now() + expected > terms.firstEventBy.at();
+        policy::StandingQueue& queue = queues_[{ terms.facts.model, terms.route->priority }];
+        return queue.didArrive(expected, target, now()) || isTooLate;
+    }
+
     void demandChanged() override { planSoon(planWithin); }
 
     void didEnd(const std::shared_ptr<RequestJob>& job) override
@@ -329,6 +340,8 @@
     std::set<std::shared_ptr<RequestJob>> jobs_;
     std::map<ServiceName, policy::RetryBudget> budgets_;
     ModelDemand demand_;
+    /// At the engines that hold a model, by the priority of those that queue.
+    std::map<std::pair<framework::ModelName, std::uint32_t>, policy::StandingQueue> queues_;
     /// Models for which a caller was refused and told when to come back: their loads go on being asked for until then,
     /// or the caller would find the same and be refused again.
     std::map<std::pair<ServiceName, framework::ModelName>, WaitingFor> comingBack_;
--- a/src/forwarding/internal/ijobhost.h
+++ b/src/forwarding/internal/ijobhost.h
@@ -15,6 +15,7 @@
 namespace lagoon::forwarding {
 
 class RequestJob;
+struct JobTerms;
 
 /// What a request needs of the forwarder that keeps it. Traffic thread only.
 class IJobHost {
@@ -29,6 +30,8 @@
 
     /// Spends one of the service's repeats; false: none is left.
     [[nodiscard]] virtual bool spendRepeat(const framework::ServiceName&) = 0;
+    /// Whether a request is to be refused, as it would be served too late where it would be served soonest.
+    [[nodiscard]] virtual bool isOverloaded(const JobTerms&, framework::Milliseconds expectedFirstEvent) = 0;
     /// What runs or waits for models has changed.
     virtual void demandChanged() = 0;
     /// The request has its final answer.
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -102,6 +102,8 @@
         return send(*search.chosen);
     if (search.reason == NoUpstream::NoneLeft)
         return refuse(503, lastCause_, jittered(soonAgain));
+    if (search.reason == NoUpstream::Overloaded)
+        return refuseAsOverloaded(search.expected);
     if (search.reason == NoUpstream::NoneReady)
         return refuse(503, "no server is ready", jittered(laterAgain));
 }
@@ -125,7 +127,7 @@
     sentTo_.insert(upstream.facts.instance);
     lastServer_ = upstream.facts.instance.value();
     logSend(chosen);
-    auto use = std::make_unique<UpstreamUse>(chosen.upstream, target(), chosen.newTokens);
+    auto use = std::make_unique<UpstreamUse>(chosen.upstream, target(), terms_.route->priority, chosen.newTokens);
     attempt_ = std::make_shared<UpstreamAttempt>(weak_from_this(), host_.dialect(), std::move(use), chosen.connection);
     // What the engine has read of a prompt is kept for the next one that begins alike.
     upstream.prompts.didSend(prompt_);
@@ -287,6 +289,13 @@
         jittered(std::max(soonAgain, soonest)));
 }
 
+void RequestJob::refuseAsOverloaded(Milliseconds expected)
+{
+    const Milliseconds tooLong = expected - terms_.route->targetLatency;
+    refuse(503, "engines overloaded, first event expected in " + std::to_string(expected.count()) + " ms",
+        jittered(std::max(soonAgain, tooLong)));
+}
+
 void RequestJob::breakOff(const std::string& cause)
 {
     exchange_->breakOff();
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -75,6 +75,7 @@
     void sendOnceMore(const std::string& cause, unsigned statusIfNot);
     void passOn(const http::ResponseHead&, std::string body, const char* outcome);
     void refuse(unsigned status, const std::string& cause, std::optional<framework::Milliseconds> retryAfter);
+    void refuseAsOverloaded(framework::Milliseconds expected);
     void breakOff(const std::string& cause);
     void didPassDeadline();
     void didLoseCaller();
--- a/src/forwarding/internal/serverchoice.cpp
+++ b/src/forwarding/internal/serverchoice.cpp
@@ -25,7 +25,7 @@
 
 double expectedMilliseconds(const EngineView& engine)
 {
-    const double waitingTokens = static_cast<double>(engine.ownStartingTokens) + engine.queued * assumedQueuedTokens;
+    const double waitingTokens = static_cast<double>(engine.ownTokensAhead) + engine.queuedAhead * assumedQueuedTokens;
     double expected = (waitingTokens + static_cast<double>(engine.newTokens)) / promptTokensPerMillisecond;
     expected += millisecondsPerRunning * engine.running;
     expected += millisecondsPerAffinityRank * engine.affinityRank;
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -84,7 +84,7 @@
     }
 
 private:
-    static UpstreamSearch failed(NoUpstream reason) { return { std::nullopt, reason, {} }; }
+    static UpstreamSearch failed(NoUpstream reason) { return { std::nullopt, reason, {}, {} }; }
 
     UpstreamSearch amongServers(std::vector<UpstreamPointer> candidates)
     {
@@ -94,7 +94,7 @@
                 views.push_back(viewOf(*server));
             const auto index = *chooseServer(views, framework::randomFraction());
             if (auto chosen = connect(candidates[index], candidates.size()))
-                return { std::move(chosen), {}, {} };
+                return { std::move(chosen), {}, {}, {} };
             candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(index));
         }
         return failed(NoUpstream::AllConnectionsTaken);
@@ -155,10 +155,15 @@
             for (const UpstreamPointer& engine : holders)
                 views.push_back(viewOf(*engine, placeOf(order, *engine)));
             const auto choice = chooseEngine(views);
+            if (past_.sentTo.empty() && host_.isOverloaded(terms_, choice->expected)) {
+                UpstreamSearch search = failed(NoUpstream::Overloaded);
+                search.expected = choice->expected;
+                return search;
+            }
             if (auto chosen = connect(holders[choice->index], candidates)) {
                 chosen->newTokens = views[choice->index].newTokens;
                 chosen->expected = choice->expected;
-                return { std::move(chosen), {}, {} };
+                return { std::move(chosen), {}, {}, {} };
             }
             holders.erase(holders.begin() + static_cast<std::ptrdiff_t>(choice->index));
         }
@@ -172,11 +177,16 @@
         if (const HeardState* const heard = host_.upstreams().state(engine, now_)) {
             view.running = heard->state.running;
             view.queued = heard->state.queued;
+            // The most urgent are let in at once, so what waits there is less urgent.
+            view.queuedAhead = terms_.route->priority == 0 ? 0 : heard->state.queued;
             view.usedTokens = heard->state.usedMemory.value();
             view.totalTokens = heard->state.memory.value();
         }
         view.ownStarting = engine.starting;
-        view.ownStartingTokens = engine.startingTokens;
+        for (const auto& [priority, tokens] : engine.startingTokens) {
+            view.ownStartingTokens += tokens;
+            view.ownTokensAhead += priority <= terms_.route->priority ? tokens : 0;
+        }
         const std::uint64_t prompt = terms_.facts.promptTokens.value();
         view.newTokens = prompt - std::min<std::uint64_t>(prompt, engine.prompts.kept(prompt_));
         view.memoryTokens = prompt + terms_.facts.mostOutputTokens.value();
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -30,6 +30,7 @@
     NotLoaded, ///< no engine has the model
     AdapterNotLoaded, ///< an engine has the model, but none the adapter
     AllConnectionsTaken,
+    Overloaded, ///< the queue at each engine that has the model is too long, and stays so
 };
 
 struct UpstreamSearch {
@@ -37,6 +38,8 @@
     NoUpstream reason = NoUpstream::NoneReady;
     /// For `AdapterNotLoaded`: the engine that should load it.
     framework::Endpoint adapterAt;
+    /// For `Overloaded`: the shortest time to the first event.
+    framework::Milliseconds expected { 0 };
 };
 
 /// What the search has to know of the request's past.
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -28,9 +28,9 @@
     std::uint32_t inFlight = 0;
     /// By what runs there.
     std::map<catalog::ModelTarget, std::uint32_t> inFlightByTarget;
-    /// Requests without their first event, and the prompt tokens that they need read.
+    /// Requests without their first event, and the prompt tokens that they need read, by the route's priority.
     std::uint32_t starting = 0;
-    std::uint64_t startingTokens = 0;
+    std::map<std::uint32_t, std::uint64_t> startingTokens;
 };
 
 using UpstreamPointer = std::shared_ptr<UpstreamRecord>;
--- a/src/forwarding/internal/upstreamuse.cpp
+++ b/src/forwarding/internal/upstreamuse.cpp
@@ -4,14 +4,16 @@
 
 namespace lagoon::forwarding {
 
-UpstreamUse::UpstreamUse(UpstreamPointer upstream, catalog::ModelTarget target, std::uint64_t newTokens)
+UpstreamUse::UpstreamUse(
+    UpstreamPointer upstream, catalog::ModelTarget target, std::uint32_t priority, std::uint64_t newTokens)
     : upstream_(std::move(upstream))
     , target_(std::move(target))
+    , priority_(priority)
     , newTokens_(newTokens)
 {
     ++upstream_->inFlight;
     ++upstream_->starting;
-    upstream_->startingTokens += newTokens_;
+    upstream_->startingTokens[priority_] += newTokens_;
     if (!target_.model.value().empty())
         ++upstream_->inFlightByTarget[target_];
 }
@@ -30,7 +32,7 @@
     if (!std::exchange(isStarting_, false))
         return;
     --upstream_->starting;
-    upstream_->startingTokens -= newTokens_;
+    upstream_->startingTokens[priority_] -= newTokens_;
 }
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamuse.h
+++ b/src/forwarding/internal/upstreamuse.h
@@ -10,7 +10,7 @@
 /// One request's part in the counts of a server, for as long as it is under way there.
 class UpstreamUse {
 public:
-    UpstreamUse(UpstreamPointer, catalog::ModelTarget, std::uint64_t newTokens);
+    UpstreamUse(UpstreamPointer, catalog::ModelTarget, std::uint32_t priority, std::uint64_t newTokens);
     ~UpstreamUse();
     UpstreamUse(const UpstreamUse&) = delete;
     UpstreamUse& operator=(const UpstreamUse&) = delete;
@@ -22,6 +22,7 @@
 private:
     UpstreamPointer upstream_;
     catalog::ModelTarget target_;
+    std::uint32_t priority_;
     std::uint64_t newTokens_;
     bool isStarting_ = true;
 };
--- a/src/forwarding/serverchoice.h
+++ b/src/forwarding/serverchoice.h
@@ -33,9 +33,13 @@
     std::uint32_t queued = 0;
     std::uint64_t usedTokens = 0;
     std::uint64_t totalTokens = 0;
-    /// This router's requests there that haven't brought their first event, and the prompt tokens that they need read.
+    /// Of `queued`, those that go before this request.
+    std::uint32_t queuedAhead = 0;
+    /// This router's requests there that haven't brought their first event, and the prompt tokens that they need read:
+    /// of all of them, and of those that go before this request.
     std::uint32_t ownStarting = 0;
     std::uint64_t ownStartingTokens = 0;
+    std::uint64_t ownTokensAhead = 0;
     /// Prompt tokens of this request that it would have to read.
     std::uint64_t newTokens = 0;
     /// All tokens that this request will take up there.
--- a/src/forwarding/tests/choices_test.cpp
+++ b/src/forwarding/tests/choices_test.cpp
@@ -58,9 +58,9 @@
     EngineView fresh;
     fresh.newTokens = 9190;
     fresh.affinityRank = 1;
-    keeps.ownStartingTokens = 5000;
+    keeps.ownTokensAhead = 5000;
     BOOST_TEST(chooseEngine({ fresh, keeps })->index == 1U);
-    keeps.ownStartingTokens = 12000;
+    keeps.ownTokensAhead = 12000;
     BOOST_TEST(chooseEngine({ fresh, keeps })->index == 0U);
 }
 
@@ -73,6 +73,7 @@
     EngineView busy;
     busy.totalTokens = 260000;
     busy.ownStartingTokens = 50000;
+    busy.ownTokensAhead = 50000;
     BOOST_TEST(chooseEngine({ full, busy })->index == 1U);
     BOOST_TEST(!chooseEngine({}));
 }
--- /dev/null
+++ b/src/policy/tests/standingqueue_test.cpp
@@ -0,0 +1,99 @@
+#include "policy/standingqueue.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+namespace lagoon::policy {
+
+namespace {
+
+using framework::Milliseconds;
+using framework::SteadyTime;
+
+/// An engine that reads one prompt after the other, as for reviews whose shared parts it keeps: 130 ms each, so 7.7 a
+/// second. Callers leave after 4.8 s; an answer is in time within 0.8 s.
+class Load {
+public:
+    explicit Load(bool refuses)
+        : refuses_(refuses)
+    {
+    }
+
+    void offer(int perSecond, Milliseconds lasts)
+    {
+        const Milliseconds between(1000 / perSecond);
+        for (Milliseconds offered(0); offered < lasts; offered += between) {
+            arrive();
+            now_ += between;
+        }
+    }
+
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+
+private:
+    void arrive()
+    {
+        const Milliseconds wait = std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(freeAt_ - now_));
+        const Milliseconds expected = wait + reading;
+        if ((refuses_ && queue_.didArrive(expected, target, now_)) || expected > patience) {
+            ++refused;
+            return;
+        }
+        freeAt_ = now_ + expected;
+        ++(expected <= target ? inTime : late);
+    }
+
+    static constexpr Milliseconds reading { 130 };
+    static constexpr Milliseconds target { 800 };
+    static constexpr Milliseconds patience { 4800 };
+    bool refuses_;
+    StandingQueue queue_;
+    SteadyTime now_ { std::chrono::hours(1) };
+    SteadyTime freeAt_ {};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StandingQueues)
+
+// Demand moved to a model that one engine held. For the eight seconds until others had it, 20 reviews a second came
+// where 7.7 can be read; all queued, so that after two seconds none began in time, and many ended at their deadline.
+BOOST_AUTO_TEST_CASE(underMoreThanItCanDoAnEngineServesAsManyAndMostInTime)
+{
+    Load queueing(false);
+    queueing.offer(20, Milliseconds(8000));
+    Load refusing(true);
+    refusing.offer(20, Milliseconds(8000));
+    BOOST_TEST(queueing.inTime < 15);
+    BOOST_TEST(refusing.inTime > 40);
+    BOOST_TEST(refusing.inTime + refusing.late > 60);
+}
+
+// Twenty reviews came at once and then no more than usual. All of them are served, late or not: the queue they leave is
+// gone in two seconds, sooner than callers who were refused would have come back.
+BOOST_AUTO_TEST_CASE(whatABurstLeavesBehindIsServed)
+{
+    Load load(true);
+    load.offer(40, Milliseconds(500));
+    BOOST_TEST(load.refused == 0);
+    BOOST_TEST(load.inTime + load.late == 20);
+}
+
+BOOST_AUTO_TEST_CASE(aQueueThatNobodySawIsNotTakenForOneThatStayed)
+{
+    StandingQueue queue;
+    const SteadyTime now { std::chrono::hours(1) };
+    BOOST_TEST(!queue.didArrive(Milliseconds(900), Milliseconds(800), now));
+    BOOST_TEST(!queue.didArrive(Milliseconds(900), Milliseconds(800), now + Milliseconds(5000)));
+    BOOST_TEST(!queue.didArrive(Milliseconds(900), Milliseconds(800), now + Milliseconds(5500)));
+    BOOST_TEST(queue.didArrive(Milliseconds(900), Milliseconds(800), now + Milliseconds(5900)));
+    BOOST_TEST(!queue.didArrive(Milliseconds(700), Milliseconds(800), now + Milliseconds(6000)));
+    BOOST_TEST(queue.didArrive(Milliseconds(900), Milliseconds(800), now + Milliseconds(6100)));
+    BOOST_TEST(!queue.didArrive(Milliseconds(900), Milliseconds(800), now + Milliseconds(7000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::policy
