After a start demand is listened to before anything is fetched ahead, and its average isn't taken for full

The routers took the busy model for a rare one meanwhile: an average over three seconds holds a third of the demand after one. Change: ModelDemand::isKnown, and nothing is fetched ahead before; the average is divided by what it can hold since the first arrival. Tests, failing before: nothingIsFetchedAheadBeforeDemandIsKnown, demandIsKnownSoonAfterAStartUnderLoad.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -74,6 +74,7 @@
         : context_(std::move(context))
         , settings_(settings)
         , upstreams_(context_.traffic.context())
+        , demand_(context_.clock.now())
     {
     }
 
@@ -268,7 +269,7 @@
     void planFor(const catalog::Service& service)
     {
         PlannerInput input { *service.engine, upstreams_.engines(service.name, now()), waitingFor(service.name), {},
-            false, now() };
+            false, demand_.isKnown(now()), now() };
         for (const catalog::ModelProfile& model : service.engine->models) {
             const double work = demand_.work(model.name, now());
             if (work > 0)
--- a/src/forwarding/internal/modeldemand.cpp
+++ b/src/forwarding/internal/modeldemand.cpp
@@ -12,6 +12,13 @@
 /// follows no faster asks for it when the requests are late already. A shorter one would see chance.
 constexpr double fadeSeconds = 3;
 
+/// An average of less time than this says more of chance than of demand.
+constexpr double leastSeconds = 1;
+/// Callers who go on asking while a process starts are heard within this.
+constexpr framework::Milliseconds quietStart { 1500 };
+/// Until then the average holds four fifths of what it will.
+constexpr framework::Milliseconds listening { 5000 };
+
 double faded(double value, framework::SteadyTime since, framework::SteadyTime now)
 {
     return value * std::exp(-std::max(0.0, Seconds(now - since).count()) / fadeSeconds);
@@ -21,6 +28,8 @@
 
 void ModelDemand::didArrive(const framework::ModelName& model, framework::Milliseconds work, framework::SteadyTime now)
 {
+    if (!firstArrival_)
+        firstArrival_ = now;
     Average& average = averages_[model];
     average.perSecond = faded(average.perSecond, average.at, now) + Seconds(work).count() / fadeSeconds;
     average.at = now;
@@ -29,7 +38,20 @@
 double ModelDemand::work(const framework::ModelName& model, framework::SteadyTime now) const
 {
     const auto found = averages_.find(model);
-    return found == averages_.end() ? 0 : faded(found->second.perSecond, found->second.at, now);
+    if (found == averages_.end())
+        return 0;
+    // The average has been filling since the first arrival only. Taken as it is, a router that has just started knows
+    // a third of the demand after a second, and the copies that a busy model needs are loaded seconds too late.
+    const double listened = std::max(leastSeconds, Seconds(now - *firstArrival_).count());
+    return faded(found->second.perSecond, found->second.at, now) / (1 - std::exp(-listened / fadeSeconds));
+}
+
+bool ModelDemand::isKnown(framework::SteadyTime now) const
+{
+    if (now - startedAt_ < quietStart)
+        return false;
+    const bool startedUnderLoad = firstArrival_ && *firstArrival_ - startedAt_ < quietStart;
+    return !startedUnderLoad || now - startedAt_ >= listening;
 }
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -405,9 +405,12 @@
 
 /// A model that no engine has at hand costs its first caller a load from the store, mostly longer than callers find
 /// acceptable. So each is fetched once while nobody waits for it, a few at a time, and some a second time.
+///
+/// Guards against fetching ahead before demand is known: after a loss of power everywhere an engine was six seconds
+/// busy with a model that nobody asked for, which had the only copy on disk of the one that all asked for.
 void WantedPlanner::planPrefetch(const PlannerInput& input)
 {
-    if (!input.isComplete)
+    if (!input.isComplete || !input.isDemandKnown)
         return;
     std::vector<std::tuple<std::size_t, std::uint64_t, const ModelProfile*>> missing;
     for (const ModelProfile& model : input.profile.models) {
--- a/src/forwarding/modeldemand.h
+++ b/src/forwarding/modeldemand.h
@@ -3,6 +3,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 
+#include <optional>
 #include <unordered_map>
 
 namespace lagoon::forwarding {
@@ -11,10 +12,18 @@
 /// moves from model to model during a day.
 class ModelDemand {
 public:
+    explicit ModelDemand(framework::SteadyTime startedAt)
+        : startedAt_(startedAt)
+    {
+    }
+
     /// `work` is the engine's time that the request takes by itself.
     void didArrive(const framework::ModelName&, framework::Milliseconds work, framework::SteadyTime now);
     /// Part of one engine's time, 0 for models that nobody asks for.
     double work(const framework::ModelName&, framework::SteadyTime now) const;
+    /// Whether what hasn't been asked for is really not in demand. A process that starts while its callers go on asking
+    /// has to listen first; one that nobody asks anything may take it that nobody will at once.
+    bool isKnown(framework::SteadyTime now) const;
 
 private:
     struct Average {
@@ -22,6 +31,8 @@
         framework::SteadyTime at {};
     };
 
+    framework::SteadyTime startedAt_;
+    std::optional<framework::SteadyTime> firstArrival_;
     std::unordered_map<framework::ModelName, Average> averages_;
 };
 
--- a/src/forwarding/tests/choices_test.cpp
+++ b/src/forwarding/tests/choices_test.cpp
@@ -118,7 +118,7 @@
 
 BOOST_AUTO_TEST_CASE(demandIsTheWorkOfTheLastSeconds)
 {
-    ModelDemand demand;
+    ModelDemand demand(start);
     const ModelName model("m");
     SteadyTime now = start;
     for (int request = 0; request < 200; ++request) {
@@ -132,6 +132,29 @@
     BOOST_TEST(demand.work(ModelName("none"), now) == 0);
 }
 
+// All routers started anew under load. For three seconds each took a busy model for a rare one, and nobody asked for
+// the copies that it needed.
+BOOST_AUTO_TEST_CASE(demandIsKnownSoonAfterAStartUnderLoad)
+{
+    ModelDemand demand(start);
+    const ModelName model("m");
+    for (Milliseconds at(0); at < Milliseconds(1000); at += Milliseconds(100))
+        demand.didArrive(model, Milliseconds(20), start + at);
+    BOOST_TEST(demand.work(model, start + Milliseconds(1000)) > 0.17);
+    BOOST_TEST(demand.work(model, start + Milliseconds(1000)) < 0.23);
+}
+
+BOOST_AUTO_TEST_CASE(whatNobodyAsksForIsKnownOnlyAfterListening)
+{
+    ModelDemand calm(start);
+    BOOST_TEST(!calm.isKnown(start + Milliseconds(1000)));
+    BOOST_TEST(calm.isKnown(start + Milliseconds(2000)));
+    ModelDemand underLoad(start);
+    underLoad.didArrive(ModelName("m"), Milliseconds(20), start + Milliseconds(500));
+    BOOST_TEST(!underLoad.isKnown(start + Milliseconds(4000)));
+    BOOST_TEST(underLoad.isKnown(start + Milliseconds(6000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -39,7 +39,7 @@
 
     PlannerInput input() const
     {
-        PlannerInput made { profile, {}, waiting, work, true, now };
+        PlannerInput made { profile, {}, waiting, work, true, isDemandKnown, now };
         for (const EngineState& state : states)
             made.engines.push_back({ state.engine, &state, now, {} });
         return made;
@@ -67,6 +67,7 @@
     std::list<EngineState> states;
     std::vector<WaitingFor> waiting;
     std::map<ModelName, double> work;
+    bool isDemandKnown = true;
     SteadyTime now { std::chrono::hours(1) };
     WantedPlanner planner;
 };
@@ -244,6 +245,19 @@
     BOOST_TEST(asked("b").empty());
 }
 
+// All machines lost power. The one engine with a busy model's weights on its disk was asked at once to fetch a model
+// that nobody wanted, and could load the busy one only when that had ended, after seven seconds of overload elsewhere.
+BOOST_AUTO_TEST_CASE(nothingIsFetchedAheadBeforeDemandIsKnown)
+{
+    EngineState& only = engine("1", {});
+    for (const std::string name : { "a", "b", "c", "d", "e" })
+        only.atHand.disk.emplace_back(name);
+    isDemandKnown = false;
+    BOOST_TEST(asked("f").empty());
+    isDemandKnown = true;
+    BOOST_TEST(asked("f") == std::vector<std::string> { "1" });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -44,6 +44,8 @@
     std::map<framework::ModelName, double> work;
     /// Whether the agents of nearly all engines have been heard, so that a model that none has is really missing.
     bool isComplete = false;
+    /// Whether a model that nobody has asked for is really not in demand.
+    bool isDemandKnown = false;
     framework::SteadyTime now {};
 };
 
