The planner's view of engines, and what making room costs, are pieces of their own

Change, behaviour as before: enginefacts (what is known of an engine for a load) and RoomDamage (what is lost if models make way), each without the planner's state.

--- /dev/null
+++ b/src/forwarding/internal/enginefacts.cpp
@@ -0,0 +1,59 @@
+#include "forwarding/internal/enginefacts.h"
+
+#include "catalog/modelweights.h"
+
+#include <algorithm>
+
+namespace lagoon::forwarding {
+
+using catalog::EngineState;
+using catalog::ModelProfile;
+using framework::Endpoint;
+using framework::Milliseconds;
+using framework::ModelName;
+
+bool hasAtHand(const EngineFacts& engine, const ModelName& model)
+{
+    const EngineState& state = *engine.state;
+    return state.find(model) || state.loading == model || state.atHand.hasInMemory(model)
+        || state.atHand.hasOnDisk(model);
+}
+
+std::optional<Milliseconds> expectedAt(const EngineFacts& engine, const ModelName& model, framework::SteadyTime now)
+{
+    const auto age = std::chrono::duration_cast<Milliseconds>(now - engine.stateAt);
+    for (const EngineState::Expected& expected : engine.state->expected) {
+        if (expected.model != model)
+            continue;
+        return expected.within >= catalog::cannotPlace ? catalog::cannotPlace
+                                                       : std::max(Milliseconds(0), expected.within - age);
+    }
+    return std::nullopt;
+}
+
+Milliseconds loadCost(const EngineFacts& engine, const ModelProfile& model, framework::SteadyTime now)
+{
+    if (const auto expected = expectedAt(engine, model.name, now))
+        return *expected;
+    Milliseconds queue(0);
+    for (const EngineState::Expected& other : engine.state->expected) {
+        if (other.within < catalog::cannotPlace)
+            queue = std::max(queue, other.within);
+    }
+    return queue + catalog::loadTime(model, engine.state->atHand);
+}
+
+std::uint32_t loadersOf(const std::vector<EngineFacts>& engines, const ModelName& model)
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        engines.begin(), engines.end(), [&](const EngineFacts& engine) { return engine.state->loading == model; }));
+}
+
+const EngineFacts* factsOf(const std::vector<EngineFacts>& engines, const Endpoint& endpoint)
+{
+    const auto found = std::find_if(
+        engines.begin(), engines.end(), [&](const EngineFacts& engine) { return engine.engine == endpoint; });
+    return found == engines.end() ? nullptr : &*found;
+}
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/enginefacts.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "forwarding/wantedplanner.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace lagoon::forwarding {
+
+/// Whether the engine has the weights without the weight store, or is loading them.
+bool hasAtHand(const EngineFacts&, const framework::ModelName&);
+/// When the model will be there, from now, as the engine's agent said; nothing if it said nothing of it.
+std::optional<framework::Milliseconds> expectedAt(
+    const EngineFacts&, const framework::ModelName&, framework::SteadyTime now);
+/// Until the engine would have loaded the model, if it were asked now.
+framework::Milliseconds loadCost(const EngineFacts&, const catalog::ModelProfile&, framework::SteadyTime now);
+/// Engines that are loading the model.
+std::uint32_t loadersOf(const std::vector<EngineFacts>&, const framework::ModelName&);
+/// Null if there is none at the endpoint.
+const EngineFacts* factsOf(const std::vector<EngineFacts>&, const framework::Endpoint&);
+
+} // namespace lagoon::forwarding
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -1,6 +1,8 @@
 #include "forwarding/wantedplanner.h"
 
 #include "catalog/modelweights.h"
+#include "forwarding/internal/enginefacts.h"
+#include "forwarding/internal/roomdamage.h"
 #include "policy/modelcopies.h"
 #include "policy/policysetup.h"
 #include "policy/rendezvous.h"
@@ -24,15 +26,6 @@
 /// What it is worth to keep one rare model where it is, against the time of a load: those who ask for it next wait for
 /// its load instead.
 constexpr Milliseconds perDamage { 400 };
-/// A rare model that no other engine has at hand is missed more: the engine may not have room for it when it is asked
-/// for.
-constexpr double damageOfOnlyCopy = 1;
-constexpr double damageOfOtherCopy = 0.5;
-/// And one that is asked for more often: this for each part of an engine's time.
-constexpr double damagePerWork = 20;
-/// A busy model may lose one of several copies to a model that callers wait for, where the other way is a load from the
-/// store: its requests go to the other copies until another is made.
-constexpr double damageOfBusyCopy = 5;
 /// A model with so many adapters serves as many groups of callers, and grows busy more often than one with none. It is
 /// kept at hand on a second engine, since a copy from the store takes longer than its callers wait: in a day on which
 /// demand moved twice to such a model it made first events a second late for six seconds each time.
@@ -49,60 +42,6 @@
 /// what it says of a model ends as soon as it isn't asked any more.
 constexpr Milliseconds refusalHolds { 1500 };
 
-bool hasAtHand(const EngineFacts& engine, const ModelName& model)
-{
-    const EngineState& state = *engine.state;
-    return state.find(model) || state.loading == model || state.atHand.hasInMemory(model)
-        || state.atHand.hasOnDisk(model);
-}
-
-std::optional<Milliseconds> expectedAt(const EngineFacts& engine, const ModelName& model, framework::SteadyTime now)
-{
-    const auto age = std::chrono::duration_cast<Milliseconds>(now - engine.stateAt);
-    for (const EngineState::Expected& expected : engine.state->expected) {
-        if (expected.model != model)
-            continue;
-        return expected.within >= catalog::cannotPlace ? catalog::cannotPlace
-                                                       : std::max(Milliseconds(0), expected.within - age);
-    }
-    return std::nullopt;
-}
-
-/// Until the engine would have loaded the model, if it were asked now.
-Milliseconds loadCost(const EngineFacts& engine, const ModelProfile& model, framework::SteadyTime now)
-{
-    if (const auto expected = expectedAt(engine, model.name, now))
-        return *expected;
-    Milliseconds queue(0);
-    for (const EngineState::Expected& other : engine.state->expected) {
-        if (other.within < catalog::cannotPlace)
-            queue = std::max(queue, other.within);
-    }
-    return queue + catalog::loadTime(model, engine.state->atHand);
-}
-
-std::uint32_t loadersOf(const std::vector<EngineFacts>& engines, const ModelName& model)
-{
-    return static_cast<std::uint32_t>(std::count_if(
-        engines.begin(), engines.end(), [&](const EngineFacts& engine) { return engine.state->loading == model; }));
-}
-
-const EngineFacts* factsOf(const PlannerInput& input, const Endpoint& endpoint)
-{
-    const auto found = std::find_if(input.engines.begin(), input.engines.end(),
-        [&](const EngineFacts& engine) { return engine.engine == endpoint; });
-    return found == input.engines.end() ? nullptr : &*found;
-}
-
-std::uint64_t usedWeights(const catalog::EngineProfile& profile, const EngineState& state)
-{
-    std::uint64_t used = 0;
-    for (const catalog::HeldModel& held : state.held)
-        used += catalog::weightsOf(profile, held).value();
-    const ModelProfile* const loading = state.find(state.loading) ? nullptr : profile.find(state.loading);
-    return used + (loading ? loading->weights.value() : 0);
-}
-
 double workOf(const PlannerInput& input, const ModelName& model)
 {
     const auto found = input.work.find(model);
@@ -196,45 +135,6 @@
     return true;
 }
 
-/// What is lost if the held model makes way; nothing if it must not.
-std::optional<double> WantedPlanner::damageOf(
-    const PlannerInput& input, const EngineFacts& engine, const ModelName& held, bool isWaitedFor) const
-{
-    const double work = workOfAll_.at(held);
-    const std::uint32_t holders = holdersOf(held);
-    if (holders > policy::wantedCopies(work))
-        return 0;
-    if (policy::isBusyModel(work))
-        return isWaitedFor && holders > 1 ? std::optional(damageOfBusyCopy) : std::nullopt;
-    const bool isElsewhere = std::any_of(input.engines.begin(), input.engines.end(),
-        [&](const EngineFacts& other) { return other.engine != engine.engine && hasAtHand(other, held); });
-    return (isElsewhere ? damageOfOtherCopy : damageOfOnlyCopy) + damagePerWork * work;
-}
-
-/// Of making room for a model of this size; nothing if there can't be any.
-std::optional<double> WantedPlanner::damageOfRoom(
-    const PlannerInput& input, const EngineFacts& engine, const ModelProfile& model, bool isWaitedFor) const
-{
-    const std::uint64_t needed = model.weights.value();
-    std::uint64_t used = usedWeights(input.profile, *engine.state);
-    std::vector<std::pair<double, std::uint64_t>> removable;
-    for (const catalog::HeldModel& held : engine.state->held) {
-        if (const auto damage = damageOf(input, engine, held.model, isWaitedFor))
-            removable.emplace_back(*damage, catalog::weightsOf(input.profile, held).value());
-    }
-    std::sort(removable.begin(), removable.end());
-    double damage = 0;
-    for (const auto& [lost, size] : removable) {
-        if (used + needed <= input.profile.weights.value())
-            break;
-        used -= std::min(used, size);
-        damage += lost;
-    }
-    if (used + needed > input.profile.weights.value())
-        return std::nullopt;
-    return damage;
-}
-
 /// Time until the model would be there, and what else its load costs in terms of time; `cannotPlace` if there's no
 /// room.
 Milliseconds WantedPlanner::placingCost(
@@ -245,7 +145,7 @@
         return catalog::cannotPlace + byRank;
     if (expectedAt(engine, model.name, input.now))
         return loadCost(engine, model, input.now) + byRank;
-    const auto damage = damageOfRoom(input, engine, model, isWaitedFor);
+    const auto damage = RoomDamage(input, workOfAll_, holders_).ofRoom(engine, model, isWaitedFor);
     if (!damage)
         return catalog::cannotPlace + byRank;
     return loadCost(engine, model, input.now) + byRank
@@ -331,7 +231,7 @@
     if (!loader)
         return;
     const ModelProfile& model = *input.profile.find(waiting.target.model);
-    if (takeStorePlace(*factsOf(input, *loader), model))
+    if (takeStorePlace(*factsOf(input.engines, *loader), model))
         return add(input, *loader, wanted);
     heldBack_[model.name] = framework::Deadline::after(input.now, storeQueue_.add(model.loadFromStore));
 }
@@ -352,7 +252,7 @@
         least = cost;
     }
     Choice& choice = choices_[model->name];
-    if (const EngineFacts* const before = factsOf(input, choice.engine)) {
+    if (const EngineFacts* const before = factsOf(input.engines, choice.engine)) {
         const bool isSilent = !expectedAt(*before, model->name, input.now) && input.now - choice.since > answerTime;
         if (!isSilent && costAt(*before) <= least + changeGain)
             return &choice.engine;
@@ -372,7 +272,7 @@
         missing -= std::min(missing, holdersOf(name) + loadersOf(input.engines, name));
         // All that are missing at once: a load may take many seconds.
         for (const Endpoint& engine : cheapestFor(input, *model, missing)) {
-            if (!takeStorePlace(*factsOf(input, engine), *model))
+            if (!takeStorePlace(*factsOf(input.engines, engine), *model))
                 break;
             Wanted wanted;
             wanted.target.model = name;
@@ -426,7 +326,7 @@
         if (storeQueue_.freePlaces() <= taken.size())
             return;
         for (const Endpoint& engine : cheapestFor(input, *model, input.engines.size())) {
-            const bool isBusy = !factsOf(input, engine)->state->loading.value().empty()
+            const bool isBusy = !factsOf(input.engines, engine)->state->loading.value().empty()
                 || std::find(taken.begin(), taken.end(), engine) != taken.end();
             if (isBusy)
                 continue;
@@ -445,7 +345,7 @@
     const auto list = lists_.find(endpoint);
     if (list == lists_.end())
         return;
-    const EngineFacts* const engine = factsOf(input, endpoint);
+    const EngineFacts* const engine = factsOf(input.engines, endpoint);
     const ModelName& model = wanted.target.model;
     wanted.work = workOf(input, model);
     wanted.rank = rankOf(input, model, endpoint);
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -77,10 +77,6 @@
     void noteStoreLoads(const PlannerInput&);
     static bool needsStore(const EngineFacts&, const catalog::ModelProfile&);
     bool takeStorePlace(const EngineFacts&, const catalog::ModelProfile&);
-    std::optional<double> damageOf(
-        const PlannerInput&, const EngineFacts&, const framework::ModelName& held, bool isWaitedFor) const;
-    std::optional<double> damageOfRoom(
-        const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&, bool isWaitedFor) const;
     framework::Milliseconds placingCost(
         const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&, bool isWaitedFor);
     std::vector<framework::Endpoint> cheapestFor(const PlannerInput&, const catalog::ModelProfile&, std::size_t most);
