A load that callers come back for isn't asked for once its model is there; commands and queries apart

StandingQueue and the host's isOverloaded changed what they were asked about. Change: such a wish ends when an engine holds the model; didArrive and isStanding, didFindQueue and isOverloaded; searches are made by name. A request whose forecast is within the target is sent even if its caller's patience is nearly over.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -131,14 +131,21 @@
     framework::Metrics& metrics() override { return *context_.metrics; }
     framework::SteadyTime now() const override { return context_.clock.now(); }
     bool spendRepeat(const ServiceName& service) override { return budget(service).spend(); }
-    bool isOverloaded(const JobTerms& terms, Milliseconds expected) override
+
+    void didFindQueue(const JobTerms& terms, Milliseconds expected) override
+    {
+        queues_[{ terms.facts.model, terms.route->priority }].didArrive(expected, terms.route->targetLatency, now());
+    }
+
+    bool isOverloaded(const JobTerms& terms, Milliseconds expected) const override
     {
         const Milliseconds target = terms.route->targetLatency;
-        if (target.count() <= 0)
+        // Without a target there is nothing by which a queue could be too long.
+        if (target.count() <= 0 || expected <= target)
             return false;
-        const bool isTooLate = now() + expected > terms.firstEventBy.at();
-        policy::StandingQueue& queue = queues_[{ terms.facts.model, terms.route->priority }];
-        return queue.didArrive(expected, target, now()) || isTooLate;
+        const auto queue = queues_.find({ terms.facts.model, terms.route->priority });
+        const bool isStanding = queue != queues_.end() && queue->second.isStanding(target, now());
+        return isStanding || now() + expected > terms.firstEventBy.at();
     }
 
     void demandChanged() override { planSoon(planWithin); }
@@ -268,6 +275,7 @@
 
     void planFor(const catalog::Service& service)
     {
+        forgetServed(service.name);
         PlannerInput input { *service.engine, upstreams_.engines(service.name, now()), waitingFor(service.name), {},
             false, demand_.isKnown(now()), now() };
         for (const catalog::ModelProfile& model : service.engine->models) {
@@ -282,6 +290,17 @@
         context_.tellAgents(plan);
     }
 
+    /// Guards against a second load, elsewhere, of a model that is there by now for those who come back.
+    void forgetServed(const ServiceName& service)
+    {
+        const std::vector<UpstreamPointer> ready = upstreams_.ready(service);
+        std::erase_if(comingBack_, [&](const auto& entry) {
+            const bool isHeld = std::any_of(ready.begin(), ready.end(),
+                [&](const UpstreamPointer& engine) { return upstreams_.holds(*engine, entry.second.target, now()); });
+            return entry.first.first == service && isHeld;
+        });
+    }
+
     /// One line for each load that this router begins to ask for.
     void logAsked(
         const ServiceName& service, const std::map<Endpoint, catalog::WantedList>& plan, const PlannerInput& input)
--- a/src/forwarding/internal/ijobhost.h
+++ b/src/forwarding/internal/ijobhost.h
@@ -30,8 +30,10 @@
 
     /// Spends one of the service's repeats; false: none is left.
     [[nodiscard]] virtual bool spendRepeat(const framework::ServiceName&) = 0;
-    /// Whether a request is to be refused, as it would be served too late where it would be served soonest.
-    [[nodiscard]] virtual bool isOverloaded(const JobTerms&, framework::Milliseconds expectedFirstEvent) = 0;
+    /// A request found this shortest time to its first event, among the engines that hold its model.
+    virtual void didFindQueue(const JobTerms&, framework::Milliseconds expected) = 0;
+    /// Whether a request that finds it is to be refused rather than queued.
+    virtual bool isOverloaded(const JobTerms&, framework::Milliseconds expected) const = 0;
     /// What runs or waits for models has changed.
     virtual void demandChanged() = 0;
     /// The request has its final answer.
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -84,7 +84,26 @@
     }
 
 private:
-    static UpstreamSearch failed(NoUpstream reason) { return { std::nullopt, reason, {}, {} }; }
+    static UpstreamSearch found(ChosenUpstream&& chosen)
+    {
+        UpstreamSearch search;
+        search.chosen = std::move(chosen);
+        return search;
+    }
+
+    static UpstreamSearch failed(NoUpstream reason)
+    {
+        UpstreamSearch search;
+        search.reason = reason;
+        return search;
+    }
+
+    static UpstreamSearch overloaded(Milliseconds expected)
+    {
+        UpstreamSearch search = failed(NoUpstream::Overloaded);
+        search.expected = expected;
+        return search;
+    }
 
     UpstreamSearch amongServers(std::vector<UpstreamPointer> candidates)
     {
@@ -94,7 +113,7 @@
                 views.push_back(viewOf(*server));
             const auto index = *chooseServer(views, framework::randomFraction());
             if (auto chosen = connect(candidates[index], candidates.size()))
-                return { std::move(chosen), {}, {}, {} };
+                return found(std::move(*chosen));
             candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(index));
         }
         return failed(NoUpstream::AllConnectionsTaken);
@@ -155,15 +174,16 @@
             for (const UpstreamPointer& engine : holders)
                 views.push_back(viewOf(*engine, placeOf(order, *engine)));
             const auto choice = chooseEngine(views);
-            if (past_.sentTo.empty() && host_.isOverloaded(terms_, choice->expected)) {
-                UpstreamSearch search = failed(NoUpstream::Overloaded);
-                search.expected = choice->expected;
-                return search;
-            }
+            // What has been begun elsewhere isn't refused any more.
+            const bool isNew = past_.sentTo.empty();
+            if (isNew)
+                host_.didFindQueue(terms_, choice->expected);
+            if (isNew && host_.isOverloaded(terms_, choice->expected))
+                return overloaded(choice->expected);
             if (auto chosen = connect(holders[choice->index], candidates)) {
                 chosen->newTokens = views[choice->index].newTokens;
                 chosen->expected = choice->expected;
-                return { std::move(chosen), {}, {}, {} };
+                return found(std::move(*chosen));
             }
             holders.erase(holders.begin() + static_cast<std::ptrdiff_t>(choice->index));
         }
