An answer of the store that goes on coming is waited for

Meanwhile the store had four versions to tell, three with 1,450 routes. Each try was broken off after 0.7 s and the next began at the first byte; the router's link carries 10 Mbit/s. Change: at a call's deadline an answer whose bytes go on coming is waited for, up to 15 s; one that hasn't begun, or stops for 0.7 s, is given up as before. Ruled out: a longer time for each try (a store that is back would be noticed too late). Test, failing before: aLargeAnswerThatGoesOnComingIsWaitedFor; anAnswerThatStopsComingIsGivenUp.

--- a/src/http/callclient.h
+++ b/src/http/callclient.h
@@ -16,8 +16,8 @@
 /// the handler runs on the event thread.
 class CallClient {
 public:
-    /// Errors: `PlatformUnavailable` without a whole answer by the deadline, with `Execution::Unknown` unless it is
-    /// sure that no byte left.
+    /// Errors: `PlatformUnavailable` if by the deadline no answer has begun, or one that has begun stops coming, with
+    /// `Execution::Unknown` unless it is sure that no byte left.
     using Handler = std::function<void(framework::Result<Response>)>;
 
     CallClient(framework::EventThread&, const framework::Endpoint&, const ClientOptions& = {});
--- a/src/http/internal/callclient.cpp
+++ b/src/http/internal/callclient.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t mostConnections = 16;
 /// A page of the largest list there is.
 constexpr std::size_t mostAnswerBytes = 16 * 1024 * 1024;
+/// An answer of which nothing more has come for so long isn't on its way any more: links take some milliseconds.
+constexpr Milliseconds pieceTime { 700 };
+/// The largest answer over the slowest of today's links, 10 Mbit/s, shared with callers' requests.
+constexpr Milliseconds longestAnswer { 15000 };
 
 /// One call under way.
 class Call final : public IAnswerSink, public std::enable_shared_from_this<Call> {
@@ -33,10 +37,8 @@
         Deadline deadline)
     {
         connection_ = std::move(connection);
-        timer_ = thread.runAt(deadline, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->giveUp("no answer in time");
-        });
+        wholeBy_ = Deadline::after(deadline.at(), longestAnswer);
+        checkAt(thread, deadline);
         connection_->send(request, shared_from_this());
     }
 
@@ -82,12 +84,35 @@
     }
 
 private:
+    void checkAt(framework::EventThread& thread, Deadline deadline)
+    {
+        timer_ = thread.runAt(deadline, [weak = weak_from_this(), &thread] {
+            if (const auto self = weak.lock())
+                self->checkProgress(thread);
+        });
+    }
+
+    /// Guards against a large answer over a slow link that is broken off at the deadline and asked for again, from its
+    /// first byte each time: a router whose link carries 10 Mbit/s stayed without a new configuration for as long as
+    /// the store had several large ones to tell. What goes on coming is waited for.
+    void checkProgress(framework::EventThread& thread)
+    {
+        const framework::SteadyTime now = std::chrono::steady_clock::now();
+        const bool hasProgressed = response_.body.size() > seenBytes_;
+        if (!hasProgressed || wholeBy_.hasPassed(now))
+            return giveUp("no answer in time");
+        seenBytes_ = response_.body.size();
+        checkAt(thread, Deadline::after(now, pieceTime));
+    }
+
     std::string step_;
     framework::Endpoint peer_;
     CallClient::Handler handler_;
     std::shared_ptr<ClientConnection> connection_;
     std::unique_ptr<framework::Timer> timer_;
     Response response_;
+    std::size_t seenBytes_ = 0;
+    Deadline wholeBy_;
 };
 
 } // namespace
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -1,4 +1,5 @@
 #include "framework/eventthread.h"
+#include "http/callclient.h"
 #include "http/clientconnection.h"
 #include "http/connectionpool.h"
 
@@ -7,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <thread>
 
 namespace lagoon::http {
 
@@ -83,6 +85,7 @@
 struct Fixture {
     Fixture()
         : pool(thread.context(), server.endpoint(), ClientOptions {}, 4)
+        , client(thread, server.endpoint())
     {
     }
     ~Fixture() { thread.stop(); }
@@ -99,6 +102,19 @@
         return answer;
     }
 
+    /// A call that is to be answered within 150 ms, and has reached the server.
+    std::future<framework::Result<Response>> call(const std::string& target)
+    {
+        using framework::Milliseconds;
+        const auto deadline = framework::Deadline::after(std::chrono::steady_clock::now(), Milliseconds(150));
+        const auto answered = std::make_shared<std::promise<framework::Result<Response>>>();
+        client.call({ "GET", target, {}, {} }, deadline,
+            [answered](framework::Result<Response> answer) { answered->set_value(std::move(answer)); });
+        server.accept();
+        server.request();
+        return answered->get_future();
+    }
+
     std::size_t openConnections()
     {
         std::promise<std::size_t> open;
@@ -110,6 +126,7 @@
     RawServer server;
     framework::EventThread thread;
     ConnectionPool pool;
+    CallClient client;
 };
 
 const std::string kept = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=30\r\nContent-Length: 2\r\n\r\nok";
@@ -280,6 +297,30 @@
     BOOST_TEST(answer->head.status == 200U);
 }
 
+// A router with a slow link was 19 seconds behind with its configuration. The store told it four large versions in one
+// answer, which took longer than a call may; each try was broken off, and the next one began at the first byte.
+BOOST_AUTO_TEST_CASE(aLargeAnswerThatGoesOnComingIsWaitedFor)
+{
+    auto answered = call("/slow");
+    server.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    for (const std::string piece : { "a", "b", "c", "d", "e" }) {
+        server.send(piece);
+        std::this_thread::sleep_for(framework::Milliseconds(100));
+    }
+    const auto answer = answered.get();
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer.value().body == "abcde");
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerThatStopsComingIsGivenUp)
+{
+    auto answered = call("/stuck");
+    server.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+    const auto answer = answered.get();
+    BOOST_REQUIRE(answer.has_error());
+    BOOST_TEST(answer.error().detail == "no answer in time");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::http
