A plan reads the ready engines once; two tests begin their stream by one piece of code

Cause: reading the whole change again. planFor copied the list of ready engines twice, up to each 15 ms, and forgetServed looked through engines for models of other services before it looked at the service. exchangeserver_test set up the same stream twice. Change, behaviour as before: one list for both; the service first; ExchangeFixture::beginStreams. No assertion is changed.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -275,7 +275,8 @@
 
     void planFor(const catalog::Service& service)
     {
-        forgetServed(service.name);
+        const std::vector<UpstreamPointer> ready = upstreams_.ready(service.name);
+        forgetServed(service.name, ready);
         PlannerInput input { *service.engine, upstreams_.engines(service.name, now()), waitingFor(service.name), {},
             false, demand_.isKnown(now()), now() };
         for (const catalog::ModelProfile& model : service.engine->models) {
@@ -283,21 +284,19 @@
             if (work > 0)
                 input.work.emplace(model.name, work);
         }
-        const std::size_t ready = upstreams_.ready(service.name).size();
-        input.isComplete = !input.engines.empty() && input.engines.size() * 10 >= ready * 9;
+        input.isComplete = !input.engines.empty() && input.engines.size() * 10 >= ready.size() * 9;
         const auto plan = planners_[service.name].plan(input);
         logAsked(service.name, plan, input);
         context_.tellAgents(plan);
     }
 
     /// Guards against a second load, elsewhere, of a model that is there by now for those who come back.
-    void forgetServed(const ServiceName& service)
+    void forgetServed(const ServiceName& service, const std::vector<UpstreamPointer>& ready)
     {
-        const std::vector<UpstreamPointer> ready = upstreams_.ready(service);
         std::erase_if(comingBack_, [&](const auto& entry) {
-            const bool isHeld = std::any_of(ready.begin(), ready.end(),
-                [&](const UpstreamPointer& engine) { return upstreams_.holds(*engine, entry.second.target, now()); });
-            return entry.first.first == service && isHeld;
+            const auto holdsIt
+                = [&](const UpstreamPointer& engine) { return upstreams_.holds(*engine, entry.second.target, now()); };
+            return entry.first.first == service && std::any_of(ready.begin(), ready.end(), holdsIt);
         });
     }
 
--- a/src/http/tests/exchangefixture.h
+++ b/src/http/tests/exchangefixture.h
@@ -34,6 +34,16 @@
         done.get_future().wait();
     }
 
+    /// Requests are answered with a stream whose first piece is "first"; `kept` is the last one's.
+    void beginStreams(std::shared_ptr<IExchange>& kept)
+    {
+        onRequest = [&kept](const std::shared_ptr<IExchange>& exchange) {
+            kept = exchange;
+            exchange->beginAnswer(ok());
+            exchange->sendPiece("first");
+        };
+    }
+
     static ResponseHead ok() { return ResponseHead { 200, {}, {} }; }
     static std::string get(const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"; }
 
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -122,11 +122,7 @@
 BOOST_AUTO_TEST_CASE(aStreamLeavesPieceByPieceAndEndsWithItsLastChunk)
 {
     std::shared_ptr<IExchange> kept;
-    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
-        kept = exchange;
-        exchange->beginAnswer(ok());
-        exchange->sendPiece("first");
-    };
+    beginStreams(kept);
     RawCaller caller(endpoint);
     caller.send(get("/"));
     BOOST_TEST(caller.readUntil("5\r\nfirst\r\n"));
@@ -175,11 +171,7 @@
 BOOST_AUTO_TEST_CASE(aStreamThatBeganBeforeDrainingEndsItsConnectionToo)
 {
     std::shared_ptr<IExchange> kept;
-    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
-        kept = exchange;
-        exchange->beginAnswer(ok());
-        exchange->sendPiece("first");
-    };
+    beginStreams(kept);
     RawCaller caller(endpoint);
     caller.send(get("/"));
     BOOST_TEST(caller.readUntil("first"));
