What a direct process says last is written, and requests without an answer are named

Cause: the structured log is written by a thread of its own, and a direct process ends by _Exit without waiting for it.

Change: finishDecisionLog closes the queue and waits at most 150 ms for it; one `unanswered` line for each request that has no answer at the end: waiting, sent or streaming. No decision changes.

--- a/src/app/internal/directagentcommand.cpp
+++ b/src/app/internal/directagentcommand.cpp
@@ -6,8 +6,6 @@
 #include "platform/enginecalls.h"
 #include "platform/storecalls.h"
 
-#include <cstdlib>
-
 namespace lagoon::app {
 
 namespace {
@@ -31,9 +29,8 @@
     // Nothing that it is told changes while it runs.
     process.waitForEnd([](const direct::DirectAgentSettings&) { logDecision(framework::LogLine("reloaded")); });
     logDecision(framework::LogLine("stopped"));
-    std::cout.flush();
     // No request passes through it: what its engine does goes on, and the next agent takes it over.
-    std::_Exit(ExitSuccess);
+    Process::end();
 }
 
 class DirectAgentCommand final : public ICommand {
--- a/src/app/internal/directprocess.h
+++ b/src/app/internal/directprocess.h
@@ -8,8 +8,8 @@
 #include "framework/processsignal.h"
 #include "framework/types/error.h"
 
+#include <cstdlib>
 #include <functional>
-#include <iostream>
 #include <string>
 #include <vector>
 
@@ -18,6 +18,10 @@
 /// The settings file may change without a signal; reading a few hundred bytes this often costs nothing.
 inline constexpr framework::Milliseconds settingsCheckEach { 2000 };
 
+/// For the last lines of the log, at a process's end. Writing takes under a millisecond a line; a reader that doesn't
+/// read may not keep the process from ending in time.
+inline constexpr framework::Milliseconds lastLinesWithin { 150 };
+
 /// What the commands of direct processes have in common: `--settings FILE`, structured logs, checked settings, which
 /// are taken up anew on SIGHUP and when the file has changed.
 template <typename Settings> class DirectProcess {
@@ -61,6 +65,13 @@
         }
     }
 
+    /// Ends the process without waiting for its threads, whose work is over: the system closes what they hold.
+    [[noreturn]] static void end()
+    {
+        framework::finishDecisionLog(lastLinesWithin);
+        std::_Exit(ExitSuccess);
+    }
+
 private:
     framework::Result<Settings> read()
     {
--- a/src/app/internal/directroutercommand.cpp
+++ b/src/app/internal/directroutercommand.cpp
@@ -7,8 +7,6 @@
 #include "platform/requestdialect.h"
 #include "platform/storecalls.h"
 
-#include <cstdlib>
-
 namespace lagoon::app {
 
 namespace {
@@ -33,9 +31,7 @@
         return failProcess("direct-router", endpoints.error(), ExitFailure);
     process.waitForEnd([&](const direct::DirectRouterSettings& changed) { router.reload(changed); });
     router.drain();
-    std::cout.flush();
-    // All answers have left, or had no time any more; the system closes the rest.
-    std::_Exit(ExitSuccess);
+    Process::end();
 }
 
 class DirectRouterCommand final : public ICommand {
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -97,7 +97,11 @@
         ports_.traffic.post([this] { callers_.closeIdle(); });
         while (!last.hasPassed(ports_.clock.now()) && onTraffic([this] { return callers_.busyConnections(); }) > 0)
             std::this_thread::sleep_for(drainCheckEach);
-        logDecision(LogLine("stopped").number("cut", onTraffic([this] { return forwarder_.requests(); })));
+        const std::size_t unanswered = onTraffic([this] {
+            forwarder_.logUnanswered();
+            return forwarder_.requests();
+        });
+        logDecision(LogLine("stopped").number("unanswered", unanswered));
     }
 
 private:
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -49,6 +49,8 @@
     void forgetEngine(const framework::Endpoint&);
     /// Requests without a final answer.
     std::size_t requests() const;
+    /// A line for each of them: where it is, and for how long. For the end of the process.
+    void logUnanswered() const;
 
 private:
     class Implementation;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -124,6 +124,12 @@
     void forgetState(const Endpoint& engine) { upstreams_.forgetState(engine); }
     std::size_t requests() const { return jobs_.size(); }
 
+    void logUnanswered() const
+    {
+        for (const auto& job : jobs_)
+            job->logUnanswered();
+    }
+
     UpstreamTable& upstreams() override { return upstreams_; }
     const IRequestDialect& dialect() const override { return context_.dialect; }
     const ForwarderSettings& settings() const override { return settings_; }
@@ -401,4 +407,6 @@
 
 std::size_t Forwarder::requests() const { return implementation_->requests(); }
 
+void Forwarder::logUnanswered() const { implementation_->logUnanswered(); }
+
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -157,6 +157,19 @@
     logDecision(line);
 }
 
+void RequestJob::logUnanswered() const
+{
+    const char* const sentState = firstByteAt_ ? "streaming" : "sent";
+    logDecision(LogLine("unanswered")
+                    .text("id", terms_.facts.attempt)
+                    .text("route", terms_.route->name.value())
+                    .text("state", attempt_ ? sentState : "waiting")
+                    .flag("waits_for_load", isWaiting() && waitsForLoad_)
+                    .text("model", terms_.facts.model.value())
+                    .text("server", lastServer_)
+                    .number("waited_ms", waited(host_.now()).count()));
+}
+
 void RequestJob::didBeginStream(const http::ResponseHead& head)
 {
     // A stream that goes on at another server keeps the head of its first.
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -55,6 +55,7 @@
         return std::chrono::duration_cast<framework::Milliseconds>(now - exchange_->receivedAt());
     }
     bool mayHaveRun() const { return mayHaveRun_; }
+    void logUnanswered() const;
 
     // From the attempt under way.
     void didBeginStream(const http::ResponseHead&);
--- a/src/framework/decisionlog.h
+++ b/src/framework/decisionlog.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "framework/types/time.h"
+
 #include <concepts>
 #include <cstdint>
 #include <string>
@@ -39,5 +41,8 @@
 void startDecisionLog(std::string_view processName);
 /// Queues the line with the time of day; never waits. Without `startDecisionLog` it is dropped. From any thread.
 void logDecision(const LogLine&);
+/// Writes the lines that still wait, and takes no more. Returns once they are written, or after `within` if nobody
+/// reads standard output. Call once, last thing before the process ends.
+void finishDecisionLog(Milliseconds within);
 
 } // namespace lagoon::framework
--- a/src/framework/internal/decisionlog.cpp
+++ b/src/framework/internal/decisionlog.cpp
@@ -4,11 +4,13 @@
 #include <atomic>
 #include <cmath>
 #include <cstdio>
+#include <future>
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <thread>
 
 namespace lagoon::framework {
 
@@ -17,6 +19,13 @@
 /// Set once logging is configured; until then lines are dropped, so that unit tests print none.
 std::atomic<bool> isStarted { false };
 
+/// Holds the lines that wait to be written.
+log4cxx::AsyncAppenderPtr& lineQueue()
+{
+    static log4cxx::AsyncAppenderPtr queue;
+    return queue;
+}
+
 const log4cxx::LoggerPtr& decisionLogger()
 {
     static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("decision");
@@ -77,6 +86,7 @@
     queue->addAppender(console);
     log4cxx::BasicConfigurator::configure(queue);
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
+    lineQueue() = queue;
     isStarted = true;
 }
 
@@ -86,4 +96,20 @@
         LOG4CXX_INFO(decisionLogger(), line.json());
 }
 
+/// Guards against the loss of what a process says last, which is what tells how it ended: its queue is written by a
+/// thread that a process's end doesn't wait for. Closing the queue waits for the writer, which may wait for a reader
+/// that has stopped reading; so a thread of its own does it, and is left behind when the time is over.
+void finishDecisionLog(Milliseconds within)
+{
+    if (!isStarted.exchange(false))
+        return;
+    auto isWritten = std::make_shared<std::promise<void>>();
+    auto written = isWritten->get_future();
+    std::thread([isWritten, queue = lineQueue()] {
+        queue->close();
+        isWritten->set_value();
+    }).detach();
+    written.wait_for(within);
+}
+
 } // namespace lagoon::framework
--- a/tests/integration/direct_test.cpp
+++ b/tests/integration/direct_test.cpp
@@ -248,6 +248,7 @@
     BOOST_TEST(call({ .method = "GET", .target = "/get/1", .attempt = "g1" }).status == 200);
     BOOST_TEST(caller.readToEnd().ends_with("0\r\n\r\n"));
     BOOST_TEST(fleet.router().waitForExit() == 0);
+    BOOST_TEST(fleet.router().output().find("\"stopped\",\"unanswered\":0") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(aHangupReloadsTheSettings)
