Failing test: a request that waits when its router ends is closed without an answer

Cause, traced by the logs of planned work alone: a router that is told to end serves on for its grace period and then exits. A request whose model's load ends later than that, and whose own deadline is later still, has nothing that ends it before: its connection is closed by the exit.

Stand-ins: engines whose loads are accepted and don't end; the fleet states load time and grace period.

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -48,37 +48,18 @@
     throw std::runtime_error("no free port for agents");
 }
 
-CallerAnswer parse(const std::string& text)
-{
-    namespace http = boost::beast::http;
-    http::response_parser<http::string_body> parser;
-    parser.eager(true);
-    parser.body_limit(1ULL << 40);
-    boost::system::error_code error;
-    parser.put(boost::asio::buffer(text), error);
-    CallerAnswer answer;
-    if (!parser.is_header_done())
-        return answer;
-    answer.status = static_cast<int>(parser.get().result_int());
-    for (const auto& field : parser.get().base())
-        answer.headers[std::string(field.name_string())] = std::string(field.value());
-    answer.body = parser.get().body();
-    answer.isWhole = parser.is_done();
-    return answer;
-}
-
-value model(const std::string& name)
+value model(const std::string& name, framework::Milliseconds loadTime)
 {
     value json;
     json["name"] = value::string(name);
     json["weights-mb"] = value::number(50.5);
-    json["load-time-s"] = value::number(0.2);
+    json["load-time-s"] = value::number(static_cast<double>(loadTime.count()) / 1000);
     json["adapters"] = value::number(2);
     json["adapter-size-mb"] = value::number(1.5);
     return json;
 }
 
-value services()
+value services(framework::Milliseconds loadTime)
 {
     value engines;
     engines["name"] = value::string("engines");
@@ -88,7 +69,7 @@
     profile["max-adapters"] = value::number(3);
     profile["models"] = value::array();
     for (const std::string name : { "warm", "cold", "colder" })
-        profile["models"][profile["models"].size()] = model(name);
+        profile["models"][profile["models"].size()] = model(name, loadTime);
     engines["inference-engine"] = profile;
     value plain;
     plain["name"] = value::string("plain");
@@ -101,6 +82,25 @@
 
 } // namespace
 
+CallerAnswer parseAnswer(const std::string& text)
+{
+    namespace http = boost::beast::http;
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(1ULL << 40);
+    boost::system::error_code error;
+    parser.put(boost::asio::buffer(text), error);
+    CallerAnswer answer;
+    if (!parser.is_header_done())
+        return answer;
+    answer.status = static_cast<int>(parser.get().result_int());
+    for (const auto& field : parser.get().base())
+        answer.headers[std::string(field.name_string())] = std::string(field.value());
+    answer.body = parser.get().body();
+    answer.isWhole = parser.is_done();
+    return answer;
+}
+
 std::string CallerRequest::text() const
 {
     std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n";
@@ -172,7 +172,7 @@
     json["routes"] = value::array();
     for (const value& one : routes)
         json["routes"][json["routes"].size()] = one;
-    json["services"] = services();
+    json["services"] = services(loadTime_);
     json["a-field-of-tomorrow"] = value::boolean(true);
     store.put("config", "main", json);
 }
@@ -230,6 +230,7 @@
     settings["callers"] = value::string("127.0.0.1:0");
     settings["readiness"] = value::string("127.0.0.1:0");
     settings["agent_port"] = value::number(agentPort_);
+    settings["grace_ms"] = value::number(graceMs_);
     writeSettings(file, "direct-router", name, settings);
     routers_.resize(std::max(routers_.size(), index + 1));
     routers_[index].reset();
@@ -259,14 +260,14 @@
 {
     http::testing::RawCaller caller(framework::Endpoint(router().readyText("readiness")));
     caller.send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
-    return parse(caller.readToEnd()).status == 200;
+    return parseAnswer(caller.readToEnd()).status == 200;
 }
 
 CallerAnswer Fleet::call(const CallerRequest& request)
 {
     http::testing::RawCaller caller { framework::Endpoint(callers()) };
     caller.send(request.text());
-    return parse(caller.readToEnd());
+    return parseAnswer(caller.readToEnd());
 }
 
 } // namespace lagoon::fleet
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -2,6 +2,7 @@
 
 #include "fleet/serverstandins.h"
 #include "fleet/storestandin.h"
+#include "framework/types/time.h"
 #include "support/childprocess.h"
 #include "support/temporaryfolder.h"
 
@@ -22,6 +23,9 @@
     bool isWhole = false;
 };
 
+/// Of all that came on the connection.
+CallerAnswer parseAnswer(const std::string& received);
+
 /// How a caller asks.
 struct CallerRequest {
     std::string method = "POST";
@@ -65,6 +69,10 @@
     std::string callers(std::size_t index = 0) { return router(index).readyText("callers"); }
     /// Processes reach the store under this endpoint in place of its own, and callers' requests reach a server so.
     void setStoreEndpoint(const std::string& endpoint) { storeEndpoint_ = endpoint; }
+    /// For routers that start from now on: from the signal to end until they would be ended by force.
+    void setGrace(int milliseconds) { graceMs_ = milliseconds; }
+    /// What the next configurations say that a model's load takes.
+    void setLoadTime(framework::Milliseconds time) { loadTime_ = time; }
     void listAt(const ServerStandin&, const std::string& service, const std::string& endpoint,
         const std::string& state = "ready");
     /// Whether a `GET` at the router's readiness endpoint is answered 200.
@@ -87,6 +95,8 @@
     int agentPort_ = 0;
     int starts_ = 0;
     std::string storeEndpoint_;
+    int graceMs_ = 8000;
+    framework::Milliseconds loadTime_ { 200 };
     std::vector<std::unique_ptr<testsupport::ChildProcess>> agents_;
     std::vector<std::unique_ptr<testsupport::ChildProcess>> routers_;
 };
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -119,12 +119,23 @@
     return true;
 }
 
+/// With the lock held.
+void EngineStandin::endLoads()
+{
+    if (areLoadsHeld_)
+        return;
+    for (const std::string& model : loading_)
+        held_[model];
+    loading_.clear();
+}
+
 void EngineStandin::answerReport(Exchange& exchange)
 {
     std::unique_lock lock(mutex_);
+    endLoads();
     value report;
     report["phase"] = value::string("both");
-    report["busy"] = value::boolean(false);
+    report["busy"] = value::boolean(!loading_.empty());
     report["seq"] = value::number(static_cast<std::uint32_t>(orders_.load()));
     report["models"] = value::array();
     for (const auto& [model, adapters] : held_) {
@@ -164,7 +175,8 @@
     else if (!adapter.empty())
         held_[model].insert(adapter);
     else
-        held_[model];
+        loading_.insert(model);
+    endLoads();
     violations_ += held_.size() > engineRoom ? 1 : 0;
     lock.unlock();
     exchange.reply(202, "");
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -82,6 +82,8 @@
     int violations() const { return violations_; }
     /// Events of a stream, and the pause before each.
     void setStream(int events, int pauseMs);
+    /// Loads are accepted, and don't end while this is set.
+    void setLoadsHeld(bool areHeld) { areLoadsHeld_ = areHeld; }
     /// The next stream ends in the middle of its event of this number.
     void breakAfter(int event) { breakAfter_ = event; }
 
@@ -93,6 +95,7 @@
 private:
     void answerReport(standins::Exchange&);
     void answerOrder(standins::Exchange&);
+    void endLoads();
 
     mutable std::mutex mutex_;
     std::map<std::string, std::set<std::string>> held_;
@@ -102,6 +105,8 @@
     std::atomic<int> events_ { 3 };
     std::atomic<int> pauseMs_ { 1 };
     std::atomic<int> breakAfter_ { 0 };
+    std::atomic<bool> areLoadsHeld_ { false };
+    std::set<std::string> loading_;
 };
 
 /// Models that an engine stand-in has room for.
--- /dev/null
+++ b/tests/integration/routerend_test.cpp
@@ -0,0 +1,132 @@
+#include "fleet/fleet.h"
+#include "http/testing/rawcaller.h"
+#include "support/waitfor.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace lagoon::fleet;
+using lagoon::http::testing::RawCaller;
+using lagoon::testsupport::waitFor;
+
+namespace {
+
+/// For callers who wait longer for their first event than a load takes.
+web::json::value patientRoute()
+{
+    web::json::value route = Fleet::route("/model/", "streaming", "engines");
+    route["target-latency-ms"] = web::json::value::number(5000);
+    return route;
+}
+
+/// A router whose grace period is shorter than a load, before engines that are still loading when it is over.
+struct EndingRouter {
+    EndingRouter()
+    {
+        fleet.setGrace(4000);
+        fleet.setLoadTime(lagoon::framework::Milliseconds(6000));
+        fleet.configure({ patientRoute() });
+        fleet.start();
+        fleet.engine1.setLoadsHeld(true);
+        fleet.engine2.setLoadsHeld(true);
+    }
+    ~EndingRouter() { fleet.stop(); }
+
+    int orders() const { return fleet.engine1.orders() + fleet.engine2.orders(); }
+
+    void tellToEnd()
+    {
+        fleet.router().sendSignal(SIGTERM);
+        waitFor("the router to say that it isn't ready", [this] { return !fleet.isReady(); });
+    }
+
+    void send(RawCaller& caller, const std::string& attempt, const std::string& model)
+    {
+        caller.send(CallerRequest { .target = "/model/1", .attempt = attempt, .model = model }.text());
+    }
+
+    void waitUntilLoading(RawCaller& caller, const std::string& attempt)
+    {
+        const int before = orders();
+        send(caller, attempt, "cold");
+        waitFor("the model to be ordered", [&] { return orders() > before; });
+    }
+
+    /// A refusal that is whole, says that the request hasn't run, and when to come back.
+    void checkRefusedAsNotRun(RawCaller& caller, const std::string& attempt)
+    {
+        const CallerAnswer answer = parseAnswer(caller.readToEnd());
+        BOOST_TEST(answer.status == 503);
+        BOOST_TEST(answer.isWhole);
+        BOOST_TEST(answer.headers.contains("Retry-After"));
+        BOOST_TEST(fleet.engine1.runs(attempt) + fleet.engine2.runs(attempt) == 0);
+    }
+
+    void checkEnded()
+    {
+        BOOST_TEST(fleet.router().waitForExit() == 0);
+        BOOST_TEST(fleet.router().output().find("\"stopped\",\"unanswered\":0") != std::string::npos);
+    }
+
+    Fleet& fleet = Fleet::make();
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ARouterThatEndsAnswersAll, EndingRouter)
+
+// A hostmaster's review waited for its model when its router was told to end, as in a planned restart. The load took
+// longer than the router's grace period, and the review's deadline was later still. The router kept it, and at the end
+// closed its connection: neither an answer nor a refusal, so its caller couldn't know that it was free to ask
+// elsewhere. Cause: the end of the process was no deadline of the requests that it held. Shown by the router's log:
+// such requests had neither a `sent` nor an `ended` line, and all that were lost were `unanswered` as waiting for a
+// load.
+BOOST_AUTO_TEST_CASE(aRequestThatWaitsForALoadIsRefusedAsNotRun)
+{
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    waitUntilLoading(caller, "w1");
+    tellToEnd();
+    checkRefusedAsNotRun(caller, "w1");
+    checkEnded();
+}
+
+// As above for a review that came after the signal, in the seconds in which balancers haven't noticed yet.
+BOOST_AUTO_TEST_CASE(aRequestThatComesAfterTheSignalIsRefusedAsNotRun)
+{
+    tellToEnd();
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    send(caller, "l1", "cold");
+    checkRefusedAsNotRun(caller, "l1");
+    checkEnded();
+}
+
+// An engine had begun a stream and brought no event of it when its router ended. The caller, who had seen nothing at
+// all, found its connection closed. It may have run, so it gets the answer that says so.
+BOOST_AUTO_TEST_CASE(aStreamOfWhichNothingHasComeIsAnsweredAsUnknown)
+{
+    fleet.engine1.setStream(3, 60000);
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    send(caller, "s1", "warm");
+    waitFor("the engine to begin it", [&] { return fleet.engine1.runs("s1") == 1; });
+    tellToEnd();
+    const CallerAnswer answer = parseAnswer(caller.readToEnd());
+    BOOST_TEST(answer.status == 504);
+    BOOST_TEST(answer.isWhole);
+    checkEnded();
+}
+
+// A stream that is still under way at the end is broken off: what its caller has must not look whole.
+BOOST_AUTO_TEST_CASE(aStreamUnderWayIsBrokenOff)
+{
+    fleet.engine1.setStream(100000, 20);
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    send(caller, "b1", "warm");
+    BOOST_TEST(caller.readUntil("word1"));
+    tellToEnd();
+    const CallerAnswer answer = parseAnswer(caller.readToEnd());
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(!answer.isWhole);
+    checkEnded();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
