The end of a router is a deadline of the requests that wait there

Cause: a router that is told to end served on until just before its grace period was over and exited; only the caller's and the route's time bounded a request, so one whose load took longer had its connection closed by the exit.

Change: the end is a deadline of every request that the router holds or still takes (Forwarder::endBy). What waits is refused as not run with a time to come back, at once if the forecast says that its load ends later; what was sent and has brought nothing gets 504 as a whole answer; only a stream of which the caller has seen a part is broken off. The moments of the end are one plain class (drainPlan): with a grace period under 2.9 s the router waited for its balancers beyond it. Answers that leave count as busy, nothing is read between the last look and the exit, and a request that was read together with the end of an answer before it is answered, not dropped (http_tests, failed first).

--- a/src/direct/directrouter.h
+++ b/src/direct/directrouter.h
@@ -44,7 +44,8 @@
     /// Takes up what may change while it runs: the bounds of repeats, and the grace period.
     void reload(const DirectRouterSettings&);
     /// Not ready at once; takes and finishes what still comes until balancers have noticed, then what is under way, as
-    /// long as the grace period allows. Blocks until then.
+    /// long as the grace period allows. Each request has its final answer by then: what can't be served any more is
+    /// refused. Blocks until then.
     void drain();
 
 private:
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -1,5 +1,6 @@
 #include "direct/directrouter.h"
 
+#include "direct/drainplan.h"
 #include "direct/internal/agentlinks.h"
 #include "direct/internal/catalogwatch.h"
 #include "direct/internal/links.h"
@@ -15,17 +16,10 @@
 
 namespace {
 
-using framework::Deadline;
 using framework::LogLine;
 using framework::Milliseconds;
-using framework::SteadyTime;
 
-/// Balancers ask once a second and take a router out after two answers in a row that aren't 200; until then they send
-/// new connections, which have to be served.
-constexpr Milliseconds untilNoticed { 2500 };
 constexpr Milliseconds drainCheckEach { 30 };
-/// Left of the grace period when the last requests are given up, so that their callers still see the connection end.
-constexpr Milliseconds endBefore { 400 };
 
 forwarding::ForwarderSettings forwarderSettings(const DirectRouterSettings& settings)
 {
@@ -86,21 +80,20 @@
 
     void drain()
     {
-        const SteadyTime begun = ports_.clock.now();
-        const Deadline unnoticed = Deadline::after(begun, untilNoticed);
-        const Deadline last = Deadline::after(begun, std::max(untilNoticed, settings_.grace - endBefore));
+        const DrainPlan plan = drainPlan(ports_.clock.now(), settings_.grace);
         isDraining_ = true;
         readinessView_.setReady(false);
         logDecision(LogLine("draining").number("requests", onTraffic([this] { return forwarder_.requests(); })));
-        ports_.traffic.post([this] { callers_.beginDraining(); });
-        std::this_thread::sleep_until(unnoticed.at());
+        ports_.traffic.post([this, plan] {
+            callers_.beginDraining();
+            forwarder_.endBy(plan.answersBy);
+        });
+        std::this_thread::sleep_until(plan.takesUntil.at());
         ports_.traffic.post([this] { callers_.closeIdle(); });
-        while (!last.hasPassed(ports_.clock.now()) && onTraffic([this] { return callers_.busyConnections(); }) > 0)
+        while (
+            !plan.endsBy.hasPassed(ports_.clock.now()) && onTraffic([this] { return callers_.busyConnections(); }) > 0)
             std::this_thread::sleep_for(drainCheckEach);
-        const std::size_t unanswered = onTraffic([this] {
-            forwarder_.logUnanswered();
-            return forwarder_.requests();
-        });
+        const std::size_t unanswered = onTraffic([this] { return stopTaking(); });
         logDecision(LogLine("stopped").number("unanswered", unanswered));
     }
 
@@ -112,6 +105,16 @@
         return answer.get_future().get();
     }
 
+    /// On the traffic thread, last thing. Guards against a request that is read between the last look at the
+    /// connections and the process's end: it would be sent to a server and never answered.
+    std::size_t stopTaking()
+    {
+        forwarder_.logUnanswered();
+        const std::size_t unanswered = forwarder_.requests();
+        callers_.closeAll();
+        return unanswered;
+    }
+
     forwarding::Forwarder::Context forwarderContext()
     {
         return { ports_.traffic, ports_.clock, ports_.dialect, ports_.metrics,
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -47,6 +47,8 @@
     void setUpstreams(const std::vector<catalog::Upstream>&);
     void setEngineState(catalog::EngineState);
     void forgetEngine(const framework::Endpoint&);
+    /// From now on each request has its final answer by then, also those that come later: this process ends.
+    void endBy(framework::Deadline);
     /// Requests without a final answer.
     std::size_t requests() const;
     /// A line for each of them: where it is, and for how long. For the end of the process.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -122,6 +122,15 @@
     }
 
     void forgetState(const Endpoint& engine) { upstreams_.forgetState(engine); }
+
+    void endBy(Deadline deadline)
+    {
+        end_ = deadline;
+        for (const auto& job : jobs_)
+            job->endBy(deadline);
+        retryWaiting();
+    }
+
     std::size_t requests() const { return jobs_.size(); }
 
     void logUnanswered() const
@@ -198,6 +207,8 @@
         terms.facts = std::move(facts);
         budget(terms.service).earn();
         const auto job = std::make_shared<RequestJob>(*this, exchange, std::move(terms));
+        if (end_)
+            job->endBy(*end_);
         jobs_.insert(job);
         job->start();
         if (job->isWaiting())
@@ -360,6 +371,8 @@
 
     Context context_;
     ForwarderSettings settings_;
+    /// Set once this process is to end.
+    std::optional<Deadline> end_;
     UpstreamTable upstreams_;
     std::unique_ptr<catalog::RouteTable> routes_;
     std::set<std::shared_ptr<RequestJob>> jobs_;
@@ -405,6 +418,8 @@
 
 void Forwarder::forgetEngine(const Endpoint& engine) { implementation_->forgetState(engine); }
 
+void Forwarder::endBy(Deadline deadline) { implementation_->endBy(deadline); }
+
 std::size_t Forwarder::requests() const { return implementation_->requests(); }
 
 void Forwarder::logUnanswered() const { implementation_->logUnanswered(); }
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -65,11 +65,30 @@
         if (const auto self = weak.lock())
             self->didLoseCaller();
     });
+    armDeadline();
+    advance();
+}
+
+void RequestJob::armDeadline()
+{
     deadlineTimer_ = host_.thread().runAt(terms_.deadline, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->didPassDeadline();
     });
-    advance();
+}
+
+/// Guards against a request that its router holds when it ends: its caller would see a closed connection, and couldn't
+/// know that it hasn't run and may ask another router. As a deadline the end counts wherever deadlines do: in
+/// forecasts, so that a wait that can't end well ends at once, and in the time that a server is given.
+void RequestJob::endBy(framework::Deadline deadline)
+{
+    if (isEnded_ || terms_.deadline <= deadline)
+        return;
+    isCutShort_ = true;
+    terms_.deadline = deadline;
+    terms_.firstEventBy = std::min(terms_.firstEventBy, deadline);
+    if (deadlineTimer_)
+        armDeadline();
 }
 
 ModelTarget RequestJob::target() const { return { terms_.facts.model, terms_.facts.adapter }; }
@@ -286,7 +305,7 @@
 /// given only if no server may have run it.
 void RequestJob::refuse(unsigned status, const std::string& cause, std::optional<Milliseconds> retryAfter)
 {
-    if (hasStreamBegun_)
+    if (firstByteAt_)
         return breakOff(cause);
     // A server's own failure says more than that no other server did better.
     if (failure_)
@@ -298,8 +317,9 @@
 
 void RequestJob::refuseAsHopeless(Milliseconds soonest)
 {
+    // At another router it can wait for the same load, so it is to come back there at once.
     refuse(503, "model not there before the deadline, soonest in " + std::to_string(soonest.count()) + " ms",
-        jittered(std::max(soonAgain, soonest)));
+        jittered(isCutShort_ ? soonAgain : std::max(soonAgain, soonest)));
 }
 
 void RequestJob::refuseAsOverloaded(Milliseconds expected)
@@ -325,7 +345,9 @@
         attempt_.reset();
         mayHaveRun_ = true;
     }
-    refuse(mayHaveRun_ ? 504 : 503, isUnderWay ? "no whole answer in time" : "no server in time", jittered(laterAgain));
+    const std::string cause = isUnderWay ? "no whole answer in time" : "no server in time";
+    refuse(mayHaveRun_ ? 504 : 503, isCutShort_ ? cause + ", this router ends" : cause,
+        jittered(isCutShort_ ? soonAgain : laterAgain));
 }
 
 void RequestJob::didLoseCaller()
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -23,7 +23,7 @@
     const catalog::Route* route = nullptr;
     framework::ServiceName service;
     RequestFacts facts;
-    /// Of the final answer: the caller's or the route's, whichever comes first.
+    /// Of the final answer: the caller's, the route's or the end of this process, whichever comes first.
     framework::Deadline deadline;
     /// When the caller leaves if nothing has come; no later than `deadline`.
     framework::Deadline firstEventBy;
@@ -41,6 +41,8 @@
     RequestJob& operator=(const RequestJob&) = delete;
 
     void start();
+    /// The router that keeps it ends: it has its final answer by then at the latest.
+    void endBy(framework::Deadline);
     /// Sends it if a server can take it. Called again whenever that may have changed.
     void advance();
     bool isWaiting() const { return !isEnded_ && !attempt_; }
@@ -78,6 +80,7 @@
     void refuse(unsigned status, const std::string& cause, std::optional<framework::Milliseconds> retryAfter);
     void refuseAsOverloaded(framework::Milliseconds expected);
     void breakOff(const std::string& cause);
+    void armDeadline();
     void didPassDeadline();
     void didLoseCaller();
     void end(const char* outcome, unsigned status, const std::string& cause);
@@ -106,6 +109,8 @@
     bool hasStreamBegun_ = false;
     bool isEnded_ = false;
     bool waitsForLoad_ = false;
+    /// The process ends before the request's own deadline.
+    bool isCutShort_ = false;
     /// Where an adapter is to be loaded for it.
     framework::Endpoint adapterAt_;
     std::string lastCause_;
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -42,7 +42,9 @@
     void beginDraining();
     /// Accepts no more, and closes the connections that have no request under way.
     void closeIdle();
-    /// Connections whose request isn't wholly answered yet.
+    /// Closes all connections, also those with a request under way, whose handler hears that its caller has gone.
+    void closeAll();
+    /// Connections whose request isn't wholly answered yet, or whose last answer is still on its way.
     std::size_t busyConnections() const;
     std::size_t connections() const;
 
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -174,6 +174,8 @@
 {
     if (stage_ != Stage::Working)
         return;
+    // A head that was begun has not left: the answer turned out otherwise before its first piece.
+    heldHead_.clear();
     addFraming(head, body.size());
     send(headText(head).append(body));
     finishAnswer();
@@ -234,15 +236,16 @@
             linger();
         return;
     }
-    if (context_->isDraining) {
-        // Its answer began before that, so the caller doesn't know; what it sends next is left unread, and it may ask
-        // elsewhere.
-        stage_ = Stage::Closing;
-        if (unsent_.empty())
-            close();
-        return;
-    }
     stage_ = Stage::Idle;
+    awaitNext();
+}
+
+/// While draining, the connection of an answer that couldn't say that it is the last one ends here. Guards against the
+/// loss of a request that the caller sent at once and that has been read already: that one is answered first.
+void CallerConnection::awaitNext()
+{
+    if (context_->isDraining && isFree())
+        return close();
     armTimer(context_->limits.idleTimeout, &CallerConnection::didIdleTooLong);
     // Not from here: the handler that answers may still be on the stack.
     if (buffer_.size() > 0)
@@ -281,6 +284,8 @@
         return write();
     if (stage_ == Stage::Closing)
         return endsAfterAnswer_ ? linger() : close();
+    if (context_->isDraining && isFree())
+        return close();
     if (const auto exchange = exchange_.lock())
         exchange->didDrain();
 }
@@ -324,9 +329,17 @@
         exchange->callerLeft();
 }
 
+bool CallerConnection::isBusy() const
+{
+    return stage_ == Stage::Working || stage_ == Stage::Closing || !unsent_.empty();
+}
+
+/// Whether neither a request nor an answer is on it.
+bool CallerConnection::isFree() const { return stage_ == Stage::Idle && unsent_.empty() && buffer_.size() == 0; }
+
 void CallerConnection::closeIfIdle()
 {
-    if (stage_ == Stage::Idle && unsent_.empty())
+    if (isFree())
         close();
 }
 
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -35,9 +35,12 @@
         std::function<void(CallerConnection*)> onClosed);
 
     void start();
-    bool isBusy() const { return stage_ == Stage::Working || !unsent_.empty(); }
-    /// Closes if no request is under way.
+    /// Whether a request is under way, or its answer still leaves.
+    bool isBusy() const;
+    /// Closes if no request has come, and none is under way.
     void closeIfIdle();
+    /// Whatever is under way; its handler hears that the caller has gone.
+    void closeNow() { callerLeft(); }
 
     // For the exchange.
     void answer(ResponseHead, std::string body);
@@ -71,6 +74,8 @@
     void write();
     void didWrite(const boost::system::error_code&);
     void finishAnswer();
+    void awaitNext();
+    bool isFree() const;
     void armTimer(framework::Milliseconds, void (CallerConnection::*onExpired)());
     void didIdleTooLong();
     void didSendHeadersTooSlowly();
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -62,6 +62,14 @@
             connection->closeIfIdle();
     }
 
+    void closeAll()
+    {
+        closeIdle();
+        const auto connections = connections_;
+        for (const auto& [key, connection] : connections)
+            connection->closeNow();
+    }
+
     std::size_t busyConnections() const
     {
         std::size_t busy = 0;
@@ -130,6 +138,8 @@
 
 void ExchangeServer::closeIdle() { implementation_->closeIdle(); }
 
+void ExchangeServer::closeAll() { implementation_->closeAll(); }
+
 std::size_t ExchangeServer::busyConnections() const { return implementation_->busyConnections(); }
 
 std::size_t ExchangeServer::connections() const { return implementation_->connections(); }
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -183,6 +183,50 @@
     BOOST_TEST(caller.readToEnd().ends_with("0\r\n\r\n"));
 }
 
+// A caller sent its next request as soon as the answer before had come, and a router that was being stopped had read
+// it when it closed the connection: the request was neither answered nor free to be sent elsewhere.
+BOOST_AUTO_TEST_CASE(aRequestThatWasReadIsAnsweredBeforeItsConnectionEnds)
+{
+    std::shared_ptr<IExchange> kept;
+    beginStreams(kept);
+    RawCaller caller(endpoint);
+    caller.send(get("/") + get("/next"));
+    BOOST_TEST(caller.readUntil("first"));
+    onThread([&] {
+        server.beginDraining();
+        server.closeIdle();
+        onRequest
+            = [](const std::shared_ptr<IExchange>& exchange) { exchange->answer(ok(), exchange->request().target); };
+        kept->endAnswer();
+        server.closeIdle();
+    });
+    const std::string all = caller.readToEnd();
+    BOOST_TEST(all.find("0\r\n\r\n") != std::string::npos);
+    BOOST_TEST(all.ends_with("/next"));
+    BOOST_TEST(all.find("Connection: close") != std::string::npos);
+}
+
+// At the end nothing is read any more, and whoever worked on a request hears that its caller can't be reached.
+BOOST_AUTO_TEST_CASE(closingAllEndsTheBusyOnesToo)
+{
+    std::promise<void> taken;
+    std::promise<void> gone;
+    std::shared_ptr<IExchange> kept;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        kept = exchange;
+        exchange->setGoneHandler([&] { gone.set_value(); });
+        taken.set_value();
+    };
+    RawCaller busy(endpoint);
+    busy.send(get("/"));
+    taken.get_future().wait();
+    onThread([&] { server.closeAll(); });
+    gone.get_future().wait();
+    BOOST_TEST(busy.readToEnd().empty());
+    onThread([&] { BOOST_TEST(server.connections() == 0u); });
+    onThread([&] { kept.reset(); });
+}
+
 BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedAndBusyOnesFinish)
 {
     std::promise<void> taken;
