--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -1,10 +1,8 @@
 #include "forwarding/forwarder.h"
 
 #include "catalog/routetable.h"
-#include "forwarding/enginespeed.h"
+#include "forwarding/internal/loadrequests.h"
 #include "forwarding/internal/requestjob.h"
-#include "forwarding/modeldemand.h"
-#include "forwarding/wantedplanner.h"
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
 #include "policy/retrybudget.h"
@@ -38,20 +36,6 @@
 /// Part of the operators' reserve of repeats that all routers together plan with: one that has just started has a full
 /// share again, and may not know yet how many others there are.
 constexpr double shareOfReserve = 0.6;
-/// Part of the shared parts of a prompt that an engine reads anew, on average.
-constexpr double readAnew = 0.25;
-/// What a running request adds to everyone's time for each of its output tokens.
-constexpr double millisecondsPerOutput = 0.1;
-
-Milliseconds workOf(const RequestFacts& facts)
-{
-    const std::uint64_t own = facts.prompt.empty() ? facts.promptTokens.value() : facts.prompt.back().tokens;
-    const auto shared = static_cast<double>(facts.promptTokens.value() - std::min(own, facts.promptTokens.value()));
-    const double reading = (static_cast<double>(own) + readAnew * shared) / promptTokensPerMillisecond;
-    return Milliseconds(static_cast<std::int64_t>(
-        reading + millisecondsPerOutput * static_cast<double>(facts.mostOutputTokens.value())));
-}
-
 const catalog::RouteTarget& drawTarget(const catalog::Route& route)
 {
     double all = 0;
@@ -74,7 +58,7 @@
         : context_(std::move(context))
         , settings_(settings)
         , upstreams_(context_.traffic.context())
-        , demand_(context_.clock.now())
+        , loads_(upstreams_, context_.tellAgents, context_.clock.now())
     {
     }
 
@@ -202,8 +186,7 @@
         terms.deadline = Deadline::after(exchange->receivedAt(), patience);
         const Milliseconds untilFirst = route.patience.count() > 0 ? route.patience : patience;
         terms.firstEventBy = Deadline::after(exchange->receivedAt(), std::min(patience, untilFirst));
-        if (!facts.model.value().empty())
-            demand_.didArrive(facts.model, workOf(facts), now());
+        loads_.didArrive(facts, now());
         terms.facts = std::move(facts);
         budget(terms.service).earn();
         const auto job = std::make_shared<RequestJob>(*this, exchange, std::move(terms));
@@ -257,10 +240,10 @@
         const Milliseconds left = job.terms().firstEventBy.remaining(now());
         if (engines.empty() && job.waited(now()) > agentPatience)
             return job.refuseAsHopeless(left);
-        const auto soonest = planners_[job.terms().service].soonest(engines, *waitingFor, now());
+        const auto soonest = loads_.soonest(job.terms().service, engines, *waitingFor, now());
         if (!soonest || *soonest + fastestAnswer <= left)
             return;
-        comingBack_[{ job.terms().service, waitingFor->target.model }] = *waitingFor;
+        loads_.keepFor(job.terms().service, *waitingFor);
         job.refuseAsHopeless(*soonest);
     }
 
@@ -279,94 +262,23 @@
     void plan()
     {
         planTimer_.reset();
-        std::erase_if(comingBack_, [this](const auto& entry) { return entry.second.earliest.hasPassed(now()); });
-        if (routes_) {
-            for (const catalog::Service& service : routes_->configuration()->services) {
-                if (service.engine)
-                    planFor(service);
-            }
-        }
+        if (routes_)
+            loads_.plan(
+                *routes_->configuration(), [this](const ServiceName& service) { return waitingFor(service); }, now());
         retryWaiting();
         planSoon(planEach);
     }
 
-    void planFor(const catalog::Service& service)
-    {
-        const std::vector<UpstreamPointer> ready = upstreams_.ready(service.name);
-        forgetServed(service.name, ready);
-        PlannerInput input { *service.engine, upstreams_.engines(service.name, now()), waitingFor(service.name), {},
-            false, demand_.isKnown(now()), now() };
-        for (const catalog::ModelProfile& model : service.engine->models) {
-            const double work = demand_.work(model.name, now());
-            if (work > 0)
-                input.work.emplace(model.name, work);
-        }
-        input.isComplete = !input.engines.empty() && input.engines.size() * 10 >= ready.size() * 9;
-        const auto plan = planners_[service.name].plan(input);
-        logAsked(service.name, plan, input);
-        context_.tellAgents(plan);
-    }
-
-    /// Guards against a second load, elsewhere, of a model that is there by now for those who come back.
-    void forgetServed(const ServiceName& service, const std::vector<UpstreamPointer>& ready)
-    {
-        std::erase_if(comingBack_, [&](const auto& entry) {
-            const auto holdsIt
-                = [&](const UpstreamPointer& engine) { return upstreams_.holds(*engine, entry.second.target, now()); };
-            return entry.first.first == service && std::any_of(ready.begin(), ready.end(), holdsIt);
-        });
-    }
-
-    /// One line for each load that this router begins to ask for.
-    void logAsked(
-        const ServiceName& service, const std::map<Endpoint, catalog::WantedList>& plan, const PlannerInput& input)
-    {
-        std::set<std::pair<Endpoint, catalog::ModelTarget>> asked;
-        for (const auto& [engine, list] : plan) {
-            for (const catalog::Wanted& wanted : list) {
-                if (!wanted.isLoad())
-                    continue;
-                asked.insert({ engine, wanted.target });
-                if (asked_[service].contains({ engine, wanted.target }))
-                    continue;
-                logDecision(LogLine("asked_to_load")
-                                .text("engine", engine.value())
-                                .text("model", wanted.target.model.value())
-                                .text("adapter", wanted.target.adapter.value())
-                                .number("waiting", wanted.waiting)
-                                .flag("prefetch", wanted.isPrefetch)
-                                .number("holders", wanted.holders)
-                                .number("work", wanted.work)
-                                .number("rank", wanted.rank)
-                                .number("agents", input.engines.size()));
-            }
-        }
-        asked_[service] = std::move(asked);
-    }
-
     std::vector<WaitingFor> waitingFor(const ServiceName& service) const
     {
-        std::map<std::pair<catalog::ModelTarget, Endpoint>, WaitingFor> byTarget;
+        std::vector<WaitingFor> waiting;
         for (const auto& job : jobs_) {
-            const auto waiting = job->terms().service == service ? job->waitingFor() : std::nullopt;
-            if (!waiting)
+            if (job->terms().service != service)
                 continue;
-            const auto [entry, isNew] = byTarget.try_emplace({ waiting->target, waiting->at }, *waiting);
-            if (isNew)
-                continue;
-            ++entry->second.waiting;
-            entry->second.earliest = std::min(entry->second.earliest, waiting->earliest);
-            entry->second.since = std::min(entry->second.since, waiting->since);
-            entry->second.priority = std::max(entry->second.priority, waiting->priority);
-        }
-        for (const auto& [model, back] : comingBack_) {
-            if (model.first == service)
-                byTarget.try_emplace({ back.target, {} }, back);
+            if (const auto one = job->waitingFor())
+                waiting.push_back(*one);
         }
-        std::vector<WaitingFor> all;
-        for (auto& [target, waiting] : byTarget)
-            all.push_back(std::move(waiting));
-        return all;
+        return waiting;
     }
 
     Context context_;
@@ -377,15 +289,9 @@
     std::unique_ptr<catalog::RouteTable> routes_;
     std::set<std::shared_ptr<RequestJob>> jobs_;
     std::map<ServiceName, policy::RetryBudget> budgets_;
-    ModelDemand demand_;
+    LoadRequests loads_;
     /// At the engines that hold a model, by the priority of those that queue.
     std::map<std::pair<framework::ModelName, std::uint32_t>, policy::StandingQueue> queues_;
-    /// Models for which a caller was refused and told when to come back: their loads go on being asked for until then,
-    /// or the caller would find the same and be refused again.
-    std::map<std::pair<ServiceName, framework::ModelName>, WaitingFor> comingBack_;
-    std::map<ServiceName, WantedPlanner> planners_;
-    /// The loads that are asked for now.
-    std::map<ServiceName, std::set<std::pair<Endpoint, catalog::ModelTarget>>> asked_;
     std::unique_ptr<framework::Timer> planTimer_;
     Deadline planAt_;
     bool isRetryPosted_ = false;
--- /dev/null
+++ b/src/forwarding/internal/loadrequests.cpp
@@ -0,0 +1,147 @@
+#include "forwarding/internal/loadrequests.h"
+
+#include "forwarding/enginespeed.h"
+#include "framework/decisionlog.h"
+
+#include <algorithm>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using framework::Endpoint;
+using framework::LogLine;
+using framework::Milliseconds;
+using framework::ServiceName;
+using framework::SteadyTime;
+
+/// Part of the shared parts of a prompt that an engine reads anew, on average.
+constexpr double readAnew = 0.25;
+/// What a running request adds to everyone's time for each of its output tokens.
+constexpr double millisecondsPerOutput = 0.1;
+
+Milliseconds workOf(const RequestFacts& facts)
+{
+    const std::uint64_t own = facts.prompt.empty() ? facts.promptTokens.value() : facts.prompt.back().tokens;
+    const auto shared = static_cast<double>(facts.promptTokens.value() - std::min(own, facts.promptTokens.value()));
+    const double reading = (static_cast<double>(own) + readAnew * shared) / promptTokensPerMillisecond;
+    return Milliseconds(static_cast<std::int64_t>(
+        reading + millisecondsPerOutput * static_cast<double>(facts.mostOutputTokens.value())));
+}
+
+} // namespace
+
+LoadRequests::LoadRequests(const UpstreamTable& upstreams, TellAgents tellAgents, SteadyTime startedAt)
+    : upstreams_(upstreams)
+    , tellAgents_(std::move(tellAgents))
+    , demand_(startedAt)
+{
+}
+
+void LoadRequests::didArrive(const RequestFacts& facts, SteadyTime now)
+{
+    if (!facts.model.value().empty())
+        demand_.didArrive(facts.model, workOf(facts), now);
+}
+
+void LoadRequests::keepFor(const ServiceName& service, const WaitingFor& waiting)
+{
+    comingBack_[{ service, waiting.target.model }] = waiting;
+}
+
+std::optional<Milliseconds> LoadRequests::soonest(const ServiceName& service, const std::vector<EngineFacts>& engines,
+    const WaitingFor& waiting, SteadyTime now) const
+{
+    const auto planner = planners_.find(service);
+    // Before the first plan it is what the agents say.
+    return planner == planners_.end() ? WantedPlanner().soonest(engines, waiting, now)
+                                      : planner->second.soonest(engines, waiting, now);
+}
+
+void LoadRequests::plan(const catalog::Configuration& configuration, const Waiting& waiting, SteadyTime now)
+{
+    std::erase_if(comingBack_, [now](const auto& entry) { return entry.second.earliest.hasPassed(now); });
+    for (const catalog::Service& service : configuration.services) {
+        if (service.engine)
+            planFor(service, waiting(service.name), now);
+    }
+}
+
+void LoadRequests::planFor(const catalog::Service& service, const std::vector<WaitingFor>& requests, SteadyTime now)
+{
+    const std::vector<UpstreamPointer> ready = upstreams_.ready(service.name);
+    forgetServed(service.name, ready, now);
+    PlannerInput input { *service.engine, upstreams_.engines(service.name, now), byTarget(service.name, requests), {},
+        false, demand_.isKnown(now), now };
+    for (const catalog::ModelProfile& model : service.engine->models) {
+        const double work = demand_.work(model.name, now);
+        if (work > 0)
+            input.work.emplace(model.name, work);
+    }
+    input.isComplete = !input.engines.empty() && input.engines.size() * 10 >= ready.size() * 9;
+    const auto plan = planners_[service.name].plan(input);
+    logNew(service.name, plan, input.engines.size());
+    tellAgents_(plan);
+}
+
+/// Guards against a second load, elsewhere, of a model that is there by now for those who come back.
+void LoadRequests::forgetServed(const ServiceName& service, const std::vector<UpstreamPointer>& ready, SteadyTime now)
+{
+    std::erase_if(comingBack_, [&](const auto& entry) {
+        const auto holdsIt
+            = [&](const UpstreamPointer& engine) { return upstreams_.holds(*engine, entry.second.target, now); };
+        return entry.first.first == service && std::any_of(ready.begin(), ready.end(), holdsIt);
+    });
+}
+
+std::vector<WaitingFor> LoadRequests::byTarget(
+    const ServiceName& service, const std::vector<WaitingFor>& requests) const
+{
+    std::map<std::pair<catalog::ModelTarget, Endpoint>, WaitingFor> merged;
+    for (const WaitingFor& request : requests) {
+        const auto [entry, isNew] = merged.try_emplace({ request.target, request.at }, request);
+        if (isNew)
+            continue;
+        ++entry->second.waiting;
+        entry->second.earliest = std::min(entry->second.earliest, request.earliest);
+        entry->second.since = std::min(entry->second.since, request.since);
+        entry->second.priority = std::max(entry->second.priority, request.priority);
+    }
+    for (const auto& [model, back] : comingBack_) {
+        if (model.first == service)
+            merged.try_emplace({ back.target, {} }, back);
+    }
+    std::vector<WaitingFor> all;
+    for (auto& [target, waiting] : merged)
+        all.push_back(std::move(waiting));
+    return all;
+}
+
+/// One line for each load that this router begins to ask for.
+void LoadRequests::logNew(
+    const ServiceName& service, const std::map<Endpoint, catalog::WantedList>& plan, std::size_t agents)
+{
+    Asked asked;
+    for (const auto& [engine, list] : plan) {
+        for (const catalog::Wanted& wanted : list) {
+            if (!wanted.isLoad())
+                continue;
+            asked.insert({ engine, wanted.target });
+            if (asked_[service].contains({ engine, wanted.target }))
+                continue;
+            logDecision(LogLine("asked_to_load")
+                            .text("engine", engine.value())
+                            .text("model", wanted.target.model.value())
+                            .text("adapter", wanted.target.adapter.value())
+                            .number("waiting", wanted.waiting)
+                            .flag("prefetch", wanted.isPrefetch)
+                            .number("holders", wanted.holders)
+                            .number("work", wanted.work)
+                            .number("rank", wanted.rank)
+                            .number("agents", agents));
+        }
+    }
+    asked_[service] = std::move(asked);
+}
+
+} // namespace lagoon::forwarding
--- /dev/null
+++ b/src/forwarding/internal/loadrequests.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "catalog/types/configuration.h"
+#include "catalog/types/wanted.h"
+#include "forwarding/internal/upstreamtable.h"
+#include "forwarding/modeldemand.h"
+#include "forwarding/types/requestfacts.h"
+#include "forwarding/wantedplanner.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace lagoon::forwarding {
+
+/// Which models this router's callers ask for, and what its engines' agents are asked for because of it. Traffic thread
+/// only.
+class LoadRequests {
+public:
+    /// Called for each engine service at each plan; engines that are missing are wanted nothing of.
+    using TellAgents = std::function<void(const std::map<framework::Endpoint, catalog::WantedList>&)>;
+    /// A service's requests that wait for a load, one entry each.
+    using Waiting = std::function<std::vector<WaitingFor>(const framework::ServiceName&)>;
+
+    LoadRequests(const UpstreamTable&, TellAgents, framework::SteadyTime startedAt);
+
+    void didArrive(const RequestFacts&, framework::SteadyTime now);
+    /// The caller was told when to come back: until its deadline the load goes on being asked for, or the caller would
+    /// find the same and be refused again.
+    void keepFor(const framework::ServiceName&, const WaitingFor&);
+    /// As `WantedPlanner::soonest`.
+    std::optional<framework::Milliseconds> soonest(const framework::ServiceName&, const std::vector<EngineFacts>&,
+        const WaitingFor&, framework::SteadyTime now) const;
+    void plan(const catalog::Configuration&, const Waiting&, framework::SteadyTime now);
+
+private:
+    using Asked = std::set<std::pair<framework::Endpoint, catalog::ModelTarget>>;
+
+    void planFor(const catalog::Service&, const std::vector<WaitingFor>& requests, framework::SteadyTime now);
+    void forgetServed(
+        const framework::ServiceName&, const std::vector<UpstreamPointer>& ready, framework::SteadyTime now);
+    std::vector<WaitingFor> byTarget(const framework::ServiceName&, const std::vector<WaitingFor>& requests) const;
+    void logNew(
+        const framework::ServiceName&, const std::map<framework::Endpoint, catalog::WantedList>&, std::size_t agents);
+
+    const UpstreamTable& upstreams_;
+    TellAgents tellAgents_;
+    ModelDemand demand_;
+    std::map<framework::ServiceName, WantedPlanner> planners_;
+    /// Models for which callers were told to come back.
+    std::map<std::pair<framework::ServiceName, framework::ModelName>, WaitingFor> comingBack_;
+    /// The loads that are asked for now.
+    std::map<framework::ServiceName, Asked> asked_;
+};
+
+} // namespace lagoon::forwarding
