A handler that fails ends neither its process nor its caller's request without a word

Cause: an exception in any handler left the event loop's thread and ended the process; every caller that waited there was cut. An exchange that its handler dropped had its connection closed, though no byte of an answer had left.

Change: the event loop logs the failure and goes on. A dropped exchange is answered 500 as a whole answer as long as nothing of an answer has left; then, as before, it is broken off.

The check anExchangeThatIsDroppedBreaksItsConnectionOff held the fault itself (a closed connection, nothing received).

Ruled out: ending the process in order on any exception; callers of other requests would wait for nothing.

--- a/src/framework/internal/eventthread.cpp
+++ b/src/framework/internal/eventthread.cpp
@@ -1,9 +1,13 @@
 #include "framework/eventthread.h"
 
+#include "framework/logging.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -51,7 +55,7 @@
 public:
     Implementation()
         : work_(boost::asio::make_work_guard(context))
-        , thread_([this] { context.run(); })
+        , thread_([this] { run(); })
     {
     }
 
@@ -65,6 +69,21 @@
     boost::asio::io_context context;
 
 private:
+    /// Guards against one message that can't be handled and ends the process, and with it all that waits here: the loop
+    /// goes on with what comes next. What the handler had in hand is dropped, and ends as a dropped request does, or at
+    /// its deadline.
+    void run()
+    {
+        while (true) {
+            try {
+                context.run();
+                return;
+            } catch (const std::exception& failure) {
+                logWarning("framework", std::string("a handler failed: ") + failure.what());
+            }
+        }
+    }
+
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     std::thread thread_;
 };
--- a/src/framework/tests/eventthread_test.cpp
+++ b/src/framework/tests/eventthread_test.cpp
@@ -8,8 +8,9 @@
 
 BOOST_AUTO_TEST_SUITE(EventThreads)
 
-// One line of a server's report had half a character in it, and the reader of it threw. The exception ended the process,
-// and with it every request that waited there: one message that can't be handled cost all callers their answers.
+// One line of a server's report had half a character in it, and the reader of it threw. The exception ended the
+// process, and with it every request that waited there: one message that can't be handled cost all callers their
+// answers.
 BOOST_AUTO_TEST_CASE(aHandlerThatThrowsEndsNeitherTheThreadNorTheOthers)
 {
     EventThread thread;
--- a/src/http/iexchange.h
+++ b/src/http/iexchange.h
@@ -14,7 +14,7 @@
 /// A whole request and the way back for its one answer. Belongs to the server's event thread.
 ///
 /// The answer is either `answer`, or `beginAnswer`, pieces and `endAnswer`. An exchange that is dropped without an
-/// answer breaks its connection off. Calls after the caller has gone do nothing.
+/// answer is answered 500, or broken off if its answer has begun to leave. Calls after the caller has gone do nothing.
 class IExchange {
 public:
     virtual ~IExchange() = default;
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -134,6 +134,7 @@
 void CallerConnection::handOver()
 {
     stage_ = Stage::Working;
+    hasBegunAnswer_ = false;
     timer_.cancel();
     auto message = parser_->release();
     endsAfterAnswer_ = !message.keep_alive();
@@ -191,6 +192,7 @@
 {
     if (stage_ != Stage::Working)
         return;
+    hasBegunAnswer_ = true;
     std::string text = std::exchange(heldHead_, {});
     text += isChunked_ ? chunkText(piece) : std::string(piece);
     send(std::move(text));
@@ -220,6 +222,16 @@
         close();
 }
 
+/// Guards against a caller that learns nothing since the handler of its request failed: as long as no byte of an answer
+/// has left, there is a whole one to give.
+void CallerConnection::drop()
+{
+    if (hasBegunAnswer_)
+        return breakOff();
+    endsAfterAnswer_ = true;
+    answer(ResponseHead { 500, {}, {} }, {});
+}
+
 /// Without chunks the connection's ordinary end would say that the answer is whole.
 void CallerConnection::reset()
 {
@@ -365,7 +377,7 @@
 CallerExchange::~CallerExchange()
 {
     if (connection_)
-        connection_->breakOff();
+        connection_->drop();
 }
 
 std::shared_ptr<CallerConnection> CallerExchange::release()
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -48,6 +48,8 @@
     void sendPiece(std::string_view);
     void endAnswer();
     void breakOff();
+    /// The handler has given the request up without a word.
+    void drop();
     std::size_t unsentBytes() const { return unsentBytes_; }
 
 private:
@@ -94,6 +96,8 @@
     bool endsAfterAnswer_ = false;
     bool isChunked_ = false;
     bool hasHeadOfRequest_ = false;
+    /// The caller may have got a part of the answer.
+    bool hasBegunAnswer_ = false;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     std::weak_ptr<CallerExchange> exchange_;
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -148,12 +148,41 @@
     BOOST_TEST(all.find("0\r\n\r\n") == std::string::npos);
 }
 
-BOOST_AUTO_TEST_CASE(anExchangeThatIsDroppedBreaksItsConnectionOff)
+// A request's handler failed and let it go, and its caller found its connection closed: neither an answer nor a
+// refusal.
+BOOST_AUTO_TEST_CASE(anExchangeThatIsDroppedIsAnsweredAsFailed)
 {
     onRequest = [](const std::shared_ptr<IExchange>&) {};
     RawCaller caller(endpoint);
     caller.send(get("/"));
-    BOOST_TEST(caller.readToEnd().empty());
+    const std::string all = caller.readToEnd();
+    BOOST_TEST(statusLine(all) == "HTTP/1.1 500 Internal Server Error");
+    BOOST_TEST(all.find("Content-Length: 0\r\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(anExchangeWhoseHandlerThrowsIsAnsweredAsFailed)
+{
+    onRequest = [](const std::shared_ptr<IExchange>&) { throw std::runtime_error("handler"); };
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    BOOST_TEST(statusLine(caller.readToEnd()) == "HTTP/1.1 500 Internal Server Error");
+    onRequest = [](const std::shared_ptr<IExchange>& exchange) { exchange->answer(ok(), "next"); };
+    RawCaller next(endpoint);
+    next.send(get("/"));
+    BOOST_TEST(next.readUntil("next"));
+}
+
+BOOST_AUTO_TEST_CASE(anExchangeThatIsDroppedInItsAnswerBreaksItsConnectionOff)
+{
+    onRequest = [](const std::shared_ptr<IExchange>& exchange) {
+        exchange->beginAnswer(ok());
+        exchange->sendPiece("half");
+    };
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    const std::string all = caller.readToEnd();
+    BOOST_TEST(all.find("half") != std::string::npos);
+    BOOST_TEST(all.find("0\r\n\r\n") == std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(whileDrainingAnswersEndTheirConnections)
