Whoever still waits at the very end of a router is refused

Cause: the refusals at a router's end hang on timers. A process that stood still until its time was over found the end first and closed all connections; so would one that gets too little of its processor.

Change: the last thing on the traffic thread gives each request that is left its final answer, before the connections are closed.

--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -106,9 +106,11 @@
     }
 
     /// On the traffic thread, last thing. Guards against a request that is read between the last look at the
-    /// connections and the process's end: it would be sent to a server and never answered.
+    /// connections and the process's end, which would be sent to a server and never answered; and against those whose
+    /// timers haven't run, since the VM stood still or was busy until the end.
     std::size_t stopTaking()
     {
+        forwarder_.endNow();
         forwarder_.logUnanswered();
         const std::size_t unanswered = forwarder_.requests();
         callers_.closeAll();
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -115,6 +115,13 @@
         retryWaiting();
     }
 
+    void endNow()
+    {
+        const auto jobs = jobs_;
+        for (const auto& job : jobs)
+            job->endNow();
+    }
+
     std::size_t requests() const { return jobs_.size(); }
 
     void logUnanswered() const
@@ -326,6 +333,8 @@
 
 void Forwarder::endBy(Deadline deadline) { implementation_->endBy(deadline); }
 
+void Forwarder::endNow() { implementation_->endNow(); }
+
 std::size_t Forwarder::requests() const { return implementation_->requests(); }
 
 void Forwarder::logUnanswered() const { implementation_->logUnanswered(); }
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -91,6 +91,14 @@
         armDeadline();
 }
 
+void RequestJob::endNow()
+{
+    if (isEnded_)
+        return;
+    isCutShort_ = true;
+    didPassDeadline();
+}
+
 ModelTarget RequestJob::target() const { return { terms_.facts.model, terms_.facts.adapter }; }
 
 bool RequestJob::mayRepeat() const
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -230,7 +230,7 @@
     settings["callers"] = value::string("127.0.0.1:0");
     settings["readiness"] = value::string("127.0.0.1:0");
     settings["agent_port"] = value::number(agentPort_);
-    settings["grace_ms"] = value::number(graceMs_);
+    settings["grace_ms"] = value::number(grace_.count());
     writeSettings(file, "direct-router", name, settings);
     routers_.resize(std::max(routers_.size(), index + 1));
     routers_[index].reset();
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -70,7 +70,7 @@
     /// Processes reach the store under this endpoint in place of its own, and callers' requests reach a server so.
     void setStoreEndpoint(const std::string& endpoint) { storeEndpoint_ = endpoint; }
     /// For routers that start from now on: from the signal to end until they would be ended by force.
-    void setGrace(int milliseconds) { graceMs_ = milliseconds; }
+    void setGrace(framework::Milliseconds grace) { grace_ = grace; }
     /// What the next configurations say that a model's load takes.
     void setLoadTime(framework::Milliseconds time) { loadTime_ = time; }
     void listAt(const ServerStandin&, const std::string& service, const std::string& endpoint,
@@ -95,7 +95,7 @@
     int agentPort_ = 0;
     int starts_ = 0;
     std::string storeEndpoint_;
-    int graceMs_ = 8000;
+    framework::Milliseconds grace_ { 8000 };
     framework::Milliseconds loadTime_ { 200 };
     std::vector<std::unique_ptr<testsupport::ChildProcess>> agents_;
     std::vector<std::unique_ptr<testsupport::ChildProcess>> routers_;
--- a/tests/integration/routerend_test.cpp
+++ b/tests/integration/routerend_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <thread>
 
 using namespace lagoon::fleet;
 using lagoon::http::testing::RawCaller;
@@ -11,6 +12,8 @@
 
 namespace {
 
+constexpr lagoon::framework::Milliseconds grace { 4000 };
+
 /// For callers who wait longer for their first event than a load takes.
 web::json::value patientRoute()
 {
@@ -23,7 +26,7 @@
 struct EndingRouter {
     EndingRouter()
     {
-        fleet.setGrace(4000);
+        fleet.setGrace(grace);
         fleet.setLoadTime(lagoon::framework::Milliseconds(6000));
         fleet.configure({ patientRoute() });
         fleet.start();
@@ -100,6 +103,20 @@
     checkEnded();
 }
 
+// The VM of a router that was being ended stood still until the grace period was over. When it went on, the process
+// found its time up and ended over the requests that waited, before it had come to refuse them.
+BOOST_AUTO_TEST_CASE(aRequestThatWaitsIsRefusedAlsoByARouterThatStoodStill)
+{
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    waitUntilLoading(caller, "z1");
+    tellToEnd();
+    fleet.router().sendSignal(SIGSTOP);
+    std::this_thread::sleep_for(grace);
+    fleet.router().sendSignal(SIGCONT);
+    checkRefusedAsNotRun(caller, "z1");
+    checkEnded();
+}
+
 // An engine had begun a stream and brought no event of it when its router ended. The caller, who had seen nothing at
 // all, found its connection closed. It may have run, so it gets the answer that says so.
 BOOST_AUTO_TEST_CASE(aStreamOfWhichNothingHasComeIsAnsweredAsUnknown)
