--- a/src/http/testing/rawcaller.h
+++ b/src/http/testing/rawcaller.h
@@ -48,6 +48,8 @@
         return received_;
     }
 
+    /// Whether the other side ended the connection in a way that can't be taken for an answer's end.
+    bool wasReset() const { return end_ == boost::asio::error::connection_reset; }
     const std::string& received() const { return received_; }
     void forget() { received_.clear(); }
     void hangUp() { socket_.close(); }
@@ -59,12 +61,14 @@
         boost::system::error_code error;
         const std::size_t size = socket_.read_some(boost::asio::buffer(buffer), error);
         received_.append(buffer, size);
+        end_ = error;
         return !error;
     }
 
     boost::asio::io_context context_;
     boost::asio::ip::tcp::socket socket_;
     std::string received_;
+    boost::system::error_code end_;
 };
 
 } // namespace lagoon::http::testing
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -256,6 +256,67 @@
     onThread([&] { kept.reset(); });
 }
 
+// A member read a long report over a slow line. The router had handed all of it to the connection, counted it as idle
+// from then on, and closed it when the time for idle ones was up: the report ended in the middle.
+BOOST_AUTO_TEST_CASE(anAnswerThatStillLeavesIsNotIdle)
+{
+    const std::string report(32 * 1024 * 1024, 'x');
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) { exchange->answer(ok(), report); };
+    onThread([&] {
+        ExchangeLimits limits;
+        limits.idleTimeout = framework::Milliseconds(50);
+        server.setLimits(limits);
+    });
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    BOOST_TEST(caller.readUntil("xxxx"));
+    framework::EventThread clock;
+    std::promise<void> passed;
+    const auto timer
+        = clock.runAt(framework::Deadline::after(std::chrono::steady_clock::now(), framework::Milliseconds(300)),
+            [&] { passed.set_value(); });
+    passed.get_future().wait();
+    BOOST_TEST(caller.readToEnd().size() > report.size());
+}
+
+// An old client without chunks had read the first half of its stream when the router's time was up. The connection
+// ended in the ordinary way, which for it is the mark of a whole answer.
+BOOST_AUTO_TEST_CASE(aStreamWithoutChunksThatIsCutAtTheEndDoesNotLookWhole)
+{
+    std::shared_ptr<IExchange> kept;
+    beginStreams(kept);
+    RawCaller caller(endpoint);
+    caller.send("GET / HTTP/1.0\r\n\r\n");
+    BOOST_TEST(caller.readUntil("first"));
+    onThread([&] { server.closeAll(); });
+    caller.readToEnd();
+    BOOST_TEST(caller.wasReset());
+    onThread([&] { kept.reset(); });
+}
+
+// A router with little processor time was about to close what was idle, and a member's next request had come whole but
+// hadn't been looked at yet. It was closed over.
+BOOST_AUTO_TEST_CASE(aConnectionWithARequestThatWaitsToBeReadIsNotIdle)
+{
+    RawCaller caller(endpoint);
+    caller.send(get("/one"));
+    BOOST_TEST(caller.readUntil("GET /one "));
+    std::promise<void> isHeld;
+    std::promise<void> goOn;
+    thread.post([&] {
+        isHeld.set_value();
+        goOn.get_future().wait();
+    });
+    isHeld.get_future().wait();
+    thread.post([&] {
+        server.beginDraining();
+        server.closeIdle();
+    });
+    caller.send(get("/two"));
+    goOn.set_value();
+    BOOST_TEST(caller.readToEnd().find("GET /two ") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedAndBusyOnesFinish)
 {
     std::promise<void> taken;
--- a/tests/integration/routerend_test.cpp
+++ b/tests/integration/routerend_test.cpp
@@ -146,4 +146,65 @@
     checkEnded();
 }
 
+// The host of a router was stopped for a while in its last seconds, as when a VM is moved. When it went on, the time of
+// its requests had passed as well as its own, and it went without the refusals that it had promised.
+BOOST_AUTO_TEST_CASE(aRouterThatSleptOverItsEndRefusesFirst)
+{
+    fleet.engine1.setStream(3, 60000);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 40; ++i) {
+        const std::string attempt = "z" + std::to_string(i);
+        callers.push_back(std::make_unique<RawCaller>(lagoon::framework::Endpoint(fleet.callers())));
+        send(*callers.back(), attempt, "warm");
+        waitFor("the engine to begin it", [&] { return fleet.engine1.runs(attempt) == 1; });
+    }
+    tellToEnd();
+    fleet.router().sendSignal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(4200));
+    fleet.router().sendSignal(SIGCONT);
+    int whole = 0;
+    for (const auto& caller : callers)
+        whole += parseAnswer(caller->readToEnd()).isWhole ? 1 : 0;
+    BOOST_TEST(whole == 40);
+    checkEnded();
+}
+
+// A member was still sending a long request when its router ended, and found the connection closed at a moment at which
+// the router had most of its grace period left.
+BOOST_AUTO_TEST_CASE(aRequestThatIsStillComingIsRefused)
+{
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    CallerRequest request { .target = "/model/1", .attempt = "h1", .model = "warm" };
+    request.body = "one half and the other";
+    const std::string text = request.text();
+    caller.send(text.substr(0, text.size() - 5));
+    tellToEnd();
+    const CallerAnswer answer = parseAnswer(caller.readToEnd());
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(answer.isWhole);
+    checkEnded();
+}
+
+// The rest of a request came when the router had just refused all that it held. It was handed to an engine with no time
+// left, and its caller heard that it may have run.
+BOOST_AUTO_TEST_CASE(aRequestThatIsReadAfterTheEndIsNotSent)
+{
+    fleet.engine1.setStream(3, 60000);
+    RawCaller first { lagoon::framework::Endpoint(fleet.callers()) };
+    send(first, "s1", "warm");
+    waitFor("the engine to begin it", [&] { return fleet.engine1.runs("s1") == 1; });
+    RawCaller late { lagoon::framework::Endpoint(fleet.callers()) };
+    CallerRequest request { .target = "/model/1", .attempt = "late", .model = "warm" };
+    request.body = "one half and the other";
+    const std::string text = request.text();
+    late.send(text.substr(0, text.size() - 5));
+    tellToEnd();
+    first.readUntil("504");
+    late.send(text.substr(text.size() - 5));
+    const CallerAnswer answer = parseAnswer(late.readToEnd());
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(fleet.router().waitForExit() == 0);
+    BOOST_TEST(fleet.engine1.runs("late") + fleet.engine2.runs("late") == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
