What still comes, still leaves or hasn't been looked at isn't idle at a router's end

Cause: the server of callers knew two states, a request under way and idle. A request of which a part had come, a whole one that lay unread in the socket, and an answer handed over whole but still leaving all counted as idle, and were closed over; a request read after the time for answers was sent on with no time left; closing all ended chunkless streams in the ordinary way.

Change: busy is whatever isn't free (nothing coming, nothing unread, nothing leaving). Requests still coming when the time for answers is over are refused as not run. The timer for idle connections begins when the answer has been taken. A request whose time is up before it is sent is refused, not sent. Chunkless answers that are cut are reset.

Ruled out: counting idle connections without a byte as busy; every drain would take its whole grace period.

--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -20,6 +20,8 @@
 using framework::Milliseconds;
 
 constexpr Milliseconds drainCheckEach { 30 };
+/// For a caller whose request this router no longer takes: other routers do at once.
+constexpr Milliseconds comeBackElsewhere { 250 };
 
 forwarding::ForwarderSettings forwarderSettings(const DirectRouterSettings& settings)
 {
@@ -87,6 +89,7 @@
         ports_.traffic.post([this, plan] {
             callers_.beginDraining();
             forwarder_.endBy(plan.answersBy);
+            refuseComingTimer_ = ports_.traffic.runAt(plan.answersBy, [this] { refuseComing(); });
         });
         std::this_thread::sleep_until(plan.takesUntil.at());
         ports_.traffic.post([this] { callers_.closeIdle(); });
@@ -105,12 +108,16 @@
         return answer.get_future().get();
     }
 
+    /// Guards against a request of which a part has come when the time for answers is over: it surely hasn't run.
+    void refuseComing() { callers_.refuseComing(ports_.dialect.refusal(503, comeBackElsewhere)); }
+
     /// On the traffic thread, last thing. Guards against a request that is read between the last look at the
     /// connections and the process's end, which would be sent to a server and never answered; and against those whose
     /// timers haven't run, since the VM stood still or was busy until the end.
     std::size_t stopTaking()
     {
         forwarder_.endNow();
+        refuseComing();
         forwarder_.logUnanswered();
         const std::size_t unanswered = forwarder_.requests();
         callers_.closeAll();
@@ -192,6 +199,7 @@
     std::shared_ptr<wire::ILinkTransport> transport_;
     std::atomic<bool> isDraining_ { false };
     forwarding::Forwarder forwarder_;
+    std::unique_ptr<framework::Timer> refuseComingTimer_;
     // Control thread.
     catalog::ConfigurationPointer configuration_;
     std::vector<catalog::Upstream> servers_;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -122,6 +122,9 @@
     if (!isWaiting())
         return;
     const auto keepsItself = shared_from_this();
+    // Whose time is up before it could be sent surely hasn't run, and with no time left no server could answer it.
+    if (terms_.deadline.hasPassed(host_.now()))
+        return didPassDeadline();
     const UpstreamSearch search = findUpstream(host_, terms_, prompt_, { sentTo_, avoided_ });
     adapterAt_ = search.adapterAt;
     waitsForLoad_ = search.reason == NoUpstream::NotLoaded || search.reason == NoUpstream::AdapterNotLoaded;
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -42,6 +42,8 @@
     void beginDraining();
     /// Accepts no more, and closes the connections that have no request under way.
     void closeIdle();
+    /// Answers the requests of which only a part has come with this head, and reads no more of them.
+    void refuseComing(const ResponseHead&);
     /// Closes all connections, also those with a request under way, whose handler hears that its caller has gone.
     void closeAll();
     /// Connections whose request isn't wholly answered yet, or whose last answer is still on its way.
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -234,10 +234,15 @@
 
 /// Without chunks the connection's ordinary end would say that the answer is whole.
 void CallerConnection::reset()
+{
+    setReset();
+    close();
+}
+
+void CallerConnection::setReset()
 {
     boost::system::error_code ignored;
     socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    close();
 }
 
 void CallerConnection::finishAnswer()
@@ -256,9 +261,10 @@
 /// loss of a request that the caller sent at once and that has been read already: that one is answered first.
 void CallerConnection::awaitNext()
 {
-    if (context_->isDraining && isFree())
-        return close();
-    armTimer(context_->limits.idleTimeout, &CallerConnection::didIdleTooLong);
+    if (unsent_.empty())
+        beIdle();
+    if (stage_ == Stage::Closed)
+        return;
     // Not from here: the handler that answers may still be on the stack.
     if (buffer_.size() > 0)
         boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->parse(); });
@@ -296,8 +302,8 @@
         return write();
     if (stage_ == Stage::Closing)
         return endsAfterAnswer_ ? linger() : close();
-    if (context_->isDraining && isFree())
-        return close();
+    if (stage_ == Stage::Idle)
+        return beIdle();
     if (const auto exchange = exchange_.lock())
         exchange->didDrain();
 }
@@ -341,20 +347,51 @@
         exchange->callerLeft();
 }
 
-bool CallerConnection::isBusy() const
+/// Guards against an answer that is cut by the timer for idle connections while it still leaves: that one begins here,
+/// when all of it has been taken.
+void CallerConnection::beIdle()
 {
-    return stage_ == Stage::Working || stage_ == Stage::Closing || !unsent_.empty();
+    if (context_->isDraining && isFree())
+        return close();
+    armTimer(context_->limits.idleTimeout, &CallerConnection::didIdleTooLong);
 }
 
+bool CallerConnection::isBusy() const { return stage_ != Stage::Closed && !isFree(); }
+
 /// Whether neither a request nor an answer is on it.
 bool CallerConnection::isFree() const { return stage_ == Stage::Idle && unsent_.empty() && buffer_.size() == 0; }
 
+/// Guards against a request that has come and hasn't been read yet: closing over it would reset the connection.
+bool CallerConnection::hasUnread() const
+{
+    boost::system::error_code ignored;
+    return socket_.available(ignored) > 0;
+}
+
 void CallerConnection::closeIfIdle()
 {
-    if (isFree())
+    if (isFree() && !hasUnread())
         close();
 }
 
+void CallerConnection::refuseComing(const ResponseHead& head)
+{
+    if (stage_ != Stage::Reading)
+        return;
+    parser_.reset();
+    endsAfterAnswer_ = true;
+    stage_ = Stage::Working;
+    answer(head, {});
+}
+
+void CallerConnection::closeNow()
+{
+    // Without chunks the ordinary end would say that the answer is whole.
+    if (stage_ == Stage::Working && hasBegunAnswer_ && !isChunked_)
+        setReset();
+    callerLeft();
+}
+
 void CallerConnection::close()
 {
     if (stage_ == Stage::Closed)
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -35,12 +35,14 @@
         std::function<void(CallerConnection*)> onClosed);
 
     void start();
-    /// Whether a request is under way, or its answer still leaves.
+    /// Whether a request has begun to come or is under way, or an answer still leaves.
     bool isBusy() const;
     /// Closes if no request has come, and none is under way.
     void closeIfIdle();
+    /// Answers a request of which a part has come with this head, and reads no more of it.
+    void refuseComing(const ResponseHead&);
     /// Whatever is under way; its handler hears that the caller has gone.
-    void closeNow() { callerLeft(); }
+    void closeNow();
 
     // For the exchange.
     void answer(ResponseHead, std::string body);
@@ -77,7 +79,10 @@
     void didWrite(const boost::system::error_code&);
     void finishAnswer();
     void awaitNext();
+    void beIdle();
     bool isFree() const;
+    bool hasUnread() const;
+    void setReset();
     void armTimer(framework::Milliseconds, void (CallerConnection::*onExpired)());
     void didIdleTooLong();
     void didSendHeadersTooSlowly();
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -62,6 +62,13 @@
             connection->closeIfIdle();
     }
 
+    void refuseComing(const ResponseHead& head)
+    {
+        const auto connections = connections_;
+        for (const auto& [key, connection] : connections)
+            connection->refuseComing(head);
+    }
+
     void closeAll()
     {
         closeIdle();
@@ -138,6 +145,8 @@
 
 void ExchangeServer::closeIdle() { implementation_->closeIdle(); }
 
+void ExchangeServer::refuseComing(const ResponseHead& head) { implementation_->refuseComing(head); }
+
 void ExchangeServer::closeAll() { implementation_->closeAll(); }
 
 std::size_t ExchangeServer::busyConnections() const { return implementation_->busyConnections(); }
