Half a surrogate pair in a text no longer ends the process

Cause: cpprest's parser reports faults by an error code, but throws std::range_error on a high surrogate that is followed by an ordinary escape. The exception left the call that had an answer, on the thread of all requests. Change: parseJson turns it into its own error. CheckedObject::check is finish for objects that may have unknown keys. The test showed before the mend: std::range_error: UTF-16 string has invalid low surrogate.

--- a/src/framework/checkedjson.h
+++ b/src/framework/checkedjson.h
@@ -49,7 +49,9 @@
 
     /// Records a fault of the caller's own checks, such as two keys that don't go together.
     void fail(const std::string& key, const std::string& expected);
-    /// The first fault here or in a part, or a key that wasn't read. Parts share their whole's fault.
+    /// The first fault here or in a part. For objects that may have keys that aren't known here.
+    Result<void> check() const;
+    /// The same, or a key that wasn't read. Parts share their whole's fault.
     Result<void> finish();
 
 private:
--- a/src/framework/internal/checkedjson.cpp
+++ b/src/framework/internal/checkedjson.cpp
@@ -47,11 +47,16 @@
         return fault("larger than " + std::to_string(limits.bytes) + " bytes");
     if (deepestNesting(text) > limits.depth)
         return fault("nested deeper than " + std::to_string(limits.depth));
-    std::error_code parseError;
-    web::json::value value = web::json::value::parse(text, parseError);
-    if (parseError)
-        return fault("not JSON: " + parseError.message());
-    return value;
+    try {
+        std::error_code parseError;
+        web::json::value value = web::json::value::parse(text, parseError);
+        if (parseError)
+            return fault("not JSON: " + parseError.message());
+        return value;
+    } catch (const std::exception& thrown) {
+        // cpprest reports most faults by the code, but throws on half a surrogate pair.
+        return fault(std::string("not JSON: ") + thrown.what());
+    }
 }
 
 CheckedObject::CheckedObject(const web::json::value& object, std::string source, std::string path, ErrorCode code)
@@ -240,6 +245,13 @@
     return numbers;
 }
 
+Result<void> CheckedObject::check() const
+{
+    if (fault_->text)
+        return Error { fault_->code, "check JSON", source_, *fault_->text };
+    return success();
+}
+
 Result<void> CheckedObject::finish()
 {
     if (!fault_->text && object_.is_object()) {
@@ -250,9 +262,7 @@
             break;
         }
     }
-    if (fault_->text)
-        return Error { fault_->code, "check JSON", source_, *fault_->text };
-    return success();
+    return check();
 }
 
 } // namespace lagoon::framework
--- a/src/framework/tests/checkedjson_test.cpp
+++ b/src/framework/tests/checkedjson_test.cpp
@@ -45,4 +45,12 @@
     BOOST_TEST(parseJson(large, "x", ErrorCode::BadBundle).error().detail.find("larger") != std::string::npos);
 }
 
+// A text with half of a surrogate pair before an ordinary escape came from another writer. The parser threw in place of
+// reporting it, on the thread of all requests, and the process ended.
+BOOST_AUTO_TEST_CASE(aTextThatTheParserThrowsOnIsRefused)
+{
+    for (const std::string text : { R"({"a":"\ud800\u0041"})", R"({"\ud800\u0041":1})", R"(["\udbff\ud800"])" })
+        BOOST_TEST(parseJson(text, "peer", ErrorCode::BadObject).has_error());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
