Entries that no server wrote name no server, and leave the others readable

Cause: the list may hold entries of other writers. An entry was taken for a server's if it had a service and an address; a state that isn't known counted as leaving, fields of other types as their fallback. Bytes that aren't JSON in one entry made the whole answer unreadable, at each try. Change: an entry has to have all that servers say, in its type (service, address, zone, version, slot-count, state, cold-remaining-ms, seq; if there: phase, models, at-hand, remaining-ms, born). If an answer can't be parsed, objects' contents that can't be parsed by themselves are taken for null; names and revisions still hold, so the entry is refused where it is decoded, and a configuration is refused whole. Objects without a name are left out. The stand-ins write all fields and can start again under their id.

--- a/src/catalog/types/upstream.h
+++ b/src/catalog/types/upstream.h
@@ -31,9 +31,20 @@
     Leaving, ///< serves what it has and soon ends
 };
 
+/// One run of an upstream's process. What is known of one doesn't hold for another of the same id.
+struct UpstreamRun {
+    InstanceId instance;
+    /// Nothing if the upstream doesn't say it.
+    std::optional<StartTime> started;
+
+    friend auto operator<=>(const UpstreamRun&, const UpstreamRun&) = default;
+};
+
 /// One server as the platform's list describes it. The list lags.
 struct Upstream {
     InstanceId instance;
+    /// Nothing if the server doesn't say it.
+    std::optional<StartTime> started;
     framework::ServiceName service;
     framework::Endpoint endpoint;
     framework::FailureDomainName failureDomain;
@@ -43,6 +54,8 @@
     std::vector<HeldModel> models;
     /// When it was listed first, in the list's own count: greater is later.
     std::uint64_t listed = 0;
+
+    UpstreamRun run() const { return { instance, started }; }
 };
 
 /// Weights that an engine has at hand without the weight store.
@@ -60,6 +73,8 @@
 /// An engine's state as its agent tells the routers.
 struct EngineState {
     framework::Endpoint engine;
+    /// Of the engine's process; nothing if the engine doesn't say it.
+    std::optional<StartTime> started;
     std::vector<HeldModel> held;
     /// Held models that are about to be unloaded: they take no new requests.
     std::vector<framework::ModelName> leaving;
--- a/src/direct/internal/enginewire.cpp
+++ b/src/direct/internal/enginewire.cpp
@@ -33,6 +33,7 @@
 {
     wire::fb::EngineStateT body;
     body.engine = state.engine.value();
+    body.started_ms = state.started ? state.started->value() : 0;
     for (const catalog::HeldModel& held : state.held) {
         auto model = std::make_unique<wire::fb::HeldModelT>();
         model->model = held.model.value();
@@ -64,6 +65,8 @@
 {
     EngineState state;
     state.engine = framework::Endpoint(body.engine);
+    if (body.started_ms != 0)
+        state.started = catalog::StartTime(body.started_ms);
     for (const auto& model : body.held) {
         const framework::ModelName name(model->model);
         state.held.push_back(
--- a/src/engines/types/enginereport.h
+++ b/src/engines/types/enginereport.h
@@ -6,6 +6,7 @@
 #include "framework/types/ids.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
 
 /// An engine's state as it says itself.
 struct EngineReport {
+    /// Of the engine's process; nothing if it doesn't say it.
+    std::optional<catalog::StartTime> started;
     std::vector<catalog::HeldModel> held;
     /// Adapters on their way from the store; they take up places.
     std::vector<catalog::ModelTarget> comingAdapters;
--- /dev/null
+++ b/src/framework/internal/readablejson.cpp
@@ -0,0 +1,112 @@
+#include "framework/readablejson.h"
+
+#include <algorithm>
+
+namespace lagoon::framework {
+
+namespace {
+
+bool isSpace(char character) { return character == ' ' || character == '\t' || character == '\n' || character == '\r'; }
+
+/// Walks over a text without regard to whether its values can be parsed: by quotes and brackets only.
+class Scanner {
+public:
+    explicit Scanner(const std::string& text)
+        : text_(text)
+    {
+    }
+
+    /// Behind the closing quote of the string that begins at `at`.
+    std::size_t endOfString(std::size_t at) const
+    {
+        for (++at; at < text_.size(); ++at) {
+            if (text_[at] == '\\')
+                ++at;
+            else if (text_[at] == '"')
+                return at + 1;
+        }
+        return text_.size();
+    }
+
+    std::size_t behindSpace(std::size_t at) const
+    {
+        while (at < text_.size() && isSpace(text_[at]))
+            ++at;
+        return at;
+    }
+
+    /// Behind the value that begins at `at`: a string, what is between brackets, or all up to what ends a value.
+    std::size_t endOfValue(std::size_t at) const
+    {
+        std::size_t depth = 0;
+        while (at < text_.size()) {
+            const char character = text_[at];
+            if (character == '"') {
+                at = endOfString(at);
+                if (depth == 0)
+                    return at;
+                continue;
+            }
+            const bool isClosing = character == '}' || character == ']';
+            if (depth == 0 && (isClosing || character == ','))
+                return at;
+            ++at;
+            if (character == '{' || character == '[')
+                ++depth;
+            else if (isClosing && --depth == 0)
+                return at;
+        }
+        return at;
+    }
+
+private:
+    const std::string& text_;
+};
+
+bool isReadable(const std::string& value, JsonLimits limits)
+{
+    return parseJson(value, {}, ErrorCode::BadObject, limits).has_value();
+}
+
+} // namespace
+
+std::string withoutUnreadable(const std::string& text, const std::vector<std::string>& memberNames, JsonLimits limits)
+{
+    const Scanner scanner(text);
+    std::string result;
+    result.reserve(text.size());
+    std::size_t depth = 0;
+    for (std::size_t at = 0; at < text.size();) {
+        const char character = text[at];
+        if (character != '"') {
+            if (character == '{' || character == '[')
+                ++depth;
+            else if ((character == '}' || character == ']') && depth > 0)
+                --depth;
+            result += character;
+            ++at;
+            continue;
+        }
+        const std::size_t nameEnd = scanner.endOfString(at);
+        const std::size_t colon = scanner.behindSpace(nameEnd);
+        const std::string name = text.substr(at + 1, nameEnd - std::min(nameEnd, at + 2));
+        const bool isMember = colon < text.size() && text[colon] == ':'
+            && std::find(memberNames.begin(), memberNames.end(), name) != memberNames.end();
+        if (!isMember) {
+            result.append(text, at, nameEnd - at);
+            at = nameEnd;
+            continue;
+        }
+        const std::size_t begin = scanner.behindSpace(colon + 1);
+        const std::size_t end = scanner.endOfValue(begin);
+        const std::string value = text.substr(begin, end - begin);
+        // The value's own depth comes on top of what it stands in.
+        const JsonLimits left { limits.bytes, limits.depth - std::min(limits.depth, depth) };
+        result.append(text, at, begin - at);
+        result += isReadable(value, left) ? value : "null";
+        at = end;
+    }
+    return result;
+}
+
+} // namespace lagoon::framework
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -184,14 +184,24 @@
 
 void Fleet::listAt(
     const ServerStandin& server, const std::string& service, const std::string& endpoint, const std::string& state)
+{
+    store.put("servers", server.instance(), entry(server, service, endpoint, state));
+}
+
+value Fleet::entry(
+    const ServerStandin& server, const std::string& service, const std::string& endpoint, const std::string& state)
 {
     value json;
     json["service"] = value::string(service);
     json["address"] = value::string(endpoint);
     json["zone"] = value::string("hall");
+    json["version"] = value::string("v1");
     json["slot-count"] = value::number(8);
     json["state"] = value::string(state);
-    store.put("servers", server.instance(), json);
+    json["cold-remaining-ms"] = value::number(0);
+    json["seq"] = value::number(1);
+    json["born"] = value::number(server.started());
+    return json;
 }
 
 void Fleet::writeSettings(const std::string& file, const std::string& role, const std::string& vm, value settings) const
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -67,6 +67,9 @@
     void setStoreEndpoint(const std::string& endpoint) { storeEndpoint_ = endpoint; }
     void listAt(const ServerStandin&, const std::string& service, const std::string& endpoint,
         const std::string& state = "ready");
+    /// What a server writes into the list.
+    static web::json::value entry(const ServerStandin&, const std::string& service, const std::string& endpoint,
+        const std::string& state = "ready");
     /// Whether a `GET` at the router's readiness endpoint is answered 200.
     bool isReady();
     CallerAnswer call(const CallerRequest&);
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -19,6 +19,13 @@
 {
 }
 
+void ServerStandin::restart()
+{
+    constexpr std::uint64_t secondStart = 5000;
+    forget();
+    started_ += secondStart;
+}
+
 int ServerStandin::runs(const std::string& attempt) const
 {
     const std::lock_guard lock(mutex_);
@@ -124,6 +131,7 @@
     std::unique_lock lock(mutex_);
     value report;
     report["phase"] = value::string("both");
+    report["born"] = value::number(started());
     report["busy"] = value::boolean(false);
     report["seq"] = value::number(static_cast<std::uint32_t>(orders_.load()));
     report["models"] = value::array();
@@ -170,6 +178,14 @@
     exchange.reply(202, "");
 }
 
+void EngineStandin::forget()
+{
+    const std::lock_guard lock(mutex_);
+    held_.clear();
+    fence_ = 0;
+    orders_ = 0;
+}
+
 bool EngineStandin::canRun(const HttpRequest& request)
 {
     const std::string target = request.header("x-model");
@@ -182,10 +198,13 @@
     HeaderMap headers = marks(exchange.request());
     headers["Content-Type"] = "text/event-stream";
     exchange.beginStream(200, headers);
+    const std::uint64_t startedBefore = started();
     const std::string last = exchange.request().header("last-event-id");
     for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= events_; ++event) {
         if (exchange.waitForCallerGone(Milliseconds(pauseMs_.load())))
             return noteCancelled();
+        if (started() != startedBefore)
+            return exchange.dropConnection();
         const std::string text = "id: " + std::to_string(event) + "\ndata: word" + std::to_string(event) + "\n\n";
         if (event == breakAfter_) {
             breakAfter_ = 0;
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -24,6 +24,11 @@
 
     const std::string& instance() const { return instance_; }
     std::string endpoint() const { return endpoint_; }
+    /// Unix milliseconds of its start. Another start under the same id has a later one.
+    std::uint64_t started() const { return started_; }
+    /// As a crash and a new start: streams are cut in the middle, and nothing is known of before, but for the counts of
+    /// runs that tests ask for.
+    void restart();
     /// How often a request of this id was begun.
     int runs(const std::string& attempt) const;
     int allRuns() const;
@@ -43,6 +48,7 @@
     /// Whether the server has what the request needs; else it is refused as not run.
     virtual bool canRun(const standins::HttpRequest&) { return true; }
     virtual void run(standins::Exchange&) = 0;
+    virtual void forget() { }
     standins::HeaderMap marks(const standins::HttpRequest&) const;
     void noteCancelled() { ++cancelled_; }
 
@@ -57,6 +63,7 @@
     std::atomic<int> refusals_ { 0 };
     std::atomic<int> drops_ { 0 };
     std::atomic<int> failures_ { 0 };
+    std::atomic<std::uint64_t> started_ { 1764700000000 };
     standins::HttpServer server_;
     std::string endpoint_;
 };
@@ -89,6 +96,7 @@
     bool answerOwn(standins::Exchange&) override;
     bool canRun(const standins::HttpRequest&) override;
     void run(standins::Exchange&) override;
+    void forget() override;
 
 private:
     void answerReport(standins::Exchange&);
