An entry is its newest content, and the later start counts

Cause: an entry that was overwritten by one that can't be read went on naming its server; one for a service that the configuration doesn't have could hide a server at its address; of two entries at one address the one created later counted, though a server that starts again under its id keeps its entry's age. Change: CatalogWatch keeps an entry and the latest start said there. An unreadable entry, and one that no longer says the start that it said before, names no server; an entry with an earlier start is what the store carried out late, and changes nothing; entries of unknown services are left out while the service is unknown; at one address the later start counts, then the later listing. One log line a change: server_refused, server_entry_late, server_left_out, server_restarted; names and services in them are cut at 64 bytes. Open: a server whose clock is set back before it starts again is taken for its former run until its entry is removed.

--- a/src/direct/internal/catalogwatch.cpp
+++ b/src/direct/internal/catalogwatch.cpp
@@ -3,6 +3,7 @@
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
 
+#include <tuple>
 #include <utility>
 
 namespace lagoon::direct {
@@ -22,6 +23,33 @@
 /// Changes of the configuration have the same two seconds; a storm of them costs a call each 100 ms.
 constexpr Milliseconds configurationPause { 100 };
 
+/// Names and services are their writers' choice, of any length.
+std::string shortened(const std::string& text)
+{
+    constexpr std::size_t mostLogged = 64;
+    if (text.size() <= mostLogged)
+        return text;
+    const auto isWithinCharacter
+        = [&](std::size_t at) { return (static_cast<unsigned char>(text[at]) & 0xC0) == 0x80; };
+    std::size_t end = mostLogged;
+    while (end > 0 && isWithinCharacter(end))
+        --end;
+    return text.substr(0, end) + "...";
+}
+
+/// Guards against what a server wrote before it started again, and the store carried out only after its new entry.
+bool isEarlier(const std::optional<catalog::StartTime>& started, const std::optional<catalog::StartTime>& latest)
+{
+    return started && latest && *started < *latest;
+}
+
+/// Of two servers at one address: a server that starts again keeps the age of its entry, so the start decides. One that
+/// says no start doesn't displace one that does; the age of the entry is left for those that say none.
+bool isNewer(const catalog::Upstream& upstream, const catalog::Upstream& other)
+{
+    return std::tie(upstream.started, upstream.listed) > std::tie(other.started, other.listed);
+}
+
 MirrorSettings mirrorSettings(const std::string& kind, Milliseconds pauseAfterChange)
 {
     MirrorSettings settings;
@@ -73,32 +101,69 @@
         return;
     configuration_ = std::make_shared<const catalog::Configuration>(std::move(read.value()));
     context_.didConfigure(configuration_);
+    if (noteUnknownServices())
+        tellServersSoon();
 }
 
+/// An entry is what was last written there: one that isn't a server's, or can't be read, names no server any more.
 void CatalogWatch::takeServer(const FeedObject& object)
 {
-    auto read = context_.decoder.upstream(object.name, object.value);
+    Entry& entry = entries_[object.name];
+    auto read = readServer(object, entry);
     if (read.has_error()) {
-        logDecision(LogLine("server_refused").text("name", object.name).text("cause", describe(read.error())));
-        return;
+        logDecision(LogLine("server_refused")
+                        .text("name", shortened(object.name))
+                        .number("revision", object.revision.value())
+                        .flag("known_before", entry.upstream.has_value())
+                        .text("cause", describe(read.error())));
+        entry.upstream.reset();
+        return tellServersSoon();
     }
-    const auto [known, isNew] = upstreams_.try_emplace(object.name);
-    if (isNew || known->second.state != read.value().state)
-        logDecision(LogLine(isNew ? "server_listed" : "server_changed")
-                        .text("server", object.name)
-                        .text("service", read.value().service.value())
-                        .text("at", read.value().endpoint.value())
-                        .text("state", read.value().state == catalog::UpstreamState::Ready ? "ready" : "leaving")
+    const catalog::Upstream& upstream = read.value();
+    if (isEarlier(upstream.started, entry.started)) {
+        logDecision(LogLine("server_entry_late")
+                        .text("server", shortened(object.name))
+                        .number("started_ms", upstream.started->value())
+                        .number("later_ms", entry.started->value())
                         .number("revision", object.revision.value()));
-    known->second = std::move(read.value());
-    known->second.listed = object.created;
+        return;
+    }
+    logTaken(object, entry, upstream);
+    entry.started = upstream.started;
+    entry.upstream = std::move(read.value());
+    entry.upstream->listed = object.created;
     tellServersSoon();
 }
 
+framework::Result<catalog::Upstream> CatalogWatch::readServer(const FeedObject& object, const Entry& before) const
+{
+    auto read = context_.decoder.upstream(object.name, object.value);
+    if (read.has_value() && before.started && !read.value().started)
+        return framework::Error { framework::ErrorCode::BadObject, "read server", {},
+            "no start, which it said before" };
+    return read;
+}
+
+void CatalogWatch::logTaken(const FeedObject& object, const Entry& before, const catalog::Upstream& upstream) const
+{
+    const bool isRestarted = before.upstream && before.upstream->started != upstream.started;
+    if (before.upstream && !isRestarted && before.upstream->state == upstream.state)
+        return;
+    LogLine line(isRestarted ? "server_restarted" : before.upstream ? "server_changed" : "server_listed");
+    line.text("server", shortened(object.name))
+        .text("service", shortened(upstream.service.value()))
+        .text("at", upstream.endpoint.value())
+        .text("state", upstream.state == catalog::UpstreamState::Ready ? "ready" : "leaving")
+        .number("revision", object.revision.value());
+    if (upstream.started)
+        line.number("started_ms", upstream.started->value());
+    logDecision(line);
+}
+
 void CatalogWatch::removeServer(const std::string& name)
 {
-    upstreams_.erase(name);
-    logDecision(LogLine("server_unlisted").text("server", name));
+    entries_.erase(name);
+    logDecision(LogLine("server_unlisted").text("server", shortened(name)));
     tellServersSoon();
 }
 
@@ -115,18 +180,39 @@
     isTelling_ = false;
     if (!servers_.hasListed())
         return;
+    noteUnknownServices();
     context_.didListServers(newestByEndpoint());
 }
 
+/// Guards against an entry that hides a server by naming its address for a service that the operator doesn't have.
+/// Which services there are may change at any time, so the entry is kept.
+bool CatalogWatch::noteUnknownServices()
+{
+    bool hasChanged = false;
+    for (auto& [name, entry] : entries_) {
+        const bool isUnknown = entry.upstream && configuration_ && !configuration_->find(entry.upstream->service);
+        if (isUnknown && !entry.isOfUnknownService)
+            logDecision(LogLine("server_left_out")
+                            .text("server", shortened(name))
+                            .text("service", shortened(entry.upstream->service.value()))
+                            .text("cause", "service not in the configuration")
+                            .number("configuration", configuration_->version.value()));
+        hasChanged = std::exchange(entry.isOfUnknownService, isUnknown) != isUnknown || hasChanged;
+    }
+    return hasChanged;
+}
+
 /// Guards against the entry of a server that has ended and whose successor is at its address already: the platform
 /// takes seconds to notice, and until then all that is sent to the old one is refused.
 std::vector<catalog::Upstream> CatalogWatch::newestByEndpoint() const
 {
     std::map<framework::Endpoint, const catalog::Upstream*> newest;
-    for (const auto& [name, upstream] : upstreams_) {
-        const catalog::Upstream*& known = newest[upstream.endpoint];
-        if (!known || upstream.listed > known->listed)
-            known = &upstream;
+    for (const auto& [name, entry] : entries_) {
+        if (!entry.upstream || entry.isOfUnknownService)
+            continue;
+        const catalog::Upstream*& known = newest[entry.upstream->endpoint];
+        if (!known || isNewer(*entry.upstream, *known))
+            known = &*entry.upstream;
     }
     std::vector<catalog::Upstream> list;
     for (const auto& [endpoint, upstream] : newest)
--- a/src/direct/internal/catalogwatch.h
+++ b/src/direct/internal/catalogwatch.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,16 +36,30 @@
     bool isComplete() const { return configuration_ && servers_.hasListed(); }
 
 private:
+    /// What the list says under one name.
+    struct Entry {
+        /// Nothing if the newest content isn't a server's.
+        std::optional<catalog::Upstream> upstream;
+        /// The latest start that was ever said there.
+        std::optional<catalog::StartTime> started;
+        /// The content isn't used, as no service of the configuration is meant.
+        bool isOfUnknownService = false;
+    };
+
     void takeConfiguration(const objectstore::FeedObject&);
     void takeServer(const objectstore::FeedObject&);
+    framework::Result<catalog::Upstream> readServer(const objectstore::FeedObject&, const Entry&) const;
+    void logTaken(const objectstore::FeedObject&, const Entry& before, const catalog::Upstream&) const;
     void removeServer(const std::string& name);
     void tellServersSoon();
     void tellServers();
+    /// Whether other entries than before are left out.
+    bool noteUnknownServices();
     std::vector<catalog::Upstream> newestByEndpoint() const;
 
     Context context_;
     catalog::ConfigurationPointer configuration_;
-    std::map<std::string, catalog::Upstream> upstreams_;
+    std::map<std::string, Entry> entries_;
     bool isTelling_ = false;
     objectstore::ObjectMirror configurations_;
     objectstore::ObjectMirror servers_;
--- /dev/null
+++ b/src/direct/tests/catalogwatch_test.cpp
@@ -0,0 +1,259 @@
+#include "direct/internal/catalogwatch.h"
+#include "framework/testing/manualcontrol.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+namespace lagoon::direct {
+
+namespace {
+
+using catalog::InstanceId;
+using catalog::StartTime;
+using catalog::Upstream;
+using framework::Endpoint;
+using framework::Error;
+using framework::ErrorCode;
+using framework::ManualControl;
+using framework::Milliseconds;
+using framework::Result;
+using framework::ServiceName;
+using objectstore::FeedChanges;
+using objectstore::FeedObject;
+using objectstore::FeedPage;
+using objectstore::StoreRevision;
+
+/// Answers a list at once with what the test has put, and keeps the watch until the test answers it.
+class FakeFeed final : public objectstore::IObjectFeed {
+public:
+    void list(const std::string&, framework::Deadline, PageHandler handler) override
+    {
+        handler(FeedPage { objects, false, StoreRevision(revision) });
+    }
+
+    void watch(StoreRevision, Milliseconds, framework::Deadline, ChangesHandler handler) override
+    {
+        watches.push_back(std::move(handler));
+    }
+
+    FeedObject put(const std::string& name, std::any value, std::uint64_t created)
+    {
+        return objects.emplace_back(FeedObject { name, std::move(value), StoreRevision(++revision), created });
+    }
+
+    void answerWatch(FeedChanges changes)
+    {
+        changes.at = StoreRevision(revision);
+        auto handler = std::move(watches.front());
+        watches.pop_front();
+        handler(std::move(changes));
+    }
+
+    std::vector<FeedObject> objects;
+    std::uint64_t revision = 1;
+    std::deque<ChangesHandler> watches;
+};
+
+/// Values are the decoded objects themselves; anything else can't be read.
+class FakeDecoder final : public catalog::ICatalogDecoder {
+public:
+    Result<catalog::Configuration> configuration(const std::any& value) const override
+    {
+        return std::any_cast<catalog::Configuration>(value);
+    }
+
+    Result<Upstream> upstream(const std::string& name, const std::any& value) const override
+    {
+        const Upstream* const read = std::any_cast<Upstream>(&value);
+        if (!read)
+            return Error { ErrorCode::BadObject, "read", "server", "not a server's" };
+        Upstream upstream = *read;
+        upstream.instance = InstanceId(name);
+        return upstream;
+    }
+};
+
+Upstream server(const std::string& endpoint, std::uint64_t started, const std::string& service = "engines")
+{
+    Upstream upstream;
+    upstream.endpoint = Endpoint(endpoint);
+    upstream.service = ServiceName(service);
+    if (started != 0)
+        upstream.started = StartTime(started);
+    return upstream;
+}
+
+struct Fixture {
+    Fixture()
+        : watch({ control, control, configurations, servers, decoder, [](const catalog::ConfigurationPointer&) {},
+            [this](const std::vector<Upstream>& list) { told.push_back(list); } })
+    {
+        configure({ "engines", "plain" });
+    }
+
+    static catalog::Configuration configuration(std::uint64_t version, const std::vector<std::string>& services)
+    {
+        catalog::Configuration made;
+        made.version = catalog::ConfigurationVersion(version);
+        for (const std::string& name : services) {
+            catalog::Service service;
+            service.name = ServiceName(name);
+            made.services.push_back(service);
+        }
+        return made;
+    }
+
+    void configure(const std::vector<std::string>& services)
+    {
+        const FeedObject object = configurations.put("main", configuration(++version, services), 1);
+        if (isStarted) {
+            configurations.answerWatch({ { { object, false } }, {} });
+            pass();
+        }
+    }
+
+    void start()
+    {
+        isStarted = true;
+        watch.start();
+        pass();
+    }
+
+    /// Longer than the pause after a change.
+    void pass()
+    {
+        control.runPosted();
+        control.advance(Milliseconds(500));
+        control.runPosted();
+    }
+
+    void write(const std::string& name, std::any value, std::uint64_t created = 1)
+    {
+        const FeedObject object = servers.put(name, std::move(value), created);
+        if (isStarted) {
+            servers.answerWatch({ { { object, false } }, {} });
+            pass();
+        }
+    }
+
+    const Upstream* find(const std::string& name) const
+    {
+        for (const Upstream& upstream : told.back()) {
+            if (upstream.instance == InstanceId(name))
+                return &upstream;
+        }
+        return nullptr;
+    }
+
+    ManualControl control;
+    FakeFeed configurations;
+    FakeFeed servers;
+    FakeDecoder decoder;
+    std::vector<std::vector<Upstream>> told;
+    std::uint64_t version = 0;
+    bool isStarted = false;
+    CatalogWatch watch;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TheCatalog, Fixture)
+
+// A server's entry was overwritten by someone else. Requests still went by what it had said before, to a server that by
+// the list wasn't there.
+BOOST_AUTO_TEST_CASE(anEntryThatCannotBeReadNamesNoServerAndTheOthersHold)
+{
+    write("i-1", server("10.0.0.1:80", 100));
+    write("i-2", server("10.0.0.2:80", 100));
+    write("i-3", std::string("garbage"));
+    start();
+    BOOST_TEST(told.back().size() == 2U);
+    write("i-1", std::string("garbage"));
+    BOOST_TEST(!find("i-1"));
+    BOOST_TEST(find("i-2"));
+    write("i-1", server("10.0.0.1:80", 100));
+    BOOST_TEST(find("i-1"));
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatStartsAgainUnderItsIdIsTold)
+{
+    write("i-1", server("10.0.0.1:80", 100));
+    start();
+    write("i-1", server("10.0.0.1:80", 200));
+    BOOST_REQUIRE(find("i-1"));
+    BOOST_TEST(find("i-1")->started->value() == 200U);
+}
+
+// A server crashed and started again under its id. What it had written before the crash reached the store after its new
+// entry, and routers went by the models that it had held then.
+BOOST_AUTO_TEST_CASE(aLateEntryOfTheFormerRunDoesNotComeBack)
+{
+    write("i-1", server("10.0.0.1:80", 200));
+    start();
+    Upstream former = server("10.0.0.1:80", 100);
+    former.models.push_back({ framework::ModelName("m"), 1, {}, 0 });
+    write("i-1", former);
+    BOOST_REQUIRE(find("i-1"));
+    BOOST_TEST(find("i-1")->started->value() == 200U);
+    BOOST_TEST(find("i-1")->models.empty());
+    // Nor after an entry that names no server.
+    write("i-1", std::string("garbage"));
+    write("i-1", former);
+    BOOST_TEST(!find("i-1"));
+}
+
+// Its start is among what a server always says, so an entry without it isn't its own.
+BOOST_AUTO_TEST_CASE(anEntryThatNoLongerSaysItsStartNamesNoServer)
+{
+    write("i-1", server("10.0.0.1:80", 200));
+    write("i-2", server("10.0.0.2:80", 0));
+    start();
+    BOOST_TEST(find("i-2"));
+    write("i-1", server("10.0.0.1:80", 0));
+    BOOST_TEST(!find("i-1"));
+    write("i-2", server("10.0.0.2:80", 0));
+    BOOST_TEST(find("i-2"));
+}
+
+// An entry for a service that nobody had configured stood at the address of a server, written after it: the server got
+// no requests any more.
+BOOST_AUTO_TEST_CASE(anEntryOfAServiceThatIsNotConfiguredHidesNoServer)
+{
+    write("i-1", server("10.0.0.1:80", 100));
+    write("i-2", server("10.0.0.1:80", 200, "unheard-of"), 2);
+    start();
+    BOOST_TEST(find("i-1"));
+    BOOST_TEST(!find("i-2"));
+    configure({ "engines", "plain", "unheard-of" });
+    BOOST_TEST(!find("i-1"));
+    BOOST_TEST(find("i-2"));
+}
+
+// An address had gone to another server and came back with the first one, which kept its id and so the age of its
+// entry: by that age the other one's entry, which the platform hadn't removed yet, hid it.
+BOOST_AUTO_TEST_CASE(ofTwoEntriesAtOneAddressTheLaterStartCounts)
+{
+    write("i-1", server("10.0.0.1:80", 100), 1);
+    write("i-2", server("10.0.0.1:80", 200), 2);
+    start();
+    BOOST_TEST(find("i-2"));
+    write("i-1", server("10.0.0.1:80", 300), 1);
+    BOOST_TEST(find("i-1"));
+    BOOST_TEST(!find("i-2"));
+    // One that says no start doesn't hide one that does.
+    write("i-3", server("10.0.0.1:80", 0), 3);
+    BOOST_TEST(find("i-1"));
+}
+
+BOOST_AUTO_TEST_CASE(withoutStartTimesTheEntryThatWasListedLaterCounts)
+{
+    write("i-1", server("10.0.0.1:80", 0), 1);
+    write("i-2", server("10.0.0.1:80", 0), 2);
+    start();
+    BOOST_TEST(!find("i-1"));
+    BOOST_TEST(find("i-2"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::direct
