What a router knows of a server ends with the server's run

Cause: all that a router keeps of a server went by its id: prompts read there, failures, 'another server has the address', idle connections, models of the list, what its agent said. A server may start again under its id. Change: UpstreamTable begins anew when the start is later, by the list or by the agent's word, which now carries the engine's start and comes about a second before the list; an agent's word of a former run isn't believed, nor the models of a lagging list. An id at another address is known anew too: requests went over connections to the old address. A request counts the runs that it was sent to, not the ids, so that the bound on servers holds as with new ids, and a run that couldn't be reached takes back no earlier send. Ruled out: dropping the agent's last word with each restart; it is mostly newer than the list, and without it a router goes by the list for up to 0.9 s.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -124,7 +124,7 @@
 {
     UpstreamRecord& upstream = *chosen.upstream;
     ++sends_;
-    sentTo_.insert(upstream.facts.instance);
+    sentTo_.insert(upstream.facts.run());
     lastServer_ = upstream.facts.instance.value();
     logSend(chosen);
     auto use = std::make_unique<UpstreamUse>(chosen.upstream, target(), terms_.route->priority, chosen.newTokens);
@@ -233,8 +233,8 @@
     UpstreamRecord& upstream = attempt_->use().upstream();
     upstream.suspicion.didFail(host_.now());
     if (!mayHaveRun) {
-        avoided_.insert(upstream.facts.instance);
-        sentTo_.erase(upstream.facts.instance);
+        avoided_.insert(upstream.facts.run());
+        sentTo_.erase(upstream.facts.run());
         attempt_.reset();
         lastCause_ = cause;
         if (++unreached_ < mostUnreached && !terms_.deadline.hasPassed(host_.now()))
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -95,9 +95,9 @@
     std::unique_ptr<framework::Timer> deadlineTimer_;
     std::shared_ptr<UpstreamAttempt> attempt_;
     /// Servers that it was sent to, and may have reached.
-    std::set<catalog::InstanceId> sentTo_;
+    std::set<catalog::UpstreamRun> sentTo_;
     /// Servers that couldn't be reached, or are no use for it.
-    std::set<catalog::InstanceId> avoided_;
+    std::set<catalog::UpstreamRun> avoided_;
     std::uint32_t sends_ = 0;
     std::uint32_t unreached_ = 0;
     bool mayHaveRun_ = false;
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -24,7 +24,7 @@
         return ready;
     std::vector<UpstreamPointer> found;
     for (const UpstreamPointer& upstream : ready) {
-        if (past.sentTo.contains(upstream->facts.instance))
+        if (past.sentTo.contains(upstream->facts.run()))
             found.push_back(upstream);
     }
     return found;
@@ -32,7 +32,8 @@
 
 bool wasTried(const UpstreamRecord& upstream, const SearchPast& past)
 {
-    return past.sentTo.contains(upstream.facts.instance) || past.avoided.contains(upstream.facts.instance);
+    const catalog::UpstreamRun run = upstream.facts.run();
+    return past.sentTo.contains(run) || past.avoided.contains(run);
 }
 
 http::ConnectionPool::Reuse reuseFor(const catalog::Route& route)
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -44,8 +44,8 @@
 
 /// What the search has to know of the request's past.
 struct SearchPast {
-    const std::set<catalog::InstanceId>& sentTo;
-    const std::set<catalog::InstanceId>& avoided;
+    const std::set<catalog::UpstreamRun>& sentTo;
+    const std::set<catalog::UpstreamRun>& avoided;
 };
 
 /// Finds a server that can take the request now, and a connection to it.
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -29,6 +29,19 @@
     return record.facts.service == service && record.facts.state == catalog::UpstreamState::Ready && !record.isGone;
 }
 
+/// Guards against going by a former run, of which nothing holds: the list may lag behind an agent, and an agent's word
+/// may have been on its way when the list was read.
+bool isOfFormerRun(const std::optional<catalog::StartTime>& said, const Upstream& known)
+{
+    return said && known.started && *said < *known.started;
+}
+
+/// Whether what is known of the server holds for this description of it too.
+bool isSameServer(const Upstream& known, const Upstream& listed)
+{
+    return known.endpoint == listed.endpoint && known.started >= listed.started;
+}
+
 } // namespace
 
 UpstreamRecord::UpstreamRecord(boost::asio::io_context& context, const Upstream& upstream)
@@ -43,11 +56,17 @@
     std::set<catalog::InstanceId> listed;
     for (const Upstream& upstream : upstreams) {
         listed.insert(upstream.instance);
-        const auto found = records_.find(upstream.instance);
-        if (found == records_.end())
-            records_.emplace(upstream.instance, std::make_shared<UpstreamRecord>(context_, upstream));
-        else
-            found->second->facts = upstream;
+        UpstreamPointer& record = records_[upstream.instance];
+        if (!record || !isSameServer(record->facts, upstream)) {
+            record = std::make_shared<UpstreamRecord>(context_, upstream);
+            continue;
+        }
+        const auto started = record->facts.started;
+        const bool isLagging = isOfFormerRun(upstream.started, record->facts);
+        record->facts = upstream;
+        record->facts.started = started;
+        if (isLagging)
+            record->facts.models.clear();
     }
     std::erase_if(records_, [&](const auto& entry) { return !listed.contains(entry.first); });
     limitConnections();
@@ -77,11 +96,29 @@
 {
     const std::uint32_t before = routers();
     const Endpoint engine = state.engine;
+    const bool isNewRun = noteStart(state);
     states_[engine] = { std::move(state), now };
-    if (routers() != before)
+    if (isNewRun || routers() != before)
         limitConnections();
 }
 
+/// An agent sees its engine start again before the list shows it: until then, prompts that are no longer there would
+/// draw requests, and what was sent over an idle connection of the former run would be lost.
+bool UpstreamTable::noteStart(const catalog::EngineState& state)
+{
+    bool isNewRun = false;
+    for (auto& [instance, record] : records_) {
+        if (record->facts.endpoint != state.engine || record->facts.started >= state.started)
+            continue;
+        Upstream facts = record->facts;
+        facts.started = state.started;
+        facts.models.clear();
+        record = std::make_shared<UpstreamRecord>(context_, facts);
+        isNewRun = true;
+    }
+    return isNewRun;
+}
+
 void UpstreamTable::forgetState(const Endpoint& engine) { states_.erase(engine); }
 
 std::vector<UpstreamPointer> UpstreamTable::ready(const framework::ServiceName& service) const
@@ -97,7 +134,8 @@
 const HeardState* UpstreamTable::state(const UpstreamRecord& record, SteadyTime now) const
 {
     const auto found = states_.find(record.facts.endpoint);
-    if (found == states_.end() || now - found->second.at > stateHolds)
+    if (found == states_.end() || now - found->second.at > stateHolds
+        || isOfFormerRun(found->second.state.started, record.facts))
         return nullptr;
     return &found->second;
 }
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -15,7 +15,8 @@
 
 namespace lagoon::forwarding {
 
-/// One server with what this router has under way there. Kept alive by its requests when the list drops it.
+/// One run of a server with what this router has under way there. Kept alive by its requests when the list drops it or
+/// the server starts again.
 struct UpstreamRecord {
     UpstreamRecord(boost::asio::io_context&, const catalog::Upstream&);
 
@@ -68,6 +69,8 @@
     bool isEmpty() const { return records_.empty(); }
 
 private:
+    /// Whether a server's restart is known by this only.
+    bool noteStart(const catalog::EngineState&);
     void limitConnections();
 
     boost::asio::io_context& context_;
--- /dev/null
+++ b/src/forwarding/tests/upstreamtable_test.cpp
@@ -0,0 +1,166 @@
+#include "forwarding/internal/upstreamtable.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using catalog::EngineState;
+using catalog::InstanceId;
+using catalog::ModelTarget;
+using catalog::StartTime;
+using catalog::Upstream;
+using framework::Endpoint;
+using framework::Milliseconds;
+using framework::ModelName;
+using framework::ServiceName;
+using framework::SteadyTime;
+
+const ServiceName service("engines");
+const Endpoint endpoint("10.0.0.1:80");
+const ModelTarget target { ModelName("m"), {} };
+const PromptChain prompt { { 7, 100 } };
+
+std::optional<StartTime> startOf(std::uint64_t started)
+{
+    return started == 0 ? std::nullopt : std::optional(StartTime(started));
+}
+
+Upstream upstream(std::uint64_t started, const Endpoint& at = endpoint)
+{
+    Upstream made;
+    made.instance = InstanceId("i-1");
+    made.started = startOf(started);
+    made.service = service;
+    made.endpoint = at;
+    return made;
+}
+
+EngineState state(std::uint64_t started, bool holdsModel)
+{
+    EngineState made;
+    made.engine = endpoint;
+    made.started = startOf(started);
+    if (holdsModel)
+        made.held.push_back({ target.model, 1, {}, 0 });
+    return made;
+}
+
+struct Fixture {
+    UpstreamRecord& only() { return *table.ready(service).at(0); }
+
+    /// What a router comes to know of a server by using it.
+    void use()
+    {
+        only().prompts.didSend(prompt);
+        only().suspicion.didFail(now);
+    }
+
+    bool isUsed() { return only().prompts.kept(prompt) > 0 && only().suspicion.isSuspect(now); }
+    bool isAnew() { return only().prompts.kept(prompt) == 0 && !only().suspicion.isSuspect(now); }
+
+    boost::asio::io_context context;
+    UpstreamTable table { context };
+    SteadyTime now { std::chrono::hours(1) };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TheUpstreamTable, Fixture)
+
+// An engine had started again under its id. The router still counted on the prompts that the former run had read: it
+// sent what began alike there, where all of it was read anew, and passed others by for the failures of the crash.
+BOOST_AUTO_TEST_CASE(nothingKnownOfAServerOutlivesItsRestart)
+{
+    table.setUpstreams({ upstream(100) });
+    use();
+    table.setUpstreams({ upstream(100) });
+    BOOST_TEST(isUsed());
+    table.setUpstreams({ upstream(200) });
+    BOOST_TEST(isAnew());
+    BOOST_TEST(only().facts.started->value() == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatWasTakenForGoneIsThereAgainAfterItsRestart)
+{
+    table.setUpstreams({ upstream(100) });
+    only().isGone = true;
+    BOOST_TEST(table.ready(service).empty());
+    table.setUpstreams({ upstream(200) });
+    BOOST_TEST(table.ready(service).size() == 1U);
+}
+
+// The list named another address under the same id, and requests still went over the connections to the old one.
+BOOST_AUTO_TEST_CASE(aServerAtAnotherAddressIsKnownAnew)
+{
+    table.setUpstreams({ upstream(0) });
+    use();
+    table.setUpstreams({ upstream(0, Endpoint("10.0.0.2:80")) });
+    BOOST_TEST(isAnew());
+}
+
+// A router read of a restart in the list, then got a word that the engine's agent had sent before it, and for a second
+// sent requests for a model that the engine no longer had.
+BOOST_AUTO_TEST_CASE(whatAnAgentSaidOfTheFormerRunIsNotBelieved)
+{
+    table.setUpstreams({ upstream(200) });
+    table.setState(state(100, true), now);
+    BOOST_TEST(!table.state(only(), now));
+    BOOST_TEST(!table.holds(only(), target, now));
+    BOOST_TEST(table.engines(service, now).empty());
+    table.setState(state(200, true), now);
+    BOOST_TEST(table.holds(only(), target, now));
+}
+
+// An agent sees a restart a second before the list does.
+BOOST_AUTO_TEST_CASE(anAgentsWordOfARestartIsEnough)
+{
+    table.setUpstreams({ upstream(100) });
+    table.setState(state(100, true), now);
+    use();
+    table.setState(state(100, true), now);
+    BOOST_TEST(isUsed());
+    table.setState(state(200, false), now);
+    BOOST_TEST(isAnew());
+    BOOST_TEST(!table.holds(only(), target, now));
+    use();
+    // The list still shows the former run, then the same as the agent.
+    table.setUpstreams({ upstream(100) });
+    BOOST_TEST(isUsed());
+    BOOST_TEST(table.state(only(), now));
+    table.setUpstreams({ upstream(200) });
+    BOOST_TEST(isUsed());
+}
+
+// The list goes on naming the models of the former run, and the agent that saw the restart falls silent.
+BOOST_AUTO_TEST_CASE(theModelsOfTheFormerRunAreNotHeldByTheNext)
+{
+    Upstream listed = upstream(100);
+    listed.models.push_back({ target.model, 1, {}, 0 });
+    table.setUpstreams({ listed });
+    BOOST_TEST(table.holds(only(), target, now));
+    table.setState(state(200, false), now);
+    now += std::chrono::seconds(10);
+    BOOST_TEST(!table.holds(only(), target, now));
+    table.setUpstreams({ listed });
+    BOOST_TEST(!table.holds(only(), target, now));
+    listed.started = StartTime(200);
+    table.setUpstreams({ listed });
+    BOOST_TEST(table.holds(only(), target, now));
+}
+
+BOOST_AUTO_TEST_CASE(serversThatDoNotSayTheirStartAreKnownByTheirId)
+{
+    table.setUpstreams({ upstream(0) });
+    table.setState(state(0, true), now);
+    use();
+    table.setUpstreams({ upstream(0) });
+    BOOST_TEST(isUsed());
+    BOOST_TEST(table.holds(only(), target, now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::forwarding
