An agent sees by the start that its engine began anew under its id

Cause: an agent knew a restart by another id in a refusal, or by a count of orders that stayed smaller for 0.7 s; until then it took the reports for old ones. A restart at the same or a greater count wasn't seen at all: what was being loaded was still told to the routers. The id in an order no longer keeps what the former run was ordered from the next one. Change: another start in the report begins anew at once: count, plan, refused id, pauses. If an order of the last 30 s got no answer, a newer fencing number is taken first; the engine has forgotten the fences, and the old order's count may come up again. Routers are told the start, at once. Ruled out: a new number at each restart; it is a call to the store, and without the store no order could be given.

--- a/src/engines/enginekeeper.h
+++ b/src/engines/enginekeeper.h
@@ -60,6 +60,7 @@
     void pollAfter(framework::Milliseconds);
     void didReport(framework::Result<EngineReport>);
     void noteRestart(const EngineReport&);
+    void beginAnew(const EngineReport&);
     void decide();
     void give(const Order&, const std::string& reason);
     void didOrder(const Order&, const OrderAnswer&);
@@ -77,6 +78,8 @@
     std::optional<EngineReport> report_;
     framework::SteadyTime reportedAt_ {};
     std::optional<framework::FencingNumber> fence_;
+    /// Of the engine's process, as it says; nothing if it doesn't.
+    std::optional<catalog::StartTime> started_;
     catalog::InstanceId instance_;
     /// The engine said that it isn't this one; routers may go on naming it while their list lags.
     catalog::InstanceId deniedInstance_;
@@ -89,6 +92,8 @@
     bool isEngineLost_ = false;
     /// No order before this: the engine was busy with another.
     framework::Deadline holdOrders_;
+    /// Until then an order that got no answer may still be carried out.
+    framework::Deadline lateOrdersUntil_;
     std::string published_;
     framework::SteadyTime publishedAt_ {};
     objectstore::Backoff fenceBackoff_;
--- a/src/engines/internal/enginekeeper.cpp
+++ b/src/engines/internal/enginekeeper.cpp
@@ -39,6 +39,9 @@
 /// A report that goes on showing fewer orders than were accepted is a restarted engine's, not an old one.
 constexpr Milliseconds oldReportsFor { 700 };
 
+/// How long an order without an answer may still be carried out: several times the ten seconds that were seen.
+constexpr Milliseconds lateOrdersFor { 30000 };
+
 std::string targetText(const catalog::ModelTarget& target)
 {
     return target.adapter.value().empty() ? target.model.value() : target.model.value() + "/" + target.adapter.value();
@@ -68,7 +71,7 @@
 {
     constexpr std::uint64_t tokenStep = 20000;
     constexpr std::uint32_t loadStep = 4;
-    std::string digest = state.loading.value() + '|';
+    std::string digest = std::to_string(state.started ? state.started->value() : 0) + '|' + state.loading.value() + '|';
     for (const catalog::HeldModel& held : state.held) {
         digest += held.model.value() + ':';
         for (const framework::AdapterName& adapter : held.adapters)
@@ -208,6 +211,11 @@
 
 void EngineKeeper::noteRestart(const EngineReport& report)
 {
+    const bool isOtherRun = report.started && started_ && *report.started != *started_;
+    if (report.started)
+        started_ = report.started;
+    if (isOtherRun)
+        return beginAnew(report);
     const framework::SteadyTime now = context_.clock.now();
     if (report.orders >= ordersKnown_) {
         ordersKnownAt_ = now;
@@ -215,9 +223,29 @@
     }
     if (now - ordersKnownAt_ < oldReportsFor)
         return;
-    logDecision(LogLine("engine_restarted").number("orders", report.orders.value()));
+    beginAnew(report);
+}
+
+/// Nothing holds of the engine's former run. Guards against what that one was ordered and didn't answer: it may be
+/// carried out now, since the engine has forgotten the fences and its count comes to the expected one again. With a
+/// newer number from the first order on the engine refuses it.
+void EngineKeeper::beginAnew(const EngineReport& report)
+{
+    const framework::SteadyTime now = context_.clock.now();
+    const bool mayComeLate = !lateOrdersUntil_.hasPassed(now);
+    logDecision(LogLine("engine_restarted")
+                    .number("orders", report.orders.value())
+                    .number("orders_before", ordersKnown_.value())
+                    .number("started_ms", started_ ? started_->value() : 0)
+                    .flag("takes_fence", mayComeLate));
     ordersKnown_ = report.orders;
+    ordersKnownAt_ = now;
+    deniedInstance_ = catalog::InstanceId();
+    holdOrders_ = Deadline();
     plan_.reset();
+    if (mayComeLate)
+        takeFence();
+    lateOrdersUntil_ = Deadline();
 }
 
 Milliseconds EngineKeeper::pollPause() const
@@ -306,6 +334,7 @@
         // It may still come, for many seconds. The next order carries the same expected count, so that the engine takes
         // at most one of the two.
         holdOrders_ = Deadline::after(now, busyPause);
+        lateOrdersUntil_ = Deadline::after(now, lateOrdersFor);
         break;
     }
     report_.reset();
@@ -317,6 +346,7 @@
 {
     catalog::EngineState state;
     state.engine = settings_.engine;
+    state.started = report_->started;
     state.held = report_->held;
     for (catalog::HeldModel& held : state.held) {
         const auto found = wanted.find({ held.model, {} });
--- a/src/engines/tests/enginekeeper_test.cpp
+++ b/src/engines/tests/enginekeeper_test.cpp
@@ -256,6 +256,72 @@
     BOOST_TEST(engine.orders.size() <= 2U);
 }
 
+// An engine crashed while a model was loaded and started again under its id, with its count of orders at 0. Its agent
+// took the smaller count for an old report, and for 0.7 s nobody gave the empty engine an order.
+BOOST_AUTO_TEST_CASE(anEngineThatStartsAgainUnderItsIdIsBegunAnewAtOnce)
+{
+    engine.state.started = catalog::StartTime(100);
+    engine.state.orders = OrderCount(7);
+    start();
+    want("a");
+    engine.answer(OrderOutcome::Accepted);
+    engine.state.orders = OrderCount(8);
+    engine.state.isBusy = true;
+    pass(Milliseconds(100));
+    BOOST_TEST(published.back().loading.value() == "a");
+    engine.state = {};
+    engine.state.started = catalog::StartTime(200);
+    pass(Milliseconds(100));
+    BOOST_REQUIRE(engine.orders.size() == 2U);
+    BOOST_TEST(engine.orders[1].second.expected.value() == 0U);
+    BOOST_TEST(published.back().loading.value().empty());
+    BOOST_TEST(fences.asked == 1);
+}
+
+// The same, before it had carried out an order: by its count the two runs look alike.
+BOOST_AUTO_TEST_CASE(routersHearOfARestartAtOnce)
+{
+    engine.state.started = catalog::StartTime(100);
+    start();
+    BOOST_REQUIRE(!published.empty());
+    BOOST_CHECK(published.back().started == catalog::StartTime(100));
+    pass(Milliseconds(1000));
+    engine.state.started = catalog::StartTime(200);
+    const std::size_t before = published.size();
+    pass(Milliseconds(210));
+    BOOST_REQUIRE(published.size() > before);
+    BOOST_CHECK(published[before].started == catalog::StartTime(200));
+}
+
+// An order got no answer, as the engine crashed. It started again under its id, was given other models, and seconds
+// later carried out the old order: its id, fence and, by then, its count were right. It had no room and crashed again.
+BOOST_AUTO_TEST_CASE(afterARestartWhatTheFormerRunWasOrderedIsFenced)
+{
+    engine.state.started = catalog::StartTime(100);
+    start();
+    want("a");
+    engine.answer(OrderOutcome::Unknown);
+    engine.state.started = catalog::StartTime(200);
+    pass(Milliseconds(200));
+    BOOST_REQUIRE(engine.orders.size() == 2U);
+    BOOST_TEST(engine.orders[0].second.fence.value() == 41U);
+    BOOST_TEST(engine.orders[1].second.fence.value() == 42U);
+}
+
+// Long after it, an order without an answer isn't on its way any more, and a restart costs the store no call.
+BOOST_AUTO_TEST_CASE(anOldOrderWithoutAnswerTakesNoNewNumber)
+{
+    engine.state.started = catalog::StartTime(100);
+    start();
+    want("a");
+    engine.answer(OrderOutcome::Unknown);
+    engine.state.held.push_back({ ModelName("a"), 1, {}, 0 });
+    pass(Milliseconds(61000));
+    engine.state.started = catalog::StartTime(200);
+    pass(Milliseconds(1000));
+    BOOST_TEST(fences.asked == 1);
+}
+
 BOOST_AUTO_TEST_CASE(routersHearOfChangesAtOnceAndElseEachSecond)
 {
     start();
