A model that a server lacks isn't asked of it again before it is said anew

The request was sent there again until its repeats were spent, then refused. Change: such a refusal takes the model (or adapter) out of what is known of the server until the agent or the list says it anew; the request waits for its load as any other. Tests with real processes in restartedserver_test.cpp: restarts under the same id, seen by the list or only by the agent, overwritten entries and entries of other writers, one of them with bytes that no JSON parser takes. aRestartThatTheListLacksIsSeenByTheAgent showed before the mend: 'check answer.status == 200 has failed [503 != 200]'.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -225,6 +225,8 @@
     UpstreamRecord& upstream = attempt_->use().upstream();
     upstream.isGone = upstream.isGone || meaning == AnswerMeaning::OtherInstance;
     upstream.suspicion.didFail(host_.now());
+    if (meaning == AnswerMeaning::NotLoaded)
+        host_.upstreams().didLack(upstream, target());
     sendOnceMore(std::string(rejectionText(meaning)) + " (" + std::to_string(status) + ")", 503);
 }
 
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -36,6 +36,18 @@
     return said && known.started && *said < *known.started;
 }
 
+void removeTarget(std::vector<catalog::HeldModel>& held, const catalog::ModelTarget& target)
+{
+    if (target.adapter.value().empty()) {
+        std::erase_if(held, [&](const catalog::HeldModel& model) { return model.model == target.model; });
+        return;
+    }
+    for (catalog::HeldModel& model : held) {
+        if (model.model == target.model)
+            std::erase(model.adapters, target.adapter);
+    }
+}
+
 /// Whether what is known of the server holds for this description of it too.
 bool isSameServer(const Upstream& known, const Upstream& listed)
 {
@@ -151,6 +163,16 @@
     return std::any_of(record.facts.models.begin(), record.facts.models.end(), isThis);
 }
 
+/// Guards against sending a request to the same server until its repeats are spent: what its agent said last may be
+/// older than the refusal by up to a second.
+void UpstreamTable::didLack(UpstreamRecord& record, const catalog::ModelTarget& target)
+{
+    removeTarget(record.facts.models, target);
+    const auto heard = states_.find(record.facts.endpoint);
+    if (heard != states_.end())
+        removeTarget(heard->second.state.held, target);
+}
+
 std::vector<EngineFacts> UpstreamTable::engines(const framework::ServiceName& service, SteadyTime now) const
 {
     std::vector<EngineFacts> facts;
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -62,6 +62,8 @@
     const HeardState* state(const UpstreamRecord&, framework::SteadyTime now) const;
     /// Whether the engine holds the target and goes on holding it, by its agent or, without one, by the list.
     bool holds(const UpstreamRecord&, const catalog::ModelTarget&, framework::SteadyTime now) const;
+    /// The server refused the target as not held; so it isn't until its agent or the list says it anew.
+    void didLack(UpstreamRecord&, const catalog::ModelTarget&);
     /// Engines of the service that an agent speaks for.
     std::vector<EngineFacts> engines(const framework::ServiceName&, framework::SteadyTime now) const;
     /// The most routers that any agent hears from; a guess without agents.
--- a/src/forwarding/tests/upstreamtable_test.cpp
+++ b/src/forwarding/tests/upstreamtable_test.cpp
@@ -151,6 +151,34 @@
     BOOST_TEST(table.holds(only(), target, now));
 }
 
+// A restarted engine refused a request for a model that it no longer had. Until its agent's next word the router sent
+// the request there again and again, spent its repeats, and refused it.
+BOOST_AUTO_TEST_CASE(whatAServerSaysItLacksIsNotHeldUntilItIsSaidAnew)
+{
+    Upstream listed = upstream(100);
+    listed.models.push_back({ target.model, 1, {}, 0 });
+    table.setUpstreams({ listed });
+    table.setState(state(100, true), now);
+    table.didLack(only(), target);
+    BOOST_TEST(!table.holds(only(), target, now));
+    BOOST_TEST(!table.holds(only(), target, now + std::chrono::seconds(10)));
+    table.setState(state(100, true), now);
+    BOOST_TEST(table.holds(only(), target, now));
+}
+
+BOOST_AUTO_TEST_CASE(aMissingAdapterLeavesItsModel)
+{
+    const ModelTarget adapter { target.model, framework::AdapterName("a1") };
+    EngineState told = state(0, true);
+    told.held[0].adapters.push_back(adapter.adapter);
+    table.setUpstreams({ upstream(0) });
+    table.setState(told, now);
+    BOOST_TEST(table.holds(only(), adapter, now));
+    table.didLack(only(), adapter);
+    BOOST_TEST(!table.holds(only(), adapter, now));
+    BOOST_TEST(table.holds(only(), target, now));
+}
+
 BOOST_AUTO_TEST_CASE(serversThatDoNotSayTheirStartAreKnownByTheirId)
 {
     table.setUpstreams({ upstream(0) });
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -272,9 +272,9 @@
     return parse(caller.readToEnd()).status == 200;
 }
 
-CallerAnswer Fleet::call(const CallerRequest& request)
+CallerAnswer Fleet::call(const CallerRequest& request, std::size_t router)
 {
-    http::testing::RawCaller caller { framework::Endpoint(callers()) };
+    http::testing::RawCaller caller { framework::Endpoint(callers(router)) };
     caller.send(request.text());
     return parse(caller.readToEnd());
 }
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -72,7 +72,7 @@
         const std::string& state = "ready");
     /// Whether a `GET` at the router's readiness endpoint is answered 200.
     bool isReady();
-    CallerAnswer call(const CallerRequest&);
+    CallerAnswer call(const CallerRequest&, std::size_t router = 0);
     /// Writes the next version of the configuration: the routes, and the services of the engines and plain servers.
     void configure(const std::vector<web::json::value>& routes);
     void list(const ServerStandin&, const std::string& service, const std::string& state = "ready");
--- a/tests/fleet/storestandin.cpp
+++ b/tests/fleet/storestandin.cpp
@@ -8,7 +8,6 @@
 
 using standins::Exchange;
 using standins::replyError;
-using standins::replyJson;
 using web::json::value;
 
 namespace {
@@ -56,6 +55,26 @@
     return putLocked({ kind, name }, content);
 }
 
+void StoreStandin::putRaw(const std::string& kind, const std::string& name, const std::string& bytes)
+{
+    const std::lock_guard lock(mutex_);
+    const std::string place = "raw content " + std::to_string(raws_.size());
+    raws_["\"" + place + "\""] = bytes;
+    putLocked({ kind, name }, value::string(place));
+}
+
+void StoreStandin::reply(Exchange& exchange, const value& answer) const
+{
+    std::string text = answer.serialize();
+    std::unique_lock lock(mutex_);
+    for (const auto& [place, bytes] : raws_) {
+        for (std::size_t at = text.find(place); at != std::string::npos; at = text.find(place, at + bytes.size()))
+            text.replace(at, place.size(), bytes);
+    }
+    lock.unlock();
+    exchange.reply(200, text, { { "Content-Type", "application/json" } });
+}
+
 void StoreStandin::remove(const std::string& kind, const std::string& name)
 {
     const std::lock_guard lock(mutex_);
@@ -131,7 +150,7 @@
     }
     const value found = json(name, object->second);
     lock.unlock();
-    replyJson(exchange, 200, found);
+    reply(exchange, found);
 }
 
 /// Two objects a page, so that every list has several.
@@ -155,7 +174,7 @@
         list["items"][list["items"].size()] = json(key.second, object);
     }
     lock.unlock();
-    replyJson(exchange, 200, list);
+    reply(exchange, list);
 }
 
 void StoreStandin::answerWatch(Exchange& exchange, const std::string& kind)
@@ -179,7 +198,7 @@
     }
     changes["at"] = number(revision_);
     lock.unlock();
-    replyJson(exchange, 200, changes);
+    reply(exchange, changes);
 }
 
 void StoreStandin::answerWrite(Exchange& exchange, const std::string& kind, std::string name)
@@ -197,7 +216,7 @@
     putLocked({ kind, name }, body.at("spec"));
     const value written = json(name, objects_.at({ kind, name }));
     lock.unlock();
-    replyJson(exchange, 200, written);
+    reply(exchange, written);
 }
 
 } // namespace lagoon::fleet
--- a/tests/fleet/storestandin.h
+++ b/tests/fleet/storestandin.h
@@ -21,6 +21,8 @@
     std::string endpoint() const { return endpoint_; }
     /// Writes as the operator or a server would; returns the new revision.
     std::uint64_t put(const std::string& kind, const std::string& name, const web::json::value& content);
+    /// Writes bytes that needn't be JSON, and that answers contain as they are.
+    void putRaw(const std::string& kind, const std::string& name, const std::string& bytes);
     void remove(const std::string& kind, const std::string& name);
     /// While it is away it answers 503 to all.
     void setAway(bool isAway);
@@ -48,12 +50,16 @@
     void answerWatch(standins::Exchange&, const std::string& kind);
     void answerWrite(standins::Exchange&, const std::string& kind, std::string name);
     std::uint64_t putLocked(const Key&, const web::json::value& content);
+    /// Answers with the raw contents in their places.
+    void reply(standins::Exchange&, const web::json::value&) const;
     static web::json::value json(const std::string& name, const Object&);
 
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::map<Key, Object> objects_;
     std::vector<Change> history_;
+    /// By the content that stands for them.
+    std::map<std::string, std::string> raws_;
     std::uint64_t revision_ = 1;
     std::uint64_t historyFrom_ = 0;
     bool isAway_ = false;
--- /dev/null
+++ b/tests/integration/restartedserver_test.cpp
@@ -0,0 +1,157 @@
+#include "fleet/fleet.h"
+#include "http/testing/rawcaller.h"
+#include "support/waitfor.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon::fleet;
+using lagoon::http::testing::RawCaller;
+using lagoon::testsupport::waitFor;
+using web::json::value;
+
+namespace {
+
+struct RunningFleet {
+    RunningFleet() { fleet.start(); }
+    ~RunningFleet() { fleet.stop(); }
+
+    CallerAnswer call(const CallerRequest& request) { return fleet.call(request); }
+    CallerAnswer lookup(const std::string& attempt)
+    {
+        return call({ .method = "GET", .target = "/get/1", .attempt = attempt });
+    }
+
+    void waitForLog(const std::string& text)
+    {
+        waitFor("\"" + text + "\" in the router's log",
+            [&] { return fleet.router().output().find(text) != std::string::npos; });
+    }
+
+    std::size_t logLines(const std::string& text)
+    {
+        const std::string log = fleet.router().output();
+        std::size_t count = 0;
+        for (std::size_t at = log.find(text); at != std::string::npos; at = log.find(text, at + 1))
+            ++count;
+        return count;
+    }
+
+    Fleet& fleet = Fleet::make();
+    StoreStandin& store = fleet.store;
+    PlainStandin& plain1 = fleet.plain1;
+    PlainStandin& plain2 = fleet.plain2;
+    EngineStandin& engine1 = fleet.engine1;
+    EngineStandin& engine2 = fleet.engine2;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ServersThatStartAgainAndEntriesOfOthers, RunningFleet)
+
+// An engine crashed and started again under its id, empty. Its list entry and its count of orders looked like before,
+// and callers of the model that it had held were sent there and refused.
+BOOST_AUTO_TEST_CASE(aRestartedEngineIsLoadedAnew)
+{
+    BOOST_TEST(call({ .target = "/model/1", .attempt = "a1", .model = "warm" }).status == 200);
+    engine1.restart();
+    fleet.list(engine1, "engines");
+    const CallerAnswer answer = call({ .target = "/model/1", .attempt = "a2", .model = "warm" });
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST((engine1.holds("warm") || engine2.holds("warm")));
+    BOOST_TEST(engine1.violations() + engine2.violations() == 0);
+}
+
+// The same, but the list goes on showing the former run: the agent's word is enough.
+BOOST_AUTO_TEST_CASE(aRestartThatTheListLacksIsSeenByTheAgent)
+{
+    engine1.restart();
+    const CallerAnswer answer = call({ .target = "/model/1", .attempt = "a1", .model = "warm" });
+    BOOST_TEST(answer.status == 200);
+    waitFor("the agent to see it",
+        [this] { return fleet.agent(0).output().find("\"engine_restarted\"") != std::string::npos; });
+}
+
+// The id is the same before and after, so a refusal by it says nothing of what the former run did: a stream that had
+// begun there was begun once more.
+BOOST_AUTO_TEST_CASE(whatTheFormerRunBeganIsNotBegunAgainByTheNext)
+{
+    engine1.setStream(100, 20);
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    caller.send(CallerRequest { .target = "/model/1", .attempt = "a1", .model = "warm" }.text());
+    BOOST_TEST(caller.readUntil("word1"));
+    engine1.restart();
+    fleet.list(engine1, "engines");
+    BOOST_TEST(!caller.readToEnd().ends_with("0\r\n\r\n"));
+    BOOST_TEST(engine1.runs("a1") + engine2.runs("a1") == 1);
+    engine1.setStream(3, 1);
+    BOOST_TEST(call({ .target = "/model/1", .attempt = "a2", .model = "warm" }).status == 200);
+    BOOST_TEST(engine1.runs("a1") + engine2.runs("a1") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aRestartedPlainServerServesOn)
+{
+    plain1.restart();
+    plain2.restart();
+    fleet.list(plain1, "plain");
+    fleet.list(plain2, "plain");
+    waitForLog("\"server_restarted\"");
+    for (int request = 0; request < 10; ++request)
+        BOOST_TEST(lookup("g" + std::to_string(request)).status == 200);
+}
+
+// Someone wrote over the entry of one server. The router is to go on by the others, and to take the server back when it
+// writes its entry again; each change is one line of its log, however often the list is read.
+BOOST_AUTO_TEST_CASE(aServerWhoseEntryWasOverwrittenGetsNothingUntilItWritesAgain)
+{
+    value entry = Fleet::entry(plain1, "plain", plain1.endpoint());
+    entry["state"] = value::string("Ready!");
+    store.put("servers", plain1.instance(), entry);
+    waitForLog("\"server_refused\"");
+    const int before = plain1.allRuns();
+    for (int request = 0; request < 20; ++request)
+        BOOST_TEST(lookup("g" + std::to_string(request)).status == 200);
+    BOOST_TEST(plain1.allRuns() == before);
+    store.forgetHistory();
+    waitForLog("\"store_history_gone\"");
+    waitFor("the list to be read again", [this] { return logLines("\"kind\":\"servers\",\"objects\"") >= 2; });
+    BOOST_TEST(logLines("\"server_refused\"") == 1U);
+    fleet.list(plain1, "plain");
+    waitFor("the server to be used again", [&] {
+        lookup("later");
+        return plain1.allRuns() > before;
+    });
+}
+
+// Entries of other writers lay beside those of servers: none may hide a server, end a process, or be sent a request.
+BOOST_AUTO_TEST_CASE(entriesOfOtherWritersLeaveTheServers)
+{
+    const std::vector<std::string> specs { "null", "7", "\"text\"", "[]", "{}", R"({"service":7,"address":[]})",
+        R"({"service":"plain","address":")" + plain1.endpoint() + R"(","state":"ready"})", "{\"a\":\"\xff\xfe\"}",
+        "NaN", "{\"service\":\"\\ud800\\u0041\"}", "\"" + std::string(100000, 'x') + "\"" };
+    std::size_t index = 0;
+    for (const std::string& spec : specs)
+        store.putRaw("servers", "bad-" + std::to_string(index++), spec);
+    value unknown = Fleet::entry(plain1, "unheard-of", plain1.endpoint());
+    store.put("servers", "z-unknown", unknown);
+    waitForLog("\"server_left_out\"");
+    fleet.startRouter(1);
+    for (std::size_t router = 0; router < 2; ++router) {
+        waitFor("the router to serve", [&] {
+            return fleet.call({ .method = "GET", .target = "/get/1", .attempt = "first" }, router).status == 200;
+        });
+        for (int request = 0; request < 10; ++request) {
+            const std::string attempt = std::to_string(router) + "-" + std::to_string(request);
+            BOOST_TEST(
+                fleet.call({ .method = "GET", .target = "/get/1", .attempt = "g" + attempt }, router).status == 200);
+            BOOST_TEST(
+                fleet.call({ .target = "/model/1", .attempt = "m" + attempt, .model = "warm" }, router).status == 200);
+        }
+    }
+    BOOST_TEST(plain1.allRuns() > 0);
+    BOOST_TEST(logLines("\"server_refused\"") == specs.size());
+    // Changes are still heard.
+    fleet.list(plain2, "plain", "draining");
+    waitForLog("\"state\":\"leaving\"");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
