--- a/src/forwarding/tests/upstreamtable_test.cpp
+++ b/src/forwarding/tests/upstreamtable_test.cpp
@@ -114,7 +114,7 @@
     BOOST_TEST(table.holds(only(), target, now));
 }
 
-// An agent sees a restart a second before the list does.
+// An agent, which asks its engine several times a second, mostly sees a restart before the list shows it.
 BOOST_AUTO_TEST_CASE(anAgentsWordOfARestartIsEnough)
 {
     table.setUpstreams({ upstream(100) });
