--- a/src/app/internal/directprocess.h
+++ b/src/app/internal/directprocess.h
@@ -54,14 +54,9 @@
     {
         while (true) {
             const auto signal = framework::waitForProcessSignal(settingsCheckEach);
+            readAnew(reload, signal == framework::ProcessSignal::Reload);
             if (signal == framework::ProcessSignal::Terminate)
                 return;
-            const std::string before = text_;
-            const auto settings = read();
-            if (settings.has_error())
-                logDecision(framework::LogLine("settings_refused").text("cause", describe(settings.error())));
-            else if (signal || text_ != before)
-                reload(settings.value());
         }
     }
 
@@ -73,6 +68,18 @@
     }
 
 private:
+    /// Also before the end. Guards against a grace period that was shortened just before: the process would be ended by
+    /// force over the requests that it still holds.
+    void readAnew(const Reload& reload, bool isAsked)
+    {
+        const std::string before = text_;
+        const auto settings = read();
+        if (settings.has_error())
+            logDecision(framework::LogLine("settings_refused").text("cause", describe(settings.error())));
+        else if (isAsked || text_ != before)
+            reload(settings.value());
+    }
+
     framework::Result<Settings> read()
     {
         BOOST_OUTCOME_TRY(text, framework::readSettingsText(file_));
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -83,16 +83,19 @@
     void drain()
     {
         const DrainPlan plan = drainPlan(ports_.clock.now(), settings_.grace);
-        isDraining_ = true;
-        readinessView_.setReady(false);
-        logDecision(LogLine("draining").number("requests", onTraffic([this] { return forwarder_.requests(); })));
+        stopBeingReady();
+        logDecision(LogLine("draining")
+                        .number("requests", onTraffic([this] { return forwarder_.requests(); }))
+                        .number("grace_ms", settings_.grace.count()));
         ports_.traffic.post([this, plan] {
             callers_.beginDraining();
-            forwarder_.endBy(plan.answersBy);
-            refuseComingTimer_ = ports_.traffic.runAt(plan.answersBy, [this] { refuseComing(); });
+            forwarder_.answerBy(plan.answersBy);
         });
         std::this_thread::sleep_until(plan.takesUntil.at());
-        ports_.traffic.post([this] { callers_.closeIdle(); });
+        ports_.traffic.post([this] {
+            callers_.closeIdle();
+            refuseComing();
+        });
         while (
             !plan.endsBy.hasPassed(ports_.clock.now()) && onTraffic([this] { return callers_.busyConnections(); }) > 0)
             std::this_thread::sleep_for(drainCheckEach);
@@ -108,15 +111,24 @@
         return answer.get_future().get();
     }
 
-    /// Guards against a request of which a part has come when the time for answers is over: it surely hasn't run.
+    /// Twice, since the control thread may be about to say that it is ready.
+    void stopBeingReady()
+    {
+        isDraining_ = true;
+        readinessView_.setReady(false);
+        ports_.control.post([this] { readinessView_.setReady(false); });
+    }
+
+    /// Guards against a request of which a part has come when no more are taken. It surely hasn't run, and other
+    /// routers have time for it; here its answer could be cut by the end.
     void refuseComing() { callers_.refuseComing(ports_.dialect.refusal(503, comeBackElsewhere)); }
 
-    /// On the traffic thread, last thing. Guards against a request that is read between the last look at the
-    /// connections and the process's end, which would be sent to a server and never answered; and against those whose
-    /// timers haven't run, since the VM stood still or was busy until the end.
+    /// On the traffic thread, last thing; returns how many requests have no answer. Guards against a request that is
+    /// read between the last look at the connections and the process's end, which would be sent to a server and never
+    /// answered; and against those whose timers haven't run, since the VM stood still or was busy until the end.
     std::size_t stopTaking()
     {
-        forwarder_.endNow();
+        forwarder_.answerNow();
         refuseComing();
         forwarder_.logUnanswered();
         const std::size_t unanswered = forwarder_.requests();
@@ -199,7 +211,6 @@
     std::shared_ptr<wire::ILinkTransport> transport_;
     std::atomic<bool> isDraining_ { false };
     forwarding::Forwarder forwarder_;
-    std::unique_ptr<framework::Timer> refuseComingTimer_;
     // Control thread.
     catalog::ConfigurationPointer configuration_;
     std::vector<catalog::Upstream> servers_;
--- a/src/direct/internal/drainplan.cpp
+++ b/src/direct/internal/drainplan.cpp
@@ -12,9 +12,11 @@
 /// Balancers ask once a second and take a router out after two answers in a row that aren't 200; until then they send
 /// new connections, which have to be served.
 constexpr Milliseconds untilNoticed { 2500 };
-/// Left of the grace period when the last requests get their answers: half of it for the answers to leave, over links
-/// with tens of milliseconds of delay, and half for the log's last lines and for signals that are handled late.
+/// Left of the grace period when the last requests get their answers.
 constexpr Milliseconds usualReserve { 600 };
+/// Of the reserve, for the answers to leave over links with tens of milliseconds of delay. The rest is for the log's
+/// last lines and for a signal that is handled late.
+constexpr int leavingPart = 2;
 /// Of a short grace period the reserve is this part.
 constexpr int reservePart = 8;
 
@@ -25,7 +27,7 @@
     const Milliseconds reserve = std::min(usualReserve, grace / reservePart);
     const Deadline answersBy = Deadline::after(begun, grace - reserve);
     const Deadline noticed = Deadline::after(begun, untilNoticed);
-    return { std::min(noticed, answersBy), answersBy, Deadline::after(begun, grace - reserve / 2) };
+    return { std::min(noticed, answersBy), answersBy, Deadline::after(begun, grace - reserve / leavingPart) };
 }
 
 } // namespace lagoon::direct
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -48,9 +48,9 @@
     void setEngineState(catalog::EngineState);
     void forgetEngine(const framework::Endpoint&);
     /// From now on each request has its final answer by then, also those that come later: this process ends.
-    void endBy(framework::Deadline);
+    void answerBy(framework::Deadline);
     /// Gives each request that has no final answer yet the one that it would get at the end.
-    void endNow();
+    void answerNow();
     /// Requests without a final answer.
     std::size_t requests() const;
     /// A line for each of them: where it is, and for how long. For the end of the process.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -107,19 +107,19 @@
 
     void forgetState(const Endpoint& engine) { upstreams_.forgetState(engine); }
 
-    void endBy(Deadline deadline)
+    void answerBy(Deadline deadline)
     {
         end_ = deadline;
         for (const auto& job : jobs_)
-            job->endBy(deadline);
+            job->answerBy(deadline);
         retryWaiting();
     }
 
-    void endNow()
+    void answerNow()
     {
         const auto jobs = jobs_;
         for (const auto& job : jobs)
-            job->endNow();
+            job->answerNow();
     }
 
     std::size_t requests() const { return jobs_.size(); }
@@ -198,7 +198,7 @@
         budget(terms.service).earn();
         const auto job = std::make_shared<RequestJob>(*this, exchange, std::move(terms));
         if (end_)
-            job->endBy(*end_);
+            job->answerBy(*end_);
         jobs_.insert(job);
         job->start();
         if (job->isWaiting())
@@ -331,9 +331,9 @@
 
 void Forwarder::forgetEngine(const Endpoint& engine) { implementation_->forgetState(engine); }
 
-void Forwarder::endBy(Deadline deadline) { implementation_->endBy(deadline); }
+void Forwarder::answerBy(Deadline deadline) { implementation_->answerBy(deadline); }
 
-void Forwarder::endNow() { implementation_->endNow(); }
+void Forwarder::answerNow() { implementation_->answerNow(); }
 
 std::size_t Forwarder::requests() const { return implementation_->requests(); }
 
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -80,7 +80,7 @@
 /// Guards against a request that its router holds when it ends: its caller would see a closed connection, and couldn't
 /// know that it hasn't run and may ask another router. As a deadline the end counts wherever deadlines do: in
 /// forecasts, so that a wait that can't end well ends at once, and in the time that a server is given.
-void RequestJob::endBy(framework::Deadline deadline)
+void RequestJob::answerBy(framework::Deadline deadline)
 {
     if (isEnded_ || terms_.deadline <= deadline)
         return;
@@ -91,7 +91,7 @@
         armDeadline();
 }
 
-void RequestJob::endNow()
+void RequestJob::answerNow()
 {
     if (isEnded_)
         return;
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -42,9 +42,9 @@
 
     void start();
     /// The router that keeps it ends: it has its final answer by then at the latest.
-    void endBy(framework::Deadline);
+    void answerBy(framework::Deadline);
     /// It has its final answer, or is broken off, when this returns.
-    void endNow();
+    void answerNow();
     /// Sends it if a server can take it. Called again whenever that may have changed.
     void advance();
     bool isWaiting() const { return !isEnded_ && !attempt_; }
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -145,7 +145,7 @@
 
     void endWithin(Milliseconds time)
     {
-        onTraffic([&] { forwarder.endBy(Deadline::after(clock.now(), time)); });
+        onTraffic([&] { forwarder.answerBy(Deadline::after(clock.now(), time)); });
     }
 
     framework::SystemClock clock;
@@ -196,7 +196,7 @@
     const auto exchange = requestThatWaits(Milliseconds(1000));
     endWithin(Milliseconds(4000));
     onTraffic([this] {
-        forwarder.endNow();
+        forwarder.answerNow();
         BOOST_TEST(forwarder.requests() == 0u);
     });
     BOOST_TEST(exchange->status() == 503u);
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -175,8 +175,6 @@
 {
     if (stage_ != Stage::Working)
         return;
-    // A head that was begun has not left: the answer turned out otherwise before its first piece.
-    heldHead_.clear();
     addFraming(head, body.size());
     send(headText(head).append(body));
     finishAnswer();
@@ -318,11 +316,7 @@
     });
 }
 
-void CallerConnection::didIdleTooLong()
-{
-    if (stage_ == Stage::Idle)
-        close();
-}
+void CallerConnection::didIdleTooLong() { closeIfIdle(); }
 
 void CallerConnection::didSendHeadersTooSlowly()
 {
@@ -358,19 +352,17 @@
 
 bool CallerConnection::isBusy() const { return stage_ != Stage::Closed && !isFree(); }
 
-/// Whether neither a request nor an answer is on it.
-bool CallerConnection::isFree() const { return stage_ == Stage::Idle && unsent_.empty() && buffer_.size() == 0; }
-
-/// Guards against a request that has come and hasn't been read yet: closing over it would reset the connection.
-bool CallerConnection::hasUnread() const
+/// Whether neither a request nor an answer is on it. Guards against a request that has come and hasn't been read yet:
+/// closing over it would reset the connection.
+bool CallerConnection::isFree() const
 {
     boost::system::error_code ignored;
-    return socket_.available(ignored) > 0;
+    return stage_ == Stage::Idle && unsent_.empty() && buffer_.size() == 0 && socket_.available(ignored) == 0;
 }
 
 void CallerConnection::closeIfIdle()
 {
-    if (isFree() && !hasUnread())
+    if (isFree())
         close();
 }
 
@@ -386,8 +378,8 @@
 
 void CallerConnection::closeNow()
 {
-    // Without chunks the ordinary end would say that the answer is whole.
-    if (stage_ == Stage::Working && hasBegunAnswer_ && !isChunked_)
+    const bool isCut = (stage_ == Stage::Working && hasBegunAnswer_) || !unsent_.empty();
+    if (isCut && !isChunked_)
         setReset();
     callerLeft();
 }
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -81,7 +81,6 @@
     void awaitNext();
     void beIdle();
     bool isFree() const;
-    bool hasUnread() const;
     void setReset();
     void armTimer(framework::Milliseconds, void (CallerConnection::*onExpired)());
     void didIdleTooLong();
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -317,6 +317,19 @@
     BOOST_TEST(caller.readToEnd().find("GET /two ") != std::string::npos);
 }
 
+// A router was to end as soon as nothing was under way, and went while callers had yet to receive what it had answered.
+BOOST_AUTO_TEST_CASE(aConnectionIsBusyUntilItsAnswerHasLeft)
+{
+    const std::string report(32 * 1024 * 1024, 'x');
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) { exchange->answer(ok(), report); };
+    RawCaller staying(endpoint);
+    staying.send(get("/"));
+    BOOST_TEST(staying.readUntil("xxxx"));
+    onThread([&] { BOOST_TEST(server.busyConnections() == 1u); });
+    onThread([&] { server.closeIdle(); });
+    BOOST_TEST(staying.readUntil(report));
+}
+
 BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedAndBusyOnesFinish)
 {
     std::promise<void> taken;
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -232,20 +232,27 @@
         name + "-" + std::to_string(++starts_), { "direct-agent", "--settings", file }, folder_);
 }
 
-void Fleet::startRouter(std::size_t index)
+std::string Fleet::writeRouterSettings(std::size_t index)
 {
     const std::string name = "router-" + std::to_string(index);
-    const std::string file = folder_.file(name + ".json");
+    std::string file = folder_.file(name + ".json");
     value settings;
     settings["callers"] = value::string("127.0.0.1:0");
     settings["readiness"] = value::string("127.0.0.1:0");
     settings["agent_port"] = value::number(agentPort_);
     settings["grace_ms"] = value::number(grace_.count());
     writeSettings(file, "direct-router", name, settings);
+    return file;
+}
+
+void Fleet::startRouter(std::size_t index)
+{
+    const std::string file = writeRouterSettings(index);
     routers_.resize(std::max(routers_.size(), index + 1));
     routers_[index].reset();
     routers_[index] = testsupport::startProgram(testsupport::Program::Lagoonrouter,
-        name + "-" + std::to_string(++starts_), { "direct-router", "--settings", file }, folder_);
+        "router-" + std::to_string(index) + "-" + std::to_string(++starts_), { "direct-router", "--settings", file },
+        folder_);
 }
 
 void Fleet::startProcesses()
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -62,6 +62,8 @@
     /// Starts one more process, or one that has ended again. Agents are 0 and 1, routers from 0.
     void startRouter(std::size_t index);
     void startAgent(std::size_t index);
+    /// Anew, as they are to be by now; returns the file.
+    std::string writeRouterSettings(std::size_t index);
     /// Starts the processes and waits until the router is ready and has heard both agents.
     void start();
     testsupport::ChildProcess& router(std::size_t index = 0) { return *routers_.at(index); }
--- a/tests/integration/routerend_test.cpp
+++ b/tests/integration/routerend_test.cpp
@@ -24,9 +24,9 @@
 
 /// A router whose grace period is shorter than a load, before engines that are still loading when it is over.
 struct EndingRouter {
-    EndingRouter()
+    explicit EndingRouter(lagoon::framework::Milliseconds time = grace)
     {
-        fleet.setGrace(grace);
+        fleet.setGrace(time);
         fleet.setLoadTime(lagoon::framework::Milliseconds(6000));
         fleet.configure({ patientRoute() });
         fleet.start();
@@ -61,7 +61,10 @@
         const CallerAnswer answer = parseAnswer(caller.readToEnd());
         BOOST_TEST(answer.status == 503);
         BOOST_TEST(answer.isWhole);
-        BOOST_TEST(answer.headers.contains("Retry-After"));
+        BOOST_REQUIRE(answer.headers.contains("Retry-After"));
+        // Another router may load it as well, so there is nothing to wait for.
+        BOOST_TEST(std::stod(answer.headers.at("Retry-After")) <= 0.5);
+        BOOST_TEST(fleet.router().output().find("model not there before the deadline") != std::string::npos);
         BOOST_TEST(fleet.engine1.runs(attempt) + fleet.engine2.runs(attempt) == 0);
     }
 
@@ -74,6 +77,14 @@
     Fleet& fleet = Fleet::make();
 };
 
+/// As long as nothing of a test depends on its grace period's end.
+struct RouterWithMuchTime : EndingRouter {
+    RouterWithMuchTime()
+        : EndingRouter(lagoon::framework::Milliseconds(60000))
+    {
+    }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(ARouterThatEndsAnswersAll, EndingRouter)
@@ -207,4 +218,38 @@
     BOOST_TEST(fleet.engine1.runs("late") + fleet.engine2.runs("late") == 0);
 }
 
+// Operators shortened the grace period and ended a router at once. It went by the time that it had read before, and was
+// ended by force over the requests that it still held.
+BOOST_FIXTURE_TEST_CASE(aGracePeriodThatWasJustShortenedCounts, RouterWithMuchTime)
+{
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    waitUntilLoading(caller, "g1");
+    fleet.setGrace(grace);
+    fleet.writeRouterSettings(0);
+    tellToEnd();
+    checkRefusedAsNotRun(caller, "g1");
+    BOOST_TEST(fleet.router().output().find("\"draining\",\"requests\":1,\"grace_ms\":4000") != std::string::npos);
+    checkEnded();
+}
+
+// Callers kept their connections to a router that was being stopped, and sent their next requests there until it went:
+// neither an answer nor the end of what was idle had told them to go elsewhere.
+BOOST_FIXTURE_TEST_CASE(whoKeepsAConnectionIsToldThatTheRouterEnds, RouterWithMuchTime)
+{
+    fleet.engine1.setStream(3, 60000);
+    RawCaller busy { lagoon::framework::Endpoint(fleet.callers()) };
+    send(busy, "s1", "warm");
+    waitFor("the engine to begin it", [&] { return fleet.engine1.runs("s1") == 1; });
+    RawCaller idle { lagoon::framework::Endpoint(fleet.callers()) };
+    tellToEnd();
+    RawCaller asking { lagoon::framework::Endpoint(fleet.callers()) };
+    asking.send(CallerRequest { .target = "/nowhere/1", .attempt = "k1", .keepsAlive = true }.text());
+    BOOST_TEST(asking.readToEnd().find("Connection: close") != std::string::npos);
+    BOOST_TEST(idle.readToEnd().empty());
+    // It ended when balancers had noticed, not with the requests that were still under way.
+    BOOST_TEST(fleet.router().output().find("this router ends") == std::string::npos);
+    busy.hangUp();
+    checkEnded();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
