Settings say the grace period, and a plain type what is due by when

Cause: router and agent of the product's own path don't know when they will be ended by force, so nothing can be decided by it. Change: shutdown_grace_ms (500 to 3,600,000, 30,000 if not given) for both roles, and framework/types/serviceend.h: until when a process that was told to end is still to be noticed, starts work, answers, and ends. No I/O, no clock. Nothing goes by it yet. Ruled out: 8,000 as the default, as the direct router has: callers' streams of the product's path have no end today, and a platform that leaves less than 30 s is named in the settings. Tests: framework_tests, router_tests, agent_tests pass.

--- a/src/agent/agentsettings.h
+++ b/src/agent/agentsettings.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/error.h"
 #include "framework/types/processidentity.h"
+#include "framework/types/serviceend.h"
 #include "framework/types/time.h"
 #include "objectstore/objectstoreclient.h"
 
@@ -43,6 +44,8 @@
     objectstore::ObjectStoreSettings platform;
     UpstreamSettings upstream;
     AgentLimits limits;
+    /// From the request to end until the process is ended by force.
+    framework::Milliseconds shutdownGrace = framework::usualGrace;
 };
 
 /// Reads and checks the settings of an agent. `source` is the file, for the error.
--- a/src/agent/internal/agentsettings.cpp
+++ b/src/agent/internal/agentsettings.cpp
@@ -65,6 +65,7 @@
     settings.upstream = readUpstream(object.object("upstream"));
     if (object.has("limits"))
         settings.limits = readLimits(object.object("limits"));
+    settings.shutdownGrace = framework::readShutdownGrace(object);
     BOOST_OUTCOME_TRYV(object.finish());
     return settings;
 }
--- a/src/agent/tests/agentsettings_test.cpp
+++ b/src/agent/tests/agentsettings_test.cpp
@@ -22,7 +22,7 @@
 {
     const auto read = parseAgentSettings(
         settings(R"({"kind":"service","url":"http://127.0.0.1:2","checks_fencing":true,"settling_ms":70})",
-            R"(,"limits":{"running":3,"waiting":0,"answer_bytes":1000})"),
+            R"(,"shutdown_grace_ms":8000,"limits":{"running":3,"waiting":0,"answer_bytes":1000})"),
         "agent.json");
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST(read.value().pool.value() == "policy");
@@ -32,6 +32,7 @@
     BOOST_TEST(read.value().limits.running == 3u);
     BOOST_TEST(read.value().limits.waiting == 0u);
     BOOST_TEST(read.value().limits.answerBytes == 1000u);
+    BOOST_TEST(read.value().shutdownGrace.count() == 8000);
 }
 
 BOOST_AUTO_TEST_CASE(aFaultNamesFileKeyAndExpectation)
@@ -48,6 +49,7 @@
     checkFault(settings(R"({"url":"127.0.0.1:2"})"), "upstream.url");
     checkFault(settings(R"({"url":"http://127.0.0.1:2","fencing":true})"), "unknown key");
     checkFault(settings(R"({"url":"http://127.0.0.1:2"})", R"(,"limits":{"running":0})"), "limits.running");
+    checkFault(settings(R"({"url":"http://127.0.0.1:2"})", R"(,"shutdown_grace_ms":8)"), "shutdown_grace_ms");
     checkFault(settings(R"({"url":"http://127.0.0.1:2"})", R"(,"pools":["a"])"), "unknown key");
 }
 
--- a/src/framework/processsettings.h
+++ b/src/framework/processsettings.h
@@ -2,6 +2,7 @@
 
 #include "framework/checkedjson.h"
 #include "framework/types/processidentity.h"
+#include "framework/types/serviceend.h"
 
 #include <string>
 
@@ -12,6 +13,8 @@
 ProcessIdentity readProcessIdentity(CheckedObject&);
 /// Reads a numeric `address:port` under `key`.
 Endpoint readEndpoint(CheckedObject&, const std::string& key);
+/// Reads `shutdown_grace_ms`, or the usual grace period if it isn't given.
+Milliseconds readShutdownGrace(CheckedObject&);
 /// The text of a settings file; `-` is standard input.
 Result<std::string> readSettingsText(const std::string& file);
 
--- /dev/null
+++ b/src/framework/types/serviceend.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "framework/types/time.h"
+
+#include <algorithm>
+
+namespace lagoon::framework {
+
+/// What the platform usually leaves a process that it has told to end before it ends it by force.
+inline constexpr Milliseconds usualGrace { 30000 };
+/// Below the first, no answer could be told in time; the second is only there to find a wrong unit.
+inline constexpr Milliseconds shortestGrace { 500 };
+inline constexpr Milliseconds longestGrace { 3600000 };
+
+/// Until when a process that was told to end does what, so that everyone who waits for it has an answer before it is
+/// ended by force. Pure.
+struct ServiceEnd {
+    /// The process stays that long at least, also when it is idle: those who don't know yet that it ends get a refusal
+    /// in place of a closed connection.
+    Deadline noticedBy;
+    /// What no upstream has by then is refused as not run. Half of the time: the other half is for its caller to be
+    /// served elsewhere, and for what was started late to end.
+    Deadline startBy;
+    /// What still runs is given up, and who waits for it is told what is known.
+    Deadline answerBy;
+    /// The process ends, whatever is left.
+    Deadline exitBy;
+
+    static ServiceEnd after(SteadyTime told, Milliseconds grace)
+    {
+        // A balancer's checks are a second or two apart.
+        constexpr Milliseconds noticing { 2500 };
+        // For the process itself to end before the force comes.
+        constexpr Milliseconds exitMargin { 100 };
+        // For the last answers to be written to their connections, by way of a router if an agent gave them.
+        constexpr Milliseconds leaving { 300 };
+        const Milliseconds serving = std::max(grace, shortestGrace) - exitMargin - leaving;
+        return { Deadline::after(told, std::min(noticing, serving / 2)), Deadline::after(told, serving / 2),
+            Deadline::after(told, serving), Deadline::after(told, serving + leaving) };
+    }
+};
+
+} // namespace lagoon::framework
--- a/src/router/routersettings.h
+++ b/src/router/routersettings.h
@@ -4,6 +4,7 @@
 #include "framework/types/error.h"
 #include "framework/types/ids.h"
 #include "framework/types/processidentity.h"
+#include "framework/types/serviceend.h"
 #include "objectstore/objectstoreclient.h"
 #include "router/types/routersettings.h"
 
@@ -20,6 +21,8 @@
     objectstore::ObjectStoreSettings platform;
     callers::CallerLimits limits;
     DispatchSettings dispatch;
+    /// From the request to end until the process is ended by force.
+    framework::Milliseconds shutdownGrace = framework::usualGrace;
 };
 
 /// Reads and checks a settings text; the first fault names the source, the key and what was expected.
--- a/src/router/tests/routersettings_test.cpp
+++ b/src/router/tests/routersettings_test.cpp
@@ -30,12 +30,17 @@
     BOOST_REQUIRE(settings.has_value());
     BOOST_TEST(settings.value().dispatch.bids == 3u);
     BOOST_TEST(settings.value().identity.vm.value() == "entry-1");
+    BOOST_TEST(settings.value().shutdownGrace.count() == 30000);
+    const auto shorter = router::parseRouterSettings(settingsText(R"(, "shutdown_grace_ms": 8000)"), "router.json");
+    BOOST_REQUIRE(shorter.has_value());
+    BOOST_TEST(shorter.value().shutdownGrace.count() == 8000);
 }
 
 BOOST_AUTO_TEST_CASE(faultsNameFileAndKey)
 {
     BOOST_TEST(faultOf(R"(, "colour": 1)").find("router.json: bad_settings: key \"colour\": unknown key")
         != std::string::npos);
+    BOOST_TEST(faultOf(R"(, "shutdown_grace_ms": 8)").find("key \"shutdown_grace_ms\": expected") != std::string::npos);
     BOOST_TEST(faultOf(R"(, "dispatch": {"bids": 0})").find("key \"dispatch.bids\": expected") != std::string::npos);
     BOOST_TEST(faultOf(R"(, "dispatch": {"bidz": 1})").find("key \"dispatch.bidz\": unknown key") != std::string::npos);
 }
