Tests: a process that is told to end leaves nobody without an answer

Cause: on the product's own path neither a router nor an agent knows when it will be ended by force. Story of each test at its head. They end a process as the platform does: told to end, killed when it is still there after 30 s.

--- /dev/null
+++ b/tests/integration/shutdowngrace_test.cpp
@@ -0,0 +1,197 @@
+#include "http/testing/rawcaller.h"
+#include "support/bundlebuilder.h"
+#include "support/callers.h"
+#include "support/deployment.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace lagoon::testsupport;
+using lagoon::http::testing::RawCaller;
+
+namespace {
+
+/// Longer than any of these tests: nothing here ends by itself, or by its caller's deadline.
+constexpr std::uint64_t veryLongMs = 120000;
+constexpr int graceMs = 4000;
+
+web::json::value withGrace(const std::string& more = "")
+{
+    return web::json::value::parse(R"({"shutdown_grace_ms": )" + std::to_string(graceMs) + more + "}");
+}
+
+std::string longPrompt(const std::string& name)
+{
+    std::string prompt;
+    for (int word = 0; word < 200; ++word)
+        prompt += name + std::to_string(word) + " ";
+    prompt.pop_back();
+    return prompt;
+}
+
+/// Two routers before one engine that takes a second for each token, and one request at a time.
+struct SlowEngine {
+    SlowEngine()
+    {
+        deployment.addUpstream("gpu-1",
+            { .standinWords = { "--memory-mib", "1000", "--token-ms", "1000" },
+                .moreSettings = withGrace(R"(, "limits": {"running": 1})") });
+        deployment.addRouter("entry-1", { .moreSettings = withGrace() });
+        deployment.addRouter("entry-2");
+        deployment.rollOut(BundleBuilder(1)
+                               .enginePool("engines", "old", 1000)
+                               .model("notes", 400, { "engines" }, { { "old", 1 } })
+                               .model("cold", 400, { "engines" }, { { "old", 1 } })
+                               .text());
+        deployment.waitUntilReady();
+    }
+
+    PendingCall ask(const std::string& entry, const std::string& model, const CompletionOptions& options)
+    {
+        return PendingCall(
+            completionCall(deployment.router(entry).callers(), model, longPrompt(std::to_string(++asked)), options));
+    }
+
+    PendingCall begunStream(const std::string& entry)
+    {
+        PendingCall stream = ask(entry, "notes", { .isStream = true, .timeoutMs = veryLongMs });
+        waitFor("the stream has begun", [&] { return !stream.bodySoFar().empty(); });
+        return stream;
+    }
+
+    void holdLoads()
+    {
+        for (const std::string& engine : deployment.upstreams(UpstreamKind::Engine))
+            setFaults(engine, R"({"slow_load_ms": )" + std::to_string(veryLongMs) + "}");
+    }
+
+    int requestsOf(const std::string& entry)
+    {
+        return getJson(deployment.router(entry).ops(), "/status").at("requests").as_integer();
+    }
+
+    int agentCount(const std::string& field)
+    {
+        return getJson(deployment.upstream("gpu-1").ops(), "/status").at(field).as_integer();
+    }
+
+    /// As the platform does it: told to end, and ended by force when it doesn't. The exit code, or the signal's.
+    static int end(ChildProcess& process)
+    {
+        process.sendSignal(SIGTERM);
+        if (!isReached([&] { return !process.isRunning(); }))
+            process.kill();
+        return process.waitForExit();
+    }
+
+    Deployment deployment;
+    int asked = 0;
+};
+
+bool hasTimeToComeBack(const HttpAnswer& answer) { return answer.headers.contains("retry-after"); }
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EachWaitingRequestHasItsAnswerBeforeTheEnd, SlowEngine)
+
+// A router is told to end while a request waits there for a model whose load takes longer than the grace period, and
+// the request's own deadline is later still. It was never sent anywhere. Its caller must hear that it didn't run, and
+// when to come back, before the platform ends the process by force.
+BOOST_AUTO_TEST_CASE(whatWaitsForALoadIsRefusedAsNotRun)
+{
+    holdLoads();
+    PendingCall waiting = ask("entry-1", "cold", { .timeoutMs = veryLongMs });
+    waitFor("the request waits", [&] { return requestsOf("entry-1") == 1; });
+    ChildProcess& router = *deployment.router("entry-1").process;
+    BOOST_TEST(end(router) == 0);
+    const HttpAnswer& answer = waiting.answer();
+    BOOST_TEST(answer.isWhole());
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(refusalField(answer, "code") == "shutting_down");
+    BOOST_TEST(refusalField(answer, "execution") == "not_run");
+    BOOST_TEST(hasTimeToComeBack(answer));
+    BOOST_TEST(router.log().find("drained") != std::string::npos, "the last line of the log arrives");
+}
+
+// The same with an idempotency key. The caller brings the key again to another router, as it was told to: it must not
+// be taken for a repetition of something that may have run.
+BOOST_AUTO_TEST_CASE(theKeyOfWhatDidNotRunMayBeBroughtAgain)
+{
+    holdLoads();
+    const std::map<std::string, std::string> key { { "Idempotency-Key", "slot-5" }, { "X-Lagoon-Repeatable", "false" } };
+    PendingCall waiting = ask("entry-1", "cold", { .timeoutMs = veryLongMs, .headers = key });
+    waitFor("the request waits", [&] { return requestsOf("entry-1") == 1; });
+    BOOST_TEST(end(*deployment.router("entry-1").process) == 0);
+    BOOST_TEST(refusalField(waiting.answer(), "execution") == "not_run");
+    PendingCall again = ask("entry-2", "cold", { .timeoutMs = 1000, .headers = key });
+    BOOST_TEST(refusalField(again.answer(), "code") != "duplicate_key");
+    BOOST_TEST(refusalField(again.answer(), "execution") == "not_run");
+}
+
+// A router is told to end while an engine works on two requests for longer than the grace period. The one whose answer
+// hasn't begun may have run, and its caller is told so; the begun stream must end as cut, never as if it were whole.
+BOOST_AUTO_TEST_CASE(whatRunsAtTheEndIsUnknownOrBrokenOff)
+{
+    PendingCall stream = begunStream("entry-1");
+    PendingCall whole = ask("entry-1", "notes", { .timeoutMs = veryLongMs });
+    waitFor("both are under way", [&] { return agentCount("waiting") == 1; });
+    BOOST_TEST(end(*deployment.router("entry-1").process) == 0);
+    BOOST_TEST(refusalField(whole.answer(), "code") == "shutting_down");
+    BOOST_TEST(refusalField(whole.answer(), "execution") == "unknown");
+    BOOST_TEST(whole.answer().status == 502);
+    BOOST_TEST(stream.answer().status == 200);
+    BOOST_TEST(!stream.answer().isWhole());
+}
+
+// Callers keep their connections. A router that is told to end while it is idle must tell the next request on each that
+// it didn't run, in place of closing the connection over it.
+BOOST_AUTO_TEST_CASE(aKeptConnectionGetsARefusal)
+{
+    const std::string request = "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n";
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int caller = 0; caller < 20; ++caller) {
+        auto& kept = callers.emplace_back(
+            std::make_unique<RawCaller>(lagoon::framework::Endpoint(deployment.router("entry-1").callers())));
+        kept->send(request);
+        BOOST_TEST(kept->readUntil("\r\n0\r\n\r\n"));
+        kept->forget();
+    }
+    ChildProcess& router = *deployment.router("entry-1").process;
+    router.sendSignal(SIGTERM);
+    waitFor("the router isn't ready any more",
+        [&] { return getFrom(deployment.router("entry-1").ops(), "/readyz").status != 200; });
+    for (const auto& kept : callers) {
+        kept->send(request);
+        BOOST_REQUIRE(kept->readUntil("}}"));
+        BOOST_TEST(kept->received().find(R"("code":"shutting_down")") != std::string::npos);
+        BOOST_TEST(kept->received().find("Connection: close\r\n") != std::string::npos);
+    }
+    BOOST_TEST(router.waitForExit() == 0);
+}
+
+// An agent is told to end while its engine works on one request for longer than the grace period and another waits for
+// its turn. The second has not been given to the engine: its caller must hear that it didn't run. The first is cut, and
+// the process ends by itself.
+BOOST_AUTO_TEST_CASE(whatWaitsAtAnAgentIsNotRun)
+{
+    PendingCall stream = begunStream("entry-1");
+    PendingCall queued = ask("entry-2", "notes", { .timeoutMs = veryLongMs });
+    waitFor("the second waits at the agent", [&] { return agentCount("waiting") == 1; });
+    BOOST_TEST(end(*deployment.upstream("gpu-1").agent) == 0);
+    BOOST_TEST(refusalField(queued.answer(), "execution") == "not_run");
+    BOOST_TEST(hasTimeToComeBack(queued.answer()));
+    BOOST_TEST(!stream.answer().isWhole());
+}
+
+// As before, but the engine has said nothing yet of what it works on: only that it may have run is known.
+BOOST_AUTO_TEST_CASE(whatASilentEngineHasIsUnknown)
+{
+    PendingCall whole = ask("entry-1", "notes", { .timeoutMs = veryLongMs });
+    waitFor("it runs", [&] { return agentCount("running") == 1; });
+    BOOST_TEST(end(*deployment.upstream("gpu-1").agent) == 0);
+    BOOST_TEST(refusalField(whole.answer(), "execution") == "unknown");
+    BOOST_TEST(refusalField(whole.answer(), "code") == "draining");
+    BOOST_TEST(whole.answer().status == 502);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
