Test: what may have run is never called "not run" later

Cause: a repeatable request whose first attempt may have run, and that then waits in vain for another replica, is refused at its deadline as deadline_passed, not_run. Measured: fails on the code as it is (execution is not_run).

--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -430,4 +430,18 @@
     }
 }
 
+// A request that may be repeated was lost with its first agent, which may have run it, and then waits in vain for
+// another. "Not run" would not be true.
+BOOST_AUTO_TEST_CASE(whatMayHaveRunIsNeverCalledNotRunLater)
+{
+    placements_.add(notes(), framework::VmName("draft-1"));
+    const auto caller = ask(notes(), Milliseconds(5000), true);
+    const auto [vm, id] = firstDispatch();
+    refuse(*link(vm), id, ErrorCode::UpstreamFailed, Execution::Unknown);
+    BOOST_TEST(caller->finals_ == 0, "it waits for another replica");
+    control_.advance(Milliseconds(5000));
+    BOOST_REQUIRE(caller->refused_);
+    BOOST_CHECK(caller->refused_->execution == Execution::Unknown);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
