A refusal says "not run" only if no attempt may have run

Cause: each refusal said what was known of its last attempt. A repeatable request that may have run at one agent and then found no other replica was refused as not run. Change: the dispatcher remembers it per request, and every refusal of it is "unknown" from then on. Keys aren't concerned: what has one isn't repeatable and isn't tried again after "unknown". Tests: router_tests pass.

--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -353,6 +353,7 @@
     // It may have run: only a call that may be repeated is sent again.
     if (!entry.request.isRepeatable || error.code == ErrorCode::DeadlinePassed)
         return refuse(number, error);
+    entry.mayHaveRun = true;
     entry.failed.insert(vm);
     retry(number, entry, error);
 }
@@ -441,9 +442,12 @@
     forget(number);
 }
 
+/// Whatever the refusal is for, it says "not run" of the whole request, not of its last attempt.
 void Dispatcher::refuse(RequestNumber number, Error error)
 {
     Request& entry = requests_.at(number);
+    if (entry.mayHaveRun)
+        error.execution = Execution::Unknown;
     if (entry.stream)
         entry.stream->detach();
     if (entry.key && error.execution == Execution::NotRun)
--- a/src/router/internal/dispatcher.h
+++ b/src/router/internal/dispatcher.h
@@ -60,6 +60,8 @@
         /// Sites whose home said that there is no replica to be had.
         std::set<framework::SiteName> refusedSites;
         std::optional<framework::Error> lastError;
+        /// An earlier attempt may have.
+        bool mayHaveRun = false;
         /// While waiting.
         std::optional<SiteTarget> waitsFor;
         /// Set when it first had to wait for a replica.
