What may have run at the end of a process is no 503

Cause: shutting_down and draining are 503, which callers and balancers send again without being asked. So far both were only said of what didn't run; the end of the grace period says them also of what may have. Change: with execution "unknown" they are 502. Other codes stay as they are: no_capacity with "unknown" keeps its 503, as a test of the API says. Tests: whatMayHaveRunAtTheEndIsNo503; callers_tests pass.

--- a/src/callers/internal/refusal.cpp
+++ b/src/callers/internal/refusal.cpp
@@ -11,6 +11,16 @@
 
 namespace {
 
+/// 503 is what callers and balancers send again without being asked. The end of a process is refused with it only where
+/// the request surely didn't run.
+unsigned short statusFor(const Error& error)
+{
+    const bool isProcessEnd = error.code == ErrorCode::ShuttingDown || error.code == ErrorCode::Draining;
+    if (isProcessEnd && error.execution == framework::Execution::Unknown)
+        return web::http::status_codes::BadGateway;
+    return statusOf(error.code);
+}
+
 using Fields = std::vector<std::pair<std::string, value>>;
 
 std::string messageOf(const Error& error)
@@ -93,7 +103,7 @@
 web::http::http_response refusalResponse(const Error& error, const framework::RequestName& request,
     std::uint32_t attempt, std::optional<unsigned short> status)
 {
-    web::http::http_response response(status.value_or(statusOf(error.code)));
+    web::http::http_response response(status.value_or(statusFor(error)));
     response.set_body(jsonOf(error, request, attempt));
     if (error.retryAfter)
         response.headers().add("Retry-After", std::chrono::ceil<std::chrono::seconds>(*error.retryAfter).count());
--- a/src/callers/tests/callerserver_test.cpp
+++ b/src/callers/tests/callerserver_test.cpp
@@ -76,6 +76,18 @@
         R"("execution":"unknown","step":"find agent","peer":"gpu-1","request":"9-1","attempt":3,"retry_after_ms":1001)"));
 }
 
+// The router ends while an engine works on a request that may not run twice. A balancer sends what got a 503 again.
+BOOST_FIXTURE_TEST_CASE(whatMayHaveRunAtTheEndIsNo503, CallerFixture)
+{
+    for (const framework::ErrorCode code : { framework::ErrorCode::ShuttingDown, framework::ErrorCode::Draining }) {
+        RawCaller caller(endpoint);
+        caller.send(completionText(R"({"model":"m"})"));
+        dispatcher.take().answer->refuse({ code, "await answer", "gpu-1", "", framework::Execution::Unknown }, 1);
+        BOOST_TEST(caller.readUntil("}}"));
+        BOOST_TEST(caller.received().starts_with("HTTP/1.1 502 "));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(modelsAreListed, CallerFixture)
 {
     RawCaller caller(endpoint);
