Waiting for replies can end at a deadline, and knows of refusals that were put off

Cause: waitUntilIdle has no bound, so a stream without an end keeps a process until it is ended by force. And a refusal that leaves only with the rest of its request's body (too large, body too late) frees its place at once, so that a process that waits for its places ends over it: its caller gets a closed connection. Change: waitUntilIdle with a deadline; waitUntilAllLeft waits for the put-off refusals as well, always with a deadline, as some of these bodies never come. Places are freed as before. Ruled out: counting them as in progress, which holds the places that 429 is for. Tests: theEndWaitsForARefusalThatWasPutOff, waitingForRepliesEndsAtItsDeadline; callers_tests pass. Both need the new functions, so they can't be run on the code as it was; there waitUntilIdle returned in the first case before the refusal had left.

--- a/src/callers/callerserver.h
+++ b/src/callers/callerserver.h
@@ -6,6 +6,7 @@
 #include "framework/metrics.h"
 #include "framework/types/error.h"
 #include "framework/types/ids.h"
+#include "framework/types/time.h"
 
 #include <functional>
 #include <memory>
@@ -32,6 +33,11 @@
     void refuseNew();
     /// Returns once the reply of each request taken so far has left or failed. Call `refuseNew` first.
     void waitUntilIdle();
+    /// As `waitUntilIdle`, but gives up at the deadline; whether it is idle.
+    bool waitUntilIdle(framework::Deadline);
+    /// Besides, the refusals have left that wait for the rest of their requests' bodies; gives up at the deadline, as
+    /// some of these never come.
+    bool waitUntilAllLeft(framework::Deadline);
     /// Closes the listener, which cuts what is still in flight; cpprest 2.10.18 seldom crashes the process then, so
     /// wait until idle before. No request is dispatched after it returns.
     void stop();
--- a/src/callers/internal/calleranswer.cpp
+++ b/src/callers/internal/calleranswer.cpp
@@ -157,7 +157,7 @@
             { "execution", std::string(framework::executionText(error.execution)) } });
     send(refusalResponse(error, parts_.name, attempt, status));
     if (isConnectionGivenUp_)
-        parts_.observer->replyEnded();
+        parts_.observer->replyPutOff();
 }
 
 void CallerAnswer::breakOffLocked(const Error& error, const std::string& result)
@@ -212,7 +212,9 @@
     }
     if (gone)
         gone();
-    if (!isConnectionGivenUp_)
+    if (isConnectionGivenUp_)
+        parts_.observer->putOffReplyEnded();
+    else
         parts_.observer->replyEnded();
 }
 
--- a/src/callers/internal/calleranswer.h
+++ b/src/callers/internal/calleranswer.h
@@ -23,6 +23,10 @@
     virtual void waitingEnded() = 0;
     /// The reply has left wholly or failed, or nobody waits for that; the last that happens.
     virtual void replyEnded() = 0;
+    /// In place of `replyEnded`, for a refusal that leaves only with the rest of its request's body: its place is free.
+    virtual void replyPutOff() = 0;
+    /// Such a refusal has left or failed.
+    virtual void putOffReplyEnded() = 0;
 };
 
 /// What an answer is made of.
--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -82,6 +82,8 @@
     void refuseNew() { *isRefusing_ = true; }
 
     void waitUntilIdle() { occupancy_->waitUntilEmpty(); }
+    bool waitUntilIdle(Deadline deadline) { return occupancy_->waitUntilEmpty(deadline); }
+    bool waitUntilAllLeft(Deadline deadline) { return occupancy_->waitUntilAllLeft(deadline); }
 
     void stop()
     {
@@ -284,6 +286,10 @@
 
 void CallerServer::waitUntilIdle() { implementation_->waitUntilIdle(); }
 
+bool CallerServer::waitUntilIdle(Deadline deadline) { return implementation_->waitUntilIdle(deadline); }
+
+bool CallerServer::waitUntilAllLeft(Deadline deadline) { return implementation_->waitUntilAllLeft(deadline); }
+
 void CallerServer::stop() { implementation_->stop(); }
 
 } // namespace lagoon::callers
--- a/src/callers/internal/occupancy.cpp
+++ b/src/callers/internal/occupancy.cpp
@@ -30,8 +30,23 @@
     const std::lock_guard lock(mutex_);
     --inProgress_;
     showLocked();
-    if (inProgress_ == 0)
-        isEmpty_.notify_all();
+    isEmpty_.notify_all();
+}
+
+void Occupancy::replyPutOff()
+{
+    const std::lock_guard lock(mutex_);
+    --inProgress_;
+    ++putOff_;
+    showLocked();
+    isEmpty_.notify_all();
+}
+
+void Occupancy::putOffReplyEnded()
+{
+    const std::lock_guard lock(mutex_);
+    --putOff_;
+    isEmpty_.notify_all();
 }
 
 void Occupancy::waitUntilEmpty()
@@ -40,10 +55,16 @@
     isEmpty_.wait(lock, [this] { return inProgress_ == 0; });
 }
 
-void Occupancy::waitUntilEmpty(framework::Deadline deadline)
+bool Occupancy::waitUntilEmpty(framework::Deadline deadline)
+{
+    std::unique_lock lock(mutex_);
+    return isEmpty_.wait_until(lock, deadline.at(), [this] { return inProgress_ == 0; });
+}
+
+bool Occupancy::waitUntilAllLeft(framework::Deadline deadline)
 {
     std::unique_lock lock(mutex_);
-    isEmpty_.wait_until(lock, deadline.at(), [this] { return inProgress_ == 0; });
+    return isEmpty_.wait_until(lock, deadline.at(), [this] { return inProgress_ + putOff_ == 0; });
 }
 
 void Occupancy::showLocked()
--- a/src/callers/internal/occupancy.h
+++ b/src/callers/internal/occupancy.h
@@ -20,9 +20,13 @@
     bool enter();
     void waitingEnded() override;
     void replyEnded() override;
+    void replyPutOff() override;
+    void putOffReplyEnded() override;
     void waitUntilEmpty();
-    /// Gives up at the deadline.
-    void waitUntilEmpty(framework::Deadline);
+    /// Gives up at the deadline; whether it is empty.
+    bool waitUntilEmpty(framework::Deadline);
+    /// The same, and the refusals that were put off have left as well.
+    bool waitUntilAllLeft(framework::Deadline);
 
 private:
     void showLocked();
@@ -34,6 +38,7 @@
     std::condition_variable isEmpty_;
     std::size_t waiting_ = 0;
     std::size_t inProgress_ = 0;
+    std::size_t putOff_ = 0;
 };
 
 } // namespace lagoon::callers
--- a/src/callers/tests/outcomes_test.cpp
+++ b/src/callers/tests/outcomes_test.cpp
@@ -136,6 +136,40 @@
     BOOST_TEST(counted("lagoon_answers_total{result=\"finished\"}") == 4);
 }
 
+// What a user sees: the answer to a request that was too large is a closed connection, while routers are replaced.
+// The refusal leaves only when the body has come, and its place is free before that. A process that ends as soon as its
+// places are free cuts it.
+BOOST_AUTO_TEST_CASE(theEndWaitsForARefusalThatWasPutOff)
+{
+    CallerLimits limits;
+    limits.bodyBytes = 4;
+    CallerFixture fixture(limits);
+    RawCaller caller(fixture.endpoint);
+    caller.send("POST /services/s/ HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc");
+    while (fixture.counted("lagoon_refusals_total{code=\"too_large\",execution=\"not_run\"}") == 0)
+        std::this_thread::yield();
+    fixture.server.refuseNew();
+    const auto now = std::chrono::steady_clock::now();
+    const auto generous = framework::Deadline::after(now, framework::Milliseconds(30000));
+    BOOST_TEST(fixture.server.waitUntilIdle(generous));
+    BOOST_TEST(!fixture.server.waitUntilAllLeft(framework::Deadline(now)));
+    caller.send("defghi");
+    BOOST_TEST(fixture.server.waitUntilAllLeft(generous));
+    BOOST_TEST(contains(caller.readToEnd(), R"("code":"too_large")"));
+}
+
+// A stream that doesn't end within the grace period must not keep the process until it is ended by force.
+BOOST_FIXTURE_TEST_CASE(waitingForRepliesEndsAtItsDeadline, CallerFixture)
+{
+    RawCaller caller(endpoint);
+    const Accepted accepted = begunStream(*this, caller);
+    server.refuseNew();
+    BOOST_TEST(!server.waitUntilIdle(framework::Deadline(std::chrono::steady_clock::now())));
+    accepted.answer->finish();
+    BOOST_TEST(server.waitUntilIdle(
+        framework::Deadline::after(std::chrono::steady_clock::now(), framework::Milliseconds(30000))));
+}
+
 // What a user sees: a request without an answer, or the figures of an incident that don't add up.
 // Many requests at once end in every way there is, some of them in two ways; each has one outcome.
 BOOST_FIXTURE_TEST_CASE(eachRequestHasOneOutcome, CallerFixture)
