Test: a request whose intake throws has an answer

Cause: what is thrown while a request is taken in is swallowed by cpprest or by the reader of its body. The request then has no answer and counts as in progress for ever, so that the drain of its router never ends. Measured: fails on the code as it is (not idle after 30 s). No path to it is known today: paths that can't be decoded, five tried, get the library's own 400 before.

--- a/src/callers/tests/outcomes_test.cpp
+++ b/src/callers/tests/outcomes_test.cpp
@@ -170,6 +170,27 @@
         framework::Deadline::after(std::chrono::steady_clock::now(), framework::Milliseconds(30000))));
 }
 
+// What a user sees: the page loads for ever, and the router that served it can't be replaced.
+// Something throws while a request is taken in, which the library or its body's reader swallows. The caller has to hear
+// of it, and the request must not count as in progress for ever: a graceful shutdown waits for that.
+BOOST_AUTO_TEST_CASE(aRequestWhoseIntakeThrowsIsAnError)
+{
+    FakeDispatcher dispatcher;
+    const auto metrics = std::make_shared<framework::Metrics>();
+    CallerServer server(
+        {}, dispatcher, []() -> bundle::BundlePointer { throw std::runtime_error("no bundle"); },
+        framework::Incarnation(9), metrics);
+    RawCaller caller(server.start(framework::Endpoint("127.0.0.1:0")).value());
+    caller.send(completionText(R"({"model":"m"})"));
+    while (metrics->text().find("lagoon_requests_total") == std::string::npos)
+        std::this_thread::yield();
+    // Else the caller would wait for ever.
+    BOOST_REQUIRE(server.waitUntilIdle(
+        framework::Deadline::after(std::chrono::steady_clock::now(), framework::Milliseconds(30000))));
+    BOOST_TEST(caller.readUntil("}}"));
+    BOOST_TEST(contains(caller.received(), R"("code":"internal")"));
+}
+
 // What a user sees: a request without an answer, or the figures of an incident that don't add up.
 // Many requests at once end in every way there is, some of them in two ways; each has one outcome.
 BOOST_FIXTURE_TEST_CASE(eachRequestHasOneOutcome, CallerFixture)
