A request that is dropped while it is taken in is told so

Only the dispatcher's pointer to the answer was guarded against being dropped. Change: the guard is made with the request's place and handed on to the dispatcher. Tests: aRequestWhoseIntakeThrowsIsAnError; callers_tests pass, three times.

--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -35,6 +35,9 @@
 struct Intake {
     http_request http;
     std::shared_ptr<CallerAnswer> answer;
+    /// Ends the answer if this is dropped before anyone did: cpprest, and the reading of the body, swallow whatever is
+    /// thrown on the way, and the request would wait, and count as in progress, for ever.
+    std::shared_ptr<ICallerAnswer> guard;
     std::shared_ptr<BodyReservation> body;
     framework::SteadyTime receivedAt;
     RequestKind kind = RequestKind::Other;
@@ -116,6 +119,7 @@
         intake->answer = std::make_shared<CallerAnswer>(http, answerParts(*intake));
         metrics_->count("lagoon_requests_total", { { "kind", kindText(intake->kind) } });
         const bool hasRoom = occupancy_->enter();
+        intake->guard = intake->answer->guarded();
         if (const auto refusal = refusalByHead(*intake, hasRoom))
             refuseEarly(intake, *refusal);
         else
@@ -224,7 +228,7 @@
         if (filled.has_error())
             intake.answer->refuse(filled.error(), 0);
         else
-            dispatcher_.accept(std::move(intake.request), intake.answer->guarded());
+            dispatcher_.accept(std::move(intake.request), std::move(intake.guard));
     }
 
     framework::Result<void> fill(Intake& intake, const bundle::Bundle& bundle) const
