Keys that are being given back can be waited for

Cause: the key of a request that is refused as not run is removed from the platform in the background. A router that ends right after the refusal leaves it there, and the caller that brings it again, as it was told to, gets duplicate_key, unknown. Change: claims and releases under way are counted; waitUntilSettled blocks until there are none, or until its deadline. Tests: theEndWaitsForKeysThatAreGivenBack; router_tests pass.

--- a/src/router/internal/idempotencykeys.cpp
+++ b/src/router/internal/idempotencykeys.cpp
@@ -93,6 +93,7 @@
     const ObjectKey object = objectFor(request);
     const std::string nonce = framework::newNonce();
     const Deadline deadline = std::min(request.deadline, Deadline::after(clock_.now(), claimTimeout));
+    beginCall();
     workers_.run([this, object, nonce, deadline, value = keyText(request, nonce), handler = std::move(handler)] {
         objectstore::ObjectUpdate update;
         update.change = [&](const std::optional<std::string>& present) -> framework::Result<ObjectChange> {
@@ -107,19 +108,45 @@
             claimed = notClaimed(updated.error());
         else
             claimed.value().version = updated.value().version;
-        control_.post([handler, claimed] { handler(claimed); });
+        control_.post([this, handler, claimed] {
+            handler(claimed);
+            endCall();
+        });
     });
 }
 
 void IdempotencyKeys::release(const ClaimedKey& key)
 {
+    beginCall();
     workers_.run([this, key] {
         const auto removed = store_->remove(key.object, key.version, Deadline::after(clock_.now(), releaseTimeout));
         if (removed.has_error())
             metrics_->count("lagoon_key_release_failures_total");
+        endCall();
     });
 }
 
+/// Guards against a process that ends before it has given back the key of a request that it refused as not run: its
+/// caller brings the key again, as it was told to, and would hear that the request may have run.
+void IdempotencyKeys::waitUntilSettled(Deadline deadline)
+{
+    std::unique_lock lock(callsMutex_);
+    isSettled_.wait_until(lock, deadline.at(), [this] { return calls_ == 0; });
+}
+
+void IdempotencyKeys::beginCall()
+{
+    const std::lock_guard lock(callsMutex_);
+    ++calls_;
+}
+
+void IdempotencyKeys::endCall()
+{
+    const std::lock_guard lock(callsMutex_);
+    if (--calls_ == 0)
+        isSettled_.notify_all();
+}
+
 void IdempotencyKeys::startSweeping(std::function<bool()> isOwner)
 {
     isOwner_ = std::move(isOwner);
--- a/src/router/internal/idempotencykeys.h
+++ b/src/router/internal/idempotencykeys.h
@@ -7,9 +7,11 @@
 #include "framework/workerpool.h"
 #include "objectstore/iobjectstore.h"
 
+#include <condition_variable>
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace lagoon::router {
@@ -36,6 +38,8 @@
     void claim(const callers::CallerRequest&, ClaimHandler);
     /// The request is known not to have run: the key may be brought again.
     void release(const ClaimedKey&);
+    /// Blocks until the platform has answered for all claims and releases, or until the deadline.
+    void waitUntilSettled(framework::Deadline);
     /// Removes keys older than the retention, those of routers that died among them, if `isOwner` says that this is
     /// the router to do so. Calls itself again after each retention.
     void startSweeping(std::function<bool()> isOwner);
@@ -43,6 +47,8 @@
 private:
     using SeenKeys = std::map<std::string, framework::ObjectVersion>;
 
+    void beginCall();
+    void endCall();
     void sweep();
     void removeOld();
 
@@ -56,6 +62,10 @@
     std::unique_ptr<framework::Timer> timer_;
     /// By the last sweep; workers only, one sweep at a time.
     SeenKeys seen_;
+    std::mutex callsMutex_;
+    std::condition_variable isSettled_;
+    /// Claims and releases whose outcome hasn't been taken yet.
+    std::size_t calls_ = 0;
 };
 
 } // namespace lagoon::router
--- a/src/router/tests/idempotencykeys_test.cpp
+++ b/src/router/tests/idempotencykeys_test.cpp
@@ -110,6 +110,22 @@
     BOOST_TEST(claim("slot-5").has_value());
 }
 
+// A router that ends refuses a request as not run and gives its key back. It must not end before the platform has that,
+// or the caller's next try is taken for a repetition.
+BOOST_AUTO_TEST_CASE(theEndWaitsForKeysThatAreGivenBack)
+{
+    const auto key = claim("slot-5");
+    std::promise<void> platformGoesOn;
+    workers_.run([going = platformGoesOn.get_future().share()] { going.wait(); });
+    keys_.release(key.value());
+    const framework::SystemClock clock;
+    keys_.waitUntilSettled(framework::Deadline(clock.now()));
+    BOOST_TEST(storedKeys() == 1u, "a deadline that has passed ends the wait");
+    platformGoesOn.set_value();
+    keys_.waitUntilSettled(framework::Deadline::after(clock.now(), Milliseconds(30000)));
+    BOOST_TEST(storedKeys() == 0u);
+}
+
 // A router dies and leaves its keys. They must not stay for ever, nor go before the retention is over.
 BOOST_AUTO_TEST_CASE(keysAreSweptAfterTheRetention)
 {
