A router leaves nobody without an answer at the end of its grace period

Cause: drain waited without a bound, so that requests that wait for a load, or run, were cut by the platform's force. An idle router ended within milliseconds, over requests on connections that callers keep. The last refusals' keys weren't given back. Change: Dispatcher::endService. What its home forecasts for later than half of the grace period is refused at once, what no agent has by then too, as shutting_down, not run, with 1 s to come back; so is what is still handed over later. What still runs 0.4 s before the grace period's end is given up: unknown, or broken off if its answer has begun. The process stays 2.5 s at least (less with a short grace period), waits for replies, for refusals that were put off and for keys, and ends 0.1 s early in any case. deadlinePassed and the end share giveUp. Ruled out: refusing all that waits at once (a load that comes in time serves them, and not every caller asks again); wakes with shortened deadlines (a home would take the load for hopeless, though others wait for it too). Tests: six atTheEnd... cases in router_tests. With an endService that does nothing, as on the code as it was, five of them fail; atTheEndALoadThatComesInTimeIsUsed passes in both. shutdowngrace_tests: the four cases of routers pass, which all failed before; shutdown_tests pass.

--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -24,6 +24,8 @@
 /// The refusal is to reach the caller before its deadline.
 constexpr Milliseconds answerMargin { 20 };
 constexpr Milliseconds drainingAvoidance { 5000 };
+/// Another router may serve at once what this one, which ends, didn't start.
+constexpr Milliseconds retryAfterEnd { 1000 };
 constexpr Milliseconds bundlePatience { 3000 };
 constexpr Milliseconds bundleLookInterval { 100 };
 
@@ -33,6 +35,12 @@
     return error.code == ErrorCode::TooManyWaiting || error.code == ErrorCode::DeadlineHopeless;
 }
 
+Error notStartedBeforeTheEnd()
+{
+    return Error { ErrorCode::ShuttingDown, "wait for replica", "", "this router ends before the request could be served",
+        Execution::NotRun, retryAfterEnd };
+}
+
 const char* reasonText(const Error& error) { return framework::errorCodeText(error.code).data(); }
 
 } // namespace
@@ -66,7 +74,9 @@
     entry.deadlineTimer = context_.control.runAt(
         Deadline(entry.request.deadline.at() - answerMargin), [this, number] { deadlinePassed(number); });
     retryBudget_.earn();
-    if (context_.keys && entry.request.idempotencyKey && !entry.request.isRepeatable)
+    if (!mayStart())
+        refuse(number, notStartedBeforeTheEnd());
+    else if (context_.keys && entry.request.idempotencyKey && !entry.request.isRepeatable)
         claimKey(number, entry);
     else
         route(number);
@@ -94,6 +104,8 @@
     Request& entry = requests_.at(number);
     if (entry.request.deadline.hasPassed(context_.clock.now()))
         return refuse(number, Error { ErrorCode::DeadlinePassed, "route", "", "" });
+    if (!mayStart())
+        return refuse(number, notStartedBeforeTheEnd());
     const std::vector<VmName> vms = candidates(entry);
     if (!vms.empty())
         return dispatch(number, entry, choose(entry, vms));
@@ -321,6 +333,10 @@
         const auto entry = requests_.find(number);
         if (entry == requests_.end() || !entry->second.waitsFor)
             continue;
+        if (serviceEnd_ && *progress.soonestAt > serviceEnd_->startBy) {
+            refuse(number, notStartedBeforeTheEnd());
+            continue;
+        }
         if (*progress.soonestAt <= entry->second.request.deadline)
             continue;
         refuse(number,
@@ -410,23 +426,75 @@
 
 void Dispatcher::deadlinePassed(RequestNumber number)
 {
-    const auto found = requests_.find(number);
-    if (found == requests_.end())
-        return;
-    Request& entry = found->second;
-    Error late { ErrorCode::DeadlinePassed, "wait for replica", "", "no replica in time", Execution::NotRun,
-        retryAfterNoReplica };
+    if (requests_.contains(number))
+        giveUp(number, ErrorCode::DeadlinePassed, retryAfterNoReplica);
+}
+
+/// Ends a request before it has a whole answer. What its agent was never sent has surely not run.
+void Dispatcher::giveUp(RequestNumber number, ErrorCode code, Milliseconds retryAfter)
+{
+    Request& entry = requests_.at(number);
+    Error why { code, "wait for replica", "", "no replica in time", Execution::NotRun, retryAfter };
     if (entry.session) {
         const bool wasSent = entry.session->wasSent(entry.sequence);
-        late = Error { ErrorCode::DeadlinePassed, "await answer", entry.agent.value(), "no whole answer in time",
-            wasSent ? Execution::Unknown : Execution::NotRun, retryAfterNoReplica };
+        why = Error { code, "await answer", entry.agent.value(), "no whole answer in time",
+            wasSent ? Execution::Unknown : Execution::NotRun, retryAfter };
         entry.session->cancel(entry.sequence);
         if (entry.stream->detach()) {
-            entry.answer->breakOff(late);
+            entry.answer->breakOff(why);
             return forget(number);
         }
     }
-    refuse(number, late);
+    refuse(number, why);
+}
+
+/// Guards against a process that is ended by force over those who wait: a load may take longer than the grace period,
+/// and the request's own deadline be later still, so that its connection would be closed without an answer. What can't
+/// be started in time is refused as soon as that is known.
+void Dispatcher::endService(const framework::ServiceEnd& end)
+{
+    serviceEnd_ = end;
+    startByTimer_ = context_.control.runAt(end.startBy, [this] { refuseUnstarted(); });
+    answerByTimer_ = context_.control.runAt(end.answerBy, [this] { giveUpAll(); });
+    for (const RequestNumber number : numbers()) {
+        const auto& waitsFor = requests_.at(number).waitsFor;
+        if (const auto progress = waitsFor ? wakes_->progress(*waitsFor) : std::nullopt)
+            takeExpectation(*progress, { number });
+    }
+}
+
+bool Dispatcher::mayStart() const { return !serviceEnd_ || !serviceEnd_->startBy.hasPassed(context_.clock.now()); }
+
+bool Dispatcher::isWithAgent(const Request& entry) const
+{
+    return entry.session && entry.session->wasSent(entry.sequence);
+}
+
+void Dispatcher::refuseUnstarted()
+{
+    for (const RequestNumber number : numbers()) {
+        Request& entry = requests_.at(number);
+        if (isWithAgent(entry))
+            continue;
+        if (entry.session)
+            entry.session->cancel(entry.sequence);
+        refuse(number, notStartedBeforeTheEnd());
+    }
+}
+
+void Dispatcher::giveUpAll()
+{
+    for (const RequestNumber number : numbers())
+        giveUp(number, ErrorCode::ShuttingDown, retryAfterEnd);
+}
+
+/// Copied, since answers and refusals take requests out.
+std::vector<RequestNumber> Dispatcher::numbers() const
+{
+    std::vector<RequestNumber> numbers;
+    for (const auto& [number, entry] : requests_)
+        numbers.push_back(number);
+    return numbers;
 }
 
 void Dispatcher::callerGone(RequestNumber number)
--- a/src/router/internal/dispatcher.h
+++ b/src/router/internal/dispatcher.h
@@ -5,6 +5,7 @@
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
 #include "framework/metrics.h"
+#include "framework/types/serviceend.h"
 #include "policy/ireplicachoice.h"
 #include "policy/retrybudget.h"
 #include "router/internal/agentsessions.h"
@@ -48,6 +49,8 @@
     /// `home` is the bundle by which the home refused.
     void takeRefusal(const framework::Error&, framework::BundleVersion home, const std::set<RequestNumber>&);
     void takeExpectation(const WakeReply&, const std::set<RequestNumber>&);
+    /// The process was told to end: each request, also one that still comes, has its answer in time for that.
+    void endService(const framework::ServiceEnd&);
     std::size_t requests() const { return requests_.size(); }
 
 private:
@@ -60,7 +63,7 @@
         /// Sites whose home said that there is no replica to be had.
         std::set<framework::SiteName> refusedSites;
         std::optional<framework::Error> lastError;
-        /// An earlier attempt may have.
+        /// An earlier attempt may have been run.
         bool mayHaveRun = false;
         /// While waiting.
         std::optional<SiteTarget> waitsFor;
@@ -96,6 +99,12 @@
     bool awaitBundle(RequestNumber, Request&, framework::BundleVersion);
     void retry(RequestNumber, Request&, const framework::Error&);
     void deadlinePassed(RequestNumber);
+    void giveUp(RequestNumber, framework::ErrorCode, framework::Milliseconds retryAfter);
+    bool mayStart() const;
+    bool isWithAgent(const Request&) const;
+    void refuseUnstarted();
+    void giveUpAll();
+    std::vector<RequestNumber> numbers() const;
     void callerGone(RequestNumber);
     void refuse(RequestNumber, framework::Error);
     void forget(RequestNumber);
@@ -108,6 +117,10 @@
     std::map<RequestNumber, Request> requests_;
     std::map<framework::VmName, std::unique_ptr<framework::Timer>> drainingTimers_;
     std::uint64_t nextNumber_ = 1;
+    /// Set once the process was told to end.
+    std::optional<framework::ServiceEnd> serviceEnd_;
+    std::unique_ptr<framework::Timer> startByTimer_;
+    std::unique_ptr<framework::Timer> answerByTimer_;
 };
 
 } // namespace lagoon::router
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -7,6 +7,7 @@
 #include "framework/iclock.h"
 #include "framework/logging.h"
 #include "framework/randomid.h"
+#include "framework/types/serviceend.h"
 #include "framework/workerpool.h"
 #include "http/opsserver.h"
 #include "objectstore/objectstoreclient.h"
@@ -27,6 +28,7 @@
 #include <algorithm>
 #include <cpprest/json.h>
 #include <future>
+#include <thread>
 
 namespace lagoon::router {
 
@@ -39,6 +41,8 @@
 
 constexpr std::size_t platformThreads = 2;
 constexpr Milliseconds holdersTimeout { 1000 };
+/// For callers that still send the body of a request that was refused; as long as for one that comes in full service.
+constexpr Milliseconds bodyPatience { 2000 };
 
 framework::Result<TargetHolders> holdersOf(const std::string& text, const objectstore::ObjectKey& key)
 {
@@ -105,6 +109,10 @@
     std::atomic<bool> hasVms_ { false };
     std::atomic<bool> isShuttingDown_ { false };
     bool isStarted_ = false;
+    /// All of it was started.
+    bool isServing_ = false;
+    /// Set when it is first told to end.
+    std::optional<framework::ServiceEnd> serviceEnd_;
 };
 
 Router::Implementation::Implementation(const RouterSettings& settings)
@@ -275,17 +283,33 @@
     bundles_->start();
     vmWatcher_.start();
     control_.post([this] { keys_.startSweeping([this] { return isKeySweeper(); }); });
+    isServing_ = true;
     return endpoints;
 }
 
 /// Guards against cutting requests in flight: the balancer sees "not ready", new requests are refused as not run, and
-/// nothing is closed before the last reply has left.
+/// nothing is closed before the last reply has left. What can't be served within the grace period has its answer before
+/// that is over, since the process is ended by force then.
 void Router::Implementation::drain()
 {
+    if (!serviceEnd_)
+        serviceEnd_ = framework::ServiceEnd::after(clock_.now(), settings_.shutdownGrace);
+    const framework::ServiceEnd end = *serviceEnd_;
     isShuttingDown_ = true;
     framework::logInfo("router", "shutting down, refusing new requests");
     callerServer_.refuseNew();
-    callerServer_.waitUntilIdle();
+    control_.post([this, end] { dispatcher_.endService(end); });
+    // Callers keep connections that no reply has told them to close yet, and balancers don't know yet.
+    if (isServing_)
+        std::this_thread::sleep_until(end.noticedBy.at());
+    const bool isIdle = callerServer_.waitUntilIdle(end.exitBy);
+    // Some of these bodies never come, so they aren't waited for as long as the grace period lasts.
+    callerServer_.waitUntilAllLeft(std::min(end.exitBy, Deadline::after(clock_.now(), bodyPatience)));
+    keys_.waitUntilSettled(end.exitBy);
+    if (isIdle)
+        framework::logInfo("router", "drained");
+    else
+        framework::logWarning("router", "the grace period is over, requests without an end are cut");
 }
 
 void Router::Implementation::shutDown()
--- a/src/router/internal/wakes.cpp
+++ b/src/router/internal/wakes.cpp
@@ -56,6 +56,12 @@
         send(where);
 }
 
+std::optional<WakeReply> Wakes::progress(const SiteTarget& where) const
+{
+    const auto waiting = targets_.find(where);
+    return waiting == targets_.end() ? std::nullopt : waiting->second.progress;
+}
+
 void Wakes::send(const SiteTarget& where)
 {
     Waiting& waiting = targets_.at(where);
--- a/src/router/internal/wakes.h
+++ b/src/router/internal/wakes.h
@@ -54,6 +54,8 @@
     void stopWaiting(const SiteTarget&, RequestNumber);
     /// Asks for another replica although nothing waits; at most once a second per target.
     void wantMore(const SiteTarget&, std::uint32_t wantedReplicas, framework::Deadline usefulUntil);
+    /// What the target's home last said of the load that goes on.
+    std::optional<WakeReply> progress(const SiteTarget&) const;
     std::size_t waiting() const { return waiting_; }
 
 private:
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -26,7 +26,8 @@
 
     /// Listens and begins to read the bundle and the VM list; ready for callers once it has both.
     framework::Result<RouterEndpoints> start();
-    /// Refuses new requests as not run and returns once those in flight have ended. Nothing is closed yet.
+    /// Refuses new requests as not run and returns once those in flight have ended, before the grace period of the
+    /// settings is over: what can't end by then is refused or broken off. Nothing is closed yet.
     void drain();
     /// Drains, then closes all.
     void shutDown();
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -430,6 +430,120 @@
     }
 }
 
+namespace {
+
+constexpr Milliseconds grace { 8000 };
+
+void checkNotStarted(const FakeAnswer& caller)
+{
+    BOOST_REQUIRE(caller.refused_);
+    BOOST_CHECK(caller.refused_->code == ErrorCode::ShuttingDown);
+    BOOST_CHECK(caller.refused_->execution == Execution::NotRun);
+    BOOST_TEST(caller.refused_->retryAfter.has_value());
+    BOOST_TEST(caller.finals_ == 1);
+}
+
+} // namespace
+
+// The router is told to end while a request waits for a load that takes longer than the grace period; nothing forecasts
+// it. The request must be refused as not run while there is time to be served elsewhere, not at its own late deadline.
+BOOST_AUTO_TEST_CASE(atTheEndWhatWaitsForALoadIsRefused)
+{
+    const auto caller = ask(notes(), longTimeout, false);
+    bidBoth(true);
+    const auto end = framework::ServiceEnd::after(control_.now(), grace);
+    dispatcher_.endService(end);
+    control_.advance(end.startBy.remaining(control_.now()) - Milliseconds(1));
+    BOOST_TEST(caller->finals_ == 0, "the load may still end in time");
+    control_.advance(Milliseconds(1));
+    checkNotStarted(*caller);
+    BOOST_TEST(wakes_.waiting() == 0u);
+}
+
+// The load ends within the grace period: the request is served as if the router stayed.
+BOOST_AUTO_TEST_CASE(atTheEndALoadThatComesInTimeIsUsed)
+{
+    const auto caller = ask(notes(), longTimeout, false);
+    bidBoth(true);
+    const std::string vm = loader();
+    dispatcher_.endService(framework::ServiceEnd::after(control_.now(), grace));
+    endLoad(vm, true);
+    answer(*link(vm), sentId(vm), "note");
+    BOOST_TEST(caller->isWhole_);
+}
+
+// What is known to come too late is refused at once, not held until the last moment; nor is a later request.
+BOOST_AUTO_TEST_CASE(atTheEndWhatIsHopelessIsRefusedAtOnce)
+{
+    const auto caller = ask(notes(), longTimeout, false);
+    WakeReply progress;
+    progress.soonestAt = framework::Deadline::after(control_.now(), Milliseconds(20000));
+    dispatcher_.takeExpectation(progress, { RequestNumber(1) });
+    BOOST_TEST(caller->finals_ == 0);
+    dispatcher_.endService(framework::ServiceEnd::after(control_.now(), grace));
+    dispatcher_.takeExpectation(progress, { RequestNumber(1) });
+    checkNotStarted(*caller);
+}
+
+// A request whose body came late is handed over when nothing may be started any more.
+BOOST_AUTO_TEST_CASE(atTheEndALateRequestIsRefusedAtOnce)
+{
+    const auto end = framework::ServiceEnd::after(control_.now(), grace);
+    dispatcher_.endService(end);
+    control_.advance(end.startBy.remaining(control_.now()));
+    checkNotStarted(*ask(holds(), longTimeout, false));
+}
+
+// An agent's link isn't open yet: the request has not left the router, so it surely didn't run.
+BOOST_AUTO_TEST_CASE(atTheEndWhatWasNotSentIsNotRun)
+{
+    const auto caller = ask(holds(), longTimeout, false);
+    const auto end = framework::ServiceEnd::after(control_.now(), grace);
+    dispatcher_.endService(end);
+    control_.advance(end.startBy.remaining(control_.now()));
+    BOOST_REQUIRE(caller->refused_);
+    BOOST_CHECK(caller->refused_->execution == Execution::NotRun);
+    for (const std::string vm : { "draft-1", "draft-2" }) {
+        if (!link(vm))
+            continue;
+        greet(vm);
+        for (const wire::Message& sent : link(vm)->takeSent())
+            BOOST_CHECK(sent.body.type != Body::Dispatch);
+    }
+}
+
+// An agent has two requests when time is up, one of them with a begun answer. The first may have run; the second is
+// broken off, never ended as if it were whole. The agent is told to stop both.
+BOOST_AUTO_TEST_CASE(atTheEndWhatRunsIsUnknownOrBrokenOff)
+{
+    const auto silent = ask(holds(), longTimeout, false);
+    const auto [vm, first] = firstDispatch();
+    const auto begun = ask(holds(), longTimeout, false);
+    const auto [otherVm, second] = firstDispatch();
+    wire::fb::AnswerHeadT head;
+    head.id = std::make_unique<wire::fb::DispatchIdT>(second);
+    head.status = 200;
+    link(otherVm)->deliver(wire::message(std::move(head)));
+    settle();
+    const auto end = framework::ServiceEnd::after(control_.now(), grace);
+    dispatcher_.endService(end);
+    for (const std::string& each : { vm, otherVm })
+        link(each)->takeSent();
+    // In steps that an agent's sign of life can keep pace with.
+    while (!end.answerBy.hasPassed(control_.now())) {
+        BOOST_TEST(silent->finals_ + begun->finals_ == 0);
+        for (const std::string& each : { vm, otherVm })
+            link(each)->deliver(wire::message(wire::fb::PongT()));
+        control_.advance(std::min(Milliseconds(500), end.answerBy.remaining(control_.now())));
+    }
+    BOOST_REQUIRE(silent->refused_);
+    BOOST_CHECK(silent->refused_->code == ErrorCode::ShuttingDown);
+    BOOST_CHECK(silent->refused_->execution == Execution::Unknown);
+    BOOST_TEST(begun->brokenOff_.has_value());
+    BOOST_TEST(!begun->isWhole_);
+    BOOST_TEST(dispatcher_.requests() == 0u);
+}
+
 // A request that may be repeated was lost with its first agent, which may have run it, and then waits in vain for
 // another. "Not run" would not be true.
 BOOST_AUTO_TEST_CASE(whatMayHaveRunIsNeverCalledNotRunLater)
