An agent tells what waited and what ran before its grace period is over

Cause: shutDown waited without a bound until the gate was idle. An agent ended by force over its queue can't say any more that what waited there was never given to the engine; routers hold all of it until the callers' deadlines and say "unknown". Refusals as draining had no time to come back. An idle agent ended within 20 ms, over dispatches just sent to it. Change: RequestGate::beginDraining gets the end. What the queue can't serve by then, by the measured service times, is refused as draining, not run, at once; what has not started at half of the grace period too. What runs 0.4 s before its end is stopped at the upstream and is unknown. The agent stays 2.5 s at least, so that routers that send on hear that it drains, and ends 0.1 s early in any case. Draining refusals say 1 s. Ruled out: refusing the whole queue at once (for a target with one replica that refuses what can be served). Tests: theEndRefusesWhatWaitsAndStopsWhatRuns and atTheEndWhatTheQueueCantServeGoesElsewhereAtOnce fail with a beginDraining that goes by no deadline, as on the code as it was; drainingRefusesTheNewAndEndsTheRest only gives the end.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -26,7 +26,8 @@
 
     /// Listens, and begins to read the engine's state, the claims and the bundle; loads nothing before it has them.
     framework::Result<AgentEndpoints> start();
-    /// Refuses what is new as not run, lets what is running and waiting end, then closes all.
+    /// Refuses what is new as not run and lets what is running and waiting end, as far as the grace period of the
+    /// settings allows: what waits longer is refused as not run, what runs longer is stopped. Then closes all.
     void shutDown();
 
 private:
--- a/src/agent/internal/agent.cpp
+++ b/src/agent/internal/agent.cpp
@@ -13,6 +13,7 @@
 #include "framework/iclock.h"
 #include "framework/logging.h"
 #include "framework/randomid.h"
+#include "framework/types/serviceend.h"
 #include "framework/workerpool.h"
 #include "http/opsserver.h"
 #include "objectstore/objectstoreclient.h"
@@ -55,7 +56,7 @@
     ReplicaPorts replicaPorts();
     void startControl();
     void keepHouse();
-    void checkDrained(std::promise<void>&, std::optional<Deadline> settleBy);
+    void checkDrained(std::promise<bool>&, const framework::ServiceEnd&, std::optional<Deadline> settleBy);
     std::string status();
     StatusView statusView() const;
     bool isEngine() const { return settings_.upstream.kind == UpstreamKind::Engine; }
@@ -158,15 +159,18 @@
     framework::logInfo("agent", "draining");
     // Claims are kept: the VM lives on and its engine still has the models, so a free claim would let another VM load
     // one replica too many. The next agent here adopts both; if the VM goes, the platform's list frees them.
-    std::promise<void> drained;
-    control_.post([this, &drained] {
-        gate_->beginDraining();
+    const auto end = framework::ServiceEnd::after(clock_.now(), settings_.shutdownGrace);
+    std::promise<bool> drained;
+    control_.post([this, &drained, end] {
+        gate_->beginDraining(end);
         if (replicas_)
             replicas_->beginDraining();
-        checkDrained(drained, std::nullopt);
+        checkDrained(drained, end, std::nullopt);
     });
-    drained.get_future().wait();
-    framework::logInfo("agent", "drained");
+    if (drained.get_future().get())
+        framework::logInfo("agent", "drained");
+    else
+        framework::logWarning("agent", "the grace period is over, routers haven't confirmed all answers");
     transport_->stopListening();
     bundles_->stop();
     if (ops_)
@@ -178,17 +182,21 @@
 }
 
 /// Closing the links when the last answer was sent could cut it on its way: a sent answer may still be in a queue.
-/// Routers say when they have one, so the links stay open until then.
-void Agent::Implementation::checkDrained(std::promise<void>& drained, std::optional<Deadline> settleBy)
+/// Routers say when they have one, so the links stay open until then. They stay open also until routers that send on
+/// have heard from a refusal that the agent ends: what they send while the links close may have run for all they know.
+void Agent::Implementation::checkDrained(
+    std::promise<bool>& drained, const framework::ServiceEnd& end, std::optional<Deadline> settleBy)
 {
+    const auto now = clock_.now();
     if (gate_->isIdle() && !settleBy)
-        settleBy = Deadline::after(clock_.now(), settleTimeout);
-    if (gate_->isSettled() || (settleBy && settleBy->hasPassed(clock_.now()))) {
-        drained.set_value();
+        settleBy = Deadline::after(now, settleTimeout);
+    const bool isSettled = gate_->isSettled() || (settleBy && settleBy->hasPassed(now));
+    if ((isSettled && end.noticedBy.hasPassed(now)) || end.exitBy.hasPassed(now)) {
+        drained.set_value(isSettled);
         return;
     }
-    drainCheck_ = control_.runAt(
-        Deadline::after(clock_.now(), drainCheckEach), [this, &drained, settleBy] { checkDrained(drained, settleBy); });
+    drainCheck_ = control_.runAt(Deadline::after(now, drainCheckEach),
+        [this, &drained, end, settleBy] { checkDrained(drained, end, settleBy); });
 }
 
 StatusView Agent::Implementation::statusView() const
--- a/src/agent/internal/requestgate.cpp
+++ b/src/agent/internal/requestgate.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t largestChunk = std::size_t(256) * 1024;
 constexpr std::uint8_t highestPriority = 9;
 constexpr Milliseconds retryWhenFull { 500 };
+/// Another upstream may serve at once what this one, whose agent ends, didn't.
+constexpr Milliseconds retryElsewhere { 1000 };
 constexpr unsigned short notFound = 404;
 /// An answer or refusal is to reach the router before the deadline: it refuses some time before that itself, and could
 /// then say only "unknown".
@@ -85,6 +87,13 @@
     return Error { code, "admit", "", std::move(detail), execution };
 }
 
+Error draining(std::string detail, Execution execution)
+{
+    Error error = refusal(ErrorCode::Draining, std::move(detail), execution);
+    error.retryAfter = retryElsewhere;
+    return error;
+}
+
 /// In [0, 1), by the dispatch, so that those refused together don't come back together.
 double spread(const DispatchKey& key)
 {
@@ -126,8 +135,8 @@
 
 std::optional<Error> RequestGate::admissionRefusal(const Call& call) const
 {
-    if (isDraining_)
-        return refusal(ErrorCode::Draining, "the agent shuts down", Execution::NotRun);
+    if (serviceEnd_)
+        return draining("the agent shuts down", Execution::NotRun);
     if (call.request.deadline.hasPassed(ports_.clock.now()))
         return refusal(ErrorCode::DeadlinePassed, "on receipt", Execution::NotRun);
     return std::nullopt;
@@ -174,19 +183,30 @@
     const policy::LoadQueue queue { admission_.ahead(waiting), admission_.running(), admission_.mostRunning(), 0,
         serviceTimes_.ofAll() };
     const policy::LoadForecast forecast = policy::forecastWaiting(*own, queue);
-    if (!policy::isLikelyTooLate(forecast, Deadline(waiting.deadline.at() - deliveryMargin), ports_.clock.now()))
+    if (!policy::isLikelyTooLate(forecast, Deadline(lastAnswer(waiting.deadline).at() - deliveryMargin), ports_.clock.now()))
         return std::nullopt;
     Error hopeless = refusal(ErrorCode::DeadlineHopeless, "the queue is longer than the deadline", Execution::NotRun);
     hopeless.retryAfter = policy::timeToComeBack(forecast, spread(waiting.key));
     return hopeless;
 }
 
+/// By when the answer must be whole.
+Deadline RequestGate::lastAnswer(Deadline ofRequest) const
+{
+    return serviceEnd_ ? std::min(ofRequest, serviceEnd_->answerBy) : ofRequest;
+}
+
 /// One that waits is refused when it would have to run by now: later ones of higher priority may have gone before it.
 /// The agent's word has to come before the router's own timer, which could say only "unknown".
 void RequestGate::armWaiting(const DispatchKey& key, Call& call)
 {
     const auto own = serviceTimes_.of(call.target);
     const Deadline startBy(call.request.deadline.at() - deliveryMargin - (own ? own->high : Milliseconds(0)));
+    if (serviceEnd_ && serviceEnd_->startBy < startBy) {
+        call.deadlineTimer = ports_.control.runAt(serviceEnd_->startBy,
+            [this, key] { stop(key, draining("the agent ends before its turn", Execution::NotRun)); });
+        return;
+    }
     const ErrorCode code = own ? ErrorCode::DeadlineHopeless : ErrorCode::DeadlinePassed;
     call.deadlineTimer = ports_.control.runAt(startBy, [this, key, code] {
         Error late = refusal(code, "its turn didn't come in time", Execution::NotRun);
@@ -218,8 +238,11 @@
 
 void RequestGate::armRunning(const DispatchKey& key, Call& call)
 {
-    call.deadlineTimer = ports_.control.runAt(
-        call.request.deadline, [this, key] { stop(key, refusal(ErrorCode::DeadlinePassed, "", Execution::Unknown)); });
+    const Deadline last = lastAnswer(call.request.deadline);
+    const Error why = last < call.request.deadline
+        ? draining("the agent ends before its answer", Execution::Unknown)
+        : refusal(ErrorCode::DeadlinePassed, "", Execution::Unknown);
+    call.deadlineTimer = ports_.control.runAt(last, [this, key, why] { stop(key, why); });
 }
 
 /// One that was stopped after longer than usual is a measurement too, or an upstream that has become too slow for every
@@ -459,7 +482,24 @@
     stopAbandoned();
 }
 
-void RequestGate::beginDraining() { isDraining_ = true; }
+/// Guards against an agent that is ended by force over its queue: nobody could say any more that what waited there was
+/// never given to the upstream, and its callers would hear only at their deadlines that it may have run. What can't end
+/// in time by the forecast goes to another upstream at once.
+void RequestGate::beginDraining(const framework::ServiceEnd& end)
+{
+    serviceEnd_ = end;
+    std::vector<DispatchKey> hopeless;
+    for (auto& [key, call] : calls_) {
+        if (call.upstream)
+            armRunning(key, call);
+        else if (queueRefusal({ key, call.request.priority, call.request.deadline }, call.target))
+            hopeless.push_back(key);
+        else
+            armWaiting(key, call);
+    }
+    for (const DispatchKey& key : hopeless)
+        stop(key, draining("the agent ends before its turn", Execution::NotRun));
+}
 
 void RequestGate::publish()
 {
--- a/src/agent/internal/requestgate.h
+++ b/src/agent/internal/requestgate.h
@@ -9,10 +9,12 @@
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
 #include "framework/metrics.h"
+#include "framework/types/serviceend.h"
 #include "wire/ilink.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace lagoon::agent {
@@ -42,8 +44,8 @@
     void linkClosed(framework::Incarnation router);
     /// Drops what routers that are gone have left.
     void forgetGoneRouters();
-    /// From now on everything new is refused as not run.
-    void beginDraining();
+    /// From now on everything new is refused as not run, and what was taken has its end in time for the process's.
+    void beginDraining(const framework::ServiceEnd&);
 
     std::uint32_t running() const { return admission_.running(); }
     std::uint32_t waiting() const { return admission_.waiting(); }
@@ -83,6 +85,7 @@
     void publish();
     std::optional<framework::Error> admissionRefusal(const Call&) const;
     std::optional<framework::Error> queueRefusal(const WaitingDispatch&, const Target&) const;
+    framework::Deadline lastAnswer(framework::Deadline ofRequest) const;
     void armWaiting(const DispatchKey&, Call&);
     void reviewWaiting(const Target&);
     void armRunning(const DispatchKey&, Call&);
@@ -95,7 +98,8 @@
     Admission admission_;
     ServiceTimes serviceTimes_;
     std::map<DispatchKey, Call> calls_;
-    bool isDraining_ = false;
+    /// Set while draining.
+    std::optional<framework::ServiceEnd> serviceEnd_;
 };
 
 } // namespace lagoon::agent
--- a/src/agent/tests/requestgate_test.cpp
+++ b/src/agent/tests/requestgate_test.cpp
@@ -385,7 +385,7 @@
 {
     dispatch(1);
     dispatch(2);
-    gate->beginDraining();
+    gate->beginDraining(framework::ServiceEnd::after(control.now(), framework::usualGrace));
     dispatch(3);
     checkRefused(*link, ErrorCode::Draining, Execution::NotRun);
     for (const std::size_t call : { 0, 1 }) {
@@ -397,6 +397,49 @@
     BOOST_TEST(gate->isIdle());
 }
 
+// The agent is told to end while its upstream works on one request and another waits, both for longer than the grace
+// period. What waits was never given to the upstream and must be refused as not run, in time to be served elsewhere;
+// what runs is stopped, and is unknown, in time for its router to hear it.
+BOOST_AUTO_TEST_CASE(theEndRefusesWhatWaitsAndStopsWhatRuns)
+{
+    dispatch(1, 60000);
+    dispatch(2, 60000);
+    const auto end = framework::ServiceEnd::after(control.now(), Milliseconds(8000));
+    gate->beginDraining(end);
+    control.advance(end.startBy.remaining(control.now()) - Milliseconds(1));
+    BOOST_TEST(link->all<fb::RefusedT>().empty());
+    control.advance(Milliseconds(1));
+    checkRefused(*link, ErrorCode::Draining, Execution::NotRun);
+    BOOST_TEST(link->all<fb::RefusedT>().front().retry_after_ms > 0u);
+    BOOST_TEST(!upstream->calls[0]->isCancelled);
+    control.advance(end.answerBy.remaining(control.now()));
+    BOOST_TEST(upstream->calls.size() == 1u);
+    BOOST_TEST(upstream->calls[0]->isCancelled);
+    const auto refused = link->all<fb::RefusedT>();
+    BOOST_REQUIRE(refused.size() == 2u);
+    BOOST_CHECK(refused[1].code == static_cast<std::uint8_t>(ErrorCode::Draining));
+    BOOST_CHECK(refused[1].execution == static_cast<std::uint8_t>(Execution::Unknown));
+    BOOST_TEST(gate->isIdle());
+}
+
+// The upstream's times are known, and the queue is longer than what is left. Those that can't be served must not wait
+// for that to come true.
+BOOST_AUTO_TEST_CASE(atTheEndWhatTheQueueCantServeGoesElsewhereAtOnce)
+{
+    learnServiceTime();
+    dispatch(2, 60000);
+    for (std::uint64_t sequence = 3; sequence < 23; ++sequence)
+        dispatch(sequence, 60000);
+    gate->beginDraining(framework::ServiceEnd::after(control.now(), Milliseconds(1000)));
+    const auto refused = link->all<fb::RefusedT>();
+    BOOST_TEST(!refused.empty());
+    BOOST_TEST(refused.size() < 20u, "what can be served waits on");
+    for (const fb::RefusedT& each : refused) {
+        BOOST_CHECK(each.code == static_cast<std::uint8_t>(ErrorCode::Draining));
+        BOOST_CHECK(each.execution == static_cast<std::uint8_t>(Execution::NotRun));
+    }
+}
+
 // A router dies and never comes back. Its request goes on for a while, for the router might ask over a new link, and is
 // then stopped; nothing of it is kept.
 BOOST_AUTO_TEST_CASE(aGoneRoutersWorkIsStoppedInTheEnd)
