--- a/src/agent/internal/requestgate.cpp
+++ b/src/agent/internal/requestgate.cpp
@@ -183,7 +183,8 @@
     const policy::LoadQueue queue { admission_.ahead(waiting), admission_.running(), admission_.mostRunning(), 0,
         serviceTimes_.ofAll() };
     const policy::LoadForecast forecast = policy::forecastWaiting(*own, queue);
-    if (!policy::isLikelyTooLate(forecast, Deadline(lastAnswer(waiting.deadline).at() - deliveryMargin), ports_.clock.now()))
+    if (!policy::isLikelyTooLate(
+            forecast, Deadline(lastAnswer(waiting.deadline).at() - deliveryMargin), ports_.clock.now()))
         return std::nullopt;
     Error hopeless = refusal(ErrorCode::DeadlineHopeless, "the queue is longer than the deadline", Execution::NotRun);
     hopeless.retryAfter = policy::timeToComeBack(forecast, spread(waiting.key));
@@ -239,9 +240,8 @@
 void RequestGate::armRunning(const DispatchKey& key, Call& call)
 {
     const Deadline last = lastAnswer(call.request.deadline);
-    const Error why = last < call.request.deadline
-        ? draining("the agent ends before its answer", Execution::Unknown)
-        : refusal(ErrorCode::DeadlinePassed, "", Execution::Unknown);
+    const Error why = last < call.request.deadline ? draining("the agent ends before its answer", Execution::Unknown)
+                                                   : refusal(ErrorCode::DeadlinePassed, "", Execution::Unknown);
     call.deadlineTimer = ports_.control.runAt(last, [this, key, why] { stop(key, why); });
 }
 
--- a/src/app/internal/routercommand.cpp
+++ b/src/app/internal/routercommand.cpp
@@ -21,8 +21,8 @@
             { "ops", endpoints.value().ops } });
     framework::waitForTermination();
     router.drain();
-    // Every reply has left, or its time is over. Closing cpprest's listener while callers keep connections open may crash the process, and
-    // the system closes all of it anyway.
+    // Every reply has left, or its time is over. Closing cpprest's listener while callers keep connections open may
+    // crash the process, and the system closes all of it anyway.
     std::cout.flush();
     std::_Exit(ExitSuccess);
 }
--- a/src/framework/internal/processsettings.cpp
+++ b/src/framework/internal/processsettings.cpp
@@ -46,8 +46,8 @@
 Milliseconds readShutdownGrace(CheckedObject& settings)
 {
     const auto number = [](Milliseconds time) { return static_cast<std::uint64_t>(time.count()); };
-    return Milliseconds(settings.numberOr(
-        "shutdown_grace_ms", number(usualGrace), number(shortestGrace), number(longestGrace)));
+    return Milliseconds(
+        settings.numberOr("shutdown_grace_ms", number(usualGrace), number(shortestGrace), number(longestGrace)));
 }
 
 Result<std::string> readSettingsText(const std::string& file)
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -37,8 +37,8 @@
 
 Error notStartedBeforeTheEnd()
 {
-    return Error { ErrorCode::ShuttingDown, "wait for replica", "", "this router ends before the request could be served",
-        Execution::NotRun, retryAfterEnd };
+    return Error { ErrorCode::ShuttingDown, "wait for replica", "",
+        "this router ends before the request could be served", Execution::NotRun, retryAfterEnd };
 }
 
 const char* reasonText(const Error& error) { return framework::errorCodeText(error.code).data(); }
--- a/tests/integration/shutdowngrace_test.cpp
+++ b/tests/integration/shutdowngrace_test.cpp
@@ -118,7 +118,8 @@
 BOOST_AUTO_TEST_CASE(theKeyOfWhatDidNotRunMayBeBroughtAgain)
 {
     holdLoads();
-    const std::map<std::string, std::string> key { { "Idempotency-Key", "slot-5" }, { "X-Lagoon-Repeatable", "false" } };
+    const std::map<std::string, std::string> key { { "Idempotency-Key", "slot-5" },
+        { "X-Lagoon-Repeatable", "false" } };
     PendingCall waiting = ask("entry-1", "cold", { .timeoutMs = veryLongMs, .headers = key });
     waitFor("the request waits", [&] { return requestsOf("entry-1") == 1; });
     BOOST_TEST(end(*deployment.router("entry-1").process) == 0);
