Tests: ends beside a hanging platform, a frozen engine, and of a home

Three more ways in which a process ends while somebody waits: an agent whose engine is frozen while the platform hangs, a router that has a key to give back while the platform hangs, and a home whose loads the requests of another router wait for. Eight models, so that each router is home for some.

--- a/tests/integration/shutdowngrace_test.cpp
+++ b/tests/integration/shutdowngrace_test.cpp
@@ -38,14 +38,17 @@
                 .moreSettings = withGrace(R"(, "limits": {"running": 1})") });
         deployment.addRouter("entry-1", { .moreSettings = withGrace() });
         deployment.addRouter("entry-2");
-        deployment.rollOut(BundleBuilder(1)
-                               .enginePool("engines", "old", 1000)
-                               .model("notes", 400, { "engines" }, { { "old", 1 } })
-                               .model("cold", 400, { "engines" }, { { "old", 1 } })
-                               .text());
+        BundleBuilder bundle(1);
+        bundle.enginePool("engines", "old", 1000);
+        for (const std::string& model : models())
+            bundle.model(model, 100, { "engines" }, { { "old", 1 } });
+        deployment.rollOut(bundle.text());
         deployment.waitUntilReady();
     }
 
+    /// As many as it takes for each router to be home for some of them.
+    static std::vector<std::string> models() { return { "notes", "cold", "m1", "m2", "m3", "m4", "m5", "m6" }; }
+
     PendingCall ask(const std::string& entry, const std::string& model, const CompletionOptions& options)
     {
         return PendingCall(
@@ -195,4 +198,47 @@
     BOOST_TEST(whole.answer().status == 502);
 }
 
+// The platform hangs and the engine is frozen when an agent is told to end. Nothing that the agent still waits for may
+// keep it until it is ended by force, nor keep its caller from hearing that the request may have run.
+BOOST_AUTO_TEST_CASE(anAgentEndsBesideAFrozenEngineWhileThePlatformHangs)
+{
+    PendingCall whole = ask("entry-1", "notes", { .timeoutMs = veryLongMs });
+    waitFor("it runs", [&] { return agentCount("running") == 1; });
+    ChildProcess& engine = *deployment.upstream("gpu-1").standin;
+    engine.sendSignal(SIGSTOP);
+    setFaults(deployment.platform(), R"({"mode": "hang"})");
+    BOOST_TEST(end(*deployment.upstream("gpu-1").agent) == 0);
+    engine.sendSignal(SIGCONT);
+    BOOST_TEST(refusalField(whole.answer(), "execution") == "unknown");
+}
+
+// A router gives back a key at its end while the platform hangs. It must not wait for that longer than it may.
+BOOST_AUTO_TEST_CASE(aRouterEndsWhileThePlatformHangs)
+{
+    holdLoads();
+    const std::map<std::string, std::string> key { { "Idempotency-Key", "slot-6" },
+        { "X-Lagoon-Repeatable", "false" } };
+    PendingCall waiting = ask("entry-1", "cold", { .timeoutMs = veryLongMs, .headers = key });
+    waitFor("the request waits", [&] { return requestsOf("entry-1") == 1; });
+    setFaults(deployment.platform(), R"({"mode": "hang"})");
+    BOOST_TEST(end(*deployment.router("entry-1").process) == 0);
+    BOOST_TEST(refusalField(waiting.answer(), "execution") == "not_run");
+}
+
+// Requests wait at one router for loads that another, their home, has ordered. The home is told to end. Nobody may be
+// refused or held for that: the other router takes the loads over.
+BOOST_AUTO_TEST_CASE(theRequestsOfOtherRoutersOutliveTheirHome)
+{
+    setFaults(deployment.upstream("gpu-1").upstream(), R"({"slow_load_ms": 6000})");
+    std::vector<PendingCall> calls;
+    for (const std::string& model : models())
+        calls.push_back(ask("entry-2", model, { .timeoutMs = veryLongMs, .maxTokens = 1 }));
+    waitFor("all wait", [&] { return requestsOf("entry-2") == static_cast<int>(models().size()); });
+    BOOST_TEST(end(*deployment.router("entry-1").process) == 0);
+    const std::string counters = getFrom(deployment.router("entry-2").ops(), "/metrics").body;
+    BOOST_TEST(counters.find("\nlagoon_home_failovers_total ") != std::string::npos);
+    for (PendingCall& call : calls)
+        BOOST_TEST(call.answer().status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
