--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr int streams = 8;
+/// Streams of 40 tokens then last 6 s: longer than a process stays also when it is idle, or they would end whole by
+/// that alone.
+constexpr const char* tokenMs = "150";
 
 std::string promptOf(int caller)
 {
@@ -25,7 +28,7 @@
     TwoOfEach()
     {
         for (const std::string vm : { "gpu-1", "gpu-2" })
-            deployment.addUpstream(vm, { .standinWords = { "--memory-mib", "1000", "--token-ms", "50" } });
+            deployment.addUpstream(vm, { .standinWords = { "--memory-mib", "1000", "--token-ms", tokenMs } });
         deployment.addRouter("entry-1");
         deployment.addRouter("entry-2");
         deployment.rollOut(BundleBuilder(1)
