Test: the queue of an agent that is told to end goes elsewhere

Cause: an agent that drains refuses what waits as not run, each router tries all of it again elsewhere, and the retry budget (20 saved up, a tenth per request) refuses what is beyond it.

--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -544,6 +544,29 @@
     BOOST_TEST(dispatcher_.requests() == 0u);
 }
 
+// An agent that is told to end refuses its whole queue as not run. Each of these is to go to another agent: the budget
+// that keeps retries from multiplying an overload must not refuse them, as an agent that drains is asked no second
+// time.
+BOOST_AUTO_TEST_CASE(aDrainingAgentsQueueGoesElsewhere)
+{
+    std::vector<std::shared_ptr<FakeAnswer>> callers;
+    for (int caller = 0; caller < 100; ++caller)
+        callers.push_back(ask(holds(), longTimeout, false));
+    greet("draft-1");
+    greet("draft-2");
+    std::vector<wire::fb::DispatchIdT> queue;
+    for (const wire::Message& sent : link("draft-1")->takeSent()) {
+        if (sent.body.type == Body::Dispatch)
+            queue.push_back(*sent.body.AsDispatch()->id);
+    }
+    BOOST_TEST(queue.size() > static_cast<std::size_t>(settings_.retryReserve));
+    for (const wire::fb::DispatchIdT& id : queue)
+        refuse(*link("draft-1"), id, ErrorCode::Draining, Execution::NotRun);
+    for (const auto& caller : callers)
+        BOOST_TEST(caller->finals_ == 0);
+    BOOST_TEST(dispatcher_.requests() == 100u);
+}
+
 // A request that may be repeated was lost with its first agent, which may have run it, and then waits in vain for
 // another. "Not run" would not be true.
 BOOST_AUTO_TEST_CASE(whatMayHaveRunIsNeverCalledNotRunLater)
