Retries after a refusal of an agent that drains are free

Change: a retry after draining or shutting_down, not run, is charged to no budget, as one after not_loaded; the number of attempts bounds it, and the agent is avoided from its first such refusal on. After "unknown" it is charged. Tests: aDrainingAgentsQueueGoesElsewhere; router_tests pass.

--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -35,6 +35,15 @@
     return error.code == ErrorCode::TooManyWaiting || error.code == ErrorCode::DeadlineHopeless;
 }
 
+/// Whether a retry after it is charged to no budget. A stale placement costs its agent nothing and is forgotten with
+/// the first refusal, an agent that drains is avoided from then on: neither can multiply an overload. Models that come
+/// and go, or the queue of one agent that is told to end, would use the budget up, and requests be refused for nothing.
+bool isFree(const Error& error)
+{
+    const bool isLeaving = error.code == ErrorCode::Draining || error.code == ErrorCode::ShuttingDown;
+    return error.code == ErrorCode::NotLoaded || (isLeaving && error.execution == Execution::NotRun);
+}
+
 Error notStartedBeforeTheEnd()
 {
     return Error { ErrorCode::ShuttingDown, "wait for replica", "",
@@ -410,10 +419,7 @@
 {
     if (entry.attempts >= context_.settings.attempts)
         return refuse(number, error);
-    // A stale placement costs its agent nothing and is forgotten with the first refusal, so it can't multiply an
-    // overload. Models that come and go would use the budget up, and requests for them be refused for nothing.
-    const bool isCharged = error.code != ErrorCode::NotLoaded;
-    if (isCharged && !retryBudget_.spend()) {
+    if (!isFree(error) && !retryBudget_.spend()) {
         Error spent = error;
         spent.detail = "retry budget spent after " + std::string(framework::errorCodeText(error.code));
         spent.code = ErrorCode::RetryBudgetSpent;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -27,7 +27,8 @@
     /// Listens and begins to read the bundle and the VM list; ready for callers once it has both.
     framework::Result<RouterEndpoints> start();
     /// Refuses new requests as not run and returns once those in flight have ended, before the grace period of the
-    /// settings is over: what can't end by then is refused or broken off. Nothing is closed yet.
+    /// settings is over: what can't end by then is refused or broken off. Takes 2.5 s, or half of a shorter grace
+    /// period, also if nothing is in flight, so that callers and balancers notice. Nothing is closed yet.
     void drain();
     /// Drains, then closes all.
     void shutDown();
