An agent that couldn't start ends at once

Cause: its destructor shuts it down, and so stayed 2.5 s for routers that never knew it. Change: only one that was wholly started stays, as with the router.

--- a/src/agent/internal/agent.cpp
+++ b/src/agent/internal/agent.cpp
@@ -80,6 +80,8 @@
     std::unique_ptr<framework::Timer> housekeeping_;
     std::unique_ptr<framework::Timer> drainCheck_;
     std::atomic<bool> isDraining_ { false };
+    /// All of it was started.
+    bool isServing_ = false;
     bool isStopped_ = false;
 };
 
@@ -133,6 +135,7 @@
     });
     bundles_->start();
     control_.post([this] { startControl(); });
+    isServing_ = true;
     return AgentEndpoints { link, ops };
 }
 
@@ -159,7 +162,9 @@
     framework::logInfo("agent", "draining");
     // Claims are kept: the VM lives on and its engine still has the models, so a free claim would let another VM load
     // one replica too many. The next agent here adopts both; if the VM goes, the platform's list frees them.
-    const auto end = framework::ServiceEnd::after(clock_.now(), settings_.shutdownGrace);
+    auto end = framework::ServiceEnd::after(clock_.now(), settings_.shutdownGrace);
+    if (!isServing_)
+        end.noticedBy = Deadline();
     std::promise<bool> drained;
     control_.post([this, &drained, end] {
         gate_->beginDraining(end);
