The moments of a process's end are one type for both paths

The direct router's drainPlan and ServiceEnd of the agents' path computed the same from signal and grace period, with other margins. ServiceEnd stays: 0.6 s in reserve (0.4 s before on the agents' path: the direct path writes its log's last lines too), an eighth of a grace period under 4.8 s. Its usual points at 8 s go from 3.8, 7.6 and 7.9 s to 3.7, 7.4 and 7.7 s, which its test states; the case of short grace periods moves to it from drainplan_test with its story.

framework_tests, routerend_tests, shutdowngrace_tests, shutdown_tests pass.

--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -1,12 +1,12 @@
 #include "direct/directrouter.h"
 
-#include "direct/drainplan.h"
 #include "direct/internal/agentlinks.h"
 #include "direct/internal/catalogwatch.h"
 #include "direct/internal/links.h"
 #include "direct/internal/plainviews.h"
 #include "forwarding/forwarder.h"
 #include "framework/decisionlog.h"
+#include "framework/types/serviceend.h"
 #include "http/exchangeserver.h"
 
 #include <future>
@@ -82,22 +82,22 @@
 
     void drain()
     {
-        const DrainPlan plan = drainPlan(ports_.clock.now(), settings_.grace);
+        const auto end = framework::ServiceEnd::after(ports_.clock.now(), settings_.grace);
         stopBeingReady();
         logDecision(LogLine("draining")
                         .number("requests", onTraffic([this] { return forwarder_.requests(); }))
                         .number("grace_ms", settings_.grace.count()));
-        ports_.traffic.post([this, plan] {
+        ports_.traffic.post([this, end] {
             callers_.beginDraining();
-            forwarder_.answerBy(plan.answersBy);
+            forwarder_.answerBy(end.answerBy);
         });
-        std::this_thread::sleep_until(plan.takesUntil.at());
+        std::this_thread::sleep_until(end.noticedBy.at());
         ports_.traffic.post([this] {
             callers_.closeIdle();
             refuseComing();
         });
         while (
-            !plan.endsBy.hasPassed(ports_.clock.now()) && onTraffic([this] { return callers_.busyConnections(); }) > 0)
+            !end.exitBy.hasPassed(ports_.clock.now()) && onTraffic([this] { return callers_.busyConnections(); }) > 0)
             std::this_thread::sleep_for(drainCheckEach);
         const std::size_t unanswered = onTraffic([this] { return stopTaking(); });
         logDecision(LogLine("stopped").number("unanswered", unanswered));
--- a/src/framework/tests/serviceend_test.cpp
+++ b/src/framework/tests/serviceend_test.cpp
@@ -14,9 +14,12 @@
 
 BOOST_AUTO_TEST_SUITE(ServiceEnds)
 
-BOOST_AUTO_TEST_CASE(eachStepLeavesTimeForTheNext)
+// Operators gave routers two seconds to end. A router waited two and a half for its balancers to notice, and was ended
+// by force over the requests that it held.
+BOOST_AUTO_TEST_CASE(eachStepLeavesTimeForTheNextHoweverShortTheGracePeriod)
 {
-    for (const Milliseconds grace : { shortestGrace, Milliseconds(8000), usualGrace, longestGrace }) {
+    for (const Milliseconds grace : { shortestGrace, Milliseconds(1000), Milliseconds(2000), Milliseconds(2500),
+             Milliseconds(2900), Milliseconds(8000), usualGrace, longestGrace }) {
         const ServiceEnd end = ServiceEnd::after(told, grace);
         BOOST_TEST(from(end.noticedBy).count() > 0);
         BOOST_TEST(from(end.noticedBy).count() <= from(end.startBy).count());
@@ -30,9 +33,9 @@
 {
     const ServiceEnd end = ServiceEnd::after(told, Milliseconds(8000));
     BOOST_TEST(from(end.noticedBy).count() == 2500);
-    BOOST_TEST(from(end.startBy).count() == 3800);
-    BOOST_TEST(from(end.answerBy).count() == 7600);
-    BOOST_TEST(from(end.exitBy).count() == 7900);
+    BOOST_TEST(from(end.startBy).count() == 3700);
+    BOOST_TEST(from(end.answerBy).count() == 7400);
+    BOOST_TEST(from(end.exitBy).count() == 7700);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/framework/types/serviceend.h
+++ b/src/framework/types/serviceend.h
@@ -2,8 +2,6 @@
 
 #include "framework/types/time.h"
 
-#include <algorithm>
-
 namespace lagoon::framework {
 
 /// What the platform usually leaves a process that it has told to end before it ends it by force.
@@ -26,18 +24,8 @@
     /// The process ends, whatever is left.
     Deadline exitBy;
 
-    static ServiceEnd after(SteadyTime told, Milliseconds grace)
-    {
-        // A balancer's checks are a second or two apart.
-        constexpr Milliseconds noticing { 2500 };
-        // For the process itself to end before the force comes.
-        constexpr Milliseconds exitMargin { 100 };
-        // For the last answers to be written to their connections, by way of a router if an agent gave them.
-        constexpr Milliseconds leaving { 300 };
-        const Milliseconds serving = std::max(grace, shortestGrace) - exitMargin - leaving;
-        return { Deadline::after(told, std::min(noticing, serving / 2)), Deadline::after(told, serving / 2),
-            Deadline::after(told, serving), Deadline::after(told, serving + leaving) };
-    }
+    /// `grace` is the time from `told` until the process is ended by force.
+    static ServiceEnd after(SteadyTime told, Milliseconds grace);
 };
 
 } // namespace lagoon::framework
