Stand-in engines take time to load; a fleet has more engines, a shorter grace period and other models on request

The stand-in engines loaded at once, so no request ever waited for a model: what happens to one that waits couldn't be tested. An engine is now busy for its load's time, refuses other orders meanwhile and reports so; without a time it loads at once as before. Older fences are still judged before that.

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -9,11 +9,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <filesystem>
+#include <fstream>
 #include <random>
 #include <stdexcept>
 
 namespace lagoon::fleet {
 
+using framework::Milliseconds;
 using web::json::value;
 
 namespace {
@@ -67,38 +70,17 @@
     return answer;
 }
 
-value model(const std::string& name)
+value model(const std::string& name, Milliseconds loadTime)
 {
     value json;
     json["name"] = value::string(name);
     json["weights-mb"] = value::number(50.5);
-    json["load-time-s"] = value::number(0.2);
+    json["load-time-s"] = value::number(static_cast<double>(loadTime.count()) / 1000);
     json["adapters"] = value::number(2);
     json["adapter-size-mb"] = value::number(1.5);
     return json;
 }
 
-value services()
-{
-    value engines;
-    engines["name"] = value::string("engines");
-    engines["max-connections"] = value::number(100);
-    value profile;
-    profile["weights-mb"] = value::number(110);
-    profile["max-adapters"] = value::number(3);
-    profile["models"] = value::array();
-    for (const std::string name : { "warm", "cold", "colder" })
-        profile["models"][profile["models"].size()] = model(name);
-    engines["inference-engine"] = profile;
-    value plain;
-    plain["name"] = value::string("plain");
-    plain["max-connections"] = value::number(100);
-    value both = value::array();
-    both[0] = engines;
-    both[1] = plain;
-    return both;
-}
-
 } // namespace
 
 std::string CallerRequest::text() const
@@ -164,6 +146,27 @@
     return routes;
 }
 
+value Fleet::services() const
+{
+    value engines;
+    engines["name"] = value::string("engines");
+    engines["max-connections"] = value::number(100);
+    value profile;
+    profile["weights-mb"] = value::number(110);
+    profile["max-adapters"] = value::number(3);
+    profile["models"] = value::array();
+    for (const std::string& name : models_)
+        profile["models"][profile["models"].size()] = model(name, loadTime_);
+    engines["inference-engine"] = profile;
+    value plain;
+    plain["name"] = value::string("plain");
+    plain["max-connections"] = value::number(100);
+    value both = value::array();
+    both[0] = engines;
+    both[1] = plain;
+    return both;
+}
+
 void Fleet::configure(const std::vector<value>& routes)
 {
     value json;
@@ -205,15 +208,35 @@
     testsupport::writeFile(file, settings.serialize());
 }
 
+EngineStandin& Fleet::addEngine()
+{
+    const std::string number = std::to_string(engines() + 1);
+    return *added_.emplace_back(std::make_unique<EngineStandin>("e-" + number, "127.0.0." + number));
+}
+
+EngineStandin& Fleet::engine(std::size_t index)
+{
+    constexpr std::size_t first = 2;
+    if (index < first)
+        return index == 0 ? engine1 : engine2;
+    return *added_.at(index - first);
+}
+
+void Fleet::setModels(std::vector<std::string> models, Milliseconds loadTime)
+{
+    models_ = std::move(models);
+    loadTime_ = loadTime;
+}
+
 void Fleet::startAgent(std::size_t index)
 {
-    const EngineStandin& engine = index == 0 ? engine1 : engine2;
-    const std::string address = engine.endpoint().substr(0, engine.endpoint().find(':'));
+    const std::string engineEndpoint = engine(index).endpoint();
+    const std::string address = engineEndpoint.substr(0, engineEndpoint.find(':'));
     const std::string name = "agent-" + std::to_string(index);
     const std::string file = folder_.file(name + ".json");
     value settings;
     settings["link"] = value::string(address + ":" + std::to_string(agentPort_));
-    settings["engine"] = value::string(engine.endpoint());
+    settings["engine"] = value::string(engineEndpoint);
     settings["service"] = value::string("engines");
     writeSettings(file, "direct-agent", name, settings);
     agents_.resize(std::max(agents_.size(), index + 1));
@@ -230,6 +253,8 @@
     settings["callers"] = value::string("127.0.0.1:0");
     settings["readiness"] = value::string("127.0.0.1:0");
     settings["agent_port"] = value::number(agentPort_);
+    if (grace_)
+        settings["grace_ms"] = value::number(static_cast<std::uint64_t>(grace_->count()));
     writeSettings(file, "direct-router", name, settings);
     routers_.resize(std::max(routers_.size(), index + 1));
     routers_[index].reset();
@@ -262,6 +287,19 @@
     return parse(caller.readToEnd()).status == 200;
 }
 
+std::string Fleet::linesWith(const std::string& text) const
+{
+    std::string found;
+    for (const auto& file : std::filesystem::directory_iterator(folder_.file(""))) {
+        std::ifstream lines(file.path());
+        for (std::string line; std::getline(lines, line);) {
+            if (line.find(text) != std::string::npos)
+                found += file.path().filename().string() + ": " + line + "\n";
+        }
+    }
+    return found;
+}
+
 CallerAnswer Fleet::call(const CallerRequest& request)
 {
     http::testing::RawCaller caller { framework::Endpoint(callers()) };
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -8,6 +8,7 @@
 #include <cpprest/json.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,8 +55,18 @@
     EngineStandin engine1 { "e-1", "127.0.0.1" };
     EngineStandin engine2 { "e-2", "127.0.0.2" };
 
+    /// One more engine, at an address of its own, empty and not listed yet; agents and engines have the same numbers.
+    EngineStandin& addEngine();
+    EngineStandin& engine(std::size_t index);
+    std::size_t engines() const { return 2 + added_.size(); }
+    /// For the routers that start from now on.
+    void setGrace(framework::Milliseconds grace) { grace_ = grace; }
+    /// What the next configuration says of the engines: the models that they may hold, and how long each loads.
+    void setModels(std::vector<std::string> models, framework::Milliseconds loadTime);
+
     void startProcesses();
-    /// Starts one more process, or one that has ended again. Agents are 0 and 1, routers from 0.
+    /// Starts one more process, or one that has ended again. Agents are 0 and 1 and those of added engines, routers
+    /// from 0.
     void startRouter(std::size_t index);
     void startAgent(std::size_t index);
     /// Starts the processes and waits until the router is ready and has heard both agents.
@@ -63,6 +74,7 @@
     testsupport::ChildProcess& router(std::size_t index = 0) { return *routers_.at(index); }
     testsupport::ChildProcess& agent(std::size_t index) { return *agents_.at(index); }
     std::string callers(std::size_t index = 0) { return router(index).readyText("callers"); }
+    std::string readiness(std::size_t index) { return router(index).readyText("readiness"); }
     /// Processes reach the store under this endpoint in place of its own, and callers' requests reach a server so.
     void setStoreEndpoint(const std::string& endpoint) { storeEndpoint_ = endpoint; }
     void listAt(const ServerStandin&, const std::string& service, const std::string& endpoint,
@@ -70,6 +82,8 @@
     /// Whether a `GET` at the router's readiness endpoint is answered 200.
     bool isReady();
     CallerAnswer call(const CallerRequest&);
+    /// The lines of all processes' output, also of ended ones, that hold the text.
+    std::string linesWith(const std::string& text) const;
     /// Writes the next version of the configuration: the routes, and the services of the engines and plain servers.
     void configure(const std::vector<web::json::value>& routes);
     void list(const ServerStandin&, const std::string& service, const std::string& state = "ready");
@@ -79,6 +93,7 @@
     static web::json::value route(const std::string& prefix, const std::string& kind, const std::string& service);
 
 private:
+    web::json::value services() const;
     void writeSettings(
         const std::string& file, const std::string& role, const std::string& vm, web::json::value settings) const;
 
@@ -87,6 +102,10 @@
     int agentPort_ = 0;
     int starts_ = 0;
     std::string storeEndpoint_;
+    std::optional<framework::Milliseconds> grace_;
+    std::vector<std::string> models_ { "warm", "cold", "colder" };
+    framework::Milliseconds loadTime_ { 200 };
+    std::vector<std::unique_ptr<EngineStandin>> added_;
     std::vector<std::unique_ptr<testsupport::ChildProcess>> agents_;
     std::vector<std::unique_ptr<testsupport::ChildProcess>> routers_;
 };
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -95,9 +95,10 @@
     held_[model];
 }
 
-bool EngineStandin::holds(const std::string& model, const std::string& adapter) const
+bool EngineStandin::holds(const std::string& model, const std::string& adapter)
 {
     const std::lock_guard lock(mutex_);
+    endLoadLocked();
     const auto found = held_.find(model);
     return found != held_.end() && (adapter.empty() || found->second.contains(adapter));
 }
@@ -108,6 +109,14 @@
     pauseMs_ = pauseMs;
 }
 
+void EngineStandin::endLoadLocked()
+{
+    if (!load_ || !load_->doneAt.hasPassed(std::chrono::steady_clock::now()))
+        return;
+    held_[load_->model];
+    load_.reset();
+}
+
 bool EngineStandin::answerOwn(Exchange& exchange)
 {
     if (exchange.request().path == "/-/report")
@@ -122,9 +131,10 @@
 void EngineStandin::answerReport(Exchange& exchange)
 {
     std::unique_lock lock(mutex_);
+    endLoadLocked();
     value report;
     report["phase"] = value::string("both");
-    report["busy"] = value::boolean(false);
+    report["busy"] = value::boolean(load_.has_value());
     report["seq"] = value::number(static_cast<std::uint32_t>(orders_.load()));
     report["models"] = value::array();
     for (const auto& [model, adapters] : held_) {
@@ -149,12 +159,17 @@
     const std::string adapter = order.has_field("adapter") ? standins::textField(order, "adapter") : std::string();
     const bool isLoad = standins::textField(order, "operation") == "model_load";
     std::unique_lock lock(mutex_);
+    endLoadLocked();
     const std::uint64_t fence = standins::numberField(order, "fence");
     if (fence < fence_ || standins::numberField(order, "expected") != static_cast<std::uint64_t>(orders_.load())) {
         violations_ += fence < fence_ ? 1 : 0;
         lock.unlock();
         return replyError(exchange, fence < fence_ ? 412 : 409, "older order");
     }
+    if (load_) {
+        lock.unlock();
+        return replyError(exchange, 409, "another order is carried out");
+    }
     fence_ = fence;
     ++orders_;
     if (!isLoad && adapter.empty())
@@ -164,8 +179,11 @@
     else if (!adapter.empty())
         held_[model].insert(adapter);
     else
-        held_[model];
-    violations_ += held_.size() > engineRoom ? 1 : 0;
+        load_ = Load { model,
+            framework::Deadline::after(std::chrono::steady_clock::now(), Milliseconds(loadMs_.load())) };
+    endLoadLocked();
+    const bool isNewComing = load_ && !held_.contains(load_->model);
+    violations_ += held_.size() + (isNewComing ? 1 : 0) > engineRoom ? 1 : 0;
     lock.unlock();
     exchange.reply(202, "");
 }
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/types/time.h"
 #include "standins/common/httpserver.h"
 
 #include <atomic>
@@ -7,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -76,12 +78,14 @@
     using ServerStandin::ServerStandin;
 
     void hold(const std::string& model);
-    bool holds(const std::string& model, const std::string& adapter = {}) const;
+    bool holds(const std::string& model, const std::string& adapter = {});
     int orders() const { return orders_; }
     /// Orders beyond what fits, or with a lower fence than one before.
     int violations() const { return violations_; }
     /// Events of a stream, and the pause before each.
     void setStream(int events, int pauseMs);
+    /// A model is there so long after its order was accepted; the engine is busy until then.
+    void setLoadTime(framework::Milliseconds loadTime) { loadMs_ = static_cast<int>(loadTime.count()); }
     /// The next stream ends in the middle of its event of this number.
     void breakAfter(int event) { breakAfter_ = event; }
 
@@ -91,16 +95,24 @@
     void run(standins::Exchange&) override;
 
 private:
+    struct Load {
+        std::string model;
+        framework::Deadline doneAt;
+    };
+
     void answerReport(standins::Exchange&);
     void answerOrder(standins::Exchange&);
+    void endLoadLocked();
 
     mutable std::mutex mutex_;
     std::map<std::string, std::set<std::string>> held_;
+    std::optional<Load> load_;
     std::uint64_t fence_ = 0;
     std::atomic<int> orders_ { 0 };
     std::atomic<int> violations_ { 0 };
     std::atomic<int> events_ { 3 };
     std::atomic<int> pauseMs_ { 1 };
+    std::atomic<int> loadMs_ { 0 };
     std::atomic<int> breakAfter_ { 0 };
 };
 
