The soak ends routers in order, and judges that what a router has read is answered

Cause: the incident at Ekowe wasn't found by the soak: it never told a router to end, the stand-in engines loaded at once, and a connection that ended without an answer was judged by nothing. Its callers' patience didn't work either: a receive timeout of the socket doesn't end a synchronous read of Asio.

Change: a run of the kind 'planned' has operators' work alone, in series and overlapping: routers and agents ended in order and started again, reloads, configurations, engines that come empty and leave. Loads take seconds, and callers wait longer than a router's grace period. They keep their connections also after the signal, and take the routers that a balancer has in. Every request has to end with an answer or a refusal; one that meets the close of its connection and ran nowhere is counted apart. A run of the kind 'mixed' has faults too, planned work between them; there a request is judged unless something unplanned struck its router, or what all share, from 5 s before it. Every third has slow loads. Strikes no longer wait for each other. What was done is printed with what was broken.

--- /dev/null
+++ b/tests/soak/agenda.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "framework/types/time.h"
+
+#include <functional>
+#include <map>
+
+namespace lagoon::soak {
+
+/// What is to be done later, on the thread that looks: so that works and faults overlap.
+class Agenda {
+public:
+    void after(framework::Milliseconds pause, std::function<void()> action);
+    /// Does what is due.
+    void look();
+    bool isEmpty() const { return actions_.empty(); }
+
+private:
+    std::multimap<framework::SteadyTime, std::function<void()>> actions_;
+};
+
+} // namespace lagoon::soak
--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -1,57 +1,80 @@
 #include "soak/caller.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <sys/socket.h>
 
 namespace lagoon::soak {
 
 namespace {
 
-/// A router that was stopped answers nothing; its caller gives up, as real ones do.
-constexpr timeval patience { 4, 0 };
+namespace beast = boost::beast;
+
+/// For a new connection on the same machine.
+constexpr framework::Milliseconds connectTime { 1000 };
+
+End endOf(const boost::system::error_code& error)
+{
+    if (!error)
+        return End::Answered;
+    return error == beast::error::timeout ? End::GivenUp : End::Closed;
+}
 
 } // namespace
 
+Caller::Caller(framework::Milliseconds patience)
+    : patience_(patience)
+{
+}
+
+void Caller::finish()
+{
+    context_.restart();
+    context_.run();
+}
+
 bool Caller::connect(const std::string& endpoint)
 {
     using boost::asio::ip::tcp;
     const std::size_t colon = endpoint.rfind(':');
     const tcp::endpoint address(boost::asio::ip::make_address(endpoint.substr(0, colon)),
         static_cast<unsigned short>(std::stoul(endpoint.substr(colon + 1))));
-    socket_.emplace(context_);
     buffer_.clear();
-    endpoint_ = endpoint;
-    boost::system::error_code error;
-    socket_->connect(address, error);
-    if (error)
-        return false;
-    (void)setsockopt(socket_->native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-    return true;
+    stream_.emplace(context_);
+    boost::system::error_code failure;
+    stream_->expires_after(connectTime);
+    stream_->async_connect(address, [&failure](const boost::system::error_code& error) { failure = error; });
+    finish();
+    if (failure)
+        stream_.reset();
+    return !failure;
 }
 
-Outcome Caller::call(const std::string& endpoint, const std::string& text)
+Outcome Caller::ask(const std::string& text)
 {
-    namespace http = boost::beast::http;
+    namespace http = beast::http;
     Outcome outcome;
-    if ((!socket_ || endpoint_ != endpoint) && !connect(endpoint)) {
-        socket_.reset();
+    if (!stream_)
         return outcome;
-    }
-    boost::system::error_code error;
-    boost::asio::write(*socket_, boost::asio::buffer(text), error);
+    boost::system::error_code failure;
     http::response_parser<http::string_body> parser;
-    if (!error)
-        http::read(*socket_, buffer_, parser, error);
+    outcome.sentAt = std::chrono::steady_clock::now();
+    stream_->expires_after(patience_);
+    // An answer may come though the rest of the request can't be sent any more.
+    boost::asio::async_write(*stream_, boost::asio::buffer(text), [](const boost::system::error_code&, std::size_t) {});
+    http::async_read(*stream_, buffer_, parser,
+        [&failure](const boost::system::error_code& error, std::size_t) { failure = error; });
+    finish();
+    outcome.endedAt = std::chrono::steady_clock::now();
+    outcome.end = endOf(failure);
     if (parser.is_header_done()) {
         outcome.status = static_cast<int>(parser.get().result_int());
         outcome.body = parser.get().body();
-        outcome.isWhole = !error && parser.is_done();
     }
-    if (error || !parser.get().keep_alive())
-        socket_.reset();
+    if (failure || !parser.get().keep_alive())
+        close();
     return outcome;
 }
 
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -1,34 +1,57 @@
 #pragma once
 
+#include "framework/types/time.h"
+
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <cstdint>
 #include <optional>
 #include <string>
 
 namespace lagoon::soak {
 
+/// How one request ended for its caller.
+enum class End : std::uint8_t {
+    NotConnected, ///< nothing was sent
+    Answered, ///< a whole answer
+    Closed, ///< the connection ended before that
+    GivenUp ///< the caller's patience was over before that
+};
+
 /// What became of one request, as its caller sees it.
 struct Outcome {
+    End end = End::NotConnected;
     /// 0 without an answer's head.
     int status = 0;
     std::string body;
-    bool isWhole = false;
+    framework::SteadyTime sentAt {};
+    framework::SteadyTime endedAt {};
+
+    bool isWhole() const { return end == End::Answered; }
 };
 
-/// A caller that keeps its connection for the next request until it ends.
+/// A caller that keeps its connection for the next request until the connection's end, or until an answer says that it
+/// ends.
 class Caller {
 public:
-    /// Sends the text to the endpoint and reads the answer.
-    Outcome call(const std::string& endpoint, const std::string& text);
+    /// The caller gives up an answer that isn't whole after so long.
+    explicit Caller(framework::Milliseconds patience);
 
-private:
+    bool isConnected() const { return stream_.has_value(); }
     bool connect(const std::string& endpoint);
+    void close() { stream_.reset(); }
+    /// Sends the text on its connection and reads the answer.
+    Outcome ask(const std::string& text);
+
+private:
+    /// Runs what was begun on the connection to its end.
+    void finish();
 
+    framework::Milliseconds patience_;
     boost::asio::io_context context_;
-    std::optional<boost::asio::ip::tcp::socket> socket_;
+    std::optional<boost::beast::tcp_stream> stream_;
     boost::beast::flat_buffer buffer_;
-    std::string endpoint_;
 };
 
 } // namespace lagoon::soak
--- /dev/null
+++ b/tests/soak/clients.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "soak/caller.h"
+#include "soak/rotation.h"
+#include "soak/soaksettings.h"
+
+#include <atomic>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lagoon::soak {
+
+/// One request of a run.
+struct Sent {
+    std::string attempt;
+    std::string kind;
+    std::size_t router = 0;
+    framework::SteadyTime connectedAt {};
+    Outcome outcome;
+};
+
+/// The prefixes of the routes that are asked for.
+inline const std::vector<std::string> requestKinds { "/get/", "/post/", "/model/", "/resume/" };
+
+bool mayRepeat(const std::string& kind);
+bool isStream(const std::string& kind);
+
+/// The callers of a run, a thread each. They go on using their connections also after their router was told to end.
+class Clients {
+public:
+    Clients(const SoakSettings&, const RunTerms&, const Rotation&);
+    ~Clients();
+    Clients(const Clients&) = delete;
+    Clients& operator=(const Clients&) = delete;
+
+    /// Ends the callers after their requests under way.
+    std::vector<Sent> stop();
+
+private:
+    void loop(std::size_t number);
+    std::string text(Sent&, std::mt19937_64&) const;
+
+    const SoakSettings& settings_;
+    const RunTerms& terms_;
+    const Rotation& rotation_;
+    std::atomic<bool> isOver_ { false };
+    std::mutex mutex_;
+    std::vector<Sent> sent_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace lagoon::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -7,16 +7,69 @@
 using namespace lagoon::soak;
 namespace options = boost::program_options;
 
-/// `directsoak --first 1 --seeds 50 --seconds 5`: a run a seed; exit code 1 if a promise wasn't kept.
-int main(int argc, char** argv)
-{
+namespace {
+
+struct Arguments {
     std::uint64_t first = 1;
     std::uint64_t seeds = 1;
     std::int64_t seconds = 5;
+    std::string kind = "both";
+    std::size_t routers = 0;
+    std::size_t engines = 0;
+    bool isLoud = false;
+};
+
+constexpr std::size_t plannedRouters = 4;
+constexpr std::size_t mixedRouters = 2;
+
+SoakSettings settingsOf(const Arguments& arguments, std::uint64_t seed)
+{
+    SoakSettings settings;
+    settings.seed = seed;
+    const bool isPlanned = arguments.kind == "both" ? seed % 2 == 0 : arguments.kind == "planned";
+    settings.kind = isPlanned ? RunKind::Planned : RunKind::Mixed;
+    settings.duration = lagoon::framework::Milliseconds(arguments.seconds * 1000);
+    settings.routers = isPlanned ? plannedRouters : mixedRouters;
+    if (arguments.routers > 0)
+        settings.routers = arguments.routers;
+    if (arguments.engines > 0)
+        settings.engines = arguments.engines;
+    settings.isLoud = arguments.isLoud;
+    return settings;
+}
+
+/// Whether all promises were kept.
+bool play(const SoakSettings& settings)
+{
+    SoakRun run(settings);
+    const SoakReport report = run.run();
+    std::cout << "seed " << settings.seed << (settings.kind == RunKind::Planned ? " (planned): " : " (mixed): ")
+              << report.requests << " requests, " << report.served << " served, " << report.refused
+              << " refused as not run, " << report.crossed << " crossed a close, " << report.struck << " struck, "
+              << report.faults << " faults, " << report.broken.size() << " promises broken" << std::endl;
+    for (const std::string& broken : report.broken)
+        std::cout << "  " << broken << std::endl;
+    if (report.broken.empty())
+        return true;
+    for (const std::string& note : run.notes())
+        std::cout << "  " << note << std::endl;
+    return false;
+}
+
+} // namespace
+
+/// A run a seed; exit code 1 if a promise wasn't kept.
+int main(int argc, char** argv)
+{
+    Arguments arguments;
     options::options_description described("directsoak");
-    described.add_options()("first", options::value(&first), "the first seed")(
-        "seeds", options::value(&seeds), "how many")("seconds", options::value(&seconds), "of faults a seed")(
-        "loud", "print each fault")("help", "this text");
+    described.add_options()("first", options::value(&arguments.first), "the first seed")(
+        "seeds", options::value(&arguments.seeds), "how many")("seconds", options::value(&arguments.seconds),
+        "of work and faults a seed")("kind", options::value(&arguments.kind),
+        "planned (operators' work alone), mixed (faults too) or both (even seeds planned)")("routers",
+        options::value(&arguments.routers),
+        "how many, at least 2")("engines", options::value(&arguments.engines), "how many at first, at least 2")(
+        "loud", options::bool_switch(&arguments.isLoud), "print what is done")("help", "this text");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, described), values);
     options::notify(values);
@@ -26,18 +79,7 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     bool isKept = true;
-    for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
-        SoakSettings settings;
-        settings.seed = seed;
-        settings.faults = lagoon::framework::Milliseconds(seconds * 1000);
-        settings.isLoud = values.count("loud") > 0;
-        const SoakReport report = SoakRun(settings).run();
-        std::cout << "seed " << seed << ": " << report.requests << " requests, " << report.served << " served, "
-                  << report.refused << " refused as not run, " << report.faults << " faults, " << report.broken.size()
-                  << " promises broken" << std::endl;
-        for (const std::string& broken : report.broken)
-            std::cout << "  " << broken << std::endl;
-        isKept = isKept && report.broken.empty();
-    }
+    for (std::uint64_t seed = arguments.first; seed < arguments.first + arguments.seeds; ++seed)
+        isKept = play(settingsOf(arguments, seed)) && isKept;
     return isKept ? 0 : 1;
 }
--- /dev/null
+++ b/tests/soak/plannedwork.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "soak/processes.h"
+
+namespace lagoon::soak {
+
+/// What operators and the platform do on purpose: routers and agents ended in order, alone and in series, reloads,
+/// changes of the configuration, engines that come empty and leave.
+class PlannedWork {
+public:
+    PlannedWork(fleet::Fleet&, Agenda&, Journal&, Processes&, const RunTerms&);
+
+    /// One piece of work; parts of it may come later.
+    void step();
+
+private:
+    void endRouters();
+    void endAgents();
+    void reloadSome();
+    void changeConfiguration();
+    void addEngine();
+    void removeEngine();
+
+    fleet::Fleet& fleet_;
+    Agenda& agenda_;
+    Journal& journal_;
+    Processes& processes_;
+    const RunTerms& terms_;
+    std::vector<std::size_t> listed_ { 0, 1 };
+    std::size_t mostEngines_ = 0;
+    bool hasNewRoute_ = false;
+};
+
+} // namespace lagoon::soak
--- /dev/null
+++ b/tests/soak/processes.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "fleet/fleet.h"
+#include "soak/agenda.h"
+#include "soak/journal.h"
+#include "soak/rotation.h"
+#include "soak/soaksettings.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace lagoon::soak {
+
+enum class Role : std::uint8_t { Router, Agent };
+
+/// The run's routers and agents: signals to them, their ends and new starts, which overlap. Main thread only: a process
+/// dies with the thread that started it.
+class Processes {
+public:
+    struct Parts {
+        fleet::Fleet& fleet;
+        Agenda& agenda;
+        Journal& journal;
+        Rotation& rotation;
+    };
+
+    Processes(const Parts&, const RunTerms&);
+
+    /// Takes over the fleet's first router and agents, and starts the others.
+    void adopt(std::size_t routers, std::size_t agents);
+    void startAgent(std::size_t index);
+
+    std::size_t count(Role) const;
+    /// Runs, and wasn't told to end.
+    bool isServing(Role, std::size_t index) const;
+    std::size_t serving(Role) const;
+
+    /// All but `reload` do nothing unless the process serves; `kill` and `pause` also strike one that is ending.
+    void endInOrder(Role, std::size_t index);
+    /// As `endInOrder`, for good.
+    void retire(Role, std::size_t index);
+    void reload(Role, std::size_t index);
+    void kill(Role, std::size_t index);
+    void pause(Role, std::size_t index);
+
+    /// Finds processes that have ended, and starts them again after a while.
+    void look();
+    /// Whether all that should serve do.
+    bool areAllBack() const;
+
+private:
+    enum class State : std::uint8_t { Serving, Ending, Down, Retired };
+    struct Slot {
+        Role role = Role::Router;
+        std::size_t index = 0;
+        State state = State::Serving;
+        bool comesBack = true;
+        bool isPaused = false;
+        framework::Deadline endsBy {};
+        OpenStrikes strikes = {};
+    };
+
+    Slot& slot(Role, std::size_t index);
+    const Slot* find(Role, std::size_t index) const;
+    testsupport::ChildProcess& process(const Slot&);
+    std::optional<std::size_t> routerOf(const Slot&) const;
+    void start(Slot&);
+    void startLater(const Slot&);
+    void lookAt(Slot&);
+    void didEnd(Slot&);
+
+    Parts parts_;
+    const RunTerms& terms_;
+    std::vector<Slot> slots_;
+};
+
+} // namespace lagoon::soak
--- /dev/null
+++ b/tests/soak/promises.cpp
@@ -0,0 +1,125 @@
+#include "soak/promises.h"
+
+#include "soak/standins.h"
+
+namespace lagoon::soak {
+
+namespace {
+
+using framework::Milliseconds;
+
+/// A request that meets its connection's close is on its way no longer than this, also on a busy machine.
+constexpr Milliseconds crossing { 300 };
+
+bool saysNotRun(int status) { return status == 503 || status == 429 || status == 408 || status == 421; }
+
+std::string endText(End end)
+{
+    switch (end) {
+    case End::NotConnected:
+        return "not connected";
+    case End::Answered:
+        return "answered";
+    case End::Closed:
+        return "closed";
+    case End::GivenUp:
+        return "given up";
+    }
+    return "";
+}
+
+} // namespace
+
+Promises::Promises(fleet::Fleet& fleet, Journal& journal, SoakReport& report)
+    : fleet_(fleet)
+    , journal_(journal)
+    , report_(report)
+{
+}
+
+int Promises::runsOf(const std::string& attempt) const
+{
+    int runs = fleet_.plain1.runs(attempt) + fleet_.plain2.runs(attempt);
+    for (std::size_t index = 0; index < fleet_.engines(); ++index)
+        runs += fleet_.engine(index).runs(attempt);
+    return runs;
+}
+
+std::string Promises::textOf(const Sent& sent, int runs) const
+{
+    return sent.kind + sent.attempt + " (" + std::to_string(sent.outcome.status) + ", " + endText(sent.outcome.end)
+        + ", " + std::to_string(runs) + " runs) at router " + std::to_string(sent.router) + ", connected at "
+        + journal_.when(sent.connectedAt) + ", sent at " + journal_.when(sent.outcome.sentAt) + ", ended at "
+        + journal_.when(sent.outcome.endedAt);
+}
+
+void Promises::fail(const std::string& promise, const Sent& sent, int runs)
+{
+    journal_.fail(promise + ": " + textOf(sent, runs) + "\n" + fleet_.linesWith("\"" + sent.attempt + "\""));
+}
+
+void Promises::check(const Sent& sent)
+{
+    const int runs = runsOf(sent.attempt);
+    ++report_.requests;
+    report_.served += sent.outcome.status == 200 && sent.outcome.isWhole() ? 1 : 0;
+    report_.refused += saysNotRun(sent.outcome.status) ? 1 : 0;
+    checkRuns(sent, runs);
+    checkContent(sent, runs);
+    checkAnswered(sent, runs);
+}
+
+void Promises::checkRuns(const Sent& sent, int runs)
+{
+    const int status = sent.outcome.status;
+    if (!mayRepeat(sent.kind) && runs > 1)
+        fail("ran twice", sent, runs);
+    if (!mayRepeat(sent.kind) && saysNotRun(status) && runs > 0)
+        fail("refused as not run, but ran", sent, runs);
+    if (status == 404 || status == 400)
+        fail("denied", sent, runs);
+}
+
+void Promises::checkContent(const Sent& sent, int runs)
+{
+    const Outcome& outcome = sent.outcome;
+    if (outcome.status != 200)
+        return;
+    if (isStream(sent.kind) && outcome.isWhole() && outcome.body != wholeStream())
+        fail("looks whole, but isn't", sent, runs);
+    if (isStream(sent.kind) && !outcome.isWhole() && !wholeStream().starts_with(outcome.body))
+        fail("events out of order", sent, runs);
+    if (!isStream(sent.kind) && outcome.isWhole() && outcome.body.find(sent.attempt) == std::string::npos)
+        fail("another request's answer", sent, runs);
+}
+
+/// A whole request that a router has read gets a whole answer, and a failure only where a server failed, unless
+/// something unplanned struck. Whether a router read it isn't seen from outside: it can't have, if the connection was
+/// closed just then and no server ran it.
+void Promises::checkAnswered(const Sent& sent, int runs)
+{
+    const Outcome& outcome = sent.outcome;
+    const bool isAnswer = outcome.isWhole() && (outcome.status == 200 || saysNotRun(outcome.status));
+    if (isAnswer || outcome.end == End::NotConnected)
+        return;
+    const bool isClosedUnread = outcome.end == End::Closed && outcome.status == 0 && runs == 0;
+    if (isClosedUnread && outcome.endedAt - outcome.sentAt < crossing) {
+        ++report_.crossed;
+        return;
+    }
+    if (journal_.wasStruck(sent.router, outcome.sentAt, outcome.endedAt)) {
+        ++report_.struck;
+        return;
+    }
+    fail(outcome.isWhole() ? "failed though no server did" : "neither an answer nor a refusal", sent, runs);
+}
+
+void Promises::checkEngines()
+{
+    for (std::size_t index = 0; index < fleet_.engines(); ++index) {
+        if (fleet_.engine(index).violations() > 0)
+            journal_.fail("an engine was ordered beyond what fits, or with an older fence");
+    }
+}
+
+} // namespace lagoon::soak
--- /dev/null
+++ b/tests/soak/rotation.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lagoon::soak {
+
+/// Which routers get new connections, as a balancer in front of them decides: it asks each router once a second whether
+/// it is ready, and takes it out after two failed questions in a row until one succeeds. While fewer than half are in,
+/// it uses all.
+class Rotation {
+public:
+    explicit Rotation(std::size_t routers);
+    ~Rotation();
+    Rotation(const Rotation&) = delete;
+    Rotation& operator=(const Rotation&) = delete;
+
+    /// Where a router is reached from now on.
+    void setRouter(std::size_t index, const std::string& callers, const std::string& readiness);
+
+    struct Choice {
+        std::size_t router = 0;
+        std::string endpoint;
+    };
+    /// Nothing while no router has been set.
+    std::optional<Choice> choose(std::mt19937_64&) const;
+
+private:
+    struct Entry {
+        std::string callers;
+        std::string readiness;
+        int misses = 0;
+        bool isIn = false;
+    };
+
+    void askLoop(std::size_t index);
+
+    mutable std::mutex mutex_;
+    std::condition_variable ended_;
+    bool isOver_ = false;
+    std::vector<Entry> entries_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace lagoon::soak
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -1,85 +1,45 @@
 #pragma once
 
-#include "fleet/fleet.h"
-#include "framework/types/time.h"
-#include "soak/caller.h"
-#include "standins/proxy/faultproxy.h"
+#include "soak/plannedwork.h"
+#include "soak/promises.h"
+#include "soak/strikes.h"
 
-#include <atomic>
-#include <cstdint>
-#include <mutex>
-#include <random>
-#include <string>
-#include <vector>
+#include <memory>
 
 namespace lagoon::soak {
 
-struct SoakSettings {
-    std::uint64_t seed = 1;
-    /// How long faults come; what was broken heals after that.
-    framework::Milliseconds faults { 5000 };
-    bool isLoud = false;
-};
-
-/// What a run found.
-struct SoakReport {
-    /// Promises that weren't kept; each names the request or process.
-    std::vector<std::string> broken;
-    int requests = 0;
-    int served = 0;
-    int refused = 0;
-    int faults = 0;
-};
-
-/// Two routers and two agents as real processes between stand-ins, callers that keep their connections, and faults from
-/// outside the processes that follow from the seed: signals, a store that goes away, lossy and silent connections,
-/// servers that refuse, lose or cut answers, configurations. They overlap.
+/// Routers and agents as real processes between stand-ins, callers that keep their connections, and work and faults
+/// from outside the processes that follow from the seed and overlap.
 ///
 /// Checked from what callers and servers see: what must not run twice runs once at most; what is refused as not run
-/// hasn't run; what looks whole is whole and the right answer; engines are never ordered beyond what fits; no process
-/// ends by itself; and all is served again soon after the last fault.
+/// hasn't run; what looks whole is whole and the right answer; what a router has read is answered or refused unless
+/// something unplanned struck; engines are never ordered beyond what fits; no process ends by itself, and each ends in
+/// order when it is told to; and all is served again soon after the last fault.
 class SoakRun {
 public:
     explicit SoakRun(const SoakSettings&);
     SoakReport run();
+    /// What was done, in order.
+    const std::vector<std::string>& notes() const { return journal_.notes(); }
 
 private:
-    struct Sent {
-        std::string attempt;
-        std::string kind;
-        Outcome outcome;
-    };
-
-    void callersLoop(int caller);
-    Sent callOnce(Caller&, std::mt19937_64&, int caller, int number);
-    void strike();
-    void strikeProcess();
-    void strikeNetwork();
-    void strikeServers();
-    void changeConfiguration();
-    void heal();
+    void prepareFleet();
+    /// Goes on with what is under way.
+    void attend(framework::Milliseconds time);
+    void disturb();
+    void waitUntilBack();
     void waitUntilServed();
-    void check(const Sent&);
-    void checkEngines();
-    int runsOf(const std::string& attempt) const;
-    void note(const std::string& what);
-    void fail(const std::string& what);
-    std::uint64_t draw(std::uint64_t below) { return random_() % below; }
-    void pause(std::uint64_t least, std::uint64_t more);
-    std::string routerEndpoint(std::size_t index);
+    bool isServed(const std::string& kind, std::size_t router, int probe);
 
-    SoakSettings settings_;
+    const SoakSettings settings_;
+    const RunTerms terms_;
     fleet::Fleet& fleet_;
-    standins::FaultProxy& storeProxy_;
-    standins::FaultProxy& plainProxy_;
-    standins::FaultProxy& engineProxy_;
-    std::mt19937_64 random_;
-    std::atomic<bool> isOver_ { false };
-    std::mutex mutex_;
-    std::vector<std::string> endpoints_;
-    std::vector<Sent> sent_;
+    Journal journal_;
+    Agenda agenda_;
+    Rotation rotation_;
+    Processes processes_;
+    std::optional<Strikes> strikes_;
     SoakReport report_;
-    bool hasNewRoute_ = false;
 };
 
 } // namespace lagoon::soak
--- /dev/null
+++ b/tests/soak/soaksettings.cpp
@@ -0,0 +1,45 @@
+#include "soak/soaksettings.h"
+
+#include <random>
+
+namespace lagoon::soak {
+
+namespace {
+
+using framework::Milliseconds;
+
+/// Balancers need two seconds to notice, so a router can't end sooner.
+constexpr std::uint64_t leastGraceMs = 3000;
+/// A load that begins just before a router's signal lasts beyond the router's end.
+constexpr std::uint64_t leastLoadMs = 1500;
+/// Enough for one load before the own one, so that most requests wait for a load and not for their deadline.
+constexpr Milliseconds beyondGrace { 6000 };
+/// Callers a router: where loads are slow, most of them wait.
+constexpr std::size_t callersOfSlow = 6;
+constexpr std::size_t callersOfFast = 2;
+/// One in so many runs with faults has slow loads too.
+constexpr std::uint64_t mixedRunsPerSlow = 3;
+/// Models beyond what all engines have room for: some are always being loaded.
+constexpr std::size_t modelsTooMany = 2;
+constexpr std::size_t roomOfEngine = 2;
+
+} // namespace
+
+RunTerms termsOf(const SoakSettings& settings)
+{
+    RunTerms terms;
+    const bool isSlow = settings.kind == RunKind::Planned || settings.seed % mixedRunsPerSlow == 0;
+    terms.callers = (isSlow ? callersOfSlow : callersOfFast) * settings.routers;
+    if (!isSlow)
+        return terms;
+    std::mt19937_64 random(settings.seed * 31);
+    terms.grace = Milliseconds(leastGraceMs + random() % 3000);
+    terms.loadTime = Milliseconds(leastLoadMs + random() % 3000);
+    terms.deadline = terms.grace + beyondGrace;
+    terms.firstEventAim = terms.deadline;
+    while (terms.models.size() < settings.engines * roomOfEngine + modelsTooMany)
+        terms.models.push_back("cold-" + std::to_string(terms.models.size()));
+    return terms;
+}
+
+} // namespace lagoon::soak
--- /dev/null
+++ b/tests/soak/standins.cpp
@@ -0,0 +1,39 @@
+#include "soak/standins.h"
+
+namespace lagoon::soak {
+
+using web::json::value;
+
+namespace {
+
+constexpr int eventPauseMs = 3;
+
+} // namespace
+
+std::string wholeStream()
+{
+    std::string text;
+    for (int event = 1; event <= streamEvents; ++event)
+        text += "id: " + std::to_string(event) + "\ndata: word" + std::to_string(event) + "\n\n";
+    return text;
+}
+
+void prepare(fleet::EngineStandin& engine, const RunTerms& terms)
+{
+    engine.setStream(streamEvents, eventPauseMs);
+    engine.setLoadTime(terms.loadTime);
+}
+
+std::vector<value> routesOf(const RunTerms& terms, bool hasNewRoute)
+{
+    std::vector<value> routes = fleet::Fleet::usualRoutes();
+    for (value& route : routes) {
+        if (route.at("kind").as_string() == "streaming")
+            route["target-latency-ms"] = value::number(static_cast<std::uint64_t>(terms.firstEventAim.count()));
+    }
+    if (hasNewRoute)
+        routes.push_back(fleet::Fleet::route("/new/", "idempotent", "plain"));
+    return routes;
+}
+
+} // namespace lagoon::soak
--- /dev/null
+++ b/tests/soak/strikes.cpp
@@ -0,0 +1,145 @@
+#include "soak/strikes.h"
+
+#include "soak/standins.h"
+
+namespace lagoon::soak {
+
+namespace {
+
+using framework::Endpoint;
+using web::json::value;
+
+standins::FaultProxy* proxyTo(const std::string& endpoint)
+{
+    // Never destroyed: their threads still run when the program's static objects go.
+    static auto& kept = *new std::vector<std::unique_ptr<standins::FaultProxy>>;
+    return kept.emplace_back(std::make_unique<standins::FaultProxy>(Endpoint(endpoint), standins::Framing::None)).get();
+}
+
+std::string started(standins::FaultProxy& proxy, const std::string& address)
+{
+    return proxy.start(Endpoint(address + ":0")).value().value();
+}
+
+} // namespace
+
+Strikes::Strikes(fleet::Fleet& fleet, Agenda& agenda, Journal& journal)
+    : fleet_(fleet)
+    , agenda_(agenda)
+    , journal_(journal)
+    , proxies_ { proxyTo(fleet.store.endpoint()), proxyTo(fleet.plain1.endpoint()), proxyTo(fleet.engine2.endpoint()) }
+{
+    fleet_.setStoreEndpoint(started(*proxies_[0], "127.0.0.1"));
+    fleet_.listAt(fleet_.plain1, "plain", started(*proxies_[1], "127.0.0.1"));
+    fleet_.listAt(fleet_.engine2, "engines", started(*proxies_[2], "127.0.0.2"));
+}
+
+void Strikes::strike(Processes& processes, PlannedWork& work)
+{
+    switch (journal_.draw(5)) {
+    case 0:
+        return strikeProcess(processes);
+    case 1:
+        return strikeNetwork();
+    case 2:
+        return strikeServers();
+    case 3:
+        return strikeStore();
+    default:
+        return work.step();
+    }
+}
+
+void Strikes::strikeProcess(Processes& processes)
+{
+    const Role role = journal_.draw(2) == 0 ? Role::Router : Role::Agent;
+    const std::size_t index = journal_.draw(2);
+    return journal_.draw(2) == 0 ? processes.pause(role, index) : processes.kill(role, index);
+}
+
+void Strikes::setFault(std::size_t proxy, const std::string& name, const value& what)
+{
+    journal_.note("proxy " + std::to_string(proxy) + ": " + name + " " + what.serialize());
+    value json;
+    json[name] = what;
+    if (proxies_.at(proxy)->setFaults(json).has_error())
+        journal_.fail("a fault that the proxy doesn't know: " + name);
+}
+
+void Strikes::strikeNetwork()
+{
+    const std::size_t proxy = journal_.draw(proxies_.size());
+    const std::vector<std::string> directions { "to_server", "to_client", "both" };
+    journal_.didStrike(open_, std::nullopt);
+    switch (journal_.draw(4)) {
+    case 0:
+        return setFault(proxy, "cut", value::boolean(true));
+    case 1:
+        return setFault(proxy, "silent", value::string(directions[journal_.draw(3)]));
+    case 2: {
+        value delay;
+        delay["to_server"] = value::number(journal_.draw(40));
+        delay["to_client"] = value::number(journal_.draw(40));
+        return setFault(proxy, "delay_ms", delay);
+    }
+    default: {
+        value loss;
+        loss["count"] = value::number(1 + journal_.draw(2));
+        loss["after_bytes"] = value::number(journal_.draw(200));
+        return setFault(proxy, "lose_answer", loss);
+    }
+    }
+}
+
+void Strikes::strikeServers()
+{
+    fleet::ServerStandin* const servers[] { &fleet_.plain1, &fleet_.plain2, &fleet_.engine1, &fleet_.engine2 };
+    fleet::ServerStandin& server = *servers[journal_.draw(4)];
+    journal_.didStrike(open_, std::nullopt);
+    switch (journal_.draw(3)) {
+    case 0:
+        journal_.note("refusals at " + server.instance());
+        return server.refuseNext(static_cast<int>(1 + journal_.draw(4)));
+    case 1:
+        journal_.note("lost answers at " + server.instance());
+        return server.dropNext(static_cast<int>(1 + journal_.draw(3)));
+    default:
+        journal_.note("a stream cut within an event");
+        return fleet_.engine1.breakAfter(static_cast<int>(1 + journal_.draw(streamEvents)));
+    }
+}
+
+void Strikes::strikeStore()
+{
+    journal_.note("the store goes away for a while");
+    journal_.didStrike(open_, std::nullopt);
+    fleet_.store.setAway(true);
+    const bool forgets = journal_.draw(2) == 0;
+    agenda_.after(journal_.drawTime(50, 600), [this, forgets] {
+        fleet_.store.setAway(false);
+        if (forgets)
+            fleet_.store.forgetHistory();
+    });
+}
+
+void Strikes::heal()
+{
+    fleet_.store.setAway(false);
+    value none;
+    none["to_server"] = value::number(0);
+    none["to_client"] = value::number(0);
+    for (std::size_t proxy = 0; proxy < proxies_.size(); ++proxy) {
+        setFault(proxy, "delay_ms", none);
+        setFault(proxy, "cut", value::boolean(true));
+    }
+    for (fleet::ServerStandin* const server : std::initializer_list<fleet::ServerStandin*> {
+             &fleet_.plain1, &fleet_.plain2, &fleet_.engine1, &fleet_.engine2 }) {
+        server->refuseNext(0);
+        server->dropNext(0);
+    }
+    fleet_.engine1.breakAfter(0);
+    journal_.note("all heals");
+    journal_.didHeal(open_);
+}
+
+} // namespace lagoon::soak
