--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -16,7 +16,6 @@
 
 namespace lagoon::fleet {
 
-using framework::Milliseconds;
 using web::json::value;
 
 namespace {
@@ -51,7 +50,41 @@
     throw std::runtime_error("no free port for agents");
 }
 
-CallerAnswer parse(const std::string& text)
+value model(const std::string& name, framework::Milliseconds loadTime)
+{
+    value json;
+    json["name"] = value::string(name);
+    json["weights-mb"] = value::number(50.5);
+    json["load-time-s"] = value::number(static_cast<double>(loadTime.count()) / 1000);
+    json["adapters"] = value::number(2);
+    json["adapter-size-mb"] = value::number(1.5);
+    return json;
+}
+
+value services(const std::vector<std::string>& models, framework::Milliseconds loadTime)
+{
+    value engines;
+    engines["name"] = value::string("engines");
+    engines["max-connections"] = value::number(100);
+    value profile;
+    profile["weights-mb"] = value::number(110);
+    profile["max-adapters"] = value::number(3);
+    profile["models"] = value::array();
+    for (const std::string& name : models)
+        profile["models"][profile["models"].size()] = model(name, loadTime);
+    engines["inference-engine"] = profile;
+    value plain;
+    plain["name"] = value::string("plain");
+    plain["max-connections"] = value::number(100);
+    value both = value::array();
+    both[0] = engines;
+    both[1] = plain;
+    return both;
+}
+
+} // namespace
+
+CallerAnswer parseAnswer(const std::string& text)
 {
     namespace http = boost::beast::http;
     http::response_parser<http::string_body> parser;
@@ -70,19 +103,6 @@
     return answer;
 }
 
-value model(const std::string& name, Milliseconds loadTime)
-{
-    value json;
-    json["name"] = value::string(name);
-    json["weights-mb"] = value::number(50.5);
-    json["load-time-s"] = value::number(static_cast<double>(loadTime.count()) / 1000);
-    json["adapters"] = value::number(2);
-    json["adapter-size-mb"] = value::number(1.5);
-    return json;
-}
-
-} // namespace
-
 std::string CallerRequest::text() const
 {
     std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n";
@@ -146,27 +166,6 @@
     return routes;
 }
 
-value Fleet::services() const
-{
-    value engines;
-    engines["name"] = value::string("engines");
-    engines["max-connections"] = value::number(100);
-    value profile;
-    profile["weights-mb"] = value::number(110);
-    profile["max-adapters"] = value::number(3);
-    profile["models"] = value::array();
-    for (const std::string& name : models_)
-        profile["models"][profile["models"].size()] = model(name, loadTime_);
-    engines["inference-engine"] = profile;
-    value plain;
-    plain["name"] = value::string("plain");
-    plain["max-connections"] = value::number(100);
-    value both = value::array();
-    both[0] = engines;
-    both[1] = plain;
-    return both;
-}
-
 void Fleet::configure(const std::vector<value>& routes)
 {
     value json;
@@ -175,7 +174,7 @@
     json["routes"] = value::array();
     for (const value& one : routes)
         json["routes"][json["routes"].size()] = one;
-    json["services"] = services();
+    json["services"] = services(models_, loadTime_);
     json["a-field-of-tomorrow"] = value::boolean(true);
     store.put("config", "main", json);
 }
@@ -222,12 +221,6 @@
     return *added_.at(index - first);
 }
 
-void Fleet::setModels(std::vector<std::string> models, Milliseconds loadTime)
-{
-    models_ = std::move(models);
-    loadTime_ = loadTime;
-}
-
 void Fleet::startAgent(std::size_t index)
 {
     const std::string engineEndpoint = engine(index).endpoint();
@@ -253,8 +246,7 @@
     settings["callers"] = value::string("127.0.0.1:0");
     settings["readiness"] = value::string("127.0.0.1:0");
     settings["agent_port"] = value::number(agentPort_);
-    if (grace_)
-        settings["grace_ms"] = value::number(static_cast<std::uint64_t>(grace_->count()));
+    settings["grace_ms"] = value::number(graceMs_);
     writeSettings(file, "direct-router", name, settings);
     routers_.resize(std::max(routers_.size(), index + 1));
     routers_[index].reset();
@@ -284,7 +276,7 @@
 {
     http::testing::RawCaller caller(framework::Endpoint(router().readyText("readiness")));
     caller.send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
-    return parse(caller.readToEnd()).status == 200;
+    return parseAnswer(caller.readToEnd()).status == 200;
 }
 
 std::string Fleet::linesWith(const std::string& text) const
@@ -304,7 +296,7 @@
 {
     http::testing::RawCaller caller { framework::Endpoint(callers()) };
     caller.send(request.text());
-    return parse(caller.readToEnd());
+    return parseAnswer(caller.readToEnd());
 }
 
 } // namespace lagoon::fleet
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -2,13 +2,13 @@
 
 #include "fleet/serverstandins.h"
 #include "fleet/storestandin.h"
+#include "framework/types/time.h"
 #include "support/childprocess.h"
 #include "support/temporaryfolder.h"
 
 #include <cpprest/json.h>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +23,9 @@
     bool isWhole = false;
 };
 
+/// Of all that came on the connection.
+CallerAnswer parseAnswer(const std::string& received);
+
 /// How a caller asks.
 struct CallerRequest {
     std::string method = "POST";
@@ -59,10 +62,6 @@
     EngineStandin& addEngine();
     EngineStandin& engine(std::size_t index);
     std::size_t engines() const { return 2 + added_.size(); }
-    /// For the routers that start from now on.
-    void setGrace(framework::Milliseconds grace) { grace_ = grace; }
-    /// What the next configuration says of the engines: the models that they may hold, and how long each loads.
-    void setModels(std::vector<std::string> models, framework::Milliseconds loadTime);
 
     void startProcesses();
     /// Starts one more process, or one that has ended again. Agents are 0 and 1 and those of added engines, routers
@@ -77,6 +76,12 @@
     std::string readiness(std::size_t index) { return router(index).readyText("readiness"); }
     /// Processes reach the store under this endpoint in place of its own, and callers' requests reach a server so.
     void setStoreEndpoint(const std::string& endpoint) { storeEndpoint_ = endpoint; }
+    /// For routers that start from now on: from the signal to end until they would be ended by force.
+    void setGrace(int milliseconds) { graceMs_ = milliseconds; }
+    /// What the next configurations say that a model's load takes.
+    void setLoadTime(framework::Milliseconds time) { loadTime_ = time; }
+    /// The models that the next configurations name for the engines.
+    void setModels(std::vector<std::string> models) { models_ = std::move(models); }
     void listAt(const ServerStandin&, const std::string& service, const std::string& endpoint,
         const std::string& state = "ready");
     /// Whether a `GET` at the router's readiness endpoint is answered 200.
@@ -93,7 +98,6 @@
     static web::json::value route(const std::string& prefix, const std::string& kind, const std::string& service);
 
 private:
-    web::json::value services() const;
     void writeSettings(
         const std::string& file, const std::string& role, const std::string& vm, web::json::value settings) const;
 
@@ -102,9 +106,9 @@
     int agentPort_ = 0;
     int starts_ = 0;
     std::string storeEndpoint_;
-    std::optional<framework::Milliseconds> grace_;
-    std::vector<std::string> models_ { "warm", "cold", "colder" };
+    int graceMs_ = 8000;
     framework::Milliseconds loadTime_ { 200 };
+    std::vector<std::string> models_ { "warm", "cold", "colder" };
     std::vector<std::unique_ptr<EngineStandin>> added_;
     std::vector<std::unique_ptr<testsupport::ChildProcess>> agents_;
     std::vector<std::unique_ptr<testsupport::ChildProcess>> routers_;
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -98,7 +98,7 @@
 bool EngineStandin::holds(const std::string& model, const std::string& adapter)
 {
     const std::lock_guard lock(mutex_);
-    endLoadLocked();
+    endLoads();
     const auto found = held_.find(model);
     return found != held_.end() && (adapter.empty() || found->second.contains(adapter));
 }
@@ -109,14 +109,6 @@
     pauseMs_ = pauseMs;
 }
 
-void EngineStandin::endLoadLocked()
-{
-    if (!load_ || !load_->doneAt.hasPassed(std::chrono::steady_clock::now()))
-        return;
-    held_[load_->model];
-    load_.reset();
-}
-
 bool EngineStandin::answerOwn(Exchange& exchange)
 {
     if (exchange.request().path == "/-/report")
@@ -128,13 +120,32 @@
     return true;
 }
 
+/// With the lock held.
+void EngineStandin::beginLoad(const std::string& model)
+{
+    if (held_.contains(model))
+        return;
+    loading_.insert(model);
+    loadedAt_ = framework::Deadline::after(std::chrono::steady_clock::now(), Milliseconds(loadMs_.load()));
+}
+
+/// With the lock held.
+void EngineStandin::endLoads()
+{
+    if (areLoadsHeld_ || !loadedAt_.hasPassed(std::chrono::steady_clock::now()))
+        return;
+    for (const std::string& model : loading_)
+        held_[model];
+    loading_.clear();
+}
+
 void EngineStandin::answerReport(Exchange& exchange)
 {
     std::unique_lock lock(mutex_);
-    endLoadLocked();
+    endLoads();
     value report;
     report["phase"] = value::string("both");
-    report["busy"] = value::boolean(load_.has_value());
+    report["busy"] = value::boolean(!loading_.empty());
     report["seq"] = value::number(static_cast<std::uint32_t>(orders_.load()));
     report["models"] = value::array();
     for (const auto& [model, adapters] : held_) {
@@ -159,14 +170,14 @@
     const std::string adapter = order.has_field("adapter") ? standins::textField(order, "adapter") : std::string();
     const bool isLoad = standins::textField(order, "operation") == "model_load";
     std::unique_lock lock(mutex_);
-    endLoadLocked();
+    endLoads();
     const std::uint64_t fence = standins::numberField(order, "fence");
     if (fence < fence_ || standins::numberField(order, "expected") != static_cast<std::uint64_t>(orders_.load())) {
         violations_ += fence < fence_ ? 1 : 0;
         lock.unlock();
         return replyError(exchange, fence < fence_ ? 412 : 409, "older order");
     }
-    if (load_) {
+    if (!loading_.empty()) {
         lock.unlock();
         return replyError(exchange, 409, "another order is carried out");
     }
@@ -179,11 +190,9 @@
     else if (!adapter.empty())
         held_[model].insert(adapter);
     else
-        load_ = Load { model,
-            framework::Deadline::after(std::chrono::steady_clock::now(), Milliseconds(loadMs_.load())) };
-    endLoadLocked();
-    const bool isNewComing = load_ && !held_.contains(load_->model);
-    violations_ += held_.size() + (isNewComing ? 1 : 0) > engineRoom ? 1 : 0;
+        beginLoad(model);
+    violations_ += held_.size() + loading_.size() > engineRoom ? 1 : 0;
+    endLoads();
     lock.unlock();
     exchange.reply(202, "");
 }
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -84,8 +83,10 @@
     int violations() const { return violations_; }
     /// Events of a stream, and the pause before each.
     void setStream(int events, int pauseMs);
-    /// A model is there so long after its order was accepted; the engine is busy until then.
+    /// A load takes so long; the engine is busy until its end.
     void setLoadTime(framework::Milliseconds loadTime) { loadMs_ = static_cast<int>(loadTime.count()); }
+    /// Loads are accepted, and don't end while this is set.
+    void setLoadsHeld(bool areHeld) { areLoadsHeld_ = areHeld; }
     /// The next stream ends in the middle of its event of this number.
     void breakAfter(int event) { breakAfter_ = event; }
 
@@ -95,25 +96,23 @@
     void run(standins::Exchange&) override;
 
 private:
-    struct Load {
-        std::string model;
-        framework::Deadline doneAt;
-    };
-
     void answerReport(standins::Exchange&);
     void answerOrder(standins::Exchange&);
-    void endLoadLocked();
+    void beginLoad(const std::string& model);
+    void endLoads();
 
     mutable std::mutex mutex_;
     std::map<std::string, std::set<std::string>> held_;
-    std::optional<Load> load_;
     std::uint64_t fence_ = 0;
     std::atomic<int> orders_ { 0 };
     std::atomic<int> violations_ { 0 };
     std::atomic<int> events_ { 3 };
     std::atomic<int> pauseMs_ { 1 };
-    std::atomic<int> loadMs_ { 0 };
     std::atomic<int> breakAfter_ { 0 };
+    std::atomic<bool> areLoadsHeld_ { false };
+    std::atomic<int> loadMs_ { 0 };
+    std::set<std::string> loading_;
+    framework::Deadline loadedAt_;
 };
 
 /// Models that an engine stand-in has room for.
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -36,8 +36,10 @@
 
 void SoakRun::prepareFleet()
 {
-    fleet_.setGrace(terms_.grace);
-    fleet_.setModels(terms_.models, std::max(terms_.loadTime, Milliseconds(200)));
+    fleet_.setGrace(static_cast<int>(terms_.grace.count()));
+    fleet_.setModels(terms_.models);
+    if (terms_.loadTime.count() > 0)
+        fleet_.setLoadTime(terms_.loadTime);
     fleet_.configure(routesOf(terms_, false));
     while (fleet_.engines() < settings_.engines)
         fleet_.list(fleet_.addEngine(), "engines");
