--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -35,12 +35,14 @@
         std::function<void(CallerConnection*)> onClosed);
 
     void start();
-    /// Whether a request is under way, or its answer still leaves.
+    /// Whether a request has begun to come or is under way, or an answer still leaves.
     bool isBusy() const;
     /// Closes if no request has come, and none is under way.
     void closeIfIdle();
+    /// Answers a request of which a part has come with this head, and reads no more of it.
+    void refuseComing(const ResponseHead&);
     /// Whatever is under way; its handler hears that the caller has gone.
-    void closeNow() { callerLeft(); }
+    void closeNow();
 
     // For the exchange.
     void answer(ResponseHead, std::string body);
@@ -48,6 +50,8 @@
     void sendPiece(std::string_view);
     void endAnswer();
     void breakOff();
+    /// The handler has given the request up without a word.
+    void drop();
     std::size_t unsentBytes() const { return unsentBytes_; }
 
 private:
@@ -75,7 +79,10 @@
     void didWrite(const boost::system::error_code&);
     void finishAnswer();
     void awaitNext();
+    void beIdle();
     bool isFree() const;
+    bool hasUnread() const;
+    void setReset();
     void armTimer(framework::Milliseconds, void (CallerConnection::*onExpired)());
     void didIdleTooLong();
     void didSendHeadersTooSlowly();
@@ -94,6 +101,8 @@
     bool endsAfterAnswer_ = false;
     bool isChunked_ = false;
     bool hasHeadOfRequest_ = false;
+    /// The caller may have got a part of the answer.
+    bool hasBegunAnswer_ = false;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     std::weak_ptr<CallerExchange> exchange_;
--- a/tests/integration/routerend_test.cpp
+++ b/tests/integration/routerend_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <thread>
 
 using namespace lagoon::fleet;
 using lagoon::http::testing::RawCaller;
@@ -11,6 +12,8 @@
 
 namespace {
 
+constexpr lagoon::framework::Milliseconds grace { 4000 };
+
 /// For callers who wait longer for their first event than a load takes.
 web::json::value patientRoute()
 {
@@ -23,7 +26,7 @@
 struct EndingRouter {
     EndingRouter()
     {
-        fleet.setGrace(4000);
+        fleet.setGrace(grace);
         fleet.setLoadTime(lagoon::framework::Milliseconds(6000));
         fleet.configure({ patientRoute() });
         fleet.start();
@@ -100,6 +103,20 @@
     checkEnded();
 }
 
+// The VM of a router that was being ended stood still until the grace period was over. When it went on, the process
+// found its time up and ended over the requests that waited, before it had come to refuse them.
+BOOST_AUTO_TEST_CASE(aRequestThatWaitsIsRefusedAlsoByARouterThatStoodStill)
+{
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    waitUntilLoading(caller, "z1");
+    tellToEnd();
+    fleet.router().sendSignal(SIGSTOP);
+    std::this_thread::sleep_for(grace);
+    fleet.router().sendSignal(SIGCONT);
+    checkRefusedAsNotRun(caller, "z1");
+    checkEnded();
+}
+
 // An engine had begun a stream and brought no event of it when its router ended. The caller, who had seen nothing at
 // all, found its connection closed. It may have run, so it gets the answer that says so.
 BOOST_AUTO_TEST_CASE(aStreamOfWhichNothingHasComeIsAnsweredAsUnknown)
@@ -129,4 +146,65 @@
     checkEnded();
 }
 
+// The host of a router was stopped for a while in its last seconds, as when a VM is moved. When it went on, the time of
+// its requests had passed as well as its own, and it went without the refusals that it had promised.
+BOOST_AUTO_TEST_CASE(aRouterThatSleptOverItsEndRefusesFirst)
+{
+    fleet.engine1.setStream(3, 60000);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 40; ++i) {
+        const std::string attempt = "z" + std::to_string(i);
+        callers.push_back(std::make_unique<RawCaller>(lagoon::framework::Endpoint(fleet.callers())));
+        send(*callers.back(), attempt, "warm");
+        waitFor("the engine to begin it", [&] { return fleet.engine1.runs(attempt) == 1; });
+    }
+    tellToEnd();
+    fleet.router().sendSignal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(4200));
+    fleet.router().sendSignal(SIGCONT);
+    int whole = 0;
+    for (const auto& caller : callers)
+        whole += parseAnswer(caller->readToEnd()).isWhole ? 1 : 0;
+    BOOST_TEST(whole == 40);
+    checkEnded();
+}
+
+// A member was still sending a long request when its router ended, and found the connection closed at a moment at which
+// the router had most of its grace period left.
+BOOST_AUTO_TEST_CASE(aRequestThatIsStillComingIsRefused)
+{
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    CallerRequest request { .target = "/model/1", .attempt = "h1", .model = "warm" };
+    request.body = "one half and the other";
+    const std::string text = request.text();
+    caller.send(text.substr(0, text.size() - 5));
+    tellToEnd();
+    const CallerAnswer answer = parseAnswer(caller.readToEnd());
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(answer.isWhole);
+    checkEnded();
+}
+
+// The rest of a request came when the router had just refused all that it held. It was handed to an engine with no time
+// left, and its caller heard that it may have run.
+BOOST_AUTO_TEST_CASE(aRequestThatIsReadAfterTheEndIsNotSent)
+{
+    fleet.engine1.setStream(3, 60000);
+    RawCaller first { lagoon::framework::Endpoint(fleet.callers()) };
+    send(first, "s1", "warm");
+    waitFor("the engine to begin it", [&] { return fleet.engine1.runs("s1") == 1; });
+    RawCaller late { lagoon::framework::Endpoint(fleet.callers()) };
+    CallerRequest request { .target = "/model/1", .attempt = "late", .model = "warm" };
+    request.body = "one half and the other";
+    const std::string text = request.text();
+    late.send(text.substr(0, text.size() - 5));
+    tellToEnd();
+    first.readUntil("504");
+    late.send(text.substr(text.size() - 5));
+    const CallerAnswer answer = parseAnswer(late.readToEnd());
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(fleet.router().waitForExit() == 0);
+    BOOST_TEST(fleet.engine1.runs("late") + fleet.engine2.runs("late") == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -36,7 +36,7 @@
 
 void SoakRun::prepareFleet()
 {
-    fleet_.setGrace(static_cast<int>(terms_.grace.count()));
+    fleet_.setGrace(terms_.grace);
     fleet_.setModels(terms_.models);
     if (terms_.loadTime.count() > 0)
         fleet_.setLoadTime(terms_.loadTime);
