The soak allows a request that met its connection's close only if no router's log names it

A request that was closed within 300 ms and ran nowhere was taken as unread. A router that reads one in its last moments and exits over it would have passed so: it writes a line of each request that it ends or leaves unanswered, so a line now means that it was read.

--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -13,6 +13,9 @@
 
 bool saysNotRun(int status) { return status == 503 || status == 429 || status == 408 || status == 421; }
 
+/// As the log has it, so that no other attempt's name begins alike.
+std::string quoted(const std::string& attempt) { return '"' + attempt + '"'; }
+
 std::string endText(End end)
 {
     switch (end) {
@@ -55,7 +58,7 @@
 
 void Promises::fail(const std::string& promise, const Sent& sent, int runs)
 {
-    journal_.fail(promise + ": " + textOf(sent, runs) + "\n" + fleet_.linesWith("\"" + sent.attempt + "\""));
+    journal_.fail(promise + ": " + textOf(sent, runs) + "\n" + fleet_.linesWith(quoted(sent.attempt)));
 }
 
 void Promises::check(const Sent& sent)
@@ -93,17 +96,23 @@
         fail("another request's answer", sent, runs);
 }
 
+bool Promises::isClosedUnread(const Sent& sent, int runs) const
+{
+    const Outcome& outcome = sent.outcome;
+    return outcome.end == End::Closed && outcome.status == 0 && runs == 0 && outcome.endedAt - outcome.sentAt < crossing
+        && fleet_.linesWith(quoted(sent.attempt)).empty();
+}
+
 /// A whole request that a router has read gets a whole answer, and a failure only where a server failed, unless
-/// something unplanned struck. Whether a router read it isn't seen from outside: it can't have, if the connection was
-/// closed just then and no server ran it.
+/// something unplanned struck. What met the close of its connection may stay unread: then no server ran it, it was
+/// closed just then, and no router's log names it.
 void Promises::checkAnswered(const Sent& sent, int runs)
 {
     const Outcome& outcome = sent.outcome;
     const bool isAnswer = outcome.isWhole() && (outcome.status == 200 || saysNotRun(outcome.status));
     if (isAnswer || outcome.end == End::NotConnected)
         return;
-    const bool isClosedUnread = outcome.end == End::Closed && outcome.status == 0 && runs == 0;
-    if (isClosedUnread && outcome.endedAt - outcome.sentAt < crossing) {
+    if (isClosedUnread(sent, runs)) {
         ++report_.crossed;
         return;
     }
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -19,6 +19,7 @@
     std::string textOf(const Sent&, int runs) const;
     void checkRuns(const Sent&, int runs);
     void checkContent(const Sent&, int runs);
+    bool isClosedUnread(const Sent&, int runs) const;
     void checkAnswered(const Sent&, int runs);
     void fail(const std::string& promise, const Sent&, int runs);
 
