--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -84,9 +84,12 @@
     void setModels(std::vector<std::string> models) { models_ = std::move(models); }
     void listAt(const ServerStandin&, const std::string& service, const std::string& endpoint,
         const std::string& state = "ready");
+    /// What a server writes into the list.
+    static web::json::value entry(const ServerStandin&, const std::string& service, const std::string& endpoint,
+        const std::string& state = "ready");
     /// Whether a `GET` at the router's readiness endpoint is answered 200.
     bool isReady();
-    CallerAnswer call(const CallerRequest&);
+    CallerAnswer call(const CallerRequest&, std::size_t router = 0);
     /// The lines of all processes' output, also of ended ones, that hold the text.
     std::string linesWith(const std::string& text) const;
     /// Writes the next version of the configuration: the routes, and the services of the engines and plain servers.
