The soak's engines start again under their id

The soak's mixed runs let an engine do so, beside the other faults, and list it anew with its later start.

--- a/tests/soak/plannedwork.cpp
+++ b/tests/soak/plannedwork.cpp
@@ -2,6 +2,8 @@
 
 #include "soak/standins.h"
 
+#include <algorithm>
+
 namespace lagoon::soak {
 
 namespace {
@@ -48,6 +50,11 @@
     }
 }
 
+bool PlannedWork::isListed(std::size_t engine) const
+{
+    return std::find(listed_.begin(), listed_.end(), engine) != listed_.end();
+}
+
 /// One router always serves.
 void PlannedWork::endRouters()
 {
--- a/tests/soak/plannedwork.h
+++ b/tests/soak/plannedwork.h
@@ -12,6 +12,8 @@
 
     /// One piece of work; parts of it may come later.
     void step();
+    /// Whether the engine has come and hasn't said that it leaves.
+    bool isListed(std::size_t engine) const;
 
 private:
     void endRouters();
--- a/tests/soak/strikes.cpp
+++ b/tests/soak/strikes.cpp
@@ -36,7 +36,7 @@
 
 void Strikes::strike(Processes& processes, PlannedWork& work)
 {
-    switch (journal_.draw(5)) {
+    switch (journal_.draw(6)) {
     case 0:
         return strikeProcess(processes);
     case 1:
@@ -45,6 +45,8 @@
         return strikeServers();
     case 3:
         return strikeStore();
+    case 4:
+        return restartEngine(work);
     default:
         return work.step();
     }
@@ -109,6 +111,17 @@
     }
 }
 
+/// Under its id, empty. Not the engine behind the proxy: that one is listed at the proxy's address.
+void Strikes::restartEngine(const PlannedWork& work)
+{
+    if (!work.isListed(0))
+        return;
+    journal_.note("engine starts again: " + fleet_.engine1.instance());
+    journal_.didStrike(open_, std::nullopt);
+    fleet_.engine1.restart();
+    fleet_.list(fleet_.engine1, "engines");
+}
+
 void Strikes::strikeStore()
 {
     journal_.note("the store goes away for a while");
--- a/tests/soak/strikes.h
+++ b/tests/soak/strikes.h
@@ -21,6 +21,7 @@
     void strikeProcess(Processes&);
     void strikeNetwork();
     void strikeServers();
+    void restartEngine(const PlannedWork&);
     void strikeStore();
     void setFault(std::size_t proxy, const std::string& name, const web::json::value& what);
 
