--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <filesystem>
+#include <fstream>
 #include <random>
 #include <stdexcept>
 
@@ -59,7 +61,7 @@
     return json;
 }
 
-value services(framework::Milliseconds loadTime)
+value services(const std::vector<std::string>& models, framework::Milliseconds loadTime)
 {
     value engines;
     engines["name"] = value::string("engines");
@@ -68,7 +70,7 @@
     profile["weights-mb"] = value::number(110);
     profile["max-adapters"] = value::number(3);
     profile["models"] = value::array();
-    for (const std::string name : { "warm", "cold", "colder" })
+    for (const std::string& name : models)
         profile["models"][profile["models"].size()] = model(name, loadTime);
     engines["inference-engine"] = profile;
     value plain;
@@ -172,7 +174,7 @@
     json["routes"] = value::array();
     for (const value& one : routes)
         json["routes"][json["routes"].size()] = one;
-    json["services"] = services(loadTime_);
+    json["services"] = services(models_, loadTime_);
     json["a-field-of-tomorrow"] = value::boolean(true);
     store.put("config", "main", json);
 }
@@ -215,15 +217,29 @@
     testsupport::writeFile(file, settings.serialize());
 }
 
+EngineStandin& Fleet::addEngine()
+{
+    const std::string number = std::to_string(engines() + 1);
+    return *added_.emplace_back(std::make_unique<EngineStandin>("e-" + number, "127.0.0." + number));
+}
+
+EngineStandin& Fleet::engine(std::size_t index)
+{
+    constexpr std::size_t first = 2;
+    if (index < first)
+        return index == 0 ? engine1 : engine2;
+    return *added_.at(index - first);
+}
+
 void Fleet::startAgent(std::size_t index)
 {
-    const EngineStandin& engine = index == 0 ? engine1 : engine2;
-    const std::string address = engine.endpoint().substr(0, engine.endpoint().find(':'));
+    const std::string engineEndpoint = engine(index).endpoint();
+    const std::string address = engineEndpoint.substr(0, engineEndpoint.find(':'));
     const std::string name = "agent-" + std::to_string(index);
     const std::string file = folder_.file(name + ".json");
     value settings;
     settings["link"] = value::string(address + ":" + std::to_string(agentPort_));
-    settings["engine"] = value::string(engine.endpoint());
+    settings["engine"] = value::string(engineEndpoint);
     settings["service"] = value::string("engines");
     writeSettings(file, "direct-agent", name, settings);
     agents_.resize(std::max(agents_.size(), index + 1));
@@ -280,6 +296,19 @@
     return parseAnswer(caller.readToEnd()).status == 200;
 }
 
+std::string Fleet::linesWith(const std::string& text) const
+{
+    std::string found;
+    for (const auto& file : std::filesystem::directory_iterator(folder_.file(""))) {
+        std::ifstream lines(file.path());
+        for (std::string line; std::getline(lines, line);) {
+            if (line.find(text) != std::string::npos)
+                found += file.path().filename().string() + ": " + line + "\n";
+        }
+    }
+    return found;
+}
+
 CallerAnswer Fleet::call(const CallerRequest& request, std::size_t router)
 {
     http::testing::RawCaller caller { framework::Endpoint(callers(router)) };
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -58,8 +58,14 @@
     EngineStandin engine1 { "e-1", "127.0.0.1" };
     EngineStandin engine2 { "e-2", "127.0.0.2" };
 
+    /// One more engine, at an address of its own, empty and not listed yet; agents and engines have the same numbers.
+    EngineStandin& addEngine();
+    EngineStandin& engine(std::size_t index);
+    std::size_t engines() const { return 2 + added_.size(); }
+
     void startProcesses();
-    /// Starts one more process, or one that has ended again. Agents are 0 and 1, routers from 0.
+    /// Starts one more process, or one that has ended again. Agents are 0 and 1 and those of added engines, routers
+    /// from 0.
     void startRouter(std::size_t index);
     void startAgent(std::size_t index);
     /// Anew, as they are to be by now; returns the file.
@@ -69,12 +75,15 @@
     testsupport::ChildProcess& router(std::size_t index = 0) { return *routers_.at(index); }
     testsupport::ChildProcess& agent(std::size_t index) { return *agents_.at(index); }
     std::string callers(std::size_t index = 0) { return router(index).readyText("callers"); }
+    std::string readiness(std::size_t index) { return router(index).readyText("readiness"); }
     /// Processes reach the store under this endpoint in place of its own, and callers' requests reach a server so.
     void setStoreEndpoint(const std::string& endpoint) { storeEndpoint_ = endpoint; }
     /// For routers that start from now on: from the signal to end until they would be ended by force.
     void setGrace(framework::Milliseconds grace) { grace_ = grace; }
     /// What the next configurations say that a model's load takes.
     void setLoadTime(framework::Milliseconds time) { loadTime_ = time; }
+    /// The models that the next configurations name for the engines.
+    void setModels(std::vector<std::string> models) { models_ = std::move(models); }
     void listAt(const ServerStandin&, const std::string& service, const std::string& endpoint,
         const std::string& state = "ready");
     /// What a server writes into the list.
@@ -83,6 +92,8 @@
     /// Whether a `GET` at the router's readiness endpoint is answered 200.
     bool isReady();
     CallerAnswer call(const CallerRequest&, std::size_t router = 0);
+    /// The lines of all processes' output, also of ended ones, that hold the text.
+    std::string linesWith(const std::string& text) const;
     /// Writes the next version of the configuration: the routes, and the services of the engines and plain servers.
     void configure(const std::vector<web::json::value>& routes);
     void list(const ServerStandin&, const std::string& service, const std::string& state = "ready");
@@ -102,6 +113,8 @@
     std::string storeEndpoint_;
     framework::Milliseconds grace_ { 8000 };
     framework::Milliseconds loadTime_ { 200 };
+    std::vector<std::string> models_ { "warm", "cold", "colder" };
+    std::vector<std::unique_ptr<EngineStandin>> added_;
     std::vector<std::unique_ptr<testsupport::ChildProcess>> agents_;
     std::vector<std::unique_ptr<testsupport::ChildProcess>> routers_;
 };
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -102,9 +102,10 @@
     held_[model];
 }
 
-bool EngineStandin::holds(const std::string& model, const std::string& adapter) const
+bool EngineStandin::holds(const std::string& model, const std::string& adapter)
 {
     const std::lock_guard lock(mutex_);
+    endLoads();
     const auto found = held_.find(model);
     return found != held_.end() && (adapter.empty() || found->second.contains(adapter));
 }
@@ -126,10 +127,19 @@
     return true;
 }
 
+/// With the lock held.
+void EngineStandin::beginLoad(const std::string& model)
+{
+    if (held_.contains(model))
+        return;
+    loading_.insert(model);
+    loadedAt_ = framework::Deadline::after(std::chrono::steady_clock::now(), Milliseconds(loadMs_.load()));
+}
+
 /// With the lock held.
 void EngineStandin::endLoads()
 {
-    if (areLoadsHeld_)
+    if (areLoadsHeld_ || !loadedAt_.hasPassed(std::chrono::steady_clock::now()))
         return;
     for (const std::string& model : loading_)
         held_[model];
@@ -168,12 +178,17 @@
     const std::string adapter = order.has_field("adapter") ? standins::textField(order, "adapter") : std::string();
     const bool isLoad = standins::textField(order, "operation") == "model_load";
     std::unique_lock lock(mutex_);
+    endLoads();
     const std::uint64_t fence = standins::numberField(order, "fence");
     if (fence < fence_ || standins::numberField(order, "expected") != static_cast<std::uint64_t>(orders_.load())) {
         violations_ += fence < fence_ ? 1 : 0;
         lock.unlock();
         return replyError(exchange, fence < fence_ ? 412 : 409, "older order");
     }
+    if (!loading_.empty()) {
+        lock.unlock();
+        return replyError(exchange, 409, "another order is carried out");
+    }
     fence_ = fence;
     ++orders_;
     if (!isLoad && adapter.empty())
@@ -183,9 +198,9 @@
     else if (!adapter.empty())
         held_[model].insert(adapter);
     else
-        loading_.insert(model);
+        beginLoad(model);
+    violations_ += held_.size() + loading_.size() > engineRoom ? 1 : 0;
     endLoads();
-    violations_ += held_.size() > engineRoom ? 1 : 0;
     lock.unlock();
     exchange.reply(202, "");
 }
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/types/time.h"
 #include "standins/common/httpserver.h"
 
 #include <atomic>
@@ -83,12 +84,14 @@
     using ServerStandin::ServerStandin;
 
     void hold(const std::string& model);
-    bool holds(const std::string& model, const std::string& adapter = {}) const;
+    bool holds(const std::string& model, const std::string& adapter = {});
     int orders() const { return orders_; }
     /// Orders beyond what fits, or with a lower fence than one before.
     int violations() const { return violations_; }
     /// Events of a stream, and the pause before each.
     void setStream(int events, int pauseMs);
+    /// A load takes so long; the engine is busy until its end.
+    void setLoadTime(framework::Milliseconds loadTime) { loadMs_ = static_cast<int>(loadTime.count()); }
     /// Loads are accepted, and don't end while this is set.
     void setLoadsHeld(bool areHeld) { areLoadsHeld_ = areHeld; }
     /// The next stream ends in the middle of its event of this number.
@@ -103,6 +106,7 @@
 private:
     void answerReport(standins::Exchange&);
     void answerOrder(standins::Exchange&);
+    void beginLoad(const std::string& model);
     void endLoads();
 
     mutable std::mutex mutex_;
@@ -114,7 +118,9 @@
     std::atomic<int> pauseMs_ { 1 };
     std::atomic<int> breakAfter_ { 0 };
     std::atomic<bool> areLoadsHeld_ { false };
+    std::atomic<int> loadMs_ { 0 };
     std::set<std::string> loading_;
+    framework::Deadline loadedAt_;
 };
 
 /// Models that an engine stand-in has room for.
