--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -65,11 +65,38 @@
         if (const auto self = weak.lock())
             self->didLoseCaller();
     });
+    armDeadline();
+    advance();
+}
+
+void RequestJob::armDeadline()
+{
     deadlineTimer_ = host_.thread().runAt(terms_.deadline, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->didPassDeadline();
     });
-    advance();
+}
+
+/// Guards against a request that its router holds when it ends: its caller would see a closed connection, and couldn't
+/// know that it hasn't run and may ask another router. As a deadline the end counts wherever deadlines do: in
+/// forecasts, so that a wait that can't end well ends at once, and in the time that a server is given.
+void RequestJob::endBy(framework::Deadline deadline)
+{
+    if (isEnded_ || terms_.deadline <= deadline)
+        return;
+    isCutShort_ = true;
+    terms_.deadline = deadline;
+    terms_.firstEventBy = std::min(terms_.firstEventBy, deadline);
+    if (deadlineTimer_)
+        armDeadline();
+}
+
+void RequestJob::endNow()
+{
+    if (isEnded_)
+        return;
+    isCutShort_ = true;
+    didPassDeadline();
 }
 
 ModelTarget RequestJob::target() const { return { terms_.facts.model, terms_.facts.adapter }; }
@@ -95,6 +122,9 @@
     if (!isWaiting())
         return;
     const auto keepsItself = shared_from_this();
+    // Whose time is up before it could be sent surely hasn't run, and with no time left no server could answer it.
+    if (terms_.deadline.hasPassed(host_.now()))
+        return didPassDeadline();
     const UpstreamSearch search = findUpstream(host_, terms_, prompt_, { sentTo_, avoided_ });
     adapterAt_ = search.adapterAt;
     waitsForLoad_ = search.reason == NoUpstream::NotLoaded || search.reason == NoUpstream::AdapterNotLoaded;
@@ -157,6 +187,19 @@
     logDecision(line);
 }
 
+void RequestJob::logUnanswered() const
+{
+    const char* const sentState = firstByteAt_ ? "streaming" : "sent";
+    logDecision(LogLine("unanswered")
+                    .text("id", terms_.facts.attempt)
+                    .text("route", terms_.route->name.value())
+                    .text("state", attempt_ ? sentState : "waiting")
+                    .flag("waits_for_load", isWaiting() && waitsForLoad_)
+                    .text("model", terms_.facts.model.value())
+                    .text("server", lastServer_)
+                    .number("waited_ms", waited(host_.now()).count()));
+}
+
 void RequestJob::didBeginStream(const http::ResponseHead& head)
 {
     // A stream that goes on at another server keeps the head of its first.
@@ -273,7 +316,7 @@
 /// given only if no server may have run it.
 void RequestJob::refuse(unsigned status, const std::string& cause, std::optional<Milliseconds> retryAfter)
 {
-    if (hasStreamBegun_)
+    if (firstByteAt_)
         return breakOff(cause);
     // A server's own failure says more than that no other server did better.
     if (failure_)
@@ -285,8 +328,9 @@
 
 void RequestJob::refuseAsHopeless(Milliseconds soonest)
 {
+    // At another router it can wait for the same load, so it is to come back there at once.
     refuse(503, "model not there before the deadline, soonest in " + std::to_string(soonest.count()) + " ms",
-        jittered(std::max(soonAgain, soonest)));
+        jittered(isCutShort_ ? soonAgain : std::max(soonAgain, soonest)));
 }
 
 void RequestJob::refuseAsOverloaded(Milliseconds expected)
@@ -312,7 +356,9 @@
         attempt_.reset();
         mayHaveRun_ = true;
     }
-    refuse(mayHaveRun_ ? 504 : 503, isUnderWay ? "no whole answer in time" : "no server in time", jittered(laterAgain));
+    const std::string cause = isUnderWay ? "no whole answer in time" : "no server in time";
+    refuse(mayHaveRun_ ? 504 : 503, isCutShort_ ? cause + ", this router ends" : cause,
+        jittered(isCutShort_ ? soonAgain : laterAgain));
 }
 
 void RequestJob::didLoseCaller()
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -23,7 +23,7 @@
     const catalog::Route* route = nullptr;
     framework::ServiceName service;
     RequestFacts facts;
-    /// Of the final answer: the caller's or the route's, whichever comes first.
+    /// Of the final answer: the caller's, the route's or the end of this process, whichever comes first.
     framework::Deadline deadline;
     /// When the caller leaves if nothing has come; no later than `deadline`.
     framework::Deadline firstEventBy;
@@ -41,6 +41,10 @@
     RequestJob& operator=(const RequestJob&) = delete;
 
     void start();
+    /// The router that keeps it ends: it has its final answer by then at the latest.
+    void endBy(framework::Deadline);
+    /// It has its final answer, or is broken off, when this returns.
+    void endNow();
     /// Sends it if a server can take it. Called again whenever that may have changed.
     void advance();
     bool isWaiting() const { return !isEnded_ && !attempt_; }
@@ -55,6 +59,7 @@
         return std::chrono::duration_cast<framework::Milliseconds>(now - exchange_->receivedAt());
     }
     bool mayHaveRun() const { return mayHaveRun_; }
+    void logUnanswered() const;
 
     // From the attempt under way.
     void didBeginStream(const http::ResponseHead&);
@@ -77,6 +82,7 @@
     void refuse(unsigned status, const std::string& cause, std::optional<framework::Milliseconds> retryAfter);
     void refuseAsOverloaded(framework::Milliseconds expected);
     void breakOff(const std::string& cause);
+    void armDeadline();
     void didPassDeadline();
     void didLoseCaller();
     void end(const char* outcome, unsigned status, const std::string& cause);
@@ -105,6 +111,8 @@
     bool hasStreamBegun_ = false;
     bool isEnded_ = false;
     bool waitsForLoad_ = false;
+    /// The process ends before the request's own deadline.
+    bool isCutShort_ = false;
     /// Where an adapter is to be loaded for it.
     framework::Endpoint adapterAt_;
     std::string lastCause_;
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -134,6 +134,7 @@
 void CallerConnection::handOver()
 {
     stage_ = Stage::Working;
+    hasBegunAnswer_ = false;
     timer_.cancel();
     auto message = parser_->release();
     endsAfterAnswer_ = !message.keep_alive();
@@ -174,6 +175,8 @@
 {
     if (stage_ != Stage::Working)
         return;
+    // A head that was begun has not left: the answer turned out otherwise before its first piece.
+    heldHead_.clear();
     addFraming(head, body.size());
     send(headText(head).append(body));
     finishAnswer();
@@ -189,6 +192,7 @@
 {
     if (stage_ != Stage::Working)
         return;
+    hasBegunAnswer_ = true;
     std::string text = std::exchange(heldHead_, {});
     text += isChunked_ ? chunkText(piece) : std::string(piece);
     send(std::move(text));
@@ -218,12 +222,27 @@
         close();
 }
 
+/// Guards against a caller that learns nothing since the handler of its request failed: as long as no byte of an answer
+/// has left, there is a whole one to give.
+void CallerConnection::drop()
+{
+    if (hasBegunAnswer_)
+        return breakOff();
+    endsAfterAnswer_ = true;
+    answer(ResponseHead { 500, {}, {} }, {});
+}
+
 /// Without chunks the connection's ordinary end would say that the answer is whole.
 void CallerConnection::reset()
+{
+    setReset();
+    close();
+}
+
+void CallerConnection::setReset()
 {
     boost::system::error_code ignored;
     socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    close();
 }
 
 void CallerConnection::finishAnswer()
@@ -234,16 +253,18 @@
             linger();
         return;
     }
-    if (context_->isDraining) {
-        // Its answer began before that, so the caller doesn't know; what it sends next is left unread, and it may ask
-        // elsewhere.
-        stage_ = Stage::Closing;
-        if (unsent_.empty())
-            close();
-        return;
-    }
     stage_ = Stage::Idle;
-    armTimer(context_->limits.idleTimeout, &CallerConnection::didIdleTooLong);
+    awaitNext();
+}
+
+/// While draining, the connection of an answer that couldn't say that it is the last one ends here. Guards against the
+/// loss of a request that the caller sent at once and that has been read already: that one is answered first.
+void CallerConnection::awaitNext()
+{
+    if (unsent_.empty())
+        beIdle();
+    if (stage_ == Stage::Closed)
+        return;
     // Not from here: the handler that answers may still be on the stack.
     if (buffer_.size() > 0)
         boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->parse(); });
@@ -281,6 +302,8 @@
         return write();
     if (stage_ == Stage::Closing)
         return endsAfterAnswer_ ? linger() : close();
+    if (stage_ == Stage::Idle)
+        return beIdle();
     if (const auto exchange = exchange_.lock())
         exchange->didDrain();
 }
@@ -324,12 +347,51 @@
         exchange->callerLeft();
 }
 
+/// Guards against an answer that is cut by the timer for idle connections while it still leaves: that one begins here,
+/// when all of it has been taken.
+void CallerConnection::beIdle()
+{
+    if (context_->isDraining && isFree())
+        return close();
+    armTimer(context_->limits.idleTimeout, &CallerConnection::didIdleTooLong);
+}
+
+bool CallerConnection::isBusy() const { return stage_ != Stage::Closed && !isFree(); }
+
+/// Whether neither a request nor an answer is on it.
+bool CallerConnection::isFree() const { return stage_ == Stage::Idle && unsent_.empty() && buffer_.size() == 0; }
+
+/// Guards against a request that has come and hasn't been read yet: closing over it would reset the connection.
+bool CallerConnection::hasUnread() const
+{
+    boost::system::error_code ignored;
+    return socket_.available(ignored) > 0;
+}
+
 void CallerConnection::closeIfIdle()
 {
-    if (stage_ == Stage::Idle && unsent_.empty())
+    if (isFree() && !hasUnread())
         close();
 }
 
+void CallerConnection::refuseComing(const ResponseHead& head)
+{
+    if (stage_ != Stage::Reading)
+        return;
+    parser_.reset();
+    endsAfterAnswer_ = true;
+    stage_ = Stage::Working;
+    answer(head, {});
+}
+
+void CallerConnection::closeNow()
+{
+    // Without chunks the ordinary end would say that the answer is whole.
+    if (stage_ == Stage::Working && hasBegunAnswer_ && !isChunked_)
+        setReset();
+    callerLeft();
+}
+
 void CallerConnection::close()
 {
     if (stage_ == Stage::Closed)
@@ -352,7 +414,7 @@
 CallerExchange::~CallerExchange()
 {
     if (connection_)
-        connection_->breakOff();
+        connection_->drop();
 }
 
 std::shared_ptr<CallerConnection> CallerExchange::release()
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -62,6 +62,21 @@
             connection->closeIfIdle();
     }
 
+    void refuseComing(const ResponseHead& head)
+    {
+        const auto connections = connections_;
+        for (const auto& [key, connection] : connections)
+            connection->refuseComing(head);
+    }
+
+    void closeAll()
+    {
+        closeIdle();
+        const auto connections = connections_;
+        for (const auto& [key, connection] : connections)
+            connection->closeNow();
+    }
+
     std::size_t busyConnections() const
     {
         std::size_t busy = 0;
@@ -130,6 +145,10 @@
 
 void ExchangeServer::closeIdle() { implementation_->closeIdle(); }
 
+void ExchangeServer::refuseComing(const ResponseHead& head) { implementation_->refuseComing(head); }
+
+void ExchangeServer::closeAll() { implementation_->closeAll(); }
+
 std::size_t ExchangeServer::busyConnections() const { return implementation_->busyConnections(); }
 
 std::size_t ExchangeServer::connections() const { return implementation_->connections(); }
