A router's end begins before it is seen, and nothing is begun in its last half

The forecast knew the end, the send didn't. Now what no server has by half of the grace period (ServiceEnd::startBy, as on the agents' path) is refused as not run, and forecasts go by that. - routerend_tests, three cases that failed in 5 of 20 runs at a load of 33: readiness said no before the traffic thread had begun the end, so for a moment answers came without Connection: close, and a process stopped just then (SIGSTOP) woke without any end of its requests. The end begins on the traffic thread first.

--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -83,14 +83,9 @@
     void drain()
     {
         const auto end = framework::ServiceEnd::after(ports_.clock.now(), settings_.grace);
+        const std::size_t requests = onTraffic([this, end] { return beginEnd(end); });
         stopBeingReady();
-        logDecision(LogLine("draining")
-                        .number("requests", onTraffic([this] { return forwarder_.requests(); }))
-                        .number("grace_ms", settings_.grace.count()));
-        ports_.traffic.post([this, end] {
-            callers_.beginDraining();
-            forwarder_.answerBy(end.answerBy);
-        });
+        logDecision(LogLine("draining").number("requests", requests).number("grace_ms", settings_.grace.count()));
         std::this_thread::sleep_until(end.noticedBy.at());
         ports_.traffic.post([this] {
             callers_.closeIdle();
@@ -111,6 +106,16 @@
         return answer.get_future().get();
     }
 
+    /// On the traffic thread, before anyone can see that this router isn't ready any more: from then on each answer
+    /// says that its connection ends, and each request has an end. Returns how many requests there are.
+    std::size_t beginEnd(const framework::ServiceEnd& end)
+    {
+        const std::size_t requests = forwarder_.requests();
+        callers_.beginDraining();
+        forwarder_.endService(end);
+        return requests;
+    }
+
     /// Twice, since the control thread may be about to say that it is ready.
     void stopBeingReady()
     {
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -8,6 +8,7 @@
 #include "framework/eventthread.h"
 #include "framework/iclock.h"
 #include "framework/metrics.h"
+#include "framework/types/serviceend.h"
 #include "http/iexchange.h"
 
 #include <functional>
@@ -47,8 +48,9 @@
     void setUpstreams(const std::vector<catalog::Upstream>&);
     void setEngineState(catalog::EngineState);
     void forgetEngine(const framework::Endpoint&);
-    /// From now on each request has its final answer by then, also those that come later: this process ends.
-    void answerBy(framework::Deadline);
+    /// This process ends: from now on each request has its final answer by then, also those that come later, and what
+    /// no server has by `startBy` is refused.
+    void endService(const framework::ServiceEnd&);
     /// Gives each request that has no final answer yet the one that it would get at the end.
     void answerNow();
     /// Requests without a final answer.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -107,11 +107,11 @@
 
     void forgetState(const Endpoint& engine) { upstreams_.forgetState(engine); }
 
-    void answerBy(Deadline deadline)
+    void endService(const framework::ServiceEnd& end)
     {
-        end_ = deadline;
+        end_ = end;
         for (const auto& job : jobs_)
-            job->answerBy(deadline);
+            job->endService(end);
         retryWaiting();
     }
 
@@ -198,7 +198,7 @@
         budget(terms.service).earn();
         const auto job = std::make_shared<RequestJob>(*this, exchange, std::move(terms));
         if (end_)
-            job->answerBy(*end_);
+            job->endService(*end_);
         jobs_.insert(job);
         job->start();
         if (job->isWaiting())
@@ -291,7 +291,7 @@
     Context context_;
     ForwarderSettings settings_;
     /// Set once this process is to end.
-    std::optional<Deadline> end_;
+    std::optional<framework::ServiceEnd> end_;
     UpstreamTable upstreams_;
     std::unique_ptr<catalog::RouteTable> routes_;
     std::set<std::shared_ptr<RequestJob>> jobs_;
@@ -331,7 +331,7 @@
 
 void Forwarder::forgetEngine(const Endpoint& engine) { implementation_->forgetState(engine); }
 
-void Forwarder::answerBy(Deadline deadline) { implementation_->answerBy(deadline); }
+void Forwarder::endService(const framework::ServiceEnd& end) { implementation_->endService(end); }
 
 void Forwarder::answerNow() { implementation_->answerNow(); }
 
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -80,17 +80,29 @@
 /// Guards against a request that its router holds when it ends: its caller would see a closed connection, and couldn't
 /// know that it hasn't run and may ask another router. As a deadline the end counts wherever deadlines do: in
 /// forecasts, so that a wait that can't end well ends at once, and in the time that a server is given.
-void RequestJob::answerBy(framework::Deadline deadline)
+void RequestJob::endService(const framework::ServiceEnd& end)
 {
-    if (isEnded_ || terms_.deadline <= deadline)
+    if (isEnded_ || terms_.deadline <= end.answerBy)
         return;
     isCutShort_ = true;
-    terms_.deadline = deadline;
-    terms_.firstEventBy = std::min(terms_.firstEventBy, deadline);
+    startBy_ = end.startBy;
+    terms_.deadline = end.answerBy;
+    terms_.firstEventBy = std::min(terms_.firstEventBy, end.startBy);
     if (deadlineTimer_)
         armDeadline();
+    startTimer_ = host_.thread().runAt(end.startBy, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->isWaiting() && self->isTooLateToStart())
+            self->refuseAsTooLate();
+    });
 }
 
+/// Guards against a stream that is begun so late that the end of this process cuts it, where another router would bring
+/// it whole. One that has begun goes on as long as it may.
+bool RequestJob::isTooLateToStart() const { return startBy_ && startBy_->hasPassed(host_.now()) && !hasStreamBegun_; }
+
+void RequestJob::refuseAsTooLate() { refuse(503, "no server in time, this router ends", jittered(soonAgain)); }
+
 void RequestJob::answerNow()
 {
     if (isEnded_)
@@ -122,6 +134,8 @@
     if (!isWaiting())
         return;
     const auto keepsItself = shared_from_this();
+    if (isTooLateToStart())
+        return refuseAsTooLate();
     // Whose time is up before it could be sent surely hasn't run, and with no time left no server could answer it.
     if (terms_.deadline.hasPassed(host_.now()))
         return didPassDeadline();
@@ -377,6 +391,7 @@
     const auto keepsItself = shared_from_this();
     isEnded_ = true;
     deadlineTimer_.reset();
+    startTimer_.reset();
     const auto milliseconds = [this](framework::SteadyTime at) {
         return std::chrono::duration_cast<Milliseconds>(at - exchange_->receivedAt()).count();
     };
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -5,6 +5,7 @@
 #include "forwarding/internal/ijobhost.h"
 #include "forwarding/internal/upstreamchoice.h"
 #include "forwarding/promptcache.h"
+#include "framework/types/serviceend.h"
 #include "http/iexchange.h"
 
 #include <memory>
@@ -41,8 +42,8 @@
     RequestJob& operator=(const RequestJob&) = delete;
 
     void start();
-    /// The router that keeps it ends: it has its final answer by then at the latest.
-    void answerBy(framework::Deadline);
+    /// The router that keeps it ends: it has its final answer in time for that.
+    void endService(const framework::ServiceEnd&);
     /// It has its final answer, or is broken off, when this returns.
     void answerNow();
     /// Sends it if a server can take it. Called again whenever that may have changed.
@@ -83,6 +84,8 @@
     void refuseAsOverloaded(framework::Milliseconds expected);
     void breakOff(const std::string& cause);
     void armDeadline();
+    bool isTooLateToStart() const;
+    void refuseAsTooLate();
     void didPassDeadline();
     void didLoseCaller();
     void end(const char* outcome, unsigned status, const std::string& cause);
@@ -113,6 +116,9 @@
     bool waitsForLoad_ = false;
     /// The process ends before the request's own deadline.
     bool isCutShort_ = false;
+    /// Set then: what no server has by this time is refused.
+    std::optional<framework::Deadline> startBy_;
+    std::unique_ptr<framework::Timer> startTimer_;
     /// Where an adapter is to be loaded for it.
     framework::Endpoint adapterAt_;
     std::string lastCause_;
--- a/src/framework/types/serviceend.h
+++ b/src/framework/types/serviceend.h
@@ -16,9 +16,8 @@
     /// The process stays that long at least, also when it is idle: those who don't know yet that it ends get a refusal
     /// in place of a closed connection.
     Deadline noticedBy;
-    /// What no upstream has by then is refused as not run, on the agents' path. Half of the time: the other half is for
-    /// its caller to be served elsewhere, and for what was started late to end. On the direct path what waits is judged
-    /// by the forecast of its load.
+    /// What no upstream has by then is refused as not run. Half of the time: the other half is for its caller to be
+    /// served elsewhere, and for what was started late to end.
     Deadline startBy;
     /// What still runs is given up, and who waits for it is told what is known.
     Deadline answerBy;
