--- a/tests/soak/strikes.cpp
+++ b/tests/soak/strikes.cpp
@@ -55,7 +55,7 @@
 void Strikes::strikeProcess(Processes& processes)
 {
     const Role role = journal_.draw(2) == 0 ? Role::Router : Role::Agent;
-    const std::size_t index = journal_.draw(2);
+    const std::size_t index = journal_.draw(processes.count(role));
     return journal_.draw(2) == 0 ? processes.pause(role, index) : processes.kill(role, index);
 }
 
