--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -80,7 +80,7 @@
 /// Guards against a request that its router holds when it ends: its caller would see a closed connection, and couldn't
 /// know that it hasn't run and may ask another router. As a deadline the end counts wherever deadlines do: in
 /// forecasts, so that a wait that can't end well ends at once, and in the time that a server is given.
-void RequestJob::endBy(framework::Deadline deadline)
+void RequestJob::answerBy(framework::Deadline deadline)
 {
     if (isEnded_ || terms_.deadline <= deadline)
         return;
@@ -91,6 +91,14 @@
         armDeadline();
 }
 
+void RequestJob::answerNow()
+{
+    if (isEnded_)
+        return;
+    isCutShort_ = true;
+    didPassDeadline();
+}
+
 ModelTarget RequestJob::target() const { return { terms_.facts.model, terms_.facts.adapter }; }
 
 bool RequestJob::mayRepeat() const
@@ -114,6 +122,9 @@
     if (!isWaiting())
         return;
     const auto keepsItself = shared_from_this();
+    // Whose time is up before it could be sent surely hasn't run, and with no time left no server could answer it.
+    if (terms_.deadline.hasPassed(host_.now()))
+        return didPassDeadline();
     const UpstreamSearch search = findUpstream(host_, terms_, prompt_, { sentTo_, avoided_ });
     adapterAt_ = search.adapterAt;
     waitsForLoad_ = search.reason == NoUpstream::NotLoaded || search.reason == NoUpstream::AdapterNotLoaded;
@@ -143,7 +154,7 @@
 {
     UpstreamRecord& upstream = *chosen.upstream;
     ++sends_;
-    sentTo_.insert(upstream.facts.instance);
+    sentTo_.insert(upstream.facts.run());
     lastServer_ = upstream.facts.instance.value();
     logSend(chosen);
     auto use = std::make_unique<UpstreamUse>(chosen.upstream, target(), terms_.route->priority, chosen.newTokens);
@@ -257,6 +268,8 @@
     UpstreamRecord& upstream = attempt_->use().upstream();
     upstream.isGone = upstream.isGone || meaning == AnswerMeaning::OtherInstance;
     upstream.suspicion.didFail(host_.now());
+    if (meaning == AnswerMeaning::NotLoaded)
+        host_.upstreams().didLack(upstream, target());
     sendOnceMore(std::string(rejectionText(meaning)) + " (" + std::to_string(status) + ")", 503);
 }
 
@@ -265,8 +278,8 @@
     UpstreamRecord& upstream = attempt_->use().upstream();
     upstream.suspicion.didFail(host_.now());
     if (!mayHaveRun) {
-        avoided_.insert(upstream.facts.instance);
-        sentTo_.erase(upstream.facts.instance);
+        avoided_.insert(upstream.facts.run());
+        sentTo_.erase(upstream.facts.run());
         attempt_.reset();
         lastCause_ = cause;
         if (++unreached_ < mostUnreached && !terms_.deadline.hasPassed(host_.now()))
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -42,7 +42,9 @@
 
     void start();
     /// The router that keeps it ends: it has its final answer by then at the latest.
-    void endBy(framework::Deadline);
+    void answerBy(framework::Deadline);
+    /// It has its final answer, or is broken off, when this returns.
+    void answerNow();
     /// Sends it if a server can take it. Called again whenever that may have changed.
     void advance();
     bool isWaiting() const { return !isEnded_ && !attempt_; }
@@ -99,9 +101,9 @@
     std::unique_ptr<framework::Timer> deadlineTimer_;
     std::shared_ptr<UpstreamAttempt> attempt_;
     /// Servers that it was sent to, and may have reached.
-    std::set<catalog::InstanceId> sentTo_;
+    std::set<catalog::UpstreamRun> sentTo_;
     /// Servers that couldn't be reached, or are no use for it.
-    std::set<catalog::InstanceId> avoided_;
+    std::set<catalog::UpstreamRun> avoided_;
     std::uint32_t sends_ = 0;
     std::uint32_t unreached_ = 0;
     bool mayHaveRun_ = false;
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <filesystem>
+#include <fstream>
 #include <random>
 #include <stdexcept>
 
@@ -59,7 +61,7 @@
     return json;
 }
 
-value services(framework::Milliseconds loadTime)
+value services(const std::vector<std::string>& models, framework::Milliseconds loadTime)
 {
     value engines;
     engines["name"] = value::string("engines");
@@ -68,7 +70,7 @@
     profile["weights-mb"] = value::number(110);
     profile["max-adapters"] = value::number(3);
     profile["models"] = value::array();
-    for (const std::string name : { "warm", "cold", "colder" })
+    for (const std::string& name : models)
         profile["models"][profile["models"].size()] = model(name, loadTime);
     engines["inference-engine"] = profile;
     value plain;
@@ -172,7 +174,7 @@
     json["routes"] = value::array();
     for (const value& one : routes)
         json["routes"][json["routes"].size()] = one;
-    json["services"] = services(loadTime_);
+    json["services"] = services(models_, loadTime_);
     json["a-field-of-tomorrow"] = value::boolean(true);
     store.put("config", "main", json);
 }
@@ -184,14 +186,24 @@
 
 void Fleet::listAt(
     const ServerStandin& server, const std::string& service, const std::string& endpoint, const std::string& state)
+{
+    store.put("servers", server.instance(), entry(server, service, endpoint, state));
+}
+
+value Fleet::entry(
+    const ServerStandin& server, const std::string& service, const std::string& endpoint, const std::string& state)
 {
     value json;
     json["service"] = value::string(service);
     json["address"] = value::string(endpoint);
     json["zone"] = value::string("hall");
+    json["version"] = value::string("v1");
     json["slot-count"] = value::number(8);
     json["state"] = value::string(state);
-    store.put("servers", server.instance(), json);
+    json["cold-remaining-ms"] = value::number(0);
+    json["seq"] = value::number(1);
+    json["born"] = value::number(server.started());
+    return json;
 }
 
 void Fleet::writeSettings(const std::string& file, const std::string& role, const std::string& vm, value settings) const
@@ -205,15 +217,29 @@
     testsupport::writeFile(file, settings.serialize());
 }
 
+EngineStandin& Fleet::addEngine()
+{
+    const std::string number = std::to_string(engines() + 1);
+    return *added_.emplace_back(std::make_unique<EngineStandin>("e-" + number, "127.0.0." + number));
+}
+
+EngineStandin& Fleet::engine(std::size_t index)
+{
+    constexpr std::size_t first = 2;
+    if (index < first)
+        return index == 0 ? engine1 : engine2;
+    return *added_.at(index - first);
+}
+
 void Fleet::startAgent(std::size_t index)
 {
-    const EngineStandin& engine = index == 0 ? engine1 : engine2;
-    const std::string address = engine.endpoint().substr(0, engine.endpoint().find(':'));
+    const std::string engineEndpoint = engine(index).endpoint();
+    const std::string address = engineEndpoint.substr(0, engineEndpoint.find(':'));
     const std::string name = "agent-" + std::to_string(index);
     const std::string file = folder_.file(name + ".json");
     value settings;
     settings["link"] = value::string(address + ":" + std::to_string(agentPort_));
-    settings["engine"] = value::string(engine.endpoint());
+    settings["engine"] = value::string(engineEndpoint);
     settings["service"] = value::string("engines");
     writeSettings(file, "direct-agent", name, settings);
     agents_.resize(std::max(agents_.size(), index + 1));
@@ -222,20 +248,27 @@
         name + "-" + std::to_string(++starts_), { "direct-agent", "--settings", file }, folder_);
 }
 
-void Fleet::startRouter(std::size_t index)
+std::string Fleet::writeRouterSettings(std::size_t index)
 {
     const std::string name = "router-" + std::to_string(index);
-    const std::string file = folder_.file(name + ".json");
+    std::string file = folder_.file(name + ".json");
     value settings;
     settings["callers"] = value::string("127.0.0.1:0");
     settings["readiness"] = value::string("127.0.0.1:0");
     settings["agent_port"] = value::number(agentPort_);
-    settings["grace_ms"] = value::number(graceMs_);
+    settings["grace_ms"] = value::number(grace_.count());
     writeSettings(file, "direct-router", name, settings);
+    return file;
+}
+
+void Fleet::startRouter(std::size_t index)
+{
+    const std::string file = writeRouterSettings(index);
     routers_.resize(std::max(routers_.size(), index + 1));
     routers_[index].reset();
     routers_[index] = testsupport::startProgram(testsupport::Program::Lagoonrouter,
-        name + "-" + std::to_string(++starts_), { "direct-router", "--settings", file }, folder_);
+        "router-" + std::to_string(index) + "-" + std::to_string(++starts_), { "direct-router", "--settings", file },
+        folder_);
 }
 
 void Fleet::startProcesses()
@@ -263,9 +296,22 @@
     return parseAnswer(caller.readToEnd()).status == 200;
 }
 
-CallerAnswer Fleet::call(const CallerRequest& request)
+std::string Fleet::linesWith(const std::string& text) const
+{
+    std::string found;
+    for (const auto& file : std::filesystem::directory_iterator(folder_.file(""))) {
+        std::ifstream lines(file.path());
+        for (std::string line; std::getline(lines, line);) {
+            if (line.find(text) != std::string::npos)
+                found += file.path().filename().string() + ": " + line + "\n";
+        }
+    }
+    return found;
+}
+
+CallerAnswer Fleet::call(const CallerRequest& request, std::size_t router)
 {
-    http::testing::RawCaller caller { framework::Endpoint(callers()) };
+    http::testing::RawCaller caller { framework::Endpoint(callers(router)) };
     caller.send(request.text());
     return parseAnswer(caller.readToEnd());
 }
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -19,6 +19,13 @@
 {
 }
 
+void ServerStandin::restart()
+{
+    constexpr std::uint64_t secondStart = 5000;
+    forget();
+    started_ += secondStart;
+}
+
 int ServerStandin::runs(const std::string& attempt) const
 {
     const std::lock_guard lock(mutex_);
@@ -95,9 +102,10 @@
     held_[model];
 }
 
-bool EngineStandin::holds(const std::string& model, const std::string& adapter) const
+bool EngineStandin::holds(const std::string& model, const std::string& adapter)
 {
     const std::lock_guard lock(mutex_);
+    endLoads();
     const auto found = held_.find(model);
     return found != held_.end() && (adapter.empty() || found->second.contains(adapter));
 }
@@ -119,10 +127,19 @@
     return true;
 }
 
+/// With the lock held.
+void EngineStandin::beginLoad(const std::string& model)
+{
+    if (held_.contains(model))
+        return;
+    loading_.insert(model);
+    loadedAt_ = framework::Deadline::after(std::chrono::steady_clock::now(), Milliseconds(loadMs_.load()));
+}
+
 /// With the lock held.
 void EngineStandin::endLoads()
 {
-    if (areLoadsHeld_)
+    if (areLoadsHeld_ || !loadedAt_.hasPassed(std::chrono::steady_clock::now()))
         return;
     for (const std::string& model : loading_)
         held_[model];
@@ -135,6 +152,7 @@
     endLoads();
     value report;
     report["phase"] = value::string("both");
+    report["born"] = value::number(started());
     report["busy"] = value::boolean(!loading_.empty());
     report["seq"] = value::number(static_cast<std::uint32_t>(orders_.load()));
     report["models"] = value::array();
@@ -160,12 +178,17 @@
     const std::string adapter = order.has_field("adapter") ? standins::textField(order, "adapter") : std::string();
     const bool isLoad = standins::textField(order, "operation") == "model_load";
     std::unique_lock lock(mutex_);
+    endLoads();
     const std::uint64_t fence = standins::numberField(order, "fence");
     if (fence < fence_ || standins::numberField(order, "expected") != static_cast<std::uint64_t>(orders_.load())) {
         violations_ += fence < fence_ ? 1 : 0;
         lock.unlock();
         return replyError(exchange, fence < fence_ ? 412 : 409, "older order");
     }
+    if (!loading_.empty()) {
+        lock.unlock();
+        return replyError(exchange, 409, "another order is carried out");
+    }
     fence_ = fence;
     ++orders_;
     if (!isLoad && adapter.empty())
@@ -175,13 +198,22 @@
     else if (!adapter.empty())
         held_[model].insert(adapter);
     else
-        loading_.insert(model);
+        beginLoad(model);
+    violations_ += held_.size() + loading_.size() > engineRoom ? 1 : 0;
     endLoads();
-    violations_ += held_.size() > engineRoom ? 1 : 0;
     lock.unlock();
     exchange.reply(202, "");
 }
 
+void EngineStandin::forget()
+{
+    const std::lock_guard lock(mutex_);
+    held_.clear();
+    loading_.clear();
+    fence_ = 0;
+    orders_ = 0;
+}
+
 bool EngineStandin::canRun(const HttpRequest& request)
 {
     const std::string target = request.header("x-model");
@@ -194,10 +226,13 @@
     HeaderMap headers = marks(exchange.request());
     headers["Content-Type"] = "text/event-stream";
     exchange.beginStream(200, headers);
+    const std::uint64_t startedBefore = started();
     const std::string last = exchange.request().header("last-event-id");
     for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= events_; ++event) {
         if (exchange.waitForCallerGone(Milliseconds(pauseMs_.load())))
             return noteCancelled();
+        if (started() != startedBefore)
+            return exchange.dropConnection();
         const std::string text = "id: " + std::to_string(event) + "\ndata: word" + std::to_string(event) + "\n\n";
         if (event == breakAfter_) {
             breakAfter_ = 0;
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/types/time.h"
 #include "standins/common/httpserver.h"
 
 #include <atomic>
@@ -24,6 +25,11 @@
 
     const std::string& instance() const { return instance_; }
     std::string endpoint() const { return endpoint_; }
+    /// Unix milliseconds of its start. Another start under the same id has a later one.
+    std::uint64_t started() const { return started_; }
+    /// As a crash and a new start: streams are cut in the middle, and nothing is known of before, but for the counts of
+    /// runs that tests ask for.
+    void restart();
     /// How often a request of this id was begun.
     int runs(const std::string& attempt) const;
     int allRuns() const;
@@ -43,6 +49,7 @@
     /// Whether the server has what the request needs; else it is refused as not run.
     virtual bool canRun(const standins::HttpRequest&) { return true; }
     virtual void run(standins::Exchange&) = 0;
+    virtual void forget() { }
     standins::HeaderMap marks(const standins::HttpRequest&) const;
     void noteCancelled() { ++cancelled_; }
 
@@ -57,6 +64,7 @@
     std::atomic<int> refusals_ { 0 };
     std::atomic<int> drops_ { 0 };
     std::atomic<int> failures_ { 0 };
+    std::atomic<std::uint64_t> started_ { 1764700000000 };
     standins::HttpServer server_;
     std::string endpoint_;
 };
@@ -76,12 +84,14 @@
     using ServerStandin::ServerStandin;
 
     void hold(const std::string& model);
-    bool holds(const std::string& model, const std::string& adapter = {}) const;
+    bool holds(const std::string& model, const std::string& adapter = {});
     int orders() const { return orders_; }
     /// Orders beyond what fits, or with a lower fence than one before.
     int violations() const { return violations_; }
     /// Events of a stream, and the pause before each.
     void setStream(int events, int pauseMs);
+    /// A load takes so long; the engine is busy until its end.
+    void setLoadTime(framework::Milliseconds loadTime) { loadMs_ = static_cast<int>(loadTime.count()); }
     /// Loads are accepted, and don't end while this is set.
     void setLoadsHeld(bool areHeld) { areLoadsHeld_ = areHeld; }
     /// The next stream ends in the middle of its event of this number.
@@ -91,10 +101,12 @@
     bool answerOwn(standins::Exchange&) override;
     bool canRun(const standins::HttpRequest&) override;
     void run(standins::Exchange&) override;
+    void forget() override;
 
 private:
     void answerReport(standins::Exchange&);
     void answerOrder(standins::Exchange&);
+    void beginLoad(const std::string& model);
     void endLoads();
 
     mutable std::mutex mutex_;
@@ -106,7 +118,9 @@
     std::atomic<int> pauseMs_ { 1 };
     std::atomic<int> breakAfter_ { 0 };
     std::atomic<bool> areLoadsHeld_ { false };
+    std::atomic<int> loadMs_ { 0 };
     std::set<std::string> loading_;
+    framework::Deadline loadedAt_;
 };
 
 /// Models that an engine stand-in has room for.
--- a/tests/integration/routerend_test.cpp
+++ b/tests/integration/routerend_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <thread>
 
 using namespace lagoon::fleet;
 using lagoon::http::testing::RawCaller;
@@ -11,6 +12,8 @@
 
 namespace {
 
+constexpr lagoon::framework::Milliseconds grace { 4000 };
+
 /// For callers who wait longer for their first event than a load takes.
 web::json::value patientRoute()
 {
@@ -21,9 +24,9 @@
 
 /// A router whose grace period is shorter than a load, before engines that are still loading when it is over.
 struct EndingRouter {
-    EndingRouter()
+    explicit EndingRouter(lagoon::framework::Milliseconds time = grace)
     {
-        fleet.setGrace(4000);
+        fleet.setGrace(time);
         fleet.setLoadTime(lagoon::framework::Milliseconds(6000));
         fleet.configure({ patientRoute() });
         fleet.start();
@@ -58,7 +61,10 @@
         const CallerAnswer answer = parseAnswer(caller.readToEnd());
         BOOST_TEST(answer.status == 503);
         BOOST_TEST(answer.isWhole);
-        BOOST_TEST(answer.headers.contains("Retry-After"));
+        BOOST_REQUIRE(answer.headers.contains("Retry-After"));
+        // Another router may load it as well, so there is nothing to wait for.
+        BOOST_TEST(std::stod(answer.headers.at("Retry-After")) <= 0.5);
+        BOOST_TEST(fleet.router().output().find("model not there before the deadline") != std::string::npos);
         BOOST_TEST(fleet.engine1.runs(attempt) + fleet.engine2.runs(attempt) == 0);
     }
 
@@ -71,6 +77,14 @@
     Fleet& fleet = Fleet::make();
 };
 
+/// As long as nothing of a test depends on its grace period's end.
+struct RouterWithMuchTime : EndingRouter {
+    RouterWithMuchTime()
+        : EndingRouter(lagoon::framework::Milliseconds(60000))
+    {
+    }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(ARouterThatEndsAnswersAll, EndingRouter)
@@ -100,6 +114,20 @@
     checkEnded();
 }
 
+// The VM of a router that was being ended stood still until the grace period was over. When it went on, the process
+// found its time up and ended over the requests that waited, before it had come to refuse them.
+BOOST_AUTO_TEST_CASE(aRequestThatWaitsIsRefusedAlsoByARouterThatStoodStill)
+{
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    waitUntilLoading(caller, "z1");
+    tellToEnd();
+    fleet.router().sendSignal(SIGSTOP);
+    std::this_thread::sleep_for(grace);
+    fleet.router().sendSignal(SIGCONT);
+    checkRefusedAsNotRun(caller, "z1");
+    checkEnded();
+}
+
 // An engine had begun a stream and brought no event of it when its router ended. The caller, who had seen nothing at
 // all, found its connection closed. It may have run, so it gets the answer that says so.
 BOOST_AUTO_TEST_CASE(aStreamOfWhichNothingHasComeIsAnsweredAsUnknown)
@@ -129,4 +157,99 @@
     checkEnded();
 }
 
+// The host of a router was stopped for a while in its last seconds, as when a VM is moved. When it went on, the time of
+// its requests had passed as well as its own, and it went without the refusals that it had promised.
+BOOST_AUTO_TEST_CASE(aRouterThatSleptOverItsEndRefusesFirst)
+{
+    fleet.engine1.setStream(3, 60000);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 40; ++i) {
+        const std::string attempt = "z" + std::to_string(i);
+        callers.push_back(std::make_unique<RawCaller>(lagoon::framework::Endpoint(fleet.callers())));
+        send(*callers.back(), attempt, "warm");
+        waitFor("the engine to begin it", [&] { return fleet.engine1.runs(attempt) == 1; });
+    }
+    tellToEnd();
+    fleet.router().sendSignal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(4200));
+    fleet.router().sendSignal(SIGCONT);
+    int whole = 0;
+    for (const auto& caller : callers)
+        whole += parseAnswer(caller->readToEnd()).isWhole ? 1 : 0;
+    BOOST_TEST(whole == 40);
+    checkEnded();
+}
+
+// A member was still sending a long request when its router ended, and found the connection closed at a moment at which
+// the router had most of its grace period left.
+BOOST_AUTO_TEST_CASE(aRequestThatIsStillComingIsRefused)
+{
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    CallerRequest request { .target = "/model/1", .attempt = "h1", .model = "warm" };
+    request.body = "one half and the other";
+    const std::string text = request.text();
+    caller.send(text.substr(0, text.size() - 5));
+    tellToEnd();
+    const CallerAnswer answer = parseAnswer(caller.readToEnd());
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(answer.isWhole);
+    checkEnded();
+}
+
+// The rest of a request came when the router had just refused all that it held. It was handed to an engine with no time
+// left, and its caller heard that it may have run.
+BOOST_AUTO_TEST_CASE(aRequestThatIsReadAfterTheEndIsNotSent)
+{
+    fleet.engine1.setStream(3, 60000);
+    RawCaller first { lagoon::framework::Endpoint(fleet.callers()) };
+    send(first, "s1", "warm");
+    waitFor("the engine to begin it", [&] { return fleet.engine1.runs("s1") == 1; });
+    RawCaller late { lagoon::framework::Endpoint(fleet.callers()) };
+    CallerRequest request { .target = "/model/1", .attempt = "late", .model = "warm" };
+    request.body = "one half and the other";
+    const std::string text = request.text();
+    late.send(text.substr(0, text.size() - 5));
+    tellToEnd();
+    first.readUntil("504");
+    late.send(text.substr(text.size() - 5));
+    const CallerAnswer answer = parseAnswer(late.readToEnd());
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(fleet.router().waitForExit() == 0);
+    BOOST_TEST(fleet.engine1.runs("late") + fleet.engine2.runs("late") == 0);
+}
+
+// Operators shortened the grace period and ended a router at once. It went by the time that it had read before, and was
+// ended by force over the requests that it still held.
+BOOST_FIXTURE_TEST_CASE(aGracePeriodThatWasJustShortenedCounts, RouterWithMuchTime)
+{
+    RawCaller caller { lagoon::framework::Endpoint(fleet.callers()) };
+    waitUntilLoading(caller, "g1");
+    fleet.setGrace(grace);
+    fleet.writeRouterSettings(0);
+    tellToEnd();
+    checkRefusedAsNotRun(caller, "g1");
+    BOOST_TEST(fleet.router().output().find("\"draining\",\"requests\":1,\"grace_ms\":4000") != std::string::npos);
+    checkEnded();
+}
+
+// Callers kept their connections to a router that was being stopped, and sent their next requests there until it went:
+// neither an answer nor the end of what was idle had told them to go elsewhere.
+BOOST_FIXTURE_TEST_CASE(whoKeepsAConnectionIsToldThatTheRouterEnds, RouterWithMuchTime)
+{
+    fleet.engine1.setStream(3, 60000);
+    RawCaller busy { lagoon::framework::Endpoint(fleet.callers()) };
+    send(busy, "s1", "warm");
+    waitFor("the engine to begin it", [&] { return fleet.engine1.runs("s1") == 1; });
+    RawCaller idle { lagoon::framework::Endpoint(fleet.callers()) };
+    tellToEnd();
+    RawCaller asking { lagoon::framework::Endpoint(fleet.callers()) };
+    asking.send(CallerRequest { .target = "/nowhere/1", .attempt = "k1", .keepsAlive = true }.text());
+    BOOST_TEST(asking.readToEnd().find("Connection: close") != std::string::npos);
+    BOOST_TEST(idle.readToEnd().empty());
+    // It ended when balancers had noticed, not with the requests that were still under way.
+    BOOST_TEST(fleet.router().output().find("this router ends") == std::string::npos);
+    busy.hangUp();
+    checkEnded();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
