--- a/cmake/LagoonModule.cmake
+++ b/cmake/LagoonModule.cmake
@@ -2,7 +2,7 @@
 option(LAGOON_TESTS "Build tests, stand-ins and benchmarks" ON)
 
 # lagoon_module(<name> SOURCES … DEPENDS …) declares the static library lagoon_<name>.
-# lagoon_test(<name> SOURCES … DEPENDS …) declares a Boost.Test program and registers it with ctest.
+# lagoon_test(<name> SOURCES … DEPENDS … ARGUMENTS …) declares a Boost.Test program and registers it with ctest.
 
 function(lagoon_module name)
     if(NOT LAGOON_TESTS AND name MATCHES "_testing$")
@@ -19,7 +19,7 @@
     if(NOT LAGOON_TESTS)
         return()
     endif()
-    cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
+    cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS;ARGUMENTS" ${ARGN})
     if(NOT ARG_TIMEOUT)
         set(ARG_TIMEOUT 120)
     endif()
@@ -27,6 +27,6 @@
     target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
     target_compile_options(${name} PRIVATE -Wall -Wextra -Werror)
     target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} Boost::unit_test_framework)
-    add_test(NAME ${name} COMMAND ${name})
+    add_test(NAME ${name} COMMAND ${name} ${ARG_ARGUMENTS})
     set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
 endfunction()
