One timer for what is too late to start, one refusal of a connection's own

From reading the whole change once more; behaviour stays as it is. - Each request armed a timer at half of its router's grace period, beside advance(), which refuses by the same moment. One timer of the forwarder that looks at the waiting ones again does it. - refuseComing wrote again what refuse did; refuse takes the head now and serves both. - awaitNext was a piece of finishAnswer under a comment that spoke of beIdle: folded in, the comment moved. - Three cases of shutdowngrace_test built the same request that waits for a load: askForHeldLoad, keyHeaders. Assertions unchanged.

Ruled out: deriving isCutShort_ from startBy_ (a request answered at the very end has the one without the other); sharing more between Dispatcher::endService and the forwarder's, whose requests differ in what may have run.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -113,6 +113,11 @@
         for (const auto& job : jobs_)
             job->endService(end);
         retryWaiting();
+        // What still waits then is too late to start.
+        startTimer_ = context_.traffic.runAt(end.startBy, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->retryWaiting();
+        });
     }
 
     void answerNow()
@@ -292,6 +297,7 @@
     ForwarderSettings settings_;
     /// Set once this process is to end.
     std::optional<framework::ServiceEnd> end_;
+    std::unique_ptr<framework::Timer> startTimer_;
     UpstreamTable upstreams_;
     std::unique_ptr<catalog::RouteTable> routes_;
     std::set<std::shared_ptr<RequestJob>> jobs_;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -90,19 +90,12 @@
     terms_.firstEventBy = std::min(terms_.firstEventBy, end.startBy);
     if (deadlineTimer_)
         armDeadline();
-    startTimer_ = host_.thread().runAt(end.startBy, [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (self && self->isWaiting() && self->isTooLateToStart())
-            self->refuseAsTooLate();
-    });
 }
 
 /// Guards against a stream that is begun so late that the end of this process cuts it, where another router would bring
 /// it whole. One that has begun goes on as long as it may.
 bool RequestJob::isTooLateToStart() const { return startBy_ && startBy_->hasPassed(host_.now()) && !hasStreamBegun_; }
 
-void RequestJob::refuseAsTooLate() { refuse(503, "no server in time, this router ends", jittered(soonAgain)); }
-
 void RequestJob::answerNow()
 {
     if (isEnded_)
@@ -135,7 +128,7 @@
         return;
     const auto keepsItself = shared_from_this();
     if (isTooLateToStart())
-        return refuseAsTooLate();
+        return refuse(503, "no server in time, this router ends", jittered(soonAgain));
     // Whose time is up before it could be sent surely hasn't run, and with no time left no server could answer it.
     if (terms_.deadline.hasPassed(host_.now()))
         return didPassDeadline();
@@ -391,7 +384,6 @@
     const auto keepsItself = shared_from_this();
     isEnded_ = true;
     deadlineTimer_.reset();
-    startTimer_.reset();
     const auto milliseconds = [this](framework::SteadyTime at) {
         return std::chrono::duration_cast<Milliseconds>(at - exchange_->receivedAt()).count();
     };
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -85,7 +85,6 @@
     void breakOff(const std::string& cause);
     void armDeadline();
     bool isTooLateToStart() const;
-    void refuseAsTooLate();
     void didPassDeadline();
     void didLoseCaller();
     void end(const char* outcome, unsigned status, const std::string& cause);
@@ -118,7 +117,6 @@
     bool isCutShort_ = false;
     /// Set then: what no server has by this time is refused.
     std::optional<framework::Deadline> startBy_;
-    std::unique_ptr<framework::Timer> startTimer_;
     /// Where an adapter is to be loaded for it.
     framework::Endpoint adapterAt_;
     std::string lastCause_;
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -108,8 +108,8 @@
 {
     if (error && error != beast::http::error::need_more) {
         if (error == beast::http::error::header_limit)
-            return refuse(431);
-        return refuse(error == beast::http::error::body_limit ? 413 : 400);
+            return refuse({ 431, {}, {} });
+        return refuse({ error == beast::http::error::body_limit ? 413U : 400U, {}, {} });
     }
     if (parser_->is_header_done() && !std::exchange(hasHeadOfRequest_, true) && didRefuseHead())
         return;
@@ -123,7 +123,7 @@
     timer_.cancel();
     const Headers headers = headersOf(parser_->get());
     if (!hasOneFraming(headers) || (parser_->get().version() >= 11 && headers.count("Host") != 1)) {
-        refuse(400);
+        refuse({ 400, {}, {} });
         return true;
     }
     if (!parser_->is_done() && headers.hasToken("Expect", "100-continue"))
@@ -148,12 +148,12 @@
     context_->handler.handle(exchange);
 }
 
-void CallerConnection::refuse(unsigned status)
+void CallerConnection::refuse(const ResponseHead& head)
 {
     parser_.reset();
     endsAfterAnswer_ = true;
     stage_ = Stage::Working;
-    answer(ResponseHead { status, {}, {} }, {});
+    answer(head, {});
 }
 
 void CallerConnection::addFraming(ResponseHead& head, std::optional<std::size_t> length)
@@ -252,13 +252,6 @@
         return;
     }
     stage_ = Stage::Idle;
-    awaitNext();
-}
-
-/// While draining, the connection of an answer that couldn't say that it is the last one ends here. Guards against the
-/// loss of a request that the caller sent at once and that has been read already: that one is answered first.
-void CallerConnection::awaitNext()
-{
     if (unsent_.empty())
         beIdle();
     if (stage_ == Stage::Closed)
@@ -321,7 +314,7 @@
 void CallerConnection::didSendHeadersTooSlowly()
 {
     if (stage_ == Stage::Reading && !hasHeadOfRequest_)
-        refuse(408);
+        refuse({ 408, {}, {} });
 }
 
 /// Says that nothing more will come, and takes what the caller still sends for a while.
@@ -342,7 +335,8 @@
 }
 
 /// Guards against an answer that is cut by the timer for idle connections while it still leaves: that one begins here,
-/// when all of it has been taken.
+/// when all of it has been taken. While draining, the connection of an answer that couldn't say that it is the last one
+/// ends here, unless the caller has sent its next request already: that one is answered first.
 void CallerConnection::beIdle()
 {
     if (context_->isDraining && isFree())
@@ -368,12 +362,8 @@
 
 void CallerConnection::refuseComing(const ResponseHead& head)
 {
-    if (stage_ != Stage::Reading)
-        return;
-    parser_.reset();
-    endsAfterAnswer_ = true;
-    stage_ = Stage::Working;
-    answer(head, {});
+    if (stage_ == Stage::Reading)
+        refuse(head);
 }
 
 void CallerConnection::closeNow()
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -72,13 +72,12 @@
     void didParse(const boost::system::error_code&);
     bool didRefuseHead();
     void handOver();
-    void refuse(unsigned status);
+    void refuse(const ResponseHead&);
     void addFraming(ResponseHead&, std::optional<std::size_t> length);
     void send(std::string);
     void write();
     void didWrite(const boost::system::error_code&);
     void finishAnswer();
-    void awaitNext();
     void beIdle();
     bool isFree() const;
     void setReset();
--- a/tests/integration/shutdowngrace_test.cpp
+++ b/tests/integration/shutdowngrace_test.cpp
@@ -68,6 +68,21 @@
             setFaults(engine, R"({"slow_load_ms": )" + std::to_string(veryLongMs) + "}");
     }
 
+    /// Waits at the router for a load that doesn't end.
+    PendingCall askForHeldLoad(const std::map<std::string, std::string>& headers = {})
+    {
+        holdLoads();
+        PendingCall waiting = ask("entry-1", "cold", { .timeoutMs = veryLongMs, .headers = headers });
+        waitFor("the request waits", [&] { return requestsOf("entry-1") == 1; });
+        return waiting;
+    }
+
+    /// Of a request that must not run twice.
+    static std::map<std::string, std::string> keyHeaders(const std::string& key)
+    {
+        return { { "Idempotency-Key", key }, { "X-Lagoon-Repeatable", "false" } };
+    }
+
     int requestsOf(const std::string& entry)
     {
         return getJson(deployment.router(entry).ops(), "/status").at("requests").as_integer();
@@ -102,9 +117,7 @@
 // when to come back, before the platform ends the process by force.
 BOOST_AUTO_TEST_CASE(whatWaitsForALoadIsRefusedAsNotRun)
 {
-    holdLoads();
-    PendingCall waiting = ask("entry-1", "cold", { .timeoutMs = veryLongMs });
-    waitFor("the request waits", [&] { return requestsOf("entry-1") == 1; });
+    PendingCall waiting = askForHeldLoad();
     ChildProcess& router = *deployment.router("entry-1").process;
     BOOST_TEST(end(router) == 0);
     const HttpAnswer& answer = waiting.answer();
@@ -120,11 +133,8 @@
 // be taken for a repetition of something that may have run.
 BOOST_AUTO_TEST_CASE(theKeyOfWhatDidNotRunMayBeBroughtAgain)
 {
-    holdLoads();
-    const std::map<std::string, std::string> key { { "Idempotency-Key", "slot-5" },
-        { "X-Lagoon-Repeatable", "false" } };
-    PendingCall waiting = ask("entry-1", "cold", { .timeoutMs = veryLongMs, .headers = key });
-    waitFor("the request waits", [&] { return requestsOf("entry-1") == 1; });
+    const auto key = keyHeaders("slot-5");
+    PendingCall waiting = askForHeldLoad(key);
     BOOST_TEST(end(*deployment.router("entry-1").process) == 0);
     BOOST_TEST(refusalField(waiting.answer(), "execution") == "not_run");
     PendingCall again = ask("entry-2", "cold", { .timeoutMs = 1000, .headers = key });
@@ -215,11 +225,7 @@
 // A router gives back a key at its end while the platform hangs. It must not wait for that longer than it may.
 BOOST_AUTO_TEST_CASE(aRouterEndsWhileThePlatformHangs)
 {
-    holdLoads();
-    const std::map<std::string, std::string> key { { "Idempotency-Key", "slot-6" },
-        { "X-Lagoon-Repeatable", "false" } };
-    PendingCall waiting = ask("entry-1", "cold", { .timeoutMs = veryLongMs, .headers = key });
-    waitFor("the request waits", [&] { return requestsOf("entry-1") == 1; });
+    PendingCall waiting = askForHeldLoad(keyHeaders("slot-6"));
     setFaults(deployment.platform(), R"({"mode": "hang"})");
     BOOST_TEST(end(*deployment.router("entry-1").process) == 0);
     BOOST_TEST(refusalField(waiting.answer(), "execution") == "not_run");
