Engines that fall silent get no further requests, and lose what may run again

An engine's VM stands still for 6 s; its connections stay open, so routers went on sending to it until its agent had missed two words (2.5 s). Nine to fourteen callers left, and the engine read their requests as it went on.

Change: Liveness (plain class, without I/O or clock): an upstream that owes answers and of which nothing has come for 400 ms beyond what its queue is thought to take is silent. It gets nothing more until it is heard (one probe in 5 s where no agent speaks), resumable streams and idempotent requests go on elsewhere within the budget of repeats, and loads are asked of others. Not where over half of a service seem silent: then it is the router that stood still, or its links.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -274,6 +274,9 @@
     void plan()
     {
         planTimer_.reset();
+        const auto jobs = jobs_;
+        for (const auto& job : jobs)
+            job->leaveSilent();
         if (routes_)
             loads_.plan(
                 *routes_->configuration(), [this](const ServiceName& service) { return waitingFor(service); }, now());
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -166,6 +166,8 @@
     logSend(chosen);
     auto use = std::make_unique<UpstreamUse>(chosen.upstream, target(), terms_.route->priority, chosen.newTokens);
     attempt_ = std::make_shared<UpstreamAttempt>(weak_from_this(), host_.dialect(), std::move(use), chosen.connection);
+    if (!terms_.facts.model.value().empty())
+        upstream.liveness.didSend(host_.now(), chosen.expected);
     // What the engine has read of a prompt is kept for the next one that begins alike.
     upstream.prompts.didSend(prompt_);
     attempt_->send(forwardedRequest(upstream));
@@ -207,6 +209,55 @@
                     .number("waited_ms", waited(host_.now()).count()));
 }
 
+void RequestJob::didHear(UpstreamRecord& upstream) { upstream.liveness.didHear(host_.now(), upstream.inFlight); }
+
+void RequestJob::leaveSilent()
+{
+    if (!attempt_ || !mayRepeat() || !host_.upstreams().isSilent(attempt_->use().upstream(), host_.now()))
+        return;
+    const bool hasTime = terms_.deadline.remaining(host_.now()) >= leastTimeToRepeat;
+    if (!hasTime || sentTo_.size() >= terms_.route->mostServers || !isHeldElsewhere())
+        return;
+    if (!host_.spendRepeat(terms_.service))
+        return;
+    const auto keepsItself = shared_from_this();
+    logDecision(LogLine("silent_server_left")
+                    .text("id", terms_.facts.attempt)
+                    .text("server", lastServer_)
+                    .flag("stream_begun", hasStreamBegun_));
+    abandonAttempt();
+    events_ = EventSplitter(events_.last());
+    mayHaveRun_ = true;
+    lastCause_ = "server fell silent";
+    advance();
+}
+
+bool RequestJob::isHeldElsewhere() const
+{
+    const std::vector<UpstreamPointer> ready = host_.upstreams().ready(terms_.service);
+    return std::any_of(ready.begin(), ready.end(), [&](const UpstreamPointer& other) {
+        return other.get() != &attempt_->use().upstream() && !wasTried(*other)
+            && !other->suspicion.isSuspect(host_.now()) && !host_.upstreams().isSilent(*other, host_.now())
+            && host_.upstreams().holds(*other, target(), host_.now());
+    });
+}
+
+bool RequestJob::wasTried(const UpstreamRecord& upstream) const
+{
+    const catalog::UpstreamRun run = upstream.facts.run();
+    return sentTo_.contains(run) || avoided_.contains(run);
+}
+
+void RequestJob::abandonAttempt()
+{
+    const UpstreamPointer upstream = attempt_->use().pointer();
+    const bool isSilent = upstream->liveness.isSilent(host_.now());
+    attempt_->abandon();
+    attempt_.reset();
+    if (isSilent)
+        upstream->liveness.didGiveUp(host_.now());
+}
+
 void RequestJob::didBeginStream(const http::ResponseHead& head)
 {
     // A stream that goes on at another server keeps the head of its first.
@@ -361,8 +412,7 @@
     if (isUnderWay) {
         if (terms_.facts.model.value().empty())
             attempt_->use().upstream().suspicion.didFail(host_.now());
-        attempt_->abandon();
-        attempt_.reset();
+        abandonAttempt();
         mayHaveRun_ = true;
     }
     const std::string cause = isUnderWay ? "no whole answer in time" : "no server in time";
@@ -372,10 +422,8 @@
 
 void RequestJob::didLoseCaller()
 {
-    if (attempt_) {
-        attempt_->abandon();
-        attempt_.reset();
-    }
+    if (attempt_)
+        abandonAttempt();
     end("caller_gone", 0, {});
 }
 
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -48,6 +48,9 @@
     void answerNow();
     /// Sends it if a server can take it. Called again whenever that may have changed.
     void advance();
+    /// Goes on at another server, if it may, when its own has fallen silent: its caller leaves within seconds, and a VM
+    /// may stand still for longer.
+    void leaveSilent();
     bool isWaiting() const { return !isEnded_ && !attempt_; }
     /// The model or adapter for which it waits; nothing if it waits for something else.
     std::optional<WaitingFor> waitingFor() const;
@@ -63,6 +66,7 @@
     void logUnanswered() const;
 
     // From the attempt under way.
+    void didHear(UpstreamRecord&);
     void didBeginStream(const http::ResponseHead&);
     void didReceiveEvents(std::string_view bytes);
     void didEndStream();
@@ -82,6 +86,9 @@
     void passOn(const http::ResponseHead&, std::string body, const char* outcome);
     void refuse(unsigned status, const std::string& cause, std::optional<framework::Milliseconds> retryAfter);
     void refuseAsOverloaded(framework::Milliseconds expected);
+    bool isHeldElsewhere() const;
+    bool wasTried(const UpstreamRecord&) const;
+    void abandonAttempt();
     void breakOff(const std::string& cause);
     void armDeadline();
     bool isTooLateToStart() const;
--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -41,6 +41,7 @@
     const auto job = job_.lock();
     if (!job)
         return true;
+    job->didHear(use_->upstream());
     meaning_ = dialect_.meaning(head, job->terms().facts, use_->upstream().facts.instance);
     if (meaning_ == AnswerMeaning::Foreign) {
         logDecision(framework::LogLine("foreign_answer_dropped")
@@ -60,6 +61,7 @@
     const auto job = job_.lock();
     if (!job)
         return;
+    job->didHear(use_->upstream());
     if (passesEvents(*job))
         return job->didReceiveEvents(piece);
     body_.append(piece);
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -133,6 +133,8 @@
         std::vector<UpstreamPointer> holders;
         std::vector<UpstreamPointer> withoutAdapter;
         for (const UpstreamPointer& engine : candidates) {
+            if (host_.upstreams().isSilent(*engine, now_) && !engine->liveness.mayProbe(now_))
+                continue;
             if (host_.upstreams().holds(*engine, target, now_))
                 holders.push_back(engine);
             else if (host_.upstreams().holds(*engine, model, now_))
@@ -212,7 +214,7 @@
         view.newTokens = prompt - std::min<std::uint64_t>(prompt, engine.prompts.kept(prompt_));
         view.memoryTokens = prompt + terms_.facts.mostOutputTokens.value();
         view.affinityRank = affinityRank;
-        view.isSuspect = engine.suspicion.isSuspect(now_);
+        view.isSuspect = engine.suspicion.isSuspect(now_) || host_.upstreams().isSilent(engine, now_);
         view.isInOwnFailureDomain = engine.facts.failureDomain == host_.settings().failureDomain;
         view.wasTried = wasTried(engine, past_);
         return view;
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -109,6 +109,10 @@
     const std::uint32_t before = routers();
     const Endpoint engine = state.engine;
     const bool isNewRun = noteStart(state);
+    for (const auto& [instance, record] : records_) {
+        if (record->facts.endpoint == engine)
+            record->liveness.didHear(now, record->inFlight);
+    }
     states_[engine] = { std::move(state), now };
     if (isNewRun || routers() != before)
         limitConnections();
@@ -173,6 +177,21 @@
         removeTarget(heard->second.state.held, target);
 }
 
+bool UpstreamTable::isSilent(const UpstreamRecord& record, SteadyTime now) const
+{
+    if (!record.liveness.isSilent(now))
+        return false;
+    std::size_t servers = 0;
+    std::size_t silent = 0;
+    for (const auto& [instance, other] : records_) {
+        if (other->facts.service != record.facts.service)
+            continue;
+        ++servers;
+        silent += other->liveness.isSilent(now) ? 1 : 0;
+    }
+    return silent * 2 <= servers;
+}
+
 std::vector<EngineFacts> UpstreamTable::engines(const framework::ServiceName& service, SteadyTime now) const
 {
     std::vector<EngineFacts> facts;
@@ -180,7 +199,7 @@
         if (!takesRequests(*record, service))
             continue;
         const HeardState* const heard = state(*record, now);
-        if (!heard || record->suspicion.isSuspect(now))
+        if (!heard || record->suspicion.isSuspect(now) || isSilent(*record, now))
             continue;
         facts.push_back({ record->facts.endpoint, &heard->state, heard->at, record->inFlightByTarget });
     }
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -2,6 +2,7 @@
 
 #include "catalog/types/configuration.h"
 #include "catalog/types/upstream.h"
+#include "forwarding/liveness.h"
 #include "forwarding/promptcache.h"
 #include "forwarding/suspicion.h"
 #include "forwarding/wantedplanner.h"
@@ -23,6 +24,7 @@
     catalog::Upstream facts;
     http::ConnectionPool connections;
     Suspicion suspicion;
+    Liveness liveness;
     /// Another server has its address by now, though the list still has it.
     bool isGone = false;
     PromptCache prompts;
@@ -64,6 +66,9 @@
     bool holds(const UpstreamRecord&, const catalog::ModelTarget&, framework::SteadyTime now) const;
     /// The server refused the target as not held; so it isn't until its agent or the list says it anew.
     void didLack(UpstreamRecord&, const catalog::ModelTarget&);
+    /// Whether the server has fallen silent while others of its service have not. Guards against a router that takes its
+    /// own standstill, or the loss of its links, for that of its servers: then most of them seem silent at once.
+    bool isSilent(const UpstreamRecord&, framework::SteadyTime now) const;
     /// Engines of the service that an agent speaks for.
     std::vector<EngineFacts> engines(const framework::ServiceName&, framework::SteadyTime now) const;
     /// The most routers that any agent hears from; a guess without agents.
--- a/src/forwarding/internal/upstreamuse.cpp
+++ b/src/forwarding/internal/upstreamuse.cpp
@@ -21,7 +21,8 @@
 UpstreamUse::~UpstreamUse()
 {
     didStart();
-    --upstream_->inFlight;
+    if (--upstream_->inFlight == 0)
+        upstream_->liveness.didSettle();
     const auto target = upstream_->inFlightByTarget.find(target_);
     if (target != upstream_->inFlightByTarget.end() && --target->second == 0)
         upstream_->inFlightByTarget.erase(target);
--- a/src/forwarding/internal/upstreamuse.h
+++ b/src/forwarding/internal/upstreamuse.h
@@ -18,6 +18,7 @@
     /// The answer has begun: the prompt has been read.
     void didStart();
     UpstreamRecord& upstream() { return *upstream_; }
+    const UpstreamPointer& pointer() const { return upstream_; }
 
 private:
     UpstreamPointer upstream_;
--- /dev/null
+++ b/src/forwarding/liveness.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "framework/types/time.h"
+
+#include <optional>
+
+namespace lagoon::forwarding {
+
+/// Whether an upstream that owes answers has fallen silent, by what it brings: any byte of an answer, or a word of its
+/// agent. Without I/O or clock.
+///
+/// Guards against a VM that stands still: its connections stay open and take requests, none is answered, and those that
+/// go on being sent there wait out their deadlines and are read when it goes on, long after their callers have left. An
+/// engine brings events of its streams many times a second, so it is missed long before a deadline passes.
+class Liveness {
+public:
+    /// `expected`: until the first event of what is sent.
+    void didSend(framework::SteadyTime now, framework::Milliseconds expected);
+    /// `owed`: requests that are under way there.
+    void didHear(framework::SteadyTime now, std::size_t owed);
+    /// It owes nothing any more.
+    void didSettle() { signBy_.reset(); }
+    /// What it owed was given up since it is silent: it stays so until it is heard.
+    void didGiveUp(framework::SteadyTime now) { signBy_ = framework::Deadline(now); }
+    bool isSilent(framework::SteadyTime now) const { return signBy_ && signBy_->hasPassed(now); }
+    /// Whether one request may find out if a silent upstream lives. Nothing else would, where no agent speaks for it.
+    bool mayProbe(framework::SteadyTime now) const;
+
+private:
+    /// Silent from then on; nothing while it owes nothing.
+    std::optional<framework::Deadline> signBy_;
+    std::optional<framework::Deadline> probeAt_;
+};
+
+} // namespace lagoon::forwarding
