Refused callers who come back count for their model's load

Cause: when demand moves to a model that nobody holds, its callers bear 2 s and the load takes 2.1 s or more. They are refused at once, so nobody waits, and the load counted as one caller's, for 2 s, while they come back after 2 to 4 s.

Change: ReturningCallers (plain class) keeps one entry for each refused caller until it comes again, leaves for good or the model is there.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -198,7 +198,7 @@
         terms.deadline = Deadline::after(exchange->receivedAt(), patience);
         const Milliseconds untilFirst = route.patience.count() > 0 ? route.patience : patience;
         terms.firstEventBy = Deadline::after(exchange->receivedAt(), std::min(patience, untilFirst));
-        loads_.didArrive(facts, now());
+        loads_.didArrive(terms.service, facts, now());
         terms.facts = std::move(facts);
         budget(terms.service).earn();
         const auto job = std::make_shared<RequestJob>(*this, exchange, std::move(terms));
@@ -255,7 +255,7 @@
         const auto soonest = loads_.soonest(job.terms().service, engines, *waitingFor, now());
         if (!soonest || *soonest + fastestAnswer <= left)
             return;
-        loads_.keepFor(job.terms().service, *waitingFor);
+        loads_.keepFor(job.terms().service, *waitingFor, job.terms().deadline);
         job.refuseAsHopeless(*soonest);
     }
 
--- a/src/forwarding/internal/loadrequests.cpp
+++ b/src/forwarding/internal/loadrequests.cpp
@@ -38,15 +38,17 @@
 {
 }
 
-void LoadRequests::didArrive(const RequestFacts& facts, SteadyTime now)
+void LoadRequests::didArrive(const ServiceName& service, const RequestFacts& facts, SteadyTime now)
 {
-    if (!facts.model.value().empty())
-        demand_.didArrive(facts.model, workOf(facts), now);
+    if (facts.model.value().empty())
+        return;
+    demand_.didArrive(facts.model, workOf(facts), now);
+    comingBack_.didArrive(service, facts.model);
 }
 
-void LoadRequests::keepFor(const ServiceName& service, const WaitingFor& waiting)
+void LoadRequests::keepFor(const ServiceName& service, const WaitingFor& waiting, framework::Deadline leavesBy)
 {
-    comingBack_[{ service, waiting.target.model }] = waiting;
+    comingBack_.didRefuse(service, waiting, leavesBy);
 }
 
 std::optional<Milliseconds> LoadRequests::soonest(const ServiceName& service, const std::vector<EngineFacts>& engines,
@@ -60,7 +62,7 @@
 
 void LoadRequests::plan(const catalog::Configuration& configuration, const Waiting& waiting, SteadyTime now)
 {
-    std::erase_if(comingBack_, [now](const auto& entry) { return entry.second.earliest.hasPassed(now); });
+    comingBack_.forgetLeft(now);
     for (const catalog::Service& service : configuration.services) {
         if (service.engine)
             planFor(service, waiting(service.name), now);
@@ -87,11 +89,11 @@
 /// Guards against a second load, elsewhere, of a model that is there by now for those who come back.
 void LoadRequests::forgetServed(const ServiceName& service, const std::vector<UpstreamPointer>& ready, SteadyTime now)
 {
-    std::erase_if(comingBack_, [&](const auto& entry) {
-        const auto holdsIt
-            = [&](const UpstreamPointer& engine) { return upstreams_.holds(*engine, entry.second.target, now); };
-        return entry.first.first == service && std::any_of(ready.begin(), ready.end(), holdsIt);
-    });
+    for (const WaitingFor& back : comingBack_.expected(service)) {
+        const auto holdsIt = [&](const UpstreamPointer& engine) { return upstreams_.holds(*engine, back.target, now); };
+        if (std::any_of(ready.begin(), ready.end(), holdsIt))
+            comingBack_.forget(service, back.target.model);
+    }
 }
 
 std::vector<WaitingFor> LoadRequests::byTarget(
@@ -107,9 +109,12 @@
         entry->second.since = std::min(entry->second.since, request.since);
         entry->second.priority = std::max(entry->second.priority, request.priority);
     }
-    for (const auto& [model, back] : comingBack_) {
-        if (model.first == service)
-            merged.try_emplace({ back.target, {} }, back);
+    for (const WaitingFor& back : comingBack_.expected(service)) {
+        const auto [entry, isNew] = merged.try_emplace({ back.target, {} }, back);
+        if (isNew)
+            continue;
+        entry->second.waiting += back.waiting;
+        entry->second.since = std::min(entry->second.since, back.since);
     }
     std::vector<WaitingFor> all;
     for (auto& [target, waiting] : merged)
--- a/src/forwarding/internal/loadrequests.h
+++ b/src/forwarding/internal/loadrequests.h
@@ -4,6 +4,7 @@
 #include "catalog/types/wanted.h"
 #include "forwarding/internal/upstreamtable.h"
 #include "forwarding/modeldemand.h"
+#include "forwarding/returningcallers.h"
 #include "forwarding/types/requestfacts.h"
 #include "forwarding/wantedplanner.h"
 
@@ -27,10 +28,10 @@
 
     LoadRequests(const UpstreamTable&, TellAgents, framework::SteadyTime startedAt);
 
-    void didArrive(const RequestFacts&, framework::SteadyTime now);
-    /// The caller was told when to come back: until its deadline the load goes on being asked for, or the caller would
-    /// find the same and be refused again.
-    void keepFor(const framework::ServiceName&, const WaitingFor&);
+    void didArrive(const framework::ServiceName&, const RequestFacts&, framework::SteadyTime now);
+    /// The caller was told when to come back: until it leaves for good the load goes on being asked for, or the caller
+    /// would find the same and be refused again.
+    void keepFor(const framework::ServiceName&, const WaitingFor&, framework::Deadline leavesBy);
     /// As `WantedPlanner::soonest`.
     std::optional<framework::Milliseconds> soonest(const framework::ServiceName&, const std::vector<EngineFacts>&,
         const WaitingFor&, framework::SteadyTime now) const;
@@ -50,8 +51,7 @@
     TellAgents tellAgents_;
     ModelDemand demand_;
     std::map<framework::ServiceName, WantedPlanner> planners_;
-    /// Models for which callers were told to come back.
-    std::map<std::pair<framework::ServiceName, framework::ModelName>, WaitingFor> comingBack_;
+    ReturningCallers comingBack_;
     /// The loads that are asked for now.
     std::map<framework::ServiceName, Asked> asked_;
 };
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -66,8 +66,8 @@
     bool holds(const UpstreamRecord&, const catalog::ModelTarget&, framework::SteadyTime now) const;
     /// The server refused the target as not held; so it isn't until its agent or the list says it anew.
     void didLack(UpstreamRecord&, const catalog::ModelTarget&);
-    /// Whether the server has fallen silent while others of its service have not. Guards against a router that takes its
-    /// own standstill, or the loss of its links, for that of its servers: then most of them seem silent at once.
+    /// Whether the server has fallen silent while others of its service have not. Guards against a router that takes
+    /// its own standstill, or the loss of its links, for that of its servers: then most of them seem silent at once.
     bool isSilent(const UpstreamRecord&, framework::SteadyTime now) const;
     /// Engines of the service that an agent speaks for.
     std::vector<EngineFacts> engines(const framework::ServiceName&, framework::SteadyTime now) const;
