The work of a model is the reading of its prompts and the slots in use

Cause: a request's work was its prompt's reading and 0.1 ms for each token that its answer may have at most. Where answers may have 950 tokens and have 280, a chat counted as 0.125 s of an engine's time: six copies of a model that 22 a second ask for.

Change: work is the reading, and the share of an engine's slots that the model's requests take now. Nothing about answers is guessed. Test: loadrequests_test.

--- a/src/forwarding/internal/enginefacts.cpp
+++ b/src/forwarding/internal/enginefacts.cpp
@@ -49,6 +49,18 @@
         engines.begin(), engines.end(), [&](const EngineFacts& engine) { return engine.state->loading == model; }));
 }
 
+double slotsInUse(const std::vector<EngineFacts>& engines, const ModelName& model)
+{
+    double all = 0;
+    for (const EngineFacts& engine : engines) {
+        std::uint32_t requests = 0;
+        for (const auto& [target, inFlight] : engine.inFlight)
+            requests += target.model == model ? inFlight : 0;
+        all += static_cast<double>(requests) / std::max<std::uint32_t>(1, engine.slots);
+    }
+    return all;
+}
+
 const EngineFacts* factsOf(const std::vector<EngineFacts>& engines, const Endpoint& endpoint)
 {
     const auto found = std::find_if(
--- a/src/forwarding/internal/loadrequests.cpp
+++ b/src/forwarding/internal/loadrequests.cpp
@@ -1,9 +1,11 @@
 #include "forwarding/internal/loadrequests.h"
 
 #include "forwarding/enginespeed.h"
+#include "forwarding/internal/enginefacts.h"
 #include "framework/decisionlog.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lagoon::forwarding {
 
@@ -17,16 +19,13 @@
 
 /// Part of the shared parts of a prompt that an engine reads anew, on average.
 constexpr double readAnew = 0.25;
-/// What a running request adds to everyone's time for each of its output tokens.
-constexpr double millisecondsPerOutput = 0.1;
 
-Milliseconds workOf(const RequestFacts& facts)
+/// Reading a prompt holds up all others there. Writing an answer takes a slot, which is counted while it is taken.
+Milliseconds readingTime(const RequestFacts& facts)
 {
     const std::uint64_t own = facts.prompt.empty() ? facts.promptTokens.value() : facts.prompt.back().tokens;
     const auto shared = static_cast<double>(facts.promptTokens.value() - std::min(own, facts.promptTokens.value()));
-    const double reading = (static_cast<double>(own) + readAnew * shared) / promptTokensPerMillisecond;
-    return Milliseconds(static_cast<std::int64_t>(
-        reading + millisecondsPerOutput * static_cast<double>(facts.mostOutputTokens.value())));
+    return Milliseconds(std::llround((static_cast<double>(own) + readAnew * shared) / promptTokensPerMillisecond));
 }
 
 } // namespace
@@ -42,7 +41,7 @@
 {
     if (facts.model.value().empty())
         return;
-    demand_.didArrive(facts.model, workOf(facts), now);
+    demand_.didArrive(facts.model, readingTime(facts), now);
     comingBack_.didArrive(service, facts.model);
 }
 
@@ -76,7 +75,7 @@
     PlannerInput input { *service.engine, upstreams_.engines(service.name, now), byTarget(service.name, requests), {},
         false, demand_.isKnown(now), now };
     for (const catalog::ModelProfile& model : service.engine->models) {
-        const double work = demand_.work(model.name, now);
+        const double work = demand_.work(model.name, now) + slotsInUse(input.engines, model.name);
         if (work > 0)
             input.work.emplace(model.name, work);
     }
