Slots are the service's own figure, not each record's

EngineFacts had been given a copy of the slots that the engine profile has already; a model's requests are counted in one function.

--- a/src/forwarding/internal/enginefacts.cpp
+++ b/src/forwarding/internal/enginefacts.cpp
@@ -49,16 +49,14 @@
         engines.begin(), engines.end(), [&](const EngineFacts& engine) { return engine.state->loading == model; }));
 }
 
-double slotsInUse(const std::vector<EngineFacts>& engines, const ModelName& model)
+std::uint32_t inFlightFor(const std::vector<EngineFacts>& engines, const ModelName& model)
 {
-    double all = 0;
+    std::uint32_t requests = 0;
     for (const EngineFacts& engine : engines) {
-        std::uint32_t requests = 0;
         for (const auto& [target, inFlight] : engine.inFlight)
             requests += target.model == model ? inFlight : 0;
-        all += static_cast<double>(requests) / std::max<std::uint32_t>(1, engine.slots);
     }
-    return all;
+    return requests;
 }
 
 const EngineFacts* factsOf(const std::vector<EngineFacts>& engines, const Endpoint& endpoint)
--- a/src/forwarding/internal/enginefacts.h
+++ b/src/forwarding/internal/enginefacts.h
@@ -17,8 +17,8 @@
 framework::Milliseconds loadCost(const EngineFacts&, const catalog::ModelProfile&, framework::SteadyTime now);
 /// Engines that are loading the model.
 std::uint32_t loadersOf(const std::vector<EngineFacts>&, const framework::ModelName&);
-/// Part of one engine's slots that this router's requests for the model take, wherever they run.
-double slotsInUse(const std::vector<EngineFacts>&, const framework::ModelName&);
+/// This router's requests under way for the model and its adapters, wherever they run.
+std::uint32_t inFlightFor(const std::vector<EngineFacts>&, const framework::ModelName&);
 /// Null if there is none at the endpoint.
 const EngineFacts* factsOf(const std::vector<EngineFacts>&, const framework::Endpoint&);
 
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -202,7 +202,7 @@
         if (!heard || record->suspicion.isSuspect(now) || isSilent(*record, now))
             continue;
         facts.push_back(
-            { record->facts.endpoint, &heard->state, heard->at, record->inFlightByTarget, record->facts.slots });
+            { record->facts.endpoint, &heard->state, heard->at, record->inFlightByTarget });
     }
     return facts;
 }
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -23,7 +23,6 @@
     framework::SteadyTime stateAt {};
     /// This router's requests under way there.
     std::map<catalog::ModelTarget, std::uint32_t> inFlight;
-    std::uint32_t slots = 1;
 };
 
 /// Requests that wait for a model or adapter.
