A queue stands for a second at least before callers are refused

Cause: after the loss of power everywhere one engine has a busy model again after half a second, and all who waited queue there.

Change: StandingQueue counts a queue as standing after the target, and a second at least.

--- a/src/policy/standingqueue.h
+++ b/src/policy/standingqueue.h
@@ -11,7 +11,7 @@
 /// An engine that is asked for more than it can do makes everyone late: each request waits as long as callers bear, and
 /// of those that are served hardly one is in time. If what comes is refused instead while the queue stays longer than
 /// the target, the engine serves as many, and most of them in time. A queue counts as staying once arrivals have found
-/// it longer than the target for as long as the target, since who came at its beginning is late by then; and until none
+/// it longer than the target for as long as the target, and a second at least; and until none
 /// has for as long again, or it would be let grow anew each time that it has just become short enough.
 class StandingQueue {
 public:
