--- a/src/direct/directsettings.h
+++ b/src/direct/directsettings.h
@@ -4,6 +4,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/processidentity.h"
 #include "framework/types/time.h"
+#include "policy/policyswitches.h"
 
 #include <cstdint>
 #include <string>
@@ -24,6 +25,7 @@
     /// Repeats that a service may get from all routers together.
     double repeatShare = 0.2;
     double repeatReserve = 50;
+    policy::PolicySwitches policy;
     /// From the request to end until the process is ended by force.
     framework::Milliseconds grace { 8000 };
 };
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -25,7 +25,7 @@
 
 forwarding::ForwarderSettings forwarderSettings(const DirectRouterSettings& settings)
 {
-    return { settings.identity.failureDomain, settings.repeatShare, settings.repeatReserve };
+    return { settings.identity.failureDomain, settings.repeatShare, settings.repeatReserve, settings.policy };
 }
 
 http::ExchangeLimits exchangeLimits(const catalog::CallerLimits& limits)
--- a/src/direct/internal/directsettings.cpp
+++ b/src/direct/internal/directsettings.cpp
@@ -28,6 +28,31 @@
     (void)repeats.finish();
 }
 
+void readPolicy(CheckedObject& object, policy::PolicySwitches& policy)
+{
+    if (!object.has("policy"))
+        return;
+    CheckedObject read = object.object("policy");
+    const auto flag = [&read](const char* key, bool& value) { value = read.flagOr(key, value); };
+    flag("copies_busy_models", policy.copiesBusyModels);
+    flag("displaces_busy_copies", policy.displacesBusyCopies);
+    flag("fetches_ahead", policy.fetchesAhead);
+    flag("keeps_standbys", policy.keepsStandbys);
+    flag("shares_weight_store", policy.sharesWeightStore);
+    flag("orders_loads_by_value", policy.ordersLoadsByValue);
+    flag("avoids_drains", policy.avoidsDrains);
+    flag("keeps_to_loader", policy.keepsToLoader);
+    flag("follows_prompts", policy.followsPrompts);
+    flag("suspects_servers", policy.suspectsServers);
+    flag("leaves_silent_engines", policy.leavesSilentEngines);
+    flag("repeats_requests", policy.repeatsRequests);
+    flag("refuses_hopeless", policy.refusesHopeless);
+    flag("refuses_overload", policy.refusesOverload);
+    flag("counts_returning", policy.countsReturning);
+    flag("prefers_own_domain", policy.prefersOwnDomain);
+    (void)read.finish();
+}
+
 } // namespace
 
 framework::Result<DirectRouterSettings> parseDirectRouterSettings(const std::string& text, const std::string& source)
@@ -43,6 +68,7 @@
     settings.objectStore = framework::readEndpoint(object, "object_store");
     settings.agentPort = static_cast<std::uint16_t>(object.number("agent_port", 1, 65535));
     readRepeats(object, settings);
+    readPolicy(object, settings.policy);
     settings.grace
         = Milliseconds(object.numberOr("grace_ms", static_cast<std::uint64_t>(settings.grace.count()), 500, 600000));
     BOOST_OUTCOME_TRYV(object.finish());
--- /dev/null
+++ b/src/direct/tests/directsettings_test.cpp
@@ -0,0 +1,51 @@
+#include "direct/directsettings.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace lagoon::direct {
+
+namespace {
+
+std::string routerSettings(const std::string& more)
+{
+    return R"({ "role": "direct-router", "vm": "v", "site": "s", "failure_domain": "d", "callers": "10.0.0.1:1",
+        "readiness": "10.0.0.1:2", "ops": "10.0.0.1:3", "object_store": "10.0.0.1:4", "agent_port": 5)"
+        + more + " }";
+}
+
+framework::Result<DirectRouterSettings> parsed(const std::string& more)
+{
+    return parseDirectRouterSettings(routerSettings(more), "router.json");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DirectSettings)
+
+BOOST_AUTO_TEST_CASE(allPoliciesAreOnIfNothingIsSaid)
+{
+    const policy::PolicySwitches policy = parsed("").value().policy;
+    BOOST_TEST(policy.copiesBusyModels);
+    BOOST_TEST(policy.leavesSilentEngines);
+}
+
+BOOST_AUTO_TEST_CASE(aPolicyIsSwitchedOffByItsName)
+{
+    const policy::PolicySwitches policy = parsed(R"(, "policy": { "fetches_ahead": false })").value().policy;
+    BOOST_TEST(!policy.fetchesAhead);
+    BOOST_TEST(policy.copiesBusyModels);
+}
+
+BOOST_AUTO_TEST_CASE(anUnknownPolicyAndOneThatIsNoFlagAreNamed)
+{
+    const auto unknown = parsed(R"(, "policy": { "fetches_behind": false })");
+    BOOST_REQUIRE(unknown.has_error());
+    BOOST_TEST(describe(unknown.error()).find("fetches_behind") != std::string::npos);
+    const auto number = parsed(R"(, "policy": { "fetches_ahead": 1 })");
+    BOOST_REQUIRE(number.has_error());
+    BOOST_TEST(describe(number.error()).find("fetches_ahead") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::direct
--- a/src/forwarding/forwardersettings.h
+++ b/src/forwarding/forwardersettings.h
@@ -2,6 +2,7 @@
 
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
+#include "policy/policyswitches.h"
 
 namespace lagoon::forwarding {
 
@@ -11,6 +12,7 @@
     /// Repeats that a service may get, as a share of its requests and in all beyond that, over all routers.
     double repeatShare = 0.2;
     double repeatReserve = 50;
+    policy::PolicySwitches policy;
 };
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -60,6 +60,7 @@
         , upstreams_(context_.traffic.context())
         , loads_(upstreams_, context_.tellAgents, context_.clock.now())
     {
+        upstreams_.setPolicy(settings.policy);
     }
 
     void start() { planSoon(planEach); }
@@ -81,6 +82,7 @@
     void setSettings(const ForwarderSettings& settings)
     {
         settings_ = settings;
+        upstreams_.setPolicy(settings.policy);
         budgets_.clear();
     }
 
@@ -141,7 +143,10 @@
     framework::EventThread& thread() override { return context_.traffic; }
     framework::Metrics& metrics() override { return *context_.metrics; }
     framework::SteadyTime now() const override { return context_.clock.now(); }
-    bool spendRepeat(const ServiceName& service) override { return budget(service).spend(); }
+    bool spendRepeat(const ServiceName& service) override
+    {
+        return settings_.policy.repeatsRequests && budget(service).spend();
+    }
 
     void didFindQueue(const JobTerms& terms, Milliseconds expected) override
     {
@@ -152,7 +157,7 @@
     {
         const Milliseconds target = terms.route->targetLatency;
         // Without a target there is nothing by which a queue could be too long.
-        if (target.count() <= 0 || expected <= target)
+        if (target.count() <= 0 || expected <= target || !settings_.policy.refusesOverload)
             return false;
         const auto queue = queues_.find({ terms.facts.model, terms.route->priority });
         const bool isStanding = queue != queues_.end() && queue->second.isStanding(target, now());
@@ -248,7 +253,7 @@
     void refuseIfHopeless(RequestJob& job)
     {
         const auto waitingFor = job.waitingFor();
-        if (!waitingFor)
+        if (!waitingFor || !settings_.policy.refusesHopeless)
             return;
         const std::vector<EngineFacts> engines = upstreams_.engines(job.terms().service, now());
         const Milliseconds left = job.terms().firstEventBy.remaining(now());
@@ -257,7 +262,8 @@
         const auto soonest = loads_.soonest(job.terms().service, engines, *waitingFor, now());
         if (!soonest || *soonest + fastestAnswer <= left)
             return;
-        loads_.keepFor(job.terms().service, *waitingFor, job.terms().deadline);
+        if (settings_.policy.countsReturning)
+            loads_.keepFor(job.terms().service, *waitingFor, job.terms().deadline);
         job.refuseAsHopeless(*soonest);
     }
 
@@ -273,15 +279,21 @@
         });
     }
 
-    void plan()
+    void leaveSilent()
     {
-        planTimer_.reset();
         const auto jobs = jobs_;
         for (const auto& job : jobs)
             job->leaveSilent();
+    }
+
+    void plan()
+    {
+        planTimer_.reset();
+        leaveSilent();
         if (routes_)
             loads_.plan(
-                *routes_->configuration(), [this](const ServiceName& service) { return waitingFor(service); }, now());
+                *routes_->configuration(), [this](const ServiceName& service) { return waitingFor(service); },
+                settings_.policy, now());
         retryWaiting();
         planSoon(planEach);
     }
--- a/src/forwarding/internal/loadrequests.cpp
+++ b/src/forwarding/internal/loadrequests.cpp
@@ -62,21 +62,23 @@
                                       : planner->second.soonest(engines, waiting, now);
 }
 
-void LoadRequests::plan(const catalog::Configuration& configuration, const Waiting& waiting, SteadyTime now)
+void LoadRequests::plan(const catalog::Configuration& configuration, const Waiting& waiting,
+    const policy::PolicySwitches& policy, SteadyTime now)
 {
     comingBack_.forgetLeft(now);
     for (const catalog::Service& service : configuration.services) {
         if (service.engine)
-            planFor(service, waiting(service.name), now);
+            planFor(service, waiting(service.name), policy, now);
     }
 }
 
-void LoadRequests::planFor(const catalog::Service& service, const std::vector<WaitingFor>& requests, SteadyTime now)
+void LoadRequests::planFor(const catalog::Service& service, const std::vector<WaitingFor>& requests,
+    const policy::PolicySwitches& policy, SteadyTime now)
 {
     const std::vector<UpstreamPointer> ready = upstreams_.ready(service.name);
     forgetServed(service.name, ready, now);
     PlannerInput input { *service.engine, upstreams_.engines(service.name, now), byTarget(service.name, requests), {},
-        false, demand_.isKnown(now), now, runTime_.mean() };
+        false, demand_.isKnown(now), now, runTime_.mean(), policy };
     const double slots = std::max<std::uint32_t>(1, service.engine->slots);
     for (const catalog::ModelProfile& model : service.engine->models) {
         const double work = demand_.work(model.name, now) + inFlightFor(input.engines, model.name) / slots;
--- a/src/forwarding/internal/loadrequests.h
+++ b/src/forwarding/internal/loadrequests.h
@@ -38,12 +38,13 @@
     /// As `WantedPlanner::soonest`.
     std::optional<framework::Milliseconds> soonest(const framework::ServiceName&, const std::vector<EngineFacts>&,
         const WaitingFor&, framework::SteadyTime now) const;
-    void plan(const catalog::Configuration&, const Waiting&, framework::SteadyTime now);
+    void plan(const catalog::Configuration&, const Waiting&, const policy::PolicySwitches&, framework::SteadyTime now);
 
 private:
     using Asked = std::set<std::pair<framework::Endpoint, catalog::ModelTarget>>;
 
-    void planFor(const catalog::Service&, const std::vector<WaitingFor>& requests, framework::SteadyTime now);
+    void planFor(const catalog::Service&, const std::vector<WaitingFor>& requests, const policy::PolicySwitches&,
+        framework::SteadyTime now);
     void forgetServed(
         const framework::ServiceName&, const std::vector<UpstreamPointer>& ready, framework::SteadyTime now);
     std::vector<WaitingFor> byTarget(const framework::ServiceName&, const std::vector<WaitingFor>& requests) const;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -238,7 +238,7 @@
     const std::vector<UpstreamPointer> ready = host_.upstreams().ready(terms_.service);
     return std::any_of(ready.begin(), ready.end(), [&](const UpstreamPointer& other) {
         return other.get() != &attempt_->use().upstream() && !wasTried(*other)
-            && !other->suspicion.isSuspect(host_.now()) && !host_.upstreams().isSilent(*other, host_.now())
+            && !host_.upstreams().isSuspect(*other, host_.now()) && !host_.upstreams().isSilent(*other, host_.now())
             && host_.upstreams().holds(*other, target(), host_.now());
     });
 }
--- a/src/forwarding/internal/roomdamage.cpp
+++ b/src/forwarding/internal/roomdamage.cpp
@@ -45,7 +45,8 @@
     if (holders > policy::wantedCopies(work))
         return 0;
     if (policy::isBusyModel(work))
-        return isWaitedFor && holders > 1 ? std::optional(damageOfBusyCopy) : std::nullopt;
+        return isWaitedFor && holders > 1 && input_.policy.displacesBusyCopies ? std::optional(damageOfBusyCopy)
+                                                                               : std::nullopt;
     const bool isElsewhere = std::any_of(input_.engines.begin(), input_.engines.end(),
         [&](const EngineFacts& other) { return other.engine != engine.engine && hasAtHand(other, held); });
     return (isElsewhere ? damageOfOtherCopy : damageOfOnlyCopy) + damagePerWork * work;
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -120,10 +120,21 @@
         return failed(NoUpstream::AllConnectionsTaken);
     }
 
+    const policy::PolicySwitches& switches() const { return host_.settings().policy; }
+
+    bool isSuspect(const UpstreamRecord& server) const { return host_.upstreams().isSuspect(server, now_); }
+
+    bool isSilent(const UpstreamRecord& engine) const { return host_.upstreams().isSilent(engine, now_); }
+
+    bool isInOwnDomain(const UpstreamRecord& server) const
+    {
+        return switches().prefersOwnDomain && server.facts.failureDomain == host_.settings().failureDomain;
+    }
+
     ServerView viewOf(const UpstreamRecord& server) const
     {
-        return { server.facts.slots, server.inFlight, server.suspicion.isSuspect(now_),
-            server.facts.failureDomain == host_.settings().failureDomain, wasTried(server, past_) };
+        return { server.facts.slots, server.inFlight, isSuspect(server), isInOwnDomain(server),
+            wasTried(server, past_) };
     }
 
     UpstreamSearch amongEngines(const std::vector<UpstreamPointer>& candidates)
@@ -133,7 +144,7 @@
         std::vector<UpstreamPointer> holders;
         std::vector<UpstreamPointer> withoutAdapter;
         for (const UpstreamPointer& engine : candidates) {
-            if (host_.upstreams().isSilent(*engine, now_) && !engine->liveness.mayProbe(now_))
+            if (isSilent(*engine) && !engine->liveness.mayProbe(now_))
                 continue;
             if (host_.upstreams().holds(*engine, target, now_))
                 holders.push_back(engine);
@@ -154,7 +165,7 @@
         std::vector<framework::VmName> loading;
         for (const UpstreamPointer& engine : engines) {
             const HeardState* const heard = host_.upstreams().state(*engine, now_);
-            if (!heard || engine->suspicion.isSuspect(now_))
+            if (!heard || isSuspect(*engine))
                 continue;
             auto& list = heard->state.loading.value().empty() ? names : loading;
             list.emplace_back(engine->facts.endpoint.value());
@@ -213,9 +224,9 @@
         const std::uint64_t prompt = terms_.facts.promptTokens.value();
         view.newTokens = prompt - std::min<std::uint64_t>(prompt, engine.prompts.kept(prompt_));
         view.memoryTokens = prompt + terms_.facts.mostOutputTokens.value();
-        view.affinityRank = affinityRank;
-        view.isSuspect = engine.suspicion.isSuspect(now_) || host_.upstreams().isSilent(engine, now_);
-        view.isInOwnFailureDomain = engine.facts.failureDomain == host_.settings().failureDomain;
+        view.affinityRank = switches().followsPrompts ? affinityRank : 0;
+        view.isSuspect = isSuspect(engine) || isSilent(engine);
+        view.isInOwnFailureDomain = isInOwnDomain(engine);
         view.wasTried = wasTried(engine, past_);
         return view;
     }
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -177,9 +177,14 @@
         removeTarget(heard->second.state.held, target);
 }
 
+bool UpstreamTable::isSuspect(const UpstreamRecord& record, SteadyTime now) const
+{
+    return policy_.suspectsServers && record.suspicion.isSuspect(now);
+}
+
 bool UpstreamTable::isSilent(const UpstreamRecord& record, SteadyTime now) const
 {
-    if (!record.liveness.isSilent(now))
+    if (!policy_.leavesSilentEngines || !record.liveness.isSilent(now))
         return false;
     std::size_t servers = 0;
     std::size_t silent = 0;
@@ -199,7 +204,7 @@
         if (!takesRequests(*record, service))
             continue;
         const HeardState* const heard = state(*record, now);
-        if (!heard || record->suspicion.isSuspect(now) || isSilent(*record, now))
+        if (!heard || isSuspect(*record, now) || isSilent(*record, now))
             continue;
         facts.push_back({ record->facts.endpoint, &heard->state, heard->at, record->inFlightByTarget });
     }
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -8,6 +8,7 @@
 #include "forwarding/wantedplanner.h"
 #include "framework/types/time.h"
 #include "http/connectionpool.h"
+#include "policy/policyswitches.h"
 
 #include <map>
 #include <memory>
@@ -52,6 +53,7 @@
     {
     }
 
+    void setPolicy(const policy::PolicySwitches& policy) { policy_ = policy; }
     void setUpstreams(const std::vector<catalog::Upstream>&);
     void setConfiguration(catalog::ConfigurationPointer);
     void setState(catalog::EngineState, framework::SteadyTime now);
@@ -66,6 +68,8 @@
     bool holds(const UpstreamRecord&, const catalog::ModelTarget&, framework::SteadyTime now) const;
     /// The server refused the target as not held; so it isn't until its agent or the list says it anew.
     void didLack(UpstreamRecord&, const catalog::ModelTarget&);
+    /// Whether the server failed lately and is to be passed by.
+    bool isSuspect(const UpstreamRecord&, framework::SteadyTime now) const;
     /// Whether the server has fallen silent while others of its service have not. Guards against a router that takes
     /// its own standstill, or the loss of its links, for that of its servers: then most of them seem silent at once.
     bool isSilent(const UpstreamRecord&, framework::SteadyTime now) const;
@@ -81,6 +85,7 @@
     void limitConnections();
 
     boost::asio::io_context& context_;
+    policy::PolicySwitches policy_;
     catalog::ConfigurationPointer configuration_;
     std::map<catalog::InstanceId, UpstreamPointer> records_;
     std::map<framework::Endpoint, HeardState> states_;
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -66,8 +66,10 @@
     noteRefusals(input);
     planHeld(input);
     planWaiting(input);
-    planCopies(input);
-    planPrefetch(input);
+    if (input.policy.copiesBusyModels)
+        planCopies(input);
+    if (input.policy.fetchesAhead)
+        planPrefetch(input);
     return std::move(lists_);
 }
 
@@ -125,9 +127,9 @@
 
 /// Whether the load may be asked for: from the store only while it serves no more than it can at full speed. Beyond
 /// that all loads slow down together, and each of them comes too late.
-bool WantedPlanner::takeStorePlace(const EngineFacts& engine, const ModelProfile& model)
+bool WantedPlanner::takeStorePlace(const EngineFacts& engine, const ModelProfile& model, bool sharesWeightStore)
 {
-    if (!needsStore(engine, model))
+    if (!sharesWeightStore || !needsStore(engine, model))
         return true;
     if (!storeQueue_.hasPlace())
         return false;
@@ -148,7 +150,8 @@
     const auto room = RoomDamage(input, workOfAll_, holders_).ofRoom(engine, model, isWaitedFor);
     if (!room)
         return catalog::cannotPlace + byRank;
-    return loadCost(engine, model, input.now) + byRank + (room->isInUse ? input.runTime : Milliseconds(0))
+    return loadCost(engine, model, input.now) + byRank
+        + (room->isInUse && input.policy.avoidsDrains ? input.runTime : Milliseconds(0))
         + Milliseconds(static_cast<std::int64_t>(room->damage * static_cast<double>(perDamage.count())));
 }
 
@@ -219,6 +222,8 @@
         loads.push_back({ waiting.target.model.value(), waiting.earliest, waiting.waiting, waiting.since,
             model ? model->loadFromStore : Milliseconds(0), waiting.priority });
     }
+    if (!input.policy.ordersLoadsByValue)
+        return input.waiting;
     std::vector<WaitingFor> sequence;
     for (const std::size_t index : policy::sequenceOf(*loadOrder_, loads, input.now))
         sequence.push_back(input.waiting[index]);
@@ -231,7 +236,7 @@
     if (!loader)
         return;
     const ModelProfile& model = *input.profile.find(waiting.target.model);
-    if (takeStorePlace(*factsOf(input.engines, *loader), model))
+    if (takeStorePlace(*factsOf(input.engines, *loader), model, input.policy.sharesWeightStore))
         return add(input, *loader, wanted);
     heldBack_[model.name] = framework::Deadline::after(input.now, storeQueue_.add(model.loadFromStore));
 }
@@ -254,7 +259,8 @@
     Choice& choice = choices_[model->name];
     if (const EngineFacts* const before = factsOf(input.engines, choice.engine)) {
         const bool isSilent = !expectedAt(*before, model->name, input.now) && input.now - choice.since > answerTime;
-        if (!isSilent && costAt(*before) <= least + changeGain)
+        const Milliseconds gain = input.policy.keepsToLoader ? changeGain : Milliseconds(0);
+        if (!isSilent && costAt(*before) <= least + gain)
             return &choice.engine;
     }
     choice = { best->engine, input.now };
@@ -272,7 +278,7 @@
         missing -= std::min(missing, holdersOf(name) + loadersOf(input.engines, name));
         // All that are missing at once: a load may take many seconds.
         for (const Endpoint& engine : cheapestFor(input, *model, missing)) {
-            if (!takeStorePlace(*factsOf(input.engines, engine), *model))
+            if (!takeStorePlace(*factsOf(input.engines, engine), *model, input.policy.sharesWeightStore))
                 break;
             Wanted wanted;
             wanted.target.model = name;
@@ -317,7 +323,7 @@
         const auto engines = static_cast<std::size_t>(std::count_if(input.engines.begin(), input.engines.end(),
             [&](const EngineFacts& engine) { return hasAtHand(engine, model.name); }));
         const std::string& name = model.name.value();
-        if (engines < (model.adapters >= adaptersOfStandby ? standbyEngines : 1))
+        if (engines < (input.policy.keepsStandbys && model.adapters >= adaptersOfStandby ? standbyEngines : 1))
             missing.emplace_back(engines, policy::mixed(policy::fnv1a(name.data(), name.size())), &model);
     }
     std::sort(missing.begin(), missing.end());
--- a/src/forwarding/tests/loadrequests_test.cpp
+++ b/src/forwarding/tests/loadrequests_test.cpp
@@ -57,7 +57,7 @@
     double workTold()
     {
         requests.plan(
-            configuration, [](const ServiceName&) { return std::vector<WaitingFor>(); }, now);
+            configuration, [](const ServiceName&) { return std::vector<WaitingFor>(); }, {}, now);
         for (const catalog::Wanted& wanted : told.at(endpoint)) {
             if (wanted.target.model == chat)
                 return wanted.work;
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -5,6 +5,7 @@
 #include "catalog/types/wanted.h"
 #include "framework/types/time.h"
 #include "policy/iloadorder.h"
+#include "policy/policyswitches.h"
 #include "policy/storeplaces.h"
 #include "policy/storequeue.h"
 
@@ -49,6 +50,7 @@
     framework::SteadyTime now {};
     /// What a request takes at an engine, lately.
     framework::Milliseconds runTime { 0 };
+    policy::PolicySwitches policy {};
 };
 
 /// Decides which engine's agent this router asks for what. All routers ask by the same order of engines and by states
@@ -78,7 +80,7 @@
     std::uint32_t holdersOf(const framework::ModelName&) const;
     void noteStoreLoads(const PlannerInput&);
     static bool needsStore(const EngineFacts&, const catalog::ModelProfile&);
-    bool takeStorePlace(const EngineFacts&, const catalog::ModelProfile&);
+    bool takeStorePlace(const EngineFacts&, const catalog::ModelProfile&, bool sharesWeightStore);
     framework::Milliseconds placingCost(
         const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&, bool isWaitedFor);
     std::vector<framework::Endpoint> cheapestFor(const PlannerInput&, const catalog::ModelProfile&, std::size_t most);
