A long drain is expected to take as long again; memory counts as work

(2) At Ekowe memory is scarcer than slots: 28 requests of 9,300 tokens fill an engine of 64 slots, so slots alone understate the work.

Changes: the agent expects a drain to last as long again as it has; a request's share of an engine is of slots or of memory, whichever is greater, as its agent reports them. Tests: aDrainThatTakesLongIsExpectedToTakeAsLongAgain, countsMemoryWhereThatIsScarcerThanSlots.

--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -261,6 +261,22 @@
     return loadedBy_.remaining(input.now);
 }
 
+/// Until the requests of the models that make way have ended. Those that run longer than usual are thought to need as
+/// long again, so that routers stop waiting for an engine that one long stream keeps from loading.
+Milliseconds PlacementPlan::untilDrained(const PlacementInput& input, const std::vector<ModelName>& leaving) const
+{
+    Milliseconds longest(0);
+    for (const ModelName& model : leaving) {
+        if (usesOf(input, model) == 0)
+            continue;
+        longest = std::max(longest, drainTime_.mean());
+        const auto since = drainingSince_.find(model);
+        if (since != drainingSince_.end())
+            longest = std::max(longest, std::chrono::duration_cast<Milliseconds>(input.now - since->second));
+    }
+    return longest;
+}
+
 void PlacementPlan::planModel(
     const PlacementInput& input, const Wanted& wanted, PlacementDecision& decision, Milliseconds& soFar)
 {
@@ -271,11 +287,8 @@
         return;
     }
     const bool isFirst = !decision.order && !input.report.isBusy && decision.leaving.empty();
-    std::uint32_t running = 0;
-    for (const ModelName& victim : *victims)
-        running += usesOf(input, victim);
     soFar += catalog::loadTime(*input.profile.find(model), input.report.atHand) + unloadTime * victims->size()
-        + (running > 0 ? drainTime_.mean() : Milliseconds(0));
+        + untilDrained(input, *victims);
     decision.expected.push_back({ model, soFar });
     if (!isFirst)
         return;
--- a/src/engines/placementplan.h
+++ b/src/engines/placementplan.h
@@ -70,6 +70,7 @@
     double missed(const PlacementInput&, const framework::ModelName&) const;
     void noteDrained(const PlacementInput&);
     void noteDraining(const PlacementInput&, const std::vector<framework::ModelName>& leaving);
+    framework::Milliseconds untilDrained(const PlacementInput&, const std::vector<framework::ModelName>&) const;
     framework::Milliseconds untilFree(const PlacementInput&) const;
     void planModel(const PlacementInput&, const catalog::Wanted&, PlacementDecision&, framework::Milliseconds& soFar);
 
--- a/src/engines/tests/placementplan_test.cpp
+++ b/src/engines/tests/placementplan_test.cpp
@@ -282,6 +282,21 @@
     BOOST_TEST((expected() - first).count() < 2600);
 }
 
+// One stream of six seconds kept an engine from loading a model for which eight callers waited, while its neighbours
+// had room. The engine went on saying that it needed another second and a half.
+BOOST_AUTO_TEST_CASE(aDrainThatTakesLongIsExpectedToTakeAsLongAgain)
+{
+    hold("a");
+    hold("b");
+    want(target("a")).inFlight = want(target("b")).inFlight = 1;
+    wait(target("c"));
+    const Milliseconds first = decideLater().expected.at(0).within;
+    now += Milliseconds(4000);
+    const Milliseconds second = decide().expected.at(0).within;
+    BOOST_TEST((second - first).count() >= 3000);
+    BOOST_TEST((second - first).count() <= 4000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::engines
--- a/src/forwarding/internal/enginefacts.cpp
+++ b/src/forwarding/internal/enginefacts.cpp
@@ -12,6 +12,21 @@
 using framework::Milliseconds;
 using framework::ModelName;
 
+namespace {
+
+/// What one of the engine's requests takes of its slots or of its memory.
+double shareOfRequest(const EngineState& state, std::uint32_t slots)
+{
+    const double ofSlots = 1.0 / std::max<std::uint32_t>(1, slots);
+    if (state.running == 0 || state.memory.value() == 0)
+        return ofSlots;
+    const double ofMemory
+        = static_cast<double>(state.usedMemory.value()) / static_cast<double>(state.memory.value()) / state.running;
+    return std::max(ofSlots, ofMemory);
+}
+
+} // namespace
+
 bool hasAtHand(const EngineFacts& engine, const ModelName& model)
 {
     const EngineState& state = *engine.state;
@@ -49,14 +64,16 @@
         engines.begin(), engines.end(), [&](const EngineFacts& engine) { return engine.state->loading == model; }));
 }
 
-std::uint32_t inFlightFor(const std::vector<EngineFacts>& engines, const ModelName& model)
+double occupancyOf(const std::vector<EngineFacts>& engines, const ModelName& model, std::uint32_t slots)
 {
-    std::uint32_t requests = 0;
+    double all = 0;
     for (const EngineFacts& engine : engines) {
+        std::uint32_t requests = 0;
         for (const auto& [target, inFlight] : engine.inFlight)
             requests += target.model == model ? inFlight : 0;
+        all += requests * shareOfRequest(*engine.state, slots);
     }
-    return requests;
+    return all;
 }
 
 const EngineFacts* factsOf(const std::vector<EngineFacts>& engines, const Endpoint& endpoint)
--- a/src/forwarding/internal/loadrequests.cpp
+++ b/src/forwarding/internal/loadrequests.cpp
@@ -79,9 +79,9 @@
     forgetServed(service.name, ready, now);
     PlannerInput input { *service.engine, upstreams_.engines(service.name, now), byTarget(service.name, requests), {},
         false, demand_.isKnown(now), now, runTime_.mean(), policy };
-    const double slots = std::max<std::uint32_t>(1, service.engine->slots);
     for (const catalog::ModelProfile& model : service.engine->models) {
-        const double work = demand_.work(model.name, now) + inFlightFor(input.engines, model.name) / slots;
+        const double work
+            = demand_.work(model.name, now) + occupancyOf(input.engines, model.name, service.engine->slots);
         if (work > 0)
             input.work.emplace(model.name, work);
     }
--- a/src/forwarding/tests/loadrequests_test.cpp
+++ b/src/forwarding/tests/loadrequests_test.cpp
@@ -31,10 +31,15 @@
         upstream.endpoint = endpoint;
         upstream.service = service;
         table.setUpstreams({ upstream });
+        table.setState(heldState(), now);
+    }
+
+    static catalog::EngineState heldState()
+    {
         catalog::EngineState state;
         state.engine = endpoint;
         state.held.push_back({ chat, 1, {}, 0, 0 });
-        table.setState(state, now);
+        return state;
     }
 
     /// Chats of some 700 tokens, whose answers may have up to 950, as many a second.
@@ -48,10 +53,7 @@
             requests.didArrive(service, facts, now);
             now += Milliseconds(1000 / perSecond);
         }
-        catalog::EngineState state;
-        state.engine = endpoint;
-        state.held.push_back({ chat, 1, {}, 0, 0 });
-        table.setState(state, now);
+        table.setState(heldState(), now);
     }
 
     double workTold()
@@ -91,6 +93,20 @@
     BOOST_TEST(workTold() < 0.95);
 }
 
+// Reviews of 9,300 tokens fill an engine's memory when 28 of its 64 slots are taken.
+BOOST_AUTO_TEST_CASE(countsMemoryWhereThatIsScarcerThanSlots)
+{
+    table.ready(service).at(0)->inFlightByTarget[{ chat, {} }] = 48;
+    const double bySlots = workTold();
+    catalog::EngineState state = heldState();
+    state.running = 48;
+    state.memory = catalog::Tokens(100000);
+    state.usedMemory = catalog::Tokens(96000);
+    table.setState(state, now);
+    BOOST_TEST(bySlots < 0.55);
+    BOOST_TEST(workTold() > 0.9);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
