A model whose unload is under way counts as leaving until it has ended

While an engine drops a model it still lists it, and the agent, with its order given, no longer said that the model was leaving: the requests that had waited for the drain were sent there, refused, and told to come back.

Change: the plan remembers what it has ordered to be unloaded. Test: aModelIsLeavingUntilItsUnloadHasEnded.

--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -102,6 +102,7 @@
 {
     uses_.clear();
     loading_ = ModelName();
+    unloading_ = ModelName();
     loadsFromStore_ = false;
     loadedBy_ = Deadline();
     drainingSince_.clear();
@@ -114,6 +115,7 @@
     PlacementDecision decision;
     if (!input.report.isBusy) {
         loading_ = ModelName();
+        unloading_ = ModelName();
         loadsFromStore_ = false;
     }
     decision.order = adapterOrder(input);
@@ -124,6 +126,8 @@
         decision.expected.push_back({ loading_, soFar });
     for (const Wanted& wanted : toLoad(input))
         planModel(input, wanted, decision, soFar);
+    if (!unloading_.value().empty())
+        decision.leaving.push_back(unloading_);
     noteDraining(input, decision.leaving);
     return decision;
 }
@@ -362,8 +366,12 @@
 
 void PlacementPlan::didOrder(const Order& order, const PlacementInput& input)
 {
-    if (order.kind != OrderKind::Load || !order.target.adapter.value().empty())
+    if (!order.target.adapter.value().empty())
         return;
+    if (order.kind == OrderKind::Unload) {
+        unloading_ = order.target.model;
+        return;
+    }
     const ModelProfile* const model = input.profile.find(order.target.model);
     if (!model)
         return;
--- a/src/engines/placementplan.h
+++ b/src/engines/placementplan.h
@@ -79,6 +79,9 @@
     /// When someone began to wait for it.
     std::map<framework::ModelName, framework::SteadyTime> waitingSince_;
     framework::ModelName loading_;
+    /// Guards against requests for a model that the engine is dropping: while that order is under way the engine still
+    /// lists the model, and refuses whatever comes for it.
+    framework::ModelName unloading_;
     bool loadsFromStore_ = false;
     framework::Deadline loadedBy_;
     /// Since when models in use have been making way.
--- a/src/engines/tests/placementplan_test.cpp
+++ b/src/engines/tests/placementplan_test.cpp
@@ -297,6 +297,25 @@
     BOOST_TEST((second - first).count() <= 4000);
 }
 
+// A summary waited for a model that was making way. In the moment in which its unload was ordered the agent said no
+// longer that the model was leaving, though the engine still listed it: the summary was sent there, and refused.
+BOOST_AUTO_TEST_CASE(aModelIsLeavingUntilItsUnloadHasEnded)
+{
+    hold("a");
+    hold("b");
+    wait(target("c"));
+    const PlacementDecision decision = decideLater();
+    BOOST_REQUIRE(decision.order.has_value());
+    BOOST_REQUIRE((decision.order->kind == OrderKind::Unload));
+    const ModelName dropped = decision.order->target.model;
+    plan.didOrder(*decision.order, { profile, report, wanted, now });
+    report.isBusy = true;
+    BOOST_TEST((decide().leaving == std::vector<ModelName> { dropped }));
+    report.isBusy = false;
+    std::erase_if(report.held, [&](const catalog::HeldModel& held) { return held.model == dropped; });
+    BOOST_TEST(decide().leaving.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::engines
