An engine that pauses for longer than it has lately is chosen last

Change: Liveness learns how long an engine's pauses between signs are, and tells after 2.5 times the longest of late (0.1 s at least) that it pauses; it is then chosen only if there is no other. Nothing is taken away from it. Tests: anEngineThatPausesForLongerThanItDoesIs- NoticedWithinATenthOfASecond, itsUsualPausesMeanNothing.

--- a/src/forwarding/internal/liveness.cpp
+++ b/src/forwarding/internal/liveness.cpp
@@ -16,14 +16,29 @@
 /// Seldom, since each probe may be one more request that is read when its caller has left.
 constexpr Milliseconds probeEach { 5000 };
 
+/// An engine's pauses are as long as the pieces in which it reads prompts: up to a few of the longest that it made
+/// lately mean nothing.
+constexpr double pausesOfSound = 2.5;
+constexpr Milliseconds leastPause { 100 };
+/// A pause is forgotten within about two hundred signs, which a busy engine gives in a second.
+constexpr double fadePerSign = 0.99;
+
 } // namespace
 
 void Liveness::didSend(framework::SteadyTime now, Milliseconds expected)
 {
     if (isSilent(now))
         probeAt_ = Deadline::after(now, probeEach);
-    if (!signBy_)
-        signBy_ = Deadline::after(now, silentAfter + std::min(longestQueue, expected));
+    if (signBy_)
+        return;
+    pauseSince_ = now + std::min(longestQueue, expected);
+    signBy_ = Deadline::after(pauseSince_, silentAfter);
+}
+
+bool Liveness::isPausing(framework::SteadyTime now) const
+{
+    const Milliseconds usual(static_cast<std::int64_t>(pausesOfSound * longestPause_));
+    return signBy_ && now - pauseSince_ >= std::clamp(usual, leastPause, silentAfter);
 }
 
 bool Liveness::mayProbe(framework::SteadyTime now) const
@@ -35,6 +50,10 @@
 
 void Liveness::didHear(framework::SteadyTime now, std::size_t owed)
 {
+    if (signBy_ && now > pauseSince_)
+        longestPause_ = std::max(std::chrono::duration<double, std::milli>(now - pauseSince_).count(), longestPause_);
+    longestPause_ *= fadePerSign;
+    pauseSince_ = now;
     signBy_.reset();
     probeAt_.reset();
     if (owed > 0)
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -225,7 +225,7 @@
         view.newTokens = prompt - std::min<std::uint64_t>(prompt, engine.prompts.kept(prompt_));
         view.memoryTokens = prompt + terms_.facts.mostOutputTokens.value();
         view.affinityRank = switches().followsPrompts ? affinityRank : 0;
-        view.isSuspect = isSuspect(engine) || isSilent(engine);
+        view.isSuspect = isSuspect(engine) || host_.upstreams().isPausing(engine, now_);
         view.isInOwnFailureDomain = isInOwnDomain(engine);
         view.wasTried = wasTried(engine, past_);
         return view;
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -197,6 +197,11 @@
     return silent * 2 <= servers;
 }
 
+bool UpstreamTable::isPausing(const UpstreamRecord& record, SteadyTime now) const
+{
+    return policy_.leavesSilentEngines && record.liveness.isPausing(now);
+}
+
 std::vector<EngineFacts> UpstreamTable::engines(const framework::ServiceName& service, SteadyTime now) const
 {
     std::vector<EngineFacts> facts;
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -73,6 +73,8 @@
     /// Whether the server has fallen silent while others of its service have not. Guards against a router that takes
     /// its own standstill, or the loss of its links, for that of its servers: then most of them seem silent at once.
     bool isSilent(const UpstreamRecord&, framework::SteadyTime now) const;
+    /// Whether the server brings nothing for longer than it has lately, and others may be better for the moment.
+    bool isPausing(const UpstreamRecord&, framework::SteadyTime now) const;
     /// Engines of the service that an agent speaks for.
     std::vector<EngineFacts> engines(const framework::ServiceName&, framework::SteadyTime now) const;
     /// The most routers that any agent hears from; a guess without agents.
--- a/src/forwarding/liveness.h
+++ b/src/forwarding/liveness.h
@@ -23,12 +23,19 @@
     /// What it owed was given up since it is silent: it stays so until it is heard.
     void didGiveUp(framework::SteadyTime now) { signBy_ = framework::Deadline(now); }
     bool isSilent(framework::SteadyTime now) const { return signBy_ && signBy_->hasPassed(now); }
+    /// Whether it pauses for longer than it has lately. Others are better meanwhile: a busy model's callers send a
+    /// dozen requests to an engine before it counts as silent.
+    bool isPausing(framework::SteadyTime now) const;
     /// Whether one request may find out if a silent upstream lives. Nothing else would, where no agent speaks for it.
     bool mayProbe(framework::SteadyTime now) const;
 
 private:
     /// Silent from then on; nothing while it owes nothing.
     std::optional<framework::Deadline> signBy_;
+    /// Of its last sign, or when the first was due.
+    framework::SteadyTime pauseSince_ {};
+    /// Between two signs while it owed answers, in milliseconds; fades with each sign.
+    double longestPause_ = 0;
     std::optional<framework::Deadline> probeAt_;
 };
 
--- a/src/forwarding/tests/liveness_test.cpp
+++ b/src/forwarding/tests/liveness_test.cpp
@@ -76,6 +76,30 @@
     BOOST_TEST(hopeless.isSilent(after(2000)));
 }
 
+// Five routers sent fourteen chats to an engine in the 0.3 s after its VM had stopped: four engines held the model, and
+// each router had several streams there that had brought an event each 30 ms until then.
+BOOST_AUTO_TEST_CASE(anEngineThatPausesForLongerThanItDoesIsNoticedWithinATenthOfASecond)
+{
+    Liveness liveness;
+    liveness.didSend(start, Milliseconds(60));
+    for (int each = 1; each < 20; ++each)
+        liveness.didHear(after(each * 30), 3);
+    BOOST_TEST(!liveness.isPausing(after(570 + 90)));
+    BOOST_TEST(liveness.isPausing(after(570 + 120)));
+}
+
+// An engine that reads prompts in pieces of 110 ms isn't one that has stopped.
+BOOST_AUTO_TEST_CASE(itsUsualPausesMeanNothing)
+{
+    Liveness liveness;
+    liveness.didSend(start, Milliseconds(60));
+    for (int each = 1; each < 200; ++each)
+        liveness.didHear(after(each % 20 == 0 ? each * 30 + 110 : each * 30), 3);
+    const int last = 199 * 30;
+    BOOST_TEST(!liveness.isPausing(after(last + 150)));
+    BOOST_TEST(liveness.isPausing(after(last + 400)));
+}
+
 BOOST_AUTO_TEST_CASE(whatOwesNothingIsNotSilent)
 {
     Liveness liveness;
