A load is asked of another engine for 0.7 s of gain

Cause: an agent that has to let streams end says so, and its routers kept to it unless another was 1.5 s sooner; a drain takes 1.2 s here, so they waited for it beside engines that could load at once.

--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -35,7 +35,7 @@
 constexpr Milliseconds perRank { 60 };
 /// An engine that has been asked is left for another only if that one is so much sooner: a load that has been asked for
 /// is often under way already.
-constexpr Milliseconds changeGain { 1500 };
+constexpr Milliseconds changeGain { 700 };
 /// For an agent to hear and answer before its silence counts as a refusal.
 constexpr Milliseconds answerTime { 400 };
 /// How long an agent that couldn't place a model isn't asked again: what holds its places changes within seconds, and
