--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -109,6 +109,31 @@
     BOOST_TEST(asked("e") == std::vector<std::string> { "3" });
 }
 
+// An agent answered that two streams had to end first, and its routers kept to it for the 1.8 seconds that it named,
+// while the neighbour could have had the model in 0.8.
+BOOST_AUTO_TEST_CASE(anEngineThatNeedsASecondMoreThanItsNeighbourIsLeft)
+{
+    for (const std::string name : { "1", "2" })
+        engine(name, {}).atHand.disk.push_back(ModelName("e"));
+    wait("e");
+    const std::string first = asked("e").at(0);
+    EngineState& state = states.front().engine.value() == first ? states.front() : states.back();
+    state.expected.push_back({ ModelName("e"), Milliseconds(1800) });
+    BOOST_REQUIRE(asked("e").size() == 1u);
+    BOOST_TEST(asked("e").at(0) != first);
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatNeedsAMomentMoreThanItsNeighbourIsKeptTo)
+{
+    for (const std::string name : { "1", "2" })
+        engine(name, {}).atHand.disk.push_back(ModelName("e"));
+    wait("e");
+    const std::string first = asked("e").at(0);
+    EngineState& state = states.front().engine.value() == first ? states.front() : states.back();
+    state.expected.push_back({ ModelName("e"), Milliseconds(1300) });
+    BOOST_TEST(asked("e").at(0) == first);
+}
+
 BOOST_AUTO_TEST_CASE(allRoutersAskTheSameEngine)
 {
     for (const std::string name : { "1", "2", "3", "4", "5" })
