The model with the fewest requests makes way

Cause: in a burst all models of an engine are in use, and the one that was asked for least just then made way, however many streams of it had to end first: the last of five takes over twice as long as a single one.

Change: what makes way is ordered by its requests, then by how much it is missed. Test: theModelWithTheFewestRequestsMakesWay.

--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -321,15 +321,16 @@
     std::vector<ModelName> victims;
     if (fits(input, used, needed))
         return victims;
-    std::vector<std::tuple<bool, double, SteadyTime, const HeldModel*>> candidates;
+    // The fewer requests have to end first, the sooner the place is free.
+    std::vector<std::tuple<std::uint32_t, double, SteadyTime, const HeldModel*>> candidates;
     for (const HeldModel& held : input.report.held) {
         if (!mayMakeWay(input, held.model, wanted))
             continue;
         candidates.emplace_back(
-            usesOf(input, held.model) > 0, missed(input, held.model), uses_.at({ held.model, {} }).lastUsed, &held);
+            usesOf(input, held.model), missed(input, held.model), uses_.at({ held.model, {} }).lastUsed, &held);
     }
     std::sort(candidates.begin(), candidates.end());
-    for (const auto& [isUsed, value, lastUsed, held] : candidates) {
+    for (const auto& [uses, value, lastUsed, held] : candidates) {
         victims.push_back(held->model);
         used -= std::min(used, catalog::weightsOf(input.profile, *held).value());
         if (fits(input, used, needed))
--- a/src/engines/tests/placementplan_test.cpp
+++ b/src/engines/tests/placementplan_test.cpp
@@ -316,6 +316,20 @@
     BOOST_TEST(decide().leaving.empty());
 }
 
+// In a burst all models of an engine are in use. It let go the one that was asked for least just then, and five streams
+// of it ran on for four seconds, while its neighbour's only one ended in one.
+BOOST_AUTO_TEST_CASE(theModelWithTheFewestRequestsMakesWay)
+{
+    hold("a");
+    hold("b");
+    want(target("a")).inFlight = 5;
+    want(target("a")).work = 0.05;
+    want(target("b")).inFlight = 1;
+    want(target("b")).work = 0.06;
+    wait(target("c"));
+    BOOST_TEST((decideLater().leaving == std::vector<ModelName> { ModelName("b") }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::engines
