The log's lines of a request are made in a file of their own; the servers that it tried are one type

Whether a server was tried stood twice, in the search and in the request; ServersTried has it once. Behaviour stays as it is; forwarding_tests pass.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/requestjob.h"
 
+#include "forwarding/internal/requestlog.h"
 #include "forwarding/internal/upstreamattempt.h"
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
@@ -132,7 +133,7 @@
     // Whose time is up before it could be sent surely hasn't run, and with no time left no server could answer it.
     if (terms_.deadline.hasPassed(host_.now()))
         return didPassDeadline();
-    const UpstreamSearch search = findUpstream(host_, terms_, prompt_, { sentTo_, avoided_ });
+    const UpstreamSearch search = findUpstream(host_, terms_, prompt_, tried_);
     adapterAt_ = search.adapterAt;
     waitsForLoad_ = search.reason == NoUpstream::NotLoaded || search.reason == NoUpstream::AdapterNotLoaded;
     if (search.chosen)
@@ -162,9 +163,9 @@
     UpstreamRecord& upstream = *chosen.upstream;
     ++sends_;
     sentAt_ = host_.now();
-    sentTo_.insert(upstream.facts.run());
+    tried_.sentTo.insert(upstream.facts.run());
     lastServer_ = upstream.facts.instance.value();
-    logSend(chosen);
+    logDecision(sentLine(terms_, chosen, sends_, host_.now()));
     auto use = std::make_unique<UpstreamUse>(chosen.upstream, target(), terms_.route->priority, chosen.newTokens);
     attempt_ = std::make_shared<UpstreamAttempt>(weak_from_this(), host_.dialect(), std::move(use), chosen.connection);
     if (!terms_.facts.model.value().empty())
@@ -175,28 +176,6 @@
     host_.demandChanged();
 }
 
-void RequestJob::logSend(const ChosenUpstream& chosen) const
-{
-    LogLine line("sent");
-    line.text("id", terms_.facts.attempt)
-        .text("route", terms_.route->name.value())
-        .number("configuration", terms_.configuration->version.value())
-        .number("send", sends_)
-        .text("server", chosen.upstream->facts.instance.value())
-        .text("at", chosen.upstream->facts.endpoint.value())
-        .number("candidates", chosen.candidates)
-        .number("in_flight", chosen.upstream->inFlight)
-        .number("left_ms", terms_.deadline.remaining(host_.now()).count());
-    if (!terms_.facts.model.value().empty())
-        line.text("model", terms_.facts.model.value())
-            .text("adapter", terms_.facts.adapter.value())
-            .number("new_tokens", chosen.newTokens)
-            .number("expected_ms", chosen.expected.count());
-    if (chosen.stateAge)
-        line.number("state_age_ms", chosen.stateAge->count());
-    logDecision(line);
-}
-
 void RequestJob::logUnanswered() const
 {
     const char* const sentState = firstByteAt_ ? "streaming" : "sent";
@@ -217,7 +196,7 @@
     if (!attempt_ || !mayRepeat() || !host_.upstreams().isSilent(attempt_->use().upstream(), host_.now()))
         return;
     const bool hasTime = terms_.deadline.remaining(host_.now()) >= leastTimeToRepeat;
-    if (!hasTime || sentTo_.size() >= terms_.route->mostServers || !isHeldElsewhere())
+    if (!hasTime || tried_.sentTo.size() >= terms_.route->mostServers || !isHeldElsewhere())
         return;
     if (!host_.spendRepeat(terms_.service))
         return;
@@ -237,18 +216,12 @@
 {
     const std::vector<UpstreamPointer> ready = host_.upstreams().ready(terms_.service);
     return std::any_of(ready.begin(), ready.end(), [&](const UpstreamPointer& other) {
-        return other.get() != &attempt_->use().upstream() && !wasTried(*other)
+        return other.get() != &attempt_->use().upstream() && !tried_.has(*other)
             && !host_.upstreams().isSuspect(*other, host_.now()) && !host_.upstreams().isSilent(*other, host_.now())
             && host_.upstreams().holds(*other, target(), host_.now());
     });
 }
 
-bool RequestJob::wasTried(const UpstreamRecord& upstream) const
-{
-    const catalog::UpstreamRun run = upstream.facts.run();
-    return sentTo_.contains(run) || avoided_.contains(run);
-}
-
 void RequestJob::abandonAttempt()
 {
     const UpstreamPointer upstream = attempt_->use().pointer();
@@ -339,8 +312,8 @@
     UpstreamRecord& upstream = attempt_->use().upstream();
     upstream.suspicion.didFail(host_.now());
     if (!mayHaveRun) {
-        avoided_.insert(upstream.facts.run());
-        sentTo_.erase(upstream.facts.run());
+        tried_.avoided.insert(upstream.facts.run());
+        tried_.sentTo.erase(upstream.facts.run());
         attempt_.reset();
         lastCause_ = cause;
         if (++unreached_ < mostUnreached && !terms_.deadline.hasPassed(host_.now()))
@@ -360,7 +333,7 @@
     lastCause_ = cause;
     const bool mayRun = !mayHaveRun_ || mayRepeat();
     const bool hasTime = terms_.deadline.remaining(host_.now()) >= leastTimeToRepeat;
-    const bool hasServerLeft = sentTo_.size() < terms_.route->mostServers;
+    const bool hasServerLeft = tried_.sentTo.size() < terms_.route->mostServers;
     const bool isRepeated = mayRun && hasTime && hasServerLeft && host_.spendRepeat(terms_.service);
     logDecision(LogLine("attempt_failed")
                     .text("id", terms_.facts.attempt)
@@ -435,29 +408,15 @@
     const auto keepsItself = shared_from_this();
     isEnded_ = true;
     deadlineTimer_.reset();
-    const auto milliseconds = [this](framework::SteadyTime at) {
-        return std::chrono::duration_cast<Milliseconds>(at - exchange_->receivedAt()).count();
-    };
-    LogLine line("ended");
-    line.text("id", terms_.facts.attempt)
-        .text("route", terms_.route->name.value())
-        .text("service", terms_.service.value())
-        .text("outcome", outcome)
-        .number("status", status)
-        .number("sends", sends_)
-        .text("server", lastServer_)
-        .number("total_ms", milliseconds(host_.now()));
+    RequestEnd summary { outcome, status, cause, sends_, lastServer_, waited(host_.now()), {} };
     if (firstByteAt_)
-        line.number("first_ms", milliseconds(*firstByteAt_));
-    if (!terms_.facts.model.value().empty())
-        line.text("model", terms_.facts.model.value()).text("adapter", terms_.facts.adapter.value());
-    if (!cause.empty())
-        line.text("cause", cause);
-    logDecision(line);
-    host_.metrics().count("lagoon_forwarded_total", { { "service", terms_.service.value() }, { "outcome", outcome } });
+        summary.untilFirstByte = waited(*firstByteAt_);
+    logDecision(endedLine(terms_, summary));
+    const std::string service = terms_.service.value();
+    host_.metrics().count("lagoon_forwarded_total", { { "service", service }, { "outcome", outcome } });
     if (firstByteAt_)
-        host_.metrics().observeSeconds("lagoon_forwarded_first_byte_seconds", milliseconds(*firstByteAt_) / 1000.0,
-            { { "service", terms_.service.value() } });
+        host_.metrics().observeSeconds("lagoon_forwarded_first_byte_seconds",
+            static_cast<double>(waited(*firstByteAt_).count()) / 1000.0, { { "service", service } });
     host_.didEnd(shared_from_this());
 }
 
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -10,7 +10,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace lagoon::forwarding {
@@ -87,7 +86,6 @@
     void refuse(unsigned status, const std::string& cause, std::optional<framework::Milliseconds> retryAfter);
     void refuseAsOverloaded(framework::Milliseconds expected);
     bool isHeldElsewhere() const;
-    bool wasTried(const UpstreamRecord&) const;
     void abandonAttempt();
     void breakOff(const std::string& cause);
     void armDeadline();
@@ -95,7 +93,6 @@
     void didPassDeadline();
     void didLoseCaller();
     void end(const char* outcome, unsigned status, const std::string& cause);
-    void logSend(const ChosenUpstream&) const;
 
     /// A server's own answer that it failed the request, which is passed on if no other server does better.
     struct ServerFailure {
@@ -109,10 +106,7 @@
     PromptChain prompt_;
     std::unique_ptr<framework::Timer> deadlineTimer_;
     std::shared_ptr<UpstreamAttempt> attempt_;
-    /// Servers that it was sent to, and may have reached.
-    std::set<catalog::UpstreamRun> sentTo_;
-    /// Servers that couldn't be reached, or are no use for it.
-    std::set<catalog::UpstreamRun> avoided_;
+    ServersTried tried_;
     std::uint32_t sends_ = 0;
     framework::SteadyTime sentAt_ {};
     std::uint32_t unreached_ = 0;
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -18,24 +18,18 @@
 constexpr std::size_t affinityParts = 2;
 
 std::vector<UpstreamPointer> allowed(
-    const std::vector<UpstreamPointer>& ready, const JobTerms& terms, const SearchPast& past)
+    const std::vector<UpstreamPointer>& ready, const JobTerms& terms, const ServersTried& tried)
 {
-    if (past.sentTo.size() < terms.route->mostServers)
+    if (tried.sentTo.size() < terms.route->mostServers)
         return ready;
     std::vector<UpstreamPointer> found;
     for (const UpstreamPointer& upstream : ready) {
-        if (past.sentTo.contains(upstream->facts.run()))
+        if (tried.sentTo.contains(upstream->facts.run()))
             found.push_back(upstream);
     }
     return found;
 }
 
-bool wasTried(const UpstreamRecord& upstream, const SearchPast& past)
-{
-    const catalog::UpstreamRun run = upstream.facts.run();
-    return past.sentTo.contains(run) || past.avoided.contains(run);
-}
-
 http::ConnectionPool::Reuse reuseFor(const catalog::Route& route)
 {
     const bool mayRunTwice = route.kind == catalog::RouteKind::Idempotent || route.isResumable;
@@ -63,11 +57,11 @@
 
 class Search {
 public:
-    Search(IJobHost& host, const JobTerms& terms, const PromptChain& prompt, const SearchPast& past)
+    Search(IJobHost& host, const JobTerms& terms, const PromptChain& prompt, const ServersTried& tried)
         : host_(host)
         , terms_(terms)
         , prompt_(prompt)
-        , past_(past)
+        , tried_(tried)
         , now_(host.now())
     {
     }
@@ -77,7 +71,7 @@
         const std::vector<UpstreamPointer> ready = host_.upstreams().ready(terms_.service);
         if (ready.empty())
             return failed(NoUpstream::NoneReady);
-        std::vector<UpstreamPointer> candidates = allowed(ready, terms_, past_);
+        std::vector<UpstreamPointer> candidates = allowed(ready, terms_, tried_);
         if (candidates.empty())
             return failed(NoUpstream::NoneLeft);
         return terms_.facts.model.value().empty() ? amongServers(std::move(candidates))
@@ -133,8 +127,7 @@
 
     ServerView viewOf(const UpstreamRecord& server) const
     {
-        return { server.facts.slots, server.inFlight, isSuspect(server), isInOwnDomain(server),
-            wasTried(server, past_) };
+        return { server.facts.slots, server.inFlight, isSuspect(server), isInOwnDomain(server), tried_.has(server) };
     }
 
     UpstreamSearch amongEngines(const std::vector<UpstreamPointer>& candidates)
@@ -189,7 +182,7 @@
                 views.push_back(viewOf(*engine, placeOf(order, *engine)));
             const auto choice = chooseEngine(views);
             // What has been begun elsewhere isn't refused any more.
-            const bool isNew = past_.sentTo.empty();
+            const bool isNew = tried_.sentTo.empty();
             if (isNew)
                 host_.didFindQueue(terms_, choice->expected);
             if (isNew && host_.isOverloaded(terms_, choice->expected))
@@ -227,7 +220,7 @@
         view.affinityRank = switches().followsPrompts ? affinityRank : 0;
         view.isSuspect = isSuspect(engine) || host_.upstreams().isPausing(engine, now_);
         view.isInOwnFailureDomain = isInOwnDomain(engine);
-        view.wasTried = wasTried(engine, past_);
+        view.wasTried = tried_.has(engine);
         return view;
     }
 
@@ -248,15 +241,15 @@
     IJobHost& host_;
     const JobTerms& terms_;
     const PromptChain& prompt_;
-    const SearchPast& past_;
+    const ServersTried& tried_;
     framework::SteadyTime now_;
 };
 
 } // namespace
 
-UpstreamSearch findUpstream(IJobHost& host, const JobTerms& terms, const PromptChain& prompt, const SearchPast& past)
+UpstreamSearch findUpstream(IJobHost& host, const JobTerms& terms, const PromptChain& prompt, const ServersTried& tried)
 {
-    return Search(host, terms, prompt, past).run();
+    return Search(host, terms, prompt, tried).run();
 }
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -42,13 +42,21 @@
     framework::Milliseconds expected { 0 };
 };
 
-/// What the search has to know of the request's past.
-struct SearchPast {
-    const std::set<catalog::UpstreamRun>& sentTo;
-    const std::set<catalog::UpstreamRun>& avoided;
+/// The servers that one request has tried.
+struct ServersTried {
+    /// It was sent there, and may have reached them.
+    std::set<catalog::UpstreamRun> sentTo;
+    /// They couldn't be reached, or are no use for it.
+    std::set<catalog::UpstreamRun> avoided;
+
+    bool has(const UpstreamRecord& server) const
+    {
+        const catalog::UpstreamRun run = server.facts.run();
+        return sentTo.contains(run) || avoided.contains(run);
+    }
 };
 
 /// Finds a server that can take the request now, and a connection to it.
-UpstreamSearch findUpstream(IJobHost&, const JobTerms&, const PromptChain&, const SearchPast&);
+UpstreamSearch findUpstream(IJobHost&, const JobTerms&, const PromptChain&, const ServersTried&);
 
 } // namespace lagoon::forwarding
