The engine that a model is leaving isn't asked to load it

Cause: found by reading, then by the test: a caller comes for a model that is just making way. Its engine has the weights in memory, so it seemed the soonest and was asked; it loads nothing that it still holds, and the caller waited until the last stream there had ended, and beyond.

Change: such an engine can't place the model. Test: anEngineThatTheModelIsLeavingIsNotAskedForIt, fails without the change (played so).

--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -139,11 +139,14 @@
 
 /// Time until the model would be there, and what else its load costs in terms of time; `cannotPlace` if there's no
 /// room.
+///
+/// Guards against asking the engine at which the model is just making way: it has the weights at hand, so it seems the
+/// soonest, but it loads nothing that it still holds, and callers wait until that has ended.
 Milliseconds WantedPlanner::placingCost(
     const PlannerInput& input, const EngineFacts& engine, const ModelProfile& model, bool isWaitedFor)
 {
     const Milliseconds byRank = perRank * rankOf(input, model.name, engine.engine);
-    if (hasRefused(model.name, engine.engine))
+    if (hasRefused(model.name, engine.engine) || engine.state->isLeaving(model.name))
         return catalog::cannotPlace + byRank;
     if (expectedAt(engine, model.name, input.now))
         return loadCost(engine, model, input.now) + byRank;
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -134,6 +134,18 @@
     BOOST_TEST(asked("e").at(0) == first);
 }
 
+// A model was making way as its next caller came. Its own engine had the weights in memory, so that one was asked, and
+// the caller waited for the last stream there to end; others had it on disk, and room.
+BOOST_AUTO_TEST_CASE(anEngineThatTheModelIsLeavingIsNotAskedForIt)
+{
+    EngineState& left = engine("1", { "e" });
+    left.leaving.push_back(ModelName("e"));
+    left.atHand.memory.push_back(ModelName("e"));
+    engine("2", {}).atHand.disk.push_back(ModelName("e"));
+    wait("e");
+    BOOST_TEST(asked("e") == std::vector<std::string> { "2" });
+}
+
 BOOST_AUTO_TEST_CASE(allRoutersAskTheSameEngine)
 {
     for (const std::string name : { "1", "2", "3", "4", "5" })
