An engine that can't be connected to holds nothing until its agent speaks

Change: what fails to connect forgets what its agent said and holds nothing for 1.5 s or until the agent speaks again; the request waits for a load instead. Tests: anEngineThatCannotBeConnectedToHoldsNothingUntilItsAgentSpeaks, anEngineWithoutAnAgentIsTriedAgainAfterAWhile.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -314,6 +314,8 @@
     if (!mayHaveRun) {
         tried_.avoided.insert(upstream.facts.run());
         tried_.sentTo.erase(upstream.facts.run());
+        if (!terms_.facts.model.value().empty())
+            host_.upstreams().didLose(upstream, host_.now());
         attempt_.reset();
         lastCause_ = cause;
         if (++unreached_ < mostUnreached && !terms_.deadline.hasPassed(host_.now()))
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -14,6 +14,8 @@
 
 /// An agent speaks each second; one that has missed two is not to be relied on.
 constexpr Milliseconds stateHolds { 2500 };
+/// An engine that is there after all is heard of again within a second.
+constexpr Milliseconds lostFor { 1500 };
 /// Assumed while no agent has said how many there are: today's deployments have 5 to 28, and a part that is too small
 /// for a moment does less harm than one that is too large.
 constexpr std::uint32_t assumedRouters = 32;
@@ -111,13 +113,25 @@
     const bool isNewRun = noteStart(state);
     for (const auto& [instance, record] : records_) {
         if (record->facts.endpoint == engine)
-            record->liveness.didHear(now, record->inFlight);
+            didHear(*record, now);
     }
     states_[engine] = { std::move(state), now };
     if (isNewRun || routers() != before)
         limitConnections();
 }
 
+void UpstreamTable::didHear(UpstreamRecord& record, SteadyTime now)
+{
+    record.liveness.didHear(now, record.inFlight);
+    record.lostUntil = framework::Deadline();
+}
+
+void UpstreamTable::didLose(UpstreamRecord& record, SteadyTime now)
+{
+    record.lostUntil = framework::Deadline::after(now, lostFor);
+    states_.erase(record.facts.endpoint);
+}
+
 /// An agent sees its engine start again before the list shows it: until then, prompts that are no longer there would
 /// draw requests, and what was sent over an idle connection of the former run would be lost.
 bool UpstreamTable::noteStart(const catalog::EngineState& state)
@@ -158,6 +172,8 @@
 
 bool UpstreamTable::holds(const UpstreamRecord& record, const catalog::ModelTarget& target, SteadyTime now) const
 {
+    if (!record.lostUntil.hasPassed(now))
+        return false;
     const auto isThis
         = [&](const catalog::HeldModel& held) { return held.model == target.model && held.has(target.adapter); };
     if (const HeardState* const heard = state(record, now)) {
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -28,6 +28,8 @@
     Liveness liveness;
     /// Another server has its address by now, though the list still has it.
     bool isGone = false;
+    /// Until then it is thought to hold nothing.
+    framework::Deadline lostUntil;
     PromptCache prompts;
     std::uint32_t inFlight = 0;
     /// By what runs there.
@@ -75,6 +77,10 @@
     bool isSilent(const UpstreamRecord&, framework::SteadyTime now) const;
     /// Whether the server brings nothing for longer than it has lately, and others may be better for the moment.
     bool isPausing(const UpstreamRecord&, framework::SteadyTime now) const;
+    /// The engine can't be connected to: what its agent said last is of a process that has ended. Its agent says so
+    /// only by its silence, so callers would be refused, one after the other, by the engine that held their model, and
+    /// no other would be asked to load it.
+    void didLose(UpstreamRecord&, framework::SteadyTime now);
     /// Engines of the service that an agent speaks for.
     std::vector<EngineFacts> engines(const framework::ServiceName&, framework::SteadyTime now) const;
     /// The most routers that any agent hears from; a guess without agents.
@@ -82,6 +88,7 @@
     bool isEmpty() const { return records_.empty(); }
 
 private:
+    static void didHear(UpstreamRecord&, framework::SteadyTime now);
     /// Whether a server's restart is known by this only.
     bool noteStart(const catalog::EngineState&);
     void limitConnections();
--- a/src/forwarding/tests/upstreamtable_test.cpp
+++ b/src/forwarding/tests/upstreamtable_test.cpp
@@ -189,6 +189,33 @@
     BOOST_TEST(table.holds(only(), target, now));
 }
 
+// An engine crashed. For two and a half seconds its agent's last word held, so each chat for its model was sent there,
+// found no listener three times within a moment, and was refused; nobody was asked to load the model elsewhere.
+BOOST_AUTO_TEST_CASE(anEngineThatCannotBeConnectedToHoldsNothingUntilItsAgentSpeaks)
+{
+    table.setUpstreams({ upstream(0) });
+    table.setState(state(0, true), now);
+    BOOST_REQUIRE(table.holds(only(), target, now));
+    table.didLose(only(), now);
+    BOOST_TEST(!table.holds(only(), target, now));
+    BOOST_TEST(table.engines(service, now).empty());
+    table.setState(state(0, true), now);
+    BOOST_TEST(table.holds(only(), target, now));
+    BOOST_TEST(table.engines(service, now).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(anEngineWithoutAnAgentIsTriedAgainAfterAWhile)
+{
+    Upstream listed = upstream(0);
+    listed.models.push_back({ target.model, 1, {}, 0, 0 });
+    table.setUpstreams({ listed });
+    table.didLose(only(), now);
+    BOOST_TEST(!table.holds(only(), target, now + Milliseconds(1000)));
+    table.setUpstreams({ listed });
+    BOOST_TEST(!table.holds(only(), target, now + Milliseconds(1000)));
+    BOOST_TEST(table.holds(only(), target, now + Milliseconds(1500)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
