--- a/src/engines/internal/enginekeeper.cpp
+++ b/src/engines/internal/enginekeeper.cpp
@@ -39,7 +39,7 @@
 /// A report that goes on showing fewer orders than were accepted is a restarted engine's, not an old one.
 constexpr Milliseconds oldReportsFor { 700 };
 
-/// How long an order without an answer may still be carried out: several times the ten seconds that were seen.
+/// How long an order without an answer may still be carried out.
 constexpr Milliseconds lateOrdersFor { 30000 };
 
 std::string targetText(const catalog::ModelTarget& target)
--- a/src/forwarding/enginespeed.h
+++ b/src/forwarding/enginespeed.h
@@ -2,8 +2,8 @@
 
 namespace lagoon::forwarding {
 
-/// Prompt tokens that an engine reads in a millisecond, as the operators' pages state it for both of today's sites.
-/// Only its proportion to the other costs matters for what is decided by it.
+/// Prompt tokens that an engine reads in a millisecond. Only its proportion to the other costs matters for what is
+/// decided by it.
 inline constexpr double promptTokensPerMillisecond = 38.4;
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -16,8 +16,8 @@
 constexpr Milliseconds stateHolds { 2500 };
 /// An engine that is there after all is heard of again within a second.
 constexpr Milliseconds lostFor { 1500 };
-/// Assumed while no agent has said how many there are: today's deployments have 5 to 28, and a part that is too small
-/// for a moment does less harm than one that is too large.
+/// Assumed while no agent has said how many there are: a part that is too small for a moment does less harm than one
+/// that is too large.
 constexpr std::uint32_t assumedRouters = 32;
 /// Connections to a server that a router may open in any case.
 constexpr std::size_t fewestConnections = 4;
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -27,8 +27,7 @@
 /// its load instead.
 constexpr Milliseconds perDamage { 400 };
 /// A model with so many adapters serves as many groups of callers, and grows busy more often than one with none. It is
-/// kept at hand on a second engine, since a copy from the store takes longer than its callers wait: in a day on which
-/// demand moved twice to such a model it made first events a second late for six seconds each time.
+/// kept at hand on a second engine, since a copy from the store takes longer than its callers wait.
 constexpr std::uint32_t adaptersOfStandby = 8;
 constexpr std::size_t standbyEngines = 2;
 /// Among engines that could load as soon as each other, the same one at all routers.
@@ -315,8 +314,8 @@
 /// A model that no engine has at hand costs its first caller a load from the store, mostly longer than callers find
 /// acceptable. So each is fetched once while nobody waits for it, a few at a time, and some a second time.
 ///
-/// Guards against fetching ahead before demand is known: after a loss of power everywhere an engine was six seconds
-/// busy with a model that nobody asked for, which had the only copy on disk of the one that all asked for.
+/// Guards against fetching ahead before demand is known: after a loss of power everywhere an engine is busy for the
+/// time of a load with a model that nobody asks for, and has the only copy on disk of the one that all ask for.
 void WantedPlanner::planPrefetch(const PlannerInput& input)
 {
     if (!input.isComplete || !input.isDemandKnown)
