A copy of a model that its engines can't serve goes first, and its loader is kept to

A copy could displace only what nobody used, in a burst all is in use; it came behind each load that a caller waited for; and routers asked another engine for it every few moments, so that none let its requests end for it.

Change: (1) an agent loads a copy before all else, and lets requests end for it, where the model's work is over 0.8 of an engine for each holder; (2) a router keeps to the engine that it asked for a copy, up to the gain at which it leaves a waited load's. Tests, each seen to fail without: aCopyOfAModelThatItsEnginesCannotServeGoesFirst, anEngineThatWasAskedForACopyIsKeptTo; and aCopyForSafetyWaitsForItsTurn.

--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -51,6 +51,13 @@
     return engines::usesOf(input.wanted, model);
 }
 
+/// Guards against a busy model that stays on one engine: where all other models are in use, none made way for its copy,
+/// and loads that single callers wait for went before it, while its own callers were refused for seconds.
+bool isStrainedCopy(const Wanted& wanted)
+{
+    return wanted.isCopy && wanted.waiting == 0 && policy::isStrained(wanted.work, wanted.holders);
+}
+
 MegaBytes adapterSize(const PlacementInput& input, const ModelName& model)
 {
     const ModelProfile* const profile = input.profile.find(model);
@@ -218,6 +225,7 @@
 
 std::vector<Wanted> PlacementPlan::toLoad(const PlacementInput& input) const
 {
+    std::vector<Wanted> all;
     std::vector<Wanted> waited;
     std::vector<Wanted> copies;
     std::vector<Wanted> prefetched;
@@ -225,14 +233,17 @@
         const bool isMissing = !catalog::findHeld(input.report.held, target.model) && loading_ != target.model;
         if (!target.adapter.value().empty() || !isMissing || !input.profile.find(target.model))
             continue;
-        if (wanted.waiting > 0)
+        if (isStrainedCopy(wanted))
+            all.push_back(wanted);
+        else if (wanted.waiting > 0)
             waited.push_back(wanted);
         else if (wanted.isPrefetch)
             prefetched.push_back(wanted);
         else if (wanted.isCopy)
             copies.push_back(wanted);
     }
-    std::vector<Wanted> all = byValue(input, waited);
+    const std::vector<Wanted> ordered = byValue(input, waited);
+    all.insert(all.end(), ordered.begin(), ordered.end());
     all.insert(all.end(), copies.begin(), copies.end());
     all.insert(all.end(), prefetched.begin(), prefetched.end());
     return all;
@@ -349,6 +360,8 @@
     // A busy model may lose one of several copies, never its only one.
     if (loaded.waiting > 0)
         return isSurplus || !policy::isBusyModel(wanted.work) || wanted.holders > 1;
+    if (isStrainedCopy(loaded))
+        return isSurplus || !policy::isBusyModel(wanted.work);
     if (usesOf(input, held) > 0)
         return false;
     if (loaded.isPrefetch)
--- a/src/engines/tests/placementplan_test.cpp
+++ b/src/engines/tests/placementplan_test.cpp
@@ -330,6 +330,36 @@
     BOOST_TEST((decideLater().leaving == std::vector<ModelName> { ModelName("b") }));
 }
 
+// Chats moved to a model that one engine held. Their queue there was two seconds long, and they were refused; the
+// engine that was asked for a copy had only models in use, and others that single callers waited for. It took seven
+// seconds.
+BOOST_AUTO_TEST_CASE(aCopyOfAModelThatItsEnginesCannotServeGoesFirst)
+{
+    hold("a");
+    hold("b");
+    want(target("a")).inFlight = want(target("b")).inFlight = 1;
+    wait(target("c"));
+    Wanted& copy = want(target("d"));
+    copy.isCopy = true;
+    copy.work = 1.5;
+    const PlacementDecision decision = decideLater();
+    BOOST_REQUIRE(decision.leaving.size() == 1u);
+    BOOST_TEST((decision.expected.front().model == ModelName("d")));
+}
+
+BOOST_AUTO_TEST_CASE(aCopyForSafetyWaitsForItsTurn)
+{
+    hold("a");
+    hold("b");
+    want(target("a")).inFlight = want(target("b")).inFlight = 1;
+    Wanted& copy = want(target("d"));
+    copy.isCopy = true;
+    copy.work = 0.4;
+    const PlacementDecision decision = decideLater();
+    BOOST_TEST(decision.leaving.empty());
+    BOOST_TEST(!decision.order);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::engines
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace lagoon::forwarding {
 
@@ -269,9 +270,11 @@
     return &choice.engine;
 }
 
-/// Busy models need more than one engine.
+/// Busy models need more than one engine. An engine that has been asked is left for another only for the gain at which
+/// a waited load would be: it may have to let requests end first, and begins anew each time that it is asked again.
 void WantedPlanner::planCopies(const PlannerInput& input)
 {
+    const auto askedBefore = std::exchange(copyLoaders_, {});
     for (const auto& [name, work] : workOfAll_) {
         const ModelProfile* const model = input.profile.find(name);
         if (!model || !policy::isBusyModel(work))
@@ -279,19 +282,23 @@
         std::uint32_t missing = policy::wantedCopies(work);
         missing -= std::min(missing, holdersOf(name) + loadersOf(input.engines, name));
         // All that are missing at once: a load may take many seconds.
-        for (const Endpoint& engine : cheapestFor(input, *model, missing)) {
+        const auto asked = askedBefore.find(name);
+        const std::set<Endpoint> kept = asked == askedBefore.end() ? std::set<Endpoint>() : asked->second;
+        for (const Endpoint& engine : cheapestFor(input, *model, missing, kept)) {
             if (!takeStorePlace(*factsOf(input.engines, engine), *model, input.policy.sharesWeightStore))
                 break;
             Wanted wanted;
             wanted.target.model = name;
             wanted.isCopy = true;
+            copyLoaders_[name].insert(engine);
             add(input, engine, wanted);
         }
     }
 }
 
 /// Engines without the model, those first where it costs least to place it.
-std::vector<Endpoint> WantedPlanner::cheapestFor(const PlannerInput& input, const ModelProfile& model, std::size_t most)
+std::vector<Endpoint> WantedPlanner::cheapestFor(
+    const PlannerInput& input, const ModelProfile& model, std::size_t most, const std::set<Endpoint>& askedBefore)
 {
     std::vector<std::pair<Milliseconds, Endpoint>> costs;
     for (const EngineFacts& engine : input.engines) {
@@ -299,7 +306,8 @@
             continue;
         const Milliseconds cost = placingCost(input, engine, model, false);
         if (cost < catalog::cannotPlace)
-            costs.emplace_back(cost, engine.engine);
+            costs.emplace_back(
+                cost - (askedBefore.contains(engine.engine) ? changeGain : Milliseconds(0)), engine.engine);
     }
     std::sort(costs.begin(), costs.end());
     std::vector<Endpoint> cheapest;
@@ -333,7 +341,7 @@
     for (const auto& [engines, hash, model] : missing) {
         if (storeQueue_.freePlaces() <= taken.size())
             return;
-        for (const Endpoint& engine : cheapestFor(input, *model, input.engines.size())) {
+        for (const Endpoint& engine : cheapestFor(input, *model, input.engines.size(), {})) {
             const bool isBusy = !factsOf(input.engines, engine)->state->loading.value().empty()
                 || std::find(taken.begin(), taken.end(), engine) != taken.end();
             if (isBusy)
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -310,6 +310,25 @@
     BOOST_TEST(asked("f") == std::vector<std::string> { "1" });
 }
 
+// The engine that was asked for a copy had to let a stream end, its neighbour's ended a moment sooner and it was asked
+// in place of the first, and so on in turn: none ever came to the load.
+BOOST_AUTO_TEST_CASE(anEngineThatWasAskedForACopyIsKeptTo)
+{
+    engine("1", { "a" }).held[0].work = 0.9;
+    for (const std::string name : { "2", "3" }) {
+        EngineState& state = engine(name, { "b", "c" });
+        state.atHand.disk.push_back(ModelName("a"));
+    }
+    work[ModelName("a")] = 0.9;
+    runTime = Milliseconds(500);
+    const std::string first = asked("a").at(0);
+    for (EngineState& state : states) {
+        if (state.engine.value() == first)
+            state.held[0].inUse = state.held[1].inUse = 1;
+    }
+    BOOST_TEST(asked("a") == std::vector<std::string> { first });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -83,7 +84,8 @@
     bool takeStorePlace(const EngineFacts&, const catalog::ModelProfile&, bool sharesWeightStore);
     framework::Milliseconds placingCost(
         const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&, bool isWaitedFor);
-    std::vector<framework::Endpoint> cheapestFor(const PlannerInput&, const catalog::ModelProfile&, std::size_t most);
+    std::vector<framework::Endpoint> cheapestFor(const PlannerInput&, const catalog::ModelProfile&, std::size_t most,
+        const std::set<framework::Endpoint>& askedBefore);
     void noteRefusals(const PlannerInput&);
     bool hasRefused(const framework::ModelName&, const framework::Endpoint& engine) const;
     void planHeld(const PlannerInput&);
@@ -99,6 +101,8 @@
 
     std::map<framework::Endpoint, catalog::WantedList> lists_;
     std::map<framework::ModelName, Choice> choices_;
+    /// Engines that were asked for further copies in the last plan.
+    std::map<framework::ModelName, std::set<framework::Endpoint>> copyLoaders_;
     std::unique_ptr<policy::ILoadOrder> loadOrder_;
     policy::StorePlaces storePlaces_;
     /// Loads from the store that are under way or asked for in this plan.
--- a/src/policy/internal/modelcopies.cpp
+++ b/src/policy/internal/modelcopies.cpp
@@ -13,8 +13,13 @@
 /// A model with this much work has a second copy, so that the loss of one engine doesn't stop it.
 constexpr double workOfBusyModel = 0.2;
 
+/// Beyond this part of an engine's time queues grow by themselves.
+constexpr double workOfStrainedCopy = 0.8;
+
 } // namespace
 
+bool isStrained(double work, std::uint32_t holders) { return holders > 0 && work > workOfStrainedCopy * holders; }
+
 bool isBusyModel(double work) { return work >= workOfBusyModel; }
 
 std::uint32_t wantedCopies(double work)
--- a/src/policy/modelcopies.h
+++ b/src/policy/modelcopies.h
@@ -10,4 +10,8 @@
 /// Whether so many requests come that one load after another, or the loss of one engine, would be felt.
 bool isBusyModel(double work);
 
+/// Whether the engines that hold the model have more of its work than they can do, so that another copy helps more
+/// callers than whatever else an engine could load.
+bool isStrained(double work, std::uint32_t holders);
+
 } // namespace lagoon::policy
