Drains are watched in a class of their own

The plan's comment says in which order it loads by now. Behaviour stays as it is: engines_tests pass.

--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -31,8 +31,6 @@
 constexpr std::size_t adaptersComing = 4;
 /// Between the end of a model's requests and its place being free.
 constexpr Milliseconds unloadTime { 40 };
-/// For running requests of a model that makes way to end, until some have been seen to.
-constexpr Milliseconds assumedDrainTime { 500 };
 /// While an order is under way whose end isn't known, as after this process has started anew.
 constexpr Milliseconds unknownOrder { 1000 };
 
@@ -101,7 +99,6 @@
 
 PlacementPlan::PlacementPlan(std::unique_ptr<policy::ILoadOrder> loadOrder)
     : loadOrder_(std::move(loadOrder))
-    , drainTime_(assumedDrainTime)
 {
 }
 
@@ -112,13 +109,14 @@
     unloading_ = ModelName();
     loadsFromStore_ = false;
     loadedBy_ = Deadline();
-    drainingSince_.clear();
+    drains_.reset();
 }
 
 PlacementDecision PlacementPlan::decide(const PlacementInput& input)
 {
     noteUses(input);
-    noteDrained(input);
+    const auto uses = [&input](const ModelName& model) { return usesOf(input, model); };
+    drains_.noteDrained(uses, input.now);
     PlacementDecision decision;
     if (!input.report.isBusy) {
         loading_ = ModelName();
@@ -135,30 +133,10 @@
         planModel(input, wanted, decision, soFar);
     if (!unloading_.value().empty())
         decision.leaving.push_back(unloading_);
-    noteDraining(input, decision.leaving);
+    drains_.noteLeaving(decision.leaving, uses, input.now);
     return decision;
 }
 
-void PlacementPlan::noteDrained(const PlacementInput& input)
-{
-    std::erase_if(drainingSince_, [&](const auto& entry) {
-        if (usesOf(input, entry.first) > 0)
-            return false;
-        drainTime_.add(std::chrono::duration_cast<Milliseconds>(input.now - entry.second));
-        return true;
-    });
-}
-
-void PlacementPlan::noteDraining(const PlacementInput& input, const std::vector<ModelName>& leaving)
-{
-    std::erase_if(drainingSince_,
-        [&](const auto& entry) { return std::find(leaving.begin(), leaving.end(), entry.first) == leaving.end(); });
-    for (const ModelName& model : leaving) {
-        if (usesOf(input, model) > 0)
-            drainingSince_.try_emplace(model, input.now);
-    }
-}
-
 void PlacementPlan::noteUses(const PlacementInput& input)
 {
     std::set<ModelTarget> held;
@@ -276,22 +254,6 @@
     return loadedBy_.remaining(input.now);
 }
 
-/// Until the requests of the models that make way have ended. Those that run longer than usual are thought to need as
-/// long again, so that routers stop waiting for an engine that one long stream keeps from loading.
-Milliseconds PlacementPlan::untilDrained(const PlacementInput& input, const std::vector<ModelName>& leaving) const
-{
-    Milliseconds longest(0);
-    for (const ModelName& model : leaving) {
-        if (usesOf(input, model) == 0)
-            continue;
-        longest = std::max(longest, drainTime_.mean());
-        const auto since = drainingSince_.find(model);
-        if (since != drainingSince_.end())
-            longest = std::max(longest, std::chrono::duration_cast<Milliseconds>(input.now - since->second));
-    }
-    return longest;
-}
-
 void PlacementPlan::planModel(
     const PlacementInput& input, const Wanted& wanted, PlacementDecision& decision, Milliseconds& soFar)
 {
@@ -303,7 +265,8 @@
     }
     const bool isFirst = !decision.order && !input.report.isBusy && decision.leaving.empty();
     soFar += catalog::loadTime(*input.profile.find(model), input.report.atHand) + unloadTime * victims->size()
-        + untilDrained(input, *victims);
+        + drains_.expected(
+            *victims, [&input](const ModelName& held) { return usesOf(input, held); }, input.now);
     decision.expected.push_back({ model, soFar });
     if (!isFirst)
         return;
--- a/src/engines/placementplan.h
+++ b/src/engines/placementplan.h
@@ -3,10 +3,10 @@
 #include "catalog/types/configuration.h"
 #include "catalog/types/upstream.h"
 #include "catalog/types/wanted.h"
+#include "engines/drainwatch.h"
 #include "engines/types/enginereport.h"
 #include "framework/types/time.h"
 #include "policy/iloadorder.h"
-#include "policy/meanduration.h"
 
 #include <map>
 #include <memory>
@@ -36,9 +36,10 @@
 /// Requests under way for the model, with or without an adapter, and those that wait for it or one of its adapters.
 std::uint32_t usesOf(const std::map<catalog::ModelTarget, catalog::Wanted>&, const framework::ModelName&);
 
-/// Decides which models and adapters one engine holds: what is waited for comes first, by how many wait, how long the
-/// load takes and when the nearest deadline is; then further copies of busy models; then models that no engine has at
-/// hand. What makes way is what is least missed. Without I/O or clock.
+/// Decides which models and adapters one engine holds. Copies of models that their engines can't serve come first; then
+/// what is waited for, by how many wait, how long the load takes and when the nearest deadline is; then further copies
+/// of busy models; then models that no engine has at hand. What makes way is what has the fewest requests, and among
+/// equals what is least missed. Without I/O or clock.
 class PlacementPlan {
 public:
     explicit PlacementPlan(std::unique_ptr<policy::ILoadOrder>);
@@ -68,9 +69,6 @@
     std::optional<std::vector<framework::ModelName>> victimsFor(const PlacementInput&, const catalog::Wanted&) const;
     bool mayMakeWay(const PlacementInput&, const framework::ModelName&, const catalog::Wanted& loaded) const;
     double missed(const PlacementInput&, const framework::ModelName&) const;
-    void noteDrained(const PlacementInput&);
-    void noteDraining(const PlacementInput&, const std::vector<framework::ModelName>& leaving);
-    framework::Milliseconds untilDrained(const PlacementInput&, const std::vector<framework::ModelName>&) const;
     framework::Milliseconds untilFree(const PlacementInput&) const;
     void planModel(const PlacementInput&, const catalog::Wanted&, PlacementDecision&, framework::Milliseconds& soFar);
 
@@ -84,9 +82,7 @@
     framework::ModelName unloading_;
     bool loadsFromStore_ = false;
     framework::Deadline loadedBy_;
-    /// Since when models in use have been making way.
-    std::map<framework::ModelName, framework::SteadyTime> drainingSince_;
-    policy::MeanDuration drainTime_;
+    DrainWatch drains_;
 };
 
 } // namespace lagoon::engines
