What requests take of engines is added up once a plan

Each plan asked, for each model, all engines for its requests: models times engines, up to 66 times a second; at 85 models and 42 engines some 235,000 steps a second of a router with 0.09 cores (a sum, not measured). Now one pass over what is under way. Same results: loadrequests_test.

--- a/src/forwarding/internal/enginefacts.cpp
+++ b/src/forwarding/internal/enginefacts.cpp
@@ -64,14 +64,13 @@
         engines.begin(), engines.end(), [&](const EngineFacts& engine) { return engine.state->loading == model; }));
 }
 
-double occupancyOf(const std::vector<EngineFacts>& engines, const ModelName& model, std::uint32_t slots)
+std::map<ModelName, double> occupancies(const std::vector<EngineFacts>& engines, std::uint32_t slots)
 {
-    double all = 0;
+    std::map<ModelName, double> all;
     for (const EngineFacts& engine : engines) {
-        std::uint32_t requests = 0;
+        const double share = shareOfRequest(*engine.state, slots);
         for (const auto& [target, inFlight] : engine.inFlight)
-            requests += target.model == model ? inFlight : 0;
-        all += requests * shareOfRequest(*engine.state, slots);
+            all[target.model] += inFlight * share;
     }
     return all;
 }
--- a/src/forwarding/internal/enginefacts.h
+++ b/src/forwarding/internal/enginefacts.h
@@ -3,6 +3,7 @@
 #include "forwarding/wantedplanner.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -17,9 +18,9 @@
 framework::Milliseconds loadCost(const EngineFacts&, const catalog::ModelProfile&, framework::SteadyTime now);
 /// Engines that are loading the model.
 std::uint32_t loadersOf(const std::vector<EngineFacts>&, const framework::ModelName&);
-/// Part of one engine that this router's requests under way for the model and its adapters take, wherever they run: of
+/// Part of one engine that this router's requests under way for each model and its adapters take, wherever they run: of
 /// its slots or of its memory, whichever is scarcer. `slots` are an engine's.
-double occupancyOf(const std::vector<EngineFacts>&, const framework::ModelName&, std::uint32_t slots);
+std::map<framework::ModelName, double> occupancies(const std::vector<EngineFacts>&, std::uint32_t slots);
 /// Null if there is none at the endpoint.
 const EngineFacts* factsOf(const std::vector<EngineFacts>&, const framework::Endpoint&);
 
--- a/src/forwarding/internal/loadrequests.cpp
+++ b/src/forwarding/internal/loadrequests.cpp
@@ -79,11 +79,11 @@
     forgetServed(service.name, ready, now);
     PlannerInput input { *service.engine, upstreams_.engines(service.name, now), byTarget(service.name, requests), {},
         false, demand_.isKnown(now), now, runTime_.mean(), policy };
+    input.work = occupancies(input.engines, service.engine->slots);
     for (const catalog::ModelProfile& model : service.engine->models) {
-        const double work
-            = demand_.work(model.name, now) + occupancyOf(input.engines, model.name, service.engine->slots);
-        if (work > 0)
-            input.work.emplace(model.name, work);
+        const double reading = demand_.work(model.name, now);
+        if (reading > 0)
+            input.work[model.name] += reading;
     }
     input.isComplete = !input.engines.empty() && input.engines.size() * 10 >= ready.size() * 9;
     const auto plan = planners_[service.name].plan(input);
