Whether a request is for a model is asked in one place; a policy isn't handed beside the input that has it

From reading the whole change once more; behaviour stays as it is. - RequestJob asked five times whether its model's name is empty: isForModel. didHear asks it too: sends to plain servers never counted for liveness, their answers did, to no effect, as nothing asks for a plain server's silence. - takeStorePlace took one policy switch beside the engine's facts at both its callers; it takes the plan's input, as its neighbours do. - The plan of an engine wrote the same lambda twice for its drains: usesIn.

Ruled out: merging the two ways in which byTarget adds up waiting callers, which differ on purpose (a returning caller sets neither deadline nor priority of those who wait).

--- a/src/engines/internal/placementplan.cpp
+++ b/src/engines/internal/placementplan.cpp
@@ -49,6 +49,11 @@
     return engines::usesOf(input.wanted, model);
 }
 
+DrainWatch::Uses usesIn(const PlacementInput& input)
+{
+    return [&input](const ModelName& model) { return usesOf(input, model); };
+}
+
 /// Guards against a busy model that stays on one engine: where all other models are in use, none made way for its copy,
 /// and loads that single callers wait for went before it, while its own callers were refused for seconds.
 bool isStrainedCopy(const Wanted& wanted)
@@ -115,7 +120,7 @@
 PlacementDecision PlacementPlan::decide(const PlacementInput& input)
 {
     noteUses(input);
-    const auto uses = [&input](const ModelName& model) { return usesOf(input, model); };
+    const DrainWatch::Uses uses = usesIn(input);
     drains_.noteDrained(uses, input.now);
     PlacementDecision decision;
     if (!input.report.isBusy) {
@@ -265,8 +270,7 @@
     }
     const bool isFirst = !decision.order && !input.report.isBusy && decision.leaving.empty();
     soFar += catalog::loadTime(*input.profile.find(model), input.report.atHand) + unloadTime * victims->size()
-        + drains_.expected(
-            *victims, [&input](const ModelName& held) { return usesOf(input, held); }, input.now);
+        + drains_.expected(*victims, usesIn(input), input.now);
     decision.expected.push_back({ model, soFar });
     if (!isFirst)
         return;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -151,7 +151,7 @@
     ForwardingTerms terms;
     terms.timeLeft = std::max(Milliseconds(1), terms_.deadline.remaining(host_.now()));
     terms.instance = upstream.facts.instance;
-    if (!terms_.facts.model.value().empty())
+    if (isForModel())
         terms.priority = std::min(leastUrgent, mostUrgent + terms_.route->priority);
     if (isStream())
         terms.resumeAfter = events_.last();
@@ -168,7 +168,7 @@
     logDecision(sentLine(terms_, chosen, sends_, host_.now()));
     auto use = std::make_unique<UpstreamUse>(chosen.upstream, target(), terms_.route->priority, chosen.newTokens);
     attempt_ = std::make_shared<UpstreamAttempt>(weak_from_this(), host_.dialect(), std::move(use), chosen.connection);
-    if (!terms_.facts.model.value().empty())
+    if (isForModel())
         upstream.liveness.didSend(host_.now(), chosen.expected);
     // What the engine has read of a prompt is kept for the next one that begins alike.
     upstream.prompts.didSend(prompt_);
@@ -189,7 +189,12 @@
                     .number("waited_ms", waited(host_.now()).count()));
 }
 
-void RequestJob::didHear(UpstreamRecord& upstream) { upstream.liveness.didHear(host_.now(), upstream.inFlight); }
+/// Of engines only, as for what is sent.
+void RequestJob::didHear(UpstreamRecord& upstream)
+{
+    if (isForModel())
+        upstream.liveness.didHear(host_.now(), upstream.inFlight);
+}
 
 void RequestJob::leaveSilent()
 {
@@ -267,7 +272,7 @@
     if (events_.holdsPart())
         return didBreak("stream ended within an event", true);
     attempt_.reset();
-    if (!terms_.facts.model.value().empty())
+    if (isForModel())
         host_.didRun(std::chrono::duration_cast<Milliseconds>(host_.now() - sentAt_));
     exchange_->endAnswer();
     end("served", 200, {});
@@ -314,7 +319,7 @@
     if (!mayHaveRun) {
         tried_.avoided.insert(upstream.facts.run());
         tried_.sentTo.erase(upstream.facts.run());
-        if (!terms_.facts.model.value().empty())
+        if (isForModel())
             host_.upstreams().didLose(upstream, host_.now());
         attempt_.reset();
         lastCause_ = cause;
@@ -388,7 +393,7 @@
 {
     const bool isUnderWay = attempt_ != nullptr;
     if (isUnderWay) {
-        if (terms_.facts.model.value().empty())
+        if (!isForModel())
             attempt_->use().upstream().suspicion.didFail(host_.now());
         abandonAttempt();
         mayHaveRun_ = true;
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -77,6 +77,7 @@
 
 private:
     bool isStream() const { return terms_.route->kind == catalog::RouteKind::Streaming; }
+    bool isForModel() const { return !terms_.facts.model.value().empty(); }
     bool mayRepeat() const;
     catalog::ModelTarget target() const;
     void send(const ChosenUpstream&);
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -127,9 +127,9 @@
 
 /// Whether the load may be asked for: from the store only while it serves no more than it can at full speed. Beyond
 /// that all loads slow down together, and each of them comes too late.
-bool WantedPlanner::takeStorePlace(const EngineFacts& engine, const ModelProfile& model, bool sharesWeightStore)
+bool WantedPlanner::takeStorePlace(const PlannerInput& input, const Endpoint& engine, const ModelProfile& model)
 {
-    if (!sharesWeightStore || !needsStore(engine, model))
+    if (!input.policy.sharesWeightStore || !needsStore(*factsOf(input.engines, engine), model))
         return true;
     if (!storeQueue_.hasPlace())
         return false;
@@ -239,7 +239,7 @@
     if (!loader)
         return;
     const ModelProfile& model = *input.profile.find(waiting.target.model);
-    if (takeStorePlace(*factsOf(input.engines, *loader), model, input.policy.sharesWeightStore))
+    if (takeStorePlace(input, *loader, model))
         return add(input, *loader, wanted);
     heldBack_[model.name] = framework::Deadline::after(input.now, storeQueue_.add(model.loadFromStore));
 }
@@ -285,7 +285,7 @@
             continue;
         // All that are missing at once: a load may take many seconds.
         for (const Endpoint& engine : cheapestFor(input, *model, missing, askedBefore[name])) {
-            if (!takeStorePlace(*factsOf(input.engines, engine), *model, input.policy.sharesWeightStore))
+            if (!takeStorePlace(input, engine, *model))
                 break;
             Wanted wanted;
             wanted.target.model = name;
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -81,7 +81,7 @@
     std::uint32_t holdersOf(const framework::ModelName&) const;
     void noteStoreLoads(const PlannerInput&);
     static bool needsStore(const EngineFacts&, const catalog::ModelProfile&);
-    bool takeStorePlace(const EngineFacts&, const catalog::ModelProfile&, bool sharesWeightStore);
+    bool takeStorePlace(const PlannerInput&, const framework::Endpoint& engine, const catalog::ModelProfile&);
     framework::Milliseconds placingCost(
         const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&, bool isWaitedFor);
     std::vector<framework::Endpoint> cheapestFor(const PlannerInput&, const catalog::ModelProfile&, std::size_t most,
