A request whose caller left unnoticed isn't sent to a server

Cause: a router that is a second behind with its sockets reads a request, sends it, and comes to its caller's FIN only in a later turn of the event loop.

Change: before a request leaves, and once more when a new connection stands, the router peeks at the caller's socket (recv with MSG_PEEK, one system call). A caller that has closed ends its request there.

Tests: aRequestWhoseCallerLeftUnnoticedIsNotSent, aCallerThatLeftIsNoticedBeforeTheEventLoopComesToIt, aRequestThatIsAbandonedAsItsConnectionStandsIsNotSent.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -136,8 +136,11 @@
     const UpstreamSearch search = findUpstream(host_, terms_, prompt_, tried_);
     adapterAt_ = search.adapterAt;
     waitsForLoad_ = search.reason == NoUpstream::NotLoaded || search.reason == NoUpstream::AdapterNotLoaded;
-    if (search.chosen)
-        return send(*search.chosen);
+    if (search.chosen) {
+        if (!endIfCallerLeft())
+            return send(*search.chosen);
+        return search.chosen->connection->abandon();
+    }
     if (search.reason == NoUpstream::NoneLeft)
         return refuse(503, lastCause_, jittered(soonAgain));
     if (search.reason == NoUpstream::Overloaded)
@@ -410,6 +413,16 @@
     end("caller_gone", 0, {});
 }
 
+bool RequestJob::endIfCallerLeft()
+{
+    if (!exchange_->hasCallerLeft())
+        return false;
+    const auto keepsItself = shared_from_this();
+    didLoseCaller();
+    exchange_->breakOff();
+    return true;
+}
+
 void RequestJob::end(const char* outcome, unsigned status, const std::string& cause)
 {
     const auto keepsItself = shared_from_this();
--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -36,6 +36,12 @@
     return meaning_ == AnswerMeaning::Served && job.terms().route->kind == catalog::RouteKind::Streaming;
 }
 
+void UpstreamAttempt::willSend()
+{
+    if (const auto job = job_.lock())
+        job->endIfCallerLeft();
+}
+
 bool UpstreamAttempt::didReceiveHead(const http::ResponseHead& head)
 {
     const auto job = job_.lock();
--- a/src/forwarding/internal/upstreamattempt.h
+++ b/src/forwarding/internal/upstreamattempt.h
@@ -24,6 +24,7 @@
     void resume() { connection_->resume(); }
     UpstreamUse& use() { return *use_; }
 
+    void willSend() override;
     bool didReceiveHead(const http::ResponseHead&) override;
     void didReceiveBody(std::string_view) override;
     void didFinish() override;
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -54,10 +54,13 @@
     void sendPiece(std::string_view) override { }
     void endAnswer() override { }
     void breakOff() override { }
+    bool hasCallerLeft() const override { return hasLeft_; }
     void setGoneHandler(std::function<void()>) override { }
     std::size_t unsentBytes() const override { return 0; }
     void setDrainedHandler(std::function<void()>) override { }
 
+    /// Before the event loop has come to it.
+    void leave() { hasLeft_ = true; }
     bool isAnswered() const { return head_.has_value(); }
     unsigned status() const { return head_ ? head_->status : 0; }
     Milliseconds retryAfter() const
@@ -69,6 +72,7 @@
     http::Request request_;
     framework::SteadyTime receivedAt_ = std::chrono::steady_clock::now();
     std::optional<http::ResponseHead> head_;
+    bool hasLeft_ = false;
 };
 
 /// One engine, which doesn't hold the model; its agent says when it will.
@@ -220,6 +224,21 @@
     BOOST_TEST(exchange->retryAfter().count() < 1000);
 }
 
+// Guards against sending a request to a server after its caller has left, while the event loop is behind.
+BOOST_AUTO_TEST_CASE(aRequestWhoseCallerLeftUnnoticedIsNotSent)
+{
+    const auto exchange = std::make_shared<KeptExchange>();
+    exchange->leave();
+    onTraffic([&] {
+        catalog::EngineState state;
+        state.engine = engine().endpoint;
+        state.held.push_back({ ModelName("rare"), 1, {}, 0, 0 });
+        forwarder.setEngineState(state);
+        forwarder.handle(exchange);
+        BOOST_TEST(forwarder.requests() == 0u);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -34,6 +34,8 @@
 class IAnswerSink {
 public:
     virtual ~IAnswerSink() = default;
+    /// The connection stands and the request is about to leave. It doesn't if the sink abandons the connection here.
+    virtual void willSend() { }
     /// Returns whether this is the answer to the request. One that isn't, such as a second answer to the request
     /// before, is read to its end and dropped, and the next is waited for.
     virtual bool didReceiveHead(const ResponseHead&) = 0;
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -5,6 +5,7 @@
 #include "http/internal/socketoptions.h"
 
 #include <boost/asio/write.hpp>
+#include <sys/socket.h>
 #include <utility>
 
 namespace lagoon::http {
@@ -326,6 +327,15 @@
     read();
 }
 
+/// What was sent ahead hides an end behind it.
+bool CallerConnection::hasCallerLeft()
+{
+    if (stage_ == Stage::Closed)
+        return true;
+    char byte = 0;
+    return ::recv(socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void CallerConnection::callerLeft()
 {
     const auto exchange = exchange_.lock();
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -53,6 +53,7 @@
     /// The handler has given the request up without a word.
     void drop();
     std::size_t unsentBytes() const { return unsentBytes_; }
+    bool hasCallerLeft();
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -125,6 +126,7 @@
     void sendPiece(std::string_view) override;
     void endAnswer() override;
     void breakOff() override;
+    bool hasCallerLeft() const override { return !connection_ || connection_->hasCallerLeft(); }
     void setGoneHandler(std::function<void()>) override;
     std::size_t unsentBytes() const override { return connection_ ? connection_->unsentBytes() : 0; }
     void setDrainedHandler(std::function<void()>) override;
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -128,6 +128,10 @@
         return fail(ClientStep::Connect, error.message());
     isConnected_ = true;
     setLivenessOptions(socket_, options_.silence);
+    const auto sink = sink_;
+    sink->willSend();
+    if (isClosed_)
+        return;
     write();
     read();
 }
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -63,6 +63,11 @@
         this->head = head;
         return wanted_.empty() || head.headers.find("X-Id").value_or(wanted_) == wanted_;
     }
+    void willSend() override
+    {
+        if (onWillSend)
+            onWillSend();
+    }
     void didReceiveBody(std::string_view piece) override { body += piece; }
     void didFinish() override { ended.set_value(true); }
     void didFail(const ClientFailure& failed) override
@@ -77,6 +82,7 @@
     std::string body;
     ClientFailure failure;
     std::promise<bool> ended;
+    std::function<void()> onWillSend;
 
 private:
     std::string wanted_;
@@ -321,6 +327,20 @@
     BOOST_TEST(answer.error().detail == "no answer in time");
 }
 
+// Guards against sending a request that nobody waits for any more once its connection stands.
+BOOST_AUTO_TEST_CASE(aRequestThatIsAbandonedAsItsConnectionStandsIsNotSent)
+{
+    const auto answer = std::make_shared<KeptAnswer>();
+    thread.post([&] {
+        const auto connection = pool.take(ConnectionPool::Reuse::Usual, std::chrono::steady_clock::now());
+        answer->onWillSend = [connection] { connection->abandon(); };
+        connection->send(post, answer);
+    });
+    server.accept();
+    BOOST_CHECK_THROW(server.request(), boost::system::system_error);
+    answer->onWillSend = nullptr;
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::http
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -136,6 +136,34 @@
     kept.gone.get_future().wait();
 }
 
+// Guards against passing on a request whose caller left while the event loop was behind.
+BOOST_AUTO_TEST_CASE(aCallerThatLeftIsNoticedBeforeTheEventLoopComesToIt)
+{
+    std::promise<bool> hasLeft;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        hasLeft.set_value(exchange->hasCallerLeft());
+        exchange->answer(ok(), {});
+    };
+    onThread([&] {
+        RawCaller caller(endpoint);
+        BOOST_TEST(caller.send(get("/left")));
+        caller.hangUp();
+    });
+    BOOST_TEST(hasLeft.get_future().get());
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatWaitsHasNotLeft)
+{
+    std::promise<bool> hasLeft;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        hasLeft.set_value(exchange->hasCallerLeft());
+        exchange->answer(ok(), {});
+    };
+    RawCaller caller(endpoint);
+    BOOST_TEST(caller.send(get("/waits")));
+    BOOST_TEST(!hasLeft.get_future().get());
+}
+
 BOOST_AUTO_TEST_CASE(aStreamLeavesPieceByPieceAndEndsWithItsLastChunk)
 {
     std::shared_ptr<IExchange> kept;
