A request that a busy router has received but not handled isn't closed over as it ends

Cause: two windows in which a router that ends (SIGTERM + 2.5 s) closes connections that hold a whole request. 1. Connections that wait in the listening socket's queue are reset as it closes, and one that the event loop has accepted but not handled yet was dropped. 2. A read that has completed with its handler still queued: the bytes have left the socket (so available() is 0) and aren't in the buffer yet, so the connection looks idle.

Change: what waits to be accepted is accepted before the listening socket closes. An idle connection is closed by cancelling its read: a completed read still brings its bytes, and only an aborted one closes.

The test of window 1 found window 2: it went on failing until both were closed, since Asio reads speculatively as the read starts.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -71,6 +71,9 @@
 {
     if (stage_ == Stage::Closed)
         return;
+    const bool wasClosing = std::exchange(isClosingIdle_, false);
+    if (wasClosing && error == boost::asio::error::operation_aborted)
+        return isFree() ? close() : read();
     if (error)
         return callerLeft();
     if (stage_ == Stage::Closing)
@@ -349,12 +352,14 @@
 /// ends here, unless the caller has sent its next request already: that one is answered first.
 void CallerConnection::beIdle()
 {
-    if (context_->isDraining && isFree())
-        return close();
+    if (context_->isDraining)
+        closeIfIdle();
+    if (stage_ == Stage::Closed)
+        return;
     armTimer(context_->limits.idleTimeout, &CallerConnection::didIdleTooLong);
 }
 
-bool CallerConnection::isBusy() const { return stage_ != Stage::Closed && !isFree(); }
+bool CallerConnection::isBusy() const { return stage_ != Stage::Closed && (isClosingIdle_ || !isFree()); }
 
 /// Whether neither a request nor an answer is on it. Guards against a request that has come and hasn't been read yet:
 /// closing over it would reset the connection.
@@ -364,10 +369,17 @@
     return stage_ == Stage::Idle && unsent_.empty() && buffer_.size() == 0 && socket_.available(ignored) == 0;
 }
 
+/// Guards against closing over a request that the event loop has read but not handled yet: the read under way is
+/// cancelled, and the connection closes only if that brought nothing.
 void CallerConnection::closeIfIdle()
 {
-    if (isFree())
-        close();
+    if (!isFree())
+        return;
+    if (!isReading_)
+        return close();
+    isClosingIdle_ = true;
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
 }
 
 void CallerConnection::refuseComing(const ResponseHead& head)
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -96,6 +96,7 @@
     std::function<void(CallerConnection*)> onClosed_;
     Stage stage_ = Stage::Idle;
     bool isReading_ = false;
+    bool isClosingIdle_ = false;
     bool isWriting_ = false;
     bool endsAfterAnswer_ = false;
     bool isChunked_ = false;
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -55,6 +55,7 @@
 
     void closeIdle()
     {
+        acceptWaiting();
         boost::system::error_code ignored;
         acceptor_.close(ignored);
         const auto connections = connections_;
@@ -91,15 +92,32 @@
     void accept()
     {
         acceptor_.async_accept([self = shared_from_this()](const boost::system::error_code& error, tcp::socket socket) {
+            if (!error)
+                self->add(std::move(socket));
             if (!self->acceptor_.is_open())
                 return;
             if (error)
                 return self->acceptLater();
-            self->add(std::move(socket));
             self->accept();
         });
     }
 
+    /// Guards against requests that are reset with the listening socket while the event loop is behind: their callers
+    /// have sent them to a server that still took requests.
+    void acceptWaiting()
+    {
+        if (!acceptor_.is_open())
+            return;
+        boost::system::error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(context_);
+            acceptor_.accept(socket, error);
+            if (!error)
+                add(std::move(socket));
+        }
+    }
+
     void acceptLater()
     {
         acceptTimer_.expires_after(acceptAgainAfter);
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -351,6 +351,19 @@
     BOOST_TEST(caller.readToEnd().find("GET /two ") != std::string::npos);
 }
 
+// Guards against a request that is lost in the listening socket's queue when a busy process stops accepting.
+BOOST_AUTO_TEST_CASE(aRequestThatWaitsToBeAcceptedIsAnswered)
+{
+    std::optional<RawCaller> caller;
+    onThread([&] {
+        caller.emplace(endpoint);
+        BOOST_TEST(caller->send(get("/queued")));
+        server.beginDraining();
+        server.closeIdle();
+    });
+    BOOST_TEST(caller->readUntil("GET /queued"));
+}
+
 // A router was to end as soon as nothing was under way, and went while callers had yet to receive what it had answered.
 BOOST_AUTO_TEST_CASE(aConnectionIsBusyUntilItsAnswerHasLeft)
 {
