--- a/src/catalog/internal/lookups.cpp
+++ b/src/catalog/internal/lookups.cpp
@@ -46,6 +46,29 @@
 
 bool EngineState::isLeaving(const framework::ModelName& name) const { return isIn(leaving, name); }
 
+EngineLoad loadOf(const EngineState& state)
+{
+    EngineLoad load { state.engine, state.running, state.queued, state.usedMemory, state.routers, {} };
+    for (const HeldModel& held : state.held)
+        load.held.push_back({ held.work, held.inUse });
+    return load;
+}
+
+bool applyLoad(EngineState& state, const EngineLoad& load)
+{
+    if (load.held.size() != state.held.size())
+        return false;
+    state.running = load.running;
+    state.queued = load.queued;
+    state.usedMemory = load.usedMemory;
+    state.routers = load.routers;
+    for (std::size_t index = 0; index < load.held.size(); ++index) {
+        state.held[index].work = load.held[index].work;
+        state.held[index].inUse = load.held[index].inUse;
+    }
+    return true;
+}
+
 framework::Milliseconds loadTime(const ModelProfile& model, const AtHand& atHand)
 {
     if (atHand.hasInMemory(model.name))
--- a/src/catalog/types/upstream.h
+++ b/src/catalog/types/upstream.h
@@ -29,6 +29,15 @@
 /// Nothing if it isn't held.
 const HeldModel* findHeld(const std::vector<HeldModel>&, const framework::ModelName&);
 
+/// Weights that an engine has at hand without the weight store.
+struct AtHand {
+    std::vector<framework::ModelName> memory;
+    std::vector<framework::ModelName> disk;
+
+    bool hasInMemory(const framework::ModelName&) const;
+    bool hasOnDisk(const framework::ModelName&) const;
+};
+
 enum class UpstreamState : std::uint8_t {
     Ready,
     Leaving, ///< serves what it has and soon ends
@@ -55,21 +64,13 @@
     UpstreamState state = UpstreamState::Ready;
     /// Empty for plain services.
     std::vector<HeldModel> models;
+    AtHand atHand;
     /// When it was listed first, in the list's own count: greater is later.
     std::uint64_t listed = 0;
 
     UpstreamRun run() const { return { instance, started }; }
 };
 
-/// Weights that an engine has at hand without the weight store.
-struct AtHand {
-    std::vector<framework::ModelName> memory;
-    std::vector<framework::ModelName> disk;
-
-    bool hasInMemory(const framework::ModelName&) const;
-    bool hasOnDisk(const framework::ModelName&) const;
-};
-
 /// What an agent says it takes until a model is there when it can't place it now.
 inline constexpr framework::Milliseconds cannotPlace { 3600 * 1000 };
 
@@ -102,4 +103,25 @@
     bool isLeaving(const framework::ModelName&) const;
 };
 
+/// The figures of an engine's state that change with every request, for a state that is otherwise as last told.
+struct EngineLoad {
+    /// Of one held model.
+    struct ModelLoad {
+        double work = 0;
+        std::uint32_t inUse = 0;
+    };
+
+    framework::Endpoint engine;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    Tokens usedMemory;
+    std::uint32_t routers = 0;
+    /// In the order of `EngineState::held`.
+    std::vector<ModelLoad> held;
+};
+
+EngineLoad loadOf(const EngineState&);
+/// False if the load is of another state than this.
+[[nodiscard]] bool applyLoad(EngineState&, const EngineLoad&);
+
 } // namespace lagoon::catalog
--- a/src/direct/directsettings.h
+++ b/src/direct/directsettings.h
@@ -28,6 +28,8 @@
     policy::PolicySwitches policy;
     /// From the request to end until the process is ended by force.
     framework::Milliseconds grace { 8000 };
+    /// A server that leaves is passed by this soon after the store was told.
+    framework::Milliseconds leavingNotice { 2000 };
 };
 
 /// What the agent beside an engine is told.
--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -69,25 +69,30 @@
 
 void AgentLinks::setEngines(const std::vector<catalog::Upstream>& engines)
 {
-    std::map<Endpoint, catalog::InstanceId> listed;
+    engines_.clear();
     for (const catalog::Upstream& engine : engines)
-        listed[engine.endpoint] = engine.instance;
-    for (auto& [endpoint, agent] : agents_) {
-        if (!listed.contains(endpoint))
-            drop(endpoint, agent, "engine no longer listed");
-    }
-    std::erase_if(agents_, [&](const auto& entry) { return !listed.contains(entry.first); });
-    for (const auto& [endpoint, instance] : listed) {
-        Agent& agent = agents_[endpoint];
-        if (std::exchange(agent.instance, instance) != instance)
-            agent.told.clear();
+        engines_[engine.endpoint] = engine.instance;
+    for (auto agent = agents_.begin(); agent != agents_.end();) {
+        const auto listed = engines_.find(agent->first);
+        if (listed == engines_.end()) {
+            drop(agent->first, agent->second, "engine no longer listed");
+            agent = agents_.erase(agent);
+            continue;
+        }
+        if (std::exchange(agent->second.instance, listed->second) != listed->second)
+            agent->second.told.clear();
+        ++agent;
     }
-    tick();
+    if (!timer_)
+        tick();
 }
 
-void AgentLinks::setWanted(const std::map<Endpoint, catalog::WantedList>& wanted)
+void AgentLinks::apply(const forwarding::LoadPlan& plan)
 {
-    for (const auto& [engine, list] : wanted) {
+    unsubscribe(plan.subscriptions);
+    for (const Endpoint& engine : plan.subscriptions)
+        subscribe(engine);
+    for (const auto& [engine, list] : plan.wanted) {
         const auto agent = agents_.find(engine);
         if (agent == agents_.end())
             continue;
@@ -97,6 +102,35 @@
     }
 }
 
+void AgentLinks::subscribe(const Endpoint& engine)
+{
+    const auto listed = engines_.find(engine);
+    if (listed == engines_.end())
+        return;
+    const auto [agent, isNew] = agents_.try_emplace(engine);
+    if (!isNew)
+        return;
+    agent->second.instance = listed->second;
+    connect(engine, agent->second);
+}
+
+void AgentLinks::unsubscribe(const std::set<Endpoint>& kept)
+{
+    for (auto agent = agents_.begin(); agent != agents_.end();) {
+        if (kept.contains(agent->first)) {
+            ++agent;
+            continue;
+        }
+        if (agent->second.link)
+            agent->second.link->close();
+        if (agent->second.isHeard) {
+            logDecision(LogLine("agent_unsubscribed").text("engine", agent->first.value()));
+            context_.didUnsubscribe(agent->first);
+        }
+        agent = agents_.erase(agent);
+    }
+}
+
 void AgentLinks::tick()
 {
     const framework::SteadyTime now = context_.clock.now();
@@ -131,10 +165,9 @@
     if (!agent.link)
         return;
     std::exchange(agent.link, nullptr)->close();
-    if (std::exchange(agent.isHeard, false)) {
+    if (std::exchange(agent.isHeard, false))
         logDecision(LogLine("agent_lost").text("engine", engine.value()).text("cause", cause));
-        context_.didLose(engine);
-    }
+    context_.didLose(engine);
     agent.connectAt = Deadline::after(context_.clock.now(), agent.pauses.next());
 }
 
@@ -157,6 +190,8 @@
     agent->second.pauses.reset();
     if (!std::exchange(agent->second.isHeard, true))
         logDecision(LogLine("agent_heard").text("engine", engine.value()));
+    if (const wire::fb::EngineLoadT* const load = message.body.AsEngineLoad())
+        return context_.didHearLoad(fromWire(engine, *load));
     const wire::fb::EngineStateT* const state = message.body.AsEngineState();
     if (!state)
         return;
--- a/src/direct/internal/agentlinks.h
+++ b/src/direct/internal/agentlinks.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "catalog/types/upstream.h"
-#include "catalog/types/wanted.h"
+#include "forwarding/wantedplanner.h"
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
 #include "framework/types/ids.h"
@@ -12,12 +12,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace lagoon::direct {
 
-/// A router's links to the agents beside the engines that it knows of. Belongs to the control thread.
+/// A router's links to the agents of the engines that it subscribes to. Belongs to the control thread.
 ///
 /// Both ends speak at least each second. A link from which nothing came for longer is taken for silent, however open it
 /// looks, and replaced.
@@ -30,7 +31,11 @@
         framework::VmName router;
         std::uint16_t agentPort = 0;
         std::function<void(catalog::EngineState)> didHear;
+        std::function<void(catalog::EngineLoad)> didHearLoad;
+        /// The agent can't be reached, or has fallen silent.
         std::function<void(const framework::Endpoint& engine)> didLose;
+        /// The link was closed since the subscription ended.
+        std::function<void(const framework::Endpoint& engine)> didUnsubscribe;
     };
 
     explicit AgentLinks(Context);
@@ -38,10 +43,11 @@
     AgentLinks(const AgentLinks&) = delete;
     AgentLinks& operator=(const AgentLinks&) = delete;
 
-    /// Links are kept to the agents of these engines, and to no others.
+    /// The engines that have agents. Subscriptions to others end.
     void setEngines(const std::vector<catalog::Upstream>&);
-    /// What is wanted of each engine from now on; engines that aren't named are told what they were told before.
-    void setWanted(const std::map<framework::Endpoint, catalog::WantedList>&);
+    /// Opens and closes links as the plan's subscriptions say, and publishes what changed to each agent; one that the
+    /// plan doesn't name goes on with what it was told before.
+    void apply(const forwarding::LoadPlan&);
 
 private:
     struct Agent {
@@ -65,7 +71,12 @@
     void didReceive(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void didClose(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const framework::Error&);
 
+    void subscribe(const framework::Endpoint& engine);
+    void unsubscribe(const std::set<framework::Endpoint>& kept);
+
     Context context_;
+    std::map<framework::Endpoint, catalog::InstanceId> engines_;
+    /// Of the engines that this router subscribes to.
     std::map<framework::Endpoint, Agent> agents_;
     std::unique_ptr<framework::Timer> timer_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/src/direct/internal/catalogwatch.cpp
+++ b/src/direct/internal/catalogwatch.cpp
@@ -17,9 +17,9 @@
 
 /// The object that holds the configuration in force.
 const std::string configurationName = "main";
-/// Engines say each load and unload in their entries. Reading several together costs one call, and the operators allow
-/// two seconds for a leaving server to be known.
-constexpr Milliseconds serversPause { 400 };
+/// Engines say each load and unload in their entries, and reading several together costs one call: after each reading
+/// the next waits for this part of the time in which a leaving server must be known.
+constexpr int partOfNotice = 5;
 /// Changes of the configuration have the same two seconds; a storm of them costs a call each 100 ms.
 constexpr Milliseconds configurationPause { 100 };
 
@@ -66,7 +66,8 @@
           mirrorSettings("configurations", configurationPause),
           { [this](const FeedObject& object) { takeConfiguration(object); }, [](const std::string&) {}, [] {} },
           framework::randomNumber())
-    , servers_(context_.servers, context_.control, context_.clock, mirrorSettings("servers", serversPause),
+    , servers_(context_.servers, context_.control, context_.clock,
+          mirrorSettings("servers", context_.leavingNotice / partOfNotice),
           { [this](const FeedObject& object) { takeServer(object); },
               [this](const std::string& name) { removeServer(name); }, [this] { tellServersSoon(); } },
           framework::randomNumber())
--- a/src/direct/internal/catalogwatch.h
+++ b/src/direct/internal/catalogwatch.h
@@ -23,6 +23,8 @@
         objectstore::IObjectFeed& configurations;
         objectstore::IObjectFeed& servers;
         const catalog::ICatalogDecoder& decoder;
+        /// As `DirectRouterSettings::leavingNotice`.
+        framework::Milliseconds leavingNotice;
         std::function<void(catalog::ConfigurationPointer)> didConfigure;
         std::function<void(const std::vector<catalog::Upstream>&)> didListServers;
     };
--- a/src/direct/internal/directagent.cpp
+++ b/src/direct/internal/directagent.cpp
@@ -56,7 +56,8 @@
     engines::EngineKeeper::Context keeperContext()
     {
         return { ports_.control, ports_.clock, ports_.engine, ports_.fences, ports_.profiles, ports_.metrics,
-            [this](const catalog::EngineState& state) { links_.publish(state); } };
+            [this](const catalog::EngineState& state) { links_.publish(state); },
+            [this](const catalog::EngineLoad& load) { links_.publishLoad(load); } };
     }
 
     RouterLinks::Context linksContext()
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -144,9 +144,7 @@
     forwarding::Forwarder::Context forwarderContext()
     {
         return { ports_.traffic, ports_.clock, ports_.dialect, ports_.metrics,
-            [this](const std::map<framework::Endpoint, catalog::WantedList>& wanted) {
-                ports_.control.post([this, wanted] { links_.setWanted(wanted); });
-            } };
+            [this](const forwarding::LoadPlan& plan) { ports_.control.post([this, plan] { links_.apply(plan); }); } };
     }
 
     AgentLinks::Context linksContext()
@@ -155,6 +153,12 @@
             [this](const catalog::EngineState& state) {
                 ports_.traffic.post([this, state] { forwarder_.setEngineState(state); });
             },
+            [this](const catalog::EngineLoad& load) {
+                ports_.traffic.post([this, load] { forwarder_.setEngineLoad(load); });
+            },
+            [this](const framework::Endpoint& engine) {
+                ports_.traffic.post([this, engine] { forwarder_.didLoseAgent(engine); });
+            },
             [this](const framework::Endpoint& engine) {
                 ports_.traffic.post([this, engine] { forwarder_.forgetEngine(engine); });
             } };
@@ -163,6 +167,7 @@
     CatalogWatch::Context catalogContext()
     {
         return { ports_.control, ports_.clock, ports_.configurations, ports_.servers, ports_.decoder,
+            settings_.leavingNotice,
             [this](const catalog::ConfigurationPointer& configuration) { didConfigure(configuration); },
             [this](const std::vector<catalog::Upstream>& servers) { didListServers(servers); } };
     }
--- a/src/direct/internal/enginewire.cpp
+++ b/src/direct/internal/enginewire.cpp
@@ -88,6 +88,26 @@
     return state;
 }
 
+wire::Message toWire(const catalog::EngineLoad& load)
+{
+    wire::fb::EngineLoadT body;
+    body.running = load.running;
+    body.queued = load.queued;
+    body.used_tokens = load.usedMemory.value();
+    body.routers = load.routers;
+    for (const catalog::EngineLoad::ModelLoad& held : load.held)
+        body.held.emplace_back(static_cast<float>(held.work), held.inUse);
+    return wire::message(std::move(body));
+}
+
+catalog::EngineLoad fromWire(const framework::Endpoint& engine, const wire::fb::EngineLoadT& body)
+{
+    catalog::EngineLoad load { engine, body.running, body.queued, catalog::Tokens(body.used_tokens), body.routers, {} };
+    for (const wire::fb::ModelLoad& held : body.held)
+        load.held.push_back({ std::max(0.0F, held.work()), held.in_use() });
+    return load;
+}
+
 wire::Message toWire(const framework::VmName& router, const catalog::InstanceId& instance,
     const catalog::WantedList& wanted, framework::SteadyTime now)
 {
--- a/src/direct/internal/enginewire.h
+++ b/src/direct/internal/enginewire.h
@@ -11,6 +11,9 @@
 wire::Message toWire(const catalog::EngineState&);
 catalog::EngineState fromWire(const wire::fb::EngineStateT&);
 
+wire::Message toWire(const catalog::EngineLoad&);
+catalog::EngineLoad fromWire(const framework::Endpoint& engine, const wire::fb::EngineLoadT&);
+
 wire::Message toWire(const framework::VmName& router, const catalog::InstanceId& instance, const catalog::WantedList&,
     framework::SteadyTime now);
 catalog::WantedList fromWire(const wire::fb::WantedT&, framework::SteadyTime now);
--- a/src/direct/internal/routerlinks.cpp
+++ b/src/direct/internal/routerlinks.cpp
@@ -70,7 +70,17 @@
 void RouterLinks::publish(const catalog::EngineState& state)
 {
     last_ = state;
-    const wire::Message message = toWire(state);
+    sendToAll(toWire(state));
+}
+
+void RouterLinks::publishLoad(const catalog::EngineLoad& load)
+{
+    if (last_ && catalog::applyLoad(*last_, load))
+        sendToAll(toWire(load));
+}
+
+void RouterLinks::sendToAll(const wire::Message& message)
+{
     for (const auto& [link, router] : routers_)
         link->send(message);
 }
--- a/src/direct/internal/routerlinks.h
+++ b/src/direct/internal/routerlinks.h
@@ -30,6 +30,8 @@
     /// For the transport; from any thread.
     wire::LinkHandlers handlers();
     void publish(const catalog::EngineState&);
+    /// The rest of the state is as published last.
+    void publishLoad(const catalog::EngineLoad&);
     /// Closes links whose routers have fallen silent.
     void closeSilent();
 
@@ -41,6 +43,7 @@
 
     void didReceive(const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void didClose(const std::shared_ptr<wire::ILink>&);
+    void sendToAll(const wire::Message&);
     bool hasOtherLink(const framework::VmName&) const;
 
     Context context_;
--- /dev/null
+++ b/src/direct/tests/agentlinks_test.cpp
@@ -0,0 +1,140 @@
+#include "direct/internal/agentlinks.h"
+
+#include "direct/internal/enginewire.h"
+#include "framework/testing/manualcontrol.h"
+#include "wire/testing/faketransport.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace lagoon::direct {
+
+namespace {
+
+using framework::Endpoint;
+using framework::Milliseconds;
+using framework::ModelName;
+
+const Endpoint first("10.0.0.1:80");
+const Endpoint second("10.0.0.2:80");
+const Endpoint firstAgent("10.0.0.1:7000");
+const Endpoint secondAgent("10.0.0.2:7000");
+
+struct Fixture {
+    Fixture() { links.setEngines({ engine(first, "i-1"), engine(second, "i-2") }); }
+
+    static catalog::Upstream engine(const Endpoint& endpoint, const std::string& instance)
+    {
+        catalog::Upstream upstream;
+        upstream.endpoint = endpoint;
+        upstream.instance = catalog::InstanceId(instance);
+        return upstream;
+    }
+
+    void subscribe(const std::set<Endpoint>& engines)
+    {
+        forwarding::LoadPlan plan;
+        plan.subscriptions = engines;
+        links.apply(plan);
+    }
+
+    static catalog::EngineState stateOf(const Endpoint& engine)
+    {
+        catalog::EngineState state;
+        state.engine = engine;
+        state.held.push_back({ ModelName("a"), 1, {}, 0, 0 });
+        return state;
+    }
+
+    void deliver(const Endpoint& agent, const wire::Message& message)
+    {
+        transport.newest(agent)->deliver(message);
+        control.runPosted();
+    }
+
+    framework::ManualControl control;
+    wire::FakeTransport transport;
+    std::vector<catalog::EngineState> heard;
+    std::vector<catalog::EngineLoad> heardLoads;
+    std::vector<Endpoint> lost;
+    std::vector<Endpoint> unsubscribed;
+    AgentLinks links { { control, control, transport, framework::VmName("router"), 7000,
+        [this](catalog::EngineState state) { heard.push_back(std::move(state)); },
+        [this](const catalog::EngineLoad& load) { heardLoads.push_back(load); },
+        [this](const Endpoint& engine) { lost.push_back(engine); },
+        [this](const Endpoint& engine) { unsubscribed.push_back(engine); } } };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TheLinksToAgents, Fixture)
+
+// Guards against links whose number grows with routers times engines.
+BOOST_AUTO_TEST_CASE(areOpenedOnlyToEnginesThatAreSubscribedTo)
+{
+    BOOST_TEST(transport.connections() == 0u);
+    subscribe({ first });
+    BOOST_TEST(transport.connections() == 1u);
+    BOOST_TEST(transport.newest(firstAgent));
+    subscribe({ first });
+    BOOST_TEST(transport.connections() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(areClosedWhenTheSubscriptionEnds)
+{
+    subscribe({ first, second });
+    deliver(firstAgent, toWire(stateOf(first)));
+    subscribe({ second });
+    BOOST_TEST(transport.newest(firstAgent)->isClosed());
+    BOOST_TEST(!transport.newest(secondAgent)->isClosed());
+    BOOST_TEST(unsubscribed == std::vector<Endpoint> { first });
+    BOOST_TEST(lost.empty());
+    control.advance(Milliseconds(10000));
+    BOOST_TEST(transport.newest(firstAgent)->isClosed());
+}
+
+BOOST_AUTO_TEST_CASE(areNotOpenedToEnginesThatAreNotListed)
+{
+    subscribe({ Endpoint("10.0.0.3:80") });
+    BOOST_TEST(transport.connections() == 0u);
+}
+
+// Guards against a request that waits for the word of an agent that isn't there.
+BOOST_AUTO_TEST_CASE(tellOfAnAgentThatCannotBeReached)
+{
+    subscribe({ first });
+    transport.newest(firstAgent)->cut("connect");
+    control.runPosted();
+    BOOST_TEST(lost == std::vector<Endpoint> { first });
+    control.advance(Milliseconds(3000));
+    BOOST_TEST(transport.connections() > 1u);
+}
+
+BOOST_AUTO_TEST_CASE(carryStatesAndLoads)
+{
+    subscribe({ first });
+    deliver(firstAgent, toWire(stateOf(first)));
+    catalog::EngineLoad load = catalog::loadOf(stateOf(first));
+    load.running = 7;
+    load.held[0] = { 0.5, 3 };
+    deliver(firstAgent, toWire(load));
+    BOOST_REQUIRE(heard.size() == 1u);
+    BOOST_REQUIRE(heardLoads.size() == 1u);
+    BOOST_TEST(heardLoads[0].engine == first);
+    BOOST_TEST(catalog::applyLoad(heard[0], heardLoads[0]));
+    BOOST_TEST(heard[0].running == 7u);
+    BOOST_TEST(heard[0].held[0].inUse == 3u);
+}
+
+// Guards against a router that takes a silent agent's last word for its engine's state.
+BOOST_AUTO_TEST_CASE(areReplacedWhenTheirAgentFallsSilent)
+{
+    subscribe({ first });
+    deliver(firstAgent, toWire(stateOf(first)));
+    control.advance(Milliseconds(5000));
+    BOOST_TEST(!lost.empty());
+    BOOST_TEST(transport.connections() > 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::direct
--- a/src/direct/tests/catalogwatch_test.cpp
+++ b/src/direct/tests/catalogwatch_test.cpp
@@ -85,7 +85,8 @@
 
 struct Fixture {
     Fixture()
-        : watch({ control, control, configurations, servers, decoder, [](const catalog::ConfigurationPointer&) {},
+        : watch({ control, control, configurations, servers, decoder, Milliseconds(2000),
+            [](const catalog::ConfigurationPointer&) {},
             [this](const std::vector<Upstream>& list) { told.push_back(list); } })
     {
         configure({ "engines", "plain" });
--- a/src/direct/tests/directsettings_test.cpp
+++ b/src/direct/tests/directsettings_test.cpp
@@ -29,6 +29,15 @@
     BOOST_TEST(policy.leavesSilentEngines);
 }
 
+BOOST_AUTO_TEST_CASE(theNoticeOfLeavingServersIsChecked)
+{
+    BOOST_TEST(parsed("").value().leavingNotice.count() == 2000);
+    BOOST_TEST(parsed(R"(, "leaving_notice_ms": 4000)").value().leavingNotice.count() == 4000);
+    const auto tooShort = parsed(R"(, "leaving_notice_ms": 10)");
+    BOOST_REQUIRE(tooShort.has_error());
+    BOOST_TEST(describe(tooShort.error()).find("leaving_notice_ms") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(aPolicyIsSwitchedOffByItsName)
 {
     const policy::PolicySwitches policy = parsed(R"(, "policy": { "fetches_ahead": false })").value().policy;
--- a/src/engines/enginekeeper.h
+++ b/src/engines/enginekeeper.h
@@ -39,8 +39,10 @@
         IFenceSource& fences;
         IProfileSource& profiles;
         std::shared_ptr<framework::Metrics> metrics;
-        /// Tells all routers.
+        /// Publishes the state to all subscribers.
         std::function<void(const catalog::EngineState&)> publish;
+        /// Publishes its load; the rest is as in the state that was published last.
+        std::function<void(const catalog::EngineLoad&)> publishLoad;
     };
 
     EngineKeeper(Context, const KeeperSettings&);
@@ -66,6 +68,7 @@
     void didOrder(const Order&, const OrderAnswer&);
     bool canOrder() const;
     framework::Milliseconds pollPause() const;
+    framework::Milliseconds pollPauseWhileLoading() const;
     void publish(const PlacementDecision&, const std::map<catalog::ModelTarget, catalog::Wanted>&);
     PlacementInput input(const std::map<catalog::ModelTarget, catalog::Wanted>&) const;
 
@@ -94,7 +97,9 @@
     framework::Deadline holdOrders_;
     /// Until then an order that got no answer may still be carried out.
     framework::Deadline lateOrdersUntil_;
-    std::string published_;
+    /// Digests of what was published last.
+    std::string publishedState_;
+    std::string publishedLoad_;
     framework::SteadyTime publishedAt_ {};
     objectstore::Backoff fenceBackoff_;
     std::unique_ptr<framework::Timer> pollTimer_;
--- a/src/engines/internal/enginekeeper.cpp
+++ b/src/engines/internal/enginekeeper.cpp
@@ -21,6 +21,7 @@
 constexpr Milliseconds pollQuiet { 200 };
 constexpr Milliseconds pollWhileLoading { 25 };
 constexpr Milliseconds pollWhileWaited { 12 };
+constexpr int partOfLoadTime = 8;
 /// On the same VM an answer takes a few milliseconds; an engine that needs longer is as good as silent.
 constexpr Milliseconds reportTime { 600 };
 constexpr Milliseconds orderTime { 1000 };
@@ -66,11 +67,9 @@
     return "";
 }
 
-/// What routers decide by, coarsely: a change here is told at once, others with the next regular word.
+/// Of everything but the load.
 std::string stateDigest(const catalog::EngineState& state)
 {
-    constexpr std::uint64_t tokenStep = 20000;
-    constexpr std::uint32_t loadStep = 4;
     std::string digest = std::to_string(state.started ? state.started->value() : 0) + '|' + state.loading.value() + '|';
     for (const catalog::HeldModel& held : state.held) {
         digest += held.model.value() + ':';
@@ -83,12 +82,19 @@
     digest += '|';
     for (const catalog::EngineState::Expected& expected : state.expected)
         digest += expected.model.value() + (expected.within >= catalog::cannotPlace ? "-," : ",");
-    digest += '|' + std::to_string(state.usedMemory.value() / tokenStep) + '|'
-        + std::to_string((state.running + state.queued) / loadStep) + '|' + std::to_string(state.queued) + '|'
-        + std::to_string(state.routers) + '|' + std::to_string(state.atHand.disk.size());
+    digest += '|' + std::to_string(state.memory.value()) + '|' + std::to_string(state.atHand.disk.size());
     return digest;
 }
 
+/// Coarse: a change here is published at once, others with the next heartbeat.
+std::string loadDigest(const catalog::EngineState& state)
+{
+    constexpr std::uint64_t tokenStep = 20000;
+    constexpr std::uint32_t requestStep = 4;
+    return std::to_string(state.usedMemory.value() / tokenStep) + '|'
+        + std::to_string((state.running + state.queued) / requestStep) + '|' + std::to_string(state.queued);
+}
+
 } // namespace
 
 EngineKeeper::EngineKeeper(Context context, const KeeperSettings& settings)
@@ -250,8 +256,10 @@
 
 Milliseconds EngineKeeper::pollPause() const
 {
-    if (report_->isBusy || !report_->comingAdapters.empty())
-        return report_->comingAdapters.empty() ? pollWhileLoading : pollWhileWaited;
+    if (!report_->comingAdapters.empty())
+        return pollWhileWaited;
+    if (report_->isBusy)
+        return pollPauseWhileLoading();
     for (const auto& [target, wanted] : wanted_.merged()) {
         if (wanted.waiting > 0)
             return pollWhileWaited;
@@ -259,6 +267,17 @@
     return pollQuiet;
 }
 
+/// Often around the time at which the load should end, seldom long before and long after it.
+Milliseconds EngineKeeper::pollPauseWhileLoading() const
+{
+    const auto loadedBy = plan_.loadedBy();
+    if (!loadedBy)
+        return pollWhileLoading;
+    const auto distance
+        = std::chrono::abs(std::chrono::duration_cast<Milliseconds>(loadedBy->at() - context_.clock.now()));
+    return std::clamp(distance / partOfLoadTime, pollWhileLoading, pollQuiet);
+}
+
 PlacementInput EngineKeeper::input(const std::map<catalog::ModelTarget, catalog::Wanted>& wanted) const
 {
     return { *profile_, *report_, wanted, context_.clock.now() };
@@ -275,7 +294,7 @@
     wanted_.forgetSilent(context_.clock.now());
     if (!profile_ || !report_)
         return;
-    const auto wanted = wanted_.merged();
+    const auto& wanted = wanted_.merged();
     const PlacementDecision decision = plan_.decide(input(wanted));
     publish(decision, wanted);
     if (decision.order && canOrder())
@@ -363,12 +382,20 @@
     state.memory = report_->memory;
     state.routers = static_cast<std::uint32_t>(wanted_.routers());
     state.expected = decision.expected;
-    std::string digest = stateDigest(state);
-    if (digest == published_ && context_.clock.now() - publishedAt_ < publishEach)
+    std::string stateNow = stateDigest(state);
+    std::string loadNow = loadDigest(state);
+    const bool isDue = context_.clock.now() - publishedAt_ >= publishEach;
+    const bool isSameState = stateNow == publishedState_;
+    if (isSameState && loadNow == publishedLoad_ && !isDue)
         return;
-    published_ = std::move(digest);
+    publishedState_ = std::move(stateNow);
+    publishedLoad_ = std::move(loadNow);
     publishedAt_ = context_.clock.now();
-    context_.publish(state);
+    // The times of what is expected change without a change of the digest.
+    if (isSameState && state.expected.empty())
+        context_.publishLoad(catalog::loadOf(state));
+    else
+        context_.publish(state);
 }
 
 } // namespace lagoon::engines
--- a/src/engines/internal/wantedbook.cpp
+++ b/src/engines/internal/wantedbook.cpp
@@ -1,7 +1,10 @@
 #include "engines/wantedbook.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
 #include <utility>
+#include <vector>
 
 namespace lagoon::engines {
 
@@ -12,7 +15,7 @@
 /// A router speaks each second; one that has missed three has ended, or can't be reached.
 constexpr framework::Milliseconds routerSilence { 3500 };
 
-void merge(Wanted& into, const Wanted& from)
+void add(Wanted& into, const Wanted& from)
 {
     if (from.waiting > 0)
         into.earliest = into.waiting > 0 ? std::min(into.earliest, from.earliest) : from.earliest;
@@ -30,25 +33,59 @@
 
 void WantedBook::set(const framework::VmName& router, catalog::WantedList wanted, framework::SteadyTime now)
 {
-    routers_[router] = { std::move(wanted), now };
+    Entry& entry = routers_[router];
+    entry.at = now;
+    std::set<catalog::ModelTarget> touched;
+    for (const Wanted& before : std::exchange(entry.wanted, std::move(wanted))) {
+        byTarget_[before.target].erase(router);
+        touched.insert(before.target);
+    }
+    for (const Wanted& one : entry.wanted) {
+        byTarget_[one.target].insert_or_assign(router, one);
+        touched.insert(one.target);
+    }
+    for (const catalog::ModelTarget& target : touched)
+        merge(target);
 }
 
-void WantedBook::forgetSilent(framework::SteadyTime now)
+void WantedBook::forget(const framework::VmName& router)
 {
-    std::erase_if(routers_, [now](const auto& entry) { return now - entry.second.at > routerSilence; });
+    const auto known = routers_.find(router);
+    if (known == routers_.end())
+        return;
+    const catalog::WantedList wanted = std::move(known->second.wanted);
+    routers_.erase(known);
+    for (const Wanted& one : wanted) {
+        byTarget_[one.target].erase(router);
+        merge(one.target);
+    }
 }
 
-std::map<catalog::ModelTarget, Wanted> WantedBook::merged() const
+void WantedBook::forgetSilent(framework::SteadyTime now)
 {
-    std::map<catalog::ModelTarget, Wanted> all;
+    std::vector<framework::VmName> silent;
     for (const auto& [router, entry] : routers_) {
-        for (const Wanted& wanted : entry.wanted) {
-            const auto [place, isNew] = all.try_emplace(wanted.target, wanted);
-            if (!isNew)
-                merge(place->second, wanted);
-        }
+        if (now - entry.at > routerSilence)
+            silent.push_back(router);
+    }
+    for (const framework::VmName& router : silent)
+        forget(router);
+}
+
+void WantedBook::merge(const catalog::ModelTarget& target)
+{
+    const auto entries = byTarget_.find(target);
+    if (entries->second.empty()) {
+        byTarget_.erase(entries);
+        merged_.erase(target);
+        return;
     }
-    return all;
+    Wanted all;
+    all.target = target;
+    all.rank = std::numeric_limits<std::uint32_t>::max();
+    for (const auto& [router, wanted] : entries->second)
+        add(all, wanted);
+    merged_.insert_or_assign(target, std::move(all));
 }
 
 } // namespace lagoon::engines
--- a/src/engines/placementplan.h
+++ b/src/engines/placementplan.h
@@ -53,6 +53,11 @@
     /// What is being loaded, while the engine is busy.
     framework::ModelName loading() const { return loading_; }
     bool loadsFromStore() const { return loadsFromStore_; }
+    /// When that should end; nothing if no load is under way.
+    std::optional<framework::Deadline> loadedBy() const
+    {
+        return loading_.value().empty() ? std::nullopt : std::optional(loadedBy_);
+    }
 
 private:
     struct Use {
--- a/src/engines/tests/enginekeeper_test.cpp
+++ b/src/engines/tests/enginekeeper_test.cpp
@@ -100,7 +100,8 @@
     Fixture()
         : engine(control)
         , keeper({ control, control, engine, fences, profiles, std::make_shared<framework::Metrics>(),
-                     [this](const catalog::EngineState& state) { published.push_back(state); } },
+                     [this](const catalog::EngineState& state) { published.push_back(state); },
+                     [this](const catalog::EngineLoad& load) { publishedLoads.push_back(load); } },
               { VmName("vm"), framework::ServiceName("models"), framework::Endpoint("10.0.0.1:80") })
     {
     }
@@ -129,11 +130,14 @@
         }
     }
 
+    std::size_t publications() const { return published.size() + publishedLoads.size(); }
+
     ManualControl control;
     FakeEngine engine;
     FakeFences fences;
     FakeProfiles profiles;
     std::vector<catalog::EngineState> published;
+    std::vector<catalog::EngineLoad> publishedLoads;
     EngineKeeper keeper;
 };
 
@@ -326,7 +330,7 @@
 {
     start();
     pass(Milliseconds(5000));
-    const std::size_t regular = published.size();
+    const std::size_t regular = publications();
     BOOST_TEST(regular >= 5U);
     BOOST_TEST(regular <= 8U);
     engine.state.held.push_back({ ModelName("b"), 1, {}, 0 });
@@ -334,14 +338,47 @@
     BOOST_TEST(published.back().find(ModelName("b")) != nullptr);
 }
 
+// Guards against control traffic that grows with the number of models and cached weights at each request.
+BOOST_AUTO_TEST_CASE(aChangeOfLoadIsPublishedWithoutTheState)
+{
+    engine.state.held.push_back({ ModelName("b"), 1, {}, 0 });
+    start();
+    pass(Milliseconds(2000));
+    const std::size_t states = published.size();
+    engine.state.running = 12;
+    engine.state.usedMemory = catalog::Tokens(50000);
+    pass(Milliseconds(220));
+    BOOST_TEST(published.size() == states);
+    BOOST_REQUIRE(!publishedLoads.empty());
+    BOOST_TEST(publishedLoads.back().running == 12u);
+    BOOST_TEST(publishedLoads.back().usedMemory.value() == 50000u);
+    BOOST_TEST(publishedLoads.back().held.size() == 1u);
+}
+
+// Guards against a processor that is spent on asking about a load whose end is known.
+BOOST_AUTO_TEST_CASE(aLongLoadIsAskedAboutSeldomUntilItsEndIsNear)
+{
+    start();
+    want("a");
+    engine.answer(OrderOutcome::Accepted);
+    engine.state.isBusy = true;
+    const int before = engine.reports;
+    pass(Milliseconds(4000));
+    BOOST_TEST(engine.reports - before <= 25);
+    pass(Milliseconds(1900));
+    const int nearEnd = engine.reports;
+    pass(Milliseconds(100));
+    BOOST_TEST(engine.reports - nearEnd >= 3);
+}
+
 BOOST_AUTO_TEST_CASE(aSilentEngineIsNotSpokenFor)
 {
     start();
     pass(Milliseconds(1000));
     engine.isSilent = true;
-    const std::size_t before = published.size();
+    const std::size_t before = publications();
     pass(Milliseconds(5000));
-    BOOST_TEST(published.size() == before);
+    BOOST_TEST(publications() == before);
     BOOST_TEST(engine.reports < 60);
 }
 
--- a/src/engines/tests/placementplan_test.cpp
+++ b/src/engines/tests/placementplan_test.cpp
@@ -232,6 +232,26 @@
     BOOST_TEST((decide().order == loadA));
 }
 
+BOOST_AUTO_TEST_CASE(whatARouterNoLongerWantsIsTakenAway)
+{
+    WantedBook book;
+    Wanted one;
+    one.target = target("a");
+    one.waiting = 2;
+    one.earliest = Deadline::after(now, Milliseconds(1000));
+    Wanted other = one;
+    other.waiting = 1;
+    other.earliest = Deadline::after(now, Milliseconds(3000));
+    book.set(framework::VmName("r1"), { one }, now);
+    book.set(framework::VmName("r2"), { other }, now);
+    book.set(framework::VmName("r1"), {}, now);
+    BOOST_TEST(book.merged().at(target("a")).waiting == 1u);
+    BOOST_TEST((book.merged().at(target("a")).earliest == other.earliest));
+    book.forget(framework::VmName("r2"));
+    BOOST_TEST(book.merged().empty());
+    BOOST_TEST(book.routers() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(whatSeveralRoutersWantIsAddedUp)
 {
     WantedBook book;
--- a/src/engines/wantedbook.h
+++ b/src/engines/wantedbook.h
@@ -9,17 +9,18 @@
 
 namespace lagoon::engines {
 
-/// What all routers together want of one engine. Forgets routers that have fallen silent.
+/// What all routers together want of one engine. Forgets routers that have fallen silent. A router's update costs what
+/// the routers say of the models that it names, before or after.
 class WantedBook {
 public:
     /// Replaces what the router wanted before.
     void set(const framework::VmName& router, catalog::WantedList, framework::SteadyTime now);
-    void forget(const framework::VmName& router) { routers_.erase(router); }
+    void forget(const framework::VmName& router);
     void forgetSilent(framework::SteadyTime now);
     std::size_t routers() const { return routers_.size(); }
 
     /// Over all routers: sums of those that wait, that are under way, and of the work; the nearest deadline.
-    std::map<catalog::ModelTarget, catalog::Wanted> merged() const;
+    const std::map<catalog::ModelTarget, catalog::Wanted>& merged() const { return merged_; }
 
 private:
     struct Entry {
@@ -27,7 +28,11 @@
         framework::SteadyTime at {};
     };
 
+    void merge(const catalog::ModelTarget&);
+
     std::map<framework::VmName, Entry> routers_;
+    std::map<catalog::ModelTarget, std::map<framework::VmName, catalog::Wanted>> byTarget_;
+    std::map<catalog::ModelTarget, catalog::Wanted> merged_;
 };
 
 } // namespace lagoon::engines
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -2,9 +2,9 @@
 
 #include "catalog/types/configuration.h"
 #include "catalog/types/upstream.h"
-#include "catalog/types/wanted.h"
 #include "forwarding/forwardersettings.h"
 #include "forwarding/irequestdialect.h"
+#include "forwarding/wantedplanner.h"
 #include "framework/eventthread.h"
 #include "framework/iclock.h"
 #include "framework/metrics.h"
@@ -30,8 +30,8 @@
         const framework::IClock& clock;
         const IRequestDialect& dialect;
         std::shared_ptr<framework::Metrics> metrics;
-        /// Tells the engines' agents what is wanted of them; called on the traffic thread.
-        std::function<void(const std::map<framework::Endpoint, catalog::WantedList>&)> tellAgents;
+        /// Subscribes to the engines' agents and publishes to them; called on the traffic thread.
+        std::function<void(const LoadPlan&)> publish;
     };
 
     Forwarder(Context, const ForwarderSettings&);
@@ -47,7 +47,12 @@
     void setConfiguration(catalog::ConfigurationPointer);
     void setUpstreams(const std::vector<catalog::Upstream>&);
     void setEngineState(catalog::EngineState);
+    /// The rest of the engine's state is as it was set last.
+    void setEngineLoad(const catalog::EngineLoad&);
+    /// This router doesn't subscribe to the engine any more.
     void forgetEngine(const framework::Endpoint&);
+    /// The engine's agent can't be reached.
+    void didLoseAgent(const framework::Endpoint&);
     /// This process ends: from now on each request has its final answer by then, also those that come later, and what
     /// no server has by `startBy` is refused.
     void endService(const framework::ServiceEnd&);
--- a/src/forwarding/internal/enginefacts.cpp
+++ b/src/forwarding/internal/enginefacts.cpp
@@ -8,7 +8,6 @@
 
 using catalog::EngineState;
 using catalog::ModelProfile;
-using framework::Endpoint;
 using framework::Milliseconds;
 using framework::ModelName;
 
@@ -27,13 +26,6 @@
 
 } // namespace
 
-bool hasAtHand(const EngineFacts& engine, const ModelName& model)
-{
-    const EngineState& state = *engine.state;
-    return state.find(model) || state.loading == model || state.atHand.hasInMemory(model)
-        || state.atHand.hasOnDisk(model);
-}
-
 std::optional<Milliseconds> expectedAt(const EngineFacts& engine, const ModelName& model, framework::SteadyTime now)
 {
     const auto age = std::chrono::duration_cast<Milliseconds>(now - engine.stateAt);
@@ -75,11 +67,4 @@
     return all;
 }
 
-const EngineFacts* factsOf(const std::vector<EngineFacts>& engines, const Endpoint& endpoint)
-{
-    const auto found = std::find_if(
-        engines.begin(), engines.end(), [&](const EngineFacts& engine) { return engine.engine == endpoint; });
-    return found == engines.end() ? nullptr : &*found;
-}
-
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/enginefacts.h
+++ b/src/forwarding/internal/enginefacts.h
@@ -9,8 +9,6 @@
 
 namespace lagoon::forwarding {
 
-/// Whether the engine has the weights without the weight store, or is loading them.
-bool hasAtHand(const EngineFacts&, const framework::ModelName&);
 /// When the model will be there, from now, as the engine's agent said; nothing if it said nothing of it.
 std::optional<framework::Milliseconds> expectedAt(
     const EngineFacts&, const framework::ModelName&, framework::SteadyTime now);
@@ -21,7 +19,5 @@
 /// Part of one engine that this router's requests under way for each model and its adapters take, wherever they run: of
 /// its slots or of its memory, whichever is scarcer. `slots` are an engine's.
 std::map<framework::ModelName, double> occupancies(const std::vector<EngineFacts>&, std::uint32_t slots);
-/// Null if there is none at the endpoint.
-const EngineFacts* factsOf(const std::vector<EngineFacts>&, const framework::Endpoint&);
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace lagoon::forwarding {
@@ -25,6 +26,8 @@
 
 /// Agents hear of changed demand this soon; what changes meanwhile goes with it.
 constexpr Milliseconds planWithin { 15 };
+/// Of what no request waits for.
+constexpr Milliseconds planCalmly { 100 };
 /// And without a change, since averages move.
 constexpr Milliseconds planEach { 500 };
 /// To come back while this process knows no configuration yet: it reads one within about a second of its start.
@@ -58,7 +61,7 @@
         : context_(std::move(context))
         , settings_(settings)
         , upstreams_(context_.traffic.context())
-        , loads_(upstreams_, context_.tellAgents, context_.clock.now())
+        , loads_(upstreams_, context_.publish, context_.clock.now())
     {
         upstreams_.setPolicy(settings.policy);
     }
@@ -102,13 +105,26 @@
 
     void setState(catalog::EngineState state)
     {
+        std::vector<framework::ModelName> models = modelsOf(state);
         upstreams_.setState(std::move(state), now());
-        retryWaiting();
+        retryWaitingFor(models);
         planSoon(planWithin);
     }
 
+    void setLoad(const catalog::EngineLoad& load)
+    {
+        upstreams_.setLoad(load, now());
+        planSoon(planCalmly);
+    }
+
     void forgetState(const Endpoint& engine) { upstreams_.forgetState(engine); }
 
+    void didLoseAgent(const Endpoint& engine)
+    {
+        upstreams_.didLoseAgent(engine);
+        planSoon(planWithin);
+    }
+
     void endService(const framework::ServiceEnd& end)
     {
         end_ = end;
@@ -166,12 +182,13 @@
 
     void didRun(Milliseconds took) override { loads_.didRun(took); }
 
-    void demandChanged() override { planSoon(planWithin); }
+    void demandChanged() override { planSoon(planCalmly); }
 
     void didEnd(const std::shared_ptr<RequestJob>& job) override
     {
         jobs_.erase(job);
-        planSoon(planWithin);
+        noteEnd(job);
+        planSoon(planCalmly);
         if (std::exchange(isRetryPosted_, true))
             return;
         // Not from here: the request that ended is still on the stack.
@@ -212,6 +229,8 @@
         if (end_)
             job->endService(*end_);
         jobs_.insert(job);
+        if (!job->terms().facts.model.value().empty())
+            jobsByModel_[job->terms().facts.model].insert(job);
         job->start();
         if (job->isWaiting())
             planSoon(Milliseconds(0));
@@ -228,11 +247,49 @@
         return budget;
     }
 
+    void noteEnd(const std::shared_ptr<RequestJob>& job)
+    {
+        const auto ofModel = jobsByModel_.find(job->terms().facts.model);
+        if (ofModel != jobsByModel_.end() && ofModel->second.erase(job) > 0 && ofModel->second.empty())
+            jobsByModel_.erase(ofModel);
+    }
+
+    using Jobs = std::set<std::shared_ptr<RequestJob>>;
+    /// Engines that agents speak for, by service; gathered once for all requests that are looked at together.
+    using EnginesByService = std::map<ServiceName, std::vector<EngineFacts>>;
+
+    static std::vector<framework::ModelName> modelsOf(const catalog::EngineState& state)
+    {
+        std::vector<framework::ModelName> models;
+        for (const catalog::HeldModel& held : state.held)
+            models.push_back(held.model);
+        for (const catalog::EngineState::Expected& expected : state.expected)
+            models.push_back(expected.model);
+        return models;
+    }
+
     void retryWaiting()
     {
         isRetryPosted_ = false;
+        retry(jobs_);
+    }
+
+    /// Those that an engine's state may concern, so that its cost doesn't grow with the number of requests.
+    void retryWaitingFor(const std::vector<framework::ModelName>& models)
+    {
+        Jobs concerned;
+        for (const framework::ModelName& model : models) {
+            const auto ofModel = jobsByModel_.find(model);
+            if (ofModel != jobsByModel_.end())
+                concerned.insert(ofModel->second.begin(), ofModel->second.end());
+        }
+        retry(concerned);
+    }
+
+    void retry(const Jobs& jobs)
+    {
         std::vector<std::shared_ptr<RequestJob>> waiting;
-        for (const auto& job : jobs_) {
+        for (const auto& job : jobs) {
             if (job->isWaiting())
                 waiting.push_back(job);
         }
@@ -242,28 +299,34 @@
         });
         for (const auto& job : waiting)
             job->advance();
+        EnginesByService engines;
         for (const auto& job : waiting) {
             if (job->isWaiting())
-                refuseIfHopeless(*job);
+                refuseIfHopeless(*job, engines);
         }
     }
 
     /// A request that waits for a model is refused once even the soonest end of its load is too late, or when there is
     /// nobody who could load it.
-    void refuseIfHopeless(RequestJob& job)
+    void refuseIfHopeless(RequestJob& job, EnginesByService& engines)
     {
         const auto waitingFor = job.waitingFor();
         if (!waitingFor || !settings_.policy.refusesHopeless)
             return;
-        const std::vector<EngineFacts> engines = upstreams_.engines(job.terms().service, now());
+        const ServiceName& service = job.terms().service;
         const Milliseconds left = job.terms().firstEventBy.remaining(now());
-        if (engines.empty() && job.waited(now()) > agentPatience)
+        if (!waitingFor->target.adapter.value().empty())
+            return;
+        auto known = engines.find(service);
+        if (known == engines.end())
+            known = engines.emplace(service, upstreams_.engines(service, now())).first;
+        const auto soonest = loads_.soonest(service, known->second, *waitingFor, now());
+        if (!soonest && !loads_.hasLoader(service, waitingFor->target.model) && job.waited(now()) > agentPatience)
             return job.refuseAsHopeless(left);
-        const auto soonest = loads_.soonest(job.terms().service, engines, *waitingFor, now());
         if (!soonest || *soonest + fastestAnswer <= left)
             return;
         if (settings_.policy.countsReturning)
-            loads_.keepFor(job.terms().service, *waitingFor, job.terms().deadline);
+            loads_.keepFor(service, *waitingFor, job.terms().deadline);
         job.refuseAsHopeless(*soonest);
     }
 
@@ -291,6 +354,7 @@
     void plan()
     {
         planTimer_.reset();
+        upstreams_.forgetLosses(now());
         leaveSilent();
         if (routes_)
             loads_.plan(
@@ -319,7 +383,8 @@
     std::unique_ptr<framework::Timer> startTimer_;
     UpstreamTable upstreams_;
     std::unique_ptr<catalog::RouteTable> routes_;
-    std::set<std::shared_ptr<RequestJob>> jobs_;
+    Jobs jobs_;
+    std::unordered_map<framework::ModelName, Jobs> jobsByModel_;
     std::map<ServiceName, policy::RetryBudget> budgets_;
     LoadRequests loads_;
     /// At the engines that hold a model, by the priority of those that queue.
@@ -354,8 +419,12 @@
 
 void Forwarder::setEngineState(catalog::EngineState state) { implementation_->setState(std::move(state)); }
 
+void Forwarder::setEngineLoad(const catalog::EngineLoad& load) { implementation_->setLoad(load); }
+
 void Forwarder::forgetEngine(const Endpoint& engine) { implementation_->forgetState(engine); }
 
+void Forwarder::didLoseAgent(const Endpoint& engine) { implementation_->didLoseAgent(engine); }
+
 void Forwarder::endService(const framework::ServiceEnd& end) { implementation_->endService(end); }
 
 void Forwarder::answerNow() { implementation_->answerNow(); }
--- a/src/forwarding/internal/loadrequests.cpp
+++ b/src/forwarding/internal/loadrequests.cpp
@@ -32,9 +32,9 @@
 
 } // namespace
 
-LoadRequests::LoadRequests(const UpstreamTable& upstreams, TellAgents tellAgents, SteadyTime startedAt)
+LoadRequests::LoadRequests(const UpstreamTable& upstreams, Publish publish, SteadyTime startedAt)
     : upstreams_(upstreams)
-    , tellAgents_(std::move(tellAgents))
+    , publish_(std::move(publish))
     , demand_(startedAt)
     , runTime_(assumedRunTime)
 {
@@ -66,37 +66,44 @@
     const policy::PolicySwitches& policy, SteadyTime now)
 {
     comingBack_.forgetLeft(now);
+    LoadPlan all;
     for (const catalog::Service& service : configuration.services) {
-        if (service.engine)
-            planFor(service, waiting(service.name), policy, now);
+        if (!service.engine)
+            continue;
+        LoadPlan plan = planFor(service, waiting(service.name), policy, now);
+        all.wanted.merge(plan.wanted);
+        all.subscriptions.merge(plan.subscriptions);
     }
+    publish_(all);
 }
 
-void LoadRequests::planFor(const catalog::Service& service, const std::vector<WaitingFor>& requests,
+LoadPlan LoadRequests::planFor(const catalog::Service& service, const std::vector<WaitingFor>& requests,
     const policy::PolicySwitches& policy, SteadyTime now)
 {
-    const std::vector<UpstreamPointer> ready = upstreams_.ready(service.name);
-    forgetServed(service.name, ready, now);
-    PlannerInput input { *service.engine, upstreams_.engines(service.name, now), byTarget(service.name, requests), {},
-        false, demand_.isKnown(now), now, runTime_.mean(), policy };
+    forgetServed(service.name, now);
+    PlannerInput input { *service.engine, upstreams_.replicas(service.name), upstreams_.engines(service.name, now),
+        byTarget(service.name, requests), {}, demand_.isKnown(now), now, runTime_.mean(), policy };
     input.work = occupancies(input.engines, service.engine->slots);
-    for (const catalog::ModelProfile& model : service.engine->models) {
-        const double reading = demand_.work(model.name, now);
-        if (reading > 0)
-            input.work[model.name] += reading;
-    }
-    input.isComplete = !input.engines.empty() && input.engines.size() * 10 >= ready.size() * 9;
-    const auto plan = planners_[service.name].plan(input);
-    logNew(service.name, plan, input.engines.size());
-    tellAgents_(plan);
+    for (const auto& [model, reading] : demand_.recent(now))
+        input.work[model] += reading;
+    LoadPlan plan = planners_[service.name].plan(input);
+    logNew(service.name, plan.wanted, input.engines.size());
+    return plan;
+}
+
+bool LoadRequests::hasLoader(const ServiceName& service, const framework::ModelName& model) const
+{
+    const auto planner = planners_.find(service);
+    return planner != planners_.end() && planner->second.hasLoader(model);
 }
 
 /// Guards against a second load, elsewhere, of a model that is there by now for those who come back.
-void LoadRequests::forgetServed(const ServiceName& service, const std::vector<UpstreamPointer>& ready, SteadyTime now)
+void LoadRequests::forgetServed(const ServiceName& service, SteadyTime now)
 {
     for (const WaitingFor& back : comingBack_.expected(service)) {
         const auto holdsIt = [&](const UpstreamPointer& engine) { return upstreams_.holds(*engine, back.target, now); };
-        if (std::any_of(ready.begin(), ready.end(), holdsIt))
+        const std::vector<UpstreamPointer> serving = upstreams_.serving(service, back.target.model);
+        if (std::any_of(serving.begin(), serving.end(), holdsIt))
             comingBack_.forget(service, back.target.model);
     }
 }
--- a/src/forwarding/internal/loadrequests.h
+++ b/src/forwarding/internal/loadrequests.h
@@ -22,12 +22,12 @@
 /// only.
 class LoadRequests {
 public:
-    /// Called for each engine service at each plan; engines that are missing are wanted nothing of.
-    using TellAgents = std::function<void(const std::map<framework::Endpoint, catalog::WantedList>&)>;
+    /// Called at each plan, with the plans of all engine services together.
+    using Publish = std::function<void(const LoadPlan&)>;
     /// A service's requests that wait for a load, one entry each.
     using Waiting = std::function<std::vector<WaitingFor>(const framework::ServiceName&)>;
 
-    LoadRequests(const UpstreamTable&, TellAgents, framework::SteadyTime startedAt);
+    LoadRequests(const UpstreamTable&, Publish, framework::SteadyTime startedAt);
 
     void didArrive(const framework::ServiceName&, const RequestFacts&, framework::SteadyTime now);
     /// A request for a model was served within this time from its sending.
@@ -38,21 +38,22 @@
     /// As `WantedPlanner::soonest`.
     std::optional<framework::Milliseconds> soonest(const framework::ServiceName&, const std::vector<EngineFacts>&,
         const WaitingFor&, framework::SteadyTime now) const;
+    /// Whether an engine has been found to load the model.
+    bool hasLoader(const framework::ServiceName&, const framework::ModelName&) const;
     void plan(const catalog::Configuration&, const Waiting&, const policy::PolicySwitches&, framework::SteadyTime now);
 
 private:
     using Asked = std::set<std::pair<framework::Endpoint, catalog::ModelTarget>>;
 
-    void planFor(const catalog::Service&, const std::vector<WaitingFor>& requests, const policy::PolicySwitches&,
+    LoadPlan planFor(const catalog::Service&, const std::vector<WaitingFor>& requests, const policy::PolicySwitches&,
         framework::SteadyTime now);
-    void forgetServed(
-        const framework::ServiceName&, const std::vector<UpstreamPointer>& ready, framework::SteadyTime now);
+    void forgetServed(const framework::ServiceName&, framework::SteadyTime now);
     std::vector<WaitingFor> byTarget(const framework::ServiceName&, const std::vector<WaitingFor>& requests) const;
     void logNew(
         const framework::ServiceName&, const std::map<framework::Endpoint, catalog::WantedList>&, std::size_t agents);
 
     const UpstreamTable& upstreams_;
-    TellAgents tellAgents_;
+    Publish publish_;
     ModelDemand demand_;
     std::map<framework::ServiceName, WantedPlanner> planners_;
     ReturningCallers comingBack_;
--- a/src/forwarding/internal/modeldemand.cpp
+++ b/src/forwarding/internal/modeldemand.cpp
@@ -12,6 +12,8 @@
 /// follows no faster asks for it when the requests are late already. A shorter one would see chance.
 constexpr double fadeSeconds = 3;
 
+/// What is left of a model's average by then is an eighth.
+constexpr framework::Milliseconds forgottenAfter { 6000 };
 /// An average of less time than this says more of chance than of demand.
 constexpr double leastSeconds = 1;
 /// Callers who go on asking while a process starts are heard within this.
@@ -46,6 +48,15 @@
     return faded(found->second.perSecond, found->second.at, now) / (1 - std::exp(-listened / fadeSeconds));
 }
 
+std::map<framework::ModelName, double> ModelDemand::recent(framework::SteadyTime now)
+{
+    std::erase_if(averages_, [now](const auto& entry) { return now - entry.second.at > forgottenAfter; });
+    std::map<framework::ModelName, double> all;
+    for (const auto& [model, average] : averages_)
+        all.emplace(model, work(model, now));
+    return all;
+}
+
 bool ModelDemand::isKnown(framework::SteadyTime now) const
 {
     if (now - startedAt_ < quietStart)
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -222,8 +222,10 @@
 
 bool RequestJob::isHeldElsewhere() const
 {
-    const std::vector<UpstreamPointer> ready = host_.upstreams().ready(terms_.service);
-    return std::any_of(ready.begin(), ready.end(), [&](const UpstreamPointer& other) {
+    const std::vector<UpstreamPointer> serving = isForModel()
+        ? host_.upstreams().serving(terms_.service, terms_.facts.model)
+        : host_.upstreams().ready(terms_.service);
+    return std::any_of(serving.begin(), serving.end(), [&](const UpstreamPointer& other) {
         return other.get() != &attempt_->use().upstream() && !tried_.has(*other)
             && !host_.upstreams().isSuspect(*other, host_.now()) && !host_.upstreams().isSilent(*other, host_.now())
             && host_.upstreams().holds(*other, target(), host_.now());
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -65,8 +65,8 @@
     void logUnanswered() const;
 
     // From the attempt under way.
-    /// Guards against a request that reaches a server after its caller has left: a busy event loop may be a second behind
-    /// with what callers do.
+    /// Guards against a request that reaches a server after its caller has left: a busy event loop may be a second
+    /// behind with what callers do.
     bool endIfCallerLeft();
     void didHear(UpstreamRecord&);
     void didBeginStream(const http::ResponseHead&);
--- a/src/forwarding/internal/roomdamage.cpp
+++ b/src/forwarding/internal/roomdamage.cpp
@@ -41,14 +41,14 @@
 std::optional<double> RoomDamage::of(const EngineFacts& engine, const ModelName& held, bool isWaitedFor) const
 {
     const double work = work_.at(held);
-    const std::uint32_t holders = holders_.at(held);
+    const auto holders = static_cast<std::uint32_t>(input_.replicas.loadedAt(held).size());
     if (holders > policy::wantedCopies(work))
         return 0;
     if (policy::isBusyModel(work))
         return isWaitedFor && holders > 1 && input_.policy.displacesBusyCopies ? std::optional(damageOfBusyCopy)
                                                                                : std::nullopt;
-    const bool isElsewhere = std::any_of(input_.engines.begin(), input_.engines.end(),
-        [&](const EngineFacts& other) { return other.engine != engine.engine && hasAtHand(other, held); });
+    const ReplicaIndex::Engines& available = input_.replicas.availableAt(held);
+    const bool isElsewhere = available.size() > 1 || (available.size() == 1 && available.front() != engine.engine);
     return (isElsewhere ? damageOfOtherCopy : damageOfOnlyCopy) + damagePerWork * work;
 }
 
--- a/src/forwarding/internal/roomdamage.h
+++ b/src/forwarding/internal/roomdamage.h
@@ -19,12 +19,10 @@
 /// rare model.
 class RoomDamage {
 public:
-    /// `work` and `holders` are of each held model, over all routers and engines. All must outlive this.
-    RoomDamage(const PlannerInput& input, const std::map<framework::ModelName, double>& work,
-        const std::map<framework::ModelName, std::uint32_t>& holders)
+    /// `work` is of each held model, over all routers. Both must outlive this.
+    RoomDamage(const PlannerInput& input, const std::map<framework::ModelName, double>& work)
         : input_(input)
         , work_(work)
-        , holders_(holders)
     {
     }
 
@@ -37,7 +35,6 @@
 
     const PlannerInput& input_;
     const std::map<framework::ModelName, double>& work_;
-    const std::map<framework::ModelName, std::uint32_t>& holders_;
 };
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -68,17 +68,29 @@
 
     UpstreamSearch run()
     {
+        if (!terms_.facts.model.value().empty())
+            return runForModel();
         const std::vector<UpstreamPointer> ready = host_.upstreams().ready(terms_.service);
         if (ready.empty())
             return failed(NoUpstream::NoneReady);
         std::vector<UpstreamPointer> candidates = allowed(ready, terms_, tried_);
         if (candidates.empty())
             return failed(NoUpstream::NoneLeft);
-        return terms_.facts.model.value().empty() ? amongServers(std::move(candidates))
-                                                  : amongEngines(std::move(candidates));
+        return amongServers(std::move(candidates));
     }
 
 private:
+    UpstreamSearch runForModel()
+    {
+        const UpstreamTable& upstreams = host_.upstreams();
+        if (!upstreams.hasReady(terms_.service))
+            return failed(NoUpstream::NoneReady);
+        const bool mayBeSentToNew = tried_.sentTo.size() < terms_.route->mostServers;
+        if (!mayBeSentToNew && allowed(upstreams.ready(terms_.service), terms_, tried_).empty())
+            return failed(NoUpstream::NoneLeft);
+        return amongEngines(allowed(upstreams.serving(terms_.service, terms_.facts.model), terms_, tried_));
+    }
+
     static UpstreamSearch found(ChosenUpstream&& chosen)
     {
         UpstreamSearch search;
@@ -156,15 +168,19 @@
         UpstreamSearch search = failed(NoUpstream::AdapterNotLoaded);
         std::vector<framework::VmName> names;
         std::vector<framework::VmName> loading;
+        std::vector<framework::VmName> notHeardYet;
         for (const UpstreamPointer& engine : engines) {
-            const HeardState* const heard = host_.upstreams().state(*engine, now_);
-            if (!heard || isSuspect(*engine))
+            if (isSuspect(*engine) || host_.upstreams().hasLostAgent(*engine))
                 continue;
-            auto& list = heard->state.loading.value().empty() ? names : loading;
+            const HeardState* const heard = host_.upstreams().state(*engine, now_);
+            const bool isLoading = heard && !heard->state.loading.value().empty();
+            auto& list = !heard ? notHeardYet : isLoading ? loading : names;
             list.emplace_back(engine->facts.endpoint.value());
         }
         if (names.empty())
             names = std::move(loading);
+        if (names.empty())
+            names = std::move(notHeardYet);
         if (names.empty())
             return failed(NoUpstream::NotLoaded);
         const std::string key = terms_.facts.model.value() + '/' + terms_.facts.adapter.value();
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -26,9 +26,9 @@
 /// Prompt tokens of which it is assumed that an engine keeps them, until its agent has told its memory.
 const catalog::Tokens assumedPromptRoom(100000);
 
-bool takesRequests(const UpstreamRecord& record, const framework::ServiceName& service)
+bool takesRequests(const UpstreamRecord& record)
 {
-    return record.facts.service == service && record.facts.state == catalog::UpstreamState::Ready && !record.isGone;
+    return record.facts.state == catalog::UpstreamState::Ready && !record.isGone;
 }
 
 /// Guards against going by a former run, of which nothing holds: the list may lag behind an agent, and an agent's word
@@ -70,22 +70,79 @@
     std::set<catalog::InstanceId> listed;
     for (const Upstream& upstream : upstreams) {
         listed.insert(upstream.instance);
-        UpstreamPointer& record = records_[upstream.instance];
-        if (!record || !isSameServer(record->facts, upstream)) {
-            record = std::make_shared<UpstreamRecord>(context_, upstream);
-            continue;
-        }
-        const auto started = record->facts.started;
-        const bool isLagging = isOfFormerRun(upstream.started, record->facts);
-        record->facts = upstream;
-        record->facts.started = started;
-        if (isLagging)
-            record->facts.models.clear();
+        put(upstream);
     }
-    std::erase_if(records_, [&](const auto& entry) { return !listed.contains(entry.first); });
+    std::erase_if(records_, [&](const auto& entry) {
+        if (listed.contains(entry.first))
+            return false;
+        removeFromIndex(entry.second);
+        return true;
+    });
     limitConnections();
 }
 
+void UpstreamTable::put(const Upstream& upstream)
+{
+    UpstreamPointer& record = records_[upstream.instance];
+    if (!record || !isSameServer(record->facts, upstream)) {
+        if (record)
+            removeFromIndex(record);
+        record = std::make_shared<UpstreamRecord>(context_, upstream);
+        return addToIndex(record);
+    }
+    if (record->facts.service != upstream.service)
+        removeFromIndex(record);
+    const auto started = record->facts.started;
+    const bool isLagging = isOfFormerRun(upstream.started, record->facts);
+    record->facts = upstream;
+    record->facts.started = started;
+    if (isLagging)
+        record->facts.models.clear();
+    addToIndex(record);
+}
+
+void UpstreamTable::addToIndex(const UpstreamPointer& record)
+{
+    ServiceRecords& records = services_[record->facts.service];
+    records.byEndpoint[record->facts.endpoint] = record;
+    records.replicas.set(record->facts.endpoint, contentsOf(*record));
+}
+
+void UpstreamTable::removeFromIndex(const UpstreamPointer& record)
+{
+    ServiceRecords& records = services_[record->facts.service];
+    const auto indexed = records.byEndpoint.find(record->facts.endpoint);
+    if (indexed == records.byEndpoint.end() || indexed->second != record)
+        return;
+    records.byEndpoint.erase(indexed);
+    agentless_.erase(record->facts.endpoint);
+    records.replicas.remove(record->facts.endpoint);
+}
+
+void UpstreamTable::refreshReplicas(const UpstreamRecord& record)
+{
+    services_[record.facts.service].replicas.set(record.facts.endpoint, contentsOf(record));
+}
+
+ReplicaIndex::Contents UpstreamTable::contentsOf(const UpstreamRecord& record) const
+{
+    const HeardState* const said = heard(record);
+    const std::vector<catalog::HeldModel>& held = said ? said->state.held : record.facts.models;
+    const catalog::AtHand& cached = said ? said->state.atHand : record.facts.atHand;
+    const bool servesNothing
+        = record.facts.state != catalog::UpstreamState::Ready || lost_.contains(record.facts.endpoint);
+    ReplicaIndex::Contents contents;
+    for (const catalog::HeldModel& model : held) {
+        const bool isServed = !servesNothing && !(said && said->state.isLeaving(model.model));
+        (isServed ? contents.loaded : contents.cached).push_back(model.model);
+    }
+    if (said && !said->state.loading.value().empty())
+        contents.cached.push_back(said->state.loading);
+    contents.cached.insert(contents.cached.end(), cached.memory.begin(), cached.memory.end());
+    contents.cached.insert(contents.cached.end(), cached.disk.begin(), cached.disk.end());
+    return contents;
+}
+
 void UpstreamTable::setConfiguration(catalog::ConfigurationPointer configuration)
 {
     configuration_ = std::move(configuration);
@@ -111,15 +168,46 @@
     const std::uint32_t before = routers();
     const Endpoint engine = state.engine;
     const bool isNewRun = noteStart(state);
-    for (const auto& [instance, record] : records_) {
-        if (record->facts.endpoint == engine)
-            didHear(*record, now);
-    }
+    forgetState(engine);
+    routerCounts_.insert(state.routers);
     states_[engine] = { std::move(state), now };
+    lost_.erase(engine);
+    agentless_.erase(engine);
+    if (const UpstreamPointer record = find(engine)) {
+        didHear(*record, now);
+        refreshReplicas(*record);
+    }
     if (isNewRun || routers() != before)
         limitConnections();
 }
 
+void UpstreamTable::setLoad(const catalog::EngineLoad& load, SteadyTime now)
+{
+    const auto known = states_.find(load.engine);
+    if (known == states_.end())
+        return;
+    const std::uint32_t routersBefore = known->second.state.routers;
+    if (!catalog::applyLoad(known->second.state, load))
+        return;
+    known->second.at = now;
+    if (load.routers != routersBefore) {
+        routerCounts_.erase(routerCounts_.find(routersBefore));
+        routerCounts_.insert(load.routers);
+    }
+    if (const UpstreamPointer record = find(load.engine))
+        didHear(*record, now);
+}
+
+UpstreamPointer UpstreamTable::find(const Endpoint& endpoint) const
+{
+    for (const auto& [service, records] : services_) {
+        const auto found = records.byEndpoint.find(endpoint);
+        if (found != records.byEndpoint.end())
+            return found->second;
+    }
+    return nullptr;
+}
+
 void UpstreamTable::didHear(UpstreamRecord& record, SteadyTime now)
 {
     record.liveness.didHear(now, record.inFlight);
@@ -129,47 +217,116 @@
 void UpstreamTable::didLose(UpstreamRecord& record, SteadyTime now)
 {
     record.lostUntil = framework::Deadline::after(now, lostFor);
-    states_.erase(record.facts.endpoint);
+    lost_.insert(record.facts.endpoint);
+    forgetState(record.facts.endpoint);
+    refreshReplicas(record);
+}
+
+void UpstreamTable::forgetLosses(SteadyTime now)
+{
+    for (auto lost = lost_.begin(); lost != lost_.end();) {
+        const UpstreamPointer record = find(*lost);
+        if (record && !record->lostUntil.hasPassed(now)) {
+            ++lost;
+            continue;
+        }
+        lost = lost_.erase(lost);
+        if (record)
+            refreshReplicas(*record);
+    }
 }
 
 /// An agent sees its engine start again before the list shows it: until then, prompts that are no longer there would
 /// draw requests, and what was sent over an idle connection of the former run would be lost.
 bool UpstreamTable::noteStart(const catalog::EngineState& state)
 {
-    bool isNewRun = false;
-    for (auto& [instance, record] : records_) {
-        if (record->facts.endpoint != state.engine || record->facts.started >= state.started)
-            continue;
-        Upstream facts = record->facts;
-        facts.started = state.started;
-        facts.models.clear();
-        record = std::make_shared<UpstreamRecord>(context_, facts);
-        isNewRun = true;
-    }
-    return isNewRun;
+    const UpstreamPointer known = find(state.engine);
+    if (!known || known->facts.started >= state.started)
+        return false;
+    Upstream facts = known->facts;
+    facts.started = state.started;
+    facts.models.clear();
+    removeFromIndex(known);
+    UpstreamPointer& record = records_[facts.instance];
+    record = std::make_shared<UpstreamRecord>(context_, facts);
+    addToIndex(record);
+    return true;
 }
 
-void UpstreamTable::forgetState(const Endpoint& engine) { states_.erase(engine); }
+void UpstreamTable::forgetState(const Endpoint& engine)
+{
+    const auto known = states_.find(engine);
+    if (known == states_.end())
+        return;
+    routerCounts_.erase(routerCounts_.find(known->second.state.routers));
+    states_.erase(known);
+    if (const UpstreamPointer record = find(engine))
+        refreshReplicas(*record);
+}
+
+void UpstreamTable::didLoseAgent(const Endpoint& engine)
+{
+    agentless_.insert(engine);
+    forgetState(engine);
+}
 
 std::vector<UpstreamPointer> UpstreamTable::ready(const framework::ServiceName& service) const
 {
     std::vector<UpstreamPointer> found;
-    for (const auto& [instance, record] : records_) {
-        if (takesRequests(*record, service))
+    const auto records = services_.find(service);
+    if (records == services_.end())
+        return found;
+    for (const auto& [endpoint, record] : records->second.byEndpoint) {
+        if (takesRequests(*record))
             found.push_back(record);
     }
     return found;
 }
 
-const HeardState* UpstreamTable::state(const UpstreamRecord& record, SteadyTime now) const
+bool UpstreamTable::hasReady(const framework::ServiceName& service) const
+{
+    const auto records = services_.find(service);
+    return records != services_.end()
+        && std::any_of(records->second.byEndpoint.begin(), records->second.byEndpoint.end(),
+            [](const auto& entry) { return takesRequests(*entry.second); });
+}
+
+std::vector<UpstreamPointer> UpstreamTable::serving(
+    const framework::ServiceName& service, const framework::ModelName& model) const
+{
+    std::vector<UpstreamPointer> found;
+    const auto records = services_.find(service);
+    if (records == services_.end())
+        return found;
+    for (const Endpoint& endpoint : records->second.replicas.loadedAt(model)) {
+        const UpstreamPointer& record = records->second.byEndpoint.at(endpoint);
+        if (takesRequests(*record))
+            found.push_back(record);
+    }
+    return found;
+}
+
+const ReplicaIndex& UpstreamTable::replicas(const framework::ServiceName& service) const
+{
+    static const ReplicaIndex none;
+    const auto records = services_.find(service);
+    return records == services_.end() ? none : records->second.replicas;
+}
+
+const HeardState* UpstreamTable::heard(const UpstreamRecord& record) const
 {
     const auto found = states_.find(record.facts.endpoint);
-    if (found == states_.end() || now - found->second.at > stateHolds
-        || isOfFormerRun(found->second.state.started, record.facts))
+    if (found == states_.end() || isOfFormerRun(found->second.state.started, record.facts))
         return nullptr;
     return &found->second;
 }
 
+const HeardState* UpstreamTable::state(const UpstreamRecord& record, SteadyTime now) const
+{
+    const HeardState* const said = heard(record);
+    return said && now - said->at <= stateHolds ? said : nullptr;
+}
+
 bool UpstreamTable::holds(const UpstreamRecord& record, const catalog::ModelTarget& target, SteadyTime now) const
 {
     if (!record.lostUntil.hasPassed(now))
@@ -188,9 +345,10 @@
 void UpstreamTable::didLack(UpstreamRecord& record, const catalog::ModelTarget& target)
 {
     removeTarget(record.facts.models, target);
-    const auto heard = states_.find(record.facts.endpoint);
-    if (heard != states_.end())
-        removeTarget(heard->second.state.held, target);
+    const auto said = states_.find(record.facts.endpoint);
+    if (said != states_.end())
+        removeTarget(said->second.state.held, target);
+    refreshReplicas(record);
 }
 
 bool UpstreamTable::isSuspect(const UpstreamRecord& record, SteadyTime now) const
@@ -227,22 +385,26 @@
 std::vector<EngineFacts> UpstreamTable::engines(const framework::ServiceName& service, SteadyTime now) const
 {
     std::vector<EngineFacts> facts;
-    for (const auto& [instance, record] : records_) {
-        if (!takesRequests(*record, service))
+    const auto records = services_.find(service);
+    if (records == services_.end())
+        return facts;
+    for (const auto& [endpoint, said] : states_) {
+        const auto record = records->second.byEndpoint.find(endpoint);
+        if (record == records->second.byEndpoint.end() || !takesRequests(*record->second)
+            || !state(*record->second, now))
             continue;
-        const HeardState* const heard = state(*record, now);
-        if (!heard || isSuspect(*record, now) || isSilent(*record, now))
+        if (isSuspect(*record->second, now) || isSilent(*record->second, now))
             continue;
-        facts.push_back({ record->facts.endpoint, &heard->state, heard->at, record->inFlightByTarget });
+        facts.push_back({ endpoint, &said.state, said.at, record->second->inFlightByTarget });
     }
+    std::sort(facts.begin(), facts.end(),
+        [](const EngineFacts& left, const EngineFacts& right) { return left.engine < right.engine; });
     return facts;
 }
 
 std::uint32_t UpstreamTable::routers() const
 {
-    std::uint32_t most = 0;
-    for (const auto& [endpoint, heard] : states_)
-        most = std::max(most, heard.state.routers);
+    const std::uint32_t most = routerCounts_.empty() ? 0 : *routerCounts_.rbegin();
     return most == 0 ? assumedRouters : most;
 }
 
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -4,6 +4,7 @@
 #include "catalog/types/upstream.h"
 #include "forwarding/liveness.h"
 #include "forwarding/promptcache.h"
+#include "forwarding/replicaindex.h"
 #include "forwarding/suspicion.h"
 #include "forwarding/wantedplanner.h"
 #include "framework/types/time.h"
@@ -12,7 +13,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace lagoon::forwarding {
@@ -59,17 +62,31 @@
     void setUpstreams(const std::vector<catalog::Upstream>&);
     void setConfiguration(catalog::ConfigurationPointer);
     void setState(catalog::EngineState, framework::SteadyTime now);
-    /// The link to the agent is gone: what it said holds no longer.
+    /// The rest of the state is as it was set last.
+    void setLoad(const catalog::EngineLoad&, framework::SteadyTime now);
+    /// What the engine's agent said holds no longer.
     void forgetState(const framework::Endpoint&);
+    /// The engine's agent can't be reached.
+    void didLoseAgent(const framework::Endpoint&);
+    /// Whether that still holds.
+    bool hasLostAgent(const UpstreamRecord& record) const { return agentless_.contains(record.facts.endpoint); }
 
     /// Servers of the service that take new requests.
     std::vector<UpstreamPointer> ready(const framework::ServiceName&) const;
+    bool hasReady(const framework::ServiceName&) const;
+    /// Engines of the service that take new requests and may serve the model: by agents or, for those that this router
+    /// doesn't subscribe to, by the list. `holds` has the last word.
+    std::vector<UpstreamPointer> serving(const framework::ServiceName&, const framework::ModelName&) const;
+    /// What all engines of the service have, by the same sources.
+    const ReplicaIndex& replicas(const framework::ServiceName&) const;
     /// What the engine's agent says, if it has lately.
     const HeardState* state(const UpstreamRecord&, framework::SteadyTime now) const;
     /// Whether the engine holds the target and goes on holding it, by its agent or, without one, by the list.
     bool holds(const UpstreamRecord&, const catalog::ModelTarget&, framework::SteadyTime now) const;
     /// The server refused the target as not held; so it isn't until its agent or the list says it anew.
     void didLack(UpstreamRecord&, const catalog::ModelTarget&);
+    /// Another server answers at its address.
+    static void didMove(UpstreamRecord& record) { record.isGone = true; }
     /// Whether the server failed lately and is to be passed by.
     bool isSuspect(const UpstreamRecord&, framework::SteadyTime now) const;
     /// Whether the server has fallen silent while others of its service have not. Guards against a router that takes
@@ -83,6 +100,8 @@
     /// only by its silence, so callers would be refused, one after the other, by the engine that held their model, and
     /// no other would be asked to load it.
     void didLose(UpstreamRecord&, framework::SteadyTime now);
+    /// Believes the list again about engines that couldn't be connected to a while ago.
+    void forgetLosses(framework::SteadyTime now);
     /// Engines of the service that an agent speaks for.
     std::vector<EngineFacts> engines(const framework::ServiceName&, framework::SteadyTime now) const;
     /// The most routers that any agent hears from; a guess without agents.
@@ -90,7 +109,19 @@
     bool isEmpty() const { return records_.empty(); }
 
 private:
+    struct ServiceRecords {
+        std::map<framework::Endpoint, UpstreamPointer> byEndpoint;
+        ReplicaIndex replicas;
+    };
+
     static void didHear(UpstreamRecord&, framework::SteadyTime now);
+    const HeardState* heard(const UpstreamRecord&) const;
+    UpstreamPointer find(const framework::Endpoint&) const;
+    void put(const catalog::Upstream&);
+    void addToIndex(const UpstreamPointer&);
+    void removeFromIndex(const UpstreamPointer&);
+    void refreshReplicas(const UpstreamRecord&);
+    ReplicaIndex::Contents contentsOf(const UpstreamRecord&) const;
     /// Whether a server's restart is known by this only.
     bool noteStart(const catalog::EngineState&);
     void limitConnections();
@@ -99,7 +130,13 @@
     policy::PolicySwitches policy_;
     catalog::ConfigurationPointer configuration_;
     std::map<catalog::InstanceId, UpstreamPointer> records_;
-    std::map<framework::Endpoint, HeardState> states_;
+    std::map<framework::ServiceName, ServiceRecords> services_;
+    std::unordered_map<framework::Endpoint, HeardState> states_;
+    /// What each of them says of the number of routers.
+    std::multiset<std::uint32_t> routerCounts_;
+    std::set<framework::Endpoint> agentless_;
+    /// Engines that couldn't be connected to lately.
+    std::set<framework::Endpoint> lost_;
 };
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -38,9 +38,21 @@
 constexpr Milliseconds changeGain { 700 };
 /// For an agent to hear and answer before its silence counts as a refusal.
 constexpr Milliseconds answerTime { 400 };
+/// For a new subscription to bring its engine's state.
+constexpr Milliseconds subscribeTime { 150 };
 /// How long an agent that couldn't place a model isn't asked again: what holds its places changes within seconds, and
 /// what it says of a model ends as soon as it isn't asked any more.
 constexpr Milliseconds refusalHolds { 1500 };
+/// A service of so few engines is subscribed to as a whole.
+constexpr std::size_t fewEngines = 24;
+/// Engines of a model's rendezvous order that may be asked for it, beside those that have its weights cached.
+constexpr std::size_t preferredEngines = 6;
+constexpr std::size_t preferredForPrefetch = 2;
+/// Of the engines that have the weights cached.
+constexpr std::size_t mostCachedEngines = 8;
+/// Every router subscribes to the first engines of one fixed order, so that their agents count all routers.
+const ModelName countingKey("count of routers");
+constexpr std::size_t countingEngines = 3;
 
 double workOf(const PlannerInput& input, const ModelName& model)
 {
@@ -55,12 +67,16 @@
 {
 }
 
-std::map<Endpoint, catalog::WantedList> WantedPlanner::plan(const PlannerInput& input)
+LoadPlan WantedPlanner::plan(const PlannerInput& input)
 {
     lists_.clear();
-    for (const EngineFacts& engine : input.engines)
+    facts_.clear();
+    candidates_.clear();
+    placementsWeighed_ = 0;
+    for (const EngineFacts& engine : input.engines) {
         lists_[engine.engine];
-    forgetOrdersOfOtherEngines(input);
+        facts_[engine.engine] = &engine;
+    }
     noteHeld(input);
     noteStoreLoads(input);
     noteRefusals(input);
@@ -70,39 +86,80 @@
         planCopies(input);
     if (input.policy.fetchesAhead)
         planPrefetch(input);
-    return std::move(lists_);
-}
-
-void WantedPlanner::forgetOrdersOfOtherEngines(const PlannerInput& input)
-{
-    std::vector<Endpoint> engines;
-    for (const EngineFacts& engine : input.engines)
-        engines.push_back(engine.engine);
-    if (engines == orderedEngines_)
-        return;
-    orderedEngines_ = std::move(engines);
-    orders_.clear();
+    return { std::move(lists_), subscriptions(input) };
 }
 
-/// Who holds what, and how busy it is. That comes from the agents, which hear it from all routers: one router alone
-/// sees too few requests.
+/// How busy models are comes from the agents, which hear it from all routers: one router alone sees too few requests.
 void WantedPlanner::noteHeld(const PlannerInput& input)
 {
     workOfAll_.clear();
-    holders_.clear();
     for (const EngineFacts& engine : input.engines) {
         for (const catalog::HeldModel& held : engine.state->held) {
             double& work = workOfAll_[held.model];
             work = std::max(work, held.work);
-            holders_[held.model] += engine.state->isLeaving(held.model) ? 0 : 1;
         }
     }
 }
 
-std::uint32_t WantedPlanner::holdersOf(const ModelName& model) const
+const EngineFacts* WantedPlanner::factsOf(const Endpoint& engine) const
+{
+    const auto found = facts_.find(engine);
+    return found == facts_.end() ? nullptr : found->second;
+}
+
+std::uint32_t WantedPlanner::replicasOf(const PlannerInput& input, const ModelName& model)
+{
+    return static_cast<std::uint32_t>(input.replicas.loadedAt(model).size());
+}
+
+/// Engines that may be asked to load the model. Each one that refused lately is replaced by the next of the order.
+std::vector<Endpoint> WantedPlanner::candidatesFor(
+    const PlannerInput& input, const ModelName& model, std::size_t preferred)
+{
+    std::vector<Endpoint> candidates;
+    if (input.replicas.size() <= fewEngines) {
+        for (const EngineFacts& engine : input.engines)
+            candidates.push_back(engine.engine);
+        return candidates;
+    }
+    const ReplicaIndex::Engines& available = input.replicas.availableAt(model);
+    for (const Endpoint& engine : available) {
+        if (candidates.size() < mostCachedEngines)
+            candidates.push_back(engine);
+    }
+    for (const Endpoint& engine : input.replicas.preferred(model, preferred + refusalsOf(model))) {
+        if (std::find(candidates.begin(), candidates.end(), engine) == candidates.end())
+            candidates.push_back(engine);
+    }
+    candidates_.insert(candidates.begin(), candidates.end());
+    return candidates;
+}
+
+std::size_t WantedPlanner::refusalsOf(const ModelName& model) const
 {
-    const auto found = holders_.find(model);
-    return found == holders_.end() ? 0 : found->second;
+    std::size_t count = 0;
+    for (auto refusal = refusals_.lower_bound({ model, {} });
+         refusal != refusals_.end() && refusal->first.first == model; ++refusal)
+        ++count;
+    return count;
+}
+
+std::set<Endpoint> WantedPlanner::subscriptions(const PlannerInput& input) const
+{
+    std::set<Endpoint> subscriptions;
+    if (input.replicas.size() <= fewEngines) {
+        for (const auto& [engine, contents] : input.replicas.engines())
+            subscriptions.insert(engine);
+        return subscriptions;
+    }
+    subscriptions = candidates_;
+    for (const auto& [model, work] : input.work) {
+        const ReplicaIndex::Engines& engines = input.replicas.loadedAt(model);
+        subscriptions.insert(engines.begin(), engines.end());
+    }
+    for (const Endpoint& engine : input.replicas.preferred(countingKey, countingEngines))
+        subscriptions.insert(engine);
+    return subscriptions;
 }
 
 void WantedPlanner::noteStoreLoads(const PlannerInput& input)
@@ -129,7 +186,7 @@
 /// that all loads slow down together, and each of them comes too late.
 bool WantedPlanner::takeStorePlace(const PlannerInput& input, const Endpoint& engine, const ModelProfile& model)
 {
-    if (!input.policy.sharesWeightStore || !needsStore(*factsOf(input.engines, engine), model))
+    if (!input.policy.sharesWeightStore || !needsStore(*factsOf(engine), model))
         return true;
     if (!storeQueue_.hasPlace())
         return false;
@@ -145,12 +202,13 @@
 Milliseconds WantedPlanner::placingCost(
     const PlannerInput& input, const EngineFacts& engine, const ModelProfile& model, bool isWaitedFor)
 {
+    ++placementsWeighed_;
     const Milliseconds byRank = perRank * rankOf(input, model.name, engine.engine);
     if (hasRefused(model.name, engine.engine) || engine.state->isLeaving(model.name))
         return catalog::cannotPlace + byRank;
     if (expectedAt(engine, model.name, input.now))
         return loadCost(engine, model, input.now) + byRank;
-    const auto room = RoomDamage(input, workOfAll_, holders_).ofRoom(engine, model, isWaitedFor);
+    const auto room = RoomDamage(input, workOfAll_).ofRoom(engine, model, isWaitedFor);
     if (!room)
         return catalog::cannotPlace + byRank;
     return loadCost(engine, model, input.now) + byRank
@@ -247,20 +305,33 @@
 const Endpoint* WantedPlanner::chooseLoader(const PlannerInput& input, const WaitingFor& waiting)
 {
     const ModelProfile* const model = input.profile.find(waiting.target.model);
-    if (!model || input.engines.empty())
+    if (!model)
         return nullptr;
     const auto costAt = [&](const EngineFacts& engine) { return placingCost(input, engine, *model, true); };
     const EngineFacts* best = nullptr;
     Milliseconds least(0);
-    for (const EngineFacts& engine : input.engines) {
-        const Milliseconds cost = costAt(engine);
+    bool isOneUnheard = false;
+    for (const Endpoint& candidate : candidatesFor(input, model->name, preferredEngines)) {
+        const EngineFacts* const engine = factsOf(candidate);
+        if (!engine) {
+            isOneUnheard = true;
+            continue;
+        }
+        const Milliseconds cost = costAt(*engine);
         if (best && cost >= least)
             continue;
-        best = &engine;
+        best = engine;
         least = cost;
     }
+    if (!best) {
+        choices_.erase(model->name);
+        return nullptr;
+    }
+    // Routers that hear different engines would name different ones.
+    if (isOneUnheard && input.now - waiting.since < subscribeTime && !choices_.contains(model->name))
+        return nullptr;
     Choice& choice = choices_[model->name];
-    if (const EngineFacts* const before = factsOf(input.engines, choice.engine)) {
+    if (const EngineFacts* const before = factsOf(choice.engine)) {
         const bool isSilent = !expectedAt(*before, model->name, input.now) && input.now - choice.since > answerTime;
         const Milliseconds gain = input.policy.keepsToLoader ? changeGain : Milliseconds(0);
         if (!isSilent && costAt(*before) <= least + gain)
@@ -280,11 +351,12 @@
         if (!model || !policy::isBusyModel(work))
             continue;
         std::uint32_t missing = policy::wantedCopies(work);
-        missing -= std::min(missing, holdersOf(name) + loadersOf(input.engines, name));
-        if (missing == 0)
+        missing -= std::min(missing, replicasOf(input, name) + loadersOf(input.engines, name));
+        if (missing == 0 || !input.work.contains(name))
             continue;
+        const std::vector<Endpoint> candidates = candidatesFor(input, name, preferredEngines + missing);
         // All that are missing at once: a load may take many seconds.
-        for (const Endpoint& engine : cheapestFor(input, *model, missing, askedBefore[name])) {
+        for (const Endpoint& engine : cheapestFor(input, *model, candidates, missing, askedBefore[name])) {
             if (!takeStorePlace(input, engine, *model))
                 break;
             Wanted wanted;
@@ -296,18 +368,18 @@
     }
 }
 
-/// Engines without the model, those first where it costs least to place it.
-std::vector<Endpoint> WantedPlanner::cheapestFor(
-    const PlannerInput& input, const ModelProfile& model, std::size_t most, const std::set<Endpoint>& askedBefore)
+/// Candidates without the model, those first where it costs least to place it.
+std::vector<Endpoint> WantedPlanner::cheapestFor(const PlannerInput& input, const ModelProfile& model,
+    const std::vector<Endpoint>& candidates, std::size_t most, const std::set<Endpoint>& askedBefore)
 {
     std::vector<std::pair<Milliseconds, Endpoint>> costs;
-    for (const EngineFacts& engine : input.engines) {
-        if (engine.state->find(model.name) || engine.state->loading == model.name)
+    for (const Endpoint& candidate : candidates) {
+        const EngineFacts* const engine = factsOf(candidate);
+        if (!engine || engine->state->find(model.name) || engine->state->loading == model.name)
             continue;
-        const Milliseconds cost = placingCost(input, engine, model, false);
+        const Milliseconds cost = placingCost(input, *engine, model, false);
         if (cost < catalog::cannotPlace)
-            costs.emplace_back(
-                cost - (askedBefore.contains(engine.engine) ? changeGain : Milliseconds(0)), engine.engine);
+            costs.emplace_back(cost - (askedBefore.contains(candidate) ? changeGain : Milliseconds(0)), candidate);
     }
     std::sort(costs.begin(), costs.end());
     std::vector<Endpoint> cheapest;
@@ -326,23 +398,15 @@
 /// time of a load with a model that nobody asks for, and has the only copy on disk of the one that all ask for.
 void WantedPlanner::planPrefetch(const PlannerInput& input)
 {
-    if (!input.isComplete || !input.isDemandKnown)
+    if (!input.isDemandKnown)
         return;
-    std::vector<std::tuple<std::size_t, std::uint64_t, const ModelProfile*>> missing;
-    for (const ModelProfile& model : input.profile.models) {
-        const auto engines = static_cast<std::size_t>(std::count_if(input.engines.begin(), input.engines.end(),
-            [&](const EngineFacts& engine) { return hasAtHand(engine, model.name); }));
-        const std::string& name = model.name.value();
-        if (engines < (input.policy.keepsStandbys && model.adapters >= adaptersOfStandby ? standbyEngines : 1))
-            missing.emplace_back(engines, policy::mixed(policy::fnv1a(name.data(), name.size())), &model);
-    }
-    std::sort(missing.begin(), missing.end());
     std::vector<Endpoint> taken;
-    for (const auto& [engines, hash, model] : missing) {
+    for (const ModelProfile* const model : uncached(input)) {
         if (storeQueue_.freePlaces() <= taken.size())
             return;
-        for (const Endpoint& engine : cheapestFor(input, *model, input.engines.size(), {})) {
-            const bool isBusy = !factsOf(input.engines, engine)->state->loading.value().empty()
+        const std::vector<Endpoint> candidates = candidatesFor(input, model->name, preferredForPrefetch);
+        for (const Endpoint& engine : cheapestFor(input, *model, candidates, candidates.size(), {})) {
+            const bool isBusy = !factsOf(engine)->state->loading.value().empty()
                 || std::find(taken.begin(), taken.end(), engine) != taken.end();
             if (isBusy)
                 continue;
@@ -356,16 +420,38 @@
     }
 }
 
+/// Models that too few engines have cached, those first that none has.
+const std::vector<const ModelProfile*>& WantedPlanner::uncached(const PlannerInput& input)
+{
+    if (uncachedVersion_ == input.replicas.version() && uncachedProfile_ == &input.profile)
+        return uncached_;
+    uncachedVersion_ = input.replicas.version();
+    uncachedProfile_ = &input.profile;
+    std::vector<std::tuple<std::size_t, std::uint64_t, const ModelProfile*>> missing;
+    for (const ModelProfile& model : input.profile.models) {
+        const std::size_t engines = input.replicas.availableAt(model.name).size();
+        const bool hasStandby = input.policy.keepsStandbys && model.adapters >= adaptersOfStandby;
+        const std::string& name = model.name.value();
+        if (engines < (hasStandby ? standbyEngines : 1))
+            missing.emplace_back(engines, policy::mixed(policy::fnv1a(name.data(), name.size())), &model);
+    }
+    std::sort(missing.begin(), missing.end());
+    uncached_.clear();
+    for (const auto& [engines, hash, model] : missing)
+        uncached_.push_back(model);
+    return uncached_;
+}
+
 void WantedPlanner::add(const PlannerInput& input, const Endpoint& endpoint, Wanted wanted)
 {
     const auto list = lists_.find(endpoint);
     if (list == lists_.end())
         return;
-    const EngineFacts* const engine = factsOf(input.engines, endpoint);
+    const EngineFacts* const engine = factsOf(endpoint);
     const ModelName& model = wanted.target.model;
     wanted.work = workOf(input, model);
     wanted.rank = rankOf(input, model, endpoint);
-    wanted.holders = holdersOf(model);
+    wanted.holders = replicasOf(input, model);
     const auto inFlight = engine->inFlight.find(wanted.target);
     wanted.inFlight = inFlight == engine->inFlight.end() ? 0 : inFlight->second;
     const auto same = std::find_if(
@@ -376,23 +462,10 @@
         *same = std::move(wanted);
 }
 
-const std::vector<Endpoint>& WantedPlanner::orderOf(const PlannerInput& input, const ModelName& model)
-{
-    auto& order = orders_[model];
-    if (!order.empty())
-        return order;
-    std::vector<framework::VmName> names;
-    for (const EngineFacts& engine : input.engines)
-        names.emplace_back(engine.engine.value());
-    for (const framework::VmName& name : policy::rendezvousOrder(model.value(), std::move(names)))
-        order.emplace_back(name.value());
-    return order;
-}
-
-std::uint32_t WantedPlanner::rankOf(const PlannerInput& input, const ModelName& model, const Endpoint& endpoint)
+std::uint32_t WantedPlanner::rankOf(const PlannerInput& input, const ModelName& model, const Endpoint& engine)
 {
-    const auto& order = orderOf(input, model);
-    return static_cast<std::uint32_t>(std::find(order.begin(), order.end(), endpoint) - order.begin());
+    const std::size_t most = std::max(fewEngines, preferredEngines);
+    return static_cast<std::uint32_t>(input.replicas.rank(model, engine, most));
 }
 
 std::optional<Milliseconds> WantedPlanner::soonest(
--- /dev/null
+++ b/src/forwarding/replicaindex.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "framework/types/ids.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoon::forwarding {
+
+/// Which engines of one service have which models loaded, and which have their weights cached. An update costs what the
+/// engine has, a look-up one hash, whatever the number of models and engines. Without I/O or clock.
+class ReplicaIndex {
+public:
+    using Engines = std::vector<framework::Endpoint>;
+
+    /// What one engine has.
+    struct Contents {
+        /// Models that serve requests there.
+        std::vector<framework::ModelName> loaded;
+        /// Models that can be loaded there without the weight store; loaded ones needn't be repeated.
+        std::vector<framework::ModelName> cached;
+
+        friend bool operator==(const Contents&, const Contents&) = default;
+    };
+
+    /// Replaces what was known of the engine.
+    void set(const framework::Endpoint&, Contents);
+    void remove(const framework::Endpoint&);
+
+    /// Engines that serve the model.
+    const Engines& loadedAt(const framework::ModelName&) const;
+    /// Engines that serve the model or have its weights cached.
+    const Engines& availableAt(const framework::ModelName&) const;
+    /// The first engines in the model's rendezvous order, the same ones at all routers that know the same engines.
+    Engines preferred(const framework::ModelName&, std::size_t most) const;
+
+    /// The engine's place in that order, from 0; `most` for all that come later.
+    std::size_t rank(const framework::ModelName&, const framework::Endpoint&, std::size_t most) const;
+
+    std::size_t size() const { return contents_.size(); }
+    const std::map<framework::Endpoint, Contents>& engines() const { return contents_; }
+    /// Grows with each change.
+    std::uint64_t version() const { return version_; }
+
+private:
+    struct Replicas {
+        Engines loaded;
+        Engines available;
+    };
+
+    const Engines& orderOf(const framework::ModelName&) const;
+    void add(const framework::Endpoint&, const Contents&);
+    void subtract(const framework::Endpoint&, const Contents&);
+
+    std::map<framework::Endpoint, Contents> contents_;
+    std::unordered_map<framework::ModelName, Replicas> replicas_;
+    /// By model; cleared when an engine comes or goes.
+    mutable std::unordered_map<framework::ModelName, Engines> orders_;
+    std::uint64_t version_ = 0;
+};
+
+} // namespace lagoon::forwarding
--- a/src/forwarding/tests/choices_test.cpp
+++ b/src/forwarding/tests/choices_test.cpp
@@ -132,6 +132,18 @@
     BOOST_TEST(demand.work(ModelName("none"), now) == 0);
 }
 
+// Guards against subscriptions that are kept for every model that was ever asked for.
+BOOST_AUTO_TEST_CASE(onlyModelsThatWereAskedForLatelyAreInDemand)
+{
+    ModelDemand demand(start);
+    demand.didArrive(ModelName("before"), Milliseconds(20), start);
+    demand.didArrive(ModelName("now"), Milliseconds(20), start + std::chrono::seconds(5));
+    BOOST_TEST(demand.recent(start + std::chrono::seconds(5)).size() == 2u);
+    const auto recent = demand.recent(start + std::chrono::seconds(7));
+    BOOST_TEST(recent.size() == 1u);
+    BOOST_TEST(recent.contains(ModelName("now")));
+}
+
 // All routers started anew under load. For three seconds each took a busy model for a rare one, and nobody asked for
 // the copies that it needed.
 BOOST_AUTO_TEST_CASE(demandIsKnownSoonAfterAStartUnderLoad)
--- a/src/forwarding/tests/loadrequests_test.cpp
+++ b/src/forwarding/tests/loadrequests_test.cpp
@@ -72,7 +72,7 @@
     catalog::Configuration configuration;
     std::map<Endpoint, catalog::WantedList> told;
     SteadyTime now { std::chrono::hours(1) };
-    LoadRequests requests { table, [this](const auto& plan) { told = plan; }, now };
+    LoadRequests requests { table, [this](const auto& plan) { told = plan.wanted; }, now };
 };
 
 } // namespace
--- /dev/null
+++ b/src/forwarding/tests/replicaindex_test.cpp
@@ -0,0 +1,88 @@
+#include "forwarding/replicaindex.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace lagoon::forwarding {
+
+namespace {
+
+using framework::Endpoint;
+using framework::ModelName;
+
+using Engines = ReplicaIndex::Engines;
+
+const Endpoint first("1");
+const Endpoint second("2");
+const ModelName chat("chat");
+const ModelName review("review");
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TheReplicaIndex)
+
+BOOST_AUTO_TEST_CASE(findsWhereAModelIsLoadedOrCached)
+{
+    ReplicaIndex index;
+    index.set(first, { { chat }, { review } });
+    index.set(second, { { review }, { review } });
+    BOOST_TEST(index.loadedAt(chat) == Engines { first });
+    BOOST_TEST(index.loadedAt(review) == Engines { second });
+    BOOST_TEST(index.availableAt(review) == (Engines { first, second }));
+    BOOST_TEST(index.loadedAt(ModelName("none")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(anUpdateReplacesWhatTheEngineHad)
+{
+    ReplicaIndex index;
+    index.set(first, { { chat }, {} });
+    index.set(first, { { review }, { chat } });
+    BOOST_TEST(index.loadedAt(chat).empty());
+    BOOST_TEST(index.availableAt(chat) == Engines { first });
+    index.remove(first);
+    BOOST_TEST(index.availableAt(chat).empty());
+    BOOST_TEST(index.availableAt(review).empty());
+    BOOST_TEST(index.size() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(onlyAChangeMakesANewVersion)
+{
+    ReplicaIndex index;
+    index.set(first, { { chat }, {} });
+    const std::uint64_t version = index.version();
+    index.set(first, { { chat }, {} });
+    BOOST_TEST(index.version() == version);
+    index.set(first, { {}, { chat } });
+    BOOST_TEST(index.version() > version);
+}
+
+// Guards against routers that learn of engines in another order and ask different ones for the same model.
+BOOST_AUTO_TEST_CASE(theOrderOfAModelIsTheSameEverywhere)
+{
+    ReplicaIndex index;
+    ReplicaIndex other;
+    for (int number = 0; number < 40; ++number) {
+        index.set(Endpoint(std::to_string(number)), {});
+        other.set(Endpoint(std::to_string(39 - number)), {});
+    }
+    const Engines order = index.preferred(chat, 5);
+    BOOST_TEST(order.size() == 5u);
+    BOOST_TEST(order == other.preferred(chat, 5));
+    BOOST_TEST(order != index.preferred(review, 5));
+    BOOST_TEST(index.rank(chat, order[3], 5) == 3u);
+    BOOST_TEST(index.rank(chat, index.preferred(chat, 6)[5], 5) == 5u);
+}
+
+// Guards against an engine that came or left and is missed in, or still stands in, the orders of models.
+BOOST_AUTO_TEST_CASE(theOrderFollowsTheEngines)
+{
+    ReplicaIndex index;
+    index.set(first, {});
+    index.set(second, {});
+    const Endpoint best = index.preferred(chat, 1)[0];
+    index.remove(best);
+    BOOST_TEST(index.preferred(chat, 2) == Engines { best == first ? second : first });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::forwarding
--- a/src/forwarding/tests/upstreamtable_test.cpp
+++ b/src/forwarding/tests/upstreamtable_test.cpp
@@ -216,6 +216,63 @@
     BOOST_TEST(table.holds(only(), target, now + Milliseconds(1500)));
 }
 
+// Guards against a model that isn't found at an engine whose agent this router doesn't subscribe to.
+BOOST_AUTO_TEST_CASE(anEngineWithoutASubscriptionServesWhatTheListSays)
+{
+    Upstream listed = upstream(0);
+    listed.models.push_back({ target.model, 1, {}, 0, 0 });
+    listed.atHand.disk.push_back(ModelName("cached"));
+    table.setUpstreams({ listed });
+    BOOST_TEST(table.serving(service, target.model).size() == 1u);
+    BOOST_TEST(table.replicas(service).availableAt(ModelName("cached")).size() == 1u);
+    table.setState(state(0, false), now);
+    BOOST_TEST(table.serving(service, target.model).empty());
+    table.forgetState(endpoint);
+    BOOST_TEST(table.serving(service, target.model).size() == 1u);
+    table.setUpstreams({});
+    BOOST_TEST(table.serving(service, target.model).empty());
+}
+
+BOOST_AUTO_TEST_CASE(aLostEngineIsIndexedAgainAfterAWhile)
+{
+    Upstream listed = upstream(0);
+    listed.models.push_back({ target.model, 1, {}, 0, 0 });
+    table.setUpstreams({ listed });
+    table.didLose(only(), now);
+    BOOST_TEST(table.serving(service, target.model).empty());
+    table.forgetLosses(now + Milliseconds(1000));
+    BOOST_TEST(table.serving(service, target.model).empty());
+    table.forgetLosses(now + Milliseconds(1600));
+    BOOST_TEST(table.serving(service, target.model).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(aLoadUpdatesTheFiguresOfItsState)
+{
+    table.setUpstreams({ upstream(0) });
+    EngineState told = state(0, true);
+    told.routers = 3;
+    table.setState(told, now);
+    catalog::EngineLoad load = catalog::loadOf(told);
+    load.running = 9;
+    load.routers = 5;
+    table.setLoad(load, now + Milliseconds(2000));
+    const HeardState* const heard = table.state(only(), now + Milliseconds(4000));
+    BOOST_REQUIRE(heard);
+    BOOST_TEST(heard->state.running == 9u);
+    BOOST_TEST(table.routers() == 5u);
+}
+
+// Guards against figures that are taken for those of other models.
+BOOST_AUTO_TEST_CASE(aLoadOfAnotherStateIsIgnored)
+{
+    table.setUpstreams({ upstream(0) });
+    table.setState(state(0, true), now);
+    catalog::EngineLoad load = catalog::loadOf(state(0, false));
+    load.running = 9;
+    table.setLoad(load, now);
+    BOOST_TEST(table.state(only(), now)->state.running == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -37,14 +37,27 @@
         return states.back();
     }
 
-    PlannerInput input() const
+    PlannerInput input()
     {
-        PlannerInput made { profile, {}, waiting, work, true, isDemandKnown, now, runTime };
-        for (const EngineState& state : states)
+        PlannerInput made { profile, replicas, {}, waiting, work, isDemandKnown, now, runTime };
+        for (const EngineState& state : states) {
             made.engines.push_back({ state.engine, &state, now, {} });
+            index(state);
+        }
         return made;
     }
 
+    void index(const EngineState& state)
+    {
+        ReplicaIndex::Contents contents;
+        for (const catalog::HeldModel& held : state.held)
+            (state.isLeaving(held.model) ? contents.cached : contents.loaded).push_back(held.model);
+        contents.cached.insert(contents.cached.end(), state.atHand.disk.begin(), state.atHand.disk.end());
+        if (!state.loading.value().empty())
+            contents.cached.push_back(state.loading);
+        replicas.set(state.engine, contents);
+    }
+
     void wait(const std::string& model, std::uint32_t count = 1)
     {
         waiting.push_back({ { ModelName(model), {} }, count, Deadline::after(now, Milliseconds(15000)), now, 5, {} });
@@ -54,7 +67,7 @@
     std::vector<std::string> asked(const std::string& model)
     {
         std::vector<std::string> engines;
-        for (const auto& [engine, list] : planner.plan(input())) {
+        for (const auto& [engine, list] : planner.plan(input()).wanted) {
             for (const Wanted& wanted : list) {
                 if (wanted.isLoad() && wanted.target.model.value() == model)
                     engines.push_back(engine.value());
@@ -64,6 +77,7 @@
     }
 
     catalog::EngineProfile profile;
+    ReplicaIndex replicas;
     std::list<EngineState> states;
     std::vector<WaitingFor> waiting;
     std::map<ModelName, double> work;
@@ -154,7 +168,7 @@
     const auto first = asked("e");
     WantedPlanner other;
     std::vector<std::string> second;
-    for (const auto& [endpoint, list] : other.plan(input())) {
+    for (const auto& [endpoint, list] : other.plan(input()).wanted) {
         for (const Wanted& wanted : list) {
             if (wanted.waiting > 0)
                 second.push_back(endpoint.value());
@@ -169,6 +183,7 @@
 BOOST_AUTO_TEST_CASE(aCopyGoesWhereItPushesOutWhatOthersHold)
 {
     engine("1", { "a" }).held[0].work = 0.6;
+    work[ModelName("a")] = 0.6;
     engine("2", { "b", "c" });
     engine("3", { "b", "c" });
     engine("4", { "d", "e" });
@@ -180,6 +195,7 @@
 BOOST_AUTO_TEST_CASE(aBusyModelIsNeverPushedOutForACopy)
 {
     engine("1", { "a" }).held[0].work = 0.6;
+    work[ModelName("a")] = 0.6;
     EngineState& full = engine("2", { "b", "c" });
     full.held[0].work = 0.9;
     full.held[1].work = 0.9;
@@ -331,4 +347,154 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+/// Two of these models fit into an engine. Each engine holds two, and each model is cached on one engine more.
+struct Fleet {
+    explicit Fleet(std::size_t engines)
+    {
+        const std::size_t models = engines * 2;
+        profile.weights = MegaBytes(150000);
+        for (std::size_t number = 0; number < models; ++number)
+            profile.models.push_back({ model(number), MegaBytes(70000), Milliseconds(13200), Milliseconds(1000),
+                Milliseconds(600), MegaBytes(60), 0 });
+        for (std::size_t number = 0; number < engines; ++number) {
+            const ReplicaIndex::Contents contents { { model(2 * number), model(2 * number + 1) },
+                { model((2 * number + 2) % models) } };
+            replicas.set(engine(number), contents);
+            EngineState& state = states.emplace_back();
+            state.engine = engine(number);
+            for (const ModelName& name : contents.loaded)
+                state.held.push_back({ name, 1, {}, 0.05, 0 });
+            state.atHand.disk = contents.cached;
+        }
+    }
+
+    static ModelName model(std::size_t number) { return ModelName("m" + std::to_string(number)); }
+    static Endpoint engine(std::size_t number) { return Endpoint("e" + std::to_string(number)); }
+
+    /// A router whose callers use thirty models and wait for five that no engine has loaded.
+    LoadPlan plan()
+    {
+        PlannerInput input { profile, replicas, {}, {}, {}, true, now, Milliseconds(500) };
+        for (std::size_t number = 0; number < 30; ++number)
+            input.work[model(number)] = 0.05;
+        for (std::size_t number = 0; number < 5; ++number) {
+            const ModelName absent("absent" + std::to_string(number));
+            input.waiting.push_back({ { absent, {} }, 1, Deadline::after(now, Milliseconds(20000)), now, 5, {} });
+        }
+        for (const EngineState& state : states) {
+            if (subscribed.contains(state.engine))
+                input.engines.push_back({ state.engine, &state, now, {} });
+        }
+        LoadPlan plan = planner.plan(input);
+        subscribed = plan.subscriptions;
+        return plan;
+    }
+
+    void addAbsentModels()
+    {
+        for (std::size_t number = 0; number < 5; ++number)
+            profile.models.push_back({ ModelName("absent" + std::to_string(number)), MegaBytes(70000),
+                Milliseconds(13200), Milliseconds(1000), Milliseconds(600), MegaBytes(60), 0 });
+    }
+
+    catalog::EngineProfile profile;
+    ReplicaIndex replicas;
+    std::list<EngineState> states;
+    std::set<Endpoint> subscribed;
+    SteadyTime now { std::chrono::hours(1) };
+    WantedPlanner planner;
+};
+
+std::vector<std::string> loaders(const LoadPlan& plan, const std::string& model)
+{
+    std::vector<std::string> engines;
+    for (const auto& [engine, list] : plan.wanted) {
+        for (const Wanted& wanted : list) {
+            if (wanted.waiting > 0 && wanted.target.model.value() == model)
+                engines.push_back(engine.value());
+        }
+    }
+    return engines;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WantedPlannersOfLargeFleets)
+
+// Guards against control whose cost grows with the number of engines and models.
+BOOST_AUTO_TEST_CASE(costWhatTheRoutersOwnRequestsCost)
+{
+    std::vector<std::size_t> subscriptions;
+    std::vector<std::size_t> placements;
+    for (const std::size_t engines : { 100, 840 }) {
+        Fleet fleet(engines);
+        fleet.addAbsentModels();
+        (void)fleet.plan();
+        const LoadPlan plan = fleet.plan();
+        subscriptions.push_back(plan.subscriptions.size());
+        placements.push_back(fleet.planner.placementsWeighed());
+    }
+    BOOST_TEST(subscriptions[1] <= 80u);
+    BOOST_TEST(placements[1] <= 80u);
+    BOOST_TEST(static_cast<double>(subscriptions[1]) <= 1.3 * static_cast<double>(subscriptions[0]));
+    BOOST_TEST(static_cast<double>(placements[1]) <= 1.3 * static_cast<double>(placements[0]));
+}
+
+BOOST_AUTO_TEST_CASE(subscribeToTheEnginesOfTheModelsInUse)
+{
+    Fleet fleet(100);
+    const LoadPlan plan = fleet.plan();
+    for (std::size_t number = 0; number < 15; ++number)
+        BOOST_TEST(plan.subscriptions.contains(Fleet::engine(number)));
+}
+
+// Guards against routers that hear different engines and each ask another one for the same model.
+BOOST_AUTO_TEST_CASE(askTheSameEngineThoughTheyHearDifferentOnes)
+{
+    Fleet fleet(100);
+    fleet.addAbsentModels();
+    Fleet other(100);
+    other.addAbsentModels();
+    for (std::size_t number = 50; number < 70; ++number)
+        other.subscribed.insert(Fleet::engine(number));
+    (void)fleet.plan();
+    const auto chosen = loaders(fleet.plan(), "absent1");
+    const LoadPlan first = other.plan();
+    other.subscribed.insert(first.subscriptions.begin(), first.subscriptions.end());
+    BOOST_TEST(chosen.size() == 1u);
+    BOOST_TEST(loaders(other.plan(), "absent1") == chosen);
+}
+
+// Guards against a model that is never loaded since all engines of its first choice have refused it.
+BOOST_AUTO_TEST_CASE(goOnToTheNextEnginesWhenTheFirstRefuse)
+{
+    Fleet fleet(100);
+    fleet.addAbsentModels();
+    (void)fleet.plan();
+    const auto before = fleet.replicas.preferred(ModelName("absent1"), 6);
+    for (EngineState& state : fleet.states) {
+        if (std::find(before.begin(), before.end(), state.engine) != before.end())
+            state.expected.push_back({ ModelName("absent1"), catalog::cannotPlace });
+    }
+    (void)fleet.plan();
+    const auto chosen = loaders(fleet.plan(), "absent1");
+    BOOST_REQUIRE(chosen.size() == 1u);
+    BOOST_TEST((std::find(before.begin(), before.end(), Endpoint(chosen[0])) == before.end()));
+}
+
+// Guards against routers that each take the whole fleet's budget since no agent hears them all.
+BOOST_AUTO_TEST_CASE(subscribeToTheSameFewEnginesThatCountThem)
+{
+    Fleet idle(100);
+    idle.profile.models.clear();
+    PlannerInput input { idle.profile, idle.replicas, {}, {}, {}, true, idle.now, Milliseconds(500) };
+    const auto subscriptions = WantedPlanner().plan(input).subscriptions;
+    BOOST_TEST(subscriptions.size() == 3u);
+    BOOST_TEST((WantedPlanner().plan(input).subscriptions == subscriptions));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace lagoon::forwarding
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -3,6 +3,7 @@
 #include "catalog/types/configuration.h"
 #include "catalog/types/upstream.h"
 #include "catalog/types/wanted.h"
+#include "forwarding/replicaindex.h"
 #include "framework/types/time.h"
 #include "policy/iloadorder.h"
 #include "policy/policyswitches.h"
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -40,12 +42,13 @@
 
 struct PlannerInput {
     const catalog::EngineProfile& profile;
+    /// Over all engines of the service.
+    const ReplicaIndex& replicas;
+    /// Those that this router subscribes to and has heard.
     std::vector<EngineFacts> engines;
     std::vector<WaitingFor> waiting;
     /// This router's work by model, as parts of an engine's time.
     std::map<framework::ModelName, double> work;
-    /// Whether the agents of nearly all engines have been heard, so that a model that none has is really missing.
-    bool isComplete = false;
     /// Whether a model that nobody has asked for is really not in demand.
     bool isDemandKnown = false;
     framework::SteadyTime now {};
@@ -54,21 +57,34 @@
     policy::PolicySwitches policy {};
 };
 
-/// Decides which engine's agent this router asks for what. All routers ask by the same order of engines and by states
-/// that they all get, so that they mostly name the same engine without talking to each other; when they differ for a
-/// moment, a model is loaded twice, which costs a load and no promise.
+struct LoadPlan {
+    /// Published to the agents of the engines that have been heard.
+    std::map<framework::Endpoint, catalog::WantedList> wanted;
+    /// Engines whose agents this router is to hear.
+    std::set<framework::Endpoint> subscriptions;
+};
+
+/// Decides which engines' agents this router subscribes to, and which of them it asks for what. All routers choose
+/// among the same candidates for a model, so that they mostly name the same engine without talking to each other; when
+/// they differ for a moment, a model is loaded twice, which costs a load and no promise.
+///
+/// A router subscribes to the engines that serve the models that its callers ask for, and to the candidates for the
+/// models that are to be loaded: its cost grows with its own requests, not with the number of engines.
 class WantedPlanner {
 public:
     WantedPlanner();
 
-    /// What to tell each agent; engines that are missing are told nothing wanted.
-    std::map<framework::Endpoint, catalog::WantedList> plan(const PlannerInput&);
+    LoadPlan plan(const PlannerInput&);
 
     /// When what is waited for will be at an engine, from now: as agents have said, or by its place among the loads
     /// that wait for the weight store. Nothing if neither is known, or for an adapter: those take milliseconds, and
     /// what agents say is of models.
     std::optional<framework::Milliseconds> soonest(
         const std::vector<EngineFacts>&, const WaitingFor&, framework::SteadyTime now) const;
+    /// Whether an engine has been found to load the model.
+    bool hasLoader(const framework::ModelName& model) const { return choices_.contains(model); }
+    /// Placements that the last plan weighed, for tests of its cost.
+    std::size_t placementsWeighed() const { return placementsWeighed_; }
 
 private:
     struct Choice {
@@ -76,15 +92,20 @@
         framework::SteadyTime since {};
     };
 
-    void forgetOrdersOfOtherEngines(const PlannerInput&);
     void noteHeld(const PlannerInput&);
-    std::uint32_t holdersOf(const framework::ModelName&) const;
+    const EngineFacts* factsOf(const framework::Endpoint&) const;
+    std::vector<framework::Endpoint> candidatesFor(
+        const PlannerInput&, const framework::ModelName&, std::size_t preferred);
+    std::size_t refusalsOf(const framework::ModelName&) const;
+    std::set<framework::Endpoint> subscriptions(const PlannerInput&) const;
+    static std::uint32_t replicasOf(const PlannerInput&, const framework::ModelName&);
     void noteStoreLoads(const PlannerInput&);
     static bool needsStore(const EngineFacts&, const catalog::ModelProfile&);
     bool takeStorePlace(const PlannerInput&, const framework::Endpoint& engine, const catalog::ModelProfile&);
     framework::Milliseconds placingCost(
         const PlannerInput&, const EngineFacts&, const catalog::ModelProfile&, bool isWaitedFor);
-    std::vector<framework::Endpoint> cheapestFor(const PlannerInput&, const catalog::ModelProfile&, std::size_t most,
+    std::vector<framework::Endpoint> cheapestFor(const PlannerInput&, const catalog::ModelProfile&,
+        const std::vector<framework::Endpoint>& candidates, std::size_t most,
         const std::set<framework::Endpoint>& askedBefore);
     void noteRefusals(const PlannerInput&);
     bool hasRefused(const framework::ModelName&, const framework::Endpoint& engine) const;
@@ -94,10 +115,10 @@
     void planWaitingForModel(const PlannerInput&, const WaitingFor&, const catalog::Wanted&);
     void planCopies(const PlannerInput&);
     void planPrefetch(const PlannerInput&);
+    const std::vector<const catalog::ModelProfile*>& uncached(const PlannerInput&);
     void add(const PlannerInput&, const framework::Endpoint&, catalog::Wanted);
     const framework::Endpoint* chooseLoader(const PlannerInput&, const WaitingFor&);
-    const std::vector<framework::Endpoint>& orderOf(const PlannerInput&, const framework::ModelName&);
-    std::uint32_t rankOf(const PlannerInput&, const framework::ModelName&, const framework::Endpoint&);
+    static std::uint32_t rankOf(const PlannerInput&, const framework::ModelName&, const framework::Endpoint&);
 
     std::map<framework::Endpoint, catalog::WantedList> lists_;
     std::map<framework::ModelName, Choice> choices_;
@@ -111,13 +132,17 @@
     std::map<framework::ModelName, framework::Deadline> heldBack_;
     /// Of held models, over all routers.
     std::map<framework::ModelName, double> workOfAll_;
-    /// Engines that hold a model and go on holding it.
-    std::map<framework::ModelName, std::uint32_t> holders_;
     /// When an agent last said that it can't place a model.
     std::map<std::pair<framework::ModelName, framework::Endpoint>, framework::SteadyTime> refusals_;
-    std::vector<framework::Endpoint> orderedEngines_;
-    /// By model, `orderedEngines_` in rendezvous order.
-    std::map<framework::ModelName, std::vector<framework::Endpoint>> orders_;
+    /// Of this plan's input.
+    std::unordered_map<framework::Endpoint, const EngineFacts*> facts_;
+    /// Candidates for the models that this plan had to place.
+    std::set<framework::Endpoint> candidates_;
+    std::size_t placementsWeighed_ = 0;
+    /// Models that too few engines have cached, as of this version of the index.
+    std::vector<const catalog::ModelProfile*> uncached_;
+    std::uint64_t uncachedVersion_ = 0;
+    const catalog::EngineProfile* uncachedProfile_ = nullptr;
 };
 
 } // namespace lagoon::forwarding
--- a/src/http/iexchange.h
+++ b/src/http/iexchange.h
@@ -32,7 +32,8 @@
     /// sees that the answer isn't whole.
     virtual void breakOff() = 0;
 
-    /// Whether the caller has closed its connection, even if the event loop hasn't come to that yet. Costs a system call.
+    /// Whether the caller has closed its connection, even if the event loop hasn't come to that yet. Costs a system
+    /// call.
     virtual bool hasCallerLeft() const = 0;
     /// Called at most once, if the caller closes or loses its connection before the answer has been handed over.
     virtual void setGoneHandler(std::function<void()>) = 0;
--- a/src/wire/internal/message.cpp
+++ b/src/wire/internal/message.cpp
@@ -69,6 +69,7 @@
     case fb::Body::Ping:
     case fb::Body::Pong:
     case fb::Body::Settle:
+    case fb::Body::EngineLoad:
         return true;
     case fb::Body::NONE:
         return false;
