Engines whose agents can't be reached are no candidates; subscriptions are kept for five seconds

Change: an agent that can't be reached is replaced by the next engine of the order for 10 s; a candidate's subscription lasts for 5 s beyond its need; a link that was never heard is tried at most each 8 s.

Tests: passOverEnginesWhoseAgentsCannotBeReached, keepASubscriptionForAWhile.

--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -5,6 +5,7 @@
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lagoon::direct {
@@ -24,6 +25,8 @@
 /// Before a lost link is tried again.
 constexpr Milliseconds firstPause { 100 };
 constexpr Milliseconds longestPause { 2000 };
+/// The same for an agent that was never heard: there may be none.
+constexpr Milliseconds longestPauseUnheard { 8000 };
 
 Endpoint agentEndpoint(const Endpoint& engine, std::uint16_t port)
 {
@@ -50,7 +53,7 @@
 } // namespace
 
 AgentLinks::Agent::Agent()
-    : pauses(firstPause, longestPause, framework::randomNumber())
+    : pauses(firstPause, longestPauseUnheard, framework::randomNumber())
 {
 }
 
@@ -168,7 +171,8 @@
     if (std::exchange(agent.isHeard, false))
         logDecision(LogLine("agent_lost").text("engine", engine.value()).text("cause", cause));
     context_.didLose(engine);
-    agent.connectAt = Deadline::after(context_.clock.now(), agent.pauses.next());
+    const Milliseconds pause = std::min(agent.pauses.next(), agent.wasHeard ? longestPause : longestPauseUnheard);
+    agent.connectAt = Deadline::after(context_.clock.now(), pause);
 }
 
 void AgentLinks::tell(Agent& agent)
@@ -188,6 +192,7 @@
         return;
     agent->second.heardAt = context_.clock.now();
     agent->second.pauses.reset();
+    agent->second.wasHeard = true;
     if (!std::exchange(agent->second.isHeard, true))
         logDecision(LogLine("agent_heard").text("engine", engine.value()));
     if (const wire::fb::EngineLoadT* const load = message.body.AsEngineLoad())
--- a/src/direct/internal/agentlinks.h
+++ b/src/direct/internal/agentlinks.h
@@ -55,7 +55,9 @@
 
         catalog::InstanceId instance;
         std::shared_ptr<wire::ILink> link;
+        /// Over the link that stands.
         bool isHeard = false;
+        bool wasHeard = false;
         framework::SteadyTime heardAt {};
         framework::SteadyTime toldAt {};
         framework::Deadline connectAt;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -121,7 +121,7 @@
 
     void didLoseAgent(const Endpoint& engine)
     {
-        upstreams_.didLoseAgent(engine);
+        upstreams_.didLoseAgent(engine, now());
         planSoon(planWithin);
     }
 
--- a/src/forwarding/internal/loadrequests.cpp
+++ b/src/forwarding/internal/loadrequests.cpp
@@ -82,7 +82,8 @@
 {
     forgetServed(service.name, now);
     PlannerInput input { *service.engine, upstreams_.replicas(service.name), upstreams_.engines(service.name, now),
-        byTarget(service.name, requests), {}, demand_.isKnown(now), now, runTime_.mean(), policy };
+        byTarget(service.name, requests), {}, demand_.isKnown(now), now, runTime_.mean(), policy,
+        upstreams_.enginesWithoutAgent() };
     input.work = occupancies(input.engines, service.engine->slots);
     for (const auto& [model, reading] : demand_.recent(now))
         input.work[model] += reading;
--- a/src/forwarding/internal/replicaindex.cpp
+++ b/src/forwarding/internal/replicaindex.cpp
@@ -85,7 +85,7 @@
     return found == replicas_.end() ? none : found->second.available;
 }
 
-const ReplicaIndex::Engines& ReplicaIndex::orderOf(const ModelName& model) const
+const ReplicaIndex::Engines& ReplicaIndex::order(const ModelName& model) const
 {
     Engines& order = orders_[model];
     if (!order.empty() || contents_.empty())
@@ -99,17 +99,11 @@
     return order;
 }
 
-ReplicaIndex::Engines ReplicaIndex::preferred(const ModelName& model, std::size_t most) const
-{
-    const Engines& order = orderOf(model);
-    return { order.begin(), order.begin() + static_cast<std::ptrdiff_t>(std::min(most, order.size())) };
-}
-
 std::size_t ReplicaIndex::rank(const ModelName& model, const Endpoint& engine, std::size_t most) const
 {
-    const Engines& order = orderOf(model);
-    const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(most, order.size()));
-    return static_cast<std::size_t>(std::find(order.begin(), end, engine) - order.begin());
+    const Engines& engines = order(model);
+    const auto end = engines.begin() + static_cast<std::ptrdiff_t>(std::min(most, engines.size()));
+    return static_cast<std::size_t>(std::find(engines.begin(), end, engine) - engines.begin());
 }
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds stateHolds { 2500 };
 /// An engine that is there after all is heard of again within a second.
 constexpr Milliseconds lostFor { 1500 };
+/// An agent that is back is subscribed to again after this at the latest.
+constexpr Milliseconds agentlessFor { 10000 };
 /// Assumed while no agent has said how many there are: a part that is too small for a moment does less harm than one
 /// that is too large.
 constexpr std::uint32_t assumedRouters = 32;
@@ -224,6 +226,7 @@
 
 void UpstreamTable::forgetLosses(SteadyTime now)
 {
+    std::erase_if(agentless_, [now](const auto& entry) { return entry.second.hasPassed(now); });
     for (auto lost = lost_.begin(); lost != lost_.end();) {
         const UpstreamPointer record = find(*lost);
         if (record && !record->lostUntil.hasPassed(now)) {
@@ -264,12 +267,20 @@
         refreshReplicas(*record);
 }
 
-void UpstreamTable::didLoseAgent(const Endpoint& engine)
+void UpstreamTable::didLoseAgent(const Endpoint& engine, SteadyTime now)
 {
-    agentless_.insert(engine);
+    agentless_[engine] = framework::Deadline::after(now, agentlessFor);
     forgetState(engine);
 }
 
+std::set<Endpoint> UpstreamTable::enginesWithoutAgent() const
+{
+    std::set<Endpoint> engines;
+    for (const auto& [engine, until] : agentless_)
+        engines.insert(engine);
+    return engines;
+}
+
 std::vector<UpstreamPointer> UpstreamTable::ready(const framework::ServiceName& service) const
 {
     std::vector<UpstreamPointer> found;
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -67,9 +67,10 @@
     /// What the engine's agent said holds no longer.
     void forgetState(const framework::Endpoint&);
     /// The engine's agent can't be reached.
-    void didLoseAgent(const framework::Endpoint&);
+    void didLoseAgent(const framework::Endpoint&, framework::SteadyTime now);
     /// Whether that still holds.
     bool hasLostAgent(const UpstreamRecord& record) const { return agentless_.contains(record.facts.endpoint); }
+    std::set<framework::Endpoint> enginesWithoutAgent() const;
 
     /// Servers of the service that take new requests.
     std::vector<UpstreamPointer> ready(const framework::ServiceName&) const;
@@ -134,7 +135,8 @@
     std::unordered_map<framework::Endpoint, HeardState> states_;
     /// What each of them says of the number of routers.
     std::multiset<std::uint32_t> routerCounts_;
-    std::set<framework::Endpoint> agentless_;
+    /// Engines whose agents couldn't be reached, and until when that is believed.
+    std::map<framework::Endpoint, framework::Deadline> agentless_;
     /// Engines that couldn't be connected to lately.
     std::set<framework::Endpoint> lost_;
 };
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -40,6 +40,8 @@
 constexpr Milliseconds answerTime { 400 };
 /// For a new subscription to bring its engine's state.
 constexpr Milliseconds subscribeTime { 150 };
+/// What is placed changes from plan to plan; a link costs more to open than to keep for a while.
+constexpr Milliseconds candidateHolds { 5000 };
 /// How long an agent that couldn't place a model isn't asked again: what holds its places changes within seconds, and
 /// what it says of a model ends as soon as it isn't asked any more.
 constexpr Milliseconds refusalHolds { 1500 };
@@ -71,7 +73,6 @@
 {
     lists_.clear();
     facts_.clear();
-    candidates_.clear();
     placementsWeighed_ = 0;
     for (const EngineFacts& engine : input.engines) {
         lists_[engine.engine];
@@ -112,7 +113,8 @@
     return static_cast<std::uint32_t>(input.replicas.loadedAt(model).size());
 }
 
-/// Engines that may be asked to load the model. Each one that refused lately is replaced by the next of the order.
+/// Engines that may be asked to load the model. One that refused lately, or whose agent can't be reached, is replaced by
+/// the next of the order.
 std::vector<Endpoint> WantedPlanner::candidatesFor(
     const PlannerInput& input, const ModelName& model, std::size_t preferred)
 {
@@ -122,29 +124,31 @@
             candidates.push_back(engine.engine);
         return candidates;
     }
-    const ReplicaIndex::Engines& available = input.replicas.availableAt(model);
-    for (const Endpoint& engine : available) {
-        if (candidates.size() < mostCachedEngines)
+    for (const Endpoint& engine : input.replicas.availableAt(model)) {
+        if (candidates.size() < mostCachedEngines && !input.unreachable.contains(engine))
             candidates.push_back(engine);
     }
-    for (const Endpoint& engine : input.replicas.preferred(model, preferred + refusalsOf(model))) {
+    std::size_t asked = 0;
+    for (const Endpoint& engine : input.replicas.order(model)) {
+        if (asked == preferred)
+            break;
+        if (!mayBeAsked(input, model, engine))
+            continue;
+        ++asked;
         if (std::find(candidates.begin(), candidates.end(), engine) == candidates.end())
             candidates.push_back(engine);
     }
-    candidates_.insert(candidates.begin(), candidates.end());
+    for (const Endpoint& engine : candidates)
+        candidates_[engine] = input.now;
     return candidates;
 }
 
-std::size_t WantedPlanner::refusalsOf(const ModelName& model) const
+bool WantedPlanner::mayBeAsked(const PlannerInput& input, const ModelName& model, const Endpoint& engine) const
 {
-    std::size_t count = 0;
-    for (auto refusal = refusals_.lower_bound({ model, {} });
-         refusal != refusals_.end() && refusal->first.first == model; ++refusal)
-        ++count;
-    return count;
+    return !input.unreachable.contains(engine) && !hasRefused(model, engine);
 }
 
-std::set<Endpoint> WantedPlanner::subscriptions(const PlannerInput& input) const
+std::set<Endpoint> WantedPlanner::subscriptions(const PlannerInput& input)
 {
     std::set<Endpoint> subscriptions;
     if (input.replicas.size() <= fewEngines) {
@@ -152,13 +156,22 @@
             subscriptions.insert(engine);
         return subscriptions;
     }
-    subscriptions = candidates_;
+    std::erase_if(candidates_, [&](const auto& entry) { return input.now - entry.second > candidateHolds; });
+    for (const auto& [engine, since] : candidates_)
+        subscriptions.insert(engine);
     for (const auto& [model, work] : input.work) {
         const ReplicaIndex::Engines& engines = input.replicas.loadedAt(model);
         subscriptions.insert(engines.begin(), engines.end());
     }
-    for (const Endpoint& engine : input.replicas.preferred(countingKey, countingEngines))
+    std::size_t counting = 0;
+    for (const Endpoint& engine : input.replicas.order(countingKey)) {
+        if (counting == countingEngines)
+            break;
+        if (input.unreachable.contains(engine))
+            continue;
         subscriptions.insert(engine);
+        ++counting;
+    }
     return subscriptions;
 }
 
--- a/src/forwarding/replicaindex.h
+++ b/src/forwarding/replicaindex.h
@@ -35,8 +35,9 @@
     const Engines& loadedAt(const framework::ModelName&) const;
     /// Engines that serve the model or have its weights cached.
     const Engines& availableAt(const framework::ModelName&) const;
-    /// The first engines in the model's rendezvous order, the same ones at all routers that know the same engines.
-    Engines preferred(const framework::ModelName&, std::size_t most) const;
+    /// All engines in the model's rendezvous order, which is the same at all routers that know the same engines. Holds
+    /// until the next change.
+    const Engines& order(const framework::ModelName&) const;
 
     /// The engine's place in that order, from 0; `most` for all that come later.
     std::size_t rank(const framework::ModelName&, const framework::Endpoint&, std::size_t most) const;
@@ -52,7 +53,6 @@
         Engines available;
     };
 
-    const Engines& orderOf(const framework::ModelName&) const;
     void add(const framework::Endpoint&, const Contents&);
     void subtract(const framework::Endpoint&, const Contents&);
 
--- a/src/forwarding/tests/replicaindex_test.cpp
+++ b/src/forwarding/tests/replicaindex_test.cpp
@@ -64,12 +64,12 @@
         index.set(Endpoint(std::to_string(number)), {});
         other.set(Endpoint(std::to_string(39 - number)), {});
     }
-    const Engines order = index.preferred(chat, 5);
-    BOOST_TEST(order.size() == 5u);
-    BOOST_TEST(order == other.preferred(chat, 5));
-    BOOST_TEST(order != index.preferred(review, 5));
+    const Engines order = index.order(chat);
+    BOOST_TEST(order.size() == 40u);
+    BOOST_TEST(order == other.order(chat));
+    BOOST_TEST(order != index.order(review));
     BOOST_TEST(index.rank(chat, order[3], 5) == 3u);
-    BOOST_TEST(index.rank(chat, index.preferred(chat, 6)[5], 5) == 5u);
+    BOOST_TEST(index.rank(chat, order[5], 5) == 5u);
 }
 
 // Guards against an engine that came or left and is missed in, or still stands in, the orders of models.
@@ -78,9 +78,9 @@
     ReplicaIndex index;
     index.set(first, {});
     index.set(second, {});
-    const Endpoint best = index.preferred(chat, 1)[0];
+    const Endpoint best = index.order(chat)[0];
     index.remove(best);
-    BOOST_TEST(index.preferred(chat, 2) == Engines { best == first ? second : first });
+    BOOST_TEST(index.order(chat) == Engines { best == first ? second : first });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -379,7 +379,8 @@
         PlannerInput input { profile, replicas, {}, {}, {}, true, now, Milliseconds(500) };
         for (std::size_t number = 0; number < 30; ++number)
             input.work[model(number)] = 0.05;
-        for (std::size_t number = 0; number < 5; ++number) {
+        input.unreachable = unreachable;
+        for (std::size_t number = 0; mayWait && number < 5; ++number) {
             const ModelName absent("absent" + std::to_string(number));
             input.waiting.push_back({ { absent, {} }, 1, Deadline::after(now, Milliseconds(20000)), now, 5, {} });
         }
@@ -392,6 +393,12 @@
         return plan;
     }
 
+    std::set<Endpoint> firstOf(const std::string& model, std::ptrdiff_t count) const
+    {
+        const auto& order = replicas.order(ModelName(model));
+        return { order.begin(), order.begin() + count };
+    }
+
     void addAbsentModels()
     {
         for (std::size_t number = 0; number < 5; ++number)
@@ -403,6 +410,8 @@
     ReplicaIndex replicas;
     std::list<EngineState> states;
     std::set<Endpoint> subscribed;
+    std::set<Endpoint> unreachable;
+    bool mayWait = true;
     SteadyTime now { std::chrono::hours(1) };
     WantedPlanner planner;
 };
@@ -473,15 +482,41 @@
     Fleet fleet(100);
     fleet.addAbsentModels();
     (void)fleet.plan();
-    const auto before = fleet.replicas.preferred(ModelName("absent1"), 6);
+    const auto before = fleet.firstOf("absent1", 6);
     for (EngineState& state : fleet.states) {
-        if (std::find(before.begin(), before.end(), state.engine) != before.end())
+        if (before.contains(state.engine))
             state.expected.push_back({ ModelName("absent1"), catalog::cannotPlace });
     }
     (void)fleet.plan();
     const auto chosen = loaders(fleet.plan(), "absent1");
     BOOST_REQUIRE(chosen.size() == 1u);
-    BOOST_TEST((std::find(before.begin(), before.end(), Endpoint(chosen[0])) == before.end()));
+    BOOST_TEST(!before.contains(Endpoint(chosen[0])));
+}
+
+// Guards against a model that is never loaded since its first choices have no agents, as on a fleet with few of them.
+BOOST_AUTO_TEST_CASE(passOverEnginesWhoseAgentsCannotBeReached)
+{
+    Fleet fleet(100);
+    fleet.addAbsentModels();
+    fleet.unreachable = fleet.firstOf("absent1", 40);
+    (void)fleet.plan();
+    const LoadPlan plan = fleet.plan();
+    const auto chosen = loaders(plan, "absent1");
+    BOOST_REQUIRE(chosen.size() == 1u);
+    BOOST_TEST(!fleet.unreachable.contains(Endpoint(chosen[0])));
+}
+
+// Guards against links that are opened and closed from plan to plan.
+BOOST_AUTO_TEST_CASE(keepASubscriptionForAWhile)
+{
+    Fleet fleet(100);
+    fleet.addAbsentModels();
+    const auto before = fleet.plan().subscriptions;
+    fleet.mayWait = false;
+    fleet.now += Milliseconds(4000);
+    BOOST_TEST((fleet.plan().subscriptions == before));
+    fleet.now += Milliseconds(2000);
+    BOOST_TEST(fleet.plan().subscriptions.size() < before.size());
 }
 
 // Guards against routers that each take the whole fleet's budget since no agent hears them all.
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -55,6 +55,8 @@
     /// What a request takes at an engine, lately.
     framework::Milliseconds runTime { 0 };
     policy::PolicySwitches policy {};
+    /// Engines whose agents couldn't be reached lately.
+    std::set<framework::Endpoint> unreachable {};
 };
 
 struct LoadPlan {
@@ -96,8 +98,8 @@
     const EngineFacts* factsOf(const framework::Endpoint&) const;
     std::vector<framework::Endpoint> candidatesFor(
         const PlannerInput&, const framework::ModelName&, std::size_t preferred);
-    std::size_t refusalsOf(const framework::ModelName&) const;
-    std::set<framework::Endpoint> subscriptions(const PlannerInput&) const;
+    bool mayBeAsked(const PlannerInput&, const framework::ModelName&, const framework::Endpoint&) const;
+    std::set<framework::Endpoint> subscriptions(const PlannerInput&);
     static std::uint32_t replicasOf(const PlannerInput&, const framework::ModelName&);
     void noteStoreLoads(const PlannerInput&);
     static bool needsStore(const EngineFacts&, const catalog::ModelProfile&);
@@ -136,8 +138,8 @@
     std::map<std::pair<framework::ModelName, framework::Endpoint>, framework::SteadyTime> refusals_;
     /// Of this plan's input.
     std::unordered_map<framework::Endpoint, const EngineFacts*> facts_;
-    /// Candidates for the models that this plan had to place.
-    std::set<framework::Endpoint> candidates_;
+    /// Candidates for models that were to be placed, and when they last were.
+    std::map<framework::Endpoint, framework::SteadyTime> candidates_;
     std::size_t placementsWeighed_ = 0;
     /// Models that too few engines have cached, as of this version of the index.
     std::vector<const catalog::ModelProfile*> uncached_;
