A plan weighs few candidates for copies, and is made at once only when someone waits

Change: candidates by purpose (waited 8 cached and 12 preferred, copies 2 and one for each that is missing and one more, prefetch 2 preferred); a plan comes within 15 ms only if the state concerns a request that waits, else within 100 ms; ModelProfiles finds a model with one hash; what is to be fetched ahead is looked for twice a second; ranks are counted for loads only; a report is asked for each 50 ms, not 12, while a model that waits can't be placed.

--- a/src/catalog/internal/lookups.cpp
+++ b/src/catalog/internal/lookups.cpp
@@ -1,6 +1,7 @@
 #include "catalog/modelweights.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lagoon::catalog {
 
@@ -13,11 +14,16 @@
 
 } // namespace
 
-const ModelProfile* EngineProfile::find(const framework::ModelName& name) const
+void ModelProfiles::push_back(ModelProfile profile)
 {
-    const auto found
-        = std::find_if(models.begin(), models.end(), [&](const ModelProfile& model) { return model.name == name; });
-    return found == models.end() ? nullptr : &*found;
+    byName_.emplace(profile.name, profiles_.size());
+    profiles_.push_back(std::move(profile));
+}
+
+const ModelProfile* ModelProfiles::find(const framework::ModelName& name) const
+{
+    const auto found = byName_.find(name);
+    return found == byName_.end() ? nullptr : &profiles_[found->second];
 }
 
 const Service* Configuration::find(const framework::ServiceName& name) const
--- a/src/catalog/types/configuration.h
+++ b/src/catalog/types/configuration.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 /// What the operator has decided: which requests go to which services, and what the engines may hold.
@@ -61,6 +62,25 @@
     std::uint32_t adapters = 0;
 };
 
+/// A service's models, found by name with one hash.
+class ModelProfiles {
+public:
+    void push_back(ModelProfile);
+    /// Null if there is none of the name.
+    const ModelProfile* find(const framework::ModelName&) const;
+
+    auto begin() const { return profiles_.begin(); }
+    auto end() const { return profiles_.end(); }
+    std::size_t size() const { return profiles_.size(); }
+    const ModelProfile& operator[](std::size_t index) const { return profiles_[index]; }
+    const ModelProfile& front() const { return profiles_.front(); }
+    const ModelProfile& back() const { return profiles_.back(); }
+
+private:
+    std::vector<ModelProfile> profiles_;
+    std::unordered_map<framework::ModelName, std::size_t> byName_;
+};
+
 /// What is common to the engines of one service.
 struct EngineProfile {
     /// Requests that run at once.
@@ -71,9 +91,9 @@
     std::uint32_t adapters = 0;
     /// Loads that the weight store may begin in a second, over all engines.
     double storeLoadsPerSecond = 0;
-    std::vector<ModelProfile> models;
+    ModelProfiles models;
 
-    const ModelProfile* find(const framework::ModelName&) const;
+    const ModelProfile* find(const framework::ModelName& name) const { return models.find(name); }
 };
 
 struct Service {
--- a/src/engines/internal/enginekeeper.cpp
+++ b/src/engines/internal/enginekeeper.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds pollQuiet { 200 };
 constexpr Milliseconds pollWhileLoading { 25 };
 constexpr Milliseconds pollWhileWaited { 12 };
+/// Routers say when a model that is in the way falls idle; reports only confirm it.
+constexpr Milliseconds pollWhileInTheWay { 50 };
 constexpr int partOfLoadTime = 8;
 /// On the same VM an answer takes a few milliseconds; an engine that needs longer is as good as silent.
 constexpr Milliseconds reportTime { 600 };
@@ -262,7 +264,7 @@
         return pollPauseWhileLoading();
     for (const auto& [target, wanted] : wanted_.merged()) {
         if (wanted.waiting > 0)
-            return pollWhileWaited;
+            return pollWhileInTheWay;
     }
     return pollQuiet;
 }
--- a/src/engines/internal/wantedbook.cpp
+++ b/src/engines/internal/wantedbook.cpp
@@ -37,11 +37,11 @@
     entry.at = now;
     std::set<catalog::ModelTarget> touched;
     for (const Wanted& before : std::exchange(entry.wanted, std::move(wanted))) {
-        byTarget_[before.target].erase(router);
+        erase(before.target, router);
         touched.insert(before.target);
     }
     for (const Wanted& one : entry.wanted) {
-        byTarget_[one.target].insert_or_assign(router, one);
+        byTarget_[one.target].emplace_back(router, one);
         touched.insert(one.target);
     }
     for (const catalog::ModelTarget& target : touched)
@@ -56,7 +56,7 @@
     const catalog::WantedList wanted = std::move(known->second.wanted);
     routers_.erase(known);
     for (const Wanted& one : wanted) {
-        byTarget_[one.target].erase(router);
+        erase(one.target, router);
         merge(one.target);
     }
 }
@@ -72,6 +72,11 @@
         forget(router);
 }
 
+void WantedBook::erase(const catalog::ModelTarget& target, const framework::VmName& router)
+{
+    std::erase_if(byTarget_[target], [&](const auto& entry) { return entry.first == router; });
+}
+
 void WantedBook::merge(const catalog::ModelTarget& target)
 {
     const auto entries = byTarget_.find(target);
--- a/src/engines/wantedbook.h
+++ b/src/engines/wantedbook.h
@@ -6,6 +6,8 @@
 
 #include <cstddef>
 #include <map>
+#include <utility>
+#include <vector>
 
 namespace lagoon::engines {
 
@@ -28,10 +30,13 @@
         framework::SteadyTime at {};
     };
 
+    using WantedByRouters = std::vector<std::pair<framework::VmName, catalog::Wanted>>;
+
     void merge(const catalog::ModelTarget&);
+    void erase(const catalog::ModelTarget&, const framework::VmName& router);
 
     std::map<framework::VmName, Entry> routers_;
-    std::map<catalog::ModelTarget, std::map<framework::VmName, catalog::Wanted>> byTarget_;
+    std::map<catalog::ModelTarget, WantedByRouters> byTarget_;
     std::map<catalog::ModelTarget, catalog::Wanted> merged_;
 };
 
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -107,8 +107,7 @@
     {
         std::vector<framework::ModelName> models = modelsOf(state);
         upstreams_.setState(std::move(state), now());
-        retryWaitingFor(models);
-        planSoon(planWithin);
+        planSoon(retryWaitingFor(models) ? planWithin : planCalmly);
     }
 
     void setLoad(const catalog::EngineLoad& load)
@@ -274,8 +273,9 @@
         retry(jobs_);
     }
 
-    /// Those that an engine's state may concern, so that its cost doesn't grow with the number of requests.
-    void retryWaitingFor(const std::vector<framework::ModelName>& models)
+    /// Those that an engine's state may concern, so that its cost doesn't grow with the number of requests. Returns
+    /// whether there were any.
+    bool retryWaitingFor(const std::vector<framework::ModelName>& models)
     {
         Jobs concerned;
         for (const framework::ModelName& model : models) {
@@ -283,10 +283,10 @@
             if (ofModel != jobsByModel_.end())
                 concerned.insert(ofModel->second.begin(), ofModel->second.end());
         }
-        retry(concerned);
+        return retry(concerned);
     }
 
-    void retry(const Jobs& jobs)
+    bool retry(const Jobs& jobs)
     {
         std::vector<std::shared_ptr<RequestJob>> waiting;
         for (const auto& job : jobs) {
@@ -304,6 +304,7 @@
             if (job->isWaiting())
                 refuseIfHopeless(*job, engines);
         }
+        return !waiting.empty();
     }
 
     /// A request that waits for a model is refused once even the soonest end of its load is too late, or when there is
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -42,16 +42,18 @@
 constexpr Milliseconds subscribeTime { 150 };
 /// What is placed changes from plan to plan; a link costs more to open than to keep for a while.
 constexpr Milliseconds candidateHolds { 5000 };
+/// Nobody waits for what is fetched ahead, and looking for it costs a look at each model.
+constexpr Milliseconds uncachedHolds { 500 };
 /// How long an agent that couldn't place a model isn't asked again: what holds its places changes within seconds, and
 /// what it says of a model ends as soon as it isn't asked any more.
 constexpr Milliseconds refusalHolds { 1500 };
 /// A service of so few engines is subscribed to as a whole.
 constexpr std::size_t fewEngines = 24;
-/// Engines of a model's rendezvous order that may be asked for it, beside those that have its weights cached.
-constexpr std::size_t preferredEngines = 6;
-constexpr std::size_t preferredForPrefetch = 2;
-/// Of the engines that have the weights cached.
-constexpr std::size_t mostCachedEngines = 8;
+/// For a model that requests wait for.
+constexpr CandidateCounts waitedCandidates { 8, 12 };
+/// For a further copy of a busy model, beside one preferred engine for each copy that is missing.
+constexpr CandidateCounts copyCandidates { 2, 1 };
+constexpr CandidateCounts prefetchCandidates { 0, 2 };
 /// Every router subscribes to the first engines of one fixed order, so that their agents count all routers.
 const ModelName countingKey("count of routers");
 constexpr std::size_t countingEngines = 3;
@@ -113,10 +115,10 @@
     return static_cast<std::uint32_t>(input.replicas.loadedAt(model).size());
 }
 
-/// Engines that may be asked to load the model. One that refused lately, or whose agent can't be reached, is replaced by
-/// the next of the order.
+/// Engines that may be asked to load the model. One that refused lately, or whose agent can't be reached, is replaced
+/// by the next of the order.
 std::vector<Endpoint> WantedPlanner::candidatesFor(
-    const PlannerInput& input, const ModelName& model, std::size_t preferred)
+    const PlannerInput& input, const ModelName& model, const CandidateCounts& most)
 {
     std::vector<Endpoint> candidates;
     if (input.replicas.size() <= fewEngines) {
@@ -125,12 +127,12 @@
         return candidates;
     }
     for (const Endpoint& engine : input.replicas.availableAt(model)) {
-        if (candidates.size() < mostCachedEngines && !input.unreachable.contains(engine))
+        if (candidates.size() < most.cached && !input.unreachable.contains(engine))
             candidates.push_back(engine);
     }
     std::size_t asked = 0;
     for (const Endpoint& engine : input.replicas.order(model)) {
-        if (asked == preferred)
+        if (asked == most.preferred)
             break;
         if (!mayBeAsked(input, model, engine))
             continue;
@@ -324,7 +326,7 @@
     const EngineFacts* best = nullptr;
     Milliseconds least(0);
     bool isOneUnheard = false;
-    for (const Endpoint& candidate : candidatesFor(input, model->name, preferredEngines)) {
+    for (const Endpoint& candidate : candidatesFor(input, model->name, waitedCandidates)) {
         const EngineFacts* const engine = factsOf(candidate);
         if (!engine) {
             isOneUnheard = true;
@@ -367,7 +369,8 @@
         missing -= std::min(missing, replicasOf(input, name) + loadersOf(input.engines, name));
         if (missing == 0 || !input.work.contains(name))
             continue;
-        const std::vector<Endpoint> candidates = candidatesFor(input, name, preferredEngines + missing);
+        const std::vector<Endpoint> candidates
+            = candidatesFor(input, name, { copyCandidates.cached, copyCandidates.preferred + missing });
         // All that are missing at once: a load may take many seconds.
         for (const Endpoint& engine : cheapestFor(input, *model, candidates, missing, askedBefore[name])) {
             if (!takeStorePlace(input, engine, *model))
@@ -417,7 +420,9 @@
     for (const ModelProfile* const model : uncached(input)) {
         if (storeQueue_.freePlaces() <= taken.size())
             return;
-        const std::vector<Endpoint> candidates = candidatesFor(input, model->name, preferredForPrefetch);
+        if (isCachedEnough(input, *model))
+            continue;
+        const std::vector<Endpoint> candidates = candidatesFor(input, model->name, prefetchCandidates);
         for (const Endpoint& engine : cheapestFor(input, *model, candidates, candidates.size(), {})) {
             const bool isBusy = !factsOf(engine)->state->loading.value().empty()
                 || std::find(taken.begin(), taken.end(), engine) != taken.end();
@@ -433,20 +438,28 @@
     }
 }
 
+bool WantedPlanner::isCachedEnough(const PlannerInput& input, const ModelProfile& model)
+{
+    const bool hasStandby = input.policy.keepsStandbys && model.adapters >= adaptersOfStandby;
+    return input.replicas.availableAt(model.name).size() >= (hasStandby ? standbyEngines : 1);
+}
+
 /// Models that too few engines have cached, those first that none has.
 const std::vector<const ModelProfile*>& WantedPlanner::uncached(const PlannerInput& input)
 {
-    if (uncachedVersion_ == input.replicas.version() && uncachedProfile_ == &input.profile)
+    const bool isRecent = uncachedAt_ && input.now - *uncachedAt_ < uncachedHolds && uncachedProfile_ == &input.profile;
+    if (isRecent || (uncachedVersion_ == input.replicas.version() && uncachedProfile_ == &input.profile))
         return uncached_;
+    uncachedAt_ = input.now;
     uncachedVersion_ = input.replicas.version();
     uncachedProfile_ = &input.profile;
     std::vector<std::tuple<std::size_t, std::uint64_t, const ModelProfile*>> missing;
     for (const ModelProfile& model : input.profile.models) {
-        const std::size_t engines = input.replicas.availableAt(model.name).size();
-        const bool hasStandby = input.policy.keepsStandbys && model.adapters >= adaptersOfStandby;
+        if (isCachedEnough(input, model))
+            continue;
         const std::string& name = model.name.value();
-        if (engines < (hasStandby ? standbyEngines : 1))
-            missing.emplace_back(engines, policy::mixed(policy::fnv1a(name.data(), name.size())), &model);
+        missing.emplace_back(input.replicas.availableAt(model.name).size(),
+            policy::mixed(policy::fnv1a(name.data(), name.size())), &model);
     }
     std::sort(missing.begin(), missing.end());
     uncached_.clear();
@@ -463,7 +476,7 @@
     const EngineFacts* const engine = factsOf(endpoint);
     const ModelName& model = wanted.target.model;
     wanted.work = workOf(input, model);
-    wanted.rank = rankOf(input, model, endpoint);
+    wanted.rank = wanted.isLoad() ? rankOf(input, model, endpoint) : 0;
     wanted.holders = replicasOf(input, model);
     const auto inFlight = engine->inFlight.find(wanted.target);
     wanted.inFlight = inFlight == engine->inFlight.end() ? 0 : inFlight->second;
@@ -477,8 +490,7 @@
 
 std::uint32_t WantedPlanner::rankOf(const PlannerInput& input, const ModelName& model, const Endpoint& engine)
 {
-    const std::size_t most = std::max(fewEngines, preferredEngines);
-    return static_cast<std::uint32_t>(input.replicas.rank(model, engine, most));
+    return static_cast<std::uint32_t>(input.replicas.rank(model, engine, fewEngines));
 }
 
 std::optional<Milliseconds> WantedPlanner::soonest(
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -482,7 +482,7 @@
     Fleet fleet(100);
     fleet.addAbsentModels();
     (void)fleet.plan();
-    const auto before = fleet.firstOf("absent1", 6);
+    const auto before = fleet.firstOf("absent1", 12);
     for (EngineState& state : fleet.states) {
         if (before.contains(state.engine))
             state.expected.push_back({ ModelName("absent1"), catalog::cannotPlace });
@@ -523,7 +523,7 @@
 BOOST_AUTO_TEST_CASE(subscribeToTheSameFewEnginesThatCountThem)
 {
     Fleet idle(100);
-    idle.profile.models.clear();
+    idle.profile.models = {};
     PlannerInput input { idle.profile, idle.replicas, {}, {}, {}, true, idle.now, Milliseconds(500) };
     const auto subscriptions = WantedPlanner().plan(input).subscriptions;
     BOOST_TEST(subscriptions.size() == 3u);
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -59,6 +59,14 @@
     std::set<framework::Endpoint> unreachable {};
 };
 
+/// Engines that may be asked for one model.
+struct CandidateCounts {
+    /// Of those that have its weights cached.
+    std::size_t cached = 0;
+    /// Of its rendezvous order.
+    std::size_t preferred = 0;
+};
+
 struct LoadPlan {
     /// Published to the agents of the engines that have been heard.
     std::map<framework::Endpoint, catalog::WantedList> wanted;
@@ -97,7 +105,7 @@
     void noteHeld(const PlannerInput&);
     const EngineFacts* factsOf(const framework::Endpoint&) const;
     std::vector<framework::Endpoint> candidatesFor(
-        const PlannerInput&, const framework::ModelName&, std::size_t preferred);
+        const PlannerInput&, const framework::ModelName&, const CandidateCounts& most);
     bool mayBeAsked(const PlannerInput&, const framework::ModelName&, const framework::Endpoint&) const;
     std::set<framework::Endpoint> subscriptions(const PlannerInput&);
     static std::uint32_t replicasOf(const PlannerInput&, const framework::ModelName&);
@@ -117,6 +125,7 @@
     void planWaitingForModel(const PlannerInput&, const WaitingFor&, const catalog::Wanted&);
     void planCopies(const PlannerInput&);
     void planPrefetch(const PlannerInput&);
+    static bool isCachedEnough(const PlannerInput&, const catalog::ModelProfile&);
     const std::vector<const catalog::ModelProfile*>& uncached(const PlannerInput&);
     void add(const PlannerInput&, const framework::Endpoint&, catalog::Wanted);
     const framework::Endpoint* chooseLoader(const PlannerInput&, const WaitingFor&);
@@ -141,8 +150,9 @@
     /// Candidates for models that were to be placed, and when they last were.
     std::map<framework::Endpoint, framework::SteadyTime> candidates_;
     std::size_t placementsWeighed_ = 0;
-    /// Models that too few engines have cached, as of this version of the index.
+    /// Models that too few engines have cached, as of this time and version of the index.
     std::vector<const catalog::ModelProfile*> uncached_;
+    std::optional<framework::SteadyTime> uncachedAt_;
     std::uint64_t uncachedVersion_ = 0;
     const catalog::EngineProfile* uncachedProfile_ = nullptr;
 };
