Eight candidates of a model's order, not twelve

Cause: at twelve the count of subscriptions at 840 engines is 1.41 of that at 100 (76 and 54, five models waited for), over the stated 1.3: costWhatTheRoutersOwnRequestsCost failed as it should. At a hundred engines the candidates of different models are often the same ones.

Change: eight; the check and its bound stay.

--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -50,7 +50,7 @@
 /// A service of so few engines is subscribed to as a whole.
 constexpr std::size_t fewEngines = 24;
 /// For a model that requests wait for.
-constexpr CandidateCounts waitedCandidates { 8, 12 };
+constexpr CandidateCounts waitedCandidates { 8, 8 };
 /// For a further copy of a busy model, beside one preferred engine for each copy that is missing.
 constexpr CandidateCounts copyCandidates { 2, 1 };
 constexpr CandidateCounts prefetchCandidates { 0, 2 };
