--- a/src/catalog/internal/lookups.cpp
+++ b/src/catalog/internal/lookups.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-void ModelProfiles::push_back(ModelProfile profile)
+void ModelProfiles::add(ModelProfile profile)
 {
     byName_.emplace(profile.name, profiles_.size());
     profiles_.push_back(std::move(profile));
--- a/src/catalog/types/configuration.h
+++ b/src/catalog/types/configuration.h
@@ -65,7 +65,7 @@
 /// A service's models, found by name with one hash.
 class ModelProfiles {
 public:
-    void push_back(ModelProfile);
+    void add(ModelProfile);
     /// Null if there is none of the name.
     const ModelProfile* find(const framework::ModelName&) const;
 
--- a/src/engines/tests/enginekeeper_test.cpp
+++ b/src/engines/tests/enginekeeper_test.cpp
@@ -89,7 +89,7 @@
         service.engine->weights = MegaBytes(100);
         service.engine->adapters = 4;
         for (const std::string name : { "a", "b" })
-            service.engine->models.push_back({ ModelName(name), MegaBytes(60), Milliseconds(6000), Milliseconds(800),
+            service.engine->models.add({ ModelName(name), MegaBytes(60), Milliseconds(6000), Milliseconds(800),
                 Milliseconds(600), MegaBytes(1), 0 });
         configuration->services.push_back(service);
         handler(std::move(configuration));
--- a/src/engines/tests/placementplan_test.cpp
+++ b/src/engines/tests/placementplan_test.cpp
@@ -29,7 +29,7 @@
         profile.weights = MegaBytes(200000);
         profile.adapters = 2;
         for (const std::string name : { "a", "b", "c", "d" })
-            profile.models.push_back({ ModelName(name), MegaBytes(70000), Milliseconds(6000), Milliseconds(800),
+            profile.models.add({ ModelName(name), MegaBytes(70000), Milliseconds(6000), Milliseconds(800),
                 Milliseconds(600), MegaBytes(60), 0 });
     }
 
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -100,7 +100,7 @@
         made.routes.push_back(route);
         catalog::Service service { ServiceName("engines"), 10, catalog::EngineProfile() };
         service.engine->weights = catalog::MegaBytes(200000);
-        service.engine->models.push_back({ ModelName("rare"), catalog::MegaBytes(70000), Milliseconds(6000),
+        service.engine->models.add({ ModelName("rare"), catalog::MegaBytes(70000), Milliseconds(6000),
             Milliseconds(800), Milliseconds(600), catalog::MegaBytes(60), 0 });
         made.services.push_back(service);
         return std::make_shared<const catalog::Configuration>(made);
--- a/src/forwarding/tests/loadrequests_test.cpp
+++ b/src/forwarding/tests/loadrequests_test.cpp
@@ -24,8 +24,8 @@
         configuration.services.push_back({ service, 10, catalog::EngineProfile() });
         catalog::EngineProfile& profile = *configuration.services.back().engine;
         profile.slots = 96;
-        profile.models.push_back({ chat, catalog::MegaBytes(16000), Milliseconds(6000), Milliseconds(400),
-            Milliseconds(300), catalog::MegaBytes(14), 0 });
+        profile.models.add({ chat, catalog::MegaBytes(16000), Milliseconds(6000), Milliseconds(400), Milliseconds(300),
+            catalog::MegaBytes(14), 0 });
         catalog::Upstream upstream;
         upstream.instance = catalog::InstanceId("i-1");
         upstream.endpoint = endpoint;
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -23,7 +23,7 @@
         profile.weights = MegaBytes(200000);
         profile.adapters = 8;
         for (const std::string name : { "a", "b", "c", "d", "e", "f" })
-            profile.models.push_back({ ModelName(name), MegaBytes(70000), Milliseconds(6000), Milliseconds(800),
+            profile.models.add({ ModelName(name), MegaBytes(70000), Milliseconds(6000), Milliseconds(800),
                 Milliseconds(600), MegaBytes(60), 0 });
     }
 
@@ -356,7 +356,7 @@
         const std::size_t models = engines * 2;
         profile.weights = MegaBytes(150000);
         for (std::size_t number = 0; number < models; ++number)
-            profile.models.push_back({ model(number), MegaBytes(70000), Milliseconds(13200), Milliseconds(1000),
+            profile.models.add({ model(number), MegaBytes(70000), Milliseconds(13200), Milliseconds(1000),
                 Milliseconds(600), MegaBytes(60), 0 });
         for (std::size_t number = 0; number < engines; ++number) {
             const ReplicaIndex::Contents contents { { model(2 * number), model(2 * number + 1) },
@@ -402,8 +402,8 @@
     void addAbsentModels()
     {
         for (std::size_t number = 0; number < 5; ++number)
-            profile.models.push_back({ ModelName("absent" + std::to_string(number)), MegaBytes(70000),
-                Milliseconds(13200), Milliseconds(1000), Milliseconds(600), MegaBytes(60), 0 });
+            profile.models.add({ ModelName("absent" + std::to_string(number)), MegaBytes(70000), Milliseconds(13200),
+                Milliseconds(1000), Milliseconds(600), MegaBytes(60), 0 });
     }
 
     catalog::EngineProfile profile;
