The replica index keeps a bounded number of rendezvous orders, as pointers

Cause: an order for each model ever placed, as copies of all endpoints: 48 MB at 1,800 models and 840 engines, over the 32 MB that control may take at a router.

Change: at most 256 orders of pointers (1.7 MB there); beyond that they are made anew. Test: theOrdersOfManyModelsAreTheSameWhenTheyAreMadeAnew.

--- a/src/forwarding/internal/replicaindex.cpp
+++ b/src/forwarding/internal/replicaindex.cpp
@@ -14,6 +14,9 @@
 
 const ReplicaIndex::Engines none;
 
+/// Orders are kept for the models that a router has to place, not for all.
+constexpr std::size_t mostOrders = 256;
+
 void insertSorted(ReplicaIndex::Engines& engines, const Endpoint& engine)
 {
     const auto place = std::lower_bound(engines.begin(), engines.end(), engine);
@@ -85,25 +88,29 @@
     return found == replicas_.end() ? none : found->second.available;
 }
 
-const ReplicaIndex::Engines& ReplicaIndex::order(const ModelName& model) const
+const ReplicaIndex::Order& ReplicaIndex::order(const ModelName& model) const
 {
-    Engines& order = orders_[model];
+    if (orders_.size() >= mostOrders && !orders_.contains(model))
+        orders_.clear();
+    Order& order = orders_[model];
     if (!order.empty() || contents_.empty())
         return order;
     std::vector<framework::VmName> names;
     names.reserve(contents_.size());
     for (const auto& [engine, contents] : contents_)
         names.emplace_back(engine.value());
+    order.reserve(names.size());
     for (const framework::VmName& name : policy::rendezvousOrder(model.value(), std::move(names)))
-        order.emplace_back(name.value());
+        order.push_back(&contents_.find(Endpoint(name.value()))->first);
     return order;
 }
 
 std::size_t ReplicaIndex::rank(const ModelName& model, const Endpoint& engine, std::size_t most) const
 {
-    const Engines& engines = order(model);
+    const Order& engines = order(model);
     const auto end = engines.begin() + static_cast<std::ptrdiff_t>(std::min(most, engines.size()));
-    return static_cast<std::size_t>(std::find(engines.begin(), end, engine) - engines.begin());
+    const auto place = std::find_if(engines.begin(), end, [&](const Endpoint* other) { return *other == engine; });
+    return static_cast<std::size_t>(place - engines.begin());
 }
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -131,14 +131,14 @@
             candidates.push_back(engine);
     }
     std::size_t asked = 0;
-    for (const Endpoint& engine : input.replicas.order(model)) {
+    for (const Endpoint* const engine : input.replicas.order(model)) {
         if (asked == most.preferred)
             break;
-        if (!mayBeAsked(input, model, engine))
+        if (!mayBeAsked(input, model, *engine))
             continue;
         ++asked;
-        if (std::find(candidates.begin(), candidates.end(), engine) == candidates.end())
-            candidates.push_back(engine);
+        if (std::find(candidates.begin(), candidates.end(), *engine) == candidates.end())
+            candidates.push_back(*engine);
     }
     for (const Endpoint& engine : candidates)
         candidates_[engine] = input.now;
@@ -166,12 +166,12 @@
         subscriptions.insert(engines.begin(), engines.end());
     }
     std::size_t counting = 0;
-    for (const Endpoint& engine : input.replicas.order(countingKey)) {
+    for (const Endpoint* const engine : input.replicas.order(countingKey)) {
         if (counting == countingEngines)
             break;
-        if (input.unreachable.contains(engine))
+        if (input.unreachable.contains(*engine))
             continue;
-        subscriptions.insert(engine);
+        subscriptions.insert(*engine);
         ++counting;
     }
     return subscriptions;
--- a/src/forwarding/replicaindex.h
+++ b/src/forwarding/replicaindex.h
@@ -35,9 +35,11 @@
     const Engines& loadedAt(const framework::ModelName&) const;
     /// Engines that serve the model or have its weights cached.
     const Engines& availableAt(const framework::ModelName&) const;
+    using Order = std::vector<const framework::Endpoint*>;
+
     /// All engines in the model's rendezvous order, which is the same at all routers that know the same engines. Holds
-    /// until the next change.
-    const Engines& order(const framework::ModelName&) const;
+    /// until the next call or change.
+    const Order& order(const framework::ModelName&) const;
 
     /// The engine's place in that order, from 0; `most` for all that come later.
     std::size_t rank(const framework::ModelName&, const framework::Endpoint&, std::size_t most) const;
@@ -58,8 +60,8 @@
 
     std::map<framework::Endpoint, Contents> contents_;
     std::unordered_map<framework::ModelName, Replicas> replicas_;
-    /// By model; cleared when an engine comes or goes.
-    mutable std::unordered_map<framework::ModelName, Engines> orders_;
+    /// A cache, by model, of a bounded number of them; cleared when an engine comes or goes.
+    mutable std::unordered_map<framework::ModelName, Order> orders_;
     std::uint64_t version_ = 0;
 };
 
--- a/src/forwarding/tests/replicaindex_test.cpp
+++ b/src/forwarding/tests/replicaindex_test.cpp
@@ -16,6 +16,14 @@
 const ModelName chat("chat");
 const ModelName review("review");
 
+Engines orderOf(const ReplicaIndex& index, const ModelName& model)
+{
+    Engines engines;
+    for (const Endpoint* const engine : index.order(model))
+        engines.push_back(*engine);
+    return engines;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TheReplicaIndex)
@@ -64,23 +72,35 @@
         index.set(Endpoint(std::to_string(number)), {});
         other.set(Endpoint(std::to_string(39 - number)), {});
     }
-    const Engines order = index.order(chat);
+    const Engines order = orderOf(index, chat);
     BOOST_TEST(order.size() == 40u);
-    BOOST_TEST(order == other.order(chat));
-    BOOST_TEST(order != index.order(review));
+    BOOST_TEST(order == orderOf(other, chat));
+    BOOST_TEST(order != orderOf(index, review));
     BOOST_TEST(index.rank(chat, order[3], 5) == 3u);
     BOOST_TEST(index.rank(chat, order[5], 5) == 5u);
 }
 
+// Guards against memory that grows with models times engines.
+BOOST_AUTO_TEST_CASE(theOrdersOfManyModelsAreTheSameWhenTheyAreMadeAnew)
+{
+    ReplicaIndex index;
+    for (int number = 0; number < 10; ++number)
+        index.set(Endpoint(std::to_string(number)), {});
+    const Engines order = orderOf(index, chat);
+    for (int number = 0; number < 1000; ++number)
+        (void)index.order(ModelName(std::to_string(number)));
+    BOOST_TEST(orderOf(index, chat) == order);
+}
+
 // Guards against an engine that came or left and is missed in, or still stands in, the orders of models.
 BOOST_AUTO_TEST_CASE(theOrderFollowsTheEngines)
 {
     ReplicaIndex index;
     index.set(first, {});
     index.set(second, {});
-    const Endpoint best = index.order(chat)[0];
+    const Endpoint best = *index.order(chat)[0];
     index.remove(best);
-    BOOST_TEST(index.order(chat) == Engines { best == first ? second : first });
+    BOOST_TEST(orderOf(index, chat) == Engines { best == first ? second : first });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -393,10 +393,15 @@
         return plan;
     }
 
-    std::set<Endpoint> firstOf(const std::string& model, std::ptrdiff_t count) const
+    std::set<Endpoint> firstOf(const std::string& model, std::size_t count) const
     {
-        const auto& order = replicas.order(ModelName(model));
-        return { order.begin(), order.begin() + count };
+        std::set<Endpoint> engines;
+        for (const Endpoint* const engine : replicas.order(ModelName(model))) {
+            if (engines.size() == count)
+                break;
+            engines.insert(*engine);
+        }
+        return engines;
     }
 
     void addAbsentModels()
