What is to be fetched ahead is kept by name, not by a pointer into the configuration

Cause: found on reading: the planner kept pointers to model profiles while the address of the profile stayed the same. A new configuration at the old one's address would have left them dangling.

Change: names, looked up in the configuration of the plan. ReplicaIndex::version, which only this used, is gone. Test: aModelThatTheNewConfigurationLacksIsNotFetchedAhead.

--- a/src/forwarding/internal/replicaindex.cpp
+++ b/src/forwarding/internal/replicaindex.cpp
@@ -31,7 +31,6 @@
     const auto [known, isNew] = contents_.try_emplace(engine);
     if (!isNew && known->second == contents)
         return;
-    ++version_;
     if (isNew)
         orders_.clear();
     subtract(engine, known->second);
@@ -44,7 +43,6 @@
     const auto known = contents_.find(engine);
     if (known == contents_.end())
         return;
-    ++version_;
     orders_.clear();
     subtract(engine, known->second);
     contents_.erase(known);
--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -417,10 +417,11 @@
     if (!input.isDemandKnown)
         return;
     std::vector<Endpoint> taken;
-    for (const ModelProfile* const model : uncached(input)) {
+    for (const ModelName& name : uncached(input)) {
         if (storeQueue_.freePlaces() <= taken.size())
             return;
-        if (isCachedEnough(input, *model))
+        const ModelProfile* const model = input.profile.find(name);
+        if (!model || isCachedEnough(input, *model))
             continue;
         const std::vector<Endpoint> candidates = candidatesFor(input, model->name, prefetchCandidates);
         for (const Endpoint& engine : cheapestFor(input, *model, candidates, candidates.size(), {})) {
@@ -445,26 +446,23 @@
 }
 
 /// Models that too few engines have cached, those first that none has.
-const std::vector<const ModelProfile*>& WantedPlanner::uncached(const PlannerInput& input)
+const std::vector<ModelName>& WantedPlanner::uncached(const PlannerInput& input)
 {
-    const bool isRecent = uncachedAt_ && input.now - *uncachedAt_ < uncachedHolds && uncachedProfile_ == &input.profile;
-    if (isRecent || (uncachedVersion_ == input.replicas.version() && uncachedProfile_ == &input.profile))
+    if (uncachedAt_ && input.now - *uncachedAt_ < uncachedHolds)
         return uncached_;
     uncachedAt_ = input.now;
-    uncachedVersion_ = input.replicas.version();
-    uncachedProfile_ = &input.profile;
-    std::vector<std::tuple<std::size_t, std::uint64_t, const ModelProfile*>> missing;
+    std::vector<std::tuple<std::size_t, std::uint64_t, ModelName>> missing;
     for (const ModelProfile& model : input.profile.models) {
         if (isCachedEnough(input, model))
             continue;
         const std::string& name = model.name.value();
         missing.emplace_back(input.replicas.availableAt(model.name).size(),
-            policy::mixed(policy::fnv1a(name.data(), name.size())), &model);
+            policy::mixed(policy::fnv1a(name.data(), name.size())), model.name);
     }
     std::sort(missing.begin(), missing.end());
     uncached_.clear();
-    for (const auto& [engines, hash, model] : missing)
-        uncached_.push_back(model);
+    for (const auto& [engines, hash, name] : missing)
+        uncached_.push_back(name);
     return uncached_;
 }
 
--- a/src/forwarding/replicaindex.h
+++ b/src/forwarding/replicaindex.h
@@ -2,10 +2,7 @@
 
 #include "framework/types/ids.h"
 
-#include <cstdint>
-#include <functional>
 #include <map>
-#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -46,8 +43,6 @@
 
     std::size_t size() const { return contents_.size(); }
     const std::map<framework::Endpoint, Contents>& engines() const { return contents_; }
-    /// Grows with each change.
-    std::uint64_t version() const { return version_; }
 
 private:
     struct Replicas {
@@ -62,7 +57,6 @@
     std::unordered_map<framework::ModelName, Replicas> replicas_;
     /// A cache, by model, of a bounded number of them; cleared when an engine comes or goes.
     mutable std::unordered_map<framework::ModelName, Order> orders_;
-    std::uint64_t version_ = 0;
 };
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/tests/replicaindex_test.cpp
+++ b/src/forwarding/tests/replicaindex_test.cpp
@@ -52,17 +52,6 @@
     BOOST_TEST(index.size() == 0u);
 }
 
-BOOST_AUTO_TEST_CASE(onlyAChangeMakesANewVersion)
-{
-    ReplicaIndex index;
-    index.set(first, { { chat }, {} });
-    const std::uint64_t version = index.version();
-    index.set(first, { { chat }, {} });
-    BOOST_TEST(index.version() == version);
-    index.set(first, { {}, { chat } });
-    BOOST_TEST(index.version() > version);
-}
-
 // Guards against routers that learn of engines in another order and ask different ones for the same model.
 BOOST_AUTO_TEST_CASE(theOrderOfAModelIsTheSameEverywhere)
 {
--- a/src/forwarding/tests/wantedplanner_test.cpp
+++ b/src/forwarding/tests/wantedplanner_test.cpp
@@ -253,6 +253,17 @@
     BOOST_TEST(asked("f").empty());
 }
 
+// Guards against a look into a configuration that has been replaced since.
+BOOST_AUTO_TEST_CASE(aModelThatTheNewConfigurationLacksIsNotFetchedAhead)
+{
+    engine("1", { "a", "b" });
+    engine("2", { "c", "d" });
+    engine("3", { "e" });
+    BOOST_TEST(asked("f") == std::vector<std::string> { "3" });
+    profile.models = {};
+    BOOST_TEST(asked("f").empty());
+}
+
 BOOST_AUTO_TEST_CASE(theSoonestEndIsToldFromThen)
 {
     engine("1", {}).expected.push_back({ ModelName("e"), Milliseconds(900) });
--- a/src/forwarding/wantedplanner.h
+++ b/src/forwarding/wantedplanner.h
@@ -126,7 +126,7 @@
     void planCopies(const PlannerInput&);
     void planPrefetch(const PlannerInput&);
     static bool isCachedEnough(const PlannerInput&, const catalog::ModelProfile&);
-    const std::vector<const catalog::ModelProfile*>& uncached(const PlannerInput&);
+    const std::vector<framework::ModelName>& uncached(const PlannerInput&);
     void add(const PlannerInput&, const framework::Endpoint&, catalog::Wanted);
     const framework::Endpoint* chooseLoader(const PlannerInput&, const WaitingFor&);
     static std::uint32_t rankOf(const PlannerInput&, const framework::ModelName&, const framework::Endpoint&);
@@ -150,11 +150,9 @@
     /// Candidates for models that were to be placed, and when they last were.
     std::map<framework::Endpoint, framework::SteadyTime> candidates_;
     std::size_t placementsWeighed_ = 0;
-    /// Models that too few engines have cached, as of this time and version of the index.
-    std::vector<const catalog::ModelProfile*> uncached_;
+    /// Models that too few engines have cached, as of this time.
+    std::vector<framework::ModelName> uncached_;
     std::optional<framework::SteadyTime> uncachedAt_;
-    std::uint64_t uncachedVersion_ = 0;
-    const catalog::EngineProfile* uncachedProfile_ = nullptr;
 };
 
 } // namespace lagoon::forwarding
