A service of up to 64 engines is subscribed to as a whole

Beyond that control must not grow.

Small sites have 9 and 18 engines: for them nothing changes. What it costs a fleet of more than 64 engines is the next question: copies with more candidates.

--- a/src/forwarding/internal/wantedplanner.cpp
+++ b/src/forwarding/internal/wantedplanner.cpp
@@ -48,7 +48,7 @@
 /// what it says of a model ends as soon as it isn't asked any more.
 constexpr Milliseconds refusalHolds { 1500 };
 /// A service of so few engines is subscribed to as a whole.
-constexpr std::size_t fewEngines = 24;
+constexpr std::size_t fewEngines = 64;
 /// For a model that requests wait for.
 constexpr CandidateCounts waitedCandidates { 8, 8 };
 /// For a further copy of a busy model, beside one preferred engine for each copy that is missing.
