The table of upstreams indexes only records that it has; what a reread of the change found

Without a change of behaviour: a state is no longer indexed twice (by the list, then by the state); WantedBook::forget is a set to nothing; ModelDemand forgets and answers apart; accessors and a function that nothing calls are gone; a comment that had lost what it referred to.

Checked: format, clang-tidy on the files touched, unit tests, direct, routerend, restartedserver and soak tests by ctest (5 of 5).

--- a/src/catalog/types/configuration.h
+++ b/src/catalog/types/configuration.h
@@ -72,9 +72,6 @@
     auto begin() const { return profiles_.begin(); }
     auto end() const { return profiles_.end(); }
     std::size_t size() const { return profiles_.size(); }
-    const ModelProfile& operator[](std::size_t index) const { return profiles_[index]; }
-    const ModelProfile& front() const { return profiles_.front(); }
-    const ModelProfile& back() const { return profiles_.back(); }
 
 private:
     std::vector<ModelProfile> profiles_;
--- a/src/direct/internal/catalogwatch.cpp
+++ b/src/direct/internal/catalogwatch.cpp
@@ -20,7 +20,7 @@
 /// Engines say each load and unload in their entries, and reading several together costs one call: after each reading
 /// the next waits for this part of the time in which a leaving server must be known.
 constexpr int partOfNotice = 5;
-/// Changes of the configuration have the same two seconds; a storm of them costs a call each 100 ms.
+/// A storm of changes of the configuration costs a call each 100 ms.
 constexpr Milliseconds configurationPause { 100 };
 
 /// Names and services are their writers' choice, of any length.
--- a/src/engines/internal/wantedbook.cpp
+++ b/src/engines/internal/wantedbook.cpp
@@ -50,15 +50,8 @@
 
 void WantedBook::forget(const framework::VmName& router)
 {
-    const auto known = routers_.find(router);
-    if (known == routers_.end())
-        return;
-    const catalog::WantedList wanted = std::move(known->second.wanted);
-    routers_.erase(known);
-    for (const Wanted& one : wanted) {
-        erase(one.target, router);
-        merge(one.target);
-    }
+    set(router, {}, {});
+    routers_.erase(router);
 }
 
 void WantedBook::forgetSilent(framework::SteadyTime now)
--- a/src/forwarding/internal/loadrequests.cpp
+++ b/src/forwarding/internal/loadrequests.cpp
@@ -66,6 +66,7 @@
     const policy::PolicySwitches& policy, SteadyTime now)
 {
     comingBack_.forgetLeft(now);
+    demand_.forgetOld(now);
     LoadPlan all;
     for (const catalog::Service& service : configuration.services) {
         if (!service.engine)
--- a/src/forwarding/internal/modeldemand.cpp
+++ b/src/forwarding/internal/modeldemand.cpp
@@ -48,9 +48,13 @@
     return faded(found->second.perSecond, found->second.at, now) / (1 - std::exp(-listened / fadeSeconds));
 }
 
-std::map<framework::ModelName, double> ModelDemand::recent(framework::SteadyTime now)
+void ModelDemand::forgetOld(framework::SteadyTime now)
 {
     std::erase_if(averages_, [now](const auto& entry) { return now - entry.second.at > forgottenAfter; });
+}
+
+std::map<framework::ModelName, double> ModelDemand::recent(framework::SteadyTime now) const
+{
     std::map<framework::ModelName, double> all;
     for (const auto& [model, average] : averages_)
         all.emplace(model, work(model, now));
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -107,7 +107,7 @@
 {
     ServiceRecords& records = services_[record->facts.service];
     records.byEndpoint[record->facts.endpoint] = record;
-    records.replicas.set(record->facts.endpoint, contentsOf(*record));
+    refreshReplicas(*record);
 }
 
 void UpstreamTable::removeFromIndex(const UpstreamPointer& record)
@@ -121,9 +121,13 @@
     records.replicas.remove(record->facts.endpoint);
 }
 
+/// A record that its last requests keep alive isn't in the index any more.
 void UpstreamTable::refreshReplicas(const UpstreamRecord& record)
 {
-    services_[record.facts.service].replicas.set(record.facts.endpoint, contentsOf(record));
+    ServiceRecords& records = services_[record.facts.service];
+    const auto indexed = records.byEndpoint.find(record.facts.endpoint);
+    if (indexed != records.byEndpoint.end() && indexed->second.get() == &record)
+        records.replicas.set(record.facts.endpoint, contentsOf(record));
 }
 
 ReplicaIndex::Contents UpstreamTable::contentsOf(const UpstreamRecord& record) const
@@ -170,7 +174,7 @@
     const std::uint32_t before = routers();
     const Endpoint engine = state.engine;
     const bool isNewRun = noteStart(state);
-    forgetState(engine);
+    eraseState(engine);
     routerCounts_.insert(state.routers);
     states_[engine] = { std::move(state), now };
     lost_.erase(engine);
@@ -188,16 +192,17 @@
     const auto known = states_.find(load.engine);
     if (known == states_.end())
         return;
-    const std::uint32_t routersBefore = known->second.state.routers;
+    const std::uint32_t before = routers();
+    const std::uint32_t saidBefore = known->second.state.routers;
     if (!catalog::applyLoad(known->second.state, load))
         return;
     known->second.at = now;
-    if (load.routers != routersBefore) {
-        routerCounts_.erase(routerCounts_.find(routersBefore));
-        routerCounts_.insert(load.routers);
-    }
+    routerCounts_.erase(routerCounts_.find(saidBefore));
+    routerCounts_.insert(load.routers);
     if (const UpstreamPointer record = find(load.engine))
         didHear(*record, now);
+    if (routers() != before)
+        limitConnections();
 }
 
 UpstreamPointer UpstreamTable::find(const Endpoint& endpoint) const
@@ -257,14 +262,21 @@
 }
 
 void UpstreamTable::forgetState(const Endpoint& engine)
+{
+    if (!eraseState(engine))
+        return;
+    if (const UpstreamPointer record = find(engine))
+        refreshReplicas(*record);
+}
+
+bool UpstreamTable::eraseState(const Endpoint& engine)
 {
     const auto known = states_.find(engine);
     if (known == states_.end())
-        return;
+        return false;
     routerCounts_.erase(routerCounts_.find(known->second.state.routers));
     states_.erase(known);
-    if (const UpstreamPointer record = find(engine))
-        refreshReplicas(*record);
+    return true;
 }
 
 void UpstreamTable::didLoseAgent(const Endpoint& engine, SteadyTime now)
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -86,8 +86,6 @@
     bool holds(const UpstreamRecord&, const catalog::ModelTarget&, framework::SteadyTime now) const;
     /// The server refused the target as not held; so it isn't until its agent or the list says it anew.
     void didLack(UpstreamRecord&, const catalog::ModelTarget&);
-    /// Another server answers at its address.
-    static void didMove(UpstreamRecord& record) { record.isGone = true; }
     /// Whether the server failed lately and is to be passed by.
     bool isSuspect(const UpstreamRecord&, framework::SteadyTime now) const;
     /// Whether the server has fallen silent while others of its service have not. Guards against a router that takes
@@ -122,6 +120,8 @@
     void addToIndex(const UpstreamPointer&);
     void removeFromIndex(const UpstreamPointer&);
     void refreshReplicas(const UpstreamRecord&);
+    /// Whether there was one. What the engine has isn't indexed anew.
+    bool eraseState(const framework::Endpoint&);
     ReplicaIndex::Contents contentsOf(const UpstreamRecord&) const;
     /// Whether a server's restart is known by this only.
     bool noteStart(const catalog::EngineState&);
--- a/src/forwarding/modeldemand.h
+++ b/src/forwarding/modeldemand.h
@@ -22,8 +22,10 @@
     void didArrive(const framework::ModelName&, framework::Milliseconds work, framework::SteadyTime now);
     /// Part of one engine's time, 0 for models that nobody asks for.
     double work(const framework::ModelName&, framework::SteadyTime now) const;
-    /// The same for all models that were asked for lately; forgets the others.
-    std::map<framework::ModelName, double> recent(framework::SteadyTime now);
+    /// The same for all models that aren't forgotten.
+    std::map<framework::ModelName, double> recent(framework::SteadyTime now) const;
+    /// Those that weren't asked for lately.
+    void forgetOld(framework::SteadyTime now);
     /// Whether what hasn't been asked for is really not in demand. A process that starts while its callers go on asking
     /// has to listen first; one that nobody asks anything may take it that nobody will at once.
     bool isKnown(framework::SteadyTime now) const;
--- a/src/forwarding/tests/choices_test.cpp
+++ b/src/forwarding/tests/choices_test.cpp
@@ -138,7 +138,9 @@
     ModelDemand demand(start);
     demand.didArrive(ModelName("before"), Milliseconds(20), start);
     demand.didArrive(ModelName("now"), Milliseconds(20), start + std::chrono::seconds(5));
+    demand.forgetOld(start + std::chrono::seconds(5));
     BOOST_TEST(demand.recent(start + std::chrono::seconds(5)).size() == 2u);
+    demand.forgetOld(start + std::chrono::seconds(7));
     const auto recent = demand.recent(start + std::chrono::seconds(7));
     BOOST_TEST(recent.size() == 1u);
     BOOST_TEST(recent.contains(ModelName("now")));
--- a/src/forwarding/tests/upstreamtable_test.cpp
+++ b/src/forwarding/tests/upstreamtable_test.cpp
@@ -273,6 +273,43 @@
     BOOST_TEST(table.state(only(), now)->state.running == 0u);
 }
 
+// Guards against an engine that the list has dropped and that a request, which ends there only then, brings back.
+BOOST_AUTO_TEST_CASE(anEngineThatIsGoneIsNotIndexedByItsLastRequest)
+{
+    Upstream listed = upstream(0);
+    listed.models.push_back({ target.model, 1, {}, 0, 0 });
+    listed.models.push_back({ ModelName("other"), 1, {}, 0, 0 });
+    table.setUpstreams({ listed });
+    const UpstreamPointer record = table.ready(service).at(0);
+    table.setUpstreams({});
+    table.didLack(*record, target);
+    BOOST_TEST(table.replicas(service).size() == 0u);
+    table.didLose(*record, now);
+    BOOST_TEST(table.replicas(service).size() == 0u);
+    BOOST_TEST(table.serving(service, ModelName("other")).empty());
+}
+
+// Guards against routers that go on with too large a share of an engine's connections as more of them come.
+BOOST_AUTO_TEST_CASE(aLoadThatNamesMoreRoutersLowersTheShareOfConnections)
+{
+    auto configuration = std::make_shared<catalog::Configuration>();
+    configuration->services.push_back({ service, 100, catalog::EngineProfile() });
+    table.setConfiguration(configuration);
+    table.setUpstreams({ upstream(0) });
+    EngineState told = state(0, true);
+    told.routers = 2;
+    table.setState(told, now);
+    catalog::EngineLoad load = catalog::loadOf(told);
+    load.routers = 10;
+    table.setLoad(load, now);
+    std::vector<std::shared_ptr<http::ClientConnection>> taken;
+    while (auto connection = only().connections.take(http::ConnectionPool::Reuse::Usual, now))
+        taken.push_back(std::move(connection));
+    BOOST_TEST(taken.size() == 8u);
+    for (const auto& connection : taken)
+        connection->abandon();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
