Keep a model loaded between back-to-back requests

Symptom: a request that immediately followed another had to wait for an unload and a reload of the same model.

Cause: SkiRentalKeepWarm compared unloading immediately with keeping the model until the end of each histogram bucket, the first of which ends at two seconds. Without a history, and with a load time of a second or two, no bucket cost less than a keep time of zero, so the first pass after the request ended unloaded the model. The confirmation of the model's claim triggered that pass within 20 ms of the load.

Evidence: the logs of the killed agent, which a failing test now prints too, show "loaded policy", 12 to 18 ms later "unloading policy: idle", and 0.9 s later "loaded policy", all before the agent was killed. The second load is unrelated to the agent's death.

Change: the minimum keep time is now the histogram's first bucket, because the histogram doesn't resolve shorter gaps. When an integration test fails, it also prints the logs of replaced agents and routers and the status of agents.

--- a/src/agent/tests/replicacontroller_test.cpp
+++ b/src/agent/tests/replicacontroller_test.cpp
@@ -247,6 +247,17 @@
     BOOST_TEST(holders(model("b")) == 1u);
 }
 
+// Guards against unloading a model in the short gap between two requests, which makes the second wait for a reload.
+BOOST_AUTO_TEST_CASE(aModelStaysLoadedBetweenBackToBackRequests)
+{
+    startAgent();
+    loadWhole(model("a"));
+    use(model("a"));
+    control.advance(Milliseconds(1000));
+    BOOST_TEST(replicas->beginUse({ model("a"), {} }, control.now()).has_value());
+    BOOST_TEST(engineFake.unloadOrders == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(aModelInUseIsNoVictim)
 {
     startAgent();
--- a/src/policy/internal/keepwarm.cpp
+++ b/src/policy/internal/keepwarm.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <map>
 
 namespace lagoon::policy {
@@ -47,13 +48,15 @@
 
 /// Of all times to keep, the one that would have cost least over the gaps so far: each gap that is shorter costs
 /// itself, each that is longer the time kept and a cold start. `coldStart` is in seconds of this replica's idling.
+/// The result is at least the end of the first bucket: the histogram doesn't resolve shorter gaps, and a shorter time
+/// could unload the replica just before the next request.
 double cheapestKeep(const IdleGaps& gaps, double coldStart)
 {
     double longer = 0;
     for (std::size_t bucket = 0; bucket < IdleGaps::buckets; ++bucket)
         longer += gapWeight(gaps, bucket);
     double best = 0;
-    double least = longer * coldStart;
+    double least = std::numeric_limits<double>::infinity();
     double shorterSeconds = 0;
     for (std::size_t bucket = 0; bucket < IdleGaps::buckets; ++bucket) {
         const double end = IdleGaps::endSeconds(bucket);
--- a/src/policy/tests/keepwarm_test.cpp
+++ b/src/policy/tests/keepwarm_test.cpp
@@ -86,6 +86,17 @@
     BOOST_CHECK(kept(rarely) < 10s);
 }
 
+// Guards against unloading a model in the short gap between two requests, which makes the second wait for a reload.
+BOOST_AUTO_TEST_CASE(aFastLoadingModelIsKeptThroughAShortGap)
+{
+    LoadedReplica fast = replica("drafts", 56000, 0s);
+    fast.loadTime = 600ms;
+    BOOST_CHECK(kept(fast) >= 1s);
+    for (int use = 0; use < 30; ++use)
+        fast.gaps.record(5h);
+    BOOST_CHECK(kept(fast) >= 1s);
+}
+
 BOOST_AUTO_TEST_CASE(othersGapsCountUntilThereAreOwnOnes)
 {
     policy::IdleGaps others;
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -57,10 +57,20 @@
         throw std::runtime_error(framework::describe(result.error()));
 }
 
-void printLog(const ChildProcess* process)
+std::string formatLog(const ChildProcess* process)
 {
-    if (process)
-        std::cerr << "--- " << process->name() << "\n" << process->log();
+    return process ? "--- " + process->name() + "\n" + process->log() : std::string();
+}
+
+void printLog(const ChildProcess* process) { std::cerr << formatLog(process); }
+
+void printAgentStatus(const std::string& ops)
+{
+    try {
+        std::cerr << getFrom(ops, "/status").body << "\n";
+    } catch (const std::exception& error) {
+        std::cerr << "failed to get the agent's status: " << error.what() << "\n";
+    }
 }
 
 } // namespace
@@ -75,11 +85,14 @@
 {
     if (!hasTestFailed())
         return;
+    std::cerr << replacedProcessLogs_;
     for (const auto& [vm, router] : routers_)
         printLog(router.process.get());
     for (const auto& [vm, upstream] : upstreams_) {
         printLog(upstream.standin.get());
         printLog(upstream.agent.get());
+        if (upstream.agent && upstream.agent->isRunning())
+            printAgentStatus(upstream.ops());
     }
 }
 
@@ -176,6 +189,7 @@
 void Deployment::restartAgent(const std::string& vm)
 {
     UpstreamVm& upstream = upstreams_.at(vm);
+    replacedProcessLogs_ += formatLog(upstream.agent.get());
     upstream.agent = startAgent(vm, upstream);
     if (upstream.linkProxy)
         setFaults(upstream.linkProxy->readyText("http"), R"({"to":")" + upstream.agent->readyText("link") + "\"}");
@@ -185,6 +199,7 @@
 void Deployment::restartRouter(const std::string& vm)
 {
     RouterVm& router = routers_.at(vm);
+    replacedProcessLogs_ += formatLog(router.process.get());
     router.process = startRouter(vm, router);
     publishVms();
 }
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -120,6 +120,8 @@
     std::unique_ptr<ChildProcess> weights_;
     std::map<std::string, RouterVm> routers_;
     std::map<std::string, UpstreamVm> upstreams_;
+    /// Logs of the processes that restarts replaced, printed if a test fails.
+    std::string replacedProcessLogs_;
 };
 
 } // namespace lagoon::testsupport
