Prevent a deadlock between an unloading model and its waiting adapter

Symptom: from some moment on, every request that required an engine to load something waited until its deadline (6 s in the test) and was refused, permanently; only what the other engine had loaded was served. Those refusals were a consequence: the blocked engine held the claims of all replicas that waited there.

Cause: a deadlock within one agent. A model and its adapter are unloaded to make room for another load. While the adapter is being unloaded, it is requested again, so it keeps its claim and then waits for memory, behind the other load. The other load waits for the model's memory, the model isn't unloaded while one of its adapters is known, and that adapter waits.

Evidence: the status of the agents when the test fails, in three of three failures: a model "draining" with no uses, its adapter "waiting_for_memory", all others "waiting_for_memory" or "waiting_for_model", 450 of 1000 MiB free. A new test of the replica controller reproduces this sequence; it failed before the change.

Change: an adapter waits for memory only if its model stays loaded. Otherwise its callers are told immediately that it isn't ready, and routers retry 100 ms later, on this engine and on others. A load of an adapter whose model is draining is refused in the same way. A model's unload waits only for adapters that its engine has or may still receive.

A related fault is fixed too: an adapter that was still loading when its model was to be unloaded stayed loaded, and kept the model loaded, until the adapter's own keep time ended. It is now drained (second new test, which failed before the change). An adapter that is requested again just after its claim was released now waits for its model first.

--- a/src/agent/internal/replicacontroller.cpp
+++ b/src/agent/internal/replicacontroller.cpp
@@ -229,6 +229,8 @@
     case ReplicaStage::Loaded:
         return stepLoaded(replica);
     case ReplicaStage::Draining:
+        if (!replica.id.isAdapter())
+            drainAdapters(replica.id.model, "model");
         if (replica.uses > 0 || (!replica.id.isAdapter() && hasAdapters(replica.id.model)))
             return;
         return setStage(replica, ReplicaStage::Unloading);
@@ -277,6 +279,10 @@
         failLoad(replica, refusal(ErrorCode::DeadlinePassed, replica.id, "nobody waits any more", retryWhenBusy));
         return true;
     }
+    if (!hasRequiredModel(replica.id)) {
+        failLoad(replica, refusal(ErrorCode::NotReady, replica.id, "its model is being unloaded", retryWhenBusy));
+        return true;
+    }
     if (account_.reserve(replica.id, replica.memory)) {
         setStage(replica, ReplicaStage::Loading);
         step(replica, now);
@@ -369,11 +375,16 @@
     ports_.metrics->count("lagoon_unloads_total", { { "reason", reason } });
     framework::logInfo("agent", "unloading " + replicaText(replica.id) + ": " + reason);
     setStage(replica, ReplicaStage::Draining);
-    if (replica.id.isAdapter())
-        return;
-    for (auto& [id, other] : replicas_) {
-        if (id.isAdapter() && id.model == replica.id.model)
-            drain(other, reason);
+    if (!replica.id.isAdapter())
+        drainAdapters(replica.id.model, reason);
+}
+
+/// Skips adapters that are still loading. While the model is draining, `step` repeats this to drain them once loaded.
+void ReplicaController::drainAdapters(const framework::ModelName& model, const std::string& reason)
+{
+    for (auto& [id, replica] : replicas_) {
+        if (id.isAdapter() && id.model == model)
+            drain(replica, reason);
     }
 }
 
@@ -441,6 +452,10 @@
         startReleasing(replica);
         return;
     }
+    // Fails now rather than queueing an adapter behind a load that waits for the memory of the adapter's own model.
+    if (!hasRequiredModel(replica.id))
+        return failLoad(
+            replica, refusal(ErrorCode::NotReady, replica.id, "its model is being unloaded", retryWhenBusy));
     account_.free(replica.id);
     replica.version = weights->version;
     replica.memory = weights->memory;
--- a/src/agent/internal/replicacontroller.h
+++ b/src/agent/internal/replicacontroller.h
@@ -101,6 +101,7 @@
     void expireWaiters(framework::SteadyTime now);
     void review(Replica&);
     void drain(Replica&, const std::string& reason);
+    void drainAdapters(const framework::ModelName&, const std::string& reason);
     void failLoad(Replica&, const framework::Error&);
     void startReleasing(Replica&);
     void takeLoaded(Replica&, framework::SteadyTime now);
@@ -151,6 +152,7 @@
     std::vector<policy::LoadedReplica> idleViews(framework::SteadyTime now) const;
     bool mayExpire(const Replica&, framework::SteadyTime now) const;
     bool hasAdapters(const framework::ModelName&) const;
+    bool hasRequiredModel(const ReplicaId&) const;
     bool hasAdaptersOnTheWay(const framework::ModelName&) const;
     framework::Milliseconds nextLoadTime(const Replica&) const;
     policy::CheckpointPlace placeOf(const ReplicaId&) const;
--- a/src/agent/internal/replicaoperations.cpp
+++ b/src/agent/internal/replicaoperations.cpp
@@ -213,6 +213,8 @@
             }
             released.version = weightsOf(released.id)->version;
             released.memory = weightsOf(released.id)->memory;
+            if (released.id.isAdapter())
+                return addPendingModel(released.id);
             setStage(released, ReplicaStage::Claiming);
         });
 }
--- a/src/agent/internal/replicaqueries.cpp
+++ b/src/agent/internal/replicaqueries.cpp
@@ -63,7 +63,9 @@
     if (engineFailures_ >= failuresBelieved)
         return refusal(ErrorCode::NotReady, id, "the engine doesn't answer", retryWhenBusy);
     const Replica* replica = find(id);
-    if (replica && replica->stage == ReplicaStage::Draining && !replica->reloadsAfterUnload)
+    const auto isBeingUnloaded
+        = [](const Replica* one) { return one && one->stage == ReplicaStage::Draining && !one->reloadsAfterUnload; };
+    if (isBeingUnloaded(replica) || isBeingUnloaded(find(id.ofModel())))
         return refusal(ErrorCode::NotReady, id, "it is being unloaded", retryWhenBusy);
     if (replica)
         return std::nullopt;
@@ -186,13 +188,24 @@
     return { bundle_->decidedReplicas(id.model, id.adapter, settings_.site), bundle_->version };
 }
 
+/// Whether the engine has an adapter of the model or may still receive one. Adapters in earlier stages don't count:
+/// they would block the model's unload while they queue behind a load that waits for the model's memory.
 bool ReplicaController::hasAdapters(const framework::ModelName& model) const
 {
     return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
-        return entry.first.isAdapter() && entry.first.model == model && entry.second.stage != ReplicaStage::Releasing;
+        const ReplicaStage stage = entry.second.stage;
+        return entry.first.isAdapter() && entry.first.model == model && stage >= ReplicaStage::Loading
+            && stage != ReplicaStage::Releasing;
     });
 }
 
+/// Always true for a model. An adapter requires its model to be loaded and not draining.
+bool ReplicaController::hasRequiredModel(const ReplicaId& id) const
+{
+    const Replica* model = find(id.ofModel());
+    return !id.isAdapter() || (model && model->stage == ReplicaStage::Loaded);
+}
+
 /// Whether anyone still has use for a load that isn't ordered yet.
 bool ReplicaController::isWanted(const Replica& replica) const
 {
--- a/src/agent/tests/replicacontroller_test.cpp
+++ b/src/agent/tests/replicacontroller_test.cpp
@@ -290,6 +290,43 @@
     BOOST_TEST(!engineFake.stateOf(adapter("a", "fine")).has_value());
 }
 
+// Guards against a deadlock between an adapter that waits for memory and a load that waits for its model's memory.
+BOOST_AUTO_TEST_CASE(anAdapterRequestedWhileItsModelIsUnloadedDoesNotBlockOtherLoads)
+{
+    startAgent();
+    loadWhole(adapter("a", "fine"));
+    const auto otherLoad = load(model("b"));
+    BOOST_CHECK(stageOf(adapter("a", "fine")).stage == ReplicaStage::Unloading);
+    const auto adapterLoad = load(adapter("a", "fine"));
+    for (int turn = 0; turn < 100; ++turn) {
+        engineFake.finishLoads();
+        control.advance(Milliseconds(100));
+    }
+    BOOST_TEST(otherLoad->isLoaded());
+    BOOST_TEST(adapterLoad->isRefused(ErrorCode::NotReady));
+    BOOST_TEST(!engineFake.isOvercommitted);
+}
+
+// Guards against an adapter that finishes loading while its model is draining and keeps the old model version loaded.
+BOOST_AUTO_TEST_CASE(aNewModelVersionIsLoadedEvenIfAnAdapterWasStillLoading)
+{
+    startAgent();
+    loadWhole(model("a"));
+    load(adapter("a", "fine"));
+    control.advance(Milliseconds(20000));
+    BOOST_CHECK(stageOf(adapter("a", "fine")).stage == ReplicaStage::Loading);
+    replicas->setBundle(std::make_shared<bundle::Bundle>(bundleOf(2, 1, "v2")));
+    const auto isReloaded = [this] {
+        const Replica replica = stageOf(model("a"));
+        return replica.stage == ReplicaStage::Loaded && replica.version.value() == "v2";
+    };
+    for (int turn = 0; turn < 50 && !isReloaded(); ++turn) {
+        engineFake.finishLoads();
+        control.advance(Milliseconds(100));
+    }
+    BOOST_TEST(isReloaded());
+}
+
 BOOST_AUTO_TEST_CASE(aFailedLoadFreesMemoryAndClaim)
 {
     startAgent();
