Release a waiting model when its adapter's last caller times out

Symptom: a model's only claim was kept, and its place in the queue for memory, for a load that no caller was waiting for any more. Callers elsewhere were refused with replica_cap_reached.

Cause: an adapter in the waiting_for_model stage stayed there after its last caller's deadline had passed. A model counts as wanted as long as an adapter waits for it.

Change: when its last waiter expires, the adapter's load fails. The load of its model, if nothing else waits for it, fails at the next pass of makeRoom.

Measured: the new replica controller test failed before this change (the model's claim was still held 2 s after the last deadline).

--- a/src/agent/internal/replicacontroller.cpp
+++ b/src/agent/internal/replicacontroller.cpp
@@ -347,6 +347,9 @@
         waiters.erase(firstExpired, waiters.end());
         for (const LoadWaiter& waiter : expired)
             waiter.done(refusal(ErrorCode::DeadlinePassed, id, stageText(replica.stage), retryWhenBusy));
+        // Otherwise its model would still count as wanted, keep its claim and block other loads that wait for memory.
+        if (replica.stage == ReplicaStage::WaitingForModel && waiters.empty())
+            failLoad(replica, refusal(ErrorCode::DeadlinePassed, id, "nobody waits any more", retryWhenBusy));
     }
 }
 
--- a/src/agent/tests/replicacontroller_test.cpp
+++ b/src/agent/tests/replicacontroller_test.cpp
@@ -327,6 +327,24 @@
     BOOST_TEST(isReloaded());
 }
 
+// Guards against a model that waits for memory and keeps its claim after all callers of its adapter have timed out.
+BOOST_AUTO_TEST_CASE(aWaitingModelIsReleasedAfterItsAdaptersLastCallerTimesOut)
+{
+    startAgent();
+    loadWhole(model("b"));
+    BOOST_REQUIRE(replicas->beginUse({ model("b"), {} }, control.now()).has_value());
+    // Makes model b drain, but it keeps its memory while in use.
+    replicas->setBundle(std::make_shared<bundle::Bundle>(bundleOf(2, 1, "v2")));
+    const auto watch = load(adapter("a", "fine"), Milliseconds(5000));
+    control.advance(shortWhile);
+    BOOST_CHECK(stageOf(model("a")).stage == ReplicaStage::WaitingForMemory);
+    control.advance(Milliseconds(7000));
+    BOOST_TEST(watch->isRefused(ErrorCode::DeadlinePassed));
+    BOOST_TEST(!isKnown(adapter("a", "fine")));
+    BOOST_TEST(!isKnown(model("a")));
+    BOOST_TEST(holders(model("a")) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(aFailedLoadFreesMemoryAndClaim)
 {
     startAgent();
