Log which entry is missing and how old the list is that a request goes by

Cause: from the log of the router that sent the incident's request it could not be told whether its server was used because its missing entry was still kept, nor by how old a list it was chosen. `store_listed` only counts missing entries, `store_regained` does not say for how long the store had been away, and `sent` has no age for plain servers.

Change, no logic: `store_missing` names each missing entry and how long it is kept; `store_lost` and `store_regained` have the age of the last answer, the number of failed calls and when the last of them was sent; `sent` has the age of the platform's list, which the mirror now reports with each answer. The unused accessor for that time is gone.

Measured: unit tests of objectstore, direct, forwarding and http, and direct_tests pass.

--- a/src/direct/internal/catalogwatch.cpp
+++ b/src/direct/internal/catalogwatch.cpp
@@ -64,12 +64,14 @@
     : context_(std::move(context))
     , configurations_(context_.configurations, context_.control, context_.clock,
           mirrorSettings("configurations", configurationPause),
-          { [this](const FeedObject& object) { takeConfiguration(object); }, [](const std::string&) {}, [] {} },
+          { [this](const FeedObject& object) { takeConfiguration(object); }, [](const std::string&) {}, [] {},
+              [](framework::SteadyTime) {} },
           framework::randomNumber())
     , servers_(context_.servers, context_.control, context_.clock,
           mirrorSettings("servers", context_.leavingNotice / partOfNotice),
           { [this](const FeedObject& object) { takeServer(object); },
-              [this](const std::string& name) { removeServer(name); }, [this] { tellServersSoon(); } },
+              [this](const std::string& name) { removeServer(name); }, [this] { tellServersSoon(); },
+              [this](framework::SteadyTime at) { context_.didConfirmServers(at); } },
           framework::randomNumber())
 {
 }
--- a/src/direct/internal/catalogwatch.h
+++ b/src/direct/internal/catalogwatch.h
@@ -27,6 +27,8 @@
         framework::Milliseconds leavingNotice;
         std::function<void(catalog::ConfigurationPointer)> didConfigure;
         std::function<void(const std::vector<catalog::Upstream>&)> didListServers;
+        /// The list of servers was current as of this time.
+        std::function<void(framework::SteadyTime)> didConfirmServers;
     };
 
     explicit CatalogWatch(Context);
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -169,7 +169,10 @@
         return { ports_.control, ports_.clock, ports_.configurations, ports_.servers, ports_.decoder,
             settings_.leavingNotice,
             [this](const catalog::ConfigurationPointer& configuration) { didConfigure(configuration); },
-            [this](const std::vector<catalog::Upstream>& servers) { didListServers(servers); } };
+            [this](const std::vector<catalog::Upstream>& servers) { didListServers(servers); },
+            [this](framework::SteadyTime at) {
+                ports_.traffic.post([this, at] { forwarder_.didConfirmUpstreams(at); });
+            } };
     }
 
     void didConfigure(const catalog::ConfigurationPointer& configuration)
--- a/src/direct/tests/catalogwatch_test.cpp
+++ b/src/direct/tests/catalogwatch_test.cpp
@@ -87,7 +87,7 @@
     Fixture()
         : watch({ control, control, configurations, servers, decoder, Milliseconds(2000),
             [](const catalog::ConfigurationPointer&) {},
-            [this](const std::vector<Upstream>& list) { told.push_back(list); } })
+            [this](const std::vector<Upstream>& list) { told.push_back(list); }, [](framework::SteadyTime) {} })
     {
         configure({ "engines", "plain" });
     }
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -46,6 +46,8 @@
     void setSettings(const ForwarderSettings&);
     void setConfiguration(catalog::ConfigurationPointer);
     void setUpstreams(const std::vector<catalog::Upstream>&);
+    /// The list of upstreams was current as of this time.
+    void didConfirmUpstreams(framework::SteadyTime);
     void setEngineState(catalog::EngineState);
     /// The rest of the engine's state is as it was set last.
     void setEngineLoad(const catalog::EngineLoad&);
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -103,6 +103,8 @@
         planSoon(planWithin);
     }
 
+    void didConfirmUpstreams(framework::SteadyTime at) { upstreams_.didConfirmList(at); }
+
     void setState(catalog::EngineState state)
     {
         std::vector<framework::ModelName> models = modelsOf(state);
@@ -413,6 +415,8 @@
     implementation_->setConfiguration(std::move(configuration));
 }
 
+void Forwarder::didConfirmUpstreams(framework::SteadyTime at) { implementation_->didConfirmUpstreams(at); }
+
 void Forwarder::setUpstreams(const std::vector<catalog::Upstream>& upstreams)
 {
     implementation_->setUpstreams(upstreams);
--- a/src/forwarding/internal/requestlog.cpp
+++ b/src/forwarding/internal/requestlog.cpp
@@ -25,6 +25,8 @@
             .number("expected_ms", chosen.expected.count());
     if (chosen.stateAge)
         line.number("state_age_ms", chosen.stateAge->count());
+    if (chosen.listAge)
+        line.number("list_age_ms", chosen.listAge->count());
     return line;
 }
 
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -249,6 +249,7 @@
         chosen.upstream = upstream;
         chosen.connection = std::move(connection);
         chosen.candidates = candidates;
+        chosen.listAge = host_.upstreams().listAge(now_);
         if (const HeardState* const heard = host_.upstreams().state(*upstream, now_))
             chosen.stateAge = std::chrono::duration_cast<Milliseconds>(now_ - heard->at);
         return chosen;
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -21,6 +21,8 @@
     std::size_t candidates = 0;
     /// Age of what the engine's agent said; nothing if none spoke.
     std::optional<framework::Milliseconds> stateAge;
+    /// Age of the platform's list of servers; nothing if it was never confirmed.
+    std::optional<framework::Milliseconds> listAge;
 };
 
 /// Why there is none now.
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -83,6 +83,13 @@
     limitConnections();
 }
 
+std::optional<Milliseconds> UpstreamTable::listAge(SteadyTime now) const
+{
+    if (!listConfirmedAt_)
+        return std::nullopt;
+    return std::chrono::duration_cast<Milliseconds>(now - *listConfirmedAt_);
+}
+
 void UpstreamTable::put(const Upstream& upstream)
 {
     UpstreamPointer& record = records_[upstream.instance];
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -60,6 +61,9 @@
 
     void setPolicy(const policy::PolicySwitches& policy) { policy_ = policy; }
     void setUpstreams(const std::vector<catalog::Upstream>&);
+    void didConfirmList(framework::SteadyTime at) { listConfirmedAt_ = at; }
+    /// Since the platform's list was last known to be current; nothing if it never was.
+    std::optional<framework::Milliseconds> listAge(framework::SteadyTime now) const;
     void setConfiguration(catalog::ConfigurationPointer);
     void setState(catalog::EngineState, framework::SteadyTime now);
     /// The rest of the state is as it was set last.
@@ -131,6 +135,7 @@
     policy::PolicySwitches policy_;
     catalog::ConfigurationPointer configuration_;
     std::map<catalog::InstanceId, UpstreamPointer> records_;
+    std::optional<framework::SteadyTime> listConfirmedAt_;
     std::map<framework::ServiceName, ServiceRecords> services_;
     std::unordered_map<framework::Endpoint, HeardState> states_;
     /// What each of them says of the number of routers.
--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -12,6 +12,7 @@
 using framework::LogLine;
 using framework::Milliseconds;
 using framework::Result;
+using framework::SteadyTime;
 
 ObjectMirror::ObjectMirror(IObjectFeed& feed, framework::IControlExecutor& control, const framework::IClock& clock,
     const MirrorSettings& settings, Observers observers, std::uint64_t seed)
@@ -26,7 +27,11 @@
 
 ObjectMirror::~ObjectMirror() = default;
 
-void ObjectMirror::start() { list({}); }
+void ObjectMirror::start()
+{
+    answeredAt_ = clock_.now();
+    list({});
+}
 
 void ObjectMirror::list(const std::string& after)
 {
@@ -34,6 +39,7 @@
         listed_.clear();
         listAt_.reset();
     }
+    sentAt_ = clock_.now();
     feed_.list(after, Deadline::after(clock_.now(), settings_.answerTime),
         [this, alive = std::weak_ptr<int>(alive_)](Result<FeedPage> page) {
             if (!alive.expired())
@@ -66,7 +72,10 @@
         if (!listed_.contains(name))
             missing_.insert(name);
     }
-    expectMissingBack(Deadline::after(clock_.now(), settings_.missingGrace));
+    const Deadline until = Deadline::after(clock_.now(), settings_.missingGrace);
+    for (const std::string& name : missing_)
+        logMissing(name, until);
+    expectMissingBack(until);
     hasListed_ = true;
     logDecision(LogLine("store_listed")
                     .text("kind", settings_.kind)
@@ -74,6 +83,7 @@
                     .number("missing", missing_.size())
                     .number("revision", at_.value()));
     observers_.didList();
+    observers_.didConfirm(answeredAt_);
     watch();
 }
 
@@ -83,6 +93,14 @@
         missingTimer_ = control_.runAt(until, [this] { removeMissing(); });
 }
 
+void ObjectMirror::logMissing(const std::string& name, Deadline until) const
+{
+    logDecision(LogLine("store_missing")
+                    .text("kind", settings_.kind)
+                    .text("name", name)
+                    .number("kept_ms", until.remaining(clock_.now()).count()));
+}
+
 void ObjectMirror::removeMissing()
 {
     for (const std::string& name : std::exchange(missing_, {})) {
@@ -95,7 +113,8 @@
 /// answered, and a watch may wait for long. So while it is away each try asks for an answer at once.
 void ObjectMirror::watch()
 {
-    const Milliseconds wait = isAway_ ? Milliseconds(1) : settings_.watchWait;
+    const Milliseconds wait = outage_ ? Milliseconds(1) : settings_.watchWait;
+    sentAt_ = clock_.now();
     feed_.watch(at_, wait, Deadline::after(clock_.now(), wait + settings_.answerTime),
         [this, alive = std::weak_ptr<int>(alive_)](Result<FeedChanges> changes) {
             if (!alive.expired())
@@ -121,6 +140,7 @@
     }
     if (changes.value().at > at_)
         at_ = changes.value().at;
+    observers_.didConfirm(answeredAt_);
     if (changes.value().events.empty() || settings_.pauseAfterChange.count() == 0)
         return watch();
     after(settings_.pauseAfterChange, [this] { watch(); });
@@ -132,7 +152,8 @@
 {
     if (backUntil_.hasPassed(clock_.now()) || !known_.contains(name))
         return remove(name);
-    missing_.insert(name);
+    if (missing_.insert(name).second)
+        logMissing(name, backUntil_);
     expectMissingBack(backUntil_);
 }
 
@@ -156,19 +177,37 @@
 
 void ObjectMirror::tryAgain(const Error& error, std::function<void()> step)
 {
-    if (!std::exchange(isAway_, true))
-        logDecision(LogLine("store_lost").text("kind", settings_.kind).text("cause", describe(error)));
+    if (!outage_) {
+        outage_.emplace();
+        logDecision(LogLine("store_lost")
+                        .text("kind", settings_.kind)
+                        .number("answered_ms_ago", since(answeredAt_).count())
+                        .text("cause", describe(error)));
+    }
+    ++outage_->failedCalls;
+    outage_->lastSentAt = sentAt_;
     after(backoff_.next(error.retryAfter), std::move(step));
 }
 
 void ObjectMirror::didReach()
 {
     backoff_.reset();
-    confirmedAt_ = clock_.now();
-    if (!std::exchange(isAway_, false))
+    const Milliseconds unanswered = since(answeredAt_);
+    answeredAt_ = clock_.now();
+    const auto outage = std::exchange(outage_, std::nullopt);
+    if (!outage)
         return;
     backUntil_ = Deadline::after(clock_.now(), settings_.missingGrace);
-    logDecision(LogLine("store_regained").text("kind", settings_.kind));
+    logDecision(LogLine("store_regained")
+                    .text("kind", settings_.kind)
+                    .number("answered_ms_ago", unanswered.count())
+                    .number("failed_calls", outage->failedCalls)
+                    .number("last_failed_sent_ms_ago", since(outage->lastSentAt).count()));
+}
+
+Milliseconds ObjectMirror::since(SteadyTime time) const
+{
+    return std::chrono::duration_cast<Milliseconds>(clock_.now() - time);
 }
 
 void ObjectMirror::after(Milliseconds wait, std::function<void()> step)
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -47,6 +47,8 @@
         std::function<void(const std::string& name)> didRemove;
         /// All of a list has been taken in; called for each list.
         std::function<void()> didList;
+        /// The store said that what is known here is current as of this time.
+        std::function<void(framework::SteadyTime)> didConfirm;
     };
 
     ObjectMirror(IObjectFeed&, framework::IControlExecutor&, const framework::IClock&, const MirrorSettings&, Observers,
@@ -57,10 +59,15 @@
 
     void start();
     bool hasListed() const { return hasListed_; }
-    /// When the store last confirmed what is known here.
-    framework::SteadyTime confirmedAt() const { return confirmedAt_; }
 
 private:
+    /// Since the first call that failed, until the store answers again.
+    struct Outage {
+        std::uint32_t failedCalls = 0;
+        /// When the last of them was sent.
+        framework::SteadyTime lastSentAt {};
+    };
+
     void list(const std::string& after);
     void didList(framework::Result<FeedPage>);
     void finishList();
@@ -69,10 +76,12 @@
     void take(const FeedObject&);
     void remove(const std::string& name);
     void expectMissingBack(framework::Deadline until);
+    void logMissing(const std::string& name, framework::Deadline until) const;
     void removeMissing();
     void didDelete(const std::string& name);
     void tryAgain(const framework::Error&, std::function<void()> step);
     void didReach();
+    framework::Milliseconds since(framework::SteadyTime) const;
     void after(framework::Milliseconds, std::function<void()> step);
 
     IObjectFeed& feed_;
@@ -91,10 +100,13 @@
     StoreRevision at_;
     std::optional<StoreRevision> listAt_;
     bool hasListed_ = false;
-    bool isAway_ = false;
+    std::optional<Outage> outage_;
+    /// When the call under way was sent.
+    framework::SteadyTime sentAt_ {};
     /// Until then an entry that is deleted may still come back.
     framework::Deadline backUntil_;
-    framework::SteadyTime confirmedAt_ {};
+    /// When the store last answered a call; at first, the start.
+    framework::SteadyTime answeredAt_ {};
     std::unique_ptr<framework::Timer> timer_;
 };
 
--- a/src/objectstore/tests/objectmirror_test.cpp
+++ b/src/objectstore/tests/objectmirror_test.cpp
@@ -77,13 +77,15 @@
     {
         return { [this](
                      const FeedObject& changed) { values[changed.name] = std::any_cast<std::string>(changed.value); },
-            [this](const std::string& name) { values.erase(name); }, [this] { ++listed; } };
+            [this](const std::string& name) { values.erase(name); }, [this] { ++listed; },
+            [this](framework::SteadyTime at) { confirmedAt = at; } };
     }
 
     ManualControl control;
     FakeFeed feed;
     std::map<std::string, std::string> values;
     int listed = 0;
+    framework::SteadyTime confirmedAt {};
     ObjectMirror mirror;
 };
 
