A leaving that an entry says with an earlier start counts

Symptom, possible: a server whose VM's clock was set back before it started again says that it leaves, and requests go on to it until its entry is removed.

Cause: an entry with an earlier start than the latest known one is taken for a late write of the former run and passed over, its state with the rest.

Change: of such an entry a leaving is taken, nothing else. If it was the former run's late word, the later run's next entry, within a heartbeat, makes the server ready again.

Measured: aLeavingSaidWithAnEarlierStartCounts failed before; directparts_tests pass, aLateEntryOfTheFormerRunDoesNotComeBack unchanged.

--- a/src/direct/internal/catalogwatch.cpp
+++ b/src/direct/internal/catalogwatch.cpp
@@ -77,8 +77,7 @@
 
 CatalogWatch::CatalogWatch(Context context)
     : context_(std::move(context))
-    , configurations_(context_.configurations, context_.control, context_.clock,
-          configurationSettings(),
+    , configurations_(context_.configurations, context_.control, context_.clock, configurationSettings(),
           { [this](const FeedObject& object) { takeConfiguration(object); }, [](const std::string&) {}, [] {},
               [](framework::SteadyTime) {} },
           framework::randomNumber())
@@ -143,8 +142,9 @@
                         .text("server", shortened(object.name))
                         .number("started_ms", upstream.started->value())
                         .number("later_ms", entry.started->value())
+                        .flag("leaving", upstream.state == catalog::UpstreamState::Leaving)
                         .number("revision", object.revision.value()));
-        return;
+        return takeLeaving(entry, upstream);
     }
     logTaken(object, entry, upstream);
     entry.started = upstream.started;
@@ -153,6 +153,16 @@
     tellServersSoon();
 }
 
+/// Guards against a server whose clock was set back before it started again: all that it says seems to come from
+/// before. If it was the former run after all, the later one says within a heartbeat that it is ready.
+void CatalogWatch::takeLeaving(Entry& entry, const catalog::Upstream& earlier)
+{
+    if (!entry.upstream || earlier.state != catalog::UpstreamState::Leaving)
+        return;
+    entry.upstream->state = earlier.state;
+    tellServersSoon();
+}
+
 framework::Result<catalog::Upstream> CatalogWatch::readServer(const FeedObject& object, const Entry& before) const
 {
     auto read = context_.decoder.upstream(object.name, object.value);
--- a/src/direct/internal/catalogwatch.h
+++ b/src/direct/internal/catalogwatch.h
@@ -54,6 +54,7 @@
 
     void takeConfiguration(const objectstore::FeedObject&);
     void takeServer(const objectstore::FeedObject&);
+    void takeLeaving(Entry&, const catalog::Upstream& earlier);
     framework::Result<catalog::Upstream> readServer(const objectstore::FeedObject&, const Entry&) const;
     void logTaken(const objectstore::FeedObject&, const Entry& before, const catalog::Upstream&) const;
     void removeServer(const std::string& name);
--- a/src/direct/tests/catalogwatch_test.cpp
+++ b/src/direct/tests/catalogwatch_test.cpp
@@ -203,6 +203,22 @@
     BOOST_TEST(!find("i-1"));
 }
 
+// A server started again after its VM's clock was set back: its leaving was passed over with the rest of its entries.
+BOOST_AUTO_TEST_CASE(aLeavingSaidWithAnEarlierStartCounts)
+{
+    write("i-1", server("10.0.0.1:80", 200));
+    start();
+    Upstream leaving = server("10.0.0.1:80", 100);
+    leaving.state = catalog::UpstreamState::Leaving;
+    write("i-1", leaving);
+    BOOST_REQUIRE(find("i-1"));
+    BOOST_TEST((find("i-1")->state == catalog::UpstreamState::Leaving));
+    BOOST_TEST(find("i-1")->started->value() == 200U);
+    // It was a late word of the former run if the later one goes on saying that it is ready.
+    write("i-1", server("10.0.0.1:80", 200));
+    BOOST_TEST((find("i-1")->state == catalog::UpstreamState::Ready));
+}
+
 // Its start is among what a server always says, so an entry without it isn't its own.
 BOOST_AUTO_TEST_CASE(anEntryThatNoLongerSaysItsStartNamesNoServer)
 {
