After a failed call to the store no idle connection is used again

Cause, inferred: the next call took an idle connection that had broken without a word, and its answer time of 0.7 s had to pass.

Change: a call that fails closes the client's idle connections; the next opens a new one.

Measured: afterAFailedCallNoIdleConnectionIsUsedAgain failed before (the call after the failure came over the idle connection, the test waited for a new one); http_tests pass.

--- a/src/http/internal/callclient.cpp
+++ b/src/http/internal/callclient.cpp
@@ -126,9 +126,17 @@
     {
     }
 
+    /// Guards against a server that is back and isn't noticed: what broke one connection mostly broke the idle ones
+    /// too, and each call over one of them would be lost.
     void call(const Request& request, Deadline deadline, Handler handler)
     {
-        const auto call = std::make_shared<Call>(request.method + " " + request.target, endpoint_, std::move(handler));
+        const auto call = std::make_shared<Call>(request.method + " " + request.target, endpoint_,
+            [weak = weak_from_this(), handler = std::move(handler)](framework::Result<Response> answer) {
+                const auto self = weak.lock();
+                if (self && answer.has_error())
+                    self->pool_.closeIdle();
+                handler(std::move(answer));
+            });
         const auto reuse = request.method == "GET" ? ConnectionPool::Reuse::Usual : ConnectionPool::Reuse::Careful;
         auto connection = pool_.take(reuse, std::chrono::steady_clock::now());
         if (!connection)
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -38,6 +38,8 @@
     }
     void send(const std::string& text) { boost::asio::write(*socket_, boost::asio::buffer(text)); }
     void close() { socket_->close(); }
+    /// Gives the connection away, to stay open beside the next.
+    tcp::socket release() { return std::move(*socket_); }
     void reset()
     {
         socket_->set_option(boost::asio::socket_base::linger(true, 0));
@@ -110,14 +112,21 @@
 
     /// A call that is to be answered within 150 ms, and has reached the server.
     std::future<framework::Result<Response>> call(const std::string& target)
+    {
+        auto answer = callWithoutAccept(target);
+        server.accept();
+        server.request();
+        return answer;
+    }
+
+    /// The same over whichever connection the client takes.
+    std::future<framework::Result<Response>> callWithoutAccept(const std::string& target)
     {
         using framework::Milliseconds;
         const auto deadline = framework::Deadline::after(std::chrono::steady_clock::now(), Milliseconds(150));
         const auto answered = std::make_shared<std::promise<framework::Result<Response>>>();
         client.call({ "GET", target, {}, {} }, deadline,
             [answered](framework::Result<Response> answer) { answered->set_value(std::move(answer)); });
-        server.accept();
-        server.request();
         return answered->get_future();
     }
 
@@ -327,6 +336,26 @@
     BOOST_TEST(answer.error().detail == "no answer in time");
 }
 
+// Guards against asking a server that is back over a connection that broke without a word: each such call is lost.
+BOOST_AUTO_TEST_CASE(afterAFailedCallNoIdleConnectionIsUsedAgain)
+{
+    const auto isAnswered = [](std::future<framework::Result<Response>>& answer) { return answer.get().has_value(); };
+    auto first = call("/first");
+    server.send(kept);
+    BOOST_TEST(isAnswered(first));
+    auto lost = callWithoutAccept("/lost");
+    server.request();
+    const auto lostConnection = server.release();
+    auto beside = call("/beside");
+    server.send(kept);
+    BOOST_TEST(isAnswered(beside));
+    BOOST_TEST(!isAnswered(lost));
+    // Accepts another connection.
+    auto next = call("/next");
+    server.send(kept);
+    BOOST_TEST(isAnswered(next));
+}
+
 // Guards against sending a request that nobody waits for any more once its connection stands.
 BOOST_AUTO_TEST_CASE(aRequestThatIsAbandonedAsItsConnectionStandsIsNotSent)
 {
