Don't send a request over a connection that stood only after its server left

Symptom, possible: a request reaches a server after it has left.

Cause: a request is bound to a server when its connection is begun. That may take up to a second to stand, and only the caller was looked at before the request was written, not the server.

Change: when the connection stands and the server isn't in service any more, the connection is closed and the request, which has not been sent, goes to another server or is refused as not run. A line of its own in the log, server_left_unsent.

Measured: aRequestWhoseServerLeftWhileItConnectedIsNotSentThere failed before (56 bytes reached the server, 504 in place of 503); forwarding_tests pass.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -425,6 +425,20 @@
     return true;
 }
 
+void RequestJob::goElsewhereIfServerLeft()
+{
+    const UpstreamRecord& upstream = attempt_->use().upstream();
+    if (host_.upstreams().isInService(upstream))
+        return;
+    const auto keepsItself = shared_from_this();
+    logDecision(LogLine("server_left_unsent").text("id", terms_.facts.attempt).text("server", lastServer_));
+    lastCause_ = "server left before it was sent to";
+    tried_.avoided.insert(upstream.facts.run());
+    tried_.sentTo.erase(upstream.facts.run());
+    abandonAttempt();
+    advance();
+}
+
 void RequestJob::end(const char* outcome, unsigned status, const std::string& cause)
 {
     const auto keepsItself = shared_from_this();
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -68,6 +68,8 @@
     /// Guards against a request that reaches a server after its caller has left: a busy event loop may be a second
     /// behind with what callers do.
     bool endIfCallerLeft();
+    /// Guards against a request that reaches a server after it has left: a connection may take a second to stand.
+    void goElsewhereIfServerLeft();
     void didHear(UpstreamRecord&);
     void didBeginStream(const http::ResponseHead&);
     void didReceiveEvents(std::string_view bytes);
--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -38,8 +38,9 @@
 
 void UpstreamAttempt::willSend()
 {
-    if (const auto job = job_.lock())
-        job->endIfCallerLeft();
+    const auto job = job_.lock();
+    if (job && !job->endIfCallerLeft())
+        job->goElsewhereIfServerLeft();
 }
 
 bool UpstreamAttempt::didReceiveHead(const http::ResponseHead& head)
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -300,6 +300,12 @@
     return engines;
 }
 
+bool UpstreamTable::isInService(const UpstreamRecord& record) const
+{
+    const auto known = records_.find(record.facts.instance);
+    return known != records_.end() && known->second.get() == &record && takesRequests(record);
+}
+
 std::vector<UpstreamPointer> UpstreamTable::ready(const framework::ServiceName& service) const
 {
     std::vector<UpstreamPointer> found;
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -76,6 +76,8 @@
     bool hasLostAgent(const UpstreamRecord& record) const { return agentless_.contains(record.facts.endpoint); }
     std::set<framework::Endpoint> enginesWithoutAgent() const;
 
+    /// Whether the record is still that of a listed server that takes new requests.
+    bool isInService(const UpstreamRecord&) const;
     /// Servers of the service that take new requests.
     std::vector<UpstreamPointer> ready(const framework::ServiceName&) const;
     bool hasReady(const framework::ServiceName&) const;
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -1,5 +1,8 @@
 #include "forwarding/forwarder.h"
 
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
 
@@ -239,6 +242,34 @@
     });
 }
 
+// Guards against a request that reaches a server after it has left, since its connection took long to stand.
+BOOST_AUTO_TEST_CASE(aRequestWhoseServerLeftWhileItConnectedIsNotSentThere)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    catalog::Upstream server = engine();
+    server.endpoint = Endpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    const auto exchange = std::make_shared<KeptExchange>();
+    onTraffic([&] {
+        catalog::EngineState state;
+        state.engine = server.endpoint;
+        state.held.push_back({ ModelName("rare"), 1, {}, 0, 0 });
+        forwarder.setUpstreams({ server });
+        forwarder.setEngineState(state);
+        forwarder.handle(exchange);
+        BOOST_TEST(forwarder.requests() == 1u);
+        server.state = catalog::UpstreamState::Leaving;
+        forwarder.setUpstreams({ server });
+    });
+    tcp::socket accepted = acceptor.accept();
+    std::array<char, 64> bytes {};
+    boost::system::error_code error;
+    BOOST_TEST(accepted.read_some(boost::asio::buffer(bytes), error) == 0u);
+    waitUntilAnswered(*exchange);
+    BOOST_TEST(exchange->status() == 503u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
