The soak checks that engines which left get no requests after the notice

Cause: the soak never looked at when requests reach a server that leaves, and engines ended 2 s after they had said so, just as the notice ended, so that a router that went on using one couldn't be seen.

Change: in runs of planned work each engine's last request is compared with its leaving, 2 s being the bound. Every second engine that leaves says nothing, only its entry goes, and all serve on for 5 s.

--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -42,6 +42,12 @@
     return all;
 }
 
+framework::SteadyTime ServerStandin::lastRunAt() const
+{
+    const std::lock_guard lock(mutex_);
+    return lastRunAt_;
+}
+
 std::string ServerStandin::lastHeader(const std::string& name) const
 {
     const std::lock_guard lock(mutex_);
@@ -77,6 +83,7 @@
     {
         const std::lock_guard lock(mutex_);
         ++runs_[attempt];
+        lastRunAt_ = std::chrono::steady_clock::now();
         last_ = request;
     }
     if (drops_ > 0) {
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -33,6 +33,8 @@
     /// How often a request of this id was begun.
     int runs(const std::string& attempt) const;
     int allRuns() const;
+    /// When a request was begun last; the clock's epoch if none was.
+    framework::SteadyTime lastRunAt() const;
     /// Runs whose caller closed the connection before their end.
     int cancelled() const { return cancelled_; }
     /// The next requests are refused as not run.
@@ -59,6 +61,7 @@
     std::string instance_;
     mutable std::mutex mutex_;
     std::map<std::string, int> runs_;
+    framework::SteadyTime lastRunAt_ {};
     standins::HttpRequest last_;
     std::atomic<int> cancelled_ { 0 };
     std::atomic<int> refusals_ { 0 };
--- a/tests/soak/plannedwork.cpp
+++ b/tests/soak/plannedwork.cpp
@@ -12,8 +12,10 @@
 
 /// Between the ends of a series: several drain at the same time, and the first are back while the last still drain.
 constexpr std::uint64_t seriesSpreadMs = 2000;
-/// From an engine's word that it leaves to its end: its requests under way are done by then.
-constexpr Milliseconds leaving { 2000 };
+/// Routers pass an engine that leaves by within this time.
+constexpr Milliseconds leavingNotice { 2000 };
+/// From its word to its end: it serves on beyond the notice, so that a router which still uses it is found out.
+constexpr Milliseconds leaving { 5000 };
 /// Engines leave while there are more than these, so that each service has one.
 constexpr std::size_t leastEngines = 2;
 constexpr std::size_t enginesMore = 3;
@@ -104,6 +106,7 @@
     listed_.push_back(index);
 }
 
+/// Some say that they leave, of the others only the entry goes; they all serve on for a while.
 void PlannedWork::removeEngine()
 {
     if (listed_.size() <= leastEngines)
@@ -112,11 +115,27 @@
     const std::size_t index = listed_[at];
     listed_.erase(listed_.begin() + static_cast<std::ptrdiff_t>(at));
     journal_.note("engine leaves: " + fleet_.engine(index).instance());
-    fleet_.list(fleet_.engine(index), "engines", "draining");
+    const bool isSilent = index % 2 == 1;
+    if (isSilent)
+        fleet_.store.remove("servers", fleet_.engine(index).instance());
+    else
+        fleet_.list(fleet_.engine(index), "engines", "draining");
+    left_.push_back({ index, std::chrono::steady_clock::now() });
     agenda_.after(leaving, [this, index] {
         fleet_.store.remove("servers", fleet_.engine(index).instance());
         processes_.retire(Role::Agent, index);
     });
 }
 
+void PlannedWork::checkLeft() const
+{
+    for (const Left& left : left_) {
+        const fleet::EngineStandin& engine = fleet_.engine(left.engine);
+        if (engine.lastRunAt() <= left.at + leavingNotice)
+            continue;
+        journal_.fail("a request reached " + engine.instance() + " at " + journal_.when(engine.lastRunAt())
+            + ", which left at " + journal_.when(left.at));
+    }
+}
+
 } // namespace lagoon::soak
--- a/tests/soak/plannedwork.h
+++ b/tests/soak/plannedwork.h
@@ -14,8 +14,16 @@
     void step();
     /// Whether the engine has come and hasn't said that it leaves.
     bool isListed(std::size_t engine) const;
+    /// Finds requests that reached an engine too long after the store was told that it leaves. For runs whose store is
+    /// never disturbed.
+    void checkLeft() const;
 
 private:
+    struct Left {
+        std::size_t engine = 0;
+        framework::SteadyTime at {};
+    };
+
     void endRouters();
     void endAgents();
     void reloadSome();
@@ -29,6 +37,7 @@
     Processes& processes_;
     const RunTerms& terms_;
     std::vector<std::size_t> listed_ { 0, 1 };
+    std::vector<Left> left_;
     std::size_t mostEngines_ = 0;
     bool hasNewRoute_ = false;
 };
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -94,6 +94,8 @@
         }
     }
     waitUntilBack();
+    if (!strikes_)
+        work.checkLeft();
 }
 
 /// Ends only by an exception if a process doesn't come back: `Processes` kills those that don't end.
