Name the answer time of retries; construct an outage in a way that clang accepts

Cause: clang-tidy can't default-construct the nested Outage within its class; `tryTime` beside `answerTime()` said little.

Change: the outage is built from its three values; the setting is `retryAnswerTime`.

--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -190,7 +190,7 @@
 void ObjectMirror::tryAgain(const Error& error, std::function<void()> step)
 {
     if (!outage_) {
-        outage_.emplace().noticedAt = clock_.now();
+        outage_ = Outage { clock_.now(), 0, sentAt_ };
         logDecision(LogLine("store_lost")
                         .text("kind", settings_.kind)
                         .number("answered_ms_ago", since(answeredAt_).count())
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -25,7 +25,7 @@
     /// For the answer to come, beyond the wait.
     framework::Milliseconds answerTime { 700 };
     /// The same for a try while the store is away.
-    framework::Milliseconds tryTime { 500 };
+    framework::Milliseconds retryAnswerTime { 500 };
     /// Pause after a change before the next watch: changes that come together cost one call.
     framework::Milliseconds pauseAfterChange { 0 };
     /// A watch that is waiting may be cut, and the store may be away: first and longest pause before the next try.
@@ -82,7 +82,7 @@
     void didMiss(const std::string& name);
     void removeMissing();
     void armMissingTimer();
-    framework::Milliseconds answerTime() const { return outage_ ? settings_.tryTime : settings_.answerTime; }
+    framework::Milliseconds answerTime() const { return outage_ ? settings_.retryAnswerTime : settings_.answerTime; }
     void tryAgain(const framework::Error&, std::function<void()> step);
     void didReach();
     framework::Milliseconds since(framework::SteadyTime) const;
