A long notice after an outage doesn't prolong the grace of missing entries

Cause: the grace was all that the notice leaves. Entries that lapsed are back about two seconds after the store; what is still missing then is gone.

--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -214,7 +214,8 @@
     // The store could be reached again no sooner than the last call that failed was sent. Counted from there, neither a
     // late try nor a slow list adds to the time that a server which has left goes on being used.
     if (since(outage->noticedAt) >= shortestOutage)
-        keepUntil_ = Deadline::after(outage->lastSentAt, settings_.outageNotice - settleTime);
+        keepUntil_ = std::min(Deadline::after(clock_.now(), settings_.missingGrace),
+            Deadline::after(outage->lastSentAt, settings_.outageNotice - settleTime));
     logDecision(LogLine("store_regained")
                     .text("kind", settings_.kind)
                     .number("answered_ms_ago", unanswered.count())
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -33,14 +33,17 @@
     framework::Milliseconds longestRetry { 400 };
     /// A store that asks for a longer pause is asked again after this.
     framework::Milliseconds longestRetryAfter { 1000 };
-    /// What was deleted during an outage is acted upon this soon after the store can be reached again.
+    /// How long after an outage a missing object that may only have lapsed is waited for …
+    framework::Milliseconds missingGrace { 2200 };
+    /// … but what was deleted during an outage is acted upon this soon after the store can be reached again.
     framework::Milliseconds outageNotice { 3000 };
 };
 
 /// A copy of all objects of one kind, kept up by list and watch. Belongs to the control thread.
 ///
 /// What it knows stays in force while the store is away. An object that is missing after such an outage may only have
-/// lapsed and be back soon, so it is kept as long as `outageNotice` allows. Without an outage it goes at once.
+/// lapsed and be back soon, so it is kept for `missingGrace` as far as `outageNotice` allows. Without an outage it goes
+/// at once.
 class ObjectMirror {
 public:
     struct Observers {
--- a/src/objectstore/tests/objectmirror_test.cpp
+++ b/src/objectstore/tests/objectmirror_test.cpp
@@ -148,6 +148,24 @@
     BOOST_TEST(values.contains("a"));
 }
 
+// A long notice isn't used up: what isn't back after the grace is gone, and its callers would wait in vain.
+BOOST_AUTO_TEST_CASE(aLongNoticeDoesNotProlongTheGrace)
+{
+    MirrorSettings settings = Fixture::settings();
+    settings.outageNotice = Milliseconds(10000);
+    FakeFeed patientFeed;
+    ObjectMirror patient(patientFeed, control, control, settings, observers(), 1);
+    patient.start();
+    patientFeed.answerList(page({ object("a", 1) }, 2));
+    patientFeed.answerWatch(unavailable());
+    control.advance(Milliseconds(1000));
+    patientFeed.answerWatch(FeedChanges { { { object("a", 3), true } }, StoreRevision(3) });
+    control.advance(Milliseconds(2100));
+    BOOST_TEST(values.contains("a"));
+    control.advance(Milliseconds(200));
+    BOOST_TEST(!values.contains("a"));
+}
+
 // A store that drops its history has answered all the time, so nothing has lapsed.
 BOOST_AUTO_TEST_CASE(whatIsMissingInAListWithoutAnOutageGoesAtOnce)
 {
