Log a fingerprint that copies of a request have in common

Cause: the incidents with requests that end servers can't be told apart from chance in the logs: each copy of a request has an attempt id of its own, and `sent` and `attempt_failed` name nothing else.

`sent` and `attempt_failed` have it as `fingerprint`. What differs between copies, such as attempt id and deadline, isn't part of it. The caller is part of it, so that nobody can bring about the fingerprint of another caller's request.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -7,6 +7,7 @@
 #include "framework/randomid.h"
 #include "policy/retrybudget.h"
 #include "policy/standingqueue.h"
+#include "quarantine/fingerprinting.h"
 
 #include <algorithm>
 #include <set>
@@ -225,6 +226,9 @@
         const Milliseconds untilFirst = route.callerIdleTimeout.count() > 0 ? route.callerIdleTimeout : callerTimeout;
         spec.firstEventBy = Deadline::after(exchange->receivedAt(), std::min(callerTimeout, untilFirst));
         demandPublisher_.didArrive(spec.service, facts, now());
+        const http::Request& request = exchange->request();
+        spec.fingerprint
+            = quarantine::fingerprintOf({ request.method, request.target, facts.caller, request.body });
         spec.facts = std::move(facts);
         budget(spec.service).earn();
         const auto job = std::make_shared<RequestJob>(*this, exchange, std::move(spec));
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -355,6 +355,7 @@
     const bool isRetried = mayRun && hasTime && hasServerLeft && host_.spendRetry(spec_.service);
     logDecision(LogLine("attempt_failed")
                     .text("id", spec_.facts.attempt)
+                    .text("fingerprint", spec_.fingerprint.text())
                     .text("server", lastServer_)
                     .text("cause", cause)
                     .flag("may_have_run", mayHaveRun_)
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -7,6 +7,7 @@
 #include "forwarding/promptcache.h"
 #include "framework/types/shutdowndeadlines.h"
 #include "http/iexchange.h"
+#include "quarantine/types/requestfingerprint.h"
 
 #include <memory>
 #include <optional>
@@ -23,6 +24,7 @@
     const catalog::Route* route = nullptr;
     framework::ServiceName service;
     RequestFacts facts;
+    quarantine::RequestFingerprint fingerprint;
     /// The deadline of the final answer: that of the caller, the route or the shutdown of this process, whichever is
     /// first.
     framework::Deadline deadline;
--- a/src/forwarding/types/requestfacts.h
+++ b/src/forwarding/types/requestfacts.h
@@ -22,6 +22,8 @@
 struct RequestFacts {
     /// The id of this attempt of the caller; each attempt has its own.
     std::string attempt;
+    /// Who sends the request, as far as the request states it.
+    std::string caller;
     /// How long the caller waits for the answer, counted from receipt.
     std::optional<framework::Milliseconds> timeLeft;
     /// Empty for plain services.
