--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -227,8 +227,7 @@
         spec.firstEventBy = Deadline::after(exchange->receivedAt(), std::min(callerTimeout, untilFirst));
         demandPublisher_.didArrive(spec.service, facts, now());
         const http::Request& request = exchange->request();
-        spec.fingerprint
-            = quarantine::fingerprintOf({ request.method, request.target, facts.caller, request.body });
+        spec.fingerprint = quarantine::fingerprintOf({ request.method, request.target, facts.caller, request.body });
         spec.facts = std::move(facts);
         budget(spec.service).earn();
         const auto job = std::make_shared<RequestJob>(*this, exchange, std::move(spec));
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -2,6 +2,8 @@
 
 #include "standins/common/standinprogram.h"
 
+#include <thread>
+
 namespace lagoon::fleet {
 
 using framework::Milliseconds;
@@ -26,6 +28,30 @@
     started_ += restartOffsetMs;
 }
 
+void ServerStandin::crashOn(const std::string& body)
+{
+    const std::lock_guard lock(mutex_);
+    crashBody_ = body;
+}
+
+bool ServerStandin::isCrashedBy(const HttpRequest& request) const
+{
+    const std::lock_guard lock(mutex_);
+    return !crashBody_.empty() && request.body == crashBody_;
+}
+
+void ServerStandin::crash()
+{
+    if (isDown_.exchange(true))
+        return;
+    ++crashes_;
+    restart();
+    std::this_thread::sleep_for(Milliseconds(downTimeMs_.load()));
+    isDown_ = false;
+    if (didRestart_)
+        didRestart_();
+}
+
 int ServerStandin::runs(const std::string& attempt) const
 {
     const std::lock_guard lock(mutex_);
@@ -67,6 +93,8 @@
 
 void ServerStandin::answer(Exchange& exchange)
 {
+    if (isDown_)
+        return exchange.dropConnection();
     if (answerControlRequest(exchange))
         return;
     const HttpRequest& request = exchange.request();
@@ -86,6 +114,10 @@
         lastRunAt_ = std::chrono::steady_clock::now();
         last_ = request;
     }
+    if (isCrashedBy(request)) {
+        exchange.dropConnection();
+        return crash();
+    }
     if (drops_ > 0) {
         --drops_;
         return exchange.dropConnection();
@@ -100,6 +132,14 @@
 void PlainStandin::run(Exchange& exchange)
 {
     const HttpRequest& request = exchange.request();
+    const std::uint64_t startedBefore = started();
+    const auto end = std::chrono::steady_clock::now() + Milliseconds(workMs_.load());
+    while (std::chrono::steady_clock::now() < end) {
+        if (exchange.waitForCallerGone(Milliseconds(1)))
+            return noteCancelled();
+        if (started() != startedBefore)
+            return exchange.dropConnection();
+    }
     exchange.reply(200, request.method + " " + request.path + " " + request.body, responseHeaders(request));
 }
 
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cpprest/json.h>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
@@ -30,6 +31,13 @@
     /// Simulates a crash and a restart: streams are cut off and the server's state is lost. The counts of runs are kept
     /// for the tests.
     void restart();
+    /// A request with this body crashes the server as soon as it is started: all connections are dropped, and the
+    /// server is back after the time of `setDownTime`. An empty text ends this.
+    void crashOn(const std::string& body);
+    void setDownTime(framework::Milliseconds time) { downTimeMs_ = static_cast<int>(time.count()); }
+    /// Called on a thread of the server when it is back after a crash. Set before the first request.
+    void setRestartHandler(std::function<void()> handler) { didRestart_ = std::move(handler); }
+    int crashes() const { return crashes_; }
     /// How many times a request with this id was started.
     int runs(const std::string& attempt) const;
     /// How many times any request was started.
@@ -61,12 +69,19 @@
 
 private:
     void answer(standins::Exchange&);
+    bool isCrashedBy(const standins::HttpRequest&) const;
+    void crash();
 
     std::string instance_;
     mutable std::mutex mutex_;
     std::map<std::string, int> runs_;
     framework::SteadyTime lastRunAt_ {};
     standins::HttpRequest last_;
+    std::string crashBody_;
+    std::function<void()> didRestart_;
+    std::atomic<int> downTimeMs_ { 300 };
+    std::atomic<int> crashes_ { 0 };
+    std::atomic<bool> isDown_ { false };
     std::atomic<int> cancelled_ { 0 };
     std::atomic<int> refusals_ { 0 };
     std::atomic<int> drops_ { 0 };
@@ -81,8 +96,14 @@
 public:
     using ServerStandin::ServerStandin;
 
+    /// Sets the time that each request takes.
+    void setWork(framework::Milliseconds time) { workMs_ = static_cast<int>(time.count()); }
+
 protected:
     void run(standins::Exchange&) override;
+
+private:
+    std::atomic<int> workMs_ { 0 };
 };
 
 /// An inference engine: loads and unloads models and adapters as ordered, and answers with a stream of numbered events.
