--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -4,6 +4,7 @@
 #include "direct/internal/links.h"
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
+#include "quarantine/evidencewire.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,6 +17,7 @@
 using framework::Endpoint;
 using framework::LogLine;
 using framework::Milliseconds;
+using PassOn = quarantine::EvidenceRelay::PassOn;
 
 constexpr Milliseconds tickInterval { 250 };
 /// Agents remove the demand of a router that is silent for three and a half seconds.
@@ -92,9 +94,12 @@
 
 void AgentLinks::apply(const forwarding::LoadPlan& plan)
 {
-    unsubscribe(plan.subscriptions);
-    for (const Endpoint& engine : plan.subscriptions)
+    std::set<Endpoint> subscriptions = plan.subscriptions;
+    subscriptions.insert(plan.relays.begin(), plan.relays.end());
+    unsubscribe(subscriptions);
+    for (const Endpoint& engine : subscriptions)
         subscribe(engine);
+    setRelays(plan.relays);
     for (const auto& [engine, list] : plan.demand) {
         const auto agent = agents_.find(engine);
         if (agent == agents_.end())
@@ -105,6 +110,61 @@
     }
 }
 
+void AgentLinks::share(const quarantine::EvidenceUpdate& update)
+{
+    evidence_.add(update, context_.clock.now());
+    scheduleSharing();
+}
+
+void AgentLinks::setRelays(const std::set<Endpoint>& relays)
+{
+    for (auto& [engine, agent] : agents_) {
+        const bool wasRelay = std::exchange(agent.isRelay, relays.contains(engine));
+        if (agent.isRelay && !wasRelay && agent.takesEvidence)
+            sendEverything(agent);
+    }
+}
+
+void AgentLinks::sendEverything(Agent& agent)
+{
+    const framework::SteadyTime now = context_.clock.now();
+    for (const quarantine::EvidenceUpdate& part : evidence_.everything(now))
+        agent.link->send(quarantine::toWire(part, now));
+}
+
+/// Passes evidence on only if it came from an agent that isn't a relay: all others have what came from the relays.
+void AgentLinks::receiveEvidence(const Agent& from, const wire::fb::CrashEvidenceT& body)
+{
+    const framework::SteadyTime now = context_.clock.now();
+    const quarantine::EvidenceUpdate news
+        = evidence_.add(quarantine::fromWire(body, now), now, from.isRelay ? PassOn::No : PassOn::Yes);
+    if (news.isEmpty())
+        return;
+    context_.didReceiveEvidence(news);
+    scheduleSharing();
+}
+
+void AgentLinks::scheduleSharing()
+{
+    if (sharingTimer_ || !evidence_.hasUpdate())
+        return;
+    sharingTimer_ = context_.control.runAt(evidence_.nextUpdate(), [this] {
+        sharingTimer_.reset();
+        sendEvidence();
+        scheduleSharing();
+    });
+}
+
+void AgentLinks::sendEvidence()
+{
+    const framework::SteadyTime now = context_.clock.now();
+    const wire::Message message = quarantine::toWire(evidence_.takeUpdate(now), now);
+    for (const auto& [engine, agent] : agents_) {
+        if (agent.link && agent.isRelay && agent.takesEvidence)
+            agent.link->send(message);
+    }
+}
+
 void AgentLinks::subscribe(const Endpoint& engine)
 {
     const auto listed = engines_.find(engine);
@@ -158,6 +218,7 @@
     auto handlers = onControlThread(context_.control, alive_, std::move(events));
     agent.link = context_.transport.connect(agentEndpoint(engine, context_.agentPort), std::move(handlers));
     agent.hasReceived = false;
+    agent.takesEvidence = false;
     // Counts as a received message, so that the new link has time to be established before it counts as silent.
     agent.receivedAt = context_.clock.now();
     publish(agent);
@@ -198,9 +259,14 @@
         logDecision(LogLine("agent_heard").text("engine", engine.value()));
     if (const wire::fb::EngineLoadT* const load = message.body.AsEngineLoad())
         return context_.didReceiveLoad(fromWire(engine, *load));
+    if (const wire::fb::CrashEvidenceT* const evidence = message.body.AsCrashEvidence())
+        return receiveEvidence(agent->second, *evidence);
     const wire::fb::EngineStateT* const state = message.body.AsEngineState();
     if (!state)
         return;
+    const bool tookEvidence = std::exchange(agent->second.takesEvidence, state->takes_evidence);
+    if (agent->second.takesEvidence && !tookEvidence && agent->second.isRelay)
+        sendEverything(agent->second);
     catalog::EngineState received = fromWire(*state);
     // The link determines the engine, regardless of the endpoint in the frame.
     received.engine = engine;
--- a/src/direct/internal/agentlinks.h
+++ b/src/direct/internal/agentlinks.h
@@ -7,6 +7,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "objectstore/backoff.h"
+#include "quarantine/evidencerelay.h"
 #include "wire/ilink.h"
 
 #include <functional>
@@ -32,6 +33,8 @@
         std::uint16_t agentPort = 0;
         std::function<void(catalog::EngineState)> didReceiveState;
         std::function<void(catalog::EngineLoad)> didReceiveLoad;
+        /// Called with what was new of the evidence that other routers share.
+        std::function<void(const quarantine::EvidenceUpdate&)> didReceiveEvidence;
         /// Called when the agent can't be reached or has fallen silent.
         std::function<void(const framework::Endpoint& engine)> didLoseAgent;
         /// Called when the link was closed because the subscription ended.
@@ -48,6 +51,8 @@
     /// Opens and closes links according to the plan's subscriptions, and publishes changed demand to each agent. The
     /// demand at an engine that the plan doesn't name stays as it was.
     void apply(const forwarding::LoadPlan&);
+    /// Passes evidence of this router on to the other routers, through the agents of the plan's relays.
+    void share(const quarantine::EvidenceUpdate&);
 
 private:
     struct Agent {
@@ -59,6 +64,9 @@
         bool hasReceived = false;
         /// Whether a message has been received over any link to the agent.
         bool hasEverReceived = false;
+        /// Whether the agent understands evidence and has been sent what this router had when it became a relay.
+        bool takesEvidence = false;
+        bool isRelay = false;
         framework::SteadyTime receivedAt {};
         framework::SteadyTime publishedAt {};
         framework::Deadline connectAt;
@@ -74,6 +82,11 @@
     void didReceive(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void didClose(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const framework::Error&);
 
+    void setRelays(const std::set<framework::Endpoint>&);
+    void sendEverything(Agent&);
+    void receiveEvidence(const Agent& from, const wire::fb::CrashEvidenceT&);
+    void scheduleSharing();
+    void sendEvidence();
     void subscribe(const framework::Endpoint& engine);
     void unsubscribe(const std::set<framework::Endpoint>& kept);
 
@@ -81,7 +94,9 @@
     std::map<framework::Endpoint, catalog::InstanceId> engines_;
     /// Agents of the engines that this router subscribes to.
     std::map<framework::Endpoint, Agent> agents_;
+    quarantine::EvidenceRelay evidence_;
     std::unique_ptr<framework::Timer> timer_;
+    std::unique_ptr<framework::Timer> sharingTimer_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -146,7 +146,10 @@
     forwarding::Forwarder::Context forwarderContext()
     {
         return { ports_.traffic, ports_.clock, ports_.dialect, ports_.metrics,
-            [this](const forwarding::LoadPlan& plan) { ports_.control.post([this, plan] { links_.apply(plan); }); } };
+            [this](const forwarding::LoadPlan& plan) { ports_.control.post([this, plan] { links_.apply(plan); }); },
+            [this](const quarantine::EvidenceUpdate& update) {
+                ports_.control.post([this, update] { links_.share(update); });
+            } };
     }
 
     AgentLinks::Context linksContext()
@@ -158,6 +161,9 @@
             [this](const catalog::EngineLoad& load) {
                 ports_.traffic.post([this, load] { forwarder_.setEngineLoad(load); });
             },
+            [this](const quarantine::EvidenceUpdate& update) {
+                ports_.traffic.post([this, update] { forwarder_.addEvidence(update); });
+            },
             [this](const framework::Endpoint& engine) {
                 ports_.traffic.post([this, engine] { forwarder_.didLoseAgent(engine); });
             },
--- a/src/direct/internal/enginewire.cpp
+++ b/src/direct/internal/enginewire.cpp
@@ -33,6 +33,7 @@
 {
     wire::fb::EngineStateT body;
     body.engine = state.engine.value();
+    body.takes_evidence = true;
     body.started_ms = state.started ? state.started->value() : 0;
     for (const catalog::LoadedModel& held : state.held) {
         auto model = std::make_unique<wire::fb::HeldModelT>();
@@ -112,6 +113,7 @@
     const catalog::DemandList& demand, framework::SteadyTime now)
 {
     wire::fb::WantedT body;
+    body.takes_evidence = true;
     body.router = router.value();
     body.instance = instance.value();
     for (const catalog::TargetDemand& one : demand) {
--- a/src/direct/internal/routerlinks.cpp
+++ b/src/direct/internal/routerlinks.cpp
@@ -3,6 +3,7 @@
 #include "direct/internal/enginewire.h"
 #include "direct/internal/links.h"
 #include "framework/decisionlog.h"
+#include "quarantine/evidencewire.h"
 
 #include <algorithm>
 #include <utility>
@@ -34,20 +35,60 @@
 
 void RouterLinks::didReceive(const std::shared_ptr<wire::ILink>& link, const wire::Message& message)
 {
+    if (const wire::fb::CrashEvidenceT* const evidence = message.body.AsCrashEvidence())
+        return receiveEvidence(*evidence);
     const wire::fb::WantedT* const demand = message.body.AsWanted();
     if (!demand)
         return;
     const framework::SteadyTime now = context_.clock.now();
     const auto [router, isNew] = routers_.try_emplace(link);
-    router->second = { framework::VmName(demand->router), now };
+    router->second = { framework::VmName(demand->router), now, demand->takes_evidence };
     if (isNew) {
         logDecision(LogLine("router_heard").text("router", demand->router));
         if (lastState_)
             link->send(toWire(*lastState_));
+        if (demand->takes_evidence)
+            sendEverything(*link);
     }
     context_.didReceiveDemand(router->second.name, catalog::InstanceId(demand->instance), fromWire(*demand, now));
 }
 
+void RouterLinks::receiveEvidence(const wire::fb::CrashEvidenceT& body)
+{
+    const framework::SteadyTime now = context_.clock.now();
+    evidence_.add(quarantine::fromWire(body, now), now);
+    scheduleSharing();
+}
+
+void RouterLinks::scheduleSharing()
+{
+    if (sharingTimer_ || !evidence_.hasUpdate())
+        return;
+    sharingTimer_ = context_.control.runAt(evidence_.nextUpdate(), [this] {
+        sharingTimer_.reset();
+        sendEvidence();
+        scheduleSharing();
+    });
+}
+
+/// Also sends to the router that reported it, which recognizes what it knows.
+void RouterLinks::sendEvidence()
+{
+    const framework::SteadyTime now = context_.clock.now();
+    const wire::Message message = quarantine::toWire(evidence_.takeUpdate(now), now);
+    for (const auto& [link, router] : routers_) {
+        if (router.takesEvidence)
+            link->send(message);
+    }
+}
+
+void RouterLinks::sendEverything(wire::ILink& link)
+{
+    const framework::SteadyTime now = context_.clock.now();
+    for (const quarantine::EvidenceUpdate& part : evidence_.everything(now))
+        link.send(quarantine::toWire(part, now));
+}
+
 bool RouterLinks::hasOtherLink(const framework::VmName& name) const
 {
     return std::any_of(routers_.begin(), routers_.end(), [&](const auto& entry) { return entry.second.name == name; });
--- a/src/direct/internal/routerlinks.h
+++ b/src/direct/internal/routerlinks.h
@@ -4,6 +4,7 @@
 #include "catalog/types/upstream.h"
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
+#include "quarantine/evidencerelay.h"
 #include "wire/ilink.h"
 
 #include <functional>
@@ -39,16 +40,25 @@
     struct Router {
         framework::VmName name;
         framework::SteadyTime receivedAt {};
+        /// Whether the router understands evidence.
+        bool takesEvidence = false;
     };
 
     void didReceive(const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void didClose(const std::shared_ptr<wire::ILink>&);
     void sendToAll(const wire::Message&);
+    void receiveEvidence(const wire::fb::CrashEvidenceT&);
+    void scheduleSharing();
+    void sendEvidence();
+    void sendEverything(wire::ILink&);
     bool hasOtherLink(const framework::VmName&) const;
 
     Context context_;
     std::map<std::shared_ptr<wire::ILink>, Router> routers_;
     std::optional<catalog::EngineState> lastState_;
+    /// What routers tell each other of requests that crash their servers.
+    quarantine::EvidenceRelay evidence_;
+    std::unique_ptr<framework::Timer> sharingTimer_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/direct/tests/agentlinks_test.cpp
+++ b/src/direct/tests/agentlinks_test.cpp
@@ -2,6 +2,7 @@
 
 #include "direct/internal/enginewire.h"
 #include "framework/testing/manualcontrol.h"
+#include "quarantine/evidencewire.h"
 #include "wire/testing/faketransport.h"
 
 #include <boost/test/unit_test.hpp>
@@ -45,6 +46,30 @@
         return state;
     }
 
+    void subscribeWithRelay(const std::set<Endpoint>& engines, const Endpoint& relay)
+    {
+        forwarding::LoadPlan plan;
+        plan.subscriptions = engines;
+        plan.relays = { relay };
+        links.apply(plan);
+    }
+
+    quarantine::EvidenceUpdate crashOf(const std::string& server)
+    {
+        quarantine::EvidenceUpdate update;
+        update.crashes.push_back(
+            { quarantine::ServerRunId(server), control.now(), true, false, { { {}, control.now() } } });
+        return update;
+    }
+
+    std::size_t evidenceSentTo(const Endpoint& agent)
+    {
+        std::size_t count = 0;
+        for (const wire::Message& message : transport.newest(agent)->takeSent())
+            count += message.body.AsCrashEvidence() ? 1 : 0;
+        return count;
+    }
+
     void deliver(const Endpoint& agent, const wire::Message& message)
     {
         transport.newest(agent)->deliver(message);
@@ -55,11 +80,13 @@
     wire::FakeTransport transport;
     std::vector<catalog::EngineState> receivedStates;
     std::vector<catalog::EngineLoad> receivedLoads;
+    std::vector<quarantine::EvidenceUpdate> receivedEvidence;
     std::vector<Endpoint> lost;
     std::vector<Endpoint> unsubscribed;
     AgentLinks links { { control, control, transport, framework::VmName("router"), 7000,
         [this](catalog::EngineState state) { receivedStates.push_back(std::move(state)); },
         [this](const catalog::EngineLoad& load) { receivedLoads.push_back(load); },
+        [this](const quarantine::EvidenceUpdate& update) { receivedEvidence.push_back(update); },
         [this](const Endpoint& engine) { lost.push_back(engine); },
         [this](const Endpoint& engine) { unsubscribed.push_back(engine); } } };
 };
@@ -135,6 +162,59 @@
     BOOST_TEST(transport.connections() > 1u);
 }
 
+// Prevents a number of messages that grows with the product of routers and engines.
+BOOST_AUTO_TEST_CASE(evidenceIsSentToRelaysOnly)
+{
+    subscribeWithRelay({ first, second }, first);
+    deliver(firstAgent, toWire(stateOf(first)));
+    deliver(secondAgent, toWire(stateOf(second)));
+    links.share(crashOf("s1"));
+    control.advance(Milliseconds(200));
+    BOOST_TEST(evidenceSentTo(firstAgent) == 1u);
+    BOOST_TEST(evidenceSentTo(secondAgent) == 0u);
+}
+
+// Prevents the loss of evidence when the agent that passes it on ends: its successor is sent all of it.
+BOOST_AUTO_TEST_CASE(aNewRelayIsSentAllEvidence)
+{
+    subscribeWithRelay({ first, second }, first);
+    deliver(firstAgent, toWire(stateOf(first)));
+    deliver(secondAgent, toWire(stateOf(second)));
+    links.share(crashOf("s1"));
+    control.advance(Milliseconds(200));
+    subscribeWithRelay({ first, second }, second);
+    BOOST_TEST(evidenceSentTo(secondAgent) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(evidenceOfOthersIsPassedOnOnlyIfItDidNotComeFromARelay)
+{
+    subscribeWithRelay({ first, second }, first);
+    deliver(firstAgent, toWire(stateOf(first)));
+    deliver(secondAgent, toWire(stateOf(second)));
+    deliver(firstAgent, quarantine::toWire(crashOf("s1"), control.now()));
+    control.advance(Milliseconds(200));
+    BOOST_TEST(receivedEvidence.size() == 1u);
+    BOOST_TEST(evidenceSentTo(firstAgent) == 0u);
+    deliver(secondAgent, quarantine::toWire(crashOf("s1"), control.now()));
+    BOOST_TEST(receivedEvidence.size() == 1u);
+    deliver(secondAgent, quarantine::toWire(crashOf("s2"), control.now()));
+    control.advance(Milliseconds(200));
+    BOOST_TEST(receivedEvidence.size() == 2u);
+    BOOST_TEST(evidenceSentTo(firstAgent) == 1u);
+}
+
+// Prevents links from being closed by agents of an earlier version, which refuse frames that they don't know.
+BOOST_AUTO_TEST_CASE(evidenceIsNotSentToAnAgentThatDoesNotUnderstandIt)
+{
+    subscribeWithRelay({ first }, first);
+    wire::Message state = toWire(stateOf(first));
+    state.body.AsEngineState()->takes_evidence = false;
+    deliver(firstAgent, state);
+    links.share(crashOf("s1"));
+    control.advance(Milliseconds(200));
+    BOOST_TEST(evidenceSentTo(firstAgent) == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::direct
--- a/src/forwarding/demandplanner.h
+++ b/src/forwarding/demandplanner.h
@@ -74,6 +74,9 @@
     std::map<framework::Endpoint, catalog::DemandList> demand;
     /// The engines to whose agents this router is to subscribe.
     std::set<framework::Endpoint> subscriptions;
+    /// The engines whose agents pass on what routers tell each other. All routers choose the same ones, as far as they
+    /// can reach them.
+    std::set<framework::Endpoint> relays;
 };
 
 /// Decides which engines' agents this router subscribes to, and which engine is asked to load which model. All routers
@@ -110,6 +113,7 @@
         const PlannerInput&, const framework::ModelName&, const CandidateCounts& limit);
     bool isEligible(const PlannerInput&, const framework::ModelName&, const framework::Endpoint&) const;
     std::set<framework::Endpoint> subscriptions(const PlannerInput&);
+    static std::set<framework::Endpoint> relays(const PlannerInput&);
     static std::uint32_t replicasOf(const PlannerInput&, const framework::ModelName&);
     void observeStoreLoads(const PlannerInput&);
     static bool needsStore(const EngineFacts&, const catalog::ModelProfile&);
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -10,6 +10,7 @@
 #include "framework/metrics.h"
 #include "framework/types/shutdowndeadlines.h"
 #include "http/iexchange.h"
+#include "quarantine/types/evidence.h"
 
 #include <functional>
 #include <map>
@@ -32,6 +33,9 @@
         std::shared_ptr<framework::Metrics> metrics;
         /// Subscribes to the engines' agents and publishes demand to them; called on the traffic thread.
         std::function<void(const LoadPlan&)> publish;
+        /// Passes evidence about requests that crash their servers on to the other routers; called on the traffic
+        /// thread.
+        std::function<void(const quarantine::EvidenceUpdate&)> shareEvidence;
     };
 
     Forwarder(Context, const ForwarderSettings&);
@@ -53,6 +57,8 @@
     void setEngineLoad(const catalog::EngineLoad&);
     /// Drops the engine's state because this router no longer subscribes to it.
     void forgetEngine(const framework::Endpoint&);
+    /// Adds what other routers have seen of requests that crash their servers.
+    void addEvidence(const quarantine::EvidenceUpdate&);
     /// The engine's agent can't be reached.
     void didLoseAgent(const framework::Endpoint&);
     /// This process shuts down: each request, also one that arrives later, gets its final answer by `answerBy`, and
--- a/src/forwarding/internal/demandplanner.cpp
+++ b/src/forwarding/internal/demandplanner.cpp
@@ -55,9 +55,10 @@
 /// Candidates for a further copy of a busy model; one more preferred engine is added for each missing copy.
 constexpr CandidateCounts copyCandidates { 2, 1 };
 constexpr CandidateCounts prefetchCandidates { 0, 2 };
-/// Every router subscribes to the first engines of one fixed order, so that their agents can count all routers.
-const ModelName countingKey("count of routers");
-constexpr std::size_t countingEngines = 3;
+/// Every router subscribes to the first engines of one fixed order, so that their agents can count all routers and pass
+/// on what they tell each other.
+const ModelName commonKey("count of routers");
+constexpr std::size_t commonEngines = 3;
 
 double workOf(const PlannerInput& input, const ModelName& model)
 {
@@ -90,7 +91,7 @@
         planCopies(input);
     if (input.policy.fetchesAhead)
         planPrefetch(input);
-    return { std::move(lists_), subscriptions(input) };
+    return { std::move(lists_), subscriptions(input), relays(input) };
 }
 
 /// The agents report how busy models are because they receive the work from all routers; a single router sees too few
@@ -167,16 +168,20 @@
         const ReplicaIndex::Engines& engines = input.replicas.loadedAt(model);
         subscriptions.insert(engines.begin(), engines.end());
     }
-    std::size_t counting = 0;
-    for (const Endpoint* const engine : input.replicas.order(countingKey)) {
-        if (counting == countingEngines)
+    subscriptions.merge(relays(input));
+    return subscriptions;
+}
+
+std::set<Endpoint> DemandPlanner::relays(const PlannerInput& input)
+{
+    std::set<Endpoint> relays;
+    for (const Endpoint* const engine : input.replicas.order(commonKey)) {
+        if (relays.size() == commonEngines)
             break;
-        if (input.unreachable.contains(*engine))
-            continue;
-        subscriptions.insert(*engine);
-        ++counting;
+        if (!input.unreachable.contains(*engine))
+            relays.insert(*engine);
     }
-    return subscriptions;
+    return relays;
 }
 
 void DemandPlanner::observeStoreLoads(const PlannerInput& input)
--- a/src/forwarding/internal/demandpublisher.cpp
+++ b/src/forwarding/internal/demandpublisher.cpp
@@ -77,6 +77,7 @@
         LoadPlan plan = planFor(service, waiting(service.name), policy, now);
         all.demand.merge(plan.demand);
         all.subscriptions.merge(plan.subscriptions);
+        all.relays.merge(plan.relays);
     }
     publish_(all);
 }
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -72,6 +72,11 @@
         });
     }
 
+    /// Requests that still run report nothing any more.
+    ~Implementation() override { quarantine_.reset(); }
+    Implementation(const Implementation&) = delete;
+    Implementation& operator=(const Implementation&) = delete;
+
     void start() { schedulePlan(planInterval); }
 
     void handle(const std::shared_ptr<http::IExchange>& exchange)
@@ -125,6 +130,8 @@
         schedulePlan(backgroundPlanDelay);
     }
 
+    void addEvidence(const quarantine::EvidenceUpdate& update) { quarantine_->merge(update); }
+
     void forgetState(const Endpoint& engine) { upstreams_.forgetState(engine); }
 
     void didLoseAgent(const Endpoint& engine)
@@ -204,7 +211,8 @@
 private:
     quarantine::RequestQuarantine::Context quarantineContext()
     {
-        return { context_.clock, context_.metrics, [this] { postDispatch(); } };
+        return { context_.clock, context_.metrics, [this] { postDispatch(); },
+            [this](const quarantine::EvidenceUpdate& update) { context_.shareEvidence(update); } };
     }
 
     /// Posts the dispatch because the request whose end allows others to be sent is still on the stack.
@@ -293,6 +301,7 @@
     void dispatchWaiting()
     {
         isDispatchPosted_ = false;
+        quarantine_->refresh();
         dispatch(jobs_);
     }
 
@@ -451,6 +460,8 @@
 
 void Forwarder::forgetEngine(const Endpoint& engine) { implementation_->forgetState(engine); }
 
+void Forwarder::addEvidence(const quarantine::EvidenceUpdate& update) { implementation_->addEvidence(update); }
+
 void Forwarder::didLoseAgent(const Endpoint& engine) { implementation_->didLoseAgent(engine); }
 
 void Forwarder::beginShutdown(const framework::ShutdownDeadlines& deadlines)
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -117,7 +117,7 @@
     /// crash points to one of them only.
     std::vector<UpstreamPointer> forTrial(std::vector<UpstreamPointer> servers) const
     {
-        const quarantine::RequestQuarantine& quarantine = host_.quarantine();
+        quarantine::RequestQuarantine& quarantine = host_.quarantine();
         if (!quarantine.standing(spec_.fingerprint))
             return servers;
         std::erase_if(servers,
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -164,7 +164,9 @@
     framework::SystemClock clock;
     framework::EventThread traffic;
     OneModelDialect dialect;
-    Forwarder forwarder { { traffic, clock, dialect, std::make_shared<framework::Metrics>(), [](const auto&) {} }, {} };
+    Forwarder forwarder {
+        { traffic, clock, dialect, std::make_shared<framework::Metrics>(), [](const auto&) {}, [](const auto&) {} }, {}
+    };
 };
 
 } // namespace
--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -5,39 +5,44 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
-#include <functional>
 #include <map>
-#include <set>
 #include <vector>
 
 namespace lagoon::quarantine {
 
-/// The facts about crashes that verdicts are based on, bounded in number and age. Does no I/O and reads no clock.
+/// The facts about crashes that verdicts are based on, bounded in number and age. Processes exchange them as updates;
+/// all that have received the same updates, in any order, know the same. Does no I/O and reads no clock.
 class CrashEvidence {
 public:
-    /// The connection of a request that the server may have been running was cut. Counts as a crash once the server's
-    /// run is known to have ended. Returns whether this is new.
-    bool addCut(const RequestFingerprint&, const ServerRunId&, framework::SteadyTime sentAt, framework::SteadyTime now);
-    /// The run has ended: its cut requests count, also those that are reported soon after this. Returns the crash if it
-    /// was unconfirmed until now.
-    const ServerCrash* confirm(const ServerRunId&, framework::SteadyTime now);
-    /// The server answered a request that was sent at this time, so cuts before that weren't crashes.
-    /// Returns whether there were any.
+    /// Adds what another process knows, and returns what of it was new here.
+    EvidenceUpdate merge(const EvidenceUpdate&, framework::SteadyTime now);
+    /// The run of the server has ended, so its cut requests count. If `isCertain`, cuts that are reported later count
+    /// too. Returns the crash if it was unconfirmed until now.
+    const ServerCrash* confirm(const ServerRunId&, bool isCertain, framework::SteadyTime now);
+    /// The server answered a request that was sent at this time, so cuts before that weren't crashes. Returns whether
+    /// there were any.
     bool refute(const ServerRunId&, framework::SteadyTime sentAt);
-    /// Returns whether the request was a suspect.
-    bool clear(const Clearance&);
     void expire(framework::SteadyTime now);
 
     const std::map<ServerRunId, ServerCrash>& crashes() const { return crashes_; }
+    const std::map<std::uint64_t, Trial>& trials() const { return trials_; }
     bool isSuspect(const RequestFingerprint&) const;
-    bool isEmpty() const { return crashes_.empty(); }
+    bool isEmpty() const { return crashes_.empty() && trials_.empty(); }
+    /// Returns the newest evidence, for a process that has none: at most so many suspects, and the
+    /// clearances since then.
+    EvidenceUpdate newest(std::size_t maxSuspects) const;
 
 private:
+    bool isKnown(const Clearance&) const;
+    bool isCleared(const RequestFingerprint&, framework::SteadyTime crashedAt) const;
+    bool mergeClearance(const Clearance&);
+    bool mergeTrial(const Trial&);
+    ServerCrash mergeCrash(const ServerCrash&);
     void limitSuspects(ServerCrash&);
     void limitCrashes();
 
     std::map<ServerRunId, ServerCrash> crashes_;
+    std::map<std::uint64_t, Trial> trials_;
     /// Runs that are known to have ended, until when that is remembered.
     std::map<ServerRunId, framework::Deadline> endedRuns_;
     std::map<RequestFingerprint, std::vector<Clearance>> clearances_;
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -12,55 +12,146 @@
 using framework::Milliseconds;
 using framework::SteadyTime;
 
-constexpr std::size_t maxCrashes = 256;
+constexpr std::size_t maxCrashes = 128;
 /// More requests than a server usually runs and queues.
 constexpr std::size_t maxSuspects = 128;
+constexpr std::size_t maxTrials = 1024;
 constexpr std::size_t maxClearedRequests = 1024;
+/// Clearances that are remembered for one request.
 constexpr std::size_t maxClearances = 4;
 /// A server whose end shows in no way for so long is taken to be running: the platform's list drops a server that has
 /// ended within four seconds.
 constexpr Milliseconds confirmationTimeout { 6000 };
 /// The connections of a server that has ended are closed within this time.
 constexpr Milliseconds endedRunRetention { 3000 };
+/// Longer than requests run. Covers trials whose router ended before it could report their end.
+constexpr Milliseconds trialRetention { 20000 };
+
+Milliseconds retention(const ServerCrash& crash) { return crash.isConfirmed ? maxQuarantine : confirmationTimeout; }
+
+/// Removes the entries with the earliest times.
+template <typename Entries, typename TimeOf>
+void limitByAge(Entries& entries, std::size_t maxEntries, const TimeOf& timeOf)
+{
+    while (entries.size() > maxEntries) {
+        entries.erase(std::min_element(entries.begin(), entries.end(),
+            [&](const auto& left, const auto& right) { return timeOf(left.second) < timeOf(right.second); }));
+    }
+}
 
 } // namespace
 
-bool CrashEvidence::addCut(
-    const RequestFingerprint& request, const ServerRunId& server, SteadyTime sentAt, SteadyTime now)
+EvidenceUpdate CrashEvidence::merge(const EvidenceUpdate& update, SteadyTime now)
+{
+    EvidenceUpdate news;
+    for (const Clearance& clearance : update.clearances) {
+        if (mergeClearance(clearance))
+            news.clearances.push_back(clearance);
+    }
+    for (const ServerCrash& crash : update.crashes) {
+        if (now - crash.endedAt > retention(crash))
+            continue;
+        ServerCrash fresh = mergeCrash(crash);
+        if (!fresh.server.value().empty())
+            news.crashes.push_back(std::move(fresh));
+    }
+    for (const Trial& trial : update.trials) {
+        if (now - trial.startedAt <= trialRetention && mergeTrial(trial))
+            news.trials.push_back(trial);
+    }
+    limitCrashes();
+    return news;
+}
+
+/// Returns what was new of the crash; its server is empty if nothing was.
+ServerCrash CrashEvidence::mergeCrash(const ServerCrash& reported)
 {
-    const auto [known, isNew] = crashes_.try_emplace(server);
-    ServerCrash& crash = known->second;
+    ServerCrash news = reported;
+    news.suspects.clear();
+    for (const auto& [request, sentAt] : reported.suspects) {
+        if (!isCleared(request, reported.endedAt))
+            news.suspects.emplace(request, sentAt);
+    }
+    const auto known = crashes_.find(reported.server);
+    if (known == crashes_.end() && news.suspects.empty())
+        return {};
+    const bool isNew = known == crashes_.end();
+    ServerCrash& crash = isNew ? crashes_[reported.server] : known->second;
     if (isNew) {
-        crash.server = server;
-        crash.endedAt = now;
-        crash.isConfirmed = endedRuns_.contains(server);
+        crash = news;
+        crash.isConfirmed = reported.isConfirmed || endedRuns_.contains(reported.server);
+        news.isConfirmed = crash.isConfirmed;
+        limitSuspects(crash);
+        return news;
     }
-    const bool isNewSuspect = crash.suspects.try_emplace(request, sentAt).second;
+    std::erase_if(news.suspects, [&](const auto& suspect) { return crash.suspects.contains(suspect.first); });
+    const bool isNewlyConfirmed = reported.isConfirmed && !crash.isConfirmed;
+    crash.endedAt = std::min(crash.endedAt, reported.endedAt);
+    crash.isConfirmed = crash.isConfirmed || reported.isConfirmed;
+    crash.mayBeLeaving = crash.mayBeLeaving || reported.mayBeLeaving;
+    crash.suspects.insert(news.suspects.begin(), news.suspects.end());
     limitSuspects(crash);
-    limitCrashes();
-    return isNewSuspect;
+    news.isConfirmed = crash.isConfirmed;
+    return news.suspects.empty() && !isNewlyConfirmed ? ServerCrash() : news;
+}
+
+bool CrashEvidence::mergeTrial(const Trial& reported)
+{
+    const auto [known, isNew] = trials_.try_emplace(reported.id, reported);
+    const bool hasNowEnded = reported.hasEnded && !known->second.hasEnded;
+    known->second.hasEnded = known->second.hasEnded || reported.hasEnded;
+    limitByAge(trials_, maxTrials, [](const Trial& trial) { return trial.startedAt; });
+    return isNew || hasNowEnded;
+}
+
+bool CrashEvidence::isKnown(const Clearance& clearance) const
+{
+    const auto known = clearances_.find(clearance.request);
+    return known != clearances_.end()
+        && std::any_of(known->second.begin(), known->second.end(),
+            [&](const Clearance& other) { return other.id == clearance.id; });
+}
+
+bool CrashEvidence::isCleared(const RequestFingerprint& request, SteadyTime crashedAt) const
+{
+    const auto known = clearances_.find(request);
+    return known != clearances_.end()
+        && std::any_of(known->second.begin(), known->second.end(),
+            [&](const Clearance& clearance) { return crashedAt <= clearance.at; });
+}
+
+bool CrashEvidence::mergeClearance(const Clearance& clearance)
+{
+    if (isKnown(clearance))
+        return false;
+    std::vector<Clearance>& known = clearances_[clearance.request];
+    known.push_back(clearance);
+    if (known.size() > maxClearances)
+        known.erase(known.begin());
+    limitByAge(clearances_, maxClearedRequests, [](const std::vector<Clearance>& all) { return all.back().at; });
+    for (auto& [server, crash] : crashes_) {
+        if (crash.endedAt <= clearance.at)
+            crash.suspects.erase(clearance.request);
+    }
+    std::erase_if(crashes_, [](const auto& entry) { return entry.second.suspects.empty(); });
+    return true;
 }
 
 /// Keeps the requests that were sent last: a request that crashes its servers does so when it begins to run.
 void CrashEvidence::limitSuspects(ServerCrash& crash)
 {
-    while (crash.suspects.size() > maxSuspects) {
-        crash.suspects.erase(std::min_element(crash.suspects.begin(), crash.suspects.end(),
-            [](const auto& left, const auto& right) { return left.second < right.second; }));
-    }
+    limitByAge(crash.suspects, maxSuspects, [](SteadyTime sentAt) { return sentAt; });
 }
 
 void CrashEvidence::limitCrashes()
 {
-    while (crashes_.size() > maxCrashes) {
-        crashes_.erase(std::min_element(crashes_.begin(), crashes_.end(),
-            [](const auto& left, const auto& right) { return left.second.endedAt < right.second.endedAt; }));
-    }
+    limitByAge(crashes_, maxCrashes, [](const ServerCrash& crash) { return crash.endedAt; });
 }
 
-const ServerCrash* CrashEvidence::confirm(const ServerRunId& server, SteadyTime now)
+const ServerCrash* CrashEvidence::confirm(const ServerRunId& server, bool isCertain, SteadyTime now)
 {
-    endedRuns_[server] = Deadline::after(now, endedRunRetention);
+    if (isCertain)
+        endedRuns_[server] = Deadline::after(now, endedRunRetention);
     const auto crash = crashes_.find(server);
     if (crash == crashes_.end() || crash->second.isConfirmed)
         return nullptr;
@@ -77,32 +168,11 @@
     return true;
 }
 
-bool CrashEvidence::clear(const Clearance& clearance)
-{
-    std::vector<Clearance>& known = clearances_[clearance.request];
-    known.push_back(clearance);
-    if (known.size() > maxClearances)
-        known.erase(known.begin());
-    if (clearances_.size() > maxClearedRequests) {
-        clearances_.erase(std::min_element(clearances_.begin(), clearances_.end(),
-            [](const auto& left, const auto& right) { return left.second.back().at < right.second.back().at; }));
-    }
-    bool wasSuspect = false;
-    for (auto& [server, crash] : crashes_) {
-        if (crash.endedAt <= clearance.at)
-            wasSuspect = crash.suspects.erase(clearance.request) > 0 || wasSuspect;
-    }
-    std::erase_if(crashes_, [](const auto& entry) { return entry.second.suspects.empty(); });
-    return wasSuspect;
-}
-
 void CrashEvidence::expire(SteadyTime now)
 {
-    std::erase_if(crashes_, [now](const auto& entry) {
-        const ServerCrash& crash = entry.second;
-        return now - crash.endedAt > (crash.isConfirmed ? maxQuarantine : confirmationTimeout);
-    });
+    std::erase_if(crashes_, [now](const auto& entry) { return now - entry.second.endedAt > retention(entry.second); });
     std::erase_if(endedRuns_, [now](const auto& entry) { return entry.second.hasPassed(now); });
+    std::erase_if(trials_, [now](const auto& entry) { return now - entry.second.startedAt > trialRetention; });
     std::erase_if(clearances_, [now](const auto& entry) { return now - entry.second.back().at > maxQuarantine; });
 }
 
@@ -112,4 +182,31 @@
         crashes_.begin(), crashes_.end(), [&](const auto& entry) { return entry.second.suspects.contains(request); });
 }
 
+EvidenceUpdate CrashEvidence::newest(std::size_t limit) const
+{
+    std::vector<const ServerCrash*> order;
+    for (const auto& [server, crash] : crashes_)
+        order.push_back(&crash);
+    std::sort(order.begin(), order.end(),
+        [](const ServerCrash* left, const ServerCrash* right) { return left->endedAt > right->endedAt; });
+    EvidenceUpdate update;
+    std::size_t suspects = 0;
+    for (const ServerCrash* const crash : order) {
+        suspects += crash->suspects.size();
+        if (suspects > limit)
+            break;
+        update.crashes.push_back(*crash);
+    }
+    for (const auto& [request, all] : clearances_) {
+        if (update.clearances.size() < limit && !update.crashes.empty()
+            && all.back().at >= update.crashes.back().endedAt)
+            update.clearances.push_back(all.back());
+    }
+    for (const auto& [id, trial] : trials_) {
+        if (!trial.hasEnded)
+            update.trials.push_back(trial);
+    }
+    return update;
+}
+
 } // namespace lagoon::quarantine
--- a/src/quarantine/internal/requestquarantine.cpp
+++ b/src/quarantine/internal/requestquarantine.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds maxTrialTime { 2000 };
 /// How long suspected requests avoid a server whose connections were cut, if its end isn't confirmed.
 constexpr Milliseconds cutServerAvoidance { 1000 };
+/// Limits the cost of judging in a crash storm: with so many suspects it takes milliseconds.
+constexpr std::size_t manySuspects = 500;
+constexpr Milliseconds judgementInterval { 50 };
 constexpr Milliseconds expiryInterval { 1000 };
 
 const char* text(EndSign sign)
@@ -61,16 +64,16 @@
 
 } // namespace
 
-TrialGuard::TrialGuard(std::weak_ptr<RequestQuarantine> quarantine, const RequestFingerprint& request)
+TrialGuard::TrialGuard(std::weak_ptr<RequestQuarantine> quarantine, Trial trial)
     : quarantine_(std::move(quarantine))
-    , request_(request)
+    , trial_(std::move(trial))
 {
 }
 
 TrialGuard::~TrialGuard()
 {
     if (const auto quarantine = quarantine_.lock())
-        quarantine->endTrial(request_);
+        quarantine->endTrial(trial_);
 }
 
 RequestQuarantine::RequestQuarantine(Context context, const QuarantineSettings& settings)
@@ -82,12 +85,11 @@
 void RequestQuarantine::setSettings(const QuarantineSettings& settings)
 {
     settings_ = settings;
-    update();
+    noteChange();
 }
 
 Admission RequestQuarantine::admit(const RequestFingerprint& request)
 {
-    expire();
     const Standing* const known = standing(request);
     if (!known)
         return Admission::Free;
@@ -98,14 +100,16 @@
     return isUndecided || isBeingTried(request) ? Admission::Wait : Admission::Trial;
 }
 
-const Standing* RequestQuarantine::standing(const RequestFingerprint& request) const
+const Standing* RequestQuarantine::standing(const RequestFingerprint& request)
 {
+    refresh();
     const auto known = standings_.find(request);
     return known == standings_.end() ? nullptr : &known->second;
 }
 
-std::vector<SuspectSummary> RequestQuarantine::suspects() const
+std::vector<SuspectSummary> RequestQuarantine::suspects()
 {
+    refresh();
     std::vector<SuspectSummary> summaries;
     for (const auto& [request, standing] : standings_)
         summaries.push_back({ request, standing });
@@ -114,22 +118,28 @@
 
 bool RequestQuarantine::isBeingTried(const RequestFingerprint& request) const
 {
-    const auto trial = trials_.find(request);
-    return trial != trials_.end() && context_.clock.now() - trial->second.startedAt < maxTrialTime;
+    const SteadyTime now = context_.clock.now();
+    return std::any_of(evidence_.trials().begin(), evidence_.trials().end(), [&](const auto& entry) {
+        const Trial& trial = entry.second;
+        return trial.request == request && !trial.hasEnded && now - trial.startedAt < maxTrialTime;
+    });
 }
 
 std::unique_ptr<TrialGuard> RequestQuarantine::beginTrial(const RequestFingerprint& request, const ServerRunId& server)
 {
-    trials_[request] = { request, server, context_.clock.now() };
-    return std::make_unique<TrialGuard>(weak_from_this(), request);
+    const Trial trial { request, framework::randomNumber(), server, context_.clock.now(), false };
+    EvidenceUpdate update;
+    update.trials.push_back(trial);
+    add(update);
+    return std::make_unique<TrialGuard>(weak_from_this(), trial);
 }
 
-void RequestQuarantine::endTrial(const RequestFingerprint& request)
+void RequestQuarantine::endTrial(Trial trial)
 {
-    const auto trial = trials_.find(request);
-    if (trial == trials_.end())
-        return;
-    trials_.erase(trial);
+    trial.hasEnded = true;
+    EvidenceUpdate update;
+    update.trials.push_back(std::move(trial));
+    add(update);
     context_.didChange();
 }
 
@@ -142,11 +152,13 @@
 
 bool RequestQuarantine::hasOtherTrial(const ServerRunId& server, const RequestFingerprint& request) const
 {
-    return std::any_of(trials_.begin(), trials_.end(),
-        [&](const auto& entry) { return entry.first != request && entry.second.server == server; });
+    return std::any_of(evidence_.trials().begin(), evidence_.trials().end(), [&](const auto& entry) {
+        const Trial& trial = entry.second;
+        return trial.request != request && trial.server == server && !trial.hasEnded;
+    });
 }
 
-bool RequestQuarantine::mustRunApart(const RequestFingerprint& request) const
+bool RequestQuarantine::mustRunApart(const RequestFingerprint& request)
 {
     const Standing* const known = standing(request);
     return known && known->possibleCrashes + 1 >= settings_.crashes;
@@ -154,18 +166,20 @@
 
 void RequestQuarantine::didCut(const CutRequest& cut)
 {
-    if (cut.mayBeLeaving)
-        maybeLeaving_.insert(cut.server);
-    if (evidence_.addCut(cut.request, cut.server, cut.sentAt, context_.clock.now()))
-        update();
+    ServerCrash crash { cut.server, context_.clock.now(), false, cut.mayBeLeaving, { { cut.request, cut.sentAt } } };
+    EvidenceUpdate update;
+    update.crashes.push_back(std::move(crash));
+    add(update);
 }
 
 void RequestQuarantine::didEndRun(const ServerRunId& server, EndSign sign)
 {
-    if (sign != EndSign::Restarted && maybeLeaving_.contains(server))
+    const auto known = evidence_.crashes().find(server);
+    if (sign != EndSign::Restarted && known != evidence_.crashes().end() && known->second.mayBeLeaving)
         return;
     const SteadyTime now = context_.clock.now();
-    const ServerCrash* const crash = evidence_.confirm(server, now);
+    // A server may go on for a while after the platform has dropped it.
+    const ServerCrash* const crash = evidence_.confirm(server, sign != EndSign::Unlisted, now);
     if (!crash)
         return;
     logDecision(LogLine("server_crashed")
@@ -174,56 +188,86 @@
                     .number("suspects", crash->suspects.size())
                     .number("cut_ms_ago", age(crash->endedAt, now)));
     context_.metrics->count("lagoon_server_crashes_total");
-    update();
+    EvidenceUpdate update;
+    update.crashes.push_back({ server, crash->endedAt, true, crash->mayBeLeaving, {} });
+    context_.share(update);
+    noteChange();
+}
+
+/// Adds evidence of this router and shares what is new.
+void RequestQuarantine::add(const EvidenceUpdate& update)
+{
+    const EvidenceUpdate news = evidence_.merge(update, context_.clock.now());
+    if (news.isEmpty())
+        return;
+    context_.share(news);
+    if (!news.crashes.empty() || !news.clearances.empty())
+        noteChange();
+}
+
+void RequestQuarantine::merge(const EvidenceUpdate& update)
+{
+    const EvidenceUpdate news = evidence_.merge(update, context_.clock.now());
+    if (!news.crashes.empty() || !news.clearances.empty())
+        noteChange();
+    else if (!news.isEmpty())
+        context_.didChange();
 }
 
 void RequestQuarantine::didAnswer(const ServerRunId& server, SteadyTime sentAt)
 {
     if (evidence_.refute(server, sentAt))
-        update();
+        noteChange();
 }
 
 void RequestQuarantine::didServe(const RequestFingerprint& request)
 {
-    if (!evidence_.isEmpty() && evidence_.isSuspect(request))
+    if (!evidence_.isEmpty())
         clear(request, ClearanceReason::Served);
 }
 
-bool RequestQuarantine::release(const RequestFingerprint& request)
-{
-    return evidence_.isSuspect(request) && clear(request, ClearanceReason::Operator);
-}
+bool RequestQuarantine::release(const RequestFingerprint& request) { return clear(request, ClearanceReason::Operator); }
 
 bool RequestQuarantine::clear(const RequestFingerprint& request, ClearanceReason reason)
 {
-    const SteadyTime now = context_.clock.now();
-    const bool wasSuspect = evidence_.clear({ request, framework::randomNumber(), now, reason });
-    if (!wasSuspect)
+    if (!evidence_.isSuspect(request))
         return false;
     logDecision(LogLine("suspect_cleared")
                     .text("fingerprint", request.text())
                     .text("reason", reason == ClearanceReason::Served ? "served" : "operator"));
-    update();
+    EvidenceUpdate update;
+    update.clearances.push_back({ request, framework::randomNumber(), context_.clock.now(), reason });
+    add(update);
     return true;
 }
 
+void RequestQuarantine::noteChange()
+{
+    isStale_ = true;
+    context_.didChange();
+}
+
 void RequestQuarantine::expire()
 {
     const SteadyTime now = context_.clock.now();
-    if (!nextExpiry_.hasPassed(now) || (evidence_.isEmpty() && trials_.empty()))
+    if (!nextExpiry_.hasPassed(now) || evidence_.isEmpty())
         return;
     nextExpiry_ = Deadline::after(now, expiryInterval);
     evidence_.expire(now);
-    std::erase_if(maybeLeaving_, [this](const ServerRunId& server) { return !evidence_.crashes().contains(server); });
-    update();
+    noteChange();
 }
 
-/// Judges anew after a change of the evidence.
-void RequestQuarantine::update()
+void RequestQuarantine::refresh()
 {
+    expire();
+    const SteadyTime now = context_.clock.now();
+    if (!isStale_ || !nextJudgement_.hasPassed(now))
+        return;
+    isStale_ = false;
     const Standings before = std::exchange(standings_, judge(evidence_, settings_));
+    if (standings_.size() > manySuspects)
+        nextJudgement_ = Deadline::after(now, judgementInterval);
     reportChanges(before);
-    context_.didChange();
 }
 
 void RequestQuarantine::reportChanges(const Standings& before)
--- a/src/quarantine/requestquarantine.h
+++ b/src/quarantine/requestquarantine.h
@@ -8,11 +8,7 @@
 #include "quarantine/verdicts.h"
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <optional>
-#include <set>
-#include <string>
 #include <vector>
 
 /// Keeps requests that crash their servers from being sent to one server after the other: see docs/DESIGN.md.
@@ -48,14 +44,14 @@
 /// Marks a suspected request as running at a server for as long as this object lives.
 class TrialGuard {
 public:
-    TrialGuard(std::weak_ptr<RequestQuarantine>, const RequestFingerprint&);
+    TrialGuard(std::weak_ptr<RequestQuarantine>, Trial);
     ~TrialGuard();
     TrialGuard(const TrialGuard&) = delete;
     TrialGuard& operator=(const TrialGuard&) = delete;
 
 private:
     std::weak_ptr<RequestQuarantine> quarantine_;
-    RequestFingerprint request_;
+    Trial trial_;
 };
 
 /// A suspected or quarantined request, for operators.
@@ -73,17 +69,21 @@
         std::shared_ptr<framework::Metrics> metrics;
         /// Called when a request that has to wait may be admitted now.
         std::function<void()> didChange;
+        /// Passes new evidence on to the other routers.
+        std::function<void(const EvidenceUpdate&)> share;
     };
 
     RequestQuarantine(Context, const QuarantineSettings&);
 
     void setSettings(const QuarantineSettings&);
 
+    /// Judges the evidence that has come since the last call. All queries do so too.
+    void refresh();
     Admission admit(const RequestFingerprint&);
     bool hasSuspects() const { return !evidence_.isEmpty(); }
     /// Returns what is known of a suspected request, or nullptr.
-    const Standing* standing(const RequestFingerprint&) const;
-    std::vector<SuspectSummary> suspects() const;
+    const Standing* standing(const RequestFingerprint&);
+    std::vector<SuspectSummary> suspects();
     /// Call when a request with the admission `Trial` is sent. Its copies wait until the returned object is destroyed,
     /// but no longer than a trial may take.
     std::unique_ptr<TrialGuard> beginTrial(const RequestFingerprint&, const ServerRunId&);
@@ -93,7 +93,7 @@
     /// suspect only.
     bool hasOtherTrial(const ServerRunId&, const RequestFingerprint&) const;
     /// Whether the request's next crash may decide on it, so that it must not share a server with another suspect.
-    bool mustRunApart(const RequestFingerprint&) const;
+    bool mustRunApart(const RequestFingerprint&);
 
     void didCut(const CutRequest&);
     void didEndRun(const ServerRunId&, EndSign);
@@ -101,16 +101,19 @@
     void didAnswer(const ServerRunId&, framework::SteadyTime sentAt);
     /// A run of the request ended well.
     void didServe(const RequestFingerprint&);
+    /// Adds what other routers have seen.
+    void merge(const EvidenceUpdate&);
     /// Returns whether the request was suspected.
     bool release(const RequestFingerprint&);
 
 private:
     friend class TrialGuard;
 
-    void endTrial(const RequestFingerprint&);
+    void endTrial(Trial);
+    void add(const EvidenceUpdate&);
     bool clear(const RequestFingerprint&, ClearanceReason);
+    void noteChange();
     void expire();
-    void update();
     void reportChanges(const Standings& before);
     bool isBeingTried(const RequestFingerprint&) const;
 
@@ -118,9 +121,10 @@
     QuarantineSettings settings_;
     CrashEvidence evidence_;
     Standings standings_;
-    /// Cut requests whose servers may have been leaving, by server.
-    std::set<ServerRunId> maybeLeaving_;
-    std::map<RequestFingerprint, Trial> trials_;
+    /// Whether the evidence has changed since `standings_` was made.
+    bool isStale_ = false;
+    /// No new judgement before this time.
+    framework::Deadline nextJudgement_;
     framework::Deadline nextExpiry_;
 };
 
--- a/src/quarantine/tests/quarantinefixture.h
+++ b/src/quarantine/tests/quarantinefixture.h
@@ -60,8 +60,12 @@
 
     ManualClock clock;
     QuarantineSettings settings;
+    /// What the router has passed on.
+    std::vector<EvidenceUpdate> shared;
     std::shared_ptr<RequestQuarantine> quarantine = std::make_shared<RequestQuarantine>(
-        RequestQuarantine::Context { clock, std::make_shared<framework::Metrics>(), [] {} }, settings);
+        RequestQuarantine::Context { clock, std::make_shared<framework::Metrics>(), [] {},
+            [this](const EvidenceUpdate& update) { shared.push_back(update); } },
+        settings);
 
 private:
     int servers_ = 0;
--- a/src/quarantine/tests/requestquarantine_test.cpp
+++ b/src/quarantine/tests/requestquarantine_test.cpp
@@ -221,12 +221,12 @@
         bytes[2] = static_cast<std::uint8_t>(server >> 8);
         crash({ RequestFingerprint(bytes) });
     }
-    BOOST_TEST(quarantine->suspects().size() <= 256u);
+    BOOST_TEST(quarantine->suspects().size() <= 128u);
     std::vector<RequestFingerprint> many;
     for (int number = 0; number < 250; ++number)
         many.push_back(request(static_cast<std::uint8_t>(number)));
     crash(many);
-    BOOST_TEST(quarantine->suspects().size() <= 255u + 128u);
+    BOOST_TEST(quarantine->suspects().size() <= 127u + 128u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/quarantine/types/evidence.h
+++ b/src/quarantine/types/evidence.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace lagoon::quarantine {
 
@@ -20,6 +21,9 @@
     framework::SteadyTime endedAt {};
     /// Whether this run of the server is known to have ended. Without that, its connections may only have been cut.
     bool isConfirmed = false;
+    /// Whether the server may have been draining without the knowledge of the router that was cut. Only a restart then
+    /// confirms the crash.
+    bool mayBeLeaving = false;
     /// The requests that were cut, and when each was sent.
     std::map<RequestFingerprint, framework::SteadyTime> suspects;
 };
@@ -27,8 +31,11 @@
 /// A suspected request that runs alone among its copies.
 struct Trial {
     RequestFingerprint request;
+    /// Random.
+    std::uint64_t id = 0;
     ServerRunId server;
     framework::SteadyTime startedAt {};
+    bool hasEnded = false;
 };
 
 enum class ClearanceReason : std::uint8_t {
@@ -45,4 +52,13 @@
     ClearanceReason reason = ClearanceReason::Served;
 };
 
+/// Evidence that one process passes on to another.
+struct EvidenceUpdate {
+    std::vector<ServerCrash> crashes;
+    std::vector<Trial> trials;
+    std::vector<Clearance> clearances;
+
+    bool isEmpty() const { return crashes.empty() && trials.empty() && clearances.empty(); }
+};
+
 } // namespace lagoon::quarantine
--- a/src/wire/internal/message.cpp
+++ b/src/wire/internal/message.cpp
@@ -30,6 +30,13 @@
 
 bool hasAllParts(const fb::EngineStateT& state) { return areNonNull(state.held) && areNonNull(state.expected); }
 
+bool hasAllParts(const fb::CrashEvidenceT& evidence)
+{
+    return areNonNull(evidence.crashes) && areNonNull(evidence.trials) && areNonNull(evidence.clearances)
+        && std::all_of(evidence.crashes.begin(), evidence.crashes.end(),
+            [](const auto& crash) { return areNonNull(crash->suspects); });
+}
+
 /// Returns whether all ids and targets are present, since handlers dereference them without checks.
 bool isComplete(const fb::BodyUnion& body)
 {
@@ -65,6 +72,8 @@
         return hasAllParts(*body.AsEngineState());
     case fb::Body::Wanted:
         return areNonNull(body.AsWanted()->models);
+    case fb::Body::CrashEvidence:
+        return hasAllParts(*body.AsCrashEvidence());
     case fb::Body::Hello:
     case fb::Body::HelloAck:
     case fb::Body::Ping:
