Let operators list quarantined requests and release one

Callers saw: nothing yet; without this a request whose servers have been repaired would stay refused until its quarantine ends, after an hour at most.

Change: `lagoonrouter quarantine list` and `quarantine release FINGERPRINT`, by `GET /quarantine` and `DELETE /quarantine/FINGERPRINT?operator=NAME` at the ops endpoint of any direct router. A release is a clearance like a run that ended well and reaches the other routers on the same way; it is logged with the operator's name.

Result: anOperatorReleasesARequestOnAllRouters: quarantined at three routers, released at one, served at another; a second release and a bad fingerprint fail. sharedquarantine_tests (6 cases) and quarantine_tests pass.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,6 +4,7 @@
 #include "app/internal/commandgroup.h"
 #include "app/internal/directagentcommand.h"
 #include "app/internal/directroutercommand.h"
+#include "app/internal/quarantinecommand.h"
 #include "app/internal/routercommand.h"
 #include "app/internal/settingscommand.h"
 #include "app/internal/versioncommand.h"
@@ -23,6 +24,7 @@
     commands.push_back(makeDirectAgentCommand());
     commands.push_back(makeBundleCommand());
     commands.push_back(makeClaimCommand());
+    commands.push_back(makeQuarantineCommand());
     commands.push_back(makeSettingsCommand());
     commands.push_back(makeVersionCommand());
     return commands;
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -45,10 +45,10 @@
         , forwarder_(forwarderContext(), forwarderSettings(settings))
         , links_(linksContext())
         , catalog_(catalogContext())
-        , metricsHandler_(ports.metrics)
+        , opsHandler_(ports.metrics, forwarder_, ports.clock)
         , callers_(ports.traffic, forwarder_)
         , readiness_(ports.traffic, readinessHandler_)
-        , ops_(ports.traffic, metricsHandler_)
+        , ops_(ports.traffic, opsHandler_)
     {
     }
 
@@ -238,7 +238,7 @@
     AgentLinks links_;
     CatalogWatcher catalog_;
     ReadinessHandler readinessHandler_;
-    MetricsHandler metricsHandler_;
+    RouterOpsHandler opsHandler_;
     http::ExchangeServer callers_;
     http::ExchangeServer readiness_;
     http::ExchangeServer ops_;
--- a/src/direct/internal/statushandlers.h
+++ b/src/direct/internal/statushandlers.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "forwarding/forwarder.h"
+#include "framework/iclock.h"
 #include "framework/metrics.h"
 #include "http/iexchange.h"
+#include "quarantine/suspectreport.h"
 
 #include <atomic>
 #include <memory>
@@ -41,4 +44,40 @@
     std::shared_ptr<framework::Metrics> metrics_;
 };
 
+/// Answers operators: the quarantine at its path, all metrics at any other.
+class RouterOpsHandler final : public http::IExchangeHandler {
+public:
+    RouterOpsHandler(
+        std::shared_ptr<framework::Metrics> metrics, forwarding::Forwarder& forwarder, const framework::IClock& clock)
+        : metrics_(std::move(metrics))
+        , forwarder_(forwarder)
+        , clock_(clock)
+    {
+    }
+
+    void handle(const std::shared_ptr<http::IExchange>& exchange) override
+    {
+        const http::Request& request = exchange->request();
+        if (request.method == "DELETE")
+            return release(*exchange);
+        if (request.target != quarantine::quarantinePath)
+            return metrics_.handle(exchange);
+        http::ResponseHead head { 200, {}, {} };
+        head.headers.add("Content-Type", "application/json");
+        exchange->answer(std::move(head), quarantine::reportSuspects(forwarder_.suspects(), clock_.now()));
+    }
+
+private:
+    void release(http::IExchange& exchange)
+    {
+        const auto order = quarantine::parseRelease(exchange.request().target);
+        const unsigned status = !order ? 400U : forwarder_.release(*order) ? 200U : 404U;
+        exchange.answer(http::ResponseHead { status, {}, {} }, {});
+    }
+
+    MetricsHandler metrics_;
+    forwarding::Forwarder& forwarder_;
+    const framework::IClock& clock_;
+};
+
 } // namespace lagoon::direct
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -10,6 +10,7 @@
 #include "framework/metrics.h"
 #include "framework/types/shutdowndeadlines.h"
 #include "http/iexchange.h"
+#include "quarantine/suspectreport.h"
 #include "quarantine/types/evidence.h"
 
 #include <functional>
@@ -59,6 +60,10 @@
     void forgetEngine(const framework::Endpoint&);
     /// Adds what other routers have seen of requests that crash their servers.
     void addEvidence(const quarantine::EvidenceUpdate&);
+    /// Returns the requests that are suspected to crash their servers, or quarantined for it.
+    std::vector<quarantine::SuspectSummary> suspects();
+    /// Frees a request on all routers. Returns whether it was suspected.
+    bool release(const quarantine::ReleaseOrder&);
     /// The engine's agent can't be reached.
     void didLoseAgent(const framework::Endpoint&);
     /// This process shuts down: each request, also one that arrives later, gets its final answer by `answerBy`, and
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -462,6 +462,13 @@
 
 void Forwarder::addEvidence(const quarantine::EvidenceUpdate& update) { implementation_->addEvidence(update); }
 
+std::vector<quarantine::SuspectSummary> Forwarder::suspects() { return implementation_->quarantine().suspects(); }
+
+bool Forwarder::release(const quarantine::ReleaseOrder& order)
+{
+    return implementation_->quarantine().release(order.request, order.operatorName);
+}
+
 void Forwarder::didLoseAgent(const Endpoint& engine) { implementation_->didLoseAgent(engine); }
 
 void Forwarder::beginShutdown(const framework::ShutdownDeadlines& deadlines)
--- a/src/quarantine/internal/requestquarantine.cpp
+++ b/src/quarantine/internal/requestquarantine.cpp
@@ -226,15 +226,20 @@
         clear(request, ClearanceReason::Served);
 }
 
-bool RequestQuarantine::release(const RequestFingerprint& request) { return clear(request, ClearanceReason::Operator); }
+bool RequestQuarantine::release(const RequestFingerprint& request, const std::string& operatorName)
+{
+    return clear(request, ClearanceReason::Operator, operatorName);
+}
 
-bool RequestQuarantine::clear(const RequestFingerprint& request, ClearanceReason reason)
+bool RequestQuarantine::clear(
+    const RequestFingerprint& request, ClearanceReason reason, const std::string& operatorName)
 {
     if (!evidence_.isSuspect(request))
         return false;
     logDecision(LogLine("suspect_cleared")
                     .text("fingerprint", request.text())
-                    .text("reason", reason == ClearanceReason::Served ? "served" : "operator"));
+                    .text("reason", reason == ClearanceReason::Served ? "served" : "operator")
+                    .text("operator", operatorName));
     EvidenceUpdate update;
     update.clearances.push_back({ request, framework::randomNumber(), context_.clock.now(), reason });
     add(update);
--- a/src/quarantine/requestquarantine.h
+++ b/src/quarantine/requestquarantine.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 /// Keeps requests that crash their servers from being sent to one server after the other: see docs/DESIGN.md.
@@ -104,14 +105,14 @@
     /// Adds what other routers have seen.
     void merge(const EvidenceUpdate&);
     /// Returns whether the request was suspected.
-    bool release(const RequestFingerprint&);
+    bool release(const RequestFingerprint&, const std::string& operatorName);
 
 private:
     friend class TrialGuard;
 
     void endTrial(Trial);
     void add(const EvidenceUpdate&);
-    bool clear(const RequestFingerprint&, ClearanceReason);
+    bool clear(const RequestFingerprint&, ClearanceReason, const std::string& operatorName = {});
     void noteChange();
     void expire();
     void reportChanges(const Standings& before);
--- a/src/quarantine/tests/requestquarantine_test.cpp
+++ b/src/quarantine/tests/requestquarantine_test.cpp
@@ -206,9 +206,9 @@
 BOOST_AUTO_TEST_CASE(anOperatorReleasesARequest)
 {
     crashTimes(3, { poison });
-    BOOST_TEST(quarantine->release(poison));
+    BOOST_TEST(quarantine->release(poison, "ada"));
     BOOST_TEST((quarantine->admit(poison) == Admission::Free));
-    BOOST_TEST(!quarantine->release(poison));
+    BOOST_TEST(!quarantine->release(poison, "ada"));
 }
 
 // Prevents the evidence from growing without limit when many servers with many requests crash.
--- a/src/quarantine/tests/sharedevidence_test.cpp
+++ b/src/quarantine/tests/sharedevidence_test.cpp
@@ -121,7 +121,7 @@
     for (const char* const server : { "s1", "s2", "s3" })
         crashAt(0, server);
     BOOST_TEST((routers[1]->admit(poison) == Admission::Quarantined));
-    BOOST_TEST(routers[1]->release(poison));
+    BOOST_TEST(routers[1]->release(poison, "ada"));
     BOOST_TEST((routers[0]->admit(poison) == Admission::Free));
 }
 
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -289,6 +289,15 @@
     });
 }
 
+int Fleet::runCommand(const std::vector<std::string>& arguments, std::string& output)
+{
+    testsupport::ChildProcess process("command-" + std::to_string(++startCount_),
+        testsupport::pathOf(testsupport::Program::Lagoonrouter), arguments, folder_);
+    const int exitCode = process.waitForExit();
+    output = process.output() + process.log();
+    return exitCode;
+}
+
 bool Fleet::isReady()
 {
     http::testing::RawCaller caller(framework::Endpoint(router().readyText("readiness")));
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -78,6 +78,9 @@
     testsupport::ChildProcess& router(std::size_t index = 0) { return *routers_.at(index); }
     testsupport::ChildProcess& agent(std::size_t index) { return *agents_.at(index); }
     std::string callers(std::size_t index = 0) { return router(index).readyText("callers"); }
+    std::string ops(std::size_t index) { return router(index).readyText("ops"); }
+    /// Runs an operator's command and returns its exit code.
+    int runCommand(const std::vector<std::string>& arguments, std::string& output);
     std::string readiness(std::size_t index) { return router(index).readyText("readiness"); }
     /// Sets the endpoint at which processes that are started from now on reach the store, such as that of a proxy.
     void setStoreEndpoint(const std::string& endpoint) { storeEndpoint_ = endpoint; }
--- a/tests/integration/sharedquarantine_test.cpp
+++ b/tests/integration/sharedquarantine_test.cpp
@@ -101,4 +101,29 @@
     store.setUnavailable(false);
 }
 
+// Prevents a request from staying refused after its servers have been repaired.
+BOOST_AUTO_TEST_CASE(anOperatorReleasesARequestOnAllRouters)
+{
+    repeat([this](std::size_t router) { return generate("poison", router); }, 6, routers);
+    BOOST_TEST(generate("poison", 2).status == 503);
+    repairServers();
+    std::string list;
+    BOOST_TEST(fleet.runCommand({ "quarantine", "list", "--router", fleet.ops(0) }, list) == 0);
+    const std::string key = "\"fingerprint\":\"";
+    const std::size_t found = list.find(key);
+    BOOST_REQUIRE(found != std::string::npos);
+    BOOST_TEST(list.find("\"quarantined\":true") != std::string::npos);
+    const std::string fingerprint = list.substr(found + key.size(), 32);
+    std::string output;
+    const std::vector<std::string> release { "quarantine", "release", fingerprint, "--router", fleet.ops(0),
+        "--operator", "ada" };
+    BOOST_TEST(fleet.runCommand(release, output) == 0);
+    lagoon::testsupport::waitFor(
+        "the request to be served elsewhere", [this] { return generate("poison", 2).status == 200; });
+    BOOST_TEST(fleet.runCommand(release, output) != 0);
+    BOOST_TEST(
+        fleet.runCommand({ "quarantine", "release", "abc", "--router", fleet.ops(0), "--operator", "ada" }, output)
+        == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
