Keep the retry budgets when the settings are reloaded

While servers fail, each reload of a router's settings lets it send its whole reserve of retries again, so reloads within one budget window add up beyond what operators allow.

Cause: Forwarder::setSettings dropped all budgets, and a new budget begins with a full reserve. Class: state that limits a rate is lost on a change of configuration.

Change: a reload sets the share of the budgets that exist; balances stay.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -98,7 +98,8 @@
         settings_ = settings;
         upstreams_.setPolicy(settings.policy);
         quarantine_->setSettings(settings.quarantine);
-        budgets_.clear();
+        for (auto& [service, budget] : budgets_)
+            budget.setShare(settings.retryShare);
     }
 
     void setConfiguration(ConfigurationPointer configuration)
--- a/src/policy/retrybudget.h
+++ b/src/policy/retrybudget.h
@@ -10,6 +10,9 @@
     void earn();
     /// Returns false if the budget is exhausted; the request has to be refused then.
     [[nodiscard]] bool spend();
+    /// Sets what each later request adds. The balance stays, so that a change of the settings allows no further
+    /// retries.
+    void setShare(double share) { share_ = share; }
     /// Sets the maximum balance, which also cuts the present balance.
     void setMax(double max);
     double balance() const { return balance_; }
--- a/src/policy/tests/retries_test.cpp
+++ b/src/policy/tests/retries_test.cpp
@@ -34,6 +34,17 @@
     BOOST_TEST(retries == 3);
 }
 
+BOOST_AUTO_TEST_CASE(aNewShareAppliesToLaterRequestsAndLeavesTheBalance)
+{
+    RetryBudget budget(0.1, 10);
+    while (budget.spend()) { }
+    budget.setShare(0.5);
+    BOOST_TEST(budget.balance() < 1);
+    budget.earn();
+    budget.earn();
+    BOOST_TEST(budget.spend());
+}
+
 BOOST_AUTO_TEST_CASE(backoffDoublesUpToItsMaximumWithFullJitter)
 {
     const RetryBackoff backoff { 100ms, 1000ms };
--- a/tests/integration/direct_test.cpp
+++ b/tests/integration/direct_test.cpp
@@ -251,6 +251,31 @@
     BOOST_TEST(call({ .method = "GET", .target = "/get/1", .attempt = "g1" }).status == 200);
 }
 
+// Prevents each reload of the settings from giving the router its whole reserve of retries again.
+BOOST_AUTO_TEST_CASE(aReloadDoesNotRefillTheRetryBudget)
+{
+    constexpr int lookups = 40;
+    constexpr int most = lookups + lookups / 5 + 1;
+    // Longer than the agents need to report how many routers there are, which decides the router's share of the
+    // reserve.
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+    const auto runsOf = [this](const std::string& name) {
+        const int before = plain1.totalRuns() + plain2.totalRuns();
+        for (int number = 0; number < lookups; ++number)
+            call({ .method = "GET", .target = "/get/1", .attempt = name + std::to_string(number) });
+        return plain1.totalRuns() + plain2.totalRuns() - before;
+    };
+    plain1.failNext(1000000);
+    plain2.failNext(1000000);
+    waitFor("the reserve to be spent", [&] { return runsOf("spend") <= most; });
+    while (std::chrono::steady_clock::now() < end) {
+        const std::size_t log = fleet.router().output().size();
+        fleet.router().sendSignal(SIGHUP);
+        waitFor("the reload", [&] { return fleet.router().output().find("\"reloaded\"", log) != std::string::npos; });
+        BOOST_TEST(runsOf("after") <= most);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Prevents 404 answers from a router that is started during an outage of the store and so has no configuration.
