Don't send evidence to a relay whose link is lost

Callers saw: a router ended with a segmentation fault, and the requests there with it.

Cause: AgentLinks kept `takesEvidence` of an agent when its link was lost. If the agent became a relay before the link was opened again, evidence was sent on a null link.

Change: the flag ends with the link. A refused request takes its quarantine's end from a copy, since asking for it may judge anew.

--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -160,7 +160,7 @@
     const framework::SteadyTime now = context_.clock.now();
     const wire::Message message = quarantine::toWire(evidence_.takeUpdate(now), now);
     for (const auto& [engine, agent] : agents_) {
-        if (agent.link && agent.isRelay && agent.takesEvidence)
+        if (agent.isRelay && agent.takesEvidence)
             agent.link->send(message);
     }
 }
@@ -218,7 +218,6 @@
     auto handlers = onControlThread(context_.control, alive_, std::move(events));
     agent.link = context_.transport.connect(agentEndpoint(engine, context_.agentPort), std::move(handlers));
     agent.hasReceived = false;
-    agent.takesEvidence = false;
     // Counts as a received message, so that the new link has time to be established before it counts as silent.
     agent.receivedAt = context_.clock.now();
     publish(agent);
@@ -229,6 +228,7 @@
     if (!agent.link)
         return;
     std::exchange(agent.link, nullptr)->close();
+    agent.takesEvidence = false;
     if (std::exchange(agent.hasReceived, false))
         logDecision(LogLine("agent_lost").text("engine", engine.value()).text("cause", cause));
     context_.didLoseAgent(engine);
--- a/src/direct/internal/agentlinks.h
+++ b/src/direct/internal/agentlinks.h
@@ -64,7 +64,7 @@
         bool hasReceived = false;
         /// Whether a message has been received over any link to the agent.
         bool hasEverReceived = false;
-        /// Whether the agent understands evidence and has been sent what this router had when it became a relay.
+        /// Whether the link is open and its agent understands evidence.
         bool takesEvidence = false;
         bool isRelay = false;
         framework::SteadyTime receivedAt {};
--- a/src/direct/tests/agentlinks_test.cpp
+++ b/src/direct/tests/agentlinks_test.cpp
@@ -186,6 +186,22 @@
     BOOST_TEST(evidenceSentTo(secondAgent) == 1u);
 }
 
+// Prevents a crash of the router: an agent becomes a relay while the link to it is lost.
+BOOST_AUTO_TEST_CASE(aRelayWithoutALinkIsSentAllEvidenceLater)
+{
+    subscribeWithRelay({ first, second }, first);
+    deliver(firstAgent, toWire(stateOf(first)));
+    deliver(secondAgent, toWire(stateOf(second)));
+    links.share(crashOf("s1"));
+    transport.newest(secondAgent)->cut("read");
+    control.runPosted();
+    subscribeWithRelay({ first, second }, second);
+    control.advance(Milliseconds(1000));
+    BOOST_TEST(evidenceSentTo(secondAgent) == 0u);
+    deliver(secondAgent, toWire(stateOf(second)));
+    BOOST_TEST(evidenceSentTo(secondAgent) == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(evidenceOfOthersIsPassedOnOnlyIfItDidNotComeFromARelay)
 {
     subscribeWithRelay({ first, second }, first);
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -437,11 +437,12 @@
 /// The Retry-After is the rest of the quarantine: no router serves the request before.
 void RequestJob::refuseAsQuarantined()
 {
-    const quarantine::Standing* const standing = host_.quarantine().standing(spec_.fingerprint);
-    const Milliseconds left = standing->until.remaining(host_.now());
+    const quarantine::Standing* const known = host_.quarantine().standing(spec_.fingerprint);
+    const quarantine::Standing standing = known ? *known : quarantine::Standing();
+    const Milliseconds left = standing.until.remaining(host_.now());
     host_.metrics().count("lagoon_quarantine_refusals_total", { { "service", spec_.service.value() } });
     refuse(503,
-        "quarantined as " + spec_.fingerprint.text() + " after " + std::to_string(standing->crashes)
+        "quarantined as " + spec_.fingerprint.text() + " after " + std::to_string(standing.crashes)
             + " server crashes in succession",
         std::max(minRetryAfter, left));
 }
