Add poison requests to the soak

Checks that at most three servers crash later than three seconds after the third, that a copy refused as not run hasn't run, and what the soak checks anyway.

--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -41,6 +41,12 @@
     crashBody_ = body;
 }
 
+std::vector<framework::SteadyTime> ServerStandin::crashTimes() const
+{
+    const std::lock_guard lock(mutex_);
+    return crashTimes_;
+}
+
 bool ServerStandin::isCrashedBy(const HttpRequest& request) const
 {
     const std::lock_guard lock(mutex_);
@@ -51,7 +57,10 @@
 {
     if (isDown_.exchange(true))
         return;
-    ++crashes_;
+    {
+        const std::lock_guard lock(mutex_);
+        crashTimes_.push_back(std::chrono::steady_clock::now());
+    }
     restart();
     std::this_thread::sleep_for(Milliseconds(downTimeMs_.load()));
     if (didRestart_)
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -37,7 +37,8 @@
     void setDownTime(framework::Milliseconds time) { downTimeMs_ = static_cast<int>(time.count()); }
     /// Called on a thread of the server when it starts again after a crash. Set before the first request.
     void setRestartHandler(std::function<void()> handler) { didRestart_ = std::move(handler); }
-    int crashes() const { return crashes_; }
+    int crashes() const { return static_cast<int>(crashTimes().size()); }
+    std::vector<framework::SteadyTime> crashTimes() const;
     /// How many times a request with this id was started.
     int runs(const std::string& attempt) const;
     /// How many times any request was started.
@@ -80,7 +81,7 @@
     std::string crashBody_;
     std::function<void()> didRestart_;
     std::atomic<int> downTimeMs_ { 300 };
-    std::atomic<int> crashes_ { 0 };
+    std::vector<framework::SteadyTime> crashTimes_;
     std::atomic<bool> isDown_ { false };
     std::atomic<int> cancelled_ { 0 };
     std::atomic<int> refusals_ { 0 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,8 +26,10 @@
 {
     SoakSettings settings;
     settings.seed = seed;
-    const bool isPlanned = arguments.kind == "both" ? seed % 2 == 0 : arguments.kind == "planned";
+    const bool isPlanned = arguments.kind == "both" ? seed % 2 == 0 : arguments.kind != "mixed";
     settings.kind = isPlanned ? RunKind::Planned : RunKind::Mixed;
+    if (arguments.kind == "poison")
+        settings.kind = RunKind::Poison;
     settings.duration = lagoon::framework::Milliseconds(arguments.seconds * 1000);
     settings.routers = isPlanned ? plannedRouters : mixedRouters;
     if (arguments.routers > 0)
@@ -38,16 +40,28 @@
     return settings;
 }
 
+const char* kindText(RunKind kind)
+{
+    switch (kind) {
+    case RunKind::Planned:
+        return "planned";
+    case RunKind::Mixed:
+        return "mixed";
+    case RunKind::Poison:
+        return "poison";
+    }
+    return "";
+}
+
 /// Returns whether no invariant was violated.
 bool runSeed(const SoakSettings& settings)
 {
     SoakRun run(settings);
     const SoakReport report = run.run();
-    std::cout << "seed " << settings.seed << (settings.kind == RunKind::Planned ? " (planned): " : " (mixed): ")
-              << report.requests << " requests, " << report.served << " served, " << report.refused
-              << " refused as not run, " << report.closedUnread << " crossed a close, " << report.failedDuringFault
-              << " struck, " << report.steps << " faults, " << report.violations.size() << " promises broken"
-              << std::endl;
+    std::cout << "seed " << settings.seed << " (" << kindText(settings.kind) << "): " << report.requests
+              << " requests, " << report.served << " served, " << report.refused << " refused as not run, "
+              << report.closedUnread << " crossed a close, " << report.failedDuringFault << " struck, " << report.steps
+              << " faults, " << report.violations.size() << " promises broken" << std::endl;
     for (const std::string& violation : report.violations)
         std::cout << "  " << violation << std::endl;
     if (report.violations.empty())
@@ -67,10 +81,11 @@
     description.add_options()("first", options::value(&arguments.first), "the first seed")(
         "seeds", options::value(&arguments.seeds), "number of seeds")("seconds", options::value(&arguments.seconds),
         "duration of operations and faults per seed, in seconds")("kind", options::value(&arguments.kind),
-        "planned (planned operations only), mixed (faults too) or both (even seeds are planned)")(
-        "routers", options::value(&arguments.routers), "number of routers, at least 2")(
-        "engines", options::value(&arguments.engines), "initial number of engines, at least 2")("loud",
-        options::bool_switch(&arguments.isVerbose),
+        "planned (planned operations only), mixed (faults too), poison (planned operations and a request that crashes "
+        "its "
+        "servers) or both (planned and mixed; even seeds are planned)")("routers", options::value(&arguments.routers),
+        "number of routers, at least 2")("engines", options::value(&arguments.engines),
+        "initial number of engines, at least 2")("loud", options::bool_switch(&arguments.isVerbose),
         "print each operation and fault when it happens")("help", "print this help");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description), values);
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -55,8 +55,16 @@
 {
     prepareFleet();
     LoadGenerator generator(settings_, parameters_, balancer_);
+    if (settings_.kind == RunKind::Poison) {
+        runLog_.beginFault(crashes_, std::nullopt);
+        poisonSender_.emplace(fleet_, balancer_, settings_);
+    }
     runOperationsAndFaults();
     waitForProcesses();
+    if (poisonSender_) {
+        poisonSender_->stop();
+        runLog_.endFaults(crashes_);
+    }
     if (faultInjector_)
         faultInjector_->clearFaults();
     waitUntilServed();
@@ -64,6 +72,8 @@
     for (const SentRequest& sent : generator.stop())
         checker.check(sent);
     checker.checkEngines();
+    if (poisonSender_)
+        poisonSender_->check(runLog_);
     fleet_.stop();
     report_.violations = runLog_.violations();
     return report_;
@@ -94,7 +104,7 @@
         }
     }
     waitForProcesses();
-    if (!faultInjector_)
+    if (settings_.kind == RunKind::Planned)
         operations.checkRemovedEngines();
 }
 
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -3,6 +3,7 @@
 #include "soak/faultinjector.h"
 #include "soak/invariantchecker.h"
 #include "soak/plannedoperations.h"
+#include "soak/poisonsender.h"
 
 #include <memory>
 
@@ -18,6 +19,7 @@
 /// - a request that a router has read is answered or refused, unless a fault was active
 /// - engines never receive orders beyond their capacity
 /// - no process ends without a signal, and each shuts down gracefully after SIGTERM
+/// - a request that crashes its servers is refused after three crashes
 /// - all kinds of requests are served again soon after the last fault
 class SoakRun {
 public:
@@ -43,6 +45,9 @@
     LoadBalancer balancer_;
     ProcessSupervisor supervisor_;
     std::optional<FaultInjector> faultInjector_;
+    std::optional<PoisonSender> poisonSender_;
+    /// The crashes by the poison request, as one fault.
+    ActiveFaults crashes_;
     SoakReport report_;
 };
 
--- a/tests/soak/soaksettings.h
+++ b/tests/soak/soaksettings.h
@@ -15,7 +15,9 @@
     /// changes, engines that are added and removed. Models take seconds to load. Every request must be answered.
     Planned,
     /// Also faults of processes, network, servers and store.
-    Mixed
+    Mixed,
+    /// Planned operations, and a request that crashes the servers that start it.
+    Poison
 };
 
 struct SoakSettings {
