--- a/src/agent/internal/agent.cpp
+++ b/src/agent/internal/agent.cpp
@@ -57,6 +57,7 @@
     void startControl();
     void runHousekeeping();
     void checkDrained(std::promise<bool>&, const framework::ShutdownDeadlines&, std::optional<Deadline> settleBy);
+    void probeUpstream(std::function<void(bool accepts)> handler);
     std::string status();
     StatusView statusView() const;
     bool isEngine() const { return settings_.upstream.kind == UpstreamKind::Engine; }
@@ -73,6 +74,7 @@
     std::shared_ptr<wire::ILinkTransport> transport_;
     std::shared_ptr<bundle::IBundleWatch> bundles_;
     ServedServices service_;
+    std::unique_ptr<UpstreamCrashes> crashes_;
     std::unique_ptr<ReplicaController> replicas_;
     std::unique_ptr<RequestGate> gate_;
     std::unique_ptr<RouterLinks> links_;
@@ -92,16 +94,20 @@
     , bundles_(bundle::makeBundleWatch(bundle::HeadMode::Watch, platform_.store, control_, metrics_))
     , service_(settings.pool)
 {
+    crashes_ = std::make_unique<UpstreamCrashes>(
+        UpstreamCrashes::Context { control_, clock_, metrics_, settings_.identity.vm, incarnation_,
+            [this](std::function<void(bool)> handler) { probeUpstream(std::move(handler)); },
+            [this](const wire::Message& message) { links_->sendEvidence(message); } });
     if (isEngine()) {
         const UpstreamSettings& upstream = settings_.upstream;
         replicas_ = std::make_unique<ReplicaController>(replicaPorts(),
             ReplicaSettings { settings_.identity.site, settings_.pool, upstream.checksFencing, upstream.settling });
     }
-    gate_ = std::make_unique<RequestGate>(
-        GatePorts { control_, clock_, servedTargets(), makeHttpUpstream(settings_.upstream.url), metrics_ },
+    gate_ = std::make_unique<RequestGate>(GatePorts { control_, clock_, servedTargets(),
+                                              makeHttpUpstream(settings_.upstream.url), metrics_, crashes_.get() },
         incarnation_, settings_.limits);
-    links_ = std::make_unique<RouterLinks>(RouterLinks::Context {
-        control_, clock_, settings_.identity.vm, incarnation_, *gate_, replicas_.get(), *bundles_, metrics_ });
+    links_ = std::make_unique<RouterLinks>(RouterLinks::Context { control_, clock_, settings_.identity.vm, incarnation_,
+        *gate_, replicas_.get(), *bundles_, metrics_, *crashes_ });
 }
 
 IServedTargets& Agent::Implementation::servedTargets()
@@ -117,7 +123,15 @@
         platform_.store, platform_.vmList, settings_.identity, incarnation_, metrics_);
     return ReplicaPorts { control_, clock_, [this](std::function<void()> work) { platformCalls_.run(std::move(work)); },
         [this](std::function<void()> work) { engineCalls_.run(std::move(work)); }, std::move(claims),
-        makeHttpModelEngine(settings_.upstream.url), metrics_ };
+        makeHttpModelEngine(settings_.upstream.url), metrics_, [this] { crashes_->didRestart(); } };
+}
+
+void Agent::Implementation::probeUpstream(std::function<void(bool accepts)> handler)
+{
+    engineCalls_.run([this, handler = std::move(handler)] {
+        const bool accepts = acceptsConnections(settings_.upstream.url);
+        control_.post([handler, accepts] { handler(accepts); });
+    });
 }
 
 framework::Result<AgentEndpoints> Agent::Implementation::start()
--- a/src/agent/internal/httpupstream.cpp
+++ b/src/agent/internal/httpupstream.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <cpprest/http_client.h>
 #include <system_error>
 
@@ -172,4 +175,19 @@
 
 std::shared_ptr<IUpstream> makeHttpUpstream(const std::string& url) { return std::make_shared<HttpUpstream>(url); }
 
+bool acceptsConnections(const std::string& url)
+{
+    using boost::asio::ip::tcp;
+    const web::uri uri(url);
+    boost::asio::io_context context;
+    tcp::resolver resolver(context);
+    boost::system::error_code error;
+    const auto addresses = resolver.resolve(uri.host(), std::to_string(uri.port()), error);
+    if (error)
+        return true;
+    tcp::socket socket(context);
+    boost::asio::connect(socket, addresses, error);
+    return error != boost::asio::error::connection_refused;
+}
+
 } // namespace lagoon::agent
--- a/src/agent/internal/replicacontroller.h
+++ b/src/agent/internal/replicacontroller.h
@@ -40,6 +40,8 @@
     std::shared_ptr<IReplicaClaims> claims;
     std::shared_ptr<IModelEngine> engine;
     std::shared_ptr<framework::Metrics> metrics;
+    /// Called when the engine's process has restarted.
+    std::function<void()> didRestartEngine = [] {};
 };
 
 /// Whether a replica can be loaded on this VM, and what the load would cost.
--- a/src/agent/internal/replicaobservation.cpp
+++ b/src/agent/internal/replicaobservation.cpp
@@ -75,6 +75,7 @@
 {
     framework::logWarning("agent", "the engine has restarted");
     ports_.metrics->count("lagoon_engine_restarts_total");
+    ports_.didRestartEngine();
     for (auto& [id, replica] : replicas_)
         replica.absences = absencesUntilGone;
 }
--- a/src/agent/internal/requestgate.cpp
+++ b/src/agent/internal/requestgate.cpp
@@ -1,6 +1,7 @@
 #include "agent/internal/requestgate.h"
 
 #include "policy/rendezvous.h"
+#include "quarantine/evidencewire.h"
 #include "wire/types/message.h"
 
 #include <algorithm>
@@ -127,6 +128,7 @@
     ports_.metrics->count("lagoon_dispatches_total");
     Call call;
     call.target = targetOf(*dispatch.target);
+    call.fingerprint = quarantine::fingerprintFrom(dispatch.fingerprint);
     call.request = requestOf(dispatch, now);
     call.link = link;
     call.receivedAt = now;
@@ -272,6 +274,8 @@
 {
     Call& call = calls_.at(key);
     call.startedAt = ports_.clock.now();
+    if (ports_.crashes)
+        call.upstreamRun = ports_.crashes->currentRun();
     armRunTimer(key, call);
     const auto waited = call.startedAt - call.receivedAt;
     ports_.metrics->observeSeconds("lagoon_agent_wait_seconds", std::chrono::duration<double>(waited).count());
@@ -343,15 +347,19 @@
 void RequestGate::handleEnd(const DispatchKey& key)
 {
     const Call* call = find(key);
-    if (call)
-        end(key, call->stopReason);
+    if (!call)
+        return;
+    if (ports_.crashes)
+        ports_.crashes->didAnswer(call->startedAt);
+    end(key, call->stopReason);
 }
 
 void RequestGate::handleFailure(const DispatchKey& key, const Error& error)
 {
-    const Call* call = find(key);
+    Call* const call = find(key);
     if (!call)
         return;
+    noteCut(*call, error);
     Error reported = call->stopReason.value_or(error);
     // Nothing can have been run if the connection was never established, whatever stopped the call.
     if (error.execution == Execution::NotRun)
@@ -359,6 +367,16 @@
     end(key, std::move(reported));
 }
 
+/// A call that was stopped breaks its connection itself.
+void RequestGate::noteCut(Call& call, const Error& error)
+{
+    const bool wasCut = !call.stopReason && error.execution == Execution::Unknown;
+    if (!wasCut || !call.fingerprint || !ports_.crashes)
+        return;
+    call.cutAt = ports_.crashes->idOf(call.upstreamRun);
+    ports_.crashes->didCut(*call.fingerprint, call.upstreamRun, call.startedAt);
+}
+
 void RequestGate::end(const DispatchKey& key, std::optional<Error> refused)
 {
     auto node = calls_.extract(key);
@@ -369,7 +387,7 @@
     }
     ports_.targets.endUse(call.target, ports_.clock.now());
     if (refused) {
-        refuse(call.link, key, *refused);
+        refuse(call.link, key, *refused, call.cutAt);
     } else {
         ports_.metrics->count("lagoon_answers_total");
         sendEnd(*call.link, key, *ledger_.answer(key));
@@ -445,7 +463,8 @@
     link.send(wire::message(std::move(end)));
 }
 
-void RequestGate::refuse(const std::shared_ptr<ILink>& link, const DispatchKey& key, const Error& error)
+void RequestGate::refuse(const std::shared_ptr<ILink>& link, const DispatchKey& key, const Error& error,
+    const quarantine::ServerRunId& cutAt)
 {
     ports_.metrics->count("lagoon_refusals_total",
         { { "code", std::string(framework::errorCodeText(error.code)) },
@@ -458,6 +477,7 @@
     refused.peer = error.peer;
     refused.detail = error.detail;
     refused.retry_after_ms = static_cast<std::uint32_t>(error.retryAfter.value_or(Milliseconds(0)).count());
+    refused.cut_at = cutAt.value();
     link->send(wire::message(std::move(refused)));
 }
 
--- a/src/agent/internal/requestgate.h
+++ b/src/agent/internal/requestgate.h
@@ -4,6 +4,7 @@
 #include "agent/internal/admissionqueue.h"
 #include "agent/internal/requestledger.h"
 #include "agent/internal/servicetimes.h"
+#include "agent/internal/upstreamcrashes.h"
 #include "agent/iservedtargets.h"
 #include "agent/iupstream.h"
 #include "framework/controlthread.h"
@@ -26,6 +27,8 @@
     IServedTargets& targets;
     std::shared_ptr<IUpstream> upstream;
     std::shared_ptr<framework::Metrics> metrics;
+    /// Null if crashes of the upstream aren't traced to requests.
+    UpstreamCrashes* crashes = nullptr;
 };
 
 /// Handles dispatches from routers: passes each through the ledger, the admission queue and the upstream, and sends
@@ -66,6 +69,11 @@
         std::optional<framework::Error> stopReason;
         framework::SteadyTime receivedAt {};
         framework::SteadyTime startedAt {};
+        std::optional<quarantine::RequestFingerprint> fingerprint;
+        /// The run of the upstream's process in which the call was started.
+        UpstreamRunNumber upstreamRun;
+        /// The run whose connection broke under the call; empty if none did.
+        quarantine::ServerRunId cutAt;
     };
 
     void admit(const DispatchKey&, Call);
@@ -76,9 +84,11 @@
     void handleBytes(const DispatchKey&, std::string);
     void handleEnd(const DispatchKey&);
     void handleFailure(const DispatchKey&, const framework::Error&);
+    void noteCut(Call&, const framework::Error&);
     void end(const DispatchKey&, std::optional<framework::Error>);
     void stopAbandoned();
-    void refuse(const std::shared_ptr<wire::ILink>&, const DispatchKey&, const framework::Error&);
+    void refuse(const std::shared_ptr<wire::ILink>&, const DispatchKey&, const framework::Error&,
+        const quarantine::ServerRunId& cutAt = {});
     void sendStored(const std::shared_ptr<wire::ILink>&, const DispatchKey&, std::uint64_t from);
     void sendHead(wire::ILink&, const DispatchKey&, const StoredAnswer&);
     void sendEnd(wire::ILink&, const DispatchKey&, const StoredAnswer&);
--- a/src/agent/internal/routerlinks.cpp
+++ b/src/agent/internal/routerlinks.cpp
@@ -97,6 +97,8 @@
             framework::SequenceNumber(message.body.AsSettle()->floor));
     case fb::Body::Ping:
         return handlePing(link, peer, *message.body.AsPing());
+    case fb::Body::CrashEvidence:
+        return context_.crashes.receive(*message.body.AsCrashEvidence());
     case fb::Body::BidRequest:
         return handleBidRequest(link, *message.body.AsBidRequest());
     case fb::Body::Load:
@@ -114,6 +116,7 @@
     peer.incarnation = router;
     peer.session = context_.gate.openSession(router);
     peer.closeAt = Deadline::after(context_.clock.now(), linkIdleTimeout);
+    peer.takesEvidence = hello.takes_evidence;
     context_.gate.linkOpened(router);
     context_.bundles.observeVersion(framework::BundleVersion(hello.bundle_version));
     fb::HelloAckT answer;
@@ -121,7 +124,20 @@
     answer.receiver_incarnation = context_.ownIncarnation.value();
     answer.session = peer.session;
     answer.bundle_version = bundleVersion();
+    answer.takes_evidence = true;
     link->send(wire::message(std::move(answer)));
+    if (!peer.takesEvidence)
+        return;
+    for (const wire::Message& evidence : context_.crashes.everything())
+        link->send(evidence);
+}
+
+void RouterLinks::sendEvidence(const wire::Message& message)
+{
+    for (const auto& [link, peer] : peers_) {
+        if (peer.takesEvidence)
+            link->send(message);
+    }
 }
 
 void RouterLinks::handlePing(const LinkPointer& link, const Peer& peer, const fb::PingT& ping)
--- a/src/agent/internal/routerlinks.h
+++ b/src/agent/internal/routerlinks.h
@@ -23,6 +23,7 @@
         ReplicaController* replicas;
         bundle::IBundleWatch& bundles;
         std::shared_ptr<framework::Metrics> metrics;
+        UpstreamCrashes& crashes;
     };
 
     explicit RouterLinks(const Context&);
@@ -32,6 +33,8 @@
     /// Closes links over which no frame has arrived for a long time: their routers are gone, or open another link when
     /// they need one.
     void closeIdle();
+    /// Sends evidence to all routers that understand it.
+    void sendEvidence(const wire::Message&);
 
 private:
     using LinkPointer = std::shared_ptr<wire::ILink>;
@@ -40,6 +43,7 @@
         framework::Incarnation incarnation;
         std::uint64_t session = 0;
         framework::Deadline closeAt;
+        bool takesEvidence = false;
     };
 
     void handle(const LinkPointer&, wire::Message&);
--- a/src/callers/icaller.h
+++ b/src/callers/icaller.h
@@ -31,6 +31,8 @@
 struct CallerRequest {
     framework::RequestName name;
     RequestTarget target;
+    /// Who sends the request, by its credentials; empty if it has none.
+    std::string caller;
     std::string method;
     /// Path and query as sent to the upstream.
     std::string path;
--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -257,6 +257,7 @@
         request.idempotencyKey = options.idempotencyKey;
         request.method = incoming.http.method();
         request.headers = upstreamHeaders(incoming.http.headers());
+        incoming.http.headers().match("Authorization", request.caller);
         if (request.deadline.hasPassed(std::chrono::steady_clock::now()))
             return Error { ErrorCode::DeadlinePassed, "receive request", "", "the deadline passed with the body" };
         return framework::success();
--- a/src/callers/internal/refusal.cpp
+++ b/src/callers/internal/refusal.cpp
@@ -83,6 +83,7 @@
     case ErrorCode::NotLoaded:
     case ErrorCode::LoadFailed:
     case ErrorCode::RetryBudgetSpent:
+    case ErrorCode::Quarantined:
     case ErrorCode::ShuttingDown:
     case ErrorCode::Draining:
     case ErrorCode::NotReady:
--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -4,7 +4,6 @@
 #include "direct/internal/links.h"
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
-#include "quarantine/evidencewire.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,7 +16,7 @@
 using framework::Endpoint;
 using framework::LogLine;
 using framework::Milliseconds;
-using PassOn = quarantine::EvidenceRelay::PassOn;
+using PassOn = quarantine::EvidenceSharing::PassOn;
 
 constexpr Milliseconds tickInterval { 250 };
 /// Agents remove the demand of a router that is silent for three and a half seconds.
@@ -61,6 +60,7 @@
 
 AgentLinks::AgentLinks(Context context)
     : context_(std::move(context))
+    , evidence_({ context_.control, context_.clock, [this](const wire::Message& message) { sendEvidence(message); } })
 {
 }
 
@@ -110,11 +110,7 @@
     }
 }
 
-void AgentLinks::share(const quarantine::EvidenceUpdate& update)
-{
-    evidence_.add(update, context_.clock.now());
-    scheduleSharing();
-}
+void AgentLinks::share(const quarantine::EvidenceUpdate& update) { evidence_.share(update); }
 
 void AgentLinks::setRelays(const std::set<Endpoint>& relays)
 {
@@ -127,38 +123,20 @@
 
 void AgentLinks::sendEverything(Agent& agent)
 {
-    const framework::SteadyTime now = context_.clock.now();
-    for (const quarantine::EvidenceUpdate& part : evidence_.everything(now))
-        agent.link->send(quarantine::toWire(part, now));
+    for (const wire::Message& message : evidence_.everything())
+        agent.link->send(message);
 }
 
 /// Passes evidence on only if it came from an agent that isn't a relay: all others have what came from the relays.
 void AgentLinks::receiveEvidence(const Agent& from, const wire::fb::CrashEvidenceT& body)
 {
-    const framework::SteadyTime now = context_.clock.now();
-    const quarantine::EvidenceUpdate news
-        = evidence_.add(quarantine::fromWire(body, now), now, from.isRelay ? PassOn::No : PassOn::Yes);
-    if (news.isEmpty())
-        return;
-    context_.didReceiveEvidence(news);
-    scheduleSharing();
-}
-
-void AgentLinks::scheduleSharing()
-{
-    if (sharingTimer_ || !evidence_.hasUpdate())
-        return;
-    sharingTimer_ = context_.control.runAt(evidence_.nextUpdate(), [this] {
-        sharingTimer_.reset();
-        sendEvidence();
-        scheduleSharing();
-    });
+    const quarantine::EvidenceUpdate news = evidence_.receive(body, from.isRelay ? PassOn::No : PassOn::Yes);
+    if (!news.isEmpty())
+        context_.didReceiveEvidence(news);
 }
 
-void AgentLinks::sendEvidence()
+void AgentLinks::sendEvidence(const wire::Message& message)
 {
-    const framework::SteadyTime now = context_.clock.now();
-    const wire::Message message = quarantine::toWire(evidence_.takeUpdate(now), now);
     for (const auto& [engine, agent] : agents_) {
         if (agent.isRelay && agent.takesEvidence)
             agent.link->send(message);
--- a/src/direct/internal/agentlinks.h
+++ b/src/direct/internal/agentlinks.h
@@ -7,7 +7,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "objectstore/backoff.h"
-#include "quarantine/evidencerelay.h"
+#include "quarantine/evidencesharing.h"
 #include "wire/ilink.h"
 
 #include <functional>
@@ -85,8 +85,7 @@
     void setRelays(const std::set<framework::Endpoint>&);
     void sendEverything(Agent&);
     void receiveEvidence(const Agent& from, const wire::fb::CrashEvidenceT&);
-    void scheduleSharing();
-    void sendEvidence();
+    void sendEvidence(const wire::Message&);
     void subscribe(const framework::Endpoint& engine);
     void unsubscribe(const std::set<framework::Endpoint>& kept);
 
@@ -94,9 +93,8 @@
     std::map<framework::Endpoint, catalog::InstanceId> engines_;
     /// Agents of the engines that this router subscribes to.
     std::map<framework::Endpoint, Agent> agents_;
-    quarantine::EvidenceRelay evidence_;
+    quarantine::EvidenceSharing evidence_;
     std::unique_ptr<framework::Timer> timer_;
-    std::unique_ptr<framework::Timer> sharingTimer_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/direct/internal/routerlinks.cpp
+++ b/src/direct/internal/routerlinks.cpp
@@ -3,7 +3,6 @@
 #include "direct/internal/enginewire.h"
 #include "direct/internal/links.h"
 #include "framework/decisionlog.h"
-#include "quarantine/evidencewire.h"
 
 #include <algorithm>
 #include <utility>
@@ -22,6 +21,7 @@
 
 RouterLinks::RouterLinks(Context context)
     : context_(std::move(context))
+    , evidence_({ context_.control, context_.clock, [this](const wire::Message& message) { sendEvidence(message); } })
 {
 }
 
@@ -35,8 +35,10 @@
 
 void RouterLinks::didReceive(const std::shared_ptr<wire::ILink>& link, const wire::Message& message)
 {
-    if (const wire::fb::CrashEvidenceT* const evidence = message.body.AsCrashEvidence())
-        return receiveEvidence(*evidence);
+    if (const wire::fb::CrashEvidenceT* const evidence = message.body.AsCrashEvidence()) {
+        evidence_.receive(*evidence);
+        return;
+    }
     const wire::fb::WantedT* const demand = message.body.AsWanted();
     if (!demand)
         return;
@@ -47,48 +49,23 @@
         logDecision(LogLine("router_heard").text("router", demand->router));
         if (lastState_)
             link->send(toWire(*lastState_));
-        if (demand->takes_evidence)
-            sendEverything(*link);
+        if (demand->takes_evidence) {
+            for (const wire::Message& evidence : evidence_.everything())
+                link->send(evidence);
+        }
     }
     context_.didReceiveDemand(router->second.name, catalog::InstanceId(demand->instance), fromWire(*demand, now));
 }
 
-void RouterLinks::receiveEvidence(const wire::fb::CrashEvidenceT& body)
-{
-    const framework::SteadyTime now = context_.clock.now();
-    evidence_.add(quarantine::fromWire(body, now), now);
-    scheduleSharing();
-}
-
-void RouterLinks::scheduleSharing()
-{
-    if (sharingTimer_ || !evidence_.hasUpdate())
-        return;
-    sharingTimer_ = context_.control.runAt(evidence_.nextUpdate(), [this] {
-        sharingTimer_.reset();
-        sendEvidence();
-        scheduleSharing();
-    });
-}
-
 /// Also sends to the router that reported it, which recognizes what it knows.
-void RouterLinks::sendEvidence()
+void RouterLinks::sendEvidence(const wire::Message& message)
 {
-    const framework::SteadyTime now = context_.clock.now();
-    const wire::Message message = quarantine::toWire(evidence_.takeUpdate(now), now);
     for (const auto& [link, router] : routers_) {
         if (router.takesEvidence)
             link->send(message);
     }
 }
 
-void RouterLinks::sendEverything(wire::ILink& link)
-{
-    const framework::SteadyTime now = context_.clock.now();
-    for (const quarantine::EvidenceUpdate& part : evidence_.everything(now))
-        link.send(quarantine::toWire(part, now));
-}
-
 bool RouterLinks::hasOtherLink(const framework::VmName& name) const
 {
     return std::any_of(routers_.begin(), routers_.end(), [&](const auto& entry) { return entry.second.name == name; });
--- a/src/direct/internal/routerlinks.h
+++ b/src/direct/internal/routerlinks.h
@@ -4,7 +4,7 @@
 #include "catalog/types/upstream.h"
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
-#include "quarantine/evidencerelay.h"
+#include "quarantine/evidencesharing.h"
 #include "wire/ilink.h"
 
 #include <functional>
@@ -47,18 +47,14 @@
     void didReceive(const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void didClose(const std::shared_ptr<wire::ILink>&);
     void sendToAll(const wire::Message&);
-    void receiveEvidence(const wire::fb::CrashEvidenceT&);
-    void scheduleSharing();
-    void sendEvidence();
-    void sendEverything(wire::ILink&);
+    void sendEvidence(const wire::Message&);
     bool hasOtherLink(const framework::VmName&) const;
 
     Context context_;
     std::map<std::shared_ptr<wire::ILink>, Router> routers_;
     std::optional<catalog::EngineState> lastState_;
     /// What routers tell each other of requests that crash their servers.
-    quarantine::EvidenceRelay evidence_;
-    std::unique_ptr<framework::Timer> sharingTimer_;
+    quarantine::EvidenceSharing evidence_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -212,7 +212,7 @@
 private:
     quarantine::RequestQuarantine::Context quarantineContext()
     {
-        return { context_.clock, context_.metrics, [this] { postDispatch(); },
+        return { context_.clock, *context_.metrics, [this] { postDispatch(); },
             [this](const quarantine::EvidenceUpdate& update) { context_.shareEvidence(update); } };
     }
 
--- a/src/framework/internal/error.cpp
+++ b/src/framework/internal/error.cpp
@@ -73,6 +73,8 @@
         return "bad_bundle";
     case ErrorCode::BadObject:
         return "bad_object";
+    case ErrorCode::Quarantined:
+        return "quarantined";
     case ErrorCode::Internal:
         return "internal";
     }
--- a/src/framework/types/error.h
+++ b/src/framework/types/error.h
@@ -63,10 +63,12 @@
     BadObject,
     // Any other failure, which is a defect of this system.
     Internal,
+    // Not sent over links. Values are numbered on the wire, so new ones come last.
+    Quarantined, ///< copies of the request have crashed the servers that ran them
 };
 
 /// Number of values of ErrorCode, used to validate codes read from the wire.
-inline constexpr std::uint8_t errorCodeCount = static_cast<std::uint8_t>(ErrorCode::Internal) + 1;
+inline constexpr std::uint8_t errorCodeCount = static_cast<std::uint8_t>(ErrorCode::Quarantined) + 1;
 
 std::string_view errorCodeText(ErrorCode);
 std::string_view executionText(Execution);
--- a/src/http/internal/opsserver.cpp
+++ b/src/http/internal/opsserver.cpp
@@ -35,7 +35,9 @@
     void answer(const http_request& request)
     {
         const std::string path = request.relative_uri().path();
-        if (request.method() != methods::GET)
+        if (request.method() == methods::DEL && views_.release)
+            request.reply(views_.release(request.relative_uri().to_string()));
+        else if (request.method() != methods::GET)
             request.reply(status_codes::MethodNotAllowed);
         else if (path == "/metrics")
             request.reply(status_codes::OK, metrics_->text(), "text/plain; version=0.0.4");
@@ -47,6 +49,8 @@
             request.reply(status_codes::ServiceUnavailable, "not ready\n");
         else if (path == "/status")
             request.reply(status_codes::OK, views_.status(), "application/json");
+        else if (path == "/quarantine" && views_.quarantine)
+            request.reply(status_codes::OK, views_.quarantine(), "application/json");
         else
             request.reply(status_codes::NotFound);
     }
--- a/src/http/opsserver.h
+++ b/src/http/opsserver.h
@@ -15,9 +15,14 @@
     std::function<bool()> isReady;
     /// Returns the process's state as JSON.
     std::function<std::string()> status;
+    /// Returns the requests that crashed their servers, as JSON; null if the process knows of none.
+    std::function<std::string()> quarantine = nullptr;
+    /// Releases the request that the target names, and returns the status to answer; null like `quarantine`.
+    std::function<unsigned short(const std::string& target)> release = nullptr;
 };
 
-/// Serves `GET /metrics`, `/livez`, `/readyz` (200 or 503) and `/status` on a separate port.
+/// Serves `GET /metrics`, `/livez`, `/readyz` (200 or 503) and `/status` on a separate port, and `GET /quarantine` and
+/// `DELETE /quarantine/FINGERPRINT` if the process has a quarantine.
 class OpsServer {
 public:
     OpsServer(OpsViews, std::shared_ptr<framework::Metrics>);
--- a/src/quarantine/internal/evidencewire.cpp
+++ b/src/quarantine/internal/evidencewire.cpp
@@ -18,20 +18,6 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
 }
 
-std::vector<std::uint8_t> bytesOf(const RequestFingerprint& request)
-{
-    return { request.bytes().begin(), request.bytes().end() };
-}
-
-std::optional<RequestFingerprint> fingerprintFrom(const std::vector<std::uint8_t>& bytes)
-{
-    if (bytes.size() != RequestFingerprint::size)
-        return std::nullopt;
-    RequestFingerprint::Bytes copy {};
-    std::copy(bytes.begin(), bytes.end(), copy.begin());
-    return RequestFingerprint(copy);
-}
-
 std::unique_ptr<wire::fb::ServerCrashT> toTable(const ServerCrash& crash, SteadyTime now)
 {
     auto table = std::make_unique<wire::fb::ServerCrashT>();
@@ -61,6 +47,20 @@
 
 } // namespace
 
+std::vector<std::uint8_t> bytesOf(const RequestFingerprint& request)
+{
+    return { request.bytes().begin(), request.bytes().end() };
+}
+
+std::optional<RequestFingerprint> fingerprintFrom(const std::vector<std::uint8_t>& bytes)
+{
+    if (bytes.size() != RequestFingerprint::size)
+        return std::nullopt;
+    RequestFingerprint::Bytes copy {};
+    std::copy(bytes.begin(), bytes.end(), copy.begin());
+    return RequestFingerprint(copy);
+}
+
 wire::Message toWire(const EvidenceUpdate& update, SteadyTime now)
 {
     wire::fb::CrashEvidenceT body;
--- a/src/quarantine/internal/requestquarantine.cpp
+++ b/src/quarantine/internal/requestquarantine.cpp
@@ -1,6 +1,5 @@
 #include "quarantine/requestquarantine.h"
 
-#include "framework/decisionlog.h"
 #include "framework/randomid.h"
 
 #include <algorithm>
@@ -182,12 +181,12 @@
     const ServerCrash* const crash = evidence_.confirm(server, sign != EndSign::Unlisted, now);
     if (!crash)
         return;
-    logDecision(LogLine("server_crashed")
-                    .text("server", server.value())
-                    .text("sign", text(sign))
-                    .number("suspects", crash->suspects.size())
-                    .number("cut_ms_ago", age(crash->endedAt, now)));
-    context_.metrics->count("lagoon_server_crashes_total");
+    context_.log(LogLine("server_crashed")
+                     .text("server", server.value())
+                     .text("sign", text(sign))
+                     .number("suspects", crash->suspects.size())
+                     .number("cut_ms_ago", age(crash->endedAt, now)));
+    context_.metrics.count("lagoon_server_crashes_total");
     EvidenceUpdate update;
     update.crashes.push_back({ server, crash->endedAt, true, crash->mayBeLeaving, {} });
     context_.share(update);
@@ -236,10 +235,10 @@
 {
     if (!evidence_.isSuspect(request))
         return false;
-    logDecision(LogLine("suspect_cleared")
-                    .text("fingerprint", request.text())
-                    .text("reason", reason == ClearanceReason::Served ? "served" : "operator")
-                    .text("operator", operatorName));
+    context_.log(LogLine("suspect_cleared")
+                     .text("fingerprint", request.text())
+                     .text("reason", reason == ClearanceReason::Served ? "served" : "operator")
+                     .text("operator", operatorName));
     EvidenceUpdate update;
     update.clearances.push_back({ request, framework::randomNumber(), context_.clock.now(), reason });
     add(update);
@@ -286,17 +285,17 @@
         const auto known = before.find(request);
         if (known != before.end() && known->second.isQuarantined && known->second.crashes == standing.crashes)
             continue;
-        logDecision(standingLine("request_quarantined", request, standing, now)
-                        .number("for_ms", standing.until.remaining(now).count()));
-        context_.metrics->count("lagoon_quarantines_total");
+        context_.log(standingLine("request_quarantined", request, standing, now)
+                         .number("for_ms", standing.until.remaining(now).count()));
+        context_.metrics.count("lagoon_quarantines_total");
     }
     for (const auto& [request, standing] : before) {
         const auto known = standings_.find(request);
         if (standing.isQuarantined && (known == standings_.end() || !known->second.isQuarantined))
-            logDecision(standingLine("quarantine_ended", request, standing, now));
+            context_.log(standingLine("quarantine_ended", request, standing, now));
     }
-    context_.metrics->setGauge("lagoon_suspected_requests", static_cast<double>(standings_.size()));
-    context_.metrics->setGauge("lagoon_quarantined_requests", static_cast<double>(quarantined));
+    context_.metrics.setGauge("lagoon_suspected_requests", static_cast<double>(standings_.size()));
+    context_.metrics.setGauge("lagoon_quarantined_requests", static_cast<double>(quarantined));
 }
 
 } // namespace lagoon::quarantine
--- a/src/quarantine/requestquarantine.h
+++ b/src/quarantine/requestquarantine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/decisionlog.h"
 #include "framework/iclock.h"
 #include "framework/metrics.h"
 #include "framework/types/ids.h"
@@ -67,11 +68,12 @@
 public:
     struct Context {
         const framework::IClock& clock;
-        std::shared_ptr<framework::Metrics> metrics;
+        framework::Metrics& metrics;
         /// Called when a request that has to wait may be admitted now.
         std::function<void()> didChange;
         /// Passes new evidence on to the other routers.
         std::function<void(const EvidenceUpdate&)> share;
+        std::function<void(const framework::LogLine&)> log = framework::logDecision;
     };
 
     RequestQuarantine(Context, const QuarantineSettings&);
--- a/src/quarantine/tests/quarantinefixture.h
+++ b/src/quarantine/tests/quarantinefixture.h
@@ -62,10 +62,11 @@
     QuarantineSettings settings;
     /// What the router has passed on.
     std::vector<EvidenceUpdate> shared;
-    std::shared_ptr<RequestQuarantine> quarantine = std::make_shared<RequestQuarantine>(
-        RequestQuarantine::Context { clock, std::make_shared<framework::Metrics>(), [] {},
-            [this](const EvidenceUpdate& update) { shared.push_back(update); } },
-        settings);
+    framework::Metrics metrics;
+    std::shared_ptr<RequestQuarantine> quarantine
+        = std::make_shared<RequestQuarantine>(RequestQuarantine::Context { clock, metrics, [] {},
+                                                  [this](const EvidenceUpdate& update) { shared.push_back(update); } },
+            settings);
 
 private:
     int servers_ = 0;
--- a/src/quarantine/tests/sharedevidence_test.cpp
+++ b/src/quarantine/tests/sharedevidence_test.cpp
@@ -22,12 +22,11 @@
 
     std::shared_ptr<RequestQuarantine> make(std::size_t other)
     {
-        return std::make_shared<RequestQuarantine>(
-            RequestQuarantine::Context { clock, std::make_shared<framework::Metrics>(), [] {},
-                [this, other](const EvidenceUpdate& update) {
-                    if (areInTouch)
-                        routers[other]->merge(update);
-                } },
+        return std::make_shared<RequestQuarantine>(RequestQuarantine::Context { clock, metrics, [] {},
+                                                       [this, other](const EvidenceUpdate& update) {
+                                                           if (areInTouch)
+                                                               routers[other]->merge(update);
+                                                       } },
             settings);
     }
 
@@ -43,6 +42,7 @@
     ManualClock clock;
     QuarantineSettings settings;
     bool areInTouch = true;
+    framework::Metrics metrics;
     std::shared_ptr<RequestQuarantine> routers[2];
 };
 
--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -1,6 +1,7 @@
 #include "router/internal/agentsession.h"
 
 #include "framework/logging.h"
+#include "quarantine/evidencewire.h"
 
 #include <algorithm>
 #include <utility>
@@ -178,6 +179,7 @@
     hello.sender_vm = context_.ownVm.value();
     hello.sender_incarnation = context_.ownIncarnation.value();
     hello.bundle_version = context_.bundleVersion().value();
+    hello.takes_evidence = true;
     link_->send(wire::message(std::move(hello)));
 }
 
@@ -214,6 +216,8 @@
         load_ = { message.body.AsPong()->running, message.body.AsPong()->waiting };
         context_.observeVersion(framework::BundleVersion(message.body.AsPong()->bundle_version));
         return;
+    case wire::fb::Body::CrashEvidence:
+        return context_.didReceiveEvidence(agent_, *message.body.AsCrashEvidence());
     case wire::fb::Body::Bid:
         return completeQuery(message.body.AsBid()->correlation, message);
     case wire::fb::Body::LoadResult:
@@ -227,6 +231,7 @@
 {
     context_.observeVersion(framework::BundleVersion(hello.bundle_version));
     isOpen_ = true;
+    takesEvidence_ = hello.takes_evidence;
     isSuspect_ = false;
     failedConnects_ = 0;
     if (agentIncarnation_ != 0 && agentIncarnation_ != hello.receiver_incarnation)
@@ -244,6 +249,8 @@
     for (const Message& query : std::exchange(unsentQueries_, {}))
         link_->send(query);
     nextPing_ = Deadline::after(context_.clock.now(), context_.settings.pingInterval);
+    if (takesEvidence_)
+        context_.didOpenToEvidence(agent_);
 }
 
 void AgentSession::send(InFlight& entry)
@@ -299,9 +306,20 @@
     Error why = errorOf(refused);
     if (why.peer.empty())
         why.peer = agent_.value();
+    noteCut(refused);
     settle(SequenceNumber(refused.id->sequence), why);
 }
 
+/// The agent reports the crash to all routers, but a retry of this request may come before that.
+void AgentSession::noteCut(const wire::fb::RefusedT& refused) const
+{
+    const auto entry = inFlight_.find(refused.id->sequence);
+    if (refused.cut_at.empty() || entry == inFlight_.end())
+        return;
+    if (const auto request = quarantine::fingerprintFrom(entry->second.frame.fingerprint))
+        context_.didCut({ *request, quarantine::ServerRunId(refused.cut_at), entry->second.dispatchedAt, false });
+}
+
 void AgentSession::completeQuery(std::uint64_t correlation, const Message& message)
 {
     auto query = pendingQueries_.extract(correlation);
@@ -352,6 +370,21 @@
         link_->close();
     link_.reset();
     isOpen_ = false;
+    takesEvidence_ = false;
+}
+
+void AgentSession::setKeptOpen(bool isKeptOpen)
+{
+    if (std::exchange(isKeptOpen_, isKeptOpen) || !isKeptOpen)
+        return;
+    connect();
+    armTick();
+}
+
+void AgentSession::sendEvidence(const Message& message)
+{
+    if (takesEvidence())
+        link_->send(message);
 }
 
 void AgentSession::failQueries(const Error& why)
@@ -406,7 +439,7 @@
 {
     tickTimer_.reset();
     const SteadyTime now = context_.clock.now();
-    const bool isBusy = !inFlight_.empty() || !pendingQueries_.empty();
+    const bool isBusy = !inFlight_.empty() || !pendingQueries_.empty() || isKeptOpen_;
     if (!isBusy) {
         if (!link_)
             return;
--- a/src/router/internal/agentsession.h
+++ b/src/router/internal/agentsession.h
@@ -5,6 +5,7 @@
 #include "framework/metrics.h"
 #include "framework/types/error.h"
 #include "framework/types/ids.h"
+#include "quarantine/requestquarantine.h"
 #include "router/internal/answerstream.h"
 #include "router/types/routersettings.h"
 #include "wire/ilink.h"
@@ -37,6 +38,13 @@
     std::function<framework::BundleVersion()> bundleVersion;
     /// Called with each bundle version that a peer reports.
     std::function<void(framework::BundleVersion)> observeVersion;
+    /// Called with the evidence on crashes that an agent sends.
+    std::function<void(const framework::VmName& agent, const wire::fb::CrashEvidenceT&)> didReceiveEvidence
+        = [](const auto&, const auto&) {};
+    /// Called before the outcome of a dispatch whose upstream's connection broke.
+    std::function<void(const quarantine::CutRequest&)> didCut = [](const auto&) {};
+    /// Called when the link to an agent that understands evidence has been opened.
+    std::function<void(const framework::VmName& agent)> didOpenToEvidence = [](const auto&) {};
 };
 
 /// Load that the agent last reported.
@@ -67,6 +75,12 @@
     bool wasSent(framework::SequenceNumber) const;
     void requestBid(const wire::fb::TargetT&, framework::BundleVersion, AnswerHandler<wire::fb::BidT>);
     void load(wire::fb::LoadT, AnswerHandler<wire::fb::LoadResultT>);
+    /// While set, the link is opened and checked as if there were work in flight.
+    void setKeptOpen(bool isKeptOpen);
+    /// Sends evidence if the link is open and the agent understands it.
+    void sendEvidence(const wire::Message&);
+    /// Whether evidence that is sent now reaches the agent.
+    bool takesEvidence() const { return isOpen_ && takesEvidence_; }
     /// Fails all work in flight, because the platform reports that the VM no longer exists.
     void setGone();
     void close();
@@ -105,6 +119,7 @@
     void handleHello(const wire::fb::HelloAckT&);
     void handleEnd(const wire::fb::AnswerEndT&);
     void handleRefused(const wire::fb::RefusedT&);
+    void noteCut(const wire::fb::RefusedT&) const;
     void completeQuery(std::uint64_t correlation, const wire::Message&);
     void linkLost(const framework::Error&);
     void dropLink();
@@ -132,6 +147,9 @@
 
     std::shared_ptr<wire::ILink> link_;
     bool isOpen_ = false;
+    bool isKeptOpen_ = false;
+    /// Whether the agent at the other end of the link understands evidence.
+    bool takesEvidence_ = false;
     /// Incarnation of the agent process that received this session's dispatches; 0 before the first hello.
     std::uint64_t agentIncarnation_ = 0;
     std::uint64_t session_ = 0;
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -1,6 +1,9 @@
 #include "router/internal/dispatcher.h"
 
+#include "framework/logging.h"
 #include "framework/types/error.h"
+#include "quarantine/evidencewire.h"
+#include "quarantine/fingerprinting.h"
 #include "router/internal/targets.h"
 
 #include <algorithm>
@@ -29,6 +32,8 @@
 constexpr Milliseconds retryAfterShutdown { 1000 };
 constexpr Milliseconds maxBundleWait { 3000 };
 constexpr Milliseconds bundlePollInterval { 100 };
+/// How often held requests are looked at without news about their copies.
+constexpr Milliseconds heldInterval { 250 };
 
 /// Whether the replica is healthy, but can't serve the request in time.
 bool isBusy(const Error& error)
@@ -59,6 +64,11 @@
 Dispatcher::Dispatcher(const Context& context)
     : context_(context)
     , retryBudget_(context.settings.retryShare, context.settings.retryReserve)
+    , quarantine_(std::make_shared<quarantine::RequestQuarantine>(
+          quarantine::RequestQuarantine::Context { context.clock, context.metrics, [this] { postRouteHeld(); },
+              [this](const quarantine::EvidenceUpdate& update) { context_.shareEvidence(update); },
+              [](const framework::LogLine& line) { framework::logInfo("router", line.json()); } },
+          context.quarantine))
 {
 }
 
@@ -81,6 +91,8 @@
     Request& entry = requests_[number];
     entry.request = std::move(request);
     entry.answer = std::move(answer);
+    entry.fingerprint = quarantine::fingerprintOf({ entry.request.method,
+        entry.request.target.service.value() + entry.request.path, entry.request.caller, entry.request.body });
     entry.answer->onCallerGone([this, number] { context_.control.post([this, number] { callerGone(number); }); });
     entry.deadlineTimer = context_.control.runAt(
         Deadline(entry.request.deadline.at() - answerMargin), [this, number] { deadlinePassed(number); });
@@ -117,7 +129,9 @@
         return refuse(number, Error { ErrorCode::DeadlinePassed, "route", "", "" });
     if (!mayStart())
         return refuse(number, notStartedBeforeShutdown());
-    const std::vector<VmName> vms = candidates(entry);
+    if (!mayBeDispatched(number, entry))
+        return;
+    const std::vector<VmName> vms = forTrial(entry, candidates(entry));
     if (!vms.empty())
         return dispatch(number, entry, choose(entry, vms));
     if (entry.request.target.isService()) {
@@ -128,6 +142,72 @@
     waitForReplica(number, entry);
 }
 
+/// Refuses a quarantined request, and holds back a suspected one while a copy of it is being tried.
+bool Dispatcher::mayBeDispatched(RequestNumber number, const Request& entry)
+{
+    switch (quarantine_->admit(entry.fingerprint)) {
+    case quarantine::Admission::Free:
+    case quarantine::Admission::Trial:
+        return true;
+    case quarantine::Admission::Wait:
+        hold(number);
+        return false;
+    case quarantine::Admission::Quarantined:
+        break;
+    }
+    const quarantine::Standing* const known = quarantine_->standing(entry.fingerprint);
+    const Milliseconds left = known ? known->until.remaining(context_.clock.now()) : Milliseconds(0);
+    context_.metrics.count("lagoon_quarantine_refusals_total");
+    refuse(number,
+        Error { ErrorCode::Quarantined, "route", "", "copies of it crashed their servers: " + entry.fingerprint.text(),
+            Execution::NotRun, std::max(retryAfterBusy, left) });
+    return false;
+}
+
+void Dispatcher::hold(RequestNumber number)
+{
+    held_.insert(number);
+    if (heldTimer_)
+        return;
+    heldTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), heldInterval), [this] {
+        heldTimer_.reset();
+        routeHeld();
+    });
+}
+
+/// Posted because the change may come from a request that is being handled.
+void Dispatcher::postRouteHeld()
+{
+    if (std::exchange(isRouteHeldPosted_, true))
+        return;
+    context_.control.post([this] {
+        isRouteHeldPosted_ = false;
+        quarantine_->refresh();
+        routeHeld();
+    });
+}
+
+void Dispatcher::routeHeld()
+{
+    for (const RequestNumber number : std::exchange(held_, {})) {
+        if (requests_.contains(number))
+            route(number);
+    }
+}
+
+/// Returns the VMs at which a suspected request may be tried. Prefers those without another suspect, so that a crash
+/// points to one of them only.
+std::vector<VmName> Dispatcher::forTrial(const Request& entry, const std::vector<VmName>& vms)
+{
+    if (!quarantine_->standing(entry.fingerprint))
+        return vms;
+    std::vector<VmName> apart = vms;
+    std::erase_if(apart, [&](const VmName& vm) {
+        return quarantine_->hasOtherTrial(quarantine::ServerRunId(vm.value()), entry.fingerprint);
+    });
+    return apart.empty() ? vms : apart;
+}
+
 std::vector<VmName> Dispatcher::candidates(const Request& entry) const
 {
     std::vector<VmName> vms;
@@ -243,6 +323,8 @@
         context_.metrics.observeSeconds("lagoon_cold_start_seconds", waited.count());
         entry.coldSince.reset();
     }
+    if (quarantine_->admit(entry.fingerprint) == quarantine::Admission::Trial)
+        entry.trial = quarantine_->beginTrial(entry.fingerprint, quarantine::ServerRunId(vm.value()));
     entry.sequence = session->dispatch(makeDispatch(entry), entry.request.deadline, entry.stream,
         [this, number, vm](const DispatchOutcome& outcome) { handleOutcome(number, vm, outcome); });
     scaleUpIfBusy(entry, static_cast<std::uint32_t>(session->inFlight()));
@@ -265,6 +347,7 @@
     }
     frame.body.assign(request.body.begin(), request.body.end());
     frame.is_repeatable = request.isRepeatable;
+    frame.fingerprint = quarantine::bytesOf(entry.fingerprint);
     frame.priority = request.priority;
     const bundle::BundlePointer bundle = context_.bundle();
     frame.bundle_version = bundle ? bundle->version.value() : 0;
@@ -370,8 +453,10 @@
         return;
     Request& entry = found->second;
     entry.session.reset();
+    entry.trial.reset();
     const bool hasBegun = entry.stream->detach();
     if (outcome.has_value()) {
+        quarantine_->didServe(entry.fingerprint);
         entry.answer->finish();
         return eraseRequest(number);
     }
@@ -426,6 +511,8 @@
 
 void Dispatcher::retry(RequestNumber number, Request& entry, const Error& error)
 {
+    if (quarantine_->admit(entry.fingerprint) == quarantine::Admission::Quarantined)
+        return route(number);
     if (entry.attempts >= context_.settings.attempts)
         return refuse(number, error);
     if (!isExemptFromRetryBudget(error) && !retryBudget_.spend()) {
--- a/src/router/internal/dispatcher.h
+++ b/src/router/internal/dispatcher.h
@@ -8,6 +8,7 @@
 #include "framework/types/shutdowndeadlines.h"
 #include "policy/ireplicachoice.h"
 #include "policy/retrybudget.h"
+#include "quarantine/requestquarantine.h"
 #include "router/internal/agentsessions.h"
 #include "router/internal/idempotencykeys.h"
 #include "router/internal/placementcache.h"
@@ -38,6 +39,9 @@
         std::function<bundle::BundlePointer()> bundle;
         /// If null, idempotency keys are accepted but not enforced.
         IdempotencyKeys* keys = nullptr;
+        quarantine::QuarantineSettings quarantine {};
+        /// Passes evidence on crashes on to the other routers.
+        std::function<void(const quarantine::EvidenceUpdate&)> shareEvidence = [](const auto&) {};
     };
 
     explicit Dispatcher(const Context&);
@@ -54,6 +58,8 @@
     /// deadlines.
     void beginShutdown(const framework::ShutdownDeadlines&);
     std::size_t requests() const { return requests_.size(); }
+    /// Recognizes requests that crash their upstreams.
+    quarantine::RequestQuarantine& quarantine() { return *quarantine_; }
 
 private:
     struct Request {
@@ -82,12 +88,20 @@
         std::shared_ptr<AgentSession> session;
         framework::SequenceNumber sequence;
         std::shared_ptr<AnswerStream> stream;
+        quarantine::RequestFingerprint fingerprint;
+        /// Set while the request is dispatched under suspicion.
+        std::unique_ptr<quarantine::TrialGuard> trial;
     };
 
     void admit(callers::CallerRequest, std::shared_ptr<callers::ICallerAnswer>);
     void claimKey(RequestNumber, const Request&);
     void route(RequestNumber);
     std::vector<framework::VmName> candidates(const Request&) const;
+    bool mayBeDispatched(RequestNumber, const Request&);
+    std::vector<framework::VmName> forTrial(const Request&, const std::vector<framework::VmName>&);
+    void hold(RequestNumber);
+    void routeHeld();
+    void postRouteHeld();
     bool isAtOwnSite(const framework::VmName&) const;
     framework::VmName choose(const Request&, const std::vector<framework::VmName>&);
     void waitForReplica(RequestNumber, Request&);
@@ -116,6 +130,11 @@
     Wakes* wakes_ = nullptr;
     std::unique_ptr<policy::IReplicaChoice> replicaChoice_;
     policy::RetryBudget retryBudget_;
+    std::shared_ptr<quarantine::RequestQuarantine> quarantine_;
+    /// Requests that wait for the trial of a copy, or for the verdict on it.
+    std::set<RequestNumber> held_;
+    bool isRouteHeldPosted_ = false;
+    std::unique_ptr<framework::Timer> heldTimer_;
     std::map<RequestNumber, Request> requests_;
     std::map<framework::VmName, std::unique_ptr<framework::Timer>> drainingTimers_;
     std::uint64_t nextNumber_ = 1;
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -13,8 +13,10 @@
 #include "objectstore/objectstoreclient.h"
 #include "policy/policysetup.h"
 #include "policy/rendezvous.h"
+#include "quarantine/suspectreport.h"
 #include "router/internal/agentsessions.h"
 #include "router/internal/dispatcher.h"
+#include "router/internal/evidencelinks.h"
 #include "router/internal/home.h"
 #include "router/internal/linkserver.h"
 #include "router/internal/peerlinks.h"
@@ -83,6 +85,9 @@
     void findHolders(const SiteTarget&, HoldersHandler);
     bool isKeySweeper() const;
     std::string status();
+    std::string suspects();
+    /// Carries out an operator's release order and returns the HTTP status to answer.
+    unsigned short release(const std::string& target);
 
     RouterSettings settings_;
     framework::Incarnation incarnation_ = framework::newIncarnation();
@@ -98,6 +103,7 @@
     AgentSessions sessions_;
     std::shared_ptr<PeerLinks> peers_;
     IdempotencyKeys keys_;
+    EvidenceLinks evidence_;
     Dispatcher dispatcher_;
     LoadGate gate_;
     Home home_;
@@ -123,6 +129,8 @@
     , sessions_(sessionContext(), directory_)
     , peers_(std::make_shared<PeerLinks>(sessionContext(), directory_))
     , keys_(platform_.store, platformCalls_, control_, clock_, metrics_, settings_.dispatch.keyRetention)
+    , evidence_({ control_, clock_, directory_, sessions_, *metrics_,
+          [this](const quarantine::EvidenceUpdate& update) { dispatcher_.quarantine().merge(update); } })
     , dispatcher_(dispatcherContext())
     , gate_(control_, clock_, *metrics_)
     , home_(homeContext())
@@ -145,7 +153,11 @@
 {
     return SessionContext { settings_.identity.vm, incarnation_, *transport_, control_, clock_, *metrics_,
         settings_.dispatch, [this] { return bundleVersion(); },
-        [this](BundleVersion version) { bundles_->observeVersion(version); } };
+        [this](BundleVersion version) { bundles_->observeVersion(version); },
+        [this](
+            const framework::VmName& agent, const wire::fb::CrashEvidenceT& body) { evidence_.receive(agent, body); },
+        [this](const quarantine::CutRequest& cut) { dispatcher_.quarantine().didCut(cut); },
+        [this](const framework::VmName& agent) { evidence_.didOpen(agent); } };
 }
 
 Home::Context Router::Implementation::homeContext()
@@ -172,7 +184,8 @@
 Dispatcher::Context Router::Implementation::dispatcherContext()
 {
     return Dispatcher::Context { settings_.identity.site, control_, clock_, *metrics_, settings_.dispatch, directory_,
-        placements_, sessions_, [this] { return bundles_->current(); }, &keys_ };
+        placements_, sessions_, [this] { return bundles_->current(); }, &keys_, settings_.quarantine,
+        [this](const quarantine::EvidenceUpdate& update) { evidence_.share(update); } };
 }
 
 LinkServer::Context Router::Implementation::linkServerContext()
@@ -184,7 +197,29 @@
 http::OpsViews Router::Implementation::opsViews()
 {
     return http::OpsViews { [this] { return hasVms_ && bundles_->current() && !isShuttingDown_; },
-        [this] { return status(); } };
+        [this] { return status(); }, [this] { return suspects(); },
+        [this](const std::string& target) { return release(target); } };
+}
+
+std::string Router::Implementation::suspects()
+{
+    std::promise<std::string> report;
+    control_.post([this, &report] {
+        report.set_value(quarantine::reportSuspects(dispatcher_.quarantine().suspects(), clock_.now()));
+    });
+    return report.get_future().get();
+}
+
+unsigned short Router::Implementation::release(const std::string& target)
+{
+    const auto order = quarantine::parseRelease(target);
+    if (!order)
+        return 400;
+    std::promise<bool> wasSuspected;
+    control_.post([this, &order, &wasSuspected] {
+        wasSuspected.set_value(dispatcher_.quarantine().release(order->request, order->operatorName));
+    });
+    return wasSuspected.get_future().get() ? 200 : 404;
 }
 
 BundleVersion Router::Implementation::bundleVersion() const
@@ -204,6 +239,7 @@
 {
     directory_.setEntries(vms);
     sessions_.removeGone();
+    evidence_.updateRelays();
     updateStoreShare();
     hasVms_ = true;
 }
@@ -284,6 +320,7 @@
     endpoints.ops = ops;
     bundles_->start();
     vmWatcher_.start();
+    control_.post([this] { evidence_.start(); });
     control_.post([this] { keys_.startSweeping([this] { return isKeySweeper(); }); });
     isServing_ = true;
     return endpoints;
--- a/src/router/internal/routersettings.cpp
+++ b/src/router/internal/routersettings.cpp
@@ -57,6 +57,7 @@
     settings.platform = objectstore::readObjectStoreSettings(object);
     settings.limits = callers::readCallerLimits(object);
     settings.dispatch = readDispatchSettings(object);
+    settings.quarantine = quarantine::readQuarantineSettings(object);
     settings.shutdownGrace = framework::readShutdownGrace(object);
     BOOST_OUTCOME_TRYV(object.finish());
     return settings;
--- a/src/router/internal/vmdirectory.cpp
+++ b/src/router/internal/vmdirectory.cpp
@@ -55,6 +55,16 @@
     return found;
 }
 
+std::vector<VmName> VmDirectory::agents() const
+{
+    std::vector<VmName> found;
+    for (const auto& [vm, entry] : entries_) {
+        if (entry.role == VmRole::Upstream && isUsable(vm))
+            found.push_back(vm);
+    }
+    return found;
+}
+
 std::vector<VmName> VmDirectory::routers(const SiteName& site) const
 {
     std::vector<VmName> found;
--- a/src/router/internal/vmdirectory.h
+++ b/src/router/internal/vmdirectory.h
@@ -25,6 +25,8 @@
     bool isGone(const framework::VmName&) const;
     /// Returns the live upstreams of the pools at the site, without those that are draining.
     std::vector<framework::VmName> upstreams(const std::vector<framework::PoolName>&, const framework::SiteName&) const;
+    /// Returns the usable VMs with an upstream at all sites.
+    std::vector<framework::VmName> agents() const;
     std::vector<framework::VmName> routers(const framework::SiteName&) const;
     /// Returns the site's routers that act as homes, at most `maxHomes`. All processes with the same VM list get the
     /// same result.
--- a/src/router/routersettings.h
+++ b/src/router/routersettings.h
@@ -6,6 +6,7 @@
 #include "framework/types/processidentity.h"
 #include "framework/types/shutdowndeadlines.h"
 #include "objectstore/objectstoreclient.h"
+#include "quarantine/quarantinesettings.h"
 #include "router/types/routersettings.h"
 
 #include <string>
@@ -21,6 +22,7 @@
     objectstore::ObjectStoreSettings platform;
     callers::CallerLimits limits;
     DispatchSettings dispatch;
+    quarantine::QuarantineSettings quarantine;
     /// Time from the shutdown request until the platform kills the process.
     framework::Milliseconds shutdownGrace = framework::defaultGrace;
 };
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -1,3 +1,4 @@
+#include "quarantine/evidencewire.h"
 #include "router/tests/fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -592,4 +593,87 @@
     BOOST_CHECK(caller->refused_->execution == Execution::Unknown);
 }
 
+namespace {
+
+/// Evidence of crashed upstreams, with the request as the only one that ran there.
+wire::Message crashesOf(const std::vector<std::uint8_t>& fingerprint, int count)
+{
+    wire::fb::CrashEvidenceT body;
+    for (int number = 0; number < count; ++number) {
+        auto crash = std::make_unique<wire::fb::ServerCrashT>();
+        crash->server = "run-" + std::to_string(number);
+        crash->is_confirmed = true;
+        crash->ended_ms_ago = static_cast<std::uint32_t>(1000 - 100 * number);
+        auto suspect = std::make_unique<wire::fb::SuspectedRequestT>();
+        suspect->fingerprint = fingerprint;
+        suspect->sent_ms_ago = crash->ended_ms_ago + 10;
+        crash->suspects.push_back(std::move(suspect));
+        body.crashes.push_back(std::move(crash));
+    }
+    return wire::message(std::move(body));
+}
+
+struct QuarantineFixture : DispatchFixture {
+    callers::RequestTarget service()
+    {
+        callers::RequestTarget target;
+        target.service = framework::ServiceName("holds");
+        return target;
+    }
+
+    void learn(const std::vector<std::uint8_t>& fingerprint, int crashes)
+    {
+        const auto body = crashesOf(fingerprint, crashes);
+        dispatcher_.quarantine().merge(quarantine::fromWire(*body.body.AsCrashEvidence(), control_.now()));
+        runPending();
+    }
+
+    /// Sends a request whose dispatch shows its fingerprint.
+    std::vector<std::uint8_t> sendFirst()
+    {
+        const auto first = ask(service(), longTimeout, false);
+        for (const std::string vm : { "draft-1", "draft-2" }) {
+            if (!link(vm))
+                continue;
+            completeHandshake(vm);
+            const wire::Message sent = link(vm)->takeSent(Body::Dispatch);
+            answer(*link(vm), *sent.body.AsDispatch()->id, "held");
+            return sent.body.AsDispatch()->fingerprint;
+        }
+        return {};
+    }
+};
+
+} // namespace
+
+// Prevents a request that crashes its upstreams from being dispatched, and tells its caller when to come back.
+BOOST_FIXTURE_TEST_CASE(aQuarantinedRequestIsRefusedAsNotRun, QuarantineFixture)
+{
+    const std::vector<std::uint8_t> fingerprint = sendFirst();
+    BOOST_REQUIRE(fingerprint.size() == 16u);
+    learn(fingerprint, 3);
+    const auto refused = ask(service(), longTimeout, false);
+    BOOST_REQUIRE(refused->refused_);
+    BOOST_TEST((refused->refused_->code == ErrorCode::Quarantined));
+    BOOST_TEST((refused->refused_->execution == Execution::NotRun));
+    BOOST_TEST(refused->refused_->retryAfter->count() > 500000);
+}
+
+// Prevents copies of a suspected request from being dispatched while one of them runs.
+BOOST_FIXTURE_TEST_CASE(copiesOfASuspectedRequestAreDispatchedOneAtATime, QuarantineFixture)
+{
+    learn(sendFirst(), 1);
+    const auto first = ask(service(), longTimeout, false);
+    const auto second = ask(service(), longTimeout, false);
+    const auto [vm, id] = firstDispatch();
+    BOOST_TEST(dispatcher_.requests() == 2u);
+    BOOST_CHECK_THROW(firstDispatch(), std::runtime_error);
+    answer(*link(vm), id, "held");
+    BOOST_TEST(first->isComplete_ != second->isComplete_);
+    runPending();
+    const auto [nextVm, nextId] = firstDispatch();
+    answer(*link(nextVm), nextId, "held");
+    BOOST_TEST((first->isComplete_ && second->isComplete_));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/service/servicestandin.cpp
+++ b/tests/standins/service/servicestandin.cpp
@@ -1,5 +1,7 @@
 #include "standins/service/servicestandin.h"
 
+#include <unistd.h>
+
 namespace lagoon::standins {
 
 using framework::Milliseconds;
@@ -8,6 +10,7 @@
 namespace {
 
 constexpr std::uint64_t maxWorkMs = 600000;
+constexpr int crashExitCode = 9;
 
 value echo(const HttpRequest& request)
 {
@@ -38,6 +41,8 @@
         return;
     const std::size_t index = beginExecution(exchange.request());
     std::unique_lock lock(mutex_);
+    if (!crashBody_.empty() && exchange.request().body == crashBody_)
+        _exit(crashExitCode);
     const Milliseconds workTime = workTime_;
     lock.unlock();
     if (exchange.waitForCallerGone(workTime))
@@ -68,6 +73,8 @@
     framework::CheckedObject faults(json, "faults", "", framework::ErrorCode::BadRequest);
     const std::lock_guard lock(mutex_);
     workTime_ = Milliseconds(faults.numberOr("work_ms", workTime_.count(), 0, maxWorkMs));
+    if (faults.has("crash_on"))
+        crashBody_ = faults.text("crash_on");
     if (faults.has("calls"))
         callFaults_.set(faults.object("calls"));
     return faults.finish();
--- a/tests/standins/service/servicestandin.h
+++ b/tests/standins/service/servicestandin.h
@@ -35,6 +35,8 @@
     framework::Milliseconds workTime_;
     std::vector<Execution> executions_;
     CallFaults callFaults_;
+    /// A call with this body ends the process; empty if none does.
+    std::string crashBody_;
 };
 
 } // namespace lagoon::standins
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -161,13 +161,7 @@
 {
     UpstreamVm& upstream = upstreams_[vm];
     upstream.options = options;
-    std::vector<std::string> arguments = options.standinArguments;
-    const bool isEngine = options.kind == UpstreamKind::Engine;
-    if (isEngine) {
-        arguments.insert(arguments.end(), { "--weights", urlOf(weights(), "") });
-        arguments.insert(arguments.end(), { "--checks-fencing", options.checksFencing ? "1" : "0" });
-    }
-    upstream.standin = start(vm + "-upstream", isEngine ? Program::EngineStandin : Program::ServiceStandin, arguments);
+    upstream.standin = startStandin(vm, upstream, {});
     if (options.hasUpstreamProxy)
         upstream.upstreamProxy = startProxy(vm + "-upstreamproxy", upstream.upstream(), false);
     upstream.agent = startAgent(vm, upstream);
@@ -177,6 +171,27 @@
     return upstream;
 }
 
+std::unique_ptr<ChildProcess> Deployment::startStandin(
+    const std::string& vm, const UpstreamVm& upstream, std::vector<std::string> arguments)
+{
+    const UpstreamOptions& options = upstream.options;
+    arguments.insert(arguments.end(), options.standinArguments.begin(), options.standinArguments.end());
+    const bool isEngine = options.kind == UpstreamKind::Engine;
+    if (isEngine) {
+        arguments.insert(arguments.end(), { "--weights", urlOf(weights(), "") });
+        arguments.insert(arguments.end(), { "--checks-fencing", options.checksFencing ? "1" : "0" });
+    }
+    return start(vm + "-upstream", isEngine ? Program::EngineStandin : Program::ServiceStandin, arguments);
+}
+
+void Deployment::restartUpstream(const std::string& vm)
+{
+    UpstreamVm& upstream = upstreams_.at(vm);
+    const std::string endpoint = upstream.upstream();
+    replacedProcessLogs_ += formatLog(upstream.standin.get());
+    upstream.standin = startStandin(vm, upstream, { "--listen", endpoint });
+}
+
 RouterVm& Deployment::addRouter(const std::string& vm, const RouterOptions& options)
 {
     RouterVm& router = routers_[vm];
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -87,6 +87,8 @@
     /// Replaces the agent of the VM by a new process, with the same settings.
     void restartAgent(const std::string& vm);
     void restartRouter(const std::string& vm);
+    /// Starts the stand-in of an upstream again, at the same endpoint.
+    void restartUpstream(const std::string& vm);
     /// Sets the VM's state in the platform's list: `live`, `leaving` or `gone`.
     void setVmState(const std::string& vm, const std::string& state);
 
@@ -110,6 +112,8 @@
 private:
     std::unique_ptr<ChildProcess> start(const std::string& name, Program, const std::vector<std::string>& arguments);
     std::unique_ptr<ChildProcess> startProxy(const std::string& name, const std::string& to, bool hasFrames);
+    std::unique_ptr<ChildProcess> startStandin(
+        const std::string& vm, const UpstreamVm&, std::vector<std::string> arguments);
     std::unique_ptr<ChildProcess> startAgent(const std::string& vm, const UpstreamVm&);
     std::unique_ptr<ChildProcess> startRouter(const std::string& vm, const RouterVm&);
     std::unique_ptr<ChildProcess> startWithSettings(const std::string& command, const web::json::value& settings);
