Try one copy of a suspected request at a time over all routers; compare with chance

Callers saw: with several routers, a server more than needed crashed now and then before the verdict.

Cause: routers learn at the same moment that a server is back, and each began a trial before it heard of the others'. Not noise: two trials in the race, one after.

Change: a trial is announced 150 ms before it begins; of several routers the one with the lowest id begins. While this was tested, crashstorm_test showed a request of 4 s that met three crashes by chance, since servers crashed every 50 s: a request is now quarantined only if it would hardly have met its crashes by chance at the recent rate of other crashes (1e-7). Suspected requests with two crashes wait for a server of their own for 2 s at most: with 3 servers and 17 suspects one had waited 21 s.

--- a/src/agent/internal/upstreamcrashes.cpp
+++ b/src/agent/internal/upstreamcrashes.cpp
@@ -16,7 +16,7 @@
     : context_(std::move(context))
     , sharing_({ context_.control, context_.clock, context_.send })
     , quarantine_(std::make_shared<RequestQuarantine>(
-          RequestQuarantine::Context { context_.clock, *context_.metrics, [] {},
+          RequestQuarantine::Context { context_.clock, *context_.metrics, [] {}, [](framework::Deadline) {},
               [this](const EvidenceUpdate& update) { sharing_.share(update); },
               [](const framework::LogLine& line) { framework::logInfo("agent", line.json()); } },
           quarantine::QuarantineSettings {}))
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -111,6 +111,7 @@
 
     void setUpstreams(const std::vector<catalog::Upstream>& list)
     {
+        quarantine_->setServers(list.size());
         upstreams_.setUpstreams(list);
         dispatchWaiting();
         schedulePlan(urgentPlanDelay);
@@ -212,10 +213,24 @@
 private:
     quarantine::RequestQuarantine::Context quarantineContext()
     {
-        return { context_.clock, *context_.metrics, [this] { postDispatch(); },
+        return { context_.clock, *context_.metrics, [this] { postDispatch(); }, [this](Deadline at) { dispatchAt(at); },
             [this](const quarantine::EvidenceUpdate& update) { context_.shareEvidence(update); } };
     }
 
+    void dispatchAt(Deadline at)
+    {
+        if (dispatchTimer_ && dispatchAt_ <= at)
+            return;
+        dispatchAt_ = at;
+        dispatchTimer_ = context_.traffic.runAt(at, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->dispatchTimer_.reset();
+            self->dispatchWaiting();
+        });
+    }
+
     /// Posts the dispatch because the request whose end allows others to be sent is still on the stack.
     void postDispatch()
     {
@@ -428,6 +443,9 @@
     std::unique_ptr<framework::Timer> planTimer_;
     Deadline planAt_;
     bool isDispatchPosted_ = false;
+    /// Dispatches the waiting requests again at this time.
+    std::unique_ptr<framework::Timer> dispatchTimer_;
+    Deadline dispatchAt_;
 };
 
 Forwarder::Forwarder(Context context, const ForwarderSettings& settings)
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -16,6 +16,7 @@
 /// More requests than a server usually runs and queues.
 constexpr std::size_t maxSuspects = 128;
 constexpr std::size_t maxTrials = 1024;
+constexpr std::size_t maxRecentCrashes = 1024;
 constexpr std::size_t maxClearedRequests = 1024;
 /// Clearances that are remembered for one request.
 constexpr std::size_t maxClearances = 4;
@@ -82,6 +83,7 @@
         crash.isConfirmed = reported.isConfirmed || endedRuns_.contains(reported.server);
         news.isConfirmed = crash.isConfirmed;
         limitSuspects(crash);
+        noteConfirmed(crash);
         return news;
     }
     std::erase_if(news.suspects, [&](const auto& suspect) { return crash.suspects.contains(suspect.first); });
@@ -92,16 +94,23 @@
     crash.suspects.insert(news.suspects.begin(), news.suspects.end());
     limitSuspects(crash);
     news.isConfirmed = crash.isConfirmed;
+    noteConfirmed(crash);
     return news.suspects.empty() && !isNewlyConfirmed ? ServerCrash() : news;
 }
 
 bool CrashEvidence::mergeTrial(const Trial& reported)
 {
     const auto [known, isNew] = trials_.try_emplace(reported.id, reported);
-    const bool hasNowEnded = reported.hasEnded && !known->second.hasEnded;
-    known->second.hasEnded = known->second.hasEnded || reported.hasEnded;
+    Trial& trial = known->second;
+    const bool hasNowEnded = reported.hasEnded && !trial.hasEnded;
+    const bool isNowSent = reported.isSent() && !trial.isSent();
+    if (isNowSent) {
+        trial.server = reported.server;
+        trial.startedAt = reported.startedAt;
+    }
+    trial.hasEnded = trial.hasEnded || reported.hasEnded;
     limitByAge(trials_, maxTrials, [](const Trial& trial) { return trial.startedAt; });
-    return isNew || hasNowEnded;
+    return isNew || hasNowEnded || isNowSent;
 }
 
 bool CrashEvidence::isKnown(const Clearance& clearance) const
@@ -137,6 +146,14 @@
     return true;
 }
 
+void CrashEvidence::noteConfirmed(const ServerCrash& crash)
+{
+    if (!crash.isConfirmed)
+        return;
+    recentCrashes_.try_emplace(crash.server, crash.endedAt);
+    limitByAge(recentCrashes_, maxRecentCrashes, [](SteadyTime at) { return at; });
+}
+
 /// Keeps the requests that were sent last: a request that crashes its servers does so when it begins to run.
 void CrashEvidence::limitSuspects(ServerCrash& crash)
 {
@@ -156,6 +173,7 @@
     if (crash == crashes_.end() || crash->second.isConfirmed)
         return nullptr;
     crash->second.isConfirmed = true;
+    noteConfirmed(crash->second);
     return &crash->second;
 }
 
@@ -171,6 +189,7 @@
 void CrashEvidence::expire(SteadyTime now)
 {
     std::erase_if(crashes_, [now](const auto& entry) { return now - entry.second.endedAt > retention(entry.second); });
+    std::erase_if(recentCrashes_, [now](const auto& entry) { return now - entry.second > recentCrashWindow; });
     std::erase_if(endedRuns_, [now](const auto& entry) { return entry.second.hasPassed(now); });
     std::erase_if(trials_, [now](const auto& entry) { return now - entry.second.startedAt > trialRetention; });
     std::erase_if(clearances_, [now](const auto& entry) { return now - entry.second.back().at > maxQuarantine; });
--- a/src/quarantine/internal/requestquarantine.cpp
+++ b/src/quarantine/internal/requestquarantine.cpp
@@ -21,6 +21,15 @@
 /// Limits the cost of judging in a crash storm: with so many suspects it takes milliseconds.
 constexpr std::size_t manySuspects = 500;
 constexpr Milliseconds judgementInterval { 50 };
+/// From the announcement of a trial to its begin: longer than evidence takes from router to router.
+constexpr Milliseconds announcementTime { 150 };
+/// An announced trial that hasn't begun by then is given up, such as when its caller has left.
+constexpr Milliseconds announcementTtl { 600 };
+/// How long a copy whose turn it is may wait for a server before the trial is announced anew.
+constexpr Milliseconds turnTime { 2000 };
+/// How long after a crash a suspected request may be kept waiting for a server without another one: with few servers
+/// and long requests there may be none for long.
+constexpr Milliseconds apartTime { 2000 };
 constexpr Milliseconds expiryInterval { 1000 };
 
 const char* text(EndSign sign)
@@ -96,7 +105,36 @@
     if (known->isQuarantined && !known->until.hasPassed(now))
         return Admission::Quarantined;
     const bool isUndecided = known->possibleCrashes > known->crashes && known->possibleCrashes >= settings_.crashes;
-    return isUndecided || isBeingTried(request) ? Admission::Wait : Admission::Trial;
+    if (isUndecided || isBeingTried(request))
+        return Admission::Wait;
+    return isOwnTurn(request) ? Admission::Trial : Admission::Wait;
+}
+
+/// Prevents several routers from trying a copy each at the same moment, such as when a server comes back: a trial is
+/// announced first, and begins if no other router has announced one with a lower id meanwhile.
+bool RequestQuarantine::isOwnTurn(const RequestFingerprint& request)
+{
+    const SteadyTime now = context_.clock.now();
+    Trial& own = announced_[request];
+    if (own.id == 0 || now - own.startedAt > turnTime) {
+        own = { request, framework::randomNumber(), {}, now, false };
+        EvidenceUpdate update;
+        update.trials.push_back(own);
+        add(update);
+    }
+    const Deadline decidedAt = Deadline::after(own.startedAt, announcementTime);
+    if (!decidedAt.hasPassed(now)) {
+        context_.wakeAt(decidedAt);
+        return false;
+    }
+    const bool isFirst = std::none_of(evidence_.trials().begin(), evidence_.trials().end(), [&](const auto& entry) {
+        const Trial& other = entry.second;
+        return other.request == request && other.id < own.id && !other.hasEnded && !other.isSent()
+            && now - other.startedAt <= announcementTtl;
+    });
+    if (!isFirst)
+        context_.wakeAt(Deadline::after(now, announcementTime));
+    return isFirst;
 }
 
 const Standing* RequestQuarantine::standing(const RequestFingerprint& request)
@@ -120,13 +158,16 @@
     const SteadyTime now = context_.clock.now();
     return std::any_of(evidence_.trials().begin(), evidence_.trials().end(), [&](const auto& entry) {
         const Trial& trial = entry.second;
-        return trial.request == request && !trial.hasEnded && now - trial.startedAt < maxTrialTime;
+        return trial.request == request && trial.isSent() && !trial.hasEnded && now - trial.startedAt < maxTrialTime;
     });
 }
 
 std::unique_ptr<TrialGuard> RequestQuarantine::beginTrial(const RequestFingerprint& request, const ServerRunId& server)
 {
-    const Trial trial { request, framework::randomNumber(), server, context_.clock.now(), false };
+    const auto announced = announced_.find(request);
+    const std::uint64_t id = announced == announced_.end() ? framework::randomNumber() : announced->second.id;
+    announced_.erase(request);
+    const Trial trial { request, id, server, context_.clock.now(), false };
     EvidenceUpdate update;
     update.trials.push_back(trial);
     add(update);
@@ -160,7 +201,8 @@
 bool RequestQuarantine::mustRunApart(const RequestFingerprint& request)
 {
     const Standing* const known = standing(request);
-    return known && known->possibleCrashes + 1 >= settings_.crashes;
+    return known && known->possibleCrashes + 1 >= settings_.crashes
+        && context_.clock.now() - known->lastCrash < apartTime;
 }
 
 void RequestQuarantine::didCut(const CutRequest& cut)
@@ -258,6 +300,7 @@
         return;
     nextExpiry_ = Deadline::after(now, expiryInterval);
     evidence_.expire(now);
+    std::erase_if(announced_, [now](const auto& entry) { return now - entry.second.startedAt > turnTime; });
     noteChange();
 }
 
@@ -268,7 +311,7 @@
     if (!isStale_ || !nextJudgement_.hasPassed(now))
         return;
     isStale_ = false;
-    const Standings before = std::exchange(standings_, judge(evidence_, settings_));
+    const Standings before = std::exchange(standings_, judge(evidence_, settings_, servers_, now));
     if (standings_.size() > manySuspects)
         nextJudgement_ = Deadline::after(now, judgementInterval);
     reportChanges(before);
--- a/src/quarantine/internal/verdicts.cpp
+++ b/src/quarantine/internal/verdicts.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/verdicts.h"
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <set>
@@ -14,6 +15,8 @@
 using framework::SteadyTime;
 
 constexpr std::uint32_t maxDoublings = 10;
+/// A request is quarantined if it would be at its crashes by chance no more often than this.
+constexpr double maxChance = 1e-7;
 
 /// The crashes that one request was part of.
 struct Involvement {
@@ -42,21 +45,47 @@
     return left;
 }
 
-/// `involvements` are in the order of their crashes. Copies that were sent before the first of several crashes count as
-/// one: only a copy that was sent after a crash is new evidence.
-std::uint32_t crashesInSuccession(const Involvements& involvements, bool onlyConfirmed)
+/// Returns the crashes that count. Copies that were sent before the first of several crashes count as one: only a copy
+/// that was sent after a crash is new evidence. `involvements` are in the order of their crashes.
+Involvements inSuccession(const Involvements& involvements, bool onlyConfirmed)
 {
-    std::uint32_t count = 0;
-    std::optional<SteadyTime> last;
+    Involvements counted;
     for (const Involvement& involvement : involvements) {
         if (onlyConfirmed && !involvement.crash->isConfirmed)
             continue;
-        if (last && involvement.sentAt <= *last)
+        if (!counted.empty() && involvement.sentAt <= counted.back().crash->endedAt)
             continue;
-        ++count;
-        last = involvement.crash->endedAt;
+        counted.push_back(involvement);
     }
-    return count;
+    return counted;
+}
+
+/// Returns how often per second a server has crashed of late, without the crashes of this request and of those that
+/// convicted ones explain.
+double crashRate(const CrashEvidence& evidence, const RequestFingerprint& request, const Convicted& convicted,
+    std::size_t servers, SteadyTime now)
+{
+    const auto& recent = evidence.recentCrashes();
+    const auto crashes = std::count_if(recent.begin(), recent.end(), [&](const auto& entry) {
+        const auto known = evidence.crashes().find(entry.first);
+        const bool isOther = known == evidence.crashes().end()
+            || (!known->second.suspects.contains(request) && !isExplained(known->second, request, convicted));
+        return isOther && now - entry.second <= recentCrashWindow;
+    });
+    const std::chrono::duration<double> window = recentCrashWindow;
+    // One more than were seen: without it, no crash in the window would make any verdict certain.
+    return static_cast<double>(crashes + 1) / (window.count() * static_cast<double>(std::max<std::size_t>(1, servers)));
+}
+
+/// Returns the probability that a request is at so many crashes in succession by chance.
+double chanceOf(const Involvements& counted, double rate)
+{
+    double chance = 1;
+    for (const Involvement& involvement : counted) {
+        const std::chrono::duration<double> exposure = involvement.crash->endedAt - involvement.sentAt;
+        chance *= std::min(1.0, rate * exposure.count());
+    }
+    return chance;
 }
 
 bool isSame(const Involvements& left, const Involvements& right)
@@ -68,8 +97,8 @@
 Standing standing(const Involvements& involvements)
 {
     Standing standing;
-    standing.crashes = crashesInSuccession(involvements, true);
-    standing.possibleCrashes = crashesInSuccession(involvements, false);
+    standing.crashes = static_cast<std::uint32_t>(inSuccession(involvements, true).size());
+    standing.possibleCrashes = static_cast<std::uint32_t>(inSuccession(involvements, false).size());
     if (involvements.empty())
         return standing;
     standing.firstCrash = involvements.front().crash->endedAt;
@@ -87,7 +116,7 @@
 
 } // namespace
 
-Standings judge(const CrashEvidence& evidence, const QuarantineSettings& settings)
+Standings judge(const CrashEvidence& evidence, const QuarantineSettings& settings, std::size_t servers, SteadyTime now)
 {
     std::map<RequestFingerprint, Involvements> all;
     for (const auto& [server, crash] : evidence.crashes()) {
@@ -95,12 +124,12 @@
             all[request].push_back({ sentAt, &crash });
     }
     Standings standings;
-    std::vector<std::tuple<std::uint32_t, std::size_t, RequestFingerprint>> order;
+    std::vector<std::tuple<std::size_t, std::size_t, RequestFingerprint>> order;
     for (auto& [request, involvements] : all) {
         std::sort(involvements.begin(), involvements.end(), [](const Involvement& left, const Involvement& right) {
             return left.crash->endedAt < right.crash->endedAt;
         });
-        order.emplace_back(crashesInSuccession(involvements, true), involvements.size(), request);
+        order.emplace_back(inSuccession(involvements, true).size(), involvements.size(), request);
     }
     std::sort(order.begin(), order.end(), std::greater<> {});
     const auto hasEqual = [&](const RequestFingerprint& request, const Convicted& convicted) {
@@ -110,12 +139,14 @@
         });
     };
     Convicted convicted;
-    for (const auto& [crashes, servers, request] : order) {
-        Standing found = standing(unexplained(all[request], request, convicted));
+    for (const auto& [crashes, involvements, request] : order) {
+        const Involvements own = unexplained(all[request], request, convicted);
+        Standing found = standing(own);
         if (found.servers.empty())
             continue;
         const bool isOpen = found.crashes == settings.crashes && hasEqual(request, convicted);
-        if (found.crashes >= settings.crashes && !isOpen) {
+        if (found.crashes >= settings.crashes && !isOpen
+            && chanceOf(inSuccession(own, true), crashRate(evidence, request, convicted, servers, now)) <= maxChance) {
             found.isQuarantined = true;
             found.until = quarantineEnd(found, settings);
             convicted.insert(request);
--- a/src/quarantine/requestquarantine.h
+++ b/src/quarantine/requestquarantine.h
@@ -9,6 +9,7 @@
 #include "quarantine/verdicts.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -71,6 +72,8 @@
         framework::Metrics& metrics;
         /// Called when a request that has to wait may be admitted now.
         std::function<void()> didChange;
+        /// Asks for a call of `admit` for the requests that wait, at this time.
+        std::function<void(framework::Deadline)> wakeAt;
         /// Passes new evidence on to the other routers.
         std::function<void(const EvidenceUpdate&)> share;
         std::function<void(const framework::LogLine&)> log = framework::logDecision;
@@ -79,6 +82,8 @@
     RequestQuarantine(Context, const QuarantineSettings&);
 
     void setSettings(const QuarantineSettings&);
+    /// How many servers there are that may crash.
+    void setServers(std::size_t servers) { servers_ = servers; }
 
     /// Judges the evidence that has come since the last call. All queries do so too.
     void refresh();
@@ -112,6 +117,7 @@
 private:
     friend class TrialGuard;
 
+    bool isOwnTurn(const RequestFingerprint&);
     void endTrial(Trial);
     void add(const EvidenceUpdate&);
     bool clear(const RequestFingerprint&, ClearanceReason, const std::string& operatorName = {});
@@ -122,8 +128,11 @@
 
     Context context_;
     QuarantineSettings settings_;
+    std::size_t servers_ = 1;
     CrashEvidence evidence_;
     Standings standings_;
+    /// This router's announced trials that haven't begun yet.
+    std::map<RequestFingerprint, Trial> announced_;
     /// Whether the evidence has changed since `standings_` was made.
     bool isStale_ = false;
     /// No new judgement before this time.
--- a/src/quarantine/tests/crashstorm_test.cpp
+++ b/src/quarantine/tests/crashstorm_test.cpp
@@ -59,6 +59,7 @@
     {
         for (Server& server : runs_)
             server.run = newServer();
+        quarantine->setServers(runs_.size());
     }
 
     Outcome play()
--- a/src/quarantine/types/evidence.h
+++ b/src/quarantine/types/evidence.h
@@ -28,14 +28,17 @@
     std::map<RequestFingerprint, framework::SteadyTime> suspects;
 };
 
-/// A suspected request that runs alone among its copies.
+/// A suspected request that runs alone among its copies, or is about to.
 struct Trial {
     RequestFingerprint request;
-    /// Random.
+    /// Random. Of several routers that are about to try copies of a request, the one with the lowest id does.
     std::uint64_t id = 0;
+    /// Empty until the request is sent.
     ServerRunId server;
     framework::SteadyTime startedAt {};
     bool hasEnded = false;
+
+    bool isSent() const { return !server.value().empty(); }
 };
 
 enum class ClearanceReason : std::uint8_t {
--- a/src/quarantine/verdicts.h
+++ b/src/quarantine/verdicts.h
@@ -34,6 +34,9 @@
 /// runs well elsewhere, which clears it, or is missing at later crashes. Therefore the requests with the most crashes
 /// are judged first, and crashes that one of them explains count no more for the others. Requests that were part of the
 /// same crashes can't be told apart; none of them is quarantined until a further crash shows which it was.
-Standings judge(const CrashEvidence&, const QuarantineSettings&);
+///
+/// In a crash storm a long request may be there by chance several times in succession. A request is quarantined only if
+/// that is unlikely at the rate at which servers have crashed without it. `servers` is how many there are.
+Standings judge(const CrashEvidence&, const QuarantineSettings&, std::size_t servers, framework::SteadyTime now);
 
 } // namespace lagoon::quarantine
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -66,6 +66,7 @@
     , retryBudget_(context.settings.retryShare, context.settings.retryReserve)
     , quarantine_(std::make_shared<quarantine::RequestQuarantine>(
           quarantine::RequestQuarantine::Context { context.clock, context.metrics, [this] { postRouteHeld(); },
+              [this](Deadline at) { routeHeldAt(at); },
               [this](const quarantine::EvidenceUpdate& update) { context_.shareEvidence(update); },
               [](const framework::LogLine& line) { framework::logInfo("router", line.json()); } },
           context.quarantine))
@@ -167,9 +168,15 @@
 void Dispatcher::hold(RequestNumber number)
 {
     held_.insert(number);
-    if (heldTimer_)
+    routeHeldAt(Deadline::after(context_.clock.now(), heldInterval));
+}
+
+void Dispatcher::routeHeldAt(Deadline at)
+{
+    if (heldTimer_ && heldTimerAt_ <= at)
         return;
-    heldTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), heldInterval), [this] {
+    heldTimerAt_ = at;
+    heldTimer_ = context_.control.runAt(at, [this] {
         heldTimer_.reset();
         routeHeld();
     });
--- a/src/router/internal/dispatcher.h
+++ b/src/router/internal/dispatcher.h
@@ -100,6 +100,7 @@
     bool mayBeDispatched(RequestNumber, const Request&);
     std::vector<framework::VmName> forTrial(const Request&, const std::vector<framework::VmName>&);
     void hold(RequestNumber);
+    void routeHeldAt(framework::Deadline);
     void routeHeld();
     void postRouteHeld();
     bool isAtOwnSite(const framework::VmName&) const;
@@ -135,6 +136,7 @@
     std::set<RequestNumber> held_;
     bool isRouteHeldPosted_ = false;
     std::unique_ptr<framework::Timer> heldTimer_;
+    framework::Deadline heldTimerAt_;
     std::map<RequestNumber, Request> requests_;
     std::map<framework::VmName, std::unique_ptr<framework::Timer>> drainingTimers_;
     std::uint64_t nextNumber_ = 1;
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -240,6 +240,7 @@
     directory_.setEntries(vms);
     sessions_.removeGone();
     evidence_.updateRelays();
+    dispatcher_.quarantine().setServers(directory_.agents().size());
     updateStoreShare();
     hasVms_ = true;
 }
