Ask whether a request is quarantined without announcing a trial

Callers saw: nothing yet; copies at other routers could wait up to 0.6 s for a trial that nobody was to begin.

Cause: the retry decision asked `admit`, which announces a trial for a suspected request even if it isn't retried.

Change: `isQuarantined` for that question; the dispatcher begins a trial for each suspected request that it was allowed to dispatch, without asking twice.

Result: quarantine_tests, router_tests, forwarding_tests, poisonrequest_tests, sharedquarantine_tests and agentquarantine_tests pass.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -388,7 +388,7 @@
     const bool mayRun = !mayHaveRun_ || mayRetry();
     const bool hasTime = spec_.deadline.remaining(host_.now()) >= minTimeToRetry;
     const bool hasServerLeft = tried_.sentTo.size() < spec_.route->maxServers;
-    const bool isQuarantined = host_.quarantine().admit(spec_.fingerprint) == Admission::Quarantined;
+    const bool isQuarantined = host_.quarantine().isQuarantined(spec_.fingerprint);
     const bool isRetried = !isQuarantined && mayRun && hasTime && hasServerLeft && host_.spendRetry(spec_.service);
     logDecision(LogLine("attempt_failed")
                     .text("id", spec_.facts.attempt)
--- a/src/quarantine/internal/requestquarantine.cpp
+++ b/src/quarantine/internal/requestquarantine.cpp
@@ -101,8 +101,7 @@
     const Standing* const known = standing(request);
     if (!known)
         return Admission::Free;
-    const SteadyTime now = context_.clock.now();
-    if (known->isQuarantined && !known->until.hasPassed(now))
+    if (isQuarantined(request))
         return Admission::Quarantined;
     const bool isUndecided = known->possibleCrashes > known->crashes && known->possibleCrashes >= settings_.crashes;
     if (isUndecided || isBeingTried(request))
@@ -110,6 +109,12 @@
     return isOwnTurn(request) ? Admission::Trial : Admission::Wait;
 }
 
+bool RequestQuarantine::isQuarantined(const RequestFingerprint& request)
+{
+    const Standing* const known = standing(request);
+    return known && known->isQuarantined && !known->until.hasPassed(context_.clock.now());
+}
+
 /// Prevents several routers from trying a copy each at the same moment, such as when a server comes back: a trial is
 /// announced first, and begins if no other router has announced one with a lower id meanwhile.
 bool RequestQuarantine::isOwnTurn(const RequestFingerprint& request)
--- a/src/quarantine/requestquarantine.h
+++ b/src/quarantine/requestquarantine.h
@@ -87,7 +87,9 @@
 
     /// Judges the evidence that has come since the last call. All queries do so too.
     void refresh();
+    /// A suspected request that is admitted for a trial, or waits for its turn, is announced to the other routers.
     Admission admit(const RequestFingerprint&);
+    bool isQuarantined(const RequestFingerprint&);
     bool hasSuspects() const { return !evidence_.isEmpty(); }
     /// Returns what is known of a suspected request, or nullptr.
     const Standing* standing(const RequestFingerprint&);
--- a/src/router/internal/dispatcher.cpp
+++ b/src/router/internal/dispatcher.cpp
@@ -330,7 +330,7 @@
         context_.metrics.observeSeconds("lagoon_cold_start_seconds", waited.count());
         entry.coldSince.reset();
     }
-    if (quarantine_->admit(entry.fingerprint) == quarantine::Admission::Trial)
+    if (quarantine_->standing(entry.fingerprint))
         entry.trial = quarantine_->beginTrial(entry.fingerprint, quarantine::ServerRunId(vm.value()));
     entry.sequence = session->dispatch(makeDispatch(entry), entry.request.deadline, entry.stream,
         [this, number, vm](const DispatchOutcome& outcome) { handleOutcome(number, vm, outcome); });
@@ -518,7 +518,7 @@
 
 void Dispatcher::retry(RequestNumber number, Request& entry, const Error& error)
 {
-    if (quarantine_->admit(entry.fingerprint) == quarantine::Admission::Quarantined)
+    if (quarantine_->isQuarantined(entry.fingerprint))
         return route(number);
     if (entry.attempts >= context_.settings.attempts)
         return refuse(number, error);
