Keep the fingerprint of a dispatch that was sent

Callers saw: nothing in the tests; a retry could reach the next upstream before the evidence on the crash of the first had arrived.

Cause: AgentSession moves the dispatch out when it is sent and kept its id alone, so that `Refused.cut_at` found no fingerprint.

Change: the fingerprint stays with the id; aRefusalThatTellsOfACutConnection- MakesTheRetryATrial guards it and failed before.

--- a/src/quarantine/tests/requestquarantine_test.cpp
+++ b/src/quarantine/tests/requestquarantine_test.cpp
@@ -116,7 +116,7 @@
 {
     crash({ poison });
     auto trial = quarantine->beginTrial(poison, newServer());
-    BOOST_TEST((quarantine->admit(poison) == Admission::Wait));
+    BOOST_TEST((admission(poison) == Admission::Wait));
     BOOST_TEST((quarantine->admit(request(1)) == Admission::Free));
     trial.reset();
     BOOST_TEST((admission(poison) == Admission::Trial));
--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -257,7 +257,8 @@
 {
     entry.wasSent = true;
     const SteadyTime now = context_.clock.now();
-    // Moves the dispatch out and keeps only its id: `Resolve` needs nothing else, and the body may be large.
+    // Moves the dispatch out and keeps only its id and fingerprint: nothing else is needed later, and the body may be
+    // large.
     entry.frame.id->router_incarnation = context_.ownIncarnation.value();
     entry.frame.id->session = session_;
     entry.frame.agent_incarnation = agentIncarnation_;
@@ -266,6 +267,7 @@
     wire::fb::DispatchT frame(std::move(entry.frame));
     entry.frame = wire::fb::DispatchT();
     entry.frame.id = std::make_unique<wire::fb::DispatchIdT>(*frame.id);
+    entry.frame.fingerprint = frame.fingerprint;
     link_->send(wire::message(std::move(frame)));
 }
 
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -677,4 +677,23 @@
     BOOST_TEST((first->isComplete_ && second->isComplete_));
 }
 
+// Prevents a retry from reaching the next upstream before the evidence on the crash of the first has arrived.
+BOOST_FIXTURE_TEST_CASE(aRefusalThatTellsOfACutConnectionMakesTheRetryATrial, QuarantineFixture)
+{
+    const auto caller = ask(service(), longTimeout, true);
+    const auto [vm, id] = firstDispatch();
+    wire::fb::RefusedT refused;
+    refused.id = std::make_unique<wire::fb::DispatchIdT>(id);
+    refused.code = static_cast<std::uint8_t>(ErrorCode::UpstreamBroken);
+    refused.execution = 1;
+    refused.cut_at = "run-1";
+    link(vm)->deliver(wire::message(std::move(refused)));
+    runPending();
+    BOOST_CHECK_THROW(firstDispatch(), std::runtime_error);
+    control_.advance(Milliseconds(200));
+    const auto [nextVm, nextId] = firstDispatch();
+    answer(*link(nextVm), nextId, "held");
+    BOOST_TEST(caller->isComplete_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/router/tests/fixture.cpp
+++ b/src/router/tests/fixture.cpp
@@ -53,7 +53,8 @@
 RouterFixture::RouterFixture()
     : bundle_(makeBundle())
     , sessionContext_ { ownVm, ownIncarnation, transport_, control_, control_, metrics_, settings_,
-        [this] { return bundle_->version; }, [](framework::BundleVersion) {} }
+        [this] { return bundle_->version; }, [](framework::BundleVersion) {}, [](const auto&, const auto&) {},
+        [this](const quarantine::CutRequest& cut) { dispatcher_.quarantine().didCut(cut); } }
     , sessions_(sessionContext_, directory_)
     , peers_(std::make_shared<PeerLinks>(sessionContext_, directory_))
     , dispatcher_({ site, control_, control_, metrics_, settings_, directory_, placements_, sessions_,
--- a/tests/integration/agentquarantine_test.cpp
+++ b/tests/integration/agentquarantine_test.cpp
@@ -15,7 +15,7 @@
 constexpr int crashesToVerdict = 3;
 constexpr std::size_t routers = 2;
 
-/// Two routers before three services that crash when they start a call with a certain body. Crashed services are
+/// Two routers before five services that crash when they start a call with a certain body. Crashed services are
 /// started again.
 struct CrashingServices {
     CrashingServices()
@@ -64,7 +64,7 @@
         }
     }
 
-    const std::vector<std::string> vms { "up-1", "up-2", "up-3" };
+    const std::vector<std::string> vms { "up-1", "up-2", "up-3", "up-4", "up-5" };
     Deployment deployment;
     int crashes = 0;
 };
