Judge a request by the crashes before its own, not by later ones

Callers saw: nothing yet; found while reading the change. A poison request that had been refused could be served again, and crash another server, because servers crashed for other reasons meanwhile; and a request could come to be refused without a further crash.

Cause: the rate of crashes, with which a request's crashes are compared, was taken over the last minute before now. It grew with later crashes of others and fell when a crash storm had passed, and the verdict with it.

Change: the rate is that of the minute before the request's last crash. Why it works: nothing that comes after the last crash of a request enters into its verdict.

Result: laterCrashesOfOthersDoNotEndAQuarantine and theEndOfACrashStormIsNoEvidence failed before.

--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -10,9 +10,6 @@
 
 namespace lagoon::quarantine {
 
-/// How long `CrashEvidence::recentCrashes` go back.
-inline constexpr std::chrono::seconds recentCrashWindow { 60 };
-
 /// The facts about crashes that verdicts are based on, bounded in number and age. Processes exchange them as updates;
 /// all that have received the same updates, in any order, know the same. Does no I/O and reads no clock.
 class CrashEvidence {
@@ -29,8 +26,8 @@
 
     const std::map<ServerRunId, ServerCrash>& crashes() const { return crashes_; }
     const std::map<std::uint64_t, Trial>& trials() const { return trials_; }
-    /// The confirmed crashes of the last minute, also those whose suspects have all been cleared.
-    const std::map<ServerRunId, framework::SteadyTime>& recentCrashes() const { return recentCrashes_; }
+    /// When each server crashed, also those whose suspects have all been cleared.
+    const std::map<ServerRunId, framework::SteadyTime>& crashTimes() const { return crashTimes_; }
     bool isSuspect(const RequestFingerprint&) const;
     bool isEmpty() const { return crashes_.empty() && trials_.empty(); }
     /// Returns the newest evidence, for a process that has none: at most so many suspects, and the
@@ -49,7 +46,7 @@
 
     std::map<ServerRunId, ServerCrash> crashes_;
     std::map<std::uint64_t, Trial> trials_;
-    std::map<ServerRunId, framework::SteadyTime> recentCrashes_;
+    std::map<ServerRunId, framework::SteadyTime> crashTimes_;
     /// Runs that are known to have ended, until when that is remembered.
     std::map<ServerRunId, framework::Deadline> endedRuns_;
     std::map<RequestFingerprint, std::vector<Clearance>> clearances_;
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -16,7 +16,7 @@
 /// More requests than a server usually runs and queues.
 constexpr std::size_t maxSuspects = 128;
 constexpr std::size_t maxTrials = 1024;
-constexpr std::size_t maxRecentCrashes = 1024;
+constexpr std::size_t maxCrashTimes = 1024;
 constexpr std::size_t maxClearedRequests = 1024;
 /// Clearances that are remembered for one request.
 constexpr std::size_t maxClearances = 4;
@@ -150,8 +150,8 @@
 {
     if (!crash.isConfirmed)
         return;
-    recentCrashes_.try_emplace(crash.server, crash.endedAt);
-    limitByAge(recentCrashes_, maxRecentCrashes, [](SteadyTime at) { return at; });
+    crashTimes_.try_emplace(crash.server, crash.endedAt);
+    limitByAge(crashTimes_, maxCrashTimes, [](SteadyTime at) { return at; });
 }
 
 /// Keeps the requests that were sent last: a request that crashes its servers does so when it begins to run.
@@ -189,7 +189,7 @@
 void CrashEvidence::expire(SteadyTime now)
 {
     std::erase_if(crashes_, [now](const auto& entry) { return now - entry.second.endedAt > retention(entry.second); });
-    std::erase_if(recentCrashes_, [now](const auto& entry) { return now - entry.second > recentCrashWindow; });
+    std::erase_if(crashTimes_, [now](const auto& entry) { return now - entry.second > maxQuarantine; });
     std::erase_if(endedRuns_, [now](const auto& entry) { return entry.second.hasPassed(now); });
     std::erase_if(trials_, [now](const auto& entry) { return now - entry.second.startedAt > trialRetention; });
     std::erase_if(clearances_, [now](const auto& entry) { return now - entry.second.back().at > maxQuarantine; });
--- a/src/quarantine/internal/requestquarantine.cpp
+++ b/src/quarantine/internal/requestquarantine.cpp
@@ -316,7 +316,7 @@
     if (!isStale_ || !nextJudgement_.hasPassed(now))
         return;
     isStale_ = false;
-    const Standings before = std::exchange(standings_, judge(evidence_, settings_, servers_, now));
+    const Standings before = std::exchange(standings_, judge(evidence_, settings_, servers_));
     if (standings_.size() > manySuspects)
         nextJudgement_ = Deadline::after(now, judgementInterval);
     reportChanges(before);
--- a/src/quarantine/internal/verdicts.cpp
+++ b/src/quarantine/internal/verdicts.cpp
@@ -15,6 +15,8 @@
 using framework::SteadyTime;
 
 constexpr std::uint32_t maxDoublings = 10;
+/// The time over which the rate of crashes is taken.
+constexpr std::chrono::seconds crashRateWindow { 60 };
 /// A request is quarantined if it would be at its crashes by chance no more often than this.
 constexpr double maxChance = 1e-7;
 
@@ -60,19 +62,19 @@
     return counted;
 }
 
-/// Returns how often per second a server has crashed of late, without the crashes of this request and of those that
-/// convicted ones explain.
+/// Returns how often per second a server crashed before the request's last crash, without the crashes of this request
+/// and of those that convicted ones explain. Neither later crashes nor the time since then change the verdict.
 double crashRate(const CrashEvidence& evidence, const RequestFingerprint& request, const Convicted& convicted,
-    std::size_t servers, SteadyTime now)
+    std::size_t servers, SteadyTime lastCrash)
 {
-    const auto& recent = evidence.recentCrashes();
-    const auto crashes = std::count_if(recent.begin(), recent.end(), [&](const auto& entry) {
+    const auto& times = evidence.crashTimes();
+    const auto crashes = std::count_if(times.begin(), times.end(), [&](const auto& entry) {
         const auto known = evidence.crashes().find(entry.first);
         const bool isOther = known == evidence.crashes().end()
             || (!known->second.suspects.contains(request) && !isExplained(known->second, request, convicted));
-        return isOther && now - entry.second <= recentCrashWindow;
+        return isOther && entry.second <= lastCrash && lastCrash - entry.second <= crashRateWindow;
     });
-    const std::chrono::duration<double> window = recentCrashWindow;
+    const std::chrono::duration<double> window = crashRateWindow;
     // One more than were seen: without it, no crash in the window would make any verdict certain.
     return static_cast<double>(crashes + 1) / (window.count() * static_cast<double>(std::max<std::size_t>(1, servers)));
 }
@@ -116,7 +118,7 @@
 
 } // namespace
 
-Standings judge(const CrashEvidence& evidence, const QuarantineSettings& settings, std::size_t servers, SteadyTime now)
+Standings judge(const CrashEvidence& evidence, const QuarantineSettings& settings, std::size_t servers)
 {
     std::map<RequestFingerprint, Involvements> all;
     for (const auto& [server, crash] : evidence.crashes()) {
@@ -146,7 +148,8 @@
             continue;
         const bool isOpen = found.crashes == settings.crashes && hasEqual(request, convicted);
         if (found.crashes >= settings.crashes && !isOpen
-            && chanceOf(inSuccession(own, true), crashRate(evidence, request, convicted, servers, now)) <= maxChance) {
+            && chanceOf(inSuccession(own, true), crashRate(evidence, request, convicted, servers, found.lastCrash))
+                <= maxChance) {
             found.isQuarantined = true;
             found.until = quarantineEnd(found, settings);
             convicted.insert(request);
--- a/src/quarantine/tests/requestquarantine_test.cpp
+++ b/src/quarantine/tests/requestquarantine_test.cpp
@@ -197,6 +197,28 @@
     BOOST_TEST(isQuarantined(request(2)));
 }
 
+// Prevents a quarantine from ending because other servers crash later, for other reasons.
+BOOST_AUTO_TEST_CASE(laterCrashesOfOthersDoNotEndAQuarantine)
+{
+    crashTimes(3, { poison });
+    BOOST_TEST(isQuarantined(poison));
+    for (int number = 0; number < 100; ++number)
+        crash({ request(static_cast<std::uint8_t>(number)) });
+    BOOST_TEST(isQuarantined(poison));
+}
+
+// Prevents a request from being quarantined without a further crash, only because the crash storm that it met has
+// ended.
+BOOST_AUTO_TEST_CASE(theEndOfACrashStormIsNoEvidence)
+{
+    for (int number = 0; number < 100; ++number)
+        crash({ request(static_cast<std::uint8_t>(number)) });
+    crashTimes(3, { request(150) });
+    BOOST_TEST(!isQuarantined(request(150)));
+    clock.advance(Milliseconds(70000));
+    BOOST_TEST(!isQuarantined(request(150)));
+}
+
 BOOST_AUTO_TEST_CASE(twoCulpritsAreBothFound)
 {
     crashTimes(2, { poison, request(1) });
--- a/src/quarantine/verdicts.h
+++ b/src/quarantine/verdicts.h
@@ -36,7 +36,7 @@
 /// same crashes can't be told apart; none of them is quarantined until a further crash shows which it was.
 ///
 /// In a crash storm a long request may be there by chance several times in succession. A request is quarantined only if
-/// that is unlikely at the rate at which servers have crashed without it. `servers` is how many there are.
-Standings judge(const CrashEvidence&, const QuarantineSettings&, std::size_t servers, framework::SteadyTime now);
+/// that is unlikely at the rate at which servers had crashed without it. `servers` is how many there are.
+Standings judge(const CrashEvidence&, const QuarantineSettings&, std::size_t servers);
 
 } // namespace lagoon::quarantine
