Let a router with a current list decide whether a crashed server was leaving

Callers saw: nothing yet; found while reading the change. A poison request could go on crashing servers while one router's list of servers was out of date.

Cause: a cut at a server that may have been draining unseen counts only if the server restarts. When several routers reported the same server, one such report put that condition on all of them, and where a restarted server has a new id the crash was never confirmed.

Change: the condition holds only as long as no router with a current list has reported the server; lifting it is shared. Why it works: a router whose list is current and names the server as ready has seen that it wasn't leaving.

Result: aRouterWithACurrentListDecidesWhetherTheServerWasLeaving failed before, in both orders; quarantine_tests pass.

--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -90,12 +90,14 @@
     const bool isNewlyConfirmed = reported.isConfirmed && !crash.isConfirmed;
     crash.endedAt = std::min(crash.endedAt, reported.endedAt);
     crash.isConfirmed = crash.isConfirmed || reported.isConfirmed;
-    crash.mayBeLeaving = crash.mayBeLeaving || reported.mayBeLeaving;
+    // A router whose list is current knows better than one whose list isn't.
+    const bool isFoundInService = crash.mayBeLeaving && !reported.mayBeLeaving;
+    crash.mayBeLeaving = crash.mayBeLeaving && reported.mayBeLeaving;
     crash.suspects.insert(news.suspects.begin(), news.suspects.end());
     limitSuspects(crash);
     news.isConfirmed = crash.isConfirmed;
     noteConfirmed(crash);
-    return news.suspects.empty() && !isNewlyConfirmed ? ServerCrash() : news;
+    return news.suspects.empty() && !isNewlyConfirmed && !isFoundInService ? ServerCrash() : news;
 }
 
 bool CrashEvidence::mergeTrial(const Trial& reported)
--- a/src/quarantine/tests/sharedevidence_test.cpp
+++ b/src/quarantine/tests/sharedevidence_test.cpp
@@ -97,6 +97,22 @@
         BOOST_TEST(router->standing(poison)->crashes == 0u);
 }
 
+// Prevents a router whose list of servers is out of date from hiding a crash that others are sure of.
+BOOST_AUTO_TEST_CASE(aRouterWithACurrentListDecidesWhetherTheServerWasLeaving)
+{
+    for (const bool staleFirst : { true, false }) {
+        const ServerRunId server(staleFirst ? "s1" : "s2");
+        routers[0]->didCut({ poison, server, clock.now(), staleFirst });
+        routers[1]->didCut({ poison, server, clock.now(), !staleFirst });
+        routers[1]->didEndRun(server, EndSign::Refused);
+        clock.advance(Milliseconds(1));
+    }
+    for (const auto& router : routers)
+        BOOST_TEST(router->standing(poison)->servers.size() == 2u);
+    for (const auto& router : routers)
+        BOOST_TEST(router->standing(poison)->possibleCrashes == router->standing(poison)->crashes);
+}
+
 // Prevents copies at different routers from crashing a server each.
 BOOST_AUTO_TEST_CASE(aTrialHoldsBackCopiesAtOtherRouters)
 {
--- a/src/quarantine/types/evidence.h
+++ b/src/quarantine/types/evidence.h
@@ -21,8 +21,8 @@
     framework::SteadyTime endedAt {};
     /// Whether this run of the server is known to have ended. Without that, its connections may only have been cut.
     bool isConfirmed = false;
-    /// Whether the server may have been draining without the knowledge of the router that was cut. Only a restart then
-    /// confirms the crash.
+    /// Whether the server may have been draining without the knowledge of all routers that were cut. Only a restart
+    /// then confirms the crash.
     bool mayBeLeaving = false;
     /// The requests that were cut, and when each was sent.
     std::map<RequestFingerprint, framework::SteadyTime> suspects;
