Forget ended server runs also while nothing is suspected

Callers saw: nothing; found while reading the change. A router's memory grew with each server that restarted, by some 100 bytes, for as long as it ran. An agent logged `request_quarantined` from its own upstream's crashes alone, though routers decide.

Cause: evidence was expired only while there was any, but runs that have ended are remembered without. The agent called `refresh`, which judges, to expire evidence.

Change: `expire` runs each second with any query, and an agent calls it alone.

--- a/src/agent/internal/upstreamcrashes.cpp
+++ b/src/agent/internal/upstreamcrashes.cpp
@@ -31,7 +31,6 @@
 
 void UpstreamCrashes::didCut(const RequestFingerprint& request, UpstreamRunNumber run, framework::SteadyTime startedAt)
 {
-    quarantine_->refresh();
     quarantine_->didCut({ request, idOf(run), startedAt, false });
     // Engines report a restart, but it may be seconds until then, and plain services don't report any.
     context_.probe([this, run](bool accepts) {
@@ -44,6 +43,7 @@
 
 void UpstreamCrashes::didEndRun(UpstreamRunNumber run, EndSign sign)
 {
+    quarantine_->expire();
     quarantine_->didEndRun(idOf(run), sign);
     if (run == run_)
         run_ = UpstreamRunNumber(run_.value() + 1);
--- a/src/agent/internal/upstreamcrashes.h
+++ b/src/agent/internal/upstreamcrashes.h
@@ -17,8 +17,8 @@
 /// Counts the runs of the upstream's process that this agent has seen.
 using UpstreamRunNumber = framework::StrongType<struct UpstreamRunNumberTag, std::uint64_t>;
 
-/// Recognizes which requests were running when the upstream crashed, and tells the routers. Also passes on what the
-/// routers tell each other. Control thread only.
+/// Recognizes which requests were running when the upstream crashed, and tells the routers, which judge them. Also
+/// passes on what the routers tell each other. Control thread only.
 class UpstreamCrashes {
 public:
     struct Context {
--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -29,6 +29,8 @@
     /// When each server crashed, also those whose suspects have all been cleared.
     const std::map<ServerRunId, framework::SteadyTime>& crashTimes() const { return crashTimes_; }
     bool isSuspect(const RequestFingerprint&) const;
+    /// The number of runs that are remembered to have ended.
+    std::size_t endedRuns() const { return endedRuns_.size(); }
     bool isEmpty() const { return crashes_.empty() && trials_.empty(); }
     /// Returns the newest evidence, for a process that has none: at most so many suspects, and the
     /// clearances since then.
--- a/src/quarantine/internal/requestquarantine.cpp
+++ b/src/quarantine/internal/requestquarantine.cpp
@@ -301,12 +301,14 @@
 void RequestQuarantine::expire()
 {
     const SteadyTime now = context_.clock.now();
-    if (!nextExpiry_.hasPassed(now) || evidence_.isEmpty())
+    if (!nextExpiry_.hasPassed(now))
         return;
     nextExpiry_ = Deadline::after(now, expiryInterval);
+    const bool hadEvidence = !evidence_.isEmpty();
     evidence_.expire(now);
     std::erase_if(announced_, [now](const auto& entry) { return now - entry.second.startedAt > turnTime; });
-    noteChange();
+    if (hadEvidence)
+        noteChange();
 }
 
 void RequestQuarantine::refresh()
--- a/src/quarantine/requestquarantine.h
+++ b/src/quarantine/requestquarantine.h
@@ -85,11 +85,14 @@
     /// How many servers there are that may crash.
     void setServers(std::size_t servers) { servers_ = servers; }
 
+    /// Forgets what is too old. Called by all queries; needed only where there are none.
+    void expire();
     /// Judges the evidence that has come since the last call. All queries do so too.
     void refresh();
     /// A suspected request that is admitted for a trial, or waits for its turn, is announced to the other routers.
     Admission admit(const RequestFingerprint&);
     bool isQuarantined(const RequestFingerprint&);
+    std::size_t endedRuns() const { return evidence_.endedRuns(); }
     bool hasSuspects() const { return !evidence_.isEmpty(); }
     /// Returns what is known of a suspected request, or nullptr.
     const Standing* standing(const RequestFingerprint&);
@@ -124,7 +127,6 @@
     void add(const EvidenceUpdate&);
     bool clear(const RequestFingerprint&, ClearanceReason, const std::string& operatorName = {});
     void noteChange();
-    void expire();
     void reportChanges(const Standings& before);
     bool isBeingTried(const RequestFingerprint&) const;
 
--- a/src/quarantine/tests/sharedevidence_test.cpp
+++ b/src/quarantine/tests/sharedevidence_test.cpp
@@ -251,6 +251,24 @@
     BOOST_TEST(relay.everything(clock.now()).size() > 1u);
 }
 
+// Prevents the memory of ended runs from growing for as long as a process runs: servers restart, and no request is cut.
+BOOST_AUTO_TEST_CASE(endedRunsAreForgotten)
+{
+    CrashEvidence evidence;
+    for (int server = 0; server < 1000; ++server) {
+        evidence.confirm(ServerRunId("s" + std::to_string(server)), true, clock.now());
+        clock.advance(Milliseconds(1000));
+        evidence.expire(clock.now());
+    }
+    BOOST_TEST(evidence.endedRuns() <= 4u);
+    for (int server = 0; server < 100; ++server) {
+        routers[0]->didEndRun(ServerRunId("r" + std::to_string(server)), EndSign::Restarted);
+        clock.advance(Milliseconds(1000));
+        (void)routers[0]->admit(poison);
+    }
+    BOOST_TEST(routers[0]->endedRuns() <= 4u);
+}
+
 // Prevents evidence that is passed around in circles from lasting forever.
 BOOST_AUTO_TEST_CASE(oldEvidenceIsNotTaken)
 {
