Log the software version of servers and which requests take up a stream

Change: a server's version is read into catalog::Upstream, and the header Resumes into RequestFacts. server_listed, server_changed and sent have the version, sent also the attempt that is resumed and the last event. No decision uses them.

--- a/src/catalog/types/upstream.h
+++ b/src/catalog/types/upstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catalog/types/softwareversion.h"
 #include "catalog/types/units.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
@@ -58,6 +59,8 @@
     /// std::nullopt if the server doesn't report it.
     std::optional<StartTime> started;
     framework::ServiceName service;
+    /// std::nullopt if the software of this run isn't known.
+    std::optional<SoftwareVersion> version;
     framework::Endpoint endpoint;
     framework::FailureDomainName failureDomain;
     std::uint32_t slots = 1;
--- a/src/direct/internal/catalogwatcher.cpp
+++ b/src/direct/internal/catalogwatcher.cpp
@@ -179,7 +179,9 @@
     const FeedObject& object, const Entry& before, const catalog::Upstream& upstream) const
 {
     const bool isRestarted = before.upstream && before.upstream->started != upstream.started;
-    if (before.upstream && !isRestarted && before.upstream->state == upstream.state)
+    const bool isUnchanged
+        = before.upstream && before.upstream->state == upstream.state && before.upstream->version == upstream.version;
+    if (isUnchanged && !isRestarted)
         return;
     LogLine line(isRestarted ? "server_restarted" : before.upstream ? "server_changed" : "server_listed");
     line.text("server", shortened(object.name))
@@ -187,6 +189,8 @@
         .text("at", upstream.endpoint.value())
         .text("state", upstream.state == catalog::UpstreamState::Ready ? "ready" : "leaving")
         .number("revision", object.revision.value());
+    if (upstream.version)
+        line.text("version", shortened(upstream.version->name()));
     if (upstream.started)
         line.number("started_ms", upstream.started->value());
     logDecision(line);
--- a/src/forwarding/internal/requestlog.cpp
+++ b/src/forwarding/internal/requestlog.cpp
@@ -19,6 +19,10 @@
         .number("candidates", chosen.candidates)
         .number("in_flight", chosen.upstream->inFlight)
         .number("left_ms", spec.deadline.remaining(now).count());
+    if (chosen.upstream->facts.version)
+        line.text("version", chosen.upstream->facts.version->name());
+    if (spec.facts.lastEvent)
+        line.text("resumes", spec.facts.resumedAttempt).number("last_event", *spec.facts.lastEvent);
     if (!spec.facts.model.value().empty())
         line.text("model", spec.facts.model.value())
             .text("adapter", spec.facts.adapter.value())
--- a/src/forwarding/types/requestfacts.h
+++ b/src/forwarding/types/requestfacts.h
@@ -34,6 +34,8 @@
     std::vector<PromptPart> prompt;
     /// The id of the last event that the caller has received, if it resumes a stream.
     std::optional<std::uint64_t> lastEvent;
+    /// The attempt that brought the first event of that stream; empty if the request names none.
+    std::string resumedAttempt;
 };
 
 } // namespace lagoon::forwarding
