Add a failing test of streams that go on at another software version

Callers take streams up at other routers, also when the first is killed, and check the version of each event.

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -197,7 +197,7 @@
     json["service"] = value::string(service);
     json["address"] = value::string(endpoint);
     json["zone"] = value::string("hall");
-    json["version"] = value::string("v1");
+    json["version"] = value::string(server.version());
     json["slot-count"] = value::number(8);
     json["state"] = value::string(state);
     json["cold-remaining-ms"] = value::number(0);
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -1,5 +1,6 @@
 #include "fleet/serverstandins.h"
 
+#include "fleet/streamevents.h"
 #include "standins/common/standinprogram.h"
 
 #include <thread>
@@ -35,6 +36,18 @@
     started_ += restartOffsetMs;
 }
 
+std::string ServerStandin::version() const
+{
+    const std::lock_guard lock(mutex_);
+    return version_;
+}
+
+void ServerStandin::setVersion(const std::string& version)
+{
+    const std::lock_guard lock(mutex_);
+    version_ = version;
+}
+
 void ServerStandin::crashOn(const std::string& body)
 {
     const std::lock_guard lock(mutex_);
@@ -297,7 +310,7 @@
             return noteCancelled();
         if (started() != startedBefore)
             return exchange.dropConnection();
-        const std::string text = "id: " + std::to_string(event) + "\ndata: word" + std::to_string(event) + "\n\n";
+        const std::string text = eventText(event, version());
         if (event == cutStreamAt_) {
             cutStreamAt_ = 0;
             exchange.sendChunk(text.substr(0, text.size() / 2));
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -28,6 +28,9 @@
     std::string endpoint() const { return endpoint_; }
     /// The server's start time in Unix milliseconds. A restart under the same id has a later one.
     std::uint64_t started() const { return started_; }
+    /// The version of the server's software, which an engine writes into each event.
+    std::string version() const;
+    void setVersion(const std::string& version);
     /// Simulates a crash and a restart: streams are cut off and the server's state is lost. The counts of runs are kept
     /// for the tests.
     void restart();
@@ -79,6 +82,7 @@
     framework::SteadyTime lastRunAt_ {};
     standins::HttpRequest last_;
     std::string crashBody_;
+    std::string version_ { "v1" };
     std::function<void()> didRestart_;
     std::atomic<int> downTimeMs_ { 300 };
     std::vector<framework::SteadyTime> crashTimes_;
--- a/tests/integration/direct_test.cpp
+++ b/tests/integration/direct_test.cpp
@@ -1,4 +1,5 @@
 #include "fleet/runningfleet.h"
+#include "fleet/streamevents.h"
 #include "http/testing/rawcaller.h"
 #include "support/waitfor.h"
 
@@ -15,7 +16,7 @@
 {
     std::string text;
     for (int event = first; event <= last; ++event)
-        text += "id: " + std::to_string(event) + "\ndata: word" + std::to_string(event) + "\n\n";
+        text += eventText(event, "v1");
     return text;
 }
 
--- /dev/null
+++ b/tests/integration/streamversions_test.cpp
@@ -0,0 +1,292 @@
+#include "fleet/runningfleet.h"
+#include "fleet/streamevents.h"
+#include "http/testing/rawcaller.h"
+#include "support/waitfor.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace lagoon::fleet;
+using lagoon::framework::Endpoint;
+using lagoon::http::testing::RawCaller;
+using lagoon::testsupport::waitFor;
+
+namespace {
+
+constexpr int streamLength = 12;
+constexpr int eventPauseMs = 10;
+constexpr std::size_t routers = 3;
+
+/// A caller that takes its stream up at any router until it has all of it.
+struct StreamCaller {
+    std::string attempt;
+    ReceivedStream stream;
+
+    /// `number` distinguishes the caller's tries.
+    CallerRequest request(int number, int deadlineMs = 8000) const
+    {
+        CallerRequest made;
+        made.target = "/resume/1";
+        made.attempt = number == 1 ? attempt : attempt + "-" + std::to_string(number);
+        made.model = "warm";
+        made.deadlineMs = deadlineMs;
+        // Routers prefer other engines for other prompts, so that tries reach engines of all versions.
+        made.prompt = made.attempt + ":60";
+        if (stream.lastId() > 0)
+            made.headers = { { "Resumes", attempt }, { "Last-Event-Id", std::to_string(stream.lastId()) } };
+        return made;
+    }
+};
+
+/// Several routers, and four engines of two versions that all have the model.
+struct TwoVersions : RunningFleet {
+    TwoVersions()
+    {
+        for (const std::size_t index : { 2U, 3U }) {
+            fleet.addEngine();
+            fleet.startAgent(index);
+        }
+        for (std::size_t index = 0; index < fleet.engines(); ++index) {
+            EngineStandin& engine = fleet.engine(index);
+            engine.setVersion(index % 2 == 0 ? "v1" : "v2");
+            engine.setStream(streamLength, eventPauseMs);
+            engine.hold("warm");
+            fleet.list(engine, "engines");
+        }
+        for (std::size_t router = 1; router < routers; ++router)
+            fleet.startRouter(router);
+        for (std::size_t router = 0; router < routers; ++router)
+            waitUntilAllEnginesServe(router);
+    }
+
+    /// Waits until the router has heard from the agents of all engines that they have the model.
+    void waitUntilAllEnginesServe(std::size_t router)
+    {
+        const std::string candidates = "\"candidates\":" + std::to_string(fleet.engines());
+        waitFor("the router to know all engines", [&] {
+            fleet.call({ .target = "/resume/1", .attempt = nextAttempt(), .model = "warm" }, router);
+            return fleet.router(router).output().find(candidates) != std::string::npos;
+        });
+    }
+
+    std::string nextAttempt() { return "a" + std::to_string(++attempts_); }
+
+    int runs(const std::string& attempt)
+    {
+        int all = 0;
+        for (std::size_t index = 0; index < fleet.engines(); ++index)
+            all += fleet.engine(index).runs(attempt);
+        return all;
+    }
+
+    /// Receives the stream until this event at the first router, and closes the connection there.
+    void begin(StreamCaller& caller, int lastEvent, std::size_t router)
+    {
+        RawCaller connection { Endpoint(fleet.callers(router)) };
+        connection.send(caller.request(1).text());
+        BOOST_REQUIRE(connection.readUntil("word" + std::to_string(lastEvent) + " "));
+        caller.stream.add(parseEvents(parseAnswer(connection.received()).body));
+    }
+
+    CallerAnswer takeUp(StreamCaller& caller, int number, std::size_t router)
+    {
+        const CallerAnswer answer = fleet.call(caller.request(number), router);
+        if (answer.status == 200)
+            caller.stream.add(parseEvents(answer.body));
+        return answer;
+    }
+
+    /// Ends each engine but those of the version, without notice.
+    void unlistAllBut(const std::string& version)
+    {
+        for (std::size_t index = 0; index < fleet.engines(); ++index) {
+            if (fleet.engine(index).version() != version)
+                store.remove("servers", fleet.engine(index).instance());
+        }
+    }
+
+    /// Waits until all routers' logs have the text so many times.
+    void waitForLogs(const std::string& text, std::size_t times)
+    {
+        for (std::size_t router = 0; router < routers; ++router) {
+            waitFor("\"" + text + "\" in the routers' logs", [&] {
+                const std::string log = fleet.router(router).output();
+                std::size_t count = 0;
+                for (std::size_t at = log.find(text); at != std::string::npos; at = log.find(text, at + 1))
+                    ++count;
+                return count >= times;
+            });
+        }
+    }
+
+private:
+    int attempts_ = 0;
+};
+
+bool isWhole(const StreamCaller& caller)
+{
+    return caller.stream.isInOrder() && caller.stream.lastId() == streamLength;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StreamVersions, TwoVersions)
+
+// Prevents an answer with events of two versions when its first server breaks off.
+BOOST_AUTO_TEST_CASE(aCutStreamGoesOnOnlyAtItsVersion)
+{
+    int continued = 0;
+    waitFor("streams that go on after a cut", [&] {
+        StreamCaller caller { nextAttempt(), {} };
+        engine1.cutStreamAt(8);
+        const CallerAnswer answer = fleet.call(caller.request(1));
+        caller.stream.add(parseEvents(answer.body));
+        BOOST_TEST(answer.isComplete);
+        BOOST_TEST(isWhole(caller));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+        continued += runs(caller.attempt) == 2 ? 1 : 0;
+        return continued >= 6;
+    });
+}
+
+// Prevents a stream from waiting for, or going on at, another version when its own has no server left.
+BOOST_AUTO_TEST_CASE(aCutStreamIsBrokenOffIfItsVersionHasNoServerLeft)
+{
+    fleet.engine(2).setVersion("v2");
+    fleet.list(fleet.engine(2), "engines");
+    waitForLogs("server_changed", 1);
+    int brokenOff = 0;
+    waitFor("streams that are broken off", [&] {
+        StreamCaller caller { nextAttempt(), {} };
+        engine1.cutStreamAt(8);
+        const CallerAnswer answer = fleet.call(caller.request(1));
+        caller.stream.add(parseEvents(answer.body));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+        brokenOff += answer.isComplete ? 0 : 1;
+        return brokenOff >= 3;
+    });
+}
+
+// Prevents a request from being tied to the version of a server that has brought nothing.
+BOOST_AUTO_TEST_CASE(beforeItsFirstEventAStreamMayMoveToAnyVersion)
+{
+    int moved = 0;
+    waitFor("streams that move to the other version", [&] {
+        StreamCaller caller { nextAttempt(), {} };
+        engine1.dropNext(1);
+        const CallerAnswer answer = fleet.call(caller.request(1));
+        engine1.dropNext(0);
+        caller.stream.add(parseEvents(answer.body));
+        BOOST_TEST(isWhole(caller));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+        moved += runs(caller.attempt) == 2 && caller.stream.versions().contains("v2") ? 1 : 0;
+        return moved >= 2;
+    });
+}
+
+// Prevents a stream from being taken up at the version of a server that had brought none of its events.
+BOOST_AUTO_TEST_CASE(aMovedStreamIsTakenUpAtTheVersionOfItsEvents)
+{
+    int moved = 0;
+    waitFor("streams that move to the other version and are taken up", [&] {
+        StreamCaller caller { nextAttempt(), {} };
+        engine1.dropNext(1);
+        begin(caller, 3, 0);
+        engine1.dropNext(0);
+        const CallerAnswer answer = takeUp(caller, 2, 1);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(isWhole(caller));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+        moved += engine1.runs(caller.attempt) == 1 && caller.stream.versions().contains("v2") ? 1 : 0;
+        return moved >= 2;
+    });
+}
+
+// Prevents a caller from receiving another version's events when it takes its stream up at another router.
+BOOST_AUTO_TEST_CASE(aStreamIsTakenUpAtItsVersionAtAnyRouter)
+{
+    constexpr int streams = 30;
+    for (int number = 0; number < streams; ++number) {
+        StreamCaller caller { nextAttempt(), {} };
+        begin(caller, 3, static_cast<std::size_t>(number) % routers);
+        const CallerAnswer answer = takeUp(caller, 2, static_cast<std::size_t>(number + 1) % routers);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(isWhole(caller));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+    }
+}
+
+// Prevents a stream's version from being known to its first router alone, which has been killed.
+BOOST_AUTO_TEST_CASE(aStreamOfAKilledRouterIsTakenUpAtItsVersion)
+{
+    constexpr int rounds = 6;
+    for (int round = 0; round < rounds; ++round) {
+        StreamCaller caller { nextAttempt(), {} };
+        RawCaller connection { Endpoint(fleet.callers(2)) };
+        connection.send(caller.request(1).text());
+        BOOST_REQUIRE(connection.readUntil("word2 "));
+        fleet.router(2).kill();
+        connection.readToEnd();
+        caller.stream.add(parseEvents(parseAnswer(connection.received()).body));
+        const CallerAnswer answer = takeUp(caller, 2, static_cast<std::size_t>(round) % 2);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(isWhole(caller));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+        fleet.startRouter(2);
+        waitUntilAllEnginesServe(2);
+    }
+}
+
+// Prevents a caller that takes a stream up several times from receiving another version's events at the last.
+BOOST_AUTO_TEST_CASE(aStreamIsTakenUpAgainAndAgain)
+{
+    constexpr int streams = 10;
+    for (int number = 0; number < streams; ++number) {
+        StreamCaller caller { nextAttempt(), {} };
+        begin(caller, 2, 0);
+        for (int attempt = 2; attempt <= 4; ++attempt) {
+            RawCaller connection { Endpoint(fleet.callers(static_cast<std::size_t>(attempt) % routers)) };
+            connection.send(caller.request(attempt).text());
+            BOOST_REQUIRE(connection.readUntil("word" + std::to_string(caller.stream.lastId() + 2) + " "));
+            caller.stream.add(parseEvents(parseAnswer(connection.received()).body));
+        }
+        BOOST_TEST(takeUp(caller, 5, 0).status == 200);
+        BOOST_TEST(isWhole(caller));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+    }
+}
+
+// Prevents a guess where nobody knows which version began a stream.
+BOOST_AUTO_TEST_CASE(aStreamOfUnknownVersionIsRefusedAtOnceAsNotRun)
+{
+    CallerRequest unknown { .target = "/resume/1", .attempt = "u1", .model = "warm", .deadlineMs = 8000 };
+    unknown.headers = { { "Resumes", "never-seen" }, { "Last-Event-Id", "5" } };
+    CallerRequest unnamed { .target = "/resume/1", .attempt = "u2", .model = "warm", .deadlineMs = 8000 };
+    unnamed.headers = { { "Last-Event-Id", "5" } };
+    for (const CallerRequest& request : { unknown, unnamed }) {
+        const auto sentAt = std::chrono::steady_clock::now();
+        const CallerAnswer answer = fleet.call(request, 1);
+        BOOST_REQUIRE(answer.status == 503);
+        BOOST_TEST(!answer.headers.at("Retry-After").empty());
+        BOOST_TEST(runs(request.attempt) == 0);
+        BOOST_TEST((std::chrono::steady_clock::now() - sentAt < std::chrono::seconds(2)));
+    }
+}
+
+// Prevents a stream from waiting until its deadline for a version that no server has any more.
+BOOST_AUTO_TEST_CASE(aStreamWhoseVersionHasNoServerLeftIsRefusedAtOnce)
+{
+    StreamCaller caller { nextAttempt(), {} };
+    begin(caller, 3, 0);
+    const std::string version = *caller.stream.versions().begin();
+    unlistAllBut(version == "v1" ? "v2" : "v1");
+    waitForLogs("server_unlisted", 2);
+    const auto sentAt = std::chrono::steady_clock::now();
+    const CallerAnswer answer = takeUp(caller, 2, 1);
+    BOOST_REQUIRE(answer.status == 503);
+    BOOST_TEST(!answer.headers.at("Retry-After").empty());
+    BOOST_TEST(runs(caller.attempt + "-2") == 0);
+    BOOST_TEST((std::chrono::steady_clock::now() - sentAt < std::chrono::seconds(2)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/standins.cpp
+++ b/tests/soak/standins.cpp
@@ -1,5 +1,7 @@
 #include "soak/standins.h"
 
+#include "fleet/streamevents.h"
+
 namespace lagoon::soak {
 
 using web::json::value;
@@ -14,7 +16,7 @@
 {
     std::string text;
     for (int event = 1; event <= streamEvents; ++event)
-        text += "id: " + std::to_string(event) + "\ndata: word" + std::to_string(event) + "\n\n";
+        text += fleet::eventText(event, "v1");
     return text;
 }
 
