Let a stream go on within one answer only at the version of its events

Cause: when a server broke off a resumable stream, the router repeated it at any server that had the model.

Change: once a whole event has gone to the caller, only servers of the version that wrote it are considered, in retries and when leaving a silent server. If none is left, has the model or can load it from its own memory or disk in time, the answer is broken off at once; one that is full is waited for as before. Before the first event any server may take over. A server's version counts as unknown while it may have restarted with other software unseen: after its agent tells of a restart until its entry does, and while the list is older than 3 s without a fresh word of its agent. A server of unknown version takes over nothing, and nothing that it began goes on.

Why it works: the version is taken when the request is sent, and the choice filters by it before anything else.

--- a/src/catalog/types/softwareversion.h
+++ b/src/catalog/types/softwareversion.h
@@ -7,8 +7,8 @@
 
 namespace lagoon::catalog {
 
-/// The version of a server's software, not of the weights that it has loaded. Servers of several versions may serve side
-/// by side, and versions may be rolled back, so versions are compared for equality alone.
+/// The version of a server's software, not of the weights that it has loaded. Servers of several versions may serve
+/// side by side, and versions may be rolled back, so versions are compared for equality alone.
 class SoftwareVersion {
 public:
     SoftwareVersion() = default;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -364,7 +364,8 @@
             return;
         const ServiceName& service = job.spec().service;
         const Milliseconds left = job.spec().firstEventBy.remaining(now());
-        if (!waitingFor->target.adapter.value().empty())
+        // The forecast is that of a load at any engine.
+        if (!waitingFor->at.value().empty())
             return;
         auto known = engines.find(service);
         if (known == engines.end())
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -121,8 +121,8 @@
 {
     if (!isWaiting() || !waitsForLoad_)
         return std::nullopt;
-    WaitingRequests waiting { target(), 1, spec_.firstEventBy, exchange_->receivedAt(), 0, adapterAt_ };
-    if (adapterAt_.value().empty())
+    WaitingRequests waiting { target(), 1, spec_.firstEventBy, exchange_->receivedAt(), 0, loadAt_ };
+    if (!waitsForAdapter_)
         waiting.target.adapter = framework::AdapterName();
     waiting.priority
         = static_cast<std::uint8_t>(lowestEnginePriority - std::min(lowestEnginePriority, spec_.route->priority));
@@ -147,9 +147,10 @@
         waitsForLoad_ = false;
         return;
     }
-    const UpstreamSearch search = findUpstream(host_, spec_, prompt_, tried_);
-    adapterAt_ = search.adapterAt;
-    waitsForLoad_ = search.reason == NoUpstream::NotLoaded || search.reason == NoUpstream::AdapterNotLoaded;
+    const UpstreamSearch search = findUpstream(host_, spec_, prompt_, tried_, required_);
+    loadAt_ = search.loadAt;
+    waitsForAdapter_ = search.reason == NoUpstream::AdapterNotLoaded;
+    waitsForLoad_ = waitsForAdapter_ || search.reason == NoUpstream::NotLoaded;
     if (search.chosen) {
         if (!endIfCallerDisconnected())
             return send(*search.chosen, admission == Admission::Trial);
@@ -157,6 +158,8 @@
     }
     if (search.reason == NoUpstream::NoneLeft)
         return refuse(503, lastCause_, jittered(minRetryAfter));
+    if (search.reason == NoUpstream::NoneOfVersion)
+        return refuseForVersion();
     if (search.reason == NoUpstream::Overloaded)
         return refuseAsOverloaded(search.expected);
     if (search.reason == NoUpstream::NoneReady)
@@ -178,6 +181,7 @@
 void RequestJob::send(const ChosenUpstream& chosen, bool isTrial)
 {
     UpstreamRecord& upstream = *chosen.upstream;
+    sentVersion_ = host_.upstreams().softwareVersion(upstream, host_.now());
     ++sends_;
     sentAt_ = host_.now();
     tried_.sentTo.insert(upstream.facts.run());
@@ -249,12 +253,17 @@
         ? host_.upstreams().serving(spec_.service, spec_.facts.model)
         : host_.upstreams().ready(spec_.service);
     return std::any_of(serving.begin(), serving.end(), [&](const UpstreamPointer& other) {
-        return other.get() != &attempt_->guard().upstream() && !tried_.has(*other)
+        return other.get() != &attempt_->guard().upstream() && !tried_.has(*other) && mayGoOnAt(*other)
             && !host_.upstreams().isSuspect(*other, host_.now()) && !host_.upstreams().isSilent(*other, host_.now())
             && host_.upstreams().hasLoaded(*other, target(), host_.now());
     });
 }
 
+bool RequestJob::mayGoOnAt(const UpstreamRecord& server) const
+{
+    return !required_ || required_->isMetBy(host_.upstreams().softwareVersion(server, host_.now()));
+}
+
 void RequestJob::abandonAttempt()
 {
     const UpstreamPointer upstream = attempt_->guard().pointer();
@@ -285,6 +294,8 @@
         if (!firstByteAt_)
             firstByteAt_ = host_.now();
         attempt_->guard().didStart();
+        if (!required_)
+            required_ = RequiredVersion { sentVersion_ };
         exchange_->sendPiece(events);
     }
     if (events_.state() == EventSplitter::State::Broken) {
@@ -398,6 +409,7 @@
                     .flag("may_have_run", mayHaveRun_)
                     .flag("time_left", hasTime)
                     .flag("server_left", hasServerLeft)
+                    .text("required_version", required_ && required_->version ? required_->version->name() : "")
                     .flag("repeated", isRetried));
     if (isRetried)
         return advance();
@@ -434,6 +446,14 @@
         jittered(std::max(minRetryAfter, tooLong)));
 }
 
+/// Refuses a stream with which only servers of one version may go on, if none of these can.
+void RequestJob::refuseForVersion()
+{
+    const std::string version = required_->version ? "version " + required_->version->name() : "the unknown version";
+    host_.metrics().count("lagoon_streams_without_version_total", { { "service", spec_.service.value() } });
+    refuse(503, "no server of " + version + " has the model or can load it in time", jittered(minRetryAfter));
+}
+
 /// The Retry-After is the rest of the quarantine: no router serves the request before.
 void RequestJob::refuseAsQuarantined()
 {
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -106,7 +106,9 @@
     void refuse(unsigned status, const std::string& cause, std::optional<framework::Milliseconds> retryAfter);
     void refuseAsOverloaded(framework::Milliseconds expected);
     void refuseAsQuarantined();
+    void refuseForVersion();
     bool hasAlternativeServer() const;
+    bool mayGoOnAt(const UpstreamRecord&) const;
     void abandonAttempt();
     void breakOff(const std::string& cause);
     void armDeadline();
@@ -128,6 +130,10 @@
     std::unique_ptr<framework::Timer> deadlineTimer_;
     std::shared_ptr<UpstreamAttempt> attempt_;
     TriedServers tried_;
+    /// The version of the server to which the request was last sent.
+    std::optional<catalog::SoftwareVersion> sentVersion_;
+    /// What a server needs to send the next event; std::nullopt as long as any server may begin the stream.
+    std::optional<RequiredVersion> required_;
     std::uint32_t sends_ = 0;
     framework::SteadyTime sentAt_ {};
     std::uint32_t connectFailures_ = 0;
@@ -140,8 +146,9 @@
     bool isCutByShutdown_ = false;
     /// Set during shutdown: the request is refused if no server has it by this time.
     std::optional<framework::Deadline> startBy_;
-    /// The engine that is to load an adapter for this request.
-    framework::Endpoint adapterAt_;
+    bool waitsForAdapter_ = false;
+    /// The engine that is to load what this request waits for; empty if any engine may.
+    framework::Endpoint loadAt_;
     std::string lastCause_;
     EventSplitter events_;
     std::optional<framework::SteadyTime> firstByteAt_;
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/upstreamchoice.h"
 
+#include "catalog/modelweights.h"
 #include "forwarding/internal/requestjob.h"
 #include "forwarding/serverchoice.h"
 #include "framework/randomid.h"
@@ -58,11 +59,13 @@
 
 class Search {
 public:
-    Search(IJobHost& host, const JobSpec& spec, const PromptChain& prompt, const TriedServers& tried)
+    Search(IJobHost& host, const JobSpec& spec, const PromptChain& prompt, const TriedServers& tried,
+        const std::optional<RequiredVersion>& required)
         : host_(host)
         , spec_(spec)
         , prompt_(prompt)
         , tried_(tried)
+        , required_(required)
         , now_(host.now())
     {
     }
@@ -71,9 +74,9 @@
     {
         if (!spec_.facts.model.value().empty())
             return runForModel();
-        const std::vector<UpstreamPointer> ready = host_.upstreams().ready(spec_.service);
+        const std::vector<UpstreamPointer> ready = ofRequiredVersion(host_.upstreams().ready(spec_.service));
         if (ready.empty())
-            return failed(NoUpstream::NoneReady);
+            return failed(required_ ? NoUpstream::NoneOfVersion : NoUpstream::NoneReady);
         std::vector<UpstreamPointer> candidates = allowed(ready, spec_, tried_);
         if (candidates.empty())
             return failed(NoUpstream::NoneLeft);
@@ -85,11 +88,21 @@
     {
         const UpstreamTable& upstreams = host_.upstreams();
         if (!upstreams.hasReady(spec_.service))
-            return failed(NoUpstream::NoneReady);
+            return failed(required_ ? NoUpstream::NoneOfVersion : NoUpstream::NoneReady);
         const bool mayBeSentToNew = tried_.sentTo.size() < spec_.route->maxServers;
-        if (!mayBeSentToNew && allowed(upstreams.ready(spec_.service), spec_, tried_).empty())
+        if (!mayBeSentToNew && allowed(ofRequiredVersion(upstreams.ready(spec_.service)), spec_, tried_).empty())
             return failed(NoUpstream::NoneLeft);
-        return searchEngines(allowed(upstreams.serving(spec_.service, spec_.facts.model), spec_, tried_));
+        return searchEngines(
+            allowed(ofRequiredVersion(upstreams.serving(spec_.service, spec_.facts.model)), spec_, tried_));
+    }
+
+    std::vector<UpstreamPointer> ofRequiredVersion(std::vector<UpstreamPointer> servers) const
+    {
+        if (required_)
+            std::erase_if(servers, [&](const UpstreamPointer& server) {
+                return !required_->isMetBy(host_.upstreams().softwareVersion(*server, now_));
+            });
+        return servers;
     }
 
     static UpstreamSearch found(ChosenUpstream&& chosen)
@@ -175,9 +188,47 @@
                 withoutAdapter.push_back(engine);
         }
         loaded = forTrial(std::move(loaded));
-        if (loaded.empty())
-            return withoutAdapter.empty() ? failed(NoUpstream::NotLoaded) : adapterNotLoaded(withoutAdapter);
-        return chooseAmongLoaded(std::move(loaded));
+        if (!loaded.empty())
+            return chooseAmongLoaded(std::move(loaded));
+        if (!withoutAdapter.empty())
+            return adapterNotLoaded(withoutAdapter);
+        return required_ ? notLoadedAtVersion() : failed(NoUpstream::NotLoaded);
+    }
+
+    /// Chooses an engine of the required version that can load the model in time. Loads from the weight store aren't
+    /// requested: their number is limited, and they rarely end in time for a stream that has begun.
+    UpstreamSearch notLoadedAtVersion() const
+    {
+        UpstreamSearch search = failed(NoUpstream::NotLoaded);
+        Milliseconds lowest = spec_.firstEventBy.remaining(now_);
+        for (const UpstreamPointer& engine : ofRequiredVersion(host_.upstreams().ready(spec_.service))) {
+            const auto time = timeToLoad(*engine);
+            if (!time || *time >= lowest)
+                continue;
+            lowest = *time;
+            search.loadAt = engine->facts.endpoint;
+        }
+        return search.loadAt.value().empty() ? failed(NoUpstream::NoneOfVersion) : search;
+    }
+
+    /// Returns std::nullopt if the engine can't load the model, or only from the weight store.
+    std::optional<Milliseconds> timeToLoad(const UpstreamRecord& engine) const
+    {
+        const catalog::Service* const service = spec_.configuration->find(spec_.service);
+        const ReportedState* const report = host_.upstreams().state(engine, now_);
+        if (!service || !service->engine || !report || isSuspect(engine) || isSilent(engine)
+            || host_.upstreams().hasLostAgent(engine) || report->state.isDraining(spec_.facts.model))
+            return std::nullopt;
+        const auto isAwaited = [&](const auto& expected) { return expected.model == spec_.facts.model; };
+        const auto& awaited = report->state.expected;
+        const auto expected = std::find_if(awaited.begin(), awaited.end(), isAwaited);
+        if (expected != awaited.end())
+            return expected->within < catalog::loadImpossible ? std::optional(expected->within) : std::nullopt;
+        const catalog::ModelProfile* const model = service->engine->models.find(spec_.facts.model);
+        if (!model)
+            return std::nullopt;
+        const Milliseconds time = catalog::loadTime(*model, report->state.cachedWeights);
+        return time < model->loadFromStore ? std::optional(time) : std::nullopt;
     }
 
     /// Only an engine with an agent can be asked to load, and one that is loading a model loads no adapter until that
@@ -203,7 +254,7 @@
         if (names.empty())
             return failed(NoUpstream::NotLoaded);
         const std::string key = spec_.facts.model.value() + '/' + spec_.facts.adapter.value();
-        search.adapterAt = framework::Endpoint(policy::rendezvousOrder(key, std::move(names)).front().value());
+        search.loadAt = framework::Endpoint(policy::rendezvousOrder(key, std::move(names)).front().value());
         return search;
     }
 
@@ -278,14 +329,16 @@
     const JobSpec& spec_;
     const PromptChain& prompt_;
     const TriedServers& tried_;
+    const std::optional<RequiredVersion>& required_;
     framework::SteadyTime now_;
 };
 
 } // namespace
 
-UpstreamSearch findUpstream(IJobHost& host, const JobSpec& spec, const PromptChain& prompt, const TriedServers& tried)
+UpstreamSearch findUpstream(IJobHost& host, const JobSpec& spec, const PromptChain& prompt, const TriedServers& tried,
+    const std::optional<RequiredVersion>& required)
 {
-    return Search(host, spec, prompt, tried).run();
+    return Search(host, spec, prompt, tried, required).run();
 }
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/internal/ijobhost.h"
 #include "forwarding/promptcache.h"
+#include "forwarding/requiredversion.h"
 
 #include <memory>
 #include <optional>
@@ -28,6 +29,7 @@
 /// Why no server can be chosen now.
 enum class NoUpstream : std::uint8_t {
     NoneReady, ///< the list has no ready server for the service
+    NoneOfVersion, ///< no ready server of the required version has the model, or can load it in time
     NoneLeft, ///< the request was sent to the maximum number of servers
     NotLoaded, ///< no engine has the model loaded
     AdapterNotLoaded, ///< engines have the model loaded, but none the adapter
@@ -38,8 +40,8 @@
 struct UpstreamSearch {
     std::optional<ChosenUpstream> chosen;
     NoUpstream reason = NoUpstream::NoneReady;
-    /// For `AdapterNotLoaded`: the engine that should load the adapter.
-    framework::Endpoint adapterAt;
+    /// The engine that should load the adapter, or the model if a version is required; empty if any engine may.
+    framework::Endpoint loadAt;
     /// For `Overloaded`: the shortest expected time to the first event.
     framework::Milliseconds expected { 0 };
 };
@@ -58,7 +60,9 @@
     }
 };
 
-/// Finds a server that can take the request now, and a connection to it.
-UpstreamSearch findUpstream(IJobHost&, const JobSpec&, const PromptChain&, const TriedServers&);
+/// Finds a server that can take the request now, and a connection to it. If a version is required, only servers of that
+/// version are considered.
+UpstreamSearch findUpstream(IJobHost&, const JobSpec&, const PromptChain&, const TriedServers&,
+    const std::optional<RequiredVersion>& = std::nullopt);
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds stateTtl { 2500 };
 /// If the engine is running after all, its agent reports it again within a second.
 constexpr Milliseconds unreachableFor { 1500 };
+/// A server takes longer than this to end, start again and load a model.
+constexpr Milliseconds maxListAgeOfVersion { 3000 };
 /// The maximum time until an agent that is reachable again is subscribed to.
 constexpr Milliseconds agentUnreachableFor { 10000 };
 /// Assumed while no agent has reported the number of routers: a share that is too small for a moment does less harm
@@ -52,10 +54,13 @@
     }
 }
 
-/// Whether the known data of the server also applies to this list entry.
+/// Whether the known data of the server also applies to this list entry. An entry of a former run says nothing about
+/// the version of this one.
 bool isSameServer(const Upstream& known, const Upstream& listed)
 {
-    return known.endpoint == listed.endpoint && known.started >= listed.started;
+    const bool isSameVersion
+        = !known.version || known.version == listed.version || isOfFormerRun(listed.started, known);
+    return known.endpoint == listed.endpoint && known.started >= listed.started && isSameVersion;
 }
 
 } // namespace
@@ -120,11 +125,14 @@
     if (record->facts.service != upstream.service)
         removeFromIndex(record);
     const auto started = record->facts.started;
+    const auto version = record->facts.version;
     const bool isLagging = isOfFormerRun(upstream.started, record->facts);
     record->facts = upstream;
     record->facts.started = started;
-    if (isLagging)
+    if (isLagging) {
+        record->facts.version = version;
         record->facts.models.clear();
+    }
     addToIndex(record);
 }
 
@@ -279,6 +287,7 @@
         return false;
     Upstream facts = known->facts;
     facts.started = state.started;
+    facts.version.reset();
     facts.models.clear();
     reportRunEnd(*known, quarantine::EndSign::Restarted);
     removeFromIndex(known);
@@ -288,6 +297,17 @@
     return true;
 }
 
+std::optional<catalog::SoftwareVersion> UpstreamTable::softwareVersion(
+    const UpstreamRecord& record, SteadyTime now) const
+{
+    const auto age = listAge(now);
+    const ReportedState* const reported = state(record, now);
+    const bool isReported = reported && reported->state.started && reported->state.started == record.facts.started;
+    if (!isReported && (!age || *age > maxListAgeOfVersion))
+        return std::nullopt;
+    return record.facts.version;
+}
+
 void UpstreamTable::forgetState(const Endpoint& engine)
 {
     if (!eraseState(engine))
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -78,6 +78,9 @@
     void setState(catalog::EngineState, framework::SteadyTime now);
     /// Updates the load figures; the rest of the state stays as it was last set.
     void setLoad(const catalog::EngineLoad&, framework::SteadyTime now);
+    /// Returns the version of the server's software; std::nullopt if it isn't known, or if the server may have
+    /// restarted with another one unseen: the list is out of date, and no agent reports this run.
+    std::optional<catalog::SoftwareVersion> softwareVersion(const UpstreamRecord&, framework::SteadyTime now) const;
     /// Drops the state that the engine's agent reported.
     void forgetState(const framework::Endpoint&);
     /// The engine's agent can't be reached.
--- a/src/forwarding/tests/upstreamtable_test.cpp
+++ b/src/forwarding/tests/upstreamtable_test.cpp
@@ -38,6 +38,13 @@
     return made;
 }
 
+Upstream versioned(std::uint64_t started, const std::string& version)
+{
+    Upstream made = upstream(started);
+    made.version = catalog::SoftwareVersion(version);
+    return made;
+}
+
 EngineState state(std::uint64_t started, bool hasModel)
 {
     EngineState made;
@@ -51,6 +58,12 @@
 struct Fixture {
     UpstreamRecord& only() { return *table.ready(service).at(0); }
 
+    std::string versionNow()
+    {
+        const auto version = table.softwareVersion(only(), now);
+        return version ? version->name() : "unknown";
+    }
+
     /// Records data that a router collects about a server by using it.
     void use()
     {
@@ -326,6 +339,56 @@
     BOOST_TEST(connectionsAfterLoad(2, 10) == 8u);
 }
 
+// Prevents a stream from going on at a server that has restarted with other software, as long as only its agent tells.
+BOOST_AUTO_TEST_CASE(theVersionOfARestartedServerIsUnknownUntilItsEntryTellsIt)
+{
+    table.setUpstreams({ versioned(1000, "v1") });
+    table.didConfirmList(now);
+    BOOST_TEST(versionNow() == "v1");
+    table.setState(state(2000, true), now);
+    BOOST_TEST(versionNow() == "unknown");
+    table.setUpstreams({ versioned(1000, "v1") });
+    BOOST_TEST(versionNow() == "unknown");
+    table.setUpstreams({ versioned(2000, "v2") });
+    BOOST_TEST(versionNow() == "v2");
+}
+
+// Prevents the entry of a former run, which the list still shows, from replacing the version of the present one.
+BOOST_AUTO_TEST_CASE(anEntryOfAFormerRunDoesNotChangeTheVersion)
+{
+    table.setUpstreams({ versioned(2000, "v2") });
+    table.didConfirmList(now);
+    table.setUpstreams({ versioned(1000, "v1") });
+    BOOST_TEST(versionNow() == "v2");
+}
+
+// Prevents a server that restarts without telling its start time from being taken for the former one.
+BOOST_AUTO_TEST_CASE(anotherVersionIsAnotherServer)
+{
+    table.setUpstreams({ versioned(0, "v1") });
+    table.didConfirmList(now);
+    use();
+    table.setUpstreams({ versioned(0, "v1.1") });
+    BOOST_TEST(versionNow() == "v1.1");
+    BOOST_TEST(isReset());
+}
+
+// Prevents an old list from vouching for servers that may have restarted with other software meanwhile.
+BOOST_AUTO_TEST_CASE(anOldListTellsNoVersionUnlessTheAgentReportsTheRun)
+{
+    table.setUpstreams({ versioned(1000, "v1") });
+    BOOST_TEST(versionNow() == "unknown");
+    table.didConfirmList(now);
+    now += Milliseconds(3000);
+    BOOST_TEST(versionNow() == "v1");
+    now += Milliseconds(1);
+    BOOST_TEST(versionNow() == "unknown");
+    table.setState(state(1000, true), now);
+    BOOST_TEST(versionNow() == "v1");
+    now += Milliseconds(2501);
+    BOOST_TEST(versionNow() == "unknown");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
--- a/tests/integration/streamversions_test.cpp
+++ b/tests/integration/streamversions_test.cpp
@@ -123,10 +123,7 @@
     int attempts_ = 0;
 };
 
-bool isWhole(const StreamCaller& caller)
-{
-    return caller.stream.isInOrder() && caller.stream.lastId() == streamLength;
-}
+bool isWhole(const StreamCaller& caller) { return caller.stream.isInOrder() && caller.stream.lastId() == streamLength; }
 
 } // namespace
 
