Record which version began a stream, so that it can be taken up at any router

Cause: the router that a caller returns to knew nothing of the attempt that began the stream, and sent it to any server that had the model.

Change: a router that sends a resumable stream records service and version at the agents of three engines, chosen by rendezvous hashing of the attempt in different failure domains, before any event can have come. A router to which the caller returns asks them and sends the stream to servers of that version alone. If nobody knows it, the stream is refused at once as not run, unless the list has shown one version alone for longer than any stream lasts and was current all the time. A record is retracted, and the retraction confirmed by all agents that may have it, before the stream moves to another version ahead of its first event.

Why it works: the record is at agents in other domains before the caller can have an event, it is never wrong but at most missing, and missing means refused.

Ruled out: telling all routers (5.9 million messages a second at the target), the store (too slow), a hash of the attempt (the set of versions changes), asking the routers (the first may be dead).

The planner subscribes to no more engines in large fleets than its tests allow: 24 keepers there.

--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -61,6 +61,8 @@
 AgentLinks::AgentLinks(Context context)
     : context_(std::move(context))
     , evidence_({ context_.control, context_.clock, [this](const wire::Message& message) { sendEvidence(message); } })
+    , origins_({ context_.control, context_.clock, *context_.metrics,
+          [this](const Endpoint& engine, const wire::Message& message) { agents_.at(engine).link->send(message); } })
 {
 }
 
@@ -76,7 +78,7 @@
 {
     engines_.clear();
     for (const catalog::Upstream& engine : engines)
-        engines_[engine.endpoint] = engine.instance;
+        engines_[engine.endpoint] = { engine.instance, engine.failureDomain };
     for (auto agent = agents_.begin(); agent != agents_.end();) {
         const auto listed = engines_.find(agent->first);
         if (listed == engines_.end()) {
@@ -84,7 +86,8 @@
             agent = agents_.erase(agent);
             continue;
         }
-        if (std::exchange(agent->second.instance, listed->second) != listed->second)
+        const catalog::InstanceId& instance = listed->second.instance;
+        if (std::exchange(agent->second.instance, instance) != instance)
             agent->second.publishedDigest.clear();
         ++agent;
     }
@@ -100,6 +103,7 @@
     for (const Endpoint& engine : subscriptions)
         subscribe(engine);
     setRelays(plan.relays);
+    setKeepers(plan.keepers);
     for (const auto& [engine, list] : plan.demand) {
         const auto agent = agents_.find(engine);
         if (agent == agents_.end())
@@ -121,6 +125,17 @@
     }
 }
 
+void AgentLinks::setKeepers(const std::set<Endpoint>& engines)
+{
+    std::vector<streams::Keeper> keepers;
+    for (const Endpoint& engine : engines) {
+        const auto listed = engines_.find(engine);
+        if (listed != engines_.end())
+            keepers.push_back({ engine, listed->second.failureDomain });
+    }
+    origins_.setKeepers(keepers);
+}
+
 void AgentLinks::sendEverything(Agent& agent)
 {
     for (const wire::Message& message : evidence_.everything())
@@ -151,7 +166,7 @@
     const auto [agent, isNew] = agents_.try_emplace(engine);
     if (!isNew)
         return;
-    agent->second.instance = listed->second;
+    agent->second.instance = listed->second.instance;
     connect(engine, agent->second);
 }
 
@@ -164,6 +179,8 @@
         }
         if (agent->second.link)
             agent->second.link->close();
+        if (agent->second.keepsOrigins)
+            origins_.didClose(agent->first);
         if (agent->second.hasReceived) {
             logDecision(LogLine("agent_unsubscribed").text("engine", agent->first.value()));
             context_.didUnsubscribe(agent->first);
@@ -207,6 +224,8 @@
         return;
     std::exchange(agent.link, nullptr)->close();
     agent.takesEvidence = false;
+    if (std::exchange(agent.keepsOrigins, false))
+        origins_.didClose(engine);
     if (std::exchange(agent.hasReceived, false))
         logDecision(LogLine("agent_lost").text("engine", engine.value()).text("cause", cause));
     context_.didLoseAgent(engine);
@@ -239,13 +258,20 @@
         return context_.didReceiveLoad(fromWire(engine, *load));
     if (const wire::fb::CrashEvidenceT* const evidence = message.body.AsCrashEvidence())
         return receiveEvidence(agent->second, *evidence);
-    const wire::fb::EngineStateT* const state = message.body.AsEngineState();
-    if (!state)
-        return;
-    const bool tookEvidence = std::exchange(agent->second.takesEvidence, state->takes_evidence);
-    if (agent->second.takesEvidence && !tookEvidence && agent->second.isRelay)
-        sendEverything(agent->second);
-    catalog::EngineState received = fromWire(*state);
+    if (const wire::fb::StreamOriginsT* const origins = message.body.AsStreamOrigins())
+        return origins_.receive(engine, *origins);
+    if (const wire::fb::EngineStateT* const state = message.body.AsEngineState())
+        didReceiveState(engine, agent->second, *state);
+}
+
+void AgentLinks::didReceiveState(const Endpoint& engine, Agent& agent, const wire::fb::EngineStateT& state)
+{
+    const bool tookEvidence = std::exchange(agent.takesEvidence, state.takes_evidence);
+    if (agent.takesEvidence && !tookEvidence && agent.isRelay)
+        sendEverything(agent);
+    if (state.keeps_origins && !std::exchange(agent.keepsOrigins, true))
+        origins_.didOpen(engine);
+    catalog::EngineState received = fromWire(state);
     // The link determines the engine, regardless of the endpoint in the frame.
     received.engine = engine;
     context_.didReceiveState(std::move(received));
--- a/src/direct/internal/agentlinks.h
+++ b/src/direct/internal/agentlinks.h
@@ -8,6 +8,7 @@
 #include "framework/types/time.h"
 #include "objectstore/backoff.h"
 #include "quarantine/evidencesharing.h"
+#include "streams/originexchange.h"
 #include "wire/ilink.h"
 
 #include <functional>
@@ -39,6 +40,7 @@
         std::function<void(const framework::Endpoint& engine)> didLoseAgent;
         /// Called when the link was closed because the subscription ended.
         std::function<void(const framework::Endpoint& engine)> didUnsubscribe;
+        std::shared_ptr<framework::Metrics> metrics;
     };
 
     explicit AgentLinks(Context);
@@ -53,8 +55,16 @@
     void apply(const forwarding::LoadPlan&);
     /// Passes evidence of this router on to the other routers, through the agents of the plan's relays.
     void share(const quarantine::EvidenceUpdate&);
+    /// Which software began which stream, as the agents of the plan's keepers know it.
+    streams::IStreamOrigins& origins() { return origins_; }
 
 private:
+    /// What the platform's list says of an engine.
+    struct Engine {
+        catalog::InstanceId instance;
+        framework::FailureDomainName failureDomain;
+    };
+
     struct Agent {
         Agent();
 
@@ -66,6 +76,8 @@
         bool hasEverReceived = false;
         /// Whether the link is open and its agent understands evidence.
         bool takesEvidence = false;
+        /// Whether the link is open and its agent keeps the origins of streams.
+        bool keepsOrigins = false;
         bool isRelay = false;
         framework::SteadyTime receivedAt {};
         framework::SteadyTime publishedAt {};
@@ -82,7 +94,9 @@
     void didReceive(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void didClose(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const framework::Error&);
 
+    void didReceiveState(const framework::Endpoint& engine, Agent&, const wire::fb::EngineStateT&);
     void setRelays(const std::set<framework::Endpoint>&);
+    void setKeepers(const std::set<framework::Endpoint>&);
     void sendEverything(Agent&);
     void receiveEvidence(const Agent& from, const wire::fb::CrashEvidenceT&);
     void sendEvidence(const wire::Message&);
@@ -90,10 +104,11 @@
     void unsubscribe(const std::set<framework::Endpoint>& kept);
 
     Context context_;
-    std::map<framework::Endpoint, catalog::InstanceId> engines_;
+    std::map<framework::Endpoint, Engine> engines_;
     /// Agents of the engines that this router subscribes to.
     std::map<framework::Endpoint, Agent> agents_;
     quarantine::EvidenceSharing evidence_;
+    streams::OriginExchange origins_;
     std::unique_ptr<framework::Timer> timer_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -4,6 +4,7 @@
 #include "direct/internal/catalogwatcher.h"
 #include "direct/internal/links.h"
 #include "direct/internal/statushandlers.h"
+#include "direct/internal/trafficorigins.h"
 #include "forwarding/forwarder.h"
 #include "framework/decisionlog.h"
 #include "framework/types/shutdowndeadlines.h"
@@ -42,6 +43,7 @@
         : ports_(ports)
         , settings_(settings)
         , transport_(makeLinkTransport(ports.metrics))
+        , origins_(ports.control, ports.traffic, [this]() -> streams::IStreamOrigins& { return links_.origins(); })
         , forwarder_(forwarderContext(), forwarderSettings(settings))
         , links_(linksContext())
         , catalog_(catalogContext())
@@ -149,7 +151,8 @@
             [this](const forwarding::LoadPlan& plan) { ports_.control.post([this, plan] { links_.apply(plan); }); },
             [this](const quarantine::EvidenceUpdate& update) {
                 ports_.control.post([this, update] { links_.share(update); });
-            } };
+            },
+            origins_ };
     }
 
     AgentLinks::Context linksContext()
@@ -169,7 +172,8 @@
             },
             [this](const framework::Endpoint& engine) {
                 ports_.traffic.post([this, engine] { forwarder_.forgetEngine(engine); });
-            } };
+            },
+            ports_.metrics };
     }
 
     CatalogWatcher::Context catalogContext()
@@ -231,6 +235,7 @@
     DirectRouterSettings settings_;
     std::shared_ptr<wire::ILinkTransport> transport_;
     std::atomic<bool> isDraining_ { false };
+    TrafficOrigins origins_;
     forwarding::Forwarder forwarder_;
     // `configuration_`, `servers_`, `links_` and `catalog_` are used on the control thread only.
     catalog::ConfigurationPointer configuration_;
--- a/src/direct/internal/enginewire.cpp
+++ b/src/direct/internal/enginewire.cpp
@@ -34,6 +34,7 @@
     wire::fb::EngineStateT body;
     body.engine = state.engine.value();
     body.takes_evidence = true;
+    body.keeps_origins = true;
     body.started_ms = state.started ? state.started->value() : 0;
     for (const catalog::LoadedModel& held : state.held) {
         auto model = std::make_unique<wire::fb::HeldModelT>();
--- a/src/direct/internal/routerlinks.cpp
+++ b/src/direct/internal/routerlinks.cpp
@@ -39,6 +39,11 @@
         evidence_.receive(*evidence);
         return;
     }
+    if (const wire::fb::StreamOriginsT* const origins = message.body.AsStreamOrigins()) {
+        if (const auto answer = origins_.receive(*origins, context_.clock.now()))
+            link->send(*answer);
+        return;
+    }
     const wire::fb::WantedT* const demand = message.body.AsWanted();
     if (!demand)
         return;
--- a/src/direct/internal/routerlinks.h
+++ b/src/direct/internal/routerlinks.h
@@ -5,6 +5,7 @@
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
 #include "quarantine/evidencesharing.h"
+#include "streams/originkeeper.h"
 #include "wire/ilink.h"
 
 #include <functional>
@@ -55,6 +56,8 @@
     std::optional<catalog::EngineState> lastState_;
     /// What routers tell each other of requests that crash their servers.
     quarantine::EvidenceSharing evidence_;
+    /// To which software routers sent their streams.
+    streams::OriginKeeper origins_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/direct/tests/agentlinks_test.cpp
+++ b/src/direct/tests/agentlinks_test.cpp
@@ -88,7 +88,7 @@
         [this](const catalog::EngineLoad& load) { receivedLoads.push_back(load); },
         [this](const quarantine::EvidenceUpdate& update) { receivedEvidence.push_back(update); },
         [this](const Endpoint& engine) { lost.push_back(engine); },
-        [this](const Endpoint& engine) { unsubscribed.push_back(engine); } } };
+        [this](const Endpoint& engine) { unsubscribed.push_back(engine); }, std::make_shared<framework::Metrics>() } };
 };
 
 } // namespace
--- a/src/forwarding/demandplanner.h
+++ b/src/forwarding/demandplanner.h
@@ -77,6 +77,8 @@
     /// The engines whose agents pass on what routers tell each other. All routers choose the same ones, as far as they
     /// can reach them.
     std::set<framework::Endpoint> relays;
+    /// The engines whose agents keep to which software streams were sent. All routers choose the same ones.
+    std::set<framework::Endpoint> keepers {};
 };
 
 /// Decides which engines' agents this router subscribes to, and which engine is asked to load which model. All routers
@@ -114,6 +116,7 @@
     bool isEligible(const PlannerInput&, const framework::ModelName&, const framework::Endpoint&) const;
     std::set<framework::Endpoint> subscriptions(const PlannerInput&);
     static std::set<framework::Endpoint> relays(const PlannerInput&);
+    static std::set<framework::Endpoint> keepers(const PlannerInput&);
     static std::uint32_t replicasOf(const PlannerInput&, const framework::ModelName&);
     void observeStoreLoads(const PlannerInput&);
     static bool needsStore(const EngineFacts&, const catalog::ModelProfile&);
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -12,6 +12,7 @@
 #include "http/iexchange.h"
 #include "quarantine/suspectreport.h"
 #include "quarantine/types/evidence.h"
+#include "streams/istreamorigins.h"
 
 #include <functional>
 #include <map>
@@ -37,6 +38,8 @@
         /// Passes evidence about requests that crash their servers on to the other routers; called on the traffic
         /// thread.
         std::function<void(const quarantine::EvidenceUpdate&)> shareEvidence;
+        /// Which software began which stream; called, and calls back, on the traffic thread.
+        streams::IStreamOrigins& origins;
     };
 
     Forwarder(Context, const ForwarderSettings&);
--- a/src/forwarding/internal/demandplanner.cpp
+++ b/src/forwarding/internal/demandplanner.cpp
@@ -59,6 +59,8 @@
 /// on what they tell each other.
 const ModelName commonKey("count of routers");
 constexpr std::size_t commonEngines = 3;
+/// In fleets that aren't small. More keepers cost each router more links, fewer cost each keeper more records.
+constexpr std::size_t maxKeepers = 24;
 
 double workOf(const PlannerInput& input, const ModelName& model)
 {
@@ -91,7 +93,7 @@
         planCopies(input);
     if (input.policy.fetchesAhead)
         planPrefetch(input);
-    return { std::move(lists_), subscriptions(input), relays(input) };
+    return { std::move(lists_), subscriptions(input), relays(input), keepers(input) };
 }
 
 /// The agents report how busy models are because they receive the work from all routers; a single router sees too few
@@ -169,6 +171,9 @@
         subscriptions.insert(engines.begin(), engines.end());
     }
     subscriptions.merge(relays(input));
+    // A router without requests has no streams.
+    if (!input.work.empty())
+        subscriptions.merge(keepers(input));
     return subscriptions;
 }
 
@@ -184,6 +189,20 @@
     return relays;
 }
 
+/// Includes engines that this router can't reach: others may, and a choice that depends on who can reach whom would
+/// differ between routers.
+std::set<Endpoint> DemandPlanner::keepers(const PlannerInput& input)
+{
+    std::set<Endpoint> keepers;
+    const std::size_t limit = input.replicas.size() <= smallFleet ? smallFleet : maxKeepers;
+    for (const Endpoint* const engine : input.replicas.order(commonKey)) {
+        if (keepers.size() == limit)
+            break;
+        keepers.insert(*engine);
+    }
+    return keepers;
+}
+
 void DemandPlanner::observeStoreLoads(const PlannerInput& input)
 {
     std::map<std::string, Milliseconds> loads;
--- a/src/forwarding/internal/demandpublisher.cpp
+++ b/src/forwarding/internal/demandpublisher.cpp
@@ -78,6 +78,7 @@
         all.demand.merge(plan.demand);
         all.subscriptions.merge(plan.subscriptions);
         all.relays.merge(plan.relays);
+        all.keepers.merge(plan.keepers);
     }
     publish_(all);
 }
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "catalog/routetable.h"
 #include "forwarding/internal/demandpublisher.h"
 #include "forwarding/internal/requestjob.h"
+#include "forwarding/versionhistory.h"
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
 #include "policy/retrybudget.h"
@@ -40,6 +41,8 @@
 /// The fraction of the operators' retry reserve that all routers together plan with. A router that has just started has
 /// a full share again and may not know yet how many routers there are.
 constexpr double plannedReserveShare = 0.6;
+/// A caller that takes its stream up again and again receives it for no longer than this many timeouts of its route.
+constexpr int maxTriesOfStream = 4;
 
 const catalog::RouteTarget& drawTarget(const catalog::Route& route)
 {
@@ -105,6 +108,7 @@
     void setConfiguration(ConfigurationPointer configuration)
     {
         routes_ = std::make_unique<catalog::RouteTable>(configuration);
+        noteStreamTimeouts(*configuration);
         upstreams_.setConfiguration(std::move(configuration));
         dispatchWaiting();
     }
@@ -113,11 +117,16 @@
     {
         quarantine_->setServers(list.size());
         upstreams_.setUpstreams(list);
+        versions_.didList(list, now());
         dispatchWaiting();
         schedulePlan(urgentPlanDelay);
     }
 
-    void didConfirmUpstreams(framework::SteadyTime at) { upstreams_.didConfirmList(at); }
+    void didConfirmUpstreams(framework::SteadyTime at)
+    {
+        upstreams_.didConfirmList(at);
+        versions_.didConfirm(at);
+    }
 
     void setState(catalog::EngineState state)
     {
@@ -177,6 +186,15 @@
     framework::EventThread& thread() override { return context_.traffic; }
     framework::Metrics& metrics() override { return *context_.metrics; }
     framework::SteadyTime now() const override { return context_.clock.now(); }
+    streams::IStreamOrigins& origins() override { return context_.origins; }
+    std::optional<catalog::SoftwareVersion> soleVersion(const ServiceName& service) const override
+    {
+        const auto longest = longestStreams_.find(service);
+        if (longest == longestStreams_.end())
+            return std::nullopt;
+        return versions_.soleVersion(service, now() - longest->second, now());
+    }
+
     bool spendRetry(const ServiceName& service) override
     {
         return settings_.policy.repeatsRequests && budget(service).spend();
@@ -293,6 +311,19 @@
         return budget;
     }
 
+    /// A stream that began under an earlier configuration may last as long as that allowed.
+    void noteStreamTimeouts(const catalog::Configuration& configuration)
+    {
+        for (const catalog::Route& route : configuration.routes) {
+            if (route.kind != catalog::RouteKind::Streaming)
+                continue;
+            for (const catalog::RouteTarget& target : route.targets) {
+                Milliseconds& longest = longestStreams_[target.service];
+                longest = std::max(longest, maxTriesOfStream * route.timeout);
+            }
+        }
+    }
+
     void unindexJob(const std::shared_ptr<RequestJob>& job)
     {
         const auto ofModel = jobsByModel_.find(job->spec().facts.model);
@@ -433,6 +464,9 @@
     std::optional<framework::ShutdownDeadlines> shutdownDeadlines_;
     std::unique_ptr<framework::Timer> startByTimer_;
     UpstreamTable upstreams_;
+    VersionHistory versions_;
+    /// How long streams of each service may last over all tries of a caller.
+    std::map<ServiceName, Milliseconds> longestStreams_;
     std::shared_ptr<quarantine::RequestQuarantine> quarantine_;
     std::unique_ptr<catalog::RouteTable> routes_;
     Jobs jobs_;
--- a/src/forwarding/internal/ijobhost.h
+++ b/src/forwarding/internal/ijobhost.h
@@ -9,6 +9,7 @@
 #include "framework/iclock.h"
 #include "framework/metrics.h"
 #include "quarantine/requestquarantine.h"
+#include "streams/istreamorigins.h"
 
 #include <memory>
 #include <optional>
@@ -29,6 +30,10 @@
     virtual framework::EventThread& thread() = 0;
     virtual framework::Metrics& metrics() = 0;
     virtual framework::SteadyTime now() const = 0;
+    virtual streams::IStreamOrigins& origins() = 0;
+
+    /// Returns the version of the service's software if there has been no other for longer than any stream lasts.
+    virtual std::optional<catalog::SoftwareVersion> soleVersion(const framework::ServiceName&) const = 0;
 
     /// Spends one retry of the service's budget; returns false if none is left.
     [[nodiscard]] virtual bool spendRetry(const framework::ServiceName&) = 0;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -30,6 +30,8 @@
 constexpr Milliseconds minRetryAfter { 250 };
 /// Retry-After if no server is known: the platform takes a second or two to provide one.
 constexpr Milliseconds retryAfterWithoutServer { 1000 };
+/// Records of a stream's origin are kept for this time beyond the caller's deadline, as clocks and networks differ.
+constexpr Milliseconds recordSlack { 1000 };
 /// If the list of servers is older than this, a server whose connections are cut may be leaving.
 constexpr Milliseconds maxListAge { 2000 };
 /// Engine priority of the most urgent routes (route priority 0); less urgent routes follow, up to lowestEnginePriority.
@@ -45,6 +47,12 @@
 /// Whether another server may succeed: not if the time is up, or if the request itself is at fault.
 bool isWorthRetrying(unsigned serverStatus) { return serverStatus >= 500 && serverStatus != 504; }
 
+bool isRoutedTo(const catalog::Route& route, const framework::ServiceName& service)
+{
+    return std::any_of(route.targets.begin(), route.targets.end(),
+        [&](const catalog::RouteTarget& target) { return target.service == service; });
+}
+
 std::string_view rejectionText(AnswerClass answerClass)
 {
     if (answerClass == AnswerClass::OtherInstance)
@@ -72,9 +80,63 @@
             self->didLoseCaller();
     });
     armDeadline();
+    if (isTakenUp())
+        return findOrigin();
+    advance();
+}
+
+/// Finds out which software began the stream that the caller takes up: only that may go on with it.
+void RequestJob::findOrigin()
+{
+    if (spec_.facts.resumedAttempt.empty())
+        return didFindOrigin({});
+    awaitsOrigin_ = true;
+    const auto attempt = streams::AttemptKey::of(spec_.facts.caller, spec_.facts.resumedAttempt);
+    host_.origins().find(attempt, [weak = weak_from_this()](const streams::OriginAnswer& answer) {
+        if (const auto self = weak.lock())
+            self->didFindOrigin(answer);
+    });
+}
+
+void RequestJob::didFindOrigin(const streams::OriginAnswer& answer)
+{
+    if (isEnded_)
+        return;
+    const auto keepAlive = shared_from_this();
+    awaitsOrigin_ = false;
+    const auto origin = answer.origin ? answer.origin : soleOrigin();
+    const char* const outcome = takeUpOutcome(origin, answer.origin.has_value());
+    logDecision(takenUpLine(spec_, origin, answer, outcome));
+    host_.metrics().count("lagoon_streams_taken_up_total",
+        { { "service", origin ? origin->service.value() : spec_.service.value() }, { "outcome", outcome } });
+    if (!origin)
+        return refuse(503, "not known which version began the stream", jittered(minRetryAfter));
+    if (!isRoutedTo(*spec_.route, origin->service))
+        return refuse(503, "the route doesn't lead to the service that began the stream", jittered(minRetryAfter));
+    spec_.service = origin->service;
+    required_ = RequiredVersion { origin->version };
     advance();
 }
 
+/// Returns the only software that can have begun a stream of which nothing is recorded.
+std::optional<streams::StreamOrigin> RequestJob::soleOrigin() const
+{
+    if (spec_.route->targets.size() != 1)
+        return std::nullopt;
+    const framework::ServiceName& service = spec_.route->targets.front().service;
+    const auto version = host_.soleVersion(service);
+    return version ? std::optional(streams::StreamOrigin { service, *version }) : std::nullopt;
+}
+
+const char* RequestJob::takeUpOutcome(const std::optional<streams::StreamOrigin>& origin, bool isRecorded) const
+{
+    if (!origin)
+        return "unknown";
+    if (!isRoutedTo(*spec_.route, origin->service))
+        return "other_service";
+    return isRecorded ? "recorded" : "only_version";
+}
+
 void RequestJob::armDeadline()
 {
     deadlineTimer_ = host_.thread().runAt(spec_.deadline, [weak = weak_from_this()] {
@@ -131,7 +193,7 @@
 
 void RequestJob::advance()
 {
-    if (!isWaiting())
+    if (!isWaiting() || awaitsOrigin_)
         return;
     const auto keepAlive = shared_from_this();
     if (isTooLateToStart())
@@ -151,11 +213,8 @@
     loadAt_ = search.loadAt;
     waitsForAdapter_ = search.reason == NoUpstream::AdapterNotLoaded;
     waitsForLoad_ = waitsForAdapter_ || search.reason == NoUpstream::NotLoaded;
-    if (search.chosen) {
-        if (!endIfCallerDisconnected())
-            return send(*search.chosen, admission == Admission::Trial);
-        return search.chosen->connection->abandon();
-    }
+    if (search.chosen)
+        return sendOrRetract(*search.chosen, admission == Admission::Trial);
     if (search.reason == NoUpstream::NoneLeft)
         return refuse(503, lastCause_, jittered(minRetryAfter));
     if (search.reason == NoUpstream::NoneOfVersion)
@@ -166,6 +225,63 @@
         return refuse(503, "no server is ready", jittered(retryAfterWithoutServer));
 }
 
+void RequestJob::sendOrRetract(const ChosenUpstream& chosen, bool isTrial)
+{
+    if (endIfCallerDisconnected())
+        return chosen.connection->abandon();
+    const bool isRecordedElsewhere = recordedOrigin_ && recordedOrigin_ != originAt(*chosen.upstream);
+    if (!isRecordedElsewhere)
+        return send(chosen, isTrial);
+    chosen.connection->abandon();
+    retractOrigin();
+}
+
+std::optional<streams::StreamOrigin> RequestJob::originAt(const UpstreamRecord& server) const
+{
+    const auto version = host_.upstreams().softwareVersion(server, host_.now());
+    return version ? std::optional(streams::StreamOrigin { spec_.service, *version }) : std::nullopt;
+}
+
+streams::DispatchRecord RequestJob::nextRecord(std::optional<streams::StreamOrigin> origin)
+{
+    const Milliseconds callerTimeout = spec_.facts.timeLeft.value_or(spec_.route->timeout);
+    return { streams::AttemptKey::of(spec_.facts.caller, spec_.facts.attempt), ++originRecords_, std::move(origin),
+        host_.now(), framework::Deadline::after(exchange_->receivedAt(), callerTimeout + recordSlack) };
+}
+
+/// Lets the caller take the stream up at any router.
+void RequestJob::recordOrigin(const std::optional<streams::StreamOrigin>& origin)
+{
+    if (!isStream() || !spec_.route->isResumable || recordedOrigin_ == origin)
+        return;
+    recordedOrigin_ = origin;
+    host_.origins().record(nextRecord(origin));
+}
+
+/// Takes back what the other routers may know before the request is sent to other software. Prevents the stream from
+/// being taken up at a version that has sent none of its events, if the later record is lost.
+void RequestJob::retractOrigin()
+{
+    awaitsOrigin_ = true;
+    waitsForLoad_ = false;
+    host_.origins().retract(nextRecord(std::nullopt), [weak = weak_from_this()](bool isConfirmed) {
+        if (const auto self = weak.lock())
+            self->didRetractOrigin(isConfirmed);
+    });
+}
+
+void RequestJob::didRetractOrigin(bool isConfirmed)
+{
+    if (isEnded_)
+        return;
+    awaitsOrigin_ = false;
+    if (isConfirmed)
+        recordedOrigin_.reset();
+    else
+        required_ = RequiredVersion { recordedOrigin_->version };
+    advance();
+}
+
 http::Request RequestJob::forwardedRequest(const UpstreamRecord& upstream) const
 {
     ForwardingOptions options;
@@ -181,7 +297,9 @@
 void RequestJob::send(const ChosenUpstream& chosen, bool isTrial)
 {
     UpstreamRecord& upstream = *chosen.upstream;
-    sentVersion_ = host_.upstreams().softwareVersion(upstream, host_.now());
+    const auto origin = originAt(upstream);
+    sentVersion_ = origin ? std::optional(origin->version) : std::nullopt;
+    recordOrigin(origin);
     ++sends_;
     sentAt_ = host_.now();
     tried_.sentTo.insert(upstream.facts.run());
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -9,6 +9,7 @@
 #include "http/clientconnection.h"
 #include "http/iexchange.h"
 #include "quarantine/types/requestfingerprint.h"
+#include "streams/istreamorigins.h"
 
 #include <memory>
 #include <optional>
@@ -95,9 +96,21 @@
 
 private:
     bool isStream() const { return spec_.route->kind == catalog::RouteKind::Streaming; }
+    /// Whether the caller has events of the stream already.
+    bool isTakenUp() const { return isStream() && (spec_.facts.lastEvent || !spec_.facts.resumedAttempt.empty()); }
+    void findOrigin();
+    void didFindOrigin(const streams::OriginAnswer&);
+    std::optional<streams::StreamOrigin> soleOrigin() const;
+    const char* takeUpOutcome(const std::optional<streams::StreamOrigin>& origin, bool isRecorded) const;
+    std::optional<streams::StreamOrigin> originAt(const UpstreamRecord&) const;
+    streams::DispatchRecord nextRecord(std::optional<streams::StreamOrigin>);
+    void recordOrigin(const std::optional<streams::StreamOrigin>&);
+    void retractOrigin();
+    void didRetractOrigin(bool isConfirmed);
     bool isForModel() const { return !spec_.facts.model.value().empty(); }
     bool mayRetry() const;
     catalog::ModelTarget target() const;
+    void sendOrRetract(const ChosenUpstream&, bool isTrial);
     void send(const ChosenUpstream&, bool isTrial);
     void withdrawAttempt(const std::string& cause);
     http::Request forwardedRequest(const UpstreamRecord&) const;
@@ -132,6 +145,12 @@
     TriedServers tried_;
     /// The version of the server to which the request was last sent.
     std::optional<catalog::SoftwareVersion> sentVersion_;
+    /// A question about the origin of the stream is open; nothing is sent before it is answered.
+    bool awaitsOrigin_ = false;
+    /// Statements to the other routers about the software that the request is sent to.
+    std::uint32_t originRecords_ = 0;
+    /// The last of these; std::nullopt if the others take it for unknown.
+    std::optional<streams::StreamOrigin> recordedOrigin_;
     /// What a server needs to send the next event; std::nullopt as long as any server may begin the stream.
     std::optional<RequiredVersion> required_;
     std::uint32_t sends_ = 0;
--- a/src/forwarding/internal/requestlog.cpp
+++ b/src/forwarding/internal/requestlog.cpp
@@ -35,6 +35,22 @@
     return line;
 }
 
+LogLine takenUpLine(const JobSpec& spec, const std::optional<streams::StreamOrigin>& origin,
+    const streams::OriginAnswer& answer, const char* outcome)
+{
+    LogLine line("stream_taken_up");
+    line.text("id", spec.facts.attempt)
+        .text("route", spec.route->name.value())
+        .text("resumes", spec.facts.resumedAttempt)
+        .number("last_event", spec.facts.lastEvent.value_or(0))
+        .text("service", origin ? origin->service.value() : "")
+        .text("version", origin ? origin->version.name() : "")
+        .text("known_from", answer.source)
+        .number("age_ms", answer.age.count())
+        .text("outcome", outcome);
+    return line;
+}
+
 LogLine endedLine(const JobSpec& spec, const RequestEnd& end)
 {
     LogLine line("ended");
--- a/src/forwarding/internal/requestlog.h
+++ b/src/forwarding/internal/requestlog.h
@@ -23,6 +23,9 @@
 
 /// The log lines of one request; docs/OPERATIONS.md describes their fields.
 framework::LogLine sentLine(const JobSpec&, const ChosenUpstream&, std::uint32_t sends, framework::SteadyTime now);
+/// A caller takes up a stream that `origin` began.
+framework::LogLine takenUpLine(const JobSpec&, const std::optional<streams::StreamOrigin>& origin,
+    const streams::OriginAnswer&, const char* outcome);
 framework::LogLine endedLine(const JobSpec&, const RequestEnd&);
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/tests/demandplanner_test.cpp
+++ b/src/forwarding/tests/demandplanner_test.cpp
@@ -549,6 +549,22 @@
     BOOST_TEST((DemandPlanner().plan(input).subscriptions == subscriptions));
 }
 
+// Prevents routers from looking for a stream's origin at other engines than those that keep it, and from depending on
+// which engines they can reach.
+BOOST_AUTO_TEST_CASE(allRoutersChooseTheSameKeepersOfOrigins)
+{
+    Fleet busy(840);
+    const LoadPlan plan = busy.plan();
+    BOOST_TEST(plan.keepers.size() == 24u);
+    BOOST_TEST(
+        std::includes(plan.subscriptions.begin(), plan.subscriptions.end(), plan.keepers.begin(), plan.keepers.end()));
+    Fleet idle(840);
+    PlannerInput input { idle.profile, idle.replicas, {}, {}, {}, true, idle.now, Milliseconds(500) };
+    input.unreachable = plan.keepers;
+    BOOST_TEST((DemandPlanner().plan(input).keepers == plan.keepers));
+    BOOST_TEST((Fleet(64).plan().keepers.size() == 64u));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -78,6 +78,17 @@
     bool hasDisconnected_ = false;
 };
 
+/// Knows nothing of any stream.
+class NoOrigins final : public streams::IStreamOrigins {
+public:
+    void record(const streams::DispatchRecord&) override { }
+    void retract(const streams::DispatchRecord&, std::function<void(bool)> handler) override { handler(true); }
+    void find(const streams::AttemptKey&, std::function<void(const streams::OriginAnswer&)> handler) override
+    {
+        handler({});
+    }
+};
+
 /// A forwarder with one engine that doesn't have the model loaded; its agent reports when it will.
 struct OneEngine {
     OneEngine()
@@ -164,9 +175,10 @@
     framework::SystemClock clock;
     framework::EventThread traffic;
     OneModelDialect dialect;
-    Forwarder forwarder {
-        { traffic, clock, dialect, std::make_shared<framework::Metrics>(), [](const auto&) {}, [](const auto&) {} }, {}
-    };
+    NoOrigins origins;
+    Forwarder forwarder { { traffic, clock, dialect, std::make_shared<framework::Metrics>(), [](const auto&) {},
+                              [](const auto&) {}, origins },
+        {} };
 };
 
 } // namespace
--- a/src/wire/internal/message.cpp
+++ b/src/wire/internal/message.cpp
@@ -74,6 +74,8 @@
         return areNonNull(body.AsWanted()->models);
     case fb::Body::CrashEvidence:
         return hasAllParts(*body.AsCrashEvidence());
+    case fb::Body::StreamOrigins:
+        return areNonNull(body.AsStreamOrigins()->versions);
     case fb::Body::Hello:
     case fb::Body::HelloAck:
     case fb::Body::Ping:
