Let the soak replace engines by ones of other versions while callers take streams up

Callers leave or lose their streams at any event, take them up at any router, and check that all events are of one version, in order, and that a try that was refused as not run has not run. The engines' stand-ins write the version of the process that began a run into each of its events.

--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -29,10 +29,27 @@
 {
 }
 
-void ServerStandin::restart()
+std::string ServerStandin::instance() const
+{
+    const std::lock_guard lock(mutex_);
+    return instance_;
+}
+
+ServerStandin::Process ServerStandin::process() const
+{
+    const std::lock_guard lock(mutex_);
+    return { started_, instance_, version_ };
+}
+
+void ServerStandin::restart() { replaceBy(instance(), version()); }
+
+void ServerStandin::replaceBy(const std::string& instance, const std::string& version)
 {
     constexpr std::uint64_t restartOffsetMs = 5000;
     clearState();
+    const std::lock_guard lock(mutex_);
+    instance_ = instance;
+    version_ = version;
     started_ += restartOffsetMs;
 }
 
@@ -116,9 +133,10 @@
     return last_.body;
 }
 
-HeaderMap ServerStandin::responseHeaders(const HttpRequest& request) const
+HeaderMap ServerStandin::responseHeaders(const HttpRequest& request, const Process& process)
 {
-    return { { "X-Request-Attempt", request.header("x-request-attempt") }, { "X-Response-Seal", "seal-" + instance_ } };
+    return { { "X-Request-Attempt", request.header("x-request-attempt") },
+        { "X-Response-Seal", "seal-" + process.instance } };
 }
 
 void ServerStandin::answer(Exchange& exchange)
@@ -128,10 +146,11 @@
     if (answerControlRequest(exchange))
         return;
     const HttpRequest& request = exchange.request();
+    const Process answering = process();
     const std::string attempt = request.header("x-request-attempt");
     const HeaderMap notRun { { "X-Request-Attempt", attempt }, { "X-Not-Executed", "1" } };
-    if (request.header("x-expect-instance") != instance_)
-        return exchange.reply(421, "", { { "X-Request-Attempt", attempt }, { "X-Instance-Id", instance_ } });
+    if (request.header("x-expect-instance") != answering.instance)
+        return exchange.reply(421, "", { { "X-Request-Attempt", attempt }, { "X-Instance-Id", answering.instance } });
     if (!canRun(request))
         return exchange.reply(421, "", notRun);
     if (refusals_ > 0) {
@@ -154,23 +173,22 @@
     }
     if (failures_ > 0) {
         --failures_;
-        return exchange.reply(500, "failed at " + instance_, responseHeaders(request));
+        return exchange.reply(500, "failed at " + answering.instance, responseHeaders(request, answering));
     }
-    run(exchange);
+    run(exchange, answering);
 }
 
-void PlainStandin::run(Exchange& exchange)
+void PlainStandin::run(Exchange& exchange, const Process& process)
 {
     const HttpRequest& request = exchange.request();
-    const std::uint64_t startedBefore = started();
     const auto end = std::chrono::steady_clock::now() + Milliseconds(workMs_.load());
     while (std::chrono::steady_clock::now() < end) {
         if (exchange.waitForCallerGone(Milliseconds(1)))
             return noteCancelled();
-        if (started() != startedBefore)
+        if (started() != process.started)
             return exchange.dropConnection();
     }
-    exchange.reply(200, request.method + " " + request.path + " " + request.body, responseHeaders(request));
+    exchange.reply(200, request.method + " " + request.path + " " + request.body, responseHeaders(request, process));
 }
 
 void EngineStandin::hold(const std::string& model)
@@ -298,19 +316,18 @@
     return holds(target.substr(0, slash), target.substr(std::min(slash + 1, target.size())));
 }
 
-void EngineStandin::run(Exchange& exchange)
+void EngineStandin::run(Exchange& exchange, const Process& process)
 {
-    HeaderMap headers = responseHeaders(exchange.request());
+    HeaderMap headers = responseHeaders(exchange.request(), process);
     headers["Content-Type"] = "text/event-stream";
     exchange.beginStream(200, headers);
-    const std::uint64_t startedBefore = started();
     const std::string last = exchange.request().header("last-event-id");
     for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= events_; ++event) {
         if (exchange.waitForCallerGone(Milliseconds(pauseMs_.load())))
             return noteCancelled();
-        if (started() != startedBefore)
+        if (started() != process.started)
             return exchange.dropConnection();
-        const std::string text = eventText(event, version());
+        const std::string text = eventText(event, process.version);
         if (event == cutStreamAt_) {
             cutStreamAt_ = 0;
             exchange.sendChunk(text.substr(0, text.size() / 2));
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -24,7 +24,7 @@
     ServerStandin(const ServerStandin&) = delete;
     ServerStandin& operator=(const ServerStandin&) = delete;
 
-    const std::string& instance() const { return instance_; }
+    std::string instance() const;
     std::string endpoint() const { return endpoint_; }
     /// The server's start time in Unix milliseconds. A restart under the same id has a later one.
     std::uint64_t started() const { return started_; }
@@ -34,6 +34,8 @@
     /// Simulates a crash and a restart: streams are cut off and the server's state is lost. The counts of runs are kept
     /// for the tests.
     void restart();
+    /// Simulates the end of the server and the start of another one, with other software, at its address.
+    void replaceBy(const std::string& instance, const std::string& version);
     /// A request with this body crashes the server as soon as it is started: all connections are dropped, and the
     /// server is back after the time of `setDownTime`. An empty text ends this.
     void crashOn(const std::string& body);
@@ -65,13 +67,20 @@
     virtual bool answerControlRequest(standins::Exchange&) { return false; }
     /// Whether the server has what the request needs, such as its model. If not, the request is refused as not run.
     virtual bool canRun(const standins::HttpRequest&) { return true; }
-    virtual void run(standins::Exchange&) = 0;
+    /// One run of the server's process.
+    struct Process {
+        std::uint64_t started = 0;
+        std::string instance;
+        std::string version;
+    };
+    virtual void run(standins::Exchange&, const Process&) = 0;
     /// Discards the state that a crash loses.
     virtual void clearState() { }
-    standins::HeaderMap responseHeaders(const standins::HttpRequest&) const;
+    static standins::HeaderMap responseHeaders(const standins::HttpRequest&, const Process&);
     void noteCancelled() { ++cancelled_; }
 
 private:
+    Process process() const;
     void answer(standins::Exchange&);
     bool isCrashedBy(const standins::HttpRequest&) const;
     void crash();
@@ -105,7 +114,7 @@
     void setWork(framework::Milliseconds time) { workMs_ = static_cast<int>(time.count()); }
 
 protected:
-    void run(standins::Exchange&) override;
+    void run(standins::Exchange&, const Process&) override;
 
 private:
     std::atomic<int> workMs_ { 0 };
@@ -134,7 +143,7 @@
 protected:
     bool answerControlRequest(standins::Exchange&) override;
     bool canRun(const standins::HttpRequest&) override;
-    void run(standins::Exchange&) override;
+    void run(standins::Exchange&, const Process&) override;
     void clearState() override;
 
 private:
--- a/tests/soak/invariantchecker.cpp
+++ b/tests/soak/invariantchecker.cpp
@@ -1,5 +1,6 @@
 #include "soak/invariantchecker.h"
 
+#include "fleet/streamevents.h"
 #include "soak/standins.h"
 
 namespace lagoon::soak {
@@ -88,9 +89,11 @@
     const Outcome& outcome = sent.outcome;
     if (outcome.status != 200)
         return;
-    if (isStream(sent.kind) && outcome.isComplete() && outcome.body != expectedStream())
+    const std::vector<fleet::StreamEvent> events = fleet::parseEvents(outcome.body);
+    const std::string expected = expectedStream(events.empty() ? "v1" : events.front().version);
+    if (isStream(sent.kind) && outcome.isComplete() && outcome.body != expected)
         fail("complete stream with missing or wrong events", sent, runs);
-    if (isStream(sent.kind) && !outcome.isComplete() && !expectedStream().starts_with(outcome.body))
+    if (isStream(sent.kind) && !outcome.isComplete() && !expected.starts_with(outcome.body))
         fail("partial stream with missing or wrong events", sent, runs);
     if (!isStream(sent.kind) && outcome.isComplete() && outcome.body.find(sent.attempt) == std::string::npos)
         fail("answer to another request", sent, runs);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::size_t plannedRouters = 4;
 constexpr std::size_t mixedRouters = 2;
+constexpr std::size_t versionsRouters = 3;
+constexpr std::size_t versionsEngines = 6;
 
 SoakSettings settingsOf(const Arguments& arguments, std::uint64_t seed)
 {
@@ -32,6 +34,11 @@
         settings.kind = RunKind::Poison;
     settings.duration = lagoon::framework::Milliseconds(arguments.seconds * 1000);
     settings.routers = isPlanned ? plannedRouters : mixedRouters;
+    if (arguments.kind == "versions") {
+        settings.kind = RunKind::Versions;
+        settings.routers = versionsRouters;
+        settings.engines = versionsEngines;
+    }
     if (arguments.routers > 0)
         settings.routers = arguments.routers;
     if (arguments.engines > 0)
@@ -49,6 +56,8 @@
         return "mixed";
     case RunKind::Poison:
         return "poison";
+    case RunKind::Versions:
+        return "versions";
     }
     return "";
 }
@@ -62,6 +71,8 @@
               << " requests, " << report.served << " served, " << report.refused << " refused as not run, "
               << report.closedUnread << " crossed a close, " << report.failedDuringFault << " struck, " << report.steps
               << " faults, " << report.violations.size() << " promises broken" << std::endl;
+    if (settings.kind == RunKind::Versions)
+        std::cout << "  " << run.notes().back() << std::endl;
     for (const std::string& violation : report.violations)
         std::cout << "  " << violation << std::endl;
     if (report.violations.empty())
@@ -82,8 +93,8 @@
         "seeds", options::value(&arguments.seeds), "number of seeds")("seconds", options::value(&arguments.seconds),
         "duration of operations and faults per seed, in seconds")("kind", options::value(&arguments.kind),
         "planned (planned operations only), mixed (faults too), poison (planned operations and a request that crashes "
-        "its "
-        "servers) or both (planned and mixed; even seeds are planned)")("routers", options::value(&arguments.routers),
+        "its servers), versions (mixed, and engines are replaced by ones with other software) or both (planned and "
+        "mixed; even seeds are planned)")("routers", options::value(&arguments.routers),
         "number of routers, at least 2")("engines", options::value(&arguments.engines),
         "initial number of engines, at least 2")("loud", options::bool_switch(&arguments.isVerbose),
         "print each operation and fault when it happens")("help", "print this help");
--- a/tests/soak/plannedoperations.cpp
+++ b/tests/soak/plannedoperations.cpp
@@ -108,6 +108,24 @@
     listed_.push_back(index);
 }
 
+void PlannedOperations::replaceEngine()
+{
+    // The faults of a run are injected at a proxy in front of this engine.
+    constexpr std::size_t proxiedEngine = 1;
+    const std::vector<std::string> versions { "v1", "v1.1", "v2" };
+    const std::size_t index = listed_[runLog_.draw(listed_.size())];
+    if (index == proxiedEngine)
+        return;
+    fleet::EngineStandin& engine = fleet_.engine(index);
+    const std::string former = engine.instance();
+    const std::string version = versions[runLog_.draw(versions.size())];
+    engine.replaceBy("r-" + std::to_string(++replacedEngines_), version);
+    engine.hold("warm");
+    runLog_.note("engine replaced: " + former + " by " + engine.instance() + ", " + version);
+    fleet_.store.remove("servers", former);
+    fleet_.list(engine, "engines");
+}
+
 /// Engines with even numbers announce that they drain; of the others, only the entry in the store is removed. All
 /// continue to serve for `removalDelay`.
 void PlannedOperations::removeEngine()
--- a/tests/soak/plannedoperations.h
+++ b/tests/soak/plannedoperations.h
@@ -12,6 +12,9 @@
 
     /// Performs one random operation. Parts of it may be scheduled for later.
     void performOne();
+    /// Ends an engine and starts one with other software at its address, under a new id and with the model "warm". Does
+    /// nothing if the drawn engine is reached through a proxy.
+    void replaceEngine();
     /// Whether the engine has been added and its removal has not begun.
     bool isListed(std::size_t engine) const;
     /// Reports engines that still received requests longer than `leavingNotice` after the store showed that they leave.
@@ -40,6 +43,7 @@
     std::vector<Removal> removals_;
     std::size_t maxEngines_ = 0;
     bool hasNewRoute_ = false;
+    int replacedEngines_ = 0;
 };
 
 } // namespace lagoon::soak
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint64_t operationPauseRangeMs = 1300;
 constexpr std::uint64_t minFaultPauseMs = 20;
 constexpr std::uint64_t faultPauseRangeMs = 200;
+/// One in this many steps replaces an engine.
+constexpr std::uint64_t stepsPerReplacement = 3;
 /// Much longer than an answer takes once all faults have ended.
 constexpr Milliseconds probeTimeout { 22000 };
 
@@ -45,7 +47,7 @@
         fleet_.list(fleet_.addEngine(), "engines");
     for (std::size_t index = 0; index < fleet_.engines(); ++index)
         prepare(fleet_.engine(index), parameters_);
-    if (settings_.kind == RunKind::Mixed)
+    if (settings_.kind == RunKind::Mixed || settings_.kind == RunKind::Versions)
         faultInjector_.emplace(fleet_, scheduler_, runLog_);
     fleet_.start();
     supervisor_.adopt(settings_.routers, fleet_.engines());
@@ -59,12 +61,17 @@
         runLog_.beginFault(crashes_, std::nullopt);
         poisonSender_.emplace(fleet_, balancer_, settings_);
     }
+    if (settings_.kind == RunKind::Versions) {
+        runLog_.beginFault(crashes_, std::nullopt);
+        resumingCallers_.emplace(settings_, parameters_, balancer_);
+    }
     runOperationsAndFaults();
     waitForProcesses();
-    if (poisonSender_) {
+    if (poisonSender_)
         poisonSender_->stop();
-        runLog_.endFaults(crashes_);
-    }
+    if (resumingCallers_)
+        resumingCallers_->stop();
+    runLog_.endFaults(crashes_);
     if (faultInjector_)
         faultInjector_->clearFaults();
     waitUntilServed();
@@ -74,6 +81,8 @@
     checker.checkEngines();
     if (poisonSender_)
         poisonSender_->check(runLog_);
+    if (resumingCallers_)
+        resumingCallers_->check(fleet_, runLog_);
     fleet_.stop();
     report_.violations = runLog_.violations();
     return report_;
@@ -95,6 +104,8 @@
     const Deadline end = Deadline::after(std::chrono::steady_clock::now(), settings_.duration);
     while (!end.hasPassed(std::chrono::steady_clock::now())) {
         ++report_.steps;
+        if (settings_.kind == RunKind::Versions && runLog_.draw(stepsPerReplacement) == 0)
+            operations.replaceEngine();
         if (faultInjector_) {
             faultInjector_->inject(supervisor_, operations);
             pollFor(runLog_.drawDuration(minFaultPauseMs, faultPauseRangeMs));
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -4,6 +4,7 @@
 #include "soak/invariantchecker.h"
 #include "soak/plannedoperations.h"
 #include "soak/poisonsender.h"
+#include "soak/resumingcallers.h"
 
 #include <memory>
 
@@ -20,6 +21,7 @@
 /// - engines never receive orders beyond their capacity
 /// - no process ends without a signal, and each shuts down gracefully after SIGTERM
 /// - a request that crashes its servers is refused after three crashes
+/// - a stream holds events of one software version only, also over several tries of its caller
 /// - all kinds of requests are served again soon after the last fault
 class SoakRun {
 public:
@@ -46,7 +48,8 @@
     ProcessSupervisor supervisor_;
     std::optional<FaultInjector> faultInjector_;
     std::optional<PoisonSender> poisonSender_;
-    /// The crashes by the poison request, as one fault.
+    std::optional<ResumingCallers> resumingCallers_;
+    /// The crashes by the poison request, or all replaced engines, as one fault.
     ActiveFaults crashes_;
     SoakReport report_;
 };
--- a/tests/soak/soaksettings.h
+++ b/tests/soak/soaksettings.h
@@ -17,7 +17,9 @@
     /// Also faults of processes, network, servers and store.
     Mixed,
     /// Planned operations, and a request that crashes the servers that start it.
-    Poison
+    Poison,
+    /// As mixed, and engines are replaced by ones with other software; callers take their streams up at any router.
+    Versions
 };
 
 struct SoakSettings {
--- a/tests/soak/standins.cpp
+++ b/tests/soak/standins.cpp
@@ -12,11 +12,11 @@
 
 } // namespace
 
-std::string expectedStream()
+std::string expectedStream(const std::string& version)
 {
     std::string text;
     for (int event = 1; event <= streamEvents; ++event)
-        text += fleet::eventText(event, "v1");
+        text += fleet::eventText(event, version);
     return text;
 }
 
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -9,8 +9,8 @@
 
 inline constexpr int streamEvents = 6;
 
-/// The body of the answer to a stream that is sent whole.
-std::string expectedStream();
+/// The body of the answer to a stream that is sent whole by servers of this version.
+std::string expectedStream(const std::string& version);
 /// Sets the engine's stream length and load time for the run.
 void prepare(fleet::EngineStandin&, const RunParameters&);
 /// The fleet's default routes with the run's target latency, and optionally one more route.
