Test streams that are taken up after pauses, restarts and losses of those who know

Six more cases of streamversions_tests: the first router paused, or started anew; all agents started anew with and without the first router; no agent at all; the store away.

--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -19,9 +19,15 @@
 /// Every request is for one model, and its caller waits for 15 seconds.
 class OneModelDialect final : public IRequestDialect {
 public:
+    /// The callers of later requests take up the stream that this attempt began.
+    void setResumedAttempt(const std::string& attempt) { resumedAttempt_ = attempt; }
+
     framework::Result<RequestFacts> read(const http::Request&) const override
     {
         RequestFacts facts;
+        facts.resumedAttempt = resumedAttempt_;
+        if (!resumedAttempt_.empty())
+            facts.lastEvent = 5;
         facts.attempt = "a1";
         facts.timeLeft = Milliseconds(15000);
         facts.model = ModelName("rare");
@@ -40,6 +46,9 @@
             head.headers.add("Retry-After", std::to_string(retryAfter->count()));
         return head;
     }
+
+private:
+    std::string resumedAttempt_;
 };
 
 /// Records the answer.
@@ -78,15 +87,23 @@
     bool hasDisconnected_ = false;
 };
 
-/// Knows nothing of any stream.
-class NoOrigins final : public streams::IStreamOrigins {
+/// Knows the same of all streams; nothing at first.
+class SameOrigins final : public streams::IStreamOrigins {
 public:
+    void set(const std::string& service, const std::string& version)
+    {
+        answer_.origin = streams::StreamOrigin { ServiceName(service), catalog::SoftwareVersion(version) };
+    }
+
     void record(const streams::DispatchRecord&) override { }
     void retract(const streams::DispatchRecord&, std::function<void(bool)> handler) override { handler(true); }
     void find(const streams::AttemptKey&, std::function<void(const streams::OriginAnswer&)> handler) override
     {
-        handler({});
+        handler(answer_);
     }
+
+private:
+    streams::OriginAnswer answer_;
 };
 
 /// A forwarder with one engine that doesn't have the model loaded; its agent reports when it will.
@@ -126,6 +143,7 @@
         upstream.instance = catalog::InstanceId("e-1");
         upstream.service = ServiceName("engines");
         upstream.endpoint = Endpoint("127.0.0.1:9");
+        upstream.version = catalog::SoftwareVersion("v1");
         return upstream;
     }
 
@@ -175,9 +193,10 @@
     framework::SystemClock clock;
     framework::EventThread traffic;
     OneModelDialect dialect;
-    NoOrigins origins;
-    Forwarder forwarder { { traffic, clock, dialect, std::make_shared<framework::Metrics>(), [](const auto&) {},
-                              [](const auto&) {}, origins },
+    SameOrigins origins;
+    LoadPlan lastPlan;
+    Forwarder forwarder { { traffic, clock, dialect, std::make_shared<framework::Metrics>(),
+                              [this](const LoadPlan& plan) { lastPlan = plan; }, [](const auto&) {}, origins },
         {} };
 };
 
@@ -286,4 +305,113 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+/// Callers take up streams at a forwarder with one engine of version v1, whose list is current.
+struct TakenUpStreams : OneEngine {
+    TakenUpStreams()
+    {
+        onTraffic([this] {
+            dialect.setResumedAttempt("a0");
+            forwarder.didConfirmUpstreams(clock.now());
+        });
+    }
+
+    std::shared_ptr<RecordingExchange> takeUp(const catalog::EngineState& state)
+    {
+        auto exchange = std::make_shared<RecordingExchange>();
+        onTraffic([&] {
+            forwarder.setEngineState(state);
+            forwarder.handle(exchange);
+        });
+        return exchange;
+    }
+
+    static catalog::EngineState stateWithModel()
+    {
+        catalog::EngineState state;
+        state.engine = engine().endpoint;
+        state.held.push_back({ ModelName("rare"), 1, {}, 0, 0 });
+        return state;
+    }
+
+    static bool isRefusedAtOnce(const RecordingExchange& exchange)
+    {
+        return exchange.status() == 503 && exchange.retryAfter().count() < 1000;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StreamTakeUps, TakenUpStreams)
+
+// Prevents a guess where nobody knows which version began a stream.
+BOOST_AUTO_TEST_CASE(anUnknownStreamIsRefusedAtOnce) { BOOST_TEST(isRefusedAtOnce(*takeUp(stateWithModel()))); }
+
+// Prevents a stream from waiting for a version that no server has any more.
+BOOST_AUTO_TEST_CASE(aStreamOfAVersionWithoutServersIsRefusedAtOnce)
+{
+    origins.set("engines", "v2");
+    BOOST_TEST(isRefusedAtOnce(*takeUp(stateWithModel())));
+}
+
+// Prevents two services' versions of the same name from being taken for one.
+BOOST_AUTO_TEST_CASE(aStreamOfAnotherServiceIsRefusedAtOnce)
+{
+    origins.set("others", "v1");
+    BOOST_TEST(isRefusedAtOnce(*takeUp(stateWithModel())));
+}
+
+// Prevents a refusal where the version's servers have no place for the moment.
+BOOST_AUTO_TEST_CASE(aStreamWaitsWhileTheServersOfItsVersionAreFull)
+{
+    using boost::asio::ip::tcp;
+    constexpr std::size_t connections = 4;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    catalog::Upstream server = engine();
+    server.endpoint = Endpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    catalog::EngineState state = stateWithModel();
+    state.engine = server.endpoint;
+    origins.set("engines", "v1");
+    onTraffic([&] { forwarder.setUpstreams({ server }); });
+    std::vector<std::shared_ptr<RecordingExchange>> taken;
+    for (std::size_t count = 0; count <= connections; ++count)
+        taken.push_back(takeUp(state));
+    onTraffic([&] { BOOST_TEST(forwarder.requests() == connections + 1); });
+    for (const auto& exchange : taken)
+        BOOST_TEST(!exchange->isAnswered());
+    onTraffic([this] { forwarder.answerNow(); });
+}
+
+// Prevents a refusal where a server of the version can load the model in time.
+BOOST_AUTO_TEST_CASE(theModelIsLoadedAtAServerOfTheVersion)
+{
+    origins.set("engines", "v1");
+    catalog::EngineState state;
+    state.engine = engine().endpoint;
+    state.cachedWeights.memory.push_back(ModelName("rare"));
+    const auto exchange = takeUp(state);
+    BOOST_TEST(!exchange->isAnswered());
+    bool isAsked = false;
+    while (!isAsked && !exchange->isAnswered())
+        onTraffic([&] {
+            for (const catalog::TargetDemand& demand : lastPlan.demand[engine().endpoint])
+                isAsked = isAsked || (demand.waiting == 1 && demand.target.model == ModelName("rare"));
+        });
+    BOOST_TEST(isAsked);
+    onTraffic([this] { forwarder.answerNow(); });
+}
+
+// Prevents a stream from waiting for a load that takes longer than its caller waits, or that all services share.
+BOOST_AUTO_TEST_CASE(aStreamIsNotHeldBackForALoadFromTheStore)
+{
+    origins.set("engines", "v1");
+    catalog::EngineState state;
+    state.engine = engine().endpoint;
+    BOOST_TEST(isRefusedAtOnce(*takeUp(state)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace lagoon::forwarding
--- a/src/streams/internal/dispatchtable.cpp
+++ b/src/streams/internal/dispatchtable.cpp
@@ -4,7 +4,6 @@
 
 namespace lagoon::streams {
 
-using framework::Deadline;
 using framework::SteadyTime;
 
 void DispatchTable::add(const DispatchRecord& record, SteadyTime now)
--- a/tests/integration/streamversions_test.cpp
+++ b/tests/integration/streamversions_test.cpp
@@ -90,7 +90,7 @@
 
     CallerAnswer takeUp(StreamCaller& caller, int number, std::size_t router)
     {
-        const CallerAnswer answer = fleet.call(caller.request(number), router);
+        CallerAnswer answer = fleet.call(caller.request(number), router);
         if (answer.status == 200)
             caller.stream.add(parseEvents(answer.body));
         return answer;
@@ -286,4 +286,107 @@
     BOOST_TEST((std::chrono::steady_clock::now() - sentAt < std::chrono::seconds(2)));
 }
 
+// Prevents a stream from being lost with its first router while that stands still.
+BOOST_AUTO_TEST_CASE(aStreamOfAPausedRouterIsTakenUpAtItsVersion)
+{
+    constexpr int rounds = 4;
+    for (int round = 0; round < rounds; ++round) {
+        StreamCaller caller { nextAttempt(), {} };
+        RawCaller connection { Endpoint(fleet.callers(2)) };
+        connection.send(caller.request(1).text());
+        BOOST_REQUIRE(connection.readUntil("word2 "));
+        fleet.router(2).sendSignal(SIGSTOP);
+        caller.stream.add(parseEvents(parseAnswer(connection.received()).body));
+        const CallerAnswer answer = takeUp(caller, 2, static_cast<std::size_t>(round) % 2);
+        fleet.router(2).sendSignal(SIGCONT);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(isWhole(caller));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+    }
+}
+
+// Prevents a router that was started again from guessing what it began before.
+BOOST_AUTO_TEST_CASE(aRestartedRouterTakesItsStreamsUpAtTheirVersion)
+{
+    constexpr int rounds = 4;
+    for (int round = 0; round < rounds; ++round) {
+        StreamCaller caller { nextAttempt(), {} };
+        begin(caller, 3, 2);
+        fleet.startRouter(2);
+        waitUntilAllEnginesServe(2);
+        const CallerAnswer answer = takeUp(caller, 2, 2);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(isWhole(caller));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+    }
+}
+
+// Prevents a refusal where the router that began the stream is still there to tell agents that were started again.
+BOOST_AUTO_TEST_CASE(agentsThatWereStartedAgainAreToldByLiveRouters)
+{
+    StreamCaller caller { nextAttempt(), {} };
+    begin(caller, 3, 0);
+    for (std::size_t agent = 0; agent < fleet.engines(); ++agent)
+        fleet.startAgent(agent);
+    CallerAnswer answer;
+    waitFor("the agents to be told", [&] {
+        answer = takeUp(caller, 2, 1);
+        return answer.status == 200;
+    });
+    BOOST_TEST(isWhole(caller));
+    BOOST_TEST(caller.stream.versions().size() == 1u);
+}
+
+// Prevents a guess where all who knew the stream's version have ended.
+BOOST_AUTO_TEST_CASE(aStreamIsRefusedIfItsRouterAndAllAgentsWereStartedAgain)
+{
+    StreamCaller caller { nextAttempt(), {} };
+    begin(caller, 3, 0);
+    fleet.router(0).kill();
+    for (std::size_t agent = 0; agent < fleet.engines(); ++agent)
+        fleet.startAgent(agent);
+    BOOST_TEST(takeUp(caller, 2, 1).status == 503);
+    BOOST_TEST(runs(caller.attempt + "-2") == 0);
+    waitFor("new streams to be served", [&] {
+        return fleet.call(StreamCaller { nextAttempt(), {} }.request(1), 1).status == 200;
+    });
+    BOOST_TEST(takeUp(caller, 3, 1).status == 503);
+    BOOST_TEST(runs(caller.attempt + "-3") == 0);
+}
+
+// Prevents a guess, or a wait until the deadline, at a router that reaches no agent.
+BOOST_AUTO_TEST_CASE(withoutAgentsOnlyItsOwnRouterTakesAStreamUp)
+{
+    StreamCaller own { nextAttempt(), {} };
+    StreamCaller other { nextAttempt(), {} };
+    begin(own, 3, 0);
+    begin(other, 3, 0);
+    for (std::size_t agent = 0; agent < fleet.engines(); ++agent)
+        fleet.agent(agent).kill();
+    const auto sentAt = std::chrono::steady_clock::now();
+    BOOST_TEST(takeUp(other, 2, 1).status == 503);
+    BOOST_TEST((std::chrono::steady_clock::now() - sentAt < std::chrono::seconds(2)));
+    BOOST_TEST(runs(other.attempt + "-2") == 0);
+    const CallerAnswer answer = takeUp(own, 2, 0);
+    BOOST_TEST(answer.status != 502);
+    BOOST_TEST(own.stream.versions().size() == 1u);
+}
+
+// Prevents streams from being refused while the store is away: agents still tell which servers run.
+BOOST_AUTO_TEST_CASE(streamsAreTakenUpWhileTheStoreIsAway)
+{
+    store.setUnavailable(true);
+    // Longer than the list alone vouches for a server's version.
+    std::this_thread::sleep_for(std::chrono::milliseconds(3500));
+    constexpr int streams = 6;
+    for (int number = 0; number < streams; ++number) {
+        StreamCaller caller { nextAttempt(), {} };
+        begin(caller, 3, 0);
+        BOOST_TEST(takeUp(caller, 2, 1).status == 200);
+        BOOST_TEST(isWhole(caller));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+    }
+    store.setUnavailable(false);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
