Refuse completions that ask to go on with a stream, where agents are the gate

On the path through agents Last-Event-Id went on to whichever upstream was chosen, so a caller could join events of two versions.

Change: a completion with that header is refused with 400, as not run. Plain services get it as before: what their events are is theirs.

--- a/src/callers/internal/headcheck.cpp
+++ b/src/callers/internal/headcheck.cpp
@@ -19,6 +19,7 @@
 constexpr const char* modelsPath = "/v1/models";
 constexpr unsigned short headersTooLarge = 431;
 constexpr const char* step = "check headers";
+constexpr const char* lastEventHeader = "Last-Event-Id";
 
 /// Returns an empty string if any method is allowed.
 std::string requiredMethod(RequestKind kind)
@@ -109,6 +110,11 @@
     if (!method.empty() && request.method() != method)
         return EarlyRefusal { { ErrorCode::BadRequest, "check method", "", "expected " + method },
             status_codes::MethodNotAllowed, false };
+    // Which software version wrote the caller's events isn't known here, and that of the next upstream may differ.
+    const bool isForModel = kind == RequestKind::Completion || kind == RequestKind::ChatCompletion;
+    if (isForModel && headers.has(lastEventHeader))
+        return EarlyRefusal { { ErrorCode::BadRequest, step, "", "Last-Event-Id: a stream can't be taken up again" },
+            std::nullopt, false };
     return std::nullopt;
 }
 
--- a/src/callers/tests/badinput_test.cpp
+++ b/src/callers/tests/badinput_test.cpp
@@ -48,6 +48,14 @@
 
 BOOST_AUTO_TEST_SUITE(BadInput)
 
+// Prevents a caller from receiving the rest of its stream from an upstream with other software.
+BOOST_FIXTURE_TEST_CASE(streamsCanNotBeTakenUpAgain, SmallLimitsFixture)
+{
+    std::string text = completionText(R"({"model":"m"})");
+    text.insert(text.find("\r\n") + 2, "Last-Event-Id: 5\r\n");
+    checkRefused(text, "400", "taken up");
+}
+
 BOOST_FIXTURE_TEST_CASE(invalidBodiesAndPathsAreRefusedWithTheReason, SmallLimitsFixture)
 {
     checkRefused(completionText("{nope"), "400", "not JSON");
