Let a stream of unknown version go on if it can only have begun at the one there is

Cause: without a record a stream went on only after one version had been alone for four timeouts of the longest route, 60 s, whatever time its caller had left.

Change: the list must have shown one version alone since before the stream can have begun: the longest time that any caller of the service's streams has had, by the routes' timeouts in any configuration and by what callers stated, less what this caller has left, and 1 s.

Why it holds: a caller takes a stream up within the time that it had at first, so that time, less what is left, is the greatest age of its stream.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -41,8 +41,8 @@
 /// The fraction of the operators' retry reserve that all routers together plan with. A router that has just started has
 /// a full share again and may not know yet how many routers there are.
 constexpr double plannedReserveShare = 0.6;
-/// A caller that takes its stream up again and again receives it for no longer than this many timeouts of its route.
-constexpr int maxTriesOfStream = 4;
+/// A caller's time may end this much later than it states, by delays on the way.
+constexpr Milliseconds callerTimeSlack { 1000 };
 
 const catalog::RouteTarget& drawTarget(const catalog::Route& route)
 {
@@ -187,12 +187,14 @@
     framework::Metrics& metrics() override { return *context_.metrics; }
     framework::SteadyTime now() const override { return context_.clock.now(); }
     streams::IStreamOrigins& origins() override { return context_.origins; }
-    std::optional<catalog::SoftwareVersion> soleVersion(const ServiceName& service) const override
+    std::optional<catalog::SoftwareVersion> soleVersion(
+        const ServiceName& service, Milliseconds timeLeft) const override
     {
-        const auto longest = longestStreams_.find(service);
-        if (longest == longestStreams_.end())
+        const auto longest = longestCallerTimes_.find(service);
+        if (longest == longestCallerTimes_.end())
             return std::nullopt;
-        return versions_.soleVersion(service, now() - longest->second, now());
+        const Milliseconds age = std::max(Milliseconds(0), longest->second - timeLeft) + callerTimeSlack;
+        return versions_.soleVersion(service, now() - age, now());
     }
 
     bool spendRetry(const ServiceName& service) override
@@ -283,6 +285,7 @@
         spec.deadline = Deadline::after(exchange->receivedAt(), callerTimeout);
         const Milliseconds untilFirst = route.callerIdleTimeout.count() > 0 ? route.callerIdleTimeout : callerTimeout;
         spec.firstEventBy = Deadline::after(exchange->receivedAt(), std::min(callerTimeout, untilFirst));
+        noteCallerTime(route, facts.timeLeft.value_or(route.timeout));
         demandPublisher_.didArrive(spec.service, facts, now());
         const http::Request& request = exchange->request();
         spec.fingerprint = quarantine::fingerprintOf({ request.method, request.target, facts.caller, request.body });
@@ -311,16 +314,20 @@
         return budget;
     }
 
-    /// A stream that began under an earlier configuration may last as long as that allowed.
+    /// Callers of earlier configurations count as well: they may still have their streams.
     void noteStreamTimeouts(const catalog::Configuration& configuration)
     {
-        for (const catalog::Route& route : configuration.routes) {
-            if (route.kind != catalog::RouteKind::Streaming)
-                continue;
-            for (const catalog::RouteTarget& target : route.targets) {
-                Milliseconds& longest = longestStreams_[target.service];
-                longest = std::max(longest, maxTriesOfStream * route.timeout);
-            }
+        for (const catalog::Route& route : configuration.routes)
+            noteCallerTime(route, route.timeout);
+    }
+
+    void noteCallerTime(const catalog::Route& route, Milliseconds time)
+    {
+        if (route.kind != catalog::RouteKind::Streaming)
+            return;
+        for (const catalog::RouteTarget& target : route.targets) {
+            Milliseconds& longest = longestCallerTimes_[target.service];
+            longest = std::max(longest, time);
         }
     }
 
@@ -465,8 +472,9 @@
     std::unique_ptr<framework::Timer> startByTimer_;
     UpstreamTable upstreams_;
     VersionHistory versions_;
-    /// How long streams of each service may last over all tries of a caller.
-    std::map<ServiceName, Milliseconds> longestStreams_;
+    /// The longest time that callers of each service's streams have for all their tries, by the routes' timeouts and by
+    /// what callers stated.
+    std::map<ServiceName, Milliseconds> longestCallerTimes_;
     std::shared_ptr<quarantine::RequestQuarantine> quarantine_;
     std::unique_ptr<catalog::RouteTable> routes_;
     Jobs jobs_;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -124,7 +124,7 @@
     if (spec_.route->targets.size() != 1)
         return std::nullopt;
     const framework::ServiceName& service = spec_.route->targets.front().service;
-    const auto version = host_.soleVersion(service);
+    const auto version = host_.soleVersion(service, spec_.facts.timeLeft.value_or(Milliseconds(0)));
     return version ? std::optional(streams::StreamOrigin { service, *version }) : std::nullopt;
 }
 
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <thread>
 
 namespace lagoon::forwarding {
 
@@ -348,6 +349,29 @@
 // Prevents a guess where nobody knows which version began a stream.
 BOOST_AUTO_TEST_CASE(anUnknownStreamIsRefusedAtOnce) { BOOST_TEST(isRefusedAtOnce(*takeUp(stateWithModel()))); }
 
+// Prevents a refusal where the stream can only have begun at the one version that there is.
+BOOST_AUTO_TEST_CASE(anUnknownStreamGoesOnIfThereHasBeenOneVersionAlone)
+{
+    // The caller has 15 s left, as much as any caller ever has, so its stream is younger than the slack.
+    const auto until = std::chrono::steady_clock::now() + Milliseconds(1100);
+    while (std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(Milliseconds(10));
+    using boost::asio::ip::tcp;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    catalog::Upstream server = engine();
+    server.endpoint = Endpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    catalog::EngineState state = stateWithModel();
+    state.engine = server.endpoint;
+    onTraffic([&] {
+        forwarder.setUpstreams({ server });
+        forwarder.didConfirmUpstreams(clock.now());
+    });
+    const auto exchange = takeUp(state);
+    BOOST_TEST(!exchange->isAnswered());
+    onTraffic([this] { forwarder.answerNow(); });
+}
+
 // Prevents a stream from waiting for a version that no server has any more.
 BOOST_AUTO_TEST_CASE(aStreamOfAVersionWithoutServersIsRefusedAtOnce)
 {
