--- a/tests/soak/plannedoperations.cpp
+++ b/tests/soak/plannedoperations.cpp
@@ -118,7 +118,7 @@
         return;
     fleet::EngineStandin& engine = fleet_.engine(index);
     const std::string former = engine.instance();
-    const std::string version = versions[runLog_.draw(versions.size())];
+    const std::string& version = versions[runLog_.draw(versions.size())];
     engine.replaceBy("r-" + std::to_string(++replacedEngines_), version);
     engine.hold("warm");
     runLog_.note("engine replaced: " + former + " by " + engine.instance() + ", " + version);
