Ask again for a stream's origin when links break between question and answer

Callers saw: nothing yet; found while reading the change.

Change: what was asked over a link that closed is asked again over the next.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -277,7 +277,7 @@
     awaitsOrigin_ = false;
     if (isConfirmed)
         recordedOrigin_.reset();
-    else
+    else // An agent may still have the record, so it has to stay true.
         required_ = RequiredVersion { recordedOrigin_->version };
     advance();
 }
--- a/src/streams/internal/originexchange.cpp
+++ b/src/streams/internal/originexchange.cpp
@@ -65,7 +65,13 @@
     }
 }
 
-void OriginExchange::didClose(const Endpoint& keeper) { open_.erase(keeper); }
+/// What the agent was asked over this link is asked again over the next one.
+void OriginExchange::didClose(const Endpoint& keeper)
+{
+    open_.erase(keeper);
+    for (auto& [attempt, search] : searches_)
+        search.asked.erase(keeper);
+}
 
 /// Returns the first keepers of the attempt's order to which a link is open.
 std::vector<Endpoint> OriginExchange::openKeepers(const AttemptKey& attempt, std::size_t count) const
--- a/src/streams/tests/originexchange_test.cpp
+++ b/src/streams/tests/originexchange_test.cpp
@@ -212,6 +212,25 @@
     BOOST_TEST((found->origin == first));
 }
 
+// Prevents a refusal because the links broke between a question and its answer.
+BOOST_AUTO_TEST_CASE(aQuestionIsAskedAgainOverANewLink)
+{
+    record(0, 1, first);
+    for (const auto& [engine, agent] : agents)
+        silence(1, engine);
+    std::optional<OriginAnswer> found;
+    router(1).find(attempt, [&found](const OriginAnswer& answer) { found = answer; });
+    control.advance(Milliseconds(50));
+    for (const auto& [engine, agent] : agents)
+        router(1).didClose(engine);
+    silent.clear();
+    for (const auto& [engine, agent] : agents)
+        router(1).didOpen(engine);
+    control.runPosted();
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST((found->origin == first));
+}
+
 BOOST_AUTO_TEST_CASE(aRouterKnowsItsOwnStreamsWithoutAgents)
 {
     for (const auto& [engine, agent] : agents)
