Record a stream again that stays at its version after a failed retraction

Callers saw: nothing yet; found while reading the change. A stream could be refused as unknown although its version served.

Cause: if an agent didn't confirm a retraction in time, the request stayed at its version, but the agents that had the retraction took its origin for unknown, and the request held its first record for valid and sent no other.

Change: after a retraction the request records anew in any case, with a higher number. Why it works: its version is now required, so the new record is true, and it replaces the retraction wherever that arrived.

Result: aStreamWhoseRecordIsNotRetractedStaysAtItsVersionAndIsRecordedAgain failed before (two statements in place of three). With it aRecordIsRetractedBeforeTheStream- MovesToAnotherVersion, for the guard version-retracted, which no test had noticed.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -275,10 +275,10 @@
     if (isEnded_)
         return;
     awaitsOrigin_ = false;
-    if (isConfirmed)
-        recordedOrigin_.reset();
-    else // An agent may still have the record, so it has to stay true.
+    // Where the record may still be kept, it has to stay true. Others may have dropped it, so it is sent again.
+    if (!isConfirmed)
         required_ = RequiredVersion { recordedOrigin_->version };
+    recordedOrigin_.reset();
     advance();
 }
 
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -3,9 +3,11 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
-#include <thread>
+#include <list>
+#include <stdexcept>
 
 namespace lagoon::forwarding {
 
@@ -22,6 +24,8 @@
 public:
     /// The callers of later requests take up the stream that this attempt began.
     void setResumedAttempt(const std::string& attempt) { resumedAttempt_ = attempt; }
+    /// The time that the callers of later requests state.
+    void setTimeLeft(Milliseconds timeLeft) { timeLeft_ = timeLeft; }
 
     framework::Result<RequestFacts> read(const http::Request&) const override
     {
@@ -30,15 +34,15 @@
         if (!resumedAttempt_.empty())
             facts.lastEvent = 5;
         facts.attempt = "a1";
-        facts.timeLeft = Milliseconds(15000);
+        facts.timeLeft = timeLeft_;
         facts.model = ModelName("rare");
         facts.promptTokens = catalog::Tokens(100);
         return facts;
     }
     http::Request forwarded(const http::Request& request, const ForwardingOptions&) const override { return request; }
-    AnswerClass classify(const http::ResponseHead&, const RequestFacts&, const catalog::InstanceId&) const override
+    AnswerClass classify(const http::ResponseHead& head, const RequestFacts&, const catalog::InstanceId&) const override
     {
-        return AnswerClass::Served;
+        return head.status == 503 ? AnswerClass::NotRun : AnswerClass::Served;
     }
     http::ResponseHead refusal(unsigned status, std::optional<Milliseconds> retryAfter) const override
     {
@@ -50,6 +54,17 @@
 
 private:
     std::string resumedAttempt_;
+    Milliseconds timeLeft_ { 15000 };
+};
+
+/// A clock that a test may set back by some time.
+class OffsetClock final : public framework::IClock {
+public:
+    void setBackBy(Milliseconds offset) { offset_ = offset; }
+    framework::SteadyTime now() const override { return std::chrono::steady_clock::now() - offset_; }
+
+private:
+    Milliseconds offset_ { 0 };
 };
 
 /// Records the answer.
@@ -96,8 +111,22 @@
         answer_.origin = streams::StreamOrigin { ServiceName(service), catalog::SoftwareVersion(version) };
     }
 
-    void record(const streams::DispatchRecord&) override { }
-    void retract(const streams::DispatchRecord&, std::function<void(bool)> handler) override { handler(true); }
+    /// What was stated, in order: the versions recorded, and "retracted".
+    const std::vector<std::string>& statements() const { return statements_; }
+    /// Retractions aren't confirmed from now on.
+    void refuseRetractions() { confirmsRetractions_ = false; }
+
+    void record(const streams::DispatchRecord& record) override
+    {
+        statements_.push_back(record.origin ? record.origin->version.name() : "unknown");
+        lastRecord_ = record;
+    }
+    const streams::DispatchRecord& lastRecord() const { return lastRecord_; }
+    void retract(const streams::DispatchRecord&, std::function<void(bool)> handler) override
+    {
+        statements_.emplace_back("retracted");
+        handler(confirmsRetractions_);
+    }
     void find(const streams::AttemptKey&, std::function<void(const streams::OriginAnswer&)> handler) override
     {
         handler(answer_);
@@ -105,6 +134,9 @@
 
 private:
     streams::OriginAnswer answer_;
+    std::vector<std::string> statements_;
+    streams::DispatchRecord lastRecord_;
+    bool confirmsRetractions_ = true;
 };
 
 /// A forwarder with one engine that doesn't have the model loaded; its agent reports when it will.
@@ -127,6 +159,8 @@
         route.prefix = "/model/";
         route.kind = catalog::RouteKind::Streaming;
         route.timeout = Milliseconds(15000);
+        route.isResumable = true;
+        route.maxServers = 2;
         route.targetLatency = Milliseconds(2500);
         route.targets.push_back({ ServiceName("engines"), 1 });
         made.routes.push_back(route);
@@ -191,7 +225,7 @@
     }
     void shutDownWithin(Milliseconds startWithin) { shutDownWithin(startWithin, 2 * startWithin); }
 
-    framework::SystemClock clock;
+    OffsetClock clock;
     framework::EventThread traffic;
     OneModelDialect dialect;
     SameOrigins origins;
@@ -328,6 +362,27 @@
         return exchange;
     }
 
+    /// A caller takes up an unknown stream after the list has shown one version alone for this time.
+    std::shared_ptr<RecordingExchange> takeUpAfter(Milliseconds alone)
+    {
+        catalog::Upstream server = engine();
+        server.endpoint = Endpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+        catalog::EngineState state = stateWithModel();
+        state.engine = server.endpoint;
+        onTraffic([&] {
+            clock.setBackBy(alone);
+            forwarder.setUpstreams({});
+            forwarder.setUpstreams({ server });
+            for (Milliseconds before = alone; before.count() > 0; before -= Milliseconds(1000)) {
+                clock.setBackBy(before);
+                forwarder.didConfirmUpstreams(clock.now());
+            }
+            clock.setBackBy(Milliseconds(0));
+            forwarder.didConfirmUpstreams(clock.now());
+        });
+        return takeUp(state);
+    }
+
     static catalog::EngineState stateWithModel()
     {
         catalog::EngineState state;
@@ -340,6 +395,11 @@
     {
         return exchange.status() == 503 && exchange.retryAfter().count() < 1000;
     }
+
+    boost::asio::io_context context;
+    /// Accepts connections and answers nothing.
+    boost::asio::ip::tcp::acceptor acceptor { context,
+        boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0) };
 };
 
 } // namespace
@@ -352,23 +412,7 @@
 // Prevents a refusal where the stream can only have begun at the one version that there is.
 BOOST_AUTO_TEST_CASE(anUnknownStreamGoesOnIfThereHasBeenOneVersionAlone)
 {
-    // The caller has 15 s left, as much as any caller ever has, so its stream is younger than the slack.
-    const auto until = std::chrono::steady_clock::now() + Milliseconds(1100);
-    while (std::chrono::steady_clock::now() < until)
-        std::this_thread::sleep_for(Milliseconds(10));
-    using boost::asio::ip::tcp;
-    boost::asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    catalog::Upstream server = engine();
-    server.endpoint = Endpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
-    catalog::EngineState state = stateWithModel();
-    state.engine = server.endpoint;
-    onTraffic([&] {
-        forwarder.setUpstreams({ server });
-        forwarder.didConfirmUpstreams(clock.now());
-    });
-    const auto exchange = takeUp(state);
-    BOOST_TEST(!exchange->isAnswered());
+    BOOST_TEST(!takeUpAfter(Milliseconds(17000))->isAnswered());
     onTraffic([this] { forwarder.answerNow(); });
 }
 
@@ -389,10 +433,7 @@
 // Prevents a refusal where the version's servers have no place for the moment.
 BOOST_AUTO_TEST_CASE(aStreamWaitsWhileTheServersOfItsVersionAreFull)
 {
-    using boost::asio::ip::tcp;
     constexpr std::size_t connections = 4;
-    boost::asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
     catalog::Upstream server = engine();
     server.endpoint = Endpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
     catalog::EngineState state = stateWithModel();
@@ -438,4 +479,114 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+/// Two engines of two versions with the model. The engine that gets the first request refuses it as not run.
+struct MovingStreams : OneEngine {
+    using Socket = boost::asio::ip::tcp::socket;
+
+    MovingStreams()
+    {
+        std::vector<catalog::Upstream> servers { engine(), engine() };
+        for (std::size_t index = 0; index < servers.size(); ++index) {
+            auto& acceptor = acceptors.emplace_back(
+                context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+            acceptor.non_blocking(true);
+            servers[index].instance = catalog::InstanceId("e-" + std::to_string(index));
+            servers[index].version = catalog::SoftwareVersion(versionOf(index));
+            servers[index].endpoint = Endpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+            servers[index].models.push_back({ ModelName("rare"), 1, {}, 0, 0 });
+        }
+        onTraffic([&] {
+            forwarder.setUpstreams(servers);
+            forwarder.didConfirmUpstreams(clock.now());
+        });
+    }
+    ~MovingStreams()
+    {
+        onTraffic([this] { forwarder.answerNow(); });
+    }
+
+    static std::string versionOf(std::size_t index) { return "v" + std::to_string(index); }
+
+    /// Waits for a request at any engine, on one of the connections that have been opened or on a new one, and returns
+    /// the engine's index.
+    std::size_t receiveRequest()
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (std::chrono::steady_clock::now() < end) {
+            for (std::size_t index = 0; index < acceptors.size(); ++index) {
+                boost::system::error_code error;
+                Socket accepted = acceptors[index].accept(error);
+                if (!error)
+                    connections.emplace_back(index, std::move(accepted));
+            }
+            for (auto& [index, connection] : connections) {
+                boost::system::error_code error;
+                connection.non_blocking(true);
+                std::array<char, 1024> bytes {};
+                if (connection.read_some(boost::asio::buffer(bytes), error) == 0)
+                    continue;
+                asked = &connection;
+                return index;
+            }
+        }
+        throw std::runtime_error("no request within 10 s");
+    }
+
+    void refuseAsNotRun()
+    {
+        asked->non_blocking(false);
+        boost::asio::write(
+            *asked, boost::asio::buffer(std::string_view("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n")));
+    }
+
+    /// Sends a request that is refused once, and returns the engines that it reached.
+    std::pair<std::size_t, std::size_t> moveOnce()
+    {
+        onTraffic([this] { forwarder.handle(exchange); });
+        const std::size_t former = receiveRequest();
+        refuseAsNotRun();
+        return { former, receiveRequest() };
+    }
+
+    std::vector<std::string> statements()
+    {
+        std::vector<std::string> all;
+        onTraffic([&] { all = origins.statements(); });
+        return all;
+    }
+
+    boost::asio::io_context context;
+    std::vector<boost::asio::ip::tcp::acceptor> acceptors;
+    std::list<std::pair<std::size_t, Socket>> connections;
+    Socket* asked = nullptr;
+    std::shared_ptr<RecordingExchange> exchange = std::make_shared<RecordingExchange>();
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StreamsThatMove, MovingStreams)
+
+// Prevents a record of the former version from outliving the later one, if that is lost.
+BOOST_AUTO_TEST_CASE(aRecordIsRetractedBeforeTheStreamMovesToAnotherVersion)
+{
+    const auto [former, later] = moveOnce();
+    BOOST_TEST(former != later);
+    const std::vector<std::string> expected { versionOf(former), "retracted", versionOf(later) };
+    BOOST_TEST(statements() == expected, boost::test_tools::per_element());
+}
+
+// Prevents a stream that stays at its version from being unknown to the other routers.
+BOOST_AUTO_TEST_CASE(aStreamWhoseRecordIsNotRetractedStaysAtItsVersionAndIsRecordedAgain)
+{
+    origins.refuseRetractions();
+    const auto [former, later] = moveOnce();
+    BOOST_TEST(former == later);
+    const std::vector<std::string> expected { versionOf(former), "retracted", versionOf(former) };
+    BOOST_TEST(statements() == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace lagoon::forwarding
