Don't let the time that a caller states make its stream younger

Callers saw: nothing yet; found while reading the change. A stream of unknown version could go on at another one.

Cause: without a record, the age of a stream was taken as the longest time of any caller less what this one states to have left. A caller that states its whole time anew for each try made its stream a second old, and one that states an endless time made the sum overflow, so that any age would do. Records were kept for as long as their caller stated.

Why it holds: a caller takes its stream up within the time that it had at first, and nothing that it states later shortens the span that the list has to cover.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -43,6 +43,8 @@
 constexpr double plannedReserveShare = 0.6;
 /// A caller's time may end this much later than it states, by delays on the way.
 constexpr Milliseconds callerTimeSlack { 1000 };
+/// Longer than any stream lasts.
+constexpr Milliseconds maxCallerTime { std::chrono::hours(24) };
 
 const catalog::RouteTarget& drawTarget(const catalog::Route& route)
 {
@@ -187,14 +189,12 @@
     framework::Metrics& metrics() override { return *context_.metrics; }
     framework::SteadyTime now() const override { return context_.clock.now(); }
     streams::IStreamOrigins& origins() override { return context_.origins; }
-    std::optional<catalog::SoftwareVersion> soleVersion(
-        const ServiceName& service, Milliseconds timeLeft) const override
+    std::optional<catalog::SoftwareVersion> soleVersion(const ServiceName& service) const override
     {
         const auto longest = longestCallerTimes_.find(service);
         if (longest == longestCallerTimes_.end())
             return std::nullopt;
-        const Milliseconds age = std::max(Milliseconds(0), longest->second - timeLeft) + callerTimeSlack;
-        return versions_.soleVersion(service, now() - age, now());
+        return versions_.soleVersion(service, now() - longest->second - callerTimeSlack, now());
     }
 
     bool spendRetry(const ServiceName& service) override
@@ -327,7 +327,7 @@
             return;
         for (const catalog::RouteTarget& target : route.targets) {
             Milliseconds& longest = longestCallerTimes_[target.service];
-            longest = std::max(longest, time);
+            longest = std::max(longest, std::min(time, maxCallerTime));
         }
     }
 
--- a/src/forwarding/internal/ijobhost.h
+++ b/src/forwarding/internal/ijobhost.h
@@ -32,10 +32,9 @@
     virtual framework::SteadyTime now() const = 0;
     virtual streams::IStreamOrigins& origins() = 0;
 
-    /// Returns the version of the service's software if there has been no other since before any stream began whose
-    /// caller has this much time left.
-    virtual std::optional<catalog::SoftwareVersion> soleVersion(
-        const framework::ServiceName&, framework::Milliseconds timeLeft) const = 0;
+    /// Returns the version of the service's software if there has been no other since before any stream began that can
+    /// still be taken up.
+    virtual std::optional<catalog::SoftwareVersion> soleVersion(const framework::ServiceName&) const = 0;
 
     /// Spends one retry of the service's budget; returns false if none is left.
     [[nodiscard]] virtual bool spendRetry(const framework::ServiceName&) = 0;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -124,7 +124,7 @@
     if (spec_.route->targets.size() != 1)
         return std::nullopt;
     const framework::ServiceName& service = spec_.route->targets.front().service;
-    const auto version = host_.soleVersion(service, spec_.facts.timeLeft.value_or(Milliseconds(0)));
+    const auto version = host_.soleVersion(service);
     return version ? std::optional(streams::StreamOrigin { service, *version }) : std::nullopt;
 }
 
@@ -244,7 +244,8 @@
 
 streams::DispatchRecord RequestJob::nextRecord(std::optional<streams::StreamOrigin> origin)
 {
-    const Milliseconds callerTimeout = spec_.facts.timeLeft.value_or(spec_.route->timeout);
+    const Milliseconds callerTimeout
+        = std::min(streams::maxRecordAge, spec_.facts.timeLeft.value_or(spec_.route->timeout));
     return { streams::AttemptKey::of(spec_.facts.caller, spec_.facts.attempt), ++originRecords_, std::move(origin),
         host_.now(), framework::Deadline::after(exchange_->receivedAt(), callerTimeout + recordSlack) };
 }
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -416,6 +416,20 @@
     onTraffic([this] { forwarder.answerNow(); });
 }
 
+// Prevents a guess where the stream may have begun before the list showed one version alone, although its caller states
+// anew for each try all the time that it had at first.
+BOOST_AUTO_TEST_CASE(theTimeThatACallerStatesDoesNotMakeItsStreamYounger)
+{
+    BOOST_TEST(isRefusedAtOnce(*takeUpAfter(Milliseconds(14000))));
+}
+
+// Prevents a guess for a caller that states a time beyond all bounds.
+BOOST_AUTO_TEST_CASE(aCallerThatStatesAnEndlessTimeIsRefused)
+{
+    dialect.setTimeLeft(Milliseconds::max());
+    BOOST_TEST(isRefusedAtOnce(*takeUpAfter(Milliseconds(17000))));
+}
+
 // Prevents a stream from waiting for a version that no server has any more.
 BOOST_AUTO_TEST_CASE(aStreamOfAVersionWithoutServersIsRefusedAtOnce)
 {
@@ -587,6 +601,19 @@
     BOOST_TEST(statements() == expected, boost::test_tools::per_element());
 }
 
+// Prevents records from being kept for as long as a caller states.
+BOOST_AUTO_TEST_CASE(aRecordIsKeptForABoundedTime)
+{
+    dialect.setTimeLeft(std::chrono::hours(24));
+    onTraffic([this] { forwarder.handle(exchange); });
+    receiveRequest();
+    onTraffic([this] {
+        const Milliseconds kept = origins.lastRecord().keptUntil.remaining(clock.now());
+        BOOST_TEST(kept.count() > 0);
+        BOOST_TEST(kept.count() <= 601 * 1000);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
--- a/src/streams/internal/originwire.cpp
+++ b/src/streams/internal/originwire.cpp
@@ -11,9 +11,6 @@
 using framework::Milliseconds;
 using framework::SteadyTime;
 
-/// No record is kept for longer, whatever a peer asks for.
-constexpr Milliseconds maxRetention { 600 * 1000 };
-
 std::uint32_t wireTime(Milliseconds time)
 {
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, UINT32_MAX));
@@ -81,7 +78,7 @@
             continue;
         DispatchRecord record { fromStruct(dispatched.attempt()), dispatched.dispatch(), std::nullopt,
             now - Milliseconds(dispatched.ms_ago()),
-            framework::Deadline::after(now, std::min(maxRetention, Milliseconds(dispatched.keep_ms()))) };
+            framework::Deadline::after(now, std::min(maxRecordAge, Milliseconds(dispatched.keep_ms()))) };
         if (number > 0) {
             const wire::fb::ServiceVersionT& listed = *body.versions[number - 1];
             record.origin
--- a/src/streams/types/streamorigin.h
+++ b/src/streams/types/streamorigin.h
@@ -43,12 +43,15 @@
     friend bool operator==(const StreamOrigin&, const StreamOrigin&) = default;
 };
 
-/// States to which software an attempt was last sent. Replaces what earlier dispatches of the attempt stated.
+/// No record is kept for longer, whatever a caller or a peer asks for.
+inline constexpr framework::Milliseconds maxRecordAge { 600 * 1000 };
+
+/// States to which software an attempt was last sent. Replaces what earlier records of the attempt stated.
 struct DispatchRecord {
     AttemptKey attempt;
-    /// Counts the statements about the attempt, from 1.
+    /// Counts the records of the attempt, from 1.
     std::uint32_t dispatch = 0;
-    /// std::nullopt if it isn't known, or if the attempt was sent to nothing that may write events.
+    /// std::nullopt if it isn't known, or if earlier records are retracted.
     std::optional<StreamOrigin> origin;
     framework::SteadyTime at {};
     /// The caller can't take the stream up after this time.
