Log the limits that servers name

Routers read the header from all answers of the server that was meant, whatever their status, and log when a server first names a limit, changes it, or answers a later request without one (server_limit, server_limit_ended), and a value that can't be read. Nothing is decided by it yet.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -68,6 +68,7 @@
         : context_(std::move(context))
         , settings_(settings)
         , upstreams_(context_.traffic.context())
+        , limits_(*context_.metrics)
         , quarantine_(std::make_shared<quarantine::RequestQuarantine>(quarantineContext(), settings.quarantine))
         , demandPublisher_(upstreams_, context_.publish, context_.clock.now())
     {
@@ -183,6 +184,7 @@
 
     UpstreamTable& upstreams() override { return upstreams_; }
     quarantine::RequestQuarantine& quarantine() override { return *quarantine_; }
+    LimitedServers& limits() override { return limits_; }
     const IRequestDialect& dialect() const override { return context_.dialect; }
     const ForwarderSettings& settings() const override { return settings_; }
     framework::EventThread& thread() override { return context_.traffic; }
@@ -471,6 +473,7 @@
     std::optional<framework::ShutdownDeadlines> shutdownDeadlines_;
     std::unique_ptr<framework::Timer> startByTimer_;
     UpstreamTable upstreams_;
+    LimitedServers limits_;
     VersionHistory versions_;
     /// The longest time that callers of each service's streams have for all their tries, by the routes' timeouts and by
     /// what callers stated.
--- a/src/forwarding/internal/ijobhost.h
+++ b/src/forwarding/internal/ijobhost.h
@@ -3,6 +3,7 @@
 #include "catalog/types/configuration.h"
 #include "catalog/types/targetdemand.h"
 #include "forwarding/forwardersettings.h"
+#include "forwarding/internal/limitedservers.h"
 #include "forwarding/internal/upstreamtable.h"
 #include "forwarding/irequestdialect.h"
 #include "framework/eventthread.h"
@@ -25,6 +26,7 @@
     virtual ~IJobHost() = default;
     virtual UpstreamTable& upstreams() = 0;
     virtual quarantine::RequestQuarantine& quarantine() = 0;
+    virtual LimitedServers& limits() = 0;
     virtual const IRequestDialect& dialect() const = 0;
     virtual const ForwarderSettings& settings() const = 0;
     virtual framework::EventThread& thread() = 0;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -345,6 +345,11 @@
         host_.quarantine().didAnswer(serverRunId(upstream.facts.run()), sentAt_);
 }
 
+void RequestJob::didReceiveHead(const UpstreamRecord& upstream, const http::ResponseHead& head, AnswerClass answerClass)
+{
+    host_.limits().didAnswer(upstream, host_.dialect().limit(head), answerClass, sentAt_, host_.now());
+}
+
 void RequestJob::failOverIfSilent()
 {
     if (!attempt_ || !mayRetry() || !host_.upstreams().isSilent(attempt_->guard().upstream(), host_.now()))
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -83,6 +83,8 @@
     void didSeeActivity(UpstreamRecord&);
     /// The server has answered, so it didn't crash before the request was sent.
     void didSeeAnswer(const UpstreamRecord&);
+    /// The head of the server's answer, which is of this class.
+    void didReceiveHead(const UpstreamRecord&, const http::ResponseHead&, AnswerClass);
     void didBeginStream(const http::ResponseHead&);
     void didReceiveEvents(std::string_view bytes);
     void didEndStream();
--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -52,6 +52,7 @@
     job->didSeeActivity(guard_->upstream());
     job->didSeeAnswer(guard_->upstream());
     answerClass_ = dialect_.classify(head, job->spec().facts, guard_->upstream().facts.instance);
+    job->didReceiveHead(guard_->upstream(), head, answerClass_);
     if (answerClass_ == AnswerClass::Mismatched) {
         logDecision(framework::LogLine("foreign_answer_dropped")
                         .text("id", job->spec().facts.attempt)
--- a/src/forwarding/irequestdialect.h
+++ b/src/forwarding/irequestdialect.h
@@ -4,6 +4,7 @@
 #include "forwarding/types/requestfacts.h"
 #include "framework/types/error.h"
 #include "http/types/message.h"
+#include "ratelimits/types/serverlimit.h"
 
 #include <cstdint>
 #include <optional>
@@ -44,6 +45,8 @@
     /// `instance` is the server to which the request was addressed.
     virtual AnswerClass classify(
         const http::ResponseHead&, const RequestFacts&, const catalog::InstanceId& instance) const = 0;
+    /// Returns what the answer says about the rate of requests that its server takes.
+    virtual ratelimits::LimitHeader limit(const http::ResponseHead&) const = 0;
     /// Returns the head of this system's own final answer.
     virtual http::ResponseHead refusal(unsigned status, std::optional<framework::Milliseconds> retryAfter) const = 0;
 };
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -44,6 +44,13 @@
     {
         return head.status == 503 ? AnswerClass::NotRun : AnswerClass::Served;
     }
+    ratelimits::LimitHeader limit(const http::ResponseHead& head) const override
+    {
+        ratelimits::LimitHeader limit;
+        if (const auto value = head.headers.find(ratelimits::limitHeader))
+            ratelimits::addField(limit, *value);
+        return limit;
+    }
     http::ResponseHead refusal(unsigned status, std::optional<Milliseconds> retryAfter) const override
     {
         http::ResponseHead head { status, {}, {} };
