--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -133,10 +133,30 @@
     return last_.body;
 }
 
-HeaderMap ServerStandin::responseHeaders(const HttpRequest& request, const Process& process)
+void ServerStandin::setLimit(const std::string& limit)
 {
-    return { { "X-Request-Attempt", request.header("x-request-attempt") },
-        { "X-Response-Seal", "seal-" + process.instance } };
+    const std::lock_guard lock(mutex_);
+    limit_ = limit;
+}
+
+std::vector<framework::SteadyTime> ServerStandin::arrivals() const
+{
+    const std::lock_guard lock(mutex_);
+    return arrivals_;
+}
+
+HeaderMap ServerStandin::commonHeaders() const
+{
+    const std::lock_guard lock(mutex_);
+    return limit_.empty() ? HeaderMap() : HeaderMap { { "Server-Limit", limit_ } };
+}
+
+HeaderMap ServerStandin::responseHeaders(const HttpRequest& request, const Process& process) const
+{
+    HeaderMap headers = commonHeaders();
+    headers["X-Request-Attempt"] = request.header("x-request-attempt");
+    headers["X-Response-Seal"] = "seal-" + process.instance;
+    return headers;
 }
 
 void ServerStandin::answer(Exchange& exchange)
@@ -148,7 +168,13 @@
     const HttpRequest& request = exchange.request();
     const Process answering = process();
     const std::string attempt = request.header("x-request-attempt");
-    const HeaderMap notRun { { "X-Request-Attempt", attempt }, { "X-Not-Executed", "1" } };
+    HeaderMap notRun = commonHeaders();
+    notRun["X-Request-Attempt"] = attempt;
+    notRun["X-Not-Executed"] = "1";
+    {
+        const std::lock_guard lock(mutex_);
+        arrivals_.push_back(std::chrono::steady_clock::now());
+    }
     if (request.header("x-expect-instance") != answering.instance)
         return exchange.reply(421, "", { { "X-Request-Attempt", attempt }, { "X-Instance-Id", answering.instance } });
     if (!canRun(request))
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -58,6 +58,10 @@
     void dropNext(int count) { drops_ = count; }
     /// Starts the next requests, but answers them with the server's own 500.
     void failNext(int count) { failures_ = count; }
+    /// Answers name this limit of requests a second, in the header's text form, until it is set to an empty text.
+    void setLimit(const std::string& limit);
+    /// When requests arrived, also those that were refused.
+    std::vector<framework::SteadyTime> arrivals() const;
     /// A header of the last request that was started.
     std::string lastHeader(const std::string& name) const;
     std::string lastBody() const;
@@ -76,7 +80,9 @@
     virtual void run(standins::Exchange&, const Process&) = 0;
     /// Discards the state that a crash loses.
     virtual void clearState() { }
-    static standins::HeaderMap responseHeaders(const standins::HttpRequest&, const Process&);
+    standins::HeaderMap responseHeaders(const standins::HttpRequest&, const Process&) const;
+    /// The headers that all answers have.
+    standins::HeaderMap commonHeaders() const;
     void noteCancelled() { ++cancelled_; }
 
 private:
@@ -91,6 +97,8 @@
     framework::SteadyTime lastRunAt_ {};
     standins::HttpRequest last_;
     std::string crashBody_;
+    std::string limit_;
+    std::vector<framework::SteadyTime> arrivals_;
     std::string version_ { "v1" };
     std::function<void()> didRestart_;
     std::atomic<int> downTimeMs_ { 300 };
