--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -63,6 +63,9 @@
     , evidence_({ context_.control, context_.clock, [this](const wire::Message& message) { sendEvidence(message); } })
     , origins_({ context_.control, context_.clock, *context_.metrics,
           [this](const Endpoint& engine, const wire::Message& message) { agents_.at(engine).link->send(message); } })
+    , permits_({ context_.control, context_.clock, *context_.metrics,
+          [this](const Endpoint& engine, const wire::Message& message) { agents_.at(engine).link->send(message); },
+          [this](const std::vector<ratelimits::LimitStatement>& limits) { context_.didReceiveLimits(limits); } })
 {
 }
 
@@ -77,8 +80,12 @@
 void AgentLinks::setEngines(const std::vector<catalog::Upstream>& engines)
 {
     engines_.clear();
-    for (const catalog::Upstream& engine : engines)
+    std::set<Endpoint> endpoints;
+    for (const catalog::Upstream& engine : engines) {
         engines_[engine.endpoint] = { engine.instance, engine.failureDomain };
+        endpoints.insert(engine.endpoint);
+    }
+    permits_.setEngines(std::move(endpoints));
     for (auto agent = agents_.begin(); agent != agents_.end();) {
         const auto listed = engines_.find(agent->first);
         if (listed == engines_.end()) {
@@ -104,6 +111,7 @@
         subscribe(engine);
     setRelays(plan.relays);
     setKeepers(plan.keepers);
+    permits_.setCommonKeepers(plan.relays);
     for (const auto& [engine, list] : plan.demand) {
         const auto agent = agents_.find(engine);
         if (agent == agents_.end())
@@ -179,8 +187,7 @@
         }
         if (agent->second.link)
             agent->second.link->close();
-        if (agent->second.keepsOrigins)
-            origins_.didClose(agent->first);
+        didLoseAbilities(agent->first, agent->second);
         if (agent->second.hasReceived) {
             logDecision(LogLine("agent_unsubscribed").text("engine", agent->first.value()));
             context_.didUnsubscribe(agent->first);
@@ -223,9 +230,7 @@
     if (!agent.link)
         return;
     std::exchange(agent.link, nullptr)->close();
-    agent.takesEvidence = false;
-    if (std::exchange(agent.keepsOrigins, false))
-        origins_.didClose(engine);
+    didLoseAbilities(engine, agent);
     if (std::exchange(agent.hasReceived, false))
         logDecision(LogLine("agent_lost").text("engine", engine.value()).text("cause", cause));
     context_.didLoseAgent(engine);
@@ -234,6 +239,15 @@
     agent.connectAt = Deadline::after(context_.clock.now(), pause);
 }
 
+void AgentLinks::didLoseAbilities(const Endpoint& engine, Agent& agent)
+{
+    agent.takesEvidence = false;
+    if (std::exchange(agent.keepsOrigins, false))
+        origins_.didClose(engine);
+    if (std::exchange(agent.grantsPermits, false))
+        permits_.didClose(engine);
+}
+
 void AgentLinks::publish(Agent& agent)
 {
     if (!agent.link)
@@ -260,6 +274,8 @@
         return receiveEvidence(agent->second, *evidence);
     if (const wire::fb::StreamOriginsT* const origins = message.body.AsStreamOrigins())
         return origins_.receive(engine, *origins);
+    if (const wire::fb::ServerPermitsT* const permits = message.body.AsServerPermits())
+        return permits_.receive(engine, *permits);
     if (const wire::fb::EngineStateT* const state = message.body.AsEngineState())
         didReceiveState(engine, agent->second, *state);
 }
@@ -271,6 +287,8 @@
         sendEverything(agent);
     if (state.keeps_origins && !std::exchange(agent.keepsOrigins, true))
         origins_.didOpen(engine);
+    if (state.grants_permits && !std::exchange(agent.grantsPermits, true))
+        permits_.didOpen(engine);
     catalog::EngineState received = fromWire(state);
     // The link determines the engine, regardless of the endpoint in the frame.
     received.engine = engine;
--- a/src/direct/internal/agentlinks.h
+++ b/src/direct/internal/agentlinks.h
@@ -8,6 +8,7 @@
 #include "framework/types/time.h"
 #include "objectstore/backoff.h"
 #include "quarantine/evidencesharing.h"
+#include "ratelimits/permitexchange.h"
 #include "streams/originexchange.h"
 #include "wire/ilink.h"
 
@@ -36,6 +37,8 @@
         std::function<void(catalog::EngineLoad)> didReceiveLoad;
         /// Called with what was new of the evidence that other routers share.
         std::function<void(const quarantine::EvidenceUpdate&)> didReceiveEvidence;
+        /// Called with what servers have said about their limits to other routers.
+        std::function<void(const std::vector<ratelimits::LimitStatement>&)> didReceiveLimits;
         /// Called when the agent can't be reached or has fallen silent.
         std::function<void(const framework::Endpoint& engine)> didLoseAgent;
         /// Called when the link was closed because the subscription ended.
@@ -57,6 +60,8 @@
     void share(const quarantine::EvidenceUpdate&);
     /// Which software began which stream, as the agents of the plan's keepers know it.
     streams::IStreamOrigins& origins() { return origins_; }
+    /// Permits to send requests to limited servers, as the agents grant them.
+    ratelimits::IServerPermits& permits() { return permits_; }
 
 private:
     /// What the platform's list says of an engine.
@@ -78,6 +83,8 @@
         bool takesEvidence = false;
         /// Whether the link is open and its agent keeps the origins of streams.
         bool keepsOrigins = false;
+        /// Whether the link is open and its agent grants permits.
+        bool grantsPermits = false;
         bool isRelay = false;
         framework::SteadyTime receivedAt {};
         framework::SteadyTime publishedAt {};
@@ -90,6 +97,7 @@
     void tick();
     void connect(const framework::Endpoint& engine, Agent&);
     void drop(const framework::Endpoint& engine, Agent&, const std::string& cause);
+    void didLoseAbilities(const framework::Endpoint& engine, Agent&);
     void publish(Agent&);
     void didReceive(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void didClose(const framework::Endpoint& engine, const std::shared_ptr<wire::ILink>&, const framework::Error&);
@@ -109,6 +117,7 @@
     std::map<framework::Endpoint, Agent> agents_;
     quarantine::EvidenceSharing evidence_;
     streams::OriginExchange origins_;
+    ratelimits::PermitExchange permits_;
     std::unique_ptr<framework::Timer> timer_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/direct/internal/directagent.cpp
+++ b/src/direct/internal/directagent.cpp
@@ -58,12 +58,13 @@
     {
         return { ports_.control, ports_.clock, ports_.engine, ports_.fencingTokens, ports_.profiles, ports_.metrics,
             [this](const catalog::EngineState& state) { links_.publish(state); },
-            [this](const catalog::EngineLoad& load) { links_.publishLoad(load); } };
+            [this](const catalog::EngineLoad& load) { links_.publishLoad(load); },
+            [this](const ratelimits::LimitStatement& limit) { links_.addLimit(limit); } };
     }
 
     RouterLinks::Context linksContext()
     {
-        return { ports_.control, ports_.clock,
+        return { ports_.control, ports_.clock, *ports_.metrics,
             [this](const framework::VmName& router, const catalog::InstanceId& instance, catalog::DemandList demand) {
                 controller_.setDemand(router, instance, std::move(demand));
             },
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -5,6 +5,7 @@
 #include "direct/internal/links.h"
 #include "direct/internal/statushandlers.h"
 #include "direct/internal/trafficorigins.h"
+#include "direct/internal/trafficpermits.h"
 #include "forwarding/forwarder.h"
 #include "framework/decisionlog.h"
 #include "framework/types/shutdowndeadlines.h"
@@ -44,6 +45,7 @@
         , settings_(settings)
         , transport_(makeLinkTransport(ports.metrics))
         , origins_(ports.control, ports.traffic, [this]() -> streams::IStreamOrigins& { return links_.origins(); })
+        , permits_(ports.control, ports.traffic, [this]() -> ratelimits::IServerPermits& { return links_.permits(); })
         , forwarder_(forwarderContext(), forwarderSettings(settings))
         , links_(linksContext())
         , catalog_(catalogContext())
@@ -152,7 +154,7 @@
             [this](const quarantine::EvidenceUpdate& update) {
                 ports_.control.post([this, update] { links_.share(update); });
             },
-            origins_ };
+            origins_, permits_ };
     }
 
     AgentLinks::Context linksContext()
@@ -167,6 +169,9 @@
             [this](const quarantine::EvidenceUpdate& update) {
                 ports_.traffic.post([this, update] { forwarder_.addEvidence(update); });
             },
+            [this](const std::vector<ratelimits::LimitStatement>& limits) {
+                ports_.traffic.post([this, limits] { forwarder_.addLimits(limits); });
+            },
             [this](const framework::Endpoint& engine) {
                 ports_.traffic.post([this, engine] { forwarder_.didLoseAgent(engine); });
             },
@@ -236,6 +241,7 @@
     std::shared_ptr<wire::ILinkTransport> transport_;
     std::atomic<bool> isDraining_ { false };
     TrafficOrigins origins_;
+    TrafficPermits permits_;
     forwarding::Forwarder forwarder_;
     // `configuration_`, `servers_`, `links_` and `catalog_` are used on the control thread only.
     catalog::ConfigurationPointer configuration_;
--- a/src/direct/internal/enginewire.cpp
+++ b/src/direct/internal/enginewire.cpp
@@ -35,6 +35,7 @@
     body.engine = state.engine.value();
     body.takes_evidence = true;
     body.keeps_origins = true;
+    body.grants_permits = true;
     body.started_ms = state.started ? state.started->value() : 0;
     for (const catalog::LoadedModel& held : state.held) {
         auto model = std::make_unique<wire::fb::HeldModelT>();
@@ -115,6 +116,7 @@
 {
     wire::fb::WantedT body;
     body.takes_evidence = true;
+    body.takes_limits = true;
     body.router = router.value();
     body.instance = instance.value();
     for (const catalog::TargetDemand& one : demand) {
--- a/src/direct/internal/routerlinks.cpp
+++ b/src/direct/internal/routerlinks.cpp
@@ -22,6 +22,9 @@
 RouterLinks::RouterLinks(Context context)
     : context_(std::move(context))
     , evidence_({ context_.control, context_.clock, [this](const wire::Message& message) { sendEvidence(message); } })
+    , permits_({ context_.control, context_.clock, context_.metrics,
+          [this](ratelimits::PermitClient client, const wire::Message& message) { sendTo(client, message); },
+          [this](const wire::Message& message) { sendLimits(message); } })
 {
 }
 
@@ -44,24 +47,55 @@
             link->send(*answer);
         return;
     }
+    if (const wire::fb::ServerPermitsT* const permits = message.body.AsServerPermits()) {
+        const auto router = routers_.find(link);
+        if (router != routers_.end())
+            permits_.receive(router->second.client, *permits);
+        return;
+    }
     const wire::fb::WantedT* const demand = message.body.AsWanted();
     if (!demand)
         return;
     const framework::SteadyTime now = context_.clock.now();
     const auto [router, isNew] = routers_.try_emplace(link);
-    router->second = { framework::VmName(demand->router), now, demand->takes_evidence };
-    if (isNew) {
-        logDecision(LogLine("router_heard").text("router", demand->router));
-        if (lastState_)
-            link->send(toWire(*lastState_));
-        if (demand->takes_evidence) {
-            for (const wire::Message& evidence : evidence_.everything())
-                link->send(evidence);
-        }
-    }
+    const auto client = isNew ? ratelimits::PermitClient(++clients_) : router->second.client;
+    router->second = { framework::VmName(demand->router), now, demand->takes_evidence, demand->takes_limits, client };
+    if (isNew)
+        greet(*link, router->second);
     context_.didReceiveDemand(router->second.name, catalog::InstanceId(demand->instance), fromWire(*demand, now));
 }
 
+/// Tells a router that has just come what is known.
+void RouterLinks::greet(wire::ILink& link, const Router& router)
+{
+    logDecision(LogLine("router_heard").text("router", router.name.value()));
+    if (lastState_)
+        link.send(toWire(*lastState_));
+    if (router.takesEvidence) {
+        for (const wire::Message& evidence : evidence_.everything())
+            link.send(evidence);
+    }
+    const auto limits = permits_.limits();
+    if (router.takesLimits && limits)
+        link.send(*limits);
+}
+
+void RouterLinks::sendLimits(const wire::Message& message)
+{
+    for (const auto& [link, router] : routers_) {
+        if (router.takesLimits)
+            link->send(message);
+    }
+}
+
+void RouterLinks::sendTo(ratelimits::PermitClient client, const wire::Message& message)
+{
+    for (const auto& [link, router] : routers_) {
+        if (router.client == client)
+            link->send(message);
+    }
+}
+
 /// Also sends to the router that reported it, which recognizes what it knows.
 void RouterLinks::sendEvidence(const wire::Message& message)
 {
@@ -82,6 +116,7 @@
     if (router == routers_.end())
         return;
     const framework::VmName name = router->second.name;
+    permits_.didClose(router->second.client);
     routers_.erase(router);
     // A router with another open link isn't lost.
     if (hasOtherLink(name))
--- a/src/direct/internal/routerlinks.h
+++ b/src/direct/internal/routerlinks.h
@@ -4,7 +4,9 @@
 #include "catalog/types/upstream.h"
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
+#include "framework/metrics.h"
 #include "quarantine/evidencesharing.h"
+#include "ratelimits/permitkeeper.h"
 #include "streams/originkeeper.h"
 #include "wire/ilink.h"
 
@@ -21,6 +23,7 @@
     struct Context {
         framework::IControlExecutor& control;
         const framework::IClock& clock;
+        framework::Metrics& metrics;
         std::function<void(const framework::VmName&, const catalog::InstanceId&, catalog::DemandList)> didReceiveDemand;
         std::function<void(const framework::VmName&)> didLoseRouter;
     };
@@ -34,6 +37,8 @@
     void publish(const catalog::EngineState&);
     /// Publishes the load alone; the rest of the state is as published last.
     void publishLoad(const catalog::EngineLoad&);
+    /// The engine has said this about its limit.
+    void addLimit(const ratelimits::LimitStatement& limit) { permits_.add(limit); }
     /// Closes links whose routers have fallen silent.
     void closeIdle();
 
@@ -43,12 +48,18 @@
         framework::SteadyTime receivedAt {};
         /// Whether the router understands evidence.
         bool takesEvidence = false;
+        /// Whether the router understands limits and permits.
+        bool takesLimits = false;
+        ratelimits::PermitClient client {};
     };
 
     void didReceive(const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void didClose(const std::shared_ptr<wire::ILink>&);
     void sendToAll(const wire::Message&);
     void sendEvidence(const wire::Message&);
+    void sendLimits(const wire::Message&);
+    void sendTo(ratelimits::PermitClient, const wire::Message&);
+    void greet(wire::ILink&, const Router&);
     bool hasOtherLink(const framework::VmName&) const;
 
     Context context_;
@@ -58,6 +69,9 @@
     quarantine::EvidenceSharing evidence_;
     /// To which software routers sent their streams.
     streams::OriginKeeper origins_;
+    /// Permits for the engine and for other limited servers.
+    ratelimits::PermitKeeper permits_;
+    std::uint64_t clients_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/direct/tests/agentlinks_test.cpp
+++ b/src/direct/tests/agentlinks_test.cpp
@@ -87,6 +87,7 @@
         [this](catalog::EngineState state) { receivedStates.push_back(std::move(state)); },
         [this](const catalog::EngineLoad& load) { receivedLoads.push_back(load); },
         [this](const quarantine::EvidenceUpdate& update) { receivedEvidence.push_back(update); },
+        [](const std::vector<ratelimits::LimitStatement>&) {},
         [this](const Endpoint& engine) { lost.push_back(engine); },
         [this](const Endpoint& engine) { unsubscribed.push_back(engine); }, std::make_shared<framework::Metrics>() } };
 };
--- a/src/engines/enginecontroller.h
+++ b/src/engines/enginecontroller.h
@@ -43,6 +43,8 @@
         std::function<void(const catalog::EngineState&)> publish;
         /// Publishes the engine's load; the rest of its state is as published last.
         std::function<void(const catalog::EngineLoad&)> publishLoad;
+        /// Called with what the engine's reports say about its limit.
+        std::function<void(const ratelimits::LimitStatement&)> didReadLimit;
     };
 
     EngineController(Context, const EngineControllerSettings&);
@@ -63,6 +65,7 @@
     void pollAfter(framework::Milliseconds);
     void didReport(framework::Result<EngineReport>);
     void noteRestart(const EngineReport&);
+    void noteLimit(const EngineReport&);
     void resetForNewRun(const EngineReport&);
     void decide();
     void sendOrder(const Order&, const std::string& reason);
@@ -90,6 +93,9 @@
     /// Lower bound of the orders that the engine has accepted. A report with fewer is stale, or of a restarted engine.
     OrderCount acceptedOrders_;
     framework::SteadyTime acceptedOrdersSeenAt_ {};
+    framework::SteadyTime reportAskedAt_ {};
+    /// The run whose reports name a limit; std::nullopt if they don't.
+    std::optional<catalog::UpstreamRun> limitedRun_;
     bool isReporting_ = false;
     bool isOrdering_ = false;
     bool isAcquiringToken_ = false;
--- a/src/engines/internal/enginecontroller.cpp
+++ b/src/engines/internal/enginecontroller.cpp
@@ -187,6 +187,7 @@
     if (isReporting_ || isOrdering_)
         return;
     isReporting_ = true;
+    reportAskedAt_ = context_.clock.now();
     pollTimer_.reset();
     context_.engine.report(Deadline::after(context_.clock.now(), reportTimeout),
         [this, alive = std::weak_ptr<int>(alive_)](Result<EngineReport> report) {
@@ -213,6 +214,7 @@
     if (std::exchange(isEngineLost_, false))
         logDecision(LogLine("engine_regained"));
     noteRestart(report.value());
+    noteLimit(report.value());
     if (report.value().orders < acceptedOrders_)
         return pollAfter(fastPollInterval);
     acceptedOrders_ = report.value().orders;
@@ -223,6 +225,19 @@
         pollAfter(pollInterval());
 }
 
+/// An engine may name its limit in answers to requests alone. So a report without one only ends a limit that reports
+/// have named.
+void EngineController::noteLimit(const EngineReport& report)
+{
+    const catalog::UpstreamRun run { instance_, report.started };
+    if (instance_.value().empty() || (!report.limit.rate && (report.limit.isPresent || limitedRun_ != run)))
+        return;
+    const framework::SteadyTime now = context_.clock.now();
+    limitedRun_ = report.limit.rate ? std::optional(run) : std::nullopt;
+    context_.didReadLimit(
+        { ratelimits::serverRunKey(run), report.limit.rate, report.limit.rate ? now : reportAskedAt_, now });
+}
+
 void EngineController::noteRestart(const EngineReport& report)
 {
     const bool isOtherRun = report.started && started_ && *report.started != *started_;
--- a/src/engines/tests/enginecontroller_test.cpp
+++ b/src/engines/tests/enginecontroller_test.cpp
@@ -101,7 +101,8 @@
         : engine(control)
         , controller({ control, control, engine, fencingTokens, profiles, std::make_shared<framework::Metrics>(),
                          [this](const catalog::EngineState& state) { published.push_back(state); },
-                         [this](const catalog::EngineLoad& load) { publishedLoads.push_back(load); } },
+                         [this](const catalog::EngineLoad& load) { publishedLoads.push_back(load); },
+                         [this](const ratelimits::LimitStatement& limit) { limits.push_back(limit); } },
               { VmName("vm"), framework::ServiceName("models"), framework::Endpoint("10.0.0.1:80") })
     {
     }
@@ -138,6 +139,7 @@
     FakeProfiles profiles;
     std::vector<catalog::EngineState> published;
     std::vector<catalog::EngineLoad> publishedLoads;
+    std::vector<ratelimits::LimitStatement> limits;
     EngineController controller;
 };
 
@@ -385,6 +387,30 @@
     BOOST_TEST(engine.reports < 60);
 }
 
+// Prevents a limit that the engine names in answers to requests alone from being taken for ended by its reports.
+BOOST_AUTO_TEST_CASE(aReportEndsOnlyALimitThatReportsName)
+{
+    engine.state.started = catalog::StartTime(5);
+    engine.state.held.push_back({ ModelName("a"), 1, {}, 0, 0 });
+    start();
+    setWaitingRequest("a");
+    advanceTime(Milliseconds(1000));
+    BOOST_TEST(limits.empty());
+    engine.state.limit = { true, ratelimits::RequestRate(1.5) };
+    advanceTime(Milliseconds(300));
+    BOOST_REQUIRE(!limits.empty());
+    BOOST_TEST(limits.back().limit->value() == 1.5);
+    BOOST_TEST(limits.back().server.value() == "i-1@5");
+    engine.state.limit = { true, std::nullopt };
+    limits.clear();
+    advanceTime(Milliseconds(300));
+    BOOST_TEST(limits.empty());
+    engine.state.limit = {};
+    advanceTime(Milliseconds(1000));
+    BOOST_REQUIRE(limits.size() == 1u);
+    BOOST_TEST(!limits.back().limit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::engines
--- a/src/engines/types/enginereport.h
+++ b/src/engines/types/enginereport.h
@@ -4,6 +4,7 @@
 #include "catalog/types/units.h"
 #include "catalog/types/upstream.h"
 #include "framework/types/ids.h"
+#include "ratelimits/types/serverlimit.h"
 
 #include <cstdint>
 #include <optional>
@@ -32,6 +33,8 @@
     /// Use and capacity of the KV cache.
     catalog::Tokens usedMemory;
     catalog::Tokens memory;
+    /// What the report says about the rate of requests that the engine takes.
+    ratelimits::LimitHeader limit;
 };
 
 enum class OrderKind : std::uint8_t { Load, Unload };
--- a/src/forwarding/demandplanner.h
+++ b/src/forwarding/demandplanner.h
@@ -9,6 +9,7 @@
 #include "policy/policyswitches.h"
 #include "policy/storeconcurrencyestimator.h"
 #include "policy/storequeue.h"
+#include "ratelimits/types/serverlimit.h"
 
 #include <map>
 #include <memory>
@@ -59,6 +60,10 @@
     policy::PolicySwitches policy {};
     /// Engines whose agents could not be reached recently.
     std::set<framework::Endpoint> unreachable {};
+    /// Requests per second that engines take at most; those that aren't named are not limited.
+    std::map<framework::Endpoint, ratelimits::RequestRate> limits {};
+    /// The fraction of a second of one engine's time that a request for the model takes.
+    std::map<framework::ModelName, double> workPerRequest {};
 };
 
 /// How many engines are candidates for loading one model.
@@ -117,6 +122,7 @@
     std::set<framework::Endpoint> subscriptions(const PlannerInput&);
     static std::set<framework::Endpoint> relays(const PlannerInput&);
     static std::set<framework::Endpoint> keepers(const PlannerInput&);
+    static std::uint32_t usableReplicas(const PlannerInput&, const framework::ModelName&);
     static std::uint32_t replicasOf(const PlannerInput&, const framework::ModelName&);
     void observeStoreLoads(const PlannerInput&);
     static bool needsStore(const EngineFacts&, const catalog::ModelProfile&);
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -12,6 +12,7 @@
 #include "http/iexchange.h"
 #include "quarantine/suspectreport.h"
 #include "quarantine/types/evidence.h"
+#include "ratelimits/iserverpermits.h"
 #include "streams/istreamorigins.h"
 
 #include <functional>
@@ -40,6 +41,8 @@
         std::function<void(const quarantine::EvidenceUpdate&)> shareEvidence;
         /// Which software began which stream; called, and calls back, on the traffic thread.
         streams::IStreamOrigins& origins;
+        /// Permits to send requests to servers that limit them; called, and calls back, on the traffic thread.
+        ratelimits::IServerPermits& permits;
     };
 
     Forwarder(Context, const ForwarderSettings&);
@@ -63,6 +66,8 @@
     void forgetEngine(const framework::Endpoint&);
     /// Adds what other routers have seen of requests that crash their servers.
     void addEvidence(const quarantine::EvidenceUpdate&);
+    /// Adds what servers have said about their limits to other routers.
+    void addLimits(const std::vector<ratelimits::LimitStatement>&);
     /// Returns the requests that are suspected to crash their servers, or quarantined for it.
     std::vector<quarantine::SuspectSummary> suspects();
     /// Frees a request on all routers. Returns whether it was suspected.
--- a/src/forwarding/internal/demandplanner.cpp
+++ b/src/forwarding/internal/demandplanner.cpp
@@ -32,6 +32,8 @@
 /// callers wait.
 constexpr std::uint32_t minAdaptersForStandby = 8;
 constexpr std::size_t standbyEngines = 2;
+/// An engine that limits its requests is asked to load a model only if others would take much longer.
+constexpr Milliseconds costOfLimitedEngine { 3000 };
 /// Makes all routers choose the same engine among those that could load the model equally soon.
 constexpr Milliseconds timePerRank { 60 };
 /// An engine that has been asked to load is replaced by another one only if that would be faster by this much: a
@@ -120,6 +122,20 @@
     return static_cast<std::uint32_t>(input.replicas.loadedAt(model).size());
 }
 
+/// Returns the number of replicas as far as their engines take requests: one that limits its requests counts for the
+/// work that these are.
+std::uint32_t DemandPlanner::usableReplicas(const PlannerInput& input, const ModelName& model)
+{
+    const auto work = input.workPerRequest.find(model);
+    double replicas = 0;
+    for (const Endpoint& engine : input.replicas.loadedAt(model)) {
+        const auto limit = input.limits.find(engine);
+        const bool isLimited = limit != input.limits.end() && work != input.workPerRequest.end();
+        replicas += isLimited ? std::min(1.0, policy::copiesForWork(limit->second.value() * work->second)) : 1;
+    }
+    return static_cast<std::uint32_t>(replicas);
+}
+
 /// Returns the engines that may be asked to load the model. An engine that refused recently, or whose agent can't be
 /// reached, is replaced by the next one of the order.
 std::vector<Endpoint> DemandPlanner::candidatesFor(
@@ -245,8 +261,12 @@
     const PlannerInput& input, const EngineFacts& engine, const ModelProfile& model, bool hasWaitingRequests)
 {
     ++placementsEvaluated_;
-    const Milliseconds byRank = timePerRank * rankOf(input, model.name, engine.engine);
-    if (hasRefused(model.name, engine.engine) || engine.state->isDraining(model.name))
+    const bool isLimited = input.limits.contains(engine.engine);
+    const Milliseconds byRank
+        = timePerRank * rankOf(input, model.name, engine.engine) + (isLimited ? costOfLimitedEngine : Milliseconds(0));
+    // Requests that wait although the engine has the model wait for one that takes them.
+    const bool isHeldBack = isLimited && hasWaitingRequests && engine.state->find(model.name);
+    if (isHeldBack || hasRefused(model.name, engine.engine) || engine.state->isDraining(model.name))
         return catalog::loadImpossible + byRank;
     if (expectedLoadTime(engine, model.name, input.now))
         return loadCost(engine, model, input.now) + byRank;
@@ -398,7 +418,7 @@
         if (!model || !policy::isBusyModel(work))
             continue;
         std::uint32_t missing = policy::desiredCopies(work);
-        missing -= std::min(missing, replicasOf(input, name) + loadersOf(input.engines, name));
+        missing -= std::min(missing, usableReplicas(input, name) + loadersOf(input.engines, name));
         if (missing == 0 || !input.work.contains(name))
             continue;
         const std::vector<Endpoint> candidates
--- a/src/forwarding/internal/demandpublisher.cpp
+++ b/src/forwarding/internal/demandpublisher.cpp
@@ -66,8 +66,9 @@
 }
 
 void DemandPublisher::plan(const catalog::Configuration& configuration, const ListWaitingRequests& waiting,
-    const policy::PolicySwitches& policy, SteadyTime now)
+    EngineLimits limits, const policy::PolicySwitches& policy, SteadyTime now)
 {
+    limits_ = std::move(limits);
     expectedRetries_.dropExpired(now);
     demand_.forgetOld(now);
     LoadPlan all;
@@ -89,7 +90,7 @@
     forgetLoaded(service.name, now);
     PlannerInput input { *service.engine, upstreams_.replicas(service.name), upstreams_.engines(service.name, now),
         byTarget(service.name, requests), {}, demand_.isKnown(now), now, runTime_.mean(), policy,
-        upstreams_.enginesWithoutAgent() };
+        upstreams_.enginesWithoutAgent(), limits_, demand_.workPerRequest() };
     input.work = occupancies(input.engines, service.engine->slots);
     for (const auto& [model, prefill] : demand_.recent(now))
         input.work[model] += prefill;
--- a/src/forwarding/internal/demandpublisher.h
+++ b/src/forwarding/internal/demandpublisher.h
@@ -27,6 +27,8 @@
     /// Returns a service's requests that wait for a load, one entry for each.
     using ListWaitingRequests = std::function<std::vector<WaitingRequests>(const framework::ServiceName&)>;
 
+    using EngineLimits = std::map<framework::Endpoint, ratelimits::RequestRate>;
+
     DemandPublisher(const UpstreamTable&, Publish, framework::SteadyTime startedAt);
 
     void didArrive(const framework::ServiceName&, const RequestFacts&, framework::SteadyTime now);
@@ -40,8 +42,9 @@
         const std::vector<EngineFacts>&, const WaitingRequests&, framework::SteadyTime now) const;
     /// Whether an engine has been chosen to load the model.
     bool hasLoader(const framework::ServiceName&, const framework::ModelName&) const;
-    void plan(const catalog::Configuration&, const ListWaitingRequests&, const policy::PolicySwitches&,
-        framework::SteadyTime now);
+    /// `limits` are the rates of the engines that limit their requests.
+    void plan(const catalog::Configuration&, const ListWaitingRequests&, EngineLimits limits,
+        const policy::PolicySwitches&, framework::SteadyTime now);
 
 private:
     using RequestedLoads = std::set<std::pair<framework::Endpoint, catalog::ModelTarget>>;
@@ -58,6 +61,7 @@
     Publish publish_;
     ModelDemand demand_;
     std::map<framework::ServiceName, DemandPlanner> planners_;
+    EngineLimits limits_;
     ExpectedRetries expectedRetries_;
     policy::MeanDuration runTime_;
     /// The loads that are currently requested, by service.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -68,7 +68,7 @@
         : context_(std::move(context))
         , settings_(settings)
         , upstreams_(context_.traffic.context())
-        , limits_(*context_.metrics)
+        , limits_(*context_.metrics, context_.permits)
         , quarantine_(std::make_shared<quarantine::RequestQuarantine>(quarantineContext(), settings.quarantine))
         , demandPublisher_(upstreams_, context_.publish, context_.clock.now())
     {
@@ -146,6 +146,12 @@
 
     void addEvidence(const quarantine::EvidenceUpdate& update) { quarantine_->merge(update); }
 
+    void addLimits(const std::vector<ratelimits::LimitStatement>& limits)
+    {
+        limits_.didHear(limits, now());
+        postDispatch();
+    }
+
     void forgetState(const Endpoint& engine) { upstreams_.forgetState(engine); }
 
     void didLoseAgent(const Endpoint& engine)
@@ -400,7 +406,7 @@
     void refuseIfHopeless(RequestJob& job, EnginesByService& engines)
     {
         const auto waitingFor = job.waitingFor();
-        if (!waitingFor || !settings_.policy.refusesHopeless)
+        if (!waitingFor || job.isInTurn() || !settings_.policy.refusesHopeless)
             return;
         const ServiceName& service = job.spec().service;
         const Milliseconds left = job.spec().firstEventBy.remaining(now());
@@ -411,6 +417,8 @@
         if (known == engines.end())
             known = engines.emplace(service, upstreams_.engines(service, now())).first;
         const auto timeUntilLoaded = demandPublisher_.timeUntilLoaded(service, known->second, *waitingFor, now());
+        if (!timeUntilLoaded && job.isRateLimited() && job.waited(now()) > agentConnectTimeout)
+            return job.refuseAsRateLimited();
         if (!timeUntilLoaded && !demandPublisher_.hasLoader(service, waitingFor->target.model)
             && job.waited(now()) > agentConnectTimeout)
             return job.refuseAsHopeless(left);
@@ -446,11 +454,12 @@
     {
         planTimer_.reset();
         upstreams_.expireUnreachable(now());
+        limits_.expire(now());
         failOverIfSilent();
         if (routes_)
             demandPublisher_.plan(
                 *routes_->configuration(), [this](const ServiceName& service) { return waitingFor(service); },
-                settings_.policy, now());
+                limits_.rates(now()), settings_.policy, now());
         dispatchWaiting();
         schedulePlan(planInterval);
     }
@@ -534,6 +543,8 @@
     return implementation_->quarantine().release(order.request, order.operatorName);
 }
 
+void Forwarder::addLimits(const std::vector<ratelimits::LimitStatement>& limits) { implementation_->addLimits(limits); }
+
 void Forwarder::didLoseAgent(const Endpoint& engine) { implementation_->didLoseAgent(engine); }
 
 void Forwarder::beginShutdown(const framework::ShutdownDeadlines& deadlines)
--- a/src/forwarding/internal/modeldemand.cpp
+++ b/src/forwarding/internal/modeldemand.cpp
@@ -34,9 +34,18 @@
         firstArrival_ = now;
     Average& average = averages_[model];
     average.perSecond = decayed(average.perSecond, average.at, now) + Seconds(work).count() / decaySeconds;
+    average.requestsPerSecond = decayed(average.requestsPerSecond, average.at, now) + 1 / decaySeconds;
     average.at = now;
 }
 
+std::map<framework::ModelName, double> ModelDemand::workPerRequest() const
+{
+    std::map<framework::ModelName, double> all;
+    for (const auto& [model, average] : averages_)
+        all.emplace(model, average.perSecond / average.requestsPerSecond);
+    return all;
+}
+
 double ModelDemand::work(const framework::ModelName& model, framework::SteadyTime now) const
 {
     const auto found = averages_.find(model);
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -30,6 +30,12 @@
 constexpr Milliseconds minRetryAfter { 250 };
 /// Retry-After if no server is known: the platform takes a second or two to provide one.
 constexpr Milliseconds retryAfterWithoutServer { 1000 };
+/// A permit that isn't used within this time lapses, so that permits don't add up.
+constexpr Milliseconds permitValidity { 300 };
+/// More routers than there are, as long as no agent has reported their number.
+constexpr std::uint32_t assumedMaxRouters = 512;
+/// Requests that were refused together don't come back together.
+constexpr int retryJitterDivisor = 4;
 /// Records of a stream's origin are kept for this time beyond the caller's deadline, as clocks and networks differ.
 constexpr Milliseconds recordSlack { 1000 };
 /// If the list of servers is older than this, a server whose connections are cut may be leaving.
@@ -44,6 +50,12 @@
     return base + Milliseconds(static_cast<std::int64_t>(framework::randomFraction() * base.count()));
 }
 
+Milliseconds jitter(Milliseconds wait)
+{
+    return Milliseconds(static_cast<std::int64_t>(
+        framework::randomFraction() * static_cast<double>(wait.count() / retryJitterDivisor)));
+}
+
 /// Whether another server may succeed: not if the time is up, or if the request itself is at fault.
 bool isWorthRetrying(unsigned serverStatus) { return serverStatus >= 500 && serverStatus != 504; }
 
@@ -209,12 +221,22 @@
         waitsForLoad_ = false;
         return;
     }
-    const UpstreamSearch search = findUpstream(host_, spec_, prompt_, tried_, required_);
+    // The decision comes within milliseconds.
+    if (permit_ && !permit_->isGranted && !permit_->mayWait)
+        return;
+    if (permit_ && permit_->isGranted && permit_->validUntil.hasPassed(host_.now()))
+        dropPermit();
+    const UpstreamSearch search = findUpstream(host_, spec_, prompt_, tried_, required_, permit_);
     loadAt_ = search.loadAt;
     waitsForAdapter_ = search.reason == NoUpstream::AdapterNotLoaded;
-    waitsForLoad_ = waitsForAdapter_ || search.reason == NoUpstream::NotLoaded;
+    permittedAt_ = search.reason == NoUpstream::RateLimited ? std::optional(search.permittedAt) : std::nullopt;
+    waitsForLoad_ = waitsForAdapter_ || search.reason == NoUpstream::NotLoaded || mayBeLoadedElsewhere(search);
     if (search.chosen)
         return sendOrRetract(*search.chosen, admission == Admission::Trial);
+    if (search.reason == NoUpstream::PermitNeeded)
+        return askForPermit(search);
+    if (search.reason == NoUpstream::RateLimited && !waitsForLoad_)
+        return refuseAsRateLimited();
     if (search.reason == NoUpstream::NoneLeft)
         return refuse(503, lastCause_, jittered(minRetryAfter));
     if (search.reason == NoUpstream::NoneOfVersion)
@@ -225,6 +247,70 @@
         return refuse(503, "no server is ready", jittered(retryAfterWithoutServer));
 }
 
+/// Whether to have the model loaded at another engine, as those that have it take fewer requests than there are.
+bool RequestJob::mayBeLoadedElsewhere(const UpstreamSearch& search) const
+{
+    const bool isTurnLate = search.reason == NoUpstream::PermitNeeded && search.mayWait
+        && waited(host_.now()) > spec_.route->targetLatency / 2;
+    return (isTurnLate || search.reason == NoUpstream::RateLimited) && isForModel() && !required_;
+}
+
+void RequestJob::askForPermit(const UpstreamSearch& search)
+{
+    // It waits for its turn already.
+    if (permit_)
+        return;
+    const framework::SteadyTime now = host_.now();
+    const framework::Deadline neededBy = search.mayWait ? spec_.firstEventBy : framework::Deadline(now);
+    const auto routers = host_.upstreams().lastKnownRouters().value_or(assumedMaxRouters);
+    RequestPermit permit;
+    permit.server = ratelimits::serverRunKey(search.permitAt->facts.run());
+    permit.mayWait = search.mayWait;
+    permit.number = host_.limits().nextPermit();
+    permit_ = permit;
+    host_.limits().ask(permit.number, *search.permitAt, spec_.route->priority, neededBy, routers, now,
+        [weak = weak_from_this(), number = permit.number](const ratelimits::PermitReply& reply) {
+            if (const auto self = weak.lock())
+                self->didDecidePermit(number, reply);
+        });
+}
+
+void RequestJob::didDecidePermit(const ratelimits::PermitNumber& number, const ratelimits::PermitReply& reply)
+{
+    if (isEnded_ || !permit_ || permit_->number != number)
+        return;
+    const auto keepAlive = shared_from_this();
+    if (reply.isGranted) {
+        permit_->isGranted = true;
+        permit_->source = reply.source;
+        permit_->validUntil = framework::Deadline::after(host_.now(), permitValidity);
+        advance();
+        // Others may use a permit that this request can't use at once.
+        if (isWaiting() && !awaitsOrigin_)
+            dropPermit();
+        return;
+    }
+    host_.limits().didDeny(permit_->server, spec_.route->priority, reply.retryAfter, host_.now());
+    permit_.reset();
+    advance();
+    host_.demandChanged();
+}
+
+void RequestJob::dropPermit()
+{
+    if (permit_)
+        host_.limits().withdraw(permit_->number);
+    permit_.reset();
+}
+
+/// Gives back the permit of an attempt that has not reached its server.
+void RequestJob::returnUsedPermit()
+{
+    if (usedPermit_)
+        host_.limits().withdraw(usedPermit_->number);
+    usedPermit_.reset();
+}
+
 void RequestJob::sendOrRetract(const ChosenUpstream& chosen, bool isTrial)
 {
     if (endIfCallerDisconnected())
@@ -304,8 +390,16 @@
     ++sends_;
     sentAt_ = host_.now();
     tried_.sentTo.insert(upstream.facts.run());
+    usedPermit_.reset();
+    if (permit_ && permit_->isGranted && permit_->server == ratelimits::serverRunKey(upstream.facts.run()))
+        usedPermit_ = std::exchange(permit_, std::nullopt);
+    else
+        dropPermit();
     lastServer_ = upstream.facts.instance.value();
-    logDecision(sentLine(spec_, chosen, sends_, host_.now()));
+    LogLine line = sentLine(spec_, chosen, sends_, host_.now());
+    if (usedPermit_)
+        line.text("permit", usedPermit_->source);
+    logDecision(line);
     auto guard = std::make_unique<InFlightGuard>(chosen.upstream, target(), spec_.route->priority, chosen.newTokens);
     attempt_
         = std::make_shared<UpstreamAttempt>(weak_from_this(), host_.dialect(), std::move(guard), chosen.connection);
@@ -378,6 +472,7 @@
         : host_.upstreams().ready(spec_.service);
     return std::any_of(serving.begin(), serving.end(), [&](const UpstreamPointer& other) {
         return other.get() != &attempt_->guard().upstream() && !tried_.has(*other) && mayGoOnAt(*other)
+            && host_.limits().mayTake(*other, spec_.route->priority, host_.now())
             && !host_.upstreams().isSuspect(*other, host_.now()) && !host_.upstreams().isSilent(*other, host_.now())
             && host_.upstreams().hasLoaded(*other, target(), host_.now());
     });
@@ -558,6 +653,8 @@
 
 void RequestJob::refuseAsHopeless(Milliseconds timeUntilLoaded)
 {
+    if (permittedAt_ && permittedAt_->remaining(host_.now()) < timeUntilLoaded)
+        return refuseAsRateLimited();
     // During shutdown the request can wait for the same load at another router, so the caller should retry at once.
     refuse(503, "model not there before the deadline, soonest in " + std::to_string(timeUntilLoaded.count()) + " ms",
         jittered(isCutByShutdown_ ? minRetryAfter : std::max(minRetryAfter, timeUntilLoaded)));
@@ -570,6 +667,15 @@
         jittered(std::max(minRetryAfter, tooLong)));
 }
 
+/// The Retry-After is when a server is expected to take a request again.
+void RequestJob::refuseAsRateLimited()
+{
+    const Milliseconds wait = permittedAt_->remaining(host_.now());
+    host_.metrics().count("lagoon_rate_limited_refusals_total", { { "service", spec_.service.value() } });
+    refuse(503, "servers limit their requests, next in " + std::to_string(wait.count()) + " ms",
+        std::max(minRetryAfter, wait) + jitter(wait));
+}
+
 /// Refuses a stream with which only servers of one version may go on, if none of these can.
 void RequestJob::refuseForVersion()
 {
@@ -654,6 +760,7 @@
 void RequestJob::withdrawAttempt(const std::string& cause)
 {
     lastCause_ = cause;
+    returnUsedPermit();
     tried_.sentTo.erase(attempt_->guard().upstream().facts.run());
     abandonAttempt();
 }
@@ -662,6 +769,7 @@
 {
     const auto keepAlive = shared_from_this();
     isEnded_ = true;
+    dropPermit();
     deadlineTimer_.reset();
     RequestEnd summary { outcome, status, cause, sends_, lastServer_, waited(host_.now()), {} };
     if (firstByteAt_)
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -3,6 +3,7 @@
 #include "catalog/types/configuration.h"
 #include "forwarding/eventsplitter.h"
 #include "forwarding/internal/ijobhost.h"
+#include "forwarding/internal/limitedservers.h"
 #include "forwarding/internal/upstreamchoice.h"
 #include "forwarding/promptcache.h"
 #include "framework/types/shutdowndeadlines.h"
@@ -56,11 +57,17 @@
     /// disconnects within seconds, but a VM may stall for longer.
     void failOverIfSilent();
     bool isWaiting() const { return !isEnded_ && !attempt_; }
+    /// Whether it waits for its turn at a server that limits its requests.
+    bool isInTurn() const { return isWaiting() && permit_ && permit_->mayWait; }
     /// The model or adapter that the request waits for; std::nullopt if it waits for something else.
     std::optional<WaitingRequests> waitingFor() const;
     /// Refuses the request as not run because it can't be served before its deadline. `timeUntilLoaded` is when it
     /// could have been served.
     void refuseAsHopeless(framework::Milliseconds timeUntilLoaded);
+    /// Whether servers have the model, but can't take the request in time because they limit their requests.
+    bool isRateLimited() const { return isWaiting() && permittedAt_.has_value(); }
+    /// Refuses the request as not run because it is rate-limited.
+    void refuseAsRateLimited();
 
     const JobSpec& spec() const { return spec_; }
     framework::Milliseconds waited(framework::SteadyTime now) const
@@ -121,6 +128,11 @@
     void refuse(unsigned status, const std::string& cause, std::optional<framework::Milliseconds> retryAfter);
     void refuseAsOverloaded(framework::Milliseconds expected);
     void refuseAsQuarantined();
+    bool mayBeLoadedElsewhere(const UpstreamSearch&) const;
+    void askForPermit(const UpstreamSearch&);
+    void didDecidePermit(const ratelimits::PermitNumber&, const ratelimits::PermitReply&);
+    void dropPermit();
+    void returnUsedPermit();
     void refuseForVersion();
     bool hasAlternativeServer() const;
     bool mayGoOnAt(const UpstreamRecord&) const;
@@ -145,6 +157,12 @@
     std::unique_ptr<framework::Timer> deadlineTimer_;
     std::shared_ptr<UpstreamAttempt> attempt_;
     TriedServers tried_;
+    /// The permit that the request waits for, or has got for its next send.
+    std::optional<RequestPermit> permit_;
+    /// The permit of the request in flight.
+    std::optional<RequestPermit> usedPermit_;
+    /// When a server that limits its requests may take this one; set if that is too late.
+    std::optional<framework::Deadline> permittedAt_;
     /// The version of the server to which the request was last sent.
     std::optional<catalog::SoftwareVersion> sentVersion_;
     /// A question about the origin of the stream is open; nothing is sent before it is answered.
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -60,12 +60,13 @@
 class Search {
 public:
     Search(IJobHost& host, const JobSpec& spec, const PromptChain& prompt, const TriedServers& tried,
-        const std::optional<RequiredVersion>& required)
+        const std::optional<RequiredVersion>& required, const std::optional<RequestPermit>& permit)
         : host_(host)
         , spec_(spec)
         , prompt_(prompt)
         , tried_(tried)
         , required_(required)
+        , permit_(permit)
         , now_(host.now())
     {
     }
@@ -142,14 +143,64 @@
         return apart.empty() && !quarantine.mustRunApart(spec_.fingerprint) ? servers : apart;
     }
 
+    bool hasPermit(const UpstreamRecord& server) const
+    {
+        return permit_ && permit_->isGranted && permit_->server == ratelimits::serverRunKey(server.facts.run());
+    }
+
+    bool needsPermit(const UpstreamRecord& server) const
+    {
+        return host_.limits().isLimited(server, now_) && !hasPermit(server);
+    }
+
+    /// Returns the servers that may take the request now, as far as their limits go. A permit that was granted is used.
+    std::vector<UpstreamPointer> withinLimits(std::vector<UpstreamPointer> servers) const
+    {
+        for (const UpstreamPointer& server : servers) {
+            if (hasPermit(*server))
+                return { server };
+        }
+        std::erase_if(servers, [&](const UpstreamPointer& server) {
+            return !host_.limits().mayTake(*server, spec_.route->priority, now_);
+        });
+        return servers;
+    }
+
+    static UpstreamSearch permitNeeded(const UpstreamPointer& server, bool mayWait)
+    {
+        UpstreamSearch search = failed(NoUpstream::PermitNeeded);
+        search.permitAt = server;
+        search.mayWait = mayWait;
+        return search;
+    }
+
+    /// None of the servers has a permit left at the moment: chooses the one at which to wait for the next.
+    UpstreamSearch waitForPermit(const std::vector<UpstreamPointer>& servers) const
+    {
+        const auto until
+            = [&](const UpstreamPointer& server) { return host_.limits().deniedUntil(*server, spec_.route->priority); };
+        const UpstreamPointer& soonest = *std::min_element(servers.begin(), servers.end(),
+            [&](const UpstreamPointer& left, const UpstreamPointer& right) { return until(left) < until(right); });
+        if (until(soonest) <= spec_.firstEventBy)
+            return permitNeeded(soonest, true);
+        UpstreamSearch search = failed(NoUpstream::RateLimited);
+        search.permittedAt = until(soonest);
+        return search;
+    }
+
     UpstreamSearch searchServers(std::vector<UpstreamPointer> candidates)
     {
-        candidates = forTrial(std::move(candidates));
+        const std::vector<UpstreamPointer> all = forTrial(std::move(candidates));
+        candidates = withinLimits(all);
+        if (candidates.empty() && !all.empty())
+            return waitForPermit(all);
         while (!candidates.empty()) {
             std::vector<ServerView> views;
             for (const UpstreamPointer& server : candidates)
                 views.push_back(viewOf(*server));
             const auto index = *chooseServer(views, framework::randomFraction());
+            if (needsPermit(*candidates[index]))
+                return permitNeeded(candidates[index], all.size() == 1);
             if (auto chosen = connect(candidates[index], candidates.size()))
                 return found(std::move(*chosen));
             candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(index));
@@ -260,7 +311,11 @@
 
     UpstreamSearch chooseAmongLoaded(std::vector<UpstreamPointer> loaded)
     {
-        const std::size_t candidates = loaded.size();
+        const std::vector<UpstreamPointer> all = loaded;
+        loaded = withinLimits(all);
+        if (loaded.empty())
+            return waitForPermit(all);
+        const std::size_t candidates = all.size();
         while (!loaded.empty()) {
             const std::vector<framework::VmName> order = affinityOrder(loaded, prompt_);
             std::vector<EngineView> views;
@@ -273,6 +328,8 @@
                 host_.didEstimateFirstEvent(spec_, choice->expected);
             if (isNew && host_.isOverloaded(spec_, choice->expected))
                 return overloaded(choice->expected);
+            if (needsPermit(*loaded[choice->index]))
+                return permitNeeded(loaded[choice->index], candidates == 1);
             if (auto chosen = connect(loaded[choice->index], candidates)) {
                 chosen->newTokens = views[choice->index].newTokens;
                 chosen->expected = choice->expected;
@@ -330,15 +387,16 @@
     const PromptChain& prompt_;
     const TriedServers& tried_;
     const std::optional<RequiredVersion>& required_;
+    const std::optional<RequestPermit>& permit_;
     framework::SteadyTime now_;
 };
 
 } // namespace
 
 UpstreamSearch findUpstream(IJobHost& host, const JobSpec& spec, const PromptChain& prompt, const TriedServers& tried,
-    const std::optional<RequiredVersion>& required)
+    const std::optional<RequiredVersion>& required, const std::optional<RequestPermit>& permit)
 {
-    return Search(host, spec, prompt, tried, required).run();
+    return Search(host, spec, prompt, tried, required, permit).run();
 }
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -12,6 +12,7 @@
 namespace lagoon::forwarding {
 
 struct JobSpec;
+struct RequestPermit;
 
 /// The server chosen for a request, and the data behind the choice.
 struct ChosenUpstream {
@@ -35,6 +36,8 @@
     AdapterNotLoaded, ///< engines have the model loaded, but none the adapter
     AllConnectionsTaken,
     Overloaded, ///< the queues of all engines with the model are too long and stay so
+    PermitNeeded, ///< the best server limits its requests, so a permit has to be asked for first
+    RateLimited, ///< all servers that could serve it limit their requests, and have no permit left in time
 };
 
 struct UpstreamSearch {
@@ -44,6 +47,12 @@
     framework::Endpoint loadAt;
     /// For `Overloaded`: the shortest expected time to the first event.
     framework::Milliseconds expected { 0 };
+    /// For `PermitNeeded`: the server, and whether the request may wait for its turn there as no other server can take
+    /// it now.
+    UpstreamPointer permitAt;
+    bool mayWait = false;
+    /// For `RateLimited`: when a server may have a permit again.
+    framework::Deadline permittedAt;
 };
 
 /// The servers that one request has tried.
@@ -61,8 +70,8 @@
 };
 
 /// Finds a server that can take the request now, and a connection to it. If a version is required, only servers of that
-/// version are considered.
+/// version are considered. A server that limits its requests is chosen only with a permit for it.
 UpstreamSearch findUpstream(IJobHost&, const JobSpec&, const PromptChain&, const TriedServers&,
-    const std::optional<RequiredVersion>& = std::nullopt);
+    const std::optional<RequiredVersion>& = std::nullopt, const std::optional<RequestPermit>& = std::nullopt);
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -210,6 +210,7 @@
     const bool isNewRun = noteRestart(state);
     eraseState(engine);
     routerCounts_.insert(state.routers);
+    noteRouters();
     states_[engine] = { std::move(state), now };
     unreachable_.erase(engine);
     unreachableAgents_.erase(engine);
@@ -233,6 +234,7 @@
     known->second.at = now;
     routerCounts_.erase(routerCounts_.find(reportedBefore));
     routerCounts_.insert(load.routers);
+    noteRouters();
     if (const UpstreamPointer record = find(load.engine))
         didSeeActivity(*record, now);
     if (routers() != before)
@@ -478,6 +480,12 @@
     return facts;
 }
 
+void UpstreamTable::noteRouters()
+{
+    if (*routerCounts_.rbegin() > 0)
+        lastKnownRouters_ = *routerCounts_.rbegin();
+}
+
 std::uint32_t UpstreamTable::routers() const
 {
     const std::uint32_t maxRouters = routerCounts_.empty() ? 0 : *routerCounts_.rbegin();
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -128,6 +128,9 @@
     std::vector<EngineFacts> engines(const framework::ServiceName&, framework::SteadyTime now) const;
     /// Returns the highest number of routers that any agent reports; an assumed number without agents.
     std::uint32_t routers() const;
+    /// Returns the number of routers that agents last reported, also if none does at the moment; std::nullopt if none
+    /// ever did.
+    std::optional<std::uint32_t> lastKnownRouters() const { return lastKnownRouters_; }
     bool isEmpty() const { return records_.empty(); }
 
 private:
@@ -149,6 +152,7 @@
     /// Returns whether this state is the first report of a restart of the server.
     bool noteRestart(const catalog::EngineState&);
     void limitConnections();
+    void noteRouters();
     void reportRunEnd(const UpstreamRecord&, quarantine::EndSign) const;
 
     boost::asio::io_context& context_;
@@ -161,6 +165,7 @@
     std::unordered_map<framework::Endpoint, ReportedState> states_;
     /// The number of routers that each of these states reports.
     std::multiset<std::uint32_t> routerCounts_;
+    std::optional<std::uint32_t> lastKnownRouters_;
     /// Engines whose agents couldn't be reached, and when that expires.
     std::map<framework::Endpoint, framework::Deadline> unreachableAgents_;
     /// Engines that refused connections recently.
--- a/src/forwarding/modeldemand.h
+++ b/src/forwarding/modeldemand.h
@@ -24,6 +24,8 @@
     double work(const framework::ModelName&, framework::SteadyTime now) const;
     /// Returns the work of all models with recent requests.
     std::map<framework::ModelName, double> recent(framework::SteadyTime now) const;
+    /// Returns the mean engine time, in seconds, that a recent request for each model takes.
+    std::map<framework::ModelName, double> workPerRequest() const;
     /// Drops the models without recent requests.
     void forgetOld(framework::SteadyTime now);
     /// Whether the absence of requests for a model means that it is not in demand. A process that starts while callers
@@ -34,6 +36,7 @@
 private:
     struct Average {
         double perSecond = 0;
+        double requestsPerSecond = 0;
         framework::SteadyTime at {};
     };
 
--- a/src/forwarding/tests/demandpublisher_test.cpp
+++ b/src/forwarding/tests/demandpublisher_test.cpp
@@ -59,7 +59,7 @@
     double publishedWork()
     {
         publisher.plan(
-            configuration, [](const ServiceName&) { return std::vector<WaitingRequests>(); }, {}, now);
+            configuration, [](const ServiceName&) { return std::vector<WaitingRequests>(); }, {}, {}, now);
         for (const catalog::TargetDemand& demand : published.at(endpoint)) {
             if (demand.target.model == chat)
                 return demand.work;
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -47,7 +47,7 @@
     ratelimits::LimitHeader limit(const http::ResponseHead& head) const override
     {
         ratelimits::LimitHeader limit;
-        if (const auto value = head.headers.find(ratelimits::limitHeader))
+        if (const auto value = head.headers.find("limit"))
             ratelimits::addField(limit, *value);
         return limit;
     }
@@ -110,6 +110,30 @@
     bool hasDisconnected_ = false;
 };
 
+/// Decides on permits at once.
+class PromptPermits final : public ratelimits::IServerPermits {
+public:
+    /// Denies all permits from now on, until this time has passed.
+    void deny(Milliseconds retryAfter) { denial_ = retryAfter; }
+    std::size_t asked() const { return asked_; }
+    std::size_t withdrawn() const { return withdrawn_; }
+    const std::vector<ratelimits::LimitStatement>& shared() const { return shared_; }
+
+    void share(const ratelimits::LimitStatement& statement, const Endpoint&) override { shared_.push_back(statement); }
+    void ask(const ratelimits::PermitOrder&, std::function<void(const ratelimits::PermitReply&)> handler) override
+    {
+        ++asked_;
+        handler({ !denial_.has_value(), denial_.value_or(Milliseconds(0)), "test" });
+    }
+    void withdraw(const ratelimits::PermitNumber&) override { ++withdrawn_; }
+
+private:
+    std::optional<Milliseconds> denial_;
+    std::size_t asked_ = 0;
+    std::size_t withdrawn_ = 0;
+    std::vector<ratelimits::LimitStatement> shared_;
+};
+
 /// Knows the same of all streams; nothing at first.
 class SameOrigins final : public streams::IStreamOrigins {
 public:
@@ -236,9 +260,10 @@
     framework::EventThread traffic;
     OneModelDialect dialect;
     SameOrigins origins;
+    PromptPermits permits;
     LoadPlan lastPlan;
     Forwarder forwarder { { traffic, clock, dialect, std::make_shared<framework::Metrics>(),
-                              [this](const LoadPlan& plan) { lastPlan = plan; }, [](const auto&) {}, origins },
+                              [this](const LoadPlan& plan) { lastPlan = plan; }, [](const auto&) {}, origins, permits },
         {} };
 };
 
@@ -623,4 +648,67 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+/// An engine that has the model and names a limit.
+struct LimitedEngine : TakenUpStreams {
+    LimitedEngine()
+    {
+        catalog::Upstream server = engine();
+        server.endpoint = Endpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+        catalog::EngineState state = stateWithModel();
+        state.engine = server.endpoint;
+        onTraffic([&] {
+            dialect.setResumedAttempt("");
+            forwarder.setUpstreams({ server });
+            forwarder.setEngineState(state);
+            const ratelimits::ServerRunKey key = ratelimits::serverRunKey(server.run());
+            forwarder.addLimits({ { key, ratelimits::RequestRate(1), clock.now(), clock.now() } });
+        });
+    }
+
+    std::shared_ptr<RecordingExchange> send()
+    {
+        auto exchange = std::make_shared<RecordingExchange>();
+        onTraffic([&] { forwarder.handle(exchange); });
+        return exchange;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ServerLimits, LimitedEngine)
+
+BOOST_AUTO_TEST_CASE(aRequestToALimitedServerIsSentWithAPermit)
+{
+    const auto exchange = send();
+    BOOST_TEST(permits.asked() == 1u);
+    BOOST_TEST(permits.withdrawn() == 0u);
+    BOOST_TEST(!exchange->isAnswered());
+    onTraffic([this] { forwarder.answerNow(); });
+}
+
+// Prevents a caller who can't be served in time from waiting for its deadline, and an untrue time to come back.
+BOOST_AUTO_TEST_CASE(aRequestIsRefusedWhenNoPermitCanComeInTime)
+{
+    permits.deny(Milliseconds(40000));
+    const auto exchange = send();
+    waitUntilAnswered(*exchange);
+    BOOST_TEST(exchange->status() == 503u);
+    BOOST_TEST(exchange->retryAfter().count() >= 39000);
+    BOOST_TEST(exchange->retryAfter().count() <= 50000);
+}
+
+// Prevents the loss of the permit of a caller that has left.
+BOOST_AUTO_TEST_CASE(aPermitThatIsNotUsedIsGivenBack)
+{
+    const auto exchange = std::make_shared<RecordingExchange>();
+    exchange->disconnect();
+    onTraffic([&] { forwarder.handle(exchange); });
+    BOOST_TEST(permits.asked() == 1u);
+    BOOST_TEST(permits.withdrawn() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace lagoon::forwarding
--- a/src/policy/internal/modelcopies.cpp
+++ b/src/policy/internal/modelcopies.cpp
@@ -23,9 +23,11 @@
 
 bool isBusyModel(double work) { return work >= workOfBusyModel; }
 
+double copiesForWork(double work) { return work / workPerCopy; }
+
 std::uint32_t desiredCopies(double work)
 {
-    const auto copies = static_cast<std::uint32_t>(std::ceil(work / workPerCopy));
+    const auto copies = static_cast<std::uint32_t>(std::ceil(copiesForWork(work)));
     return std::max<std::uint32_t>(copies, isBusyModel(work) ? 2 : 1);
 }
 
--- a/src/policy/modelcopies.h
+++ b/src/policy/modelcopies.h
@@ -8,6 +8,9 @@
 /// requests from all routers take; it exceeds 1 for more work than one engine can do.
 std::uint32_t desiredCopies(double work);
 
+/// The part of a copy, or the number of copies, that this much work is for.
+double copiesForWork(double work);
+
 /// Whether the model has so many requests that loading its copies one after the other, or the loss of one engine, would
 /// delay them noticeably.
 bool isBusyModel(double work);
--- a/src/ratelimits/internal/serverlimit.cpp
+++ b/src/ratelimits/internal/serverlimit.cpp
@@ -21,6 +21,14 @@
 
 } // namespace
 
+ServerRunKey serverRunKey(const catalog::UpstreamRun& run)
+{
+    std::string text = run.instance.value();
+    if (run.started)
+        text += '@' + std::to_string(run.started->value());
+    return ServerRunKey(std::move(text));
+}
+
 std::optional<RequestRate> parseRate(std::string_view text)
 {
     const std::string_view number = trimmed(text);
--- a/src/ratelimits/types/serverlimit.h
+++ b/src/ratelimits/types/serverlimit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catalog/types/upstream.h"
 #include "framework/types/strongtype.h"
 #include "framework/types/time.h"
 
@@ -15,8 +16,7 @@
 /// Names one run of a server's process, equally on all routers and agents.
 using ServerRunKey = framework::StrongType<struct ServerRunKeyTag, std::string>;
 
-/// The header by which an answer states the server's limit.
-inline constexpr std::string_view limitHeader = "Server-Limit";
+ServerRunKey serverRunKey(const catalog::UpstreamRun&);
 
 /// What the head of an answer says about the server's limit.
 struct LimitHeader {
--- a/src/wire/internal/message.cpp
+++ b/src/wire/internal/message.cpp
@@ -76,6 +76,9 @@
         return hasAllParts(*body.AsCrashEvidence());
     case fb::Body::StreamOrigins:
         return areNonNull(body.AsStreamOrigins()->versions);
+    case fb::Body::ServerPermits:
+        return areNonNull(body.AsServerPermits()->limits) && areNonNull(body.AsServerPermits()->asked)
+            && areNonNull(body.AsServerPermits()->answered);
     case fb::Body::Hello:
     case fb::Body::HelloAck:
     case fb::Body::Ping:
--- a/tests/integration/serverlimit_test.cpp
+++ b/tests/integration/serverlimit_test.cpp
@@ -118,8 +118,14 @@
 
     CallerAnswer generate(std::size_t router, int deadlineMs)
     {
-        return fleet.call(
-            { .target = "/model/1", .attempt = nextAttempt(), .model = "warm", .deadlineMs = deadlineMs }, router);
+        // Routers prefer other engines for other prompts, so that all engines with the model are asked for.
+        const std::string attempt = nextAttempt();
+        return fleet.call({ .target = "/model/1",
+                              .attempt = attempt,
+                              .model = "warm",
+                              .deadlineMs = deadlineMs,
+                              .prompt = attempt + ":60" },
+            router);
     }
 
     std::string nextAttempt() { return "a" + std::to_string(++attempts_); }
