Keep to the limit that an upstream names, on the path through agents

Change: the agent starts queued requests at the rate that the upstream names, and refuses at once, as not run, those whose turn comes too late, with the time to come back. All routers' requests pass through the one agent, so nothing is asked or shared.

--- a/src/agent/internal/admissionqueue.cpp
+++ b/src/agent/internal/admissionqueue.cpp
@@ -29,15 +29,12 @@
     std::erase_if(queue_, [&](const WaitingDispatch& dispatch) { return dispatch.key == key; });
 }
 
-std::vector<WaitingDispatch> AdmissionQueue::takeStartable()
+WaitingDispatch AdmissionQueue::takeNext()
 {
-    std::vector<WaitingDispatch> started;
-    while (running_ < maxRunning_ && !queue_.empty()) {
-        started.push_back(*queue_.begin());
-        queue_.erase(queue_.begin());
-        ++running_;
-    }
-    return started;
+    const WaitingDispatch next = *queue_.begin();
+    queue_.erase(queue_.begin());
+    ++running_;
+    return next;
 }
 
 std::vector<WaitingDispatch> AdmissionQueue::takeExpired(framework::SteadyTime now)
--- a/src/agent/internal/admissionqueue.h
+++ b/src/agent/internal/admissionqueue.h
@@ -25,8 +25,10 @@
     [[nodiscard]] bool enqueue(const WaitingDispatch&);
     /// Removes a dispatch that no longer waits, for example a cancelled one.
     void remove(const DispatchKey&);
-    /// Removes and returns the dispatches that can start now; each counts as running until `recordEnd`.
-    std::vector<WaitingDispatch> takeStartable();
+    /// Whether a dispatch waits and a slot is free for it.
+    bool hasStartable() const { return !queue_.empty() && running_ < maxRunning_; }
+    /// Removes and returns the next dispatch, which counts as running until `recordEnd`.
+    WaitingDispatch takeNext();
     /// Removes and returns the dispatches whose deadline has passed.
     std::vector<WaitingDispatch> takeExpired(framework::SteadyTime now);
     void recordEnd();
--- a/src/agent/internal/requestgate.cpp
+++ b/src/agent/internal/requestgate.cpp
@@ -108,6 +108,7 @@
     , limits_(limits)
     , ledger_(RequestLedger::restart(own, { limits.ledgerEntries, limits.ledgerBytes, limits.forgetRouterAfter }))
     , admission_(limits.running, limits.waiting)
+    , upstreamLimit_(*ports_.metrics)
 {
 }
 
@@ -178,8 +179,10 @@
 /// caller gives up, so that the upstream is busy but hardly any request is served in time. Once service times are
 /// known, a request that can't be served in time from its position in the queue is refused immediately. If a slot is
 /// free, the request is always tried.
-std::optional<Error> RequestGate::queueRefusal(const WaitingDispatch& waiting, const Target& target) const
+std::optional<Error> RequestGate::queueRefusal(const WaitingDispatch& waiting, const Target& target)
 {
+    if (auto refused = limitRefusal(waiting))
+        return refused;
     const auto own = serviceTimes_.estimateFor(target);
     if (!own || admission_.hasFreeSlot())
         return std::nullopt;
@@ -194,6 +197,18 @@
     return hopeless;
 }
 
+/// Refuses a request whose turn comes too late because the upstream limits its requests.
+std::optional<Error> RequestGate::limitRefusal(const WaitingDispatch& waiting)
+{
+    const framework::SteadyTime now = ports_.clock.now();
+    const auto turn = upstreamLimit_.turn(admission_.countAhead(waiting), now);
+    if (!turn || *turn <= answerDeadline(waiting.deadline).at() - deliveryMargin)
+        return std::nullopt;
+    Error limited = refusal(ErrorCode::DeadlineHopeless, "the upstream limits its requests", Execution::NotRun);
+    limited.retryAfter = std::chrono::duration_cast<Milliseconds>(*turn - now);
+    return limited;
+}
+
 /// Time by which the answer must be complete.
 Deadline RequestGate::answerDeadline(Deadline ofRequest) const
 {
@@ -265,8 +280,15 @@
 
 void RequestGate::startQueued()
 {
-    for (const WaitingDispatch& next : admission_.takeStartable())
-        run(next.key);
+    limitTimer_.reset();
+    while (admission_.hasStartable()) {
+        const framework::SteadyTime now = ports_.clock.now();
+        if (!upstreamLimit_.take(now)) {
+            limitTimer_ = ports_.control.runAt(Deadline(*upstreamLimit_.turn(0, now)), [this] { startQueued(); });
+            break;
+        }
+        run(admission_.takeNext().key);
+    }
     publishMetrics();
 }
 
@@ -323,7 +345,10 @@
 void RequestGate::handleHead(const DispatchKey& key, unsigned short status, HttpHeaders headers)
 {
     Call* call = find(key);
-    if (!call || call->stopReason)
+    if (!call)
+        return;
+    upstreamLimit_.didAnswer(headers, call->startedAt, ports_.clock.now());
+    if (call->stopReason)
         return;
     // An engine answers 404 before it runs anything: it has lost the replica since its state was last read.
     if (status == notFound && !call->target.isService())
--- a/src/agent/internal/requestgate.h
+++ b/src/agent/internal/requestgate.h
@@ -5,6 +5,7 @@
 #include "agent/internal/requestledger.h"
 #include "agent/internal/servicetimes.h"
 #include "agent/internal/upstreamcrashes.h"
+#include "agent/internal/upstreamlimit.h"
 #include "agent/iservedtargets.h"
 #include "agent/iupstream.h"
 #include "framework/controlthread.h"
@@ -94,7 +95,8 @@
     void sendEnd(wire::ILink&, const DispatchKey&, const StoredAnswer&);
     void publishMetrics();
     std::optional<framework::Error> admissionRefusal(const Call&) const;
-    std::optional<framework::Error> queueRefusal(const WaitingDispatch&, const Target&) const;
+    std::optional<framework::Error> queueRefusal(const WaitingDispatch&, const Target&);
+    std::optional<framework::Error> limitRefusal(const WaitingDispatch&);
     framework::Deadline answerDeadline(framework::Deadline ofRequest) const;
     void armQueueTimer(const DispatchKey&, Call&);
     void refuseHopeless(const Target&);
@@ -106,6 +108,9 @@
     AgentLimits limits_;
     RequestLedger ledger_;
     AdmissionQueue admission_;
+    UpstreamLimit upstreamLimit_;
+    /// Starts the next request once the upstream's limit allows it.
+    std::unique_ptr<framework::Timer> limitTimer_;
     ServiceTimes serviceTimes_;
     std::map<DispatchKey, Call> calls_;
     /// Set while draining.
--- a/src/agent/tests/accounts_test.cpp
+++ b/src/agent/tests/accounts_test.cpp
@@ -26,6 +26,14 @@
         Deadline::after(start, Milliseconds(deadlineMs)) };
 }
 
+std::vector<WaitingDispatch> takeStartable(AdmissionQueue& admission)
+{
+    std::vector<WaitingDispatch> started;
+    while (admission.hasStartable())
+        started.push_back(admission.takeNext());
+    return started;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(MemoryAccounts)
@@ -70,16 +78,16 @@
 {
     AdmissionQueue admission(1, 3);
     BOOST_TEST(admission.enqueue(waiting(1, 4, 500)));
-    BOOST_TEST(admission.takeStartable().size() == 1u);
+    BOOST_TEST(takeStartable(admission).size() == 1u);
     BOOST_TEST(admission.enqueue(waiting(2, 4, 900)));
     BOOST_TEST(admission.enqueue(waiting(3, 4, 300)));
     BOOST_TEST(admission.enqueue(waiting(4, 9, 950)));
     BOOST_TEST(!admission.enqueue(waiting(5, 9, 950)));
-    BOOST_TEST(admission.takeStartable().empty());
+    BOOST_TEST(takeStartable(admission).empty());
     std::vector<std::uint64_t> order;
     for (int turn = 0; turn < 3; ++turn) {
         admission.recordEnd();
-        order.push_back(admission.takeStartable().front().key.sequence.value());
+        order.push_back(takeStartable(admission).front().key.sequence.value());
     }
     BOOST_TEST(order == (std::vector<std::uint64_t> { 4, 3, 2 }), boost::test_tools::per_element());
 }
@@ -88,7 +96,7 @@
 {
     AdmissionQueue admission(1, 0);
     BOOST_TEST(admission.enqueue(waiting(1, 4, 500)));
-    BOOST_TEST(admission.takeStartable().size() == 1u);
+    BOOST_TEST(takeStartable(admission).size() == 1u);
     BOOST_TEST(!admission.enqueue(waiting(2, 4, 500)));
 }
 
@@ -96,7 +104,7 @@
 {
     AdmissionQueue admission(1, 1);
     BOOST_TEST(admission.enqueue(waiting(1, 4, 500)));
-    BOOST_TEST(admission.takeStartable().size() == 1u);
+    BOOST_TEST(takeStartable(admission).size() == 1u);
     BOOST_TEST(admission.enqueue(waiting(2, 4, 500)));
     admission.remove(waiting(2, 4, 500).key);
     BOOST_TEST(admission.waiting() == 0u);
--- a/src/agent/tests/requestgate_test.cpp
+++ b/src/agent/tests/requestgate_test.cpp
@@ -544,4 +544,41 @@
     BOOST_TEST(sent.empty());
 }
 
+// Prevents an upstream from getting more requests than the limit that it names in its answers.
+BOOST_AUTO_TEST_CASE(requestsAreSentAtTheRateThatTheUpstreamNames)
+{
+    limits.running = 20;
+    limits.waiting = 100;
+    gate = makeGate();
+    session = gate->openSession(router);
+    dispatch(1);
+    upstream->calls[0]->events.onHead(200, { { "server-limit", "2" } });
+    upstream->calls[0]->events.onEnd();
+    control.runPosted();
+    for (std::uint64_t sequence = 2; sequence <= 21; ++sequence)
+        dispatch(sequence, 4900);
+    control.advance(Milliseconds(4000));
+    BOOST_TEST(upstream->calls.size() >= 1u + 7);
+    BOOST_TEST(upstream->calls.size() <= 1u + 9);
+}
+
+// Prevents requests from waiting for a turn that comes too late.
+BOOST_AUTO_TEST_CASE(aRequestWhoseTurnComesTooLateIsRefusedAtOnce)
+{
+    limits.running = 20;
+    limits.waiting = 100;
+    gate = makeGate();
+    session = gate->openSession(router);
+    dispatch(1);
+    upstream->calls[0]->events.onHead(200, { { "Server-Limit", "0" } });
+    upstream->calls[0]->events.onEnd();
+    control.runPosted();
+    dispatch(2);
+    BOOST_TEST(upstream->calls.size() == 1u);
+    const auto refused = link->all<fb::RefusedT>();
+    BOOST_REQUIRE(refused.size() == 1u);
+    BOOST_TEST(refused.front().retry_after_ms > 1000u);
+    BOOST_TEST(refused.front().execution == static_cast<std::uint8_t>(Execution::NotRun));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
