--- a/src/forwarding/internal/requestlog.cpp
+++ b/src/forwarding/internal/requestlog.cpp
@@ -6,6 +6,21 @@
 
 using framework::LogLine;
 
+namespace {
+
+constexpr std::size_t maxLoggedParts = 8;
+constexpr std::size_t maxLoggedIdLength = 32;
+
+} // namespace
+
+std::string sharedPartIds(const RequestFacts& facts)
+{
+    std::string ids;
+    for (std::size_t index = 0; index + 1 < facts.prompt.size() && index < maxLoggedParts; ++index)
+        ids += (ids.empty() ? "" : " ") + facts.prompt[index].id.substr(0, maxLoggedIdLength);
+    return ids;
+}
+
 LogLine sentLine(const JobSpec& spec, const ChosenUpstream& chosen, std::uint32_t sends, framework::SteadyTime now)
 {
     LogLine line("sent");
@@ -26,6 +41,7 @@
     if (!spec.facts.model.value().empty())
         line.text("model", spec.facts.model.value())
             .text("adapter", spec.facts.adapter.value())
+            .text("parts", sharedPartIds(spec.facts))
             .number("new_tokens", chosen.newTokens)
             .number("expected_ms", chosen.expected.count());
     if (chosen.stateAge)
--- a/src/forwarding/internal/requestlog.h
+++ b/src/forwarding/internal/requestlog.h
@@ -21,6 +21,8 @@
     std::optional<framework::Milliseconds> untilFirstByte;
 };
 
+/// The ids of the parts that a prompt may share with others, so all but the last; only the first few.
+std::string sharedPartIds(const RequestFacts&);
 /// The log lines of one request; docs/OPERATIONS.md describes their fields.
 framework::LogLine sentLine(const JobSpec&, const ChosenUpstream&, std::uint32_t sends, framework::SteadyTime now);
 /// A caller takes up a stream that `origin` began.
