--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+/// A request that crashes its server does so after it has written the event before this one.
+constexpr int crashingEvent = 2;
 /// A server registers before it accepts requests.
 constexpr Milliseconds timeToRegister { 100 };
 
@@ -71,6 +73,26 @@
     crashBody_ = body;
 }
 
+void ServerStandin::crashOnParts(const std::set<std::string>& parts)
+{
+    const std::lock_guard lock(mutex_);
+    crashParts_ = parts;
+}
+
+bool ServerStandin::isCrashedByPart(const HttpRequest& request) const
+{
+    const std::lock_guard lock(mutex_);
+    const std::string prompt = request.header("x-prompt-prefix");
+    std::size_t begin = 0;
+    for (std::size_t end = prompt.find(','); end != std::string::npos; end = prompt.find(',', begin)) {
+        const std::string part = prompt.substr(begin, end - begin);
+        if (crashParts_.contains(part.substr(0, part.find(':'))))
+            return true;
+        begin = end + 1;
+    }
+    return false;
+}
+
 std::vector<framework::SteadyTime> ServerStandin::crashTimes() const
 {
     const std::lock_guard lock(mutex_);
@@ -353,6 +375,10 @@
             return noteCancelled();
         if (started() != process.started)
             return exchange.dropConnection();
+        if (event == crashingEvent && isCrashedByPart(exchange.request())) {
+            exchange.dropConnection();
+            return crash();
+        }
         const std::string text = eventText(event, process.version);
         if (event == cutStreamAt_) {
             cutStreamAt_ = 0;
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -39,6 +39,9 @@
     /// A request with this body crashes the server as soon as it is started: all connections are dropped, and the
     /// server is back after the time of `setDownTime`. An empty text ends this.
     void crashOn(const std::string& body);
+    /// A request whose prompt has one of these parts, not as its last one, crashes the server once it has begun to
+    /// write its answer.
+    void crashOnParts(const std::set<std::string>& parts);
     void setDownTime(framework::Milliseconds time) { downTimeMs_ = static_cast<int>(time.count()); }
     /// Called on a thread of the server when it starts again after a crash. Set before the first request.
     void setRestartHandler(std::function<void()> handler) { didRestart_ = std::move(handler); }
@@ -84,12 +87,13 @@
     /// The headers that all answers have.
     standins::HeaderMap commonHeaders() const;
     void noteCancelled() { ++cancelled_; }
+    bool isCrashedByPart(const standins::HttpRequest&) const;
+    void crash();
 
 private:
     Process process() const;
     void answer(standins::Exchange&);
     bool isCrashedBy(const standins::HttpRequest&) const;
-    void crash();
 
     std::string instance_;
     mutable std::mutex mutex_;
@@ -97,6 +101,7 @@
     framework::SteadyTime lastRunAt_ {};
     standins::HttpRequest last_;
     std::string crashBody_;
+    std::set<std::string> crashParts_;
     std::string limit_;
     std::vector<framework::SteadyTime> arrivals_;
     std::string version_ { "v1" };
