Count a stream that ended with its connection as cut if its server ended

By reading, for streams that have neither a length nor chunks and end with their connections: the end of a server that crashes closes the connection in order, so that a stream that it broke off between two events looked whole, and cleared the part that had crashed the server; one that it broke off inside an event was broken off to the caller, but not counted as a cut.

Change: a stream that ends inside an event is a cut. One that ends with its connection between events says nothing of the request; if the run of its server proves to have ended within 6 s, it is a cut too.

Result: two new cases in quarantine_tests; quarantine_tests and forwarding_tests pass.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -540,12 +540,17 @@
         host_.quarantine().didSurvive(spec_.identity);
 }
 
-void RequestJob::didEndStream()
+void RequestJob::didEndStream(bool isFramed)
 {
-    if (events_.hasPartialEvent())
+    if (events_.hasPartialEvent()) {
+        noteCut();
         return didEndWithoutAnswer("stream ended within an event", true);
+    }
+    if (isFramed)
+        host_.quarantine().didServe(spec_.identity);
+    else
+        host_.quarantine().didEndWithConnection(cutRequest());
     attempt_.reset();
-    host_.quarantine().didServe(spec_.identity);
     if (isForModel())
         host_.didRun(std::chrono::duration_cast<Milliseconds>(host_.now() - sentAt_));
     exchange_->endAnswer();
@@ -587,18 +592,29 @@
     retryOrRefuse(std::string(rejectionText(answerClass)) + " (" + std::to_string(status) + ")", 503);
 }
 
+quarantine::CutRequest RequestJob::cutRequest() const
+{
+    const UpstreamRecord& upstream = attempt_->guard().upstream();
+    const auto listAge = host_.upstreams().listAge(host_.now());
+    const bool mayBeLeaving = !host_.upstreams().isInService(upstream) || !listAge || *listAge > maxListAge;
+    return { spec_.identity, serverRunId(upstream.facts.run()), sentAt_, mayBeLeaving };
+}
+
+/// The connection broke under the request. A server that drains cuts its last requests when it ends.
+void RequestJob::noteCut()
+{
+    if (attempt_->guard().upstream().facts.state == catalog::UpstreamState::Ready)
+        host_.quarantine().didCut(cutRequest());
+}
+
 void RequestJob::didLoseConnection(const http::ClientFailure& failure)
 {
     const UpstreamRecord& upstream = attempt_->guard().upstream();
     const quarantine::ServerRunId server = serverRunId(upstream.facts.run());
     if (failure.wasRefused)
         host_.quarantine().didEndRun(server, quarantine::EndSign::Refused);
-    // A server that drains cuts its last requests when it ends.
-    if (failure.mayHaveArrived && upstream.facts.state == catalog::UpstreamState::Ready) {
-        const auto listAge = host_.upstreams().listAge(host_.now());
-        const bool mayBeLeaving = !host_.upstreams().isInService(upstream) || !listAge || *listAge > maxListAge;
-        host_.quarantine().didCut({ spec_.identity, server, sentAt_, mayBeLeaving });
-    }
+    if (failure.mayHaveArrived)
+        noteCut();
     didEndWithoutAnswer(
         std::string(http::clientStepText(failure.step)) + ": " + failure.detail, failure.mayHaveArrived);
 }
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -95,7 +95,8 @@
     void didReceiveHead(const UpstreamRecord&, const http::ResponseHead&, AnswerClass);
     void didBeginStream(const http::ResponseHead&);
     void didReceiveEvents(std::string_view bytes);
-    void didEndStream();
+    /// `isFramed` is false if nothing but the end of the connection shows that the stream is whole.
+    void didEndStream(bool isFramed);
     void didAnswer(const http::ResponseHead&, std::string body);
     void didFailAtServer(const http::ResponseHead&, std::string body);
     void didReject(AnswerClass, unsigned status);
@@ -106,6 +107,8 @@
 
 private:
     void noteSurvival();
+    quarantine::CutRequest cutRequest() const;
+    void noteCut();
     bool isStream() const { return spec_.route->kind == catalog::RouteKind::Streaming; }
     /// Whether the caller has events of the stream already.
     bool isTakenUp() const { return isStream() && (spec_.facts.lastEvent || !spec_.facts.resumedAttempt.empty()); }
--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -10,6 +10,12 @@
 /// Answers that aren't streams are buffered until they are complete, so that a partial answer is never relayed.
 constexpr std::size_t maxAnswerBytes = 64 * 1024 * 1024;
 
+/// Whether the answer states its length, or comes in chunks.
+bool isFramed(const http::ResponseHead& head)
+{
+    return head.headers.find("Content-Length") || head.headers.hasToken("Transfer-Encoding", "chunked");
+}
+
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 } // namespace
@@ -89,7 +95,7 @@
     switch (answerClass_) {
     case AnswerClass::Served:
         guard_->upstream().outlierDetector.didServe();
-        return relaysEvents(*job) ? job->didEndStream() : job->didAnswer(head_, std::move(body_));
+        return relaysEvents(*job) ? job->didEndStream(isFramed(head_)) : job->didAnswer(head_, std::move(body_));
     case AnswerClass::Failed:
         return job->didFailAtServer(head_, std::move(body_));
     case AnswerClass::NotRun:
--- a/src/quarantine/internal/requestquarantine.cpp
+++ b/src/quarantine/internal/requestquarantine.cpp
@@ -35,6 +35,9 @@
 /// begins to write an answer.
 constexpr Milliseconds survivalRetention { 30 * 1000 };
 constexpr std::size_t maxSurvivors = 8192;
+/// The end of a server shows within this time.
+constexpr Milliseconds possibleCutRetention { 6000 };
+constexpr std::size_t maxPossibleCuts = 256;
 /// For each router; clearances take longer from one to all others.
 constexpr Milliseconds clearanceSpread { 5 };
 
@@ -268,12 +271,13 @@
     });
 }
 
-void RequestQuarantine::didCut(const CutRequest& cut)
+void RequestQuarantine::didCut(const CutRequest& cut) { addCut(cut, context_.clock.now()); }
+
+void RequestQuarantine::addCut(const CutRequest& cut, SteadyTime at)
 {
-    const SteadyTime now = context_.clock.now();
-    ServerCrash crash { cut.server, now, false, cut.mayBeLeaving, {} };
+    ServerCrash crash { cut.server, at, false, cut.mayBeLeaving, {} };
     for (const RequestFingerprint& suspect : cut.request.suspects()) {
-        if (!hasSurvived(suspect, now))
+        if (!hasSurvived(suspect, at))
             crash.suspects.emplace(suspect, cut.sentAt);
     }
     EvidenceUpdate update;
@@ -281,8 +285,30 @@
     add(update);
 }
 
+void RequestQuarantine::didEndWithConnection(const CutRequest& cut)
+{
+    possibleCuts_.push_back({ cut, context_.clock.now() });
+    if (possibleCuts_.size() > maxPossibleCuts)
+        possibleCuts_.pop_front();
+}
+
+/// The server's run has ended, so answers that ended with their connections just before may have been cut.
+void RequestQuarantine::addPossibleCuts(const ServerRunId& server)
+{
+    const SteadyTime now = context_.clock.now();
+    std::vector<PossibleCut> cuts;
+    for (const PossibleCut& possible : possibleCuts_) {
+        if (possible.cut.server == server && now - possible.at <= possibleCutRetention)
+            cuts.push_back(possible);
+    }
+    std::erase_if(possibleCuts_, [&](const PossibleCut& possible) { return possible.cut.server == server; });
+    for (const PossibleCut& possible : cuts)
+        addCut(possible.cut, possible.at);
+}
+
 void RequestQuarantine::didEndRun(const ServerRunId& server, EndSign sign)
 {
+    addPossibleCuts(server);
     const auto known = evidence_.crashes().find(server);
     if (sign != EndSign::Restarted && known != evidence_.crashes().end() && known->second.mayBeLeaving)
         return;
@@ -319,6 +345,10 @@
     const EvidenceUpdate news = evidence_.merge(update, context_.clock.now());
     for (const Clearance& clearance : news.clearances)
         dueClearances_.erase(clearance.request);
+    for (const ServerCrash& crash : news.crashes) {
+        if (crash.isConfirmed)
+            addPossibleCuts(crash.server);
+    }
     clearSurvivors(news);
     if (!news.crashes.empty() || !news.clearances.empty())
         noteChange();
--- a/src/quarantine/requestquarantine.h
+++ b/src/quarantine/requestquarantine.h
@@ -9,6 +9,7 @@
 #include "quarantine/types/requestidentity.h"
 #include "quarantine/verdicts.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -117,6 +118,8 @@
     bool mustRunApart(const RequestIdentity&);
 
     void didCut(const CutRequest&);
+    /// The connection ended with the answer, which states no length. That is a cut if the server proves to have ended.
+    void didEndWithConnection(const CutRequest&);
     void didEndRun(const ServerRunId&, EndSign);
     /// A server answered a request that was sent at this time.
     void didAnswer(const ServerRunId&, framework::SteadyTime sentAt);
@@ -133,6 +136,13 @@
 private:
     friend class TrialGuard;
 
+    struct PossibleCut {
+        CutRequest cut;
+        framework::SteadyTime at {};
+    };
+
+    void addCut(const CutRequest&, framework::SteadyTime at);
+    void addPossibleCuts(const ServerRunId&);
     bool isRefused(const RequestFingerprint&, const RequestIdentity&);
     bool isHeldBack(const RequestFingerprint&);
     bool isOwnTurn(const RequestFingerprint&);
@@ -154,6 +164,8 @@
     Standings standings_;
     /// This router's announced trials that haven't begun yet.
     std::map<RequestFingerprint, Trial> announced_;
+    /// Answers that ended with their connections lately.
+    std::deque<PossibleCut> possibleCuts_;
     /// When a run with each part last went on well here.
     std::map<RequestFingerprint, framework::SteadyTime> survivedAt_;
     /// Clearances of parts that hold here already, and when to tell the other routers.
--- a/src/quarantine/tests/requestquarantine_test.cpp
+++ b/src/quarantine/tests/requestquarantine_test.cpp
@@ -367,6 +367,33 @@
         quarantine->didSurvive(RequestIdentity(madeUp(), { madeUp() }));
 }
 
+// Prevents a server that ends under an answer without a length from being taken for one that ended the answer.
+BOOST_AUTO_TEST_CASE(anAnswerThatEndedWithItsServerIsACut)
+{
+    for (std::uint8_t number = 1; number <= 3; ++number) {
+        const ServerRunId server = newServer();
+        const framework::SteadyTime sentAt = clock.now();
+        clock.advance(Milliseconds(100));
+        quarantine->didEndWithConnection({ RequestIdentity(request(number), { part(100) }), server, sentAt, false });
+        BOOST_TEST((quarantine->admit(RequestIdentity(request(50), { part(100) })) != Admission::Quarantined));
+        clock.advance(Milliseconds(300));
+        quarantine->didEndRun(server, EndSign::Refused);
+        clock.advance(Milliseconds(1));
+    }
+    BOOST_TEST((quarantine->admit(RequestIdentity(request(50), { part(100) })) == Admission::Quarantined));
+}
+
+// Prevents requests whose answers end with their connections from being suspected while their servers go on.
+BOOST_AUTO_TEST_CASE(anAnswerThatEndedWithItsConnectionIsNoCutWhileTheServerGoesOn)
+{
+    for (std::uint8_t number = 1; number <= 9; ++number) {
+        quarantine->didEndWithConnection(
+            { RequestIdentity(request(number), { part(100) }), newServer(), clock.now(), false });
+        clock.advance(Milliseconds(1000));
+    }
+    BOOST_TEST((quarantine->admit(RequestIdentity(request(50), { part(100) })) == Admission::Free));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::quarantine
