Close connections of servers that send bytes without end

Cause: interim answers and the body of an answer to another request were read and discarded without a bound, for as long as the request had time; an answer that isn't a stream was buffered up to 64 MiB, a quarter of a router's memory on the platform.

Change: the connection fails after 16 interim answers, or 1 MiB of answers to other requests; an answer may have 16 MiB, as calls to the store. Heads (64 KiB), events (1 MiB) and bytes behind an answer were bounded already.

Result: bytesWithoutEndCloseTheConnection failed before for interim answers and for another request's body (64 MiB were taken of each), and passes; http_tests pass.

--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Answers that aren't streams are buffered until they are complete, so that a partial answer is never relayed.
-constexpr std::size_t maxAnswerBytes = 64 * 1024 * 1024;
+/// Answers that aren't streams are buffered until they are complete, so that a partial answer is never relayed. A few
+/// servers that send bytes without end must not use up a router's memory.
+constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 
 /// Whether the answer states its length, or comes in chunks.
 bool isFramed(const http::ResponseHead& head)
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -25,6 +25,9 @@
 constexpr std::uint64_t maxBodyBytes = 1ULL << 40;
 /// How many answers to earlier requests are discarded before the connection fails.
 constexpr unsigned maxMismatchedAnswers = 2;
+constexpr unsigned maxInterimAnswers = 16;
+/// How many bytes of answers to other requests are read and discarded before the connection fails.
+constexpr std::uint64_t maxDiscardedBytes = 1024 * 1024;
 
 /// Reads the timeout in seconds from a field such as `timeout=5, max=100`. Returns std::nullopt if there is none.
 std::optional<Milliseconds> parseKeepAliveTimeout(const Headers& headers)
@@ -95,6 +98,8 @@
     isSent_ = false;
     isPaused_ = false;
     mismatchedAnswers_ = 0;
+    interimAnswers_ = 0;
+    discardedBytes_ = 0;
     keepAliveTimeout_.reset();
     beginAnswer();
     if (isConnected_)
@@ -227,7 +232,13 @@
 void TcpClientConnection::deliverBody()
 {
     std::string piece = std::exchange(parser_->get().body(), {});
-    if (piece.empty() || !isAccepted_)
+    if (!isAccepted_) {
+        discardedBytes_ += piece.size();
+        if (discardedBytes_ > maxDiscardedBytes)
+            fail(ClientStep::AwaitHead, "long answer to another request");
+        return;
+    }
+    if (piece.empty())
         return;
     const auto sink = sink_;
     sink->didReceiveBody(piece);
@@ -237,7 +248,7 @@
 {
     if (isAccepted_)
         return finishAcceptedAnswer();
-    if (isInterim(parser_->get().result_int()))
+    if (isInterim(parser_->get().result_int()) && ++interimAnswers_ <= maxInterimAnswers)
         return beginAnswer();
     if (++mismatchedAnswers_ > maxMismatchedAnswers)
         return fail(ClientStep::AwaitHead, "answers to other requests");
--- a/src/http/internal/tcpclientconnection.h
+++ b/src/http/internal/tcpclientconnection.h
@@ -59,6 +59,8 @@
     bool isAccepted_ = false;
     bool expectsNoBody_ = false;
     unsigned mismatchedAnswers_ = 0;
+    unsigned interimAnswers_ = 0;
+    std::uint64_t discardedBytes_ = 0;
     std::array<std::string, 2> outgoing_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -37,6 +37,13 @@
         return text;
     }
     void send(const std::string& text) { boost::asio::write(*socket_, boost::asio::buffer(text)); }
+    /// Returns false if the client has closed the connection.
+    bool trySend(const std::string& text)
+    {
+        boost::system::error_code error;
+        boost::asio::write(*socket_, boost::asio::buffer(text), error);
+        return !error;
+    }
     void close() { socket_->close(); }
     /// Passes the connection to the test, so that it stays open beside the next one.
     tcp::socket release() { return std::move(*socket_); }
@@ -372,6 +379,32 @@
     answer->onWillSend = nullptr;
 }
 
+// Prevents a server that sends bytes without end from keeping a connection and its memory: in a head, in interim
+// answers, and in an answer to another request.
+BOOST_AUTO_TEST_CASE(bytesWithoutEndCloseTheConnection)
+{
+    const std::string piece(1024 * 1024, 'x');
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    std::string manyInterim;
+    while (manyInterim.size() < piece.size())
+        manyInterim += interim;
+    const std::vector<std::pair<std::string, std::string>> floods { { "HTTP/1.1 200 OK\r\nX-Long: ", piece },
+        { "", manyInterim }, { "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", piece } };
+    for (const auto& [begin, more] : floods) {
+        const auto answer = send(post, "1");
+        server.accept();
+        (void)server.request();
+        server.send(begin);
+        constexpr int maxPieces = 64;
+        int sent = 0;
+        while (sent < maxPieces && server.trySend(more))
+            ++sent;
+        BOOST_TEST(sent < maxPieces);
+        server.close();
+        BOOST_TEST(!answer->wait());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::http
