Don't blame one of several parts that were at all the same crashes

Cause: requests under way made a fourth crash before the verdict was known everywhere, and beyond three crashes in common one of the suspects was picked by its digest; the other's crashes then counted as explained. With two engines that crashed again and again no run had gone on well within 30 s, so the shared part wasn't known to be sound.

Change: parts that were at the same crashes are refused only together, however many crashes these are. A request with one of them alone is tried, and clears it.

--- a/src/quarantine/internal/verdicts.cpp
+++ b/src/quarantine/internal/verdicts.cpp
@@ -99,7 +99,7 @@
 }
 
 /// Whether nothing shows that it is this suspect that is to blame, and not the other one: all crashes of the other are
-/// its own as well, it had none after them, and they are just enough for a verdict.
+/// its own as well, it had none after them, and they are enough for a verdict on the other.
 bool isInseparable(
     const Involvements& counted, const Involvements& own, const Involvements& other, std::uint32_t crashesToVerdict)
 {
@@ -109,7 +109,7 @@
     };
     return !counted.empty() && isIn(counted.back(), other)
         && std::all_of(other.begin(), other.end(), [&](const Involvement& one) { return isIn(one, own); })
-        && inSuccession(other, true).size() == crashesToVerdict;
+        && inSuccession(other, true).size() >= crashesToVerdict;
 }
 
 Standing standing(const Involvements& involvements)
--- a/src/quarantine/tests/requestquarantine_test.cpp
+++ b/src/quarantine/tests/requestquarantine_test.cpp
@@ -314,7 +314,8 @@
 {
     const RequestFingerprint poisonPart = part(100);
     const RequestFingerprint smeared = part(101);
-    for (const std::uint8_t number : { 1, 2, 3 })
+    // Requests that are under way when the verdict falls crash further servers.
+    for (const std::uint8_t number : { 1, 2, 3, 11, 12 })
         crashUnder({ RequestIdentity(request(number), { smeared, poisonPart }) });
     BOOST_TEST((quarantine->admit(RequestIdentity(request(4), { smeared, poisonPart })) == Admission::Quarantined));
     const RequestIdentity innocent(request(5), { smeared });
