--- a/tests/soak/poisonsender.h
+++ b/tests/soak/poisonsender.h
@@ -32,8 +32,11 @@
     struct Copy {
         std::string attempt;
         int status = 0;
+        bool isServed = false;
     };
 
+    /// Whether the requests are all different and share only a part of their prompts.
+    bool hasPart() const { return settings_.seed % 4 == 0; }
     void sendLoop(std::size_t number);
     std::vector<fleet::ServerStandin*> servers() const;
     std::vector<framework::SteadyTime> crashes() const;
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -61,6 +61,11 @@
         runLog_.beginFault(crashes_, std::nullopt);
         poisonSender_.emplace(fleet_, balancer_, settings_);
     }
+    if (settings_.kind == RunKind::Limits) {
+        // A limit makes routers refuse requests that servers would have time for.
+        runLog_.beginFault(limits_, std::nullopt);
+        limitNamer_.emplace(fleet_, runLog_);
+    }
     if (settings_.kind == RunKind::Versions) {
         runLog_.beginFault(crashes_, std::nullopt);
         resumingCallers_.emplace(settings_, parameters_, balancer_);
@@ -69,6 +74,10 @@
     waitForProcesses();
     if (poisonSender_)
         poisonSender_->stop();
+    if (limitNamer_) {
+        limitNamer_->stop();
+        runLog_.endFaults(limits_);
+    }
     if (resumingCallers_)
         resumingCallers_->stop();
     runLog_.endFaults(crashes_);
@@ -81,6 +90,8 @@
     checker.checkEngines();
     if (poisonSender_)
         poisonSender_->check(runLog_);
+    if (limitNamer_)
+        limitNamer_->check();
     if (resumingCallers_)
         resumingCallers_->check(fleet_, runLog_);
     fleet_.stop();
@@ -104,6 +115,8 @@
     const Deadline end = Deadline::after(std::chrono::steady_clock::now(), settings_.duration);
     while (!end.hasPassed(std::chrono::steady_clock::now())) {
         ++report_.steps;
+        if (limitNamer_)
+            limitNamer_->perform();
         if (settings_.kind == RunKind::Versions && runLog_.draw(stepsPerReplacement) == 0)
             operations.replaceEngine();
         if (faultInjector_) {
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -2,6 +2,7 @@
 
 #include "soak/faultinjector.h"
 #include "soak/invariantchecker.h"
+#include "soak/limitnamer.h"
 #include "soak/plannedoperations.h"
 #include "soak/poisonsender.h"
 #include "soak/resumingcallers.h"
@@ -48,9 +49,12 @@
     ProcessSupervisor supervisor_;
     std::optional<FaultInjector> faultInjector_;
     std::optional<PoisonSender> poisonSender_;
+    std::optional<LimitNamer> limitNamer_;
     std::optional<ResumingCallers> resumingCallers_;
     /// The crashes by the poison request, or all replaced engines, as one fault.
     ActiveFaults crashes_;
+    /// All limits that servers name, as one fault.
+    ActiveFaults limits_;
     SoakReport report_;
 };
 
--- a/tests/soak/soaksettings.h
+++ b/tests/soak/soaksettings.h
@@ -16,8 +16,10 @@
     Planned,
     /// Also faults of processes, network, servers and store.
     Mixed,
-    /// Planned operations, and a request that crashes the servers that start it.
+    /// Planned operations, and a request, or a part of prompts, that crashes the servers that start it.
     Poison,
+    /// Planned operations, and servers that name limits of requests.
+    Limits,
     /// As mixed, and engines are replaced by ones with other software; callers take their streams up at any router.
     Versions
 };
