--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -37,7 +37,7 @@
 /// More routers than there are, as long as no agent has reported their number.
 constexpr std::uint32_t assumedMaxRouters = 512;
 /// Requests that were refused together don't come back together.
-constexpr int retryJitterDivisor = 4;
+constexpr double maxRetryJitter = 0.25;
 /// Records of a stream's origin are kept for this time beyond the caller's deadline, as clocks and networks differ.
 constexpr Milliseconds recordSlack { 1000 };
 /// If the list of servers is older than this, a server whose connections are cut may be leaving.
@@ -54,8 +54,8 @@
 
 Milliseconds jitter(Milliseconds wait)
 {
-    return Milliseconds(static_cast<std::int64_t>(
-        framework::randomFraction() * static_cast<double>(wait.count() / retryJitterDivisor)));
+    const double fraction = framework::randomFraction() * maxRetryJitter;
+    return Milliseconds(static_cast<std::int64_t>(fraction * static_cast<double>(wait.count())));
 }
 
 /// Whether another server may succeed: not if the time is up, or if the request itself is at fault.
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -166,10 +166,11 @@
         return;
     using Rank = std::pair<bool, SteadyTime>;
     std::vector<std::pair<Rank, RequestFingerprint>> order;
-    for (const auto& [suspect, sentAt] : crash.suspects) {
-        const bool isRecurring = std::any_of(crashes_.begin(), crashes_.end(),
-            [&](const auto& other) { return other.first != crash.server && other.second.suspects.contains(suspect); });
-        order.push_back({ { isRecurring, sentAt }, suspect });
+    for (const auto& suspect : crash.suspects) {
+        const bool isRecurring = std::any_of(crashes_.begin(), crashes_.end(), [&](const auto& other) {
+            return other.first != crash.server && other.second.suspects.contains(suspect.first);
+        });
+        order.push_back({ { isRecurring, suspect.second }, suspect.first });
     }
     std::sort(order.begin(), order.end(), std::greater<> {});
     for (std::size_t index = maxSuspects; index < order.size(); ++index)
