Draw the parts that a crash keeps anew for each crash

Change: requests and parts that came once share the room; parts are drawn by a hash of server and part, so that each crash is another chance, and the first one kept stays.

--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -158,23 +158,41 @@
     limitByAge(crashTimes_, maxCrashTimes, [](SteadyTime at) { return at; });
 }
 
-/// Keeps the suspects of other crashes, so that prompts with many parts of their own don't displace the one that they
-/// share, and then those that were sent last: a request that crashes its servers does so when it begins to run.
+/// Keeps the suspects of other crashes first. Of the others, it keeps the requests that were sent last, since a request
+/// that crashes its servers does so when it begins to run, and as many parts, drawn anew for each crash: prompts with
+/// many parts of their own can't displace the one that they share for long.
 void CrashEvidence::limitSuspects(ServerCrash& crash)
 {
     if (crash.suspects.size() <= maxSuspects)
         return;
-    using Rank = std::pair<bool, SteadyTime>;
-    std::vector<std::pair<Rank, RequestFingerprint>> order;
-    for (const auto& suspect : crash.suspects) {
-        const bool isRecurring = std::any_of(crashes_.begin(), crashes_.end(), [&](const auto& other) {
-            return other.first != crash.server && other.second.suspects.contains(suspect.first);
-        });
-        order.push_back({ { isRecurring, suspect.second }, suspect.first });
+    const auto isRecurring = [&](const RequestFingerprint& suspect) {
+        return std::any_of(crashes_.begin(), crashes_.end(),
+            [&](const auto& other) { return other.first != crash.server && other.second.suspects.contains(suspect); });
+    };
+    const auto drawOf
+        = [&](const RequestFingerprint& part) { return std::hash<std::string> {}(crash.server.value() + part.text()); };
+    std::vector<RequestFingerprint> recurring;
+    std::vector<std::pair<SteadyTime, RequestFingerprint>> requests;
+    std::vector<std::pair<std::size_t, RequestFingerprint>> parts;
+    for (const auto& [suspect, sentAt] : crash.suspects) {
+        if (isRecurring(suspect))
+            recurring.push_back(suspect);
+        else if (suspect.isPart())
+            parts.emplace_back(drawOf(suspect), suspect);
+        else
+            requests.emplace_back(sentAt, suspect);
+    }
+    std::sort(requests.begin(), requests.end(), std::greater<> {});
+    std::sort(parts.begin(), parts.end());
+    std::vector<RequestFingerprint> order = std::move(recurring);
+    for (std::size_t index = 0; index < std::max(requests.size(), parts.size()); ++index) {
+        if (index < requests.size())
+            order.push_back(requests[index].second);
+        if (index < parts.size())
+            order.push_back(parts[index].second);
     }
-    std::sort(order.begin(), order.end(), std::greater<> {});
     for (std::size_t index = maxSuspects; index < order.size(); ++index)
-        crash.suspects.erase(order[index].second);
+        crash.suspects.erase(order[index]);
 }
 
 void CrashEvidence::limitCrashes()
--- a/src/quarantine/tests/requestquarantine_test.cpp
+++ b/src/quarantine/tests/requestquarantine_test.cpp
@@ -345,7 +345,9 @@
     std::uint16_t number = 0;
     const auto madeUp = [&] {
         RequestFingerprint::Bytes bytes {};
-        bytes[1] = static_cast<std::uint8_t>(++number & 0xff);
+        // Before or after the shared one, in whatever order.
+        bytes[0] = static_cast<std::uint8_t>(++number * 37);
+        bytes[1] = static_cast<std::uint8_t>(number & 0xff);
         bytes[2] = static_cast<std::uint8_t>(number >> 8);
         return RequestFingerprint::ofPart(bytes);
     };
