Ask once for a turn at a server that limits its requests

By reading: a router that couldn't ask the agent of a limited server denied a turn with at most 2 s to wait, since the link may be back by then. A request with more time left took that for a turn that it could wait for, asked again at once, was denied again, and so on until its deadline: a busy loop for each waiting request, on both threads. The same held for a denial because 1,024 requests waited already.

Change: a request that was denied its turn at a server doesn't ask for it there again. If no other server is left it is refused at once, or waits for a load of its model. A permit whose connection couldn't be opened is given back, as DESIGN says. A permit names the run of its server, not the text of it.

Result: aRequestAsksOnceForItsTurn fails before (51 questions, where the test stops answering; 2 are allowed) and passes; forwarding_tests pass.

--- a/src/forwarding/internal/limitedservers.h
+++ b/src/forwarding/internal/limitedservers.h
@@ -16,7 +16,7 @@
 /// A request's permit to be sent to a limited server.
 struct RequestPermit {
     ratelimits::PermitNumber number;
-    ratelimits::ServerRunKey server;
+    catalog::UpstreamRun server;
     /// False until it is granted.
     bool isGranted = false;
     /// Whether the request waits for its turn. Otherwise the permit is granted at once or not at all.
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -266,7 +266,7 @@
     const framework::Deadline neededBy = search.mayWait ? spec_.firstEventBy : framework::Deadline(now);
     const auto routers = host_.upstreams().lastKnownRouters().value_or(assumedMaxRouters);
     RequestPermit permit;
-    permit.server = ratelimits::serverRunKey(search.permitAt->facts.run());
+    permit.server = search.permitAt->facts.run();
     permit.mayWait = search.mayWait;
     permit.number = host_.limits().nextPermit();
     permit_ = permit;
@@ -292,7 +292,10 @@
             dropPermit();
         return;
     }
-    host_.limits().didDeny(permit_->server, spec_.route->priority, reply.retryAfter, host_.now());
+    host_.limits().didDeny(
+        ratelimits::serverRunKey(permit_->server), spec_.route->priority, reply.retryAfter, host_.now());
+    if (permit_->mayWait)
+        tried_.withoutTurn.insert(permit_->server);
     permit_.reset();
     advance();
     host_.demandChanged();
@@ -394,7 +397,7 @@
     tried_.sentTo.insert(upstream.facts.run());
     survivedAt_.reset();
     usedPermit_.reset();
-    if (permit_ && permit_->isGranted && permit_->server == ratelimits::serverRunKey(upstream.facts.run()))
+    if (permit_ && permit_->isGranted && permit_->server == upstream.facts.run())
         usedPermit_ = std::exchange(permit_, std::nullopt);
     else
         dropPermit();
@@ -624,6 +627,7 @@
     UpstreamRecord& upstream = attempt_->guard().upstream();
     upstream.outlierDetector.didFail(host_.now());
     if (!mayHaveRun) {
+        returnUsedPermit();
         tried_.avoided.insert(upstream.facts.run());
         tried_.sentTo.erase(upstream.facts.run());
         if (isForModel())
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -145,7 +145,7 @@
 
     bool hasPermit(const UpstreamRecord& server) const
     {
-        return permit_ && permit_->isGranted && permit_->server == ratelimits::serverRunKey(server.facts.run());
+        return permit_ && permit_->isGranted && permit_->server == server.facts.run();
     }
 
     bool needsPermit(const UpstreamRecord& server) const
@@ -179,10 +179,15 @@
     {
         const auto until
             = [&](const UpstreamPointer& server) { return host_.limits().deniedUntil(*server, spec_.route->priority); };
-        const UpstreamPointer& soonest = *std::min_element(servers.begin(), servers.end(),
-            [&](const UpstreamPointer& left, const UpstreamPointer& right) { return until(left) < until(right); });
-        if (until(soonest) <= spec_.firstEventBy)
-            return permitNeeded(soonest, true);
+        const auto isSooner
+            = [&](const UpstreamPointer& left, const UpstreamPointer& right) { return until(left) < until(right); };
+        std::vector<UpstreamPointer> withTurn = servers;
+        std::erase_if(withTurn, [&](const UpstreamPointer& server) {
+            return tried_.withoutTurn.contains(server->facts.run()) || until(server) > spec_.firstEventBy;
+        });
+        if (!withTurn.empty())
+            return permitNeeded(*std::min_element(withTurn.begin(), withTurn.end(), isSooner), true);
+        const UpstreamPointer& soonest = *std::min_element(servers.begin(), servers.end(), isSooner);
         UpstreamSearch search = failed(NoUpstream::RateLimited);
         search.permittedAt = until(soonest);
         return search;
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -61,6 +61,8 @@
     std::set<catalog::UpstreamRun> sentTo;
     /// These servers couldn't be reached, or can't serve the request.
     std::set<catalog::UpstreamRun> avoided;
+    /// These servers limit their requests, and the request's turn there would come too late.
+    std::set<catalog::UpstreamRun> withoutTurn;
 
     bool has(const UpstreamRecord& server) const
     {
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -122,8 +122,10 @@
     void share(const ratelimits::LimitStatement& statement, const Endpoint&) override { shared_.push_back(statement); }
     void ask(const ratelimits::PermitOrder&, std::function<void(const ratelimits::PermitReply&)> handler) override
     {
-        ++asked_;
-        handler({ !denial_.has_value(), denial_.value_or(Milliseconds(0)), "test" });
+        // Bounds the test if requests ask without end.
+        constexpr std::size_t maxAsked = 50;
+        if (++asked_ <= maxAsked)
+            handler({ !denial_.has_value(), denial_.value_or(Milliseconds(0)), "test" });
     }
     void withdraw(const ratelimits::PermitNumber&) override { ++withdrawn_; }
 
@@ -699,6 +701,17 @@
     BOOST_TEST(exchange->retryAfter().count() <= 50000);
 }
 
+// Prevents a request that was denied its turn from asking for it again and again until its deadline.
+BOOST_AUTO_TEST_CASE(aRequestAsksOnceForItsTurn)
+{
+    permits.deny(Milliseconds(2000));
+    const auto exchange = send();
+    waitUntilAnswered(*exchange);
+    BOOST_TEST(permits.asked() <= 2u);
+    BOOST_TEST(exchange->status() == 503u);
+    BOOST_TEST(exchange->retryAfter().count() <= 2500);
+}
+
 // Prevents the loss of the permit of a caller that has left.
 BOOST_AUTO_TEST_CASE(aPermitThatIsNotUsedIsGivenBack)
 {
