Let a router without the agent decide while a limit's rate grows

By reading: after the end of a limit the rate of a router's own share was taken from the last statement, which names none, and was 0: the time until a permit was a division by it, converted to a whole number, and the timer of the decisions ran each millisecond. A router out of touch held such requests back until the server was free, up to 3 s.

Change: the router passes the rate that applies now, growth included; the time until a permit is bounded.

Result: withoutTheKeeperRequestsAreDecidedOnAfterTheEnd fails before (0 of 5 requests decided on in 0.7 s) and passes; ratelimits_tests pass.

--- a/src/forwarding/internal/limitedservers.cpp
+++ b/src/forwarding/internal/limitedservers.cpp
@@ -144,7 +144,9 @@
     const LimitStatement* const known = limits_.find(key);
     const LimitStatement statement = known ? *known : LimitStatement { key, std::nullopt, now, now };
     endpoints_[key] = server.facts.endpoint;
-    permits_.ask({ number, statement, server.facts.endpoint, priority, neededBy, routers }, std::move(handler));
+    const auto allowed = rate(server, now).value_or(ratelimits::RequestRate());
+    permits_.ask(
+        { number, statement, allowed, server.facts.endpoint, priority, neededBy, routers }, std::move(handler));
 }
 
 } // namespace lagoon::forwarding
--- a/src/ratelimits/internal/permitbucket.cpp
+++ b/src/ratelimits/internal/permitbucket.cpp
@@ -13,6 +13,8 @@
 
 /// Permits that were not asked for add up to those of this time, but at least to one.
 constexpr Seconds maxBurstTime { 0.1 };
+/// Longer than any request waits; a rate of 0 takes forever.
+constexpr Milliseconds maxTime { 3600 * 1000 };
 /// Sums of fractions don't quite add up.
 constexpr double tolerance = 1e-6;
 
@@ -42,7 +44,9 @@
     const double missing = static_cast<double>(permits) - available_;
     if (missing <= tolerance)
         return Milliseconds(0);
-    return Milliseconds(static_cast<std::int64_t>(std::ceil(missing / rate.value() * 1000)));
+    const double milliseconds = std::ceil(missing / rate.value() * 1000);
+    return milliseconds < static_cast<double>(maxTime.count()) ? Milliseconds(static_cast<std::int64_t>(milliseconds))
+                                                               : maxTime;
 }
 
 } // namespace lagoon::ratelimits
--- a/src/ratelimits/internal/permitexchange.cpp
+++ b/src/ratelimits/internal/permitexchange.cpp
@@ -2,7 +2,6 @@
 
 #include "framework/randomid.h"
 #include "policy/rendezvous.h"
-#include "ratelimits/limittable.h"
 
 #include <algorithm>
 #include <utility>
@@ -143,10 +142,7 @@
     OwnShare& share = known->second;
     if (isNew || now - share.usedAt > ownSharePause)
         share.queue.skip(now);
-    LimitTable limits;
-    limits.add(order.limit);
-    const double limit = limits.allowed(server, now).value_or(RequestRate(0)).value();
-    share.rate = RequestRate(ownShareOfLimit * limit / std::max<std::uint32_t>(1, order.routers));
+    share.rate = RequestRate(ownShareOfLimit * order.rate.value() / std::max<std::uint32_t>(1, order.routers));
     share.usedAt = now;
     return share;
 }
--- a/src/ratelimits/iserverpermits.h
+++ b/src/ratelimits/iserverpermits.h
@@ -15,6 +15,8 @@
     PermitNumber number;
     /// What the server said last.
     LimitStatement limit;
+    /// The rate at which all routers together may send requests to the server now.
+    RequestRate rate;
     framework::Endpoint endpoint;
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
--- a/src/ratelimits/tests/permitexchange_test.cpp
+++ b/src/ratelimits/tests/permitexchange_test.cpp
@@ -97,8 +97,8 @@
     PermitNumber ask(std::size_t index, double rate, Milliseconds patience, const Endpoint& endpoint = engine)
     {
         const PermitNumber number(++numbers);
-        const PermitOrder order { number, limit(rate), endpoint, 1, Deadline::after(control.now(), patience),
-            static_cast<std::uint32_t>(exchanges.size()) };
+        const PermitOrder order { number, limit(rate), RequestRate(rate), endpoint, 1,
+            Deadline::after(control.now(), patience), static_cast<std::uint32_t>(exchanges.size()) };
         exchanges[index]->ask(order, [this](const PermitReply& reply) {
             if (reply.isGranted)
                 sends.push_back(control.now());
@@ -238,6 +238,22 @@
     BOOST_TEST(routers.sends.size() == before);
 }
 
+// Prevents a router that is out of touch from holding requests back while the rate grows after the end of a limit.
+BOOST_AUTO_TEST_CASE(withoutTheKeeperRequestsAreDecidedOnAfterTheEnd)
+{
+    Routers routers(1);
+    routers.stopAgent(engine);
+    const LimitStatement ended { server, std::nullopt, routers.control.now(), routers.control.now() };
+    std::size_t decided = 0;
+    for (std::uint64_t number = 1; number <= 5; ++number) {
+        const PermitOrder order { PermitNumber(number), ended, RequestRate(40), engine, 1,
+            Deadline::after(routers.control.now(), Milliseconds(1000)), 1 };
+        routers.exchanges[0]->ask(order, [&](const PermitReply&) { ++decided; });
+    }
+    routers.control.advance(Milliseconds(700));
+    BOOST_TEST(decided == 5u);
+}
+
 // Prevents a request from being kept waiting without end for an answer that was lost.
 BOOST_AUTO_TEST_CASE(anUnansweredQuestionIsADenial)
 {
