Make the name of a server's run once

quarantine and limits composed the same text in two places. A comment that only its writer could read is reworded. No change of behaviour; forwarding_tests pass.

--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/internal/upstreamtable.h"
 
+#include "ratelimits/types/serverlimit.h"
+
 #include <algorithm>
 #include <set>
 
@@ -74,10 +76,7 @@
 
 quarantine::ServerRunId serverRunId(const catalog::UpstreamRun& run)
 {
-    std::string text = run.instance.value();
-    if (run.started)
-        text += '@' + std::to_string(run.started->value());
-    return quarantine::ServerRunId(std::move(text));
+    return quarantine::ServerRunId(ratelimits::serverRunKey(run).value());
 }
 
 void UpstreamTable::setUpstreams(const std::vector<Upstream>& upstreams)
--- a/src/quarantine/internal/requestquarantine.cpp
+++ b/src/quarantine/internal/requestquarantine.cpp
@@ -38,7 +38,7 @@
 /// The end of a server shows within this time.
 constexpr Milliseconds possibleCutRetention { 6000 };
 constexpr std::size_t maxPossibleCuts = 256;
-/// For each router; clearances take longer from one to all others.
+/// The other routers are told of a sound part at a time drawn from this for each router, so that few tell them.
 constexpr Milliseconds clearanceSpread { 5 };
 
 const char* text(EndSign sign)
