Refuse streams that nobody recorded, however long one version has been alone

Cause: a stream without a record went on at the only version that the router's list had shown for longer than its callers wait. A router that has just started knows neither what callers stated to routers that were killed nor the timeouts of earlier configurations, and no router knows the callers of the others. With all routers killed at once, all agents restarted and one version's servers gone, take-ups were answered 200 with the other version's events.

Change: VersionHistory and all that fed it are removed; only a record lets a stream go on. The soak's kind "versions" kills all routers at one moment, and streamversion.pml has the guess as a broken variant.

Ruled out by new tests of the real programs, which also passed before: all routers killed with the agents alive, servers that leave while all routers are down, a router paused over the release.

--- a/models/streamversion.pml
+++ b/models/streamversion.pml
@@ -5,14 +5,16 @@
  *
  * Servers of two versions serve. The first router sends the attempt to one of them and tells two keepers. Faults: the
  * server breaks off before or after an event; the first router dies; messages to a keeper are lost from some moment on;
- * a keeper restarts and knows nothing. The caller then takes the stream up at the second router, which asks one of the
- * keepers that it can reach.
+ * a keeper restarts and knows nothing. The caller then takes the stream up at the second router, which has just started
+ * and knows nothing but what one of the keepers that it can reach answers, and which servers are listed: those of the
+ * stream's version may have left.
  *
  * Variants that are broken on purpose:
  *   ANY_SERVER        after an event, the first router retries at any server
  *   NO_RETRACTION     before an event, the first router moves to the other version without retracting its record
  *   ONE_CONFIRMATION  it moves as soon as one keeper has confirmed the retraction
  *   GUESS             the second router takes an unknown stream for one of the first version
+ *   ONLY_VERSION      the second router takes an unknown stream for one of the version of all listed servers
  *   OLDER_WINS        a keeper keeps the record that arrives last, not that of the last dispatch */
 
 #define KEEPERS 2
@@ -33,6 +35,8 @@
 /* The version of the events that the caller has; 0 if it has none. */
 byte received = 0;
 bool isFirstRouterOver = false;
+/* Whether servers of the version are listed; versions count from 1. */
+bool isListed[3] = true;
 
 inline deliverEvent(version)
 {
@@ -159,6 +163,16 @@
     isFirstRouterOver = true
 }
 
+/* All servers of a version leave. */
+proctype release()
+{
+    if
+    :: isListed[1] = false
+    :: isListed[2] = false
+    :: skip
+    fi
+}
+
 proctype secondRouter()
 {
     byte known = 0;
@@ -172,9 +186,16 @@
     :: known == 0 -> known = 1
     :: else -> skip
     fi;
+#endif
+#ifdef ONLY_VERSION
+    if
+    :: known == 0 && isListed[1] && !isListed[2] -> known = 1
+    :: known == 0 && isListed[2] && !isListed[1] -> known = 2
+    :: else -> skip
+    fi;
 #endif
     if
-    :: known != 0 -> deliverEvent(known)
+    :: known != 0 && isListed[known] -> deliverEvent(known)
     :: else -> skip
     fi
 }
@@ -185,6 +206,7 @@
         run keeper(1, toKeeper1);
         run cuts();
         run firstRouter();
+        run release();
         run secondRouter()
     }
 }
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -6,7 +6,6 @@
 #include "forwarding/internal/demandpublisher.h"
 #include "forwarding/internal/requestjob.h"
 #include "forwarding/requestsbykey.h"
-#include "forwarding/versionhistory.h"
 #include "framework/boundedlabels.h"
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
@@ -45,10 +44,6 @@
 /// The fraction of the operators' retry reserve that all routers together plan with. A router that has just started has
 /// a full share again and may not know yet how many routers there are.
 constexpr double plannedReserveShare = 0.6;
-/// A caller's time may end this much later than it states, by delays on the way.
-constexpr Milliseconds callerTimeSlack { 1000 };
-/// Longer than any stream lasts.
-constexpr Milliseconds maxCallerTime { std::chrono::hours(24) };
 
 /// The last part of a prompt belongs to the request itself or to its session.
 quarantine::RequestIdentity identityOf(const http::Request& request, const RequestFacts& facts)
@@ -137,7 +132,6 @@
         ranking_ = std::make_unique<catalog::Ranking>(*configuration);
         identity_.setConfiguration(configuration);
         customerTurns_.setConfiguration(configuration);
-        noteStreamTimeouts(*configuration);
         endRevoked(*configuration);
         upstreams_.setConfiguration(std::move(configuration));
         dispatchWaiting();
@@ -150,16 +144,11 @@
         quarantine_->setServers(list.size());
         quarantine_->setRouters(upstreams_.routers());
         upstreams_.setUpstreams(list);
-        versions_.didList(list, now());
         dispatchWaiting();
         schedulePlan(urgentPlanDelay);
     }
 
-    void didConfirmUpstreams(framework::SteadyTime at)
-    {
-        upstreams_.didConfirmList(at);
-        versions_.didConfirm(at);
-    }
+    void didConfirmUpstreams(framework::SteadyTime at) { upstreams_.didConfirmList(at); }
 
     void setState(catalog::EngineState state)
     {
@@ -231,13 +220,6 @@
     streams::IStreamOrigins& origins() override { return context_.origins; }
     quotas::ICustomerQuotas& quotas() override { return context_.quotas; }
     CustomerTurns& customerTurns() override { return customerTurns_; }
-    std::optional<catalog::SoftwareVersion> soleVersion(const ServiceName& service) const override
-    {
-        const auto longest = longestCallerTimes_.find(service);
-        if (longest == longestCallerTimes_.end())
-            return std::nullopt;
-        return versions_.soleVersion(service, now() - longest->second - callerTimeSlack, now());
-    }
 
     bool spendRetry(const ServiceName& service) override
     {
@@ -340,7 +322,6 @@
         spec.deadline = Deadline::after(exchange->receivedAt(), callerTimeout);
         const Milliseconds untilFirst = route.callerIdleTimeout.count() > 0 ? route.callerIdleTimeout : callerTimeout;
         spec.firstEventBy = Deadline::after(exchange->receivedAt(), std::min(callerTimeout, untilFirst));
-        noteCallerTime(route, facts.timeLeft.value_or(route.timeout));
         demandPublisher_.didArrive(spec.service, facts, now());
         const http::Request& request = exchange->request();
         spec.identity = identityOf(request, facts);
@@ -388,23 +369,6 @@
         return budget;
     }
 
-    /// Callers of earlier configurations count as well: they may still have their streams.
-    void noteStreamTimeouts(const catalog::Configuration& configuration)
-    {
-        for (const catalog::Route& route : configuration.routes)
-            noteCallerTime(route, route.timeout);
-    }
-
-    void noteCallerTime(const catalog::Route& route, Milliseconds time)
-    {
-        if (route.kind != catalog::RouteKind::Streaming)
-            return;
-        for (const catalog::RouteTarget& target : route.targets) {
-            Milliseconds& longest = longestCallerTimes_[target.service];
-            longest = std::max(longest, std::min(time, maxCallerTime));
-        }
-    }
-
     void unindexJob(const std::shared_ptr<RequestJob>& job)
     {
         const auto ofModel = jobsByModel_.find(job->spec().facts.model);
@@ -553,10 +517,6 @@
     std::unique_ptr<framework::Timer> startByTimer_;
     UpstreamTable upstreams_;
     LimitedServers limits_;
-    VersionHistory versions_;
-    /// The longest time that callers of each service's streams have for all their tries, by the routes' timeouts and by
-    /// what callers stated.
-    std::map<ServiceName, Milliseconds> longestCallerTimes_;
     std::shared_ptr<quarantine::RequestQuarantine> quarantine_;
     std::unique_ptr<catalog::RouteTable> routes_;
     std::unique_ptr<catalog::Ranking> ranking_;
--- a/src/forwarding/internal/ijobhost.h
+++ b/src/forwarding/internal/ijobhost.h
@@ -40,7 +40,6 @@
 
     /// Returns the version of the service's software if there has been no other since before any stream began that can
     /// still be taken up.
-    virtual std::optional<catalog::SoftwareVersion> soleVersion(const framework::ServiceName&) const = 0;
 
     /// Spends one retry of the service's budget; returns false if none is left.
     [[nodiscard]] virtual bool spendRetry(const framework::ServiceName&) = 0;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -141,9 +141,9 @@
         return;
     const auto keepAlive = shared_from_this();
     awaitsOrigin_ = false;
-    const auto origin = answer.origin ? answer.origin : soleOrigin();
-    const char* const outcome = takeUpOutcome(origin, answer.origin.has_value());
-    logDecision(takenUpLine(spec_, origin, answer, outcome));
+    const auto& origin = answer.origin;
+    const char* const outcome = takeUpOutcome(origin);
+    logDecision(takenUpLine(spec_, answer, outcome));
     host_.metrics().count("lagoon_streams_taken_up_total",
         { { "service", origin ? origin->service.value() : spec_.service.value() }, { "outcome", outcome } });
     if (!origin)
@@ -155,23 +155,11 @@
     advance();
 }
 
-/// Returns the only software that can have begun a stream of which nothing is recorded.
-std::optional<streams::StreamOrigin> RequestJob::soleOrigin() const
-{
-    if (spec_.route->targets.size() != 1)
-        return std::nullopt;
-    const framework::ServiceName& service = spec_.route->targets.front().service;
-    const auto version = host_.soleVersion(service);
-    return version ? std::optional(streams::StreamOrigin { service, *version }) : std::nullopt;
-}
-
-const char* RequestJob::takeUpOutcome(const std::optional<streams::StreamOrigin>& origin, bool isRecorded) const
+const char* RequestJob::takeUpOutcome(const std::optional<streams::StreamOrigin>& origin) const
 {
     if (!origin)
         return "unknown";
-    if (!isRoutedTo(*spec_.route, origin->service))
-        return "other_service";
-    return isRecorded ? "recorded" : "only_version";
+    return isRoutedTo(*spec_.route, origin->service) ? "recorded" : "other_service";
 }
 
 void RequestJob::armDeadline()
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -133,8 +133,7 @@
     void beginSearch();
     void findOrigin();
     void didFindOrigin(const streams::OriginAnswer&);
-    std::optional<streams::StreamOrigin> soleOrigin() const;
-    const char* takeUpOutcome(const std::optional<streams::StreamOrigin>& origin, bool isRecorded) const;
+    const char* takeUpOutcome(const std::optional<streams::StreamOrigin>&) const;
     std::optional<streams::StreamOrigin> originAt(const UpstreamRecord&) const;
     streams::DispatchRecord nextRecord(std::optional<streams::StreamOrigin>);
     void recordOrigin(const std::optional<streams::StreamOrigin>&);
--- a/src/forwarding/internal/requestlog.cpp
+++ b/src/forwarding/internal/requestlog.cpp
@@ -64,9 +64,9 @@
     return line;
 }
 
-LogLine takenUpLine(const JobSpec& spec, const std::optional<streams::StreamOrigin>& origin,
-    const streams::OriginAnswer& answer, const char* outcome)
+LogLine takenUpLine(const JobSpec& spec, const streams::OriginAnswer& answer, const char* outcome)
 {
+    const auto& origin = answer.origin;
     LogLine line("stream_taken_up");
     line.text("id", spec.facts.attempt)
         .text("route", spec.route->name.value())
--- a/src/forwarding/internal/requestlog.h
+++ b/src/forwarding/internal/requestlog.h
@@ -29,9 +29,8 @@
 std::string sharedPartIds(const RequestFacts&);
 /// The log lines of one request; docs/OPERATIONS.md describes their fields.
 framework::LogLine sentLine(const JobSpec&, const ChosenUpstream&, std::uint32_t sends, framework::SteadyTime now);
-/// A caller takes up a stream that `origin` began.
-framework::LogLine takenUpLine(const JobSpec&, const std::optional<streams::StreamOrigin>& origin,
-    const streams::OriginAnswer&, const char* outcome);
+/// A caller takes up a stream.
+framework::LogLine takenUpLine(const JobSpec&, const streams::OriginAnswer&, const char* outcome);
 framework::LogLine endedLine(const JobSpec&, const RequestEnd&);
 /// Whether a stream paused for longer than its route allows.
 bool hasPausedTooLong(const JobSpec&, const RequestEnd&);
--- a/src/forwarding/tests/forwarder_test.cpp
+++ b/src/forwarding/tests/forwarder_test.cpp
@@ -22,8 +22,17 @@
 /// Every request is for one model, and its caller waits for 15 seconds.
 class OneModelDialect final : public IRequestDialect {
 public:
-    /// The callers of later requests take up the stream that this attempt began.
-    void setResumedAttempt(const std::string& attempt) { resumedAttempt_ = attempt; }
+    /// The callers of later requests take up the stream that this attempt began; empty if they don't name it.
+    void takeUpStreams(const std::string& attempt)
+    {
+        resumedAttempt_ = attempt;
+        lastEvent_ = 5;
+    }
+    void beginStreams()
+    {
+        resumedAttempt_.clear();
+        lastEvent_.reset();
+    }
     /// The time that the callers of later requests state.
     void setTimeLeft(Milliseconds timeLeft) { timeLeft_ = timeLeft; }
 
@@ -31,8 +40,7 @@
     {
         RequestFacts facts;
         facts.resumedAttempt = resumedAttempt_;
-        if (!resumedAttempt_.empty())
-            facts.lastEvent = 5;
+        facts.lastEvent = lastEvent_;
         facts.attempt = "a1";
         facts.timeLeft = timeLeft_;
         facts.model = ModelName("rare");
@@ -62,6 +70,7 @@
 
 private:
     std::string resumedAttempt_;
+    std::optional<std::uint64_t> lastEvent_;
     Milliseconds timeLeft_ { 15000 };
 };
 
@@ -406,7 +415,7 @@
     TakenUpStreams()
     {
         onTraffic([this] {
-            dialect.setResumedAttempt("a0");
+            dialect.takeUpStreams("a0");
             forwarder.didConfirmUpstreams(clock.now());
         });
     }
@@ -468,11 +477,20 @@
 // Prevents a guess where nobody knows which version began a stream.
 BOOST_AUTO_TEST_CASE(anUnknownStreamIsRefusedAtOnce) { BOOST_TEST(isRefusedAtOnce(*takeUp(stateWithModel()))); }
 
-// Prevents a refusal where the stream can only have begun at the one version that there is.
-BOOST_AUTO_TEST_CASE(anUnknownStreamGoesOnIfThereHasBeenOneVersionAlone)
+// Prevents a guess where this router has seen one version alone for longer than any caller that it knows of waits: the
+// stream's caller may have waited for longer, and other routers may have known other servers.
+BOOST_AUTO_TEST_CASE(anUnknownStreamIsRefusedHoweverLongThereHasBeenOneVersionAlone)
 {
-    BOOST_TEST(!takeUpAfter(Milliseconds(17000))->isAnswered());
-    onTraffic([this] { forwarder.answerNow(); });
+    BOOST_TEST(isRefusedAtOnce(*takeUpAfter(Milliseconds(17000))));
+    dialect.setTimeLeft(Milliseconds(2000));
+    BOOST_TEST(isRefusedAtOnce(*takeUpAfter(Milliseconds(17000))));
+}
+
+// Prevents a guess for a caller that doesn't name the attempt that began its stream.
+BOOST_AUTO_TEST_CASE(aStreamWithoutItsAttemptIsRefusedAtOnce)
+{
+    dialect.takeUpStreams("");
+    BOOST_TEST(isRefusedAtOnce(*takeUpAfter(Milliseconds(17000))));
 }
 
 // Prevents a guess where the stream may have begun before the list showed one version alone, although its caller states
@@ -686,7 +704,7 @@
         catalog::EngineState state = stateWithModel();
         state.engine = server.endpoint;
         onTraffic([&] {
-            dialect.setResumedAttempt("");
+            dialect.beginStreams();
             forwarder.setUpstreams({ server });
             forwarder.setEngineState(state);
             const ratelimits::ServerRunKey key = ratelimits::serverRunKey(server.run());
--- a/tests/integration/streamversions_test.cpp
+++ b/tests/integration/streamversions_test.cpp
@@ -16,6 +16,7 @@
 constexpr int streamLength = 12;
 constexpr int eventPauseMs = 10;
 constexpr std::size_t routers = 3;
+constexpr int shortDeadlineMs = 900;
 
 /// A caller that takes its stream up at any router until it has all of it.
 struct StreamCaller {
@@ -105,6 +106,35 @@
         }
     }
 
+    void killAllRouters()
+    {
+        for (std::size_t router = 0; router < routers; ++router)
+            fleet.router(router).kill();
+    }
+
+    void startAllRouters()
+    {
+        for (std::size_t router = 0; router < routers; ++router)
+            fleet.startRouter(router);
+    }
+
+    /// Ends each process that knows where streams were sent, and starts it again.
+    void restartAll()
+    {
+        killAllRouters();
+        for (std::size_t agent = 0; agent < fleet.engines(); ++agent)
+            fleet.startAgent(agent);
+        startAllRouters();
+    }
+
+    /// Waits until the router serves a new stream.
+    void waitUntilServed(std::size_t router)
+    {
+        waitFor("new streams to be served", [&] {
+            return fleet.call(StreamCaller { nextAttempt(), {} }.request(1, shortDeadlineMs), router).status == 200;
+        });
+    }
+
     /// Waits until all routers' logs have the text so many times.
     void waitForLogs(const std::string& text, std::size_t times)
     {
@@ -354,6 +384,97 @@
     BOOST_TEST(runs(caller.attempt + "-3") == 0);
 }
 
+// Prevents a stream from going on at the only version that is left, once routers that were all killed at once have seen
+// no other for longer than the routes' timeouts: their callers may have waited for longer before.
+BOOST_AUTO_TEST_CASE(theOnlyVersionLeftIsNotTakenForThatOfAnUnknownStream)
+{
+    auto routes = Fleet::defaultRoutes();
+    for (auto& route : routes)
+        route["timeout-ms"] = web::json::value::number(1000);
+    fleet.configure(routes);
+    StreamCaller caller { nextAttempt(), {} };
+    begin(caller, 3, 0);
+    unlistAllBut(*caller.stream.versions().begin() == "v1" ? "v2" : "v1");
+    restartAll();
+    for (std::size_t router = 0; router < routers; ++router)
+        waitUntilServed(router);
+    // Longer than the timeouts and the delays with which a router learns of servers.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    CallerRequest unnamed = caller.request(2, shortDeadlineMs);
+    unnamed.attempt = "unnamed";
+    unnamed.headers.erase("Resumes");
+    BOOST_TEST(fleet.call(unnamed, 1).status == 503);
+    BOOST_TEST(runs(unnamed.attempt) == 0);
+    for (std::size_t router = 0; router < routers; ++router) {
+        const int number = static_cast<int>(router) + 3;
+        BOOST_TEST(fleet.call(caller.request(number, shortDeadlineMs), router).status == 503);
+        BOOST_TEST(runs(caller.attempt + "-" + std::to_string(number)) == 0);
+    }
+}
+
+// Prevents streams from being lost, or joined from two versions, when all routers are killed at once.
+BOOST_AUTO_TEST_CASE(streamsAreTakenUpAtTheirVersionAfterAllRoutersWereKilled)
+{
+    constexpr std::size_t streams = 12;
+    std::vector<StreamCaller> callers;
+    for (std::size_t number = 0; number < streams; ++number) {
+        callers.push_back({ nextAttempt(), {} });
+        begin(callers.back(), 3, number % routers);
+    }
+    killAllRouters();
+    startAllRouters();
+    for (std::size_t number = 0; number < streams; ++number) {
+        StreamCaller& caller = callers[number];
+        int attempt = 1;
+        // Routers that have just started may know neither servers nor agents yet.
+        waitFor("the stream to be taken up", [&] {
+            ++attempt;
+            return takeUp(caller, attempt, (number + static_cast<std::size_t>(attempt)) % routers).status == 200;
+        });
+        BOOST_TEST(isWhole(caller));
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+    }
+}
+
+// Prevents the version that is left from being taken for that of streams whose servers left while all routers were
+// down.
+BOOST_AUTO_TEST_CASE(streamsOfServersThatLeftWhileAllRoutersWereDownAreRefused)
+{
+    StreamCaller caller { nextAttempt(), {} };
+    begin(caller, 3, 0);
+    const std::string version = *caller.stream.versions().begin();
+    killAllRouters();
+    unlistAllBut(version == "v1" ? "v2" : "v1");
+    startAllRouters();
+    for (std::size_t router = 0; router < routers; ++router) {
+        waitUntilServed(router);
+        const int number = static_cast<int>(router) + 2;
+        BOOST_TEST(takeUp(caller, number, router).status == 503);
+        BOOST_TEST(runs(caller.attempt + "-" + std::to_string(number)) == 0);
+    }
+}
+
+// Prevents a router that was paused during a release from going on with a stream at a version that it takes for the
+// only one.
+BOOST_AUTO_TEST_CASE(aRouterThatWasPausedDuringAReleaseJoinsNoVersions)
+{
+    StreamCaller caller { nextAttempt(), {} };
+    begin(caller, 3, 0);
+    const std::string version = *caller.stream.versions().begin();
+    fleet.router(2).sendSignal(SIGSTOP);
+    fleet.router(0).kill();
+    fleet.router(1).kill();
+    unlistAllBut(version == "v1" ? "v2" : "v1");
+    fleet.startRouter(0);
+    fleet.startRouter(1);
+    waitUntilServed(0);
+    fleet.router(2).sendSignal(SIGCONT);
+    for (int number = 2; number < 6; ++number) {
+        (void)takeUp(caller, number, 2);
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+    }
+}
+
 // Prevents a guess, or a wait until the deadline, at a router that reaches no agent.
 BOOST_AUTO_TEST_CASE(withoutAgentsOnlyItsOwnRouterTakesAStreamUp)
 {
--- a/tests/soak/processsupervisor.cpp
+++ b/tests/soak/processsupervisor.cpp
@@ -142,6 +142,12 @@
     killed.state = killed.comesBack ? State::Down : State::Retired;
 }
 
+void ProcessSupervisor::killAll(Role role)
+{
+    for (std::size_t index = 0; index < count(role); ++index)
+        kill(role, index);
+}
+
 void ProcessSupervisor::pause(Role role, std::size_t index)
 {
     Slot& paused = slot(role, index);
--- a/tests/soak/processsupervisor.h
+++ b/tests/soak/processsupervisor.h
@@ -45,6 +45,8 @@
     void reload(Role, std::size_t index);
     /// Sends SIGKILL and schedules a restart.
     void kill(Role, std::size_t index);
+    /// Kills all processes of the role at the same moment.
+    void killAll(Role);
     /// Sends SIGSTOP, and SIGCONT after a random time.
     void pause(Role, std::size_t index);
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint64_t faultPauseRangeMs = 200;
 /// One in this many steps replaces an engine.
 constexpr std::uint64_t stepsPerReplacement = 3;
+/// One in this many steps kills all routers at once.
+constexpr std::uint64_t stepsPerKillOfAllRouters = 12;
 /// Much longer than an answer takes once all faults have ended.
 constexpr Milliseconds probeTimeout { 22000 };
 
@@ -129,6 +131,8 @@
             customerCallers_->changeKeys();
         if (settings_.kind == RunKind::Versions && runLog_.draw(stepsPerReplacement) == 0)
             operations.replaceEngine();
+        if (settings_.kind == RunKind::Versions && runLog_.draw(stepsPerKillOfAllRouters) == 0)
+            supervisor_.killAll(Role::Router);
         if (faultInjector_) {
             faultInjector_->inject(supervisor_, operations);
             pollFor(runLog_.drawDuration(minFaultPauseMs, faultPauseRangeMs));
