Let routers state their uses of quotas to keepers that take over

Cause: a keeper that took over knew nothing of what had been granted.

Change: routers remember what they used in the last 15 s and state it to a keeper that they begin to ask; the keeper calculates its level from the uses of all of them. What a router that has just started may have used before is assumed as until now. A grant that arrives after the router has told another keeper its uses is charged there. Draws wait for keepers that are slow until half of their callers' time is over. quota_denial_begun says how much was used.

--- a/src/forwarding/internal/quotaclaim.cpp
+++ b/src/forwarding/internal/quotaclaim.cpp
@@ -35,7 +35,7 @@
     if (!spec.customer || !spec.customer->quota.isLimited())
         return false;
     const catalog::Quota& quota = spec.customer->quota;
-    draw_ = { spec.customer->name, quota, spec.configuration->version, costOf(quota, spec.facts) };
+    draw_ = { spec.customer->name, quota, spec.configuration->version, costOf(quota, spec.facts), spec.firstEventBy };
     // The reply comes later, and not at all once the draw is withdrawn.
     pending_ = quotas_.draw(
         *draw_, [this, handler = std::move(handler)](const quotas::DrawReply& reply) { didReply(reply, handler); });
--- a/src/quotas/benchmarks/quotabenchmark.cpp
+++ b/src/quotas/benchmarks/quotabenchmark.cpp
@@ -47,7 +47,7 @@
 {
     quotas::QuotaUpdate update;
     update.standing = quotas::RouterStanding { VmName("router-" + std::to_string(router)),
-        usable.empty() ? Endpoint() : usable.front(), usable, false, routers };
+        usable.empty() ? Endpoint() : usable.front(), usable, false, routers, {}, Milliseconds(0) };
     update.tolerance = 110000;
     return update;
 }
--- a/src/quotas/internal/allowance.cpp
+++ b/src/quotas/internal/allowance.cpp
@@ -55,9 +55,9 @@
     return true;
 }
 
-void Allowance::begin(double amount)
+void Allowance::begin(double level)
 {
-    credit(amount);
+    setLevel(level);
     mayExceedOnce_ = true;
 }
 
--- a/src/quotas/internal/quotaexchange.cpp
+++ b/src/quotas/internal/quotaexchange.cpp
@@ -18,8 +18,11 @@
 
 /// Agents answer within milliseconds. A keeper that takes longer may stand still, and another one is asked.
 constexpr Milliseconds answerTimeout { 250 };
-/// A router that has just started has its first link within a few network delays.
+/// A router that has just started has its first link within a few network delays. Without one, another router may have
+/// a keeper, so that callers shouldn't wait here.
 constexpr Milliseconds keeperTimeout { 600 };
+/// Keepers that are slow are waited for until this much of the caller's time is over.
+constexpr int waitedPartOfTime = 2;
 /// Less than the retention of a silent router at the keepers, so that they hold back what it grants on its own.
 constexpr Milliseconds maxTimeAlone { 45000 };
 /// Another router may have a keeper.
@@ -54,6 +57,7 @@
     : context_(std::move(context))
     , linkedRouters_(countRetention)
     , countedRouters_(countRetention)
+    , startedAt_(context_.clock.now())
 {
 }
 
@@ -173,14 +177,50 @@
     const auto [known, isFirst] = stated_.try_emplace(keeper, usable);
     const bool isUnchanged = !isNew && !isFirst && known->second == usable;
     known->second = usable;
-    update.standing = RouterStanding { context_.router, keeper, {}, isUnchanged, routers };
-    if (!isUnchanged)
-        update.standing->usable = usable;
+    update.standing = RouterStanding { context_.router, keeper, {}, isUnchanged, routers, {}, Milliseconds(0) };
+    if (isUnchanged)
+        return;
+    update.standing->usable = usable;
+    update.standing->past = pastUses(keeper, usable);
+    update.standing->remembered = std::chrono::duration_cast<Milliseconds>(context_.clock.now() - startedAt_);
+}
+
+/// The uses of the customers for which this router asks the keeper.
+std::vector<CustomerPastUse> QuotaExchange::pastUses(const Endpoint& keeper, const std::vector<Endpoint>& usable)
+{
+    const SteadyTime now = context_.clock.now();
+    std::vector<CustomerPastUse> all;
+    for (auto& [customer, use] : used_) {
+        use.expire(now);
+        if (use.isEmpty() || keeperOf(customer, usable) != keeper)
+            continue;
+        CustomerPastUse past { customer, {} };
+        for (const RecentUse::Step& step : use.steps())
+            past.uses.push_back(
+                { std::chrono::duration_cast<Milliseconds>(now - std::min(now, step.at)), step.amount });
+        all.push_back(std::move(past));
+    }
+    return all;
+}
+
+void QuotaExchange::noteUse(const QuotaDraw& draw)
+{
+    RecentUse& use = used_[draw.customer];
+    use.expire(context_.clock.now());
+    use.add(draw.cost, context_.clock.now());
+}
+
+void QuotaExchange::forgetOldUses()
+{
+    for (auto& [customer, use] : used_)
+        use.expire(context_.clock.now());
+    std::erase_if(used_, [](const auto& entry) { return entry.second.isEmpty(); });
 }
 
 void QuotaExchange::tick()
 {
     restate();
+    forgetOldUses();
     tickTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), standingInterval), [this] { tick(); });
 }
 
@@ -242,7 +282,10 @@
     order.keeper = Endpoint();
     if (order.timeout)
         return;
-    order.timeout = context_.control.runAt(Deadline::after(context_.clock.now(), keeperTimeout), [this, number] {
+    const SteadyTime now = context_.clock.now();
+    const Milliseconds timeLeft = order.draw.neededBy.remaining(now);
+    const Milliseconds wait = hasOpenKeeper() ? std::max(keeperTimeout, timeLeft / waitedPartOfTime) : keeperTimeout;
+    order.timeout = context_.control.runAt(Deadline::after(now, wait), [this, number] {
         reply(number, { DrawOutcome::Undecided, retryAfterUndecided, "no keeper" });
     });
 }
@@ -258,6 +301,11 @@
     decide(number);
 }
 
+bool QuotaExchange::hasOpenKeeper() const
+{
+    return std::any_of(open_.begin(), open_.end(), [this](const Endpoint& one) { return keepers_.contains(one); });
+}
+
 bool QuotaExchange::mayDecideAlone() const
 {
     return lastUsableAt_ && allRouters_ > 0 && context_.clock.now() - *lastUsableAt_ < maxTimeAlone;
@@ -277,7 +325,7 @@
     if (share.draw(order.draw.cost))
         return reply(number, { DrawOutcome::Granted, Milliseconds(0), "own share" });
     // Keepers with an open link may merely be slow.
-    if (std::any_of(open_.begin(), open_.end(), [this](const Endpoint& one) { return keepers_.contains(one); }))
+    if (hasOpenKeeper())
         return awaitKeeper(number, order);
     const Milliseconds wait = share.deny(order.draw.cost, context_.clock.now());
     // Another router may have a keeper, with more left.
@@ -297,6 +345,10 @@
         const auto order = orders_.find(decision.number);
         if (order == orders_.end() || order->second.keeper != from)
             continue;
+        // The present keeper was told this router's uses before it knew of this one.
+        if (const auto keeper = keeperOf(order->second.draw.customer, usable());
+            decision.isGranted && keeper && *keeper != from)
+            pendingFor(*keeper).charged.push_back(order->second.draw);
         reply(decision.number, replyTo(decision));
     }
 }
@@ -309,6 +361,8 @@
     context_.metrics.count("lagoon_customer_draws_total",
         { { "customer", labels_.label(order.mapped().draw.customer.value()) },
             { "outcome", outcomeLabel(reply.outcome) } });
+    if (reply.outcome == DrawOutcome::Granted)
+        noteUse(order.mapped().draw);
     if (order.mapped().handler)
         order.mapped().handler(reply);
     else if (reply.outcome == DrawOutcome::Granted)
@@ -336,6 +390,8 @@
 
 void QuotaExchange::giveBack(const QuotaDraw& draw)
 {
+    if (const auto used = used_.find(draw.customer); used != used_.end())
+        used->second.takeBack(draw.cost);
     if (const auto keeper = keeperOf(draw.customer, usable()))
         pendingFor(*keeper).returned.push_back(draw);
     else if (mayDecideAlone())
@@ -344,6 +400,7 @@
 
 void QuotaExchange::charge(const QuotaDraw& draw)
 {
+    noteUse(draw);
     if (const auto keeper = keeperOf(draw.customer, usable()))
         pendingFor(*keeper).charged.push_back(draw);
     else if (mayDecideAlone())
--- a/src/quotas/internal/quotakeeper.cpp
+++ b/src/quotas/internal/quotakeeper.cpp
@@ -15,12 +15,14 @@
 using framework::Milliseconds;
 using framework::SteadyTime;
 
-/// The rest of burst and tolerance may have been granted by others just before: keepers may end one after the other.
-constexpr double initialPart = 0.25;
+/// Of burst and tolerance, what a router that has just started can't have used before.
+constexpr double unusedPart = 0.25;
 /// Of a large burst, no more than comes in in this time.
-constexpr double maxInitialSeconds = 1;
-/// A keeper that nobody asked for less than this goes on with what it had.
-constexpr Milliseconds minAbsence { 10000 };
+constexpr double maxUnusedSeconds = 1;
+/// A router that restarts within this time of its last message can't have used much that this keeper doesn't know.
+constexpr Milliseconds maxRestartTime { 2000 };
+/// Much longer than any use is remembered.
+constexpr Milliseconds routerRetention { 60000 };
 /// Much longer than a bucket takes to fill. An allowance that nobody used for so long begins anew.
 constexpr Milliseconds allowanceRetention { 600 * 1000 };
 constexpr Milliseconds forgetInterval { 5000 };
@@ -49,16 +51,24 @@
         RouterStanding standing = *update.standing;
         standing.router = router;
         standings_.note(standing, context_.clock.now());
+        if (!standing.isUnchanged)
+            learnPastUses(router, standing);
+        if (const auto known = routers_.find(router); known != routers_.end())
+            known->second.heardAt = context_.clock.now();
     }
     applyShares();
     logRouters();
-    for (const QuotaDraw& draw : update.returned)
-        allowanceOf(draw).credit(draw.cost);
-    for (const QuotaDraw& draw : update.charged)
-        allowanceOf(draw).charge(draw.cost);
+    for (const QuotaDraw& draw : update.returned) {
+        used_[draw.customer][router].takeBack(draw.cost);
+        customerOf(draw).allowance.credit(draw.cost);
+    }
+    for (const QuotaDraw& draw : update.charged) {
+        customerOf(draw).allowance.charge(draw.cost);
+        noteUse(router, draw);
+    }
     QuotaUpdate answer;
     for (const DrawQuery& query : update.asked)
-        answer.answered.push_back(decide(query));
+        answer.answered.push_back(decide(router, query));
     answer.routers = standings_.routers();
     if (answer.answered.empty() && !update.standing)
         return std::nullopt;
@@ -71,45 +81,128 @@
     applyShares();
 }
 
+/// A router that remembers less of its uses than this keeper has restarted: what is known of it stays. One that asks
+/// other keepers now tells them instead.
+void QuotaKeeper::learnPastUses(const framework::VmName& router, const RouterStanding& standing)
+{
+    const SteadyTime now = context_.clock.now();
+    const SteadyTime remembersSince = now - standing.remembered;
+    self_ = standing.keeper;
+    const auto [known, isNew] = routers_.try_emplace(router, KnownRouter { now, now, {} });
+    known->second.usable = standing.usable;
+    const bool remembersAll = isNew || remembersSince <= known->second.knownSince;
+    if (!remembersAll && remembersSince - known->second.heardAt > maxRestartTime)
+        known->second.knownSince = remembersSince;
+    if (!remembersAll)
+        return;
+    known->second.knownSince = remembersSince;
+    replacePastUses(router, standing.past);
+}
+
+void QuotaKeeper::replacePastUses(const framework::VmName& router, const std::vector<CustomerPastUse>& stated)
+{
+    const SteadyTime now = context_.clock.now();
+    std::set<catalog::CustomerName> changed;
+    for (auto& [customer, uses] : used_) {
+        if (uses.erase(router) > 0)
+            changed.insert(customer);
+    }
+    for (const CustomerPastUse& past : stated) {
+        changed.insert(past.customer);
+        for (const PastUse& use : past.uses)
+            used_[past.customer][router].add(use.amount, now - use.age);
+    }
+    for (const catalog::CustomerName& name : changed) {
+        const auto customer = customers_.find(name);
+        if (customer != customers_.end() && customer->second.share > 0)
+            recalculate(*customer);
+    }
+}
+
 void QuotaKeeper::applyShares()
 {
     if (!standings_.update(context_.clock.now()))
         return;
-    for (auto& [name, customer] : allowances_) {
-        refill(customer);
-        setShare(customer, standings_.share(name));
+    for (auto& customer : customers_) {
+        refill(customer.second);
+        setShare(customer, standings_.share(customer.first));
     }
 }
 
-/// A greater share alone grants nothing at once: what it stands for may just have been granted elsewhere.
-void QuotaKeeper::setShare(CustomerAllowance& customer, double share)
+/// A greater share alone grants nothing: its routers may just have used what it stands for.
+void QuotaKeeper::setShare(Customers::value_type& customer, double share)
 {
-    const SteadyTime now = context_.clock.now();
-    const double before = std::exchange(customer.share, share);
-    if (before > 0 && share == 0)
-        customer.unaskedSince = now;
-    if (before == 0 && share > 0 && now - customer.unaskedSince > minAbsence)
-        customer.begunShare = 0;
-    refill(customer);
-    if (share <= customer.begunShare)
-        return;
-    const double whole = std::min(customer.quota.burst, maxInitialSeconds * customer.quota.perSecond) + tolerance_;
-    const double level = initialPart * whole - tolerance_;
-    customer.allowance.begin(level * (share - std::exchange(customer.begunShare, share)));
+    const double before = std::exchange(customer.second.share, share);
+    if (share > before)
+        recalculate(customer);
+    else
+        refill(customer.second);
 }
 
-void QuotaKeeper::refill(CustomerAllowance& customer)
+AllowanceTerms QuotaKeeper::terms(const CustomerAllowance& customer) const
 {
     const AllowanceTerms whole { customer.quota.perSecond, customer.quota.burst, tolerance_,
         customer.share > minShareForOversized };
-    customer.allowance.refill(whole.scaled(customer.share), context_.clock.now());
+    return whole.scaled(customer.share);
 }
 
-Allowance& QuotaKeeper::allowanceOf(const QuotaDraw& draw) { return customerOf(draw).allowance; }
+void QuotaKeeper::refill(CustomerAllowance& customer)
+{
+    customer.allowance.refill(terms(customer), context_.clock.now());
+}
+
+/// Sets the allowance to what the known and the assumed uses of late leave of it.
+void QuotaKeeper::recalculate(Customers::value_type& customer)
+{
+    const SteadyTime now = context_.clock.now();
+    std::vector<RecentUse::Step> uses = assumedUses(customer);
+    for (auto& [router, use] : used_[customer.first]) {
+        use.expire(now);
+        uses.insert(uses.end(), use.steps().begin(), use.steps().end());
+    }
+    refill(customer.second);
+    const double levelBefore = leastLevel(customer.second.quota) * customer.second.share;
+    customer.second.allowance.setLevel(levelAfter(std::move(uses), levelBefore, terms(customer.second), now));
+}
+
+/// The level that is assumed where nothing is known: keepers and routers may have granted nearly all just before.
+double QuotaKeeper::leastLevel(const catalog::Quota& quota) const
+{
+    return unusedPart * (std::min(quota.burst, maxUnusedSeconds * quota.perSecond) + tolerance_) - tolerance_;
+}
+
+/// What routers may have used before all of their uses are known.
+std::vector<RecentUse::Step> QuotaKeeper::assumedUses(const Customers::value_type& customer) const
+{
+    const auto& [name, allowance] = customer;
+    const double assumed = (allowance.quota.burst - leastLevel(allowance.quota)) / standings_.routers();
+    std::vector<RecentUse::Step> uses;
+    // Most routers can use the same keepers.
+    const std::vector<framework::Endpoint>* lastUsable = nullptr;
+    bool asksThis = false;
+    for (const auto& [router, known] : routers_) {
+        if (context_.clock.now() - known.knownSince >= RecentUse::retention)
+            continue;
+        if (!lastUsable || *lastUsable != known.usable) {
+            lastUsable = &known.usable;
+            asksThis = keeperOf(name, known.usable) == self_;
+        }
+        if (asksThis)
+            uses.push_back({ known.knownSince, assumed });
+    }
+    return uses;
+}
+
+void QuotaKeeper::noteUse(const framework::VmName& router, const QuotaDraw& draw)
+{
+    RecentUse& use = used_[draw.customer][router];
+    use.expire(context_.clock.now());
+    use.add(draw.cost, context_.clock.now());
+}
 
 QuotaKeeper::CustomerAllowance& QuotaKeeper::customerOf(const QuotaDraw& draw)
 {
-    const auto [known, isNew] = allowances_.try_emplace(draw.customer);
+    const auto [known, isNew] = customers_.try_emplace(draw.customer);
     CustomerAllowance& customer = known->second;
     if (!isNew)
         refill(customer);
@@ -117,21 +210,26 @@
         customer.quota = draw.quota;
         customer.version = draw.version;
     }
-    if (isNew)
-        setShare(customer, standings_.share(draw.customer));
-    else
+    if (isNew) {
+        customer.share = standings_.share(draw.customer);
+        recalculate(*known);
+        customer.allowance.begin(customer.allowance.level());
+    } else {
         refill(customer);
+    }
     customer.usedAt = context_.clock.now();
     return customer;
 }
 
-DrawDecision QuotaKeeper::decide(const DrawQuery& query)
+DrawDecision QuotaKeeper::decide(const framework::VmName& router, const DrawQuery& query)
 {
     CustomerAllowance& customer = customerOf(query.draw);
     const bool isGranted = customer.allowance.draw(query.draw.cost);
     context_.metrics.count("lagoon_quota_draws_total", { { "outcome", isGranted ? "granted" : "denied" } });
-    if (isGranted)
+    if (isGranted) {
+        noteUse(router, query.draw);
         return { query.number, true };
+    }
     noteDenial(query.draw.customer, customer);
     return { query.number, false, customer.allowance.deny(query.draw.cost, context_.clock.now()),
         customer.share < minShareOfWhole };
@@ -149,12 +247,26 @@
                     .number("burst", customer.quota.burst)
                     .number("version", customer.version.value())
                     .number("share", customer.share)
+                    .number("used", usedOf(name))
+                    .number("used_in_ms", RecentUse::retention.count())
                     .number("routers", standings_.routers()));
 }
 
+/// What all routers that ask this keeper are known to have used of late.
+double QuotaKeeper::usedOf(const catalog::CustomerName& name) const
+{
+    const auto uses = used_.find(name);
+    double sum = 0;
+    if (uses == used_.end())
+        return sum;
+    for (const auto& [router, use] : uses->second)
+        sum += use.sum();
+    return sum;
+}
+
 void QuotaKeeper::logEndsOfDenial()
 {
-    for (auto& [name, customer] : allowances_) {
+    for (auto& [name, customer] : customers_) {
         if (!customer.deniedUntil || !customer.deniedUntil->hasPassed(context_.clock.now()))
             continue;
         customer.deniedUntil.reset();
@@ -181,7 +293,14 @@
         return;
     forgetAt_ = Deadline::after(now, forgetInterval);
     logEndsOfDenial();
-    std::erase_if(allowances_, [&](const auto& entry) { return now - entry.second.usedAt > allowanceRetention; });
+    std::erase_if(customers_, [&](const auto& entry) { return now - entry.second.usedAt > allowanceRetention; });
+    std::erase_if(routers_, [&](const auto& entry) { return now - entry.second.heardAt > routerRetention; });
+    for (auto& [customer, uses] : used_) {
+        for (auto& [router, use] : uses)
+            use.expire(now);
+        std::erase_if(uses, [](const auto& entry) { return entry.second.isEmpty(); });
+    }
+    std::erase_if(used_, [](const auto& entry) { return entry.second.empty(); });
 }
 
 } // namespace lagoon::quotas
--- a/src/quotas/internal/quotawire.cpp
+++ b/src/quotas/internal/quotawire.cpp
@@ -15,6 +15,11 @@
 /// No request uses more; larger amounts come from a faulty sender.
 constexpr double maxCost = 1e12;
 
+std::uint32_t wireTime(Milliseconds time)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, UINT32_MAX));
+}
+
 std::unique_ptr<wire::fb::QuotaDrawT> toWire(const QuotaDraw& draw, std::uint64_t number = 0)
 {
     auto body = std::make_unique<wire::fb::QuotaDrawT>();
@@ -61,6 +66,14 @@
         body->usable.push_back(keeper.value());
     body->routers = standing.routers;
     body->is_unchanged = standing.isUnchanged;
+    for (const CustomerPastUse& past : standing.past) {
+        auto entry = std::make_unique<wire::fb::CustomerPastUseT>();
+        entry->customer = past.customer.value();
+        for (const PastUse& use : past.uses)
+            entry->uses.emplace_back(wireTime(use.age), use.amount);
+        body->past.push_back(std::move(entry));
+    }
+    body->remembered_ms = wireTime(standing.remembered);
     return body;
 }
 
@@ -73,6 +86,15 @@
         standing.usable.emplace_back(keeper);
     standing.routers = body.routers;
     standing.isUnchanged = body.is_unchanged;
+    for (const auto& entry : body.past) {
+        CustomerPastUse past { catalog::CustomerName(entry->customer), {} };
+        for (const wire::fb::PastUse& use : entry->uses) {
+            if (isAmount(use.amount()))
+                past.uses.push_back({ Milliseconds(use.age_ms()), use.amount() });
+        }
+        standing.past.push_back(std::move(past));
+    }
+    standing.remembered = Milliseconds(body.remembered_ms);
     return standing;
 }
 
@@ -90,9 +112,8 @@
     for (const QuotaDraw& draw : update.charged)
         body.charged.push_back(toWire(draw));
     for (const DrawDecision& decision : update.answered) {
-        const auto wait = std::clamp<std::int64_t>(decision.retryAfter.count(), 0, UINT32_MAX);
         body.answered.emplace_back(
-            decision.number.value(), static_cast<std::uint32_t>(wait), decision.isGranted, decision.isPartial);
+            decision.number.value(), wireTime(decision.retryAfter), decision.isGranted, decision.isPartial);
     }
     body.routers = update.routers;
     body.tolerance = update.tolerance;
--- a/src/quotas/quotaexchange.h
+++ b/src/quotas/quotaexchange.h
@@ -7,6 +7,7 @@
 #include "quotas/allowance.h"
 #include "quotas/quotawire.h"
 #include "quotas/recentmaximum.h"
+#include "quotas/recentuse.h"
 
 #include <functional>
 #include <map>
@@ -67,6 +68,7 @@
     void didTimeOut(const DrawNumber&);
     void decideAlone(const DrawNumber&, Order&);
     Allowance& ownShare(const QuotaDraw&);
+    bool hasOpenKeeper() const;
     bool mayDecideAlone() const;
     void reply(const DrawNumber&, const DrawReply&);
     void setUnanswering(const framework::Endpoint&);
@@ -79,6 +81,10 @@
     std::vector<DrawNumber> takeUnsent();
     void state(
         const framework::Endpoint& keeper, const std::vector<framework::Endpoint>& usable, std::uint32_t routers);
+    std::vector<CustomerPastUse> pastUses(
+        const framework::Endpoint& keeper, const std::vector<framework::Endpoint>& usable);
+    void noteUse(const QuotaDraw&);
+    void forgetOldUses();
     void tick();
     QuotaUpdate& pendingFor(const framework::Endpoint& keeper);
     void flush();
@@ -98,6 +104,9 @@
     /// Keepers that didn't answer in time and haven't been heard since.
     std::set<framework::Endpoint> unanswering_;
     std::map<DrawNumber, Order> orders_;
+    /// What this router has used since it started, for keepers that don't know it.
+    std::map<catalog::CustomerName, RecentUse> used_;
+    framework::SteadyTime startedAt_;
     /// While this router has no keeper.
     std::map<catalog::CustomerName, Allowance> ownShares_;
     /// When this router last had a keeper that it could use; std::nullopt if it never had one.
--- a/src/quotas/quotakeeper.h
+++ b/src/quotas/quotakeeper.h
@@ -4,16 +4,22 @@
 #include "framework/metrics.h"
 #include "quotas/allowance.h"
 #include "quotas/quotawire.h"
+#include "quotas/recentuse.h"
 #include "quotas/routerstandings.h"
 
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
+#include <vector>
 
 namespace lagoon::quotas {
 
 /// An agent's part: grants the routers' requests their part of their customers' quotas. Runs on the control thread.
+///
+/// Routers that begin to ask this keeper state what they have used of late, so that a keeper that takes over goes on as
+/// if it had granted that itself. What a router that has just started may have used before is assumed.
 class QuotaKeeper {
 public:
     struct Context {
@@ -35,25 +41,38 @@
         Allowance allowance;
         /// The part of all routers that ask this keeper.
         double share = 0;
-        /// The greatest share for which this keeper has begun with a part of the burst.
-        double begunShare = 0;
-        /// When the share became nothing.
-        framework::SteadyTime unaskedSince {};
         framework::SteadyTime usedAt {};
         /// While the customer counts as denied: when this ends without another denial.
         std::optional<framework::Deadline> deniedUntil;
     };
 
+    /// What is known of a router that asks this keeper.
+    struct KnownRouter {
+        /// All its uses since then are known.
+        framework::SteadyTime knownSince {};
+        framework::SteadyTime heardAt {};
+        /// The keepers that it can use.
+        std::vector<framework::Endpoint> usable;
+    };
+    using Customers = std::map<catalog::CustomerName, CustomerAllowance>;
+
+    void learnPastUses(const framework::VmName& router, const RouterStanding&);
+    void replacePastUses(const framework::VmName& router, const std::vector<CustomerPastUse>&);
     /// Applies changed shares to all allowances at the time of the change: what came in before belongs to the old
     /// share.
     void applyShares();
-    void setShare(CustomerAllowance&, double share);
+    void setShare(Customers::value_type&, double share);
+    AllowanceTerms terms(const CustomerAllowance&) const;
     void refill(CustomerAllowance&);
     /// Returns the customer's allowance as of now.
-    Allowance& allowanceOf(const QuotaDraw&);
     CustomerAllowance& customerOf(const QuotaDraw&);
-    DrawDecision decide(const DrawQuery&);
+    void recalculate(Customers::value_type&);
+    double leastLevel(const catalog::Quota&) const;
+    std::vector<RecentUse::Step> assumedUses(const Customers::value_type&) const;
+    void noteUse(const framework::VmName& router, const QuotaDraw&);
+    DrawDecision decide(const framework::VmName& router, const DrawQuery&);
     void noteDenial(const catalog::CustomerName&, CustomerAllowance&);
+    double usedOf(const catalog::CustomerName&) const;
     void logEndsOfDenial();
     void logRouters();
     void forgetIdle();
@@ -62,7 +81,12 @@
     RouterStandings standings_;
     /// What all routers together may use in advance, as they state it.
     double tolerance_ = 0;
-    std::map<catalog::CustomerName, CustomerAllowance> allowances_;
+    Customers customers_;
+    /// What routers that ask this keeper, or asked it last, have used.
+    std::map<catalog::CustomerName, std::map<framework::VmName, RecentUse>> used_;
+    std::map<framework::VmName, KnownRouter> routers_;
+    /// The name by which routers know this keeper.
+    framework::Endpoint self_;
     framework::Deadline forgetAt_;
     /// What the last line about this keeper's routers said.
     std::pair<std::size_t, std::uint32_t> loggedRouters_;
--- a/src/quotas/quotawire.h
+++ b/src/quotas/quotawire.h
@@ -11,6 +11,18 @@
 /// Conversion of the frames about customers' quotas.
 namespace lagoon::quotas {
 
+/// An amount of a quota that was used.
+struct PastUse {
+    framework::Milliseconds age { 0 };
+    double amount = 0;
+};
+
+/// What a router has used of a customer's quota of late.
+struct CustomerPastUse {
+    catalog::CustomerName customer;
+    std::vector<PastUse> uses;
+};
+
 /// What a router says about itself to a keeper.
 struct RouterStanding {
     framework::VmName router;
@@ -18,10 +30,14 @@
     framework::Endpoint keeper;
     /// The keepers that the router can use.
     std::vector<framework::Endpoint> usable;
-    /// `usable` is as it was last stated, and left out.
+    /// `usable` is as it was last stated, and left out with all that follows from it.
     bool isUnchanged = false;
     /// The most routers that it knows of.
     std::uint32_t routers = 0;
+    /// The router's uses of the quotas for which it asks the keeper.
+    std::vector<CustomerPastUse> past;
+    /// For how long the router has kept account of its uses.
+    framework::Milliseconds remembered { 0 };
 };
 
 struct DrawQuery {
--- a/src/quotas/tests/quotaexchange_test.cpp
+++ b/src/quotas/tests/quotaexchange_test.cpp
@@ -34,20 +34,32 @@
     {
         for (const Endpoint& keeper : keepers)
             startAgent(keeper);
-        for (std::size_t index = 0; index < routers; ++index) {
-            exchanges.push_back(std::make_unique<QuotaExchange>(QuotaExchange::Context { control, control, metrics,
-                nameOf(index), [this, index](const Endpoint& keeper, const wire::Message& message) {
-                    toAgent(index, keeper, message);
-                } }));
-            exchanges.back()->setTolerance(tolerance);
-            exchanges.back()->setRouters(static_cast<std::uint32_t>(routers));
-            exchanges.back()->setKeepers({ keepers.begin(), keepers.end() });
-            for (const Endpoint& keeper : keepers)
-                exchanges.back()->didOpen(keeper);
-        }
+        exchanges.resize(routers);
+        for (std::size_t index = 0; index < routers; ++index)
+            startRouter(index);
         control.advance(Milliseconds(1000));
     }
 
+    void startRouter(std::size_t index)
+    {
+        exchanges[index] = std::make_unique<QuotaExchange>(QuotaExchange::Context { control, control, metrics,
+            nameOf(index),
+            [this, index](const Endpoint& keeper, const wire::Message& message) { toAgent(index, keeper, message); } });
+        exchanges[index]->setTolerance(tolerance);
+        exchanges[index]->setRouters(static_cast<std::uint32_t>(exchanges.size()));
+        exchanges[index]->setKeepers({ keepers.begin(), keepers.end() });
+        for (const Endpoint& keeper : keepers)
+            exchanges[index]->didOpen(keeper);
+    }
+
+    /// The router's process ends, and another one starts under its name.
+    void restartRouter(std::size_t index)
+    {
+        for (const auto& [keeper, agent] : agents)
+            agent->didClose(nameOf(index));
+        startRouter(index);
+    }
+
     static VmName nameOf(std::size_t index) { return VmName("router-" + std::to_string(index)); }
 
     void startAgent(const Endpoint& keeper)
@@ -126,6 +138,7 @@
         draw.quota.burst = burst;
         draw.version = catalog::ConfigurationVersion(version);
         draw.cost = cost;
+        draw.neededBy = Deadline::after(control.now(), neededWithin);
         return draw;
     }
 
@@ -182,9 +195,9 @@
         return most;
     }
 
-    void flood(Milliseconds duration)
+    void flood(Milliseconds duration, double cost = 3000)
     {
-        run(duration, Milliseconds(25), 3000, [this] { return anyRouter(); });
+        run(duration, Milliseconds(25), cost, [this] { return anyRouter(); });
     }
 
     double bound() const { return (perSecond * 8 + burst) * excess + tolerance; }
@@ -197,6 +210,7 @@
     double tolerance;
     double perSecond = 30000;
     double burst = 30000;
+    Milliseconds neededWithin { 1000 };
     std::uint64_t version = 1;
     std::uint64_t numbers = 0;
     std::uint64_t messages = 0;
@@ -457,6 +471,54 @@
     BOOST_TEST(fleet.mostInWindow() <= fleet.bound());
 }
 
+// Prevents quotas from being exceeded by what keepers that end many times within one window grant anew.
+BOOST_AUTO_TEST_CASE(theQuotaHoldsWhenKeepersEndManyTimesInAWindow)
+{
+    Fleet fleet(3, 12);
+    fleet.perSecond = 8;
+    fleet.burst = 8;
+    fleet.flood(Milliseconds(12000), 1);
+    const SteadyTime from = fleet.control.now();
+    for (int round = 0; round < 20; ++round) {
+        fleet.stopAgent(keeperOfOne());
+        fleet.flood(Milliseconds(200), 1);
+        fleet.startAgent(keeperOfOne());
+        for (const auto& exchange : fleet.exchanges)
+            exchange->didOpen(keeperOfOne());
+        fleet.flood(Milliseconds(600), 1);
+    }
+    const double passed = std::chrono::duration<double>(fleet.control.now() - from).count();
+    BOOST_TEST(fleet.mostInWindow() <= fleet.bound());
+    BOOST_TEST(fleet.used(from) >= minUsable * fleet.perSecond * passed);
+}
+
+// Prevents a customer that asks for little from being refused because a keeper that takes over doesn't know how little.
+BOOST_AUTO_TEST_CASE(aKeeperThatTakesOverGrantsTheBurstThatIsLeft)
+{
+    Fleet fleet(24);
+    fleet.control.advance(RecentUse::retention);
+    fleet.ask(0, 3000);
+    fleet.control.advance(Milliseconds(100));
+    fleet.stopAgent(keeperOfOne());
+    fleet.control.advance(Milliseconds(100));
+    for (int request = 0; request < 9; ++request)
+        fleet.ask(fleet.anyRouter(), 3000);
+    fleet.control.advance(Milliseconds(100));
+    BOOST_TEST(fleet.outcomes[DrawOutcome::Granted] == 10U);
+}
+
+// Prevents a router that restarts beside its keeper from making the customer's uses forgotten.
+BOOST_AUTO_TEST_CASE(theQuotaHoldsWhileRoutersRestart)
+{
+    Fleet fleet(3);
+    fleet.flood(Milliseconds(12000));
+    for (int round = 0; round < 20; ++round) {
+        fleet.restartRouter(static_cast<std::size_t>(round) % fleet.exchanges.size());
+        fleet.flood(Milliseconds(700));
+    }
+    BOOST_TEST(fleet.mostInWindow() <= fleet.bound());
+}
+
 // Prevents a request far below the quota from being refused because another agent becomes its keeper before the draw
 // is sent.
 BOOST_AUTO_TEST_CASE(aDrawIsNotDeniedBecauseItsKeeperChanges)
@@ -498,6 +560,23 @@
     BOOST_TEST(fleet.outcomes[DrawOutcome::Granted] == 1U);
 }
 
+// Prevents a customer below its quota from being refused although its caller has time until the keepers answer again.
+BOOST_AUTO_TEST_CASE(aDrawWaitsForSlowKeepersAsLongAsItsCallerCan)
+{
+    Fleet fleet(6);
+    fleet.neededWithin = Milliseconds(8000);
+    fleet.frozen.insert(keepers.begin(), keepers.end());
+    fleet.ask(0, 1000);
+    fleet.control.advance(Milliseconds(3000));
+    fleet.frozen.clear();
+    fleet.control.advance(Milliseconds(1000));
+    BOOST_TEST(fleet.outcomes[DrawOutcome::Granted] == 1U);
+    fleet.frozen.insert(keepers.begin(), keepers.end());
+    fleet.ask(0, 1000);
+    fleet.control.advance(Milliseconds(4500));
+    BOOST_TEST(fleet.outcomes[DrawOutcome::Undecided] == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(aNewVersionOfTheQuotaCountsOnceAnyRouterKnowsIt)
 {
     Fleet fleet(6);
--- a/src/quotas/types/draw.h
+++ b/src/quotas/types/draw.h
@@ -20,6 +20,8 @@
     catalog::ConfigurationVersion version;
     /// In the quota's unit.
     double cost = 1;
+    /// When the caller needs the first of its answer.
+    framework::Deadline neededBy;
 };
 
 enum class DrawOutcome : std::uint8_t {
