Learn the speed of reading by the size of models, and weigh delays by it

What had been built to learn speeds didn't learn them: each deviation went mostly to the engine, whose models differ, and a router sees a rare model too seldom.

Change: EngineSpeeds splits each time over the size of the model's weights, the model and the engine by how uncertain each is. Samples are taken only at engines that read nothing else. learns_engine_speeds and weighs_stream_delays are on by default.

--- a/src/forwarding/internal/inflightguard.cpp
+++ b/src/forwarding/internal/inflightguard.cpp
@@ -33,7 +33,7 @@
 void InFlightGuard::didStart(framework::SteadyTime now)
 {
     if (isStarting_ && sample_.speeds && upstream_->isIndexed)
-        sample_.speeds->didRead(upstream_->facts.run(), target_.model, sample_.tokens,
+        sample_.speeds->didRead(upstream_->facts.run(), { target_.model, sample_.weights }, sample_.tokens,
             std::chrono::duration_cast<framework::Milliseconds>(now - sentAt_));
     noteStart();
 }
--- a/src/forwarding/internal/inflightguard.h
+++ b/src/forwarding/internal/inflightguard.h
@@ -12,6 +12,7 @@
 struct ReadingSample {
     /// nullptr if nothing is to be learned.
     std::shared_ptr<EngineSpeeds> speeds;
+    catalog::MegaBytes weights { 0 };
     /// To be read before the first event.
     std::uint64_t tokens = 0;
 };
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -57,6 +57,14 @@
     return static_cast<std::uint32_t>(std::find(order.begin(), order.end(), name) - order.begin());
 }
 
+ReadModel readModelOf(const JobSpec& spec)
+{
+    const catalog::Service* const service = spec.configuration->find(spec.service);
+    const catalog::ModelProfile* const profile
+        = service && service->engine ? service->engine->models.find(spec.facts.model) : nullptr;
+    return { spec.facts.model, profile ? profile->weights : catalog::MegaBytes(0) };
+}
+
 class Search {
 public:
     Search(IJobHost& host, const JobSpec& spec, const PromptChain& prompt, const TriedServers& tried,
@@ -67,6 +75,7 @@
         , tried_(tried)
         , required_(required)
         , permit_(permit)
+        , readModel_(readModelOf(spec))
         , now_(host.now())
     {
     }
@@ -355,11 +364,13 @@
         return { route.targetLatency, gap, host_.upstreams().shortestMaxEventGap(spec_.service) };
     }
 
+    /// The time until the first event says how fast the engine reads only if it reads nothing else.
     ReadingSample sampleOf(const EngineView& engine) const
     {
-        if (!switches().learnsEngineSpeeds || engine.queuedAhead > 0)
+        const bool readsNothingElse = engine.queuedAhead == 0 && engine.readingTokens == 0;
+        if (!switches().learnsEngineSpeeds || !readsNothingElse)
             return {};
-        return { host_.upstreams().speeds(spec_.service), engine.ownTokensAhead + engine.newTokens };
+        return { host_.upstreams().speeds(spec_.service), readModel_.weights, engine.newTokens };
     }
 
     EngineView viewOf(const UpstreamRecord& engine, std::uint32_t affinityRank) const
@@ -386,7 +397,7 @@
         view.readingTokens = std::max(view.readingTokens, view.ownStartingTokens);
         if (switches().learnsEngineSpeeds)
             view.tokensPerMillisecond
-                = host_.upstreams().speeds(spec_.service)->tokensPerMillisecond(engine.facts.run(), spec_.facts.model);
+                = host_.upstreams().speeds(spec_.service)->tokensPerMillisecond(engine.facts.run(), readModel_);
         const std::uint64_t prompt = spec_.facts.promptTokens.value();
         view.newTokens = prompt - std::min<std::uint64_t>(prompt, engine.prompts.cachedTokens(prompt_));
         view.memoryTokens = prompt + spec_.facts.maxOutputTokens.value();
@@ -418,6 +429,7 @@
     const TriedServers& tried_;
     const std::optional<RequiredVersion>& required_;
     const std::optional<RequestPermit>& permit_;
+    const ReadModel readModel_;
     framework::SteadyTime now_;
 };
 
--- a/src/forwarding/tests/enginespeeds_test.cpp
+++ b/src/forwarding/tests/enginespeeds_test.cpp
@@ -1,12 +1,16 @@
 #include "forwarding/enginespeed.h"
 #include "forwarding/enginespeeds.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <random>
+#include <vector>
 
 namespace lagoon::forwarding {
 
 namespace {
 
+using catalog::MegaBytes;
 using catalog::UpstreamRun;
 using framework::Milliseconds;
 using framework::ModelName;
@@ -17,7 +21,8 @@
 
 UpstreamRun engineOf(std::size_t index) { return { catalog::InstanceId("i-" + std::to_string(index)), std::nullopt }; }
 
-ModelName modelOf(std::size_t index) { return ModelName("m" + std::to_string(index)); }
+/// Each model has weights of a size of its own.
+ReadModel modelOf(std::size_t index) { return { ModelName("m" + std::to_string(index)), MegaBytes(40000 + index) }; }
 
 Milliseconds timeAt(double tokensPerMillisecond)
 {
@@ -107,6 +112,36 @@
     BOOST_TEST(estimateRatio(speeds, 1, 5) > 0.5);
 }
 
+// Answers the load of many rare models beside a few busy ones: a router sees each rare one too seldom to learn its
+// speed.
+BOOST_AUTO_TEST_CASE(aRareModelIsEstimatedByOthersOfItsSize)
+{
+    constexpr std::size_t sizes = 3;
+    constexpr std::size_t busyModels = 9;
+    constexpr std::size_t rareModels = 80;
+    constexpr double slowness[sizes] { 0.11, 0.6, 1.2 };
+    const auto model = [&](std::size_t index) {
+        return ReadModel { ModelName("m" + std::to_string(index)), MegaBytes(40000 + 10000 * (index % sizes)) };
+    };
+    std::mt19937 random(5);
+    std::lognormal_distribution<double> disturbance(0, 0.5);
+    EngineSpeeds speeds;
+    constexpr int times = 20;
+    for (int time = 0; time < times; ++time) {
+        const std::size_t index = random() % busyModels;
+        const double speed = promptTokensPerMillisecond / slowness[index % sizes] / disturbance(random);
+        speeds.didRead(engineOf(random() % engineCount), model(index), prompt, timeAt(speed));
+    }
+    std::vector<double> ratios;
+    for (std::size_t index = busyModels; index < busyModels + rareModels; ++index) {
+        const double actual = promptTokensPerMillisecond / slowness[index % sizes];
+        ratios.push_back(speeds.tokensPerMillisecond(engineOf(index % engineCount), model(index)) / actual);
+    }
+    std::sort(ratios.begin(), ratios.end());
+    BOOST_TEST(ratios[rareModels / 10] > 0.5);
+    BOOST_TEST(ratios[rareModels * 9 / 10] < 2);
+}
+
 BOOST_AUTO_TEST_CASE(shortPromptsSayNothing)
 {
     EngineSpeeds speeds;
--- a/src/forwarding/tests/upstreamtable_test.cpp
+++ b/src/forwarding/tests/upstreamtable_test.cpp
@@ -394,7 +394,7 @@
 {
     table.setUpstreams({ upstream(1) });
     const auto speeds = table.speeds(service);
-    speeds->didRead(only().facts.run(), target.model, 8000, Milliseconds(900));
+    speeds->didRead(only().facts.run(), { target.model, catalog::MegaBytes(70000) }, 8000, Milliseconds(900));
     BOOST_TEST(speeds->engines() == 1u);
     table.setUpstreams({ upstream(2) });
     BOOST_TEST(speeds->engines() == 0u);
@@ -407,8 +407,8 @@
     table.setUpstreams({ upstream(1) });
     const auto speeds = table.speeds(service);
     const UpstreamPointer former = table.ready(service).at(0);
-    InFlightGuard guard(former, target, 0, 8000, { speeds, 8000 }, now);
-    InFlightGuard ofPresentRun(former, target, 0, 8000, { speeds, 8000 }, now);
+    InFlightGuard guard(former, target, 0, 8000, { speeds, catalog::MegaBytes(70000), 8000 }, now);
+    InFlightGuard ofPresentRun(former, target, 0, 8000, { speeds, catalog::MegaBytes(70000), 8000 }, now);
     ofPresentRun.didStart(now + Milliseconds(900));
     BOOST_TEST(speeds->engines() == 1u);
     table.setUpstreams({});
@@ -422,7 +422,8 @@
     table.setUpstreams({ upstream(1) });
     const auto speeds = table.speeds(service);
     {
-        const InFlightGuard guard(table.ready(service).at(0), target, 0, 8000, { speeds, 8000 }, now);
+        const InFlightGuard guard(
+            table.ready(service).at(0), target, 0, 8000, { speeds, catalog::MegaBytes(70000), 8000 }, now);
     }
     BOOST_TEST(speeds->engines() == 0u);
 }
--- a/src/policy/policyswitches.h
+++ b/src/policy/policyswitches.h
@@ -40,9 +40,9 @@
     /// Servers in the router's own failure domain are preferred.
     bool prefersOwnDomain = true;
     /// Prompts go preferably to engines where they delay few streams, and streams to engines that read few prompts.
-    bool weighsStreamDelays = false;
+    bool weighsStreamDelays = true;
     /// The speed at which each engine reads prompts of each model is learned.
-    bool learnsEngineSpeeds = false;
+    bool learnsEngineSpeeds = true;
 };
 
 } // namespace lagoon::policy
