Send the delayed order before its caller disconnects

Cause, by reading: the call runs on a thread of its own, and nothing waits until it has been sent before it is cancelled; a thread that starts late sends nothing. The test now sends the order's bytes itself and then closes the connection; it asks for the same.

--- a/tests/standins/tests/enginestandin_test.cpp
+++ b/tests/standins/tests/enginestandin_test.cpp
@@ -1,6 +1,7 @@
 #include "support/httpcall.h"
 #include "support/programs.h"
 #include "support/record.h"
+#include "support/tcppeer.h"
 #include "support/waitfor.h"
 
 #include <boost/test/unit_test.hpp>
@@ -129,11 +130,12 @@
 BOOST_AUTO_TEST_CASE(aDelayedLoadBeginsAfterItsCallerDisconnected)
 {
     setFaults(endpoint, R"({"late_loads": {"count": 1, "delay_ms": 300}})");
-    PendingCall late({ .method = "POST",
-        .url = urlOf(endpoint, "/v1/orders"),
-        .body = R"({"order":"load","model":"m","adapter":"","version":"v1","memory_mib":10,"fence":1})" });
+    const std::string body = R"({"order":"load","model":"m","adapter":"","version":"v1","memory_mib":10,"fence":1})";
+    TcpPeer late(endpoint);
+    late.send("POST /v1/orders HTTP/1.1\r\nHost: engine\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body);
     BOOST_TEST(order("unload", "m") == 409);
-    late.disconnect();
+    late.close();
     waitFor("the delayed load has finished", [&] { return stateOf("m") == "loaded"; });
 }
 
