--- a/src/quotas/tests/quotaexchange_test.cpp
+++ b/src/quotas/tests/quotaexchange_test.cpp
@@ -492,6 +492,23 @@
     BOOST_TEST(fleet.used(from) >= minUsable * fleet.perSecond * passed);
 }
 
+// Prevents a large burst that was just used from being granted again when all keepers and routers restart.
+BOOST_AUTO_TEST_CASE(theQuotaHoldsWhenAllProcessesRestart)
+{
+    Fleet fleet(6);
+    fleet.burst = 10 * fleet.perSecond;
+    fleet.control.advance(RecentUse::retention);
+    fleet.run(Milliseconds(3000), Milliseconds(5), 3000, [&] { return fleet.anyRouter(); });
+    for (const Endpoint& keeper : keepers)
+        fleet.stopAgent(keeper);
+    for (const Endpoint& keeper : keepers)
+        fleet.startAgent(keeper);
+    for (std::size_t index = 0; index < fleet.exchanges.size(); ++index)
+        fleet.restartRouter(index);
+    fleet.flood(Milliseconds(10000));
+    BOOST_TEST(fleet.mostInWindow() <= fleet.bound());
+}
+
 // Prevents a customer that asks for little from being refused because a keeper that takes over doesn't know how little.
 BOOST_AUTO_TEST_CASE(aKeeperThatTakesOverGrantsTheBurstThatIsLeft)
 {
