Accept a router's account of its uses in spite of delays

Cause, found in reading the diff: a keeper took a router for restarted, and ignored what it stated, if its statement was a millisecond longer under way than the first one. What other keepers had granted it meanwhile was then forgotten.

Change: statements may be delayed differently by up to a second.

--- a/src/quotas/internal/quotakeeper.cpp
+++ b/src/quotas/internal/quotakeeper.cpp
@@ -21,6 +21,8 @@
 constexpr double maxUnusedSeconds = 1;
 /// A router that restarts within this time of its last message can't have used much that this keeper doesn't know.
 constexpr Milliseconds maxRestartTime { 2000 };
+/// By how much a router's statements may be delayed differently.
+constexpr Milliseconds maxDelay { 1000 };
 /// Much longer than any use is remembered.
 constexpr Milliseconds routerRetention { 60000 };
 /// Much longer than a bucket takes to fill. An allowance that nobody used for so long begins anew.
@@ -90,13 +92,15 @@
     self_ = standing.keeper;
     const auto [known, isNew] = routers_.try_emplace(router, KnownRouter { now, now, {} });
     known->second.usable = standing.usable;
-    const bool remembersAll = isNew || remembersSince <= known->second.knownSince;
-    if (!remembersAll && remembersSince - known->second.heardAt > maxRestartTime)
+    if (isNew)
+        known->second.knownSince = remembersSince;
+    const bool remembersAll = remembersSince <= known->second.knownSince + maxDelay;
+    if (remembersAll) {
+        known->second.knownSince = std::min(known->second.knownSince, remembersSince);
+        return replacePastUses(router, standing.past);
+    }
+    if (remembersSince - known->second.heardAt > maxRestartTime)
         known->second.knownSince = remembersSince;
-    if (!remembersAll)
-        return;
-    known->second.knownSince = remembersSince;
-    replacePastUses(router, standing.past);
 }
 
 void QuotaKeeper::replacePastUses(const framework::VmName& router, const std::vector<CustomerPastUse>& stated)
--- a/src/quotas/tests/quotaexchange_test.cpp
+++ b/src/quotas/tests/quotaexchange_test.cpp
@@ -76,7 +76,7 @@
         lists += standing && !standing->is_unchanged ? 1 : 0;
         draws += message.body.AsCustomerQuotas()->asked.size();
         const auto sent = std::make_shared<wire::Message>(message);
-        later(networkDelay, [this, index, keeper, sent] {
+        later(networkDelay + Milliseconds(jitter > 0 ? random() % jitter : 0), [this, index, keeper, sent] {
             const auto agent = agents.find(keeper);
             if (agent == agents.end() || isCut(index, keeper) || frozen.contains(keeper))
                 return;
@@ -212,6 +212,8 @@
     double burst = 30000;
     Milliseconds neededWithin { 1000 };
     std::uint64_t version = 1;
+    /// Messages to agents are delayed by up to this many milliseconds more.
+    std::uint64_t jitter = 0;
     std::uint64_t numbers = 0;
     std::uint64_t messages = 0;
     /// How often a keeper was asked for a draw.
@@ -492,6 +494,22 @@
     BOOST_TEST(fleet.used(from) >= minUsable * fleet.perSecond * passed);
 }
 
+// Prevents what another keeper granted from being forgotten because a router's messages are delayed differently.
+BOOST_AUTO_TEST_CASE(theQuotaHoldsWhenRoutersComeAndGoWithVaryingDelays)
+{
+    Fleet fleet(6);
+    fleet.jitter = 8;
+    fleet.burst = 4 * fleet.perSecond;
+    fleet.flood(Milliseconds(12000));
+    for (int round = 0; round < 12; ++round) {
+        fleet.frozen.insert(keeperOfOne());
+        fleet.flood(Milliseconds(1200));
+        fleet.frozen.clear();
+        fleet.flood(Milliseconds(300));
+    }
+    BOOST_TEST(fleet.mostInWindow() <= fleet.bound());
+}
+
 // Prevents a large burst that was just used from being granted again when all keepers and routers restart.
 BOOST_AUTO_TEST_CASE(theQuotaHoldsWhenAllProcessesRestart)
 {
