Remove a comment whose function is gone

IJobHost still described soleVersion, which went with the guess of a stream's version; a reader would have taken the text for that of spendRetry.

--- a/src/forwarding/internal/ijobhost.h
+++ b/src/forwarding/internal/ijobhost.h
@@ -38,9 +38,6 @@
     virtual quotas::ICustomerQuotas& quotas() = 0;
     virtual CustomerTurns& customerTurns() = 0;
 
-    /// Returns the version of the service's software if there has been no other since before any stream began that can
-    /// still be taken up.
-
     /// Spends one retry of the service's budget; returns false if none is left.
     [[nodiscard]] virtual bool spendRetry(const framework::ServiceName&) = 0;
     /// A request estimated the shortest time to its first event among the engines that have its model loaded.
