--- a/src/quotas/allowance.h
+++ b/src/quotas/allowance.h
@@ -31,11 +31,11 @@
     [[nodiscard]] bool draw(double cost);
     /// Uses the amount even if it isn't covered.
     void charge(double cost) { level_ -= cost; }
-    /// Sets what a grantor begins with, which may be negative. The next request is granted if the burst covers it, so
-    /// that a customer that asks for little isn't refused because its grantor has changed.
-    void begin(double level);
-    /// Sets the level as of the last refill.
+    /// Sets the level as of the last refill, which may be negative.
     void setLevel(double level) { level_ = std::min(terms_.burst, level); }
+    /// The next request is granted if the burst covers it, so that a customer that asks for little isn't refused
+    /// because its grantor doesn't know how little.
+    void allowExceedingOnce() { mayExceedOnce_ = true; }
     /// Adds an amount, up to the burst.
     void credit(double amount);
     /// Returns when a denied request of this cost may come back. Those that are denied in succession are told different
--- a/src/quotas/internal/allowance.cpp
+++ b/src/quotas/internal/allowance.cpp
@@ -55,12 +55,6 @@
     return true;
 }
 
-void Allowance::begin(double level)
-{
-    setLevel(level);
-    mayExceedOnce_ = true;
-}
-
 void Allowance::credit(double amount) { level_ = std::min(terms_.burst, level_ + amount); }
 
 Milliseconds Allowance::deny(double cost, SteadyTime now)
--- a/src/quotas/quotakeeper.h
+++ b/src/quotas/quotakeeper.h
@@ -4,8 +4,8 @@
 #include "framework/metrics.h"
 #include "quotas/allowance.h"
 #include "quotas/quotawire.h"
-#include "quotas/recentuse.h"
 #include "quotas/routerstandings.h"
+#include "quotas/routeruses.h"
 
 #include <functional>
 #include <map>
@@ -46,18 +46,8 @@
         std::optional<framework::Deadline> deniedUntil;
     };
 
-    /// What is known of a router that asks this keeper.
-    struct KnownRouter {
-        /// All its uses since then are known.
-        framework::SteadyTime knownSince {};
-        framework::SteadyTime heardAt {};
-        /// The keepers that it can use.
-        std::vector<framework::Endpoint> usable;
-    };
     using Customers = std::map<catalog::CustomerName, CustomerAllowance>;
 
-    void learnPastUses(const framework::VmName& router, const RouterStanding&);
-    void replacePastUses(const framework::VmName& router, const std::vector<CustomerPastUse>&);
     /// Applies changed shares to all allowances at the time of the change: what came in before belongs to the old
     /// share.
     void applyShares();
@@ -66,13 +56,11 @@
     void refill(CustomerAllowance&);
     /// Returns the customer's allowance as of now.
     CustomerAllowance& customerOf(const QuotaDraw&);
+    void recalculate(const std::set<catalog::CustomerName>&);
     void recalculate(Customers::value_type&);
     double leastLevel(const catalog::Quota&) const;
-    std::vector<RecentUse::Step> assumedUses(const Customers::value_type&) const;
-    void noteUse(const framework::VmName& router, const QuotaDraw&);
     DrawDecision decide(const framework::VmName& router, const DrawQuery&);
     void noteDenial(const catalog::CustomerName&, CustomerAllowance&);
-    double usedOf(const catalog::CustomerName&) const;
     void logEndsOfDenial();
     void logRouters();
     void forgetIdle();
@@ -82,11 +70,7 @@
     /// What all routers together may use in advance, as they state it.
     double tolerance_ = 0;
     Customers customers_;
-    /// What routers that ask this keeper, or asked it last, have used.
-    std::map<catalog::CustomerName, std::map<framework::VmName, RecentUse>> used_;
-    std::map<framework::VmName, KnownRouter> routers_;
-    /// The name by which routers know this keeper.
-    framework::Endpoint self_;
+    RouterUses uses_;
     framework::Deadline forgetAt_;
     /// What the last line about this keeper's routers said.
     std::pair<std::size_t, std::uint32_t> loggedRouters_;
