Grant a first request beyond the level only where uses are assumed

What callers saw: nothing yet; a customer over its quota got one more request of up to its burst from each keeper that took over.

Cause: a keeper's first request of a customer is granted if the burst covers it, as the level that it begins with is a guess. Since routers state their uses it is a guess only if some of them have just started.

Evidence: aLateGrantIsChargedAtThePresentKeeper, granted twice in place of once before; it also covers the charge of grants that arrive late, which no test noticed. An amount that a router returns is credited before the account of its uses is lowered, or a keeper that hears of the customer for the first time would credit it twice.

--- a/src/quotas/internal/quotakeeper.cpp
+++ b/src/quotas/internal/quotakeeper.cpp
@@ -54,8 +54,8 @@
     applyShares();
     logRouters();
     for (const QuotaDraw& draw : update.returned) {
-        uses_.takeBack(router, draw.customer, draw.cost);
         customerOf(draw).allowance.credit(draw.cost);
+        uses_.takeBack(router, draw.customer, draw.cost);
     }
     for (const QuotaDraw& draw : update.charged) {
         customerOf(draw).allowance.charge(draw.cost);
@@ -151,7 +151,8 @@
     if (isNew) {
         customer.share = standings_.share(draw.customer);
         recalculate(*known);
-        customer.allowance.allowExceedingOnce();
+        if (!uses_.knownSince(draw.customer, context_.clock.now()).empty())
+            customer.allowance.allowExceedingOnce();
     } else {
         refill(customer);
     }
--- a/src/quotas/tests/quotafailures_test.cpp
+++ b/src/quotas/tests/quotafailures_test.cpp
@@ -269,6 +269,27 @@
     BOOST_TEST(fleet.mostInWindow() <= fleet.bound());
 }
 
+// Prevents a grant from being forgotten that arrives after its router has told another keeper what it used.
+BOOST_AUTO_TEST_CASE(aLateGrantIsChargedAtThePresentKeeper)
+{
+    QuotaFleet fleet(2);
+    const Endpoint& preferred = keeperOfOne();
+    for (std::size_t index = 0; index < fleet.exchanges.size(); ++index) {
+        fleet.exchanges[index]->didClose(preferred);
+        fleet.agents[preferred]->didClose(QuotaFleet::nameOf(index));
+    }
+    fleet.control.advance(RecentUse::retention);
+    fleet.ask(0, 25000);
+    fleet.control.advance(Milliseconds(1));
+    for (const auto& exchange : fleet.exchanges)
+        exchange->didOpen(preferred);
+    fleet.control.advance(Milliseconds(100));
+    BOOST_TEST(fleet.outcomes[DrawOutcome::Granted] == 1U);
+    fleet.ask(0, 25000);
+    fleet.control.advance(Milliseconds(100));
+    BOOST_TEST(fleet.outcomes[DrawOutcome::OverQuota] == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::quotas
