Log what servers say in their answers about leaving and rest

The dialect reads both now (Server-Leaving of any answer, Retry-After of a 503), a table keeps them by run of a server, and server_leaving and server_rest log them. Nothing is decided by them yet.

notices_tests, ratelimits_tests and platform_tests pass.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -82,6 +82,7 @@
         , identity_(settings.maxUnconfirmed)
         , upstreams_(context_.traffic.context())
         , limits_(*context_.metrics, context_.permits)
+        , notices_(*context_.metrics, upstreams_)
         , quarantine_(std::make_shared<quarantine::RequestQuarantine>(quarantineContext(), settings.quarantine))
         , customerTurns_(*context_.metrics, context_.reportUse)
         , demandPublisher_(upstreams_, context_.publish, context_.clock.now())
@@ -212,6 +213,7 @@
     UpstreamTable& upstreams() override { return upstreams_; }
     quarantine::RequestQuarantine& quarantine() override { return *quarantine_; }
     LimitedServers& limits() override { return limits_; }
+    ServerNotices& notices() override { return notices_; }
     const IRequestDialect& dialect() const override { return context_.dialect; }
     const ForwarderSettings& settings() const override { return settings_; }
     framework::EventThread& thread() override { return context_.traffic; }
@@ -517,6 +519,7 @@
     std::unique_ptr<framework::Timer> startByTimer_;
     UpstreamTable upstreams_;
     LimitedServers limits_;
+    ServerNotices notices_;
     std::shared_ptr<quarantine::RequestQuarantine> quarantine_;
     std::unique_ptr<catalog::RouteTable> routes_;
     std::unique_ptr<catalog::Ranking> ranking_;
--- a/src/forwarding/internal/ijobhost.h
+++ b/src/forwarding/internal/ijobhost.h
@@ -5,6 +5,7 @@
 #include "forwarding/forwardersettings.h"
 #include "forwarding/internal/customerturns.h"
 #include "forwarding/internal/limitedservers.h"
+#include "forwarding/internal/servernotices.h"
 #include "forwarding/internal/upstreamtable.h"
 #include "forwarding/irequestdialect.h"
 #include "framework/eventthread.h"
@@ -29,6 +30,7 @@
     virtual UpstreamTable& upstreams() = 0;
     virtual quarantine::RequestQuarantine& quarantine() = 0;
     virtual LimitedServers& limits() = 0;
+    virtual ServerNotices& notices() = 0;
     virtual const IRequestDialect& dialect() const = 0;
     virtual const ForwarderSettings& settings() const = 0;
     virtual framework::EventThread& thread() = 0;
--- a/src/forwarding/internal/limitedservers.cpp
+++ b/src/forwarding/internal/limitedservers.cpp
@@ -20,13 +20,6 @@
 /// The shortest time between two questions for the same server that are not granted.
 constexpr Milliseconds minDenial { 10 };
 
-/// Whether the answer came from the server that was meant and answers the request that was sent.
-bool isOwnAnswer(AnswerClass answerClass)
-{
-    return answerClass == AnswerClass::Served || answerClass == AnswerClass::Failed
-        || answerClass == AnswerClass::NotRun || answerClass == AnswerClass::NotLoaded;
-}
-
 ServerRunKey keyOf(const UpstreamRecord& server) { return ratelimits::serverRunKey(server.facts.run()); }
 
 } // namespace
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -476,9 +476,10 @@
         host_.quarantine().didAnswer(serverRunId(upstream.facts.run()), sentAt_);
 }
 
-void RequestJob::didReceiveHead(const UpstreamRecord& upstream, const http::ResponseHead& head, AnswerClass answerClass)
+void RequestJob::didReceiveHead(UpstreamRecord& upstream, const http::ResponseHead& head, AnswerClass answerClass)
 {
     host_.limits().didAnswer(upstream, host_.dialect().limit(head), answerClass, sentAt_, host_.now());
+    host_.notices().didAnswer(upstream, host_.dialect().notice(head), answerClass, host_.now());
 }
 
 void RequestJob::failOverIfSilent()
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -106,7 +106,7 @@
     /// The server has answered, so it didn't crash before the request was sent.
     void didSeeAnswer(const UpstreamRecord&);
     /// The head of the server's answer, which is of this class.
-    void didReceiveHead(const UpstreamRecord&, const http::ResponseHead&, AnswerClass);
+    void didReceiveHead(UpstreamRecord&, const http::ResponseHead&, AnswerClass);
     void didBeginStream(const http::ResponseHead&);
     void didReceiveEvents(std::string_view bytes);
     /// `isFramed` is false if nothing but the end of the connection shows that the stream is whole.
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -351,6 +351,12 @@
     return engines;
 }
 
+notices::NoticeTable::News UpstreamTable::didReceiveNotice(
+    UpstreamRecord& record, const notices::ServerNotice& notice, SteadyTime now)
+{
+    return notices_.add(record.facts.run(), notice, now);
+}
+
 bool UpstreamTable::isInService(const UpstreamRecord& record) const
 {
     const auto known = records_.find(record.facts.instance);
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -10,6 +10,7 @@
 #include "forwarding/replicaindex.h"
 #include "framework/types/time.h"
 #include "http/connectionpool.h"
+#include "notices/noticetable.h"
 #include "policy/policyswitches.h"
 #include "quarantine/requestquarantine.h"
 
@@ -92,6 +93,10 @@
     bool hasLostAgent(const UpstreamRecord& record) const { return unreachableAgents_.contains(record.facts.endpoint); }
     std::set<framework::Endpoint> enginesWithoutAgent() const;
 
+    /// An answer of the server says this about whether it takes further requests. Outlives the record.
+    notices::NoticeTable::News didReceiveNotice(
+        UpstreamRecord&, const notices::ServerNotice&, framework::SteadyTime now);
+
     /// Whether the record still belongs to a listed server that accepts new requests.
     bool isInService(const UpstreamRecord&) const;
     /// Returns the servers of the service that accept new requests.
@@ -172,6 +177,7 @@
     catalog::ConfigurationPointer configuration_;
     std::map<framework::ServiceName, framework::Milliseconds> eventGaps_;
     std::map<catalog::InstanceId, UpstreamPointer> records_;
+    notices::NoticeTable notices_;
     std::optional<framework::SteadyTime> listConfirmedAt_;
     std::map<framework::ServiceName, ServiceRecords> services_;
     std::unordered_map<framework::Endpoint, ReportedState> states_;
--- a/src/forwarding/irequestdialect.h
+++ b/src/forwarding/irequestdialect.h
@@ -5,6 +5,7 @@
 #include "forwarding/types/requestfacts.h"
 #include "framework/types/error.h"
 #include "http/types/message.h"
+#include "notices/types/servernotice.h"
 #include "ratelimits/types/serverlimit.h"
 
 #include <cstdint>
@@ -37,6 +38,13 @@
     Unverified, ///< without the request's id, or a success without the header that servers add to successes
 };
 
+/// Whether the answer came from the server that was meant and answers the request that was sent.
+inline bool isOwnAnswer(AnswerClass answerClass)
+{
+    return answerClass == AnswerClass::Served || answerClass == AnswerClass::Failed
+        || answerClass == AnswerClass::NotRun || answerClass == AnswerClass::NotLoaded;
+}
+
 /// How callers, servers and this system encode requests and answers in HTTP messages.
 class IRequestDialect {
 public:
@@ -53,6 +61,8 @@
         const http::ResponseHead&, const RequestFacts&, const catalog::InstanceId& instance) const = 0;
     /// Returns what the answer says about the rate of requests that its server takes.
     virtual ratelimits::LimitHeader limit(const http::ResponseHead&) const = 0;
+    /// Returns what the answer says about whether its server takes further requests.
+    virtual notices::ServerNotice notice(const http::ResponseHead&) const = 0;
     /// Returns the head of this system's own final answer.
     virtual http::ResponseHead refusal(unsigned status, std::optional<framework::Milliseconds> retryAfter) const = 0;
 };
--- a/src/forwarding/tests/customerquota_test.cpp
+++ b/src/forwarding/tests/customerquota_test.cpp
@@ -44,6 +44,7 @@
             return AnswerClass::NotRun;
         return head.status == 200 ? AnswerClass::Served : AnswerClass::Failed;
     }
+    notices::ServerNotice notice(const http::ResponseHead&) const override { return {}; }
     ratelimits::LimitHeader limit(const http::ResponseHead&) const override { return {}; }
     http::ResponseHead refusal(unsigned status, std::optional<Milliseconds> retryAfter) const override
     {
--- a/src/forwarding/tests/forwarderdoubles.h
+++ b/src/forwarding/tests/forwarderdoubles.h
@@ -42,6 +42,7 @@
         return AnswerClass::Served;
     }
     ratelimits::LimitHeader limit(const http::ResponseHead&) const override { return {}; }
+    notices::ServerNotice notice(const http::ResponseHead&) const override { return {}; }
     http::ResponseHead refusal(unsigned status, std::optional<framework::Milliseconds> retryAfter) const override
     {
         http::ResponseHead head { status, {}, {} };
--- a/src/forwarding/tests/oneengine.h
+++ b/src/forwarding/tests/oneengine.h
@@ -50,6 +50,15 @@
             ratelimits::addField(limit, *value);
         return limit;
     }
+    notices::ServerNotice notice(const http::ResponseHead& head) const override
+    {
+        notices::ServerNotice notice;
+        if (const auto value = head.headers.find("leaving"))
+            notices::addLeaving(notice, *value);
+        if (const auto value = head.headers.find("rest"))
+            notices::addRest(notice, *value);
+        return notice;
+    }
     http::ResponseHead refusal(unsigned status, std::optional<framework::Milliseconds> retryAfter) const override
     {
         http::ResponseHead head { status, {}, {} };
--- /dev/null
+++ b/src/notices/tests/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE notices
+#include <boost/test/unit_test.hpp>
--- a/src/ratelimits/internal/serverlimit.cpp
+++ b/src/ratelimits/internal/serverlimit.cpp
@@ -1,26 +1,9 @@
 #include "ratelimits/types/serverlimit.h"
 
-#include <algorithm>
-#include <charconv>
-#include <cmath>
+#include "framework/decimal.h"
 
 namespace lagoon::ratelimits {
 
-namespace {
-
-constexpr std::string_view whitespace = " \t";
-constexpr std::string_view decimalCharacters = "0123456789.";
-
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(whitespace);
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(whitespace) - first + 1);
-}
-
-} // namespace
-
 ServerRunKey serverRunKey(const catalog::UpstreamRun& run)
 {
     std::string text = run.instance.value();
@@ -31,16 +14,8 @@
 
 std::optional<RequestRate> parseRate(std::string_view text)
 {
-    const std::string_view number = trimmed(text);
-    // Excludes signs, exponents, infinity and values that aren't numbers.
-    if (number.find_first_not_of(decimalCharacters) != std::string_view::npos)
-        return std::nullopt;
-    double perSecond = 0;
-    const char* const end = number.data() + number.size();
-    const auto read = std::from_chars(number.data(), end, perSecond, std::chars_format::fixed);
-    if (read.ec != std::errc() || read.ptr != end || !std::isfinite(perSecond))
-        return std::nullopt;
-    return RequestRate(perSecond);
+    const auto perSecond = framework::parseDecimal(text);
+    return perSecond ? std::optional(RequestRate(*perSecond)) : std::nullopt;
 }
 
 void addField(LimitHeader& header, std::string_view value)
