Test requests to a server that says in its answers that it leaves

A server says in its answers that it leaves while the store is away, while its entry is removed and written again, over kept connections, in a refusal; its successor at the address must be used.

--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -181,10 +181,27 @@
     return arrivals_;
 }
 
+void ServerStandin::askForRest(const std::string& seconds)
+{
+    const std::lock_guard lock(mutex_);
+    rest_ = seconds;
+}
+
+std::string ServerStandin::rest() const
+{
+    const std::lock_guard lock(mutex_);
+    return rest_;
+}
+
 HeaderMap ServerStandin::commonHeaders() const
 {
     const std::lock_guard lock(mutex_);
-    return limit_.empty() ? HeaderMap() : HeaderMap { { "Server-Limit", limit_ } };
+    HeaderMap headers;
+    if (!limit_.empty())
+        headers["Server-Limit"] = limit_;
+    if (isLeaving_)
+        headers["Server-Leaving"] = "1";
+    return headers;
 }
 
 HeaderMap ServerStandin::responseHeaders(const HttpRequest& request, const Process& process) const
@@ -215,6 +232,10 @@
         return exchange.reply(421, "", { { "X-Request-Attempt", attempt }, { "X-Instance-Id", answering.instance } });
     if (!canRun(request))
         return exchange.reply(421, "", notRun);
+    if (const std::string seconds = rest(); !seconds.empty()) {
+        notRun["Retry-After"] = seconds;
+        return exchange.reply(503, "", notRun);
+    }
     if (refusals_ > 0) {
         --refusals_;
         return exchange.reply(503, "", notRun);
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -66,6 +66,11 @@
     void failNext(int count) { failures_ = count; }
     /// Answers name this limit of requests a second, in the header's text form, until it is set to an empty text.
     void setLimit(const std::string& limit);
+    /// Answers say that the server leaves.
+    void setLeaving(bool isLeaving) { isLeaving_ = isLeaving; }
+    /// Turns all requests away and asks for a rest of so many seconds, in the header's text form, until it is set to an
+    /// empty text.
+    void askForRest(const std::string& seconds);
     /// Requests that were started, with what the server was told of their callers.
     struct Run {
         std::string attempt;
@@ -105,6 +110,8 @@
     Process process() const;
     void answer(standins::Exchange&);
     bool isCrashedBy(const standins::HttpRequest&) const;
+    /// The rest that the server asks for; empty if it asks for none.
+    std::string rest() const;
 
     std::string instance_;
     mutable std::mutex mutex_;
@@ -115,12 +122,14 @@
     std::string crashBody_;
     std::set<std::string> crashParts_;
     std::string limit_;
+    std::string rest_;
     std::vector<framework::SteadyTime> arrivals_;
     std::string version_ { "v1" };
     std::function<void()> didRestart_;
     std::atomic<int> downTimeMs_ { 300 };
     std::vector<framework::SteadyTime> crashTimes_;
     std::atomic<bool> isDown_ { false };
+    std::atomic<bool> isLeaving_ { false };
     std::atomic<int> cancelled_ { 0 };
     std::atomic<int> refusals_ { 0 };
     std::atomic<int> drops_ { 0 };
