Send no requests to a server whose answer said that it leaves

Callers' requests went on reaching a server for seconds after it had said in its answers that it leaves, and were lost with it or cut, whenever the list couldn't say so: the store was away, slow, or had not been told.

Cause: routers knew of a server's leaving from the platform's list alone. What an answer's head says was read by nobody. The class of fault: an answer says something that nobody reads.

The table of servers now asks the notices of each run, which are kept apart from the records, so that neither an entry that says ready, nor one that is removed and written again, nor a lagging one brings the server back; a later start or another id isn't bound. All that chooses a server goes by it: new and waiting requests, repeats, streams that are taken up, requests that left a silent server, permits, a connection that has just been opened, and where models are loaded. Its end is no longer taken for a crash.

The agent beside an engine reads the same from its reports and the answers to its orders: it gives no further order, and tells routers that the engine's models are leaving. On the path through agents the gate refuses requests as not run, those that wait too, and loads nothing; it finds out by connecting whether the next run has begun.

Unit tests of the table of servers, the engine's controller, the gate and the replica controller come with the fix.

--- a/src/agent/internal/agent.cpp
+++ b/src/agent/internal/agent.cpp
@@ -123,7 +123,8 @@
         platform_.store, platform_.vmList, settings_.identity, incarnation_, metrics_);
     return ReplicaPorts { control_, clock_, [this](std::function<void()> work) { platformCalls_.run(std::move(work)); },
         [this](std::function<void()> work) { engineCalls_.run(std::move(work)); }, std::move(claims),
-        makeHttpModelEngine(settings_.upstream.url), metrics_, [this] { crashes_->didRestart(); } };
+        makeHttpModelEngine(settings_.upstream.url), metrics_, [this] { crashes_->didRestart(); },
+        [this] { return gate_->isUpstreamLeaving(); } };
 }
 
 void Agent::Implementation::probeUpstream(std::function<void(bool accepts)> handler)
--- a/src/agent/internal/replicacontroller.h
+++ b/src/agent/internal/replicacontroller.h
@@ -42,6 +42,8 @@
     std::shared_ptr<framework::Metrics> metrics;
     /// Called when the engine's process has restarted.
     std::function<void()> didRestartEngine = [] {};
+    /// Whether the engine has said that it finishes its requests and ends soon.
+    std::function<bool()> isEngineLeaving = [] { return false; };
 };
 
 /// Whether a replica can be loaded on this VM, and what the load would cost.
--- a/src/agent/internal/replicaqueries.cpp
+++ b/src/agent/internal/replicaqueries.cpp
@@ -49,6 +49,8 @@
 {
     if (isDraining_)
         return permanentRefusal(ErrorCode::Draining, id, "the agent shuts down");
+    if (ports_.isEngineLeaving())
+        return permanentRefusal(ErrorCode::Draining, id, "the engine leaves");
     if (!isInitialized() || !bundle_)
         return refusal(ErrorCode::NotReady, id, "engine, claims or bundle not read yet", retryWhenBusy);
     const bundle::Model* model = bundle_->model(id.model);
--- a/src/agent/internal/requestgate.cpp
+++ b/src/agent/internal/requestgate.cpp
@@ -26,6 +26,8 @@
 /// Retry delay of requests that are refused because the agent shuts down; another upstream may serve them immediately.
 constexpr Milliseconds retryWhenDraining { 1000 };
 constexpr unsigned short notFound = 404;
+/// Shorter than an upstream's process takes to end and start again.
+constexpr Milliseconds runCheckInterval { 200 };
 /// How long before the deadline an answer or refusal has to be sent to reach the router in time. Shortly before the
 /// deadline the router refuses the request itself, and can then only report it as "unknown".
 constexpr Milliseconds deliveryMargin { 50 };
@@ -109,6 +111,7 @@
     , ledger_(RequestLedger::restart(own, { limits.ledgerEntries, limits.ledgerBytes, limits.forgetRouterAfter }))
     , admission_(limits.running, limits.waiting)
     , upstreamLimit_(*ports_.metrics)
+    , notices_(*ports_.metrics)
 {
 }
 
@@ -142,7 +145,7 @@
         return drainingRefusal("the agent shuts down", Execution::NotRun);
     if (call.request.deadline.hasPassed(ports_.clock.now()))
         return refusal(ErrorCode::DeadlinePassed, "on receipt", Execution::NotRun);
-    return std::nullopt;
+    return notices_.refusal(currentRun(), ports_.clock.now());
 }
 
 void RequestGate::admit(const DispatchKey& key, Call call)
@@ -296,8 +299,7 @@
 {
     Call& call = calls_.at(key);
     call.startedAt = ports_.clock.now();
-    if (ports_.crashes)
-        call.upstreamRun = ports_.crashes->currentRun();
+    call.upstreamRun = currentRun();
     armRunTimer(key, call);
     const auto waited = call.startedAt - call.receivedAt;
     ports_.metrics->observeSeconds("lagoon_agent_wait_seconds", std::chrono::duration<double>(waited).count());
@@ -348,6 +350,7 @@
     if (!call)
         return;
     upstreamLimit_.didAnswer(headers, call->startedAt, ports_.clock.now());
+    noteNotice(*call, status, headers);
     if (call->stopReason)
         return;
     // An engine answers 404 before it runs anything: it has lost the replica since its state was last read.
@@ -357,6 +360,45 @@
     sendHead(*call->link, key, *ledger_.answer(key));
 }
 
+void RequestGate::noteNotice(const Call& call, unsigned short status, const HttpHeaders& headers)
+{
+    if (!notices_.didAnswer(status, headers, call.upstreamRun, ports_.clock.now()))
+        return;
+    refuseWaiting();
+    checkRunOfLeaving();
+}
+
+/// Other upstreams may serve the requests that wait here in time.
+void RequestGate::refuseWaiting()
+{
+    const auto refused = notices_.refusal(currentRun(), ports_.clock.now());
+    if (!refused)
+        return;
+    std::vector<DispatchKey> waiting;
+    for (const auto& [key, call] : calls_) {
+        if (!call.upstream)
+            waiting.push_back(key);
+    }
+    for (const DispatchKey& key : waiting)
+        stop(key, *refused);
+}
+
+/// An upstream that leaves gets no requests, so no request shows its end.
+void RequestGate::checkRunOfLeaving()
+{
+    runCheckTimer_.reset();
+    if (!ports_.crashes || !isUpstreamLeaving())
+        return;
+    ports_.crashes->checkRun();
+    runCheckTimer_
+        = ports_.control.runAt(Deadline::after(ports_.clock.now(), runCheckInterval), [this] { checkRunOfLeaving(); });
+}
+
+UpstreamRunNumber RequestGate::currentRun() const
+{
+    return ports_.crashes ? ports_.crashes->currentRun() : UpstreamRunNumber(1);
+}
+
 void RequestGate::handleBytes(const DispatchKey& key, std::string bytes)
 {
     Call* call = find(key);
--- a/src/agent/internal/requestgate.h
+++ b/src/agent/internal/requestgate.h
@@ -6,6 +6,7 @@
 #include "agent/internal/servicetimes.h"
 #include "agent/internal/upstreamcrashes.h"
 #include "agent/internal/upstreamlimit.h"
+#include "agent/internal/upstreamnotices.h"
 #include "agent/iservedtargets.h"
 #include "agent/iupstream.h"
 #include "framework/controlthread.h"
@@ -54,6 +55,8 @@
     std::uint32_t running() const { return admission_.running(); }
     std::uint32_t waiting() const { return admission_.waiting(); }
     bool isIdle() const { return calls_.empty(); }
+    /// Whether the upstream has said that it finishes its requests and ends soon.
+    bool isUpstreamLeaving() const { return notices_.isLeaving(currentRun()); }
     /// Whether routers have confirmed all answers.
     bool isSettled() const { return isIdle() && ledger_.entries() == 0; }
     const RequestLedger& ledger() const { return ledger_; }
@@ -82,6 +85,10 @@
     void run(const DispatchKey&);
     void stop(const DispatchKey&, framework::Error);
     void handleHead(const DispatchKey&, unsigned short status, HttpHeaders);
+    void noteNotice(const Call&, unsigned short status, const HttpHeaders&);
+    void refuseWaiting();
+    void checkRunOfLeaving();
+    UpstreamRunNumber currentRun() const;
     void handleBytes(const DispatchKey&, std::string);
     void handleEnd(const DispatchKey&);
     void handleFailure(const DispatchKey&, const framework::Error&);
@@ -111,6 +118,9 @@
     UpstreamLimit upstreamLimit_;
     /// Starts the next request once the upstream's limit allows it.
     std::unique_ptr<framework::Timer> limitTimer_;
+    UpstreamNotices notices_;
+    /// Checks whether an upstream that leaves has ended, so that its successor is used.
+    std::unique_ptr<framework::Timer> runCheckTimer_;
     ServiceTimes serviceTimes_;
     std::map<DispatchKey, Call> calls_;
     /// Set while draining.
--- a/src/agent/internal/upstreamcrashes.cpp
+++ b/src/agent/internal/upstreamcrashes.cpp
@@ -33,6 +33,13 @@
 {
     quarantine_->didCut({ request, idOf(run), startedAt, false });
     // Engines report a restart, but it may be seconds until then, and plain services don't report any.
+    checkRun(run);
+}
+
+void UpstreamCrashes::checkRun() { checkRun(run_); }
+
+void UpstreamCrashes::checkRun(UpstreamRunNumber run)
+{
     context_.probe([this, run](bool accepts) {
         if (!accepts)
             didEndRun(run, EndSign::Refused);
--- a/src/agent/internal/upstreamcrashes.h
+++ b/src/agent/internal/upstreamcrashes.h
@@ -39,6 +39,8 @@
     UpstreamRunNumber currentRun() const { return run_; }
     /// The connection of a request that was started at this time, in this run, broke.
     void didCut(const quarantine::RequestFingerprint&, UpstreamRunNumber, framework::SteadyTime startedAt);
+    /// Finds out whether the upstream's process still runs.
+    void checkRun();
     /// The upstream reports that it has restarted.
     void didRestart();
     /// The upstream has answered a request that was started at this time.
@@ -52,6 +54,7 @@
     quarantine::ServerRunId idOf(UpstreamRunNumber) const;
 
 private:
+    void checkRun(UpstreamRunNumber);
     void didEndRun(UpstreamRunNumber, quarantine::EndSign);
 
     Context context_;
--- a/src/agent/tests/replicacontroller_test.cpp
+++ b/src/agent/tests/replicacontroller_test.cpp
@@ -85,14 +85,15 @@
     std::unique_ptr<ReplicaController> replicas;
     std::uint64_t incarnation = 0;
     bool checksFencing = false;
+    bool isEngineLeaving = false;
 
     void startAgent(const bundle::Bundle& initialBundle = bundleOf(1, 1))
     {
         const framework::ProcessIdentity identity { ownVm, site, FailureDomainName("ikeja") };
         const auto inlineWork = [](const std::function<void()>& work) { work(); };
         auto claims = std::make_shared<ReplicaClaims>(store, vmList, identity, Incarnation(++incarnation), metrics);
-        replicas = std::make_unique<ReplicaController>(
-            ReplicaPorts { control, control, inlineWork, inlineWork, claims, engine, metrics },
+        replicas = std::make_unique<ReplicaController>(ReplicaPorts { control, control, inlineWork, inlineWork, claims,
+                                                           engine, metrics, [] {}, [this] { return isEngineLeaving; } },
             ReplicaSettings { site, pool, checksFencing, settling });
         replicas->start();
         replicas->setBundle(std::make_shared<bundle::Bundle>(initialBundle));
@@ -682,6 +683,16 @@
     BOOST_TEST(holders(model("a")) == 1u);
 }
 
+// Prevents loads at an engine that has said that it ends soon.
+BOOST_AUTO_TEST_CASE(anEngineThatLeavesLoadsNothing)
+{
+    startAgent();
+    isEngineLeaving = true;
+    BOOST_TEST(load(model("small"))->isRefused(ErrorCode::Draining));
+    isEngineLeaving = false;
+    BOOST_TEST(!load(model("small"))->isRefused(ErrorCode::Draining));
+}
+
 BOOST_AUTO_TEST_CASE(aDrainingAgentLoadsNothingAndKeepsItsClaims)
 {
     startAgent();
--- a/src/agent/tests/requestgate_test.cpp
+++ b/src/agent/tests/requestgate_test.cpp
@@ -133,6 +133,14 @@
         control.runPosted();
     }
 
+    /// A complete answer with these headers.
+    void answerWith(std::size_t call, unsigned short status, const HttpHeaders& headers)
+    {
+        upstream->calls.at(call)->events.onHead(status, headers);
+        upstream->calls.at(call)->events.onEnd();
+        control.runPosted();
+    }
+
     void answerBytes(std::size_t call, const std::string& bytes)
     {
         upstream->calls.at(call)->events.onBytes(bytes);
@@ -562,6 +570,37 @@
     BOOST_TEST(upstream->calls.size() <= 1u + 9);
 }
 
+// Prevents requests, and those that wait, from being sent to an upstream that has said that it leaves.
+BOOST_AUTO_TEST_CASE(anUpstreamThatLeavesGetsNoRequests)
+{
+    dispatch(1);
+    dispatch(2);
+    answerWith(0, 200, { { "server-leaving", "1" } });
+    checkRefused(*link, ErrorCode::Draining, Execution::NotRun);
+    BOOST_TEST(link->all<fb::AnswerEndT>().size() == 1u);
+    dispatch(3);
+    control.advance(Milliseconds(5000));
+    dispatch(4);
+    BOOST_TEST(upstream->calls.size() == 1u);
+    BOOST_TEST(link->all<fb::RefusedT>().size() == 3u);
+    BOOST_TEST(gate->isUpstreamLeaving());
+}
+
+// Prevents the upstream's next run from being kept without requests for what the former one has said.
+BOOST_FIXTURE_TEST_CASE(theNextRunOfAnUpstreamThatLeftGetsRequests, CrashFixture)
+{
+    accepts = true;
+    dispatchWithFingerprint(1);
+    answerWith(0, 200, { { "Server-Leaving", "1" } });
+    control.advance(Milliseconds(1000));
+    dispatchWithFingerprint(2);
+    BOOST_TEST(upstream->calls.size() == 1u);
+    accepts = false;
+    control.advance(Milliseconds(400));
+    dispatchWithFingerprint(3);
+    BOOST_TEST(upstream->calls.size() == 2u);
+}
+
 // Prevents requests from waiting for a turn that comes too late.
 BOOST_AUTO_TEST_CASE(aRequestWhoseTurnComesTooLateIsRefusedAtOnce)
 {
--- a/src/engines/enginecontroller.h
+++ b/src/engines/enginecontroller.h
@@ -63,9 +63,10 @@
     void acquireFencingToken();
     void poll();
     void pollAfter(framework::Milliseconds);
-    void didReport(framework::Result<EngineReport>);
+    void didReport(framework::Result<EngineReport>, const notices::ServerNotice&);
     void noteRestart(const EngineReport&);
     void noteLimit(const EngineReport&);
+    void noteLeaving(bool isLeaving);
     void resetForNewRun(const EngineReport&);
     void decide();
     void sendOrder(const Order&, const std::string& reason);
@@ -100,6 +101,8 @@
     bool isOrdering_ = false;
     bool isAcquiringToken_ = false;
     bool isEngineLost_ = false;
+    /// The engine has said that it finishes its requests and ends soon.
+    bool isLeaving_ = false;
     /// No order is given before this time, since the engine was busy, refused the last order or didn't answer it.
     framework::Deadline ordersAllowedAt_;
     /// Until this time the engine may still carry out an order that got no answer.
--- a/src/engines/iengineport.h
+++ b/src/engines/iengineport.h
@@ -3,6 +3,7 @@
 #include "engines/types/enginereport.h"
 #include "framework/types/error.h"
 #include "framework/types/time.h"
+#include "notices/types/servernotice.h"
 
 #include <functional>
 
@@ -12,7 +13,8 @@
 class IEnginePort {
 public:
     virtual ~IEnginePort() = default;
-    using ReportHandler = std::function<void(framework::Result<EngineReport>)>;
+    /// The notice is that of the answer's head, also if the answer has no report.
+    using ReportHandler = std::function<void(framework::Result<EngineReport>, const notices::ServerNotice&)>;
     using OrderHandler = std::function<void(const OrderAnswer&)>;
 
     virtual void report(framework::Deadline, ReportHandler) = 0;
--- a/src/engines/internal/enginecontroller.cpp
+++ b/src/engines/internal/enginecontroller.cpp
@@ -106,6 +106,18 @@
         + std::to_string(state.readingTokens.value() / readingStep) + (state.streams > 0 ? "s" : "");
 }
 
+/// Returns the decision for an engine that leaves: it loads nothing, and what it has is used no longer.
+PlacementDecision withdrawn(const PlacementDecision& decision, const EngineReport& report)
+{
+    PlacementDecision withdrawn;
+    for (const catalog::LoadedModel& held : report.held)
+        withdrawn.draining.push_back(held.model);
+    withdrawn.expected = decision.expected;
+    for (catalog::EngineState::Expected& expected : withdrawn.expected)
+        expected.within = catalog::loadImpossible;
+    return withdrawn;
+}
+
 } // namespace
 
 EngineController::EngineController(Context context, const EngineControllerSettings& settings)
@@ -193,9 +205,9 @@
     reportAskedAt_ = context_.clock.now();
     pollTimer_.reset();
     context_.engine.report(Deadline::after(context_.clock.now(), reportTimeout),
-        [this, alive = std::weak_ptr<int>(alive_)](Result<EngineReport> report) {
+        [this, alive = std::weak_ptr<int>(alive_)](Result<EngineReport> report, const notices::ServerNotice& notice) {
             if (!alive.expired())
-                didReport(std::move(report));
+                didReport(std::move(report), notice);
         });
 }
 
@@ -204,10 +216,11 @@
     pollTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), pause), [this] { poll(); });
 }
 
-void EngineController::didReport(Result<EngineReport> report)
+void EngineController::didReport(Result<EngineReport> report, const notices::ServerNotice& notice)
 {
     isReporting_ = false;
     if (report.has_error()) {
+        noteLeaving(isLeaving_ || notice.isLeaving);
         if (!std::exchange(isEngineLost_, true))
             logDecision(LogLine("engine_lost").text("cause", describe(report.error())));
         // Without a report nothing is published, and routers fall back on the platform's list.
@@ -218,6 +231,8 @@
         logDecision(LogLine("engine_regained"));
     noteRestart(report.value());
     noteLimit(report.value());
+    // An engine that leaves says so in all its answers, so one that doesn't is the engine's next run.
+    noteLeaving(notice.isLeaving);
     if (report.value().orders < acceptedOrders_)
         return pollAfter(fastPollInterval);
     acceptedOrders_ = report.value().orders;
@@ -241,6 +256,13 @@
         { ratelimits::serverRunKey(run), report.limit.rate, report.limit.rate ? now : reportAskedAt_, now });
 }
 
+void EngineController::noteLeaving(bool isLeaving)
+{
+    if (std::exchange(isLeaving_, isLeaving) == isLeaving)
+        return;
+    logDecision(LogLine(isLeaving ? "engine_leaving" : "engine_staying").text("instance", instance_.value()));
+}
+
 void EngineController::noteRestart(const EngineReport& report)
 {
     const bool isOtherRun = report.started && started_ && *report.started != *started_;
@@ -321,7 +343,9 @@
     if (!profile_ || !report_)
         return;
     const auto& demand = demand_.merged();
-    const PlacementDecision decision = planner_.decide(input(demand));
+    PlacementDecision decision = planner_.decide(input(demand));
+    if (isLeaving_)
+        decision = withdrawn(decision, *report_);
     publish(decision, demand);
     if (decision.order && canOrder())
         sendOrder(*decision.order, decision.reason);
@@ -358,6 +382,7 @@
                     .text("detail", answer.detail));
     context_.metrics->count("lagoon_engine_orders_total", { { "outcome", std::string(outcomeText(answer.outcome)) } });
     const framework::SteadyTime now = context_.clock.now();
+    noteLeaving(answer.notice.isLeaving || (isLeaving_ && answer.outcome != OrderOutcome::OtherInstance));
     switch (answer.outcome) {
     case OrderOutcome::Accepted:
         if (profile_ && report_)
--- a/src/engines/tests/enginecontroller_test.cpp
+++ b/src/engines/tests/enginecontroller_test.cpp
@@ -33,9 +33,9 @@
         ++reports;
         control_.post([this, handler = std::move(handler)] {
             if (isSilent)
-                handler(Error { ErrorCode::PlatformUnavailable, "report", "engine", "silent" });
+                handler(Error { ErrorCode::PlatformUnavailable, "report", "engine", "silent" }, notice);
             else
-                handler(state);
+                handler(state, notice);
         });
     }
 
@@ -49,10 +49,12 @@
     {
         auto handler = std::move(handlers.front());
         handlers.pop_front();
-        handler({ outcome, InstanceId(instance), {} });
+        handler({ outcome, InstanceId(instance), {}, notice });
     }
 
     EngineReport state;
+    /// What the engine's answers say.
+    notices::ServerNotice notice;
     bool isSilent = false;
     int reports = 0;
     std::vector<std::pair<Order, OrderPreconditions>> orders;
@@ -160,6 +162,34 @@
     BOOST_TEST(preconditions.holder.value() == "vm");
 }
 
+// Prevents loads at an engine that has said that it ends soon, and requests that wait for them.
+BOOST_AUTO_TEST_CASE(anEngineThatLeavesLoadsNothing)
+{
+    engine.state.held.push_back({ ModelName("b"), 1, {}, 0 });
+    engine.notice.isLeaving = true;
+    start();
+    setWaitingRequest("a");
+    advanceTime(Milliseconds(500));
+    BOOST_TEST(engine.orders.empty());
+    BOOST_REQUIRE(!published.empty());
+    BOOST_TEST(published.back().isDraining(ModelName("b")));
+    BOOST_REQUIRE(published.back().expected.size() == 1U);
+    BOOST_TEST((published.back().expected[0].within == catalog::loadImpossible));
+}
+
+// Prevents an engine's next run from being kept from loading for what the former one has said.
+BOOST_AUTO_TEST_CASE(theNextRunOfAnEngineThatLeftLoadsAgain)
+{
+    engine.notice.isLeaving = true;
+    start();
+    setWaitingRequest("a");
+    advanceTime(Milliseconds(300));
+    engine.notice.isLeaving = false;
+    engine.state.started = catalog::StartTime(200);
+    advanceTime(Milliseconds(300));
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(noOrderIsGivenWithoutAFencingToken)
 {
     fencingTokens.isUnavailable = true;
--- a/src/engines/types/enginereport.h
+++ b/src/engines/types/enginereport.h
@@ -4,6 +4,7 @@
 #include "catalog/types/units.h"
 #include "catalog/types/upstream.h"
 #include "framework/types/ids.h"
+#include "notices/types/servernotice.h"
 #include "ratelimits/types/serverlimit.h"
 
 #include <cstdint>
@@ -73,6 +74,7 @@
     /// For `OtherInstance`: the instance that answered.
     catalog::InstanceId instance;
     std::string detail;
+    notices::ServerNotice notice;
 };
 
 } // namespace lagoon::engines
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -487,7 +487,7 @@
     void plan()
     {
         planTimer_.reset();
-        upstreams_.expireUnreachable(now());
+        upstreams_.expire(now());
         limits_.expire(now());
         customerTurns_.refresh(now());
         failOverIfSilent();
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -479,7 +479,8 @@
 void RequestJob::didReceiveHead(UpstreamRecord& upstream, const http::ResponseHead& head, AnswerClass answerClass)
 {
     host_.limits().didAnswer(upstream, host_.dialect().limit(head), answerClass, sentAt_, host_.now());
-    host_.notices().didAnswer(upstream, host_.dialect().notice(head), answerClass, host_.now());
+    if (host_.notices().didAnswer(upstream, host_.dialect().notice(head), answerClass, host_.now()))
+        host_.demandChanged();
 }
 
 void RequestJob::failOverIfSilent()
@@ -654,7 +655,7 @@
 /// The connection broke under the request. A server that drains cuts its last requests when it ends.
 void RequestJob::noteCut()
 {
-    if (attempt_->guard().upstream().facts.state == catalog::UpstreamState::Ready)
+    if (!host_.upstreams().isLeaving(attempt_->guard().upstream()))
         host_.quarantine().didCut(cutRequest());
 }
 
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -32,11 +32,6 @@
 /// Prompt tokens that an engine is assumed to cache, until its agent has reported its memory.
 const catalog::Tokens assumedPromptCapacity(100000);
 
-bool takesRequests(const UpstreamRecord& record)
-{
-    return record.facts.state == catalog::UpstreamState::Ready && !record.isReplaced;
-}
-
 /// Prevents the use of a state or list entry of a former run, of which nothing is valid any more: the list may lag
 /// behind an agent, and an agent's report may have been in transit when the list was read.
 bool isOfFormerRun(const std::optional<catalog::StartTime>& reported, const Upstream& known)
@@ -98,7 +93,7 @@
 
 void UpstreamTable::reportRunEnd(const UpstreamRecord& record, quarantine::EndSign sign) const
 {
-    if (didEndRun_ && record.facts.state == catalog::UpstreamState::Ready)
+    if (didEndRun_ && !isLeaving(record))
         didEndRun_(record.facts.run(), sign);
 }
 
@@ -170,8 +165,7 @@
     const ReportedState* const reported = lastReport(record);
     const std::vector<catalog::LoadedModel>& held = reported ? reported->state.held : record.facts.models;
     const catalog::CachedWeights& cached = reported ? reported->state.cachedWeights : record.facts.cachedWeights;
-    const bool servesNothing
-        = record.facts.state != catalog::UpstreamState::Ready || unreachable_.contains(record.facts.endpoint);
+    const bool servesNothing = isLeaving(record) || unreachable_.contains(record.facts.endpoint);
     ReplicaIndex::Contents contents;
     for (const catalog::LoadedModel& model : held) {
         const bool isServed = !servesNothing && !(reported && reported->state.isDraining(model.model));
@@ -274,6 +268,12 @@
     refreshReplicas(record);
 }
 
+void UpstreamTable::expire(SteadyTime now)
+{
+    expireUnreachable(now);
+    notices_.expire([this](const catalog::InstanceId& instance) { return records_.contains(instance); }, now);
+}
+
 void UpstreamTable::expireUnreachable(SteadyTime now)
 {
     std::erase_if(unreachableAgents_, [now](const auto& entry) { return entry.second.hasPassed(now); });
@@ -354,7 +354,22 @@
 notices::NoticeTable::News UpstreamTable::didReceiveNotice(
     UpstreamRecord& record, const notices::ServerNotice& notice, SteadyTime now)
 {
-    return notices_.add(record.facts.run(), notice, now);
+    const notices::NoticeTable::News news = notices_.add(record.facts.run(), notice, now);
+    // The list may have replaced the record since the request was sent.
+    const auto present = records_.find(record.facts.instance);
+    if (news.leaves && present != records_.end())
+        refreshReplicas(*present->second);
+    return news;
+}
+
+bool UpstreamTable::isLeaving(const UpstreamRecord& record) const
+{
+    return record.facts.state != catalog::UpstreamState::Ready || notices_.isLeaving(record.facts.run());
+}
+
+bool UpstreamTable::takesRequests(const UpstreamRecord& record) const
+{
+    return !record.isReplaced && !isLeaving(record);
 }
 
 bool UpstreamTable::isInService(const UpstreamRecord& record) const
@@ -381,7 +396,7 @@
     const auto records = services_.find(service);
     return records != services_.end()
         && std::any_of(records->second.byEndpoint.begin(), records->second.byEndpoint.end(),
-            [](const auto& entry) { return takesRequests(*entry.second); });
+            [this](const auto& entry) { return takesRequests(*entry.second); });
 }
 
 std::vector<UpstreamPointer> UpstreamTable::serving(
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -97,6 +97,8 @@
     notices::NoticeTable::News didReceiveNotice(
         UpstreamRecord&, const notices::ServerNotice&, framework::SteadyTime now);
 
+    /// Whether the server finishes its requests and ends soon, as the list states or as the server itself has said.
+    bool isLeaving(const UpstreamRecord&) const;
     /// Whether the record still belongs to a listed server that accepts new requests.
     bool isInService(const UpstreamRecord&) const;
     /// Returns the servers of the service that accept new requests.
@@ -137,8 +139,9 @@
     /// this only by its silence. Without this, callers would be refused one after the other by the engine that had
     /// their model loaded, and no other engine would be asked to load it.
     void didFailToConnect(UpstreamRecord&, framework::SteadyTime now);
-    /// Trusts the list again about engines whose connection failures have expired.
-    void expireUnreachable(framework::SteadyTime now);
+    /// Trusts the list again about engines whose connection failures have expired, and forgets what servers have said
+    /// that haven't been listed for long.
+    void expire(framework::SteadyTime now);
     /// Returns the engines of the service that have a recent state from an agent.
     std::vector<EngineFacts> engines(const framework::ServiceName&, framework::SteadyTime now) const;
     /// Returns the highest number of routers that any agent reports; an assumed number without agents.
@@ -156,6 +159,8 @@
     };
 
     static void didSeeActivity(UpstreamRecord&, framework::SteadyTime now);
+    bool takesRequests(const UpstreamRecord&) const;
+    void expireUnreachable(framework::SteadyTime now);
     const ReportedState* lastReport(const UpstreamRecord&) const;
     UpstreamPointer find(const framework::Endpoint&) const;
     void upsert(const catalog::Upstream&);
@@ -177,6 +182,7 @@
     catalog::ConfigurationPointer configuration_;
     std::map<framework::ServiceName, framework::Milliseconds> eventGaps_;
     std::map<catalog::InstanceId, UpstreamPointer> records_;
+    /// What servers have said in their answers. Kept apart from the records, which the list replaces.
     notices::NoticeTable notices_;
     std::optional<framework::SteadyTime> listConfirmedAt_;
     std::map<framework::ServiceName, ServiceRecords> services_;
--- a/src/forwarding/tests/upstreamtable_test.cpp
+++ b/src/forwarding/tests/upstreamtable_test.cpp
@@ -65,6 +65,20 @@
         return version ? version->name() : "unknown";
     }
 
+    /// An answer of the server says that it leaves.
+    void leave(UpstreamRecord& record)
+    {
+        notices::ServerNotice notice;
+        notice.isLeaving = true;
+        table.didReceiveNotice(record, notice, now);
+    }
+
+    bool isOutOfUse()
+    {
+        return table.ready(service).empty() && !table.hasReady(service) && table.serving(service, target.model).empty()
+            && table.engines(service, now).empty();
+    }
+
     /// Records data that a router collects about a server by using it.
     void use()
     {
@@ -106,6 +120,63 @@
 
 BOOST_FIXTURE_TEST_SUITE(TheUpstreamTable, Fixture)
 
+// Prevents an entry that says ready from bringing a server back that has said that it leaves: the list may be out of
+// date, or the entry may be removed and written again.
+BOOST_AUTO_TEST_CASE(aServerThatSaidThatItLeavesStaysOutWhateverTheListSays)
+{
+    table.setUpstreams({ upstream(100) });
+    table.setState(state(100, true), now);
+    const UpstreamPointer record = table.ready(service).at(0);
+    BOOST_TEST(table.serving(service, target.model).size() == 1u);
+    leave(*record);
+    BOOST_TEST(!table.isInService(*record));
+    BOOST_TEST(isOutOfUse());
+    table.setUpstreams({ upstream(100) });
+    BOOST_TEST(isOutOfUse());
+    table.setUpstreams({});
+    table.setUpstreams({ upstream(100) });
+    table.setState(state(100, true), now);
+    BOOST_TEST(isOutOfUse());
+    // An entry of a former run, written again while the one that leaves still has the id.
+    table.setUpstreams({});
+    table.setUpstreams({ upstream(50) });
+    BOOST_TEST(isOutOfUse());
+}
+
+// Prevents a server from being kept out for what a former run, or the former server at its address, has said.
+BOOST_AUTO_TEST_CASE(aNewRunAtTheAddressIsUsed)
+{
+    table.setUpstreams({ upstream(100) });
+    leave(only());
+    table.setUpstreams({ upstream(200) });
+    BOOST_TEST(table.ready(service).size() == 1u);
+    leave(only());
+    Upstream successor = upstream(300);
+    successor.instance = InstanceId("i-2");
+    table.setUpstreams({ successor });
+    BOOST_TEST(table.ready(service).size() == 1u);
+}
+
+// Prevents a restart that an agent sees first from being bound by what the former run has said.
+BOOST_AUTO_TEST_CASE(aRestartThatTheAgentReportsEndsTheLeaving)
+{
+    table.setUpstreams({ upstream(100) });
+    leave(only());
+    table.setState(state(200, true), now);
+    BOOST_TEST(table.ready(service).size() == 1u);
+}
+
+// Prevents the end of a server that leaves from being taken for a crash.
+BOOST_AUTO_TEST_CASE(theEndOfAServerThatLeavesIsNoCrash)
+{
+    int ended = 0;
+    table.setRunEndHandler([&](const catalog::UpstreamRun&, quarantine::EndSign) { ++ended; });
+    table.setUpstreams({ upstream(100) });
+    leave(only());
+    table.setUpstreams({});
+    BOOST_TEST(ended == 0);
+}
+
 // Prevents the data of a former run from being used after an engine has restarted under the same id: the router sent
 // requests there for cached prompts that no longer existed, and excluded the engine for the failures of the crash.
 BOOST_AUTO_TEST_CASE(dataOfAServerIsDroppedWhenItRestarts)
@@ -278,9 +349,9 @@
     table.setUpstreams({ listed });
     table.didFailToConnect(only(), now);
     BOOST_TEST(table.serving(service, target.model).empty());
-    table.expireUnreachable(now + Milliseconds(1000));
+    table.expire(now + Milliseconds(1000));
     BOOST_TEST(table.serving(service, target.model).empty());
-    table.expireUnreachable(now + Milliseconds(1600));
+    table.expire(now + Milliseconds(1600));
     BOOST_TEST(table.serving(service, target.model).size() == 1u);
 }
 
