Send no requests to a server for as long as its 503 asked

Servers that turned requests away and asked for a rest got more requests in it: one caller's request was sent seven times within 51 ms to the only engine that had its model, and new ones chose the engine again among four. Callers were told to come back in 0.25 to 0.5 s, in the middle of the rest.

Retry-After was read in the store's answers alone; a server's 503 counted as a failure like any other, for which a server is only put behind others, for a time of our own.

The rest is kept by run of a server, as the time of its end; the end that is latest counts. No request is sent before it: not as a repeat, a stream that is taken up, from a silent server, with a permit, or over a connection that opens meanwhile. If all servers rest, requests are refused at once, and no retry is spent; Retry-After is then the first end, and is rounded up. If only the engines that have a model rest, another engine loads it, where that is in time: for the planner of loads an engine that rests takes requests at a rate of 0.

Agents leave an engine's reports and orders alone in its rest too. On the path through agents the gate refuses requests as not run, with the rest as their time to come back; the next run of the upstream isn't bound.

--- a/src/agent/internal/requestgate.cpp
+++ b/src/agent/internal/requestgate.cpp
@@ -365,7 +365,7 @@
     if (!notices_.didAnswer(status, headers, call.upstreamRun, ports_.clock.now()))
         return;
     refuseWaiting();
-    checkRunOfLeaving();
+    checkRunOfUnavailable();
 }
 
 /// Other upstreams may serve the requests that wait here in time.
@@ -383,15 +383,15 @@
         stop(key, *refused);
 }
 
-/// An upstream that leaves gets no requests, so no request shows its end.
-void RequestGate::checkRunOfLeaving()
+/// An upstream that leaves or rests gets no requests, so no request shows its end.
+void RequestGate::checkRunOfUnavailable()
 {
     runCheckTimer_.reset();
-    if (!ports_.crashes || !isUpstreamLeaving())
+    if (!ports_.crashes || !notices_.refusal(currentRun(), ports_.clock.now()))
         return;
     ports_.crashes->checkRun();
-    runCheckTimer_
-        = ports_.control.runAt(Deadline::after(ports_.clock.now(), runCheckInterval), [this] { checkRunOfLeaving(); });
+    runCheckTimer_ = ports_.control.runAt(
+        Deadline::after(ports_.clock.now(), runCheckInterval), [this] { checkRunOfUnavailable(); });
 }
 
 UpstreamRunNumber RequestGate::currentRun() const
--- a/src/agent/internal/requestgate.h
+++ b/src/agent/internal/requestgate.h
@@ -87,7 +87,7 @@
     void handleHead(const DispatchKey&, unsigned short status, HttpHeaders);
     void noteNotice(const Call&, unsigned short status, const HttpHeaders&);
     void refuseWaiting();
-    void checkRunOfLeaving();
+    void checkRunOfUnavailable();
     UpstreamRunNumber currentRun() const;
     void handleBytes(const DispatchKey&, std::string);
     void handleEnd(const DispatchKey&);
@@ -119,7 +119,7 @@
     /// Starts the next request once the upstream's limit allows it.
     std::unique_ptr<framework::Timer> limitTimer_;
     UpstreamNotices notices_;
-    /// Checks whether an upstream that leaves has ended, so that its successor is used.
+    /// Checks whether an upstream that leaves or rests has ended, so that its successor is used.
     std::unique_ptr<framework::Timer> runCheckTimer_;
     ServiceTimes serviceTimes_;
     std::map<DispatchKey, Call> calls_;
--- a/src/agent/internal/upstreamnotices.cpp
+++ b/src/agent/internal/upstreamnotices.cpp
@@ -15,6 +15,9 @@
 using framework::SteadyTime;
 
 constexpr const char* leavingHeader = "Server-Leaving";
+constexpr const char* restHeader = "Retry-After";
+/// Only with this status does `Retry-After` concern the upstream rather than the request.
+constexpr unsigned short turnedAway = 503;
 /// Another upstream may serve the request at once.
 constexpr Milliseconds retryWhenLeaving { 1000 };
 
@@ -24,12 +27,14 @@
     return { catalog::InstanceId("upstream"), catalog::StartTime(run.value()) };
 }
 
-notices::ServerNotice readNotice(const HttpHeaders& headers)
+notices::ServerNotice readNotice(unsigned short status, const HttpHeaders& headers)
 {
     notices::ServerNotice notice;
     for (const auto& [name, value] : headers) {
         if (http::equalsIgnoringCase(name, leavingHeader))
             notices::addLeaving(notice, value);
+        else if (status == turnedAway && http::equalsIgnoringCase(name, restHeader))
+            notices::addRest(notice, value);
     }
     return notice;
 }
@@ -41,22 +46,33 @@
 {
 }
 
-bool UpstreamNotices::didAnswer(unsigned short, const HttpHeaders& headers, UpstreamRunNumber run, SteadyTime now)
+bool UpstreamNotices::didAnswer(
+    unsigned short status, const HttpHeaders& headers, UpstreamRunNumber run, SteadyTime now)
 {
-    const notices::NoticeTable::News news = table_.add(runOf(run), readNotice(headers), now);
+    const notices::ServerNotice notice = readNotice(status, headers);
+    if (notice.isRestUnreadable)
+        metrics_.count("lagoon_server_rests_unreadable_total");
+    const notices::NoticeTable::News news = table_.add(runOf(run), notice, now);
     if (news.leaves) {
         metrics_.count("lagoon_servers_leaving_total");
         logDecision(LogLine("server_leaving"));
     }
-    return news.leaves;
+    if (news.restsLonger) {
+        metrics_.count("lagoon_server_rests_total");
+        logDecision(LogLine("server_rest").number("rest_ms", notice.rest->count()));
+    }
+    return news.leaves || news.restsLonger;
 }
 
 bool UpstreamNotices::isLeaving(UpstreamRunNumber run) const { return table_.isLeaving(runOf(run)); }
 
-std::optional<Error> UpstreamNotices::refusal(UpstreamRunNumber run, SteadyTime) const
+std::optional<Error> UpstreamNotices::refusal(UpstreamRunNumber run, SteadyTime now) const
 {
     if (isLeaving(run))
         return Error { ErrorCode::Draining, "admit", "", "the upstream leaves", Execution::NotRun, retryWhenLeaving };
+    if (table_.isResting(runOf(run), now))
+        return Error { ErrorCode::DeadlineHopeless, "admit", "", "the upstream rests", Execution::NotRun,
+            table_.restsUntil(runOf(run)).remaining(now) };
     return std::nullopt;
 }
 
--- a/src/agent/tests/requestgate_test.cpp
+++ b/src/agent/tests/requestgate_test.cpp
@@ -586,6 +586,35 @@
     BOOST_TEST(gate->isUpstreamLeaving());
 }
 
+// Prevents requests, and those that wait, from being sent to an upstream that has asked for a rest, and untrue times to
+// come back.
+BOOST_AUTO_TEST_CASE(anUpstreamThatRestsGetsNoRequests)
+{
+    dispatch(1);
+    dispatch(2);
+    answerWith(0, 503, { { "retry-after", "2.5" } });
+    checkRefused(*link, ErrorCode::DeadlineHopeless, Execution::NotRun);
+    BOOST_TEST(link->all<fb::RefusedT>().front().retry_after_ms == 2500u);
+    control.advance(Milliseconds(2000));
+    dispatch(3);
+    BOOST_TEST(link->all<fb::RefusedT>().back().retry_after_ms == 500u);
+    BOOST_TEST(upstream->calls.size() == 1u);
+    control.advance(Milliseconds(500));
+    dispatch(4);
+    BOOST_TEST(upstream->calls.size() == 2u);
+}
+
+// Prevents a success, and a value that can't be read, from being taken for a rest.
+BOOST_AUTO_TEST_CASE(onlyA503WithANumberAsksForARest)
+{
+    dispatch(1);
+    answerWith(0, 200, { { "Retry-After", "5" } });
+    dispatch(2);
+    answerWith(1, 503, { { "Retry-After", "soon" } });
+    dispatch(3);
+    BOOST_TEST(upstream->calls.size() == 3u);
+}
+
 // Prevents the upstream's next run from being kept without requests for what the former one has said.
 BOOST_FIXTURE_TEST_CASE(theNextRunOfAnUpstreamThatLeftGetsRequests, CrashFixture)
 {
--- a/src/engines/enginecontroller.h
+++ b/src/engines/enginecontroller.h
@@ -67,6 +67,7 @@
     void noteRestart(const EngineReport&);
     void noteLimit(const EngineReport&);
     void noteLeaving(bool isLeaving);
+    void noteRest(const notices::ServerNotice&);
     void resetForNewRun(const EngineReport&);
     void decide();
     void sendOrder(const Order&, const std::string& reason);
@@ -103,6 +104,8 @@
     bool isEngineLost_ = false;
     /// The engine has said that it finishes its requests and ends soon.
     bool isLeaving_ = false;
+    /// The engine wants no calls before this time.
+    framework::Deadline restsUntil_;
     /// No order is given before this time, since the engine was busy, refused the last order or didn't answer it.
     framework::Deadline ordersAllowedAt_;
     /// Until this time the engine may still carry out an order that got no answer.
--- a/src/engines/internal/enginecontroller.cpp
+++ b/src/engines/internal/enginecontroller.cpp
@@ -185,6 +185,9 @@
 {
     if (!instance.value().empty() && instance != instance_ && instance != rejectedInstance_) {
         logDecision(LogLine("engine_instance").text("instance", instance.value()).text("router", router.value()));
+        // What the engine said before its first instance was named is about that instance.
+        if (!instance_.value().empty())
+            restsUntil_ = Deadline();
         instance_ = instance;
     }
     demand_.set(router, std::move(demand), context_.clock.now());
@@ -201,6 +204,8 @@
 {
     if (isReporting_ || isOrdering_)
         return;
+    if (!restsUntil_.hasPassed(context_.clock.now()))
+        return pollAfter(restsUntil_.remaining(context_.clock.now()));
     isReporting_ = true;
     reportAskedAt_ = context_.clock.now();
     pollTimer_.reset();
@@ -219,6 +224,7 @@
 void EngineController::didReport(Result<EngineReport> report, const notices::ServerNotice& notice)
 {
     isReporting_ = false;
+    noteRest(notice);
     if (report.has_error()) {
         noteLeaving(isLeaving_ || notice.isLeaving);
         if (!std::exchange(isEngineLost_, true))
@@ -263,6 +269,17 @@
     logDecision(LogLine(isLeaving ? "engine_leaving" : "engine_staying").text("instance", instance_.value()));
 }
 
+void EngineController::noteRest(const notices::ServerNotice& notice)
+{
+    if (!notice.rest)
+        return;
+    const Deadline until = Deadline::after(context_.clock.now(), *notice.rest);
+    if (until <= restsUntil_)
+        return;
+    restsUntil_ = until;
+    logDecision(LogLine("engine_rest").text("instance", instance_.value()).number("rest_ms", notice.rest->count()));
+}
+
 void EngineController::noteRestart(const EngineReport& report)
 {
     const bool isOtherRun = report.started && started_ && *report.started != *started_;
@@ -296,6 +313,7 @@
     acceptedOrdersSeenAt_ = now;
     rejectedInstance_ = catalog::InstanceId();
     ordersAllowedAt_ = Deadline();
+    restsUntil_ = Deadline();
     planner_.reset();
     if (mayArriveLate)
         acquireFencingToken();
@@ -382,6 +400,9 @@
                     .text("detail", answer.detail));
     context_.metrics->count("lagoon_engine_orders_total", { { "outcome", std::string(outcomeText(answer.outcome)) } });
     const framework::SteadyTime now = context_.clock.now();
+    if (answer.outcome == OrderOutcome::OtherInstance)
+        restsUntil_ = Deadline();
+    noteRest(answer.notice);
     noteLeaving(answer.notice.isLeaving || (isLeaving_ && answer.outcome != OrderOutcome::OtherInstance));
     switch (answer.outcome) {
     case OrderOutcome::Accepted:
--- a/src/engines/tests/enginecontroller_test.cpp
+++ b/src/engines/tests/enginecontroller_test.cpp
@@ -177,6 +177,26 @@
     BOOST_TEST((published.back().expected[0].within == catalog::loadImpossible));
 }
 
+// Prevents reports and orders from reaching an engine that has asked for a rest.
+BOOST_AUTO_TEST_CASE(anEngineThatRestsIsNotCalled)
+{
+    start();
+    engine.isSilent = true;
+    engine.notice.rest = Milliseconds(3000);
+    advanceTime(Milliseconds(300));
+    const int reports = engine.reports;
+    engine.notice = {};
+    engine.isSilent = false;
+    setWaitingRequest("a");
+    advanceTime(Milliseconds(2600));
+    setWaitingRequest("a");
+    BOOST_TEST(engine.reports == reports);
+    BOOST_TEST(engine.orders.empty());
+    advanceTime(Milliseconds(400));
+    BOOST_TEST(engine.reports > reports);
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
 // Prevents an engine's next run from being kept from loading for what the former one has said.
 BOOST_AUTO_TEST_CASE(theNextRunOfAnEngineThatLeftLoadsAgain)
 {
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -256,6 +256,20 @@
 
     void demandChanged() override { schedulePlan(backgroundPlanDelay); }
 
+    void dispatchAt(Deadline at) override
+    {
+        if (dispatchTimer_ && dispatchAt_ <= at)
+            return;
+        dispatchAt_ = at;
+        dispatchTimer_ = context_.traffic.runAt(at, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->dispatchTimer_.reset();
+            self->dispatchWaiting();
+        });
+    }
+
     void didEnd(const std::shared_ptr<RequestJob>& job) override
     {
         customerTurns_.didEnd(job->spec());
@@ -272,20 +286,6 @@
             [this](const quarantine::EvidenceUpdate& update) { context_.shareEvidence(update); } };
     }
 
-    void dispatchAt(Deadline at)
-    {
-        if (dispatchTimer_ && dispatchAt_ <= at)
-            return;
-        dispatchAt_ = at;
-        dispatchTimer_ = context_.traffic.runAt(at, [weak = weak_from_this()] {
-            const auto self = weak.lock();
-            if (!self)
-                return;
-            self->dispatchTimer_.reset();
-            self->dispatchWaiting();
-        });
-    }
-
     /// Posts the dispatch because the request whose end allows others to be sent is still on the stack.
     void postDispatch()
     {
@@ -451,8 +451,8 @@
         if (known == engines.end())
             known = engines.emplace(service, upstreams_.engines(service, now())).first;
         const auto timeUntilLoaded = demandPublisher_.timeUntilLoaded(service, known->second, *waitingFor, now());
-        if (!timeUntilLoaded && job.isRateLimited() && job.waited(now()) > agentConnectTimeout)
-            return job.refuseAsRateLimited();
+        if (!timeUntilLoaded && job.isHeldBack() && job.waited(now()) > agentConnectTimeout)
+            return job.refuseAsHeldBack();
         if (!timeUntilLoaded && !demandPublisher_.hasLoader(service, waitingFor->target.model)
             && job.waited(now()) > agentConnectTimeout)
             return job.refuseAsHopeless(left);
@@ -494,11 +494,20 @@
         if (routes_)
             demandPublisher_.plan(
                 *routes_->configuration(), [this](const ServiceName& service) { return waitingFor(service); },
-                limits_.rates(now()), settings_.policy, now());
+                engineLimits(), settings_.policy, now());
         dispatchWaiting();
         schedulePlan(planInterval);
     }
 
+    /// Returns the rates at which engines take requests; one that rests takes none.
+    DemandPublisher::EngineLimits engineLimits() const
+    {
+        DemandPublisher::EngineLimits limits = limits_.rates(now());
+        for (const Endpoint& engine : upstreams_.restingEngines(now()))
+            limits[engine] = ratelimits::RequestRate(0);
+        return limits;
+    }
+
     std::vector<WaitingRequests> waitingFor(const ServiceName& service) const
     {
         std::vector<WaitingRequests> waiting;
--- a/src/forwarding/internal/ijobhost.h
+++ b/src/forwarding/internal/ijobhost.h
@@ -50,6 +50,8 @@
     virtual void didRun(framework::Milliseconds took) = 0;
     /// The requests in flight or waiting for models have changed.
     virtual void demandChanged() = 0;
+    /// Requests that wait can be sent from this time on.
+    virtual void dispatchAt(framework::Deadline) = 0;
     /// Counts how a request ended by its customer, if it has one.
     virtual void countOutcome(const JobSpec&, const char* outcome) = 0;
     /// The request has its final answer.
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -256,16 +256,19 @@
     const UpstreamSearch search = findUpstream(host_, spec_, prompt_, tried_, required_, permit_);
     loadAt_ = search.loadAt;
     waitsForAdapter_ = search.reason == NoUpstream::AdapterNotLoaded;
-    permittedAt_ = search.reason == NoUpstream::RateLimited ? std::optional(search.permittedAt) : std::nullopt;
+    const bool isHeldBack = search.reason == NoUpstream::RateLimited || search.reason == NoUpstream::Resting;
+    heldBack_ = isHeldBack ? std::optional(HeldBack { search.availableAt, search.reason }) : std::nullopt;
     waitsForLoad_ = waitsForAdapter_ || search.reason == NoUpstream::NotLoaded || mayBeLoadedElsewhere(search);
     if (search.chosen)
         return sendOrRetract(*search.chosen, admission == Admission::Trial);
     if (search.reason == NoUpstream::PermitNeeded)
         return askForPermit(search);
-    if (search.reason == NoUpstream::RateLimited && !waitsForLoad_)
-        return refuseAsRateLimited();
+    if (heldBack_ && !waitsForLoad_)
+        return refuseAsHeldBack();
+    if (search.reason == NoUpstream::Resting)
+        return host_.dispatchAt(search.availableAt);
     if (search.reason == NoUpstream::NoneLeft)
-        return refuse(503, lastCause_, jittered(minRetryAfter));
+        return refuse(503, lastCause_, retryAfterFailure());
     if (search.reason == NoUpstream::NoneOfVersion)
         return refuseForVersion();
     if (search.reason == NoUpstream::Overloaded)
@@ -274,12 +277,15 @@
         return refuse(503, "no server is ready", jittered(retryAfterWithoutServer));
 }
 
-/// Whether to have the model loaded at another engine, as those that have it take fewer requests than there are.
+/// Whether to have the model loaded at another engine, as those that have it take fewer requests than there are, or
+/// none.
 bool RequestJob::mayBeLoadedElsewhere(const UpstreamSearch& search) const
 {
     const bool isTurnLate = search.reason == NoUpstream::PermitNeeded && search.mayWait
         && waited(host_.now()) > spec_.route->targetLatency / 2;
-    return (isTurnLate || search.reason == NoUpstream::RateLimited) && isForModel() && !required_;
+    const bool isHeldBack
+        = search.reason == NoUpstream::RateLimited || (search.reason == NoUpstream::Resting && !search.restsService);
+    return (isTurnLate || isHeldBack) && isForModel() && !required_;
 }
 
 void RequestJob::askForPermit(const UpstreamSearch& search)
@@ -513,7 +519,8 @@
     return std::any_of(serving.begin(), serving.end(), [&](const UpstreamPointer& other) {
         return other.get() != &attempt_->guard().upstream() && !tried_.has(*other) && mayGoOnAt(*other)
             && host_.limits().mayTake(*other, spec_.priority, host_.now())
-            && !host_.upstreams().isSuspect(*other, host_.now()) && !host_.upstreams().isSilent(*other, host_.now())
+            && !host_.upstreams().isResting(*other, host_.now()) && !host_.upstreams().isSuspect(*other, host_.now())
+            && !host_.upstreams().isSilent(*other, host_.now())
             && host_.upstreams().hasLoaded(*other, target(), host_.now());
     });
 }
@@ -704,8 +711,8 @@
     const bool hasTime = spec_.deadline.remaining(host_.now()) >= minTimeToRetry;
     const bool hasServerLeft = tried_.sentTo.size() < spec_.route->maxServers;
     const bool isQuarantined = host_.quarantine().isQuarantined(spec_.identity);
-    const bool isRetried
-        = !isKeyRevoked_ && !isQuarantined && mayRun && hasTime && hasServerLeft && host_.spendRetry(spec_.service);
+    const bool isRetried = !isKeyRevoked_ && !isQuarantined && mayRun && hasTime && hasServerLeft
+        && !isServiceResting(host_, spec_) && host_.spendRetry(spec_.service);
     logDecision(LogLine("attempt_failed")
                     .text("id", spec_.facts.attempt)
                     .text("fingerprint", spec_.identity.request.text())
@@ -723,7 +730,17 @@
         return refuseAsRevoked();
     if (isQuarantined)
         return refuseAsQuarantined();
-    refuse(refusalStatus, cause, jittered(minRetryAfter));
+    refuse(refusalStatus, cause, retryAfterFailure());
+}
+
+/// The Retry-After of a request that its servers didn't serve.
+Milliseconds RequestJob::retryAfterFailure() const
+{
+    const auto until = restEnd(host_, spec_);
+    if (!until)
+        return jittered(minRetryAfter);
+    const Milliseconds rest = until->remaining(host_.now());
+    return std::max(minRetryAfter, rest) + jitter(rest);
 }
 
 /// Ends the request with this system's own answer. Prevents a false statement to the caller: a status that means "not
@@ -743,8 +760,8 @@
 
 void RequestJob::refuseAsHopeless(Milliseconds timeUntilLoaded)
 {
-    if (permittedAt_ && permittedAt_->remaining(host_.now()) < timeUntilLoaded)
-        return refuseAsRateLimited();
+    if (heldBack_ && heldBack_->until.remaining(host_.now()) < timeUntilLoaded)
+        return refuseAsHeldBack();
     // During shutdown the request can wait for the same load at another router, so the caller should retry at once.
     refuse(503, "model not there before the deadline, soonest in " + std::to_string(timeUntilLoaded.count()) + " ms",
         jittered(isCutByShutdown_ ? minRetryAfter : std::max(minRetryAfter, timeUntilLoaded)));
@@ -758,12 +775,14 @@
 }
 
 /// The Retry-After is when a server is expected to take a request again.
-void RequestJob::refuseAsRateLimited()
+void RequestJob::refuseAsHeldBack()
 {
-    const Milliseconds wait = permittedAt_->remaining(host_.now());
-    host_.metrics().count("lagoon_rate_limited_refusals_total", { { "service", spec_.service.value() } });
-    refuse(503, "servers limit their requests, next in " + std::to_string(wait.count()) + " ms",
-        std::max(minRetryAfter, wait) + jitter(wait));
+    const Milliseconds wait = heldBack_->until.remaining(host_.now());
+    const bool isRest = heldBack_->reason == NoUpstream::Resting;
+    host_.metrics().count(isRest ? "lagoon_rest_refusals_total" : "lagoon_rate_limited_refusals_total",
+        { { "service", spec_.service.value() } });
+    const std::string cause = isRest ? "servers rest, the first until in " : "servers limit their requests, next in ";
+    refuse(503, cause + std::to_string(wait.count()) + " ms", std::max(minRetryAfter, wait) + jitter(wait));
 }
 
 /// Refuses a stream with which only servers of one version may go on, if none of these can.
@@ -828,14 +847,19 @@
     return true;
 }
 
-void RequestJob::failOverIfServerRemoved()
+void RequestJob::failOverIfServerRefuses()
 {
-    if (host_.upstreams().isInService(attempt_->guard().upstream()))
+    const UpstreamRecord& upstream = attempt_->guard().upstream();
+    const bool isResting = host_.upstreams().isResting(upstream, host_.now());
+    if (host_.upstreams().isInService(upstream) && !isResting)
         return;
     const auto keepAlive = shared_from_this();
-    logDecision(LogLine("server_left_unsent").text("id", spec_.facts.attempt).text("server", lastServer_));
-    tried_.avoided.insert(attempt_->guard().upstream().facts.run());
-    withdrawAttempt("server left before it was sent to");
+    logDecision(LogLine("server_left_unsent")
+                    .text("id", spec_.facts.attempt)
+                    .text("server", lastServer_)
+                    .flag("rests", isResting));
+    tried_.avoided.insert(upstream.facts.run());
+    withdrawAttempt(isResting ? "server rests" : "server left before it was sent to");
     advance();
 }
 
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -79,10 +79,10 @@
     /// Refuses the request as not run because it can't be served before its deadline. `timeUntilLoaded` is when it
     /// could have been served.
     void refuseAsHopeless(framework::Milliseconds timeUntilLoaded);
-    /// Whether servers have the model, but can't take the request in time because they limit their requests.
-    bool isRateLimited() const { return isWaiting() && permittedAt_.has_value(); }
-    /// Refuses the request as not run because it is rate-limited.
-    void refuseAsRateLimited();
+    /// Whether there are servers for the request that don't take it, because they limit their requests or rest.
+    bool isHeldBack() const { return isWaiting() && heldBack_.has_value(); }
+    /// Refuses the request as not run because it is held back.
+    void refuseAsHeldBack();
 
     const JobSpec& spec() const { return spec_; }
     framework::Milliseconds waited(framework::SteadyTime now) const
@@ -97,8 +97,9 @@
     /// Prevents a request from reaching a server after its caller has disconnected: a busy event loop may process
     /// disconnects a second late.
     bool endIfCallerDisconnected();
-    /// Prevents a request from reaching a server that has been removed: opening a connection may take a second.
-    void failOverIfServerRemoved();
+    /// Prevents a request from reaching a server that leaves or rests meanwhile: opening a connection may take a
+    /// second.
+    void failOverIfServerRefuses();
     /// Prevents a request from reaching a server if it has come under suspicion since the server was chosen. Returns
     /// whether it was held back or refused.
     bool holdIfSuspected();
@@ -147,6 +148,7 @@
     void withdrawAttempt(const std::string& cause);
     http::Request forwardedRequest(const UpstreamRecord&) const;
     void retryOrRefuse(const std::string& cause, unsigned refusalStatus);
+    framework::Milliseconds retryAfterFailure() const;
     void relayAnswer(const http::ResponseHead&, std::string body, const char* outcome);
     void refuse(unsigned status, const std::string& cause, std::optional<framework::Milliseconds> retryAfter);
     void refuseAsOverloaded(framework::Milliseconds expected);
@@ -174,6 +176,12 @@
         std::string body;
     };
 
+    /// Why the servers for the request don't take it, and when one may.
+    struct HeldBack {
+        framework::Deadline until;
+        NoUpstream reason = NoUpstream::RateLimited;
+    };
+
     IJobHost& host_;
     std::shared_ptr<http::IExchange> exchange_;
     JobSpec spec_;
@@ -186,8 +194,7 @@
     std::optional<RequestPermit> permit_;
     /// The permit of the request in flight.
     std::optional<RequestPermit> usedPermit_;
-    /// When a server that limits its requests may take this one; set if that is too late.
-    std::optional<framework::Deadline> permittedAt_;
+    std::optional<HeldBack> heldBack_;
     /// The version of the server to which the request was last sent.
     std::optional<catalog::SoftwareVersion> sentVersion_;
     /// A question about the origin of the stream is open; nothing is sent before it is answered.
--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -48,7 +48,7 @@
 {
     const auto job = job_.lock();
     if (job && !job->endIfCallerDisconnected() && !job->holdIfSuspected())
-        job->failOverIfServerRemoved();
+        job->failOverIfServerRefuses();
 }
 
 bool UpstreamAttempt::didReceiveHead(const http::ResponseHead& head)
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -90,6 +90,9 @@
         std::vector<UpstreamPointer> candidates = allowed(ready, spec_, tried_);
         if (candidates.empty())
             return failed(NoUpstream::NoneLeft);
+        std::erase_if(candidates, [&](const UpstreamPointer& server) { return isResting(*server); });
+        if (candidates.empty())
+            return resting(ready);
         return searchServers(std::move(candidates));
     }
 
@@ -136,6 +139,17 @@
         return search;
     }
 
+    bool isResting(const UpstreamRecord& server) const { return host_.upstreams().isResting(server, now_); }
+
+    /// `servers` are those that could serve a copy of the request.
+    UpstreamSearch resting(const std::vector<UpstreamPointer>& servers) const
+    {
+        UpstreamSearch search = failed(NoUpstream::Resting);
+        search.availableAt = host_.upstreams().restEnd(servers, now_).value_or(framework::Deadline(now_));
+        search.restsService = isServiceResting(host_, spec_);
+        return search;
+    }
+
     /// Returns the servers at which a suspected request may be tried. Prefers those without another suspect, so that a
     /// crash points to one of them only.
     std::vector<UpstreamPointer> forTrial(std::vector<UpstreamPointer> servers) const
@@ -197,7 +211,7 @@
             return permitNeeded(*std::min_element(withTurn.begin(), withTurn.end(), isSooner), true);
         const UpstreamPointer& soonest = *std::min_element(servers.begin(), servers.end(), isSooner);
         UpstreamSearch search = failed(NoUpstream::RateLimited);
-        search.permittedAt = until(soonest);
+        search.availableAt = until(soonest);
         return search;
     }
 
@@ -243,11 +257,14 @@
         const ModelTarget model { spec_.facts.model, {} };
         std::vector<UpstreamPointer> loaded;
         std::vector<UpstreamPointer> withoutAdapter;
+        std::vector<UpstreamPointer> resting;
         for (const UpstreamPointer& engine : candidates) {
             if (isSilent(*engine) && !engine->liveness.mayProbe(now_))
                 continue;
             if (host_.upstreams().hasLoaded(*engine, target, now_))
-                loaded.push_back(engine);
+                (isResting(*engine) ? resting : loaded).push_back(engine);
+            else if (isResting(*engine))
+                continue;
             else if (host_.upstreams().hasLoaded(*engine, model, now_))
                 withoutAdapter.push_back(engine);
         }
@@ -256,6 +273,8 @@
             return chooseAmongLoaded(std::move(loaded));
         if (!withoutAdapter.empty())
             return adapterNotLoaded(withoutAdapter);
+        if (!resting.empty())
+            return this->resting(resting);
         return required_ ? notLoadedAtVersion() : failed(NoUpstream::NotLoaded);
     }
 
@@ -280,7 +299,7 @@
     {
         const catalog::Service* const service = spec_.configuration->find(spec_.service);
         const ReportedState* const report = host_.upstreams().state(engine, now_);
-        if (!service || !service->engine || !report || isSuspect(engine) || isSilent(engine)
+        if (!service || !service->engine || !report || isSuspect(engine) || isSilent(engine) || isResting(engine)
             || host_.upstreams().hasLostAgent(engine) || report->state.isDraining(spec_.facts.model))
             return std::nullopt;
         const auto isAwaited = [&](const auto& expected) { return expected.model == spec_.facts.model; };
@@ -441,4 +460,22 @@
     return Search(host, spec, prompt, tried, required, permit).run();
 }
 
+std::optional<framework::Deadline> restEnd(IJobHost& host, const JobSpec& spec)
+{
+    const UpstreamTable& upstreams = host.upstreams();
+    const framework::SteadyTime now = host.now();
+    if (spec.facts.model.value().empty())
+        return upstreams.restEnd(upstreams.ready(spec.service), now);
+    std::vector<UpstreamPointer> engines = upstreams.serving(spec.service, spec.facts.model);
+    std::erase_if(engines, [&](const UpstreamPointer& engine) {
+        return !upstreams.hasLoaded(*engine, { spec.facts.model, spec.facts.adapter }, now);
+    });
+    return upstreams.restEnd(engines, now);
+}
+
+bool isServiceResting(IJobHost& host, const JobSpec& spec)
+{
+    return host.upstreams().restEnd(host.upstreams().ready(spec.service), host.now()).has_value();
+}
+
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -39,6 +39,7 @@
     AllConnectionsTaken,
     Overloaded, ///< the queues of all engines with the model are too long and stay so
     PermitNeeded, ///< the best server limits its requests, so a permit has to be asked for first
+    Resting, ///< all servers that could serve it have asked for a rest
     RateLimited, ///< all servers that could serve it limit their requests, and have no permit left in time
 };
 
@@ -53,8 +54,10 @@
     /// it now.
     UpstreamPointer permitAt;
     bool mayWait = false;
-    /// For `RateLimited`: when a server may have a permit again.
-    framework::Deadline permittedAt;
+    /// For `RateLimited` and `Resting`: when a server may take the request.
+    framework::Deadline availableAt;
+    /// For `Resting`: no server of the service is awake, so that none can load the model either.
+    bool restsService = false;
 };
 
 /// The servers that one request has tried.
@@ -74,8 +77,13 @@
 };
 
 /// Finds a server that can take the request now, and a connection to it. If a version is required, only servers of that
-/// version are considered. A server that limits its requests is chosen only with a permit for it.
+/// version are considered. A server that limits its requests is chosen only with a permit for it, one that rests never.
 UpstreamSearch findUpstream(IJobHost&, const JobSpec&, const PromptChain&, const TriedServers&,
     const std::optional<RequiredVersion>& = std::nullopt, const std::optional<RequestPermit>& = std::nullopt);
 
+/// Returns when the first of the servers that could serve the request ends its rest; std::nullopt if one doesn't rest.
+std::optional<framework::Deadline> restEnd(IJobHost&, const JobSpec&);
+/// Whether all servers of the request's service rest.
+bool isServiceResting(IJobHost&, const JobSpec&);
+
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -367,6 +367,29 @@
     return record.facts.state != catalog::UpstreamState::Ready || notices_.isLeaving(record.facts.run());
 }
 
+std::optional<framework::Deadline> UpstreamTable::restEnd(
+    const std::vector<UpstreamPointer>& servers, SteadyTime now) const
+{
+    std::optional<framework::Deadline> first;
+    for (const UpstreamPointer& server : servers) {
+        if (!isResting(*server, now))
+            return std::nullopt;
+        const framework::Deadline until = notices_.restsUntil(server->facts.run());
+        first = std::min(first.value_or(until), until);
+    }
+    return first;
+}
+
+std::vector<Endpoint> UpstreamTable::restingEngines(SteadyTime now) const
+{
+    std::vector<Endpoint> resting;
+    for (const auto& [instance, record] : records_) {
+        if (states_.contains(record->facts.endpoint) && isResting(*record, now))
+            resting.push_back(record->facts.endpoint);
+    }
+    return resting;
+}
+
 bool UpstreamTable::takesRequests(const UpstreamRecord& record) const
 {
     return !record.isReplaced && !isLeaving(record);
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -99,6 +99,15 @@
 
     /// Whether the server finishes its requests and ends soon, as the list states or as the server itself has said.
     bool isLeaving(const UpstreamRecord&) const;
+    /// Whether the server has asked this router for a rest that hasn't ended.
+    bool isResting(const UpstreamRecord& record, framework::SteadyTime now) const
+    {
+        return notices_.isResting(record.facts.run(), now);
+    }
+    /// Returns when the first of the servers ends its rest; std::nullopt if one doesn't rest, or if there are none.
+    std::optional<framework::Deadline> restEnd(const std::vector<UpstreamPointer>&, framework::SteadyTime now) const;
+    /// Returns the engines that rest.
+    std::vector<framework::Endpoint> restingEngines(framework::SteadyTime now) const;
     /// Whether the record still belongs to a listed server that accepts new requests.
     bool isInService(const UpstreamRecord&) const;
     /// Returns the servers of the service that accept new requests.
