--- a/src/quotas/tests/quotafailures_test.cpp
+++ b/src/quotas/tests/quotafailures_test.cpp
@@ -56,6 +56,21 @@
     BOOST_TEST(fleet.mostInWindow() <= fleet.bound());
 }
 
+// Prevents the keeper that a router leaves and the one that it turns to from both granting its part for so long that it
+// shows in a shorter window.
+BOOST_AUTO_TEST_CASE(theQuotaHoldsInHalfAWindowWhileARouterChangesItsKeeper)
+{
+    constexpr Milliseconds halfWindow { 4000 };
+    for (int moment = 0; moment < 20; ++moment) {
+        QuotaFleet fleet(3);
+        fleet.flood(Milliseconds(5000 + 137 * moment));
+        fleet.cut(0, keeperOfOne());
+        fleet.flood(Milliseconds(8000));
+        const double allowed = (fleet.perSecond * 4 + fleet.burst) * excess;
+        BOOST_TEST(fleet.mostInWindow("one", halfWindow) <= allowed);
+    }
+}
+
 /// Guards against routers without any keeper that go on without a limit, and against keepers that forget about them.
 BOOST_AUTO_TEST_CASE(theQuotaHoldsWhileRoutersAreCutOffFromAllKeepers)
 {
@@ -290,6 +305,40 @@
     BOOST_TEST(fleet.outcomes[DrawOutcome::OverQuota] == 1U);
 }
 
+// Prevents a router from keeping a grant to itself that a former keeper made after the present one was told its uses.
+BOOST_AUTO_TEST_CASE(aLateGrantIsToldToThePresentKeeper)
+{
+    constexpr double cost = 25000;
+    framework::ManualControl control;
+    framework::Metrics metrics;
+    std::map<Endpoint, double> charged;
+    QuotaExchange exchange({ control, control, metrics, framework::VmName("router"),
+        [&](const Endpoint& keeper, const wire::Message& message) {
+            for (const auto& draw : message.body.AsCustomerQuotas()->charged)
+                charged[keeper] += draw->cost;
+        } });
+    exchange.setKeepers({ keepers.begin(), keepers.end() });
+    const Endpoint present = keeperOfOne();
+    const Endpoint former = keepers.front() == present ? keepers.back() : keepers.front();
+    exchange.didOpen(former);
+    QuotaDraw draw;
+    draw.customer = catalog::CustomerName("one");
+    draw.cost = cost;
+    draw.neededBy = framework::Deadline::after(control.now(), Milliseconds(1000));
+    std::size_t granted = 0;
+    exchange.draw(
+        DrawNumber(1), draw, [&](const DrawReply& reply) { granted += reply.outcome == DrawOutcome::Granted ? 1 : 0; });
+    control.runPosted();
+    exchange.didOpen(present);
+    control.runPosted();
+    QuotaUpdate grant;
+    grant.answered.push_back({ DrawNumber(1), true });
+    exchange.receive(former, *toWire(grant).body.AsCustomerQuotas());
+    control.runPosted();
+    BOOST_TEST(granted == 1U);
+    BOOST_TEST(charged[present] == cost);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::quotas
--- a/src/quotas/tests/quotafleet.h
+++ b/src/quotas/tests/quotafleet.h
@@ -182,7 +182,7 @@
         return sum;
     }
 
-    double mostInWindow(const std::string& customer = "one") const
+    double mostInWindow(const std::string& customer = "one", framework::Milliseconds length = window) const
     {
         double most = 0;
         double sum = 0;
@@ -190,7 +190,7 @@
         auto first = all.begin();
         for (const auto& [at, cost] : all) {
             sum += cost;
-            while (at - first->first > window)
+            while (at - first->first > length)
                 sum -= (first++)->second;
             most = std::max(most, sum);
         }
