Test answers that end within their head, and a router that missed a release

An answer whose server closes at any byte of its head: the client of the direct path and the agent's fail it, with a length, chunks, or neither, and after an interim answer; no head and no body get through, and it may have run. All answers that are relayed come through these two; what the router then gets from an agent is checked by length and sum, as before.

A router that stood still while servers of another version joined: streams that had begun there at other routers are taken up at it right after. None was joined from two versions; they are refused until it has caught up, and go on then. The cut of single links isn't played beside a release.

--- a/src/agent/tests/httpupstream_test.cpp
+++ b/src/agent/tests/httpupstream_test.cpp
@@ -344,4 +344,25 @@
     BOOST_CHECK(order("500 Internal", "{}").error().execution == Execution::Unknown);
 }
 
+// Prevents an answer whose upstream closed within its head from being relayed as a whole one.
+BOOST_AUTO_TEST_CASE(anAnswerThatEndsWithinItsHeadFails)
+{
+    const std::string line = "HTTP/1.1 200 OK\r\nX-Id: a\r\n";
+    for (const std::string& head : { line + "Content-Length: 4\r\n\r\n", line + "Transfer-Encoding: chunked\r\n\r\n",
+             line + "Connection: close\r\n\r\n" }) {
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            CallRecorder watch;
+            RawUpstream server([&](tcp::socket& socket, const std::string&) {
+                write(socket, head.substr(0, cut));
+                return false;
+            });
+            const auto upstream = makeHttpUpstream(server.url());
+            const auto call = upstream->run(request(), watch.events());
+            const Error error = watch.waitForError();
+            BOOST_TEST((error.execution == Execution::Unknown), head.substr(0, cut));
+            BOOST_TEST(watch.status() == 0u);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -405,6 +405,25 @@
     }
 }
 
+// Prevents an answer whose server closed within its head from being taken for a whole one.
+BOOST_AUTO_TEST_CASE(anAnswerThatEndsWithinItsHeadFails)
+{
+    const std::string line = "HTTP/1.1 200 OK\r\nX-Id: a\r\n";
+    for (const std::string& head : { line + "Content-Length: 4\r\n\r\n", line + "Transfer-Encoding: chunked\r\n\r\n",
+             line + "Connection: close\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n" + line + "\r\n" }) {
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            const auto answer = send({ "POST", "/p", {}, "body" });
+            server.accept();
+            server.request();
+            server.send(head.substr(0, cut));
+            server.close();
+            BOOST_TEST(!answer->wait(), head.substr(0, cut));
+            BOOST_TEST(answer->head.status == 0u);
+            BOOST_TEST(answer->body.empty());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::http
--- a/tests/integration/streamversions_test.cpp
+++ b/tests/integration/streamversions_test.cpp
@@ -475,6 +475,45 @@
     }
 }
 
+// Prevents a router that stood still while servers of another version joined from going on with their streams at a
+// version that it knows.
+BOOST_AUTO_TEST_CASE(aRouterThatStoodStillWhileAVersionJoinedJoinsNoVersions)
+{
+    constexpr std::size_t streams = 4;
+    fleet.router(2).sendSignal(SIGSTOP);
+    for (int added = 0; added < 2; ++added) {
+        EngineStandin& engine = fleet.addEngine();
+        engine.setVersion("v3");
+        engine.setStream(streamLength, eventPauseMs);
+        engine.hold("warm");
+        fleet.startAgent(fleet.engines() - 1);
+        fleet.list(engine, "engines");
+    }
+    std::vector<StreamCaller> callers;
+    waitFor("streams at the version that joined", [&] {
+        StreamCaller caller { nextAttempt(), {} };
+        begin(caller, 3, 0);
+        if (caller.stream.versions().contains("v3"))
+            callers.push_back(std::move(caller));
+        return callers.size() == streams;
+    });
+    fleet.router(2).sendSignal(SIGCONT);
+    int number = 2;
+    for (StreamCaller& caller : callers) {
+        (void)takeUp(caller, number, 2);
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+    }
+    // Once it has caught up, the streams go on there.
+    waitFor("the streams to go on", [&] {
+        ++number;
+        return std::all_of(callers.begin(), callers.end(), [&](StreamCaller& caller) {
+            return caller.stream.lastId() == streamLength || takeUp(caller, number, 2).status == 200;
+        });
+    });
+    for (const StreamCaller& caller : callers)
+        BOOST_TEST(caller.stream.versions().size() == 1u);
+}
+
 // Prevents a guess, or a wait until the deadline, at a router that reaches no agent.
 BOOST_AUTO_TEST_CASE(withoutAgentsOnlyItsOwnRouterTakesAStreamUp)
 {
