Read one odd entry without losing the others, alike on all processors

A report from a system like ours: one entry that another writer left, very deeply nested or with a number or port out of range, ended the processes that read the list, or their updates. What of it happened here:

- On the path through agents one entry of the list of VMs that couldn't be read made the whole list fail, by intent so far.
- cpprest took the byte 0xff for the end of a text on x86-64, where char is signed, and kept it on arm64: JsonRepair/unparsableValuesBecomeNull failed here.

A bad field costs its entry, not the list.

--- a/src/direct/internal/enginewire.cpp
+++ b/src/direct/internal/enginewire.cpp
@@ -14,6 +14,13 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, UINT32_MAX));
 }
 
+/// Bounds a number of a faulty sender: work is converted to numbers of engines.
+double readWork(float work)
+{
+    constexpr float maxWork = 1e6F;
+    return work > 0 ? std::min(work, maxWork) : 0;
+}
+
 template <typename Name> std::vector<std::string> texts(const std::vector<Name>& names)
 {
     std::vector<std::string> result;
@@ -78,7 +85,7 @@
     for (const auto& model : body.held) {
         const framework::ModelName name(model->model);
         state.held.push_back({ name, model->version, names<framework::AdapterName>(model->adapters),
-            std::max(0.0F, model->work), model->in_use });
+            readWork(model->work), model->in_use });
         if (model->is_leaving)
             state.draining.push_back(name);
     }
@@ -116,7 +123,7 @@
     catalog::EngineLoad load { engine, body.running, body.queued, catalog::Tokens(body.used_tokens), body.routers, {},
         body.streams, catalog::Tokens(body.reading_tokens) };
     for (const wire::fb::ModelLoad& held : body.held)
-        load.held.push_back({ std::max(0.0F, held.work()), held.in_use() });
+        load.held.push_back({ readWork(held.work()), held.in_use() });
     return load;
 }
 
@@ -155,7 +162,7 @@
         one.waiting = model->waiting;
         one.earliest = framework::Deadline::after(now, Milliseconds(model->earliest_remaining_ms));
         one.inFlight = model->in_flight;
-        one.work = std::max(0.0F, model->work);
+        one.work = readWork(model->work);
         one.rank = model->rank;
         one.holders = model->holders;
         one.isPrefetch = model->is_prefetch;
--- a/src/forwarding/internal/serverchoice.cpp
+++ b/src/forwarding/internal/serverchoice.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/serverchoice.h"
 
+#include "framework/durations.h"
+
 #include "forwarding/enginespeed.h"
 
 #include <algorithm>
@@ -103,7 +105,7 @@
     }
     if (!best)
         return std::nullopt;
-    return EngineChoice { *best, Milliseconds(static_cast<std::int64_t>(expected)) };
+    return EngineChoice { *best, framework::boundedMilliseconds(expected) };
 }
 
 } // namespace lagoon::forwarding
--- a/src/framework/checkedjson.h
+++ b/src/framework/checkedjson.h
@@ -42,6 +42,8 @@
     CheckedObject object(const std::string& key);
     /// Reads the objects of the array under `key`; empty if the key is absent.
     std::vector<CheckedObject> objects(const std::string& key);
+    /// Returns the elements of an array, which aren't checked; none if the key is absent.
+    std::vector<web::json::value> elements(const std::string& key);
     /// Reads the strings of the array under `key`; empty if the key is absent.
     std::vector<std::string> texts(const std::string& key);
     /// Reads the names and objects of a JSON object that is used as a map.
--- a/src/framework/internal/checkedjson.cpp
+++ b/src/framework/internal/checkedjson.cpp
@@ -1,7 +1,9 @@
 #include "framework/checkedjson.h"
 
 #include <algorithm>
+#include <array>
 #include <memory>
+#include <string_view>
 
 namespace lagoon::framework {
 
@@ -33,6 +35,39 @@
     return deepest;
 }
 
+/// The first bytes of one encoded character: how many follow, and the range of the first that follows (RFC 3629).
+struct Utf8Lead {
+    unsigned char from;
+    unsigned char to;
+    std::size_t following;
+    unsigned char firstFrom;
+    unsigned char firstTo;
+};
+
+constexpr std::array<Utf8Lead, 9> utf8Leads { { { 0x00, 0x7f, 0, 0, 0 }, { 0xc2, 0xdf, 1, 0x80, 0xbf },
+    { 0xe0, 0xe0, 2, 0xa0, 0xbf }, { 0xe1, 0xec, 2, 0x80, 0xbf }, { 0xed, 0xed, 2, 0x80, 0x9f },
+    { 0xee, 0xef, 2, 0x80, 0xbf }, { 0xf0, 0xf0, 3, 0x90, 0xbf }, { 0xf1, 0xf3, 3, 0x80, 0xbf },
+    { 0xf4, 0xf4, 3, 0x80, 0x8f } } };
+
+bool isUtf8(std::string_view text)
+{
+    const auto byteAt = [text](std::size_t at) { return static_cast<unsigned char>(text[at]); };
+    for (std::size_t at = 0; at < text.size();) {
+        const auto lead = std::find_if(utf8Leads.begin(), utf8Leads.end(),
+            [byte = byteAt(at)](const Utf8Lead& one) { return byte >= one.from && byte <= one.to; });
+        if (lead == utf8Leads.end() || text.size() - at <= lead->following)
+            return false;
+        for (std::size_t next = 1; next <= lead->following; ++next) {
+            const unsigned char from = next == 1 ? lead->firstFrom : 0x80;
+            const unsigned char to = next == 1 ? lead->firstTo : 0xbf;
+            if (byteAt(at + next) < from || byteAt(at + next) > to)
+                return false;
+        }
+        at += lead->following + 1;
+    }
+    return true;
+}
+
 } // namespace
 
 struct CheckedObject::Fault {
@@ -48,6 +83,10 @@
         return fault("larger than " + std::to_string(limits.bytes) + " bytes");
     if (nestingDepth(text) > limits.depth)
         return fault("nested deeper than " + std::to_string(limits.depth));
+    // cpprest takes some other bytes for the end of the text on processors where `char` is signed, and keeps them
+    // elsewhere.
+    if (!isUtf8(text))
+        return fault("not UTF-8");
     try {
         std::error_code parseError;
         web::json::value value = web::json::value::parse(text, parseError);
@@ -190,17 +229,22 @@
     return CheckedObject(value ? *value : web::json::value::object(), source_, pathOf(key), fault_);
 }
 
-std::vector<CheckedObject> CheckedObject::objects(const std::string& key)
+std::vector<web::json::value> CheckedObject::elements(const std::string& key)
 {
-    std::vector<CheckedObject> parts;
     const web::json::value* value = find(key, false);
     if (!value)
-        return parts;
+        return {};
     if (!value->is_array()) {
         fail(key, "an array");
-        return parts;
+        return {};
     }
-    for (const web::json::value& part : value->as_array())
+    return { value->as_array().begin(), value->as_array().end() };
+}
+
+std::vector<CheckedObject> CheckedObject::objects(const std::string& key)
+{
+    std::vector<CheckedObject> parts;
+    for (const web::json::value& part : elements(key))
         parts.push_back(CheckedObject(part, source_, pathOf(key) + "[" + std::to_string(parts.size()) + "]", fault_));
     return parts;
 }
--- a/src/framework/tests/checkedjson_test.cpp
+++ b/src/framework/tests/checkedjson_test.cpp
@@ -53,4 +53,14 @@
         BOOST_TEST(parseJson(text, "peer", ErrorCode::BadObject).has_error());
 }
 
+// Prevents the same bytes from being read on one kind of processor and refused on another.
+BOOST_AUTO_TEST_CASE(textThatIsNotUtf8IsRefused)
+{
+    for (const std::string bytes : { "\xff", "\xfe", "\x80", "\xc3", "\xe2\x82", "a\xffz" })
+        BOOST_TEST(parseJson("{\"a\":\"" + bytes + "\"}", "test", ErrorCode::BadObject).has_error());
+    const auto read = parseJson("{\"a\":\"K\xc3\xb6ln \xe2\x82\xac\"}", "test", ErrorCode::BadObject);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value().at("a").as_string() == "K\xc3\xb6ln \xe2\x82\xac");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/objectstore/internal/httpvmlist.cpp
+++ b/src/objectstore/internal/httpvmlist.cpp
@@ -2,6 +2,8 @@
 
 #include "framework/checkedjson.h"
 #include "framework/iclock.h"
+#include "framework/jsonrepair.h"
+#include "framework/logging.h"
 
 #include <algorithm>
 
@@ -18,6 +20,8 @@
 
 constexpr std::size_t maxListBytes = 16 * 1024 * 1024;
 constexpr Milliseconds maxWatchWait { 30000 };
+/// An entry in which the value of one of these can't be parsed must not hide the others.
+const std::vector<std::string> entryFields { "vm", "role", "state", "site", "failure_domain", "pool", "endpoint" };
 
 VmState vmState(CheckedObject& entry)
 {
@@ -41,8 +45,10 @@
     return VmRole::Upstream;
 }
 
-VmEntry vmEntry(CheckedObject& entry)
+/// Unknown keys are ignored, since the platform owns the format and may extend it.
+Result<VmEntry> vmEntry(const web::json::value& json)
 {
+    CheckedObject entry(json, "VM list's entry", "", ErrorCode::BadObject);
     VmEntry vm;
     vm.vm = framework::VmName(entry.text("vm"));
     vm.role = vmRole(entry);
@@ -52,20 +58,30 @@
     if (vm.role == VmRole::Upstream)
         vm.pool = framework::PoolName(entry.text("pool"));
     vm.endpoint = framework::Endpoint(entry.text("endpoint"));
+    BOOST_OUTCOME_TRYV(entry.check());
     return vm;
 }
 
 Result<VmListSnapshot> vmList(const std::string& body)
 {
     const framework::JsonLimits limits { .bytes = maxListBytes };
-    BOOST_OUTCOME_TRY(json, framework::parseJson(body, "VM list", ErrorCode::BadObject, limits));
-    CheckedObject answer(json, "VM list", "", ErrorCode::BadObject);
+    auto json = framework::parseJson(body, "VM list", ErrorCode::BadObject, limits);
+    if (json.has_error())
+        json = framework::parseJson(
+            framework::replaceUnparsableMembers(body, entryFields, limits), "VM list", ErrorCode::BadObject, limits);
+    BOOST_OUTCOME_TRYV(json);
+    CheckedObject answer(json.value(), "VM list", "", ErrorCode::BadObject);
     VmListSnapshot snapshot;
     snapshot.version = answer.number("version", 0, UINT64_MAX);
-    // Unknown keys of an entry are ignored, since the platform owns the format and may extend it.
-    for (CheckedObject& entry : answer.objects("vms"))
-        snapshot.vms.push_back(vmEntry(entry));
+    const std::vector<web::json::value> entries = answer.elements("vms");
     BOOST_OUTCOME_TRYV(answer.finish());
+    for (const web::json::value& entry : entries) {
+        const auto vm = vmEntry(entry);
+        if (vm.has_error())
+            framework::logWarning("platform", "VM left out: " + describe(vm.error()));
+        else
+            snapshot.vms.push_back(vm.value());
+    }
     return snapshot;
 }
 
