Keep the check of notices cheap, and name a refusal as others are

Each choice of a server asks whether each candidate leaves or rests, which copied its id even where no server has ever said anything: that is asked first now.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -781,7 +781,7 @@
     const bool isRest = heldBack_->reason == NoUpstream::Resting;
     host_.metrics().count(isRest ? "lagoon_rest_refusals_total" : "lagoon_rate_limited_refusals_total",
         { { "service", spec_.service.value() } });
-    const std::string cause = isRest ? "servers rest, the first until in " : "servers limit their requests, next in ";
+    const std::string cause = isRest ? "servers rest, next in " : "servers limit their requests, next in ";
     refuse(503, cause + std::to_string(wait.count()) + " ms", std::max(minRetryAfter, wait) + jitter(wait));
 }
 
--- a/src/forwarding/internal/serverchoice.cpp
+++ b/src/forwarding/internal/serverchoice.cpp
@@ -1,8 +1,7 @@
 #include "forwarding/serverchoice.h"
 
-#include "framework/durations.h"
-
 #include "forwarding/enginespeed.h"
+#include "framework/durations.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -364,7 +364,8 @@
 
 bool UpstreamTable::isLeaving(const UpstreamRecord& record) const
 {
-    return record.facts.state != catalog::UpstreamState::Ready || notices_.isLeaving(record.facts.run());
+    return record.facts.state != catalog::UpstreamState::Ready
+        || (!notices_.isEmpty() && notices_.isLeaving(record.facts.run()));
 }
 
 std::optional<framework::Deadline> UpstreamTable::restEnd(
@@ -384,7 +385,7 @@
 {
     std::vector<Endpoint> resting;
     for (const auto& [instance, record] : records_) {
-        if (states_.contains(record->facts.endpoint) && isResting(*record, now))
+        if (isResting(*record, now) && states_.contains(record->facts.endpoint))
             resting.push_back(record->facts.endpoint);
     }
     return resting;
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -102,7 +102,7 @@
     /// Whether the server has asked this router for a rest that hasn't ended.
     bool isResting(const UpstreamRecord& record, framework::SteadyTime now) const
     {
-        return notices_.isResting(record.facts.run(), now);
+        return !notices_.isEmpty() && notices_.isResting(record.facts.run(), now);
     }
     /// Returns when the first of the servers ends its rest; std::nullopt if one doesn't rest, or if there are none.
     std::optional<framework::Deadline> restEnd(const std::vector<UpstreamPointer>&, framework::SteadyTime now) const;
--- a/src/notices/noticetable.h
+++ b/src/notices/noticetable.h
@@ -29,10 +29,11 @@
     framework::Deadline restsUntil(const catalog::UpstreamRun&) const;
     bool isResting(const catalog::UpstreamRun& run, framework::SteadyTime now) const
     {
-        return !servers_.empty() && !restsUntil(run).hasPassed(now);
+        return !restsUntil(run).hasPassed(now);
     }
     /// Forgets servers that haven't been listed or heard for some time.
     void expire(const std::function<bool(const catalog::InstanceId&)>& isListed, framework::SteadyTime now);
+    bool isEmpty() const { return servers_.empty(); }
     std::size_t size() const { return servers_.size(); }
 
 private:
