Let tests start processes with limits, another environment or another output

Cause: the tests' processes inherit everything from the test, so none of them runs as on the users' machines, where settings name limits of memory and descriptors.

Change: ProcessOptions of a child process; Fleet starts its routers and agents with them. The usage of a process tells its peak address space.

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -265,7 +265,7 @@
     agents_.resize(std::max(agents_.size(), index + 1));
     agents_[index].reset();
     agents_[index] = testsupport::startProgram(testsupport::Program::Lagoonrouter,
-        name + "-" + std::to_string(++startCount_), { "direct-agent", "--settings", file }, folder_);
+        name + "-" + std::to_string(++startCount_), { "direct-agent", "--settings", file }, folder_, processOptions_);
 }
 
 void Fleet::putProxiesBeforeAgents(std::size_t router)
@@ -307,7 +307,7 @@
     routers_[index].reset();
     routers_[index] = testsupport::startProgram(testsupport::Program::Lagoonrouter,
         "router-" + std::to_string(index) + "-" + std::to_string(++startCount_),
-        { "direct-router", "--settings", file }, folder_);
+        { "direct-router", "--settings", file }, folder_, processOptions_);
 }
 
 void Fleet::startProcesses()
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -87,6 +87,8 @@
     void setStoreEndpoint(const std::string& endpoint) { storeEndpoint_ = endpoint; }
     /// Sets the grace period of routers that are started from now on: the maximum time from SIGTERM to their end.
     void setGrace(framework::Milliseconds grace) { grace_ = grace; }
+    /// Sets the surroundings of routers and agents that are started from now on.
+    void setProcessOptions(const testsupport::ProcessOptions& options) { processOptions_ = options; }
     /// Sets the load time of models in configurations that are written from now on.
     void setLoadTime(framework::Milliseconds time) { loadTime_ = time; }
     /// Sets the customers of configurations that are written from now on, as their array of JSON objects.
@@ -141,6 +143,7 @@
     std::map<std::size_t, int> agentPorts_;
     std::vector<std::unique_ptr<testsupport::ChildProcess>> agentProxies_;
     std::string storeEndpoint_;
+    testsupport::ProcessOptions processOptions_;
     framework::Milliseconds grace_ { 8000 };
     framework::Milliseconds loadTime_ { 200 };
     std::optional<framework::Milliseconds> revocation_;
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -15,8 +15,31 @@
 
 constexpr int exitWithoutProgram = 127;
 
+std::vector<char*> pointersTo(std::vector<std::string>& texts)
+{
+    std::vector<char*> pointers;
+    for (std::string& text : texts)
+        pointers.push_back(text.data());
+    pointers.push_back(nullptr);
+    return pointers;
+}
+
+std::vector<std::string> environmentOf(const ProcessOptions& options)
+{
+    std::vector<std::string> variables;
+    if (!options.environment) {
+        for (char** variable = environ; *variable; ++variable)
+            variables.emplace_back(*variable);
+        return variables;
+    }
+    for (const auto& [name, text] : *options.environment)
+        variables.push_back(name + "=" + text);
+    return variables;
+}
+
 /// Runs in the child process: makes only calls that are safe between fork and exec.
-[[noreturn]] void execute(char* const* arguments, int output, int log)
+[[noreturn]] void execute(
+    char* const* arguments, char* const* environment, const ProcessOptions& options, int output, int log)
 {
     // Otherwise a test that is killed at its time limit would leave its child processes running.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -25,7 +48,11 @@
     sigset_t none;
     sigemptyset(&none);
     sigprocmask(SIG_SETMASK, &none, nullptr);
-    execv(arguments[0], arguments);
+    for (const auto& [resource, value] : options.limits) {
+        const rlimit limit { value, value };
+        setrlimit(static_cast<__rlimit_resource>(resource), &limit);
+    }
+    execve(arguments[0], arguments, environment);
     _exit(exitWithoutProgram);
 }
 
@@ -52,22 +79,21 @@
 } // namespace
 
 ChildProcess::ChildProcess(std::string name, const std::string& program, const std::vector<std::string>& arguments,
-    const TemporaryFolder& folder)
+    const TemporaryFolder& folder, const ProcessOptions& options)
     : name_(std::move(name))
     , outputFile_(folder.file(name_ + ".out"))
     , logFile_(folder.file(name_ + ".log"))
 {
     std::vector<std::string> all { program };
     all.insert(all.end(), arguments.begin(), arguments.end());
-    std::vector<char*> pointers;
-    for (std::string& argument : all)
-        pointers.push_back(argument.data());
-    pointers.push_back(nullptr);
+    std::vector<std::string> variables = environmentOf(options);
+    const std::vector<char*> argumentPointers = pointersTo(all);
+    const std::vector<char*> environment = pointersTo(variables);
     const int output = openOutput(outputFile_);
     const int log = openOutput(logFile_);
     pid_ = fork();
     if (pid_ == 0)
-        execute(pointers.data(), output, log);
+        execute(argumentPointers.data(), environment.data(), options, options.outputDescriptor.value_or(output), log);
     ::close(output);
     ::close(log);
     if (pid_ < 0)
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -3,13 +3,25 @@
 #include "support/temporaryfolder.h"
 
 #include <cpprest/json.h>
+#include <map>
 #include <optional>
 #include <string>
+#include <sys/resource.h>
 #include <sys/types.h>
 #include <vector>
 
 namespace lagoon::testsupport {
 
+/// The surroundings in which a child process is started.
+struct ProcessOptions {
+    /// Values of `RLIMIT_*`, for both the soft and the hard limit.
+    std::map<int, rlim_t> limits = {};
+    /// The whole environment, instead of that of the test.
+    std::optional<std::map<std::string, std::string>> environment = {};
+    /// Replaces the file for standard output. Stays open in the test.
+    std::optional<int> outputDescriptor = {};
+};
+
 /// A child process, which the destructor kills if it is still running. The process is also killed when the thread that
 /// started it ends, so it must be started on the test's main thread. Failures throw std::runtime_error; if the process
 /// does not become ready or does not exit in time, with its log.
@@ -18,7 +30,7 @@
     /// `name` stands in error messages and must be unique in the folder, where the files of the process's output are
     /// put.
     ChildProcess(std::string name, const std::string& program, const std::vector<std::string>& arguments,
-        const TemporaryFolder&);
+        const TemporaryFolder&, const ProcessOptions& options = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
--- a/tests/support/processusage.cpp
+++ b/tests/support/processusage.cpp
@@ -37,12 +37,23 @@
     return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / bytesPerMib;
 }
 
+double peakAddressSpaceMib(const std::string& folder)
+{
+    const std::string key = "VmPeak:";
+    std::ifstream file(folder + "/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with(key))
+            return std::stod(line.substr(key.size())) / 1024;
+    }
+    return 0;
+}
+
 } // namespace
 
 ProcessUsage usageOf(pid_t pid)
 {
     const std::string folder = "/proc/" + std::to_string(pid);
-    return { cpuSeconds(folder), residentMib(folder) };
+    return { cpuSeconds(folder), residentMib(folder), peakAddressSpaceMib(folder) };
 }
 
 } // namespace lagoon::testsupport
--- a/tests/support/programs.cpp
+++ b/tests/support/programs.cpp
@@ -21,10 +21,10 @@
     return "";
 }
 
-std::unique_ptr<ChildProcess> startProgram(
-    Program program, const std::string& name, const std::vector<std::string>& arguments, const TemporaryFolder& folder)
+std::unique_ptr<ChildProcess> startProgram(Program program, const std::string& name,
+    const std::vector<std::string>& arguments, const TemporaryFolder& folder, const ProcessOptions& options)
 {
-    auto process = std::make_unique<ChildProcess>(name, pathOf(program), arguments, folder);
+    auto process = std::make_unique<ChildProcess>(name, pathOf(program), arguments, folder, options);
     process->waitUntilReady();
     return process;
 }
--- a/tests/support/programs.h
+++ b/tests/support/programs.h
@@ -20,7 +20,7 @@
 
 std::string pathOf(Program);
 /// Starts the program and waits for its ready line. `name` must be unique in the folder.
-std::unique_ptr<ChildProcess> startProgram(
-    Program, const std::string& name, const std::vector<std::string>& arguments, const TemporaryFolder&);
+std::unique_ptr<ChildProcess> startProgram(Program, const std::string& name, const std::vector<std::string>& arguments,
+    const TemporaryFolder&, const ProcessOptions& options = {});
 
 } // namespace lagoon::testsupport
