Reserve no address space that a process doesn't use

Cause: glibc reserves 64 MB of address space for the allocator's arena of each thread and 8 MB for its stack, so five threads took 254 MB (450 MB at the peak) with 14 MB resident. When the limit is reached, an allocation or a new thread fails, and both end a process. The process created a thread as the last thing before its end.

Change: one arena, stacks of 1 MB for all threads, also those of libraries; the thread that closes the log exists from the start.

Ruled out by runs: closed, full or unread standard output, unknown locales, few descriptors (12 are enough).

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -8,6 +8,7 @@
 #include "app/internal/routercommand.h"
 #include "app/internal/settingscommand.h"
 #include "app/internal/versioncommand.h"
+#include "framework/addressspace.h"
 
 #include <iostream>
 
@@ -40,6 +41,7 @@
 
 int main(int argc, char** argv)
 {
+    lagoon::framework::limitReservedAddressSpace();
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     const Commands commands = allCommands();
     if (arguments.empty()) {
--- a/src/framework/internal/decisionlog.cpp
+++ b/src/framework/internal/decisionlog.cpp
@@ -19,12 +19,33 @@
 /// Set once logging is configured. Until then lines are dropped, so that unit tests print none.
 std::atomic<bool> isStarted { false };
 
-/// The queue of lines that have not been written yet.
-log4cxx::AsyncAppenderPtr& lineQueue()
-{
-    static log4cxx::AsyncAppenderPtr queue;
-    return queue;
-}
+/// Closes the queue of lines when the process ends. Closing waits for the queue's writer, which may be blocked by a
+/// reader that has stopped reading, so it happens on a thread of its own, which can be abandoned. That thread exists
+/// from the start, since a process that has used up its address space can't create one when it ends.
+class QueueCloser {
+public:
+    explicit QueueCloser(log4cxx::AsyncAppenderPtr queue)
+    {
+        std::thread([queue = std::move(queue), requested = requested_.get_future(), closed = &closed_]() mutable {
+            requested.wait();
+            queue->close();
+            closed->set_value();
+        }).detach();
+    }
+
+    void close(Milliseconds timeout)
+    {
+        requested_.set_value();
+        closed_.get_future().wait_for(timeout);
+    }
+
+private:
+    std::promise<void> requested_;
+    std::promise<void> closed_;
+};
+
+/// Set by `startDecisionLog`. Never destroyed, because its thread may still run when the process ends.
+QueueCloser* queueCloser = nullptr;
 
 const log4cxx::LoggerPtr& decisionLogger()
 {
@@ -86,7 +107,7 @@
     queue->addAppender(console);
     log4cxx::BasicConfigurator::configure(queue);
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
-    lineQueue() = queue;
+    queueCloser = new QueueCloser(queue);
     isStarted = true;
 }
 
@@ -97,19 +118,11 @@
 }
 
 /// Prevents the loss of a process's last log lines, which show how it ended: the queue is written by a thread for which
-/// the exit of a process doesn't wait. Closing the queue waits for this writer, which may be blocked by a reader that
-/// has stopped reading. A separate thread therefore closes the queue, and is abandoned when the timeout has passed.
+/// the exit of a process doesn't wait.
 void finishDecisionLog(Milliseconds timeout)
 {
-    if (!isStarted.exchange(false))
-        return;
-    auto done = std::make_shared<std::promise<void>>();
-    auto written = done->get_future();
-    std::thread([done, queue = lineQueue()] {
-        queue->close();
-        done->set_value();
-    }).detach();
-    written.wait_for(timeout);
+    if (isStarted.exchange(false))
+        queueCloser->close(timeout);
 }
 
 } // namespace lagoon::framework
