Block SIGHUP before the program's libraries are loaded

What was seen: a SIGHUP in the first milliseconds ends a process: 10 of 10 up to 8 ms after the start, 8 of 10 at 15 ms, beside load. Platforms send it whenever settings change, also to a process that they have just started.

Cause: loading twenty libraries takes 15 to 20 ms here, and only then main() blocks the signal. Until that, its default action applies.

Change: the executable uses the C library alone, blocks SIGHUP, and loads the program as liblagoonrouter.so. Commands that run no process unblock it again.

Before exec returns no program can do anything.

--- a/cmake/LagoonModule.cmake
+++ b/cmake/LagoonModule.cmake
@@ -13,6 +13,8 @@
     endif()
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
     add_library(lagoon_${name} STATIC ${ARG_SOURCES})
+    # The program is linked as a library.
+    set_target_properties(lagoon_${name} PROPERTIES POSITION_INDEPENDENT_CODE ON)
     target_include_directories(lagoon_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
     target_compile_options(lagoon_${name} PRIVATE -Wall -Wextra -Werror)
     target_link_libraries(lagoon_${name} PUBLIC ${ARG_DEPENDS} Threads::Threads)
--- a/src/app/icommand.h
+++ b/src/app/icommand.h
@@ -20,6 +20,8 @@
     virtual std::string name() const = 0;
     /// One line for the program's help.
     virtual std::string summary() const = 0;
+    /// Whether the command handles SIGHUP and SIGTERM by itself, as those do that run a process.
+    virtual bool handlesSignals() const { return false; }
     /// `arguments` are the ones after the command's name. Returns the exit code.
     virtual int run(const std::vector<std::string>& arguments) = 0;
 };
--- a/src/app/internal/agentcommand.cpp
+++ b/src/app/internal/agentcommand.cpp
@@ -25,6 +25,7 @@
 public:
     std::string name() const override { return "agent"; }
     std::string summary() const override { return "admit requests and forward them to one upstream"; }
+    bool handlesSignals() const override { return true; }
     int run(const std::vector<std::string>& arguments) override
     {
         return runProcess<agent::AgentSettings>(name(), arguments, agent::parseAgentSettings, serve);
--- a/src/app/internal/directagentcommand.cpp
+++ b/src/app/internal/directagentcommand.cpp
@@ -37,6 +37,7 @@
 public:
     std::string name() const override { return "direct-agent"; }
     std::string summary() const override { return "load and unload models of the local engine as routers demand"; }
+    bool handlesSignals() const override { return true; }
     int run(const std::vector<std::string>& arguments) override
     {
         return Process(name(), direct::parseDirectAgentSettings).run(arguments, serve);
--- a/src/app/internal/directroutercommand.cpp
+++ b/src/app/internal/directroutercommand.cpp
@@ -38,6 +38,7 @@
 public:
     std::string name() const override { return "direct-router"; }
     std::string summary() const override { return "serve callers, sending requests directly to servers"; }
+    bool handlesSignals() const override { return true; }
     int run(const std::vector<std::string>& arguments) override
     {
         return Process(name(), direct::parseDirectRouterSettings).run(arguments, serve);
--- a/src/app/internal/routercommand.cpp
+++ b/src/app/internal/routercommand.cpp
@@ -31,6 +31,7 @@
 public:
     std::string name() const override { return "router"; }
     std::string summary() const override { return "serve callers and decide which upstream loads which model"; }
+    bool handlesSignals() const override { return true; }
     int run(const std::vector<std::string>& arguments) override
     {
         return runProcess<router::RouterSettings>(name(), arguments, router::parseRouterSettings, serve);
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,61 +1,22 @@
-#include "app/internal/agentcommand.h"
-#include "app/internal/bundlecommands.h"
-#include "app/internal/claimcommand.h"
-#include "app/internal/commandgroup.h"
-#include "app/internal/directagentcommand.h"
-#include "app/internal/directroutercommand.h"
-#include "app/internal/quarantinecommand.h"
-#include "app/internal/routercommand.h"
-#include "app/internal/settingscommand.h"
-#include "app/internal/versioncommand.h"
-#include "framework/addressspace.h"
-
-#include <iostream>
-
-using namespace lagoon::app;
-
-namespace {
-
-Commands allCommands()
-{
-    Commands commands;
-    commands.push_back(makeRouterCommand());
-    commands.push_back(makeAgentCommand());
-    commands.push_back(makeDirectRouterCommand());
-    commands.push_back(makeDirectAgentCommand());
-    commands.push_back(makeBundleCommand());
-    commands.push_back(makeClaimCommand());
-    commands.push_back(makeQuarantineCommand());
-    commands.push_back(makeSettingsCommand());
-    commands.push_back(makeVersionCommand());
-    return commands;
-}
-
-void printHelp(const Commands& commands, std::ostream& stream)
-{
-    stream << "usage: lagoonrouter COMMAND [OPTION]...\n\nCommands (each takes --help):\n";
-    printCommands(commands, stream);
-}
-
-} // namespace
+#include <csignal>
+#include <cstdio>
+#include <dlfcn.h>
 
+// Blocks SIGHUP and only then loads the program with its libraries. Loading takes most of a process's start, and until
+// SIGHUP is blocked, an early request to reload the settings would end the process. Uses the C library alone, so that
+// nothing else is loaded before.
 int main(int argc, char** argv)
 {
-    lagoon::framework::limitReservedAddressSpace();
-    const std::vector<std::string> arguments(argv + 1, argv + argc);
-    const Commands commands = allCommands();
-    if (arguments.empty()) {
-        printHelp(commands, std::cerr);
-        return ExitUsage;
-    }
-    if (arguments.front() == "--help" || arguments.front() == "help") {
-        printHelp(commands, std::cout);
-        return ExitSuccess;
-    }
-    ICommand* const command = findCommand(commands, arguments.front());
-    if (command)
-        return command->run({ arguments.begin() + 1, arguments.end() });
-    std::cerr << "lagoonrouter: no command \"" << arguments.front() << "\"\n";
-    printHelp(commands, std::cerr);
-    return ExitUsage;
+    sigset_t reload;
+    sigemptyset(&reload);
+    sigaddset(&reload, SIGHUP);
+    sigprocmask(SIG_BLOCK, &reload, nullptr);
+    void* const library = dlopen("liblagoonrouter.so", RTLD_NOW | RTLD_LOCAL);
+    using Main = int (*)(int, char**);
+    const Main programMain = library ? reinterpret_cast<Main>(dlsym(library, "lagoonrouterMain")) : nullptr;
+    if (programMain)
+        return programMain(argc, argv);
+    const char* const error = dlerror();
+    std::fprintf(stderr, "lagoonrouter: %s\n", error ? error : "liblagoonrouter.so has no main function");
+    return 1;
 }
--- a/src/framework/internal/processsignal.cpp
+++ b/src/framework/internal/processsignal.cpp
@@ -27,6 +27,14 @@
     signal(SIGPIPE, SIG_IGN);
 }
 
+void unblockReload()
+{
+    sigset_t reload;
+    sigemptyset(&reload);
+    sigaddset(&reload, SIGHUP);
+    pthread_sigmask(SIG_UNBLOCK, &reload, nullptr);
+}
+
 std::optional<ProcessSignal> waitForProcessSignal(Milliseconds wait)
 {
     const sigset_t signals = processSignals();
