Block SIGTERM and SIGINT from the start as well, and require a measured peak

Cause, by review: only SIGHUP was blocked while libraries load, so a SIGTERM in these milliseconds ended a process with signal 15 instead of 0; and the check of the reserved address space passed with 0 for a process that had ended.

Change: the executable blocks all three signals that processes handle, and other commands unblock them; the test requires a running process and a peak over 0.

--- a/src/app/internal/program.cpp
+++ b/src/app/internal/program.cpp
@@ -58,7 +58,7 @@
     ICommand* const command = findCommand(commands, arguments.front());
     if (command) {
         if (!command->handlesSignals())
-            lagoon::framework::unblockReload();
+            lagoon::framework::unblockProcessSignals();
         return command->run({ arguments.begin() + 1, arguments.end() });
     }
     std::cerr << "lagoonrouter: no command \"" << arguments.front() << "\"\n";
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -2,15 +2,17 @@
 #include <cstdio>
 #include <dlfcn.h>
 
-// Blocks SIGHUP and only then loads the program with its libraries. Loading takes most of a process's start, and until
-// SIGHUP is blocked, an early request to reload the settings would end the process. Uses the C library alone, so that
-// nothing else is loaded before.
+// Blocks the signals that processes handle and only then loads the program with its libraries. Loading takes most of a
+// process's start, and until then an early request to reload the settings would end the process. Uses the C library
+// alone, so that nothing else is loaded before.
 int main(int argc, char** argv)
 {
-    sigset_t reload;
-    sigemptyset(&reload);
-    sigaddset(&reload, SIGHUP);
-    sigprocmask(SIG_BLOCK, &reload, nullptr);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGHUP);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
     void* const library = dlopen("liblagoonrouter.so", RTLD_NOW | RTLD_LOCAL);
     using Main = int (*)(int, char**);
     const Main programMain = library ? reinterpret_cast<Main>(dlsym(library, "lagoonrouterMain")) : nullptr;
--- a/src/framework/internal/processsignal.cpp
+++ b/src/framework/internal/processsignal.cpp
@@ -27,12 +27,10 @@
     signal(SIGPIPE, SIG_IGN);
 }
 
-void unblockReload()
+void unblockProcessSignals()
 {
-    sigset_t reload;
-    sigemptyset(&reload);
-    sigaddset(&reload, SIGHUP);
-    pthread_sigmask(SIG_UNBLOCK, &reload, nullptr);
+    const sigset_t signals = processSignals();
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
 std::optional<ProcessSignal> waitForProcessSignal(Milliseconds wait)
--- a/src/framework/processsignal.h
+++ b/src/framework/processsignal.h
@@ -14,8 +14,8 @@
 /// Blocks SIGTERM, SIGINT and SIGHUP in this thread and all that it starts later, and ignores SIGPIPE. Call before any
 /// other thread is started.
 void blockProcessSignals();
-/// Gives SIGHUP its default action again, if it is blocked.
-void unblockReload();
+/// Unblocks the same signals, for commands that these are to end.
+void unblockProcessSignals();
 /// Waits for one of the blocked signals. Returns std::nullopt if none arrives within `wait`.
 std::optional<ProcessSignal> waitForProcessSignal(Milliseconds wait);
 /// Waits for SIGTERM or SIGINT. For processes that read their settings only at their start: SIGHUP, whose default
--- a/tests/integration/addressspace_test.cpp
+++ b/tests/integration/addressspace_test.cpp
@@ -69,8 +69,12 @@
 BOOST_AUTO_TEST_CASE(unlimitedProcessesReserveLittle)
 {
     start({});
-    for (ChildProcess* process : { &fleet.agent(0), &fleet.agent(1), &fleet.router(0), &fleet.router(1) })
-        BOOST_TEST(usageOf(process->pid()).peakAddressSpaceMib < memoryMib / 2, process->name());
+    for (ChildProcess* process : { &fleet.agent(0), &fleet.agent(1), &fleet.router(0), &fleet.router(1) }) {
+        const double peak = usageOf(process->pid()).peakAddressSpaceMib;
+        BOOST_TEST(process->isRunning());
+        BOOST_TEST(peak > 0);
+        BOOST_TEST(peak < memoryMib / 2, process->name() << " reserved " << peak << " MiB");
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
