Read the settings' path from LAGOONROUTER_SETTINGS

What callers saw: a system that doesn't start. A platform that writes the settings to a path of its choice and names it in LAGOONROUTER_SETTINGS, as its pages promise, found the processes reading the path that `run` repeated; they ended with exit code 2 ("the file can't be opened").

Cause: nobody read the variable. The path stood in deploy/system.toml a second time.

Change: `--settings` is optional for the four kinds of process, and defaults to the file that the variable names. A given option goes first.

--- a/src/app/internal/settingsoption.h
+++ b/src/app/internal/settingsoption.h
@@ -6,7 +6,8 @@
 
 namespace lagoon::app {
 
-/// The parsed arguments of a command that takes only `--settings FILE`.
+/// The parsed arguments of a command that takes only `--settings FILE`, by default the file that the environment
+/// variable LAGOONROUTER_SETTINGS names.
 struct SettingsOption {
     /// Set if the command must not run, as help or a usage error was printed.
     std::optional<int> exitCode;
--- a/tests/integration/processstart_test.cpp
+++ b/tests/integration/processstart_test.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr auto unusedEndpoint = "127.0.0.1:1";
+constexpr auto unusedUrl = "http://127.0.0.1:1";
 const std::vector<std::string> roles { "direct-router", "direct-agent", "router", "agent" };
 
 /// Whether the process runs the program, and has begun to load one of its libraries.
@@ -28,6 +30,40 @@
     while (process.isRunning() && !isLoading(process)) { }
 }
 
+/// Valid settings of the role. Nothing answers at the other endpoints that they name.
+std::string settingsOf(const std::string& role)
+{
+    auto settings = web::json::value::object();
+    const auto set
+        = [&](const std::string& key, const std::string& text) { settings[key] = web::json::value::string(text); };
+    set("role", role);
+    set("vm", role + "-1");
+    set("site", "site");
+    set("failure_domain", "hall");
+    set("ops", "127.0.0.1:0");
+    const bool isDirect = role.starts_with("direct-");
+    if (isDirect)
+        set("object_store", unusedEndpoint);
+    else
+        settings["platform"]["url"] = web::json::value::string(unusedUrl);
+    if (role != "direct-router")
+        set("link", "127.0.0.1:0");
+    if (role.ends_with("router"))
+        set("callers", "127.0.0.1:0");
+    if (role == "direct-router") {
+        set("readiness", "127.0.0.1:0");
+        settings["agent_port"] = web::json::value::number(1);
+    } else if (role == "direct-agent") {
+        set("engine", unusedEndpoint);
+        set("service", "engines");
+    } else if (role == "agent") {
+        set("pool", "engines");
+        settings["upstream"]["kind"] = web::json::value::string("engine");
+        settings["upstream"]["url"] = web::json::value::string(unusedUrl);
+    }
+    return settings.serialize();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ProcessStarts)
@@ -47,4 +83,32 @@
     }
 }
 
+// Prevents a process from ending at its start when only the environment says where its settings are.
+BOOST_AUTO_TEST_CASE(theEnvironmentNamesTheSettings)
+{
+    const TemporaryFolder folder;
+    const std::string settings = folder.file("settings.json");
+    const ProcessOptions options { .environment = { { { "LAGOONROUTER_SETTINGS", settings } } } };
+    for (const std::string& role : roles) {
+        writeFile(settings, settingsOf(role));
+        const auto process = startProgram(Program::Lagoonrouter, role, { role }, folder, options);
+        BOOST_TEST(process->isRunning(), role);
+    }
+}
+
+// Prevents the environment from replacing settings that the command line names.
+BOOST_AUTO_TEST_CASE(theCommandLineGoesBeforeTheEnvironment)
+{
+    const TemporaryFolder folder;
+    const std::string settings = folder.file("settings.json");
+    const ProcessOptions options { .environment = { { { "LAGOONROUTER_SETTINGS", folder.file("other.json") } } } };
+    writeFile(folder.file("other.json"), "{}");
+    for (const std::string& role : roles) {
+        writeFile(settings, settingsOf(role));
+        const auto process
+            = startProgram(Program::Lagoonrouter, role, { role, "--settings", settings }, folder, options);
+        BOOST_TEST(process->isRunning(), role);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
