--- a/tests/integration/processstart_test.cpp
+++ b/tests/integration/processstart_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/runningfleet.h"
 #include "support/programs.h"
+#include "support/waitfor.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -83,6 +84,22 @@
     }
 }
 
+// Prevents a signal that the main thread isn't waiting for from reaching a thread whose default action ends the
+// process.
+BOOST_AUTO_TEST_CASE(aSecondTerminationDoesNotCutTheShutdown)
+{
+    const TemporaryFolder folder;
+    const std::string settings = folder.file("settings.json");
+    writeFile(settings, settingsOf("direct-router"));
+    const auto router
+        = startProgram(Program::Lagoonrouter, "router", { "direct-router", "--settings", settings }, folder);
+    router->sendSignal(SIGTERM);
+    waitFor("the shutdown to begin", [&] { return router->output().find("\"draining\"") != std::string::npos; });
+    router->sendSignal(SIGTERM);
+    BOOST_TEST(router->waitForExit() == 0);
+    BOOST_TEST(router->output().find("\"stopped\"") != std::string::npos);
+}
+
 // Prevents a process from ending at its start when only the environment says where its settings are.
 BOOST_AUTO_TEST_CASE(theEnvironmentNamesTheSettings)
 {
