Wait for settings that are missing or incomplete at a process's start

What callers saw: a system that doesn't start. A settings file that was missing, empty or half written for 0.3 s, while the platform wrote it, ended each kind of process with exit code 2.

Cause: the file was read once, as the first thing, and anything but good settings was final.

Change: a file that can't be opened, is empty or isn't complete JSON is read again every 50 ms, and at once on SIGHUP; `settings_awaited` says why, once a cause. SIGTERM ends the process with 0. Direct processes, whose settings the platform writes, wait without a limit: another start would find the same file. `router` and `agent` wait for 10 s and then end with 2 as before, so that a wrong path on the command line still fails. Complete settings with a wrong value are refused with 2 at once in all roles: the platform doesn't write them by halves, and nobody would look at a process that waits.

--- a/src/app/internal/directprocess.h
+++ b/src/app/internal/directprocess.h
@@ -3,6 +3,7 @@
 #include "app/icommand.h"
 #include "app/internal/processcommand.h"
 #include "app/internal/settingsoption.h"
+#include "app/internal/startsettings.h"
 #include "framework/decisionlog.h"
 #include "framework/processsettings.h"
 #include "framework/processsignal.h"
@@ -43,7 +44,14 @@
         file_ = option.file;
         framework::blockProcessSignals();
         framework::startDecisionLog(role_);
-        const auto settings = read();
+        // Waits without a limit: until the platform has written the settings, another start would fail as well.
+        const auto text = awaitSettingsText(file_, std::nullopt, logAwaited);
+        if (text.has_error())
+            return reportStartFailure(role_, text.error(), ExitUsage);
+        if (!text.value())
+            exitProcess();
+        text_ = *text.value();
+        const auto settings = parse_(text_, file_);
         if (settings.has_error())
             return reportStartFailure(role_, settings.error(), ExitUsage);
         return serve(*this, settings.value());
@@ -69,6 +77,11 @@
     }
 
 private:
+    static void logAwaited(const framework::Error& error)
+    {
+        logDecision(framework::LogLine("settings_awaited").text("cause", describe(error)));
+    }
+
     /// Reads the settings and applies them if they have changed or a reload `isRequested`. Also called before the
     /// process ends: if the grace period was shortened just before, the process would otherwise be killed while it
     /// still has requests.
--- a/src/app/internal/processcommand.h
+++ b/src/app/internal/processcommand.h
@@ -2,8 +2,9 @@
 
 #include "app/icommand.h"
 #include "app/internal/settingsoption.h"
+#include "app/internal/startsettings.h"
+#include "framework/iclock.h"
 #include "framework/logging.h"
-#include "framework/processsettings.h"
 #include "framework/processsignal.h"
 
 #include <functional>
@@ -13,6 +14,9 @@
 
 namespace lagoon::app {
 
+/// How long a process waits at its start for a settings file that is missing or incomplete.
+inline constexpr framework::Milliseconds settingsTimeout { 10000 };
+
 /// Prints why the process of this role can't start. Returns `exitCode`.
 inline int reportStartFailure(const std::string& role, const framework::Error& error, ExitCode exitCode)
 {
@@ -32,10 +36,15 @@
         return *option.exitCode;
     framework::blockProcessSignals();
     framework::startLogging(role);
-    const auto text = framework::readSettingsText(option.file);
+    const auto deadline = framework::Deadline::after(framework::SystemClock().now(), settingsTimeout);
+    const auto text = awaitSettingsText(option.file, deadline, [](const framework::Error& error) {
+        framework::logWarning("settings", "waiting for the file: " + describe(error));
+    });
     if (text.has_error())
         return reportStartFailure(role, text.error(), ExitUsage);
-    const auto settings = parse(text.value(), option.file);
+    if (!text.value())
+        return ExitSuccess;
+    const auto settings = parse(*text.value(), option.file);
     if (settings.has_error())
         return reportStartFailure(role, settings.error(), ExitUsage);
     return serve(settings.value());
--- a/tests/integration/processstart_test.cpp
+++ b/tests/integration/processstart_test.cpp
@@ -31,6 +31,14 @@
     while (process.isRunning() && !isLoading(process)) { }
 }
 
+/// Waits until a line of either output contains the text.
+void waitForLine(ChildProcess& process, const std::string& text)
+{
+    waitFor(process.name() + " to log " + text,
+        [&] { return (process.output() + process.log()).find(text) != std::string::npos || !process.isRunning(); });
+    BOOST_REQUIRE_MESSAGE(process.isRunning(), process.name() << " ended: " << process.log());
+}
+
 /// Valid settings of the role. Nothing answers at the other endpoints that they name.
 std::string settingsOf(const std::string& role)
 {
@@ -128,4 +136,48 @@
     }
 }
 
+// Prevents a process from ending when the platform starts it before it has written its settings.
+BOOST_AUTO_TEST_CASE(settingsThatComeLateAreAwaited)
+{
+    const TemporaryFolder folder;
+    const std::string settings = folder.file("settings.json");
+    for (const std::string& role : roles) {
+        std::filesystem::remove(settings);
+        ChildProcess process(role, pathOf(Program::Lagoonrouter), { role, "--settings", settings }, folder);
+        waitForLine(process, "can't be opened");
+        writeFile(settings, "");
+        waitForLine(process, "empty");
+        writeFile(settings, settingsOf(role).substr(0, 30));
+        waitForLine(process, "not JSON");
+        process.sendSignal(SIGHUP);
+        writeFile(settings, settingsOf(role));
+        process.waitUntilReady();
+        BOOST_TEST(process.isRunning(), role);
+    }
+}
+
+// Prevents a process without settings from having to be killed.
+BOOST_AUTO_TEST_CASE(aProcessThatAwaitsItsSettingsEndsInOrder)
+{
+    const TemporaryFolder folder;
+    for (const std::string& role : roles) {
+        ChildProcess process(
+            role, pathOf(Program::Lagoonrouter), { role, "--settings", folder.file("missing.json") }, folder);
+        waitForLine(process, "can't be opened");
+        process.sendSignal(SIGTERM);
+        BOOST_TEST(process.waitForExit() == 0, role);
+    }
+}
+
+// Prevents a router or agent that an operator starts with a wrong path from waiting forever.
+BOOST_AUTO_TEST_CASE(missingSettingsAreRefusedInTheEnd)
+{
+    const TemporaryFolder folder;
+    const std::string missing = folder.file("missing.json");
+    ChildProcess router("router", pathOf(Program::Lagoonrouter), { "router", "--settings", missing }, folder);
+    ChildProcess agent("agent", pathOf(Program::Lagoonrouter), { "agent", "--settings", missing }, folder);
+    BOOST_TEST(router.waitForExit() == 2);
+    BOOST_TEST(agent.waitForExit() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
