--- a/tests/integration/processstart_test.cpp
+++ b/tests/integration/processstart_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/runningfleet.h"
 #include "support/programs.h"
+#include "support/waitfor.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -10,6 +11,8 @@
 
 namespace {
 
+constexpr auto unusedEndpoint = "127.0.0.1:1";
+constexpr auto unusedUrl = "http://127.0.0.1:1";
 const std::vector<std::string> roles { "direct-router", "direct-agent", "router", "agent" };
 
 /// Whether the process runs the program, and has begun to load one of its libraries.
@@ -28,6 +31,48 @@
     while (process.isRunning() && !isLoading(process)) { }
 }
 
+/// Waits until a line of either output contains the text.
+void waitForLine(ChildProcess& process, const std::string& text)
+{
+    waitFor(process.name() + " to log " + text,
+        [&] { return (process.output() + process.log()).find(text) != std::string::npos || !process.isRunning(); });
+    BOOST_REQUIRE_MESSAGE(process.isRunning(), process.name() << " ended: " << process.log());
+}
+
+/// Valid settings of the role. Nothing answers at the other endpoints that they name.
+std::string settingsOf(const std::string& role)
+{
+    auto settings = web::json::value::object();
+    const auto set
+        = [&](const std::string& key, const std::string& text) { settings[key] = web::json::value::string(text); };
+    set("role", role);
+    set("vm", role + "-1");
+    set("site", "site");
+    set("failure_domain", "hall");
+    set("ops", "127.0.0.1:0");
+    const bool isDirect = role.starts_with("direct-");
+    if (isDirect)
+        set("object_store", unusedEndpoint);
+    else
+        settings["platform"]["url"] = web::json::value::string(unusedUrl);
+    if (role != "direct-router")
+        set("link", "127.0.0.1:0");
+    if (role.ends_with("router"))
+        set("callers", "127.0.0.1:0");
+    if (role == "direct-router") {
+        set("readiness", "127.0.0.1:0");
+        settings["agent_port"] = web::json::value::number(1);
+    } else if (role == "direct-agent") {
+        set("engine", unusedEndpoint);
+        set("service", "engines");
+    } else if (role == "agent") {
+        set("pool", "engines");
+        settings["upstream"]["kind"] = web::json::value::string("engine");
+        settings["upstream"]["url"] = web::json::value::string(unusedUrl);
+    }
+    return settings.serialize();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ProcessStarts)
@@ -47,4 +92,92 @@
     }
 }
 
+// Prevents a signal that the main thread isn't waiting for from reaching a thread whose default action ends the
+// process.
+BOOST_AUTO_TEST_CASE(aSecondTerminationDoesNotCutTheShutdown)
+{
+    const TemporaryFolder folder;
+    const std::string settings = folder.file("settings.json");
+    writeFile(settings, settingsOf("direct-router"));
+    const auto router
+        = startProgram(Program::Lagoonrouter, "router", { "direct-router", "--settings", settings }, folder);
+    router->sendSignal(SIGTERM);
+    waitFor("the shutdown to begin", [&] { return router->output().find("\"draining\"") != std::string::npos; });
+    router->sendSignal(SIGTERM);
+    BOOST_TEST(router->waitForExit() == 0);
+    BOOST_TEST(router->output().find("\"stopped\"") != std::string::npos);
+}
+
+// Prevents a process from ending at its start when only the environment says where its settings are.
+BOOST_AUTO_TEST_CASE(theEnvironmentNamesTheSettings)
+{
+    const TemporaryFolder folder;
+    const std::string settings = folder.file("settings.json");
+    const ProcessOptions options { .environment = { { { "LAGOONROUTER_SETTINGS", settings } } } };
+    for (const std::string& role : roles) {
+        writeFile(settings, settingsOf(role));
+        const auto process = startProgram(Program::Lagoonrouter, role, { role }, folder, options);
+        BOOST_TEST(process->isRunning(), role);
+    }
+}
+
+// Prevents the environment from replacing settings that the command line names.
+BOOST_AUTO_TEST_CASE(theCommandLineGoesBeforeTheEnvironment)
+{
+    const TemporaryFolder folder;
+    const std::string settings = folder.file("settings.json");
+    const ProcessOptions options { .environment = { { { "LAGOONROUTER_SETTINGS", folder.file("other.json") } } } };
+    writeFile(folder.file("other.json"), "{}");
+    for (const std::string& role : roles) {
+        writeFile(settings, settingsOf(role));
+        const auto process
+            = startProgram(Program::Lagoonrouter, role, { role, "--settings", settings }, folder, options);
+        BOOST_TEST(process->isRunning(), role);
+    }
+}
+
+// Prevents a process from ending when the platform starts it before it has written its settings.
+BOOST_AUTO_TEST_CASE(settingsThatComeLateAreAwaited)
+{
+    const TemporaryFolder folder;
+    const std::string settings = folder.file("settings.json");
+    for (const std::string& role : roles) {
+        std::filesystem::remove(settings);
+        ChildProcess process(role, pathOf(Program::Lagoonrouter), { role, "--settings", settings }, folder);
+        waitForLine(process, "can't be opened");
+        writeFile(settings, "");
+        waitForLine(process, "empty");
+        writeFile(settings, settingsOf(role).substr(0, 30));
+        waitForLine(process, "not JSON");
+        process.sendSignal(SIGHUP);
+        writeFile(settings, settingsOf(role));
+        process.waitUntilReady();
+        BOOST_TEST(process.isRunning(), role);
+    }
+}
+
+// Prevents a process without settings from having to be killed.
+BOOST_AUTO_TEST_CASE(aProcessThatAwaitsItsSettingsEndsInOrder)
+{
+    const TemporaryFolder folder;
+    for (const std::string& role : roles) {
+        ChildProcess process(
+            role, pathOf(Program::Lagoonrouter), { role, "--settings", folder.file("missing.json") }, folder);
+        waitForLine(process, "can't be opened");
+        process.sendSignal(SIGTERM);
+        BOOST_TEST(process.waitForExit() == 0, role);
+    }
+}
+
+// Prevents a router or agent that an operator starts with a wrong path from waiting forever.
+BOOST_AUTO_TEST_CASE(missingSettingsAreRefusedInTheEnd)
+{
+    const TemporaryFolder folder;
+    const std::string missing = folder.file("missing.json");
+    ChildProcess router("router", pathOf(Program::Lagoonrouter), { "router", "--settings", missing }, folder);
+    ChildProcess agent("agent", pathOf(Program::Lagoonrouter), { "agent", "--settings", missing }, folder);
+    BOOST_TEST(router.waitForExit() == 2);
+    BOOST_TEST(agent.waitForExit() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
