Keep connections open at shutdown while a request is on its way

What callers saw: after SIGTERM, a request that a caller sent right after the end of a stream, on the same connection, ended with a reset and without an answer. So did the first request on a connection that was accepted just before the router stopped accepting.

Cause: the head of a stream that began before SIGTERM has no "Connection: close". The router closed such a connection in the moment in which its last chunk had left, when a busy caller's next request is on its way. closeIdle treated a connection that had just been accepted in the same way. A connection whose accept had completed, but whose handler ran after closeIdle, was neither closed nor counted as busy, so the process could end over it.

Change: such connections are closed one second after their last answer or their accept, and count as busy until then, so that the drain waits for them. The end of the grace period bounds that as before.

Ruled out: a 408 just before an idle connection closes. It would answer a request that crosses the close, but callers that sent none would receive bytes that they did not ask for.

--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -41,13 +41,15 @@
     void setLimits(const ExchangeLimits&);
     /// From now on, each answer announces that its connection is closed, and closes it.
     void beginDraining();
-    /// Stops accepting, and closes the connections without a request in progress.
+    /// Stops accepting, and closes the connections without a request in progress: at once, or if a request is likely to
+    /// be on its way, a second after the connection was accepted or its last answer ended.
     void closeIdle();
     /// Refuses all partially received requests with this head, and stops reading them.
     void refuseIncomplete(const ResponseHead&);
     /// Closes all connections. The handlers of requests in progress are notified of the disconnect.
     void closeAll();
-    /// The number of connections with a request in progress or an answer that has not been sent completely.
+    /// The number of connections with a request in progress or an answer that has not been sent completely, or that
+    /// `closeIdle` will close.
     std::size_t busyConnections() const;
     std::size_t connections() const;
 
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 namespace beast = boost::beast;
+using framework::Deadline;
 using framework::Milliseconds;
 
 constexpr std::size_t readBufferBytes = 16 * 1024;
@@ -21,6 +22,9 @@
 /// How long the connection stays open after its last answer for a caller that is still sending: closing it at once
 /// would reset it, and the refusal could be lost in transit.
 constexpr Milliseconds lingerTimeout { 1000 };
+/// How long a shutdown leaves a connection open on which a request is likely to be on its way: one that has just been
+/// accepted, or whose last answer didn't announce the close.
+constexpr Milliseconds nextRequestTime { 1000 };
 /// Limits how long the request of a caller whose machine has become unreachable is still handled.
 constexpr Milliseconds callerUnresponsiveTimeout { 10000 };
 
@@ -49,6 +53,7 @@
 void CallerConnection::start()
 {
     setLivenessOptions(socket_, callerUnresponsiveTimeout);
+    expectNextRequest();
     armTimer(context_->limits.idleTimeout, &CallerConnection::handleIdleTimeout);
     read();
 }
@@ -348,18 +353,32 @@
 }
 
 /// Called when the whole answer has been written, so that the idle timeout, which starts here, cannot truncate an
-/// answer that is still being sent. While draining, this closes a connection whose answer began before draining and so
-/// lacks `Connection: close`, unless the caller has already sent its next request, which is answered first.
+/// answer that is still being sent. While draining, the answer began before draining, and so lacks `Connection: close`.
 void CallerConnection::becomeIdle()
 {
+    expectNextRequest();
     if (context_->isDraining)
-        closeIfIdle();
-    if (stage_ == Stage::Closed)
-        return;
+        return closeWhenIdle();
     armTimer(context_->limits.idleTimeout, &CallerConnection::handleIdleTimeout);
 }
 
-bool CallerConnection::isBusy() const { return stage_ != Stage::Closed && (isClosingIdle_ || !isIdle()); }
+void CallerConnection::expectNextRequest()
+{
+    openUntil_ = Deadline::after(std::chrono::steady_clock::now(), nextRequestTime);
+}
+
+void CallerConnection::closeWhenIdle()
+{
+    if (!isIdle())
+        return;
+    closesWhenIdle_ = true;
+    armTimer(openUntil_.remaining(std::chrono::steady_clock::now()), &CallerConnection::closeIfIdle);
+}
+
+bool CallerConnection::isBusy() const
+{
+    return stage_ != Stage::Closed && (closesWhenIdle_ || isClosingIdle_ || !isIdle());
+}
 
 /// Returns whether there is neither a request nor an answer on the connection. Received bytes that have not been read
 /// yet count as a request, since closing the connection with unread bytes would reset it.
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -36,10 +36,11 @@
         std::function<void(CallerConnection*)> onClosed);
 
     void start();
-    /// Returns whether a request is being received or handled, or an answer is still being sent.
+    /// Returns whether a request is being received or handled, an answer is still being sent, or the connection closes
+    /// by itself.
     bool isBusy() const;
-    /// Closes the connection if no request has arrived or is in progress.
-    void closeIfIdle();
+    /// Closes the connection if no request has arrived or is in progress, once its caller has had time to send one.
+    void closeWhenIdle();
     /// Refuses a partially received request with this head, and stops reading it.
     void refuseIncomplete(const ResponseHead&);
     /// Closes the connection at once. The handler of a request in progress is notified of the disconnect.
@@ -81,6 +82,8 @@
     void didWrite(const boost::system::error_code&);
     void finishAnswer();
     void becomeIdle();
+    void expectNextRequest();
+    void closeIfIdle();
     bool isIdle() const;
     void setResetOnClose();
     void armTimer(framework::Milliseconds, void (CallerConnection::*onExpired)());
@@ -98,6 +101,7 @@
     Stage stage_ = Stage::Idle;
     bool isReading_ = false;
     bool isClosingIdle_ = false;
+    bool closesWhenIdle_ = false;
     bool isWriting_ = false;
     bool endsAfterAnswer_ = false;
     bool isChunked_ = false;
@@ -111,6 +115,7 @@
     std::string pendingHead_;
     std::deque<std::string> unsent_;
     std::size_t unsentBytes_ = 0;
+    framework::Deadline openUntil_;
 };
 
 /// The handler's interface to one request.
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -61,7 +61,7 @@
         acceptor_.close(ignored);
         const auto connections = connections_;
         for (const auto& [key, connection] : connections)
-            connection->closeIfIdle();
+            connection->closeWhenIdle();
     }
 
     void refuseIncomplete(const ResponseHead& head)
@@ -137,6 +137,9 @@
         auto connection = std::make_shared<CallerConnection>(std::move(socket), shared_, std::move(onClosed));
         connections_.emplace(connection.get(), connection);
         connection->start();
+        // Its accept completed just before the acceptor was closed.
+        if (!acceptor_.is_open())
+            connection->closeWhenIdle();
     }
 
     boost::asio::io_context& context_;
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -365,6 +365,19 @@
     BOOST_TEST(caller->readUntil("GET /queued"));
 }
 
+// Prevents resetting a request that follows its connection by a network delay.
+BOOST_AUTO_TEST_CASE(aNewConnectionStaysOpenForItsFirstRequest)
+{
+    RawCaller caller(endpoint);
+    onThread([&] {
+        server.beginDraining();
+        server.closeIdle();
+    });
+    onThread([&] { BOOST_TEST(server.busyConnections() == 1U); });
+    BOOST_TEST(caller.send(get("/first")));
+    BOOST_TEST(caller.readToEnd().find("GET /first") != std::string::npos);
+}
+
 // Prevents truncated answers at shutdown: a router exited as soon as no request was in progress, while callers were
 // still receiving its last answers.
 BOOST_AUTO_TEST_CASE(aConnectionIsBusyUntilItsAnswerIsSent)
--- /dev/null
+++ b/tests/integration/closedconnections_test.cpp
@@ -0,0 +1,72 @@
+#include "fleet/runningfleet.h"
+#include "http/testing/rawcaller.h"
+#include "support/waitfor.h"
+
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <thread>
+
+using namespace lagoon::fleet;
+using lagoon::framework::Endpoint;
+using lagoon::framework::Milliseconds;
+using lagoon::http::testing::RawCaller;
+using lagoon::testsupport::waitFor;
+
+namespace {
+
+const std::string lastChunk = "0\r\n\r\n";
+constexpr Milliseconds networkDelay { 20 };
+
+struct ClosedConnectionsFixture : RunningFleet {
+    std::unique_ptr<RawCaller> connect() { return std::make_unique<RawCaller>(Endpoint(fleet.callers())); }
+
+    void sendSigterm()
+    {
+        fleet.router().sendSignal(SIGTERM);
+        waitFor("the router to report that it is not ready", [this] { return !fleet.isReady(); });
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ClosedConnections, ClosedConnectionsFixture)
+
+// Prevents requests without an answer: callers send their next one as soon as a stream has ended, on connections that a
+// router closes because it shuts down.
+BOOST_AUTO_TEST_CASE(aRequestRightAfterAStreamIsAnsweredDuringShutdown)
+{
+    constexpr int callerCount = 20;
+    engine1.setStream(50, 20);
+    engine2.setStream(50, 20);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < callerCount; ++i) {
+        callers.push_back(connect());
+        callers.back()->send(CallerRequest {
+            .target = "/model/1", .attempt = "s" + std::to_string(i), .model = "warm", .keepsAlive = true }
+                                 .text());
+    }
+    for (const auto& caller : callers)
+        BOOST_REQUIRE(caller->readUntil("word1"));
+    sendSigterm();
+    std::atomic<int> streams { 0 };
+    std::atomic<int> answers { 0 };
+    std::vector<std::jthread> threads;
+    for (int i = 0; i < callerCount; ++i) {
+        threads.emplace_back([&, i] {
+            RawCaller& caller = *callers[static_cast<std::size_t>(i)];
+            streams += caller.readUntil(lastChunk) ? 1 : 0;
+            caller.clearReceived();
+            std::this_thread::sleep_for(networkDelay);
+            caller.send(
+                CallerRequest { .target = "/post/1", .attempt = "n" + std::to_string(i), .keepsAlive = true }.text());
+            answers += parseAnswer(caller.readToEnd()).isComplete ? 1 : 0;
+        });
+    }
+    threads.clear();
+    BOOST_TEST(streams == callerCount);
+    BOOST_TEST(answers == callerCount);
+    BOOST_TEST(fleet.router().waitForExit() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
