Let an exception on any thread cost one handler, not the process

What callers would see: one message whose handler throws on a thread of the links, or a piece of work in the pool, ended the process with SIGABRT, and all requests in it had no answer. On event threads only std::exception was caught. A link whose message couldn't be handled was never closed, so its peer waited.

Cause: three places ran their handlers in three ways, each with other gaps.

Change: runEventLoop() catches exceptions of any type, logs and counts them (lagoon_exceptions_total), and event threads and links use it. The pool guards each piece of work. A link closes if its message can't be handled, so that its peer fails over at once instead of waiting.

--- a/src/framework/internal/eventthread.cpp
+++ b/src/framework/internal/eventthread.cpp
@@ -1,13 +1,11 @@
 #include "framework/eventthread.h"
 
-#include "framework/logging.h"
+#include "framework/eventloop.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <exception>
-#include <string>
 #include <thread>
 #include <utility>
 
@@ -55,7 +53,7 @@
 public:
     Implementation()
         : work_(boost::asio::make_work_guard(context))
-        , thread_([this] { run(); })
+        , thread_([this] { runEventLoop(context); })
     {
     }
 
@@ -69,21 +67,6 @@
     boost::asio::io_context context;
 
 private:
-    /// Prevents one message whose handler throws from ending the process and all requests in it: the loop continues
-    /// with the next handler. The request that the failed handler processed ends like a dropped one, or at its
-    /// deadline.
-    void run()
-    {
-        while (true) {
-            try {
-                context.run();
-                return;
-            } catch (const std::exception& failure) {
-                logWarning("framework", std::string("an event handler threw an exception: ") + failure.what());
-            }
-        }
-    }
-
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     std::thread thread_;
 };
--- a/src/framework/internal/metrics.cpp
+++ b/src/framework/internal/metrics.cpp
@@ -1,5 +1,7 @@
 #include "framework/metrics.h"
 
+#include "framework/internal/processmetrics.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -37,6 +39,12 @@
     prometheus::BuildHistogram().Name(name).Register(*registry_).Add(labels, secondsBuckets).Observe(seconds);
 }
 
-std::string Metrics::text() const { return prometheus::TextSerializer().Serialize(registry_->Collect()); }
+std::string Metrics::text() const
+{
+    std::vector<prometheus::MetricFamily> families = registry_->Collect();
+    for (prometheus::MetricFamily& family : processMetrics())
+        families.push_back(std::move(family));
+    return prometheus::TextSerializer().Serialize(families);
+}
 
 } // namespace lagoon::framework
--- a/src/framework/internal/workerpool.cpp
+++ b/src/framework/internal/workerpool.cpp
@@ -1,5 +1,7 @@
 #include "framework/workerpool.h"
 
+#include "framework/eventloop.h"
+
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -12,7 +14,16 @@
 
 WorkerPool::~WorkerPool() { stop(); }
 
-void WorkerPool::run(std::function<void()> work) { boost::asio::post(pool_, std::move(work)); }
+void WorkerPool::run(std::function<void()> work)
+{
+    boost::asio::post(pool_, [work = std::move(work)] {
+        try {
+            work();
+        } catch (...) {
+            reportException("work in a pool");
+        }
+    });
+}
 
 void WorkerPool::stop()
 {
--- a/src/framework/tests/eventthread_test.cpp
+++ b/src/framework/tests/eventthread_test.cpp
@@ -1,5 +1,7 @@
 #include "framework/eventthread.h"
 
+#include "framework/eventloop.h"
+
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <stdexcept>
@@ -25,6 +27,19 @@
     thread.stop();
 }
 
+// Prevents a handler that throws something other than a std::exception from ending the process.
+BOOST_AUTO_TEST_CASE(exceptionsOfAnyTypeCostOneHandlerAndAreCounted)
+{
+    const std::uint64_t before = reportedExceptions();
+    EventThread thread;
+    std::promise<void> afterAction;
+    thread.post([] { throw 1; });
+    thread.post([&] { afterAction.set_value(); });
+    afterAction.get_future().wait();
+    BOOST_TEST(reportedExceptions() == before + 1);
+    thread.stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::framework
--- a/src/wire/internal/tcplink.cpp
+++ b/src/wire/internal/tcplink.cpp
@@ -1,5 +1,7 @@
 #include "wire/internal/tcplink.h"
 
+#include "framework/eventloop.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -96,14 +98,22 @@
 
 void TcpLink::readBody(std::size_t length)
 {
-    bodyBytes_.resize(length);
+    try {
+        bodyBytes_.resize(length);
+    } catch (...) {
+        return failByException("read");
+    }
     boost::asio::async_read(socket_, boost::asio::buffer(bodyBytes_),
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
             if (self->isClosed_)
                 return;
             if (error)
                 return self->fail(Error { ErrorCode::LinkLost, "read", self->peer_.value(), error.message() });
-            self->deliver();
+            try {
+                self->deliver();
+            } catch (...) {
+                self->failByException("handle");
+            }
         });
 }
 
@@ -139,6 +149,13 @@
         });
 }
 
+/// Closes the link whose message couldn't be handled: its peer would otherwise wait for an answer that never comes.
+void TcpLink::failByException(const char* step)
+{
+    framework::reportException("the handler of a link");
+    fail(Error { ErrorCode::LinkLost, step, peer_.value(), "the handler threw an exception" });
+}
+
 void TcpLink::fail(Error error)
 {
     if (isClosed_)
--- a/src/wire/internal/tcplink.h
+++ b/src/wire/internal/tcplink.h
@@ -38,6 +38,7 @@
     void readBody(std::size_t length);
     void deliver();
     void write();
+    void failByException(const char* step);
     void fail(framework::Error);
     void closeSocket();
 
--- a/src/wire/internal/tcplinktransport.cpp
+++ b/src/wire/internal/tcplinktransport.cpp
@@ -1,3 +1,4 @@
+#include "framework/eventloop.h"
 #include "framework/logging.h"
 #include "framework/tcpendpoint.h"
 #include "wire/internal/tcplink.h"
@@ -25,7 +26,7 @@
         , work_(boost::asio::make_work_guard(context_))
     {
         for (std::size_t index = 0; index < settings_.threads; ++index)
-            threads_.emplace_back([this] { context_.run(); });
+            threads_.emplace_back([this] { framework::runEventLoop(context_); });
     }
 
     ~TcpLinkTransport() override { stop(); }
--- a/src/wire/tests/link_test.cpp
+++ b/src/wire/tests/link_test.cpp
@@ -85,4 +85,38 @@
     transport->stop();
 }
 
+// Prevents an exception in the handler of a message from ending the process, and the sender from waiting for an answer
+// that never comes.
+BOOST_AUTO_TEST_CASE(aThrowingHandlerClosesOnlyItsLink)
+{
+    auto metrics = std::make_shared<Metrics>();
+    auto transport = makeTcpLinkTransport({}, metrics);
+    const auto endpoint = transport->listen(anyPort, handlers([](const std::shared_ptr<ILink>& link, Message received) {
+        const std::uint64_t nonce = received.body.AsPing()->nonce;
+        if (nonce == 1)
+            throw 1;
+        fb::PongT pong;
+        pong.nonce = nonce;
+        link->send(message(std::move(pong)));
+    }));
+    BOOST_REQUIRE(endpoint.has_value());
+    std::promise<void> closed;
+    auto failing = transport->connect(endpoint.value(),
+        handlers([](const std::shared_ptr<ILink>&, Message) {},
+            [&](const std::shared_ptr<ILink>&, const Error&) { closed.set_value(); }));
+    fb::PingT ping;
+    ping.nonce = 1;
+    failing->send(message(fb::PingT(ping)));
+    closed.get_future().wait();
+    std::promise<std::uint64_t> answered;
+    auto other = transport->connect(endpoint.value(), handlers([&](const std::shared_ptr<ILink>&, Message received) {
+        answered.set_value(received.body.AsPong()->nonce);
+    }));
+    ping.nonce = 2;
+    other->send(message(std::move(ping)));
+    BOOST_TEST(answered.get_future().get() == 2u);
+    BOOST_TEST(metrics->text().find("lagoon_exceptions_total 1") != std::string::npos);
+    transport->stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
