Answer a request whose handling throws an exception

What callers saw: nothing. If the handling of a request threw while something still held its exchange, such as the forwarder's set of requests, the connection stopped reading, and the caller waited until it gave up. A stream whose next piece failed hung in the same way.

Cause: only the exchange's destructor answers for a failed handler, and the exception left the connection's own handlers before they went on.

Change: each event of a connection is guarded. If it throws, a request in progress is answered with 500 or broken off, its handler is notified as of a disconnect so that it drops the request, and an incomplete request is refused with 500.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -1,5 +1,7 @@
 #include "http/internal/callerconnection.h"
 
+#include "framework/eventloop.h"
+
 #include "http/internal/messagereader.h"
 #include "http/internal/messagewriter.h"
 #include "http/internal/socketoptions.h"
@@ -63,7 +65,7 @@
     socket_.async_read_some(buffer_.prepare(readBufferBytes),
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t bytes) {
             self->isReading_ = false;
-            self->didRead(error, bytes);
+            self->runGuarded([&] { self->didRead(error, bytes); });
         });
 }
 
@@ -226,12 +228,46 @@
 
 /// Answers with 500 if the handler dropped the request before any byte of the answer was sent; otherwise breaks the
 /// answer off. Without this, the caller would receive neither an answer nor a refusal.
-void CallerConnection::failDropped()
+void CallerConnection::failDropped() noexcept
 {
-    if (hasBegunAnswer_)
-        return breakOff();
-    endsAfterAnswer_ = true;
-    answer(ResponseHead { 500, {}, {} }, {});
+    try {
+        if (hasBegunAnswer_)
+            return breakOff();
+        endsAfterAnswer_ = true;
+        answer(ResponseHead { 500, {}, {} }, {});
+    } catch (...) {
+        framework::reportException("the answer to a failed request");
+        reset();
+    }
+}
+
+template <typename Action> void CallerConnection::runGuarded(Action action)
+{
+    try {
+        action();
+    } catch (...) {
+        framework::reportException("a request or its connection");
+        failAfterException();
+    }
+}
+
+/// Ends a request whose handling threw with 500, or breaks its answer off: nobody else would answer it.
+void CallerConnection::failAfterException() noexcept
+{
+    const auto keepAlive = shared_from_this();
+    try {
+        const auto exchange = exchange_.lock();
+        if (stage_ == Stage::Reading)
+            refuse({ 500, {}, {} });
+        else if (stage_ == Stage::Handling && exchange)
+            exchange->fail();
+        else if (stage_ != Stage::Closing)
+            close();
+        read();
+    } catch (...) {
+        framework::reportException("the end of a failed request");
+        close();
+    }
 }
 
 /// Resets the connection, since without chunks its normal close would mean that the answer is complete.
@@ -262,7 +298,8 @@
         return;
     // Posted, since the handler that answers may still be on the stack.
     if (buffer_.size() > 0)
-        boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->parse(); });
+        boost::asio::post(
+            socket_.get_executor(), [self = shared_from_this()] { self->runGuarded([&] { self->parse(); }); });
     read();
 }
 
@@ -281,7 +318,8 @@
         return;
     isWriting_ = true;
     boost::asio::async_write(socket_, boost::asio::buffer(unsent_.front()),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) { self->didWrite(error); });
+        [self = shared_from_this()](
+            const boost::system::error_code& error, std::size_t) { self->runGuarded([&] { self->didWrite(error); }); });
 }
 
 void CallerConnection::didWrite(const boost::system::error_code& error)
@@ -309,7 +347,7 @@
     timer_.async_wait([weak = weak_from_this(), onExpired](const boost::system::error_code& error) {
         const auto self = weak.lock();
         if (!error && self && self->stage_ != Stage::Closed)
-            (self.get()->*onExpired)();
+            self->runGuarded([&] { (self.get()->*onExpired)(); });
     });
 }
 
@@ -462,6 +500,13 @@
 
 void CallerExchange::setDrainedHandler(std::function<void()> handler) { onDrained_ = std::move(handler); }
 
+void CallerExchange::fail()
+{
+    if (const auto connection = connection_)
+        connection->failDropped();
+    handleDisconnect();
+}
+
 void CallerExchange::handleDisconnect()
 {
     connection_ = nullptr;
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -52,7 +52,7 @@
     void endAnswer();
     void breakOff();
     /// Called if the handler destroyed the exchange without an answer.
-    void failDropped();
+    void failDropped() noexcept;
     std::size_t unsentBytes() const { return unsentBytes_; }
     bool hasCallerDisconnected();
 
@@ -67,6 +67,9 @@
         Closed,
     };
 
+    /// Runs an event's action. If it throws, the connection's request fails.
+    template <typename Action> void runGuarded(Action);
+    void failAfterException() noexcept;
     void read();
     void didRead(const boost::system::error_code&, std::size_t);
     void parse();
@@ -136,6 +139,8 @@
     /// Called by the connection.
     void handleDisconnect();
     void didDrain();
+    /// Fails the request. Its handler is notified like of a disconnect.
+    void fail();
 
 private:
     /// Detaches this exchange from the connection and returns the latter.
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -1,6 +1,7 @@
 #include "http/tests/exchangefixture.h"
 
 #include <boost/test/unit_test.hpp>
+#include <stdexcept>
 
 namespace lagoon::http {
 
@@ -164,6 +165,41 @@
     BOOST_TEST(!hasDisconnected.get_future().get());
 }
 
+// Prevents a request from being left without an answer if its handling fails half-way: the handler still had it.
+BOOST_AUTO_TEST_CASE(aRequestWhoseHandlerThrowsIsAnswered)
+{
+    std::shared_ptr<IExchange> kept;
+    std::promise<void> notified;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        kept = exchange;
+        exchange->setDisconnectHandler([&] { notified.set_value(); });
+        throw 1;
+    };
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    BOOST_TEST(statusLine(caller.readToEnd()) == "HTTP/1.1 500 Internal Server Error");
+    notified.get_future().wait();
+    onThread([&] { kept.reset(); });
+}
+
+// Prevents a stream from hanging if its handling fails half-way.
+BOOST_AUTO_TEST_CASE(aStreamWhoseHandlerThrowsIsBrokenOff)
+{
+    std::shared_ptr<IExchange> kept;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        kept = exchange;
+        exchange->setDrainedHandler([] { throw std::runtime_error("no further piece"); });
+        exchange->beginAnswer(ok());
+        exchange->sendPiece("half");
+    };
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    const std::string all = caller.readToEnd();
+    BOOST_TEST(all.find("half") != std::string::npos);
+    BOOST_TEST(all.find("0\r\n\r\n") == std::string::npos);
+    onThread([&] { kept.reset(); });
+}
+
 BOOST_AUTO_TEST_CASE(aStreamIsSentPieceByPieceAndEndsWithItsLastChunk)
 {
     std::shared_ptr<IExchange> pending;
