End a request at once if its handling throws in the forwarder

What callers saw: nothing until their deadline. A request stays in the forwarder's set until it ends, so one whose handling threw, such as while its message to a server was made, kept a connection that nobody read and a caller without answer; the requests behind it had to wait for the next dispatch. If an exception ended a periodic plan, no plan followed until some event asked for one.

Cause: a dispatch, a timer or an event of the server's connection left the request half-way, and only its deadline would come back to it.

Change: each event of a request runs guarded. If it throws, the request ends with 500, or its stream is broken off, and it isn't sent again. The next plan is scheduled before the current one runs.

The order of the plan has no test of its own.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -186,7 +186,7 @@
     {
         shutdownDeadlines_ = deadlines;
         for (const auto& job : jobs_)
-            job->beginShutdown(deadlines);
+            job->runGuarded([&] { job->beginShutdown(deadlines); });
         dispatchWaiting();
         // Requests that still wait at that time are too late to start.
         startByTimer_ = context_.traffic.runAt(deadlines.startBy, [weak = weak_from_this()] {
@@ -199,7 +199,7 @@
     {
         const auto jobs = jobs_;
         for (const auto& job : jobs)
-            job->answerNow();
+            job->runGuarded([&] { job->answerNow(); });
     }
 
     std::size_t requests() const { return jobs_.size(); }
@@ -338,7 +338,7 @@
             jobsByModel_[job->spec().facts.model].insert(job);
         if (caller.key)
             jobsByKey_.add(*caller.key, job);
-        job->start();
+        job->runGuarded([&] { job->start(); });
         if (job->isWaiting())
             schedulePlan(Milliseconds(0));
     }
@@ -356,7 +356,7 @@
                         .number("requests", revoked.size())
                         .number("end_within_ms", endBy.remaining(now()).count()));
         for (const auto& job : revoked)
-            job->didRevokeKey(endBy);
+            job->runGuarded([&] { job->didRevokeKey(endBy); });
     }
 
     /// Each router spends retries in proportion to its own requests plus its share of the reserve, so that all routers
@@ -426,11 +426,11 @@
                 < std::tie(right->spec().priority, right->spec().turn, right->spec().deadline);
         });
         for (const auto& job : waiting)
-            job->advance();
+            job->runGuarded([&] { job->advance(); });
         EnginesByService engines;
         for (const auto& job : waiting) {
             if (job->isWaiting())
-                refuseIfHopeless(*job, engines);
+                job->runGuarded([&] { refuseIfHopeless(*job, engines); });
         }
         return !waiting.empty();
     }
@@ -481,12 +481,13 @@
             return;
         const auto jobs = jobs_;
         for (const auto& job : jobs)
-            job->failOverIfSilent();
+            job->runGuarded([&] { job->failOverIfSilent(); });
     }
 
     void plan()
     {
         planTimer_.reset();
+        schedulePlan(planInterval);
         upstreams_.expire(now());
         limits_.expire(now());
         customerTurns_.refresh(now());
@@ -496,7 +497,6 @@
                 *routes_->configuration(), [this](const ServiceName& service) { return waitingFor(service); },
                 engineLimits(), settings_.policy, now());
         dispatchWaiting();
-        schedulePlan(planInterval);
     }
 
     /// Returns the rates at which engines take requests; one that rests takes none.
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -94,10 +94,11 @@
 {
     exchange_->setDisconnectHandler([weak = weak_from_this()] {
         if (const auto self = weak.lock())
-            self->didLoseCaller();
+            self->runGuarded([&] { self->didLoseCaller(); });
     });
     armDeadline();
-    const bool isLimited = quota_.ask(spec_, [this](const quotas::DrawReply& reply) { didClaimQuota(reply); });
+    const bool isLimited
+        = quota_.ask(spec_, [this](const quotas::DrawReply& reply) { runGuarded([&] { didClaimQuota(reply); }); });
     if (!isLimited)
         beginSearch();
 }
@@ -131,7 +132,7 @@
     const auto attempt = streams::AttemptKey::of(spec_.facts.caller, spec_.facts.resumedAttempt);
     host_.origins().find(attempt, [weak = weak_from_this()](const streams::OriginAnswer& answer) {
         if (const auto self = weak.lock())
-            self->didFindOrigin(answer);
+            self->runGuarded([&] { self->didFindOrigin(answer); });
     });
 }
 
@@ -166,7 +167,7 @@
 {
     deadlineTimer_ = host_.thread().runAt(spec_.deadline, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
-            self->didPassDeadline();
+            self->runGuarded([&] { self->didPassDeadline(); });
     });
 }
 
@@ -304,7 +305,7 @@
     host_.limits().ask(permit.number, *search.permitAt, spec_.priority, neededBy, routers, now,
         [weak = weak_from_this(), number = permit.number](const ratelimits::PermitReply& reply) {
             if (const auto self = weak.lock())
-                self->didDecidePermit(number, reply);
+                self->runGuarded([&] { self->didDecidePermit(number, reply); });
         });
 }
 
@@ -388,7 +389,7 @@
     waitsForLoad_ = false;
     host_.origins().retract(nextRecord(std::nullopt), [weak = weak_from_this()](bool isConfirmed) {
         if (const auto self = weak.lock())
-            self->didRetractOrigin(isConfirmed);
+            self->runGuarded([&] { self->didRetractOrigin(isConfirmed); });
     });
 }
 
@@ -808,12 +809,6 @@
 
 void RequestJob::refuseAsRevoked() { refuse(401, "key was taken away", std::nullopt); }
 
-void RequestJob::breakOff(const std::string& cause)
-{
-    exchange_->breakOff();
-    end("broken_off", 0, cause);
-}
-
 void RequestJob::didPassDeadline()
 {
     const bool isInFlight = attempt_ != nullptr;
--- a/src/forwarding/internal/requestjob.h
+++ b/src/forwarding/internal/requestjob.h
@@ -59,6 +59,17 @@
     RequestJob(const RequestJob&) = delete;
     RequestJob& operator=(const RequestJob&) = delete;
 
+    /// Runs an event's action. If it throws, the request ends with 500, or its stream is broken off: nothing else may
+    /// come that would end it, and it must not be sent again.
+    template <typename Action> void runGuarded(Action action)
+    {
+        const auto keepAlive = shared_from_this();
+        try {
+            action();
+        } catch (...) {
+            failAfterException();
+        }
+    }
     void start();
     /// The process shuts down: the request gets its final answer before the shutdown deadline.
     void beginShutdown(const framework::ShutdownDeadlines&);
@@ -164,6 +175,7 @@
     bool mayGoOnAt(const UpstreamRecord&) const;
     void abandonAttempt();
     void breakOff(const std::string& cause);
+    void failAfterException();
     void armDeadline();
     bool isTooLateToStart() const;
     void didPassDeadline();
--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -47,65 +47,80 @@
 void UpstreamAttempt::willSend()
 {
     const auto job = job_.lock();
-    if (job && !job->endIfCallerDisconnected() && !job->holdIfSuspected())
-        job->failOverIfServerRefuses();
+    if (!job)
+        return;
+    job->runGuarded([&] {
+        if (!job->endIfCallerDisconnected() && !job->holdIfSuspected())
+            job->failOverIfServerRefuses();
+    });
 }
 
 bool UpstreamAttempt::didReceiveHead(const http::ResponseHead& head)
 {
-    const auto job = job_.lock();
-    if (!job)
-        return true;
-    job->didSeeActivity(guard_->upstream());
-    job->didSeeAnswer(guard_->upstream());
-    answerClass_ = dialect_.classify(head, job->spec().facts, guard_->upstream().facts.instance);
-    job->didReceiveHead(guard_->upstream(), head, answerClass_);
+    bool isAccepted = true;
+    if (const auto job = job_.lock())
+        job->runGuarded([&] { isAccepted = acceptHead(*job, head); });
+    return isAccepted;
+}
+
+bool UpstreamAttempt::acceptHead(RequestJob& job, const http::ResponseHead& head)
+{
+    job.didSeeActivity(guard_->upstream());
+    job.didSeeAnswer(guard_->upstream());
+    answerClass_ = dialect_.classify(head, job.spec().facts, guard_->upstream().facts.instance);
+    job.didReceiveHead(guard_->upstream(), head, answerClass_);
     if (answerClass_ == AnswerClass::Mismatched) {
         logDecision(framework::LogLine("foreign_answer_dropped")
-                        .text("id", job->spec().facts.attempt)
+                        .text("id", job.spec().facts.attempt)
                         .text("server", guard_->upstream().facts.instance.value())
                         .number("status", head.status));
         return false;
     }
     head_ = head;
-    if (relaysEvents(*job))
-        job->didBeginStream(head);
+    if (relaysEvents(job))
+        job.didBeginStream(head);
     return true;
 }
 
 void UpstreamAttempt::didReceiveBody(std::string_view piece)
 {
-    const auto job = job_.lock();
-    if (!job)
-        return;
-    job->didSeeActivity(guard_->upstream());
-    if (relaysEvents(*job))
-        return job->didReceiveEvents(piece);
+    if (const auto job = job_.lock())
+        job->runGuarded([&] { takeBody(*job, piece); });
+}
+
+void UpstreamAttempt::takeBody(RequestJob& job, std::string_view piece)
+{
+    job.didSeeActivity(guard_->upstream());
+    if (relaysEvents(job))
+        return job.didReceiveEvents(piece);
     body_.append(piece);
     if (body_.size() <= maxAnswerBytes)
         return;
     abandon();
-    job->didEndWithoutAnswer("answer too large to be kept", true);
+    job.didEndWithoutAnswer("answer too large to be kept", true);
 }
 
 void UpstreamAttempt::didFinish()
 {
-    const auto job = job_.lock();
-    if (!job)
-        return;
+    if (const auto job = job_.lock())
+        job->runGuarded([&] { reportAnswer(*job); });
+}
+
+void UpstreamAttempt::reportAnswer(RequestJob& job)
+{
     switch (answerClass_) {
     case AnswerClass::Served:
         guard_->upstream().outlierDetector.didServe();
-        return relaysEvents(*job) ? job->didEndStream(isFramed(head_)) : job->didAnswer(head_, std::move(body_));
+        return relaysEvents(job) ? job.didEndStream(isFramed(head_)) : job.didAnswer(head_, std::move(body_));
     case AnswerClass::Failed:
-        return job->didFailAtServer(head_, std::move(body_));
+        return job.didFailAtServer(head_, std::move(body_));
     case AnswerClass::NotRun:
     case AnswerClass::NotLoaded:
     case AnswerClass::OtherInstance:
-        return job->didReject(answerClass_, head_.status);
+        return job.didReject(answerClass_, head_.status);
     case AnswerClass::Unverified:
     case AnswerClass::Mismatched:
-        return job->didEndWithoutAnswer(
+        return job.didEndWithoutAnswer(
             isSuccess(head_.status) ? "success without the server's mark" : "not the answer to this request", true);
     }
 }
@@ -113,7 +128,7 @@
 void UpstreamAttempt::didFail(const http::ClientFailure& failure)
 {
     if (const auto job = job_.lock())
-        job->didLoseConnection(failure);
+        job->runGuarded([&] { job->didLoseConnection(failure); });
 }
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/internal/upstreamattempt.h
+++ b/src/forwarding/internal/upstreamattempt.h
@@ -36,6 +36,9 @@
 
 private:
     bool relaysEvents(const RequestJob&) const;
+    bool acceptHead(RequestJob&, const http::ResponseHead&);
+    void takeBody(RequestJob&, std::string_view piece);
+    void reportAnswer(RequestJob&);
 
     std::weak_ptr<RequestJob> job_;
     const IRequestDialect& dialect_;
--- a/src/forwarding/tests/oneengine.h
+++ b/src/forwarding/tests/oneengine.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <new>
 #include <optional>
 #include <string>
 #include <vector>
@@ -38,7 +39,14 @@
         return facts;
     }
     std::optional<catalog::KeyDigest> key(const http::Request&) const override { return std::nullopt; }
-    http::Request forwarded(const http::Request& request, const ForwardingOptions&) const override { return request; }
+    /// Forwarding requests with this target throws.
+    void failFor(const std::string& target) { failingTarget_ = target; }
+    http::Request forwarded(const http::Request& request, const ForwardingOptions&) const override
+    {
+        if (request.target == failingTarget_)
+            throw std::bad_alloc();
+        return request;
+    }
     AnswerClass classify(const http::ResponseHead& head, const RequestFacts&, const catalog::InstanceId&) const override
     {
         return head.status == 503 ? AnswerClass::NotRun : AnswerClass::Served;
@@ -69,6 +77,7 @@
 
 private:
     std::string resumedAttempt_;
+    std::string failingTarget_;
     std::optional<std::uint64_t> lastEvent_;
     framework::Milliseconds timeLeft_ { 15000 };
 };
@@ -86,9 +95,9 @@
 /// Records the answer.
 class RecordingExchange final : public http::IExchange {
 public:
-    RecordingExchange()
+    explicit RecordingExchange(const std::string& target = "/model/1")
     {
-        request_.target = "/model/1";
+        request_.target = target;
         request_.headers.add("Host", "callers");
     }
     const http::Request& request() const override { return request_; }
