Accept requests when idle connections hold all descriptors

What callers saw: a request on a new connection got neither an answer nor a refusal while other callers' idle connections held all descriptors (up to 15 s, the idle timeout). The transport of the links retried a failed accept at once and logged each failure, which kept a thread busy.

Cause: a failed accept was only retried; nothing freed a descriptor.

Change: if a connection waits and can't be accepted, the connection that has been idle for longest is closed, unless a request has arrived on it. Links pause 50 ms after a failed accept. Both log the first failure in succession only.

The pause of links has no test of its own.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -51,6 +51,7 @@
 void CallerConnection::start()
 {
     setLivenessOptions(socket_, callerUnresponsiveTimeout);
+    idleSince_ = std::chrono::steady_clock::now();
     armTimer(context_->limits.idleTimeout, &CallerConnection::handleIdleTimeout);
     read();
 }
@@ -394,9 +395,17 @@
         closeIfIdle();
     if (stage_ == Stage::Closed)
         return;
+    idleSince_ = std::chrono::steady_clock::now();
     armTimer(context_->limits.idleTimeout, &CallerConnection::handleIdleTimeout);
 }
 
+std::optional<framework::SteadyTime> CallerConnection::idleSince() const
+{
+    if (stage_ != Stage::Idle || isClosingIdle_)
+        return std::nullopt;
+    return idleSince_;
+}
+
 bool CallerConnection::isBusy() const { return stage_ != Stage::Closed && (isClosingIdle_ || !isIdle()); }
 
 /// Returns whether there is neither a request nor an answer on the connection. Received bytes that have not been read
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -38,6 +38,8 @@
     void start();
     /// Returns whether a request is being received or handled, or an answer is still being sent.
     bool isBusy() const;
+    /// When the connection was accepted, or its last request ended. std::nullopt during a request and while it closes.
+    std::optional<framework::SteadyTime> idleSince() const;
     /// Closes the connection if no request has arrived or is in progress.
     void closeIfIdle();
     /// Refuses a partially received request with this head, and stops reading it.
@@ -101,6 +103,7 @@
     Stage stage_ = Stage::Idle;
     bool isReading_ = false;
     bool isClosingIdle_ = false;
+    framework::SteadyTime idleSince_ {};
     bool isWriting_ = false;
     bool endsAfterAnswer_ = false;
     bool isChunked_ = false;
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -1,12 +1,15 @@
 #include "http/exchangeserver.h"
 
+#include "framework/logging.h"
 #include "framework/tcpendpoint.h"
 #include "http/internal/callerconnection.h"
 #include "http/internal/socketoptions.h"
 
 #include <boost/asio/post.hpp>
 #include <optional>
+#include <poll.h>
 #include <unordered_map>
+#include <utility>
 
 namespace lagoon::http {
 
@@ -98,11 +101,41 @@
             if (!self->acceptor_.is_open())
                 return;
             if (error)
-                return self->acceptLater();
+                return self->didFailToAccept(error);
+            self->hasAcceptFailed_ = false;
             self->accept();
         });
     }
 
+    /// Logs only the first failure in succession. Without a free descriptor accepting also fails if nobody connects.
+    void didFailToAccept(const boost::system::error_code& error)
+    {
+        if (isConnectionPending()) {
+            if (!std::exchange(hasAcceptFailed_, true))
+                framework::logWarning("http", "accept: " + error.message());
+            closeLongestIdle();
+        }
+        acceptLater();
+    }
+
+    bool isConnectionPending()
+    {
+        pollfd listening { acceptor_.native_handle(), POLLIN, 0 };
+        return ::poll(&listening, 1, 0) > 0;
+    }
+
+    /// Frees a descriptor. Callers that keep connections for later requests must not shut out those that have one now.
+    void closeLongestIdle()
+    {
+        std::shared_ptr<CallerConnection> longest;
+        for (const auto& [key, connection] : connections_) {
+            if (connection->idleSince() && (!longest || *connection->idleSince() < *longest->idleSince()))
+                longest = connection;
+        }
+        if (longest)
+            longest->closeIfIdle();
+    }
+
     /// Accepts all connections in the listening socket's queue. If the event loop is behind, closing that socket would
     /// otherwise reset connections whose callers sent requests while the server still accepted them.
     void acceptPending()
@@ -142,6 +175,7 @@
     boost::asio::io_context& context_;
     tcp::acceptor acceptor_;
     boost::asio::steady_timer acceptTimer_;
+    bool hasAcceptFailed_ = false;
     std::shared_ptr<ConnectionContext> shared_;
     std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
 };
--- a/src/wire/internal/tcplinktransport.cpp
+++ b/src/wire/internal/tcplinktransport.cpp
@@ -6,8 +6,10 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <thread>
+#include <utility>
 
 namespace lagoon::wire {
 
@@ -18,6 +20,10 @@
 using framework::Error;
 using framework::ErrorCode;
 
+/// Delay after accepting has failed, usually because file descriptors are exhausted: retrying at once would keep a
+/// thread busy.
+constexpr framework::Milliseconds acceptRetryDelay { 50 };
+
 class TcpLinkTransport final : public ILinkTransport {
 public:
     TcpLinkTransport(const LinkSettings& settings, std::shared_ptr<framework::Metrics> metrics)
@@ -91,13 +97,25 @@
             if (error == boost::asio::error::operation_aborted || !acceptor_->is_open())
                 return;
             if (error)
-                framework::logWarning("wire", "accept: " + error.message());
-            else
-                addAcceptedLink(strand, std::move(socket));
+                return didFailToAccept(error);
+            hasAcceptFailed_ = false;
+            addAcceptedLink(strand, std::move(socket));
             accept();
         });
     }
 
+    /// Logs only the first failure in succession.
+    void didFailToAccept(const boost::system::error_code& error)
+    {
+        if (!std::exchange(hasAcceptFailed_, true))
+            framework::logWarning("wire", "accept: " + error.message());
+        acceptTimer_.expires_after(acceptRetryDelay);
+        acceptTimer_.async_wait([this](const boost::system::error_code& waitError) {
+            if (!waitError && acceptor_->is_open())
+                accept();
+        });
+    }
+
     void addAcceptedLink(const TcpLink::Strand& strand, tcp::socket socket)
     {
         boost::system::error_code error;
@@ -114,6 +132,8 @@
     boost::asio::io_context context_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     std::optional<tcp::acceptor> acceptor_;
+    boost::asio::steady_timer acceptTimer_ { context_ };
+    bool hasAcceptFailed_ = false;
     LinkHandlers handlers_;
     std::vector<std::thread> threads_;
 };
