--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -41,6 +41,11 @@
     bool isBusy() const;
     /// Closes the connection if no request has arrived or is in progress, once its caller has had time to send one.
     void closeWhenIdle();
+    /// Until when a request is likely to be on its way on an idle connection. std::nullopt during a request and while the
+    /// connection closes.
+    std::optional<framework::Deadline> openUntil() const;
+    /// Closes the connection if no request has arrived or is in progress.
+    void closeIfIdle();
     /// Refuses a partially received request with this head, and stops reading it.
     void refuseIncomplete(const ResponseHead&);
     /// Closes the connection at once. The handler of a request in progress is notified of the disconnect.
@@ -53,7 +58,7 @@
     void endAnswer();
     void breakOff();
     /// Called if the handler destroyed the exchange without an answer.
-    void failDropped();
+    void failDropped() noexcept;
     std::size_t unsentBytes() const { return unsentBytes_; }
     bool hasCallerDisconnected();
 
@@ -68,6 +73,9 @@
         Closed,
     };
 
+    /// Runs an event's action. If it throws, the connection's request fails.
+    template <typename Action> void runGuarded(Action);
+    void failAfterException() noexcept;
     void read();
     void didRead(const boost::system::error_code&, std::size_t);
     void parse();
@@ -83,7 +91,6 @@
     void finishAnswer();
     void becomeIdle();
     void expectNextRequest();
-    void closeIfIdle();
     bool isIdle() const;
     void setResetOnClose();
     void armTimer(framework::Milliseconds, void (CallerConnection::*onExpired)());
@@ -141,6 +148,8 @@
     /// Called by the connection.
     void handleDisconnect();
     void didDrain();
+    /// Fails the request. Its handler is notified like of a disconnect.
+    void fail();
 
 private:
     /// Detaches this exchange from the connection and returns the latter.
