Excuse a request in the soak only by faults on its own path

What callers see: nothing; this is a check. The soak excused each request that ended without an answer, or failed, while any fault acted anywhere, or within 5 s after one: a store that was away, a paused agent or another router excused a lost request, though no request passes through them. The runs of kinds poison, versions and limits were one single excuse from begin to end.

Change: a failure is excused only if a fault acted on its own router (kill, pause), or on the link to a server that it was sent to by the routers' logs, while it was under way; if a server says that it broke off the connection of this very request; or if its deadline was reached. A connection that ends without any answer is excused by a fault of its router only. Faults of the store, of agents, of other routers and of other servers excuse nothing, delays on links neither, and there is no time after a fault any more. Excused requests are printed by reason. Whether a key that was taken away may still serve is judged by the router and the store alone.

--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -135,6 +135,21 @@
     return startedRuns_;
 }
 
+void ServerStandin::breakOff(Exchange& exchange)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        brokenOff_.insert(exchange.request().header("x-request-attempt"));
+    }
+    exchange.dropConnection();
+}
+
+bool ServerStandin::hasBrokenOff(const std::string& attempt) const
+{
+    const std::lock_guard lock(mutex_);
+    return brokenOff_.contains(attempt);
+}
+
 int ServerStandin::runs(const std::string& attempt) const
 {
     const std::lock_guard lock(mutex_);
@@ -215,7 +230,7 @@
 void ServerStandin::answer(Exchange& exchange)
 {
     if (isDown_)
-        return exchange.dropConnection();
+        return breakOff(exchange);
     if (answerControlRequest(exchange))
         return;
     const HttpRequest& request = exchange.request();
@@ -248,12 +263,12 @@
         startedRuns_.push_back({ attempt, request.header("x-tenant"), hasKey(request), lastRunAt_ });
     }
     if (isCrashedBy(request)) {
-        exchange.dropConnection();
+        breakOff(exchange);
         return crash();
     }
     if (drops_ > 0) {
         --drops_;
-        return exchange.dropConnection();
+        return breakOff(exchange);
     }
     if (failures_ > 0) {
         --failures_;
@@ -270,7 +285,7 @@
         if (exchange.waitForCallerGone(Milliseconds(1)))
             return noteCancelled();
         if (started() != process.started)
-            return exchange.dropConnection();
+            return breakOff(exchange);
     }
     exchange.reply(200, request.method + " " + request.path + " " + request.body, responseHeaders(request, process));
 }
@@ -410,16 +425,16 @@
         if (exchange.waitForCallerGone(Milliseconds(pauseMs_.load())))
             return noteCancelled();
         if (started() != process.started)
-            return exchange.dropConnection();
+            return breakOff(exchange);
         if (event == crashingEvent && isCrashedByPart(exchange.request())) {
-            exchange.dropConnection();
+            breakOff(exchange);
             return crash();
         }
         const std::string text = eventText(event, process.version);
         if (event == cutStreamAt_) {
             cutStreamAt_ = 0;
             exchange.sendChunk(text.substr(0, text.size() / 2));
-            return exchange.dropConnection();
+            return breakOff(exchange);
         }
         exchange.sendChunk(text);
     }
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -52,6 +52,8 @@
     std::vector<framework::SteadyTime> crashTimes() const;
     /// How many times a request with this id was started.
     int runs(const std::string& attempt) const;
+    /// Whether the server closed the connection of a request with this id before the end of its answer.
+    bool hasBrokenOff(const std::string& attempt) const;
     /// How many times any request was started.
     int totalRuns() const;
     /// When the last request was started; the clock's epoch if there was none.
@@ -104,6 +106,8 @@
     standins::HeaderMap commonHeaders() const;
     void noteCancelled() { ++cancelled_; }
     bool isCrashedByPart(const standins::HttpRequest&) const;
+    /// Closes the connection before the end of the answer.
+    void breakOff(standins::Exchange&);
     void crash();
 
 private:
@@ -116,6 +120,7 @@
     std::string instance_;
     mutable std::mutex mutex_;
     std::map<std::string, int> runs_;
+    std::set<std::string> brokenOff_;
     std::vector<Run> startedRuns_;
     framework::SteadyTime lastRunAt_ {};
     standins::HttpRequest last_;
--- a/tests/soak/customercallers.cpp
+++ b/tests/soak/customercallers.cpp
@@ -203,6 +203,7 @@
         sent.request.attempt = attemptOf(own, number, count);
         sent.request.kind = random() % 2 == 0 ? "/get/" : "/post/";
         sent.request.router = router->router;
+        sent.request.timeAllowed = deadline;
         sent.request.connectedAt = std::chrono::steady_clock::now();
         const std::string key = customer == unknown && random() % 2 == 0 ? std::string() : keyOf(own.name, sent.key);
         sent.request.outcome = caller.call(requestOf(sent.request.attempt, sent.request.kind, key).text());
@@ -306,7 +307,7 @@
         return;
     const SteadyTime replacedAt = replacedAt_[sent.key - 1];
     if (request.outcome.sentAt > replacedAt + timeToTell
-        && !runLog_.hadFault(request.router, replacedAt, request.outcome.sentAt))
+        && runLog_.wasInTouch(request.router, replacedAt, request.outcome.sentAt))
         runLog_.fail("served long after its key was taken away: " + request.attempt);
 }
 
--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -31,8 +31,11 @@
         makeProxy(fleet.engine2.endpoint()) }
 {
     fleet_.setStoreEndpoint(startProxy(*proxies_[0], "127.0.0.1"));
-    fleet_.listAt(fleet_.plain1, "plain", startProxy(*proxies_[1], "127.0.0.1"));
-    fleet_.listAt(fleet_.engine2, "engines", startProxy(*proxies_[2], "127.0.0.2"));
+    const std::string plain = startProxy(*proxies_[1], "127.0.0.1");
+    const std::string engine = startProxy(*proxies_[2], "127.0.0.2");
+    scopes_ = { FaultScope::store(), FaultScope::link(plain), FaultScope::link(engine) };
+    fleet_.listAt(fleet_.plain1, "plain", plain);
+    fleet_.listAt(fleet_.engine2, "engines", engine);
 }
 
 void FaultInjector::inject(ProcessSupervisor& supervisor, PlannedOperations& operations)
@@ -69,15 +72,23 @@
         runLog_.fail("the proxy rejected the fault: " + name);
 }
 
+void FaultInjector::cut(std::size_t proxy)
+{
+    ActiveFaults cutting;
+    runLog_.beginFault(cutting, scopes_.at(proxy));
+    setFault(proxy, "cut", value::boolean(true));
+    runLog_.endFaults(cutting);
+}
+
 void FaultInjector::injectNetworkFault()
 {
     const std::size_t proxy = runLog_.draw(proxies_.size());
     const std::vector<std::string> directions { "to_server", "to_client", "both" };
-    runLog_.beginFault(activeFaults_, std::nullopt);
     switch (runLog_.draw(4)) {
     case 0:
-        return setFault(proxy, "cut", value::boolean(true));
+        return cut(proxy);
     case 1:
+        runLog_.beginFault(linkFaults_, scopes_.at(proxy));
         return setFault(proxy, "silent", value::string(directions[runLog_.draw(3)]));
     case 2: {
         value delay;
@@ -86,6 +97,7 @@
         return setFault(proxy, "delay_ms", delay);
     }
     default: {
+        runLog_.beginFault(linkFaults_, scopes_.at(proxy));
         value loss;
         loss["count"] = value::number(1 + runLog_.draw(2));
         loss["after_bytes"] = value::number(runLog_.draw(200));
@@ -98,7 +110,6 @@
 {
     fleet::ServerStandin* const servers[] { &fleet_.plain1, &fleet_.plain2, &fleet_.engine1, &fleet_.engine2 };
     fleet::ServerStandin& server = *servers[runLog_.draw(4)];
-    runLog_.beginFault(activeFaults_, std::nullopt);
     switch (runLog_.draw(3)) {
     case 0:
         runLog_.note("refused requests at " + server.instance());
@@ -119,7 +130,6 @@
     if (!operations.isListed(0))
         return;
     runLog_.note("engine restarted: " + fleet_.engine1.instance());
-    runLog_.beginFault(activeFaults_, std::nullopt);
     fleet_.engine1.restart();
     fleet_.list(fleet_.engine1, "engines");
 }
@@ -127,13 +137,14 @@
 void FaultInjector::injectStoreOutage()
 {
     runLog_.note("store unavailable for a while");
-    runLog_.beginFault(activeFaults_, std::nullopt);
+    runLog_.beginFault(storeFaults_, FaultScope::store());
     fleet_.store.setUnavailable(true);
     const bool forgets = runLog_.draw(2) == 0;
     scheduler_.schedule(runLog_.drawDuration(50, 600), [this, forgets] {
         fleet_.store.setUnavailable(false);
         if (forgets)
             fleet_.store.forgetHistory();
+        runLog_.endFaults(storeFaults_);
     });
 }
 
@@ -145,7 +156,7 @@
     noDelay["to_client"] = value::number(0);
     for (std::size_t proxy = 0; proxy < proxies_.size(); ++proxy) {
         setFault(proxy, "delay_ms", noDelay);
-        setFault(proxy, "cut", value::boolean(true));
+        cut(proxy);
     }
     for (fleet::ServerStandin* const server : std::initializer_list<fleet::ServerStandin*> {
              &fleet_.plain1, &fleet_.plain2, &fleet_.engine1, &fleet_.engine2 }) {
@@ -154,7 +165,8 @@
     }
     fleet_.engine1.cutStreamAt(0);
     runLog_.note("all faults cleared");
-    runLog_.endFaults(activeFaults_);
+    runLog_.endFaults(storeFaults_);
+    runLog_.endFaults(linkFaults_);
 }
 
 } // namespace lagoon::soak
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -24,12 +24,17 @@
     void injectServerFault();
     void restartEngine(const PlannedOperations&);
     void injectStoreOutage();
+    /// Closes the proxy's connections. Lasts for the moment only.
+    void cut(std::size_t proxy);
     void setFault(std::size_t proxy, const std::string& name, const web::json::value& what);
 
     fleet::Fleet& fleet_;
     ActionScheduler& scheduler_;
     RunLog& runLog_;
-    ActiveFaults activeFaults_;
+    /// Faults of links, of which the first is that to the store.
+    ActiveFaults linkFaults_;
+    ActiveFaults storeFaults_;
+    std::array<FaultScope, 3> scopes_;
     std::array<standins::FaultProxy*, 3> proxies_;
 };
 
--- a/tests/soak/invariantchecker.cpp
+++ b/tests/soak/invariantchecker.cpp
@@ -17,6 +17,18 @@
 /// Quoted as in the logs, so that an attempt whose name starts with this one's does not match.
 std::string quoted(const std::string& attempt) { return '"' + attempt + '"'; }
 
+/// The endpoints of servers in the routers' log lines about a request.
+std::vector<std::string> endpointsOf(const std::string& lines)
+{
+    const std::string key = "\"at\":\"";
+    std::vector<std::string> endpoints;
+    for (std::size_t found = lines.find(key); found != std::string::npos; found = lines.find(key, found)) {
+        found += key.size();
+        endpoints.push_back(lines.substr(found, lines.find('"', found) - found));
+    }
+    return endpoints;
+}
+
 std::string endText(EndReason reason)
 {
     switch (reason) {
@@ -106,8 +118,23 @@
         && outcome.endedAt - outcome.sentAt < maxCloseRace && fleet_.logLinesContaining(quoted(sent.attempt)).empty();
 }
 
-/// A request that a router has read must get a whole answer, and a failure only if a server failed, unless a fault was
-/// active. A request that was sent while the router closed the connection may stay unread: the connection is then
+FailedRequest InvariantChecker::failureOf(const SentRequest& sent) const
+{
+    const Outcome& outcome = sent.outcome;
+    FailedRequest failure { .router = sent.router,
+        .servers = endpointsOf(fleet_.logLinesContaining(quoted(sent.attempt))),
+        .hasAnswerBegun = outcome.status != 0,
+        .sentAt = outcome.sentAt,
+        .endedAt = outcome.endedAt,
+        .deadline = framework::Deadline::after(outcome.sentAt, sent.timeAllowed) };
+    failure.hasServerBrokenOff = fleet_.plain1.hasBrokenOff(sent.attempt) || fleet_.plain2.hasBrokenOff(sent.attempt);
+    for (std::size_t index = 0; index < fleet_.engines(); ++index)
+        failure.hasServerBrokenOff |= fleet_.engine(index).hasBrokenOff(sent.attempt);
+    return failure;
+}
+
+/// A request that a router has read must get a whole answer, and a failure only if a server failed, unless there is an
+/// excuse. A request that was sent while the router closed the connection may stay unread: the connection is then
 /// closed within `maxCloseRace`, no server has run the request, and no router's log names it.
 void InvariantChecker::checkAnswered(const SentRequest& sent, int runs)
 {
@@ -119,8 +146,8 @@
         ++report_.closedUnread;
         return;
     }
-    if (runLog_.hadFault(sent.router, outcome.sentAt, outcome.endedAt)) {
-        ++report_.failedDuringFault;
+    if (const auto excuse = runLog_.faults().excuseFor(failureOf(sent))) {
+        ++report_.excused[*excuse];
         return;
     }
     fail(outcome.isComplete() ? "failed although no server failed" : "neither an answer nor a refusal", sent, runs);
--- a/tests/soak/invariantchecker.h
+++ b/tests/soak/invariantchecker.h
@@ -20,6 +20,7 @@
     void checkRuns(const SentRequest&, int runs);
     void checkContent(const SentRequest&, int runs);
     bool isClosedUnread(const SentRequest&, int runs) const;
+    FailedRequest failureOf(const SentRequest&) const;
     void checkAnswered(const SentRequest&, int runs);
     void fail(const std::string& invariant, const SentRequest&, int runs);
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -75,6 +75,18 @@
     return "";
 }
 
+std::string excusedText(const SoakReport& report)
+{
+    const std::vector<std::pair<Excuse, std::string>> names { { Excuse::RouterFault, "router" },
+        { Excuse::LinkFault, "link" }, { Excuse::ServerBrokeOff, "server" }, { Excuse::DeadlineReached, "deadline" } };
+    std::string text;
+    for (const auto& [excuse, name] : names) {
+        const auto found = report.excused.find(excuse);
+        text += std::to_string(found == report.excused.end() ? 0 : found->second) + " excused by " + name + ", ";
+    }
+    return text;
+}
+
 /// Returns whether no invariant was violated.
 bool runSeed(const SoakSettings& settings)
 {
@@ -82,8 +94,8 @@
     const SoakReport report = run.run();
     std::cout << "seed " << settings.seed << " (" << kindText(settings.kind) << "): " << report.requests
               << " requests, " << report.served << " served, " << report.refused << " refused as not run, "
-              << report.closedUnread << " crossed a close, " << report.failedDuringFault << " struck, " << report.steps
-              << " faults, " << report.violations.size() << " promises broken" << std::endl;
+              << report.closedUnread << " crossed a close, " << excusedText(report) << report.steps << " faults, "
+              << report.violations.size() << " promises broken" << std::endl;
     if (settings.kind == RunKind::Versions)
         std::cout << "  " << run.notes().back() << std::endl;
     for (const std::string& violation : report.violations)
--- a/tests/soak/processsupervisor.cpp
+++ b/tests/soak/processsupervisor.cpp
@@ -80,10 +80,11 @@
     return slot.role == Role::Router ? context_.fleet.router(slot.index) : context_.fleet.agent(slot.index);
 }
 
-/// The router that a fault of the process affects; std::nullopt for an agent, whose faults affect all routers.
-std::optional<std::size_t> ProcessSupervisor::routerOf(const Slot& slot) const
+/// Requests don't pass through agents, so that their faults excuse nothing.
+void ProcessSupervisor::beginFault(Slot& slot)
 {
-    return slot.role == Role::Router ? std::optional(slot.index) : std::nullopt;
+    if (slot.role == Role::Router)
+        context_.runLog.beginFault(slot.faults, FaultScope::router(slot.index));
 }
 
 std::size_t ProcessSupervisor::count(Role role) const
@@ -136,7 +137,7 @@
     if (killed.state == State::Down || killed.state == State::Retired)
         return;
     context_.runLog.note("SIGKILL " + process(killed).name());
-    context_.runLog.beginFault(killed.faults, routerOf(killed));
+    beginFault(killed);
     process(killed).kill();
     scheduleStart(killed);
     killed.state = killed.comesBack ? State::Down : State::Retired;
@@ -155,7 +156,7 @@
         return;
     const std::string name = process(paused).name();
     context_.runLog.note("SIGSTOP " + name);
-    context_.runLog.beginFault(paused.faults, routerOf(paused));
+    beginFault(paused);
     process(paused).sendSignal(SIGSTOP);
     context_.scheduler.schedule(context_.runLog.drawDuration(minPauseMs, pauseRangeMs), [this, role, index, name] {
         Slot& continued = slot(role, index);
--- a/tests/soak/processsupervisor.h
+++ b/tests/soak/processsupervisor.h
@@ -70,7 +70,7 @@
     Slot& slot(Role, std::size_t index);
     const Slot* find(Role, std::size_t index) const;
     testsupport::ChildProcess& process(const Slot&);
-    std::optional<std::size_t> routerOf(const Slot&) const;
+    void beginFault(Slot&);
     void start(Slot&);
     void scheduleStart(const Slot&);
     void pollSlot(Slot&);
--- a/tests/soak/runlog.cpp
+++ b/tests/soak/runlog.cpp
@@ -9,7 +9,7 @@
 using framework::Milliseconds;
 using framework::SteadyTime;
 
-/// Routers and agents have reconnected to each other and to the store within this time after a fault.
+/// Routers have reconnected to the store within this time after a fault.
 constexpr Milliseconds recoveryTime { 5000 };
 
 } // namespace
@@ -35,28 +35,23 @@
         std::cout << notes_.back() << std::endl;
 }
 
-void RunLog::beginFault(ActiveFaults& active, std::optional<std::size_t> router)
+void RunLog::beginFault(ActiveFaults& active, const FaultScope& scope)
 {
-    active.push_back(faults_.size());
-    faults_.push_back({ router, std::chrono::steady_clock::now(), std::nullopt });
+    active.push_back(faults_.begin(scope, std::chrono::steady_clock::now()));
 }
 
 void RunLog::endFaults(ActiveFaults& active)
 {
-    for (const std::size_t number : active)
-        faults_[number].until = std::chrono::steady_clock::now();
+    for (const FaultRecord::Number number : active)
+        faults_.end(number, std::chrono::steady_clock::now());
     active.clear();
 }
 
-bool RunLog::hadFault(std::size_t router, SteadyTime from, SteadyTime to) const
+bool RunLog::wasInTouch(std::size_t router, SteadyTime from, SteadyTime to) const
 {
-    for (const Fault& fault : faults_) {
-        const bool affectsRouter = !fault.router || *fault.router == router;
-        const bool hasEndedBefore = fault.until && *fault.until + recoveryTime < from;
-        if (affectsRouter && fault.from <= to && !hasEndedBefore)
-            return true;
-    }
-    return false;
+    const SteadyTime since = from - recoveryTime;
+    return !faults_.hasActed(FaultScope::router(router), since, to)
+        && !faults_.hasActed(FaultScope::store(), since, to);
 }
 
 } // namespace lagoon::soak
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -61,34 +61,24 @@
 {
     prepareFleet();
     LoadGenerator generator(settings_, parameters_, balancer_);
-    if (settings_.kind == RunKind::Poison) {
-        runLog_.beginFault(crashes_, std::nullopt);
+    if (settings_.kind == RunKind::Poison)
         poisonSender_.emplace(fleet_, balancer_, settings_);
-    }
-    if (settings_.kind == RunKind::Limits) {
-        // A limit makes routers refuse requests that servers would have time for.
-        runLog_.beginFault(limits_, std::nullopt);
+    if (settings_.kind == RunKind::Limits)
         limitNamer_.emplace(fleet_, runLog_);
-    }
-    if (settings_.kind == RunKind::Versions) {
-        runLog_.beginFault(crashes_, std::nullopt);
+    if (settings_.kind == RunKind::Versions)
         resumingCallers_.emplace(settings_, parameters_, balancer_);
-    }
     if (settings_.kind == RunKind::Customers)
         customerCallers_.emplace(fleet_, balancer_, settings_, runLog_);
     runOperationsAndFaults();
     waitForProcesses();
     if (poisonSender_)
         poisonSender_->stop();
-    if (limitNamer_) {
+    if (limitNamer_)
         limitNamer_->stop();
-        runLog_.endFaults(limits_);
-    }
     if (resumingCallers_)
         resumingCallers_->stop();
     if (customerCallers_)
         customerCallers_->stop();
-    runLog_.endFaults(crashes_);
     if (faultInjector_)
         faultInjector_->clearFaults();
     waitUntilServed();
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -19,7 +19,8 @@
 /// - a request that must not be repeated runs at most once
 /// - a request that is refused as not run has not run
 /// - an answer that looks complete is complete and belongs to its request
-/// - a request that a router has read is answered or refused, unless a fault was active
+/// - a request that a router has read is answered or refused, unless a fault acted on its router, or its server or the
+///   link to it failed in the middle of its answer
 /// - engines never receive orders beyond their capacity
 /// - no process ends without a signal, and each shuts down gracefully after SIGTERM
 /// - a request that crashes its servers is refused after three crashes, also if other servers bear it
@@ -55,10 +56,6 @@
     std::optional<LimitNamer> limitNamer_;
     std::optional<ResumingCallers> resumingCallers_;
     std::optional<CustomerCallers> customerCallers_;
-    /// The crashes by the poison request, or all replaced engines, as one fault.
-    ActiveFaults crashes_;
-    /// All limits that servers name, as one fault.
-    ActiveFaults limits_;
     SoakReport report_;
 };
 
--- a/tests/soak/soaksettings.h
+++ b/tests/soak/soaksettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "framework/types/time.h"
+#include "soak/faultrecord.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -47,8 +47,8 @@
     int refused = 0;
     /// Requests whose connection the router closed before it can have read them. Printed as "crossed a close".
     int closedUnread = 0;
-    /// Requests that failed or got no whole answer while a fault was active. Printed as "struck".
-    int failedDuringFault = 0;
+    /// Requests that failed or got no whole answer, with an excuse.
+    std::map<Excuse, int> excused;
     /// Planned operations and faults. Printed as "faults".
     int steps = 0;
 };
