Run the soak's processes with the limits of their machines, and go on after their ends

What callers saw: processes that ended by themselves. The soak couldn't have seen the ends for want of address space, since its processes had no limits; and a process that failed to start ended the whole run with an exception.

Change: routers and agents get RLIMIT_AS of 260 and 192 MB and RLIMIT_NOFILE of 4100 (Fleet::setProcessOptions by role). Starts don't block the run any more (Fleet::launchRouter, launchAgent); a process that ends during its start, like one that ends later, is a violation with its last log lines, and is started again, unless five starts in succession failed. For runs that disturb starts: fixed ports of routers, settings files that are missing or half written, signals that follow a start, and processes that are started beside a former one that still ends.

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -234,7 +234,13 @@
     settings["failure_domain"] = value::string("hall");
     settings["ops"] = value::string("127.0.0.1:0");
     settings["object_store"] = value::string(storeEndpoint_.empty() ? store.endpoint() : storeEndpoint_);
-    testsupport::writeFile(file, settings.serialize());
+    std::string text = settings.serialize();
+    if (settingsState_ == SettingsState::HalfWritten)
+        text.resize(text.size() / 2);
+    if (settingsState_ == SettingsState::Missing)
+        std::filesystem::remove(file);
+    else
+        testsupport::writeFile(file, text);
 }
 
 EngineStandin& Fleet::addEngine()
@@ -251,23 +257,42 @@
     return *addedEngines_.at(index - first);
 }
 
+void Fleet::setProcessOptions(const testsupport::ProcessOptions& ofRouters, const testsupport::ProcessOptions& ofAgents)
+{
+    routerOptions_ = ofRouters;
+    agentOptions_ = ofAgents;
+}
+
 void Fleet::startAgent(std::size_t index)
+{
+    launchAgent(index);
+    agents_[index]->waitUntilReady();
+}
+
+void Fleet::launchAgent(std::size_t index)
+{
+    const std::string file = writeAgentSettings(index);
+    agents_.resize(std::max(agents_.size(), index + 1));
+    agents_[index].reset();
+    agents_[index] = launch("agent-" + std::to_string(index), { "direct-agent", "--settings", file }, agentOptions_);
+}
+
+std::string Fleet::writeAgentSettings(std::size_t index)
 {
     const std::string engineEndpoint = engine(index).endpoint();
     const std::string address = engineEndpoint.substr(0, engineEndpoint.find(':'));
     const std::string name = "agent-" + std::to_string(index);
-    const std::string file = folder_.file(name + ".json");
+    std::string file = folder_.file(name + ".json");
     value settings;
     settings["link"] = value::string(address + ":" + std::to_string(agentPort_));
     settings["engine"] = value::string(engineEndpoint);
     settings["service"] = value::string("engines");
     writeSettings(file, "direct-agent", name, settings);
-    agents_.resize(std::max(agents_.size(), index + 1));
-    agents_[index].reset();
-    agents_[index] = testsupport::startProgram(testsupport::Program::Lagoonrouter,
-        name + "-" + std::to_string(++startCount_), { "direct-agent", "--settings", file }, folder_, processOptions_);
+    return file;
 }
 
+void Fleet::fixPorts(std::size_t router) { routerPorts_[router] = { freePort(), freePort() }; }
+
 void Fleet::putProxiesBeforeAgents(std::size_t router)
 {
     const int port = freePort();
@@ -286,8 +311,10 @@
     const std::string name = "router-" + std::to_string(index);
     std::string file = folder_.file(name + ".json");
     value settings;
-    settings["callers"] = value::string("127.0.0.1:0");
-    settings["readiness"] = value::string("127.0.0.1:0");
+    const auto ports = routerPorts_.find(index);
+    const RouterPorts fixed = ports == routerPorts_.end() ? RouterPorts {} : ports->second;
+    settings["callers"] = value::string("127.0.0.1:" + std::to_string(fixed.callers));
+    settings["readiness"] = value::string("127.0.0.1:" + std::to_string(fixed.readiness));
     settings["agent_port"] = value::number(agentPorts_.contains(index) ? agentPorts_.at(index) : agentPort_);
     settings["grace_ms"] = value::number(grace_.count());
     if (revocation_) {
@@ -301,13 +328,25 @@
 }
 
 void Fleet::startRouter(std::size_t index)
+{
+    launchRouter(index);
+    routers_[index]->waitUntilReady();
+}
+
+void Fleet::launchRouter(std::size_t index)
 {
     const std::string file = writeRouterSettings(index);
     routers_.resize(std::max(routers_.size(), index + 1));
     routers_[index].reset();
-    routers_[index] = testsupport::startProgram(testsupport::Program::Lagoonrouter,
-        "router-" + std::to_string(index) + "-" + std::to_string(++startCount_),
-        { "direct-router", "--settings", file }, folder_, processOptions_);
+    routers_[index]
+        = launch("router-" + std::to_string(index), { "direct-router", "--settings", file }, routerOptions_);
+}
+
+std::unique_ptr<testsupport::ChildProcess> Fleet::launch(
+    const std::string& name, const std::vector<std::string>& arguments, const testsupport::ProcessOptions& options)
+{
+    return std::make_unique<testsupport::ChildProcess>(name + "-" + std::to_string(++startCount_),
+        testsupport::pathOf(testsupport::Program::Lagoonrouter), arguments, folder_, options);
 }
 
 void Fleet::startProcesses()
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -72,6 +72,22 @@
     /// Starts the agent of an engine, or restarts it. Indices 0 and 1 are those of `engine1` and `engine2`; added
     /// engines follow.
     void startAgent(std::size_t index);
+    /// Lets the router, which isn't started yet, listen for callers and load balancers at the same ports each time.
+    void fixPorts(std::size_t router);
+    /// What the settings files of processes look like that are launched from now on.
+    enum class SettingsState : std::uint8_t { Whole, Missing, HalfWritten };
+    void setSettingsState(SettingsState state) { settingsState_ = state; }
+    /// Rewrites the agent's settings file from the current values and returns its path.
+    std::string writeAgentSettings(std::size_t index);
+    /// Hands over a process, so that another one can be started beside it.
+    std::unique_ptr<testsupport::ChildProcess> releaseRouter(std::size_t index)
+    {
+        return std::move(routers_.at(index));
+    }
+    std::unique_ptr<testsupport::ChildProcess> releaseAgent(std::size_t index) { return std::move(agents_.at(index)); }
+    /// As `startRouter` and `startAgent`, but without waiting until the process is ready.
+    void launchRouter(std::size_t index);
+    void launchAgent(std::size_t index);
     /// Rewrites the router's settings file from the current values and returns its path.
     std::string writeRouterSettings(std::size_t index);
     /// Starts the processes and waits until the router is ready and has received a message from both agents.
@@ -88,7 +104,8 @@
     /// Sets the grace period of routers that are started from now on: the maximum time from SIGTERM to their end.
     void setGrace(framework::Milliseconds grace) { grace_ = grace; }
     /// Sets the surroundings of routers and agents that are started from now on.
-    void setProcessOptions(const testsupport::ProcessOptions& options) { processOptions_ = options; }
+    void setProcessOptions(const testsupport::ProcessOptions& options) { setProcessOptions(options, options); }
+    void setProcessOptions(const testsupport::ProcessOptions& ofRouters, const testsupport::ProcessOptions& ofAgents);
     /// Sets the load time of models in configurations that are written from now on.
     void setLoadTime(framework::Milliseconds time) { loadTime_ = time; }
     /// Sets the customers of configurations that are written from now on, as their array of JSON objects.
@@ -128,6 +145,8 @@
     static web::json::value route(const std::string& prefix, const std::string& kind, const std::string& service);
 
 private:
+    std::unique_ptr<testsupport::ChildProcess> launch(
+        const std::string& name, const std::vector<std::string>& arguments, const testsupport::ProcessOptions&);
     void writeSettings(
         const std::string& file, const std::string& role, const std::string& vm, web::json::value settings) const;
 
@@ -139,11 +158,19 @@
     std::optional<double> quotaTolerance_;
     int agentPort_ = 0;
     int startCount_ = 0;
+    struct RouterPorts {
+        int callers = 0;
+        int readiness = 0;
+    };
+    /// Of the routers with fixed ports.
+    std::map<std::size_t, RouterPorts> routerPorts_;
+    SettingsState settingsState_ = SettingsState::Whole;
     /// Of the routers that don't connect to the agents themselves.
     std::map<std::size_t, int> agentPorts_;
     std::vector<std::unique_ptr<testsupport::ChildProcess>> agentProxies_;
     std::string storeEndpoint_;
-    testsupport::ProcessOptions processOptions_;
+    testsupport::ProcessOptions routerOptions_;
+    testsupport::ProcessOptions agentOptions_;
     framework::Milliseconds grace_ { 8000 };
     framework::Milliseconds loadTime_ { 200 };
     std::optional<framework::Milliseconds> revocation_;
--- a/tests/soak/processsupervisor.cpp
+++ b/tests/soak/processsupervisor.cpp
@@ -1,7 +1,11 @@
 #include "soak/processsupervisor.h"
 
+#include "support/waitfor.h"
+
 #include <algorithm>
 #include <csignal>
+#include <sys/resource.h>
+#include <thread>
 
 namespace lagoon::soak {
 
@@ -16,6 +20,33 @@
 constexpr std::uint64_t minPauseMs = 50;
 constexpr std::uint64_t pauseRangeMs = 900;
 constexpr std::uint64_t restartDelayRangeMs = 300;
+/// A process is not restarted after so many failed starts in succession.
+constexpr int maxFailedStarts = 5;
+constexpr rlim_t bytesPerMb = 1000 * 1000;
+constexpr rlim_t routerMb = 260;
+constexpr rlim_t agentMb = 192;
+constexpr rlim_t maxDescriptors = 4100;
+
+testsupport::ProcessOptions limitedTo(rlim_t mb)
+{
+    return { .limits = { { RLIMIT_AS, mb * bytesPerMb }, { RLIMIT_NOFILE, maxDescriptors } } };
+}
+
+/// Whether the process's program has begun to load its libraries.
+bool runsProgram(const testsupport::ChildProcess& process)
+{
+    const std::string maps = testsupport::readFile("/proc/" + std::to_string(process.pid()) + "/maps");
+    return maps.find("liblagoonrouter.so") != std::string::npos;
+}
+
+std::string lastLinesOf(const std::string& output)
+{
+    constexpr std::size_t lines = 10;
+    std::size_t begin = output.size();
+    for (std::size_t line = 0; line <= lines && begin != std::string::npos && begin > 0; ++line)
+        begin = output.rfind('\n', begin - 1);
+    return begin == std::string::npos || begin == 0 ? output : output.substr(begin + 1);
+}
 
 Deadline after(Milliseconds time) { return Deadline::after(std::chrono::steady_clock::now(), time); }
 
@@ -27,6 +58,11 @@
 {
 }
 
+void ProcessSupervisor::limitProcesses(fleet::Fleet& fleet)
+{
+    fleet.setProcessOptions(limitedTo(routerMb), limitedTo(agentMb));
+}
+
 void ProcessSupervisor::adopt(std::size_t routers, std::size_t agents)
 {
     for (std::size_t index = 0; index < agents; ++index) {
@@ -52,14 +88,77 @@
 
 void ProcessSupervisor::start(Slot& slot)
 {
-    if (slot.role == Role::Agent) {
-        context_.fleet.startAgent(slot.index);
-    } else {
-        context_.fleet.startRouter(slot.index);
+    if (slot.role == Role::Agent)
+        context_.fleet.launchAgent(slot.index);
+    else
+        context_.fleet.launchRouter(slot.index);
+    slot.state = State::Starting;
+    slot.finishesBy = after(testsupport::conditionTimeout);
+    slot.endsInStart = false;
+    if (slot.startSignal)
+        sendStartSignal(slot);
+}
+
+void ProcessSupervisor::sendStartSignal(Slot& slot)
+{
+    const auto [number, delay] = *std::exchange(slot.startSignal, std::nullopt);
+    testsupport::ChildProcess& started = process(slot);
+    while (number == SIGHUP && started.isRunning() && !runsProgram(started)) { }
+    std::this_thread::sleep_for(delay);
+    context_.runLog.note("signal " + std::to_string(number) + " to " + started.name() + ", "
+        + std::to_string(delay.count()) + " us after its start");
+    if (number == SIGTERM) {
+        slot.state = State::Ending;
+        slot.endsInStart = true;
+        slot.finishesBy = after(parameters_.grace + terminationMargin);
+    }
+    started.sendSignal(number);
+}
+
+void ProcessSupervisor::signalNextStart(Role role, std::size_t index, int signal, std::chrono::microseconds delay)
+{
+    slot(role, index).startSignal = Slot::StartSignal { signal, delay };
+}
+
+void ProcessSupervisor::replace(Role role, std::size_t index)
+{
+    if (!isServing(role, index))
+        return;
+    terminate(role, index);
+    context_.runLog.note("replaced: " + process(slot(role, index)).name());
+    formers_.push_back(
+        { role == Role::Router ? context_.fleet.releaseRouter(index) : context_.fleet.releaseAgent(index),
+            slot(role, index).finishesBy });
+    start(slot(role, index));
+}
+
+std::string ProcessSupervisor::endpoint(Role role, std::size_t index, const std::string& name)
+{
+    return process(slot(role, index)).readyText(name);
+}
+
+void ProcessSupervisor::pollFormers()
+{
+    for (const Former& former : formers_) {
+        testsupport::ChildProcess& process = *former.process;
+        if (!process.isRunning() && process.waitForExit() != 0)
+            context_.runLog.fail(process.name() + " did not shut down gracefully beside its successor:\n"
+                + lastLinesOf(process.output()) + process.log());
+        if (process.isRunning() && former.finishesBy.hasPassed(std::chrono::steady_clock::now())) {
+            context_.runLog.fail(process.name() + " did not end beside its successor:\n" + process.log());
+            process.kill();
+        }
+    }
+    std::erase_if(formers_, [](const Former& former) { return !former.process->isRunning(); });
+}
+
+void ProcessSupervisor::didStart(Slot& slot)
+{
+    if (slot.role == Role::Router)
         context_.balancer.setRouter(
             slot.index, context_.fleet.callers(slot.index), context_.fleet.readiness(slot.index));
-    }
     slot.state = State::Serving;
+    slot.failedStarts = 0;
     context_.runLog.endFaults(slot.faults);
 }
 
@@ -113,7 +212,7 @@
     context_.runLog.note("SIGTERM " + process(ended).name());
     process(ended).sendSignal(SIGTERM);
     ended.state = State::Ending;
-    ended.endsBy = after(parameters_.grace + terminationMargin);
+    ended.finishesBy = after(parameters_.grace + terminationMargin);
 }
 
 void ProcessSupervisor::retire(Role role, std::size_t index)
@@ -125,7 +224,7 @@
 void ProcessSupervisor::reload(Role role, std::size_t index)
 {
     const Slot& reloaded = slot(role, index);
-    if (reloaded.state == State::Down || reloaded.state == State::Retired)
+    if (reloaded.state != State::Serving && reloaded.state != State::Ending)
         return;
     context_.runLog.note("SIGHUP " + process(reloaded).name());
     process(reloaded).sendSignal(SIGHUP);
@@ -152,7 +251,7 @@
 void ProcessSupervisor::pause(Role role, std::size_t index)
 {
     Slot& paused = slot(role, index);
-    if (paused.state == State::Down || paused.state == State::Retired || std::exchange(paused.isPaused, true))
+    if ((paused.state != State::Serving && paused.state != State::Ending) || std::exchange(paused.isPaused, true))
         return;
     const std::string name = process(paused).name();
     context_.runLog.note("SIGSTOP " + name);
@@ -180,8 +279,9 @@
 
 void ProcessSupervisor::poll()
 {
+    pollFormers();
     for (Slot& slot : slots_) {
-        if (slot.state == State::Serving || slot.state == State::Ending)
+        if (slot.state != State::Down && slot.state != State::Retired)
             pollSlot(slot);
     }
 }
@@ -190,30 +290,43 @@
 {
     if (!process(slot).isRunning())
         return didEnd(slot);
-    if (slot.state != State::Ending || !slot.endsBy.hasPassed(std::chrono::steady_clock::now()))
+    if (slot.state == State::Starting && process(slot).isReady())
+        return didStart(slot);
+    if (slot.state == State::Serving || !slot.finishesBy.hasPassed(std::chrono::steady_clock::now()))
         return;
-    context_.runLog.fail(process(slot).name() + " did not end after SIGTERM:\n" + process(slot).log());
+    const std::string what = slot.state == State::Ending ? " did not end after SIGTERM:\n" : " did not start:\n";
+    context_.runLog.fail(process(slot).name() + what + process(slot).log());
     kill(slot.role, slot.index);
 }
 
 void ProcessSupervisor::didEnd(Slot& slot)
 {
-    const int code = process(slot).waitForExit();
-    const std::string name = process(slot).name();
-    if (slot.state == State::Serving)
-        context_.runLog.fail(
-            name + " exited unexpectedly with status " + std::to_string(code) + ":\n" + process(slot).log());
-    else if (code != 0)
-        context_.runLog.fail(name + " did not shut down gracefully, but exited with status " + std::to_string(code));
-    context_.runLog.note("ended: " + name);
+    reportEnd(slot, process(slot).waitForExit());
+    context_.runLog.note("ended: " + process(slot).name());
+    if (slot.state == State::Starting && ++slot.failedStarts == maxFailedStarts)
+        slot.comesBack = false;
     scheduleStart(slot);
     slot.state = slot.comesBack ? State::Down : State::Retired;
 }
 
+void ProcessSupervisor::reportEnd(const Slot& slot, int code)
+{
+    testsupport::ChildProcess& ended = process(slot);
+    const std::string status = " with status " + std::to_string(code);
+    const std::string lastLines = ":\n" + lastLinesOf(ended.output()) + ended.log();
+    if (slot.state == State::Serving)
+        context_.runLog.fail(ended.name() + " exited unexpectedly" + status + lastLines);
+    else if (slot.state == State::Starting)
+        context_.runLog.fail(ended.name() + " ended during its start" + status + lastLines);
+    else if (code != 0 && !(slot.endsInStart && code == -SIGTERM))
+        context_.runLog.fail(ended.name() + " did not shut down gracefully, but exited" + status + lastLines);
+}
+
 bool ProcessSupervisor::areAllServing() const
 {
-    return std::all_of(slots_.begin(), slots_.end(),
-        [](const Slot& slot) { return slot.state == State::Serving || slot.state == State::Retired; });
+    return formers_.empty() && std::all_of(slots_.begin(), slots_.end(), [](const Slot& slot) {
+        return slot.state == State::Serving || slot.state == State::Retired;
+    });
 }
 
 } // namespace lagoon::soak
--- a/tests/soak/processsupervisor.h
+++ b/tests/soak/processsupervisor.h
@@ -6,7 +6,10 @@
 #include "soak/runlog.h"
 #include "soak/soaksettings.h"
 
+#include <chrono>
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <vector>
 
 namespace lagoon::soak {
@@ -26,6 +29,8 @@
 
     ProcessSupervisor(const Context&, const RunParameters&);
 
+    /// Sets the limits of the machines that processes are deployed on.
+    static void limitProcesses(fleet::Fleet&);
     /// Takes over the router and the two agents that the fleet has started, and starts the others.
     void adopt(std::size_t routers, std::size_t agents);
     void startAgent(std::size_t index);
@@ -50,21 +55,44 @@
     /// Sends SIGSTOP, and SIGCONT after a random time.
     void pause(Role, std::size_t index);
 
-    /// Detects processes that have ended and schedules their restarts.
+    /// Starts the next process of the role beside the one that is told to terminate.
+    void replace(Role, std::size_t index);
+    /// Sends the signal so long after the next start of the process: SIGTERM after the start of the process, SIGHUP
+    /// after the start of its program, since it ends processes that do not run the program yet.
+    void signalNextStart(Role, std::size_t index, int signal, std::chrono::microseconds delay);
+    /// An endpoint that the process listens on, by its name in the ready line.
+    std::string endpoint(Role, std::size_t index, const std::string& name);
+
+    /// Detects processes that have started, and those that have ended, and schedules their restarts.
     void poll();
-    /// Whether all processes are serving, except for retired ones.
+    /// Whether all processes are serving, except for retired ones, and none still ends beside its successor.
     bool areAllServing() const;
 
 private:
-    enum class State : std::uint8_t { Serving, Ending, Down, Retired };
+    enum class State : std::uint8_t { Starting, Serving, Ending, Down, Retired };
     struct Slot {
         Role role = Role::Router;
         std::size_t index = 0;
         State state = State::Serving;
         bool comesBack = true;
         bool isPaused = false;
-        framework::Deadline endsBy {};
+        /// Ends the process if it is still starting or ending then.
+        framework::Deadline finishesBy {};
+        /// Starts in succession that failed.
+        int failedStarts = 0;
         ActiveFaults faults = {};
+        struct StartSignal {
+            int number = 0;
+            std::chrono::microseconds delay { 0 };
+        };
+        std::optional<StartSignal> startSignal = std::nullopt;
+        /// Whether it was told to terminate before it was ready, when SIGTERM may end it at once.
+        bool endsInStart = false;
+    };
+    /// A process that ends beside its successor.
+    struct Former {
+        std::unique_ptr<testsupport::ChildProcess> process;
+        framework::Deadline finishesBy {};
     };
 
     Slot& slot(Role, std::size_t index);
@@ -74,11 +102,16 @@
     void start(Slot&);
     void scheduleStart(const Slot&);
     void pollSlot(Slot&);
+    void pollFormers();
+    void sendStartSignal(Slot&);
+    void didStart(Slot&);
     void didEnd(Slot&);
+    void reportEnd(const Slot&, int code);
 
     Context context_;
     const RunParameters& parameters_;
     std::vector<Slot> slots_;
+    std::vector<Former> formers_;
 };
 
 } // namespace lagoon::soak
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -53,8 +53,10 @@
         CustomerCallers::configure(fleet_);
     if (settings_.kind == RunKind::Mixed || settings_.kind == RunKind::Versions || settings_.kind == RunKind::Customers)
         faultInjector_.emplace(fleet_, scheduler_, runLog_);
+    ProcessSupervisor::limitProcesses(fleet_);
     fleet_.start();
     supervisor_.adopt(settings_.routers, fleet_.engines());
+    waitForProcesses();
 }
 
 SoakReport SoakRun::run()
@@ -136,8 +138,8 @@
         operations.checkRemovedEngines();
 }
 
-/// Has no timeout of its own: `ProcessSupervisor` kills processes that do not end, and a process that does not start
-/// throws an exception.
+/// Has no timeout of its own: `ProcessSupervisor` kills processes that do not end or start in time, and gives up those
+/// whose starts fail again and again.
 void SoakRun::waitForProcesses()
 {
     while (!scheduler_.isEmpty() || !supervisor_.areAllServing())
@@ -149,6 +151,10 @@
 {
     int probe = 0;
     for (std::size_t router = 0; router < settings_.routers; ++router) {
+        if (!supervisor_.isServing(Role::Router, router)) {
+            runLog_.fail("router " + std::to_string(router) + " does not serve");
+            continue;
+        }
         for (const std::string& kind : requestKinds) {
             if (!testsupport::isReached([&] { return isServed(kind, router, ++probe); }))
                 runLog_.fail(kind + " is not served again at router " + std::to_string(router));
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -104,13 +104,22 @@
 
 void ChildProcess::waitUntilReady()
 {
-    const bool isFinished = isReached([this] { return !findReadyLine(output()).empty() || !isRunning(); });
-    std::error_code error;
-    ready_ = web::json::value::parse(findReadyLine(output()), error);
-    if (!isFinished || error)
+    const bool isFinished = isReached([this] { return isReady() || !isRunning(); });
+    if (!isFinished || !isReady())
         throw std::runtime_error(name_ + " did not become ready; its log:\n" + log());
 }
 
+bool ChildProcess::isReady()
+{
+    if (!ready_.is_null())
+        return true;
+    const std::string line = findReadyLine(output());
+    std::error_code error;
+    if (!line.empty())
+        ready_ = web::json::value::parse(line, error);
+    return !ready_.is_null() && !error;
+}
+
 std::string ChildProcess::readyText(const std::string& key) const
 {
     if (!ready_.has_string_field(key))
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -37,6 +37,8 @@
 
     /// Waits for the ready line, the JSON line on standard output that reports the endpoints.
     void waitUntilReady();
+    /// Whether the process has written its ready line.
+    bool isReady();
     /// A text field of the ready line, such as an endpoint.
     std::string readyText(const std::string& key) const;
 
