Add a soak kind that disturbs the starts of processes

What callers saw: the system didn't start, or its processes ended by themselves. No test started processes while what they need comes late.

With callers at work, processes are killed and started again while a foreign socket holds one of their ports, their settings file is missing or half written, or the store is away, each for 50 to 550 ms; while SIGHUP or SIGTERM comes 0 to 60 ms after the start; or beside the former process, which still ends. No process may end by itself, each has to serve again, and requests are judged as in the other kinds. SIGHUP is sent once the process has begun to load its libraries, since before exec no program can block it.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::size_t plannedRouters = 4;
 constexpr std::size_t mixedRouters = 2;
+constexpr std::size_t startsRouters = 3;
 constexpr std::size_t versionsRouters = 3;
 constexpr std::size_t versionsEngines = 6;
 constexpr std::size_t customersRouters = 3;
@@ -48,6 +49,10 @@
         settings.routers = customersRouters;
         settings.engines = customersEngines;
     }
+    if (arguments.kind == "starts") {
+        settings.kind = RunKind::Starts;
+        settings.routers = startsRouters;
+    }
     if (arguments.routers > 0)
         settings.routers = arguments.routers;
     if (arguments.engines > 0)
@@ -71,6 +76,8 @@
         return "versions";
     case RunKind::Customers:
         return "customers";
+    case RunKind::Starts:
+        return "starts";
     }
     return "";
 }
@@ -119,7 +126,8 @@
         "duration of operations and faults per seed, in seconds")("kind", options::value(&arguments.kind),
         "planned (planned operations only), mixed (faults too), poison (planned operations and a request that crashes "
         "its servers), limits (planned operations and servers that name limits), versions (mixed, and engines are "
-        "replaced by ones with other software), customers (mixed, and callers have keys of customers with quotas) or "
+        "replaced by ones with other software), customers (mixed, and callers have keys of customers with quotas), "
+        "starts (what the starts of processes need comes late) or "
         "both (planned and "
         "mixed; even seeds are planned)")("routers", options::value(&arguments.routers),
         "number of routers, at least 2")("engines", options::value(&arguments.engines),
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -53,6 +53,11 @@
         CustomerCallers::configure(fleet_);
     if (settings_.kind == RunKind::Mixed || settings_.kind == RunKind::Versions || settings_.kind == RunKind::Customers)
         faultInjector_.emplace(fleet_, scheduler_, runLog_);
+    if (settings_.kind == RunKind::Starts) {
+        for (std::size_t router = 0; router < settings_.routers; ++router)
+            fleet_.fixPorts(router);
+        startDisturber_.emplace(fleet_, scheduler_, runLog_, supervisor_);
+    }
     ProcessSupervisor::limitProcesses(fleet_);
     fleet_.start();
     supervisor_.adopt(settings_.routers, fleet_.engines());
@@ -125,7 +130,10 @@
             operations.replaceEngine();
         if (settings_.kind == RunKind::Versions && runLog_.draw(stepsPerKillOfAllRouters) == 0)
             supervisor_.killAll(Role::Router);
-        if (faultInjector_) {
+        if (startDisturber_) {
+            startDisturber_->disturbOne();
+            pollFor(runLog_.drawDuration(minFaultPauseMs, faultPauseRangeMs));
+        } else if (faultInjector_) {
             faultInjector_->inject(supervisor_, operations);
             pollFor(runLog_.drawDuration(minFaultPauseMs, faultPauseRangeMs));
         } else {
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -7,6 +7,7 @@
 #include "soak/plannedoperations.h"
 #include "soak/poisonsender.h"
 #include "soak/resumingcallers.h"
+#include "soak/startdisturber.h"
 
 #include <memory>
 
@@ -22,7 +23,8 @@
 /// - a request that a router has read is answered or refused, unless a fault acted on its router, or its server or the
 ///   link to it failed in the middle of its answer
 /// - engines never receive orders beyond their capacity
-/// - no process ends without a signal, and each shuts down gracefully after SIGTERM
+/// - no process ends without a signal, also if what its start needs comes late, and each shuts down gracefully after
+/// SIGTERM
 /// - a request that crashes its servers is refused after three crashes, also if other servers bear it
 /// - a stream holds events of one software version only, also over several tries of its caller
 /// - servers get the right customer's name and never a key; an unknown key never runs
@@ -52,6 +54,7 @@
     LoadBalancer balancer_;
     ProcessSupervisor supervisor_;
     std::optional<FaultInjector> faultInjector_;
+    std::optional<StartDisturber> startDisturber_;
     std::optional<PoisonSender> poisonSender_;
     std::optional<LimitNamer> limitNamer_;
     std::optional<ResumingCallers> resumingCallers_;
--- a/tests/soak/soaksettings.cpp
+++ b/tests/soak/soaksettings.cpp
@@ -33,7 +33,8 @@
     RunParameters parameters;
     if (settings.kind == RunKind::Customers)
         parameters.headers = CustomerCallers::unlimitedHeaders();
-    const bool hasSlowLoads = settings.kind == RunKind::Planned || settings.seed % mixedRunsPerSlowLoads == 0;
+    const bool hasSlowLoads = settings.kind == RunKind::Planned
+        || (settings.kind != RunKind::Starts && settings.seed % mixedRunsPerSlowLoads == 0);
     parameters.callers = (hasSlowLoads ? callersPerRouterSlowLoads : callersPerRouterFastLoads) * settings.routers;
     if (!hasSlowLoads)
         return parameters;
--- a/tests/soak/soaksettings.h
+++ b/tests/soak/soaksettings.h
@@ -24,7 +24,9 @@
     /// As mixed, and engines are replaced by ones with other software; callers take their streams up at any router.
     Versions,
     /// As mixed, and callers have keys of customers with quotas, which new versions of the configuration change.
-    Customers
+    Customers,
+    /// Processes are started in series while what their starts need comes late.
+    Starts
 };
 
 struct SoakSettings {
