Count requests that a killed router left unread by their fault in the soak

A connection that ended soon, without an answer and without a trace in the logs, counted as one that its router had closed while the request came, also if the router had been killed or paused. Such requests are judged by the fault now, so that "crossed a close" counts closes by routers that were running.

--- a/tests/soak/invariantchecker.cpp
+++ b/tests/soak/invariantchecker.cpp
@@ -142,14 +142,14 @@
     const bool isAnswer = outcome.isComplete() && (outcome.status == 200 || isNotRunStatus(outcome.status));
     if (isAnswer || outcome.endReason == EndReason::NotConnected)
         return;
-    if (isClosedUnread(sent, runs)) {
-        ++report_.closedUnread;
-        return;
-    }
     if (const auto excuse = runLog_.faults().excuseFor(failureOf(sent))) {
         ++report_.excused[*excuse];
         return;
     }
+    if (isClosedUnread(sent, runs)) {
+        ++report_.closedUnread;
+        return;
+    }
     fail(outcome.isComplete() ? "failed although no server failed" : "neither an answer nor a refusal", sent, runs);
 }
 
