--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::size_t plannedRouters = 4;
 constexpr std::size_t mixedRouters = 2;
+constexpr std::size_t startsRouters = 3;
 constexpr std::size_t versionsRouters = 3;
 constexpr std::size_t versionsEngines = 6;
 constexpr std::size_t customersRouters = 3;
@@ -48,6 +49,10 @@
         settings.routers = customersRouters;
         settings.engines = customersEngines;
     }
+    if (arguments.kind == "starts") {
+        settings.kind = RunKind::Starts;
+        settings.routers = startsRouters;
+    }
     if (arguments.routers > 0)
         settings.routers = arguments.routers;
     if (arguments.engines > 0)
@@ -71,10 +76,24 @@
         return "versions";
     case RunKind::Customers:
         return "customers";
+    case RunKind::Starts:
+        return "starts";
     }
     return "";
 }
 
+std::string excusedText(const SoakReport& report)
+{
+    const std::vector<std::pair<Excuse, std::string>> names { { Excuse::RouterFault, "router" },
+        { Excuse::LinkFault, "link" }, { Excuse::ServerBrokeOff, "server" }, { Excuse::DeadlineReached, "deadline" } };
+    std::string text;
+    for (const auto& [excuse, name] : names) {
+        const auto found = report.excused.find(excuse);
+        text += std::to_string(found == report.excused.end() ? 0 : found->second) + " excused by " + name + ", ";
+    }
+    return text;
+}
+
 /// Returns whether no invariant was violated.
 bool runSeed(const SoakSettings& settings)
 {
@@ -82,8 +101,8 @@
     const SoakReport report = run.run();
     std::cout << "seed " << settings.seed << " (" << kindText(settings.kind) << "): " << report.requests
               << " requests, " << report.served << " served, " << report.refused << " refused as not run, "
-              << report.closedUnread << " crossed a close, " << report.failedDuringFault << " struck, " << report.steps
-              << " faults, " << report.violations.size() << " promises broken" << std::endl;
+              << report.closedUnread << " crossed a close, " << excusedText(report) << report.steps << " faults, "
+              << report.violations.size() << " promises broken" << std::endl;
     if (settings.kind == RunKind::Versions)
         std::cout << "  " << run.notes().back() << std::endl;
     for (const std::string& violation : report.violations)
@@ -107,7 +126,8 @@
         "duration of operations and faults per seed, in seconds")("kind", options::value(&arguments.kind),
         "planned (planned operations only), mixed (faults too), poison (planned operations and a request that crashes "
         "its servers), limits (planned operations and servers that name limits), versions (mixed, and engines are "
-        "replaced by ones with other software), customers (mixed, and callers have keys of customers with quotas) or "
+        "replaced by ones with other software), customers (mixed, and callers have keys of customers with quotas), "
+        "starts (what the starts of processes need comes late) or "
         "both (planned and "
         "mixed; even seeds are planned)")("routers", options::value(&arguments.routers),
         "number of routers, at least 2")("engines", options::value(&arguments.engines),
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -53,42 +53,39 @@
         CustomerCallers::configure(fleet_);
     if (settings_.kind == RunKind::Mixed || settings_.kind == RunKind::Versions || settings_.kind == RunKind::Customers)
         faultInjector_.emplace(fleet_, scheduler_, runLog_);
+    if (settings_.kind == RunKind::Starts) {
+        for (std::size_t router = 0; router < settings_.routers; ++router)
+            fleet_.fixPorts(router);
+        startDisturber_.emplace(fleet_, scheduler_, runLog_, supervisor_);
+    }
+    ProcessSupervisor::limitProcesses(fleet_);
     fleet_.start();
     supervisor_.adopt(settings_.routers, fleet_.engines());
+    waitForProcesses();
 }
 
 SoakReport SoakRun::run()
 {
     prepareFleet();
     LoadGenerator generator(settings_, parameters_, balancer_);
-    if (settings_.kind == RunKind::Poison) {
-        runLog_.beginFault(crashes_, std::nullopt);
+    if (settings_.kind == RunKind::Poison)
         poisonSender_.emplace(fleet_, balancer_, settings_);
-    }
-    if (settings_.kind == RunKind::Limits) {
-        // A limit makes routers refuse requests that servers would have time for.
-        runLog_.beginFault(limits_, std::nullopt);
+    if (settings_.kind == RunKind::Limits)
         limitNamer_.emplace(fleet_, runLog_);
-    }
-    if (settings_.kind == RunKind::Versions) {
-        runLog_.beginFault(crashes_, std::nullopt);
+    if (settings_.kind == RunKind::Versions)
         resumingCallers_.emplace(settings_, parameters_, balancer_);
-    }
     if (settings_.kind == RunKind::Customers)
         customerCallers_.emplace(fleet_, balancer_, settings_, runLog_);
     runOperationsAndFaults();
     waitForProcesses();
     if (poisonSender_)
         poisonSender_->stop();
-    if (limitNamer_) {
+    if (limitNamer_)
         limitNamer_->stop();
-        runLog_.endFaults(limits_);
-    }
     if (resumingCallers_)
         resumingCallers_->stop();
     if (customerCallers_)
         customerCallers_->stop();
-    runLog_.endFaults(crashes_);
     if (faultInjector_)
         faultInjector_->clearFaults();
     waitUntilServed();
@@ -133,7 +130,10 @@
             operations.replaceEngine();
         if (settings_.kind == RunKind::Versions && runLog_.draw(stepsPerKillOfAllRouters) == 0)
             supervisor_.killAll(Role::Router);
-        if (faultInjector_) {
+        if (startDisturber_) {
+            startDisturber_->disturbOne();
+            pollFor(runLog_.drawDuration(minFaultPauseMs, faultPauseRangeMs));
+        } else if (faultInjector_) {
             faultInjector_->inject(supervisor_, operations);
             pollFor(runLog_.drawDuration(minFaultPauseMs, faultPauseRangeMs));
         } else {
@@ -146,8 +146,8 @@
         operations.checkRemovedEngines();
 }
 
-/// Has no timeout of its own: `ProcessSupervisor` kills processes that do not end, and a process that does not start
-/// throws an exception.
+/// Has no timeout of its own: `ProcessSupervisor` kills processes that do not end or start in time, and gives up those
+/// whose starts fail again and again.
 void SoakRun::waitForProcesses()
 {
     while (!scheduler_.isEmpty() || !supervisor_.areAllServing())
@@ -159,6 +159,10 @@
 {
     int probe = 0;
     for (std::size_t router = 0; router < settings_.routers; ++router) {
+        if (!supervisor_.isServing(Role::Router, router)) {
+            runLog_.fail("router " + std::to_string(router) + " does not serve");
+            continue;
+        }
         for (const std::string& kind : requestKinds) {
             if (!testsupport::isReached([&] { return isServed(kind, router, ++probe); }))
                 runLog_.fail(kind + " is not served again at router " + std::to_string(router));
