Wait for ports that another process holds when a direct process starts

What callers saw: a system that doesn't start. A port (callers, readiness, ops, link) that another process held for 0.3 s ended a direct process with exit code 1. The usual holder is the former process of the same role, which listens for 2.5 s and ends up to 8 s after its SIGTERM.

Cause: each port was bound once, one after the other, and any error was final.

Change: an error of listening has `retryAfter` if its cause may go away by itself: the port or the address isn't available, or descriptors or memory are short. The start is then tried again every 50 ms. Other errors, such as a port that isn't permitted, end the process with 1 as before. `port_awaited` and `port_bound` are logged once a port, and `started` once all ports that are needed for serving are bound. A router binds `readiness` first, so balancers read 503 while its callers' port is held. An agent takes control of its engine only after it has bound `link`: a former agent that is still there keeps it until then. Nothing waits for `ops`, which is tried again every 200 ms whatever the error. SIGTERM while waiting ends the process with 0.

Left: `router` and `agent`, which still end with 1.

--- a/src/app/internal/directagentcommand.cpp
+++ b/src/app/internal/directagentcommand.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/directagentcommand.h"
 
+#include "app/internal/awaitports.h"
 #include "app/internal/directprocess.h"
 #include "direct/directagent.h"
 #include "platform/agentsources.h"
@@ -23,9 +24,14 @@
     platform::EngineClient engine(traffic, control, settings.engine);
     direct::DirectAgent agent(
         { control, traffic, clock, std::make_shared<framework::Metrics>(), engine, fencingTokens, profiles }, settings);
-    const auto endpoints = agent.start();
-    if (endpoints.has_error())
-        return reportStartFailure("direct-agent", endpoints.error(), ExitFailure);
+    const auto start = awaitPorts([&]() -> framework::Result<void> {
+        BOOST_OUTCOME_TRYV(agent.start());
+        return framework::success();
+    });
+    if (start.has_error())
+        return reportStartFailure("direct-agent", start.error(), ExitFailure);
+    if (start.value() == PortsOutcome::Terminated)
+        Process::exitProcess();
     // None of the agent's settings can change while it runs, so a reload is only logged.
     process.waitForShutdown([](const direct::DirectAgentSettings&) { logDecision(framework::LogLine("reloaded")); });
     logDecision(framework::LogLine("stopped"));
--- a/src/app/internal/directroutercommand.cpp
+++ b/src/app/internal/directroutercommand.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/directroutercommand.h"
 
+#include "app/internal/awaitports.h"
 #include "app/internal/directprocess.h"
 #include "direct/directrouter.h"
 #include "platform/catalogreader.h"
@@ -26,9 +27,14 @@
     direct::DirectRouter router(
         { control, traffic, clock, std::make_shared<framework::Metrics>(), configurations, servers, decoder, dialect },
         settings);
-    const auto endpoints = router.start();
-    if (endpoints.has_error())
-        return reportStartFailure("direct-router", endpoints.error(), ExitFailure);
+    const auto start = awaitPorts([&]() -> framework::Result<void> {
+        BOOST_OUTCOME_TRYV(router.start());
+        return framework::success();
+    });
+    if (start.has_error())
+        return reportStartFailure("direct-router", start.error(), ExitFailure);
+    if (start.value() == PortsOutcome::Terminated)
+        Process::exitProcess();
     process.waitForShutdown([&](const direct::DirectRouterSettings& changed) { router.reload(changed); });
     router.drain();
     Process::exitProcess();
--- a/src/direct/directagent.h
+++ b/src/direct/directagent.h
@@ -37,6 +37,8 @@
     DirectAgent(const DirectAgent&) = delete;
     DirectAgent& operator=(const DirectAgent&) = delete;
 
+    /// Listens and takes control of the engine. An error that has `retryAfter` means that the port for links is held;
+    /// call this again until it is free.
     framework::Result<DirectAgentEndpoints> start();
 
 private:
--- a/src/direct/directrouter.h
+++ b/src/direct/directrouter.h
@@ -40,7 +40,8 @@
     DirectRouter& operator=(const DirectRouter&) = delete;
 
     /// Listens and starts to read the configuration and the list of servers. Becomes ready for callers once both are
-    /// known.
+    /// known. An error that has `retryAfter` means that a port for callers or readiness is held; call this again until
+    /// it is free.
     framework::Result<DirectRouterEndpoints> start();
     /// Applies the settings that may change at run time: the retry budget, the policies and the grace period.
     void reload(const DirectRouterSettings&);
--- a/src/direct/internal/directagent.cpp
+++ b/src/direct/internal/directagent.cpp
@@ -4,6 +4,7 @@
 #include "direct/internal/routerlinks.h"
 #include "direct/internal/statushandlers.h"
 #include "engines/enginecontroller.h"
+#include "framework/awaitedport.h"
 #include "framework/decisionlog.h"
 #include "http/exchangeserver.h"
 
@@ -12,10 +13,12 @@
 namespace {
 
 using framework::Deadline;
+using framework::Endpoint;
 using framework::LogLine;
 using framework::Milliseconds;
 
 constexpr Milliseconds housekeepingInterval { 1000 };
+constexpr Milliseconds opsRetryInterval { 200 };
 
 } // namespace
 
@@ -30,16 +33,19 @@
         , links_(linksContext())
         , metricsHandler_(ports.metrics)
         , ops_(ports.traffic, metricsHandler_)
+        , linkPort_(
+              "link", settings.link, [this](const Endpoint& at) { return transport_->listen(at, links_.handlers()); })
+        , opsPort_("ops", settings.ops, [this](const Endpoint& at) { return ops_.listen(at); })
     {
     }
 
     framework::Result<DirectAgentEndpoints> start()
     {
-        DirectAgentEndpoints endpoints;
-        BOOST_OUTCOME_TRY(link, transport_->listen(settings_.link, links_.handlers()));
-        endpoints.link = link;
-        BOOST_OUTCOME_TRY(ops, ops_.listen(settings_.ops));
-        endpoints.ops = ops;
+        // A former agent that still holds the port keeps control of the engine meanwhile.
+        BOOST_OUTCOME_TRY(link, linkPort_.bind());
+        (void)opsPort_.bind();
+        const DirectAgentEndpoints endpoints { link, opsPort_.endpoint() };
+        ports_.traffic.post([this] { bindOps(); });
         ports_.control.post([this] {
             controller_.start();
             runHousekeeping();
@@ -47,13 +53,21 @@
         logDecision(LogLine("started")
                         .text("vm", settings_.identity.vm.value())
                         .text("link", link.value())
-                        .text("ops", ops.value())
+                        .text("ops", endpoints.ops.value())
                         .text("engine", settings_.engine.value())
                         .text("service", settings_.service.value()));
         return endpoints;
     }
 
 private:
+    /// Retries until the port is bound. Runs on the traffic thread; nothing else waits for this port.
+    void bindOps()
+    {
+        if (!opsPort_.bind())
+            opsRetry_
+                = ports_.traffic.runAt(Deadline::after(ports_.clock.now(), opsRetryInterval), [this] { bindOps(); });
+    }
+
     engines::EngineController::Context controllerContext()
     {
         return { ports_.control, ports_.clock, ports_.engine, ports_.fencingTokens, ports_.profiles, ports_.metrics,
@@ -85,6 +99,9 @@
     RouterLinks links_;
     MetricsHandler metricsHandler_;
     http::ExchangeServer ops_;
+    framework::AwaitedPort linkPort_;
+    framework::AwaitedPort opsPort_;
+    std::unique_ptr<framework::Timer> opsRetry_;
     std::unique_ptr<framework::Timer> housekeeping_;
 };
 
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -8,6 +8,7 @@
 #include "direct/internal/trafficpermits.h"
 #include "direct/internal/trafficquotas.h"
 #include "forwarding/forwarder.h"
+#include "framework/awaitedport.h"
 #include "framework/decisionlog.h"
 #include "framework/types/shutdowndeadlines.h"
 #include "http/exchangeserver.h"
@@ -19,10 +20,12 @@
 
 namespace {
 
+using framework::Endpoint;
 using framework::LogLine;
 using framework::Milliseconds;
 
 constexpr Milliseconds drainCheckInterval { 30 };
+constexpr Milliseconds opsRetryInterval { 200 };
 /// Retry delay for a caller whose request this router no longer accepts; other routers accept it at once.
 constexpr Milliseconds retryAfterRefusal { 250 };
 
@@ -56,18 +59,21 @@
         , callers_(ports.traffic, forwarder_)
         , readiness_(ports.traffic, readinessHandler_)
         , ops_(ports.traffic, opsHandler_)
+        , callersPort_("callers", settings.callers, [this](const Endpoint& at) { return callers_.listen(at); })
+        , readinessPort_("readiness", settings.readiness, [this](const Endpoint& at) { return readiness_.listen(at); })
+        , opsPort_("ops", settings.ops, [this](const Endpoint& at) { return ops_.listen(at); })
     {
     }
 
     framework::Result<DirectRouterEndpoints> start()
     {
-        DirectRouterEndpoints endpoints;
-        BOOST_OUTCOME_TRY(callers, callers_.listen(settings_.callers));
-        endpoints.callers = callers;
-        BOOST_OUTCOME_TRY(readiness, readiness_.listen(settings_.readiness));
-        endpoints.readiness = readiness;
-        BOOST_OUTCOME_TRY(ops, ops_.listen(settings_.ops));
-        endpoints.ops = ops;
+        // While the callers' port is held, balancers already read that this router isn't ready.
+        const auto readiness = readinessPort_.bind();
+        BOOST_OUTCOME_TRY(callers, callersPort_.bind());
+        BOOST_OUTCOME_TRYV(readiness);
+        (void)opsPort_.bind();
+        const DirectRouterEndpoints endpoints { callers, readiness.value(), opsPort_.endpoint() };
+        ports_.traffic.post([this] { bindOps(); });
         ports_.traffic.post([this] { forwarder_.start(); });
         ports_.control.post([this] {
             links_.quotas().setTolerance(settings_.quotaTolerance);
@@ -76,8 +82,8 @@
         logDecision(LogLine("started")
                         .text("vm", settings_.identity.vm.value())
                         .text("callers", callers.value())
-                        .text("readiness", readiness.value())
-                        .text("ops", ops.value()));
+                        .text("readiness", endpoints.readiness.value())
+                        .text("ops", endpoints.ops.value()));
         return endpoints;
     }
 
@@ -111,6 +117,14 @@
     }
 
 private:
+    /// Retries until the port is bound. Runs on the traffic thread; nothing else waits for this port.
+    void bindOps()
+    {
+        if (!opsPort_.bind())
+            opsRetry_ = ports_.traffic.runAt(
+                framework::Deadline::after(ports_.clock.now(), opsRetryInterval), [this] { bindOps(); });
+    }
+
     std::size_t queryTrafficThread(const std::function<std::size_t()>& query)
     {
         std::promise<std::size_t> answer;
@@ -270,6 +284,10 @@
     http::ExchangeServer callers_;
     http::ExchangeServer readiness_;
     http::ExchangeServer ops_;
+    framework::AwaitedPort callersPort_;
+    framework::AwaitedPort readinessPort_;
+    framework::AwaitedPort opsPort_;
+    std::unique_ptr<framework::Timer> opsRetry_;
 };
 
 DirectRouter::DirectRouter(const DirectRouterPorts& ports, const DirectRouterSettings& settings)
--- a/src/framework/internal/tcpendpoint.cpp
+++ b/src/framework/internal/tcpendpoint.cpp
@@ -4,6 +4,20 @@
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+constexpr Milliseconds listenRetryDelay { 50 };
+
+/// An address isn't available until its network interface is up.
+bool isTransient(const boost::system::error_code& error)
+{
+    namespace asio = boost::asio::error;
+    return error == asio::address_in_use || error == boost::system::errc::address_not_available
+        || error == asio::no_descriptors || error == asio::no_buffer_space || error == asio::no_memory;
+}
+
+} // namespace
+
 Result<tcp::endpoint> parseTcpEndpoint(const Endpoint& endpoint, const char* step)
 {
     const std::string& text = endpoint.value();
@@ -26,6 +40,14 @@
     return tcp::endpoint(address, static_cast<unsigned short>(port));
 }
 
+Error listenError(const char* step, const Endpoint& endpoint, const boost::system::error_code& cause)
+{
+    Error error { ErrorCode::BadSettings, step, endpoint.value(), cause.message() };
+    if (isTransient(cause))
+        error.retryAfter = listenRetryDelay;
+    return error;
+}
+
 Endpoint endpointOf(const tcp::endpoint& endpoint)
 {
     return Endpoint(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -35,7 +35,7 @@
     ExchangeServer& operator=(const ExchangeServer&) = delete;
 
     /// Listens on the endpoint and returns the one in use; port 0 selects any free port. Call this on the event thread,
-    /// or before anything else runs there.
+    /// or before this server has listened. May be called again after an error.
     framework::Result<framework::Endpoint> listen(const framework::Endpoint&);
     /// Applies to requests that start from now on. This and all functions below must be called on the event thread.
     void setLimits(const ExchangeLimits&);
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -14,8 +14,6 @@
 
 using boost::asio::ip::tcp;
 using framework::Endpoint;
-using framework::Error;
-using framework::ErrorCode;
 using framework::Milliseconds;
 
 /// Delay after accepting has failed, usually because file descriptors are exhausted: some connections will have been
@@ -45,10 +43,14 @@
             acceptor_.bind(address, error);
         if (!error)
             acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
-        if (error)
-            return Error { ErrorCode::BadSettings, "listen for callers", endpoint.value(), error.message() };
+        if (error) {
+            boost::system::error_code ignored;
+            acceptor_.close(ignored);
+            return framework::listenError("listen for callers", endpoint, error);
+        }
+        const Endpoint bound = framework::endpointOf(acceptor_.local_endpoint());
         boost::asio::post(context_, [self = shared_from_this()] { self->accept(); });
-        return framework::endpointOf(acceptor_.local_endpoint());
+        return bound;
     }
 
     void setLimits(const ExchangeLimits& limits) { shared_->limits = limits; }
--- a/src/wire/internal/tcplinktransport.cpp
+++ b/src/wire/internal/tcplinktransport.cpp
@@ -54,8 +54,10 @@
             acceptor_->bind(address, error);
         if (!error)
             acceptor_->listen(boost::asio::socket_base::max_listen_connections, error);
-        if (error)
-            return Error { ErrorCode::BadSettings, "listen", endpoint.value(), error.message() };
+        if (error) {
+            acceptor_.reset();
+            return framework::listenError("listen", endpoint, error);
+        }
         handlers_ = std::move(handlers);
         const Endpoint bound = framework::endpointOf(acceptor_->local_endpoint());
         accept();
--- a/tests/integration/processstart_test.cpp
+++ b/tests/integration/processstart_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/runningfleet.h"
 #include "support/programs.h"
+#include "support/tcppeer.h"
 #include "support/waitfor.h"
 
 #include <boost/test/unit_test.hpp>
@@ -8,6 +9,7 @@
 
 using namespace lagoon::fleet;
 using namespace lagoon::testsupport;
+using namespace std::string_literals;
 
 namespace {
 
@@ -39,8 +41,8 @@
     BOOST_REQUIRE_MESSAGE(process.isRunning(), process.name() << " ended: " << process.log());
 }
 
-/// Valid settings of the role. Nothing answers at the other endpoints that they name.
-std::string settingsOf(const std::string& role)
+/// Valid settings of the role, with these ports. Nothing answers at the other endpoints that they name.
+std::string settingsOf(const std::string& role, const std::map<std::string, std::string>& ports = {})
 {
     auto settings = web::json::value::object();
     const auto set
@@ -70,9 +72,36 @@
         settings["upstream"]["kind"] = web::json::value::string("engine");
         settings["upstream"]["url"] = web::json::value::string(unusedUrl);
     }
+    for (const auto& [key, endpoint] : ports)
+        set(key, endpoint);
     return settings.serialize();
 }
 
+/// A port that a process of this role needs to serve.
+struct NeededPort {
+    std::string role;
+    std::string key;
+};
+
+const std::vector<NeededPort> neededPorts { { "direct-router", "callers" }, { "direct-router", "readiness" },
+    { "direct-agent", "link" } };
+
+std::string freeEndpoint() { return TcpServer().endpoint(); }
+
+/// A process whose settings are in a file of its own.
+struct StartedProcess {
+    StartedProcess(const std::string& role, const std::map<std::string, std::string>& ports)
+        : settings(folder.file("settings.json"))
+    {
+        writeFile(settings, settingsOf(role, ports));
+        process.emplace(role, pathOf(Program::Lagoonrouter), std::vector { role, "--settings"s, settings }, folder);
+    }
+
+    TemporaryFolder folder;
+    std::string settings;
+    std::optional<ChildProcess> process;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ProcessStarts)
@@ -180,4 +209,73 @@
     BOOST_TEST(agent.waitForExit() == 2);
 }
 
+// Prevents a process from ending at its start while another one, such as a former one, holds a port that it needs.
+BOOST_AUTO_TEST_CASE(heldPortsAreAwaited)
+{
+    for (const NeededPort& port : neededPorts) {
+        std::optional<TcpServer> holder(std::in_place);
+        const std::string endpoint = holder->endpoint();
+        StartedProcess started(port.role, { { port.key, endpoint } });
+        waitForLine(*started.process, "\"port_awaited\"");
+        holder.reset();
+        started.process->waitUntilReady();
+        BOOST_TEST(started.process->readyText(port.key) == endpoint);
+        BOOST_TEST(started.process->output().find("\"port_bound\"") != std::string::npos);
+    }
+}
+
+// Prevents a process that can't bind a port from having to be killed.
+BOOST_AUTO_TEST_CASE(aProcessThatAwaitsAPortEndsInOrder)
+{
+    for (const NeededPort& port : neededPorts) {
+        const TcpServer holder;
+        StartedProcess started(port.role, { { port.key, holder.endpoint() } });
+        waitForLine(*started.process, "\"port_awaited\"");
+        started.process->sendSignal(SIGTERM);
+        BOOST_TEST(started.process->waitForExit() == 0, port.key);
+    }
+}
+
+// Prevents a held metrics port from keeping a process from serving.
+BOOST_AUTO_TEST_CASE(aHeldMetricsPortKeepsNobodyFromServing)
+{
+    for (const std::string role : { "direct-router", "direct-agent" }) {
+        std::optional<TcpServer> holder(std::in_place);
+        StartedProcess started(role, { { "ops", holder->endpoint() } });
+        started.process->waitUntilReady();
+        BOOST_TEST(started.process->output().find("\"port_bound\"") == std::string::npos);
+        holder.reset();
+        waitForLine(*started.process, "\"port_bound\"");
+        const TcpPeer metrics(started.process->readyText("ops"));
+    }
+}
+
+// Prevents balancers from being left without an answer by a router that can't serve yet.
+BOOST_AUTO_TEST_CASE(aRouterWithoutItsCallersPortIsNotReady)
+{
+    const TcpServer holder;
+    const std::string readiness = freeEndpoint();
+    StartedProcess started("direct-router", { { "callers", holder.endpoint() }, { "readiness", readiness } });
+    waitForLine(*started.process, "\"port_awaited\"");
+    TcpPeer balancer(readiness);
+    balancer.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    const std::string refusal = "HTTP/1.1 503";
+    BOOST_TEST(balancer.receive(refusal.size()) == refusal);
+}
+
+// Prevents a router from ending at its start while the former one still serves its last requests.
+BOOST_AUTO_TEST_CASE(aRouterFollowsOneThatShutsDown)
+{
+    const std::map<std::string, std::string> ports { { "callers", freeEndpoint() }, { "readiness", freeEndpoint() },
+        { "ops", freeEndpoint() } };
+    StartedProcess former("direct-router", ports);
+    former.process->waitUntilReady();
+    former.process->sendSignal(SIGTERM);
+    waitForLine(*former.process, "\"draining\"");
+    StartedProcess next("direct-router", ports);
+    waitForLine(*next.process, "\"port_awaited\"");
+    next.process->waitUntilReady();
+    BOOST_TEST(former.process->waitForExit() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/tcppeer.cpp
+++ b/tests/support/tcppeer.cpp
@@ -3,6 +3,7 @@
 #include "support/waitfor.h"
 
 #include <boost/asio/write.hpp>
+#include <fcntl.h>
 #include <poll.h>
 #include <stdexcept>
 
@@ -74,6 +75,8 @@
 TcpServer::TcpServer()
     : acceptor_(sharedContext(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
 {
+    // Otherwise child processes would keep the port after the server is gone.
+    ::fcntl(acceptor_.native_handle(), F_SETFD, FD_CLOEXEC);
 }
 
 std::string TcpServer::endpoint() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
