Send no request on a connection that its server has closed

What callers would see: 502 or 504 with "may have run", which cannot be repeated, for a request that isn't idempotent and that no server had read.

Cause: the pool learned of a close only when the event loop had read it. While the loop is behind, as on a machine with little CPU time or after a pause, the close is still in the kernel's queue, the write succeeds, and the request counts as one that may have run.

Change: before reuse, the pool looks for an end or bytes in the kernel's queue (one recv with MSG_PEEK for each reuse), and takes the next connection if there are any.

What crosses the close on the link can't be seen by any check and still counts as "may have run".

--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -84,6 +84,9 @@
     virtual void pause() = 0;
     virtual void resume() = 0;
 
+    /// Returns whether the server has closed the idle connection or sent bytes on it, even if the event loop has not
+    /// read that yet. What is sent on such a connection may be lost.
+    virtual bool isStale() = 0;
     /// The time at which the connection became idle.
     virtual framework::SteadyTime idleSince() const = 0;
     /// How long the server keeps an idle connection open, or std::nullopt if its answer did not state that.
--- a/src/http/internal/connectionpool.cpp
+++ b/src/http/internal/connectionpool.cpp
@@ -43,9 +43,13 @@
     {
         closeStale(now);
         // The most recently used connection has the most time left.
-        if (reuse != Reuse::Never && !idle_.empty()
+        while (reuse != Reuse::Never && !idle_.empty()
             && now - idle_.back()->idleSince() <= maxIdleTime(*idle_.back(), reuse)) {
             auto connection = idle_.back();
+            if (connection->isStale()) {
+                connection->abandon();
+                continue;
+            }
             idle_.pop_back();
             return connection;
         }
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -7,7 +7,9 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <charconv>
+#include <sys/socket.h>
 #include <utility>
 
 namespace lagoon::http {
@@ -305,6 +307,13 @@
     close();
 }
 
+bool TcpClientConnection::isStale()
+{
+    char byte = 0;
+    const auto size = ::recv(socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return size >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 void TcpClientConnection::resume()
 {
     isPaused_ = false;
--- a/src/http/internal/tcpclientconnection.h
+++ b/src/http/internal/tcpclientconnection.h
@@ -19,6 +19,7 @@
     void abandon() override;
     void pause() override { isPaused_ = true; }
     void resume() override;
+    bool isStale() override;
     framework::SteadyTime idleSince() const override { return idleSince_; }
     std::optional<framework::Milliseconds> keepAliveTimeout() const override { return keepAliveTimeout_; }
 
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -277,6 +277,31 @@
     BOOST_TEST(second->wait());
 }
 
+// Prevents sending a request on a connection whose close the event loop has not read yet: the request would count as
+// one that may have run, which cannot be repeated.
+BOOST_AUTO_TEST_CASE(aConnectionWithAnUnreadCloseIsNotReused)
+{
+    const auto first = send(post);
+    server.accept();
+    (void)server.request();
+    server.send(keepAliveResponse);
+    BOOST_TEST(first->wait());
+    const auto second = std::make_shared<RecordedAnswer>();
+    std::promise<bool> reuses;
+    thread.post([&] {
+        server.close();
+        const auto connection = pool.take(ConnectionPool::Reuse::Normal, std::chrono::steady_clock::now());
+        // A new connection has received no answer yet.
+        reuses.set_value(connection->keepAliveTimeout().has_value());
+        connection->send(post, second);
+    });
+    BOOST_REQUIRE(!reuses.get_future().get());
+    server.accept();
+    (void)server.request();
+    server.send(keepAliveResponse);
+    BOOST_TEST(second->wait());
+}
+
 // Prevents a request from running twice: the server executed it and closed the connection without an answer, and the
 // client resent it by itself.
 BOOST_AUTO_TEST_CASE(aRequestIsNeverResent)
