Linger after a refusal as long as its caller is sending

What callers saw: a caller that goes on sending a long body after it was refused (413, 400, 431, or 503 at shutdown) met a reset after one second. Libraries that stop at a failed write never report the refusal.

Cause: the connection read on for one second from the end of the answer, however much was still coming, and then closed with bytes on their way.

Change: it closes one second after the last bytes have arrived, and ten seconds after the answer in any case. At shutdown, the end of the grace period bounds it as before.

Open: at the very end of the grace period a connection with unread bytes is still reset.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -4,6 +4,7 @@
 #include "http/internal/messagewriter.h"
 #include "http/internal/socketoptions.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
 #include <utility>
@@ -19,9 +20,11 @@
 constexpr std::size_t readBufferBytes = 16 * 1024;
 /// How much a caller may send ahead while its request is handled; then reading pauses.
 constexpr std::size_t maxPipelinedBytes = 64 * 1024;
-/// How long the connection stays open after its last answer for a caller that is still sending: closing it at once
-/// would reset it, and the refusal could be lost in transit.
+/// How long the connection stays open after its last answer, and after what a caller that is still sending sent last:
+/// closing it earlier would reset it, and the refusal could be lost in transit.
 constexpr Milliseconds lingerTimeout { 1000 };
+/// Limits how long a caller that does not stop sending keeps its connection after the last answer.
+constexpr Milliseconds maxLingerTime { 10000 };
 /// How long a shutdown leaves a connection open on which a request is likely to be on its way: one that has just been
 /// accepted, or whose last answer didn't announce the close.
 constexpr Milliseconds nextRequestTime { 1000 };
@@ -81,8 +84,11 @@
         return isIdle() ? close() : read();
     if (error)
         return handleDisconnect();
-    if (stage_ == Stage::Closing)
+    if (stage_ == Stage::Closing) {
+        if (isLingering_)
+            armLingerTimer();
         return read();
+    }
     buffer_.commit(bytes);
     if (stage_ != Stage::Handling)
         parse();
@@ -326,15 +332,23 @@
         refuse({ 408, {}, {} });
 }
 
-/// Shuts the sending side down, and reads and discards what the caller still sends for up to `lingerTimeout`.
+/// Shuts the sending side down, and reads and discards what the caller still sends.
 void CallerConnection::linger()
 {
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    armTimer(lingerTimeout, &CallerConnection::close);
+    isLingering_ = true;
+    lingersUntil_ = Deadline::after(std::chrono::steady_clock::now(), maxLingerTime);
+    armLingerTimer();
     read();
 }
 
+void CallerConnection::armLingerTimer()
+{
+    const Milliseconds left = lingersUntil_.remaining(std::chrono::steady_clock::now());
+    armTimer(std::min(lingerTimeout, left), &CallerConnection::close);
+}
+
 /// Does not detect a disconnect behind unread bytes that the caller has sent ahead.
 bool CallerConnection::hasCallerDisconnected()
 {
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -90,6 +90,7 @@
     void handleIdleTimeout();
     void handleHeaderTimeout();
     void linger();
+    void armLingerTimer();
     void reset();
     void handleDisconnect();
     void close();
@@ -102,6 +103,7 @@
     bool isReading_ = false;
     bool isClosingIdle_ = false;
     bool closesWhenIdle_ = false;
+    bool isLingering_ = false;
     bool isWriting_ = false;
     bool endsAfterAnswer_ = false;
     bool isChunked_ = false;
@@ -116,6 +118,7 @@
     std::deque<std::string> unsent_;
     std::size_t unsentBytes_ = 0;
     framework::Deadline openUntil_;
+    framework::Deadline lingersUntil_;
 };
 
 /// The handler's interface to one request.
--- a/tests/integration/closedconnections_test.cpp
+++ b/tests/integration/closedconnections_test.cpp
@@ -69,4 +69,19 @@
     BOOST_TEST(fleet.router().waitForExit() == 0);
 }
 
+// Prevents the loss of a refusal: a caller that goes on sending a long body for some seconds before it reads.
+BOOST_AUTO_TEST_CASE(aCallerThatSendsForSecondsReceivesItsRefusal)
+{
+    const auto caller = connect();
+    caller->send("POST /post/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000000\r\n\r\n");
+    const std::string piece(16 * 1024, 'x');
+    bool isOpen = true;
+    for (int i = 0; i < 60; ++i) {
+        isOpen = isOpen && caller->send(piece);
+        std::this_thread::sleep_for(Milliseconds(50));
+    }
+    BOOST_TEST(isOpen);
+    BOOST_TEST(parseAnswer(caller->readToEnd()).status == 413);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
