Keep half of a router's descriptors free of callers' connections

What callers saw: while idle connections held a router's descriptors, requests were refused with 503, as the router couldn't connect to a server, and readiness and metrics were reached only after connections had been closed one by one, 50 ms apart.

Cause: a request needs two descriptors, of its caller and of its server, but callers' connections could take all.

Change: a router takes callers' connections for half of RLIMIT_NOFILE. Beyond that each further one closes the connection that has been idle for longest. Connections with requests are never closed.

Open: if all connections have requests, callers beyond the last descriptor wait in the listening queue, without an answer or a refusal.

--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -9,6 +9,7 @@
 #include "direct/internal/trafficquotas.h"
 #include "forwarding/forwarder.h"
 #include "framework/decisionlog.h"
+#include "framework/descriptors.h"
 #include "framework/types/shutdowndeadlines.h"
 #include "http/exchangeserver.h"
 
@@ -26,6 +27,9 @@
 /// Retry delay for a caller whose request this router no longer accepts; other routers accept it at once.
 constexpr Milliseconds retryAfterRefusal { 250 };
 
+/// Connections of its caller and to its server.
+constexpr std::size_t descriptorsOfRequest = 2;
+
 forwarding::ForwarderSettings forwarderSettings(const DirectRouterSettings& settings)
 {
     return { settings.identity.failureDomain, settings.retryShare, settings.retryReserve, settings.policy,
@@ -62,6 +66,7 @@
     framework::Result<DirectRouterEndpoints> start()
     {
         DirectRouterEndpoints endpoints;
+        callers_.setMaxConnections(framework::maxDescriptors() / descriptorsOfRequest);
         BOOST_OUTCOME_TRY(callers, callers_.listen(settings_.callers));
         endpoints.callers = callers;
         BOOST_OUTCOME_TRY(readiness, readiness_.listen(settings_.readiness));
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -6,6 +6,7 @@
 #include "framework/types/time.h"
 #include "http/iexchange.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 
@@ -39,6 +40,8 @@
     framework::Result<framework::Endpoint> listen(const framework::Endpoint&);
     /// Applies to requests that start from now on. This and all functions below must be called on the event thread.
     void setLimits(const ExchangeLimits&);
+    /// Above this number of connections, the one that has been idle for longest is closed for each further one.
+    void setMaxConnections(std::size_t);
     /// From now on, each answer announces that its connection is closed, and closes it.
     void beginDraining();
     /// Stops accepting, and closes the connections without a request in progress.
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -6,6 +6,7 @@
 #include "http/internal/socketoptions.h"
 
 #include <boost/asio/post.hpp>
+#include <limits>
 #include <optional>
 #include <poll.h>
 #include <unordered_map>
@@ -55,6 +56,7 @@
     }
 
     void setLimits(const ExchangeLimits& limits) { shared_->limits = limits; }
+    void setMaxConnections(std::size_t connections) { maxConnections_ = connections; }
     void beginDraining() { shared_->isDraining = true; }
 
     void closeIdle()
@@ -170,12 +172,15 @@
         auto connection = std::make_shared<CallerConnection>(std::move(socket), shared_, std::move(onClosed));
         connections_.emplace(connection.get(), connection);
         connection->start();
+        if (connections_.size() > maxConnections_)
+            closeLongestIdle();
     }
 
     boost::asio::io_context& context_;
     tcp::acceptor acceptor_;
     boost::asio::steady_timer acceptTimer_;
     bool hasAcceptFailed_ = false;
+    std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max();
     std::shared_ptr<ConnectionContext> shared_;
     std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
 };
@@ -194,6 +199,8 @@
 
 void ExchangeServer::setLimits(const ExchangeLimits& limits) { implementation_->setLimits(limits); }
 
+void ExchangeServer::setMaxConnections(std::size_t connections) { implementation_->setMaxConnections(connections); }
+
 void ExchangeServer::beginDraining() { implementation_->beginDraining(); }
 
 void ExchangeServer::closeIdle() { implementation_->closeIdle(); }
