--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -99,7 +99,8 @@
 std::unique_ptr<ChildProcess> Deployment::start(
     const std::string& name, Program program, const std::vector<std::string>& arguments)
 {
-    return startProgram(program, name + "." + std::to_string(++started_), arguments, folder_);
+    const ProcessOptions options = program == Program::Lagoonrouter ? processOptions_ : ProcessOptions();
+    return startProgram(program, name + "." + std::to_string(++started_), arguments, folder_, options);
 }
 
 std::unique_ptr<ChildProcess> Deployment::startProxy(const std::string& name, const std::string& to, bool hasFrames)
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -81,6 +81,8 @@
     Deployment(const Deployment&) = delete;
     Deployment& operator=(const Deployment&) = delete;
 
+    /// Sets the surroundings of routers and agents that are started from now on.
+    void setProcessOptions(const ProcessOptions& options) { processOptions_ = options; }
     /// Starts the VM's processes and adds the VM to the platform's list.
     UpstreamVm& addUpstream(const std::string& vm, const UpstreamOptions& = {});
     RouterVm& addRouter(const std::string& vm, const RouterOptions& = {});
@@ -122,6 +124,7 @@
 
     TemporaryFolder folder_;
     std::uint64_t started_ = 0;
+    ProcessOptions processOptions_;
     std::unique_ptr<ChildProcess> platform_;
     std::unique_ptr<ChildProcess> weights_;
     std::map<std::string, RouterVm> routers_;
