--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -10,6 +10,7 @@
 #include "forwarding/forwarder.h"
 #include "framework/awaitedport.h"
 #include "framework/decisionlog.h"
+#include "framework/descriptors.h"
 #include "framework/types/shutdowndeadlines.h"
 #include "http/exchangeserver.h"
 
@@ -29,6 +30,9 @@
 /// Retry delay for a caller whose request this router no longer accepts; other routers accept it at once.
 constexpr Milliseconds retryAfterRefusal { 250 };
 
+/// Connections of its caller and to its server.
+constexpr std::size_t descriptorsOfRequest = 2;
+
 forwarding::ForwarderSettings forwarderSettings(const DirectRouterSettings& settings)
 {
     return { settings.identity.failureDomain, settings.retryShare, settings.retryReserve, settings.policy,
@@ -67,6 +71,7 @@
 
     framework::Result<DirectRouterEndpoints> start()
     {
+        callers_.setMaxConnections(framework::maxDescriptors() / descriptorsOfRequest);
         // While the callers' port is held, balancers already read that this router isn't ready.
         const auto readiness = readinessPort_.bind();
         BOOST_OUTCOME_TRY(callers, callersPort_.bind());
