Answer a request also if building or writing its answer throws

Change: the answer runs guarded on the connection, a write that can't start resets it, added connections are guarded, and the shutdown walks a copy.

Memory that runs out at these points can't be provoked in a test here: found and fixed by reading.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -185,7 +185,8 @@
     void beginShutdown(const framework::ShutdownDeadlines& deadlines)
     {
         shutdownDeadlines_ = deadlines;
-        for (const auto& job : jobs_)
+        const auto jobs = jobs_;
+        for (const auto& job : jobs)
             job->runGuarded([&] { job->beginShutdown(deadlines); });
         dispatchWaiting();
         // Requests that still wait at that time are too late to start.
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -267,11 +267,12 @@
 {
     const auto keepAlive = shared_from_this();
     try {
-        const auto exchange = exchange_.lock();
         if (stage_ == Stage::Reading)
             refuse({ 500, {}, {} });
-        else if (stage_ == Stage::Handling && exchange)
-            exchange->fail();
+        else if (stage_ == Stage::Handling)
+            failRequest();
+        else if (stage_ == Stage::Idle && !unsent_.empty())
+            closeAfterAnswer();
         else if (stage_ != Stage::Closing)
             close();
         read();
@@ -281,6 +282,20 @@
     }
 }
 
+void CallerConnection::failRequest()
+{
+    const auto exchange = exchange_.lock();
+    failDropped();
+    if (exchange)
+        exchange->handleDisconnect();
+}
+
+void CallerConnection::closeAfterAnswer()
+{
+    endsAfterAnswer_ = true;
+    stage_ = Stage::Closing;
+}
+
 /// Resets the connection, since without chunks its normal close would mean that the answer is complete.
 void CallerConnection::reset()
 {
@@ -328,9 +343,17 @@
     if (isWriting_ || unsent_.empty() || stage_ == Stage::Closed)
         return;
     isWriting_ = true;
-    boost::asio::async_write(socket_, boost::asio::buffer(unsent_.front()),
-        [self = shared_from_this()](
-            const boost::system::error_code& error, std::size_t) { self->runGuarded([&] { self->didWrite(error); }); });
+    try {
+        boost::asio::async_write(socket_, boost::asio::buffer(unsent_.front()),
+            [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+                self->runGuarded([&] { self->didWrite(error); });
+            });
+    } catch (...) {
+        // A further answer would follow on what has been sent of this one.
+        framework::reportException("a write to a caller");
+        setResetOnClose();
+        handleDisconnect();
+    }
 }
 
 void CallerConnection::didWrite(const boost::system::error_code& error)
@@ -509,7 +532,7 @@
 void CallerExchange::answer(ResponseHead head, std::string body)
 {
     if (const auto connection = release())
-        connection->answer(std::move(head), std::move(body));
+        connection->runGuarded([&] { connection->answer(std::move(head), std::move(body)); });
 }
 
 void CallerExchange::beginAnswer(ResponseHead head)
@@ -527,26 +550,19 @@
 void CallerExchange::endAnswer()
 {
     if (const auto connection = release())
-        connection->endAnswer();
+        connection->runGuarded([&] { connection->endAnswer(); });
 }
 
 void CallerExchange::breakOff()
 {
     if (const auto connection = release())
-        connection->breakOff();
+        connection->runGuarded([&] { connection->breakOff(); });
 }
 
 void CallerExchange::setDisconnectHandler(std::function<void()> handler) { onDisconnect_ = std::move(handler); }
 
 void CallerExchange::setDrainedHandler(std::function<void()> handler) { onDrained_ = std::move(handler); }
 
-void CallerExchange::fail()
-{
-    if (const auto connection = connection_)
-        connection->failDropped();
-    handleDisconnect();
-}
-
 void CallerExchange::handleDisconnect()
 {
     connection_ = nullptr;
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -41,8 +41,8 @@
     bool isBusy() const;
     /// Closes the connection if no request has arrived or is in progress, once its caller has had time to send one.
     void closeWhenIdle();
-    /// Until when a request is likely to be on its way on an idle connection. std::nullopt during a request and while the
-    /// connection closes.
+    /// Until when a request is likely to be on its way on an idle connection. std::nullopt during a request and while
+    /// the connection closes.
     std::optional<framework::Deadline> openUntil() const;
     /// Closes the connection if no request has arrived or is in progress.
     void closeIfIdle();
@@ -57,6 +57,8 @@
     void sendPiece(std::string_view);
     void endAnswer();
     void breakOff();
+    /// Runs the action of an event or of the handler. If it throws, the connection's request fails.
+    template <typename Action> void runGuarded(Action);
     /// Called if the handler destroyed the exchange without an answer.
     void failDropped() noexcept;
     std::size_t unsentBytes() const { return unsentBytes_; }
@@ -73,9 +75,9 @@
         Closed,
     };
 
-    /// Runs an event's action. If it throws, the connection's request fails.
-    template <typename Action> void runGuarded(Action);
     void failAfterException() noexcept;
+    void failRequest();
+    void closeAfterAnswer();
     void read();
     void didRead(const boost::system::error_code&, std::size_t);
     void parse();
@@ -151,8 +153,6 @@
     /// Called by the connection.
     void handleDisconnect();
     void didDrain();
-    /// Fails the request. Its handler is notified like of a disconnect.
-    void fail();
 
 private:
     /// Detaches this exchange from the connection and returns the latter.
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -1,5 +1,6 @@
 #include "http/exchangeserver.h"
 
+#include "framework/eventloop.h"
 #include "framework/logging.h"
 #include "framework/tcpendpoint.h"
 #include "http/internal/callerconnection.h"
@@ -101,7 +102,7 @@
     {
         acceptor_.async_accept([self = shared_from_this()](const boost::system::error_code& error, tcp::socket socket) {
             if (!error)
-                self->add(std::move(socket));
+                self->addGuarded(std::move(socket));
             if (!self->acceptor_.is_open())
                 return;
             if (error)
@@ -156,7 +157,7 @@
             tcp::socket socket(context_);
             acceptor_.accept(socket, error);
             if (!error)
-                add(std::move(socket));
+                addGuarded(std::move(socket));
         }
     }
 
@@ -169,6 +170,16 @@
         });
     }
 
+    /// Prevents a connection for which there is no memory from ending the accepting of others.
+    void addGuarded(tcp::socket socket)
+    {
+        try {
+            add(std::move(socket));
+        } catch (...) {
+            framework::reportException("an accepted connection");
+        }
+    }
+
     void add(tcp::socket socket)
     {
         auto onClosed = [weak = weak_from_this()](CallerConnection* closed) {
