List the store anew if a change can't be applied

Cause, by review: a mirror of the store sets its next call after its observers have been told. An observer that throws, such as a large configuration for which memory is short, left the process with its state of that moment until it was restarted: routers would serve by an old configuration and list. The revision was noted before, so that even a new list would have skipped the object.

Change: an exception leads to a new list after the usual pause, and a revision is known once its object was applied. Accepted links are guarded like connections.

Evidence: anObserverThatThrowsIsToldAgain failed before (std::bad_alloc left the mirror, no further call) and passes now; objectstore_tests and wire_tests pass (1 run each).

--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -1,6 +1,7 @@
 #include "objectstore/objectmirror.h"
 
 #include "framework/decisionlog.h"
+#include "framework/eventloop.h"
 
 #include <algorithm>
 #include <utility>
@@ -54,7 +55,7 @@
     feed_.list(after, Deadline::after(clock_.now(), answerTimeout()),
         [this, alive = std::weak_ptr<int>(alive_)](Result<FeedPage> page) {
             if (!alive.expired())
-                handleList(std::move(page));
+                runGuarded([&] { handleList(std::move(page)); });
         });
 }
 
@@ -143,7 +144,7 @@
     feed_.watch(watchRevision_, wait, Deadline::after(clock_.now(), wait + answerTimeout()),
         [this, alive = std::weak_ptr<int>(alive_)](Result<FeedChanges> changes) {
             if (!alive.expired())
-                handleWatch(std::move(changes));
+                runGuarded([&] { handleWatch(std::move(changes)); });
         });
 }
 
@@ -177,18 +178,31 @@
 void ObjectMirror::applyObject(const FeedObject& object)
 {
     missing_.erase(object.name);
-    const auto [entry, isNew] = knownRevisions_.try_emplace(object.name, object.revision);
-    if (!isNew && object.revision <= entry->second)
+    const auto known = knownRevisions_.find(object.name);
+    if (known != knownRevisions_.end() && object.revision <= known->second)
         return;
-    entry->second = object.revision;
     observers_.didChange(object);
+    knownRevisions_[object.name] = object.revision;
 }
 
 void ObjectMirror::remove(const std::string& name)
 {
     missing_.erase(name);
-    if (knownRevisions_.erase(name) > 0)
-        observers_.didRemove(name);
+    if (!knownRevisions_.contains(name))
+        return;
+    observers_.didRemove(name);
+    knownRevisions_.erase(name);
+}
+
+/// Lists anew after an exception: without a next call, the mirror would never learn of another change.
+template <typename Action> void ObjectMirror::runGuarded(Action action)
+{
+    try {
+        action();
+    } catch (...) {
+        framework::reportException("an observer of the object store");
+        runAfter(backoff_.next(), [this] { list({}); });
+    }
 }
 
 void ObjectMirror::scheduleRetry(const Error& error, std::function<void()> step)
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -91,6 +91,7 @@
     {
         return outage_ ? settings_.retryAnswerTimeout : settings_.answerTimeout;
     }
+    template <typename Action> void runGuarded(Action);
     void scheduleRetry(const framework::Error&, std::function<void()> step);
     void recordAnswer();
     framework::Milliseconds elapsedSince(framework::SteadyTime) const;
--- a/src/objectstore/tests/objectmirror_test.cpp
+++ b/src/objectstore/tests/objectmirror_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <new>
+#include <utility>
 
 namespace lagoon::objectstore {
 
@@ -75,8 +77,11 @@
 
     ObjectMirror::Observers observers()
     {
-        return { [this](
-                     const FeedObject& changed) { values[changed.name] = std::any_cast<std::string>(changed.value); },
+        return { [this](const FeedObject& changed) {
+                    if (std::exchange(failsOnce, false))
+                        throw std::bad_alloc();
+                    values[changed.name] = std::any_cast<std::string>(changed.value);
+                },
             [this](const std::string& name) { values.erase(name); }, [this] { ++listed; },
             [this](framework::SteadyTime at) { confirmedAt = at; } };
     }
@@ -86,6 +91,8 @@
     std::map<std::string, std::string> values;
     int listed = 0;
     framework::SteadyTime confirmedAt {};
+    /// Whether the next change can't be applied.
+    bool failsOnce = false;
     ObjectMirror mirror;
 };
 
@@ -105,6 +112,19 @@
     BOOST_TEST(feed.watches.front().first == StoreRevision(5));
 }
 
+// Prevents a process from never learning of a change again because applying one of them failed.
+BOOST_AUTO_TEST_CASE(anObserverThatThrowsIsToldAgain)
+{
+    feed.answerList(page({ object("a", 1) }, 1));
+    failsOnce = true;
+    feed.answerWatch(FeedChanges { { { object("a", 2), false } }, StoreRevision(2) });
+    control.advance(Milliseconds(1000));
+    BOOST_REQUIRE(feed.lists.size() == 1U);
+    feed.answerList(page({ object("a", 2) }, 2));
+    BOOST_TEST(values["a"] == "a@2");
+    BOOST_TEST(feed.watches.size() == 1U);
+}
+
 // Prevents a changed route from reverting to its previous state: the watch reports the change, and then a list arrives
 // that the store had read before the change.
 BOOST_AUTO_TEST_CASE(aStaleListDoesNotRevertANewerChange)
--- a/src/wire/internal/tcplinktransport.cpp
+++ b/src/wire/internal/tcplinktransport.cpp
@@ -101,7 +101,7 @@
             if (error)
                 return didFailToAccept(error);
             hasAcceptFailed_ = false;
-            addAcceptedLink(strand, std::move(socket));
+            addGuarded(strand, std::move(socket));
             accept();
         });
     }
@@ -118,6 +118,16 @@
         });
     }
 
+    /// Prevents a link for which there is no memory from ending the accepting of others.
+    void addGuarded(const TcpLink::Strand& strand, tcp::socket socket)
+    {
+        try {
+            addAcceptedLink(strand, std::move(socket));
+        } catch (...) {
+            framework::reportException("an accepted link");
+        }
+    }
+
     void addAcceptedLink(const TcpLink::Strand& strand, tcp::socket socket)
     {
         boost::system::error_code error;
