Wait for ports that another process holds when a router or agent starts

What callers saw: as before, on the path through agents: a held port ended `router` and `agent` with exit code 1.

Change: their start is tried again like that of direct processes, with a line on standard error for each new cause. cpprest tells only by a text why it can't listen, so a port is bound for a moment by Asio before, which gives the error code. All ports are awaited, `ops` too, since balancers read `/readyz` there. `ops` is bound first, so that it answers meanwhile, and `link` last, so that nobody is served in part; an agent's `/readyz` says 503 until it has started.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -26,6 +26,7 @@
 
     /// Starts listening and starts reading the engine's state, the claims and the bundle. No model is loaded before all
     /// three have been read.
+    /// An error that has `retryAfter` means that a port is held; call this again until it is free.
     framework::Result<AgentEndpoints> start();
     /// Refuses new requests as not run and lets running and waiting ones finish within the grace period of the
     /// settings: requests that wait longer are refused as not run, requests that run longer are stopped. Then closes
--- a/src/agent/internal/agent.cpp
+++ b/src/agent/internal/agent.cpp
@@ -9,6 +9,7 @@
 #include "agent/internal/routerlinks.h"
 #include "agent/internal/servedservices.h"
 #include "bundle/bundlewatch.h"
+#include "framework/awaitedport.h"
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
 #include "framework/logging.h"
@@ -79,11 +80,15 @@
     std::unique_ptr<RequestGate> gate_;
     std::unique_ptr<RouterLinks> links_;
     std::unique_ptr<http::OpsServer> ops_;
+    framework::AwaitedPort opsPort_ { "ops", settings_.ops,
+        [this](const framework::Endpoint& at) { return ops_->start(at); } };
+    framework::AwaitedPort linkPort_ { "link", settings_.link,
+        [this](const framework::Endpoint& at) { return transport_->listen(at, links_->handlers()); } };
     std::unique_ptr<framework::Timer> housekeeping_;
     std::unique_ptr<framework::Timer> drainCheck_;
     std::atomic<bool> isDraining_ { false };
     /// Whether `start` has succeeded.
-    bool isStarted_ = false;
+    std::atomic<bool> isStarted_ { false };
     bool isStopped_ = false;
 };
 
@@ -108,6 +113,10 @@
         incarnation_, settings_.limits);
     links_ = std::make_unique<RouterLinks>(RouterLinks::Context { control_, clock_, settings_.identity.vm, incarnation_,
         *gate_, replicas_.get(), *bundles_, metrics_, *crashes_ });
+    http::OpsViews views;
+    views.isReady = [this] { return isStarted_ && !isDraining_; };
+    views.status = [this] { return status(); };
+    ops_ = std::make_unique<http::OpsServer>(std::move(views), metrics_);
 }
 
 IServedTargets& Agent::Implementation::servedTargets()
@@ -137,12 +146,8 @@
 
 framework::Result<AgentEndpoints> Agent::Implementation::start()
 {
-    BOOST_OUTCOME_TRY(link, transport_->listen(settings_.link, links_->handlers()));
-    http::OpsViews views;
-    views.isReady = [this] { return !isDraining_; };
-    views.status = [this] { return status(); };
-    ops_ = std::make_unique<http::OpsServer>(std::move(views), metrics_);
-    BOOST_OUTCOME_TRY(ops, ops_->start(settings_.ops));
+    BOOST_OUTCOME_TRY(ops, opsPort_.bind());
+    BOOST_OUTCOME_TRY(link, linkPort_.bind());
     bundles_->changed().subscribe([this](const bundle::BundlePointer& bundle) {
         service_.setBundle(bundle);
         if (replicas_)
--- a/src/app/internal/agentcommand.cpp
+++ b/src/app/internal/agentcommand.cpp
@@ -1,6 +1,7 @@
 #include "app/internal/agentcommand.h"
 
 #include "agent/agent.h"
+#include "app/internal/awaitports.h"
 #include "app/internal/processcommand.h"
 #include "app/internal/readyline.h"
 
@@ -11,11 +12,19 @@
 int serve(const agent::AgentSettings& settings)
 {
     agent::Agent agent(settings);
-    const auto endpoints = agent.start();
-    if (endpoints.has_error())
-        return reportStartFailure("agent", endpoints.error(), ExitFailure);
-    printReadyLine(
-        "agent", settings.identity.vm, { { "link", endpoints.value().link }, { "ops", endpoints.value().ops } });
+    agent::AgentEndpoints endpoints;
+    const auto start = awaitPorts(
+        [&]() -> framework::Result<void> {
+            BOOST_OUTCOME_TRY(started, agent.start());
+            endpoints = started;
+            return framework::success();
+        },
+        logAwaitedPort);
+    if (start.has_error())
+        return reportStartFailure("agent", start.error(), ExitFailure);
+    if (start.value() == PortsOutcome::Terminated)
+        return ExitSuccess;
+    printReadyLine("agent", settings.identity.vm, { { "link", endpoints.link }, { "ops", endpoints.ops } });
     framework::waitForTermination();
     agent.shutDown();
     return ExitSuccess;
--- a/src/app/internal/routercommand.cpp
+++ b/src/app/internal/routercommand.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/routercommand.h"
 
+#include "app/internal/awaitports.h"
 #include "app/internal/processcommand.h"
 #include "app/internal/readyline.h"
 #include "router/router.h"
@@ -13,12 +14,20 @@
 int serve(const router::RouterSettings& settings)
 {
     router::Router router(settings);
-    const auto endpoints = router.start();
-    if (endpoints.has_error())
-        return reportStartFailure("router", endpoints.error(), ExitFailure);
+    router::RouterEndpoints endpoints;
+    const auto start = awaitPorts(
+        [&]() -> framework::Result<void> {
+            BOOST_OUTCOME_TRY(started, router.start());
+            endpoints = started;
+            return framework::success();
+        },
+        logAwaitedPort);
+    if (start.has_error())
+        return reportStartFailure("router", start.error(), ExitFailure);
+    if (start.value() == PortsOutcome::Terminated)
+        std::_Exit(ExitSuccess);
     printReadyLine("router", settings.identity.vm,
-        { { "callers", endpoints.value().callers }, { "link", endpoints.value().link },
-            { "ops", endpoints.value().ops } });
+        { { "callers", endpoints.callers }, { "link", endpoints.link }, { "ops", endpoints.ops } });
     framework::waitForTermination();
     router.drain();
     // All replies have been sent or have timed out. Closing cpprest's listener while callers keep connections open may
--- a/src/http/internal/listener.cpp
+++ b/src/http/internal/listener.cpp
@@ -1,5 +1,7 @@
 #include "http/listener.h"
 
+#include "framework/tcpendpoint.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -31,6 +33,25 @@
     return acceptor.local_endpoint().port();
 }
 
+/// Tries to bind the port, as cpprest reports only by a text why it can't.
+framework::Result<void> checkPort(const Endpoint& endpoint)
+{
+    BOOST_OUTCOME_TRY(address, framework::parseTcpEndpoint(endpoint, "listen for HTTP"));
+    boost::system::error_code error;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context);
+    acceptor.open(address.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(address, error);
+    if (!error)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        return framework::listenError("listen for HTTP", endpoint, error);
+    return framework::success();
+}
+
 } // namespace
 
 framework::Result<OpenListener> openListener(
@@ -42,6 +63,9 @@
         return Error { ErrorCode::BadSettings, "listen for HTTP", text, "expected address:port" };
     const std::string address = text.substr(0, colon);
     const bool isAnyPort = text.substr(colon + 1) == "0";
+    if (!isAnyPort) {
+        BOOST_OUTCOME_TRYV(checkPort(endpoint));
+    }
     std::string detail;
     for (int attempt = 0; attempt < (isAnyPort ? maxPortAttempts : 1); ++attempt) {
         std::string bound = text;
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -3,6 +3,7 @@
 #include "bundle/bundlewatch.h"
 #include "bundle/replicaobject.h"
 #include "callers/callerserver.h"
+#include "framework/awaitedport.h"
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
 #include "framework/logging.h"
@@ -112,6 +113,12 @@
     VmListWatcher vmWatcher_;
     callers::CallerServer callerServer_;
     http::OpsServer opsServer_;
+    framework::AwaitedPort opsPort_ { "ops", settings_.ops,
+        [this](const framework::Endpoint& at) { return opsServer_.start(at); } };
+    framework::AwaitedPort callersPort_ { "callers", settings_.callers,
+        [this](const framework::Endpoint& at) { return callerServer_.start(at); } };
+    framework::AwaitedPort linkPort_ { "link", settings_.link,
+        [this](const framework::Endpoint& at) { return linkServer_.start(*transport_, at); } };
     std::atomic<bool> hasVms_ { false };
     std::atomic<bool> isShuttingDown_ { false };
     bool isStarted_ = false;
@@ -312,19 +319,15 @@
 framework::Result<RouterEndpoints> Router::Implementation::start()
 {
     isStarted_ = true;
-    RouterEndpoints endpoints;
-    BOOST_OUTCOME_TRY(link, linkServer_.start(*transport_, settings_.link));
-    endpoints.link = link;
-    BOOST_OUTCOME_TRY(callers, callerServer_.start(settings_.callers));
-    endpoints.callers = callers;
-    BOOST_OUTCOME_TRY(ops, opsServer_.start(settings_.ops));
-    endpoints.ops = ops;
+    BOOST_OUTCOME_TRY(ops, opsPort_.bind());
+    BOOST_OUTCOME_TRY(callers, callersPort_.bind());
+    BOOST_OUTCOME_TRY(link, linkPort_.bind());
     bundles_->start();
     vmWatcher_.start();
     control_.post([this] { evidence_.start(); });
     control_.post([this] { keys_.startSweeping([this] { return isKeySweeper(); }); });
     isServing_ = true;
-    return endpoints;
+    return RouterEndpoints { .callers = callers, .link = link, .ops = ops };
 }
 
 /// Prevents requests in flight from being cut: the load balancer sees "not ready", new requests are refused as not run,
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -28,6 +28,7 @@
 
     /// Opens the listening sockets and starts to read the bundle and the VM list. The router reports ready once it has
     /// both.
+    /// An error that has `retryAfter` means that a port is held; call this again until it is free.
     framework::Result<RouterEndpoints> start();
     /// Refuses new requests as not run and returns once the requests in flight have ended. Returns before the
     /// configured grace period is over: requests that can't finish by then are refused or broken off. Takes at least
--- a/tests/integration/processstart_test.cpp
+++ b/tests/integration/processstart_test.cpp
@@ -84,7 +84,14 @@
 };
 
 const std::vector<NeededPort> neededPorts { { "direct-router", "callers" }, { "direct-router", "readiness" },
-    { "direct-agent", "link" } };
+    { "direct-agent", "link" }, { "router", "callers" }, { "router", "link" }, { "router", "ops" }, { "agent", "link" },
+    { "agent", "ops" } };
+
+/// Waits until the process has logged that it can't bind a port.
+void waitUntilAwaitingPort(ChildProcess& process)
+{
+    waitForLine(process, process.name().starts_with("direct-") ? "\"port_awaited\"" : "waiting for a port");
+}
 
 std::string freeEndpoint() { return TcpServer().endpoint(); }
 
@@ -216,11 +223,12 @@
         std::optional<TcpServer> holder(std::in_place);
         const std::string endpoint = holder->endpoint();
         StartedProcess started(port.role, { { port.key, endpoint } });
-        waitForLine(*started.process, "\"port_awaited\"");
+        waitUntilAwaitingPort(*started.process);
         holder.reset();
         started.process->waitUntilReady();
         BOOST_TEST(started.process->readyText(port.key) == endpoint);
-        BOOST_TEST(started.process->output().find("\"port_bound\"") != std::string::npos);
+        if (port.role.starts_with("direct-"))
+            BOOST_TEST(started.process->output().find("\"port_bound\"") != std::string::npos);
     }
 }
 
@@ -230,7 +238,7 @@
     for (const NeededPort& port : neededPorts) {
         const TcpServer holder;
         StartedProcess started(port.role, { { port.key, holder.endpoint() } });
-        waitForLine(*started.process, "\"port_awaited\"");
+        waitUntilAwaitingPort(*started.process);
         started.process->sendSignal(SIGTERM);
         BOOST_TEST(started.process->waitForExit() == 0, port.key);
     }
@@ -256,7 +264,7 @@
     const TcpServer holder;
     const std::string readiness = freeEndpoint();
     StartedProcess started("direct-router", { { "callers", holder.endpoint() }, { "readiness", readiness } });
-    waitForLine(*started.process, "\"port_awaited\"");
+    waitUntilAwaitingPort(*started.process);
     TcpPeer balancer(readiness);
     balancer.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
     const std::string refusal = "HTTP/1.1 503";
@@ -273,7 +281,7 @@
     former.process->sendSignal(SIGTERM);
     waitForLine(*former.process, "\"draining\"");
     StartedProcess next("direct-router", ports);
-    waitForLine(*next.process, "\"port_awaited\"");
+    waitUntilAwaitingPort(*next.process);
     next.process->waitUntilReady();
     BOOST_TEST(former.process->waitForExit() == 0);
 }
