Go on with a shutdown or a reload if a step of it throws

What callers would see: if a step of the shutdown threw on the traffic thread, the main thread waited forever for its result, until the platform ended the process by force with requests in it. An exception while changed settings were read ended the process.

Cause: a promise that was fulfilled only if the step succeeded, and no handler on the main thread.

Change: askThread() returns no result if the query throws, and the shutdown goes on; a reload that throws is reported, and the settings in force stay.

Evidence: the new test of askThread() hung with the former query and was killed after 10 s (1 run); it passes in 4 of 4 runs now. The guard of the reload has no test of its own.

--- a/src/app/internal/directprocess.h
+++ b/src/app/internal/directprocess.h
@@ -4,6 +4,7 @@
 #include "app/internal/processcommand.h"
 #include "app/internal/settingsoption.h"
 #include "framework/decisionlog.h"
+#include "framework/eventloop.h"
 #include "framework/processsettings.h"
 #include "framework/processsignal.h"
 #include "framework/types/error.h"
@@ -55,7 +56,11 @@
     {
         while (true) {
             const auto signal = framework::waitForProcessSignal(settingsPollInterval);
-            reloadSettings(reload, signal == framework::ProcessSignal::Reload);
+            try {
+                reloadSettings(reload, signal == framework::ProcessSignal::Reload);
+            } catch (...) {
+                framework::reportException("reloading the settings");
+            }
             if (signal == framework::ProcessSignal::Terminate)
                 return;
         }
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -10,10 +10,11 @@
 #include "forwarding/forwarder.h"
 #include "framework/decisionlog.h"
 #include "framework/descriptors.h"
+#include "framework/threadquery.h"
 #include "framework/types/shutdowndeadlines.h"
 #include "http/exchangeserver.h"
 
-#include <future>
+#include <functional>
 #include <thread>
 
 namespace lagoon::direct {
@@ -116,11 +117,10 @@
     }
 
 private:
+    /// Returns 0 if the query fails, so that the shutdown goes on.
     std::size_t queryTrafficThread(const std::function<std::size_t()>& query)
     {
-        std::promise<std::size_t> answer;
-        ports_.traffic.post([&] { answer.set_value(query()); });
-        return answer.get_future().get();
+        return framework::askThread(ports_.traffic, query).value_or(0);
     }
 
     /// Starts the shutdown and returns the number of requests in progress. Runs on the traffic thread, before the
--- a/src/framework/tests/eventthread_test.cpp
+++ b/src/framework/tests/eventthread_test.cpp
@@ -1,6 +1,7 @@
 #include "framework/eventthread.h"
 
 #include "framework/eventloop.h"
+#include "framework/threadquery.h"
 
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -40,6 +41,15 @@
     thread.stop();
 }
 
+// Prevents a shutdown from waiting forever for another thread if one of its steps there throws.
+BOOST_AUTO_TEST_CASE(aQueryThatThrowsReturnsWithoutAResult)
+{
+    EventThread thread;
+    BOOST_TEST(!askThread(thread, []() -> int { throw std::runtime_error("no result"); }).has_value());
+    BOOST_TEST(askThread(thread, [] { return 5; }).value() == 5);
+    thread.stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::framework
