Say why a process ends if an exception ends it

What was missing: a process that an exception ends wrote only what the C++ runtime prints, and direct processes nothing in the form of their log.

Change: a terminate handler writes one structured line (`terminated`, with the text of the exception) to standard error, without allocating and without the queue of log lines, and then aborts as before.

No real router or agent was ended in this way with the handler.

--- a/src/app/internal/program.cpp
+++ b/src/app/internal/program.cpp
@@ -12,6 +12,7 @@
 #include "app/internal/versioncommand.h"
 #include "framework/addressspace.h"
 #include "framework/processsignal.h"
+#include "framework/terminatehandler.h"
 
 #include <iostream>
 
@@ -44,6 +45,7 @@
 
 int lagoonrouterMain(int argc, char** argv)
 {
+    lagoon::framework::installTerminateHandler();
     lagoon::framework::limitReservedAddressSpace();
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     const Commands commands = allCommands();
