Keep a router running if reading its list of VMs or its bundle throws

What callers would see: on the path through agents, an exception on the thread that follows the list of VMs or the bundle, such as for want of memory, ended the process with all its requests.

Cause: both threads ran without a handler for exceptions.

Change: an exception is reported and costs one read; the thread starts anew after a pause.

The watch of the bundle has no such test of its own.

--- a/src/bundle/internal/bundlewatch.cpp
+++ b/src/bundle/internal/bundlewatch.cpp
@@ -2,6 +2,7 @@
 
 #include "bundle/bundlehead.h"
 #include "bundle/storedbundle.h"
+#include "framework/eventloop.h"
 #include "framework/iclock.h"
 #include "framework/logging.h"
 #include "framework/randomid.h"
@@ -60,7 +61,16 @@
 
     void start() override
     {
-        thread_ = std::jthread([this](const std::stop_token& stop) { run(stop); });
+        thread_ = std::jthread([this](const std::stop_token& stop) {
+            while (!stop.stop_requested()) {
+                try {
+                    run(stop);
+                } catch (...) {
+                    framework::reportException("the watch of the bundle");
+                    pause(backoff_.next(std::nullopt), stop);
+                }
+            }
+        });
     }
 
     void stop() override
--- a/src/router/internal/vmlistwatcher.cpp
+++ b/src/router/internal/vmlistwatcher.cpp
@@ -1,5 +1,6 @@
 #include "router/internal/vmlistwatcher.h"
 
+#include "framework/eventloop.h"
 #include "framework/logging.h"
 
 #include <algorithm>
@@ -34,7 +35,16 @@
 
 void VmListWatcher::start()
 {
-    thread_ = std::thread([this] { follow(); });
+    thread_ = std::thread([this] {
+        while (!stop_.stop_requested()) {
+            try {
+                follow();
+            } catch (...) {
+                framework::reportException("the watcher of the list of VMs");
+                pause(minRetryDelay);
+            }
+        }
+    });
 }
 
 void VmListWatcher::stop()
--- a/src/router/tests/vmlistwatcher_test.cpp
+++ b/src/router/tests/vmlistwatcher_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <new>
 
 using namespace lagoon;
 using namespace lagoon::router;
@@ -44,6 +45,27 @@
     std::promise<Milliseconds> wait_;
 };
 
+/// Throws at the first call; the second blocks until it is stopped.
+class FailingVmList final : public objectstore::IVmList {
+public:
+    framework::Result<VmListSnapshot> waitForChange(std::uint64_t, Deadline, std::stop_token stop) override
+    {
+        if (++calls_ == 1)
+            throw std::bad_alloc();
+        isAskedAgain_.set_value();
+        std::promise<void> stopped;
+        const std::stop_callback onStop(stop, [&] { stopped.set_value(); });
+        stopped.get_future().wait();
+        return framework::Error { framework::ErrorCode::PlatformUnavailable, "list", "platform", "stopped" };
+    }
+
+    void waitUntilAskedAgain() { isAskedAgain_.get_future().wait(); }
+
+private:
+    int calls_ = 0;
+    std::promise<void> isAskedAgain_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(VmListWatchers)
@@ -62,4 +84,15 @@
     BOOST_TEST((wait + callTimeout).count() <= leavingNotice.count());
 }
 
+// Prevents an exception while the list is read from ending the router.
+BOOST_AUTO_TEST_CASE(anExceptionCostsOneReadOfTheList)
+{
+    framework::ManualControl control;
+    const auto list = std::make_shared<FailingVmList>();
+    VmListWatcher watcher(list, control, control, std::make_shared<framework::Metrics>(), [](const auto&) {});
+    watcher.start();
+    list->waitUntilAskedAgain();
+    watcher.stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
