--- a/src/app/internal/directprocess.h
+++ b/src/app/internal/directprocess.h
@@ -5,6 +5,7 @@
 #include "app/internal/settingsoption.h"
 #include "app/internal/startsettings.h"
 #include "framework/decisionlog.h"
+#include "framework/eventloop.h"
 #include "framework/processsettings.h"
 #include "framework/processsignal.h"
 #include "framework/types/error.h"
@@ -63,7 +64,11 @@
     {
         while (true) {
             const auto signal = framework::waitForProcessSignal(settingsPollInterval);
-            reloadSettings(reload, signal == framework::ProcessSignal::Reload);
+            try {
+                reloadSettings(reload, signal == framework::ProcessSignal::Reload);
+            } catch (...) {
+                framework::reportException("reloading the settings");
+            }
             if (signal == framework::ProcessSignal::Terminate)
                 return;
         }
