Don't cut answers to callers that read nothing for ten seconds

What callers saw: an answer or stream that ended early, with a reset, if its caller was paused or read nothing for ten seconds while more was to be sent than its receive buffer holds, although its deadline was later.

Cause: TCP_USER_TIMEOUT is meant for callers whose machines have become unreachable, but the kernel also counts the time for which a reachable peer's window is closed.

Change: 60 s instead of 10 s. It still bounds how long a caller that never reads holds the memory of its answer.

Price: the request of a caller whose machine became unreachable is handled for up to 60 s instead of 10 s, or until its deadline. While the timeout is set, it also governs the keep-alive probes, so waiting callers can't have a shorter one.

Ruled out: no timeout at all, since a peer that answers probes and never reads would hold its connection for ever.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -28,8 +28,9 @@
 /// How long a shutdown leaves a connection open on which a request is likely to be on its way: one that has just been
 /// accepted, or whose last answer didn't announce the close.
 constexpr Milliseconds nextRequestTime { 1000 };
-/// Limits how long the request of a caller whose machine has become unreachable is still handled.
-constexpr Milliseconds callerUnresponsiveTimeout { 10000 };
+/// Limits how long a caller may read nothing of an answer that fills its receive buffer, and how long the request of a
+/// caller whose machine has become unreachable is still handled. The kernel does not distinguish the two.
+constexpr Milliseconds callerUnresponsiveTimeout { 60000 };
 
 /// Prevents request smuggling: a peer that uses another of the framings than this server would see two requests where
 /// this server sees one. Beast refuses most spellings of a length together with chunks, but accepts a repeated length.
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -1,6 +1,7 @@
 #include "http/tests/exchangefixture.h"
 
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 namespace lagoon::http {
 
@@ -392,6 +393,19 @@
     BOOST_TEST(staying.readUntil(report));
 }
 
+// Prevents truncating the answer to a caller that is reachable but paused for some seconds.
+BOOST_AUTO_TEST_CASE(aPausedCallerReceivesItsWholeAnswer)
+{
+    const std::string report(32 * 1024 * 1024, 'x');
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) { exchange->answer(ok(), report); };
+    RawCaller caller(endpoint);
+    caller.send(get("/"));
+    BOOST_TEST(caller.readUntil("xxxx"));
+    std::this_thread::sleep_for(std::chrono::seconds(12));
+    onThread([&] { server.closeIdle(); });
+    BOOST_TEST(caller.readToEnd().size() > report.size());
+}
+
 BOOST_AUTO_TEST_CASE(closeIdleLetsBusyConnectionsFinish)
 {
     std::promise<void> taken;
