--- a/tests/soak/invariantchecker.cpp
+++ b/tests/soak/invariantchecker.cpp
@@ -148,6 +148,7 @@
     }
     if (isClosedUnread(sent, runs)) {
         ++report_.closedUnread;
+        runLog_.note("crossed a close: " + describe(sent, runs));
         return;
     }
     fail(outcome.isComplete() ? "failed although no server failed" : "neither an answer nor a refusal", sent, runs);
