Let a pooled connection be moved out

Cause: the linter's finding on a merge (performance-no-automatic-move); a constant local is copied when it is returned. No change of behaviour; http_tests pass.

--- a/src/http/internal/connectionpool.cpp
+++ b/src/http/internal/connectionpool.cpp
@@ -45,7 +45,7 @@
         // The most recently used connection has the most time left.
         while (reuse != Reuse::Never && !idle_.empty()
             && now - idle_.back()->idleSince() <= maxIdleTime(*idle_.back(), reuse)) {
-            const auto connection = idle_.back();
+            auto connection = idle_.back();
             if (connection->isStale()) {
                 connection->abandon();
                 continue;
