Keep the socket that holds a port in the soak out of the processes that start

The soak's kind starts holds a port with a socket of its own. The fault was the test's, not the product's.

--- a/tests/soak/startdisturber.cpp
+++ b/tests/soak/startdisturber.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
+#include <fcntl.h>
 
 namespace lagoon::soak {
 
@@ -27,6 +28,8 @@
             static_cast<unsigned short>(std::stoul(endpoint.substr(colon + 1))));
         boost::system::error_code error;
         acceptor_.open(address.protocol(), error);
+        // Processes that start meanwhile must not inherit the socket.
+        ::fcntl(acceptor_.native_handle(), F_SETFD, FD_CLOEXEC);
         acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
         acceptor_.bind(address, error);
         if (!error)
