Block signals before the log's threads are started

What callers saw: a SIGTERM or SIGINT that came while a router was shutting down ended it with exit by signal.

While the main thread drains and doesn't wait for signals, the kernel delivers them to that thread, with the default action. /proc/PID/task shows SIGTERM unblocked in it only.

Change: signals are blocked before the log is started.

--- a/src/app/internal/directprocess.h
+++ b/src/app/internal/directprocess.h
@@ -41,8 +41,8 @@
         if (option.exitCode)
             return *option.exitCode;
         file_ = option.file;
-        framework::startDecisionLog(role_);
         framework::blockProcessSignals();
+        framework::startDecisionLog(role_);
         const auto settings = read();
         if (settings.has_error())
             return reportStartFailure(role_, settings.error(), ExitUsage);
--- a/src/app/internal/processcommand.h
+++ b/src/app/internal/processcommand.h
@@ -30,8 +30,8 @@
     const SettingsOption option = parseSettingsOption(role, arguments);
     if (option.exitCode)
         return *option.exitCode;
-    framework::startLogging(role);
     framework::blockProcessSignals();
+    framework::startLogging(role);
     const auto text = framework::readSettingsText(option.file);
     if (text.has_error())
         return reportStartFailure(role, text.error(), ExitUsage);
--- a/tests/integration/closedconnections_test.cpp
+++ b/tests/integration/closedconnections_test.cpp
@@ -47,7 +47,7 @@
                                  .text());
     }
     for (const auto& caller : callers)
-        BOOST_REQUIRE(caller->readUntil("word1"));
+        BOOST_REQUIRE_MESSAGE(caller->readUntil("word1"), caller->received());
     sendSigterm();
     std::atomic<int> streams { 0 };
     std::atomic<int> answers { 0 };
@@ -84,4 +84,22 @@
     BOOST_TEST(parseAnswer(caller->readToEnd()).status == 413);
 }
 
+// Prevents a further SIGTERM or SIGINT from ending a router or an agent that is shutting down.
+BOOST_AUTO_TEST_CASE(aRepeatedSignalDoesNotCutAShutdownShort)
+{
+    for (const int signal : { SIGTERM, SIGINT }) {
+        sendSigterm();
+        fleet.router().sendSignal(signal);
+        BOOST_TEST(fleet.router().waitForExit() == 0);
+        fleet.agent(0).sendSignal(SIGTERM);
+        std::this_thread::sleep_for(networkDelay);
+        fleet.agent(0).sendSignal(signal);
+        BOOST_TEST(fleet.agent(0).waitForExit() == 0);
+        fleet.startAgent(0);
+        fleet.startRouter(0);
+        fleet.agent(0).waitUntilReady();
+        fleet.router().waitUntilReady();
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
