--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -33,7 +33,7 @@
         return variables;
     }
     for (const auto& [name, text] : *options.environment)
-        variables.push_back(name + "=" + text);
+        variables.push_back(std::string(name).append("=").append(text));
     return variables;
 }
 
