Answer requests on kept connections until a router's shutdown ends

What callers saw: 2.5 s after SIGTERM a router closed all idle connections. A caller that sends its next request without looking for the close first got no answer.

Cause: who uses a kept connection learns of the shutdown from `Connection: close` on an answer alone, and idle connections get none. Whoever looks for a close sees it only once it has crossed the network, and the end of a connection doesn't say that a request has not run.

Change: idle connections stay open until the time for answers ends (7.4 s of 8 s); each is told with its next answer. New connections end at 2.5 s as before. The process ends as soon as no caller has a connection. A stream that comes after 2.5 s is refused as not run, as it could be cut while another router has time for all of it.

--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -111,6 +111,15 @@
         clearReadiness();
         logDecision(LogLine("draining").number("requests", requests).number("grace_ms", settings_.grace.count()));
         std::this_thread::sleep_until(deadlines.noticedBy.at());
+        ports_.traffic.post([this] {
+            callers_.stopAccepting();
+            refuseIncomplete();
+        });
+        // Callers learn from the answer to their next request that their connection ends. One that is closed while it
+        // is idle may already carry a request that nobody answers.
+        while (!deadlines.answerBy.hasPassed(ports_.clock.now())
+            && queryTrafficThread([this] { return callers_.connections(); }) > 0)
+            std::this_thread::sleep_for(drainCheckInterval);
         ports_.traffic.post([this] {
             callers_.closeIdle();
             refuseIncomplete();
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -179,9 +179,11 @@
     if (isEnded_ || spec_.deadline <= deadlines.answerBy)
         return;
     isCutByShutdown_ = true;
-    startBy_ = deadlines.startBy;
+    // A stream that comes late would be cut, while another router has time for all of it.
+    const bool isLateStream = isStream() && deadlines.noticedBy.hasPassed(exchange_->receivedAt());
+    startBy_ = isLateStream ? deadlines.noticedBy : deadlines.startBy;
     spec_.deadline = deadlines.answerBy;
-    spec_.firstEventBy = std::min(spec_.firstEventBy, deadlines.startBy);
+    spec_.firstEventBy = std::min(spec_.firstEventBy, *startBy_);
     if (deadlineTimer_)
         armDeadline();
 }
--- a/src/forwarding/tests/oneengine.h
+++ b/src/forwarding/tests/oneengine.h
@@ -303,6 +303,7 @@
     {
         onTraffic([&] {
             framework::ShutdownDeadlines deadlines;
+            deadlines.noticedBy = framework::Deadline::after(clock.now(), startWithin);
             deadlines.startBy = framework::Deadline::after(clock.now(), startWithin);
             deadlines.answerBy = framework::Deadline::after(clock.now(), answerWithin);
             forwarder.beginShutdown(deadlines);
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -44,6 +44,8 @@
     void setMaxConnections(std::size_t);
     /// From now on, each answer announces that its connection is closed, and closes it.
     void beginDraining();
+    /// Accepts no further connections. Those that exist, also in the listening queue, stay open.
+    void stopAccepting();
     /// Stops accepting, and closes the connections without a request in progress: at once, or if a request is likely to
     /// be on its way, a second after the connection was accepted or its last answer ended.
     void closeIdle();
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -62,11 +62,17 @@
     void setMaxConnections(std::size_t connections) { maxConnections_ = connections; }
     void beginDraining() { shared_->isDraining = true; }
 
-    void closeIdle()
+    void stopAccepting()
     {
         acceptPending();
         boost::system::error_code ignored;
         acceptor_.close(ignored);
+    }
+
+    void closeIdle()
+    {
+        stopAccepting();
+        hasClosedIdle_ = true;
         const auto connections = connections_;
         for (const auto& [key, connection] : connections)
             connection->closeWhenIdle();
@@ -190,7 +196,7 @@
         connections_.emplace(connection.get(), connection);
         connection->start();
         // Its accept completed just before the acceptor was closed.
-        if (!acceptor_.is_open())
+        if (hasClosedIdle_)
             connection->closeWhenIdle();
         if (connections_.size() > maxConnections_)
             closeLongestIdle();
@@ -200,6 +206,7 @@
     tcp::acceptor acceptor_;
     boost::asio::steady_timer acceptTimer_;
     bool hasAcceptFailed_ = false;
+    bool hasClosedIdle_ = false;
     std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max();
     std::shared_ptr<ConnectionContext> shared_;
     std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
@@ -223,6 +230,8 @@
 
 void ExchangeServer::beginDraining() { implementation_->beginDraining(); }
 
+void ExchangeServer::stopAccepting() { implementation_->stopAccepting(); }
+
 void ExchangeServer::closeIdle() { implementation_->closeIdle(); }
 
 void ExchangeServer::refuseIncomplete(const ResponseHead& head) { implementation_->refuseIncomplete(head); }
