Walk a copy of a router's requests in one place

Cause: three places copied the set of requests before they went through it, as an action may end a request, and forwarder.cpp had grown. The start test passed without a signal if polling missed the loading of libraries, by review.

Change: forEachJob; the draw of a route's target is a file of its own; the start test requires that it has seen the loading.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -4,11 +4,11 @@
 #include "catalog/routetable.h"
 #include "forwarding/internal/calleridentity.h"
 #include "forwarding/internal/demandpublisher.h"
+#include "forwarding/internal/drawtarget.h"
 #include "forwarding/internal/requestjob.h"
 #include "forwarding/requestsbykey.h"
 #include "framework/boundedlabels.h"
 #include "framework/decisionlog.h"
-#include "framework/randomid.h"
 #include "policy/retrybudget.h"
 #include "policy/standingqueue.h"
 #include "quarantine/fingerprinting.h"
@@ -58,20 +58,6 @@
     return identity;
 }
 
-const catalog::RouteTarget& drawTarget(const catalog::Route& route)
-{
-    double all = 0;
-    for (const catalog::RouteTarget& target : route.targets)
-        all += target.weight;
-    double drawn = framework::randomFraction() * all;
-    for (const catalog::RouteTarget& target : route.targets) {
-        drawn -= target.weight;
-        if (drawn < 0)
-            return target;
-    }
-    return route.targets.back();
-}
-
 } // namespace
 
 class Forwarder::Implementation final : public IJobHost, public std::enable_shared_from_this<Implementation> {
@@ -185,9 +171,7 @@
     void beginShutdown(const framework::ShutdownDeadlines& deadlines)
     {
         shutdownDeadlines_ = deadlines;
-        const auto jobs = jobs_;
-        for (const auto& job : jobs)
-            job->runGuarded([&] { job->beginShutdown(deadlines); });
+        forEachJob([&](RequestJob& job) { job.beginShutdown(deadlines); });
         dispatchWaiting();
         // Requests that still wait at that time are too late to start.
         startByTimer_ = context_.traffic.runAt(deadlines.startBy, [weak = weak_from_this()] {
@@ -198,9 +182,7 @@
 
     void answerNow()
     {
-        const auto jobs = jobs_;
-        for (const auto& job : jobs)
-            job->runGuarded([&] { job->answerNow(); });
+        forEachJob([](RequestJob& job) { job.answerNow(); });
     }
 
     std::size_t requests() const { return jobs_.size(); }
@@ -476,13 +458,19 @@
         });
     }
 
+    /// Walks a copy, since the action may end a job.
+    template <typename Action> void forEachJob(const Action& action)
+    {
+        const auto jobs = jobs_;
+        for (const auto& job : jobs)
+            job->runGuarded([&] { action(*job); });
+    }
+
     void failOverIfSilent()
     {
         if (!upstreams_.mayAnyBeSilent(now()))
             return;
-        const auto jobs = jobs_;
-        for (const auto& job : jobs)
-            job->runGuarded([&] { job->failOverIfSilent(); });
+        forEachJob([](RequestJob& job) { job.failOverIfSilent(); });
     }
 
     void plan()
--- a/tests/integration/processstart_test.cpp
+++ b/tests/integration/processstart_test.cpp
@@ -27,10 +27,14 @@
         && readFile(folder + "/maps").find("libcpprest") != std::string::npos;
 }
 
-/// Polls without a pause, since loading takes a few milliseconds only.
-void waitUntilLoading(ChildProcess& process)
+/// Polls without a pause, since loading takes a few milliseconds only. Returns false if the process has ended before.
+bool isSeenLoading(ChildProcess& process)
 {
-    while (process.isRunning() && !isLoading(process)) { }
+    while (process.isRunning()) {
+        if (isLoading(process))
+            return true;
+    }
+    return false;
 }
 
 /// Waits until a line of either output contains the text.
@@ -121,7 +125,7 @@
     for (const std::string& role : roles) {
         writeFile(settings, "{}");
         ChildProcess process(role, pathOf(Program::Lagoonrouter), { role, "--settings", settings }, folder);
-        waitUntilLoading(process);
+        BOOST_REQUIRE(isSeenLoading(process));
         process.sendSignal(SIGHUP);
         // Settings without any key are refused.
         BOOST_TEST(process.waitForExit() == 2, role);
