--- a/tests/soak/tests/faultrecord_test.cpp
+++ b/tests/soak/tests/faultrecord_test.cpp
@@ -3,7 +3,6 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace lagoon::soak;
-using lagoon::framework::Deadline;
 using lagoon::framework::Milliseconds;
 using lagoon::framework::SteadyTime;
 
