Take each port of a test's fleet only once

Cause: the fleet drew the same free port, 20813, for the router's callers and its readiness (router-0.json), so that the router waited for its own port (port_awaited). The product awaits a held port by design.

Change: a fleet remembers the ports that it has taken.

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -119,7 +119,7 @@
 }
 
 Fleet::Fleet()
-    : agentPort_(freePort())
+    : agentPort_(takePort())
 {
     engine1.hold("warm");
     configure(defaultRoutes());
@@ -291,11 +291,24 @@
     return file;
 }
 
-void Fleet::fixPorts(std::size_t router) { routerPorts_[router] = { freePort(), freePort() }; }
+void Fleet::fixPorts(std::size_t router)
+{
+    const int callers = takePort();
+    routerPorts_[router] = { callers, takePort() };
+}
+
+/// Returns a free port that this fleet hasn't taken before: the one taken last may still be free.
+int Fleet::takePort()
+{
+    int port = freePort();
+    while (!takenPorts_.insert(port).second)
+        port = freePort();
+    return port;
+}
 
 void Fleet::putProxiesBeforeAgents(std::size_t router)
 {
-    const int port = freePort();
+    const int port = takePort();
     agentPorts_[router] = port;
     for (std::size_t index = 0; index < engines(); ++index) {
         const std::string endpoint = engine(index).endpoint();
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -145,6 +146,7 @@
     static web::json::value route(const std::string& prefix, const std::string& kind, const std::string& service);
 
 private:
+    int takePort();
     std::unique_ptr<testsupport::ChildProcess> launch(
         const std::string& name, const std::vector<std::string>& arguments, const testsupport::ProcessOptions&);
     void writeSettings(
@@ -156,6 +158,7 @@
     /// Null if the configuration has none.
     web::json::value customers_;
     std::optional<double> quotaTolerance_;
+    std::set<int> takenPorts_;
     int agentPort_ = 0;
     int startCount_ = 0;
     struct RouterPorts {
