Read the log of a shutdown once the process has ended

A router refuses what waits before it logs `draining`, and lines go through a queue to a thread, so that the caller can have its refusal before the line is written. By reading; not provoked.

Change: the same text is looked for after the process has ended, when all lines are written.

--- a/tests/integration/routerend_test.cpp
+++ b/tests/integration/routerend_test.cpp
@@ -230,8 +230,8 @@
     fleet.writeRouterSettings(0);
     sendSigterm();
     checkRefusedAsNotRun(caller, "g1");
-    BOOST_TEST(fleet.router().output().find("\"draining\",\"requests\":1,\"grace_ms\":4000") != std::string::npos);
     checkCleanExit();
+    BOOST_TEST(fleet.router().output().find("\"draining\",\"requests\":1,\"grace_ms\":4000") != std::string::npos);
 }
 
 // Callers keep connections to a router that shuts down. They must learn that they have to use another router: answers
@@ -246,7 +246,7 @@
     asking.send(CallerRequest { .target = "/nowhere/1", .attempt = "k1", .keepsAlive = true }.text());
     BOOST_TEST(asking.readToEnd().find("Connection: close") != std::string::npos);
     BOOST_TEST(idle.readToEnd().empty());
-    // The idle connection is closed once load balancers have noticed, not when the requests in progress are cut.
+    // The idle connection is closed at its idle timeout, not when the requests in progress are cut.
     BOOST_TEST(fleet.router().output().find("this router ends") == std::string::npos);
     busy.disconnect();
     checkCleanExit();
