Keep connections open after a stream that crossed SIGTERM

What callers saw: a caller whose stream had begun before SIGTERM got no answer to its next request if it sent that more than one second after the stream's end.

Cause: such a stream's head doesn't announce the close.

Change: a connection closes when it is idle only once idle connections are closed, in the same moment for all.

Found by reading the whole change again.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -429,11 +429,11 @@
 }
 
 /// Called when the whole answer has been written, so that the idle timeout, which starts here, cannot truncate an
-/// answer that is still being sent. While draining, the answer began before draining, and so lacks `Connection: close`.
+/// answer that is still being sent.
 void CallerConnection::becomeIdle()
 {
     expectNextRequest();
-    if (context_->isDraining)
+    if (context_->closesIdle)
         return closeWhenIdle();
     armTimer(context_->limits.idleTimeout, &CallerConnection::handleIdleTimeout);
 }
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -22,7 +22,10 @@
 struct ConnectionContext {
     IExchangeHandler& handler;
     ExchangeLimits limits;
+    /// Answers announce that their connections close.
     bool isDraining = false;
+    /// Connections are closed once they are idle.
+    bool closesIdle = false;
 };
 
 /// One accepted connection: repeatedly reads a request, passes it to the handler and writes its answer, until either
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -33,7 +33,7 @@
         : context_(thread.context())
         , acceptor_(context_)
         , acceptTimer_(context_)
-        , shared_(std::make_shared<ConnectionContext>(ConnectionContext { handler, {}, false }))
+        , shared_(std::make_shared<ConnectionContext>(ConnectionContext { handler, {} }))
     {
     }
 
@@ -72,7 +72,7 @@
     void closeIdle()
     {
         stopAccepting();
-        hasClosedIdle_ = true;
+        shared_->closesIdle = true;
         const auto connections = connections_;
         for (const auto& [key, connection] : connections)
             connection->closeWhenIdle();
@@ -196,7 +196,7 @@
         connections_.emplace(connection.get(), connection);
         connection->start();
         // Its accept completed just before the acceptor was closed.
-        if (hasClosedIdle_)
+        if (shared_->closesIdle)
             connection->closeWhenIdle();
         if (connections_.size() > maxConnections_)
             closeLongestIdle();
@@ -206,7 +206,6 @@
     tcp::acceptor acceptor_;
     boost::asio::steady_timer acceptTimer_;
     bool hasAcceptFailed_ = false;
-    bool hasClosedIdle_ = false;
     std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max();
     std::shared_ptr<ConnectionContext> shared_;
     std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
--- a/tests/integration/closedconnections_test.cpp
+++ b/tests/integration/closedconnections_test.cpp
@@ -18,6 +18,7 @@
 const std::string lastChunk = "0\r\n\r\n";
 constexpr Milliseconds networkDelay { 20 };
 constexpr Milliseconds idleTime { 300 };
+constexpr Milliseconds thinkTime { 2000 };
 
 struct ClosedConnectionsFixture : RunningFleet {
     std::unique_ptr<RawCaller> connect() { return std::make_unique<RawCaller>(Endpoint(fleet.callers())); }
@@ -92,6 +93,22 @@
     BOOST_TEST(fleet.router().waitForExit() == 0);
 }
 
+// Prevents requests without an answer: callers think for some time after a stream that began before the shutdown, whose
+// head doesn't announce the end of its connection.
+BOOST_AUTO_TEST_CASE(requestsSomeTimeAfterAStreamAreAnsweredDuringShutdown)
+{
+    engine1.setStream(20, 20);
+    engine2.setStream(20, 20);
+    const auto caller = beginStream("s");
+    sendSigterm();
+    BOOST_REQUIRE(caller->readUntil(lastChunk));
+    caller->clearReceived();
+    std::this_thread::sleep_for(thinkTime);
+    caller->send(CallerRequest { .target = "/post/1", .attempt = "next", .keepsAlive = true }.text());
+    BOOST_TEST(parseAnswer(caller->readToEnd()).isComplete);
+    BOOST_TEST(fleet.router().waitForExit() == 0);
+}
+
 // Prevents requests without an answer: callers that keep a connection send their next request when the router has been
 // shutting down for some time.
 BOOST_AUTO_TEST_CASE(requestsOnKeptConnectionsAreAnsweredDuringShutdown)
