Listen for callers only when the router can start

What callers could see: a router whose readiness port was held had bound the callers' port already, and served. A SIGTERM in that time ended it at once with 0, without a drain, over the requests it had.

Cause: both ports were bound at each try, whichever of them was held.

Change: readiness is bound first and callers last; the limit is set before.

--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -72,13 +72,13 @@
 
     framework::Result<DirectRouterEndpoints> start()
     {
+        // While the callers' port is held, balancers already read that this router isn't ready. Callers come last,
+        // since nobody would drain their requests if the process were asked to terminate before it has started.
+        BOOST_OUTCOME_TRY(readiness, readinessPort_.bind());
         callers_.setMaxConnections(framework::maxDescriptors() / descriptorsOfRequest);
-        // While the callers' port is held, balancers already read that this router isn't ready.
-        const auto readiness = readinessPort_.bind();
         BOOST_OUTCOME_TRY(callers, callersPort_.bind());
-        BOOST_OUTCOME_TRYV(readiness);
         (void)opsPort_.bind();
-        const DirectRouterEndpoints endpoints { callers, readiness.value(), opsPort_.endpoint() };
+        const DirectRouterEndpoints endpoints { callers, readiness, opsPort_.endpoint() };
         ports_.traffic.post([this] { bindOps(); });
         ports_.traffic.post([this] { forwarder_.start(); });
         ports_.control.post([this] {
--- a/tests/integration/processstart_test.cpp
+++ b/tests/integration/processstart_test.cpp
@@ -275,6 +275,16 @@
     BOOST_TEST(balancer.receive(refusal.size()) == refusal);
 }
 
+// Prevents requests from being cut by a SIGTERM that ends a router before it has started.
+BOOST_AUTO_TEST_CASE(aRouterWithoutItsReadinessPortAcceptsNoCallers)
+{
+    const TcpServer holder;
+    const std::string callers = freeEndpoint();
+    StartedProcess started("direct-router", { { "callers", callers }, { "readiness", holder.endpoint() } });
+    waitUntilAwaitingPort(*started.process);
+    BOOST_CHECK_THROW(TcpPeer { callers }, std::exception);
+}
+
 // Prevents a router from ending at its start while the former one still serves its last requests.
 BOOST_AUTO_TEST_CASE(aRouterFollowsOneThatShutsDown)
 {
