Space the lists of a store whose change can't be applied

What was wrong: a change that can never be applied made a process list the store 15 times a second without end, on each router.

Each answer of the store resets the pauses between retries, and every list here is answered.

Change: failures of observers have pauses of their own, which only a change that was applied resets.

--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -34,6 +34,7 @@
     , settings_(settings)
     , observers_(std::move(observers))
     , backoff_(settings.initialRetryDelay, settings.maxRetryDelay, seed)
+    , failureBackoff_(settings.initialRetryDelay, settings.maxRetryDelay, seed)
 {
 }
 
@@ -93,6 +94,7 @@
                     .number("revision", watchRevision_.value()));
     for (const std::string& name : unlisted)
         handleMissing(name);
+    failureBackoff_.reset();
     observers_.didList();
     observers_.didConfirm(answeredAt_);
     watch();
@@ -201,7 +203,7 @@
         action();
     } catch (...) {
         framework::reportException("an observer of the object store");
-        runAfter(backoff_.next(), [this] { list({}); });
+        runAfter(failureBackoff_.next(), [this] { list({}); });
     }
 }
 
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -103,6 +103,8 @@
     MirrorSettings settings_;
     Observers observers_;
     Backoff backoff_;
+    /// Of changes that can't be applied. An answer of the store doesn't reset it, as `backoff_`.
+    Backoff failureBackoff_;
     /// Lets handlers of pending calls detect that this object was destroyed.
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
     std::map<std::string, StoreRevision> knownRevisions_;
--- a/src/objectstore/tests/objectmirror_test.cpp
+++ b/src/objectstore/tests/objectmirror_test.cpp
@@ -4,7 +4,6 @@
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <new>
-#include <utility>
 
 namespace lagoon::objectstore {
 
@@ -78,8 +77,10 @@
     ObjectMirror::Observers observers()
     {
         return { [this](const FeedObject& changed) {
-                    if (std::exchange(failsOnce, false))
+                    if (failures > 0) {
+                        --failures;
                         throw std::bad_alloc();
+                    }
                     values[changed.name] = std::any_cast<std::string>(changed.value);
                 },
             [this](const std::string& name) { values.erase(name); }, [this] { ++listed; },
@@ -91,8 +92,8 @@
     std::map<std::string, std::string> values;
     int listed = 0;
     framework::SteadyTime confirmedAt {};
-    /// Whether the next change can't be applied.
-    bool failsOnce = false;
+    /// So many of the next changes can't be applied.
+    int failures = 0;
     ObjectMirror mirror;
 };
 
@@ -116,7 +117,7 @@
 BOOST_AUTO_TEST_CASE(anObserverThatThrowsIsToldAgain)
 {
     feed.answerList(page({ object("a", 1) }, 1));
-    failsOnce = true;
+    failures = 1;
     feed.answerWatch(FeedChanges { { { object("a", 2), false } }, StoreRevision(2) });
     control.advance(Milliseconds(1000));
     BOOST_REQUIRE(feed.lists.size() == 1U);
@@ -125,6 +126,23 @@
     BOOST_TEST(feed.watches.size() == 1U);
 }
 
+// Prevents a change that can never be applied from making a process list the store without pauses that grow.
+BOOST_AUTO_TEST_CASE(listsAreSpacedWhileAChangeCanNotBeApplied)
+{
+    failures = 1000;
+    int tries = 0;
+    for (int step = 0; step < 500; ++step) {
+        while (!feed.lists.empty()) {
+            feed.answerList(page({ object("a", 1) }, 1));
+            ++tries;
+        }
+        control.advance(Milliseconds(20));
+    }
+    // As during an outage.
+    BOOST_TEST(tries <= 40);
+    BOOST_TEST(tries >= 15);
+}
+
 // Prevents a changed route from reverting to its previous state: the watch reports the change, and then a list arrives
 // that the store had read before the change.
 BOOST_AUTO_TEST_CASE(aStaleListDoesNotRevertANewerChange)
