End with success if closing the log throws

Cause, by review: the thread that closes the log had no guard. An exception there, such as for want of memory, would have ended the process with SIGABRT as the last thing after an orderly shutdown.

Change: it is caught; the last lines may be lost, as when nobody reads them.

--- a/src/framework/internal/decisionlog.cpp
+++ b/src/framework/internal/decisionlog.cpp
@@ -28,7 +28,11 @@
     {
         std::thread([queue = std::move(queue), requested = requested_.get_future(), closed = &closed_]() mutable {
             requested.wait();
-            queue->close();
+            try {
+                queue->close();
+            } catch (...) {
+                // The process ends with success even if its last lines are lost.
+            }
             closed->set_value();
         }).detach();
     }
