--- a/review/build.sh
+++ b/review/build.sh
@@ -10,7 +10,8 @@
     -DSTANDIN_WEIGHTS_PROGRAM='""' -DFAULT_PROXY_PROGRAM="\"$PWD/$out/faultproxy\"")
 sources=(tests/fleet/fleet.cpp tests/fleet/serverstandins.cpp tests/fleet/storestandin.cpp tests/fleet/streamevents.cpp
     tests/support/childprocess.cpp tests/support/programs.cpp tests/support/temporaryfolder.cpp tests/support/waitfor.cpp
-    tests/standins/common/httpserver.cpp tests/standins/common/tcpacceptor.cpp tests/standins/common/standinprogram.cpp tests/support/httpcall.cpp)
+    tests/standins/common/httpserver.cpp tests/standins/common/tcpacceptor.cpp tests/standins/common/standinprogram.cpp
+    tests/support/httpcall.cpp)
 proxy=(tests/standins/proxy/main.cpp tests/standins/proxy/chunkreader.cpp tests/standins/proxy/faultproxy.cpp
     tests/standins/proxy/proxiedconnection.cpp tests/standins/proxy/streamfaults.cpp tests/standins/proxy/streamrelay.cpp)
 objects=()
@@ -19,6 +20,7 @@
 for source in "${sources[@]}" "${proxy[@]}" review/[1-5]/*.cpp; do
     [ -e "$source" ] || continue
     object=$(objectOf "$source")
+    while [ "$(jobs -rp | wc -l)" -ge 8 ]; do wait -n; done
     g++ "${flags[@]}" -c "$source" -o "$object" &
     pids+=($!)
     case "$source" in review/* | tests/standins/proxy/*) ;; *) objects+=("$object") ;; esac
