Mirror: ignore a deletion that is older than the known object

Cause: the watch after a list of several pages starts at the first page's revision. An object on a later page that was deleted and created again between the pages is listed with its new revision, and the watch then reports the old deletion: the mirror removed the object until the next event brought it back. For a server this is a moment without requests; with memory of what was removed it would count as a server that left.

Change: a deletion with a revision below that of the known object is ignored. A deletion without a revision counts as before.

Test: aDeletionOlderThanTheKnownObjectIsIgnored failed without the check (the object was gone) and passes with it.

--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -116,6 +116,17 @@
     armMissingTimer();
 }
 
+/// Ignores a deletion that is older than the known object. Prevents the removal of an object that was deleted and
+/// created again while the store was listed page by page: the watch that follows reports both.
+void ObjectMirror::handleDeletion(const FeedObject& object)
+{
+    const auto known = knownRevisions_.find(object.name);
+    const bool hasRevision = object.revision.value() > 0;
+    if (hasRevision && known != knownRevisions_.end() && object.revision < known->second)
+        return;
+    handleMissing(object.name);
+}
+
 void ObjectMirror::armMissingTimer()
 {
     const auto first = std::min_element(missing_.begin(), missing_.end(),
@@ -163,7 +174,7 @@
     recordAnswer();
     for (const FeedEvent& event : changes.value().events) {
         if (event.isDeleted)
-            handleMissing(event.object.name);
+            handleDeletion(event.object);
         else
             applyObject(event.object);
     }
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -85,6 +85,7 @@
     void applyObject(const FeedObject&);
     void remove(const std::string& name);
     void handleMissing(const std::string& name);
+    void handleDeletion(const FeedObject&);
     void removeMissing();
     void armMissingTimer();
     framework::Milliseconds answerTimeout() const
--- a/src/objectstore/tests/objectmirror_test.cpp
+++ b/src/objectstore/tests/objectmirror_test.cpp
@@ -240,6 +240,18 @@
     BOOST_TEST(values.empty());
 }
 
+// Prevents the removal of an object that was deleted and created again between two pages of a list.
+BOOST_AUTO_TEST_CASE(aDeletionOlderThanTheKnownObjectIsIgnored)
+{
+    feed.answerList({ { object("a", 1) }, true, StoreRevision(5) });
+    feed.answerList({ { object("b", 7) }, false, StoreRevision(8) });
+    feed.answerWatch(FeedChanges { { { object("b", 6), true } }, StoreRevision(6) });
+    BOOST_TEST(values.contains("b"));
+    feed.answerWatch(FeedChanges { { { object("b", 7), false } }, StoreRevision(8) });
+    feed.answerWatch(FeedChanges { { { object("b", 9), true } }, StoreRevision(9) });
+    BOOST_TEST(!values.contains("b"));
+}
+
 // Prevents retries from overloading a store that recovers from an outage, so that it refuses calls again.
 BOOST_AUTO_TEST_CASE(retriesAreSpacedDuringAnOutage)
 {
