Direct router: keep the servers' entries in a class of their own

CatalogWatcher held the mirror, the configuration and what each entry of the list of servers means. The meaning moves to ServerEntries, which does no I/O and reads no clock, as it is about to grow. No change of behaviour; the tests of the watcher pass unchanged.

--- a/src/direct/internal/catalogwatcher.cpp
+++ b/src/direct/internal/catalogwatcher.cpp
@@ -1,11 +1,9 @@
 #include "direct/internal/catalogwatcher.h"
 
 #include "direct/internal/customerfaultlines.h"
-#include "direct/internal/shortened.h"
 #include "framework/decisionlog.h"
 #include "framework/randomid.h"
 
-#include <tuple>
 #include <utility>
 
 namespace lagoon::direct {
@@ -29,19 +27,6 @@
 /// Limits a burst of configuration changes to one call each 100 ms.
 constexpr Milliseconds configurationMinInterval { 100 };
 
-/// Detects an entry that a server wrote before it restarted, but that the store applied only after the new run's entry.
-bool isEarlier(const std::optional<catalog::StartTime>& started, const std::optional<catalog::StartTime>& latest)
-{
-    return started && latest && *started < *latest;
-}
-
-/// Compares two servers at one address. The start time decides, since a restarted server keeps the age of its entry. A
-/// server without a start time doesn't displace one that has it; among servers without, the age of the entry decides.
-bool isNewer(const catalog::Upstream& upstream, const catalog::Upstream& other)
-{
-    return std::tie(upstream.started, upstream.firstListed) > std::tie(other.started, other.firstListed);
-}
-
 MirrorSettings configurationSettings()
 {
     MirrorSettings settings;
@@ -127,83 +112,15 @@
         context_.didConfirmConfiguration(at);
 }
 
-/// The last content of an entry counts: if it doesn't describe a server or can't be decoded, the entry lists no server
-/// any more.
 void CatalogWatcher::applyServer(const FeedObject& object)
 {
-    Entry& entry = entries_[object.name];
-    auto read = readServer(object, entry);
-    if (read.has_error()) {
-        logDecision(LogLine("server_refused")
-                        .text("name", shortened(object.name))
-                        .number("revision", object.revision.value())
-                        .flag("known_before", entry.upstream.has_value())
-                        .text("cause", describe(read.error())));
-        entry.upstream.reset();
-        return schedulePublish();
-    }
-    const catalog::Upstream& upstream = read.value();
-    if (isEarlier(upstream.started, entry.started)) {
-        logDecision(LogLine("server_entry_late")
-                        .text("server", shortened(object.name))
-                        .number("started_ms", upstream.started->value())
-                        .number("later_ms", entry.started->value())
-                        .flag("leaving", upstream.state == catalog::UpstreamState::Draining)
-                        .number("revision", object.revision.value()));
-        return applyDraining(entry, upstream);
-    }
-    logServerChange(object, entry, upstream);
-    entry.started = upstream.started;
-    entry.upstream = std::move(read.value());
-    entry.upstream->firstListed = object.created;
-    schedulePublish();
-}
-
-/// Applies the draining state of an entry with an earlier start time. Prevents requests to a draining server whose
-/// clock was set back before it restarted, so that all its entries seem to be of an earlier run. If the entry really is
-/// of the earlier run, the later run lists itself as ready again within a heartbeat.
-void CatalogWatcher::applyDraining(Entry& entry, const catalog::Upstream& earlier)
-{
-    if (!entry.upstream || earlier.state != catalog::UpstreamState::Draining)
-        return;
-    entry.upstream->state = earlier.state;
+    entries_.apply(object, context_.decoder.upstream(object.name, object.value));
     schedulePublish();
 }
 
-framework::Result<catalog::Upstream> CatalogWatcher::readServer(const FeedObject& object, const Entry& before) const
-{
-    auto read = context_.decoder.upstream(object.name, object.value);
-    if (read.has_value() && before.started && !read.value().started)
-        return framework::Error { framework::ErrorCode::BadObject, "read server", {},
-            "no start time, although the entry had one before" };
-    return read;
-}
-
-void CatalogWatcher::logServerChange(
-    const FeedObject& object, const Entry& before, const catalog::Upstream& upstream) const
-{
-    const bool isRestarted = before.upstream && before.upstream->started != upstream.started;
-    const bool isUnchanged
-        = before.upstream && before.upstream->state == upstream.state && before.upstream->version == upstream.version;
-    if (isUnchanged && !isRestarted)
-        return;
-    LogLine line(isRestarted ? "server_restarted" : before.upstream ? "server_changed" : "server_listed");
-    line.text("server", shortened(object.name))
-        .text("service", shortened(upstream.service.value()))
-        .text("at", upstream.endpoint.value())
-        .text("state", upstream.state == catalog::UpstreamState::Ready ? "ready" : "leaving")
-        .number("revision", object.revision.value());
-    if (upstream.version)
-        line.text("version", shortened(upstream.version->name()));
-    if (upstream.started)
-        line.number("started_ms", upstream.started->value());
-    logDecision(line);
-}
-
 void CatalogWatcher::removeServer(const std::string& name)
 {
-    entries_.erase(name);
-    logDecision(LogLine("server_unlisted").text("server", shortened(name)));
+    entries_.remove(name);
     schedulePublish();
 }
 
@@ -221,43 +138,9 @@
     if (!servers_.hasListed())
         return;
     updateUnknownServices();
-    context_.didListServers(newestByEndpoint());
+    context_.didListServers(entries_.servers());
 }
 
-/// Marks entries of services that the configuration doesn't have. Prevents such an entry from hiding a server at the
-/// same address. The entry is kept, since the configured services may change at any time.
-bool CatalogWatcher::updateUnknownServices()
-{
-    bool hasChanged = false;
-    for (auto& [name, entry] : entries_) {
-        const bool isUnknown = entry.upstream && configuration_ && !configuration_->find(entry.upstream->service);
-        if (isUnknown && !entry.isOfUnknownService)
-            logDecision(LogLine("server_left_out")
-                            .text("server", shortened(name))
-                            .text("service", shortened(entry.upstream->service.value()))
-                            .text("cause", "service not in the configuration")
-                            .number("configuration", configuration_->version.value()));
-        hasChanged = std::exchange(entry.isOfUnknownService, isUnknown) != isUnknown || hasChanged;
-    }
-    return hasChanged;
-}
-
-/// Returns the newest server at each address. Leaves out a server that has ended and whose successor already uses its
-/// address: the platform takes seconds to notice, and until then every request for the old one would be refused.
-std::vector<catalog::Upstream> CatalogWatcher::newestByEndpoint() const
-{
-    std::map<framework::Endpoint, const catalog::Upstream*> newest;
-    for (const auto& [name, entry] : entries_) {
-        if (!entry.upstream || entry.isOfUnknownService)
-            continue;
-        const catalog::Upstream*& known = newest[entry.upstream->endpoint];
-        if (!known || isNewer(*entry.upstream, *known))
-            known = &*entry.upstream;
-    }
-    std::vector<catalog::Upstream> list;
-    for (const auto& [endpoint, upstream] : newest)
-        list.push_back(*upstream);
-    return list;
-}
+bool CatalogWatcher::updateUnknownServices() { return configuration_ && entries_.markUnknownServices(*configuration_); }
 
 } // namespace lagoon::direct
--- a/src/direct/internal/catalogwatcher.h
+++ b/src/direct/internal/catalogwatcher.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "catalog/icatalogdecoder.h"
+#include "direct/internal/serverentries.h"
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
 #include "objectstore/objectmirror.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,33 +47,19 @@
     bool isComplete() const { return configuration_ && servers_.hasListed(); }
 
 private:
-    /// An entry of the list of servers.
-    struct Entry {
-        /// std::nullopt if the newest content doesn't describe a server.
-        std::optional<catalog::Upstream> upstream;
-        /// The latest start time that was accepted for this entry.
-        std::optional<catalog::StartTime> started;
-        /// The entry isn't used, as the configuration doesn't have its service.
-        bool isOfUnknownService = false;
-    };
-
     void applyConfiguration(const objectstore::FeedObject&);
     void confirmConfiguration(framework::SteadyTime);
     void applyServer(const objectstore::FeedObject&);
-    void applyDraining(Entry&, const catalog::Upstream& earlier);
-    framework::Result<catalog::Upstream> readServer(const objectstore::FeedObject&, const Entry&) const;
-    void logServerChange(const objectstore::FeedObject&, const Entry& before, const catalog::Upstream&) const;
     void removeServer(const std::string& name);
     void schedulePublish();
     void publishServers();
     /// Returns whether the set of entries left out for an unknown service has changed.
     bool updateUnknownServices();
-    std::vector<catalog::Upstream> newestByEndpoint() const;
 
     Context context_;
     catalog::ConfigurationPointer configuration_;
     bool isNewestInForce_ = false;
-    std::map<std::string, Entry> entries_;
+    ServerEntries entries_;
     bool isPublishScheduled_ = false;
     objectstore::ObjectMirror configurations_;
     objectstore::ObjectMirror servers_;
