Direct router: a run that drains isn't listed as ready again

Cause: the store may execute a write without an answer up to 6 s late. A heartbeat from before the report of draining then overwrites it, with the same id and the same start. CatalogWatcher took the last content of an entry whatever the entry had said; it compared starts alone. The notices in answers (NoticeTable) had this right, and didn't help, as no request reached the server between the two writes.

Change: ServerEntries remembers the runs that have said that they drain, in a NoticeTable of its own (bounded, for an hour after the entry is gone): the state of one run only goes from ready to draining. A later start under the id serves at once. Of the rest of an entry, the server's own count orders two contents of one run; the lower one is ignored, but for its draining. Both orders outlive the entry's removal, for a minute and 4,096 entries: before, an entry that was removed and then written again by a late call of an earlier run counted as new.

Ruled out: the mirror. It applies revisions in order, and the late write has the newest one.

--- a/src/catalog/types/upstream.h
+++ b/src/catalog/types/upstream.h
@@ -70,6 +70,8 @@
     CachedWeights cachedWeights;
     /// The list's own sequence number of the server's first listing: greater is later.
     std::uint64_t firstListed = 0;
+    /// The server's own count, which never decreases within a run: an entry with a lower one was written earlier.
+    std::uint64_t updates = 0;
 
     UpstreamRun run() const { return { instance, started }; }
 };
--- a/src/direct/internal/catalogwatcher.cpp
+++ b/src/direct/internal/catalogwatcher.cpp
@@ -114,13 +114,13 @@
 
 void CatalogWatcher::applyServer(const FeedObject& object)
 {
-    entries_.apply(object, context_.decoder.upstream(object.name, object.value));
+    entries_.apply(object, context_.decoder.upstream(object.name, object.value), context_.clock.now());
     schedulePublish();
 }
 
 void CatalogWatcher::removeServer(const std::string& name)
 {
-    entries_.remove(name);
+    entries_.remove(name, context_.clock.now());
     schedulePublish();
 }
 
@@ -137,6 +137,7 @@
     isPublishScheduled_ = false;
     if (!servers_.hasListed())
         return;
+    entries_.expire(context_.clock.now());
     updateUnknownServices();
     context_.didListServers(entries_.servers());
 }
--- a/src/direct/internal/serverentries.cpp
+++ b/src/direct/internal/serverentries.cpp
@@ -3,6 +3,7 @@
 #include "direct/internal/shortened.h"
 #include "framework/decisionlog.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -12,10 +13,17 @@
 
 using catalog::Upstream;
 using catalog::UpstreamState;
+using framework::Deadline;
 using framework::LogLine;
+using framework::Milliseconds;
 using framework::Result;
+using framework::SteadyTime;
 using objectstore::FeedObject;
 
+/// A removed entry is remembered for longer than a write may be late.
+constexpr Milliseconds removedRetention { 60 * 1000 };
+constexpr std::size_t maxRemoved = 4096;
+
 /// Detects an entry that a server wrote before it restarted, but that the store applied only after the new run's entry.
 bool isEarlier(const std::optional<catalog::StartTime>& started, const std::optional<catalog::StartTime>& latest)
 {
@@ -50,7 +58,7 @@
 
 } // namespace
 
-void ServerEntries::apply(const FeedObject& object, Result<Upstream> read)
+void ServerEntries::apply(const FeedObject& object, Result<Upstream> read, SteadyTime now)
 {
     Entry& entry = entries_[object.name];
     read = checked(std::move(read), entry);
@@ -64,19 +72,15 @@
         return;
     }
     Upstream& upstream = read.value();
-    if (isEarlier(upstream.started, entry.started)) {
-        logDecision(LogLine("server_entry_late")
-                        .text("server", shortened(object.name))
-                        .number("started_ms", upstream.started->value())
-                        .number("later_ms", entry.started->value())
-                        .flag("leaving", upstream.state == UpstreamState::Draining)
-                        .number("revision", object.revision.value()));
-        return applyDraining(entry, upstream);
-    }
+    if (isLate(upstream, entry))
+        return applyLate(object, entry, upstream, now);
+    keepDraining(upstream, now);
     logServerChange(object, entry.upstream, upstream);
     entry.started = upstream.started;
+    entry.updates = upstream.updates;
     entry.upstream = std::move(upstream);
     entry.upstream->firstListed = object.created;
+    entry.forgetAt.reset();
 }
 
 /// A server that reports its start time always does, so an entry without it was written by another writer.
@@ -88,21 +92,85 @@
     return read;
 }
 
-/// Applies the draining state of an entry with an earlier start time. Prevents requests to a draining server whose
-/// clock was set back before it restarted, so that all its entries seem to be of an earlier run. If the entry really is
-/// of the earlier run, the later run lists itself as ready again within a heartbeat.
-void ServerEntries::applyDraining(Entry& entry, const Upstream& earlier)
+/// Whether the content was written before what the entry has held. Without start times, a lower count may also be that
+/// of a later run.
+bool ServerEntries::isLate(const Upstream& upstream, const Entry& entry)
+{
+    const bool isOfSameRun = upstream.started && upstream.started == entry.started;
+    return isEarlier(upstream.started, entry.started) || (isOfSameRun && upstream.updates < entry.updates);
+}
+
+/// Applies only the draining state of a late entry. Prevents requests to a draining server whose clock was set back
+/// before it restarted, so that all its entries seem to be of an earlier run. If the entry really is of an earlier run,
+/// the later run lists itself as ready again within a heartbeat.
+void ServerEntries::applyLate(const FeedObject& object, Entry& entry, const Upstream& late, SteadyTime now)
 {
-    if (entry.upstream && earlier.state == UpstreamState::Draining)
+    const bool isDraining = late.state == UpstreamState::Draining;
+    LogLine line("server_entry_late");
+    line.text("server", shortened(object.name))
+        .number("updates", late.updates)
+        .number("later_updates", entry.updates)
+        .flag("leaving", isDraining)
+        .number("revision", object.revision.value());
+    if (late.started && entry.started)
+        line.number("started_ms", late.started->value()).number("later_ms", entry.started->value());
+    logDecision(line);
+    if (!isDraining)
+        return;
+    noteDraining(late.run(), now);
+    if (entry.upstream)
         entry.upstream->state = UpstreamState::Draining;
 }
 
-void ServerEntries::remove(const std::string& name)
+/// Prevents requests to a leaving server that its entry lists as ready again: the server wrote that before it began to
+/// drain.
+void ServerEntries::keepDraining(Upstream& upstream, SteadyTime now)
+{
+    if (upstream.state == UpstreamState::Draining)
+        return noteDraining(upstream.run(), now);
+    if (!drainingRuns_.isLeaving(upstream.run()))
+        return;
+    logDecision(LogLine("server_still_leaving").text("server", shortened(upstream.instance.value())));
+    upstream.state = UpstreamState::Draining;
+}
+
+void ServerEntries::noteDraining(const catalog::UpstreamRun& run, SteadyTime now)
+{
+    notices::ServerNotice notice;
+    notice.isLeaving = true;
+    drainingRuns_.add(run, notice, now);
+}
+
+void ServerEntries::remove(const std::string& name, SteadyTime now)
 {
-    entries_.erase(name);
+    Entry& entry = entries_[name];
+    entry.upstream.reset();
+    entry.forgetAt = Deadline::after(now, removedRetention);
     logDecision(LogLine("server_unlisted").text("server", shortened(name)));
 }
 
+void ServerEntries::expire(SteadyTime now)
+{
+    std::vector<std::pair<Deadline, std::string>> removed;
+    for (const auto& [name, entry] : entries_) {
+        if (entry.forgetAt)
+            removed.emplace_back(*entry.forgetAt, name);
+    }
+    std::sort(removed.begin(), removed.end());
+    std::size_t left = removed.size();
+    for (const auto& [forgetAt, name] : removed) {
+        if (left <= maxRemoved && !forgetAt.hasPassed(now))
+            break;
+        entries_.erase(name);
+        --left;
+    }
+    const auto isListed = [this](const catalog::InstanceId& instance) {
+        const auto entry = entries_.find(instance.value());
+        return entry != entries_.end() && !entry->second.forgetAt;
+    };
+    drainingRuns_.expire(isListed, now);
+}
+
 /// Prevents such an entry from hiding a server at the same address. The entry is kept, since the configured services
 /// may change at any time.
 bool ServerEntries::markUnknownServices(const catalog::Configuration& configuration)
--- a/src/direct/tests/catalogwatcher_test.cpp
+++ b/src/direct/tests/catalogwatcher_test.cpp
@@ -75,6 +75,12 @@
     }
 };
 
+Upstream draining(Upstream upstream)
+{
+    upstream.state = catalog::UpstreamState::Draining;
+    return upstream;
+}
+
 Upstream server(const std::string& endpoint, std::uint64_t started, const std::string& service = "engines")
 {
     Upstream upstream;
@@ -139,6 +145,19 @@
         }
     }
 
+    void remove(const std::string& name)
+    {
+        std::erase_if(servers.objects, [&](const FeedObject& object) { return object.name == name; });
+        servers.answerWatch({ { { FeedObject { name, {}, StoreRevision(++servers.revision) }, true } }, {} });
+        settle();
+    }
+
+    bool isReady(const std::string& name) const
+    {
+        const Upstream* const found = find(name);
+        return found && found->state == catalog::UpstreamState::Ready;
+    }
+
     const Upstream* find(const std::string& name) const
     {
         for (const Upstream& upstream : published.back()) {
@@ -241,6 +260,64 @@
     BOOST_TEST((find("i-1")->state == catalog::UpstreamState::Ready));
 }
 
+// Prevents requests to a leaving server whose heartbeat, sent before it began to drain, the store executes late.
+BOOST_AUTO_TEST_CASE(aRunThatDrainsIsNotListedAsReadyAgain)
+{
+    write("i-1", server("10.0.0.1:80", 200));
+    start();
+    write("i-1", draining(server("10.0.0.1:80", 200)));
+    write("i-1", server("10.0.0.1:80", 200));
+    BOOST_TEST(!isReady("i-1"));
+    write("i-1", std::string("garbage"));
+    write("i-1", server("10.0.0.1:80", 200));
+    BOOST_TEST(!isReady("i-1"));
+    // A restart under the same ID serves at once.
+    write("i-1", server("10.0.0.1:80", 300));
+    BOOST_TEST(isReady("i-1"));
+}
+
+// Prevents requests to a leaving server whose removed entry a late heartbeat has written again.
+BOOST_AUTO_TEST_CASE(aRunThatDrainedIsNotReadyAfterItsEntryWasRemoved)
+{
+    write("i-1", draining(server("10.0.0.1:80", 200)));
+    start();
+    remove("i-1");
+    control.advance(Milliseconds(120000));
+    write("i-1", server("10.0.0.1:80", 200));
+    BOOST_TEST(!isReady("i-1"));
+}
+
+// Prevents use of models that an engine has unloaded, which a heartbeat that the store executes late still lists.
+BOOST_AUTO_TEST_CASE(ofTwoEntriesOfOneRunTheHigherCountApplies)
+{
+    Upstream before = server("10.0.0.1:80", 200);
+    before.updates = 4;
+    before.models.push_back({ framework::ModelName("m"), 1, {}, 0 });
+    write("i-1", before);
+    start();
+    Upstream after = server("10.0.0.1:80", 200);
+    after.updates = 5;
+    write("i-1", after);
+    write("i-1", before);
+    BOOST_REQUIRE(find("i-1"));
+    BOOST_TEST(find("i-1")->models.empty());
+    write("i-1", draining(before));
+    write("i-1", after);
+    BOOST_TEST(!isReady("i-1"));
+}
+
+// Prevents a removed entry from being written again by a late heartbeat of an earlier run.
+BOOST_AUTO_TEST_CASE(aLateEntryOfTheFormerRunIsIgnoredAfterTheRemoval)
+{
+    write("i-1", server("10.0.0.1:80", 200));
+    start();
+    remove("i-1");
+    write("i-1", server("10.0.0.1:80", 100));
+    BOOST_TEST(!find("i-1"));
+    write("i-1", server("10.0.0.1:80", 300));
+    BOOST_TEST(isReady("i-1"));
+}
+
 // Prevents use of an entry that another writer has overwritten: a server that reports its start time always does, so an
 // entry without it isn't its own.
 BOOST_AUTO_TEST_CASE(anEntryThatLosesItsStartTimeListsNoServer)
--- a/tests/integration/serverleaving_test.cpp
+++ b/tests/integration/serverleaving_test.cpp
@@ -121,6 +121,18 @@
     BOOST_TEST(served > 50u);
 }
 
+// Prevents requests to a leaving server whose heartbeat, sent before it began to drain, the store executes late.
+BOOST_AUTO_TEST_CASE(aLateHeartbeatDoesNotBringADrainingServerBack)
+{
+    fleet.list(plain1, "plain", "draining");
+    const SteadyTime left = now();
+    sendFor(Milliseconds(1000), [this] { return lookup(); });
+    fleet.list(plain1, "plain");
+    const std::size_t served = sendFor(noticeTime + observedTime, [this] { return lookup(); });
+    BOOST_TEST(arrivalsSince(plain1, left + noticeTime) == 0u);
+    BOOST_TEST(served > 50u);
+}
+
 // Prevents refusals from passing by: a server that leaves may refuse requests too.
 BOOST_AUTO_TEST_CASE(aRefusalSaysThatAServerLeaves)
 {
