Direct router: wait until a removed entry that comes back is renewed

What callers saw: requests to a server that had left without draining, as some do: its entry is removed, it serves on for a while and exits. A heartbeat of it that the store executes after the removal lists it again.

Cause: as for draining, an older message takes back a newer fact; but such an entry looks the same as that of a server that was silent for three heartbeats and goes on, so nothing in it tells the two apart.

Change: an entry that was removed while the store answered, and is written again for the same start, is used after four heartbeats. What nobody renews is removed by the platform after three. It is used at once if its service has no other server, after an outage of the store (which the mirror knows), and after a restart of the server.

Price: a server that was frozen for longer than three heartbeats is used four heartbeats later than before.

--- a/src/direct/directsettings.h
+++ b/src/direct/directsettings.h
@@ -43,6 +43,8 @@
     /// Maximum time after an outage of the store until the router excludes servers that began to drain, or were
     /// removed, during it.
     framework::Milliseconds outageNotice { 3000 };
+    /// Interval in which a server renews its entry in the list.
+    framework::Milliseconds heartbeat { 1200 };
 };
 
 /// Settings of the agent beside an engine.
--- a/src/direct/internal/catalogwatcher.cpp
+++ b/src/direct/internal/catalogwatcher.cpp
@@ -14,6 +14,7 @@
 using framework::Milliseconds;
 using objectstore::FeedObject;
 using objectstore::MirrorSettings;
+using Removal = objectstore::ObjectMirror::Removal;
 
 /// Name of the object with the configuration in force.
 const std::string configurationName = "main";
@@ -56,15 +57,16 @@
 
 CatalogWatcher::CatalogWatcher(Context context)
     : context_(std::move(context))
+    , entries_(context_.heartbeat)
     , configurations_(context_.configurations, context_.control, context_.clock, configurationSettings(),
-          { [this](const FeedObject& object) { applyConfiguration(object); }, [](const std::string&) {}, [] {},
+          { [this](const FeedObject& object) { applyConfiguration(object); }, [](const std::string&, Removal) {}, [] {},
               [this](framework::SteadyTime at) { confirmConfiguration(at); } },
           framework::randomNumber())
     , servers_(context_.servers, context_.control, context_.clock,
           serverSettings(context_.leavingNotice, context_.outageNotice),
           { [this](const FeedObject& object) { applyServer(object); },
-              [this](const std::string& name) { removeServer(name); }, [this] { schedulePublish(); },
-              [this](framework::SteadyTime at) { context_.didConfirmServers(at); } },
+              [this](const std::string& name, Removal removal) { removeServer(name, removal); },
+              [this] { schedulePublish(); }, [this](framework::SteadyTime at) { context_.didConfirmServers(at); } },
           framework::randomNumber())
 {
 }
@@ -118,9 +120,9 @@
     schedulePublish();
 }
 
-void CatalogWatcher::removeServer(const std::string& name)
+void CatalogWatcher::removeServer(const std::string& name, Removal removal)
 {
-    entries_.remove(name, context_.clock.now());
+    entries_.remove(name, removal, context_.clock.now());
     schedulePublish();
 }
 
@@ -137,9 +139,13 @@
     isPublishScheduled_ = false;
     if (!servers_.hasListed())
         return;
-    entries_.expire(context_.clock.now());
+    const framework::SteadyTime now = context_.clock.now();
+    entries_.expire(now);
     updateUnknownServices();
-    context_.didListServers(entries_.servers());
+    entries_.confirmWhereNeeded(now);
+    context_.didListServers(entries_.servers(now));
+    const auto next = entries_.nextConfirmation(now);
+    confirmationTimer_ = next ? context_.control.runAt(*next, [this] { schedulePublish(); }) : nullptr;
 }
 
 bool CatalogWatcher::updateUnknownServices() { return configuration_ && entries_.markUnknownServices(*configuration_); }
--- a/src/direct/internal/catalogwatcher.h
+++ b/src/direct/internal/catalogwatcher.h
@@ -27,6 +27,8 @@
         framework::Milliseconds leavingNotice;
         /// See `DirectRouterSettings::outageNotice`.
         framework::Milliseconds outageNotice;
+        /// See `DirectRouterSettings::heartbeat`.
+        framework::Milliseconds heartbeat;
         std::function<void(catalog::ConfigurationPointer)> didConfigure;
         /// Called with a time as of which the configuration was up to date.
         std::function<void(framework::SteadyTime)> didConfirmConfiguration;
@@ -50,7 +52,7 @@
     void applyConfiguration(const objectstore::FeedObject&);
     void confirmConfiguration(framework::SteadyTime);
     void applyServer(const objectstore::FeedObject&);
-    void removeServer(const std::string& name);
+    void removeServer(const std::string& name, objectstore::ObjectMirror::Removal);
     void schedulePublish();
     void publishServers();
     /// Returns whether the set of entries left out for an unknown service has changed.
@@ -60,6 +62,7 @@
     catalog::ConfigurationPointer configuration_;
     bool isNewestInForce_ = false;
     ServerEntries entries_;
+    std::unique_ptr<framework::Timer> confirmationTimer_;
     bool isPublishScheduled_ = false;
     objectstore::ObjectMirror configurations_;
     objectstore::ObjectMirror servers_;
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -225,7 +225,7 @@
     CatalogWatcher::Context catalogContext()
     {
         return { ports_.control, ports_.clock, ports_.configurations, ports_.servers, ports_.decoder,
-            settings_.leavingNotice, settings_.outageNotice,
+            settings_.leavingNotice, settings_.outageNotice, settings_.heartbeat,
             [this](const catalog::ConfigurationPointer& configuration) { didConfigure(configuration); },
             [this](framework::SteadyTime at) {
                 ports_.traffic.post([this, at] { forwarder_.didConfirmConfiguration(at); });
--- a/src/direct/internal/directsettings.cpp
+++ b/src/direct/internal/directsettings.cpp
@@ -101,6 +101,8 @@
         object.numberOr("leaving_notice_ms", static_cast<std::uint64_t>(settings.leavingNotice.count()), 200, 60000));
     settings.outageNotice = Milliseconds(
         object.numberOr("outage_notice_ms", static_cast<std::uint64_t>(settings.outageNotice.count()), 200, 60000));
+    settings.heartbeat = Milliseconds(
+        object.numberOr("heartbeat_ms", static_cast<std::uint64_t>(settings.heartbeat.count()), 10, 60000));
     BOOST_OUTCOME_TRYV(object.finish());
     return settings;
 }
--- a/src/direct/internal/serverentries.cpp
+++ b/src/direct/internal/serverentries.cpp
@@ -20,6 +20,8 @@
 using framework::SteadyTime;
 using objectstore::FeedObject;
 
+/// The platform removes an entry after three heartbeats of silence; the fourth covers the way here.
+constexpr int heartbeatsUntilConfirmed = 4;
 /// A removed entry is remembered for longer than a write may be late.
 constexpr Milliseconds removedRetention { 60 * 1000 };
 constexpr std::size_t maxRemoved = 4096;
@@ -76,11 +78,12 @@
         return applyLate(object, entry, upstream, now);
     keepDraining(upstream, now);
     logServerChange(object, entry.upstream, upstream);
+    entry.confirmedAt = confirmationOf(object.name, entry, upstream, now);
     entry.started = upstream.started;
     entry.updates = upstream.updates;
     entry.upstream = std::move(upstream);
     entry.upstream->firstListed = object.created;
-    entry.forgetAt.reset();
+    entry.removal.reset();
 }
 
 /// A server that reports its start time always does, so an entry without it was written by another writer.
@@ -141,10 +144,26 @@
     drainingRuns_.add(run, notice, now);
 }
 
-void ServerEntries::remove(const std::string& name, SteadyTime now)
+/// Some servers leave without draining: their entry is removed. If the entry of the same run is written again, either
+/// the server lives and had only been silent, or the write is one from before it left. In the latter case the platform
+/// removes the entry again, as nothing renews it.
+Deadline ServerEntries::confirmationOf(
+    const std::string& name, const Entry& entry, const Upstream& upstream, SteadyTime now) const
+{
+    if (upstream.started != entry.started)
+        return {};
+    if (entry.removal != Removal::Deleted)
+        return entry.confirmedAt;
+    const Milliseconds wait = heartbeat_ * heartbeatsUntilConfirmed;
+    logDecision(LogLine("server_unconfirmed").text("server", shortened(name)).number("wait_ms", wait.count()));
+    return Deadline::after(now, wait);
+}
+
+void ServerEntries::remove(const std::string& name, Removal removal, SteadyTime now)
 {
     Entry& entry = entries_[name];
     entry.upstream.reset();
+    entry.removal = removal;
     entry.forgetAt = Deadline::after(now, removedRetention);
     logDecision(LogLine("server_unlisted").text("server", shortened(name)));
 }
@@ -153,8 +172,8 @@
 {
     std::vector<std::pair<Deadline, std::string>> removed;
     for (const auto& [name, entry] : entries_) {
-        if (entry.forgetAt)
-            removed.emplace_back(*entry.forgetAt, name);
+        if (entry.removal)
+            removed.emplace_back(entry.forgetAt, name);
     }
     std::sort(removed.begin(), removed.end());
     std::size_t left = removed.size();
@@ -166,7 +185,7 @@
     }
     const auto isListed = [this](const catalog::InstanceId& instance) {
         const auto entry = entries_.find(instance.value());
-        return entry != entries_.end() && !entry->second.forgetAt;
+        return entry != entries_.end() && !entry->second.removal;
     };
     drainingRuns_.expire(isListed, now);
 }
@@ -189,14 +208,30 @@
     return hasChanged;
 }
 
+/// A server that may be leaving is better than none.
+void ServerEntries::confirmWhereNeeded(SteadyTime now)
+{
+    std::set<framework::ServiceName> served;
+    for (const auto& [name, entry] : entries_) {
+        if (entry.upstream && entry.confirmedAt.hasPassed(now) && entry.upstream->state == UpstreamState::Ready)
+            served.insert(entry.upstream->service);
+    }
+    for (auto& [name, entry] : entries_) {
+        if (entry.upstream && !served.contains(entry.upstream->service))
+            entry.confirmedAt = Deadline();
+    }
+}
+
 /// Leaves out a server that has ended and whose successor already uses its address: the platform takes seconds to
 /// notice, and until then every request for the old one would be refused.
-std::vector<Upstream> ServerEntries::servers() const
+std::vector<Upstream> ServerEntries::servers(SteadyTime now) const
 {
     std::map<framework::Endpoint, const Upstream*> newest;
     for (const auto& [name, entry] : entries_) {
         if (!entry.upstream || entry.isOfUnknownService)
             continue;
+        if (!entry.confirmedAt.hasPassed(now))
+            continue;
         const Upstream*& known = newest[entry.upstream->endpoint];
         if (!known || isNewer(*entry.upstream, *known))
             known = &*entry.upstream;
@@ -207,4 +242,14 @@
     return list;
 }
 
+std::optional<Deadline> ServerEntries::nextConfirmation(SteadyTime now) const
+{
+    std::optional<Deadline> next;
+    for (const auto& [name, entry] : entries_) {
+        if (entry.upstream && !entry.confirmedAt.hasPassed(now))
+            next = std::min(next.value_or(entry.confirmedAt), entry.confirmedAt);
+    }
+    return next;
+}
+
 } // namespace lagoon::direct
--- a/src/direct/internal/serverentries.h
+++ b/src/direct/internal/serverentries.h
@@ -5,10 +5,11 @@
 #include "framework/types/error.h"
 #include "framework/types/time.h"
 #include "notices/noticetable.h"
-#include "objectstore/iobjectfeed.h"
+#include "objectstore/objectmirror.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,17 +20,28 @@
 /// remembered, and isn't taken back by an older entry. Does no I/O and reads no clock.
 class ServerEntries {
 public:
+    /// `heartbeat` is the interval in which a server renews its entry.
+    explicit ServerEntries(framework::Milliseconds heartbeat)
+        : heartbeat_(heartbeat)
+    {
+    }
+
     /// Applies the newest content of an entry: if it couldn't be read, the entry names no server any more.
     void apply(const objectstore::FeedObject&, framework::Result<catalog::Upstream> read, framework::SteadyTime now);
 
-    void remove(const std::string& name, framework::SteadyTime now);
+    using Removal = objectstore::ObjectMirror::Removal;
+    void remove(const std::string& name, Removal, framework::SteadyTime now);
     /// Forgets what is known of servers that have been removed for some time.
     void expire(framework::SteadyTime now);
 
     /// Marks the entries of services that the configuration doesn't have. Returns whether a mark has changed.
     bool markUnknownServices(const catalog::Configuration&);
-    /// Returns the newest server at each address.
-    std::vector<catalog::Upstream> servers() const;
+    /// Confirms the unconfirmed servers of services that have no other.
+    void confirmWhereNeeded(framework::SteadyTime now);
+    /// Returns the newest confirmed server at each address.
+    std::vector<catalog::Upstream> servers(framework::SteadyTime now) const;
+    /// Returns when the result of `servers` changes next without a change of an entry.
+    std::optional<framework::Deadline> nextConfirmation(framework::SteadyTime now) const;
 
 private:
     struct Entry {
@@ -42,7 +54,10 @@
         /// The entry isn't used, as the configuration doesn't have its service.
         bool isOfUnknownService = false;
         /// Set while the entry isn't listed.
-        std::optional<framework::Deadline> forgetAt;
+        std::optional<Removal> removal;
+        framework::Deadline forgetAt;
+        /// The entry may have been written before its server left, as long as nothing has renewed it until then.
+        framework::Deadline confirmedAt;
     };
 
     static framework::Result<catalog::Upstream> checked(framework::Result<catalog::Upstream>, const Entry& before);
@@ -50,7 +65,10 @@
     void applyLate(const objectstore::FeedObject&, Entry&, const catalog::Upstream&, framework::SteadyTime now);
     void keepDraining(catalog::Upstream&, framework::SteadyTime now);
     void noteDraining(const catalog::UpstreamRun&, framework::SteadyTime now);
+    framework::Deadline confirmationOf(
+        const std::string& name, const Entry&, const catalog::Upstream&, framework::SteadyTime now) const;
 
+    framework::Milliseconds heartbeat_;
     std::map<std::string, Entry> entries_;
     /// The runs whose entries have said that they drain. A run never becomes ready again.
     notices::NoticeTable drainingRuns_;
--- a/src/direct/tests/catalogwatcher_test.cpp
+++ b/src/direct/tests/catalogwatcher_test.cpp
@@ -49,6 +49,13 @@
         handler(std::move(changes));
     }
 
+    void failWatch()
+    {
+        auto handler = std::move(watches.front());
+        watches.pop_front();
+        handler(Error { ErrorCode::PlatformUnavailable, "watch", "store", "silent" });
+    }
+
     std::vector<FeedObject> objects;
     std::uint64_t revision = 1;
     std::deque<ChangesHandler> watches;
@@ -75,6 +82,8 @@
     }
 };
 
+constexpr Milliseconds heartbeat { 1200 };
+
 Upstream draining(Upstream upstream)
 {
     upstream.state = catalog::UpstreamState::Draining;
@@ -94,7 +103,8 @@
 struct Fixture {
     Fixture()
         : watcher({ control, control, configurations, servers, decoder, Milliseconds(2000), Milliseconds(3000),
-            [](const catalog::ConfigurationPointer&) {}, [this](framework::SteadyTime at) { confirmedAt = at; },
+            heartbeat, [](const catalog::ConfigurationPointer&) {},
+            [this](framework::SteadyTime at) { confirmedAt = at; },
             [this](const std::vector<Upstream>& list) { published.push_back(list); }, [](framework::SteadyTime) {} })
     {
         configure({ "engines", "plain" });
@@ -152,6 +162,13 @@
         settle();
     }
 
+    /// The store doesn't answer for a second.
+    void breakStore()
+    {
+        servers.failWatch();
+        control.advance(Milliseconds(1000));
+    }
+
     bool isReady(const std::string& name) const
     {
         const Upstream* const found = find(name);
@@ -284,6 +301,7 @@
     remove("i-1");
     control.advance(Milliseconds(120000));
     write("i-1", server("10.0.0.1:80", 200));
+    control.advance(heartbeat * 5);
     BOOST_TEST(!isReady("i-1"));
 }
 
@@ -306,6 +324,54 @@
     BOOST_TEST(!isReady("i-1"));
 }
 
+// Prevents requests to a server that left without draining and whose removed entry a late heartbeat has written again.
+BOOST_AUTO_TEST_CASE(aRemovedEntryThatIsWrittenAgainIsUsedOnceItsServerHasRenewedIt)
+{
+    write("i-1", server("10.0.0.1:80", 200));
+    write("i-2", server("10.0.0.2:80", 200));
+    start();
+    remove("i-1");
+    write("i-1", server("10.0.0.1:80", 200));
+    BOOST_TEST(!find("i-1"));
+    // Nothing renews the entry, so the platform removes it.
+    control.advance(heartbeat * 3);
+    remove("i-1");
+    control.advance(heartbeat * 5);
+    BOOST_TEST(!find("i-1"));
+    write("i-1", server("10.0.0.1:80", 200));
+    BOOST_TEST(!find("i-1"));
+    control.advance(heartbeat * 4);
+    control.runPosted();
+    BOOST_TEST(isReady("i-1"));
+}
+
+// Prevents refusals while a service has no other server than one whose entry was removed and written again.
+BOOST_AUTO_TEST_CASE(theOnlyServerOfAServiceIsUsedAsSoonAsItsEntryIsWrittenAgain)
+{
+    write("i-1", server("10.0.0.1:80", 200));
+    write("i-2", server("10.0.0.2:80", 200, "plain"));
+    start();
+    remove("i-1");
+    write("i-1", server("10.0.0.1:80", 200));
+    BOOST_TEST(isReady("i-1"));
+}
+
+// Prevents a delay for a server whose entry expired while the store was away.
+BOOST_AUTO_TEST_CASE(aServerWhoseEntryExpiredInAnOutageIsUsedAtOnce)
+{
+    write("i-1", server("10.0.0.1:80", 200));
+    write("i-2", server("10.0.0.2:80", 200));
+    start();
+    breakStore();
+    remove("i-1");
+    BOOST_TEST(isReady("i-1"));
+    control.advance(Milliseconds(3000));
+    control.runPosted();
+    BOOST_TEST(!find("i-1"));
+    write("i-1", server("10.0.0.1:80", 200));
+    BOOST_TEST(isReady("i-1"));
+}
+
 // Prevents a removed entry from being written again by a late heartbeat of an earlier run.
 BOOST_AUTO_TEST_CASE(aLateEntryOfTheFormerRunIsIgnoredAfterTheRemoval)
 {
--- a/src/direct/tests/directsettings_test.cpp
+++ b/src/direct/tests/directsettings_test.cpp
@@ -42,6 +42,8 @@
 {
     BOOST_TEST(parsed("").value().outageNotice.count() == 3000);
     BOOST_TEST(parsed(R"(, "outage_notice_ms": 5000)").value().outageNotice.count() == 5000);
+    BOOST_TEST(parsed("").value().heartbeat.count() == 1200);
+    BOOST_TEST(parsed(R"(, "heartbeat_ms": 900)").value().heartbeat.count() == 900);
     const auto tooShort = parsed(R"(, "outage_notice_ms": 100)");
     BOOST_REQUIRE(tooShort.has_error());
     BOOST_TEST(describe(tooShort.error()).find("outage_notice_ms") != std::string::npos);
--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -107,7 +107,7 @@
     if (missing_.contains(name))
         return;
     if (keepMissingUntil_.hasPassed(clock_.now()) || !knownRevisions_.contains(name))
-        return remove(name);
+        return remove(name, Removal::Deleted);
     missing_.emplace(name, keepMissingUntil_);
     logDecision(LogLine("store_missing")
                     .text("kind", settings_.kind)
@@ -142,7 +142,7 @@
         if (!until.hasPassed(clock_.now()))
             continue;
         logDecision(LogLine("store_missing_removed").text("kind", settings_.kind).text("name", name));
-        remove(name);
+        remove(name, Removal::Expired);
     }
     armMissingTimer();
 }
@@ -198,12 +198,12 @@
     knownRevisions_[object.name] = object.revision;
 }
 
-void ObjectMirror::remove(const std::string& name)
+void ObjectMirror::remove(const std::string& name, Removal removal)
 {
     missing_.erase(name);
     if (!knownRevisions_.contains(name))
         return;
-    observers_.didRemove(name);
+    observers_.didRemove(name, removal);
     knownRevisions_.erase(name);
 }
 
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -49,10 +49,15 @@
 /// an outage a missing object is removed at once.
 class ObjectMirror {
 public:
+    enum class Removal : std::uint8_t {
+        Deleted,
+        Expired, ///< missing since an outage of the store, in which its owner couldn't renew it
+    };
+
     struct Observers {
         /// Called when an object is new or has changed.
         std::function<void(const FeedObject&)> didChange;
-        std::function<void(const std::string& name)> didRemove;
+        std::function<void(const std::string& name, Removal)> didRemove;
         /// Called after each complete list has been applied.
         std::function<void()> didList;
         /// Called when the store has confirmed that the copy was current at the given time.
@@ -83,7 +88,7 @@
     void watch();
     void handleWatch(framework::Result<FeedChanges>);
     void applyObject(const FeedObject&);
-    void remove(const std::string& name);
+    void remove(const std::string& name, Removal);
     void handleMissing(const std::string& name);
     void handleDeletion(const FeedObject&);
     void removeMissing();
--- a/src/objectstore/tests/mirrorbounds_test.cpp
+++ b/src/objectstore/tests/mirrorbounds_test.cpp
@@ -234,7 +234,7 @@
     ObjectMirror::Observers observers()
     {
         return { [this](const FeedObject& object) { known.insert(object.name); },
-            [this](const std::string& name) { known.erase(name); }, [] {}, [](SteadyTime) {} };
+            [this](const std::string& name, ObjectMirror::Removal) { known.erase(name); }, [] {}, [](SteadyTime) {} };
     }
 
     void runFor(Milliseconds time)
--- a/src/objectstore/tests/objectmirror_test.cpp
+++ b/src/objectstore/tests/objectmirror_test.cpp
@@ -83,7 +83,7 @@
                     }
                     values[changed.name] = std::any_cast<std::string>(changed.value);
                 },
-            [this](const std::string& name) { values.erase(name); }, [this] { ++listed; },
+            [this](const std::string& name, ObjectMirror::Removal) { values.erase(name); }, [this] { ++listed; },
             [this](framework::SteadyTime at) { confirmedAt = at; } };
     }
 
--- a/tests/integration/serverleaving_test.cpp
+++ b/tests/integration/serverleaving_test.cpp
@@ -133,6 +133,18 @@
     BOOST_TEST(served > 50u);
 }
 
+// Prevents requests to a server that left without draining and whose removed entry a late heartbeat has written again.
+BOOST_AUTO_TEST_CASE(aLateHeartbeatDoesNotBringARemovedServerBack)
+{
+    store.remove("servers", plain1.instance());
+    const SteadyTime left = now();
+    sendFor(Milliseconds(1000), [this] { return lookup(); });
+    fleet.list(plain1, "plain");
+    const std::size_t served = sendFor(noticeTime + Milliseconds(1000), [this] { return lookup(); });
+    BOOST_TEST(arrivalsSince(plain1, left + noticeTime) == 0u);
+    BOOST_TEST(served > 30u);
+}
+
 // Prevents refusals from passing by: a server that leaves may refuse requests too.
 BOOST_AUTO_TEST_CASE(aRefusalSaysThatAServerLeaves)
 {
