Agents: an older report doesn't end an engine's leaving

Cause: an engine that leaves says so in all its answers, so the agent took a report without the notice for the engine's next run. Answers on different connections overtake each other: a report from before the notice that came with the answer to an order ended the leaving until the next report. In that time the agent could order a load, and published the models as served.

Change: a report without the notice ends the leaving only if it names another start than the one known, or none at all.

Test: anEngineThatLeavesDoesNotStayAfterAnOlderReport failed before (an order was given) and passes.

--- a/src/engines/internal/enginecontroller.cpp
+++ b/src/engines/internal/enginecontroller.cpp
@@ -235,10 +235,13 @@
     }
     if (std::exchange(isEngineLost_, false))
         logDecision(LogLine("engine_regained"));
+    const std::optional<catalog::StartTime> startedBefore = started_;
     noteRestart(report.value());
     noteLimit(report.value());
-    // An engine that leaves says so in all its answers, so one that doesn't is the engine's next run.
-    noteLeaving(notice.isLeaving);
+    // Answers on different connections overtake each other, so one without the notice may be older. Without a start
+    // time it is taken for the engine's next run.
+    const bool isKnownRun = report.value().started && report.value().started == startedBefore;
+    noteLeaving(notice.isLeaving || (isLeaving_ && isKnownRun));
     if (report.value().orders < acceptedOrders_)
         return pollAfter(fastPollInterval);
     acceptedOrders_ = report.value().orders;
--- a/src/engines/tests/enginecontroller_test.cpp
+++ b/src/engines/tests/enginecontroller_test.cpp
@@ -210,6 +210,21 @@
     BOOST_TEST(engine.orders.size() == 1U);
 }
 
+// Prevents loads at an engine that leaves after a report that it sent before it began to leave.
+BOOST_AUTO_TEST_CASE(anEngineThatLeavesDoesNotStayAfterAnOlderReport)
+{
+    engine.state.started = catalog::StartTime(100);
+    engine.notice.isLeaving = true;
+    start();
+    engine.notice.isLeaving = false;
+    setWaitingRequest("a");
+    advanceTime(Milliseconds(500));
+    BOOST_TEST(engine.orders.empty());
+    engine.state.started = catalog::StartTime(200);
+    advanceTime(Milliseconds(300));
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(noOrderIsGivenWithoutAFencingToken)
 {
     fencingTokens.isUnavailable = true;
