Forwarding: a request is sent once over a connection

What callers saw: a booking that must not be repeated ran twice and was answered 200 once.

Cause: an answer is matched to a send by the attempt's id alone, and the pool gave out the most recently used connection, that of the first send. Two answers over one connection with the same id can't be told apart.

Change: a request remembers the connections that it was sent over, and the pool doesn't give it one of these again; at the limit of connections it closes an idle one and opens another. So every send of an attempt to one server has a connection of its own, whatever made it be sent again: a refusal, a closed connection, a limit, a stream that goes on.

Ruled out: mixing up attempts. Answers with another id are dropped as before; what remains is the same id on the same connection.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -434,6 +434,7 @@
         quota_.didRepeat();
     sentAt_ = host_.now();
     tried_.sentTo.insert(upstream.facts.run());
+    tried_.connections.push_back(chosen.connection);
     survivedAt_.reset();
     usedPermit_.reset();
     if (permit_ && permit_->isGranted && permit_->server == upstream.facts.run())
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -429,7 +429,7 @@
 
     std::optional<ChosenUpstream> connect(const UpstreamPointer& upstream, std::size_t candidates)
     {
-        auto connection = upstream->connections.take(reuseFor(*spec_.route), now_);
+        auto connection = upstream->connections.take(reuseFor(*spec_.route), now_, tried_.connections);
         if (!connection)
             return std::nullopt;
         ChosenUpstream chosen;
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -68,6 +68,9 @@
     std::set<catalog::UpstreamRun> avoided;
     /// These servers limit their requests, and the request's turn there would come too late.
     std::set<catalog::UpstreamRun> withoutTurn;
+    /// The request was sent over these connections. An answer names only the request, so that another answer over one
+    /// of them could as well be a late duplicate of an earlier one.
+    std::vector<std::weak_ptr<http::ClientConnection>> connections;
 
     bool has(const UpstreamRecord& server) const
     {
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -24,8 +24,10 @@
         Never,
     };
 
-    /// Returns an idle connection or a new one, or null if the maximum number of connections is in use.
-    std::shared_ptr<ClientConnection> take(Reuse, framework::SteadyTime now);
+    /// Returns an idle connection that isn't among `excluded` or a new one, or null if the maximum number of
+    /// connections is in use.
+    std::shared_ptr<ClientConnection> take(
+        Reuse, framework::SteadyTime now, const std::vector<std::weak_ptr<ClientConnection>>& excluded = {});
     void setMaxConnections(std::size_t maxConnections);
     std::size_t open() const;
     /// Closes idle connections that are too old to be reused.
--- a/src/http/internal/connectionpool.cpp
+++ b/src/http/internal/connectionpool.cpp
@@ -18,6 +18,14 @@
 constexpr double normalIdleShare = 0.75;
 constexpr double conservativeIdleShare = 0.4;
 
+using Connections = std::vector<std::weak_ptr<ClientConnection>>;
+
+bool contains(const Connections& connections, const std::shared_ptr<ClientConnection>& connection)
+{
+    return std::any_of(
+        connections.begin(), connections.end(), [&](const auto& other) { return other.lock() == connection; });
+}
+
 Milliseconds maxIdleTime(const ClientConnection& connection, ConnectionPool::Reuse reuse)
 {
     const double share = reuse == ConnectionPool::Reuse::Conservative ? conservativeIdleShare : normalIdleShare;
@@ -39,20 +47,11 @@
     {
     }
 
-    std::shared_ptr<ClientConnection> take(Reuse reuse, SteadyTime now)
+    std::shared_ptr<ClientConnection> take(Reuse reuse, SteadyTime now, const Connections& excluded)
     {
         closeStale(now);
-        // The most recently used connection has the most time left.
-        while (reuse != Reuse::Never && !idle_.empty()
-            && now - idle_.back()->idleSince() <= maxIdleTime(*idle_.back(), reuse)) {
-            auto connection = idle_.back();
-            if (connection->isStale()) {
-                connection->abandon();
-                continue;
-            }
-            idle_.pop_back();
+        if (auto connection = reuse == Reuse::Never ? nullptr : takeIdle(reuse, now, excluded))
             return connection;
-        }
         if (open_ >= maxConnections_ && !idle_.empty()) {
             const auto oldest = idle_.front();
             oldest->abandon();
@@ -80,6 +79,25 @@
     }
 
 private:
+    /// Returns the most recently used connection that can be reused, since it has the most time left.
+    std::shared_ptr<ClientConnection> takeIdle(Reuse reuse, SteadyTime now, const Connections& excluded)
+    {
+        for (std::size_t index = idle_.size(); index-- > 0;) {
+            auto connection = idle_[index];
+            if (now - connection->idleSince() > maxIdleTime(*connection, reuse))
+                return nullptr;
+            if (contains(excluded, connection))
+                continue;
+            if (connection->isStale()) {
+                connection->abandon();
+                continue;
+            }
+            std::erase(idle_, connection);
+            return connection;
+        }
+        return nullptr;
+    }
+
     std::shared_ptr<ClientConnection> add()
     {
         ClientConnection::Observers observers;
@@ -116,9 +134,10 @@
 
 ConnectionPool::~ConnectionPool() { closeIdle(); }
 
-std::shared_ptr<ClientConnection> ConnectionPool::take(Reuse reuse, SteadyTime now)
+std::shared_ptr<ClientConnection> ConnectionPool::take(
+    Reuse reuse, SteadyTime now, const std::vector<std::weak_ptr<ClientConnection>>& excluded)
 {
-    return implementation_->take(reuse, now);
+    return implementation_->take(reuse, now, excluded);
 }
 
 void ConnectionPool::setMaxConnections(std::size_t maxConnections)
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -172,6 +172,35 @@
     BOOST_TEST(openConnections() == 1U);
 }
 
+// Prevents a late duplicate of an answer from being taken for the answer to another send of the same request.
+BOOST_AUTO_TEST_CASE(anExcludedConnectionIsNotReused)
+{
+    const auto sendOverOther = [this](const std::shared_ptr<ClientConnection>& excluded) {
+        auto answer = std::make_shared<RecordedAnswer>();
+        std::promise<std::shared_ptr<ClientConnection>> used;
+        thread.post([&] {
+            const auto now = std::chrono::steady_clock::now();
+            const auto connection = pool.take(ConnectionPool::Reuse::Normal, now, { excluded });
+            connection->send(post, answer);
+            used.set_value(connection);
+        });
+        return std::make_pair(used.get_future().get(), answer);
+    };
+    const auto [connection, first] = sendOverOther(nullptr);
+    server.accept();
+    (void)server.request();
+    server.send(keepAliveResponse);
+    BOOST_TEST(first->wait());
+    const tcp::socket kept = server.release();
+    const auto [other, second] = sendOverOther(connection);
+    BOOST_TEST((other != connection));
+    server.accept();
+    (void)server.request();
+    server.send(keepAliveResponse);
+    BOOST_TEST(second->wait());
+    BOOST_TEST(openConnections() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(aBodyThatIsShorterThanAnnouncedFails)
 {
     const auto answer = send(post);
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -245,6 +245,7 @@
     }
     if (request.header("x-expect-instance") != answering.instance)
         return exchange.reply(421, "", { { "X-Request-Attempt", attempt }, { "X-Instance-Id", answering.instance } });
+    sendDueRefusal(exchange);
     if (!canRun(request))
         return exchange.reply(421, "", notRun);
     if (const std::string seconds = rest(); !seconds.empty()) {
@@ -253,7 +254,7 @@
     }
     if (refusals_ > 0) {
         --refusals_;
-        return exchange.reply(503, "", notRun);
+        return refuse(exchange, notRun);
     }
     {
         const std::lock_guard lock(mutex_);
@@ -277,6 +278,28 @@
     run(exchange, answering);
 }
 
+void ServerStandin::refuse(Exchange& exchange, const HeaderMap& headers)
+{
+    exchange.reply(503, "", headers);
+    const std::lock_guard lock(mutex_);
+    if (repeatsRefusals_)
+        dueRefusals_[&exchange] = headers;
+}
+
+void ServerStandin::sendDueRefusal(Exchange& exchange)
+{
+    HeaderMap headers;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto due = dueRefusals_.find(&exchange);
+        if (due == dueRefusals_.end())
+            return;
+        headers = due->second;
+        dueRefusals_.erase(due);
+    }
+    exchange.reply(503, "", headers);
+}
+
 void PlainStandin::run(Exchange& exchange, const Process& process)
 {
     const HttpRequest& request = exchange.request();
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -62,6 +62,8 @@
     int cancelled() const { return cancelled_; }
     /// Refuses the next requests as not run.
     void refuseNext(int count) { refusals_ = count; }
+    /// Sends each refusal a second time, late: before the next answer over its connection.
+    void repeatRefusals() { repeatsRefusals_ = true; }
     /// Starts the next requests, but closes their connections without an answer.
     void dropNext(int count) { drops_ = count; }
     /// Starts the next requests, but answers them with the server's own 500.
@@ -114,6 +116,8 @@
     Process process() const;
     void answer(standins::Exchange&);
     bool isCrashedBy(const standins::HttpRequest&) const;
+    void refuse(standins::Exchange&, const standins::HeaderMap&);
+    void sendDueRefusal(standins::Exchange&);
     /// The rest that the server asks for; empty if it asks for none.
     std::string rest() const;
 
@@ -137,6 +141,9 @@
     std::atomic<bool> isLeaving_ { false };
     std::atomic<int> cancelled_ { 0 };
     std::atomic<int> refusals_ { 0 };
+    std::atomic<bool> repeatsRefusals_ { false };
+    /// The refusals that are due a second time. An exchange stands for its connection.
+    std::map<const standins::Exchange*, standins::HeaderMap> dueRefusals_;
     std::atomic<int> drops_ { 0 };
     std::atomic<int> failures_ { 0 };
     std::atomic<std::uint64_t> started_ { 1764700000000 };
