--- a/src/http/callclient.h
+++ b/src/http/callclient.h
@@ -7,6 +7,7 @@
 #include "http/clientconnection.h"
 #include "http/types/message.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -20,7 +21,13 @@
     /// execution is `Execution::Unknown` unless it is certain that no byte of the request was sent.
     using Handler = std::function<void(framework::Result<Response>)>;
 
-    CallClient(framework::EventThread&, const framework::Endpoint&, const ClientOptions& = {});
+    enum class Connections : std::uint8_t {
+        Pooled,
+        /// For servers that may send an answer twice, if nothing in an answer names its call.
+        OnePerCall,
+    };
+
+    CallClient(framework::EventThread&, const framework::Endpoint&, Connections = Connections::Pooled);
     ~CallClient();
     CallClient(const CallClient&) = delete;
     CallClient& operator=(const CallClient&) = delete;
--- a/src/http/internal/callclient.cpp
+++ b/src/http/internal/callclient.cpp
@@ -27,9 +27,10 @@
 /// One call in progress.
 class Call final : public IAnswerSink, public std::enable_shared_from_this<Call> {
 public:
-    Call(std::string step, framework::Endpoint peer, CallClient::Handler handler)
+    Call(std::string step, framework::Endpoint peer, CallClient::Connections connections, CallClient::Handler handler)
         : step_(std::move(step))
         , peer_(std::move(peer))
+        , connections_(connections)
         , handler_(std::move(handler))
     {
     }
@@ -73,7 +74,9 @@
     void complete(framework::Result<Response> result)
     {
         timer_.reset();
-        connection_.reset();
+        const auto connection = std::exchange(connection_, nullptr);
+        if (connection && connections_ == CallClient::Connections::OnePerCall)
+            connection->abandon();
         if (auto handler = std::exchange(handler_, nullptr))
             handler(std::move(result));
     }
@@ -108,6 +111,7 @@
 
     std::string step_;
     framework::Endpoint peer_;
+    CallClient::Connections connections_;
     CallClient::Handler handler_;
     std::shared_ptr<ClientConnection> connection_;
     std::unique_ptr<framework::Timer> timer_;
@@ -120,10 +124,11 @@
 
 class CallClient::Implementation : public std::enable_shared_from_this<Implementation> {
 public:
-    Implementation(framework::EventThread& thread, framework::Endpoint endpoint, const ClientOptions& options)
+    Implementation(framework::EventThread& thread, framework::Endpoint endpoint, Connections connections)
         : thread_(thread)
         , endpoint_(std::move(endpoint))
-        , pool_(thread.context(), endpoint_, options, maxConnections)
+        , connections_(connections)
+        , pool_(thread.context(), endpoint_, ClientOptions(), maxConnections)
     {
     }
 
@@ -131,16 +136,14 @@
     /// ones too, and each call over one of them would be lost although the server may be available again.
     void call(const Request& request, Deadline deadline, Handler handler)
     {
-        const auto call = std::make_shared<Call>(request.method + " " + request.target, endpoint_,
+        const auto call = std::make_shared<Call>(request.method + " " + request.target, endpoint_, connections_,
             [weak = weak_from_this(), handler = std::move(handler)](framework::Result<Response> answer) {
                 const auto self = weak.lock();
                 if (self && answer.has_error())
                     self->pool_.closeIdle();
                 handler(std::move(answer));
             });
-        const auto reuse
-            = request.method == "GET" ? ConnectionPool::Reuse::Normal : ConnectionPool::Reuse::Conservative;
-        auto connection = pool_.take(reuse, std::chrono::steady_clock::now());
+        auto connection = pool_.take(reuseFor(request), std::chrono::steady_clock::now());
         if (!connection)
             return call->complete(call->error("too many calls at once", false));
         Request addressed = request;
@@ -149,15 +152,22 @@
     }
 
 private:
+    ConnectionPool::Reuse reuseFor(const Request& request) const
+    {
+        if (connections_ == Connections::OnePerCall)
+            return ConnectionPool::Reuse::Never;
+        return request.method == "GET" ? ConnectionPool::Reuse::Normal : ConnectionPool::Reuse::Conservative;
+    }
+
     framework::EventThread& thread_;
     framework::Endpoint endpoint_;
+    Connections connections_;
     ConnectionPool pool_;
 };
 
-CallClient::CallClient(
-    framework::EventThread& thread, const framework::Endpoint& endpoint, const ClientOptions& options)
+CallClient::CallClient(framework::EventThread& thread, const framework::Endpoint& endpoint, Connections connections)
     : thread_(thread)
-    , implementation_(std::make_shared<Implementation>(thread, endpoint, options))
+    , implementation_(std::make_shared<Implementation>(thread, endpoint, connections))
 {
 }
 
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -373,6 +373,23 @@
     BOOST_TEST(answer->head.status == 200U);
 }
 
+// Prevents an answer that a server sends twice from being taken for the answer to the next call, which it doesn't name.
+BOOST_AUTO_TEST_CASE(aClientWithOneConnectionPerCallReusesNone)
+{
+    CallClient orders(thread, server.endpoint(), CallClient::Connections::OnePerCall);
+    for (const std::string target : { "/first", "/second" }) {
+        std::promise<framework::Result<Response>> answer;
+        const auto deadline
+            = framework::Deadline::after(std::chrono::steady_clock::now(), framework::Milliseconds(10000));
+        orders.call({ "POST", target, {}, {} }, deadline,
+            [&](framework::Result<Response> answered) { answer.set_value(std::move(answered)); });
+        server.accept();
+        BOOST_TEST(server.request().starts_with("POST " + target));
+        server.send(keepAliveResponse);
+        BOOST_TEST(answer.get_future().get().has_value());
+    }
+}
+
 // Prevents a router with a slow link from lagging behind with its configuration, by 19 seconds in one case: the store
 // sent four large versions in one answer, which took longer than the call's deadline. Each attempt was aborted, and the
 // next one started at the first byte.
