Agents: a request to an upstream has a connection of its own

What callers would see: the answer to another caller's request. The agent kept connections for requests that may be repeated, and nothing in an upstream's answer names its request: one that is sent twice, late, was the answer to the next request over that connection.

Change: each request has a connection of its own, as those that must not be repeated had before.

--- a/src/agent/internal/httpupstream.cpp
+++ b/src/agent/internal/httpupstream.cpp
@@ -146,17 +146,15 @@
 public:
     explicit HttpUpstream(const std::string& url)
         : url_(url)
-        , pooled_(newClient(url))
     {
     }
 
     std::shared_ptr<IUpstreamCall> run(UpstreamRequest request, UpstreamEvents events) override
     {
-        // cpprest resends a request by itself when a pooled connection turns out to be closed, although the upstream
-        // may have run it: the caller gets one answer while the upstream gets two calls. A new client has no pooled
-        // connection.
-        auto client = request.isRepeatable ? pooled_ : newClient(url_);
-        auto call = std::make_shared<HttpUpstreamCall>(std::move(client), url_, events);
+        // A new client has no pooled connection. Over one, a late duplicate of an answer would be taken for the answer
+        // to the next request, which it doesn't name. cpprest would also resend a request by itself when the connection
+        // turns out to be closed, although the upstream may have run it.
+        auto call = std::make_shared<HttpUpstreamCall>(newClient(url_), url_, events);
         try {
             call->start(httpRequest(request));
         } catch (const std::exception& exception) {
@@ -168,7 +166,6 @@
 
 private:
     std::string url_;
-    std::shared_ptr<http_client> pooled_;
 };
 
 } // namespace
--- a/src/agent/internal/requestgate.cpp
+++ b/src/agent/internal/requestgate.cpp
@@ -71,7 +71,6 @@
     request.headers = headersOf(dispatch.headers);
     request.body.assign(dispatch.body.begin(), dispatch.body.end());
     request.priority = std::min(dispatch.priority, maxPriority);
-    request.isRepeatable = dispatch.is_repeatable;
     request.deadline = Deadline::after(now, Milliseconds(dispatch.remaining_ms));
     return request;
 }
--- a/src/agent/iupstream.h
+++ b/src/agent/iupstream.h
@@ -24,7 +24,6 @@
     HttpHeaders headers;
     std::string body;
     std::uint8_t priority = 0;
-    bool isRepeatable = false;
     framework::Deadline deadline;
 };
 
