HTTP: limit the bytes of a message that aren't its body

What callers saw: a router that ran out of memory, and with it the requests of all its callers. Ten connections that sent a chunk's extension or trailers without end took a router on to 1,495 MiB of address space, from callers, on the readiness port or on the metrics port; four answers of a server to 658 MiB. The machine has 260.

Cause: Beast limits the head of a message, not the size line of a chunk nor the trailers, which it parses once they are complete. Until then the connection's buffer keeps them.

Change: a connection counts what it has parsed and what waits to be parsed, less the body, and 32 bytes a chunk. Past the callers' limit for headers a caller gets 431 and its connection closes; past 64 KB an answer is broken, as with a head that is too long. The count covers the head, interim answers and answers to other requests too, and all chunks together, so many short extensions don't pass either.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -53,6 +53,9 @@
     , timer_(socket_.get_executor())
     , context_(std::move(context))
     , onClosed_(std::move(onClosed))
+    , didReadChunkHeader_([this](std::uint64_t, boost::beast::string_view, boost::system::error_code&) {
+        overhead_.didReadChunkHeader();
+    })
 {
 }
 
@@ -104,13 +107,25 @@
         if (!parser_)
             beginRequest();
         boost::system::error_code error;
-        buffer_.consume(parser_->put(buffer_.data(), error));
+        const std::size_t bodyBefore = parser_->get().body().size();
+        const std::size_t parsed = parser_->put(buffer_.data(), error);
+        overhead_.didParse(parsed);
+        overhead_.didReadBody(parser_->get().body().size() - bodyBefore);
+        buffer_.consume(parsed);
         didParse(error);
+        refuseIfOverheadIsOver(error ? buffer_.size() : 0);
         if (error == beast::http::error::need_more)
             return;
     }
 }
 
+/// Prevents a caller from using up the memory by a request whose framing doesn't end.
+void CallerConnection::refuseIfOverheadIsOver(std::size_t unparsed)
+{
+    if (stage_ == Stage::Reading && overhead_.isOver(context_->limits.headerBytes, unparsed))
+        refuse({ 431, {}, {} });
+}
+
 void CallerConnection::beginRequest()
 {
     stage_ = Stage::Reading;
@@ -119,6 +134,8 @@
     parser_->eager(true);
     parser_->header_limit(context_->limits.headerBytes);
     parser_->body_limit(context_->limits.bodyBytes);
+    overhead_ = MessageOverhead();
+    parser_->on_chunk_header(didReadChunkHeader_);
     armTimer(context_->limits.headerTimeout, &CallerConnection::handleHeaderTimeout);
 }
 
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -2,6 +2,7 @@
 
 #include "framework/eventthread.h"
 #include "http/exchangeserver.h"
+#include "http/internal/messageoverhead.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -86,6 +87,7 @@
     void parse();
     void beginRequest();
     void didParse(const boost::system::error_code&);
+    void refuseIfOverheadIsOver(std::size_t unparsed);
     bool didRefuseHead();
     void handOver();
     void refuse(const ResponseHead&);
@@ -124,6 +126,8 @@
     bool hasBegunAnswer_ = false;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
+    MessageOverhead overhead_;
+    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)> didReadChunkHeader_;
     std::weak_ptr<CallerExchange> exchange_;
     /// The head of a started answer, kept until its first piece.
     std::string pendingHead_;
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -20,7 +20,8 @@
 using framework::Milliseconds;
 
 constexpr std::size_t readBufferBytes = 16 * 1024;
-/// Servers send small heads. A larger one is treated as a malformed answer.
+/// Servers send small heads. A larger one is treated as a malformed answer, and so is an answer with more bytes in all
+/// that aren't body.
 constexpr std::uint32_t maxHeadBytes = 64 * 1024;
 /// Effectively unlimited, since bodies are forwarded piece by piece. Beast 1.74 refuses every answer that has a length
 /// if the limit is switched off.
@@ -79,6 +80,9 @@
     , endpoint_(std::move(endpoint))
     , options_(options)
     , observers_(std::move(observers))
+    , didReadChunkHeader_([this](std::uint64_t, boost::beast::string_view, boost::system::error_code&) {
+        overhead_.didReadChunkHeader();
+    })
 {
 }
 
@@ -102,6 +106,7 @@
     mismatchedAnswers_ = 0;
     interimAnswers_ = 0;
     discardedBytes_ = 0;
+    overhead_ = MessageOverhead();
     keepAliveTimeout_.reset();
     beginAnswer();
     if (isConnected_)
@@ -193,6 +198,7 @@
     parser_->header_limit(maxHeadBytes);
     parser_->body_limit(maxBodyBytes);
     parser_->skip(expectsNoBody_);
+    parser_->on_chunk_header(didReadChunkHeader_);
     isHeadDelivered_ = false;
     isAccepted_ = false;
 }
@@ -201,13 +207,23 @@
 {
     while (buffer_.size() > 0 && sink_ && !isClosed_) {
         boost::system::error_code error;
-        buffer_.consume(parser_->put(buffer_.data(), error));
+        const std::size_t parsed = parser_->put(buffer_.data(), error);
+        overhead_.didParse(parsed);
+        buffer_.consume(parsed);
         didParse(error);
+        failIfOverheadIsOver(error ? buffer_.size() : 0);
         if (error)
             return;
     }
 }
 
+/// Prevents a server from using up the memory by an answer whose framing doesn't end.
+void TcpClientConnection::failIfOverheadIsOver(std::size_t unparsed)
+{
+    if (sink_ && overhead_.isOver(maxHeadBytes, unparsed))
+        fail(isHeadDelivered_ ? ClientStep::ReadBody : ClientStep::AwaitHead, "too many bytes that are no body");
+}
+
 void TcpClientConnection::didParse(const boost::system::error_code& error)
 {
     if (error && error != beast::http::error::need_more)
@@ -234,6 +250,7 @@
 void TcpClientConnection::deliverBody()
 {
     std::string piece = std::exchange(parser_->get().body(), {});
+    overhead_.didReadBody(piece.size());
     if (!isAccepted_) {
         discardedBytes_ += piece.size();
         if (discardedBytes_ > maxDiscardedBytes)
--- a/src/http/internal/tcpclientconnection.h
+++ b/src/http/internal/tcpclientconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/clientconnection.h"
+#include "http/internal/messageoverhead.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -8,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <functional>
 
 namespace lagoon::http {
 
@@ -34,6 +36,7 @@
     void didRead(const boost::system::error_code&, std::size_t);
     void beginAnswer();
     void parse();
+    void failIfOverheadIsOver(std::size_t unparsed);
     void didParse(const boost::system::error_code&);
     void deliverHead();
     void deliverBody();
@@ -62,6 +65,9 @@
     unsigned mismatchedAnswers_ = 0;
     unsigned interimAnswers_ = 0;
     std::uint64_t discardedBytes_ = 0;
+    /// Of all answers to the request that is pending.
+    MessageOverhead overhead_;
+    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)> didReadChunkHeader_;
     std::array<std::string, 2> outgoing_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -451,7 +451,7 @@
 }
 
 // Prevents a server that sends bytes without end from keeping a connection and its memory: in a head, in interim
-// answers, and in an answer to another request.
+// answers, in an answer to another request, in a chunk's extension, in trailers, and in the extensions of many chunks.
 BOOST_AUTO_TEST_CASE(bytesWithoutEndCloseTheConnection)
 {
     const std::string piece(1024 * 1024, 'x');
@@ -459,8 +459,13 @@
     std::string manyInterim;
     while (manyInterim.size() < piece.size())
         manyInterim += interim;
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string manyExtensions;
+    while (manyExtensions.size() < piece.size())
+        manyExtensions += "1;a=" + std::string(100, 'x') + "\r\nb\r\n";
     const std::vector<std::pair<std::string, std::string>> floods { { "HTTP/1.1 200 OK\r\nX-Long: ", piece },
-        { "", manyInterim }, { "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", piece } };
+        { "", manyInterim }, { "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", piece }, { chunkedHead + "5;a=", piece },
+        { chunkedHead + "0\r\nX-Long: ", piece }, { chunkedHead, manyExtensions } };
     for (const auto& [begin, more] : floods) {
         const auto answer = send(post, "1");
         server.accept();
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -84,6 +84,37 @@
     BOOST_TEST(statusLine(chunked.readToEnd()) == "HTTP/1.1 413 Payload Too Large");
 }
 
+// Prevents a caller from using up the memory by a chunk's extension, by trailers or by the extensions of many chunks.
+BOOST_AUTO_TEST_CASE(framingWithoutEndIsRefused)
+{
+    const std::string piece(64 * 1024, 'x');
+    std::string manyExtensions;
+    while (manyExtensions.size() < piece.size())
+        manyExtensions += "1;a=" + std::string(100, 'x') + "\r\nb\r\n";
+    const std::vector<std::pair<std::string, std::string>> floods { { "5;a=", piece }, { "0\r\nX-Long: ", piece },
+        { "", manyExtensions } };
+    for (const auto& [begin, more] : floods) {
+        RawCaller caller(endpoint);
+        caller.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + begin);
+        constexpr int maxPieces = 64;
+        for (int sent = 0; sent < maxPieces; ++sent)
+            caller.send(more);
+        BOOST_TEST(statusLine(caller.readToEnd()) == "HTTP/1.1 431 Request Header Fields Too Large");
+    }
+}
+
+// Prevents the refusal of a proper body in many chunks for its framing.
+BOOST_AUTO_TEST_CASE(aBodyMayHaveManyChunks)
+{
+    constexpr std::size_t chunks = 50000;
+    std::string text = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t chunk = 0; chunk < chunks; ++chunk)
+        text += "1\r\nb\r\n";
+    RawCaller caller(endpoint);
+    caller.send(text + "0\r\n\r\n");
+    BOOST_TEST(caller.readUntil("POST /x " + std::string(chunks, 'b')));
+}
+
 BOOST_AUTO_TEST_CASE(slowHeadersAreRefused)
 {
     onThread([&] {
--- /dev/null
+++ b/tests/integration/endlessframing_test.cpp
@@ -0,0 +1,113 @@
+#include "fleet/runningfleet.h"
+#include "http/testing/rawcaller.h"
+#include "support/processusage.h"
+#include "support/tcppeer.h"
+#include "support/waitfor.h"
+
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <thread>
+#include <vector>
+
+using namespace lagoon::fleet;
+using namespace lagoon::testsupport;
+using lagoon::framework::Endpoint;
+using lagoon::http::testing::RawCaller;
+
+namespace {
+
+/// The memory of the machines that routers run on. A process that needs more is killed there.
+constexpr double memoryMib = 260;
+constexpr int connections = 10;
+/// A router opens at least as many to one server.
+constexpr int serverConnections = 4;
+constexpr int pieces = 128;
+const std::string piece(1024 * 1024, 'x');
+/// What a message may begin with whose framing doesn't end: a chunk's extension, and trailers.
+const std::vector<std::string> endless { "5;a=", "0\r\nX-Long: " };
+
+struct EndlessFraming : RunningFleet {
+    void checkMemory() { BOOST_TEST(usageOf(fleet.router().pid()).peakAddressSpaceMib < memoryMib); }
+
+    bool isServed()
+    {
+        return fleet.call({ .target = "/get/1", .attempt = "a" + std::to_string(++attempts_), .deadlineMs = 3000 })
+                   .status
+            == 200;
+    }
+
+    /// Sends requests without end over several connections at once, and proper ones beside.
+    void checkRequests(const std::string& endpoint)
+    {
+        for (const std::string& begin : endless) {
+            std::vector<std::thread> callers;
+            for (int count = 0; count < connections; ++count)
+                callers.emplace_back([&] {
+                    RawCaller caller { Endpoint(endpoint) };
+                    caller.send("POST /get/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + begin);
+                    for (int sent = 0; sent < pieces && caller.send(piece); ++sent) { }
+                });
+            int served = 0;
+            for (int count = 0; count < 20; ++count)
+                served += isServed() ? 1 : 0;
+            for (std::thread& caller : callers)
+                caller.join();
+            BOOST_TEST(served >= 19);
+            checkMemory();
+        }
+    }
+
+private:
+    std::atomic<int> attempts_ { 0 };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FramingWithoutEnd, EndlessFraming)
+
+// Prevents the end of a router for want of memory, to which a caller sends a chunk's extension or trailers without end.
+BOOST_AUTO_TEST_CASE(ofCallersIsCut) { checkRequests(fleet.callers()); }
+
+// Prevents the same over the ports for readiness and metrics.
+BOOST_AUTO_TEST_CASE(atReadinessIsCut) { checkRequests(fleet.readiness(0)); }
+BOOST_AUTO_TEST_CASE(atMetricsIsCut) { checkRequests(fleet.ops(0)); }
+
+// Prevents the end of a router for want of memory, to which a server sends a chunk's extension or trailers without end.
+BOOST_AUTO_TEST_CASE(ofServersIsCut)
+{
+    fleet.store.remove("servers", fleet.plain1.instance());
+    for (const std::string& begin : endless) {
+        TcpServer faulty;
+        fleet.listAt(fleet.plain2, "plain", faulty.endpoint());
+        std::atomic<int> cut { 0 };
+        std::vector<std::thread> callers;
+        for (int count = 0; count < connections; ++count)
+            callers.emplace_back([&, end = std::chrono::steady_clock::now() + std::chrono::seconds(20)] {
+                while (cut < serverConnections && std::chrono::steady_clock::now() < end)
+                    isServed();
+            });
+        std::vector<std::thread> answers;
+        for (int count = 0; count < serverConnections; ++count) {
+            answers.emplace_back([&, peer = std::make_shared<TcpPeer>(faulty.accept())] {
+                try {
+                    peer->send("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" + begin);
+                    for (int sent = 0; sent < pieces; ++sent)
+                        peer->send(piece);
+                } catch (const std::exception&) {
+                    ++cut;
+                }
+            });
+        }
+        for (std::thread& thread : answers)
+            thread.join();
+        for (std::thread& thread : callers)
+            thread.join();
+        BOOST_TEST(cut == serverConnections);
+        checkMemory();
+    }
+    fleet.list(fleet.plain2, "plain");
+    waitFor("requests are served", [this] { return isServed(); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
