--- a/tests/integration/closedconnections_test.cpp
+++ b/tests/integration/closedconnections_test.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds networkDelay { 20 };
 constexpr Milliseconds idleTime { 300 };
 constexpr Milliseconds thinkTime { 2000 };
+constexpr Milliseconds bookingTime { 700 };
+/// Every so many callers, one sends its bodies slowly.
+constexpr int slowCallers = 4;
 
 struct ClosedConnectionsFixture : RunningFleet {
     std::unique_ptr<RawCaller> connect() { return std::make_unique<RawCaller>(Endpoint(fleet.callers())); }
@@ -33,6 +36,21 @@
         }
     }
 
+    /// Makes a booking over a connection that stays open. Returns whether a complete answer came.
+    static bool book(RawCaller& connection, const std::string& attempt, bool sendsSlowly)
+    {
+        const std::string text
+            = CallerRequest { .target = "/post/1", .attempt = attempt, .deadlineMs = 20000, .keepsAlive = true }.text();
+        const std::size_t first = sendsSlowly ? text.size() - 1 : text.size();
+        connection.clearReceived();
+        connection.send(text.substr(0, first));
+        if (sendsSlowly)
+            std::this_thread::sleep_for(bookingTime);
+        connection.send(text.substr(first));
+        const bool hasHead = connection.readUntil("\r\n\r\n");
+        return hasHead && (!connection.received().starts_with("HTTP/1.1 200") || connection.readUntil("body"));
+    }
+
     /// Sends a request for a stream until it isn't refused, as a burst of requests may be, and the stream has begun.
     std::unique_ptr<RawCaller> beginStream(const std::string& attempt)
     {
@@ -135,6 +153,46 @@
     BOOST_TEST(fleet.router().waitForExit() == 0);
 }
 
+// Prevents bookings that are taken late in the grace period, passed on and cut at its end: callers keep their
+// connections in use until the process is gone, and some of them send their bodies slowly.
+BOOST_AUTO_TEST_CASE(bookingsSentUntilTheProcessIsGoneAreAnsweredOrNotPassedOn)
+{
+    constexpr int callerCount = 40;
+    plain1.setWork(bookingTime);
+    plain2.setWork(bookingTime);
+    std::atomic<int> answers { 0 };
+    std::atomic<int> cut { 0 };
+    const auto bookUntilRefused = [&](int caller) {
+        std::unique_ptr<RawCaller> connection = connect();
+        for (int number = 0;; ++number) {
+            const std::string attempt = "b" + std::to_string(caller) + "-" + std::to_string(number);
+            const bool isAnswered = book(*connection, attempt, caller % slowCallers == 0);
+            answers += isAnswered ? 1 : 0;
+            cut += !isAnswered && plain1.runs(attempt) + plain2.runs(attempt) > 0 ? 1 : 0;
+            if (isAnswered && connection->received().find("Connection: close") == std::string::npos)
+                continue;
+            if (!isAccepting())
+                return;
+            connection = connect();
+        }
+    };
+    std::vector<std::jthread> threads;
+    for (int caller = 0; caller < callerCount; ++caller)
+        threads.emplace_back([&, caller] {
+            try {
+                bookUntilRefused(caller);
+            } catch (const boost::system::system_error&) {
+                // The router stopped accepting just then.
+            }
+        });
+    waitFor("bookings", [&] { return answers > callerCount; });
+    fleet.router().sendSignal(SIGTERM);
+    BOOST_TEST(fleet.router().waitForExit() == 0);
+    threads.clear();
+    BOOST_TEST(cut == 0);
+    BOOST_TEST(answers > 3 * callerCount);
+}
+
 // Prevents the loss of a refusal: a caller that goes on sending a long body for some seconds before it reads.
 BOOST_AUTO_TEST_CASE(aCallerThatSendsForSecondsReceivesItsRefusal)
 {
