Soak: a loss of answers ends when all faults are cleared

Cause: a proxy loses the next answers until their count is used up. At the end of the disturbed part the injector cleared delays and cut connections, and ended the fault in the run's record, but left the count: an answer lost after that counted as a failure of a router with no fault on its path.

Change: the count is set to 0 with the other faults. The check stays.

--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -154,8 +154,11 @@
     value noDelay;
     noDelay["to_server"] = value::number(0);
     noDelay["to_client"] = value::number(0);
+    value noLoss;
+    noLoss["count"] = value::number(0);
     for (std::size_t proxy = 0; proxy < proxies_.size(); ++proxy) {
         setFault(proxy, "delay_ms", noDelay);
+        setFault(proxy, "lose_answer", noLoss);
         cut(proxy);
     }
     for (fleet::ServerStandin* const server : std::initializer_list<fleet::ServerStandin*> {
