--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -1,9 +1,9 @@
 #include "forwarding/internal/requestjob.h"
 
 #include "forwarding/internal/requestlog.h"
+#include "forwarding/internal/retryafter.h"
 #include "forwarding/internal/upstreamattempt.h"
 #include "framework/decisionlog.h"
-#include "framework/randomid.h"
 
 #include <algorithm>
 #include <utility>
@@ -24,22 +24,12 @@
 constexpr Milliseconds minTimeToRetry { 60 };
 /// If a caller has more unread bytes than this, reading from its server is paused.
 constexpr std::size_t maxUnreadBytes = 256 * 1024;
-/// Retry-After for a request that failed because a server had no free slot or a connection failed; most such conditions
-/// have passed by then. The value is drawn between this and twice this, so that callers that were refused together
-/// don't retry together.
-constexpr Milliseconds minRetryAfter { 250 };
-/// Retry-After if no server is known: the platform takes a second or two to provide one.
-constexpr Milliseconds retryAfterWithoutServer { 1000 };
 /// A permit that isn't used within this time lapses, so that permits don't add up.
 constexpr Milliseconds permitValidity { 300 };
 /// Longer than a server takes to crash once it has begun to write an answer.
 constexpr Milliseconds survivalTime { 600 };
 /// More routers than there are, as long as no agent has reported their number.
 constexpr std::uint32_t assumedMaxRouters = 512;
-/// Requests that were refused together don't come back together.
-constexpr double maxRetryJitter = 0.25;
-/// Records of a stream's origin are kept for this time beyond the caller's deadline, as clocks and networks differ.
-constexpr Milliseconds recordSlack { 1000 };
 /// If the list of servers is older than this, a server whose connections are cut may be leaving.
 constexpr Milliseconds maxListAge { 2000 };
 /// Engine priority of the most urgent requests (rank 0); less urgent ones follow, up to lowestEnginePriority. An engine
@@ -49,26 +39,9 @@
 constexpr std::uint32_t highestEnginePriorityOfCustomers = 1;
 constexpr std::uint32_t lowestEnginePriority = 9;
 
-Milliseconds jittered(Milliseconds base)
-{
-    return base + Milliseconds(static_cast<std::int64_t>(framework::randomFraction() * base.count()));
-}
-
-Milliseconds jitter(Milliseconds wait)
-{
-    const double fraction = framework::randomFraction() * maxRetryJitter;
-    return Milliseconds(static_cast<std::int64_t>(fraction * static_cast<double>(wait.count())));
-}
-
 /// Whether another server may succeed: not if the time is up, or if the request itself is at fault.
 bool isWorthRetrying(unsigned serverStatus) { return serverStatus >= 500 && serverStatus != 504; }
 
-bool isRoutedTo(const catalog::Route& route, const framework::ServiceName& service)
-{
-    return std::any_of(route.targets.begin(), route.targets.end(),
-        [&](const catalog::RouteTarget& target) { return target.service == service; });
-}
-
 std::string_view rejectionText(AnswerClass answerClass)
 {
     if (answerClass == AnswerClass::OtherInstance)
@@ -123,46 +96,6 @@
     advance();
 }
 
-/// Finds out which software began the stream that the caller takes up: only that may go on with it.
-void RequestJob::findOrigin()
-{
-    if (spec_.facts.resumedAttempt.empty())
-        return didFindOrigin({});
-    awaitsOrigin_ = true;
-    const auto attempt = streams::AttemptKey::of(spec_.facts.caller, spec_.facts.resumedAttempt);
-    host_.origins().find(attempt, [weak = weak_from_this()](const streams::OriginAnswer& answer) {
-        if (const auto self = weak.lock())
-            self->runGuarded([&] { self->didFindOrigin(answer); });
-    });
-}
-
-void RequestJob::didFindOrigin(const streams::OriginAnswer& answer)
-{
-    if (isEnded_)
-        return;
-    const auto keepAlive = shared_from_this();
-    awaitsOrigin_ = false;
-    const auto& origin = answer.origin;
-    const char* const outcome = takeUpOutcome(origin);
-    logDecision(takenUpLine(spec_, answer, outcome));
-    host_.metrics().count("lagoon_streams_taken_up_total",
-        { { "service", origin ? origin->service.value() : spec_.service.value() }, { "outcome", outcome } });
-    if (!origin)
-        return refuse(503, "not known which version began the stream", jittered(minRetryAfter));
-    if (!isRoutedTo(*spec_.route, origin->service))
-        return refuse(503, "the route doesn't lead to the service that began the stream", jittered(minRetryAfter));
-    spec_.service = origin->service;
-    required_ = RequiredVersion { origin->version };
-    advance();
-}
-
-const char* RequestJob::takeUpOutcome(const std::optional<streams::StreamOrigin>& origin) const
-{
-    if (!origin)
-        return "unknown";
-    return isRoutedTo(*spec_.route, origin->service) ? "recorded" : "other_service";
-}
-
 void RequestJob::armDeadline()
 {
     deadlineTimer_ = host_.thread().runAt(spec_.deadline, [weak = weak_from_this()] {
@@ -360,53 +293,6 @@
     retractOrigin();
 }
 
-std::optional<streams::StreamOrigin> RequestJob::originAt(const UpstreamRecord& server) const
-{
-    const auto version = host_.upstreams().softwareVersion(server, host_.now());
-    return version ? std::optional(streams::StreamOrigin { spec_.service, *version }) : std::nullopt;
-}
-
-streams::DispatchRecord RequestJob::nextRecord(std::optional<streams::StreamOrigin> origin)
-{
-    const Milliseconds callerTimeout
-        = std::min(streams::maxRecordAge, spec_.facts.timeLeft.value_or(spec_.route->timeout));
-    return { streams::AttemptKey::of(spec_.facts.caller, spec_.facts.attempt), ++originRecords_, std::move(origin),
-        host_.now(), framework::Deadline::after(exchange_->receivedAt(), callerTimeout + recordSlack) };
-}
-
-/// Lets the caller take the stream up at any router.
-void RequestJob::recordOrigin(const std::optional<streams::StreamOrigin>& origin)
-{
-    if (!isStream() || !spec_.route->isResumable || recordedOrigin_ == origin)
-        return;
-    recordedOrigin_ = origin;
-    host_.origins().record(nextRecord(origin));
-}
-
-/// Takes back what the other routers may know before the request is sent to other software. Prevents the stream from
-/// being taken up at a version that has sent none of its events, if the later record is lost.
-void RequestJob::retractOrigin()
-{
-    awaitsOrigin_ = true;
-    waitsForLoad_ = false;
-    host_.origins().retract(nextRecord(std::nullopt), [weak = weak_from_this()](bool isConfirmed) {
-        if (const auto self = weak.lock())
-            self->runGuarded([&] { self->didRetractOrigin(isConfirmed); });
-    });
-}
-
-void RequestJob::didRetractOrigin(bool isConfirmed)
-{
-    if (isEnded_)
-        return;
-    awaitsOrigin_ = false;
-    // Where the record may still be kept, it has to stay true. Others may have dropped it, so it is sent again.
-    if (!isConfirmed)
-        required_ = RequiredVersion { recordedOrigin_->version };
-    recordedOrigin_.reset();
-    advance();
-}
-
 http::Request RequestJob::forwardedRequest(const UpstreamRecord& upstream) const
 {
     ForwardingOptions options;
@@ -737,81 +623,6 @@
     refuse(refusalStatus, cause, retryAfterFailure());
 }
 
-/// The Retry-After of a request that its servers didn't serve.
-Milliseconds RequestJob::retryAfterFailure() const
-{
-    const auto until = restEnd(host_, spec_);
-    if (!until)
-        return jittered(minRetryAfter);
-    const Milliseconds rest = until->remaining(host_.now());
-    return std::max(minRetryAfter, rest) + jitter(rest);
-}
-
-/// Ends the request with this system's own answer. Prevents a false statement to the caller: a status that means "not
-/// run" is sent only if no server may have run the request.
-void RequestJob::refuse(unsigned status, const std::string& cause, std::optional<Milliseconds> retryAfter)
-{
-    if (timing_.hasBegun())
-        return breakOff(cause);
-    // A server's own failure tells the caller more than that no other server succeeded.
-    if (failure_)
-        return relayAnswer(failure_->head, std::move(failure_->body), "failed_by_server");
-    const unsigned reportedStatus = mayHaveRun_ && status == 503 ? 502 : status;
-    const bool mayComeBack = reportedStatus == 503 || reportedStatus == 429;
-    exchange_->answer(host_.dialect().refusal(reportedStatus, mayComeBack ? retryAfter : std::nullopt), {});
-    end("refused", reportedStatus, cause);
-}
-
-void RequestJob::refuseAsHopeless(Milliseconds timeUntilLoaded)
-{
-    if (heldBack_ && heldBack_->until.remaining(host_.now()) < timeUntilLoaded)
-        return refuseAsHeldBack();
-    // During shutdown the request can wait for the same load at another router, so the caller should retry at once.
-    refuse(503, "model not there before the deadline, soonest in " + std::to_string(timeUntilLoaded.count()) + " ms",
-        jittered(isCutByShutdown_ ? minRetryAfter : std::max(minRetryAfter, timeUntilLoaded)));
-}
-
-void RequestJob::refuseAsOverloaded(Milliseconds expected)
-{
-    const Milliseconds tooLong = expected - spec_.route->targetLatency;
-    refuse(503, "engines overloaded, first event expected in " + std::to_string(expected.count()) + " ms",
-        jittered(std::max(minRetryAfter, tooLong)));
-}
-
-/// The Retry-After is when a server is expected to take a request again.
-void RequestJob::refuseAsHeldBack()
-{
-    const Milliseconds wait = heldBack_->until.remaining(host_.now());
-    const bool isRest = heldBack_->reason == NoUpstream::Resting;
-    host_.metrics().count(isRest ? "lagoon_rest_refusals_total" : "lagoon_rate_limited_refusals_total",
-        { { "service", spec_.service.value() } });
-    const std::string cause = isRest ? "servers rest, next in " : "servers limit their requests, next in ";
-    refuse(503, cause + std::to_string(wait.count()) + " ms", std::max(minRetryAfter, wait) + jitter(wait));
-}
-
-/// Refuses a stream with which only servers of one version may go on, if none of these can.
-void RequestJob::refuseForVersion()
-{
-    const std::string version = required_->version ? "version " + required_->version->name() : "the unknown version";
-    host_.metrics().count("lagoon_streams_without_version_total", { { "service", spec_.service.value() } });
-    refuse(503, "no server of " + version + " has the model or can load it in time", jittered(minRetryAfter));
-}
-
-/// The Retry-After is the rest of the quarantine: no router serves the request before.
-void RequestJob::refuseAsQuarantined()
-{
-    const auto verdict = host_.quarantine().verdict(spec_.identity);
-    const quarantine::Standing standing = verdict ? verdict->standing : quarantine::Standing();
-    const quarantine::RequestFingerprint suspect = verdict ? verdict->request : spec_.identity.request;
-    host_.metrics().count("lagoon_quarantine_refusals_total", { { "service", spec_.service.value() } });
-    refuse(503,
-        "quarantined as " + suspect.text() + (suspect == spec_.identity.request ? "" : ", a part of its prompt,")
-            + " after " + std::to_string(standing.crashes) + " server crashes in succession",
-        std::max(minRetryAfter, standing.until.remaining(host_.now())));
-}
-
-void RequestJob::refuseAsRevoked() { refuse(401, "key was taken away", std::nullopt); }
-
 void RequestJob::didPassDeadline()
 {
     const bool isInFlight = attempt_ != nullptr;
