Direct router: what seems late counts after all if it stands

Cause: since an entry with a lower count than the one before is ignored, and what a removed entry had said outlives it. So one absurd count of another writer shut out all further entries of that server until it started again; a server whose clock was set back before its start, which used to be listed anew once its old entry was gone, was ignored for a minute; and a start in the future did the same, as before.

Change: a content that seems older is kept beside the entry. A live server replaces a late write with its next heartbeat, and the platform removes what nobody renews after three. What still stands after four heartbeats is used. The same decision now ends the wait for an entry that was removed and written again, and both count only time in which the store has answered: in an outage nothing is replaced or removed, and before, the wait ended in it.

That a run has said that it drains is a mark of its entry, in place of a table beside the entries: a change of the run ends it at once, and there is one bound and one retention, an hour and 4,096 entries, for all that is remembered. The timer goes: decisions are made when the store confirms the list.

In two tests of the watcher the time is now followed by an answer of the store, as it is in a process.

--- a/src/direct/internal/catalogwatcher.cpp
+++ b/src/direct/internal/catalogwatcher.cpp
@@ -66,7 +66,7 @@
           serverSettings(context_.leavingNotice, context_.outageNotice),
           { [this](const FeedObject& object) { applyServer(object); },
               [this](const std::string& name, Removal removal) { removeServer(name, removal); },
-              [this] { schedulePublish(); }, [this](framework::SteadyTime at) { context_.didConfirmServers(at); } },
+              [this] { schedulePublish(); }, [this](framework::SteadyTime at) { confirmServers(at); } },
           framework::randomNumber())
 {
 }
@@ -126,6 +126,13 @@
     schedulePublish();
 }
 
+void CatalogWatcher::confirmServers(framework::SteadyTime at)
+{
+    if (entries_.decide(at, servers_.answeringSince()))
+        schedulePublish();
+    context_.didConfirmServers(at);
+}
+
 /// Publishes changes that arrive together only once.
 void CatalogWatcher::schedulePublish()
 {
@@ -139,13 +146,10 @@
     isPublishScheduled_ = false;
     if (!servers_.hasListed())
         return;
-    const framework::SteadyTime now = context_.clock.now();
-    entries_.expire(now);
+    entries_.forgetRemoved(context_.clock.now());
     updateUnknownServices();
-    entries_.confirmWhereNeeded(now);
-    context_.didListServers(entries_.servers(now));
-    const auto next = entries_.nextConfirmation(now);
-    confirmationTimer_ = next ? context_.control.runAt(*next, [this] { schedulePublish(); }) : nullptr;
+    entries_.confirmWhereNeeded();
+    context_.didListServers(entries_.servers());
 }
 
 bool CatalogWatcher::updateUnknownServices() { return configuration_ && entries_.markUnknownServices(*configuration_); }
--- a/src/direct/internal/catalogwatcher.h
+++ b/src/direct/internal/catalogwatcher.h
@@ -53,6 +53,7 @@
     void confirmConfiguration(framework::SteadyTime);
     void applyServer(const objectstore::FeedObject&);
     void removeServer(const std::string& name, objectstore::ObjectMirror::Removal);
+    void confirmServers(framework::SteadyTime);
     void schedulePublish();
     void publishServers();
     /// Returns whether the set of entries left out for an unknown service has changed.
@@ -62,7 +63,6 @@
     catalog::ConfigurationPointer configuration_;
     bool isNewestInForce_ = false;
     ServerEntries entries_;
-    std::unique_ptr<framework::Timer> confirmationTimer_;
     bool isPublishScheduled_ = false;
     objectstore::ObjectMirror configurations_;
     objectstore::ObjectMirror servers_;
--- a/src/direct/internal/serverentries.cpp
+++ b/src/direct/internal/serverentries.cpp
@@ -20,10 +20,10 @@
 using framework::SteadyTime;
 using objectstore::FeedObject;
 
-/// The platform removes an entry after three heartbeats of silence; the fourth covers the way here.
-constexpr int heartbeatsUntilConfirmed = 4;
-/// A removed entry is remembered for longer than a write may be late.
-constexpr Milliseconds removedRetention { 60 * 1000 };
+/// The platform removes an entry after three heartbeats of silence. One more covers the delay of the list.
+constexpr int heartbeatsUntilDecided = 4;
+/// Longer than a write may be late, and than a leaving server may stay out of the list and come back.
+constexpr Milliseconds removedRetention { 3600 * 1000 };
 constexpr std::size_t maxRemoved = 4096;
 
 /// Detects an entry that a server wrote before it restarted, but that the store applied only after the new run's entry.
@@ -71,19 +71,32 @@
                         .flag("known_before", entry.upstream.has_value())
                         .text("cause", describe(read.error())));
         entry.upstream.reset();
+        entry.late.reset();
         return;
     }
-    Upstream& upstream = read.value();
-    if (isLate(upstream, entry))
-        return applyLate(object, entry, upstream, now);
-    keepDraining(upstream, now);
+    if (isLate(read.value(), entry))
+        return holdLate(object, entry, std::move(read.value()), now);
+    accept(object, entry, std::move(read.value()), now);
+}
+
+void ServerEntries::accept(const FeedObject& object, Entry& entry, Upstream upstream, SteadyTime now)
+{
+    const bool isSameRun = upstream.started == entry.started;
+    const bool isDraining = upstream.state == UpstreamState::Draining;
+    const bool hasDrained = isSameRun && entry.hasDrained;
+    if (hasDrained && !isDraining) {
+        logDecision(LogLine("server_still_leaving").text("server", shortened(object.name)));
+        upstream.state = UpstreamState::Draining;
+    }
     logServerChange(object, entry.upstream, upstream);
-    entry.confirmedAt = confirmationOf(object.name, entry, upstream, now);
+    entry.unconfirmedSince = unconfirmedSince(object.name, entry, upstream, now);
     entry.started = upstream.started;
     entry.updates = upstream.updates;
+    entry.hasDrained = hasDrained || isDraining;
     entry.upstream = std::move(upstream);
     entry.upstream->firstListed = object.created;
     entry.removal.reset();
+    entry.late.reset();
 }
 
 /// A server that reports its start time always does, so an entry without it was written by another writer.
@@ -103,10 +116,10 @@
     return isEarlier(upstream.started, entry.started) || (isOfSameRun && upstream.updates < entry.updates);
 }
 
-/// Applies only the draining state of a late entry. Prevents requests to a draining server whose clock was set back
-/// before it restarted, so that all its entries seem to be of an earlier run. If the entry really is of an earlier run,
-/// the later run lists itself as ready again within a heartbeat.
-void ServerEntries::applyLate(const FeedObject& object, Entry& entry, const Upstream& late, SteadyTime now)
+/// Applies only the draining state of a late content. Prevents requests to a draining server whose clock was set back
+/// before it restarted, so that its entry seems to be of an earlier run. If the entry really is of an earlier run, the
+/// later run lists itself as ready again within a heartbeat.
+void ServerEntries::holdLate(const FeedObject& object, Entry& entry, Upstream late, SteadyTime now)
 {
     const bool isDraining = late.state == UpstreamState::Draining;
     LogLine line("server_entry_late");
@@ -118,57 +131,65 @@
     if (late.started && entry.started)
         line.number("started_ms", late.started->value()).number("later_ms", entry.started->value());
     logDecision(line);
-    if (!isDraining)
-        return;
-    noteDraining(late.run(), now);
-    if (entry.upstream)
+    entry.hasDrained = entry.hasDrained || (isDraining && late.started == entry.started);
+    if (isDraining && entry.upstream)
         entry.upstream->state = UpstreamState::Draining;
-}
-
-/// Prevents requests to a leaving server that its entry lists as ready again: the server wrote that before it began to
-/// drain.
-void ServerEntries::keepDraining(Upstream& upstream, SteadyTime now)
-{
-    if (upstream.state == UpstreamState::Draining)
-        return noteDraining(upstream.run(), now);
-    if (!drainingRuns_.isLeaving(upstream.run()))
-        return;
-    logDecision(LogLine("server_still_leaving").text("server", shortened(upstream.instance.value())));
-    upstream.state = UpstreamState::Draining;
-}
-
-void ServerEntries::noteDraining(const catalog::UpstreamRun& run, SteadyTime now)
-{
-    notices::ServerNotice notice;
-    notice.isLeaving = true;
-    drainingRuns_.add(run, notice, now);
+    entry.late = LateContent { object, std::move(late), now };
 }
 
 /// Some servers leave without draining: their entry is removed. If the entry of the same run is written again, either
-/// the server lives and had only been silent, or the write is one from before it left. In the latter case the platform
-/// removes the entry again, as nothing renews it.
-Deadline ServerEntries::confirmationOf(
+/// the server lives and had only been silent, or the write is one from before it left.
+std::optional<SteadyTime> ServerEntries::unconfirmedSince(
     const std::string& name, const Entry& entry, const Upstream& upstream, SteadyTime now) const
 {
     if (upstream.started != entry.started)
-        return {};
+        return std::nullopt;
     if (entry.removal != Removal::Deleted)
-        return entry.confirmedAt;
-    const Milliseconds wait = heartbeat_ * heartbeatsUntilConfirmed;
-    logDecision(LogLine("server_unconfirmed").text("server", shortened(name)).number("wait_ms", wait.count()));
-    return Deadline::after(now, wait);
+        return entry.unconfirmedSince;
+    logDecision(LogLine("server_unconfirmed")
+                    .text("server", shortened(name))
+                    .number("wait_ms", (heartbeat_ * heartbeatsUntilDecided).count()));
+    return now;
+}
+
+/// A server that lives replaces a late content with its next heartbeat, and the platform removes an entry that nobody
+/// renews. What still stands after that is what the server writes: it had only been silent, its clock was set back
+/// before it started, or another writer had named a start or count that isn't the server's. In an outage of the store
+/// nothing is replaced or removed.
+bool ServerEntries::decide(SteadyTime confirmedAt, SteadyTime answeringSince)
+{
+    const auto isDecided = [&](SteadyTime since) {
+        return Deadline::after(std::max(since, answeringSince), heartbeat_ * heartbeatsUntilDecided)
+            .hasPassed(confirmedAt);
+    };
+    bool hasChanged = false;
+    for (auto& [name, entry] : entries_) {
+        if (entry.unconfirmedSince && isDecided(*entry.unconfirmedSince)) {
+            entry.unconfirmedSince.reset();
+            hasChanged = true;
+        }
+        if (!entry.late || !isDecided(entry.late->heardAt))
+            continue;
+        logDecision(LogLine("server_entry_accepted").text("server", shortened(name)));
+        const LateContent late = *entry.late;
+        accept(late.object, entry, late.upstream, confirmedAt);
+        entry.unconfirmedSince.reset();
+        hasChanged = true;
+    }
+    return hasChanged;
 }
 
 void ServerEntries::remove(const std::string& name, Removal removal, SteadyTime now)
 {
     Entry& entry = entries_[name];
     entry.upstream.reset();
+    entry.late.reset();
     entry.removal = removal;
     entry.forgetAt = Deadline::after(now, removedRetention);
     logDecision(LogLine("server_unlisted").text("server", shortened(name)));
 }
 
-void ServerEntries::expire(SteadyTime now)
+void ServerEntries::forgetRemoved(SteadyTime now)
 {
     std::vector<std::pair<Deadline, std::string>> removed;
     for (const auto& [name, entry] : entries_) {
@@ -183,11 +204,6 @@
         entries_.erase(name);
         --left;
     }
-    const auto isListed = [this](const catalog::InstanceId& instance) {
-        const auto entry = entries_.find(instance.value());
-        return entry != entries_.end() && !entry->second.removal;
-    };
-    drainingRuns_.expire(isListed, now);
 }
 
 /// Prevents such an entry from hiding a server at the same address. The entry is kept, since the configured services
@@ -209,28 +225,28 @@
 }
 
 /// A server that may be leaving is better than none.
-void ServerEntries::confirmWhereNeeded(SteadyTime now)
+void ServerEntries::confirmWhereNeeded()
 {
     std::set<framework::ServiceName> served;
     for (const auto& [name, entry] : entries_) {
-        if (entry.upstream && entry.confirmedAt.hasPassed(now) && entry.upstream->state == UpstreamState::Ready)
+        if (entry.upstream && !entry.unconfirmedSince && entry.upstream->state == UpstreamState::Ready)
             served.insert(entry.upstream->service);
     }
     for (auto& [name, entry] : entries_) {
         if (entry.upstream && !served.contains(entry.upstream->service))
-            entry.confirmedAt = Deadline();
+            entry.unconfirmedSince.reset();
     }
 }
 
 /// Leaves out a server that has ended and whose successor already uses its address: the platform takes seconds to
 /// notice, and until then every request for the old one would be refused.
-std::vector<Upstream> ServerEntries::servers(SteadyTime now) const
+std::vector<Upstream> ServerEntries::servers() const
 {
     std::map<framework::Endpoint, const Upstream*> newest;
     for (const auto& [name, entry] : entries_) {
         if (!entry.upstream || entry.isOfUnknownService)
             continue;
-        if (!entry.confirmedAt.hasPassed(now))
+        if (entry.unconfirmedSince)
             continue;
         const Upstream*& known = newest[entry.upstream->endpoint];
         if (!known || isNewer(*entry.upstream, *known))
@@ -242,14 +258,4 @@
     return list;
 }
 
-std::optional<Deadline> ServerEntries::nextConfirmation(SteadyTime now) const
-{
-    std::optional<Deadline> next;
-    for (const auto& [name, entry] : entries_) {
-        if (entry.upstream && !entry.confirmedAt.hasPassed(now))
-            next = std::min(next.value_or(entry.confirmedAt), entry.confirmedAt);
-    }
-    return next;
-}
-
 } // namespace lagoon::direct
--- a/src/direct/internal/serverentries.h
+++ b/src/direct/internal/serverentries.h
@@ -4,7 +4,6 @@
 #include "catalog/types/upstream.h"
 #include "framework/types/error.h"
 #include "framework/types/time.h"
-#include "notices/noticetable.h"
 #include "objectstore/objectmirror.h"
 
 #include <map>
@@ -31,19 +30,29 @@
 
     using Removal = objectstore::ObjectMirror::Removal;
     void remove(const std::string& name, Removal, framework::SteadyTime now);
-    /// Forgets what is known of servers that have been removed for some time.
-    void expire(framework::SteadyTime now);
+    /// Decides about contents that may be older than what the list has said before, if the platform and the servers
+    /// have had the time to replace them. `confirmedAt` is a time as of which the entries are known to be current, and
+    /// `answeringSince` when the last outage of the store ended. Returns whether anything has changed.
+    bool decide(framework::SteadyTime confirmedAt, framework::SteadyTime answeringSince);
+    /// Uses servers about which nothing is decided yet, if their services have no others.
+    void confirmWhereNeeded();
+    /// Forgets servers that were removed long ago.
+    void forgetRemoved(framework::SteadyTime now);
 
     /// Marks the entries of services that the configuration doesn't have. Returns whether a mark has changed.
     bool markUnknownServices(const catalog::Configuration&);
-    /// Confirms the unconfirmed servers of services that have no other.
-    void confirmWhereNeeded(framework::SteadyTime now);
     /// Returns the newest confirmed server at each address.
-    std::vector<catalog::Upstream> servers(framework::SteadyTime now) const;
-    /// Returns when the result of `servers` changes next without a change of an entry.
-    std::optional<framework::Deadline> nextConfirmation(framework::SteadyTime now) const;
+    std::vector<catalog::Upstream> servers() const;
+    /// The number of entries that are kept, with those of removed servers.
+    std::size_t size() const { return entries_.size(); }
 
 private:
+    struct LateContent {
+        objectstore::FeedObject object;
+        catalog::Upstream upstream;
+        framework::SteadyTime heardAt {};
+    };
+
     struct Entry {
         /// std::nullopt if the newest content doesn't describe a server, or if the entry was removed.
         std::optional<catalog::Upstream> upstream;
@@ -51,27 +60,28 @@
         std::optional<catalog::StartTime> started;
         /// The server's own count in the newest content of the run that began at `started`.
         std::uint64_t updates = 0;
+        /// The run that began at `started` has said that it drains. It never becomes ready again.
+        bool hasDrained = false;
         /// The entry isn't used, as the configuration doesn't have its service.
         bool isOfUnknownService = false;
         /// Set while the entry isn't listed.
         std::optional<Removal> removal;
         framework::Deadline forgetAt;
-        /// The entry may have been written before its server left, as long as nothing has renewed it until then.
-        framework::Deadline confirmedAt;
+        /// The newest content, if it seems older than what the entry has held before.
+        std::optional<LateContent> late;
+        /// Set if the entry was removed and written again, which may be a write from before its server left.
+        std::optional<framework::SteadyTime> unconfirmedSince;
     };
 
     static framework::Result<catalog::Upstream> checked(framework::Result<catalog::Upstream>, const Entry& before);
     static bool isLate(const catalog::Upstream&, const Entry&);
-    void applyLate(const objectstore::FeedObject&, Entry&, const catalog::Upstream&, framework::SteadyTime now);
-    void keepDraining(catalog::Upstream&, framework::SteadyTime now);
-    void noteDraining(const catalog::UpstreamRun&, framework::SteadyTime now);
-    framework::Deadline confirmationOf(
+    void accept(const objectstore::FeedObject&, Entry&, catalog::Upstream, framework::SteadyTime now);
+    void holdLate(const objectstore::FeedObject&, Entry&, catalog::Upstream, framework::SteadyTime now);
+    std::optional<framework::SteadyTime> unconfirmedSince(
         const std::string& name, const Entry&, const catalog::Upstream&, framework::SteadyTime now) const;
 
     framework::Milliseconds heartbeat_;
     std::map<std::string, Entry> entries_;
-    /// The runs whose entries have said that they drain. A run never becomes ready again.
-    notices::NoticeTable drainingRuns_;
 };
 
 } // namespace lagoon::direct
--- a/src/direct/tests/catalogwatcher_test.cpp
+++ b/src/direct/tests/catalogwatcher_test.cpp
@@ -169,6 +169,14 @@
         control.advance(Milliseconds(1000));
     }
 
+    /// The store confirms the list after this time.
+    void confirmAfter(Milliseconds time)
+    {
+        control.advance(time);
+        servers.answerWatch({});
+        settle();
+    }
+
     bool isReady(const std::string& name) const
     {
         const Upstream* const found = find(name);
@@ -301,7 +309,7 @@
     remove("i-1");
     control.advance(Milliseconds(120000));
     write("i-1", server("10.0.0.1:80", 200));
-    control.advance(heartbeat * 5);
+    confirmAfter(heartbeat * 5);
     BOOST_TEST(!isReady("i-1"));
 }
 
@@ -336,12 +344,11 @@
     // Nothing renews the entry, so the platform removes it.
     control.advance(heartbeat * 3);
     remove("i-1");
-    control.advance(heartbeat * 5);
+    confirmAfter(heartbeat * 5);
     BOOST_TEST(!find("i-1"));
     write("i-1", server("10.0.0.1:80", 200));
     BOOST_TEST(!find("i-1"));
-    control.advance(heartbeat * 4);
-    control.runPosted();
+    confirmAfter(heartbeat * 4);
     BOOST_TEST(isReady("i-1"));
 }
 
--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -43,6 +43,7 @@
 void ObjectMirror::start()
 {
     answeredAt_ = clock_.now();
+    answeringSince_ = clock_.now();
     list({});
 }
 
@@ -244,9 +245,11 @@
         return;
     // The store can't have been reachable again before the last failed call was sent. Measuring from that time keeps a
     // late retry or a slow list from prolonging the use of a server that has been deleted.
-    if (elapsedSince(outage->noticedAt) >= minOutage)
+    if (elapsedSince(outage->noticedAt) >= minOutage) {
+        answeringSince_ = clock_.now();
         keepMissingUntil_ = std::min(Deadline::after(clock_.now(), settings_.missingGracePeriod),
             Deadline::after(outage->lastSentAt, settings_.outageNotice - removalPropagation));
+    }
     logDecision(LogLine("store_regained")
                     .text("kind", settings_.kind)
                     .number("answered_ms_ago", unanswered.count())
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -72,6 +72,8 @@
 
     void start();
     bool hasListed() const { return hasListed_; }
+    /// When the store answered again after the last outage; initially the time of `start`.
+    framework::SteadyTime answeringSince() const { return answeringSince_; }
 
 private:
     /// An outage lasts from the first failed call until the store answers again.
@@ -128,6 +130,7 @@
     framework::Deadline keepMissingUntil_;
     /// When the store last answered a call; initially the time of `start`.
     framework::SteadyTime answeredAt_ {};
+    framework::SteadyTime answeringSince_ {};
     std::unique_ptr<framework::Timer> timer_;
 };
 
