HTTP: one place counts the chunks of both directions

Both kinds of connection had the same callback that told MessageOverhead of a chunk. It registers itself with the parser now. Besides, two conditions are joined, and a comment of a test is reworded.

--- a/src/direct/internal/serverentries.cpp
+++ b/src/direct/internal/serverentries.cpp
@@ -244,9 +244,7 @@
 {
     std::map<framework::Endpoint, const Upstream*> newest;
     for (const auto& [name, entry] : entries_) {
-        if (!entry.upstream || entry.isOfUnknownService)
-            continue;
-        if (entry.unconfirmedSince)
+        if (!entry.upstream || entry.isOfUnknownService || entry.unconfirmedSince)
             continue;
         const Upstream*& known = newest[entry.upstream->endpoint];
         if (!known || isNewer(*entry.upstream, *known))
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -53,9 +53,6 @@
     , timer_(socket_.get_executor())
     , context_(std::move(context))
     , onClosed_(std::move(onClosed))
-    , didReadChunkHeader_([this](std::uint64_t, boost::beast::string_view, boost::system::error_code&) {
-        overhead_.didReadChunkHeader();
-    })
 {
 }
 
@@ -134,8 +131,8 @@
     parser_->eager(true);
     parser_->header_limit(context_->limits.headerBytes);
     parser_->body_limit(context_->limits.bodyBytes);
-    overhead_ = MessageOverhead();
-    parser_->on_chunk_header(didReadChunkHeader_);
+    overhead_.reset();
+    overhead_.countChunks(*parser_);
     armTimer(context_->limits.headerTimeout, &CallerConnection::handleHeaderTimeout);
 }
 
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -125,9 +125,9 @@
     /// Whether the caller may have received a part of the answer.
     bool hasBegunAnswer_ = false;
     boost::beast::flat_buffer buffer_;
-    std::optional<Parser> parser_;
+    /// Of the request that is read.
     MessageOverhead overhead_;
-    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)> didReadChunkHeader_;
+    std::optional<Parser> parser_;
     std::weak_ptr<CallerExchange> exchange_;
     /// The head of a started answer, kept until its first piece.
     std::string pendingHead_;
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -80,9 +80,6 @@
     , endpoint_(std::move(endpoint))
     , options_(options)
     , observers_(std::move(observers))
-    , didReadChunkHeader_([this](std::uint64_t, boost::beast::string_view, boost::system::error_code&) {
-        overhead_.didReadChunkHeader();
-    })
 {
 }
 
@@ -106,7 +103,7 @@
     mismatchedAnswers_ = 0;
     interimAnswers_ = 0;
     discardedBytes_ = 0;
-    overhead_ = MessageOverhead();
+    overhead_.reset();
     keepAliveTimeout_.reset();
     beginAnswer();
     if (isConnected_)
@@ -198,7 +195,7 @@
     parser_->header_limit(maxHeadBytes);
     parser_->body_limit(maxBodyBytes);
     parser_->skip(expectsNoBody_);
-    parser_->on_chunk_header(didReadChunkHeader_);
+    overhead_.countChunks(*parser_);
     isHeadDelivered_ = false;
     isAccepted_ = false;
 }
--- a/src/http/internal/tcpclientconnection.h
+++ b/src/http/internal/tcpclientconnection.h
@@ -9,7 +9,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <functional>
 
 namespace lagoon::http {
 
@@ -67,7 +66,6 @@
     std::uint64_t discardedBytes_ = 0;
     /// Of all answers to the request that is pending.
     MessageOverhead overhead_;
-    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)> didReadChunkHeader_;
     std::array<std::string, 2> outgoing_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
--- a/tests/integration/endlessframing_test.cpp
+++ b/tests/integration/endlessframing_test.cpp
@@ -24,7 +24,7 @@
 constexpr int serverConnections = 4;
 constexpr int pieces = 128;
 const std::string piece(1024 * 1024, 'x');
-/// What a message may begin with whose framing doesn't end: a chunk's extension, and trailers.
+/// Beginnings of chunked bodies that end neither their chunk's extension nor their trailers.
 const std::vector<std::string> endless { "5;a=", "0\r\nX-Long: " };
 
 struct EndlessFraming : RunningFleet {
