Tests: a fleet waits until its router knows how many routers there are

Cause: the test sends a booking three times, which takes two retries. A router assumes 32 routers until an agent has counted, and its part of the reserve is then one retry. A service's budget is made by its first request: if that comes before the count, the budget starts at 1 and not at 30, and the five requests of a trial earn one of the two retries that it takes. So the test depended on whether the count came before the first request.

Ruled out: a duplicate that is taken for an answer (the bookings ran not at all, and not twice).

Checks, bounds and trials of the test are as they were. The budget's rule stays: a router that doesn't know the others must not spend their part.

--- a/src/forwarding/internal/upstreamtable.cpp
+++ b/src/forwarding/internal/upstreamtable.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/upstreamtable.h"
 
+#include "framework/decisionlog.h"
 #include "ratelimits/types/serverlimit.h"
 
 #include <algorithm>
@@ -206,6 +207,15 @@
     }
 }
 
+/// The routers share the servers' connections and the retry budgets.
+void UpstreamTable::didCountRouters(std::uint32_t before)
+{
+    if (routers() == before)
+        return;
+    logDecision(framework::LogLine("routers_counted").number("routers", routers()).number("before", before));
+    limitConnections();
+}
+
 void UpstreamTable::setState(catalog::EngineState state, SteadyTime now)
 {
     const std::uint32_t before = routers();
@@ -221,7 +231,8 @@
         didSeeActivity(*record, now);
         refreshReplicas(*record);
     }
-    if (isNewRun || routers() != before)
+    didCountRouters(before);
+    if (isNewRun)
         limitConnections();
 }
 
@@ -240,8 +251,7 @@
     noteRouters();
     if (const UpstreamPointer record = find(load.engine))
         didSeeActivity(*record, now);
-    if (routers() != before)
-        limitConnections();
+    didCountRouters(before);
 }
 
 UpstreamPointer UpstreamTable::find(const Endpoint& endpoint) const
--- a/src/forwarding/internal/upstreamtable.h
+++ b/src/forwarding/internal/upstreamtable.h
@@ -183,6 +183,7 @@
     bool noteRestart(const catalog::EngineState&);
     void limitConnections();
     void noteRouters();
+    void didCountRouters(std::uint32_t before);
     void reportRunEnd(const UpstreamRecord&, quarantine::EndSign) const;
 
     boost::asio::io_context& context_;
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -381,6 +381,9 @@
 }
 
 int Fleet::runCommand(const std::vector<std::string>& arguments, std::string& output)
+    // Until then the router has a small part of the retry budget.
+    testsupport::waitFor("the router to know that it is the only one",
+        [this] { return router().output().find("\"routers_counted\"") != std::string::npos; });
 {
     testsupport::ChildProcess process("command-" + std::to_string(++startCount_),
         testsupport::pathOf(testsupport::Program::Lagoonrouter), arguments, folder_);
