Forwarding: a refusal that names no request tells nothing over a used connection

What callers saw: a booking that must not be repeated ran and was refused with 503, which says that it has not run.

Cause: servers echo a request's id, and an answer with another id is dropped. A refusal without any id was taken for the answer to the request that waits. Over a connection that was used before it may be a late duplicate of an earlier refusal, so the server goes on to run the request that waits.

Change: over a connection that carried a request before, an answer that names none is unverified: the request may have run, so a booking gets 502 and isn't sent again. Over a new connection no other request can be meant, and a refusal without id counts as before.

Ruled out: refusing all answers without id. A server that turns a connection's first request away without reading its head would cost the caller a retry that is safe.

The stand-in's due refusals are kept by the connection's number, as an address may be used again.

--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -64,10 +64,19 @@
 }
 
 bool UpstreamAttempt::acceptHead(RequestJob& job, const http::ResponseHead& head)
+/// Prevents a second run: over a connection that was used before, an answer that names no request may be a duplicate of
+/// an earlier one, which says nothing about this request.
+AnswerClass UpstreamAttempt::classify(const RequestJob& job, const http::ResponseHead& head) const
+{
+    if (connection_->isReused() && !dialect_.namesRequest(head))
+        return AnswerClass::Unverified;
+    return dialect_.classify(head, job.spec().facts, guard_->upstream().facts.instance);
+}
+
 {
     job.didSeeActivity(guard_->upstream());
     job.didSeeAnswer(guard_->upstream());
-    answerClass_ = dialect_.classify(head, job.spec().facts, guard_->upstream().facts.instance);
+    answerClass_ = classify(job, head);
     job.didReceiveHead(guard_->upstream(), head, answerClass_);
     if (answerClass_ == AnswerClass::Mismatched) {
         logDecision(framework::LogLine("foreign_answer_dropped")
--- a/src/forwarding/internal/upstreamattempt.h
+++ b/src/forwarding/internal/upstreamattempt.h
@@ -38,6 +38,7 @@
     bool relaysEvents(const RequestJob&) const;
     bool acceptHead(RequestJob&, const http::ResponseHead&);
     void takeBody(RequestJob&, std::string_view piece);
+    AnswerClass classify(const RequestJob&, const http::ResponseHead&) const;
     void reportAnswer(RequestJob&);
 
     std::weak_ptr<RequestJob> job_;
--- a/src/forwarding/irequestdialect.h
+++ b/src/forwarding/irequestdialect.h
@@ -59,6 +59,8 @@
     /// `instance` is the server to which the request was addressed.
     virtual AnswerClass classify(
         const http::ResponseHead&, const RequestFacts&, const catalog::InstanceId& instance) const = 0;
+    /// Whether the answer says to which request it belongs.
+    virtual bool namesRequest(const http::ResponseHead&) const = 0;
     /// Returns what the answer says about the rate of requests that its server takes.
     virtual ratelimits::LimitHeader limit(const http::ResponseHead&) const = 0;
     /// Returns what the answer says about whether its server takes further requests.
--- a/src/forwarding/tests/customerquota_test.cpp
+++ b/src/forwarding/tests/customerquota_test.cpp
@@ -45,6 +45,7 @@
         return head.status == 200 ? AnswerClass::Served : AnswerClass::Failed;
     }
     notices::ServerNotice notice(const http::ResponseHead&) const override { return {}; }
+    bool namesRequest(const http::ResponseHead&) const override { return true; }
     ratelimits::LimitHeader limit(const http::ResponseHead&) const override { return {}; }
     http::ResponseHead refusal(unsigned status, std::optional<Milliseconds> retryAfter) const override
     {
--- a/src/forwarding/tests/forwarderdoubles.h
+++ b/src/forwarding/tests/forwarderdoubles.h
@@ -41,6 +41,7 @@
     {
         return AnswerClass::Served;
     }
+    bool namesRequest(const http::ResponseHead&) const override { return true; }
     ratelimits::LimitHeader limit(const http::ResponseHead&) const override { return {}; }
     notices::ServerNotice notice(const http::ResponseHead&) const override { return {}; }
     http::ResponseHead refusal(unsigned status, std::optional<framework::Milliseconds> retryAfter) const override
--- a/src/forwarding/tests/oneengine.h
+++ b/src/forwarding/tests/oneengine.h
@@ -52,6 +52,7 @@
         return head.status == 503 ? AnswerClass::NotRun : AnswerClass::Served;
     }
     ratelimits::LimitHeader limit(const http::ResponseHead& head) const override
+    bool namesRequest(const http::ResponseHead&) const override { return true; }
     {
         ratelimits::LimitHeader limit;
         if (const auto value = head.headers.find("limit"))
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -78,6 +78,9 @@
 
     /// Sends the request, after connecting if necessary. Adds the framing headers.
     virtual void send(const Request&, std::shared_ptr<IAnswerSink>) = 0;
+    /// Returns whether the last request that was sent isn't the first one on this connection. Only then can an answer
+    /// belong to an earlier request.
+    virtual bool isReused() const = 0;
     /// Closes the connection. The sink is not called any more.
     virtual void abandon() = 0;
     /// Pause and resume reading, which applies backpressure to the server while the caller reads slowly.
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -100,6 +100,7 @@
     mayHaveSentBytes_ = false;
     isSent_ = false;
     isPaused_ = false;
+    isReused_ = isConnected_;
     mismatchedAnswers_ = 0;
     interimAnswers_ = 0;
     discardedBytes_ = 0;
--- a/src/http/internal/tcpclientconnection.h
+++ b/src/http/internal/tcpclientconnection.h
@@ -17,6 +17,7 @@
     TcpClientConnection(boost::asio::io_context&, framework::Endpoint, const ClientOptions&, Observers);
 
     void send(const Request&, std::shared_ptr<IAnswerSink>) override;
+    bool isReused() const override { return isReused_; }
     void abandon() override;
     void pause() override { isPaused_ = true; }
     void resume() override;
@@ -52,6 +53,7 @@
     ClientOptions options_;
     Observers observers_;
     bool isConnected_ = false;
+    bool isReused_ = false;
     bool isClosed_ = false;
     bool isReading_ = false;
     bool isPaused_ = false;
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -278,12 +278,14 @@
     run(exchange, answering);
 }
 
-void ServerStandin::refuse(Exchange& exchange, const HeaderMap& headers)
+void ServerStandin::refuse(Exchange& exchange, HeaderMap headers)
 {
+    if (refusesWithoutId_)
+        headers.erase("X-Request-Attempt");
     exchange.reply(503, "", headers);
     const std::lock_guard lock(mutex_);
     if (repeatsRefusals_)
-        dueRefusals_[&exchange] = headers;
+        dueRefusals_[exchange.connection()] = std::move(headers);
 }
 
 void ServerStandin::sendDueRefusal(Exchange& exchange)
@@ -291,7 +293,7 @@
     HeaderMap headers;
     {
         const std::lock_guard lock(mutex_);
-        const auto due = dueRefusals_.find(&exchange);
+        const auto due = dueRefusals_.find(exchange.connection());
         if (due == dueRefusals_.end())
             return;
         headers = due->second;
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -64,6 +64,8 @@
     void refuseNext(int count) { refusals_ = count; }
     /// Sends each refusal a second time, late: before the next answer over its connection.
     void repeatRefusals() { repeatsRefusals_ = true; }
+    /// Answers that refuse a request don't name it.
+    void refuseWithoutId() { refusesWithoutId_ = true; }
     /// Starts the next requests, but closes their connections without an answer.
     void dropNext(int count) { drops_ = count; }
     /// Starts the next requests, but answers them with the server's own 500.
@@ -116,7 +118,7 @@
     Process process() const;
     void answer(standins::Exchange&);
     bool isCrashedBy(const standins::HttpRequest&) const;
-    void refuse(standins::Exchange&, const standins::HeaderMap&);
+    void refuse(standins::Exchange&, standins::HeaderMap);
     void sendDueRefusal(standins::Exchange&);
     /// The rest that the server asks for; empty if it asks for none.
     std::string rest() const;
@@ -142,8 +144,9 @@
     std::atomic<int> cancelled_ { 0 };
     std::atomic<int> refusals_ { 0 };
     std::atomic<bool> repeatsRefusals_ { false };
-    /// The refusals that are due a second time. An exchange stands for its connection.
-    std::map<const standins::Exchange*, standins::HeaderMap> dueRefusals_;
+    std::atomic<bool> refusesWithoutId_ { false };
+    /// The refusals that are due a second time, by connection.
+    std::map<std::uint64_t, standins::HeaderMap> dueRefusals_;
     std::atomic<int> drops_ { 0 };
     std::atomic<int> failures_ { 0 };
     std::atomic<std::uint64_t> started_ { 1764700000000 };
--- a/tests/integration/lateanswers_test.cpp
+++ b/tests/integration/lateanswers_test.cpp
@@ -21,6 +21,8 @@
         auto routes = Fleet::defaultRoutes();
         routes.push_back(Fleet::route("/hold/", "non_idempotent", "plain"));
         routes.back()["max-attempts"] = web::json::value::number(3);
+        routes.push_back(Fleet::route("/once/", "non_idempotent", "plain"));
+        routes.back()["max-attempts"] = web::json::value::number(1);
         fleet.configure(routes);
         int tries = 0;
         waitFor("the route of the bookings", [&] { return book("first-" + std::to_string(++tries)).status == 200; });
@@ -30,9 +32,9 @@
 
     int runs(const std::string& attempt) const { return plain1.runs(attempt) + plain2.runs(attempt); }
 
-    CallerAnswer book(const std::string& attempt)
+    CallerAnswer book(const std::string& attempt, const std::string& target = "/hold/1")
     {
-        return call({ .target = "/hold/1", .attempt = attempt, .deadlineMs = 3000 });
+        return call({ .target = target, .attempt = attempt, .deadlineMs = 3000 });
     }
 };
 
@@ -57,4 +59,24 @@
     }
 }
 
+// Prevents a booking that runs from being refused as not run: a late duplicate of an earlier refusal, which named no
+// request, was taken for its answer.
+BOOST_AUTO_TEST_CASE(aDuplicateRefusalWithoutIdIsNotTheAnswerToTheNextBooking)
+{
+    fleet.store.remove("servers", plain2.instance());
+    waitFor("the removal of a server",
+        [&] { return fleet.router().output().find("\"server_unlisted\"") != std::string::npos; });
+    plain1.refuseWithoutId();
+    for (int trial = 0; trial < trials; ++trial) {
+        std::this_thread::sleep_for(refusalMemory);
+        plain1.refuseNext(1);
+        BOOST_TEST(book("refused-" + std::to_string(trial), "/once/1").status == 503);
+        const std::string attempt = "next-" + std::to_string(trial);
+        const int status = book(attempt, "/once/1").status;
+        std::this_thread::sleep_for(Milliseconds(100));
+        const bool isRefusedAsNotRun = status == 503;
+        BOOST_TEST(runs(attempt) == (isRefusedAsNotRun ? 0 : 1));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/common/httpserver.cpp
+++ b/tests/standins/common/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "standins/common/tcpacceptor.h"
 
+#include <atomic>
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -54,6 +55,7 @@
     }
 
     const HttpRequest& request() const override { return request_; }
+    std::uint64_t connection() const override { return number_; }
 
     void reply(int status, const std::string& body, const HeaderMap& headers) override
     {
@@ -141,6 +143,13 @@
             dropConnection();
     }
 
+    static std::uint64_t nextNumber()
+    {
+        static std::atomic<std::uint64_t> last { 0 };
+        return ++last;
+    }
+
+    const std::uint64_t number_ = nextNumber();
     tcp::socket socket_;
     beast::flat_buffer buffer_;
     HttpRequest request_;
--- a/tests/standins/common/httpserver.h
+++ b/tests/standins/common/httpserver.h
@@ -35,6 +35,8 @@
 public:
     virtual ~Exchange() = default;
     virtual const HttpRequest& request() const = 0;
+    /// The number of the connection, counted over all servers of this process.
+    virtual std::uint64_t connection() const = 0;
 
     virtual void reply(int status, const std::string& body, const HeaderMap& = {}) = 0;
     /// Starts an answer with chunked encoding. `sendChunk` sends its chunks and `endStream` ends it.
