HTTP: held bodies have one budget for the process

Reported by an operator: a server's answer without end made a machine run out of memory. The framing has had limits since; bodies had none together.

Cause: a router held up to 16 MiB of each answer and 4 MB (or what the configuration says) of each request, however many there were. Beast allocates an announced length before any byte of it arrives.

Change: callers/internal/bodybudget.h moves to http/bytebudget.h and serves both paths. The direct router's budget is a quarter of `memory_mb`, a new setting that the template fills in. At most half of it goes to requests, a quarter to those of one caller and half to the answers of one server. Beyond that a request that is still read is refused with 503 and Retry-After, truly as not run, and an answer that is held until it is complete is ended as broken. What was read stays. GrowingBody takes memory as bytes arrive. What a server refuses unread has a counter and a line in the log.

Ruled out: reserving the announced length, as a few callers could then hold all room without sending anything.

Open: events of streams that callers are slow to read (256 KiB each).

--- a/src/callers/internal/bodyreader.h
+++ b/src/callers/internal/bodyreader.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "callers/internal/bodybudget.h"
 #include "framework/types/error.h"
 #include "framework/types/time.h"
+#include "http/bytebudget.h"
 
 #include <cpprest/http_msg.h>
 #include <cstddef>
@@ -16,7 +16,7 @@
     std::size_t bytes = 0;
     framework::Deadline deadline;
     /// Null if the body is read to its end and discarded.
-    std::shared_ptr<BodyReservation> reservation;
+    std::shared_ptr<http::ByteReservation> reservation;
 };
 
 /// Reads a request's body as it arrives and calls `done` once, from any thread: with the body, or as soon as the error
--- a/src/callers/internal/calleranswer.h
+++ b/src/callers/internal/calleranswer.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "callers/icaller.h"
-#include "callers/internal/bodybudget.h"
 #include "callers/types/callerlimits.h"
 #include "framework/metrics.h"
+#include "http/bytebudget.h"
 
 #include <cpprest/http_msg.h>
 #include <cpprest/producerconsumerstream.h>
@@ -38,7 +38,7 @@
     /// Called when the answer is sent; returns whether its connection is closed afterwards.
     std::function<bool()> closesConnection;
     /// Held for the lifetime of the answer.
-    std::shared_ptr<BodyReservation> body;
+    std::shared_ptr<http::ByteReservation> body;
     std::shared_ptr<IAnswerObserver> observer;
     std::shared_ptr<framework::Metrics> metrics;
 };
--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -39,7 +39,7 @@
     /// Completes the answer with an error if this object is destroyed before the answer has ended. cpprest and the body
     /// reader swallow exceptions, so the request would otherwise wait, and count as in progress, forever.
     std::shared_ptr<ICallerAnswer> guard;
-    std::shared_ptr<BodyReservation> body;
+    std::shared_ptr<http::ByteReservation> body;
     framework::SteadyTime receivedAt;
     RequestKind kind = RequestKind::Other;
     RequestOptions options;
@@ -57,6 +57,9 @@
         request.path += "?" + query;
 }
 
+/// Answers are passed on as they arrive, so all held bytes may be those of requests.
+http::ByteBudget::Limits bodyLimits(std::size_t bytes) { return { bytes, bytes, bytes, bytes }; }
+
 } // namespace
 
 class CallerServer::Implementation : public std::enable_shared_from_this<Implementation> {
@@ -69,7 +72,7 @@
         , router_(router)
         , metrics_(std::move(metrics))
         , occupancy_(std::make_shared<Occupancy>(limits, metrics_))
-        , bodyBudget_(std::make_shared<BodyBudget>(limits.heldBodyBytes))
+        , bodyBudget_(std::make_shared<http::ByteBudget>(bodyLimits(limits.heldBodyBytes)))
         , isRefusing_(std::make_shared<std::atomic<bool>>(false))
     {
     }
@@ -116,7 +119,8 @@
         incoming->receivedAt = std::chrono::steady_clock::now();
         incoming->kind = kindOf(http);
         incoming->request.name = nextName();
-        incoming->body = std::make_shared<BodyReservation>(bodyBudget_);
+        incoming->body
+            = std::make_shared<http::ByteReservation>(bodyBudget_, http::ByteBudget::Use::Request, std::string());
         incoming->answer = std::make_shared<CallerAnswer>(http, answerContext(*incoming));
         metrics_->count("lagoon_requests_total", { { "kind", kindText(incoming->kind) } });
         const bool hasCapacity = occupancy_->enter();
@@ -269,7 +273,7 @@
     const framework::Incarnation router_;
     const std::shared_ptr<framework::Metrics> metrics_;
     const std::shared_ptr<Occupancy> occupancy_;
-    const std::shared_ptr<BodyBudget> bodyBudget_;
+    const std::shared_ptr<http::ByteBudget> bodyBudget_;
     const std::shared_ptr<std::atomic<bool>> isRefusing_;
     std::atomic<std::uint64_t> lastRequest_ = 0;
     std::shared_mutex dispatchMutex_;
--- a/src/direct/directsettings.h
+++ b/src/direct/directsettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catalog/types/units.h"
 #include "framework/types/error.h"
 #include "framework/types/ids.h"
 #include "framework/types/processidentity.h"
@@ -25,6 +26,8 @@
     framework::Endpoint objectStore;
     /// Port on which each agent listens, on the VM of its engine.
     std::uint16_t agentPort = 0;
+    /// The memory that this process may use. Its requests and answers are held in a part of it.
+    catalog::MegaBytes memory { 1024 };
     /// Retry budget of a service over all routers: a share of its requests, plus a fixed number of retries.
     double retryShare = 0.2;
     double retryReserve = 50;
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -15,6 +15,7 @@
 #include "framework/types/shutdowndeadlines.h"
 #include "http/exchangeserver.h"
 
+#include <algorithm>
 #include <functional>
 #include <thread>
 
@@ -41,6 +42,18 @@
         { settings.endsRevokedRequests, settings.revocationTime } };
 }
 
+/// A held body is in memory up to three times: as it was read, as it is sent on, and in what a buffer that grows leaves
+/// unused. The rest of the memory is for everything else.
+constexpr std::size_t partsOfMemory = 4;
+/// With less, the largest body that callers may send wouldn't fit in the share of one caller.
+constexpr std::size_t minBudget = 20 * 1000 * 1000;
+
+std::shared_ptr<http::ByteBudget> makeBudget(catalog::MegaBytes memory)
+{
+    const std::size_t total = std::max(minBudget, memory.value() * 1000 * 1000 / partsOfMemory);
+    return std::make_shared<http::ByteBudget>(http::ByteBudget::Limits { total, total / 2, total / 4, total / 2 });
+}
+
 http::ExchangeLimits exchangeLimits(const catalog::CallerLimits& limits)
 {
     return { limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout };
@@ -53,6 +66,7 @@
     Implementation(const DirectRouterPorts& ports, const DirectRouterSettings& settings)
         : ports_(ports)
         , settings_(settings)
+        , budget_(makeBudget(settings.memory))
         , transport_(makeLinkTransport(ports.metrics))
         , origins_(ports.control, ports.traffic, [this]() -> streams::IStreamOrigins& { return links_.origins(); })
         , permits_(ports.control, ports.traffic, [this]() -> ratelimits::IServerPermits& { return links_.permits(); })
@@ -72,6 +86,10 @@
 
     framework::Result<DirectRouterEndpoints> start()
     {
+        for (http::ExchangeServer* const server : { &callers_, &readiness_, &ops_ }) {
+            server->setBudget(budget_, ports_.dialect.refusal(503, retryAfterRefusal));
+            server->setRefusalHandler([this](const http::UnreadRefusal& refusal) { didRefuseUnread(refusal); });
+        }
         // While the callers' port is held, balancers already read that this router isn't ready. Callers come last,
         // since nobody would drain their requests if the process were asked to terminate before it has started.
         BOOST_OUTCOME_TRY(readiness, readinessPort_.bind());
@@ -132,6 +150,15 @@
     }
 
 private:
+    void didRefuseUnread(const http::UnreadRefusal& refusal)
+    {
+        ports_.metrics->count("lagoon_requests_refused_unread_total", { { "status", std::to_string(refusal.status) } });
+        logDecision(LogLine("request_refused_unread")
+                        .text("caller", refusal.caller.value())
+                        .number("status", refusal.status)
+                        .text("cause", refusal.cause));
+    }
+
     /// Retries until the port is bound. Runs on the traffic thread; nothing else waits for this port.
     void bindOps()
     {
@@ -192,7 +219,8 @@
             origins_, permits_, quotas_,
             [this](const fairness::UseReport& report) {
                 ports_.control.post([this, report] { links_.reportUse(report); });
-            } };
+            },
+            budget_ };
     }
 
     AgentLinks::Context linksContext()
@@ -282,6 +310,7 @@
 
     DirectRouterPorts ports_;
     DirectRouterSettings settings_;
+    std::shared_ptr<http::ByteBudget> budget_;
     std::shared_ptr<wire::ILinkTransport> transport_;
     std::atomic<bool> isDraining_ { false };
     TrafficOrigins origins_;
--- a/src/direct/internal/directsettings.cpp
+++ b/src/direct/internal/directsettings.cpp
@@ -90,6 +90,8 @@
     settings.ops = framework::readEndpoint(object, "ops");
     settings.objectStore = framework::readEndpoint(object, "object_store");
     settings.agentPort = static_cast<std::uint16_t>(object.number("agent_port", 1, 65535));
+    settings.memory = catalog::MegaBytes(static_cast<std::uint64_t>(
+        object.doubleOr("memory_mb", static_cast<double>(settings.memory.value()), 16, 1e9)));
     readRepeats(object, settings);
     readQuotas(object, settings);
     readKeys(object, settings);
--- a/src/direct/tests/directsettings_test.cpp
+++ b/src/direct/tests/directsettings_test.cpp
@@ -49,6 +49,15 @@
     BOOST_TEST(describe(tooShort.error()).find("outage_notice_ms") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(theMemoryIsValidatedAndMayHaveAFraction)
+{
+    BOOST_TEST(parsed("").value().memory.value() == 1024U);
+    BOOST_TEST(parsed(R"(, "memory_mb": 260.5)").value().memory.value() == 260U);
+    const auto tooLittle = parsed(R"(, "memory_mb": 1)");
+    BOOST_REQUIRE(tooLittle.has_error());
+    BOOST_TEST(describe(tooLittle.error()).find("memory_mb") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(aPolicyCanBeSwitchedOffByName)
 {
     const policy::PolicySwitches policy = parsed(R"(, "policy": { "fetches_ahead": false })").value().policy;
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -10,6 +10,7 @@
 #include "framework/iclock.h"
 #include "framework/metrics.h"
 #include "framework/types/shutdowndeadlines.h"
+#include "http/bytebudget.h"
 #include "http/iexchange.h"
 #include "quarantine/suspectreport.h"
 #include "quarantine/types/evidence.h"
@@ -50,6 +51,8 @@
         /// Reports what this router's customers used; called on the traffic thread once a second if there are
         /// customers.
         std::function<void(const fairness::UseReport&)> reportUse;
+        /// Answers are held in it until they are complete; those that don't fit in are broken off.
+        std::shared_ptr<http::ByteBudget> budget;
     };
 
     Forwarder(Context, const ForwarderSettings&);
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -205,6 +205,7 @@
     streams::IStreamOrigins& origins() override { return context_.origins; }
     quotas::ICustomerQuotas& quotas() override { return context_.quotas; }
     CustomerTurns& customerTurns() override { return customerTurns_; }
+    const std::shared_ptr<http::ByteBudget>& budget() const override { return context_.budget; }
 
     bool spendRetry(const ServiceName& service) override
     {
--- a/src/forwarding/internal/ijobhost.h
+++ b/src/forwarding/internal/ijobhost.h
@@ -11,6 +11,7 @@
 #include "framework/eventthread.h"
 #include "framework/iclock.h"
 #include "framework/metrics.h"
+#include "http/bytebudget.h"
 #include "quarantine/requestquarantine.h"
 #include "quotas/icustomerquotas.h"
 #include "streams/istreamorigins.h"
@@ -39,6 +40,8 @@
     virtual streams::IStreamOrigins& origins() = 0;
     virtual quotas::ICustomerQuotas& quotas() = 0;
     virtual CustomerTurns& customerTurns() = 0;
+    /// For the answers that are held until they are complete.
+    virtual const std::shared_ptr<http::ByteBudget>& budget() const = 0;
 
     /// Spends one retry of the service's budget; returns false if none is left.
     [[nodiscard]] virtual bool spendRetry(const framework::ServiceName&) = 0;
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -334,8 +334,7 @@
     logDecision(line);
     auto guard = std::make_unique<InFlightGuard>(
         chosen.upstream, target(), spec_.priority, chosen.newTokens, chosen.sample, sentAt_);
-    attempt_
-        = std::make_shared<UpstreamAttempt>(weak_from_this(), host_.dialect(), std::move(guard), chosen.connection);
+    attempt_ = std::make_shared<UpstreamAttempt>(weak_from_this(), host_, std::move(guard), chosen.connection);
     if (isTrial)
         attempt_->setTrial(host_.quarantine().beginTrial(spec_.identity, serverRunId(upstream.facts.run())));
     if (isForModel())
--- a/src/forwarding/internal/upstreamattempt.cpp
+++ b/src/forwarding/internal/upstreamattempt.cpp
@@ -21,12 +21,13 @@
 
 } // namespace
 
-UpstreamAttempt::UpstreamAttempt(std::weak_ptr<RequestJob> job, const IRequestDialect& dialect,
+UpstreamAttempt::UpstreamAttempt(std::weak_ptr<RequestJob> job, const IJobHost& host,
     std::unique_ptr<InFlightGuard> guard, std::shared_ptr<http::ClientConnection> connection)
     : job_(std::move(job))
-    , dialect_(dialect)
+    , dialect_(host.dialect())
     , guard_(std::move(guard))
     , connection_(std::move(connection))
+    , bodyReservation_(host.budget(), http::ByteBudget::Use::Answer, guard_->upstream().facts.instance.value())
 {
 }
 
@@ -63,7 +64,6 @@
     return isAccepted;
 }
 
-bool UpstreamAttempt::acceptHead(RequestJob& job, const http::ResponseHead& head)
 /// Prevents a second run: over a connection that was used before, an answer that names no request may be a duplicate of
 /// an earlier one, which says nothing about this request.
 AnswerClass UpstreamAttempt::classify(const RequestJob& job, const http::ResponseHead& head) const
@@ -73,6 +73,7 @@
     return dialect_.classify(head, job.spec().facts, guard_->upstream().facts.instance);
 }
 
+bool UpstreamAttempt::acceptHead(RequestJob& job, const http::ResponseHead& head)
 {
     job.didSeeActivity(guard_->upstream());
     job.didSeeAnswer(guard_->upstream());
@@ -102,11 +103,13 @@
     job.didSeeActivity(guard_->upstream());
     if (relaysEvents(job))
         return job.didReceiveEvents(piece);
-    body_.append(piece);
-    if (body_.size() <= maxAnswerBytes)
+    const bool fits = bodyReservation_.grow(piece.size());
+    if (fits && body_.size() + piece.size() <= maxAnswerBytes) {
+        body_.append(piece);
         return;
+    }
     abandon();
-    job.didEndWithoutAnswer("answer too large to be kept", true);
+    job.didEndWithoutAnswer(fits ? "answer too large to be kept" : "no memory for the answer", true);
 }
 
 void UpstreamAttempt::didFinish()
--- a/src/forwarding/internal/upstreamattempt.h
+++ b/src/forwarding/internal/upstreamattempt.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "forwarding/internal/ijobhost.h"
 #include "forwarding/internal/inflightguard.h"
 #include "forwarding/irequestdialect.h"
+#include "http/bytebudget.h"
 #include "http/clientconnection.h"
 #include "quarantine/requestquarantine.h"
 
@@ -15,7 +17,7 @@
 /// Sends a request to a server once, reads the answer and reports its class to the request.
 class UpstreamAttempt final : public http::IAnswerSink, public std::enable_shared_from_this<UpstreamAttempt> {
 public:
-    UpstreamAttempt(std::weak_ptr<RequestJob>, const IRequestDialect&, std::unique_ptr<InFlightGuard>,
+    UpstreamAttempt(std::weak_ptr<RequestJob>, const IJobHost&, std::unique_ptr<InFlightGuard>,
         std::shared_ptr<http::ClientConnection>);
 
     void send(const http::Request&);
@@ -36,9 +38,9 @@
 
 private:
     bool relaysEvents(const RequestJob&) const;
+    AnswerClass classify(const RequestJob&, const http::ResponseHead&) const;
     bool acceptHead(RequestJob&, const http::ResponseHead&);
     void takeBody(RequestJob&, std::string_view piece);
-    AnswerClass classify(const RequestJob&, const http::ResponseHead&) const;
     void reportAnswer(RequestJob&);
 
     std::weak_ptr<RequestJob> job_;
@@ -49,6 +51,7 @@
     AnswerClass answerClass_ = AnswerClass::Mismatched;
     http::ResponseHead head_;
     std::string body_;
+    http::ByteReservation bodyReservation_;
 };
 
 } // namespace lagoon::forwarding
--- a/src/forwarding/tests/customerkeys_test.cpp
+++ b/src/forwarding/tests/customerkeys_test.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/forwarder.h"
 #include "forwarding/tests/forwarderdoubles.h"
+#include "forwarding/tests/testbudget.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -202,7 +203,7 @@
     std::shared_ptr<framework::Metrics> metrics = std::make_shared<framework::Metrics>();
     ForwarderSettings settings;
     Forwarder forwarder { { traffic, clock, dialect, metrics, [](const LoadPlan&) {}, [](const auto&) {}, origins,
-                              permits, quotas, [](const fairness::UseReport&) {} },
+                              permits, quotas, [](const fairness::UseReport&) {}, testBudget() },
         settings };
 };
 
--- a/src/forwarding/tests/customerquota_test.cpp
+++ b/src/forwarding/tests/customerquota_test.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/forwarder.h"
 #include "forwarding/internal/requestjob.h"
 #include "forwarding/tests/forwarderdoubles.h"
+#include "forwarding/tests/testbudget.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -44,8 +45,8 @@
             return AnswerClass::NotRun;
         return head.status == 200 ? AnswerClass::Served : AnswerClass::Failed;
     }
-    notices::ServerNotice notice(const http::ResponseHead&) const override { return {}; }
     bool namesRequest(const http::ResponseHead&) const override { return true; }
+    notices::ServerNotice notice(const http::ResponseHead&) const override { return {}; }
     ratelimits::LimitHeader limit(const http::ResponseHead&) const override { return {}; }
     http::ResponseHead refusal(unsigned status, std::optional<Milliseconds> retryAfter) const override
     {
@@ -267,7 +268,8 @@
     NoPermits permits;
     RecordedQuotas quotas;
     Forwarder forwarder { { traffic, clock, dialect, std::make_shared<framework::Metrics>(), [](const LoadPlan&) {},
-                              [](const auto&) {}, origins, permits, quotas, [](const fairness::UseReport&) {} },
+                              [](const auto&) {}, origins, permits, quotas, [](const fairness::UseReport&) {},
+                              testBudget() },
         {} };
 };
 
--- a/src/forwarding/tests/oneengine.h
+++ b/src/forwarding/tests/oneengine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwarder.h"
+#include "forwarding/tests/testbudget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -51,8 +52,8 @@
     {
         return head.status == 503 ? AnswerClass::NotRun : AnswerClass::Served;
     }
-    ratelimits::LimitHeader limit(const http::ResponseHead& head) const override
     bool namesRequest(const http::ResponseHead&) const override { return true; }
+    ratelimits::LimitHeader limit(const http::ResponseHead& head) const override
     {
         ratelimits::LimitHeader limit;
         if (const auto value = head.headers.find("limit"))
@@ -321,7 +322,7 @@
     LoadPlan lastPlan;
     Forwarder forwarder { { traffic, clock, dialect, std::make_shared<framework::Metrics>(),
                               [this](const LoadPlan& plan) { lastPlan = plan; }, [](const auto&) {}, origins, permits,
-                              quotas, [](const fairness::UseReport&) {} },
+                              quotas, [](const fairness::UseReport&) {}, testBudget() },
         {} };
 };
 
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -4,11 +4,14 @@
 #include "framework/types/error.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
+#include "http/bytebudget.h"
 #include "http/iexchange.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <string>
 
 namespace lagoon::http {
 
@@ -22,12 +25,19 @@
     framework::Milliseconds idleTimeout { 15000 };
 };
 
+/// A request that the server refused itself, without reading the whole of it.
+struct UnreadRefusal {
+    unsigned status = 0;
+    std::string cause;
+    framework::Endpoint caller;
+};
+
 /// An HTTP/1.1 server on one event thread, based on Boost.Beast's parser and Asio. It replaces cpprest's listener where
 /// requests are forwarded directly, since that listener does not detect a disconnect before the first byte of the
 /// answer, accepts headers and bodies of any size, and does not show on which connection an answer is sent.
 ///
 /// The server itself refuses requests that never reach the handler: with 400 if they are malformed or ambiguously
-/// framed, and with 408, 413 or 431 if they exceed a limit.
+/// framed, with 408, 413 or 431 if they exceed a limit, and with 503 if their bodies don't fit in the budget.
 class ExchangeServer {
 public:
     ExchangeServer(framework::EventThread&, IExchangeHandler&);
@@ -40,6 +50,11 @@
     framework::Result<framework::Endpoint> listen(const framework::Endpoint&);
     /// Applies to requests that start from now on. This and all functions below must be called on the event thread.
     void setLimits(const ExchangeLimits&);
+    /// Sets the budget that request bodies and answers are held in, and the head with which requests are refused whose
+    /// bodies don't fit in. Initially there is one of 64 MiB for this server. Call this before `listen`.
+    void setBudget(std::shared_ptr<ByteBudget>, const ResponseHead& refusal);
+    /// Sets what is called for each request that this server refuses itself. Call this before `listen`.
+    void setRefusalHandler(std::function<void(const UnreadRefusal&)>);
     /// Above this number of connections, the one that has been idle for longest is closed for each further one.
     void setMaxConnections(std::size_t);
     /// From now on, each answer announces that its connection is closed, and closes it.
--- /dev/null
+++ b/src/http/internal/bytebudget.cpp
@@ -0,0 +1,77 @@
+#include "http/bytebudget.h"
+
+#include <utility>
+
+namespace lagoon::http {
+
+bool ByteBudget::acquire(Use use, const std::string& peer, std::size_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    const auto known = usedByPeer_.find({ use, peer });
+    const std::size_t usedByPeer = known == usedByPeer_.end() ? 0 : known->second;
+    const std::size_t ofPeer = use == Use::Request ? limits_.caller : limits_.server;
+    const bool hasRoomForRequest = use != Use::Request || usedByRequests_ + bytes <= limits_.requests;
+    if (used_ + bytes > limits_.total || usedByPeer + bytes > ofPeer || !hasRoomForRequest)
+        return false;
+    add(use, peer, bytes);
+    return true;
+}
+
+void ByteBudget::acquireAnyway(Use use, const std::string& peer, std::size_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    add(use, peer, bytes);
+}
+
+void ByteBudget::add(Use use, const std::string& peer, std::size_t bytes)
+{
+    used_ += bytes;
+    usedByRequests_ += use == Use::Request ? bytes : 0;
+    usedByPeer_[{ use, peer }] += bytes;
+}
+
+void ByteBudget::release(Use use, const std::string& peer, std::size_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    used_ -= bytes;
+    usedByRequests_ -= use == Use::Request ? bytes : 0;
+    const auto known = usedByPeer_.find({ use, peer });
+    known->second -= bytes;
+    if (known->second == 0)
+        usedByPeer_.erase(known);
+}
+
+std::size_t ByteBudget::used() const
+{
+    const std::lock_guard lock(mutex_);
+    return used_;
+}
+
+ByteReservation::ByteReservation(std::shared_ptr<ByteBudget> budget, ByteBudget::Use use, std::string peer)
+    : budget_(std::move(budget))
+    , use_(use)
+    , peer_(std::move(peer))
+{
+}
+
+ByteReservation::~ByteReservation()
+{
+    if (bytes_ > 0)
+        budget_->release(use_, peer_, bytes_);
+}
+
+bool ByteReservation::grow(std::size_t bytes)
+{
+    if (!budget_->acquire(use_, peer_, bytes))
+        return false;
+    bytes_ += bytes;
+    return true;
+}
+
+void ByteReservation::growAnyway(std::size_t bytes)
+{
+    budget_->acquireAnyway(use_, peer_, bytes);
+    bytes_ += bytes;
+}
+
+} // namespace lagoon::http
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -1,7 +1,7 @@
 #include "http/internal/callerconnection.h"
 
 #include "framework/eventloop.h"
-
+#include "framework/tcpendpoint.h"
 #include "http/internal/messagereader.h"
 #include "http/internal/messagewriter.h"
 #include "http/internal/socketoptions.h"
@@ -34,6 +34,9 @@
 /// caller whose machine has become unreachable is still handled. The kernel does not distinguish the two.
 constexpr Milliseconds callerUnresponsiveTimeout { 60000 };
 
+/// What answers that callers haven't read yet count as in the budget. Not the name of a peer.
+constexpr const char* unsentAnswers = "unsent answers";
+
 /// Prevents request smuggling: a peer that uses another of the framings than this server would see two requests where
 /// this server sees one. Beast refuses most spellings of a length together with chunks, but accepts a repeated length.
 bool hasSingleFraming(const Headers& headers)
@@ -106,21 +109,36 @@
         boost::system::error_code error;
         const std::size_t bodyBefore = parser_->get().body().size();
         const std::size_t parsed = parser_->put(buffer_.data(), error);
+        const std::size_t bodyBytes = parser_->get().body().size() - bodyBefore;
         overhead_.didParse(parsed);
-        overhead_.didReadBody(parser_->get().body().size() - bodyBefore);
+        overhead_.didReadBody(bodyBytes);
         buffer_.consume(parsed);
-        didParse(error);
+        reserveBody(bodyBytes);
+        if (stage_ == Stage::Reading)
+            didParse(error);
         refuseIfOverheadIsOver(error ? buffer_.size() : 0);
         if (error == beast::http::error::need_more)
             return;
     }
 }
 
+/// Prevents callers whose bodies arrive slowly from using up the memory together.
+void CallerConnection::reserveBody(std::size_t bytes)
+{
+    if (bytes == 0)
+        return;
+    if (!bodyReservation_)
+        bodyReservation_ = std::make_unique<ByteReservation>(
+            context_->budget, ByteBudget::Use::Request, std::string(parser_->get()["Host"]));
+    if (!bodyReservation_->grow(bytes))
+        refuse(context_->budgetRefusal, "no memory for the body");
+}
+
 /// Prevents a caller from using up the memory by a request whose framing doesn't end.
 void CallerConnection::refuseIfOverheadIsOver(std::size_t unparsed)
 {
     if (stage_ == Stage::Reading && overhead_.isOver(context_->limits.headerBytes, unparsed))
-        refuse({ 431, {}, {} });
+        refuse({ 431, {}, {} }, "too many bytes that are no body");
 }
 
 void CallerConnection::beginRequest()
@@ -140,8 +158,8 @@
 {
     if (error && error != beast::http::error::need_more) {
         if (error == beast::http::error::header_limit)
-            return refuse({ 431, {}, {} });
-        return refuse({ error == beast::http::error::body_limit ? 413U : 400U, {}, {} });
+            return refuse({ 431, {}, {} }, "head too long");
+        return refuse({ error == beast::http::error::body_limit ? 413U : 400U, {}, {} }, error.message());
     }
     if (parser_->is_header_done() && !std::exchange(hasRequestHead_, true) && didRefuseHead())
         return;
@@ -155,7 +173,7 @@
     timer_.cancel();
     const Headers headers = headersOf(parser_->get());
     if (!hasSingleFraming(headers) || (parser_->get().version() >= 11 && headers.count("Host") != 1)) {
-        refuse({ 400, {}, {} });
+        refuse({ 400, {}, {} }, "ambiguous framing, or not one host");
         return true;
     }
     if (!parser_->is_done() && headers.hasToken("Expect", "100-continue"))
@@ -174,15 +192,19 @@
     parser_.reset();
     Request request { std::string(message.method_string()), std::string(message.target()), headersOf(message),
         std::move(message.body()) };
-    auto exchange
-        = std::make_shared<CallerExchange>(shared_from_this(), std::move(request), std::chrono::steady_clock::now());
+    auto exchange = std::make_shared<CallerExchange>(
+        shared_from_this(), std::move(request), std::move(bodyReservation_), std::chrono::steady_clock::now());
     exchange_ = exchange;
     context_->handler.handle(exchange);
 }
 
-void CallerConnection::refuse(const ResponseHead& head)
+void CallerConnection::refuse(const ResponseHead& head, const std::string& cause)
 {
+    boost::system::error_code ignored;
+    if (context_->didRefuse)
+        context_->didRefuse({ head.status, cause, framework::endpointOf(socket_.remote_endpoint(ignored)) });
     parser_.reset();
+    bodyReservation_.reset();
     endsAfterAnswer_ = true;
     stage_ = Stage::Handling;
     answer(head, {});
@@ -208,6 +230,11 @@
     if (stage_ != Stage::Handling)
         return;
     addFraming(head, body.size());
+    if (!body.empty()) {
+        answerReservation_
+            = std::make_unique<ByteReservation>(context_->budget, ByteBudget::Use::Answer, unsentAnswers);
+        answerReservation_->growAnyway(body.size());
+    }
     send(headText(head).append(body));
     finishAnswer();
 }
@@ -283,7 +310,7 @@
     const auto keepAlive = shared_from_this();
     try {
         if (stage_ == Stage::Reading)
-            refuse({ 500, {}, {} });
+            refuse({ 500, {}, {} }, "exception");
         else if (stage_ == Stage::Handling)
             failRequest();
         else if (stage_ == Stage::Idle && !unsent_.empty())
@@ -382,6 +409,7 @@
     unsent_.pop_front();
     if (!unsent_.empty())
         return write();
+    answerReservation_.reset();
     if (stage_ == Stage::Closing)
         return endsAfterAnswer_ ? linger() : close();
     if (stage_ == Stage::Idle)
@@ -405,7 +433,7 @@
 void CallerConnection::handleHeaderTimeout()
 {
     if (stage_ == Stage::Reading && !hasRequestHead_)
-        refuse({ 408, {}, {} });
+        refuse({ 408, {}, {} }, "head not in time");
 }
 
 /// Shuts the sending side down, and reads and discards what the caller still sends.
@@ -501,7 +529,7 @@
 void CallerConnection::refuseIncomplete(const ResponseHead& head)
 {
     if (stage_ == Stage::Reading)
-        refuse(head);
+        refuse(head, "not whole when the server stopped reading");
 }
 
 void CallerConnection::closeNow()
@@ -523,10 +551,11 @@
     onClosed_(this);
 }
 
-CallerExchange::CallerExchange(
-    std::shared_ptr<CallerConnection> connection, Request request, framework::SteadyTime receivedAt)
+CallerExchange::CallerExchange(std::shared_ptr<CallerConnection> connection, Request request,
+    std::unique_ptr<ByteReservation> bodyReservation, framework::SteadyTime receivedAt)
     : connection_(std::move(connection))
     , request_(std::move(request))
+    , bodyReservation_(std::move(bodyReservation))
     , receivedAt_(receivedAt)
 {
 }
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -2,13 +2,13 @@
 
 #include "framework/eventthread.h"
 #include "http/exchangeserver.h"
+#include "http/internal/growingbody.h"
 #include "http/internal/messageoverhead.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -19,10 +19,21 @@
 
 class CallerExchange;
 
+constexpr std::size_t mebibyte = 1024 * 1024;
+constexpr ByteBudget::Limits defaultBudget { 64 * mebibyte, 32 * mebibyte, 32 * mebibyte, 32 * mebibyte };
+
 /// State shared by all connections of a server.
 struct ConnectionContext {
+    explicit ConnectionContext(IExchangeHandler& exchangeHandler)
+        : handler(exchangeHandler)
+    {
+    }
+
     IExchangeHandler& handler;
     ExchangeLimits limits;
+    std::shared_ptr<ByteBudget> budget = std::make_shared<ByteBudget>(defaultBudget);
+    ResponseHead budgetRefusal { 503, {}, {} };
+    std::function<void(const UnreadRefusal&)> didRefuse;
     /// Answers announce that their connections close.
     bool isDraining = false;
     /// Connections are closed once they are idle.
@@ -69,7 +80,7 @@
     bool hasCallerDisconnected();
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<GrowingBody>;
 
     enum class Stage : std::uint8_t {
         Idle, ///< between requests
@@ -88,9 +99,10 @@
     void beginRequest();
     void didParse(const boost::system::error_code&);
     void refuseIfOverheadIsOver(std::size_t unparsed);
+    void reserveBody(std::size_t bytes);
     bool didRefuseHead();
     void handOver();
-    void refuse(const ResponseHead&);
+    void refuse(const ResponseHead&, const std::string& cause);
     void addFraming(ResponseHead&, std::optional<std::size_t> length);
     void send(std::string);
     void write();
@@ -128,6 +140,10 @@
     /// Of the request that is read.
     MessageOverhead overhead_;
     std::optional<Parser> parser_;
+    /// For the body of the request that is read.
+    std::unique_ptr<ByteReservation> bodyReservation_;
+    /// For the bytes of whole answers that aren't written yet.
+    std::unique_ptr<ByteReservation> answerReservation_;
     std::weak_ptr<CallerExchange> exchange_;
     /// The head of a started answer, kept until its first piece.
     std::string pendingHead_;
@@ -140,7 +156,8 @@
 /// The handler's interface to one request.
 class CallerExchange final : public IExchange {
 public:
-    CallerExchange(std::shared_ptr<CallerConnection>, Request, framework::SteadyTime receivedAt);
+    CallerExchange(
+        std::shared_ptr<CallerConnection>, Request, std::unique_ptr<ByteReservation>, framework::SteadyTime receivedAt);
     ~CallerExchange() override;
     CallerExchange(const CallerExchange&) = delete;
     CallerExchange& operator=(const CallerExchange&) = delete;
@@ -167,6 +184,7 @@
 
     std::shared_ptr<CallerConnection> connection_;
     Request request_;
+    std::unique_ptr<ByteReservation> bodyReservation_;
     framework::SteadyTime receivedAt_;
     std::function<void()> onDisconnect_;
     std::function<void()> onDrained_;
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -33,7 +33,7 @@
         : context_(thread.context())
         , acceptor_(context_)
         , acceptTimer_(context_)
-        , shared_(std::make_shared<ConnectionContext>(ConnectionContext { handler, {} }))
+        , shared_(std::make_shared<ConnectionContext>(handler))
     {
     }
 
@@ -59,6 +59,15 @@
     }
 
     void setLimits(const ExchangeLimits& limits) { shared_->limits = limits; }
+    void setBudget(std::shared_ptr<ByteBudget> budget, const ResponseHead& refusal)
+    {
+        shared_->budget = std::move(budget);
+        shared_->budgetRefusal = refusal;
+    }
+    void setRefusalHandler(std::function<void(const UnreadRefusal&)> handler)
+    {
+        shared_->didRefuse = std::move(handler);
+    }
     void setMaxConnections(std::size_t connections) { maxConnections_ = connections; }
     void beginDraining() { shared_->isDraining = true; }
 
@@ -225,6 +234,16 @@
 
 void ExchangeServer::setLimits(const ExchangeLimits& limits) { implementation_->setLimits(limits); }
 
+void ExchangeServer::setBudget(std::shared_ptr<ByteBudget> budget, const ResponseHead& refusal)
+{
+    implementation_->setBudget(std::move(budget), refusal);
+}
+
+void ExchangeServer::setRefusalHandler(std::function<void(const UnreadRefusal&)> handler)
+{
+    implementation_->setRefusalHandler(std::move(handler));
+}
+
 void ExchangeServer::setMaxConnections(std::size_t connections) { implementation_->setMaxConnections(connections); }
 
 void ExchangeServer::beginDraining() { implementation_->beginDraining(); }
--- a/src/http/internal/tcpclientconnection.h
+++ b/src/http/internal/tcpclientconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/clientconnection.h"
+#include "http/internal/growingbody.h"
 #include "http/internal/messageoverhead.h"
 
 #include <array>
@@ -8,7 +9,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace lagoon::http {
 
@@ -26,7 +26,7 @@
     std::optional<framework::Milliseconds> keepAliveTimeout() const override { return keepAliveTimeout_; }
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<GrowingBody>;
 
     std::shared_ptr<TcpClientConnection> self();
     void connect();
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 const std::string host = "callers.example";
+/// The memory of the VMs that routers run on.
+constexpr int routerMemoryMb = 260;
 
 bool isFree(const std::string& address, int port)
 {
@@ -330,6 +332,7 @@
     settings["readiness"] = value::string("127.0.0.1:" + std::to_string(fixed.readiness));
     settings["agent_port"] = value::number(agentPorts_.contains(index) ? agentPorts_.at(index) : agentPort_);
     settings["grace_ms"] = value::number(grace_.count());
+    settings["memory_mb"] = value::number(routerMemoryMb);
     if (revocation_) {
         settings["keys"]["ends_revoked"] = value::boolean(true);
         settings["keys"]["within_ms"] = value::number(revocation_->count());
@@ -378,12 +381,12 @@
         const std::size_t first = log.find("\"agent_heard\"");
         return first != std::string::npos && log.find("\"agent_heard\"", first + 1) != std::string::npos;
     });
-}
-
-int Fleet::runCommand(const std::vector<std::string>& arguments, std::string& output)
     // Until then the router has a small part of the retry budget.
     testsupport::waitFor("the router to know that it is the only one",
         [this] { return router().output().find("\"routers_counted\"") != std::string::npos; });
+}
+
+int Fleet::runCommand(const std::vector<std::string>& arguments, std::string& output)
 {
     testsupport::ChildProcess process("command-" + std::to_string(++startCount_),
         testsupport::pathOf(testsupport::Program::Lagoonrouter), arguments, folder_);
--- a/tests/integration/endlessframing_test.cpp
+++ b/tests/integration/endlessframing_test.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -37,6 +38,15 @@
             == 200;
     }
 
+    int countLines(const std::string& text)
+    {
+        const std::string log = fleet.router().output();
+        int lines = 0;
+        for (std::size_t at = log.find(text); at != std::string::npos; at = log.find(text, at + 1))
+            ++lines;
+        return lines;
+    }
+
     /// Sends requests without end over several connections at once, and proper ones beside.
     void checkRequests(const std::string& endpoint)
     {
@@ -110,4 +120,71 @@
     waitFor("requests are served", [this] { return isServed(); });
 }
 
+// Prevents the end of a router for want of memory, to which a server sends bodies without end over many connections.
+BOOST_AUTO_TEST_CASE(bodiesOfServersHaveABudget)
+{
+    constexpr int floods = 44;
+    /// Less than the largest answer that is held, so that each is held until all were sent.
+    constexpr int heldPieces = 15;
+    fleet.store.remove("servers", fleet.plain1.instance());
+    TcpServer faulty;
+    fleet.listAt(fleet.plain2, "plain", faulty.endpoint());
+    std::atomic<int> sentOrCut { 0 };
+    std::vector<std::thread> threads;
+    for (int count = 0; count < floods; ++count)
+        threads.emplace_back([&, end = std::chrono::steady_clock::now() + std::chrono::seconds(20)] {
+            while (sentOrCut < floods && std::chrono::steady_clock::now() < end)
+                isServed();
+        });
+    // Keeps the connections open, so that what the router holds adds up.
+    std::vector<std::shared_ptr<TcpPeer>> peers;
+    for (int count = 0; count < floods; ++count) {
+        peers.push_back(std::make_shared<TcpPeer>(faulty.accept()));
+        threads.emplace_back([&sentOrCut, peer = peers.back()] {
+            try {
+                peer->send("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n\r\n");
+                for (int sent = 0; sent < heldPieces; ++sent)
+                    peer->send(piece);
+            } catch (const std::exception&) {
+                // Cut by the router.
+            }
+            ++sentOrCut;
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    checkMemory();
+    fleet.list(fleet.plain2, "plain");
+    waitFor("requests are served", [this] { return isServed(); });
+}
+
+// Prevents the end of a router for want of memory, to which many callers send proper bodies that they don't finish.
+BOOST_AUTO_TEST_CASE(bodiesOfCallersHaveABudget)
+{
+    constexpr int callers = 100;
+    constexpr int mostCallers = 90;
+    const std::string body(3900000, 'x');
+    std::vector<std::unique_ptr<RawCaller>> waiting;
+    for (int count = 0; count < callers; ++count) {
+        auto caller = std::make_unique<RawCaller>(Endpoint(fleet.callers()));
+        caller->send("POST /post/1 HTTP/1.1\r\nHost: caller-" + std::to_string(count)
+            + "\r\nX-Request-Attempt: a\r\nContent-Length: 4000000\r\n\r\n");
+        caller->send(body);
+        waiting.push_back(std::move(caller));
+    }
+    int served = 0;
+    for (int count = 0; count < 20; ++count)
+        served += isServed() ? 1 : 0;
+    BOOST_TEST(served >= 19);
+    checkMemory();
+    waitFor("the refusal of most", [&] { return countLines("\"request_refused_unread\"") >= mostCallers; });
+    fleet.stop();
+    int refused = 0;
+    for (const auto& caller : waiting) {
+        const CallerAnswer answer = parseAnswer(caller->readToEnd());
+        refused += answer.status == 503 && answer.headers.contains("Retry-After") ? 1 : 0;
+    }
+    BOOST_TEST(refused >= mostCallers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
