--- a/src/http/internal/growingbody.h
+++ b/src/http/internal/growingbody.h
@@ -17,10 +17,10 @@
 
     static std::uint64_t size(const value_type& body) { return body.size(); }
 
-    class reader {
+    class Reader {
     public:
         template <bool isRequest, typename Fields>
-        reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
+        Reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
             : body_(body)
         {
         }
@@ -41,6 +41,8 @@
     private:
         value_type& body_;
     };
+
+    using reader = Reader;
 };
 
 } // namespace lagoon::http
