Direct router: one caller may hold three quarters of the room for requests

Cause: a caller is told apart by its host name, which many users of one application share. With a half of the room, 8 to 16 MB at 130 to 260 MB, an application that is a router's only caller would have been refused while the other half was free.

--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -51,7 +51,9 @@
 std::shared_ptr<http::ByteBudget> makeBudget(catalog::MegaBytes memory)
 {
     const std::size_t total = std::max(minBudget, memory.value() * 1000 * 1000 / partsOfMemory);
-    return std::make_shared<http::ByteBudget>(http::ByteBudget::Limits { total, total / 2, total / 4, total / 2 });
+    const std::size_t requests = total / 2;
+    return std::make_shared<http::ByteBudget>(
+        http::ByteBudget::Limits { total, requests, requests / 4 * 3, total / 2 });
 }
 
 http::ExchangeLimits exchangeLimits(const catalog::CallerLimits& limits)
