--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -91,7 +91,8 @@
     void launchAgent(std::size_t index);
     /// Rewrites the router's settings file from the current values and returns its path.
     std::string writeRouterSettings(std::size_t index);
-    /// Starts the processes and waits until the router is ready and has received a message from both agents.
+    /// Starts the processes and waits until the router is ready, has received a message from both agents, and knows
+    /// from them how many routers there are.
     void start();
     testsupport::ChildProcess& router(std::size_t index = 0) { return *routers_.at(index); }
     testsupport::ChildProcess& agent(std::size_t index) { return *agents_.at(index); }
