HTTP: a request that is sent ahead is handled once

What callers saw: a caller that sends its next request before it has the answer to the last one had the request that was ahead run twice, also a booking, and the one after it not at all. With other lengths proper requests got 400 or 431.

Cause: while a request is handled the connection goes on reading. What was sent ahead is parsed once the answer is out, with a read pending; when that empties the buffer, it starts over at its beginning. The read's bytes arrive at the place that was prepared before, and are committed at the beginning, where the request that was just parsed still stands.

Change: the bytes of a read are moved to where the buffer now ends.

Ruled out: connections to servers, where nothing is parsed while a read is pending; the byte budget and GrowingBody, as the reading code is older.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <cstring>
 #include <sys/socket.h>
 #include <utility>
 
@@ -74,8 +75,9 @@
     if (stage_ == Stage::Handling && buffer_.size() >= maxPipelinedBytes)
         return;
     isReading_ = true;
-    socket_.async_read_some(buffer_.prepare(readBufferBytes),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t bytes) {
+    readTarget_ = buffer_.prepare(readBufferBytes);
+    socket_.async_read_some(
+        readTarget_, [self = shared_from_this()](const boost::system::error_code& error, std::size_t bytes) {
             self->isReading_ = false;
             self->runGuarded([&] { self->didRead(error, bytes); });
         });
@@ -95,12 +97,22 @@
             armLingerTimer();
         return read();
     }
-    buffer_.commit(bytes);
+    commitRead(bytes);
     if (stage_ != Stage::Handling)
         parse();
     read();
 }
 
+/// Prevents bytes of an earlier request from being taken for the next one: requests that were sent ahead are parsed
+/// while a read is pending, and a buffer that they leave empty starts over at its beginning.
+void CallerConnection::commitRead(std::size_t bytes)
+{
+    const auto next = buffer_.prepare(bytes);
+    if (next.data() != readTarget_.data())
+        std::memmove(next.data(), readTarget_.data(), bytes);
+    buffer_.commit(bytes);
+}
+
 void CallerConnection::parse()
 {
     while (buffer_.size() > 0 && (stage_ == Stage::Idle || stage_ == Stage::Reading)) {
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -5,6 +5,7 @@
 #include "http/internal/growingbody.h"
 #include "http/internal/messageoverhead.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -95,6 +96,7 @@
     void closeAfterAnswer();
     void read();
     void didRead(const boost::system::error_code&, std::size_t);
+    void commitRead(std::size_t bytes);
     void parse();
     void beginRequest();
     void didParse(const boost::system::error_code&);
@@ -137,6 +139,8 @@
     /// Whether the caller may have received a part of the answer.
     bool hasBegunAnswer_ = false;
     boost::beast::flat_buffer buffer_;
+    /// Where the pending read puts its bytes.
+    boost::asio::mutable_buffer readTarget_;
     /// Of the request that is read.
     MessageOverhead overhead_;
     std::optional<Parser> parser_;
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -115,6 +115,32 @@
     BOOST_TEST(caller.readUntil("POST /x " + std::string(chunks, 'b')));
 }
 
+// Prevents a request that was sent ahead from running twice, in place of the one that follows it.
+BOOST_AUTO_TEST_CASE(requestsThatAreSentAheadAreHandledOnceEach)
+{
+    std::vector<std::string> handled;
+    std::shared_ptr<IExchange> pending;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        handled.push_back(exchange->request().target);
+        if (handled.size() == 1)
+            pending = exchange;
+        else
+            exchange->answer(ok(), exchange->request().target);
+    };
+    RawCaller caller(endpoint);
+    caller.send(get("/1"));
+    for (bool isPending = false; !isPending;)
+        onThread([&] { isPending = pending != nullptr; });
+    // The server reads the second request before the first one is answered, and the third one afterwards.
+    caller.send(get("/2"));
+    std::this_thread::sleep_for(framework::Milliseconds(100));
+    onThread([&] { std::exchange(pending, nullptr)->answer(ok(), "/1"); });
+    BOOST_TEST(caller.readUntil("/2"));
+    caller.send(get("/3") + get("/end"));
+    BOOST_TEST(caller.readUntil("/end"));
+    onThread([&] { BOOST_TEST((handled == std::vector<std::string> { "/1", "/2", "/3", "/end" })); });
+}
+
 BOOST_AUTO_TEST_CASE(slowHeadersAreRefused)
 {
     onThread([&] {
