Answers of the store and of engines have limits of bytes and of parsed memory

What callers would see: the process ends for want of memory, and all requests that it has read end without an answer (FAULT, LOST).

A call's answer has a limit of its own, checked against its announced length too, and the answers that are received at once have one together. Texts are checked for the memory of their values before they are parsed; an entry of the store that alone takes more than half of it is left out, as entries that can't be parsed are.

Ruled out: the limits of address space, under which the processes live.

--- a/src/framework/checkedjson.h
+++ b/src/framework/checkedjson.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Strict reading of settings, bundles and the platform's objects in JSON. Each error names the source, the key and the
@@ -17,9 +18,15 @@
 struct JsonLimits {
     std::size_t bytes = 1024 * 1024;
     std::size_t depth = 32;
+    /// Of the parsed values, which may take dozens of times as many bytes as their text.
+    std::size_t memory = std::size_t(64) * 1024 * 1024;
 };
 
-/// Parses a text after checking its size and depth. `source` names the file or key in errors.
+/// Returns at least the memory that the parsed values of a text take while they are parsed.
+std::size_t parsedMemory(std::string_view text);
+
+/// Parses a text after checking its size, its depth and the memory of its values. `source` names the file or key in
+/// errors.
 Result<web::json::value> parseJson(const std::string& text, const std::string& source, ErrorCode code, JsonLimits = {});
 
 /// Reads the keys of one JSON object and checks their types and ranges. The first error is kept; `finish` returns it,
--- a/src/framework/internal/checkedjson.cpp
+++ b/src/framework/internal/checkedjson.cpp
@@ -4,35 +4,78 @@
 #include <array>
 #include <memory>
 #include <string_view>
+#include <utility>
 
 namespace lagoon::framework {
 
 namespace {
 
-/// Returns the greatest depth of brackets in the text. cpprest's parser recurses with the depth, so the depth is
-/// limited before the text is parsed.
-std::size_t nestingDepth(const std::string& text)
-{
+/// An element of an array: its value with what the array reserves when it grows.
+constexpr std::size_t elementMemory = 96;
+/// A member of an object, which has a name as well.
+constexpr std::size_t memberMemory = 160;
+
+bool isSpace(char character) { return character == ' ' || character == '\t' || character == '\n' || character == '\r'; }
+
+/// What a text's brackets and commas tell about its values, whether or not the text can be parsed.
+struct JsonShape {
     std::size_t depth = 0;
-    std::size_t deepest = 0;
-    bool isInString = false;
-    for (std::size_t at = 0; at < text.size(); ++at) {
-        const char character = text[at];
-        if (isInString) {
-            if (character == '\\')
-                ++at;
-            else if (character == '"')
-                isInString = false;
-            continue;
+    std::size_t elements = 0;
+    std::size_t members = 0;
+};
+
+/// Reads the text without recursion: cpprest's parser recurses with the depth, so its depth has to be known before.
+class ShapeReader {
+public:
+    JsonShape read(std::string_view text)
+    {
+        for (std::size_t at = 0; at < text.size(); ++at) {
+            const char character = text[at];
+            if (isInString_) {
+                if (character == '\\')
+                    ++at;
+                else if (character == '"')
+                    isInString_ = false;
+                continue;
+            }
+            if (!isSpace(character))
+                readOutsideStrings(character);
         }
-        if (character == '"')
-            isInString = true;
-        else if (character == '{' || character == '[')
-            deepest = std::max(deepest, ++depth);
-        else if ((character == '}' || character == ']') && depth > 0)
-            --depth;
+        return shape_;
     }
-    return deepest;
+
+private:
+    void readOutsideStrings(char character)
+    {
+        const bool isOpening = character == '{' || character == '[';
+        const bool isClosing = character == '}' || character == ']';
+        if (std::exchange(beginsContainer_, isOpening) && !isClosing)
+            countValue();
+        isInString_ = character == '"';
+        if (character == ',')
+            countValue();
+        if (isOpening) {
+            open_.push_back(character);
+            shape_.depth = std::max(shape_.depth, open_.size());
+        } else if (isClosing && !open_.empty()) {
+            open_.pop_back();
+        }
+    }
+
+    void countValue() { ++(!open_.empty() && open_.back() == '{' ? shape_.members : shape_.elements); }
+
+    JsonShape shape_;
+    std::string open_;
+    bool isInString_ = false;
+    /// Whether the last character has opened an array or object whose first value may follow.
+    bool beginsContainer_ = false;
+};
+
+JsonShape shapeOf(std::string_view text) { return ShapeReader().read(text); }
+
+std::size_t memoryOf(const JsonShape& shape, std::size_t textBytes)
+{
+    return 2 * textBytes + (shape.elements + 1) * elementMemory + shape.members * memberMemory;
 }
 
 /// The first bytes of one encoded character: how many follow, and the range of the first that follows (RFC 3629).
@@ -75,14 +118,19 @@
     std::optional<std::string> text;
 };
 
+std::size_t parsedMemory(std::string_view text) { return memoryOf(shapeOf(text), text.size()); }
+
 Result<web::json::value> parseJson(
     const std::string& text, const std::string& source, ErrorCode code, JsonLimits limits)
 {
     const auto fault = [&](std::string detail) { return Error { code, "read JSON", source, std::move(detail) }; };
     if (text.size() > limits.bytes)
         return fault("larger than " + std::to_string(limits.bytes) + " bytes");
-    if (nestingDepth(text) > limits.depth)
+    const JsonShape shape = shapeOf(text);
+    if (shape.depth > limits.depth)
         return fault("nested deeper than " + std::to_string(limits.depth));
+    if (memoryOf(shape, text.size()) > limits.memory)
+        return fault("values that take more than " + std::to_string(limits.memory) + " bytes");
     // cpprest takes some other bytes for the end of the text on processors where `char` is signed, and keeps them
     // elsewhere.
     if (!isUtf8(text))
--- a/src/framework/internal/jsonrepair.cpp
+++ b/src/framework/internal/jsonrepair.cpp
@@ -102,8 +102,9 @@
         const std::size_t begin = scanner.skipSpace(colon + 1);
         const std::size_t end = scanner.endOfValue(begin);
         const std::string value = text.substr(begin, end - begin);
-        // The limit applies to the whole text, so the value may only use the depth that its surroundings leave.
-        const JsonLimits remaining { limits.bytes, limits.depth - std::min(limits.depth, depth) };
+        // The limits apply to the whole text, so the value may only use the depth that its surroundings leave, and no
+        // value more than half of the memory.
+        const JsonLimits remaining { limits.bytes, limits.depth - std::min(limits.depth, depth), limits.memory / 2 };
         result.append(text, at, begin - at);
         result += isParsable(value, remaining) ? value : "null";
         at = end;
--- a/src/framework/tests/checkedjson_test.cpp
+++ b/src/framework/tests/checkedjson_test.cpp
@@ -1,6 +1,8 @@
 #include "framework/checkedjson.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cpprest/json.h>
+#include <malloc.h>
 
 using namespace lagoon::framework;
 
@@ -12,6 +14,22 @@
         parseJson(text, "file.json", ErrorCode::BadSettings).value(), "file.json", "", ErrorCode::BadSettings);
 }
 
+std::string arrayOf(const std::string& piece, std::size_t count)
+{
+    std::string text = "[" + piece;
+    for (std::size_t index = 1; index < count; ++index)
+        text += "," + piece;
+    return text + "]";
+}
+
+std::string objectOf(std::size_t members)
+{
+    std::string text = "{\"\":{}";
+    for (std::size_t index = 1; index < members; ++index)
+        text += ",\"" + std::to_string(index) + "\":{}";
+    return text + "}";
+}
+
 std::string faultOf(CheckedObject& object)
 {
     const Result<void> result = object.finish();
@@ -45,6 +63,36 @@
     BOOST_TEST(parseJson(large, "x", ErrorCode::BadBundle).error().detail.find("larger") != std::string::npos);
 }
 
+// Prevents a text that is small enough from taking many times its size in memory once it is parsed.
+BOOST_AUTO_TEST_CASE(textsWhoseValuesTakeTooMuchMemoryAreRefusedBeforeParsing)
+{
+    const JsonLimits limits { 1024 * 1024, 32, 4 * 1024 * 1024 };
+    const std::size_t count = 100000;
+    for (const std::string piece : { "1", "{}", "[]", "\"\"", "null" }) {
+        const std::string many = arrayOf(piece, count);
+        BOOST_TEST(parseJson(many, "peer", ErrorCode::BadObject, limits).has_error());
+        BOOST_TEST(parseJson(many, "peer", ErrorCode::BadObject).has_value());
+    }
+    BOOST_TEST(parseJson("[\"" + std::string(count, ',') + "\"]", "peer", ErrorCode::BadObject, limits).has_value());
+}
+
+// Prevents a limit of memory that parsed values exceed, as they take more than it is estimated.
+BOOST_AUTO_TEST_CASE(theMemoryOfParsedValuesIsNotUnderestimated)
+{
+    const std::size_t count = 50000;
+    std::vector<std::string> texts { objectOf(count) };
+    for (const std::string piece :
+        { "1", "-1.5e3", "{}", "[]", "[[]]", "\"\"", "\"abcdefghijklmnopqrstuvwxyz\"", "null", "{\"\":{}}" })
+        texts.push_back(arrayOf(piece, count));
+    for (const std::string& text : texts) {
+        const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+        const auto parsed = parseJson(text, "peer", ErrorCode::BadObject, { text.size(), 32, text.size() * 1000 });
+        const std::size_t used = mallinfo2().uordblks + mallinfo2().hblkhd - before;
+        BOOST_REQUIRE(parsed.has_value());
+        BOOST_TEST(used <= parsedMemory(text), text.substr(0, 40) << ": " << used);
+    }
+}
+
 // Prevents a crash on a text with half of a surrogate pair before an ordinary escape: the parser throws on it instead
 // of reporting an error, and the exception ended the process.
 BOOST_AUTO_TEST_CASE(aTextOnWhichTheParserThrowsIsRefused)
--- a/src/http/internal/callclient.cpp
+++ b/src/http/internal/callclient.cpp
@@ -1,7 +1,10 @@
 #include "http/callclient.h"
 
+#include "http/bytebudget.h"
 #include "http/connectionpool.h"
 
+#include <charconv>
+
 #include <utility>
 
 namespace lagoon::http {
@@ -16,21 +19,34 @@
 
 /// Limits the concurrent calls of one process to one server: a few watches, and the reads and writes besides them.
 constexpr std::size_t maxConnections = 16;
-/// Enough for one page of the largest list.
-constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 /// An answer that has made no progress for this long is considered lost, since links have latencies of some
 /// milliseconds.
 constexpr Milliseconds progressTimeout { 700 };
 /// Enough for the largest answer over the slowest links, which have 10 Mbit/s and also carry callers' requests.
 constexpr Milliseconds maxAnswerTime { 15000 };
 
+/// Returns the announced length of the answer's body; 0 if there is none.
+std::size_t announcedBytes(const ResponseHead& head)
+{
+    std::size_t bytes = 0;
+    if (const auto length = head.headers.find("Content-Length"))
+        (void)std::from_chars(length->data(), length->data() + length->size(), bytes);
+    return bytes;
+}
+
 /// One call in progress.
 class Call final : public IAnswerSink, public std::enable_shared_from_this<Call> {
 public:
-    Call(std::string step, framework::Endpoint peer, CallClient::Connections connections, CallClient::Handler handler)
-        : step_(std::move(step))
-        , peer_(std::move(peer))
-        , connections_(connections)
+    struct Route {
+        std::string step;
+        framework::Endpoint peer;
+        CallClient::Connections connections = CallClient::Connections::Pooled;
+    };
+
+    Call(Route route, std::size_t maxBytes, const std::shared_ptr<ByteBudget>& budget, CallClient::Handler handler)
+        : route_(std::move(route))
+        , maxBytes_(maxBytes)
+        , reservation_(budget, ByteBudget::Use::Answer, route_.peer.value())
         , handler_(std::move(handler))
     {
     }
@@ -47,14 +63,18 @@
     bool didReceiveHead(const ResponseHead& head) override
     {
         response_.head = head;
+        if (announcedBytes(head) > maxBytes_)
+            abortTooLarge();
         return true;
     }
 
     void didReceiveBody(std::string_view piece) override
     {
+        if (response_.body.size() + piece.size() > maxBytes_)
+            return abortTooLarge();
+        if (!reservation_.grow(piece.size()))
+            return abort("no memory for the answer beside others");
         response_.body += piece;
-        if (response_.body.size() > maxAnswerBytes)
-            abort("answer of more than 16 MiB");
     }
 
     void didFinish() override { complete(std::move(response_)); }
@@ -71,11 +91,20 @@
         complete(error(detail, true));
     }
 
+    void abortTooLarge()
+    {
+        if (connection_)
+            connection_->abandon();
+        Error tooLarge = error("answer of more than " + std::to_string(maxBytes_) + " bytes", true);
+        tooLarge.code = ErrorCode::TooLarge;
+        complete(std::move(tooLarge));
+    }
+
     void complete(framework::Result<Response> result)
     {
         timer_.reset();
         const auto connection = std::exchange(connection_, nullptr);
-        if (connection && connections_ == CallClient::Connections::OnePerCall)
+        if (connection && route_.connections == CallClient::Connections::OnePerCall)
             connection->abandon();
         if (auto handler = std::exchange(handler_, nullptr))
             handler(std::move(result));
@@ -83,7 +112,7 @@
 
     Error error(std::string detail, bool mayHaveArrived) const
     {
-        return Error { ErrorCode::PlatformUnavailable, step_, peer_.value(), std::move(detail),
+        return Error { ErrorCode::PlatformUnavailable, route_.step, route_.peer.value(), std::move(detail),
             mayHaveArrived ? Execution::Unknown : Execution::NotRun };
     }
 
@@ -109,9 +138,9 @@
         scheduleCheck(thread, Deadline::after(now, progressTimeout));
     }
 
-    std::string step_;
-    framework::Endpoint peer_;
-    CallClient::Connections connections_;
+    Route route_;
+    std::size_t maxBytes_;
+    ByteReservation reservation_;
     CallClient::Handler handler_;
     std::shared_ptr<ClientConnection> connection_;
     std::unique_ptr<framework::Timer> timer_;
@@ -124,9 +153,12 @@
 
 class CallClient::Implementation : public std::enable_shared_from_this<Implementation> {
 public:
-    Implementation(framework::EventThread& thread, framework::Endpoint endpoint, Connections connections)
+    Implementation(framework::EventThread& thread, framework::Endpoint endpoint, const AnswerLimits& limits,
+        Connections connections)
         : thread_(thread)
         , endpoint_(std::move(endpoint))
+        , maxAnswerBytes_(limits.bytes)
+        , budget_(std::make_shared<ByteBudget>(ByteBudget::Limits { limits.heldBytes, 0, 0, limits.heldBytes }))
         , connections_(connections)
         , pool_(thread.context(), endpoint_, ClientOptions(), maxConnections)
     {
@@ -136,7 +168,8 @@
     /// ones too, and each call over one of them would be lost although the server may be available again.
     void call(const Request& request, Deadline deadline, Handler handler)
     {
-        const auto call = std::make_shared<Call>(request.method + " " + request.target, endpoint_, connections_,
+        const auto call = std::make_shared<Call>(
+            Call::Route { request.method + " " + request.target, endpoint_, connections_ }, maxAnswerBytes_, budget_,
             [weak = weak_from_this(), handler = std::move(handler)](framework::Result<Response> answer) {
                 const auto self = weak.lock();
                 if (self && answer.has_error())
@@ -161,13 +194,16 @@
 
     framework::EventThread& thread_;
     framework::Endpoint endpoint_;
+    std::size_t maxAnswerBytes_;
+    std::shared_ptr<ByteBudget> budget_;
     Connections connections_;
     ConnectionPool pool_;
 };
 
-CallClient::CallClient(framework::EventThread& thread, const framework::Endpoint& endpoint, Connections connections)
+CallClient::CallClient(framework::EventThread& thread, const framework::Endpoint& endpoint, const AnswerLimits& limits,
+    Connections connections)
     : thread_(thread)
-    , implementation_(std::make_shared<Implementation>(thread, endpoint, connections))
+    , implementation_(std::make_shared<Implementation>(thread, endpoint, limits, connections))
 {
 }
 
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -97,10 +97,12 @@
     std::string expectedId_;
 };
 
+constexpr AnswerLimits answerLimits { 1000, 1500 };
+
 struct ClientFixture {
     ClientFixture()
         : pool(thread.context(), server.endpoint(), ClientOptions {}, 4)
-        , client(thread, server.endpoint())
+        , client(thread, server.endpoint(), answerLimits)
     {
     }
     ~ClientFixture() { thread.stop(); }
@@ -376,7 +378,7 @@
 // Prevents an answer that a server sends twice from being taken for the answer to the next call, which it doesn't name.
 BOOST_AUTO_TEST_CASE(aClientWithOneConnectionPerCallReusesNone)
 {
-    CallClient orders(thread, server.endpoint(), CallClient::Connections::OnePerCall);
+    CallClient orders(thread, server.endpoint(), answerLimits, CallClient::Connections::OnePerCall);
     for (const std::string target : { "/first", "/second" }) {
         std::promise<framework::Result<Response>> answer;
         const auto deadline
@@ -406,6 +408,44 @@
     BOOST_TEST(answer.value().body == "abcde");
 }
 
+// Prevents an answer from using up the memory: by the length that it announces, in chunks, or until its connection
+// ends.
+BOOST_AUTO_TEST_CASE(anAnswerBeyondItsLimitFailsItsCall)
+{
+    const std::string body(answerLimits.bytes + 1, 'x');
+    const std::string begin = "HTTP/1.1 200 OK\r\n";
+    for (const std::string& text : { begin + "Content-Length: 900000000000\r\n\r\n", begin + "\r\n" + body,
+             begin + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + body + "\r\n" }) {
+        auto answered = call("/large");
+        server.send(text);
+        const auto answer = answered.get();
+        BOOST_REQUIRE(answer.has_error());
+        BOOST_TEST((answer.error().code == framework::ErrorCode::TooLarge));
+        BOOST_TEST((answer.error().execution == framework::Execution::Unknown));
+    }
+    auto answered = call("/largest");
+    server.send(begin + "Content-Length: 1000\r\n\r\n" + std::string(answerLimits.bytes, 'x'));
+    BOOST_TEST(answered.get().has_value());
+}
+
+// Prevents answers that are within their limits from using up the memory together.
+BOOST_AUTO_TEST_CASE(answersThatAreReceivedAtOnceHaveALimitTogether)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n";
+    auto first = call("/first");
+    server.send(head + std::string(800, 'x'));
+    const auto firstConnection = server.release();
+    auto second = call("/second");
+    server.send(head + std::string(1000, 'x'));
+    const auto answer = second.get();
+    BOOST_REQUIRE(answer.has_error());
+    BOOST_TEST(answer.error().detail == "no memory for the answer beside others");
+    BOOST_TEST(first.get().has_error());
+    auto third = call("/third");
+    server.send(head + std::string(1000, 'x'));
+    BOOST_TEST(third.get().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(aStalledAnswerTimesOut)
 {
     auto answered = call("/stuck");
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -365,9 +365,20 @@
     loading_.clear();
 }
 
+void EngineStandin::setReport(const std::string& text)
+{
+    const std::lock_guard lock(mutex_);
+    report_ = text;
+}
+
 void EngineStandin::answerReport(Exchange& exchange)
 {
+    ++reports_;
     std::unique_lock lock(mutex_);
+    if (const std::string text = report_; !text.empty()) {
+        lock.unlock();
+        return exchange.reply(200, text, { { "Content-Type", "application/json" } });
+    }
     finishDueLoads();
     value report;
     report["phase"] = value::string("both");
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -186,6 +186,10 @@
     void setLoadTime(framework::Milliseconds loadTime) { loadTimeMs_ = static_cast<int>(loadTime.count()); }
     /// While set, loads are accepted but do not end.
     void setLoadsStalled(bool areStalled) { areLoadsStalled_ = areStalled; }
+    /// While not empty, the text is the answer to all requests for reports.
+    void setReport(const std::string& text);
+    /// The number of reports that were asked for.
+    int reports() const { return reports_; }
     /// Cuts the next stream in the middle of the event with this number.
     void cutStreamAt(int event) { cutStreamAt_ = event; }
 
@@ -204,6 +208,8 @@
     mutable std::mutex mutex_;
     std::map<std::string, std::set<std::string>> held_;
     std::uint64_t fence_ = 0;
+    std::string report_;
+    std::atomic<int> reports_ { 0 };
     std::atomic<int> orders_ { 0 };
     std::atomic<int> violations_ { 0 };
     std::atomic<int> events_ { 3 };
--- a/tests/fleet/storestandin.cpp
+++ b/tests/fleet/storestandin.cpp
@@ -97,6 +97,13 @@
     changed_.notify_all();
 }
 
+void StoreStandin::setReadAnswer(const std::string& text)
+{
+    const std::lock_guard lock(mutex_);
+    readAnswer_ = text;
+    changed_.notify_all();
+}
+
 void StoreStandin::forgetHistory()
 {
     const std::lock_guard lock(mutex_);
@@ -122,9 +129,12 @@
     std::unique_lock lock(mutex_);
     ++calls_;
     const bool isUnavailable = isUnavailable_;
+    const std::string readAnswer = exchange.request().method == "GET" ? readAnswer_ : std::string();
     lock.unlock();
     if (isUnavailable)
         return replyError(exchange, 503, "away");
+    if (!readAnswer.empty())
+        return exchange.reply(200, readAnswer, { { "Content-Type", "application/json" } });
     const std::string& path = exchange.request().path;
     if (!path.starts_with(objectsPath))
         return replyError(exchange, 404, "no such path");
--- a/tests/fleet/storestandin.h
+++ b/tests/fleet/storestandin.h
@@ -27,6 +27,8 @@
     void remove(const std::string& kind, const std::string& name);
     /// While unavailable, the store answers all requests with 503.
     void setUnavailable(bool isUnavailable);
+    /// While not empty, the text is the answer to all reads.
+    void setReadAnswer(const std::string& text);
     /// Discards the history of changes: watches from an earlier revision are answered with 410.
     void forgetHistory();
     /// The number of requests received.
@@ -65,6 +67,7 @@
     std::uint64_t revision_ = 1;
     std::uint64_t historyFrom_ = 0;
     bool isUnavailable_ = false;
+    std::string readAnswer_;
     std::size_t calls_ = 0;
     standins::HttpServer server_;
     std::string endpoint_;
--- /dev/null
+++ b/tests/integration/hostileanswers_test.cpp
@@ -0,0 +1,113 @@
+#include "fleet/runningfleet.h"
+#include "support/processusage.h"
+#include "support/waitfor.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+using namespace lagoon::fleet;
+using namespace lagoon::testsupport;
+
+namespace {
+
+/// The memory of the machines that agents and routers run on. A process that needs more is killed there.
+constexpr double agentMib = 192;
+constexpr double routerMib = 260;
+constexpr std::size_t endlessBytes = 15 * 1024 * 1024;
+/// The largest that are read, and the largest object and page of the platform's store.
+constexpr std::size_t reportBytes = 256 * 1024;
+constexpr std::size_t storeAnswerBytes = 4 * 1024 * 1024;
+constexpr std::size_t pageBytes = 1024 * 1024;
+/// Of each text, so that what is parsed of one may still be in memory when the next one comes.
+constexpr int answers = 4;
+
+std::string repeated(std::size_t bytes, const std::string& begin, const std::string& piece, const std::string& end)
+{
+    std::string text = begin + piece;
+    while (text.size() + piece.size() + end.size() < bytes)
+        text += "," + piece;
+    return text + end;
+}
+
+/// Proper JSON whose values take many times as much memory as their text.
+std::vector<std::string> largeTexts(std::size_t bytes)
+{
+    return { repeated(bytes, R"({"coming":[)", R"("a")", "]}"), repeated(bytes, R"({"runs":[)", "1", "]}"),
+        repeated(bytes, R"({"models":[)", "{}", "]}"),
+        repeated(bytes, R"({"items":[)", R"({"metadata":{"name":"a"}})", R"(],"at":1})"),
+        repeated(bytes, R"({"spec":{"routes":[)", "{}", R"(],"version":9},"at":1})"),
+        repeated(bytes, R"({"events":[)", R"({"object":{"metadata":{"name":"a"}}})", R"(],"at":1})"),
+        R"({"coming":[")" + std::string(bytes - 20, 'a') + R"("]})" };
+}
+
+struct HostilePeers : RunningFleet {
+    void checkMemory()
+    {
+        for (const std::size_t agent : { 0, 1 })
+            check(fleet.agent(agent), agentMib);
+        check(fleet.router(), routerMib);
+    }
+
+    void check(ChildProcess& process, double limit)
+    {
+        BOOST_REQUIRE(process.isRunning());
+        const double peak = usageOf(process.pid()).peakResidentMib;
+        BOOST_TEST(peak < limit, process.name() << " had " << peak << " MiB");
+    }
+
+    bool isServed(const std::string& target, const std::string& model = {})
+    {
+        const std::string attempt = "a" + std::to_string(++attempts_);
+        return fleet.call({ .target = target, .attempt = attempt, .model = model }).status == 200;
+    }
+
+    bool hasLogged(const std::string& text) { return !fleet.logLinesContaining(text).empty(); }
+
+private:
+    int attempts_ = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HostileAnswers, HostilePeers)
+
+// Prevents the end of an agent for want of memory, and with it that of its engine's loads: an engine reports proper
+// JSON that takes many times its size in memory.
+BOOST_AUTO_TEST_CASE(reportsOfEnginesFitInMemory)
+{
+    for (const std::size_t bytes : { endlessBytes, reportBytes }) {
+        for (const std::string& text : largeTexts(bytes)) {
+            engine1.setReport(text);
+            const int before = engine1.reports();
+            waitFor("reports are read", [&] { return engine1.reports() >= before + answers; });
+            BOOST_TEST(isServed("/get/1"));
+            checkMemory();
+        }
+    }
+    BOOST_TEST(hasLogged("\"answer_refused\""));
+    engine1.setReport({});
+    waitFor("the engine is heard again", [this] { return hasLogged("\"engine_regained\""); });
+    BOOST_TEST(isServed("/model/1", "warm"));
+}
+
+// Prevents the end of all processes for want of memory, and of all requests that they have read: the store answers
+// proper JSON that takes many times its size in memory.
+BOOST_AUTO_TEST_CASE(answersOfTheStoreFitInMemory)
+{
+    for (const std::size_t bytes : { endlessBytes, storeAnswerBytes, pageBytes }) {
+        for (const std::string& text : largeTexts(bytes)) {
+            store.setReadAnswer(text);
+            const std::size_t before = store.calls();
+            waitFor("answers are read", [&] { return store.calls() >= before + 3 * answers; });
+            // What is refused takes no server away. A smaller list may truly name none.
+            BOOST_TEST((bytes < endlessBytes || isServed("/get/1")));
+            checkMemory();
+        }
+    }
+    BOOST_TEST(hasLogged("\"answer_refused\""));
+    store.setReadAnswer({});
+    waitFor("the store is followed again", [this] { return isServed("/get/1") && isServed("/model/1", "warm"); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/processusage.cpp
+++ b/tests/support/processusage.cpp
@@ -37,9 +37,8 @@
     return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / bytesPerMib;
 }
 
-double peakAddressSpaceMib(const std::string& folder)
+double peakMib(const std::string& folder, const std::string& key)
 {
-    const std::string key = "VmPeak:";
     std::ifstream file(folder + "/status");
     for (std::string line; std::getline(file, line);) {
         if (line.starts_with(key))
@@ -53,7 +52,7 @@
 ProcessUsage usageOf(pid_t pid)
 {
     const std::string folder = "/proc/" + std::to_string(pid);
-    return { cpuSeconds(folder), residentMib(folder), peakAddressSpaceMib(folder) };
+    return { cpuSeconds(folder), residentMib(folder), peakMib(folder, "VmHWM:"), peakMib(folder, "VmPeak:") };
 }
 
 } // namespace lagoon::testsupport
--- a/tests/support/processusage.h
+++ b/tests/support/processusage.h
@@ -9,6 +9,7 @@
     /// User and system time of all threads, in steps of the kernel's clock tick of 10 ms.
     double cpuSeconds = 0;
     double residentMib = 0;
+    double peakResidentMib = 0;
     /// The most address space that the process had reserved at any time.
     double peakAddressSpaceMib = 0;
 };
