--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -23,6 +23,7 @@
 constexpr Milliseconds minOutage { 500 };
 /// Time from the removal of an object from the mirror until no other component uses it any more.
 constexpr Milliseconds removalPropagation { 250 };
+constexpr std::size_t maxLoggedName = 64;
 
 } // namespace
 
@@ -52,6 +53,7 @@
     if (after.empty()) {
         listed_.clear();
         listRevision_.reset();
+        isFull_ = false;
     }
     sentAt_ = clock_.now();
     feed_.list(after, Deadline::after(clock_.now(), answerTimeout()),
@@ -70,11 +72,15 @@
     // changed between the pages.
     if (!listRevision_)
         listRevision_ = page.value().at;
+    const std::size_t listedBefore = listed_.size();
     for (const FeedObject& object : page.value().objects) {
+        if (!hasRoomFor(object))
+            break;
         listed_.insert(object.name);
         applyObject(object);
     }
-    if (page.value().hasMore && !page.value().objects.empty())
+    // A list whose pages bring nothing new would never end.
+    if (page.value().hasMore && !isFull_ && listed_.size() > listedBefore)
         return list(page.value().objects.back().name);
     finishList();
 }
@@ -165,9 +171,11 @@
 void ObjectMirror::handleWatch(Result<FeedChanges> changes)
 {
     if (changes.has_error()) {
-        if (changes.error().code == ErrorCode::NotFound) {
-            logDecision(
-                LogLine("store_history_gone").text("kind", settings_.kind).number("revision", watchRevision_.value()));
+        if (changes.error().code == ErrorCode::NotFound || changes.error().code == ErrorCode::TooLarge) {
+            logDecision(LogLine("store_history_gone")
+                            .text("kind", settings_.kind)
+                            .number("revision", watchRevision_.value())
+                            .text("cause", describe(changes.error())));
             return runAfter(backoff_.next(), [this] { list({}); });
         }
         return scheduleRetry(changes.error(), [this] { watch(); });
@@ -176,7 +184,7 @@
     for (const FeedEvent& event : changes.value().events) {
         if (event.isDeleted)
             handleDeletion(event.object);
-        else
+        else if (hasRoomFor(event.object))
             applyObject(event.object);
     }
     if (changes.value().at > watchRevision_)
@@ -187,6 +195,19 @@
     runAfter(settings_.pauseAfterChange, [this] { watch(); });
 }
 
+/// Prevents a store that lists objects without end from using up the memory.
+bool ObjectMirror::hasRoomFor(const FeedObject& object)
+{
+    if (knownRevisions_.contains(object.name) || knownRevisions_.size() < settings_.maxObjects)
+        return true;
+    if (!std::exchange(isFull_, true))
+        logDecision(LogLine("store_objects_left_out")
+                        .text("kind", settings_.kind)
+                        .number("objects", knownRevisions_.size())
+                        .text("first", object.name.substr(0, maxLoggedName)));
+    return false;
+}
+
 /// Applies an object unless its revision is known already. Prevents a stale state from replacing a newer one: a list
 /// may be answered late, or by a store replica that lags behind.
 void ObjectMirror::applyObject(const FeedObject& object)
--- a/src/objectstore/iobjectfeed.h
+++ b/src/objectstore/iobjectfeed.h
@@ -49,7 +49,8 @@
 /// Lists and watches the objects of one kind. Calls don't block; each handler runs once, on the control thread.
 ///
 /// Errors: `PlatformUnavailable`, with `retryAfter` if the store sent one; `NotFound` from `watch` if the store no
-/// longer keeps the history since the given revision.
+/// longer keeps the history since the given revision, and `TooLarge` if the changes since then are more than is read at
+/// once.
 class IObjectFeed {
 public:
     virtual ~IObjectFeed() = default;
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -6,6 +6,7 @@
 #include "objectstore/backoff.h"
 #include "objectstore/iobjectfeed.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -40,6 +41,8 @@
     /// Time limit, from when the store can be reached again, within which a deletion made during the outage takes
     /// effect everywhere. It shortens `missingGracePeriod` if necessary.
     framework::Milliseconds outageNotice { 3000 };
+    /// Limits the memory that the copy takes. Objects beyond this number aren't copied.
+    std::size_t maxObjects = 16384;
 };
 
 /// A local copy of all objects of one kind, kept up to date by list and watch. Used on the control thread only.
@@ -90,6 +93,7 @@
     void watch();
     void handleWatch(framework::Result<FeedChanges>);
     void applyObject(const FeedObject&);
+    bool hasRoomFor(const FeedObject&);
     void remove(const std::string& name, Removal);
     void handleMissing(const std::string& name);
     void handleDeletion(const FeedObject&);
@@ -117,6 +121,8 @@
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
     std::map<std::string, StoreRevision> knownRevisions_;
     std::set<std::string> listed_;
+    /// Whether objects were left out since the last complete list.
+    bool isFull_ = false;
     /// Known objects that are missing from the store, and until when each is kept.
     std::map<std::string, framework::Deadline> missing_;
     std::unique_ptr<framework::Timer> missingTimer_;
--- a/src/objectstore/tests/objectmirror_test.cpp
+++ b/src/objectstore/tests/objectmirror_test.cpp
@@ -113,6 +113,49 @@
     BOOST_TEST(feed.watches.front().first == StoreRevision(5));
 }
 
+// Prevents a copy from standing still for good, as more has changed than can be read at once.
+BOOST_AUTO_TEST_CASE(changesThatAreTooLargeAreListedAnew)
+{
+    feed.answerList(page({ object("a", 1), object("b", 1) }, 1));
+    feed.answerWatch(Error { ErrorCode::TooLarge, "watch", "store", "" });
+    control.advance(Milliseconds(1000));
+    BOOST_REQUIRE(feed.lists.size() == 1U);
+    feed.answerList(page({ object("a", 2) }, 3));
+    BOOST_TEST(values["a"] == "a@2");
+    BOOST_TEST(!values.contains("b"));
+    BOOST_REQUIRE(feed.watches.size() == 1U);
+    BOOST_TEST(feed.watches.front().first == StoreRevision(3));
+}
+
+// Prevents a store that lists objects without end from using up the memory, or from being listed without end.
+BOOST_AUTO_TEST_CASE(onlySoManyObjectsAreCopied)
+{
+    std::size_t pages = 0;
+    const std::size_t objectsOfPage = 500;
+    while (!feed.lists.empty() && pages < 100) {
+        std::vector<FeedObject> objects;
+        for (std::size_t index = 0; index < objectsOfPage; ++index)
+            objects.push_back(object("n" + std::to_string(100000 + pages * objectsOfPage + index), 1));
+        ++pages;
+        feed.answerList({ objects, true, StoreRevision(1) });
+    }
+    const std::size_t maxObjects = settings().maxObjects;
+    BOOST_TEST(values.size() == maxObjects);
+    BOOST_TEST(listed == 1);
+    feed.answerWatch(FeedChanges { { { object("x", 2), false }, { object("n100000", 2), false } }, StoreRevision(2) });
+    BOOST_TEST(values.size() == maxObjects);
+    BOOST_TEST(values["n100000"] == "n100000@2");
+}
+
+BOOST_AUTO_TEST_CASE(aListThatBringsNothingNewEnds)
+{
+    feed.answerList({ { object("a", 1) }, true, StoreRevision(1) });
+    BOOST_REQUIRE(feed.lists.size() == 1U);
+    feed.answerList({ { object("a", 1) }, true, StoreRevision(1) });
+    BOOST_TEST(feed.lists.empty());
+    BOOST_TEST(listed == 1);
+}
+
 // Prevents a process from never learning of a change again because applying one of them failed.
 BOOST_AUTO_TEST_CASE(anObserverThatThrowsIsToldAgain)
 {
