--- a/src/direct/internal/directsettings.cpp
+++ b/src/direct/internal/directsettings.cpp
@@ -1,6 +1,7 @@
 #include "direct/directsettings.h"
 
 #include "framework/checkedjson.h"
+#include "framework/durations.h"
 #include "framework/processsettings.h"
 #include "quarantine/quarantinesettings.h"
 
@@ -18,6 +19,29 @@
         object.fail("role", "\"" + role + "\"");
 }
 
+/// Reads a duration, which may have a fraction, and rounds it to milliseconds.
+Milliseconds readMilliseconds(
+    CheckedObject& object, const std::string& key, Milliseconds fallback, double minValue, double maxValue)
+{
+    return framework::boundedMilliseconds(
+        object.doubleOr(key, static_cast<double>(fallback.count()), minValue, maxValue));
+}
+
+/// The grace period is stated in seconds or in milliseconds.
+void readGrace(CheckedObject& object, DirectRouterSettings& settings)
+{
+    constexpr double minGrace = 500;
+    constexpr double maxGrace = 600000;
+    constexpr double perSecond = 1000;
+    settings.grace = readMilliseconds(object, "grace_ms", settings.grace, minGrace, maxGrace);
+    if (!object.has("grace_s"))
+        return;
+    if (object.has("grace_ms"))
+        object.fail("grace_s", "no value beside grace_ms");
+    settings.grace = framework::boundedMilliseconds(
+        perSecond * object.doubleOr("grace_s", 0, minGrace / perSecond, maxGrace / perSecond));
+}
+
 void readRepeats(CheckedObject& object, DirectRouterSettings& settings)
 {
     if (!object.has("repeats"))
@@ -44,8 +68,7 @@
         return;
     CheckedObject keys = object.object("keys");
     settings.endsRevokedRequests = keys.flagOr("ends_revoked", settings.endsRevokedRequests);
-    settings.revocationTime = Milliseconds(
-        keys.numberOr("within_ms", static_cast<std::uint64_t>(settings.revocationTime.count()), 0, 600000));
+    settings.revocationTime = readMilliseconds(keys, "within_ms", settings.revocationTime, 0, 600000);
     (void)keys.finish();
 }
 
@@ -97,14 +120,10 @@
     readKeys(object, settings);
     readPolicy(object, settings.policy);
     settings.quarantine = quarantine::readQuarantineSettings(object);
-    settings.grace
-        = Milliseconds(object.numberOr("grace_ms", static_cast<std::uint64_t>(settings.grace.count()), 500, 600000));
-    settings.leavingNotice = Milliseconds(
-        object.numberOr("leaving_notice_ms", static_cast<std::uint64_t>(settings.leavingNotice.count()), 200, 60000));
-    settings.outageNotice = Milliseconds(
-        object.numberOr("outage_notice_ms", static_cast<std::uint64_t>(settings.outageNotice.count()), 200, 60000));
-    settings.heartbeat = Milliseconds(
-        object.numberOr("heartbeat_ms", static_cast<std::uint64_t>(settings.heartbeat.count()), 10, 60000));
+    readGrace(object, settings);
+    settings.leavingNotice = readMilliseconds(object, "leaving_notice_ms", settings.leavingNotice, 200, 60000);
+    settings.outageNotice = readMilliseconds(object, "outage_notice_ms", settings.outageNotice, 200, 60000);
+    settings.heartbeat = readMilliseconds(object, "heartbeat_ms", settings.heartbeat, 10, 60000);
     BOOST_OUTCOME_TRYV(object.finish());
     return settings;
 }
--- a/src/direct/tests/directsettings_test.cpp
+++ b/src/direct/tests/directsettings_test.cpp
@@ -58,6 +58,24 @@
     BOOST_TEST(describe(tooLittle.error()).find("memory_mb") != std::string::npos);
 }
 
+// Prevents a router from not starting because the platform states a time with a fraction.
+BOOST_AUTO_TEST_CASE(timesMayHaveAFraction)
+{
+    BOOST_TEST(parsed(R"(, "grace_s": 7.5)").value().grace.count() == 7500);
+    BOOST_TEST(parsed(R"(, "grace_s": 8)").value().grace.count() == 8000);
+    BOOST_TEST(parsed(R"(, "grace_ms": 2500.4)").value().grace.count() == 2500);
+    BOOST_TEST(parsed(R"(, "leaving_notice_ms": 1999.6)").value().leavingNotice.count() == 2000);
+    BOOST_TEST(parsed(R"(, "outage_notice_ms": 2500.5)").value().outageNotice.count() == 2501);
+    BOOST_TEST(parsed(R"(, "heartbeat_ms": 1200.2)").value().heartbeat.count() == 1200);
+    BOOST_TEST(parsed(R"(, "keys": { "within_ms": 3000.7 })").value().revocationTime.count() == 3001);
+    for (const std::string bad : { R"("grace_s": 0.2)", R"("grace_s": 8, "grace_ms": 8000)", R"("grace_s": "8")",
+             R"("grace_s": 601)", R"("grace_ms": 100)" }) {
+        const auto refused = parsed(", " + bad);
+        BOOST_REQUIRE(refused.has_error());
+        BOOST_TEST(describe(refused.error()).find("grace_") != std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aPolicyCanBeSwitchedOffByName)
 {
     const policy::PolicySwitches policy = parsed(R"(, "policy": { "fetches_ahead": false })").value().policy;
