--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -414,8 +414,11 @@
 {
     const std::string body(answerLimits.bytes + 1, 'x');
     const std::string begin = "HTTP/1.1 200 OK\r\n";
-    for (const std::string& text : { begin + "Content-Length: 900000000000\r\n\r\n", begin + "\r\n" + body,
-             begin + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + body + "\r\n" }) {
+    std::string unframed = begin + "\r\n";
+    unframed += body;
+    std::string chunked = begin + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n";
+    chunked.append(body).append("\r\n");
+    for (const std::string& text : { begin + "Content-Length: 900000000000\r\n\r\n", unframed, chunked }) {
         auto answered = call("/large");
         server.send(text);
         const auto answer = answered.get();
@@ -424,7 +427,8 @@
         BOOST_TEST((answer.error().execution == framework::Execution::Unknown));
     }
     auto answered = call("/largest");
-    server.send(begin + "Content-Length: 1000\r\n\r\n" + std::string(answerLimits.bytes, 'x'));
+    server.send(begin + "Content-Length: 1000\r\n\r\n");
+    server.send(std::string(answerLimits.bytes, 'x'));
     BOOST_TEST(answered.get().has_value());
 }
 
