Object store: a list that names too many objects, or doesn't end, removes nothing

What has no room is passed over, not the end of the list; a list that doesn't end is a failed one, begun anew; and once a quarter of the room is free again the objects that were left out are listed. The limit is 8,192 objects.

--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -24,6 +24,13 @@
 /// Time from the removal of an object from the mirror until no other component uses it any more.
 constexpr Milliseconds removalPropagation { 250 };
 constexpr std::size_t maxLoggedName = 64;
+/// How many objects a list may have, as a multiple of those that are copied.
+constexpr std::size_t maxListLength = 8;
+
+Error endlessList(const std::string& kind)
+{
+    return Error { ErrorCode::TooLarge, "list " + kind, "", "a list that doesn't end" };
+}
 
 } // namespace
 
@@ -53,6 +60,7 @@
     if (after.empty()) {
         listed_.clear();
         listRevision_.reset();
+        objectsInPages_ = 0;
         isFull_ = false;
     }
     sentAt_ = clock_.now();
@@ -72,16 +80,21 @@
     // changed between the pages.
     if (!listRevision_)
         listRevision_ = page.value().at;
-    const std::size_t listedBefore = listed_.size();
+    bool hasNew = false;
     for (const FeedObject& object : page.value().objects) {
+        hasNew = hasNew || !listed_.contains(object.name);
         if (!hasRoomFor(object))
-            break;
+            continue;
         listed_.insert(object.name);
         applyObject(object);
     }
-    // A list whose pages bring nothing new would never end.
-    if (page.value().hasMore && !isFull_ && listed_.size() > listedBefore)
+    objectsInPages_ += page.value().objects.size();
+    if (page.value().hasMore && !page.value().objects.empty()) {
+        // Nothing can be said about what an endless list doesn't name.
+        if (!hasNew || objectsInPages_ > maxListLength * settings_.maxObjects)
+            return scheduleRetry(endlessList(settings_.kind), [this] { list({}); });
         return list(page.value().objects.back().name);
+    }
     finishList();
 }
 
@@ -190,6 +203,8 @@
     if (changes.value().at > watchRevision_)
         watchRevision_ = changes.value().at;
     observers_.didConfirm(answeredAt_);
+    if (hasRoomAgain())
+        return runAfter(failureBackoff_.next(), [this] { list({}); });
     if (changes.value().events.empty() || settings_.pauseAfterChange.count() == 0)
         return watch();
     runAfter(settings_.pauseAfterChange, [this] { watch(); });
@@ -208,6 +223,9 @@
     return false;
 }
 
+/// Whether objects that were left out can be copied now. Lists are apart by many changes, also if none is copied.
+bool ObjectMirror::hasRoomAgain() const { return isFull_ && knownRevisions_.size() < settings_.maxObjects / 4 * 3; }
+
 /// Applies an object unless its revision is known already. Prevents a stale state from replacing a newer one: a list
 /// may be answered late, or by a store replica that lags behind.
 void ObjectMirror::applyObject(const FeedObject& object)
--- a/src/objectstore/objectmirror.h
+++ b/src/objectstore/objectmirror.h
@@ -42,7 +42,7 @@
     /// effect everywhere. It shortens `missingGracePeriod` if necessary.
     framework::Milliseconds outageNotice { 3000 };
     /// Limits the memory that the copy takes. Objects beyond this number aren't copied.
-    std::size_t maxObjects = 16384;
+    std::size_t maxObjects = 8192;
 };
 
 /// A local copy of all objects of one kind, kept up to date by list and watch. Used on the control thread only.
@@ -94,6 +94,7 @@
     void handleWatch(framework::Result<FeedChanges>);
     void applyObject(const FeedObject&);
     bool hasRoomFor(const FeedObject&);
+    bool hasRoomAgain() const;
     void remove(const std::string& name, Removal);
     void handleMissing(const std::string& name);
     void handleDeletion(const FeedObject&);
@@ -121,6 +122,8 @@
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
     std::map<std::string, StoreRevision> knownRevisions_;
     std::set<std::string> listed_;
+    /// The objects of the pages that were listed so far.
+    std::size_t objectsInPages_ = 0;
     /// Whether objects were left out since the last complete list.
     bool isFull_ = false;
     /// Known objects that are missing from the store, and until when each is kept.
--- a/src/objectstore/tests/objectmirror_test.cpp
+++ b/src/objectstore/tests/objectmirror_test.cpp
@@ -53,6 +53,16 @@
     return { name, name + "@" + std::to_string(revision), StoreRevision(revision) };
 }
 
+std::string nameOf(std::size_t index) { return "n" + std::to_string(100000 + index); }
+
+std::vector<FeedObject> objects(std::size_t first, std::size_t count)
+{
+    std::vector<FeedObject> made;
+    for (std::size_t index = first; index < first + count; ++index)
+        made.push_back(object(nameOf(index), 1));
+    return made;
+}
+
 FeedPage page(std::vector<FeedObject> objects, std::uint64_t at)
 {
     return { std::move(objects), false, StoreRevision(at) };
@@ -127,33 +137,82 @@
     BOOST_TEST(feed.watches.front().first == StoreRevision(3));
 }
 
-// Prevents a store that lists objects without end from using up the memory, or from being listed without end.
+// Prevents a store that holds objects without number from using up the memory.
 BOOST_AUTO_TEST_CASE(onlySoManyObjectsAreCopied)
 {
-    std::size_t pages = 0;
-    const std::size_t objectsOfPage = 500;
-    while (!feed.lists.empty() && pages < 100) {
-        std::vector<FeedObject> objects;
-        for (std::size_t index = 0; index < objectsOfPage; ++index)
-            objects.push_back(object("n" + std::to_string(100000 + pages * objectsOfPage + index), 1));
-        ++pages;
-        feed.answerList({ objects, true, StoreRevision(1) });
-    }
     const std::size_t maxObjects = settings().maxObjects;
+    feed.answerList(page(objects(0, maxObjects + 1000), 1));
     BOOST_TEST(values.size() == maxObjects);
     BOOST_TEST(listed == 1);
-    feed.answerWatch(FeedChanges { { { object("x", 2), false }, { object("n100000", 2), false } }, StoreRevision(2) });
+    feed.answerWatch(FeedChanges { { { object("x", 2), false }, { object(nameOf(0), 2), false } }, StoreRevision(2) });
     BOOST_TEST(values.size() == maxObjects);
-    BOOST_TEST(values["n100000"] == "n100000@2");
+    BOOST_TEST(values[nameOf(0)] == nameOf(0) + "@2");
+}
+
+// Prevents sound objects from being dropped because a list names more objects than are copied.
+BOOST_AUTO_TEST_CASE(copiedObjectsOutlastAListThatNamesTooMany)
+{
+    const std::size_t maxObjects = settings().maxObjects;
+    feed.answerList(page(objects(1000, maxObjects), 1));
+    feed.answerWatch(Error { ErrorCode::NotFound, "watch", "store", "" });
+    control.advance(Milliseconds(1000));
+    BOOST_REQUIRE(feed.lists.size() == 1U);
+    feed.answerList(page(objects(0, maxObjects + 1000), 2));
+    BOOST_TEST(values.size() == maxObjects);
+    BOOST_TEST(values.contains(nameOf(1000)));
+    BOOST_TEST(values.contains(nameOf(maxObjects + 999)));
+}
+
+// Prevents objects that were left out from never being copied, although there is room for them again.
+BOOST_AUTO_TEST_CASE(objectsThatWereLeftOutAreCopiedOnceThereIsRoom)
+{
+    const std::size_t maxObjects = settings().maxObjects;
+    feed.answerList(page(objects(0, maxObjects + 1), 1));
+    BOOST_TEST(!values.contains(nameOf(maxObjects)));
+    std::vector<FeedEvent> deletions;
+    for (const FeedObject& deleted : objects(0, maxObjects / 2))
+        deletions.push_back({ deleted, true });
+    feed.answerWatch(FeedChanges { deletions, StoreRevision(2) });
+    control.advance(Milliseconds(1000));
+    BOOST_REQUIRE(feed.lists.size() == 1U);
+    feed.answerList(page(objects(maxObjects / 2, maxObjects / 2 + 1), 3));
+    BOOST_TEST(values.contains(nameOf(maxObjects)));
 }
 
-BOOST_AUTO_TEST_CASE(aListThatBringsNothingNewEnds)
+// Prevents a list that never ends from using up the memory, and from being taken for the list of all objects.
+BOOST_AUTO_TEST_CASE(anEndlessListIsBegunAnewAndRemovesNothing)
 {
-    feed.answerList({ { object("a", 1) }, true, StoreRevision(1) });
+    feed.answerList(page({ object("z", 1) }, 1));
+    feed.answerWatch(Error { ErrorCode::NotFound, "watch", "store", "" });
+    control.advance(Milliseconds(1000));
+    const std::size_t objectsOfPage = 500;
+    std::size_t pages = 0;
+    for (; !feed.lists.empty() && pages < 1000; ++pages)
+        feed.answerList({ objects(pages * objectsOfPage, objectsOfPage), true, StoreRevision(2) });
+    BOOST_TEST(pages < 1000U);
+    BOOST_TEST(values.contains("z"));
+    BOOST_TEST(values.size() <= settings().maxObjects);
+    control.advance(Milliseconds(1000));
     BOOST_REQUIRE(feed.lists.size() == 1U);
-    feed.answerList({ { object("a", 1) }, true, StoreRevision(1) });
+    feed.answerList(page({ object("z", 1) }, 3));
+    control.advance(Milliseconds(5000));
+    BOOST_TEST(values.size() == 1U);
+}
+
+// Prevents a page that comes again and again from being asked for without end, or taken for the list of all objects.
+BOOST_AUTO_TEST_CASE(aListThatBringsNothingNewIsBegunAnewAndRemovesNothing)
+{
+    feed.answerList(page({ object("a", 1), object("z", 1) }, 1));
+    feed.answerWatch(Error { ErrorCode::NotFound, "watch", "store", "" });
+    control.advance(Milliseconds(1000));
+    feed.answerList({ { object("a", 1) }, true, StoreRevision(2) });
+    BOOST_REQUIRE(feed.lists.size() == 1U);
+    feed.answerList({ { object("a", 1) }, true, StoreRevision(2) });
     BOOST_TEST(feed.lists.empty());
     BOOST_TEST(listed == 1);
+    BOOST_TEST(values.contains("z"));
+    control.advance(Milliseconds(1000));
+    BOOST_TEST(feed.lists.size() == 1U);
 }
 
 // Prevents a process from never learning of a change again because applying one of them failed.
