List of servers: the names that entries list have a limit of bytes

Beyond it a server is kept without its names, so that plain servers go on, and engines by the word of their agents.

--- a/src/direct/internal/serverentries.cpp
+++ b/src/direct/internal/serverentries.cpp
@@ -39,6 +39,25 @@
     return std::tie(upstream.started, upstream.firstListed) > std::tie(other.started, other.firstListed);
 }
 
+/// A name's object and its share of the list that holds it.
+constexpr std::size_t bytesPerName = 64;
+
+template <typename Name> std::size_t bytesOf(const std::vector<Name>& names)
+{
+    std::size_t bytes = 0;
+    for (const Name& name : names)
+        bytes += name.value().size() + bytesPerName;
+    return bytes;
+}
+
+std::size_t nameBytesOf(const Upstream& upstream)
+{
+    std::size_t bytes = bytesOf(upstream.cachedWeights.memory) + bytesOf(upstream.cachedWeights.disk);
+    for (const catalog::LoadedModel& model : upstream.models)
+        bytes += model.model.value().size() + 2 * bytesPerName + bytesOf(model.adapters);
+    return bytes;
+}
+
 void logServerChange(const FeedObject& object, const std::optional<Upstream>& before, const Upstream& upstream)
 {
     const bool isRestarted = before && before->started != upstream.started;
@@ -72,11 +91,35 @@
                         .text("cause", describe(read.error())));
         entry.upstream.reset();
         entry.late.reset();
-        return;
+        return countNames(entry);
     }
+    limitNames(object.name, read.value());
     if (isLate(read.value(), entry))
-        return holdLate(object, entry, std::move(read.value()), now);
-    accept(object, entry, std::move(read.value()), now);
+        holdLate(object, entry, std::move(read.value()), now);
+    else
+        accept(object, entry, std::move(read.value()), now);
+    countNames(entry);
+}
+
+/// Prevents entries of other writers from using up the memory. Without the names, a server counts as holding nothing
+/// until its agent says what it holds.
+void ServerEntries::limitNames(const std::string& name, Upstream& upstream) const
+{
+    const std::size_t bytes = nameBytesOf(upstream);
+    if (bytes <= maxNamesOfEntry && nameBytes_ + bytes <= maxNames)
+        return;
+    logDecision(LogLine("server_names_left_out").text("server", shortened(name)).number("bytes", bytes));
+    upstream.models.clear();
+    upstream.cachedWeights = {};
+}
+
+void ServerEntries::countNames(Entry& entry)
+{
+    nameBytes_ -= entry.nameBytes;
+    entry.nameBytes = entry.upstream ? nameBytesOf(*entry.upstream) : 0;
+    if (entry.late)
+        entry.nameBytes += nameBytesOf(entry.late->upstream);
+    nameBytes_ += entry.nameBytes;
 }
 
 void ServerEntries::accept(const FeedObject& object, Entry& entry, Upstream upstream, SteadyTime now)
@@ -135,6 +178,8 @@
     if (isDraining && entry.upstream)
         entry.upstream->state = UpstreamState::Draining;
     entry.late = LateContent { object, std::move(late), now };
+    // The decoded content is kept, and not what it was decoded from.
+    entry.late->object.value.reset();
 }
 
 /// Some servers leave without draining: their entry is removed. If the entry of the same run is written again, either
@@ -173,6 +218,7 @@
         logDecision(LogLine("server_entry_accepted").text("server", shortened(name)));
         const LateContent late = *entry.late;
         accept(late.object, entry, late.upstream, confirmedAt);
+        countNames(entry);
         entry.unconfirmedSince.reset();
         hasChanged = true;
     }
@@ -184,6 +230,7 @@
     Entry& entry = entries_[name];
     entry.upstream.reset();
     entry.late.reset();
+    countNames(entry);
     entry.removal = removal;
     entry.forgetAt = Deadline::after(now, removedRetention);
     logDecision(LogLine("server_unlisted").text("server", shortened(name)));
--- a/src/direct/internal/serverentries.h
+++ b/src/direct/internal/serverentries.h
@@ -6,6 +6,7 @@
 #include "framework/types/time.h"
 #include "objectstore/objectmirror.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -47,6 +48,10 @@
     std::size_t size() const { return entries_.size(); }
 
 private:
+    /// Limits, in bytes, for the names of models and adapters that entries list: of one entry, and of all.
+    static constexpr std::size_t maxNamesOfEntry = std::size_t(64) * 1024;
+    static constexpr std::size_t maxNames = std::size_t(4) * 1024 * 1024;
+
     struct LateContent {
         objectstore::FeedObject object;
         catalog::Upstream upstream;
@@ -71,9 +76,13 @@
         std::optional<LateContent> late;
         /// Set if the entry was removed and written again, which may be a write from before its server left.
         std::optional<framework::SteadyTime> unconfirmedSince;
+        /// Of the names in `upstream` and `late`.
+        std::size_t nameBytes = 0;
     };
 
     static framework::Result<catalog::Upstream> checked(framework::Result<catalog::Upstream>, const Entry& before);
+    void limitNames(const std::string& name, catalog::Upstream&) const;
+    void countNames(Entry&);
     static bool isLate(const catalog::Upstream&, const Entry&);
     void accept(const objectstore::FeedObject&, Entry&, catalog::Upstream, framework::SteadyTime now);
     void holdLate(const objectstore::FeedObject&, Entry&, catalog::Upstream, framework::SteadyTime now);
@@ -82,6 +91,8 @@
 
     framework::Milliseconds heartbeat_;
     std::map<std::string, Entry> entries_;
+    /// Of all entries.
+    std::size_t nameBytes_ = 0;
 };
 
 } // namespace lagoon::direct
--- a/src/direct/tests/serverentries_test.cpp
+++ b/src/direct/tests/serverentries_test.cpp
@@ -160,6 +160,40 @@
     BOOST_TEST(find("stays"));
 }
 
+// Prevents entries that list names without end from using up the memory, one alone or many together.
+BOOST_AUTO_TEST_CASE(theNamesOfEntriesHaveALimitTogether)
+{
+    const auto namesOf = [](std::size_t count) {
+        return std::vector<framework::ModelName>(count, framework::ModelName(std::string(100, 'm')));
+    };
+    const auto write = [&](const std::string& name, std::size_t names) {
+        Upstream upstream;
+        upstream.instance = catalog::InstanceId(name);
+        upstream.endpoint = framework::Endpoint(name + ":80");
+        upstream.service = framework::ServiceName("engines");
+        upstream.cachedWeights.disk = namesOf(names);
+        entries.apply({ name, {}, objectstore::StoreRevision(++revision), 1 }, upstream, now);
+    };
+    const auto keptNames = [&] {
+        std::size_t kept = 0;
+        for (const Upstream& upstream : entries.servers())
+            kept += upstream.cachedWeights.disk.size();
+        return kept;
+    };
+    write("sound", 100);
+    write("large", 2000);
+    BOOST_TEST(keptNames() == 100U);
+    for (int count = 0; count < 1000; ++count)
+        write("e" + std::to_string(count), 300);
+    BOOST_TEST(entries.servers().size() == 1002U);
+    BOOST_TEST(keptNames() < 30000U);
+    BOOST_TEST(keptNames() > 20000U);
+    for (int count = 0; count < 1000; ++count)
+        entries.remove("e" + std::to_string(count), Removal::Deleted, now);
+    write("large", 300);
+    BOOST_TEST(keptNames() == 400U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::direct
