Engine controller: an exception in one step doesn't end polls and orders

What callers see: after one exception in the agent (no memory for one large report, for instance) the agent never polled its engine again. Nothing was published, the engine got no further order, and requests that waited for a model of this engine waited in vain, until the agent was started again.

Cause: the poll, the reads of the fencing token and the profile, and an order each arrange their next step last. The event loop catches the exception, but the chain has ended then; isReporting_, isOrdering_ and isAcquiringToken_ stay set and keep others from starting it again.

Change: framework::runGuarded reports the exception and calls a recovery, which arranges the next step. A poll that threw counts as one without answer, an order that threw as one with an unknown outcome (it may have been sent; the next one carries the same expected count), a read of the store as a failed one.

Measured: five new cases in engines_tests.

Not covered: an exception from the timer's own allocation, and the answer to an order whose sending threw although it was sent.

--- a/src/engines/enginecontroller.h
+++ b/src/engines/enginecontroller.h
@@ -60,7 +60,12 @@
 
 private:
     void readProfile();
+    void didReadProfile(const framework::Result<catalog::ConfigurationPointer>&);
+    void readProfileAfter(framework::Milliseconds);
+    template <typename Action> void runGuarded(const Action&);
     void acquireFencingToken();
+    void didAcquireFencingToken(const framework::Result<framework::FencingToken>&);
+    void acquireFencingTokenAfter(framework::Milliseconds);
     void poll();
     void pollAfter(framework::Milliseconds);
     void didReport(framework::Result<EngineReport>, const notices::ServerNotice&);
--- a/src/engines/internal/enginecontroller.cpp
+++ b/src/engines/internal/enginecontroller.cpp
@@ -1,6 +1,7 @@
 #include "engines/enginecontroller.h"
 
 #include "framework/decisionlog.h"
+#include "framework/eventloop.h"
 #include "framework/randomid.h"
 #include "policy/policysetup.h"
 
@@ -140,20 +141,33 @@
 void EngineController::readProfile()
 {
     profileTimer_.reset();
-    context_.profiles.read(Deadline::after(context_.clock.now(), storeTimeout),
-        [this, alive = std::weak_ptr<int>(alive_)](Result<catalog::ConfigurationPointer> read) {
-            if (alive.expired())
-                return;
-            if (read.has_value() && read.value()
-                && (!configuration_ || read.value()->version >= configuration_->version)) {
-                configuration_ = read.value();
-                const catalog::Service* const service = configuration_->find(settings_.service);
-                profile_ = service && service->engine ? &*service->engine : nullptr;
-            }
-            const Milliseconds pause = profile_ ? profileInterval : profileRetryInterval;
-            profileTimer_
-                = context_.control.runAt(Deadline::after(context_.clock.now(), pause), [this] { readProfile(); });
-        });
+    const auto retry = [this] { readProfileAfter(profileRetryInterval); };
+    framework::runGuarded(
+        "a read of the engine's profile",
+        [&] {
+            context_.profiles.read(Deadline::after(context_.clock.now(), storeTimeout),
+                [this, retry, alive = std::weak_ptr<int>(alive_)](const Result<catalog::ConfigurationPointer>& read) {
+                    if (!alive.expired())
+                        framework::runGuarded(
+                            "an engine's profile", [&] { didReadProfile(read); }, retry);
+                });
+        },
+        retry);
+}
+
+void EngineController::didReadProfile(const Result<catalog::ConfigurationPointer>& read)
+{
+    if (read.has_value() && read.value() && (!configuration_ || read.value()->version >= configuration_->version)) {
+        configuration_ = read.value();
+        const catalog::Service* const service = configuration_->find(settings_.service);
+        profile_ = service && service->engine ? &*service->engine : nullptr;
+    }
+    readProfileAfter(profile_ ? profileInterval : profileRetryInterval);
+}
+
+void EngineController::readProfileAfter(Milliseconds pause)
+{
+    profileTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), pause), [this] { readProfile(); });
 }
 
 /// Replaces the fencing token by a newer one. Prevents orders of an earlier agent process, which the network may still
@@ -163,23 +177,40 @@
     if (std::exchange(isAcquiringToken_, true))
         return;
     fencingToken_.reset();
-    context_.fencingTokens.next(Deadline::after(context_.clock.now(), storeTimeout),
-        [this, alive = std::weak_ptr<int>(alive_)](Result<framework::FencingToken> taken) {
-            if (alive.expired())
-                return;
+    framework::runGuarded(
+        "a read of a fencing token",
+        [this] {
+            context_.fencingTokens.next(Deadline::after(context_.clock.now(), storeTimeout),
+                [this, alive = std::weak_ptr<int>(alive_)](const Result<framework::FencingToken>& taken) {
+                    if (!alive.expired())
+                        didAcquireFencingToken(taken);
+                });
+        },
+        [this] {
             isAcquiringToken_ = false;
-            if (taken.has_value()) {
-                fencingToken_ = taken.value();
-                tokenBackoff_.reset();
-                logDecision(LogLine("fence_taken").number("fence", fencingToken_->value()));
-                return;
-            }
-            logDecision(LogLine("fence_not_taken").text("cause", describe(taken.error())));
-            const Deadline again = Deadline::after(context_.clock.now(), tokenBackoff_.next(taken.error().retryAfter));
-            tokenTimer_ = context_.control.runAt(again, [this] { acquireFencingToken(); });
+            acquireFencingTokenAfter(tokenBackoff_.next());
         });
 }
 
+void EngineController::didAcquireFencingToken(const Result<framework::FencingToken>& taken)
+{
+    isAcquiringToken_ = false;
+    if (taken.has_value()) {
+        fencingToken_ = taken.value();
+        tokenBackoff_.reset();
+        logDecision(LogLine("fence_taken").number("fence", fencingToken_->value()));
+        return;
+    }
+    acquireFencingTokenAfter(tokenBackoff_.next(taken.error().retryAfter));
+    logDecision(LogLine("fence_not_taken").text("cause", describe(taken.error())));
+}
+
+void EngineController::acquireFencingTokenAfter(Milliseconds pause)
+{
+    tokenTimer_
+        = context_.control.runAt(Deadline::after(context_.clock.now(), pause), [this] { acquireFencingToken(); });
+}
+
 void EngineController::setDemand(
     const framework::VmName& router, const catalog::InstanceId& instance, catalog::DemandList demand)
 {
@@ -209,11 +240,26 @@
     isReporting_ = true;
     reportAskedAt_ = context_.clock.now();
     pollTimer_.reset();
-    context_.engine.report(Deadline::after(context_.clock.now(), reportTimeout),
-        [this, alive = std::weak_ptr<int>(alive_)](Result<EngineReport> report, const notices::ServerNotice& notice) {
-            if (!alive.expired())
-                didReport(std::move(report), notice);
-        });
+    runGuarded([this] {
+        context_.engine.report(Deadline::after(context_.clock.now(), reportTimeout),
+            [this, alive = std::weak_ptr<int>(alive_)](
+                Result<EngineReport> report, const notices::ServerNotice& notice) {
+                if (!alive.expired())
+                    runGuarded([&] { didReport(std::move(report), notice); });
+            });
+    });
+}
+
+/// Polls anew after an exception, as if the engine hadn't answered: without a next poll, it would get no order and
+/// nothing would be published any more.
+template <typename Action> void EngineController::runGuarded(const Action& action)
+{
+    framework::runGuarded("a step of the engine's controller", action, [this] {
+        isReporting_ = false;
+        report_.reset();
+        if (!isOrdering_)
+            pollAfter(idlePollInterval);
+    });
 }
 
 void EngineController::pollAfter(Milliseconds pause)
@@ -374,8 +420,6 @@
 
 void EngineController::sendOrder(const Order& order, const std::string& reason)
 {
-    isOrdering_ = true;
-    pollTimer_.reset();
     const OrderPreconditions preconditions { settings_.vm, *fencingToken_, report_->orders, instance_ };
     logDecision(LogLine("order")
                     .text("kind", order.kind == OrderKind::Load ? "load" : "unload")
@@ -386,11 +430,21 @@
                     .text("instance", preconditions.instance.value())
                     .number("report_age_ms",
                         std::chrono::duration_cast<Milliseconds>(context_.clock.now() - reportedAt_).count()));
-    context_.engine.order(order, preconditions, Deadline::after(context_.clock.now(), orderTimeout),
-        [this, alive = std::weak_ptr<int>(alive_), order](const OrderAnswer& answer) {
-            if (!alive.expired())
-                didOrder(order, answer);
-        });
+    isOrdering_ = true;
+    pollTimer_.reset();
+    framework::runGuarded(
+        "an order to the engine",
+        [&] {
+            context_.engine.order(order, preconditions, Deadline::after(context_.clock.now(), orderTimeout),
+                [this, alive = std::weak_ptr<int>(alive_), order](const OrderAnswer& answer) {
+                    if (!alive.expired())
+                        runGuarded([&] { didOrder(order, answer); });
+                });
+        },
+        // The order may have been sent.
+        [&] { runGuarded([&] {
+                  didOrder(order, { OrderOutcome::Unknown, {}, "exception", {} });
+              }); });
 }
 
 void EngineController::didOrder(const Order& order, const OrderAnswer& answer)
--- a/src/engines/tests/enginecontroller_test.cpp
+++ b/src/engines/tests/enginecontroller_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <new>
 
 namespace lagoon::engines {
 
@@ -20,6 +21,15 @@
 using framework::ModelName;
 using framework::VmName;
 
+/// Throws unless `exceptions` is 0, and counts it down.
+void throwNext(int& exceptions)
+{
+    if (exceptions == 0)
+        return;
+    --exceptions;
+    throw std::bad_alloc();
+}
+
 /// An engine that answers reports with `state` when the control thread runs next; the test answers its orders.
 class FakeEngine final : public IEnginePort {
 public:
@@ -31,6 +41,7 @@
     void report(Deadline, ReportHandler handler) override
     {
         ++reports;
+        throwNext(reportExceptions);
         control_.post([this, handler = std::move(handler)] {
             if (isSilent)
                 handler(Error { ErrorCode::PlatformUnavailable, "report", "engine", "silent" }, notice);
@@ -41,6 +52,7 @@
 
     void order(const Order& order, const OrderPreconditions& preconditions, Deadline, OrderHandler handler) override
     {
+        throwNext(orderExceptions);
         orders.push_back({ order, preconditions });
         handlers.push_back(std::move(handler));
     }
@@ -56,6 +68,9 @@
     /// What the engine's answers say.
     notices::ServerNotice notice;
     bool isSilent = false;
+    /// How many of the next calls throw.
+    int reportExceptions = 0;
+    int orderExceptions = 0;
     int reports = 0;
     std::vector<std::pair<Order, OrderPreconditions>> orders;
     std::deque<OrderHandler> handlers;
@@ -69,20 +84,25 @@
     void next(Deadline, Handler handler) override
     {
         ++acquisitions;
+        throwNext(exceptions);
         if (isUnavailable)
             return handler(Error { ErrorCode::PlatformUnavailable, "fence", "store", "away" });
         handler(FencingToken(++lastToken));
     }
 
     std::uint64_t lastToken = 40;
+    int exceptions = 0;
     int acquisitions = 0;
     bool isUnavailable = false;
 };
 
 class FakeProfiles final : public IProfileSource {
 public:
+    int exceptions = 0;
+
     void read(Deadline, Handler handler) override
     {
+        throwNext(exceptions);
         auto configuration = std::make_shared<catalog::Configuration>();
         configuration->version = catalog::ConfigurationVersion(1);
         catalog::Service service;
@@ -102,13 +122,36 @@
     Fixture()
         : engine(control)
         , controller({ control, control, engine, fencingTokens, profiles, std::make_shared<framework::Metrics>(),
-                         [this](const catalog::EngineState& state) { published.push_back(state); },
+                         [this](const catalog::EngineState& state) { didPublish(state); },
                          [this](const catalog::EngineLoad& load) { publishedLoads.push_back(load); },
                          [this](const ratelimits::LimitStatement& limit) { limits.push_back(limit); } },
               { VmName("vm"), framework::ServiceName("models"), framework::Endpoint("10.0.0.1:80") })
     {
     }
 
+    void didPublish(const catalog::EngineState& state)
+    {
+        throwNext(publishExceptions);
+        published.push_back(state);
+    }
+
+    /// Does the action as an event loop does, which goes on after an exception.
+    template <typename Action> static void runDespiteExceptions(const Action& action)
+    {
+        try {
+            action();
+        } catch (const std::bad_alloc&) {
+            BOOST_TEST_MESSAGE("an exception reached the event loop");
+        }
+    }
+
+    void advanceTimeDespiteExceptions(Milliseconds time)
+    {
+        for (Milliseconds passed(0); passed < time; passed += Milliseconds(5)) {
+            runDespiteExceptions([this] { advanceTime(Milliseconds(5)); });
+        }
+    }
+
     void start()
     {
         controller.start();
@@ -139,6 +182,8 @@
     FakeEngine engine;
     FakeFencingTokens fencingTokens;
     FakeProfiles profiles;
+    /// How many of the next publications of a state throw.
+    int publishExceptions = 0;
     std::vector<catalog::EngineState> published;
     std::vector<catalog::EngineLoad> publishedLoads;
     std::vector<ratelimits::LimitStatement> limits;
@@ -225,6 +270,70 @@
     BOOST_TEST(engine.orders.size() == 1U);
 }
 
+// Prevents an engine from being polled no more, and requests from waiting in vain, after one report whose handling
+// threw.
+BOOST_AUTO_TEST_CASE(aReportWhoseHandlingThrowsIsFollowedByTheNext)
+{
+    start();
+    publishExceptions = 1;
+    engine.state.held.push_back({ ModelName("b"), 1, {}, 0 });
+    advanceTimeDespiteExceptions(Milliseconds(500));
+    BOOST_TEST(publishExceptions == 0);
+    const int reports = engine.reports;
+    advanceTimeDespiteExceptions(Milliseconds(500));
+    BOOST_TEST(engine.reports > reports);
+    setWaitingRequest("a");
+    advanceTime(Milliseconds(500));
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
+// Prevents an engine from being polled no more after one poll that threw.
+BOOST_AUTO_TEST_CASE(aPollThatThrowsIsFollowedByTheNext)
+{
+    start();
+    engine.reportExceptions = 1;
+    advanceTimeDespiteExceptions(Milliseconds(500));
+    BOOST_TEST(engine.reportExceptions == 0);
+    const int reports = engine.reports;
+    advanceTimeDespiteExceptions(Milliseconds(500));
+    BOOST_TEST(engine.reports > reports);
+}
+
+// Prevents an agent from giving no order until it is started again after a read of a fencing token that threw.
+BOOST_AUTO_TEST_CASE(aReadOfAFencingTokenThatThrowsIsRetried)
+{
+    fencingTokens.exceptions = 1;
+    runDespiteExceptions([this] { start(); });
+    BOOST_TEST(fencingTokens.exceptions == 0);
+    advanceTimeDespiteExceptions(Milliseconds(5000));
+    runDespiteExceptions([this] { setWaitingRequest("a"); });
+    advanceTimeDespiteExceptions(Milliseconds(500));
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
+// Prevents an agent from giving no order until it is started again after a read of the profile that threw.
+BOOST_AUTO_TEST_CASE(aReadOfTheProfileThatThrowsIsRetried)
+{
+    profiles.exceptions = 1;
+    runDespiteExceptions([this] { start(); });
+    BOOST_TEST(profiles.exceptions == 0);
+    advanceTimeDespiteExceptions(Milliseconds(5000));
+    runDespiteExceptions([this] { setWaitingRequest("a"); });
+    advanceTimeDespiteExceptions(Milliseconds(500));
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
+// Prevents an engine from getting no further order after one that threw while it was sent.
+BOOST_AUTO_TEST_CASE(anOrderThatThrowsIsRetried)
+{
+    start();
+    engine.orderExceptions = 1;
+    runDespiteExceptions([this] { setWaitingRequest("a"); });
+    BOOST_TEST(engine.orderExceptions == 0);
+    advanceTimeDespiteExceptions(Milliseconds(1000));
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(noOrderIsGivenWithoutAFencingToken)
 {
     fencingTokens.isUnavailable = true;
--- a/src/framework/eventloop.h
+++ b/src/framework/eventloop.h
@@ -16,6 +16,19 @@
 /// Logs and counts the exception that is being handled. Call in a `catch` block. `where` names what threw it.
 void reportException(std::string_view where) noexcept;
 
+/// Runs the action. If it throws, reports the exception and calls `recover`, which arranges the next step of work that
+/// would otherwise never go on.
+template <typename Action, typename Recover>
+void runGuarded(std::string_view where, const Action& action, const Recover& recover)
+{
+    try {
+        action();
+    } catch (...) {
+        reportException(where);
+        recover();
+    }
+}
+
 /// The number of exceptions that this process has reported.
 std::uint64_t reportedExceptions();
 
