HTTP client: an exception on an upstream connection fails its request at once

What callers see: if the handling of a part of an answer threw (no memory, for instance), the request got no answer until its deadline, and its connection was neither read nor closed, and counted as open for ever.

Cause: the handlers of an upstream connection had no guard of their own; the event loop ended the handler alone.

Change: connect, read, resume and the timeout of the connect run guarded, as on connections of callers. After an exception the connection closes, and the request fails with the step that it had reached, so that it is repeated or refused as after any other lost connection. If `send` itself throws, the connection closes before the exception goes on to the caller.

Measured: aRequestWhoseHandlingThrowsFailsAtOnce (a sink that throws at three steps).

--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/tcpclientconnection.h"
 
+#include "framework/eventloop.h"
 #include "framework/tcpendpoint.h"
 #include "http/internal/messagereader.h"
 #include "http/internal/messagewriter.h"
@@ -88,7 +89,18 @@
     return std::static_pointer_cast<TcpClientConnection>(shared_from_this());
 }
 
+/// An exception goes to the caller of `send` alone, which knows then that the request isn't answered.
 void TcpClientConnection::send(const Request& request, std::shared_ptr<IAnswerSink> sink)
+{
+    try {
+        begin(request, std::move(sink));
+    } catch (...) {
+        abandon();
+        throw;
+    }
+}
+
+void TcpClientConnection::begin(const Request& request, std::shared_ptr<IAnswerSink> sink)
 {
     sink_ = std::move(sink);
     Request framed { request.method, request.target, request.headers, {} };
@@ -123,10 +135,11 @@
     connectTimer_.expires_after(options_.connectTimeout);
     connectTimer_.async_wait([self = self()](const boost::system::error_code& error) {
         if (!error && !self->isConnected_)
-            self->fail(ClientStep::Connect, "no connection in time");
+            self->runGuarded([&] { self->fail(ClientStep::Connect, "no connection in time"); });
+    });
+    socket_.async_connect(address.value(), [self = self()](const boost::system::error_code& error) {
+        self->runGuarded([&] { self->didConnect(error); });
     });
-    socket_.async_connect(
-        address.value(), [self = self()](const boost::system::error_code& error) { self->didConnect(error); });
 }
 
 void TcpClientConnection::didConnect(const boost::system::error_code& error)
@@ -171,7 +184,7 @@
     socket_.async_read_some(
         buffer_.prepare(readBufferBytes), [self = self()](const boost::system::error_code& error, std::size_t bytes) {
             self->isReading_ = false;
-            self->didRead(error, bytes);
+            self->runGuarded([&] { self->didRead(error, bytes); });
         });
 }
 
@@ -332,7 +345,20 @@
 void TcpClientConnection::resume()
 {
     isPaused_ = false;
-    read();
+    runGuarded([this] { read(); });
+}
+
+/// Fails the request after an exception: the connection would be neither read nor closed any more, and the request
+/// would have no answer.
+template <typename Action> void TcpClientConnection::runGuarded(const Action& action)
+{
+    const auto keepAlive = self();
+    framework::runGuarded("a connection to a server", action, [this] {
+        if (mayHaveSentBytes_)
+            fail(isHeadDelivered_ ? ClientStep::ReadBody : ClientStep::AwaitHead, "exception");
+        else
+            fail(isConnected_ ? ClientStep::Send : ClientStep::Connect, "exception");
+    });
 }
 
 void TcpClientConnection::close()
--- a/src/http/internal/tcpclientconnection.h
+++ b/src/http/internal/tcpclientconnection.h
@@ -29,6 +29,8 @@
     using Parser = boost::beast::http::response_parser<GrowingBody>;
 
     std::shared_ptr<TcpClientConnection> self();
+    template <typename Action> void runGuarded(const Action&);
+    void begin(const Request&, std::shared_ptr<IAnswerSink>);
     void connect();
     void didConnect(const boost::system::error_code&);
     void write();
--- a/src/http/tests/clientconnection_test.cpp
+++ b/src/http/tests/clientconnection_test.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <new>
+#include <optional>
 #include <thread>
 
 namespace lagoon::http {
@@ -69,15 +71,21 @@
 
     bool didReceiveHead(const ResponseHead& head) override
     {
+        throwAt(ClientStep::AwaitHead);
         this->head = head;
         return expectedId_.empty() || head.headers.find("X-Id").value_or(expectedId_) == expectedId_;
     }
     void willSend() override
     {
+        throwAt(ClientStep::Send);
         if (onWillSend)
             onWillSend();
     }
-    void didReceiveBody(std::string_view piece) override { body += piece; }
+    void didReceiveBody(std::string_view piece) override
+    {
+        throwAt(ClientStep::ReadBody);
+        body += piece;
+    }
     void didFinish() override { ended.set_value(true); }
     void didFail(const ClientFailure& failed) override
     {
@@ -92,8 +100,16 @@
     ClientFailure failure;
     std::promise<bool> ended;
     std::function<void()> onWillSend;
+    /// The step at which the sink throws; std::nullopt if it doesn't.
+    std::optional<ClientStep> throwsAt;
 
 private:
+    void throwAt(ClientStep step) const
+    {
+        if (throwsAt == step)
+            throw std::bad_alloc();
+    }
+
     std::string expectedId_;
 };
 
@@ -109,7 +125,11 @@
 
     std::shared_ptr<RecordedAnswer> send(const Request& request, const std::string& expectedId = {})
     {
-        auto answer = std::make_shared<RecordedAnswer>(expectedId);
+        return sendWith(std::make_shared<RecordedAnswer>(expectedId), request);
+    }
+
+    std::shared_ptr<RecordedAnswer> sendWith(std::shared_ptr<RecordedAnswer> answer, const Request& request)
+    {
         std::promise<void> sent;
         thread.post([&] {
             pool.take(ConnectionPool::Reuse::Normal, std::chrono::steady_clock::now())->send(request, answer);
@@ -159,6 +179,26 @@
 
 BOOST_FIXTURE_TEST_SUITE(ClientConnections, ClientFixture)
 
+// Prevents a request from waiting without an answer, and its connection from staying open, after the handling of a part
+// of the answer threw.
+BOOST_AUTO_TEST_CASE(aRequestWhoseHandlingThrowsFailsAtOnce)
+{
+    for (const ClientStep step : { ClientStep::Send, ClientStep::AwaitHead, ClientStep::ReadBody }) {
+        BOOST_TEST_CONTEXT("step " << clientStepText(step))
+        {
+            const auto answer = std::make_shared<RecordedAnswer>();
+            answer->throwsAt = step;
+            sendWith(answer, post);
+            server.accept();
+            server.trySend(keepAliveResponse);
+            auto ended = answer->ended.get_future();
+            BOOST_TEST_REQUIRE((ended.wait_for(std::chrono::seconds(5)) == std::future_status::ready));
+            BOOST_TEST(!ended.get());
+            BOOST_TEST(openConnections() == 0U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aConnectionIsReused)
 {
     const auto first = send(post);
