Periodic work on the control thread goes on after an exception

What callers see: after one exception in the router's check of its agent links (a message or an observer that found no memory, for instance) no link was checked, opened anew or kept supplied with demand until the router was started again; agents forgot its demand, and requests for their engines waited. The same held for the agent's closing of idle links and for the standing of quotas.

Cause: each run scheduled the next one last, so that an exception ended the chain; the stale timer kept others from starting it again.

Change: framework::PeriodicTask schedules the next run before its action. The agent links, the quota exchange and the direct agent's housekeeping use it.

Not covered: an exception of the timer's own allocation.

--- a/src/direct/internal/agentlinks.cpp
+++ b/src/direct/internal/agentlinks.cpp
@@ -69,6 +69,7 @@
           [this](const std::vector<ratelimits::LimitStatement>& limits) { context_.didReceiveLimits(limits); } })
     , quotas_({ context_.control, context_.clock, *context_.metrics, context_.router,
           [this](const Endpoint& engine, const wire::Message& message) { agents_.at(engine).link->send(message); } })
+    , ticks_(context_.control, context_.clock, tickInterval, [this] { tick(); })
 {
 }
 
@@ -101,8 +102,8 @@
             agent->second.publishedDigest.clear();
         ++agent;
     }
-    if (!timer_)
-        tick();
+    if (!ticks_.isStarted())
+        ticks_.start();
 }
 
 void AgentLinks::apply(const forwarding::LoadPlan& plan)
@@ -221,7 +222,6 @@
             publish(agent);
     }
     noteRouters();
-    timer_ = context_.control.runAt(Deadline::after(now, tickInterval), [this] { tick(); });
 }
 
 void AgentLinks::noteRouters()
--- a/src/direct/internal/agentlinks.h
+++ b/src/direct/internal/agentlinks.h
@@ -5,6 +5,7 @@
 #include "forwarding/demandplanner.h"
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
+#include "framework/periodictask.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "objectstore/backoff.h"
@@ -134,7 +135,7 @@
     streams::OriginExchange origins_;
     ratelimits::PermitExchange permits_;
     quotas::QuotaExchange quotas_;
-    std::unique_ptr<framework::Timer> timer_;
+    framework::PeriodicTask ticks_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/direct/internal/directagent.cpp
+++ b/src/direct/internal/directagent.cpp
@@ -6,6 +6,7 @@
 #include "engines/enginecontroller.h"
 #include "framework/awaitedport.h"
 #include "framework/decisionlog.h"
+#include "framework/periodictask.h"
 #include "http/exchangeserver.h"
 
 namespace lagoon::direct {
@@ -36,6 +37,7 @@
         , linkPort_(
               "link", settings.link, [this](const Endpoint& at) { return transport_->listen(at, links_.handlers()); })
         , opsPort_("ops", settings.ops, [this](const Endpoint& at) { return ops_.listen(at); })
+        , housekeeping_(ports.control, ports.clock, housekeepingInterval, [this] { links_.closeIdle(); })
     {
     }
 
@@ -48,7 +50,7 @@
         ports_.traffic.post([this] { bindOps(); });
         ports_.control.post([this] {
             controller_.start();
-            runHousekeeping();
+            housekeeping_.start();
         });
         logDecision(LogLine("started")
                         .text("vm", settings_.identity.vm.value())
@@ -85,13 +87,6 @@
             [this](const framework::VmName& router) { controller_.forgetRouter(router); } };
     }
 
-    void runHousekeeping()
-    {
-        links_.closeIdle();
-        housekeeping_ = ports_.control.runAt(
-            Deadline::after(ports_.clock.now(), housekeepingInterval), [this] { runHousekeeping(); });
-    }
-
     DirectAgentPorts ports_;
     DirectAgentSettings settings_;
     std::shared_ptr<wire::ILinkTransport> transport_;
@@ -102,7 +97,7 @@
     framework::AwaitedPort linkPort_;
     framework::AwaitedPort opsPort_;
     std::unique_ptr<framework::Timer> opsRetry_;
-    std::unique_ptr<framework::Timer> housekeeping_;
+    framework::PeriodicTask housekeeping_;
 };
 
 DirectAgent::DirectAgent(const DirectAgentPorts& ports, const DirectAgentSettings& settings)
--- a/src/direct/tests/agentlinks_test.cpp
+++ b/src/direct/tests/agentlinks_test.cpp
@@ -7,6 +7,8 @@
 #include "wire/testing/faketransport.h"
 
 #include <boost/test/unit_test.hpp>
+#include <new>
+#include <utility>
 
 namespace lagoon::direct {
 
@@ -92,12 +94,20 @@
         control.runPosted();
     }
 
+    void didLose(const Endpoint& engine)
+    {
+        if (std::exchange(throwsAtNextLoss, false))
+            throw std::bad_alloc();
+        lost.push_back(engine);
+    }
+
     framework::ManualControl control;
     wire::FakeTransport transport;
     std::vector<catalog::EngineState> receivedStates;
     std::vector<catalog::EngineLoad> receivedLoads;
     std::vector<quarantine::EvidenceUpdate> receivedEvidence;
     std::vector<fairness::SummedUse> receivedUse;
+    bool throwsAtNextLoss = false;
     std::vector<Endpoint> lost;
     std::vector<Endpoint> unsubscribed;
     AgentLinks links { { control, control, transport, framework::VmName("router"), 7000,
@@ -106,7 +116,7 @@
         [this](const quarantine::EvidenceUpdate& update) { receivedEvidence.push_back(update); },
         [](const std::vector<ratelimits::LimitStatement>&) {},
         [this](const fairness::SummedUse& use) { receivedUse.push_back(use); },
-        [this](const Endpoint& engine) { lost.push_back(engine); },
+        [this](const Endpoint& engine) { didLose(engine); },
         [this](const Endpoint& engine) { unsubscribed.push_back(engine); }, std::make_shared<framework::Metrics>() } };
 };
 
@@ -155,6 +165,18 @@
     BOOST_TEST(transport.connections() > 1u);
 }
 
+// Prevents a router from keeping silent links for ever, and from publishing its demand no more, after one exception.
+BOOST_AUTO_TEST_CASE(linksAreCheckedAfterACheckThatThrew)
+{
+    subscribe({ first, second });
+    throwsAtNextLoss = true;
+    BOOST_CHECK_THROW(control.advance(Milliseconds(3000)), std::bad_alloc);
+    BOOST_TEST(lost.empty());
+    control.advance(Milliseconds(3000));
+    BOOST_TEST(lost.size() >= 1U);
+    BOOST_TEST(transport.connections() > 2u);
+}
+
 BOOST_AUTO_TEST_CASE(statesAndLoadsAreReceived)
 {
     subscribe({ first });
--- a/src/quotas/internal/quotaexchange.cpp
+++ b/src/quotas/internal/quotaexchange.cpp
@@ -58,6 +58,7 @@
     , linkedRouters_(countRetention)
     , countedRouters_(countRetention)
     , startedAt_(context_.clock.now())
+    , ticks_(context_.control, context_.clock, standingInterval, [this] { tick(); })
 {
 }
 
@@ -86,9 +87,9 @@
     }
     restate();
     if (keepers_.empty())
-        tickTimer_.reset();
-    else if (!tickTimer_)
-        tick();
+        ticks_.stop();
+    else if (!ticks_.isStarted())
+        ticks_.start();
 }
 
 /// Otherwise the keeper would count this router, beside the one that it asks now, until it noticed its silence.
@@ -221,7 +222,6 @@
 {
     restate();
     forgetOldUses();
-    tickTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), standingInterval), [this] { tick(); });
 }
 
 QuotaUpdate& QuotaExchange::pendingFor(const Endpoint& keeper)
--- a/src/quotas/quotaexchange.h
+++ b/src/quotas/quotaexchange.h
@@ -4,6 +4,7 @@
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
 #include "framework/metrics.h"
+#include "framework/periodictask.h"
 #include "quotas/allowance.h"
 #include "quotas/quotawire.h"
 #include "quotas/recentmaximum.h"
@@ -115,7 +116,7 @@
     /// Collected until the control thread has run what is posted.
     std::map<framework::Endpoint, QuotaUpdate> pending_;
     bool isFlushPosted_ = false;
-    std::unique_ptr<framework::Timer> tickTimer_;
+    framework::PeriodicTask ticks_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
