Engine controller: a report that is lost on its way doesn't end the polls

What callers see: the same as after an exception in the controller itself. The agent never polled its engine again, and requests that waited for a model of this engine waited in vain.

Cause: an engine's answer is parsed on the traffic thread. If that throws, or the call's start does, the controller is never called, and waits without end.

Change: each poll has a timer of its own; a report that hasn't come by then counts as an engine without answer, and the next poll follows.

Not covered: the answer to an order that is lost in the same way.

--- a/src/engines/enginecontroller.h
+++ b/src/engines/enginecontroller.h
@@ -68,6 +68,7 @@
     void acquireFencingTokenAfter(framework::Milliseconds);
     void poll();
     void pollAfter(framework::Milliseconds);
+    void didLoseReport();
     void didReport(framework::Result<EngineReport>, const notices::ServerNotice&);
     void noteRestart(const EngineReport&);
     void noteLimit(const EngineReport&);
--- a/src/engines/internal/enginecontroller.cpp
+++ b/src/engines/internal/enginecontroller.cpp
@@ -31,6 +31,8 @@
 constexpr int loadTimeDivisor = 8;
 /// On the same VM an answer takes a few milliseconds. An engine that takes longer than this counts as lost.
 constexpr Milliseconds reportTimeout { 600 };
+/// A report that still arrives may take longer than its timeout. One that takes longer than this counts as lost.
+constexpr Milliseconds maxReportTime { 5000 };
 constexpr Milliseconds orderTimeout { 1000 };
 /// Routers consider an agent lost that is silent for more than two of these intervals.
 constexpr Milliseconds publishInterval { 900 };
@@ -239,7 +241,8 @@
         return pollAfter(restsUntil_.remaining(context_.clock.now()));
     isReporting_ = true;
     reportAskedAt_ = context_.clock.now();
-    pollTimer_.reset();
+    pollTimer_ = context_.control.runAt(
+        Deadline::after(context_.clock.now(), maxReportTime), [this] { runGuarded([this] { didLoseReport(); }); });
     runGuarded([this] {
         context_.engine.report(Deadline::after(context_.clock.now(), reportTimeout),
             [this, alive = std::weak_ptr<int>(alive_)](
@@ -267,6 +270,13 @@
     pollTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), pause), [this] { poll(); });
 }
 
+void EngineController::didLoseReport()
+{
+    didReport(framework::Error { framework::ErrorCode::PlatformUnavailable, "read engine report",
+                  settings_.engine.value(), "no report in time" },
+        {});
+}
+
 void EngineController::didReport(Result<EngineReport> report, const notices::ServerNotice& notice)
 {
     isReporting_ = false;
--- a/src/engines/tests/enginecontroller_test.cpp
+++ b/src/engines/tests/enginecontroller_test.cpp
@@ -42,6 +42,10 @@
     {
         ++reports;
         throwNext(reportExceptions);
+        if (losesNextReport) {
+            losesNextReport = false;
+            return;
+        }
         control_.post([this, handler = std::move(handler)] {
             if (isSilent)
                 handler(Error { ErrorCode::PlatformUnavailable, "report", "engine", "silent" }, notice);
@@ -68,6 +72,8 @@
     /// What the engine's answers say.
     notices::ServerNotice notice;
     bool isSilent = false;
+    /// The next report never arrives, not even as an error.
+    bool losesNextReport = false;
     /// How many of the next calls throw.
     int reportExceptions = 0;
     int orderExceptions = 0;
@@ -287,6 +293,22 @@
     BOOST_TEST(engine.orders.size() == 1U);
 }
 
+// Prevents an engine from being polled no more after one report that was lost on its way, such as by an exception while
+// it was parsed on another thread.
+BOOST_AUTO_TEST_CASE(aLostReportIsFollowedByTheNext)
+{
+    start();
+    engine.losesNextReport = true;
+    advanceTime(Milliseconds(500));
+    BOOST_TEST(!engine.losesNextReport);
+    const int reports = engine.reports;
+    advanceTime(Milliseconds(15000));
+    BOOST_TEST(engine.reports > reports);
+    setWaitingRequest("a");
+    advanceTime(Milliseconds(500));
+    BOOST_TEST(engine.orders.size() == 1U);
+}
+
 // Prevents an engine from being polled no more after one poll that threw.
 BOOST_AUTO_TEST_CASE(aPollThatThrowsIsFollowedByTheNext)
 {
