--- a/src/agent/internal/agent.cpp
+++ b/src/agent/internal/agent.cpp
@@ -13,6 +13,7 @@
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
 #include "framework/logging.h"
+#include "framework/periodictask.h"
 #include "framework/randomid.h"
 #include "framework/types/shutdowndeadlines.h"
 #include "framework/workerpool.h"
@@ -84,7 +85,7 @@
         [this](const framework::Endpoint& at) { return ops_->start(at); } };
     framework::AwaitedPort linkPort_ { "link", settings_.link,
         [this](const framework::Endpoint& at) { return transport_->listen(at, links_->handlers()); } };
-    std::unique_ptr<framework::Timer> housekeeping_;
+    framework::PeriodicTask housekeeping_ { control_, clock_, housekeepingInterval, [this] { runHousekeeping(); } };
     std::unique_ptr<framework::Timer> drainCheck_;
     std::atomic<bool> isDraining_ { false };
     /// Whether `start` has succeeded.
@@ -163,14 +164,13 @@
 {
     if (replicas_)
         replicas_->start();
-    runHousekeeping();
+    housekeeping_.start();
 }
 
 void Agent::Implementation::runHousekeeping()
 {
     gate_->forgetDisconnectedRouters();
     links_->closeIdle();
-    housekeeping_ = control_.runAt(Deadline::after(clock_.now(), housekeepingInterval), [this] { runHousekeeping(); });
 }
 
 void Agent::Implementation::shutDown()
--- a/src/router/internal/evidencelinks.cpp
+++ b/src/router/internal/evidencelinks.cpp
@@ -24,10 +24,11 @@
 EvidenceLinks::EvidenceLinks(Context context)
     : context_(std::move(context))
     , evidence_({ context_.control, context_.clock, [this](const wire::Message& message) { send(message); } })
+    , ticks_(context_.control, context_.clock, tickInterval, [this] { tick(); })
 {
 }
 
-void EvidenceLinks::start() { tick(); }
+void EvidenceLinks::start() { ticks_.start(); }
 
 void EvidenceLinks::updateRelays() { setRelays(chooseRelays()); }
 
@@ -35,7 +36,6 @@
 {
     updateRelays();
     publishMetrics();
-    timer_ = context_.control.runAt(Deadline::after(context_.clock.now(), tickInterval), [this] { tick(); });
 }
 
 std::set<VmName> EvidenceLinks::chooseRelays() const
--- a/src/router/internal/evidencelinks.h
+++ b/src/router/internal/evidencelinks.h
@@ -2,6 +2,7 @@
 
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
+#include "framework/periodictask.h"
 #include "quarantine/evidencesharing.h"
 #include "router/internal/agentsessions.h"
 #include "router/internal/vmdirectory.h"
@@ -47,7 +48,7 @@
     Context context_;
     quarantine::EvidenceSharing evidence_;
     std::set<framework::VmName> relays_;
-    std::unique_ptr<framework::Timer> timer_;
+    framework::PeriodicTask ticks_;
 };
 
 } // namespace lagoon::router
--- a/src/router/internal/idempotencykeys.cpp
+++ b/src/router/internal/idempotencykeys.cpp
@@ -86,6 +86,7 @@
     , clock_(clock)
     , metrics_(std::move(metrics))
     , retention_(retention)
+    , sweeps_(control, clock, retention, [this] { sweep(); })
 {
 }
 
@@ -151,14 +152,13 @@
 void IdempotencyKeys::startSweeping(std::function<bool()> isOwner)
 {
     isOwner_ = std::move(isOwner);
-    timer_ = control_.runAt(Deadline::after(clock_.now(), retention_), [this] { sweep(); });
+    sweeps_.startAfterInterval();
 }
 
 void IdempotencyKeys::sweep()
 {
     if (isOwner_())
         workers_.run([this] { removeExpired(); });
-    timer_ = control_.runAt(Deadline::after(clock_.now(), retention_), [this] { sweep(); });
 }
 
 /// Removes the keys that were present in the same version one retention period ago and are thus older than that. This
--- a/src/router/internal/idempotencykeys.h
+++ b/src/router/internal/idempotencykeys.h
@@ -4,6 +4,7 @@
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
 #include "framework/metrics.h"
+#include "framework/periodictask.h"
 #include "framework/workerpool.h"
 #include "objectstore/iobjectstore.h"
 
@@ -61,7 +62,7 @@
     std::shared_ptr<framework::Metrics> metrics_;
     framework::Milliseconds retention_;
     std::function<bool()> isOwner_;
-    std::unique_ptr<framework::Timer> timer_;
+    framework::PeriodicTask sweeps_;
     /// Keys that the last sweep left in place. Accessed on worker threads only, by one sweep at a time.
     SeenKeys seen_;
     std::mutex callsMutex_;
--- a/src/router/tests/idempotencykeys_test.cpp
+++ b/src/router/tests/idempotencykeys_test.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <new>
+#include <utility>
 
 using namespace lagoon;
 using namespace lagoon::router;
@@ -138,4 +140,20 @@
     BOOST_TEST(storedKeys() == 0u);
 }
 
+// Prevents keys from being kept for ever after one sweep that threw.
+BOOST_AUTO_TEST_CASE(keysAreSweptAfterASweepThatThrew)
+{
+    BOOST_TEST(claim("slot-5").has_value());
+    bool throwsNext = true;
+    keys_.startSweeping([&throwsNext] {
+        if (std::exchange(throwsNext, false))
+            throw std::bad_alloc();
+        return true;
+    });
+    BOOST_CHECK_THROW(sweep(), std::bad_alloc);
+    sweep();
+    sweep();
+    BOOST_TEST(storedKeys() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
