--- a/src/engines/internal/enginecontroller.cpp
+++ b/src/engines/internal/enginecontroller.cpp
@@ -1,6 +1,7 @@
 #include "engines/enginecontroller.h"
 
 #include "framework/decisionlog.h"
+#include "framework/eventloop.h"
 #include "framework/randomid.h"
 #include "policy/policysetup.h"
 
@@ -30,6 +31,8 @@
 constexpr int loadTimeDivisor = 8;
 /// On the same VM an answer takes a few milliseconds. An engine that takes longer than this counts as lost.
 constexpr Milliseconds reportTimeout { 600 };
+/// A report that still arrives may take longer than its timeout. One that takes longer than this counts as lost.
+constexpr Milliseconds maxReportTime { 5000 };
 constexpr Milliseconds orderTimeout { 1000 };
 /// Routers consider an agent lost that is silent for more than two of these intervals.
 constexpr Milliseconds publishInterval { 900 };
@@ -140,20 +143,33 @@
 void EngineController::readProfile()
 {
     profileTimer_.reset();
-    context_.profiles.read(Deadline::after(context_.clock.now(), storeTimeout),
-        [this, alive = std::weak_ptr<int>(alive_)](Result<catalog::ConfigurationPointer> read) {
-            if (alive.expired())
-                return;
-            if (read.has_value() && read.value()
-                && (!configuration_ || read.value()->version >= configuration_->version)) {
-                configuration_ = read.value();
-                const catalog::Service* const service = configuration_->find(settings_.service);
-                profile_ = service && service->engine ? &*service->engine : nullptr;
-            }
-            const Milliseconds pause = profile_ ? profileInterval : profileRetryInterval;
-            profileTimer_
-                = context_.control.runAt(Deadline::after(context_.clock.now(), pause), [this] { readProfile(); });
-        });
+    const auto retry = [this] { readProfileAfter(profileRetryInterval); };
+    framework::runGuarded(
+        "a read of the engine's profile",
+        [&] {
+            context_.profiles.read(Deadline::after(context_.clock.now(), storeTimeout),
+                [this, retry, alive = std::weak_ptr<int>(alive_)](const Result<catalog::ConfigurationPointer>& read) {
+                    if (!alive.expired())
+                        framework::runGuarded(
+                            "an engine's profile", [&] { didReadProfile(read); }, retry);
+                });
+        },
+        retry);
+}
+
+void EngineController::didReadProfile(const Result<catalog::ConfigurationPointer>& read)
+{
+    if (read.has_value() && read.value() && (!configuration_ || read.value()->version >= configuration_->version)) {
+        configuration_ = read.value();
+        const catalog::Service* const service = configuration_->find(settings_.service);
+        profile_ = service && service->engine ? &*service->engine : nullptr;
+    }
+    readProfileAfter(profile_ ? profileInterval : profileRetryInterval);
+}
+
+void EngineController::readProfileAfter(Milliseconds pause)
+{
+    profileTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), pause), [this] { readProfile(); });
 }
 
 /// Replaces the fencing token by a newer one. Prevents orders of an earlier agent process, which the network may still
@@ -163,23 +179,40 @@
     if (std::exchange(isAcquiringToken_, true))
         return;
     fencingToken_.reset();
-    context_.fencingTokens.next(Deadline::after(context_.clock.now(), storeTimeout),
-        [this, alive = std::weak_ptr<int>(alive_)](Result<framework::FencingToken> taken) {
-            if (alive.expired())
-                return;
+    framework::runGuarded(
+        "a read of a fencing token",
+        [this] {
+            context_.fencingTokens.next(Deadline::after(context_.clock.now(), storeTimeout),
+                [this, alive = std::weak_ptr<int>(alive_)](const Result<framework::FencingToken>& taken) {
+                    if (!alive.expired())
+                        didAcquireFencingToken(taken);
+                });
+        },
+        [this] {
             isAcquiringToken_ = false;
-            if (taken.has_value()) {
-                fencingToken_ = taken.value();
-                tokenBackoff_.reset();
-                logDecision(LogLine("fence_taken").number("fence", fencingToken_->value()));
-                return;
-            }
-            logDecision(LogLine("fence_not_taken").text("cause", describe(taken.error())));
-            const Deadline again = Deadline::after(context_.clock.now(), tokenBackoff_.next(taken.error().retryAfter));
-            tokenTimer_ = context_.control.runAt(again, [this] { acquireFencingToken(); });
+            acquireFencingTokenAfter(tokenBackoff_.next());
         });
 }
 
+void EngineController::didAcquireFencingToken(const Result<framework::FencingToken>& taken)
+{
+    isAcquiringToken_ = false;
+    if (taken.has_value()) {
+        fencingToken_ = taken.value();
+        tokenBackoff_.reset();
+        logDecision(LogLine("fence_taken").number("fence", fencingToken_->value()));
+        return;
+    }
+    acquireFencingTokenAfter(tokenBackoff_.next(taken.error().retryAfter));
+    logDecision(LogLine("fence_not_taken").text("cause", describe(taken.error())));
+}
+
+void EngineController::acquireFencingTokenAfter(Milliseconds pause)
+{
+    tokenTimer_
+        = context_.control.runAt(Deadline::after(context_.clock.now(), pause), [this] { acquireFencingToken(); });
+}
+
 void EngineController::setDemand(
     const framework::VmName& router, const catalog::InstanceId& instance, catalog::DemandList demand)
 {
@@ -208,12 +241,28 @@
         return pollAfter(restsUntil_.remaining(context_.clock.now()));
     isReporting_ = true;
     reportAskedAt_ = context_.clock.now();
-    pollTimer_.reset();
-    context_.engine.report(Deadline::after(context_.clock.now(), reportTimeout),
-        [this, alive = std::weak_ptr<int>(alive_)](Result<EngineReport> report, const notices::ServerNotice& notice) {
-            if (!alive.expired())
-                didReport(std::move(report), notice);
-        });
+    pollTimer_ = context_.control.runAt(
+        Deadline::after(context_.clock.now(), maxReportTime), [this] { runGuarded([this] { didLoseReport(); }); });
+    runGuarded([this] {
+        context_.engine.report(Deadline::after(context_.clock.now(), reportTimeout),
+            [this, alive = std::weak_ptr<int>(alive_)](
+                Result<EngineReport> report, const notices::ServerNotice& notice) {
+                if (!alive.expired())
+                    runGuarded([&] { didReport(std::move(report), notice); });
+            });
+    });
+}
+
+/// Polls anew after an exception, as if the engine hadn't answered: without a next poll, it would get no order and
+/// nothing would be published any more.
+template <typename Action> void EngineController::runGuarded(const Action& action)
+{
+    framework::runGuarded("a step of the engine's controller", action, [this] {
+        isReporting_ = false;
+        report_.reset();
+        if (!isOrdering_)
+            pollAfter(idlePollInterval);
+    });
 }
 
 void EngineController::pollAfter(Milliseconds pause)
@@ -221,6 +270,13 @@
     pollTimer_ = context_.control.runAt(Deadline::after(context_.clock.now(), pause), [this] { poll(); });
 }
 
+void EngineController::didLoseReport()
+{
+    didReport(framework::Error { framework::ErrorCode::PlatformUnavailable, "read engine report",
+                  settings_.engine.value(), "no report in time" },
+        {});
+}
+
 void EngineController::didReport(Result<EngineReport> report, const notices::ServerNotice& notice)
 {
     isReporting_ = false;
@@ -374,8 +430,6 @@
 
 void EngineController::sendOrder(const Order& order, const std::string& reason)
 {
-    isOrdering_ = true;
-    pollTimer_.reset();
     const OrderPreconditions preconditions { settings_.vm, *fencingToken_, report_->orders, instance_ };
     logDecision(LogLine("order")
                     .text("kind", order.kind == OrderKind::Load ? "load" : "unload")
@@ -386,11 +440,21 @@
                     .text("instance", preconditions.instance.value())
                     .number("report_age_ms",
                         std::chrono::duration_cast<Milliseconds>(context_.clock.now() - reportedAt_).count()));
-    context_.engine.order(order, preconditions, Deadline::after(context_.clock.now(), orderTimeout),
-        [this, alive = std::weak_ptr<int>(alive_), order](const OrderAnswer& answer) {
-            if (!alive.expired())
-                didOrder(order, answer);
-        });
+    isOrdering_ = true;
+    pollTimer_.reset();
+    framework::runGuarded(
+        "an order to the engine",
+        [&] {
+            context_.engine.order(order, preconditions, Deadline::after(context_.clock.now(), orderTimeout),
+                [this, alive = std::weak_ptr<int>(alive_), order](const OrderAnswer& answer) {
+                    if (!alive.expired())
+                        runGuarded([&] { didOrder(order, answer); });
+                });
+        },
+        // The order may have been sent.
+        [&] { runGuarded([&] {
+                  didOrder(order, { OrderOutcome::Unknown, {}, "exception", {} });
+              }); });
 }
 
 void EngineController::didOrder(const Order& order, const OrderAnswer& answer)
