--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -1,7 +1,7 @@
 #include "http/internal/callerconnection.h"
 
-#include "framework/eventloop.h"
 #include "framework/tcpendpoint.h"
+#include "http/internal/callerexchange.h"
 #include "http/internal/messagereader.h"
 #include "http/internal/messagewriter.h"
 #include "http/internal/socketoptions.h"
@@ -306,16 +306,6 @@
     }
 }
 
-template <typename Action> void CallerConnection::runGuarded(Action action)
-{
-    try {
-        action();
-    } catch (...) {
-        framework::reportException("a request or its connection");
-        failAfterException();
-    }
-}
-
 /// Ends a request whose handling threw with 500, or breaks its answer off: nobody else would answer it.
 void CallerConnection::failAfterException() noexcept
 {
@@ -563,75 +553,4 @@
     onClosed_(this);
 }
 
-CallerExchange::CallerExchange(std::shared_ptr<CallerConnection> connection, Request request,
-    std::unique_ptr<ByteReservation> bodyReservation, framework::SteadyTime receivedAt)
-    : connection_(std::move(connection))
-    , request_(std::move(request))
-    , bodyReservation_(std::move(bodyReservation))
-    , receivedAt_(receivedAt)
-{
-}
-
-CallerExchange::~CallerExchange()
-{
-    if (connection_)
-        connection_->failDropped();
-}
-
-std::shared_ptr<CallerConnection> CallerExchange::release()
-{
-    onDisconnect_ = nullptr;
-    onDrained_ = nullptr;
-    return std::exchange(connection_, nullptr);
-}
-
-void CallerExchange::answer(ResponseHead head, std::string body)
-{
-    if (const auto connection = release())
-        connection->runGuarded([&] { connection->answer(std::move(head), std::move(body)); });
-}
-
-void CallerExchange::beginAnswer(ResponseHead head)
-{
-    if (connection_)
-        connection_->beginAnswer(std::move(head));
-}
-
-void CallerExchange::sendPiece(std::string_view piece)
-{
-    if (connection_)
-        connection_->sendPiece(piece);
-}
-
-void CallerExchange::endAnswer()
-{
-    if (const auto connection = release())
-        connection->runGuarded([&] { connection->endAnswer(); });
-}
-
-void CallerExchange::breakOff()
-{
-    if (const auto connection = release())
-        connection->runGuarded([&] { connection->breakOff(); });
-}
-
-void CallerExchange::setDisconnectHandler(std::function<void()> handler) { onDisconnect_ = std::move(handler); }
-
-void CallerExchange::setDrainedHandler(std::function<void()> handler) { onDrained_ = std::move(handler); }
-
-void CallerExchange::handleDisconnect()
-{
-    connection_ = nullptr;
-    onDrained_ = nullptr;
-    if (auto handler = std::exchange(onDisconnect_, nullptr))
-        handler();
-}
-
-void CallerExchange::didDrain()
-{
-    // Copied, since the handler may end the exchange and thereby destroy itself.
-    if (auto handler = onDrained_)
-        handler();
-}
-
 } // namespace lagoon::http
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/eventloop.h"
 #include "framework/eventthread.h"
 #include "http/exchangeserver.h"
 #include "http/internal/growingbody.h"
@@ -157,41 +158,14 @@
     framework::Deadline lingersUntil_;
 };
 
-/// The handler's interface to one request.
-class CallerExchange final : public IExchange {
-public:
-    CallerExchange(
-        std::shared_ptr<CallerConnection>, Request, std::unique_ptr<ByteReservation>, framework::SteadyTime receivedAt);
-    ~CallerExchange() override;
-    CallerExchange(const CallerExchange&) = delete;
-    CallerExchange& operator=(const CallerExchange&) = delete;
-
-    const Request& request() const override { return request_; }
-    framework::SteadyTime receivedAt() const override { return receivedAt_; }
-    void answer(ResponseHead, std::string body) override;
-    void beginAnswer(ResponseHead) override;
-    void sendPiece(std::string_view) override;
-    void endAnswer() override;
-    void breakOff() override;
-    bool hasCallerDisconnected() const override { return !connection_ || connection_->hasCallerDisconnected(); }
-    void setDisconnectHandler(std::function<void()>) override;
-    std::size_t unsentBytes() const override { return connection_ ? connection_->unsentBytes() : 0; }
-    void setDrainedHandler(std::function<void()>) override;
-
-    /// Called by the connection.
-    void handleDisconnect();
-    void didDrain();
-
-private:
-    /// Detaches this exchange from the connection and returns the latter.
-    std::shared_ptr<CallerConnection> release();
-
-    std::shared_ptr<CallerConnection> connection_;
-    Request request_;
-    std::unique_ptr<ByteReservation> bodyReservation_;
-    framework::SteadyTime receivedAt_;
-    std::function<void()> onDisconnect_;
-    std::function<void()> onDrained_;
-};
+template <typename Action> void CallerConnection::runGuarded(Action action)
+{
+    try {
+        action();
+    } catch (...) {
+        framework::reportException("a request or its connection");
+        failAfterException();
+    }
+}
 
 } // namespace lagoon::http
