HTTP: requests that are sent ahead wait for unread answers

What callers see: nothing, unless they send requests ahead and leave their answers unread. Then the router stops handling and reading further requests until they read; before, it could end for want of memory.

Cause: each answer was queued for the caller without a bound, and the next request was parsed at once. The reservation in the budget covered the body of the last answer only, as each answer replaced it.

Change: the next request of a connection is parsed when at most 64 KiB of earlier answers wait to be written, and reading pauses meanwhile after 64 KiB sent ahead. Each whole answer, with its head, counts in the budget until it is written. Streams still count nowhere.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t readBufferBytes = 16 * 1024;
 /// How much a caller may send ahead while its request is handled; then reading pauses.
 constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+/// How much of answers a caller may leave unread before its requests that were sent ahead wait.
+constexpr std::size_t maxUnsentBeforeRequest = 64 * 1024;
 /// How long the connection stays open after its last answer, and after what a caller that is still sending sent last:
 /// closing it earlier would reset it, and the refusal could be lost in transit.
 constexpr Milliseconds lingerTimeout { 1000 };
@@ -72,7 +74,7 @@
 {
     if (isReading_ || stage_ == Stage::Closed)
         return;
-    if (stage_ == Stage::Handling && buffer_.size() >= maxPipelinedBytes)
+    if ((stage_ == Stage::Handling || isNextRequestPaused()) && buffer_.size() >= maxPipelinedBytes)
         return;
     isReading_ = true;
     readTarget_ = buffer_.prepare(readBufferBytes);
@@ -103,6 +105,20 @@
     read();
 }
 
+/// Prevents a caller that sends requests ahead and reads no answer from using up the memory by the answers.
+bool CallerConnection::isNextRequestPaused() const
+{
+    return stage_ == Stage::Idle && unsentBytes_ > maxUnsentBeforeRequest;
+}
+
+void CallerConnection::parseSentAhead()
+{
+    if (stage_ != Stage::Idle || isNextRequestPaused() || buffer_.size() == 0)
+        return;
+    parse();
+    read();
+}
+
 /// Prevents bytes of an earlier request from being taken for the next one: requests that were sent ahead are parsed
 /// while a read is pending, and a buffer that they leave empty starts over at its beginning.
 void CallerConnection::commitRead(std::size_t bytes)
@@ -115,7 +131,7 @@
 
 void CallerConnection::parse()
 {
-    while (buffer_.size() > 0 && (stage_ == Stage::Idle || stage_ == Stage::Reading)) {
+    while (buffer_.size() > 0 && (stage_ == Stage::Idle || stage_ == Stage::Reading) && !isNextRequestPaused()) {
         if (!parser_)
             beginRequest();
         boost::system::error_code error;
@@ -242,12 +258,10 @@
     if (stage_ != Stage::Handling)
         return;
     addFraming(head, body.size());
-    if (!body.empty()) {
-        answerReservation_
-            = std::make_unique<ByteReservation>(context_->budget, ByteBudget::Use::Answer, unsentAnswers);
-        answerReservation_->growAnyway(body.size());
-    }
-    send(headText(head).append(body));
+    std::string text = headText(head).append(body);
+    auto reservation = std::make_unique<ByteReservation>(context_->budget, ByteBudget::Use::Answer, unsentAnswers);
+    reservation->growAnyway(text.size());
+    send(std::move(text), std::move(reservation));
     finishAnswer();
 }
 
@@ -373,12 +387,12 @@
     read();
 }
 
-void CallerConnection::send(std::string bytes)
+void CallerConnection::send(std::string bytes, std::unique_ptr<ByteReservation> reservation)
 {
     if (bytes.empty())
         return;
     unsentBytes_ += bytes.size();
-    unsent_.push_back(std::move(bytes));
+    unsent_.push_back({ std::move(bytes), std::move(reservation) });
     write();
 }
 
@@ -388,7 +402,7 @@
         return;
     isWriting_ = true;
     try {
-        boost::asio::async_write(socket_, boost::asio::buffer(unsent_.front()),
+        boost::asio::async_write(socket_, boost::asio::buffer(unsent_.front().bytes),
             [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
                 self->runGuarded([&] { self->didWrite(error); });
             });
@@ -407,11 +421,17 @@
         return;
     if (error)
         return handleDisconnect();
-    unsentBytes_ -= unsent_.front().size();
+    unsentBytes_ -= unsent_.front().bytes.size();
     unsent_.pop_front();
-    if (!unsent_.empty())
-        return write();
-    answerReservation_.reset();
+    if (unsent_.empty())
+        didWriteAll();
+    else
+        write();
+    parseSentAhead();
+}
+
+void CallerConnection::didWriteAll()
+{
     if (stage_ == Stage::Closing)
         return endsAfterAnswer_ ? linger() : close();
     if (stage_ == Stage::Idle)
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -92,6 +92,12 @@
         Closed,
     };
 
+    struct Unsent {
+        std::string bytes;
+        /// Only of whole answers.
+        std::unique_ptr<ByteReservation> reservation;
+    };
+
     void failAfterException() noexcept;
     void failRequest();
     void closeAfterAnswer();
@@ -107,9 +113,12 @@
     void handOver();
     void refuse(const ResponseHead&, const std::string& cause);
     void addFraming(ResponseHead&, std::optional<std::size_t> length);
-    void send(std::string);
+    void send(std::string, std::unique_ptr<ByteReservation> = nullptr);
     void write();
     void didWrite(const boost::system::error_code&);
+    void didWriteAll();
+    bool isNextRequestPaused() const;
+    void parseSentAhead();
     void finishAnswer();
     void becomeIdle();
     void expectNextRequest();
@@ -147,12 +156,10 @@
     std::optional<Parser> parser_;
     /// For the body of the request that is read.
     std::unique_ptr<ByteReservation> bodyReservation_;
-    /// For the bytes of whole answers that aren't written yet.
-    std::unique_ptr<ByteReservation> answerReservation_;
     std::weak_ptr<CallerExchange> exchange_;
     /// The head of a started answer, kept until its first piece.
     std::string pendingHead_;
-    std::deque<std::string> unsent_;
+    std::deque<Unsent> unsent_;
     std::size_t unsentBytes_ = 0;
     framework::Deadline openUntil_;
     framework::Deadline lingersUntil_;
