Links: the length of a frame takes no memory before its bytes arrive

What peers see: nothing. A process to which peers announce long frames without sending them could end for want of memory: a frame's whole length, up to 8 MiB, was allocated and zeroed when its length arrived, and each link kept the memory of its longest frame.

Change: the body is read in pieces of at most 64 KiB, and its memory is released once it is decoded.

Test: announcedFramesTakeNoMemory, a real agent and 60 links that announce 8 MiB each. The limits of a frame (8 MiB) and of a link's outgoing queue (64 MiB) are unchanged: the largest frame of customers' use wasn't measured, and a limit below a sound frame would cut links again and again.

--- a/src/wire/internal/tcplink.cpp
+++ b/src/wire/internal/tcplink.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/eventloop.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -12,6 +13,12 @@
 using framework::Error;
 using framework::ErrorCode;
 
+namespace {
+
+constexpr std::size_t maxPieceBytes = 64 * 1024;
+
+} // namespace
+
 TcpLink::TcpLink(const Strand& strand, framework::Endpoint peer, const LinkSettings& settings, LinkHandlers handlers,
     std::shared_ptr<framework::Metrics> metrics)
     : strand_(strand)
@@ -96,19 +103,24 @@
         });
 }
 
+/// Reads the frame in pieces, since a length is only a claim until its bytes arrive.
 void TcpLink::readBody(std::size_t length)
 {
+    const std::size_t received = bodyBytes_.size();
+    const std::size_t piece = std::min(length - received, maxPieceBytes);
     try {
-        bodyBytes_.resize(length);
+        bodyBytes_.resize(received + piece);
     } catch (...) {
         return failByException("read");
     }
-    boost::asio::async_read(socket_, boost::asio::buffer(bodyBytes_),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+    boost::asio::async_read(socket_, boost::asio::buffer(&bodyBytes_[received], piece),
+        [self = shared_from_this(), length](const boost::system::error_code& error, std::size_t) {
             if (self->isClosed_)
                 return;
             if (error)
                 return self->fail(Error { ErrorCode::LinkLost, "read", self->peer_.value(), error.message() });
+            if (self->bodyBytes_.size() < length)
+                return self->readBody(length);
             try {
                 self->deliver();
             } catch (...) {
@@ -119,7 +131,9 @@
 
 void TcpLink::deliver()
 {
-    framework::Result<Message> message = decode(bodyBytes_.data(), bodyBytes_.size());
+    // Released, since most frames are small and links stay idle for long.
+    const std::vector<std::uint8_t> bytes = std::exchange(bodyBytes_, {});
+    framework::Result<Message> message = decode(bytes.data(), bytes.size());
     if (message.has_error()) {
         metrics_->count("lagoon_bad_frames_total", { { "reason", "content" } });
         Error error = message.error();
--- a/tests/integration/hostilecallers_test.cpp
+++ b/tests/integration/hostilecallers_test.cpp
@@ -1,11 +1,13 @@
 #include "fleet/runningfleet.h"
 #include "http/testing/rawcaller.h"
 #include "support/processusage.h"
+#include "support/tcppeer.h"
 #include "support/waitfor.h"
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
 #include <utility>
@@ -18,8 +20,12 @@
 
 namespace {
 
-/// The memory of the machines that routers run on. A process that needs more is killed there.
+/// The memory of the machines that routers and agents run on. A process that needs more is killed there.
 constexpr double memoryMib = 260;
+constexpr double agentMib = 192;
+constexpr int links = 60;
+/// The longest frame that an agent takes, 8 MiB, as its length on a link.
+const std::string longestFrame("\0\0\x80\0", 4);
 constexpr int callers = 10;
 constexpr std::size_t pieceBytes = 64 * 1024;
 constexpr int pieces = 320;
@@ -80,4 +86,23 @@
         thread.join();
 }
 
+// Prevents the end of an agent for want of memory, to which peers announce long frames that they don't send.
+BOOST_AUTO_TEST_CASE(announcedFramesTakeNoMemory)
+{
+    std::vector<std::unique_ptr<TcpPeer>> peers;
+    for (int count = 0; count < links; ++count) {
+        peers.push_back(std::make_unique<TcpPeer>(fleet.agent(0).readyText("link")));
+        peers.back()->send(longestFrame + "x");
+    }
+    double peak = 0;
+    const auto isOver = [&] {
+        peak = usageOf(fleet.agent(0).pid()).peakResidentMib;
+        return peak >= agentMib;
+    };
+    BOOST_TEST(!isReached(isOver, lagoon::framework::Milliseconds(3000)));
+    BOOST_TEST_MESSAGE("resident at most " << peak << " MiB");
+    BOOST_TEST(!peers.back()->hasInput());
+    BOOST_TEST(isServed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
