HTTP: a connection with unread answers isn't the longest idle

What callers see: above the limit of connections, or without a free descriptor, a router closes the connection that has been idle longest. A caller that left an answer unread counted as idle. If it was the oldest, it was chosen each time but not closed, as its answer wasn't sent yet, so that no connection was closed and new ones added up.

Change: a connection is idle for this choice once its answers are written, as it is for its closing.

Test: aConnectionWithUnreadAnswersIsNotTheLongestIdle had 3 connections on the former code, with a limit of 2; now 2. http_tests: 63 cases pass; hostilecallers_tests: 2 pass.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -522,7 +522,7 @@
 
 std::optional<Deadline> CallerConnection::openUntil() const
 {
-    if (stage_ != Stage::Idle || isClosingIdle_)
+    if (stage_ != Stage::Idle || isClosingIdle_ || !unsent_.empty())
         return std::nullopt;
     return openUntil_;
 }
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -58,8 +58,8 @@
     bool isBusy() const;
     /// Closes the connection if no request has arrived or is in progress, once its caller has had time to send one.
     void closeWhenIdle();
-    /// Until when a request is likely to be on its way on an idle connection. std::nullopt during a request and while
-    /// the connection closes.
+    /// Until when a request is likely to be on its way on an idle connection. std::nullopt during a request, until its
+    /// answer is written, and while the connection closes.
     std::optional<framework::Deadline> openUntil() const;
     /// Closes the connection if no request has arrived or is in progress.
     void closeIfIdle();
--- a/src/http/tests/exchangeserver_test.cpp
+++ b/src/http/tests/exchangeserver_test.cpp
@@ -202,6 +202,36 @@
     BOOST_TEST(answers.find("Connection: close") != std::string::npos);
 }
 
+// Prevents a caller that leaves an answer unread from keeping idle connections of others open above the limit.
+BOOST_AUTO_TEST_CASE(aConnectionWithUnreadAnswersIsNotTheLongestIdle)
+{
+    const std::string body(32 * 1024 * 1024, 'x');
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        exchange->answer(ok(), exchange->request().target == "/large" ? body : "small");
+    };
+    RawCaller slow(endpoint);
+    slow.send(get("/large"));
+    BOOST_TEST(slow.readUntil("xxxx"));
+    RawCaller idle(endpoint);
+    idle.send(get("/"));
+    BOOST_TEST(idle.readUntil("small"));
+    // Both are old enough to be closed.
+    std::this_thread::sleep_for(framework::Milliseconds(1500));
+    onThread([&] { server.setMaxConnections(2); });
+    RawCaller next(endpoint);
+    next.send(get("/"));
+    BOOST_TEST(next.readUntil("small"));
+    std::size_t connections = 0;
+    for (int attempt = 0; attempt < 100 && connections != 2; ++attempt) {
+        onThread([&] { connections = server.connections(); });
+        std::this_thread::sleep_for(framework::Milliseconds(10));
+    }
+    BOOST_TEST(connections == 2u);
+    onThread([&] { server.beginDraining(); });
+    slow.send(get("/"));
+    BOOST_TEST(slow.readToEnd().size() > body.size());
+}
+
 BOOST_AUTO_TEST_CASE(slowHeadersAreRefused)
 {
     onThread([&] {
