--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/eventloop.h"
 #include "framework/eventthread.h"
 #include "http/exchangeserver.h"
 #include "http/internal/growingbody.h"
@@ -57,8 +58,8 @@
     bool isBusy() const;
     /// Closes the connection if no request has arrived or is in progress, once its caller has had time to send one.
     void closeWhenIdle();
-    /// Until when a request is likely to be on its way on an idle connection. std::nullopt during a request and while
-    /// the connection closes.
+    /// Until when a request is likely to be on its way on an idle connection. std::nullopt during a request, until its
+    /// answer is written, and while the connection closes.
     std::optional<framework::Deadline> openUntil() const;
     /// Closes the connection if no request has arrived or is in progress.
     void closeIfIdle();
@@ -91,6 +92,12 @@
         Closed,
     };
 
+    struct Unsent {
+        std::string bytes;
+        /// Only of whole answers.
+        std::unique_ptr<ByteReservation> reservation;
+    };
+
     void failAfterException() noexcept;
     void failRequest();
     void closeAfterAnswer();
@@ -106,9 +113,12 @@
     void handOver();
     void refuse(const ResponseHead&, const std::string& cause);
     void addFraming(ResponseHead&, std::optional<std::size_t> length);
-    void send(std::string);
+    void send(std::string, std::unique_ptr<ByteReservation> = nullptr);
     void write();
     void didWrite(const boost::system::error_code&);
+    void didWriteAll();
+    bool isNextRequestPaused() const;
+    void parseSentAhead();
     void finishAnswer();
     void becomeIdle();
     void expectNextRequest();
@@ -146,52 +156,23 @@
     std::optional<Parser> parser_;
     /// For the body of the request that is read.
     std::unique_ptr<ByteReservation> bodyReservation_;
-    /// For the bytes of whole answers that aren't written yet.
-    std::unique_ptr<ByteReservation> answerReservation_;
     std::weak_ptr<CallerExchange> exchange_;
     /// The head of a started answer, kept until its first piece.
     std::string pendingHead_;
-    std::deque<std::string> unsent_;
+    std::deque<Unsent> unsent_;
     std::size_t unsentBytes_ = 0;
     framework::Deadline openUntil_;
     framework::Deadline lingersUntil_;
 };
 
-/// The handler's interface to one request.
-class CallerExchange final : public IExchange {
-public:
-    CallerExchange(
-        std::shared_ptr<CallerConnection>, Request, std::unique_ptr<ByteReservation>, framework::SteadyTime receivedAt);
-    ~CallerExchange() override;
-    CallerExchange(const CallerExchange&) = delete;
-    CallerExchange& operator=(const CallerExchange&) = delete;
-
-    const Request& request() const override { return request_; }
-    framework::SteadyTime receivedAt() const override { return receivedAt_; }
-    void answer(ResponseHead, std::string body) override;
-    void beginAnswer(ResponseHead) override;
-    void sendPiece(std::string_view) override;
-    void endAnswer() override;
-    void breakOff() override;
-    bool hasCallerDisconnected() const override { return !connection_ || connection_->hasCallerDisconnected(); }
-    void setDisconnectHandler(std::function<void()>) override;
-    std::size_t unsentBytes() const override { return connection_ ? connection_->unsentBytes() : 0; }
-    void setDrainedHandler(std::function<void()>) override;
-
-    /// Called by the connection.
-    void handleDisconnect();
-    void didDrain();
-
-private:
-    /// Detaches this exchange from the connection and returns the latter.
-    std::shared_ptr<CallerConnection> release();
-
-    std::shared_ptr<CallerConnection> connection_;
-    Request request_;
-    std::unique_ptr<ByteReservation> bodyReservation_;
-    framework::SteadyTime receivedAt_;
-    std::function<void()> onDisconnect_;
-    std::function<void()> onDrained_;
-};
+template <typename Action> void CallerConnection::runGuarded(Action action)
+{
+    try {
+        action();
+    } catch (...) {
+        framework::reportException("a request or its connection");
+        failAfterException();
+    }
+}
 
 } // namespace lagoon::http
