--- a/tests/integration/hostileanswers_test.cpp
+++ b/tests/integration/hostileanswers_test.cpp
@@ -110,4 +110,28 @@
     waitFor("the store is followed again", [this] { return isServed("/get/1") && isServed("/model/1", "warm"); });
 }
 
+// Prevents the end of a router for want of memory, in which another writer's entries are kept that list names without
+// end.
+BOOST_AUTO_TEST_CASE(entriesOfTheListFitInMemory)
+{
+    constexpr int entries = 60;
+    constexpr std::size_t names = 4000;
+    web::json::value large = Fleet::entry(engine1, "engines", "127.0.0.9:80");
+    for (const std::string field : { "in-memory", "on-disk" }) {
+        large["at-hand"][field] = web::json::value::array(names);
+        for (std::size_t index = 0; index < names; ++index)
+            large["at-hand"][field][index] = web::json::value::string(std::string(110, 'm'));
+    }
+    for (int entry = 0; entry < entries; ++entry) {
+        const std::string name = "other-" + std::to_string(entry);
+        large["address"] = web::json::value::string("127.0.1." + std::to_string(entry + 1) + ":80");
+        store.put("servers", name, large);
+        waitFor("the entry is read", [&] { return hasLogged("\"server_listed\",\"server\":\"" + name + "\""); });
+    }
+    checkMemory();
+    BOOST_TEST(hasLogged("\"server_names_left_out\""));
+    BOOST_TEST(isServed("/get/1"));
+    BOOST_TEST(isServed("/model/1", "warm"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
