--- a/src/router/internal/evidencelinks.cpp
+++ b/src/router/internal/evidencelinks.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-using framework::Deadline;
 using framework::Milliseconds;
 using framework::VmName;
 using PassOn = quarantine::EvidenceSharing::PassOn;
--- a/src/router/internal/idempotencykeys.cpp
+++ b/src/router/internal/idempotencykeys.cpp
@@ -85,7 +85,6 @@
     , control_(control)
     , clock_(clock)
     , metrics_(std::move(metrics))
-    , retention_(retention)
     , sweeps_(control, clock, retention, [this] { sweep(); })
 {
 }
--- a/src/router/internal/idempotencykeys.h
+++ b/src/router/internal/idempotencykeys.h
@@ -60,7 +60,6 @@
     framework::IControlExecutor& control_;
     const framework::IClock& clock_;
     std::shared_ptr<framework::Metrics> metrics_;
-    framework::Milliseconds retention_;
     std::function<bool()> isOwner_;
     framework::PeriodicTask sweeps_;
     /// Keys that the last sweep left in place. Accessed on worker threads only, by one sweep at a time.
