Soak: a process over its machine's memory is killed and reported

What callers see: nothing; this is about what the soak can find. The users' platform ends a process that uses more than its machine's memory, and counts bytes that were received and not yet read. The soak limited the address space only, which leaves unread bytes out: a router that stays below 260 MB of address space can be over 260 MB with what lies in its sockets.

Change: the supervisor measures each process that serves or ends ten times a second (peak of resident memory and unread bytes of its TCP connections), kills one that is over its machine's memory (260 MB routers, 192 MB agents) and reports a broken promise. The line of each seed names the highest use of a router and of an agent. The limits of address space and descriptors stay.

Processes that are starting aren't measured until they are ready, since they may still be the soak's own image; the kernel's peak covers their start.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,6 +19,7 @@
     bool isVerbose = false;
 };
 
+constexpr std::uint64_t bytesPerMb = 1000 * 1000;
 constexpr std::size_t plannedRouters = 4;
 constexpr std::size_t mixedRouters = 2;
 constexpr std::size_t startsRouters = 3;
@@ -102,7 +103,8 @@
     std::cout << "seed " << settings.seed << " (" << kindText(settings.kind) << "): " << report.requests
               << " requests, " << report.served << " served, " << report.refused << " refused as not run, "
               << report.closedUnread << " crossed a close, " << excusedText(report) << report.steps << " faults, "
-              << report.violations.size() << " promises broken" << std::endl;
+              << report.violations.size() << " promises broken, at most " << report.peakRouterMemory / bytesPerMb
+              << " MB a router and " << report.peakAgentMemory / bytesPerMb << " MB an agent" << std::endl;
     if (settings.kind == RunKind::Versions)
         std::cout << "  " << run.notes().back() << std::endl;
     for (const std::string& violation : report.violations)
--- a/tests/soak/processsupervisor.cpp
+++ b/tests/soak/processsupervisor.cpp
@@ -20,16 +20,14 @@
 constexpr std::uint64_t minPauseMs = 50;
 constexpr std::uint64_t pauseRangeMs = 900;
 constexpr std::uint64_t restartDelayRangeMs = 300;
+constexpr Milliseconds memoryCheckInterval { 100 };
 /// A process is not restarted after so many failed starts in succession.
 constexpr int maxFailedStarts = 5;
-constexpr rlim_t bytesPerMb = 1000 * 1000;
-constexpr rlim_t routerMb = 260;
-constexpr rlim_t agentMb = 192;
 constexpr rlim_t maxDescriptors = 4100;
 
-testsupport::ProcessOptions limitedTo(rlim_t mb)
+testsupport::ProcessOptions limitedTo(rlim_t bytes)
 {
-    return { .limits = { { RLIMIT_AS, mb * bytesPerMb }, { RLIMIT_NOFILE, maxDescriptors } } };
+    return { .limits = { { RLIMIT_AS, bytes }, { RLIMIT_NOFILE, maxDescriptors } } };
 }
 
 /// Whether the process's program has begun to load its libraries.
@@ -52,15 +50,18 @@
 
 } // namespace
 
-ProcessSupervisor::ProcessSupervisor(const Context& context, const RunParameters& parameters)
+ProcessSupervisor::ProcessSupervisor(
+    const Context& context, const RunParameters& parameters, const MachineMemory& memory)
     : context_(context)
     , parameters_(parameters)
+    , memory_(memory)
 {
 }
 
 void ProcessSupervisor::limitProcesses(fleet::Fleet& fleet)
 {
-    fleet.setProcessOptions(limitedTo(routerMb), limitedTo(agentMb));
+    const MachineMemory memory;
+    fleet.setProcessOptions(limitedTo(memory.ofRouters), limitedTo(memory.ofAgents));
 }
 
 void ProcessSupervisor::adopt(std::size_t routers, std::size_t agents)
@@ -127,7 +128,7 @@
     terminate(role, index);
     context_.runLog.note("replaced: " + process(slot(role, index)).name());
     formers_.push_back(
-        { role == Role::Router ? context_.fleet.releaseRouter(index) : context_.fleet.releaseAgent(index),
+        { role, role == Role::Router ? context_.fleet.releaseRouter(index) : context_.fleet.releaseAgent(index),
             slot(role, index).finishesBy });
     start(slot(role, index));
 }
@@ -279,6 +280,7 @@
 
 void ProcessSupervisor::poll()
 {
+    checkMemory();
     pollFormers();
     for (Slot& slot : slots_) {
         if (slot.state != State::Down && slot.state != State::Retired)
@@ -286,6 +288,42 @@
     }
 }
 
+void ProcessSupervisor::checkMemory()
+{
+    if (!nextMemoryCheck_.hasPassed(std::chrono::steady_clock::now()))
+        return;
+    nextMemoryCheck_ = after(memoryCheckInterval);
+    meter_.sampleConnections();
+    for (const Former& former : formers_) {
+        if (isOverMemory(former.role, *former.process))
+            former.process->kill();
+    }
+    for (const Slot& slot : slots_) {
+        // A process that is starting may not run its program yet; the peak of its start is checked later.
+        if ((slot.state != State::Serving && slot.state != State::Ending) || slot.endsInStart)
+            continue;
+        if (isOverMemory(slot.role, process(slot)))
+            kill(slot.role, slot.index);
+    }
+}
+
+bool ProcessSupervisor::isOverMemory(Role role, const testsupport::ChildProcess& process)
+{
+    const MemoryUse use = meter_.useOf(process.pid());
+    peakMemory_[role] = std::max(peakMemory_[role], use.total());
+    if (use.total() <= memory_.of(role))
+        return false;
+    context_.runLog.fail(process.name() + " used more memory than its machine has: " + std::to_string(use.peakResident)
+        + " bytes resident and " + std::to_string(use.unread) + " received and unread");
+    return true;
+}
+
+std::uint64_t ProcessSupervisor::peakMemory(Role role) const
+{
+    const auto found = peakMemory_.find(role);
+    return found == peakMemory_.end() ? 0 : found->second;
+}
+
 void ProcessSupervisor::pollSlot(Slot& slot)
 {
     if (!process(slot).isRunning())
--- a/tests/soak/processsupervisor.h
+++ b/tests/soak/processsupervisor.h
@@ -3,11 +3,13 @@
 #include "fleet/fleet.h"
 #include "soak/actionscheduler.h"
 #include "soak/loadbalancer.h"
+#include "soak/memorymeter.h"
 #include "soak/runlog.h"
 #include "soak/soaksettings.h"
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -16,6 +18,14 @@
 
 enum class Role : std::uint8_t { Router, Agent };
 
+/// The memory of the machines, in bytes.
+struct MachineMemory {
+    std::uint64_t ofRouters = 260'000'000;
+    std::uint64_t ofAgents = 192'000'000;
+
+    std::uint64_t of(Role role) const { return role == Role::Router ? ofRouters : ofAgents; }
+};
+
 /// Starts, signals and restarts the run's routers and agents; several may be ending or starting at the same time. To be
 /// used on the main thread only, because a process is killed when the thread that started it ends.
 class ProcessSupervisor {
@@ -27,7 +37,8 @@
         LoadBalancer& balancer;
     };
 
-    ProcessSupervisor(const Context&, const RunParameters&);
+    /// Processes that use more than their machine's memory are killed, which violates an invariant.
+    ProcessSupervisor(const Context&, const RunParameters&, const MachineMemory& = {});
 
     /// Sets the limits of the machines that processes are deployed on.
     static void limitProcesses(fleet::Fleet&);
@@ -62,6 +73,8 @@
     void signalNextStart(Role, std::size_t index, int signal, std::chrono::microseconds delay);
     /// An endpoint that the process listens on, by its name in the ready line.
     std::string endpoint(Role, std::size_t index, const std::string& name);
+    /// The most memory, in bytes, that a process of the role has used.
+    std::uint64_t peakMemory(Role) const;
 
     /// Detects processes that have started, and those that have ended, and schedules their restarts.
     void poll();
@@ -91,6 +104,7 @@
     };
     /// A process that ends beside its successor.
     struct Former {
+        Role role = Role::Router;
         std::unique_ptr<testsupport::ChildProcess> process;
         framework::Deadline finishesBy {};
     };
@@ -103,6 +117,9 @@
     void scheduleStart(const Slot&);
     void pollSlot(Slot&);
     void pollFormers();
+    void checkMemory();
+    /// Whether the process uses more than its machine's memory.
+    bool isOverMemory(Role, const testsupport::ChildProcess&);
     void sendStartSignal(Slot&);
     void didStart(Slot&);
     void didEnd(Slot&);
@@ -110,6 +127,10 @@
 
     Context context_;
     const RunParameters& parameters_;
+    const MachineMemory memory_;
+    MemoryMeter meter_;
+    framework::Deadline nextMemoryCheck_ {};
+    std::map<Role, std::uint64_t> peakMemory_;
     std::vector<Slot> slots_;
     std::vector<Former> formers_;
 };
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -102,6 +102,8 @@
     if (resumingCallers_)
         resumingCallers_->check(fleet_, runLog_);
     fleet_.stop();
+    report_.peakRouterMemory = supervisor_.peakMemory(Role::Router);
+    report_.peakAgentMemory = supervisor_.peakMemory(Role::Agent);
     report_.violations = runLog_.violations();
     return report_;
 }
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -25,6 +25,7 @@
 /// - engines never receive orders beyond their capacity
 /// - no process ends without a signal, also if what its start needs comes late, and each shuts down gracefully after
 /// SIGTERM
+/// - no process uses more memory than its machine has, with bytes that it received and hasn't read
 /// - a request that crashes its servers is refused after three crashes, also if other servers bear it
 /// - a stream holds events of one software version only, also over several tries of its caller
 /// - servers get the right customer's name and never a key; an unknown key never runs
--- a/tests/soak/soaksettings.h
+++ b/tests/soak/soaksettings.h
@@ -53,6 +53,9 @@
     std::map<Excuse, int> excused;
     /// Planned operations and faults. Printed as "faults".
     int steps = 0;
+    /// The most memory, in bytes, that a router and an agent used, with bytes received and not yet read.
+    std::uint64_t peakRouterMemory = 0;
+    std::uint64_t peakAgentMemory = 0;
 };
 
 /// The parameters that follow from a run's seed and kind, apart from operations and faults.
