--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -16,6 +16,7 @@
     std::string kind = "both";
     std::size_t routers = 0;
     std::size_t engines = 0;
+    std::size_t callers = 0;
     bool isVerbose = false;
 };
 
@@ -58,6 +59,8 @@
         settings.routers = arguments.routers;
     if (arguments.engines > 0)
         settings.engines = arguments.engines;
+    if (arguments.callers > 0)
+        settings.callers = arguments.callers;
     settings.isVerbose = arguments.isVerbose;
     return settings;
 }
@@ -133,7 +136,8 @@
         "both (planned and "
         "mixed; even seeds are planned)")("routers", options::value(&arguments.routers),
         "number of routers, at least 2")("engines", options::value(&arguments.engines),
-        "initial number of engines, at least 2")("loud", options::bool_switch(&arguments.isVerbose),
+        "initial number of engines, at least 2")("callers", options::value(&arguments.callers),
+        "number of callers of ordinary requests")("loud", options::bool_switch(&arguments.isVerbose),
         "print each operation and fault when it happens")("help", "print this help");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description), values);
--- a/tests/soak/soaksettings.cpp
+++ b/tests/soak/soaksettings.cpp
@@ -35,7 +35,8 @@
         parameters.headers = CustomerCallers::unlimitedHeaders();
     const bool hasSlowLoads = settings.kind == RunKind::Planned
         || (settings.kind != RunKind::Starts && settings.seed % mixedRunsPerSlowLoads == 0);
-    parameters.callers = (hasSlowLoads ? callersPerRouterSlowLoads : callersPerRouterFastLoads) * settings.routers;
+    parameters.callers = settings.callers.value_or(
+        (hasSlowLoads ? callersPerRouterSlowLoads : callersPerRouterFastLoads) * settings.routers);
     if (!hasSlowLoads)
         return parameters;
     std::mt19937_64 random(settings.seed * 31);
--- a/tests/soak/soaksettings.h
+++ b/tests/soak/soaksettings.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,8 @@
     framework::Milliseconds duration { 5000 };
     std::size_t routers = 2;
     std::size_t engines = 2;
+    /// Callers of ordinary requests. By default, their number follows from the seed and the routers.
+    std::optional<std::size_t> callers;
     /// Prints each operation and fault when it happens.
     bool isVerbose = false;
 };
