--- a/tests/soak/soaksettings.h
+++ b/tests/soak/soaksettings.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,8 @@
     framework::Milliseconds duration { 5000 };
     std::size_t routers = 2;
     std::size_t engines = 2;
+    /// Callers of ordinary requests. By default, their number follows from the seed and the routers.
+    std::optional<std::size_t> callers;
     /// Prints each operation and fault when it happens.
     bool isVerbose = false;
 };
@@ -53,6 +56,9 @@
     std::map<Excuse, int> excused;
     /// Planned operations and faults. Printed as "faults".
     int steps = 0;
+    /// The most memory, in bytes, that a router and an agent used, with bytes received and not yet read.
+    std::uint64_t peakRouterMemory = 0;
+    std::uint64_t peakAgentMemory = 0;
 };
 
 /// The parameters that follow from a run's seed and kind, apart from operations and faults.
