Soak: a kind in which the store and engines answer more than fits into memory

What callers would see without what it guards: a process that needs more resident memory than its machine has is ended there, and all requests that it has read end without an answer (FAULT, LOST). The other kinds limit address space, under which processes live on, so none of them saw it.

Address space isn't limited in this kind, as a machine counts resident memory. What must hold: the invariants of all kinds, and the peak of resident memory of each process (read at each poll, so before each planned restart too) stays below 260 MB for routers and 192 MB for agents. A run also fails if no process has refused an answer, so that it can't pass without hostile answers. A process is read once it is ready: until its program runs it has the memory of the soak itself.

Not in it: plain servers and callers that misbehave, lists and framing without end, slow readers.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t plannedRouters = 4;
 constexpr std::size_t mixedRouters = 2;
 constexpr std::size_t startsRouters = 3;
+constexpr std::size_t hostileRouters = 2;
 constexpr std::size_t versionsRouters = 3;
 constexpr std::size_t versionsEngines = 6;
 constexpr std::size_t customersRouters = 3;
@@ -53,6 +54,10 @@
         settings.kind = RunKind::Starts;
         settings.routers = startsRouters;
     }
+    if (arguments.kind == "hostile") {
+        settings.kind = RunKind::Hostile;
+        settings.routers = hostileRouters;
+    }
     if (arguments.routers > 0)
         settings.routers = arguments.routers;
     if (arguments.engines > 0)
@@ -78,6 +83,8 @@
         return "customers";
     case RunKind::Starts:
         return "starts";
+    case RunKind::Hostile:
+        return "hostile";
     }
     return "";
 }
@@ -127,7 +134,8 @@
         "planned (planned operations only), mixed (faults too), poison (planned operations and a request that crashes "
         "its servers), limits (planned operations and servers that name limits), versions (mixed, and engines are "
         "replaced by ones with other software), customers (mixed, and callers have keys of customers with quotas), "
-        "starts (what the starts of processes need comes late) or "
+        "starts (what the starts of processes need comes late), hostile (planned operations, and the store and engines "
+        "answer with more than fits into memory) or "
         "both (planned and "
         "mixed; even seeds are planned)")("routers", options::value(&arguments.routers),
         "number of routers, at least 2")("engines", options::value(&arguments.engines),
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -59,8 +59,12 @@
         startDisturber_.emplace(fleet_, scheduler_, runLog_, supervisor_);
     }
     ProcessSupervisor::limitProcesses(fleet_);
+    if (settings_.kind == RunKind::Hostile)
+        MemoryWatch::limitProcesses(fleet_);
     fleet_.start();
     supervisor_.adopt(settings_.routers, fleet_.engines());
+    if (settings_.kind == RunKind::Hostile)
+        memoryWatch_.emplace(fleet_, runLog_, settings_.routers);
     waitForProcesses();
 }
 
@@ -76,6 +80,8 @@
         resumingCallers_.emplace(settings_, parameters_, balancer_);
     if (settings_.kind == RunKind::Customers)
         customerCallers_.emplace(fleet_, balancer_, settings_, runLog_);
+    if (settings_.kind == RunKind::Hostile)
+        hostilePeers_.emplace(fleet_, scheduler_, runLog_);
     runOperationsAndFaults();
     waitForProcesses();
     if (poisonSender_)
@@ -99,6 +105,12 @@
         poisonSender_->check(runLog_);
     if (limitNamer_)
         limitNamer_->check();
+    if (hostilePeers_)
+        hostilePeers_->check();
+    if (memoryWatch_) {
+        memoryWatch_->poll();
+        memoryWatch_->check();
+    }
     if (resumingCallers_)
         resumingCallers_->check(fleet_, runLog_);
     fleet_.stop();
@@ -111,6 +123,8 @@
     const Deadline end = Deadline::after(std::chrono::steady_clock::now(), time);
     while (!end.hasPassed(std::chrono::steady_clock::now())) {
         supervisor_.poll();
+        if (memoryWatch_)
+            memoryWatch_->poll();
         scheduler_.runDue();
         std::this_thread::sleep_for(pollInterval);
     }
@@ -124,6 +138,8 @@
         ++report_.steps;
         if (limitNamer_)
             limitNamer_->perform();
+        if (hostilePeers_)
+            hostilePeers_->perform();
         if (customerCallers_)
             customerCallers_->changeKeys();
         if (settings_.kind == RunKind::Versions && runLog_.draw(stepsPerReplacement) == 0)
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -2,8 +2,10 @@
 
 #include "soak/customercallers.h"
 #include "soak/faultinjector.h"
+#include "soak/hostilepeers.h"
 #include "soak/invariantchecker.h"
 #include "soak/limitnamer.h"
+#include "soak/memorywatch.h"
 #include "soak/plannedoperations.h"
 #include "soak/poisonsender.h"
 #include "soak/resumingcallers.h"
@@ -29,6 +31,7 @@
 /// - a stream holds events of one software version only, also over several tries of its caller
 /// - servers get the right customer's name and never a key; an unknown key never runs
 /// - a customer's quota is kept over all routers, and one that stays well below it isn't refused
+/// - no process needs more memory than its machine has, whatever the store and engines answer
 /// - all kinds of requests are served again soon after the last fault
 class SoakRun {
 public:
@@ -59,6 +62,8 @@
     std::optional<LimitNamer> limitNamer_;
     std::optional<ResumingCallers> resumingCallers_;
     std::optional<CustomerCallers> customerCallers_;
+    std::optional<HostilePeers> hostilePeers_;
+    std::optional<MemoryWatch> memoryWatch_;
     SoakReport report_;
 };
 
--- a/tests/soak/soaksettings.h
+++ b/tests/soak/soaksettings.h
@@ -26,7 +26,9 @@
     /// As mixed, and callers have keys of customers with quotas, which new versions of the configuration change.
     Customers,
     /// Processes are started in series while what their starts need comes late.
-    Starts
+    Starts,
+    /// Planned operations, and the store and engines answer with more than fits into the processes' memory.
+    Hostile
 };
 
 struct SoakSettings {
