--- a/tests/soak/processsupervisor.cpp
+++ b/tests/soak/processsupervisor.cpp
@@ -64,6 +64,11 @@
     fleet.setProcessOptions(limitedTo(memory.ofRouters), limitedTo(memory.ofAgents));
 }
 
+void ProcessSupervisor::limitDescriptors(fleet::Fleet& fleet)
+{
+    fleet.setProcessOptions({ .limits = { { RLIMIT_NOFILE, maxDescriptors } } });
+}
+
 void ProcessSupervisor::adopt(std::size_t routers, std::size_t agents)
 {
     for (std::size_t index = 0; index < agents; ++index) {
--- a/tests/soak/processsupervisor.h
+++ b/tests/soak/processsupervisor.h
@@ -42,6 +42,8 @@
 
     /// Sets the limits of the machines that processes are deployed on.
     static void limitProcesses(fleet::Fleet&);
+    /// Leaves out the limits of address space, so that processes over their machines' memory are seen.
+    static void limitDescriptors(fleet::Fleet&);
     /// Takes over the router and the two agents that the fleet has started, and starts the others.
     void adopt(std::size_t routers, std::size_t agents);
     void startAgent(std::size_t index);
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -58,7 +58,10 @@
             fleet_.fixPorts(router);
         startDisturber_.emplace(fleet_, scheduler_, runLog_, supervisor_);
     }
-    ProcessSupervisor::limitProcesses(fleet_);
+    if (settings_.kind == RunKind::Hostile)
+        ProcessSupervisor::limitDescriptors(fleet_);
+    else
+        ProcessSupervisor::limitProcesses(fleet_);
     fleet_.start();
     supervisor_.adopt(settings_.routers, fleet_.engines());
     waitForProcesses();
@@ -76,6 +79,8 @@
         resumingCallers_.emplace(settings_, parameters_, balancer_);
     if (settings_.kind == RunKind::Customers)
         customerCallers_.emplace(fleet_, balancer_, settings_, runLog_);
+    if (settings_.kind == RunKind::Hostile)
+        hostilePeers_.emplace(fleet_, scheduler_, runLog_);
     runOperationsAndFaults();
     waitForProcesses();
     if (poisonSender_)
@@ -99,6 +104,8 @@
         poisonSender_->check(runLog_);
     if (limitNamer_)
         limitNamer_->check();
+    if (hostilePeers_)
+        hostilePeers_->check();
     if (resumingCallers_)
         resumingCallers_->check(fleet_, runLog_);
     fleet_.stop();
@@ -126,6 +133,8 @@
         ++report_.steps;
         if (limitNamer_)
             limitNamer_->perform();
+        if (hostilePeers_)
+            hostilePeers_->perform();
         if (customerCallers_)
             customerCallers_->changeKeys();
         if (settings_.kind == RunKind::Versions && runLog_.draw(stepsPerReplacement) == 0)
