List of servers: a renewed entry keeps its names when there is no room for more

Each heartbeat of a server replaces its entry; the names of the replaced one were still counted, so that with nearly 4 MiB of names in all entries a sound engine lost its own at its next heartbeat, and counted as holding nothing until its agent had spoken. The entry's own names no longer count against it.

--- a/src/direct/internal/serverentries.cpp
+++ b/src/direct/internal/serverentries.cpp
@@ -93,7 +93,7 @@
         entry.late.reset();
         return countNames(entry);
     }
-    limitNames(object.name, read.value());
+    limitNames(object.name, entry, read.value());
     if (isLate(read.value(), entry))
         holdLate(object, entry, std::move(read.value()), now);
     else
@@ -103,10 +103,11 @@
 
 /// Prevents entries of other writers from using up the memory. Without the names, a server counts as holding nothing
 /// until its agent says what it holds.
-void ServerEntries::limitNames(const std::string& name, Upstream& upstream) const
+void ServerEntries::limitNames(const std::string& name, const Entry& entry, Upstream& upstream) const
 {
     const std::size_t bytes = nameBytesOf(upstream);
-    if (bytes <= maxNamesOfEntry && nameBytes_ + bytes <= maxNames)
+    const std::size_t ofOthers = nameBytes_ - entry.nameBytes;
+    if (bytes <= maxNamesOfEntry && ofOthers + bytes <= maxNames)
         return;
     logDecision(LogLine("server_names_left_out").text("server", shortened(name)).number("bytes", bytes));
     upstream.models.clear();
--- a/src/direct/internal/serverentries.h
+++ b/src/direct/internal/serverentries.h
@@ -81,7 +81,7 @@
     };
 
     static framework::Result<catalog::Upstream> checked(framework::Result<catalog::Upstream>, const Entry& before);
-    void limitNames(const std::string& name, catalog::Upstream&) const;
+    void limitNames(const std::string& name, const Entry&, catalog::Upstream&) const;
     void countNames(Entry&);
     static bool isLate(const catalog::Upstream&, const Entry&);
     void accept(const objectstore::FeedObject&, Entry&, catalog::Upstream, framework::SteadyTime now);
--- a/src/direct/tests/serverentries_test.cpp
+++ b/src/direct/tests/serverentries_test.cpp
@@ -188,6 +188,13 @@
     BOOST_TEST(entries.servers().size() == 1002U);
     BOOST_TEST(keptNames() < 30000U);
     BOOST_TEST(keptNames() > 20000U);
+    // An entry that is renewed keeps its names, though there is no room for more.
+    const std::size_t kept = keptNames();
+    for (int renewal = 0; renewal < 3; ++renewal) {
+        write("e0", 300);
+        write("sound", 100);
+    }
+    BOOST_TEST(keptNames() == kept);
     for (int count = 0; count < 1000; ++count)
         entries.remove("e" + std::to_string(count), Removal::Deleted, now);
     write("large", 300);
