--- a/src/objectstore/internal/objectmirror.cpp
+++ b/src/objectstore/internal/objectmirror.cpp
@@ -24,8 +24,8 @@
 /// Time from the removal of an object from the mirror until no other component uses it any more.
 constexpr Milliseconds removalPropagation { 250 };
 constexpr std::size_t maxLoggedName = 64;
-/// How many objects a list may have, as a multiple of those that are copied.
-constexpr std::size_t maxListLength = 8;
+/// How many objects a list may name, as a multiple of those that are copied.
+constexpr std::size_t maxListFactor = 8;
 
 Error endlessList(const std::string& kind)
 {
@@ -91,7 +91,7 @@
     objectsInPages_ += page.value().objects.size();
     if (page.value().hasMore && !page.value().objects.empty()) {
         // Nothing can be said about what an endless list doesn't name.
-        if (!hasNew || objectsInPages_ > maxListLength * settings_.maxObjects)
+        if (!hasNew || objectsInPages_ > maxListFactor * settings_.maxObjects)
             return scheduleRetry(endlessList(settings_.kind), [this] { list({}); });
         return list(page.value().objects.back().name);
     }
@@ -223,7 +223,8 @@
     return false;
 }
 
-/// Whether objects that were left out can be copied now. Lists are apart by many changes, also if none is copied.
+/// Whether objects that were left out can be copied now. Requires much room, so that a list follows only after many
+/// deletions.
 bool ObjectMirror::hasRoomAgain() const { return isFull_ && knownRevisions_.size() < settings_.maxObjects / 4 * 3; }
 
 /// Applies an object unless its revision is known already. Prevents a stale state from replacing a newer one: a list
--- a/tests/integration/hostileanswers_test.cpp
+++ b/tests/integration/hostileanswers_test.cpp
@@ -101,7 +101,8 @@
             const std::size_t before = store.calls();
             waitFor("answers are read", [&] { return store.calls() >= before + 3 * answers; });
             // What is refused takes no server away. A smaller list may truly name none.
-            BOOST_TEST((bytes < endlessBytes || isServed("/get/1")));
+            if (bytes == endlessBytes)
+                BOOST_TEST(isServed("/get/1"));
             checkMemory();
         }
     }
--- a/tests/soak/memorymeter.cpp
+++ b/tests/soak/memorymeter.cpp
@@ -106,7 +106,7 @@
         return 0;
     std::uint64_t bytes = 0;
     std::error_code error;
-    // DiagnosticsSockets may be closed meanwhile, and the process may end.
+    // Connections may be closed meanwhile, and the process may end.
     std::filesystem::directory_iterator entry("/proc/" + std::to_string(pid) + "/fd", error);
     for (; !error && entry != std::filesystem::directory_iterator(); entry.increment(error)) {
         std::error_code closed;
