Tests: crowds of clients that don't behave, at all ports of all roles

Clients that we don't control have ended a process. These tests start real processes and send small crowds to each of their ports: framing, heads and bodies without end, whole large bodies, bodies and frames that stop just short of their end and stay, answers that nobody reads, connections that only occupy descriptors (256 of them). Each checks that the process lives, that its memory with that of its sockets stays under its machine's, that a quarter of the descriptors is left, and that an ordinary request is served while the crowd stays.

--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -312,7 +312,8 @@
         if (started() != process.started)
             return breakOff(exchange);
     }
-    exchange.reply(200, request.method + " " + request.path + " " + request.body, responseHeaders(request, process));
+    exchange.reply(200, request.method + " " + request.path + " " + request.body + std::string(padding_, 'p'),
+        responseHeaders(request, process));
 }
 
 void EngineStandin::hold(const std::string& model)
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -161,12 +161,15 @@
 
     /// Sets the time that each request takes.
     void setWork(framework::Milliseconds time) { workMs_ = static_cast<int>(time.count()); }
+    /// Sets how many bytes more each answer has.
+    void setPadding(std::size_t bytes) { padding_ = bytes; }
 
 protected:
     void run(standins::Exchange&, const Process&) override;
 
 private:
     std::atomic<int> workMs_ { 0 };
+    std::atomic<std::size_t> padding_ { 0 };
 };
 
 /// An inference engine: loads and unloads models and adapters as ordered, and answers with a stream of numbered events.
--- /dev/null
+++ b/tests/integration/directcrowd_test.cpp
@@ -0,0 +1,191 @@
+#include "crowdchecks.h"
+#include "fleet/runningfleet.h"
+
+#include <string>
+
+using namespace lagoon::crowdtests;
+using namespace lagoon::fleet;
+using namespace lagoon::testsupport;
+
+namespace {
+
+constexpr std::size_t largeBody = 1000 * 1000;
+constexpr std::size_t ordinaryBody = 900 * 1000;
+const std::string target = "/post/1";
+
+CrowdMessage almostWhole(const std::string& host) { return bodyOf(target, largeBody, largeBody - 1, host); }
+
+struct DirectCrowd : RunningFleet {
+    bool isServed(std::size_t bytes = 4)
+    {
+        const CallerRequest request { .target = target,
+            .attempt = "a" + std::to_string(++attempts_),
+            .deadlineMs = 3000,
+            .body = std::string(bytes, 'b') };
+        return isWholeSuccess(exchangeOnce(fleet.callers(), request.text()));
+    }
+
+    void checkCallers(const Crowd& crowd, std::size_t bytes = 4)
+    {
+        checkServes(crowd, [&] { return isServed(bytes); });
+        checkProcess(fleet.router(), routerMib, fleet.callers());
+        checkProcess(fleet.agent(0), agentMib);
+    }
+
+    /// Sends crowds of all kinds to a port that isn't for callers.
+    void checkPort(const std::string& endpoint, ChildProcess& process, double memoryMib)
+    {
+        for (const CrowdMessage& message : hostileMessages("/x")) {
+            const Crowd crowd(endpoint, portClients, [&](std::size_t) { return message; });
+            checkServes(crowd, [&] {
+                return isWholeSuccess(
+                    exchangeOnce(endpoint, "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
+            });
+            checkProcess(process, memoryMib, endpoint);
+        }
+        BOOST_TEST(isReached([this] { return isServed(); }));
+    }
+
+private:
+    static bool isWholeSuccess(const std::string& received)
+    {
+        const CallerAnswer answer = parseAnswer(received);
+        return answer.status == 200 && answer.isComplete;
+    }
+
+    int attempts_ = 0;
+};
+
+struct FewDescriptors : DirectCrowd {
+    FewDescriptors()
+    {
+        fleet.stop();
+        fleet.setProcessOptions({ .limits = { { RLIMIT_NOFILE, descriptors } } });
+        fleet.start();
+    }
+
+    void checkDescriptors(const Crowd& crowd)
+    {
+        lagoon::crowdtests::checkDescriptors(crowd, fleet.router());
+        checkCallers(crowd);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CrowdsOfDirectCallers, DirectCrowd)
+
+// Prevents the end of a router for want of memory, to which callers send requests of every kind that don't end.
+BOOST_AUTO_TEST_CASE(endlessRequests)
+{
+    for (const CrowdMessage& message : hostileMessages(target)) {
+        const Crowd crowd(fleet.callers(), 50, [&](std::size_t) { return message; });
+        checkCallers(crowd);
+    }
+}
+
+// Prevents callers from shutting out others of their customer by bodies that stop just short of their end.
+BOOST_AUTO_TEST_CASE(unfinishedBodiesOfOneHost)
+{
+    const Crowd crowd(fleet.callers(), 24, [](std::size_t) { return almostWhole("callers.example"); });
+    checkCallers(crowd, ordinaryBody);
+}
+
+// Prevents callers from shutting out all others by naming a host each.
+BOOST_AUTO_TEST_CASE(unfinishedBodiesOfManyHosts)
+{
+    const Crowd crowd(
+        fleet.callers(), 60, [](std::size_t index) { return almostWhole("host-" + std::to_string(index)); });
+    checkCallers(crowd, ordinaryBody);
+}
+
+// Prevents the end of a router or a shut-out of other callers by large answers that nobody reads.
+BOOST_AUTO_TEST_CASE(unreadAnswers)
+{
+    for (PlainStandin* server : { &plain1, &plain2 })
+        server->setPadding(3 * largeBody);
+    const Crowd crowd(fleet.callers(), 150, [](std::size_t index) {
+        return CrowdMessage { CallerRequest { .method = "GET",
+            .target = "/get/1",
+            .attempt = "crowd" + std::to_string(index),
+            .deadlineMs = 10000,
+            .keepsAlive = true }
+                                  .text() };
+    });
+    checkCallers(crowd);
+}
+
+// Prevents the end of a router or a shut-out of other callers by many large bodies whose answers nobody reads.
+BOOST_AUTO_TEST_CASE(wholeBodies)
+{
+    const Crowd crowd(fleet.callers(), 100, [](std::size_t index) {
+        return bodyOf(target, 4 * largeBody, 4 * largeBody, "host-" + std::to_string(index));
+    });
+    checkCallers(crowd, ordinaryBody);
+}
+
+// Prevents the end of a router for want of memory, or a port that answers nobody.
+BOOST_AUTO_TEST_CASE(readinessPort) { checkPort(fleet.readiness(0), fleet.router(), routerMib); }
+BOOST_AUTO_TEST_CASE(routerOpsPort) { checkPort(fleet.ops(0), fleet.router(), routerMib); }
+BOOST_AUTO_TEST_CASE(agentOpsPort) { checkPort(fleet.agent(0).readyText("ops"), fleet.agent(0), agentMib); }
+
+// Prevents the end of an agent for want of memory, to which peers send long frames that stop just short of their end.
+BOOST_AUTO_TEST_CASE(agentLinkPort)
+{
+    const Crowd crowd(
+        fleet.agent(0).readyText("link"), 60, [](std::size_t) { return frameOf(longestFrame, longestFrame - 1); });
+    checkServes(crowd, [this] { return isServed(); });
+    checkProcess(fleet.agent(0), agentMib);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(CrowdsThatOccupyDescriptors, FewDescriptors)
+
+// Prevents callers from shutting out others by connections that stop within a request's head.
+BOOST_AUTO_TEST_CASE(unfinishedHeads)
+{
+    const Crowd crowd(fleet.callers(), manyConnections, [](std::size_t) { return CrowdMessage { "POST /post" }; });
+    checkDescriptors(crowd);
+}
+
+// Prevents callers from shutting out others by connections that stop within a small body.
+BOOST_AUTO_TEST_CASE(unfinishedSmallBodies)
+{
+    const Crowd crowd(fleet.callers(), manyConnections, [](std::size_t) { return bodyOf(target, 100, 10); });
+    checkDescriptors(crowd);
+}
+
+// Prevents callers from shutting out others by connections on which they don't read their refusals.
+BOOST_AUTO_TEST_CASE(refusedCallers)
+{
+    const Crowd crowd(
+        fleet.callers(), manyConnections, [](std::size_t) { return bodyOf(target, 100 * longestFrame, longestFrame); });
+    checkDescriptors(crowd);
+}
+
+// Prevents peers of the readiness and ops ports from taking the descriptors that callers need.
+BOOST_AUTO_TEST_CASE(otherPorts)
+{
+    const CrowdMessage unfinished { "GET /x" };
+    const Crowd readiness(fleet.readiness(0), manyConnections, [&](std::size_t) { return unfinished; });
+    const Crowd ops(fleet.ops(0), manyConnections, [&](std::size_t) { return unfinished; });
+    checkDescriptors(readiness);
+    BOOST_TEST(isReached([this] { return fleet.isReady(); }));
+}
+
+// Prevents peers of an agent's ports from shutting out the routers.
+BOOST_AUTO_TEST_CASE(agentPorts)
+{
+    const Crowd ops(
+        fleet.agent(0).readyText("ops"), manyConnections, [](std::size_t) { return CrowdMessage { "GET /x" }; });
+    const Crowd links(
+        fleet.agent(0).readyText("link"), manyConnections, [](std::size_t) { return frameOf(longestFrame, 10); });
+    lagoon::crowdtests::checkDescriptors(links, fleet.agent(0));
+    fleet.startRouter(0);
+    BOOST_TEST(isReached([this] { return fleet.router().output().find("\"agent_heard\"") != std::string::npos; }));
+    BOOST_TEST(isReached([this] { return isServed(); }));
+    checkProcess(fleet.agent(0), agentMib);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/processusage.cpp
+++ b/tests/support/processusage.cpp
@@ -1,8 +1,11 @@
 #include "support/processusage.h"
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <string>
+#include <system_error>
 #include <unistd.h>
 
 namespace lagoon::testsupport {
@@ -47,12 +50,45 @@
     return 0;
 }
 
+std::size_t openDescriptors(const std::string& folder)
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator files(folder + "/fd", error);
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 } // namespace
 
+double socketQueuesMib(const std::string& endpoint)
+{
+    const unsigned long port = std::stoul(endpoint.substr(endpoint.rfind(':') + 1));
+    std::ifstream file("/proc/net/tcp");
+    std::string line;
+    std::getline(file, line);
+    double bytes = 0;
+    while (std::getline(file, line)) {
+        // sl, local_address, rem_address, st and tx_queue:rx_queue, in hexadecimal digits
+        std::istringstream fields(line);
+        std::string number;
+        std::string local;
+        std::string remote;
+        std::string state;
+        std::string queues;
+        fields >> number >> local >> remote >> state >> queues;
+        constexpr int hexadecimal = 16;
+        if (std::stoul(local.substr(local.find(':') + 1), nullptr, hexadecimal) != port)
+            continue;
+        bytes += static_cast<double>(std::stoul(queues, nullptr, hexadecimal));
+        bytes += static_cast<double>(std::stoul(queues.substr(queues.find(':') + 1), nullptr, hexadecimal));
+    }
+    return bytes / bytesPerMib;
+}
+
 ProcessUsage usageOf(pid_t pid)
 {
     const std::string folder = "/proc/" + std::to_string(pid);
-    return { cpuSeconds(folder), residentMib(folder), peakMib(folder, "VmHWM:"), peakMib(folder, "VmPeak:") };
+    return { cpuSeconds(folder), residentMib(folder), peakMib(folder, "VmHWM:"), peakMib(folder, "VmPeak:"),
+        openDescriptors(folder) };
 }
 
 } // namespace lagoon::testsupport
--- a/tests/support/processusage.h
+++ b/tests/support/processusage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <string>
 #include <sys/types.h>
 
 namespace lagoon::testsupport {
@@ -12,8 +14,13 @@
     double peakResidentMib = 0;
     /// The most address space that the process had reserved at any time.
     double peakAddressSpaceMib = 0;
+    std::size_t openDescriptors = 0;
 };
 
 ProcessUsage usageOf(pid_t);
 
+/// What the kernel holds for the connections that were accepted at `address:port`: bytes that the process hasn't read,
+/// and those that its peers haven't.
+double socketQueuesMib(const std::string& endpoint);
+
 } // namespace lagoon::testsupport
