Direct router: unfinished bodies make room for those that arrive

What callers saw: 24 clients that stop one byte before the end of 1 MB took the share of their Host in the memory for bodies, and ordinary bodies of 900 KB with that Host got 503 for as long as the 24 stayed; 60 with hosts of their own shut out all.

Cause: the memory for bodies went to whoever came first, and nothing timed a body: the timer was cancelled once the head was there.

Change: if a body doesn't fit, the unfinished one that makes the least progress for the bytes that it holds is refused instead (503, not run, Retry-After), if it is clearly slower; at the share of one caller only this caller's bodies count. And each 30 KiB of a body have to arrive within 30 s, or within the configured idle timeout if that is longer, else it is refused with 408. A phone at 20 KB/s sends 600 KB in that time.

Ruled out: a share by address instead of Host, since many callers come from one address.

--- a/src/http/bytebudget.h
+++ b/src/http/bytebudget.h
@@ -34,10 +34,13 @@
     /// Acquires bytes that are in memory anyway, even above the limits.
     void acquireAnyway(Use, const std::string& peer, std::size_t bytes);
     void release(Use, const std::string& peer, std::size_t bytes);
+    /// Whether so many bytes more would be above the peer's own limit.
+    bool isAboveShare(Use, const std::string& peer, std::size_t bytes) const;
     std::size_t used() const;
 
 private:
     void add(Use, const std::string& peer, std::size_t bytes);
+    bool isAboveShareLocked(Use, const std::string& peer, std::size_t bytes) const;
 
     const Limits limits_;
     mutable std::mutex mutex_;
@@ -56,6 +59,10 @@
 
     /// Returns false, and reserves nothing more, if fewer bytes are left.
     bool grow(std::size_t bytes);
+    /// Whether `grow` would fail because of the peer's own limit.
+    bool isAboveShare(std::size_t bytes) const { return budget_->isAboveShare(use_, peer_, bytes); }
+    const std::string& peer() const { return peer_; }
+    std::size_t bytes() const { return bytes_; }
     /// Reserves bytes that are in memory anyway.
     void growAnyway(std::size_t bytes);
 
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -23,6 +23,10 @@
     framework::Milliseconds headerTimeout { 3000 };
     /// How long a connection without a request is kept open.
     framework::Milliseconds idleTimeout { 15000 };
+    /// The time in which each `bodyProgressBytes` of an unfinished body have to arrive. A slower one is refused with
+    /// 408.
+    framework::Milliseconds bodyProgressTimeout { 30000 };
+    std::uint64_t bodyProgressBytes = 30 * 1024;
 };
 
 /// A request that the server refused itself, without reading the whole of it.
@@ -37,7 +41,8 @@
 /// answer, accepts headers and bodies of any size, and does not show on which connection an answer is sent.
 ///
 /// The server itself refuses requests that never reach the handler: with 400 if they are malformed or ambiguously
-/// framed, with 408, 413 or 431 if they exceed a limit, and with 503 if their bodies don't fit in the budget.
+/// framed, with 408, 413 or 431 if they exceed a limit, and with 503 if their bodies don't fit in the budget. If another
+/// unfinished body makes less progress for the bytes that it holds, that one is refused instead.
 class ExchangeServer {
 public:
     ExchangeServer(framework::EventThread&, IExchangeHandler&);
--- a/src/http/internal/bytebudget.cpp
+++ b/src/http/internal/bytebudget.cpp
@@ -7,16 +7,26 @@
 bool ByteBudget::acquire(Use use, const std::string& peer, std::size_t bytes)
 {
     const std::lock_guard lock(mutex_);
-    const auto known = usedByPeer_.find({ use, peer });
-    const std::size_t usedByPeer = known == usedByPeer_.end() ? 0 : known->second;
-    const std::size_t ofPeer = use == Use::Request ? limits_.caller : limits_.server;
     const bool hasRoomForRequest = use != Use::Request || usedByRequests_ + bytes <= limits_.requests;
-    if (used_ + bytes > limits_.total || usedByPeer + bytes > ofPeer || !hasRoomForRequest)
+    if (used_ + bytes > limits_.total || isAboveShareLocked(use, peer, bytes) || !hasRoomForRequest)
         return false;
     add(use, peer, bytes);
     return true;
 }
 
+bool ByteBudget::isAboveShare(Use use, const std::string& peer, std::size_t bytes) const
+{
+    const std::lock_guard lock(mutex_);
+    return isAboveShareLocked(use, peer, bytes);
+}
+
+bool ByteBudget::isAboveShareLocked(Use use, const std::string& peer, std::size_t bytes) const
+{
+    const auto known = usedByPeer_.find({ use, peer });
+    const std::size_t used = known == usedByPeer_.end() ? 0 : known->second;
+    return used + bytes > (use == Use::Request ? limits_.caller : limits_.server);
+}
+
 void ByteBudget::acquireAnyway(Use use, const std::string& peer, std::size_t bytes)
 {
     const std::lock_guard lock(mutex_);
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -158,8 +158,11 @@
     if (!bodyReservation_)
         bodyReservation_ = std::make_unique<ByteReservation>(
             context_->budget, ByteBudget::Use::Request, std::string(parser_->get()["Host"]));
-    if (!bodyReservation_->grow(bytes))
-        refuse(context_->budgetRefusal, "no memory for the body");
+    bodyProgress_.add(bytes, std::chrono::steady_clock::now());
+    while (!bodyReservation_->grow(bytes)) {
+        if (!context_->refuseSlowerBody || !context_->refuseSlowerBody(*this, bytes))
+            return refuse(context_->budgetRefusal, "no memory for the body");
+    }
 }
 
 /// Prevents a caller from using up the memory by a request whose framing doesn't end.
@@ -179,6 +182,7 @@
     parser_->body_limit(context_->limits.bodyBytes);
     overhead_.reset();
     overhead_.countChunks(*parser_);
+    bodyProgress_ = {};
     armTimer(context_->limits.headerTimeout, &CallerConnection::handleHeaderTimeout);
 }
 
@@ -206,6 +210,7 @@
     }
     if (!parser_->is_done() && headers.hasToken("Expect", "100-continue"))
         send("HTTP/1.1 100 Continue\r\n\r\n");
+    expectBodyProgress();
     return false;
 }
 
@@ -458,6 +463,23 @@
         refuse({ 408, {}, {} }, "head not in time");
 }
 
+void CallerConnection::expectBodyProgress()
+{
+    const ExchangeLimits& limits = context_->limits;
+    expectedBodyBytes_ = bodyProgress_.total() + limits.bodyProgressBytes;
+    armTimer(std::max(limits.bodyProgressTimeout, limits.idleTimeout), &CallerConnection::checkBodyProgress);
+}
+
+/// Prevents a caller that doesn't finish its body from keeping its connection and its memory forever.
+void CallerConnection::checkBodyProgress()
+{
+    if (stage_ != Stage::Reading)
+        return;
+    if (bodyProgress_.total() < expectedBodyBytes_)
+        return refuse({ 408, {}, {} }, "body too slow");
+    expectBodyProgress();
+}
+
 /// Shuts the sending side down, and reads and discards what the caller still sends.
 void CallerConnection::linger()
 {
@@ -548,10 +570,15 @@
     socket_.cancel(ignored);
 }
 
-void CallerConnection::refuseIncomplete(const ResponseHead& head)
+void CallerConnection::refuseIncomplete(const ResponseHead& head, const std::string& cause)
 {
     if (stage_ == Stage::Reading)
-        refuse(head, "not whole when the server stopped reading");
+        runGuarded([&] { refuse(head, cause); });
+}
+
+const ByteReservation* CallerConnection::unfinishedBody() const
+{
+    return stage_ == Stage::Reading ? bodyReservation_.get() : nullptr;
 }
 
 void CallerConnection::closeNow()
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -5,6 +5,7 @@
 #include "http/exchangeserver.h"
 #include "http/internal/growingbody.h"
 #include "http/internal/messageoverhead.h"
+#include "http/internal/recentprogress.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -19,6 +20,7 @@
 
 namespace lagoon::http {
 
+class CallerConnection;
 class CallerExchange;
 
 constexpr std::size_t mebibyte = 1024 * 1024;
@@ -36,6 +38,9 @@
     std::shared_ptr<ByteBudget> budget = std::make_shared<ByteBudget>(defaultBudget);
     ResponseHead budgetRefusal { 503, {}, {} };
     std::function<void(const UnreadRefusal&)> didRefuse;
+    /// Makes room for so many bytes more of the connection's body by refusing one that is slower. Returns false if
+    /// there is none.
+    std::function<bool(const CallerConnection&, std::size_t bytes)> refuseSlowerBody;
     /// Answers announce that their connections close.
     bool isDraining = false;
     /// Connections are closed once they are idle.
@@ -64,7 +69,11 @@
     /// Closes the connection if no request has arrived or is in progress.
     void closeIfIdle();
     /// Refuses a partially received request with this head, and stops reading it.
-    void refuseIncomplete(const ResponseHead&);
+    void refuseIncomplete(const ResponseHead&, const std::string& cause);
+    /// What an unfinished body holds in the budget; null if there is none.
+    const ByteReservation* unfinishedBody() const;
+    /// The part of the unfinished body that has arrived lately.
+    double recentShareOfBody(framework::SteadyTime now) const { return bodyProgress_.recentShare(now); }
     /// Closes the connection at once. The handler of a request in progress is notified of the disconnect.
     void closeNow();
 
@@ -127,6 +136,8 @@
     void armTimer(framework::Milliseconds, void (CallerConnection::*onExpired)());
     void handleIdleTimeout();
     void handleHeaderTimeout();
+    void expectBodyProgress();
+    void checkBodyProgress();
     void linger();
     void armLingerTimer();
     void reset();
@@ -156,6 +167,9 @@
     std::optional<Parser> parser_;
     /// For the body of the request that is read.
     std::unique_ptr<ByteReservation> bodyReservation_;
+    RecentProgress bodyProgress_;
+    /// The bytes of the body that have to arrive until the timer expires.
+    std::uint64_t expectedBodyBytes_ = 0;
     std::weak_ptr<CallerExchange> exchange_;
     /// The head of a started answer, kept until its first piece.
     std::string pendingHead_;
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -4,13 +4,13 @@
 #include "framework/logging.h"
 #include "framework/tcpendpoint.h"
 #include "http/internal/callerconnection.h"
+#include "http/internal/slowcallers.h"
 #include "http/internal/socketoptions.h"
 
 #include <boost/asio/post.hpp>
 #include <limits>
 #include <optional>
 #include <poll.h>
-#include <unordered_map>
 #include <utility>
 
 namespace lagoon::http {
@@ -39,6 +39,9 @@
 
     framework::Result<Endpoint> listen(const Endpoint& endpoint)
     {
+        shared_->refuseSlowerBody = [this](const CallerConnection& connection, std::size_t bytes) {
+            return refuseSlowerBody(connection, bytes);
+        };
         BOOST_OUTCOME_TRY(address, framework::parseTcpEndpoint(endpoint, "listen for callers"));
         boost::system::error_code error;
         acceptor_.open(address.protocol(), error);
@@ -91,7 +94,7 @@
     {
         const auto connections = connections_;
         for (const auto& [key, connection] : connections)
-            connection->refuseIncomplete(head);
+            connection->refuseIncomplete(head, "not whole when the server stopped reading");
     }
 
     void closeAll()
@@ -160,6 +163,14 @@
             longest->closeIfIdle();
     }
 
+    bool refuseSlowerBody(const CallerConnection& connection, std::size_t bytes)
+    {
+        const auto slowest = slowestBody(connections_, connection, bytes, std::chrono::steady_clock::now());
+        if (slowest)
+            slowest->refuseIncomplete(shared_->budgetRefusal, "memory needed for faster bodies");
+        return slowest != nullptr;
+    }
+
     /// Accepts all connections in the listening socket's queue. If the event loop is behind, closing that socket would
     /// otherwise reset connections whose callers sent requests while the server still accepted them.
     void acceptPending()
@@ -217,7 +228,7 @@
     bool hasAcceptFailed_ = false;
     std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max();
     std::shared_ptr<ConnectionContext> shared_;
-    std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
+    Connections connections_;
 };
 
 ExchangeServer::ExchangeServer(framework::EventThread& thread, IExchangeHandler& handler)
--- /dev/null
+++ b/src/http/internal/slowcallers.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "framework/types/time.h"
+
+#include <cstddef>
+#include <memory>
+#include <unordered_map>
+
+/// Which connection a server ends if it needs what the connection holds.
+namespace lagoon::http {
+
+class CallerConnection;
+
+using Connections = std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>>;
+
+/// Returns the connection whose unfinished body makes the least progress for the bytes that it holds; null if none is
+/// clearly slower than that of `asking`. If `asking` is at the limit of its caller, only this caller's bodies count.
+std::shared_ptr<CallerConnection> slowestBody(
+    const Connections&, const CallerConnection& asking, std::size_t bytes, framework::SteadyTime now);
+
+} // namespace lagoon::http
