Direct router: connections that are needed least make room for others

What callers saw: 300 clients that stop within a head or a small body took all of 256 descriptors; nobody was served, and nothing was left for connections to servers.

Cause: above the maximum number of connections only idle ones made room, and the ports for balancers and operators had no maximum.

Change: the connection that is needed least goes first: one that only lingers after its answer, then an idle one, then the one whose request makes the least progress (refused as not run). If all are needed for answers, the further one is closed unread. The ports for balancers and operators take a sixteenth of the descriptors each, and no bodies.

--- a/src/direct/internal/directagent.cpp
+++ b/src/direct/internal/directagent.cpp
@@ -6,6 +6,7 @@
 #include "engines/enginecontroller.h"
 #include "framework/awaitedport.h"
 #include "framework/decisionlog.h"
+#include "framework/descriptors.h"
 #include "framework/periodictask.h"
 #include "http/exchangeserver.h"
 
@@ -20,6 +21,8 @@
 
 constexpr Milliseconds housekeepingInterval { 1000 };
 constexpr Milliseconds opsRetryInterval { 200 };
+/// The port for operators may take one part.
+constexpr std::size_t partsOfDescriptors = 16;
 
 } // namespace
 
@@ -43,6 +46,8 @@
 
     framework::Result<DirectAgentEndpoints> start()
     {
+        ops_.setMaxConnections(framework::maxDescriptors() / partsOfDescriptors);
+        ops_.setLimits(http::limitsWithoutBodies());
         // A former agent that still holds the port keeps control of the engine meanwhile.
         BOOST_OUTCOME_TRY(link, linkPort_.bind());
         (void)opsPort_.bind();
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -32,6 +32,8 @@
 /// Retry delay for a caller whose request this router no longer accepts; other routers accept it at once.
 constexpr Milliseconds retryAfterRefusal { 250 };
 
+/// Each of the ports for balancers and operators may take one part.
+constexpr std::size_t partsOfDescriptors = 16;
 /// Connections of its caller and to its server.
 constexpr std::size_t descriptorsOfRequest = 2;
 
@@ -88,6 +90,10 @@
 
     framework::Result<DirectRouterEndpoints> start()
     {
+        for (http::ExchangeServer* const server : { &readiness_, &ops_ }) {
+            server->setMaxConnections(framework::maxDescriptors() / partsOfDescriptors);
+            server->setLimits(http::limitsWithoutBodies());
+        }
         for (http::ExchangeServer* const server : { &callers_, &readiness_, &ops_ }) {
             server->setBudget(budget_, ports_.dialect.refusal(503, retryAfterRefusal));
             server->setRefusalHandler([this](const http::UnreadRefusal& refusal) { didRefuseUnread(refusal); });
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -29,6 +29,14 @@
     std::uint64_t bodyProgressBytes = 30 * 1024;
 };
 
+/// Limits of ports whose requests have no bodies.
+inline ExchangeLimits limitsWithoutBodies()
+{
+    ExchangeLimits limits;
+    limits.bodyBytes = 1024;
+    return limits;
+}
+
 /// A request that the server refused itself, without reading the whole of it.
 struct UnreadRefusal {
     unsigned status = 0;
@@ -60,7 +68,9 @@
     void setBudget(std::shared_ptr<ByteBudget>, const ResponseHead& refusal);
     /// Sets what is called for each request that this server refuses itself. Call this before `listen`.
     void setRefusalHandler(std::function<void(const UnreadRefusal&)>);
-    /// Above this number of connections, the one that has been idle for longest is closed for each further one.
+    /// Above this number of connections, the one that is needed least is closed for each further one: one that has been
+    /// answered or is idle, else the one whose request makes the least progress, which is refused like one for whose
+    /// body there is no memory. If all are needed for answers, the further one is closed.
     void setMaxConnections(std::size_t);
     /// From now on, each answer announces that its connection is closed, and closes it.
     void beginDraining();
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -140,6 +140,8 @@
         const std::size_t bodyBytes = parser_->get().body().size() - bodyBefore;
         overhead_.didParse(parsed);
         overhead_.didReadBody(bodyBytes);
+        requestProgress_.add(parsed, std::chrono::steady_clock::now());
+        bodyBytes_ += bodyBytes;
         buffer_.consume(parsed);
         reserveBody(bodyBytes);
         if (stage_ == Stage::Reading)
@@ -158,7 +160,6 @@
     if (!bodyReservation_)
         bodyReservation_ = std::make_unique<ByteReservation>(
             context_->budget, ByteBudget::Use::Request, std::string(parser_->get()["Host"]));
-    bodyProgress_.add(bytes, std::chrono::steady_clock::now());
     while (!bodyReservation_->grow(bytes)) {
         if (!context_->refuseSlowerBody || !context_->refuseSlowerBody(*this, bytes))
             return refuse(context_->budgetRefusal, "no memory for the body");
@@ -182,7 +183,9 @@
     parser_->body_limit(context_->limits.bodyBytes);
     overhead_.reset();
     overhead_.countChunks(*parser_);
-    bodyProgress_ = {};
+    requestProgress_ = {};
+    bodyBytes_ = 0;
+    needSince_ = std::chrono::steady_clock::now();
     armTimer(context_->limits.headerTimeout, &CallerConnection::handleHeaderTimeout);
 }
 
@@ -466,7 +469,7 @@
 void CallerConnection::expectBodyProgress()
 {
     const ExchangeLimits& limits = context_->limits;
-    expectedBodyBytes_ = bodyProgress_.total() + limits.bodyProgressBytes;
+    expectedBodyBytes_ = bodyBytes_ + limits.bodyProgressBytes;
     armTimer(std::max(limits.bodyProgressTimeout, limits.idleTimeout), &CallerConnection::checkBodyProgress);
 }
 
@@ -475,7 +478,7 @@
 {
     if (stage_ != Stage::Reading)
         return;
-    if (bodyProgress_.total() < expectedBodyBytes_)
+    if (bodyBytes_ < expectedBodyBytes_)
         return refuse({ 408, {}, {} }, "body too slow");
     expectBodyProgress();
 }
@@ -486,6 +489,7 @@
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     isLingering_ = true;
+    needSince_ = std::chrono::steady_clock::now();
     lingersUntil_ = Deadline::after(std::chrono::steady_clock::now(), maxLingerTime);
     armLingerTimer();
     read();
@@ -526,6 +530,7 @@
 
 void CallerConnection::expectNextRequest()
 {
+    needSince_ = std::chrono::steady_clock::now();
     openUntil_ = Deadline::after(std::chrono::steady_clock::now(), nextRequestTime);
 }
 
@@ -581,6 +586,28 @@
     return stage_ == Stage::Reading ? bodyReservation_.get() : nullptr;
 }
 
+CallerConnection::Need CallerConnection::need(framework::SteadyTime now) const
+{
+    if (stage_ == Stage::Closing && isLingering_)
+        return Need::Lingering;
+    if (stage_ == Stage::Reading)
+        return Need::Receiving;
+    const auto until = openUntil();
+    if (!until)
+        return Need::Answering;
+    return until->hasPassed(now) ? Need::Idle : Need::Receiving;
+}
+
+void CallerConnection::makeRoom()
+{
+    if (stage_ == Stage::Closing && isLingering_)
+        close();
+    else if (stage_ == Stage::Reading)
+        refuseIncomplete(context_->budgetRefusal, "connection needed for others");
+    else
+        closeIfIdle();
+}
+
 void CallerConnection::closeNow()
 {
     const bool isTruncated = (stage_ == Stage::Handling && hasBegunAnswer_) || !unsent_.empty();
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -70,10 +70,23 @@
     void closeIfIdle();
     /// Refuses a partially received request with this head, and stops reading it.
     void refuseIncomplete(const ResponseHead&, const std::string& cause);
+    /// What the connection is needed for, from the least to the most.
+    enum class Need : std::uint8_t {
+        Lingering, ///< its last answer is sent, and the caller hasn't closed it yet
+        Idle, ///< no request is likely to be on its way
+        Receiving, ///< a request is being received, or likely to be on its way
+        Answering, ///< a request is being handled or answered
+    };
+    Need need(framework::SteadyTime now) const;
+    /// When the current state of `Lingering`, `Idle` or `Receiving` began.
+    framework::SteadyTime needSince() const { return needSince_; }
+    /// Frees the descriptor, if the connection isn't needed for an answer. A request that is being received is refused
+    /// first, and its connection lingers.
+    void makeRoom();
     /// What an unfinished body holds in the budget; null if there is none.
     const ByteReservation* unfinishedBody() const;
-    /// The part of the unfinished body that has arrived lately.
-    double recentShareOfBody(framework::SteadyTime now) const { return bodyProgress_.recentShare(now); }
+    /// The part of the unfinished request that has arrived lately.
+    double recentShareOfRequest(framework::SteadyTime now) const { return requestProgress_.recentShare(now); }
     /// Closes the connection at once. The handler of a request in progress is notified of the disconnect.
     void closeNow();
 
@@ -167,8 +180,11 @@
     std::optional<Parser> parser_;
     /// For the body of the request that is read.
     std::unique_ptr<ByteReservation> bodyReservation_;
-    RecentProgress bodyProgress_;
-    /// The bytes of the body that have to arrive until the timer expires.
+    /// Of the request that is read, with its head.
+    RecentProgress requestProgress_;
+    framework::SteadyTime needSince_ = std::chrono::steady_clock::now();
+    std::uint64_t bodyBytes_ = 0;
+    /// The length of the body that has to have arrived when the timer expires.
     std::uint64_t expectedBodyBytes_ = 0;
     std::weak_ptr<CallerExchange> exchange_;
     /// The head of a started answer, kept until its first piece.
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -24,6 +24,8 @@
 /// Delay after accepting has failed, usually because file descriptors are exhausted: some connections will have been
 /// closed by then.
 constexpr Milliseconds acceptRetryDelay { 50 };
+/// Above the maximum number of connections, for those that have just been refused to make room.
+constexpr std::size_t maxRefusedAbove = 8;
 
 } // namespace
 
@@ -136,7 +138,7 @@
         if (isConnectionPending()) {
             if (!std::exchange(hasAcceptFailed_, true))
                 framework::logWarning("http", "accept: " + error.message());
-            closeLongestIdle();
+            makeRoom();
         }
         acceptLater();
     }
@@ -147,20 +149,14 @@
         return ::poll(&listening, 1, 0) > 0;
     }
 
-    /// Frees a descriptor. Callers that keep connections for later requests must not shut out those that have one now.
-    void closeLongestIdle()
+    /// Frees a descriptor, so that callers that don't use their connections can't shut out those that do. Returns false
+    /// if all are needed.
+    bool makeRoom()
     {
-        const framework::SteadyTime now = std::chrono::steady_clock::now();
-        std::shared_ptr<CallerConnection> longest;
-        for (const auto& [key, connection] : connections_) {
-            const auto openUntil = connection->openUntil();
-            if (!openUntil || !openUntil->hasPassed(now))
-                continue;
-            if (!longest || openUntil->at() < longest->openUntil()->at())
-                longest = connection;
-        }
-        if (longest)
-            longest->closeIfIdle();
+        const auto connection = leastNeeded(connections_, std::chrono::steady_clock::now());
+        if (connection)
+            connection->makeRoom();
+        return connection != nullptr;
     }
 
     bool refuseSlowerBody(const CallerConnection& connection, std::size_t bytes)
@@ -218,8 +214,13 @@
         // Its accept completed just before the acceptor was closed.
         if (shared_->closesIdle)
             connection->closeWhenIdle();
-        if (connections_.size() > maxConnections_)
-            closeLongestIdle();
+        if (connections_.size() <= maxConnections_)
+            return;
+        // A request that is refused to make room leaves a connection that lingers, and makes room at the next call.
+        if (makeRoom() && connections_.size() > maxConnections_)
+            makeRoom();
+        if (connections_.size() > maxConnections_ + maxRefusedAbove)
+            connection->closeNow();
     }
 
     boost::asio::io_context& context_;
--- a/src/http/internal/slowcallers.cpp
+++ b/src/http/internal/slowcallers.cpp
@@ -2,6 +2,8 @@
 
 #include "http/internal/callerconnection.h"
 
+#include <tuple>
+
 namespace lagoon::http {
 
 namespace {
@@ -19,13 +21,13 @@
         return nullptr;
     const bool isOfOneCaller = own->isAboveShare(bytes);
     std::shared_ptr<CallerConnection> slowest;
-    double leastShare = asking.recentShareOfBody(now) / clearlySlower;
+    double leastShare = asking.recentShareOfRequest(now) / clearlySlower;
     std::size_t mostBytes = 0;
     for (const auto& [key, connection] : connections) {
         const ByteReservation* const body = connection->unfinishedBody();
         if (!body || key == &asking || (isOfOneCaller && body->peer() != own->peer()))
             continue;
-        const double share = connection->recentShareOfBody(now);
+        const double share = connection->recentShareOfRequest(now);
         if (share > leastShare || (share == leastShare && body->bytes() <= mostBytes))
             continue;
         slowest = connection;
@@ -35,4 +37,23 @@
     return slowest;
 }
 
+std::shared_ptr<CallerConnection> leastNeeded(const Connections& connections, framework::SteadyTime now)
+{
+    using Rank = std::tuple<CallerConnection::Need, double, framework::SteadyTime>;
+    std::shared_ptr<CallerConnection> least;
+    Rank leastRank;
+    for (const auto& [key, connection] : connections) {
+        const CallerConnection::Need need = connection->need(now);
+        if (need == CallerConnection::Need::Answering)
+            continue;
+        const bool isReceiving = need == CallerConnection::Need::Receiving;
+        const Rank rank { need, isReceiving ? connection->recentShareOfRequest(now) : 0, connection->needSince() };
+        if (least && leastRank <= rank)
+            continue;
+        least = connection;
+        leastRank = rank;
+    }
+    return least;
+}
+
 } // namespace lagoon::http
--- a/src/http/internal/slowcallers.h
+++ b/src/http/internal/slowcallers.h
@@ -18,4 +18,8 @@
 std::shared_ptr<CallerConnection> slowestBody(
     const Connections&, const CallerConnection& asking, std::size_t bytes, framework::SteadyTime now);
 
+/// Returns the connection that is needed least: one that lingers, else an idle one, else the one whose request makes the
+/// least progress. The oldest comes first. Null if all are needed for answers.
+std::shared_ptr<CallerConnection> leastNeeded(const Connections&, framework::SteadyTime now);
+
 } // namespace lagoon::http
