Direct router: answers that nobody reads make room for others

What callers saw: 150 clients that don't read an answer of 3 MB used up the memory for answers, and other callers got no answer for 30 s and more.

Cause: whole answers were held above their limit until their callers read them, and counted against the answers of servers. The kernel ends a connection whose caller reads nothing at all after 60 s; one that reads a byte now and then stays.

Change: if memory is needed, the answers that are read most slowly are dropped, and their connections reset, so that none looks complete. A caller has to read 60 KiB of its answers within 60 s. `lagoon_unread_answers_dropped_total` and `answer_dropped` tell of each. The queue of answers and the request that is received are classes of their own, since the connection's file had grown.

--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -98,6 +98,8 @@
             server->setBudget(budget_, ports_.dialect.refusal(503, retryAfterRefusal));
             server->setRefusalHandler([this](const http::UnreadRefusal& refusal) { didRefuseUnread(refusal); });
         }
+        callers_.setDropHandler([this](const http::DroppedAnswers& answers) { didDropAnswers(answers); });
+        callers_.reclaimUnreadAnswers(*budget_);
         // While the callers' port is held, balancers already read that this router isn't ready. Callers come last,
         // since nobody would drain their requests if the process were asked to terminate before it has started.
         BOOST_OUTCOME_TRY(readiness, readinessPort_.bind());
@@ -167,6 +169,15 @@
                         .text("cause", refusal.cause));
     }
 
+    void didDropAnswers(const http::DroppedAnswers& answers)
+    {
+        ports_.metrics->count("lagoon_unread_answers_dropped_total", {});
+        logDecision(LogLine("answer_dropped")
+                        .text("caller", answers.caller.value())
+                        .number("bytes", answers.bytes)
+                        .text("cause", answers.cause));
+    }
+
     /// Retries until the port is bound. Runs on the traffic thread; nothing else waits for this port.
     void bindOps()
     {
--- a/src/http/bytebudget.h
+++ b/src/http/bytebudget.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -24,25 +25,32 @@
     /// The peer of a request is its caller, that of an answer its server.
     enum class Use : std::uint8_t { Request, Answer };
 
+    /// The peer of answers that their callers haven't read yet. Not the name of a server.
+    static constexpr const char* unreadAnswers = "unread answers";
+
     explicit ByteBudget(const Limits& limits)
         : limits_(limits)
     {
     }
 
-    /// Returns false, and acquires nothing, if fewer bytes are left.
-    bool acquire(Use, const std::string& peer, std::size_t bytes);
+    /// Sets what releases bytes of unread answers if more are needed, and returns false if there are none to release.
+    /// It is called on the thread that acquires. Call this before the first `acquire`.
+    void setReclaimer(std::function<bool()> reclaim) { reclaim_ = std::move(reclaim); }
+    enum class Limit : std::uint8_t { None, Total, Requests, Peer };
+    /// Returns the limit for which it acquires nothing, if fewer bytes are left.
+    Limit acquire(Use, const std::string& peer, std::size_t bytes);
     /// Acquires bytes that are in memory anyway, even above the limits.
     void acquireAnyway(Use, const std::string& peer, std::size_t bytes);
     void release(Use, const std::string& peer, std::size_t bytes);
-    /// Whether so many bytes more would be above the peer's own limit.
-    bool isAboveShare(Use, const std::string& peer, std::size_t bytes) const;
     std::size_t used() const;
 
 private:
+    Limit tryAcquire(Use, const std::string& peer, std::size_t bytes);
     void add(Use, const std::string& peer, std::size_t bytes);
     bool isAboveShareLocked(Use, const std::string& peer, std::size_t bytes) const;
 
     const Limits limits_;
+    std::function<bool()> reclaim_;
     mutable std::mutex mutex_;
     std::size_t used_ = 0;
     std::size_t usedByRequests_ = 0;
@@ -59,8 +67,8 @@
 
     /// Returns false, and reserves nothing more, if fewer bytes are left.
     bool grow(std::size_t bytes);
-    /// Whether `grow` would fail because of the peer's own limit.
-    bool isAboveShare(std::size_t bytes) const { return budget_->isAboveShare(use_, peer_, bytes); }
+    /// Whether the last call of `grow` has failed because of the peer's own limit.
+    bool isAtShare() const { return isAtShare_; }
     const std::string& peer() const { return peer_; }
     std::size_t bytes() const { return bytes_; }
     /// Reserves bytes that are in memory anyway.
@@ -71,6 +79,7 @@
     ByteBudget::Use use_;
     std::string peer_;
     std::size_t bytes_ = 0;
+    bool isAtShare_ = false;
 };
 
 } // namespace lagoon::http
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -27,6 +27,10 @@
     /// 408.
     framework::Milliseconds bodyProgressTimeout { 30000 };
     std::uint64_t bodyProgressBytes = 30 * 1024;
+    /// The time in which a caller has to read each `answerProgressBytes` of its answers. The connection of a slower one
+    /// is reset.
+    framework::Milliseconds answerProgressTimeout { 60000 };
+    std::uint64_t answerProgressBytes = 60 * 1024;
 };
 
 /// Limits of ports whose requests have no bodies.
@@ -44,6 +48,13 @@
     framework::Endpoint caller;
 };
 
+/// Answers that the server has dropped, since their caller reads them too slowly.
+struct DroppedAnswers {
+    std::size_t bytes = 0;
+    std::string cause;
+    framework::Endpoint caller;
+};
+
 /// An HTTP/1.1 server on one event thread, based on Boost.Beast's parser and Asio. It replaces cpprest's listener where
 /// requests are forwarded directly, since that listener does not detect a disconnect before the first byte of the
 /// answer, accepts headers and bodies of any size, and does not show on which connection an answer is sent.
@@ -68,6 +79,10 @@
     void setBudget(std::shared_ptr<ByteBudget>, const ResponseHead& refusal);
     /// Sets what is called for each request that this server refuses itself. Call this before `listen`.
     void setRefusalHandler(std::function<void(const UnreadRefusal&)>);
+    /// Sets what is called when unread answers are dropped. Call this before `listen`.
+    void setDropHandler(std::function<void(const DroppedAnswers&)>);
+    /// Lets the budget reclaim unread answers of this server: those that are read slowest are dropped first.
+    void reclaimUnreadAnswers(ByteBudget&);
     /// Above this number of connections, the one that is needed least is closed for each further one: one that has been
     /// answered or is idle, else the one whose request makes the least progress, which is refused like one for whose
     /// body there is no memory. If all are needed for answers, the further one is closed.
--- a/src/http/internal/bytebudget.cpp
+++ b/src/http/internal/bytebudget.cpp
@@ -4,20 +4,27 @@
 
 namespace lagoon::http {
 
-bool ByteBudget::acquire(Use use, const std::string& peer, std::size_t bytes)
+ByteBudget::Limit ByteBudget::acquire(Use use, const std::string& peer, std::size_t bytes)
 {
-    const std::lock_guard lock(mutex_);
-    const bool hasRoomForRequest = use != Use::Request || usedByRequests_ + bytes <= limits_.requests;
-    if (used_ + bytes > limits_.total || isAboveShareLocked(use, peer, bytes) || !hasRoomForRequest)
-        return false;
-    add(use, peer, bytes);
-    return true;
+    for (;;) {
+        const Limit limit = tryAcquire(use, peer, bytes);
+        const bool areAnswersInTheWay = limit == Limit::Total || (limit == Limit::Peer && peer == unreadAnswers);
+        if (!areAnswersInTheWay || !reclaim_ || !reclaim_())
+            return limit;
+    }
 }
 
-bool ByteBudget::isAboveShare(Use use, const std::string& peer, std::size_t bytes) const
+ByteBudget::Limit ByteBudget::tryAcquire(Use use, const std::string& peer, std::size_t bytes)
 {
     const std::lock_guard lock(mutex_);
-    return isAboveShareLocked(use, peer, bytes);
+    if (isAboveShareLocked(use, peer, bytes))
+        return Limit::Peer;
+    if (use == Use::Request && usedByRequests_ + bytes > limits_.requests)
+        return Limit::Requests;
+    if (used_ + bytes > limits_.total)
+        return Limit::Total;
+    add(use, peer, bytes);
+    return Limit::None;
 }
 
 bool ByteBudget::isAboveShareLocked(Use use, const std::string& peer, std::size_t bytes) const
@@ -72,7 +79,9 @@
 
 bool ByteReservation::grow(std::size_t bytes)
 {
-    if (!budget_->acquire(use_, peer_, bytes))
+    const ByteBudget::Limit limit = budget_->acquire(use_, peer_, bytes);
+    isAtShare_ = limit == ByteBudget::Limit::Peer;
+    if (limit != ByteBudget::Limit::None)
         return false;
     bytes_ += bytes;
     return true;
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cstring>
-#include <sys/socket.h>
 #include <utility>
 
 namespace lagoon::http {
@@ -17,40 +16,18 @@
 namespace {
 
 namespace beast = boost::beast;
-using framework::Deadline;
 using framework::Milliseconds;
 
 constexpr std::size_t readBufferBytes = 16 * 1024;
+constexpr std::size_t maxWriteBytes = 64 * 1024;
 /// How much a caller may send ahead while its request is handled; then reading pauses.
 constexpr std::size_t maxPipelinedBytes = 64 * 1024;
 /// How much of answers a caller may leave unread before its requests that were sent ahead wait.
 constexpr std::size_t maxUnsentBeforeRequest = 64 * 1024;
-/// How long the connection stays open after its last answer, and after what a caller that is still sending sent last:
-/// closing it earlier would reset it, and the refusal could be lost in transit.
-constexpr Milliseconds lingerTimeout { 1000 };
-/// Limits how long a caller that does not stop sending keeps its connection after the last answer.
-constexpr Milliseconds maxLingerTime { 10000 };
-/// How long a shutdown leaves a connection open on which a request is likely to be on its way: one that has just been
-/// accepted, or whose last answer didn't announce the close.
-constexpr Milliseconds nextRequestTime { 1000 };
 /// Limits how long a caller may read nothing of an answer that fills its receive buffer, and how long the request of a
 /// caller whose machine has become unreachable is still handled. The kernel does not distinguish the two.
 constexpr Milliseconds callerUnresponsiveTimeout { 60000 };
 
-/// What answers that callers haven't read yet count as in the budget. Not the name of a peer.
-constexpr const char* unsentAnswers = "unsent answers";
-
-/// Prevents request smuggling: a peer that uses another of the framings than this server would see two requests where
-/// this server sees one. Beast refuses most spellings of a length together with chunks, but accepts a repeated length.
-bool hasSingleFraming(const Headers& headers)
-{
-    const std::size_t lengths = headers.count("Content-Length");
-    const std::size_t codings = headers.count("Transfer-Encoding");
-    if (lengths + codings > 1)
-        return false;
-    return codings == 0 || equalsIgnoringCase(*headers.find("Transfer-Encoding"), "chunked");
-}
-
 } // namespace
 
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<ConnectionContext> context,
@@ -108,7 +85,7 @@
 /// Prevents a caller that sends requests ahead and reads no answer from using up the memory by the answers.
 bool CallerConnection::isNextRequestPaused() const
 {
-    return stage_ == Stage::Idle && unsentBytes_ > maxUnsentBeforeRequest;
+    return stage_ == Stage::Idle && unsent_.bytes() > maxUnsentBeforeRequest;
 }
 
 void CallerConnection::parseSentAhead()
@@ -132,18 +109,11 @@
 void CallerConnection::parse()
 {
     while (buffer_.size() > 0 && (stage_ == Stage::Idle || stage_ == Stage::Reading) && !isNextRequestPaused()) {
-        if (!parser_)
+        if (!incoming_)
             beginRequest();
         boost::system::error_code error;
-        const std::size_t bodyBefore = parser_->get().body().size();
-        const std::size_t parsed = parser_->put(buffer_.data(), error);
-        const std::size_t bodyBytes = parser_->get().body().size() - bodyBefore;
-        overhead_.didParse(parsed);
-        overhead_.didReadBody(bodyBytes);
-        requestProgress_.add(parsed, std::chrono::steady_clock::now());
-        bodyBytes_ += bodyBytes;
-        buffer_.consume(parsed);
-        reserveBody(bodyBytes);
+        buffer_.consume(incoming_->put(buffer_.data(), std::chrono::steady_clock::now(), error));
+        reserveBody();
         if (stage_ == Stage::Reading)
             didParse(error);
         refuseIfOverheadIsOver(error ? buffer_.size() : 0);
@@ -153,15 +123,12 @@
 }
 
 /// Prevents callers whose bodies arrive slowly from using up the memory together.
-void CallerConnection::reserveBody(std::size_t bytes)
+void CallerConnection::reserveBody()
 {
-    if (bytes == 0)
+    if (incoming_->newBodyBytes() == 0)
         return;
-    if (!bodyReservation_)
-        bodyReservation_ = std::make_unique<ByteReservation>(
-            context_->budget, ByteBudget::Use::Request, std::string(parser_->get()["Host"]));
-    while (!bodyReservation_->grow(bytes)) {
-        if (!context_->refuseSlowerBody || !context_->refuseSlowerBody(*this, bytes))
+    while (!incoming_->reserveBody(context_->budget)) {
+        if (!context_->refuseSlowerBody || !context_->refuseSlowerBody(*this))
             return refuse(context_->budgetRefusal, "no memory for the body");
     }
 }
@@ -169,22 +136,14 @@
 /// Prevents a caller from using up the memory by a request whose framing doesn't end.
 void CallerConnection::refuseIfOverheadIsOver(std::size_t unparsed)
 {
-    if (stage_ == Stage::Reading && overhead_.isOver(context_->limits.headerBytes, unparsed))
+    if (stage_ == Stage::Reading && incoming_->isOverheadOver(unparsed))
         refuse({ 431, {}, {} }, "too many bytes that are no body");
 }
 
 void CallerConnection::beginRequest()
 {
     stage_ = Stage::Reading;
-    hasRequestHead_ = false;
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(context_->limits.headerBytes);
-    parser_->body_limit(context_->limits.bodyBytes);
-    overhead_.reset();
-    overhead_.countChunks(*parser_);
-    requestProgress_ = {};
-    bodyBytes_ = 0;
+    incoming_.emplace(context_->limits.headerBytes, context_->limits.bodyBytes);
     needSince_ = std::chrono::steady_clock::now();
     armTimer(context_->limits.headerTimeout, &CallerConnection::handleHeaderTimeout);
 }
@@ -196,9 +155,9 @@
             return refuse({ 431, {}, {} }, "head too long");
         return refuse({ error == beast::http::error::body_limit ? 413U : 400U, {}, {} }, error.message());
     }
-    if (parser_->is_header_done() && !std::exchange(hasRequestHead_, true) && didRefuseHead())
+    if (incoming_->didCompleteHead() && didRefuseHead())
         return;
-    if (parser_->is_done())
+    if (incoming_->isComplete())
         handOver();
 }
 
@@ -206,12 +165,14 @@
 bool CallerConnection::didRefuseHead()
 {
     timer_.cancel();
-    const Headers headers = headersOf(parser_->get());
-    if (!hasSingleFraming(headers) || (parser_->get().version() >= 11 && headers.count("Host") != 1)) {
+    const Headers headers = incoming_->headers();
+    if (!hasSingleFraming(headers) || (incoming_->hasVersion11() && headers.count("Host") != 1)) {
         refuse({ 400, {}, {} }, "ambiguous framing, or not one host");
         return true;
     }
-    if (!parser_->is_done() && headers.hasToken("Expect", "100-continue"))
+    if (incoming_->isComplete())
+        return false;
+    if (headers.hasToken("Expect", "100-continue"))
         send("HTTP/1.1 100 Continue\r\n\r\n");
     expectBodyProgress();
     return false;
@@ -222,14 +183,15 @@
     stage_ = Stage::Handling;
     hasBegunAnswer_ = false;
     timer_.cancel();
-    auto message = parser_->release();
+    auto message = incoming_->releaseMessage();
+    auto reservation = incoming_->releaseReservation();
+    incoming_.reset();
     endsAfterAnswer_ = !message.keep_alive();
     isChunked_ = message.version() >= 11;
-    parser_.reset();
     Request request { std::string(message.method_string()), std::string(message.target()), headersOf(message),
         std::move(message.body()) };
     auto exchange = std::make_shared<CallerExchange>(
-        shared_from_this(), std::move(request), std::move(bodyReservation_), std::chrono::steady_clock::now());
+        shared_from_this(), std::move(request), std::move(reservation), std::chrono::steady_clock::now());
     exchange_ = exchange;
     context_->handler.handle(exchange);
 }
@@ -239,8 +201,7 @@
     boost::system::error_code ignored;
     if (context_->didRefuse)
         context_->didRefuse({ head.status, cause, framework::endpointOf(socket_.remote_endpoint(ignored)) });
-    parser_.reset();
-    bodyReservation_.reset();
+    incoming_.reset();
     endsAfterAnswer_ = true;
     stage_ = Stage::Handling;
     answer(head, {});
@@ -267,8 +228,10 @@
         return;
     addFraming(head, body.size());
     std::string text = headText(head).append(body);
-    auto reservation = std::make_unique<ByteReservation>(context_->budget, ByteBudget::Use::Answer, unsentAnswers);
-    reservation->growAnyway(text.size());
+    auto reservation
+        = std::make_unique<ByteReservation>(context_->budget, ByteBudget::Use::Answer, ByteBudget::unreadAnswers);
+    if (!reservation->grow(text.size()))
+        reservation->growAnyway(text.size());
     send(std::move(text), std::move(reservation));
     finishAnswer();
 }
@@ -309,7 +272,7 @@
     if (!isChunked_)
         return reset();
     stage_ = Stage::Closing;
-    if (unsent_.empty())
+    if (unsent_.isEmpty())
         close();
 }
 
@@ -337,7 +300,7 @@
             refuse({ 500, {}, {} }, "exception");
         else if (stage_ == Stage::Handling)
             failRequest();
-        else if (stage_ == Stage::Idle && !unsent_.empty())
+        else if (stage_ == Stage::Idle && !unsent_.isEmpty())
             closeAfterAnswer();
         else if (stage_ != Stage::Closing)
             close();
@@ -379,12 +342,12 @@
 {
     if (endsAfterAnswer_) {
         stage_ = Stage::Closing;
-        if (unsent_.empty())
+        if (unsent_.isEmpty())
             linger();
         return;
     }
     stage_ = Stage::Idle;
-    if (unsent_.empty())
+    if (unsent_.isEmpty())
         becomeIdle();
     if (stage_ == Stage::Closed)
         return;
@@ -399,18 +362,21 @@
 {
     if (bytes.empty())
         return;
-    unsentBytes_ += bytes.size();
-    unsent_.push_back({ std::move(bytes), std::move(reservation) });
+    unsent_.push(std::move(bytes), std::move(reservation), std::chrono::steady_clock::now());
     write();
 }
 
 void CallerConnection::write()
 {
-    if (isWriting_ || unsent_.empty() || stage_ == Stage::Closed)
+    if (isWriting_ || unsent_.isEmpty() || stage_ == Stage::Closed)
         return;
     isWriting_ = true;
     try {
-        boost::asio::async_write(socket_, boost::asio::buffer(unsent_.front().bytes),
+        const auto didWritePart = [this](const boost::system::error_code& error, std::size_t bytes) {
+            unsent_.didWritePart(bytes, std::chrono::steady_clock::now());
+            return error ? 0 : maxWriteBytes;
+        };
+        boost::asio::async_write(socket_, unsent_.front(), didWritePart,
             [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
                 self->runGuarded([&] { self->didWrite(error); });
             });
@@ -429,15 +395,40 @@
         return;
     if (error)
         return handleDisconnect();
-    unsentBytes_ -= unsent_.front().bytes.size();
-    unsent_.pop_front();
-    if (unsent_.empty())
+    unsent_.pop();
+    if (unsent_.isEmpty())
         didWriteAll();
     else
         write();
     parseSentAhead();
 }
 
+double CallerConnection::recentShareOfRequest(framework::SteadyTime now) const
+{
+    return stage_ == Stage::Reading ? incoming_->recentShare(now) : 1;
+}
+
+bool CallerConnection::hasOnlyUnreadAnswers() const
+{
+    return stage_ != Stage::Closed && !unsent_.isEmpty() && exchange_.expired();
+}
+
+void CallerConnection::dropUnreadAnswers(const std::string& cause)
+{
+    boost::system::error_code ignored;
+    if (context_->didDropAnswers)
+        context_->didDropAnswers({ unsent_.bytes(), cause, framework::endpointOf(socket_.remote_endpoint(ignored)) });
+    setResetOnClose();
+    handleDisconnect();
+}
+
+void CallerConnection::checkAnswerProgress(framework::SteadyTime now)
+{
+    const ExchangeLimits& limits = context_->limits;
+    if (!unsent_.checkProgress(limits.answerProgressBytes, limits.answerProgressTimeout, now))
+        dropUnreadAnswers("read too slowly");
+}
+
 void CallerConnection::didWriteAll()
 {
     if (stage_ == Stage::Closing)
@@ -462,14 +453,14 @@
 
 void CallerConnection::handleHeaderTimeout()
 {
-    if (stage_ == Stage::Reading && !hasRequestHead_)
+    if (stage_ == Stage::Reading && !incoming_->hasHead())
         refuse({ 408, {}, {} }, "head not in time");
 }
 
 void CallerConnection::expectBodyProgress()
 {
     const ExchangeLimits& limits = context_->limits;
-    expectedBodyBytes_ = bodyBytes_ + limits.bodyProgressBytes;
+    incoming_->expectMoreBody(limits.bodyProgressBytes);
     armTimer(std::max(limits.bodyProgressTimeout, limits.idleTimeout), &CallerConnection::checkBodyProgress);
 }
 
@@ -478,153 +469,9 @@
 {
     if (stage_ != Stage::Reading)
         return;
-    if (bodyBytes_ < expectedBodyBytes_)
+    if (!incoming_->hasExpectedBody())
         return refuse({ 408, {}, {} }, "body too slow");
     expectBodyProgress();
 }
 
-/// Shuts the sending side down, and reads and discards what the caller still sends.
-void CallerConnection::linger()
-{
-    boost::system::error_code ignored;
-    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    isLingering_ = true;
-    needSince_ = std::chrono::steady_clock::now();
-    lingersUntil_ = Deadline::after(std::chrono::steady_clock::now(), maxLingerTime);
-    armLingerTimer();
-    read();
-}
-
-void CallerConnection::armLingerTimer()
-{
-    const Milliseconds left = lingersUntil_.remaining(std::chrono::steady_clock::now());
-    armTimer(std::min(lingerTimeout, left), &CallerConnection::close);
-}
-
-/// Does not detect a disconnect behind unread bytes that the caller has sent ahead.
-bool CallerConnection::hasCallerDisconnected()
-{
-    if (stage_ == Stage::Closed)
-        return true;
-    char byte = 0;
-    return ::recv(socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
-void CallerConnection::handleDisconnect()
-{
-    const auto exchange = exchange_.lock();
-    close();
-    if (exchange)
-        exchange->handleDisconnect();
-}
-
-/// Called when the whole answer has been written, so that the idle timeout, which starts here, cannot truncate an
-/// answer that is still being sent.
-void CallerConnection::becomeIdle()
-{
-    expectNextRequest();
-    if (context_->closesIdle)
-        return closeWhenIdle();
-    armTimer(context_->limits.idleTimeout, &CallerConnection::handleIdleTimeout);
-}
-
-void CallerConnection::expectNextRequest()
-{
-    needSince_ = std::chrono::steady_clock::now();
-    openUntil_ = Deadline::after(std::chrono::steady_clock::now(), nextRequestTime);
-}
-
-void CallerConnection::closeWhenIdle()
-{
-    if (!isIdle())
-        return;
-    closesWhenIdle_ = true;
-    armTimer(openUntil_.remaining(std::chrono::steady_clock::now()), &CallerConnection::closeIfIdle);
-}
-
-bool CallerConnection::isBusy() const
-{
-    return stage_ != Stage::Closed && (closesWhenIdle_ || isClosingIdle_ || !isIdle());
-}
-
-std::optional<Deadline> CallerConnection::openUntil() const
-{
-    if (stage_ != Stage::Idle || isClosingIdle_ || !unsent_.empty())
-        return std::nullopt;
-    return openUntil_;
-}
-
-/// Returns whether there is neither a request nor an answer on the connection. Received bytes that have not been read
-/// yet count as a request, since closing the connection with unread bytes would reset it.
-bool CallerConnection::isIdle() const
-{
-    boost::system::error_code ignored;
-    return stage_ == Stage::Idle && unsent_.empty() && buffer_.size() == 0 && socket_.available(ignored) == 0;
-}
-
-/// Cancels the pending read, and closes the connection only if that read has received nothing. This prevents losing a
-/// request that the event loop has read but not handled yet.
-void CallerConnection::closeIfIdle()
-{
-    if (!isIdle())
-        return;
-    if (!isReading_)
-        return close();
-    isClosingIdle_ = true;
-    boost::system::error_code ignored;
-    socket_.cancel(ignored);
-}
-
-void CallerConnection::refuseIncomplete(const ResponseHead& head, const std::string& cause)
-{
-    if (stage_ == Stage::Reading)
-        runGuarded([&] { refuse(head, cause); });
-}
-
-const ByteReservation* CallerConnection::unfinishedBody() const
-{
-    return stage_ == Stage::Reading ? bodyReservation_.get() : nullptr;
-}
-
-CallerConnection::Need CallerConnection::need(framework::SteadyTime now) const
-{
-    if (stage_ == Stage::Closing && isLingering_)
-        return Need::Lingering;
-    if (stage_ == Stage::Reading)
-        return Need::Receiving;
-    const auto until = openUntil();
-    if (!until)
-        return Need::Answering;
-    return until->hasPassed(now) ? Need::Idle : Need::Receiving;
-}
-
-void CallerConnection::makeRoom()
-{
-    if (stage_ == Stage::Closing && isLingering_)
-        close();
-    else if (stage_ == Stage::Reading)
-        refuseIncomplete(context_->budgetRefusal, "connection needed for others");
-    else
-        closeIfIdle();
-}
-
-void CallerConnection::closeNow()
-{
-    const bool isTruncated = (stage_ == Stage::Handling && hasBegunAnswer_) || !unsent_.empty();
-    if (isTruncated && !isChunked_)
-        setResetOnClose();
-    handleDisconnect();
-}
-
-void CallerConnection::close()
-{
-    if (stage_ == Stage::Closed)
-        return;
-    stage_ = Stage::Closed;
-    timer_.cancel();
-    boost::system::error_code ignored;
-    socket_.close(ignored);
-    onClosed_(this);
-}
-
 } // namespace lagoon::http
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -3,16 +3,13 @@
 #include "framework/eventloop.h"
 #include "framework/eventthread.h"
 #include "http/exchangeserver.h"
-#include "http/internal/growingbody.h"
-#include "http/internal/messageoverhead.h"
-#include "http/internal/recentprogress.h"
+#include "http/internal/incomingrequest.h"
+#include "http/internal/sendqueue.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,9 +35,9 @@
     std::shared_ptr<ByteBudget> budget = std::make_shared<ByteBudget>(defaultBudget);
     ResponseHead budgetRefusal { 503, {}, {} };
     std::function<void(const UnreadRefusal&)> didRefuse;
-    /// Makes room for so many bytes more of the connection's body by refusing one that is slower. Returns false if
-    /// there is none.
-    std::function<bool(const CallerConnection&, std::size_t bytes)> refuseSlowerBody;
+    /// Makes room for the connection's body by refusing one that is slower. Returns false if there is none.
+    std::function<bool(const CallerConnection&)> refuseSlowerBody;
+    std::function<void(const DroppedAnswers&)> didDropAnswers;
     /// Answers announce that their connections close.
     bool isDraining = false;
     /// Connections are closed once they are idle.
@@ -86,7 +83,7 @@
     /// What an unfinished body holds in the budget; null if there is none.
     const ByteReservation* unfinishedBody() const;
     /// The part of the unfinished request that has arrived lately.
-    double recentShareOfRequest(framework::SteadyTime now) const { return requestProgress_.recentShare(now); }
+    double recentShareOfRequest(framework::SteadyTime now) const;
     /// Closes the connection at once. The handler of a request in progress is notified of the disconnect.
     void closeNow();
 
@@ -100,12 +97,16 @@
     template <typename Action> void runGuarded(Action);
     /// Called if the handler destroyed the exchange without an answer.
     void failDropped() noexcept;
-    std::size_t unsentBytes() const { return unsentBytes_; }
+    std::size_t unsentBytes() const { return unsent_.bytes(); }
+    /// Whether there are unread bytes, all of whole answers.
+    bool hasOnlyUnreadAnswers() const;
+    double recentShareOfAnswers(framework::SteadyTime now) const { return unsent_.recentShare(now); }
+    void dropUnreadAnswers(const std::string& cause);
+    /// Drops the answers of a caller that reads them too slowly.
+    void checkAnswerProgress(framework::SteadyTime now);
     bool hasCallerDisconnected();
 
 private:
-    using Parser = boost::beast::http::request_parser<GrowingBody>;
-
     enum class Stage : std::uint8_t {
         Idle, ///< between requests
         Reading, ///< receiving a request
@@ -114,12 +115,6 @@
         Closed,
     };
 
-    struct Unsent {
-        std::string bytes;
-        /// Only of whole answers.
-        std::unique_ptr<ByteReservation> reservation;
-    };
-
     void failAfterException() noexcept;
     void failRequest();
     void closeAfterAnswer();
@@ -130,7 +125,7 @@
     void beginRequest();
     void didParse(const boost::system::error_code&);
     void refuseIfOverheadIsOver(std::size_t unparsed);
-    void reserveBody(std::size_t bytes);
+    void reserveBody();
     bool didRefuseHead();
     void handOver();
     void refuse(const ResponseHead&, const std::string& cause);
@@ -169,28 +164,17 @@
     bool isWriting_ = false;
     bool endsAfterAnswer_ = false;
     bool isChunked_ = false;
-    bool hasRequestHead_ = false;
     /// Whether the caller may have received a part of the answer.
     bool hasBegunAnswer_ = false;
     boost::beast::flat_buffer buffer_;
     /// Where the pending read puts its bytes.
     boost::asio::mutable_buffer readTarget_;
-    /// Of the request that is read.
-    MessageOverhead overhead_;
-    std::optional<Parser> parser_;
-    /// For the body of the request that is read.
-    std::unique_ptr<ByteReservation> bodyReservation_;
-    /// Of the request that is read, with its head.
-    RecentProgress requestProgress_;
+    std::optional<IncomingRequest> incoming_;
     framework::SteadyTime needSince_ = std::chrono::steady_clock::now();
-    std::uint64_t bodyBytes_ = 0;
-    /// The length of the body that has to have arrived when the timer expires.
-    std::uint64_t expectedBodyBytes_ = 0;
     std::weak_ptr<CallerExchange> exchange_;
     /// The head of a started answer, kept until its first piece.
     std::string pendingHead_;
-    std::deque<Unsent> unsent_;
-    std::size_t unsentBytes_ = 0;
+    SendQueue unsent_;
     framework::Deadline openUntil_;
     framework::Deadline lingersUntil_;
 };
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -24,6 +24,7 @@
 /// Delay after accepting has failed, usually because file descriptors are exhausted: some connections will have been
 /// closed by then.
 constexpr Milliseconds acceptRetryDelay { 50 };
+constexpr Milliseconds answerCheckInterval { 5000 };
 /// Above the maximum number of connections, for those that have just been refused to make room.
 constexpr std::size_t maxRefusedAbove = 8;
 
@@ -35,15 +36,15 @@
         : context_(thread.context())
         , acceptor_(context_)
         , acceptTimer_(context_)
+        , answerTimer_(context_)
         , shared_(std::make_shared<ConnectionContext>(handler))
     {
     }
 
     framework::Result<Endpoint> listen(const Endpoint& endpoint)
     {
-        shared_->refuseSlowerBody = [this](const CallerConnection& connection, std::size_t bytes) {
-            return refuseSlowerBody(connection, bytes);
-        };
+        shared_->refuseSlowerBody
+            = [this](const CallerConnection& connection) { return refuseSlowerBody(connection); };
         BOOST_OUTCOME_TRY(address, framework::parseTcpEndpoint(endpoint, "listen for callers"));
         boost::system::error_code error;
         acceptor_.open(address.protocol(), error);
@@ -59,7 +60,10 @@
             return framework::listenError("listen for callers", endpoint, error);
         }
         const Endpoint bound = framework::endpointOf(acceptor_.local_endpoint());
-        boost::asio::post(context_, [self = shared_from_this()] { self->accept(); });
+        boost::asio::post(context_, [self = shared_from_this()] {
+            self->accept();
+            self->checkAnswersLater();
+        });
         return bound;
     }
 
@@ -73,6 +77,20 @@
     {
         shared_->didRefuse = std::move(handler);
     }
+    void setDropHandler(std::function<void(const DroppedAnswers&)> handler)
+    {
+        shared_->didDropAnswers = std::move(handler);
+    }
+    void reclaimUnreadAnswers(ByteBudget& budget)
+    {
+        budget.setReclaimer([weak = weak_from_this()] {
+            const auto self = weak.lock();
+            const auto slowest = self ? slowestReader(self->connections_, std::chrono::steady_clock::now()) : nullptr;
+            if (slowest)
+                slowest->dropUnreadAnswers("memory needed for others");
+            return slowest != nullptr;
+        });
+    }
     void setMaxConnections(std::size_t connections) { maxConnections_ = connections; }
     void beginDraining() { shared_->isDraining = true; }
 
@@ -159,9 +177,9 @@
         return connection != nullptr;
     }
 
-    bool refuseSlowerBody(const CallerConnection& connection, std::size_t bytes)
+    bool refuseSlowerBody(const CallerConnection& connection)
     {
-        const auto slowest = slowestBody(connections_, connection, bytes, std::chrono::steady_clock::now());
+        const auto slowest = slowestBody(connections_, connection, std::chrono::steady_clock::now());
         if (slowest)
             slowest->refuseIncomplete(shared_->budgetRefusal, "memory needed for faster bodies");
         return slowest != nullptr;
@@ -192,6 +210,21 @@
         });
     }
 
+    /// Checks all connections at once, since a timer for each answer would cost each request.
+    void checkAnswersLater()
+    {
+        answerTimer_.expires_after(answerCheckInterval);
+        answerTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+            const auto self = weak.lock();
+            if (error || !self)
+                return;
+            const auto connections = self->connections_;
+            for (const auto& [key, connection] : connections)
+                connection->checkAnswerProgress(std::chrono::steady_clock::now());
+            self->checkAnswersLater();
+        });
+    }
+
     /// Prevents a connection for which there is no memory from ending the accepting of others.
     void addGuarded(tcp::socket socket)
     {
@@ -226,6 +259,7 @@
     boost::asio::io_context& context_;
     tcp::acceptor acceptor_;
     boost::asio::steady_timer acceptTimer_;
+    boost::asio::steady_timer answerTimer_;
     bool hasAcceptFailed_ = false;
     std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max();
     std::shared_ptr<ConnectionContext> shared_;
@@ -256,6 +290,13 @@
     implementation_->setRefusalHandler(std::move(handler));
 }
 
+void ExchangeServer::setDropHandler(std::function<void(const DroppedAnswers&)> handler)
+{
+    implementation_->setDropHandler(std::move(handler));
+}
+
+void ExchangeServer::reclaimUnreadAnswers(ByteBudget& budget) { implementation_->reclaimUnreadAnswers(budget); }
+
 void ExchangeServer::setMaxConnections(std::size_t connections) { implementation_->setMaxConnections(connections); }
 
 void ExchangeServer::beginDraining() { implementation_->beginDraining(); }
--- a/src/http/internal/recentprogress.cpp
+++ b/src/http/internal/recentprogress.cpp
@@ -13,17 +13,17 @@
     total_ += bytes;
 }
 
-double RecentProgress::recentShare(framework::SteadyTime now) const
+std::size_t RecentProgress::recent(framework::SteadyTime now) const
 {
-    if (total_ == 0)
-        return 1;
     const auto age = now - windowStart_;
-    std::size_t recent = inWindow_ + inLastWindow_;
     if (age >= 2 * window)
-        recent = 0;
-    else if (age >= window)
-        recent = inWindow_;
-    return static_cast<double>(recent) / static_cast<double>(total_);
+        return 0;
+    return age >= window ? inWindow_ : inWindow_ + inLastWindow_;
+}
+
+double RecentProgress::recentShare(framework::SteadyTime now) const
+{
+    return total_ == 0 ? 1 : static_cast<double>(recent(now)) / static_cast<double>(total_);
 }
 
 } // namespace lagoon::http
--- a/src/http/internal/recentprogress.h
+++ b/src/http/internal/recentprogress.h
@@ -13,6 +13,8 @@
 
     void add(std::size_t bytes, framework::SteadyTime now);
     std::size_t total() const { return total_; }
+    /// The bytes that have moved lately.
+    std::size_t recent(framework::SteadyTime now) const;
     /// The part of all bytes that has moved lately, from 0 to 1; 1 if none has moved yet.
     double recentShare(framework::SteadyTime now) const;
 
--- a/src/http/internal/slowcallers.cpp
+++ b/src/http/internal/slowcallers.cpp
@@ -14,12 +14,12 @@
 } // namespace
 
 std::shared_ptr<CallerConnection> slowestBody(
-    const Connections& connections, const CallerConnection& asking, std::size_t bytes, framework::SteadyTime now)
+    const Connections& connections, const CallerConnection& asking, framework::SteadyTime now)
 {
     const ByteReservation* const own = asking.unfinishedBody();
     if (!own)
         return nullptr;
-    const bool isOfOneCaller = own->isAboveShare(bytes);
+    const bool isOfOneCaller = own->isAtShare();
     std::shared_ptr<CallerConnection> slowest;
     double leastShare = asking.recentShareOfRequest(now) / clearlySlower;
     std::size_t mostBytes = 0;
@@ -37,6 +37,24 @@
     return slowest;
 }
 
+std::shared_ptr<CallerConnection> slowestReader(const Connections& connections, framework::SteadyTime now)
+{
+    std::shared_ptr<CallerConnection> slowest;
+    double leastShare = 1 / clearlySlower;
+    std::size_t mostBytes = 0;
+    for (const auto& [key, connection] : connections) {
+        if (!connection->hasOnlyUnreadAnswers())
+            continue;
+        const double share = connection->recentShareOfAnswers(now);
+        if (share > leastShare || (share == leastShare && connection->unsentBytes() <= mostBytes))
+            continue;
+        slowest = connection;
+        leastShare = share;
+        mostBytes = connection->unsentBytes();
+    }
+    return slowest;
+}
+
 std::shared_ptr<CallerConnection> leastNeeded(const Connections& connections, framework::SteadyTime now)
 {
     using Rank = std::tuple<CallerConnection::Need, double, framework::SteadyTime>;
