Links: unfinished frames and silent links make room for others

What operators saw: 60 peers that stop just short of the end of a frame of 8 MiB took agents to 450 and 503 MiB of 192 and a router to 503 of 260; 300 silent connections took all of an agent's 256 descriptors, and a router that started got no link.

Cause: each link held its frame for as long as its peer liked, and links had no maximum.

Change: the unfinished frames of a transport share 64 MiB. Above it, the link whose frame has made no progress for longest is closed, and the others wait. A frame without progress for 30 s closes its link. Links take at most half of the descriptors; the oldest one that has received no message makes room. Counter: `lagoon_links_closed_total{reason="limit"}`.

--- a/src/wire/internal/tcplink.cpp
+++ b/src/wire/internal/tcplink.cpp
@@ -16,21 +16,26 @@
 namespace {
 
 constexpr std::size_t maxPieceBytes = 64 * 1024;
+constexpr framework::Milliseconds roomRetryDelay { 20 };
 
 } // namespace
 
 TcpLink::TcpLink(const Strand& strand, framework::Endpoint peer, const LinkSettings& settings, LinkHandlers handlers,
-    std::shared_ptr<framework::Metrics> metrics)
+    std::shared_ptr<framework::Metrics> metrics, std::shared_ptr<LinkTable> table)
     : strand_(strand)
     , socket_(strand)
     , connectTimer_(strand)
+    , roomTimer_(strand)
     , peer_(std::move(peer))
     , settings_(settings)
     , handlers_(std::move(handlers))
     , metrics_(std::move(metrics))
+    , table_(std::move(table))
 {
 }
 
+TcpLink::~TcpLink() { table_->remove(*this); }
+
 void TcpLink::start()
 {
     isConnected_ = true;
@@ -62,6 +67,12 @@
     boost::asio::post(strand_, [self = shared_from_this(), error = std::move(error)] { self->fail(error); });
 }
 
+void TcpLink::failFor(const char* reason)
+{
+    metrics_->count("lagoon_links_closed_total", { { "reason", "limit" } });
+    failLater(Error { ErrorCode::LinkLost, "read", peer_.value(), reason });
+}
+
 void TcpLink::send(const Message& message)
 {
     boost::asio::post(strand_, [self = shared_from_this(), bytes = encode(message)]() mutable {
@@ -108,6 +119,8 @@
 {
     const std::size_t received = bodyBytes_.size();
     const std::size_t piece = std::min(length - received, maxPieceBytes);
+    if (!table_->reserve(*this, piece, std::chrono::steady_clock::now()))
+        return readBodyLater(length);
     try {
         bodyBytes_.resize(received + piece);
     } catch (...) {
@@ -119,8 +132,10 @@
                 return;
             if (error)
                 return self->fail(Error { ErrorCode::LinkLost, "read", self->peer_.value(), error.message() });
-            if (self->bodyBytes_.size() < length)
+            if (self->bodyBytes_.size() < length) {
+                self->table_->didReceivePiece(*self, std::chrono::steady_clock::now());
                 return self->readBody(length);
+            }
             try {
                 self->deliver();
             } catch (...) {
@@ -129,8 +144,19 @@
         });
 }
 
+/// Leaves the rest of the frame to the peer until there is room for it.
+void TcpLink::readBodyLater(std::size_t length)
+{
+    roomTimer_.expires_after(roomRetryDelay);
+    roomTimer_.async_wait([self = shared_from_this(), length](const boost::system::error_code& error) {
+        if (!error && !self->isClosed_)
+            self->readBody(length);
+    });
+}
+
 void TcpLink::deliver()
 {
+    table_->didReceiveFrame(*this);
     // Released, since most frames are small and links stay idle for long.
     const std::vector<std::uint8_t> bytes = std::exchange(bodyBytes_, {});
     framework::Result<Message> message = decode(bytes.data(), bytes.size());
@@ -189,6 +215,8 @@
     isClosed_ = true;
     boost::system::error_code ignored;
     connectTimer_.cancel(ignored);
+    roomTimer_.cancel(ignored);
+    table_->remove(*this);
     socket_.close(ignored);
     queue_.clear();
 }
--- a/src/wire/internal/tcplink.h
+++ b/src/wire/internal/tcplink.h
@@ -2,6 +2,7 @@
 
 #include "framework/metrics.h"
 #include "wire/ilink.h"
+#include "wire/internal/linktable.h"
 #include "wire/linktransport.h"
 
 #include <array>
@@ -20,7 +21,10 @@
     using Strand = boost::asio::strand<boost::asio::any_io_executor>;
 
     TcpLink(const Strand&, framework::Endpoint peer, const LinkSettings&, LinkHandlers,
-        std::shared_ptr<framework::Metrics>);
+        std::shared_ptr<framework::Metrics>, std::shared_ptr<LinkTable>);
+    ~TcpLink() override;
+    TcpLink(const TcpLink&) = delete;
+    TcpLink& operator=(const TcpLink&) = delete;
 
     boost::asio::ip::tcp::socket& socket() { return socket_; }
     /// Starts reading and writing on a connected socket.
@@ -28,6 +32,8 @@
     void startConnecting(const boost::asio::ip::tcp::endpoint&);
     /// Fails asynchronously on the strand, like a failed connection attempt. Used for endpoints that are not addresses.
     void failLater(framework::Error);
+    /// Fails asynchronously, as the peer has exceeded a limit.
+    void failFor(const char* reason);
 
     void send(const Message&) override;
     void close() override;
@@ -36,6 +42,7 @@
 private:
     void readLength();
     void readBody(std::size_t length);
+    void readBodyLater(std::size_t length);
     void deliver();
     void write();
     void failByException(const char* step);
@@ -45,10 +52,12 @@
     Strand strand_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer connectTimer_;
+    boost::asio::steady_timer roomTimer_;
     framework::Endpoint peer_;
     LinkSettings settings_;
     LinkHandlers handlers_;
     std::shared_ptr<framework::Metrics> metrics_;
+    std::shared_ptr<LinkTable> table_;
     bool isConnected_ = false;
     bool isClosed_ = false;
     bool isWriting_ = false;
--- a/src/wire/internal/tcplinktransport.cpp
+++ b/src/wire/internal/tcplinktransport.cpp
@@ -1,8 +1,10 @@
+#include "framework/descriptors.h"
 #include "framework/eventloop.h"
 #include "framework/logging.h"
 #include "framework/tcpendpoint.h"
 #include "wire/internal/tcplink.h"
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -21,14 +23,19 @@
 /// Delay after accepting has failed, usually because file descriptors are exhausted: retrying at once would keep a
 /// thread busy.
 constexpr framework::Milliseconds acceptRetryDelay { 50 };
+constexpr framework::Milliseconds stallCheckInterval { 5000 };
 
 class TcpLinkTransport final : public ILinkTransport {
 public:
     TcpLinkTransport(const LinkSettings& settings, std::shared_ptr<framework::Metrics> metrics)
         : settings_(settings)
         , metrics_(std::move(metrics))
+        , table_(std::make_shared<LinkTable>(
+              LinkTable::Limits { std::min(settings.maxLinks, framework::maxDescriptors() / 2),
+                  settings.maxUnfinishedBytes, settings.frameProgressTimeout }))
         , work_(boost::asio::make_work_guard(context_))
     {
+        closeStalledLater();
         for (std::size_t index = 0; index < settings_.threads; ++index)
             threads_.emplace_back([this] { framework::runEventLoop(context_); });
     }
@@ -37,7 +44,11 @@
 
     std::shared_ptr<ILink> connect(const Endpoint& endpoint, LinkHandlers handlers) override
     {
-        auto link = std::make_shared<TcpLink>(newStrand(), endpoint, settings_, std::move(handlers), metrics_);
+        auto link = std::make_shared<TcpLink>(newStrand(), endpoint, settings_, std::move(handlers), metrics_, table_);
+        if (!table_->add(link, std::chrono::steady_clock::now())) {
+            link->failFor("too many links");
+            return link;
+        }
         auto address = framework::parseTcpEndpoint(endpoint, "parse endpoint");
         if (address.has_error())
             link->failLater(address.error());
@@ -104,6 +115,17 @@
         });
     }
 
+    void closeStalledLater()
+    {
+        stallTimer_.expires_after(stallCheckInterval);
+        stallTimer_.async_wait([this](const boost::system::error_code& error) {
+            if (error)
+                return;
+            table_->closeStalled(std::chrono::steady_clock::now());
+            closeStalledLater();
+        });
+    }
+
     /// Logs only the first failure in succession.
     void didFailToAccept(const boost::system::error_code& error)
     {
@@ -132,17 +154,22 @@
         const tcp::endpoint remote = socket.remote_endpoint(error);
         if (error)
             return;
-        auto link = std::make_shared<TcpLink>(strand, framework::endpointOf(remote), settings_, handlers_, metrics_);
+        auto link
+            = std::make_shared<TcpLink>(strand, framework::endpointOf(remote), settings_, handlers_, metrics_, table_);
+        if (!table_->add(link, std::chrono::steady_clock::now()))
+            return;
         link->socket() = std::move(socket);
         boost::asio::post(strand, [link] { link->start(); });
     }
 
     LinkSettings settings_;
     std::shared_ptr<framework::Metrics> metrics_;
+    std::shared_ptr<LinkTable> table_;
     boost::asio::io_context context_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     std::optional<tcp::acceptor> acceptor_;
     boost::asio::steady_timer acceptTimer_ { context_ };
+    boost::asio::steady_timer stallTimer_ { context_ };
     bool hasAcceptFailed_ = false;
     LinkHandlers handlers_;
     std::vector<std::thread> threads_;
--- a/src/wire/linktransport.h
+++ b/src/wire/linktransport.h
@@ -16,6 +16,14 @@
     /// A link with more unsent bytes is closed.
     std::size_t maxQueuedBytes = 64 * 1024 * 1024;
     framework::Milliseconds connectTimeout { 1000 };
+    /// For each further link, the oldest one on which no message has arrived is closed. Half of the process's
+    /// descriptors if that is less.
+    std::size_t maxLinks = 4096;
+    /// The unfinished frames of all links. Above this, the link whose frame has made no progress for longest is closed,
+    /// and the others wait.
+    std::size_t maxUnfinishedBytes = 64 * 1024 * 1024;
+    /// A link is closed if no further piece of its unfinished frame arrives for so long.
+    framework::Milliseconds frameProgressTimeout { 30000 };
 };
 
 /// Creates a transport for TCP links, based on Boost.Asio, with its own threads.
--- a/src/wire/tests/link_test.cpp
+++ b/src/wire/tests/link_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <string>
+#include <vector>
 
 using namespace lagoon::wire;
 using namespace lagoon::framework;
@@ -119,4 +121,53 @@
     transport->stop();
 }
 
+// Prevents peers that stop just short of the end of their frames from using up the memory, or the links of others.
+BOOST_AUTO_TEST_CASE(unfinishedFramesMakeRoomForOthers)
+{
+    constexpr std::uint32_t frameBytes = 600 * 1024;
+    auto metrics = std::make_shared<Metrics>();
+    LinkSettings settings;
+    settings.maxUnfinishedBytes = 1024 * 1024;
+    auto transport = makeTcpLinkTransport(settings, metrics);
+    std::promise<void> received;
+    const auto endpoint = transport->listen(
+        anyPort, handlers([&](const std::shared_ptr<ILink>&, Message) { received.set_value(); }));
+    boost::asio::io_context context;
+    std::vector<boost::asio::ip::tcp::socket> stalled;
+    for (int count = 0; count < 3; ++count) {
+        stalled.push_back(connectRaw(context, endpoint.value()));
+        const std::array<std::uint32_t, 1> length { frameBytes };
+        boost::asio::write(stalled.back(), boost::asio::buffer(length));
+        boost::asio::write(stalled.back(), boost::asio::buffer(std::string(frameBytes - 1, 'x')));
+    }
+    fb::AnswerPieceT piece;
+    piece.bytes.assign(frameBytes, 'y');
+    auto link = transport->connect(endpoint.value(), handlers([](const std::shared_ptr<ILink>&, const Message&) {}));
+    link->send(message(std::move(piece)));
+    received.get_future().wait();
+    BOOST_TEST(metrics->text().find("lagoon_links_closed_total{reason=\"limit\"}") != std::string::npos);
+    transport->stop();
+}
+
+// Prevents peers that send nothing from using up the links.
+BOOST_AUTO_TEST_CASE(linksWithoutMessagesMakeRoomForOthers)
+{
+    LinkSettings settings;
+    settings.maxLinks = 4;
+    auto transport = makeTcpLinkTransport({}, std::make_shared<Metrics>());
+    auto server = makeTcpLinkTransport(settings, std::make_shared<Metrics>());
+    std::promise<void> received;
+    const auto endpoint
+        = server->listen(anyPort, handlers([&](const std::shared_ptr<ILink>&, Message) { received.set_value(); }));
+    boost::asio::io_context context;
+    std::vector<boost::asio::ip::tcp::socket> silent;
+    for (std::size_t count = 0; count < settings.maxLinks; ++count)
+        silent.push_back(connectRaw(context, endpoint.value()));
+    auto link = transport->connect(endpoint.value(), handlers([](const std::shared_ptr<ILink>&, const Message&) {}));
+    link->send(message(fb::PingT()));
+    received.get_future().wait();
+    transport->stop();
+    server->stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
