Ops port: served by the exchange server

What operators saw: 50 requests with trailers, chunk extensions, heads or bodies without end took an agent of the path through agents to 1,322 MiB of 192, and a router to 1,389 of 260, over the port for metrics.

Cause: cpprest's listener limits neither heads, framing nor bodies.

Change: the exchange server, which does, serves this port too, on a thread of its own, without bodies and with a sixteenth of the descriptors.

--- a/src/http/internal/opsserver.cpp
+++ b/src/http/internal/opsserver.cpp
@@ -1,63 +1,72 @@
 #include "http/opsserver.h"
 
-#include "http/listener.h"
+#include "framework/descriptors.h"
+#include "framework/eventthread.h"
+#include "http/exchangeserver.h"
 
 namespace lagoon::http {
 
-using web::http::http_request;
-using web::http::methods;
-using web::http::status_codes;
+namespace {
 
-class OpsServer::Implementation {
+/// Of the process's descriptors, operators may take one part.
+constexpr std::size_t partsOfDescriptors = 16;
+
+ResponseHead headOf(unsigned status, const std::string& contentType = "text/plain")
+{
+    ResponseHead head { status, {}, {} };
+    head.headers.add("Content-Type", contentType);
+    return head;
+}
+
+} // namespace
+
+class OpsServer::Implementation final : public IExchangeHandler {
 public:
     Implementation(OpsViews views, std::shared_ptr<framework::Metrics> metrics)
         : views_(std::move(views))
         , metrics_(std::move(metrics))
+        , server_(thread_, *this)
     {
+        server_.setLimits(limitsWithoutBodies());
+        server_.setMaxConnections(framework::maxDescriptors() / partsOfDescriptors);
     }
 
     framework::Result<framework::Endpoint> start(const framework::Endpoint& endpoint)
     {
-        BOOST_OUTCOME_TRY(open, openListener(endpoint, [this](const http_request& request) { answer(request); }));
-        listener_ = std::move(open.listener);
-        return open.endpoint;
+        return server_.listen(endpoint);
     }
 
-    void stop()
-    {
-        if (!listener_)
-            return;
-        listener_->close().wait();
-        listener_.reset();
-    }
+    void stop() { thread_.stop(); }
 
-private:
-    void answer(const http_request& request)
+    void handle(const std::shared_ptr<IExchange>& exchange) override
     {
-        const std::string path = request.relative_uri().path();
-        if (request.method() == methods::DEL && views_.release)
-            request.reply(views_.release(request.relative_uri().to_string()));
-        else if (request.method() != methods::GET)
-            request.reply(status_codes::MethodNotAllowed);
+        const Request& request = exchange->request();
+        const std::string path = request.target.substr(0, request.target.find('?'));
+        if (request.method == "DELETE" && views_.release)
+            exchange->answer(ResponseHead { views_.release(request.target), {}, {} }, {});
+        else if (request.method != "GET")
+            exchange->answer(ResponseHead { 405, {}, {} }, {});
         else if (path == "/metrics")
-            request.reply(status_codes::OK, metrics_->text(), "text/plain; version=0.0.4");
+            exchange->answer(headOf(200, "text/plain; version=0.0.4"), metrics_->text());
         else if (path == "/livez")
-            request.reply(status_codes::OK, "live\n");
+            exchange->answer(headOf(200), "live\n");
         else if (path == "/readyz" && views_.isReady())
-            request.reply(status_codes::OK, "ready\n");
+            exchange->answer(headOf(200), "ready\n");
         else if (path == "/readyz")
-            request.reply(status_codes::ServiceUnavailable, "not ready\n");
+            exchange->answer(headOf(503), "not ready\n");
         else if (path == "/status")
-            request.reply(status_codes::OK, views_.status(), "application/json");
+            exchange->answer(headOf(200, "application/json"), views_.status());
         else if (path == "/quarantine" && views_.quarantine)
-            request.reply(status_codes::OK, views_.quarantine(), "application/json");
+            exchange->answer(headOf(200, "application/json"), views_.quarantine());
         else
-            request.reply(status_codes::NotFound);
+            exchange->answer(ResponseHead { 404, {}, {} }, {});
     }
 
+private:
     OpsViews views_;
     std::shared_ptr<framework::Metrics> metrics_;
-    std::unique_ptr<web::http::experimental::listener::http_listener> listener_;
+    framework::EventThread thread_;
+    ExchangeServer server_;
 };
 
 OpsServer::OpsServer(OpsViews views, std::shared_ptr<framework::Metrics> metrics)
--- a/src/http/opsserver.h
+++ b/src/http/opsserver.h
@@ -10,7 +10,7 @@
 
 namespace lagoon::http {
 
-/// Provides the process's state for operators and the load balancer. Called on HTTP threads.
+/// Provides the process's state for operators and the load balancer. Called on the HTTP thread, one at a time.
 struct OpsViews {
     std::function<bool()> isReady;
     /// Returns the process's state as JSON.
