--- a/src/app/internal/routercommand.cpp
+++ b/src/app/internal/routercommand.cpp
@@ -30,8 +30,7 @@
         { { "callers", endpoints.callers }, { "link", endpoints.link }, { "ops", endpoints.ops } });
     framework::waitForTermination();
     router.drain();
-    // All replies have been sent or have timed out. Closing cpprest's listener while callers keep connections open may
-    // crash the process, and the system closes the connections at exit anyway.
+    // All replies have been sent or have timed out, and the system closes the connections at exit.
     std::cout.flush();
     std::_Exit(ExitSuccess);
 }
--- a/src/callers/callerserver.h
+++ b/src/callers/callerserver.h
@@ -18,8 +18,7 @@
 
 /// The callers' HTTP API (docs/API.md): validates each request and passes it to the dispatcher, or refuses it at once.
 ///
-/// cpprest's `close` truncates answers in flight, so a graceful shutdown calls `refuseNew`, `waitUntilIdle` and `stop`
-/// in this order.
+/// A graceful shutdown calls `refuseNew`, `waitUntilIdle`, `waitUntilAllSent` and `stop` in this order.
 class CallerServer {
 public:
     CallerServer(CallerLimits, IRequestDispatcher&, BundleSource, framework::Incarnation router,
@@ -36,17 +35,16 @@
     void waitUntilIdle();
     /// Blocks until the server is idle, at most until the deadline. Returns whether it is idle.
     bool waitUntilIdle(framework::Deadline);
-    /// Blocks until the server is idle and has also sent the refusals that can only be sent after the rest of their
-    /// requests' bodies has arrived. Returns false if the deadline passes first, since some of these bodies never
-    /// arrive.
+    /// Refuses requests that have arrived only in part, closes idle connections, and blocks until all answers and
+    /// refusals have been sent. Returns false if the deadline passes first.
     bool waitUntilAllSent(framework::Deadline);
-    /// Closes the listener, which truncates answers still in flight. Call `waitUntilIdle` first, since closing a busy
-    /// listener occasionally crashes the process with cpprest 2.10.18. No request is dispatched after this returns.
+    /// Closes all connections, which truncates answers still in flight: call `waitUntilIdle` first. No request is
+    /// dispatched after this returns.
     void stop();
 
 private:
     class Implementation;
-    std::shared_ptr<Implementation> implementation_;
+    std::unique_ptr<Implementation> implementation_;
 };
 
 } // namespace lagoon::callers
--- a/src/callers/icaller.h
+++ b/src/callers/icaller.h
@@ -62,8 +62,7 @@
     /// Sends a JSON refusal at once. Called instead of `begin`.
     virtual void refuse(const framework::Error&, std::uint32_t attempt) = 0;
     /// Sets a handler that is called once, from any thread, if the caller disconnects before the answer is complete or
-    /// reads it too slowly. A disconnect before `begin` is detected only when the first bytes are sent (docs/API.md);
-    /// until then, the deadline bounds the work that is done for the disconnected caller.
+    /// reads it too slowly.
     virtual void onCallerGone(std::function<void()>) = 0;
 };
 
--- a/src/callers/internal/calleranswer.cpp
+++ b/src/callers/internal/calleranswer.cpp
@@ -3,20 +3,16 @@
 #include "callers/internal/refusal.h"
 #include "callers/internal/requestheaders.h"
 
-#include <stdexcept>
+#include <utility>
 
 namespace lagoon::callers {
 
 using framework::Error;
 using framework::ErrorCode;
 using framework::Execution;
-using web::http::http_response;
 
 namespace {
 
-constexpr const char* requestHeader = "X-Lagoon-Request";
-constexpr const char* attemptHeader = "X-Lagoon-Attempt";
-
 double secondsSince(framework::SteadyTime start)
 {
     return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
@@ -24,12 +20,29 @@
 
 } // namespace
 
-CallerAnswer::CallerAnswer(web::http::http_request request, AnswerContext context)
-    : request_(std::move(request))
-    , context_(std::move(context))
+std::shared_ptr<CallerAnswer> CallerAnswer::make(std::shared_ptr<http::IExchange> exchange, AnswerContext context)
+{
+    const auto answer = std::make_shared<CallerAnswer>(std::move(exchange), std::move(context));
+    answer->exchange_->setDisconnectHandler([weak = std::weak_ptr(answer)] {
+        if (const auto self = weak.lock())
+            self->handleDisconnect();
+    });
+    return answer;
+}
+
+CallerAnswer::CallerAnswer(std::shared_ptr<http::IExchange> exchange, AnswerContext context)
+    : context_(std::move(context))
+    , isHead_(exchange->request().method == "HEAD")
+    , exchange_(std::move(exchange))
 {
 }
 
+CallerAnswer::~CallerAnswer()
+{
+    if (exchange_)
+        context_.thread->post([exchange = std::move(exchange_)] {});
+}
+
 std::shared_ptr<ICallerAnswer> CallerAnswer::guarded()
 {
     return { this, [self = shared_from_this()](ICallerAnswer*) { self->failDropped(); } };
@@ -45,20 +58,22 @@
     context_.observer->didEndWaiting();
     context_.metrics->observeSeconds("lagoon_first_byte_seconds", secondsSince(context_.receivedAt));
 
-    http_response response(status);
+    http::ResponseHead head { status, {}, {} };
     for (const auto& [name, value] : headers) {
         if (isEndToEndHeader(name))
-            response.headers().add(name, value);
+            head.headers.add(name, value);
     }
+    head.headers.add(requestHeader, context_.name.value());
+    if (attempt > 0)
+        head.headers.add(attemptHeader, std::to_string(attempt));
     if (isBodyless(status)) {
-        bodylessResponse_ = response;
+        bodylessHead_ = std::move(head);
         return;
     }
-    const std::string contentType = response.headers().content_type();
-    response.set_body(body_.create_istream(), contentType);
-    if (contentType.empty())
-        response.headers().remove(web::http::header_names::content_type);
-    send(response);
+    post([self = shared_from_this(), head = std::move(head)] {
+        if (self->exchange_)
+            self->exchange_->beginAnswer(head);
+    });
 }
 
 void CallerAnswer::write(std::string bytes)
@@ -66,17 +81,47 @@
     std::function<void()> onGone;
     {
         const std::lock_guard lock(mutex_);
-        if (phase_ != Phase::Streaming || bodylessResponse_ || bytes.empty())
+        if (phase_ != Phase::Streaming || bodylessHead_ || bytes.empty())
             return;
-        // Limits the memory for a caller that stops reading without disconnecting.
-        if (body_.in_avail() + bytes.size() > context_.backlogBytes) {
+        if (postedBytes_ + bytes.size() <= context_.backlogBytes) {
+            postedBytes_ += bytes.size();
+            post([self = shared_from_this(), bytes = std::move(bytes)] { self->sendPiece(bytes); });
+            return;
+        }
+        onGone = std::move(onCallerGone_);
+        breakOffLocked({ ErrorCode::CallerGone, "send answer", "", "the caller reads too slowly" }, "caller_slow");
+    }
+    if (onGone)
+        onGone();
+}
+
+/// Limits the memory for a caller that stops reading without disconnecting.
+void CallerAnswer::sendPiece(const std::string& bytes)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        postedBytes_ -= bytes.size();
+    }
+    if (!exchange_)
+        return;
+    if (exchange_->unsentBytes() + bytes.size() > context_.backlogBytes)
+        return breakOffAsSlow();
+    exchange_->sendPiece(bytes);
+}
+
+void CallerAnswer::breakOffAsSlow()
+{
+    std::function<void()> onGone;
+    {
+        const std::lock_guard lock(mutex_);
+        if (phase_ == Phase::Streaming) {
             onGone = std::move(onCallerGone_);
             breakOffLocked({ ErrorCode::CallerGone, "send answer", "", "the caller reads too slowly" }, "caller_slow");
-        } else {
-            body_.putn_nocopy(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
-            body_.sync();
         }
     }
+    // An answer that was finished meanwhile isn't whole without this piece.
+    if (const auto exchange = exchange_)
+        exchange->breakOff();
     if (onGone)
         onGone();
 }
@@ -92,10 +137,10 @@
         return;
     }
     settleLocked("finished");
-    if (bodylessResponse_)
-        send(*bodylessResponse_);
+    if (bodylessHead_)
+        endWith([head = *bodylessHead_](http::IExchange& exchange) { exchange.answer(head, {}); });
     else
-        body_.close(std::ios::out);
+        endWith([](http::IExchange& exchange) { exchange.endAnswer(); });
 }
 
 void CallerAnswer::breakOff(const Error& error)
@@ -116,19 +161,13 @@
         refuseLocked(error, attempt, std::nullopt);
 }
 
-void CallerAnswer::refuseAs(unsigned short status, const Error& error)
+void CallerAnswer::refuseAs(unsigned status, const Error& error)
 {
     const std::lock_guard lock(mutex_);
     if (phase_ == Phase::Waiting)
         refuseLocked(error, 0, status);
 }
 
-void CallerAnswer::abandonConnection()
-{
-    const std::lock_guard lock(mutex_);
-    isConnectionAbandoned_ = true;
-}
-
 void CallerAnswer::onCallerGone(std::function<void()> action)
 {
     {
@@ -147,7 +186,7 @@
     breakOff({ ErrorCode::Internal, "answer", "", "the request was dropped", Execution::Unknown });
 }
 
-void CallerAnswer::refuseLocked(const Error& error, std::uint32_t attempt, std::optional<unsigned short> status)
+void CallerAnswer::refuseLocked(const Error& error, std::uint32_t attempt, std::optional<unsigned> status)
 {
     context_.observer->didEndWaiting();
     attempt_ = attempt;
@@ -155,9 +194,8 @@
     context_.metrics->count("lagoon_refusals_total",
         { { "code", std::string(framework::errorCodeText(error.code)) },
             { "execution", std::string(framework::executionText(error.execution)) } });
-    send(refusalResponse(error, context_.name, attempt, status));
-    if (isConnectionAbandoned_)
-        context_.observer->didDeferReply();
+    endWith([response = refusalResponse(error, context_.name, attempt, status)](
+                http::IExchange& exchange) { exchange.answer(response.head, response.body); });
 }
 
 void CallerAnswer::breakOffLocked(const Error& error, const std::string& result)
@@ -165,13 +203,10 @@
     settleLocked(result);
     context_.metrics->count(
         "lagoon_break_offs_total", { { "code", std::string(framework::errorCodeText(error.code)) } });
-    if (bodylessResponse_) {
-        send(refusalResponse(error, context_.name, attempt_, std::nullopt));
-        return;
-    }
-    // A normal close would end the chunked body as if it were complete; closing with an exception breaks the
-    // connection.
-    body_.close(std::ios::out, std::make_exception_ptr(std::runtime_error(framework::describe(error))));
+    if (!bodylessHead_)
+        return endWith([](http::IExchange& exchange) { exchange.breakOff(); });
+    endWith([response = refusalResponse(error, context_.name, attempt_, std::nullopt)](
+                http::IExchange& exchange) { exchange.answer(response.head, response.body); });
 }
 
 void CallerAnswer::settleLocked(const std::string& result)
@@ -181,49 +216,37 @@
     context_.metrics->count("lagoon_answers_total", { { "result", result } });
 }
 
-void CallerAnswer::send(http_response response)
+void CallerAnswer::endWith(std::function<void(http::IExchange&)> lastStep)
 {
-    response.headers()[requestHeader] = context_.name.value();
-    if (attempt_ > 0)
-        response.headers()[attemptHeader] = std::to_string(attempt_);
-    if (isConnectionAbandoned_ || context_.closesConnection())
-        response.headers()["Connection"] = "close";
-    request_.reply(response).then([self = shared_from_this()](const pplx::task<void>& reply) {
-        bool didFail = false;
-        try {
-            reply.get();
-        } catch (...) {
-            didFail = true;
-        }
-        self->didEndReply(didFail);
+    post([self = shared_from_this(), lastStep = std::move(lastStep)] {
+        if (const auto exchange = std::exchange(self->exchange_, nullptr))
+            lastStep(*exchange);
+        if (self->hasCallerDisconnected_)
+            self->context_.metrics->count("lagoon_replies_undelivered_total");
+        self->context_.observer->didEndReply();
     });
 }
 
-void CallerAnswer::didEndReply(bool didFail)
+void CallerAnswer::post(std::function<void()> action) { context_.thread->post(std::move(action)); }
+
+void CallerAnswer::handleDisconnect()
 {
     std::function<void()> onGone;
     {
         const std::lock_guard lock(mutex_);
-        if (phase_ == Phase::Streaming) {
-            isCallerGone_ = true;
-            onGone = std::move(onCallerGone_);
-            settleLocked("caller_gone");
-        } else if (didFail) {
-            context_.metrics->count("lagoon_replies_undelivered_total");
-        }
+        hasCallerDisconnected_ = true;
+        if (phase_ == Phase::Settled)
+            return;
+        if (phase_ == Phase::Waiting)
+            context_.observer->didEndWaiting();
+        isCallerGone_ = true;
+        onGone = std::move(onCallerGone_);
+        settleLocked("caller_gone");
+        exchange_.reset();
     }
+    context_.observer->didEndReply();
     if (onGone)
         onGone();
-    if (isConnectionAbandoned_)
-        context_.observer->didEndDeferredReply();
-    else
-        context_.observer->didEndReply();
-}
-
-bool CallerAnswer::isBodyless(unsigned short status) const
-{
-    return request_.method() == web::http::methods::HEAD || status == web::http::status_codes::NoContent
-        || status == web::http::status_codes::NotModified;
 }
 
 } // namespace lagoon::callers
--- a/src/callers/internal/calleranswer.h
+++ b/src/callers/internal/calleranswer.h
@@ -1,33 +1,25 @@
 #pragma once
 
 #include "callers/icaller.h"
-#include "callers/types/callerlimits.h"
+#include "framework/eventthread.h"
 #include "framework/metrics.h"
-#include "http/bytebudget.h"
+#include "http/iexchange.h"
 
-#include <cpprest/http_msg.h>
-#include <cpprest/producerconsumerstream.h>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 
-/// Include in .cpp files only.
 namespace lagoon::callers {
 
 /// Observes the progress of one answer. Each function is called at most once.
 class IAnswerObserver {
 public:
     virtual ~IAnswerObserver() = default;
-    /// The answer has started, or the request was refused.
+    /// The answer has started, or the request was refused, or its caller has gone.
     virtual void didEndWaiting() = 0;
-    /// The reply was sent completely or failed, or its sending is not waited for. This is the last event.
+    /// The answer is complete or its caller has gone. This is the last event.
     virtual void didEndReply() = 0;
-    /// Called instead of `didEndReply` for a refusal that can only be sent after the rest of its request's body has
-    /// arrived. The request's slot is free from now on.
-    virtual void didDeferReply() = 0;
-    /// A deferred refusal was sent or failed.
-    virtual void didEndDeferredReply() = 0;
 };
 
 /// Data of the request and the server that an answer uses.
@@ -35,19 +27,21 @@
     framework::RequestName name;
     framework::SteadyTime receivedAt;
     std::size_t backlogBytes = 0;
-    /// Called when the answer is sent; returns whether its connection is closed afterwards.
-    std::function<bool()> closesConnection;
-    /// Held for the lifetime of the answer.
-    std::shared_ptr<http::ByteReservation> body;
+    /// The thread on which the exchange is used.
+    std::shared_ptr<framework::EventThread> thread;
     std::shared_ptr<IAnswerObserver> observer;
     std::shared_ptr<framework::Metrics> metrics;
 };
 
-/// An answer that is sent as a cpprest reply. Each answer has one outcome, which is counted once in
-/// `lagoon_answers_total{result}`. The object lives until the reply was sent or has failed.
+/// The answer to one exchange. Each answer has one outcome, which is counted once in `lagoon_answers_total{result}`.
 class CallerAnswer final : public ICallerAnswer, public std::enable_shared_from_this<CallerAnswer> {
 public:
-    CallerAnswer(web::http::http_request, AnswerContext);
+    /// Creates an answer and observes the caller's disconnect. Called on the exchange's thread.
+    static std::shared_ptr<CallerAnswer> make(std::shared_ptr<http::IExchange>, AnswerContext);
+    CallerAnswer(std::shared_ptr<http::IExchange>, AnswerContext);
+    ~CallerAnswer() override;
+    CallerAnswer(const CallerAnswer&) = delete;
+    CallerAnswer& operator=(const CallerAnswer&) = delete;
 
     /// Returns the pointer for a dispatcher. If the dispatcher drops its last copy without an outcome, which is a
     /// defect, the caller immediately receives an error with execution `unknown` and does not wait in vain.
@@ -61,36 +55,38 @@
     void onCallerGone(std::function<void()>) override;
 
     /// Refuses a request that was not dispatched, with another HTTP status than the default of its error code.
-    void refuseAs(unsigned short status, const framework::Error&);
-    /// Marks the request's body as discarded: the connection is closed after the answer, which is sent only after the
-    /// whole body has arrived (see `discardBody`). The request's slot is therefore freed as soon as it is refused.
-    /// Otherwise callers that announce a body and never send it would occupy all slots, and a graceful shutdown would
-    /// never finish.
-    void abandonConnection();
+    void refuseAs(unsigned status, const framework::Error&);
 
 private:
     /// Transitions: Waiting -> Streaming -> Settled, or Waiting -> Settled.
     enum class Phase : std::uint8_t { Waiting, Streaming, Settled };
 
     void failDropped();
-    void refuseLocked(const framework::Error&, std::uint32_t attempt, std::optional<unsigned short> status);
+    void refuseLocked(const framework::Error&, std::uint32_t attempt, std::optional<unsigned> status);
     void breakOffLocked(const framework::Error&, const std::string& result);
     void settleLocked(const std::string& result);
-    void send(web::http::http_response);
-    void didEndReply(bool didFail);
-    bool isBodyless(unsigned short status) const;
+    void endWith(std::function<void(http::IExchange&)> lastStep);
+    void post(std::function<void()>);
+    void sendPiece(const std::string& bytes);
+    void breakOffAsSlow();
+    void handleDisconnect();
+    bool isBodyless(unsigned status) const { return isHead_ || status == 204 || status == 304; }
 
-    web::http::http_request request_;
     AnswerContext context_;
+    const bool isHead_;
+    /// Used on the exchange's thread only; null once the answer has ended.
+    std::shared_ptr<http::IExchange> exchange_;
+    bool hasCallerDisconnected_ = false;
+
     std::mutex mutex_;
     Phase phase_ = Phase::Waiting;
     bool isCallerGone_ = false;
-    bool isConnectionAbandoned_ = false;
     std::function<void()> onCallerGone_;
     std::uint32_t attempt_ = 0;
-    concurrency::streams::producer_consumer_buffer<std::uint8_t> body_;
+    /// Passed to the exchange's thread, which hasn't sent them yet.
+    std::size_t postedBytes_ = 0;
     /// An answer without a body, due to HEAD or its status, is sent only when it is known to be complete.
-    std::optional<web::http::http_response> bodylessResponse_;
+    std::optional<http::ResponseHead> bodylessHead_;
 };
 
 } // namespace lagoon::callers
--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -1,16 +1,17 @@
 #include "callers/callerserver.h"
 
-#include "callers/internal/bodyreader.h"
 #include "callers/internal/calleranswer.h"
 #include "callers/internal/headcheck.h"
 #include "callers/internal/occupancy.h"
+#include "callers/internal/refusal.h"
 #include "callers/internal/requestheaders.h"
 #include "callers/internal/requesttarget.h"
-#include "http/listener.h"
+#include "framework/descriptors.h"
+#include "framework/threadquery.h"
+#include "http/exchangeserver.h"
 
 #include <atomic>
-#include <mutex>
-#include <shared_mutex>
+#include <cpprest/base_uri.h>
 #include <thread>
 
 namespace lagoon::callers {
@@ -18,51 +19,59 @@
 using framework::Deadline;
 using framework::Error;
 using framework::ErrorCode;
-using web::http::http_request;
 
 namespace {
 
 /// `Retry-After` of refusals that do not depend on the system's load: another router may be able to serve at once.
 constexpr framework::Milliseconds retryDelay { 1000 };
 
-/// How long the body of a refused request is read, so that the caller receives its refusal instead of a reset.
-constexpr framework::Milliseconds bodyDrainTimeout { 2000 };
 /// How long `stop` waits for replies that are being sent.
 constexpr framework::Milliseconds replyTimeout { 2000 };
-/// How long `stop` then lets connections return to waiting for their next request.
-constexpr framework::Milliseconds settlingDelay { 50 };
-
-/// A request that is being received and validated.
-struct IncomingRequest {
-    http_request http;
-    std::shared_ptr<CallerAnswer> answer;
-    /// Completes the answer with an error if this object is destroyed before the answer has ended. cpprest and the body
-    /// reader swallow exceptions, so the request would otherwise wait, and count as in progress, forever.
-    std::shared_ptr<ICallerAnswer> guard;
-    std::shared_ptr<http::ByteReservation> body;
-    framework::SteadyTime receivedAt;
-    RequestKind kind = RequestKind::Other;
-    RequestOptions options;
-    CallerRequest request;
-};
+constexpr framework::Milliseconds sentCheckInterval { 5 };
+/// Connections of its caller and to its agent.
+constexpr std::size_t descriptorsOfRequest = 2;
 
 /// Splits `/services/<name>/<rest>?<query>` into the service's name and the path `/<rest>?<query>`.
-void splitServicePath(const std::string& path, const std::string& query, CallerRequest& request)
+framework::Result<void> splitServicePath(const std::string& resource, CallerRequest& request)
 {
-    const std::string rest = path.substr(std::string(servicesPrefix).size());
-    const std::size_t slash = rest.find('/');
-    request.target.service = framework::ServiceName(web::uri::decode(rest.substr(0, slash)));
-    request.path = slash == std::string::npos ? "/" : rest.substr(slash);
-    if (!query.empty())
-        request.path += "?" + query;
+    const std::string rest = resource.substr(std::string(servicesPrefix).size());
+    const std::size_t end = rest.find_first_of("/?");
+    try {
+        request.target.service = framework::ServiceName(web::uri::decode(rest.substr(0, end)));
+    } catch (const web::uri_exception&) {
+        return Error { ErrorCode::BadRequest, "check path", "", "the service's name is badly encoded" };
+    }
+    request.path = end == std::string::npos ? "/" : rest.substr(end);
+    if (request.path.front() == '?')
+        request.path = "/" + request.path;
+    return framework::success();
 }
 
 /// Answers are passed on as they arrive, so all held bytes may be those of requests.
 http::ByteBudget::Limits bodyLimits(std::size_t bytes) { return { bytes, bytes, bytes, bytes }; }
 
+http::ExchangeLimits exchangeLimits(const CallerLimits& limits)
+{
+    http::ExchangeLimits result;
+    result.headerBytes = static_cast<std::uint32_t>(limits.headerBytes);
+    result.bodyBytes = limits.bodyBytes;
+    result.headerTimeout = limits.headerTimeout;
+    result.idleTimeout = limits.idleTimeout;
+    result.bodyProgressTimeout = limits.bodyProgressTimeout;
+    result.bodyProgressBytes = limits.bodyProgressBytes;
+    result.answerProgressTimeout = limits.answerProgressTimeout;
+    result.answerProgressBytes = limits.answerProgressBytes;
+    return result;
+}
+
+Error retryLaterError(ErrorCode code, const std::string& detail)
+{
+    return { code, "receive request", "", detail, framework::Execution::NotRun, retryDelay };
+}
+
 } // namespace
 
-class CallerServer::Implementation : public std::enable_shared_from_this<Implementation> {
+class CallerServer::Implementation final : public http::IExchangeHandler, public http::IRefusalWriter {
 public:
     Implementation(CallerLimits limits, IRequestDispatcher& dispatcher, BundleSource bundle,
         framework::Incarnation router, std::shared_ptr<framework::Metrics> metrics)
@@ -72,196 +81,226 @@
         , router_(router)
         , metrics_(std::move(metrics))
         , occupancy_(std::make_shared<Occupancy>(limits, metrics_))
-        , bodyBudget_(std::make_shared<http::ByteBudget>(bodyLimits(limits.heldBodyBytes)))
-        , isRefusing_(std::make_shared<std::atomic<bool>>(false))
+        , server_(*thread_, *this)
     {
+        const auto budget = std::make_shared<http::ByteBudget>(bodyLimits(limits.heldBodyBytes));
+        server_.setLimits(exchangeLimits(limits));
+        server_.setBudget(budget, http::ResponseHead { serviceUnavailable, {}, {} });
+        server_.setRefusalWriter(*this);
+        server_.setDropHandler(
+            [this](const http::DroppedAnswers&) { metrics_->count("lagoon_unread_answers_dropped_total"); });
+        server_.setMaxConnections(framework::maxDescriptors() / descriptorsOfRequest);
     }
 
     framework::Result<framework::Endpoint> start(const framework::Endpoint& endpoint)
     {
-        BOOST_OUTCOME_TRY(open, http::openListener(endpoint, [self = shared_from_this()](const http_request& request) {
-            self->handle(request);
-        }));
-        listener_ = std::move(open.listener);
-        return open.endpoint;
+        return server_.listen(endpoint);
     }
 
-    void refuseNew() { *isRefusing_ = true; }
+    void refuseNew()
+    {
+        isRefusing_ = true;
+        // A caller's connection pool must not keep a connection to a router that shuts down.
+        thread_->post([this] { server_.beginDraining(); });
+    }
 
-    void waitUntilIdle() { occupancy_->waitUntilEmpty(); }
-    bool waitUntilIdle(Deadline deadline) { return occupancy_->waitUntilEmpty(deadline); }
-    bool waitUntilAllSent(Deadline deadline) { return occupancy_->waitUntilAllSent(deadline); }
+    bool waitUntilIdle(Deadline deadline)
+    {
+        return occupancy_->waitUntilEmpty(deadline)
+            && waitUntilNone(deadline, [this] { return server_.connectionsWithUnsentAnswers(); });
+    }
+
+    bool waitUntilAllSent(Deadline deadline)
+    {
+        thread_->post([this] {
+            server_.closeIdle();
+            server_.refuseIncomplete(http::ResponseHead { serviceUnavailable, {}, {} });
+        });
+        return waitUntilNone(deadline, [this] { return server_.busyConnections(); });
+    }
 
     void stop()
     {
-        refuseNew();
-        {
-            const std::unique_lock lock(dispatchMutex_);
-            isStopped_ = true;
-        }
-        if (!listener_)
+        if (std::exchange(isStopped_, true))
             return;
-        // cpprest 2.10.18 closes the sockets of its connections on this thread while its own threads may start to read
-        // or write on them, which occasionally crashes the process. Therefore this waits for the replies that are being
-        // sent, and then `settlingDelay` more for their connections to return to waiting for a next request. A process
-        // that exits anyway is safer without closing (routercommand.cpp).
-        occupancy_->waitUntilEmpty(Deadline::after(std::chrono::steady_clock::now(), replyTimeout));
-        std::this_thread::sleep_for(settlingDelay);
-        listener_->close().wait();
-        listener_.reset();
+        refuseNew();
+        waitUntilIdle(Deadline::after(std::chrono::steady_clock::now(), replyTimeout));
+        framework::askThread(*thread_, [this] {
+            server_.closeAll();
+            return true;
+        });
+        thread_->stop();
     }
 
-private:
-    void handle(const http_request& http)
+    /// Refuses what can't be served before its body takes memory.
+    http::HeadDecision checkHead(const http::Request& head) override
     {
-        const auto incoming = std::make_shared<IncomingRequest>();
-        incoming->http = http;
-        incoming->receivedAt = std::chrono::steady_clock::now();
-        incoming->kind = kindOf(http);
-        incoming->request.name = nextName();
-        incoming->body
-            = std::make_shared<http::ByteReservation>(bodyBudget_, http::ByteBudget::Use::Request, std::string());
-        incoming->answer = std::make_shared<CallerAnswer>(http, answerContext(*incoming));
-        metrics_->count("lagoon_requests_total", { { "kind", kindText(incoming->kind) } });
-        const bool hasCapacity = occupancy_->enter();
-        incoming->guard = incoming->answer->guarded();
-        if (const auto refusal = checkBeforeBody(*incoming, hasCapacity))
-            refuseEarly(incoming, *refusal);
-        else
-            receiveBody(incoming);
+        if (isRefusing_)
+            return refuseAtHead(head, retryLaterError(ErrorCode::ShuttingDown, "this router is shutting down"));
+        if (!occupancy_->hasRoom())
+            return refuseAtHead(head, retryLaterError(ErrorCode::TooManyWaiting, "too many requests wait"));
+        const auto options = readRequestOptions(head.headers);
+        if (options.has_error())
+            return refuseAtHead(head, options.error());
+        const auto timeout = options.value().timeout.value_or(bundle::RequestDefaults().timeout);
+        return { std::nullopt,
+            Deadline::after(std::chrono::steady_clock::now(), std::min(timeout, limits_.maxTimeout)) };
     }
 
-    std::optional<EarlyRefusal> checkBeforeBody(IncomingRequest& incoming, bool hasCapacity) const
+    void handle(const std::shared_ptr<http::IExchange>& exchange) override
     {
-        if (auto refusal = checkHead(incoming.http, incoming.kind, limits_))
-            return refusal;
-        if (*isRefusing_)
-            return EarlyRefusal { retryLaterError(ErrorCode::ShuttingDown, "this router is shutting down") };
-        if (!hasCapacity)
-            return EarlyRefusal { retryLaterError(ErrorCode::TooManyWaiting, "too many requests wait") };
-        auto options = readRequestOptions(incoming.http.headers());
-        if (options.has_error())
-            return EarlyRefusal { .error = options.error() };
-        incoming.options = std::move(options.value());
-        return std::nullopt;
+        const http::Request& request = exchange->request();
+        const std::string resource = resourceOf(request);
+        const RequestKind kind = kindOf(resource);
+        metrics_->count("lagoon_requests_total", { { "kind", kindText(kind) } });
+        const bool hasCapacity = occupancy_->enter();
+        const framework::RequestName name = nextName();
+        const auto answer = CallerAnswer::make(
+            exchange, { name, exchange->headReceivedAt(), limits_.answerBacklogBytes, thread_, occupancy_, metrics_ });
+        // Answers with an error if an exception destroys it.
+        const std::shared_ptr<ICallerAnswer> guard = answer->guarded();
+        framework::runGuarded(
+            "a caller's request",
+            [&] {
+                if (const auto refusal = checkRequest(request, kind, hasCapacity))
+                    refuse(*answer, *refusal);
+                else
+                    dispatch(*exchange, { name, kind, resource }, guard);
+            },
+            [] {});
     }
 
-    static Error retryLaterError(ErrorCode code, const std::string& detail)
+    /// Answers a request that the server refuses without passing it to `handle`.
+    http::Response write(const http::UnreadRefusal& refusal) override
     {
-        return { code, "receive request", "", detail, framework::Execution::NotRun, retryDelay };
+        switch (refusal.status) {
+        case badRequest:
+            return refuseUnread({ ErrorCode::BadRequest, "receive request", "", refusal.cause });
+        case requestTimeout:
+            return refuseUnread({ ErrorCode::DeadlinePassed, "receive request", "", refusal.cause });
+        case bodyTooLarge:
+            return refuseUnread({ ErrorCode::TooLarge, "receive body", "",
+                "the body is larger than " + std::to_string(limits_.bodyBytes) + " bytes" });
+        case headersTooLarge:
+            return refuseUnread({ ErrorCode::TooLarge, "receive request", "",
+                                    "the headers are larger than " + std::to_string(limits_.headerBytes) + " bytes" },
+                headersTooLarge);
+        case serviceUnavailable:
+            return refuseUnread(
+                retryLaterError(isRefusing_ ? ErrorCode::ShuttingDown : ErrorCode::TooManyWaiting, refusal.cause));
+        default:
+            return refuseUnread({ ErrorCode::Internal, "receive request", "", refusal.cause });
+        }
     }
 
-    void refuseEarly(const std::shared_ptr<IncomingRequest>& incoming, const EarlyRefusal& refusal)
+private:
+    static constexpr unsigned badRequest = 400;
+    static constexpr unsigned requestTimeout = 408;
+    static constexpr unsigned bodyTooLarge = 413;
+    static constexpr unsigned headersTooLarge = 431;
+    static constexpr unsigned serviceUnavailable = 503;
+
+    /// What is known of a request before its body is parsed.
+    struct IncomingRequest {
+        framework::RequestName name;
+        RequestKind kind = RequestKind::Other;
+        std::string resource;
+    };
+
+    template <typename Query> bool waitUntilNone(Deadline deadline, const Query& query)
     {
-        if (refusal.endsConnection) {
-            discardBody(incoming->http);
-            incoming->answer->abandonConnection();
-            sendRefusal(*incoming, refusal);
-            return;
+        while (framework::askThread(*thread_, query).value_or(0) > 0) {
+            if (deadline.hasPassed(std::chrono::steady_clock::now()))
+                return false;
+            std::this_thread::sleep_for(sentCheckInterval);
         }
-        const BodyLimits drainLimits { limits_.bodyBytes, Deadline::after(incoming->receivedAt, bodyDrainTimeout),
-            nullptr };
-        readBody(incoming->http, drainLimits, [incoming, refusal](const framework::Result<std::string>& body) {
-            if (body.has_error())
-                incoming->answer->abandonConnection();
-            sendRefusal(*incoming, refusal);
-        });
+        return true;
     }
 
-    static void sendRefusal(IncomingRequest& incoming, const EarlyRefusal& refusal)
+    http::HeadDecision refuseAtHead(const http::Request& head, const Error& error)
     {
-        if (refusal.status)
-            incoming.answer->refuseAs(*refusal.status, refusal.error);
-        else
-            incoming.answer->refuse(refusal.error, 0);
+        return { refuseUnread(error, std::nullopt, kindText(kindOf(resourceOf(head)))) };
     }
 
-    framework::RequestName nextName()
+    /// Counts a request that is refused before it is whole, and returns its answer.
+    http::Response refuseUnread(
+        const Error& error, std::optional<unsigned> status = std::nullopt, const std::string& kind = "unread")
     {
-        return framework::RequestName(std::to_string(router_.value()) + "-" + std::to_string(++lastRequest_));
+        metrics_->count("lagoon_requests_total", { { "kind", kind } });
+        metrics_->count("lagoon_answers_total", { { "result", "refused" } });
+        metrics_->count("lagoon_refusals_total",
+            { { "code", std::string(framework::errorCodeText(error.code)) },
+                { "execution", std::string(framework::executionText(error.execution)) } });
+        return refusalResponse(error, nextName(), 0, status);
     }
 
-    AnswerContext answerContext(const IncomingRequest& incoming) const
+    std::optional<HeadRefusal> checkRequest(const http::Request& request, RequestKind kind, bool hasCapacity) const
     {
-        AnswerContext context;
-        context.name = incoming.request.name;
-        context.receivedAt = incoming.receivedAt;
-        context.backlogBytes = limits_.answerBacklogBytes;
-        // A caller's connection pool must not keep a connection to a router that shuts down.
-        context.closesConnection = [isRefusing = isRefusing_] { return isRefusing->load(); };
-        context.body = incoming.body;
-        context.observer = occupancy_;
-        context.metrics = metrics_;
-        return context;
+        if (auto refusal = callers::checkHead(request, kind))
+            return refusal;
+        if (isRefusing_)
+            return HeadRefusal { retryLaterError(ErrorCode::ShuttingDown, "this router is shutting down") };
+        if (!hasCapacity)
+            return HeadRefusal { retryLaterError(ErrorCode::TooManyWaiting, "too many requests wait") };
+        return std::nullopt;
     }
 
-    void receiveBody(const std::shared_ptr<IncomingRequest>& incoming)
+    static void refuse(CallerAnswer& answer, const HeadRefusal& refusal)
     {
-        const auto timeout = incoming->options.timeout.value_or(bundle::RequestDefaults().timeout);
-        const BodyLimits bodyLimits { limits_.bodyBytes,
-            Deadline::after(incoming->receivedAt, std::min(timeout, limits_.maxTimeout)), incoming->body };
-        readBody(
-            incoming->http, bodyLimits, [self = shared_from_this(), incoming](framework::Result<std::string> body) {
-                if (body.has_error()) {
-                    incoming->answer->abandonConnection();
-                    incoming->answer->refuse(body.error(), 0);
-                    return;
-                }
-                incoming->request.body = std::move(body.value());
-                self->complete(*incoming);
-            });
+        if (refusal.status)
+            answer.refuseAs(*refusal.status, refusal.error);
+        else
+            answer.refuse(refusal.error, 0);
     }
 
-    /// Dispatches the request, or answers it directly. The dispatcher and the bundle source may no longer exist after
-    /// `stop`, while a body still arrives.
-    void complete(IncomingRequest& incoming)
+    framework::RequestName nextName()
+    {
+        return framework::RequestName(std::to_string(router_.value()) + "-" + std::to_string(++lastRequest_));
+    }
+
+    /// Dispatches the request, or answers it directly.
+    void dispatch(http::IExchange& exchange, const IncomingRequest& incoming, std::shared_ptr<ICallerAnswer> answer)
     {
-        const std::shared_lock lock(dispatchMutex_);
-        if (isStopped_) {
-            incoming.answer->refuse(retryLaterError(ErrorCode::ShuttingDown, "this router has shut down"), 0);
-            return;
-        }
         const bundle::BundlePointer bundle = bundle_();
-        if (!bundle) {
-            incoming.answer->refuse(retryLaterError(ErrorCode::NotReady, "this router has no bundle yet"), 0);
-            return;
-        }
+        if (!bundle)
+            return answer->refuse(retryLaterError(ErrorCode::NotReady, "this router has no bundle yet"), 0);
         if (incoming.kind == RequestKind::Models) {
-            incoming.answer->begin(web::http::status_codes::OK, { { "Content-Type", "application/json" } }, 0);
-            incoming.answer->write(modelList(*bundle));
-            incoming.answer->finish();
-            return;
+            answer->begin(200, { { "Content-Type", "application/json" } }, 0);
+            answer->write(modelList(*bundle));
+            return answer->finish();
         }
-        const auto result = fillRequest(incoming, *bundle);
+        CallerRequest request;
+        request.name = incoming.name;
+        const auto result = fillRequest(exchange, incoming, *bundle, request);
         if (result.has_error())
-            incoming.answer->refuse(result.error(), 0);
+            answer->refuse(result.error(), 0);
         else
-            dispatcher_.accept(std::move(incoming.request), std::move(incoming.guard));
+            dispatcher_.accept(std::move(request), std::move(answer));
     }
 
-    framework::Result<void> fillRequest(IncomingRequest& incoming, const bundle::Bundle& bundle) const
+    framework::Result<void> fillRequest(http::IExchange& exchange, const IncomingRequest& incoming,
+        const bundle::Bundle& bundle, CallerRequest& request) const
     {
-        CallerRequest& request = incoming.request;
-        const web::uri& uri = incoming.http.request_uri();
+        BOOST_OUTCOME_TRY(options, readRequestOptions(exchange.request().headers));
+        request.method = exchange.request().method;
+        request.headers = upstreamHeaders(exchange.request().headers);
+        request.caller = std::string(exchange.request().headers.find("Authorization").value_or(""));
+        request.body = exchange.takeBody();
         if (incoming.kind == RequestKind::Service) {
-            splitServicePath(uri.path(), uri.query(), request);
+            BOOST_OUTCOME_TRYV(splitServicePath(incoming.resource, request));
         } else {
             BOOST_OUTCOME_TRY(completion, readCompletionBody(request.body, limits_.jsonDepth));
             request.target.model = completion.model;
             request.target.adapter = completion.adapter;
             request.prefixHash = completion.prefixHash;
-            request.path = uri.resource().to_string();
+            request.path = incoming.resource;
         }
         BOOST_OUTCOME_TRY(defaults, findDefaults(bundle, request.target));
-        const RequestOptions& options = incoming.options;
         const auto timeout = std::min(options.timeout.value_or(defaults.timeout), limits_.maxTimeout);
-        request.deadline = Deadline::after(incoming.receivedAt, timeout);
+        request.deadline = Deadline::after(exchange.headReceivedAt(), timeout);
         request.isRepeatable = options.isRepeatable.value_or(defaults.isRepeatable);
         request.priority = options.priority.value_or(defaults.priority);
         request.idempotencyKey = options.idempotencyKey;
-        request.method = incoming.http.method();
-        request.headers = upstreamHeaders(incoming.http.headers());
-        incoming.http.headers().match("Authorization", request.caller);
         if (request.deadline.hasPassed(std::chrono::steady_clock::now()))
             return Error { ErrorCode::DeadlinePassed, "receive request", "", "the deadline passed with the body" };
         return framework::success();
@@ -273,18 +312,17 @@
     const framework::Incarnation router_;
     const std::shared_ptr<framework::Metrics> metrics_;
     const std::shared_ptr<Occupancy> occupancy_;
-    const std::shared_ptr<http::ByteBudget> bodyBudget_;
-    const std::shared_ptr<std::atomic<bool>> isRefusing_;
-    std::atomic<std::uint64_t> lastRequest_ = 0;
-    std::shared_mutex dispatchMutex_;
+    std::atomic<bool> isRefusing_ { false };
+    std::uint64_t lastRequest_ = 0;
     bool isStopped_ = false;
-    std::unique_ptr<web::http::experimental::listener::http_listener> listener_;
+    const std::shared_ptr<framework::EventThread> thread_ = std::make_shared<framework::EventThread>();
+    http::ExchangeServer server_;
 };
 
 CallerServer::CallerServer(CallerLimits limits, IRequestDispatcher& dispatcher, BundleSource bundle,
     framework::Incarnation router, std::shared_ptr<framework::Metrics> metrics)
     : implementation_(
-        std::make_shared<Implementation>(limits, dispatcher, std::move(bundle), router, std::move(metrics)))
+        std::make_unique<Implementation>(limits, dispatcher, std::move(bundle), router, std::move(metrics)))
 {
 }
 
@@ -297,7 +335,7 @@
 
 void CallerServer::refuseNew() { implementation_->refuseNew(); }
 
-void CallerServer::waitUntilIdle() { implementation_->waitUntilIdle(); }
+void CallerServer::waitUntilIdle() { implementation_->waitUntilIdle(Deadline(framework::SteadyTime::max())); }
 
 bool CallerServer::waitUntilIdle(Deadline deadline) { return implementation_->waitUntilIdle(deadline); }
 
--- a/src/callers/internal/callersettings.cpp
+++ b/src/callers/internal/callersettings.cpp
@@ -10,6 +10,22 @@
 constexpr std::uint64_t maxJsonDepth = 200;
 constexpr std::uint64_t maxTimeoutMs = 24 * 60 * 60 * 1000;
 
+framework::Milliseconds readTime(
+    framework::CheckedObject& section, const std::string& key, framework::Milliseconds ifAbsent)
+{
+    return framework::Milliseconds(section.numberOr(key, ifAbsent.count(), 1, maxTimeoutMs));
+}
+
+void readTimeLimits(framework::CheckedObject& section, CallerLimits& limits)
+{
+    limits.headerTimeout = readTime(section, "header_timeout_ms", limits.headerTimeout);
+    limits.idleTimeout = readTime(section, "idle_timeout_ms", limits.idleTimeout);
+    limits.bodyProgressTimeout = readTime(section, "body_progress_ms", limits.bodyProgressTimeout);
+    limits.bodyProgressBytes = section.numberOr("body_progress_bytes", limits.bodyProgressBytes, 1, mebibyte);
+    limits.answerProgressTimeout = readTime(section, "answer_progress_ms", limits.answerProgressTimeout);
+    limits.answerProgressBytes = section.numberOr("answer_progress_bytes", limits.answerProgressBytes, 1, mebibyte);
+}
+
 } // namespace
 
 CallerLimits readCallerLimits(framework::CheckedObject& settings)
@@ -26,6 +42,7 @@
     limits.requestsInProgress = section.numberOr("requests_in_progress", limits.requestsInProgress, 1, maxRequests);
     limits.answerBacklogBytes
         = section.numberOr("answer_backlog_bytes", limits.answerBacklogBytes, 1024, 256 * mebibyte);
+    readTimeLimits(section, limits);
     limits.maxTimeout
         = framework::Milliseconds(section.numberOr("longest_timeout_ms", limits.maxTimeout.count(), 1, maxTimeoutMs));
     // Reports unknown keys of this section; the error is kept in `settings`.
--- a/src/callers/internal/headcheck.cpp
+++ b/src/callers/internal/headcheck.cpp
@@ -1,65 +1,46 @@
 #include "callers/internal/headcheck.h"
 
-#include "callers/internal/requestheaders.h"
-
-#include <algorithm>
+#include <string_view>
 
 namespace lagoon::callers {
 
 using framework::ErrorCode;
-using web::http::header_names;
-using web::http::http_request;
-using web::http::methods;
-using web::http::status_codes;
 
 namespace {
 
 constexpr const char* completionsPath = "/v1/completions";
 constexpr const char* chatCompletionsPath = "/v1/chat/completions";
 constexpr const char* modelsPath = "/v1/models";
-constexpr unsigned short headersTooLarge = 431;
 constexpr const char* step = "check headers";
 constexpr const char* lastEventHeader = "Last-Event-Id";
+constexpr unsigned methodNotAllowed = 405;
+constexpr unsigned versionNotSupported = 505;
 
 /// Returns an empty string if any method is allowed.
 std::string requiredMethod(RequestKind kind)
 {
     if (kind == RequestKind::Completion || kind == RequestKind::ChatCompletion)
-        return methods::POST;
-    return kind == RequestKind::Models ? methods::GET : std::string();
+        return "POST";
+    return kind == RequestKind::Models ? "GET" : std::string();
 }
 
-bool isDecimal(const std::string& text)
-{
-    return !text.empty()
-        && std::all_of(text.begin(), text.end(), [](char digit) { return digit >= '0' && digit <= '9'; });
-}
-
-/// cpprest treats an unparsable Content-Length as 0 bytes and a negative one as a huge length, so the request would run
-/// without its body or wait forever. If there is a Transfer-Encoding too, a proxy in front of the router may have used
-/// the other of the two.
-bool isLengthAmbiguous(const web::http::http_headers& headers)
-{
-    const auto length = headers.find(header_names::content_length);
-    if (length == headers.end())
-        return false;
-    return !isDecimal(length->second) || headers.has(header_names::transfer_encoding);
-}
+} // namespace
 
-bool isLengthAboveLimit(const web::http::http_headers& headers, std::size_t limit)
+std::string resourceOf(const http::Request& request)
 {
-    const auto length = headers.find(header_names::content_length);
-    if (length == headers.end())
-        return false;
-    constexpr std::size_t maxParsableDigits = 18;
-    return length->second.size() > maxParsableDigits || std::stoull(length->second) > limit;
+    const std::string& target = request.target;
+    for (const std::string_view scheme : { "http://", "https://" }) {
+        if (!target.starts_with(scheme))
+            continue;
+        const std::size_t path = target.find('/', scheme.size());
+        return path == std::string::npos ? "/" : target.substr(path);
+    }
+    return target;
 }
 
-} // namespace
-
-RequestKind kindOf(const http_request& request)
+RequestKind kindOf(const std::string& resource)
 {
-    const std::string path = request.request_uri().path();
+    const std::string path = resource.substr(0, resource.find('?'));
     if (path == completionsPath)
         return RequestKind::Completion;
     if (path == chatCompletionsPath)
@@ -86,35 +67,21 @@
     return "other";
 }
 
-std::optional<EarlyRefusal> checkHead(const http_request& request, RequestKind kind, const CallerLimits& limits)
+std::optional<HeadRefusal> checkHead(const http::Request& request, RequestKind kind)
 {
-    const web::http::http_headers& headers = request.headers();
-    if (isLengthAmbiguous(headers))
-        return EarlyRefusal { { ErrorCode::BadRequest, step, "", "the body's length is unclear" }, std::nullopt, true };
-    if (isLengthAboveLimit(headers, limits.bodyBytes))
-        return EarlyRefusal { { ErrorCode::TooLarge, step, "",
-                                  "the body is larger than " + std::to_string(limits.bodyBytes) + " bytes" },
-            std::nullopt, true };
-    if (headerBytes(headers) + request.request_uri().to_string().size() > limits.headerBytes)
-        return EarlyRefusal { { ErrorCode::TooLarge, step, "",
-                                  "the headers are larger than " + std::to_string(limits.headerBytes) + " bytes" },
-            headersTooLarge, true };
     // Answers are sent in chunks. HTTP/1.0 does not support these, so its clients could not tell a complete answer from
     // a truncated one.
-    if (request.http_version() < web::http::http_versions::HTTP_1_1)
-        return EarlyRefusal { { ErrorCode::BadRequest, step, "", "expected HTTP/1.1" },
-            status_codes::HttpVersionNotSupported, true };
+    if (!request.isVersion11)
+        return HeadRefusal { { ErrorCode::BadRequest, step, "", "expected HTTP/1.1" }, versionNotSupported };
     if (kind == RequestKind::Other)
-        return EarlyRefusal { { ErrorCode::NotFound, "check path", "", "no such path" }, std::nullopt, false };
+        return HeadRefusal { { ErrorCode::NotFound, "check path", "", "no such path" } };
     const std::string method = requiredMethod(kind);
-    if (!method.empty() && request.method() != method)
-        return EarlyRefusal { { ErrorCode::BadRequest, "check method", "", "expected " + method },
-            status_codes::MethodNotAllowed, false };
+    if (!method.empty() && request.method != method)
+        return HeadRefusal { { ErrorCode::BadRequest, "check method", "", "expected " + method }, methodNotAllowed };
     // Which software version wrote the caller's events isn't known here, and that of the next upstream may differ.
     const bool isForModel = kind == RequestKind::Completion || kind == RequestKind::ChatCompletion;
-    if (isForModel && headers.has(lastEventHeader))
-        return EarlyRefusal { { ErrorCode::BadRequest, step, "", "Last-Event-Id: a stream can't be taken up again" },
-            std::nullopt, false };
+    if (isForModel && request.headers.count(lastEventHeader) > 0)
+        return HeadRefusal { { ErrorCode::BadRequest, step, "", "Last-Event-Id: a stream can't be taken up again" } };
     return std::nullopt;
 }
 
--- a/src/callers/internal/headcheck.h
+++ b/src/callers/internal/headcheck.h
@@ -1,14 +1,12 @@
 #pragma once
 
-#include "callers/types/callerlimits.h"
 #include "framework/types/error.h"
+#include "http/types/message.h"
 
-#include <cpprest/http_msg.h>
 #include <cstdint>
 #include <optional>
 #include <string>
 
-/// Include in .cpp files only.
 namespace lagoon::callers {
 
 /// The kind of a request, determined by its path.
@@ -16,21 +14,20 @@
 
 inline constexpr const char* servicesPrefix = "/services/";
 
-RequestKind kindOf(const web::http::http_request&);
+/// Returns the path and the query of a request's target, which may name a host too.
+std::string resourceOf(const http::Request&);
+RequestKind kindOf(const std::string& resource);
 /// The label value for metrics.
 std::string kindText(RequestKind);
 
-/// A refusal that is decided before the body is read.
-struct EarlyRefusal {
+/// A refusal that is decided by the request's head.
+struct HeadRefusal {
     framework::Error error;
     /// Replaces the default HTTP status of the error code.
-    std::optional<unsigned short> status = std::nullopt;
-    /// Whether the connection is closed because the bytes that follow cannot be interpreted reliably or need not be
-    /// read.
-    bool endsConnection = false;
+    std::optional<unsigned> status = std::nullopt;
 };
 
 /// Validates the request's head, except for the options in its headers. Returns std::nullopt if it is valid.
-std::optional<EarlyRefusal> checkHead(const web::http::http_request&, RequestKind, const CallerLimits&);
+std::optional<HeadRefusal> checkHead(const http::Request&, RequestKind);
 
 } // namespace lagoon::callers
--- a/src/callers/internal/occupancy.cpp
+++ b/src/callers/internal/occupancy.cpp
@@ -33,26 +33,10 @@
     ended_.notify_all();
 }
 
-void Occupancy::didDeferReply()
+bool Occupancy::hasRoom()
 {
     const std::lock_guard lock(mutex_);
-    --inProgress_;
-    ++deferred_;
-    updateMetricsLocked();
-    ended_.notify_all();
-}
-
-void Occupancy::didEndDeferredReply()
-{
-    const std::lock_guard lock(mutex_);
-    --deferred_;
-    ended_.notify_all();
-}
-
-void Occupancy::waitUntilEmpty()
-{
-    std::unique_lock lock(mutex_);
-    ended_.wait(lock, [this] { return inProgress_ == 0; });
+    return waiting_ < maxWaiting_ && inProgress_ < maxInProgress_;
 }
 
 bool Occupancy::waitUntilEmpty(framework::Deadline deadline)
@@ -61,12 +45,6 @@
     return ended_.wait_until(lock, deadline.at(), [this] { return inProgress_ == 0; });
 }
 
-bool Occupancy::waitUntilAllSent(framework::Deadline deadline)
-{
-    std::unique_lock lock(mutex_);
-    return ended_.wait_until(lock, deadline.at(), [this] { return inProgress_ + deferred_ == 0; });
-}
-
 void Occupancy::updateMetricsLocked()
 {
     metrics_->setGauge("lagoon_requests_waiting", static_cast<double>(waiting_));
--- a/src/callers/internal/occupancy.h
+++ b/src/callers/internal/occupancy.h
@@ -8,7 +8,6 @@
 #include <memory>
 #include <mutex>
 
-/// Include in .cpp files only.
 namespace lagoon::callers {
 
 /// Counts the requests that wait for their answer, and those whose answer has not been sent completely. Thread-safe.
@@ -18,16 +17,12 @@
 
     /// Counts a new request. Returns false if it exceeds one of the limits and has to be refused at once.
     bool enter();
+    /// Whether a further request would be within the limits.
+    bool hasRoom();
     void didEndWaiting() override;
     void didEndReply() override;
-    void didDeferReply() override;
-    void didEndDeferredReply() override;
-    void waitUntilEmpty();
     /// Blocks until no request is in progress. Returns false if the deadline passes first.
     bool waitUntilEmpty(framework::Deadline);
-    /// Blocks until no request is in progress and all deferred refusals have been sent. Returns false if the deadline
-    /// passes first.
-    bool waitUntilAllSent(framework::Deadline);
 
 private:
     void updateMetricsLocked();
@@ -39,7 +34,6 @@
     std::condition_variable ended_;
     std::size_t waiting_ = 0;
     std::size_t inProgress_ = 0;
-    std::size_t deferred_ = 0;
 };
 
 } // namespace lagoon::callers
--- a/src/callers/internal/refusal.cpp
+++ b/src/callers/internal/refusal.cpp
@@ -13,11 +13,11 @@
 
 /// Callers and load balancers retry automatically after a 503. A request that is refused because its process shuts down
 /// therefore receives a 503 only if it is certain that it did not run.
-unsigned short statusFor(const Error& error)
+unsigned statusFor(const Error& error)
 {
     const bool isProcessEnd = error.code == ErrorCode::ShuttingDown || error.code == ErrorCode::Draining;
     if (isProcessEnd && error.execution == framework::Execution::Unknown)
-        return web::http::status_codes::BadGateway;
+        return 502;
     return statusOf(error.code);
 }
 
@@ -49,20 +49,20 @@
 
 } // namespace
 
-unsigned short statusOf(ErrorCode code)
+unsigned statusOf(ErrorCode code)
 {
     switch (code) {
     case ErrorCode::BadRequest:
-        return web::http::status_codes::BadRequest;
+        return 400;
     case ErrorCode::UnknownModel:
     case ErrorCode::UnknownAdapter:
     case ErrorCode::UnknownService:
     case ErrorCode::NotFound:
-        return web::http::status_codes::NotFound;
+        return 404;
     case ErrorCode::DuplicateKey:
-        return web::http::status_codes::Conflict;
+        return 409;
     case ErrorCode::TooLarge:
-        return web::http::status_codes::RequestEntityTooLarge;
+        return 413;
     case ErrorCode::TooManyWaiting:
         return 429;
     case ErrorCode::LinkLost:
@@ -73,9 +73,9 @@
     case ErrorCode::StaleSession:
     case ErrorCode::BelowFloor:
     case ErrorCode::Fenced:
-        return web::http::status_codes::BadGateway;
+        return 502;
     case ErrorCode::DeadlinePassed:
-        return web::http::status_codes::GatewayTimeout;
+        return 504;
     case ErrorCode::DeadlineHopeless:
     case ErrorCode::NoCapacity:
     case ErrorCode::ReplicaCapReached:
@@ -89,7 +89,7 @@
     case ErrorCode::NotReady:
     case ErrorCode::PlatformUnavailable:
     case ErrorCode::PlatformConflict:
-        return web::http::status_codes::ServiceUnavailable;
+        return 503;
     case ErrorCode::CallerGone:
     case ErrorCode::BadFrame:
     case ErrorCode::BadSettings:
@@ -98,16 +98,21 @@
     case ErrorCode::Internal:
         break;
     }
-    return web::http::status_codes::InternalError;
+    return 500;
 }
 
-web::http::http_response refusalResponse(const Error& error, const framework::RequestName& request,
-    std::uint32_t attempt, std::optional<unsigned short> status)
+http::Response refusalResponse(
+    const Error& error, const framework::RequestName& request, std::uint32_t attempt, std::optional<unsigned> status)
 {
-    web::http::http_response response(status.value_or(statusFor(error)));
-    response.set_body(jsonOf(error, request, attempt));
+    http::Response response { { status.value_or(statusFor(error)), {}, {} },
+        jsonOf(error, request, attempt).serialize() };
+    http::Headers& headers = response.head.headers;
+    headers.add("Content-Type", "application/json");
     if (error.retryAfter)
-        response.headers().add("Retry-After", std::chrono::ceil<std::chrono::seconds>(*error.retryAfter).count());
+        headers.add("Retry-After", std::to_string(std::chrono::ceil<std::chrono::seconds>(*error.retryAfter).count()));
+    headers.add(requestHeader, request.value());
+    if (attempt > 0)
+        headers.add(attemptHeader, std::to_string(attempt));
     return response;
 }
 
--- a/src/callers/internal/requestheaders.cpp
+++ b/src/callers/internal/requestheaders.cpp
@@ -1,7 +1,5 @@
 #include "callers/internal/requestheaders.h"
 
-#include "http/types/message.h"
-
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
@@ -41,48 +39,56 @@
     return { ErrorCode::BadRequest, "check headers", "", name + ": expected " + expected };
 }
 
+/// Returns std::nullopt if the header is absent. Two headers of a name, which could contradict each other, are an
+/// error.
+Result<std::optional<std::string>> readSingle(const http::Headers& headers, const std::string& name)
+{
+    if (headers.count(name) > 1)
+        return badHeader(name, "one value");
+    const auto found = headers.find(name);
+    return found ? std::optional<std::string>(*found) : std::nullopt;
+}
+
 /// Returns std::nullopt if the header is absent.
 Result<std::optional<std::uint64_t>> readNumber(
-    const web::http::http_headers& headers, const std::string& name, std::uint64_t min, std::uint64_t max)
+    const http::Headers& headers, const std::string& name, std::uint64_t min, std::uint64_t max)
 {
-    const auto found = headers.find(name);
-    if (found == headers.end())
+    BOOST_OUTCOME_TRY(text, readSingle(headers, name));
+    if (!text)
         return std::optional<std::uint64_t>();
-    const std::string& text = found->second;
     std::uint64_t number = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (error != std::errc() || end != text.data() + text.size() || number < min || number > max)
+    const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), number);
+    if (error != std::errc() || end != text->data() + text->size() || number < min || number > max)
         return badHeader(name, "a whole number from " + std::to_string(min) + " to " + std::to_string(max));
     return std::optional<std::uint64_t>(number);
 }
 
-Result<std::optional<bool>> readFlag(const web::http::http_headers& headers, const std::string& name)
+Result<std::optional<bool>> readFlag(const http::Headers& headers, const std::string& name)
 {
-    const auto found = headers.find(name);
-    if (found == headers.end())
+    BOOST_OUTCOME_TRY(text, readSingle(headers, name));
+    if (!text)
         return std::optional<bool>();
-    if (found->second != "true" && found->second != "false")
+    if (*text != "true" && *text != "false")
         return badHeader(name, "true or false");
-    return std::optional<bool>(found->second == "true");
+    return std::optional<bool>(*text == "true");
 }
 
-Result<std::optional<std::string>> readIdempotencyKey(const web::http::http_headers& headers)
+Result<std::optional<std::string>> readIdempotencyKey(const http::Headers& headers)
 {
-    const auto found = headers.find(idempotencyHeader);
-    if (found == headers.end())
-        return std::optional<std::string>();
-    const std::string& key = found->second;
+    BOOST_OUTCOME_TRY(key, readSingle(headers, idempotencyHeader));
+    if (!key)
+        return key;
     const bool isPrintable
-        = std::all_of(key.begin(), key.end(), [](char character) { return character >= ' ' && character <= '~'; });
-    if (key.empty() || key.size() > maxIdempotencyKeyLength || !isPrintable)
+        = std::all_of(key->begin(), key->end(), [](char character) { return character >= ' ' && character <= '~'; });
+    if (key->empty() || key->size() > maxIdempotencyKeyLength || !isPrintable)
         return badHeader(
             idempotencyHeader, "1 to " + std::to_string(maxIdempotencyKeyLength) + " printable ASCII characters");
-    return std::optional<std::string>(key);
+    return key;
 }
 
 } // namespace
 
-Result<RequestOptions> readRequestOptions(const web::http::http_headers& headers)
+Result<RequestOptions> readRequestOptions(const http::Headers& headers)
 {
     RequestOptions options;
     BOOST_OUTCOME_TRY(timeout, readNumber(headers, timeoutHeader, 1, maxTimeoutMs));
@@ -104,10 +110,10 @@
         && !boost::istarts_with(name, internalHeaderPrefix);
 }
 
-HttpHeaders upstreamHeaders(const web::http::http_headers& headers)
+HttpHeaders upstreamHeaders(const http::Headers& headers)
 {
     HttpHeaders forwarded;
-    for (const auto& [name, value] : headers) {
+    for (const auto& [name, value] : headers.fields()) {
         if (!isEndToEndHeader(name) || contains(agentHeaders, name))
             continue;
         forwarded.emplace_back(name, value);
@@ -115,12 +121,4 @@
     return forwarded;
 }
 
-std::size_t headerBytes(const web::http::http_headers& headers)
-{
-    std::size_t bytes = 0;
-    for (const auto& [name, value] : headers)
-        bytes += name.size() + value.size();
-    return bytes;
-}
-
 } // namespace lagoon::callers
--- a/src/callers/internal/requestheaders.h
+++ b/src/callers/internal/requestheaders.h
@@ -3,11 +3,10 @@
 #include "bundle/types/bundle.h"
 #include "callers/icaller.h"
 #include "framework/types/error.h"
+#include "http/types/message.h"
 
-#include <cpprest/http_headers.h>
 #include <string>
 
-/// Include in .cpp files only.
 namespace lagoon::callers {
 
 /// Options that a caller sets in its request's headers. The bundle provides defaults for absent ones.
@@ -20,13 +19,11 @@
 
 /// Reads `X-Lagoon-Timeout-Ms`, `X-Lagoon-Repeatable`, `X-Lagoon-Priority` and `Idempotency-Key`. An invalid value is
 /// an error: a caller that means "not repeatable" must not be served with the default.
-framework::Result<RequestOptions> readRequestOptions(const web::http::http_headers&);
+framework::Result<RequestOptions> readRequestOptions(const http::Headers&);
 
 /// Returns false for headers that concern a single connection, and for those that each hop sets itself.
 bool isEndToEndHeader(const std::string& name);
 /// Returns the headers that are forwarded to the upstream.
-HttpHeaders upstreamHeaders(const web::http::http_headers&);
-/// Returns the total size of all names and values.
-std::size_t headerBytes(const web::http::http_headers&);
+HttpHeaders upstreamHeaders(const http::Headers&);
 
 } // namespace lagoon::callers
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -48,6 +48,13 @@
     framework::Endpoint caller;
 };
 
+/// Forms the answers to requests that the server refuses itself. Without one, these have a status only.
+class IRefusalWriter {
+public:
+    virtual ~IRefusalWriter() = default;
+    virtual Response write(const UnreadRefusal&) = 0;
+};
+
 /// Answers that the server has dropped, since their caller reads them too slowly.
 struct DroppedAnswers {
     std::size_t bytes = 0;
@@ -60,8 +67,8 @@
 /// answer, accepts headers and bodies of any size, and does not show on which connection an answer is sent.
 ///
 /// The server itself refuses requests that never reach the handler: with 400 if they are malformed or ambiguously
-/// framed, with 408, 413 or 431 if they exceed a limit, and with 503 if their bodies don't fit in the budget. If another
-/// unfinished body makes less progress for the bytes that it holds, that one is refused instead.
+/// framed, with 408, 413 or 431 if they exceed a limit, and with 503 if their bodies don't fit in the budget. If
+/// another unfinished body makes less progress for the bytes that it holds, that one is refused instead.
 class ExchangeServer {
 public:
     ExchangeServer(framework::EventThread&, IExchangeHandler&);
@@ -79,6 +86,8 @@
     void setBudget(std::shared_ptr<ByteBudget>, const ResponseHead& refusal);
     /// Sets what is called for each request that this server refuses itself. Call this before `listen`.
     void setRefusalHandler(std::function<void(const UnreadRefusal&)>);
+    /// Call this before `listen`. The writer has to outlive the server.
+    void setRefusalWriter(IRefusalWriter&);
     /// Sets what is called when unread answers are dropped. Call this before `listen`.
     void setDropHandler(std::function<void(const DroppedAnswers&)>);
     /// Lets the budget reclaim unread answers of this server: those that are read slowest are dropped first.
@@ -102,6 +111,8 @@
     /// `closeIdle` will close.
     std::size_t busyConnections() const;
     std::size_t connections() const;
+    /// The number of connections whose answers have not been written to their sockets completely.
+    std::size_t connectionsWithUnsentAnswers() const;
 
 private:
     class Implementation;
--- a/src/http/iexchange.h
+++ b/src/http/iexchange.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,10 @@
     virtual const Request& request() const = 0;
     /// The time at which the request's last byte was read.
     virtual framework::SteadyTime receivedAt() const = 0;
+    /// The time at which the request's head was complete.
+    virtual framework::SteadyTime headReceivedAt() const { return receivedAt(); }
+    /// Returns the request's body, which it lacks afterwards.
+    virtual std::string takeBody() { return request().body; }
 
     /// Sends a complete answer. Adds the framing headers.
     virtual void answer(ResponseHead, std::string body) = 0;
@@ -45,10 +50,20 @@
     virtual void setDrainedHandler(std::function<void()>) = 0;
 };
 
+/// What a handler decides on a request whose body hasn't arrived yet.
+struct HeadDecision {
+    /// The request is refused with this answer, and the rest of it isn't read.
+    std::optional<Response> refusal;
+    /// When the whole body has to have arrived.
+    framework::Deadline bodyBy { framework::SteadyTime::max() };
+};
+
 /// Handles the requests of an `ExchangeServer`.
 class IExchangeHandler {
 public:
     virtual ~IExchangeHandler() = default;
+    /// Called before the body of a request is read, unless it arrived with the head.
+    virtual HeadDecision checkHead(const Request&) { return {}; }
     virtual void handle(const std::shared_ptr<IExchange>&) = 0;
 };
 
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -153,6 +153,8 @@
     if (error && error != beast::http::error::need_more) {
         if (error == beast::http::error::header_limit)
             return refuse({ 431, {}, {} }, "head too long");
+        if (error == beast::http::error::bad_content_length || error == beast::http::error::bad_transfer_encoding)
+            return refuse({ 400, {}, {} }, "the body's length is unclear");
         return refuse({ error == beast::http::error::body_limit ? 413U : 400U, {}, {} }, error.message());
     }
     if (incoming_->didCompleteHead() && didRefuseHead())
@@ -165,14 +167,27 @@
 bool CallerConnection::didRefuseHead()
 {
     timer_.cancel();
-    const Headers headers = incoming_->headers();
-    if (!hasSingleFraming(headers) || (incoming_->hasVersion11() && headers.count("Host") != 1)) {
-        refuse({ 400, {}, {} }, "ambiguous framing, or not one host");
+    const Request head = incoming_->head();
+    if (!hasSingleFraming(head.headers)) {
+        refuse({ 400, {}, {} }, "the body's length is unclear");
         return true;
     }
-    if (incoming_->isComplete())
-        return false;
-    if (headers.hasToken("Expect", "100-continue"))
+    if (head.isVersion11 && head.headers.count("Host") != 1) {
+        refuse({ 400, {}, {} }, "expected one Host");
+        return true;
+    }
+    return !incoming_->isComplete() && didRefuseBody(head);
+}
+
+bool CallerConnection::didRefuseBody(const Request& head)
+{
+    HeadDecision decision = context_->handler.checkHead(head);
+    if (decision.refusal) {
+        answerRefusal(std::move(*decision.refusal));
+        return true;
+    }
+    incoming_->setBodyBy(decision.bodyBy);
+    if (head.headers.hasToken("Expect", "100-continue"))
         send("HTTP/1.1 100 Continue\r\n\r\n");
     expectBodyProgress();
     return false;
@@ -183,15 +198,14 @@
     stage_ = Stage::Handling;
     hasBegunAnswer_ = false;
     timer_.cancel();
-    auto message = incoming_->releaseMessage();
+    endsAfterAnswer_ = !incoming_->keepsAlive();
+    const framework::SteadyTime headReceivedAt = incoming_->headReceivedAt();
+    Request request = incoming_->release();
     auto reservation = incoming_->releaseReservation();
     incoming_.reset();
-    endsAfterAnswer_ = !message.keep_alive();
-    isChunked_ = message.version() >= 11;
-    Request request { std::string(message.method_string()), std::string(message.target()), headersOf(message),
-        std::move(message.body()) };
-    auto exchange = std::make_shared<CallerExchange>(
-        shared_from_this(), std::move(request), std::move(reservation), std::chrono::steady_clock::now());
+    isChunked_ = request.isVersion11;
+    auto exchange = std::make_shared<CallerExchange>(shared_from_this(), std::move(request), std::move(reservation),
+        headReceivedAt, std::chrono::steady_clock::now());
     exchange_ = exchange;
     context_->handler.handle(exchange);
 }
@@ -199,12 +213,18 @@
 void CallerConnection::refuse(const ResponseHead& head, const std::string& cause)
 {
     boost::system::error_code ignored;
+    const UnreadRefusal refusal { head.status, cause, framework::endpointOf(socket_.remote_endpoint(ignored)) };
     if (context_->didRefuse)
-        context_->didRefuse({ head.status, cause, framework::endpointOf(socket_.remote_endpoint(ignored)) });
+        context_->didRefuse(refusal);
+    answerRefusal(context_->refusalWriter ? context_->refusalWriter->write(refusal) : Response { head, {} });
+}
+
+void CallerConnection::answerRefusal(Response response)
+{
     incoming_.reset();
     endsAfterAnswer_ = true;
     stage_ = Stage::Handling;
-    answer(head, {});
+    answer(std::move(response.head), std::move(response.body));
 }
 
 void CallerConnection::addFraming(ResponseHead& head, std::optional<std::size_t> length)
@@ -460,8 +480,10 @@
 void CallerConnection::expectBodyProgress()
 {
     const ExchangeLimits& limits = context_->limits;
-    incoming_->expectMoreBody(limits.bodyProgressBytes);
-    armTimer(std::max(limits.bodyProgressTimeout, limits.idleTimeout), &CallerConnection::checkBodyProgress);
+    const framework::SteadyTime now = std::chrono::steady_clock::now();
+    const Milliseconds timeout = std::max(limits.bodyProgressTimeout, limits.idleTimeout);
+    incoming_->expectBody(limits.bodyProgressBytes, framework::Deadline::after(now, timeout));
+    armTimer(std::min(timeout, incoming_->bodyBy().remaining(now)), &CallerConnection::checkBodyProgress);
 }
 
 /// Prevents a caller that doesn't finish its body from keeping its connection and its memory forever.
@@ -469,7 +491,10 @@
 {
     if (stage_ != Stage::Reading)
         return;
-    if (!incoming_->hasExpectedBody())
+    const framework::SteadyTime now = std::chrono::steady_clock::now();
+    if (incoming_->bodyBy().hasPassed(now))
+        return refuse({ 408, {}, {} }, "the body didn't arrive in time");
+    if (incoming_->expectedBodyBy().hasPassed(now) && !incoming_->hasExpectedBody())
         return refuse({ 408, {}, {} }, "body too slow");
     expectBodyProgress();
 }
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -35,6 +35,8 @@
     std::shared_ptr<ByteBudget> budget = std::make_shared<ByteBudget>(defaultBudget);
     ResponseHead budgetRefusal { 503, {}, {} };
     std::function<void(const UnreadRefusal&)> didRefuse;
+    /// Null if refusals have a head only.
+    IRefusalWriter* refusalWriter = nullptr;
     /// Makes room for the connection's body by refusing one that is slower. Returns false if there is none.
     std::function<bool(const CallerConnection&)> refuseSlowerBody;
     std::function<void(const DroppedAnswers&)> didDropAnswers;
@@ -127,8 +129,10 @@
     void refuseIfOverheadIsOver(std::size_t unparsed);
     void reserveBody();
     bool didRefuseHead();
+    bool didRefuseBody(const Request& head);
     void handOver();
     void refuse(const ResponseHead&, const std::string& cause);
+    void answerRefusal(Response);
     void addFraming(ResponseHead&, std::optional<std::size_t> length);
     void send(std::string, std::unique_ptr<ByteReservation> = nullptr);
     void write();
--- a/src/http/internal/callerexchange.cpp
+++ b/src/http/internal/callerexchange.cpp
@@ -7,10 +7,12 @@
 namespace lagoon::http {
 
 CallerExchange::CallerExchange(std::shared_ptr<CallerConnection> connection, Request request,
-    std::unique_ptr<ByteReservation> bodyReservation, framework::SteadyTime receivedAt)
+    std::unique_ptr<ByteReservation> bodyReservation, framework::SteadyTime headReceivedAt,
+    framework::SteadyTime receivedAt)
     : connection_(std::move(connection))
     , request_(std::move(request))
     , bodyReservation_(std::move(bodyReservation))
+    , headReceivedAt_(headReceivedAt)
     , receivedAt_(receivedAt)
 {
 }
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -43,8 +43,7 @@
 
     framework::Result<Endpoint> listen(const Endpoint& endpoint)
     {
-        shared_->refuseSlowerBody
-            = [this](const CallerConnection& connection) { return refuseSlowerBody(connection); };
+        shared_->refuseSlowerBody = [this](const CallerConnection& connection) { return refuseSlowerBody(connection); };
         BOOST_OUTCOME_TRY(address, framework::parseTcpEndpoint(endpoint, "listen for callers"));
         boost::system::error_code error;
         acceptor_.open(address.protocol(), error);
@@ -77,6 +76,14 @@
     {
         shared_->didRefuse = std::move(handler);
     }
+    void setRefusalWriter(IRefusalWriter& writer) { shared_->refusalWriter = &writer; }
+    std::size_t connectionsWithUnsentAnswers() const
+    {
+        std::size_t count = 0;
+        for (const auto& [key, connection] : connections_)
+            count += connection->unsentBytes() > 0 ? 1 : 0;
+        return count;
+    }
     void setDropHandler(std::function<void(const DroppedAnswers&)> handler)
     {
         shared_->didDropAnswers = std::move(handler);
@@ -290,6 +297,13 @@
     implementation_->setRefusalHandler(std::move(handler));
 }
 
+void ExchangeServer::setRefusalWriter(IRefusalWriter& writer) { implementation_->setRefusalWriter(writer); }
+
+std::size_t ExchangeServer::connectionsWithUnsentAnswers() const
+{
+    return implementation_->connectionsWithUnsentAnswers();
+}
+
 void ExchangeServer::setDropHandler(std::function<void(const DroppedAnswers&)> handler)
 {
     implementation_->setDropHandler(std::move(handler));
--- a/src/http/internal/incomingrequest.cpp
+++ b/src/http/internal/incomingrequest.cpp
@@ -24,21 +24,38 @@
     overhead_.didParse(parsed);
     overhead_.didReadBody(newBodyBytes_);
     progress_.add(parsed, now);
+    if (!hasReportedHead_)
+        headReceivedAt_ = now;
     return parsed;
 }
 
-bool IncomingRequest::didCompleteHead()
+bool IncomingRequest::didCompleteHead() { return parser_.is_header_done() && !std::exchange(hasReportedHead_, true); }
+
+Request IncomingRequest::head() const
+{
+    const auto& message = parser_.get();
+    return { std::string(message.method_string()), std::string(message.target()), headersOf(message), {},
+        message.version() >= 11 };
+}
+
+Request IncomingRequest::release()
 {
-    return parser_.is_header_done() && !std::exchange(hasReportedHead_, true);
+    Request request = head();
+    request.body = std::move(parser_.release().body());
+    return request;
 }
 
-Headers IncomingRequest::headers() const { return headersOf(parser_.get()); }
+void IncomingRequest::expectBody(std::uint64_t bytes, framework::Deadline by)
+{
+    expectedBodyBytes_ = parser_.get().body().size() + bytes;
+    expectedBodyBy_ = by;
+}
 
 bool IncomingRequest::reserveBody(const std::shared_ptr<ByteBudget>& budget)
 {
     if (!reservation_)
-        reservation_ = std::make_unique<ByteReservation>(
-            budget, ByteBudget::Use::Request, std::string(parser_.get()["Host"]));
+        reservation_
+            = std::make_unique<ByteReservation>(budget, ByteBudget::Use::Request, std::string(parser_.get()["Host"]));
     return reservation_->grow(newBodyBytes_);
 }
 
--- a/src/http/internal/incomingrequest.h
+++ b/src/http/internal/incomingrequest.h
@@ -26,11 +26,14 @@
     bool isComplete() const { return parser_.is_done(); }
     /// Returns true once: after the `put` that has completed the head.
     bool didCompleteHead();
-    Headers headers() const;
-    bool hasVersion11() const { return parser_.get().version() >= 11; }
     /// `unparsed` are the bytes that were received and aren't complete enough to be parsed.
     bool isOverheadOver(std::size_t unparsed) const { return overhead_.isOver(headerLimit_, unparsed); }
 
+    /// The request without its body.
+    Request head() const;
+    framework::SteadyTime headReceivedAt() const { return headReceivedAt_; }
+    void setBodyBy(framework::Deadline deadline) { bodyBy_ = deadline; }
+    framework::Deadline bodyBy() const { return bodyBy_; }
     /// The bytes of body that the last `put` has added.
     std::size_t newBodyBytes() const { return newBodyBytes_; }
     /// Reserves the bytes that the last `put` has added. Returns false if there is no room for them.
@@ -39,11 +42,14 @@
     const ByteReservation* reservation() const { return reservation_.get(); }
     /// The part of the request that has arrived lately.
     double recentShare(framework::SteadyTime now) const { return progress_.recentShare(now); }
-    void expectMoreBody(std::uint64_t bytes) { expectedBodyBytes_ = parser_.get().body().size() + bytes; }
+    /// So many bytes more of the body have to arrive by the deadline.
+    void expectBody(std::uint64_t bytes, framework::Deadline by);
+    framework::Deadline expectedBodyBy() const { return expectedBodyBy_; }
     bool hasExpectedBody() const { return parser_.get().body().size() >= expectedBodyBytes_; }
 
-    /// What is left of a complete request. Call each of these once.
-    boost::beast::http::request<GrowingBody> releaseMessage() { return parser_.release(); }
+    bool keepsAlive() const { return parser_.keep_alive(); }
+    /// What a complete request consists of. Call each of these once.
+    Request release();
     std::unique_ptr<ByteReservation> releaseReservation() { return std::move(reservation_); }
 
 private:
@@ -55,6 +61,9 @@
     std::unique_ptr<ByteReservation> reservation_;
     RecentProgress progress_;
     std::uint64_t expectedBodyBytes_ = 0;
+    framework::Deadline expectedBodyBy_;
+    framework::SteadyTime headReceivedAt_ {};
+    framework::Deadline bodyBy_ { framework::SteadyTime::max() };
 };
 
 } // namespace lagoon::http
--- a/src/http/internal/slowcallers.h
+++ b/src/http/internal/slowcallers.h
@@ -22,8 +22,8 @@
 /// read them as fast as they can be expected to.
 std::shared_ptr<CallerConnection> slowestReader(const Connections&, framework::SteadyTime now);
 
-/// Returns the connection that is needed least: one that lingers, else an idle one, else the one whose request makes the
-/// least progress. The oldest comes first. Null if all are needed for answers.
+/// Returns the connection that is needed least: one that lingers, else an idle one, else the one whose request makes
+/// the least progress. The oldest comes first. Null if all are needed for answers.
 std::shared_ptr<CallerConnection> leastNeeded(const Connections&, framework::SteadyTime now);
 
 } // namespace lagoon::http
--- a/src/http/types/message.h
+++ b/src/http/types/message.h
@@ -41,6 +41,8 @@
     std::string target;
     Headers headers;
     std::string body;
+    /// Whether the sender understands chunked bodies.
+    bool isVersion11 = true;
 };
 
 struct ResponseHead {
