Direct router: log of refusals bounded, and settings for slow callers

A crowd that is refused wrote a line for each refusal: 2,400 a second of 300 callers that reconnect would be 350 KB of log a second. Of `request_refused_unread` and `answer_dropped` 20 lines a second are written now, each with the number of those left out before it; the counters have all.

--- a/src/direct/directsettings.h
+++ b/src/direct/directsettings.h
@@ -13,6 +13,16 @@
 
 namespace lagoon::direct {
 
+/// How slowly callers may send unfinished bodies and read answers.
+struct CallerProgress {
+    /// In each `bodyTime`, or idle timeout if that is longer, so many bytes of an unfinished body have to arrive.
+    framework::Milliseconds bodyTime { 30000 };
+    std::uint64_t bodyBytes = 30 * 1024;
+    /// In each `answerTime`, so many bytes of unread answers have to be read.
+    framework::Milliseconds answerTime { 60000 };
+    std::uint64_t answerBytes = 60 * 1024;
+};
+
 /// Settings of a direct router. See docs/OPERATING.md for the keys.
 struct DirectRouterSettings {
     framework::ProcessIdentity identity;
@@ -28,6 +38,7 @@
     std::uint16_t agentPort = 0;
     /// The memory that this process may use. Its requests and answers are held in a part of it.
     catalog::MegaBytes memory { 1024 };
+    CallerProgress callerProgress;
     /// Retry budget of a service over all routers: a share of its requests, plus a fixed number of retries.
     double retryShare = 0.2;
     double retryReserve = 50;
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -11,6 +11,7 @@
 #include "framework/awaitedport.h"
 #include "framework/decisionlog.h"
 #include "framework/descriptors.h"
+#include "framework/loglimiter.h"
 #include "framework/threadquery.h"
 #include "framework/types/shutdowndeadlines.h"
 #include "http/exchangeserver.h"
@@ -34,6 +35,8 @@
 
 /// Each of the ports for balancers and operators may take one part.
 constexpr std::size_t partsOfDescriptors = 16;
+/// Of refusals that callers can cause without a whole request.
+constexpr std::size_t linesPerSecond = 20;
 /// Connections of its caller and to its server.
 constexpr std::size_t descriptorsOfRequest = 2;
 
@@ -58,9 +61,10 @@
         http::ByteBudget::Limits { total, requests, requests / 4 * 3, total / 2 });
 }
 
-http::ExchangeLimits exchangeLimits(const catalog::CallerLimits& limits)
+http::ExchangeLimits exchangeLimits(const catalog::CallerLimits& limits, const CallerProgress& progress)
 {
-    return { limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout };
+    return { limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout, progress.bodyTime,
+        progress.bodyBytes, progress.answerTime, progress.answerBytes };
 }
 
 } // namespace
@@ -163,19 +167,27 @@
     void didRefuseUnread(const http::UnreadRefusal& refusal)
     {
         ports_.metrics->count("lagoon_requests_refused_unread_total", { { "status", std::to_string(refusal.status) } });
+        const auto omitted = refusalLines_.admit(ports_.clock.now());
+        if (!omitted)
+            return;
         logDecision(LogLine("request_refused_unread")
                         .text("caller", refusal.caller.value())
                         .number("status", refusal.status)
-                        .text("cause", refusal.cause));
+                        .text("cause", refusal.cause)
+                        .number("omitted", *omitted));
     }
 
     void didDropAnswers(const http::DroppedAnswers& answers)
     {
         ports_.metrics->count("lagoon_unread_answers_dropped_total", {});
+        const auto omitted = dropLines_.admit(ports_.clock.now());
+        if (!omitted)
+            return;
         logDecision(LogLine("answer_dropped")
                         .text("caller", answers.caller.value())
                         .number("bytes", answers.bytes)
-                        .text("cause", answers.cause));
+                        .text("cause", answers.cause)
+                        .number("omitted", *omitted));
     }
 
     /// Retries until the port is bound. Runs on the traffic thread; nothing else waits for this port.
@@ -287,7 +299,7 @@
     {
         configuration_ = configuration;
         ports_.traffic.post([this, configuration] {
-            callers_.setLimits(exchangeLimits(configuration->limits));
+            callers_.setLimits(exchangeLimits(configuration->limits, settings_.callerProgress));
             forwarder_.setConfiguration(configuration);
         });
         ports_.metrics->setGauge("lagoon_configuration_version", static_cast<double>(configuration->version.value()));
@@ -330,6 +342,8 @@
     DirectRouterPorts ports_;
     DirectRouterSettings settings_;
     std::shared_ptr<http::ByteBudget> budget_;
+    framework::LogLimiter refusalLines_ { linesPerSecond };
+    framework::LogLimiter dropLines_ { linesPerSecond };
     std::shared_ptr<wire::ILinkTransport> transport_;
     std::atomic<bool> isDraining_ { false };
     TrafficOrigins origins_;
--- a/src/direct/internal/directsettings.cpp
+++ b/src/direct/internal/directsettings.cpp
@@ -72,6 +72,20 @@
     (void)keys.finish();
 }
 
+void readCallerProgress(CheckedObject& object, CallerProgress& progress)
+{
+    if (!object.has("caller_progress"))
+        return;
+    constexpr double longest = 24.0 * 60 * 60 * 1000;
+    constexpr std::uint64_t mostBytes = 1024 * 1024;
+    CheckedObject read = object.object("caller_progress");
+    progress.bodyTime = readMilliseconds(read, "body_ms", progress.bodyTime, 1000, longest);
+    progress.bodyBytes = read.numberOr("body_bytes", progress.bodyBytes, 1, mostBytes);
+    progress.answerTime = readMilliseconds(read, "answer_ms", progress.answerTime, 1000, longest);
+    progress.answerBytes = read.numberOr("answer_bytes", progress.answerBytes, 1, mostBytes);
+    (void)read.finish();
+}
+
 void readPolicy(CheckedObject& object, policy::PolicySwitches& policy)
 {
     if (!object.has("policy"))
@@ -115,6 +129,7 @@
     settings.agentPort = static_cast<std::uint16_t>(object.number("agent_port", 1, 65535));
     settings.memory = catalog::MegaBytes(static_cast<std::uint64_t>(
         object.doubleOr("memory_mb", static_cast<double>(settings.memory.value()), 16, 1e9)));
+    readCallerProgress(object, settings.callerProgress);
     readRepeats(object, settings);
     readQuotas(object, settings);
     readKeys(object, settings);
--- a/src/direct/tests/directsettings_test.cpp
+++ b/src/direct/tests/directsettings_test.cpp
@@ -53,6 +53,13 @@
 {
     BOOST_TEST(parsed("").value().memory.value() == 1024U);
     BOOST_TEST(parsed(R"(, "memory_mb": 260.5)").value().memory.value() == 260U);
+    const auto slower = parsed(R"(, "caller_progress": { "body_ms": 90000, "answer_bytes": 1024 })").value();
+    BOOST_TEST(slower.callerProgress.bodyTime.count() == 90000);
+    BOOST_TEST(slower.callerProgress.bodyBytes == CallerProgress().bodyBytes);
+    BOOST_TEST(slower.callerProgress.answerBytes == 1024U);
+    const auto unknown = parsed(R"(, "caller_progress": { "body_s": 90 })");
+    BOOST_REQUIRE(unknown.has_error());
+    BOOST_TEST(describe(unknown.error()).find("body_s") != std::string::npos);
     const auto tooLittle = parsed(R"(, "memory_mb": 1)");
     BOOST_REQUIRE(tooLittle.has_error());
     BOOST_TEST(describe(tooLittle.error()).find("memory_mb") != std::string::npos);
