Soak: crowds of clients that don't behave

A kind of its own: planned operations, and up to three crowds at once at drawn ports of routers and agents, with drawn messages and sizes, between ordinary callers that keep their connections. The existing invariants judge: every request that was read is answered or refused, no process needs more memory than its machine has, all kinds are served afterwards.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t mixedRouters = 2;
 constexpr std::size_t startsRouters = 3;
 constexpr std::size_t hostileRouters = 2;
+constexpr std::size_t crowdRouters = 2;
 constexpr std::size_t versionsRouters = 3;
 constexpr std::size_t versionsEngines = 6;
 constexpr std::size_t customersRouters = 3;
@@ -60,6 +61,10 @@
         settings.kind = RunKind::Hostile;
         settings.routers = hostileRouters;
     }
+    if (arguments.kind == "crowd") {
+        settings.kind = RunKind::Crowd;
+        settings.routers = crowdRouters;
+    }
     if (arguments.routers > 0)
         settings.routers = arguments.routers;
     if (arguments.engines > 0)
@@ -89,6 +94,8 @@
         return "starts";
     case RunKind::Hostile:
         return "hostile";
+    case RunKind::Crowd:
+        return "crowd";
     }
     return "";
 }
@@ -140,7 +147,7 @@
         "its servers), limits (planned operations and servers that name limits), versions (mixed, and engines are "
         "replaced by ones with other software), customers (mixed, and callers have keys of customers with quotas), "
         "starts (what the starts of processes need comes late), hostile (planned operations, and the store and engines "
-        "answer with more than fits into memory) or "
+        "answer with more than fits into memory), crowd (planned operations, and clients that don't behave) or "
         "both (planned and "
         "mixed; even seeds are planned)")("routers", options::value(&arguments.routers),
         "number of routers, at least 2")("engines", options::value(&arguments.engines),
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -58,7 +58,7 @@
             fleet_.fixPorts(router);
         startDisturber_.emplace(fleet_, scheduler_, runLog_, supervisor_);
     }
-    if (settings_.kind == RunKind::Hostile)
+    if (settings_.kind == RunKind::Hostile || settings_.kind == RunKind::Crowd)
         ProcessSupervisor::limitDescriptors(fleet_);
     else
         ProcessSupervisor::limitProcesses(fleet_);
@@ -81,6 +81,8 @@
         customerCallers_.emplace(fleet_, balancer_, settings_, runLog_);
     if (settings_.kind == RunKind::Hostile)
         hostilePeers_.emplace(fleet_, scheduler_, runLog_);
+    if (settings_.kind == RunKind::Crowd)
+        crowdCallers_.emplace(fleet_, scheduler_, runLog_, supervisor_, settings_.routers);
     runOperationsAndFaults();
     waitForProcesses();
     if (poisonSender_)
@@ -106,6 +108,8 @@
         limitNamer_->check();
     if (hostilePeers_)
         hostilePeers_->check();
+    if (crowdCallers_)
+        crowdCallers_->check();
     if (resumingCallers_)
         resumingCallers_->check(fleet_, runLog_);
     fleet_.stop();
@@ -135,6 +139,8 @@
             limitNamer_->perform();
         if (hostilePeers_)
             hostilePeers_->perform();
+        if (crowdCallers_)
+            crowdCallers_->perform();
         if (customerCallers_)
             customerCallers_->changeKeys();
         if (settings_.kind == RunKind::Versions && runLog_.draw(stepsPerReplacement) == 0)
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "soak/crowdcallers.h"
 #include "soak/customercallers.h"
 #include "soak/faultinjector.h"
 #include "soak/hostilepeers.h"
@@ -31,7 +32,7 @@
 /// - a stream holds events of one software version only, also over several tries of its caller
 /// - servers get the right customer's name and never a key; an unknown key never runs
 /// - a customer's quota is kept over all routers, and one that stays well below it isn't refused
-/// - no process needs more memory than its machine has, whatever the store and engines answer
+/// - no process needs more memory than its machine has, whatever the store and engines answer and clients send
 /// - all kinds of requests are served again soon after the last fault
 class SoakRun {
 public:
@@ -63,6 +64,7 @@
     std::optional<ResumingCallers> resumingCallers_;
     std::optional<CustomerCallers> customerCallers_;
     std::optional<HostilePeers> hostilePeers_;
+    std::optional<CrowdCallers> crowdCallers_;
     SoakReport report_;
 };
 
--- a/tests/soak/soaksettings.h
+++ b/tests/soak/soaksettings.h
@@ -29,7 +29,9 @@
     /// Processes are started in series while what their starts need comes late.
     Starts,
     /// Planned operations, and the store and engines answer with more than fits into the processes' memory.
-    Hostile
+    Hostile,
+    /// Planned operations, and crowds of clients that don't behave at the ports of routers and agents.
+    Crowd
 };
 
 struct SoakSettings {
