Router: unread answers share their memory, also that of the kernel

What callers saw: answers that nobody reads took a router of the path through agents to 267 MiB, and the kernel's buffers of its connections to 215 MiB more, on a machine of 260 MB: 140 clients that don't read an answer of 3 MB each.

Cause: `answer_backlog_bytes` limits one answer, not all together, and parts of answers weren't counted; the kernel's send buffers grow to megabytes.

Change: parts of answers count as unread until they are written, as whole ones did. Beyond `held_body_bytes` of them the answers that are read most slowly are dropped; at a direct router, where handlers can't bear a disconnect while they answer another request, only complete ones. Send buffers of accepted connections have 64 KiB.

--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -47,8 +47,8 @@
     return framework::success();
 }
 
-/// Answers are passed on as they arrive, so all held bytes may be those of requests.
-http::ByteBudget::Limits bodyLimits(std::size_t bytes) { return { bytes, bytes, bytes, bytes }; }
+/// Bodies and unread answers may take as much each. Their peers aren't told apart.
+http::ByteBudget::Limits bodyLimits(std::size_t bytes) { return { 2 * bytes, bytes, bytes, bytes }; }
 
 http::ExchangeLimits exchangeLimits(const CallerLimits& limits)
 {
@@ -86,6 +86,7 @@
         const auto budget = std::make_shared<http::ByteBudget>(bodyLimits(limits.heldBodyBytes));
         server_.setLimits(exchangeLimits(limits));
         server_.setBudget(budget, http::ResponseHead { serviceUnavailable, {}, {} });
+        server_.reclaimUnreadAnswers(*budget, http::ExchangeServer::Reclaim::All);
         server_.setRefusalWriter(*this);
         server_.setDropHandler(
             [this](const http::DroppedAnswers&) { metrics_->count("lagoon_unread_answers_dropped_total"); });
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -248,11 +248,7 @@
         return;
     addFraming(head, body.size());
     std::string text = headText(head).append(body);
-    auto reservation
-        = std::make_unique<ByteReservation>(context_->budget, ByteBudget::Use::Answer, ByteBudget::unreadAnswers);
-    if (!reservation->grow(text.size()))
-        reservation->growAnyway(text.size());
-    send(std::move(text), std::move(reservation));
+    sendAnswer(std::move(text));
     finishAnswer();
 }
 
@@ -269,7 +265,7 @@
     hasBegunAnswer_ = true;
     std::string text = std::exchange(pendingHead_, {});
     text += isChunked_ ? chunkText(piece) : std::string(piece);
-    send(std::move(text));
+    sendAnswer(std::move(text));
 }
 
 void CallerConnection::endAnswer()
@@ -360,6 +356,8 @@
 
 void CallerConnection::finishAnswer()
 {
+    if (stage_ == Stage::Closed)
+        return;
     if (endsAfterAnswer_) {
         stage_ = Stage::Closing;
         if (unsent_.isEmpty())
@@ -378,6 +376,17 @@
     read();
 }
 
+void CallerConnection::sendAnswer(std::string text)
+{
+    auto reservation
+        = std::make_unique<ByteReservation>(context_->budget, ByteBudget::Use::Answer, ByteBudget::unreadAnswers);
+    if (!reservation->grow(text.size()))
+        reservation->growAnyway(text.size());
+    // To make room, the connection's own answers may have been dropped.
+    if (stage_ != Stage::Closed)
+        send(std::move(text), std::move(reservation));
+}
+
 void CallerConnection::send(std::string bytes, std::unique_ptr<ByteReservation> reservation)
 {
     if (bytes.empty())
@@ -428,11 +437,6 @@
     return stage_ == Stage::Reading ? incoming_->recentShare(now) : 1;
 }
 
-bool CallerConnection::hasOnlyUnreadAnswers() const
-{
-    return stage_ != Stage::Closed && !unsent_.isEmpty() && exchange_.expired();
-}
-
 void CallerConnection::dropUnreadAnswers(const std::string& cause)
 {
     boost::system::error_code ignored;
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -100,8 +100,7 @@
     /// Called if the handler destroyed the exchange without an answer.
     void failDropped() noexcept;
     std::size_t unsentBytes() const { return unsent_.bytes(); }
-    /// Whether there are unread bytes, all of whole answers.
-    bool hasOnlyUnreadAnswers() const;
+    bool hasRequestInProgress() const { return !exchange_.expired(); }
     double recentShareOfAnswers(framework::SteadyTime now) const { return unsent_.recentShare(now); }
     void dropUnreadAnswers(const std::string& cause);
     /// Drops the answers of a caller that reads them too slowly.
@@ -134,6 +133,8 @@
     void refuse(const ResponseHead&, const std::string& cause);
     void answerRefusal(Response);
     void addFraming(ResponseHead&, std::optional<std::size_t> length);
+    /// Sends a part of an answer, which counts as unread until it is written.
+    void sendAnswer(std::string);
     void send(std::string, std::unique_ptr<ByteReservation> = nullptr);
     void write();
     void didWrite(const boost::system::error_code&);
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -51,6 +51,7 @@
             acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
         if (!error)
             acceptor_.bind(address, error);
+        limitSendBuffers(acceptor_);
         if (!error)
             acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
         if (error) {
@@ -88,14 +89,11 @@
     {
         shared_->didDropAnswers = std::move(handler);
     }
-    void reclaimUnreadAnswers(ByteBudget& budget)
+    void reclaimUnreadAnswers(ByteBudget& budget, Reclaim which)
     {
-        budget.setReclaimer([weak = weak_from_this()] {
+        budget.setReclaimer([weak = weak_from_this(), which] {
             const auto self = weak.lock();
-            const auto slowest = self ? slowestReader(self->connections_, std::chrono::steady_clock::now()) : nullptr;
-            if (slowest)
-                slowest->dropUnreadAnswers("memory needed for others");
-            return slowest != nullptr;
+            return self && self->dropSlowestAnswers(which);
         });
     }
     void setMaxConnections(std::size_t connections) { maxConnections_ = connections; }
@@ -184,6 +182,14 @@
         return connection != nullptr;
     }
 
+    bool dropSlowestAnswers(Reclaim which)
+    {
+        const auto slowest = slowestReader(connections_, which, std::chrono::steady_clock::now());
+        if (slowest)
+            slowest->dropUnreadAnswers("memory needed for others");
+        return slowest != nullptr;
+    }
+
     bool refuseSlowerBody(const CallerConnection& connection)
     {
         const auto slowest = slowestBody(connections_, connection, std::chrono::steady_clock::now());
@@ -309,7 +315,10 @@
     implementation_->setDropHandler(std::move(handler));
 }
 
-void ExchangeServer::reclaimUnreadAnswers(ByteBudget& budget) { implementation_->reclaimUnreadAnswers(budget); }
+void ExchangeServer::reclaimUnreadAnswers(ByteBudget& budget, Reclaim which)
+{
+    implementation_->reclaimUnreadAnswers(budget, which);
+}
 
 void ExchangeServer::setMaxConnections(std::size_t connections) { implementation_->setMaxConnections(connections); }
 
--- a/src/http/internal/sendqueue.h
+++ b/src/http/internal/sendqueue.h
@@ -15,7 +15,7 @@
 /// The answers, and parts of answers, that wait to be written to a caller's socket.
 class SendQueue {
 public:
-    /// `reservation` is held until the bytes are written. Parts of an answer have none.
+    /// `reservation`, which may be null, is held until the bytes are written.
     void push(std::string bytes, std::unique_ptr<ByteReservation> reservation, framework::SteadyTime now);
     bool isEmpty() const { return entries_.empty(); }
     /// Bytes of entries that aren't written completely.
--- a/src/http/internal/slowcallers.h
+++ b/src/http/internal/slowcallers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/types/time.h"
+#include "http/exchangeserver.h"
 
 #include <cstddef>
 #include <memory>
@@ -18,9 +19,9 @@
 std::shared_ptr<CallerConnection> slowestBody(
     const Connections&, const CallerConnection& asking, framework::SteadyTime now);
 
-/// Returns the connection whose caller reads its whole answers most slowly for the bytes that they hold; null if all
-/// read them as fast as they can be expected to.
-std::shared_ptr<CallerConnection> slowestReader(const Connections&, framework::SteadyTime now);
+/// Returns the connection whose caller reads its answers most slowly for the bytes that they hold; null if all read
+/// them as fast as they can be expected to.
+std::shared_ptr<CallerConnection> slowestReader(const Connections&, ExchangeServer::Reclaim, framework::SteadyTime now);
 
 /// Returns the connection that is needed least: one that lingers, else an idle one, else the one whose request makes
 /// the least progress. The oldest comes first. Null if all are needed for answers.
--- a/src/http/internal/socketoptions.cpp
+++ b/src/http/internal/socketoptions.cpp
@@ -8,6 +8,19 @@
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+/// The kernel doubles it for its own overhead. It is enough for 1 MB/s at a round trip of 100 ms.
+constexpr int sendBufferBytes = 64 * 1024;
+
+} // namespace
+
+void limitSendBuffers(tcp::acceptor& acceptor)
+{
+    boost::system::error_code ignored;
+    acceptor.set_option(boost::asio::socket_base::send_buffer_size(sendBufferBytes), ignored);
+}
+
 void setLivenessOptions(tcp::socket& socket, framework::Milliseconds unresponsiveTimeout)
 {
     boost::system::error_code ignored;
--- a/src/http/internal/socketoptions.h
+++ b/src/http/internal/socketoptions.h
@@ -11,4 +11,8 @@
 /// bytes may stay unacknowledged and, by keep-alive probes, how long an idle connection's peer may not respond.
 void setLivenessOptions(boost::asio::ip::tcp::socket&, framework::Milliseconds unresponsiveTimeout);
 
+/// Limits what the kernel holds of answers that callers don't read, which counts as memory of the machine. Applies to
+/// the connections that are accepted.
+void limitSendBuffers(boost::asio::ip::tcp::acceptor&);
+
 } // namespace lagoon::http
--- a/tests/integration/routercrowd_test.cpp
+++ b/tests/integration/routercrowd_test.cpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace lagoon::crowdtests;
 using namespace lagoon::testsupport;
@@ -104,6 +105,21 @@
 // Prevents the end of a router or an agent for want of memory by many large bodies of legal size.
 BOOST_AUTO_TEST_CASE(wholeBodies) { checkCrowd(60, bodyOf(target, wholeBody, wholeBody)); }
 
+// Prevents the end of a router for want of memory by answers that nobody reads.
+BOOST_AUTO_TEST_CASE(unreadAnswers)
+{
+    constexpr std::size_t waves = 10;
+    constexpr std::size_t clients = 14;
+    constexpr std::size_t bytes = 3 * 1000 * 1000;
+    std::vector<std::unique_ptr<Crowd>> crowds;
+    for (std::size_t wave = 0; wave < waves; ++wave) {
+        crowds.push_back(
+            std::make_unique<Crowd>(callers(), clients, [](std::size_t) { return bodyOf(target, bytes, bytes); }));
+        BOOST_TEST(crowds.back()->isSettled());
+    }
+    checkCallers(*crowds.back());
+}
+
 // Prevents callers from shutting out others by large bodies that stop just short of their end.
 BOOST_AUTO_TEST_CASE(unfinishedBodies) { checkCrowd(60, bodyOf(target, wholeBody, wholeBody - 1)); }
 
