Links: unsent bytes share a limit, and one frame always goes on

Two faults of the limits on links. Each link could queue 64 MiB for a peer that reads nothing, so that three such peers took more than an agent's machine has: the limit is now for all links of a process, and the link with the most is closed (`lagoon_links_closed_total{reason="limit"}`, which replaces `slow_peer`).

--- a/src/callers/internal/calleranswer.cpp
+++ b/src/callers/internal/calleranswer.cpp
@@ -22,7 +22,7 @@
 
 std::shared_ptr<CallerAnswer> CallerAnswer::make(std::shared_ptr<http::IExchange> exchange, AnswerContext context)
 {
-    const auto answer = std::make_shared<CallerAnswer>(std::move(exchange), std::move(context));
+    auto answer = std::make_shared<CallerAnswer>(std::move(exchange), std::move(context));
     answer->exchange_->setDisconnectHandler([weak = std::weak_ptr(answer)] {
         if (const auto self = weak.lock())
             self->handleDisconnect();
--- a/src/wire/internal/linktable.cpp
+++ b/src/wire/internal/linktable.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/internal/tcplink.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 #include <vector>
@@ -50,7 +51,7 @@
             return false;
         close(least, closed);
     }
-    entries_[link.get()] = { link, { 0, now, false } };
+    entries_[link.get()] = { link, { .progressAt = now } };
     return true;
 }
 
@@ -60,25 +61,33 @@
     const auto found = entries_.find(&link);
     if (found == entries_.end())
         return;
-    frameBytes_ -= found->second.progress.frameBytes;
-    entries_.erase(found);
+    forget(found);
 }
 
 bool LinkTable::reserve(const TcpLink& link, std::size_t bytes, framework::SteadyTime now)
 {
     ClosedLinks closed("memory needed for other frames");
     const std::lock_guard lock(mutex_);
+    const auto own = entries_.find(&link);
+    if (own == entries_.end())
+        return false;
+    LinkProgress& progress = own->second.progress;
     while (frameBytes_ + bytes > limits_.frameBytes) {
         const auto stalled = mostStalled(link, now);
-        if (stalled == entries_.end())
+        if (stalled != entries_.end()) {
+            close(stalled, closed);
+            continue;
+        }
+        // Prevents all from waiting for each other.
+        progress.isWaiting = !hasReadMost(own);
+        if (progress.isWaiting)
             return false;
-        close(stalled, closed);
+        break;
     }
-    const auto own = entries_.find(&link);
-    if (own == entries_.end())
-        return false;
+    if (std::exchange(progress.isWaiting, false) || progress.frameBytes == 0)
+        progress.progressAt = now;
     frameBytes_ += bytes;
-    own->second.progress.frameBytes += bytes;
+    progress.frameBytes += bytes;
     return true;
 }
 
@@ -101,6 +110,33 @@
     own->second.progress.isProven = true;
 }
 
+void LinkTable::didQueue(const TcpLink& link, std::size_t bytes)
+{
+    ClosedLinks closed("the peer reads too slowly");
+    const std::lock_guard lock(mutex_);
+    const auto own = entries_.find(&link);
+    if (own == entries_.end())
+        return;
+    own->second.progress.queuedBytes += bytes;
+    queuedBytes_ += bytes;
+    while (queuedBytes_ > limits_.queuedBytes) {
+        const auto most = std::max_element(entries_.begin(), entries_.end(), [](const auto& left, const auto& right) {
+            return left.second.progress.queuedBytes < right.second.progress.queuedBytes;
+        });
+        close(most, closed);
+    }
+}
+
+void LinkTable::didSend(const TcpLink& link, std::size_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    const auto own = entries_.find(&link);
+    if (own == entries_.end())
+        return;
+    own->second.progress.queuedBytes -= bytes;
+    queuedBytes_ -= bytes;
+}
+
 void LinkTable::closeStalled(framework::SteadyTime now)
 {
     ClosedLinks closed("frame too slow");
@@ -108,7 +144,7 @@
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         const auto next = std::next(entry);
         const LinkProgress& progress = entry->second.progress;
-        if (progress.frameBytes > 0 && now - progress.progressAt > limits_.frameProgressTimeout)
+        if (progress.frameBytes > 0 && !progress.isWaiting && now - progress.progressAt > limits_.frameProgressTimeout)
             close(entry, closed);
         entry = next;
     }
@@ -116,8 +152,14 @@
 
 void LinkTable::close(Entries::iterator entry, ClosedLinks& closed)
 {
-    frameBytes_ -= entry->second.progress.frameBytes;
     closed.add(entry->second.link.lock());
+    forget(entry);
+}
+
+void LinkTable::forget(Entries::iterator entry)
+{
+    frameBytes_ -= entry->second.progress.frameBytes;
+    queuedBytes_ -= entry->second.progress.queuedBytes;
     entries_.erase(entry);
 }
 
@@ -140,7 +182,8 @@
     auto most = entries_.end();
     for (auto entry = entries_.begin(); entry != entries_.end(); ++entry) {
         const LinkProgress& progress = entry->second.progress;
-        if (entry->first == &asking || progress.frameBytes == 0 || now - progress.progressAt < stallTime)
+        const bool isStalled = progress.frameBytes > 0 && !progress.isWaiting && now - progress.progressAt >= stallTime;
+        if (entry->first == &asking || !isStalled)
             continue;
         if (most == entries_.end() || progress.progressAt < most->second.progress.progressAt)
             most = entry;
@@ -148,4 +191,13 @@
     return most;
 }
 
+bool LinkTable::hasReadMost(Entries::const_iterator own) const
+{
+    return std::none_of(entries_.begin(), entries_.end(), [own](const auto& other) {
+        const std::size_t bytes = other.second.progress.frameBytes;
+        const std::size_t ownBytes = own->second.progress.frameBytes;
+        return bytes > ownBytes || (bytes == ownBytes && other.first < own->first);
+    });
+}
+
 } // namespace lagoon::wire
--- a/src/wire/internal/tcplink.cpp
+++ b/src/wire/internal/tcplink.cpp
@@ -78,13 +78,8 @@
     boost::asio::post(strand_, [self = shared_from_this(), bytes = encode(message)]() mutable {
         if (self->isClosed_)
             return;
-        self->queuedBytes_ += bytes.size();
+        self->table_->didQueue(*self, bytes.size());
         self->queue_.push_back(std::move(bytes));
-        if (self->queuedBytes_ > self->settings_.maxQueuedBytes) {
-            self->metrics_->count("lagoon_links_closed_total", { { "reason", "slow_peer" } });
-            self->fail(Error { ErrorCode::LinkLost, "send", self->peer_.value(), "the peer reads too slowly" });
-            return;
-        }
         self->write();
     });
 }
@@ -183,7 +178,7 @@
                 return;
             if (error)
                 return self->fail(Error { ErrorCode::LinkLost, "write", self->peer_.value(), error.message() });
-            self->queuedBytes_ -= self->queue_.front().size();
+            self->table_->didSend(*self, self->queue_.front().size());
             self->queue_.pop_front();
             self->write();
         });
--- a/src/wire/internal/tcplink.h
+++ b/src/wire/internal/tcplink.h
@@ -61,7 +61,6 @@
     bool isConnected_ = false;
     bool isClosed_ = false;
     bool isWriting_ = false;
-    std::size_t queuedBytes_ = 0;
     std::deque<std::vector<std::uint8_t>> queue_;
     std::array<std::uint8_t, lengthPrefixBytes> lengthBytes_ {};
     std::vector<std::uint8_t> bodyBytes_;
--- a/src/wire/internal/tcplinktransport.cpp
+++ b/src/wire/internal/tcplinktransport.cpp
@@ -32,7 +32,7 @@
         , metrics_(std::move(metrics))
         , table_(std::make_shared<LinkTable>(
               LinkTable::Limits { std::min(settings.maxLinks, framework::maxDescriptors() / 2),
-                  settings.maxUnfinishedBytes, settings.frameProgressTimeout }))
+                  settings.maxUnfinishedBytes, settings.maxQueuedBytes, settings.frameProgressTimeout }))
         , work_(boost::asio::make_work_guard(context_))
     {
         closeStalledLater();
--- a/src/wire/tests/link_test.cpp
+++ b/src/wire/tests/link_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace lagoon::wire;
@@ -171,4 +172,37 @@
     server->stop();
 }
 
+// Prevents peers that read no answers from using up the memory together.
+BOOST_AUTO_TEST_CASE(unreadAnswersMakeRoomForOthers)
+{
+    auto metrics = std::make_shared<Metrics>();
+    LinkSettings settings;
+    settings.maxQueuedBytes = 16 * 1024 * 1024;
+    auto server = makeTcpLinkTransport(settings, metrics);
+    const auto endpoint = server->listen(anyPort, handlers([](const std::shared_ptr<ILink>& link, const Message&) {
+        fb::AnswerChunkT chunk;
+        chunk.id = std::make_unique<fb::DispatchIdT>();
+        chunk.bytes.assign(4 * 1024 * 1024, 'x');
+        link->send(message(std::move(chunk)));
+    }));
+    const std::vector<std::uint8_t> ping = encode(message(fb::PingT()));
+    boost::asio::io_context context;
+    std::vector<boost::asio::ip::tcp::socket> unread;
+    for (int count = 0; count < 4; ++count) {
+        unread.push_back(connectRaw(context, endpoint.value()));
+        for (int sent = 0; sent < 6; ++sent)
+            boost::asio::write(unread.back(), boost::asio::buffer(ping));
+    }
+    while (metrics->text().find("lagoon_links_closed_total{reason=\"limit\"}") == std::string::npos)
+        std::this_thread::yield();
+    auto transport = makeTcpLinkTransport({}, std::make_shared<Metrics>());
+    std::promise<void> received;
+    auto link = transport->connect(
+        endpoint.value(), handlers([&](const std::shared_ptr<ILink>&, const Message&) { received.set_value(); }));
+    link->send(message(fb::PingT()));
+    received.get_future().wait();
+    transport->stop();
+    server->stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/integration/directcrowd_test.cpp
+++ b/tests/integration/directcrowd_test.cpp
@@ -167,9 +167,9 @@
 // Prevents peers of the readiness and ops ports from taking the descriptors that callers need.
 BOOST_AUTO_TEST_CASE(otherPorts)
 {
-    const CrowdMessage unfinished { "GET /x" };
-    const Crowd readiness(fleet.readiness(0), manyConnections, [&](std::size_t) { return unfinished; });
-    const Crowd ops(fleet.ops(0), manyConnections, [&](std::size_t) { return unfinished; });
+    const auto unfinished = [](std::size_t) { return CrowdMessage { "GET /x" }; };
+    const Crowd readiness(fleet.readiness(0), manyConnections, unfinished);
+    const Crowd ops(fleet.ops(0), manyConnections, unfinished);
     checkDescriptors(readiness);
     BOOST_TEST(isReached([this] { return fleet.isReady(); }));
 }
