Exchange server: connections don't use a server that is gone

The function that makes room for a body referred to the server, which a connection's pending handlers can outlive. The budget's reclaimer beside it was weak already.

--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -43,7 +43,10 @@
 
     framework::Result<Endpoint> listen(const Endpoint& endpoint)
     {
-        shared_->refuseSlowerBody = [this](const CallerConnection& connection) { return refuseSlowerBody(connection); };
+        shared_->refuseSlowerBody = [weak = weak_from_this()](const CallerConnection& connection) {
+            const auto self = weak.lock();
+            return self && self->refuseSlowerBody(connection);
+        };
         BOOST_OUTCOME_TRY(address, framework::parseTcpEndpoint(endpoint, "listen for callers"));
         boost::system::error_code error;
         acceptor_.open(address.protocol(), error);
