--- a/src/framework/loglimiter.h
+++ b/src/framework/loglimiter.h
@@ -7,8 +7,8 @@
 
 namespace lagoon::framework {
 
-/// Bounds the lines that are logged of one kind of event, so that those who cause the events can't fill the log. Used on
-/// one thread at a time.
+/// Bounds the lines that are logged of one kind of event, so that those who cause the events can't fill the log. Used
+/// on one thread at a time.
 class LogLimiter {
 public:
     explicit LogLimiter(std::size_t linesPerSecond)
--- a/tests/soak/crowdcallers.cpp
+++ b/tests/soak/crowdcallers.cpp
@@ -37,7 +37,7 @@
 void CrowdCallers::begin()
 {
     const Port port = drawPort();
-    const CrowdMessage message = drawMessage(port);
+    CrowdMessage message = drawMessage(port);
     const std::size_t clients = minClients + runLog_.draw(clientsRange);
     const framework::Milliseconds stay = runLog_.drawDuration(minStayMs, stayRangeMs);
     if (port.endpoint.empty())
