Links: short frames don't wait for long ones that fill the room

Cause, by reading: the room for unfinished frames is a multiple of the pieces, so peers that wait fill it exactly; a router's short frames then wait among them, and room comes back only each 2 s, when a frame that stands still is closed.

Change: the first piece of a frame needs no room, and pieces have 16 KiB instead of 64. So frames of up to 16 KiB never wait, at a cost of 16 KiB a link at most.

--- a/src/wire/internal/tcplink.cpp
+++ b/src/wire/internal/tcplink.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t maxPieceBytes = 64 * 1024;
+constexpr std::size_t maxPieceBytes = 16 * 1024;
 constexpr framework::Milliseconds roomRetryDelay { 20 };
 
 } // namespace
@@ -114,7 +114,8 @@
 {
     const std::size_t received = bodyBytes_.size();
     const std::size_t piece = std::min(length - received, maxPieceBytes);
-    if (!table_->reserve(*this, piece, std::chrono::steady_clock::now()))
+    // Frames of one piece, which most are, never wait for those that fill the room.
+    if (received > 0 && !table_->reserve(*this, piece, std::chrono::steady_clock::now()))
         return readBodyLater(length);
     try {
         bodyBytes_.resize(received + piece);
