--- a/src/wire/tests/link_test.cpp
+++ b/src/wire/tests/link_test.cpp
@@ -151,6 +151,30 @@
     transport->stop();
 }
 
+// Prevents short frames from waiting for long ones that fill the room.
+BOOST_AUTO_TEST_CASE(shortFramesNeedNoRoom)
+{
+    constexpr std::uint32_t frameBytes = 600 * 1024;
+    auto metrics = std::make_shared<Metrics>();
+    LinkSettings settings;
+    settings.maxUnfinishedBytes = 64 * 1024;
+    auto transport = makeTcpLinkTransport(settings, metrics);
+    std::promise<void> received;
+    const auto endpoint = transport->listen(
+        anyPort, handlers([&](const std::shared_ptr<ILink>&, const Message&) { received.set_value(); }));
+    boost::asio::io_context context;
+    auto stalled = connectRaw(context, endpoint.value());
+    const std::array<std::uint32_t, 1> length { frameBytes };
+    boost::asio::write(stalled, boost::asio::buffer(length));
+    boost::asio::write(stalled, boost::asio::buffer(std::string(frameBytes - 1, 'x')));
+    std::this_thread::sleep_for(Milliseconds(300));
+    auto link = transport->connect(endpoint.value(), handlers([](const std::shared_ptr<ILink>&, const Message&) {}));
+    link->send(message(fb::PingT()));
+    received.get_future().wait();
+    BOOST_TEST(metrics->text().find("lagoon_links_closed_total") == std::string::npos);
+    transport->stop();
+}
+
 // Prevents peers that send nothing from using up the links.
 BOOST_AUTO_TEST_CASE(linksWithoutMessagesMakeRoomForOthers)
 {
