HTTP: one connection makes room for a new one, not two

What callers saw: with as many connections as are allowed, a new connection was closed as soon as it was accepted, or one that had just been answered, though an idle one had made room.

Cause: an idle connection that makes room first looks for a request that is on its way, and closes when its pending read has been cancelled. The server looked at the number of connections at once, saw no room, and asked a second one; the first doesn't count any more then, so it could be the new one.

Evidence: http_tests beside a build failed in aConnectionWithUnreadAnswersIsNotTheLongestIdle (1 of 2 connections left), as the new caller's request came a moment after its connection.

Change: each accepted connection above the limit asks one to make room. A refused request leaves a connection that lingers and goes first at the next call, so the number stays near the limit; eight above it new ones are closed, as before.

--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -25,8 +25,8 @@
 /// closed by then.
 constexpr Milliseconds acceptRetryDelay { 50 };
 constexpr Milliseconds answerCheckInterval { 5000 };
-/// Above the maximum number of connections, for those that have just been refused to make room.
-constexpr std::size_t maxRefusedAbove = 8;
+/// Above the maximum number of connections, for those that have been told to make room and haven't ended yet.
+constexpr std::size_t maxLeavingAbove = 8;
 
 } // namespace
 
@@ -175,14 +175,12 @@
         return ::poll(&listening, 1, 0) > 0;
     }
 
-    /// Frees a descriptor, so that callers that don't use their connections can't shut out those that do. Returns false
-    /// if all are needed.
-    bool makeRoom()
+    /// Frees a descriptor unless all are needed, so that callers that don't use their connections can't shut out those
+    /// that do.
+    void makeRoom()
     {
-        const auto connection = leastNeeded(connections_, std::chrono::steady_clock::now());
-        if (connection)
+        if (const auto connection = leastNeeded(connections_, std::chrono::steady_clock::now()))
             connection->makeRoom();
-        return connection != nullptr;
     }
 
     bool dropSlowestAnswers(Reclaim which)
@@ -265,10 +263,9 @@
             connection->closeWhenIdle();
         if (connections_.size() <= maxConnections_)
             return;
-        // A request that is refused to make room leaves a connection that lingers, and makes room at the next call.
-        if (makeRoom() && connections_.size() > maxConnections_)
-            makeRoom();
-        if (connections_.size() > maxConnections_ + maxRefusedAbove)
+        // The room may be there only later: an idle connection first looks for a request, a refused one lingers.
+        makeRoom();
+        if (connections_.size() > maxConnections_ + maxLeavingAbove)
             connection->closeNow();
     }
 
--- a/src/http/tests/unreadanswers_test.cpp
+++ b/src/http/tests/unreadanswers_test.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -102,6 +104,27 @@
     BOOST_TEST(slow.readToEnd().size() > body.size());
 }
 
+// Prevents the close of a connection for which an idle one has just made room.
+BOOST_AUTO_TEST_CASE(aNewConnectionStaysWhenAnIdleOneMakesRoom)
+{
+    std::vector<std::unique_ptr<RawCaller>> idle;
+    for (int caller = 0; caller < 2; ++caller) {
+        idle.push_back(std::make_unique<RawCaller>(endpoint));
+        idle.back()->send(get("/"));
+        BOOST_TEST(idle.back()->readUntil("GET /"));
+    }
+    // Both are old enough to be closed.
+    std::this_thread::sleep_for(framework::Milliseconds(1500));
+    onThread([&] { server.setMaxConnections(2); });
+    RawCaller next(endpoint);
+    BOOST_TEST(idle.front()->readToEnd().ends_with("GET / "));
+    next.send(get("/next"));
+    BOOST_TEST(next.readUntil("GET /next"));
+    idle.back()->clearReceived();
+    idle.back()->send(get("/again"));
+    BOOST_TEST(idle.back()->readUntil("GET /again"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::http
