HTTP: as many unread answers are dropped as memory is needed

What callers saw: one answer for which there was no memory reset the connections of all callers that read clearly slower than they could.

Cause: a dropped answer kept its share of the budget until its pending write had ended, which the event loop handles later. The budget asked for more at once, and the next slowest was dropped, until none was left.

Change: what waits, and the reservations, are released when the answers are dropped; only the bytes of the pending write stay until it has ended.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -443,6 +443,8 @@
     if (context_->didDropAnswers)
         context_->didDropAnswers({ unsent_.bytes(), cause, framework::endpointOf(socket_.remote_endpoint(ignored)) });
     setResetOnClose();
+    // The pending write ends only after this. If it still counted, further answers would be dropped in vain.
+    unsent_.discard();
     handleDisconnect();
 }
 
--- a/src/http/internal/sendqueue.cpp
+++ b/src/http/internal/sendqueue.cpp
@@ -27,6 +27,15 @@
     entries_.pop_front();
 }
 
+void SendQueue::discard()
+{
+    if (entries_.empty())
+        return;
+    entries_.resize(1);
+    entries_.front().reservation.reset();
+    bytes_ = 0;
+}
+
 bool SendQueue::checkProgress(std::size_t bytes, framework::Milliseconds timeout, framework::SteadyTime now)
 {
     if (entries_.empty())
--- a/src/http/internal/sendqueue.h
+++ b/src/http/internal/sendqueue.h
@@ -24,6 +24,8 @@
     /// `bytes` of the first entry have been written so far.
     void didWritePart(std::size_t bytes, framework::SteadyTime now);
     void pop();
+    /// Drops what waits, and its reservations. What is being written stays in memory until that has ended.
+    void discard();
 
     /// Returns false if the caller has read less than `bytes` within `timeout`, though there was more to read.
     bool checkProgress(std::size_t bytes, framework::Milliseconds timeout, framework::SteadyTime now);
--- a/src/http/tests/unreadanswers_test.cpp
+++ b/src/http/tests/unreadanswers_test.cpp
@@ -1,3 +1,4 @@
+#include "http/internal/recentprogress.h"
 #include "http/tests/exchangefixture.h"
 
 #include <algorithm>
@@ -12,6 +13,41 @@
 using testing::ExchangeFixture;
 using testing::RawCaller;
 
+namespace {
+
+/// Callers that read nothing of a large answer each. Their answers together use up the memory for unread ones.
+struct UnreadLargeAnswers : ExchangeFixture {
+    UnreadLargeAnswers()
+    {
+        onRequest = [this](const std::shared_ptr<IExchange>& exchange) { exchange->answer(ok(), large); };
+        onThread([this] {
+            const std::size_t memory = (callers + 1) * large.size();
+            auto budget = std::make_shared<ByteBudget>(ByteBudget::Limits { memory, memory, memory, memory });
+            server.setBudget(budget, ResponseHead { 503, {}, {} });
+            server.reclaimUnreadAnswers(*budget, ExchangeServer::Reclaim::All);
+            server.setDropHandler([this](const DroppedAnswers&) { ++dropped; });
+        });
+    }
+
+    void leaveAnswersUnread()
+    {
+        for (std::size_t caller = 0; caller < callers; ++caller) {
+            unread.push_back(std::make_unique<RawCaller>(endpoint));
+            unread.back()->send(get("/"));
+            BOOST_TEST(unread.back()->readUntil("200 OK"));
+        }
+        // Until then, they could be as fast as any.
+        std::this_thread::sleep_for(2 * RecentProgress::window);
+    }
+
+    static constexpr std::size_t callers = 3;
+    const std::string large = std::string(16 * 1024 * 1024, 'x');
+    int dropped = 0;
+    std::vector<std::unique_ptr<RawCaller>> unread;
+};
+
+} // namespace
+
 BOOST_FIXTURE_TEST_SUITE(UnreadAnswers, ExchangeFixture)
 
 // Prevents a caller that sends requests ahead and reads no answer from using up the memory by the answers.
@@ -125,6 +161,16 @@
     BOOST_TEST(idle.back()->readUntil("GET /again"));
 }
 
+// Prevents one answer that lacks some memory from ending the connections of all callers that read slowly.
+BOOST_FIXTURE_TEST_CASE(onlyAsManyAnswersAreDroppedAsMemoryIsNeeded, UnreadLargeAnswers)
+{
+    leaveAnswersUnread();
+    RawCaller next(endpoint);
+    next.send(get("/"));
+    BOOST_TEST(next.readUntil("200 OK"));
+    onThread([this] { BOOST_TEST(dropped == 1); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::http
