Direct router: streams that nobody reads make room for others

What callers saw: clients that ask for streams and don't read them shut all others out for as long as the streams last, with 503 "no memory for the body".

Cause: unread events count in the budget of held bodies, but only complete answers were dropped when it was short, as handlers couldn't bear to be told of a disconnect while they answer another request.

Change: unread answers of any request can be dropped, the ones that are read most slowly first; the handler is told by the event loop.

--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -86,7 +86,7 @@
         const auto budget = std::make_shared<http::ByteBudget>(bodyLimits(limits.heldBodyBytes));
         server_.setLimits(exchangeLimits(limits));
         server_.setBudget(budget, http::ResponseHead { serviceUnavailable, {}, {} });
-        server_.reclaimUnreadAnswers(*budget, http::ExchangeServer::Reclaim::All);
+        server_.reclaimUnreadAnswers(*budget);
         server_.setRefusalWriter(*this);
         server_.setDropHandler(
             [this](const http::DroppedAnswers&) { metrics_->count("lagoon_unread_answers_dropped_total"); });
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -103,7 +103,7 @@
             server->setRefusalHandler([this](const http::UnreadRefusal& refusal) { didRefuseUnread(refusal); });
         }
         callers_.setDropHandler([this](const http::DroppedAnswers& answers) { didDropAnswers(answers); });
-        callers_.reclaimUnreadAnswers(*budget_, http::ExchangeServer::Reclaim::Complete);
+        callers_.reclaimUnreadAnswers(*budget_);
         // While the callers' port is held, balancers already read that this router isn't ready. Callers come last,
         // since nobody would drain their requests if the process were asked to terminate before it has started.
         BOOST_OUTCOME_TRY(readiness, readinessPort_.bind());
--- a/src/http/exchangeserver.h
+++ b/src/http/exchangeserver.h
@@ -90,11 +90,9 @@
     void setRefusalWriter(IRefusalWriter&);
     /// Sets what is called when unread answers are dropped. Call this before `listen`.
     void setDropHandler(std::function<void(const DroppedAnswers&)>);
-    enum class Reclaim : std::uint8_t { Complete, All };
-    /// Lets the budget reclaim unread answers of this server, only those that are complete or all: those that are read
-    /// slowest are dropped first. With `All`, handlers have to bear that requests in progress are disconnected while
-    /// they answer others.
-    void reclaimUnreadAnswers(ByteBudget&, Reclaim);
+    /// Lets the budget reclaim unread answers of this server, also of requests in progress: those that are read slowest
+    /// are dropped first.
+    void reclaimUnreadAnswers(ByteBudget&);
     /// Above this number of connections, the one that is needed least is closed for each further one: one that has been
     /// answered or is idle, else the one whose request makes the least progress, which is refused like one for whose
     /// body there is no memory. If all are needed for answers, the further one is closed.
--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -445,7 +445,12 @@
     setResetOnClose();
     // The pending write ends only after this. If it still counted, further answers would be dropped in vain.
     unsent_.discard();
-    handleDisconnect();
+    close();
+    // Posted, since a handler that answers another request may need the memory.
+    if (const auto exchange = exchange_.lock())
+        boost::asio::post(socket_.get_executor(), [self = shared_from_this(), exchange] {
+            self->runGuarded([&] { exchange->handleDisconnect(); });
+        });
 }
 
 void CallerConnection::checkAnswerProgress(framework::SteadyTime now)
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -100,7 +100,6 @@
     /// Called if the handler destroyed the exchange without an answer.
     void failDropped() noexcept;
     std::size_t unsentBytes() const { return unsent_.bytes(); }
-    bool hasRequestInProgress() const { return !exchange_.expired(); }
     double recentShareOfAnswers(framework::SteadyTime now) const { return unsent_.recentShare(now); }
     void dropUnreadAnswers(const std::string& cause);
     /// Drops the answers of a caller that reads them too slowly.
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -92,11 +92,11 @@
     {
         shared_->didDropAnswers = std::move(handler);
     }
-    void reclaimUnreadAnswers(ByteBudget& budget, Reclaim which)
+    void reclaimUnreadAnswers(ByteBudget& budget)
     {
-        budget.setReclaimer([weak = weak_from_this(), which] {
+        budget.setReclaimer([weak = weak_from_this()] {
             const auto self = weak.lock();
-            return self && self->dropSlowestAnswers(which);
+            return self && self->dropSlowestAnswers();
         });
     }
     void setMaxConnections(std::size_t connections) { maxConnections_ = connections; }
@@ -183,9 +183,9 @@
             connection->makeRoom();
     }
 
-    bool dropSlowestAnswers(Reclaim which)
+    bool dropSlowestAnswers()
     {
-        const auto slowest = slowestReader(connections_, which, std::chrono::steady_clock::now());
+        const auto slowest = slowestReader(connections_, std::chrono::steady_clock::now());
         if (slowest)
             slowest->dropUnreadAnswers("memory needed for others");
         return slowest != nullptr;
@@ -315,10 +315,7 @@
     implementation_->setDropHandler(std::move(handler));
 }
 
-void ExchangeServer::reclaimUnreadAnswers(ByteBudget& budget, Reclaim which)
-{
-    implementation_->reclaimUnreadAnswers(budget, which);
-}
+void ExchangeServer::reclaimUnreadAnswers(ByteBudget& budget) { implementation_->reclaimUnreadAnswers(budget); }
 
 void ExchangeServer::setMaxConnections(std::size_t connections) { implementation_->setMaxConnections(connections); }
 
--- a/src/http/internal/slowcallers.cpp
+++ b/src/http/internal/slowcallers.cpp
@@ -37,15 +37,13 @@
     return slowest;
 }
 
-std::shared_ptr<CallerConnection> slowestReader(
-    const Connections& connections, ExchangeServer::Reclaim which, framework::SteadyTime now)
+std::shared_ptr<CallerConnection> slowestReader(const Connections& connections, framework::SteadyTime now)
 {
     std::shared_ptr<CallerConnection> slowest;
     double leastShare = 1 / clearlySlower;
     std::size_t mostBytes = 0;
     for (const auto& [key, connection] : connections) {
-        const bool isComplete = !connection->hasRequestInProgress();
-        if (connection->unsentBytes() == 0 || (which == ExchangeServer::Reclaim::Complete && !isComplete))
+        if (connection->unsentBytes() == 0)
             continue;
         const double share = connection->recentShareOfAnswers(now);
         if (share > leastShare || (share == leastShare && connection->unsentBytes() <= mostBytes))
--- a/src/http/internal/slowcallers.h
+++ b/src/http/internal/slowcallers.h
@@ -21,7 +21,7 @@
 
 /// Returns the connection whose caller reads its answers most slowly for the bytes that they hold; null if all read
 /// them as fast as they can be expected to.
-std::shared_ptr<CallerConnection> slowestReader(const Connections&, ExchangeServer::Reclaim, framework::SteadyTime now);
+std::shared_ptr<CallerConnection> slowestReader(const Connections&, framework::SteadyTime now);
 
 /// Returns the connection that is needed least: one that lingers, else an idle one, else the one whose request makes
 /// the least progress. The oldest comes first. Null if all are needed for answers.
--- a/src/http/tests/unreadanswers_test.cpp
+++ b/src/http/tests/unreadanswers_test.cpp
@@ -24,7 +24,7 @@
             const std::size_t memory = (callers + 1) * large.size();
             auto budget = std::make_shared<ByteBudget>(ByteBudget::Limits { memory, memory, memory, memory });
             server.setBudget(budget, ResponseHead { 503, {}, {} });
-            server.reclaimUnreadAnswers(*budget, ExchangeServer::Reclaim::All);
+            server.reclaimUnreadAnswers(*budget);
             server.setDropHandler([this](const DroppedAnswers&) { ++dropped; });
         });
     }
@@ -171,6 +171,37 @@
     onThread([this] { BOOST_TEST(dropped == 1); });
 }
 
+// Prevents a handler from being told of a disconnect while it answers another request, or not at all.
+BOOST_FIXTURE_TEST_CASE(aStreamThatNobodyReadsMakesRoom, UnreadLargeAnswers)
+{
+    bool isDisconnected = false;
+    std::shared_ptr<IExchange> stream;
+    onRequest = [&](const std::shared_ptr<IExchange>& exchange) {
+        if (!stream) {
+            stream = exchange;
+            stream->setDisconnectHandler([&] { isDisconnected = true; });
+            stream->beginAnswer(ok());
+            return stream->sendPiece(large + large + large);
+        }
+        exchange->answer(ok(), large + large);
+        BOOST_TEST(dropped == 1);
+        BOOST_TEST(!isDisconnected);
+        stream->sendPiece("more");
+    };
+    RawCaller slow(endpoint);
+    slow.send(get("/stream"));
+    BOOST_TEST(slow.readUntil("200 OK"));
+    std::this_thread::sleep_for(2 * RecentProgress::window);
+    RawCaller next(endpoint);
+    next.send(get("/"));
+    BOOST_TEST(next.readUntil("200 OK"));
+    onThread([&] {
+        BOOST_TEST(isDisconnected);
+        BOOST_TEST(stream->unsentBytes() == 0U);
+        stream.reset();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::http
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -21,8 +21,6 @@
 namespace {
 
 const std::string host = "callers.example";
-/// The memory of the VMs that routers run on.
-constexpr int routerMemoryMb = 260;
 
 bool isFree(const std::string& address, int port)
 {
@@ -63,12 +61,14 @@
     return json;
 }
 
-value serviceList(const std::vector<std::string>& models, framework::Milliseconds loadTime)
+value serviceList(const std::vector<std::string>& models, framework::Milliseconds loadTime, std::optional<int> slots)
 {
     value engines;
     engines["name"] = value::string("engines");
-    engines["max-connections"] = value::number(100);
+    engines["max-connections"] = value::number(slots.value_or(100));
     value profile;
+    if (slots)
+        profile["slot-count"] = value::number(*slots);
     profile["weights-mb"] = value::number(110);
     profile["max-adapters"] = value::number(3);
     profile["models"] = value::array();
@@ -194,7 +194,7 @@
     json["routes"] = value::array();
     for (const value& route : routes)
         json["routes"][json["routes"].size()] = route;
-    json["services"] = serviceList(models_, loadTime_);
+    json["services"] = serviceList(models_, loadTime_, slots_);
     if (!customers_.is_null())
         json["tenants"] = customers_;
     json["a-field-of-tomorrow"] = value::boolean(true);
@@ -332,7 +332,7 @@
     settings["readiness"] = value::string("127.0.0.1:" + std::to_string(fixed.readiness));
     settings["agent_port"] = value::number(agentPorts_.contains(index) ? agentPorts_.at(index) : agentPort_);
     settings["grace_ms"] = value::number(grace_.count());
-    settings["memory_mb"] = value::number(routerMemoryMb);
+    settings["memory_mb"] = value::number(memoryMb_);
     if (revocation_) {
         settings["keys"]["ends_revoked"] = value::boolean(true);
         settings["keys"]["within_ms"] = value::number(revocation_->count());
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -103,6 +103,8 @@
     std::string readiness(std::size_t index) { return router(index).readyText("readiness"); }
     /// Sets the endpoint at which processes that are started from now on reach the store, such as that of a proxy.
     void setStoreEndpoint(const std::string& endpoint) { storeEndpoint_ = endpoint; }
+    /// Sets the memory of the VMs of routers that are started from now on.
+    void setMemory(int megabytes) { memoryMb_ = megabytes; }
     /// Sets the grace period of routers that are started from now on: the maximum time from SIGTERM to their end.
     void setGrace(framework::Milliseconds grace) { grace_ = grace; }
     /// Sets the surroundings of routers and agents that are started from now on.
@@ -110,6 +112,8 @@
     void setProcessOptions(const testsupport::ProcessOptions& ofRouters, const testsupport::ProcessOptions& ofAgents);
     /// Sets the load time of models in configurations that are written from now on.
     void setLoadTime(framework::Milliseconds time) { loadTime_ = time; }
+    /// Sets how many requests at once engines take in configurations that are written from now on.
+    void setSlots(int slots) { slots_ = slots; }
     /// Sets the customers of configurations that are written from now on, as their array of JSON objects.
     void setCustomers(const web::json::value& customers) { customers_ = customers; }
     /// Puts a proxy that injects faults between a router that isn't started yet and each of the agents.
@@ -177,6 +181,8 @@
     testsupport::ProcessOptions agentOptions_;
     framework::Milliseconds grace_ { 8000 };
     framework::Milliseconds loadTime_ { 200 };
+    int memoryMb_ = 260;
+    std::optional<int> slots_;
     std::optional<framework::Milliseconds> revocation_;
     std::vector<std::string> models_ { "warm", "cold", "colder" };
     std::vector<std::unique_ptr<EngineStandin>> addedEngines_;
--- a/tests/fleet/serverstandins.cpp
+++ b/tests/fleet/serverstandins.cpp
@@ -467,7 +467,8 @@
             breakOff(exchange);
             return crash();
         }
-        const std::string text = eventText(event, process.version);
+        const std::string padding = padding_ > 0 ? ":" + std::string(padding_, 'p') + "\n" : std::string();
+        const std::string text = padding + eventText(event, process.version);
         if (event == cutStreamAt_) {
             cutStreamAt_ = 0;
             exchange.sendChunk(text.substr(0, text.size() / 2));
--- a/tests/fleet/serverstandins.h
+++ b/tests/fleet/serverstandins.h
@@ -185,6 +185,8 @@
     int violations() const { return violations_; }
     /// Sets the number of events of a stream and the pause before each event.
     void setStream(int events, int pauseMs);
+    /// Sets how many bytes more each event has.
+    void setPadding(std::size_t bytes) { padding_ = bytes; }
     /// Sets how long a load takes. The engine is busy until the load ends.
     void setLoadTime(framework::Milliseconds loadTime) { loadTimeMs_ = static_cast<int>(loadTime.count()); }
     /// While set, loads are accepted but do not end.
@@ -217,6 +219,7 @@
     std::atomic<int> violations_ { 0 };
     std::atomic<int> events_ { 3 };
     std::atomic<int> pauseMs_ { 1 };
+    std::atomic<std::size_t> padding_ { 0 };
     std::atomic<int> cutStreamAt_ { 0 };
     std::atomic<bool> areLoadsStalled_ { false };
     std::atomic<int> loadTimeMs_ { 0 };
--- a/tests/integration/directcrowd_test.cpp
+++ b/tests/integration/directcrowd_test.cpp
@@ -1,7 +1,9 @@
 #include "crowdchecks.h"
 #include "fleet/runningfleet.h"
 
+#include <cpprest/json.h>
 #include <string>
+#include <vector>
 
 using namespace lagoon::crowdtests;
 using namespace lagoon::fleet;
@@ -12,9 +14,16 @@
 constexpr std::size_t largeBody = 1000 * 1000;
 constexpr std::size_t ordinaryBody = 900 * 1000;
 const std::string target = "/post/1";
+constexpr int streams = 700;
+constexpr int streamTimeoutMs = 120000;
 
 CrowdMessage almostWhole(const std::string& host) { return bodyOf(target, largeBody, largeBody - 1, host); }
 
+CallerRequest streamRequest(const std::string& attempt, const std::string& model, int deadlineMs = 20000)
+{
+    return { .target = "/model/1", .attempt = attempt, .model = model, .deadlineMs = deadlineMs };
+}
+
 struct DirectCrowd : RunningFleet {
     bool isServed(std::size_t bytes = 4)
     {
@@ -25,6 +34,35 @@
         return isWholeSuccess(exchangeOnce(fleet.callers(), request.text()));
     }
 
+    bool isStreamed()
+    {
+        return isWholeSuccess(exchangeOnce(fleet.callers(), streamRequest("s" + std::to_string(++attempts_), "warm").text()));
+    }
+
+    /// Lets an engine write long streams to many callers at once.
+    void allowStreams()
+    {
+        engine1.hold("warm");
+        engine1.setStream(1000, 0);
+        engine1.setPadding(1000);
+        fleet.setSlots(streams);
+        std::vector<web::json::value> routes = Fleet::defaultRoutes();
+        routes.front()["timeout-ms"] = web::json::value::number(streamTimeoutMs);
+        fleet.configure(routes);
+        waitFor("a stream", [this] { return isStreamed(); });
+    }
+
+    Crowd crowdOfStreams()
+    {
+        return { fleet.callers(), streams, [](std::size_t index) {
+                    return CrowdMessage {
+                        streamRequest("crowd" + std::to_string(index), "warm", streamTimeoutMs).text()
+                    };
+                } };
+    }
+
+    bool areStreamsRunning() { return engine1.totalRuns() > streams / 2; }
+
     void checkCallers(const Crowd& crowd, std::size_t bytes = 4)
     {
         checkServes(crowd, [&] { return isServed(bytes); });
@@ -115,6 +153,15 @@
     checkCallers(crowd);
 }
 
+// Prevents callers from shutting out others by streams that nobody reads.
+BOOST_AUTO_TEST_CASE(unreadStreams)
+{
+    allowStreams();
+    const Crowd crowd = crowdOfStreams();
+    waitFor("the streams of the crowd", [this] { return areStreamsRunning(); });
+    checkCallers(crowd, ordinaryBody);
+}
+
 // Prevents the end of a router or a shut-out of other callers by many large bodies whose answers nobody reads.
 BOOST_AUTO_TEST_CASE(wholeBodies)
 {
