Direct router: a stream pauses after 16 KiB that its caller hasn't read

What callers saw: a router needs more than its machine's memory if many streams begin within two seconds and nobody reads them.

Cause: each stream held up to 256 KiB of unread events before its server was paused. They count in the budget, but what has waited for less than two seconds can't be told from what is about to be read, so nothing was dropped for them.

Change: 16 KiB, one read of the server's connection. The kernel holds 64 KiB more of each caller's stream, so one that reads isn't held up.

--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -23,7 +23,7 @@
 /// A request is not retried with less time left than this.
 constexpr Milliseconds minTimeToRetry { 60 };
 /// If a caller has more unread bytes than this, reading from its server is paused.
-constexpr std::size_t maxUnreadBytes = 256 * 1024;
+constexpr std::size_t maxUnreadBytes = 16 * 1024;
 /// A permit that isn't used within this time lapses, so that permits don't add up.
 constexpr Milliseconds permitValidity { 300 };
 /// Longer than a server takes to crash once it has begun to write an answer.
--- a/tests/integration/directcrowd_test.cpp
+++ b/tests/integration/directcrowd_test.cpp
@@ -36,7 +36,8 @@
 
     bool isStreamed()
     {
-        return isWholeSuccess(exchangeOnce(fleet.callers(), streamRequest("s" + std::to_string(++attempts_), "warm").text()));
+        return isWholeSuccess(
+            exchangeOnce(fleet.callers(), streamRequest("s" + std::to_string(++attempts_), "warm").text()));
     }
 
     /// Lets an engine write long streams to many callers at once.
@@ -54,11 +55,10 @@
 
     Crowd crowdOfStreams()
     {
-        return { fleet.callers(), streams, [](std::size_t index) {
-                    return CrowdMessage {
-                        streamRequest("crowd" + std::to_string(index), "warm", streamTimeoutMs).text()
-                    };
-                } };
+        return { fleet.callers(), streams,
+            [](std::size_t index) {
+                return CrowdMessage { streamRequest("crowd" + std::to_string(index), "warm", streamTimeoutMs).text() };
+            } };
     }
 
     bool areStreamsRunning() { return engine1.totalRuns() > streams / 2; }
@@ -109,6 +109,19 @@
     }
 };
 
+struct LittleMemory : DirectCrowd {
+    LittleMemory()
+    {
+        fleet.stop();
+        fleet.setMemory(memoryMb);
+        fleet.start();
+        engine1.setLoadsStalled(true);
+        engine2.setLoadsStalled(true);
+    }
+
+    static constexpr int memoryMb = 96;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(CrowdsOfDirectCallers, DirectCrowd)
@@ -236,3 +249,17 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(CrowdsAtRoutersWithLittleMemory, LittleMemory)
+
+// Prevents the end of a router for want of memory by streams that begin at once and that nobody reads.
+BOOST_AUTO_TEST_CASE(unreadStreamsAtOnce)
+{
+    allowStreams();
+    const Crowd crowd = crowdOfStreams();
+    waitFor("the streams of the crowd", [this] { return areStreamsRunning(); });
+    checkServes(crowd, [this] { return isServed(); });
+    checkProcess(fleet.router(), memoryMb, fleet.callers());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
