HTTP: what callers send ahead of time takes 32 KiB, also in the kernel

What callers saw: a router needs more than its machine's memory if callers send on while their requests wait, with as many connections as it allows.

Cause: 64 KiB that were sent ahead were read for each connection, in a buffer of 128 KiB, and 110 KiB more waited in the kernel, whose receive buffers grow by themselves.

Change: reading pauses after one read, and the kernel's buffer is 16 KiB.

--- a/src/http/internal/callerconnection.cpp
+++ b/src/http/internal/callerconnection.cpp
@@ -4,7 +4,6 @@
 #include "http/internal/callerexchange.h"
 #include "http/internal/messagereader.h"
 #include "http/internal/messagewriter.h"
-#include "http/internal/socketoptions.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -21,7 +20,7 @@
 constexpr std::size_t readBufferBytes = 16 * 1024;
 constexpr std::size_t maxWriteBytes = 64 * 1024;
 /// How much a caller may send ahead while its request is handled; then reading pauses.
-constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+constexpr std::size_t maxPipelinedBytes = readBufferBytes;
 /// How much of answers a caller may leave unread before its requests that were sent ahead wait.
 constexpr std::size_t maxUnsentBeforeRequest = 64 * 1024;
 /// Limits how long a caller may read nothing of an answer that fills its receive buffer, and how long the request of a
@@ -131,6 +130,17 @@
         if (!context_->refuseSlowerBody || !context_->refuseSlowerBody(*this))
             return refuse(context_->budgetRefusal, "no memory for the body");
     }
+    growReceiveBuffer();
+}
+
+/// Lets the kernel hold more of a large body, whose bytes are counted: with the least buffer it would arrive slowly.
+void CallerConnection::growReceiveBuffer()
+{
+    const std::size_t bytes = std::min(incoming_->reservation()->bytes(), maxReceiveBuffer);
+    if (bytes < 2 * receiveBuffer_)
+        return;
+    receiveBuffer_ = bytes;
+    setReceiveBuffer(socket_, receiveBuffer_);
 }
 
 /// Prevents a caller from using up the memory by a request whose framing doesn't end.
@@ -203,6 +213,8 @@
     Request request = incoming_->release();
     auto reservation = incoming_->releaseReservation();
     incoming_.reset();
+    if (std::exchange(receiveBuffer_, minReceiveBuffer) > minReceiveBuffer)
+        setReceiveBuffer(socket_, minReceiveBuffer);
     isChunked_ = request.isVersion11;
     auto exchange = std::make_shared<CallerExchange>(shared_from_this(), std::move(request), std::move(reservation),
         headReceivedAt, std::chrono::steady_clock::now());
@@ -448,9 +460,8 @@
     close();
     // Posted, since a handler that answers another request may need the memory.
     if (const auto exchange = exchange_.lock())
-        boost::asio::post(socket_.get_executor(), [self = shared_from_this(), exchange] {
-            self->runGuarded([&] { exchange->handleDisconnect(); });
-        });
+        boost::asio::post(socket_.get_executor(),
+            [self = shared_from_this(), exchange] { self->runGuarded([&] { exchange->handleDisconnect(); }); });
 }
 
 void CallerConnection::checkAnswerProgress(framework::SteadyTime now)
--- a/src/http/internal/callerconnection.h
+++ b/src/http/internal/callerconnection.h
@@ -5,6 +5,7 @@
 #include "http/exchangeserver.h"
 #include "http/internal/incomingrequest.h"
 #include "http/internal/sendqueue.h"
+#include "http/internal/socketoptions.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -126,6 +127,7 @@
     void didParse(const boost::system::error_code&);
     void refuseIfOverheadIsOver(std::size_t unparsed);
     void reserveBody();
+    void growReceiveBuffer();
     bool didRefuseHead();
     bool didRefuseBody(const Request& head);
     void handOver();
@@ -181,6 +183,7 @@
     SendQueue unsent_;
     framework::Deadline openUntil_;
     framework::Deadline lingersUntil_;
+    std::size_t receiveBuffer_ = minReceiveBuffer;
 };
 
 template <typename Action> void CallerConnection::runGuarded(Action action)
--- a/src/http/internal/exchangeserver.cpp
+++ b/src/http/internal/exchangeserver.cpp
@@ -55,6 +55,7 @@
         if (!error)
             acceptor_.bind(address, error);
         limitSendBuffers(acceptor_);
+        setReceiveBuffer(acceptor_, minReceiveBuffer);
         if (!error)
             acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
         if (error) {
--- a/src/http/internal/socketoptions.cpp
+++ b/src/http/internal/socketoptions.cpp
@@ -21,6 +21,18 @@
     acceptor.set_option(boost::asio::socket_base::send_buffer_size(sendBufferBytes), ignored);
 }
 
+void setReceiveBuffer(tcp::acceptor& acceptor, std::size_t bytes)
+{
+    boost::system::error_code ignored;
+    acceptor.set_option(boost::asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
+}
+
+void setReceiveBuffer(tcp::socket& socket, std::size_t bytes)
+{
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
+}
+
 void setLivenessOptions(tcp::socket& socket, framework::Milliseconds unresponsiveTimeout)
 {
     boost::system::error_code ignored;
--- a/src/http/internal/socketoptions.h
+++ b/src/http/internal/socketoptions.h
@@ -15,4 +15,12 @@
 /// the connections that are accepted.
 void limitSendBuffers(boost::asio::ip::tcp::acceptor&);
 
+/// How much the kernel holds, at least and at most, of what a caller sends before it is read. It counts as memory too.
+constexpr std::size_t minReceiveBuffer = 16 * 1024;
+constexpr std::size_t maxReceiveBuffer = 128 * 1024;
+
+/// The sizes are those of the payload.
+void setReceiveBuffer(boost::asio::ip::tcp::acceptor&, std::size_t bytes);
+void setReceiveBuffer(boost::asio::ip::tcp::socket&, std::size_t bytes);
+
 } // namespace lagoon::http
--- a/tests/integration/directcrowd_test.cpp
+++ b/tests/integration/directcrowd_test.cpp
@@ -252,6 +252,17 @@
 
 BOOST_FIXTURE_TEST_SUITE(CrowdsAtRoutersWithLittleMemory, LittleMemory)
 
+// Prevents the end of a router for want of memory by callers that send ahead while their requests wait.
+BOOST_AUTO_TEST_CASE(bytesSentAhead)
+{
+    const Crowd crowd(fleet.callers(), 700, [](std::size_t index) {
+        const CallerRequest request = streamRequest("crowd" + std::to_string(index), "cold");
+        return CrowdMessage { request.text() + std::string(largeBody, 'x') };
+    });
+    checkServes(crowd, [this] { return isServed(); });
+    checkProcess(fleet.router(), memoryMb, fleet.callers());
+}
+
 // Prevents the end of a router for want of memory by streams that begin at once and that nobody reads.
 BOOST_AUTO_TEST_CASE(unreadStreamsAtOnce)
 {
