Callers: connections are limited by memory too, not by descriptors alone

What callers saw: nothing where a process may open 4,100 files. Where it may open more, callers' connections could take more memory than the machine has.

Cause: a connection's buffers take up to 64 KiB here and in the kernel, and only descriptors limited how many there are: 10,000 of 20,000 on this machine.

Beyond it the least needed makes room, as it does for descriptors.

--- a/src/callers/internal/callerserver.cpp
+++ b/src/callers/internal/callerserver.cpp
@@ -10,6 +10,7 @@
 #include "framework/threadquery.h"
 #include "http/exchangeserver.h"
 
+#include <algorithm>
 #include <atomic>
 #include <cpprest/base_uri.h>
 #include <thread>
@@ -90,7 +91,7 @@
         server_.setRefusalWriter(*this);
         server_.setDropHandler(
             [this](const http::DroppedAnswers&) { metrics_->count("lagoon_unread_answers_dropped_total"); });
-        server_.setMaxConnections(framework::maxDescriptors() / descriptorsOfRequest);
+        server_.setMaxConnections(std::min(limits.connections, framework::maxDescriptors() / descriptorsOfRequest));
     }
 
     framework::Result<framework::Endpoint> start(const framework::Endpoint& endpoint)
--- a/src/callers/internal/callersettings.cpp
+++ b/src/callers/internal/callersettings.cpp
@@ -38,6 +38,7 @@
     limits.bodyBytes = section.numberOr("body_bytes", limits.bodyBytes, 1, 256 * mebibyte);
     limits.heldBodyBytes = section.numberOr("held_body_bytes", limits.heldBodyBytes, 1, maxHeldBytes);
     limits.jsonDepth = section.numberOr("json_depth", limits.jsonDepth, 1, maxJsonDepth);
+    limits.connections = section.numberOr("connections", limits.connections, 1, maxRequests);
     limits.waitingRequests = section.numberOr("waiting_requests", limits.waitingRequests, 1, maxRequests);
     limits.requestsInProgress = section.numberOr("requests_in_progress", limits.requestsInProgress, 1, maxRequests);
     limits.answerBacklogBytes
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -61,6 +61,16 @@
         http::ByteBudget::Limits { total, requests, requests / 4 * 3, total / 2 });
 }
 
+/// What a connection's buffers hold here and in the kernel, if its caller neither ends its request nor reads.
+constexpr std::size_t connectionBytes = 64 * 1024;
+constexpr std::size_t connectionsPartOfMemory = 2;
+
+std::size_t maxConnections(catalog::MegaBytes memory)
+{
+    return std::min(framework::maxDescriptors() / descriptorsOfRequest,
+        memory.value() * 1000 * 1000 / connectionsPartOfMemory / connectionBytes);
+}
+
 http::ExchangeLimits exchangeLimits(const catalog::CallerLimits& limits, const CallerProgress& progress)
 {
     return { limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout, progress.bodyTime,
@@ -107,7 +117,7 @@
         // While the callers' port is held, balancers already read that this router isn't ready. Callers come last,
         // since nobody would drain their requests if the process were asked to terminate before it has started.
         BOOST_OUTCOME_TRY(readiness, readinessPort_.bind());
-        callers_.setMaxConnections(framework::maxDescriptors() / descriptorsOfRequest);
+        callers_.setMaxConnections(maxConnections(settings_.memory));
         BOOST_OUTCOME_TRY(callers, callersPort_.bind());
         (void)opsPort_.bind();
         const DirectRouterEndpoints endpoints { callers, readiness, opsPort_.endpoint() };
--- a/tests/integration/directcrowd_test.cpp
+++ b/tests/integration/directcrowd_test.cpp
@@ -273,4 +273,15 @@
     checkProcess(fleet.router(), memoryMb, fleet.callers());
 }
 
+// Prevents the end of a router for want of memory by more connections than it has memory for.
+BOOST_AUTO_TEST_CASE(openConnections)
+{
+    constexpr std::size_t most = 800;
+    const Crowd crowd(fleet.callers(), 900, [](std::size_t) { return CrowdMessage { "POST /post" }; });
+    BOOST_TEST(crowd.isSettled());
+    BOOST_TEST(usageOf(fleet.router().pid()).openDescriptors < most);
+    checkProcess(fleet.router(), memoryMb, fleet.callers());
+    BOOST_TEST(isReached([this] { return isServed(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
