Decision log: texts are cut off after 1,024 bytes

What operators saw: a client's host, path or id stood in each line in full, up to the 16 KiB that heads may have, and twice that where it is escaped. A crowd filled the log by few requests, and the queue of 512 lines, "about 100 KiB", could take 16 MB.

--- a/src/framework/decisionlog.h
+++ b/src/framework/decisionlog.h
@@ -3,6 +3,7 @@
 #include "framework/types/time.h"
 
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -11,9 +12,12 @@
 /// change of the process's view of its environment. See docs/OPERATIONS.md for how to read it.
 namespace lagoon::framework {
 
-/// Builds one line. Keys are written unescaped, in the order of the calls; values are escaped.
+/// Builds one line. Keys are written unescaped, in the order of the calls; values are escaped. Long texts, which may be
+/// a client's, are cut off and end in "...".
 class LogLine {
 public:
+    static constexpr std::size_t maxTextBytes = 1024;
+
     explicit LogLine(std::string_view event);
 
     LogLine& text(std::string_view key, std::string_view value);
--- a/src/framework/internal/decisionlog.cpp
+++ b/src/framework/internal/decisionlog.cpp
@@ -88,7 +88,11 @@
     return *this;
 }
 
-LogLine& LogLine::text(std::string_view key, std::string_view value) { return raw(key, "\"" + escaped(value) + "\""); }
+LogLine& LogLine::text(std::string_view key, std::string_view value)
+{
+    const bool isCut = value.size() > maxTextBytes;
+    return raw(key, "\"" + escaped(value.substr(0, maxTextBytes)) + (isCut ? "...\"" : "\""));
+}
 
 LogLine& LogLine::number(std::string_view key, double value)
 {
