Direct router: lines on requests without a route are limited to 20 a second

What operators saw: each request for which there is no route, or no customer's key, wrote a line, so a crowd of clients filled the log as fast as it sent.

Cause: the limit on lines for refusals was only at requests that weren't read whole.

Change: 20 lines a second are written, and `omitted` counts the others, as for request_refused_unread.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -9,6 +9,7 @@
 #include "forwarding/requestsbykey.h"
 #include "framework/boundedlabels.h"
 #include "framework/decisionlog.h"
+#include "framework/loglimiter.h"
 #include "policy/retrybudget.h"
 #include "policy/standingqueue.h"
 #include "quarantine/fingerprinting.h"
@@ -37,6 +38,8 @@
 constexpr Milliseconds planInterval { 500 };
 /// Retry-After while this process has no configuration yet: it reads one within about a second of its start.
 constexpr Milliseconds retryAfterUnconfigured { 500 };
+/// Clients can cause any number of such refusals.
+constexpr std::size_t notRoutedLinesPerSecond = 20;
 /// The shortest time in which a request for a model is answered once the model is loaded.
 constexpr Milliseconds minAnswerTime { 60 };
 /// How long a request waits for a connection to an agent before it is refused: connecting takes a few network delays.
@@ -284,13 +287,15 @@
     void refuse(
         http::IExchange& exchange, unsigned status, const std::string& cause, std::optional<Milliseconds> retryAfter)
     {
-        logDecision(LogLine("not_routed")
-                        .text("host", exchange.request().headers.find("Host").value_or(""))
-                        .text("target", exchange.request().target)
-                        .number("configuration", routes_ ? routes_->configuration()->version.value() : 0)
-                        .number("status", status)
-                        .text("cause", cause));
         context_.metrics->count("lagoon_not_routed_total", { { "status", std::to_string(status) } });
+        if (const auto omitted = notRoutedLines_.admit(now()))
+            logDecision(LogLine("not_routed")
+                            .text("host", exchange.request().headers.find("Host").value_or(""))
+                            .text("target", exchange.request().target)
+                            .number("configuration", routes_ ? routes_->configuration()->version.value() : 0)
+                            .number("status", status)
+                            .text("cause", cause)
+                            .number("omitted", *omitted));
         exchange.answer(context_.dialect.refusal(status, retryAfter), {});
     }
 
@@ -523,6 +528,7 @@
     std::unique_ptr<catalog::RouteTable> routes_;
     std::unique_ptr<catalog::Ranking> ranking_;
     framework::BoundedLabels customerLabels_;
+    framework::LogLimiter notRoutedLines_ { notRoutedLinesPerSecond };
     CustomerTurns customerTurns_;
     Jobs jobs_;
     std::unordered_map<framework::ModelName, Jobs> jobsByModel_;
--- a/tests/integration/directcrowd_test.cpp
+++ b/tests/integration/directcrowd_test.cpp
@@ -1,6 +1,8 @@
 #include "crowdchecks.h"
 #include "fleet/runningfleet.h"
+#include "support/record.h"
 
+#include <algorithm>
 #include <cpprest/json.h>
 #include <string>
 #include <vector>
@@ -184,6 +186,19 @@
     checkCallers(crowd, ordinaryBody);
 }
 
+// Prevents callers from filling the log by requests for which there is no route.
+BOOST_AUTO_TEST_CASE(requestsWithoutRoute)
+{
+    constexpr int requests = 2000;
+    std::string ahead;
+    for (int request = 1; request <= requests; ++request)
+        ahead += CallerRequest { .target = "/nowhere", .attempt = "a", .keepsAlive = request < requests }.text();
+    BOOST_TEST(!exchangeOnce(fleet.callers(), ahead).empty());
+    BOOST_TEST(metricAt(fleet.ops(0), "lagoon_not_routed_total{status=\"404\"}") == requests);
+    const std::string lines = fleet.logLinesContaining("\"not_routed\"");
+    BOOST_TEST(std::count(lines.begin(), lines.end(), '\n') < requests / 2);
+}
+
 // Prevents the end of a router for want of memory, or a port that answers nobody.
 BOOST_AUTO_TEST_CASE(readinessPort) { checkPort(fleet.readiness(0), fleet.router(), routerMib); }
 BOOST_AUTO_TEST_CASE(routerOpsPort) { checkPort(fleet.ops(0), fleet.router(), routerMib); }
