--- a/src/callers/types/callerlimits.h
+++ b/src/callers/types/callerlimits.h
@@ -17,8 +17,8 @@
     std::size_t heldBodyBytes = 48 * 1024 * 1024;
     /// Maximum nesting depth of a completion's JSON.
     std::size_t jsonDepth = 32;
-    /// Connections of callers, of which each takes up to 64 KiB of memory. Above, or above half of the descriptors, one
-    /// makes room for the next.
+    /// Connections of callers, each of which takes about 64 KiB of memory. Above this number, or above half of the
+    /// descriptors, one makes room for the next.
     std::size_t connections = 2000;
     /// Requests whose answer has not started.
     std::size_t waitingRequests = 2000;
--- a/src/direct/internal/directrouter.cpp
+++ b/src/direct/internal/directrouter.cpp
@@ -61,7 +61,7 @@
         http::ByteBudget::Limits { total, requests, requests / 4 * 3, total / 2 });
 }
 
-/// What a connection's buffers hold here and in the kernel, if its caller neither ends its request nor reads.
+/// About what a connection and its request hold in this process, if the caller neither ends the request nor reads.
 constexpr std::size_t connectionBytes = 64 * 1024;
 constexpr std::size_t connectionsPartOfMemory = 2;
 
