--- a/tests/integration/endlessframing_test.cpp
+++ b/tests/integration/endlessframing_test.cpp
@@ -40,10 +40,7 @@
     }
 
     /// Not counted in the log, which has a limited number of lines a second.
-    double refusedForMemory()
-    {
-        return metricAt(fleet.ops(0), "lagoon_requests_refused_unread_total{status=\"503\"}");
-    }
+    double refusedForMemory() { return metricAt(fleet.ops(0), "lagoon_requests_refused_unread_total{status=\"503\"}"); }
 
     /// Sends requests without end over several connections at once, and proper ones beside.
     void checkRequests(const std::string& endpoint)
