Agents: a crash isn't missed if the upstream still accepts for a moment

What callers saw: a request that crashes its servers crashed four of them instead of three, and took 7 s, on the path through agents.

Cause: when the connection of a call breaks, the agent tries once whether the upstream still accepts. The listening socket of a process that ends stays open until the thread that waits at it has gone, on a busy machine later than the connections, so the process seemed to live and its crash wasn't evidence.

Change: after a cut the agent tries again every 50 ms, four times, unless the run has ended by then.

--- a/src/agent/internal/upstreamcrashes.cpp
+++ b/src/agent/internal/upstreamcrashes.cpp
@@ -12,6 +12,15 @@
 using quarantine::RequestQuarantine;
 using quarantine::ServerRunId;
 
+namespace {
+
+/// A process that crashes may accept connections for a moment after it has cut the others: its listening socket closes
+/// with the thread that waits at it.
+constexpr framework::Milliseconds recheckDelay { 50 };
+constexpr int rechecks = 4;
+
+} // namespace
+
 UpstreamCrashes::UpstreamCrashes(Context context)
     : context_(std::move(context))
     , sharing_({ context_.control, context_.clock, context_.send })
@@ -34,6 +43,19 @@
     quarantine_->didCut({ request, idOf(run), startedAt, false });
     // Engines report a restart, but it may be seconds until then, and plain services don't report any.
     checkRun(run);
+    recheckLater(run, rechecks);
+}
+
+void UpstreamCrashes::recheckLater(UpstreamRunNumber run, int left)
+{
+    const auto at = framework::Deadline::after(context_.clock.now(), recheckDelay);
+    recheckTimer_ = context_.control.runAt(at, [this, run, left] {
+        if (run != run_)
+            return;
+        checkRun(run);
+        if (left > 1)
+            recheckLater(run, left - 1);
+    });
 }
 
 void UpstreamCrashes::checkRun() { checkRun(run_); }
--- a/src/agent/internal/upstreamcrashes.h
+++ b/src/agent/internal/upstreamcrashes.h
@@ -55,10 +55,12 @@
 
 private:
     void checkRun(UpstreamRunNumber);
+    void recheckLater(UpstreamRunNumber, int left);
     void didEndRun(UpstreamRunNumber, quarantine::EndSign);
 
     Context context_;
     UpstreamRunNumber run_ { 1 };
+    std::unique_ptr<framework::Timer> recheckTimer_;
     quarantine::EvidenceSharing sharing_;
     std::shared_ptr<quarantine::RequestQuarantine> quarantine_;
 };
--- a/src/agent/tests/requestgate_test.cpp
+++ b/src/agent/tests/requestgate_test.cpp
@@ -532,6 +532,20 @@
     BOOST_TEST(!link->all<fb::RefusedT>().back().cut_at.empty());
 }
 
+// Prevents a crash from being missed because the upstream still accepts connections while its process ends.
+BOOST_FIXTURE_TEST_CASE(anUpstreamThatAcceptsForAMomentAfterACutHasCrashed, CrashFixture)
+{
+    accepts = true;
+    dispatchWithFingerprint(1);
+    upstream->calls.back()->events.onFailed(Error { ErrorCode::UpstreamBroken, "", "", "", Execution::Unknown });
+    control.runPosted();
+    accepts = false;
+    control.advance(Milliseconds(60));
+    accepts = true;
+    control.advance(Milliseconds(200));
+    BOOST_TEST(confirmedCrashes() == 1u);
+}
+
 // Prevents requests from being blamed for a broken connection to an upstream that goes on running.
 BOOST_FIXTURE_TEST_CASE(aBrokenConnectionIsNoCrashWhileTheUpstreamLives, CrashFixture)
 {
