--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -5,8 +5,8 @@
 #include "forwarding/internal/calleridentity.h"
 #include "forwarding/internal/demandpublisher.h"
 #include "forwarding/internal/drawtarget.h"
+#include "forwarding/internal/jobindex.h"
 #include "forwarding/internal/requestjob.h"
-#include "forwarding/requestsbykey.h"
 #include "framework/boundedlabels.h"
 #include "framework/decisionlog.h"
 #include "framework/loglimiter.h"
@@ -15,8 +15,6 @@
 #include "quarantine/fingerprinting.h"
 
 #include <algorithm>
-#include <set>
-#include <unordered_map>
 #include <utility>
 
 namespace lagoon::forwarding {
@@ -192,7 +190,7 @@
 
     void logUnanswered() const
     {
-        for (const auto& job : jobs_)
+        for (const auto& job : jobs_.all())
             job->logUnanswered();
     }
 
@@ -260,8 +258,7 @@
     void didEnd(const std::shared_ptr<RequestJob>& job) override
     {
         customerTurns_.didEnd(job->spec());
-        jobs_.erase(job);
-        unindexJob(job);
+        jobs_.remove(job);
         schedulePlan(backgroundPlanDelay);
         postDispatch();
     }
@@ -322,11 +319,7 @@
         const auto job = std::make_shared<RequestJob>(*this, exchange, std::move(spec));
         if (shutdownDeadlines_)
             job->beginShutdown(*shutdownDeadlines_);
-        jobs_.insert(job);
-        if (!job->spec().facts.model.value().empty())
-            jobsByModel_[job->spec().facts.model].insert(job);
-        if (caller.key)
-            jobsByKey_.add(*caller.key, job);
+        jobs_.add(job);
         job->runGuarded([&] { job->start(); });
         if (job->isWaiting())
             schedulePlan(Milliseconds(0));
@@ -336,7 +329,7 @@
     {
         if (!settings_.revocation.endsRequests)
             return;
-        const auto revoked = jobsByKey_.revokedBy(configuration);
+        const auto revoked = jobs_.revokedBy(configuration);
         if (revoked.empty())
             return;
         const Deadline endBy = identity_.endOfRevoked(settings_.revocation.within, now());
@@ -360,16 +353,6 @@
         return budget;
     }
 
-    void unindexJob(const std::shared_ptr<RequestJob>& job)
-    {
-        const auto ofModel = jobsByModel_.find(job->spec().facts.model);
-        if (ofModel != jobsByModel_.end() && ofModel->second.erase(job) > 0 && ofModel->second.empty())
-            jobsByModel_.erase(ofModel);
-        if (job->spec().key)
-            jobsByKey_.remove(*job->spec().key, job);
-    }
-
-    using Jobs = std::set<std::shared_ptr<RequestJob>>;
     /// Engines with an agent, by service; collected once for all requests that are checked together.
     using EnginesByService = std::map<ServiceName, std::vector<EngineFacts>>;
 
@@ -387,23 +370,17 @@
     {
         isDispatchPosted_ = false;
         quarantine_->refresh();
-        dispatch(jobs_);
+        dispatch(jobs_.all());
     }
 
     /// Dispatches only the waiting requests that the engine's state may affect, so that the cost doesn't grow with the
     /// total number of requests. Returns whether there were any.
     bool dispatchWaitingFor(const std::vector<framework::ModelName>& models)
     {
-        Jobs affected;
-        for (const framework::ModelName& model : models) {
-            const auto ofModel = jobsByModel_.find(model);
-            if (ofModel != jobsByModel_.end())
-                affected.insert(ofModel->second.begin(), ofModel->second.end());
-        }
-        return dispatch(affected);
+        return dispatch(jobs_.forModels(models));
     }
 
-    bool dispatch(const Jobs& jobs)
+    bool dispatch(const JobIndex::Jobs& jobs)
     {
         std::vector<std::shared_ptr<RequestJob>> waiting;
         for (const auto& job : jobs) {
@@ -467,7 +444,7 @@
     /// Walks a copy, since the action may end a job.
     template <typename Action> void forEachJob(const Action& action)
     {
-        const auto jobs = jobs_;
+        const JobIndex::Jobs jobs = jobs_.all();
         for (const auto& job : jobs)
             job->runGuarded([&] { action(*job); });
     }
@@ -506,7 +483,7 @@
     std::vector<WaitingRequests> waitingFor(const ServiceName& service) const
     {
         std::vector<WaitingRequests> waiting;
-        for (const auto& job : jobs_) {
+        for (const auto& job : jobs_.all()) {
             if (job->spec().service != service)
                 continue;
             if (const auto one = job->waitingFor())
@@ -530,9 +507,7 @@
     framework::BoundedLabels customerLabels_;
     framework::LogLimiter notRoutedLines_ { notRoutedLinesPerSecond };
     CustomerTurns customerTurns_;
-    Jobs jobs_;
-    std::unordered_map<framework::ModelName, Jobs> jobsByModel_;
-    RequestsByKey<std::shared_ptr<RequestJob>> jobsByKey_;
+    JobIndex jobs_;
     std::map<ServiceName, policy::RetryBudget> budgets_;
     DemandPublisher demandPublisher_;
     /// Queues at the engines that have a model loaded, by model and the priority of the queued requests.
