--- a/src/callers/tests/outcomes_test.cpp
+++ b/src/callers/tests/outcomes_test.cpp
@@ -158,14 +158,22 @@
     tooLarge.send("POST /services/s/ HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc");
     BOOST_TEST(tooLarge.readUntil("}}"));
     BOOST_TEST(contains(tooLarge.received(), R"("code":"too_large")"));
+    BOOST_TEST(fixture.metricSum("lagoon_refusals_total{code=\"too_large\",execution=\"not_run\"}") == 1);
     RawCaller late(fixture.endpoint);
     late.send("POST /services/s/ HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabc");
     fixture.server.refuseNew();
-    const auto generous = framework::Deadline::after(std::chrono::steady_clock::now(), framework::Milliseconds(30000));
+    const auto now = std::chrono::steady_clock::now();
+    const auto generous = framework::Deadline::after(now, framework::Milliseconds(30000));
     BOOST_TEST(fixture.server.waitUntilIdle(generous));
+    BOOST_TEST(!fixture.server.waitUntilAllSent(framework::Deadline(now)));
+    // What a caller sends behind its refusal must not reset the connection, and the refusal with it.
+    tooLarge.send("defghi");
+    late.send("d");
     BOOST_TEST(fixture.server.waitUntilAllSent(generous));
+    BOOST_TEST(contains(tooLarge.readToEnd(), R"("code":"too_large")"));
     BOOST_TEST(contains(late.readToEnd(), R"("code":"shutting_down")"));
     BOOST_TEST(contains(late.received(), R"("execution":"not_run")"));
+    BOOST_TEST(!late.wasReset());
 }
 
 // Prevents a process from being killed during shutdown because it waits for a stream that does not end within the grace
