--- a/tests/integration/directcrowd_test.cpp
+++ b/tests/integration/directcrowd_test.cpp
@@ -117,8 +117,6 @@
         fleet.stop();
         fleet.setMemory(memoryMb);
         fleet.start();
-        engine1.setLoadsStalled(true);
-        engine2.setLoadsStalled(true);
     }
 
     static constexpr int memoryMb = 96;
@@ -270,6 +268,8 @@
 // Prevents the end of a router for want of memory by callers that send ahead while their requests wait.
 BOOST_AUTO_TEST_CASE(bytesSentAhead)
 {
+    engine1.setLoadsStalled(true);
+    engine2.setLoadsStalled(true);
     const Crowd crowd(fleet.callers(), 700, [](std::size_t index) {
         const CallerRequest request = streamRequest("crowd" + std::to_string(index), "cold");
         return CrowdMessage { request.text() + std::string(largeBody, 'x') };
@@ -288,6 +288,32 @@
     checkProcess(fleet.router(), memoryMb, fleet.callers());
 }
 
+// Prevents the end of a router for want of memory by requests that name a model of their own each.
+BOOST_AUTO_TEST_CASE(namesOfModels)
+{
+    constexpr std::size_t clients = 600;
+    constexpr std::size_t requests = 8;
+    const std::string longName(14000, 'm');
+    const Crowd crowd(fleet.callers(), clients, [&](std::size_t index) {
+        CrowdMessage message;
+        for (std::size_t request = 0; request < requests; ++request) {
+            const std::string number = std::to_string(index * requests + request);
+            CallerRequest one = streamRequest("crowd" + number, number + longName);
+            one.keepsAlive = true;
+            message.begin += one.text();
+        }
+        return message;
+    });
+    waitFor("the refusals", [this] {
+        const std::string ops = fleet.ops(0);
+        return metricSumAt(ops, "lagoon_not_routed_total") + metricSumAt(ops, "lagoon_forwarded_total")
+            >= clients * requests;
+    });
+    BOOST_TEST(isServed());
+    checkProcess(fleet.router(), memoryMb, fleet.callers());
+    checkProcess(fleet.agent(0), agentMib);
+}
+
 // Prevents the end of a router for want of memory by more connections than it has memory for.
 BOOST_AUTO_TEST_CASE(openConnections)
 {
