Direct router: only models of the configuration count as demanded

What operators saw: callers that name any number of models fill the averages of demand, and the retries that are expected, for seconds each; every plan copies and sorts them.

Cause: both were kept for each name in a request's header, though no load is ever planned for a model that the configuration doesn't have.

Evidence: forwarding_tests, countsNoModelsThatDoNotExist: 1 model with 1,000 others named beside it; with the check taken out all are remembered. Their requests wait and are refused as before, and are still served where an engine has the model.

--- a/src/forwarding/expectedretries.h
+++ b/src/forwarding/expectedretries.h
@@ -4,6 +4,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <utility>
@@ -26,6 +27,7 @@
     /// Drops the expected retries for the model because it is loaded.
     void forget(const framework::ServiceName&, const framework::ModelName&);
     void dropExpired(framework::SteadyTime now);
+    std::size_t models() const { return entries_.size(); }
     /// Returns one entry for each model of the service for which retries are expected.
     std::vector<WaitingRequests> expected(const framework::ServiceName&) const;
 
--- a/src/forwarding/internal/demandpublisher.cpp
+++ b/src/forwarding/internal/demandpublisher.cpp
@@ -44,7 +44,7 @@
 
 void DemandPublisher::didArrive(const ServiceName& service, const RequestFacts& facts, SteadyTime now)
 {
-    if (facts.model.value().empty())
+    if (!isConfigured(service, facts.model))
         return;
     demand_.didArrive(facts.model, prefillTime(facts), now);
     expectedRetries_.didArrive(service, facts.model);
@@ -53,7 +53,14 @@
 void DemandPublisher::expectRetry(
     const ServiceName& service, const WaitingRequests& waiting, framework::Deadline callerDeadline)
 {
-    expectedRetries_.didRefuse(service, waiting, callerDeadline);
+    if (isConfigured(service, waiting.target.model))
+        expectedRetries_.didRefuse(service, waiting, callerDeadline);
+}
+
+bool DemandPublisher::isConfigured(const ServiceName& service, const framework::ModelName& model) const
+{
+    const catalog::Service* const known = configuration_ ? configuration_->find(service) : nullptr;
+    return known && known->engine && known->engine->find(model);
 }
 
 std::optional<Milliseconds> DemandPublisher::timeUntilLoaded(const ServiceName& service,
--- a/src/forwarding/internal/demandpublisher.h
+++ b/src/forwarding/internal/demandpublisher.h
@@ -31,6 +31,8 @@
 
     DemandPublisher(const UpstreamTable&, Publish, framework::SteadyTime startedAt);
 
+    void setConfiguration(catalog::ConfigurationPointer configuration) { configuration_ = std::move(configuration); }
+    /// Only models of the configuration count, since callers may name any number of others.
     void didArrive(const framework::ServiceName&, const RequestFacts&, framework::SteadyTime now);
     /// A request for a model was served within this time after it was sent.
     void didRun(framework::Milliseconds took) { runTime_.add(took); }
@@ -42,6 +44,8 @@
         const std::vector<EngineFacts>&, const WaitingRequests&, framework::SteadyTime now) const;
     /// Whether an engine has been chosen to load the model.
     bool hasLoader(const framework::ServiceName&, const framework::ModelName&) const;
+    /// The number of models of which requests, or retries that are expected, are remembered.
+    std::size_t trackedModels() const { return demand_.models() + expectedRetries_.models(); }
     /// `limits` are the rates of the engines that limit their requests.
     void plan(const catalog::Configuration&, const ListWaitingRequests&, EngineLimits limits,
         const policy::PolicySwitches&, framework::SteadyTime now);
@@ -49,6 +53,7 @@
 private:
     using RequestedLoads = std::set<std::pair<framework::Endpoint, catalog::ModelTarget>>;
 
+    bool isConfigured(const framework::ServiceName&, const framework::ModelName&) const;
     LoadPlan planFor(const catalog::Service&, const std::vector<WaitingRequests>& requests,
         const policy::PolicySwitches&, bool hasQuotas, framework::SteadyTime now);
     void forgetLoaded(const framework::ServiceName&, framework::SteadyTime now);
@@ -59,6 +64,7 @@
 
     const UpstreamTable& upstreams_;
     Publish publish_;
+    catalog::ConfigurationPointer configuration_;
     ModelDemand demand_;
     std::map<framework::ServiceName, DemandPlanner> planners_;
     EngineLimits limits_;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -120,6 +120,7 @@
         ranking_ = std::make_unique<catalog::Ranking>(*configuration);
         identity_.setConfiguration(configuration);
         customerTurns_.setConfiguration(configuration);
+        demandPublisher_.setConfiguration(configuration);
         endRevoked(*configuration);
         upstreams_.setConfiguration(std::move(configuration));
         dispatchWaiting();
--- a/src/forwarding/modeldemand.h
+++ b/src/forwarding/modeldemand.h
@@ -3,6 +3,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -26,6 +27,7 @@
     std::map<framework::ModelName, double> recent(framework::SteadyTime now) const;
     /// Returns the mean engine time, in seconds, that a recent request for each model takes.
     std::map<framework::ModelName, double> workPerRequest() const;
+    std::size_t models() const { return averages_.size(); }
     /// Drops the models without recent requests.
     void forgetOld(framework::SteadyTime now);
     /// Whether the absence of requests for a model means that it is not in demand. A process that starts while callers
--- a/src/forwarding/tests/demandpublisher_test.cpp
+++ b/src/forwarding/tests/demandpublisher_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
 
 namespace lagoon::forwarding {
 
@@ -32,6 +34,7 @@
         upstream.service = service;
         table.setUpstreams({ upstream });
         table.setState(loadedState(), now);
+        publisher.setConfiguration(std::make_shared<catalog::Configuration>(configuration));
     }
 
     static catalog::EngineState loadedState()
@@ -108,6 +111,21 @@
     BOOST_TEST(publishedWork() > 0.9);
 }
 
+// Prevents callers from using up the memory by naming a model of their own in each request.
+BOOST_AUTO_TEST_CASE(countsNoModelsThatDoNotExist)
+{
+    sendChats(20, Milliseconds(1000));
+    for (int number = 0; number < 1000; ++number) {
+        RequestFacts facts;
+        facts.model = ModelName("unknown-" + std::to_string(number));
+        publisher.didArrive(service, facts, now);
+        WaitingRequests waiting;
+        waiting.target.model = facts.model;
+        publisher.expectRetry(service, waiting, framework::Deadline::after(now, Milliseconds(1000)));
+    }
+    BOOST_TEST(publisher.trackedModels() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::forwarding
