Callers: there are more connections than waiting requests by default

What callers would see: with 2,000 waiting requests, the connection of the next one was closed without a word, instead of the refusal with 429 and Retry-After that the API promises.

Cause: limited connections to 2,000, which is the default of waiting_requests too, and a waiting request occupies its connection.

Change: 2,200.

--- a/src/callers/types/callerlimits.h
+++ b/src/callers/types/callerlimits.h
@@ -18,8 +18,9 @@
     /// Maximum nesting depth of a completion's JSON.
     std::size_t jsonDepth = 32;
     /// Connections of callers, each of which takes about 64 KiB of memory. Above this number, or above half of the
-    /// descriptors, one makes room for the next.
-    std::size_t connections = 2000;
+    /// descriptors, one makes room for the next. More than `waitingRequests`, so that requests above those are refused
+    /// rather than their connections closed.
+    std::size_t connections = 2200;
     /// Requests whose answer has not started.
     std::size_t waitingRequests = 2000;
     /// Requests whose answer has not been sent completely.
