Answers: a status that isn't one fails the answer

Callers received answers with the status 000, 099, 600 or 999 as if a server had given them. Beast's parser takes any three digits as a status, and nothing behind it looked at the value. A 101 was skipped like an interim answer, though nobody had asked for another protocol, and what followed counted as the answer.

The parser of a connection to a server moves into a class of its own, AnswerReader, which refuses what Beast accepts and HTTP/1.1 doesn't: for now a status outside 100 to 599, and 101. Such an answer is a failure of its server: whether the request has run is unknown, so only idempotent ones are sent again, others get 502; the connection is closed. The log line quotes the first bytes of a malformed line, at most 48 and escaped, never the value of a field.

Statuses of fewer or more digits were refused before; their tests are kept.

--- /dev/null
+++ b/src/http/internal/answerreader.cpp
@@ -0,0 +1,89 @@
+#include "http/internal/answerreader.h"
+
+#include "http/internal/messagereader.h"
+
+#include <array>
+#include <cstdio>
+#include <string_view>
+#include <utility>
+
+namespace lagoon::http {
+
+namespace {
+
+namespace beast = boost::beast;
+
+/// Effectively unlimited, since bodies are forwarded piece by piece. Beast 1.74 refuses every answer that has a length
+/// if the limit is switched off.
+constexpr std::uint64_t maxBodyBytes = 1ULL << 40;
+/// Of the peer's bytes in the text of a fault.
+constexpr std::size_t maxQuotedBytes = 48;
+constexpr unsigned switchingProtocols = 101;
+
+std::string quoted(std::string_view bytes)
+{
+    std::string text = "\"";
+    for (const char character : bytes.substr(0, maxQuotedBytes)) {
+        if (character >= ' ' && character <= '~' && character != '"' && character != '\\') {
+            text += character;
+            continue;
+        }
+        std::array<char, 5> escaped {};
+        std::snprintf(escaped.data(), escaped.size(), "\\x%02x", static_cast<unsigned char>(character));
+        text += escaped.data();
+    }
+    return text + (bytes.size() > maxQuotedBytes ? "\"..." : "\"");
+}
+
+/// The status line or the name of the field that the bytes begin with. A field's value may be secret.
+std::string_view lineBegin(std::string_view bytes) { return bytes.substr(0, bytes.find_first_of(":\n")); }
+
+} // namespace
+
+AnswerReader::AnswerReader(bool isBodyless, MessageOverhead& overhead)
+    : overhead_(overhead)
+{
+    parser_.eager(true);
+    parser_.header_limit(maxHeadBytes);
+    parser_.body_limit(maxBodyBytes);
+    parser_.skip(isBodyless);
+    overhead_.countChunks(parser_);
+}
+
+std::size_t AnswerReader::put(boost::asio::const_buffer bytes)
+{
+    const bool isInHead = !parser_.is_header_done();
+    boost::system::error_code error;
+    const std::size_t parsed = parser_.put(bytes, error);
+    overhead_.didParse(parsed);
+    needsMore_ = error == beast::http::error::need_more;
+    const std::string_view rest(static_cast<const char*>(bytes.data()) + parsed, bytes.size() - parsed);
+    if (error && !needsMore_)
+        fault_ = error.message() + (isInHead ? ": " + quoted(lineBegin(rest)) : "");
+    else if (isInHead && parser_.is_header_done())
+        checkHead();
+    return parsed;
+}
+
+void AnswerReader::checkHead()
+{
+    const auto& header = parser_.get().base();
+    head_ = { header.result_int(), std::string(header.reason()), headersOf(header) };
+    checkStatus();
+}
+
+void AnswerReader::checkStatus()
+{
+    // Nobody asks for another protocol.
+    if (head_.status < 100 || head_.status > 599 || head_.status == switchingProtocols)
+        fault_ = "bad status: " + std::to_string(head_.status);
+}
+
+std::string AnswerReader::takeBody()
+{
+    std::string piece = std::exchange(parser_.get().body(), {});
+    overhead_.didReadBody(piece.size());
+    return piece;
+}
+
+} // namespace lagoon::http
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -2,7 +2,6 @@
 
 #include "framework/eventloop.h"
 #include "framework/tcpendpoint.h"
-#include "http/internal/messagereader.h"
 #include "http/internal/messagewriter.h"
 #include "http/internal/socketoptions.h"
 
@@ -17,16 +16,11 @@
 
 namespace {
 
-namespace beast = boost::beast;
 using framework::Milliseconds;
 
 constexpr std::size_t readBufferBytes = 16 * 1024;
-/// Servers send small heads. A larger one is treated as a malformed answer, and so is an answer with more bytes in all
-/// that aren't body.
-constexpr std::uint32_t maxHeadBytes = 64 * 1024;
-/// Effectively unlimited, since bodies are forwarded piece by piece. Beast 1.74 refuses every answer that has a length
-/// if the limit is switched off.
-constexpr std::uint64_t maxBodyBytes = 1ULL << 40;
+/// Of all the bytes of an answer that aren't body.
+constexpr std::uint64_t maxOverheadBytes = AnswerReader::maxHeadBytes;
 /// How many answers to earlier requests are discarded before the connection fails.
 constexpr unsigned maxMismatchedAnswers = 2;
 constexpr unsigned maxInterimAnswers = 16;
@@ -48,8 +42,6 @@
     return Milliseconds(seconds * 1000LL);
 }
 
-bool isInterim(unsigned status) { return status >= 100 && status < 200; }
-
 } // namespace
 
 std::string_view clientStepText(ClientStep step)
@@ -204,12 +196,7 @@
 
 void TcpClientConnection::beginAnswer()
 {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(maxHeadBytes);
-    parser_->body_limit(maxBodyBytes);
-    parser_->skip(expectsNoBody_);
-    overhead_.countChunks(*parser_);
+    reader_.emplace(expectsNoBody_, overhead_);
     isHeadDelivered_ = false;
     isAccepted_ = false;
 }
@@ -217,13 +204,11 @@
 void TcpClientConnection::parse()
 {
     while (buffer_.size() > 0 && sink_ && !isClosed_) {
-        boost::system::error_code error;
-        const std::size_t parsed = parser_->put(buffer_.data(), error);
-        overhead_.didParse(parsed);
-        buffer_.consume(parsed);
-        didParse(error);
-        failIfOverheadIsOver(error ? buffer_.size() : 0);
-        if (error)
+        buffer_.consume(reader_->put(buffer_.data()));
+        const bool needsMore = reader_->needsMore();
+        didParse();
+        failIfOverheadIsOver(needsMore ? buffer_.size() : 0);
+        if (needsMore)
             return;
     }
 }
@@ -231,28 +216,27 @@
 /// Prevents a server from using up the memory by an answer whose framing doesn't end.
 void TcpClientConnection::failIfOverheadIsOver(std::size_t unparsed)
 {
-    if (sink_ && overhead_.isOver(maxHeadBytes, unparsed))
-        fail(isHeadDelivered_ ? ClientStep::ReadBody : ClientStep::AwaitHead, "too many bytes that are no body");
+    if (sink_ && overhead_.isOver(maxOverheadBytes, unparsed))
+        fail(readStep(), "too many bytes that are no body");
 }
 
-void TcpClientConnection::didParse(const boost::system::error_code& error)
+void TcpClientConnection::didParse()
 {
-    if (error && error != beast::http::error::need_more)
-        return fail(isHeadDelivered_ ? ClientStep::ReadBody : ClientStep::AwaitHead, error.message());
-    if (parser_->is_header_done() && !std::exchange(isHeadDelivered_, true))
+    if (!reader_->fault().empty())
+        return fail(readStep(), "malformed answer, " + reader_->fault());
+    if (reader_->isHeadDone() && !std::exchange(isHeadDelivered_, true))
         deliverHead();
     if (sink_ && isHeadDelivered_)
         deliverBody();
-    if (sink_ && parser_->is_done())
+    if (sink_ && reader_->isDone())
         finishAnswer();
 }
 
 void TcpClientConnection::deliverHead()
 {
-    const auto& header = parser_->get().base();
-    const ResponseHead head { header.result_int(), std::string(header.reason()), headersOf(header) };
-    if (isInterim(head.status))
+    if (reader_->isInterim())
         return;
+    const ResponseHead head = reader_->head();
     keepAliveTimeout_ = parseKeepAliveTimeout(head.headers);
     const auto sink = sink_;
     isAccepted_ = sink->didReceiveHead(head);
@@ -260,8 +244,7 @@
 
 void TcpClientConnection::deliverBody()
 {
-    std::string piece = std::exchange(parser_->get().body(), {});
-    overhead_.didReadBody(piece.size());
+    const std::string piece = reader_->takeBody();
     if (!isAccepted_) {
         discardedBytes_ += piece.size();
         if (discardedBytes_ > maxDiscardedBytes)
@@ -278,7 +261,7 @@
 {
     if (isAccepted_)
         return finishAcceptedAnswer();
-    if (isInterim(parser_->get().result_int()) && ++interimAnswers_ <= maxInterimAnswers)
+    if (reader_->isInterim() && ++interimAnswers_ <= maxInterimAnswers)
         return beginAnswer();
     if (++mismatchedAnswers_ > maxMismatchedAnswers)
         return fail(ClientStep::AwaitHead, "answers to other requests");
@@ -287,9 +270,9 @@
 
 void TcpClientConnection::finishAcceptedAnswer()
 {
-    const bool canReuse = parser_->get().keep_alive() && isSent_ && buffer_.size() == 0;
+    const bool canReuse = reader_->canKeepConnection() && isSent_ && buffer_.size() == 0;
     const auto sink = std::exchange(sink_, nullptr);
-    parser_.reset();
+    reader_.reset();
     if (canReuse)
         idleSince_ = std::chrono::steady_clock::now();
     else
@@ -306,17 +289,13 @@
 {
     if (!sink_)
         return close();
-    boost::system::error_code atEnd = error;
     // An answer with neither a length nor chunks is completed by an orderly close, but never by a reset.
-    if (error == boost::asio::error::eof && isHeadDelivered_ && parser_->need_eof()) {
-        parser_->put_eof(atEnd);
-        if (!atEnd && isAccepted_) {
-            const auto sink = std::exchange(sink_, nullptr);
-            close();
-            return sink->didFinish();
-        }
-    }
-    fail(isHeadDelivered_ ? ClientStep::ReadBody : ClientStep::AwaitHead, atEnd.message());
+    const bool isComplete = error == boost::asio::error::eof && isHeadDelivered_ && reader_->endsWithConnection();
+    if (!isComplete || !isAccepted_)
+        return fail(readStep(), error.message());
+    const auto sink = std::exchange(sink_, nullptr);
+    close();
+    sink->didFinish();
 }
 
 void TcpClientConnection::fail(ClientStep step, std::string detail)
@@ -355,7 +334,7 @@
     const auto keepAlive = self();
     framework::runGuarded("a connection to a server", action, [this] {
         if (mayHaveSentBytes_)
-            fail(isHeadDelivered_ ? ClientStep::ReadBody : ClientStep::AwaitHead, "exception");
+            fail(readStep(), "exception");
         else
             fail(isConnected_ ? ClientStep::Send : ClientStep::Connect, "exception");
     });
--- a/src/http/internal/tcpclientconnection.h
+++ b/src/http/internal/tcpclientconnection.h
@@ -1,14 +1,13 @@
 #pragma once
 
 #include "http/clientconnection.h"
-#include "http/internal/growingbody.h"
+#include "http/internal/answerreader.h"
 #include "http/internal/messageoverhead.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 namespace lagoon::http {
 
@@ -26,8 +25,6 @@
     std::optional<framework::Milliseconds> keepAliveTimeout() const override { return keepAliveTimeout_; }
 
 private:
-    using Parser = boost::beast::http::response_parser<GrowingBody>;
-
     std::shared_ptr<TcpClientConnection> self();
     template <typename Action> void runGuarded(const Action&);
     void begin(const Request&, std::shared_ptr<IAnswerSink>);
@@ -39,12 +36,13 @@
     void beginAnswer();
     void parse();
     void failIfOverheadIsOver(std::size_t unparsed);
-    void didParse(const boost::system::error_code&);
+    void didParse();
     void deliverHead();
     void deliverBody();
     void finishAnswer();
     void finishAcceptedAnswer();
     void didEnd(const boost::system::error_code&);
+    ClientStep readStep() const { return isHeadDelivered_ ? ClientStep::ReadBody : ClientStep::AwaitHead; }
     void fail(ClientStep, std::string detail);
     void close();
 
@@ -72,7 +70,7 @@
     MessageOverhead overhead_;
     std::array<std::string, 2> outgoing_;
     boost::beast::flat_buffer buffer_;
-    std::optional<Parser> parser_;
+    std::optional<AnswerReader> reader_;
     std::shared_ptr<IAnswerSink> sink_;
     framework::SteadyTime idleSince_ {};
     std::optional<framework::Milliseconds> keepAliveTimeout_;
--- /dev/null
+++ b/src/http/tests/brokenanswers_test.cpp
@@ -0,0 +1,78 @@
+#include "http/testing/brokenanswers.h"
+#include "http/tests/clientfixture.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+namespace lagoon::http {
+
+namespace {
+
+using namespace testing;
+
+const std::string interim = "HTTP/1.1 103 Early Hints\r\n";
+/// More than the kernel takes of a request that its server doesn't read.
+const std::string largeBody(std::size_t(16) * 1024 * 1024, 'x');
+
+struct BrokenAnswersFixture : ClientFixture {
+    /// Answers a request with these bytes, and then closes the connection in order.
+    std::shared_ptr<RecordedAnswer> answerWith(const std::string& bytes)
+    {
+        auto answer = send(post);
+        server.accept();
+        (void)server.request();
+        server.trySend(bytes);
+        server.close();
+        return answer;
+    }
+
+    /// Checks that the answer fails its request, and that neither its head nor the connection is used.
+    void checkRefused(const std::string& bytes)
+    {
+        const auto answer = checkBroken(bytes);
+        BOOST_TEST(answer->head.status == 0U);
+        BOOST_TEST(answer->body.empty());
+    }
+
+    std::shared_ptr<RecordedAnswer> checkBroken(const std::string& bytes)
+    {
+        auto answer = answerWith(bytes);
+        BOOST_TEST_INFO(bytes);
+        BOOST_TEST(!answer->wait());
+        BOOST_TEST(answer->failure.mayHaveArrived);
+        BOOST_TEST(openConnections() == 0U);
+        return answer;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(BrokenAnswers, BrokenAnswersFixture)
+
+BOOST_AUTO_TEST_CASE(soundAnswersAreAccepted)
+{
+    for (const std::string& bytes : { BrokenAnswer().text(), interim + "X-A: a\r\n\r\n" + BrokenAnswer().text(),
+             BrokenAnswer { .status = "599 " }.text(), BrokenAnswer { .fields = "X-A: \xc3\xa4\t\"b" }.text(),
+             BrokenAnswer { .fields = "content-length:2 " }.text(), BrokenAnswer { .fields = "X-A:" }.text(),
+             BrokenAnswer { .fields = "Connection: close", .version = "HTTP/1.0" }.text(),
+             BrokenAnswer { .fields = "Transfer-Encoding: Chunked", .body = "2;a=b\r\nok\r\n0\r\nX-T: t\r\n\r\n" }
+                 .text() }) {
+        const auto answer = answerWith(bytes);
+        BOOST_TEST(answer->wait(), bytes);
+        BOOST_TEST(answer->body == "ok");
+    }
+    for (const char* const status : { "204 No Content", "304 Not Modified" })
+        BOOST_TEST(answerWith(BrokenAnswer { .status = status, .body = {} }.text())->wait(), status);
+}
+
+// Prevents a status that isn't one, or a protocol that wasn't asked for, from reaching a client.
+BOOST_AUTO_TEST_CASE(anAnswerWithABrokenStatusFails)
+{
+    for (const BrokenAnswer& answer : withBrokenStatus())
+        checkRefused(answer.text());
+    checkRefused("HTTP/1.1 101 Switching Protocols\r\n\r\n" + BrokenAnswer().text());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoon::http
--- a/tests/support/tcppeer.cpp
+++ b/tests/support/tcppeer.cpp
@@ -64,6 +64,18 @@
     return bytes;
 }
 
+std::string TcpPeer::receiveUntil(const std::string& end)
+{
+    std::string bytes;
+    while (!bytes.ends_with(end)) {
+        const std::string byte = receive(1);
+        if (byte.empty())
+            break;
+        bytes += byte;
+    }
+    return bytes;
+}
+
 bool TcpPeer::hasInput() { return isReadable(socket_.native_handle(), framework::Milliseconds(0)); }
 
 void TcpPeer::close()
@@ -72,6 +84,12 @@
     socket_.close(ignored);
 }
 
+void TcpPeer::reset()
+{
+    socket_.set_option(boost::asio::socket_base::linger(true, 0));
+    close();
+}
+
 TcpServer::TcpServer()
     : acceptor_(sharedContext(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
 {
--- a/tests/support/tcppeer.h
+++ b/tests/support/tcppeer.h
@@ -19,11 +19,16 @@
     /// Waits until `size` bytes were received or the connection has ended; returns fewer bytes only in the latter case.
     /// Throws std::runtime_error if neither happens in time.
     std::string receive(std::size_t size);
+    /// Waits until the received bytes contain `end`, and returns them; fewer only if the connection has ended. Reads
+    /// nothing behind `end`. Throws like `receive`.
+    std::string receiveUntil(const std::string& end);
     /// Whether received bytes or the end of the connection can be read without waiting.
     bool hasInput();
     /// Waits for the end of the connection; false if a byte is received instead.
     bool reachesEnd() { return receive(1).empty(); }
     void close();
+    /// Closes the connection by a reset.
+    void reset();
 
 private:
     boost::asio::ip::tcp::socket socket_;
