Answers: a folded line fails the answer

Callers received a line that continues a field (obs-fold) joined to the field before it, also to one that marks the answer as its server's. Beast's parser joins such lines, and what it hands out doesn't show it any more.

AnswerReader now lets the parser stop at the end of the head and looks at the lines themselves. A field is taken by the parser only after the first byte of the next line has come, so a folded line is always seen whole, however the head is divided. The chunks of one read are still delivered at once.

Names with blanks or control bytes, lines without a colon and control bytes in values were refused before, too: their tests are kept, and nothing changes for them but that the log now quotes the name.

--- a/src/http/internal/answerreader.cpp
+++ b/src/http/internal/answerreader.cpp
@@ -4,7 +4,7 @@
 
 #include <array>
 #include <cstdio>
-#include <string_view>
+#include <optional>
 #include <utility>
 
 namespace lagoon::http {
@@ -38,12 +38,28 @@
 /// The status line or the name of the field that the bytes begin with. A field's value may be secret.
 std::string_view lineBegin(std::string_view bytes) { return bytes.substr(0, bytes.find_first_of(":\n")); }
 
+/// Returns the field that a line continues (`obs-fold` in RFC 9112), which Beast joins to one; std::nullopt if there is
+/// none.
+std::optional<std::string_view> foldedField(std::string_view lines)
+{
+    const std::string_view lineEnd = "\r\n";
+    std::size_t begin = 0;
+    for (std::size_t end = lines.find(lineEnd); end != std::string_view::npos; end = lines.find(lineEnd, begin)) {
+        const std::size_t next = end + lineEnd.size();
+        if (next < lines.size() && (lines[next] == ' ' || lines[next] == '\t'))
+            return lines.substr(begin, end - begin);
+        begin = next;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 AnswerReader::AnswerReader(bool isBodyless, MessageOverhead& overhead)
     : overhead_(overhead)
 {
-    parser_.eager(true);
+    // Each call of `put` then stops at the end of the head and of each chunk, so that its bytes can be checked.
+    parser_.eager(false);
     parser_.header_limit(maxHeadBytes);
     parser_.body_limit(maxBodyBytes);
     parser_.skip(isBodyless);
@@ -53,19 +69,29 @@
 std::size_t AnswerReader::put(boost::asio::const_buffer bytes)
 {
     const bool isInHead = !parser_.is_header_done();
+    const std::string_view text(static_cast<const char*>(bytes.data()), bytes.size());
     boost::system::error_code error;
+    const std::size_t bodyBefore = parser_.get().body().size();
     const std::size_t parsed = parser_.put(bytes, error);
     overhead_.didParse(parsed);
+    overhead_.didReadBody(parser_.get().body().size() - bodyBefore);
     needsMore_ = error == beast::http::error::need_more;
-    const std::string_view rest(static_cast<const char*>(bytes.data()) + parsed, bytes.size() - parsed);
     if (error && !needsMore_)
-        fault_ = error.message() + (isInHead ? ": " + quoted(lineBegin(rest)) : "");
-    else if (isInHead && parser_.is_header_done())
-        checkHead();
+        fault_ = error.message() + (isInHead ? ": " + quoted(lineBegin(text.substr(parsed))) : "");
+    else if (isInHead)
+        checkHead(text.substr(0, parsed));
     return parsed;
 }
 
-void AnswerReader::checkHead()
+void AnswerReader::checkHead(std::string_view lines)
+{
+    if (const auto field = foldedField(lines))
+        fault_ = "folded line: " + quoted(lineBegin(*field));
+    else if (parser_.is_header_done())
+        didReadHead();
+}
+
+void AnswerReader::didReadHead()
 {
     const auto& header = parser_.get().base();
     head_ = { header.result_int(), std::string(header.reason()), headersOf(header) };
@@ -79,11 +105,6 @@
         fault_ = "bad status: " + std::to_string(head_.status);
 }
 
-std::string AnswerReader::takeBody()
-{
-    std::string piece = std::exchange(parser_.get().body(), {});
-    overhead_.didReadBody(piece.size());
-    return piece;
-}
+std::string AnswerReader::takeBody() { return std::exchange(parser_.get().body(), {}); }
 
 } // namespace lagoon::http
--- a/src/http/internal/answerreader.h
+++ b/src/http/internal/answerreader.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace lagoon::http {
 
@@ -42,7 +43,8 @@
     bool endsWithConnection() const { return parser_.need_eof(); }
 
 private:
-    void checkHead();
+    void checkHead(std::string_view lines);
+    void didReadHead();
     void checkStatus();
 
     boost::beast::http::response_parser<GrowingBody> parser_;
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -226,7 +226,9 @@
         return fail(readStep(), "malformed answer, " + reader_->fault());
     if (reader_->isHeadDone() && !std::exchange(isHeadDelivered_, true))
         deliverHead();
-    if (sink_ && isHeadDelivered_)
+    // All chunks of a read are delivered at once.
+    const bool isReadOver = buffer_.size() == 0 || reader_->needsMore() || reader_->isDone();
+    if (sink_ && isHeadDelivered_ && isReadOver)
         deliverBody();
     if (sink_ && reader_->isDone())
         finishAnswer();
--- a/src/http/tests/brokenanswers_test.cpp
+++ b/src/http/tests/brokenanswers_test.cpp
@@ -1,3 +1,4 @@
+#include "http/internal/answerreader.h"
 #include "http/testing/brokenanswers.h"
 #include "http/tests/clientfixture.h"
 
@@ -101,6 +102,43 @@
     BOOST_TEST(openConnections() == 0U);
 }
 
+// Prevents a broken head from being accepted if it arrives in pieces.
+BOOST_AUTO_TEST_CASE(aBrokenHeadFailsWhereverItIsDivided)
+{
+    for (const BrokenAnswer& answer : withBrokenFields()) {
+        const std::string text = answer.text();
+        MessageOverhead overhead;
+        AnswerReader reader(false, overhead);
+        std::size_t parsed = 0;
+        for (std::size_t size = 1; size <= text.size() && reader.fault().empty(); ++size)
+            parsed += reader.put({ text.data() + parsed, size - parsed });
+        BOOST_TEST(!reader.fault().empty(), text);
+        BOOST_TEST(reader.head().status == 0U);
+    }
+}
+
+// Prevents fields whose name has a blank or a control byte, and lines that continue a field, from reaching a client.
+BOOST_AUTO_TEST_CASE(anAnswerWithABrokenFieldFails)
+{
+    for (const BrokenAnswer& answer : withBrokenFields()) {
+        checkRefused(answer.text());
+        checkRefused(interim + answer.fields + "\r\n\r\n" + BrokenAnswer().text());
+    }
+}
+
+// Prevents what a server in trouble sends from filling the log or breaking its lines, and values from standing in it.
+BOOST_AUTO_TEST_CASE(aFaultQuotesTheFieldsNameInBounds)
+{
+    const std::string name = "X \x01\n\"\\" + std::string(1000, 'x');
+    const auto answer = checkBroken(BrokenAnswer { .fields = name + ": secret" }.text());
+    const std::string& detail = answer->failure.detail;
+    BOOST_TEST(detail.size() < 200U);
+    BOOST_TEST(detail.find("\"X \\x01") != std::string::npos, detail);
+    const auto folded = checkBroken(BrokenAnswer { .fields = "X-A: secret\r\n secret" }.text());
+    BOOST_TEST(folded->failure.detail.find("\"X-A\"") != std::string::npos, folded->failure.detail);
+    BOOST_TEST(folded->failure.detail.find("secret") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoon::http
--- a/tests/integration/brokenanswers_test.cpp
+++ b/tests/integration/brokenanswers_test.cpp
@@ -67,6 +67,15 @@
     BOOST_TEST(hasLogged("bad status: 0"));
 }
 
+// Prevents a line that continues a field from reaching a client as a part of that field.
+BOOST_AUTO_TEST_CASE(aFoldedLineIsNotPassedOn)
+{
+    const std::string bytes = BrokenAnswer { .fields = "Content-Length: 2\r\nX-A: a\r\n b" }.text(marks);
+    const CallerAnswer answer = exchange("body", [&](TcpPeer& peer) { peer.send(bytes); });
+    BOOST_TEST(answer.status == 502);
+    BOOST_TEST(answer.headers.count("X-A") == 0U);
+}
+
 // Prevents a client from getting a part of an answer as a whole one: a server without a length resets the connection
 // while the upload is still being written.
 BOOST_AUTO_TEST_CASE(aResetDuringTheUploadIsNoWholeAnswer)
