Agents: answers of upstreams are read as strictly as a router reads them

Callers behind an agent received nearly any answer as if it were sound: any status (0, 99, 2000, 101), all spellings of a name with a blank or a control byte, folded lines and control bytes in values, HTTP/2.0, and bodies up to an end that wasn't theirs: `Content-Length : 3` counted as a length, `Transfer-Encoding : chunked` as chunks, and so did two lengths, a list, `+6`, `0x6`, an empty one, a length beside chunks and `6 6` as a chunk's size. cpprest's client, which the agent used, checks none of this and doesn't show what it has read.

The agent's client is now the connection that routers use for servers, so that one reader checks the answers on both paths. Calls still take a new connection each and are never sent again; the deadline is still the caller's of `run`. Endpoints that an operator states may still have a host's name: connections resolve it if they are told to. A failed call leaves a line upstream_failed in the agent's log, at most 20 a second, which names what was wrong.

An upstream now has to outlive its calls, since they run on its thread; tests that dropped it at once keep it. The test of a request's headers expects the blank after the colon that this client writes.

--- a/src/agent/internal/httpupstream.cpp
+++ b/src/agent/internal/httpupstream.cpp
@@ -1,14 +1,19 @@
 #include "agent/internal/httpupstream.h"
 
 #include "agent/internal/httpheaders.h"
+#include "framework/decisionlog.h"
+#include "framework/eventloop.h"
+#include "framework/eventthread.h"
+#include "framework/logging.h"
+#include "framework/loglimiter.h"
+#include "http/clientconnection.h"
+#include "http/url.h"
 
-#include <algorithm>
-#include <atomic>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <cpprest/http_client.h>
-#include <system_error>
+#include <cpprest/base_uri.h>
+#include <utility>
 
 namespace lagoon::agent {
 
@@ -17,155 +22,178 @@
 using framework::Error;
 using framework::ErrorCode;
 using framework::Execution;
-using web::http::client::http_client;
-using web::http::client::http_client_config;
+using http::ClientConnection;
 
-/// cpprest's timeout only limits how long a connection is idle; the caller of `run` enforces the call's deadline.
+/// The caller of `run` enforces the call's deadline. An upstream that is busy may take no bytes for a long time.
 constexpr std::chrono::hours idleLimit { 24 };
-constexpr std::size_t maxReadBytes = 64 * 1024;
+constexpr std::size_t failureLinesPerSecond = 20;
 
-std::shared_ptr<http_client> newClient(const std::string& url)
+HttpHeaders headersOf(const http::ResponseHead& head)
 {
-    http_client_config config;
-    config.set_timeout(idleLimit);
-    return std::make_shared<http_client>(web::uri(url), config);
+    HttpHeaders headers;
+    for (const http::HeaderField& field : head.headers.fields())
+        headers.emplace_back(field.name, field.value);
+    return headers;
 }
 
-/// cpprest reports the same error code for a refused connection and for a header that couldn't be written; only the
-/// text differs. Only after a refused connection is it certain that nothing was sent.
-bool isConnectFailure(const web::http::http_exception& exception)
+bool isWellFormed(const UpstreamRequest& request)
 {
-    return exception.error_code().value() == static_cast<int>(std::errc::host_unreachable)
-        && std::string(exception.what()).rfind("Failed to connect", 0) == 0;
+    const bool isMethod = !request.method.empty() && request.method.find_first_of(" \t\r\n") == std::string::npos;
+    return isMethod && web::uri::validate(request.path);
 }
 
-class HttpUpstreamCall final : public IUpstreamCall, public std::enable_shared_from_this<HttpUpstreamCall> {
+/// Logs failures of calls, of which an upstream in trouble can cause any number.
+class FailureLog {
 public:
-    HttpUpstreamCall(std::shared_ptr<http_client> client, std::string peer, UpstreamEvents events)
-        : client_(std::move(client))
-        , peer_(std::move(peer))
+    void write(const framework::RequestName& request, const Error& error)
+    {
+        const auto omitted = lines_.admit(std::chrono::steady_clock::now());
+        if (!omitted)
+            return;
+        framework::LogLine line("upstream_failed");
+        line.text("request", request.value())
+            .text("step", error.step)
+            .text("cause", error.detail)
+            .flag("may_have_run", error.execution == Execution::Unknown)
+            .number("omitted", *omitted);
+        framework::logWarning("agent", line.json());
+    }
+
+private:
+    framework::LogLimiter lines_ { failureLinesPerSecond };
+};
+
+/// Runs on the upstream's event thread, but for `cancel`.
+class HttpUpstreamCall final : public IUpstreamCall,
+                               public http::IAnswerSink,
+                               public std::enable_shared_from_this<HttpUpstreamCall> {
+public:
+    struct Context {
+        framework::EventThread& thread;
+        FailureLog& log;
+        http::Url url;
+        /// Names the upstream in errors.
+        std::string peer;
+    };
+
+    HttpUpstreamCall(Context context, framework::RequestName name, UpstreamEvents events)
+        : context_(std::move(context))
+        , name_(std::move(name))
         , events_(std::move(events))
     {
     }
 
-    void start(const web::http::http_request& request)
+    void start(const http::Request& request)
     {
-        client_->request(request, cancellation_.get_token())
-            .then([self = shared_from_this()](const pplx::task<web::http::http_response>& answered) {
-                self->runGuarded("call upstream", [&] { self->handleHead(answered.get()); });
-            });
+        if (isEnded_)
+            return;
+        framework::runGuarded(
+            "a call to the upstream", [&] { send(request); },
+            [this] { fail(error("call upstream", ErrorCode::UpstreamFailed, "exception", Execution::Unknown)); });
     }
 
-    void cancel() override { cancellation_.cancel(); }
+    void cancel() override
+    {
+        context_.thread.post([self = shared_from_this()] {
+            const auto connection = self->connection_.lock();
+            if (connection)
+                connection->abandon();
+            self->fail(self->error("call upstream", ErrorCode::UpstreamFailed, "cancelled",
+                connection ? Execution::Unknown : Execution::NotRun));
+        });
+    }
 
-private:
-    void handleHead(const web::http::http_response& response)
+    bool didReceiveHead(const http::ResponseHead& head) override
+    {
+        events_.onHead(static_cast<unsigned short>(head.status), endToEndHeaders(headersOf(head)));
+        return true;
+    }
+
+    void didReceiveBody(std::string_view piece) override { events_.onBytes(std::string(piece)); }
+
+    void didFinish() override
     {
-        response_ = response;
-        HttpHeaders headers;
-        for (const auto& [name, value] : response_.headers())
-            headers.emplace_back(name, value);
-        events_.onHead(response_.status_code(), endToEndHeaders(headers));
-        readNext();
+        isEnded_ = true;
+        events_.onEnd();
     }
 
-    /// Reads each chunk as it arrives: waits by a peek for the next byte, then reads what is available. `body().read`
-    /// would wait for the whole stream.
-    void readNext()
+    void didFail(const http::ClientFailure& failure) override
     {
-        response_.body().streambuf().getc().then([self = shared_from_this()](const pplx::task<int>& peeked) {
-            self->runGuarded("read answer", [&] {
-                if (peeked.get() == concurrency::streams::char_traits<std::uint8_t>::eof())
-                    self->events_.onEnd();
-                else
-                    self->readAvailable();
-            });
-        });
+        const bool isBroken = failure.step == http::ClientStep::ReadBody;
+        const Error why = error(isBroken ? "read answer" : "call upstream",
+            isBroken ? ErrorCode::UpstreamBroken : ErrorCode::UpstreamFailed, failure.detail,
+            failure.mayHaveArrived ? Execution::Unknown : Execution::NotRun);
+        context_.log.write(name_, why);
+        fail(why);
     }
 
-    void readAvailable()
+private:
+    void send(const http::Request& request)
     {
-        auto buffer = response_.body().streambuf();
-        const std::size_t size = std::clamp<std::size_t>(buffer.in_avail(), 1, maxReadBytes);
-        auto bytes = std::make_shared<std::string>(size, '\0');
-        buffer.getn(reinterpret_cast<std::uint8_t*>(bytes->data()), size)
-            .then([self = shared_from_this(), bytes](const pplx::task<std::size_t>& read) {
-                self->runGuarded("read answer", [&] {
-                    bytes->resize(read.get());
-                    self->events_.onBytes(std::move(*bytes));
-                    self->readNext();
-                });
-            });
+        // Over a connection that was used before, a late duplicate of an answer would be taken for the answer to the
+        // next request, which it doesn't name.
+        const auto close = [](const std::shared_ptr<ClientConnection>& connection) { connection->abandon(); };
+        const auto ignore = [](const std::shared_ptr<ClientConnection>&) {};
+        const auto connection = ClientConnection::make(
+            context_.thread.context(), context_.url.endpoint, { idleLimit, idleLimit, true }, { close, ignore });
+        connection_ = connection;
+        connection->send(request, shared_from_this());
     }
 
-    /// Converts cpprest's exceptions to failure events; no exception may leave this file.
-    template <typename Step> void runGuarded(const char* step, Step&& run)
+    Error error(const char* step, ErrorCode code, std::string detail, Execution execution) const
     {
-        try {
-            run();
-        } catch (const web::http::http_exception& exception) {
-            const bool isNotRun = isConnectFailure(exception);
-            fail(step, exception.what(), isNotRun ? Execution::NotRun : Execution::Unknown);
-        } catch (const std::exception& exception) {
-            fail(step, exception.what(), Execution::Unknown);
-        }
+        return { code, step, context_.peer, std::move(detail), execution };
     }
 
-    void fail(const char* step, const char* detail, Execution execution)
+    void fail(const Error& error)
     {
-        const ErrorCode code
-            = step == std::string("read answer") ? ErrorCode::UpstreamBroken : ErrorCode::UpstreamFailed;
-        events_.onFailed(Error { code, step, peer_, detail, execution });
+        if (!std::exchange(isEnded_, true))
+            events_.onFailed(error);
     }
 
-    std::shared_ptr<http_client> client_;
-    std::string peer_;
+    Context context_;
+    framework::RequestName name_;
     UpstreamEvents events_;
-    web::http::http_response response_;
-    pplx::cancellation_token_source cancellation_;
+    std::weak_ptr<ClientConnection> connection_;
+    bool isEnded_ = false;
 };
 
-web::http::http_request httpRequest(const UpstreamRequest& request)
-{
-    web::http::http_request forwarded(request.method);
-    forwarded.set_request_uri(web::uri(request.path));
-    if (!request.body.empty())
-        forwarded.set_body(std::vector<unsigned char>(request.body.begin(), request.body.end()));
-    for (const auto& [name, value] : endToEndHeaders(request.headers)) {
-        forwarded.headers().remove(name);
-        forwarded.headers().add(name, value);
-    }
-    forwarded.headers().remove("X-Request-Id");
-    forwarded.headers().add("X-Request-Id", request.name.value());
-    forwarded.headers().remove("X-Priority");
-    forwarded.headers().add("X-Priority", std::to_string(request.priority));
-    return forwarded;
-}
-
 class HttpUpstream final : public IUpstream {
 public:
     explicit HttpUpstream(const std::string& url)
         : url_(url)
+        , base_(http::parseUrl(url))
     {
     }
 
     std::shared_ptr<IUpstreamCall> run(UpstreamRequest request, UpstreamEvents events) override
     {
-        // A new client has no pooled connection. Over one, a late duplicate of an answer would be taken for the answer
-        // to the next request, which it doesn't name. cpprest would also resend a request by itself when the connection
-        // turns out to be closed, although the upstream may have run it.
-        auto call = std::make_shared<HttpUpstreamCall>(newClient(url_), url_, events);
-        try {
-            call->start(httpRequest(request));
-        } catch (const std::exception& exception) {
-            // Only an invalid request throws here, before anything is sent.
-            events.onFailed(Error { ErrorCode::BadRequest, "call upstream", url_, exception.what() });
+        auto call = std::make_shared<HttpUpstreamCall>(
+            HttpUpstreamCall::Context { thread_, failures_, base_, url_ }, request.name, events);
+        if (!isWellFormed(request)) {
+            events.onFailed(Error { ErrorCode::BadRequest, "call upstream", url_, "malformed method or path" });
+            return call;
         }
+        thread_.post([call, sent = httpRequest(std::move(request))] { call->start(sent); });
         return call;
     }
 
 private:
+    http::Request httpRequest(UpstreamRequest request) const
+    {
+        http::Request sent { std::move(request.method), base_.path + request.path, {}, std::move(request.body) };
+        sent.headers.add("Host", base_.endpoint.value());
+        for (auto& [name, value] : endToEndHeaders(request.headers))
+            sent.headers.add(name, value);
+        sent.headers.set("X-Request-Id", request.name.value());
+        sent.headers.set("X-Priority", std::to_string(request.priority));
+        return sent;
+    }
+
     std::string url_;
+    http::Url base_;
+    FailureLog failures_;
+    framework::EventThread thread_;
 };
 
 } // namespace
--- a/src/agent/internal/httpupstream.h
+++ b/src/agent/internal/httpupstream.h
@@ -7,7 +7,7 @@
 
 namespace lagoon::agent {
 
-/// Creates a cpprest client of an upstream that speaks HTTP.
+/// Creates a client of an upstream that speaks HTTP.
 std::shared_ptr<IUpstream> makeHttpUpstream(const std::string& url);
 
 /// Opens a connection to the upstream and closes it. Returns false if it was refused: the upstream's process has ended.
--- a/src/agent/iupstream.h
+++ b/src/agent/iupstream.h
@@ -52,7 +52,7 @@
 class IUpstream {
 public:
     virtual ~IUpstream() = default;
-    /// Starts a call and returns immediately.
+    /// Starts a call and returns immediately. The upstream has to outlive the call.
     virtual std::shared_ptr<IUpstreamCall> run(UpstreamRequest, UpstreamEvents) = 0;
 };
 
--- a/src/agent/tests/httpupstream_test.cpp
+++ b/src/agent/tests/httpupstream_test.cpp
@@ -1,5 +1,6 @@
 #include "agent/internal/httpmodelengine.h"
 #include "agent/internal/httpupstream.h"
+#include "http/testing/brokenanswers.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -127,6 +128,12 @@
         BOOST_REQUIRE(error_.has_value());
         return *error_;
     }
+    /// Waits for the end, and returns the error if it is a failure.
+    std::optional<Error> waitForOutcome()
+    {
+        wait([&] { return isEnded_ || error_.has_value(); });
+        return error_;
+    }
     unsigned short status() const { return status_; }
     const HttpHeaders& headers() const { return headers_; }
 
@@ -176,16 +183,17 @@
         write(socket, "HTTP/1.1 201 Created\r\nContent-Length: 2\r\nX-Kept: 1\r\nConnection: close\r\n\r\nok");
         return false;
     });
-    makeHttpUpstream(server.url())->run(request(), watch.events());
+    const auto upstream = makeHttpUpstream(server.url());
+    upstream->run(request(), watch.events());
     watch.waitForEnd();
     watch.waitForBytes("ok");
     BOOST_TEST(watch.status() == 201);
     BOOST_REQUIRE(watch.headers().size() == 1u);
     BOOST_TEST(watch.headers()[0].first == "X-Kept");
     BOOST_TEST(seen.find("POST /v1/completions?x=1 HTTP/1.1\r\n") == 0u);
-    BOOST_TEST(seen.find("X-Request-Id:7-1\r\n") != std::string::npos);
+    BOOST_TEST(seen.find("X-Request-Id: 7-1\r\n") != std::string::npos);
     BOOST_TEST(seen.find("forged") == std::string::npos);
-    BOOST_TEST(seen.find("X-Priority:8\r\n") != std::string::npos);
+    BOOST_TEST(seen.find("X-Priority: 8\r\n") != std::string::npos);
 }
 
 // Prevents an agent that buffers the whole answer: callers read tokens as they are generated, and the first token would
@@ -203,7 +211,8 @@
         write(socket, chunk("two") + chunk(""));
         return false;
     });
-    makeHttpUpstream(server.url())->run(request(), watch.events());
+    const auto upstream = makeHttpUpstream(server.url());
+    upstream->run(request(), watch.events());
     watch.waitForBytes("one ");
     {
         const std::lock_guard lock(mutex);
@@ -290,7 +299,8 @@
             return false;
         });
         CallRecorder watch;
-        makeHttpUpstream(server.url())->run(request(), watch.events());
+        const auto upstream = makeHttpUpstream(server.url());
+        upstream->run(request(), watch.events());
         const Error error = watch.waitForError();
         BOOST_CHECK(error.code == ErrorCode::UpstreamBroken);
         BOOST_CHECK(error.execution == Execution::Unknown);
@@ -309,7 +319,8 @@
         isClosed = error.failed();
         return false;
     });
-    const auto call = makeHttpUpstream(server.url())->run(request(), watch.events());
+    const auto upstream = makeHttpUpstream(server.url());
+    const auto call = upstream->run(request(), watch.events());
     watch.waitForBytes("one ");
     call->cancel();
     call->cancel();
@@ -368,6 +379,53 @@
     BOOST_CHECK(order("500 Internal", "{}").error().execution == Execution::Unknown);
 }
 
+// Prevents callers from getting an answer that breaks HTTP/1.1, or its body up to an end that isn't its own.
+BOOST_AUTO_TEST_CASE(aBrokenAnswerIsAFailure)
+{
+    using namespace lagoon::http::testing;
+    std::string answer;
+    RawUpstream server([&](tcp::socket& socket, const std::string&) {
+        write(socket, answer);
+        return false;
+    });
+    const auto upstream = makeHttpUpstream(server.url());
+    const auto check = [&](const std::string& text, unsigned short status) {
+        answer = text;
+        CallRecorder watch;
+        const auto call = upstream->run(request(), watch.events());
+        BOOST_TEST_INFO(text);
+        const auto error = watch.waitForOutcome();
+        BOOST_TEST(error.has_value());
+        BOOST_TEST((!error || error->execution == Execution::Unknown));
+        BOOST_TEST(watch.status() == status);
+    };
+    for (const BrokenAnswer& broken : withBrokenHead())
+        check(broken.text(), 0);
+    for (const BrokenAnswer& broken : withBrokenFields())
+        check("HTTP/1.1 103 Early Hints\r\n" + broken.fields + "\r\n\r\n" + BrokenAnswer().text(), 0);
+    for (const BrokenAnswer& broken : withBrokenChunks())
+        check(broken.text(), 200);
+}
+
+// Prevents a part of an answer from being taken for a whole one that ends with its connection: the upstream reset it
+// while the request was still being written.
+BOOST_AUTO_TEST_CASE(aResetDuringTheUploadIsAFailure)
+{
+    RawUpstream server([&](tcp::socket& socket, const std::string&) {
+        write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+        return false;
+    });
+    const auto upstream = makeHttpUpstream(server.url());
+    for (int round = 0; round < 10; ++round) {
+        CallRecorder watch;
+        UpstreamRequest large = request();
+        large.body.assign(std::size_t(16) * 1024 * 1024, 'x');
+        const auto call = upstream->run(large, watch.events());
+        BOOST_TEST((watch.waitForError().execution == Execution::Unknown));
+    }
+}
+
 // Prevents an answer whose upstream closed within its head from being relayed as a whole one.
 BOOST_AUTO_TEST_CASE(anAnswerThatEndsWithinItsHeadFails)
 {
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -54,6 +54,8 @@
     framework::Milliseconds connectTimeout { 1000 };
     /// A connection fails if its peer acknowledges neither data nor keep-alive probes for this long.
     framework::Milliseconds unresponsiveTimeout { 3000 };
+    /// Whether the endpoint may have a host name. Only for endpoints that an operator states.
+    bool resolvesNames = false;
 };
 
 /// One connection to a server, based on Boost.Beast's parser and Asio. It replaces cpprest's client where requests are
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -5,6 +5,7 @@
 #include "http/internal/messagewriter.h"
 #include "http/internal/socketoptions.h"
 
+#include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cerrno>
@@ -16,6 +17,7 @@
 
 namespace {
 
+using boost::asio::ip::tcp;
 using framework::Milliseconds;
 
 constexpr std::size_t readBufferBytes = 16 * 1024;
@@ -69,6 +71,7 @@
     boost::asio::io_context& context, framework::Endpoint endpoint, const ClientOptions& options, Observers observers)
     : context_(context)
     , socket_(context)
+    , resolver_(context)
     , connectTimer_(context)
     , endpoint_(std::move(endpoint))
     , options_(options)
@@ -119,21 +122,46 @@
 
 void TcpClientConnection::connect()
 {
-    const auto address = framework::parseTcpEndpoint(endpoint_, "connect");
-    if (address.has_error()) {
-        boost::asio::post(context_, [self = self()] { self->fail(ClientStep::Connect, "not an address"); });
-        return;
-    }
     connectTimer_.expires_after(options_.connectTimeout);
     connectTimer_.async_wait([self = self()](const boost::system::error_code& error) {
         if (!error && !self->isConnected_)
             self->runGuarded([&] { self->fail(ClientStep::Connect, "no connection in time"); });
     });
+    const auto address = framework::parseTcpEndpoint(endpoint_, "connect");
+    if (address.has_error())
+        return resolve();
     socket_.async_connect(address.value(), [self = self()](const boost::system::error_code& error) {
         self->runGuarded([&] { self->didConnect(error); });
     });
 }
 
+void TcpClientConnection::resolve()
+{
+    const std::string& text = endpoint_.value();
+    const std::size_t colon = text.rfind(':');
+    if (!options_.resolvesNames || colon == std::string::npos) {
+        boost::asio::post(context_, [self = self()] { self->fail(ClientStep::Connect, "not an address"); });
+        return;
+    }
+    resolver_.async_resolve(text.substr(0, colon), text.substr(colon + 1),
+        [self = self()](const boost::system::error_code& error, const tcp::resolver::results_type& addresses) {
+            self->runGuarded([&] { self->didResolve(error, addresses); });
+        });
+}
+
+void TcpClientConnection::didResolve(
+    const boost::system::error_code& error, const tcp::resolver::results_type& addresses)
+{
+    if (isClosed_)
+        return;
+    if (error)
+        return fail(ClientStep::Connect, error.message());
+    boost::asio::async_connect(
+        socket_, addresses, [self = self()](const boost::system::error_code& failure, const tcp::endpoint&) {
+            self->runGuarded([&] { self->didConnect(failure); });
+        });
+}
+
 void TcpClientConnection::didConnect(const boost::system::error_code& error)
 {
     if (isClosed_)
@@ -352,6 +380,7 @@
     isClosed_ = true;
     const auto thisConnection = shared_from_this();
     connectTimer_.cancel();
+    resolver_.cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
     observers_.didClose(thisConnection);
--- a/src/http/internal/tcpclientconnection.h
+++ b/src/http/internal/tcpclientconnection.h
@@ -29,6 +29,8 @@
     template <typename Action> void runGuarded(const Action&);
     void begin(const Request&, std::shared_ptr<IAnswerSink>);
     void connect();
+    void resolve();
+    void didResolve(const boost::system::error_code&, const boost::asio::ip::tcp::resolver::results_type&);
     void didConnect(const boost::system::error_code&);
     void write();
     void read();
@@ -48,6 +50,7 @@
 
     boost::asio::io_context& context_;
     boost::asio::ip::tcp::socket socket_;
+    boost::asio::ip::tcp::resolver resolver_;
     boost::asio::steady_timer connectTimer_;
     framework::Endpoint endpoint_;
     ClientOptions options_;
--- /dev/null
+++ b/tests/integration/agentbrokenanswers_test.cpp
@@ -0,0 +1,62 @@
+#include "http/testing/brokenanswers.h"
+#include "support/bundlebuilder.h"
+#include "support/callers.h"
+#include "support/deployment.h"
+#include "support/tcppeer.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoon::testsupport;
+using lagoon::http::testing::BrokenAnswer;
+using web::json::value;
+
+namespace {
+
+/// A router, and an agent beside a service whose answers the test writes byte by byte.
+struct BrokenUpstreamFixture {
+    BrokenUpstreamFixture()
+    {
+        UpstreamOptions options { .kind = UpstreamKind::Service, .pool = "booking" };
+        options.extraSettings["upstream"]["kind"] = value::string("service");
+        options.extraSettings["upstream"]["url"] = value::string(urlOf(server.endpoint(), ""));
+        deployment.addUpstream("booking-1", options);
+        deployment.addRouter("entry-1");
+        deployment.rollOut(BundleBuilder(1).servicePool("booking", "old").service("slots", { "booking" }).text());
+        deployment.waitUntilReady();
+    }
+
+    HttpAnswer answerWith(const BrokenAnswer& answer)
+    {
+        PendingCall call(serviceCall(deployment.router("entry-1").callers(), "slots", "token"));
+        // After a failure the agent also checks whether the upstream accepts connections.
+        TcpPeer peer = server.accept();
+        while (peer.receiveUntil("}").empty())
+            peer = server.accept();
+        peer.send(answer.text());
+        peer.close();
+        return call.answer();
+    }
+
+    TcpServer server;
+    Deployment deployment;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(BrokenAnswersOfUpstreams, BrokenUpstreamFixture)
+
+BOOST_AUTO_TEST_CASE(aSoundAnswerIsPassedOn) { BOOST_TEST(answerWith({}).body == "ok"); }
+
+// Prevents an answer that breaks HTTP/1.1 from reaching a client through an agent.
+BOOST_AUTO_TEST_CASE(brokenAnswersAreNotPassedOn)
+{
+    for (const BrokenAnswer& broken : { BrokenAnswer { .status = "000 " }, BrokenAnswer { .fields = "X Seal: a" },
+             BrokenAnswer { .fields = "Content-Length : 2" }, BrokenAnswer { .fields = "Transfer-Encoding: gzip" } }) {
+        const HttpAnswer answer = answerWith(broken);
+        BOOST_TEST(answer.status == 502, broken.text());
+        BOOST_TEST(refusalField(answer, "execution") == "unknown");
+    }
+    BOOST_TEST(deployment.upstream("booking-1").agent->log().find("bad status: 0") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
