Agents: answers of engines to reports and orders are read strictly

An agent took an engine's broken answer for its state or for an accepted order: a status of any digits, bodies without a told end, names with blanks or control bytes. It asked through cpprest's client, which checks none of this. A model could so count as loaded, or as gone.

These calls now go through the client that reads servers' answers elsewhere. BlockingCalls makes its calls for threads that wait; CallClient can end a call early on a stop request. A broken answer fails the call, with unknown execution, and each call still has a connection of its own.

--- a/src/agent/internal/httpmodelengine.cpp
+++ b/src/agent/internal/httpmodelengine.cpp
@@ -1,8 +1,8 @@
 #include "agent/internal/httpmodelengine.h"
 
 #include "framework/checkedjson.h"
-
-#include <cpprest/http_client.h>
+#include "http/blockingcalls.h"
+#include "http/url.h"
 
 namespace lagoon::agent {
 
@@ -13,10 +13,13 @@
 using framework::ErrorCode;
 using framework::Execution;
 using framework::Result;
-using web::http::client::http_client;
-using web::http::client::http_client_config;
 
 constexpr framework::JsonLimits stateLimits { std::size_t(16) * 1024 * 1024, 16 };
+constexpr http::AnswerLimits answerLimits { stateLimits.bytes, 2 * stateLimits.bytes };
+constexpr unsigned ok = 200;
+constexpr unsigned accepted = 202;
+constexpr unsigned conflict = 409;
+constexpr unsigned insufficientStorage = 507;
 
 /// Reads an optional field. Unlike settings, an engine's answer may have unknown keys, since engines may report more
 /// than is used here.
@@ -53,47 +56,20 @@
     return checkpoint;
 }
 
-struct Answer {
-    unsigned short status = 0;
-    std::string body;
-};
-
-/// Makes one HTTP call and waits for its answer. Errors have `Execution::Unknown` unless nothing was sent: no time was
-/// left or the connection was refused.
-Result<Answer> call(const std::string& url, const web::http::http_request& request, Deadline deadline)
-{
-    const auto remaining = deadline.remaining(std::chrono::steady_clock::now());
-    const auto fault = [&](const char* detail, Execution execution) {
-        return Error { ErrorCode::UpstreamFailed, "call engine", url, detail, execution };
-    };
-    if (remaining.count() == 0)
-        return fault("no time is left", Execution::NotRun);
-    try {
-        http_client_config config;
-        config.set_timeout(remaining);
-        http_client client(web::uri(url), config);
-        auto response = client.request(request).get();
-        return Answer { response.status_code(), response.extract_utf8string(true).get() };
-    } catch (const std::exception& exception) {
-        const bool isRefused = std::string(exception.what()).rfind("Failed to connect", 0) == 0;
-        return fault(exception.what(), isRefused ? Execution::NotRun : Execution::Unknown);
-    }
-}
-
 class HttpModelEngine final : public IModelEngine {
 public:
     explicit HttpModelEngine(std::string url)
         : url_(std::move(url))
+        , base_(http::parseUrl(url_))
+        , calls_(base_.endpoint, answerLimits, http::CallClient::Connections::OnePerCall)
     {
     }
 
     Result<EngineState> state(Deadline deadline) override
     {
-        web::http::http_request request(web::http::methods::GET);
-        request.set_request_uri("/v1/state");
-        BOOST_OUTCOME_TRY(answer, call(url_, request, deadline));
-        if (answer.status != web::http::status_codes::OK)
-            return Error { ErrorCode::UpstreamFailed, "read engine state", url_, std::to_string(answer.status) };
+        BOOST_OUTCOME_TRY(answer, call({ "GET", base_.path + "/v1/state", {}, {} }, deadline));
+        if (answer.head.status != ok)
+            return Error { ErrorCode::UpstreamFailed, "read engine state", url_, std::to_string(answer.head.status) };
         return parseEngineState(answer.body, url_);
     }
 
@@ -104,6 +80,20 @@
     }
 
 private:
+    /// Errors have `Execution::Unknown` unless nothing was sent.
+    Result<http::Response> call(http::Request request, Deadline deadline)
+    {
+        const auto fault = [this](const std::string& detail, Execution execution) {
+            return Error { ErrorCode::UpstreamFailed, "call engine", url_, detail, execution };
+        };
+        if (deadline.hasPassed(std::chrono::steady_clock::now()))
+            return fault("no time is left", Execution::NotRun);
+        auto answer = calls_.call(std::move(request), deadline);
+        if (answer.has_error())
+            return fault(answer.error().detail, answer.error().execution);
+        return answer;
+    }
+
     Result<void> send(const std::string& name, const EngineOrder& order, Deadline deadline)
     {
         using web::json::value;
@@ -114,29 +104,30 @@
         body["version"] = value::string(order.checkpoint.version.value());
         body["memory_mib"] = value::number(order.memory.value());
         body["fence"] = value::number(order.fence.value());
-        web::http::http_request request(web::http::methods::POST);
-        request.set_request_uri("/v1/orders");
-        request.set_body(body);
-        BOOST_OUTCOME_TRY(answer, call(url_, request, deadline));
+        http::Request request { "POST", base_.path + "/v1/orders", {}, body.serialize() };
+        request.headers.add("Content-Type", "application/json");
+        BOOST_OUTCOME_TRY(answer, call(std::move(request), deadline));
         return parseOrderAnswer(name, answer);
     }
 
-    Result<void> parseOrderAnswer(const std::string& name, const Answer& answer) const
+    Result<void> parseOrderAnswer(const std::string& name, const http::Response& answer) const
     {
         const std::string step = "order " + name;
-        if (answer.status == web::http::status_codes::Accepted || answer.status == web::http::status_codes::OK)
+        const unsigned status = answer.head.status;
+        if (status == accepted || status == ok)
             return framework::success();
-        if (answer.status == web::http::status_codes::Conflict) {
+        if (status == conflict) {
             const bool isStale = answer.body.find("stale_fence") != std::string::npos;
             return Error { isStale ? ErrorCode::Fenced : ErrorCode::NotLoaded, step, url_, answer.body };
         }
-        constexpr unsigned short insufficientStorage = 507;
-        if (answer.status == insufficientStorage)
+        if (status == insufficientStorage)
             return Error { ErrorCode::MemoryShort, step, url_, answer.body };
-        return Error { ErrorCode::UpstreamFailed, step, url_, std::to_string(answer.status), Execution::Unknown };
+        return Error { ErrorCode::UpstreamFailed, step, url_, std::to_string(status), Execution::Unknown };
     }
 
     std::string url_;
+    http::Url base_;
+    http::BlockingCalls calls_;
 };
 
 EngineReplicaState replicaState(const std::string& name)
--- a/src/agent/internal/httpmodelengine.h
+++ b/src/agent/internal/httpmodelengine.h
@@ -7,7 +7,7 @@
 
 namespace lagoon::agent {
 
-/// Creates a cpprest client of a model engine that speaks HTTP and JSON as described in docs/OUTSIDE.md.
+/// Creates a client of a model engine that speaks HTTP and JSON as described in docs/OUTSIDE.md.
 std::shared_ptr<IModelEngine> makeHttpModelEngine(const std::string& url);
 
 /// Parses the answer to `GET /v1/state`. Unknown keys are ignored, since engines may report more.
--- a/src/agent/tests/httpupstream_test.cpp
+++ b/src/agent/tests/httpupstream_test.cpp
@@ -426,6 +426,30 @@
     }
 }
 
+// Prevents an answer that breaks HTTP/1.1 from being taken for the engine's state or for an accepted order.
+BOOST_AUTO_TEST_CASE(aBrokenAnswerIsNoAnswerOfTheEngine)
+{
+    using namespace lagoon::http::testing;
+    std::string answer;
+    RawUpstream server([&](tcp::socket& socket, const std::string&) {
+        write(socket, answer);
+        return false;
+    });
+    const auto engine = makeHttpModelEngine(server.url());
+    std::vector<BrokenAnswer> answers = withBrokenHead();
+    for (const BrokenAnswer& broken : withBrokenChunks())
+        answers.push_back(broken);
+    for (const BrokenAnswer& broken : answers) {
+        answer = broken.text();
+        const auto deadline = Deadline::after(std::chrono::steady_clock::now(), Milliseconds(5000));
+        const auto ordered = engine->load({}, deadline);
+        BOOST_TEST(ordered.has_error(), answer);
+        BOOST_TEST((ordered.has_value() || ordered.error().execution == Execution::Unknown));
+        const auto state = engine->state(deadline);
+        BOOST_TEST((state.has_error() && state.error().step == "call engine"), answer);
+    }
+}
+
 // Prevents an answer whose upstream closed within its head from being relayed as a whole one.
 BOOST_AUTO_TEST_CASE(anAnswerThatEndsWithinItsHeadFails)
 {
--- a/src/http/callclient.h
+++ b/src/http/callclient.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <stop_token>
 
 namespace lagoon::http {
 
@@ -37,13 +38,14 @@
         OnePerCall,
     };
 
-    CallClient(
-        framework::EventThread&, const framework::Endpoint&, const AnswerLimits&, Connections = Connections::Pooled);
+    CallClient(framework::EventThread&, const framework::Endpoint&, const AnswerLimits&,
+        Connections = Connections::Pooled, const ClientOptions& = {});
     ~CallClient();
     CallClient(const CallClient&) = delete;
     CallClient& operator=(const CallClient&) = delete;
 
-    void call(Request, framework::Deadline, Handler);
+    /// A stop request closes the call's connection, and the call fails.
+    void call(Request, framework::Deadline, Handler, std::stop_token = {});
 
 private:
     class Implementation;
--- a/src/http/internal/callclient.cpp
+++ b/src/http/internal/callclient.cpp
@@ -4,7 +4,7 @@
 #include "http/connectionpool.h"
 
 #include <charconv>
-
+#include <optional>
 #include <utility>
 
 namespace lagoon::http {
@@ -52,9 +52,16 @@
     }
 
     void start(framework::EventThread& thread, std::shared_ptr<ClientConnection> connection, const Request& request,
-        Deadline deadline)
+        Deadline deadline, const std::stop_token& stop)
     {
         connection_ = std::move(connection);
+        if (stop.stop_possible())
+            abortOnStop_.emplace(stop, [weak = weak_from_this(), &thread] {
+                thread.post([weak] {
+                    if (const auto self = weak.lock())
+                        self->abort("given up");
+                });
+            });
         completeBy_ = Deadline::after(deadline.at(), maxAnswerTime);
         scheduleCheck(thread, deadline);
         connection_->send(request, shared_from_this());
@@ -103,6 +110,7 @@
     void complete(framework::Result<Response> result)
     {
         timer_.reset();
+        abortOnStop_.reset();
         const auto connection = std::exchange(connection_, nullptr);
         if (connection && route_.connections == CallClient::Connections::OnePerCall)
             connection->abandon();
@@ -144,6 +152,7 @@
     CallClient::Handler handler_;
     std::shared_ptr<ClientConnection> connection_;
     std::unique_ptr<framework::Timer> timer_;
+    std::optional<std::stop_callback<std::function<void()>>> abortOnStop_;
     Response response_;
     std::size_t lastBodyBytes_ = 0;
     Deadline completeBy_;
@@ -154,19 +163,19 @@
 class CallClient::Implementation : public std::enable_shared_from_this<Implementation> {
 public:
     Implementation(framework::EventThread& thread, framework::Endpoint endpoint, const AnswerLimits& limits,
-        Connections connections)
+        Connections connections, const ClientOptions& options)
         : thread_(thread)
         , endpoint_(std::move(endpoint))
         , maxAnswerBytes_(limits.bytes)
         , budget_(std::make_shared<ByteBudget>(ByteBudget::Limits { limits.heldBytes, 0, 0, limits.heldBytes }))
         , connections_(connections)
-        , pool_(thread.context(), endpoint_, ClientOptions(), maxConnections)
+        , pool_(thread.context(), endpoint_, options, maxConnections)
     {
     }
 
     /// Closes all idle connections when a call fails: a fault that broke one connection has usually broken the idle
     /// ones too, and each call over one of them would be lost although the server may be available again.
-    void call(const Request& request, Deadline deadline, Handler handler)
+    void call(const Request& request, Deadline deadline, Handler handler, const std::stop_token& stop)
     {
         const auto call = std::make_shared<Call>(
             Call::Route { request.method + " " + request.target, endpoint_, connections_ }, maxAnswerBytes_, budget_,
@@ -181,7 +190,7 @@
             return call->complete(call->error("too many calls at once", false));
         Request addressed = request;
         addressed.headers.set("Host", endpoint_.value());
-        call->start(thread_, std::move(connection), addressed, deadline);
+        call->start(thread_, std::move(connection), addressed, deadline, stop);
     }
 
 private:
@@ -201,19 +210,19 @@
 };
 
 CallClient::CallClient(framework::EventThread& thread, const framework::Endpoint& endpoint, const AnswerLimits& limits,
-    Connections connections)
+    Connections connections, const ClientOptions& options)
     : thread_(thread)
-    , implementation_(std::make_shared<Implementation>(thread, endpoint, limits, connections))
+    , implementation_(std::make_shared<Implementation>(thread, endpoint, limits, connections, options))
 {
 }
 
 CallClient::~CallClient() = default;
 
-void CallClient::call(Request request, Deadline deadline, Handler handler)
+void CallClient::call(Request request, Deadline deadline, Handler handler, std::stop_token stop)
 {
     thread_.post(
-        [implementation = implementation_, request = std::move(request), deadline,
-            handler = std::move(handler)]() mutable { implementation->call(request, deadline, std::move(handler)); });
+        [implementation = implementation_, request = std::move(request), deadline, handler = std::move(handler),
+            stop = std::move(stop)]() mutable { implementation->call(request, deadline, std::move(handler), stop); });
 }
 
 } // namespace lagoon::http
