Object store: answers of the platform are read strictly

Processes of the path with agents took a broken answer of the platform for an object, a list, or a write that took effect, as cpprest's client checks neither status, names nor framing. It also sent a request again by itself when a pooled connection had been closed.

The calls go through BlockingCalls now: the same reader, a pool that doesn't reuse connections that may be stale, nothing sent twice. A broken answer fails its call as one that was lost does; a write is then of unknown outcome, and settled by its nonce. Answers are limited to 64 MiB, which no list may exceed.

That a second transmission is recognised is still checked with the store in memory (aWriteWithALostAnswerTakesEffectOnce).

--- a/src/objectstore/internal/httpcalls.cpp
+++ b/src/objectstore/internal/httpcalls.cpp
@@ -1,9 +1,10 @@
 #include "objectstore/internal/httpcalls.h"
 
 #include "framework/iclock.h"
+#include "http/url.h"
 
 #include <charconv>
-#include <future>
+#include <utility>
 
 namespace lagoon::objectstore {
 
@@ -15,70 +16,31 @@
 using framework::Execution;
 using framework::Milliseconds;
 using framework::Result;
-using web::http::http_response;
-using web::http::status_codes;
-using web::http::client::http_client;
-using web::http::client::http_client_config;
-
-/// cpprest's timeout limits the silence on a connection and not the whole call, so it only has to be longer than any
-/// wait of this module.
-constexpr std::chrono::seconds clientTimeout { 300 };
-
-struct Outcome {
-    HttpAnswer answer;
-    /// What failed on the connection; empty if there is an answer.
-    std::string failure;
-};
-
-http_client_config clientConfig()
-{
-    http_client_config config;
-    config.set_timeout(clientTimeout);
-    return config;
-}
+
+constexpr http::AnswerLimits answerLimits { maxAnswerBytes, 2 * maxAnswerBytes };
+constexpr unsigned tooManyRequests = 429;
+constexpr unsigned internalError = 500;
+constexpr unsigned serviceUnavailable = 503;
 
 /// Parses the form of `Retry-After` in seconds only, since the platform doesn't send dates.
-std::optional<Milliseconds> retryAfterOf(const http_response& response)
+std::optional<Milliseconds> retryAfterOf(const http::Headers& headers)
 {
-    const auto found = response.headers().find("Retry-After");
-    if (found == response.headers().end())
+    const auto text = headers.find("Retry-After");
+    if (!text)
         return std::nullopt;
     constexpr unsigned maxSeconds = 3600;
     unsigned seconds = 0;
-    const std::string& text = found->second;
-    const auto [end, errorCode] = std::from_chars(text.data(), text.data() + text.size(), seconds);
-    if (errorCode != std::errc() || end != text.data() + text.size() || seconds > maxSeconds)
+    const auto [end, errorCode] = std::from_chars(text->data(), text->data() + text->size(), seconds);
+    if (errorCode != std::errc() || end != text->data() + text->size() || seconds > maxSeconds)
         return std::nullopt;
     return std::chrono::seconds(seconds);
 }
 
-std::string entityTagOf(const http_response& response)
+HttpAnswer answerOf(http::Response response)
 {
-    const auto found = response.headers().find("ETag");
-    return found == response.headers().end() ? std::string() : found->second;
-}
-
-/// Starts a call whose continuations run on cpprest's threads and never block them.
-void startCall(http_client& client, const web::http::http_request& request, const pplx::cancellation_token& token,
-    const std::shared_ptr<std::promise<Outcome>>& promise)
-{
-    client.request(request, token)
-        .then([](const http_response& response) {
-            HttpAnswer answer { response.status_code(), {}, entityTagOf(response), retryAfterOf(response) };
-            return response.extract_vector().then([answer](const std::vector<unsigned char>& body) mutable {
-                answer.body.assign(body.begin(), body.end());
-                return answer;
-            });
-        })
-        .then([promise](const pplx::task<HttpAnswer>& ended) {
-            Outcome outcome;
-            try {
-                outcome.answer = ended.get();
-            } catch (const std::exception& exception) {
-                outcome.failure = exception.what();
-            }
-            promise->set_value(std::move(outcome));
-        });
+    const http::Headers& headers = response.head.headers;
+    return { response.head.status, std::move(response.body), std::string(headers.find("ETag").value_or("")),
+        retryAfterOf(headers) };
 }
 
 } // namespace
@@ -88,8 +50,8 @@
     , callTimeout_(settings.callTimeout)
     , metrics_(std::move(metrics))
     , budget_(settings.callsPerSecond, settings.callBurst, framework::SystemClock().now())
-    , calls_(web::uri(settings.url), clientConfig())
-    , watches_(web::uri(settings.url), clientConfig())
+    , calls_(http::parseUrl(settings.url).endpoint, answerLimits)
+    , watches_(http::parseUrl(settings.url).endpoint, answerLimits)
 {
 }
 
@@ -118,7 +80,7 @@
     if (call.wait == Milliseconds(0))
         metrics_->observeSeconds("lagoon_platform_call_seconds",
             std::chrono::duration<double>(clock.now() - startedAt).count(), { { "call", call.kind } });
-    if (answer.status != status_codes::TooManyRequests && answer.status < status_codes::InternalError)
+    if (answer.status != tooManyRequests && answer.status < internalError)
         return answer;
     countResult(call, answer.retryAfter ? "held_off" : "unavailable");
     return unavailable(call, answer);
@@ -126,24 +88,12 @@
 
 Result<HttpAnswer> HttpCalls::waitForAnswer(const HttpCall& call, Deadline limit, const std::stop_token& stop)
 {
-    auto promise = std::make_shared<std::promise<Outcome>>();
-    std::future<Outcome> future = promise->get_future();
-    pplx::cancellation_token_source cancellation;
-    startCall(call.wait == Milliseconds(0) ? calls_ : watches_, call.request, cancellation.get_token(), promise);
-    const std::stop_callback cancelOnStop(stop, [&cancellation] { cancellation.cancel(); });
-    const bool isAnswered = future.wait_until(limit.at()) == std::future_status::ready;
-    std::string failure = "no answer in time";
-    if (isAnswered) {
-        Outcome outcome = future.get();
-        if (outcome.failure.empty())
-            return std::move(outcome.answer);
-        failure = std::move(outcome.failure);
-    } else {
-        // The connection may be broken without an error. Cancelling closes it, so the next call gets a new one.
-        cancellation.cancel();
-    }
-    countResult(call, isAnswered ? "broken" : "timeout");
-    Error callError = error(call, ErrorCode::PlatformUnavailable, std::move(failure));
+    http::BlockingCalls& client = call.wait == Milliseconds(0) ? calls_ : watches_;
+    auto response = client.call(call.request, limit, stop);
+    if (response.has_value())
+        return answerOf(std::move(response.value()));
+    countResult(call, limit.hasPassed(framework::SystemClock().now()) ? "timeout" : "broken");
+    Error callError = error(call, ErrorCode::PlatformUnavailable, response.error().detail);
     if (call.effect == CallEffect::Write)
         callError.execution = Execution::Unknown;
     return callError;
@@ -154,8 +104,7 @@
     Error refusal = error(call, ErrorCode::PlatformUnavailable, "status " + std::to_string(answer.status));
     refusal.retryAfter = answer.retryAfter;
     // Only status 429 or 503 guarantees that the platform didn't execute the call.
-    const bool isRefusal
-        = answer.status == status_codes::TooManyRequests || answer.status == status_codes::ServiceUnavailable;
+    const bool isRefusal = answer.status == tooManyRequests || answer.status == serviceUnavailable;
     if (call.effect == CallEffect::Write && !isRefusal)
         refusal.execution = Execution::Unknown;
     return refusal;
--- a/src/objectstore/internal/httpcalls.h
+++ b/src/objectstore/internal/httpcalls.h
@@ -3,10 +3,11 @@
 #include "framework/metrics.h"
 #include "framework/types/error.h"
 #include "framework/types/time.h"
+#include "http/blockingcalls.h"
+#include "http/types/message.h"
 #include "objectstore/internal/callbudget.h"
 #include "objectstore/objectstoreclient.h"
 
-#include <cpprest/http_client.h>
 #include <memory>
 #include <optional>
 #include <stop_token>
@@ -14,6 +15,9 @@
 
 namespace lagoon::objectstore {
 
+/// The longest answer is a list of objects.
+inline constexpr std::size_t maxAnswerBytes = std::size_t(64) * 1024 * 1024;
+
 enum class CallEffect : std::uint8_t { Read, Write };
 
 /// A call to the platform that is ready to be sent.
@@ -23,13 +27,13 @@
     /// The key or list that the call is for; used in error texts.
     std::string subject;
     CallEffect effect = CallEffect::Read;
-    web::http::http_request request;
+    http::Request request;
     /// How long the server waits during a watch; added to the call timeout.
     framework::Milliseconds wait { 0 };
 };
 
 struct HttpAnswer {
-    unsigned short status = 0;
+    unsigned status = 0;
     std::string body;
     /// The `ETag` header as received, including its quotes.
     std::string entityTag;
@@ -37,12 +41,7 @@
 };
 
 /// Sends calls within the call budget and time limits, and records `lagoon_platform_calls_total{call,result}` and
-/// `lagoon_platform_call_seconds{call}`. Blocks the calling thread, which must be a worker thread and not one of
-/// cpprest's.
-///
-/// cpprest sends a request again by itself if the pooled connection is closed before the answer. A conditional write
-/// may therefore conflict with its own first transmission; the writer recognises its write by the nonce (see
-/// objectupdate.h).
+/// `lagoon_platform_call_seconds{call}`. Blocks the calling thread, which must be a worker thread.
 class HttpCalls {
 public:
     HttpCalls(const ObjectStoreSettings&, std::shared_ptr<framework::Metrics>);
@@ -62,10 +61,10 @@
     const framework::Milliseconds callTimeout_;
     std::shared_ptr<framework::Metrics> metrics_;
     CallBudget budget_;
-    web::http::client::http_client calls_;
+    http::BlockingCalls calls_;
     /// Client for watches. A watch occupies a connection for its whole wait, so a client of its own keeps watches from
     /// delaying short calls.
-    web::http::client::http_client watches_;
+    http::BlockingCalls watches_;
 };
 
 } // namespace lagoon::objectstore
--- a/src/objectstore/internal/httpobjectstore.cpp
+++ b/src/objectstore/internal/httpobjectstore.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cpprest/uri_builder.h>
 
 namespace lagoon::objectstore {
 
@@ -17,11 +18,13 @@
 using framework::Milliseconds;
 using framework::ObjectVersion;
 using framework::Result;
-using web::http::http_request;
-using web::http::status_codes;
 
 constexpr std::size_t maxValueBytes = 1024 * 1024;
-constexpr std::size_t maxListBytes = 64 * 1024 * 1024;
+constexpr unsigned ok = 200;
+constexpr unsigned notModified = 304;
+constexpr unsigned notFound = 404;
+constexpr unsigned preconditionFailed = 412;
+constexpr unsigned contentTooLarge = 413;
 /// Maximum wait of one watch call; longer watches take several calls. This bounds how long a silently broken connection
 /// stays undetected.
 constexpr Milliseconds maxWatchWait { 30000 };
@@ -43,24 +46,20 @@
 
 HttpCall objectCall(const std::string& kind, const std::string& method, const ObjectKey& key, CallEffect effect)
 {
-    HttpCall call { kind, key.value(), effect, http_request(method) };
-    // cpprest throws if the text isn't a valid path. Callers refuse calls with malformed keys before sending them.
-    if (isObjectKey(key))
-        call.request.set_request_uri("/v1/objects/" + key.value());
-    return call;
+    return { kind, key.value(), effect, { method, "/v1/objects/" + key.value(), {}, {} } };
 }
 
 void expectVersion(HttpCall& call, ObjectVersion expected)
 {
     if (expected == ObjectVersion())
-        call.request.headers().add("If-None-Match", "*");
+        call.request.headers.add("If-None-Match", "*");
     else
-        call.request.headers().add("If-Match", quoted(expected));
+        call.request.headers.add("If-Match", quoted(expected));
 }
 
 Result<std::vector<ListedObject>> listedObjects(const std::string& body, const std::string& prefix)
 {
-    const framework::JsonLimits limits { .bytes = maxListBytes };
+    const framework::JsonLimits limits { .bytes = maxAnswerBytes };
     BOOST_OUTCOME_TRY(json, framework::parseJson(body, prefix, ErrorCode::BadObject, limits));
     framework::CheckedObject answer(json, prefix, "", ErrorCode::BadObject);
     std::vector<ListedObject> result;
@@ -96,11 +95,11 @@
     if (!isObjectKey(key))
         return calls_->error(call, ErrorCode::BadObject, "not a key");
     BOOST_OUTCOME_TRY(answer, calls_->send(call, deadline));
-    if (answer.status == status_codes::NotFound) {
+    if (answer.status == notFound) {
         calls_->countResult(call, "absent");
         return std::optional<StoredObject>();
     }
-    if (answer.status != status_codes::OK) {
+    if (answer.status != ok) {
         calls_->countResult(call, "refused");
         return calls_->error(call, ErrorCode::PlatformUnavailable, "status " + std::to_string(answer.status));
     }
@@ -110,12 +109,11 @@
 
 Result<std::vector<ListedObject>> HttpObjectStore::list(const std::string& prefix, Deadline deadline)
 {
-    HttpCall call { "list", prefix, CallEffect::Read, http_request("GET") };
     web::uri_builder uri("/v1/objects");
     uri.append_query("prefix", prefix);
-    call.request.set_request_uri(uri.to_uri());
+    const HttpCall call { "list", prefix, CallEffect::Read, { "GET", uri.to_string(), {}, {} } };
     BOOST_OUTCOME_TRY(answer, calls_->send(call, deadline));
-    if (answer.status != status_codes::OK) {
+    if (answer.status != ok) {
         calls_->countResult(call, "refused");
         return calls_->error(call, ErrorCode::PlatformUnavailable, "status " + std::to_string(answer.status));
     }
@@ -134,18 +132,18 @@
     call.wait = wait;
     web::uri_builder uri("/v1/objects/" + key.value());
     uri.append_query("watch", known.value()).append_query("timeout_ms", wait.count());
-    call.request.set_request_uri(uri.to_uri());
+    call.request.target = uri.to_string();
     // The server answers at the end of its wait, so the answer may arrive up to one call timeout after the deadline.
     BOOST_OUTCOME_TRY(answer, calls_->send(call, Deadline(framework::SteadyTime::max()), stop));
-    if (answer.status == status_codes::NotModified) {
+    if (answer.status == notModified) {
         calls_->countResult(call, "unchanged");
         return std::optional<StoredObject>();
     }
-    if (answer.status == status_codes::NotFound) {
+    if (answer.status == notFound) {
         calls_->countResult(call, "absent");
         return calls_->error(call, ErrorCode::NotFound, "the object is gone");
     }
-    if (answer.status != status_codes::OK) {
+    if (answer.status != ok) {
         calls_->countResult(call, "refused");
         return calls_->error(call, ErrorCode::PlatformUnavailable, "status " + std::to_string(answer.status));
     }
@@ -162,15 +160,16 @@
     if (value.size() > maxValueBytes)
         return calls_->error(call, ErrorCode::TooLarge, "a value holds at most 1 MiB");
     expectVersion(call, expected);
-    call.request.set_body(value, "application/json");
+    call.request.headers.add("Content-Type", "application/json");
+    call.request.body = value;
     BOOST_OUTCOME_TRY(answer, calls_->send(call, deadline));
-    if (answer.status == status_codes::PreconditionFailed) {
+    if (answer.status == preconditionFailed) {
         calls_->countResult(call, "conflict");
         return calls_->error(call, ErrorCode::PlatformConflict, "the object has another version");
     }
-    if (answer.status != status_codes::OK) {
+    if (answer.status != ok) {
         calls_->countResult(call, "refused");
-        const bool isTooLarge = answer.status == status_codes::RequestEntityTooLarge;
+        const bool isTooLarge = answer.status == contentTooLarge;
         return calls_->error(
             call, isTooLarge ? ErrorCode::TooLarge : ErrorCode::BadObject, "status " + std::to_string(answer.status));
     }
@@ -188,14 +187,14 @@
     HttpCall call = objectCall("remove", "DELETE", key, CallEffect::Write);
     if (!isObjectKey(key))
         return calls_->error(call, ErrorCode::BadObject, "not a key");
-    call.request.headers().add("If-Match", quoted(expected));
+    call.request.headers.add("If-Match", quoted(expected));
     BOOST_OUTCOME_TRY(answer, calls_->send(call, deadline));
-    if (answer.status == status_codes::PreconditionFailed) {
+    if (answer.status == preconditionFailed) {
         calls_->countResult(call, "conflict");
         return calls_->error(call, ErrorCode::PlatformConflict, "the object has another version");
     }
-    // An absent object is a success: cpprest may send the request twice, and the second one doesn't find the object.
-    const bool isGone = answer.status == status_codes::OK || answer.status == status_codes::NotFound;
+    // An absent object is a success: an earlier call may have removed it whose answer was lost.
+    const bool isGone = answer.status == ok || answer.status == notFound;
     calls_->countResult(call, isGone ? "ok" : "refused");
     if (isGone)
         return framework::success();
--- a/src/objectstore/internal/httpvmlist.cpp
+++ b/src/objectstore/internal/httpvmlist.cpp
@@ -6,6 +6,7 @@
 #include "framework/logging.h"
 
 #include <algorithm>
+#include <cpprest/uri_builder.h>
 
 namespace lagoon::objectstore {
 
@@ -16,10 +17,10 @@
 using framework::ErrorCode;
 using framework::Milliseconds;
 using framework::Result;
-using web::http::status_codes;
 
 constexpr std::size_t maxListBytes = 16 * 1024 * 1024;
 constexpr Milliseconds maxWatchWait { 30000 };
+constexpr unsigned ok = 200;
 /// An entry in which the value of one of these can't be parsed must not hide the others.
 const std::vector<std::string> entryFields { "vm", "role", "state", "site", "failure_domain", "pool", "endpoint" };
 
@@ -95,14 +96,14 @@
 Result<VmListSnapshot> HttpVmList::waitForChange(std::uint64_t known, Deadline deadline, std::stop_token stop)
 {
     const Milliseconds wait = std::min(deadline.remaining(framework::SystemClock().now()), maxWatchWait);
-    HttpCall call { "vms", "VM list", CallEffect::Read, web::http::http_request("GET") };
+    HttpCall call { "vms", "VM list", CallEffect::Read, { "GET", {}, {}, {} } };
     call.wait = known == 0 ? Milliseconds(0) : wait;
     web::uri_builder uri("/v1/vms");
     uri.append_query("known", known).append_query("timeout_ms", call.wait.count());
-    call.request.set_request_uri(uri.to_uri());
+    call.request.target = uri.to_string();
     // The server answers at the end of its wait, so the answer may arrive up to one call timeout after the deadline.
     BOOST_OUTCOME_TRY(answer, calls_->send(call, Deadline(framework::SteadyTime::max()), stop));
-    if (answer.status != status_codes::OK) {
+    if (answer.status != ok) {
         calls_->countResult(call, "refused");
         return calls_->error(call, ErrorCode::PlatformUnavailable, "status " + std::to_string(answer.status));
     }
--- a/src/objectstore/internal/objectupdate.cpp
+++ b/src/objectstore/internal/objectupdate.cpp
@@ -48,8 +48,8 @@
     {
         BOOST_OUTCOME_TRY(read, store_.get(key_, deadline_));
         const ObjectVersion version = read ? read->version : ObjectVersion();
-        // An earlier write may have taken effect although no success was received: its answer was lost, or cpprest sent
-        // it twice and the second transmission conflicted with the first. In both cases the object has this update's
+        // An earlier write may have taken effect although no success was received: its answer was lost, or it arrived
+        // twice and the second transmission conflicted with the first. In both cases the object has this update's
         // nonce.
         if (hasWritten_ && read && update_.isOwnWrite(read->value)) {
             pendingWriteVersion_.reset();
--- a/src/objectstore/tests/objectupdate_test.cpp
+++ b/src/objectstore/tests/objectupdate_test.cpp
@@ -88,7 +88,7 @@
 }
 
 // Prevents a second claim for the same replica: a claim's write took effect, but its answer was lost or was the
-// conflict of cpprest's second transmission, so the agent claimed again and a model had two replicas instead of one.
+// conflict of its second transmission, so the agent claimed again and a model had two replicas instead of one.
 BOOST_AUTO_TEST_CASE(aWriteWithALostAnswerTakesEffectOnce)
 {
     for (const WriteFault fault : { WriteFault::LoseAnswer, WriteFault::SendTwice }) {
