Commands: answers of routers and agents are read strictly

`quarantine list` printed a broken answer as the list and ended with 0, and `bundle status` read one as a process's status: both asked through cpprest's client, which checks neither names nor framing. They use BlockingCalls now, so no part of the product reads answers with cpprest any more; a broken one is a link_lost that names what was wrong.

--- a/src/app/internal/processstatus.cpp
+++ b/src/app/internal/processstatus.cpp
@@ -2,9 +2,9 @@
 
 #include "framework/checkedjson.h"
 #include "framework/iclock.h"
+#include "http/blockingcalls.h"
 
 #include <algorithm>
-#include <cpprest/http_client.h>
 
 namespace lagoon::app {
 
@@ -16,6 +16,8 @@
 using framework::Result;
 
 constexpr framework::Milliseconds requestTimeout { 2000 };
+constexpr http::AnswerLimits answerLimits { std::size_t(1024) * 1024, std::size_t(1024) * 1024 };
+constexpr unsigned ok = 200;
 const std::string step = "read process status";
 
 Result<ProcessStatus> parseStatus(const std::string& text, const std::string& source)
@@ -36,18 +38,15 @@
 
 Result<ProcessStatus> readProcessStatus(const framework::Endpoint& ops, framework::Deadline deadline)
 {
-    const auto wait = std::min(requestTimeout, deadline.remaining(framework::SystemClock().now()));
-    web::http::client::http_client_config config;
-    config.set_timeout(std::max(wait, framework::Milliseconds(1)));
-    try {
-        web::http::client::http_client client(web::uri("http://" + ops.value()), config);
-        const web::http::http_response response = client.request("GET", "/status").get();
-        if (response.status_code() != web::http::status_codes::OK)
-            return Error { ErrorCode::NotReady, step, ops.value(), "status " + std::to_string(response.status_code()) };
-        return parseStatus(response.extract_utf8string(true).get(), ops.value());
-    } catch (const std::exception& exception) {
-        return Error { ErrorCode::LinkLost, step, ops.value(), exception.what() };
-    }
+    const auto end = framework::Deadline::after(framework::SystemClock().now(), requestTimeout);
+    http::BlockingCalls calls(ops, answerLimits, http::CallClient::Connections::OnePerCall);
+    const auto response = calls.call({ "GET", "/status", {}, {} }, std::min(end, deadline));
+    if (response.has_error())
+        return Error { ErrorCode::LinkLost, step, ops.value(), response.error().detail };
+    if (response.value().head.status != ok)
+        return Error { ErrorCode::NotReady, step, ops.value(),
+            "status " + std::to_string(response.value().head.status) };
+    return parseStatus(response.value().body, ops.value());
 }
 
 } // namespace lagoon::app
--- a/src/app/internal/quarantinecommand.cpp
+++ b/src/app/internal/quarantinecommand.cpp
@@ -3,9 +3,10 @@
 #include "app/internal/commandgroup.h"
 #include "app/internal/commandline.h"
 #include "app/internal/platformoptions.h"
+#include "framework/iclock.h"
+#include "http/blockingcalls.h"
 #include "quarantine/suspectreport.h"
 
-#include <cpprest/http_client.h>
 #include <iostream>
 
 namespace lagoon::app {
@@ -16,27 +17,27 @@
 using framework::Error;
 using framework::ErrorCode;
 using framework::Result;
-using web::http::status_codes;
 
 constexpr framework::Milliseconds callTimeout { 5000 };
+constexpr http::AnswerLimits answerLimits { std::size_t(64) * 1024 * 1024, std::size_t(64) * 1024 * 1024 };
+constexpr unsigned ok = 200;
+constexpr unsigned notFound = 404;
 
 /// Calls a router's ops endpoint and returns the answer's body.
 Result<std::string> callRouter(const std::string& method, const std::string& router, const std::string& target)
 {
     const std::string step = "call router";
-    web::http::client::http_client_config config;
-    config.set_timeout(callTimeout);
-    try {
-        web::http::client::http_client client(web::uri("http://" + router), config);
-        const web::http::http_response response = client.request(method, target).get();
-        if (response.status_code() == status_codes::NotFound)
-            return Error { ErrorCode::NotFound, step, router, "no such request is suspected" };
-        if (response.status_code() != status_codes::OK)
-            return Error { ErrorCode::LinkLost, step, router, "status " + std::to_string(response.status_code()) };
-        return response.extract_utf8string(true).get();
-    } catch (const std::exception& exception) {
-        return Error { ErrorCode::LinkLost, step, router, exception.what() };
-    }
+    const auto deadline = framework::Deadline::after(framework::SystemClock().now(), callTimeout);
+    http::BlockingCalls calls(framework::Endpoint(router), answerLimits, http::CallClient::Connections::OnePerCall);
+    auto response = calls.call({ method, target, {}, {} }, deadline);
+    if (response.has_error())
+        return Error { ErrorCode::LinkLost, step, router, response.error().detail };
+    const unsigned status = response.value().head.status;
+    if (status == notFound)
+        return Error { ErrorCode::NotFound, step, router, "no such request is suspected" };
+    if (status != ok)
+        return Error { ErrorCode::LinkLost, step, router, "status " + std::to_string(status) };
+    return std::move(response.value().body);
 }
 
 void addRouterOption(CommandLine& line, std::string& router)
--- a/tests/integration/agentbrokenanswers_test.cpp
+++ b/tests/integration/agentbrokenanswers_test.cpp
@@ -5,6 +5,7 @@
 #include "support/tcppeer.h"
 
 #include <boost/test/unit_test.hpp>
+#include <future>
 
 using namespace lagoon::testsupport;
 using lagoon::http::testing::BrokenAnswer;
@@ -59,4 +60,21 @@
     BOOST_TEST(deployment.upstream("booking-1").agent->log().find("bad status: 0") != std::string::npos);
 }
 
+// Prevents a command from reporting success on an answer that breaks HTTP/1.1.
+BOOST_AUTO_TEST_CASE(commandsRefuseBrokenAnswers)
+{
+    for (const BrokenAnswer& broken : { BrokenAnswer { .fields = "Content-Length : 2" },
+             BrokenAnswer { .fields = "Transfer-Encoding: gzip" }, BrokenAnswer { .fields = "X Seal: a" } }) {
+        std::string output;
+        auto exitCode = std::async(std::launch::async, [&] {
+            return deployment.runCommand({ "quarantine", "list", "--router", server.endpoint() }, &output);
+        });
+        TcpPeer peer = server.accept();
+        (void)peer.receiveUntil("\r\n\r\n");
+        peer.send(broken.text());
+        peer.close();
+        BOOST_TEST(exitCode.get() == 1, broken.text() << output);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
