Routers: a malformed head from an agent's link fails its dispatch

A router passed on any head that an agent sent over its link: any status, names with blanks or control bytes, values with line ends, which a caller would have read as fields of their own.

The status and the fields of such a head are checked before anything of it is passed on. A malformed one fails the dispatch with unknown execution, the agent is told to stop it, and a line agent_answer_malformed, at most 20 a second for each agent, names the fault. The checks and the quoting are shared with the reader of answers (answerfault.h).

Two tests delivered heads with the status 0 that they had left out; they send 200 now, with the same checks.

--- a/src/http/internal/answerreader.cpp
+++ b/src/http/internal/answerreader.cpp
@@ -1,9 +1,8 @@
 #include "http/internal/answerreader.h"
 
+#include "http/answerfault.h"
 #include "http/internal/messagereader.h"
 
-#include <array>
-#include <cstdio>
 #include <optional>
 #include <utility>
 
@@ -16,27 +15,10 @@
 /// Effectively unlimited, since bodies are forwarded piece by piece. Beast 1.74 refuses every answer that has a length
 /// if the limit is switched off.
 constexpr std::uint64_t maxBodyBytes = 1ULL << 40;
-/// Of the peer's bytes in the text of a fault.
-constexpr std::size_t maxQuotedBytes = 48;
 constexpr unsigned switchingProtocols = 101;
 constexpr std::string_view lengthField = "Content-Length";
 constexpr std::string_view codingField = "Transfer-Encoding";
 
-std::string quoted(std::string_view bytes)
-{
-    std::string text = "\"";
-    for (const char character : bytes.substr(0, maxQuotedBytes)) {
-        if (character >= ' ' && character <= '~' && character != '"' && character != '\\') {
-            text += character;
-            continue;
-        }
-        std::array<char, 5> escaped {};
-        std::snprintf(escaped.data(), escaped.size(), "\\x%02x", static_cast<unsigned char>(character));
-        text += escaped.data();
-    }
-    return text + (bytes.size() > maxQuotedBytes ? "\"..." : "\"");
-}
-
 /// The status line or the name of the field that the bytes begin with. A field's value may be secret.
 std::string_view lineBegin(std::string_view bytes) { return bytes.substr(0, bytes.find_first_of(":\n")); }
 
@@ -70,7 +52,7 @@
         if (!equalsIgnoringCase(field.name, lengthField) && !equalsIgnoringCase(field.name, codingField))
             continue;
         if (++fields <= maxFields)
-            text += " " + field.name + " " + quoted(field.value);
+            text += " " + field.name + " " + quotedBeginning(field.value);
     }
     return text;
 }
@@ -99,7 +81,7 @@
     overhead_.didReadBody(parser_.get().body().size() - bodyBefore);
     needsMore_ = error == beast::http::error::need_more;
     if (error && !needsMore_)
-        fault_ = error.message() + (isInHead ? ": " + quoted(lineBegin(text.substr(parsed))) : "");
+        fault_ = error.message() + (isInHead ? ": " + quotedBeginning(lineBegin(text.substr(parsed))) : "");
     else if (isInHead || isLastChunk())
         checkLines(text.substr(0, parsed));
     if (fault_.empty() && isInHead && parser_.is_header_done())
@@ -113,7 +95,7 @@
 void AnswerReader::checkLines(std::string_view lines)
 {
     if (const auto field = foldedField(lines))
-        fault_ = "folded line: " + quoted(lineBegin(*field));
+        fault_ = "folded line: " + quotedBeginning(lineBegin(*field));
 }
 
 void AnswerReader::didReadHead()
@@ -121,9 +103,10 @@
     const auto& header = parser_.get().base();
     head_ = { header.result_int(), std::string(header.reason()), headersOf(header) };
     // Nobody asks for another protocol.
-    if (head_.status < 100 || head_.status > 599 || head_.status == switchingProtocols)
-        fault_ = "bad status: " + std::to_string(head_.status);
-    else if (!isFramingSound())
+    const bool isSoundInterim = head_.status >= 100 && head_.status < 200 && head_.status != switchingProtocols;
+    if (!isSoundInterim)
+        fault_ = statusFault(head_.status);
+    if (fault_.empty() && !isFramingSound())
         fault_ = "bad framing:" + framingText(head_.headers);
 }
 
--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -1,6 +1,8 @@
 #include "router/internal/agentsession.h"
 
+#include "framework/decisionlog.h"
 #include "framework/logging.h"
+#include "http/answerfault.h"
 #include "quarantine/evidencewire.h"
 
 #include <algorithm>
@@ -29,6 +31,7 @@
 constexpr std::uint32_t maxConnectAttemptsForUnsent = 2;
 /// Weight of the latest answer in the moving average of the time to the first byte.
 constexpr double firstByteSmoothing = 0.2;
+constexpr std::size_t malformedLinesPerSecond = 20;
 
 callers::HttpHeaders headersOf(const wire::fb::AnswerHeadT& head)
 {
@@ -40,6 +43,17 @@
     return headers;
 }
 
+std::string faultOf(unsigned status, const callers::HttpHeaders& headers)
+{
+    std::string fault = http::statusFault(status);
+    for (const auto& [name, value] : headers) {
+        if (!fault.empty())
+            break;
+        fault = http::fieldFault(name, value);
+    }
+    return fault;
+}
+
 Error errorOf(const wire::fb::RefusedT& refused)
 {
     Error error { static_cast<ErrorCode>(refused.code), refused.step, refused.peer, refused.detail,
@@ -55,6 +69,7 @@
     : context_(context)
     , agent_(std::move(agent))
     , endpoint_(std::move(endpoint))
+    , malformedLines_(malformedLinesPerSecond)
 {
 }
 
@@ -186,11 +201,8 @@
 void AgentSession::receive(const std::shared_ptr<wire::ILink>& link, Message message)
 {
     lastReceived_ = context_.clock.now().time_since_epoch().count();
-    if (const wire::fb::AnswerHeadT* head = message.body.AsAnswerHead()) {
-        if (const auto stream = isOwnId(*head->id) ? streamOf(head->id->sequence) : nullptr)
-            stream->head(head->status, headersOf(*head), context_.clock.now());
-        return;
-    }
+    if (const wire::fb::AnswerHeadT* head = message.body.AsAnswerHead())
+        return receiveHead(*head);
     if (const wire::fb::AnswerChunkT* chunk = message.body.AsAnswerChunk()) {
         const auto stream = isOwnId(*chunk->id) ? streamOf(chunk->id->sequence) : nullptr;
         if (stream && !stream->chunk(chunk->offset, chunk->bytes))
@@ -203,6 +215,35 @@
     });
 }
 
+void AgentSession::receiveHead(const wire::fb::AnswerHeadT& head)
+{
+    const auto stream = isOwnId(*head.id) ? streamOf(head.id->sequence) : nullptr;
+    if (!stream)
+        return;
+    const callers::HttpHeaders headers = headersOf(head);
+    std::string fault = faultOf(head.status, headers);
+    if (fault.empty())
+        return stream->head(head.status, headers, context_.clock.now());
+    context_.control.post([self = shared_from_this(), sequence = SequenceNumber(head.id->sequence),
+                              fault = std::move(fault)] { self->failMalformed(sequence, fault); });
+}
+
+/// Fails a dispatch whose answer the agent has passed on although it is malformed.
+void AgentSession::failMalformed(SequenceNumber sequence, const std::string& fault)
+{
+    const auto entry = inFlight_.find(sequence.value());
+    if (entry == inFlight_.end())
+        return;
+    if (const auto omitted = malformedLines_.admit(context_.clock.now())) {
+        framework::LogLine line("agent_answer_malformed");
+        line.text("agent", agent_.value()).text("cause", fault).number("omitted", *omitted);
+        framework::logWarning("router", line.json());
+    }
+    sendCancel(entry->second);
+    settle(
+        sequence, error(ErrorCode::UpstreamBroken, "receive answer", "malformed answer, " + fault, Execution::Unknown));
+}
+
 void AgentSession::handle(const std::shared_ptr<wire::ILink>&, const Message& message)
 {
     switch (message.body.type) {
--- a/src/router/internal/agentsession.h
+++ b/src/router/internal/agentsession.h
@@ -2,6 +2,7 @@
 
 #include "framework/controlthread.h"
 #include "framework/iclock.h"
+#include "framework/loglimiter.h"
 #include "framework/metrics.h"
 #include "framework/types/error.h"
 #include "framework/types/ids.h"
@@ -115,6 +116,8 @@
 
     void connect();
     void receive(const std::shared_ptr<wire::ILink>&, wire::Message);
+    void receiveHead(const wire::fb::AnswerHeadT&);
+    void failMalformed(framework::SequenceNumber, const std::string& fault);
     void handle(const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void handleHello(const wire::fb::HelloAckT&);
     void handleEnd(const wire::fb::AnswerEndT&);
@@ -160,6 +163,7 @@
     std::vector<wire::Message> unsentQueries_;
     /// Number of dispatches settled since the last `Settle` frame.
     std::uint32_t settledSinceFloor_ = 0;
+    framework::LogLimiter malformedLines_;
     AgentLoad load_;
     bool isSuspect_ = false;
     double firstByteSeconds_ = 0;
--- a/src/router/tests/agentsession_test.cpp
+++ b/src/router/tests/agentsession_test.cpp
@@ -30,6 +30,21 @@
         runPending();
     }
 
+    void deliverHead(wire::FakeLink& link, const wire::fb::DispatchIdT& id, unsigned short status,
+        const std::vector<std::pair<std::string, std::string>>& fields)
+    {
+        wire::fb::AnswerHeadT head;
+        head.id = std::make_unique<wire::fb::DispatchIdT>(id);
+        head.status = status;
+        for (const auto& [name, value] : fields) {
+            head.headers.push_back(std::make_unique<wire::fb::HeaderT>());
+            head.headers.back()->name = name;
+            head.headers.back()->value = value;
+        }
+        link.deliver(wire::message(std::move(head)));
+        runPending();
+    }
+
     std::shared_ptr<AgentSession> session() { return sessions_.session(framework::VmName("draft-1")); }
 
     wire::fb::DispatchIdT sentId(wire::FakeLink& link) { return *link.takeSent(Body::Dispatch).body.AsDispatch()->id; }
@@ -152,6 +167,7 @@
     const auto id = sentId(*link);
     wire::fb::AnswerHeadT head;
     head.id = std::make_unique<wire::fb::DispatchIdT>(id);
+    head.status = 200;
     link->deliver(wire::message(std::move(head)));
     wire::fb::AnswerEndT end;
     end.id = std::make_unique<wire::fb::DispatchIdT>(id);
@@ -162,6 +178,30 @@
     BOOST_CHECK(outcomes_[0].error().execution == Execution::Unknown);
 }
 
+// Prevents a malformed head from reaching a client through an agent that doesn't check it.
+BOOST_AUTO_TEST_CASE(aMalformedHeadFailsItsDispatch)
+{
+    using namespace std::string_literals;
+    using Fields = std::vector<std::pair<std::string, std::string>>;
+    const auto link = completeHandshake("draft-1");
+    const std::vector<std::pair<unsigned short, Fields>> heads { { 0, {} }, { 101, {} }, { 199, {} }, { 600, {} },
+        { 200, { { "", "a" } } }, { 200, { { "X Seal", "a" } } }, { 200, { { "X-A", "a" }, { "X\0Seal"s, "a" } } },
+        { 200, { { "X-Seal:", "a" } } }, { 200, { { "X-Seal", "a\r\nX-B: b" } } }, { 200, { { "X-Seal", "a\0"s } } } };
+    for (const auto& [status, fields] : heads) {
+        const auto id = sentId(*link);
+        deliverHead(*link, id, status, fields);
+        BOOST_TEST(answer_->status_ == 0);
+        BOOST_REQUIRE(outcomes_.size() == 1u);
+        BOOST_TEST((outcomes_[0].error().code == ErrorCode::UpstreamBroken));
+        BOOST_TEST((outcomes_[0].error().execution == Execution::Unknown));
+        BOOST_TEST(link->takeSent(Body::Cancel).body.AsCancel()->id->sequence == id.sequence);
+        outcomes_.clear();
+        dispatch();
+    }
+    deliverHead(*link, sentId(*link), 599, { { "X-Seal", "\xc3\xa4\ta" } });
+    BOOST_TEST(answer_->status_ == 599);
+}
+
 // An answer with the id of another router or of another request arrives on the link. It must not reach this caller.
 BOOST_AUTO_TEST_CASE(anAnswerToAnotherRequestIsIgnored)
 {
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -316,6 +316,7 @@
     const auto [vm, id] = firstDispatch();
     wire::fb::AnswerHeadT head;
     head.id = std::make_unique<wire::fb::DispatchIdT>(id);
+    head.status = 200;
     link(vm)->deliver(wire::message(std::move(head)));
     refuse(*link(vm), id, ErrorCode::UpstreamBroken, Execution::Unknown);
     BOOST_TEST(caller->brokenOff_.has_value());
--- a/src/router/tests/fixture.h
+++ b/src/router/tests/fixture.h
@@ -18,13 +18,18 @@
 /// A caller that records the answer, error or refusal that it receives.
 class FakeAnswer final : public callers::ICallerAnswer {
 public:
-    void begin(unsigned short, const callers::HttpHeaders&, std::uint32_t attempt) override { attempt_ = attempt; }
+    void begin(unsigned short status, const callers::HttpHeaders&, std::uint32_t attempt) override
+    {
+        status_ = status;
+        attempt_ = attempt;
+    }
     void write(std::string bytes) override { body_ += bytes; }
     void finish() override { ++finalCount_, isComplete_ = true; }
     void breakOff(const framework::Error& error) override { ++finalCount_, brokenOff_ = error; }
     void refuse(const framework::Error& error, std::uint32_t) override { ++finalCount_, refused_ = error; }
     void onCallerGone(std::function<void()> action) override { onGone_ = std::move(action); }
 
+    unsigned short status_ = 0;
     std::string body_;
     std::uint32_t attempt_ = 0;
     int finalCount_ = 0;
