Tests: broken answers are repeated for idempotent requests alone

A malformed answer says nothing about whether its request has run. onlyIdempotentRequestsAreSentAgain lists two servers that answer with the status 000 first: a booking gets 502 and reaches no second server, a lookup is answered by the other one. aHostNameIsResolved shows that an agent's upstream may still be stated by a name, now that cpprest no longer resolves it.

--- a/src/agent/tests/httpupstream_test.cpp
+++ b/src/agent/tests/httpupstream_test.cpp
@@ -223,8 +223,21 @@
     watch.waitForBytes("one two");
 }
 
-// Prevents a second run: cpprest resends a POST by itself when a pooled connection is closed before the answer, so that
-// the upstream books a slot twice while the caller sees one success. A call must reach the upstream once, with an
+BOOST_AUTO_TEST_CASE(aHostNameIsResolved)
+{
+    RawUpstream server([](tcp::socket& socket, const std::string&) {
+        write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        return false;
+    });
+    const std::string url = server.url();
+    const auto upstream = makeHttpUpstream("http://localhost" + url.substr(url.rfind(':')));
+    CallRecorder watch;
+    const auto call = upstream->run(request(), watch.events());
+    watch.waitForEnd();
+}
+
+// Prevents a second run: a client that resends a POST by itself when its connection is closed before the answer lets
+// the upstream book a slot twice while the caller sees one success. A call must reach the upstream once, with an
 // unknown outcome.
 BOOST_AUTO_TEST_CASE(aCallIsSentOnce)
 {
--- a/tests/integration/brokenanswers_test.cpp
+++ b/tests/integration/brokenanswers_test.cpp
@@ -35,9 +35,10 @@
     }
 
     /// Sends a request whose head the server reads before the given function answers it.
-    CallerAnswer exchange(const std::string& body, const std::function<void(TcpPeer&)>& answer)
+    CallerAnswer exchange(
+        const std::string& body, const std::function<void(TcpPeer&)>& answer, const std::string& target = "/post/1")
     {
-        const CallerRequest request { .target = "/post/1", .attempt = attempt, .body = body };
+        const CallerRequest request { .target = target, .attempt = attempt, .body = body };
         auto called = std::async(std::launch::async, [this, request] { return fleet.call(request); });
         TcpPeer peer = server.accept();
         (void)peer.receiveUntil("\r\n\r\n");
@@ -93,6 +94,24 @@
     BOOST_TEST(answer.body != "ok");
 }
 
+// Prevents a request that may have run from being sent again, and one that may run twice from failing.
+BOOST_AUTO_TEST_CASE(onlyIdempotentRequestsAreSentAgain)
+{
+    store.put("servers", "other", Fleet::entry(plain2, "plain", server.endpoint()));
+    waitUntilListed("\"other\"");
+    BOOST_TEST(answerWith({ .status = "000 " }).status == 502);
+    BOOST_TEST(!server.hasConnection());
+    const auto failOnce = [&](TcpPeer& peer) {
+        peer.send(BrokenAnswer { .status = "000 " }.text(marks));
+        TcpPeer other = server.accept();
+        (void)other.receiveUntil("\r\n\r\n");
+        other.send(BrokenAnswer().text(marks));
+    };
+    const CallerAnswer answer = exchange("body", failOnce, "/get/1");
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == "ok");
+}
+
 // Prevents a client from getting a part of an answer as a whole one: a server without a length resets the connection
 // while the upload is still being written.
 BOOST_AUTO_TEST_CASE(aResetDuringTheUploadIsNoWholeAnswer)
--- a/tests/support/tcppeer.cpp
+++ b/tests/support/tcppeer.cpp
@@ -108,6 +108,8 @@
     return TcpPeer(std::move(socket));
 }
 
+bool TcpServer::hasConnection() { return isReadable(acceptor_.native_handle(), framework::Milliseconds(0)); }
+
 std::string frameOf(const std::string& content)
 {
     std::string frame;
--- a/tests/support/tcppeer.h
+++ b/tests/support/tcppeer.h
@@ -41,6 +41,8 @@
     std::string endpoint() const;
     /// Waits for a connection; throws std::runtime_error if none arrives in time.
     TcpPeer accept();
+    /// Whether a connection can be accepted without waiting.
+    bool hasConnection();
 
 private:
     boost::asio::ip::tcp::acceptor acceptor_;
