Answers: bytes of a malformed answer stand in the log alone

A client behind an agent got up to 48 bytes of a malformed answer, escaped, in the message of its refusal: the text that names a fault is also the detail of the error that the agent sends to the router and the router to its caller.

A fault now has what is wrong apart from the bytes (AnswerFault). Errors, and with them refusals and the output of commands, have the first alone; the lines attempt_failed, upstream_failed and agent_answer_malformed have both. A direct router's refusals have no body.

--- a/src/agent/internal/httpupstream.cpp
+++ b/src/agent/internal/httpupstream.cpp
@@ -45,16 +45,15 @@
 /// Logs failures of calls, of which an upstream in trouble can cause any number.
 class FailureLog {
 public:
-    void write(const framework::RequestName& request, const Error& error)
+    void write(const framework::RequestName& request, const http::ClientFailure& failure)
     {
         const auto omitted = lines_.admit(std::chrono::steady_clock::now());
         if (!omitted)
             return;
         framework::LogLine line("upstream_failed");
         line.text("request", request.value())
-            .text("step", error.step)
-            .text("cause", error.detail)
-            .flag("may_have_run", error.execution == Execution::Unknown)
+            .text("cause", failure.logText())
+            .flag("may_have_run", failure.mayHaveArrived)
             .number("omitted", *omitted);
         framework::logWarning("agent", line.json());
     }
@@ -120,11 +119,10 @@
     void didFail(const http::ClientFailure& failure) override
     {
         const bool isBroken = failure.step == http::ClientStep::ReadBody;
-        const Error why = error(isBroken ? "read answer" : "call upstream",
+        context_.log.write(name_, failure);
+        fail(error(isBroken ? "read answer" : "call upstream",
             isBroken ? ErrorCode::UpstreamBroken : ErrorCode::UpstreamFailed, failure.detail,
-            failure.mayHaveArrived ? Execution::Unknown : Execution::NotRun);
-        context_.log.write(name_, why);
-        fail(why);
+            failure.mayHaveArrived ? Execution::Unknown : Execution::NotRun));
     }
 
 private:
--- a/src/forwarding/internal/requestjob.cpp
+++ b/src/forwarding/internal/requestjob.cpp
@@ -563,8 +563,7 @@
         host_.quarantine().didEndRun(server, quarantine::EndSign::Refused);
     if (failure.mayHaveArrived)
         noteCut();
-    didEndWithoutAnswer(
-        std::string(http::clientStepText(failure.step)) + ": " + failure.detail, failure.mayHaveArrived);
+    didEndWithoutAnswer(failure.logText(), failure.mayHaveArrived);
 }
 
 void RequestJob::didEndWithoutAnswer(const std::string& cause, bool mayHaveRun)
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -28,8 +28,12 @@
     bool mayHaveArrived = false;
     /// Nothing listens at the endpoint: the process that did has ended.
     bool wasRefused = false;
-    /// Human-readable description.
+    /// Human-readable description. Has no bytes of the answer.
     std::string detail;
+    /// Bytes of a malformed answer (`AnswerFault::quote`), for the log alone; mostly empty.
+    std::string quote = {};
+
+    std::string logText() const;
 };
 
 /// Receives the answer to one request. Called on the event thread; `didFinish` or `didFail` is the last call.
@@ -58,10 +62,10 @@
     bool resolvesNames = false;
 };
 
-/// One connection to a server, based on Boost.Beast's parser and Asio. It replaces cpprest's client: that
-/// client resends a POST by itself if a kept-alive connection turns out to be closed, hides both the bytes after an
-/// answer and whether a body was complete or truncated by a lost connection, and accepts answers that break HTTP/1.1.
-/// Used on one event thread.
+/// One connection to a server, based on Boost.Beast's parser and Asio. It replaces cpprest's client: that client
+/// resends a POST by itself if a kept-alive connection turns out to be closed, hides both the bytes after an answer and
+/// whether a body was complete or truncated by a lost connection, and accepts answers that break HTTP/1.1. Used on one
+/// event thread.
 ///
 /// The connection handles one request at a time. After a complete answer it becomes idle and can be reused. It closes
 /// instead if either side requested that, if the request was not sent completely when its answer ended, or if bytes
--- a/src/http/internal/answerfault.cpp
+++ b/src/http/internal/answerfault.cpp
@@ -30,20 +30,20 @@
 
 } // namespace
 
-std::string statusFault(unsigned status)
+std::optional<AnswerFault> statusFault(unsigned status)
 {
     if (status >= minFinalStatus && status <= maxStatus)
-        return {};
-    return "bad status: " + std::to_string(status);
+        return std::nullopt;
+    return AnswerFault { "bad status: " + std::to_string(status) };
 }
 
-std::string fieldFault(std::string_view name, std::string_view value)
+std::optional<AnswerFault> fieldFault(std::string_view name, std::string_view value)
 {
     if (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter))
-        return "bad field: " + quotedBeginning(name);
+        return AnswerFault { "bad field", quotedBeginning(name) };
     if (!std::all_of(value.begin(), value.end(), isValueCharacter))
-        return "bad value: " + quotedBeginning(name);
-    return {};
+        return AnswerFault { "bad value", quotedBeginning(name) };
+    return std::nullopt;
 }
 
 std::string quotedBeginning(std::string_view text)
--- a/src/http/internal/answerreader.cpp
+++ b/src/http/internal/answerreader.cpp
@@ -1,6 +1,5 @@
 #include "http/internal/answerreader.h"
 
-#include "http/answerfault.h"
 #include "http/internal/messagereader.h"
 
 #include <optional>
@@ -52,7 +51,7 @@
         if (!equalsIgnoringCase(field.name, lengthField) && !equalsIgnoringCase(field.name, codingField))
             continue;
         if (++fields <= maxFields)
-            text += " " + field.name + " " + quotedBeginning(field.value);
+            text += (text.empty() ? "" : ", ") + field.name + " " + quotedBeginning(field.value);
     }
     return text;
 }
@@ -81,10 +80,10 @@
     overhead_.didReadBody(parser_.get().body().size() - bodyBefore);
     needsMore_ = error == beast::http::error::need_more;
     if (error && !needsMore_)
-        fault_ = error.message() + (isInHead ? ": " + quotedBeginning(lineBegin(text.substr(parsed))) : "");
+        fault_ = { error.message(), isInHead ? quotedBeginning(lineBegin(text.substr(parsed))) : "" };
     else if (isInHead || isLastChunk())
         checkLines(text.substr(0, parsed));
-    if (fault_.empty() && isInHead && parser_.is_header_done())
+    if (!fault_ && isInHead && parser_.is_header_done())
         didReadHead();
     return parsed;
 }
@@ -95,7 +94,7 @@
 void AnswerReader::checkLines(std::string_view lines)
 {
     if (const auto field = foldedField(lines))
-        fault_ = "folded line: " + quotedBeginning(lineBegin(*field));
+        fault_ = { "folded line", quotedBeginning(lineBegin(*field)) };
 }
 
 void AnswerReader::didReadHead()
@@ -106,8 +105,8 @@
     const bool isSoundInterim = head_.status >= 100 && head_.status < 200 && head_.status != switchingProtocols;
     if (!isSoundInterim)
         fault_ = statusFault(head_.status);
-    if (fault_.empty() && !isFramingSound())
-        fault_ = "bad framing:" + framingText(head_.headers);
+    if (!fault_ && !isFramingSound())
+        fault_ = { "bad framing", framingText(head_.headers) };
 }
 
 /// Beast takes an answer whose codings it doesn't know, or whose last one isn't `chunked`, for one that ends with its
--- a/src/http/internal/answerreader.h
+++ b/src/http/internal/answerreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/answerfault.h"
 #include "http/internal/growingbody.h"
 #include "http/internal/messageoverhead.h"
 #include "http/types/message.h"
@@ -8,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,9 +29,8 @@
     /// `needsMore` says so.
     std::size_t put(boost::asio::const_buffer bytes);
     bool needsMore() const { return needsMore_; }
-    /// What is malformed, with at most a few bytes of the answer, all printable. Empty as long as nothing is. Nothing
-    /// of the answer can be used then.
-    const std::string& fault() const { return fault_; }
+    /// What is malformed; std::nullopt as long as nothing is. Nothing of the answer can be used then.
+    const std::optional<AnswerFault>& fault() const { return fault_; }
 
     bool isHeadDone() const { return parser_.is_header_done(); }
     /// Valid once the head is done.
@@ -52,7 +53,7 @@
     MessageOverhead& overhead_;
     ResponseHead head_;
     bool needsMore_ = false;
-    std::string fault_;
+    std::optional<AnswerFault> fault_;
 };
 
 } // namespace lagoon::http
--- a/src/http/internal/tcpclientconnection.cpp
+++ b/src/http/internal/tcpclientconnection.cpp
@@ -61,6 +61,12 @@
     return "";
 }
 
+std::string ClientFailure::logText() const
+{
+    const std::string text = std::string(clientStepText(step)) + ": " + detail;
+    return quote.empty() ? text : text + ": " + quote;
+}
+
 std::shared_ptr<ClientConnection> ClientConnection::make(boost::asio::io_context& context,
     const framework::Endpoint& endpoint, const ClientOptions& options, Observers observers)
 {
@@ -250,8 +256,8 @@
 
 void TcpClientConnection::didParse()
 {
-    if (!reader_->fault().empty())
-        return fail(readStep(), "malformed answer, " + reader_->fault());
+    if (const auto& fault = reader_->fault())
+        return fail(readStep(), "malformed answer, " + fault->what, fault->quote);
     if (reader_->isHeadDone() && !std::exchange(isHeadDelivered_, true))
         deliverHead();
     // All chunks of a read are delivered at once.
@@ -331,14 +337,14 @@
     sink->didFinish();
 }
 
-void TcpClientConnection::fail(ClientStep step, std::string detail)
+void TcpClientConnection::fail(ClientStep step, std::string detail, std::string quote)
 {
     if (isClosed_)
         return;
     const auto sink = std::exchange(sink_, nullptr);
     close();
     if (sink)
-        sink->didFail(ClientFailure { step, mayHaveSentBytes_, wasRefused_, std::move(detail) });
+        sink->didFail(ClientFailure { step, mayHaveSentBytes_, wasRefused_, std::move(detail), std::move(quote) });
 }
 
 void TcpClientConnection::abandon()
--- a/src/http/internal/tcpclientconnection.h
+++ b/src/http/internal/tcpclientconnection.h
@@ -45,7 +45,7 @@
     void finishAcceptedAnswer();
     void didEnd(const boost::system::error_code&);
     ClientStep readStep() const { return isHeadDelivered_ ? ClientStep::ReadBody : ClientStep::AwaitHead; }
-    void fail(ClientStep, std::string detail);
+    void fail(ClientStep, std::string detail, std::string quote = {});
     void close();
 
     boost::asio::io_context& context_;
--- a/src/http/tests/brokenanswers_test.cpp
+++ b/src/http/tests/brokenanswers_test.cpp
@@ -125,9 +125,9 @@
         MessageOverhead overhead;
         AnswerReader reader(false, overhead);
         std::size_t parsed = 0;
-        for (std::size_t size = 1; size <= text.size() && reader.fault().empty(); ++size)
+        for (std::size_t size = 1; size <= text.size() && !reader.fault(); ++size)
             parsed += reader.put({ text.data() + parsed, size - parsed });
-        BOOST_TEST(!reader.fault().empty(), text);
+        BOOST_TEST(reader.fault().has_value(), text);
         BOOST_TEST(parsed + answer.body.size() <= text.size());
     }
 }
@@ -146,12 +146,14 @@
 {
     const std::string name = "X \x01\n\"\\" + std::string(1000, 'x');
     const auto answer = checkBroken(BrokenAnswer { .fields = name + ": secret" }.text());
-    const std::string& detail = answer->failure.detail;
-    BOOST_TEST(detail.size() < 200U);
-    BOOST_TEST(detail.find("\"X \\x01") != std::string::npos, detail);
+    const std::string logged = answer->failure.logText();
+    BOOST_TEST(logged.size() < 200U);
+    BOOST_TEST(logged.find("\"X \\x01") != std::string::npos, logged);
+    BOOST_TEST(answer->failure.detail.find("X ") == std::string::npos);
     const auto folded = checkBroken(BrokenAnswer { .fields = "X-A: secret\r\n secret" }.text());
-    BOOST_TEST(folded->failure.detail.find("\"X-A\"") != std::string::npos, folded->failure.detail);
-    BOOST_TEST(folded->failure.detail.find("secret") == std::string::npos);
+    const std::string foldedText = folded->failure.logText();
+    BOOST_TEST(foldedText.find("\"X-A\"") != std::string::npos, foldedText);
+    BOOST_TEST(foldedText.find("secret") == std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/router/internal/agentsession.cpp
+++ b/src/router/internal/agentsession.cpp
@@ -2,7 +2,6 @@
 
 #include "framework/decisionlog.h"
 #include "framework/logging.h"
-#include "http/answerfault.h"
 #include "quarantine/evidencewire.h"
 
 #include <algorithm>
@@ -43,15 +42,15 @@
     return headers;
 }
 
-std::string faultOf(unsigned status, const callers::HttpHeaders& headers)
+std::optional<http::AnswerFault> faultOf(unsigned status, const callers::HttpHeaders& headers)
 {
-    std::string fault = http::statusFault(status);
+    if (auto fault = http::statusFault(status))
+        return fault;
     for (const auto& [name, value] : headers) {
-        if (!fault.empty())
-            break;
-        fault = http::fieldFault(name, value);
+        if (auto fault = http::fieldFault(name, value))
+            return fault;
     }
-    return fault;
+    return std::nullopt;
 }
 
 Error errorOf(const wire::fb::RefusedT& refused)
@@ -221,27 +220,28 @@
     if (!stream)
         return;
     const callers::HttpHeaders headers = headersOf(head);
-    std::string fault = faultOf(head.status, headers);
-    if (fault.empty())
+    const auto fault = faultOf(head.status, headers);
+    if (!fault)
         return stream->head(head.status, headers, context_.clock.now());
-    context_.control.post([self = shared_from_this(), sequence = SequenceNumber(head.id->sequence),
-                              fault = std::move(fault)] { self->failMalformed(sequence, fault); });
+    context_.control.post([self = shared_from_this(), sequence = SequenceNumber(head.id->sequence), fault = *fault] {
+        self->failMalformed(sequence, fault);
+    });
 }
 
 /// Fails a dispatch whose answer the agent has passed on although it is malformed.
-void AgentSession::failMalformed(SequenceNumber sequence, const std::string& fault)
+void AgentSession::failMalformed(SequenceNumber sequence, const http::AnswerFault& fault)
 {
     const auto entry = inFlight_.find(sequence.value());
     if (entry == inFlight_.end())
         return;
     if (const auto omitted = malformedLines_.admit(context_.clock.now())) {
         framework::LogLine line("agent_answer_malformed");
-        line.text("agent", agent_.value()).text("cause", fault).number("omitted", *omitted);
+        line.text("agent", agent_.value()).text("cause", fault.logText()).number("omitted", *omitted);
         framework::logWarning("router", line.json());
     }
     sendCancel(entry->second);
-    settle(
-        sequence, error(ErrorCode::UpstreamBroken, "receive answer", "malformed answer, " + fault, Execution::Unknown));
+    settle(sequence,
+        error(ErrorCode::UpstreamBroken, "receive answer", "malformed answer, " + fault.what, Execution::Unknown));
 }
 
 void AgentSession::handle(const std::shared_ptr<wire::ILink>&, const Message& message)
--- a/src/router/internal/agentsession.h
+++ b/src/router/internal/agentsession.h
@@ -6,6 +6,7 @@
 #include "framework/metrics.h"
 #include "framework/types/error.h"
 #include "framework/types/ids.h"
+#include "http/answerfault.h"
 #include "quarantine/requestquarantine.h"
 #include "router/internal/answerstream.h"
 #include "router/types/routersettings.h"
@@ -117,7 +118,7 @@
     void connect();
     void receive(const std::shared_ptr<wire::ILink>&, wire::Message);
     void receiveHead(const wire::fb::AnswerHeadT&);
-    void failMalformed(framework::SequenceNumber, const std::string& fault);
+    void failMalformed(framework::SequenceNumber, const http::AnswerFault&);
     void handle(const std::shared_ptr<wire::ILink>&, const wire::Message&);
     void handleHello(const wire::fb::HelloAckT&);
     void handleEnd(const wire::fb::AnswerEndT&);
--- a/src/router/tests/agentsession_test.cpp
+++ b/src/router/tests/agentsession_test.cpp
@@ -194,6 +194,7 @@
         BOOST_REQUIRE(outcomes_.size() == 1u);
         BOOST_TEST((outcomes_[0].error().code == ErrorCode::UpstreamBroken));
         BOOST_TEST((outcomes_[0].error().execution == Execution::Unknown));
+        BOOST_TEST(outcomes_[0].error().detail.find("Seal") == std::string::npos);
         BOOST_TEST(link->takeSent(Body::Cancel).body.AsCancel()->id->sequence == id.sequence);
         outcomes_.clear();
         dispatch();
--- a/tests/integration/agentbrokenanswers_test.cpp
+++ b/tests/integration/agentbrokenanswers_test.cpp
@@ -62,6 +62,20 @@
         [this] { return deployment.upstream("booking-1").agent->log().find("bad status: 0") != std::string::npos; });
 }
 
+// Prevents bytes of a malformed answer, which may be anyone's, from reaching a client in the text of its refusal.
+BOOST_AUTO_TEST_CASE(bytesOfABrokenAnswerAreOnlyLogged)
+{
+    for (const BrokenAnswer& broken : { BrokenAnswer { .version = "secret" }, BrokenAnswer { .fields = "secret key" },
+             BrokenAnswer { .fields = "Transfer-Encoding: secret" }, BrokenAnswer { .fields = "secret: a\r\n b" } }) {
+        const HttpAnswer answer = answerWith(broken);
+        BOOST_TEST(answer.status == 502);
+        BOOST_TEST(refusalField(answer, "execution") == "unknown");
+        BOOST_TEST(answer.body.find("secret") == std::string::npos, answer.body);
+    }
+    waitFor("the bytes are logged",
+        [this] { return deployment.upstream("booking-1").agent->log().find("secret key") != std::string::npos; });
+}
+
 // Prevents a command from reporting success on an answer that breaks HTTP/1.1.
 BOOST_AUTO_TEST_CASE(commandsRefuseBrokenAnswers)
 {
