--- a/src/router/tests/agentsession_test.cpp
+++ b/src/router/tests/agentsession_test.cpp
@@ -30,21 +30,6 @@
         runPending();
     }
 
-    void deliverHead(wire::FakeLink& link, const wire::fb::DispatchIdT& id, unsigned short status,
-        const std::vector<std::pair<std::string, std::string>>& fields)
-    {
-        wire::fb::AnswerHeadT head;
-        head.id = std::make_unique<wire::fb::DispatchIdT>(id);
-        head.status = status;
-        for (const auto& [name, value] : fields) {
-            head.headers.push_back(std::make_unique<wire::fb::HeaderT>());
-            head.headers.back()->name = name;
-            head.headers.back()->value = value;
-        }
-        link.deliver(wire::message(std::move(head)));
-        runPending();
-    }
-
     std::shared_ptr<AgentSession> session() { return sessions_.session(framework::VmName("draft-1")); }
 
     wire::fb::DispatchIdT sentId(wire::FakeLink& link) { return *link.takeSent(Body::Dispatch).body.AsDispatch()->id; }
@@ -165,10 +150,7 @@
 {
     const auto link = completeHandshake("draft-1");
     const auto id = sentId(*link);
-    wire::fb::AnswerHeadT head;
-    head.id = std::make_unique<wire::fb::DispatchIdT>(id);
-    head.status = 200;
-    link->deliver(wire::message(std::move(head)));
+    deliverHead(*link, id, 200);
     wire::fb::AnswerEndT end;
     end.id = std::make_unique<wire::fb::DispatchIdT>(id);
     end.length = 3;
--- a/src/router/tests/dispatcher_test.cpp
+++ b/src/router/tests/dispatcher_test.cpp
@@ -314,10 +314,7 @@
 {
     const auto caller = ask(holds(), longTimeout, true);
     const auto [vm, id] = firstDispatch();
-    wire::fb::AnswerHeadT head;
-    head.id = std::make_unique<wire::fb::DispatchIdT>(id);
-    head.status = 200;
-    link(vm)->deliver(wire::message(std::move(head)));
+    deliverHead(*link(vm), id, 200);
     refuse(*link(vm), id, ErrorCode::UpstreamBroken, Execution::Unknown);
     BOOST_TEST(caller->brokenOff_.has_value());
     BOOST_TEST(!caller->refused_);
@@ -533,11 +530,7 @@
     const auto [vm, first] = firstDispatch();
     const auto begun = ask(holds(), longTimeout, false);
     const auto [otherVm, second] = firstDispatch();
-    wire::fb::AnswerHeadT head;
-    head.id = std::make_unique<wire::fb::DispatchIdT>(second);
-    head.status = 200;
-    link(otherVm)->deliver(wire::message(std::move(head)));
-    runPending();
+    deliverHead(*link(otherVm), second, 200);
     const auto deadlines = framework::ShutdownDeadlines::after(control_.now(), grace);
     dispatcher_.beginShutdown(deadlines);
     for (const std::string& each : { vm, otherVm })
--- a/src/router/tests/fixture.cpp
+++ b/src/router/tests/fixture.cpp
@@ -131,12 +131,24 @@
     return answer;
 }
 
-void RouterFixture::answer(wire::FakeLink& link, const wire::fb::DispatchIdT& id, const std::string& body)
+void RouterFixture::deliverHead(
+    wire::FakeLink& link, const wire::fb::DispatchIdT& id, unsigned short status, const callers::HttpHeaders& fields)
 {
     wire::fb::AnswerHeadT head;
     head.id = std::make_unique<wire::fb::DispatchIdT>(id);
-    head.status = 200;
+    head.status = status;
+    for (const auto& [name, value] : fields) {
+        head.headers.push_back(std::make_unique<wire::fb::HeaderT>());
+        head.headers.back()->name = name;
+        head.headers.back()->value = value;
+    }
     link.deliver(wire::message(std::move(head)));
+    runPending();
+}
+
+void RouterFixture::answer(wire::FakeLink& link, const wire::fb::DispatchIdT& id, const std::string& body)
+{
+    deliverHead(link, id, 200);
     wire::fb::AnswerChunkT chunk;
     chunk.id = std::make_unique<wire::fb::DispatchIdT>(id);
     chunk.bytes.assign(body.begin(), body.end());
--- a/src/router/tests/fixture.h
+++ b/src/router/tests/fixture.h
@@ -53,6 +53,9 @@
     std::shared_ptr<wire::FakeLink> link(const std::string& vm) const;
     std::shared_ptr<FakeAnswer> ask(
         const callers::RequestTarget&, framework::Milliseconds timeout, bool isRepeatable, std::uint8_t priority = 0);
+    /// Delivers the head of an answer alone.
+    void deliverHead(
+        wire::FakeLink&, const wire::fb::DispatchIdT&, unsigned short status, const callers::HttpHeaders& fields = {});
     /// Delivers a complete answer of one chunk.
     void answer(wire::FakeLink&, const wire::fb::DispatchIdT&, const std::string& body);
     void refuse(wire::FakeLink&, const wire::fb::DispatchIdT&, framework::ErrorCode, framework::Execution);
